--- /dev/null
+++ b/hopstep/domain/routing/engine_view.py
@@ -0,0 +1,126 @@
+"""What one router believes of one engine: its facts, its load, whether it can be reached.
+
+Load reports lag. Between reports the view adds what this router itself has sent since the
+report was taken, and lets reported work drain at the expected prefill speed.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from hopstep.domain.engines import EngineFacts, EngineRole, LoadReport
+
+BACKOFF_BASE_SECONDS = 0.5
+"""Time for which an engine is avoided after a first failure."""
+
+BACKOFF_LIMIT_SECONDS = 8.0
+"""Longest time for which an engine is avoided after a failure."""
+
+
+class Dispatch(msgspec.Struct):
+    """An attempt that this router has sent and that hasn't ended.
+
+    Attributes:
+        sent_at: When it was sent.
+        prefill_tokens: Prompt tokens that it was expected to recompute.
+        started: Whether its first token has come.
+    """
+
+    sent_at: float
+    prefill_tokens: int
+    started: bool = False
+
+
+class EngineView:
+    """Belief about one engine; every time is in seconds of the router's monotonic clock."""
+
+    def __init__(self) -> None:
+        """Start with nothing known: such an engine may be tried."""
+        self.facts: EngineFacts | None = None
+        self._report = LoadReport()
+        self._report_at = float("-inf")
+        self._dispatches: dict[str, Dispatch] = {}
+        self._failures = 0
+        self._avoid_until = float("-inf")
+
+    @property
+    def incarnation(self) -> str:
+        """Incarnation last seen; empty before the first facts."""
+        return self.facts.incarnation if self.facts else ""
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the engine said that it must get no new work."""
+        return self.facts is not None and self.facts.leaving
+
+    def serves(self, model: str, weights_version: str) -> bool:
+        """Return whether the engine may have these weights; unknown engines may."""
+        if self.facts is None:
+            return True
+        if self.facts.role is not EngineRole.SERVING:
+            return False
+        return self.facts.weights.get(model) == weights_version
+
+    def update_facts(self, facts: EngineFacts, now: float) -> None:
+        """Take newer facts; being heard of ends a backoff."""
+        self.facts = facts
+        self._failures = 0
+        self._avoid_until = float("-inf")
+        taken_at = now - facts.load.age_seconds
+        if taken_at >= self._report_at:
+            self._report = facts.load
+            self._report_at = taken_at
+
+    def record_dispatch(self, nonce: str, prefill_tokens: int, now: float) -> None:
+        """Count an attempt that has just been sent."""
+        self._dispatches[nonce] = Dispatch(now, prefill_tokens)
+
+    def record_first_token(self, nonce: str) -> None:
+        """Note that an attempt's prefill is over, which also proves the engine alive."""
+        dispatch = self._dispatches.get(nonce)
+        if dispatch is not None:
+            dispatch.started = True
+        self._failures = 0
+        self._avoid_until = float("-inf")
+
+    def record_end(self, nonce: str) -> None:
+        """Forget an attempt that has ended, however it ended."""
+        self._dispatches.pop(nonce, None)
+
+    def record_failure(self, now: float) -> None:
+        """Avoid the engine for a time that doubles with each failure in a row."""
+        backoff = min(BACKOFF_BASE_SECONDS * 2**self._failures, BACKOFF_LIMIT_SECONDS)
+        self._failures += 1
+        self._avoid_until = now + backoff
+
+    def is_suspect(self, now: float) -> bool:
+        """Return whether the engine is being avoided after a failure."""
+        return now < self._avoid_until
+
+    def requests(self) -> int:
+        """Return the expected number of requests that the engine runs and queues."""
+        reported = self._report.running + self._report.waiting
+        unreported = sum(
+            1 for dispatch in self._dispatches.values() if dispatch.sent_at > self._report_at
+        )
+        return max(reported + unreported, len(self._dispatches))
+
+    def waiting_prefill_tokens(self, now: float, prefill_tokens_per_second: float) -> float:
+        """Return the prompt tokens expected to be prefilled before a new request's own.
+
+        Args:
+            now: Time.
+            prefill_tokens_per_second: Speed at which reported work drains.
+        """
+        own = 0
+        unreported = 0
+        for dispatch in self._dispatches.values():
+            if dispatch.started:
+                continue
+            own += dispatch.prefill_tokens
+            if dispatch.sent_at > self._report_at:
+                unreported += dispatch.prefill_tokens
+        reported = float(self._report.waiting_prefill_tokens)
+        if reported:
+            reported -= prefill_tokens_per_second * (now - self._report_at)
+        return max(max(reported, 0.0) + unreported, float(own))
--- /dev/null
+++ b/hopstep/domain/routing/routing_table.py
@@ -0,0 +1,240 @@
+"""Everything that one router believes of engines, and the choice that follows from it.
+
+The table is deterministic: time and randomness come in as arguments, and it does no I/O. It
+never holds the configuration store or the event streams up: with none of them it still chooses,
+by rendezvous hashing on the prompt's prefix.
+"""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from hopstep.domain.blocks import block_keys, cache_salt, count_tokens
+from hopstep.domain.configuration import (
+    AcceptedConfiguration,
+    BackEnd,
+    BackEndKind,
+    Configuration,
+    RoutingPolicy,
+)
+from hopstep.domain.engines import CacheEventBatch, CacheEventKind, EngineFacts
+from hopstep.domain.inference import InferenceRequest
+from hopstep.domain.placement import place_tenant
+from hopstep.domain.rendezvous import Rendezvous
+from hopstep.domain.routing.engine_view import EngineView
+from hopstep.domain.routing.hot_prefixes import HotPrefixes
+from hopstep.domain.routing.prefix_picture import PrefixPicture
+from hopstep.domain.routing.selection import Candidate, Choice, Prompt, head_tokens, rank
+from hopstep.exceptions import DomainError, ErrorCode
+
+
+class _Sent(msgspec.Struct, frozen=True):
+    """Where an attempt in flight was sent."""
+
+    address: str
+    incarnation: str
+    heads: tuple[int, ...]
+
+
+class RoutingTable:
+    """Beliefs about engines; engines are known by their ``ip:port`` address."""
+
+    def __init__(self, random_source: random.Random) -> None:
+        """Start with no belief at all: every admissible engine may be chosen at once.
+
+        Args:
+            random_source: Seeded source of randomness.
+        """
+        self._random = random_source
+        self._configuration = Configuration()
+        self._policy = RoutingPolicy()
+        self._views: dict[str, EngineView] = {}
+        self._picture = PrefixPicture(self._policy.max_prefix_heads)
+        self._hot = HotPrefixes()
+        self._sent: dict[str, _Sent] = {}
+
+    def update_configuration(self, accepted: AcceptedConfiguration) -> None:
+        """Follow a newly accepted configuration; engines that it lacks are forgotten."""
+        self._configuration = accepted.configuration
+        if accepted.configuration.routing.prefix_stride_blocks != self._policy.prefix_stride_blocks:
+            self._picture = PrefixPicture(accepted.configuration.routing.max_prefix_heads)
+        self._policy = accepted.configuration.routing
+        self._picture.resize(self._policy.max_prefix_heads)
+        configured = {back_end.address for back_end in accepted.configuration.back_ends}
+        for address in set(self._views) - configured:
+            del self._views[address]
+            self._picture.forget_engine(address)
+
+    def facts(self, address: str) -> EngineFacts | None:
+        """Return the latest facts of an engine, or None."""
+        view = self._views.get(address)
+        return view.facts if view else None
+
+    def update_facts(self, address: str, facts: EngineFacts, now: float) -> None:
+        """Take facts that an engine gave; a new incarnation or new weights drop its entries."""
+        view = self._view(address)
+        before = view.facts
+        view.update_facts(facts, now)
+        if before is None or _cache_identity(before) != _cache_identity(facts):
+            self._picture.begin_incarnation(address, facts.incarnation)
+
+    def record_events(self, address: str, batch: CacheEventBatch) -> None:
+        """Take cache events; those of another incarnation than the known one are ignored."""
+        for event in batch.events:
+            if event.kind is CacheEventKind.STORED:
+                self._picture.record_stored(address, batch.incarnation, event.block_keys)
+            else:
+                self._picture.record_evicted(address, batch.incarnation, event.block_keys)
+
+    def choose(
+        self,
+        request: InferenceRequest,
+        admissible: tuple[BackEnd, ...],
+        excluded: frozenset[str],
+        now: float,
+    ) -> Choice:
+        """Return the engine for the next attempt.
+
+        Args:
+            request: The request.
+            admissible: Engines that placement allows.
+            excluded: Names of engines already tried.
+            now: Time.
+
+        Raises:
+            DomainError: ``NO_ADMISSIBLE_BACK_END`` when no engine is left.
+        """
+        return self.ranking(request, admissible, excluded, now)[0]
+
+    def ranking(
+        self,
+        request: InferenceRequest,
+        admissible: tuple[BackEnd, ...],
+        excluded: frozenset[str],
+        now: float,
+    ) -> tuple[Choice, ...]:
+        """Return a choice for every usable engine, the best first; see ``choose``."""
+        usable = [
+            back_end
+            for back_end in admissible
+            if back_end.name not in excluded and self._is_usable(back_end, request)
+        ]
+        if not usable:
+            raise DomainError(
+                ErrorCode.NO_ADMISSIBLE_BACK_END, "no admissible engine can take the request now"
+            )
+        prompt = self._prompt(request)
+        return rank(prompt, self._candidates(prompt, usable, now), self._policy)
+
+    def record_dispatch(self, nonce: str, choice: Choice, now: float) -> None:
+        """Count an attempt that is being sent; its prefix will be held there soon.
+
+        Args:
+            nonce: Name of the attempt.
+            choice: What ``choose`` returned for it.
+            now: Time.
+        """
+        address = choice.back_end.address
+        self._view(address).record_dispatch(nonce, choice.prefill_tokens, now)
+        self._sent[nonce] = _Sent(address, choice.incarnation, choice.prefix_heads)
+        heads = choice.prefix_heads
+        self._picture.learn(address, choice.incarnation, heads, len(heads))
+        if heads:
+            self._hot.record(heads[0], now)
+
+    def record_first_token(
+        self, nonce: str, incarnation: str, cached_tokens: int, now: float
+    ) -> None:
+        """Learn from the first frame of an attempt: the engine now holds the whole prompt.
+
+        Args:
+            nonce: Name of the attempt.
+            incarnation: Incarnation that answered.
+            cached_tokens: Prompt tokens that the engine reports as cached.
+            now: Time.
+        """
+        sent = self._sent.get(nonce)
+        if sent is None:
+            return
+        self._view(sent.address).record_first_token(nonce)
+        self._picture.learn(sent.address, incarnation, sent.heads, len(sent.heads))
+
+    def record_end(self, nonce: str, now: float) -> None:
+        """Forget an attempt that has ended, however it ended."""
+        sent = self._sent.pop(nonce, None)
+        if sent is not None:
+            self._view(sent.address).record_end(nonce)
+
+    def record_failure(self, address: str, now: float) -> None:
+        """Avoid an engine for a while after a failed attempt or probe."""
+        self._view(address).record_failure(now)
+
+    def _view(self, address: str) -> EngineView:
+        """Return the view of an engine, made on first use."""
+        view = self._views.get(address)
+        if view is None:
+            view = self._views[address] = EngineView()
+        return view
+
+    def _is_usable(self, back_end: BackEnd, request: InferenceRequest) -> bool:
+        """Return whether an engine may get new work of this model."""
+        view = self._views.get(back_end.address)
+        if view is None:
+            return True
+        model = request.model
+        return not view.leaving and view.serves(model.name, model.weights_version)
+
+    def _prompt(self, request: InferenceRequest) -> Prompt:
+        """Return what the ranking must know of the request's prompt."""
+        salt = cache_salt(request.tenant.name, request.model.weights_version)
+        heads = block_keys(request.prompt, salt, self._policy.prefix_stride_blocks)
+        return Prompt(count_tokens(request.prompt), tuple(heads), self._kv_cache_store(request))
+
+    def _kv_cache_store(self, request: InferenceRequest) -> str:
+        """Return the KV cache store that the tenant's cached state may go to, or nothing."""
+        if self._policy.import_tokens_per_second <= 0.0:
+            return ""
+        stores = place_tenant(
+            self._configuration, request.tenant, BackEndKind.KV_CACHE_STORE
+        ).admissible
+        return stores[0].address if stores else ""
+
+    def _candidates(self, prompt: Prompt, usable: list[BackEnd], now: float) -> list[Candidate]:
+        """Return what is believed of each usable engine."""
+        held = self._picture.held_heads(prompt.heads, [item.address for item in usable])
+        preferences = self._preferences(prompt, usable)
+        return [
+            self._candidate(back_end, heads, preferences, now)
+            for back_end, heads in zip(usable, held, strict=True)
+        ]
+
+    def _candidate(
+        self, back_end: BackEnd, held_heads: int, preferences: dict[str, int], now: float
+    ) -> Candidate:
+        """Return what is believed of one engine."""
+        view = self._view(back_end.address)
+        speed = self._policy.prefill_tokens_per_second
+        return Candidate(
+            back_end=back_end,
+            incarnation=view.incarnation,
+            cached_tokens=head_tokens(held_heads, self._policy),
+            waiting_prefill_tokens=view.waiting_prefill_tokens(now, speed),
+            requests=view.requests(),
+            suspect=view.is_suspect(now),
+            preference=preferences.get(back_end.name, len(preferences)),
+        )
+
+    def _preferences(self, prompt: Prompt, usable: list[BackEnd]) -> dict[str, int]:
+        """Return the rendezvous rank of the prefix's owners by engine name."""
+        head = prompt.heads[0] if prompt.heads else 0
+        names = tuple(back_end.name for back_end in usable)
+        replicas = max(self._policy.hot_prefix_copies, 1)
+        owners = Rendezvous.unweighted(names).owners(str(head), replicas)
+        return {name: position for position, name in enumerate(owners)}
+
+
+def _cache_identity(facts: EngineFacts) -> tuple[str, dict[str, str]]:
+    """Return what an engine's cached blocks belong to."""
+    return facts.incarnation, facts.weights
--- /dev/null
+++ b/hopstep/domain/routing/selection.py
@@ -0,0 +1,142 @@
+"""Ranking of engines for one request by expected cost; pure, over a snapshot."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hopstep.domain.blocks import BLOCK_TOKENS
+from hopstep.domain.configuration import BackEnd, RoutingPolicy
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """One engine that may serve the request, as believed just now.
+
+    Attributes:
+        back_end: The engine.
+        incarnation: Incarnation last seen; empty if unknown.
+        cached_tokens: Prompt tokens that it is believed to hold in its cache.
+        waiting_prefill_tokens: Prompt tokens expected to be prefilled before this request's.
+        requests: Requests that it is expected to run and queue.
+        suspect: Whether it is avoided after a failure.
+        preference: Rank among the prefix's rendezvous owners, 0 first; others have a higher
+            rank than every owner.
+    """
+
+    back_end: BackEnd
+    incarnation: str
+    cached_tokens: int
+    waiting_prefill_tokens: float
+    requests: int
+    suspect: bool
+    preference: int
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """An engine for one attempt, with what the router expects of it.
+
+    Attributes:
+        back_end: The engine.
+        incarnation: Incarnation last seen; empty if unknown.
+        expected_cached_tokens: Prompt tokens that it is believed to hold.
+        relies_on_cache: Whether the attempt must be refused in another incarnation.
+        expected_wait_seconds: Expected wait before the prefill starts.
+        kv_cache_store: Address of the KV cache store to import from; empty for none.
+        full: Whether the engine is believed to be at its limit of concurrent requests.
+        prefill_tokens: Prompt tokens that it is expected to recompute.
+        prefix_heads: Heads of the prompt, for ``RoutingTable.record_dispatch``.
+    """
+
+    back_end: BackEnd
+    incarnation: str
+    expected_cached_tokens: int
+    relies_on_cache: bool
+    expected_wait_seconds: float
+    kv_cache_store: str
+    full: bool
+    prefill_tokens: int
+    prefix_heads: tuple[int, ...]
+
+
+class Prompt(msgspec.Struct, frozen=True):
+    """What the ranking must know of a prompt.
+
+    Attributes:
+        tokens: Its length.
+        heads: Its prefix heads, shallowest first.
+        kv_cache_store: Address of a KV cache store that the tenant may use; empty for none.
+    """
+
+    tokens: int
+    heads: tuple[int, ...]
+    kv_cache_store: str = ""
+
+
+def rank(prompt: Prompt, candidates: list[Candidate], policy: RoutingPolicy) -> tuple[Choice, ...]:
+    """Return a choice for every candidate, the best first.
+
+    Engines that are neither suspect nor full come first; within a group the lowest expected
+    cost wins, then the rendezvous preference, so that routers without any picture agree.
+
+    Args:
+        prompt: The request's prompt.
+        candidates: Engines that may serve it; leaving and other-weights engines left out.
+        policy: Costs of the deployment.
+    """
+    if not candidates:
+        return ()
+    bound = _request_bound(candidates, policy)
+    keyed = sorted(
+        candidates,
+        key=lambda candidate: (
+            candidate.suspect,
+            _is_full(candidate),
+            candidate.requests > bound,
+            _cost(prompt, candidate, policy),
+            candidate.preference,
+        ),
+    )
+    return tuple(_choice(prompt, candidate, policy) for candidate in keyed)
+
+
+def _request_bound(candidates: list[Candidate], policy: RoutingPolicy) -> float:
+    """Return the number of requests above which an engine is passed over."""
+    mean = sum(candidate.requests for candidate in candidates) / len(candidates)
+    return policy.load_bound * (mean + 1.0)
+
+
+def _is_full(candidate: Candidate) -> bool:
+    """Return whether the engine is believed to be at its limit."""
+    return candidate.requests >= candidate.back_end.max_concurrent_requests
+
+
+def _cost(prompt: Prompt, candidate: Candidate, policy: RoutingPolicy) -> float:
+    """Return the expected cost in weighted seconds."""
+    speed = policy.prefill_tokens_per_second
+    recompute = _prefill_tokens(prompt, candidate) / speed
+    wait = candidate.waiting_prefill_tokens / speed
+    return policy.recompute_weight * recompute + policy.wait_weight * wait
+
+
+def _prefill_tokens(prompt: Prompt, candidate: Candidate) -> int:
+    """Return the prompt tokens that the engine is expected to compute."""
+    return max(prompt.tokens - candidate.cached_tokens, 0)
+
+
+def _choice(prompt: Prompt, candidate: Candidate, policy: RoutingPolicy) -> Choice:
+    """Return the choice of one candidate."""
+    return Choice(
+        back_end=candidate.back_end,
+        incarnation=candidate.incarnation,
+        expected_cached_tokens=candidate.cached_tokens,
+        relies_on_cache=candidate.cached_tokens > 0 and bool(candidate.incarnation),
+        expected_wait_seconds=candidate.waiting_prefill_tokens / policy.prefill_tokens_per_second,
+        kv_cache_store=prompt.kv_cache_store,
+        full=_is_full(candidate),
+        prefill_tokens=_prefill_tokens(prompt, candidate),
+        prefix_heads=prompt.heads,
+    )
+
+
+def head_tokens(heads: int, policy: RoutingPolicy) -> int:
+    """Return the prompt tokens that a number of leading heads stands for."""
+    return heads * policy.prefix_stride_blocks * BLOCK_TOKENS
