Add the pure engine model, in-process engines and the HTTP engine adapter

Thin version: continuous batching, prefix cache, nonces, orders and faults run in virtual time; the adapter says not_run only before a connection or under the attempt nonce.

--- /dev/null
+++ b/emulator/engine/model.py
@@ -0,0 +1,489 @@
+"""The pure model of one inference engine, driven by the time that callers pass in.
+
+The HTTP stand-in, the in-process adapter and the experiments all run this model, so a
+measure in virtual time and a test over loopback speak of the same engine. Nothing here reads
+a clock or draws on global randomness. Tokens exist as counts; their text is made on demand.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+import msgspec
+
+from emulator.engine.attempts import (
+    Attempt,
+    AttemptState,
+    PreparedPrompt,
+    new_attempt,
+    prepare_prompt,
+)
+from emulator.engine.block_cache import BlockCache
+from emulator.engine.config import EngineConfig
+from emulator.engine.event_log import EventLog
+from emulator.engine.load_history import LoadHistory
+from emulator.engine.nonces import NonceRegistry
+from emulator.engine.refusal import EngineRefusalError, refuse
+from emulator.engine.scheduler import BatchScheduler, Notice, NoticeKind
+from emulator.engine.weights import LoadTime, WeightsTable
+from hopstep.domain.blocks import BLOCK_TOKENS
+from hopstep.exceptions import ErrorCode, Execution
+from hopstep.ports.engine import (
+    AttemptStatus,
+    CacheEventBatch,
+    CacheEventKind,
+    CancelOutcome,
+    EngineFacts,
+    EngineOrder,
+    EngineRole,
+    GenerateRequest,
+    LoadReport,
+    Usage,
+)
+
+_START = 0.0
+_STATUS_OF_OUTCOME = {
+    CancelOutcome.NOT_STARTED: AttemptStatus.NOT_SEEN,
+    CancelOutcome.CANCELLED: AttemptStatus.CANCELLED,
+    CancelOutcome.FINISHED: AttemptStatus.FINISHED,
+}
+
+
+class RunRecord(msgspec.Struct, frozen=True):
+    """One execution, for oracles: an attempt whose prompt began to be computed."""
+
+    nonce: str
+    prompt_digest: str
+    started_at: float
+    incarnation: str
+
+
+class BlockExport(msgspec.Struct, frozen=True):
+    """Salted keys of computed blocks, on their way to the KV cache store at ``store``."""
+
+    store: str
+    block_keys: tuple[int, ...]
+
+
+class EngineModel:
+    """One engine over all its incarnations.
+
+    Every method takes the present time, which must never go back.
+    """
+
+    def __init__(
+        self,
+        config: EngineConfig,
+        weights: dict[str, str],
+        *,
+        name: str = "engine",
+        seed: int = 0,
+        load_time: LoadTime | None = None,
+    ) -> None:
+        """Start the first incarnation.
+
+        Args:
+            config: Sizes and speeds.
+            weights: Weights version by model, loaded at every start.
+            name: Prefix of incarnations; must be unique among engines and processes.
+            seed: Seed of the draws of lost events.
+            load_time: Time of a weight load; by default that of one alone.
+        """
+        self._config = config
+        self._initial_weights = weights
+        self._name = name
+        self._rng = random.Random(seed)
+        self._load_time = load_time or (lambda _now: config.weight_load_seconds)
+        self._starts = 0
+        self._order = 0
+        self._now = _START
+        self._frozen_at: float | None = None
+        self._notices: list[Notice] = []
+        self._exports: list[BlockExport] = []
+        self.runs: deque[RunRecord] = deque(maxlen=config.retained_runs)
+        self.leaving = False
+        self._fence = 0
+        self._role = EngineRole.SERVING
+        self._start_incarnation()
+
+    @property
+    def config(self) -> EngineConfig:
+        """Sizes and speeds."""
+        return self._config
+
+    @property
+    def incarnation(self) -> str:
+        """Name of the present incarnation."""
+        return f"{self._name}.{self._starts}"
+
+    @property
+    def frozen(self) -> bool:
+        """Whether the engine stands still."""
+        return self._frozen_at is not None
+
+    def submit(
+        self,
+        request: GenerateRequest,
+        now: float,
+        *,
+        prompt: PreparedPrompt | None = None,
+        importable_blocks: int = 0,
+    ) -> Attempt:
+        """Accept an attempt into the queue.
+
+        Args:
+            request: The attempt.
+            now: Present time, in seconds.
+            prompt: Prepared prompt; hashed here when None.
+            importable_blocks: Leading blocks that the request's KV cache store holds.
+
+        Raises:
+            EngineRefusalError: When it isn't accepted; nothing was run of it unless
+                ``execution`` says otherwise.
+        """
+        self._advance(now)
+        self._check_nonce(request)
+        self._check_preconditions(request)
+        prompt = prompt or prepare_prompt(request)
+        self._check_room(request, prompt)
+        self._order += 1
+        attempt = new_attempt(request, prompt, self._order, now, importable_blocks)
+        self._nonces.add(attempt)
+        first_new = len(self._notices)
+        self._scheduler.add(attempt, now, self._notices)
+        self._settle(first_new)
+        return attempt
+
+    def resume(self, nonce: str, incarnation: str, next_sequence: int, now: float) -> Attempt:
+        """Return an attempt whose tokens from ``next_sequence`` on can be read.
+
+        Raises:
+            EngineRefusalError: In another incarnation, and for a nonce that isn't held.
+        """
+        self._advance(now)
+        attempt = self._nonces.find(nonce) if incarnation == self.incarnation else None
+        if attempt is None:
+            raise refuse(
+                ErrorCode.PRECONDITION_FAILED,
+                "the attempt isn't held in this incarnation",
+                nonce=nonce,
+                execution=Execution.UNKNOWN,
+            )
+        last = attempt.first_sequence + attempt.token_limit
+        if not attempt.first_sequence <= next_sequence <= last:
+            raise refuse(
+                ErrorCode.MALFORMED_REQUEST,
+                "next_sequence is outside the attempt",
+                nonce=nonce,
+                execution=Execution.UNKNOWN,
+            )
+        return attempt
+
+    def cancel(self, nonce: str, incarnation: str, now: float) -> CancelOutcome:
+        """Cancel an attempt; the nonce never starts in this incarnation afterwards.
+
+        Args:
+            nonce: The attempt.
+            incarnation: Incarnation that it was sent to; empty when the caller never learned
+                it: then the outcome of a nonce that was never seen isn't proved.
+            now: Present time, in seconds.
+
+        Raises:
+            EngineRefusalError: In another incarnation, or when nothing is proved.
+        """
+        self._advance(now)
+        if incarnation and incarnation != self.incarnation:
+            raise _unproved(nonce)
+        attempt = self._nonces.find(nonce)
+        if attempt is not None and not attempt.ended:
+            return self._cancel_live(attempt, now)
+        outcome = self._nonces.outcome(nonce)
+        if outcome is not None:
+            return outcome
+        self._nonces.bury(nonce)
+        if not incarnation:
+            raise _unproved(nonce)
+        return CancelOutcome.NOT_STARTED
+
+    def fence_nonce(self, nonce: str, incarnation: str, now: float) -> AttemptStatus:
+        """Keep a nonce that was never seen from ever starting, or return its status.
+
+        Raises:
+            EngineRefusalError: In another incarnation: nothing is proved of the earlier one.
+        """
+        self._advance(now)
+        if incarnation != self.incarnation:
+            raise _unproved(nonce)
+        attempt = self._nonces.find(nonce)
+        if attempt is not None and not attempt.ended:
+            waiting = attempt.state is AttemptState.WAITING
+            return AttemptStatus.QUEUED if waiting else AttemptStatus.RUNNING
+        outcome = self._nonces.outcome(nonce)
+        if outcome is None:
+            self._nonces.bury(nonce)
+            return AttemptStatus.NOT_SEEN
+        return _STATUS_OF_OUTCOME[outcome]
+
+    def order(self, order: EngineOrder, now: float) -> EngineFacts:
+        """Take a fenced order; requests of a changed model that haven't started are refused.
+
+        Running ones end under their weights before the load begins.
+
+        Raises:
+            EngineRefusalError: When the fence is below the highest that was taken.
+        """
+        self._advance(now)
+        if order.fence < self._fence:
+            raise refuse(ErrorCode.PRECONDITION_FAILED, f"the fence is below {self._fence}")
+        self._fence = order.fence
+        if order.role is not None:
+            self._role = order.role
+        changed = self._weights.request(order.weights)
+        for attempt in self._scheduler.waiting_attempts():
+            if attempt.model in changed and attempt.state is AttemptState.WAITING:
+                self._scheduler.withdraw(attempt, AttemptState.REFUSED, now, self._notices)
+                self._nonces.end(attempt)
+        self._begin_loads(now)
+        return self.facts(now)
+
+    def facts(self, now: float) -> EngineFacts:
+        """Return what the engine says of itself."""
+        self._advance(now)
+        return EngineFacts(
+            incarnation=self.incarnation,
+            weights=dict(self._weights.loaded),
+            role=self._role,
+            leaving=self.leaving,
+            load=self._history.report(now),
+            event_sequence=self._events.latest_sequence(now),
+            fence=self._fence,
+        )
+
+    def load(self, now: float) -> LoadReport:
+        """Return the load of this moment, without the lag of reports."""
+        self._advance(now)
+        return self._load_now()
+
+    def cache_events(self, incarnation: str, after_sequence: int, now: float) -> CacheEventBatch:
+        """Return published events; from the first one on for another incarnation's reader."""
+        self._advance(now)
+        after = after_sequence if incarnation == self.incarnation else 0
+        return CacheEventBatch(self.incarnation, self._events.published_after(after, now))
+
+    def cached_blocks(self, prompt: PreparedPrompt) -> int:
+        """Return how many leading blocks of a prompt are cached; for oracles."""
+        return self._cache.match(prompt.block_keys, len(prompt.block_keys))
+
+    def generated(self, attempt: Attempt, now: float) -> int:
+        """Return how many tokens of its own an attempt has generated."""
+        return self._scheduler.generated(attempt, now)
+
+    def usage(self, attempt: Attempt, now: float) -> Usage:
+        """Return the token counts of an attempt so far."""
+        return Usage(
+            prompt_tokens=attempt.prompt.token_count,
+            cached_tokens=attempt.cached_tokens,
+            imported_tokens=attempt.imported_tokens,
+            completion_tokens=self.generated(attempt, now),
+        )
+
+    def advance(self, now: float) -> list[Notice]:
+        """Carry the engine forward; return what happened since the last call."""
+        self._advance(now)
+        notices, self._notices = self._notices, []
+        return notices
+
+    def take_exports(self) -> list[BlockExport]:
+        """Return blocks to write to KV cache stores since the last call."""
+        exports, self._exports = self._exports, []
+        return exports
+
+    def next_event_time(self) -> float:
+        """Return when something happens next: a first token, an end, a load; or infinity."""
+        if self.frozen:
+            return float("inf")
+        return min(self._scheduler.next_event_time(), self._weights.next_ready_time())
+
+    def next_step_time(self, now: float) -> float:
+        """Return when streams may have new tokens; infinity when idle or frozen."""
+        if self.frozen:
+            return float("inf")
+        step_time = self._scheduler.next_step_time(now)
+        return min(step_time, self._weights.next_ready_time())
+
+    def crash(self, now: float) -> None:
+        """Lose everything and start again in a new incarnation, with the initial weights."""
+        self._advance(now)
+        for attempt in self._nonces.live():
+            attempt.generated = self._scheduler.generated(attempt, now)
+            attempt.state = AttemptState.LOST
+            attempt.ended_at = now
+        self._frozen_at = None
+        self._now = now
+        self._exports = []
+        self._start_incarnation()
+
+    def freeze(self, now: float) -> None:
+        """Stand still until ``thaw`` or ``crash``."""
+        if not self.frozen:
+            self._advance(now)
+            self._frozen_at = now
+
+    def thaw(self, now: float) -> None:
+        """Go on after a freeze; work under way ends later by its length."""
+        if self._frozen_at is None:
+            return
+        seconds = now - self._frozen_at
+        self._frozen_at = None
+        self._now = now
+        self._scheduler.shift(seconds)
+        self._weights.shift(seconds)
+
+    def set_event_faults(self, *, dropping: bool, delay_seconds: float | None) -> None:
+        """Drop cache events from now on, or publish them with another delay."""
+        self._events.dropping = dropping
+        default = self._config.event_delay_seconds
+        self._events.delay_seconds = default if delay_seconds is None else delay_seconds
+
+    def set_report_lag(self, lag_seconds: float | None) -> None:
+        """Report the load with another lag; None for the configured one."""
+        default = self._config.report_lag_seconds
+        self._history.lag_seconds = default if lag_seconds is None else lag_seconds
+
+    def _start_incarnation(self) -> None:
+        """Begin an incarnation: nothing cached, queued, remembered or ordered."""
+        self._starts += 1
+        self._fence = 0
+        self._role = EngineRole.SERVING
+        self._weights = WeightsTable(self._initial_weights, self._load_time)
+        self._nonces = NonceRegistry(self._config)
+        self._events = EventLog(self._config, self._rng)
+        self._history = LoadHistory(self._config.report_lag_seconds)
+        self._cache = BlockCache(self._config.block_count, self._log_cache_event)
+        self._scheduler = BatchScheduler(self._config, self._cache)
+
+    def _advance(self, now: float) -> None:
+        """Carry the engine forward to ``now``; nothing moves while it is frozen."""
+        if self.frozen:
+            return
+        first_new = len(self._notices)
+        while (event_time := self._scheduler.next_event_time()) <= now:
+            self._now = event_time
+            self._scheduler.advance(event_time, self._notices)
+        self._now = now
+        self._settle(first_new)
+        if self._weights.waiting_models():
+            self._begin_loads(now)
+        self._weights.complete(now)
+        if self._history.due(now):
+            self._history.record(now, self._load_now())
+
+    def _settle(self, first_new: int) -> None:
+        """Take note of what happened to attempts."""
+        for notice in self._notices[first_new:]:
+            attempt = notice.attempt
+            if notice.kind is NoticeKind.STARTED:
+                self.runs.append(
+                    RunRecord(attempt.nonce, attempt.prompt.digest, notice.time, self.incarnation)
+                )
+            elif notice.kind is NoticeKind.FINISHED:
+                self._nonces.end(attempt)
+            elif attempt.kv_cache_store:
+                self._export(attempt)
+
+    def _export(self, attempt: Attempt) -> None:
+        """Offer the blocks that an attempt computed to its KV cache store."""
+        taken = (attempt.cached_tokens + attempt.imported_tokens) // BLOCK_TOKENS
+        keys = tuple(attempt.prompt.block_keys[taken:])
+        if keys:
+            self._exports.append(BlockExport(attempt.kv_cache_store, keys))
+
+    def _begin_loads(self, now: float) -> None:
+        """Begin loads of models without running requests; the cache is dropped with them."""
+        for model in self._weights.waiting_models():
+            if not self._scheduler.runs(model):
+                self._weights.begin(model, now)
+                self._cache.drop_evictable()
+
+    def _cancel_live(self, attempt: Attempt, now: float) -> CancelOutcome:
+        """Cancel an attempt that hasn't ended."""
+        waiting = attempt.state is AttemptState.WAITING
+        outcome = CancelOutcome.NOT_STARTED if waiting else CancelOutcome.CANCELLED
+        first_new = len(self._notices)
+        self._scheduler.withdraw(attempt, AttemptState.CANCELLED, now, self._notices)
+        self._nonces.end(attempt, outcome)
+        self._settle(first_new)
+        return outcome
+
+    def _check_nonce(self, request: GenerateRequest) -> None:
+        """Refuse a nonce that was accepted or cancelled before: it never runs twice."""
+        if not self._nonces.knows(request.nonce):
+            return
+        cancelled = self._nonces.outcome(request.nonce) is CancelOutcome.NOT_STARTED
+        raise refuse(
+            ErrorCode.ALREADY_CLAIMED,
+            "the nonce was seen before",
+            nonce=request.nonce,
+            execution=Execution.NOT_RUN if cancelled else Execution.UNKNOWN,
+        )
+
+    def _check_preconditions(self, request: GenerateRequest) -> None:
+        """Refuse what the caller asked not to be run here, or the engine doesn't serve."""
+        retry_after = self._config.retry_after_seconds
+        nonce = request.nonce
+        if request.incarnation and request.incarnation != self.incarnation:
+            raise refuse(ErrorCode.PRECONDITION_FAILED, "this is another incarnation", nonce=nonce)
+        if self.leaving:
+            raise refuse(ErrorCode.STOPPING, "the engine is leaving", nonce=nonce)
+        if self._role is not EngineRole.SERVING:
+            raise refuse(ErrorCode.NOT_READY, "the engine is on standby", nonce=nonce)
+        if self._weights.loading(request.model):
+            raise refuse(
+                ErrorCode.NOT_READY,
+                "weights are being loaded",
+                nonce=nonce,
+                retry_after_seconds=retry_after,
+            )
+        loaded = self._weights.loaded.get(request.model)
+        if loaded is None:
+            raise refuse(ErrorCode.UNKNOWN_MODEL, "the model isn't served here", nonce=nonce)
+        if loaded != request.weights_version:
+            raise refuse(ErrorCode.PRECONDITION_FAILED, "other weights are loaded", nonce=nonce)
+
+    def _check_room(self, request: GenerateRequest, prompt: PreparedPrompt) -> None:
+        """Refuse what can never fit, and what the queue has no room for."""
+        blocks = -(-(prompt.token_count + request.max_tokens) // BLOCK_TOKENS)
+        if blocks > self._config.block_count:
+            raise refuse(ErrorCode.PROMPT_TOO_LONG, "the prompt doesn't fit", nonce=request.nonce)
+        if self._scheduler.waiting_count >= self._config.max_waiting_requests:
+            raise refuse(
+                ErrorCode.OVERLOADED,
+                "the queue is full",
+                nonce=request.nonce,
+                retry_after_seconds=self._config.retry_after_seconds,
+            )
+
+    def _load_now(self) -> LoadReport:
+        """Return the load without carrying the engine forward."""
+        scheduler = self._scheduler
+        return LoadReport(
+            running=scheduler.running_count,
+            waiting=scheduler.waiting_count,
+            waiting_prefill_tokens=scheduler.pending_prefill_tokens,
+            free_block_ratio=self._cache.free_block_ratio,
+        )
+
+    def _log_cache_event(self, kind: CacheEventKind, keys: tuple[int, ...]) -> None:
+        """Log a cache event at the engine's present time."""
+        self._events.append(self._now, kind, keys)
+
+
+def _unproved(nonce: str) -> EngineRefusalError:
+    """Return the refusal of a call that proves nothing of an attempt."""
+    return refuse(
+        ErrorCode.PRECONDITION_FAILED,
+        "the attempt belongs to another incarnation",
+        nonce=nonce,
+        execution=Execution.UNKNOWN,
+    )
--- /dev/null
+++ b/emulator/engine/weights.py
@@ -0,0 +1,68 @@
+"""Weights of an emulated engine: fenced orders, draining before a load, loading time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+LoadTime = Callable[[float], float]
+"""Returns the seconds that a load begun at the given time takes."""
+
+
+class _Load(msgspec.Struct):
+    """Weights under way; ``ready_at`` is infinite until requests of the model have ended."""
+
+    version: str
+    ready_at: float = float("inf")
+
+
+class WeightsTable:
+    """Loaded versions by model, and loads under way."""
+
+    def __init__(self, loaded: dict[str, str], load_time: LoadTime) -> None:
+        """Start with ``loaded`` versions by model."""
+        self.loaded = dict(loaded)
+        self._load_time = load_time
+        self._loads: dict[str, _Load] = {}
+
+    def loading(self, model: str) -> bool:
+        """Return whether other weights of ``model`` are under way."""
+        return model in self._loads
+
+    def request(self, weights: dict[str, str]) -> list[str]:
+        """Take an order; return the models that must change."""
+        changed = []
+        for model, version in weights.items():
+            load = self._loads.get(model)
+            target = load.version if load else self.loaded.get(model)
+            if version == target:
+                continue
+            self._loads[model] = _Load(version)
+            self.loaded.pop(model, None)
+            changed.append(model)
+        return changed
+
+    def waiting_models(self) -> list[str]:
+        """Return models whose load waits for their running requests to end."""
+        return [model for model, load in self._loads.items() if load.ready_at == float("inf")]
+
+    def begin(self, model: str, now: float) -> None:
+        """Begin the load of a model without running requests."""
+        self._loads[model].ready_at = now + self._load_time(now)
+
+    def complete(self, now: float) -> None:
+        """Put every load that is ready by ``now`` in use."""
+        for model, load in list(self._loads.items()):
+            if load.ready_at <= now:
+                del self._loads[model]
+                self.loaded[model] = load.version
+
+    def next_ready_time(self) -> float:
+        """Return when the next load is ready; infinite for none."""
+        return min((load.ready_at for load in self._loads.values()), default=float("inf"))
+
+    def shift(self, seconds: float) -> None:
+        """Move loads under way later by ``seconds``, after a freeze."""
+        for load in self._loads.values():
+            load.ready_at += seconds
--- /dev/null
+++ b/emulator/kv_cache_store/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the store of kept KV cache."""
--- /dev/null
+++ b/emulator/weight_store/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the rate-limited weight store."""
--- /dev/null
+++ b/hopstep/adapters/engine_http.py
@@ -0,0 +1,268 @@
+"""Engines over HTTP, with a truthful account of what may have run.
+
+``NOT_RUN`` is said in two cases only: no connection was made, so that no byte of the request
+left; or the engine itself says so under the attempt's nonce. Everything else is ``UNKNOWN``,
+also a pooled connection that the peer closed just before: the request may have reached it.
+httpx repeats no request by itself (its ``retries`` covers connecting only, and is 0 here).
+"""
+
+from __future__ import annotations
+
+import contextlib
+import ssl
+from collections.abc import AsyncGenerator, AsyncIterator
+from typing import TypeVar, cast
+
+import httpx
+import msgspec
+import trio
+
+from hopstep.adapters.engine_messages import (
+    CACHE_EVENTS_PATH,
+    CANCEL_PATH,
+    FACTS_PATH,
+    FENCE_PATH,
+    GENERATE_PATH,
+    ORDERS_PATH,
+    RESUME_PATH,
+    CancelAnswer,
+    CancelRequest,
+    FenceAnswer,
+    FenceRequest,
+    Refusal,
+    ResumeRequest,
+)
+from hopstep.adapters.engine_stream import StreamDecoder, interrupted, refusal_error
+from hopstep.exceptions import EngineError, ErrorCode, Execution
+from hopstep.ports.engine import (
+    AttemptStatus,
+    CacheEventBatch,
+    CancelOutcome,
+    EngineFacts,
+    EngineOrder,
+    EnginePort,
+    GenerateRequest,
+    TokenFrame,
+)
+
+Answer = TypeVar("Answer", bound=msgspec.Struct)
+
+DEFAULT_IDLE_TIMEOUT_SECONDS = 10.0
+DEFAULT_CALL_TIMEOUT_SECONDS = 2.0
+DEFAULT_CONNECT_TIMEOUT_SECONDS = 1.0
+DEFAULT_MAX_CONNECTIONS = 1_024
+KEEP_ALIVE_SECONDS = 3.0
+"""Idle connections are dropped before servers drop them, which makes lost requests rarer."""
+
+DRAIN_SECONDS = 0.05
+"""Longest wait for the end of a body whose last frame has come, to keep the connection."""
+
+_NOTHING_SENT = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+    httpx.UnsupportedProtocol,
+)
+_JSON_HEADERS = {"content-type": "application/json"}
+
+
+class HttpEngine(EnginePort):
+    """Engine port over HTTP; one instance serves all engines of a router."""
+
+    def __init__(
+        self,
+        *,
+        idle_timeout_seconds: float = DEFAULT_IDLE_TIMEOUT_SECONDS,
+        call_timeout_seconds: float = DEFAULT_CALL_TIMEOUT_SECONDS,
+        connect_timeout_seconds: float = DEFAULT_CONNECT_TIMEOUT_SECONDS,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        """Open no connection yet.
+
+        Args:
+            idle_timeout_seconds: Time without a byte after which a stream counts as cut off.
+            call_timeout_seconds: Longest wait for the answer to a short call.
+            connect_timeout_seconds: Longest wait for a connection.
+            max_connections: Bound on open connections to all engines.
+            ssl_context: For HTTPS; None for plain HTTP.
+        """
+        self._scheme = "http" if ssl_context is None else "https"
+        self._call_timeout_seconds = call_timeout_seconds
+        self._client = httpx.AsyncClient(
+            verify=ssl_context or False,
+            trust_env=False,
+            follow_redirects=False,
+            timeout=httpx.Timeout(idle_timeout_seconds, connect=connect_timeout_seconds),
+            limits=httpx.Limits(
+                max_connections=max_connections,
+                max_keepalive_connections=max_connections,
+                keepalive_expiry=KEEP_ALIVE_SECONDS,
+            ),
+        )
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._client.aclose()
+
+    @contextlib.asynccontextmanager
+    async def generate(
+        self, address: str, request: GenerateRequest
+    ) -> AsyncIterator[AsyncIterator[TokenFrame]]:
+        """See the port."""
+        async with self._stream(address, GENERATE_PATH, request, request.nonce) as frames:
+            yield frames
+
+    @contextlib.asynccontextmanager
+    async def resume(
+        self, address: str, nonce: str, incarnation: str, next_sequence: int
+    ) -> AsyncIterator[AsyncIterator[TokenFrame]]:
+        """See the port."""
+        message = ResumeRequest(nonce, incarnation, next_sequence)
+        async with self._stream(address, RESUME_PATH, message, nonce) as frames:
+            yield frames
+
+    async def cancel(self, address: str, nonce: str, incarnation: str) -> CancelOutcome:
+        """See the port."""
+        message = CancelRequest(nonce, incarnation)
+        answer = await self._call("POST", address, CANCEL_PATH, CancelAnswer, message, nonce)
+        if answer.nonce != nonce:
+            raise _unreachable("the engine answered for another attempt", Execution.UNKNOWN)
+        return answer.outcome
+
+    async def fence_nonce(self, address: str, nonce: str, incarnation: str) -> AttemptStatus:
+        """See the port."""
+        message = FenceRequest(nonce, incarnation)
+        answer = await self._call("POST", address, FENCE_PATH, FenceAnswer, message, nonce)
+        if answer.nonce != nonce:
+            raise _unreachable("the engine answered for another attempt", Execution.UNKNOWN)
+        return answer.status
+
+    async def probe(self, address: str) -> EngineFacts:
+        """See the port."""
+        return await self._call("GET", address, FACTS_PATH, EngineFacts)
+
+    async def cache_events(
+        self, address: str, incarnation: str, after_sequence: int
+    ) -> CacheEventBatch:
+        """See the port."""
+        query = httpx.QueryParams(incarnation=incarnation, after_sequence=after_sequence)
+        path = f"{CACHE_EVENTS_PATH}?{query}"
+        return await self._call("GET", address, path, CacheEventBatch)
+
+    async def order(self, address: str, order: EngineOrder) -> EngineFacts:
+        """See the port."""
+        return await self._call("POST", address, ORDERS_PATH, EngineFacts, order)
+
+    async def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        answer_type: type[Answer],
+        message: msgspec.Struct | None = None,
+        nonce: str = "",
+    ) -> Answer:
+        """Make a short call and decode its answer.
+
+        Raises:
+            EngineError: It was refused, failed, or its answer can't be understood.
+        """
+        with trio.move_on_after(self._call_timeout_seconds):
+            response = await self._send(method, address, path, message)
+            async with contextlib.aclosing(response):
+                body = await _read_body(response)
+            return _decode_answer(response.status_code, body, answer_type, nonce)
+        raise _unreachable("no answer came in time", Execution.UNKNOWN)
+
+    @contextlib.asynccontextmanager
+    async def _stream(
+        self, address: str, path: str, message: msgspec.Struct, nonce: str
+    ) -> AsyncIterator[AsyncIterator[TokenFrame]]:
+        """Open a stream; leaving the context closes it, wherever it stands."""
+        response = await self._send("POST", address, path, message)
+        async with contextlib.aclosing(response):
+            if response.status_code != httpx.codes.OK:
+                raise _refusal(response.status_code, await _read_body(response), nonce)
+            decoder = StreamDecoder(nonce)
+            chunks = cast(AsyncGenerator[bytes, None], response.aiter_raw())
+            frames = _frames(chunks, decoder)
+            async with contextlib.aclosing(chunks), contextlib.aclosing(frames):
+                yield frames
+                if decoder.finished:
+                    await _drain(chunks)
+
+    async def _send(
+        self, method: str, address: str, path: str, message: msgspec.Struct | None
+    ) -> httpx.Response:
+        """Send a request and return its answer with the body still to be read."""
+        content = None if message is None else msgspec.json.encode(message)
+        try:
+            request = self._client.build_request(
+                method, f"{self._scheme}://{address}{path}", content=content, headers=_JSON_HEADERS
+            )
+        except httpx.InvalidURL as error:
+            raise _unreachable("the address is malformed", Execution.NOT_RUN) from error
+        try:
+            return await self._client.send(request, stream=True)
+        except _NOTHING_SENT as error:
+            raise _unreachable("no connection was made", Execution.NOT_RUN) from error
+        except httpx.HTTPError as error:
+            raise _unreachable("the answer was lost", Execution.UNKNOWN) from error
+
+
+async def _frames(
+    chunks: AsyncIterator[bytes], decoder: StreamDecoder
+) -> AsyncGenerator[TokenFrame, None]:
+    """Yield the frames of a response as they come.
+
+    Raises:
+        EngineError: The stream broke off before its last frame, or the attempt was refused.
+    """
+    try:
+        async for data in chunks:
+            for frame in decoder.feed(data):
+                yield frame
+    except httpx.HTTPError as error:
+        if not decoder.finished:
+            raise interrupted("the stream was cut off") from error
+    if not decoder.finished:
+        raise interrupted("the stream ended without its last frame")
+
+
+async def _drain(chunks: AsyncIterator[bytes]) -> None:
+    """Read the end of a body whose last frame has come, so that the connection is kept."""
+    with trio.move_on_after(DRAIN_SECONDS), contextlib.suppress(httpx.HTTPError):
+        async for _ in chunks:
+            pass
+
+
+async def _read_body(response: httpx.Response) -> bytes:
+    """Return the whole body of a short answer."""
+    try:
+        return await response.aread()
+    except httpx.HTTPError as error:
+        raise _unreachable("the answer was cut off", Execution.UNKNOWN) from error
+
+
+def _decode_answer(status: int, body: bytes, answer_type: type[Answer], nonce: str) -> Answer:
+    """Return the answer to a short call, or raise what it stands for."""
+    if status != httpx.codes.OK:
+        raise _refusal(status, body, nonce)
+    try:
+        return msgspec.json.decode(body, type=answer_type)
+    except msgspec.DecodeError as error:
+        raise _unreachable("the answer can't be understood", Execution.UNKNOWN) from error
+
+
+def _refusal(status: int, body: bytes, nonce: str) -> EngineError:
+    """Return the error for an answer that isn't a success."""
+    try:
+        return refusal_error(msgspec.json.decode(body, type=Refusal), nonce)
+    except msgspec.DecodeError:
+        return _unreachable(f"the engine answered with status {status}", Execution.UNKNOWN)
+
+
+def _unreachable(message: str, execution: Execution) -> EngineError:
+    """Return the error for an exchange that failed."""
+    return EngineError(ErrorCode.ENGINE_UNREACHABLE, message, execution)
--- /dev/null
+++ b/hopstep/adapters/engine_stream.py
@@ -0,0 +1,107 @@
+"""Decoding of an engine's stream: newline-delimited JSON into frames."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hopstep.adapters.engine_messages import Refusal
+from hopstep.exceptions import EngineError, ErrorCode, Execution
+from hopstep.ports.engine import TokenFrame
+
+MAX_LINE_BYTES = 1024 * 1024
+"""Longest line of a stream; a longer one breaks the stream off."""
+
+
+class RefusalLine(msgspec.Struct, frozen=True):
+    """Line of a stream whose attempt is refused after it was queued."""
+
+    refusal: Refusal
+
+
+def refusal_error(refusal: Refusal, nonce: str) -> EngineError:
+    """Return the error for a refusal; ``NOT_RUN`` is believed under our nonce only."""
+    proved = refusal.execution is Execution.NOT_RUN and refusal.nonce == nonce
+    return EngineError(
+        refusal.code,
+        refusal.message,
+        Execution.NOT_RUN if proved else Execution.UNKNOWN,
+        refusal.retry_after_seconds,
+    )
+
+
+def interrupted(message: str) -> EngineError:
+    """Return the error for a stream that can't go on."""
+    return EngineError(ErrorCode.STREAM_INTERRUPTED, message, Execution.UNKNOWN)
+
+
+class StreamDecoder:
+    """Turns bytes of one stream into frames, joining those that arrive together."""
+
+    def __init__(self, nonce: str) -> None:
+        """Start at the beginning of a stream.
+
+        Args:
+            nonce: The attempt; frames of others are passed on, but don't end the stream.
+        """
+        self._nonce = nonce
+        self._rest = b""
+        self._frame_decoder = msgspec.json.Decoder(TokenFrame)
+        self._refusal_decoder = msgspec.json.Decoder(RefusalLine)
+        self.finished = False
+
+    def feed(self, data: bytes) -> list[TokenFrame]:
+        """Return the frames that ``data`` completes.
+
+        Raises:
+            EngineError: The engine refuses the attempt, or sends what isn't a frame.
+        """
+        lines = (self._rest + data).split(b"\n")
+        self._rest = lines.pop()
+        if len(self._rest) > MAX_LINE_BYTES:
+            raise interrupted("the engine sent a line that is too long")
+        frames: list[TokenFrame] = []
+        for line in lines:
+            if line:
+                self._append(frames, self._decode(line))
+        return frames
+
+    def _decode(self, line: bytes) -> TokenFrame:
+        """Return the frame of one line."""
+        try:
+            frame = self._frame_decoder.decode(line)
+        except msgspec.DecodeError:
+            raise self._error_of(line) from None
+        if frame.finish_reason is not None and frame.nonce == self._nonce:
+            self.finished = True
+        return frame
+
+    def _error_of(self, line: bytes) -> EngineError:
+        """Return the error that a line which isn't a frame stands for."""
+        try:
+            refusal = self._refusal_decoder.decode(line).refusal
+        except msgspec.DecodeError:
+            return interrupted("the engine sent what isn't a frame")
+        return refusal_error(refusal, self._nonce)
+
+    @staticmethod
+    def _append(frames: list[TokenFrame], frame: TokenFrame) -> None:
+        """Add a frame, joined to the one before it when it follows on exactly."""
+        last = frames[-1] if frames else None
+        follows = (
+            last is not None
+            and last.finish_reason is None
+            and last.nonce == frame.nonce
+            and last.incarnation == frame.incarnation
+            and last.sequence + len(last.tokens) == frame.sequence
+        )
+        if last is None or not follows:
+            frames.append(frame)
+            return
+        frames[-1] = TokenFrame(
+            nonce=frame.nonce,
+            incarnation=frame.incarnation,
+            sequence=last.sequence,
+            tokens=last.tokens + frame.tokens,
+            finish_reason=frame.finish_reason,
+            usage=frame.usage or last.usage,
+        )
