--- /dev/null
+++ b/emulator/platform/shared_store.py
@@ -0,0 +1,159 @@
+"""The key-value service behind every stand-in: the pure model, its faults and trio's clock."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+
+from emulator.platform.faults import FaultOrder, StoreFaults
+from emulator.platform.store_model import KeyValueStoreModel, TokenBucket, list_page
+from hopstep.adapters.key_value_store_wire import (
+    Get,
+    List,
+    StoreOperation,
+    Watch,
+    is_write,
+)
+from hopstep.exceptions import ErrorCode, StoreError, StoreOutcomeUnknownError
+from hopstep.ports.key_value_store import StoredValue, WatchBatch
+
+BURST_SECONDS = 1.0
+"""Seconds of the rate limit that may come at once."""
+
+
+class SharedStore:
+    """One key-value service, as all its clients share it.
+
+    Args:
+        history_length: Changes that a watch can look back on.
+    """
+
+    def __init__(self, history_length: int = 1024) -> None:
+        self.model = KeyValueStoreModel(history_length)
+        self.faults = StoreFaults()
+        self._bucket = TokenBucket()
+        self._cache: dict[str, StoredValue] | None = None
+        self._hidden_versions: set[int] = set()
+        self._changed = trio.Event()
+
+    def order_faults(self, order: FaultOrder) -> None:
+        """Put the store's faults of ``order`` in force."""
+        self._remember_cache(order)
+        for field in self.faults.__struct_fields__:
+            value = getattr(order, field)
+            if value is not None:
+                setattr(self.faults, field, value)
+        if order.requests_per_second is not None:
+            self._limit_rate(order.requests_per_second)
+        if order.lapse_leases:
+            self.model.lapse_all()
+            self._announce()
+
+    async def execute(self, operation: StoreOperation) -> object:
+        """Carry out an operation under the faults in force.
+
+        Returns:
+            The result that the operation's class documents.
+
+        Raises:
+            StoreError: Outage, rate limit or conflict; no effect.
+            StoreOutcomeUnknownError: A write was lost, before or after its effect.
+        """
+        delay = self.faults.slow_seconds / 2
+        await trio.sleep(delay)
+        self._refuse_when_unavailable()
+        result = await self._take_effect(operation)
+        await trio.sleep(delay)
+        return result
+
+    async def _take_effect(self, operation: StoreOperation) -> object:
+        """Carry out an operation now, and lose it or its answer if so ordered."""
+        if not is_write(operation):
+            return await self._read(operation)
+        if self.faults.lost_requests > 0:
+            self.faults.lost_requests -= 1
+            raise _lost()
+        result = self._write(operation)
+        if self.faults.lost_answers > 0:
+            self.faults.lost_answers -= 1
+            raise _lost()
+        return result
+
+    def _write(self, operation: StoreOperation) -> object:
+        """Apply a write and wake the watches."""
+        revision = self.model.revision
+        result = self.model.apply(operation, trio.current_time())
+        changes = range(revision + 1, self.model.revision + 1)
+        for version in changes[: self.faults.dropped_changes]:
+            self.faults.dropped_changes -= 1
+            self._hidden_versions.add(version)
+        self._announce()
+        return result
+
+    async def _read(self, operation: StoreOperation) -> object:
+        """Answer a read, from the cache if so ordered."""
+        if isinstance(operation, Watch):
+            return await self._watch(operation)
+        if self.faults.stale_reads > 0 and self._cache is not None:
+            self.faults.stale_reads -= 1
+            if isinstance(operation, Get):
+                return self._cache.get(operation.key)
+            if isinstance(operation, List):
+                return list_page(self._cache, operation)
+        return self.model.apply(operation, trio.current_time())
+
+    async def _watch(self, operation: Watch) -> WatchBatch:
+        """Wait for a change below the prefix that isn't hidden, or for the time to pass."""
+        deadline = trio.current_time() + operation.wait_seconds
+        while True:
+            batch = self._visible_changes(operation)
+            if batch.values or trio.current_time() >= deadline:
+                return batch
+            changed = self._changed
+            with trio.move_on_at(min(deadline, self.model.next_lapse())):
+                await changed.wait()
+            self._refuse_when_down()
+
+    def _visible_changes(self, operation: Watch) -> WatchBatch:
+        """Return what a watch shows now."""
+        self.model.expire_leases(trio.current_time())
+        batch = self.model.changes(operation.prefix, operation.after_revision)
+        visible = tuple(
+            value for value in batch.values if value.version not in self._hidden_versions
+        )
+        return msgspec.structs.replace(batch, values=visible)
+
+    def _refuse_when_unavailable(self) -> None:
+        """Raise when an outage or the rate limit refuses a new call."""
+        self._refuse_when_down()
+        if not self._bucket.admit(trio.current_time()):
+            raise StoreError(ErrorCode.STORE_RATE_LIMITED, "the rate limit is used up")
+
+    def _refuse_when_down(self) -> None:
+        """Raise during an outage."""
+        if self.faults.outage:
+            raise StoreError(ErrorCode.STORE_UNAVAILABLE, "the store is down")
+
+    def _remember_cache(self, order: FaultOrder) -> None:
+        """Copy what is there when an outage begins, for stale reads after it."""
+        begins = bool(order.outage) and not self.faults.outage
+        if begins or (order.stale_reads and self._cache is None):
+            self._cache = self.model.snapshot()
+
+    def _limit_rate(self, requests_per_second: float) -> None:
+        """Start a new rate limit; 0 switches it off."""
+        if requests_per_second == 0:
+            self._bucket = TokenBucket()
+            return
+        burst = max(1.0, requests_per_second * BURST_SECONDS)
+        self._bucket = TokenBucket(requests_per_second, burst)
+
+    def _announce(self) -> None:
+        """Wake every watch."""
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+def _lost() -> StoreOutcomeUnknownError:
+    """Return the error of a write whose answer never came."""
+    return StoreOutcomeUnknownError(ErrorCode.STORE_OUTCOME_UNKNOWN, "the answer was lost")
--- /dev/null
+++ b/emulator/platform/store_model.py
@@ -0,0 +1,211 @@
+"""Pure model of the key-value service: no clock, no network, no randomness.
+
+The model is one store-wide revision, a table of keys, a bounded history of changes for
+watches, and leases that lapse by the time that callers pass in.
+"""
+
+from __future__ import annotations
+
+import collections
+
+import msgspec
+
+from hopstep.adapters.key_value_store_wire import (
+    CompareAndSwap,
+    Delete,
+    Get,
+    GrantLease,
+    KeepAlive,
+    List,
+    StoreOperation,
+    Watch,
+)
+from hopstep.exceptions import ErrorCode, StoreConflictError, StoreError
+from hopstep.ports.key_value_store import ABSENT, StoredValue, WatchBatch
+
+DEFAULT_HISTORY_LENGTH = 1024
+"""Changes that a watch can look back on."""
+
+
+class _Lease(msgspec.Struct):
+    """A lease, the time at which it lapses, and the keys bound to it."""
+
+    time_to_live_seconds: float
+    lapses_at: float
+    keys: set[str] = msgspec.field(default_factory=set)
+
+
+class KeyValueStoreModel:
+    """The service's state and what each operation does to it.
+
+    Args:
+        history_length: Changes that a watch can look back on.
+    """
+
+    def __init__(self, history_length: int = DEFAULT_HISTORY_LENGTH) -> None:
+        self._revision = 0
+        self._values: dict[str, StoredValue] = {}
+        self._lease_of_key: dict[str, str] = {}
+        self._leases: dict[str, _Lease] = {}
+        self._leases_granted = 0
+        self._history: collections.deque[StoredValue] = collections.deque(maxlen=history_length)
+
+    @property
+    def revision(self) -> int:
+        """Store-wide revision of the last change; 0 before the first."""
+        return self._revision
+
+    def snapshot(self) -> dict[str, StoredValue]:
+        """Return a copy of all values, as a cache in front of the service would hold it."""
+        return dict(self._values)
+
+    def apply(self, operation: StoreOperation, now: float) -> object:
+        """Carry out any operation; a watch answers at once.
+
+        Args:
+            operation: What to do.
+            now: Time in seconds, never smaller than at an earlier call.
+
+        Returns:
+            The result that the operation's class documents.
+
+        Raises:
+            StoreConflictError: When a version or lease differs from what was expected.
+        """
+        self.expire_leases(now)
+        match operation:
+            case Get(key):
+                return self._values.get(key)
+            case List():
+                return list_page(self._values, operation)
+            case CompareAndSwap():
+                return self._compare_and_swap(operation)
+            case Delete(key, expected_version):
+                self._require_version(key, expected_version)
+                self._remove(key)
+            case Watch(prefix, after_revision):
+                return self.changes(prefix, after_revision)
+            case GrantLease(time_to_live_seconds):
+                return self._grant_lease(time_to_live_seconds, now)
+            case KeepAlive(lease):
+                self._keep_alive(lease, now)
+        return None
+
+    def changes(self, prefix: str, after_revision: int) -> WatchBatch:
+        """Return changes after a revision; those beyond the history are lost."""
+        changes = (change for change in self._history if change.version > after_revision)
+        return WatchBatch(
+            self._revision, tuple(change for change in changes if change.key.startswith(prefix))
+        )
+
+    def expire_leases(self, now: float) -> None:
+        """Let every lease lapse whose time has come."""
+        due = [name for name, lease in self._leases.items() if lease.lapses_at <= now]
+        for name in due:
+            self.lapse(name)
+
+    def next_lapse(self) -> float:
+        """Return the time at which the next lease lapses; infinity if there is none."""
+        return min((lease.lapses_at for lease in self._leases.values()), default=float("inf"))
+
+    def lapse(self, name: str) -> None:
+        """Let a lease lapse now; its keys vanish."""
+        lease = self._leases.pop(name)
+        for key in sorted(lease.keys):
+            self._remove(key)
+
+    def lapse_all(self) -> None:
+        """Let every lease lapse now."""
+        for name in list(self._leases):
+            self.lapse(name)
+
+    def _compare_and_swap(self, operation: CompareAndSwap) -> int:
+        """Write a value if the key is at the expected version."""
+        self._require_version(operation.key, operation.expected_version)
+        if operation.lease and operation.lease not in self._leases:
+            raise StoreConflictError(ErrorCode.STORE_CONFLICT, "the lease has lapsed")
+        self._unbind(operation.key)
+        if operation.lease:
+            self._lease_of_key[operation.key] = operation.lease
+            self._leases[operation.lease].keys.add(operation.key)
+        self._record(operation.key, operation.value)
+        self._values[operation.key] = self._history[-1]
+        return self._revision
+
+    def _require_version(self, key: str, expected_version: int) -> None:
+        """Raise a conflict unless ``key`` is at ``expected_version``."""
+        value = self._values.get(key)
+        version = value.version if value else ABSENT
+        if version != expected_version:
+            raise StoreConflictError(
+                ErrorCode.STORE_CONFLICT, f"version {version} found, {expected_version} expected"
+            )
+
+    def _remove(self, key: str) -> None:
+        """Delete a key that may exist."""
+        if self._values.pop(key, None) is None:
+            return
+        self._unbind(key)
+        self._record(key, b"")
+
+    def _unbind(self, key: str) -> None:
+        """Release a key from its lease, if it has one."""
+        lease = self._leases.get(self._lease_of_key.pop(key, ""))
+        if lease is not None:
+            lease.keys.discard(key)
+
+    def _record(self, key: str, value: bytes) -> None:
+        """Count a change and keep it for watches."""
+        self._revision += 1
+        self._history.append(StoredValue(key, value, self._revision))
+
+    def _grant_lease(self, time_to_live_seconds: float, now: float) -> str:
+        """Return a new lease."""
+        if time_to_live_seconds <= 0:
+            raise StoreError(ErrorCode.STORE_UNAVAILABLE, "time_to_live_seconds must be above 0")
+        self._leases_granted += 1
+        name = f"lease-{self._leases_granted}"
+        self._leases[name] = _Lease(time_to_live_seconds, now + time_to_live_seconds)
+        return name
+
+    def _keep_alive(self, name: str, now: float) -> None:
+        """Renew a lease for its whole time to live."""
+        lease = self._leases.get(name)
+        if lease is None:
+            raise StoreConflictError(ErrorCode.STORE_CONFLICT, "the lease has lapsed")
+        lease.lapses_at = now + lease.time_to_live_seconds
+
+
+def list_page(values: dict[str, StoredValue], operation: List) -> list[StoredValue]:
+    """Return one page of ``values``, by key."""
+    keys = sorted(
+        key for key in values if key.startswith(operation.prefix) and key > operation.after_key
+    )
+    return [values[key] for key in keys[: operation.limit]]
+
+
+class TokenBucket:
+    """A rate limit with a burst.
+
+    Args:
+        requests_per_second: Sustained rate; infinity for no limit.
+        burst: Requests that may come at once.
+    """
+
+    def __init__(self, requests_per_second: float = float("inf"), burst: float = 1.0) -> None:
+        self._rate = requests_per_second
+        self._burst = burst
+        self._tokens = burst
+        self._updated_at = float("-inf")
+
+    def admit(self, now: float) -> bool:
+        """Take a token and return True, or return False when there is none at ``now``."""
+        if self._rate == float("inf"):
+            return True
+        earned = (now - self._updated_at) * self._rate
+        self._tokens = min(self._burst, self._tokens + earned)
+        self._updated_at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/hopstep/services/claims.py
@@ -0,0 +1,240 @@
+"""At-most-once claims on idempotency keys, held in the platform's key-value store.
+
+A router claims a key before it dispatches the attempt, and dispatches only under the claimed
+nonce, engine and incarnation (``GenerateRequest.incarnation`` must be set). Requests without
+an idempotency key need no claim: one router knows them and dispatches them once.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from hopstep import log_events
+from hopstep.domain.claims import (
+    Claim,
+    ClaimStep,
+    EarlierAttempt,
+    HeldClaim,
+    claim_key,
+    next_step,
+)
+from hopstep.exceptions import (
+    EngineError,
+    ErrorCode,
+    Execution,
+    ServiceError,
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
+from hopstep.logs import emit
+from hopstep.ports.engine import AttemptStatus, EnginePort
+from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort, StoredValue
+
+DEFAULT_TIMEOUT_SECONDS = 3.0
+"""Longest time for a claim, all calls to the store and the engine together."""
+
+FENCE_TIMEOUT_SECONDS = 1.0
+"""Longest wait for an engine that an earlier claim names."""
+
+UNAVAILABLE_RETRY_SECONDS = 2.0
+"""When a caller should come back after the store refused or failed."""
+
+CLAIMED_RETRY_SECONDS = 5.0
+"""When a caller should come back to a key whose attempt may be running."""
+
+EARLIER_OF_STATUS = {
+    AttemptStatus.NOT_SEEN: EarlierAttempt.NEVER_STARTS,
+    AttemptStatus.QUEUED: EarlierAttempt.IN_PROGRESS,
+    AttemptStatus.RUNNING: EarlierAttempt.IN_PROGRESS,
+    AttemptStatus.FINISHED: EarlierAttempt.OVER,
+    AttemptStatus.CANCELLED: EarlierAttempt.OVER,
+}
+
+
+class ClaimService:
+    """Claims idempotency keys for one router.
+
+    When the store is down every claim is refused at once as ``CLAIMS_UNAVAILABLE`` and not
+    run; requests without an idempotency key are not concerned.
+
+    Args:
+        store: Key-value store.
+        engines: Engines that earlier claims may name.
+        router_name: Name of this router, for people who read claims.
+        wall_clock: Returns seconds since the epoch; only ages of claims depend on it.
+        timeout_seconds: Longest time for a claim.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStorePort,
+        engines: EnginePort,
+        router_name: str,
+        wall_clock: Callable[[], float] = time.time,
+        timeout_seconds: float = DEFAULT_TIMEOUT_SECONDS,
+    ) -> None:
+        self._store = store
+        self._engines = engines
+        self._router_name = router_name
+        self._wall_clock = wall_clock
+        self._timeout_seconds = timeout_seconds
+
+    async def claim(
+        self,
+        tenant_name: str,
+        idempotency_key: str,
+        nonce: str,
+        engine_address: str,
+        engine_incarnation: str,
+        replaces: HeldClaim | None = None,
+    ) -> HeldClaim:
+        """Claim a key for one attempt; on return, and only then, it may be dispatched.
+
+        Args:
+            tenant_name: Whose key it is.
+            idempotency_key: Key as the caller sent it; not empty.
+            nonce: Attempt to dispatch, used for no other claim.
+            engine_address: Engine that the attempt will be sent to.
+            engine_incarnation: Incarnation that the attempt will require; not empty.
+            replaces: Claim of an earlier attempt of this very request, which is proved not
+                to have run and which this router never sends again.
+
+        Raises:
+            ServiceError: ``CLAIMS_UNAVAILABLE`` and not run when the store can't tell;
+                ``ALREADY_CLAIMED`` with execution unknown when an earlier attempt of the key
+                may have run.
+        """
+        if not engine_incarnation:
+            raise _unavailable("the engine's incarnation isn't known yet")
+        own = Claim(
+            nonce, engine_address, engine_incarnation, self._router_name, self._wall_clock()
+        )
+        key = claim_key(tenant_name, idempotency_key)
+        try:
+            with trio.fail_after(self._timeout_seconds):
+                return await self._claim(key, own, replaces.version if replaces else ABSENT)
+        except (StoreError, trio.TooSlowError) as error:
+            emit(log_events.CLAIMS_UNAVAILABLE, reason=type(error).__name__)
+            raise _unavailable("the store of idempotency claims gave no answer") from error
+
+    async def release(self, held: HeldClaim) -> None:
+        """Forget a claim whose attempt is proved not run and is never sent again.
+
+        Best effort: when the store is down the claim stays, and a repeat of the key asks the
+        engine instead.
+        """
+        try:
+            with trio.move_on_after(self._timeout_seconds):
+                await self._store.delete(held.key, held.version)
+        except StoreError as error:
+            emit(log_events.CLAIM_NOT_RELEASED, reason=error.code.value)
+
+    async def _claim(self, key: str, own: Claim, expected_version: int) -> HeldClaim:
+        """Write the claim at the expected version, or take over what is there."""
+        held = await self._swap(key, expected_version, own)
+        if held is not None:
+            return held
+        found = await self._read(key)
+        if found is None:
+            # A stale answer, or a claim that was released just now: nothing is proved.
+            raise _unavailable("the claim on this idempotency key changed meanwhile")
+        earlier = EarlierAttempt.UNKNOWN
+        if found.claim.nonce != own.nonce:
+            earlier = await fence_claim(self._engines, found.claim)
+        match next_step(found.claim, own.nonce, earlier):
+            case ClaimStep.DISPATCH:
+                return found
+            case ClaimStep.TAKE_OVER:
+                return await self._take_over(found, own)
+            case ClaimStep.REFUSE:
+                raise _already_claimed(earlier)
+
+    async def _take_over(self, found: HeldClaim, own: Claim) -> HeldClaim:
+        """Replace a claim whose nonce is fenced, unless another router was faster."""
+        held = await self._swap(found.key, found.version, own)
+        if held is None:
+            raise _already_claimed(EarlierAttempt.UNKNOWN)
+        emit(log_events.CLAIM_TAKEN_OVER, earlier_router=found.claim.router)
+        return held
+
+    async def _swap(self, key: str, expected_version: int, own: Claim) -> HeldClaim | None:
+        """Write the claim; return None when the key is at another version."""
+        try:
+            version = await self._store.compare_and_swap(
+                key, expected_version, msgspec.json.encode(own)
+            )
+        except StoreOutcomeUnknownError:
+            return await self._read_back(key, own)
+        except StoreConflictError:
+            return None
+        return HeldClaim(key, version, own)
+
+    async def _read_back(self, key: str, own: Claim) -> HeldClaim:
+        """Return our claim after a lost answer.
+
+        Reading our own nonce proves that the write took effect, even when the answer is
+        stale: whoever replaced the claim since has fenced our nonce first. Reading anything
+        else proves nothing, for the write may still arrive; it does no harm then, since its
+        nonce is never sent.
+        """
+        found = await self._read(key)
+        if found is None or found.claim.nonce != own.nonce:
+            raise _unavailable("the answer to the claim was lost")
+        return found
+
+    async def _read(self, key: str) -> HeldClaim | None:
+        """Return the claim in the store."""
+        value = await self._store.get(key)
+        return decode_claim(value) if value else None
+
+
+def decode_claim(value: StoredValue) -> HeldClaim:
+    """Return a claim as stored.
+
+    Raises:
+        ServiceError: ``ALREADY_CLAIMED`` when it can't be read: somebody claimed the key.
+    """
+    try:
+        claim = msgspec.json.decode(value.value, type=Claim)
+    except msgspec.DecodeError as error:
+        emit(log_events.CLAIM_UNREADABLE, version=value.version)
+        raise _already_claimed(EarlierAttempt.UNKNOWN) from error
+    return HeldClaim(value.key, value.version, claim)
+
+
+async def fence_claim(engines: EnginePort, claim: Claim) -> EarlierAttempt:
+    """Ask the engine to keep a claim's attempt from starting; return what that proves."""
+    status = None
+    try:
+        with trio.move_on_after(FENCE_TIMEOUT_SECONDS):
+            status = await engines.fence_nonce(
+                claim.engine_address, claim.nonce, claim.engine_incarnation
+            )
+    except EngineError as error:
+        if error.code is ErrorCode.PRECONDITION_FAILED:
+            return EarlierAttempt.OTHER_INCARNATION
+        return EarlierAttempt.UNKNOWN
+    return EARLIER_OF_STATUS[status] if status else EarlierAttempt.UNKNOWN
+
+
+def _unavailable(message: str) -> ServiceError:
+    """Return the refusal of a request that was not dispatched."""
+    return ServiceError(
+        ErrorCode.CLAIMS_UNAVAILABLE, message, retry_after_seconds=UNAVAILABLE_RETRY_SECONDS
+    )
+
+
+def _already_claimed(earlier: EarlierAttempt) -> ServiceError:
+    """Return the refusal of a key whose earlier attempt may have run."""
+    emit(log_events.CLAIM_REFUSED, earlier=earlier.value)
+    return ServiceError(
+        ErrorCode.ALREADY_CLAIMED,
+        f"an earlier request with this idempotency key is {earlier.value}",
+        execution=Execution.UNKNOWN,
+        retry_after_seconds=CLAIMED_RETRY_SECONDS,
+    )
