Watch engines and roll weights out by fenced orders

Owned engines are probed and their cache events followed; facts reach the other routers by a publish callback. The rollout leader orders at most max_concurrent_weight_loads engines to load at once.

--- /dev/null
+++ b/hopstep/domain/rollout.py
@@ -0,0 +1,77 @@
+"""Which engines are to load which weights next: pure, from facts and the configuration.
+
+An engine whose weights differ from the configuration gets an order whose fence is the revision.
+At most ``max_concurrent_weight_loads`` engines load at once, since loads slow each other down.
+An engine that comes back with old weights has a low fence again, and so gets its order again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+
+from hopstep.domain.configuration import AcceptedConfiguration, BackEnd, BackEndKind
+from hopstep.domain.engines import EngineFacts
+
+
+class WeightsOrder(msgspec.Struct, frozen=True):
+    """An order that an engine should get now.
+
+    Attributes:
+        address: The engine.
+        fence: Configuration revision that the order follows.
+        weights: Weights version to load by model.
+    """
+
+    address: str
+    fence: int
+    weights: dict[str, str]
+
+
+def plan(
+    accepted: AcceptedConfiguration, facts: Mapping[str, EngineFacts]
+) -> tuple[WeightsOrder, ...]:
+    """Return the orders to give now, in configuration order.
+
+    Args:
+        accepted: Configuration in force.
+        facts: Latest facts by address; an engine without facts gets no order yet.
+    """
+    loading = 0
+    orders: list[WeightsOrder] = []
+    for back_end in accepted.configuration.back_ends:
+        engine_facts = facts.get(back_end.address)
+        if back_end.kind is not BackEndKind.ENGINE or engine_facts is None:
+            continue
+        weights = differing_weights(accepted, back_end, engine_facts)
+        if not weights:
+            continue
+        if _is_loading(accepted.revision, weights, engine_facts):
+            loading += 1
+        else:
+            orders.append(WeightsOrder(back_end.address, accepted.revision, weights))
+    free = accepted.configuration.routing.max_concurrent_weight_loads - loading
+    return tuple(orders[: max(free, 0)])
+
+
+def differing_weights(
+    accepted: AcceptedConfiguration, back_end: BackEnd, facts: EngineFacts
+) -> dict[str, str]:
+    """Return the wanted version of each model of an engine that has another one."""
+    return {
+        model.name: model.weights_version
+        for model in accepted.configuration.models
+        if model.name in back_end.models and facts.weights.get(model.name) != model.weights_version
+    }
+
+
+def _is_loading(revision: int, weights: dict[str, str], facts: EngineFacts) -> bool:
+    """Return whether an engine has taken an order for differing weights and is loading them.
+
+    An engine unloads a model when it takes an order for it, so after an unrelated newer
+    revision a load under way still shows as a missing model.
+    """
+    if facts.fence >= revision:
+        return True
+    return facts.fence > 0 and any(model not in facts.weights for model in weights)
--- a/hopstep/domain/routing/routing_table.py
+++ b/hopstep/domain/routing/routing_table.py
@@ -54,6 +54,7 @@
         self._picture = PrefixPicture(self._policy.max_prefix_heads)
         self._hot = HotPrefixes()
         self._sent: dict[str, _Sent] = {}
+        self._leaving: frozenset[str] = frozenset()
 
     def update_configuration(self, accepted: AcceptedConfiguration) -> None:
         """Follow a newly accepted configuration; engines that it lacks are forgotten."""
@@ -80,6 +81,10 @@
         if before is None or _cache_identity(before) != _cache_identity(facts):
             self._picture.begin_incarnation(address, facts.incarnation)
 
+    def update_leaving(self, addresses: frozenset[str]) -> None:
+        """Give no new work to these engines, whatever they say themselves."""
+        self._leaving = addresses
+
     def record_events(self, address: str, batch: CacheEventBatch) -> None:
         """Take cache events; those of another incarnation than the known one are ignored."""
         for event in batch.events:
@@ -158,7 +163,10 @@
         sent = self._sent.get(nonce)
         if sent is None:
             return
-        self._view(sent.address).record_first_token(nonce)
+        view = self._view(sent.address)
+        view.record_first_token(nonce)
+        if view.incarnation and view.incarnation != incarnation:
+            self._forget_facts(sent.address)
         self._picture.learn(sent.address, incarnation, sent.heads, len(sent.heads))
 
     def record_end(self, nonce: str, now: float) -> None:
@@ -171,6 +179,20 @@
         """Avoid an engine for a while after a failed attempt or probe."""
         self._view(address).record_failure(now)
 
+    def record_precondition_failed(self, address: str, now: float) -> None:
+        """Forget what was believed of an engine that refused a precondition.
+
+        It runs another incarnation or other weights than believed, so it is avoided until it
+        is heard of again or its backoff ends.
+        """
+        self._forget_facts(address)
+        self._view(address).record_failure(now)
+
+    def _forget_facts(self, address: str) -> None:
+        """Count on nothing of an engine until its next facts."""
+        self._view(address).facts = None
+        self._picture.forget_engine(address)
+
     def _view(self, address: str) -> EngineView:
         """Return the view of an engine, made on first use."""
         view = self._views.get(address)
@@ -180,6 +202,8 @@
 
     def _is_usable(self, back_end: BackEnd, request: InferenceRequest) -> bool:
         """Return whether an engine may get new work of this model."""
+        if back_end.address in self._leaving:
+            return False
         view = self._views.get(back_end.address)
         if view is None:
             return True
--- /dev/null
+++ b/hopstep/log_events.py
@@ -0,0 +1,209 @@
+"""Catalogue of numbered log events.
+
+Every log line of hopstep is one of these events. ``docs/EVENTS.md`` lists them and is held to
+this module by a test. Prompts, answers and keys are never fields of an event.
+
+Ranges: HS1xxx process and settings, HS2xxx HTTP API, HS3xxx attempts and routing,
+HS4xxx configuration, HS5xxx membership and peers, HS6xxx engines, HS7xxx claims and limits.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class Level(enum.StrEnum):
+    """Severity of an event."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class LogEvent(msgspec.Struct, frozen=True):
+    """One kind of log line.
+
+    Attributes:
+        number: ``HS`` and four digits; never reused.
+        name: Snake-case name, the ``event`` of the log line.
+        level: Severity.
+        fields: Names of the fields that the line carries.
+        action: What an operator should do.
+    """
+
+    number: str
+    name: str
+    level: Level
+    fields: tuple[str, ...]
+    action: str
+
+
+PROCESS_STARTED = LogEvent(
+    "HS1001", "process_started", Level.INFO, ("address", "zone", "incarnation"), "Nothing."
+)
+PROCESS_STOPPING = LogEvent(
+    "HS1002", "process_stopping", Level.INFO, ("active_requests",), "Nothing."
+)
+PROCESS_STOPPED = LogEvent("HS1003", "process_stopped", Level.INFO, (), "Nothing.")
+DRAIN_CUT_SHORT = LogEvent(
+    "HS1004",
+    "drain_cut_short",
+    Level.WARNING,
+    ("active_requests",),
+    "Raise drain_seconds above the longest answer.",
+)
+CERTIFICATES_RELOADED = LogEvent("HS1005", "certificates_reloaded", Level.INFO, (), "Nothing.")
+CERTIFICATES_UNREADABLE = LogEvent(
+    "HS1006",
+    "certificates_unreadable",
+    Level.ERROR,
+    ("reason",),
+    "Mend the certificate files; the earlier ones stay in use.",
+)
+REQUEST_REFUSED = LogEvent(
+    "HS2001",
+    "request_refused",
+    Level.DEBUG,
+    ("request_id", "tenant", "code", "execution"),
+    "Nothing; the caller has the reason.",
+)
+REQUEST_FAILED = LogEvent(
+    "HS2002",
+    "request_failed",
+    Level.WARNING,
+    ("request_id", "tenant", "code", "execution", "tokens"),
+    "See the attempts of the request; frequent lines point to failing engines.",
+)
+REQUEST_COMPLETED = LogEvent(
+    "HS2003",
+    "request_completed",
+    Level.DEBUG,
+    ("request_id", "tenant", "request_class", "engine", "tokens", "first_token_seconds"),
+    "Nothing.",
+)
+CALLER_LEFT = LogEvent(
+    "HS2004", "caller_left", Level.DEBUG, ("request_id", "tenant", "tokens"), "Nothing."
+)
+REQUEST_CRASHED = LogEvent(
+    "HS2005",
+    "request_crashed",
+    Level.ERROR,
+    ("request_id", "error_type", "location"),
+    "Report it: a fault in hopstep. The process goes on.",
+)
+CONFIGURATION_APPLIED = LogEvent(
+    "HS4001", "configuration_applied", Level.INFO, ("revision", "source"), "Nothing."
+)
+CONFIGURATION_STORE_FAILED = LogEvent(
+    "HS4002",
+    "configuration_store_failed",
+    Level.WARNING,
+    ("code", "error"),
+    "Look at the key-value service; the configuration in force stays.",
+)
+CONFIGURATION_STORE_RECOVERED = LogEvent(
+    "HS4003", "configuration_store_recovered", Level.INFO, ("revision",), "Nothing."
+)
+CONFIGURATION_PEER_FAILED = LogEvent(
+    "HS4004",
+    "configuration_peer_failed",
+    Level.INFO,
+    ("peer", "error"),
+    "Nothing, unless it repeats for one peer: look at that peer.",
+)
+CONFIGURATION_TRANSFER_REJECTED = LogEvent(
+    "HS4005",
+    "configuration_transfer_rejected",
+    Level.WARNING,
+    ("source", "error"),
+    "Nothing once; if it repeats, compare hopstep-ctl history with the source's revision.",
+)
+CONFIGURATION_MAINTENANCE_FAILED = LogEvent(
+    "HS4006",
+    "configuration_maintenance_failed",
+    Level.INFO,
+    ("error",),
+    "Nothing; it is tried again.",
+)
+CLAIMS_UNAVAILABLE = LogEvent(
+    "HS7001",
+    "claims_unavailable",
+    Level.WARNING,
+    ("reason",),
+    "Look after the key-value store; requests with an idempotency key are refused meanwhile.",
+)
+CLAIM_REFUSED = LogEvent(
+    "HS7002",
+    "claim_refused",
+    Level.INFO,
+    ("earlier",),
+    "Nothing; a caller repeated an idempotency key whose earlier attempt may have run.",
+)
+CLAIM_TAKEN_OVER = LogEvent(
+    "HS7003", "claim_taken_over", Level.INFO, ("earlier_router",), "Nothing."
+)
+CLAIM_NOT_RELEASED = LogEvent(
+    "HS7004", "claim_not_released", Level.INFO, ("reason",), "Nothing; repeats ask the engine."
+)
+CLAIM_UNREADABLE = LogEvent(
+    "HS7005",
+    "claim_unreadable",
+    Level.ERROR,
+    ("version",),
+    "Find out who writes below claims/ in the key-value store.",
+)
+CLAIMS_SWEPT = LogEvent("HS7006", "claims_swept", Level.INFO, ("deleted", "kept"), "Nothing.")
+CLAIM_SWEEP_FAILED = LogEvent(
+    "HS7007", "claim_sweep_failed", Level.WARNING, ("reason",), "Look after the key-value store."
+)
+
+
+ENGINE_INCARNATION_SEEN = LogEvent(
+    "HS6501",
+    "engine_incarnation_seen",
+    Level.INFO,
+    ("engine", "incarnation", "weights"),
+    "Nothing; unexpected restarts of one engine point to its machine.",
+)
+ENGINE_UNREACHABLE = LogEvent(
+    "HS6502",
+    "engine_unreachable",
+    Level.WARNING,
+    ("engine", "reason"),
+    "Look at the engine; requests go to the others meanwhile.",
+)
+ENGINE_REACHABLE = LogEvent("HS6503", "engine_reachable", Level.INFO, ("engine",), "Nothing.")
+ENGINE_LEAVING = LogEvent("HS6504", "engine_leaving", Level.INFO, ("engine",), "Nothing.")
+CACHE_EVENTS_LOST = LogEvent(
+    "HS6505",
+    "cache_events_lost",
+    Level.DEBUG,
+    ("engine", "lost"),
+    "Nothing; the cache picture corrects itself by answers.",
+)
+WEIGHTS_ORDERED = LogEvent(
+    "HS6510", "weights_ordered", Level.INFO, ("engine", "fence", "weights"), "Nothing."
+)
+WEIGHTS_ORDER_FAILED = LogEvent(
+    "HS6511",
+    "weights_order_failed",
+    Level.WARNING,
+    ("engine", "fence", "reason"),
+    "The order is given again; look at the engine if this goes on.",
+)
+MACHINE_LIST_UNAVAILABLE = LogEvent(
+    "HS6520",
+    "machine_list_unavailable",
+    Level.WARNING,
+    (),
+    "Look at the platform; the last list stands, and engines still say themselves.",
+)
+
+
+def catalogue() -> tuple[LogEvent, ...]:
+    """Return every event of this module, by number."""
+    events = [value for value in globals().values() if isinstance(value, LogEvent)]
+    return tuple(sorted(events, key=lambda event: event.number))
--- /dev/null
+++ b/hopstep/services/engine_watch.py
@@ -0,0 +1,204 @@
+"""Keeps the routing table's facts of engines fresh, and follows their cache events.
+
+Each router probes the engines that it owns, and tells the others through ``publish``. What it
+hears of engines that it doesn't own comes in by ``take_published``. Nothing here waits for the
+configuration store: the engines of the configuration in force are watched while it is down.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from hopstep import log_events
+from hopstep.domain.configuration import BackEnd, BackEndKind
+from hopstep.domain.engines import CacheEventBatch, EngineFacts
+from hopstep.domain.routing.routing_table import RoutingTable
+from hopstep.exceptions import EngineError, StoreError
+from hopstep.logs import emit
+from hopstep.ports.engine import EnginePort
+from hopstep.ports.machine_list import MachineListPort, MachineState
+from hopstep.services.configuration_holder import ConfigurationHolder
+
+PROBE_SECONDS = 0.5
+"""Time between two probes of an engine."""
+
+PROBE_TIMEOUT_SECONDS = 2.0
+"""Longest wait for a probe or for cache events."""
+
+MACHINE_LIST_SECONDS = 1.0
+"""Time between two readings of the machine list."""
+
+PUBLISH_SECONDS = 5.0
+"""Longest time between two publications of an engine's facts that haven't changed."""
+
+Publish = Callable[[str, EngineFacts], None]
+
+
+class EngineWatch:
+    """Watches engines for one router."""
+
+    def __init__(
+        self,
+        engine_port: EnginePort,
+        routing_table: RoutingTable,
+        configuration_holder: ConfigurationHolder,
+        owns: Callable[[str], bool],
+        publish: Publish,
+        machine_list: MachineListPort | None = None,
+    ) -> None:
+        """Prepare; ``run`` does the work.
+
+        Args:
+            engine_port: Calls to engines.
+            routing_table: Learns what is seen.
+            configuration_holder: Names the engines.
+            owns: Whether this router probes the engine with the given address.
+            publish: Called with an owned engine's address and facts, for the other routers:
+                at once when something but its load changed, else every few seconds.
+            machine_list: Hints which machines are leaving; None for no hints.
+        """
+        self._engine_port = engine_port
+        self._table = routing_table
+        self._holder = configuration_holder
+        self._owns = owns
+        self._publish = publish
+        self._machine_list = machine_list
+        self._published_at: dict[str, float] = {}
+        self._event_sequences: dict[str, int] = {}
+        self._unreachable: set[str] = set()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._probe_engines)
+            if self._machine_list is not None:
+                nursery.start_soon(self._read_machine_list, self._machine_list)
+
+    def take_published(self, address: str, facts: EngineFacts) -> None:
+        """Take facts that another router published; an owned engine's own word goes first."""
+        if self._owns(address) and self._table.facts(address) is not None:
+            return
+        self._table.update_facts(address, facts, trio.current_time())
+
+    async def watch_once(self, address: str) -> None:
+        """Probe one engine and read its new cache events."""
+        before = self._table.facts(address)
+        try:
+            with trio.fail_after(PROBE_TIMEOUT_SECONDS):
+                facts = await self._engine_port.probe(address)
+                self._take_facts(address, before, facts)
+                await self._read_events(address, facts)
+        except (EngineError, trio.TooSlowError) as error:
+            self._record_failure(address, error)
+
+    async def _probe_engines(self) -> None:
+        """Probe the owned engines side by side, each in its own loop."""
+        watched: dict[str, trio.CancelScope] = {}
+        async with trio.open_nursery() as nursery:
+            while True:
+                wanted = {engine.address for engine in self._engines()}
+                wanted = {address for address in wanted if self._owns(address)}
+                for address in set(watched) - wanted:
+                    watched.pop(address).cancel()
+                    self._forget(address)
+                for address in wanted - set(watched):
+                    watched[address] = trio.CancelScope()
+                    nursery.start_soon(self._probe_forever, address, watched[address])
+                await trio.sleep(PROBE_SECONDS)
+
+    async def _probe_forever(self, address: str, scope: trio.CancelScope) -> None:
+        """Probe one engine until its scope is cancelled."""
+        with scope:
+            while True:
+                await self.watch_once(address)
+                await trio.sleep(PROBE_SECONDS)
+
+    def _engines(self) -> list[BackEnd]:
+        """Return the engines of the configuration in force."""
+        accepted = self._holder.current
+        if accepted is None:
+            return []
+        back_ends = accepted.configuration.back_ends
+        return [item for item in back_ends if item.kind is BackEndKind.ENGINE]
+
+    def _forget(self, address: str) -> None:
+        """Drop what is kept of an engine that this router no longer watches."""
+        self._published_at.pop(address, None)
+        self._event_sequences.pop(address, None)
+        self._unreachable.discard(address)
+
+    def _take_facts(self, address: str, before: EngineFacts | None, facts: EngineFacts) -> None:
+        """Give facts to the table and, when they are news, to the other routers."""
+        now = trio.current_time()
+        self._table.update_facts(address, facts, now)
+        if address in self._unreachable:
+            self._unreachable.discard(address)
+            emit(log_events.ENGINE_REACHABLE, engine=address)
+        if before is None or before.incarnation != facts.incarnation:
+            # Reading starts at the present: older events speak of blocks no longer counted on.
+            self._event_sequences[address] = facts.event_sequence
+            emit(
+                log_events.ENGINE_INCARNATION_SEEN,
+                engine=address,
+                incarnation=facts.incarnation,
+                weights=facts.weights,
+            )
+        if facts.leaving and (before is None or not before.leaving):
+            emit(log_events.ENGINE_LEAVING, engine=address)
+        published_at = self._published_at.get(address, float("-inf"))
+        if _differ(before, facts) or now - published_at >= PUBLISH_SECONDS:
+            self._published_at[address] = now
+            self._publish(address, facts)
+
+    async def _read_events(self, address: str, facts: EngineFacts) -> None:
+        """Read the cache events published since the last reading."""
+        after = self._event_sequences.get(address, facts.event_sequence)
+        if facts.event_sequence <= after:
+            return
+        batch = await self._engine_port.cache_events(address, facts.incarnation, after)
+        if batch.incarnation != facts.incarnation or not batch.events:
+            return
+        self._event_sequences[address] = batch.events[-1].sequence
+        lost = _lost_events(after, batch)
+        if lost:
+            emit(log_events.CACHE_EVENTS_LOST, engine=address, lost=lost)
+        self._table.record_events(address, batch)
+
+    def _record_failure(self, address: str, error: Exception) -> None:
+        """Note that an engine didn't answer."""
+        self._table.record_failure(address, trio.current_time())
+        if address in self._unreachable:
+            return
+        self._unreachable.add(address)
+        emit(log_events.ENGINE_UNREACHABLE, engine=address, reason=type(error).__name__)
+
+    async def _read_machine_list(self, machine_list: MachineListPort) -> None:
+        """Follow the machine list; while it is down, its last word stands."""
+        available = True
+        while True:
+            try:
+                machines = await machine_list.machines()
+            except StoreError:
+                if available:
+                    emit(log_events.MACHINE_LIST_UNAVAILABLE)
+                available = False
+            else:
+                available = True
+                leaving = (item for item in machines if item.state is MachineState.LEAVING)
+                self._table.update_leaving(frozenset(item.address for item in leaving))
+            await trio.sleep(MACHINE_LIST_SECONDS)
+
+
+def _differ(before: EngineFacts | None, facts: EngineFacts) -> bool:
+    """Return whether facts other than load and counters changed."""
+    if before is None:
+        return True
+    earlier = (before.incarnation, before.weights, before.role, before.leaving)
+    return earlier != (facts.incarnation, facts.weights, facts.role, facts.leaving)
+
+
+def _lost_events(after: int, batch: CacheEventBatch) -> int:
+    """Return how many sequence numbers a batch skips."""
+    return batch.events[-1].sequence - after - len(batch.events)
