--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.stamp
+
+.DEFAULT_GOAL := setup
+.PHONY: setup test lint format demo bench fuzz clean
+
+$(STAMP): pyproject.toml requirements/dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --require-hashes -r requirements/dev.txt
+	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
+	touch $@
+
+$(VENV): $(STAMP)
+
+setup: $(STAMP)
+
+test: setup
+	$(BIN)/python -m tests
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy hopstep emulator
+	$(BIN)/lint-imports
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+demo: setup
+	$(BIN)/python -m emulator.demo
+
+bench: setup
+	$(BIN)/hopstep-emulator bench
+
+fuzz: setup
+	$(BIN)/python -m tests.fuzz
+
+clean:
+	rm -rf $(VENV) build dist *.egg-info .hypothesis .mypy_cache .ruff_cache .import_linter_cache
+	find . -name __pycache__ -type d -prune -exec rm -rf {} +
--- /dev/null
+++ b/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines and the platform, load, experiments."""
--- /dev/null
+++ b/hopstep/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Ports carried by libraries: HTTP, UDP, the store, logs."""
--- /dev/null
+++ b/hopstep/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command entry points."""
--- /dev/null
+++ b/hopstep/domain/inference.py
@@ -0,0 +1,72 @@
+"""A caller's request and the pieces of its answer, as services pass them on."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from hopstep.domain.configuration import Model, RequestClass, Tenant
+
+
+class InferenceRequest(msgspec.Struct, frozen=True):
+    """An authenticated request with everything resolved.
+
+    Attributes:
+        request_id: Unique, made by this router.
+        tenant: Whose it is.
+        request_class: Class, as configured when the request came.
+        model: Model asked for.
+        prompt: Rendered prompt text.
+        max_tokens: Longest answer, already bounded by the class.
+        idempotency_key: Caller's key for a request that must run at most once; may be empty.
+        deadline: Absolute time by the node's monotonic clock, in seconds.
+    """
+
+    request_id: str
+    tenant: Tenant
+    request_class: RequestClass
+    model: Model
+    prompt: str
+    max_tokens: int
+    idempotency_key: str = ""
+    deadline: float = float("inf")
+
+
+class AnswerFinish(enum.StrEnum):
+    """Why an answer ended."""
+
+    STOP = "stop"
+    LENGTH = "length"
+
+
+class AnswerUsage(msgspec.Struct, frozen=True):
+    """Token counts of a whole answer, over all its attempts.
+
+    Attributes:
+        prompt_tokens: Tokens of the caller's prompt.
+        cached_tokens: Of these, taken from a cache by the first attempt that answered.
+        completion_tokens: Tokens delivered to the caller.
+    """
+
+    prompt_tokens: int
+    cached_tokens: int
+    completion_tokens: int
+
+
+class AnswerPart(msgspec.Struct, frozen=True):
+    """Tokens of an answer, in order and complete; the last part has ``finish``.
+
+    Attributes:
+        sequence: Index of the first token in the answer.
+        tokens: Texts of the tokens.
+        engine: Name of the engine that made them.
+        finish: Set on the last part only.
+        usage: Set on the last part only.
+    """
+
+    sequence: int
+    tokens: tuple[str, ...]
+    engine: str
+    finish: AnswerFinish | None = None
+    usage: AnswerUsage | None = None
--- /dev/null
+++ b/hopstep/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Abstract interfaces to everything outside the process."""
--- /dev/null
+++ b/hopstep/services/__init__.py
@@ -0,0 +1,1 @@
+"""What a router does: services that join domain decisions and ports."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, mirroring the source tree."""
