Accept configuration changes by one created key each

Validation, the log of changes, its store, submission, synchronization between routers, settings loader and hopstep-ctl, with both example deployments. Not covered by tests yet: submission and synchronization under faults, the command line and the settings loader.

--- /dev/null
+++ b/hopstep/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Verbs of the operators' command; ``hopstep.cli.ctl`` reads its command line."""
--- /dev/null
+++ b/hopstep/domain/addresses.py
@@ -0,0 +1,58 @@
+"""Socket addresses by number: ``ip:port``, or ``[ip]:port`` for version 6."""
+
+from __future__ import annotations
+
+import ipaddress
+
+import msgspec
+
+from hopstep.exceptions import ErrorCode, ValidationError
+
+MAX_PORT = 65_535
+
+
+class SocketAddress(msgspec.Struct, frozen=True):
+    """An IP number and a port.
+
+    Attributes:
+        host: IP number, without brackets.
+        port: 0 to 65535; 0 lets the operating system choose when listening.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the address as operators write it."""
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+def parse_address(text: str, field: str = "") -> SocketAddress:
+    """Read an address; names are refused, since hopstep resolves none.
+
+    Args:
+        text: ``ip:port``.
+        field: Path of the field, for the error.
+
+    Raises:
+        ValidationError: When ``text`` isn't an IP number and a port.
+    """
+    host, separator, port_text = text.rpartition(":")
+    bracketed = host.startswith("[") and host.endswith("]")
+    if not separator or not (port_text.isascii() and port_text.isdigit()):
+        raise _bad_address(text, field)
+    try:
+        number = ipaddress.ip_address(host[1:-1] if bracketed else host)
+    except ValueError:
+        raise _bad_address(text, field) from None
+    port = int(port_text)
+    if port > MAX_PORT or bracketed is not (number.version == 6):
+        raise _bad_address(text, field)
+    return SocketAddress(str(number), port)
+
+
+def _bad_address(text: str, field: str) -> ValidationError:
+    """Return the error for a text that isn't an address."""
+    return ValidationError(
+        ErrorCode.INVALID_CONFIGURATION, f"expected ip:port by number, got {text!r}", field
+    )
--- /dev/null
+++ b/hopstep/domain/configuration_encoding.py
@@ -0,0 +1,126 @@
+"""Encoding of changes, snapshots and transfers: CBOR of plain maps."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import cbor2
+import msgspec
+
+from hopstep.domain.configuration import (
+    AcceptedConfiguration,
+    BackEnd,
+    Model,
+    RequestClass,
+    RoutingPolicy,
+    Tenant,
+)
+from hopstep.domain.configuration_log import (
+    AcceptedChange,
+    Change,
+    ConfigurationTransfer,
+    Edit,
+    Item,
+    Section,
+)
+from hopstep.domain.documents import convert_document
+from hopstep.exceptions import ErrorCode, ValidationError
+
+ITEM_TYPES: dict[Section, type[Item]] = {
+    Section.BACK_ENDS: BackEnd,
+    Section.TENANTS: Tenant,
+    Section.CLASSES: RequestClass,
+    Section.MODELS: Model,
+    Section.ROUTING: RoutingPolicy,
+}
+
+
+class _EditRecord(msgspec.Struct, forbid_unknown_fields=True):
+    """An edit on the wire; ``item`` is typed by ``section``."""
+
+    section: Section
+    name: str
+    item: dict[str, Any] | None
+
+
+class _ChangeRecord(msgspec.Struct, forbid_unknown_fields=True):
+    """A change on the wire."""
+
+    change_id: str
+    author: str
+    note: str
+    base_revision: int
+    edits: list[_EditRecord]
+
+
+class _AcceptedChangeRecord(msgspec.Struct, forbid_unknown_fields=True):
+    """An accepted change on the wire."""
+
+    revision: int
+    change: _ChangeRecord
+
+
+class _TransferRecord(msgspec.Struct, forbid_unknown_fields=True):
+    """A transfer on the wire."""
+
+    snapshot: AcceptedConfiguration | None
+    changes: list[_AcceptedChangeRecord]
+
+
+def encode(value: msgspec.Struct) -> bytes:
+    """Return the bytes of a change, a snapshot or a transfer."""
+    return cbor2.dumps(msgspec.to_builtins(value))
+
+
+def decode_change(data: bytes) -> Change:
+    """Return the change of some bytes.
+
+    Raises:
+        ValidationError: When they hold none.
+    """
+    return _to_change(convert_document(_load(data), _ChangeRecord))
+
+
+def decode_snapshot(data: bytes) -> AcceptedConfiguration:
+    """Return the snapshot of some bytes.
+
+    Raises:
+        ValidationError: When they hold none.
+    """
+    return convert_document(_load(data), AcceptedConfiguration)
+
+
+def decode_transfer(data: bytes) -> ConfigurationTransfer:
+    """Return the transfer of some bytes.
+
+    Raises:
+        ValidationError: When they hold none.
+    """
+    record = convert_document(_load(data), _TransferRecord)
+    changes = tuple(
+        AcceptedChange(item.revision, _to_change(item.change)) for item in record.changes
+    )
+    return ConfigurationTransfer(record.snapshot, changes)
+
+
+def _load(data: bytes) -> object:
+    """Return the maps and lists of some bytes."""
+    try:
+        value: object = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError):
+        raise ValidationError(ErrorCode.INVALID_CONFIGURATION, "not a CBOR document") from None
+    return value
+
+
+def _to_change(record: _ChangeRecord) -> Change:
+    """Return the change with its items typed by their sections."""
+    edits = tuple(_to_edit(edit) for edit in record.edits)
+    return Change(record.change_id, record.author, record.note, record.base_revision, edits)
+
+
+def _to_edit(record: _EditRecord) -> Edit:
+    """Return the edit with its item typed by its section."""
+    if record.item is None:
+        return Edit(record.section, record.name, None)
+    item = convert_document(record.item, ITEM_TYPES[record.section])
+    return Edit(record.section, record.name, item)
--- /dev/null
+++ b/hopstep/ports/peer_configuration.py
@@ -0,0 +1,23 @@
+"""Port for taking configuration revisions from another router."""
+
+from __future__ import annotations
+
+import abc
+
+from hopstep.domain.configuration_log import ConfigurationTransfer
+
+
+class PeerConfigurationPort(abc.ABC):
+    """Authenticated calls to peers; works without the store."""
+
+    @abc.abstractmethod
+    async def fetch(self, peer: str, after_revision: int) -> ConfigurationTransfer:
+        """Return what leads from ``after_revision`` to the revision that ``peer`` holds.
+
+        Args:
+            peer: Name of the peer.
+            after_revision: Revision that the caller holds; 0 for none.
+
+        Raises:
+            PeerMessageError: When the peer can't be reached or its answer can't be trusted.
+        """
--- /dev/null
+++ b/hopstep/services/configuration_sync.py
@@ -0,0 +1,260 @@
+"""Keeps the configuration of this router at the highest accepted revision.
+
+A few routers read the store; all take revisions from peers that show a higher one. Nothing ever
+goes back: a stale answer of the store or of a peer leaves the revision in force as it is.
+
+With the store down the configuration in force stays, revisions that any live router holds still
+spread among peers, and a starting router takes its first configuration from them. A router that
+starts while no peer has a configuration stays not ready until the store answers.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable, Sequence
+
+import msgspec
+import trio
+
+from hopstep.domain.configuration import AcceptedConfiguration
+from hopstep.domain.configuration_log import (
+    AcceptedChange,
+    ConfigurationTransfer,
+    apply_transfer,
+    empty_configuration,
+)
+from hopstep.exceptions import HopstepError
+from hopstep.log_events import (
+    CONFIGURATION_APPLIED,
+    CONFIGURATION_MAINTENANCE_FAILED,
+    CONFIGURATION_PEER_FAILED,
+    CONFIGURATION_STORE_FAILED,
+    CONFIGURATION_STORE_RECOVERED,
+    CONFIGURATION_TRANSFER_REJECTED,
+)
+from hopstep.logs import emit
+from hopstep.ports.peer_configuration import PeerConfigurationPort
+from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration_store import ConfigurationStore
+
+
+class SyncConfig(msgspec.Struct, frozen=True):
+    """Times and sizes of synchronization.
+
+    Attributes:
+        poll_seconds: Longest time between two reads of the store by a reader.
+        reader_check_seconds: Time between two checks of whether this node is a reader.
+        min_backoff_seconds: First wait after a failure.
+        max_backoff_seconds: Longest wait after failures.
+        peer_timeout_seconds: Longest wait for a peer's answer.
+        cold_start_seconds: Time between two attempts to get a first configuration from peers.
+        maintenance_seconds: Time between two checks of whether a snapshot is due.
+        tail_changes: Changes kept in memory for peers.
+    """
+
+    poll_seconds: float = 3.0
+    reader_check_seconds: float = 1.0
+    min_backoff_seconds: float = 0.25
+    max_backoff_seconds: float = 4.0
+    peer_timeout_seconds: float = 2.0
+    cold_start_seconds: float = 0.5
+    maintenance_seconds: float = 30.0
+    tail_changes: int = 256
+
+
+DEFAULT_SYNC_CONFIG = SyncConfig()
+
+
+class ConfigurationSync:
+    """Synchronizes a ``ConfigurationHolder`` with the store and with peers."""
+
+    def __init__(
+        self,
+        holder: ConfigurationHolder,
+        store: ConfigurationStore,
+        peer_configuration: PeerConfigurationPort,
+        is_reader: Callable[[], bool],
+        live_peers: Callable[[], Sequence[str]],
+        rng: random.Random,
+        config: SyncConfig = DEFAULT_SYNC_CONFIG,
+    ) -> None:
+        """Create the service; ``run`` does the work.
+
+        Args:
+            holder: Receives every new revision.
+            store: Accepted sequence.
+            peer_configuration: Calls to peers.
+            is_reader: Whether this node reads the store now; a node without a configuration
+                reads in any case.
+            live_peers: Names of live peers.
+            rng: Jitter and choice of peers.
+            config: Times and sizes.
+        """
+        self._holder = holder
+        self._store = store
+        self._peer_configuration = peer_configuration
+        self._is_reader = is_reader
+        self._live_peers = live_peers
+        self._rng = rng
+        self._config = config
+        self._tail: deque[AcceptedChange] = deque(maxlen=config.tail_changes)
+        self._hints: dict[str, int] = {}
+        self._hinted = trio.Event()
+        self._confirmed_at = float("-inf")
+        self._store_failing = False
+
+    async def run(self) -> None:
+        """Synchronize until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read_store)
+            nursery.start_soon(self._pull_from_peers)
+            nursery.start_soon(self._ask_for_first)
+            nursery.start_soon(self._maintain_store)
+
+    def latest_revision_hint(
+        self, revision: int, peer: str, confirmed_age_seconds: float = float("inf")
+    ) -> None:
+        """Take note of the revision that a peer shows; returns at once.
+
+        Args:
+            revision: Revision in force at the peer.
+            peer: Its name.
+            confirmed_age_seconds: The peer's ``seconds_since_confirmed`` plus transit. At an
+                equal or lower revision it confirms this node's revision as well.
+        """
+        if revision > self._holder.revision:
+            self._hints[peer] = revision
+            self._hinted.set()
+        elif revision == self._holder.revision and revision > 0:
+            confirmed_at = trio.current_time() - confirmed_age_seconds
+            self._confirmed_at = max(self._confirmed_at, confirmed_at)
+
+    def seconds_since_confirmed(self) -> float:
+        """Return the age of the latest proof that the revision in force was the latest one.
+
+        Infinite before the first proof. A proof is a read of the store, here or at a peer that
+        told of it. It grows while the store is down, everywhere: the caller combines it with
+        the membership's majority before it refuses anything.
+        """
+        return trio.current_time() - self._confirmed_at
+
+    def transfer(self, after_revision: int) -> ConfigurationTransfer:
+        """Return what leads a peer from ``after_revision`` to the revision in force here."""
+        current = self._holder.current
+        if current is None or after_revision >= current.revision:
+            return ConfigurationTransfer()
+        changes = tuple(item for item in self._tail if item.revision > after_revision)
+        if changes and changes[0].revision == after_revision + 1 and after_revision > 0:
+            return ConfigurationTransfer(changes=changes)
+        return ConfigurationTransfer(snapshot=current)
+
+    async def _read_store(self) -> None:
+        """Read the store while this node is a reader."""
+        backoff = self._config.min_backoff_seconds
+        while True:
+            if not self._reads_store():
+                await trio.sleep(self._config.reader_check_seconds)
+                continue
+            try:
+                await self._read_once()
+                await self._store.wait_for_change(self._config.poll_seconds)
+            except HopstepError as error:
+                self._note_store_failure(error)
+                await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
+                backoff = min(backoff * 2, self._config.max_backoff_seconds)
+            else:
+                backoff = self._config.min_backoff_seconds
+                # A watch that returns at once, again and again, must not become a busy loop.
+                await trio.sleep(self._config.min_backoff_seconds)
+
+    def _reads_store(self) -> bool:
+        """Return whether to read the store now."""
+        return self._holder.current is None or self._is_reader()
+
+    async def _read_once(self) -> None:
+        """List again from the revision in force, whatever a watch has told."""
+        asked_at = trio.current_time()
+        revision = self._holder.revision
+        transfer = await self._store.read_latest(revision)
+        if self._take(transfer, "store"):
+            self._confirmed_at = max(self._confirmed_at, asked_at)
+        if self._store_failing:
+            self._store_failing = False
+            emit(CONFIGURATION_STORE_RECOVERED, revision=self._holder.revision)
+
+    def _note_store_failure(self, error: HopstepError) -> None:
+        """Log the first of a row of failures."""
+        if not self._store_failing:
+            self._store_failing = True
+            emit(CONFIGURATION_STORE_FAILED, code=error.code.value, error=error.message)
+
+    async def _pull_from_peers(self) -> None:
+        """Pull from peers that showed a higher revision."""
+        while True:
+            await self._hinted.wait()
+            self._hinted = trio.Event()
+            while (peer := self._best_hint()) is not None:
+                del self._hints[peer]
+                await self._pull(peer)
+
+    def _best_hint(self) -> str | None:
+        """Return the peer that showed the highest revision above ours, or None."""
+        revision = self._holder.revision
+        self._hints = {peer: shown for peer, shown in self._hints.items() if shown > revision}
+        return max(self._hints, key=self._hints.__getitem__, default=None)
+
+    async def _ask_for_first(self) -> None:
+        """Ask live peers, one after the other, until there is a configuration."""
+        while self._holder.current is None:
+            peers = list(self._live_peers())
+            if peers:
+                await self._pull(self._rng.choice(peers))
+            if self._holder.current is None:
+                await trio.sleep(self._config.cold_start_seconds * self._rng.uniform(0.5, 1.5))
+
+    async def _pull(self, peer: str) -> None:
+        """Take what a peer has beyond the revision in force."""
+        try:
+            with trio.fail_after(self._config.peer_timeout_seconds):
+                transfer = await self._peer_configuration.fetch(peer, self._holder.revision)
+        except (HopstepError, trio.TooSlowError) as error:
+            emit(CONFIGURATION_PEER_FAILED, peer=peer, error=type(error).__name__)
+            return
+        self._take(transfer, peer)
+
+    def _take(self, transfer: ConfigurationTransfer, source: str) -> bool:
+        """Put a transfer in force as far as it leads higher; return whether it was sound."""
+        current = self._holder.current or empty_configuration()
+        try:
+            latest = apply_transfer(current, transfer)
+        except HopstepError as error:
+            emit(CONFIGURATION_TRANSFER_REJECTED, source=source, error=error.message)
+            return False
+        if latest.revision > current.revision:
+            self._remember(transfer, latest)
+            self._holder.apply(latest)
+            emit(CONFIGURATION_APPLIED, revision=latest.revision, source=source)
+        return True
+
+    def _remember(self, transfer: ConfigurationTransfer, latest: AcceptedConfiguration) -> None:
+        """Keep the changes that led to ``latest`` for peers."""
+        if transfer.snapshot is not None:
+            self._tail.clear()
+        for accepted_change in transfer.changes:
+            if self._tail and accepted_change.revision <= self._tail[-1].revision:
+                continue
+            if accepted_change.revision <= latest.revision:
+                self._tail.append(accepted_change)
+
+    async def _maintain_store(self) -> None:
+        """Write snapshots and trim while this node is a reader."""
+        while True:
+            await trio.sleep(self._config.maintenance_seconds * self._rng.uniform(0.5, 1.5))
+            current = self._holder.current
+            if current is None or not self._is_reader():
+                continue
+            try:
+                await self._store.maintain(current)
+            except HopstepError as error:
+                emit(CONFIGURATION_MAINTENANCE_FAILED, error=error.message)
--- /dev/null
+++ b/hopstep/settings_loader.py
@@ -0,0 +1,228 @@
+"""Settings from a TOML file, overridden by flags, checked strictly."""
+
+from __future__ import annotations
+
+import enum
+import tomllib
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from absl import flags
+
+from hopstep.domain.addresses import parse_address
+from hopstep.domain.documents import convert_document
+from hopstep.exceptions import ErrorCode, HopstepError, ValidationError
+from hopstep.settings import RouterSettings
+
+EXIT_BAD_SETTINGS = 2
+"""Exit code of a process whose settings are bad."""
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+class SettingsError(HopstepError):
+    """Settings that can't be used; the message names the file or flags, field and expectation."""
+
+    def __init__(self, source: str, field: str, expectation: str) -> None:
+        """Say what is wrong.
+
+        Args:
+            source: Settings file, or the flag at fault.
+            field: Path of the field; empty when the whole file is at fault.
+            expectation: What was expected.
+        """
+        place = f"{source}: {field}" if field else source
+        super().__init__(ErrorCode.INVALID_SETTINGS, f"{place}: {expectation}", field)
+        self.source = source
+
+
+class FlagKind(enum.StrEnum):
+    """Type of a flag."""
+
+    TEXT = "text"
+    NUMBER = "number"
+    INTEGER = "integer"
+    LIST = "list"
+
+
+class _FlagField(msgspec.Struct, frozen=True):
+    """A flag that overrides one settings field.
+
+    Attributes:
+        flag: Name of the flag.
+        path: Path of the field.
+        kind: Type of the flag.
+        help: What the field means.
+    """
+
+    flag: str
+    path: tuple[str, ...]
+    kind: FlagKind
+    help: str
+
+
+_FLAG_FIELDS = (
+    _FlagField("name", ("name",), FlagKind.TEXT, "Unique name of the node."),
+    _FlagField("address", ("address",), FlagKind.TEXT, "ip:port of the callers' HTTP listener."),
+    _FlagField("zone", ("zone",), FlagKind.TEXT, "Zone of the machine."),
+    _FlagField("store", ("store",), FlagKind.TEXT, "ip:port of the key-value service."),
+    _FlagField("machine_list", ("machine_list",), FlagKind.TEXT, "ip:port of the machine list."),
+    _FlagField(
+        "peer_address", ("peers", "address"), FlagKind.TEXT, "ip:port of the peers' UDP socket."
+    ),
+    _FlagField(
+        "seeds", ("peers", "seeds"), FlagKind.LIST, "UDP addresses to join by, with commas."
+    ),
+    _FlagField("cluster", ("peers", "cluster"), FlagKind.TEXT, "Name of the cluster."),
+    _FlagField("key_file", ("peers", "key_file"), FlagKind.TEXT, "File of cluster keys."),
+    _FlagField("log_level", ("log_level",), FlagKind.TEXT, "debug, info, warning or error."),
+    _FlagField(
+        "drain_seconds", ("drain_seconds",), FlagKind.NUMBER, "Longest wait on a planned stop."
+    ),
+    _FlagField("max_body_bytes", ("max_body_bytes",), FlagKind.INTEGER, "Longest request body."),
+    _FlagField(
+        "isolation_seconds",
+        ("isolation_seconds",),
+        FlagKind.NUMBER,
+        "Time without store and majority after which requests are refused; 0 never.",
+    ),
+)
+
+_FLAG_DEFINERS: dict[FlagKind, Callable[..., object]] = {
+    FlagKind.TEXT: flags.DEFINE_string,
+    FlagKind.NUMBER: flags.DEFINE_float,
+    FlagKind.INTEGER: flags.DEFINE_integer,
+    FlagKind.LIST: flags.DEFINE_list,
+}
+
+
+def define_settings_flags(flag_values: flags.FlagValues = flags.FLAGS) -> None:
+    """Define ``--settings`` and a flag for each common field."""
+    flags.DEFINE_string("settings", None, "TOML settings file.", flag_values=flag_values)
+    for field in _FLAG_FIELDS:
+        definer = _FLAG_DEFINERS[field.kind]
+        definer(field.flag, None, f"{field.help} Overrides the file.", flag_values=flag_values)
+
+
+def load_settings_from_flags(flag_values: flags.FlagValues = flags.FLAGS) -> RouterSettings:
+    """Return the settings of the parsed flags and their file.
+
+    Raises:
+        SettingsError: When the file can't be read or a value is bad.
+    """
+    path: str | None = flag_values["settings"].value
+    document = read_toml(Path(path)) if path else {}
+    for field in _FLAG_FIELDS:
+        value = flag_values[field.flag].value
+        if value is not None:
+            _override(document, field, value, path)
+    return parse_settings(document, path or "flags")
+
+
+def load_settings(path: Path) -> RouterSettings:
+    """Return the settings of a file.
+
+    Raises:
+        SettingsError: When the file can't be read or a value is bad.
+    """
+    return parse_settings(read_toml(path), str(path))
+
+
+def read_toml(path: Path) -> dict[str, Any]:
+    """Return a TOML document.
+
+    Raises:
+        SettingsError: When the file can't be read or isn't TOML.
+    """
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(str(path), "", f"can't be read: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(str(path), "", f"expected TOML: {error}") from None
+
+
+def parse_settings(document: Mapping[str, Any], source: str) -> RouterSettings:
+    """Return the settings of a decoded document.
+
+    Args:
+        document: Maps, lists and scalars.
+        source: Name of the file, for errors.
+
+    Raises:
+        SettingsError: When a field is unknown, missing, of a wrong type or out of range.
+    """
+    try:
+        settings = convert_document(dict(document), RouterSettings, ErrorCode.INVALID_SETTINGS)
+        _check(settings)
+    except ValidationError as error:
+        raise SettingsError(source, error.field, error.message) from None
+    return settings
+
+
+def _override(document: dict[str, Any], field: _FlagField, value: object, path: str | None) -> None:
+    """Set a field of the document to a flag's value."""
+    section = document
+    for name in field.path[:-1]:
+        section = section.setdefault(name, {})
+        if not isinstance(section, dict):
+            raise SettingsError(path or "flags", name, "expected a table")
+    section[field.path[-1]] = value
+
+
+def _check(settings: RouterSettings) -> None:
+    """Check what the types don't say."""
+    _check_texts(settings)
+    _check_addresses(settings)
+    _check_numbers(settings)
+
+
+def _check_texts(settings: RouterSettings) -> None:
+    """Check names and the log level."""
+    for field in ("name", "zone"):
+        if not getattr(settings, field):
+            raise _invalid(field, "expected a text, got an empty one")
+    if settings.log_level not in LOG_LEVELS:
+        raise _invalid(
+            "log_level", f"expected one of {', '.join(LOG_LEVELS)}, got {settings.log_level!r}"
+        )
+
+
+def _check_addresses(settings: RouterSettings) -> None:
+    """Check every address; the machine list's may be empty."""
+    addresses = {
+        "address": settings.address,
+        "store": settings.store,
+        "peers.address": settings.peers.address,
+    }
+    if settings.machine_list:
+        addresses["machine_list"] = settings.machine_list
+    for index, seed in enumerate(settings.peers.seeds):
+        addresses[f"peers.seeds[{index}]"] = seed
+    for field, address in addresses.items():
+        parse_address(address, field)
+
+
+def _check_numbers(settings: RouterSettings) -> None:
+    """Check ranges."""
+    positive = {
+        "max_body_bytes": settings.max_body_bytes,
+        "engines_timeout_seconds": settings.engines_timeout_seconds,
+        "peers.heartbeat_seconds": settings.peers.heartbeat_seconds,
+        "peers.suspicion_seconds": settings.peers.suspicion_seconds,
+        "peers.bytes_per_second": settings.peers.bytes_per_second,
+    }
+    for field, value in positive.items():
+        if not 0 < value < float("inf"):
+            raise _invalid(field, f"expected a number above 0, got {value}")
+    for field in ("drain_seconds", "isolation_seconds"):
+        value = getattr(settings, field)
+        if not 0 <= value < float("inf"):
+            raise _invalid(field, f"expected a number of at least 0, got {value}")
+
+
+def _invalid(field: str, expectation: str) -> ValidationError:
+    """Return the error for a bad value."""
+    return ValidationError(ErrorCode.INVALID_SETTINGS, expectation, field)
