Add the request path: attempts, admission, limits and dispatcher

A request gets room at an engine in fair order, is dispatched with preconditions, and its checked frames reach the caller as one ordered answer. Pure decisions say what follows a broken attempt.

--- /dev/null
+++ b/hopstep/domain/fair_queue.py
@@ -0,0 +1,212 @@
+"""Order of queued requests: priority first, then weighted fair between tenants.
+
+Start-time fair queueing within each priority: a tenant's next request starts at the virtual
+time at which its last served one finished, or now if it had none waiting; the lowest start
+goes first. Only served requests are charged, so a request that is dropped costs its tenant
+nothing. A priority that others have passed over ``MAX_PASSED_OVER`` times goes next, which
+bounds the wait of low priorities.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+MAX_PASSED_OVER = 16
+"""Requests of other priorities that may go before one of a waiting priority."""
+
+MIN_WEIGHT = 1e-6
+"""Least tenant weight, so that a weight of 0 doesn't divide."""
+
+
+class QueueEntry(msgspec.Struct, frozen=True):
+    """A queued request.
+
+    Attributes:
+        entry_id: Unique.
+        tenant: Tenant name.
+        weight: Share of the tenant.
+        priority: Lower numbers go first.
+        cost: Expected work, in tokens; above 0.
+    """
+
+    entry_id: str
+    tenant: str
+    weight: float
+    priority: int
+    cost: float
+
+
+Eligible = Callable[[QueueEntry], bool]
+
+
+class _TenantQueue:
+    """Requests of one tenant and one priority, oldest first."""
+
+    def __init__(self) -> None:
+        self.entries: OrderedDict[str, QueueEntry] = OrderedDict()
+        self.start = 0.0
+
+    def finish(self, entry: QueueEntry) -> float:
+        """Return the virtual time at which ``entry`` finishes if it is served next."""
+        return self.start + entry.cost / max(entry.weight, MIN_WEIGHT)
+
+
+class _PriorityQueue:
+    """Tenants of one priority with their virtual times."""
+
+    def __init__(self) -> None:
+        self.tenants: dict[str, _TenantQueue] = {}
+        self.finishes: dict[str, float] = {}
+        self.virtual_time = 0.0
+        self.passed_over = 0
+
+    def push(self, entry: QueueEntry) -> None:
+        """Add an entry behind the others of its tenant."""
+        queue = self.tenants.get(entry.tenant)
+        if queue is None:
+            queue = _TenantQueue()
+            queue.start = self.next_start(entry.tenant)
+            self.tenants[entry.tenant] = queue
+        queue.entries[entry.entry_id] = entry
+
+    def next_start(self, tenant: str) -> float:
+        """Return the start of a tenant's first waiting request."""
+        queue = self.tenants.get(tenant)
+        if queue is not None:
+            return queue.start
+        return max(self.virtual_time, self.finishes.get(tenant, 0.0))
+
+    def in_order(self) -> Iterator[QueueEntry]:
+        """Yield the first entries of all tenants, then later ones, fair order first."""
+        for tenant in sorted(self.tenants, key=lambda name: (self.tenants[name].start, name)):
+            yield from self.tenants[tenant].entries.values()
+
+    def serve(self, entry: QueueEntry) -> None:
+        """Take an entry out and charge its tenant."""
+        queue = self.tenants[entry.tenant]
+        self.virtual_time = max(self.virtual_time, queue.start)
+        queue.start = queue.finish(entry)
+        self.finishes[entry.tenant] = queue.start
+        self.passed_over = 0
+        self.discard(entry)
+
+    def discard(self, entry: QueueEntry) -> None:
+        """Take an entry out without charge."""
+        queue = self.tenants[entry.tenant]
+        del queue.entries[entry.entry_id]
+        if not queue.entries:
+            del self.tenants[entry.tenant]
+        self._forget_past_finishes()
+
+    def _forget_past_finishes(self) -> None:
+        """Drop finishes that no longer hold a tenant back, to bound memory."""
+        if self.tenants:
+            return
+        self.virtual_time = max(self.finishes.values(), default=self.virtual_time)
+        self.finishes.clear()
+
+
+class FairQueue:
+    """All queued requests of a router."""
+
+    def __init__(self) -> None:
+        self._priorities: dict[int, _PriorityQueue] = {}
+        self._entries: dict[str, QueueEntry] = {}
+        self._tenant_counts: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of queued requests."""
+        return len(self._entries)
+
+    def count_of(self, tenant: str) -> int:
+        """Return the number of a tenant's queued requests."""
+        return self._tenant_counts.get(tenant, 0)
+
+    def push(self, entry: QueueEntry) -> None:
+        """Queue a request."""
+        self._priorities.setdefault(entry.priority, _PriorityQueue()).push(entry)
+        self._entries[entry.entry_id] = entry
+        self._tenant_counts[entry.tenant] = self.count_of(entry.tenant) + 1
+
+    def remove(self, entry_id: str) -> bool:
+        """Drop a request without charge; return whether it was queued."""
+        entry = self._entries.get(entry_id)
+        if entry is None:
+            return False
+        self._priorities[entry.priority].discard(entry)
+        self._forget(entry)
+        return True
+
+    def pop(self, eligible: Eligible) -> QueueEntry | None:
+        """Take out and return the next request that is ``eligible``, or None.
+
+        Args:
+            eligible: Whether something can take the request now. Requests that nothing can
+                take don't hold up those behind them.
+        """
+        for priority in self._order():
+            queue = self._priorities[priority]
+            entry = next((entry for entry in queue.in_order() if eligible(entry)), None)
+            if entry is not None:
+                self._pass_over(priority)
+                queue.serve(entry)
+                self._forget(entry)
+                return entry
+        return None
+
+    def count_before(self, entry: QueueEntry, competes: Eligible) -> int:
+        """Return how many queued requests would go before a new ``entry``.
+
+        Args:
+            entry: Request that isn't queued yet.
+            competes: Whether a queued request waits for the same back ends.
+        """
+        queue = self._priorities.get(entry.priority, _PriorityQueue())
+        start = _start_behind_own(queue, entry)
+        better = (e for e in self._entries.values() if e.priority < entry.priority)
+        before = sum(1 for other in better if competes(other))
+        for tenant, waiting in queue.tenants.items():
+            virtual_start = waiting.start
+            for other in waiting.entries.values():
+                if virtual_start > start or (virtual_start == start and tenant > entry.tenant):
+                    break
+                before += 1 if competes(other) else 0
+                virtual_start += other.cost / max(other.weight, MIN_WEIGHT)
+        return before
+
+    def _order(self) -> list[int]:
+        """Return the priorities in the order in which they are tried now."""
+        waiting = [p for p, queue in self._priorities.items() if queue.tenants]
+        return sorted(waiting, key=self._urgency)
+
+    def _urgency(self, priority: int) -> tuple[int, int]:
+        """Return the sort key of a priority: long passed over first, then by number."""
+        passed_over = self._priorities[priority].passed_over
+        return (-passed_over if passed_over >= MAX_PASSED_OVER else 0, priority)
+
+    def _pass_over(self, served: int) -> None:
+        """Count a request of ``served`` against every other waiting priority."""
+        for priority, queue in self._priorities.items():
+            if priority != served and queue.tenants:
+                queue.passed_over += 1
+
+    def _forget(self, entry: QueueEntry) -> None:
+        """Drop the entry's bookkeeping."""
+        del self._entries[entry.entry_id]
+        remaining = self._tenant_counts[entry.tenant] - 1
+        if remaining:
+            self._tenant_counts[entry.tenant] = remaining
+        else:
+            del self._tenant_counts[entry.tenant]
+
+
+def _start_behind_own(queue: _PriorityQueue, entry: QueueEntry) -> float:
+    """Return the virtual start of a new entry behind its tenant's own queue."""
+    start = queue.next_start(entry.tenant)
+    waiting = queue.tenants.get(entry.tenant)
+    if waiting is None:
+        return start
+    return start + sum(e.cost / max(e.weight, MIN_WEIGHT) for e in waiting.entries.values())
--- /dev/null
+++ b/hopstep/domain/requests_in_force.py
@@ -0,0 +1,82 @@
+"""A request seen under the configuration in force now, which may not be the one it came under."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Protocol, TypeVar
+
+import msgspec
+
+from hopstep.domain.configuration import BackEnd, BackEndKind, Configuration
+from hopstep.domain.inference import InferenceRequest
+from hopstep.domain.placement import place_tenant
+from hopstep.exceptions import DomainError, ErrorCode
+
+ZONE_LABEL = "zone"
+
+
+class _Named(Protocol):
+    """An item of the configuration."""
+
+    @property
+    def name(self) -> str:
+        """Unique name among items of its kind."""
+
+
+_Item = TypeVar("_Item", bound=_Named)
+
+
+def request_in_force(request: InferenceRequest, configuration: Configuration) -> InferenceRequest:
+    """Return the request with its tenant, class and model as configured now.
+
+    Raises:
+        DomainError: ``NO_ADMISSIBLE_BACK_END`` when one of them has been removed.
+    """
+    return msgspec.structs.replace(
+        request,
+        tenant=_find(configuration.tenants, request.tenant.name, "tenant"),
+        request_class=_find(configuration.classes, request.request_class.name, "request_class"),
+        model=_find(configuration.models, request.model.name, "model"),
+    )
+
+
+def may_hold_answer(
+    request: InferenceRequest, configuration: Configuration, engine_name: str
+) -> bool:
+    """Return whether an engine that runs the request may go on with it.
+
+    A leaving engine may: it gets no new work, but no stream is cut off.
+    """
+    try:
+        current = request_in_force(request, configuration)
+        engine = _find(configuration.back_ends, engine_name, "back_end")
+    except DomainError:
+        return False
+    selectors = (current.tenant.selector, current.request_class.selector)
+    return all(selector.matches(engine.labels) for selector in selectors)
+
+
+def choose_kv_cache_store(
+    configuration: Configuration, request: InferenceRequest, engine: BackEnd
+) -> str:
+    """Return the address of the KV cache store for an attempt; empty for none.
+
+    One in the engine's zone is preferred. There is none while imports are switched off.
+    """
+    if configuration.routing.import_tokens_per_second <= 0:
+        return ""
+    stores = place_tenant(configuration, request.tenant, BackEndKind.KV_CACHE_STORE).admissible
+    zone = engine.labels.get(ZONE_LABEL)
+    near = [store for store in stores if store.labels.get(ZONE_LABEL) == zone]
+    candidates = near or list(stores)
+    return candidates[0].address if candidates else ""
+
+
+def _find(items: Iterable[_Item], name: str, kind: str) -> _Item:
+    """Return the item called ``name``."""
+    for item in items:
+        if item.name == name:
+            return item
+    raise DomainError(
+        ErrorCode.NO_ADMISSIBLE_BACK_END, f"the {kind} is no longer configured", field=kind
+    )
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -70,9 +70,9 @@
     ("request_id", "tenant", "code", "execution"),
     "Nothing; the caller has the reason.",
 )
-REQUEST_FAILED = LogEvent(
+ANSWER_FAILED = LogEvent(
     "HS2002",
-    "request_failed",
+    "answer_failed",
     Level.WARNING,
     ("request_id", "tenant", "code", "execution", "tokens"),
     "See the attempts of the request; frequent lines point to failing engines.",
@@ -201,6 +201,44 @@
     (),
     "Look at the platform; the last list stands, and engines still say themselves.",
 )
+ATTEMPT_INTERRUPTED = LogEvent(
+    "HS3301",
+    "attempt_interrupted",
+    Level.INFO,
+    ("request_id", "engine", "nonce", "state", "code", "delivered_tokens"),
+    "Nothing, unless it repeats for one engine: look at that engine.",
+)
+ATTEMPT_RETRIED = LogEvent(
+    "HS3302",
+    "attempt_retried",
+    Level.INFO,
+    ("request_id", "action", "attempts"),
+    "Nothing; a steady rate points at an engine that fails.",
+)
+REQUEST_FAILED = LogEvent(
+    "HS3303",
+    "request_failed",
+    Level.WARNING,
+    ("request_id", "code", "execution", "attempts"),
+    "Look for the attempts of the same request before it.",
+)
+FRAME_DROPPED = LogEvent(
+    "HS3304",
+    "frame_dropped",
+    Level.INFO,
+    ("engine", "nonce", "verdict"),
+    "Nothing, unless it repeats for one engine: look at that engine.",
+)
+CANCEL_FAILED = LogEvent(
+    "HS3305",
+    "cancel_failed",
+    Level.INFO,
+    ("engine", "nonce", "code"),
+    "Nothing; the engine may compute an answer that nobody reads.",
+)
+HEDGE_STARTED = LogEvent(
+    "HS3306", "hedge_started", Level.DEBUG, ("request_id", "engine"), "Nothing."
+)
 
 
 def catalogue() -> tuple[LogEvent, ...]:
--- /dev/null
+++ b/hopstep/services/admission.py
@@ -0,0 +1,282 @@
+"""Admission: what the engines can still take, and a bounded fair queue for the rest.
+
+A request gets a slot at once when an engine that it may use has room and nobody waits before
+it. Otherwise it queues, bounded by its tenant's queue length and by its class's longest wait.
+One whose expected wait is too long is refused at once, with the time to come back; one whose
+caller leaves or whose wait runs out is dropped at once. Placement is worked out anew, against
+the configuration in force, each time that a queued request is looked at.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from hopstep.domain.blocks import count_tokens
+from hopstep.domain.configuration import BackEnd
+from hopstep.domain.fair_queue import FairQueue, QueueEntry
+from hopstep.domain.inference import InferenceRequest
+from hopstep.domain.placement import place_engines
+from hopstep.domain.requests_in_force import request_in_force
+from hopstep.domain.routing.routing_table import RoutingTable
+from hopstep.domain.routing.selection import Choice
+from hopstep.exceptions import DomainError, ErrorCode, ServiceError
+from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.engine_slots import EngineSlot, EngineSlots
+
+RECHECK_SECONDS = 0.1
+"""Time after which a queued request looks again, for changes that wake nobody."""
+
+HOLD_TIME_SMOOTHING = 0.1
+"""Weight of the latest request in the mean time for which a slot is held."""
+
+MIN_RETRY_AFTER_SECONDS = 0.5
+MAX_RETRY_AFTER_SECONDS = 60.0
+
+STARTED_PRIORITY = -1_000_000
+"""Priority of further attempts: requests that have begun go before those that haven't."""
+
+ExpectedRequests = Callable[[str], int]
+"""Returns the requests expected at an engine address, those of other routers included."""
+
+
+class _Waiting(msgspec.Struct):
+    """A queued request."""
+
+    entry: QueueEntry
+    request: InferenceRequest
+    excluded: frozenset[str]
+    granted: trio.Event
+    slot: EngineSlot | None = None
+    error: ServiceError | None = None
+
+
+class AdmissionService:
+    """Gives each request room at one engine, in fair order.
+
+    Args:
+        holder: Configuration in force.
+        table: Chooses among the engines with room.
+        expected_requests: What the router believes that an engine has; None counts this
+            router's own requests only.
+    """
+
+    def __init__(
+        self,
+        holder: ConfigurationHolder,
+        table: RoutingTable,
+        expected_requests: ExpectedRequests | None = None,
+    ) -> None:
+        self._holder = holder
+        self._table = table
+        self._expected_requests = expected_requests
+        self.slots = EngineSlots()
+        self._queue = FairQueue()
+        self._waiting: dict[str, _Waiting] = {}
+        self._mean_hold_seconds = 0.0
+        self._found: Choice | None = None
+        self._next_entry = 0
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for an engine."""
+        return len(self._queue)
+
+    async def acquire(
+        self,
+        request: InferenceRequest,
+        excluded: frozenset[str] = frozenset(),
+        further: bool = False,
+    ) -> EngineSlot:
+        """Wait for room at an engine and take it.
+
+        Args:
+            request: The request.
+            excluded: Names of engines to avoid while there are others.
+            further: Whether this is a further attempt of a request that was let in before.
+
+        Raises:
+            ServiceError: ``NO_ADMISSIBLE_BACK_END`` when placement rules every engine out;
+                ``OVERLOADED`` when the wait is or becomes too long; both as not run.
+        """
+        engines = self._placed(request)
+        waiting = self._new_waiting(request, excluded, further)
+        if not further:
+            self._shed(waiting.entry, request, engines)
+        self._queue.push(waiting.entry)
+        self._waiting[waiting.entry.entry_id] = waiting
+        try:
+            self._drain()
+            await self._wait(waiting)
+        except BaseException:
+            self._abandon(waiting)
+            raise
+        assert waiting.slot is not None  # noqa: S101 - what _wait returns for
+        return waiting.slot
+
+    def try_acquire(self, request: InferenceRequest, excluded: frozenset[str]) -> EngineSlot | None:
+        """Take room at an engine that isn't excluded, if there is some and nobody waits."""
+        if self._waiting:
+            return None
+        choice = self._choose(request, excluded, excluded_as_last_resort=False)
+        return self._take(choice) if choice is not None else None
+
+    def expected_wait(self, entry: QueueEntry, engines: tuple[BackEnd, ...]) -> float:
+        """Return the seconds for which a new entry would wait for one of ``engines``."""
+        if not self._queue and any(self._has_room(engine) for engine in engines):
+            return 0.0
+        names = {engine.name for engine in engines}
+        before = self._queue.count_before(entry, lambda other: self._competes(other, names))
+        capacity = sum(engine.max_concurrent_requests for engine in engines)
+        return (before + 1) * self._mean_hold_seconds / max(1, capacity)
+
+    def recheck(self) -> None:
+        """Look at the queue again, after the configuration or an engine's load changed."""
+        self._drain()
+
+    def _new_waiting(
+        self, request: InferenceRequest, excluded: frozenset[str], further: bool
+    ) -> _Waiting:
+        """Return the queue's record of a request."""
+        self._next_entry += 1
+        entry = QueueEntry(
+            entry_id=str(self._next_entry),
+            tenant=request.tenant.name,
+            weight=request.tenant.weight,
+            priority=STARTED_PRIORITY if further else request.request_class.priority,
+            cost=float(count_tokens(request.prompt) + request.max_tokens + 1),
+        )
+        return _Waiting(entry, request, excluded, trio.Event())
+
+    def _shed(
+        self, entry: QueueEntry, request: InferenceRequest, engines: tuple[BackEnd, ...]
+    ) -> None:
+        """Refuse a request that would wait too long."""
+        wait = self.expected_wait(entry, engines)
+        limit = request.tenant.limits.max_queued_requests
+        if wait > 0 and self._queue.count_of(entry.tenant) >= limit:
+            raise self._overloaded("the tenant's queue is full", wait)
+        patience = request.deadline - trio.current_time()
+        if wait > min(request.request_class.max_queue_seconds, patience):
+            raise self._overloaded("the expected wait for an engine is too long", wait)
+
+    async def _wait(self, waiting: _Waiting) -> None:
+        """Wait until a slot is granted; raise when the wait runs out."""
+        now = trio.current_time()
+        limit = waiting.request.request_class.max_queue_seconds
+        give_up_at = min(now + limit, waiting.request.deadline)
+        while not waiting.granted.is_set():
+            with trio.move_on_at(min(give_up_at, trio.current_time() + RECHECK_SECONDS)):
+                await waiting.granted.wait()
+            if waiting.granted.is_set():
+                break
+            if trio.current_time() >= give_up_at:
+                raise self._overloaded("no engine had room in time", self._mean_hold_seconds)
+            self._drain()
+        if waiting.error is not None:
+            raise waiting.error
+
+    def _abandon(self, waiting: _Waiting) -> None:
+        """Forget a request that no longer waits, with the slot that it may just have got."""
+        self._queue.remove(waiting.entry.entry_id)
+        self._waiting.pop(waiting.entry.entry_id, None)
+        if waiting.slot is not None:
+            waiting.slot.release()
+
+    def _drain(self) -> None:
+        """Grant slots in fair order while engines have room."""
+        self._fail_unplaced()
+        while self._queue:
+            entry = self._queue.pop(self._is_eligible)
+            if entry is None:
+                return
+            waiting = self._waiting.pop(entry.entry_id)
+            assert self._found is not None  # noqa: S101 - set by _is_eligible
+            waiting.slot = self._take(self._found)
+            waiting.granted.set()
+
+    def _fail_unplaced(self) -> None:
+        """Refuse queued requests that a new configuration leaves without any engine."""
+        for entry_id, waiting in list(self._waiting.items()):
+            try:
+                self._placed(waiting.request)
+            except ServiceError as error:
+                waiting.error = error
+                self._queue.remove(entry_id)
+                del self._waiting[entry_id]
+                waiting.granted.set()
+
+    def _is_eligible(self, entry: QueueEntry) -> bool:
+        """Return whether an engine can take a queued request now, and remember which."""
+        waiting = self._waiting[entry.entry_id]
+        self._found = self._choose(waiting.request, waiting.excluded, excluded_as_last_resort=True)
+        return self._found is not None
+
+    def _choose(
+        self, request: InferenceRequest, excluded: frozenset[str], *, excluded_as_last_resort: bool
+    ) -> Choice | None:
+        """Return the best engine with room, or None."""
+        placed = self._placed(request)
+        preferred = tuple(engine for engine in placed if engine.name not in excluded)
+        if not preferred and excluded_as_last_resort:
+            preferred = placed
+        free = tuple(engine for engine in preferred if self._has_room(engine))
+        if not free:
+            return None
+        try:
+            current = request_in_force(request, self._holder.require().configuration)
+            return self._table.choose(current, free, frozenset(), trio.current_time())
+        except DomainError:
+            return None
+
+    def _placed(self, request: InferenceRequest) -> tuple[BackEnd, ...]:
+        """Return the engines that the configuration in force allows."""
+        configuration = self._holder.require().configuration
+        try:
+            current = request_in_force(request, configuration)
+        except DomainError as error:
+            raise ServiceError(error.code, error.message, field=error.field) from error
+        placement = place_engines(
+            configuration, current.tenant, current.request_class, current.model
+        )
+        if not placement.admissible:
+            raise ServiceError(
+                ErrorCode.NO_ADMISSIBLE_BACK_END, "no engine is allowed to serve the request"
+            )
+        return placement.admissible
+
+    def _has_room(self, engine: BackEnd) -> bool:
+        """Return whether an engine can take one more request."""
+        if not self.slots.is_free(engine):
+            return False
+        if self._expected_requests is None:
+            return True
+        return self._expected_requests(engine.address) < engine.max_concurrent_requests
+
+    def _competes(self, other: QueueEntry, names: set[str]) -> bool:
+        """Return whether a queued request may use one of the named engines."""
+        placed = self._placed(self._waiting[other.entry_id].request)
+        return any(engine.name in names for engine in placed)
+
+    def _take(self, choice: Choice) -> EngineSlot:
+        """Count a request in at an engine."""
+        self.slots.take(choice.back_end.address)
+        return EngineSlot(choice, trio.current_time(), self._give_back)
+
+    def _give_back(self, slot: EngineSlot) -> None:
+        """Count a request out, learn how long it took, and let the next ones in."""
+        held = trio.current_time() - slot.taken_at
+        if self._mean_hold_seconds == 0.0:
+            self._mean_hold_seconds = held
+        else:
+            self._mean_hold_seconds += HOLD_TIME_SMOOTHING * (held - self._mean_hold_seconds)
+        self.slots.give_back(slot.choice.back_end.address)
+        self._drain()
+
+    @staticmethod
+    def _overloaded(message: str, wait: float) -> ServiceError:
+        """Return a refusal that says when to come back."""
+        bounded = min(max(wait, MIN_RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS)
+        return ServiceError(ErrorCode.OVERLOADED, message, retry_after_seconds=bounded)
--- /dev/null
+++ b/hopstep/services/engine_calls.py
@@ -0,0 +1,45 @@
+"""Short calls to engines beside the streams: cancel, probe; each bounded in time."""
+
+from __future__ import annotations
+
+import trio
+
+from hopstep import log_events
+from hopstep.domain.engines import EngineFacts
+from hopstep.exceptions import EngineError
+from hopstep.logs import emit
+from hopstep.ports.engine import CancelOutcome, EnginePort
+
+CANCEL_TIMEOUT_SECONDS = 2.0
+"""Longest time for a cancel; it goes on for that long after its caller has left."""
+
+PROBE_TIMEOUT_SECONDS = 1.0
+"""Time within which a live engine answers a probe."""
+
+
+async def cancel_attempt(
+    port: EnginePort, address: str, nonce: str, incarnation: str
+) -> CancelOutcome | None:
+    """Cancel an attempt, also when the caller's task is being cancelled.
+
+    Returns:
+        What the engine says; None when it said nothing in time, which proves nothing.
+    """
+    with trio.CancelScope(shield=True, deadline=trio.current_time() + CANCEL_TIMEOUT_SECONDS):
+        try:
+            return await port.cancel(address, nonce, incarnation)
+        except EngineError as error:
+            emit(log_events.CANCEL_FAILED, engine=address, nonce=nonce, code=error.code.value)
+            return None
+    emit(log_events.CANCEL_FAILED, engine=address, nonce=nonce, code="timeout")
+    return None
+
+
+async def probe_engine(port: EnginePort, address: str) -> EngineFacts | None:
+    """Return an engine's facts, or None when it doesn't answer in time."""
+    with trio.move_on_after(PROBE_TIMEOUT_SECONDS):
+        try:
+            return await port.probe(address)
+        except EngineError:
+            return None
+    return None
--- /dev/null
+++ b/hopstep/services/request_execution.py
@@ -0,0 +1,287 @@
+"""Carries one request through its attempts to a whole answer or a truthful failure."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+
+from hopstep import log_events
+from hopstep.domain.attempts import Action, AttemptState, Decision, RequestSnapshot, decide_next
+from hopstep.domain.configuration import Configuration
+from hopstep.domain.inference import InferenceRequest
+from hopstep.domain.retry_budget import RetryBudget
+from hopstep.exceptions import ErrorCode, Execution, ServiceError
+from hopstep.logs import emit
+from hopstep.ports.engine import CancelOutcome, EnginePort, TokenFrame
+from hopstep.services.answer_progress import AnswerProgress
+from hopstep.services.attempt import Attempt
+from hopstep.services.attempt_closer import AttemptCloser
+from hopstep.services.attempt_factory import AttemptFactory
+from hopstep.services.attempt_runner import AttemptRunner
+from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.engine_calls import cancel_attempt, probe_engine
+from hopstep.services.hedging import HedgedRace
+from hopstep.services.request_state import RequestState
+
+BACKOFF_SECONDS = 0.05
+"""Wait before the second resume or retry in a row; doubles with each further one."""
+
+MAX_BACKOFF_SECONDS = 5.0
+
+MIN_RETRY_AFTER_SECONDS = 1.0
+
+MESSAGES = {
+    ErrorCode.DEADLINE_EXCEEDED: "the answer wasn't whole before the deadline",
+    ErrorCode.STREAM_INTERRUPTED: "the answer was cut off and can't be continued",
+    ErrorCode.EXECUTION_UNKNOWN: "the engine was lost, and the request may have run",
+    ErrorCode.RETRIES_EXHAUSTED: "no attempt was answered",
+    ErrorCode.OVERLOADED: "the engines are overloaded",
+}
+
+
+class ExecutionContext(msgspec.Struct, frozen=True):
+    """What all requests of a router share.
+
+    Attributes:
+        port: Engines.
+        holder: Configuration in force.
+        factory: Makes attempts.
+        runner: Runs them.
+        budget: Retries as a share of first attempts.
+    """
+
+    port: EnginePort
+    holder: ConfigurationHolder
+    factory: AttemptFactory
+    runner: AttemptRunner
+    budget: RetryBudget
+
+
+class RequestExecution:
+    """One request on its way.
+
+    Args:
+        context: Shared services.
+        request: The request.
+        progress: Takes the tokens of the answer.
+        closer: Ends attempts.
+    """
+
+    def __init__(
+        self,
+        context: ExecutionContext,
+        request: InferenceRequest,
+        progress: AnswerProgress,
+        closer: AttemptCloser,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._progress = progress
+        self._closer = closer
+        self._state = RequestState(request, progress)
+
+    async def run(self) -> None:
+        """Deliver the whole answer.
+
+        Raises:
+            ServiceError: When it can't be completed; the code and ``execution`` are as proved.
+        """
+        try:
+            with trio.move_on_at(self._request.deadline) as scope:
+                await self._run_attempts()
+            if scope.cancelled_caught:
+                raise self._failure(ErrorCode.DEADLINE_EXCEEDED, self._state.proved())
+        finally:
+            self._close_attempt()
+
+    async def _run_attempts(self) -> None:
+        """Make attempts until one finishes the answer."""
+        await self._first_attempt()
+        while True:
+            attempt = self._state.require_attempt()
+            decision = decide_next(self._snapshot())
+            if decision.action is Action.FINISH:
+                return
+            if self._progress.finish_if_whole(attempt.engine_name):
+                return
+            self._log_interruption(attempt)
+            await self._carry_out(decision, attempt)
+
+    async def _carry_out(self, decision: Decision, attempt: Attempt) -> None:
+        """Do what was decided after an attempt that didn't finish."""
+        if decision.action is Action.FAIL:
+            raise self._failure(decision.code, decision.execution)
+        if decision.action is Action.RESUME:
+            await self._resume(attempt)
+        elif decision.action is Action.SETTLE:
+            await self._settle(attempt)
+        else:
+            await self._dispatch_again(decision.action)
+
+    async def _first_attempt(self) -> None:
+        """Dispatch for the first time, with a hedge where the class asks for one."""
+        attempt = await self._prepare()
+        configuration = self._configuration()
+        self._context.budget.record_first_attempt(configuration.routing.retry_ratio)
+        hedge_after = self._state.hedge_after(configuration)
+        if hedge_after <= 0:
+            await self._dispatch(attempt)
+            return
+        race = HedgedRace(self._context.runner.dispatch, self._deliver, hedge_after, self._hedge)
+        self._state.attempt, other = await race.race(attempt)
+        if other is not None:
+            self._state.note_other(other)
+            self._closer.close(other)
+        await self._learn_from_failure(self._state.require_attempt())
+
+    async def _hedge(self, first: Attempt) -> Attempt | None:
+        """Return a hedge for a slow first attempt, if that is decided and there is room."""
+        if decide_next(self._snapshot()).action is not Action.HEDGE:
+            return None
+        tried = frozenset({first.engine_name})
+        second = self._context.factory.prepare_hedge(self._request, tried)
+        if second is None:
+            return None
+        self._context.budget.take(trio.current_time())
+        self._state.attempts += 1
+        request_id = self._request.request_id
+        emit(log_events.HEDGE_STARTED, request_id=request_id, engine=second.engine_name)
+        return second
+
+    async def _dispatch_again(self, action: Action) -> None:
+        """Go elsewhere: a new attempt, after the delivered tokens if there are any."""
+        self._context.budget.take(trio.current_time())
+        attempts = self._state.attempts
+        emit(
+            log_events.ATTEMPT_RETRIED,
+            request_id=self._request.request_id,
+            action=action.value,
+            attempts=attempts,
+        )
+        self._close_attempt()
+        if attempts > 1:
+            await trio.sleep(_backoff(attempts - 2))
+        await self._dispatch(await self._prepare(further=True))
+
+    async def _prepare(self, further: bool = False) -> Attempt:
+        """Wait for room at an engine and make the attempt the current one."""
+        state = self._state
+        try:
+            attempt = await self._context.factory.prepare(
+                self._request, self._progress.tokens, state.tried, further
+            )
+        except ServiceError as error:
+            raise self._truthful(error) from error
+        state.begin(attempt)
+        return attempt
+
+    async def _dispatch(self, attempt: Attempt) -> None:
+        """Run an attempt."""
+        await self._context.runner.dispatch(attempt, self._deliver)
+        await self._learn_from_failure(attempt)
+
+    async def _resume(self, attempt: Attempt) -> None:
+        """Read on at the same incarnation."""
+        if attempt.fruitless_resumes:
+            await trio.sleep(_backoff(attempt.fruitless_resumes - 1))
+        await self._context.runner.resume(attempt, self._deliver)
+        await self._learn_from_failure(attempt)
+
+    async def _settle(self, attempt: Attempt) -> None:
+        """Prove by a cancel that the attempt never starts, if that can be proved."""
+        attempt.settled = True
+        if not attempt.incarnation:
+            return
+        outcome = await cancel_attempt(
+            self._context.port, attempt.address, attempt.nonce, attempt.incarnation
+        )
+        if outcome is CancelOutcome.NOT_STARTED:
+            attempt.state = AttemptState.NOT_RUN
+
+    async def _learn_from_failure(self, attempt: Attempt) -> None:
+        """Ask the engine of an attempt that broke off whether it is still the same one."""
+        if attempt.state is AttemptState.DONE:
+            return
+        if attempt.state is AttemptState.NOT_RUN and attempt.cause is ErrorCode.OVERLOADED:
+            return
+        table = self._context.factory.table
+        facts = await probe_engine(self._context.port, attempt.address)
+        attempt.engine_answers = facts is not None
+        if facts is None:
+            table.record_failure(attempt.address, trio.current_time())
+            return
+        table.update_facts(attempt.address, facts, trio.current_time())
+        if attempt.incarnation and facts.incarnation != attempt.incarnation:
+            attempt.stream_lost = True
+
+    async def _deliver(self, attempt: Attempt, frame: TokenFrame, tokens: tuple[str, ...]) -> None:
+        """Hand new tokens to the caller."""
+        if not attempt.answered:
+            cached = self._progress.note_first_frame(frame)
+            self._context.factory.table.record_first_token(
+                attempt.nonce, frame.incarnation, cached, trio.current_time()
+            )
+        await self._progress.deliver(attempt.engine_name, frame, tokens)
+
+    def _configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self._context.holder.require().configuration
+
+    def _snapshot(self) -> RequestSnapshot:
+        """Return what the next decision depends on."""
+        return self._state.snapshot(self._configuration(), self._context.budget)
+
+    def _close_attempt(self) -> None:
+        """Close the current attempt, if there is one."""
+        attempt = self._state.take_attempt()
+        if attempt is not None:
+            self._closer.close(attempt)
+
+    def _truthful(self, error: ServiceError) -> ServiceError:
+        """Return a refusal of a further attempt as what it means for the whole request."""
+        if self._state.proved() is Execution.NOT_RUN:
+            return error
+        if self._progress.delivered_tokens:
+            return self._failure(ErrorCode.STREAM_INTERRUPTED, Execution.UNKNOWN)
+        return ServiceError(
+            error.code,
+            error.message,
+            field=error.field,
+            execution=Execution.UNKNOWN,
+            retry_after_seconds=error.retry_after_seconds,
+        )
+
+    def _failure(self, code: ErrorCode, execution: Execution) -> ServiceError:
+        """Return the error that ends the request."""
+        emit(
+            log_events.REQUEST_FAILED,
+            request_id=self._request.request_id,
+            code=code.value,
+            execution=execution.value,
+            attempts=self._state.attempts,
+        )
+        attempt = self._state.attempt
+        retry_after = attempt.retry_after_seconds if attempt is not None else 0.0
+        return ServiceError(
+            code,
+            MESSAGES.get(code, "the request failed"),
+            execution=execution,
+            retry_after_seconds=max(MIN_RETRY_AFTER_SECONDS, retry_after),
+        )
+
+    def _log_interruption(self, attempt: Attempt) -> None:
+        """Log an attempt that didn't finish."""
+        emit(
+            log_events.ATTEMPT_INTERRUPTED,
+            request_id=self._request.request_id,
+            engine=attempt.engine_name,
+            nonce=attempt.nonce,
+            state=attempt.state.value,
+            code=attempt.cause.value,
+            delivered_tokens=self._progress.delivered_tokens,
+        )
+
+
+def _backoff(exponent: int) -> float:
+    """Return a wait that doubles with each step, bounded."""
+    return min(MAX_BACKOFF_SECONDS, BACKOFF_SECONDS * 2.0**exponent)
--- /dev/null
+++ b/hopstep/services/tenant_limits.py
@@ -0,0 +1,123 @@
+"""Tenants' limits at this router, fed by the configuration in force and by usage gossip."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Iterator, Mapping
+
+import trio
+
+from hopstep.domain.blocks import count_tokens
+from hopstep.domain.configuration import BackEndKind, Tenant, TenantLimits
+from hopstep.domain.inference import InferenceRequest
+from hopstep.domain.limits import LimitRefusal, ShareView, TenantLimiter
+from hopstep.domain.placement import place_tenant
+from hopstep.exceptions import ErrorCode, ServiceError
+from hopstep.services.configuration_holder import ConfigurationHolder
+
+UPDATE_SECONDS = 0.5
+"""Time between two looks at gossip, for one tenant."""
+
+MAX_RETRY_AFTER_SECONDS = 60.0
+
+LiveRouters = Callable[[], frozenset[str]]
+"""Returns the names of the live routers, this one among them."""
+
+UsageByRouter = Callable[[str], Mapping[str, float]]
+"""Returns a tenant's demand by router, as last published."""
+
+
+class TenantLimitService:
+    """Holds each tenant's requests to this router's part of its limits.
+
+    Args:
+        router: Name of this router.
+        holder: Configuration in force.
+        live_routers: Live routers by gossip; None for this router alone.
+        usage_by_router: Demand by gossip; None while nothing is published.
+    """
+
+    def __init__(
+        self,
+        router: str,
+        holder: ConfigurationHolder,
+        live_routers: LiveRouters | None = None,
+        usage_by_router: UsageByRouter | None = None,
+    ) -> None:
+        self._router = router
+        self._holder = holder
+        self._live_routers = live_routers or (lambda: frozenset({router}))
+        self._usage_by_router = usage_by_router or (lambda tenant: {})
+        self._started_at = trio.current_time()
+        self._limiters: dict[str, TenantLimiter] = {}
+        self._updated_at: dict[str, float] = {}
+
+    @contextlib.contextmanager
+    def entered(
+        self, request: InferenceRequest, generated_tokens: Callable[[], int]
+    ) -> Iterator[None]:
+        """Hold a request's part of its tenant's limits for the length of the block.
+
+        Args:
+            request: The request.
+            generated_tokens: Returns, at the end, the tokens that it was given.
+
+        Raises:
+            ServiceError: ``RATE_LIMITED`` with the limit's name, as not run.
+        """
+        limiter = self._limiter(request.tenant)
+        prompt_tokens = count_tokens(request.prompt)
+        tokens = prompt_tokens + request.max_tokens
+        refusal = limiter.try_enter(trio.current_time(), tokens)
+        if refusal is not None:
+            raise _limited(refusal)
+        try:
+            yield
+        finally:
+            unused = request.max_tokens - generated_tokens()
+            limiter.leave(trio.current_time(), max(0, unused))
+
+    def take_offered(self) -> dict[str, int]:
+        """Return the requests offered by tenant since the last call, for publication."""
+        offered = {name: limiter.offered for name, limiter in self._limiters.items()}
+        for limiter in self._limiters.values():
+            limiter.offered = 0
+        return {name: count for name, count in offered.items() if count}
+
+    def _limiter(self, tenant: Tenant) -> TenantLimiter:
+        """Return a tenant's limiter, up to date."""
+        now = trio.current_time()
+        limiter = self._limiters.get(tenant.name)
+        if limiter is None:
+            limiter = TenantLimiter(self._started_at)
+            self._limiters[tenant.name] = limiter
+        if now - self._updated_at.get(tenant.name, float("-inf")) >= UPDATE_SECONDS:
+            self._updated_at[tenant.name] = now
+            limiter.update(now, self._limits_in_force(tenant), self._view(tenant))
+        return limiter
+
+    def _limits_in_force(self, tenant: Tenant) -> TenantLimits:
+        """Return a tenant's limits as configured now."""
+        tenants = self._holder.require().configuration.tenants
+        return next((item.limits for item in tenants if item.name == tenant.name), tenant.limits)
+
+    def _view(self, tenant: Tenant) -> ShareView:
+        """Return what gossip says of a tenant's demand."""
+        configuration = self._holder.require().configuration
+        routers = place_tenant(configuration, tenant, BackEndKind.ROUTER).admissible
+        return ShareView(
+            router=self._router,
+            live_routers=self._live_routers(),
+            usage_by_router=self._usage_by_router(tenant.name),
+            expected_routers=len(routers),
+        )
+
+
+def _limited(refusal: LimitRefusal) -> ServiceError:
+    """Return the refusal that a caller gets."""
+    return ServiceError(
+        ErrorCode.RATE_LIMITED,
+        f"the tenant's {refusal.kind.value} is used up",
+        field=refusal.kind.value,
+        retry_after_seconds=min(refusal.retry_after_seconds, MAX_RETRY_AFTER_SECONDS),
+    )
--- /dev/null
+++ b/tests/services/test_dispatcher.py
@@ -0,0 +1,32 @@
+"""The dispatcher over emulated engines: whole answers, in order, under no fault."""
+
+import unittest
+
+import trio
+import trio.testing
+
+from hopstep.domain.inference import AnswerFinish
+from tests.services.request_path import RequestPath, oracle, tokens_of
+
+
+def run(test):
+    return trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class DispatcherTest(unittest.TestCase):
+    def test_answer_is_whole_and_in_order_with_usage(self):
+        async def scenario():
+            path = RequestPath()
+            request = path.request()
+            parts = await path.answer(request)
+            self.assertEqual(tokens_of(parts), oracle(request))
+            self.assertEqual(parts[-1].finish, AnswerFinish.LENGTH)
+            self.assertEqual(parts[-1].usage.completion_tokens, 20)
+            self.assertEqual(path.runs(request), 1)
+            self.assertEqual(path.admission.slots.total(), 0)
+
+        run(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
