--- a/hopstep/cli/ctl.py
+++ b/hopstep/cli/ctl.py
@@ -11,6 +11,7 @@
 
 import getpass
 import os
+import random
 import sys
 import uuid
 from collections.abc import Sequence
@@ -94,7 +95,8 @@
     async with httpx.AsyncClient(trust_env=False) as client:
         if verb == "status" and _ROUTERS.value:
             return await show_status(client, _checked_routers())
-        store = ConfigurationStore(HttpKeyValueStore(_store_address(), client))
+        key_value_store = HttpKeyValueStore(_store_address(), client)
+        store = ConfigurationStore(key_value_store, random.SystemRandom())
         return await _run_store_verb(verb, operands, store, client)
 
 
--- a/hopstep/services/configuration_store.py
+++ b/hopstep/services/configuration_store.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import random
+
 import msgspec
 
 from hopstep.domain.configuration import AcceptedConfiguration
@@ -20,7 +22,12 @@
 )
 from hopstep.exceptions import DomainError, ErrorCode, StoreError
 from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort, StoredValue
-from hopstep.services.configuration_snapshots import ConfigurationSnapshots, revision_text
+from hopstep.services.configuration_snapshots import (
+    SNAPSHOT_INTERVAL,
+    ConfigurationSnapshots,
+    revision_text,
+)
+from hopstep.services.rate_limit_retry import RateLimitRetryStore
 
 CHANGES_PREFIX = "configuration/changes/"
 LIST_LIMIT = 200
@@ -60,11 +67,22 @@
 class ConfigurationStore:
     """Reads and appends the accepted sequence; raises ``StoreError`` with the store down."""
 
-    def __init__(self, store: KeyValueStorePort) -> None:
-        """Work on ``store``."""
-        self._store = store
+    def __init__(
+        self,
+        store: KeyValueStorePort,
+        rng: random.Random,
+        snapshot_interval: int = SNAPSHOT_INTERVAL,
+    ) -> None:
+        """Work on ``store``.
+
+        Args:
+            store: Key-value service.
+            rng: Spreads the repeats of rate-limited calls.
+            snapshot_interval: Changes between two snapshots.
+        """
+        self._store = RateLimitRetryStore(store, rng)
         self._watched_revision = 0
-        self.snapshots = ConfigurationSnapshots(store)
+        self.snapshots = ConfigurationSnapshots(self._store, snapshot_interval)
 
     async def read_latest(self, after: int = 0) -> ConfigurationTransfer:
         """Return what leads from revision ``after`` to the latest one.
