--- a/hopstep/services/attempt.py
+++ b/hopstep/services/attempt.py
@@ -41,6 +41,7 @@
         self.stream_lost = False
         self.settled = False
         self.fruitless_resumes = 0
+        self.dropped_frames = 0
         self.closed = False
 
     @property
--- a/hopstep/services/attempt_runner.py
+++ b/hopstep/services/attempt_runner.py
@@ -74,12 +74,7 @@
             attempt.interrupt(ErrorCode.STREAM_INTERRUPTED)
             return True
         if check.verdict is not FrameVerdict.ACCEPT:
-            emit(
-                log_events.FRAME_DROPPED,
-                engine=attempt.address,
-                nonce=attempt.nonce,
-                verdict=check.verdict.value,
-            )
+            self._note_dropped(attempt, check.verdict)
             return False
         tokens = frame.tokens[check.skip :]
         if tokens:
@@ -93,3 +88,15 @@
         if frame.finish_reason is FinishReason.CANCELLED:
             attempt.interrupt(ErrorCode.STREAM_INTERRUPTED)
         return last
+
+    @staticmethod
+    def _note_dropped(attempt: Attempt, verdict: FrameVerdict) -> None:
+        """Log the first frame of an attempt that is dropped."""
+        attempt.dropped_frames += 1
+        if attempt.dropped_frames == 1:
+            emit(
+                log_events.FRAME_DROPPED,
+                engine=attempt.engine_name,
+                nonce=attempt.nonce,
+                verdict=verdict.value,
+            )
--- a/hopstep/services/engine_calls.py
+++ b/hopstep/services/engine_calls.py
@@ -8,11 +8,14 @@
 from hopstep.domain.engines import EngineFacts
 from hopstep.exceptions import EngineError
 from hopstep.logs import emit
-from hopstep.ports.engine import CancelOutcome, EnginePort
+from hopstep.ports.engine import AttemptStatus, CancelOutcome, EnginePort
 
 CANCEL_TIMEOUT_SECONDS = 2.0
 """Longest time for a cancel; it goes on for that long after its caller has left."""
 
+FENCE_TIMEOUT_SECONDS = 2.0
+"""Longest time for asking what became of an attempt."""
+
 PROBE_TIMEOUT_SECONDS = 1.0
 """Time within which a live engine answers a probe."""
 
@@ -35,6 +38,23 @@
     return None
 
 
+async def fence_attempt(
+    port: EnginePort, address: str, nonce: str, incarnation: str
+) -> AttemptStatus | None:
+    """Keep an attempt from starting if it never arrived, and return its status.
+
+    Returns:
+        None when the engine said nothing in time or is another incarnation, which proves
+        nothing.
+    """
+    with trio.move_on_after(FENCE_TIMEOUT_SECONDS):
+        try:
+            return await port.fence_nonce(address, nonce, incarnation)
+        except EngineError:
+            return None
+    return None
+
+
 async def probe_engine(port: EnginePort, address: str) -> EngineFacts | None:
     """Return an engine's facts, or None when it doesn't answer in time."""
     with trio.move_on_after(PROBE_TIMEOUT_SECONDS):
--- a/hopstep/services/request_execution.py
+++ b/hopstep/services/request_execution.py
@@ -12,14 +12,14 @@
 from hopstep.domain.retry_budget import RetryBudget
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
-from hopstep.ports.engine import CancelOutcome, EnginePort, TokenFrame
+from hopstep.ports.engine import AttemptStatus, EnginePort, TokenFrame
 from hopstep.services.answer_progress import AnswerProgress
 from hopstep.services.attempt import Attempt
 from hopstep.services.attempt_closer import AttemptCloser
 from hopstep.services.attempt_factory import AttemptFactory
 from hopstep.services.attempt_runner import AttemptRunner
 from hopstep.services.configuration_holder import ConfigurationHolder
-from hopstep.services.engine_calls import cancel_attempt, probe_engine
+from hopstep.services.engine_calls import fence_attempt, probe_engine
 from hopstep.services.hedging import HedgedRace
 from hopstep.services.request_state import RequestState
 
@@ -30,6 +30,9 @@
 
 MIN_RETRY_AFTER_SECONDS = 1.0
 
+RESUMABLE_STATUSES = (AttemptStatus.QUEUED, AttemptStatus.RUNNING, AttemptStatus.FINISHED)
+"""Attempts whose stream an engine still has."""
+
 MESSAGES = {
     ErrorCode.DEADLINE_EXCEEDED: "the answer wasn't whole before the deadline",
     ErrorCode.STREAM_INTERRUPTED: "the answer was cut off and can't be continued",
@@ -188,15 +191,16 @@
         await self._learn_from_failure(attempt)
 
     async def _settle(self, attempt: Attempt) -> None:
-        """Prove by a cancel that the attempt never starts, if that can be proved."""
+        """Prove that the attempt never starts, or find that its stream can be resumed."""
         attempt.settled = True
         if not attempt.incarnation:
             return
-        outcome = await cancel_attempt(
+        status = await fence_attempt(
             self._context.port, attempt.address, attempt.nonce, attempt.incarnation
         )
-        if outcome is CancelOutcome.NOT_STARTED:
+        if status is AttemptStatus.NOT_SEEN:
             attempt.state = AttemptState.NOT_RUN
+        attempt.stream_lost = status not in RESUMABLE_STATUSES
 
     async def _learn_from_failure(self, attempt: Attempt) -> None:
         """Ask the engine of an attempt that broke off whether it is still the same one."""
--- a/tests/services/request_path.py
+++ b/tests/services/request_path.py
@@ -4,7 +4,9 @@
 import itertools
 import random
 
+import structlog.testing
 import trio
+import trio.testing
 
 from emulator.engine.answers import expected_tokens, prompt_digest
 from emulator.engine.config import EngineConfig
@@ -100,14 +102,21 @@
 
     def runs(self, request):
         """Count executions of a request's prompt at all engines."""
+        now = trio.current_time()
         digest = prompt_digest(request.prompt)
-        return sum(run.prompt_digest == digest for m in self.models() for run in m.runs)
+        return sum(run.prompt_digest == digest for m in self.models() for run in m.runs(now))
 
     def models(self):
         back_ends = self.holder.require().configuration.back_ends
         return [self.engines.model(back_end.address) for back_end in back_ends]
 
 
+def run(test):
+    """Run an async test on a virtual clock, its log lines captured."""
+    with structlog.testing.capture_logs():
+        return trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def tokens_of(parts):
     return tuple(token for part in parts for token in part.tokens)
 
--- a/tests/services/test_dispatcher.py
+++ b/tests/services/test_dispatcher.py
@@ -2,15 +2,8 @@
 
 import unittest
 
-import trio
-import trio.testing
-
 from hopstep.domain.inference import AnswerFinish
-from tests.services.request_path import RequestPath, oracle, tokens_of
-
-
-def run(test):
-    return trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+from tests.services.request_path import RequestPath, oracle, run, tokens_of
 
 
 class DispatcherTest(unittest.TestCase):
