--- a/emulator/platform/in_memory.py
+++ b/emulator/platform/in_memory.py
@@ -8,17 +8,7 @@
 
 from emulator.platform.machine_list import MachineListModel
 from emulator.platform.shared_store import SharedStore
-from hopstep.adapters.key_value_store_wire import (
-    CompareAndSwap,
-    Delete,
-    Get,
-    GrantLease,
-    KeepAlive,
-    List,
-    StoreOperation,
-    Watch,
-    is_write,
-)
+from hopstep.adapters import key_value_store_wire as wire
 from hopstep.exceptions import ErrorCode, StoreError, StoreOutcomeUnknownError
 from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue, WatchBatch
 from hopstep.ports.machine_list import Machine, MachineListPort
@@ -47,42 +37,42 @@
 
     async def get(self, key: str) -> StoredValue | None:
         """Return the value of ``key``; see the port."""
-        value: StoredValue | None = await self._call(Get(key))
+        value: StoredValue | None = await self._call(wire.Get(key))
         return value
 
     async def list(self, prefix: str, after_key: str = "", limit: int = 1000) -> list[StoredValue]:
         """Return a page of values; see the port."""
-        page: list[StoredValue] = await self._call(List(prefix, after_key, limit))
+        page: list[StoredValue] = await self._call(wire.List(prefix, after_key, limit))
         return page
 
     async def compare_and_swap(
         self, key: str, expected_version: int, value: bytes, lease: str = ""
     ) -> int:
         """Write one key at an expected version; see the port."""
-        operation = CompareAndSwap(key, expected_version, value, lease)
+        operation = wire.CompareAndSwap(key, expected_version, value, lease)
         version: int = await self._call(operation)
         return version
 
     async def delete(self, key: str, expected_version: int) -> None:
         """Delete one key at an expected version; see the port."""
-        await self._call(Delete(key, expected_version))
+        await self._call(wire.Delete(key, expected_version))
 
     async def watch(self, prefix: str, after_revision: int, wait_seconds: float) -> WatchBatch:
         """Return changes after a revision; see the port."""
-        operation = Watch(prefix, after_revision, wait_seconds)
+        operation = wire.Watch(prefix, after_revision, wait_seconds)
         batch: WatchBatch = await self._call(operation, extra_seconds=wait_seconds)
         return batch
 
     async def grant_lease(self, time_to_live_seconds: float) -> str:
         """Return a new lease; see the port."""
-        lease: str = await self._call(GrantLease(time_to_live_seconds))
+        lease: str = await self._call(wire.GrantLease(time_to_live_seconds))
         return lease
 
     async def keep_alive(self, lease: str) -> None:
         """Renew a lease; see the port."""
-        await self._call(KeepAlive(lease))
+        await self._call(wire.KeepAlive(lease))
 
-    async def _call(self, operation: StoreOperation, extra_seconds: float = 0.0) -> Any:
+    async def _call(self, operation: wire.StoreOperation, extra_seconds: float = 0.0) -> Any:
         """Carry out an operation within the timeout."""
         if self.cut_off:
             await trio.lowlevel.checkpoint()
@@ -90,7 +80,7 @@
         with trio.move_on_after(self._timeout_seconds + extra_seconds):
             return await self._shared.execute(operation)
         message = "no answer came in time"
-        if is_write(operation):
+        if wire.is_write(operation):
             raise StoreOutcomeUnknownError(ErrorCode.STORE_OUTCOME_UNKNOWN, message)
         raise StoreError(ErrorCode.STORE_UNAVAILABLE, message)
 
@@ -99,7 +89,7 @@
     """One client's handle on a shared machine list.
 
     Args:
-        model: List that several clients share.
+        model: wire.List that several clients share.
     """
 
     def __init__(self, model: MachineListModel) -> None:
--- a/emulator/platform/shared_store.py
+++ b/emulator/platform/shared_store.py
@@ -7,13 +7,7 @@
 
 from emulator.platform.faults import FaultOrder, StoreFaults
 from emulator.platform.store_model import KeyValueStoreModel, TokenBucket, list_page
-from hopstep.adapters.key_value_store_wire import (
-    Get,
-    List,
-    StoreOperation,
-    Watch,
-    is_write,
-)
+from hopstep.adapters import key_value_store_wire as wire
 from hopstep.exceptions import ErrorCode, StoreError, StoreOutcomeUnknownError
 from hopstep.ports.key_value_store import StoredValue, WatchBatch
 
@@ -49,7 +43,7 @@
             self.model.lapse_all()
             self._announce()
 
-    async def execute(self, operation: StoreOperation) -> object:
+    async def execute(self, operation: wire.StoreOperation) -> object:
         """Carry out an operation under the faults in force.
 
         Returns:
@@ -66,9 +60,9 @@
         await trio.sleep(delay)
         return result
 
-    async def _take_effect(self, operation: StoreOperation) -> object:
+    async def _take_effect(self, operation: wire.StoreOperation) -> object:
         """Carry out an operation now, and lose it or its answer if so ordered."""
-        if not is_write(operation):
+        if not wire.is_write(operation):
             return await self._read(operation)
         if self.faults.lost_requests > 0:
             self.faults.lost_requests -= 1
@@ -79,7 +73,7 @@
             raise _lost()
         return result
 
-    def _write(self, operation: StoreOperation) -> object:
+    def _write(self, operation: wire.StoreOperation) -> object:
         """Apply a write and wake the watches."""
         revision = self.model.revision
         result = self.model.apply(operation, trio.current_time())
@@ -90,19 +84,19 @@
         self._announce()
         return result
 
-    async def _read(self, operation: StoreOperation) -> object:
+    async def _read(self, operation: wire.StoreOperation) -> object:
         """Answer a read, from the cache if so ordered."""
-        if isinstance(operation, Watch):
+        if isinstance(operation, wire.Watch):
             return await self._watch(operation)
         if self.faults.stale_reads > 0 and self._cache is not None:
             self.faults.stale_reads -= 1
-            if isinstance(operation, Get):
+            if isinstance(operation, wire.Get):
                 return self._cache.get(operation.key)
-            if isinstance(operation, List):
+            if isinstance(operation, wire.List):
                 return list_page(self._cache, operation)
         return self.model.apply(operation, trio.current_time())
 
-    async def _watch(self, operation: Watch) -> WatchBatch:
+    async def _watch(self, operation: wire.Watch) -> WatchBatch:
         """Wait for a change below the prefix that isn't hidden, or for the time to pass."""
         deadline = trio.current_time() + operation.wait_seconds
         while True:
@@ -114,7 +108,7 @@
                 await changed.wait()
             self._refuse_when_down()
 
-    def _visible_changes(self, operation: Watch) -> WatchBatch:
+    def _visible_changes(self, operation: wire.Watch) -> WatchBatch:
         """Return what a watch shows now."""
         self.model.expire_leases(trio.current_time())
         batch = self.model.changes(operation.prefix, operation.after_revision)
--- a/emulator/platform/store_model.py
+++ b/emulator/platform/store_model.py
@@ -10,16 +10,7 @@
 
 import msgspec
 
-from hopstep.adapters.key_value_store_wire import (
-    CompareAndSwap,
-    Delete,
-    Get,
-    GrantLease,
-    KeepAlive,
-    List,
-    StoreOperation,
-    Watch,
-)
+from hopstep.adapters import key_value_store_wire as wire
 from hopstep.exceptions import ErrorCode, StoreConflictError, StoreError
 from hopstep.ports.key_value_store import ABSENT, StoredValue, WatchBatch
 
@@ -59,7 +50,7 @@
         """Return a copy of all values, as a cache in front of the service would hold it."""
         return dict(self._values)
 
-    def apply(self, operation: StoreOperation, now: float) -> object:
+    def apply(self, operation: wire.StoreOperation, now: float) -> object:
         """Carry out any operation; a watch answers at once.
 
         Args:
@@ -74,20 +65,20 @@
         """
         self.expire_leases(now)
         match operation:
-            case Get(key):
+            case wire.Get(key):
                 return self._values.get(key)
-            case List():
+            case wire.List():
                 return list_page(self._values, operation)
-            case CompareAndSwap():
+            case wire.CompareAndSwap():
                 return self._compare_and_swap(operation)
-            case Delete(key, expected_version):
+            case wire.Delete(key, expected_version):
                 self._require_version(key, expected_version)
                 self._remove(key)
-            case Watch(prefix, after_revision):
+            case wire.Watch(prefix, after_revision):
                 return self.changes(prefix, after_revision)
-            case GrantLease(time_to_live_seconds):
+            case wire.GrantLease(time_to_live_seconds):
                 return self._grant_lease(time_to_live_seconds, now)
-            case KeepAlive(lease):
+            case wire.KeepAlive(lease):
                 self._keep_alive(lease, now)
         return None
 
@@ -119,7 +110,7 @@
         for name in list(self._leases):
             self.lapse(name)
 
-    def _compare_and_swap(self, operation: CompareAndSwap) -> int:
+    def _compare_and_swap(self, operation: wire.CompareAndSwap) -> int:
         """Write a value if the key is at the expected version."""
         self._require_version(operation.key, operation.expected_version)
         if operation.lease and operation.lease not in self._leases:
@@ -176,7 +167,7 @@
         lease.lapses_at = now + lease.time_to_live_seconds
 
 
-def list_page(values: dict[str, StoredValue], operation: List) -> list[StoredValue]:
+def list_page(values: dict[str, StoredValue], operation: wire.List) -> list[StoredValue]:
     """Return one page of ``values``, by key."""
     keys = sorted(
         key for key in values if key.startswith(operation.prefix) and key > operation.after_key
--- a/hopstep/adapters/key_value_store_http.py
+++ b/hopstep/adapters/key_value_store_http.py
@@ -6,20 +6,10 @@
 
 import httpx
 import msgspec
+import trio
 
-from hopstep.adapters.key_value_store_wire import (
-    STORE_PATH,
-    CompareAndSwap,
-    Delete,
-    Get,
-    GrantLease,
-    KeepAlive,
-    List,
-    StoreFailure,
-    StoreOperation,
-    Watch,
-    is_write,
-)
+from hopstep.adapters import key_value_store_wire as wire
+from hopstep.adapters.platform_http import PlatformHttpClient
 from hopstep.exceptions import (
     ErrorCode,
     StoreConflictError,
@@ -28,9 +18,6 @@
 )
 from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue, WatchBatch
 
-DEFAULT_TIMEOUT_SECONDS = 2.0
-"""Longest wait for a connection and for an answer, beyond what a watch asks for."""
-
 NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 """Failures before the first byte of a request left this process."""
 
@@ -49,64 +36,48 @@
 _NOTHING: msgspec.json.Decoder[None] = msgspec.json.Decoder(None)
 
 
-class HttpKeyValueStore(KeyValueStorePort):
-    """Client of the key-value service.
+class HttpKeyValueStore(PlatformHttpClient, KeyValueStorePort):
+    """Client of the key-value service; see ``PlatformHttpClient`` for its arguments.
 
     When the service is down every method raises ``StoreError`` at once, or after the timeout
     when it doesn't answer. A write that was sent and got no answer that proves the contrary
     raises ``StoreOutcomeUnknownError``.
-
-    Args:
-        address: ``ip:port`` of the service, or its URL for TLS.
-        client: HTTP client, owned by the caller.
-        timeout_seconds: Longest wait for a connection and for an answer.
     """
 
-    def __init__(
-        self,
-        address: str,
-        client: httpx.AsyncClient,
-        timeout_seconds: float = DEFAULT_TIMEOUT_SECONDS,
-    ) -> None:
-        base = address if "://" in address else f"http://{address}"
-        self._url = base + STORE_PATH
-        self._client = client
-        self._timeout_seconds = timeout_seconds
-
     async def get(self, key: str) -> StoredValue | None:
         """Return the value of ``key``; see the port."""
-        return await self._call(Get(key), _VALUE)
+        return await self._call(wire.Get(key), _VALUE)
 
     async def list(self, prefix: str, after_key: str = "", limit: int = 1000) -> list[StoredValue]:
         """Return a page of values; see the port."""
-        return await self._call(List(prefix, after_key, limit), _PAGE)
+        return await self._call(wire.List(prefix, after_key, limit), _PAGE)
 
     async def compare_and_swap(
         self, key: str, expected_version: int, value: bytes, lease: str = ""
     ) -> int:
         """Write one key at an expected version; see the port."""
-        return await self._call(CompareAndSwap(key, expected_version, value, lease), _VERSION)
+        return await self._call(wire.CompareAndSwap(key, expected_version, value, lease), _VERSION)
 
     async def delete(self, key: str, expected_version: int) -> None:
         """Delete one key at an expected version; see the port."""
-        await self._call(Delete(key, expected_version), _NOTHING)
+        await self._call(wire.Delete(key, expected_version), _NOTHING)
 
     async def watch(self, prefix: str, after_revision: int, wait_seconds: float) -> WatchBatch:
         """Return changes after a revision; see the port."""
-        operation = Watch(prefix, after_revision, wait_seconds)
+        operation = wire.Watch(prefix, after_revision, wait_seconds)
         return await self._call(operation, _BATCH, extra_seconds=wait_seconds)
 
     async def grant_lease(self, time_to_live_seconds: float) -> str:
         """Return a new lease; see the port."""
-        return await self._call(GrantLease(time_to_live_seconds), _LEASE)
+        return await self._call(wire.GrantLease(time_to_live_seconds), _LEASE)
 
     async def keep_alive(self, lease: str) -> None:
         """Renew a lease; see the port."""
-        await self._call(KeepAlive(lease), _NOTHING)
+        await self._call(wire.KeepAlive(lease), _NOTHING)
 
     async def _call(
         self,
-        operation: StoreOperation,
+        operation: wire.StoreOperation,
         decoder: msgspec.json.Decoder[Result],
         extra_seconds: float = 0.0,
     ) -> Result:
@@ -114,10 +85,14 @@
         timeout = httpx.Timeout(self._timeout_seconds, read=self._timeout_seconds + extra_seconds)
         content = msgspec.json.encode(operation)
         try:
-            response = await self._client.post(self._url, content=content, timeout=timeout)
+            # httpx bounds each read; the outer bound also ends an answer that trickles in.
+            with trio.fail_after(2 * self._timeout_seconds + extra_seconds):
+                response = await self._client.post(
+                    self._base_url + wire.STORE_PATH, content=content, timeout=timeout
+                )
         except NOT_SENT as error:
             raise StoreError(ErrorCode.STORE_UNAVAILABLE, "the store can't be reached") from error
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, trio.TooSlowError) as error:
             raise _no_answer(operation) from error
         if response.status_code != httpx.codes.OK:
             raise _failure(operation, response.content)
@@ -127,10 +102,10 @@
             raise _no_answer(operation) from error
 
 
-def _failure(operation: StoreOperation, content: bytes) -> StoreError:
+def _failure(operation: wire.StoreOperation, content: bytes) -> StoreError:
     """Return the error that a refusal's body stands for."""
     try:
-        failure = msgspec.json.decode(content, type=StoreFailure)
+        failure = msgspec.json.decode(content, type=wire.StoreFailure)
     except msgspec.DecodeError:
         return _no_answer(operation)
     if failure.code not in NO_EFFECT_CODES:
@@ -140,9 +115,9 @@
     return StoreError(failure.code, failure.message)
 
 
-def _no_answer(operation: StoreOperation) -> StoreError:
+def _no_answer(operation: wire.StoreOperation) -> StoreError:
     """Return the error of a call that was sent without a usable answer."""
     message = "the store gave no usable answer"
-    if is_write(operation):
+    if wire.is_write(operation):
         return StoreOutcomeUnknownError(ErrorCode.STORE_OUTCOME_UNKNOWN, message)
     return StoreError(ErrorCode.STORE_UNAVAILABLE, message)
--- /dev/null
+++ b/hopstep/services/claim_sweeper.py
@@ -0,0 +1,110 @@
+"""Forgets claims on idempotency keys that are older than their retention."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+
+import trio
+
+from hopstep import log_events
+from hopstep.domain.claims import CLAIM_PREFIX, HeldClaim, may_forget
+from hopstep.exceptions import ServiceError, StoreError
+from hopstep.logs import emit
+from hopstep.ports.engine import EnginePort
+from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
+from hopstep.services.claims import decode_claim, fence_claim
+
+DEFAULT_RETENTION_SECONDS = 24 * 3600.0
+"""How long idempotency keys are remembered at least."""
+
+DEFAULT_ABANDON_SECONDS = 7 * 24 * 3600.0
+"""Age at which claims on engines that never answer are given up."""
+
+DEFAULT_INTERVAL_SECONDS = 60.0
+"""Mean time between two pages that one router sweeps."""
+
+PAGE_SIZE = 100
+"""Claims read at once."""
+
+
+class ClaimSweeper:
+    """Deletes old claims page by page, from a random place on.
+
+    Any number of routers may sweep: a claim is deleted by compare-and-swap and only after its
+    engine promised that its nonce never starts. When the store is down a sweep does nothing.
+
+    Args:
+        store: Key-value store.
+        engines: Engines that claims may name.
+        rng: Chooses where sweeps begin and when.
+        wall_clock: Returns seconds since the epoch.
+        retention_seconds: How long keys are remembered at least.
+        abandon_seconds: Age at which claims on unreachable engines are given up.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStorePort,
+        engines: EnginePort,
+        rng: random.Random,
+        wall_clock: Callable[[], float] = time.time,
+        retention_seconds: float = DEFAULT_RETENTION_SECONDS,
+        abandon_seconds: float = DEFAULT_ABANDON_SECONDS,
+    ) -> None:
+        self._store = store
+        self._engines = engines
+        self._rng = rng
+        self._wall_clock = wall_clock
+        self._retention_seconds = retention_seconds
+        self._abandon_seconds = abandon_seconds
+
+    async def run(self, interval_seconds: float = DEFAULT_INTERVAL_SECONDS) -> None:
+        """Sweep a page from time to time until cancelled."""
+        while True:
+            await trio.sleep(interval_seconds * self._rng.uniform(0.5, 1.5))
+            first_hash_digits = f"{self._rng.randrange(2**16):04x}"
+            try:
+                await self.sweep_page(CLAIM_PREFIX + first_hash_digits)
+            except StoreError as error:
+                emit(log_events.CLAIM_SWEEP_FAILED, reason=error.code.value)
+
+    async def sweep_page(self, after_key: str = "") -> int:
+        """Forget what is old on the page after a key; return the number of deleted claims.
+
+        Raises:
+            StoreError: When the store is down; what was deleted stays deleted.
+        """
+        page = await self._store.list(CLAIM_PREFIX, after_key, PAGE_SIZE)
+        deleted = 0
+        for value in page:
+            deleted += await self._forget(value)
+        if deleted:
+            emit(log_events.CLAIMS_SWEPT, deleted=deleted, kept=len(page) - deleted)
+        return deleted
+
+    async def _forget(self, value: StoredValue) -> bool:
+        """Delete one claim if it is old and can't start; return whether it was deleted."""
+        try:
+            held = decode_claim(value)
+        except ServiceError:
+            return False
+        if not self._is_old(held):
+            # Young claims are not fenced: their attempts may be on the way to the engine.
+            return False
+        earlier = await fence_claim(self._engines, held.claim)
+        if not may_forget(
+            held.claim,
+            earlier,
+            self._wall_clock(),
+            self._retention_seconds,
+            self._abandon_seconds,
+        ):
+            return False
+        await self._store.delete(held.key, held.version)
+        return True
+
+    def _is_old(self, held: HeldClaim) -> bool:
+        """Return whether a claim is beyond its retention."""
+        return self._wall_clock() - held.claim.created_at >= self._retention_seconds
--- /dev/null
+++ b/tests/contract/__init__.py
@@ -0,0 +1,1 @@
+"""Contracts of the ports, run against every implementation."""
--- /dev/null
+++ b/tests/emulator/test_store_stateful.py
@@ -0,0 +1,197 @@
+"""The in-memory store against a dictionary, with faults between any two steps."""
+
+import unittest
+
+import trio
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from trio.testing import MockClock
+
+from emulator.platform.faults import FaultOrder
+from emulator.platform.in_memory import InMemoryStore
+from emulator.platform.shared_store import SharedStore
+from hopstep.exceptions import StoreConflictError, StoreError, StoreOutcomeUnknownError
+from tests import fuzz_settings
+
+KEYS = st.sampled_from(["a", "a/1", "a/2", "b/1"])
+VALUES = st.binary(min_size=1, max_size=3)
+LIVES = st.sampled_from([1.0, 5.0])
+
+
+class StoreMachine(RuleBasedStateMachine):
+    """Oracle: values and versions by key, leases by key, and when each lease lapses."""
+
+    shared_class = SharedStore
+
+    def __init__(self):
+        super().__init__()
+        self.clock = MockClock(autojump_threshold=0)
+        self.shared = self.shared_class()
+        self.store = InMemoryStore(self.shared)
+        self.values = {}
+        self.lease_of_key = {}
+        self.leases = {}
+        self.revision = 0
+        self.follower = {}
+        self.followed = 0
+        self.now = 0.0
+        self.run(self.start)
+
+    async def start(self):
+        self.now = trio.current_time()
+
+    def run(self, call, *arguments):
+        return trio.run(call, *arguments, clock=self.clock)
+
+    def order(self, **faults):
+        self.shared.order_faults(FaultOrder(**faults))
+
+    @rule(key=KEYS, value=VALUES, right=st.booleans(), data=st.data())
+    def compare_and_swap(self, key, value, right, data):
+        lease = data.draw(st.sampled_from(["", "unknown", *self.leases]))
+        version = self.expected_version(key, right)
+        valid = right and lease != "unknown"
+        if self.write(valid, self.store.compare_and_swap, key, version, value, lease):
+            self.record(key, value, lease)
+
+    @rule(key=KEYS, right=st.booleans())
+    def delete(self, key, right):
+        version = self.expected_version(key, right)
+        if self.write(right, self.store.delete, key, version) and key in self.values:
+            self.forget(key)
+
+    def write(self, valid, call, *arguments):
+        """Make a call; return whether it took effect, which the version read back decides."""
+        try:
+            self.run(call, *arguments)
+        except StoreOutcomeUnknownError:
+            return self.shared.model.revision > self.revision
+        except StoreConflictError:
+            assert not valid
+            return False
+        assert valid
+        return True
+
+    @rule(prefix=st.sampled_from(["", "a", "a/", "c"]), after=KEYS, limit=st.integers(1, 3))
+    def read(self, prefix, after, limit):
+        expected = [key for key in sorted(self.values) if key.startswith(prefix) and key > after]
+        page = self.run(self.store.list, prefix, after, limit)
+        assert [(value.key, value.value, value.version) for value in page] == [
+            (key, *self.values[key]) for key in expected[:limit]
+        ]
+        found = self.run(self.store.get, after)
+        assert (found and (found.value, found.version)) == self.values.get(after)
+
+    @rule()
+    def follow(self):
+        batch = self.run(self.store.watch, "", self.followed, 0.0)
+        for value in batch.values:
+            assert value.version > self.followed
+            self.followed = value.version
+            self.follower[value.key] = (value.value, value.version)
+        self.followed = batch.revision
+        live = {key: entry for key, entry in self.follower.items() if entry[0]}
+        assert live == self.values
+
+    @rule(seconds=LIVES)
+    def grant(self, seconds):
+        lease = self.run(self.store.grant_lease, seconds)
+        assert lease not in self.leases
+        self.leases[lease] = (seconds, self.now + seconds)
+
+    @precondition(lambda self: self.leases)
+    @rule(data=st.data())
+    def keep_alive(self, data):
+        lease = data.draw(st.sampled_from(sorted(self.leases)))
+        self.run(self.store.keep_alive, lease)
+        seconds, _ = self.leases[lease]
+        self.leases[lease] = (seconds, self.now + seconds)
+
+    @rule(seconds=st.sampled_from([0.5, 1.0, 4.0]))
+    def wait(self, seconds):
+        self.run(trio.sleep, seconds)
+        self.run(self.start)
+        due = [name for name, (_, lapses_at) in self.leases.items() if lapses_at <= self.now]
+        self.lapse(due)
+        self.run(self.store.get, "a")
+
+    @rule()
+    def lapse_all(self):
+        self.order(lapse_leases=True)
+        self.lapse(list(self.leases))
+
+    @rule(key=KEYS, effect=st.booleans())
+    def lose_a_write(self, key, effect):
+        self.order(**{"lost_answers" if effect else "lost_requests": 1})
+        revision = self.revision
+        self.compare_and_swap_unbound(key)
+        assert (self.revision > revision) == effect
+        self.order(lost_answers=0, lost_requests=0)
+
+    def compare_and_swap_unbound(self, key):
+        if self.write(True, self.store.compare_and_swap, key, self.version(key), b"lost"):
+            self.record(key, b"lost", "")
+
+    @rule(key=KEYS)
+    def refuse_in_an_outage(self, key):
+        self.order(outage=True)
+        for call, arguments in (
+            (self.store.get, (key,)),
+            (self.store.compare_and_swap, (key, self.version(key), b"1")),
+            (self.store.grant_lease, (1.0,)),
+        ):
+            try:
+                self.run(call, *arguments)
+            except StoreError as error:
+                assert not isinstance(error, StoreOutcomeUnknownError | StoreConflictError)
+            else:
+                raise AssertionError("a call succeeded in an outage")
+        self.order(outage=False)
+
+    @invariant()
+    def revision_is_counted(self):
+        assert self.shared.model.revision == self.revision
+
+    def expected_version(self, key, right):
+        """Return the version of a key, or one that is wrong: absent for present, or a guess."""
+        version = self.version(key)
+        return version if right else int(version == 0)
+
+    def version(self, key):
+        return self.values[key][1] if key in self.values else 0
+
+    def record(self, key, value, lease):
+        self.revision += 1
+        self.values[key] = (value, self.revision)
+        self.lease_of_key[key] = lease
+
+    def forget(self, key):
+        self.revision += 1
+        del self.values[key]
+
+    def lapse(self, names):
+        for name in names:
+            del self.leases[name]
+            for key in [key for key in self.values if self.lease_of_key[key] == name]:
+                self.forget(key)
+
+
+class UncheckedStore(SharedStore):
+    """Wrong on purpose: a write that expects an absent key overwrites a present one."""
+
+    def __init__(self):
+        super().__init__()
+        check = self.model._require_version
+        self.model._require_version = lambda key, version: check(key, version) if version else None
+
+
+class LostUpdateMachine(StoreMachine):
+    shared_class = UncheckedStore
+
+
+class StoreStatefulTest(unittest.TestCase):
+    def test_store_follows_the_oracle(self):
+        fuzz_settings.run_machine(StoreMachine)
+
+    def test_a_store_that_overwrites_on_create_is_caught(self):
+        self.assertTrue(fuzz_settings.is_caught(LostUpdateMachine))
