--- a/emulator/engine/faults.py
+++ b/emulator/engine/faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import AsyncGenerator
 
 import msgspec
@@ -88,48 +89,50 @@
     frames = _cut(frames, fault.cut_after_tokens)
     if fault.reorder_frames:
         frames = _reorder(frames)
-    async for frame in frames:
-        if frame is None:
-            yield None
-            continue
-        await trio.sleep(fault.late_seconds)
-        if fault.injected_nonce:
-            yield _foreign(frame, fault.injected_nonce)
-        sent = _foreign(frame, fault.foreign_nonce) if fault.foreign_nonce else frame
-        yield sent
-        if fault.duplicate_frames:
+    async with contextlib.aclosing(frames):
+        async for frame in frames:
+            if frame is None:
+                yield None
+                continue
+            await trio.sleep(fault.late_seconds)
+            if fault.injected_nonce:
+                yield _foreign(frame, fault.injected_nonce)
+            sent = _foreign(frame, fault.foreign_nonce) if fault.foreign_nonce else frame
             yield sent
+            if fault.duplicate_frames:
+                yield sent
 
 
 async def _cut(frames: Frames, limit: int) -> Frames:
     """Yield the first ``limit`` tokens, then break off; all of them if it is negative."""
     rest = limit
-    if limit == 0:
-        raise StreamCutError
-    async for frame in frames:
-        if frame is None or limit < 0:
-            yield frame
-            continue
-        if len(frame.tokens) < rest:
+    async with contextlib.aclosing(frames):
+        if limit == 0:
+            raise StreamCutError
+        async for frame in frames:
+            if frame is None or limit < 0:
+                yield frame
+                continue
+            if len(frame.tokens) >= rest:
+                yield msgspec.structs.replace(frame, tokens=frame.tokens[:rest], finish_reason=None)
+                raise StreamCutError
             rest -= len(frame.tokens)
             yield frame
-            continue
-        yield msgspec.structs.replace(frame, tokens=frame.tokens[:rest], finish_reason=None)
-        raise StreamCutError
 
 
 async def _reorder(frames: Frames) -> Frames:
     """Yield each two frames in the wrong order."""
     held: TokenFrame | None = None
-    async for frame in frames:
-        if frame is None:
-            yield None
-        elif held is None:
-            held = frame
-        else:
-            yield frame
-            yield held
-            held = None
+    async with contextlib.aclosing(frames):
+        async for frame in frames:
+            if frame is None:
+                yield None
+            elif held is None:
+                held = frame
+            else:
+                yield frame
+                yield held
+                held = None
     if held is not None:
         yield held
 
--- a/emulator/engine/host.py
+++ b/emulator/engine/host.py
@@ -20,6 +20,7 @@
     apply_stream_fault,
 )
 from emulator.engine.model import EngineModel
+from emulator.engine.records import BlockExport
 from emulator.engine.refusal import EngineRefusalError, refuse
 from hopstep.exceptions import ErrorCode
 from hopstep.ports.engine import FinishReason, GenerateRequest, TokenFrame
@@ -63,6 +64,7 @@
         self.model = model
         self._changed = trio.Event()
         self._thawed = trio.Event()
+        self._exports_ready = trio.Event()
         self._frozen_calls: list[_Call[object]] = []
         self._stream_fault: StreamFault | None = None
         self._streams_to_fault = 0
@@ -141,13 +143,23 @@
         self._streams_to_fault -= 1
         return apply_stream_fault(frames, self._stream_fault)
 
+    async def wait_for_exports(self) -> list[BlockExport]:
+        """Wait until blocks have been computed for a KV cache store, and return them."""
+        while not self.model.has_exports:
+            await self._exports_ready.wait()
+        return self.model.take_exports()
+
+    async def wait_for_call(self) -> None:
+        """Wait until a call or a fault has changed the model."""
+        await self._changed.wait()
+
     async def _frames(self, attempt: Attempt, sent: int) -> Frames:
         """Yield new tokens after each step, and keep-alives while there are none."""
         incarnation = self.model.incarnation
         first = True
         while True:
             now = trio.current_time()
-            self.model.advance(now)
+            self._advance(now)
             generated = self.model.generated(attempt, now)
             if attempt.state is AttemptState.LOST:
                 raise StreamCutError
@@ -157,11 +169,13 @@
                     "the weights were changed before the attempt started",
                     nonce=attempt.nonce,
                 )
-            if attempt.ended or generated > sent:
+            # Asked before the yield: it may end while the caller handles the frame.
+            ended = attempt.ended
+            if ended or generated > sent:
                 yield self._frame(attempt, incarnation, sent, generated, first)
                 first = False
                 sent = max(sent, generated)
-            if attempt.ended:
+            if ended:
                 return
             if not await self._wait_for_step():
                 yield None
@@ -222,6 +236,13 @@
         self._thawed.set()
         self._thawed = trio.Event()
 
+    def _advance(self, now: float) -> None:
+        """Carry the model forward."""
+        self.model.advance(now)
+        if self.model.has_exports:
+            self._exports_ready.set()
+            self._exports_ready = trio.Event()
+
     def _notify(self) -> None:
         """Wake every stream."""
         self._changed.set()
--- a/emulator/engine/model.py
+++ b/emulator/engine/model.py
@@ -10,8 +10,7 @@
 import random
 from collections import deque
 
-import msgspec
-
+from emulator.engine.admission import check_room, check_state, check_weights
 from emulator.engine.attempts import (
     Attempt,
     AttemptState,
@@ -23,12 +22,13 @@
 from emulator.engine.config import EngineConfig
 from emulator.engine.event_log import EventLog
 from emulator.engine.load_history import LoadHistory
-from emulator.engine.nonces import NonceRegistry
-from emulator.engine.refusal import EngineRefusalError, refuse
+from emulator.engine.nonces import NonceRegistry, unproved
+from emulator.engine.records import BlockExport, RunRecord
+from emulator.engine.refusal import refuse
 from emulator.engine.scheduler import BatchScheduler, Notice, NoticeKind
 from emulator.engine.weights import LoadTime, WeightsTable
 from hopstep.domain.blocks import BLOCK_TOKENS
-from hopstep.exceptions import ErrorCode, Execution
+from hopstep.exceptions import ErrorCode
 from hopstep.ports.engine import (
     AttemptStatus,
     CacheEventBatch,
@@ -43,27 +43,6 @@
 )
 
 _START = 0.0
-_STATUS_OF_OUTCOME = {
-    CancelOutcome.NOT_STARTED: AttemptStatus.NOT_SEEN,
-    CancelOutcome.CANCELLED: AttemptStatus.CANCELLED,
-    CancelOutcome.FINISHED: AttemptStatus.FINISHED,
-}
-
-
-class RunRecord(msgspec.Struct, frozen=True):
-    """One execution, for oracles: an attempt whose prompt began to be computed."""
-
-    nonce: str
-    prompt_digest: str
-    started_at: float
-    incarnation: str
-
-
-class BlockExport(msgspec.Struct, frozen=True):
-    """Salted keys of computed blocks, on their way to the KV cache store at ``store``."""
-
-    store: str
-    block_keys: tuple[int, ...]
 
 
 class EngineModel:
@@ -101,7 +80,7 @@
         self._frozen_at: float | None = None
         self._notices: list[Notice] = []
         self._exports: list[BlockExport] = []
-        self.runs: deque[RunRecord] = deque(maxlen=config.retained_runs)
+        self._runs: deque[RunRecord] = deque(maxlen=config.retained_runs)
         self.leaving = False
         self._fence = 0
         self._role = EngineRole.SERVING
@@ -143,10 +122,11 @@
                 ``execution`` says otherwise.
         """
         self._advance(now)
-        self._check_nonce(request)
-        self._check_preconditions(request)
+        self._nonces.check_new(request.nonce)
+        check_state(request, self.incarnation, self._role, self.leaving)
+        check_weights(request, self._weights, self._config)
         prompt = prompt or prepare_prompt(request)
-        self._check_room(request, prompt)
+        check_room(request, prompt, self._scheduler.waiting_count, self._config)
         self._order += 1
         attempt = new_attempt(request, prompt, self._order, now, importable_blocks)
         self._nonces.add(attempt)
@@ -162,23 +142,8 @@
             EngineRefusalError: In another incarnation, and for a nonce that isn't held.
         """
         self._advance(now)
-        attempt = self._nonces.find(nonce) if incarnation == self.incarnation else None
-        if attempt is None:
-            raise refuse(
-                ErrorCode.PRECONDITION_FAILED,
-                "the attempt isn't held in this incarnation",
-                nonce=nonce,
-                execution=Execution.UNKNOWN,
-            )
-        last = attempt.first_sequence + attempt.token_limit
-        if not attempt.first_sequence <= next_sequence <= last:
-            raise refuse(
-                ErrorCode.MALFORMED_REQUEST,
-                "next_sequence is outside the attempt",
-                nonce=nonce,
-                execution=Execution.UNKNOWN,
-            )
-        return attempt
+        self._check_incarnation(nonce, incarnation)
+        return self._nonces.resumable(nonce, next_sequence)
 
     def cancel(self, nonce: str, incarnation: str, now: float) -> CancelOutcome:
         """Cancel an attempt; the nonce never starts in this incarnation afterwards.
@@ -193,8 +158,8 @@
             EngineRefusalError: In another incarnation, or when nothing is proved.
         """
         self._advance(now)
-        if incarnation and incarnation != self.incarnation:
-            raise _unproved(nonce)
+        if incarnation:
+            self._check_incarnation(nonce, incarnation)
         attempt = self._nonces.find(nonce)
         if attempt is not None and not attempt.ended:
             return self._cancel_live(attempt, now)
@@ -203,7 +168,7 @@
             return outcome
         self._nonces.bury(nonce)
         if not incarnation:
-            raise _unproved(nonce)
+            raise unproved(nonce, "the nonce was never seen in this incarnation")
         return CancelOutcome.NOT_STARTED
 
     def fence_nonce(self, nonce: str, incarnation: str, now: float) -> AttemptStatus:
@@ -213,17 +178,8 @@
             EngineRefusalError: In another incarnation: nothing is proved of the earlier one.
         """
         self._advance(now)
-        if incarnation != self.incarnation:
-            raise _unproved(nonce)
-        attempt = self._nonces.find(nonce)
-        if attempt is not None and not attempt.ended:
-            waiting = attempt.state is AttemptState.WAITING
-            return AttemptStatus.QUEUED if waiting else AttemptStatus.RUNNING
-        outcome = self._nonces.outcome(nonce)
-        if outcome is None:
-            self._nonces.bury(nonce)
-            return AttemptStatus.NOT_SEEN
-        return _STATUS_OF_OUTCOME[outcome]
+        self._check_incarnation(nonce, incarnation)
+        return self._nonces.fence(nonce)
 
     def order(self, order: EngineOrder, now: float) -> EngineFacts:
         """Take a fenced order; requests of a changed model that haven't started are refused.
@@ -275,6 +231,11 @@
         """Return how many leading blocks of a prompt are cached; for oracles."""
         return self._cache.match(prompt.block_keys, len(prompt.block_keys))
 
+    def runs(self, now: float) -> tuple[RunRecord, ...]:
+        """Return the executions of every incarnation, for oracles."""
+        self._advance(now)
+        return tuple(self._runs)
+
     def generated(self, attempt: Attempt, now: float) -> int:
         """Return how many tokens of its own an attempt has generated."""
         return self._scheduler.generated(attempt, now)
@@ -340,6 +301,24 @@
         self._scheduler.shift(seconds)
         self._weights.shift(seconds)
 
+    @property
+    def loading(self) -> bool:
+        """Whether weights are under way."""
+        return self._weights.busy
+
+    def open_loads(self) -> dict[str, str]:
+        """Return versions by model of loads whose end is told by ``set_load_end``."""
+        return self._weights.open_loads()
+
+    def set_load_end(self, model: str, version: str, ready_at: float) -> None:
+        """Tell when a load that has begun ends."""
+        self._weights.set_ready_time(model, version, ready_at)
+
+    @property
+    def has_exports(self) -> bool:
+        """Whether ``take_exports`` has something to return."""
+        return bool(self._exports)
+
     def set_event_faults(self, *, dropping: bool, delay_seconds: float | None) -> None:
         """Drop cache events from now on, or publish them with another delay."""
         self._events.dropping = dropping
@@ -384,7 +363,7 @@
         for notice in self._notices[first_new:]:
             attempt = notice.attempt
             if notice.kind is NoticeKind.STARTED:
-                self.runs.append(
+                self._runs.append(
                     RunRecord(attempt.nonce, attempt.prompt.digest, notice.time, self.incarnation)
                 )
             elif notice.kind is NoticeKind.FINISHED:
@@ -416,53 +395,10 @@
         self._settle(first_new)
         return outcome
 
-    def _check_nonce(self, request: GenerateRequest) -> None:
-        """Refuse a nonce that was accepted or cancelled before: it never runs twice."""
-        if not self._nonces.knows(request.nonce):
-            return
-        cancelled = self._nonces.outcome(request.nonce) is CancelOutcome.NOT_STARTED
-        raise refuse(
-            ErrorCode.ALREADY_CLAIMED,
-            "the nonce was seen before",
-            nonce=request.nonce,
-            execution=Execution.NOT_RUN if cancelled else Execution.UNKNOWN,
-        )
-
-    def _check_preconditions(self, request: GenerateRequest) -> None:
-        """Refuse what the caller asked not to be run here, or the engine doesn't serve."""
-        retry_after = self._config.retry_after_seconds
-        nonce = request.nonce
-        if request.incarnation and request.incarnation != self.incarnation:
-            raise refuse(ErrorCode.PRECONDITION_FAILED, "this is another incarnation", nonce=nonce)
-        if self.leaving:
-            raise refuse(ErrorCode.STOPPING, "the engine is leaving", nonce=nonce)
-        if self._role is not EngineRole.SERVING:
-            raise refuse(ErrorCode.NOT_READY, "the engine is on standby", nonce=nonce)
-        if self._weights.loading(request.model):
-            raise refuse(
-                ErrorCode.NOT_READY,
-                "weights are being loaded",
-                nonce=nonce,
-                retry_after_seconds=retry_after,
-            )
-        loaded = self._weights.loaded.get(request.model)
-        if loaded is None:
-            raise refuse(ErrorCode.UNKNOWN_MODEL, "the model isn't served here", nonce=nonce)
-        if loaded != request.weights_version:
-            raise refuse(ErrorCode.PRECONDITION_FAILED, "other weights are loaded", nonce=nonce)
-
-    def _check_room(self, request: GenerateRequest, prompt: PreparedPrompt) -> None:
-        """Refuse what can never fit, and what the queue has no room for."""
-        blocks = -(-(prompt.token_count + request.max_tokens) // BLOCK_TOKENS)
-        if blocks > self._config.block_count:
-            raise refuse(ErrorCode.PROMPT_TOO_LONG, "the prompt doesn't fit", nonce=request.nonce)
-        if self._scheduler.waiting_count >= self._config.max_waiting_requests:
-            raise refuse(
-                ErrorCode.OVERLOADED,
-                "the queue is full",
-                nonce=request.nonce,
-                retry_after_seconds=self._config.retry_after_seconds,
-            )
+    def _check_incarnation(self, nonce: str, incarnation: str) -> None:
+        """Refuse a call on an attempt of another incarnation: nothing is proved of it."""
+        if incarnation != self.incarnation:
+            raise unproved(nonce, "the attempt belongs to another incarnation")
 
     def _load_now(self) -> LoadReport:
         """Return the load without carrying the engine forward."""
@@ -477,13 +413,3 @@
     def _log_cache_event(self, kind: CacheEventKind, keys: tuple[int, ...]) -> None:
         """Log a cache event at the engine's present time."""
         self._events.append(self._now, kind, keys)
-
-
-def _unproved(nonce: str) -> EngineRefusalError:
-    """Return the refusal of a call that proves nothing of an attempt."""
-    return refuse(
-        ErrorCode.PRECONDITION_FAILED,
-        "the attempt belongs to another incarnation",
-        nonce=nonce,
-        execution=Execution.UNKNOWN,
-    )
--- a/emulator/engine/nonces.py
+++ b/emulator/engine/nonces.py
@@ -6,12 +6,19 @@
 
 from emulator.engine.attempts import Attempt, AttemptState
 from emulator.engine.config import EngineConfig
-from hopstep.ports.engine import CancelOutcome
+from emulator.engine.refusal import EngineRefusalError, refuse
+from hopstep.exceptions import ErrorCode, Execution
+from hopstep.ports.engine import AttemptStatus, CancelOutcome
 
 _OUTCOMES = {
     AttemptState.FINISHED: CancelOutcome.FINISHED,
     AttemptState.REFUSED: CancelOutcome.NOT_STARTED,
 }
+_STATUS_OF_OUTCOME = {
+    CancelOutcome.NOT_STARTED: AttemptStatus.NOT_SEEN,
+    CancelOutcome.CANCELLED: AttemptStatus.CANCELLED,
+    CancelOutcome.FINISHED: AttemptStatus.FINISHED,
+}
 
 
 class NonceRegistry:
@@ -40,9 +47,52 @@
         """Return what became of an ended nonce; None when it is live or was never seen."""
         return self._outcomes.get(nonce)
 
-    def knows(self, nonce: str) -> bool:
-        """Return whether the nonce was accepted or cancelled before."""
-        return nonce in self._live or nonce in self._outcomes
+    def check_new(self, nonce: str) -> None:
+        """Refuse a nonce that was accepted or cancelled before: it never starts again.
+
+        Raises:
+            EngineRefusalError: ``NOT_RUN`` only if the nonce never started.
+        """
+        if nonce not in self._live and nonce not in self._outcomes:
+            return
+        never_started = self.outcome(nonce) is CancelOutcome.NOT_STARTED
+        raise refuse(
+            ErrorCode.ALREADY_CLAIMED,
+            "the nonce was seen before",
+            nonce=nonce,
+            execution=Execution.NOT_RUN if never_started else Execution.UNKNOWN,
+        )
+
+    def resumable(self, nonce: str, next_sequence: int) -> Attempt:
+        """Return an attempt whose tokens from ``next_sequence`` on can be read.
+
+        Raises:
+            EngineRefusalError: When it isn't held, or has no such token.
+        """
+        attempt = self.find(nonce)
+        if attempt is None:
+            raise unproved(nonce, "the attempt isn't held in this incarnation")
+        last = attempt.first_sequence + attempt.token_limit
+        if attempt.first_sequence <= next_sequence <= last:
+            return attempt
+        raise refuse(
+            ErrorCode.MALFORMED_REQUEST,
+            "next_sequence is outside the attempt",
+            nonce=nonce,
+            execution=Execution.UNKNOWN,
+        )
+
+    def fence(self, nonce: str) -> AttemptStatus:
+        """Return the status of a nonce; one that was never seen never starts from now on."""
+        attempt = self._live.get(nonce)
+        if attempt is not None:
+            waiting = attempt.state is AttemptState.WAITING
+            return AttemptStatus.QUEUED if waiting else AttemptStatus.RUNNING
+        outcome = self.outcome(nonce)
+        if outcome is None:
+            self.bury(nonce)
+            return AttemptStatus.NOT_SEEN
+        return _STATUS_OF_OUTCOME[outcome]
 
     def bury(self, nonce: str) -> None:
         """Remember that a nonce never seen was cancelled, so that it never starts."""
@@ -66,3 +116,8 @@
         self._outcomes[nonce] = outcome
         if len(self._outcomes) > self._config.retained_nonces:
             self._outcomes.popitem(last=False)
+
+
+def unproved(nonce: str, message: str) -> EngineRefusalError:
+    """Return the refusal of a call that proves nothing of an attempt."""
+    return refuse(ErrorCode.PRECONDITION_FAILED, message, nonce=nonce, execution=Execution.UNKNOWN)
--- a/emulator/engine/weights.py
+++ b/emulator/engine/weights.py
@@ -7,13 +7,14 @@
 import msgspec
 
 LoadTime = Callable[[float], float]
-"""Returns the seconds that a load begun at the given time takes."""
+"""Returns the seconds that a load begun at the given time takes; infinity if it is told later."""
 
 
 class _Load(msgspec.Struct):
-    """Weights under way; ``ready_at`` is infinite until requests of the model have ended."""
+    """Weights under way, begun once running requests of the model have ended."""
 
     version: str
+    begun: bool = False
     ready_at: float = float("inf")
 
 
@@ -26,6 +27,11 @@
         self._load_time = load_time
         self._loads: dict[str, _Load] = {}
 
+    @property
+    def busy(self) -> bool:
+        """Whether any load is under way."""
+        return bool(self._loads)
+
     def loading(self, model: str) -> bool:
         """Return whether other weights of ``model`` are under way."""
         return model in self._loads
@@ -45,11 +51,27 @@
 
     def waiting_models(self) -> list[str]:
         """Return models whose load waits for their running requests to end."""
-        return [model for model, load in self._loads.items() if load.ready_at == float("inf")]
+        return [model for model, load in self._loads.items() if not load.begun]
 
     def begin(self, model: str, now: float) -> None:
         """Begin the load of a model without running requests."""
-        self._loads[model].ready_at = now + self._load_time(now)
+        load = self._loads[model]
+        load.begun = True
+        load.ready_at = now + self._load_time(now)
+
+    def open_loads(self) -> dict[str, str]:
+        """Return versions by model of loads that have begun and whose end isn't known yet."""
+        return {
+            model: load.version
+            for model, load in self._loads.items()
+            if load.begun and load.ready_at == float("inf")
+        }
+
+    def set_ready_time(self, model: str, version: str, ready_at: float) -> None:
+        """Tell when a load ends; ignored when another order has replaced it."""
+        load = self._loads.get(model)
+        if load is not None and load.begun and load.version == version:
+            load.ready_at = ready_at
 
     def complete(self, now: float) -> None:
         """Put every load that is ready by ``now`` in use."""
--- /dev/null
+++ b/emulator/kv_cache_store/messages.py
@@ -0,0 +1,20 @@
+"""Bodies of the KV cache store's interface."""
+
+from __future__ import annotations
+
+import msgspec
+
+LOOKUP_PATH = "/v1/blocks/lookup"
+WRITE_PATH = "/v1/blocks/write"
+
+
+class BlockList(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Salted keys of a chain of blocks, first block first."""
+
+    block_keys: tuple[int, ...]
+
+
+class LookupAnswer(msgspec.Struct, frozen=True):
+    """How many leading blocks of the chain are held."""
+
+    held: int
--- a/hopstep/adapters/engine_http.py
+++ b/hopstep/adapters/engine_http.py
@@ -11,7 +11,7 @@
 import contextlib
 import ssl
 from collections.abc import AsyncGenerator, AsyncIterator
-from typing import TypeVar, cast
+from typing import TypeVar
 
 import httpx
 import msgspec
@@ -185,12 +185,12 @@
             if response.status_code != httpx.codes.OK:
                 raise _refusal(response.status_code, await _read_body(response), nonce)
             decoder = StreamDecoder(nonce)
-            chunks = cast(AsyncGenerator[bytes, None], response.aiter_raw())
+            chunks = response.aiter_raw()
             frames = _frames(chunks, decoder)
-            async with contextlib.aclosing(chunks), contextlib.aclosing(frames):
+            try:
                 yield frames
-                if decoder.finished:
-                    await _drain(chunks)
+            finally:
+                await _close_stream(response, chunks, frames, decoder.finished)
 
     async def _send(
         self, method: str, address: str, path: str, message: msgspec.Struct | None
@@ -230,9 +230,29 @@
         raise interrupted("the stream ended without its last frame")
 
 
-async def _drain(chunks: AsyncIterator[bytes]) -> None:
-    """Read the end of a body whose last frame has come, so that the connection is kept."""
-    with trio.move_on_after(DRAIN_SECONDS), contextlib.suppress(httpx.HTTPError):
+async def _close_stream(
+    response: httpx.Response,
+    chunks: AsyncIterator[bytes],
+    frames: AsyncGenerator[TokenFrame, None],
+    finished: bool,
+) -> None:
+    """Close a stream that may have been left in its middle.
+
+    The end of a finished body is read first, so that its connection is kept. The chunks are
+    iterated to their end, also after the connection is closed under them: httpx nests
+    generators that only end so.
+    """
+    await frames.aclose()
+    if finished:
+        with trio.move_on_after(DRAIN_SECONDS):
+            await _exhaust(chunks)
+    await response.aclose()
+    await _exhaust(chunks)
+
+
+async def _exhaust(chunks: AsyncIterator[bytes]) -> None:
+    """Read what is left of a body."""
+    with contextlib.suppress(httpx.HTTPError, httpx.StreamError):
         async for _ in chunks:
             pass
 
--- /dev/null
+++ b/tests/adapters/test_engine_http.py
@@ -0,0 +1,274 @@
+"""The engine contract over loopback HTTP, and what a broken peer proves."""
+
+import contextlib
+import functools
+import re
+import unittest
+
+import httpx
+import msgspec
+import trio
+
+from emulator.engine.records import RunRecord
+from emulator.engine.server import ADMIN_FAULTS_PATH, ADMIN_RUNS_PATH
+from emulator.engine.service import serve_engine
+from emulator.kv_cache_store.server import serve_kv_cache_store
+from hopstep.adapters.engine_http import HttpEngine
+from hopstep.adapters.engine_messages import Refusal
+from hopstep.adapters.engine_stream import StreamDecoder
+from hopstep.exceptions import EngineError, ErrorCode, Execution
+from hopstep.ports.engine import FinishReason, TokenFrame, Usage
+from tests.contract.engine_contract import (
+    CONFIG,
+    IDLE_TIMEOUT_SECONDS,
+    INTERRUPTED,
+    REQUEST,
+    WEIGHTS,
+    Bench,
+    EngineContract,
+)
+
+UNREACHABLE = (ErrorCode.ENGINE_UNREACHABLE, Execution.UNKNOWN)
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def new_port():
+    return HttpEngine(
+        idle_timeout_seconds=IDLE_TIMEOUT_SECONDS, call_timeout_seconds=IDLE_TIMEOUT_SECONDS
+    )
+
+
+def address_of(binds):
+    return binds[0].removeprefix("http://")
+
+
+class HttpEngineTest(EngineContract, unittest.TestCase):
+    @contextlib.asynccontextmanager
+    async def bench(self):
+        stop = trio.Event()
+        async with (
+            trio.open_nursery() as nursery,
+            contextlib.aclosing(new_port()) as port,
+            httpx.AsyncClient(trust_env=False) as admin,
+        ):
+            serve = functools.partial(serve_engine, CONFIG, WEIGHTS)
+            address = address_of(await nursery.start(serve, "127.0.0.1:0", stop.wait))
+            store = await nursery.start(serve_kv_cache_store, "127.0.0.1:0", stop.wait)
+
+            async def set_faults(faults):
+                content = msgspec.json.encode(faults)
+                response = await admin.post(f"http://{address}{ADMIN_FAULTS_PATH}", content=content)
+                response.raise_for_status()
+
+            async def runs():
+                response = await admin.get(f"http://{address}{ADMIN_RUNS_PATH}")
+                return msgspec.json.decode(response.content, type=tuple[RunRecord, ...])
+
+            yield Bench(port, address, address_of(store), set_faults, runs)
+            stop.set()
+            nursery.cancel_scope.cancel()
+
+    def run_async(self, test):
+        trio.run(test)
+
+
+def chunk(*lines):
+    body = b"".join(line + b"\n" for line in lines)
+    return f"{len(body):x}\r\n".encode() + body + b"\r\n"
+
+
+def refusal(nonce, execution=Execution.NOT_RUN):
+    body = msgspec.json.encode(Refusal(ErrorCode.OVERLOADED, "full", execution, nonce, 3.0))
+    return f"HTTP/1.1 503 Busy\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+FRAMES = (
+    TokenFrame("n", "i", 0, ("a", "b"), usage=Usage(4, 2)),
+    TokenFrame("n", "i", 2, ("é",)),
+    TokenFrame("m", "i", 3, ("x",), FinishReason.STOP),
+    TokenFrame("n", "i", 3, ("d",), FinishReason.LENGTH, Usage(4, 2, 0, 4)),
+)
+LINES = tuple(msgspec.json.encode(frame) for frame in FRAMES)
+WHOLE = HEAD + chunk(*LINES) + b"0\r\n\r\n"
+
+# What the peer sends before it closes the connection, and the error.
+BROKEN_PEERS = (
+    ("closes without an answer", b"", UNREACHABLE),
+    ("closes within the head", HEAD[:30], UNREACHABLE),
+    ("sends no HTTP", b"hello\r\n\r\n", UNREACHABLE),
+    ("sends a status without a body", b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", UNREACHABLE),
+    ("cuts a refusal", refusal("n")[:-4], UNREACHABLE),
+    ("refuses another nonce", refusal("m"), (ErrorCode.OVERLOADED, Execution.UNKNOWN)),
+    ("refuses no nonce", refusal(""), (ErrorCode.OVERLOADED, Execution.UNKNOWN)),
+    (
+        "refuses without proof",
+        refusal("n", Execution.UNKNOWN),
+        (ErrorCode.OVERLOADED, Execution.UNKNOWN),
+    ),
+    ("refuses as not run", refusal("n"), (ErrorCode.OVERLOADED, Execution.NOT_RUN)),
+    ("closes after the head", HEAD, INTERRUPTED),
+    ("ends before the last frame", HEAD + chunk(*LINES[:3]) + b"0\r\n\r\n", INTERRUPTED),
+    ("cuts the last frame", HEAD + chunk(LINES[0], LINES[3][:-1])[:-3], INTERRUPTED),
+    ("sends what isn't a frame", HEAD + chunk(b'{"nonce": 1}'), INTERRUPTED),
+    ("closes after the last frame", WHOLE[:-5], None),
+    ("answers whole", WHOLE, None),
+)
+
+
+class BrokenPeerTest(unittest.TestCase):
+    """A peer of plain sockets, which counts the requests that reach it."""
+
+    async def receive(self, stream):
+        """Return one whole request; nothing when the connection is closed."""
+        data = b""
+        while b"\r\n\r\n" not in data or len(data) < self.length(data):
+            received = await stream.receive_some(65536)
+            if not received:
+                return b""
+            data += received
+        return data
+
+    @staticmethod
+    def length(data):
+        head, _, _ = data.partition(b"\r\n\r\n")
+        match = re.search(rb"(?i)content-length: (\d+)", head)
+        return len(head) + 4 + int(match[1] if match else 0)
+
+    async def serve(self, nursery, answers, requests):
+        """Answer each request with the next of ``answers``; None stays silent."""
+
+        async def handle(stream):
+            with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                while request := await self.receive(stream):
+                    requests.append(request)
+                    answer, keep = answers.pop(0)
+                    if answer is None:
+                        await trio.sleep_forever()
+                    await stream.send_all(answer)
+                    if not keep:
+                        await stream.aclose()
+                        return
+
+        listeners = await nursery.start(
+            functools.partial(trio.serve_tcp, handle, 0, host="127.0.0.1")
+        )
+        return f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+
+    def run_against(self, answers, test):
+        requests = []
+
+        async def body():
+            async with contextlib.aclosing(new_port()) as port, trio.open_nursery() as nursery:
+                address = await self.serve(nursery, list(answers), requests)
+                await test(port, address)
+                nursery.cancel_scope.cancel()
+
+        trio.run(body)
+        return requests
+
+    async def read(self, port, address):
+        async with port.generate(address, REQUEST) as frames:
+            return [frame async for frame in frames]
+
+    def test_broken_peers(self):
+        for name, answer, expected in BROKEN_PEERS:
+
+            async def test(port, address, expected=expected):
+                try:
+                    frames = await self.read(port, address)
+                except EngineError as error:
+                    self.assertEqual((error.code, error.execution), expected)
+                else:
+                    self.assertIsNone(expected)
+                    self.assertEqual(frames[-1], FRAMES[-1])
+
+            with self.subTest(name):
+                requests = self.run_against([(answer, False)], test)
+                self.assertEqual(len(requests), 1, "a request must never be repeated")
+
+    def test_nothing_listens(self):
+        async def test():
+            async with contextlib.aclosing(new_port()) as port:
+                for address in ("127.0.0.1:1", "127.0.0.1:none"):
+                    for call in (self.read(port, address), port.probe(address)):
+                        with self.assertRaises(EngineError) as caught:
+                            await call
+                        self.assertEqual(caught.exception.execution, Execution.NOT_RUN)
+
+        trio.run(test)
+
+    def test_silent_peer(self):
+        async def test(port, address):
+            for call in (self.read(port, address), port.probe(address)):
+                with self.assertRaises(EngineError) as caught:
+                    await call
+                error = caught.exception
+                self.assertEqual((error.code, error.execution), UNREACHABLE)
+
+        self.run_against([(None, True), (None, True)], test)
+
+    def test_stream_that_goes_silent(self):
+        async def test(port, address):
+            with self.assertRaises(EngineError) as caught:
+                await self.read(port, address)
+            self.assertEqual((caught.exception.code, caught.exception.execution), INTERRUPTED)
+
+        self.run_against([(HEAD + chunk(LINES[0]), True)], test)
+
+    def test_pooled_connection_that_the_peer_closes_on_the_next_request(self):
+        async def test(port, address):
+            await self.read(port, address)
+            with self.assertRaises(EngineError) as caught:
+                await self.read(port, address)
+            error = caught.exception
+            self.assertEqual((error.code, error.execution), UNREACHABLE)
+
+        requests = self.run_against([(WHOLE, True), (b"", False)], test)
+        self.assertEqual(len(requests), 2)
+
+    def test_connection_is_kept_when_the_reader_stops_at_the_last_frame(self):
+        ends = []
+
+        async def test(port, address):
+            for _ in range(3):
+                async with port.generate(address, REQUEST) as frames:
+                    async for frame in frames:
+                        if frame.finish_reason is FinishReason.LENGTH:
+                            break
+                ends.append(len(port._client._transport._pool.connections))
+
+        self.run_against([(WHOLE, True)] * 3, test)
+        self.assertEqual(ends, [1, 1, 1])
+
+
+class StreamDecoderTest(unittest.TestCase):
+    def test_split_at_every_byte(self):
+        data = b"\n".join((LINES[0], b"", *LINES[1:])) + b"\n"
+        joined = TokenFrame("n", "i", 0, ("a", "b", "é"), usage=Usage(4, 2))
+        whole = [joined, FRAMES[2], FRAMES[3]]
+        self.assertEqual(StreamDecoder("n").feed(data), whole)
+        for at in range(len(data) + 1):
+            decoder = StreamDecoder("n")
+            frames = decoder.feed(data[:at]) + decoder.feed(data[at:])
+            tokens = [token for frame in frames for token in frame.tokens]
+            self.assertEqual(tokens, ["a", "b", "é", "x", "d"])
+            self.assertTrue(decoder.finished)
+            self.assertEqual(frames[-2:], whole[-2:])
+
+    def test_only_exact_successors_are_joined(self):
+        for other in (
+            TokenFrame("n", "i", 3, ("c",)),
+            TokenFrame("n", "i", 1, ("c",)),
+            TokenFrame("m", "i", 2, ("c",)),
+            TokenFrame("n", "j", 2, ("c",)),
+        ):
+            data = LINES[0] + b"\n" + msgspec.json.encode(other) + b"\n"
+            self.assertEqual(StreamDecoder("n").feed(data), [FRAMES[0], other])
+
+    def test_endless_line(self):
+        with self.assertRaises(EngineError):
+            StreamDecoder("n").feed(b"x" * (1024 * 1024 + 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/emulator/test_engine_in_process.py
@@ -0,0 +1,52 @@
+"""The engine contract on a virtual clock, and what only engines in the process can do."""
+
+import contextlib
+import unittest
+
+import trio
+import trio.testing
+
+from emulator.engine.in_process import InProcessEngines
+from emulator.engine.model import EngineModel
+from emulator.kv_cache_store.model import KvCacheStoreModel
+from hopstep.exceptions import ErrorCode, Execution
+from tests.contract.engine_contract import (
+    CONFIG,
+    IDLE_TIMEOUT_SECONDS,
+    WEIGHTS,
+    Bench,
+    EngineContract,
+)
+
+
+class InProcessEngineTest(EngineContract, unittest.TestCase):
+    @contextlib.asynccontextmanager
+    async def bench(self):
+        engines = InProcessEngines(idle_timeout_seconds=IDLE_TIMEOUT_SECONDS)
+        engines.add_engine("engine", EngineModel(CONFIG, WEIGHTS))
+        engines.add_kv_cache_store("store", KvCacheStoreModel(512))
+
+        async def set_faults(faults):
+            engines.set_faults("engine", faults)
+
+        async def runs():
+            return engines.model("engine").runs(trio.current_time())
+
+        yield Bench(engines, "engine", "store", set_faults, runs)
+
+    def run_async(self, test):
+        trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_engine_that_is_down_ran_nothing(self):
+        async def test(bench):
+            bench.port.set_down("engine", True)
+            with self.assert_error(ErrorCode.ENGINE_UNREACHABLE, Execution.NOT_RUN):
+                await self.finish(bench)
+            bench.port.set_down("engine", False)
+            await self.finish(bench)
+
+        self.check(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
