Add membership by gossip as a pure state machine

Cause: routers must know who is alive, share small facts and divide control work without a node set aside for it. SWIM with incarnations, suspicion and refutation; changes piggybacked with bounded retransmissions; anti-entropy by bucket digests; a token bucket over sent bytes; isolation as a sampled majority. Rendezvous hashing keeps rankings over membership changes.

Ruled out: a CRC of the pair for rendezvous (linear, so ranks hang together).

--- /dev/null
+++ b/hopstep/domain/membership/__init__.py
@@ -0,0 +1,26 @@
+"""Membership between routers: who is alive, and small values shared by gossip."""
+
+from hopstep.domain.membership.actions import (
+    Action,
+    EntryChanged,
+    MemberChanged,
+    Refuted,
+    RevisionHeard,
+    Send,
+)
+from hopstep.domain.membership.audience import audience, labels_digest
+from hopstep.domain.membership.config import MembershipConfig
+from hopstep.domain.membership.protocol import Membership
+
+__all__ = [
+    "Action",
+    "EntryChanged",
+    "MemberChanged",
+    "Membership",
+    "MembershipConfig",
+    "Refuted",
+    "RevisionHeard",
+    "Send",
+    "audience",
+    "labels_digest",
+]
--- /dev/null
+++ b/tests/domain/membership/test_isolation.py
@@ -0,0 +1,83 @@
+"""When a node counts as isolated."""
+
+import random
+import unittest
+
+from hopstep.domain.membership.config import MembershipConfig
+from hopstep.domain.membership.isolation import IsolationDetector
+from hopstep.domain.membership.table import MemberTable
+from hopstep.domain.peer_message import MemberRecord, MemberState, MemberStatus
+
+CONFIG = MembershipConfig()
+NOW = 100.0
+
+# Other members, of them heard lately, tried in vain, leaving on a plan; whether isolated.
+CASES = (
+    (0, 0, 0, 0, False),
+    (1, 1, 0, 0, False),
+    (1, 0, 1, 0, True),
+    (1, 0, 0, 1, False),
+    (2, 1, 1, 0, False),
+    (2, 0, 2, 0, True),
+    (2, 0, 0, 0, True),
+    (4, 2, 2, 0, False),
+    (4, 1, 3, 0, True),
+    (4, 1, 1, 2, False),
+    (3, 1, 2, 0, True),
+    (389, 9, 10, 0, True),
+    (389, 10, 10, 0, False),
+)
+
+
+def world(others, heard, tried, leaving):
+    table, detector = MemberTable(), IsolationDetector(CONFIG)
+    for number in range(others):
+        name = f"m{number}"
+        table.merge_record(MemberRecord(name, 1, 0, MemberState.ALIVE, "", name), 0.0)
+    detector.update(table, 0.0)
+    for number in range(others):
+        name = f"m{number}"
+        if number < heard:
+            table.get(name).heard_at = NOW - 1
+        elif number < heard + tried:
+            detector.note_tried(name, NOW - 2)
+        elif number < heard + tried + leaving:
+            table.merge_status(MemberStatus(name, 1, 1, MemberState.LEAVING), NOW - 5)
+    return table, detector
+
+
+class IsolationTest(unittest.TestCase):
+    def test_majorities(self):
+        for others, heard, tried, leaving, isolated in CASES:
+            with self.subTest(others=others, heard=heard, tried=tried, leaving=leaving):
+                table, detector = world(others, heard, tried, leaving)
+                self.assertEqual(detector.is_isolated(table, NOW), isolated)
+
+    def test_own_verdict_of_death_never_makes_a_majority_of_one(self):
+        table, detector = world(4, 0, 4, 0)
+        for number in range(4):
+            table.merge_status(MemberStatus(f"m{number}", 1, 0, MemberState.DEAD), NOW)
+        for later in range(0, 7_200, 60):
+            detector.update(table, NOW + later)
+            self.assertTrue(detector.is_isolated(table, NOW + later))
+
+    def test_members_that_died_under_a_majority_stop_counting(self):
+        table, detector = world(4, 3, 1, 0)
+        table.merge_status(MemberStatus("m3", 1, 0, MemberState.DEAD), NOW)
+        later = NOW + CONFIG.recent_past_seconds + 1
+        for number in range(3):
+            table.get(f"m{number}").heard_at = later
+        detector.update(table, later)
+        # Two of four are left: without the dead one that is a majority of two out of three.
+        table.get("m0").heard_at = later + 20
+        detector.note_tried("m1", later + 10)
+        table.merge_status(MemberStatus("m2", 1, 1, MemberState.LEFT), later)
+        self.assertFalse(detector.is_isolated(table, later + 20))
+
+    def test_census_tries_the_silent_ones_at_intervals(self):
+        table, detector = world(40, 5, 0, 0)
+        generator = random.Random(1)
+        chosen = detector.census(table, generator, NOW)
+        self.assertEqual(len(set(chosen)), 16)
+        self.assertTrue(set(chosen).isdisjoint(f"m{number}" for number in range(5)))
+        self.assertEqual(detector.census(table, generator, NOW + 1), [])
