Carry membership over signed datagrams and HTTP

CBOR frames under HMAC-SHA256 with a replay window for each sender; keys from a file that is read again when it changes. One contract holds the UDP transport and the faulty network in memory. The service runs the protocol on the loop, with log events and metrics.

--- /dev/null
+++ b/hopstep/adapters/signed_peer_transport.py
@@ -0,0 +1,35 @@
+"""What transports of signed datagrams have in common."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hopstep.adapters.peer_codec import PeerCodec, encoded_size
+from hopstep.ports.peer_transport import PeerTransport
+
+
+class SignedPeerTransport(PeerTransport):
+    """A transport with a codec; subclasses carry the datagrams."""
+
+    def __init__(self, address: str, codec: PeerCodec) -> None:
+        """Prepare.
+
+        Args:
+            address: Own ``ip:port``.
+            codec: Signs and checks datagrams.
+        """
+        self._address = address
+        self._codec = codec
+
+    @property
+    def address(self) -> str:
+        """``ip:port`` that peers send to."""
+        return self._address
+
+    def use_incarnation(self, incarnation: int) -> None:
+        """Sign further messages under another incarnation."""
+        self._codec.use_incarnation(incarnation)
+
+    def encoded_size(self, value: msgspec.Struct) -> int:
+        """Return the bytes that a body or a part of one takes on the wire."""
+        return encoded_size(value)
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -63,6 +63,13 @@
     ("reason",),
     "Mend the certificate files; the earlier ones stay in use.",
 )
+LIBRARY_WARNING = LogEvent(
+    "HS1007",
+    "library_warning",
+    Level.WARNING,
+    ("library", "severity", "error_type", "location"),
+    "Look the place up in the library; its own text is withheld, for it may quote a request.",
+)
 REQUEST_REFUSED = LogEvent(
     "HS2001",
     "request_refused",
@@ -239,6 +246,41 @@
 HEDGE_STARTED = LogEvent(
     "HS3306", "hedge_started", Level.DEBUG, ("request_id", "engine"), "Nothing."
 )
+MEMBER_CHANGED = LogEvent(
+    "HS5001",
+    "member_changed",
+    Level.INFO,
+    ("member", "state", "incarnation", "zone"),
+    "Nothing for single members; many at once in one zone mean that it is cut off.",
+)
+MEMBERSHIP_REFUTED = LogEvent(
+    "HS5002",
+    "membership_refuted",
+    Level.WARNING,
+    ("incarnation", "version"),
+    "If it recurs: the node is overloaded, its network loses datagrams, or its name is used twice.",
+)
+PEER_MESSAGE_REJECTED = LogEvent(
+    "HS5003",
+    "peer_message_rejected",
+    Level.WARNING,
+    ("reason", "count"),
+    "Compare cluster names, key files and clocks of the routers.",
+)
+ISOLATION_CHANGED = LogEvent(
+    "HS5004",
+    "isolation_changed",
+    Level.WARNING,
+    ("isolated",),
+    "If true: check the network between this router and the others.",
+)
+PEER_KEYS_REJECTED = LogEvent(
+    "HS5005",
+    "peer_keys_rejected",
+    Level.ERROR,
+    ("reason",),
+    "Mend the key file; the earlier keys stay in use until then.",
+)
 
 
 def catalogue() -> tuple[LogEvent, ...]:
--- /dev/null
+++ b/hopstep/ports/peer_transport.py
@@ -0,0 +1,59 @@
+"""Port to other routers: authenticated datagrams that may be lost, late or doubled."""
+
+from __future__ import annotations
+
+import abc
+
+import msgspec
+
+from hopstep.domain.peer_message import Body, PeerMessage
+
+
+class ReceivedMessage(msgspec.Struct, frozen=True):
+    """An authenticated message and where it came from.
+
+    Attributes:
+        message: The message.
+        source: ``ip:port`` of the sending socket.
+    """
+
+    message: PeerMessage
+    source: str
+
+
+class PeerTransport(abc.ABC):
+    """Sends and receives messages of one member."""
+
+    @property
+    @abc.abstractmethod
+    def address(self) -> str:
+        """``ip:port`` that peers send to."""
+
+    @abc.abstractmethod
+    def use_incarnation(self, incarnation: int) -> None:
+        """Sign further messages under another incarnation."""
+
+    @abc.abstractmethod
+    def encoded_size(self, value: msgspec.Struct) -> int:
+        """Return the bytes that a body or a part of one takes on the wire."""
+
+    @abc.abstractmethod
+    async def send(self, address: str, body: Body) -> int:
+        """Send a message; a network failure loses it silently.
+
+        Returns:
+            Bytes sent, IP and UDP headers included; 0 when nothing was.
+        """
+
+    @abc.abstractmethod
+    async def receive(self) -> ReceivedMessage:
+        """Wait for the next message.
+
+        Raises:
+            PeerMessageError: When a datagram is truncated, forged, replayed, too old or from
+                another cluster. The next call goes on with the next datagram.
+        """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close the socket."""
--- /dev/null
+++ b/hopstep/services/membership.py
@@ -0,0 +1,278 @@
+"""Membership of this router, running on trio.
+
+With the platform's store down everything here goes on: members meet over the seeds and their
+own gossip alone.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from hopstep import log_events
+from hopstep.domain.membership import (
+    Action,
+    MemberChanged,
+    Membership,
+    MembershipConfig,
+    Refuted,
+    Send,
+    labels_digest,
+)
+from hopstep.domain.peer_message import Entry, EntryKind, EntryValue, MemberRecord, MemberState
+from hopstep.domain.rendezvous import Rendezvous
+from hopstep.exceptions import PeerMessageError
+from hopstep.logs import emit
+from hopstep.ports.peer_transport import PeerTransport
+from hopstep.services.membership_metrics import MembershipMetrics
+from hopstep.settings import RouterSettings
+
+Listener = Callable[[Action], None]
+
+MAX_TICK_SECONDS = 0.25
+"""Longest time between two looks at what is due."""
+
+OUTGOING_MESSAGES = 1_000
+"""Messages waiting for the socket; further ones are lost, as on the network."""
+
+REJECTION_LOG_SECONDS = 10.0
+"""Time between two log lines about rejected datagrams."""
+
+
+class MembershipService:
+    """Joins the pure protocol with a transport, the clock, logs and metrics."""
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        transport: PeerTransport,
+        *,
+        incarnation: int,
+        generator: random.Random,
+        metrics: MembershipMetrics,
+        http_address: str = "",
+    ) -> None:
+        """Prepare to join; ``run`` does.
+
+        Args:
+            settings: Own name, addresses, zone, labels and times.
+            transport: Opened transport.
+            incarnation: Unix time of the start in milliseconds.
+            generator: Source of random choices.
+            metrics: Metrics to keep.
+            http_address: Address of the callers' listener when its port was chosen by the
+                system; empty for the one in the settings.
+        """
+        self._transport = transport
+        self._metrics = metrics
+        self._listeners: list[Listener] = []
+        self._confirmed_age: Callable[[], float] = lambda: float("inf")
+        self._outgoing, self._to_send = trio.open_memory_channel[Send](OUTGOING_MESSAGES)
+        own = MemberRecord(
+            settings.name,
+            incarnation,
+            0,
+            MemberState.ALIVE,
+            http_address or settings.address,
+            transport.address,
+            settings.zone,
+            labels_digest(settings.all_labels()),
+        )
+        self._membership = Membership(
+            own,
+            membership_config(settings),
+            settings.peers.seeds,
+            generator,
+            transport.encoded_size,
+            trio.current_time(),
+        )
+        self._rendezvous = Rendezvous.unweighted([own.name])
+        self._alive_names = [own.name]
+        self._seen_version = (-1, MemberState.ALIVE)
+        self._was_isolated = False
+        self._rejected = 0
+        self._rejection_logged_at = float("-inf")
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Take part in membership until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive)
+            nursery.start_soon(self._send)
+            nursery.start_soon(self._tick)
+            task_status.started()
+
+    @property
+    def own(self) -> MemberRecord:
+        """Own record."""
+        return self._membership.own
+
+    def members(self) -> list[MemberRecord]:
+        """Return all known members, this and dead ones included."""
+        return self._membership.members()
+
+    def alive_routers(self) -> list[MemberRecord]:
+        """Return the routers that take new work, this one included unless it leaves."""
+        return self._membership.alive()
+
+    def owners(self, key: str, replicas: int = 1) -> tuple[str, ...]:
+        """Return the live routers that own a key of control work, the first owner first."""
+        version = (self._membership.version, self.own.state)
+        if version != self._seen_version:
+            self._seen_version = version
+            self._update_owners()
+        return self._rendezvous.owners(key, replicas)
+
+    def owns(self, key: str, replicas: int = 1) -> bool:
+        """Return whether this router is among the owners of a key."""
+        return self.own.name in self.owners(key, replicas)
+
+    def publish(
+        self,
+        kind: EntryKind,
+        subject: str,
+        value: EntryValue | None,
+        audience: tuple[int, ...] = (),
+    ) -> None:
+        """Share a value with other routers; None withdraws it (see ``Membership.publish``)."""
+        now = trio.current_time()
+        self._dispatch(self._membership.publish(kind, subject, value, now, audience))
+
+    def entries(self, kind: EntryKind) -> list[Entry]:
+        """Return the shared entries of a kind, of all live owners."""
+        return self._membership.entries(kind)
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener`` with every later change of members, entries and revisions."""
+        self._listeners.append(listener)
+
+    def set_revision(self, revision: int) -> None:
+        """Tell peers which configuration revision is in force here."""
+        self._dispatch(self._membership.set_revision(revision, trio.current_time()))
+
+    def follow_confirmations(self, age: Callable[[], float]) -> None:
+        """Tell peers how old the proof is that the revision in force is the latest.
+
+        Args:
+            age: Returns seconds, infinite without a proof.
+        """
+        self._confirmed_age = age
+
+    def is_isolated(self, now: float) -> bool:
+        """Return whether contact is lost with most routers of the recent past.
+
+        Routers that left on a plan don't count. With every other router down as well the
+        answer is true: the two cases can't be told apart from here.
+        """
+        return self._membership.is_isolated(now)
+
+    def leave(self) -> None:
+        """Announce a planned stop: peers give this router no new work."""
+        self._dispatch(self._membership.leave(trio.current_time()))
+
+    async def stop(self) -> None:
+        """Say goodbye as the last message before the process ends."""
+        for action in self._membership.stop(trio.current_time()):
+            if isinstance(action, Send):
+                await self._transmit(action)
+
+    async def _receive(self) -> None:
+        while True:
+            try:
+                received = await self._transport.receive()
+            except PeerMessageError as error:
+                self._note_rejection(error)
+                continue
+            self._metrics.messages_received.inc()
+            self._dispatch(
+                self._membership.handle(received.message, received.source, trio.current_time())
+            )
+
+    async def _send(self) -> None:
+        async for message in self._to_send:
+            await self._transmit(message)
+
+    async def _transmit(self, message: Send) -> None:
+        size = await self._transport.send(message.address, message.body)
+        self._metrics.bytes_sent.inc(size)
+
+    async def _tick(self) -> None:
+        while True:
+            now = trio.current_time()
+            self._membership.confirm_revision(now - self._confirmed_age())
+            self._dispatch(self._membership.tick(now))
+            self._observe(now)
+            latest = now + MAX_TICK_SECONDS
+            await trio.sleep_until(min(self._membership.next_wakeup(), latest))
+
+    def _dispatch(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._enqueue(action)
+                continue
+            self._log(action)
+            for listener in self._listeners:
+                listener(action)
+
+    def _enqueue(self, message: Send) -> None:
+        try:
+            self._outgoing.send_nowait(message)
+        except trio.WouldBlock:
+            return
+
+    def _log(self, action: Action) -> None:
+        if isinstance(action, MemberChanged):
+            record = action.record
+            emit(
+                log_events.MEMBER_CHANGED,
+                member=record.name,
+                state=record.state.name.lower(),
+                incarnation=record.incarnation,
+                zone=record.zone,
+            )
+        elif isinstance(action, Refuted):
+            self._transport.use_incarnation(action.record.incarnation)
+            emit(
+                log_events.MEMBERSHIP_REFUTED,
+                incarnation=action.record.incarnation,
+                version=action.record.version,
+            )
+
+    def _observe(self, now: float) -> None:
+        self._metrics.live_members.set(len(self.alive_routers()))
+        self._metrics.messages_withheld.set(self._membership.withheld)
+        isolated = self._membership.is_isolated(now)
+        self._metrics.isolated.set(int(isolated))
+        if isolated != self._was_isolated:
+            self._was_isolated = isolated
+            emit(log_events.ISOLATION_CHANGED, isolated=isolated)
+
+    def _note_rejection(self, error: PeerMessageError) -> None:
+        self._metrics.messages_rejected.inc()
+        self._rejected += 1
+        now = trio.current_time()
+        if now - self._rejection_logged_at < REJECTION_LOG_SECONDS:
+            return
+        self._rejection_logged_at = now
+        emit(log_events.PEER_MESSAGE_REJECTED, reason=error.message, count=self._rejected)
+        self._rejected = 0
+
+    def _update_owners(self) -> None:
+        names = [record.name for record in self.alive_routers()]
+        if names != self._alive_names:
+            self._alive_names = names
+            self._rendezvous = self._rendezvous.updated(dict.fromkeys(names, 1.0))
+
+
+def membership_config(settings: RouterSettings) -> MembershipConfig:
+    """Return the protocol's times and bounds for a router's settings."""
+    defaults = MembershipConfig()
+    peers = settings.peers
+    return MembershipConfig(
+        heartbeat_seconds=peers.heartbeat_seconds,
+        ack_timeout_seconds=defaults.ack_timeout_seconds * peers.heartbeat_seconds,
+        suspicion_seconds=peers.suspicion_seconds,
+        bytes_per_second=peers.bytes_per_second,
+        isolation_window_seconds=settings.isolation_seconds or defaults.isolation_window_seconds,
+    )
