Run the whole path as separate processes in the demo

Compose one node, add the router command, the stand-in processes, a load generator that checks every token against the oracle, and the demo of both deployments.

Membership is not joined yet: every router reads the store and probes every engine.

--- /dev/null
+++ b/emulator/cli/main.py
@@ -0,0 +1,58 @@
+"""The stand-ins and the experiment tool: ``hopstep-emulator ROLE [--flag=value ...]``.
+
+Roles: ``engine``, ``platform``, ``load``, ``experiment``, ``bench``, ``scale``.
+``hopstep-emulator ROLE --helpfull`` documents the flags of a role.
+
+Exit codes: 0 done; 1 a check failed; 2 bad command line.
+"""
+
+from __future__ import annotations
+
+import importlib
+import logging
+import sys
+from collections.abc import Sequence
+
+from absl import app, flags
+
+ROLES = ("engine", "platform", "load", "experiment", "bench", "scale")
+EXIT_BAD_USAGE = 2
+
+
+def main() -> None:
+    """Enter the command."""
+    role = sys.argv[1] if len(sys.argv) > 1 else ""
+    if role not in ROLES:
+        print(__doc__, file=sys.stderr)
+        sys.exit(0 if role in ("--help", "--helpfull") else EXIT_BAD_USAGE)
+    # Only the chosen role's module is imported: its flags, and what it needs.
+    module = importlib.import_module(f"emulator.cli.{role}")
+    arguments = [f"{sys.argv[0]} {role}", *sys.argv[2:]]
+    app.run(lambda rest: sys.exit(_run(module, rest)), argv=arguments, flags_parser=_parse_flags)
+
+
+def _run(module: object, rest: Sequence[str]) -> int:
+    """Run a role and return the exit code."""
+    if len(rest) > 1:
+        print(f"unexpected argument {rest[1]!r}", file=sys.stderr)
+        return EXIT_BAD_USAGE
+    logging.getLogger().setLevel(logging.WARNING)
+    run = getattr(module, "run")  # noqa: B009 - the type of a role's module
+    try:
+        return int(run())
+    except ValueError as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_USAGE
+
+
+def _parse_flags(arguments: Sequence[str]) -> list[str]:
+    """Parse flags; a bad one is a bad command line."""
+    try:
+        return flags.FLAGS(arguments)
+    except flags.Error as error:
+        print(f"{error}\nTry --help.", file=sys.stderr)
+        sys.exit(EXIT_BAD_USAGE)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/emulator/demo.py
@@ -0,0 +1,294 @@
+"""Both deployments end to end, as real processes on loopback: ``python -m emulator.demo``.
+
+Exit code 0 only when every request came back complete and right, inside its tenant's places.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import signal
+import sys
+import tempfile
+import traceback
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import msgspec
+import trio
+
+from emulator.fleet.fleet import Fleet, FleetOptions, load_example
+from emulator.fleet.processes import ProcessGroup
+from emulator.load.messages import LoadRequest, LoadResult, Outcome
+from emulator.load.prompts import make_prompt
+from emulator.load.router_client import RouterClient
+from emulator.load.run import run_closed_loop
+from hopstep.domain.configuration import (
+    BackEnd,
+    BackEndKind,
+    Configuration,
+    RequestClass,
+    Tenant,
+)
+from hopstep.domain.placement import place_engines
+from hopstep.exceptions import HopstepError
+
+DEPLOYMENTS = {
+    "catalogue": FleetOptions(weight_load_seconds=0.5, concurrent_weight_loads=3),
+    "burdekin": FleetOptions(weight_load_seconds=0.33, concurrent_weight_loads=2),
+}
+PREFIX_TOKENS = 400
+TAIL_TOKENS = 40
+OUTPUT_TOKENS = 24
+LONG_OUTPUT_TOKENS = 96
+ROUNDS = 2
+CONCURRENCY = 8
+LOAD_REQUESTS = 32
+LOADED_ANSWERS = 4
+"""Answers under load after which the fault or the edit comes."""
+
+IN_FORCE_SECONDS = 14.0
+"""Time within which an accepted configuration must be in force everywhere."""
+
+MILLISECONDS = 1_000.0
+
+
+class Demo:
+    """One deployment's part of the demo."""
+
+    def __init__(self, fleet: Fleet, client: RouterClient) -> None:
+        """Prepare.
+
+        Args:
+            fleet: Its processes.
+            client: Sends the requests.
+        """
+        self._fleet = fleet
+        self._client = client
+        self._numbers = itertools.count(1)
+        self._admissible: list[Configuration] = [fleet.configuration]
+        self.results: list[LoadResult] = []
+        self.misplaced = 0
+
+    async def start(self) -> None:
+        """Start the processes."""
+        await self._fleet.start()
+
+    async def run(self) -> None:
+        """Run every part."""
+        revision = await self._fleet.apply(self._fleet.configuration, "demo")
+        print(f"{self._fleet.name}: configuration accepted as revision {revision}")
+        self._admissible = [self._fleet.configuration]
+        await self._fleet.wait_ready()
+        await self._send(self._every_class())
+        await self._kill_engine_under_load()
+        await self._edit_label_under_load()
+
+    def _every_class(self) -> list[LoadRequest]:
+        """Return requests of every tenant and each of its classes."""
+        configuration = self._fleet.configuration
+        return [
+            self._request(tenant, request_class, OUTPUT_TOKENS)
+            for _ in range(ROUNDS)
+            for tenant in configuration.tenants
+            for request_class in configuration.classes
+            if not tenant.classes or request_class.name in tenant.classes
+        ]
+
+    async def _kill_engine_under_load(self) -> None:
+        """Kill an engine that answers a tenant, while that tenant's requests stream."""
+        tenant, request_class = self._busy_tenant()
+        requests = [
+            self._request(tenant, request_class, LONG_OUTPUT_TOKENS) for _ in range(LOAD_REQUESTS)
+        ]
+
+        def kill(results: Sequence[LoadResult]) -> None:
+            name = results[-1].engine
+            self._fleet.signal(name, signal.SIGKILL)
+            print(f"{self._fleet.name}: killed engine {name} under {tenant.name}'s requests")
+
+        await self._send_and_then(requests, kill)
+
+    async def _edit_label_under_load(self) -> None:
+        """Move an engine to another place by its label, while requests stream."""
+        tenant, request_class = self._busy_tenant()
+        before = self._fleet.configuration
+        engine = self._used_engine(before, tenant, request_class)
+        other_zone = next(
+            each.labels["zone"]
+            for each in self._fleet.back_ends(BackEndKind.ENGINE)
+            if not tenant.selector.matches(each.labels)
+        )
+        after = relabel(before, engine, other_zone)
+        # While the edit spreads, either document may place a request.
+        self._admissible = [before, after]
+        async with trio.open_nursery() as nursery:
+            requests = [
+                self._request(tenant, request_class, LONG_OUTPUT_TOKENS)
+                for _ in range(LOAD_REQUESTS)
+            ]
+            nursery.start_soon(self._send, requests)
+            revision = await self._fleet.apply(after, "demo: move an engine")
+            print(f"{self._fleet.name}: revision {revision} moves {engine.name} to {other_zone}")
+        with trio.fail_after(IN_FORCE_SECONDS):
+            await self._fleet.wait_revision()
+        self._admissible = [after]
+        await self._send([self._request(tenant, request_class, OUTPUT_TOKENS) for _ in range(8)])
+
+    def _busy_tenant(self) -> tuple[Tenant, RequestClass]:
+        """Return the first tenant that is bound to places, and a repeatable class of it."""
+        configuration = self._fleet.configuration
+        tenant = next(each for each in configuration.tenants if each.selector.requirements())
+        request_class = next(
+            each
+            for each in configuration.classes
+            if each.repeatable and (not tenant.classes or each.name in tenant.classes)
+        )
+        return tenant, request_class
+
+    def _used_engine(
+        self, configuration: Configuration, tenant: Tenant, request_class: RequestClass
+    ) -> BackEnd:
+        """Return the engine that last answered a tenant's class."""
+        engine = next(
+            result.engine
+            for result in reversed(self.results)
+            if result.request.tenant == tenant.name
+            and result.request.request_class == request_class.name
+        )
+        return next(each for each in configuration.back_ends if each.name == engine)
+
+    def _request(
+        self, tenant: Tenant, request_class: RequestClass, output_tokens: int
+    ) -> LoadRequest:
+        """Return a request with the tenant's shared prefix and a tail of its own."""
+        number = next(self._numbers)
+        return LoadRequest(
+            tenant=tenant.name,
+            key=f"{self._fleet.name}-{tenant.name}-example-key",
+            request_class=request_class.name,
+            model=model_for(self._fleet.configuration, tenant, request_class),
+            prompt=make_prompt(
+                f"{tenant.name}-{request_class.name}", PREFIX_TOKENS, f"tail-{number}", TAIL_TOKENS
+            ),
+            max_tokens=output_tokens,
+            idempotency_key="" if request_class.repeatable else f"demo-{number}",
+        )
+
+    async def _send_and_then(
+        self, requests: list[LoadRequest], act: Callable[[Sequence[LoadResult]], None]
+    ) -> None:
+        """Send requests, and act once some are answered while others stream."""
+        answered: list[LoadResult] = []
+
+        def note(result: LoadResult) -> None:
+            answered.append(result)
+            if len(answered) == LOADED_ANSWERS:
+                act(answered)
+
+        await self._send(requests, note)
+
+    async def _send(
+        self,
+        requests: list[LoadRequest],
+        note: Callable[[LoadResult], None] = lambda result: None,
+    ) -> None:
+        """Send requests to all routers in turn, and print a line for each."""
+
+        def report(result: LoadResult) -> None:
+            self._report(result)
+            note(result)
+
+        addresses = [each.address for each in self._fleet.back_ends(BackEndKind.ROUTER)]
+        await run_closed_loop(self._client, addresses, requests, CONCURRENCY, report=report)
+
+    def _report(self, result: LoadResult) -> None:
+        """Print one line, and check the place."""
+        self.results.append(result)
+        request = result.request
+        if result.outcome is not Outcome.COMPLETE:
+            print(
+                f"{self._fleet.name:9}  {request.tenant:20}  {request.request_class:14}  "
+                f"{result.outcome.value}: {result.code} ({result.execution})"
+            )
+            return
+        place = self._place(result)
+        print(
+            f"{self._fleet.name:9}  {request.tenant:20}  {request.request_class:14}  "
+            f"{place:17}  {result.engine:19}  {result.router:8}  {result.tokens:3} tokens  "
+            f"{result.cached_tokens:4} of {result.prompt_tokens:4} cached  "
+            f"first token {result.first_token_seconds * MILLISECONDS:6.1f} ms"
+        )
+
+    def _place(self, result: LoadResult) -> str:
+        """Return the zone of the engine that answered, marked if the tenant may not be there."""
+        for configuration in self._admissible:
+            tenant = next(
+                each for each in configuration.tenants if each.name == result.request.tenant
+            )
+            request_class = next(
+                each for each in configuration.classes if each.name == result.request.request_class
+            )
+            model = next(each for each in configuration.models if each.name == result.request.model)
+            for engine in place_engines(configuration, tenant, request_class, model).admissible:
+                if engine.name == result.engine:
+                    return engine.labels.get("zone", "")
+        self.misplaced += 1
+        return "OUTSIDE"
+
+
+def model_for(configuration: Configuration, tenant: Tenant, request_class: RequestClass) -> str:
+    """Return the first model that the tenant's class can reach."""
+    return next(
+        model.name
+        for model in configuration.models
+        if place_engines(configuration, tenant, request_class, model).admissible
+    )
+
+
+def relabel(configuration: Configuration, engine: BackEnd, zone: str) -> Configuration:
+    """Return the configuration with another zone for one engine."""
+    edited = msgspec.structs.replace(engine, labels=engine.labels | {"zone": zone})
+    return msgspec.structs.replace(
+        configuration,
+        back_ends=tuple(
+            edited if each.name == engine.name else each for each in configuration.back_ends
+        ),
+    )
+
+
+async def run_demo(group: ProcessGroup, directory: Path) -> int:
+    """Run the demo in a started group and return the exit code."""
+    async with contextlib.aclosing(RouterClient()) as client:
+        demos = [
+            Demo(Fleet(name, load_example(name), group, directory, options), client)
+            for name, options in DEPLOYMENTS.items()
+        ]
+        async with trio.open_nursery() as nursery:
+            for demo in demos:
+                nursery.start_soon(demo.start)
+        for demo in demos:
+            await demo.run()
+    results = [result for demo in demos for result in demo.results]
+    misplaced = sum(demo.misplaced for demo in demos)
+    complete = sum(result.outcome is Outcome.COMPLETE for result in results)
+    wrong = misplaced + sum(result.outcome is Outcome.WRONG for result in results)
+    print(f"demo: {len(results)} sent, {complete} complete, {wrong} wrong")
+    return 0 if complete == len(results) and wrong == 0 else 1
+
+
+def main() -> int:
+    """Run the demo and leave nothing running."""
+    with (
+        tempfile.TemporaryDirectory(prefix="hopstep-demo-") as directory,
+        ProcessGroup(Path(directory)) as group,
+    ):
+        try:
+            return trio.run(run_demo, group, Path(directory))
+        except* (HopstepError, RuntimeError, trio.TooSlowError) as failures:
+            traceback.print_exception(failures)
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/emulator/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Fleets of real processes on loopback, for the demo, the benchmarks and tests."""
--- /dev/null
+++ b/emulator/fleet/fleet.py
@@ -0,0 +1,257 @@
+"""One deployment as real processes: platform, engines, KV cache store and routers."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from pathlib import Path
+
+import httpx
+import msgspec
+import trio
+
+from emulator.fleet.processes import ProcessGroup, free_addresses
+from hopstep.ctl.documents import read_configuration, write_configuration
+from hopstep.ctl.status import STATUS_PATH
+from hopstep.domain.configuration import BackEnd, BackEndKind, Configuration
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+EMULATOR_MODULE = "emulator.cli.main"
+ROUTER_MODULE = "hopstep.cli.router"
+CTL_MODULE = "hopstep.cli.ctl"
+READY_TIMEOUT_SECONDS = 30.0
+POLL_SECONDS = 0.1
+
+
+class FleetOptions(msgspec.Struct, frozen=True):
+    """How a fleet differs from its example.
+
+    Attributes:
+        weight_load_seconds: Time of one weight load at an engine.
+        concurrent_weight_loads: Loads at once beyond which each takes longer.
+        engine_arguments: Further arguments of every engine.
+        router_arguments: Further arguments of every router.
+    """
+
+    weight_load_seconds: float = 0.5
+    concurrent_weight_loads: int = 3
+    engine_arguments: tuple[str, ...] = ()
+    router_arguments: tuple[str, ...] = ()
+
+
+DEFAULT_OPTIONS = FleetOptions()
+
+
+class Fleet:
+    """The processes of one deployment."""
+
+    def __init__(
+        self,
+        name: str,
+        configuration: Configuration,
+        group: ProcessGroup,
+        directory: Path,
+        options: FleetOptions = DEFAULT_OPTIONS,
+    ) -> None:
+        """Give every back end a free address; nothing starts yet.
+
+        Args:
+            name: Name of the deployment.
+            configuration: Its configuration; the addresses in it are replaced.
+            group: Where the processes belong.
+            directory: For the files that the processes read.
+            options: How the fleet differs from the example.
+        """
+        self.name = name
+        self.revision = 0
+        self._group = group
+        self._directory = directory
+        self._options = options
+        addresses = free_addresses(len(configuration.back_ends) + 2)
+        self.store, self._weight_store = addresses[-2:]
+        self.configuration = msgspec.structs.replace(
+            configuration,
+            back_ends=tuple(
+                msgspec.structs.replace(back_end, address=address)
+                for back_end, address in zip(configuration.back_ends, addresses, strict=False)
+            ),
+        )
+        routers = [each.name for each in self.back_ends(BackEndKind.ROUTER)]
+        peer_addresses = free_addresses(len(routers))
+        self._peer_addresses = dict(zip(routers, peer_addresses, strict=True))
+
+    def back_ends(self, kind: BackEndKind) -> list[BackEnd]:
+        """Return the back ends of a kind."""
+        return [each for each in self.configuration.back_ends if each.kind is kind]
+
+    def back_end(self, name: str) -> BackEnd:
+        """Return a back end by name."""
+        return next(each for each in self.configuration.back_ends if each.name == name)
+
+    def process_name(self, back_end: str) -> str:
+        """Return the name of a back end's process."""
+        return f"{self.name}-{back_end}"
+
+    async def start(self) -> None:
+        """Start every process and wait until all listen."""
+        self._start_platform()
+        for back_end in self.configuration.back_ends:
+            self.start_back_end(back_end)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._group.wait_listening, f"{self.name}-store", self.store)
+            for back_end in self.configuration.back_ends:
+                name = self.process_name(back_end.name)
+                nursery.start_soon(self._group.wait_listening, name, back_end.address)
+
+    def start_back_end(self, back_end: BackEnd) -> None:
+        """Start the process of one back end."""
+        starters = {
+            BackEndKind.ENGINE: self._start_engine,
+            BackEndKind.KV_CACHE_STORE: self._start_kv_cache_store,
+            BackEndKind.ROUTER: self._start_router,
+        }
+        starters[back_end.kind](back_end)
+
+    async def apply(self, configuration: Configuration, note: str) -> int:
+        """Apply a configuration by the operators' command and return its revision.
+
+        Raises:
+            RuntimeError: When the command refuses.
+        """
+        path = self._directory / f"{self.name}-configuration.json"
+        path.write_text(write_configuration(configuration), encoding="utf-8")
+        output = await self._run_ctl(f"--note={note}", "--format=json", "apply", str(path))
+        self.configuration = configuration
+        self.revision = int(msgspec.json.decode(output)["revision"])
+        return self.revision
+
+    async def wait_ready(self) -> None:
+        """Wait until every router is ready."""
+        async with httpx.AsyncClient(trust_env=False) as client:
+            for router in self.back_ends(BackEndKind.ROUTER):
+                await _wait_ready(client, router.address)
+
+    async def wait_revision(self) -> None:
+        """Wait until the revision applied last is in force at every router."""
+        async with httpx.AsyncClient(trust_env=False) as client:
+            for router in self.back_ends(BackEndKind.ROUTER):
+                await _wait_revision(client, router.address, self.revision)
+
+    def signal(self, back_end: str, number: signal.Signals) -> None:
+        """Send a signal to the process of a back end."""
+        self._group.signal(self.process_name(back_end), number)
+
+    async def _run_ctl(self, *arguments: str) -> str:
+        """Run the operators' command."""
+        completed = await trio.run_process(
+            [sys.executable, "-m", CTL_MODULE, f"--store={self.store}", *arguments],
+            capture_stdout=True,
+            capture_stderr=True,
+            check=False,
+        )
+        output = completed.stdout.decode().strip()
+        if completed.returncode:
+            output += completed.stderr.decode()
+            raise RuntimeError(f"hopstep-ctl exited with {completed.returncode}: {output}")
+        return output
+
+    def _start_emulator(self, process_name: str, role: str, *arguments: str) -> None:
+        """Start one of the emulator's roles."""
+        self._group.start(process_name, EMULATOR_MODULE, [role, *arguments])
+
+    def _start_platform(self) -> None:
+        """Start the key-value service with the machine list, and the weight store."""
+        machines = ",".join(each.address for each in self.configuration.back_ends)
+        self._start_emulator(
+            f"{self.name}-store",
+            "platform",
+            f"--address={self.store}",
+            f"--machines={machines}",
+        )
+        self._start_emulator(
+            f"{self.name}-weight-store",
+            "platform",
+            "--service=weight_store",
+            f"--address={self._weight_store}",
+            f"--load_seconds={self._options.weight_load_seconds}",
+            f"--concurrent_loads={self._options.concurrent_weight_loads}",
+        )
+
+    def _start_engine(self, back_end: BackEnd) -> None:
+        """Start one engine with the configured weights."""
+        versions = {model.name: model.weights_version for model in self.configuration.models}
+        weights = ",".join(f"{model}={versions[model]}" for model in back_end.models)
+        self._start_emulator(
+            self.process_name(back_end.name),
+            "engine",
+            f"--address={back_end.address}",
+            f"--weights={weights}",
+            f"--weight_store={self._weight_store}",
+            *self._options.engine_arguments,
+        )
+
+    def _start_kv_cache_store(self, back_end: BackEnd) -> None:
+        """Start one KV cache store."""
+        self._start_emulator(
+            self.process_name(back_end.name),
+            "platform",
+            "--service=kv_cache_store",
+            f"--address={back_end.address}",
+        )
+
+    def _start_router(self, back_end: BackEnd) -> None:
+        """Start one router with a settings file."""
+        path = self._directory / f"{self.process_name(back_end.name)}.toml"
+        path.write_text(self._router_settings(back_end), encoding="utf-8")
+        self._group.start(
+            self.process_name(back_end.name),
+            ROUTER_MODULE,
+            [f"--settings={path}", *self._options.router_arguments],
+        )
+
+    def _router_settings(self, back_end: BackEnd) -> str:
+        """Return the settings file of a router."""
+        own = self._peer_addresses[back_end.name]
+        seeds = [address for address in self._peer_addresses.values() if address != own]
+        labels = "\n".join(f'{key} = "{value}"' for key, value in back_end.labels.items())
+        return (
+            f'name = "{back_end.name}"\n'
+            f'address = "{back_end.address}"\n'
+            f'zone = "{back_end.labels.get("zone", "local")}"\n'
+            f'store = "{self.store}"\n'
+            f'machine_list = "{self.store}"\n'
+            f"[labels]\n{labels}\n"
+            f"[peers]\n"
+            f'cluster = "{self.name}"\n'
+            f'address = "{own}"\n'
+            f"seeds = {msgspec.json.encode(seeds).decode()}\n"
+        )
+
+
+def load_example(name: str) -> Configuration:
+    """Return the configuration of an example deployment."""
+    return read_configuration(EXAMPLES / name / "configuration.toml")
+
+
+async def _wait_revision(client: httpx.AsyncClient, address: str, revision: int) -> None:
+    """Wait until a revision, or a later one, is in force at a router."""
+    while True:
+        response = await client.get(f"http://{address}{STATUS_PATH}")
+        if msgspec.json.decode(response.content)["revision"] >= revision:
+            return
+        await trio.sleep(POLL_SECONDS)
+
+
+async def _wait_ready(client: httpx.AsyncClient, address: str) -> None:
+    """Wait until one router is ready.
+
+    Raises:
+        RuntimeError: When it isn't in time.
+    """
+    with trio.move_on_after(READY_TIMEOUT_SECONDS):
+        while True:
+            response = await client.get(f"http://{address}/readyz")
+            if response.is_success:
+                return
+            await trio.sleep(POLL_SECONDS)
+    raise RuntimeError(f"the router at {address} isn't ready")
--- /dev/null
+++ b/emulator/fleet/processes.py
@@ -0,0 +1,125 @@
+"""Processes that are started, watched and ended by id."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess  # noqa: S404 - only this project's own commands are started
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from types import TracebackType
+
+import trio
+
+START_TIMEOUT_SECONDS = 30.0
+END_TIMEOUT_SECONDS = 5.0
+POLL_SECONDS = 0.05
+OUTPUT_CHARACTERS = 2_000
+LOOPBACK = "127.0.0.1"
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return ``count`` addresses on loopback whose ports are free at this moment."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind((LOOPBACK, 0))
+        return [f"{LOOPBACK}:{each.getsockname()[1]}" for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+async def accepts_connections(address: str) -> bool:
+    """Return whether something listens at an address."""
+    host, _, port = address.rpartition(":")
+    try:
+        stream = await trio.open_tcp_stream(host, int(port))
+    except OSError:
+        return False
+    await stream.aclose()
+    return True
+
+
+class ProcessGroup:
+    """Processes with a common end; a context manager that leaves nothing running."""
+
+    def __init__(self, directory: Path) -> None:
+        """Start nothing yet.
+
+        Args:
+            directory: Where the processes' output goes, one file each.
+        """
+        self._directory = directory
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> ProcessGroup:
+        """Return the group."""
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """End every process."""
+        self.end_all()
+
+    def start(self, name: str, module: str, arguments: Sequence[str]) -> subprocess.Popen[bytes]:
+        """Start ``python -m module`` with arguments.
+
+        Args:
+            name: Name of the process and of its output file.
+            module: Module to run.
+            arguments: Its arguments.
+        """
+        with (self._directory / f"{name}.log").open("ab") as output:
+            process = subprocess.Popen(  # noqa: S603 - fixed program, no shell
+                [sys.executable, "-m", module, *arguments], stdout=output, stderr=output
+            )
+        self._processes[name] = process
+        return process
+
+    async def wait_listening(self, name: str, address: str) -> None:
+        """Wait until a process listens.
+
+        Raises:
+            RuntimeError: When it ended, or didn't listen in time; with the end of its output.
+        """
+        with trio.move_on_after(START_TIMEOUT_SECONDS):
+            while self._processes[name].poll() is None:
+                if await accepts_connections(address):
+                    return
+                await trio.sleep(POLL_SECONDS)
+        output = self.log_path(name).read_text(errors="replace")[-OUTPUT_CHARACTERS:]
+        raise RuntimeError(f"{name} doesn't listen on {address}: {output}")
+
+    def log_path(self, name: str) -> Path:
+        """Return the output file of a process."""
+        return self._directory / f"{name}.log"
+
+    def process(self, name: str) -> subprocess.Popen[bytes]:
+        """Return a started process."""
+        return self._processes[name]
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process, by its id."""
+        os.kill(self._processes[name].pid, number)
+
+    def end_all(self) -> None:
+        """Ask every process to end, and kill after a while those that haven't."""
+        running = [each for each in self._processes.values() if each.poll() is None]
+        for each in running:
+            each.send_signal(signal.SIGCONT)
+            each.terminate()
+        deadline = time.monotonic() + END_TIMEOUT_SECONDS
+        for each in running:
+            try:
+                each.wait(max(0.0, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                each.kill()
+                each.wait()
--- /dev/null
+++ b/emulator/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator: bounded traffic to loopback, each answer checked against the oracle."""
--- /dev/null
+++ b/emulator/load/run.py
@@ -0,0 +1,89 @@
+"""Runs a bounded load with a fixed number of requests at once, or at a fixed rate."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable, Iterator, Sequence
+from typing import Protocol
+
+import msgspec
+import trio
+
+from emulator.load.messages import LoadRequest, LoadResult, Outcome
+
+MAX_REQUESTS = 200_000
+MAX_SECONDS = 600.0
+MAX_TRIES = 5
+MAX_PAUSE_SECONDS = 2.0
+
+
+class Sender(Protocol):
+    """Sends one request; a router's or an engine's client."""
+
+    async def send(self, address: str, request: LoadRequest) -> LoadResult:
+        """Send one request and return what came of it."""
+
+
+async def send_until_settled(
+    sender: Sender, addresses: Iterator[str], request: LoadRequest
+) -> LoadResult:
+    """Send a request, again only when a refusal proves that it was not run.
+
+    Refusals outside the placement are followed to an endpoint that they name.
+
+    Args:
+        sender: Sends one request.
+        addresses: Where to send; the next one is taken for each try.
+        request: The request.
+    """
+    address = next(addresses)
+    for tries in itertools.count(1):
+        result = msgspec.structs.replace(await sender.send(address, request), tries=tries)
+        if result.execution != "not_run" or tries == MAX_TRIES:
+            return result
+        if result.endpoints:
+            address = result.endpoints[0]
+            continue
+        await trio.sleep(min(result.retry_after_seconds, MAX_PAUSE_SECONDS))
+        address = next(addresses)
+    raise AssertionError("unreachable")
+
+
+async def run_closed_loop(
+    sender: Sender,
+    addresses: Sequence[str],
+    requests: Sequence[LoadRequest],
+    concurrency: int,
+    max_seconds: float = MAX_SECONDS,
+    report: Callable[[LoadResult], None] = lambda result: None,
+) -> list[LoadResult]:
+    """Keep ``concurrency`` requests under way until all are sent.
+
+    Args:
+        sender: Sends one request.
+        addresses: Routers or engines, taken in turn.
+        requests: What to send, at most ``MAX_REQUESTS``.
+        concurrency: Requests at once.
+        max_seconds: Bound on the run; what isn't sent by then stays unsent.
+        report: Called with each result.
+    """
+    waiting = iter(requests[:MAX_REQUESTS])
+    in_turn = itertools.cycle(addresses)
+    results: list[LoadResult] = []
+
+    async def work() -> None:
+        for request in waiting:
+            result = await send_until_settled(sender, in_turn, request)
+            results.append(result)
+            report(result)
+
+    with trio.move_on_after(min(max_seconds, MAX_SECONDS)):
+        async with trio.open_nursery() as nursery:
+            for _ in range(concurrency):
+                nursery.start_soon(work)
+    return results
+
+
+def all_complete(results: Sequence[LoadResult]) -> bool:
+    """Return whether every answer came whole and right."""
+    return all(result.outcome is Outcome.COMPLETE for result in results)
--- a/hopstep/adapters/http_api/answers.py
+++ b/hopstep/adapters/http_api/answers.py
@@ -1,4 +1,4 @@
-"""One running answer: a task pulls its parts, the response takes them.
+"""One running answer: its request runs in a task of the node, the response reads its parts.
 
 The task belongs to the node, not to the caller's connection. When the caller leaves, the
 response is cancelled at once while the task still cancels at the engine and gives back what
@@ -7,36 +7,16 @@
 
 from __future__ import annotations
 
-import msgspec
+from collections.abc import AsyncIterator
+
 import trio
 
 from hopstep import log_events
 from hopstep.adapters.http_api.context import ApiContext
-from hopstep.domain.inference import AnswerFinish, AnswerPart, AnswerUsage, InferenceRequest
+from hopstep.domain.inference import AnswerPart, InferenceRequest
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
 
-MAX_BUFFERED_TOKENS = 4096
-"""Tokens that are held for a caller that reads slowly; then the engine's stream waits."""
-
-
-class AnswerPiece(msgspec.Struct, frozen=True):
-    """Tokens that leave in one write.
-
-    Attributes:
-        text: Their texts, joined.
-        tokens: Their number.
-        engine: Engine that made the last of them.
-        finish: Set on the last piece only.
-        usage: Set on the last piece only.
-    """
-
-    text: str
-    tokens: int
-    engine: str
-    finish: AnswerFinish | None
-    usage: AnswerUsage | None
-
 
 class RunningAnswer:
     """An answer that is being made."""
@@ -50,65 +30,60 @@
         """
         self._context = context
         self._request = request
-        self._parts: list[AnswerPart] = []
-        self._buffered_tokens = 0
+        self._parts: AsyncIterator[AnswerPart] | None = None
         self._error: ServiceError | None = None
-        self._ended = False
         self._scope = trio.CancelScope()
-        self._filled = trio.Event()
-        self._emptied = trio.Event()
+        self._entered = trio.Event()
+        self._released = trio.Event()
+        self._reads = 0
 
     async def run(self) -> None:
-        """Pull the parts until the answer ends, fails or is cancelled."""
+        """Hold the dispatcher's run until the response releases it."""
         with self._context.lifecycle.active(), self._context.pacer.stream():
             try:
                 with self._scope:
-                    await self._pull()
+                    async with self._context.runner.run(self._request) as parts:
+                        self._parts = parts
+                        self._entered.set()
+                        await self._released.wait()
             except ServiceError as error:
                 self._error = error
             except Exception as error:
                 self._error = self._crashed(error)
             finally:
-                self._ended = True
-                self._filled.set()
+                self._entered.set()
 
-    def cancel(self) -> None:
-        """Give the answer up; nothing happens when it has ended."""
-        self._scope.cancel()
+    def release(self) -> None:
+        """Let the request end: it is answered, it failed, or its caller left."""
+        self._released.set()
+        if not self._entered.is_set():
+            self._scope.cancel()
 
-    async def read(self) -> AnswerPiece:
-        """Wait for the next tokens and return all that have come.
+    async def read(self) -> AnswerPart:
+        """Wait for the next tokens and return them, with all that came since the last read.
 
         Raises:
             ServiceError: When the answer failed; every token before was returned.
         """
-        while not self._parts and not self._ended:
-            self._filled = trio.Event()
-            await self._filled.wait()
-        if not self._parts:
+        await self._entered.wait()
+        if self._parts is None:
             raise self._error or _ended_early()
-        parts, self._parts = self._parts, []
-        self._buffered_tokens = 0
-        self._emptied.set()
-        return _join(parts)
-
-    async def _pull(self) -> None:
-        """Move parts from the dispatcher to the buffer, paced and bounded."""
-        async with self._context.runner.run(self._request) as parts:
-            async for part in parts:
-                self._parts.append(part)
-                self._buffered_tokens += len(part.tokens)
-                self._filled.set()
-                await self._wait_before_next()
-
-    async def _wait_before_next(self) -> None:
-        """Let tokens gather at the engine's side, and slow callers catch up."""
+        await self._pace()
+        try:
+            return await anext(self._parts)
+        except StopAsyncIteration:
+            raise _ended_early() from None
+        except ServiceError:
+            raise
+        except Exception as error:
+            raise self._crashed(error) from None
+
+    async def _pace(self) -> None:
+        """Let tokens gather before each read but the first."""
+        self._reads += 1
         interval = self._context.pacer.interval()
-        if interval:
+        if interval and self._reads > 1:
             await trio.sleep(interval)
-        while self._buffered_tokens >= MAX_BUFFERED_TOKENS:
-            self._emptied = trio.Event()
-            await self._emptied.wait()
 
     def _crashed(self, error: Exception) -> ServiceError:
         """Turn a fault of hopstep's own into an error; its text may hold a prompt."""
@@ -127,13 +102,6 @@
         )
 
 
-def _join(parts: list[AnswerPart]) -> AnswerPiece:
-    """Return one piece with the tokens of all parts."""
-    tokens = [token for part in parts for token in part.tokens]
-    last = parts[-1]
-    return AnswerPiece("".join(tokens), len(tokens), last.engine, last.finish, last.usage)
-
-
 def _ended_early() -> ServiceError:
     """Return the error of an answer whose parts ended without a finish."""
     return ServiceError(
--- a/hopstep/adapters/http_api/app.py
+++ b/hopstep/adapters/http_api/app.py
@@ -13,7 +13,7 @@
 from hopstep.adapters.http_api.errors import encode_error, error_headers, http_status
 from hopstep.adapters.http_api.gate import HeaderGate, body_too_large
 from hopstep.adapters.http_api.generation import CLASS_KEY, asgi_scope
-from hopstep.adapters.http_api.operator import StatusSource, operator_blueprint
+from hopstep.adapters.http_api.operator import operator_blueprint
 from hopstep.adapters.http_api.peer import peer_blueprint
 from hopstep.exceptions import ErrorCode, Execution, PeerMessageError, ServiceError
 from hopstep.logs import emit
@@ -21,14 +21,11 @@
 PEER_REFUSED_STATUS = 403
 
 
-def create_app(
-    context: ApiContext, status_sources: dict[str, StatusSource] | None = None
-) -> QuartTrio:
+def create_app(context: ApiContext) -> QuartTrio:
     """Return the application.
 
     Args:
         context: The node.
-        status_sources: What other parts of the node add to the status, by part.
     """
     app = QuartTrio("hopstep")
     app.config["MAX_CONTENT_LENGTH"] = context.settings.max_body_bytes
@@ -36,7 +33,7 @@
     app.config["RESPONSE_TIMEOUT"] = None
     app.register_blueprint(chat_blueprint(context))
     app.register_blueprint(completions_blueprint(context))
-    app.register_blueprint(operator_blueprint(context, status_sources or {}))
+    app.register_blueprint(operator_blueprint(context))
     if context.handle_peer is not None:
         app.register_blueprint(peer_blueprint(context.handle_peer))
     _register_error_handlers(app, context)
--- a/hopstep/adapters/http_api/context.py
+++ b/hopstep/adapters/http_api/context.py
@@ -30,6 +30,20 @@
 """Takes the name of a peer call and its body, and returns the answer's body."""
 
 
+class NodeHealth(msgspec.Struct, frozen=True):
+    """How well the node is connected.
+
+    Attributes:
+        is_isolated: Whether it has been cut off for too long to trust its placement.
+        seconds_since_confirmed: Age of the proof that its configuration was the latest.
+        member_count: Live members that it sees, itself included.
+    """
+
+    is_isolated: Callable[[], bool]
+    seconds_since_confirmed: Callable[[], float]
+    member_count: Callable[[], int]
+
+
 class ApiContext(msgspec.Struct, frozen=True):
     """What the HTTP API needs of its node.
 
@@ -42,7 +56,7 @@
         authenticator: Finds tenants by key.
         metrics: Counters.
         pacer: Spaces the writes of streams.
-        is_isolated: Whether the node has been cut off for too long to trust its placement.
+        health: How well the node is connected.
         spawn: Starts a task that belongs to the node, not to a connection.
         handle_peer: Answers peers' calls below ``/peer/v1/``; None answers none.
     """
@@ -55,6 +69,6 @@
     authenticator: Authenticator
     metrics: ApiMetrics
     pacer: Pacer
-    is_isolated: Callable[[], bool]
+    health: NodeHealth
     spawn: Callable[[Callable[[], Awaitable[None]]], None]
     handle_peer: PeerHandler | None = None
--- a/hopstep/adapters/http_api/generation.py
+++ b/hopstep/adapters/http_api/generation.py
@@ -11,13 +11,13 @@
 from quart.wrappers.response import ResponseBody
 
 from hopstep import log_events
-from hopstep.adapters.http_api.answers import AnswerPiece, RunningAnswer
+from hopstep.adapters.http_api.answers import RunningAnswer
 from hopstep.adapters.http_api.bodies import GenerationBody
 from hopstep.adapters.http_api.context import ApiContext
 from hopstep.adapters.http_api.gate import CALLER_KEY, Caller
 from hopstep.adapters.http_api.rendering import DONE_EVENT, AnswerRenderer, error_event
 from hopstep.adapters.http_api.requests import CLASS_HEADER, IDEMPOTENCY_HEADER, resolve_request
-from hopstep.domain.inference import InferenceRequest
+from hopstep.domain.inference import AnswerPart, InferenceRequest
 from hopstep.exceptions import Execution, ServiceError
 from hopstep.logs import emit
 
@@ -51,7 +51,7 @@
         self._first_token_seconds = 0.0
 
     async def respond(self, renderer: AnswerRenderer, body: GenerationBody) -> Response:
-        """Return the response: whole, or a stream whose first piece has already come.
+        """Return the response: whole, or a stream whose first part has already come.
 
         Raises:
             ServiceError: When the answer failed before anything was sent.
@@ -66,21 +66,22 @@
         except ServiceError as error:
             self.failed(error)
             raise
-        except trio.Cancelled:
+        except BaseException:
             self.abandon()
             raise
 
-    async def read(self) -> AnswerPiece:
-        """Return the next piece and count it."""
-        piece = await self._answer.read()
+    async def read(self) -> AnswerPart:
+        """Return the next part and count it."""
+        part = await self._answer.read()
         if not self._tokens:
             self._first_token_seconds = trio.current_time() - self._caller.start
-        self._tokens += piece.tokens
-        self._engine = piece.engine
-        return piece
+        self._tokens += len(part.tokens)
+        self._engine = part.engine
+        return part
 
     def completed(self) -> None:
         """Record a whole answer."""
+        self._answer.release()
         request_class = self._request.request_class.name
         metrics = self._context.metrics
         metrics.requests.labels(request_class, OUTCOME_OK).inc()
@@ -98,6 +99,7 @@
 
     def failed(self, error: ServiceError) -> None:
         """Log a refusal or a failure."""
+        self._answer.release()
         fields = {
             "request_id": self._request.request_id,
             "tenant": self._request.tenant.name,
@@ -107,7 +109,7 @@
         if error.execution is Execution.NOT_RUN:
             emit(log_events.REQUEST_REFUSED, **fields)
         else:
-            emit(log_events.REQUEST_FAILED, tokens=self._tokens, **fields)
+            emit(log_events.ANSWER_FAILED, tokens=self._tokens, **fields)
 
     def failed_in_stream(self, error: ServiceError) -> None:
         """Record a failure whose status line has already been sent."""
@@ -116,7 +118,7 @@
 
     def abandon(self) -> None:
         """Give the answer up because its caller left."""
-        self._answer.cancel()
+        self._answer.release()
         self._count(OUTCOME_CALLER_LEFT)
         emit(
             log_events.CALLER_LEFT,
@@ -129,19 +131,19 @@
         """Count one request that wasn't answered whole."""
         self._context.metrics.requests.labels(self._request.request_class.name, outcome).inc()
 
-    async def _whole_response(self, first: AnswerPiece, renderer: AnswerRenderer) -> Response:
+    async def _whole_response(self, first: AnswerPart, renderer: AnswerRenderer) -> Response:
         """Return the whole answer, never a part of it."""
-        texts = [first.text]
-        piece = first
-        while piece.finish is None:
-            piece = await self.read()
-            texts.append(piece.text)
+        texts = list(first.tokens)
+        part = first
+        while part.finish is None:
+            part = await self.read()
+            texts.extend(part.tokens)
         self.completed()
-        body = renderer.whole("".join(texts), piece)
+        body = renderer.whole("".join(texts), part)
         return Response(body, content_type="application/json", headers=self._headers())
 
     def _stream_response(
-        self, first: AnswerPiece, renderer: AnswerRenderer, include_usage: bool
+        self, first: AnswerPart, renderer: AnswerRenderer, include_usage: bool
     ) -> Response:
         """Return the stream of an answer."""
         body = StreamBody(self, first, renderer, include_usage)
@@ -166,7 +168,7 @@
     def __init__(
         self,
         generation: Generation,
-        first: AnswerPiece,
+        first: AnswerPart,
         renderer: AnswerRenderer,
         include_usage: bool,
     ) -> None:
@@ -174,7 +176,7 @@
 
         Args:
             generation: The request.
-            first: Its first piece.
+            first: Its first part.
             renderer: Renders its events.
             include_usage: Whether a last chunk carries the usage.
         """
@@ -200,11 +202,11 @@
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
         """Yield events; a stream that fails ends with an error event, without ``[DONE]``."""
-        piece = self._first
-        while piece.finish is None:
-            yield self._renderer.chunk(piece)
+        part = self._first
+        while part.finish is None:
+            yield self._renderer.chunk(part)
             try:
-                piece = await self._generation.read()
+                part = await self._generation.read()
             except ServiceError as error:
                 self._ended = True
                 self._generation.failed_in_stream(error)
@@ -212,12 +214,12 @@
                 return
         self._ended = True
         self._generation.completed()
-        yield self._last_events(piece)
+        yield self._last_events(part)
 
-    def _last_events(self, piece: AnswerPiece) -> bytes:
+    def _last_events(self, part: AnswerPart) -> bytes:
         """Return the last chunk, the usage if asked for, and the end mark."""
-        usage = self._renderer.usage_chunk(piece.usage) if self._include_usage else b""
-        return self._renderer.chunk(piece) + usage + DONE_EVENT
+        usage = self._renderer.usage_chunk(part.usage) if self._include_usage else b""
+        return self._renderer.chunk(part) + usage + DONE_EVENT
 
 
 def asgi_scope() -> dict[str, Any]:
--- a/hopstep/adapters/http_api/operator.py
+++ b/hopstep/adapters/http_api/operator.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import math
 
 import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -36,34 +36,32 @@
         name: Node's name.
         incarnation: Identity of this start of the node.
         zone: Node's zone.
-        configuration_revision: Revision in force; 0 before the first.
+        revision: Configuration revision in force; 0 before the first.
+        confirmed_seconds: Age of the proof that this revision was the latest; -1 for none.
         ready: Whether callers should be sent here.
         stopping: Whether a planned stop goes on.
         isolated: Whether the node has been cut off for too long.
         active_requests: Requests whose answers aren't whole yet.
-        details: What other parts of the node say of themselves, by part.
+        members: Live members that the node sees, itself included.
     """
 
     name: str
     incarnation: str
     zone: str
-    configuration_revision: int
+    revision: int
+    confirmed_seconds: float
     ready: bool
     stopping: bool
     isolated: bool
     active_requests: int
-    details: dict[str, msgspec.Raw]
-
-
-StatusSource = Callable[[], msgspec.Struct | list[msgspec.Struct]]
+    members: int
 
 
-def operator_blueprint(context: ApiContext, sources: dict[str, StatusSource]) -> Blueprint:
+def operator_blueprint(context: ApiContext) -> Blueprint:
     """Return the operators' routes.
 
     Args:
         context: The node.
-        sources: What other parts of the node add to the status, by part.
     """
     blueprint = Blueprint("operator", __name__)
 
@@ -90,22 +88,23 @@
     @blueprint.get("/operator/status")
     async def status() -> Response:
         """Say how the node is doing."""
-        return Response(msgspec.json.encode(_status(context, sources)), content_type=JSON)
+        return Response(msgspec.json.encode(_status(context)), content_type=JSON)
 
     return blueprint
 
 
-def _status(context: ApiContext, sources: dict[str, StatusSource]) -> StatusBody:
+def _status(context: ApiContext) -> StatusBody:
     """Return the node's status."""
-    details = {part: msgspec.Raw(msgspec.json.encode(source())) for part, source in sources.items()}
+    confirmed_seconds = context.health.seconds_since_confirmed()
     return StatusBody(
         name=context.settings.name,
         incarnation=context.incarnation,
         zone=context.settings.zone,
-        configuration_revision=context.holder.revision,
+        revision=context.holder.revision,
+        confirmed_seconds=confirmed_seconds if math.isfinite(confirmed_seconds) else -1.0,
         ready=context.lifecycle.ready,
         stopping=context.lifecycle.stopping,
-        isolated=context.is_isolated(),
+        isolated=context.health.is_isolated(),
         active_requests=context.lifecycle.active_requests,
-        details=details,
+        members=context.health.member_count(),
     )
--- a/hopstep/adapters/http_api/rendering.py
+++ b/hopstep/adapters/http_api/rendering.py
@@ -7,7 +7,6 @@
 
 import msgspec
 
-from hopstep.adapters.http_api.answers import AnswerPiece
 from hopstep.adapters.http_api.bodies import (
     AnswerMessage,
     ChatChoice,
@@ -19,7 +18,7 @@
     UsageBody,
 )
 from hopstep.adapters.http_api.errors import encode_error
-from hopstep.domain.inference import AnswerFinish, AnswerUsage, InferenceRequest
+from hopstep.domain.inference import AnswerFinish, AnswerPart, AnswerUsage, InferenceRequest
 from hopstep.exceptions import ServiceError
 
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -52,21 +51,21 @@
         self._created = int(time.time())
         self._encoder = msgspec.json.Encoder()
 
-    def whole(self, text: str, last: AnswerPiece) -> bytes:
+    def whole(self, text: str, last: AnswerPart) -> bytes:
         """Return the body of a whole answer.
 
         Args:
             text: All of its text.
-            last: Its last piece, with finish and usage.
+            last: Its last part, with finish and usage.
         """
         finish = (last.finish or AnswerFinish.STOP).value
         choice = self._whole_choice(text, finish)
         return self._encode(self.whole_object, (choice,), last.usage)
 
-    def chunk(self, piece: AnswerPiece) -> bytes:
-        """Return the event of one piece."""
-        finish = piece.finish.value if piece.finish else None
-        choice = self._chunk_choice(piece.text, finish)
+    def chunk(self, part: AnswerPart) -> bytes:
+        """Return the event of one part."""
+        finish = part.finish.value if part.finish else None
+        choice = self._chunk_choice("".join(part.tokens), finish)
         return _event(self._encode(self.chunk_object, (choice,), None))
 
     def usage_chunk(self, usage: AnswerUsage | None) -> bytes:
--- /dev/null
+++ b/hopstep/cli/router.py
@@ -0,0 +1,62 @@
+"""The router process.
+
+Exit codes: 0 after a planned stop; 2 for settings that can't be used.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+
+import trio
+from absl import app, flags
+
+from hopstep.library_logs import capture_library_logs
+from hopstep.logs import configure_logging
+from hopstep.node import run_node
+from hopstep.settings_loader import (
+    EXIT_BAD_SETTINGS,
+    SettingsError,
+    define_settings_flags,
+    load_settings_from_flags,
+)
+
+define_settings_flags()
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run one router and return the exit code.
+
+    Args:
+        arguments: Command line after flags were taken out, the program's name first.
+    """
+    if len(arguments) > 1:
+        print(f"unexpected argument {arguments[1]!r}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    try:
+        settings = load_settings_from_flags()
+    except SettingsError as error:
+        print(error.message, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    configure_logging(settings.log_level, settings.name)
+    capture_library_logs()
+    trio.run(run_node, settings)
+    return 0
+
+
+def main() -> None:
+    """Enter the command."""
+    app.run(lambda arguments: sys.exit(run(arguments)), flags_parser=_parse_flags)
+
+
+def _parse_flags(arguments: Sequence[str]) -> list[str]:
+    """Parse flags; a bad one is a bad setting."""
+    try:
+        return flags.FLAGS(arguments)
+    except flags.Error as error:
+        print(f"{error}\nTry --help.", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hopstep/library_logs.py
@@ -0,0 +1,34 @@
+"""Log lines of libraries, turned into one catalogued event.
+
+A library's line may quote what it worked on, so only its origin and the error's type are
+passed on, never its text.
+"""
+
+from __future__ import annotations
+
+import logging
+
+from hopstep import log_events
+from hopstep.logs import emit
+
+
+class LibraryLogHandler(logging.Handler):
+    """Writes an event for each warning or error of a library."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write the event of one record."""
+        error_type = record.exc_info[0] if record.exc_info else None
+        emit(
+            log_events.LIBRARY_WARNING,
+            library=record.name,
+            severity=record.levelname.lower(),
+            error_type=error_type.__name__ if error_type else "",
+            location=f"{record.module}:{record.lineno}",
+        )
+
+
+def capture_library_logs() -> None:
+    """Send the warnings of all libraries to ``LibraryLogHandler``, and nothing below them."""
+    root = logging.getLogger()
+    root.handlers = [LibraryLogHandler()]
+    root.setLevel(logging.WARNING)
--- a/tests/adapters/http_api/harness.py
+++ b/tests/adapters/http_api/harness.py
@@ -13,7 +13,7 @@
 
 from hopstep.adapters.http_api.app import create_app
 from hopstep.adapters.http_api.authentication import Authenticator, hash_key
-from hopstep.adapters.http_api.context import ApiContext
+from hopstep.adapters.http_api.context import ApiContext, NodeHealth
 from hopstep.adapters.http_api.metrics import ApiMetrics
 from hopstep.adapters.http_api.pacing import Pacer
 from hopstep.domain.configuration import (
@@ -118,7 +118,7 @@
             authenticator=authenticator,
             metrics=ApiMetrics(CollectorRegistry()),
             pacer=Pacer(),
-            is_isolated=lambda: self.isolated,
+            health=NodeHealth(lambda: self.isolated, lambda: 0.5, lambda: 3),
             spawn=nursery.start_soon,
             handle_peer=self._handle_peer,
         )
