--- a/hopstep/domain/routing/routing_table.py
+++ b/hopstep/domain/routing/routing_table.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -15,20 +16,28 @@
 from hopstep.domain.configuration import (
     AcceptedConfiguration,
     BackEnd,
-    BackEndKind,
     Configuration,
     RoutingPolicy,
 )
 from hopstep.domain.engines import CacheEventBatch, CacheEventKind, EngineFacts
 from hopstep.domain.inference import InferenceRequest
-from hopstep.domain.placement import place_tenant
 from hopstep.domain.rendezvous import Rendezvous
+from hopstep.domain.requests_in_force import choose_kv_cache_store
 from hopstep.domain.routing.engine_view import EngineView
 from hopstep.domain.routing.hot_prefixes import HotPrefixes
 from hopstep.domain.routing.prefix_picture import PrefixPicture
-from hopstep.domain.routing.selection import Candidate, Choice, Prompt, head_tokens, rank
+from hopstep.domain.routing.selection import (
+    Candidate,
+    Choice,
+    Prompt,
+    head_tokens,
+    make_choice,
+    rank,
+)
 from hopstep.exceptions import DomainError, ErrorCode
 
+HashPrompt = Callable[[str, str, int], list[int]]
+
 
 class _Sent(msgspec.Struct, frozen=True):
     """Where an attempt in flight was sent."""
@@ -41,12 +50,15 @@
 class RoutingTable:
     """Beliefs about engines; engines are known by their ``ip:port`` address."""
 
-    def __init__(self, random_source: random.Random) -> None:
+    def __init__(self, random_source: random.Random, hash_prompt: HashPrompt = block_keys) -> None:
         """Start with no belief at all: every admissible engine may be chosen at once.
 
         Args:
             random_source: Seeded source of randomness.
+            hash_prompt: Returns the block keys of a prompt, its salt and a stride; experiments
+                give one that remembers the keys.
         """
+        self._hash_prompt = hash_prompt
         self._random = random_source
         self._configuration = Configuration()
         self._policy = RoutingPolicy()
@@ -111,7 +123,8 @@
         Raises:
             DomainError: ``NO_ADMISSIBLE_BACK_END`` when no engine is left.
         """
-        return self.ranking(request, admissible, excluded, now)[0]
+        prompt, ranked = self._rank(request, admissible, excluded, now)
+        return self._choice(request, prompt, ranked[0])
 
     def ranking(
         self,
@@ -121,6 +134,22 @@
         now: float,
     ) -> tuple[Choice, ...]:
         """Return a choice for every usable engine, the best first; see ``choose``."""
+        prompt, ranked = self._rank(request, admissible, excluded, now)
+        return tuple(self._choice(request, prompt, candidate) for candidate in ranked)
+
+    def expected_requests(self, address: str) -> int:
+        """Return the requests expected at an engine, those of other routers included."""
+        view = self._views.get(address)
+        return view.requests() if view else 0
+
+    def _rank(
+        self,
+        request: InferenceRequest,
+        admissible: tuple[BackEnd, ...],
+        excluded: frozenset[str],
+        now: float,
+    ) -> tuple[Prompt, list[Candidate]]:
+        """Return what is known of the prompt, and the usable engines, the best first."""
         usable = [
             back_end
             for back_end in admissible
@@ -131,7 +160,7 @@
                 ErrorCode.NO_ADMISSIBLE_BACK_END, "no admissible engine can take the request now"
             )
         prompt = self._prompt(request)
-        return rank(prompt, self._candidates(prompt, usable, now), self._policy)
+        return prompt, rank(prompt, self._candidates(prompt, usable, now), self._policy)
 
     def record_dispatch(self, nonce: str, choice: Choice, now: float) -> None:
         """Count an attempt that is being sent; its prefix will be held there soon.
@@ -213,17 +242,13 @@
     def _prompt(self, request: InferenceRequest) -> Prompt:
         """Return what the ranking must know of the request's prompt."""
         salt = cache_salt(request.tenant.name, request.model.weights_version)
-        heads = block_keys(request.prompt, salt, self._policy.prefix_stride_blocks)
-        return Prompt(count_tokens(request.prompt), tuple(heads), self._kv_cache_store(request))
-
-    def _kv_cache_store(self, request: InferenceRequest) -> str:
-        """Return the KV cache store that the tenant's cached state may go to, or nothing."""
-        if self._policy.import_tokens_per_second <= 0.0:
-            return ""
-        stores = place_tenant(
-            self._configuration, request.tenant, BackEndKind.KV_CACHE_STORE
-        ).admissible
-        return stores[0].address if stores else ""
+        heads = self._hash_prompt(request.prompt, salt, self._policy.prefix_stride_blocks)
+        return Prompt(count_tokens(request.prompt), tuple(heads))
+
+    def _choice(self, request: InferenceRequest, prompt: Prompt, candidate: Candidate) -> Choice:
+        """Return the choice of one candidate."""
+        store = choose_kv_cache_store(self._configuration, request, candidate.back_end)
+        return make_choice(prompt, candidate, self._policy, store)
 
     def _candidates(self, prompt: Prompt, usable: list[BackEnd], now: float) -> list[Candidate]:
         """Return what is believed of each usable engine."""
--- a/hopstep/domain/routing/selection.py
+++ b/hopstep/domain/routing/selection.py
@@ -63,16 +63,14 @@
     Attributes:
         tokens: Its length.
         heads: Its prefix heads, shallowest first.
-        kv_cache_store: Address of a KV cache store that the tenant may use; empty for none.
     """
 
     tokens: int
     heads: tuple[int, ...]
-    kv_cache_store: str = ""
 
 
-def rank(prompt: Prompt, candidates: list[Candidate], policy: RoutingPolicy) -> tuple[Choice, ...]:
-    """Return a choice for every candidate, the best first.
+def rank(prompt: Prompt, candidates: list[Candidate], policy: RoutingPolicy) -> list[Candidate]:
+    """Return the candidates, the best first.
 
     Engines that are neither suspect nor full come first; within a group the lowest expected
     cost wins, then the rendezvous preference, so that routers without any picture agree.
@@ -83,9 +81,9 @@
         policy: Costs of the deployment.
     """
     if not candidates:
-        return ()
+        return []
     bound = _request_bound(candidates, policy)
-    keyed = sorted(
+    return sorted(
         candidates,
         key=lambda candidate: (
             candidate.suspect,
@@ -95,7 +93,6 @@
             candidate.preference,
         ),
     )
-    return tuple(_choice(prompt, candidate, policy) for candidate in keyed)
 
 
 def _request_bound(candidates: list[Candidate], policy: RoutingPolicy) -> float:
@@ -122,15 +119,24 @@
     return max(prompt.tokens - candidate.cached_tokens, 0)
 
 
-def _choice(prompt: Prompt, candidate: Candidate, policy: RoutingPolicy) -> Choice:
-    """Return the choice of one candidate."""
+def make_choice(
+    prompt: Prompt, candidate: Candidate, policy: RoutingPolicy, kv_cache_store: str
+) -> Choice:
+    """Return the choice of one candidate.
+
+    Args:
+        prompt: The request's prompt.
+        candidate: The engine.
+        policy: Costs of the deployment.
+        kv_cache_store: Address of the KV cache store to use; empty for none.
+    """
     return Choice(
         back_end=candidate.back_end,
         incarnation=candidate.incarnation,
         expected_cached_tokens=candidate.cached_tokens,
         relies_on_cache=candidate.cached_tokens > 0 and bool(candidate.incarnation),
         expected_wait_seconds=candidate.waiting_prefill_tokens / policy.prefill_tokens_per_second,
-        kv_cache_store=prompt.kv_cache_store,
+        kv_cache_store=kv_cache_store,
         full=_is_full(candidate),
         prefill_tokens=_prefill_tokens(prompt, candidate),
         prefix_heads=prompt.heads,
