--- a/hopstep/domain/fair_queue.py
+++ b/hopstep/domain/fair_queue.py
@@ -99,12 +99,13 @@
         del queue.entries[entry.entry_id]
         if not queue.entries:
             del self.tenants[entry.tenant]
-        self._forget_past_finishes()
+        self._reset_when_empty()
 
-    def _forget_past_finishes(self) -> None:
-        """Drop finishes that no longer hold a tenant back, to bound memory."""
+    def _reset_when_empty(self) -> None:
+        """Drop finishes that no longer hold a tenant back, which bounds memory."""
         if self.tenants:
             return
+        self.passed_over = 0
         self.virtual_time = max(self.finishes.values(), default=self.virtual_time)
         self.finishes.clear()
 
--- a/hopstep/domain/limits.py
+++ b/hopstep/domain/limits.py
@@ -84,17 +84,24 @@
         """Take a new view in and return the share in force, from 0 to 1."""
         is_new = now - self._started_at < HOLD_SECONDS
         share = newcomer_share(view) if is_new else settled_share(view)
-        while self._recent and self._recent[-1][1] >= share:
+        self._forget_before(now - HOLD_SECONDS)
+        while self._recent and self._recent[-1][1] > share:
             self._recent.pop()
-        self._recent.append((now, share))
+        if not self._recent or self._recent[-1][1] < share:
+            # An equal share stays with its first time, or it would never come into force.
+            self._recent.append((now, share))
         return self.current(now)
 
     def current(self, now: float) -> float:
         """Return the lowest share of the last ``HOLD_SECONDS``; 0 before the first update."""
-        while len(self._recent) > 1 and self._recent[1][0] <= now - HOLD_SECONDS:
-            self._recent.popleft()
+        self._forget_before(now - HOLD_SECONDS)
         return self._recent[0][1] if self._recent else 0.0
 
+    def _forget_before(self, start: float) -> None:
+        """Drop shares that were no longer in force at ``start``."""
+        while len(self._recent) > 1 and self._recent[1][0] <= start:
+            self._recent.popleft()
+
 
 class TokenBucket:
     """A rate with a burst; may go into debt when a cost is known only afterwards.
