--- a/emulator/engine/host.py
+++ b/emulator/engine/host.py
@@ -145,9 +145,9 @@
 
     async def wait_for_exports(self) -> list[BlockExport]:
         """Wait until blocks have been computed for a KV cache store, and return them."""
-        while not self.model.has_exports:
+        while not self.model.executions.has_exports:
             await self._exports_ready.wait()
-        return self.model.take_exports()
+        return self.model.executions.take_exports()
 
     async def wait_for_call(self) -> None:
         """Wait until a call or a fault has changed the model."""
@@ -239,7 +239,7 @@
     def _advance(self, now: float) -> None:
         """Carry the model forward."""
         self.model.advance(now)
-        if self.model.has_exports:
+        if self.model.executions.has_exports:
             self._exports_ready.set()
             self._exports_ready = trio.Event()
 
--- a/emulator/engine/in_process.py
+++ b/emulator/engine/in_process.py
@@ -200,7 +200,7 @@
 
     def _write_exports(self, host: EngineHost) -> None:
         """Write computed blocks to their KV cache stores."""
-        for export in host.model.take_exports():
+        for export in host.model.executions.take_exports():
             store = self._kv_cache_stores.get(export.store)
             if store is not None:
                 store.write(export.block_keys)
--- a/emulator/engine/model.py
+++ b/emulator/engine/model.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 
 from emulator.engine.admission import check_room, check_state, check_weights
 from emulator.engine.attempts import (
@@ -23,11 +22,10 @@
 from emulator.engine.event_log import EventLog
 from emulator.engine.load_history import LoadHistory
 from emulator.engine.nonces import NonceRegistry, unproved
-from emulator.engine.records import BlockExport, RunRecord
+from emulator.engine.records import ExecutionLog, RunRecord
 from emulator.engine.refusal import refuse
 from emulator.engine.scheduler import BatchScheduler, Notice, NoticeKind
 from emulator.engine.weights import LoadTime, WeightsTable
-from hopstep.domain.blocks import BLOCK_TOKENS
 from hopstep.exceptions import ErrorCode
 from hopstep.ports.engine import (
     AttemptStatus,
@@ -49,6 +47,11 @@
     """One engine over all its incarnations.
 
     Every method takes the present time, which must never go back.
+
+    Attributes:
+        executions: Runs for oracles, and blocks to export to KV cache stores.
+        weights: Loaded weights and loads of the present incarnation.
+        leaving: True when the engine refuses new attempts and says so.
     """
 
     def __init__(
@@ -79,8 +82,7 @@
         self._now = _START
         self._frozen_at: float | None = None
         self._notices: list[Notice] = []
-        self._exports: list[BlockExport] = []
-        self._runs: deque[RunRecord] = deque(maxlen=config.retained_runs)
+        self.executions = ExecutionLog(config.retained_runs)
         self.leaving = False
         self._fence = 0
         self._role = EngineRole.SERVING
@@ -124,7 +126,7 @@
         self._advance(now)
         self._nonces.check_new(request.nonce)
         check_state(request, self.incarnation, self._role, self.leaving)
-        check_weights(request, self._weights, self._config)
+        check_weights(request, self.weights, self._config)
         prompt = prompt or prepare_prompt(request)
         check_room(request, prompt, self._scheduler.waiting_count, self._config)
         self._order += 1
@@ -195,7 +197,7 @@
         self._fence = order.fence
         if order.role is not None:
             self._role = order.role
-        changed = self._weights.request(order.weights)
+        changed = self.weights.request(order.weights)
         for attempt in self._scheduler.waiting_attempts():
             if attempt.model in changed and attempt.state is AttemptState.WAITING:
                 self._scheduler.withdraw(attempt, AttemptState.REFUSED, now, self._notices)
@@ -208,7 +210,7 @@
         self._advance(now)
         return EngineFacts(
             incarnation=self.incarnation,
-            weights=dict(self._weights.loaded),
+            weights=dict(self.weights.loaded),
             role=self._role,
             leaving=self.leaving,
             load=self._history.report(now),
@@ -234,7 +236,7 @@
     def runs(self, now: float) -> tuple[RunRecord, ...]:
         """Return the executions of every incarnation, for oracles."""
         self._advance(now)
-        return tuple(self._runs)
+        return self.executions.runs()
 
     def generated(self, attempt: Attempt, now: float) -> int:
         """Return how many tokens of its own an attempt has generated."""
@@ -255,23 +257,18 @@
         notices, self._notices = self._notices, []
         return notices
 
-    def take_exports(self) -> list[BlockExport]:
-        """Return blocks to write to KV cache stores since the last call."""
-        exports, self._exports = self._exports, []
-        return exports
-
     def next_event_time(self) -> float:
         """Return when something happens next: a first token, an end, a load; or infinity."""
         if self.frozen:
             return float("inf")
-        return min(self._scheduler.next_event_time(), self._weights.next_ready_time())
+        return min(self._scheduler.next_event_time(), self.weights.next_ready_time())
 
     def next_step_time(self, now: float) -> float:
         """Return when streams may have new tokens; infinity when idle or frozen."""
         if self.frozen:
             return float("inf")
         step_time = self._scheduler.next_step_time(now)
-        return min(step_time, self._weights.next_ready_time())
+        return min(step_time, self.weights.next_ready_time())
 
     def crash(self, now: float) -> None:
         """Lose everything and start again in a new incarnation, with the initial weights."""
@@ -282,7 +279,7 @@
             attempt.ended_at = now
         self._frozen_at = None
         self._now = now
-        self._exports = []
+        self.executions.take_exports()
         self._start_incarnation()
 
     def freeze(self, now: float) -> None:
@@ -299,25 +296,7 @@
         self._frozen_at = None
         self._now = now
         self._scheduler.shift(seconds)
-        self._weights.shift(seconds)
-
-    @property
-    def loading(self) -> bool:
-        """Whether weights are under way."""
-        return self._weights.busy
-
-    def open_loads(self) -> dict[str, str]:
-        """Return versions by model of loads whose end is told by ``set_load_end``."""
-        return self._weights.open_loads()
-
-    def set_load_end(self, model: str, version: str, ready_at: float) -> None:
-        """Tell when a load that has begun ends."""
-        self._weights.set_ready_time(model, version, ready_at)
-
-    @property
-    def has_exports(self) -> bool:
-        """Whether ``take_exports`` has something to return."""
-        return bool(self._exports)
+        self.weights.shift(seconds)
 
     def set_event_faults(self, *, dropping: bool, delay_seconds: float | None) -> None:
         """Drop cache events from now on, or publish them with another delay."""
@@ -335,7 +314,7 @@
         self._starts += 1
         self._fence = 0
         self._role = EngineRole.SERVING
-        self._weights = WeightsTable(self._initial_weights, self._load_time)
+        self.weights = WeightsTable(self._initial_weights, self._load_time)
         self._nonces = NonceRegistry(self._config)
         self._events = EventLog(self._config, self._rng)
         self._history = LoadHistory(self._config.report_lag_seconds)
@@ -352,37 +331,24 @@
             self._scheduler.advance(event_time, self._notices)
         self._now = now
         self._settle(first_new)
-        if self._weights.waiting_models():
+        if self.weights.waiting_models():
             self._begin_loads(now)
-        self._weights.complete(now)
+        self.weights.complete(now)
         if self._history.due(now):
             self._history.record(now, self._load_now())
 
     def _settle(self, first_new: int) -> None:
         """Take note of what happened to attempts."""
         for notice in self._notices[first_new:]:
-            attempt = notice.attempt
-            if notice.kind is NoticeKind.STARTED:
-                self._runs.append(
-                    RunRecord(attempt.nonce, attempt.prompt.digest, notice.time, self.incarnation)
-                )
-            elif notice.kind is NoticeKind.FINISHED:
-                self._nonces.end(attempt)
-            elif attempt.kv_cache_store:
-                self._export(attempt)
-
-    def _export(self, attempt: Attempt) -> None:
-        """Offer the blocks that an attempt computed to its KV cache store."""
-        taken = (attempt.cached_tokens + attempt.imported_tokens) // BLOCK_TOKENS
-        keys = tuple(attempt.prompt.block_keys[taken:])
-        if keys:
-            self._exports.append(BlockExport(attempt.kv_cache_store, keys))
+            self.executions.note(notice, self.incarnation)
+            if notice.kind is NoticeKind.FINISHED:
+                self._nonces.end(notice.attempt)
 
     def _begin_loads(self, now: float) -> None:
         """Begin loads of models without running requests; the cache is dropped with them."""
-        for model in self._weights.waiting_models():
+        for model in self.weights.waiting_models():
             if not self._scheduler.runs(model):
-                self._weights.begin(model, now)
+                self.weights.begin(model, now)
                 self._cache.drop_evictable()
 
     def _cancel_live(self, attempt: Attempt, now: float) -> CancelOutcome:
--- a/emulator/engine/service.py
+++ b/emulator/engine/service.py
@@ -71,12 +71,14 @@
     """Ask the weight store for each load that begins, one after the other."""
     async with contextlib.aclosing(WeightStoreClient(address)) as weight_store:
         while True:
-            if not host.model.loading:
+            if not host.model.weights.busy:
                 await host.wait_for_call()
             host.model.advance(trio.current_time())
-            for model, version in host.model.open_loads().items():
+            for model, version in host.model.weights.open_loads().items():
                 seconds = await weight_store.begin_load(model, version)
                 ready_at = trio.current_time() + seconds
-                set_end = functools.partial(host.model.set_load_end, model, version, ready_at)
+                set_end = functools.partial(
+                    host.model.weights.set_ready_time, model, version, ready_at
+                )
                 await host.call(lambda _now, set_end=set_end: set_end())  # type: ignore[misc]
             await trio.sleep(LOAD_POLL_SECONDS)
--- a/hopstep/adapters/engine_http.py
+++ b/hopstep/adapters/engine_http.py
@@ -17,6 +17,7 @@
 import msgspec
 import trio
 
+from hopstep import log_events
 from hopstep.adapters.engine_messages import (
     CACHE_EVENTS_PATH,
     CANCEL_PATH,
@@ -34,6 +35,7 @@
 )
 from hopstep.adapters.engine_stream import StreamDecoder, interrupted, refusal_error
 from hopstep.exceptions import EngineError, ErrorCode, Execution
+from hopstep.logs import emit
 from hopstep.ports.engine import (
     AttemptStatus,
     CacheEventBatch,
@@ -172,7 +174,9 @@
             response = await self._send(method, address, path, message)
             async with contextlib.aclosing(response):
                 body = await _read_body(response)
-            return _decode_answer(response.status_code, body, answer_type, nonce)
+            if response.status_code != httpx.codes.OK:
+                raise _refusal(response.status_code, body, nonce)
+            return _decode_answer(body, answer_type, address)
         raise _unreachable("no answer came in time", Execution.UNKNOWN)
 
     @contextlib.asynccontextmanager
@@ -184,7 +188,7 @@
         async with contextlib.aclosing(response):
             if response.status_code != httpx.codes.OK:
                 raise _refusal(response.status_code, await _read_body(response), nonce)
-            decoder = StreamDecoder(nonce)
+            decoder = StreamDecoder(nonce, address)
             chunks = response.aiter_raw()
             frames = _frames(chunks, decoder)
             try:
@@ -219,15 +223,12 @@
     Raises:
         EngineError: The stream broke off before its last frame, or the attempt was refused.
     """
-    try:
+    with contextlib.suppress(httpx.HTTPError):
         async for data in chunks:
             for frame in decoder.feed(data):
                 yield frame
-    except httpx.HTTPError as error:
-        if not decoder.finished:
-            raise interrupted("the stream was cut off") from error
     if not decoder.finished:
-        raise interrupted("the stream ended without its last frame")
+        raise interrupted("the stream was cut off before its last frame")
 
 
 async def _close_stream(
@@ -265,13 +266,12 @@
         raise _unreachable("the answer was cut off", Execution.UNKNOWN) from error
 
 
-def _decode_answer(status: int, body: bytes, answer_type: type[Answer], nonce: str) -> Answer:
-    """Return the answer to a short call, or raise what it stands for."""
-    if status != httpx.codes.OK:
-        raise _refusal(status, body, nonce)
+def _decode_answer(body: bytes, answer_type: type[Answer], address: str) -> Answer:
+    """Return the answer to a short call."""
     try:
         return msgspec.json.decode(body, type=answer_type)
     except msgspec.DecodeError as error:
+        emit(log_events.ENGINE_ANSWER_MALFORMED, engine=address)
         raise _unreachable("the answer can't be understood", Execution.UNKNOWN) from error
 
 
--- a/hopstep/adapters/engine_stream.py
+++ b/hopstep/adapters/engine_stream.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
+from hopstep import log_events
 from hopstep.adapters.engine_messages import Refusal
 from hopstep.exceptions import EngineError, ErrorCode, Execution
+from hopstep.logs import emit
 from hopstep.ports.engine import TokenFrame
 
 MAX_LINE_BYTES = 1024 * 1024
@@ -37,13 +39,15 @@
 class StreamDecoder:
     """Turns bytes of one stream into frames, joining those that arrive together."""
 
-    def __init__(self, nonce: str) -> None:
+    def __init__(self, nonce: str, engine: str) -> None:
         """Start at the beginning of a stream.
 
         Args:
             nonce: The attempt; frames of others are passed on, but don't end the stream.
+            engine: Address that the stream comes from.
         """
         self._nonce = nonce
+        self._engine = engine
         self._rest = b""
         self._frame_decoder = msgspec.json.Decoder(TokenFrame)
         self._refusal_decoder = msgspec.json.Decoder(RefusalLine)
@@ -58,6 +62,7 @@
         lines = (self._rest + data).split(b"\n")
         self._rest = lines.pop()
         if len(self._rest) > MAX_LINE_BYTES:
+            emit(log_events.ENGINE_ANSWER_MALFORMED, engine=self._engine)
             raise interrupted("the engine sent a line that is too long")
         frames: list[TokenFrame] = []
         for line in lines:
@@ -80,6 +85,7 @@
         try:
             refusal = self._refusal_decoder.decode(line).refusal
         except msgspec.DecodeError:
+            emit(log_events.ENGINE_ANSWER_MALFORMED, engine=self._engine)
             return interrupted("the engine sent what isn't a frame")
         return refusal_error(refusal, self._nonce)
 
--- a/tests/adapters/test_engine_http.py
+++ b/tests/adapters/test_engine_http.py
@@ -13,11 +13,18 @@
 from emulator.engine.server import ADMIN_FAULTS_PATH, ADMIN_RUNS_PATH
 from emulator.engine.service import serve_engine
 from emulator.kv_cache_store.server import serve_kv_cache_store
+from emulator.weight_store.model import LoadRefusedError, WeightStoreModel
+from emulator.weight_store.server import serve_weight_store
 from hopstep.adapters.engine_http import HttpEngine
-from hopstep.adapters.engine_messages import Refusal
+from hopstep.adapters.engine_messages import (
+    GENERATE_PATH,
+    ORDERS_PATH,
+    RESUME_PATH,
+    Refusal,
+)
 from hopstep.adapters.engine_stream import StreamDecoder
 from hopstep.exceptions import EngineError, ErrorCode, Execution
-from hopstep.ports.engine import FinishReason, TokenFrame, Usage
+from hopstep.ports.engine import EngineOrder, FinishReason, TokenFrame, Usage
 from tests.contract.engine_contract import (
     CONFIG,
     IDLE_TIMEOUT_SECONDS,
@@ -72,6 +79,67 @@
         trio.run(test)
 
 
+class EngineServerTest(unittest.TestCase):
+    """The stand-in itself: bad input, refusals in HTTP terms, loads by the weight store."""
+
+    def run_engine(self, test, store):
+        async def body():
+            stop = trio.Event()
+            async with trio.open_nursery() as nursery, contextlib.aclosing(new_port()) as port:
+                serve = functools.partial(serve_weight_store, store)
+                weight_store = await nursery.start(serve, "127.0.0.1:0", stop.wait)
+                serve = functools.partial(
+                    serve_engine, CONFIG, WEIGHTS, weight_store=address_of(weight_store)
+                )
+                address = address_of(await nursery.start(serve, "127.0.0.1:0", stop.wait))
+                await test(port, address)
+                stop.set()
+                nursery.cancel_scope.cancel()
+
+        trio.run(body)
+
+    def test_bad_bodies_name_the_field(self):
+        async def test(_port, address):
+            async with httpx.AsyncClient(trust_env=False) as client:
+                for path, content, field in (
+                    (GENERATE_PATH, b'{"nonce": 1}', "nonce"),
+                    (GENERATE_PATH, b"{", ""),
+                    (RESUME_PATH, b'{"nonce": "n", "incarnation": "i"}', "next_sequence"),
+                    (ORDERS_PATH, b'{"fence": "x"}', "fence"),
+                    (ADMIN_FAULTS_PATH, b'{"crush": true}', "crush"),
+                ):
+                    response = await client.post(f"http://{address}{path}", content=content)
+                    answer = msgspec.json.decode(response.content, type=Refusal)
+                    self.assertEqual(response.status_code, 400)
+                    self.assertEqual(answer.code, ErrorCode.MALFORMED_REQUEST)
+                    self.assertIn(field, answer.message)
+
+        self.run_engine(test, WeightStoreModel(1.0, 1))
+
+    def test_a_load_is_asked_for_until_the_weight_store_grants_it(self):
+        class BusyStore(WeightStoreModel):
+            refusals = 2
+
+            def begin_load(self, now):
+                if self.refusals:
+                    self.refusals -= 1
+                    raise LoadRefusedError
+                return super().begin_load(now)
+
+        store = BusyStore(CONFIG.weight_load_seconds, 1)
+
+        async def test(port, address):
+            facts = await port.order(address, EngineOrder(1, {"model": "v2"}))
+            for _ in range(500):
+                if facts.weights:
+                    break
+                await trio.sleep(0.01)
+                facts = await port.probe(address)
+            self.assertEqual((facts.weights, store.refusals), ({"model": "v2"}, 0))
+
+        self.run_engine(test, store)
+
+
 def chunk(*lines):
     body = b"".join(line + b"\n" for line in lines)
     return f"{len(body):x}\r\n".encode() + body + b"\r\n"
@@ -246,9 +314,9 @@
         data = b"\n".join((LINES[0], b"", *LINES[1:])) + b"\n"
         joined = TokenFrame("n", "i", 0, ("a", "b", "é"), usage=Usage(4, 2))
         whole = [joined, FRAMES[2], FRAMES[3]]
-        self.assertEqual(StreamDecoder("n").feed(data), whole)
+        self.assertEqual(StreamDecoder("n", "engine").feed(data), whole)
         for at in range(len(data) + 1):
-            decoder = StreamDecoder("n")
+            decoder = StreamDecoder("n", "engine")
             frames = decoder.feed(data[:at]) + decoder.feed(data[at:])
             tokens = [token for frame in frames for token in frame.tokens]
             self.assertEqual(tokens, ["a", "b", "é", "x", "d"])
@@ -263,11 +331,11 @@
             TokenFrame("n", "j", 2, ("c",)),
         ):
             data = LINES[0] + b"\n" + msgspec.json.encode(other) + b"\n"
-            self.assertEqual(StreamDecoder("n").feed(data), [FRAMES[0], other])
+            self.assertEqual(StreamDecoder("n", "engine").feed(data), [FRAMES[0], other])
 
     def test_endless_line(self):
         with self.assertRaises(EngineError):
-            StreamDecoder("n").feed(b"x" * (1024 * 1024 + 1))
+            StreamDecoder("n", "engine").feed(b"x" * (1024 * 1024 + 1))
 
 
 if __name__ == "__main__":
--- a/tests/contract/engine_contract.py
+++ b/tests/contract/engine_contract.py
@@ -163,9 +163,9 @@
                 self.assertEqual(last.finish_reason, reason)
 
         self.check(test)
-        self.assertEqual(
-            expected_tokens(brief, 7 + TOKENS)[7:], expected_tokens(brief, TOKENS, head)
-        )
+        whole = expected_tokens(brief, 7 + TOKENS)
+        self.assertEqual(whole[7:], expected_tokens(brief, TOKENS, head))
+        self.assertNotEqual(whole[1 : 1 + TOKENS], expected_tokens(brief, TOKENS, ("odd!",)))
 
     def test_stream_faults(self):
         async def test(bench):
