--- a/emulator/engine/config.py
+++ b/emulator/engine/config.py
@@ -25,6 +25,8 @@
         retained_nonces: Nonces remembered against a second start, oldest dropped first.
         retained_events: Published cache events that can still be read.
         retained_runs: Execution records kept for test oracles.
+        stream_interval_tokens: Tokens between two frames of a stream; the first token and the
+            end are always sent at once.
         heartbeat_seconds: Time between keep-alive lines while a stream has no tokens.
         retry_after_seconds: When a refused caller should come back.
     """
@@ -45,6 +47,7 @@
     retained_nonces: int = 65_536
     retained_events: int = 4_096
     retained_runs: int = 100_000
+    stream_interval_tokens: int = 1
     heartbeat_seconds: float = 1.0
     retry_after_seconds: float = 1.0
 
--- a/emulator/engine/host.py
+++ b/emulator/engine/host.py
@@ -171,7 +171,8 @@
                 )
             # Asked before the yield: it may end while the caller handles the frame.
             ended = attempt.ended
-            if ended or generated > sent:
+            interval = 1 if first else self.model.config.stream_interval_tokens
+            if ended or generated - sent >= interval:
                 yield self._frame(attempt, incarnation, sent, generated, first)
                 first = False
                 sent = max(sent, generated)
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -135,6 +135,13 @@
     ("error",),
     "Nothing; it is tried again.",
 )
+ENGINE_ANSWER_MALFORMED = LogEvent(
+    "HS6001",
+    "engine_answer_malformed",
+    Level.WARNING,
+    ("engine",),
+    "Find out what listens at the engine's address and which version it runs.",
+)
 CLAIMS_UNAVAILABLE = LogEvent(
     "HS7001",
     "claims_unavailable",
--- a/tests/adapters/test_engine_http.py
+++ b/tests/adapters/test_engine_http.py
@@ -7,6 +7,7 @@
 
 import httpx
 import msgspec
+import structlog.testing
 import trio
 
 from emulator.engine.records import RunRecord
@@ -250,8 +251,11 @@
                     self.assertIsNone(expected)
                     self.assertEqual(frames[-1], FRAMES[-1])
 
-            with self.subTest(name):
+            with self.subTest(name), structlog.testing.capture_logs() as logs:
                 requests = self.run_against([(answer, False)], test)
+                self.assertNotIn(REQUEST.prompt, repr(logs))
+                malformed = [log["number"] for log in logs]
+                self.assertEqual(malformed, ["HS6001"] * (name == "sends what isn't a frame"))
                 self.assertEqual(len(requests), 1, "a request must never be repeated")
 
     def test_nothing_listens(self):
@@ -334,7 +338,7 @@
             self.assertEqual(StreamDecoder("n", "engine").feed(data), [FRAMES[0], other])
 
     def test_endless_line(self):
-        with self.assertRaises(EngineError):
+        with self.assertRaises(EngineError), structlog.testing.capture_logs():
             StreamDecoder("n", "engine").feed(b"x" * (1024 * 1024 + 1))
 
 
--- a/tests/emulator/test_engine_in_process.py
+++ b/tests/emulator/test_engine_in_process.py
@@ -3,6 +3,7 @@
 import contextlib
 import unittest
 
+import msgspec
 import trio
 import trio.testing
 
@@ -13,6 +14,7 @@
 from tests.contract.engine_contract import (
     CONFIG,
     IDLE_TIMEOUT_SECONDS,
+    REQUEST,
     WEIGHTS,
     Bench,
     EngineContract,
@@ -47,6 +49,17 @@
 
         self.check(test)
 
+    def test_frames_of_several_tokens(self):
+        async def test():
+            config = msgspec.structs.replace(CONFIG, stream_interval_tokens=5)
+            engines = InProcessEngines()
+            engines.add_engine("engine", EngineModel(config, WEIGHTS))
+            async with engines.generate("engine", REQUEST) as frames:
+                sizes = [len(frame.tokens) async for frame in frames]
+            self.assertEqual(sizes, [1, 5, 5, 1])
+
+        self.run_async(test)
+
 
 if __name__ == "__main__":
     unittest.main()
