Join membership, peers and limits in the node

Control work (probing engines, reading the store, ordering weights) is divided by rendezvous over membership; engine facts and limit usage are shared.

Seen on the way: a client that follows a placement refusal must stay with the named endpoints on its further tries; going back to all routers used up its tries (249 of 254 complete, then 253).

--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -267,8 +267,9 @@
         async with trio.open_nursery() as nursery:
             for demo in demos:
                 nursery.start_soon(demo.start)
-        for demo in demos:
-            await demo.run()
+        async with trio.open_nursery() as nursery:
+            for demo in demos:
+                nursery.start_soon(demo.run)
     results = [result for demo in demos for result in demo.results]
     misplaced = sum(demo.misplaced for demo in demos)
     complete = sum(result.outcome is Outcome.COMPLETE for result in results)
--- a/emulator/load/run.py
+++ b/emulator/load/run.py
@@ -13,7 +13,7 @@
 
 MAX_REQUESTS = 200_000
 MAX_SECONDS = 600.0
-MAX_TRIES = 5
+MAX_TRIES = 10
 MAX_PAUSE_SECONDS = 2.0
 
 
@@ -36,17 +36,16 @@
         addresses: Where to send; the next one is taken for each try.
         request: The request.
     """
-    address = next(addresses)
     for tries in itertools.count(1):
-        result = msgspec.structs.replace(await sender.send(address, request), tries=tries)
+        sent = await sender.send(next(addresses), request)
+        result = msgspec.structs.replace(sent, tries=tries)
         if result.execution != "not_run" or tries == MAX_TRIES:
-            return result
+            break
         if result.endpoints:
-            address = result.endpoints[0]
-            continue
-        await trio.sleep(min(result.retry_after_seconds, MAX_PAUSE_SECONDS))
-        address = next(addresses)
-    raise AssertionError("unreachable")
+            addresses = itertools.cycle(result.endpoints)
+        else:
+            await trio.sleep(min(result.retry_after_seconds, MAX_PAUSE_SECONDS))
+    return result
 
 
 async def run_closed_loop(
--- /dev/null
+++ b/hopstep/services/cluster.py
@@ -0,0 +1,134 @@
+"""This router among the others: what it shares with them, and which control work is its own.
+
+Control work is divided among the live routers by rendezvous hashing over membership, with
+replicas; it moves when membership moves. With the store down all of this goes on.
+"""
+
+from __future__ import annotations
+
+import trio
+
+from hopstep.domain.configuration import AcceptedConfiguration
+from hopstep.domain.engines import EngineFacts
+from hopstep.domain.membership import Action, EntryChanged, RevisionHeard
+from hopstep.domain.peer_message import EngineEntry, EntryKind, LimitUsage
+from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration_sync import ConfigurationSync
+from hopstep.services.engine_watch import EngineWatch
+from hopstep.services.membership import MembershipService
+from hopstep.services.tenant_limits import TenantLimitService
+
+ENGINE_REPLICAS = 2
+"""Routers that probe an engine and read its cache events."""
+
+READER_REPLICAS = 3
+"""Routers that read the configuration from the store."""
+
+READERS_KEY = "configuration-readers"
+ROLLOUT_KEY = "weights-rollout"
+
+USAGE_SECONDS = 2.0
+"""Time between two publications of this router's use of tenants' limits."""
+
+
+class Cluster:
+    """Divides control work, and carries shared values between membership and services."""
+
+    def __init__(self, membership: MembershipService, holder: ConfigurationHolder) -> None:
+        """Prepare; ``attach`` and ``run`` follow.
+
+        Args:
+            membership: Who is alive, and shared entries.
+            holder: Configuration in force; its revision is told to peers.
+        """
+        self._membership = membership
+        self._published_tenants: set[str] = set()
+        holder.subscribe(self._tell_revision)
+
+    def attach(
+        self, watch: EngineWatch, synchronization: ConfigurationSync, limits: TenantLimitService
+    ) -> None:
+        """Join the services that share values; before ``run``.
+
+        Args:
+            watch: Takes engines' facts of other routers.
+            synchronization: Takes hints of configuration revisions.
+            limits: Its use of tenants' limits is published.
+        """
+        self._watch = watch
+        self._synchronization = synchronization
+        self._limits = limits
+        self._membership.follow_confirmations(synchronization.seconds_since_confirmed)
+        self._membership.subscribe(self._take)
+
+    async def run(self) -> None:
+        """Publish the use of limits until cancelled."""
+        while True:
+            await trio.sleep(USAGE_SECONDS)
+            self._publish_usage()
+
+    def watches_engine(self, address: str) -> bool:
+        """Return whether this router probes an engine."""
+        return self._membership.owns(address, ENGINE_REPLICAS)
+
+    def reads_store(self) -> bool:
+        """Return whether this router reads the configuration from the store."""
+        return self._membership.owns(READERS_KEY, READER_REPLICAS)
+
+    def leads_rollout(self) -> bool:
+        """Return whether this router orders weights; fences settle it if two believe so."""
+        return self._membership.owns(ROLLOUT_KEY)
+
+    def live_routers(self) -> frozenset[str]:
+        """Return the names of the routers that take new work, this one included."""
+        names = {record.name for record in self._membership.alive_routers()}
+        return frozenset(names | {self._membership.own.name})
+
+    def live_peers(self) -> tuple[str, ...]:
+        """Return the names of the other routers that take new work."""
+        return tuple(sorted(self.live_routers() - {self._membership.own.name}))
+
+    def http_address(self, name: str) -> str | None:
+        """Return the callers' address of a router, or None when it isn't known."""
+        for record in self._membership.members():
+            if record.name == name:
+                return record.http_address
+        return None
+
+    def publish_engine(self, address: str, facts: EngineFacts) -> None:
+        """Share an engine's facts."""
+        value = EngineEntry.from_facts(address, facts)
+        self._membership.publish(EntryKind.ENGINE_FACTS, address, value)
+
+    def usage_by_router(self, tenant: str) -> dict[str, float]:
+        """Return a tenant's demand at each router, in requests a second."""
+        return {
+            entry.owner: entry.value.requests_per_second
+            for entry in self._membership.entries(EntryKind.LIMIT_USAGE)
+            if isinstance(entry.value, LimitUsage) and entry.value.tenant == tenant
+        }
+
+    def _tell_revision(self, accepted: AcceptedConfiguration) -> None:
+        """Tell peers which configuration is in force here."""
+        self._membership.set_revision(accepted.revision)
+
+    def _take(self, action: Action) -> None:
+        """Pass on what another router shared."""
+        if isinstance(action, RevisionHeard):
+            self._synchronization.latest_revision_hint(
+                action.revision, action.member.name, action.confirmed_age_seconds
+            )
+        elif isinstance(action, EntryChanged) and action.entry.owner != self._membership.own.name:
+            value = action.entry.value
+            if isinstance(value, EngineEntry):
+                self._watch.take_published(value.engine, value.facts())
+
+    def _publish_usage(self) -> None:
+        """Share the demand of each tenant, and withdraw it where there is none any more."""
+        offered = self._limits.take_offered()
+        for tenant in self._published_tenants - set(offered):
+            self._membership.publish(EntryKind.LIMIT_USAGE, tenant, None)
+        for tenant, requests in offered.items():
+            usage = LimitUsage(tenant, requests_per_second=requests / USAGE_SECONDS)
+            self._membership.publish(EntryKind.LIMIT_USAGE, tenant, usage)
+        self._published_tenants = set(offered)
