--- a/hopstep/ctl/editing.py
+++ b/hopstep/ctl/editing.py
@@ -9,8 +9,15 @@
 from hopstep.ctl.documents import read_configuration
 from hopstep.ctl.edits import ItemDifference, describe_conflict, describe_edits
 from hopstep.ctl.results import ExitCode, VerbResult
-from hopstep.domain.configuration import AcceptedConfiguration
-from hopstep.domain.configuration_log import Change, Edit, Section, diff
+from hopstep.domain.configuration import AcceptedConfiguration, BackEnd
+from hopstep.domain.configuration_log import (
+    AcceptedChange,
+    Change,
+    Edit,
+    Section,
+    diff,
+    find_item,
+)
 from hopstep.domain.configuration_problems import Problem
 from hopstep.domain.configuration_validation import validate
 from hopstep.exceptions import ErrorCode, ValidationError
@@ -109,9 +116,12 @@
     if problems:
         return VerbResult(_lines(problems), ValidateDocument(False, problems), ExitCode.BAD_INPUT)
     history = await store.read_history()
-    found = _already_accepted(history, attributes)
+    found = history.find(attributes.change_id)
     if found is not None:
-        return found
+        same = all(
+            find_item(wanted, edit.section, edit.name) == edit.item for edit in found.change.edits
+        )
+        return _found_result(found, same, attributes)
     base = _base(history, attributes.base_revision)
     edits = diff(base.configuration, wanted)
     return await _submit(store, base.revision, edits, attributes)
@@ -122,9 +132,13 @@
 ) -> VerbResult:
     """Mark a back end as leaving, or take the mark away."""
     history = await store.read_history()
-    found = _already_accepted(history, attributes)
+    found = history.find(attributes.change_id)
     if found is not None:
-        return found
+        same = all(
+            edit.name == name and isinstance(edit.item, BackEnd) and edit.item.leaving is leaving
+            for edit in found.change.edits
+        )
+        return _found_result(found, same, attributes)
     base = _base(history, attributes.base_revision)
     for back_end in base.configuration.back_ends:
         if back_end.name == name:
@@ -139,14 +153,18 @@
     return await _submit(store, base.revision, (edit,), attributes)
 
 
-def _already_accepted(
-    history: ConfigurationHistory, attributes: ChangeAttributes
-) -> VerbResult | None:
-    """Return the result of a resubmitted change that is in the sequence, or None."""
-    found = history.find(attributes.change_id)
-    if found is None:
-        return None
-    outcome = SubmitOutcome(SubmitStatus.ACCEPTED, found.revision, message="accepted before")
+def _found_result(found: AcceptedChange, same: bool, attributes: ChangeAttributes) -> VerbResult:
+    """Return the result of a change whose identity is in the sequence.
+
+    Args:
+        found: The accepted change.
+        same: Whether it does what is asked for now.
+        attributes: Those given now.
+    """
+    outcome = SubmitOutcome(SubmitStatus.ACCEPTED, found.revision)
+    if not same:
+        message = f"revision {found.revision} has this change_id and other edits"
+        outcome = SubmitOutcome(SubmitStatus.REJECTED, message=message)
     return _apply_result(outcome, found.change.base_revision, attributes)
 
 
