--- a/hopstep/services/admission.py
+++ b/hopstep/services/admission.py
@@ -18,12 +18,11 @@
 from hopstep.domain.configuration import BackEnd
 from hopstep.domain.fair_queue import FairQueue, QueueEntry
 from hopstep.domain.inference import InferenceRequest
-from hopstep.domain.placement import place_engines
-from hopstep.domain.requests_in_force import request_in_force
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.domain.routing.selection import Choice
 from hopstep.exceptions import DomainError, ErrorCode, ServiceError
 from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.engine_placement import EnginePlacement, PlacementKey, placement_key
 from hopstep.services.engine_slots import EngineSlot, EngineSlots
 
 RECHECK_SECONDS = 0.1
@@ -42,6 +41,13 @@
 """Returns the requests expected at an engine address, those of other routers included."""
 
 
+class _Group(msgspec.Struct, frozen=True):
+    """Queued requests that the same engines can take: when one can't go, none can."""
+
+    placement: PlacementKey
+    excluded: frozenset[str]
+
+
 class _Waiting(msgspec.Struct):
     """A queued request."""
 
@@ -69,7 +75,7 @@
         table: RoutingTable,
         expected_requests: ExpectedRequests | None = None,
     ) -> None:
-        self._holder = holder
+        self._placement = EnginePlacement(holder)
         self._table = table
         self._expected_requests = expected_requests
         self.slots = EngineSlots()
@@ -77,6 +83,9 @@
         self._waiting: dict[str, _Waiting] = {}
         self._mean_hold_seconds = 0.0
         self._found: Choice | None = None
+        self._stuck: set[_Group] = set()
+        self._checked_at = float("-inf")
+        self._checked_revision = 0
         self._next_entry = 0
 
     @property
@@ -101,7 +110,8 @@
             ServiceError: ``NO_ADMISSIBLE_BACK_END`` when placement rules every engine out;
                 ``OVERLOADED`` when the wait is or becomes too long; both as not run.
         """
-        engines = self._placed(request)
+        request = self._placement.in_force(request)
+        engines = self._placement.engines(request)
         waiting = self._new_waiting(request, excluded, further)
         if not further:
             self._shed(waiting.entry, request, engines)
@@ -174,7 +184,7 @@
                 break
             if trio.current_time() >= give_up_at:
                 raise self._overloaded("no engine had room in time", self._mean_hold_seconds)
-            self._drain()
+            self._recheck_if_due()
         if waiting.error is not None:
             raise waiting.error
 
@@ -185,9 +195,16 @@
         if waiting.slot is not None:
             waiting.slot.release()
 
+    def _recheck_if_due(self) -> None:
+        """Look at the queue again, unless another waiting request just has."""
+        if trio.current_time() - self._checked_at >= RECHECK_SECONDS:
+            self._drain()
+
     def _drain(self) -> None:
         """Grant slots in fair order while engines have room."""
+        self._checked_at = trio.current_time()
         self._fail_unplaced()
+        self._stuck.clear()
         while self._queue:
             entry = self._queue.pop(self._is_eligible)
             if entry is None:
@@ -199,9 +216,12 @@
 
     def _fail_unplaced(self) -> None:
         """Refuse queued requests that a new configuration leaves without any engine."""
+        if self._placement.revision == self._checked_revision:
+            return
+        self._checked_revision = self._placement.revision
         for entry_id, waiting in list(self._waiting.items()):
             try:
-                self._placed(waiting.request)
+                self._placement.engines(waiting.request)
             except ServiceError as error:
                 waiting.error = error
                 self._queue.remove(entry_id)
@@ -211,14 +231,19 @@
     def _is_eligible(self, entry: QueueEntry) -> bool:
         """Return whether an engine can take a queued request now, and remember which."""
         waiting = self._waiting[entry.entry_id]
+        group = _Group(placement_key(waiting.request), waiting.excluded)
+        if group in self._stuck:
+            return False
         self._found = self._choose(waiting.request, waiting.excluded, excluded_as_last_resort=True)
+        if self._found is None:
+            self._stuck.add(group)
         return self._found is not None
 
     def _choose(
         self, request: InferenceRequest, excluded: frozenset[str], *, excluded_as_last_resort: bool
     ) -> Choice | None:
         """Return the best engine with room, or None."""
-        placed = self._placed(request)
+        placed = self._placement.engines(request)
         preferred = tuple(engine for engine in placed if engine.name not in excluded)
         if not preferred and excluded_as_last_resort:
             preferred = placed
@@ -226,27 +251,11 @@
         if not free:
             return None
         try:
-            current = request_in_force(request, self._holder.require().configuration)
+            current = self._placement.in_force(request)
             return self._table.choose(current, free, frozenset(), trio.current_time())
         except DomainError:
             return None
 
-    def _placed(self, request: InferenceRequest) -> tuple[BackEnd, ...]:
-        """Return the engines that the configuration in force allows."""
-        configuration = self._holder.require().configuration
-        try:
-            current = request_in_force(request, configuration)
-        except DomainError as error:
-            raise ServiceError(error.code, error.message, field=error.field) from error
-        placement = place_engines(
-            configuration, current.tenant, current.request_class, current.model
-        )
-        if not placement.admissible:
-            raise ServiceError(
-                ErrorCode.NO_ADMISSIBLE_BACK_END, "no engine is allowed to serve the request"
-            )
-        return placement.admissible
-
     def _has_room(self, engine: BackEnd) -> bool:
         """Return whether an engine can take one more request."""
         if not self.slots.is_free(engine):
@@ -257,7 +266,7 @@
 
     def _competes(self, other: QueueEntry, names: set[str]) -> bool:
         """Return whether a queued request may use one of the named engines."""
-        placed = self._placed(self._waiting[other.entry_id].request)
+        placed = self._placement.engines(self._waiting[other.entry_id].request)
         return any(engine.name in names for engine in placed)
 
     def _take(self, choice: Choice) -> EngineSlot:
--- /dev/null
+++ b/hopstep/services/engine_placement.py
@@ -0,0 +1,88 @@
+"""Engines that a request may use under the configuration in force, worked out once a revision."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hopstep.domain.configuration import BackEnd
+from hopstep.domain.inference import InferenceRequest
+from hopstep.domain.placement import place_engines
+from hopstep.domain.requests_in_force import request_in_force
+from hopstep.exceptions import DomainError, ErrorCode, ServiceError
+from hopstep.services.configuration_holder import ConfigurationHolder
+
+
+class PlacementKey(msgspec.Struct, frozen=True):
+    """What placement depends on: equal keys are placed alike under one revision.
+
+    Attributes:
+        tenant: Tenant name.
+        request_class: Class name.
+        model: Model name.
+    """
+
+    tenant: str
+    request_class: str
+    model: str
+
+
+def placement_key(request: InferenceRequest) -> PlacementKey:
+    """Return the key of a request."""
+    return PlacementKey(request.tenant.name, request.request_class.name, request.model.name)
+
+
+class EnginePlacement:
+    """Placements under the configuration in force; forgotten at every new revision.
+
+    Args:
+        holder: Configuration in force.
+    """
+
+    def __init__(self, holder: ConfigurationHolder) -> None:
+        self._holder = holder
+        self._revision = 0
+        self._placed: dict[PlacementKey, tuple[BackEnd, ...]] = {}
+
+    @property
+    def revision(self) -> int:
+        """Revision in force."""
+        return self._holder.revision
+
+    def engines(self, request: InferenceRequest) -> tuple[BackEnd, ...]:
+        """Return the engines that may serve a request.
+
+        Raises:
+            ServiceError: ``NO_ADMISSIBLE_BACK_END`` when there is none.
+        """
+        accepted = self._holder.require()
+        if accepted.revision != self._revision:
+            self._revision = accepted.revision
+            self._placed.clear()
+        key = placement_key(request)
+        placed = self._placed.get(key)
+        if placed is None:
+            placed = self._placed[key] = self._place(request)
+        if not placed:
+            raise ServiceError(
+                ErrorCode.NO_ADMISSIBLE_BACK_END, "no engine is allowed to serve the request"
+            )
+        return placed
+
+    def in_force(self, request: InferenceRequest) -> InferenceRequest:
+        """Return the request with its tenant, class and model as configured now.
+
+        Raises:
+            ServiceError: ``NO_ADMISSIBLE_BACK_END`` when one of them has been removed.
+        """
+        try:
+            return request_in_force(request, self._holder.require().configuration)
+        except DomainError as error:
+            raise ServiceError(error.code, error.message, field=error.field) from error
+
+    def _place(self, request: InferenceRequest) -> tuple[BackEnd, ...]:
+        """Work out a placement."""
+        current = self.in_force(request)
+        configuration = self._holder.require().configuration
+        return place_engines(
+            configuration, current.tenant, current.request_class, current.model
+        ).admissible
