Test changes that do not follow the revision in force

Two mutations on a scratch copy had survived: without the check of the base of a change, and with every answer of the store counted as a confirmation. Both are caught now.

--- a/tests/domain/test_configuration_log.py
+++ b/tests/domain/test_configuration_log.py
@@ -84,6 +84,7 @@
             (5, ConfigurationTransfer(changes=changes[6:]), None),
             (5, ConfigurationTransfer(changes=(changes[5], changes[7])), None),
             (5, ConfigurationTransfer(changes=(AcceptedChange(6, changes[6].change),)), None),
+            (5, ConfigurationTransfer(changes=(AcceptedChange(7, changes[5].change),)), None),
         )
         for start, transfer, expected in cases:
             current = AcceptedConfiguration(start, OLD)
--- a/tests/services/test_configuration_sync.py
+++ b/tests/services/test_configuration_sync.py
@@ -13,9 +13,10 @@
 from hopstep.domain.configuration_encoding import decode_transfer, encode
 from hopstep.domain.configuration_log import AcceptedChange, ConfigurationTransfer
 from hopstep.exceptions import ErrorCode, PeerMessageError
+from hopstep.ports.key_value_store import ABSENT
 from hopstep.ports.peer_configuration import PeerConfigurationPort
 from hopstep.services.configuration_holder import ConfigurationHolder
-from hopstep.services.configuration_store import ConfigurationStore
+from hopstep.services.configuration_store import ConfigurationStore, change_key
 from hopstep.services.configuration_submission import submit_change
 from hopstep.services.configuration_sync import ConfigurationSync, SyncConfig
 from tests.services.configuration_samples import first_change, resize
@@ -137,6 +138,25 @@
 
         run(scenario)
 
+    def test_change_that_does_not_follow_is_neither_applied_nor_a_confirmation(self) -> None:
+        async def scenario() -> None:
+            fleet = Fleet({"a"})
+            await fleet.accept(1)
+            port = InMemoryStore(fleet.shared)
+            async with fleet.running("a"):
+                await trio.sleep(5)
+                for value in (encode(resize("x", 5, 0, 9)), b"damaged"):
+                    version = await port.compare_and_swap(change_key(2), ABSENT, value)
+                    await trio.sleep(20)
+                    self.assertEqual(fleet.holders["a"].revision, 1)
+                    self.assertGreater(fleet.sync("a").seconds_since_confirmed(), 15)
+                    await port.delete(change_key(2), version)
+                await fleet.accept(1)
+                with trio.fail_after(14):
+                    await fleet.holders["a"].wait_above(1)
+
+        run(scenario)
+
 
 class PeerTest(unittest.TestCase):
     def test_hint_pulls_changes_and_confirms(self) -> None:
