--- a/hopstep/cli/ctl.py
+++ b/hopstep/cli/ctl.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import getpass
+import logging
 import os
 import random
 import sys
@@ -74,6 +75,8 @@
     Args:
         arguments: Command line after flags were taken out, the program's name first.
     """
+    # The client library reports each request at its lowest level but one.
+    logging.getLogger("httpx").setLevel(logging.WARNING)
     try:
         result = trio.run(_run_verb, arguments)
     except PortError as error:
