Compose a router's services over ports given from outside

The simulation has to run the very services that the process runs. Ruled out: a second composition in the emulator, which would drift.

--- /dev/null
+++ b/hopstep/services/router.py
@@ -0,0 +1,176 @@
+"""All services of one router, joined over ports that are given from outside.
+
+The process and the simulation share this composition: the process gives adapters, the
+simulation gives emulated ports on a virtual clock.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+
+import msgspec
+import trio
+from prometheus_client import CollectorRegistry
+
+from hopstep.domain.routing.routing_table import RoutingTable
+from hopstep.ports.engine import EnginePort
+from hopstep.ports.key_value_store import KeyValueStorePort
+from hopstep.ports.machine_list import MachineListPort
+from hopstep.ports.peer_configuration import PeerConfigurationPort
+from hopstep.ports.peer_transport import PeerTransport
+from hopstep.services.admission import AdmissionService
+from hopstep.services.attempt_factory import new_nonce
+from hopstep.services.claim_sweeper import ClaimSweeper
+from hopstep.services.claims import ClaimService
+from hopstep.services.cluster import Cluster
+from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration_store import ConfigurationStore
+from hopstep.services.configuration_sync import ConfigurationSync
+from hopstep.services.dispatcher import Dispatcher
+from hopstep.services.engine_watch import EngineWatch
+from hopstep.services.lifecycle import Lifecycle
+from hopstep.services.membership import MembershipService
+from hopstep.services.membership_metrics import MembershipMetrics
+from hopstep.services.rollout import Rollout
+from hopstep.services.tenant_limits import TenantLimitService
+from hopstep.settings import RouterSettings
+
+
+class RouterPorts(msgspec.Struct, frozen=True):
+    """Everything outside the process.
+
+    Attributes:
+        engines: Engines.
+        store: Platform's key-value service.
+        machine_list: Platform's machine list; None for none.
+        peer_transport: Datagrams between routers.
+        peer_configuration: Transfers of configuration revisions between routers.
+        generator: Source of random choices.
+        wall_clock: Returns seconds since the epoch.
+        make_nonce: Returns a nonce that no other attempt of any router has.
+    """
+
+    engines: EnginePort
+    store: KeyValueStorePort
+    machine_list: MachineListPort | None
+    peer_transport: PeerTransport
+    peer_configuration: PeerConfigurationPort
+    generator: random.Random
+    wall_clock: Callable[[], float] = time.time
+    make_nonce: Callable[[], str] = new_nonce
+
+
+class RouterServices:
+    """The services of one router; ``run`` starts them."""
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        ports: RouterPorts,
+        *,
+        incarnation: int,
+        registry: CollectorRegistry,
+    ) -> None:
+        """Join the services. Must be called inside the event loop.
+
+        Args:
+            settings: Settings of the router.
+            ports: Everything outside.
+            incarnation: Unix time of the start in milliseconds.
+            registry: Takes the metrics.
+        """
+        self._settings = settings
+        self._ports = ports
+        self.holder = ConfigurationHolder()
+        self.lifecycle = Lifecycle(self.holder, settings.drain_seconds)
+        self.table = RoutingTable(ports.generator)
+        self.holder.subscribe(self.table.update_configuration)
+        self.membership = MembershipService(
+            settings,
+            ports.peer_transport,
+            incarnation=incarnation,
+            generator=ports.generator,
+            metrics=MembershipMetrics(registry),
+        )
+        self.cluster = Cluster(self.membership, self.holder)
+        self.limits = self._make_limits()
+        self.synchronization = self._make_synchronization()
+        self.watch = self._make_engine_watch()
+        self.cluster.attach(self.watch, self.synchronization, self.limits)
+        self.dispatcher = self._make_dispatcher()
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Do the router's background work until cancelled."""
+        ports = self._ports
+        rollout = Rollout(ports.engines, self.table, self.holder, self.cluster.leads_rollout)
+        sweeper = ClaimSweeper(ports.store, ports.engines, ports.generator, ports.wall_clock)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.membership.run)
+            nursery.start_soon(self.cluster.run)
+            nursery.start_soon(self.synchronization.run)
+            nursery.start_soon(self.watch.run)
+            nursery.start_soon(rollout.run)
+            nursery.start_soon(sweeper.run)
+            task_status.started()
+
+    async def wait_drained(self) -> None:
+        """Wait for a planned stop, tell peers of it, and return when no request is active."""
+        await self.lifecycle.wait_stopping()
+        self.membership.leave()
+        await self.lifecycle.drain()
+
+    def is_isolated(self) -> bool:
+        """Return whether neither the store nor a majority was heard for too long.
+
+        Then the configuration may have tightened without this router's knowledge.
+        """
+        limit = self._settings.isolation_seconds
+        if limit == 0 or self.synchronization.seconds_since_confirmed() <= limit:
+            return False
+        return self.membership.is_isolated(trio.current_time())
+
+    def peer_address(self, name: str) -> str | None:
+        """Return the callers' address of another router, or None when it isn't known."""
+        return self.cluster.http_address(name)
+
+    def _make_limits(self) -> TenantLimitService:
+        """Return the service that holds tenants to their limits."""
+        return TenantLimitService(
+            self._settings.name,
+            self.holder,
+            self.cluster.live_routers,
+            self.cluster.usage_by_router,
+        )
+
+    def _make_dispatcher(self) -> Dispatcher:
+        """Return the dispatcher with its admission and claims."""
+        ports = self._ports
+        admission = AdmissionService(self.holder, self.table)
+        claims = ClaimService(ports.store, ports.engines, self._settings.name, ports.wall_clock)
+        return Dispatcher(
+            ports.engines, self.table, self.holder, admission, claims, self.limits, ports.make_nonce
+        )
+
+    def _make_synchronization(self) -> ConfigurationSync:
+        """Return the service that keeps the configuration."""
+        return ConfigurationSync(
+            self.holder,
+            ConfigurationStore(self._ports.store, self._ports.generator),
+            self._ports.peer_configuration,
+            self.cluster.reads_store,
+            self.cluster.live_peers,
+            self._ports.generator,
+        )
+
+    def _make_engine_watch(self) -> EngineWatch:
+        """Return the service that keeps the engines' facts."""
+        return EngineWatch(
+            self._ports.engines,
+            self.table,
+            self.holder,
+            self.cluster.watches_engine,
+            self.cluster.publish_engine,
+            self._ports.machine_list,
+        )
