Continue streams of a crashed engine whatever the retry budget; shrink windows on overload

A router sends an engine less after a refusal for want of room, smooths the demand that it publishes, and forgets what it believed of an engine that refused a precondition.

--- a/hopstep/domain/attempts.py
+++ b/hopstep/domain/attempts.py
@@ -116,6 +116,8 @@
         fruitless_resumes: Resumes in a row that brought no new token.
         settled: Whether a cancel has already been tried to prove what happened.
         attempts: Dispatches so far.
+        progressed: Whether the latest attempt delivered tokens of its own: then going on
+            elsewhere needs no budget, as the engine that was lost did answer.
         retry_allowed: Whether the retry budget has room.
         hedge_after: Wait for a first token before a second attempt; 0 for never.
         waited: Time since the running attempt was dispatched.
@@ -134,6 +136,7 @@
     fruitless_resumes: int = 0
     settled: bool = False
     attempts: int = 1
+    progressed: bool = False
     retry_allowed: bool = True
     hedge_after: float = 0.0
     waited: float = 0.0
@@ -234,7 +237,8 @@
 
 def _elsewhere(snapshot: RequestSnapshot) -> Decision:
     """Decide between another dispatch and giving up; running twice does no harm here."""
-    if snapshot.attempts >= MAX_ATTEMPTS or not snapshot.retry_allowed:
+    allowed = snapshot.retry_allowed or snapshot.progressed
+    if snapshot.attempts >= MAX_ATTEMPTS or not allowed:
         return _fail(snapshot, _exhausted_code(snapshot))
     return Decision(Action.CONTINUE if snapshot.delivered_tokens else Action.RETRY)
 
--- a/hopstep/domain/retry_budget.py
+++ b/hopstep/domain/retry_budget.py
@@ -5,7 +5,7 @@
 FLOOR_RETRIES_PER_SECOND = 0.5
 """Retries that are allowed however few first attempts there are."""
 
-MAX_SAVED_RETRIES = 10.0
+MAX_SAVED_RETRIES = 32.0
 """Most retries that may come together after a quiet time."""
 
 
--- a/hopstep/services/admission.py
+++ b/hopstep/services/admission.py
@@ -281,7 +281,7 @@
             self._mean_hold_seconds = held
         else:
             self._mean_hold_seconds += HOLD_TIME_SMOOTHING * (held - self._mean_hold_seconds)
-        self.slots.give_back(slot.choice.back_end.address)
+        self.slots.give_back(slot.choice.back_end)
         self._drain()
 
     @staticmethod
--- a/hopstep/services/attempt.py
+++ b/hopstep/services/attempt.py
@@ -29,6 +29,7 @@
     ) -> None:
         self.request = request
         self.slot = slot
+        self._first_sequence = next_sequence
         self.dispatched_at = dispatched_at
         self.expected_incarnation = incarnation
         self.checker = FrameChecker(request.nonce, next_sequence, request.incarnation)
@@ -69,6 +70,11 @@
         """Whether the engine may still have its stream."""
         return bool(self.incarnation) and not self.stream_lost
 
+    @property
+    def progressed(self) -> bool:
+        """Whether it delivered tokens."""
+        return self.checker.next_sequence > self._first_sequence
+
     def record_error(self, error: EngineError) -> None:
         """Note what a failed dispatch or a broken stream proves.
 
--- a/hopstep/services/attempt_factory.py
+++ b/hopstep/services/attempt_factory.py
@@ -172,6 +172,10 @@
             self._held_claims.get(request.request_id),
         )
 
+    def record_overloaded(self, attempt: Attempt) -> None:
+        """Send an engine less, after it refused an attempt for want of room."""
+        self._admission.slots.record_overloaded(attempt.slot.choice.back_end)
+
     def forget(self, request: InferenceRequest) -> None:
         """Drop what is remembered of a request that has ended."""
         self._held_claims.pop(request.request_id, None)
--- a/hopstep/services/engine_slots.py
+++ b/hopstep/services/engine_slots.py
@@ -7,6 +7,9 @@
 from hopstep.domain.configuration import BackEnd
 from hopstep.domain.routing.selection import Choice
 
+OVERLOAD_DECREASE = 0.7
+"""Factor on what a router sends an engine at once, after the engine refused for want of room."""
+
 
 class EngineSlot:
     """One request's room at one engine; given back exactly once.
@@ -32,10 +35,16 @@
 
 
 class EngineSlots:
-    """Requests in flight by engine address."""
+    """Requests in flight by engine address, within a window for each engine.
+
+    Several routers share an engine without a central counter. A router's window starts at the
+    engine's ``max_concurrent_requests``, shrinks by a factor when the engine refuses for want
+    of room, and grows by about one request for each window of requests that ended since.
+    """
 
     def __init__(self) -> None:
         self._in_flight: dict[str, int] = {}
+        self._windows: dict[str, float] = {}
 
     def in_flight(self, address: str) -> int:
         """Return this router's requests at an engine."""
@@ -45,18 +54,40 @@
         """Return this router's requests at all engines."""
         return sum(self._in_flight.values())
 
+    def window(self, engine: BackEnd) -> int:
+        """Return how many requests this router may have at an engine; at least 1."""
+        limit = float(engine.max_concurrent_requests)
+        return max(1, int(min(limit, self._windows.get(engine.address, limit))))
+
     def is_free(self, engine: BackEnd) -> bool:
         """Return whether an engine has room for one more of this router's requests."""
-        return self.in_flight(engine.address) < engine.max_concurrent_requests
+        return self.in_flight(engine.address) < self.window(engine)
+
+    def record_overloaded(self, engine: BackEnd) -> None:
+        """Shrink the window of an engine that refused for want of room."""
+        reached = min(self.window(engine), self.in_flight(engine.address))
+        self._windows[engine.address] = max(1.0, reached * OVERLOAD_DECREASE)
 
     def take(self, address: str) -> None:
         """Count one more request."""
         self._in_flight[address] = self.in_flight(address) + 1
 
-    def give_back(self, address: str) -> None:
-        """Count one request less."""
-        remaining = self._in_flight[address] - 1
+    def give_back(self, engine: BackEnd) -> None:
+        """Count one request less, and let the window grow."""
+        self._grow(engine)
+        remaining = self._in_flight[engine.address] - 1
         if remaining:
-            self._in_flight[address] = remaining
+            self._in_flight[engine.address] = remaining
+        else:
+            del self._in_flight[engine.address]
+
+    def _grow(self, engine: BackEnd) -> None:
+        """Grow a window that was shrunk; a window at its limit is forgotten."""
+        window = self._windows.get(engine.address)
+        if window is None:
+            return
+        grown = window + 1.0 / window
+        if grown >= engine.max_concurrent_requests:
+            del self._windows[engine.address]
         else:
-            del self._in_flight[address]
+            self._windows[engine.address] = grown
--- a/hopstep/services/request_execution.py
+++ b/hopstep/services/request_execution.py
@@ -153,7 +153,8 @@
 
     async def _dispatch_again(self, action: Action) -> None:
         """Go elsewhere: a new attempt, after the delivered tokens if there are any."""
-        self._context.budget.take(trio.current_time())
+        if not self._state.require_attempt().progressed:
+            self._context.budget.take(trio.current_time())
         attempts = self._state.attempts
         emit(
             log_events.ATTEMPT_RETRIED,
@@ -207,8 +208,11 @@
         if attempt.state is AttemptState.DONE:
             return
         if attempt.state is AttemptState.NOT_RUN and attempt.cause is ErrorCode.OVERLOADED:
+            self._context.factory.record_overloaded(attempt)
             return
         table = self._context.factory.table
+        if attempt.cause is ErrorCode.PRECONDITION_FAILED:
+            table.record_precondition_failed(attempt.address, trio.current_time())
         facts = await probe_engine(self._context.port, attempt.address)
         attempt.engine_answers = facts is not None
         if facts is None:
--- a/hopstep/services/request_state.py
+++ b/hopstep/services/request_state.py
@@ -100,6 +100,7 @@
             fruitless_resumes=attempt.fruitless_resumes,
             settled=attempt.settled,
             attempts=self.attempts,
+            progressed=attempt.progressed,
             retry_allowed=budget.allows(now),
             hedge_after=self.hedge_after(configuration),
             waited=now - attempt.dispatched_at,
--- a/hopstep/services/tenant_limits.py
+++ b/hopstep/services/tenant_limits.py
@@ -18,6 +18,12 @@
 UPDATE_SECONDS = 0.5
 """Time between two looks at gossip, for one tenant."""
 
+DEMAND_SMOOTHING = 0.3
+"""Weight of the latest count in the demand that is published."""
+
+MIN_DEMAND = 0.05
+"""Demand below which a tenant counts as idle here."""
+
 MAX_RETRY_AFTER_SECONDS = 60.0
 
 LiveRouters = Callable[[], frozenset[str]]
@@ -51,6 +57,7 @@
         self._started_at = trio.current_time()
         self._limiters: dict[str, TenantLimiter] = {}
         self._updated_at: dict[str, float] = {}
+        self._demand: dict[str, float] = {}
 
     @contextlib.contextmanager
     def entered(
@@ -77,12 +84,17 @@
             unused = request.max_tokens - generated_tokens()
             limiter.leave(trio.current_time(), max(0, unused))
 
-    def take_offered(self) -> dict[str, int]:
-        """Return the requests offered by tenant since the last call, for publication."""
-        offered = {name: limiter.offered for name, limiter in self._limiters.items()}
-        for limiter in self._limiters.values():
+    def take_offered(self) -> dict[str, float]:
+        """Return the smoothed number of requests offered by tenant between two calls.
+
+        Smoothing keeps demand that comes and goes from moving shares to and fro.
+        """
+        for name, limiter in self._limiters.items():
+            before = self._demand.get(name, float(limiter.offered))
+            self._demand[name] = before + DEMAND_SMOOTHING * (limiter.offered - before)
             limiter.offered = 0
-        return {name: count for name, count in offered.items() if count}
+        self._demand = {name: value for name, value in self._demand.items() if value > MIN_DEMAND}
+        return dict(self._demand)
 
     def _limiter(self, tenant: Tenant) -> TenantLimiter:
         """Return a tenant's limiter, up to date."""
--- a/tests/domain/test_attempts_stateful.py
+++ b/tests/domain/test_attempts_stateful.py
@@ -302,6 +302,11 @@
             (refused, Action.RETRY, Action.RETRY),
             ({**refused, "earlier_ran": True}, Action.RETRY, Action.FAIL),
             ({**refused, "retry_allowed": False}, Action.FAIL, Action.FAIL),
+            (
+                {**lost, "retry_allowed": False, "progressed": True, "delivered_tokens": 3},
+                Action.CONTINUE,
+                Action.FAIL,
+            ),
             ({**refused, "now": 200.0}, Action.FAIL, Action.FAIL),
             (
                 {**lost, "resumable": True, "still_placed": False, "delivered_tokens": 1},
