--- /dev/null
+++ b/emulator/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Routing experiments in virtual time over the pure engine model."""
--- /dev/null
+++ b/emulator/experiments/omniscient.py
@@ -0,0 +1,78 @@
+"""The omniscient strategy: sees true caches, loads and the KV cache store; an upper bound.
+
+It is greedy: it takes the least expected time to first token for the request at hand, and
+doesn't plan for later ones.
+"""
+
+from __future__ import annotations
+
+import random
+
+from emulator.experiments.strategies import Strategy, plain_choice
+from emulator.experiments.traffic import TraceRequest
+from emulator.experiments.world import World
+from hopstep.domain.blocks import BLOCK_TOKENS
+from hopstep.domain.configuration import BackEnd, Configuration
+from hopstep.domain.requests_in_force import choose_kv_cache_store
+from hopstep.domain.routing.selection import Choice
+
+
+class OmniscientStrategy(Strategy):
+    """Greedy choice by the truth."""
+
+    def __init__(
+        self, world: World, configuration: Configuration, random_source: random.Random
+    ) -> None:
+        """Look into a world.
+
+        Args:
+            world: True engines and store.
+            configuration: Costs and speeds.
+            random_source: Breaks ties.
+        """
+        self._world = world
+        self._configuration = configuration
+        self._random = random_source
+        self._underway: dict[str, int] = {}
+
+    def choose(
+        self,
+        item: TraceRequest,
+        admissible: tuple[BackEnd, ...],
+        excluded: frozenset[str],
+        now: float,
+    ) -> Choice | None:
+        """Return the engine with the least expected time to first token."""
+        usable = [
+            back_end
+            for back_end in admissible
+            if back_end.name not in excluded and self._serves(back_end, item, now)
+        ]
+        if not usable:
+            return None
+        best = min(usable, key=lambda back_end: self._cost(back_end, item, now))
+        store = choose_kv_cache_store(self._configuration, item.request, best)
+        cached = self._world.engines[best.address].model.cached_blocks(item.prepared)
+        return plain_choice(best, item, cached_tokens=cached * BLOCK_TOKENS, kv_cache_store=store)
+
+    def _serves(self, back_end: BackEnd, item: TraceRequest, now: float) -> bool:
+        """Return whether an engine has the weights."""
+        model = item.request.model
+        facts = self._world.engines[back_end.address].model.facts(now)
+        return facts.weights.get(model.name) == model.weights_version
+
+    def _cost(self, back_end: BackEnd, item: TraceRequest, now: float) -> tuple[float, float]:
+        """Return the weighted seconds until the first token, then a random tie-break."""
+        policy = self._configuration.routing
+        model = self._world.engines[back_end.address].model
+        cached = model.cached_blocks(item.prepared) * BLOCK_TOKENS
+        store = choose_kv_cache_store(self._configuration, item.request, back_end)
+        importable = self._world.importable_blocks(store, item.prepared) * BLOCK_TOKENS
+        imported = max(0, importable - cached)
+        computed = item.prepared.token_count - cached - imported
+        load = model.load(now)
+        wait = load.waiting_prefill_tokens / policy.prefill_tokens_per_second
+        own = computed / policy.prefill_tokens_per_second
+        if imported:
+            own += imported / policy.import_tokens_per_second
+        return policy.recompute_weight * own + policy.wait_weight * wait, self._random.random()
--- /dev/null
+++ b/emulator/experiments/scenarios.py
@@ -0,0 +1,154 @@
+"""Scenarios: what a run changes about the traffic, and which faults it induces when."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+
+import msgspec
+
+from emulator.experiments.deployments import NEXT_WEIGHTS, Deployment
+from emulator.experiments.simulation import Simulation
+from emulator.experiments.traffic import TrafficPlan
+from emulator.experiments.world import SimulatedEngine
+from hopstep.domain.configuration import AcceptedConfiguration
+from hopstep.domain.engines import EngineFacts
+from hopstep.domain.rollout import plan as plan_rollout
+from hopstep.ports.engine import EngineOrder
+
+DURATION_SECONDS = 50.0
+"""Length of a trace in virtual time."""
+
+WARM_UP_SECONDS = 10.0
+"""Start of a trace that isn't measured, while caches fill."""
+
+FAULT_AT = 25.0
+"""When a scenario's change comes."""
+
+CRASH_INTERVAL_SECONDS = 4.0
+ROLLOUT_SECONDS = 0.25
+CONFIGURATION_SPREAD_SECONDS = 1.0
+STORE_OUTAGE_SECONDS = 15.0
+OVERLOAD_FACTOR = 2.0
+
+Induce = Callable[[Simulation], None]
+
+
+class Scenario(msgspec.Struct, frozen=True):
+    """One scenario.
+
+    Attributes:
+        name: Its name.
+        description: One line for the report.
+        hot_shift: Whether popularity moves on at ``FAULT_AT``.
+        new_weights: Whether new weights are rolled out at ``FAULT_AT``.
+        overload: Whether traffic comes at twice the capacity.
+        event_loss_ratio: Share of cache events that are lost.
+        event_delay_seconds: Time from a cache event to its publication.
+        induce: Schedules faults in a run; None for none.
+    """
+
+    name: str
+    description: str
+    hot_shift: bool = False
+    new_weights: bool = False
+    overload: bool = False
+    event_loss_ratio: float = 0.02
+    event_delay_seconds: float = 0.2
+    induce: Induce | None = None
+
+    def traffic_plan(self, deployment: Deployment) -> TrafficPlan:
+        """Return what the scenario changes about the traffic."""
+        factor = 1.0
+        if self.overload:
+            capacity = deployment.capacity_per_second
+            factor = OVERLOAD_FACTOR * capacity / deployment.requests_per_second
+        never = float("inf")
+        return TrafficPlan(
+            duration_seconds=DURATION_SECONDS,
+            rate_factor=factor,
+            hot_shift_at=FAULT_AT if self.hot_shift else never,
+            new_weights_at=FAULT_AT if self.new_weights else never,
+        )
+
+
+def _crash_engines(simulation: Simulation) -> None:
+    """Crash a third of the engines, one after the other; each comes back empty."""
+    engines = list(simulation.world.engines.values())
+    for turn, engine in enumerate(engines[::3]):
+        crash = partial(_crash, simulation, engine)
+        simulation.queue.at(FAULT_AT + CRASH_INTERVAL_SECONDS * turn, crash)
+
+
+def _crash(simulation: Simulation, engine: SimulatedEngine) -> None:
+    """Crash one engine now."""
+    engine.model.crash(simulation.queue.now)
+    simulation.lose_attempts(engine)
+
+
+def _restart_routers(simulation: Simulation) -> None:
+    """Restart every router at once."""
+    for router in simulation.routers:
+        simulation.queue.at(FAULT_AT, router.restart)
+
+
+def _stop_store(simulation: Simulation) -> None:
+    """Take the KV cache store away for a while."""
+    world = simulation.world
+
+    def set_available(available: bool) -> None:
+        world.store_available = available
+
+    simulation.queue.at(FAULT_AT, lambda: set_available(False))
+    simulation.queue.at(FAULT_AT + STORE_OUTAGE_SECONDS, lambda: set_available(True))
+
+
+def _roll_weights(simulation: Simulation) -> None:
+    """Accept new weights for the first model, and order engines to load them."""
+    configuration = simulation.deployment.configuration
+    first, *others = configuration.models
+    model = msgspec.structs.replace(first, weights_version=NEXT_WEIGHTS)
+    changed = msgspec.structs.replace(configuration, models=(model, *others))
+    accepted = AcceptedConfiguration(2, changed)
+
+    def begin() -> None:
+        simulation.change_configuration(accepted, CONFIGURATION_SPREAD_SECONDS)
+        _order_weights(simulation, accepted)
+
+    simulation.queue.at(FAULT_AT, begin)
+
+
+def _order_weights(simulation: Simulation, accepted: AcceptedConfiguration) -> None:
+    """Give the orders that are due, and look again soon."""
+    now = simulation.queue.now
+    facts: dict[str, EngineFacts] = {
+        address: engine.model.facts(now) for address, engine in simulation.world.engines.items()
+    }
+    for order in plan_rollout(accepted, facts):
+        engine = simulation.world.engines[order.address]
+        engine.order(EngineOrder(fence=order.fence, weights=order.weights))
+    if now < DURATION_SECONDS:
+        simulation.queue.after(ROLLOUT_SECONDS, lambda: _order_weights(simulation, accepted))
+
+
+SCENARIOS = {
+    scenario.name: scenario
+    for scenario in (
+        Scenario("steady", "Steady day"),
+        Scenario("hot_shift", "Hot prefixes shift, new ones come up", hot_shift=True),
+        Scenario(
+            "event_gaps",
+            "Half of the cache events lost, the others two seconds late",
+            event_loss_ratio=0.5,
+            event_delay_seconds=2.0,
+        ),
+        Scenario("engine_crashes", "A third of the engines crash, in turn", induce=_crash_engines),
+        Scenario(
+            "rolling_weights", "New weights are rolled out", new_weights=True, induce=_roll_weights
+        ),
+        Scenario("router_restart", "All routers restart at once", induce=_restart_routers),
+        Scenario("store_outage", "The KV cache store is away", induce=_stop_store),
+        Scenario("overload", "Twice the capacity", overload=True),
+    )
+}
+"""Scenarios by name."""
