Keep a leaving machine without work while the machine list flaps

Cause: each answer of the list replaced the set of leaving machines, so one that was missing from every second answer got work again every other second. Now a machine leaves until it is shown as live three times in a row. Ruled out: a time since it was last shown, which an outage of the list would run down.

--- a/hopstep/services/engine_watch.py
+++ b/hopstep/services/engine_watch.py
@@ -14,11 +14,12 @@
 from hopstep import log_events
 from hopstep.domain.configuration import BackEnd, BackEndKind
 from hopstep.domain.engines import CacheEventBatch, EngineFacts
+from hopstep.domain.leaving_machines import LeavingMachines
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.exceptions import EngineError, StoreError
 from hopstep.logs import emit
 from hopstep.ports.engine import EnginePort
-from hopstep.ports.machine_list import MachineListPort, MachineState
+from hopstep.ports.machine_list import Machine, MachineListPort, MachineState
 from hopstep.services.configuration_holder import ConfigurationHolder
 
 PROBE_SECONDS = 0.5
@@ -68,6 +69,7 @@
         self._published_at: dict[str, float] = {}
         self._event_sequences: dict[str, int] = {}
         self._unreachable: set[str] = set()
+        self._leaving_machines = LeavingMachines()
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -100,10 +102,10 @@
             while True:
                 wanted = {engine.address for engine in self._engines()}
                 wanted = {address for address in wanted if self._owns(address)}
-                for address in set(watched) - wanted:
+                for address in sorted(set(watched) - wanted):
                     watched.pop(address).cancel()
                     self._forget(address)
-                for address in wanted - set(watched):
+                for address in sorted(wanted - set(watched)):
                     watched[address] = trio.CancelScope()
                     nursery.start_soon(self._probe_forever, address, watched[address])
                 await trio.sleep(PROBE_SECONDS)
@@ -186,10 +188,20 @@
                 available = False
             else:
                 available = True
-                leaving = (item for item in machines if item.state is MachineState.LEAVING)
-                self._table.update_leaving(frozenset(item.address for item in leaving))
+                self._take_machines(machines)
             await trio.sleep(MACHINE_LIST_SECONDS)
 
+    def _take_machines(self, machines: list[Machine]) -> None:
+        """Take one answer of the machine list."""
+        leaving = _addresses(machines, MachineState.LEAVING)
+        live = _addresses(machines, MachineState.LIVE)
+        self._table.update_leaving(self._leaving_machines.update(leaving, live))
+
+
+def _addresses(machines: list[Machine], state: MachineState) -> list[str]:
+    """Return the addresses of the machines in a state."""
+    return [item.address for item in machines if item.state is state]
+
 
 def _differ(before: EngineFacts | None, facts: EngineFacts) -> bool:
     """Return whether facts other than load and counters changed."""
