--- a/emulator/hollow_cluster.py
+++ b/emulator/hollow_cluster.py
@@ -14,9 +14,18 @@
 import msgspec
 
 from emulator.link_faults import LinkFaults
-from hopstep.adapters.peer_codec import encoded_size
+from hopstep.adapters.peer_codec import PeerCodec, encoded_size
+from hopstep.adapters.peer_keys import PeerKeys
 from hopstep.domain.membership import Action, Membership, MembershipConfig, Send
-from hopstep.domain.peer_message import MemberRecord, MemberState, PeerMessage
+from hopstep.domain.peer_message import (
+    Body,
+    Gossip,
+    MemberRecord,
+    MemberState,
+    PeerMessage,
+    Push,
+)
+from hopstep.exceptions import ErrorCode, PeerMessageError
 
 MIN_WAKEUP_SECONDS = 0.005
 """Shortest time between two ticks of one node."""
@@ -24,6 +33,11 @@
 ENVELOPE_BYTES = 95
 """Frame header, tag, IP and UDP headers around a body, for a name of ten characters."""
 
+CLUSTER_NAME = "hollow"
+
+WALL_CLOCK_START = 1_700_000_000.0
+"""Unix time at virtual time 0."""
+
 ActionObserver = Callable[["HollowNode", Action, float], None]
 
 
@@ -39,6 +53,7 @@
         running: False while the process is down.
         paused: True while it is stopped by a signal.
         sent_bytes: Bytes sent over all incarnations.
+        codec: Signs and checks datagrams; None passes messages on as they are.
     """
 
     def __init__(self, name: str, address: str, zone: str, membership: Membership) -> None:
@@ -51,13 +66,14 @@
         self.running = True
         self.paused = False
         self.sent_bytes = 0
+        self.codec: PeerCodec | None = None
         self.inbox: list[_Delivery] = []
 
 
 class _Delivery(msgspec.Struct, frozen=True):
-    """A message on its way."""
+    """A message on its way; signed datagrams are bytes."""
 
-    message: PeerMessage
+    message: PeerMessage | bytes
     source: str
 
 
@@ -65,7 +81,12 @@
     """Nodes, links and the event queue."""
 
     def __init__(
-        self, seed: int, faults: LinkFaults, config: MembershipConfig, observe: ActionObserver
+        self,
+        seed: int,
+        faults: LinkFaults,
+        config: MembershipConfig,
+        observe: ActionObserver,
+        keys: PeerKeys | None = None,
     ) -> None:
         """Start empty at time 0.
 
@@ -74,10 +95,12 @@
             faults: Links.
             config: Protocol configuration of every node.
             observe: Called with every action but sends.
+            keys: Keys that sign datagrams; None for messages without signatures.
         """
         self._generator = random.Random(seed)
         self._config = config
         self._observe = observe
+        self._keys = keys
         self._events: list[tuple[float, int, str, int, _Delivery | None]] = []
         self._numbers = itertools.count()
         self._incarnation = 1_000
@@ -85,11 +108,13 @@
         self.nodes: dict[str, HollowNode] = {}
         self.now = 0.0
         self.messages = 0
+        self.rejected = 0
 
     def add(self, name: str, seeds: tuple[str, ...], zone: str = "zone-1") -> HollowNode:
         """Start a new node whose UDP address is its name."""
         membership = self._membership(name, seeds, zone)
         node = HollowNode(name, name, zone, membership)
+        node.codec = self._codec(node)
         self.nodes[name] = node
         self._wake(node, self.now)
         return node
@@ -101,6 +126,7 @@
         node.running, node.paused = True, False
         node.inbox = []
         node.membership = self._membership(name, seeds, node.zone)
+        node.codec = self._codec(node)
         self._wake(node, self.now)
 
     def kill(self, name: str) -> None:
@@ -152,9 +178,18 @@
             else:
                 self._observe(node, action, self.now)
 
-    def inject(self, target: str, message: PeerMessage, source: str) -> None:
-        """Deliver a message at once, as if it had passed authentication."""
-        self._receive(self.nodes[target], _Delivery(message, source))
+    def inject(self, target: str, datagram: bytes, source: str) -> None:
+        """Deliver a datagram at once."""
+        self.receive(self.nodes[target], datagram, source)
+
+    def introduce_everyone(self) -> None:
+        """Let every node know every other, as after a long time without faults."""
+        records = [node.membership.own for node in self.nodes.values()]
+        gossip = Gossip(members=tuple(records))
+        for node in self.nodes.values():
+            sender = next(record for record in records if record.name != node.name)
+            message = PeerMessage(sender.name, sender.incarnation, Push(gossip))
+            node.membership.handle(message, sender.peer_address, self.now)
 
     def running(self) -> list[HollowNode]:
         """Return the nodes whose processes run."""
@@ -188,19 +223,38 @@
         """Put a message on its way through the faults."""
         node.sent_bytes += encoded_size(action.body) + ENVELOPE_BYTES
         self.messages += 1
-        own = node.membership.own
-        delivery = _Delivery(PeerMessage(own.name, own.incarnation, action.body), node.address)
         if action.address not in self.nodes:
             return
+        delivery = _Delivery(_wrap(node, action.body), node.address)
         for delay in self.faults.deliveries(node.address, action.address):
             self._push(self.now + delay, action.address, 0, delivery)
 
+    def receive(self, node: HollowNode, message: PeerMessage | bytes, source: str) -> bool:
+        """Hand a message to a node; return whether it was authentic."""
+        if isinstance(message, bytes):
+            try:
+                message = _unwrap(node, message)
+            except PeerMessageError:
+                self.rejected += 1
+                return False
+        self.act(node, node.membership.handle(message, source, self.now))
+        return True
+
+    def _codec(self, node: HollowNode) -> PeerCodec | None:
+        if self._keys is None:
+            return None
+        incarnation = node.membership.own.incarnation
+        return PeerCodec(CLUSTER_NAME, node.name, incarnation, self._keys, self.wall_clock)
+
+    def wall_clock(self) -> float:
+        """Return Unix time in seconds."""
+        return WALL_CLOCK_START + self.now
+
     def _receive(self, node: HollowNode, delivery: _Delivery) -> None:
         if node.paused:
             node.inbox.append(delivery)
             return
-        actions = node.membership.handle(delivery.message, delivery.source, self.now)
-        self.act(node, actions)
+        self.receive(node, delivery.message, delivery.source)
 
     def _wake(self, node: HollowNode, at: float) -> None:
         self._push(at, node.address, node.life, None)
@@ -210,3 +264,17 @@
 
     def _soon(self) -> float:
         return self.now + MIN_WAKEUP_SECONDS
+
+
+def _wrap(node: HollowNode, body: Body) -> PeerMessage | bytes:
+    own = node.membership.own
+    if node.codec is None:
+        return PeerMessage(own.name, own.incarnation, body)
+    node.codec.use_incarnation(own.incarnation)
+    return node.codec.encode(body)
+
+
+def _unwrap(node: HollowNode, datagram: bytes) -> PeerMessage:
+    if node.codec is None:
+        raise PeerMessageError(ErrorCode.PEER_MESSAGE_REJECTED, "this cluster has no keys")
+    return node.codec.decode(datagram)
--- /dev/null
+++ b/tests/domain/test_membership_stateful.py
@@ -0,0 +1,276 @@
+"""Stateful fuzzing of membership against a simple oracle.
+
+Any mixture of kills, restarts, planned stops, pauses, partitions, cuts, losses, forged and
+replayed datagrams. The oracle: once faults stop, every running node holds exactly the running
+ones alive in their present incarnations, has the highest revision and the latest entries of
+each; and a datagram that isn't authentic and new changes nothing.
+"""
+
+import random
+import unittest
+from unittest import mock
+
+import hypothesis
+from hypothesis import strategies
+from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+
+from emulator.hollow_cluster import HollowCluster
+from emulator.link_faults import LinkFaults, LinkQuality
+from hopstep.adapters import peer_codec
+from hopstep.adapters.peer_codec import PeerCodec
+from hopstep.adapters.peer_keys import PeerKeys
+from hopstep.domain.membership import Membership, MembershipConfig, RevisionHeard, table
+from hopstep.domain.membership.state import MembershipState
+from hopstep.domain.peer_message import (
+    EntryKind,
+    Gossip,
+    LeavingBackEnd,
+    MemberState,
+    MemberStatus,
+    Push,
+)
+from hopstep.domain.rumours import EntryTable
+from tests import fuzz_settings
+
+NAMES = tuple(f"n{number}" for number in range(5))
+SEEDS = NAMES[:2]
+KEYS = PeerKeys({"k": bytes(32)})
+SETTLE_SECONDS = 90
+QUIET_SECONDS = 15
+KIND = EntryKind.LEAVING_BACK_END
+WRONG_VARIANT_EXAMPLES = 150
+
+names = strategies.sampled_from(NAMES)
+
+
+class RecordingCluster(HollowCluster):
+    """Remembers the datagrams that each node has accepted in its present life."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.accepted = {}
+
+    def receive(self, node, message, source):
+        authentic = super().receive(node, message, source)
+        if authentic:
+            start = node.codec
+            self.accepted.setdefault((node.name, start), []).append(message)
+        return authentic
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        faults = LinkFaults(random.Random(1), LinkQuality(loss=0.01))
+        self.cluster = RecordingCluster(1, faults, MembershipConfig(), self.observe, KEYS)
+        self.published = {}
+        self.revision = 0
+        for name in NAMES:
+            self.cluster.add(name, SEEDS)
+
+    def observe(self, node, action, now):
+        """Take over every revision that is heard of, as if it were fetched at once."""
+        if isinstance(action, RevisionHeard):
+            self.cluster.act(node, node.membership.set_revision(action.revision, now))
+
+    def node(self, name):
+        return self.cluster.nodes[name]
+
+    @rule(seconds=strategies.sampled_from((0.01, 0.3, 1.0, 3.0, 10.0, 40.0)))
+    def advance(self, seconds):
+        self.cluster.run_until(self.cluster.now + seconds)
+
+    @rule(name=names)
+    def kill(self, name):
+        self.cluster.kill(name)
+
+    @rule(name=names)
+    def restart(self, name):
+        self.cluster.restart(name, SEEDS)
+        self.published.pop(name, None)
+
+    @rule(name=names)
+    def leave(self, name):
+        if self.node(name).running and not self.node(name).paused:
+            self.cluster.leave(name)
+
+    @rule(name=names)
+    def pause(self, name):
+        self.cluster.pause(name)
+
+    @rule(name=names)
+    def resume(self, name):
+        if self.node(name).paused:
+            self.cluster.resume(name)
+
+    @rule(group=strategies.sets(names))
+    def partition(self, group):
+        self.cluster.faults.partition(group)
+
+    @rule(name=names)
+    def cut(self, name):
+        self.cluster.faults.cut(name)
+
+    @rule(source=names, receiver=names)
+    def cut_one_way(self, source, receiver):
+        self.cluster.faults.cut_one_way(source, receiver)
+
+    @rule(loss=strategies.sampled_from((0.0, 0.1, 0.5)))
+    def degrade(self, loss):
+        quality = LinkQuality(loss=loss, duplication=loss, max_delay_seconds=0.05 + loss)
+        self.cluster.faults.quality = quality
+
+    @rule()
+    def heal(self):
+        self.cluster.faults.heal()
+
+    @rule(name=names, subject=strategies.sampled_from("xyz"), leaving=strategies.booleans())
+    def publish(self, name, subject, leaving):
+        node = self.node(name)
+        if not node.running or node.paused:
+            return
+        value = LeavingBackEnd(subject) if leaving else None
+        actions = node.membership.publish(KIND, subject, value, self.cluster.now)
+        self.cluster.act(node, actions)
+        self.published.setdefault(name, {})[subject] = value
+
+    @rule(name=names)
+    def accept_revision(self, name):
+        node = self.node(name)
+        if node.running and not node.paused:
+            self.revision += 1
+            actions = node.membership.set_revision(self.revision, self.cluster.now)
+            self.cluster.act(node, actions)
+
+    @rule(receiver=names, position=strategies.integers(0, 10_000))
+    def replay(self, receiver, position):
+        node = self.node(receiver)
+        accepted = self.cluster.accepted.get((receiver, node.codec), [])
+        if accepted:
+            self.inject_in_vain(node, accepted[position % len(accepted)])
+
+    @rule(
+        receiver=names, position=strategies.integers(0, 10_000), bit=strategies.integers(0, 10_000)
+    )
+    def forge(self, receiver, position, bit):
+        node = self.node(receiver)
+        accepted = self.cluster.accepted.get((receiver, node.codec), [])
+        if accepted:
+            datagram = bytearray(accepted[position % len(accepted)])
+            datagram[bit // 8 % len(datagram)] ^= 1 << bit % 8
+            self.inject_in_vain(node, bytes(datagram))
+
+    @rule(receiver=names, victim=names)
+    def say_from_another_cluster(self, receiver, victim):
+        node, now = self.node(receiver), self.cluster.wall_clock()
+        codec = PeerCodec("another", "stranger", 1, KEYS, lambda: now)
+        status = MemberStatus(victim, 10_000, 0, MemberState.DEAD)
+        self.inject_in_vain(node, codec.encode(Push(Gossip(99, statuses=(status,)))))
+
+    def inject_in_vain(self, node, datagram):
+        before = self.view(node), self.cluster.messages
+        self.cluster.inject(node.name, datagram, "stranger")
+        assert (self.view(node), self.cluster.messages) == before, "a bad datagram had an effect"
+
+    def view(self, node):
+        return node.membership.members(), node.membership.entries(KIND)
+
+    def stop_faults(self):
+        self.cluster.faults.heal()
+        self.cluster.faults.quality = LinkQuality()
+        for node in self.cluster.nodes.values():
+            if node.running and node.paused:
+                self.cluster.resume(node.name)
+        for name in SEEDS:
+            if not self.node(name).running:
+                self.restart(name)
+
+    def settled(self):
+        running = self.cluster.running()
+        revision = max(node.membership.own.configuration_revision for node in running)
+        expected = self.expected_entries()
+        return self.cluster.agrees() and all(
+            node.membership.own.configuration_revision == revision
+            and held_entries(node) == expected
+            for node in running
+        )
+
+    def expected_entries(self):
+        return {
+            (name, subject): value
+            for name, values in self.published.items()
+            for subject, value in values.items()
+            if value is not None and self.node(name).running
+        }
+
+    def teardown(self):
+        self.stop_faults()
+        deadline = self.cluster.now + SETTLE_SECONDS
+        while not self.settled() and self.cluster.now < deadline:
+            self.cluster.run_until(self.cluster.now + 1)
+        assert self.settled(), "no agreement after faults stopped"
+        for _ in range(QUIET_SECONDS):
+            self.cluster.run_until(self.cluster.now + 1)
+            assert self.settled(), "agreement was lost without a fault"
+        isolated = [
+            n.name for n in self.cluster.running() if n.membership.is_isolated(self.cluster.now)
+        ]
+        assert not isolated, f"{isolated} isolated without a fault"
+
+
+def held_entries(node):
+    return {(entry.owner, entry.subject): entry.value for entry in node.membership.entries(KIND)}
+
+
+WRONG_VARIANTS = (
+    ("no refutation", lambda: mock.patch.object(MembershipState, "_defend", lambda *_: False)),
+    (
+        "state before incarnation",
+        lambda: mock.patch.object(
+            table, "precedence", lambda incarnation, version, state: (state, incarnation, version)
+        ),
+    ),
+    (
+        "replays admitted",
+        lambda: mock.patch.object(peer_codec.ReplayWindow, "admit", lambda *_: True),
+    ),
+    (
+        "tags not compared",
+        lambda: mock.patch.object(peer_codec.hmac, "compare_digest", lambda *_: True),
+    ),
+    ("no anti-entropy", lambda: mock.patch.object(Membership, "_synchronize", stop_syncing)),
+    (
+        "entries outlive their owner",
+        lambda: mock.patch.object(EntryTable, "drop_owner", lambda *_: None),
+    ),
+    (
+        "dead members are never probed",
+        lambda: mock.patch.object(table.MemberTable, "dead", lambda _: []),
+    ),
+)
+
+
+def stop_syncing(membership, now):
+    membership._sync_at = now + 10_000
+
+
+class MembershipStatefulTest(unittest.TestCase):
+    def test_agreement_after_any_faults(self):
+        fuzz_settings.run_machine(MembershipMachine, base_examples=20, base_steps=25)
+
+    def test_wrong_variants_are_caught(self):
+        settings = hypothesis.settings(
+            fuzz_settings.settings(WRONG_VARIANT_EXAMPLES, 25),
+            max_examples=WRONG_VARIANT_EXAMPLES,
+            derandomize=True,
+            phases=(hypothesis.Phase.generate,),
+            report_multiple_bugs=False,
+            print_blob=False,
+        )
+        for name, variant in WRONG_VARIANTS:
+            with self.subTest(name), variant(), self.assertRaises(AssertionError):
+                run_state_machine_as_test(MembershipMachine, settings=settings)
+
+
+if __name__ == "__main__":
+    unittest.main()
