Look at placement again after an attempt was prepared

Cause: between the choice of an engine and the dispatch lie a probe and a claim, up to four seconds together with a slow store. An attempt was sent although a label edit in that time had ruled its engine out. Now the preparation looks again when the revision has changed, and begins anew, replacing its own claim. Ruled out: holding edits back while claims are open.

--- a/hopstep/domain/requests_in_force.py
+++ b/hopstep/domain/requests_in_force.py
@@ -56,6 +56,28 @@
     return all(selector.matches(engine.labels) for selector in selectors)
 
 
+def may_take_attempt(
+    request: InferenceRequest,
+    configuration: Configuration,
+    engine_name: str,
+    weights_version: str,
+) -> bool:
+    """Return whether an attempt that was prepared earlier may still be sent to an engine.
+
+    Args:
+        request: The request.
+        configuration: Configuration in force now.
+        engine_name: Engine that the attempt was prepared for.
+        weights_version: Weights that it will require.
+    """
+    if not may_hold_answer(request, configuration, engine_name):
+        return False
+    engine = _find(configuration.back_ends, engine_name, "back_end")
+    model = _find(configuration.models, request.model.name, "model")
+    takes_work = not engine.leaving and model.name in engine.models
+    return takes_work and model.weights_version == weights_version
+
+
 def choose_kv_cache_store(
     configuration: Configuration, request: InferenceRequest, engine: BackEnd
 ) -> str:
--- a/hopstep/services/attempt_factory.py
+++ b/hopstep/services/attempt_factory.py
@@ -10,7 +10,11 @@
 from hopstep.domain.blocks import cache_salt
 from hopstep.domain.claims import HeldClaim
 from hopstep.domain.inference import InferenceRequest
-from hopstep.domain.requests_in_force import choose_kv_cache_store, request_in_force
+from hopstep.domain.requests_in_force import (
+    choose_kv_cache_store,
+    may_take_attempt,
+    request_in_force,
+)
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.exceptions import DomainError, ErrorCode, ServiceError
 from hopstep.ports.engine import EnginePort, GenerateRequest
@@ -23,8 +27,8 @@
 
 NONCE_BYTES = 16
 
-MAX_SILENT_ENGINES = 3
-"""Engines that are asked for their incarnation before a request is refused."""
+MAX_PREPARATIONS = 3
+"""Engines that are tried before a request is refused: silent ones, or ruled out meanwhile."""
 
 
 def new_nonce() -> str:
@@ -79,21 +83,23 @@
         Raises:
             ServiceError: The request is refused, as not run by this attempt.
         """
-        for _ in range(MAX_SILENT_ENGINES):
+        for _ in range(MAX_PREPARATIONS):
+            revision = self._holder.revision
             slot = await self._admission.acquire(request, tried, further)
             try:
                 incarnation = await self._incarnation(request, slot)
                 if incarnation is not None:
                     attempt = self._assemble(request, slot, incarnation, delivered)
                     await self._claim(request, attempt)
-                    self.table.record_dispatch(attempt.nonce, slot.choice, trio.current_time())
-                    return attempt
+                    if self._is_current(request, attempt, revision):
+                        self.table.record_dispatch(attempt.nonce, slot.choice, trio.current_time())
+                        return attempt
             except BaseException:
                 slot.release()
                 raise
             slot.release()
             tried |= {slot.choice.back_end.name}
-        raise ServiceError(ErrorCode.ENGINE_UNREACHABLE, "no engine answers")
+        raise ServiceError(ErrorCode.ENGINE_UNREACHABLE, "no engine could be prepared")
 
     def prepare_hedge(self, request: InferenceRequest, tried: frozenset[str]) -> Attempt | None:
         """Return a second attempt at another engine that has room now, or None."""
@@ -172,6 +178,22 @@
             self._held_claims.get(request.request_id),
         )
 
+    def _is_current(self, request: InferenceRequest, attempt: Attempt, revision: int) -> bool:
+        """Return whether placement still allows an attempt after the waits of its preparation.
+
+        Args:
+            request: The request.
+            attempt: What was prepared.
+            revision: Configuration revision before the preparation began.
+        """
+        accepted = self._holder.require()
+        return accepted.revision == revision or may_take_attempt(
+            request,
+            accepted.configuration,
+            attempt.engine_name,
+            attempt.request.weights_version,
+        )
+
     def record_overloaded(self, attempt: Attempt) -> None:
         """Send an engine less, after it refused an attempt for want of room."""
         self._admission.slots.record_overloaded(attempt.slot.choice.back_end)
