Hold the planned stop by real processes, and the reference pages by tests

SIGTERM twice under six streams: all complete, new requests refused as not run with the code stopping, exit code 0. SIGKILL and a new start serve again.

Wrong variant: a drain that does not wait fails test_cuts_off_no_stream_and_refuses_new_requests. The streams of that test last longer than the two seconds in which connections close after the drain, or the variant would pass.

docs/EVENTS.md and docs/ERRORS.md are written by python -m hopstep.cli.reference_docs.

--- /dev/null
+++ b/hopstep/cli/reference_docs.py
@@ -0,0 +1,84 @@
+"""Writes ``docs/EVENTS.md`` and ``docs/ERRORS.md`` from the catalogues in the code.
+
+Run ``python -m hopstep.cli.reference_docs`` after a change to ``hopstep.log_events``,
+``hopstep.exceptions`` or the statuses of the HTTP API; a test holds the pages to the code.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from hopstep.adapters.http_api.errors import DEFAULT_STATUS, STATUS_BY_CODE
+from hopstep.exceptions import ERROR_GUIDE, ErrorCode
+from hopstep.log_events import catalogue
+
+DOCS = Path(__file__).parents[2] / "docs"
+EVENTS_PAGE = "EVENTS.md"
+ERRORS_PAGE = "ERRORS.md"
+
+
+def render_events() -> str:
+    """Return the page of log events."""
+    rows = [
+        f"| {event.number} | `{event.name}` | {event.level.value} "
+        f"| {', '.join(f'`{field}`' for field in event.fields) or '-'} | {event.action} |"
+        for event in catalogue()
+    ]
+    return "\n".join(
+        [
+            "# Log events",
+            "",
+            "Each log line is one JSON object on standard error: `number`, `event` (the name),",
+            "`level`, `timestamp`, `node`, and the fields below. Prompts, answers and keys are",
+            "never fields. This page is written by `python -m hopstep.cli.reference_docs`.",
+            "",
+            "Ranges: HS1xxx process and settings, HS2xxx HTTP API, HS3xxx attempts and routing,",
+            "HS4xxx configuration, HS5xxx membership and peers, HS6xxx engines, HS7xxx claims and",
+            "limits.",
+            "",
+            "| number | name | level | fields | what to do |",
+            "| --- | --- | --- | --- | --- |",
+            *rows,
+            "",
+        ]
+    )
+
+
+def render_errors() -> str:
+    """Return the page of error codes."""
+    rows = [f"| `{code.value}` | {_status(code)} | {ERROR_GUIDE[code]} |" for code in ErrorCode]
+    return "\n".join(
+        [
+            "# Errors",
+            "",
+            'An error body is `{"error": {...}}` with `code` (below, never changes its',
+            "meaning), `message`, `type`, `param` (the field at fault, or null), `execution`,",
+            "`retry_after_seconds` and `endpoints` (routers inside the tenant's places, on",
+            "placement refusals). Every refusal carries `Retry-After`. `execution` is `not_run`",
+            "only when that is proved, else `unknown`. A stream that fails ends with an error",
+            "event of the same shape and without `[DONE]`. This page is written by",
+            "`python -m hopstep.cli.reference_docs`.",
+            "",
+            "| code | HTTP status | what it means and what to do |",
+            "| --- | --- | --- |",
+            *rows,
+            "",
+        ]
+    )
+
+
+def _status(code: ErrorCode) -> str:
+    """Return the HTTP status with which callers meet a code."""
+    if code is ErrorCode.INTERNAL:
+        return str(DEFAULT_STATUS)
+    return str(STATUS_BY_CODE.get(code, "-"))
+
+
+def main() -> None:
+    """Write both pages."""
+    (DOCS / EVENTS_PAGE).write_text(render_events(), encoding="utf-8")
+    (DOCS / ERRORS_PAGE).write_text(render_errors(), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/hopstep/exceptions.py
+++ b/hopstep/exceptions.py
@@ -58,6 +58,43 @@
     PEER_MESSAGE_REJECTED = "peer_message_rejected"
 
 
+ERROR_GUIDE = {
+    ErrorCode.MALFORMED_REQUEST: "The body or a header is malformed; mend the field in `param`.",
+    ErrorCode.BODY_TOO_LARGE: "The body is over the router's `max_body_bytes`; send less.",
+    ErrorCode.PROMPT_TOO_LONG: "The prompt is over the model's `max_prompt_tokens`; shorten it.",
+    ErrorCode.INVALID_KEY: "The bearer key is absent, malformed or of no tenant.",
+    ErrorCode.UNKNOWN_MODEL: "No model of this name is configured; see `/v1/models`.",
+    ErrorCode.UNKNOWN_CLASS: "No request class of this name is configured.",
+    ErrorCode.CLASS_NOT_ALLOWED: "The tenant may not use this request class.",
+    ErrorCode.NOT_FOUND: "No such path, or a wrong method.",
+    ErrorCode.OUTSIDE_PLACEMENT: "This router is outside the tenant's places; use `endpoints`.",
+    ErrorCode.NO_ADMISSIBLE_BACK_END: "No engine inside the places serves the model now.",
+    ErrorCode.RATE_LIMITED: "A limit of the tenant is used up; `param` names it. Come back later.",
+    ErrorCode.OVERLOADED: "The engines can't take the request in time. Come back later.",
+    ErrorCode.DEADLINE_EXCEEDED: "The class's deadline passed before the answer was whole.",
+    ErrorCode.RETRIES_EXHAUSTED: "Attempts failed and the retry budget is used up.",
+    ErrorCode.ENGINE_UNREACHABLE: "No engine could be reached.",
+    ErrorCode.PRECONDITION_FAILED: "The engine restarted or changed weights meanwhile.",
+    ErrorCode.STREAM_INTERRUPTED: "The answer broke off and could not be continued.",
+    ErrorCode.EXECUTION_UNKNOWN: "A request that must run at most once may have run; check first.",
+    ErrorCode.ALREADY_CLAIMED: "The idempotency key was used before; that request may have run.",
+    ErrorCode.CLAIMS_UNAVAILABLE: "The store of claims is down; only requests with a key wait.",
+    ErrorCode.NOT_READY: "The router has no configuration yet.",
+    ErrorCode.STOPPING: "The router is stopping; use another one.",
+    ErrorCode.ISOLATED: "The router is cut off and can't tell whether its placement holds.",
+    ErrorCode.INTERNAL: "A fault in hopstep; see the log for its place.",
+    ErrorCode.INVALID_CONFIGURATION: "The operators' document breaks a rule, which is named.",
+    ErrorCode.CONFIGURATION_CONFLICT: "Another change came first; see the difference, edit again.",
+    ErrorCode.INVALID_SETTINGS: "A settings file or flag is wrong; the message names the field.",
+    ErrorCode.STORE_UNAVAILABLE: "The key-value service gave no answer; nothing was written.",
+    ErrorCode.STORE_OUTCOME_UNKNOWN: "The answer to a write was lost; it may have taken effect.",
+    ErrorCode.STORE_CONFLICT: "A compare-and-swap found another version; nothing was written.",
+    ErrorCode.STORE_RATE_LIMITED: "The key-value service refused by its rate limit.",
+    ErrorCode.PEER_MESSAGE_REJECTED: "A peer's message is truncated, forged, replayed or foreign.",
+}
+"""What each code means and what to do, for ``docs/ERRORS.md``."""
+
+
 class Execution(enum.StrEnum):
     """What a refusal says of the request's execution at an engine."""
 
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of real processes on loopback; bounded, without timing asserts."""
--- /dev/null
+++ b/tests/processes/test_planned_stop.py
@@ -0,0 +1,112 @@
+"""Planned and unplanned ends of a router process, under streams."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import unittest
+from collections.abc import Awaitable, Callable
+
+import httpx
+import trio
+
+from emulator.load.messages import LoadResult, Outcome
+from tests.processes.harness import TEST_TIMEOUT_SECONDS, SmallFleet, small_fleet
+
+STREAMS = 6
+LONG_OUTPUT_TOKENS = 240
+"""An answer that lasts longer than closing connections may take after the drain."""
+EXIT_POLLS = 400
+POLL_SECONDS = 0.05
+
+
+async def wait_active(small: SmallFleet, count: int) -> None:
+    """Wait until a number of requests is active at the router."""
+    async with httpx.AsyncClient(trust_env=False) as client:
+        while True:
+            status = (await client.get(f"http://{small.router}/operator/status")).json()
+            if status["active_requests"] >= count:
+                return
+            await trio.sleep(POLL_SECONDS)
+
+
+async def wait_exit(process: subprocess.Popen[bytes]) -> int | None:
+    """Wait for a process to end by itself and return its exit code."""
+    for _ in range(EXIT_POLLS):
+        if process.poll() is not None:
+            break
+        await trio.sleep(POLL_SECONDS)
+    return process.returncode
+
+
+def run_bounded(check: Callable[[], Awaitable[None]]) -> None:
+    """Run an asynchronous test within the bound."""
+
+    async def main() -> None:
+        with trio.fail_after(TEST_TIMEOUT_SECONDS):
+            await check()
+
+    trio.run(main)
+
+
+class PlannedStopTest(unittest.TestCase):
+    def test_cuts_off_no_stream_and_refuses_new_requests(self) -> None:
+        async def check() -> None:
+            async with small_fleet() as small:
+                results: list[LoadResult] = []
+
+                async def stream() -> None:
+                    request = small.request(LONG_OUTPUT_TOKENS)
+                    results.append(await small.client.send(small.router, request))
+
+                async with trio.open_nursery() as nursery:
+                    for _ in range(STREAMS):
+                        nursery.start_soon(stream)
+                    await wait_active(small, STREAMS)
+                    small.group.signal(small.router_process, signal.SIGTERM)
+                    small.group.signal(small.router_process, signal.SIGTERM)
+                    refused = await self._send_until_refused(small)
+                self.assertEqual([each.outcome for each in results], [Outcome.COMPLETE] * STREAMS)
+                self.assertEqual((refused.code, refused.execution), ("stopping", "not_run"))
+                process = small.group.process(small.router_process)
+                self.assertEqual(await wait_exit(process), 0)
+
+        run_bounded(check)
+
+    async def _send_until_refused(self, small: SmallFleet) -> LoadResult:
+        """Send short requests until the stop has reached the process."""
+        while True:
+            result = await small.client.send(small.router, small.request(1))
+            if result.outcome is not Outcome.COMPLETE:
+                return result
+
+    def test_idle_connections_do_not_hold_the_process(self) -> None:
+        async def check() -> None:
+            async with small_fleet() as small, httpx.AsyncClient(trust_env=False) as idle:
+                await idle.get(f"http://{small.router}/livez")
+                small.group.signal(small.router_process, signal.SIGTERM)
+                process = small.group.process(small.router_process)
+                self.assertEqual(await wait_exit(process), 0)
+
+        run_bounded(check)
+
+
+class KilledRouterTest(unittest.TestCase):
+    def test_serves_again_after_a_restart(self) -> None:
+        async def check() -> None:
+            async with small_fleet() as small:
+                self.assertIs((await small.send(4)).outcome, Outcome.COMPLETE)
+                process = small.group.process(small.router_process)
+                small.group.signal(small.router_process, signal.SIGKILL)
+                process.wait()
+                refused = await small.client.send(small.router, small.request(4))
+                self.assertIs(refused.outcome, Outcome.UNREACHABLE)
+                small.fleet.start_back_end(small.fleet.back_end("router"))
+                await small.group.wait_listening(small.router_process, small.router)
+                self.assertIs((await small.send(4)).outcome, Outcome.COMPLETE)
+
+        run_bounded(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
