--- /dev/null
+++ b/tests/services/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of hopstep.services."""
