--- a/hopstep/domain/claims.py
+++ b/hopstep/domain/claims.py
@@ -97,27 +97,19 @@
     return ClaimStep.REFUSE
 
 
-def may_forget(
-    claim: Claim,
-    earlier: EarlierAttempt,
-    now: float,
-    retention_seconds: float,
-    abandon_seconds: float,
-) -> bool:
+def may_forget(claim: Claim, earlier: EarlierAttempt, now: float, retention_seconds: float) -> bool:
     """Return whether a claim may be deleted.
 
-    A claim older than the retention goes once its nonce can't start any more, which a wrong
-    clock can't make unsafe. An engine that never answers keeps its claims until they are
-    ``abandon_seconds`` old.
+    A claim older than the retention goes once its nonce is proved not to start any more, which
+    a wrong clock can't make unsafe. Age alone is no proof: a claim on an engine that never
+    answers stays until something answers at that address again.
 
     Args:
         claim: The claim.
         earlier: What is proved of its attempt.
         now: Wall-clock time in seconds.
         retention_seconds: How long keys are remembered at least.
-        abandon_seconds: Age at which claims on unreachable engines are given up.
     """
-    age = now - claim.created_at
-    if age < retention_seconds or earlier is EarlierAttempt.IN_PROGRESS:
+    if now - claim.created_at < retention_seconds:
         return False
-    return earlier is not EarlierAttempt.UNKNOWN or age >= abandon_seconds
+    return earlier not in (EarlierAttempt.IN_PROGRESS, EarlierAttempt.UNKNOWN)
--- a/hopstep/services/claim_sweeper.py
+++ b/hopstep/services/claim_sweeper.py
@@ -19,9 +19,6 @@
 DEFAULT_RETENTION_SECONDS = 24 * 3600.0
 """How long idempotency keys are remembered at least."""
 
-DEFAULT_ABANDON_SECONDS = 7 * 24 * 3600.0
-"""Age at which claims on engines that never answer are given up."""
-
 DEFAULT_INTERVAL_SECONDS = 60.0
 """Mean time between two pages that one router sweeps."""
 
@@ -41,7 +38,6 @@
         rng: Chooses where sweeps begin and when.
         wall_clock: Returns seconds since the epoch.
         retention_seconds: How long keys are remembered at least.
-        abandon_seconds: Age at which claims on unreachable engines are given up.
     """
 
     def __init__(
@@ -51,14 +47,12 @@
         rng: random.Random,
         wall_clock: Callable[[], float] = time.time,
         retention_seconds: float = DEFAULT_RETENTION_SECONDS,
-        abandon_seconds: float = DEFAULT_ABANDON_SECONDS,
     ) -> None:
         self._store = store
         self._engines = engines
         self._rng = rng
         self._wall_clock = wall_clock
         self._retention_seconds = retention_seconds
-        self._abandon_seconds = abandon_seconds
 
     async def run(self, interval_seconds: float = DEFAULT_INTERVAL_SECONDS) -> None:
         """Sweep a page from time to time until cancelled."""
@@ -94,13 +88,7 @@
             # Young claims are not fenced: their attempts may be on the way to the engine.
             return False
         earlier = await fence_claim(self._engines, held.claim)
-        if not may_forget(
-            held.claim,
-            earlier,
-            self._wall_clock(),
-            self._retention_seconds,
-            self._abandon_seconds,
-        ):
+        if not may_forget(held.claim, earlier, self._wall_clock(), self._retention_seconds):
             return False
         await self._store.delete(held.key, held.version)
         return True
