Pace the reads from engines, and give each engine its own pool

Cause: py-spy on one busy router put 64% of its time into reading the engines one token at a time, 12% into writing to callers, and with short answers 12% into one pool looking through the connections of all engines.

What is left is mostly the chunk parsing of the HTTP library.

--- a/hopstep/adapters/engine_http.py
+++ b/hopstep/adapters/engine_http.py
@@ -34,6 +34,7 @@
     ResumeRequest,
 )
 from hopstep.adapters.engine_stream import StreamDecoder, interrupted, refusal_error
+from hopstep.adapters.engine_transport import EngineTransport, Pause
 from hopstep.exceptions import EngineError, ErrorCode, Execution
 from hopstep.logs import emit
 from hopstep.ports.engine import (
@@ -79,6 +80,7 @@
         connect_timeout_seconds: float = DEFAULT_CONNECT_TIMEOUT_SECONDS,
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
         ssl_context: ssl.SSLContext | None = None,
+        pause: Pause = lambda: 0.0,
     ) -> None:
         """Open no connection yet.
 
@@ -86,21 +88,22 @@
             idle_timeout_seconds: Time without a byte after which a stream counts as cut off.
             call_timeout_seconds: Longest wait for the answer to a short call.
             connect_timeout_seconds: Longest wait for a connection.
-            max_connections: Bound on open connections to all engines.
+            max_connections: Bound on open connections to one engine.
             ssl_context: For HTTPS; None for plain HTTP.
+            pause: Seconds that a stream waits before a read, so that tokens gather.
         """
         self._scheme = "http" if ssl_context is None else "https"
         self._call_timeout_seconds = call_timeout_seconds
+        limits = httpx.Limits(
+            max_connections=max_connections,
+            max_keepalive_connections=max_connections,
+            keepalive_expiry=KEEP_ALIVE_SECONDS,
+        )
         self._client = httpx.AsyncClient(
-            verify=ssl_context or False,
+            transport=EngineTransport(limits, ssl_context, pause),
             trust_env=False,
             follow_redirects=False,
             timeout=httpx.Timeout(idle_timeout_seconds, connect=connect_timeout_seconds),
-            limits=httpx.Limits(
-                max_connections=max_connections,
-                max_keepalive_connections=max_connections,
-                keepalive_expiry=KEEP_ALIVE_SECONDS,
-            ),
         )
 
     async def aclose(self) -> None:
--- /dev/null
+++ b/hopstep/adapters/engine_transport.py
@@ -0,0 +1,145 @@
+"""HTTP connections to engines: one pool for each engine, and paced reads.
+
+A pool looks through all of its connections for each request, so one pool for all engines
+would cost each request more with every stream that is open anywhere. Reads wait while the
+process is busy, so that the tokens which gather meanwhile are read, decoded and passed on
+together (see ``hopstep.adapters.pacing``).
+"""
+
+from __future__ import annotations
+
+import ssl
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import httpcore
+import httpx
+import trio
+
+UNPACED_READS = 2
+"""Reads after a request that never wait: the answer's headers and its first token."""
+
+Pause = Callable[[], float]
+"""Returns the seconds that a stream waits before a read; 0 for none."""
+
+
+class PacedStream(httpcore.AsyncNetworkStream):
+    """A connection whose later reads wait."""
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream, pause: Pause) -> None:
+        """Wrap a connection.
+
+        Args:
+            stream: The connection.
+            pause: Seconds to wait before a read.
+        """
+        self._stream = stream
+        self._pause = pause
+        self._reads = 0
+
+    async def read(  # noqa: ASYNC109 - the library's interface
+        self,
+        max_bytes: int,
+        timeout: float | None = None,  # noqa: ASYNC109
+    ) -> bytes:
+        """Read what has come, after the pause."""
+        self._reads += 1
+        seconds = self._pause() if self._reads > UNPACED_READS else 0.0
+        if seconds:
+            await trio.sleep(seconds)
+        return await self._stream.read(max_bytes, timeout)
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:  # noqa: ASYNC109
+        """Write, and read the answer's beginning at once."""
+        self._reads = 0
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,  # noqa: ASYNC109
+    ) -> httpcore.AsyncNetworkStream:
+        """Return the connection under TLS."""
+        stream = await self._stream.start_tls(ssl_context, server_hostname, timeout)
+        return PacedStream(stream, self._pause)
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return what the connection says of itself."""
+        return self._stream.get_extra_info(info)
+
+
+class PacedBackend(httpcore.AsyncNetworkBackend):
+    """Opens paced connections."""
+
+    def __init__(self, pause: Pause) -> None:
+        """Prepare.
+
+        Args:
+            pause: Seconds to wait before a read.
+        """
+        self._backend = httpcore.TrioBackend()
+        self._pause = pause
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,  # noqa: ASYNC109
+        local_address: str | None = None,
+        socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Open a connection."""
+        stream = await self._backend.connect_tcp(host, port, timeout, local_address, socket_options)
+        return PacedStream(stream, self._pause)
+
+
+class EngineTransport(httpx.AsyncBaseTransport):
+    """Sends each request by the pool of its engine."""
+
+    def __init__(
+        self, limits: httpx.Limits, ssl_context: ssl.SSLContext | None, pause: Pause
+    ) -> None:
+        """Open no connection yet.
+
+        Args:
+            limits: Bounds of each pool.
+            ssl_context: For HTTPS; None for plain HTTP.
+            pause: Seconds that a stream waits before a read.
+        """
+        self._limits = limits
+        self._ssl_context = ssl_context
+        self._backend = PacedBackend(pause)
+        self._pools: dict[bytes, httpx.AsyncHTTPTransport] = {}
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Send one request."""
+        pool = self._pools.get(request.url.netloc)
+        if pool is None:
+            pool = self._pools[request.url.netloc] = self._make_pool()
+        return await pool.handle_async_request(request)
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        for pool in self._pools.values():
+            await pool.aclose()
+
+    def _make_pool(self) -> httpx.AsyncHTTPTransport:
+        """Return a pool over paced connections.
+
+        ``httpx`` takes no network backend, ``httpcore`` does: the transport's pool is replaced
+        by one that differs in this alone.
+        """
+        transport = httpx.AsyncHTTPTransport(trust_env=False, limits=self._limits)
+        transport._pool = httpcore.AsyncConnectionPool(
+            ssl_context=self._ssl_context,
+            max_connections=self._limits.max_connections,
+            max_keepalive_connections=self._limits.max_keepalive_connections,
+            keepalive_expiry=self._limits.keepalive_expiry,
+            network_backend=self._backend,
+        )
+        return transport
--- a/hopstep/adapters/http_api/answers.py
+++ b/hopstep/adapters/http_api/answers.py
@@ -35,7 +35,6 @@
         self._scope = trio.CancelScope()
         self._entered = trio.Event()
         self._released = trio.Event()
-        self._reads = 0
 
     async def run(self) -> None:
         """Hold the dispatcher's run until the response releases it."""
@@ -68,7 +67,6 @@
         await self._entered.wait()
         if self._parts is None:
             raise self._error or _ended_early()
-        await self._pace()
         try:
             return await anext(self._parts)
         except StopAsyncIteration:
@@ -78,13 +76,6 @@
         except Exception as error:
             raise self._crashed(error) from None
 
-    async def _pace(self) -> None:
-        """Let tokens gather before each read but the first."""
-        self._reads += 1
-        interval = self._context.pacer.interval()
-        if interval and self._reads > 1:
-            await trio.sleep(interval)
-
     def _crashed(self, error: Exception) -> ServiceError:
         """Turn a fault of hopstep's own into an error; its text may hold a prompt."""
         trace = error.__traceback__
--- a/hopstep/adapters/http_api/context.py
+++ b/hopstep/adapters/http_api/context.py
@@ -10,7 +10,7 @@
 
 from hopstep.adapters.http_api.authentication import Authenticator
 from hopstep.adapters.http_api.metrics import ApiMetrics
-from hopstep.adapters.http_api.pacing import Pacer
+from hopstep.adapters.pacing import Pacer
 from hopstep.domain.inference import AnswerPart, InferenceRequest
 from hopstep.services.configuration_holder import ConfigurationHolder
 from hopstep.services.lifecycle import Lifecycle
@@ -55,7 +55,7 @@
         lifecycle: Counts active requests, refuses while stopping.
         authenticator: Finds tenants by key.
         metrics: Counters.
-        pacer: Spaces the writes of streams.
+        pacer: Counts streams, to space their reads.
         health: How well the node is connected.
         spawn: Starts a task that belongs to the node, not to a connection.
         handle_peer: Answers peers' calls below ``/peer/v1/``; None answers none.
--- a/hopstep/adapters/http_api/pacing.py
+++ b/hopstep/adapters/pacing.py
@@ -1,4 +1,4 @@
-"""Spacing of stream writes, so that tokens that arrive together leave together.
+"""Spacing of the reads of streams, so that tokens that arrive together are passed on together.
 
 Each piece that passes through the process costs processor time, whatever its size. With few
 streams each token is passed on as it comes. With many, a stream waits between two reads from
@@ -11,11 +11,11 @@
 import contextlib
 from collections.abc import Iterator
 
-COST_PER_WRITE_SECONDS = 0.0005
+COST_PER_READ_SECONDS = 0.0005
 """Processor time of passing one piece through, with its share of the process's other work."""
 
 TARGET_UTILIZATION = 0.5
-"""Share of a core that the writes of all streams may take."""
+"""Share of a core that the reads of all streams may take."""
 
 MIN_INTERVAL_SECONDS = 0.004
 """Shorter intervals aren't worth a timer."""
@@ -25,7 +25,7 @@
 
 
 class Pacer:
-    """Derives the interval between a stream's writes from the number of streams."""
+    """Derives the interval between a stream's reads from the number of streams."""
 
     def __init__(self) -> None:
         """Start without streams."""
@@ -42,7 +42,7 @@
 
     def interval(self) -> float:
         """Return the seconds that a stream waits between two reads; 0 for none."""
-        interval = self._streams * COST_PER_WRITE_SECONDS / TARGET_UTILIZATION
+        interval = self._streams * COST_PER_READ_SECONDS / TARGET_UTILIZATION
         if interval < MIN_INTERVAL_SECONDS:
             return 0.0
         return min(interval, MAX_INTERVAL_SECONDS)
--- a/hopstep/node.py
+++ b/hopstep/node.py
@@ -18,10 +18,10 @@
 from hopstep.adapters.http_api.authentication import Authenticator
 from hopstep.adapters.http_api.context import ApiContext, NodeHealth
 from hopstep.adapters.http_api.metrics import ApiMetrics
-from hopstep.adapters.http_api.pacing import Pacer
 from hopstep.adapters.http_server import serve_http
 from hopstep.adapters.key_value_store_http import HttpKeyValueStore
 from hopstep.adapters.machine_list_http import HttpMachineList
+from hopstep.adapters.pacing import Pacer
 from hopstep.adapters.peer_codec import PeerCodec
 from hopstep.adapters.peer_http import HttpPeerConfiguration, PeerHttpHandler
 from hopstep.adapters.peer_keys import FilePeerKeys, PeerKeys
@@ -55,7 +55,10 @@
         self._client = client
         self._codec = codec
         self._registry = CollectorRegistry()
-        self._engines = HttpEngine(idle_timeout_seconds=settings.engines_timeout_seconds)
+        self._pacer = Pacer()
+        self._engines = HttpEngine(
+            idle_timeout_seconds=settings.engines_timeout_seconds, pause=self._pacer.interval
+        )
         self._services = RouterServices(
             settings,
             self._make_ports(transport),
@@ -127,7 +130,7 @@
             lifecycle=services.lifecycle,
             authenticator=authenticator,
             metrics=ApiMetrics(self._registry),
-            pacer=Pacer(),
+            pacer=self._pacer,
             health=health,
             spawn=nursery.start_soon,
             handle_peer=PeerHttpHandler(self._codec, services.synchronization.transfer).handle,
--- a/tests/adapters/http_api/harness.py
+++ b/tests/adapters/http_api/harness.py
@@ -15,7 +15,7 @@
 from hopstep.adapters.http_api.authentication import Authenticator, hash_key
 from hopstep.adapters.http_api.context import ApiContext, NodeHealth
 from hopstep.adapters.http_api.metrics import ApiMetrics
-from hopstep.adapters.http_api.pacing import Pacer
+from hopstep.adapters.pacing import Pacer
 from hopstep.domain.configuration import (
     AcceptedConfiguration,
     BackEnd,
