Tell the other routers which machines are leaving

Cause: each router went by its own readings of the machine list alone, so one that was cut off from the platform, or started during an outage of the list, sent new work to leaving engines for as long as that lasted. The membership entries for it were there, but nobody published them. Now the owners of an engine publish what they read, and every router joins it to its own readings. Ruled out: publishing by every router, which costs 390 entries for each machine. The list is followed by a service of its own, with a bound on its wait.

--- a/hopstep/services/cluster.py
+++ b/hopstep/services/cluster.py
@@ -11,10 +11,11 @@
 from hopstep.domain.configuration import AcceptedConfiguration
 from hopstep.domain.engines import EngineFacts
 from hopstep.domain.membership import Action, EntryChanged, RevisionHeard
-from hopstep.domain.peer_message import EngineEntry, EntryKind, LimitUsage
+from hopstep.domain.peer_message import EngineEntry, EntryKind, LeavingBackEnd, LimitUsage
 from hopstep.services.configuration_holder import ConfigurationHolder
 from hopstep.services.configuration_sync import ConfigurationSync
 from hopstep.services.engine_watch import EngineWatch
+from hopstep.services.leaving_watch import LeavingWatch
 from hopstep.services.membership import MembershipService
 from hopstep.services.tenant_limits import TenantLimitService
 
@@ -46,16 +47,22 @@
         holder.subscribe(self._tell_revision)
 
     def attach(
-        self, watch: EngineWatch, synchronization: ConfigurationSync, limits: TenantLimitService
+        self,
+        watch: EngineWatch,
+        leaving: LeavingWatch,
+        synchronization: ConfigurationSync,
+        limits: TenantLimitService,
     ) -> None:
         """Join the services that share values; before ``run``.
 
         Args:
             watch: Takes engines' facts of other routers.
+            leaving: Takes what other routers have read of leaving machines.
             synchronization: Takes hints of configuration revisions.
             limits: Its use of tenants' limits is published.
         """
         self._watch = watch
+        self._leaving = leaving
         self._synchronization = synchronization
         self._limits = limits
         self._membership.follow_confirmations(synchronization.seconds_since_confirmed)
@@ -100,6 +107,17 @@
         value = EngineEntry.from_facts(address, facts)
         self._membership.publish(EntryKind.ENGINE_FACTS, address, value)
 
+    def publish_leaving(self, address: str, leaving: bool) -> None:
+        """Share that a machine is leaving, or take it back."""
+        value = LeavingBackEnd(address) if leaving else None
+        self._membership.publish(EntryKind.LEAVING_BACK_END, address, value)
+
+    def leaving_by_peers(self) -> frozenset[str]:
+        """Return the addresses of machines that other routers have read as leaving."""
+        own = self._membership.own.name
+        entries = self._membership.entries(EntryKind.LEAVING_BACK_END)
+        return frozenset(entry.subject for entry in entries if entry.owner != own and entry.value)
+
     def usage_by_router(self, tenant: str) -> dict[str, float]:
         """Return a tenant's demand at each router, in requests a second."""
         return {
@@ -122,6 +140,8 @@
             value = action.entry.value
             if isinstance(value, EngineEntry):
                 self._watch.take_published(value.engine, value.facts())
+            elif action.entry.kind is EntryKind.LEAVING_BACK_END:
+                self._leaving.refresh()
 
     def _publish_usage(self) -> None:
         """Share the demand of each tenant, and withdraw it where there is none any more."""
--- a/hopstep/services/engine_watch.py
+++ b/hopstep/services/engine_watch.py
@@ -14,12 +14,10 @@
 from hopstep import log_events
 from hopstep.domain.configuration import BackEnd, BackEndKind
 from hopstep.domain.engines import CacheEventBatch, EngineFacts
-from hopstep.domain.leaving_machines import LeavingMachines
 from hopstep.domain.routing.routing_table import RoutingTable
-from hopstep.exceptions import EngineError, StoreError
+from hopstep.exceptions import EngineError
 from hopstep.logs import emit
 from hopstep.ports.engine import EnginePort
-from hopstep.ports.machine_list import Machine, MachineListPort, MachineState
 from hopstep.services.configuration_holder import ConfigurationHolder
 
 PROBE_SECONDS = 0.5
@@ -28,9 +26,6 @@
 PROBE_TIMEOUT_SECONDS = 2.0
 """Longest wait for a probe or for cache events."""
 
-MACHINE_LIST_SECONDS = 1.0
-"""Time between two readings of the machine list."""
-
 PUBLISH_SECONDS = 5.0
 """Longest time between two publications of an engine's facts that haven't changed."""
 
@@ -47,7 +42,6 @@
         configuration_holder: ConfigurationHolder,
         owns: Callable[[str], bool],
         publish: Publish,
-        machine_list: MachineListPort | None = None,
     ) -> None:
         """Prepare; ``run`` does the work.
 
@@ -58,25 +52,19 @@
             owns: Whether this router probes the engine with the given address.
             publish: Called with an owned engine's address and facts, for the other routers:
                 at once when something but its load changed, else every few seconds.
-            machine_list: Hints which machines are leaving; None for no hints.
         """
         self._engine_port = engine_port
         self._table = routing_table
         self._holder = configuration_holder
         self._owns = owns
         self._publish = publish
-        self._machine_list = machine_list
         self._published_at: dict[str, float] = {}
         self._event_sequences: dict[str, int] = {}
         self._unreachable: set[str] = set()
-        self._leaving_machines = LeavingMachines()
 
     async def run(self) -> None:
         """Watch until cancelled."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._probe_engines)
-            if self._machine_list is not None:
-                nursery.start_soon(self._read_machine_list, self._machine_list)
+        await self._probe_engines()
 
     def take_published(self, address: str, facts: EngineFacts) -> None:
         """Take facts that another router published; an owned engine's own word goes first."""
@@ -176,32 +164,6 @@
         self._unreachable.add(address)
         emit(log_events.ENGINE_UNREACHABLE, engine=address, reason=type(error).__name__)
 
-    async def _read_machine_list(self, machine_list: MachineListPort) -> None:
-        """Follow the machine list; while it is down, its last word stands."""
-        available = True
-        while True:
-            try:
-                machines = await machine_list.machines()
-            except StoreError:
-                if available:
-                    emit(log_events.MACHINE_LIST_UNAVAILABLE)
-                available = False
-            else:
-                available = True
-                self._take_machines(machines)
-            await trio.sleep(MACHINE_LIST_SECONDS)
-
-    def _take_machines(self, machines: list[Machine]) -> None:
-        """Take one answer of the machine list."""
-        leaving = _addresses(machines, MachineState.LEAVING)
-        live = _addresses(machines, MachineState.LIVE)
-        self._table.update_leaving(self._leaving_machines.update(leaving, live))
-
-
-def _addresses(machines: list[Machine], state: MachineState) -> list[str]:
-    """Return the addresses of the machines in a state."""
-    return [item.address for item in machines if item.state is state]
-
 
 def _differ(before: EngineFacts | None, facts: EngineFacts) -> bool:
     """Return whether facts other than load and counters changed."""
--- a/hopstep/services/router.py
+++ b/hopstep/services/router.py
@@ -30,6 +30,7 @@
 from hopstep.services.configuration_sync import ConfigurationSync
 from hopstep.services.dispatcher import Dispatcher
 from hopstep.services.engine_watch import EngineWatch
+from hopstep.services.leaving_watch import LeavingWatch
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.services.membership import MembershipService
 from hopstep.services.membership_metrics import MembershipMetrics
@@ -98,7 +99,8 @@
         self.limits = self._make_limits()
         self.synchronization = self._make_synchronization()
         self.watch = self._make_engine_watch()
-        self.cluster.attach(self.watch, self.synchronization, self.limits)
+        self.leaving = self._make_leaving_watch()
+        self.cluster.attach(self.watch, self.leaving, self.synchronization, self.limits)
         self.dispatcher = self._make_dispatcher()
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -111,6 +113,7 @@
             nursery.start_soon(self.cluster.run)
             nursery.start_soon(self.synchronization.run)
             nursery.start_soon(self.watch.run)
+            nursery.start_soon(self.leaving.run)
             nursery.start_soon(rollout.run)
             nursery.start_soon(sweeper.run)
             task_status.started()
@@ -172,5 +175,14 @@
             self.holder,
             self.cluster.watches_engine,
             self.cluster.publish_engine,
+        )
+
+    def _make_leaving_watch(self) -> LeavingWatch:
+        """Return the service that keeps leaving back ends without new work."""
+        return LeavingWatch(
             self._ports.machine_list,
+            self.table,
+            self.cluster.watches_engine,
+            self.cluster.publish_leaving,
+            self.cluster.leaving_by_peers,
         )
--- /dev/null
+++ b/tests/services/test_leaving_watch.py
@@ -0,0 +1,71 @@
+"""Leaving machines by the list and by peers."""
+
+import random
+import unittest
+
+import trio
+
+from emulator.platform.faults import FaultOrder
+from emulator.platform.in_memory import InMemoryMachineList
+from emulator.platform.machine_list import MachineListModel
+from hopstep.domain.routing.routing_table import RoutingTable
+from hopstep.ports.machine_list import Machine, MachineState
+from hopstep.services.leaving_watch import LeavingWatch
+from tests.services.request_path import run
+
+LEAVING = (Machine("a", MachineState.LEAVING), Machine("b", MachineState.LEAVING))
+LIVE = (Machine("a", MachineState.LIVE), Machine("b", MachineState.LIVE))
+
+
+class LeavingWatchTest(unittest.TestCase):
+    def watch(self, body, with_list=True):
+        """Run a watch that owns ``a`` under ``body(model, heard, check)``."""
+
+        async def main():
+            model = MachineListModel(LIVE)
+            machine_list = InMemoryMachineList(model) if with_list else None
+            table, heard, published = RoutingTable(random.Random(1)), set(), []
+            watch = LeavingWatch(
+                machine_list,
+                table,
+                lambda address: address == "a",
+                lambda address, leaving: published.append((address, leaving)),
+                lambda: frozenset(heard),
+            )
+
+            async def check(seconds, leaving, told):
+                await trio.sleep(seconds)
+                self.assertEqual(table._leaving, frozenset(leaving))
+                self.assertEqual(published, told)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch.run)
+                await body(model, heard, check)
+                nursery.cancel_scope.cancel()
+
+        run(main)
+
+    def test_owned_machines_are_told_to_peers_and_taken_back(self):
+        async def body(model, heard, check):
+            await check(1.5, (), [])
+            model.replace(LEAVING, trio.current_time())
+            await check(2, ("a", "b"), [("a", True)])
+            model.order_faults(FaultOrder(machine_list_outage=True))
+            await check(10, ("a", "b"), [("a", True)])
+            model.replace(LIVE, trio.current_time())
+            model.order_faults(FaultOrder(machine_list_outage=False))
+            await check(6, (), [("a", True), ("a", False)])
+
+        self.watch(body)
+
+    def test_peers_are_believed_without_a_list_and_during_its_outage(self):
+        async def body(model, heard, check):
+            model.order_faults(FaultOrder(machine_list_outage=True))
+            heard.add("b")
+            await check(2, ("b",), [])
+            heard.clear()
+            await check(2, (), [])
+
+        for with_list in (True, False):
+            with self.subTest(with_list=with_list):
+                self.watch(body, with_list)
