Mend membership of an overloaded seed and of strangers

Found by the scale run: in a start of 390 nodes at once a seed ran out of bytes, was held dead and refuted once; the refutation was lost, and nobody told it again: all stayed apart for good (no agreement within 300 s). A node now repeats its record to whoever holds an outdated one, and a message takes a quarter of the available bytes at most.

Found by the variant without a budget: two strangers asked each other without end. Once a heartbeat now.

--- a/emulator/scale.py
+++ b/emulator/scale.py
@@ -22,7 +22,8 @@
 from hopstep.domain.peer_message import EntryKind, LeavingBackEnd
 
 DEFAULT_NODES = (24, 48, 97, 195, 390)
-DEFAULT_CUT_NODES = 48
+DEFAULT_CUT_NODES = 30
+DEFAULT_HERD_NODES = (97,)
 REGIONS = 6
 CUT_SECONDS = 3_600.0
 WINDOW_SECONDS = 60.0
@@ -184,7 +185,7 @@
     nodes: Sequence[int] = DEFAULT_NODES,
     seed: int = 1,
     cut_nodes: int = DEFAULT_CUT_NODES,
-    herd_nodes: Sequence[int] = (97,),
+    herd_nodes: Sequence[int] = DEFAULT_HERD_NODES,
     cut_seconds: float = CUT_SECONDS,
     progress: Progress = lambda line: None,
 ) -> ScaleReport:
--- a/hopstep/adapters/peer_keys.py
+++ b/hopstep/adapters/peer_keys.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 
 from hopstep.exceptions import ErrorCode, PeerMessageError
+from hopstep.log_events import PEER_KEYS_REJECTED
+from hopstep.logs import emit
 
 MIN_KEY_BYTES = 16
 """Shorter keys are refused."""
@@ -90,7 +92,13 @@
                 self._stamp = stamp
                 self.error = ""
         except PeerMessageError as error:
-            self.error = error.message
+            self._note_error(error.message)
+
+    def _note_error(self, reason: str) -> None:
+        """Log a fault of the file once."""
+        if reason != self.error:
+            emit(PEER_KEYS_REJECTED, reason=reason)
+        self.error = reason
 
     def _file_stamp(self) -> tuple[int, int, int]:
         try:
--- a/hopstep/domain/membership/failure_detector.py
+++ b/hopstep/domain/membership/failure_detector.py
@@ -90,7 +90,7 @@
 
     def on_ack(self, ack: Ack, now: float) -> None:
         """Note an ack, or pass it on to the member that asked for the probe."""
-        self._isolation.note_heard(ack.target)
+        self._isolation.note_heard(ack.target, now)
         member = self._state.table.get(ack.target)
         if member is not None:
             member.heard_at = now
--- a/hopstep/domain/membership/isolation.py
+++ b/hopstep/domain/membership/isolation.py
@@ -11,7 +11,7 @@
 import random
 
 from hopstep.domain.membership.config import MembershipConfig
-from hopstep.domain.membership.table import MemberTable
+from hopstep.domain.membership.table import Member, MemberTable
 from hopstep.domain.peer_message import MemberState
 
 CENSUS_SIZE = 16
@@ -30,15 +30,17 @@
         self._config = config
         self._reference: set[str] = set()
         self._tried_at: dict[str, float] = {}
+        self._heard_at: dict[str, float] = {}
         self._census_at = float("-inf")
 
     def note_tried(self, name: str, now: float) -> None:
         """Remember since when a member owes an answer."""
         self._tried_at.setdefault(name, now)
 
-    def note_heard(self, name: str) -> None:
-        """Forget what a member owed: something came from it."""
+    def note_heard(self, name: str, now: float) -> None:
+        """Remember that something came from a member, directly or passed on."""
         self._tried_at.pop(name, None)
+        self._heard_at[name] = now
 
     def forget_tries(self) -> None:
         """Forget all tries, after a pause in which no answer could be read."""
@@ -50,19 +52,20 @@
         A node that knows of nobody else is not isolated. Members that left on a plan don't
         count. With none heard of at all, the node is isolated.
         """
-        counted = heard = silent = 0
-        for name in self._reference:
-            if not self._counts(table, name):
-                continue
-            counted += 1
-            if self._was_heard(table, name, now):
-                heard += 1
-            elif self._is_silent(name, now):
-                silent += 1
-        if counted == 0:
+        if not any(self._counts(table, name) for name in self._reference):
             return False
+        heard = sum(
+            1
+            for name in self._heard_at
+            if self._was_heard(name, now) and self._is_counted(table, name)
+        )
         if heard == 0:
             return True
+        silent = sum(
+            1
+            for name in self._tried_at
+            if self._is_silent(name, now) and self._is_counted(table, name)
+        )
         return (heard + 1) * 2 <= heard + silent + 1
 
     def update(self, table: MemberTable, now: float) -> None:
@@ -75,14 +78,13 @@
         if self.is_isolated(table, now):
             return
         limit = now - self._config.recent_past_seconds
-        for name in list(self._reference):
-            member = table.get(name)
-            if member is None or (
-                member.record.state is MemberState.DEAD and member.changed_at <= limit
-            ):
-                self._reference.discard(name)
-        oldest = now - 2 * self._config.isolation_window_seconds
-        self._tried_at = {name: at for name, at in self._tried_at.items() if at > oldest}
+        if len(self._reference) > len(table.live_names()):
+            self._reference = {
+                name for name in self._reference if not _is_past(table.get(name), limit)
+            }
+        window = self._config.isolation_window_seconds
+        self._tried_at = _since(self._tried_at, now - 2 * window)
+        self._heard_at = _since(self._heard_at, now - window)
 
     def census(self, table: MemberTable, generator: random.Random, now: float) -> list[str]:
         """Return silent members to try at once after a failed probe, at intervals."""
@@ -93,21 +95,33 @@
         silent = sorted(
             name
             for name in self._reference
-            if self._counts(table, name) and not self._was_heard(table, name, now)
+            if self._counts(table, name) and not self._was_heard(name, now)
         )
         return generator.sample(silent, min(CENSUS_SIZE, len(silent)))
 
+    def _is_counted(self, table: MemberTable, name: str) -> bool:
+        return name in self._reference and self._counts(table, name)
+
     def _counts(self, table: MemberTable, name: str) -> bool:
         member = table.get(name)
         return member is not None and not member.planned
 
-    def _was_heard(self, table: MemberTable, name: str, now: float) -> bool:
-        member = table.get(name)
-        if member is None:
-            return False
-        return now - member.heard_at <= self._config.isolation_window_seconds
+    def _was_heard(self, name: str, now: float) -> bool:
+        heard_at = self._heard_at.get(name)
+        return heard_at is not None and now - heard_at <= self._config.isolation_window_seconds
 
     def _is_silent(self, name: str, now: float) -> bool:
         """Return whether a member has owed an answer for longer than a probe may take."""
         tried_at = self._tried_at.get(name)
         return tried_at is not None and now - tried_at >= self._config.heartbeat_seconds
+
+
+def _is_past(member: Member | None, limit: float) -> bool:
+    """Return whether a member is forgotten, or was declared dead before ``limit``."""
+    if member is None:
+        return True
+    return member.record.state is MemberState.DEAD and member.changed_at <= limit
+
+
+def _since(times: dict[str, float], oldest: float) -> dict[str, float]:
+    return {name: at for name, at in times.items() if at > oldest}
--- a/hopstep/domain/membership/outbox.py
+++ b/hopstep/domain/membership/outbox.py
@@ -17,6 +17,9 @@
 MAX_CONFIRMED_AGE = 3_600
 """Oldest proof in seconds that peers are told of."""
 
+RESERVED = 4
+"""A message may take a quarter of the available bytes, so that many acks are left for later."""
+
 OVERDRAFT_ROOM = 200
 """Bytes of membership changes that a heartbeat carries even when the budget is used up."""
 
@@ -89,7 +92,7 @@
         if not self._budget.spend(size, now, essential=essential):
             self.withheld += 1
             return False
-        room = min(self._config.datagram_bytes, available) - size
+        room = min(self._config.datagram_bytes, available // RESERVED) - size
         overdrawn = room <= 0
         if overdrawn:
             room = min(OVERDRAFT_ROOM, self._budget.overdraft(now))
--- a/hopstep/domain/membership/protocol.py
+++ b/hopstep/domain/membership/protocol.py
@@ -11,12 +11,12 @@
 from collections.abc import Sequence
 
 from hopstep.domain.membership.actions import Action, EntryChanged, MemberChanged, RevisionHeard
+from hopstep.domain.membership.anti_entropy import AntiEntropy
 from hopstep.domain.membership.config import MembershipConfig
 from hopstep.domain.membership.failure_detector import FailureDetector
 from hopstep.domain.membership.gossip import SizeOf
 from hopstep.domain.membership.isolation import IsolationDetector
 from hopstep.domain.membership.state import MembershipState
-from hopstep.domain.membership.synchronization import Synchronizer
 from hopstep.domain.peer_message import (
     UNCONFIRMED,
     Ack,
@@ -38,6 +38,9 @@
 JOIN_RETRY_SECONDS = 1.0
 """Time between probes of the seeds while no other member is known."""
 
+FORGET_SECONDS = 30.0
+"""Time between two looks for members that are long gone."""
+
 
 class Membership:
     """One member's protocol."""
@@ -67,12 +70,12 @@
         self._state = MembershipState(own, config, size_of, now)
         self._isolation = IsolationDetector(config)
         self._detector = FailureDetector(self._state, self._isolation, generator, now)
-        self._synchronizer = Synchronizer(self._state.table, self._state.entries, size_of)
+        self._anti_entropy = AntiEntropy(self._state, generator, size_of, now)
         self._last_now = now
         self._reconnect_at = now
-        self._sync_at = now + generator.random() * config.sync_seconds
-        self._sync_partner = ""
         self._housekeeping_at = now
+        self._forget_at = now
+        self._asked: set[str] = set()
 
     @property
     def own(self) -> MemberRecord:
@@ -122,7 +125,7 @@
         return min(
             self._detector.next_wakeup(),
             self._reconnect_at,
-            self._sync_at,
+            self._anti_entropy.next_at,
             self._housekeeping_at,
         )
 
@@ -132,8 +135,7 @@
         self._detector.tick(now)
         if now >= self._reconnect_at:
             self._reconnect(now)
-        if now >= self._sync_at:
-            self._synchronize(now)
+        self._anti_entropy.tick(now)
         if now >= self._housekeeping_at:
             self._housekeep(now)
         return self._take_actions(now)
@@ -161,15 +163,13 @@
         elif isinstance(body, Ack):
             self._detector.on_ack(body, now)
         elif isinstance(body, SyncRequest):
-            self._on_sync_request(body, source, now)
+            self._anti_entropy.on_request(body, source, now)
         elif isinstance(body, SyncSummary):
-            changed |= self._on_summary(body, source, now)
+            changed |= self._anti_entropy.on_summary(body, source, now)
         elif isinstance(body, PullRequest):
-            self._on_pull(body, message.sender, source, now)
-        if (summarized or pulled) and changed:
-            self._sync_at = min(self._sync_at, now + self._config.sync_retry_seconds)
-        elif summarized:
-            self._sync_at = min(self._sync_at, now + self._config.sync_differing_seconds)
+            self._anti_entropy.on_pull(body, message.sender, source, now)
+        if summarized or (pulled and changed):
+            self._anti_entropy.after_answer(now, changed=changed)
         return self._take_actions(now)
 
     def publish(
@@ -229,20 +229,26 @@
         if gap > self._config.pause_seconds:
             self._detector.after_pause(gap, now)
             self._isolation.forget_tries()
-            self._sync_at = now
+            self._anti_entropy.hasten(now)
 
     def _note_sender(self, message: PeerMessage, source: str, now: float) -> None:
         """Note that the sender lives; pull its record if it isn't known."""
         member = self._state.table.get(message.sender)
         if member is not None and member.record.incarnation == message.incarnation:
             member.heard_at = now
-            self._isolation.note_heard(message.sender)
+            self._isolation.note_heard(message.sender, now)
             self._note_revision(member.record, message.body.gossip)
             return
         carried = any(record.name == message.sender for record in message.body.gossip.members)
         if not carried and (member is None or member.record.incarnation < message.incarnation):
-            pull = PullRequest((message.sender,), (message.sender,))
-            self._state.outbox.send(source, pull, now)
+            self._ask_for_record(message.sender, source, now)
+
+    def _ask_for_record(self, name: str, source: str, now: float) -> None:
+        """Pull an unknown sender's record, once a heartbeat: two strangers ask each other."""
+        if name in self._asked:
+            return
+        self._asked.add(name)
+        self._state.outbox.send(source, PullRequest((name,), (name,)), now)
 
     def _note_revision(self, sender: MemberRecord, gossip: Gossip) -> None:
         self._state.table.note_revision(sender.name, gossip.revision)
@@ -293,53 +299,17 @@
         for name, address in self._generator.sample(candidates, count):
             self._detector.ping_address(name, address, now)
 
-    def _synchronize(self, now: float) -> None:
-        """Begin an anti-entropy exchange with a random live member."""
-        spread = 0.5 + self._generator.random()
-        self._sync_at = now + self._config.sync_seconds * spread
-        names = self._state.table.live_names()
-        if not names:
-            return
-        partner, self._sync_partner = self._sync_partner, ""
-        member = self._state.table.get(partner) if partner else None
-        if member is None:
-            member = self._state.table.get(self._generator.choice(names))
-        if member is not None:
-            request = self._synchronizer.request(self.own, self._generator)
-            self._state.outbox.send(member.record.peer_address, request, now)
-
-    def _on_sync_request(self, request: SyncRequest, source: str, now: float) -> None:
-        room = self._state.outbox.room(now)
-        summary = self._synchronizer.summarize(request, self.own, room)
-        if summary is not None:
-            self._state.outbox.send_values(source, summary, (), now)
-
-    def _on_summary(self, summary: SyncSummary, source: str, now: float) -> bool:
-        changed = False
-        for status in summary.statuses:
-            changed |= self._state.merge_claim(status, now, spread=False)
-        pull = self._synchronizer.missing(summary, self.own)
-        if pull is not None:
-            self._state.outbox.send(source, pull, now)
-        return changed
-
-    def _on_pull(self, request: PullRequest, sender: str, source: str, now: float) -> None:
-        member = self._state.table.get(sender)
-        audience = member.record.labels_digest if member else 0
-        room = self._state.outbox.room(now)
-        values = self._synchronizer.answer(request, self.own, audience, room)
-        if values:
-            self._state.outbox.send_values(source, Push(), values, now)
-
     def _housekeep(self, now: float) -> None:
         """Follow isolation, and forget members that are long gone."""
         self._housekeeping_at = now + self._config.heartbeat_seconds
+        self._asked.clear()
         self._isolation.update(self._state.table, now)
         self._state.outbox.retransmissions = self._config.retransmissions(
             self._state.table.live_count()
         )
-        if self.is_isolated(now):
+        if now < self._forget_at or self.is_isolated(now):
             return
+        self._forget_at = now + FORGET_SECONDS
         for member in list(self._state.table):
             if now - member.changed_at >= self._retention(member.record.state):
                 self._state.table.forget(member.record.name)
--- a/hopstep/domain/membership/state.py
+++ b/hopstep/domain/membership/state.py
@@ -126,6 +126,7 @@
         own = self.own
         claimed = precedence(claim.incarnation, claim.version, claim.state)
         if claimed <= precedence(own.incarnation, own.version, own.state):
+            self._repeat_own(claim)
             return False
         if claim.incarnation > own.incarnation:
             # The clock went back over a restart: go on above the earlier incarnation.
@@ -136,6 +137,17 @@
         self.outbox.tell(Refuted(self.own))
         return True
 
+    def _repeat_own(self, claim: Claim) -> None:
+        """Spread the own record again when somebody still holds an outdated one.
+
+        Everyone may have missed an earlier refutation, sent while this node was overloaded.
+        """
+        own = self.own
+        if claim.incarnation != own.incarnation:
+            self.outbox.queue.put(own)
+        elif claim.version < own.version:
+            self.outbox.queue.put(MemberStatus(own.name, own.incarnation, own.version, own.state))
+
     def _raise_own(self, incarnation: int, version: int, state: MemberState) -> None:
         started_anew = incarnation != self.own.incarnation
         self.own = msgspec.structs.replace(
--- a/tests/adapters/test_peer_codec.py
+++ b/tests/adapters/test_peer_codec.py
@@ -3,9 +3,11 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 import msgspec
 
+from hopstep.adapters import peer_keys
 from hopstep.adapters.peer_codec import MAX_SKEW_SECONDS, REPLAY_WINDOW, PeerCodec, ReplayWindow
 from hopstep.adapters.peer_keys import CHECK_SECONDS, FilePeerKeys, PeerKeys, parse_keys
 from hopstep.domain.peer_message import (
@@ -151,7 +153,10 @@
 class PeerKeysTest(unittest.TestCase):
     def test_keys_are_replaced_without_a_restart(self):
         now = [0.0]
-        with tempfile.TemporaryDirectory() as directory:
+        with (
+            tempfile.TemporaryDirectory() as directory,
+            mock.patch.object(peer_keys, "emit") as emit,
+        ):
             path = pathlib.Path(directory) / "keys"
             path.write_text(f"old:{KEY.hex()}\n")
             keys = FilePeerKeys(path, lambda: now[0])
@@ -162,7 +167,10 @@
             path.write_text("new:xyz")
             now[0] += CHECK_SECONDS
             self.assertEqual(keys.signing(), ("new", OTHER_KEY))
+            now[0] += CHECK_SECONDS
+            keys.signing()
             self.assertIn("line 1", keys.error)
+            self.assertEqual(emit.call_count, 1)
             path.unlink()
             now[0] += CHECK_SECONDS
             self.assertEqual(keys.verifying("old"), KEY)
--- a/tests/domain/membership/test_protocol.py
+++ b/tests/domain/membership/test_protocol.py
@@ -112,6 +112,17 @@
                 expected = outcome or (5, 0)
                 self.assertEqual((own.own.incarnation, own.own.version), expected)
 
+    def test_an_outdated_claim_about_this_member_is_answered_at_once(self):
+        own = member("b")
+        claim(own, "a", 5, 0, MemberState.DEAD)
+        for _ in range(20):
+            say(own, Ping(1, "a"))
+        dead = Gossip(statuses=(MemberStatus("a", 5, 0, MemberState.DEAD),))
+        ack = bodies(say(own, Ping(1, "a", dead)), Ack)[0]
+        told = [(status.version, status.state) for status in ack.gossip.statuses]
+        self.assertEqual(told, [(1, MemberState.ALIVE)])
+        self.assertEqual(own.own.version, 1)
+
     def test_entries_move_on_to_the_incarnation_that_outbids(self):
         own = member("b")
         value = LeavingBackEnd("e")
@@ -126,6 +137,14 @@
             actions = say(own, Push(), sender=sender, incarnation=incarnation)
             self.assertEqual(len(bodies(actions, PullRequest)), asked, (sender, incarnation))
 
+    def test_strangers_do_not_ask_each_other_without_end(self):
+        own = member("b")
+        asked = [
+            len(bodies(say(own, PullRequest(("a",)), sender="x", incarnation=1), PullRequest))
+            for _ in range(5)
+        ]
+        self.assertEqual(asked, [1, 0, 0, 0, 0])
+
     def test_entries_of_unknown_dead_or_other_incarnations_are_not_taken(self):
         for owner, incarnation, taken in (("b", 5, 1), ("b", 4, 0), ("b", 6, 0), ("x", 5, 0)):
             own = member("b", "c")
--- a/tests/domain/test_membership_stateful.py
+++ b/tests/domain/test_membership_stateful.py
@@ -19,7 +19,8 @@
 from hopstep.adapters import peer_codec
 from hopstep.adapters.peer_codec import PeerCodec
 from hopstep.adapters.peer_keys import PeerKeys
-from hopstep.domain.membership import Membership, MembershipConfig, RevisionHeard, table
+from hopstep.domain.membership import MembershipConfig, RevisionHeard, table
+from hopstep.domain.membership.anti_entropy import AntiEntropy
 from hopstep.domain.membership.state import MembershipState
 from hopstep.domain.peer_message import (
     EntryKind,
@@ -238,7 +239,7 @@
         "tags not compared",
         lambda: mock.patch.object(peer_codec.hmac, "compare_digest", lambda *_: True),
     ),
-    ("no anti-entropy", lambda: mock.patch.object(Membership, "_synchronize", stop_syncing)),
+    ("no anti-entropy", lambda: mock.patch.object(AntiEntropy, "_begin", lambda *_: None)),
     (
         "entries outlive their owner",
         lambda: mock.patch.object(EntryTable, "drop_owner", lambda *_: None),
@@ -250,10 +251,6 @@
 )
 
 
-def stop_syncing(membership, now):
-    membership._sync_at = now + 10_000
-
-
 class MembershipStatefulTest(unittest.TestCase):
     def test_agreement_after_any_faults(self):
         fuzz_settings.run_machine(MembershipMachine, base_examples=20, base_steps=25)
