--- /dev/null
+++ b/emulator/capacity/configuration_probes.py
@@ -0,0 +1,103 @@
+"""Slopes of holding, sending and changing the configuration."""
+
+from __future__ import annotations
+
+import msgspec
+
+from emulator.capacity import samples
+from emulator.capacity.slopes import Slope, bytes_held, fit, seconds_per_call
+from hopstep.domain.configuration import AcceptedConfiguration
+from hopstep.domain.configuration_encoding import decode_snapshot, encode
+from hopstep.domain.configuration_log import Change, Edit, Section, apply_change
+from hopstep.domain.placement import place_engines
+
+SIZES = (250, 500, 1_000, 2_000)
+
+
+def tenant_memory() -> Slope:
+    """Measure the memory of a held configuration by tenants."""
+    return fit("held configuration", "tenant", "byte", SIZES, lambda size: _held(size, 0))
+
+
+def engine_memory() -> Slope:
+    """Measure the memory of a held configuration by engines."""
+    return fit("held configuration", "engine", "byte", SIZES, lambda size: _held(0, size))
+
+
+def tenant_bytes() -> Slope:
+    """Measure the bytes of a snapshot by tenants."""
+    return fit("snapshot", "tenant", "byte", SIZES, lambda size: _encoded(size, 0))
+
+
+def engine_bytes() -> Slope:
+    """Measure the bytes of a snapshot by engines."""
+    return fit("snapshot", "engine", "byte", SIZES, lambda size: _encoded(0, size))
+
+
+def snapshot_decoding() -> Slope:
+    """Measure the time to decode a snapshot by engines (with a quarter as many tenants)."""
+    return fit("snapshot decoding", "engine", "second", SIZES, _decoding_seconds)
+
+
+def change_application() -> Slope:
+    """Measure the time to apply one change by engines (with a quarter as many tenants)."""
+    return fit("change application", "engine", "second", SIZES, _application_seconds)
+
+
+def change_bytes() -> float:
+    """Return the encoded bytes of a change of one tenant."""
+    return float(len(encode(_change(1))))
+
+
+def placement() -> Slope:
+    """Measure the time to place a request by engines in the configuration."""
+    return fit("placement", "engine", "second", SIZES, _placement_seconds)
+
+
+def _held(tenants: int, engines: int) -> float:
+    """Return the bytes of a configuration decoded as a router decodes it."""
+    data = encode(samples.accepted(tenants, engines))
+    return bytes_held(lambda: decode_snapshot(data))
+
+
+def _encoded(tenants: int, engines: int) -> float:
+    return float(len(encode(samples.accepted(tenants, engines))))
+
+
+def _decoding_seconds(engines: int) -> float:
+    data = encode(samples.accepted(engines // 4, engines))
+    return seconds_per_call(lambda: decode_snapshot(data))
+
+
+def _application_seconds(engines: int) -> float:
+    accepted = samples.accepted(engines // 4, engines)
+    change = _change(accepted.revision)
+    return seconds_per_call(lambda: apply_change(accepted, change))
+
+
+def _placement_seconds(engines: int) -> float:
+    accepted = _one_model(samples.accepted(1, engines))
+    request = samples.request(1)
+    return seconds_per_call(
+        lambda: place_engines(
+            accepted.configuration, request.tenant, request.request_class, request.model
+        )
+    )
+
+
+def _one_model(accepted: AcceptedConfiguration) -> AcceptedConfiguration:
+    """Return the configuration with every engine serving the first model."""
+    name = samples.model().name
+    back_ends = tuple(
+        msgspec.structs.replace(back_end, models=(name,))
+        for back_end in accepted.configuration.back_ends
+    )
+    configuration = msgspec.structs.replace(accepted.configuration, back_ends=back_ends)
+    return AcceptedConfiguration(accepted.revision, configuration)
+
+
+def _change(base_revision: int) -> Change:
+    """Return a change that replaces one tenant."""
+    edited = msgspec.structs.replace(samples.tenant(0), weight=2.0)
+    edit = Edit(Section.TENANTS, edited.name, edited)
+    return Change("9f1c2d3e4a5b6c7d", "operator", "raise a weight", base_revision, (edit,))
