Simulate a cluster of the real services in virtual time, under an oracle

Routers run the composition of the process over gates and links that are paused, killed and cut; callers go through the real header gate; an oracle judges what callers, engines and the store saw. Ruled out: one event loop for each router, which a virtual clock cannot join; so timers of a paused router go on, and its effects wait.

--- a/emulator/link_faults.py
+++ b/emulator/link_faults.py
@@ -62,12 +62,13 @@
 
     def deliveries(self, source: str, target: str) -> list[float]:
         """Return the delays after which a datagram arrives; none when it is lost."""
-        if not self._connected(source, target) or self._chance(self.quality.loss):
+        if not self.connected(source, target) or self._chance(self.quality.loss):
             return []
         copies = 2 if self._chance(self.quality.duplication) else 1
         return [self._delay() for _ in range(copies)]
 
-    def _connected(self, source: str, target: str) -> bool:
+    def connected(self, source: str, target: str) -> bool:
+        """Return whether anything sent from one address reaches another."""
         if source in self._cut or target in self._cut or (source, target) in self._one_way:
             return False
         return self._groups.get(source, 0) == self._groups.get(target, 0)
--- /dev/null
+++ b/emulator/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""A whole cluster in virtual time: the real services of several routers over emulated ports."""
--- /dev/null
+++ b/emulator/simulation/placement_oracle.py
@@ -0,0 +1,93 @@
+"""Attempts go only where the configuration allows, and not to back ends that are leaving."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from emulator.simulation.cluster import SimulatedCluster
+from emulator.simulation.configuration_oracle import due_time
+from emulator.simulation.history import Dispatch, Life, Topic
+from hopstep.domain.configuration import Configuration
+from hopstep.domain.placement import place_engines
+
+LEAVING_SECONDS = 5.0
+"""Time after which a leaving back end gets no new work."""
+
+
+def placement_violations(cluster: SimulatedCluster) -> Iterator[str]:
+    """Return attempts sent where they must not go."""
+    lives = {life.number: life for life in cluster.history.lives}
+    calls = {answer.number: answer.call for answer in cluster.history.answers}
+    revisions = {item.accepted.revision: item.accepted for item in cluster.history.accepted}
+    for dispatch in cluster.history.dispatches:
+        call = calls.get(dispatch.sending)
+        if call is None:
+            yield f"placement: {dispatch.request.nonce} belongs to no caller"
+            continue
+        due = _due_revision(cluster, lives[dispatch.life], dispatch)
+        in_force = _in_force(cluster, dispatch)
+        # A newer revision that is in force before it is due overrides the due one.
+        allowed = {revision for revision in in_force if revision >= due} or {due}
+        if not any(
+            dispatch.address
+            in _admissible(revisions[revision].configuration, call.tenant, call.request_class)
+            for revision in allowed
+        ):
+            yield (
+                f"placement: {call.tenant}/{call.request_class} sent to {dispatch.address}"
+                f" at {dispatch.at:.2f} by {dispatch.router} against revisions {sorted(allowed)}"
+            )
+        yield from _leaving_violations(cluster, lives[dispatch.life], dispatch)
+
+
+def _in_force(cluster: SimulatedCluster, dispatch: Dispatch) -> set[int]:
+    """Return the revisions that were in force at the moment of a decision.
+
+    One that came into force at that very moment is concurrent with the decision.
+    """
+    before = [
+        applied.revision
+        for applied in cluster.history.applied
+        if applied.life == dispatch.life and applied.at < dispatch.at
+    ]
+    return {dispatch.revision, max(before, default=dispatch.revision)}
+
+
+def _due_revision(cluster: SimulatedCluster, life: Life, dispatch: Dispatch) -> int:
+    """Return the latest revision that must be in force at the router by now; 0 for none."""
+    history = cluster.history
+    due = [
+        item.accepted.revision
+        for item in history.accepted
+        if due_time(history, life, item.at) <= dispatch.at
+    ]
+    return max(due, default=0)
+
+
+def _admissible(configuration: Configuration, tenant: str, request_class: str) -> set[str]:
+    """Return the addresses of the engines that may serve."""
+    tenants = {item.name: item for item in configuration.tenants}
+    classes = {item.name: item for item in configuration.classes}
+    if tenant not in tenants or request_class not in classes:
+        return set()
+    model = configuration.models[0]
+    placement = place_engines(configuration, tenants[tenant], classes[request_class], model)
+    return {back_end.address for back_end in placement.admissible}
+
+
+def _leaving_violations(cluster: SimulatedCluster, life: Life, dispatch: Dispatch) -> Iterator[str]:
+    """Return new work that a leaving back end took, a few seconds after it was known.
+
+    A router that has just started has the same few seconds to learn of it.
+    """
+    if dispatch.request.nonce not in cluster.runs:
+        return
+    for leaving in cluster.history.leaving:
+        since = max(leaving.known_at, life.began_at)
+        calm_since = cluster.history.calm_since(life.router, Topic.LEAVING, since, LEAVING_SECONDS)
+        late = calm_since + LEAVING_SECONDS < dispatch.at < leaving.until
+        if leaving.address == dispatch.address and late:
+            yield (
+                f"leaving: {dispatch.address} took {dispatch.request.nonce} at {dispatch.at:.2f},"
+                f" leaving since {leaving.known_at:.2f}"
+            )
--- /dev/null
+++ b/tests/simulation/test_configuration.py
@@ -0,0 +1,174 @@
+"""An accepted configuration is in force everywhere within seconds and never reverts."""
+
+import msgspec
+import trio
+
+from emulator.platform.faults import FaultOrder
+from emulator.simulation.deployment import sample_deployment
+from emulator.simulation.history import Outcome
+from hopstep.domain.configuration_log import Section
+from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration_submission import SubmitStatus
+from hopstep.services.configuration_sync import ConfigurationSync
+from tests.simulation.harness import STEADY, SimulationTest, alone_and_in_pairs, call, under_load
+
+ROUTERS = ("r0", "r1", "r2")
+CONVERGENCE_SECONDS = 14.0
+
+
+def moved(cluster, engine, zone):
+    return msgspec.structs.replace(cluster.back_end(engine), labels={"zone": zone})
+
+
+async def racing_operators(cluster):
+    async with trio.open_nursery() as nursery:
+        for zone in ("a", "b", "c"):
+            nursery.start_soon(cluster.edit, moved(cluster, "e1", zone), Section.BACK_ENDS)
+        nursery.start_soon(cluster.edit, moved(cluster, "e2", "b"), Section.BACK_ENDS)
+
+
+async def edit(cluster):
+    outcome = await cluster.edit(moved(cluster, "e4", "c"), Section.BACK_ENDS)
+    assert outcome is None or outcome.status is SubmitStatus.ACCEPTED
+
+
+async def lost_answer(cluster):
+    cluster.order_platform_faults(FaultOrder(lost_answers=1))
+    await edit(cluster)
+
+
+async def watch_with_gaps(cluster):
+    cluster.order_platform_faults(FaultOrder(dropped_changes=1))
+    await edit(cluster)
+    cluster.order_platform_faults(FaultOrder(dropped_changes=0))
+
+
+async def stale_answers_after_an_outage(cluster):
+    await edit(cluster)
+    cluster.order_platform_faults(FaultOrder(outage=True))
+    await trio.sleep(1)
+    cluster.order_platform_faults(FaultOrder(outage=False, stale_reads=6))
+    await racing_operators(cluster)
+    await trio.sleep(2)
+    cluster.order_platform_faults(FaultOrder(stale_reads=0))
+
+
+async def restart_one(cluster):
+    await edit(cluster)
+    await cluster.restart("r2")
+
+
+async def restart_all(cluster):
+    await edit(cluster)
+    await cluster.restart()
+
+
+async def partition(cluster):
+    cluster.cut_peers("r0")
+    await edit(cluster)
+    await trio.sleep(3)
+    cluster.heal()
+
+
+async def pause(cluster):
+    cluster.pause("r1")
+    await edit(cluster)
+    await trio.sleep(4)
+    cluster.resume("r1")
+
+
+async def rate_limit(cluster):
+    cluster.order_platform_faults(FaultOrder(requests_per_second=2.0))
+    await edit(cluster)
+    cluster.order_platform_faults(FaultOrder(requests_per_second=0.0))
+
+
+FAULTS = {
+    "racing operators": racing_operators,
+    "a lost answer": lost_answer,
+    "a watch with gaps": watch_with_gaps,
+    "stale answers after an outage": stale_answers_after_an_outage,
+    "restart of one": restart_one,
+    "restart of all": restart_all,
+    "a partition": partition,
+    "a paused router": pause,
+    "a rate limit": rate_limit,
+}
+
+
+class ConfigurationTest(SimulationTest):
+    def test_every_router_follows_and_none_goes_back(self):
+        for names in alone_and_in_pairs(FAULTS):
+            with self.subTest(faults=names):
+                cluster = self.run_clean(self.body(*names))
+                latest = cluster.world.latest().revision
+                self.assertGreater(latest, 1)
+                held = {router.services.holder.revision for router in cluster.routers.values()}
+                self.assertEqual(held, {latest})
+
+    def test_revisions_spread_among_peers_while_the_store_is_down(self):
+        async def body(cluster):
+            for name in ("r0", "r1"):
+                cluster.cut_platform(name)
+            await edit(cluster)
+            await trio.sleep(8)
+            held = {router.services.holder.revision for router in cluster.routers.values()}
+            self.assertEqual(held, {2})
+
+        self.run_clean(body)
+
+    def test_a_cut_off_router_refuses_bound_tenants_and_serves_the_others(self):
+        async def body(cluster):
+            cluster.cut_router("r1")
+            await cluster.edit(moved(cluster, "e1", "c"), Section.BACK_ENDS)
+            await trio.sleep(CONVERGENCE_SECONDS)
+            bound = await cluster.ask("r1", call("harbour"))
+            free = await cluster.ask("r1", call("anywhere"))
+            self.assertEqual((bound.code, bound.execution), ("isolated", "not_run"))
+            self.assertEqual(free.outcome, Outcome.COMPLETE)
+            cluster.heal()
+            await trio.sleep(CONVERGENCE_SECONDS)
+            bound = await cluster.ask("r1", call("harbour"))
+            self.assertEqual(bound.outcome, Outcome.COMPLETE)
+
+        self.run_clean(body)
+
+    def test_wrong_variants_are_caught(self):
+        for name, fault, variant in (
+            ("lower revisions applied", "a partition", (ConfigurationHolder, "apply", apply_twice)),
+            ("nothing pulled from peers", "a partition", (ConfigurationSync, "_pull", no_pull)),
+        ):
+            with self.subTest(variant=name):
+                self.assert_caught(
+                    "configuration",
+                    self.body(fault, "racing operators"),
+                    variant,
+                    deployment=sample_deployment(routers=6),
+                )
+
+    @staticmethod
+    def body(*names):
+        async def run(cluster):
+            faults = [FAULTS[name] for name in names]
+            await under_load(cluster, *faults, mix=STEADY)
+            cluster.end_faults()
+            await trio.sleep(CONVERGENCE_SECONDS + 1)
+
+        return run
+
+
+APPLY = ConfigurationHolder.apply
+
+
+def apply_twice(holder, accepted):
+    """Put each revision in force, and an earlier one after it."""
+    earlier = holder.current
+    applied = APPLY(holder, accepted)
+    if applied and earlier is not None:
+        for listener in holder._listeners:
+            listener(earlier)
+    return applied
+
+
+async def no_pull(synchronization, peer):
+    await trio.lowlevel.checkpoint()
--- /dev/null
+++ b/tests/simulation/test_leaving.py
@@ -0,0 +1,120 @@
+"""A leaving back end gets no new work after a few seconds."""
+
+import msgspec
+import trio
+
+from emulator.platform.faults import FaultOrder
+from emulator.simulation.deployment import sample_deployment
+from hopstep.domain.configuration_log import Section
+from hopstep.domain.leaving_machines import LeavingMachines
+from hopstep.domain.routing.routing_table import RoutingTable
+from hopstep.services.cluster import Cluster
+from tests.simulation.harness import STEADY, SimulationTest, alone_and_in_pairs, under_load
+
+ENGINE = "e1"
+SECONDS = 12.0
+
+
+async def machine_list(cluster):
+    cluster.machine_list_shows_leaving(ENGINE)
+
+
+async def lagging_list(cluster):
+    cluster.order_platform_faults(FaultOrder(machine_list_lag_seconds=2.0))
+    cluster.machine_list_shows_leaving(ENGINE, lag_seconds=2.0)
+
+
+async def flapping_list(cluster):
+    cluster.machine_list_shows_leaving(ENGINE, flapping=True)
+
+
+async def list_goes_down(cluster):
+    cluster.machine_list_shows_leaving(ENGINE)
+    await trio.sleep(1.5)
+    cluster.order_platform_faults(FaultOrder(machine_list_outage=True))
+    await cluster.restart("r0")
+
+
+async def engine_says_so(cluster):
+    cluster.engine_leaves(ENGINE)
+
+
+async def operator_says_so(cluster):
+    leaving = msgspec.structs.replace(cluster.back_end(ENGINE), leaving=True)
+    await cluster.edit(leaving, Section.BACK_ENDS)
+
+
+async def cut_off_from_peers(cluster):
+    cluster.cut_peers("r1")
+    cluster.machine_list_shows_leaving(ENGINE)
+
+
+async def cut_off_from_the_platform(cluster):
+    cluster.cut_platform("r1")
+    cluster.machine_list_shows_leaving(ENGINE)
+
+
+async def crashes(cluster):
+    for engine in ("e4", "e0"):
+        cluster.crash(engine)
+        await trio.sleep(1)
+
+
+FAULTS = {
+    "the list shows it": machine_list,
+    "the list lags": lagging_list,
+    "the list flaps": flapping_list,
+    "the list goes down": list_goes_down,
+    "the engine says so": engine_says_so,
+    "the operator says so": operator_says_so,
+    "a router is cut off from its peers": cut_off_from_peers,
+    "a router is cut off from the platform": cut_off_from_the_platform,
+    "retries": crashes,
+}
+
+
+def replace_all(machines, leaving, live):
+    return frozenset(leaving)
+
+
+class LeavingTest(SimulationTest):
+    def test_no_new_work_after_a_few_seconds(self):
+        for names in alone_and_in_pairs(FAULTS):
+            with self.subTest(faults=names):
+                cluster = self.run_clean(self.body(*names))
+                self.assert_all_complete(cluster)
+
+    def test_queued_requests_go_elsewhere(self):
+        cluster = self.run_clean(
+            self.body("the list shows it"), deployment=sample_deployment(max_concurrent_requests=1)
+        )
+        self.assert_all_complete(cluster)
+
+    def test_wrong_variants_are_caught(self):
+        for name, fault, variant in (
+            (
+                "leaving ignored",
+                "the list shows it",
+                (RoutingTable, "update_leaving", lambda *_: None),
+            ),
+            (
+                "each answer replaces the last",
+                "the list flaps",
+                (LeavingMachines, "update", replace_all),
+            ),
+            (
+                "peers are not told",
+                "a router is cut off from the platform",
+                (Cluster, "leaving_by_peers", lambda _: frozenset()),
+            ),
+        ):
+            with self.subTest(variant=name):
+                self.assert_caught("leaving", self.body(fault), variant)
+
+    @staticmethod
+    def body(*names):
+        async def run(cluster):
+            faults = [FAULTS[name] for name in names]
+            await under_load(cluster, *faults, seconds=SECONDS, mix=STEADY)
+
+        return run
