Place requests through the configuration index

Cause: each request walked all back ends, tenants and classes, several times over while queued. Ruled out: remembering by tenant name only, which helps neither the first request of each of 2,400 tenants after a change nor routers and KV cache stores. A removed tenant, class or model is refused as before.

--- a/emulator/experiments/omniscient.py
+++ b/emulator/experiments/omniscient.py
@@ -13,6 +13,7 @@
 from emulator.experiments.world import World
 from hopstep.domain.blocks import BLOCK_TOKENS
 from hopstep.domain.configuration import BackEnd, Configuration
+from hopstep.domain.configuration_index import ConfigurationIndex
 from hopstep.domain.requests_in_force import choose_kv_cache_store
 from hopstep.domain.routing.selection import Choice
 
@@ -31,7 +32,7 @@
             random_source: Breaks ties.
         """
         self._world = world
-        self._configuration = configuration
+        self._index = ConfigurationIndex(configuration)
         self._random = random_source
         self._underway: dict[str, int] = {}
 
@@ -51,7 +52,7 @@
         if not usable:
             return None
         best = min(usable, key=lambda back_end: self._cost(back_end, item, now))
-        store = choose_kv_cache_store(self._configuration, item.request, best)
+        store = choose_kv_cache_store(self._index, item.request, best)
         cached = self._world.engines[best.address].model.cached_blocks(item.prepared)
         return plain_choice(best, item, cached_tokens=cached * BLOCK_TOKENS, kv_cache_store=store)
 
@@ -63,10 +64,10 @@
 
     def _cost(self, back_end: BackEnd, item: TraceRequest, now: float) -> tuple[float, float]:
         """Return the weighted seconds until the first token, then a random tie-break."""
-        policy = self._configuration.routing
+        policy = self._index.configuration.routing
         model = self._world.engines[back_end.address].model
         cached = model.cached_blocks(item.prepared) * BLOCK_TOKENS
-        store = choose_kv_cache_store(self._configuration, item.request, back_end)
+        store = choose_kv_cache_store(self._index, item.request, back_end)
         importable = self._world.importable_blocks(store, item.prepared) * BLOCK_TOKENS
         imported = max(0, importable - cached)
         computed = item.prepared.token_count - cached - imported
--- a/emulator/experiments/simulation.py
+++ b/emulator/experiments/simulation.py
@@ -18,6 +18,7 @@
 from emulator.experiments.world import SimulatedEngine, World
 from hopstep.domain.blocks import BLOCK_TOKENS, cache_salt
 from hopstep.domain.configuration import AcceptedConfiguration, BackEnd, BackEndKind
+from hopstep.domain.configuration_index import ConfigurationIndex
 from hopstep.domain.placement import place_engines
 from hopstep.domain.requests_in_force import choose_kv_cache_store
 from hopstep.domain.routing.selection import Choice
@@ -226,6 +227,7 @@
         self.seed = seed
         self.queue = EventQueue()
         self.accepted = AcceptedConfiguration(1, deployment.configuration)
+        self._index = ConfigurationIndex(deployment.configuration)
         config = msgspec.structs.replace(
             deployment.engine,
             event_loss_ratio=event_loss_ratio,
@@ -367,5 +369,4 @@
 
     def _store(self, journey: Journey) -> str:
         """Return the KV cache store that the request's tenant may use."""
-        configuration = self.deployment.configuration
-        return choose_kv_cache_store(configuration, journey.item.request, journey.admissible[0])
+        return choose_kv_cache_store(self._index, journey.item.request, journey.admissible[0])
--- a/hopstep/adapters/http_api/completions.py
+++ b/hopstep/adapters/http_api/completions.py
@@ -20,7 +20,6 @@
 )
 from hopstep.adapters.http_api.rendering import CompletionRenderer
 from hopstep.domain.configuration import BackEndKind
-from hopstep.domain.placement import place_tenant
 
 DECODER = msgspec.json.Decoder(CompletionBody)
 
@@ -48,7 +47,6 @@
 
 def _reachable_models(caller: Caller) -> list[str]:
     """Return the configured models that an engine inside the tenant's places serves."""
-    configuration = caller.accepted.configuration
-    engines = place_tenant(configuration, caller.tenant, BackEndKind.ENGINE).admissible
+    engines = caller.index.tenant_back_ends(caller.tenant, BackEndKind.ENGINE)
     served = {name for engine in engines for name in engine.models}
-    return [model.name for model in configuration.models if model.name in served]
+    return [name for name in caller.index.models if name in served]
--- a/hopstep/adapters/http_api/gate.py
+++ b/hopstep/adapters/http_api/gate.py
@@ -14,13 +14,9 @@
 
 from hopstep.adapters.http_api.context import ApiContext
 from hopstep.adapters.http_api.errors import encode_error, error_headers, http_status
-from hopstep.domain.configuration import (
-    AcceptedConfiguration,
-    BackEndKind,
-    Configuration,
-    Tenant,
-)
-from hopstep.domain.placement import place_tenant, router_may_serve
+from hopstep.domain.configuration import BackEndKind, Tenant
+from hopstep.domain.configuration_index import ConfigurationIndex
+from hopstep.domain.placement import router_may_serve
 from hopstep.exceptions import ErrorCode, ServiceError
 
 AsgiScope = dict[str, Any]
@@ -40,12 +36,12 @@
 
     Attributes:
         tenant: Whose key it was.
-        accepted: Configuration by which the request is served, whatever comes meanwhile.
+        index: Configuration by which the request is served, whatever comes meanwhile.
         start: When the headers were read, by the node's clock in seconds.
     """
 
     tenant: Tenant
-    accepted: AcceptedConfiguration
+    index: ConfigurationIndex
     start: float
 
 
@@ -80,17 +76,17 @@
         """Return the caller, or raise ``ServiceError``."""
         context = self._context
         context.lifecycle.check_serving()
-        accepted = context.holder.require()
+        index = context.holder.require_index()
         headers = dict(scope["headers"])
         tenant = context.authenticator.authenticate(headers.get(b"authorization", b""))
-        self._check_placement(accepted.configuration, tenant)
+        self._check_placement(index, tenant)
         _check_length(headers.get(b"content-length", b""), context.settings.max_body_bytes)
-        return Caller(tenant, accepted, trio.current_time())
+        return Caller(tenant, index, trio.current_time())
 
-    def _check_placement(self, configuration: Configuration, tenant: Tenant) -> None:
+    def _check_placement(self, index: ConfigurationIndex, tenant: Tenant) -> None:
         """Raise when this router may not read the tenant's prompts."""
-        if not _router_admits(configuration, tenant, self._context):
-            routers = place_tenant(configuration, tenant, BackEndKind.ROUTER).admissible
+        if not _router_admits(index, tenant, self._context):
+            routers = index.tenant_back_ends(tenant, BackEndKind.ROUTER)
             raise ServiceError(
                 ErrorCode.OUTSIDE_PLACEMENT,
                 "this router is outside the tenant's places; use one of the endpoints",
@@ -104,7 +100,7 @@
             )
 
 
-def _router_admits(configuration: Configuration, tenant: Tenant, context: ApiContext) -> bool:
+def _router_admits(index: ConfigurationIndex, tenant: Tenant, context: ApiContext) -> bool:
     """Return whether the router's labels let it read the tenant's prompts.
 
     Both its settings and, where the configuration lists it, its configured labels must match:
@@ -112,11 +108,10 @@
     """
     if not router_may_serve(tenant, context.settings.all_labels()):
         return False
-    return all(
-        router_may_serve(tenant, back_end.labels)
-        for back_end in configuration.back_ends
-        if back_end.kind is BackEndKind.ROUTER and back_end.name == context.settings.name
-    )
+    configured = index.back_ends.get(context.settings.name)
+    if configured is None or configured.kind is not BackEndKind.ROUTER:
+        return True
+    return router_may_serve(tenant, configured.labels)
 
 
 def _check_length(content_length: bytes, max_body_bytes: int) -> None:
--- a/hopstep/adapters/http_api/requests.py
+++ b/hopstep/adapters/http_api/requests.py
@@ -7,7 +7,8 @@
 from hopstep.adapters.http_api.bodies import GenerationBody
 from hopstep.adapters.http_api.gate import Caller
 from hopstep.domain.blocks import count_tokens
-from hopstep.domain.configuration import Configuration, Model, RequestClass, Tenant
+from hopstep.domain.configuration import Model, RequestClass, Tenant
+from hopstep.domain.configuration_index import ConfigurationIndex
 from hopstep.domain.inference import InferenceRequest
 from hopstep.exceptions import ErrorCode, ServiceError
 
@@ -38,9 +39,8 @@
     Raises:
         ServiceError: When a name is unknown or a bound is broken; always ``NOT_RUN``.
     """
-    configuration = caller.accepted.configuration
-    model = _find_model(configuration, body.model)
-    request_class = _find_class(configuration, caller.tenant, body, class_header)
+    model = _find_model(caller.index, body.model)
+    request_class = _find_class(caller.index, caller.tenant, body, class_header)
     _check_prompt(prompt, prompt_field, model)
     _check_idempotency_key(idempotency_key)
     wanted = body.max_completion_tokens or body.max_tokens or request_class.max_output_tokens
@@ -56,27 +56,25 @@
     )
 
 
-def _find_model(configuration: Configuration, name: str) -> Model:
+def _find_model(index: ConfigurationIndex, name: str) -> Model:
     """Return a model by name."""
-    for model in configuration.models:
-        if model.name == name:
-            return model
-    raise ServiceError(
-        ErrorCode.UNKNOWN_MODEL, "no model of this name is configured", field="model"
-    )
+    model = index.models.get(name)
+    if model is None:
+        raise ServiceError(
+            ErrorCode.UNKNOWN_MODEL, "no model of this name is configured", field="model"
+        )
+    return model
 
 
 def _find_class(
-    configuration: Configuration, tenant: Tenant, body: GenerationBody, class_header: str
+    index: ConfigurationIndex, tenant: Tenant, body: GenerationBody, class_header: str
 ) -> RequestClass:
     """Return the class that the header, the body or the tenant's default names."""
     in_body = body.metadata.request_class if body.metadata else ""
     name = class_header or in_body or tenant.default_class
     field = CLASS_HEADER if class_header else "metadata.class"
-    for request_class in configuration.classes:
-        if request_class.name == name:
-            break
-    else:
+    request_class = index.classes.get(name)
+    if request_class is None:
         raise ServiceError(
             ErrorCode.UNKNOWN_CLASS, "no request class of this name is configured", field=field
         )
--- a/hopstep/domain/requests_in_force.py
+++ b/hopstep/domain/requests_in_force.py
@@ -2,31 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from typing import Protocol, TypeVar
+from collections.abc import Mapping
+from typing import TypeVar
 
 import msgspec
 
-from hopstep.domain.configuration import BackEnd, BackEndKind, Configuration
+from hopstep.domain.configuration import BackEnd, BackEndKind
+from hopstep.domain.configuration_index import ConfigurationIndex
 from hopstep.domain.inference import InferenceRequest
-from hopstep.domain.placement import place_tenant
 from hopstep.exceptions import DomainError, ErrorCode
 
 ZONE_LABEL = "zone"
 
 
-class _Named(Protocol):
-    """An item of the configuration."""
+_Item = TypeVar("_Item")
 
-    @property
-    def name(self) -> str:
-        """Unique name among items of its kind."""
 
-
-_Item = TypeVar("_Item", bound=_Named)
-
-
-def request_in_force(request: InferenceRequest, configuration: Configuration) -> InferenceRequest:
+def request_in_force(request: InferenceRequest, index: ConfigurationIndex) -> InferenceRequest:
     """Return the request with its tenant, class and model as configured now.
 
     Raises:
@@ -34,22 +26,20 @@
     """
     return msgspec.structs.replace(
         request,
-        tenant=_find(configuration.tenants, request.tenant.name, "tenant"),
-        request_class=_find(configuration.classes, request.request_class.name, "request_class"),
-        model=_find(configuration.models, request.model.name, "model"),
+        tenant=_find(index.tenants, request.tenant.name, "tenant"),
+        request_class=_find(index.classes, request.request_class.name, "request_class"),
+        model=_find(index.models, request.model.name, "model"),
     )
 
 
-def may_hold_answer(
-    request: InferenceRequest, configuration: Configuration, engine_name: str
-) -> bool:
+def may_hold_answer(request: InferenceRequest, index: ConfigurationIndex, engine_name: str) -> bool:
     """Return whether an engine that runs the request may go on with it.
 
     A leaving engine may: it gets no new work, but no stream is cut off.
     """
     try:
-        current = request_in_force(request, configuration)
-        engine = _find(configuration.back_ends, engine_name, "back_end")
+        current = request_in_force(request, index)
+        engine = _find(index.back_ends, engine_name, "back_end")
     except DomainError:
         return False
     selectors = (current.tenant.selector, current.request_class.selector)
@@ -58,7 +48,7 @@
 
 def may_take_attempt(
     request: InferenceRequest,
-    configuration: Configuration,
+    index: ConfigurationIndex,
     engine_name: str,
     weights_version: str,
 ) -> bool:
@@ -66,39 +56,39 @@
 
     Args:
         request: The request.
-        configuration: Configuration in force now.
+        index: Configuration in force now.
         engine_name: Engine that the attempt was prepared for.
         weights_version: Weights that it will require.
     """
-    if not may_hold_answer(request, configuration, engine_name):
+    if not may_hold_answer(request, index, engine_name):
         return False
-    engine = _find(configuration.back_ends, engine_name, "back_end")
-    model = _find(configuration.models, request.model.name, "model")
+    engine = _find(index.back_ends, engine_name, "back_end")
+    model = _find(index.models, request.model.name, "model")
     takes_work = not engine.leaving and model.name in engine.models
     return takes_work and model.weights_version == weights_version
 
 
 def choose_kv_cache_store(
-    configuration: Configuration, request: InferenceRequest, engine: BackEnd
+    index: ConfigurationIndex, request: InferenceRequest, engine: BackEnd
 ) -> str:
     """Return the address of the KV cache store for an attempt; empty for none.
 
     One in the engine's zone is preferred. There is none while imports are switched off.
     """
-    if configuration.routing.import_tokens_per_second <= 0:
+    if index.configuration.routing.import_tokens_per_second <= 0:
         return ""
-    stores = place_tenant(configuration, request.tenant, BackEndKind.KV_CACHE_STORE).admissible
+    stores = index.tenant_back_ends(request.tenant, BackEndKind.KV_CACHE_STORE)
     zone = engine.labels.get(ZONE_LABEL)
     near = [store for store in stores if store.labels.get(ZONE_LABEL) == zone]
     candidates = near or list(stores)
     return candidates[0].address if candidates else ""
 
 
-def _find(items: Iterable[_Item], name: str, kind: str) -> _Item:
+def _find(items: Mapping[str, _Item], name: str, kind: str) -> _Item:
     """Return the item called ``name``."""
-    for item in items:
-        if item.name == name:
-            return item
+    item = items.get(name)
+    if item is not None:
+        return item
     raise DomainError(
         ErrorCode.NO_ADMISSIBLE_BACK_END, f"the {kind} is no longer configured", field=kind
     )
--- a/hopstep/services/attempt_factory.py
+++ b/hopstep/services/attempt_factory.py
@@ -137,9 +137,9 @@
         delivered: tuple[str, ...],
     ) -> Attempt:
         """Return an attempt with its preconditions, under the configuration in force."""
-        configuration = self._holder.require().configuration
+        index = self._holder.require_index()
         try:
-            current = request_in_force(request, configuration)
+            current = request_in_force(request, index)
         except DomainError as error:
             slot.release()
             raise ServiceError(error.code, error.message, field=error.field) from error
@@ -155,7 +155,7 @@
             weights_version=weights,
             incarnation=incarnation if bound else "",
             continued_text=delivered,
-            kv_cache_store=choose_kv_cache_store(configuration, current, slot.choice.back_end),
+            kv_cache_store=choose_kv_cache_store(index, current, slot.choice.back_end),
         )
         return Attempt(generate, slot, incarnation, len(delivered), trio.current_time())
 
@@ -186,10 +186,9 @@
             attempt: What was prepared.
             revision: Configuration revision before the preparation began.
         """
-        accepted = self._holder.require()
-        return accepted.revision == revision or may_take_attempt(
+        return self._holder.revision == revision or may_take_attempt(
             request,
-            accepted.configuration,
+            self._holder.require_index(),
             attempt.engine_name,
             attempt.request.weights_version,
         )
--- a/hopstep/services/engine_placement.py
+++ b/hopstep/services/engine_placement.py
@@ -1,4 +1,4 @@
-"""Engines that a request may use under the configuration in force, worked out once a revision."""
+"""Engines that a request may use under the configuration in force."""
 
 from __future__ import annotations
 
@@ -6,7 +6,6 @@
 
 from hopstep.domain.configuration import BackEnd
 from hopstep.domain.inference import InferenceRequest
-from hopstep.domain.placement import place_engines
 from hopstep.domain.requests_in_force import request_in_force
 from hopstep.exceptions import DomainError, ErrorCode, ServiceError
 from hopstep.services.configuration_holder import ConfigurationHolder
@@ -32,7 +31,7 @@
 
 
 class EnginePlacement:
-    """Placements under the configuration in force; forgotten at every new revision.
+    """Placements under the configuration in force.
 
     Args:
         holder: Configuration in force.
@@ -40,8 +39,6 @@
 
     def __init__(self, holder: ConfigurationHolder) -> None:
         self._holder = holder
-        self._revision = 0
-        self._placed: dict[PlacementKey, tuple[BackEnd, ...]] = {}
 
     @property
     def revision(self) -> int:
@@ -54,14 +51,9 @@
         Raises:
             ServiceError: ``NO_ADMISSIBLE_BACK_END`` when there is none.
         """
-        accepted = self._holder.require()
-        if accepted.revision != self._revision:
-            self._revision = accepted.revision
-            self._placed.clear()
-        key = placement_key(request)
-        placed = self._placed.get(key)
-        if placed is None:
-            placed = self._placed[key] = self._place(request)
+        current = self.in_force(request)
+        index = self._holder.require_index()
+        placed = index.engines(current.tenant, current.request_class, current.model)
         if not placed:
             raise ServiceError(
                 ErrorCode.NO_ADMISSIBLE_BACK_END, "no engine is allowed to serve the request"
@@ -75,14 +67,6 @@
             ServiceError: ``NO_ADMISSIBLE_BACK_END`` when one of them has been removed.
         """
         try:
-            return request_in_force(request, self._holder.require().configuration)
+            return request_in_force(request, self._holder.require_index())
         except DomainError as error:
             raise ServiceError(error.code, error.message, field=error.field) from error
-
-    def _place(self, request: InferenceRequest) -> tuple[BackEnd, ...]:
-        """Work out a placement."""
-        current = self.in_force(request)
-        configuration = self._holder.require().configuration
-        return place_engines(
-            configuration, current.tenant, current.request_class, current.model
-        ).admissible
--- a/hopstep/services/request_execution.py
+++ b/hopstep/services/request_execution.py
@@ -7,7 +7,7 @@
 
 from hopstep import log_events
 from hopstep.domain.attempts import Action, AttemptState, Decision, RequestSnapshot, decide_next
-from hopstep.domain.configuration import Configuration
+from hopstep.domain.configuration_index import ConfigurationIndex
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.retry_budget import RetryBudget
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
@@ -124,9 +124,9 @@
     async def _first_attempt(self) -> None:
         """Dispatch for the first time, with a hedge where the class asks for one."""
         attempt = await self._prepare()
-        configuration = self._configuration()
-        self._context.budget.record_first_attempt(configuration.routing.retry_ratio)
-        hedge_after = self._state.hedge_after(configuration)
+        index = self._index()
+        self._context.budget.record_first_attempt(index.configuration.routing.retry_ratio)
+        hedge_after = self._state.hedge_after(index)
         if hedge_after <= 0:
             await self._dispatch(attempt)
             return
@@ -231,13 +231,13 @@
             )
         await self._progress.deliver(attempt.engine_name, frame, tokens)
 
-    def _configuration(self) -> Configuration:
-        """Return the configuration in force."""
-        return self._context.holder.require().configuration
+    def _index(self) -> ConfigurationIndex:
+        """Return the index of the configuration in force."""
+        return self._context.holder.require_index()
 
     def _snapshot(self) -> RequestSnapshot:
         """Return what the next decision depends on."""
-        return self._state.snapshot(self._configuration(), self._context.budget)
+        return self._state.snapshot(self._index(), self._context.budget)
 
     def _close_attempt(self) -> None:
         """Close the current attempt, if there is one."""
--- a/hopstep/services/request_state.py
+++ b/hopstep/services/request_state.py
@@ -5,7 +5,7 @@
 import trio
 
 from hopstep.domain.attempts import AttemptState, RequestSnapshot
-from hopstep.domain.configuration import Configuration
+from hopstep.domain.configuration_index import ConfigurationIndex
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.requests_in_force import may_hold_answer
 from hopstep.domain.retry_budget import RetryBudget
@@ -70,18 +70,18 @@
         ran = self.earlier_ran or self.attempt.state is not AttemptState.NOT_RUN
         return Execution.UNKNOWN if ran else Execution.NOT_RUN
 
-    def hedge_after(self, configuration: Configuration) -> float:
+    def hedge_after(self, index: ConfigurationIndex) -> float:
         """Return the wait for a first token before a hedge, in seconds; 0 for none."""
         request_class = self.request.request_class
         if not (request_class.hedge and request_class.repeatable):
             return 0.0
-        return configuration.routing.hedge_after_seconds
+        return index.configuration.routing.hedge_after_seconds
 
-    def snapshot(self, configuration: Configuration, budget: RetryBudget) -> RequestSnapshot:
+    def snapshot(self, index: ConfigurationIndex, budget: RetryBudget) -> RequestSnapshot:
         """Return what the next decision depends on.
 
         Args:
-            configuration: Configuration in force.
+            index: Configuration in force.
             budget: Retries that are left.
         """
         attempt = self.require_attempt()
@@ -96,12 +96,12 @@
             earlier_ran=self.earlier_ran,
             resumable=attempt.resumable,
             engine_answers=attempt.engine_answers,
-            still_placed=may_hold_answer(self.request, configuration, attempt.engine_name),
+            still_placed=may_hold_answer(self.request, index, attempt.engine_name),
             fruitless_resumes=attempt.fruitless_resumes,
             settled=attempt.settled,
             attempts=self.attempts,
             progressed=attempt.progressed,
             retry_allowed=budget.allows(now),
-            hedge_after=self.hedge_after(configuration),
+            hedge_after=self.hedge_after(index),
             waited=now - attempt.dispatched_at,
         )
--- a/hopstep/services/tenant_limits.py
+++ b/hopstep/services/tenant_limits.py
@@ -11,7 +11,6 @@
 from hopstep.domain.configuration import BackEndKind, Tenant, TenantLimits
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.limits import LimitRefusal, ShareView, TenantLimiter
-from hopstep.domain.placement import place_tenant
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.services.configuration_holder import ConfigurationHolder
 
@@ -110,13 +109,11 @@
 
     def _limits_in_force(self, tenant: Tenant) -> TenantLimits:
         """Return a tenant's limits as configured now."""
-        tenants = self._holder.require().configuration.tenants
-        return next((item.limits for item in tenants if item.name == tenant.name), tenant.limits)
+        return self._holder.require_index().tenants.get(tenant.name, tenant).limits
 
     def _view(self, tenant: Tenant) -> ShareView:
         """Return what gossip says of a tenant's demand."""
-        configuration = self._holder.require().configuration
-        routers = place_tenant(configuration, tenant, BackEndKind.ROUTER).admissible
+        routers = self._holder.require_index().tenant_back_ends(tenant, BackEndKind.ROUTER)
         return ShareView(
             router=self._router,
             live_routers=self._live_routers(),
