--- a/hopstep/domain/routing/routing_table.py
+++ b/hopstep/domain/routing/routing_table.py
@@ -19,6 +19,7 @@
     Configuration,
     RoutingPolicy,
 )
+from hopstep.domain.configuration_index import ConfigurationIndex
 from hopstep.domain.engines import CacheEventBatch, CacheEventKind, EngineFacts
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.rendezvous import Rendezvous
@@ -60,7 +61,7 @@
         """
         self._hash_prompt = hash_prompt
         self._random = random_source
-        self._configuration = Configuration()
+        self._index = ConfigurationIndex(Configuration())
         self._policy = RoutingPolicy()
         self._views: dict[str, EngineView] = {}
         self._picture = PrefixPicture(self._policy.max_prefix_heads)
@@ -70,7 +71,7 @@
 
     def update_configuration(self, accepted: AcceptedConfiguration) -> None:
         """Follow a newly accepted configuration; engines that it lacks are forgotten."""
-        self._configuration = accepted.configuration
+        self._index = ConfigurationIndex(accepted.configuration)
         if accepted.configuration.routing.prefix_stride_blocks != self._policy.prefix_stride_blocks:
             self._picture = PrefixPicture(accepted.configuration.routing.max_prefix_heads)
         self._policy = accepted.configuration.routing
@@ -247,7 +248,7 @@
 
     def _choice(self, request: InferenceRequest, prompt: Prompt, candidate: Candidate) -> Choice:
         """Return the choice of one candidate."""
-        store = choose_kv_cache_store(self._configuration, request, candidate.back_end)
+        store = choose_kv_cache_store(self._index, request, candidate.back_end)
         return make_choice(prompt, candidate, self._policy, store)
 
     def _candidates(self, prompt: Prompt, usable: list[BackEnd], now: float) -> list[Candidate]:
