Hold a tenant to its queue length from the first request on

Cause: the length was looked at only when the expected wait was above 0, and that is 0 until a first request has given its slot back; so a router that had just started queued without bound. Found by tests.simulation.test_overload: none of 8 requests refused with a queue of 2, now those beyond it are refused at the moment they come.

--- a/hopstep/services/admission.py
+++ b/hopstep/services/admission.py
@@ -135,13 +135,17 @@
 
     def expected_wait(self, entry: QueueEntry, engines: tuple[BackEnd, ...]) -> float:
         """Return the seconds for which a new entry would wait for one of ``engines``."""
-        if not self._queue and any(self._has_room(engine) for engine in engines):
+        if not self._must_wait(engines):
             return 0.0
         names = {engine.name for engine in engines}
         before = self._queue.count_before(entry, lambda other: self._competes(other, names))
         capacity = sum(engine.max_concurrent_requests for engine in engines)
         return (before + 1) * self._mean_hold_seconds / max(1, capacity)
 
+    def _must_wait(self, engines: tuple[BackEnd, ...]) -> bool:
+        """Return whether a new entry for one of ``engines`` would have to queue."""
+        return bool(self._queue) or not any(self._has_room(engine) for engine in engines)
+
     def recheck(self) -> None:
         """Look at the queue again, after the configuration or an engine's load changed."""
         self._drain()
@@ -166,7 +170,8 @@
         """Refuse a request that would wait too long."""
         wait = self.expected_wait(entry, engines)
         limit = request.tenant.limits.max_queued_requests
-        if wait > 0 and self._queue.count_of(entry.tenant) >= limit:
+        # Not by the expected wait: it is 0 until a first request has given its slot back.
+        if self._must_wait(engines) and self._queue.count_of(entry.tenant) >= limit:
             raise self._overloaded("the tenant's queue is full", wait)
         patience = request.deadline - trio.current_time()
         if wait > min(request.request_class.max_queue_seconds, patience):
