--- a/emulator/simulation/cache_oracle.py
+++ b/emulator/simulation/cache_oracle.py
@@ -28,6 +28,9 @@
         if request.incarnation and request.incarnation != run.incarnation:
             yield f"cache: {request.nonce} relied on {request.incarnation}, not {run.incarnation}"
         explained = max(_shared_tokens(run, other) for other in held[_owner(run, tenants)])
+        exported = max(_shared_tokens(run, other) for other in _exporters(run, runs, tenants))
+        if run.dispatch.cached_tokens + run.dispatch.imported_tokens > max(explained, exported):
+            yield f"cache: {request.nonce} imported what its tenant and weights never exported"
         if run.dispatch.cached_tokens > explained:
             yield (
                 f"cache: {request.nonce} of {tenants.get(run.dispatch.sending)} hit"
@@ -58,6 +61,12 @@
     return run.incarnation, tenant, run.dispatch.request.weights_version
 
 
+def _exporters(run: _Run, runs: list[_Run], tenants: dict[int, str]) -> Iterator[_Run]:
+    """Yield the runs, at any engine, whose exports a run may import."""
+    owner = _owner(run, tenants)[1:]
+    return (other for other in runs if _owner(other, tenants)[1:] == owner)
+
+
 def _shared_tokens(run: _Run, other: _Run) -> int:
     """Return the tokens of a run that another one, not begun after it, may have left."""
     if other is run or other.started_at > run.started_at:
--- a/emulator/simulation/history.py
+++ b/emulator/simulation/history.py
@@ -112,6 +112,7 @@
         sending: Number of the caller's sending; 0 when it isn't known.
         answered_by: Incarnation of the first frame; empty without one.
         cached_tokens: Cached tokens by the first frame's usage.
+        imported_tokens: Tokens read from a KV cache store by the first frame's usage.
     """
 
     at: float
@@ -123,6 +124,7 @@
     sending: int
     answered_by: str = ""
     cached_tokens: int = 0
+    imported_tokens: int = 0
 
 
 class Applied(msgspec.Struct, frozen=True):
