--- a/hopstep/domain/membership/protocol.py
+++ b/hopstep/domain/membership/protocol.py
@@ -286,11 +286,18 @@
                 )
 
     def _reconnect(self, now: float) -> None:
-        """Probe a member held dead or a seed that isn't a member, to heal partitions."""
+        """Probe a member held dead or a seed that isn't a member, to heal partitions.
+
+        A seed that left is probed too: it may have started anew where nobody is known to it.
+        """
         alone = not self._state.table.live_names()
         wait = JOIN_RETRY_SECONDS if alone else self._config.reconnect_seconds
         self._reconnect_at = now + wait * (0.5 + self._generator.random())
-        known = {member.record.peer_address for member in self._state.table}
+        known = {
+            member.record.peer_address
+            for member in self._state.table
+            if member.record.state is not MemberState.LEFT
+        }
         candidates = [("", seed) for seed in self._seeds if seed not in known]
         candidates += [
             (member.record.name, member.record.peer_address) for member in self._state.table.dead()
--- a/tests/emulator/test_hollow_cluster.py
+++ b/tests/emulator/test_hollow_cluster.py
@@ -21,6 +21,16 @@
         cluster.restart(SEEDS[0], ())
         self.assertLess(until_agreement(cluster, 30), 30)
 
+    def test_seeds_that_left_are_asked_again_as_they_may_have_started_anew_elsewhere(self):
+        cluster = make_cluster(4)
+        until_agreement(cluster, 30)
+        for seed in SEEDS:
+            cluster.leave(seed)
+        cluster.run_until(cluster.now + 10)
+        for seed in SEEDS:
+            cluster.restart(seed, SEEDS)
+        self.assertLess(until_agreement(cluster, 30), 30)
+
 
 class FailureTest(unittest.TestCase):
     def test_a_killed_node_is_declared_dead_and_its_restart_alive(self):
