Bound the rate of probes and of unchanged facts; work the budgets out

Cause: each watched engine was probed twice a second and its facts told to every router each 5 s. At 10,000 engines before 390 nodes that is 103 probes a second a node at 1.49 ms each, 15% of a core against 2.6%, and 392 kB of facts a second received (98 bytes an entry, two owners). Now at most 12 probes a second a node (1.8%) and 2.5 unchanged publications a second an owner (490 bytes a second received); changes are told at once as before, and sites of up to 6 watched engines see no difference. The rates are held by tests that fail without the bound (4,800 probes where 360 are allowed). New command: hopstep-emulator capacity measures the slopes and adds them up; memory, network and processor budgets are shown broken where they are.

--- a/emulator/capacity/configuration_probes.py
+++ b/emulator/capacity/configuration_probes.py
@@ -8,6 +8,7 @@
 from emulator.capacity.slopes import Slope, bytes_held, fit, seconds_per_call
 from hopstep.domain.configuration import AcceptedConfiguration
 from hopstep.domain.configuration_encoding import decode_snapshot, encode
+from hopstep.domain.configuration_index import ConfigurationIndex
 from hopstep.domain.configuration_log import Change, Edit, Section, apply_change
 from hopstep.domain.placement import place_engines
 
@@ -51,7 +52,17 @@
 
 def placement() -> Slope:
     """Measure the time to place a request by engines in the configuration."""
-    return fit("placement", "engine", "second", SIZES, _placement_seconds)
+    return fit("placement by the plain rules", "engine", "second", SIZES, _placement_seconds)
+
+
+def index_building() -> Slope:
+    """Measure the time to index a configuration by engines (with a quarter as many tenants)."""
+    return fit("configuration index", "engine", "second", SIZES, _index_seconds)
+
+
+def indexed_placement() -> Slope:
+    """Measure the time of a remembered placement by engines in the configuration."""
+    return fit("placement by the index", "engine", "second", SIZES, _indexed_seconds)
 
 
 def _held(tenants: int, engines: int) -> float:
@@ -85,6 +96,19 @@
     )
 
 
+def _index_seconds(engines: int) -> float:
+    configuration = samples.accepted(engines // 4, engines).configuration
+    return seconds_per_call(lambda: ConfigurationIndex(configuration))
+
+
+def _indexed_seconds(engines: int) -> float:
+    index = ConfigurationIndex(_one_model(samples.accepted(1, engines)).configuration)
+    request = samples.request(1)
+    return seconds_per_call(
+        lambda: index.engines(request.tenant, request.request_class, request.model)
+    )
+
+
 def _one_model(accepted: AcceptedConfiguration) -> AcceptedConfiguration:
     """Return the configuration with every engine serving the first model."""
     name = samples.model().name
--- a/emulator/capacity/routing_probes.py
+++ b/emulator/capacity/routing_probes.py
@@ -9,7 +9,7 @@
 from emulator.capacity import samples
 from emulator.capacity.slopes import Slope, bytes_held, fit, seconds_per_call
 from hopstep.domain.blocks import block_keys
-from hopstep.domain.configuration import BackEnd, RoutingPolicy
+from hopstep.domain.configuration import BackEnd
 from hopstep.domain.engines import (
     CacheEvent,
     CacheEventBatch,
@@ -30,19 +30,18 @@
 EVENT_KEYS = (32, 128, 512)
 MEMBER_COUNTS = (24, 97, 195, 390)
 ENGINES_A_NODE = 26
+OWNED_COUNTS = (1_000, 2_000, 4_000, 8_000)
+OWNERS_AN_ENGINE = 2
 
 
 def prompt_hashing() -> Slope:
-    """Measure the time to hash a prompt by its blocks, at the default stride."""
-    stride = RoutingPolicy().prefix_stride_blocks
+    """Measure the time to hash a prompt by its blocks."""
     return fit(
         "prompt hashing",
         "block",
         "second",
         BLOCK_COUNTS,
-        lambda blocks: seconds_per_call(
-            lambda: block_keys(samples.request(blocks).prompt, "salt", stride)
-        ),
+        lambda blocks: seconds_per_call(lambda: block_keys(samples.request(blocks).prompt, "salt")),
     )
 
 
@@ -94,9 +93,16 @@
     return float(len(msgspec.json.encode(_facts(0))))
 
 
-def ownership_after_change() -> Slope:
-    """Measure the time to find one engine's owners anew by members."""
-    return fit("ownership", "member", "second", MEMBER_COUNTS, _ownership_seconds)
+def ownership() -> Slope:
+    """Measure the time to find one engine's owners for the first time by members."""
+    return fit("ownership, first time", "member", "second", MEMBER_COUNTS, _ownership_seconds)
+
+
+def ownership_change() -> Slope:
+    """Measure the time to follow the loss of one of 390 members by engines."""
+    return fit(
+        "ownership, a member lost", "engine", "second", OWNED_COUNTS, _ownership_change_seconds
+    )
 
 
 def _engines(count: int) -> tuple[BackEnd, ...]:
@@ -130,7 +136,7 @@
 def _picture(heads: int) -> PrefixPicture:
     """Return a picture of ``heads`` heads."""
     generator = random.Random(2)
-    picture = PrefixPicture(heads)
+    picture = PrefixPicture(heads, stride=1)
     for index in range(ENGINES_A_NODE):
         picture.begin_incarnation(f"engine-{index}", "1")
     while len(picture) < heads:
@@ -156,4 +162,21 @@
     """Return the time for one key, over keys that no cache holds."""
     rendezvous = Rendezvous.unweighted(f"router-{index}" for index in range(members))
     counter = iter(range(1 << 62))
-    return seconds_per_call(lambda: rendezvous.owners(f"engine-{next(counter)}", 2))
+    return seconds_per_call(lambda: rendezvous.owners(f"engine-{next(counter)}", OWNERS_AN_ENGINE))
+
+
+def _ownership_change_seconds(engines: int) -> float:
+    """Return the time to drop one member and ask for every engine's owners again."""
+    names = [f"router-{index}" for index in range(MEMBER_COUNTS[-1])]
+    keys = [f"engine-{index}" for index in range(engines)]
+    before = Rendezvous.unweighted(names)
+    for key in keys:
+        before.owners(key, OWNERS_AN_ENGINE)
+    fewer = dict.fromkeys(names[1:], 1.0)
+
+    def change() -> None:
+        after = before.updated(fewer)
+        for key in keys:
+            after.owners(key, OWNERS_AN_ENGINE)
+
+    return seconds_per_call(change)
--- a/emulator/cli/main.py
+++ b/emulator/cli/main.py
@@ -1,6 +1,7 @@
 """The stand-ins and the experiment tool: ``hopstep-emulator ROLE [--flag=value ...]``.
 
-Roles: ``engine``, ``platform``, ``load``, ``experiment``, ``bench``, ``scale``.
+Roles: ``engine``, ``platform``, ``load``, ``experiment``, ``bench``, ``scale``,
+``capacity``.
 ``hopstep-emulator ROLE --helpfull`` documents the flags of a role.
 
 Exit codes: 0 done; 1 a check failed; 2 bad command line.
@@ -15,7 +16,7 @@
 
 from absl import app, flags
 
-ROLES = ("engine", "platform", "load", "experiment", "bench", "scale")
+ROLES = ("engine", "platform", "load", "experiment", "bench", "scale", "capacity")
 EXIT_BAD_USAGE = 2
 
 
--- a/hopstep/services/engine_watch.py
+++ b/hopstep/services/engine_watch.py
@@ -21,17 +21,43 @@
 from hopstep.services.configuration_holder import ConfigurationHolder
 
 PROBE_SECONDS = 0.5
-"""Time between two probes of an engine."""
+"""Shortest time between two probes of an engine."""
+
+MAX_PROBES_PER_SECOND = 12.0
+"""Probes of all engines together: a probe costs 1 to 2 ms of processor time, and a node has
+26 ms a second for all control."""
 
 PROBE_TIMEOUT_SECONDS = 2.0
 """Longest wait for a probe or for cache events."""
 
 PUBLISH_SECONDS = 5.0
-"""Longest time between two publications of an engine's facts that haven't changed."""
+"""Shortest time between two publications of an engine's facts that haven't changed."""
+
+MAX_PUBLICATIONS_PER_SECOND = 2.5
+"""Publications of unchanged facts for all engines together, by one of the owners of each: every
+router receives them, and a node has 3 KB a second for all control. Changes are told at once."""
 
 Publish = Callable[[str, EngineFacts], None]
 
 
+def probe_interval(watched: int) -> float:
+    """Return the seconds between two probes of an engine.
+
+    Args:
+        watched: Engines that this router probes.
+    """
+    return max(PROBE_SECONDS, watched / MAX_PROBES_PER_SECOND)
+
+
+def publish_interval(engines: int) -> float:
+    """Return the seconds between two publications of unchanged facts of an engine.
+
+    Args:
+        engines: Engines of the configuration in force.
+    """
+    return max(PUBLISH_SECONDS, engines / MAX_PUBLICATIONS_PER_SECOND)
+
+
 class EngineWatch:
     """Watches engines for one router."""
 
@@ -61,6 +87,8 @@
         self._published_at: dict[str, float] = {}
         self._event_sequences: dict[str, int] = {}
         self._unreachable: set[str] = set()
+        self._watched = 0
+        self._configured = 0
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -89,6 +117,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 wanted = {engine.address for engine in self._engines()}
+                self._configured = len(wanted)
                 wanted = {address for address in wanted if self._owns(address)}
                 for address in sorted(set(watched) - wanted):
                     watched.pop(address).cancel()
@@ -96,6 +125,7 @@
                 for address in sorted(wanted - set(watched)):
                     watched[address] = trio.CancelScope()
                     nursery.start_soon(self._probe_forever, address, watched[address])
+                self._watched = len(watched)
                 await trio.sleep(PROBE_SECONDS)
 
     async def _probe_forever(self, address: str, scope: trio.CancelScope) -> None:
@@ -103,7 +133,7 @@
         with scope:
             while True:
                 await self.watch_once(address)
-                await trio.sleep(PROBE_SECONDS)
+                await trio.sleep(probe_interval(self._watched))
 
     def _engines(self) -> list[BackEnd]:
         """Return the engines of the configuration in force."""
@@ -138,7 +168,7 @@
         if facts.leaving and (before is None or not before.leaving):
             emit(log_events.ENGINE_LEAVING, engine=address)
         published_at = self._published_at.get(address, float("-inf"))
-        if _differ(before, facts) or now - published_at >= PUBLISH_SECONDS:
+        if _differ(before, facts) or now - published_at >= publish_interval(self._configured):
             self._published_at[address] = now
             self._publish(address, facts)
 
--- /dev/null
+++ b/tests/services/test_engine_watch.py
@@ -0,0 +1,73 @@
+"""Probes stay within their rate however many engines a router watches."""
+
+import random
+import unittest
+from collections import Counter
+
+import trio
+from trio.testing import MockClock
+
+from hopstep.domain.configuration import AcceptedConfiguration, BackEnd, Configuration
+from hopstep.domain.engines import EngineFacts
+from hopstep.domain.routing.routing_table import RoutingTable
+from hopstep.services import engine_watch
+from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.engine_watch import EngineWatch
+
+RUN_SECONDS = 20.0
+
+
+class CountingEngines:
+    """Answers every probe at once and counts them."""
+
+    def __init__(self):
+        self.probes = Counter()
+
+    async def probe(self, address):
+        self.probes[address] += 1
+        return EngineFacts(f"incarnation-of-{address}", {"model": "1"})
+
+
+async def watch(engine_count):
+    """Return the probes by engine and the number of publications over ``RUN_SECONDS``."""
+    holder = ConfigurationHolder()
+    back_ends = tuple(BackEnd(f"e{n}", f"10.0.0.1:{n + 1}") for n in range(engine_count))
+    holder.apply(AcceptedConfiguration(1, Configuration(back_ends=back_ends)))
+    engines = CountingEngines()
+    table = RoutingTable(random.Random(1))
+    published = []
+    service = EngineWatch(
+        engines, table, holder, lambda address: True, lambda address, _: published.append(address)
+    )
+    with trio.move_on_after(RUN_SECONDS):
+        await service.run()
+    return engines.probes, len(published)
+
+
+class ProbeRateTest(unittest.TestCase):
+    def watch(self, engine_count):
+        return trio.run(watch, engine_count, clock=MockClock(autojump_threshold=0))
+
+    def test_few_engines_are_probed_twice_a_second(self):
+        probes, _ = self.watch(6)
+        self.assertEqual(len(probes), 6)
+        self.assertGreaterEqual(min(probes.values()), RUN_SECONDS / engine_watch.PROBE_SECONDS)
+
+    def test_many_engines_share_a_bounded_rate(self):
+        probes, _ = self.watch(120)
+        first_round = 120
+        rate = engine_watch.MAX_PROBES_PER_SECOND
+        self.assertEqual(len(probes), 120)
+        self.assertLessEqual(sum(probes.values()), first_round + rate * RUN_SECONDS)
+        self.assertGreaterEqual(min(probes.values()), 2)
+
+    def test_unchanged_facts_are_published_at_a_bounded_rate(self):
+        for engines in (6, 120):
+            _, published = self.watch(engines)
+            rate = min(engines / engine_watch.PUBLISH_SECONDS, 2.5)
+            self.assertGreaterEqual(published, engines, "the first facts are news")
+            self.assertLessEqual(published, engines + rate * RUN_SECONDS + 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
