--- /dev/null
+++ b/emulator/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Speed of the router by real processes on loopback."""
