Follow the views of tenants that send nothing, and forget idle ones

Cause: TenantLimitService looked at gossip only when a request of the tenant came, so a router that skipped views between two requests grew its part back without the hold, outside the stated bound; limiters were never forgotten, and each look walked all usage entries. Mend: the publishing loop refreshes the known tenants (512 in one round, the longest waiting first), forgets those idle for a minute unless they run or owe, and usage is read once for all. Before, with the refresh taken out of Cluster.run: both tests of tests.services.test_tenant_limits fail (90 requests let in where 10 are in bound; 601 tenants held where 1 is). After: both pass, and so do tests.services.test_admission and tests.simulation.test_overload.

--- a/hopstep/domain/limits.py
+++ b/hopstep/domain/limits.py
@@ -139,6 +139,11 @@
         self._refill(now)
         self._level = min(self._level - cost, self._rate * BURST_SECONDS)
 
+    def is_full(self, now: float) -> bool:
+        """Return whether the whole burst is there."""
+        self._refill(now)
+        return self._level >= self._rate * BURST_SECONDS
+
     def _refill(self, now: float) -> None:
         """Add what the rate allows since the last call."""
         elapsed = max(0.0, now - self._refilled_at)
@@ -219,6 +224,10 @@
         if self._limits.tokens_per_second > 0:
             self._tokens.take(now, -unused_tokens)
 
+    def is_idle(self, now: float) -> bool:
+        """Return whether nothing would be lost by forgetting it: no request, no debt."""
+        return self.running == 0 and self._requests.is_full(now) and self._tokens.is_full(now)
+
     def concurrency(self) -> int | None:
         """Return how many requests this router lets in at once; None for no limit.
 
--- a/hopstep/services/cluster.py
+++ b/hopstep/services/cluster.py
@@ -31,6 +31,9 @@
 USAGE_SECONDS = 2.0
 """Time between two publications of this router's use of tenants' limits."""
 
+USAGE_READ_SECONDS = 0.25
+"""Time for which a reading of all routers' use serves."""
+
 
 class Cluster:
     """Divides control work, and carries shared values between membership and services."""
@@ -44,6 +47,8 @@
         """
         self._membership = membership
         self._published_tenants: set[str] = set()
+        self._usage: dict[str, dict[str, float]] = {}
+        self._usage_read_at = float("-inf")
         holder.subscribe(self._tell_revision)
 
     def attach(
@@ -69,10 +74,11 @@
         self._membership.subscribe(self._take)
 
     async def run(self) -> None:
-        """Publish the use of limits until cancelled."""
+        """Publish the use of limits, and follow that of others, until cancelled."""
         while True:
             await trio.sleep(USAGE_SECONDS)
             self._publish_usage()
+            self._limits.refresh()
 
     def watches_engine(self, address: str) -> bool:
         """Return whether this router probes an engine."""
@@ -119,12 +125,24 @@
         return frozenset(entry.subject for entry in entries if entry.owner != own and entry.value)
 
     def usage_by_router(self, tenant: str) -> dict[str, float]:
-        """Return a tenant's demand at each router, in requests a second."""
-        return {
-            entry.owner: entry.value.requests_per_second
-            for entry in self._membership.entries(EntryKind.LIMIT_USAGE)
-            if isinstance(entry.value, LimitUsage) and entry.value.tenant == tenant
-        }
+        """Return a tenant's demand at each router, in requests a second.
+
+        The entries are read once for all tenants, so that a look at each costs little.
+        """
+        now = trio.current_time()
+        if now - self._usage_read_at >= USAGE_READ_SECONDS:
+            self._usage_read_at = now
+            self._usage = self._read_usage()
+        return self._usage.get(tenant, {})
+
+    def _read_usage(self) -> dict[str, dict[str, float]]:
+        """Return the demand at each router by tenant."""
+        usage: dict[str, dict[str, float]] = {}
+        for entry in self._membership.entries(EntryKind.LIMIT_USAGE):
+            if isinstance(entry.value, LimitUsage):
+                by_router = usage.setdefault(entry.value.tenant, {})
+                by_router[entry.owner] = entry.value.requests_per_second
+        return usage
 
     def _tell_revision(self, accepted: AcceptedConfiguration) -> None:
         """Tell peers which configuration is in force here."""
--- a/hopstep/services/tenant_limits.py
+++ b/hopstep/services/tenant_limits.py
@@ -25,6 +25,12 @@
 
 MAX_RETRY_AFTER_SECONDS = 60.0
 
+IDLE_SECONDS = 60.0
+"""Time without a request after which a tenant is forgotten, unless it still owes tokens."""
+
+REFRESH_TENANTS = 512
+"""Tenants looked at in one refresh, the longest waiting first."""
+
 LiveRouters = Callable[[], frozenset[str]]
 """Returns the names of the live routers, this one among them."""
 
@@ -56,6 +62,7 @@
         self._started_at = trio.current_time()
         self._limiters: dict[str, TenantLimiter] = {}
         self._updated_at: dict[str, float] = {}
+        self._used_at: dict[str, float] = {}
         self._demand: dict[str, float] = {}
 
     @contextlib.contextmanager
@@ -95,18 +102,47 @@
         self._demand = {name: value for name, value in self._demand.items() if value > MIN_DEMAND}
         return dict(self._demand)
 
+    def refresh(self) -> None:
+        """Follow gossip for tenants that send nothing now, and forget idle ones.
+
+        The bound on the sum of shares holds for routers that take every view within the hold,
+        also for tenants whose next request comes later.
+        """
+        now = trio.current_time()
+        if not self._limiters:
+            return
+        tenants = self._holder.require_index().tenants
+        for name in sorted(self._limiters, key=self._updated_at.__getitem__)[:REFRESH_TENANTS]:
+            limiter = self._limiters[name]
+            if now - self._used_at[name] >= IDLE_SECONDS and limiter.is_idle(now):
+                self._forget(name)
+            elif name in tenants:
+                self._update(now, limiter, tenants[name])
+
+    def known_tenants(self) -> int:
+        """Return the number of tenants whose limits are held in memory."""
+        return len(self._limiters)
+
+    def _forget(self, name: str) -> None:
+        del self._limiters[name], self._updated_at[name], self._used_at[name]
+        self._demand.pop(name, None)
+
     def _limiter(self, tenant: Tenant) -> TenantLimiter:
         """Return a tenant's limiter, up to date."""
         now = trio.current_time()
+        self._used_at[tenant.name] = now
         limiter = self._limiters.get(tenant.name)
         if limiter is None:
             limiter = TenantLimiter(self._started_at)
             self._limiters[tenant.name] = limiter
         if now - self._updated_at.get(tenant.name, float("-inf")) >= UPDATE_SECONDS:
-            self._updated_at[tenant.name] = now
-            limiter.update(now, self._limits_in_force(tenant), self._view(tenant))
+            self._update(now, limiter, tenant)
         return limiter
 
+    def _update(self, now: float, limiter: TenantLimiter, tenant: Tenant) -> None:
+        self._updated_at[tenant.name] = now
+        limiter.update(now, self._limits_in_force(tenant), self._view(tenant))
+
     def _limits_in_force(self, tenant: Tenant) -> TenantLimits:
         """Return a tenant's limits as configured now."""
         return self._holder.require_index().tenants.get(tenant.name, tenant).limits
