Count attempts by kind, cached prompt tokens and the queue in the metrics

Operators could read neither the prefix hit rate nor whether retries amplify an outage. Held by tests over the emulated engines: two answers to one prompt count cached tokens once, a cut stream counts one resume.

--- a/hopstep/domain/routing/routing_table.py
+++ b/hopstep/domain/routing/routing_table.py
@@ -81,6 +81,11 @@
             del self._views[address]
             self._picture.forget_engine(address)
 
+    @property
+    def prefix_heads(self) -> int:
+        """Heads in the prefix picture."""
+        return len(self._picture)
+
     def facts(self, address: str) -> EngineFacts | None:
         """Return the latest facts of an engine, or None."""
         view = self._views.get(address)
--- a/hopstep/services/dispatcher.py
+++ b/hopstep/services/dispatcher.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Callable
 
 import trio
+from prometheus_client import CollectorRegistry
 
 from hopstep.domain.inference import AnswerPart, InferenceRequest
 from hopstep.domain.retry_budget import RetryBudget
@@ -20,6 +21,7 @@
 from hopstep.services.claims import ClaimService
 from hopstep.services.configuration_holder import ConfigurationHolder
 from hopstep.services.request_execution import ExecutionContext, RequestExecution
+from hopstep.services.request_metrics import RequestMetrics
 from hopstep.services.tenant_limits import TenantLimitService
 
 
@@ -34,6 +36,7 @@
         claims: At-most-once claims; None refuses requests that need one.
         limits: Tenants' limits; None for none.
         make_nonce: Returns a new nonce.
+        metrics: Counts attempts and cached tokens; None for counters that nobody reads.
     """
 
     def __init__(
@@ -45,12 +48,18 @@
         claims: ClaimService | None = None,
         limits: TenantLimitService | None = None,
         make_nonce: Callable[[], str] = new_nonce,
+        metrics: RequestMetrics | None = None,
     ) -> None:
         self._port = port
         self._factory = AttemptFactory(port, table, holder, admission, claims, make_nonce)
         self._limits = limits
         self._context = ExecutionContext(
-            port, holder, self._factory, AttemptRunner(port), RetryBudget(trio.current_time())
+            port,
+            holder,
+            self._factory,
+            AttemptRunner(port),
+            RetryBudget(trio.current_time()),
+            metrics or RequestMetrics(CollectorRegistry()),
         )
 
     @contextlib.asynccontextmanager
--- a/hopstep/services/request_execution.py
+++ b/hopstep/services/request_execution.py
@@ -7,6 +7,7 @@
 
 from hopstep import log_events
 from hopstep.domain.attempts import Action, AttemptState, Decision, RequestSnapshot, decide_next
+from hopstep.domain.blocks import count_tokens
 from hopstep.domain.configuration_index import ConfigurationIndex
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.retry_budget import RetryBudget
@@ -21,6 +22,7 @@
 from hopstep.services.configuration_holder import ConfigurationHolder
 from hopstep.services.engine_calls import fence_attempt, probe_engine
 from hopstep.services.hedging import HedgedRace
+from hopstep.services.request_metrics import AttemptKind, RequestMetrics
 from hopstep.services.request_state import RequestState
 
 BACKOFF_SECONDS = 0.05
@@ -51,6 +53,7 @@
         factory: Makes attempts.
         runner: Runs them.
         budget: Retries as a share of first attempts.
+        metrics: Counts attempts and cached tokens.
     """
 
     port: EnginePort
@@ -58,6 +61,7 @@
     factory: AttemptFactory
     runner: AttemptRunner
     budget: RetryBudget
+    metrics: RequestMetrics
 
 
 class RequestExecution:
@@ -125,6 +129,7 @@
         """Dispatch for the first time, with a hedge where the class asks for one."""
         attempt = await self._prepare()
         index = self._index()
+        self._context.metrics.count_attempt(AttemptKind.FIRST)
         self._context.budget.record_first_attempt(index.configuration.routing.retry_ratio)
         hedge_after = self._state.hedge_after(index)
         if hedge_after <= 0:
@@ -147,6 +152,7 @@
             return None
         self._context.budget.take(trio.current_time())
         self._state.attempts += 1
+        self._context.metrics.count_attempt(AttemptKind.HEDGE)
         request_id = self._request.request_id
         emit(log_events.HEDGE_STARTED, request_id=request_id, engine=second.engine_name)
         return second
@@ -165,7 +171,9 @@
         self._close_attempt()
         if attempts > 1:
             await trio.sleep(_backoff(attempts - 2))
-        await self._dispatch(await self._prepare(further=True))
+        attempt = await self._prepare(further=True)
+        self._context.metrics.count_attempt(AttemptKind(action.value))
+        await self._dispatch(attempt)
 
     async def _prepare(self, further: bool = False) -> Attempt:
         """Wait for room at an engine and make the attempt the current one."""
@@ -188,6 +196,7 @@
         """Read on at the same incarnation."""
         if attempt.fruitless_resumes:
             await trio.sleep(_backoff(attempt.fruitless_resumes - 1))
+        self._context.metrics.count_attempt(AttemptKind.RESUME)
         await self._context.runner.resume(attempt, self._deliver)
         await self._learn_from_failure(attempt)
 
@@ -226,6 +235,7 @@
         """Hand new tokens to the caller."""
         if not attempt.answered:
             cached = self._progress.note_first_frame(frame)
+            self._context.metrics.count_answered(count_tokens(attempt.request.prompt), cached)
             self._context.factory.table.record_first_token(
                 attempt.nonce, frame.incarnation, cached, trio.current_time()
             )
--- a/hopstep/services/router.py
+++ b/hopstep/services/router.py
@@ -34,6 +34,7 @@
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.services.membership import MembershipService
 from hopstep.services.membership_metrics import MembershipMetrics
+from hopstep.services.request_metrics import RequestMetrics
 from hopstep.services.rollout import Rollout
 from hopstep.services.tenant_limits import TenantLimitService
 from hopstep.settings import RouterSettings
@@ -101,7 +102,7 @@
         self.watch = self._make_engine_watch()
         self.leaving = self._make_leaving_watch()
         self.cluster.attach(self.watch, self.leaving, self.synchronization, self.limits)
-        self.dispatcher = self._make_dispatcher()
+        self.dispatcher = self._make_dispatcher(RequestMetrics(registry))
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Do the router's background work until cancelled."""
@@ -147,13 +148,25 @@
             self.cluster.usage_by_router,
         )
 
-    def _make_dispatcher(self) -> Dispatcher:
+    def _make_dispatcher(self, metrics: RequestMetrics) -> Dispatcher:
         """Return the dispatcher with its admission and claims."""
         ports = self._ports
         admission = AdmissionService(self.holder, self.table)
         claims = ClaimService(ports.store, ports.engines, self._settings.name, ports.wall_clock)
+        metrics.watch_state(
+            lambda: admission.queued,
+            lambda: self.table.prefix_heads,
+            lambda: self.holder.revision,
+        )
         return Dispatcher(
-            ports.engines, self.table, self.holder, admission, claims, self.limits, ports.make_nonce
+            ports.engines,
+            self.table,
+            self.holder,
+            admission,
+            claims,
+            self.limits,
+            ports.make_nonce,
+            metrics,
         )
 
     def _make_synchronization(self) -> ConfigurationSync:
--- a/tests/services/request_path.py
+++ b/tests/services/request_path.py
@@ -7,6 +7,7 @@
 import structlog.testing
 import trio
 import trio.testing
+from prometheus_client import CollectorRegistry
 
 from emulator.engine.answers import expected_tokens, prompt_digest
 from emulator.engine.config import EngineConfig
@@ -26,6 +27,7 @@
 from hopstep.services.admission import AdmissionService
 from hopstep.services.configuration_holder import ConfigurationHolder
 from hopstep.services.dispatcher import Dispatcher
+from hopstep.services.request_metrics import RequestMetrics
 
 MODEL = Model("m", "v1")
 REPEATABLE = RequestClass("quick")
@@ -66,8 +68,16 @@
             model = EngineModel(engine_config or EngineConfig(), {"m": "v1"}, name=back_end.name)
             self.engines.add_engine(back_end.address, model)
         self.admission = AdmissionService(self.holder, self.table)
+        self.registry = CollectorRegistry()
+        self.metrics = RequestMetrics(self.registry)
         self.dispatcher = Dispatcher(
-            self.engines, self.table, self.holder, self.admission, claims, limits
+            self.engines,
+            self.table,
+            self.holder,
+            self.admission,
+            claims,
+            limits,
+            metrics=self.metrics,
         )
 
     def apply(self, document):
