--- a/emulator/experiments/runner.py
+++ b/emulator/experiments/runner.py
@@ -22,7 +22,8 @@
 )
 from emulator.experiments.traffic import TraceRequest, TrafficGenerator
 from hopstep.domain.configuration import Configuration
-from hopstep.domain.routing.routing_table import HashPrompt, RoutingTable
+from hopstep.domain.routing.prompt_heads import HashPrompt
+from hopstep.domain.routing.routing_table import RoutingTable
 
 HOPSTEP = "hopstep"
 HOPSTEP_WITHOUT_IMPORT = "hopstep without import"
@@ -173,9 +174,9 @@
     """Return a hasher that knows the block keys of the trace's prompts."""
     by_text = {item.request.prompt: item.prepared.block_keys for item in trace}
 
-    def hash_prompt(text: str, salt: str, stride: int) -> list[int]:
+    def hash_prompt(text: str, salt: str) -> list[int]:
         del salt  # Each prompt text comes once in a trace, under one salt.
-        return list(by_text[text][stride - 1 :: stride])
+        return list(by_text[text])
 
     return hash_prompt
 
--- a/hopstep/domain/blocks.py
+++ b/hopstep/domain/blocks.py
@@ -39,21 +39,18 @@
     return -(-len(text.encode()) // TOKEN_BYTES)
 
 
-def block_keys(text: str, salt: str, stride: int = 1) -> list[int]:
-    """Return the keys of every ``stride``-th whole block of ``text``, first block first.
-
-    A key doesn't depend on the stride: with a larger one, the keys between are left out.
+def block_keys(text: str, salt: str) -> list[int]:
+    """Return the keys of the whole blocks of ``text``, first block first.
 
     Args:
         text: Rendered prompt.
         salt: Result of ``cache_salt``.
-        stride: Blocks from one returned key to the next, at least 1.
 
     Returns:
-        64-bit unsigned integers; the first is the key of block ``stride``, counted from 1.
+        64-bit unsigned integers, one a whole block.
     """
     data = text.encode()
-    block_bytes = BLOCK_TOKENS * TOKEN_BYTES * stride
+    block_bytes = BLOCK_TOKENS * TOKEN_BYTES
     chain = hashlib.blake2b(salt.encode(), digest_size=KEY_BYTES)
     keys: list[int] = []
     for start in range(0, len(data) - block_bytes + 1, block_bytes):
--- a/hopstep/domain/routing/engine_view.py
+++ b/hopstep/domain/routing/engine_view.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from hopstep.domain.engines import EngineFacts, EngineRole, LoadReport
@@ -13,6 +15,15 @@
 BACKOFF_BASE_SECONDS = 0.5
 """Time for which an engine is avoided after a first failure."""
 
+RATE_SECONDS = 4.0
+"""Time constant of the rate at which this router sends work to an engine."""
+
+FRESH_REPORT_SECONDS = 5.0
+"""Age beyond which a report says nothing about the load any more."""
+
+UNSEEN_SECONDS = 0.6
+"""Longest time of the other routers' inflow that is expected to be still unfinished."""
+
 BACKOFF_LIMIT_SECONDS = 8.0
 """Longest time for which an engine is avoided after a failure."""
 
@@ -42,6 +53,8 @@
         self._dispatches: dict[str, Dispatch] = {}
         self._failures = 0
         self._avoid_until = float("-inf")
+        self._rate = 0.0
+        self._rate_at = 0.0
 
     @property
     def incarnation(self) -> str:
@@ -74,6 +87,12 @@
     def record_dispatch(self, nonce: str, prefill_tokens: int, now: float) -> None:
         """Count an attempt that has just been sent."""
         self._dispatches[nonce] = Dispatch(now, prefill_tokens)
+        self._rate = self._own_rate(now) + prefill_tokens / RATE_SECONDS
+        self._rate_at = now
+
+    def _own_rate(self, now: float) -> float:
+        """Return the decayed rate of prompt tokens that this router has sent to be computed."""
+        return self._rate * math.exp((self._rate_at - now) / RATE_SECONDS)
 
     def record_first_token(self, nonce: str) -> None:
         """Note that an attempt's prefill is over, which also proves the engine alive."""
@@ -105,12 +124,15 @@
         )
         return max(reported + unreported, len(self._dispatches))
 
-    def waiting_prefill_tokens(self, now: float, prefill_tokens_per_second: float) -> float:
+    def waiting_prefill_tokens(
+        self, now: float, prefill_tokens_per_second: float, other_routers: int
+    ) -> float:
         """Return the prompt tokens expected to be prefilled before a new request's own.
 
         Args:
             now: Time.
             prefill_tokens_per_second: Speed at which reported work drains.
+            other_routers: Routers that send to the engine besides this one.
         """
         own = 0
         unreported = 0
@@ -120,7 +142,21 @@
             own += dispatch.prefill_tokens
             if dispatch.sent_at > self._report_at:
                 unreported += dispatch.prefill_tokens
-        reported = float(self._report.waiting_prefill_tokens)
-        if reported:
-            reported -= prefill_tokens_per_second * (now - self._report_at)
-        return max(max(reported, 0.0) + unreported, float(own))
+        reported = self._reported_tokens(now, prefill_tokens_per_second, other_routers)
+        return max(reported + unreported, float(own))
+
+    def _reported_tokens(
+        self, now: float, prefill_tokens_per_second: float, other_routers: int
+    ) -> float:
+        """Return what is left of the reported work, and what others have sent since.
+
+        Reports lag, and what the other routers send meanwhile isn't seen. They are expected to
+        send as this router does on average: prefixes draw all of them to the same engines.
+        """
+        elapsed = now - self._report_at
+        if elapsed > FRESH_REPORT_SECONDS:
+            return 0.0
+        inflow = other_routers * self._own_rate(now)
+        drained = (prefill_tokens_per_second - inflow) * elapsed
+        unseen = inflow * min(elapsed, UNSEEN_SECONDS)
+        return max(self._report.waiting_prefill_tokens - drained, unseen)
--- a/hopstep/domain/routing/prefix_picture.py
+++ b/hopstep/domain/routing/prefix_picture.py
@@ -1,10 +1,11 @@
 """Which engines are believed to hold which prompt prefixes: bounded, learned, never truth.
 
-The picture remembers *heads*: block keys at every ``prefix_stride_blocks``-th block of the
-prompts that this router has seen. A head maps to the set of engines believed to hold the prefix
-up to it. Block keys are salted by tenant and weights version (``hopstep.domain.blocks``), so an
-entry of another tenant or of older weights can't match. An entry belongs to one incarnation of
-an engine: when the incarnation or the loaded weights change, all entries of the engine go.
+The picture remembers *heads*, a sample of the block keys (``prompt_heads``), taken from the
+prompts that this router dispatches and from the engines' cache events. A head maps to the set
+of engines believed to hold the prefix up to it. Block keys are salted by tenant and weights
+version (``hopstep.domain.blocks``), so an entry of another tenant or of older weights can't
+match. An entry belongs to one incarnation of an engine: when the incarnation or the loaded
+weights change, all entries of the engine go.
 
 A set of engines is one integer with a bit for each engine, so that looking up a prompt is one
 dictionary access for each head, whatever the number of engines.
@@ -21,13 +22,15 @@
 class PrefixPicture:
     """Learned map from prefix heads to the engines believed to hold them."""
 
-    def __init__(self, max_heads: int) -> None:
+    def __init__(self, max_heads: int, stride: int) -> None:
         """Start empty.
 
         Args:
             max_heads: Most heads kept; the least recently learned ones are dropped first.
+            stride: Divides the keys that are heads.
         """
         self._max_heads = max_heads
+        self._stride = stride
         self._holders: dict[int, int] = {}
         self._bits: dict[str, int] = {}
         self._incarnations: dict[str, str] = {}
@@ -85,17 +88,17 @@
         self._drop_excess()
 
     def record_stored(self, engine: str, incarnation: str, keys: Iterable[int]) -> None:
-        """Record a stored event; keys that aren't heads of the picture are ignored."""
+        """Record a stored event; keys that aren't heads are ignored."""
         if not incarnation or self._incarnations.get(engine) != incarnation:
             return
         mask = 1 << self._bits[engine]
         for key in keys:
-            holders = self._holders.get(key)
-            if holders is not None:
-                self._holders[key] = holders | mask
+            if not key % self._stride:
+                self._holders[key] = self._holders.get(key, 0) | mask
+        self._drop_excess()
 
     def record_evicted(self, engine: str, incarnation: str, keys: Iterable[int]) -> None:
-        """Record an evicted event; keys that aren't heads of the picture are ignored."""
+        """Record an evicted event; keys that aren't heads are ignored."""
         if not incarnation or self._incarnations.get(engine) != incarnation:
             return
         mask = 1 << self._bits[engine]
--- a/hopstep/domain/routing/routing_table.py
+++ b/hopstep/domain/routing/routing_table.py
@@ -8,14 +8,14 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 
 import msgspec
 
-from hopstep.domain.blocks import block_keys, cache_salt, count_tokens
+from hopstep.domain.blocks import block_keys
 from hopstep.domain.configuration import (
     AcceptedConfiguration,
     BackEnd,
+    BackEndKind,
     Configuration,
     RoutingPolicy,
 )
@@ -27,17 +27,17 @@
 from hopstep.domain.routing.engine_view import EngineView
 from hopstep.domain.routing.hot_prefixes import HotPrefixes
 from hopstep.domain.routing.prefix_picture import PrefixPicture
+from hopstep.domain.routing.prompt_heads import HashPrompt, Prompt, PromptHasher
 from hopstep.domain.routing.selection import (
     Candidate,
     Choice,
-    Prompt,
-    head_tokens,
     make_choice,
     rank,
 )
 from hopstep.exceptions import DomainError, ErrorCode
 
-HashPrompt = Callable[[str, str, int], list[int]]
+MAX_RENDEZVOUS_TABLES = 64
+"""Sets of usable engines whose hashing tables are kept."""
 
 
 class _Sent(msgspec.Struct, frozen=True):
@@ -56,26 +56,35 @@
 
         Args:
             random_source: Seeded source of randomness.
-            hash_prompt: Returns the block keys of a prompt, its salt and a stride; experiments
-                give one that remembers the keys.
+            hash_prompt: Hashes a prompt; experiments give one that remembers the keys.
         """
-        self._hash_prompt = hash_prompt
+        self._hasher = PromptHasher(hash_prompt)
         self._random = random_source
         self._index = ConfigurationIndex(Configuration())
         self._policy = RoutingPolicy()
         self._views: dict[str, EngineView] = {}
-        self._picture = PrefixPicture(self._policy.max_prefix_heads)
+        self._picture = PrefixPicture(
+            self._policy.max_prefix_heads, self._policy.prefix_stride_blocks
+        )
         self._hot = HotPrefixes()
         self._sent: dict[str, _Sent] = {}
         self._leaving: frozenset[str] = frozenset()
+        self._other_routers = 0
+        self._owners: dict[tuple[str, ...], Rendezvous] = {}
 
     def update_configuration(self, accepted: AcceptedConfiguration) -> None:
         """Follow a newly accepted configuration; engines that it lacks are forgotten."""
         self._index = ConfigurationIndex(accepted.configuration)
-        if accepted.configuration.routing.prefix_stride_blocks != self._policy.prefix_stride_blocks:
-            self._picture = PrefixPicture(accepted.configuration.routing.max_prefix_heads)
-        self._policy = accepted.configuration.routing
-        self._picture.resize(self._policy.max_prefix_heads)
+        policy = accepted.configuration.routing
+        if policy.prefix_stride_blocks != self._policy.prefix_stride_blocks:
+            self._picture = _new_picture(policy)
+            for address, view in self._views.items():
+                if view.incarnation:
+                    self._picture.begin_incarnation(address, view.incarnation)
+        self._policy = policy
+        self._picture.resize(policy.max_prefix_heads)
+        routers = (item.kind is BackEndKind.ROUTER for item in accepted.configuration.back_ends)
+        self._other_routers = max(sum(routers) - 1, 0)
         configured = {back_end.address for back_end in accepted.configuration.back_ends}
         for address in set(self._views) - configured:
             del self._views[address]
@@ -165,7 +174,7 @@
             raise DomainError(
                 ErrorCode.NO_ADMISSIBLE_BACK_END, "no admissible engine can take the request now"
             )
-        prompt = self._prompt(request)
+        prompt = self._hasher.prompt(request, self._policy.prefix_stride_blocks)
         return prompt, rank(prompt, self._candidates(prompt, usable, now), self._policy)
 
     def record_dispatch(self, nonce: str, choice: Choice, now: float) -> None:
@@ -245,12 +254,6 @@
         model = request.model
         return not view.leaving and view.serves(model.name, model.weights_version)
 
-    def _prompt(self, request: InferenceRequest) -> Prompt:
-        """Return what the ranking must know of the request's prompt."""
-        salt = cache_salt(request.tenant.name, request.model.weights_version)
-        heads = self._hash_prompt(request.prompt, salt, self._policy.prefix_stride_blocks)
-        return Prompt(count_tokens(request.prompt), tuple(heads))
-
     def _choice(self, request: InferenceRequest, prompt: Prompt, candidate: Candidate) -> Choice:
         """Return the choice of one candidate."""
         store = choose_kv_cache_store(self._index, request, candidate.back_end)
@@ -260,35 +263,57 @@
         """Return what is believed of each usable engine."""
         held = self._picture.held_heads(prompt.heads, [item.address for item in usable])
         preferences = self._preferences(prompt, usable)
+        assumed = 0 if any(held) else prompt.tokens_of(len(prompt.heads))
         return [
-            self._candidate(back_end, heads, preferences, now)
+            self._candidate(prompt, back_end, heads, preferences, assumed, now)
             for back_end, heads in zip(usable, held, strict=True)
         ]
 
     def _candidate(
-        self, back_end: BackEnd, held_heads: int, preferences: dict[str, int], now: float
+        self,
+        prompt: Prompt,
+        back_end: BackEnd,
+        held_heads: int,
+        preferences: dict[str, int],
+        assumed_tokens: int,
+        now: float,
     ) -> Candidate:
         """Return what is believed of one engine."""
         view = self._view(back_end.address)
         speed = self._policy.prefill_tokens_per_second
+        preference = preferences.get(back_end.name, len(preferences))
         return Candidate(
             back_end=back_end,
             incarnation=view.incarnation,
-            cached_tokens=head_tokens(held_heads, self._policy),
-            waiting_prefill_tokens=view.waiting_prefill_tokens(now, speed),
+            cached_tokens=prompt.tokens_of(held_heads),
+            waiting_prefill_tokens=view.waiting_prefill_tokens(now, speed, self._other_routers),
             requests=view.requests(),
             suspect=view.is_suspect(now),
-            preference=preferences.get(back_end.name, len(preferences)),
+            preference=preference,
+            assumed_tokens=assumed_tokens if preference == 0 else 0,
         )
 
     def _preferences(self, prompt: Prompt, usable: list[BackEnd]) -> dict[str, int]:
         """Return the rendezvous rank of the prefix's owners by engine name."""
         head = prompt.heads[0] if prompt.heads else 0
         names = tuple(back_end.name for back_end in usable)
-        replicas = max(self._policy.hot_prefix_copies, 1)
-        owners = Rendezvous.unweighted(names).owners(str(head), replicas)
+        owners = self._rendezvous(names).owners(str(head), self._policy.hot_prefix_copies)
         return {name: position for position, name in enumerate(owners)}
 
+    def _rendezvous(self, names: tuple[str, ...]) -> Rendezvous:
+        """Return the hashing table of some engines; a bounded number of tables is kept."""
+        table = self._owners.get(names)
+        if table is None:
+            if len(self._owners) >= MAX_RENDEZVOUS_TABLES:
+                self._owners.clear()
+            table = self._owners[names] = Rendezvous.unweighted(names)
+        return table
+
+
+def _new_picture(policy: RoutingPolicy) -> PrefixPicture:
+    """Return an empty picture."""
+    return PrefixPicture(policy.max_prefix_heads, policy.prefix_stride_blocks)
+
 
 def _cache_identity(facts: EngineFacts) -> tuple[str, dict[str, str]]:
     """Return what an engine's cached blocks belong to."""
--- a/hopstep/domain/routing/selection.py
+++ b/hopstep/domain/routing/selection.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from hopstep.domain.blocks import BLOCK_TOKENS
 from hopstep.domain.configuration import BackEnd, RoutingPolicy
+from hopstep.domain.routing.prompt_heads import Prompt
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -20,6 +20,8 @@
         suspect: Whether it is avoided after a failure.
         preference: Rank among the prefix's rendezvous owners, 0 first; others have a higher
             rank than every owner.
+        assumed_tokens: Prompt tokens that it may hold because it owns a prefix of which the
+            picture knows nothing; nothing relies on them.
     """
 
     back_end: BackEnd
@@ -29,6 +31,7 @@
     requests: int
     suspect: bool
     preference: int
+    assumed_tokens: int = 0
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -57,18 +60,6 @@
     prefix_heads: tuple[int, ...]
 
 
-class Prompt(msgspec.Struct, frozen=True):
-    """What the ranking must know of a prompt.
-
-    Attributes:
-        tokens: Its length.
-        heads: Its prefix heads, shallowest first.
-    """
-
-    tokens: int
-    heads: tuple[int, ...]
-
-
 def rank(prompt: Prompt, candidates: list[Candidate], policy: RoutingPolicy) -> list[Candidate]:
     """Return the candidates, the best first.
 
@@ -109,7 +100,8 @@
 def _cost(prompt: Prompt, candidate: Candidate, policy: RoutingPolicy) -> float:
     """Return the expected cost in weighted seconds."""
     speed = policy.prefill_tokens_per_second
-    recompute = _prefill_tokens(prompt, candidate) / speed
+    held = max(candidate.cached_tokens, candidate.assumed_tokens)
+    recompute = max(prompt.tokens - held, 0) / speed
     wait = candidate.waiting_prefill_tokens / speed
     return policy.recompute_weight * recompute + policy.wait_weight * wait
 
@@ -141,8 +133,3 @@
         prefill_tokens=_prefill_tokens(prompt, candidate),
         prefix_heads=prompt.heads,
     )
-
-
-def head_tokens(heads: int, policy: RoutingPolicy) -> int:
-    """Return the prompt tokens that a number of leading heads stands for."""
-    return heads * policy.prefix_stride_blocks * BLOCK_TOKENS
--- /dev/null
+++ b/tests/domain/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of routing decisions."""
--- a/tests/emulator/experiments/test_simulation.py
+++ b/tests/emulator/experiments/test_simulation.py
@@ -85,8 +85,8 @@
                 strategies = []
                 kind = HOPSTEP.make(
                     deployment.configuration,
-                    lambda text, salt, stride, trace=trace: next(
-                        list(item.prepared.block_keys[stride - 1 :: stride])
+                    lambda text, salt, trace=trace: next(
+                        list(item.prepared.block_keys)
                         for item in trace
                         if item.request.prompt is text
                     ),
