Name every engine of an answer, and check the place of each in the demo

The response header named the first engine only, so an answer that went on elsewhere after a kill was checked by half. The end of an answer now names all of them (an extension that clients ignore), and the demo counts an answer as wrong when any of them is outside the places of its tenant.

--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -13,6 +13,7 @@
 import traceback
 from collections.abc import Callable, Sequence
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 import trio
@@ -27,6 +28,7 @@
     BackEnd,
     BackEndKind,
     Configuration,
+    Model,
     RequestClass,
     Tenant,
 )
@@ -51,6 +53,9 @@
 """Time within which an accepted configuration must be in force everywhere."""
 
 MILLISECONDS = 1_000.0
+OUTSIDE = "OUTSIDE"
+
+Item = TypeVar("Item", Tenant, RequestClass, Model)
 
 
 class Demo:
@@ -103,7 +108,7 @@
         ]
 
         def kill(results: Sequence[LoadResult]) -> None:
-            name = results[-1].engine
+            name = results[-1].engines[-1]
             self._fleet.signal(name, signal.SIGKILL)
             print(f"{self._fleet.name}: killed engine {name} under {tenant.name}'s requests")
 
@@ -151,7 +156,7 @@
     ) -> BackEnd:
         """Return the engine that last answered a tenant's class."""
         engine = next(
-            result.engine
+            result.engines[-1]
             for result in reversed(self.results)
             if result.request.tenant == tenant.name
             and result.request.request_class == request_class.name
@@ -213,28 +218,39 @@
             )
             return
         place = self._place(result)
+        engines = ", then ".join(result.engines)
         print(
             f"{self._fleet.name:9}  {request.tenant:20}  {request.request_class:14}  "
-            f"{place:17}  {result.engine:19}  {result.router:8}  {result.tokens:3} tokens  "
+            f"{place:17}  {engines:19}  {result.router:8}  {result.tokens:3} tokens  "
             f"{result.cached_tokens:4} of {result.prompt_tokens:4} cached  "
             f"first token {result.first_token_seconds * MILLISECONDS:6.1f} ms"
         )
 
     def _place(self, result: LoadResult) -> str:
-        """Return the zone of the engine that answered, marked if the tenant may not be there."""
+        """Return the zones of the engines that answered; count those outside the places."""
+        places = [self._zone_inside(result.request, engine) for engine in result.engines]
+        if not places or OUTSIDE in places:
+            self.misplaced += 1
+        return ", then ".join(dict.fromkeys(places))
+
+    def _zone_inside(self, request: LoadRequest, engine_name: str) -> str:
+        """Return the zone of an engine, or ``OUTSIDE`` if the request may not be there."""
         for configuration in self._admissible:
-            tenant = next(
-                each for each in configuration.tenants if each.name == result.request.tenant
-            )
-            request_class = next(
-                each for each in configuration.classes if each.name == result.request.request_class
+            placement = place_engines(
+                configuration,
+                _named(configuration.tenants, request.tenant),
+                _named(configuration.classes, request.request_class),
+                _named(configuration.models, request.model),
             )
-            model = next(each for each in configuration.models if each.name == result.request.model)
-            for engine in place_engines(configuration, tenant, request_class, model).admissible:
-                if engine.name == result.engine:
+            for engine in placement.admissible:
+                if engine.name == engine_name:
                     return engine.labels.get("zone", "")
-        self.misplaced += 1
-        return "OUTSIDE"
+        return OUTSIDE
+
+
+def _named(items: Sequence[Item], name: str) -> Item:
+    """Return the item of a name."""
+    return next(item for item in items if item.name == name)
 
 
 def model_for(configuration: Configuration, tenant: Tenant, request_class: RequestClass) -> str:
--- a/emulator/load/messages.py
+++ b/emulator/load/messages.py
@@ -50,7 +50,7 @@
         code: Code of the refusal or interruption.
         execution: What the refusal proves of execution.
         router: Router that answered.
-        engine: Engine that answered.
+        engines: Engines that made the answer, in order.
         tokens: Tokens of the answer.
         cached_tokens: Prompt tokens taken from a cache.
         prompt_tokens: Tokens of the prompt.
@@ -66,7 +66,7 @@
     code: str = ""
     execution: str = ""
     router: str = ""
-    engine: str = ""
+    engines: tuple[str, ...] = ()
     tokens: int = 0
     cached_tokens: int = 0
     prompt_tokens: int = 0
--- a/emulator/load/router_client.py
+++ b/emulator/load/router_client.py
@@ -34,6 +34,7 @@
     choices: tuple[StreamChoice, ...] = ()
     usage: dict[str, Any] | None = None
     error: dict[str, Any] | None = None
+    engines: tuple[str, ...] = ()
 
 
 DECODER = msgspec.json.Decoder(StreamEvent)
@@ -180,7 +181,7 @@
         code=error["code"] if error else "",
         execution=error["execution"] if error else "",
         router=headers.get("X-Hopstep-Router", ""),
-        engine=headers.get("X-Hopstep-Engine", ""),
+        engines=next((event.engines for event in events if event.engines), ()),
         tokens=usage.get("completion_tokens", 0),
         prompt_tokens=usage.get("prompt_tokens", 0),
         cached_tokens=usage.get("prompt_tokens_details", {}).get("cached_tokens", 0),
--- a/hopstep/adapters/http_api/bodies.py
+++ b/hopstep/adapters/http_api/bodies.py
@@ -165,6 +165,8 @@
         model: Model name.
         choices: One choice; none in the chunk that carries the usage.
         usage: Token counts.
+        engines: Engines that made the answer, in order; with its end only. An extension that
+            other clients ignore.
     """
 
     id: str
@@ -173,6 +175,7 @@
     model: str
     choices: tuple[ChatChoice | TextChoice | DeltaChoice, ...]
     usage: UsageBody | None = None
+    engines: tuple[str, ...] = ()
 
 
 class ModelBody(msgspec.Struct, frozen=True):
--- a/hopstep/adapters/http_api/generation.py
+++ b/hopstep/adapters/http_api/generation.py
@@ -32,7 +32,11 @@
 
 
 class Generation:
-    """One request on its way through the HTTP API."""
+    """One request on its way through the HTTP API.
+
+    Attributes:
+        engines: Engines whose tokens were read so far, in order.
+    """
 
     def __init__(self, context: ApiContext, caller: Caller, resolved: InferenceRequest) -> None:
         """Prepare the request; nothing runs yet.
@@ -47,7 +51,7 @@
         self._request = resolved
         self._answer = RunningAnswer(context, resolved)
         self._tokens = 0
-        self._engine = ""
+        self.engines: tuple[str, ...] = ()
         self._first_token_seconds = 0.0
 
     async def respond(self, renderer: AnswerRenderer, body: GenerationBody) -> Response:
@@ -76,7 +80,8 @@
         if not self._tokens:
             self._first_token_seconds = trio.current_time() - self._caller.start
         self._tokens += len(part.tokens)
-        self._engine = part.engine
+        if part.engine and part.engine not in self.engines:
+            self.engines += (part.engine,)
         return part
 
     def completed(self) -> None:
@@ -92,7 +97,7 @@
             request_id=self._request.request_id,
             tenant=self._request.tenant.name,
             request_class=request_class,
-            engine=self._engine,
+            engines=self.engines,
             tokens=self._tokens,
             first_token_seconds=round(self._first_token_seconds, 6),
         )
@@ -139,7 +144,7 @@
             part = await self.read()
             texts.extend(part.tokens)
         self.completed()
-        body = renderer.whole("".join(texts), part)
+        body = renderer.whole("".join(texts), part, self.engines)
         return Response(body, content_type="application/json", headers=self._headers())
 
     def _stream_response(
@@ -156,7 +161,7 @@
         """Return the headers that say who answered."""
         return {
             REQUEST_ID_HEADER: self._request.request_id,
-            ENGINE_HEADER: self._engine,
+            ENGINE_HEADER: self.engines[0] if self.engines else "",
             ROUTER_HEADER: self._context.settings.name,
             CLASS_HEADER: self._request.request_class.name,
         }
@@ -219,7 +224,7 @@
     def _last_events(self, part: AnswerPart) -> bytes:
         """Return the last chunk, the usage if asked for, and the end mark."""
         usage = self._renderer.usage_chunk(part.usage) if self._include_usage else b""
-        return self._renderer.chunk(part) + usage + DONE_EVENT
+        return self._renderer.chunk(part, self._generation.engines) + usage + DONE_EVENT
 
 
 def asgi_scope() -> dict[str, Any]:
--- a/hopstep/adapters/http_api/rendering.py
+++ b/hopstep/adapters/http_api/rendering.py
@@ -51,22 +51,28 @@
         self._created = int(time.time())
         self._encoder = msgspec.json.Encoder()
 
-    def whole(self, text: str, last: AnswerPart) -> bytes:
+    def whole(self, text: str, last: AnswerPart, engines: tuple[str, ...]) -> bytes:
         """Return the body of a whole answer.
 
         Args:
             text: All of its text.
             last: Its last part, with finish and usage.
+            engines: Engines that made it.
         """
         finish = (last.finish or AnswerFinish.STOP).value
         choice = self._whole_choice(text, finish)
-        return self._encode(self.whole_object, (choice,), last.usage)
+        return self._encode(self.whole_object, (choice,), last.usage, engines)
 
-    def chunk(self, part: AnswerPart) -> bytes:
-        """Return the event of one part."""
+    def chunk(self, part: AnswerPart, engines: tuple[str, ...] = ()) -> bytes:
+        """Return the event of one part.
+
+        Args:
+            part: The part.
+            engines: Engines that made the answer, with its last part.
+        """
         finish = part.finish.value if part.finish else None
         choice = self._chunk_choice("".join(part.tokens), finish)
-        return _event(self._encode(self.chunk_object, (choice,), None))
+        return _event(self._encode(self.chunk_object, (choice,), None, engines))
 
     def usage_chunk(self, usage: AnswerUsage | None) -> bytes:
         """Return the event that carries the usage alone."""
@@ -80,9 +86,17 @@
     def _chunk_choice(self, text: str, finish: str | None) -> Choice:
         """Return the choice of a chunk."""
 
-    def _encode(self, kind: str, choices: tuple[Choice, ...], usage: AnswerUsage | None) -> bytes:
+    def _encode(
+        self,
+        kind: str,
+        choices: tuple[Choice, ...],
+        usage: AnswerUsage | None,
+        engines: tuple[str, ...] = (),
+    ) -> bytes:
         """Return an encoded envelope."""
-        envelope = Envelope(self._id, kind, self._created, self._model, choices, _usage_body(usage))
+        envelope = Envelope(
+            self._id, kind, self._created, self._model, choices, _usage_body(usage), engines
+        )
         return self._encoder.encode(envelope)
 
 
--- a/tests/adapters/http_api/test_answers.py
+++ b/tests/adapters/http_api/test_answers.py
@@ -51,6 +51,7 @@
             ],
         )
         self.assertEqual(body["usage"], USAGE)
+        self.assertEqual(body["engines"], ["e1"])
         self.assertEqual(answer.headers["X-Hopstep-Engine"], "e1")
         self.assertEqual(harness.runner.requests[0].prompt, f"<|user|>\n{PROMPT}\n<|assistant|>\n")
 
@@ -95,6 +96,7 @@
         self.assertEqual(deltas[0]["role"], "assistant")
         self.assertEqual("".join(delta.get("content", "") for delta in deltas), "".join(TOKENS))
         self.assertEqual(json.loads(chunks[-1])["choices"][0]["finish_reason"], "stop")
+        self.assertEqual(json.loads(chunks[-1])["engines"], ["e1"])
         self.assertEqual(json.loads(usage)["usage"], USAGE)
         self.assertEqual(done, "[DONE]")
 
