Serve and call over TLS, with files that are read again when they change

The listener, the calls to engines and those between routers took no certificates, though the settings had fields for them. Contexts are now made by hopstep.adapters.tls and replaced as a whole: changing a live context was ruled out, since a certificate without its key would leave it half changed, and since sessions made before the change would be resumed. One mechanism, WatchedFiles, follows certificates, authorities and the cluster keys of the peers.

FilePeerKeys has no clock any more, as a task looks at the file; its test calls that look in place of moving a clock, and now also holds the events in order. HS1005 and HS1006 were never emitted; HS1020 to HS1024 stand in their place. The table of events also carries the renamed field of HS2003.

--- a/emulator/cli/engine.py
+++ b/emulator/cli/engine.py
@@ -26,12 +26,17 @@
 _WEIGHT_LOAD = flags.DEFINE_float(
     "weight_load_seconds", 0.5, "Time of a weight load without a weight store."
 )
+_CERTIFICATE = flags.DEFINE_string(
+    "certificate", "", "PEM file of the certificate chain; empty for plain HTTP."
+)
+_PRIVATE_KEY = flags.DEFINE_string("private_key", "", "PEM file of the certificate's key.")
 
 
 def run() -> int:
     """Serve until a signal."""
     from emulator.engine.config import EngineConfig
     from emulator.engine.service import serve_engine
+    from hopstep.settings import TlsSettings
 
     config = EngineConfig(
         block_count=_BLOCK_COUNT.value,
@@ -49,6 +54,7 @@
         _ADDRESS.value,
         weight_store=_WEIGHT_STORE.value,
         seed=_SEED.value,
+        tls=TlsSettings(_CERTIFICATE.value, _PRIVATE_KEY.value),
     )
     trio.run(serve_until_signal, serve)
     return 0
--- a/emulator/engine/service.py
+++ b/emulator/engine/service.py
@@ -16,9 +16,13 @@
 from emulator.kv_cache_store.client import KvCacheStoreClient
 from emulator.weight_store.client import WeightStoreClient
 from hopstep.adapters.http_server import serve_http
+from hopstep.adapters.tls import load_tls
+from hopstep.adapters.watched_files import follow_files
+from hopstep.settings import TlsSettings
 
 LOAD_POLL_SECONDS = 0.02
 _UNIQUE_BYTES = 4
+PLAIN_HTTP = TlsSettings()
 
 
 async def serve_engine(
@@ -29,6 +33,7 @@
     *,
     weight_store: str = "",
     seed: int = 0,
+    tls: TlsSettings = PLAIN_HTTP,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve one engine until ``wait_shutdown`` returns.
@@ -40,8 +45,13 @@
         wait_shutdown: Returns when the listener should close.
         weight_store: Address of the weight store; empty to load in the configured time.
         seed: Seed of the draws of lost events.
+        tls: Certificate and key of the listener.
         task_status: Told the bound addresses once the listener is open.
+
+    Raises:
+        PortError: When the certificate or the key can't be used.
     """
+    contexts = load_tls(tls)
     model = EngineModel(
         config,
         weights,
@@ -53,10 +63,11 @@
     host = EngineHost(model)
     async with contextlib.aclosing(KvCacheStoreClient()) as stores, trio.open_nursery() as nursery:
         nursery.start_soon(_write_exports, host, stores)
+        nursery.start_soon(follow_files, contexts.watched)
         if weight_store:
             nursery.start_soon(_load_weights, host, weight_store)
         app = create_engine_app(host, stores)
-        await serve_http(app, address, None, wait_shutdown, task_status=task_status)
+        await serve_http(app, address, contexts.listener, wait_shutdown, task_status=task_status)
         nursery.cancel_scope.cancel()
 
 
--- a/hopstep/adapters/peer_keys.py
+++ b/hopstep/adapters/peer_keys.py
@@ -3,20 +3,16 @@
 from __future__ import annotations
 
 import hashlib
-import time
-from collections.abc import Callable
 from pathlib import Path
 
+from hopstep.adapters.watched_files import WatchedFiles
 from hopstep.exceptions import ErrorCode, PeerMessageError
-from hopstep.log_events import PEER_KEYS_REJECTED
+from hopstep.log_events import PEER_KEYS_REJECTED, PEER_KEYS_REPLACED
 from hopstep.logs import emit
 
 MIN_KEY_BYTES = 16
 """Shorter keys are refused."""
 
-CHECK_SECONDS = 2.0
-"""Time between looks at the file's modification time."""
-
 
 class PeerKeys:
     """Keys by id: the first one signs, all verify."""
@@ -49,69 +45,41 @@
 class FilePeerKeys(PeerKeys):
     """Keys of a file with one ``id:hex`` a line.
 
-    A changed file is taken within ``CHECK_SECONDS``; while it can't be read or is wrong, the
-    earlier keys stay in use and ``error`` says why.
+    ``watched`` must be followed for a changed file to be taken; while it can't be read or is
+    wrong, the earlier keys stay in use.
     """
 
-    def __init__(self, path: Path, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, path: Path) -> None:
         """Read the file.
 
         Args:
             path: The file.
-            clock: Monotonic time in seconds.
 
         Raises:
             PeerMessageError: When the file can't be read or is wrong.
         """
-        self._path = path
-        self._clock = clock
-        self._checked_at = clock()
-        self._stamp = self._file_stamp()
-        self.error = ""
-        super().__init__(parse_keys(self._read()))
+        self.watched = WatchedFiles(
+            (path,),
+            lambda: parse_keys(_read(path)),
+            on_replaced=self._replace,
+            on_rejected=lambda error: emit(PEER_KEYS_REJECTED, reason=error.message),
+        )
+        super().__init__(self.watched.value)
+
+    def _replace(self, keys: dict[str, bytes]) -> None:
+        """Use the keys of a changed file."""
+        self._keys = keys
+        emit(PEER_KEYS_REPLACED, signing=self.signing()[0], verifying=list(keys))
 
-    def signing(self) -> tuple[str, bytes]:
-        """Return the id and key that sign, of the present file."""
-        self._refresh()
-        return super().signing()
 
-    def verifying(self, key_id: str) -> bytes | None:
-        """Return the key of an id in the present file, or None."""
-        self._refresh()
-        return super().verifying(key_id)
-
-    def _refresh(self) -> None:
-        now = self._clock()
-        if now - self._checked_at < CHECK_SECONDS:
-            return
-        self._checked_at = now
-        try:
-            stamp = self._file_stamp()
-            if stamp != self._stamp:
-                self._keys = parse_keys(self._read())
-                self._stamp = stamp
-                self.error = ""
-        except PeerMessageError as error:
-            self._note_error(error.message)
-
-    def _note_error(self, reason: str) -> None:
-        """Log a fault of the file once."""
-        if reason != self.error:
-            emit(PEER_KEYS_REJECTED, reason=reason)
-        self.error = reason
-
-    def _file_stamp(self) -> tuple[int, int, int]:
-        try:
-            status = self._path.stat()
-        except OSError as error:
-            raise _wrong(f"can't read {self._path}: {error.strerror}") from error
-        return status.st_mtime_ns, status.st_size, status.st_ino
-
-    def _read(self) -> str:
-        try:
-            return self._path.read_text(encoding="ascii")
-        except (OSError, UnicodeDecodeError) as error:
-            raise _wrong(f"can't read {self._path}") from error
+def _read(path: Path) -> str:
+    """Return the text of a key file."""
+    try:
+        return path.read_text(encoding="ascii")
+    except OSError as error:
+        raise _wrong(f"can't read {path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise _wrong(f"can't read {path}: expected ASCII text") from error
 
 
 def parse_keys(text: str) -> dict[str, bytes]:
--- a/hopstep/cli/router.py
+++ b/hopstep/cli/router.py
@@ -11,6 +11,7 @@
 import trio
 from absl import app, flags
 
+from hopstep.exceptions import ErrorCode, PortError
 from hopstep.library_logs import capture_library_logs
 from hopstep.logs import configure_logging
 from hopstep.node import run_node
@@ -40,7 +41,14 @@
         return EXIT_BAD_SETTINGS
     configure_logging(settings.log_level, settings.name)
     capture_library_logs()
-    trio.run(run_node, settings)
+    try:
+        trio.run(run_node, settings)
+    except PortError as error:
+        if error.code is not ErrorCode.INVALID_SETTINGS:
+            raise
+        source = flags.FLAGS.settings or "flags"
+        print(SettingsError(source, error.field, error.message).message, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
     return 0
 
 
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -55,14 +55,6 @@
     ("active_requests",),
     "Raise drain_seconds above the longest answer.",
 )
-CERTIFICATES_RELOADED = LogEvent("HS1005", "certificates_reloaded", Level.INFO, (), "Nothing.")
-CERTIFICATES_UNREADABLE = LogEvent(
-    "HS1006",
-    "certificates_unreadable",
-    Level.ERROR,
-    ("reason",),
-    "Mend the certificate files; the earlier ones stay in use.",
-)
 LIBRARY_WARNING = LogEvent(
     "HS1007",
     "library_warning",
@@ -70,6 +62,41 @@
     ("library", "severity", "error_type", "location"),
     "Look the place up in the library; its own text is withheld, for it may quote a request.",
 )
+CERTIFICATE_LOADED = LogEvent(
+    "HS1020",
+    "certificate_loaded",
+    Level.INFO,
+    ("field", "file", "fingerprints"),
+    "Nothing; after a replacement, compare the SHA-256 fingerprints with the new certificates'.",
+)
+CERTIFICATE_REJECTED = LogEvent(
+    "HS1021",
+    "certificate_rejected",
+    Level.ERROR,
+    ("field", "reason"),
+    "Unless HS1020 follows within seconds: mend the file; the earlier certificate stays in use.",
+)
+AUTHORITIES_LOADED = LogEvent(
+    "HS1022",
+    "authorities_loaded",
+    Level.INFO,
+    ("field", "file", "fingerprints"),
+    "Nothing; connections made from now on are checked by these authorities.",
+)
+AUTHORITIES_REJECTED = LogEvent(
+    "HS1023",
+    "authorities_rejected",
+    Level.ERROR,
+    ("field", "reason"),
+    "Unless HS1022 follows within seconds: mend the file; the earlier authorities stay in use.",
+)
+PEER_KEYS_REPLACED = LogEvent(
+    "HS1024",
+    "peer_keys_replaced",
+    Level.INFO,
+    ("signing", "verifying"),
+    "Nothing; take the next step of a rotation once every router has logged this one.",
+)
 REQUEST_REFUSED = LogEvent(
     "HS2001",
     "request_refused",
@@ -88,7 +115,7 @@
     "HS2003",
     "request_completed",
     Level.DEBUG,
-    ("request_id", "tenant", "request_class", "engine", "tokens", "first_token_seconds"),
+    ("request_id", "tenant", "request_class", "engines", "tokens", "first_token_seconds"),
     "Nothing.",
 )
 CALLER_LEFT = LogEvent(
--- a/hopstep/node.py
+++ b/hopstep/node.py
@@ -7,6 +7,7 @@
 import signal
 import time
 from pathlib import Path
+from typing import Any
 
 import httpx
 import trio
@@ -25,7 +26,9 @@
 from hopstep.adapters.peer_codec import PeerCodec
 from hopstep.adapters.peer_http import HttpPeerConfiguration, PeerHttpHandler
 from hopstep.adapters.peer_keys import FilePeerKeys, PeerKeys
+from hopstep.adapters.tls import TlsContexts, load_tls
 from hopstep.adapters.udp_peer_transport import UdpPeerTransport
+from hopstep.adapters.watched_files import WatchedFiles, follow_files
 from hopstep.logs import emit
 from hopstep.services.router import RouterPorts, RouterServices
 from hopstep.settings import PeerSettings, RouterSettings
@@ -42,6 +45,7 @@
         client: httpx.AsyncClient,
         codec: PeerCodec,
         transport: UdpPeerTransport,
+        tls: TlsContexts,
     ) -> None:
         """Join the parts; ``run`` starts them. Must be called inside the event loop.
 
@@ -50,14 +54,18 @@
             client: HTTP client for the platform's services and for peers.
             codec: Signs and checks peers' messages.
             transport: Opened socket for peers' messages.
+            tls: Contexts of the listener and of outgoing connections.
         """
         self._settings = settings
         self._client = client
         self._codec = codec
+        self._tls = tls
         self._registry = CollectorRegistry()
         self._pacer = Pacer()
         self._engines = HttpEngine(
-            idle_timeout_seconds=settings.engines_timeout_seconds, pause=self._pacer.interval
+            idle_timeout_seconds=settings.engines_timeout_seconds,
+            ssl_context=tls.engines,
+            pause=self._pacer.interval,
         )
         self._services = RouterServices(
             settings,
@@ -82,7 +90,11 @@
         app = create_app(self._make_context(nursery))
         async with trio.open_nursery() as serving:
             bound = await serving.start(
-                serve_http, app, self._settings.address, None, self._services.wait_drained
+                serve_http,
+                app,
+                self._settings.address,
+                self._tls.listener,
+                self._services.wait_drained,
             )
             emit(
                 log_events.PROCESS_STARTED,
@@ -139,30 +151,37 @@
     def _peer_url(self, name: str) -> str | None:
         """Return the base URL of another router."""
         address = self._services.peer_address(name)
-        return f"http://{address}" if address else None
+        return f"{self._tls.peer_scheme}://{address}" if address else None
 
 
 async def run_node(settings: RouterSettings) -> None:
     """Run one node until its planned stop has ended.
 
     Raises:
-        PortError: When the peers' socket can't be bound.
-        PeerMessageError: When the cluster's keys can't be read.
+        PortError: When the peers' socket can't be bound, or a file that the settings name
+            can't be used; names the field.
     """
     incarnation = int(time.time() * MILLISECONDS)
-    codec = PeerCodec(
-        settings.peers.cluster, settings.name, incarnation, _load_keys(settings.peers)
-    )
+    tls = load_tls(settings.tls)
+    keys, watched_keys = _load_keys(settings.peers)
+    watched: tuple[WatchedFiles[Any], ...] = (*tls.watched, *watched_keys)
+    codec = PeerCodec(settings.peers.cluster, settings.name, incarnation, keys)
     transport = await UdpPeerTransport.open(settings.peers.address, codec)
     try:
-        async with httpx.AsyncClient(trust_env=False) as client:
-            await Node(settings, client, codec, transport).run()
+        async with (
+            httpx.AsyncClient(trust_env=False, verify=tls.peers or True) as client,
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(follow_files, watched)
+            await Node(settings, client, codec, transport, tls).run()
+            nursery.cancel_scope.cancel()
     finally:
         transport.close()
 
 
-def _load_keys(peers: PeerSettings) -> PeerKeys:
-    """Return the cluster's keys."""
-    if peers.key_file:
-        return FilePeerKeys(Path(peers.key_file))
-    return PeerKeys.derived(peers.cluster)
+def _load_keys(peers: PeerSettings) -> tuple[PeerKeys, tuple[WatchedFiles[dict[str, bytes]], ...]]:
+    """Return the cluster's keys, and their file if they have one."""
+    if not peers.key_file:
+        return PeerKeys.derived(peers.cluster), ()
+    keys = FilePeerKeys(Path(peers.key_file))
+    return keys, (keys.watched,)
--- a/hopstep/settings.py
+++ b/hopstep/settings.py
@@ -16,13 +16,17 @@
 
     Attributes:
         certificate: PEM file of the certificate chain; empty for plain HTTP.
-        private_key: PEM file of its key.
-        trusted: PEM file of authorities trusted for outgoing connections; empty for none.
+        private_key: PEM file of its key, without a passphrase.
+        trusted: PEM file of authorities trusted for outgoing connections. When empty, engines
+            are reached over plain HTTP, and routers with a certificate check each other's by
+            the machine's own authorities.
+        engines: Whether engines are reached over TLS when ``trusted`` is set.
     """
 
     certificate: str = ""
     private_key: str = ""
     trusted: str = ""
+    engines: bool = True
 
 
 class PeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/hopstep/settings_loader.py
+++ b/hopstep/settings_loader.py
@@ -14,7 +14,7 @@
 from hopstep.domain.addresses import parse_address
 from hopstep.domain.documents import convert_document
 from hopstep.exceptions import ErrorCode, HopstepError, ValidationError
-from hopstep.settings import RouterSettings
+from hopstep.settings import RouterSettings, TlsSettings
 
 EXIT_BAD_SETTINGS = 2
 """Exit code of a process whose settings are bad."""
@@ -177,6 +177,7 @@
     _check_texts(settings)
     _check_addresses(settings)
     _check_numbers(settings)
+    _check_tls(settings.tls)
 
 
 def _check_texts(settings: RouterSettings) -> None:
@@ -223,6 +224,15 @@
             raise _invalid(field, f"expected a number of at least 0, got {value}")
 
 
+def _check_tls(tls: TlsSettings) -> None:
+    """Check that a certificate comes with its key."""
+    pair = {"tls.certificate": tls.certificate, "tls.private_key": tls.private_key}
+    if any(pair.values()):
+        for field, path in pair.items():
+            if not path:
+                raise _invalid(field, "expected a file, as the other one of the pair is set")
+
+
 def _invalid(field: str, expectation: str) -> ValidationError:
     """Return the error for a bad value."""
     return ValidationError(ErrorCode.INVALID_SETTINGS, expectation, field)
--- a/tests/adapters/test_peer_codec.py
+++ b/tests/adapters/test_peer_codec.py
@@ -9,7 +9,7 @@
 
 from hopstep.adapters import peer_keys
 from hopstep.adapters.peer_codec import MAX_SKEW_SECONDS, REPLAY_WINDOW, PeerCodec, ReplayWindow
-from hopstep.adapters.peer_keys import CHECK_SECONDS, FilePeerKeys, PeerKeys, parse_keys
+from hopstep.adapters.peer_keys import FilePeerKeys, PeerKeys, parse_keys
 from hopstep.domain.peer_message import (
     Ack,
     EngineEntry,
@@ -30,6 +30,7 @@
     SyncSummary,
 )
 from hopstep.exceptions import PeerMessageError
+from hopstep.log_events import PEER_KEYS_REJECTED, PEER_KEYS_REPLACED
 
 KEY, OTHER_KEY = bytes(range(32)), bytes(range(1, 33))
 VALUES = (
@@ -152,27 +153,26 @@
 
 class PeerKeysTest(unittest.TestCase):
     def test_keys_are_replaced_without_a_restart(self):
-        now = [0.0]
         with (
             tempfile.TemporaryDirectory() as directory,
             mock.patch.object(peer_keys, "emit") as emit,
         ):
             path = pathlib.Path(directory) / "keys"
             path.write_text(f"old:{KEY.hex()}\n")
-            keys = FilePeerKeys(path, lambda: now[0])
+            keys = FilePeerKeys(path)
             path.write_text(f"# rolled\nnew:{OTHER_KEY.hex()}\nold:{KEY.hex()}\n")
-            now[0] += CHECK_SECONDS
+            keys.watched.check()
             self.assertEqual(keys.signing(), ("new", OTHER_KEY))
             self.assertEqual(keys.verifying("old"), KEY)
             path.write_text("new:xyz")
-            now[0] += CHECK_SECONDS
+            keys.watched.check()
             self.assertEqual(keys.signing(), ("new", OTHER_KEY))
-            now[0] += CHECK_SECONDS
-            keys.signing()
-            self.assertIn("line 1", keys.error)
-            self.assertEqual(emit.call_count, 1)
+            keys.watched.check()
+            self.assertIn("line 1", keys.watched.error)
+            logged = [call.args[0] for call in emit.call_args_list]
+            self.assertEqual(logged, [PEER_KEYS_REPLACED, PEER_KEYS_REJECTED])
             path.unlink()
-            now[0] += CHECK_SECONDS
+            keys.watched.check()
             self.assertEqual(keys.verifying("old"), KEY)
 
     def test_wrong_files_name_the_line(self):
