--- a/emulator/fleet/fleet.py
+++ b/emulator/fleet/fleet.py
@@ -11,9 +11,11 @@
 import trio
 
 from emulator.fleet.processes import ProcessGroup, free_addresses
+from hopstep.adapters.tls import client_context
 from hopstep.ctl.documents import read_configuration, write_configuration
 from hopstep.ctl.status import STATUS_PATH
 from hopstep.domain.configuration import BackEnd, BackEndKind, Configuration
+from hopstep.settings import TlsSettings
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 EMULATOR_MODULE = "emulator.cli.main"
@@ -31,12 +33,14 @@
         concurrent_weight_loads: Loads at once beyond which each takes longer.
         engine_arguments: Further arguments of every engine.
         router_arguments: Further arguments of every router.
+        tls: Files of every router and, with ``trusted``, of every engine.
     """
 
     weight_load_seconds: float = 0.5
     concurrent_weight_loads: int = 3
     engine_arguments: tuple[str, ...] = ()
     router_arguments: tuple[str, ...] = ()
+    tls: TlsSettings = TlsSettings()
 
 
 DEFAULT_OPTIONS = FleetOptions()
@@ -127,15 +131,25 @@
 
     async def wait_ready(self) -> None:
         """Wait until every router is ready."""
-        async with httpx.AsyncClient(trust_env=False) as client:
+        async with self._router_client() as client:
             for router in self.back_ends(BackEndKind.ROUTER):
-                await _wait_ready(client, router.address)
+                await _wait_ready(client, self.router_url(router.address))
 
     async def wait_revision(self) -> None:
         """Wait until the revision applied last is in force at every router."""
-        async with httpx.AsyncClient(trust_env=False) as client:
+        async with self._router_client() as client:
             for router in self.back_ends(BackEndKind.ROUTER):
-                await _wait_revision(client, router.address, self.revision)
+                await _wait_revision(client, self.router_url(router.address), self.revision)
+
+    def router_url(self, address: str) -> str:
+        """Return the base URL of a router."""
+        return f"https://{address}" if self._options.tls.certificate else f"http://{address}"
+
+    def _router_client(self) -> httpx.AsyncClient:
+        """Return a client that trusts what the routers trust."""
+        trusted = self._options.tls.trusted
+        verify = client_context(trusted) if trusted else True
+        return httpx.AsyncClient(trust_env=False, verify=verify)
 
     def signal(self, back_end: str, number: signal.Signals) -> None:
         """Send a signal to the process of a back end."""
@@ -181,12 +195,15 @@
         """Start one engine with the configured weights."""
         versions = {model.name: model.weights_version for model in self.configuration.models}
         weights = ",".join(f"{model}={versions[model]}" for model in back_end.models)
+        tls = self._options.tls
+        files = (f"--certificate={tls.certificate}", f"--private_key={tls.private_key}")
         self._start_emulator(
             self.process_name(back_end.name),
             "engine",
             f"--address={back_end.address}",
             f"--weights={weights}",
             f"--weight_store={self._weight_store}",
+            *(files if tls.trusted else ()),
             *self._options.engine_arguments,
         )
 
@@ -225,6 +242,10 @@
             f'cluster = "{self.name}"\n'
             f'address = "{own}"\n'
             f"seeds = {msgspec.json.encode(seeds).decode()}\n"
+            f"[tls]\n"
+            f'certificate = "{self._options.tls.certificate}"\n'
+            f'private_key = "{self._options.tls.private_key}"\n'
+            f'trusted = "{self._options.tls.trusted}"\n'
         )
 
 
@@ -233,16 +254,16 @@
     return read_configuration(EXAMPLES / name / "configuration.toml")
 
 
-async def _wait_revision(client: httpx.AsyncClient, address: str, revision: int) -> None:
+async def _wait_revision(client: httpx.AsyncClient, url: str, revision: int) -> None:
     """Wait until a revision, or a later one, is in force at a router."""
     while True:
-        response = await client.get(f"http://{address}{STATUS_PATH}")
+        response = await client.get(f"{url}{STATUS_PATH}")
         if msgspec.json.decode(response.content)["revision"] >= revision:
             return
         await trio.sleep(POLL_SECONDS)
 
 
-async def _wait_ready(client: httpx.AsyncClient, address: str) -> None:
+async def _wait_ready(client: httpx.AsyncClient, url: str) -> None:
     """Wait until one router is ready.
 
     Raises:
@@ -250,8 +271,8 @@
     """
     with trio.move_on_after(READY_TIMEOUT_SECONDS):
         while True:
-            response = await client.get(f"http://{address}/readyz")
+            response = await client.get(f"{url}/readyz")
             if response.is_success:
                 return
             await trio.sleep(POLL_SECONDS)
-    raise RuntimeError(f"the router at {address} isn't ready")
+    raise RuntimeError(f"the router at {url} isn't ready")
--- a/emulator/load/router_client.py
+++ b/emulator/load/router_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from typing import Any
 
 import httpx
@@ -43,14 +44,19 @@
 class RouterClient:
     """One client process's connections to routers."""
 
-    def __init__(self, timeout_seconds: float = TIMEOUT_SECONDS) -> None:
+    def __init__(
+        self, timeout_seconds: float = TIMEOUT_SECONDS, tls: ssl.SSLContext | None = None
+    ) -> None:
         """Open no connection yet.
 
         Args:
             timeout_seconds: Longest silence.
+            tls: For routers that serve TLS; None for plain HTTP.
         """
+        self._scheme = "http" if tls is None else "https"
         self._http = httpx.AsyncClient(
             trust_env=False,
+            verify=tls or True,
             timeout=timeout_seconds,
             limits=httpx.Limits(max_connections=MAX_CONNECTIONS),
         )
@@ -70,7 +76,7 @@
         try:
             async with self._http.stream(
                 "POST",
-                f"http://{require_loopback(address)}{_path(request)}",
+                f"{self._scheme}://{require_loopback(address)}{_path(request)}",
                 content=msgspec.json.encode(_body(request)),
                 headers=_headers(request),
             ) as response:
--- a/hopstep/cli/ctl.py
+++ b/hopstep/cli/ctl.py
@@ -13,6 +13,7 @@
 import logging
 import os
 import random
+import ssl
 import sys
 import uuid
 from collections.abc import Sequence
@@ -24,6 +25,7 @@
 from absl import app, flags
 
 from hopstep.adapters.key_value_store_http import HttpKeyValueStore
+from hopstep.adapters.tls import client_context
 from hopstep.ctl.documents import read_configuration
 from hopstep.ctl.editing import (
     ChangeAttributes,
@@ -62,6 +64,9 @@
 _TIMEOUT_SECONDS = flags.DEFINE_float("timeout_seconds", 30.0, "Longest wait for an outcome.")
 _REVISION = flags.DEFINE_integer("revision", None, "Revision to show; default: the latest.")
 _ROUTERS = flags.DEFINE_list("routers", [], "Routers to ask, ip:port; default: those listed.")
+_TRUSTED = flags.DEFINE_string(
+    "trusted", "", "PEM file of authorities; routers are then asked over TLS (status)."
+)
 _UNDO = flags.DEFINE_bool("undo", False, "Take the leaving mark away (drain).")
 _TENANT = flags.DEFINE_string("tenant", "", "Tenant (explain).")
 _CLASS = flags.DEFINE_string("class", "", "Request class; default: the tenant's (explain).")
@@ -95,9 +100,9 @@
     if verb == "explain" and _FILE.value:
         accepted = AcceptedConfiguration(0, read_configuration(Path(_FILE.value)))
         return explain(accepted, _TENANT.value, _CLASS.value, _MODEL.value)
-    async with httpx.AsyncClient(trust_env=False) as client:
+    async with httpx.AsyncClient(trust_env=False, verify=_verification()) as client:
         if verb == "status" and _ROUTERS.value:
-            return await show_status(client, _checked_routers())
+            return await show_status(client, _checked_routers(), _router_scheme())
         key_value_store = HttpKeyValueStore(_store_address(), client)
         store = ConfigurationStore(key_value_store, random.SystemRandom())
         return await _run_store_verb(verb, operands, store, client)
@@ -119,7 +124,8 @@
         return await show_history(store)
     latest = (await store.read_history()).latest
     if verb == "status":
-        return await show_status(client, listed_routers(latest.configuration))
+        routers = listed_routers(latest.configuration)
+        return await show_status(client, routers, _router_scheme())
     return explain(latest, _TENANT.value, _CLASS.value, _MODEL.value)
 
 
@@ -144,6 +150,21 @@
     return [str(parse_address(address, "--routers")) for address in _ROUTERS.value]
 
 
+def _router_scheme() -> str:
+    """Return the scheme by which routers are asked."""
+    return "https" if _TRUSTED.value else "http"
+
+
+def _verification() -> ssl.SSLContext | bool:
+    """Return how routers' certificates are checked."""
+    if not _TRUSTED.value:
+        return True
+    try:
+        return client_context(_TRUSTED.value)
+    except PortError as error:
+        raise ValidationError(error.code, error.message, "--trusted") from error
+
+
 def _attributes() -> ChangeAttributes:
     """Return who changes what and why."""
     return ChangeAttributes(
--- a/hopstep/ctl/status.py
+++ b/hopstep/ctl/status.py
@@ -68,12 +68,14 @@
     )
 
 
-async def show_status(client: httpx.AsyncClient, addresses: Sequence[str]) -> VerbResult:
+async def show_status(
+    client: httpx.AsyncClient, addresses: Sequence[str], scheme: str = "http"
+) -> VerbResult:
     """Ask each router; the exit code is ``UNAVAILABLE`` when one doesn't answer."""
     statuses: dict[str, RouterStatus] = {}
 
     async def ask_one(address: str) -> None:
-        statuses[address] = await _ask(client, address)
+        statuses[address] = await _ask(client, address, scheme)
 
     async with trio.open_nursery() as nursery:
         for address in addresses:
@@ -85,10 +87,11 @@
     return VerbResult(text, StatusDocument(routers), exit_code)
 
 
-async def _ask(client: httpx.AsyncClient, address: str) -> RouterStatus:
+async def _ask(client: httpx.AsyncClient, address: str, scheme: str) -> RouterStatus:
     """Return what one router says."""
     try:
-        response = await client.get(f"http://{address}{STATUS_PATH}", timeout=TIMEOUT_SECONDS)
+        url = f"{scheme}://{address}{STATUS_PATH}"
+        response = await client.get(url, timeout=TIMEOUT_SECONDS)
         response.raise_for_status()
         status = msgspec.json.decode(response.content, type=RouterStatus)
     except (httpx.HTTPError, httpx.InvalidURL, msgspec.DecodeError) as error:
--- a/tests/adapters/test_tls.py
+++ b/tests/adapters/test_tls.py
@@ -67,24 +67,6 @@
 
         trio.run(main)
 
-    def client_context(self) -> ssl.SSLContext:
-        return ssl.create_default_context(cafile=str(self.files.trusted))
-
-    async def connect(self, address: str) -> trio.SSLStream:
-        host, _, port = address.rpartition(":")
-        context = self.client_context()
-        stream = await trio.open_ssl_over_tcp_stream(
-            host, int(port), ssl_context=context, https_compatible=True
-        )
-        await stream.do_handshake()
-        return stream
-
-    async def served_fingerprint(self, address: str) -> str:
-        stream = await self.connect(address)
-        served = fingerprint(stream.getpeercert(binary_form=True))
-        await stream.aclose()
-        return served
-
 
 class BadFilesTest(TlsTest):
     def test_the_error_names_field_and_file(self) -> None:
@@ -176,14 +158,14 @@
     def test_a_replacement_reaches_new_connections_and_leaves_streams(self) -> None:
         async def check() -> None:
             async with self.listener() as address:
-                before = await self.served_fingerprint(address)
-                stream = await self.connect(address)
+                before = await self.files.served_fingerprint(address)
+                stream = await self.files.connect(address)
                 await stream.send_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
                 await self.read_until(stream, FIRST)
                 issued = self.files.issue()
                 self.assertNotEqual(issued, before)
                 await self.wait_logged("HS1020", 2)
-                self.assertEqual(await self.served_fingerprint(address), issued)
+                self.assertEqual(await self.files.served_fingerprint(address), issued)
                 self.go_on.set()
                 await self.read_until(stream, LAST)
                 # Also the next request of the same connection.
@@ -209,17 +191,17 @@
 
         async def check() -> None:
             async with self.listener() as address:
-                before = await self.served_fingerprint(address)
+                before = await self.files.served_fingerprint(address)
                 for number, (path, change) in enumerate(cases, start=1):
                     good = path.read_bytes()
                     change(path)
                     await self.wait_logged("HS1021", number)
-                    self.assertEqual(await self.served_fingerprint(address), before)
+                    self.assertEqual(await self.files.served_fingerprint(address), before)
                     path.write_bytes(good)
                     await self.wait_logged("HS1020", number + 1)
                 issued = self.files.issue()
                 await self.wait_logged("HS1020", len(cases) + 2)
-                self.assertEqual(await self.served_fingerprint(address), issued)
+                self.assertEqual(await self.files.served_fingerprint(address), issued)
 
         self.run_bounded(check)
         self.assertTrue(all(line["reason"] for line in self.logged("HS1021")))
@@ -232,7 +214,7 @@
                     plain = await trio.open_tcp_stream(host, int(port))
                     await plain.send_all(rubbish)
                     await plain.aclose()
-                await self.served_fingerprint(address)
+                await self.files.served_fingerprint(address)
 
         self.run_bounded(check)
 
--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -14,6 +14,7 @@
 from emulator.load.router_client import RouterClient
 from emulator.load.run import send_until_settled
 from hopstep.adapters.http_api.authentication import hash_key
+from hopstep.adapters.tls import client_context
 from hopstep.domain.configuration import (
     BackEnd,
     BackEndKind,
@@ -22,10 +23,12 @@
     RequestClass,
     Tenant,
 )
+from hopstep.settings import TlsSettings
 
 KEY = "a-key"
 TEST_TIMEOUT_SECONDS = 90.0
 UNUSED = "127.0.0.1:1"
+PLAIN_HTTP = TlsSettings()
 
 CONFIGURATION = Configuration(
     back_ends=(
@@ -61,16 +64,21 @@
 
 
 @contextlib.asynccontextmanager
-async def small_fleet(*router_arguments: str) -> AsyncIterator[SmallFleet]:
+async def small_fleet(
+    *router_arguments: str,
+    configuration: Configuration = CONFIGURATION,
+    tls: TlsSettings = PLAIN_HTTP,
+) -> AsyncIterator[SmallFleet]:
     """Start the fleet, and leave nothing running."""
-    options = FleetOptions(router_arguments=router_arguments)
+    options = FleetOptions(router_arguments=router_arguments, tls=tls)
+    context = client_context(tls.trusted) if tls.certificate else None
     with (
         tempfile.TemporaryDirectory() as directory,
         ProcessGroup(Path(directory)) as group,
     ):
-        fleet = Fleet("small", CONFIGURATION, group, Path(directory), options)
+        fleet = Fleet("small", configuration, group, Path(directory), options)
         await fleet.start()
         await fleet.apply(fleet.configuration, "test")
         await fleet.wait_ready()
-        async with contextlib.aclosing(RouterClient()) as client:
+        async with contextlib.aclosing(RouterClient(tls=context)) as client:
             yield SmallFleet(fleet, group, client)
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -32,9 +32,9 @@
         self.scopes = {}
         nursery.start_soon(self.network.run)
 
-    async def start(self, number, incarnation=1, cluster="hopstep"):
+    async def start(self, number, incarnation=1, cluster="hopstep", keys=None):
         name, address = f"r{number}", f"127.0.0.1:{7000 + number}"
-        keys = PeerKeys({"k": bytes(32)})
+        keys = keys or PeerKeys({"k": bytes(32)})
         codec = PeerCodec(cluster, name, incarnation, keys, trio.current_time)
         settings = RouterSettings(
             name, f"127.0.0.1:{8000 + number}", "zone-1", peers=PeerSettings(seeds=SEEDS)
--- a/tests/tls_files.py
+++ b/tests/tls_files.py
@@ -7,8 +7,10 @@
 import tempfile
 from pathlib import Path
 
+import trio
 import trustme
 
+from hopstep.adapters.tls import client_context
 from hopstep.settings import TlsSettings
 
 LOOPBACK = "127.0.0.1"
@@ -55,6 +57,23 @@
         self.certificate.write_bytes(chain)
         return fingerprint(issued.cert_chain_pems[0].bytes())
 
+    async def served_fingerprint(self, address: str) -> str:
+        """Return the fingerprint of the certificate that a new connection meets."""
+        stream = await self.connect(address)
+        served = fingerprint(stream.getpeercert(binary_form=True))
+        await stream.aclose()
+        return served
+
+    async def connect(self, address: str) -> trio.SSLStream:
+        """Return a new connection that checks the certificate."""
+        host, _, port = address.rpartition(":")
+        context = client_context(str(self.trusted))
+        stream = await trio.open_ssl_over_tcp_stream(
+            host, int(port), ssl_context=context, https_compatible=True
+        )
+        await stream.do_handshake()
+        return stream
+
     def trust(self, *authorities: trustme.CA) -> None:
         """Write the authorities to trust."""
         self.trusted.write_bytes(b"".join(each.cert_pem.bytes() for each in authorities))
