--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -5,7 +5,7 @@
 import unittest
 from pathlib import Path
 
-from absl import app, flags
+from absl import app, flags, logging
 
 from tests import fuzz_settings
 
@@ -32,6 +32,7 @@
 
 def main(_arguments: list[str]) -> int:
     """Run the range of seeds and print the verdict."""
+    logging.set_verbosity(logging.WARNING)
     seeds = range(_FIRST_SEED.value, _FIRST_SEED.value + _SEEDS.value)
     failed: list[int] = []
     tests = 0
