Count only work that goes before a request in its expected wait

Cause: engines serve lower priority numbers first, but the expected wait lumped all work together, so quick requests fled from engines that hold their prefix, and saw no difference between engines full of batches. Own dispatches know their priority; of reported work the same share is taken to go before the request as in the work that this router sends.

--- a/emulator/experiments/scenarios.py
+++ b/emulator/experiments/scenarios.py
@@ -142,6 +142,11 @@
             event_loss_ratio=0.5,
             event_delay_seconds=2.0,
         ),
+        Scenario(
+            "no_events",
+            "All cache events lost: routers learn from answers alone",
+            event_loss_ratio=1.0,
+        ),
         Scenario("engine_crashes", "A third of the engines crash, in turn", induce=_crash_engines),
         Scenario(
             "rolling_weights", "New weights are rolled out", new_weights=True, induce=_roll_weights
--- a/emulator/experiments/strategies.py
+++ b/emulator/experiments/strategies.py
@@ -237,5 +237,6 @@
         kv_cache_store=kv_cache_store,
         full=False,
         prefill_tokens=item.prepared.token_count - cached_tokens,
+        priority=item.request.request_class.priority,
         prefix_heads=(),
     )
--- a/hopstep/domain/routing/engine_view.py
+++ b/hopstep/domain/routing/engine_view.py
@@ -34,14 +34,32 @@
     Attributes:
         sent_at: When it was sent.
         prefill_tokens: Prompt tokens that it was expected to recompute.
+        priority: Lower numbers go first.
         started: Whether its first token has come.
     """
 
     sent_at: float
     prefill_tokens: int
+    priority: int
     started: bool = False
 
 
+class QueuePlace(msgspec.Struct, frozen=True):
+    """What the wait of a new request depends on, besides the engine.
+
+    Attributes:
+        priority: Its priority; lower numbers go first.
+        share_before: Share of other work that is expected to go before it.
+        prefill_tokens_per_second: Speed at which work drains.
+        other_routers: Routers that send to the engines besides this one.
+    """
+
+    priority: int
+    share_before: float
+    prefill_tokens_per_second: float
+    other_routers: int
+
+
 class EngineView:
     """Belief about one engine; every time is in seconds of the router's monotonic clock."""
 
@@ -84,9 +102,9 @@
             self._report = facts.load
             self._report_at = taken_at
 
-    def record_dispatch(self, nonce: str, prefill_tokens: int, now: float) -> None:
+    def record_dispatch(self, nonce: str, prefill_tokens: int, priority: int, now: float) -> None:
         """Count an attempt that has just been sent."""
-        self._dispatches[nonce] = Dispatch(now, prefill_tokens)
+        self._dispatches[nonce] = Dispatch(now, prefill_tokens, priority)
         self._rate = self._own_rate(now) + prefill_tokens / RATE_SECONDS
         self._rate_at = now
 
@@ -124,30 +142,24 @@
         )
         return max(reported + unreported, len(self._dispatches))
 
-    def waiting_prefill_tokens(
-        self, now: float, prefill_tokens_per_second: float, other_routers: int
-    ) -> float:
+    def waiting_prefill_tokens(self, now: float, place: QueuePlace) -> float:
         """Return the prompt tokens expected to be prefilled before a new request's own.
 
         Args:
             now: Time.
-            prefill_tokens_per_second: Speed at which reported work drains.
-            other_routers: Routers that send to the engine besides this one.
+            place: The request's place among others.
         """
         own = 0
         unreported = 0
         for dispatch in self._dispatches.values():
-            if dispatch.started:
+            if dispatch.started or dispatch.priority > place.priority:
                 continue
             own += dispatch.prefill_tokens
             if dispatch.sent_at > self._report_at:
                 unreported += dispatch.prefill_tokens
-        reported = self._reported_tokens(now, prefill_tokens_per_second, other_routers)
-        return max(reported + unreported, float(own))
+        return max(self._reported_tokens(now, place) + unreported, float(own))
 
-    def _reported_tokens(
-        self, now: float, prefill_tokens_per_second: float, other_routers: int
-    ) -> float:
+    def _reported_tokens(self, now: float, place: QueuePlace) -> float:
         """Return what is left of the reported work, and what others have sent since.
 
         Reports lag, and what the other routers send meanwhile isn't seen. They are expected to
@@ -156,7 +168,7 @@
         elapsed = now - self._report_at
         if elapsed > FRESH_REPORT_SECONDS:
             return 0.0
-        inflow = other_routers * self._own_rate(now)
-        drained = (prefill_tokens_per_second - inflow) * elapsed
+        inflow = place.other_routers * self._own_rate(now) * place.share_before
+        drained = (place.prefill_tokens_per_second - inflow) * elapsed
         unseen = inflow * min(elapsed, UNSEEN_SECONDS)
-        return max(self._report.waiting_prefill_tokens - drained, unseen)
+        return max(self._report.waiting_prefill_tokens * place.share_before - drained, unseen)
--- a/hopstep/domain/routing/routing_table.py
+++ b/hopstep/domain/routing/routing_table.py
@@ -24,9 +24,10 @@
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.rendezvous import Rendezvous
 from hopstep.domain.requests_in_force import choose_kv_cache_store
-from hopstep.domain.routing.engine_view import EngineView
+from hopstep.domain.routing.engine_view import EngineView, QueuePlace
 from hopstep.domain.routing.hot_prefixes import HotPrefixes
 from hopstep.domain.routing.prefix_picture import PrefixPicture
+from hopstep.domain.routing.priority_mix import PriorityMix
 from hopstep.domain.routing.prompt_heads import HashPrompt, Prompt, PromptHasher
 from hopstep.domain.routing.selection import (
     Candidate,
@@ -70,6 +71,7 @@
         self._sent: dict[str, _Sent] = {}
         self._leaving: frozenset[str] = frozenset()
         self._other_routers = 0
+        self._priority_mix = PriorityMix()
         self._owners: dict[tuple[str, ...], Rendezvous] = {}
 
     def update_configuration(self, accepted: AcceptedConfiguration) -> None:
@@ -175,7 +177,8 @@
                 ErrorCode.NO_ADMISSIBLE_BACK_END, "no admissible engine can take the request now"
             )
         prompt = self._hasher.prompt(request, self._policy.prefix_stride_blocks)
-        return prompt, rank(prompt, self._candidates(prompt, usable, now), self._policy)
+        place = self._queue_place(request)
+        return prompt, rank(prompt, self._candidates(prompt, usable, place, now), self._policy)
 
     def record_dispatch(self, nonce: str, choice: Choice, now: float) -> None:
         """Count an attempt that is being sent; its prefix will be held there soon.
@@ -186,7 +189,9 @@
             now: Time.
         """
         address = choice.back_end.address
-        self._view(address).record_dispatch(nonce, choice.prefill_tokens, now)
+        tokens, priority = choice.prefill_tokens, choice.priority
+        self._view(address).record_dispatch(nonce, tokens, priority, now)
+        self._priority_mix.record(priority, tokens, now)
         self._sent[nonce] = _Sent(address, choice.incarnation, choice.prefix_heads)
         heads = choice.prefix_heads
         self._picture.learn(address, choice.incarnation, heads, len(heads))
@@ -257,15 +262,33 @@
     def _choice(self, request: InferenceRequest, prompt: Prompt, candidate: Candidate) -> Choice:
         """Return the choice of one candidate."""
         store = choose_kv_cache_store(self._index, request, candidate.back_end)
-        return make_choice(prompt, candidate, self._policy, store)
+        return make_choice(
+            prompt,
+            candidate,
+            self._policy,
+            kv_cache_store=store,
+            priority=request.request_class.priority,
+        )
+
+    def _queue_place(self, request: InferenceRequest) -> QueuePlace:
+        """Return what the request's wait depends on, besides the engine."""
+        priority = request.request_class.priority
+        return QueuePlace(
+            priority=priority,
+            share_before=self._priority_mix.share_before(priority),
+            prefill_tokens_per_second=self._policy.prefill_tokens_per_second,
+            other_routers=self._other_routers,
+        )
 
-    def _candidates(self, prompt: Prompt, usable: list[BackEnd], now: float) -> list[Candidate]:
+    def _candidates(
+        self, prompt: Prompt, usable: list[BackEnd], place: QueuePlace, now: float
+    ) -> list[Candidate]:
         """Return what is believed of each usable engine."""
         held = self._picture.held_heads(prompt.heads, [item.address for item in usable])
         preferences = self._preferences(prompt, usable)
         assumed = 0 if any(held) else prompt.tokens_of(len(prompt.heads))
         return [
-            self._candidate(prompt, back_end, heads, preferences, assumed, now)
+            self._candidate(prompt, back_end, heads, preferences, assumed, place, now)
             for back_end, heads in zip(usable, held, strict=True)
         ]
 
@@ -276,17 +299,17 @@
         held_heads: int,
         preferences: dict[str, int],
         assumed_tokens: int,
+        place: QueuePlace,
         now: float,
     ) -> Candidate:
         """Return what is believed of one engine."""
         view = self._view(back_end.address)
-        speed = self._policy.prefill_tokens_per_second
         preference = preferences.get(back_end.name, len(preferences))
         return Candidate(
             back_end=back_end,
             incarnation=view.incarnation,
             cached_tokens=prompt.tokens_of(held_heads),
-            waiting_prefill_tokens=view.waiting_prefill_tokens(now, speed, self._other_routers),
+            waiting_prefill_tokens=view.waiting_prefill_tokens(now, place),
             requests=view.requests(),
             suspect=view.is_suspect(now),
             preference=preference,
--- a/hopstep/domain/routing/selection.py
+++ b/hopstep/domain/routing/selection.py
@@ -46,6 +46,7 @@
         kv_cache_store: Address of the KV cache store to import from; empty for none.
         full: Whether the engine is believed to be at its limit of concurrent requests.
         prefill_tokens: Prompt tokens that it is expected to recompute.
+        priority: Priority of the request.
         prefix_heads: Heads of the prompt, for ``RoutingTable.record_dispatch``.
     """
 
@@ -57,6 +58,7 @@
     kv_cache_store: str
     full: bool
     prefill_tokens: int
+    priority: int
     prefix_heads: tuple[int, ...]
 
 
@@ -112,7 +114,12 @@
 
 
 def make_choice(
-    prompt: Prompt, candidate: Candidate, policy: RoutingPolicy, kv_cache_store: str
+    prompt: Prompt,
+    candidate: Candidate,
+    policy: RoutingPolicy,
+    *,
+    kv_cache_store: str,
+    priority: int,
 ) -> Choice:
     """Return the choice of one candidate.
 
@@ -121,6 +128,7 @@
         candidate: The engine.
         policy: Costs of the deployment.
         kv_cache_store: Address of the KV cache store to use; empty for none.
+        priority: Priority of the request.
     """
     return Choice(
         back_end=candidate.back_end,
@@ -131,5 +139,6 @@
         kv_cache_store=kv_cache_store,
         full=_is_full(candidate),
         prefill_tokens=_prefill_tokens(prompt, candidate),
+        priority=priority,
         prefix_heads=prompt.heads,
     )
--- a/tests/domain/routing/test_routing_table.py
+++ b/tests/domain/routing/test_routing_table.py
@@ -1,6 +1,8 @@
 import random
 import unittest
 
+import msgspec
+
 from hopstep.domain.configuration import (
     AcceptedConfiguration,
     BackEnd,
@@ -177,6 +179,21 @@
         self.table.record_end("n", NOW)
         self.assertEqual(self.table.expected_requests(first.address), 0)
 
+    def test_work_of_lower_priority_does_not_count(self):
+        for priority, moved in ((5, False), (10, True), (20, True)):
+            with self.subTest(priority):
+                self.table = self.fresh()
+                first = self.choose().back_end
+                other = request(prompt="0000" * 20_000, name="q")
+                self.table.record_dispatch("n", self.table.choose(other, (first,), NONE, NOW), NOW)
+                self.hear(self.engines.index(first), load=LoadReport(1, 0, 20_000), now=NOW + 1)
+                asked = request()
+                asked = msgspec.structs.replace(
+                    asked, request_class=RequestClass("c", priority=priority)
+                )
+                choice = self.table.choose(asked, self.engines, NONE, NOW + 1)
+                self.assertEqual(choice.back_end != first, moved)
+
     def test_a_failed_engine_is_avoided_and_comes_back(self):
         first = self.choose().back_end
         self.table.record_failure(first.address, NOW)
