--- a/tests/adapters/http_api/test_answers.py
+++ b/tests/adapters/http_api/test_answers.py
@@ -133,11 +133,12 @@
     async def test_logs_hold_no_prompt_answer_or_key(self, harness: Harness) -> None:
         written = io.StringIO()
         with contextlib.redirect_stderr(written):
+            earlier = structlog.get_config()
             configure_logging("debug", "r1")
             try:
                 await self._provoke_every_event(harness)
             finally:
-                structlog.reset_defaults()
+                structlog.configure(**earlier)
         numbers = {json.loads(line)["number"] for line in written.getvalue().splitlines()}
         self.assertEqual(numbers, {"HS2001", "HS2002", "HS2003", "HS2004", "HS2005"})
         for secret in (PROMPT, "caller", KEY, *(token.strip() for token in TOKENS)):
--- a/tests/services/test_claims.py
+++ b/tests/services/test_claims.py
@@ -83,8 +83,8 @@
 
 class ClaimsTest(unittest.TestCase):
     def setUp(self):
+        self.addCleanup(structlog.configure, **structlog.get_config())
         structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
-        self.addCleanup(structlog.reset_defaults)
 
     def run_async(self, test):
         trio.run(test, World(), clock=MockClock(autojump_threshold=0))
--- a/tests/services/test_claims_stateful.py
+++ b/tests/services/test_claims_stateful.py
@@ -232,8 +232,8 @@
 
 class ClaimsStatefulTest(unittest.TestCase):
     def setUp(self):
+        self.addCleanup(structlog.configure, **structlog.get_config())
         structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
-        self.addCleanup(structlog.reset_defaults)
 
     def test_at_most_once(self):
         def run(nursery, clock):
