Read the machine list by a few readers

Cause: every router read the whole list once a second: 390 readings a second of 10,000 machines at the planned size, worked out in docs/CAPACITY.md. Now three routers, by ownership, read each second and tell the others; these read 20 times a second together at most, which at 20 routers and fewer is as before. Ruled out: no readings by the others, since a router cut off from its peers would see a leaving machine only once its peers are held dead.

--- a/hopstep/services/cluster.py
+++ b/hopstep/services/cluster.py
@@ -23,9 +23,10 @@
 """Routers that probe an engine and read its cache events."""
 
 READER_REPLICAS = 3
-"""Routers that read the configuration from the store."""
+"""Routers that read the configuration from the store, and as many the machine list."""
 
 READERS_KEY = "configuration-readers"
+MACHINE_LIST_KEY = "machine-list-readers"
 ROLLOUT_KEY = "weights-rollout"
 
 USAGE_SECONDS = 2.0
@@ -88,6 +89,10 @@
         """Return whether this router reads the configuration from the store."""
         return self._membership.owns(READERS_KEY, READER_REPLICAS)
 
+    def reads_machine_list(self) -> bool:
+        """Return whether this router reads the machine list for the others."""
+        return self._membership.owns(MACHINE_LIST_KEY, READER_REPLICAS)
+
     def leads_rollout(self) -> bool:
         """Return whether this router orders weights; fences settle it if two believe so."""
         return self._membership.owns(ROLLOUT_KEY)
--- a/hopstep/services/leaving_watch.py
+++ b/hopstep/services/leaving_watch.py
@@ -1,7 +1,8 @@
 """Keeps leaving back ends without new work: by the machine list and by what peers have read.
 
 The list lags, flaps and has outages, and may be out of this router's reach alone. So its last
-word stands while it is down, and the owners of an engine tell the other routers what they read.
+word stands while it is down, and a few readers tell the other routers what they read. The others
+read it too, in case no reader can reach them, but in a large cluster seldom.
 What an engine says of itself comes with its facts (``hopstep.services.engine_watch``).
 """
 
@@ -19,12 +20,24 @@
 from hopstep.ports.machine_list import Machine, MachineListPort, MachineState
 
 ROUND_SECONDS = 1.0
-"""Time between two readings of the machine list."""
+"""Time between two readings of the machine list by one of its readers."""
+
+MAX_OTHER_READS_PER_SECOND = 20.0
+"""Readings by all routers that aren't readers together: the list is long and rate-limited."""
 
 READ_TIMEOUT_SECONDS = 3.0
 """Longest wait for the list."""
 
 
+def other_read_interval(routers: int) -> float:
+    """Return the seconds between two readings by a router that isn't a reader.
+
+    Args:
+        routers: Live routers.
+    """
+    return max(ROUND_SECONDS, routers / MAX_OTHER_READS_PER_SECOND)
+
+
 class LeavingWatch:
     """Follows the machine list and peers for one router."""
 
@@ -32,7 +45,8 @@
         self,
         machine_list: MachineListPort | None,
         routing_table: RoutingTable,
-        owns: Callable[[str], bool],
+        is_reader: Callable[[], bool],
+        count_routers: Callable[[], int],
         publish: Callable[[str, bool], None],
         heard: Callable[[], frozenset[str]],
     ) -> None:
@@ -41,13 +55,16 @@
         Args:
             machine_list: Platform's list; None to go by peers alone.
             routing_table: Gives leaving engines no new work.
-            owns: Whether this router tells the others of the machine at an address.
-            publish: Tells them that a machine is leaving, or takes that back.
+            is_reader: Whether this router is one of the list's readers now.
+            count_routers: Returns the number of live routers.
+            publish: Tells the others that a machine is leaving, or takes that back.
             heard: Returns the addresses that other routers have told of.
         """
         self._machine_list = machine_list
         self._table = routing_table
-        self._owns = owns
+        self._is_reader = is_reader
+        self._count_routers = count_routers
+        self._read_at = float("-inf")
         self._publish = publish
         self._heard = heard
         self._machines = LeavingMachines()
@@ -58,9 +75,9 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
-            if self._machine_list is not None:
+            if self._machine_list is not None and self._is_due():
                 await self._read_list(self._machine_list)
-            self._publish_owned()
+            self._publish_read()
             self.refresh()
             await trio.sleep(ROUND_SECONDS)
 
@@ -68,6 +85,15 @@
         """Give no new work to what this router or a peer has read as leaving."""
         self._table.update_leaving(self._read | self._heard())
 
+    def _is_due(self) -> bool:
+        """Return whether to read the list in this round, and note that it is read."""
+        now = trio.current_time()
+        interval = other_read_interval(self._count_routers())
+        if not self._is_reader() and now - self._read_at < interval:
+            return False
+        self._read_at = now
+        return True
+
     async def _read_list(self, machine_list: MachineListPort) -> None:
         """Read the list; while it is down, its last word stands."""
         try:
@@ -83,14 +109,14 @@
         live = _addresses(machines, MachineState.LIVE)
         self._read = self._machines.update(leaving, live)
 
-    def _publish_owned(self) -> None:
-        """Tell the other routers of owned machines whose state has changed."""
-        owned = frozenset(address for address in self._read if self._owns(address))
-        for address in sorted(owned - self._published):
+    def _publish_read(self) -> None:
+        """Tell the other routers what a reader has read, or take it back."""
+        told = self._read if self._is_reader() else frozenset()
+        for address in sorted(told - self._published):
             self._publish(address, True)
-        for address in sorted(self._published - owned):
+        for address in sorted(self._published - told):
             self._publish(address, False)
-        self._published = owned
+        self._published = told
 
 
 def _addresses(machines: list[Machine], state: MachineState) -> list[str]:
--- a/hopstep/services/router.py
+++ b/hopstep/services/router.py
@@ -196,7 +196,8 @@
         return LeavingWatch(
             self._ports.machine_list,
             self.table,
-            self.cluster.watches_engine,
+            self.cluster.reads_machine_list,
+            lambda: len(self.cluster.live_routers()),
             self.cluster.publish_leaving,
             self.cluster.leaving_by_peers,
         )
