Take claims over in their first ten minutes only

A repeat of a key after the engine had forgotten its nonce was told that the nonce was never seen, and the request ran twice. Ruled out: a longer memory at the engines, which only moves the time. Now an older claim is never taken over, so the repeat is refused as already claimed. The new test has an engine that remembers one nonce: at the bound the claim is taken over (which shows that the engine has forgotten), a second later it is refused; without the change both are taken over.

--- a/hopstep/domain/claims.py
+++ b/hopstep/domain/claims.py
@@ -20,6 +20,11 @@
 """Bytes of the hash of tenant and key."""
 
 
+TAKE_OVER_SECONDS = 600.0
+"""Age up to which a claim may be taken over; engines must remember nonces for longer than this
+and the skew of the routers' clocks."""
+
+
 class Claim(msgspec.Struct, frozen=True):
     """Which attempt of an idempotency key may be dispatched.
 
@@ -28,8 +33,8 @@
         engine_address: ``ip:port`` of the only engine that it may be sent to.
         engine_incarnation: The only incarnation in which it may start.
         router: Name of the router that made the claim.
-        created_at: Wall-clock time in seconds; bounds how long a key is remembered and
-            nothing else.
+        created_at: Wall-clock time in seconds; bounds how long a key is remembered and for how
+            long the claim may be taken over.
     """
 
     nonce: str
@@ -82,17 +87,20 @@
     return CLAIM_PREFIX + hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).hexdigest()
 
 
-def next_step(found: Claim, own_nonce: str, earlier: EarlierAttempt) -> ClaimStep:
+def next_step(found: Claim, own_nonce: str, earlier: EarlierAttempt, now: float) -> ClaimStep:
     """Return what a router does that found a claim on its caller's key.
 
     Args:
         found: The claim in the store.
         own_nonce: The attempt that this router wants to dispatch.
         earlier: What is proved of the attempt that ``found`` names.
+        now: Wall-clock time in seconds.
     """
     if found.nonce == own_nonce:
         return ClaimStep.DISPATCH
-    if earlier is EarlierAttempt.NEVER_STARTS:
+    # An older claim's attempt may have run so long ago that the engine has forgotten its nonce.
+    is_recent = abs(now - found.created_at) <= TAKE_OVER_SECONDS
+    if earlier is EarlierAttempt.NEVER_STARTS and is_recent:
         return ClaimStep.TAKE_OVER
     return ClaimStep.REFUSE
 
--- a/hopstep/services/claims.py
+++ b/hopstep/services/claims.py
@@ -146,7 +146,7 @@
         earlier = EarlierAttempt.UNKNOWN
         if found.claim.nonce != own.nonce:
             earlier = await fence_claim(self._engines, found.claim)
-        match next_step(found.claim, own.nonce, earlier):
+        match next_step(found.claim, own.nonce, earlier, self._wall_clock()):
             case ClaimStep.DISPATCH:
                 return found
             case ClaimStep.TAKE_OVER:
--- a/tests/services/test_claims.py
+++ b/tests/services/test_claims.py
@@ -14,7 +14,14 @@
 from emulator.platform.faults import FaultOrder
 from emulator.platform.in_memory import InMemoryStore
 from emulator.platform.shared_store import SharedStore
-from hopstep.domain.claims import CLAIM_PREFIX, Claim, EarlierAttempt, claim_key, may_forget
+from hopstep.domain.claims import (
+    CLAIM_PREFIX,
+    TAKE_OVER_SECONDS,
+    Claim,
+    EarlierAttempt,
+    claim_key,
+    may_forget,
+)
 from hopstep.exceptions import ErrorCode, Execution, ServiceError, StoreError
 from hopstep.ports.engine import GenerateRequest
 from hopstep.services.claims import ClaimService
@@ -51,12 +58,14 @@
     def __init__(self):
         self.shared = SharedStore()
         self.engines = InProcessEngines()
-        self.model = EngineModel(EngineConfig(max_batch_size=1), {"m": "w1"})
+        config = EngineConfig(max_batch_size=1, retained_attempts=1, retained_nonces=1)
+        self.model = EngineModel(config, {"m": "w1"})
+        self.wall_time = 0.0
         self.engines.add_engine(ENGINE, self.model)
         self.services = [self.service("r0"), self.service("r1")]
 
     def service(self, name):
-        return ClaimService(InMemoryStore(self.shared), self.engines, name, lambda: 0.0)
+        return ClaimService(InMemoryStore(self.shared), self.engines, name, lambda: self.wall_time)
 
     async def claim(self, service, nonce, key="k", replaces=None):
         incarnation = self.model.incarnation
@@ -141,6 +150,20 @@
 
         self.run_async(test)
 
+    def test_an_old_claim_is_not_taken_over_as_engines_forget_nonces(self):
+        async def test(world, age, expected):
+            await world.claim(0, "n1")
+            world.deliver("n1", seconds=10.0)
+            world.deliver("n2", seconds=20.0)
+            world.wall_time = age
+            await self.check(world.claim(1, "n3"), expected)
+
+        # Within the age the promise of the engine would be needed, which it has broken here:
+        # that claim shows that the engine has forgotten, and so that the age is what protects.
+        for age, expected in ((TAKE_OVER_SECONDS, None), (TAKE_OVER_SECONDS + 1.0, CLAIMED)):
+            with self.subTest(age=age):
+                self.run_async(functools.partial(test, age=age, expected=expected))
+
     def test_release_during_an_outage_keeps_the_claim(self):
         async def test(world):
             held = await world.claim(0, "n1")
