--- a/emulator/simulation/router.py
+++ b/emulator/simulation/router.py
@@ -5,6 +5,7 @@
 import contextvars
 import itertools
 import random
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import httpx
@@ -78,6 +79,7 @@
         self._history.lives.append(self.life)
         self.ended = trio.Event()
         self._scope = trio.CancelScope()
+        self._nursery: trio.Nursery | None = None
         self._connections: set[Connection] = set()
         self._nonces = itertools.count(1)
         incarnation = int(world.wall_clock() * MILLISECONDS) + number
@@ -143,8 +145,8 @@
         self.gate.resume()
 
     def connect(self, connection: Connection) -> None:
-        """Take a caller's connection; refused once the process has ended."""
-        if not self.running:
+        """Take a caller's connection; refused before the process listens and after its end."""
+        if self._nursery is None or not self.running:
             connection.close(ConnectionEnd.REFUSED)
             return
         self._connections.add(connection)
@@ -233,9 +235,13 @@
             metrics=ApiMetrics(registry),
             pacer=Pacer(),
             health=health,
-            spawn=lambda task: self._nursery.start_soon(task),
+            spawn=self._spawn,
         )
 
+    def _spawn(self, task: Callable[[], Awaitable[None]]) -> None:
+        assert self._nursery is not None  # noqa: S101 - nothing is served before
+        self._nursery.start_soon(task)
+
     def _peer_url(self, name: str) -> str | None:
         address = self.services.peer_address(name)
         return f"http://{address}" if address else None
