--- a/emulator/simulation/deployment.py
+++ b/emulator/simulation/deployment.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from hopstep.adapters.http_api.authentication import hash_key
 from hopstep.domain.configuration import (
     BackEnd,
@@ -18,6 +20,7 @@
 ZONES = ("a", "b", "c")
 FIRST_ROUTER_PORT = 8000
 FIRST_ENGINE_PORT = 9000
+KV_CACHE_STORE = BackEnd("kv", "10.0.2.0:9900", BackEndKind.KV_CACHE_STORE, labels={"zone": "b"})
 
 
 def sample_deployment(
@@ -26,6 +29,7 @@
     engines: int = 6,
     routing: RoutingPolicy | None = None,
     max_concurrent_requests: int = 8,
+    kv_cache_store: bool = False,
 ) -> Configuration:
     """Return a deployment whose routers and engines are spread over the zones.
 
@@ -37,9 +41,14 @@
         engines: Number of engines, ``e0`` and so on.
         routing: Weights of routing.
         max_concurrent_requests: Requests that an engine takes from one router.
+        kv_cache_store: Whether there is a KV cache store, in zone b, that engines read.
     """
     back_ends = [_router(index) for index in range(routers)]
     back_ends += [engine(index, max_concurrent_requests) for index in range(engines)]
+    policy = routing or RoutingPolicy(prefix_stride_blocks=2, hedge_after_seconds=0.5)
+    if kv_cache_store:
+        back_ends.append(KV_CACHE_STORE)
+        policy = msgspec.structs.replace(policy, import_tokens_per_second=60_000.0)
     inland = LabelSelector(match_expressions=(Requirement("zone", Operator.IN, ("a", "b")),))
     return Configuration(
         back_ends=tuple(back_ends),
@@ -54,7 +63,7 @@
             RequestClass("once", priority=5, repeatable=False, deadline_seconds=60.0),
         ),
         models=(Model(MODEL, "v1"),),
-        routing=routing or RoutingPolicy(prefix_stride_blocks=2, hedge_after_seconds=0.5),
+        routing=policy,
     )
 
 
--- a/tests/simulation/test_cache_reuse.py
+++ b/tests/simulation/test_cache_reuse.py
@@ -10,7 +10,7 @@
 from emulator.simulation.deployment import MODEL, sample_deployment
 from emulator.simulation.history import Outcome
 from hopstep.domain.blocks import block_keys, cache_salt
-from hopstep.domain.configuration import BackEnd, BackEndKind, Model, RoutingPolicy
+from hopstep.domain.configuration import Model
 from hopstep.domain.configuration_log import Section
 from hopstep.domain.engines import CacheEvent, CacheEventBatch, CacheEventKind
 from hopstep.domain.routing.routing_table import RoutingTable
@@ -87,12 +87,7 @@
 
 
 def with_kv_cache_store():
-    document = sample_deployment(
-        max_concurrent_requests=2,
-        routing=RoutingPolicy(prefix_stride_blocks=2, import_tokens_per_second=60_000.0),
-    )
-    store = BackEnd("kv", "10.0.2.0:9900", BackEndKind.KV_CACHE_STORE, labels={"zone": "b"})
-    return msgspec.structs.replace(document, back_ends=(*document.back_ends, store))
+    return sample_deployment(max_concurrent_requests=2, kv_cache_store=True)
 
 
 def salt_without_tenant(tenant, weights_version):
--- a/tests/simulation/test_cluster_stateful.py
+++ b/tests/simulation/test_cluster_stateful.py
@@ -4,6 +4,7 @@
 
 from emulator.simulation.callers import Crowd
 from emulator.simulation.chaos import Chaos
+from emulator.simulation.deployment import sample_deployment
 from emulator.simulation.history import Outcome
 from tests import fuzz_settings
 from tests.simulation.harness import SimulationTest, call
@@ -29,7 +30,8 @@
             answer = await cluster.ask("r1", call("harbour"))
             self.assertIn((answer.outcome, answer.code), ALLOWED_IN_THE_HARBOUR)
 
-        cluster = self.run_clean(body, seed=seed)
+        deployment = sample_deployment(kv_cache_store=seed % 2 == 0)
+        cluster = self.run_clean(body, seed=seed, deployment=deployment)
         complete = [item for item in cluster.history.answers if item.outcome is Outcome.COMPLETE]
         self.assertGreater(len(complete), 10)
 
