--- a/emulator/cli/main.py
+++ b/emulator/cli/main.py
@@ -14,7 +14,7 @@
 import sys
 from collections.abc import Sequence
 
-from absl import app, flags
+from hopstep.cli.command import run_command
 
 ROLES = ("engine", "platform", "load", "experiment", "bench", "scale", "capacity")
 EXIT_BAD_USAGE = 2
@@ -29,7 +29,8 @@
     # Only the chosen role's module is imported: its flags, and what it needs.
     module = importlib.import_module(f"emulator.cli.{role}")
     arguments = [f"{sys.argv[0]} {role}", *sys.argv[2:]]
-    app.run(lambda rest: sys.exit(_run(module, rest)), argv=arguments, flags_parser=_parse_flags)
+    documentation = module.__doc__ or ""
+    run_command(lambda rest: _run(module, rest), documentation, EXIT_BAD_USAGE, arguments)
 
 
 def _run(module: object, rest: Sequence[str]) -> int:
@@ -46,14 +47,5 @@
         return EXIT_BAD_USAGE
 
 
-def _parse_flags(arguments: Sequence[str]) -> list[str]:
-    """Parse flags; a bad one is a bad command line."""
-    try:
-        return flags.FLAGS(arguments)
-    except flags.Error as error:
-        print(f"{error}\nTry --help.", file=sys.stderr)
-        sys.exit(EXIT_BAD_USAGE)
-
-
 if __name__ == "__main__":
     main()
--- a/hopstep/cli/ctl.py
+++ b/hopstep/cli/ctl.py
@@ -22,10 +22,11 @@
 import httpx
 import msgspec
 import trio
-from absl import app, flags
+from absl import flags
 
 from hopstep.adapters.key_value_store_http import HttpKeyValueStore
 from hopstep.adapters.tls import client_context
+from hopstep.cli.command import run_command
 from hopstep.ctl.documents import read_configuration
 from hopstep.ctl.editing import (
     ChangeAttributes,
@@ -207,16 +208,7 @@
 
 def main() -> None:
     """Enter the command."""
-    app.run(lambda arguments: sys.exit(run(arguments)), flags_parser=_parse_flags)
-
-
-def _parse_flags(arguments: Sequence[str]) -> list[str]:
-    """Parse flags; a bad one is bad input."""
-    try:
-        return flags.FLAGS(arguments)
-    except flags.Error as error:
-        print(f"{error}\nTry --help.", file=sys.stderr)
-        sys.exit(int(ExitCode.BAD_INPUT))
+    run_command(run, __doc__ or "", int(ExitCode.BAD_INPUT))
 
 
 if __name__ == "__main__":
--- a/hopstep/cli/router.py
+++ b/hopstep/cli/router.py
@@ -9,8 +9,9 @@
 from collections.abc import Sequence
 
 import trio
-from absl import app, flags
+from absl import flags
 
+from hopstep.cli.command import run_command
 from hopstep.exceptions import ErrorCode, PortError
 from hopstep.garbage_collection import configure_garbage_collection
 from hopstep.library_logs import capture_library_logs
@@ -56,16 +57,7 @@
 
 def main() -> None:
     """Enter the command."""
-    app.run(lambda arguments: sys.exit(run(arguments)), flags_parser=_parse_flags)
-
-
-def _parse_flags(arguments: Sequence[str]) -> list[str]:
-    """Parse flags; a bad one is a bad setting."""
-    try:
-        return flags.FLAGS(arguments)
-    except flags.Error as error:
-        print(f"{error}\nTry --help.", file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
+    run_command(run, __doc__ or "", EXIT_BAD_SETTINGS)
 
 
 if __name__ == "__main__":
--- a/tests/cli/__init__.py
+++ b/tests/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the command line."""
+"""Tests of the command entry points."""
