--- a/tests/adapters/test_tls.py
+++ b/tests/adapters/test_tls.py
@@ -182,11 +182,13 @@
         def half(path: Path) -> None:
             path.write_bytes(path.read_bytes()[:-50])
 
+        without_key = self.files.authority.issue_cert(LOOPBACK).cert_chain_pems[0].bytes()
         cases = (
             (self.files.certificate, half),
             (self.files.private_key, half),
             (self.files.certificate, Path.unlink),
             (self.files.private_key, lambda path: path.write_bytes(b"")),
+            (self.files.certificate, lambda path: path.write_bytes(without_key)),
         )
 
         async def check() -> None:
@@ -204,7 +206,10 @@
                 self.assertEqual(await self.files.served_fingerprint(address), issued)
 
         self.run_bounded(check)
-        self.assertTrue(all(line["reason"] for line in self.logged("HS1021")))
+        self.assertEqual(
+            [line["field"] for line in self.logged("HS1021")],
+            [*["tls.certificate", "tls.private_key"] * 2, "tls.private_key"],
+        )
 
     def test_strangers_do_not_stop_the_listener(self) -> None:
         async def check() -> None:
--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -62,6 +62,10 @@
             self.client, itertools.repeat(self.router), self.request(output_tokens)
         )
 
+    async def collect(self, results: list[LoadResult], output_tokens: int) -> None:
+        """Send one request once, and add its result."""
+        results.append(await self.client.send(self.router, self.request(output_tokens)))
+
 
 @contextlib.asynccontextmanager
 async def small_fleet(
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -54,14 +54,9 @@
         async def check() -> None:
             async with small_fleet() as small:
                 results: list[LoadResult] = []
-
-                async def stream() -> None:
-                    request = small.request(LONG_OUTPUT_TOKENS)
-                    results.append(await small.client.send(small.router, request))
-
                 async with trio.open_nursery() as nursery:
                     for _ in range(STREAMS):
-                        nursery.start_soon(stream)
+                        nursery.start_soon(small.collect, results, LONG_OUTPUT_TOKENS)
                     await wait_active(small, STREAMS)
                     small.group.signal(small.router_process, signal.SIGTERM)
                     small.group.signal(small.router_process, signal.SIGTERM)
--- a/tests/processes/test_tls.py
+++ b/tests/processes/test_tls.py
@@ -33,14 +33,9 @@
         async def check() -> None:
             async with small_fleet(tls=self.files.settings()) as small:
                 results: list[LoadResult] = []
-
-                async def stream() -> None:
-                    request = small.request(LONG_OUTPUT_TOKENS)
-                    results.append(await small.client.send(small.router, request))
-
                 async with trio.open_nursery() as nursery:
                     for _ in range(STREAMS):
-                        nursery.start_soon(stream)
+                        nursery.start_soon(small.collect, results, LONG_OUTPUT_TOKENS)
                     issued = self.files.issue()
                     await self.wait_served(small.router, issued)
                     await self.wait_served(small.fleet.back_end("engine").address, issued)
