Keep what peers told of leaving machines when they are gone

Cause: the entries of a peer vanish with it, so a router that could not read the machine list itself gave a leaving engine new work as soon as those that had told it were held dead. Now a told machine stays leaving until a live teller takes it back or the own list shows it live. Ruled out: a time to forget, which an outage outlasts. The former behaviour is a wrong variant in tests.simulation.test_leaving. The simulated machine list also loses an answer that is under way when its link is cut.

--- a/emulator/simulation/cluster.py
+++ b/emulator/simulation/cluster.py
@@ -85,6 +85,7 @@
         self._sendings = itertools.count(1)
         self._changes = itertools.count(1)
         self._disturbances: dict[str, Interval] = {}
+        self._cut_sides: dict[str, set[str]] = {}
 
     async def start(self, settle_seconds: float = SETTLE_SECONDS) -> None:
         """Accept the deployment, start every router and let the cluster settle."""
@@ -133,12 +134,8 @@
 
     def cut_router(self, name: str) -> None:
         """Cut a router off from its peers and from the platform, but not from engines."""
-        self._disturb("cut", "", frozenset({Topic.CONFIGURATION}))
-        self._disturb("cut leaving", name)
-        own = self.routers[name].settings.address
-        for back_end in self.router_back_ends():
-            self._cut(own, back_end.address)
-        self._cut(own, PLATFORM_ADDRESS)
+        self.cut_peers(name)
+        self.cut_platform(name)
 
     def cut_peers(self, name: str) -> None:
         """Cut a router off from its peers alone; it reads the platform itself."""
@@ -146,10 +143,19 @@
         own = self.routers[name].settings.address
         for back_end in self.router_back_ends():
             self._cut(own, back_end.address)
+        self._note_cut(name, "peers")
 
     def cut_platform(self, name: str) -> None:
         """Cut a router off from the platform alone; its peers tell it."""
         self._cut(self.routers[name].settings.address, PLATFORM_ADDRESS)
+        self._note_cut(name, "platform")
+
+    def _note_cut(self, name: str, side: str) -> None:
+        """Note when a router can't learn from either side any more."""
+        sides = self._cut_sides.setdefault(name, set())
+        sides.add(side)
+        if len(sides) > 1:
+            self._disturb(f"cut {name}", name)
 
     def cut_engine(self, router: str, engine: str) -> None:
         """Cut the link between a router and an engine."""
@@ -158,8 +164,9 @@
     def heal(self) -> None:
         """Heal every link."""
         self.world.links.heal()
-        self._calm("cut")
-        self._calm("cut leaving")
+        self._cut_sides.clear()
+        for name in ("cut", *(f"cut {router}" for router in self.routers)):
+            self._calm(name)
 
     def order_platform_faults(self, order: FaultOrder) -> None:
         """Induce faults of the platform; those that keep revisions back are noted."""
--- a/emulator/simulation/ports.py
+++ b/emulator/simulation/ports.py
@@ -17,7 +17,7 @@
 from emulator.simulation.gate import ProcessGate
 from emulator.simulation.history import Dispatch
 from hopstep.adapters import key_value_store_wire as wire
-from hopstep.exceptions import EngineError, ErrorCode, Execution
+from hopstep.exceptions import EngineError, ErrorCode, Execution, StoreError
 from hopstep.ports.engine import (
     AttemptStatus,
     CacheEventBatch,
@@ -239,6 +239,8 @@
         await self._link.gate.cross("machine_list")
         self.cut_off = not self._link.reaches(PLATFORM_ADDRESS)
         machines = await super().machines()
+        if not self._link.reaches(PLATFORM_ADDRESS):
+            raise StoreError(ErrorCode.STORE_UNAVAILABLE, "the answer was lost")
         self._answers += 1
         hidden = self._flapping if self._answers % 2 else set()
         return [machine for machine in machines if machine.address not in hidden]
--- a/hopstep/domain/leaving_machines.py
+++ b/hopstep/domain/leaving_machines.py
@@ -1,8 +1,8 @@
-"""Which machines are leaving, by a list that lags and flaps."""
+"""Which machines are leaving, by a list that lags and flaps, and by peers that come and go."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 LIVE_ANSWERS = 3
 """Answers in a row that must show a leaving machine as live before it gets work again."""
@@ -40,3 +40,40 @@
             if answers < LIVE_ANSWERS
         }
         return frozenset(self._live_answers)
+
+
+class ToldMachines:
+    """Remembers machines that peers have told of as leaving.
+
+    A live peer takes back what it told. What a peer told that has gone since stands, until the
+    own list shows the machine as live.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing told."""
+        self._tellers: dict[str, frozenset[str]] = {}
+
+    def update(
+        self,
+        told: Mapping[str, frozenset[str]],
+        live_routers: frozenset[str],
+        live_machines: Iterable[str] = (),
+    ) -> frozenset[str]:
+        """Take what peers tell now.
+
+        Args:
+            told: Names of the peers that tell of a machine, by its address.
+            live_routers: Names of the live routers.
+            live_machines: Addresses that the own list has just shown as live.
+
+        Returns:
+            Addresses of the machines that must get no new work.
+        """
+        shown_live = frozenset(live_machines)
+        outliving = {
+            address: tellers
+            for address, tellers in self._tellers.items()
+            if not tellers & live_routers and address not in shown_live
+        }
+        self._tellers = outliving | dict(told)
+        return frozenset(self._tellers)
--- a/hopstep/services/cluster.py
+++ b/hopstep/services/cluster.py
@@ -123,11 +123,13 @@
         value = LeavingBackEnd(address) if leaving else None
         self._membership.publish(EntryKind.LEAVING_BACK_END, address, value)
 
-    def leaving_by_peers(self) -> frozenset[str]:
-        """Return the addresses of machines that other routers have read as leaving."""
-        own = self._membership.own.name
-        entries = self._membership.entries(EntryKind.LEAVING_BACK_END)
-        return frozenset(entry.subject for entry in entries if entry.owner != own and entry.value)
+    def leaving_by_peers(self) -> dict[str, frozenset[str]]:
+        """Return the other routers that tell of a leaving machine, by its address."""
+        told: dict[str, frozenset[str]] = {}
+        for entry in self._membership.entries(EntryKind.LEAVING_BACK_END):
+            if entry.owner != self._membership.own.name and entry.value is not None:
+                told[entry.subject] = told.get(entry.subject, frozenset()) | {entry.owner}
+        return told
 
     def usage_by_router(self, tenant: str) -> dict[str, float]:
         """Return a tenant's demand at each router, in requests a second.
--- a/hopstep/services/leaving_watch.py
+++ b/hopstep/services/leaving_watch.py
@@ -8,12 +8,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import trio
 
 from hopstep import log_events
-from hopstep.domain.leaving_machines import LeavingMachines
+from hopstep.domain.leaving_machines import LeavingMachines, ToldMachines
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.exceptions import StoreError
 from hopstep.logs import emit
@@ -46,9 +46,9 @@
         machine_list: MachineListPort | None,
         routing_table: RoutingTable,
         is_reader: Callable[[], bool],
-        count_routers: Callable[[], int],
+        live_routers: Callable[[], frozenset[str]],
         publish: Callable[[str, bool], None],
-        heard: Callable[[], frozenset[str]],
+        told: Callable[[], Mapping[str, frozenset[str]]],
     ) -> None:
         """Prepare; ``run`` does the work.
 
@@ -56,25 +56,28 @@
             machine_list: Platform's list; None to go by peers alone.
             routing_table: Gives leaving engines no new work.
             is_reader: Whether this router is one of the list's readers now.
-            count_routers: Returns the number of live routers.
+            live_routers: Returns the names of the live routers.
             publish: Tells the others that a machine is leaving, or takes that back.
-            heard: Returns the addresses that other routers have told of.
+            told: Returns the names of the other routers that tell of a machine, by its address.
         """
         self._machine_list = machine_list
         self._table = routing_table
         self._is_reader = is_reader
-        self._count_routers = count_routers
+        self._live_routers = live_routers
         self._read_at = float("-inf")
         self._publish = publish
-        self._heard = heard
+        self._told = told
         self._machines = LeavingMachines()
+        self._told_machines = ToldMachines()
         self._read: frozenset[str] = frozenset()
+        self._shown_live: list[str] = []
         self._published: frozenset[str] = frozenset()
         self._available = True
 
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
+            self._shown_live = []
             if self._machine_list is not None and self._is_due():
                 await self._read_list(self._machine_list)
             self._publish_read()
@@ -83,12 +86,13 @@
 
     def refresh(self) -> None:
         """Give no new work to what this router or a peer has read as leaving."""
-        self._table.update_leaving(self._read | self._heard())
+        told = self._told_machines.update(self._told(), self._live_routers(), self._shown_live)
+        self._table.update_leaving(self._read | told)
 
     def _is_due(self) -> bool:
         """Return whether to read the list in this round, and note that it is read."""
         now = trio.current_time()
-        interval = other_read_interval(self._count_routers())
+        interval = other_read_interval(len(self._live_routers()))
         if not self._is_reader() and now - self._read_at < interval:
             return False
         self._read_at = now
@@ -106,8 +110,8 @@
             return
         self._available = True
         leaving = _addresses(machines, MachineState.LEAVING)
-        live = _addresses(machines, MachineState.LIVE)
-        self._read = self._machines.update(leaving, live)
+        self._shown_live = _addresses(machines, MachineState.LIVE)
+        self._read = self._machines.update(leaving, self._shown_live)
 
     def _publish_read(self) -> None:
         """Tell the other routers what a reader has read, or take it back."""
--- a/hopstep/services/router.py
+++ b/hopstep/services/router.py
@@ -197,7 +197,7 @@
             self._ports.machine_list,
             self.table,
             self.cluster.reads_machine_list,
-            lambda: len(self.cluster.live_routers()),
+            self.cluster.live_routers,
             self.cluster.publish_leaving,
             self.cluster.leaving_by_peers,
         )
--- a/tests/services/test_leaving_watch.py
+++ b/tests/services/test_leaving_watch.py
@@ -20,19 +20,19 @@
 
 class LeavingWatchTest(unittest.TestCase):
     def watch(self, body, with_list=True, is_reader=True, routers=3):
-        """Run a watch under ``body(model, heard, check)``."""
+        """Run a watch under ``body(model, told, check)``."""
 
         async def main():
             model = MachineListModel(LIVE)
             machine_list = InMemoryMachineList(model) if with_list else None
-            table, heard, published = RoutingTable(random.Random(1)), set(), []
+            table, told, published = RoutingTable(random.Random(1)), {}, []
             watch = LeavingWatch(
                 machine_list,
                 table,
                 lambda: is_reader,
-                lambda: routers,
+                lambda: frozenset(f"r{number}" for number in range(routers)),
                 lambda address, leaving: published.append((address, leaving)),
-                lambda: frozenset(heard),
+                lambda: told,
             )
 
             async def check(seconds, leaving, told):
@@ -42,13 +42,13 @@
 
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(watch.run)
-                await body(model, heard, check)
+                await body(model, told, check)
                 nursery.cancel_scope.cancel()
 
         run(main)
 
     def test_machines_that_a_reader_reads_are_told_to_peers_and_taken_back(self):
-        async def body(model, heard, check):
+        async def body(model, told, check):
             await check(1.5, (), [])
             model.replace(LEAVING, trio.current_time())
             told = [("a", True), ("b", True)]
@@ -61,18 +61,30 @@
 
         self.watch(body)
 
-    def test_peers_are_believed_without_a_list_and_during_its_outage(self):
-        async def body(model, heard, check):
+    def test_live_peers_are_believed_without_a_list_and_during_its_outage(self):
+        async def body(model, told, check):
             model.order_faults(FaultOrder(machine_list_outage=True))
-            heard.add("b")
+            told["b"] = frozenset({"r1"})
             await check(2, ("b",), [])
-            heard.clear()
+            told.clear()
             await check(2, (), [])
 
         for with_list in (True, False):
             with self.subTest(with_list=with_list):
                 self.watch(body, with_list)
 
+    def test_what_a_peer_told_outlives_it_until_the_list_shows_otherwise(self):
+        async def body(model, told, check):
+            model.order_faults(FaultOrder(machine_list_outage=True))
+            told["b"] = frozenset({"killed"})
+            await check(2, ("b",), [])
+            told.clear()
+            await check(20, ("b",), [])
+            model.order_faults(FaultOrder(machine_list_outage=False))
+            await check(2, (), [])
+
+        self.watch(body)
+
     def test_routers_that_are_no_readers_read_seldom_in_a_large_cluster_and_tell_nobody(self):
         reads = []
 
@@ -81,7 +93,7 @@
                 reads.append(trio.current_time())
                 return await super().machines()
 
-        async def body(model, heard, check):
+        async def body(model, told, check):
             model.replace(LEAVING, trio.current_time())
             await check(60, ("a", "b"), [])
 
--- a/tests/simulation/test_leaving.py
+++ b/tests/simulation/test_leaving.py
@@ -5,14 +5,17 @@
 
 from emulator.platform.faults import FaultOrder
 from emulator.simulation.deployment import sample_deployment
+from emulator.simulation.history import Call, Outcome
 from hopstep.domain.configuration_log import Section
-from hopstep.domain.leaving_machines import LeavingMachines
+from hopstep.domain.leaving_machines import LeavingMachines, ToldMachines
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.services.cluster import Cluster
 from tests.simulation.harness import STEADY, SimulationTest, alone_and_in_pairs, under_load
 
 ENGINE = "e1"
 SECONDS = 10.0
+DEATH_SECONDS = 16.0
+"""Time after which killed routers are held dead."""
 
 
 async def machine_list(cluster):
@@ -54,6 +57,18 @@
     cluster.machine_list_shows_leaving(ENGINE)
 
 
+async def cut_off_and_its_tellers_killed(cluster):
+    cluster.cut_platform("r1")
+    cluster.machine_list_shows_leaving(ENGINE)
+    await trio.sleep(2.5)
+    for name in ("r0", "r2"):
+        cluster.routers[name].kill()
+    await trio.sleep(DEATH_SECONDS)
+    for number in range(24):
+        answer = await cluster.ask("r1", Call("anywhere", "batch", f"{number} " * 40, 1))
+        assert answer.outcome is Outcome.COMPLETE, answer
+
+
 async def crashes(cluster):
     for engine in ("e4", "e0"):
         cluster.crash(engine)
@@ -90,6 +105,11 @@
         )
         self.assert_all_complete(cluster)
 
+    def test_what_peers_told_outlives_them(self):
+        self.run_clean(cut_off_and_its_tellers_killed)
+        variant = (ToldMachines, "update", lambda machines, told, *_: frozenset(told))
+        self.assert_caught("leaving", cut_off_and_its_tellers_killed, variant)
+
     def test_wrong_variants_are_caught(self):
         for name, fault, variant in (
             (
@@ -105,7 +125,7 @@
             (
                 "peers are not told",
                 "a router is cut off from the platform",
-                (Cluster, "leaving_by_peers", lambda _: frozenset()),
+                (Cluster, "leaving_by_peers", lambda _: {}),
             ),
         ):
             with self.subTest(variant=name):
