Hold on to prefixes while every engine has a backlog

The weight of recomputation now grows with the shortest wait at any admissible engine, above half a second. Without the growth test_a_prefix_is_kept_while_every_engine_has_a_backlog fails.

--- a/hopstep/domain/routing/selection.py
+++ b/hopstep/domain/routing/selection.py
@@ -7,6 +7,12 @@
 from hopstep.domain.configuration import BackEnd, RoutingPolicy
 from hopstep.domain.routing.prompt_heads import Prompt
 
+CALM_WAIT_SECONDS = 0.5
+"""Shortest wait at any engine up to which recomputation has its configured weight."""
+
+BACKLOG_WEIGHT_PER_SECOND = 2.0
+"""Growth of the weight of recomputation for each further second of the shortest wait."""
+
 
 class Candidate(msgspec.Struct, frozen=True):
     """One engine that may serve the request, as believed just now.
@@ -76,13 +82,14 @@
     if not candidates:
         return []
     bound = _request_bound(candidates, policy)
+    weight = _recompute_weight(candidates, policy)
     return sorted(
         candidates,
         key=lambda candidate: (
             candidate.suspect,
             _is_full(candidate),
             candidate.requests > bound,
-            _cost(prompt, candidate, policy),
+            _cost(prompt, candidate, policy, weight),
             candidate.preference,
         ),
     )
@@ -99,13 +106,26 @@
     return candidate.requests >= candidate.back_end.max_concurrent_requests
 
 
-def _cost(prompt: Prompt, candidate: Candidate, policy: RoutingPolicy) -> float:
+def _recompute_weight(candidates: list[Candidate], policy: RoutingPolicy) -> float:
+    """Return the weight of recomputation, which grows with the shortest wait.
+
+    While every engine has a backlog, a request waits wherever it goes, and each recomputed
+    token makes all the others wait too: then throughput counts more than this request's wait.
+    """
+    tokens = min(candidate.waiting_prefill_tokens for candidate in candidates)
+    backlog = max(tokens / policy.prefill_tokens_per_second - CALM_WAIT_SECONDS, 0.0)
+    return policy.recompute_weight * (1.0 + BACKLOG_WEIGHT_PER_SECOND * backlog)
+
+
+def _cost(
+    prompt: Prompt, candidate: Candidate, policy: RoutingPolicy, recompute_weight: float
+) -> float:
     """Return the expected cost in weighted seconds."""
     speed = policy.prefill_tokens_per_second
     held = max(candidate.cached_tokens, candidate.assumed_tokens)
     recompute = max(prompt.tokens - held, 0) / speed
     wait = candidate.waiting_prefill_tokens / speed
-    return policy.recompute_weight * recompute + policy.wait_weight * wait
+    return recompute_weight * recompute + policy.wait_weight * wait
 
 
 def _prefill_tokens(prompt: Prompt, candidate: Candidate) -> int:
--- a/tests/domain/routing/test_routing_table.py
+++ b/tests/domain/routing/test_routing_table.py
@@ -170,6 +170,18 @@
         self.hear(2, load=LoadReport(running=1, waiting_prefill_tokens=20_000), now=NOW + 1)
         self.assertNotEqual(self.choose(now=NOW + 1).back_end, self.engines[2])
 
+    def test_a_prefix_is_kept_while_every_engine_has_a_backlog(self):
+        for other_wait, moved in ((0, True), (16_000, False)):
+            with self.subTest(other_wait):
+                self.table = self.fresh()
+                self.hear(2)
+                self.run_at(2)
+                for index in range(4):
+                    tokens = 20_000 if index == 2 else other_wait
+                    self.hear(index, load=LoadReport(1, 0, tokens), now=NOW + 1)
+                choice = self.choose(now=NOW + 1)
+                self.assertEqual(choice.back_end != self.engines[2], moved)
+
     def test_own_requests_since_the_report_count(self):
         first = self.choose().back_end
         other = request(prompt="0000" * 20_000, name="q")
