--- a/emulator/fleet/fleet.py
+++ b/emulator/fleet/fleet.py
@@ -124,7 +124,7 @@
         """
         path = self._directory / f"{self.name}-configuration.json"
         path.write_text(write_configuration(configuration), encoding="utf-8")
-        output = await self._run_ctl(f"--note={note}", "--format=json", "apply", str(path))
+        output = await self.run_ctl(f"--note={note}", "--format=json", "apply", str(path))
         self.configuration = configuration
         self.revision = int(msgspec.json.decode(output)["revision"])
         return self.revision
@@ -155,8 +155,12 @@
         """Send a signal to the process of a back end."""
         self._group.signal(self.process_name(back_end), number)
 
-    async def _run_ctl(self, *arguments: str) -> str:
-        """Run the operators' command."""
+    async def run_ctl(self, *arguments: str) -> str:
+        """Run the operators' command and return its output.
+
+        Raises:
+            RuntimeError: When it ends with another code than 0.
+        """
         completed = await trio.run_process(
             [sys.executable, "-m", CTL_MODULE, f"--store={self.store}", *arguments],
             capture_stdout=True,
--- a/tests/adapters/test_tls.py
+++ b/tests/adapters/test_tls.py
@@ -111,6 +111,7 @@
             (TlsSettings(), (False, False, "http")),
             (self.files.settings(trusted=False), (True, False, "https")),
             (self.files.settings(served=False), (False, True, "http")),
+            (msgspec.structs.replace(self.files.settings(), engines=False), (True, False, "https")),
             (self.files.settings(), (True, True, "https")),
         )
         for settings, expected in cases:
--- a/tests/processes/test_tls.py
+++ b/tests/processes/test_tls.py
@@ -33,15 +33,23 @@
         async def check() -> None:
             async with small_fleet(tls=self.files.settings()) as small:
                 results: list[LoadResult] = []
+                replaced = trio.Event()
+
+                async def keep_streaming() -> None:
+                    while not replaced.is_set():
+                        await small.collect(results, LONG_OUTPUT_TOKENS)
+
                 async with trio.open_nursery() as nursery:
                     for _ in range(STREAMS):
-                        nursery.start_soon(small.collect, results, LONG_OUTPUT_TOKENS)
+                        nursery.start_soon(keep_streaming)
                     issued = self.files.issue()
                     await self.wait_served(small.router, issued)
                     await self.wait_served(small.fleet.back_end("engine").address, issued)
+                    replaced.set()
                 results.append(await small.send(4))
-                outcomes = [each.outcome for each in results]
-                self.assertEqual(outcomes, [Outcome.COMPLETE] * (STREAMS + 1))
+                self.assertEqual({each.outcome for each in results}, {Outcome.COMPLETE})
+                status = await small.fleet.run_ctl("status", f"--trusted={self.files.trusted}")
+                self.assertIn("  ready  ", status)
 
         run_bounded(check)
 
--- a/tests/test_settings_loader.py
+++ b/tests/test_settings_loader.py
@@ -31,6 +31,8 @@
     (GOOD.replace("127.0.0.1:1", "127.0.0.1"), (), ("peers.seeds[0]", "ip:port")),
     (GOOD + "heartbeat_seconds = -1.0", (), ("peers.heartbeat_seconds", "above 0")),
     (GOOD + "heartbeat_seconds = nan", (), ("peers.heartbeat_seconds", "above 0")),
+    (GOOD + '[tls]\ncertificate = "c"', (), ("tls.private_key", "expected a file")),
+    (GOOD + '[tls]\nprivate_key = "k"', (), ("tls.certificate", "expected a file")),
     (GOOD, ("--log_level=loud",), ("log_level", "debug, info")),
     (GOOD, ("--store=store:1",), ("store", "ip:port")),
     (GOOD, ("--drain_seconds=-1",), ("drain_seconds", "at least 0")),
