--- a/emulator/capacity/budget.py
+++ b/emulator/capacity/budget.py
@@ -12,7 +12,8 @@
 from emulator.capacity.process_memory import router_process_bytes
 from emulator.capacity.slopes import Slope
 from hopstep.domain.configuration import RoutingPolicy
-from hopstep.services.cluster import ENGINE_REPLICAS, USAGE_SECONDS
+from hopstep.domain.membership import MembershipConfig
+from hopstep.services.cluster import ENGINE_REPLICAS
 from hopstep.services.engine_watch import probe_interval, publish_interval
 
 SECONDS_A_DAY = 86_400.0
@@ -28,7 +29,6 @@
         probe: Cost of reading one engine's facts.
         change_bytes: Encoded bytes of one configuration change.
         engine_entry_bytes: Encoded bytes of one engine's shared facts.
-        usage_entry_bytes: Encoded bytes of one tenant's shared use.
         process_bytes: Resident memory of a process with all modules and nothing else.
     """
 
@@ -36,7 +36,6 @@
     probe: ProbeCost
     change_bytes: float
     engine_entry_bytes: float
-    usage_entry_bytes: float
     process_bytes: int
 
 
@@ -107,7 +106,6 @@
         peers.probe_cost(),
         configuration.change_bytes(),
         peers.engine_entry_bytes(),
-        peers.usage_entry_bytes(),
         process_bytes,
     )
 
@@ -186,7 +184,7 @@
     events = ENGINE_REPLICAS * size.per_node(size.cache_events_per_second) * BLOCKS_AN_EVENT
     changes = size.configuration_changes_per_day / SECONDS_A_DAY
     facts = ENGINE_REPLICAS * size.engines / publish_interval(size.engines)
-    usage = size.requests_per_second
+    config = MembershipConfig()
     snapshot = measured.slopes["tenant_bytes"].at(size.tenants)
     snapshot += measured.slopes["engine_bytes"].at(size.engines)
     restarts = size.machine_restarts_per_day / SECONDS_A_DAY / size.nodes
@@ -213,9 +211,9 @@
             f"{facts:.0f} entries a second",
         ),
         BudgetRow(
-            "shared use of limits, received",
-            usage / USAGE_SECONDS * measured.usage_entry_bytes,
-            f"at most one entry a request, each {USAGE_SECONDS:.0f} s",
+            "sharing of tenants' limits",
+            config.limits_ratio * config.bytes_per_second,
+            "at most: held to its part of the peers' byte budget",
         ),
     )
     return BudgetTable("network", "bytes a second", float(budget.bytes_per_second), rows)
--- a/emulator/capacity/peer_probes.py
+++ b/emulator/capacity/peer_probes.py
@@ -23,7 +23,6 @@
     Entry,
     EntryKind,
     Gossip,
-    LimitUsage,
     MemberRecord,
     MemberState,
     Ping,
@@ -68,13 +67,6 @@
     return float(encoded_size(_engine_entry(0)))
 
 
-def usage_entry_bytes() -> float:
-    """Return the encoded bytes of one tenant's use of its limits at one router."""
-    usage = LimitUsage("tenant-00001", 12.5)
-    entry = Entry("router-001", 1, 7, usage.tenant, usage, EntryKind.LIMIT_USAGE)
-    return float(encoded_size(entry))
-
-
 def datagram_encoding() -> Slope:
     """Measure the time to encode and sign a datagram by the entries that it carries."""
     codec = _codec("router-001")
--- /dev/null
+++ b/emulator/limit_scale.py
@@ -0,0 +1,281 @@
+"""What the sharing of tenants' limits costs between routers, and how well parts follow demand.
+
+Hollow nodes at the planned load of a node share limits as routers do, within the byte budget.
+Each tenant may be served by the routers of one region; one more tenant's demand moves from
+router to router.
+
+Run ``python -m emulator.limit_scale --help``.
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+
+import msgspec
+from absl import app, flags
+
+from emulator.capacity.fleet_size import FleetSize
+from emulator.hollow_cluster import ENVELOPE_BYTES, HollowCluster, HollowNode
+from emulator.link_faults import LinkFaults, LinkQuality
+from hopstep.adapters.peer_codec import encoded_size
+from hopstep.domain.configuration import TenantLimits
+from hopstep.domain.limit_sharing import LimitSharing
+from hopstep.domain.limits import WHOLE, TenantLimiter
+from hopstep.domain.membership import Action, LimitMessage, MembershipConfig, Send
+from hopstep.domain.peer_message import Gossip, LimitGrant, LimitReport
+from hopstep.services.limit_leases import REPORT_SECONDS
+
+REGIONS = FleetSize().regions
+LIMIT_RATIO = 4.0
+"""A tenant's limit over what it sends on average."""
+
+MOVING_REQUESTS = 20
+"""Requests a second of the moving tenant, and its limit."""
+
+MOVING_TENANT = "moving"
+MOVE_SECONDS = 60.0
+"""Time for which the moving tenant's demand stays at one router."""
+
+ENOUGH_RATIO = 0.5
+"""Part of its limits from which on the moving tenant counts as having followed."""
+
+WARM_UP_SECONDS = 90.0
+
+
+class SharingMeasures(msgspec.Struct, frozen=True):
+    """Measures of one cluster size.
+
+    Attributes:
+        nodes: Routers.
+        limit_bytes: Bytes a second of reports and answers that a node sends, headers included.
+        max_limit_bytes: Of the busiest node.
+        all_bytes: All bytes a second that a node sends.
+        leased_ratio: Part of the tenants in demand at a router for which it holds a lease.
+        covered_ratio: Part of those whose part covers the demand.
+        refused_ratio: Part of the requests of all but the moving tenant that were refused.
+        follow_seconds: Median time until a router that the moving tenant came to has half of
+            its limits; ``MOVE_SECONDS`` where it never had.
+        part_sum: Largest sum of the routers' parts of any observed tenant's limits.
+    """
+
+    nodes: int
+    limit_bytes: float
+    max_limit_bytes: float
+    all_bytes: float
+    leased_ratio: float
+    covered_ratio: float
+    refused_ratio: float
+    follow_seconds: float
+    part_sum: float
+
+
+class _Router:
+    """A node's part in sharing limits."""
+
+    def __init__(self, node: HollowNode, region: int) -> None:
+        self.node = node
+        self.region = region
+        self.sharing = LimitSharing(node.name, 0.0)
+        self.limiters: dict[str, TenantLimiter] = {}
+        self.wanted: dict[str, int] = {}
+        self.limit_bytes = 0
+
+
+class SharingCluster(HollowCluster):
+    """A hollow cluster whose nodes share limits.
+
+    Args:
+        nodes: Number of nodes.
+        seed: Seed of all chance.
+    """
+
+    def __init__(self, nodes: int, seed: int) -> None:
+        faults = LinkFaults(random.Random(seed), LinkQuality(loss=0.001))
+        super().__init__(seed, faults, MembershipConfig(), self._take)
+        self.routers: dict[str, _Router] = {}
+        self.offered = self.refused = 0
+        self._admitted: dict[str, frozenset[str]] = {}
+        self.follow_times: list[float] = []
+        self._moved_at = 0.0
+        self._moving_at = ""
+        self._chance = random.Random(seed)
+        size = FleetSize()
+        average = size.per_node(size.requests_per_second) * nodes / size.tenants
+        self._limits = TenantLimits(requests_per_second=LIMIT_RATIO * average)
+        self._moving_limits = TenantLimits(requests_per_second=MOVING_REQUESTS)
+        self._tenants = [f"tenant-{index:05d}" for index in range(FleetSize().tenants)]
+        for number in range(nodes):
+            node = self.add(f"router-{number:03d}", ("router-000",), f"zone-{number % REGIONS}")
+            self.routers[node.name] = _Router(node, number % REGIONS)
+        self.introduce_everyone()
+        self._configure()
+
+    def send(self, node: HollowNode, action: Send) -> None:
+        """Count the bytes of messages about limits, and put a message on its way."""
+        if isinstance(action.body, LimitReport | LimitGrant):
+            body = msgspec.structs.replace(action.body, gossip=Gossip())
+            self.routers[node.name].limit_bytes += encoded_size(body) + ENVELOPE_BYTES
+        super().send(node, action)
+
+    def pass_second(self, requests: float) -> None:
+        """Offer one second of requests at every node, each node at its own time.
+
+        Args:
+            requests: Requests a second at each node.
+        """
+        if self.now - self._moved_at >= MOVE_SECONDS or not self._moving_at:
+            self._move()
+        for router in self.routers.values():
+            self._offer(router, requests)
+            self._report(router)
+            self.run_until(self.now + REPORT_SECONDS / len(self.routers))
+        moving = self.routers[self._moving_at].sharing.part(MOVING_TENANT, self.now)
+        if (
+            moving >= ENOUGH_RATIO * WHOLE
+            and len(self.follow_times) * MOVE_SECONDS <= self._moved_at
+        ):
+            self.follow_times.append(self.now - self._moved_at)
+
+    def part_sum(self, tenant: str) -> float:
+        """Return the sum of the parts of a tenant's limits at the routers that may serve it."""
+        parts = (
+            router.sharing.part(tenant, self.now)
+            for name, router in self.routers.items()
+            if name in self._admitted[tenant]
+        )
+        return sum(parts) / WHOLE
+
+    def _configure(self) -> None:
+        """Bind each tenant to a region."""
+        regions = [
+            frozenset(name for name, router in self.routers.items() if router.region == region)
+            for region in range(REGIONS)
+        ]
+        admitted = {name: regions[at % REGIONS] for at, name in enumerate(self._tenants)}
+        admitted[MOVING_TENANT] = frozenset(self.routers)
+        self._admitted = admitted
+        for router in self.routers.values():
+            router.sharing.follow(0.0, self.routers, len(self.routers))
+            router.sharing.set_admitted(0.0, admitted)
+
+    def _move(self) -> None:
+        self._moved_at = self.now
+        self._moving_at = self._chance.choice(list(self.routers))
+
+    def _offer(self, router: _Router, requests: float) -> None:
+        for _ in range(round(requests)):
+            index = self._chance.randrange(len(self._tenants) // REGIONS) * REGIONS
+            admitted = self._enter(router, self._tenants[index + router.region])
+            self.offered += 1
+            self.refused += not admitted
+        if router.node.name == self._moving_at:
+            for _ in range(MOVING_REQUESTS):
+                self._enter(router, MOVING_TENANT)
+
+    def _enter(self, router: _Router, tenant: str) -> bool:
+        limiter = router.limiters.get(tenant)
+        if limiter is None:
+            limiter = router.limiters[tenant] = TenantLimiter(self.now)
+        self._update(router, tenant, limiter)
+        refusal = limiter.try_enter(self.now, 0.0)
+        if refusal is None:
+            limiter.leave(self.now, 0.0)
+        return refusal is None
+
+    def _update(self, router: _Router, tenant: str, limiter: TenantLimiter) -> None:
+        limits = self._moving_limits if tenant == MOVING_TENANT else self._limits
+        limiter.update(self.now, limits, router.sharing.part(tenant, self.now))
+
+    def _report(self, router: _Router) -> None:
+        sharing, membership = router.sharing, router.node.membership
+        for tenant, limiter in router.limiters.items():
+            self._update(router, tenant, limiter)
+        live = (record.name for record in membership.alive())
+        sharing.follow(self.now, live, len(membership.members()))
+        router.wanted = {
+            tenant: limiter.take_wanted(REPORT_SECONDS, sharing.smoothing_seconds(tenant))
+            for tenant, limiter in router.limiters.items()
+        }
+        for addressed in sharing.reports(self.now, router.wanted):
+            if not self._send_limits(router, addressed.owner, addressed.report):
+                return
+
+    def _send_limits(self, router: _Router, name: str, body: LimitReport | LimitGrant) -> bool:
+        sent, actions = router.node.membership.send_limits(name, body, self.now)
+        self.act(router.node, actions)
+        return sent
+
+    def _take(self, node: HollowNode, action: Action, now: float) -> None:
+        if not isinstance(action, LimitMessage):
+            return
+        router = self.routers[node.name]
+        if isinstance(action.body, LimitGrant):
+            router.sharing.take(action.body)
+            return
+        answer = router.sharing.answer(now, action.sender, action.incarnation, action.body)
+        if answer is not None:
+            self._send_limits(router, action.sender, answer)
+
+
+def measure(nodes: int, seed: int, seconds: float) -> SharingMeasures:
+    """Measure one cluster size at the planned load of a node.
+
+    Args:
+        nodes: Routers.
+        seed: Seed of all chance.
+        seconds: Virtual time that is measured, after a warm-up.
+    """
+    cluster = SharingCluster(nodes, seed)
+    requests = FleetSize().per_node(FleetSize().requests_per_second)
+    observed = [MOVING_TENANT, *(f"tenant-{index:05d}" for index in range(REGIONS))]
+    sums: list[float] = []
+    while cluster.now < WARM_UP_SECONDS:
+        cluster.pass_second(requests)
+        sums += map(cluster.part_sum, observed)
+    routers = cluster.routers.values()
+    sent = {router.node.name: router.node.sent_bytes for router in routers}
+    limits = {router.node.name: router.limit_bytes for router in routers}
+    began, cluster.offered, cluster.refused = cluster.now, 0, 0
+    while cluster.now < began + seconds:
+        cluster.pass_second(requests)
+        sums += map(cluster.part_sum, observed)
+    passed = cluster.now - began
+    limit_bytes = [(r.limit_bytes - limits[r.node.name]) / passed for r in routers]
+    pairs = [
+        (
+            router.sharing.part(tenant, cluster.now),
+            router.sharing.floor_part(tenant, cluster.now),
+            part,
+        )
+        for router in routers
+        for tenant, part in router.wanted.items()
+    ]
+    in_demand = [pair for pair in pairs if pair[2] > pair[1]]
+    return SharingMeasures(
+        nodes,
+        statistics.fmean(limit_bytes),
+        max(limit_bytes),
+        statistics.fmean((r.node.sent_bytes - sent[r.node.name]) / passed for r in routers),
+        sum(part > floor for part, floor, _ in in_demand) / len(in_demand),
+        sum(part >= wanted for part, _, wanted in in_demand) / len(in_demand),
+        cluster.refused / cluster.offered,
+        statistics.median(cluster.follow_times or [MOVE_SECONDS]),
+        max(sums),
+    )
+
+
+_NODES = flags.DEFINE_integer("nodes", 24, "routers")
+_SEED = flags.DEFINE_integer("seed", 1, "seed of all chance")
+_SECONDS = flags.DEFINE_float("seconds", 60.0, "virtual time that is measured")
+
+
+def main(arguments: list[str]) -> None:
+    """Print the measures of one size as JSON."""
+    del arguments
+    measures = measure(_NODES.value, _SEED.value, _SECONDS.value)
+    print(msgspec.json.encode(measures).decode())  # noqa: T201 - the tool's output
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/hopstep/domain/limit_owners.py
@@ -0,0 +1,156 @@
+"""The routers that share the limits of some tenants: who owns them, since when, and the floor.
+
+Tenants that the same routers may serve form one group. Each tenant has one owner in it, by
+rendezvous hashing over the group's live routers. A new owner doesn't know what the earlier one
+has leased out, so a router must know for how long it has been the owner without a break.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+import msgspec
+
+from hopstep.domain.limits import FLOOR_RATIO, WHOLE
+from hopstep.domain.rendezvous import Rendezvous
+
+MAX_VIEWS = 8
+"""Earlier views that are remembered; what was in force before them counts as unknown."""
+
+MAX_GAP_SECONDS = 2.5
+"""Time between two looks at the live routers above which this router must have been paused."""
+
+LEASE_SECONDS = 12.0
+"""Length of a lease in a small group: longer than it takes to find an owner dead."""
+
+SMALL_GROUP = 20
+"""Routers up to which leases have that length; beyond it grows as their number does, since a
+router has as many owners to report to."""
+
+FEW_TENANTS = 100
+"""Tenants up to which leases have that length; beyond it grows as their number does."""
+
+RENEWALS = 4
+"""Times that a holder asks within a lease."""
+
+_KEY_PREFIX = "limits/"
+
+
+class _EndedView(msgspec.Struct, frozen=True):
+    """An earlier view of the live routers; None for an unknown one.
+
+    Attributes:
+        ended_at: When it ended.
+        owners: Owners under it.
+        routers: Number of its routers.
+    """
+
+    ended_at: float
+    owners: Rendezvous | None = None
+    routers: int = 0
+
+
+class LimitOwners:
+    """One group's present view of its live routers, and those of the recent past."""
+
+    def __init__(self, own_name: str, now: float) -> None:
+        """Start with an unknown past.
+
+        Args:
+            own_name: Name of this router.
+            now: Time of the start in seconds.
+        """
+        self._own_name = own_name
+        self._names = frozenset({own_name})
+        self._expected = 1
+        self._tenants = 0
+        self._current = Rendezvous.unweighted(self._names)
+        self._ended: deque[_EndedView] = deque((_EndedView(now),))
+        self._updated_at = now
+
+    @property
+    def routers(self) -> int:
+        """Number of live routers, this one included."""
+        return len(self._names | {self._own_name})
+
+    @property
+    def lease_seconds(self) -> float:
+        """Length of a lease."""
+        routers = max(self.routers, self._expected)
+        return LEASE_SECONDS * max(1.0, routers / SMALL_GROUP, self._tenants / FEW_TENANTS)
+
+    @property
+    def renewal_seconds(self) -> float:
+        """Time between two reports of a tenant, and the most by which views may differ."""
+        return self.lease_seconds / RENEWALS
+
+    @property
+    def learning_seconds(self) -> float:
+        """Time for which a new owner leases out only what is held already.
+
+        An earlier owner may go on for as long as views differ; its last lease ends a lease later.
+        It is shorter when every router that there may be has reported to the new owner.
+        """
+        return self.lease_seconds + self.renewal_seconds
+
+    def update(
+        self, now: float, live_routers: frozenset[str], expected: int, tenants: int = 0
+    ) -> None:
+        """Take in which routers of the group take new work; this one may be missing.
+
+        After a pause the past counts as unknown: others may have been the owners meanwhile.
+
+        Args:
+            now: Time in seconds.
+            live_routers: Their names.
+            expected: Routers that there may be, down ones included.
+            tenants: Tenants of the group in the configuration.
+        """
+        self._expected, self._tenants = expected, tenants
+        if now - self._updated_at > MAX_GAP_SECONDS:
+            self._ended.clear()
+            self._ended.append(_EndedView(now))
+        self._updated_at = now
+        if live_routers == self._names or not live_routers:
+            return
+        self._ended.append(_EndedView(now, self._current, self.routers))
+        if len(self._ended) > MAX_VIEWS:
+            self._ended.popleft()
+            self._ended[0] = _EndedView(self._ended[0].ended_at)
+        self._names = live_routers
+        self._current = self._current.updated(dict.fromkeys(live_routers, 1.0))
+
+    def owner(self, tenant: str) -> str:
+        """Return the owner of a tenant's limits."""
+        return _owner(self._current, tenant)
+
+    def owner_since(self, tenant: str) -> float:
+        """Return since when this router, now the owner, has been so without a break.
+
+        Args:
+            tenant: Name of the tenant.
+        """
+        for view in reversed(self._ended):
+            if view.owners is None or _owner(view.owners, tenant) != self._own_name:
+                return view.ended_at
+        return float("-inf")
+
+    def floor_part(self, now: float) -> int:
+        """Return this router's millionths of any limit, whatever the demand.
+
+        It shrinks at once and grows when the views of all routers agree; where the past is
+        unknown, all routers that there may be are reckoned with.
+        """
+        since = now - self.learning_seconds
+        counts = [
+            view.routers if view.owners else self._expected
+            for view in self._ended
+            if view.ended_at > since
+        ]
+        if now - self._updated_at > MAX_GAP_SECONDS:
+            counts.append(self._expected)
+        return int(WHOLE * FLOOR_RATIO) // max(self.routers, *counts, 1)
+
+
+def _owner(view: Rendezvous, tenant: str) -> str:
+    return view.owners(_KEY_PREFIX + tenant)[0]
--- /dev/null
+++ b/hopstep/domain/limit_sharing.py
@@ -0,0 +1,251 @@
+"""One router's part in sharing tenants' limits: as a holder of leases and as an owner.
+
+Pure: takes the time, the live routers and demands, returns messages. A router reports what it
+wants of a tenant's limits to the owner, one message for all tenants of one owner, and the
+owner answers with leases.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
+
+import msgspec
+
+from hopstep.domain.limit_leases import LeaseHolder, LimitLedger
+from hopstep.domain.limit_owners import LimitOwners
+from hopstep.domain.peer_message import LimitDemand, LimitGrant, LimitReport
+
+DEMANDS_IN_REPORT = 24
+"""Tenants in one report, so that it fits into a datagram."""
+
+REPORT_RATIO = 0.5
+"""Part of its floor above which a tenant's demand at this router is worth a report."""
+
+ALWAYS_REPORTED = 64
+"""Up to so many tenants are reported also when idle, so that they wake with an even share."""
+
+PENDING_REPORTS = 1_024
+"""Latest reports whose answers are still awaited."""
+
+NOT_OWNED = -1
+"""Answered for a tenant whose limits another router owns: nothing changes."""
+
+
+class AddressedReport(msgspec.Struct, frozen=True):
+    """A report and the router that it is for."""
+
+    owner: str
+    report: LimitReport
+
+
+class _Address(msgspec.Struct, frozen=True):
+    """Owner of tenants whose leases have one length, so that they fit into one answer."""
+
+    owner: str
+    lease_seconds: float
+
+
+class LimitSharing:
+    """Leases, ledger and groups of one router."""
+
+    def __init__(self, own_name: str, now: float) -> None:
+        """Start without any lease.
+
+        Args:
+            own_name: Name of this router.
+            now: Time in seconds.
+        """
+        self._own_name = own_name
+        self._holder = LeaseHolder()
+        self._ledger = LimitLedger()
+        self._live_routers = frozenset({own_name})
+        self._known_routers = 1
+        self._everyone = LimitOwners(own_name, now)
+        self._groups: dict[frozenset[str], LimitOwners] = {}
+        self._admitted: Mapping[str, frozenset[str]] = {}
+        self._tenants: Counter[frozenset[str]] = Counter()
+        self._moved_at: dict[str, float] = {}
+        self._number = 0
+        self._latest: dict[str, tuple[int, int]] = {}
+        self._pending: dict[int, tuple[str, ...]] = {}
+
+    def follow(self, now: float, live_routers: Iterable[str], known_routers: int) -> None:
+        """Take in which routers there are.
+
+        Args:
+            now: Time in seconds.
+            live_routers: Routers that take new work.
+            known_routers: Routers known, dead ones included.
+        """
+        self._live_routers = frozenset(live_routers)
+        self._known_routers = max(known_routers, len(self._live_routers))
+        everyone = self._tenants[frozenset()]
+        self._everyone.update(now, self._live_routers, self._known_routers, everyone)
+        for admitted, group in self._groups.items():
+            self._update_group(now, admitted, group)
+
+    def set_admitted(self, now: float, admitted: Mapping[str, frozenset[str]]) -> None:
+        """Take in which routers may serve each tenant by a new configuration.
+
+        Args:
+            now: Time in seconds.
+            admitted: Names by tenant; none means any router.
+        """
+        for tenant, routers in self._admitted.items():
+            if admitted.get(tenant, routers) != routers:
+                self._moved_at[tenant] = now
+        self._admitted = admitted
+        self._tenants = Counter(admitted.values())
+        self._groups = {
+            routers: self._groups.get(routers) or LimitOwners(self._own_name, now)
+            for routers in self._tenants
+            if routers
+        }
+        for routers, group in self._groups.items():
+            self._update_group(now, routers, group)
+
+    def part(self, tenant: str, now: float) -> int:
+        """Return the millionths of a tenant's limits that this router may use."""
+        return self.floor_part(tenant, now) + self._holder.part(tenant, now)
+
+    def floor_part(self, tenant: str, now: float) -> int:
+        """Return the millionths that this router may use without a lease."""
+        return self._group(tenant).floor_part(now)
+
+    def smoothing_seconds(self, tenant: str) -> float:
+        """Return the time constant for a tenant's demand."""
+        return self._group(tenant).renewal_seconds
+
+    def reports(self, now: float, wanted: dict[str, int]) -> Iterator[AddressedReport]:
+        """Give the reports that are due, most urgent first; own tenants are settled here.
+
+        A report that is given counts as made. The caller stops when no more can be sent; what
+        is left is due at the next call.
+
+        Args:
+            now: Time in seconds.
+            wanted: Part of its limits that each tenant wants here, in millionths.
+        """
+        wanted = self._worth_reporting(now, wanted)
+        self._forget(now, wanted)
+        by_owner = self._by_owner(now, wanted)
+        for address in [key for key in by_owner if key.owner == self._own_name]:
+            for report in self._in_reports(now, by_owner.pop(address), wanted):
+                self.take(self._answer(now, self._own_name, report))
+        for address, tenants in by_owner.items():
+            for report in self._in_reports(now, tenants, wanted):
+                yield AddressedReport(address.owner, report)
+
+    def answer(
+        self, now: float, router: str, incarnation: int, report: LimitReport
+    ) -> LimitGrant | None:
+        """Return the answer to a report, or None when a later one has come before it.
+
+        Args:
+            now: Time in seconds.
+            router: Who reports.
+            incarnation: Its incarnation.
+            report: The report.
+        """
+        order = (incarnation, report.number)
+        if order <= self._latest.get(router, (-1, -1)):
+            return None
+        self._latest[router] = order
+        return self._answer(now, router, report)
+
+    def take(self, grant: LimitGrant) -> None:
+        """Take an owner's answer; late and repeated ones change nothing."""
+        tenants = self._pending.pop(grant.number, ())
+        for tenant, part in zip(tenants, grant.parts, strict=False):
+            if part != NOT_OWNED:
+                self._holder.take(grant.number, tenant, part, grant.lease_seconds)
+
+    def _group(self, tenant: str) -> LimitOwners:
+        return self._groups.get(self._admitted.get(tenant, frozenset()), self._everyone)
+
+    def _knows_all_leases(self, tenant: str, group: LimitOwners, now: float) -> bool:
+        """Return whether leases of an earlier owner have ended or are in the ledger."""
+        since = max(group.owner_since(tenant), self._moved_at.get(tenant, float("-inf")))
+        if now - since >= group.learning_seconds:
+            return True
+        admitted = self._admitted.get(tenant)
+        if not admitted or now - since < group.renewal_seconds:
+            return False
+        return admitted <= self._ledger.reporters(tenant, since)
+
+    def _has_moved(self, tenant: str, now: float) -> bool:
+        """Return whether a tenant was of another group a short time ago."""
+        return now - self._moved_at[tenant] < self._group(tenant).learning_seconds
+
+    def _update_group(self, now: float, admitted: frozenset[str], group: LimitOwners) -> None:
+        live = self._live_routers & admitted
+        group.update(now, live, len(admitted), self._tenants[admitted])
+
+    def _worth_reporting(self, now: float, wanted: dict[str, int]) -> dict[str, int]:
+        if len(wanted) <= ALWAYS_REPORTED:
+            return wanted
+        return {
+            tenant: part
+            for tenant, part in wanted.items()
+            if part > self.floor_part(tenant, now) * REPORT_RATIO
+        }
+
+    def _forget(self, now: float, reported: Iterable[str]) -> None:
+        self._holder.forget_except(now, reported)
+        self._ledger.forget_lapsed(now)
+        for tenant in [key for key in self._moved_at if not self._has_moved(key, now)]:
+            del self._moved_at[tenant]
+        if len(self._latest) > 2 * self._known_routers:
+            self._latest = {
+                name: order for name, order in self._latest.items() if name in self._live_routers
+            }
+        for number in [old for old in self._pending if old <= self._number - PENDING_REPORTS]:
+            del self._pending[number]
+
+    def _by_owner(self, now: float, wanted: dict[str, int]) -> dict[_Address, list[str]]:
+        """Return the tenants to report by owner; owners of leases that end first come first.
+
+        A report that is made anyway carries along what would be due soon.
+        """
+        due: dict[_Address, list[str]] = {}
+        soon: dict[_Address, list[str]] = {}
+        for tenant in sorted(wanted, key=lambda name: (self._holder.ends_at(name), -wanted[name])):
+            group, part = self._group(tenant), wanted[tenant]
+            address = _Address(group.owner(tenant), group.lease_seconds)
+            if self._holder.is_due(tenant, part, now, group.renewal_seconds):
+                due.setdefault(address, []).append(tenant)
+            elif self._holder.is_due(tenant, part, now, group.renewal_seconds / 2):
+                soon.setdefault(address, []).append(tenant)
+        return {address: tenants + soon.get(address, []) for address, tenants in due.items()}
+
+    def _in_reports(
+        self, now: float, tenants: list[str], wanted: dict[str, int]
+    ) -> Iterator[LimitReport]:
+        """Give reports of tenants of one owner, each made only when it is asked for."""
+        for start in range(0, len(tenants), DEMANDS_IN_REPORT):
+            batch = tenants[start : start + DEMANDS_IN_REPORT]
+            self._number += 1
+            demands = [self._holder.ask(now, self._number, name, wanted[name]) for name in batch]
+            self._pending[self._number] = tuple(batch)
+            yield LimitReport(self._number, tuple(demands))
+
+    def _answer(self, now: float, router: str, report: LimitReport) -> LimitGrant:
+        groups = [self._group(demand.tenant) for demand in report.demands]
+        # The shortest: a holder must never reckon with more time than the ledger.
+        seconds = min((group.lease_seconds for group in groups), default=0.0)
+        parts = tuple(self._part(now, router, demand) for demand in report.demands)
+        return LimitGrant(report.number, seconds, parts)
+
+    def _part(self, now: float, router: str, demand: LimitDemand) -> int:
+        tenant, group = demand.tenant, self._group(demand.tenant)
+        if group.owner(tenant) != self._own_name:
+            return NOT_OWNED
+        return self._ledger.grant(
+            now,
+            router,
+            demand,
+            routers=group.routers,
+            lease_seconds=group.lease_seconds,
+            settled=self._knows_all_leases(tenant, group, now),
+        )
--- a/hopstep/domain/limits.py
+++ b/hopstep/domain/limits.py
@@ -1,10 +1,7 @@
-"""Tenant limits, split over the live routers without a central counter.
+"""Tenant limits at one router: its even floor, and what its part of the limits lets through.
 
-Each router works out its own share of a tenant's limit from what gossip says of the live
-routers and of the demand at each: a floor split evenly, the rest by demand. A share shrinks at
-once and grows only after ``HOLD_SECONDS``, so that routers whose pictures differ by less than
-that never use the same part twice. A router that has just started takes the floor's part only,
-for the same time. The bound that follows is worked out in
+Each router has an even share of a floor at any time; the rest is leased by demand (see
+``limit_leases``). The bound on the sum of all parts is worked out in
 ``docs/design/0009-limits-and-admission.md``.
 """
 
@@ -12,22 +9,23 @@
 
 import enum
 import math
-from collections import deque
-from collections.abc import Mapping
 
 import msgspec
 
 from hopstep.domain.configuration import TenantLimits
 
+WHOLE = 1_000_000
+"""A whole limit; parts are counted in millionths."""
+
 FLOOR_RATIO = 0.2
 """Part of each limit that is split evenly, whatever the demand."""
 
-HOLD_SECONDS = 6.0
-"""Time for which a share stays at its lowest recent value; longer than gossip takes."""
-
 BURST_SECONDS = 1.0
 """Seconds of its rate that a router may let through at once."""
 
+PROMPT_REQUESTS = 3
+"""Requests in one count beyond which a rise in demand counts at once, not smoothed."""
+
 OVERSHOOT_BOUND = FLOOR_RATIO
 """Most by which the sum of all shares may exceed a limit, as a part of the limit."""
 
@@ -35,74 +33,6 @@
 """Shortest time to come back after a concurrency refusal."""
 
 
-class ShareView(msgspec.Struct, frozen=True):
-    """What gossip says when a share is worked out.
-
-    Attributes:
-        router: Name of this router.
-        live_routers: Names of the live routers, this one among them.
-        usage_by_router: Demand of the tenant at each router, as last published, this router's
-            own published value included. Any unit.
-        expected_routers: Routers in the configuration that may serve the tenant; at least that
-            many are reckoned with while this router is new.
-    """
-
-    router: str
-    live_routers: frozenset[str]
-    usage_by_router: Mapping[str, float]
-    expected_routers: int = 1
-
-
-def settled_share(view: ShareView) -> float:
-    """Return this router's part of each limit under a view, from 0 to 1."""
-    routers = view.live_routers | {view.router}
-    even = 1.0 / len(routers)
-    usage = {name: max(0.0, view.usage_by_router.get(name, 0.0)) for name in routers}
-    total = sum(usage.values())
-    by_demand = usage[view.router] / total if total > 0 else even
-    return FLOOR_RATIO * even + (1.0 - FLOOR_RATIO) * by_demand
-
-
-def newcomer_share(view: ShareView) -> float:
-    """Return the part that a router takes in its first ``HOLD_SECONDS``."""
-    routers = max(len(view.live_routers | {view.router}), view.expected_routers)
-    return FLOOR_RATIO / routers
-
-
-class LimitShare:
-    """This router's part of a tenant's limits: shrinks at once, grows after the hold.
-
-    Args:
-        now: Time in seconds at which the router started.
-    """
-
-    def __init__(self, now: float) -> None:
-        self._started_at = now
-        self._recent: deque[tuple[float, float]] = deque()
-
-    def update(self, now: float, view: ShareView) -> float:
-        """Take a new view in and return the share in force, from 0 to 1."""
-        is_new = now - self._started_at < HOLD_SECONDS
-        share = newcomer_share(view) if is_new else settled_share(view)
-        self._forget_before(now - HOLD_SECONDS)
-        while self._recent and self._recent[-1][1] > share:
-            self._recent.pop()
-        if not self._recent or self._recent[-1][1] < share:
-            # An equal share stays with its first time, or it would never come into force.
-            self._recent.append((now, share))
-        return self.current(now)
-
-    def current(self, now: float) -> float:
-        """Return the lowest share of the last ``HOLD_SECONDS``; 0 before the first update."""
-        self._forget_before(now - HOLD_SECONDS)
-        return self._recent[0][1] if self._recent else 0.0
-
-    def _forget_before(self, start: float) -> None:
-        """Drop shares that were no longer in force at ``start``."""
-        while len(self._recent) > 1 and self._recent[1][0] <= start:
-            self._recent.popleft()
-
-
 class TokenBucket:
     """A rate with a burst; may go into debt when a cost is known only afterwards.
 
@@ -179,27 +109,55 @@
     """
 
     def __init__(self, now: float) -> None:
-        self._share = LimitShare(now)
         self._requests = TokenBucket(now)
         self._tokens = TokenBucket(now)
         self._limits = TenantLimits()
         self._fraction = 0.0
+        self._offered_requests = 0
+        self._offered_tokens = 0.0
+        self._peak_running = 0
+        self._refused_running = 0
+        self._wanted = 0.0
         self.running = 0
-        self.offered = 0
 
-    def update(self, now: float, limits: TenantLimits, view: ShareView) -> None:
-        """Take in the limits in force and what gossip says.
+    def update(self, now: float, limits: TenantLimits, part: int) -> None:
+        """Take in the limits in force and this router's part of them.
 
         Args:
             now: Time in seconds.
             limits: Limits over all routers.
-            view: Live routers and demand at each.
+            part: Millionths of them that this router may use.
         """
         self._limits = limits
-        self._fraction = self._share.update(now, view)
+        self._fraction = part / WHOLE
         self._requests.set_rate(now, limits.requests_per_second * self._fraction)
         self._tokens.set_rate(now, limits.tokens_per_second * self._fraction)
 
+    def take_wanted(self, seconds: float, smoothing_seconds: float) -> int:
+        """Return the millionths of its limits that the tenant wants here, and count anew.
+
+        Demand is smoothed, so that single requests don't move parts to and fro; what goes
+        beyond a few requests at a time counts at once.
+
+        Args:
+            seconds: Time since the last call.
+            smoothing_seconds: Time constant.
+        """
+        latest = max(
+            _ratio(self._offered_requests / seconds, self._limits.requests_per_second),
+            _ratio(self._offered_tokens / seconds, self._limits.tokens_per_second),
+            _ratio(
+                self._peak_running + self._refused_running, self._limits.max_concurrent_requests
+            ),
+        )
+        self._wanted += (1.0 - math.exp(-seconds / smoothing_seconds)) * (latest - self._wanted)
+        offered = max(self._offered_requests, self._peak_running + self._refused_running)
+        prompt = latest * (1.0 - PROMPT_REQUESTS / offered) if offered > PROMPT_REQUESTS else 0.0
+        self._wanted = min(1.0, max(prompt, self._wanted))
+        self._offered_requests, self._offered_tokens = 0, 0.0
+        self._peak_running, self._refused_running = self.running, 0
+        return int(self._wanted * WHOLE)
+
     def try_enter(self, now: float, tokens: float) -> LimitRefusal | None:
         """Let a request in, or return why not; ``leave`` must follow an entry once.
 
@@ -207,11 +165,14 @@
             now: Time in seconds.
             tokens: Prompt tokens plus the longest answer.
         """
-        self.offered += 1
+        self._offered_requests += 1
+        self._offered_tokens += tokens
         refusal = self._refusal(now, tokens)
         if refusal is not None:
+            self._refused_running += refusal.kind is LimitKind.CONCURRENCY
             return refusal
         self.running += 1
+        self._peak_running = max(self._peak_running, self.running)
         if self._limits.requests_per_second > 0:
             self._requests.take(now, 1.0)
         if self._limits.tokens_per_second > 0:
@@ -251,3 +212,8 @@
             if wait > 0:
                 return LimitRefusal(LimitKind.TOKEN_RATE, wait)
         return None
+
+
+def _ratio(demand: float, limit: float) -> float:
+    """Return a demand as a part of a limit; 0 for no limit."""
+    return demand / limit if limit > 0 else 0.0
--- a/hopstep/domain/membership/__init__.py
+++ b/hopstep/domain/membership/__init__.py
@@ -3,6 +3,7 @@
 from hopstep.domain.membership.actions import (
     Action,
     EntryChanged,
+    LimitMessage,
     MemberChanged,
     Refuted,
     RevisionHeard,
@@ -15,6 +16,7 @@
 __all__ = [
     "Action",
     "EntryChanged",
+    "LimitMessage",
     "MemberChanged",
     "Membership",
     "MembershipConfig",
--- a/hopstep/domain/membership/actions.py
+++ b/hopstep/domain/membership/actions.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from hopstep.domain.peer_message import Body, Entry, MemberRecord
+from hopstep.domain.peer_message import Body, Entry, LimitGrant, LimitReport, MemberRecord
 
 
 class Send(msgspec.Struct, frozen=True):
@@ -56,4 +56,18 @@
     record: MemberRecord
 
 
-Action = Send | MemberChanged | EntryChanged | RevisionHeard | Refuted
+class LimitMessage(msgspec.Struct, frozen=True):
+    """A member sent a message about tenants' limits.
+
+    Attributes:
+        sender: Its name.
+        incarnation: Its incarnation.
+        body: What it says.
+    """
+
+    sender: str
+    incarnation: int
+    body: LimitReport | LimitGrant
+
+
+Action = Send | MemberChanged | EntryChanged | RevisionHeard | Refuted | LimitMessage
--- a/hopstep/domain/membership/config.py
+++ b/hopstep/domain/membership/config.py
@@ -28,6 +28,7 @@
         left_retention_seconds: Time after which a member that left is forgotten.
         push_fanout: Members that are told at once of an urgent change.
         bytes_per_second: Budget of sent bytes, IP and UDP headers included.
+        limits_ratio: Part of the budget that messages about tenants' limits may take.
         burst_seconds: Seconds of the budget that may be sent at once, so that a herd of starts
             or a healed partition doesn't wait for it.
         datagram_bytes: Largest datagram.
@@ -50,6 +51,7 @@
     left_retention_seconds: float = 120.0
     push_fanout: int = 3
     bytes_per_second: int = 3_000
+    limits_ratio: float = 0.3
     burst_seconds: float = 10.0
     datagram_bytes: int = 1_300
     overhead_bytes: int = 100
--- a/hopstep/domain/membership/gossip.py
+++ b/hopstep/domain/membership/gossip.py
@@ -19,14 +19,12 @@
     MEMBERSHIP = 0
     LEAVING_BACK_END = 1
     ENGINE_FACTS = 2
-    LIMIT_USAGE = 3
-    HOT_PREFIX = 4
+    HOT_PREFIX = 3
 
 
 _ENTRY_PRIORITY = {
     EntryKind.LEAVING_BACK_END: Priority.LEAVING_BACK_END,
     EntryKind.ENGINE_FACTS: Priority.ENGINE_FACTS,
-    EntryKind.LIMIT_USAGE: Priority.LIMIT_USAGE,
     EntryKind.HOT_PREFIX: Priority.HOT_PREFIX,
 }
 
--- a/hopstep/domain/membership/protocol.py
+++ b/hopstep/domain/membership/protocol.py
@@ -10,8 +10,15 @@
 import random
 from collections.abc import Sequence
 
-from hopstep.domain.membership.actions import Action, EntryChanged, MemberChanged, RevisionHeard
+from hopstep.domain.membership.actions import (
+    Action,
+    EntryChanged,
+    LimitMessage,
+    MemberChanged,
+    RevisionHeard,
+)
 from hopstep.domain.membership.anti_entropy import AntiEntropy
+from hopstep.domain.membership.budget import ByteBudget
 from hopstep.domain.membership.config import MembershipConfig
 from hopstep.domain.membership.failure_detector import FailureDetector
 from hopstep.domain.membership.gossip import SizeOf
@@ -24,6 +31,8 @@
     EntryKind,
     EntryValue,
     Gossip,
+    LimitGrant,
+    LimitReport,
     MemberRecord,
     MemberState,
     PeerMessage,
@@ -71,6 +80,10 @@
         self._isolation = IsolationDetector(config)
         self._detector = FailureDetector(self._state, self._isolation, generator, now)
         self._anti_entropy = AntiEntropy(self._state, generator, size_of, now)
+        limits_rate = config.bytes_per_second * config.limits_ratio / 2
+        self._report_budget = ByteBudget(limits_rate, config.burst_seconds, now)
+        self._grant_budget = ByteBudget(limits_rate, config.burst_seconds, now)
+        self._size_of = size_of
         self._last_now = now
         self._reconnect_at = now
         self._housekeeping_at = now
@@ -168,6 +181,8 @@
             changed |= self._anti_entropy.on_summary(body, source, now)
         elif isinstance(body, PullRequest):
             self._anti_entropy.on_pull(body, message.sender, source, now)
+        elif isinstance(body, LimitReport | LimitGrant):
+            self._state.outbox.tell(LimitMessage(message.sender, message.incarnation, body))
         if summarized or (pulled and changed):
             self._anti_entropy.after_answer(now, changed=changed)
         return self._take_actions(now)
@@ -203,6 +218,33 @@
         self._push(now)
         return self._take_actions(now)
 
+    def send_limits(
+        self, name: str, body: LimitReport | LimitGrant, now: float
+    ) -> tuple[bool, list[Action]]:
+        """Send a message about tenants' limits, within its part of the byte budget.
+
+        Args:
+            name: Receiver.
+            body: What to say.
+            now: Current time in seconds.
+
+        Returns:
+            Whether it goes out, and what to do.
+        """
+        member = self._state.table.get(name)
+        if member is None:
+            return False, []
+        size = self._size_of(body) + self._config.overhead_bytes
+        # Apart, so that an owner's own reports never keep its answers to others back.
+        budget = self._report_budget if isinstance(body, LimitReport) else self._grant_budget
+        if not budget.spend(size, now, essential=False):
+            return False, []
+        record = member.record
+        sent = self._state.outbox.send(
+            record.peer_address, body, now, audience=record.labels_digest
+        )
+        return sent, self._take_actions(now)
+
     def confirm_revision(self, confirmed_at: float) -> None:
         """Remember when there was proof that the revision in force is the latest.
 
--- a/hopstep/domain/peer_message.py
+++ b/hopstep/domain/peer_message.py
@@ -81,8 +81,7 @@
 
     LEAVING_BACK_END = 0
     ENGINE_FACTS = 1
-    LIMIT_USAGE = 2
-    HOT_PREFIX = 3
+    HOT_PREFIX = 2
 
 
 class LeavingBackEnd(msgspec.Struct, frozen=True, array_like=True, tag=0):
@@ -145,23 +144,7 @@
         return EngineFacts(self.incarnation, self.weights, self.role, self.leaving, load)
 
 
-class LimitUsage(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """Use of a tenant's limits at one router.
-
-    Attributes:
-        tenant: Name of the tenant.
-        requests_per_second: Recent rate.
-        tokens_per_second: Recent rate.
-        concurrent_requests: Requests that run or wait now.
-    """
-
-    tenant: str
-    requests_per_second: float = 0.0
-    tokens_per_second: float = 0.0
-    concurrent_requests: int = 0
-
-
-class HotPrefix(msgspec.Struct, frozen=True, array_like=True, tag=3):
+class HotPrefix(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """A prefix that is asked for often; its key is salted and reveals no text.
 
     Attributes:
@@ -175,7 +158,7 @@
     requests_per_second: float = 0.0
 
 
-EntryValue = LeavingBackEnd | EngineEntry | LimitUsage | HotPrefix
+EntryValue = LeavingBackEnd | EngineEntry | HotPrefix
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
@@ -308,7 +291,62 @@
     gossip: Gossip = Gossip()
 
 
-Body = Ping | PingRequest | Ack | Push | SyncRequest | SyncSummary | PullRequest
+class LimitDemand(msgspec.Struct, frozen=True, array_like=True):
+    """What a router wants of a tenant's limits, in millionths.
+
+    Attributes:
+        tenant: Name of the tenant.
+        wanted: Part that its requests want at this router.
+        held: Part that the router holds by lease.
+    """
+
+    tenant: str
+    wanted: int
+    held: int
+
+
+class LimitReport(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Demands of tenants whose limits the receiver owns; answered by ``LimitGrant``.
+
+    Attributes:
+        number: Number of the report at its sender.
+        demands: At most one for each tenant.
+        gossip: Piggybacked changes.
+    """
+
+    number: int
+    demands: tuple[LimitDemand, ...]
+    gossip: Gossip = Gossip()
+
+
+class LimitGrant(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Answer of an owner: leases, counted from the time of the report.
+
+    Attributes:
+        number: Number of the report.
+        lease_seconds: Length of the leases.
+        parts: Leased millionths in the order of the report's demands; -1 for a tenant that
+            another router owns.
+        gossip: Piggybacked changes.
+    """
+
+    number: int
+    lease_seconds: float
+    parts: tuple[int, ...]
+    gossip: Gossip = Gossip()
+
+
+Body = (
+    Ping
+    | PingRequest
+    | Ack
+    | Push
+    | SyncRequest
+    | SyncSummary
+    | PullRequest
+    | LimitReport
+    | LimitGrant
+)
 
 
 class PeerMessage(msgspec.Struct, frozen=True):
--- a/hopstep/domain/rumours.py
+++ b/hopstep/domain/rumours.py
@@ -16,7 +16,6 @@
 CAPACITY = {
     EntryKind.LEAVING_BACK_END: 16_384,
     EntryKind.ENGINE_FACTS: 32_768,
-    EntryKind.LIMIT_USAGE: 4_096,
     EntryKind.HOT_PREFIX: 4_096,
 }
 """Entries held of each kind; further ones are dropped, as all kinds are hints."""
--- a/hopstep/services/cluster.py
+++ b/hopstep/services/cluster.py
@@ -6,18 +6,15 @@
 
 from __future__ import annotations
 
-import trio
-
 from hopstep.domain.configuration import AcceptedConfiguration
 from hopstep.domain.engines import EngineFacts
 from hopstep.domain.membership import Action, EntryChanged, RevisionHeard
-from hopstep.domain.peer_message import EngineEntry, EntryKind, LeavingBackEnd, LimitUsage
+from hopstep.domain.peer_message import EngineEntry, EntryKind, LeavingBackEnd
 from hopstep.services.configuration_holder import ConfigurationHolder
 from hopstep.services.configuration_sync import ConfigurationSync
 from hopstep.services.engine_watch import EngineWatch
 from hopstep.services.leaving_watch import LeavingWatch
 from hopstep.services.membership import MembershipService
-from hopstep.services.tenant_limits import TenantLimitService
 
 ENGINE_REPLICAS = 2
 """Routers that probe an engine and read its cache events."""
@@ -29,27 +26,18 @@
 MACHINE_LIST_KEY = "machine-list-readers"
 ROLLOUT_KEY = "weights-rollout"
 
-USAGE_SECONDS = 2.0
-"""Time between two publications of this router's use of tenants' limits."""
-
-USAGE_READ_SECONDS = 0.25
-"""Time for which a reading of all routers' use serves."""
-
 
 class Cluster:
     """Divides control work, and carries shared values between membership and services."""
 
     def __init__(self, membership: MembershipService, holder: ConfigurationHolder) -> None:
-        """Prepare; ``attach`` and ``run`` follow.
+        """Prepare; ``attach`` follows.
 
         Args:
             membership: Who is alive, and shared entries.
             holder: Configuration in force; its revision is told to peers.
         """
         self._membership = membership
-        self._published_tenants: set[str] = set()
-        self._usage: dict[str, dict[str, float]] = {}
-        self._usage_read_at = float("-inf")
         holder.subscribe(self._tell_revision)
 
     def attach(
@@ -57,30 +45,20 @@
         watch: EngineWatch,
         leaving: LeavingWatch,
         synchronization: ConfigurationSync,
-        limits: TenantLimitService,
     ) -> None:
-        """Join the services that share values; before ``run``.
+        """Join the services that share values.
 
         Args:
             watch: Takes engines' facts of other routers.
             leaving: Takes what other routers have read of leaving machines.
             synchronization: Takes hints of configuration revisions.
-            limits: Its use of tenants' limits is published.
         """
         self._watch = watch
         self._leaving = leaving
         self._synchronization = synchronization
-        self._limits = limits
         self._membership.follow_confirmations(synchronization.seconds_since_confirmed)
         self._membership.subscribe(self._take)
 
-    async def run(self) -> None:
-        """Publish the use of limits, and follow that of others, until cancelled."""
-        while True:
-            await trio.sleep(USAGE_SECONDS)
-            self._publish_usage()
-            self._limits.refresh()
-
     def watches_engine(self, address: str) -> bool:
         """Return whether this router probes an engine."""
         return self._membership.owns(address, ENGINE_REPLICAS)
@@ -131,26 +109,6 @@
                 told[entry.subject] = told.get(entry.subject, frozenset()) | {entry.owner}
         return told
 
-    def usage_by_router(self, tenant: str) -> dict[str, float]:
-        """Return a tenant's demand at each router, in requests a second.
-
-        The entries are read once for all tenants, so that a look at each costs little.
-        """
-        now = trio.current_time()
-        if now - self._usage_read_at >= USAGE_READ_SECONDS:
-            self._usage_read_at = now
-            self._usage = self._read_usage()
-        return self._usage.get(tenant, {})
-
-    def _read_usage(self) -> dict[str, dict[str, float]]:
-        """Return the demand at each router by tenant."""
-        usage: dict[str, dict[str, float]] = {}
-        for entry in self._membership.entries(EntryKind.LIMIT_USAGE):
-            if isinstance(entry.value, LimitUsage):
-                by_router = usage.setdefault(entry.value.tenant, {})
-                by_router[entry.owner] = entry.value.requests_per_second
-        return usage
-
     def _tell_revision(self, accepted: AcceptedConfiguration) -> None:
         """Tell peers which configuration is in force here."""
         self._membership.set_revision(accepted.revision)
@@ -167,13 +125,3 @@
                 self._watch.take_published(value.engine, value.facts())
             elif action.entry.kind is EntryKind.LEAVING_BACK_END:
                 self._leaving.refresh()
-
-    def _publish_usage(self) -> None:
-        """Share the demand of each tenant, and withdraw it where there is none any more."""
-        offered = self._limits.take_offered()
-        for tenant in self._published_tenants - set(offered):
-            self._membership.publish(EntryKind.LIMIT_USAGE, tenant, None)
-        for tenant, requests in offered.items():
-            usage = LimitUsage(tenant, requests_per_second=requests / USAGE_SECONDS)
-            self._membership.publish(EntryKind.LIMIT_USAGE, tenant, usage)
-        self._published_tenants = set(offered)
--- /dev/null
+++ b/hopstep/services/limit_leases.py
@@ -0,0 +1,84 @@
+"""Shares tenants' limits with the other routers: reports demand to owners, and answers as one."""
+
+from __future__ import annotations
+
+import trio
+
+from hopstep.domain.configuration import AcceptedConfiguration, BackEndKind
+from hopstep.domain.limit_sharing import LimitSharing
+from hopstep.domain.membership import Action, LimitMessage
+from hopstep.domain.peer_message import LimitReport
+from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.membership import MembershipService
+from hopstep.services.tenant_limits import TenantLimitService
+
+REPORT_SECONDS = 1.0
+"""Time between two looks at which demands are to be reported."""
+
+
+class LimitLeaseService:
+    """Joins the sharing of limits with membership and the clock."""
+
+    def __init__(self, membership: MembershipService, holder: ConfigurationHolder) -> None:
+        """Prepare; ``run`` follows.
+
+        Args:
+            membership: Who is alive, and the messages to them.
+            holder: Configuration in force; says which routers may serve a tenant.
+        """
+        self._membership = membership
+        self._sharing = LimitSharing(membership.own.name, trio.current_time())
+        self._holder = holder
+        membership.subscribe(self._take)
+        holder.subscribe(self._follow_configuration)
+
+    def part(self, tenant: str) -> int:
+        """Return the millionths of a tenant's limits that this router may use now."""
+        return self._sharing.part(tenant, trio.current_time())
+
+    async def run(self, limits: TenantLimitService) -> None:
+        """Report demand until cancelled.
+
+        Args:
+            limits: Where requests are held to the limits.
+        """
+        while True:
+            self._report(limits)
+            await trio.sleep(REPORT_SECONDS)
+
+    def _report(self, limits: TenantLimitService) -> None:
+        now = trio.current_time()
+        self._follow(now)
+        wanted = limits.take_wanted(REPORT_SECONDS, self._sharing.smoothing_seconds)
+        for addressed in self._sharing.reports(now, wanted):
+            if not self._membership.send_limits(addressed.owner, addressed.report):
+                # The byte budget is used up: what is left is due at the next look.
+                return
+
+    def _follow(self, now: float) -> None:
+        """Take in which routers there are."""
+        live = [record.name for record in self._membership.alive_routers()]
+        self._sharing.follow(now, live, len(self._membership.members()))
+
+    def _follow_configuration(self, accepted: AcceptedConfiguration) -> None:
+        """Take in which routers may serve each tenant."""
+        index = self._holder.require_index()
+        admitted = {
+            tenant.name: frozenset(
+                router.name for router in index.tenant_back_ends(tenant, BackEndKind.ROUTER)
+            )
+            for tenant in accepted.configuration.tenants
+        }
+        self._sharing.set_admitted(trio.current_time(), admitted)
+
+    def _take(self, action: Action) -> None:
+        if not isinstance(action, LimitMessage):
+            return
+        if not isinstance(action.body, LimitReport):
+            self._sharing.take(action.body)
+            return
+        now = trio.current_time()
+        self._follow(now)
+        answer = self._sharing.answer(now, action.sender, action.incarnation, action.body)
+        if answer is not None:
+            self._membership.send_limits(action.sender, answer)
--- a/hopstep/services/membership.py
+++ b/hopstep/services/membership.py
@@ -21,7 +21,15 @@
     Send,
     labels_digest,
 )
-from hopstep.domain.peer_message import Entry, EntryKind, EntryValue, MemberRecord, MemberState
+from hopstep.domain.peer_message import (
+    Entry,
+    EntryKind,
+    EntryValue,
+    LimitGrant,
+    LimitReport,
+    MemberRecord,
+    MemberState,
+)
 from hopstep.domain.rendezvous import Rendezvous
 from hopstep.exceptions import PeerMessageError
 from hopstep.logs import emit
@@ -139,6 +147,12 @@
         now = trio.current_time()
         self._dispatch(self._membership.publish(kind, subject, value, now, audience))
 
+    def send_limits(self, name: str, body: LimitReport | LimitGrant) -> bool:
+        """Send a message about tenants' limits; return whether the byte budget admits it."""
+        sent, actions = self._membership.send_limits(name, body, trio.current_time())
+        self._dispatch(actions)
+        return sent
+
     def entries(self, kind: EntryKind) -> list[Entry]:
         """Return the shared entries of a kind, of all live owners."""
         return self._membership.entries(kind)
--- a/hopstep/services/router.py
+++ b/hopstep/services/router.py
@@ -32,6 +32,7 @@
 from hopstep.services.engine_watch import EngineWatch
 from hopstep.services.leaving_watch import LeavingWatch
 from hopstep.services.lifecycle import Lifecycle
+from hopstep.services.limit_leases import LimitLeaseService
 from hopstep.services.membership import MembershipService
 from hopstep.services.membership_metrics import MembershipMetrics
 from hopstep.services.request_metrics import RequestMetrics
@@ -97,11 +98,12 @@
             metrics=MembershipMetrics(registry),
         )
         self.cluster = Cluster(self.membership, self.holder)
-        self.limits = self._make_limits()
+        self.limit_leases = LimitLeaseService(self.membership, self.holder)
+        self.limits = TenantLimitService(self.holder, self.limit_leases.part)
         self.synchronization = self._make_synchronization()
         self.watch = self._make_engine_watch()
         self.leaving = self._make_leaving_watch()
-        self.cluster.attach(self.watch, self.leaving, self.synchronization, self.limits)
+        self.cluster.attach(self.watch, self.leaving, self.synchronization)
         self.dispatcher = self._make_dispatcher(RequestMetrics(registry))
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -111,7 +113,7 @@
         sweeper = ClaimSweeper(ports.store, ports.engines, ports.generator, ports.wall_clock)
         async with trio.open_nursery() as nursery:
             await nursery.start(self.membership.run)
-            nursery.start_soon(self.cluster.run)
+            nursery.start_soon(self.limit_leases.run, self.limits)
             nursery.start_soon(self.synchronization.run)
             nursery.start_soon(self.watch.run)
             nursery.start_soon(self.leaving.run)
@@ -139,15 +141,6 @@
         """Return the callers' address of another router, or None when it isn't known."""
         return self.cluster.http_address(name)
 
-    def _make_limits(self) -> TenantLimitService:
-        """Return the service that holds tenants to their limits."""
-        return TenantLimitService(
-            self._settings.name,
-            self.holder,
-            self.cluster.live_routers,
-            self.cluster.usage_by_router,
-        )
-
     def _make_dispatcher(self, metrics: RequestMetrics) -> Dispatcher:
         """Return the dispatcher with its admission and claims."""
         ports = self._ports
--- a/hopstep/services/tenant_limits.py
+++ b/hopstep/services/tenant_limits.py
@@ -1,69 +1,42 @@
-"""Tenants' limits at this router, fed by the configuration in force and by usage gossip."""
+"""Tenants' limits at this router: its even floor and what it holds by lease."""
 
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator
 
 import trio
 
 from hopstep.domain.blocks import count_tokens
-from hopstep.domain.configuration import BackEndKind, Tenant, TenantLimits
+from hopstep.domain.configuration import Tenant, TenantLimits
 from hopstep.domain.inference import InferenceRequest
-from hopstep.domain.limits import LimitRefusal, ShareView, TenantLimiter
+from hopstep.domain.limit_sharing import ALWAYS_REPORTED
+from hopstep.domain.limits import WHOLE, LimitRefusal, TenantLimiter
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.services.configuration_holder import ConfigurationHolder
 
-UPDATE_SECONDS = 0.5
-"""Time between two looks at gossip, for one tenant."""
-
-DEMAND_SMOOTHING = 0.3
-"""Weight of the latest count in the demand that is published."""
-
-MIN_DEMAND = 0.05
-"""Demand below which a tenant counts as idle here."""
-
 MAX_RETRY_AFTER_SECONDS = 60.0
 
 IDLE_SECONDS = 60.0
 """Time without a request after which a tenant is forgotten, unless it still owes tokens."""
 
-REFRESH_TENANTS = 512
-"""Tenants looked at in one refresh, the longest waiting first."""
-
-LiveRouters = Callable[[], frozenset[str]]
-"""Returns the names of the live routers, this one among them."""
-
-UsageByRouter = Callable[[str], Mapping[str, float]]
-"""Returns a tenant's demand by router, as last published."""
+PartOfLimits = Callable[[str], int]
+"""Returns the millionths of a tenant's limits that this router may use now."""
 
 
 class TenantLimitService:
     """Holds each tenant's requests to this router's part of its limits.
 
     Args:
-        router: Name of this router.
         holder: Configuration in force.
-        live_routers: Live routers by gossip; None for this router alone.
-        usage_by_router: Demand by gossip; None while nothing is published.
+        part: This router's part of a tenant's limits; None for a router alone, which has all.
     """
 
-    def __init__(
-        self,
-        router: str,
-        holder: ConfigurationHolder,
-        live_routers: LiveRouters | None = None,
-        usage_by_router: UsageByRouter | None = None,
-    ) -> None:
-        self._router = router
+    def __init__(self, holder: ConfigurationHolder, part: PartOfLimits | None = None) -> None:
         self._holder = holder
-        self._live_routers = live_routers or (lambda: frozenset({router}))
-        self._usage_by_router = usage_by_router or (lambda tenant: {})
-        self._started_at = trio.current_time()
+        self._part = part or (lambda tenant: WHOLE)
         self._limiters: dict[str, TenantLimiter] = {}
-        self._updated_at: dict[str, float] = {}
         self._used_at: dict[str, float] = {}
-        self._demand: dict[str, float] = {}
 
     @contextlib.contextmanager
     def entered(
@@ -90,72 +63,65 @@
             unused = request.max_tokens - generated_tokens()
             limiter.leave(trio.current_time(), max(0, unused))
 
-    def take_offered(self) -> dict[str, float]:
-        """Return the smoothed number of requests offered by tenant between two calls.
+    def take_wanted(
+        self, seconds: float, smoothing_seconds: Callable[[str], float]
+    ) -> dict[str, int]:
+        """Return the millionths of their limits that tenants want here, and forget idle ones.
 
-        Smoothing keeps demand that comes and goes from moving shares to and fro.
-        """
-        for name, limiter in self._limiters.items():
-            before = self._demand.get(name, float(limiter.offered))
-            self._demand[name] = before + DEMAND_SMOOTHING * (limiter.offered - before)
-            limiter.offered = 0
-        self._demand = {name: value for name, value in self._demand.items() if value > MIN_DEMAND}
-        return dict(self._demand)
-
-    def refresh(self) -> None:
-        """Follow gossip for tenants that send nothing now, and forget idle ones.
-
-        The bound on the sum of shares holds for routers that take every view within the hold,
-        also for tenants whose next request comes later.
+        Of a configuration with few tenants all are among them, also those that want nothing.
+
+        Args:
+            seconds: Time since the last call.
+            smoothing_seconds: Returns the time constant for a tenant's demand.
         """
-        now = trio.current_time()
-        if not self._limiters:
-            return
+        self._refresh()
+        if self._holder.current is None:
+            return {}
         tenants = self._holder.require_index().tenants
-        for name in sorted(self._limiters, key=self._updated_at.__getitem__)[:REFRESH_TENANTS]:
-            limiter = self._limiters[name]
-            if now - self._used_at[name] >= IDLE_SECONDS and limiter.is_idle(now):
-                self._forget(name)
-            elif name in tenants:
-                self._update(now, limiter, tenants[name])
+        names = tenants if len(tenants) <= ALWAYS_REPORTED else self._limiters
+        wanted = {}
+        for name in names:
+            if name in tenants and _is_limited(tenants[name].limits):
+                limiter = self._limiters.get(name)
+                smoothing = smoothing_seconds(name)
+                wanted[name] = limiter.take_wanted(seconds, smoothing) if limiter else 0
+        return wanted
 
     def known_tenants(self) -> int:
         """Return the number of tenants whose limits are held in memory."""
         return len(self._limiters)
 
-    def _forget(self, name: str) -> None:
-        del self._limiters[name], self._updated_at[name], self._used_at[name]
-        self._demand.pop(name, None)
+    def _refresh(self) -> None:
+        """Let the limits of known tenants follow their parts, and forget idle tenants."""
+        now = trio.current_time()
+        tenants = self._holder.require_index().tenants if self._limiters else {}
+        for name, limiter in list(self._limiters.items()):
+            if now - self._used_at[name] >= IDLE_SECONDS and limiter.is_idle(now):
+                del self._limiters[name], self._used_at[name]
+            elif name in tenants:
+                self._update(limiter, tenants[name], now)
 
     def _limiter(self, tenant: Tenant) -> TenantLimiter:
         """Return a tenant's limiter, up to date."""
         now = trio.current_time()
-        self._used_at[tenant.name] = now
+        index = self._holder.require_index()
+        in_force = index.tenants.get(tenant.name, tenant)
         limiter = self._limiters.get(tenant.name)
         if limiter is None:
-            limiter = TenantLimiter(self._started_at)
-            self._limiters[tenant.name] = limiter
-        if now - self._updated_at.get(tenant.name, float("-inf")) >= UPDATE_SECONDS:
-            self._update(now, limiter, tenant)
+            limiter = self._limiters[tenant.name] = TenantLimiter(now)
+        self._used_at[tenant.name] = now
+        self._update(limiter, in_force, now)
         return limiter
 
-    def _update(self, now: float, limiter: TenantLimiter, tenant: Tenant) -> None:
-        self._updated_at[tenant.name] = now
-        limiter.update(now, self._limits_in_force(tenant), self._view(tenant))
-
-    def _limits_in_force(self, tenant: Tenant) -> TenantLimits:
-        """Return a tenant's limits as configured now."""
-        return self._holder.require_index().tenants.get(tenant.name, tenant).limits
-
-    def _view(self, tenant: Tenant) -> ShareView:
-        """Return what gossip says of a tenant's demand."""
-        routers = self._holder.require_index().tenant_back_ends(tenant, BackEndKind.ROUTER)
-        return ShareView(
-            router=self._router,
-            live_routers=self._live_routers(),
-            usage_by_router=self._usage_by_router(tenant.name),
-            expected_routers=len(routers),
-        )
+    def _update(self, limiter: TenantLimiter, tenant: Tenant, now: float) -> None:
+        part = self._part(tenant.name) if _is_limited(tenant.limits) else WHOLE
+        limiter.update(now, tenant.limits, part)
+
+
+def _is_limited(limits: TenantLimits) -> bool:
+    """Return whether any limit is split between routers."""
+    split = (limits.requests_per_second, limits.tokens_per_second, limits.max_concurrent_requests)
+    return any(limit > 0 for limit in split)
 
 
 def _limited(refusal: LimitRefusal) -> ServiceError:
