--- a/emulator/simulation/router.py
+++ b/emulator/simulation/router.py
@@ -140,7 +140,9 @@
             connection.delayed = True
 
     def resume(self) -> None:
-        """Let the process go on as by SIGCONT."""
+        """Let the process go on as by SIGCONT; a new one in its place isn't paused."""
+        if not self.gate.paused:
+            return
         self._world.network.resume(self.settings.address)
         self.gate.resume()
 
