Wait for the leases of a tenant's former routers, and look at due reports in less time

Cause: after a configuration that gives a tenant to other routers, "all admitted routers have reported" was true before the leases of the former ones had ended.

--- a/hopstep/domain/limit_sharing.py
+++ b/hopstep/domain/limit_sharing.py
@@ -25,6 +25,9 @@
 ALWAYS_REPORTED = 64
 """Up to so many tenants are reported also when idle, so that they wake with an even share."""
 
+SOON_RATIO = 0.5
+"""Part of the renewal time after which a tenant goes along with a report that is made anyway."""
+
 PENDING_REPORTS = 1_024
 """Latest reports whose answers are still awaited."""
 
@@ -65,7 +68,7 @@
         self._groups: dict[frozenset[str], LimitOwners] = {}
         self._admitted: Mapping[str, frozenset[str]] = {}
         self._tenants: Counter[frozenset[str]] = Counter()
-        self._moved_at: dict[str, float] = {}
+        self._moved_until: dict[str, float] = {}
         self._number = 0
         self._latest: dict[str, tuple[int, int]] = {}
         self._pending: dict[int, tuple[str, ...]] = {}
@@ -92,9 +95,10 @@
             now: Time in seconds.
             admitted: Names by tenant; none means any router.
         """
+        longest = max(group.learning_seconds for group in self._all_groups())
         for tenant, routers in self._admitted.items():
             if admitted.get(tenant, routers) != routers:
-                self._moved_at[tenant] = now
+                self._moved_until[tenant] = now + longest
         self._admitted = admitted
         self._tenants = Counter(admitted.values())
         self._groups = {
@@ -166,7 +170,10 @@
 
     def _knows_all_leases(self, tenant: str, group: LimitOwners, now: float) -> bool:
         """Return whether leases of an earlier owner have ended or are in the ledger."""
-        since = max(group.owner_since(tenant), self._moved_at.get(tenant, float("-inf")))
+        if self._has_moved(tenant, now):
+            # Routers that may not serve it any more hold leases and don't report them here.
+            return False
+        since = group.owner_since(tenant)
         if now - since >= group.learning_seconds:
             return True
         admitted = self._admitted.get(tenant)
@@ -175,8 +182,8 @@
         return admitted <= self._ledger.reporters(tenant, since)
 
     def _has_moved(self, tenant: str, now: float) -> bool:
-        """Return whether a tenant was of another group a short time ago."""
-        return now - self._moved_at[tenant] < self._group(tenant).learning_seconds
+        """Return whether leases of the group that a tenant was of may go on."""
+        return now < self._moved_until.get(tenant, now)
 
     def _update_group(self, now: float, admitted: frozenset[str], group: LimitOwners) -> None:
         live = self._live_routers & admitted
@@ -185,17 +192,20 @@
     def _worth_reporting(self, now: float, wanted: dict[str, int]) -> dict[str, int]:
         if len(wanted) <= ALWAYS_REPORTED:
             return wanted
+        least = {group: group.floor_part(now) * REPORT_RATIO for group in self._all_groups()}
         return {
-            tenant: part
-            for tenant, part in wanted.items()
-            if part > self.floor_part(tenant, now) * REPORT_RATIO
+            tenant: part for tenant, part in wanted.items() if part > least[self._group(tenant)]
         }
 
+    def _all_groups(self) -> Iterator[LimitOwners]:
+        yield self._everyone
+        yield from self._groups.values()
+
     def _forget(self, now: float, reported: Iterable[str]) -> None:
         self._holder.forget_except(now, reported)
         self._ledger.forget_lapsed(now)
-        for tenant in [key for key in self._moved_at if not self._has_moved(key, now)]:
-            del self._moved_at[tenant]
+        for tenant in [key for key in self._moved_until if not self._has_moved(key, now)]:
+            del self._moved_until[tenant]
         if len(self._latest) > 2 * self._known_routers:
             self._latest = {
                 name: order for name, order in self._latest.items() if name in self._live_routers
@@ -208,16 +218,32 @@
 
         A report that is made anyway carries along what would be due soon.
         """
-        due: dict[_Address, list[str]] = {}
-        soon: dict[_Address, list[str]] = {}
-        for tenant in sorted(wanted, key=lambda name: (self._holder.ends_at(name), -wanted[name])):
-            group, part = self._group(tenant), wanted[tenant]
-            address = _Address(group.owner(tenant), group.lease_seconds)
-            if self._holder.is_due(tenant, part, now, group.renewal_seconds):
-                due.setdefault(address, []).append(tenant)
-            elif self._holder.is_due(tenant, part, now, group.renewal_seconds / 2):
-                soon.setdefault(address, []).append(tenant)
-        return {address: tenants + soon.get(address, []) for address, tenants in due.items()}
+        due = self._due(now, wanted, 1.0)
+        if not due:
+            return {}
+        due.sort(key=lambda name: (self._holder.ends_at(name), -wanted[name]))
+        by_owner: dict[_Address, list[str]] = {}
+        for tenant in due:
+            by_owner.setdefault(self._address(tenant), []).append(tenant)
+        included = set(due)
+        for tenant in self._due(now, wanted, SOON_RATIO):
+            address = self._address(tenant)
+            if tenant not in included and address in by_owner:
+                by_owner[address].append(tenant)
+        return by_owner
+
+    def _due(self, now: float, wanted: dict[str, int], ratio: float) -> list[str]:
+        """Return the tenants whose last report is older than a part of the renewal time."""
+        interval = {group: ratio * group.renewal_seconds for group in self._all_groups()}
+        return [
+            tenant
+            for tenant, part in wanted.items()
+            if self._holder.is_due(tenant, part, now, interval[self._group(tenant)])
+        ]
+
+    def _address(self, tenant: str) -> _Address:
+        group = self._group(tenant)
+        return _Address(group.owner(tenant), group.lease_seconds)
 
     def _in_reports(
         self, now: float, tenants: list[str], wanted: dict[str, int]
--- a/hopstep/services/limit_leases.py
+++ b/hopstep/services/limit_leases.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from hopstep.domain.configuration import AcceptedConfiguration, BackEndKind
+from hopstep.domain.configuration import AcceptedConfiguration, BackEnd, BackEndKind
+from hopstep.domain.labels import LabelSelector
 from hopstep.domain.limit_sharing import LimitSharing
 from hopstep.domain.membership import Action, LimitMessage
 from hopstep.domain.peer_message import LimitReport
@@ -29,6 +30,7 @@
         self._membership = membership
         self._sharing = LimitSharing(membership.own.name, trio.current_time())
         self._holder = holder
+        self._placement: tuple[list[BackEnd], dict[str, LabelSelector]] = ([], {})
         membership.subscribe(self._take)
         holder.subscribe(self._follow_configuration)
 
@@ -61,14 +63,23 @@
         self._sharing.follow(now, live, len(self._membership.members()))
 
     def _follow_configuration(self, accepted: AcceptedConfiguration) -> None:
-        """Take in which routers may serve each tenant."""
+        """Take in which routers may serve each tenant, if that has changed."""
+        configuration = accepted.configuration
+        routers = [item for item in configuration.back_ends if item.kind is BackEndKind.ROUTER]
+        selectors = {tenant.name: tenant.selector for tenant in configuration.tenants}
+        if (routers, selectors) == self._placement:
+            return
+        self._placement = routers, selectors
         index = self._holder.require_index()
-        admitted = {
-            tenant.name: frozenset(
-                router.name for router in index.tenant_back_ends(tenant, BackEndKind.ROUTER)
-            )
-            for tenant in accepted.configuration.tenants
+        placed = {
+            tenant.name: index.tenant_back_ends(tenant, BackEndKind.ROUTER)
+            for tenant in configuration.tenants
+        }
+        # The index gives one tuple for one selector; so do the names, or they would fill memory.
+        names = {
+            id(routers): frozenset(router.name for router in routers) for routers in placed.values()
         }
+        admitted = {tenant: names[id(routers)] for tenant, routers in placed.items()}
         self._sharing.set_admitted(trio.current_time(), admitted)
 
     def _take(self, action: Action) -> None:
--- a/tests/domain/test_limits_stateful.py
+++ b/tests/domain/test_limits_stateful.py
@@ -10,6 +10,7 @@
 from hopstep.domain.configuration import TenantLimits
 from hopstep.domain.limit_leases import POOL, LeaseHolder, LimitLedger
 from hopstep.domain.limit_owners import LEASE_SECONDS, LimitOwners
+from hopstep.domain.limit_sharing import LimitSharing
 from hopstep.domain.limits import (
     BURST_SECONDS,
     FLOOR_RATIO,
@@ -152,6 +153,24 @@
         with mock.patch.object(LimitOwners, "owner_since", lambda self, tenant: float("-inf")):
             self.assertTrue(is_caught(LimitsMachine))
 
+    def first_growth_after_a_move(self):
+        """Return when a tenant that a new configuration gave to other routers gets leases."""
+        sharing = LimitSharing("a", 0.0)
+        for now in range(100):
+            place = "b" if now < 40 else "a"
+            admitted = {TENANT: frozenset(place), "other": frozenset("a")}
+            sharing.set_admitted(now, admitted)
+            sharing.follow(now, {"a", "b"}, 2)
+            list(sharing.reports(now, {TENANT: WHOLE} if place == "a" else {}))
+            if sharing.part(TENANT, now) > POOL:
+                return now - 40
+        return None
+
+    def test_a_tenant_of_other_routers_gets_leases_when_theirs_have_ended(self):
+        self.assertEqual(self.first_growth_after_a_move(), LEARNING)
+        with mock.patch.object(LimitSharing, "_has_moved", lambda *_: False):
+            self.assertLess(self.first_growth_after_a_move(), LEARNING)
+
     def test_a_paused_router_goes_on_with_the_least_floor(self):
         owners = LimitOwners("a", 0.0)
         for now in range(30):
