--- a/hopstep/domain/routing/routing_table.py
+++ b/hopstep/domain/routing/routing_table.py
@@ -22,10 +22,9 @@
 from hopstep.domain.configuration_index import ConfigurationIndex
 from hopstep.domain.engines import CacheEventBatch, CacheEventKind, EngineFacts
 from hopstep.domain.inference import InferenceRequest
-from hopstep.domain.rendezvous import Rendezvous
 from hopstep.domain.requests_in_force import choose_kv_cache_store
 from hopstep.domain.routing.engine_view import EngineView, QueuePlace
-from hopstep.domain.routing.hot_prefixes import HotPrefixes
+from hopstep.domain.routing.prefix_owners import PrefixOwners
 from hopstep.domain.routing.prefix_picture import PrefixPicture
 from hopstep.domain.routing.priority_mix import PriorityMix
 from hopstep.domain.routing.prompt_heads import HashPrompt, Prompt, PromptHasher
@@ -37,9 +36,6 @@
 )
 from hopstep.exceptions import DomainError, ErrorCode
 
-MAX_RENDEZVOUS_TABLES = 64
-"""Sets of usable engines whose hashing tables are kept."""
-
 
 class _Sent(msgspec.Struct, frozen=True):
     """Where an attempt in flight was sent."""
@@ -67,12 +63,11 @@
         self._picture = PrefixPicture(
             self._policy.max_prefix_heads, self._policy.prefix_stride_blocks
         )
-        self._hot = HotPrefixes()
+        self._owners = PrefixOwners()
         self._sent: dict[str, _Sent] = {}
         self._leaving: frozenset[str] = frozenset()
         self._other_routers = 0
         self._priority_mix = PriorityMix()
-        self._owners: dict[tuple[str, ...], Rendezvous] = {}
 
     def update_configuration(self, accepted: AcceptedConfiguration) -> None:
         """Follow a newly accepted configuration; engines that it lacks are forgotten."""
@@ -195,8 +190,6 @@
         self._sent[nonce] = _Sent(address, choice.incarnation, choice.prefix_heads)
         heads = choice.prefix_heads
         self._picture.learn(address, choice.incarnation, heads, len(heads))
-        if heads:
-            self._hot.record(heads[0], now)
 
     def record_first_token(
         self, nonce: str, incarnation: str, cached_tokens: int, now: float
@@ -285,10 +278,10 @@
     ) -> list[Candidate]:
         """Return what is believed of each usable engine."""
         held = self._picture.held_heads(prompt.heads, [item.address for item in usable])
-        preferences = self._preferences(prompt, usable)
+        ranks = self._owners.ranks(prompt, usable, self._policy.hot_prefix_copies)
         assumed = 0 if any(held) else prompt.tokens_of(len(prompt.heads))
         return [
-            self._candidate(prompt, back_end, heads, preferences, assumed, place, now)
+            self._candidate(prompt, back_end, heads, ranks, assumed, place, now)
             for back_end, heads in zip(usable, held, strict=True)
         ]
 
@@ -297,14 +290,14 @@
         prompt: Prompt,
         back_end: BackEnd,
         held_heads: int,
-        preferences: dict[str, int],
+        ranks: dict[str, int],
         assumed_tokens: int,
         place: QueuePlace,
         now: float,
     ) -> Candidate:
         """Return what is believed of one engine."""
         view = self._view(back_end.address)
-        preference = preferences.get(back_end.name, len(preferences))
+        preference = ranks.get(back_end.name, len(ranks))
         return Candidate(
             back_end=back_end,
             incarnation=view.incarnation,
@@ -316,22 +309,6 @@
             assumed_tokens=assumed_tokens if preference == 0 else 0,
         )
 
-    def _preferences(self, prompt: Prompt, usable: list[BackEnd]) -> dict[str, int]:
-        """Return the rendezvous rank of the prefix's owners by engine name."""
-        head = prompt.heads[0] if prompt.heads else 0
-        names = tuple(back_end.name for back_end in usable)
-        owners = self._rendezvous(names).owners(str(head), self._policy.hot_prefix_copies)
-        return {name: position for position, name in enumerate(owners)}
-
-    def _rendezvous(self, names: tuple[str, ...]) -> Rendezvous:
-        """Return the hashing table of some engines; a bounded number of tables is kept."""
-        table = self._owners.get(names)
-        if table is None:
-            if len(self._owners) >= MAX_RENDEZVOUS_TABLES:
-                self._owners.clear()
-            table = self._owners[names] = Rendezvous.unweighted(names)
-        return table
-
 
 def _new_picture(policy: RoutingPolicy) -> PrefixPicture:
     """Return an empty picture."""
