Ask the KV cache store once for each simulated choice; shorten the overload trace

A copy in the store is known from the attempt's own lookup, and the omniscient strategy asks once for all engines.

--- a/emulator/experiments/omniscient.py
+++ b/emulator/experiments/omniscient.py
@@ -34,7 +34,7 @@
         self._world = world
         self._index = ConfigurationIndex(configuration)
         self._random = random_source
-        self._underway: dict[str, int] = {}
+        self._importable: dict[str, int] = {}
 
     def choose(
         self,
@@ -51,6 +51,7 @@
         ]
         if not usable:
             return None
+        self._importable.clear()
         best = min(usable, key=lambda back_end: self._cost(back_end, item, now))
         store = choose_kv_cache_store(self._index, item.request, best)
         cached = self._world.engines[best.address].model.cached_blocks(item.prepared)
@@ -68,8 +69,9 @@
         model = self._world.engines[back_end.address].model
         cached = model.cached_blocks(item.prepared) * BLOCK_TOKENS
         store = choose_kv_cache_store(self._index, item.request, back_end)
-        importable = self._world.importable_blocks(store, item.prepared) * BLOCK_TOKENS
-        imported = max(0, importable - cached)
+        if store not in self._importable:
+            self._importable[store] = self._world.importable_blocks(store, item.prepared)
+        imported = max(0, self._importable[store] * BLOCK_TOKENS - cached)
         computed = item.prepared.token_count - cached - imported
         load = model.load(now)
         wait = load.waiting_prefill_tokens / policy.prefill_tokens_per_second
--- a/emulator/experiments/scenarios.py
+++ b/emulator/experiments/scenarios.py
@@ -19,6 +19,9 @@
 DURATION_SECONDS = 50.0
 """Length of a trace in virtual time."""
 
+OVERLOAD_DURATION_SECONDS = 30.0
+"""Length of a trace at twice the capacity, which holds as many requests as a longer calm one."""
+
 WARM_UP_SECONDS = 10.0
 """Start of a trace that isn't measured, while caches fill."""
 
@@ -65,7 +68,7 @@
             factor = OVERLOAD_FACTOR * capacity / deployment.requests_per_second
         never = float("inf")
         return TrafficPlan(
-            duration_seconds=DURATION_SECONDS,
+            duration_seconds=OVERLOAD_DURATION_SECONDS if self.overload else DURATION_SECONDS,
             rate_factor=factor,
             hot_shift_at=FAULT_AT if self.hot_shift else never,
             new_weights_at=FAULT_AT if self.new_weights else never,
