--- a/hopstep/domain/configuration.py
+++ b/hopstep/domain/configuration.py
@@ -123,14 +123,14 @@
     """Weights of one deployment; see ``docs/OPERATIONS.md`` for what moves which measure.
 
     Attributes:
-        prefix_stride_blocks: Blocks between the prefix depths that are remembered.
+        prefix_stride_blocks: Blocks for each one whose key is remembered, on average.
         max_prefix_heads: Prefix heads remembered for all engines together.
         recompute_weight: Cost of recomputing a second of prefill, against ``wait_weight``.
         wait_weight: Cost of one second of expected wait.
         load_bound: Load of the preferred engine, over the mean, at which others are tried.
         prefill_tokens_per_second: Expected prefill speed of an engine.
         import_tokens_per_second: Expected speed of KV import; 0 switches imports off.
-        hot_prefix_copies: Engines over which a hot prefix is spread; 1 switches it off.
+        hot_prefix_copies: Owners of a prefix that are preferred among engines of equal cost.
         hedge_after_seconds: Wait for a first token before a hedge; 0 switches hedging off.
         retry_ratio: Retries allowed, as a share of first attempts.
         max_concurrent_weight_loads: Engines that load weights at once.
