Order weights of an engine that has the fence but not the weights

Cause: an engine with the revision's fence and old weights, after an order for something else, counted as loading for ever and was never ordered; found by test_a_leader_behind_is_fenced_off. Loading is now told by the missing model alone. A refused order no longer marks the engine as suspect: it answered. The tests catch: no bound on loads at once, no look at the fence of an engine without weights, orders by a router that doesn't lead.

--- a/hopstep/domain/rollout.py
+++ b/hopstep/domain/rollout.py
@@ -47,7 +47,7 @@
         weights = differing_weights(accepted, back_end, engine_facts)
         if not weights:
             continue
-        if _is_loading(accepted.revision, weights, engine_facts):
+        if _is_loading(weights, engine_facts):
             loading += 1
         else:
             orders.append(WeightsOrder(back_end.address, accepted.revision, weights))
@@ -66,12 +66,10 @@
     }
 
 
-def _is_loading(revision: int, weights: dict[str, str], facts: EngineFacts) -> bool:
+def _is_loading(weights: dict[str, str], facts: EngineFacts) -> bool:
     """Return whether an engine has taken an order for differing weights and is loading them.
 
-    An engine unloads a model when it takes an order for it, so after an unrelated newer
-    revision a load under way still shows as a missing model.
+    An engine unloads a model when it takes an order for it. One that took this revision's fence
+    and still has old weights got the fence by an order for something else.
     """
-    if facts.fence >= revision:
-        return True
     return facts.fence > 0 and any(model not in facts.weights for model in weights)
--- a/hopstep/services/rollout.py
+++ b/hopstep/services/rollout.py
@@ -88,7 +88,6 @@
                 fence=order.fence,
                 reason=type(error).__name__,
             )
-            self._routing_table.record_failure(order.address, trio.current_time())
             return
         emit(
             log_events.WEIGHTS_ORDERED,
