--- a/tests/services/test_request_memory.py
+++ b/tests/services/test_request_memory.py
@@ -66,7 +66,7 @@
         async def scenario():
             path = RequestPath()
             claims = ClaimService(InMemoryStore(SharedStore()), path.engines, "r1")
-            limits = TenantLimitService("r1", path.holder)
+            limits = TenantLimitService(path.holder)
             path.dispatcher = Dispatcher(
                 path.engines, path.table, path.holder, path.admission, claims, limits
             )
--- a/tests/simulation/test_overload.py
+++ b/tests/simulation/test_overload.py
@@ -17,6 +17,10 @@
 
 RATE = 4.0
 CONCURRENT = 6
+
+LEAST_USED = 0.5
+"""Part of the limit that the tenant must get while routers come and go."""
+
 ROUTERS = 3
 STORM = Mix(requests_per_second=30.0, once_share=0.0, leave_share=0.0, classes=("batch",))
 BUSY = Mix(requests_per_second=10.0, once_share=0.0, leave_share=0.0, slow_share=0.0, max_tokens=4)
@@ -89,7 +93,7 @@
         codes = {answer.code for answer in cluster.history.answers}
         self.assertIn("rate_limited", codes)
         complete = sum(item.outcome is Outcome.COMPLETE for item in cluster.history.answers)
-        self.assertGreater(complete, RATE * 20 * FLOOR_RATIO)
+        self.assertGreater(complete, RATE * 20 * LEAST_USED)
 
     def test_a_router_that_takes_the_whole_limit_is_caught(self):
         variant = mock.patch.object(LimitLeaseService, "part", lambda *_: WHOLE)
