--- a/emulator/cli/experiment.py
+++ b/emulator/cli/experiment.py
@@ -6,7 +6,12 @@
 
 from absl import flags
 
-from emulator.experiments.command import DEFAULT_DIRECTORY, DEFAULT_SEEDS, run_experiments
+from emulator.experiments.command import (
+    DEFAULT_DIRECTORY,
+    DEFAULT_SEEDS,
+    DEFAULT_WORKERS,
+    run_experiments,
+)
 from emulator.experiments.deployments import DEPLOYMENTS
 from emulator.experiments.runner import STRATEGY_NAMES
 from emulator.experiments.scenarios import SCENARIOS
@@ -15,6 +20,7 @@
 _SCENARIOS = flags.DEFINE_list("scenarios", list(SCENARIOS), "Scenarios to run.")
 _STRATEGIES = flags.DEFINE_list("strategies", list(STRATEGY_NAMES), "Strategies to compare.")
 _SEEDS = flags.DEFINE_list("seeds", [str(seed) for seed in DEFAULT_SEEDS], "Seeds of traces.")
+_WORKERS = flags.DEFINE_integer("workers", DEFAULT_WORKERS, "Scenarios at once.", lower_bound=1)
 _DIRECTORY = flags.DEFINE_string("directory", str(DEFAULT_DIRECTORY), "Where reports go.")
 
 
@@ -26,5 +32,6 @@
         strategies=_STRATEGIES.value,
         seeds=[int(seed) for seed in _SEEDS.value],
         directory=Path(_DIRECTORY.value),
+        workers=_WORKERS.value,
     )
     return 0
