Let callers of the capacity measure wait as refusals say

A caller that was refused at once asked again at once, for ever in no virtual time: a trial whose routers refuse while the engines are full never ended.

--- a/emulator/recovery/traffic.py
+++ b/emulator/recovery/traffic.py
@@ -85,7 +85,7 @@
 
 
 async def saturate(cluster: SimulatedCluster, callers: int, seconds: float, seed: int) -> None:
-    """Let callers send one request after another for a time."""
+    """Let callers send one request after another for a time, and wait as refusals say."""
     names = [item.name for item in cluster.router_back_ends()]
     end = trio.current_time() + seconds
 
@@ -94,7 +94,8 @@
         tenant = TENANTS[number % len(TENANTS)]
         while trio.current_time() < end:
             call = make_call(tenant, generator.randrange(TOPICS), generator.getrandbits(32))
-            await cluster.ask(names[number % len(names)], call)
+            answer = await cluster.ask(names[number % len(names)], call)
+            await trio.sleep(answer.retry_after_seconds)
 
     async with trio.open_nursery() as nursery:
         for number in range(callers):
