--- a/emulator/benchmarks/setting.py
+++ b/emulator/benchmarks/setting.py
@@ -15,7 +15,7 @@
 from emulator.fleet.processes import ProcessGroup
 from emulator.load.summary import LoadSummary
 from hopstep.adapters.http_api.authentication import hash_key
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     BackEnd,
     BackEndKind,
     Configuration,
--- a/emulator/capacity/budget.py
+++ b/emulator/capacity/budget.py
@@ -11,7 +11,7 @@
 from emulator.capacity.peer_probes import ProbeCost
 from emulator.capacity.process_memory import router_process_bytes
 from emulator.capacity.slopes import Slope
-from hopstep.domain.configuration import RoutingPolicy
+from hopstep.domain.configuration.document import RoutingPolicy
 from hopstep.domain.membership import MembershipConfig
 from hopstep.services.cluster import ENGINE_REPLICAS
 from hopstep.services.engine_watch import probe_interval, publish_interval
--- a/emulator/capacity/configuration_probes.py
+++ b/emulator/capacity/configuration_probes.py
@@ -6,10 +6,10 @@
 
 from emulator.capacity import samples
 from emulator.capacity.slopes import Slope, bytes_held, fit, seconds_per_call
-from hopstep.domain.configuration import AcceptedConfiguration
-from hopstep.domain.configuration_encoding import decode_snapshot, encode
-from hopstep.domain.configuration_index import ConfigurationIndex
-from hopstep.domain.configuration_log import Change, Edit, Section, apply_change
+from hopstep.domain.configuration.document import AcceptedConfiguration
+from hopstep.domain.configuration.encoding import decode_snapshot, encode
+from hopstep.domain.configuration.index import ConfigurationIndex
+from hopstep.domain.configuration.log import Change, Edit, Section, apply_change
 from hopstep.domain.placement import place_engines
 
 SIZES = (250, 500, 1_000, 2_000)
--- a/emulator/capacity/routing_probes.py
+++ b/emulator/capacity/routing_probes.py
@@ -9,7 +9,7 @@
 from emulator.capacity import samples
 from emulator.capacity.slopes import Slope, bytes_held, fit, seconds_per_call
 from hopstep.domain.blocks import block_keys
-from hopstep.domain.configuration import BackEnd
+from hopstep.domain.configuration.document import BackEnd
 from hopstep.domain.engines import (
     CacheEvent,
     CacheEventBatch,
--- a/emulator/capacity/samples.py
+++ b/emulator/capacity/samples.py
@@ -5,7 +5,7 @@
 import hashlib
 
 from hopstep.domain.blocks import BLOCK_TOKENS
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     AcceptedConfiguration,
     BackEnd,
     Configuration,
--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -24,7 +24,7 @@
 from emulator.load.prompts import make_prompt
 from emulator.load.router_client import RouterClient
 from emulator.load.run import run_closed_loop
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     BackEnd,
     BackEndKind,
     Configuration,
--- a/emulator/experiments/deployments.py
+++ b/emulator/experiments/deployments.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from emulator.engine.config import EngineConfig
-from hopstep.domain.configuration import BackEnd, BackEndKind, Configuration
+from hopstep.domain.configuration.document import BackEnd, BackEndKind, Configuration
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 """Directory of the example configurations, whose routing weights the experiments measure."""
--- a/emulator/experiments/omniscient.py
+++ b/emulator/experiments/omniscient.py
@@ -12,8 +12,8 @@
 from emulator.experiments.traffic import TraceRequest
 from emulator.experiments.world import World
 from hopstep.domain.blocks import BLOCK_TOKENS
-from hopstep.domain.configuration import BackEnd, Configuration
-from hopstep.domain.configuration_index import ConfigurationIndex
+from hopstep.domain.configuration.document import BackEnd, Configuration
+from hopstep.domain.configuration.index import ConfigurationIndex
 from hopstep.domain.requests_in_force import choose_kv_cache_store
 from hopstep.domain.routing.selection import Choice
 
--- a/emulator/experiments/runner.py
+++ b/emulator/experiments/runner.py
@@ -21,7 +21,7 @@
     RoundRobinBaseline,
 )
 from emulator.experiments.traffic import TraceRequest, TrafficGenerator
-from hopstep.domain.configuration import Configuration
+from hopstep.domain.configuration.document import Configuration
 from hopstep.domain.routing.prompt_heads import HashPrompt
 from hopstep.domain.routing.routing_table import RoutingTable
 
--- a/emulator/experiments/scenarios.py
+++ b/emulator/experiments/scenarios.py
@@ -11,7 +11,7 @@
 from emulator.experiments.simulation import Simulation
 from emulator.experiments.traffic import TrafficPlan
 from emulator.experiments.world import SimulatedEngine
-from hopstep.domain.configuration import AcceptedConfiguration
+from hopstep.domain.configuration.document import AcceptedConfiguration
 from hopstep.domain.engines import EngineFacts
 from hopstep.domain.rollout import plan as plan_rollout
 from hopstep.ports.engine import EngineOrder
--- a/emulator/experiments/simulated_router.py
+++ b/emulator/experiments/simulated_router.py
@@ -9,7 +9,7 @@
 
 from emulator.experiments.measures import Outcome
 from emulator.experiments.traffic import TraceRequest
-from hopstep.domain.configuration import AcceptedConfiguration, BackEnd
+from hopstep.domain.configuration.document import AcceptedConfiguration, BackEnd
 from hopstep.domain.routing.selection import Choice
 from hopstep.exceptions import ErrorCode
 
--- a/emulator/experiments/simulation.py
+++ b/emulator/experiments/simulation.py
@@ -18,7 +18,7 @@
 from emulator.experiments.traffic import TraceRequest
 from emulator.experiments.world import SimulatedEngine, World
 from hopstep.domain.blocks import BLOCK_TOKENS, cache_salt
-from hopstep.domain.configuration import AcceptedConfiguration, BackEnd, BackEndKind
+from hopstep.domain.configuration.document import AcceptedConfiguration, BackEnd, BackEndKind
 from hopstep.domain.placement import place_engines
 from hopstep.domain.routing.selection import Choice
 from hopstep.exceptions import ErrorCode
--- a/emulator/experiments/strategies.py
+++ b/emulator/experiments/strategies.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 
 from emulator.experiments.traffic import TraceRequest
-from hopstep.domain.configuration import AcceptedConfiguration, BackEnd
+from hopstep.domain.configuration.document import AcceptedConfiguration, BackEnd
 from hopstep.domain.engines import CacheEventBatch, EngineFacts
 from hopstep.domain.rendezvous import Rendezvous
 from hopstep.domain.routing.routing_table import RoutingTable
--- a/emulator/experiments/traffic.py
+++ b/emulator/experiments/traffic.py
@@ -11,7 +11,7 @@
 from emulator.engine.attempts import PreparedPrompt
 from emulator.experiments.deployments import NEXT_WEIGHTS, Deployment, TrafficShape
 from hopstep.domain.blocks import block_keys, cache_salt, count_tokens
-from hopstep.domain.configuration import BackEndKind, Model, Tenant
+from hopstep.domain.configuration.document import BackEndKind, Model, Tenant
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.placement import router_may_serve
 
--- a/emulator/experiments/world.py
+++ b/emulator/experiments/world.py
@@ -12,7 +12,7 @@
 from emulator.experiments.events import EventQueue
 from emulator.kv_cache_store.model import KvCacheStoreModel
 from hopstep.domain.blocks import BLOCK_TOKENS
-from hopstep.domain.configuration import BackEnd, BackEndKind
+from hopstep.domain.configuration.document import BackEnd, BackEndKind
 from hopstep.domain.engines import EngineFacts
 from hopstep.ports.engine import EngineOrder, GenerateRequest
 
--- a/emulator/fleet/fleet.py
+++ b/emulator/fleet/fleet.py
@@ -14,7 +14,7 @@
 from hopstep.adapters.tls import client_context
 from hopstep.ctl.documents import read_configuration, write_configuration
 from hopstep.ctl.status import STATUS_PATH
-from hopstep.domain.configuration import BackEnd, BackEndKind, Configuration
+from hopstep.domain.configuration.document import BackEnd, BackEndKind, Configuration
 from hopstep.settings import TlsSettings
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
--- a/emulator/limit_scale.py
+++ b/emulator/limit_scale.py
@@ -19,9 +19,9 @@
 from emulator.hollow_cluster import ENVELOPE_BYTES, HollowCluster, HollowNode
 from emulator.link_faults import LinkFaults, LinkQuality
 from hopstep.adapters.peer_codec import encoded_size
-from hopstep.domain.configuration import TenantLimits
-from hopstep.domain.limit_sharing import LimitSharing
-from hopstep.domain.limits import WHOLE, TenantLimiter
+from hopstep.domain.configuration.document import TenantLimits
+from hopstep.domain.limits.limiter import WHOLE, TenantLimiter
+from hopstep.domain.limits.sharing import LimitSharing
 from hopstep.domain.membership import Action, LimitMessage, MembershipConfig, Send
 from hopstep.domain.peer_message import Gossip, LimitGrant, LimitReport
 from hopstep.services.limit_leases import REPORT_SECONDS
--- a/emulator/recovery/deployment.py
+++ b/emulator/recovery/deployment.py
@@ -7,7 +7,7 @@
 from emulator.engine.config import EngineConfig
 from emulator.simulation.deployment import sample_deployment
 from hopstep.adapters.http_api.authentication import hash_key
-from hopstep.domain.configuration import Configuration, RequestClass, RoutingPolicy, Tenant
+from hopstep.domain.configuration.document import Configuration, RequestClass, RoutingPolicy, Tenant
 
 ROUTERS = 2
 ENGINES = 3
--- a/emulator/simulation/chaos.py
+++ b/emulator/simulation/chaos.py
@@ -12,8 +12,8 @@
 from emulator.platform.faults import FaultOrder
 from emulator.simulation.cluster import CALM, SimulatedCluster
 from emulator.simulation.deployment import MODEL, ZONES
-from hopstep.domain.configuration import BackEnd, Model
-from hopstep.domain.configuration_log import Section
+from hopstep.domain.configuration.document import BackEnd, Model
+from hopstep.domain.configuration.log import Section
 
 Fault = Callable[[], Awaitable[None]]
 
--- a/emulator/simulation/cluster.py
+++ b/emulator/simulation/cluster.py
@@ -21,11 +21,11 @@
 from emulator.simulation.ports import PLATFORM_ADDRESS
 from emulator.simulation.router import PeerDirectory, SimulatedRouter
 from emulator.simulation.world import RunsByNonce, World
-from hopstep.domain.configuration import BackEnd, BackEndKind, Configuration
-from hopstep.domain.configuration_log import Change, Edit, NamedItem, Section, diff
+from hopstep.domain.configuration.document import BackEnd, BackEndKind, Configuration
+from hopstep.domain.configuration.log import Change, Edit, NamedItem, Section, diff
 from hopstep.exceptions import StoreError
-from hopstep.services.configuration_store import ConfigurationStore
-from hopstep.services.configuration_submission import SubmitOutcome, submit_change
+from hopstep.services.configuration.store import ConfigurationStore
+from hopstep.services.configuration.submission import SubmitOutcome, submit_change
 from hopstep.settings import PeerSettings, RouterSettings
 
 DRAIN_SECONDS = 120.0
--- a/emulator/simulation/deployment.py
+++ b/emulator/simulation/deployment.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from hopstep.adapters.http_api.authentication import hash_key
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     BackEnd,
     BackEndKind,
     Configuration,
--- a/emulator/simulation/history.py
+++ b/emulator/simulation/history.py
@@ -9,7 +9,7 @@
 import msgspec
 import trio
 
-from hopstep.domain.configuration import AcceptedConfiguration
+from hopstep.domain.configuration.document import AcceptedConfiguration
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.ports.engine import GenerateRequest
 
--- a/emulator/simulation/placement_oracle.py
+++ b/emulator/simulation/placement_oracle.py
@@ -7,7 +7,7 @@
 from emulator.simulation.cluster import SimulatedCluster
 from emulator.simulation.configuration_oracle import due_time
 from emulator.simulation.history import Dispatch, Life, Topic
-from hopstep.domain.configuration import Configuration
+from hopstep.domain.configuration.document import Configuration
 from hopstep.domain.placement import place_engines
 
 LEAVING_SECONDS = 5.0
--- a/emulator/simulation/router.py
+++ b/emulator/simulation/router.py
@@ -34,7 +34,7 @@
 from hopstep.adapters.peer_codec import PeerCodec
 from hopstep.adapters.peer_http import HttpPeerConfiguration, PeerHttpHandler
 from hopstep.adapters.peer_keys import PeerKeys
-from hopstep.domain.configuration import AcceptedConfiguration
+from hopstep.domain.configuration.document import AcceptedConfiguration
 from hopstep.domain.inference import InferenceRequest
 from hopstep.exceptions import ServiceError
 from hopstep.ports.engine import GenerateRequest, TokenFrame, Usage
--- a/emulator/simulation/world.py
+++ b/emulator/simulation/world.py
@@ -18,16 +18,16 @@
 from emulator.platform.store_model import KeyValueStoreModel
 from emulator.simulation.history import Accepted, History
 from hopstep.adapters import key_value_store_wire as wire
-from hopstep.domain.configuration import AcceptedConfiguration, BackEndKind, Configuration
-from hopstep.domain.configuration_encoding import decode_change
-from hopstep.domain.configuration_log import (
+from hopstep.domain.configuration.document import AcceptedConfiguration, BackEndKind, Configuration
+from hopstep.domain.configuration.encoding import decode_change
+from hopstep.domain.configuration.log import (
     AcceptedChange,
     ConfigurationTransfer,
     apply_transfer,
     empty_configuration,
 )
 from hopstep.ports.machine_list import Machine, MachineState
-from hopstep.services.configuration_store import CHANGES_PREFIX
+from hopstep.services.configuration.store import CHANGES_PREFIX
 
 EPOCH_SECONDS = 1_700_000_000.0
 """Unix time at which simulations begin."""
--- a/hopstep/adapters/http_api/authentication.py
+++ b/hopstep/adapters/http_api/authentication.py
@@ -9,7 +9,7 @@
 import hashlib
 import hmac
 
-from hopstep.domain.configuration import AcceptedConfiguration, Tenant
+from hopstep.domain.configuration.document import AcceptedConfiguration, Tenant
 from hopstep.exceptions import ErrorCode, ServiceError
 
 BEARER_PREFIX = b"bearer "
--- a/hopstep/adapters/http_api/completions.py
+++ b/hopstep/adapters/http_api/completions.py
@@ -19,7 +19,7 @@
     start_generation,
 )
 from hopstep.adapters.http_api.rendering import CompletionRenderer
-from hopstep.domain.configuration import BackEndKind
+from hopstep.domain.configuration.document import BackEndKind
 
 DECODER = msgspec.json.Decoder(CompletionBody)
 
--- a/hopstep/adapters/http_api/context.py
+++ b/hopstep/adapters/http_api/context.py
@@ -12,7 +12,7 @@
 from hopstep.adapters.http_api.metrics import ApiMetrics
 from hopstep.adapters.pacing import Pacer
 from hopstep.domain.inference import AnswerPart, InferenceRequest
-from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration.holder import ConfigurationHolder
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.settings import RouterSettings
 
--- a/hopstep/adapters/http_api/gate.py
+++ b/hopstep/adapters/http_api/gate.py
@@ -14,8 +14,8 @@
 
 from hopstep.adapters.http_api.context import ApiContext
 from hopstep.adapters.http_api.errors import encode_error, error_headers, http_status
-from hopstep.domain.configuration import BackEndKind, Tenant
-from hopstep.domain.configuration_index import ConfigurationIndex
+from hopstep.domain.configuration.document import BackEndKind, Tenant
+from hopstep.domain.configuration.index import ConfigurationIndex
 from hopstep.domain.placement import router_may_serve
 from hopstep.exceptions import ErrorCode, ServiceError
 
--- a/hopstep/adapters/http_api/requests.py
+++ b/hopstep/adapters/http_api/requests.py
@@ -7,8 +7,8 @@
 from hopstep.adapters.http_api.bodies import GenerationBody
 from hopstep.adapters.http_api.gate import Caller
 from hopstep.domain.blocks import count_tokens
-from hopstep.domain.configuration import Model, RequestClass, Tenant
-from hopstep.domain.configuration_index import ConfigurationIndex
+from hopstep.domain.configuration.document import Model, RequestClass, Tenant
+from hopstep.domain.configuration.index import ConfigurationIndex
 from hopstep.domain.inference import InferenceRequest
 from hopstep.exceptions import ErrorCode, ServiceError
 
--- a/hopstep/adapters/peer_http.py
+++ b/hopstep/adapters/peer_http.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from hopstep.adapters.peer_codec import TAG_BYTES, PeerCodec, decode_struct, encode_struct
-from hopstep.domain.configuration_encoding import decode_transfer, encode
-from hopstep.domain.configuration_log import ConfigurationTransfer
+from hopstep.domain.configuration.encoding import decode_transfer, encode
+from hopstep.domain.configuration.log import ConfigurationTransfer
 from hopstep.exceptions import DomainError, ErrorCode, PeerMessageError
 from hopstep.ports.peer_configuration import PeerConfigurationPort
 
--- a/hopstep/cli/ctl.py
+++ b/hopstep/cli/ctl.py
@@ -39,9 +39,9 @@
 from hopstep.ctl.results import ErrorDocument, ExitCode, VerbResult
 from hopstep.ctl.status import listed_routers, show_status
 from hopstep.domain.addresses import parse_address
-from hopstep.domain.configuration import AcceptedConfiguration
+from hopstep.domain.configuration.document import AcceptedConfiguration
 from hopstep.exceptions import ErrorCode, HopstepError, PortError, ValidationError
-from hopstep.services.configuration_store import ConfigurationStore
+from hopstep.services.configuration.store import ConfigurationStore
 
 _OPERANDS = {
     "validate": 1,
--- a/hopstep/ctl/documents.py
+++ b/hopstep/ctl/documents.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from hopstep.domain.configuration import Configuration
-from hopstep.domain.documents import convert_document
+from hopstep.domain.configuration.decoding import convert_document
+from hopstep.domain.configuration.document import Configuration
 from hopstep.exceptions import ErrorCode, ValidationError
 
 
--- a/hopstep/ctl/editing.py
+++ b/hopstep/ctl/editing.py
@@ -9,8 +9,8 @@
 from hopstep.ctl.documents import read_configuration
 from hopstep.ctl.edits import ItemDifference, describe_conflict, describe_edits
 from hopstep.ctl.results import ExitCode, VerbResult
-from hopstep.domain.configuration import AcceptedConfiguration, BackEnd
-from hopstep.domain.configuration_log import (
+from hopstep.domain.configuration.document import AcceptedConfiguration, BackEnd
+from hopstep.domain.configuration.log import (
     AcceptedChange,
     Change,
     Edit,
@@ -18,11 +18,11 @@
     diff,
     find_item,
 )
-from hopstep.domain.configuration_problems import Problem
-from hopstep.domain.configuration_validation import validate
+from hopstep.domain.configuration.problems import Problem
+from hopstep.domain.configuration.validation import validate
 from hopstep.exceptions import ErrorCode, ValidationError
-from hopstep.services.configuration_store import ConfigurationHistory, ConfigurationStore
-from hopstep.services.configuration_submission import (
+from hopstep.services.configuration.store import ConfigurationHistory, ConfigurationStore
+from hopstep.services.configuration.submission import (
     SubmitOutcome,
     SubmitStatus,
     submit_change,
--- a/hopstep/ctl/edits.py
+++ b/hopstep/ctl/edits.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from hopstep.domain.configuration import Configuration
-from hopstep.domain.configuration_log import Conflict, Edit, Item, Section, find_item
+from hopstep.domain.configuration.document import Configuration
+from hopstep.domain.configuration.log import Conflict, Edit, Item, Section, find_item
 
 
 class FieldDifference(msgspec.Struct, frozen=True):
--- a/hopstep/ctl/reading.py
+++ b/hopstep/ctl/reading.py
@@ -6,7 +6,7 @@
 
 from hopstep.ctl.documents import write_configuration
 from hopstep.ctl.results import VerbResult
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     AcceptedConfiguration,
     BackEndKind,
     Configuration,
@@ -16,7 +16,7 @@
 )
 from hopstep.domain.placement import Exclusion, Placement, place_engines, place_tenant
 from hopstep.exceptions import ErrorCode, ValidationError
-from hopstep.services.configuration_store import ConfigurationStore
+from hopstep.services.configuration.store import ConfigurationStore
 
 
 class HistoryEntry(msgspec.Struct, frozen=True):
--- a/hopstep/ctl/schema.py
+++ b/hopstep/ctl/schema.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from hopstep.domain.configuration import Configuration
+from hopstep.domain.configuration.document import Configuration
 
 SCHEMA_DIALECT = "https://json-schema.org/draft/2020-12/schema"
 
--- a/hopstep/ctl/status.py
+++ b/hopstep/ctl/status.py
@@ -9,7 +9,7 @@
 import trio
 
 from hopstep.ctl.results import ExitCode, VerbResult
-from hopstep.domain.configuration import BackEndKind, Configuration
+from hopstep.domain.configuration.document import BackEndKind, Configuration
 
 STATUS_PATH = "/operator/status"
 TIMEOUT_SECONDS = 3.0
--- /dev/null
+++ b/hopstep/domain/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration: document, rules, log of changes, look-ups."""
--- a/hopstep/domain/configuration_coverage.py
+++ b/hopstep/domain/configuration/coverage.py
@@ -10,14 +10,14 @@
 
 import msgspec
 
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     BackEnd,
     BackEndKind,
     Configuration,
     RequestClass,
     Tenant,
 )
-from hopstep.domain.configuration_problems import Problem
+from hopstep.domain.configuration.problems import Problem
 from hopstep.domain.placement import place_engines, place_tenant
 
 
--- a/hopstep/domain/configuration.py
+++ b/hopstep/domain/configuration/document.py
@@ -1,7 +1,7 @@
 """The operators' configuration: back ends, tenants, request classes, models, routing.
 
 The document is immutable. It is edited by ``Change`` objects (see
-``hopstep.domain.configuration_log``), each a set of whole-item replacements.
+``hopstep.domain.configuration.log``), each a set of whole-item replacements.
 """
 
 from __future__ import annotations
--- a/hopstep/domain/configuration_encoding.py
+++ b/hopstep/domain/configuration/encoding.py
@@ -7,7 +7,8 @@
 import cbor2
 import msgspec
 
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.decoding import convert_document
+from hopstep.domain.configuration.document import (
     AcceptedConfiguration,
     BackEnd,
     Model,
@@ -15,7 +16,7 @@
     RoutingPolicy,
     Tenant,
 )
-from hopstep.domain.configuration_log import (
+from hopstep.domain.configuration.log import (
     AcceptedChange,
     Change,
     ConfigurationTransfer,
@@ -23,7 +24,6 @@
     Item,
     Section,
 )
-from hopstep.domain.documents import convert_document
 from hopstep.exceptions import ErrorCode, ValidationError
 
 ITEM_TYPES: dict[Section, type[Item]] = {
--- a/hopstep/domain/configuration_index.py
+++ b/hopstep/domain/configuration/index.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import Protocol, TypeVar
 
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     BackEnd,
     BackEndKind,
     Configuration,
--- a/hopstep/domain/configuration_log.py
+++ b/hopstep/domain/configuration/log.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     AcceptedConfiguration,
     BackEnd,
     Configuration,
--- a/hopstep/domain/configuration_validation.py
+++ b/hopstep/domain/configuration/validation.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from hopstep.domain.addresses import parse_address
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.coverage import coverage_problems
+from hopstep.domain.configuration.document import (
     BackEnd,
     BackEndKind,
     Configuration,
@@ -22,8 +23,7 @@
     RoutingPolicy,
     Tenant,
 )
-from hopstep.domain.configuration_coverage import coverage_problems
-from hopstep.domain.configuration_problems import Problem
+from hopstep.domain.configuration.problems import Problem
 from hopstep.domain.labels import Labels, LabelSelector, Operator
 from hopstep.exceptions import ErrorCode, ValidationError
 
--- a/hopstep/domain/inference.py
+++ b/hopstep/domain/inference.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from hopstep.domain.configuration import Model, RequestClass, Tenant
+from hopstep.domain.configuration.document import Model, RequestClass, Tenant
 
 
 class InferenceRequest(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/hopstep/domain/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants' limits: rates at one router, and parts leased by one owner."""
--- a/hopstep/domain/limit_leases.py
+++ b/hopstep/domain/limits/leases.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from hopstep.domain.limits import FLOOR_RATIO, WHOLE
+from hopstep.domain.limits.limiter import FLOOR_RATIO, WHOLE
 from hopstep.domain.peer_message import LimitDemand
 
 POOL = WHOLE - round(WHOLE * FLOOR_RATIO)
--- a/hopstep/domain/limits.py
+++ b/hopstep/domain/limits/limiter.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from hopstep.domain.configuration import TenantLimits
+from hopstep.domain.configuration.document import TenantLimits
 
 WHOLE = 1_000_000
 """A whole limit; parts are counted in millionths."""
--- a/hopstep/domain/limit_owners.py
+++ b/hopstep/domain/limits/owners.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from hopstep.domain.limits import FLOOR_RATIO, WHOLE
+from hopstep.domain.limits.limiter import FLOOR_RATIO, WHOLE
 from hopstep.domain.rendezvous import Rendezvous
 
 MAX_VIEWS = 8
--- a/hopstep/domain/limit_sharing.py
+++ b/hopstep/domain/limits/sharing.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from hopstep.domain.limit_leases import LeaseHolder, LimitLedger
-from hopstep.domain.limit_owners import LimitOwners
+from hopstep.domain.limits.leases import LeaseHolder, LimitLedger
+from hopstep.domain.limits.owners import LimitOwners
 from hopstep.domain.peer_message import LimitDemand, LimitGrant, LimitReport
 
 DEMANDS_IN_REPORT = 24
--- a/hopstep/domain/placement.py
+++ b/hopstep/domain/placement.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     BackEnd,
     BackEndKind,
     Configuration,
--- a/hopstep/domain/requests_in_force.py
+++ b/hopstep/domain/requests_in_force.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from hopstep.domain.configuration import BackEnd, BackEndKind
-from hopstep.domain.configuration_index import ConfigurationIndex
+from hopstep.domain.configuration.document import BackEnd, BackEndKind
+from hopstep.domain.configuration.index import ConfigurationIndex
 from hopstep.domain.inference import InferenceRequest
 from hopstep.exceptions import DomainError, ErrorCode
 
--- a/hopstep/domain/rollout.py
+++ b/hopstep/domain/rollout.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from hopstep.domain.configuration import AcceptedConfiguration, BackEnd, BackEndKind
+from hopstep.domain.configuration.document import AcceptedConfiguration, BackEnd, BackEndKind
 from hopstep.domain.engines import EngineFacts
 
 
--- a/hopstep/domain/routing/prefix_owners.py
+++ b/hopstep/domain/routing/prefix_owners.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hopstep.domain.configuration import BackEnd
+from hopstep.domain.configuration.document import BackEnd
 from hopstep.domain.rendezvous import Rendezvous
 from hopstep.domain.routing.prompt_heads import Prompt
 
--- a/hopstep/domain/routing/routing_table.py
+++ b/hopstep/domain/routing/routing_table.py
@@ -12,14 +12,14 @@
 import msgspec
 
 from hopstep.domain.blocks import block_keys
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     AcceptedConfiguration,
     BackEnd,
     BackEndKind,
     Configuration,
     RoutingPolicy,
 )
-from hopstep.domain.configuration_index import ConfigurationIndex
+from hopstep.domain.configuration.index import ConfigurationIndex
 from hopstep.domain.engines import CacheEventBatch, CacheEventKind, EngineFacts
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.requests_in_force import choose_kv_cache_store
--- a/hopstep/domain/routing/selection.py
+++ b/hopstep/domain/routing/selection.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from hopstep.domain.configuration import BackEnd, RoutingPolicy
+from hopstep.domain.configuration.document import BackEnd, RoutingPolicy
 from hopstep.domain.routing.prompt_heads import Prompt
 
 CALM_WAIT_SECONDS = 0.5
--- a/hopstep/ports/peer_configuration.py
+++ b/hopstep/ports/peer_configuration.py
@@ -4,7 +4,7 @@
 
 import abc
 
-from hopstep.domain.configuration_log import ConfigurationTransfer
+from hopstep.domain.configuration.log import ConfigurationTransfer
 
 
 class PeerConfigurationPort(abc.ABC):
--- a/hopstep/services/cluster.py
+++ b/hopstep/services/cluster.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from hopstep.domain.configuration import AcceptedConfiguration
+from hopstep.domain.configuration.document import AcceptedConfiguration
 from hopstep.domain.engines import EngineFacts
 from hopstep.domain.membership import Action, EntryChanged, RevisionHeard
 from hopstep.domain.peer_message import EngineEntry, EntryKind, LeavingBackEnd
-from hopstep.services.configuration_holder import ConfigurationHolder
-from hopstep.services.configuration_sync import ConfigurationSync
+from hopstep.services.configuration.holder import ConfigurationHolder
+from hopstep.services.configuration.sync import ConfigurationSync
 from hopstep.services.engine_watch import EngineWatch
 from hopstep.services.leaving_watch import LeavingWatch
 from hopstep.services.membership import MembershipService
--- /dev/null
+++ b/hopstep/services/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps the configuration in force, and submits changes to it."""
--- a/hopstep/services/configuration_holder.py
+++ b/hopstep/services/configuration/holder.py
@@ -7,8 +7,8 @@
 import msgspec
 import trio
 
-from hopstep.domain.configuration import AcceptedConfiguration
-from hopstep.domain.configuration_index import ConfigurationIndex
+from hopstep.domain.configuration.document import AcceptedConfiguration
+from hopstep.domain.configuration.index import ConfigurationIndex
 from hopstep.exceptions import ErrorCode, ServiceError
 
 Listener = Callable[[AcceptedConfiguration], None]
--- a/hopstep/services/configuration_snapshots.py
+++ b/hopstep/services/configuration/snapshots.py
@@ -12,9 +12,9 @@
 import cbor2
 import msgspec
 
-from hopstep.domain.configuration import AcceptedConfiguration
-from hopstep.domain.configuration_encoding import decode_snapshot, encode
-from hopstep.domain.documents import convert_document
+from hopstep.domain.configuration.decoding import convert_document
+from hopstep.domain.configuration.document import AcceptedConfiguration
+from hopstep.domain.configuration.encoding import decode_snapshot, encode
 from hopstep.exceptions import ErrorCode, StoreConflictError, StoreError
 from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort, StoredValue
 
--- a/hopstep/services/configuration_store.py
+++ b/hopstep/services/configuration/store.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
-from hopstep.domain.configuration import AcceptedConfiguration
-from hopstep.domain.configuration_encoding import decode_change, encode
-from hopstep.domain.configuration_log import (
+from hopstep.domain.configuration.document import AcceptedConfiguration
+from hopstep.domain.configuration.encoding import decode_change, encode
+from hopstep.domain.configuration.log import (
     AcceptedChange,
     Change,
     ConfigurationTransfer,
@@ -22,12 +22,12 @@
 )
 from hopstep.exceptions import DomainError, ErrorCode, StoreError
 from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort, StoredValue
-from hopstep.services.configuration_snapshots import (
+from hopstep.services.configuration.rate_limit_retry import RateLimitRetryStore
+from hopstep.services.configuration.snapshots import (
     SNAPSHOT_INTERVAL,
     ConfigurationSnapshots,
     revision_text,
 )
-from hopstep.services.rate_limit_retry import RateLimitRetryStore
 
 CHANGES_PREFIX = "configuration/changes/"
 LIST_LIMIT = 200
--- a/hopstep/services/configuration_submission.py
+++ b/hopstep/services/configuration/submission.py
@@ -12,7 +12,7 @@
 import msgspec
 import trio
 
-from hopstep.domain.configuration_log import (
+from hopstep.domain.configuration.log import (
     AcceptedChange,
     Change,
     Conflict,
@@ -20,10 +20,10 @@
     conflicts_with,
     rebase,
 )
-from hopstep.domain.configuration_problems import Problem
-from hopstep.domain.configuration_validation import validate
+from hopstep.domain.configuration.problems import Problem
+from hopstep.domain.configuration.validation import validate
 from hopstep.exceptions import ErrorCode, StoreError, StoreOutcomeUnknownError
-from hopstep.services.configuration_store import ConfigurationHistory, ConfigurationStore
+from hopstep.services.configuration.store import ConfigurationHistory, ConfigurationStore
 
 RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 2.0
--- a/hopstep/services/configuration_sync.py
+++ b/hopstep/services/configuration/sync.py
@@ -17,8 +17,8 @@
 import msgspec
 import trio
 
-from hopstep.domain.configuration import AcceptedConfiguration
-from hopstep.domain.configuration_log import (
+from hopstep.domain.configuration.document import AcceptedConfiguration
+from hopstep.domain.configuration.log import (
     AcceptedChange,
     ConfigurationTransfer,
     apply_transfer,
@@ -35,8 +35,8 @@
 )
 from hopstep.logs import emit
 from hopstep.ports.peer_configuration import PeerConfigurationPort
-from hopstep.services.configuration_holder import ConfigurationHolder
-from hopstep.services.configuration_store import ConfigurationStore
+from hopstep.services.configuration.holder import ConfigurationHolder
+from hopstep.services.configuration.store import ConfigurationStore
 
 
 class SyncConfig(msgspec.Struct, frozen=True):
--- a/hopstep/services/engine_watch.py
+++ b/hopstep/services/engine_watch.py
@@ -12,14 +12,14 @@
 import trio
 
 from hopstep import log_events
-from hopstep.domain.configuration import BackEnd, BackEndKind
+from hopstep.domain.configuration.document import BackEnd, BackEndKind
 from hopstep.domain.engines import CacheEventBatch, EngineFacts
 from hopstep.domain.routing.event_budget import EventBudget
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.exceptions import EngineError
 from hopstep.logs import emit
 from hopstep.ports.engine import EnginePort
-from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration.holder import ConfigurationHolder
 
 PROBE_SECONDS = 0.5
 """Shortest time between two probes of an engine."""
--- a/hopstep/services/lifecycle.py
+++ b/hopstep/services/lifecycle.py
@@ -14,7 +14,7 @@
 from hopstep import log_events
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.logs import emit
-from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration.holder import ConfigurationHolder
 
 STOPPING_RETRY_AFTER_SECONDS = 1.0
 
--- a/hopstep/services/limit_leases.py
+++ b/hopstep/services/limit_leases.py
@@ -4,14 +4,14 @@
 
 import trio
 
-from hopstep.domain.configuration import AcceptedConfiguration, BackEnd, BackEndKind
+from hopstep.domain.configuration.document import AcceptedConfiguration, BackEnd, BackEndKind
 from hopstep.domain.labels import LabelSelector
-from hopstep.domain.limit_sharing import LimitSharing
+from hopstep.domain.limits.sharing import LimitSharing
 from hopstep.domain.membership import Action, LimitMessage
 from hopstep.domain.peer_message import LimitReport
-from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration.holder import ConfigurationHolder
 from hopstep.services.membership import MembershipService
-from hopstep.services.tenant_limits import TenantLimitService
+from hopstep.services.requests.tenant_limits import TenantLimitService
 
 REPORT_SECONDS = 1.0
 """Time between two looks at which demands are to be reported."""
--- /dev/null
+++ b/hopstep/services/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request: limits, admission, attempts, answer."""
--- a/hopstep/services/admission.py
+++ b/hopstep/services/requests/admission.py
@@ -15,16 +15,16 @@
 import trio
 
 from hopstep.domain.blocks import count_tokens
-from hopstep.domain.configuration import BackEnd
+from hopstep.domain.configuration.document import BackEnd
 from hopstep.domain.fair_queue import FairQueue, QueueEntry
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.queue_pace import QueuePace
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.domain.routing.selection import Choice
 from hopstep.exceptions import DomainError, ErrorCode, ServiceError
-from hopstep.services.configuration_holder import ConfigurationHolder
-from hopstep.services.engine_placement import EnginePlacement, PlacementKey, placement_key
-from hopstep.services.engine_slots import EngineSlot, EngineSlots
+from hopstep.services.configuration.holder import ConfigurationHolder
+from hopstep.services.requests.engine_placement import EnginePlacement, PlacementKey, placement_key
+from hopstep.services.requests.engine_slots import EngineSlot, EngineSlots
 
 RECHECK_SECONDS = 0.1
 """Time after which a queued request looks again, for changes that wake nobody."""
--- a/hopstep/services/answer_progress.py
+++ b/hopstep/services/requests/answer_progress.py
@@ -5,7 +5,7 @@
 from hopstep.domain.blocks import count_tokens
 from hopstep.domain.inference import AnswerFinish, AnswerPart, AnswerUsage, InferenceRequest
 from hopstep.ports.engine import FinishReason, TokenFrame
-from hopstep.services.answer_stream import AnswerStream
+from hopstep.services.requests.answer_stream import AnswerStream
 
 _FINISHES = {FinishReason.STOP: AnswerFinish.STOP, FinishReason.LENGTH: AnswerFinish.LENGTH}
 
--- a/hopstep/services/attempt.py
+++ b/hopstep/services/requests/attempt.py
@@ -5,7 +5,7 @@
 from hopstep.domain.attempts import AttemptState, FrameChecker
 from hopstep.exceptions import EngineError, ErrorCode, Execution
 from hopstep.ports.engine import GenerateRequest
-from hopstep.services.engine_slots import EngineSlot
+from hopstep.services.requests.engine_slots import EngineSlot
 
 
 class Attempt:
--- a/hopstep/services/attempt_closer.py
+++ b/hopstep/services/requests/attempt_closer.py
@@ -9,8 +9,8 @@
 from hopstep.domain.attempts import AttemptState
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.ports.engine import EnginePort
-from hopstep.services.attempt import Attempt
 from hopstep.services.engine_calls import cancel_attempt
+from hopstep.services.requests.attempt import Attempt
 
 
 class AttemptCloser:
--- a/hopstep/services/attempt_factory.py
+++ b/hopstep/services/requests/attempt_factory.py
@@ -18,12 +18,12 @@
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.exceptions import DomainError, ErrorCode, ServiceError
 from hopstep.ports.engine import EnginePort, GenerateRequest
-from hopstep.services.admission import AdmissionService
-from hopstep.services.attempt import Attempt
 from hopstep.services.claims import ClaimService
-from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration.holder import ConfigurationHolder
 from hopstep.services.engine_calls import probe_engine
-from hopstep.services.engine_slots import EngineSlot
+from hopstep.services.requests.admission import AdmissionService
+from hopstep.services.requests.attempt import Attempt
+from hopstep.services.requests.engine_slots import EngineSlot
 
 NONCE_BYTES = 16
 
--- a/hopstep/services/attempt_runner.py
+++ b/hopstep/services/requests/attempt_runner.py
@@ -10,7 +10,7 @@
 from hopstep.exceptions import EngineError, ErrorCode
 from hopstep.logs import emit
 from hopstep.ports.engine import EnginePort, FinishReason, TokenFrame
-from hopstep.services.attempt import Attempt
+from hopstep.services.requests.attempt import Attempt
 
 Deliver = Callable[[Attempt, TokenFrame, tuple[str, ...]], Awaitable[None]]
 """Takes an accepted frame and those of its tokens that the caller doesn't have yet."""
--- a/hopstep/services/dispatcher.py
+++ b/hopstep/services/requests/dispatcher.py
@@ -12,17 +12,17 @@
 from hopstep.domain.retry_budget import RetryBudget
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.ports.engine import EnginePort
-from hopstep.services.admission import AdmissionService
-from hopstep.services.answer_progress import AnswerProgress
-from hopstep.services.answer_stream import AnswerStream
-from hopstep.services.attempt_closer import AttemptCloser
-from hopstep.services.attempt_factory import AttemptFactory, new_nonce
-from hopstep.services.attempt_runner import AttemptRunner
 from hopstep.services.claims import ClaimService
-from hopstep.services.configuration_holder import ConfigurationHolder
-from hopstep.services.request_execution import ExecutionContext, RequestExecution
-from hopstep.services.request_metrics import RequestMetrics
-from hopstep.services.tenant_limits import TenantLimitService
+from hopstep.services.configuration.holder import ConfigurationHolder
+from hopstep.services.requests.admission import AdmissionService
+from hopstep.services.requests.answer_progress import AnswerProgress
+from hopstep.services.requests.answer_stream import AnswerStream
+from hopstep.services.requests.attempt_closer import AttemptCloser
+from hopstep.services.requests.attempt_factory import AttemptFactory, new_nonce
+from hopstep.services.requests.attempt_runner import AttemptRunner
+from hopstep.services.requests.request_execution import ExecutionContext, RequestExecution
+from hopstep.services.requests.request_metrics import RequestMetrics
+from hopstep.services.requests.tenant_limits import TenantLimitService
 
 
 class Dispatcher:
--- a/hopstep/services/engine_placement.py
+++ b/hopstep/services/requests/engine_placement.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
-from hopstep.domain.configuration import BackEnd
+from hopstep.domain.configuration.document import BackEnd
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.requests_in_force import request_in_force
 from hopstep.exceptions import DomainError, ErrorCode, ServiceError
-from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration.holder import ConfigurationHolder
 
 
 class PlacementKey(msgspec.Struct, frozen=True):
--- a/hopstep/services/engine_slots.py
+++ b/hopstep/services/requests/engine_slots.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from hopstep.domain.configuration import BackEnd
+from hopstep.domain.configuration.document import BackEnd
 from hopstep.domain.routing.selection import Choice
 
 OVERLOAD_DECREASE = 0.7
--- a/hopstep/services/hedging.py
+++ b/hopstep/services/requests/hedging.py
@@ -7,8 +7,8 @@
 import trio
 
 from hopstep.ports.engine import TokenFrame
-from hopstep.services.attempt import Attempt
-from hopstep.services.attempt_runner import Deliver
+from hopstep.services.requests.attempt import Attempt
+from hopstep.services.requests.attempt_runner import Deliver
 
 RunAttempt = Callable[[Attempt, Deliver], Awaitable[None]]
 StartSecond = Callable[[Attempt], Awaitable[Attempt | None]]
--- a/hopstep/services/request_execution.py
+++ b/hopstep/services/requests/request_execution.py
@@ -8,22 +8,22 @@
 from hopstep import log_events
 from hopstep.domain.attempts import Action, AttemptState, Decision, RequestSnapshot, decide_next
 from hopstep.domain.blocks import count_tokens
-from hopstep.domain.configuration_index import ConfigurationIndex
+from hopstep.domain.configuration.index import ConfigurationIndex
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.retry_budget import RetryBudget
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
 from hopstep.ports.engine import AttemptStatus, EnginePort, TokenFrame
-from hopstep.services.answer_progress import AnswerProgress
-from hopstep.services.attempt import Attempt
-from hopstep.services.attempt_closer import AttemptCloser
-from hopstep.services.attempt_factory import AttemptFactory
-from hopstep.services.attempt_runner import AttemptRunner
-from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration.holder import ConfigurationHolder
 from hopstep.services.engine_calls import fence_attempt, probe_engine
-from hopstep.services.hedging import HedgedRace
-from hopstep.services.request_metrics import AttemptKind, RequestMetrics
-from hopstep.services.request_state import RequestState
+from hopstep.services.requests.answer_progress import AnswerProgress
+from hopstep.services.requests.attempt import Attempt
+from hopstep.services.requests.attempt_closer import AttemptCloser
+from hopstep.services.requests.attempt_factory import AttemptFactory
+from hopstep.services.requests.attempt_runner import AttemptRunner
+from hopstep.services.requests.hedging import HedgedRace
+from hopstep.services.requests.request_metrics import AttemptKind, RequestMetrics
+from hopstep.services.requests.request_state import RequestState
 
 BACKOFF_SECONDS = 0.05
 """Wait before the second resume or retry in a row; doubles with each further one."""
--- a/hopstep/services/request_state.py
+++ b/hopstep/services/requests/request_state.py
@@ -5,13 +5,13 @@
 import trio
 
 from hopstep.domain.attempts import AttemptState, RequestSnapshot
-from hopstep.domain.configuration_index import ConfigurationIndex
+from hopstep.domain.configuration.index import ConfigurationIndex
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.requests_in_force import may_hold_answer
 from hopstep.domain.retry_budget import RetryBudget
 from hopstep.exceptions import ErrorCode, Execution
-from hopstep.services.answer_progress import AnswerProgress
-from hopstep.services.attempt import Attempt
+from hopstep.services.requests.answer_progress import AnswerProgress
+from hopstep.services.requests.attempt import Attempt
 
 
 class RequestState:
--- a/hopstep/services/tenant_limits.py
+++ b/hopstep/services/requests/tenant_limits.py
@@ -8,12 +8,12 @@
 import trio
 
 from hopstep.domain.blocks import count_tokens
-from hopstep.domain.configuration import Tenant, TenantLimits
+from hopstep.domain.configuration.document import Tenant, TenantLimits
 from hopstep.domain.inference import InferenceRequest
-from hopstep.domain.limit_sharing import ALWAYS_REPORTED
-from hopstep.domain.limits import WHOLE, LimitRefusal, TenantLimiter
+from hopstep.domain.limits.limiter import WHOLE, LimitRefusal, TenantLimiter
+from hopstep.domain.limits.sharing import ALWAYS_REPORTED
 from hopstep.exceptions import ErrorCode, ServiceError
-from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration.holder import ConfigurationHolder
 
 MAX_RETRY_AFTER_SECONDS = 60.0
 
--- a/hopstep/services/rollout.py
+++ b/hopstep/services/rollout.py
@@ -12,14 +12,14 @@
 import trio
 
 from hopstep import log_events
-from hopstep.domain.configuration import AcceptedConfiguration, BackEndKind
+from hopstep.domain.configuration.document import AcceptedConfiguration, BackEndKind
 from hopstep.domain.engines import EngineFacts
 from hopstep.domain.rollout import WeightsOrder, plan
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.exceptions import EngineError
 from hopstep.logs import emit
 from hopstep.ports.engine import EngineOrder, EnginePort
-from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration.holder import ConfigurationHolder
 
 ROUND_SECONDS = 0.25
 """Time between looks at the engines' weights."""
--- a/hopstep/services/router.py
+++ b/hopstep/services/router.py
@@ -20,24 +20,24 @@
 from hopstep.ports.machine_list import MachineListPort
 from hopstep.ports.peer_configuration import PeerConfigurationPort
 from hopstep.ports.peer_transport import PeerTransport
-from hopstep.services.admission import AdmissionService
-from hopstep.services.attempt_factory import new_nonce
 from hopstep.services.claim_sweeper import ClaimSweeper
 from hopstep.services.claims import ClaimService
 from hopstep.services.cluster import Cluster
-from hopstep.services.configuration_holder import ConfigurationHolder
-from hopstep.services.configuration_store import ConfigurationStore
-from hopstep.services.configuration_sync import ConfigurationSync
-from hopstep.services.dispatcher import Dispatcher
+from hopstep.services.configuration.holder import ConfigurationHolder
+from hopstep.services.configuration.store import ConfigurationStore
+from hopstep.services.configuration.sync import ConfigurationSync
 from hopstep.services.engine_watch import EngineWatch
 from hopstep.services.leaving_watch import LeavingWatch
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.services.limit_leases import LimitLeaseService
 from hopstep.services.membership import MembershipService
 from hopstep.services.membership_metrics import MembershipMetrics
-from hopstep.services.request_metrics import RequestMetrics
+from hopstep.services.requests.admission import AdmissionService
+from hopstep.services.requests.attempt_factory import new_nonce
+from hopstep.services.requests.dispatcher import Dispatcher
+from hopstep.services.requests.request_metrics import RequestMetrics
+from hopstep.services.requests.tenant_limits import TenantLimitService
 from hopstep.services.rollout import Rollout
-from hopstep.services.tenant_limits import TenantLimitService
 from hopstep.settings import RouterSettings
 
 
--- a/hopstep/settings.py
+++ b/hopstep/settings.py
@@ -1,7 +1,7 @@
 """Settings of one router process: addresses, zone, labels, keys.
 
 Settings say who this process is and whom it talks to; what it may do with requests is in the
-operators' configuration (``hopstep.domain.configuration``).
+operators' configuration (``hopstep.domain.configuration.document``).
 """
 
 from __future__ import annotations
--- a/hopstep/settings_loader.py
+++ b/hopstep/settings_loader.py
@@ -12,7 +12,7 @@
 from absl import flags
 
 from hopstep.domain.addresses import parse_address
-from hopstep.domain.documents import convert_document
+from hopstep.domain.configuration.decoding import convert_document
 from hopstep.exceptions import ErrorCode, HopstepError, ValidationError
 from hopstep.settings import RouterSettings, TlsSettings
 
--- a/tests/adapters/http_api/harness.py
+++ b/tests/adapters/http_api/harness.py
@@ -16,7 +16,7 @@
 from hopstep.adapters.http_api.context import ApiContext, NodeHealth
 from hopstep.adapters.http_api.metrics import ApiMetrics
 from hopstep.adapters.pacing import Pacer
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     AcceptedConfiguration,
     BackEnd,
     BackEndKind,
@@ -28,7 +28,7 @@
 from hopstep.domain.inference import AnswerFinish, AnswerPart, AnswerUsage, InferenceRequest
 from hopstep.domain.labels import LabelSelector
 from hopstep.exceptions import ServiceError
-from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration.holder import ConfigurationHolder
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.settings import RouterSettings
 
--- a/tests/adapters/test_peer_http.py
+++ b/tests/adapters/test_peer_http.py
@@ -8,8 +8,13 @@
 from hopstep.adapters.peer_codec import PeerCodec
 from hopstep.adapters.peer_http import HttpPeerConfiguration, PeerHttpHandler
 from hopstep.adapters.peer_keys import PeerKeys
-from hopstep.domain.configuration import AcceptedConfiguration, BackEnd, Configuration, Tenant
-from hopstep.domain.configuration_log import (
+from hopstep.domain.configuration.document import (
+    AcceptedConfiguration,
+    BackEnd,
+    Configuration,
+    Tenant,
+)
+from hopstep.domain.configuration.log import (
     AcceptedChange,
     Change,
     ConfigurationTransfer,
--- a/tests/ctl/test_schema.py
+++ b/tests/ctl/test_schema.py
@@ -3,8 +3,8 @@
 
 from hopstep.ctl.documents import read_configuration
 from hopstep.ctl.schema import configuration_schema
-from hopstep.domain.configuration import BackEndKind
-from hopstep.domain.configuration_validation import validate
+from hopstep.domain.configuration.document import BackEndKind
+from hopstep.domain.configuration.validation import validate
 from hopstep.settings_loader import load_settings
 
 ROOT = Path(__file__).resolve().parents[2]
--- a/tests/ctl/test_verbs.py
+++ b/tests/ctl/test_verbs.py
@@ -24,9 +24,9 @@
 from hopstep.ctl.reading import ExplainDocument, explain, show, show_history
 from hopstep.ctl.results import ExitCode, VerbResult
 from hopstep.ctl.status import StatusDocument, show_status
-from hopstep.domain.configuration import Configuration
+from hopstep.domain.configuration.document import Configuration
 from hopstep.exceptions import ValidationError
-from hopstep.services.configuration_store import ConfigurationStore
+from hopstep.services.configuration.store import ConfigurationStore
 from tests.services.configuration_samples import document, engine
 
 
--- a/tests/domain/test_configuration_index.py
+++ b/tests/domain/configuration/test_index.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     BackEnd,
     BackEndKind,
     Configuration,
@@ -11,7 +11,7 @@
     RequestClass,
     Tenant,
 )
-from hopstep.domain.configuration_index import ConfigurationIndex
+from hopstep.domain.configuration.index import ConfigurationIndex
 from hopstep.domain.labels import LabelSelector, Operator, Requirement
 from hopstep.domain.placement import place_engines, place_tenant
 
--- a/tests/domain/test_configuration_log.py
+++ b/tests/domain/configuration/test_log.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     AcceptedConfiguration,
     BackEnd,
     Configuration,
@@ -10,13 +10,13 @@
     RoutingPolicy,
     Tenant,
 )
-from hopstep.domain.configuration_encoding import (
+from hopstep.domain.configuration.encoding import (
     decode_change,
     decode_snapshot,
     decode_transfer,
     encode,
 )
-from hopstep.domain.configuration_log import (
+from hopstep.domain.configuration.log import (
     AcceptedChange,
     Change,
     ConfigurationTransfer,
--- a/tests/domain/test_configuration_validation.py
+++ b/tests/domain/configuration/test_validation.py
@@ -3,9 +3,9 @@
 
 import msgspec
 
-from hopstep.domain.configuration import Configuration
-from hopstep.domain.configuration_validation import require_valid, validate
-from hopstep.domain.documents import convert_document
+from hopstep.domain.configuration.decoding import convert_document
+from hopstep.domain.configuration.document import Configuration
+from hopstep.domain.configuration.validation import require_valid, validate
 from hopstep.exceptions import ValidationError
 
 KEY_HASH = "a" * 64
--- /dev/null
+++ b/tests/domain/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits."""
--- a/tests/domain/test_limits_stateful.py
+++ b/tests/domain/limits/test_limits_stateful.py
@@ -7,11 +7,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from hopstep.domain.configuration import TenantLimits
-from hopstep.domain.limit_leases import POOL, LeaseHolder, LimitLedger
-from hopstep.domain.limit_owners import LEASE_SECONDS, LimitOwners
-from hopstep.domain.limit_sharing import LimitSharing
-from hopstep.domain.limits import (
+from hopstep.domain.configuration.document import TenantLimits
+from hopstep.domain.limits.leases import POOL, LeaseHolder, LimitLedger
+from hopstep.domain.limits.limiter import (
     BURST_SECONDS,
     FLOOR_RATIO,
     OVERSHOOT_BOUND,
@@ -19,6 +17,8 @@
     LimitKind,
     TenantLimiter,
 )
+from hopstep.domain.limits.owners import LEASE_SECONDS, LimitOwners
+from hopstep.domain.limits.sharing import LimitSharing
 from tests.domain.limits_world import (
     LEARNING,
     LIMITS,
@@ -205,7 +205,7 @@
 
     def test_an_owner_that_wakes_leases_nothing_out_twice(self):
         self.assertLessEqual(self.largest_sum_after_a_pause(), BOUND)
-        with mock.patch("hopstep.domain.limit_owners.MAX_GAP_SECONDS", float("inf")):
+        with mock.patch("hopstep.domain.limits.owners.MAX_GAP_SECONDS", float("inf")):
             self.assertGreater(self.largest_sum_after_a_pause(), BOUND)
 
     def leased(self, *, lost):
--- a/tests/domain/limits_world.py
+++ b/tests/domain/limits_world.py
@@ -2,10 +2,10 @@
 
 import random
 
-from hopstep.domain.configuration import TenantLimits
-from hopstep.domain.limit_owners import LEASE_SECONDS, RENEWALS
-from hopstep.domain.limit_sharing import LimitSharing
-from hopstep.domain.limits import WHOLE, TenantLimiter
+from hopstep.domain.configuration.document import TenantLimits
+from hopstep.domain.limits.limiter import WHOLE, TenantLimiter
+from hopstep.domain.limits.owners import LEASE_SECONDS, RENEWALS
+from hopstep.domain.limits.sharing import LimitSharing
 from hopstep.domain.peer_message import LimitReport
 
 NAMES = ("r0", "r1", "r2", "r3", "r4")
--- a/tests/domain/routing/test_routing_table.py
+++ b/tests/domain/routing/test_routing_table.py
@@ -3,7 +3,7 @@
 
 import msgspec
 
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     AcceptedConfiguration,
     BackEnd,
     BackEndKind,
--- a/tests/domain/test_rollout.py
+++ b/tests/domain/test_rollout.py
@@ -1,6 +1,6 @@
 import unittest
 
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     AcceptedConfiguration,
     BackEnd,
     BackEndKind,
--- a/tests/emulator/test_limit_scale.py
+++ b/tests/emulator/test_limit_scale.py
@@ -3,7 +3,7 @@
 import unittest
 
 from emulator.limit_scale import MOVING_TENANT, SharingCluster
-from hopstep.domain.limits import OVERSHOOT_BOUND, WHOLE
+from hopstep.domain.limits.limiter import OVERSHOOT_BOUND, WHOLE
 from hopstep.domain.membership import MembershipConfig
 
 NODES = 12
--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -15,7 +15,7 @@
 from emulator.load.run import send_until_settled
 from hopstep.adapters.http_api.authentication import hash_key
 from hopstep.adapters.tls import client_context
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     BackEnd,
     BackEndKind,
     Configuration,
--- a/tests/processes/test_tls.py
+++ b/tests/processes/test_tls.py
@@ -9,7 +9,7 @@
 import trio
 
 from emulator.load.messages import LoadResult, Outcome
-from hopstep.domain.configuration import BackEnd, BackEndKind
+from hopstep.domain.configuration.document import BackEnd, BackEndKind
 from tests.processes.harness import CONFIGURATION, UNUSED, SmallFleet, small_fleet
 from tests.processes.test_planned_stop import LONG_OUTPUT_TOKENS, run_bounded, wait_exit
 from tests.tls_files import TlsFiles
--- a/tests/services/configuration_world.py
+++ b/tests/services/configuration/configuration_world.py
@@ -9,26 +9,26 @@
 from emulator.platform.faults import FaultOrder
 from emulator.platform.in_memory import InMemoryStore
 from emulator.platform.shared_store import SharedStore
-from hopstep.domain.configuration import AcceptedConfiguration
-from hopstep.domain.configuration_encoding import decode_change, decode_transfer, encode
-from hopstep.domain.configuration_log import (
+from hopstep.domain.configuration.document import AcceptedConfiguration
+from hopstep.domain.configuration.encoding import decode_change, decode_transfer, encode
+from hopstep.domain.configuration.log import (
     AcceptedChange,
     Change,
     ConfigurationTransfer,
     apply_transfer,
     empty_configuration,
 )
-from hopstep.domain.configuration_validation import validate
+from hopstep.domain.configuration.validation import validate
 from hopstep.exceptions import ErrorCode, PeerMessageError, StoreError
 from hopstep.ports.peer_configuration import PeerConfigurationPort
-from hopstep.services.configuration_holder import ConfigurationHolder
-from hopstep.services.configuration_store import CHANGES_PREFIX, ConfigurationStore
-from hopstep.services.configuration_submission import (
+from hopstep.services.configuration.holder import ConfigurationHolder
+from hopstep.services.configuration.store import CHANGES_PREFIX, ConfigurationStore
+from hopstep.services.configuration.submission import (
     SubmitOutcome,
     SubmitStatus,
     submit_change,
 )
-from hopstep.services.configuration_sync import ConfigurationSync, SyncConfig
+from hopstep.services.configuration.sync import ConfigurationSync, SyncConfig
 from tests.services.configuration_samples import first_change, resize
 
 NODES = ("a", "b", "c", "d")
--- a/tests/services/test_configuration_stateful.py
+++ b/tests/services/configuration/test_configuration_stateful.py
@@ -11,20 +11,20 @@
 from trio.testing import MockClock
 
 from emulator.platform.faults import FaultOrder
-from hopstep.domain.configuration import AcceptedConfiguration
-from hopstep.domain.configuration_log import Change, apply_transfer, empty_configuration
+from hopstep.domain.configuration.document import AcceptedConfiguration
+from hopstep.domain.configuration.log import Change, apply_transfer, empty_configuration
 from hopstep.exceptions import StoreError
-from hopstep.services.configuration_holder import ConfigurationHolder
-from hopstep.services.configuration_store import ConfigurationStore
-from hopstep.services.configuration_submission import (
+from hopstep.services.configuration.holder import ConfigurationHolder
+from hopstep.services.configuration.store import ConfigurationStore
+from hopstep.services.configuration.submission import (
     SubmitOutcome,
     SubmitStatus,
     submit_change,
 )
-from hopstep.services.configuration_sync import ConfigurationSync
+from hopstep.services.configuration.sync import ConfigurationSync
 from tests import fuzz_settings
+from tests.services.configuration.configuration_world import NODES, Parts, World
 from tests.services.configuration_samples import ENGINES
-from tests.services.configuration_world import NODES, Parts, World
 
 Step = Callable[[World], Awaitable[None]]
 nodes = st.sampled_from(NODES)
--- a/tests/services/test_configuration_submission.py
+++ b/tests/services/configuration/test_submission.py
@@ -9,11 +9,11 @@
 from emulator.platform.faults import FaultOrder
 from emulator.platform.in_memory import InMemoryStore
 from emulator.platform.shared_store import SharedStore
-from hopstep.domain.configuration_encoding import decode_change
-from hopstep.domain.configuration_log import Change
+from hopstep.domain.configuration.encoding import decode_change
+from hopstep.domain.configuration.log import Change
 from hopstep.exceptions import StoreConflictError, StoreError
-from hopstep.services.configuration_store import CHANGES_PREFIX, ConfigurationStore, change_key
-from hopstep.services.configuration_submission import SubmitOutcome, SubmitStatus, submit_change
+from hopstep.services.configuration.store import CHANGES_PREFIX, ConfigurationStore, change_key
+from hopstep.services.configuration.submission import SubmitOutcome, SubmitStatus, submit_change
 from tests.services.configuration_samples import (
     add_class,
     first_change,
--- a/tests/services/test_configuration_sync.py
+++ b/tests/services/configuration/test_sync.py
@@ -9,16 +9,16 @@
 from emulator.platform.faults import FaultOrder
 from emulator.platform.in_memory import InMemoryStore
 from emulator.platform.shared_store import SharedStore
-from hopstep.domain.configuration import AcceptedConfiguration, Configuration
-from hopstep.domain.configuration_encoding import decode_transfer, encode
-from hopstep.domain.configuration_log import AcceptedChange, ConfigurationTransfer
+from hopstep.domain.configuration.document import AcceptedConfiguration, Configuration
+from hopstep.domain.configuration.encoding import decode_transfer, encode
+from hopstep.domain.configuration.log import AcceptedChange, ConfigurationTransfer
 from hopstep.exceptions import ErrorCode, PeerMessageError
 from hopstep.ports.key_value_store import ABSENT
 from hopstep.ports.peer_configuration import PeerConfigurationPort
-from hopstep.services.configuration_holder import ConfigurationHolder
-from hopstep.services.configuration_store import ConfigurationStore, change_key
-from hopstep.services.configuration_submission import submit_change
-from hopstep.services.configuration_sync import ConfigurationSync, SyncConfig
+from hopstep.services.configuration.holder import ConfigurationHolder
+from hopstep.services.configuration.store import ConfigurationStore, change_key
+from hopstep.services.configuration.submission import submit_change
+from hopstep.services.configuration.sync import ConfigurationSync, SyncConfig
 from tests.services.configuration_samples import first_change, resize
 
 
--- a/tests/services/configuration_samples.py
+++ b/tests/services/configuration_samples.py
@@ -2,8 +2,14 @@
 
 import msgspec
 
-from hopstep.domain.configuration import BackEnd, Configuration, Model, RequestClass, Tenant
-from hopstep.domain.configuration_log import Change, Edit, Section, diff
+from hopstep.domain.configuration.document import (
+    BackEnd,
+    Configuration,
+    Model,
+    RequestClass,
+    Tenant,
+)
+from hopstep.domain.configuration.log import Change, Edit, Section, diff
 
 ENGINES = 3
 
--- /dev/null
+++ b/tests/services/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the path of a request."""
--- a/tests/services/request_path.py
+++ b/tests/services/requests/request_path.py
@@ -13,7 +13,7 @@
 from emulator.engine.config import EngineConfig
 from emulator.engine.in_process import InProcessEngines
 from emulator.engine.model import EngineModel
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     AcceptedConfiguration,
     BackEnd,
     Configuration,
@@ -24,10 +24,10 @@
 )
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.routing.routing_table import RoutingTable
-from hopstep.services.admission import AdmissionService
-from hopstep.services.configuration_holder import ConfigurationHolder
-from hopstep.services.dispatcher import Dispatcher
-from hopstep.services.request_metrics import RequestMetrics
+from hopstep.services.configuration.holder import ConfigurationHolder
+from hopstep.services.requests.admission import AdmissionService
+from hopstep.services.requests.dispatcher import Dispatcher
+from hopstep.services.requests.request_metrics import RequestMetrics
 
 MODEL = Model("m", "v1")
 REPEATABLE = RequestClass("quick")
--- a/tests/services/test_admission.py
+++ b/tests/services/requests/test_admission.py
@@ -8,14 +8,14 @@
 
 from emulator.engine.config import EngineConfig
 from hopstep.domain import fair_queue
-from hopstep.domain.configuration import Tenant, TenantLimits
-from hopstep.domain.limits import WHOLE
+from hopstep.domain.configuration.document import Tenant, TenantLimits
+from hopstep.domain.limits.limiter import WHOLE
 from hopstep.domain.queue_pace import QueuePace
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
-from hopstep.services.admission import AdmissionService
-from hopstep.services.engine_slots import EngineSlots
-from hopstep.services.tenant_limits import TenantLimitService
-from tests.services.request_path import (
+from hopstep.services.requests.admission import AdmissionService
+from hopstep.services.requests.engine_slots import EngineSlots
+from hopstep.services.requests.tenant_limits import TenantLimitService
+from tests.services.requests.request_path import (
     TENANT,
     RequestPath,
     configuration,
--- a/tests/services/test_attempt_factory.py
+++ b/tests/services/requests/test_attempt_factory.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from hopstep.domain.claims import Claim, HeldClaim
-from hopstep.services.attempt_factory import AttemptFactory
-from tests.services import request_path
-from tests.services.request_path import RequestPath, configuration, engine, run
+from hopstep.services.requests.attempt_factory import AttemptFactory
+from tests.services.requests import request_path
+from tests.services.requests.request_path import RequestPath, configuration, engine, run
 
 
 class ChangingClaims:
--- a/tests/services/test_dispatcher.py
+++ b/tests/services/requests/test_dispatcher.py
@@ -10,12 +10,12 @@
 from emulator.engine.faults import EngineFaults, RefusalFault
 from emulator.platform.in_memory import InMemoryStore
 from emulator.platform.shared_store import SharedStore
-from hopstep.domain.configuration import BackEnd, BackEndKind, RoutingPolicy
+from hopstep.domain.configuration.document import BackEnd, BackEndKind, RoutingPolicy
 from hopstep.domain.inference import AnswerFinish, AnswerPart
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
-from hopstep.services.answer_stream import MAX_BUFFERED_TOKENS, AnswerStream
 from hopstep.services.claims import ClaimService
-from tests.services.request_path import RequestPath, configuration, oracle, run, tokens_of
+from hopstep.services.requests.answer_stream import MAX_BUFFERED_TOKENS, AnswerStream
+from tests.services.requests.request_path import RequestPath, configuration, oracle, run, tokens_of
 
 
 @contextlib.contextmanager
--- a/tests/services/test_dispatcher_faults.py
+++ b/tests/services/requests/test_dispatcher_faults.py
@@ -9,11 +9,11 @@
 from emulator.engine.faults import EngineFaults, RefusalFault, StreamFault
 from hopstep.domain import attempts
 from hopstep.domain.attempts import Action, Decision, FrameCheck, FrameVerdict
-from hopstep.domain.configuration import RoutingPolicy
+from hopstep.domain.configuration.document import RoutingPolicy
 from hopstep.domain.retry_budget import MAX_SAVED_RETRIES, RetryBudget
 from hopstep.exceptions import EngineError, ErrorCode, Execution, ServiceError
-from hopstep.services import request_execution
-from tests.services.request_path import RequestPath, configuration, oracle, run, tokens_of
+from hopstep.services.requests import request_execution
+from tests.services.requests.request_path import RequestPath, configuration, oracle, run, tokens_of
 
 TOKENS = 20
 
--- a/tests/services/test_request_memory.py
+++ b/tests/services/requests/test_request_memory.py
@@ -14,9 +14,9 @@
 from hopstep.domain.routing.prompt_heads import MAX_REMEMBERED_PROMPTS
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.services.claims import ClaimService
-from hopstep.services.dispatcher import Dispatcher
-from hopstep.services.tenant_limits import TenantLimitService
-from tests.services.request_path import RequestPath, run
+from hopstep.services.requests.dispatcher import Dispatcher
+from hopstep.services.requests.tenant_limits import TenantLimitService
+from tests.services.requests.request_path import RequestPath, run
 
 CONTAINERS = (dict, list, set, collections.deque)
 OUTSIDE = ("emulator.", "trio.", "tests.")
--- a/tests/services/test_request_metrics.py
+++ b/tests/services/requests/test_request_metrics.py
@@ -4,7 +4,7 @@
 
 from emulator.engine.faults import EngineFaults, StreamFault
 from hopstep.domain.blocks import count_tokens
-from tests.services.request_path import RequestPath, run
+from tests.services.requests.request_path import RequestPath, run
 
 
 class RequestMetricsTest(unittest.TestCase):
--- a/tests/services/test_tenant_limits.py
+++ b/tests/services/requests/test_tenant_limits.py
@@ -5,13 +5,13 @@
 
 import trio
 
-from hopstep.domain.configuration import Tenant, TenantLimits
-from hopstep.domain.limit_owners import LEASE_SECONDS, RENEWALS
-from hopstep.domain.limits import FLOOR_RATIO
-from hopstep.services import tenant_limits
+from hopstep.domain.configuration.document import Tenant, TenantLimits
+from hopstep.domain.limits.limiter import FLOOR_RATIO
+from hopstep.domain.limits.owners import LEASE_SECONDS, RENEWALS
 from hopstep.services.limit_leases import LimitLeaseService
-from hopstep.services.tenant_limits import IDLE_SECONDS, TenantLimitService
-from tests.services.request_path import RequestPath, configuration, run
+from hopstep.services.requests import tenant_limits
+from hopstep.services.requests.tenant_limits import IDLE_SECONDS, TenantLimitService
+from tests.services.requests.request_path import RequestPath, configuration, run
 
 LIMITED = Tenant("library", limits=TenantLimits(requests_per_second=100.0))
 
--- a/tests/services/test_engine_watch.py
+++ b/tests/services/test_engine_watch.py
@@ -7,12 +7,12 @@
 import trio
 from trio.testing import MockClock
 
-from hopstep.domain.configuration import AcceptedConfiguration, BackEnd, Configuration
+from hopstep.domain.configuration.document import AcceptedConfiguration, BackEnd, Configuration
 from hopstep.domain.engines import CacheEvent, CacheEventBatch, CacheEventKind, EngineFacts
 from hopstep.domain.routing.event_budget import BYTES_PER_KEY
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.services import engine_watch
-from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration.holder import ConfigurationHolder
 from hopstep.services.engine_watch import EngineWatch
 
 RUN_SECONDS = 20.0
--- a/tests/services/test_leaving_watch.py
+++ b/tests/services/test_leaving_watch.py
@@ -12,7 +12,7 @@
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.ports.machine_list import Machine, MachineState
 from hopstep.services.leaving_watch import LeavingWatch
-from tests.services.request_path import run
+from tests.services.requests.request_path import run
 
 LEAVING = (Machine("a", MachineState.LEAVING), Machine("b", MachineState.LEAVING))
 LIVE = (Machine("a", MachineState.LIVE), Machine("b", MachineState.LIVE))
--- a/tests/services/test_rollout.py
+++ b/tests/services/test_rollout.py
@@ -7,7 +7,7 @@
 from emulator.engine.config import EngineConfig
 from emulator.engine.in_process import InProcessEngines
 from emulator.engine.model import EngineModel
-from hopstep.domain.configuration import (
+from hopstep.domain.configuration.document import (
     AcceptedConfiguration,
     BackEnd,
     Configuration,
@@ -16,7 +16,7 @@
 )
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.ports.engine import EngineOrder
-from hopstep.services.configuration_holder import ConfigurationHolder
+from hopstep.services.configuration.holder import ConfigurationHolder
 from hopstep.services.engine_watch import EngineWatch
 from hopstep.services.rollout import Rollout
 
--- a/tests/simulation/test_cache_reuse.py
+++ b/tests/simulation/test_cache_reuse.py
@@ -10,12 +10,12 @@
 from emulator.simulation.deployment import MODEL, sample_deployment
 from emulator.simulation.history import Outcome
 from hopstep.domain.blocks import block_keys, cache_salt
-from hopstep.domain.configuration import Model
-from hopstep.domain.configuration_log import Section
+from hopstep.domain.configuration.document import Model
+from hopstep.domain.configuration.log import Section
 from hopstep.domain.engines import CacheEvent, CacheEventBatch, CacheEventKind
 from hopstep.domain.routing.routing_table import RoutingTable
-from hopstep.services import attempt_factory
-from hopstep.services.attempt_factory import AttemptFactory
+from hopstep.services.requests import attempt_factory
+from hopstep.services.requests.attempt_factory import AttemptFactory
 from tests.simulation.harness import (
     PROMPT,
     STEADY,
--- a/tests/simulation/test_configuration.py
+++ b/tests/simulation/test_configuration.py
@@ -6,10 +6,10 @@
 from emulator.platform.faults import FaultOrder
 from emulator.simulation.deployment import sample_deployment
 from emulator.simulation.history import Outcome
-from hopstep.domain.configuration_log import Section
-from hopstep.services.configuration_holder import ConfigurationHolder
-from hopstep.services.configuration_submission import SubmitStatus
-from hopstep.services.configuration_sync import ConfigurationSync
+from hopstep.domain.configuration.log import Section
+from hopstep.services.configuration.holder import ConfigurationHolder
+from hopstep.services.configuration.submission import SubmitStatus
+from hopstep.services.configuration.sync import ConfigurationSync
 from tests.simulation.harness import STEADY, SimulationTest, alone_and_in_pairs, call, under_load
 
 ROUTERS = ("r0", "r1", "r2")
--- a/tests/simulation/test_leaving.py
+++ b/tests/simulation/test_leaving.py
@@ -6,7 +6,7 @@
 from emulator.platform.faults import FaultOrder
 from emulator.simulation.deployment import sample_deployment
 from emulator.simulation.history import Call, Outcome
-from hopstep.domain.configuration_log import Section
+from hopstep.domain.configuration.log import Section
 from hopstep.domain.leaving_machines import LeavingMachines, ToldMachines
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.services.cluster import Cluster
--- a/tests/simulation/test_not_run.py
+++ b/tests/simulation/test_not_run.py
@@ -7,7 +7,7 @@
 from emulator.simulation.history import Outcome
 from hopstep.domain.attempts import AttemptState
 from hopstep.exceptions import ErrorCode
-from hopstep.services.attempt import Attempt
+from hopstep.services.requests.attempt import Attempt
 from tests.simulation.harness import SimulationTest, alone_and_in_pairs, call, under_load
 
 ROUTERS = ("r0", "r1", "r2")
--- a/tests/simulation/test_overload.py
+++ b/tests/simulation/test_overload.py
@@ -8,11 +8,11 @@
 from emulator.simulation.callers import Crowd, Mix
 from emulator.simulation.deployment import sample_deployment
 from emulator.simulation.history import Outcome
-from hopstep.domain.configuration import TenantLimits
-from hopstep.domain.limits import FLOOR_RATIO, OVERSHOOT_BOUND, WHOLE
+from hopstep.domain.configuration.document import TenantLimits
+from hopstep.domain.limits.limiter import FLOOR_RATIO, OVERSHOOT_BOUND, WHOLE
 from hopstep.domain.retry_budget import RetryBudget
-from hopstep.services.dispatcher import Dispatcher
 from hopstep.services.limit_leases import LimitLeaseService
+from hopstep.services.requests.dispatcher import Dispatcher
 from tests.simulation.harness import SimulationTest, call
 
 RATE = 4.0
--- a/tests/simulation/test_restart.py
+++ b/tests/simulation/test_restart.py
@@ -5,7 +5,7 @@
 from emulator.engine.faults import EngineFaults
 from emulator.platform.faults import FaultOrder
 from emulator.simulation.history import Outcome
-from hopstep.services.configuration_sync import ConfigurationSync
+from hopstep.services.configuration.sync import ConfigurationSync
 from tests.simulation.harness import STEADY, SimulationTest, call, under_load
 
 ROUTERS = ("r0", "r1", "r2")
--- a/tests/simulation/test_streams.py
+++ b/tests/simulation/test_streams.py
@@ -6,7 +6,7 @@
 from emulator.simulation.history import Outcome
 from hopstep.domain.attempts import FrameCheck, FrameChecker, FrameVerdict
 from hopstep.domain.inference import AnswerFinish, AnswerPart
-from hopstep.services.answer_progress import AnswerProgress
+from hopstep.services.requests.answer_progress import AnswerProgress
 from tests.simulation.harness import (
     STEADY,
     SimulationTest,
--- a/tests/test_proofs_page.py
+++ b/tests/test_proofs_page.py
@@ -23,4 +23,6 @@
                 self.assertGreater(count_tests(name), 0)
 
     def test_a_name_that_does_not_exist_is_seen(self):
-        self.assertEqual(count_tests("tests.domain.test_limits_stateful.LimitsTest.test_no"), 0)
+        self.assertEqual(
+            count_tests("tests.domain.limits.test_limits_stateful.LimitsTest.test_no"), 0
+        )
