Let floods give way in the queues of engines

A request of a tenant that has at least as much waiting as the mean of the waiting tenants now carries the next lower priority of its class. The test fails with the class's priority alone.

--- a/hopstep/domain/fair_queue.py
+++ b/hopstep/domain/fair_queue.py
@@ -126,6 +126,11 @@
         """Return the number of a tenant's queued requests."""
         return self._tenant_counts.get(tenant, 0)
 
+    def has_much_waiting(self, tenant: str) -> bool:
+        """Return whether a tenant has at least as much waiting as the mean of those that wait."""
+        count = self.count_of(tenant)
+        return count > 0 and count * len(self._tenant_counts) >= len(self)
+
     def count_beside(self, entry: QueueEntry) -> int:
         """Return the number of queued requests of an entry's tenant and priority."""
         queue = self._priorities.get(entry.priority)
--- a/hopstep/services/requests/admission.py
+++ b/hopstep/services/requests/admission.py
@@ -237,7 +237,8 @@
                 return
             waiting = self._waiting.pop(entry.entry_id)
             assert self._found is not None  # noqa: S101 - set by _is_eligible
-            waiting.slot = self._take(self._found)
+            yields = self._queue.has_much_waiting(entry.tenant)
+            waiting.slot = self._take(self._found, yields)
             self._pace.record_entry(entry.tenant, entry.priority, trio.current_time())
             self._forget_pace(entry)
             waiting.granted.set()
@@ -298,10 +299,10 @@
         placed = self._placement.engines(self._waiting[other.entry_id].request)
         return any(engine.name in names for engine in placed)
 
-    def _take(self, choice: Choice) -> EngineSlot:
+    def _take(self, choice: Choice, yields: bool = False) -> EngineSlot:
         """Count a request in at an engine."""
         self.slots.take(choice.back_end.address)
-        return EngineSlot(choice, trio.current_time(), self._give_back)
+        return EngineSlot(choice, trio.current_time(), self._give_back, yields)
 
     def _give_back(self, slot: EngineSlot) -> None:
         """Count a request out, learn how long it took, and let the next ones in."""
--- a/hopstep/services/requests/attempt_factory.py
+++ b/hopstep/services/requests/attempt_factory.py
@@ -23,7 +23,7 @@
 from hopstep.services.engine_calls import probe_engine
 from hopstep.services.requests.admission import AdmissionService
 from hopstep.services.requests.attempt import Attempt
-from hopstep.services.requests.engine_slots import EngineSlot
+from hopstep.services.requests.engine_slots import EngineSlot, engine_priority
 
 NONCE_BYTES = 16
 
@@ -150,7 +150,7 @@
             model=current.model.name,
             prompt=request.prompt,
             max_tokens=request.max_tokens - len(delivered),
-            priority=current.request_class.priority,
+            priority=engine_priority(current.request_class.priority, slot.yields),
             cache_salt=cache_salt(current.tenant.name, weights),
             weights_version=weights,
             incarnation=incarnation if bound else "",
--- a/hopstep/services/requests/engine_slots.py
+++ b/hopstep/services/requests/engine_slots.py
@@ -11,6 +11,19 @@
 """Factor on what a router sends an engine at once, after the engine refused for want of room."""
 
 
+def engine_priority(class_priority: int, yields: bool) -> int:
+    """Return the priority that an engine is asked to honour; lower numbers go first.
+
+    Engines serve equal priorities in order of arrival. So that a tenant within its share doesn't
+    wait there behind another one's flood, requests of the flood come after it in their class.
+
+    Args:
+        class_priority: Priority of the request's class, which always goes first.
+        yields: Whether the tenant had more requests waiting when this one was let in.
+    """
+    return 2 * class_priority + int(yields)
+
+
 class EngineSlot:
     """One request's room at one engine; given back exactly once.
 
@@ -18,13 +31,19 @@
         choice: The engine and what is expected of it.
         taken_at: Time at which it was taken.
         release: Called on the first ``release`` only.
+        yields: Whether requests of other tenants should go before it at the engine.
     """
 
     def __init__(
-        self, choice: Choice, taken_at: float, release: Callable[[EngineSlot], None]
+        self,
+        choice: Choice,
+        taken_at: float,
+        release: Callable[[EngineSlot], None],
+        yields: bool = False,
     ) -> None:
         self.choice = choice
         self.taken_at = taken_at
+        self.yields = yields
         self._release: Callable[[EngineSlot], None] | None = release
 
     def release(self) -> None:
--- a/tests/services/requests/test_admission.py
+++ b/tests/services/requests/test_admission.py
@@ -1,5 +1,6 @@
 """Admission: bounded fair queue, early refusals, goodput under overload, slots given back."""
 
+import statistics
 import unittest
 from unittest import mock
 
@@ -12,8 +13,9 @@
 from hopstep.domain.limits.limiter import WHOLE
 from hopstep.domain.queue_pace import QueuePace
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
+from hopstep.services.requests import attempt_factory
 from hopstep.services.requests.admission import AdmissionService
-from hopstep.services.requests.engine_slots import EngineSlots
+from hopstep.services.requests.engine_slots import EngineSlots, engine_priority
 from hopstep.services.requests.tenant_limits import TenantLimitService
 from tests.services.requests.request_path import (
     TENANT,
@@ -65,18 +67,20 @@
                 await trio.sleep(1 / rate)
 
 
-def overloaded_path():
-    document = configuration(tenants=(FLOODING, WITHIN), max_concurrent_requests=SLOTS)
+def overloaded_path(max_concurrent_requests=SLOTS):
+    document = configuration(
+        tenants=(FLOODING, WITHIN), max_concurrent_requests=max_concurrent_requests
+    )
     quick = msgspec.structs.replace(document.classes[0], max_queue_seconds=1.0)
     document = msgspec.structs.replace(document, classes=(quick, *document.classes[1:]))
     return RequestPath(document, engine_config=ENGINE)
 
 
-def offered(*loads, seconds=20):
+def offered(*loads, seconds=20, max_concurrent_requests=SLOTS):
     """Offer pairs of tenant and rate; return the load and the time that it took."""
 
     async def scenario():
-        path = overloaded_path()
+        path = overloaded_path(max_concurrent_requests)
         await path.learn_facts()
         load = Load(path)
         async with trio.open_nursery() as nursery:
@@ -142,6 +146,26 @@
             whole, worst = self.within_share()
         self.assertTrue(whole < 1.0 or worst >= 2 * SERVICE_SECONDS + 0.5)
 
+    def median_wait_at_queueing_engines(self):
+        """Return the median time of a tenant within its share, engines having a queue too."""
+        load, _ = offered(
+            (FLOODING, 2 * CAPACITY),
+            (WITHIN, 0.2 * CAPACITY),
+            max_concurrent_requests=4 * SLOTS,
+        )
+        return statistics.median(load.first_waits["within"])
+
+    def test_a_flood_gives_way_in_the_queues_of_engines(self):
+        median = self.median_wait_at_queueing_engines()
+        self.assertLess(median, 2 * SERVICE_SECONDS)
+        with mock.patch.object(attempt_factory, "engine_priority", lambda priority, _: priority):
+            self.assertGreater(self.median_wait_at_queueing_engines(), 1.5 * median)
+
+    def test_engine_priorities_keep_classes_apart(self):
+        order = [(1, False), (1, True), (2, False), (2, True)]
+        priorities = [engine_priority(*item) for item in order]
+        self.assertEqual(priorities, sorted(set(priorities)))
+
 
 class QueueTest(unittest.TestCase):
     def busy_path(self, tenant=TENANT, **changes):
