--- a/emulator/simulation/router.py
+++ b/emulator/simulation/router.py
@@ -23,12 +23,10 @@
     SimulatedStore,
 )
 from emulator.simulation.world import World
-from hopstep.adapters.http_api.authentication import Authenticator
 from hopstep.adapters.http_api.bodies import CompletionBody
-from hopstep.adapters.http_api.context import ApiContext, NodeHealth
+from hopstep.adapters.http_api.composition import make_api_context
 from hopstep.adapters.http_api.errors import encode_error
 from hopstep.adapters.http_api.gate import CALLER_KEY, HeaderGate
-from hopstep.adapters.http_api.metrics import ApiMetrics
 from hopstep.adapters.http_api.requests import resolve_request
 from hopstep.adapters.pacing import Pacer
 from hopstep.adapters.peer_codec import PeerCodec
@@ -98,7 +96,15 @@
         )
         self.handler = PeerHttpHandler(codec, self.services.synchronization.transfer)
         self.services.holder.subscribe(self._note_applied)
-        self._front = HeaderGate(self._handle, self._make_context(registry, incarnation))
+        context = make_api_context(
+            self.settings,
+            self.services,
+            incarnation=incarnation,
+            registry=registry,
+            pacer=Pacer(),
+            spawn=self._spawn,
+        )
+        self._front = HeaderGate(self._handle, context)
 
     @property
     def running(self) -> bool:
@@ -217,29 +223,6 @@
             make_nonce=lambda: f"{self.name}.{self.life.number}.{next(self._nonces)}",
         )
 
-    def _make_context(self, registry: CollectorRegistry, incarnation: int) -> ApiContext:
-        """Return what the header gate needs."""
-        services = self.services
-        authenticator = Authenticator()
-        services.holder.subscribe(authenticator.follow)
-        health = NodeHealth(
-            is_isolated=services.is_isolated,
-            seconds_since_confirmed=services.synchronization.seconds_since_confirmed,
-            member_count=lambda: len(services.cluster.live_routers()),
-        )
-        return ApiContext(
-            settings=self.settings,
-            incarnation=str(incarnation),
-            holder=services.holder,
-            runner=services.dispatcher,
-            lifecycle=services.lifecycle,
-            authenticator=authenticator,
-            metrics=ApiMetrics(registry),
-            pacer=Pacer(),
-            health=health,
-            spawn=self._spawn,
-        )
-
     def _spawn(self, task: Callable[[], Awaitable[None]]) -> None:
         assert self._nursery is not None  # noqa: S101 - nothing is served before
         self._nursery.start_soon(task)
--- a/hopstep/adapters/http_api/context.py
+++ b/hopstep/adapters/http_api/context.py
@@ -29,6 +29,9 @@
 PeerHandler = Callable[[str, bytes], Awaitable[bytes]]
 """Takes the name of a peer call and its body, and returns the answer's body."""
 
+Spawn = Callable[[Callable[[], Awaitable[None]]], None]
+"""Starts a task that belongs to the node, not to a connection."""
+
 
 class NodeHealth(msgspec.Struct, frozen=True):
     """How well the node is connected.
@@ -70,5 +73,5 @@
     metrics: ApiMetrics
     pacer: Pacer
     health: NodeHealth
-    spawn: Callable[[Callable[[], Awaitable[None]]], None]
+    spawn: Spawn
     handle_peer: PeerHandler | None = None
--- a/hopstep/node.py
+++ b/hopstep/node.py
@@ -16,9 +16,8 @@
 from hopstep import log_events
 from hopstep.adapters.engine_http import HttpEngine
 from hopstep.adapters.http_api.app import create_app
-from hopstep.adapters.http_api.authentication import Authenticator
-from hopstep.adapters.http_api.context import ApiContext, NodeHealth
-from hopstep.adapters.http_api.metrics import ApiMetrics
+from hopstep.adapters.http_api.composition import make_api_context
+from hopstep.adapters.http_api.context import ApiContext
 from hopstep.adapters.http_server import serve_http
 from hopstep.adapters.key_value_store_http import HttpKeyValueStore
 from hopstep.adapters.machine_list_http import HttpMachineList
@@ -126,26 +125,15 @@
 
     def _make_context(self, nursery: trio.Nursery) -> ApiContext:
         """Return what the HTTP API needs."""
-        services = self._services
-        authenticator = Authenticator()
-        services.holder.subscribe(authenticator.follow)
-        health = NodeHealth(
-            is_isolated=services.is_isolated,
-            seconds_since_confirmed=services.synchronization.seconds_since_confirmed,
-            member_count=lambda: len(services.cluster.live_routers()),
-        )
-        return ApiContext(
-            settings=self._settings,
-            incarnation=str(self._codec.incarnation),
-            holder=services.holder,
-            runner=services.dispatcher,
-            lifecycle=services.lifecycle,
-            authenticator=authenticator,
-            metrics=ApiMetrics(self._registry),
+        transfer = self._services.synchronization.transfer
+        return make_api_context(
+            self._settings,
+            self._services,
+            incarnation=self._codec.incarnation,
+            registry=self._registry,
             pacer=self._pacer,
-            health=health,
             spawn=nursery.start_soon,
-            handle_peer=PeerHttpHandler(self._codec, services.synchronization.transfer).handle,
+            handle_peer=PeerHttpHandler(self._codec, transfer).handle,
         )
 
     def _peer_url(self, name: str) -> str | None:
