--- /dev/null
+++ b/hopstep/cli/node.py
@@ -0,0 +1,93 @@
+"""A node that carries routed exchanges on the users' platform.
+
+Exit codes: 0 after a planned stop; 2 for settings that can't be used.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import secrets
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import trio
+from absl import flags
+
+from hopstep.adapters.load_datagrams import UdpLoadExchange
+from hopstep.cli.command import run_command
+from hopstep.exchange_node import ExchangePorts, ExchangeServices, run_exchange_node
+from hopstep.exchange_settings import ExchangeSettings
+from hopstep.garbage_collection import configure_garbage_collection
+from hopstep.library_logs import capture_library_logs
+from hopstep.logs import configure_logging
+from hopstep.platform.directory import PlatformDirectory
+from hopstep.platform.front import ExchangeFront
+from hopstep.platform.http_client import HttpClient
+from hopstep.platform.instances import HttpInstances
+from hopstep.platform.names import SETTINGS_VARIABLE
+from hopstep.platform.store import PlatformStore
+from hopstep.settings_loader import EXIT_BAD_SETTINGS, SettingsError, load_exchange_settings
+
+flags.DEFINE_string(
+    "node_settings", None, "TOML settings file; by default the one the platform names."
+)
+
+
+async def run_node(settings: ExchangeSettings, path: Path) -> None:
+    """Join the platform's adapters and the node's services, and serve.
+
+    Args:
+        settings: Settings of the node.
+        path: Their file.
+    """
+    client = HttpClient()
+    store = PlatformStore(settings.store, client)
+    instances = HttpInstances(client)
+    loads = await UdpLoadExchange.open(settings.peer_address)
+    ports = ExchangePorts(
+        store=store,
+        directory=PlatformDirectory(store),
+        calls=instances,
+        orders=instances,
+        loads=loads,
+        generator=random.Random(secrets.randbits(64)),  # noqa: S311 - spreads load only
+    )
+    services = ExchangeServices(settings, ports)
+    front = ExchangeFront(services.exchanges, lambda: services.lifecycle.stopping)
+    try:
+        await run_exchange_node(settings, path, services, front)
+    finally:
+        loads.close()
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run one node and return the exit code.
+
+    Args:
+        arguments: Command line after flags were taken out, the program's name first.
+    """
+    if len(arguments) > 1:
+        print(f"unexpected argument {arguments[1]!r}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    path = Path(flags.FLAGS.node_settings or os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = load_exchange_settings(path)
+    except SettingsError as error:
+        print(error.message, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    configure_logging(settings.log_level, settings.name, sys.stdout)
+    capture_library_logs()
+    configure_garbage_collection()
+    trio.run(run_node, settings, path)
+    return 0
+
+
+def main() -> None:
+    """Enter the command."""
+    run_command(run, __doc__ or "", EXIT_BAD_SETTINGS)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hopstep/domain/exchanges/instance_table.py
@@ -0,0 +1,52 @@
+"""All instances that a node knows, by service."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.exchanges.instances import Instance
+
+
+class InstanceTable:
+    """Views of instances; entries come and go as the directory tells."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._views: dict[str, InstanceView] = {}
+        self._cache_tokens: dict[str, int] = {}
+
+    def __iter__(self) -> Iterator[InstanceView]:
+        """Iterate over all views."""
+        return iter(tuple(self._views.values()))
+
+    def set_cache_tokens(self, cache_tokens: dict[str, int]) -> None:
+        """Take the memory of each service's instances, for instances that come later."""
+        self._cache_tokens = cache_tokens
+
+    def put(self, instance: Instance) -> bool:
+        """Take an entry; return whether the instance is new."""
+        view = self._views.get(instance.instance_id)
+        if view is not None:
+            view.update(instance)
+            return False
+        tokens = self._cache_tokens.get(instance.service, 0)
+        self._views[instance.instance_id] = InstanceView(instance, tokens)
+        return True
+
+    def remove(self, instance_id: str) -> bool:
+        """Forget an instance; return whether it was known."""
+        return self._views.pop(instance_id, None) is not None
+
+    def retain(self, instance_ids: set[str]) -> None:
+        """Forget all instances but these."""
+        for instance_id in self._views.keys() - instance_ids:
+            del self._views[instance_id]
+
+    def get(self, instance_id: str) -> InstanceView | None:
+        """Return one view."""
+        return self._views.get(instance_id)
+
+    def of_service(self, service: str) -> list[InstanceView]:
+        """Return the views of a service's instances."""
+        return [view for view in self._views.values() if view.instance.service == service]
--- /dev/null
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -0,0 +1,146 @@
+"""What a node believes of one instance: load, health, cached segments, weights."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.exchanges.segments import SegmentPicture
+
+FIRST_SUSPENSION_SECONDS = 0.4
+MAX_SUSPENSION_SECONDS = 4.0
+SILENCE_SECONDS = 1.0
+"""An instance that has let requests wait this long without a byte to anyone counts as silent."""
+
+SMOOTHING = 0.2
+PEER_REPORT_SECONDS = 1.0
+"""Peers' reports of load are forgotten after this time."""
+
+DEFAULT_LATENCY_SECONDS = 0.1
+PICTURE_SHARE = 0.8
+"""Part of an instance's memory that is expected to be left for kept segments."""
+
+
+class PeerLoad(msgspec.Struct, frozen=True):
+    """A peer's requests at an instance.
+
+    Attributes:
+        active: Requests under way.
+        pending_tokens: Prompt tokens not read yet.
+        at: When the report came, by this node's steady clock.
+    """
+
+    active: int
+    pending_tokens: int
+    at: float
+
+
+class InstanceView:
+    """Beliefs about one instance. Times are of the steady clock, in seconds."""
+
+    def __init__(self, instance: Instance, cache_tokens: int = 0) -> None:
+        """Start without experience.
+
+        Args:
+            instance: As it publishes itself.
+            cache_tokens: Memory of the instance for segments.
+        """
+        self.instance = instance
+        self.segments = SegmentPicture(int(cache_tokens * PICTURE_SHARE))
+        self.versions: dict[str, int] = dict(instance.versions)
+        self.active = 0
+        self.pending_tokens = 0
+        self.latency_seconds = 0.0
+        self.failure_rate = 0.0
+        self.slowness = 1.0
+        self.loading_until = 0.0
+        self.suspended_until = 0.0
+        self.peers: dict[str, PeerLoad] = {}
+        self._failures = 0
+        self._heard_at = 0.0
+        self._waiting_since: dict[str, float] = {}
+
+    def update(self, instance: Instance) -> None:
+        """Take a newer entry of the same incarnation."""
+        self.instance = instance
+        for model, version in instance.versions.items():
+            self.learn_version(model, version)
+
+    def learn_version(self, model: str, version: int) -> None:
+        """Take a weights version; versions of one incarnation never go down."""
+        if version > self.versions.get(model, 0):
+            if model in self.versions:
+                self.segments.clear()
+                self.loading_until = 0.0
+            self.versions[model] = version
+
+    def total_active(self, now: float) -> int:
+        """Return the requests of all nodes at the instance, as far as known."""
+        return self.active + sum(peer.active for peer in self._fresh_peers(now))
+
+    def total_pending_tokens(self, now: float) -> int:
+        """Return the prompt tokens of all nodes that aren't read yet, as far as known."""
+        return self.pending_tokens + sum(peer.pending_tokens for peer in self._fresh_peers(now))
+
+    def begin(self, request_id: str, uncached_tokens: int, now: float) -> None:
+        """Count a request in."""
+        self.active += 1
+        self.pending_tokens += uncached_tokens
+        self._waiting_since[request_id] = now
+
+    def first_byte(self, request_id: str, uncached_tokens: int, now: float) -> None:
+        """Note the first byte of an answer's body."""
+        if self._waiting_since.pop(request_id, None) is not None:
+            self.pending_tokens -= uncached_tokens
+        self.heard(now)
+
+    def end(self, request_id: str, uncached_tokens: int) -> None:
+        """Count a request out."""
+        self.active -= 1
+        if self._waiting_since.pop(request_id, None) is not None:
+            self.pending_tokens -= uncached_tokens
+
+    def heard(self, now: float) -> None:
+        """Note a byte from the instance."""
+        self._heard_at = now
+
+    def succeeded(self, seconds: float) -> None:
+        """Learn from a whole answer.
+
+        Args:
+            seconds: From sending to the first byte.
+        """
+        self._failures = 0
+        self.suspended_until = 0.0
+        self.failure_rate += SMOOTHING * (0.0 - self.failure_rate)
+        known = self.latency_seconds or seconds
+        self.latency_seconds = known + SMOOTHING * (seconds - known)
+
+    def failed(self, now: float, *, unreachable: bool) -> None:
+        """Learn from a failure.
+
+        Args:
+            now: Steady clock.
+            unreachable: Whether it couldn't be reached or broke off; else it answered.
+        """
+        self.failure_rate += SMOOTHING * (1.0 - self.failure_rate)
+        if not unreachable:
+            return
+        self._failures += 1
+        pause = FIRST_SUSPENSION_SECONDS * 2.0 ** (self._failures - 1)
+        self.suspended_until = now + min(MAX_SUSPENSION_SECONDS, pause)
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether requests wait although nothing came from the instance for long."""
+        if not self._waiting_since:
+            return False
+        oldest = min(self._waiting_since.values())
+        return now - max(oldest, self._heard_at) > SILENCE_SECONDS
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether a new request may be sent with good hope."""
+        return now >= self.suspended_until and now >= self.loading_until and not self.is_silent(now)
+
+    def _fresh_peers(self, now: float) -> list[PeerLoad]:
+        """Return the reports that still count."""
+        return [peer for peer in self.peers.values() if now - peer.at < PEER_REPORT_SECONDS]
--- /dev/null
+++ b/hopstep/domain/exchanges/request.py
@@ -0,0 +1,69 @@
+"""A request on its way through a node."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hopstep.domain.exchanges.serving import Route, Tenant
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class PromptSegment(msgspec.Struct, frozen=True):
+    """A named part of a prompt.
+
+    Attributes:
+        segment_id: Equal for equal text.
+        tokens: Length.
+    """
+
+    segment_id: str
+    tokens: int
+
+
+class Prompt(msgspec.Struct, frozen=True):
+    """What a request says of its prompt.
+
+    Attributes:
+        model: Name of the model.
+        segments: Parts in order; the last is the request's own or its session's.
+        prompt_tokens: Length of the whole prompt.
+        answer_tokens: Most tokens of the answer.
+    """
+
+    model: str
+    segments: tuple[PromptSegment, ...] = ()
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+
+
+class ExchangeRequest(msgspec.Struct, frozen=True):
+    """A request that was read whole and admitted.
+
+    Attributes:
+        request_id: Unique for each attempt of a client.
+        method: HTTP method.
+        target: Raw path and query.
+        headers: Headers that are passed on.
+        body: Whole body.
+        route: Its route.
+        tenant: Whose key it carries; None on public routes.
+        received_at: When its head was read, by the steady clock in seconds.
+        deadline: When the final answer is due, by the same clock.
+        client_deadline: When the client gives up, by the same clock.
+        prompt: What it says of its prompt; None for other services.
+        resume_after: Last event that the client has; empty for a new stream.
+    """
+
+    request_id: str
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    route: Route
+    tenant: Tenant | None
+    received_at: float
+    deadline: float
+    client_deadline: float
+    prompt: Prompt | None = None
+    resume_after: str = ""
--- /dev/null
+++ b/hopstep/domain/exchanges/serving.py
@@ -0,0 +1,212 @@
+"""What operators publish about routed exchanges: routes, services, tenants and limits."""
+
+from __future__ import annotations
+
+import enum
+import random
+
+import msgspec
+
+
+class RequestKind(enum.StrEnum):
+    """How often a request may run."""
+
+    REPEATABLE = "repeatable"
+    AT_MOST_ONCE = "at_most_once"
+    STREAM = "stream"
+
+
+class ServiceShare(msgspec.Struct, frozen=True):
+    """A part of a route's traffic.
+
+    Attributes:
+        service: Name of the service.
+        weight: Share of the requests, relative to the other parts.
+    """
+
+    service: str
+    weight: float = 1.0
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Where requests of one host and path prefix go, and what is promised for them.
+
+    Attributes:
+        name: Unique name.
+        host: Value of the ``Host`` header, lower case, without a port.
+        path_prefix: Begins the path; begins and ends with a slash.
+        kind: How often a request may run.
+        timeout_seconds: Longest time from request to final answer.
+        objective_seconds: Time to the answer, or to a stream's first event, that is aimed at.
+        priority: Rank; 0 is the most urgent.
+        shares: Services; several split the traffic by weight.
+        max_attempts: Most instances that one request may be sent to.
+        public: Whether no key is needed.
+        resumable: Whether a stream may go on at another instance after its last event.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    timeout_seconds: float
+    objective_seconds: float
+    priority: int
+    shares: tuple[ServiceShare, ...]
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.kind is RequestKind.STREAM:
+            return self.resumable
+        return self.kind is RequestKind.REPEATABLE
+
+    def choose_service(self, generator: random.Random) -> str:
+        """Return a service by the shares' weights; empty when the route has none."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        weights = [max(0.0, share.weight) for share in self.shares]
+        if not any(weights):
+            return self.shares[0].service if self.shares else ""
+        return generator.choices(self.shares, weights)[0].service
+
+
+class EngineTraits(msgspec.Struct, frozen=True):
+    """What a service of language-model engines is told about its instances.
+
+    Attributes:
+        slots: Requests that run together in one instance.
+        cache_tokens: Tokens that fit into an instance's memory.
+        token_bytes: Bytes of one cached token.
+        link_megabits: Megabits a second of an instance's link for cached tokens.
+        models: Names of the models.
+    """
+
+    slots: int
+    cache_tokens: int
+    token_bytes: float
+    link_megabits: float
+    models: tuple[str, ...] = ()
+
+
+class CacheStore(msgspec.Struct, frozen=True):
+    """A store of cached prompt segments.
+
+    Attributes:
+        address: ``ip:port``.
+        zone: Zone of the store.
+        cache_tokens: Tokens that it holds.
+    """
+
+    address: str
+    zone: str
+    cache_tokens: int
+
+
+class Service(msgspec.Struct, frozen=True):
+    """A service with instances, or a cache store.
+
+    Attributes:
+        name: Unique name.
+        connection_limit: Connections that one instance takes from all callers together.
+        engine: Traits of language-model engines; None for other services.
+        cache_store: Set for a cache store, which has no instances.
+    """
+
+    name: str
+    connection_limit: int = 100
+    engine: EngineTraits | None = None
+    cache_store: CacheStore | None = None
+
+
+class Tenant(msgspec.Struct, frozen=True):
+    """A tenant.
+
+    Attributes:
+        name: Unique name.
+        keys: API keys.
+        priority: Rank that goes before the route's; None for none.
+        isolated: Whether no cached segment may be shared with other tenants.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+    isolated: bool = False
+
+
+class RequestLimits(msgspec.Struct, frozen=True):
+    """Bounds of what clients may send.
+
+    Attributes:
+        max_body_bytes: Longest body.
+    """
+
+    max_body_bytes: int = 4 * 1024 * 1024
+
+
+class ServingConfiguration(msgspec.Struct, frozen=True):
+    """One accepted version of the operators' configuration.
+
+    Attributes:
+        version: Rises with every change.
+        routes: Routes.
+        services: Services.
+        tenants: Tenants; empty when no keys are asked for.
+        limits: Bounds of requests.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    tenants: tuple[Tenant, ...] = ()
+    limits: RequestLimits = RequestLimits()
+
+
+class ServingIndex:
+    """Lookups over one configuration."""
+
+    def __init__(self, configuration: ServingConfiguration) -> None:
+        """Build the lookups.
+
+        Args:
+            configuration: The configuration.
+        """
+        self.configuration = configuration
+        self.services = {service.name: service for service in configuration.services}
+        self._tenants = {key: tenant for tenant in configuration.tenants for key in tenant.keys}
+        self._routes: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            self._routes.setdefault(route.host, []).append(route)
+        for routes in self._routes.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+
+    @property
+    def keys_required(self) -> bool:
+        """Whether requests need a key unless their route is public."""
+        return bool(self.configuration.tenants)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path`` at a host, or None.
+
+        Args:
+            host: Value of the ``Host`` header, with or without a port.
+            path: Path as it was sent.
+        """
+        name = host.partition(":")[0].lower()
+        for route in self._routes.get(name, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def find_tenant(self, key: str) -> Tenant | None:
+        """Return the tenant that holds a key, or None."""
+        return self._tenants.get(key)
+
+    def cache_stores(self) -> tuple[CacheStore, ...]:
+        """Return the cache stores."""
+        stores = (service.cache_store for service in self.configuration.services)
+        return tuple(store for store in stores if store is not None)
--- /dev/null
+++ b/hopstep/domain/exchanges/weights.py
@@ -0,0 +1,111 @@
+"""Which weights versions are named, from when on they are required, and which engines to load."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.exchanges.instances import NamedWeights
+
+
+class WeightsBounds(msgspec.Struct, frozen=True):
+    """Bounds of a rollout.
+
+    Attributes:
+        propagation_seconds: From the naming until no request may start on an older version.
+        reserve_seconds: Time kept in reserve before that bound for requests that wait.
+        together: Engines that load at once without slowing each other.
+        load_seconds: First guess of the time of one load.
+    """
+
+    propagation_seconds: float = 8.0
+    reserve_seconds: float = 1.5
+    together: int = 2
+    load_seconds: float = 0.8
+
+
+class NamedVersion(msgspec.Struct, frozen=True):
+    """A version with the time from which its bound counts.
+
+    Attributes:
+        version: The version.
+        since: Steady clock when this node first saw it.
+        dated: Whether it was seen as it was named; else it may be older.
+    """
+
+    version: int
+    since: float
+    dated: bool
+
+
+class WeightsBook:
+    """The versions that operators named, by model."""
+
+    def __init__(self, bounds: WeightsBounds) -> None:
+        """Start empty.
+
+        Args:
+            bounds: Bounds of a rollout.
+        """
+        self.bounds = bounds
+        self._named: dict[str, list[NamedVersion]] = {}
+
+    def put(self, weights: NamedWeights, now: float, *, dated: bool) -> bool:
+        """Take a named version; return whether it is the newest of its model."""
+        versions = self._named.setdefault(weights.model, [])
+        if versions and weights.version <= versions[-1].version:
+            return False
+        versions.append(NamedVersion(weights.version, now, dated))
+        return True
+
+    def models(self) -> tuple[str, ...]:
+        """Return the models for which weights were named."""
+        return tuple(self._named)
+
+    def newest(self, model: str) -> int:
+        """Return the newest version; 0 when none was named."""
+        versions = self._named.get(model)
+        return versions[-1].version if versions else 0
+
+    def required(self, model: str, now: float) -> int:
+        """Return the oldest version on which a request may still be sent; 0 for any."""
+        bounds = self.bounds
+        limit = bounds.propagation_seconds - bounds.reserve_seconds
+        required = 0
+        for named in self._named.get(model, ()):
+            if not named.dated or now - named.since >= limit:
+                required = named.version
+        return required
+
+    def due_at(self, model: str, behind: int, oldest: int) -> float:
+        """Return when loading must begin so that all engines are done in time.
+
+        Waiting until then loads once for versions that follow each other closely.
+
+        Args:
+            model: The model.
+            behind: Engines that aren't at the newest version.
+            oldest: Lowest version among them.
+        """
+        bounds = self.bounds
+        batches = -(-behind // max(1, bounds.together))
+        needed = batches * bounds.load_seconds + bounds.reserve_seconds
+        pending = [named for named in self._named.get(model, ()) if named.version > oldest]
+        if not pending:
+            return float("inf")
+        first = pending[0]
+        if not first.dated:
+            return first.since
+        return first.since + max(0.0, bounds.propagation_seconds - bounds.reserve_seconds - needed)
+
+
+def engines_behind(views: Iterable[InstanceView], model: str, version: int) -> list[InstanceView]:
+    """Return the engines with a lower version of a model, those with least work first."""
+    behind = [
+        view
+        for view in views
+        if not view.instance.draining and 0 < view.versions.get(model, 0) < version
+    ]
+    return sorted(behind, key=lambda view: (view.versions[model], view.active))
--- a/hopstep/exceptions.py
+++ b/hopstep/exceptions.py
@@ -55,6 +55,7 @@
     STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
     STORE_CONFLICT = "store_conflict"
     STORE_RATE_LIMITED = "store_rate_limited"
+    STORE_HISTORY_LOST = "store_history_lost"
     PEER_MESSAGE_REJECTED = "peer_message_rejected"
 
 
@@ -90,6 +91,7 @@
     ErrorCode.STORE_OUTCOME_UNKNOWN: "The answer to a write was lost; it may have taken effect.",
     ErrorCode.STORE_CONFLICT: "A compare-and-swap found another version; nothing was written.",
     ErrorCode.STORE_RATE_LIMITED: "The key-value service refused by its rate limit.",
+    ErrorCode.STORE_HISTORY_LOST: "A watch fell behind what the store remembers; it lists again.",
     ErrorCode.PEER_MESSAGE_REJECTED: "A peer's message is truncated, forged, replayed or foreign.",
 }
 """What each code means and what to do, for ``docs/ERRORS.md``."""
@@ -142,6 +144,10 @@
     """The request was sent, but no answer came: the effect may have taken place."""
 
 
+class StoreHistoryLostError(StoreError):
+    """Changes since a revision are no longer known; the watch must start from a new listing."""
+
+
 class EngineError(PortError):
     """An engine call failed.
 
--- /dev/null
+++ b/hopstep/exchange_node.py
@@ -0,0 +1,193 @@
+"""Composition of one node that carries routed exchanges, over ports that are given from outside."""
+
+from __future__ import annotations
+
+import random
+import signal
+from pathlib import Path
+
+import msgspec
+import trio
+
+from hopstep import log_events
+from hopstep.adapters.exchange_server import AsgiApp, ListenerSwitch, serve_exchanges
+from hopstep.domain.exchanges.instance_table import InstanceTable
+from hopstep.domain.exchanges.repeat_budget import RepeatBounds
+from hopstep.domain.exchanges.weights import WeightsBook, WeightsBounds
+from hopstep.exchange_settings import ExchangeSettings
+from hopstep.logs import emit
+from hopstep.ports.instance_calls import InstanceCalls
+from hopstep.ports.key_value_store import KeyValueStorePort
+from hopstep.ports.load_exchange import LoadExchange
+from hopstep.ports.serving_directory import ServingDirectory
+from hopstep.ports.weights_orders import WeightsOrders
+from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.load_sharing import LoadSharing
+from hopstep.services.exchanges.registration import Registration
+from hopstep.services.exchanges.rollout_lease import RolloutLease
+from hopstep.services.exchanges.service import ExchangeService
+from hopstep.services.exchanges.weights_rollout import WeightsRollout
+from hopstep.services.lifecycle import Lifecycle
+from hopstep.settings_loader import SettingsError, load_exchange_settings
+
+MILLISECONDS = 1_000.0
+ACCEPT_SECONDS = 2.5
+"""A stopping node serves for so long: load balancers notice within two questions."""
+
+CLOSING_SECONDS = 1.0
+"""Part of the grace time that is left for closing connections."""
+
+
+class ExchangePorts(msgspec.Struct, frozen=True):
+    """Everything outside the process.
+
+    Attributes:
+        store: Key-value store.
+        directory: What operators and instances publish.
+        calls: Requests to instances.
+        orders: Orders to engines.
+        loads: Datagrams between nodes.
+        generator: Source of random choices.
+    """
+
+    store: KeyValueStorePort
+    directory: ServingDirectory
+    calls: InstanceCalls
+    orders: WeightsOrders
+    loads: LoadExchange
+    generator: random.Random
+
+
+class ExchangeServices:
+    """The services of one node; ``run`` starts them. The process and the tests share this."""
+
+    def __init__(self, settings: ExchangeSettings, ports: ExchangePorts) -> None:
+        """Join the services. Must be called inside the event loop.
+
+        Args:
+            settings: Settings of the node.
+            ports: Everything outside.
+        """
+        bounds = settings.bounds
+        generator = ports.generator
+        self.weights = WeightsBook(WeightsBounds(bounds.weights_ms / MILLISECONDS))
+        self.knowledge = ServingKnowledge(
+            ports.directory,
+            InstanceTable(),
+            self.weights,
+            generator,
+            bounds.revocation_ms / MILLISECONDS,
+        )
+        self.lifecycle = Lifecycle(
+            self.knowledge,
+            max(0.0, bounds.grace_seconds - CLOSING_SECONDS),
+            min(ACCEPT_SECONDS, bounds.grace_seconds / 3),
+        )
+        self.sharing = LoadSharing(settings.name, self.knowledge, ports.loads)
+        self.exchanges = ExchangeService(
+            self.knowledge,
+            self.lifecycle,
+            ports.calls,
+            self.sharing,
+            RepeatBounds(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds),
+            generator,
+        )
+        self.lease = RolloutLease(
+            settings.name,
+            ports.store,
+            self.knowledge,
+            generator,
+            bounds.lease_ms / MILLISECONDS,
+        )
+        self.rollout = WeightsRollout(
+            settings.name, self.knowledge, self.lease, ports.orders, self.sharing
+        )
+        self.registration = Registration(
+            settings.name, settings.peer_address, ports.store, self.knowledge, generator
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a request sent here would be served."""
+        return self.lifecycle.ready and self.knowledge.is_fresh
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Do the background work until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.knowledge.run)
+            nursery.start_soon(self.sharing.run)
+            nursery.start_soon(self.registration.run)
+            nursery.start_soon(self.lease.run)
+            nursery.start_soon(self.rollout.run)
+            task_status.started()
+
+    async def wait_drained(self) -> None:
+        """Wait for a planned stop, and return when no request is active."""
+        await self.lifecycle.wait_stopping()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.lease.release)
+            await self.lifecycle.drain()
+
+
+async def run_exchange_node(
+    settings: ExchangeSettings,
+    settings_path: Path,
+    services: ExchangeServices,
+    clients: AsgiApp,
+) -> None:
+    """Serve until a planned stop has ended.
+
+    Args:
+        settings: Settings of the node.
+        settings_path: File that is read again on SIGHUP.
+        services: The node's services.
+        clients: Application for clients.
+    """
+    app = ListenerSwitch(clients, settings.readiness_address, lambda: services.is_ready)
+    addresses = (settings.address, settings.readiness_address)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(_follow_signals, settings, settings_path, services.lifecycle)
+        await nursery.start(services.run)
+        async with trio.open_nursery() as serving:
+            await serving.start(serve_exchanges, app, addresses, services.wait_drained)
+            emit(
+                log_events.PROCESS_STARTED,
+                address=settings.address,
+                zone=settings.zone,
+                incarnation="",
+            )
+        nursery.cancel_scope.cancel()
+    emit(log_events.PROCESS_STOPPED)
+
+
+async def _follow_signals(
+    settings: ExchangeSettings,
+    settings_path: Path,
+    lifecycle: Lifecycle,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Turn SIGTERM and SIGINT into a planned stop, SIGHUP into another look at the settings."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
+        task_status.started()
+        async for number in received:
+            if number == signal.SIGHUP:
+                settings = _reload(settings, settings_path)
+            else:
+                lifecycle.stop()
+
+
+def _reload(settings: ExchangeSettings, path: Path) -> ExchangeSettings:
+    """Read the settings again and say what has changed; it takes effect with the next start."""
+    try:
+        changed = load_exchange_settings(path)
+    except SettingsError as error:
+        emit(log_events.SETTINGS_REJECTED, reason=error.message)
+        return settings
+    fields = [
+        field
+        for field in settings.__struct_fields__
+        if getattr(settings, field) != getattr(changed, field)
+    ]
+    emit(log_events.SETTINGS_RELOADED, changed=fields)
+    return changed
--- /dev/null
+++ b/hopstep/exchange_settings.py
@@ -0,0 +1,53 @@
+"""Settings of a node that carries routed exchanges."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class ExchangeBounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the deployment promises; times in milliseconds unless the name says otherwise.
+
+    Attributes:
+        grace_seconds: From the request to stop until the process is killed.
+        revocation_ms: After a key was taken away, no request with it may run later than this.
+        retry_ratio: Retries of all nodes for each request to a service.
+        retry_extra: Retries that are always allowed in a window, over all nodes.
+        retry_window_seconds: Length of that window.
+        lease_ms: Time of the rollout holder's lease, and the pause between two holders.
+        weights_ms: From the naming of weights until no request may start on older ones.
+    """
+
+    grace_seconds: float = 8.0
+    revocation_ms: float = 5_000.0
+    retry_ratio: float = 0.2
+    retry_extra: float = 50.0
+    retry_window_seconds: float = 10.0
+    lease_ms: float = 3_000.0
+    weights_ms: float = 8_000.0
+
+
+class ExchangeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All settings of one node.
+
+    Attributes:
+        name: Unique name of the machine.
+        zone: Zone of the machine.
+        address: ``ip:port`` of the clients' listener.
+        readiness_address: ``ip:port`` where load balancers ask whether the node is ready.
+        peer_address: ``ip:port`` of the UDP socket for other nodes.
+        metrics_address: ``ip:port`` of the metrics; empty for none.
+        store: ``ip:port`` of the store.
+        log_level: debug, info, warning or error.
+        bounds: What the deployment promises.
+    """
+
+    name: str
+    zone: str
+    address: str
+    readiness_address: str
+    peer_address: str
+    store: str
+    metrics_address: str = ""
+    log_level: str = "info"
+    bounds: ExchangeBounds = ExchangeBounds()
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -316,6 +316,107 @@
     "Mend the key file; the earlier keys stay in use until then.",
 )
 
+EXCHANGE_ENDED = LogEvent(
+    "HS3101",
+    "exchange_ended",
+    Level.INFO,
+    (
+        "request_id",
+        "route",
+        "tenant",
+        "service",
+        "instance",
+        "attempts",
+        "outcome",
+        "first_byte_ms",
+        "total_ms",
+        "events",
+        "configuration",
+        "age_ms",
+    ),
+    "Nothing by itself; see the operators' page for how to get from a request to its cause.",
+)
+EXCHANGE_REFUSED = LogEvent(
+    "HS3102",
+    "exchange_refused",
+    Level.INFO,
+    ("request_id", "code", "reason", "configuration", "age_ms"),
+    "Look the code up in the errors page; a high age means that the store can't be reached.",
+)
+EXCHANGE_ATTEMPT_FAILED = LogEvent(
+    "HS3103",
+    "exchange_attempt_failed",
+    Level.INFO,
+    ("request_id", "instance", "code", "reason", "execution", "sent", "next_step"),
+    "If one instance recurs: look at its own logs.",
+)
+
+SERVING_CONFIGURATION_APPLIED = LogEvent(
+    "HS4101",
+    "serving_configuration_applied",
+    Level.INFO,
+    ("version", "routes", "tenants"),
+    "Nothing.",
+)
+DIRECTORY_ENTRY_REJECTED = LogEvent(
+    "HS4102",
+    "directory_entry_rejected",
+    Level.ERROR,
+    ("key", "reason"),
+    "Mend the entry; what was known before it stays in force.",
+)
+DIRECTORY_HISTORY_LOST = LogEvent(
+    "HS4103",
+    "directory_history_lost",
+    Level.WARNING,
+    ("revision",),
+    "Nothing: the node lists the store again.",
+)
+STORE_LOST = LogEvent(
+    "HS4104",
+    "store_lost",
+    Level.WARNING,
+    ("reason", "age_seconds"),
+    "If it lasts: requests with keys are refused once the age reaches the revocation bound.",
+)
+STORE_REGAINED = LogEvent("HS4105", "store_regained", Level.INFO, ("age_seconds",), "Nothing.")
+SETTINGS_RELOADED = LogEvent("HS1005", "settings_reloaded", Level.INFO, ("changed",), "Nothing.")
+SETTINGS_REJECTED = LogEvent(
+    "HS1006",
+    "settings_rejected",
+    Level.ERROR,
+    ("reason",),
+    "Mend the settings file; the earlier settings stay in use.",
+)
+INSTANCE_LISTED = LogEvent(
+    "HS6101",
+    "instance_listed",
+    Level.INFO,
+    ("instance", "service", "draining", "versions"),
+    "Nothing.",
+)
+INSTANCE_REMOVED = LogEvent("HS6102", "instance_removed", Level.INFO, ("instance",), "Nothing.")
+WEIGHTS_NAMED = LogEvent(
+    "HS6103", "weights_named", Level.INFO, ("model", "version", "dated"), "Nothing."
+)
+WEIGHTS_ORDER_SENT = LogEvent(
+    "HS6104",
+    "weights_order_sent",
+    Level.INFO,
+    ("instance", "model", "version", "fencing_token", "outcome"),
+    "If rejected or unknown recurs: look at the engine's own logs.",
+)
+ROLLOUT_LEASE_ACQUIRED = LogEvent(
+    "HS6105", "rollout_lease_acquired", Level.INFO, ("fencing_token",), "Nothing."
+)
+ROLLOUT_LEASE_LOST = LogEvent(
+    "HS6106",
+    "rollout_lease_lost",
+    Level.WARNING,
+    ("fencing_token", "reason"),
+    "Nothing: another node takes over once the lease has lapsed.",
+)
+
 
 def catalogue() -> tuple[LogEvent, ...]:
     """Return every event of this module, by number."""
--- a/hopstep/logs.py
+++ b/hopstep/logs.py
@@ -4,19 +4,20 @@
 
 import logging
 import sys
-from typing import Any
+from typing import Any, TextIO
 
 import structlog
 
 from hopstep.log_events import LogEvent
 
 
-def configure_logging(level: str, node: str) -> None:
-    """Send JSON lines to standard error.
+def configure_logging(level: str, node: str, output: TextIO | None = None) -> None:
+    """Send JSON lines to a text stream.
 
     Args:
         level: Lowest level that is written: debug, info, warning or error.
         node: Name of this process, a field of every line.
+        output: Where lines go; standard error if None.
     """
     structlog.configure(
         processors=[
@@ -28,7 +29,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(output or sys.stderr),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(node=node)
--- /dev/null
+++ b/hopstep/platform/directory.py
@@ -0,0 +1,70 @@
+"""The directory of operators and instances in the platform's store."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hopstep.platform import names
+from hopstep.platform.documents import read_configuration, read_instance, read_weights
+from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
+from hopstep.ports.serving_directory import (
+    ConfigurationPublished,
+    DirectoryBatch,
+    DirectoryChange,
+    InstanceListed,
+    InstanceRemoved,
+    RecordWritten,
+    ServingDirectory,
+    Unreadable,
+    WeightsPublished,
+)
+
+EVERYTHING = ""
+
+
+class PlatformDirectory(ServingDirectory):
+    """Reads all keys by one listing and one watch; when the store is down it raises its errors."""
+
+    def __init__(self, store: KeyValueStorePort) -> None:
+        """Use a store.
+
+        Args:
+            store: The platform's store.
+        """
+        self._store = store
+
+    async def snapshot(self) -> DirectoryBatch:
+        """Return all entries; see the port."""
+        listing = await self._store.listing(EVERYTHING)
+        return DirectoryBatch(listing.revision, _read_all(listing.values))
+
+    async def changes(self, after_revision: int, wait_seconds: float) -> DirectoryBatch:
+        """Return changes; see the port."""
+        batch = await self._store.watch(EVERYTHING, after_revision, wait_seconds)
+        return DirectoryBatch(batch.revision, _read_all(batch.values))
+
+
+def _read_all(values: tuple[StoredValue, ...]) -> tuple[DirectoryChange, ...]:
+    """Return the changes that stored values stand for."""
+    changes = (_read(value) for value in values)
+    return tuple(change for change in changes if change is not None)
+
+
+def _read(value: StoredValue) -> DirectoryChange | None:
+    """Return the change that one value stands for; None for keys of others."""
+    key = value.key
+    try:
+        if key == names.CONFIGURATION_KEY:
+            return ConfigurationPublished(read_configuration(value.value))
+        if key.startswith(names.WEIGHTS_PREFIX):
+            return WeightsPublished(read_weights(value.value))
+        if key.startswith(names.INSTANCES_PREFIX):
+            instance_id = key.removeprefix(names.INSTANCES_PREFIX)
+            if not value.value:
+                return InstanceRemoved(instance_id)
+            return InstanceListed(read_instance(instance_id, value.value))
+    except msgspec.DecodeError as error:
+        return Unreadable(key, str(error))
+    if key.startswith(names.OPERATORS_PREFIX):
+        return None
+    return RecordWritten(key, value.value, value.version)
--- /dev/null
+++ b/hopstep/platform/documents.py
@@ -0,0 +1,188 @@
+"""Documents of the operators and instances, and how they read as hopstep's own types."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hopstep.domain.exchanges.instances import Instance, NamedWeights
+from hopstep.domain.exchanges.serving import (
+    CacheStore,
+    EngineTraits,
+    RequestKind,
+    RequestLimits,
+    Route,
+    Service,
+    ServiceShare,
+    ServingConfiguration,
+    Tenant,
+)
+from hopstep.platform import names
+
+MILLISECONDS = 1_000.0
+
+KINDS = {
+    names.KIND_SAFE: RequestKind.REPEATABLE,
+    names.KIND_UNSAFE: RequestKind.AT_MOST_ONCE,
+    names.KIND_STREAMING: RequestKind.STREAM,
+}
+
+
+class _Share(msgspec.Struct, frozen=True, rename="camel"):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    hostname: str
+    path_prefix: str
+    kind: str = names.KIND_UNSAFE
+    timeout_ms: float = 30_000.0
+    target_latency_ms: float = 1_000.0
+    priority: int = 5
+    service: str = ""
+    traffic_split: tuple[_Share, ...] = ()
+    max_attempts: int = 1
+    public_access: bool = False
+    resumable: bool = False
+
+    def read(self) -> Route:
+        """Return the route."""
+        shares = [ServiceShare(share.service, share.weight) for share in self.traffic_split]
+        if not shares and self.service:
+            shares = [ServiceShare(self.service)]
+        return Route(
+            name=self.name,
+            host=self.hostname.lower(),
+            path_prefix=self.path_prefix,
+            kind=KINDS.get(self.kind, RequestKind.AT_MOST_ONCE),
+            timeout_seconds=self.timeout_ms / MILLISECONDS,
+            objective_seconds=self.target_latency_ms / MILLISECONDS,
+            priority=self.priority,
+            shares=tuple(shares),
+            max_attempts=self.max_attempts,
+            public=self.public_access,
+            resumable=self.resumable,
+        )
+
+
+class _Model(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    version: int = 0
+
+
+class _Engine(msgspec.Struct, frozen=True, rename="camel"):
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
+    models: tuple[_Model, ...] = ()
+
+    def read(self) -> EngineTraits:
+        """Return the traits."""
+        return EngineTraits(
+            slots=self.slots,
+            cache_tokens=self.kv_capacity_tokens,
+            token_bytes=self.kv_token_bytes,
+            link_megabits=self.link_mbps,
+            models=tuple(model.name for model in self.models),
+        )
+
+
+class _Service(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    connection_limit: int = 100
+    engine: _Engine | None = None
+    kv_store_address: str = ""
+    zone: str = ""
+    kv_capacity_tokens: int = 0
+
+    def read(self) -> Service:
+        """Return the service."""
+        store = None
+        if self.kv_store_address:
+            store = CacheStore(self.kv_store_address, self.zone, self.kv_capacity_tokens)
+        engine = self.engine.read() if self.engine is not None else None
+        return Service(self.name, self.connection_limit, engine, store)
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    max_body_bytes: int = RequestLimits().max_body_bytes
+
+
+class _Tenant(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    isolated: bool = False
+
+
+class _Configuration(msgspec.Struct, frozen=True, rename="camel"):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
+
+
+class _Entry(msgspec.Struct, frozen=True, rename="camel"):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = ""
+    models: tuple[_Model, ...] = ()
+    call_sequence: int = 0
+
+
+class _Weights(msgspec.Struct, frozen=True, rename="camel"):
+    model: str
+    version: int
+
+
+def read_configuration(value: bytes) -> ServingConfiguration:
+    """Return the operators' configuration.
+
+    Raises:
+        msgspec.DecodeError: Names the field that can't be read.
+    """
+    document = msgspec.json.decode(value, type=_Configuration)
+    return ServingConfiguration(
+        version=document.version,
+        routes=tuple(route.read() for route in document.routes),
+        services=tuple(service.read() for service in document.services),
+        tenants=tuple(
+            Tenant(tenant.name, tuple(tenant.api_keys), tenant.priority, tenant.isolated)
+            for tenant in document.tenants
+        ),
+        limits=RequestLimits(document.limits.max_body_bytes),
+    )
+
+
+def read_instance(instance_id: str, value: bytes) -> Instance:
+    """Return an instance's entry.
+
+    Raises:
+        msgspec.DecodeError: Names the field that can't be read.
+    """
+    entry = msgspec.json.decode(value, type=_Entry)
+    return Instance(
+        instance_id=instance_id,
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        slots=entry.slots,
+        draining=entry.state == names.DRAINING,
+        versions={model.name: model.version for model in entry.models},
+        order_sequence=entry.call_sequence,
+    )
+
+
+def read_weights(value: bytes) -> NamedWeights:
+    """Return named weights.
+
+    Raises:
+        msgspec.DecodeError: Names the field that can't be read.
+    """
+    document = msgspec.json.decode(value, type=_Weights)
+    return NamedWeights(document.model, document.version)
--- /dev/null
+++ b/hopstep/platform/front.py
@@ -0,0 +1,216 @@
+"""Clients' requests over HTTP, as an ASGI application, turned into exchanges and back."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+
+from hopstep.domain.exchanges.request import Headers, Prompt, PromptSegment
+from hopstep.exceptions import ErrorCode, Execution, ServiceError
+from hopstep.platform import names
+from hopstep.services.exchanges.admission import RequestHead
+from hopstep.services.exchanges.exchange import ClientAnswer
+from hopstep.services.exchanges.service import ExchangeService
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[Any]]
+Send = Callable[[Any], Awaitable[None]]
+
+MILLISECONDS = 1_000.0
+UNKNOWN_STATUS = 502
+TIMEOUT_STATUS = 504
+REFUSED_STATUS = 503
+
+STATUS_BY_CODE = {
+    ErrorCode.MALFORMED_REQUEST: 400,
+    ErrorCode.INVALID_KEY: 401,
+    ErrorCode.NOT_FOUND: 404,
+    ErrorCode.BODY_TOO_LARGE: 413,
+}
+"""Statuses of refusals that coming back doesn't mend."""
+
+
+class ExchangeFront:
+    """ASGI application for clients."""
+
+    def __init__(self, service: ExchangeService, is_stopping: Callable[[], bool]) -> None:
+        """Serve by a service.
+
+        Args:
+            service: Serves requests.
+            is_stopping: Whether clients should leave their connections.
+        """
+        self._service = service
+        self._is_stopping = is_stopping
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        received_at = trio.current_time()
+        body = await _read_body(receive, self._service.max_body_bytes)
+        if body is None:
+            return
+        head = _read_head(scope, received_at)
+        answer = AsgiAnswer(send, head.request_id, self._is_stopping)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_on_leaving, receive, nursery.cancel_scope)
+            await self._serve(head, body, answer)
+            nursery.cancel_scope.cancel()
+
+    async def _serve(self, head: RequestHead, body: bytes, answer: AsgiAnswer) -> None:
+        """Serve, or answer with the error."""
+        try:
+            await self._service.serve(head, body, answer)
+        except ServiceError as error:
+            await answer.refuse(error)
+
+
+class AsgiAnswer(ClientAnswer):
+    """An answer over HTTP."""
+
+    def __init__(self, send: Send, request_id: str, is_stopping: Callable[[], bool]) -> None:
+        """Answer one request.
+
+        Args:
+            send: The server's callable.
+            request_id: Id that refusals carry.
+            is_stopping: Whether the client should leave its connection.
+        """
+        self._send = send
+        self._request_id = request_id
+        self._is_stopping = is_stopping
+
+    async def start(self, status: int, headers: Headers, length: int | None) -> None:
+        """Send the head; see the port."""
+        fields = list(headers)
+        if length is not None:
+            fields.append((b"content-length", str(length).encode()))
+        if self._is_stopping():
+            fields.append((b"connection", b"close"))
+        await self._send({"type": "http.response.start", "status": status, "headers": fields})
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body; see the port."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def finish(self) -> None:
+        """End the answer; see the port."""
+        await self._send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    async def refuse(self, error: ServiceError) -> None:
+        """Send an answer of the node's own."""
+        status = _status(error)
+        fields: list[tuple[bytes, bytes]] = []
+        if self._request_id:
+            fields.append((names.REQUEST_ID, self._request_id.encode()))
+        if status == REFUSED_STATUS:
+            wait = f"{error.retry_after_seconds:.3f}".encode()
+            fields.append((names.RETRY_AFTER, wait))
+        body = error.code.value.encode()
+        fields.append((b"content-type", b"text/plain"))
+        await self.start(status, tuple(fields), len(body))
+        await self.send(body)
+        await self.finish()
+
+
+def _status(error: ServiceError) -> int:
+    """Return the status of an answer of the node's own."""
+    status = STATUS_BY_CODE.get(error.code)
+    if status is not None:
+        return status
+    if error.execution is Execution.NOT_RUN:
+        return REFUSED_STATUS
+    return TIMEOUT_STATUS if error.code is ErrorCode.DEADLINE_EXCEEDED else UNKNOWN_STATUS
+
+
+async def _read_body(receive: Receive, max_bytes: Callable[[], int]) -> bytes | None:
+    """Return the whole body, or None when the client left; a long one is cut behind the bound."""
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] != "http.request":
+            return None
+        if len(body) <= max_bytes():
+            body += message.get("body", b"")
+        if not message.get("more_body", False):
+            return bytes(body)
+
+
+async def _cancel_on_leaving(receive: Receive, scope: trio.CancelScope) -> None:
+    """Cancel a request when its client leaves."""
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            scope.cancel()
+            return
+
+
+def _read_head(scope: Scope, received_at: float) -> RequestHead:
+    """Return the head of a request."""
+    found: dict[bytes, bytes] = dict(scope["headers"])
+    target = bytes(scope["raw_path"])
+    path = target.decode("latin-1")
+    if scope["query_string"]:
+        target += b"?" + scope["query_string"]
+    patience = _number(found.get(names.DEADLINE))
+    return RequestHead(
+        request_id=_text(found, names.REQUEST_ID),
+        method=scope["method"].encode(),
+        host=_text(found, b"host"),
+        path=path,
+        target=target,
+        headers=_passed_on(scope["headers"], found),
+        key=_text(found, names.API_KEY),
+        patience_seconds=patience / MILLISECONDS if patience is not None else None,
+        prompt=_read_prompt(found),
+        resume_after=_text(found, names.LAST_EVENT),
+        received_at=received_at,
+    )
+
+
+def _passed_on(headers: list[tuple[bytes, bytes]], found: dict[bytes, bytes]) -> Headers:
+    """Return the headers that an instance gets as they came."""
+    tokens = found.get(b"connection", b"").lower().split(b",")
+    dropped = names.PER_CONNECTION | names.SET_BY_US | {token.strip() for token in tokens}
+    return tuple((name, value) for name, value in headers if name not in dropped)
+
+
+def _read_prompt(found: dict[bytes, bytes]) -> Prompt | None:
+    """Return what a request says of its prompt; None when it names no model."""
+    model = _text(found, names.MODEL)
+    if not model:
+        return None
+    segments = _read_segments(_text(found, names.PROMPT_SEGMENTS))
+    usage = _text(found, names.TOKEN_USAGE).split(",")
+    prompt_tokens = _whole(usage[0]) or sum(segment.tokens for segment in segments)
+    answer_tokens = _whole(usage[1]) if len(usage) > 1 else 0
+    return Prompt(model, segments, prompt_tokens, answer_tokens)
+
+
+def _read_segments(text: str) -> tuple[PromptSegment, ...]:
+    """Return the segments of ``ID:TOKENS`` by commas; those that can't be read are left out."""
+    segments = []
+    for part in text.split(","):
+        segment_id, _, tokens = part.strip().partition(":")
+        if segment_id:
+            segments.append(PromptSegment(segment_id, _whole(tokens)))
+    return tuple(segments)
+
+
+def _text(found: dict[bytes, bytes], name: bytes) -> str:
+    """Return a header as text; empty when it is missing."""
+    return found.get(name, b"").decode("latin-1").strip()
+
+
+def _number(value: bytes | None) -> float | None:
+    """Return a header's number; None when it is missing or none."""
+    try:
+        return float(value) if value is not None else None
+    except ValueError:
+        return None
+
+
+def _whole(text: str) -> int:
+    """Return a whole number, or 0."""
+    return int(text) if text.strip().isdecimal() else 0
--- /dev/null
+++ b/hopstep/platform/http_client.py
@@ -0,0 +1,105 @@
+"""HTTP calls by ``httpcore``: one pool for each address, and what is proved when a call fails."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import httpcore
+import msgspec
+
+SENDING_EVENT = "http11.send_request_headers.started"
+"""Trace event of ``httpcore`` before the first byte of a request is written."""
+
+IDLE_SECONDS = 4.0
+"""Time after which an idle connection isn't used again."""
+
+MAX_CONNECTIONS = 512
+
+
+class HttpCall(msgspec.Struct, frozen=True):
+    """One call.
+
+    Attributes:
+        address: ``ip:port``.
+        method: HTTP method.
+        target: Raw path and query.
+        headers: All headers but the framing of the body.
+        body: Whole body.
+        connect_seconds: Longest wait for a connection.
+        read_seconds: Longest wait for each piece of the answer; None for no limit.
+    """
+
+    address: str
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    connect_seconds: float = 0.5
+    read_seconds: float | None = None
+
+
+class SendProof:
+    """Tells whether any byte of a request may have left."""
+
+    def __init__(self) -> None:
+        """Start before the first byte."""
+        self.sent = False
+
+    async def __call__(self, event: str, _details: dict[str, Any]) -> None:
+        """Follow the library's trace."""
+        if event == SENDING_EVENT:
+            self.sent = True
+
+
+class HttpClient:
+    """Pools of connections, one for each address."""
+
+    def __init__(self) -> None:
+        """Open no connection yet."""
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+
+    @contextlib.asynccontextmanager
+    async def open(self, call: HttpCall, proof: SendProof) -> AsyncIterator[httpcore.Response]:
+        """Send a call and give its answer as it comes; leaving early closes the connection."""
+        host, _, port = call.address.rpartition(":")
+        url = httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=call.target)
+        headers = list(call.headers)
+        if call.body or call.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers.append((b"content-length", str(len(call.body)).encode()))
+        timeout = {"connect": call.connect_seconds, "read": call.read_seconds}
+        request = httpcore.Request(
+            call.method,
+            url,
+            headers=headers,
+            content=call.body,
+            extensions={"timeout": timeout, "trace": proof},
+        )
+        response = await self._pool(call.address).handle_async_request(request)
+        try:
+            yield response
+        finally:
+            await response.aclose()
+
+    async def forget(self, address: str) -> None:
+        """Close the pool of an address; calls under way on it fail."""
+        pool = self._pools.pop(address, None)
+        if pool is not None:
+            await pool.aclose()
+
+    async def aclose(self) -> None:
+        """Close all pools."""
+        for address in list(self._pools):
+            await self.forget(address)
+
+    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        """Return the pool of an address."""
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = httpcore.AsyncConnectionPool(
+                max_connections=MAX_CONNECTIONS,
+                max_keepalive_connections=MAX_CONNECTIONS,
+                keepalive_expiry=IDLE_SECONDS,
+            )
+        return pool
--- /dev/null
+++ b/hopstep/platform/instances.py
@@ -0,0 +1,238 @@
+"""Requests and orders to instances over HTTP."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import httpcore
+import msgspec
+import trio
+
+from hopstep.domain.exchanges.instances import Instance
+from hopstep.exceptions import ErrorCode, Execution
+from hopstep.platform import names
+from hopstep.platform.http_client import HttpCall, HttpClient, SendProof
+from hopstep.ports.instance_calls import (
+    InstanceAnswer,
+    InstanceCall,
+    InstanceCallError,
+    InstanceCalls,
+)
+from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
+
+CONNECT_SECONDS = 0.4
+ORDER_SECONDS = 1.0
+MILLISECONDS = 1_000
+MISDIRECTED = 421
+NO_BODY_STATUSES = (204, 304)
+
+FAILURES = (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException)
+
+ORDER_OUTCOMES = {
+    200: OrderOutcome.HOLDS_ALREADY,
+    202: OrderOutcome.UNDER_WAY,
+    409: OrderOutcome.BUSY_OR_MOVED_ON,
+    412: OrderOutcome.FENCED,
+}
+
+
+class _Order(msgspec.Struct, frozen=True, rename="camel"):
+    operation: str
+    model: str
+    version: int
+    method: str
+    holder: str
+    fencing_token: int
+    expected_revision: int
+
+
+class _ReportedModel(msgspec.Struct):
+    name: str
+    version: int = 0
+
+
+class _Report(msgspec.Struct, frozen=True, rename="camel"):
+    busy: bool = False
+    call_sequence: int = 0
+    models: list[_ReportedModel] = []
+
+
+class HttpInstanceAnswer(InstanceAnswer):
+    """An answer over HTTP."""
+
+    def __init__(self, response: httpcore.Response) -> None:
+        """Read the head.
+
+        Args:
+            response: Response of the library.
+        """
+        found = {name.lower(): value for name, value in response.headers}
+        self.status = response.status
+        self.headers = tuple(
+            (name.lower(), value)
+            for name, value in response.headers
+            if name.lower() not in names.PER_CONNECTION and name.lower() != b"date"
+        )
+        self.signed = names.SIGNATURE in found
+        self.weights_version = _number(found.get(names.VERSIONS, b""))
+        self._response = response
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield the body; see the port."""
+        try:
+            async for data in self._response.aiter_stream():
+                yield data
+        except FAILURES as error:
+            raise InstanceCallError(
+                ErrorCode.STREAM_INTERRUPTED, "the answer broke off", Execution.UNKNOWN
+            ) from error
+
+
+class HttpInstances(InstanceCalls, WeightsOrders):
+    """Calls instances over pooled connections."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Use a client.
+
+        Args:
+            client: HTTP client, owned by the caller.
+        """
+        self._client = client
+
+    @contextlib.asynccontextmanager
+    async def open(self, call: InstanceCall) -> AsyncIterator[InstanceAnswer]:
+        """Send a request; see the port."""
+        request = call.request
+        http_call = HttpCall(
+            call.instance.address,
+            request.method,
+            request.target,
+            _request_headers(call),
+            request.body,
+            connect_seconds=CONNECT_SECONDS,
+        )
+        proof = SendProof()
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                response = await stack.enter_async_context(self._client.open(http_call, proof))
+            except FAILURES as error:
+                raise _no_answer(proof) from error
+            _check_head(response, request.request_id)
+            yield HttpInstanceAnswer(response)
+
+    async def forget(self, address: str) -> None:
+        """Close the connections to an address; see the port."""
+        await self._client.forget(address)
+
+    async def order(self, instance: Instance, order: WeightsOrder) -> OrderOutcome:
+        """Send an order; see the port."""
+        body = _Order(
+            operation=names.VERSION_OPERATION,
+            model=order.weights.model,
+            version=order.weights.version,
+            method=names.METHOD_RETAIN,
+            holder=order.holder,
+            fencing_token=order.fencing_token,
+            expected_revision=order.expected_sequence,
+        )
+        proof = SendProof()
+        answer = await self._control(
+            instance, b"POST", names.ORDER_PATH, msgspec.json.encode(body), proof
+        )
+        if answer is None:
+            return OrderOutcome.UNKNOWN if proof.sent else OrderOutcome.REJECTED
+        return ORDER_OUTCOMES.get(answer[0], OrderOutcome.REJECTED)
+
+    async def report(self, instance: Instance) -> EngineReport | None:
+        """Return an engine's report; see the port."""
+        answer = await self._control(instance, b"GET", names.REPORT_PATH, b"", SendProof())
+        if answer is None or answer[0] != 200:  # noqa: PLR2004
+            return None
+        try:
+            report = msgspec.json.decode(answer[1], type=_Report)
+        except msgspec.DecodeError:
+            return None
+        versions = {model.name: model.version for model in report.models}
+        return EngineReport(report.busy, report.call_sequence, versions)
+
+    async def _control(
+        self, instance: Instance, method: bytes, path: str, body: bytes, proof: SendProof
+    ) -> tuple[int, bytes] | None:
+        """Make a call beside the requests; return status and body, or None."""
+        headers = [
+            (b"host", instance.address.encode()),
+            (names.EXPECT_INSTANCE, instance.instance_id.encode()),
+        ]
+        if body:
+            headers.append((b"content-type", b"application/json"))
+        call = HttpCall(
+            instance.address,
+            method,
+            path.encode(),
+            tuple(headers),
+            body,
+            connect_seconds=CONNECT_SECONDS,
+        )
+        try:
+            with trio.fail_after(ORDER_SECONDS):
+                async with self._client.open(call, proof) as response:
+                    return response.status, await response.aread()
+        except (*FAILURES, trio.TooSlowError):
+            return None
+
+
+def _request_headers(call: InstanceCall) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the headers of an attempt."""
+    request = call.request
+    headers = [pair for pair in request.headers if pair[0] != names.LAST_EVENT]
+    remaining = max(1, int(call.remaining_seconds * MILLISECONDS))
+    headers.append((names.DEADLINE, str(remaining).encode()))
+    headers.append((names.EXPECT_INSTANCE, call.instance.instance_id.encode()))
+    if request.tenant is not None:
+        headers.append((names.TENANT, request.tenant.name.encode()))
+    if call.resume_after:
+        headers.append((names.LAST_EVENT, call.resume_after.encode()))
+    if call.priority is not None:
+        headers.append((names.PRIORITY, str(call.priority).encode()))
+    if call.expected_version:
+        headers.append((names.EXPECT_VERSION, str(call.expected_version).encode()))
+    if call.cache_salt:
+        headers.append((names.CACHE_SALT, call.cache_salt.encode()))
+    return tuple(headers)
+
+
+def _check_head(response: httpcore.Response, request_id: str) -> None:
+    """Raise unless an answer's head belongs to a request that the instance ran."""
+    found = {name.lower(): value for name, value in response.headers}
+    answered = found.get(names.REQUEST_ID)
+    if answered is not None and answered != request_id.encode():
+        raise InstanceCallError(
+            ErrorCode.EXECUTION_UNKNOWN, "an answer to another request came", Execution.UNKNOWN
+        )
+    if names.NOT_EXECUTED in found or response.status == MISDIRECTED:
+        code = ErrorCode.OVERLOADED
+        if response.status == MISDIRECTED:
+            code = ErrorCode.PRECONDITION_FAILED
+        raise InstanceCallError(code, f"not run, status {response.status}", Execution.NOT_RUN)
+    if answered is None:
+        raise InstanceCallError(
+            ErrorCode.EXECUTION_UNKNOWN, "an answer without an id came", Execution.UNKNOWN
+        )
+
+
+def _no_answer(proof: SendProof) -> InstanceCallError:
+    """Return the error of a request without an answer."""
+    if proof.sent:
+        return InstanceCallError(ErrorCode.EXECUTION_UNKNOWN, "no answer came", Execution.UNKNOWN)
+    return InstanceCallError(
+        ErrorCode.ENGINE_UNREACHABLE, "no connection", Execution.NOT_RUN, sent=False
+    )
+
+
+def _number(value: bytes) -> int:
+    """Return a header's whole number; 0 for none."""
+    try:
+        return int(value)
+    except ValueError:
+        return 0
--- /dev/null
+++ b/hopstep/platform/names.py
@@ -0,0 +1,84 @@
+"""Names of headers, paths and keys on the platform's wire."""
+
+from __future__ import annotations
+
+REQUEST_ID = b"attempt-id"
+DEADLINE = b"deadline-ms"
+PROMPT_SEGMENTS = b"prompt-prefix"
+LAST_EVENT = b"last-event-id"
+SIGNATURE = b"response-stamp"
+TENANT = b"tenant"
+EXPECT_INSTANCE = b"expect-instance"
+NOT_EXECUTED = b"not-executed"
+RETRY_AFTER = b"retry-after"
+MODEL = b"model"
+TOKEN_USAGE = b"token-usage"
+CACHE_SALT = b"cache-salt"
+PRIORITY = b"request-priority"
+VERSIONS = b"weight-versions"
+EXPECT_VERSION = b"expect-version"
+API_KEY = b"x-api-key"
+KEEP_ALIVE = b"keep-alive"
+
+SET_BY_US = frozenset(
+    {
+        DEADLINE,
+        TENANT,
+        EXPECT_INSTANCE,
+        CACHE_SALT,
+        PRIORITY,
+        EXPECT_VERSION,
+        API_KEY,
+        b"cache-source",
+        b"cache-target",
+        b"cache-backup",
+        b"kv-from",
+        b"pin-ms",
+        b"hold",
+    }
+)
+"""Request headers of a client that never reach an instance as they came."""
+
+PER_CONNECTION = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    }
+)
+"""Headers that concern one connection only, or its framing."""
+
+READINESS_PATH = "/readiness"
+ORDER_PATH = "/order"
+REPORT_PATH = "/report"
+
+STORE_ITEM = "/kv-key"
+STORE_RANGE = "/kv-range"
+STORE_WATCH = "/kv-watch"
+STORE_TRANSACTION = "/kv-txn"
+STORE_LEASE = "/kv-lease"
+STORE_RENEW = "/kv-keep/"
+STORE_LEASE_END = "/kv-lease-end/"
+
+CONFIGURATION_KEY = "op/config"
+WEIGHTS_PREFIX = "op/version/"
+OPERATORS_PREFIX = "op/"
+INSTANCES_PREFIX = "servers/"
+
+DRAINING = "draining"
+KIND_SAFE = "safe"
+KIND_UNSAFE = "unsafe"
+KIND_STREAMING = "streaming"
+VERSION_OPERATION = "version"
+METHOD_RETAIN = "retain"
+
+SETTINGS_VARIABLE = "HOPSTEP_SETTINGS"
+"""Environment variable with the path of the settings file."""
--- /dev/null
+++ b/hopstep/platform/store.py
@@ -0,0 +1,256 @@
+"""The platform's metadata store as hopstep's key-value port."""
+
+from __future__ import annotations
+
+import base64
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import httpcore
+import msgspec
+import trio
+
+from hopstep.exceptions import (
+    ErrorCode,
+    StoreConflictError,
+    StoreError,
+    StoreHistoryLostError,
+    StoreOutcomeUnknownError,
+)
+from hopstep.platform import names
+from hopstep.platform.http_client import HttpCall, HttpClient, SendProof
+from hopstep.ports.key_value_store import (
+    KeyValueStorePort,
+    StoredValue,
+    StoreListing,
+    WatchBatch,
+)
+
+CONNECT_SECONDS = 1.0
+ANSWER_SECONDS = 2.0
+"""Longest wait for an answer, beyond what a watch asks for."""
+
+MILLISECONDS = 1_000
+GET = b"GET"
+POST = b"POST"
+DELETE = b"DELETE"
+
+OK = 200
+NOT_FOUND = 404
+GONE = 410
+CONDITION_FAILED = 412
+TOO_MANY = 429
+UNAVAILABLE = 503
+
+
+class _Item(msgspec.Struct, frozen=True, rename="camel"):
+    private_key: str
+    revision: int
+    value: str = ""
+    deleted: bool = False
+
+    def read(self) -> StoredValue:
+        """Return the stored value."""
+        value = b"" if self.deleted else base64.b64decode(self.value)
+        return StoredValue(self.private_key, value, self.revision)
+
+
+class _Range(msgspec.Struct, frozen=True, rename="camel"):
+    at_revision: int
+    items: list[_Item] = []
+    has_more: bool = False
+
+
+class _Events(msgspec.Struct, frozen=True, rename="camel"):
+    at_revision: int
+    events: list[_Item] = []
+
+
+class _Condition(msgspec.Struct, frozen=True, rename="camel"):
+    private_key: str
+    revision: int
+
+
+class _Put(msgspec.Struct, rename="camel", omit_defaults=True):
+    private_key: str
+    value: str
+    lease_id: int = 0
+
+
+class _Transaction(msgspec.Struct, frozen=True, rename="camel"):
+    expected_revision: list[_Condition]
+    put: list[_Put] = []
+    removals: list[str] = []
+
+
+class _Written(msgspec.Struct, frozen=True):
+    revision: int
+
+
+class _LeaseRequest(msgspec.Struct, frozen=True, rename="camel"):
+    ttl_ms: int
+
+
+class _Lease(msgspec.Struct, frozen=True, rename="camel"):
+    lease_id: int
+
+
+class _Answer(msgspec.Struct, frozen=True):
+    """Status and body of a call."""
+
+    status: int
+    body: bytes
+
+
+Document = TypeVar("Document")
+
+
+class PlatformStore(KeyValueStorePort):
+    """Client of the store.
+
+    While the store is down every call raises ``StoreError``, at once or after
+    ``ANSWER_SECONDS``. A write that was sent and not answered raises
+    ``StoreOutcomeUnknownError``; it may still be done seconds later. After any call without an
+    answer its connection is closed.
+    """
+
+    def __init__(self, address: str, client: HttpClient) -> None:
+        """Use a client.
+
+        Args:
+            address: ``ip:port`` of the store.
+            client: HTTP client, owned by the caller.
+        """
+        self._address = address
+        self._client = client
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Return one value; see the port."""
+        answer = await self._call(GET, names.STORE_ITEM, {"privateKey": key})
+        if answer.status == NOT_FOUND:
+            return None
+        return _decode(answer, _Item).read()
+
+    async def list(self, prefix: str, after_key: str = "", limit: int = 1000) -> list[StoredValue]:
+        """Return a page of values; see the port."""
+        page = await self._page(prefix, after_key)
+        return [item.read() for item in page.items[:limit]]
+
+    async def listing(self, prefix: str) -> StoreListing:
+        """Return all values; see the port."""
+        page = await self._page(prefix, "")
+        revision = page.at_revision
+        values = [item.read() for item in page.items]
+        while page.has_more and page.items:
+            page = await self._page(prefix, page.items[-1].private_key)
+            values.extend(item.read() for item in page.items)
+        return StoreListing(revision, tuple(values))
+
+    async def compare_and_swap(
+        self, key: str, expected_version: int, value: bytes, lease: str = ""
+    ) -> int:
+        """Write one key; see the port."""
+        put = _Put(key, base64.b64encode(value).decode(), int(lease or 0))
+        transaction = _Transaction([_Condition(key, expected_version)], put=[put])
+        return await self._transact(transaction)
+
+    async def delete(self, key: str, expected_version: int) -> None:
+        """Delete one key; see the port."""
+        await self._transact(_Transaction([_Condition(key, expected_version)], removals=[key]))
+
+    async def watch(self, prefix: str, after_revision: int, wait_seconds: float) -> WatchBatch:
+        """Return changes; see the port."""
+        wait = int(wait_seconds * MILLISECONDS)
+        query = {"pathPrefix": prefix, "after": after_revision, "waitMs": wait}
+        answer = await self._call(GET, names.STORE_WATCH, query, extra_seconds=wait_seconds)
+        if answer.status == GONE:
+            raise StoreHistoryLostError(ErrorCode.STORE_HISTORY_LOST, "the history is gone")
+        batch = _decode(answer, _Events)
+        return WatchBatch(batch.at_revision, tuple(item.read() for item in batch.events))
+
+    async def grant_lease(self, time_to_live_seconds: float) -> str:
+        """Return a new lease; see the port."""
+        body = msgspec.json.encode(_LeaseRequest(int(time_to_live_seconds * MILLISECONDS)))
+        answer = await self._call(POST, names.STORE_LEASE, body=body)
+        return str(_decode(answer, _Lease).lease_id)
+
+    async def keep_alive(self, lease: str) -> None:
+        """Renew a lease; see the port."""
+        answer = await self._call(POST, names.STORE_RENEW + lease)
+        if answer.status == NOT_FOUND:
+            raise StoreConflictError(ErrorCode.STORE_CONFLICT, "the lease is over")
+        _require_ok(answer)
+
+    async def end_lease(self, lease: str) -> None:
+        """End a lease; see the port."""
+        await self._call(DELETE, names.STORE_LEASE_END + lease)
+
+    async def _page(self, prefix: str, after_key: str) -> _Range:
+        """Return one page of a range."""
+        query: dict[str, object] = {"pathPrefix": prefix}
+        if after_key:
+            query["after"] = after_key
+        return _decode(await self._call(GET, names.STORE_RANGE, query), _Range)
+
+    async def _transact(self, transaction: _Transaction) -> int:
+        """Carry out a transaction and return its revision."""
+        body = msgspec.json.encode(transaction)
+        answer = await self._call(POST, names.STORE_TRANSACTION, body=body)
+        if answer.status in (CONDITION_FAILED, NOT_FOUND):
+            raise StoreConflictError(ErrorCode.STORE_CONFLICT, "the condition doesn't hold")
+        return _decode(answer, _Written).revision
+
+    async def _call(
+        self,
+        method: bytes,
+        path: str,
+        query: dict[str, object] | None = None,
+        body: bytes = b"",
+        extra_seconds: float = 0.0,
+    ) -> _Answer:
+        """Make one call; refusals that say so raise ``StoreError``."""
+        target = f"{path}?{urlencode(query)}" if query else path
+        headers = ((b"host", self._address.encode()), (b"content-type", b"application/json"))
+        call = HttpCall(
+            self._address, method, target.encode(), headers, body, connect_seconds=CONNECT_SECONDS
+        )
+        proof = SendProof()
+        try:
+            with trio.fail_after(ANSWER_SECONDS + extra_seconds):
+                async with self._client.open(call, proof) as response:
+                    answer = _Answer(response.status, await response.aread())
+        except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException) as error:
+            raise _no_answer(method, proof) from error
+        except trio.TooSlowError as error:
+            raise _no_answer(method, proof) from error
+        if answer.status == TOO_MANY:
+            raise StoreError(ErrorCode.STORE_RATE_LIMITED, "the store refuses by its rate limit")
+        if answer.status == UNAVAILABLE:
+            raise StoreError(ErrorCode.STORE_UNAVAILABLE, "the store is unavailable")
+        return answer
+
+
+def _no_answer(method: bytes, proof: SendProof) -> StoreError:
+    """Return the error of a call without an answer."""
+    if method == GET or not proof.sent:
+        return StoreError(ErrorCode.STORE_UNAVAILABLE, "the store gave no answer")
+    return StoreOutcomeUnknownError(
+        ErrorCode.STORE_OUTCOME_UNKNOWN, "the store gave no answer to a write"
+    )
+
+
+def _require_ok(answer: _Answer) -> None:
+    """Raise unless a call succeeded."""
+    if answer.status != OK:
+        message = f"the store answered {answer.status}"
+        raise StoreError(ErrorCode.STORE_UNAVAILABLE, message)
+
+
+def _decode(answer: _Answer, document: type[Document]) -> Document:
+    """Return the document of an answer."""
+    _require_ok(answer)
+    try:
+        return msgspec.json.decode(answer.body, type=document)
+    except msgspec.DecodeError as error:
+        message = f"the store's answer can't be read: {error}"
+        raise StoreError(ErrorCode.STORE_UNAVAILABLE, message) from error
--- /dev/null
+++ b/hopstep/ports/instance_calls.py
@@ -0,0 +1,94 @@
+"""Port to instances of services: requests passed to them, and their answers."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+
+import msgspec
+
+from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.exchanges.request import ExchangeRequest, Headers
+from hopstep.exceptions import ErrorCode, Execution, PortError
+
+
+class InstanceCallError(PortError):
+    """An instance gave no whole answer.
+
+    Args:
+        code: Stable code.
+        message: One sentence.
+        execution: Not run only when that is proved.
+        sent: Whether any byte of the request may have left.
+    """
+
+    def __init__(
+        self, code: ErrorCode, message: str, execution: Execution, *, sent: bool = True
+    ) -> None:
+        super().__init__(code, message)
+        self.execution = execution
+        self.sent = sent
+
+
+class InstanceCall(msgspec.Struct, frozen=True):
+    """One attempt of a request.
+
+    Attributes:
+        instance: Where it goes; another incarnation at its address must not run it.
+        request: The request.
+        remaining_seconds: Time after which the instance should stop.
+        priority: 0 (first) to 9; None for none.
+        resume_after: Last event that the client has; empty for a new stream.
+        expected_version: Weights version that the instance must have; 0 for any.
+        cache_salt: Text under which segments are kept; empty for none.
+    """
+
+    instance: Instance
+    request: ExchangeRequest
+    remaining_seconds: float
+    priority: int | None = None
+    resume_after: str = ""
+    expected_version: int = 0
+    cache_salt: str = ""
+
+
+class InstanceAnswer(abc.ABC):
+    """The head of an answer, and its body as it comes.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers that are passed back.
+        signed: Whether the answer carries the instance's signature.
+        weights_version: Version that the answer names; 0 for none.
+    """
+
+    status: int
+    headers: Headers
+    signed: bool
+    weights_version: int
+
+    @abc.abstractmethod
+    def body(self) -> AsyncIterator[bytes]:
+        """Yield the body.
+
+        Raises:
+            InstanceCallError: When it broke off or isn't proved whole.
+        """
+
+
+class InstanceCalls(abc.ABC):
+    """Sends requests to instances."""
+
+    @abc.abstractmethod
+    def open(self, call: InstanceCall) -> AbstractAsyncContextManager[InstanceAnswer]:
+        """Send a request; leaving the context early cancels it at the instance.
+
+        Raises:
+            InstanceCallError: When there is no answer to this request, or the instance says
+                that it hasn't run it.
+        """
+
+    @abc.abstractmethod
+    async def forget(self, address: str) -> None:
+        """Close the connections to an address that is no longer used."""
--- a/hopstep/ports/key_value_store.py
+++ b/hopstep/ports/key_value_store.py
@@ -41,6 +41,19 @@
     values: tuple[StoredValue, ...]
 
 
+class StoreListing(msgspec.Struct, frozen=True):
+    """All values below a prefix, with the revision from which a watch goes on.
+
+    Attributes:
+        revision: No change after it is missing from a watch that starts here; values may already
+            hold later ones.
+        values: Values by key.
+    """
+
+    revision: int
+    values: tuple[StoredValue, ...]
+
+
 class KeyValueStorePort(abc.ABC):
     """The key-value service.
 
@@ -79,7 +92,25 @@
 
     @abc.abstractmethod
     async def watch(self, prefix: str, after_revision: int, wait_seconds: float) -> WatchBatch:
-        """Return changes below ``prefix`` after a revision, waiting up to ``wait_seconds``."""
+        """Return changes below ``prefix`` after a revision, waiting up to ``wait_seconds``.
+
+        Raises:
+            StoreHistoryLostError: When the service has forgotten these changes; list again.
+        """
+
+    async def listing(self, prefix: str) -> StoreListing:
+        """Return all values below ``prefix``, page by page, and where a watch goes on.
+
+        Adapters whose service tells its revision override this; here it is the highest one seen
+        on the first page, which is never too high.
+        """
+        values: list[StoredValue] = []
+        revision: int | None = None
+        while page := await self.list(prefix, values[-1].key if values else ""):
+            if revision is None:
+                revision = max(value.version for value in page)
+            values.extend(page)
+        return StoreListing(revision or 0, tuple(values))
 
     @abc.abstractmethod
     async def grant_lease(self, time_to_live_seconds: float) -> str:
@@ -88,3 +119,6 @@
     @abc.abstractmethod
     async def keep_alive(self, lease: str) -> None:
         """Renew a lease; raises ``StoreConflictError`` when it has lapsed."""
+
+    async def end_lease(self, lease: str) -> None:  # noqa: B027 - optional
+        """End a lease early, with its keys; services without such a call let it lapse."""
--- /dev/null
+++ b/hopstep/ports/serving_directory.py
@@ -0,0 +1,101 @@
+"""Port to what operators and instances publish in the store.
+
+When the store is down both methods raise ``StoreError``, at once or after a time limit.
+"""
+
+from __future__ import annotations
+
+import abc
+
+import msgspec
+
+from hopstep.domain.exchanges.instances import Instance, NamedWeights
+from hopstep.domain.exchanges.serving import ServingConfiguration
+
+
+class ConfigurationPublished(msgspec.Struct, frozen=True):
+    """Operators published a configuration."""
+
+    configuration: ServingConfiguration
+
+
+class InstanceListed(msgspec.Struct, frozen=True):
+    """An instance wrote its entry."""
+
+    instance: Instance
+
+
+class InstanceRemoved(msgspec.Struct, frozen=True):
+    """An instance's entry is gone."""
+
+    instance_id: str
+
+
+class WeightsPublished(msgspec.Struct, frozen=True):
+    """Operators named weights."""
+
+    weights: NamedWeights
+
+
+class RecordWritten(msgspec.Struct, frozen=True):
+    """A key of hopstep's own changed.
+
+    Attributes:
+        key: The key.
+        value: Its value; empty when it is gone.
+        revision: Store revision of the change.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class Unreadable(msgspec.Struct, frozen=True):
+    """An entry that can't be read; what was known before it stays in force.
+
+    Attributes:
+        key: The key.
+        reason: Field and expectation.
+    """
+
+    key: str
+    reason: str
+
+
+DirectoryChange = (
+    ConfigurationPublished
+    | InstanceListed
+    | InstanceRemoved
+    | WeightsPublished
+    | RecordWritten
+    | Unreadable
+)
+
+
+class DirectoryBatch(msgspec.Struct, frozen=True):
+    """Entries up to a revision.
+
+    Attributes:
+        revision: Changes after it are still to come.
+        changes: Entries, oldest first.
+    """
+
+    revision: int
+    changes: tuple[DirectoryChange, ...]
+
+
+class ServingDirectory(abc.ABC):
+    """Reads the directory."""
+
+    @abc.abstractmethod
+    async def snapshot(self) -> DirectoryBatch:
+        """Return all entries; what isn't among them doesn't exist."""
+
+    @abc.abstractmethod
+    async def changes(self, after_revision: int, wait_seconds: float) -> DirectoryBatch:
+        """Return changes after a revision as soon as there are any, or none after the wait.
+
+        Raises:
+            StoreHistoryLostError: When the changes are no longer known; take a snapshot.
+        """
--- /dev/null
+++ b/hopstep/services/exchanges/__init__.py
@@ -0,0 +1,1 @@
+"""Services that carry routed exchanges."""
--- /dev/null
+++ b/hopstep/services/exchanges/admission.py
@@ -0,0 +1,111 @@
+"""What is decided by a request's head: route, key, freshness of what the node knows."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hopstep.domain.exchanges.request import ExchangeRequest, Headers, Prompt
+from hopstep.domain.exchanges.serving import Route, ServingIndex, Tenant
+from hopstep.exceptions import ErrorCode, ServiceError
+from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.lifecycle import Lifecycle
+
+
+class RequestHead(msgspec.Struct, frozen=True):
+    """A request as it was read, before anything is decided.
+
+    Attributes:
+        request_id: Unique for each attempt of a client; empty when it is missing.
+        method: HTTP method.
+        host: Host that it was sent to.
+        path: Path as it was sent.
+        target: Raw path and query.
+        headers: Headers that are passed on.
+        key: API key; empty for none.
+        patience_seconds: How long the client waits; None when it doesn't say.
+        prompt: What it says of its prompt.
+        resume_after: Last event that the client has.
+        received_at: When its head was read.
+    """
+
+    request_id: str
+    method: bytes
+    host: str
+    path: str
+    target: bytes
+    headers: Headers
+    key: str
+    patience_seconds: float | None
+    prompt: Prompt | None
+    resume_after: str
+    received_at: float
+
+
+class ExchangeAdmission:
+    """Turns heads into requests, or refuses them."""
+
+    def __init__(self, knowledge: ServingKnowledge, lifecycle: Lifecycle) -> None:
+        """Use what the node knows.
+
+        Args:
+            knowledge: Configuration and its age.
+            lifecycle: Whether the node is stopping.
+        """
+        self._knowledge = knowledge
+        self._lifecycle = lifecycle
+
+    def admit(self, head: RequestHead, body: bytes) -> ExchangeRequest:
+        """Return the request.
+
+        Raises:
+            ServiceError: When it may not run here; nothing was sent.
+        """
+        self._lifecycle.check_serving()
+        index = self._knowledge.require_index()
+        route = index.find_route(head.host, head.path)
+        if route is None:
+            raise self._denied(ErrorCode.NOT_FOUND, "no route for this host and path")
+        tenant = self._find_tenant(index, route, head.key)
+        if not head.request_id:
+            raise ServiceError(ErrorCode.MALFORMED_REQUEST, "the request has no id")
+        if len(body) > index.configuration.limits.max_body_bytes:
+            raise ServiceError(ErrorCode.BODY_TOO_LARGE, "the body is too long")
+        return _make_request(head, body, route, tenant)
+
+    def _find_tenant(self, index: ServingIndex, route: Route, key: str) -> Tenant | None:
+        """Return the tenant of a request; None on a public route or without tenants."""
+        if route.public or not index.keys_required:
+            return None
+        self._knowledge.require_fresh()
+        tenant = index.find_tenant(key)
+        if tenant is None:
+            raise self._denied(ErrorCode.INVALID_KEY, "the key is of no tenant")
+        return tenant
+
+    def _denied(self, code: ErrorCode, message: str) -> ServiceError:
+        """Return the refusal of what isn't configured, if what is known is recent enough."""
+        self._knowledge.require_fresh()
+        return ServiceError(code, message)
+
+
+def _make_request(
+    head: RequestHead, body: bytes, route: Route, tenant: Tenant | None
+) -> ExchangeRequest:
+    """Return an admitted request with its deadlines."""
+    patience = head.patience_seconds
+    if patience is None:
+        patience = route.timeout_seconds
+    return ExchangeRequest(
+        request_id=head.request_id,
+        method=head.method,
+        target=head.target,
+        headers=head.headers,
+        body=body,
+        route=route,
+        tenant=tenant,
+        received_at=head.received_at,
+        deadline=head.received_at + min(patience, route.timeout_seconds),
+        client_deadline=head.received_at + patience,
+        prompt=head.prompt,
+        resume_after=head.resume_after,
+    )
--- /dev/null
+++ b/hopstep/services/exchanges/exchange.py
@@ -0,0 +1,442 @@
+"""One request on its way: attempts at instances until its answer is whole or truthfully failed."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from hopstep import log_events
+from hopstep.domain.exchanges.attempt_rules import ExchangeProgress, NextStep, decide_step
+from hopstep.domain.exchanges.event_stream import EventFramer, StreamOrderError
+from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.exchanges.repeat_budget import RepeatBudget
+from hopstep.domain.exchanges.request import ExchangeRequest, Headers
+from hopstep.domain.exchanges.selection import Candidate
+from hopstep.domain.exchanges.serving import RequestKind
+from hopstep.exceptions import ErrorCode, Execution, ServiceError
+from hopstep.logs import emit
+from hopstep.ports.instance_calls import (
+    InstanceAnswer,
+    InstanceCall,
+    InstanceCallError,
+    InstanceCalls,
+)
+from hopstep.services.exchanges.instance_choice import InstanceChoice
+
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that say to a client that its request has not run."""
+
+FIRST_FAILURE_STATUS = 500
+FIRST_SUCCESS_STATUS = 200
+LAST_SUCCESS_STATUS = 299
+MAX_PRIORITY = 9
+PRIORITIES_OF_A_TENANT = 3
+"""Routes' ranks that fit between two ranks of tenants."""
+
+NO_ROOM_RETRY_AFTER_SECONDS = 0.4
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_UNSENT_TRIES = 3
+"""Most instances that couldn't be reached before a request is refused."""
+
+WATCHDOG_SECONDS = 0.2
+
+
+class ClientAnswer(abc.ABC):
+    """The answer as the client gets it."""
+
+    @abc.abstractmethod
+    async def start(self, status: int, headers: Headers, length: int | None) -> None:
+        """Send the head; ``length`` is None when the body ends with ``finish``."""
+
+    @abc.abstractmethod
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+
+    @abc.abstractmethod
+    async def finish(self) -> None:
+        """End the answer as whole; without this call it ends as cut off."""
+
+
+class WholeAnswer(msgspec.Struct, frozen=True):
+    """An answer that was read to its end.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers that are passed back.
+        body: Whole body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class ExchangeOutcome(msgspec.Struct):
+    """What is told of a request when it has ended.
+
+    Attributes:
+        outcome: Status, or how it was cut.
+        instance: Last instance.
+        attempts: Attempts of which a byte was sent.
+        first_byte_ms: From the head of the request to the first byte of the answer.
+        events: Events of a stream.
+    """
+
+    outcome: str = ""
+    instance: str = ""
+    attempts: int = 0
+    first_byte_ms: int = -1
+    events: int = 0
+
+
+class ExchangeParts(msgspec.Struct, frozen=True):
+    """What all requests of a node share.
+
+    Attributes:
+        calls: Instances.
+        choice: Chooses among them.
+        budgets: Returns a service's retry budget.
+        nodes: Returns how many nodes may be alive.
+        note_sent: Told of each prompt that is sent, for the peers.
+    """
+
+    calls: InstanceCalls
+    choice: InstanceChoice
+    budgets: Callable[[str], RepeatBudget]
+    nodes: Callable[[], int]
+    note_sent: Callable[[Candidate], None]
+
+
+class Exchange:
+    """Carries one request."""
+
+    def __init__(
+        self, parts: ExchangeParts, request: ExchangeRequest, service: str, answer: ClientAnswer
+    ) -> None:
+        """Prepare.
+
+        Args:
+            parts: What all requests share.
+            request: The request.
+            service: Service that its route chose.
+            answer: The client's answer.
+        """
+        self.outcome = ExchangeOutcome()
+        self._parts = parts
+        self._request = request
+        self._service = service
+        self._answer = answer
+        self._budget = parts.budgets(service)
+        self._framer = EventFramer(_event_number(request.resume_after))
+        self._tried: set[str] = set()
+        self._unsent_tries = 0
+        self._started = False
+        self._may_have_run = False
+        self._failure: WholeAnswer | None = None
+
+    async def run(self) -> None:
+        """Give the client an answer, or cut it when it can't be completed.
+
+        Raises:
+            ServiceError: When nothing of an answer was sent; ``execution`` is as proved.
+        """
+        self._budget.record_request(self._request.received_at)
+        with trio.CancelScope(deadline=self._request.deadline) as scope:
+            await self._run_attempts()
+        if scope.cancelled_caught:
+            self._fail(ErrorCode.DEADLINE_EXCEEDED, "no whole answer in time")
+
+    async def _run_attempts(self) -> None:
+        """Make attempts until the answer is whole or nothing more can be done."""
+        while True:
+            candidate = self._parts.choice.choose(self._request, self._service, self._tried)
+            if candidate is None:
+                self._fail(ErrorCode.OVERLOADED, "no instance may serve the request now")
+                return
+            error = await self._attempt(candidate)
+            if error is None:
+                return
+            self._learn(candidate.view, error)
+            step = decide_step(self._progress(error))
+            self._log_attempt(candidate.view, error, step)
+            if step is NextStep.CUT:
+                self.outcome.outcome = "cut"
+                return
+            if step is NextStep.REFUSE:
+                self._fail(error.code, error.message)
+            if step is NextStep.ANSWER_UNKNOWN:
+                await self._answer_unknown()
+                return
+            self._framer.restart()
+
+    async def _attempt(self, candidate: Candidate) -> InstanceCallError | None:
+        """Make one attempt; return what went wrong, or None after a whole answer."""
+        view = candidate.view
+        request = self._request
+        now = trio.current_time()
+        self.outcome.instance = view.instance.instance_id
+        view.begin(request.request_id, candidate.uncached_tokens, now)
+        view.segments.record(candidate.keys)
+        self._parts.note_sent(candidate)
+        try:
+            await self._call(candidate)
+        except InstanceCallError as error:
+            if error.sent:
+                self._count_sent(view)
+            else:
+                self._unsent_tries += 1
+            self._tried.add(view.instance.instance_id)
+            return error
+        finally:
+            view.end(request.request_id, candidate.uncached_tokens)
+        self._count_sent(view)
+        return None
+
+    def _count_sent(self, view: InstanceView) -> None:
+        """Count an attempt that left."""
+        if self.outcome.attempts:
+            self._budget.record_repeat(trio.current_time())
+        self.outcome.attempts += 1
+        self._tried.add(view.instance.instance_id)
+
+    async def _call(self, candidate: Candidate) -> None:
+        """Send the request and pass its answer on.
+
+        Raises:
+            InstanceCallError: When the answer isn't whole.
+        """
+        view = candidate.view
+        sent_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            watchdog = _Watchdog(view, self._request.route.idempotent)
+            nursery.start_soon(watchdog.run, nursery.cancel_scope)
+            try:
+                await self._exchange(candidate, sent_at)
+            except InstanceCallError as error:
+                failure: InstanceCallError | None = error
+            else:
+                failure = None
+            nursery.cancel_scope.cancel()
+        if watchdog.fired:
+            raise InstanceCallError(
+                ErrorCode.ENGINE_UNREACHABLE, "the instance is silent", Execution.UNKNOWN
+            )
+        if failure is not None:
+            raise failure
+
+    async def _exchange(self, candidate: Candidate, sent_at: float) -> None:
+        """Open the call and relay its answer."""
+        view = candidate.view
+        async with self._parts.calls.open(self._make_call(view)) as answer:
+            now = trio.current_time()
+            view.heard(now)
+            if answer.weights_version and self._request.prompt is not None:
+                view.learn_version(self._request.prompt.model, answer.weights_version)
+            if self._is_stream(answer):
+                await self._relay_stream(candidate, answer, sent_at)
+            else:
+                await self._relay_whole(candidate, answer, sent_at)
+
+    def _make_call(self, view: InstanceView) -> InstanceCall:
+        """Return the call of an attempt."""
+        request = self._request
+        prompt = request.prompt
+        last_id = self._framer.last_id
+        return InstanceCall(
+            instance=view.instance,
+            request=request,
+            remaining_seconds=request.deadline - trio.current_time(),
+            priority=_rank(request) if prompt is not None else None,
+            resume_after=str(last_id) if last_id is not None else request.resume_after,
+            expected_version=view.versions.get(prompt.model, 0) if prompt is not None else 0,
+            cache_salt=self._parts.choice.salt(request, view),
+        )
+
+    def _is_stream(self, answer: InstanceAnswer) -> bool:
+        """Return whether an answer is passed on event by event."""
+        successful = FIRST_SUCCESS_STATUS <= answer.status <= LAST_SUCCESS_STATUS
+        return successful and self._request.route.kind is RequestKind.STREAM
+
+    async def _relay_stream(
+        self, candidate: Candidate, answer: InstanceAnswer, sent_at: float
+    ) -> None:
+        """Pass events on as they come."""
+        self._require_signed(answer)
+        view = candidate.view
+        first = True
+        async for data in answer.body():
+            now = trio.current_time()
+            if first:
+                first = False
+                view.first_byte(self._request.request_id, candidate.uncached_tokens, now)
+                view.succeeded(now - sent_at)
+            view.heard(now)
+            await self._send_events(answer, data)
+        if self._framer.has_partial or not self._started:
+            raise InstanceCallError(
+                ErrorCode.STREAM_INTERRUPTED, "the stream ended in an event", Execution.UNKNOWN
+            )
+        await self._answer.finish()
+        self.outcome.events = self._framer.events
+        self.outcome.outcome = str(answer.status)
+
+    async def _send_events(self, answer: InstanceAnswer, data: bytes) -> None:
+        """Pass on the events that are whole with ``data``."""
+        try:
+            whole = self._framer.feed(data)
+        except StreamOrderError as error:
+            raise InstanceCallError(
+                ErrorCode.STREAM_INTERRUPTED, str(error), Execution.UNKNOWN
+            ) from error
+        if not whole:
+            return
+        if not self._started:
+            await self._start(answer.status, answer.headers, None)
+        await self._answer.send(whole)
+
+    async def _relay_whole(
+        self, candidate: Candidate, answer: InstanceAnswer, sent_at: float
+    ) -> None:
+        """Read an answer to its end and pass it on, unless another attempt may do better."""
+        body = bytearray()
+        async for data in answer.body():
+            body += data
+            if len(body) > MAX_ANSWER_BYTES:
+                raise InstanceCallError(
+                    ErrorCode.EXECUTION_UNKNOWN, "the answer is too long", Execution.UNKNOWN
+                )
+        now = trio.current_time()
+        candidate.view.first_byte(self._request.request_id, candidate.uncached_tokens, now)
+        if answer.status in PROMISES:
+            raise InstanceCallError(
+                ErrorCode.EXECUTION_UNKNOWN,
+                f"status {answer.status} without the proof",
+                Execution.UNKNOWN,
+            )
+        whole = WholeAnswer(answer.status, answer.headers, bytes(body))
+        if self._started or answer.status >= FIRST_FAILURE_STATUS:
+            self._failure = whole
+            raise InstanceCallError(
+                ErrorCode.RETRIES_EXHAUSTED,
+                f"the instance answered {answer.status}",
+                Execution.UNKNOWN,
+            )
+        if FIRST_SUCCESS_STATUS <= answer.status <= LAST_SUCCESS_STATUS:
+            self._require_signed(answer)
+        candidate.view.succeeded(now - sent_at)
+        await self._send_whole(whole)
+
+    def _require_signed(self, answer: InstanceAnswer) -> None:
+        """Raise unless a success carries its instance's signature."""
+        if not answer.signed:
+            raise InstanceCallError(
+                ErrorCode.EXECUTION_UNKNOWN, "the answer isn't signed", Execution.UNKNOWN
+            )
+
+    async def _send_whole(self, whole: WholeAnswer) -> None:
+        """Pass a whole answer on."""
+        await self._start(whole.status, whole.headers, len(whole.body))
+        await self._answer.send(whole.body)
+        await self._answer.finish()
+        self.outcome.outcome = str(whole.status)
+
+    async def _start(self, status: int, headers: Headers, length: int | None) -> None:
+        """Send the head of the answer."""
+        self._started = True
+        elapsed = trio.current_time() - self._request.received_at
+        self.outcome.first_byte_ms = round(elapsed * 1_000)
+        await self._answer.start(status, headers, length)
+
+    async def _answer_unknown(self) -> None:
+        """Pass on an instance's own failure, or say that the request may have run."""
+        if self._failure is not None and not self._started:
+            await self._send_whole(self._failure)
+            return
+        self._fail(ErrorCode.EXECUTION_UNKNOWN, "the request may have run")
+
+    def _fail(self, code: ErrorCode, message: str) -> None:
+        """Raise the error that ends the request, or end as cut when an answer has begun."""
+        if self._started:
+            self.outcome.outcome = "cut"
+            return
+        execution = Execution.UNKNOWN if self._may_have_run else Execution.NOT_RUN
+        if code is ErrorCode.DEADLINE_EXCEEDED and self.outcome.attempts == 0 and self._tried:
+            execution = Execution.UNKNOWN
+        raise ServiceError(
+            code, message, execution=execution, retry_after_seconds=NO_ROOM_RETRY_AFTER_SECONDS
+        )
+
+    def _learn(self, view: InstanceView, error: InstanceCallError) -> None:
+        """Learn from a failed attempt."""
+        if error.execution is Execution.UNKNOWN:
+            self._may_have_run = True
+        answered = error.execution is Execution.NOT_RUN and error.sent
+        unreachable = not answered and error.code is not ErrorCode.RETRIES_EXHAUSTED
+        view.failed(trio.current_time(), unreachable=unreachable)
+
+    def _progress(self, error: InstanceCallError) -> ExchangeProgress:
+        """Return how far the request has come."""
+        now = trio.current_time()
+        route = self._request.route
+        attempts = self.outcome.attempts
+        if self._unsent_tries >= MAX_UNSENT_TRIES:
+            attempts = route.max_attempts
+        return ExchangeProgress(
+            idempotent=route.idempotent,
+            resumable=route.resumable,
+            answer_started=self._started,
+            last=error.execution,
+            may_have_run=self._may_have_run,
+            attempts=attempts,
+            max_attempts=route.max_attempts,
+            within_budget=self._budget.allows(now, self._parts.nodes()),
+            remaining_seconds=self._request.deadline - now,
+        )
+
+    def _log_attempt(self, view: InstanceView, error: InstanceCallError, step: NextStep) -> None:
+        """Log a failed attempt and what follows."""
+        emit(
+            log_events.EXCHANGE_ATTEMPT_FAILED,
+            request_id=self._request.request_id,
+            instance=view.instance.instance_id,
+            code=error.code.value,
+            reason=error.message,
+            execution=error.execution.value,
+            sent=error.sent,
+            next_step=step.value,
+        )
+
+
+class _Watchdog:
+    """Ends an attempt that may be repeated when its instance has fallen silent."""
+
+    def __init__(self, view: InstanceView, armed: bool) -> None:
+        self.fired = False
+        self._view = view
+        self._armed = armed
+
+    async def run(self, scope: trio.CancelScope) -> None:
+        """Watch until cancelled."""
+        while self._armed:
+            await trio.sleep(WATCHDOG_SECONDS)
+            if self._view.is_silent(trio.current_time()):
+                self.fired = True
+                scope.cancel()
+
+
+def _rank(request: ExchangeRequest) -> int:
+    """Return the rank of a request at an instance: its tenant's first, then its route's."""
+    priority = request.route.priority
+    tenant = request.tenant
+    if tenant is not None and tenant.priority is not None:
+        priority = min(priority, PRIORITIES_OF_A_TENANT - 1)
+        priority += tenant.priority * PRIORITIES_OF_A_TENANT
+    return max(0, min(MAX_PRIORITY, priority))
+
+
+def _event_number(text: str) -> int | None:
+    """Return the number of an event that a client names, or None."""
+    return int(text) if text.isdecimal() else None
--- /dev/null
+++ b/hopstep/services/exchanges/rollout_lease.py
@@ -0,0 +1,141 @@
+"""The lease under which one node at a time orders engines to load weights.
+
+The key of the lease is created only where it doesn't exist; its creation revision is the fencing
+token. A holder counts the lease from when the grant or renewal was sent, and stops before it can
+have lapsed. A new holder waits for one lease time before its first order. While the store is down
+nobody becomes holder, and the holder stops when its lease ends.
+"""
+
+from __future__ import annotations
+
+import random
+
+import trio
+
+from hopstep import log_events
+from hopstep.exceptions import StoreConflictError, StoreError
+from hopstep.logs import emit
+from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort
+from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.records import ROLLOUT_KEY
+
+RENEWALS_IN_A_LEASE = 3
+SAFETY_SECONDS = 0.3
+"""An order is sent only if the lease holds at least this much longer."""
+
+RETRY_SECONDS = 0.5
+RECHECK_SECONDS = 2.0
+
+
+class RolloutLease:
+    """Acquires and keeps the lease."""
+
+    def __init__(
+        self,
+        name: str,
+        store: KeyValueStorePort,
+        knowledge: ServingKnowledge,
+        generator: random.Random,
+        lease_seconds: float,
+    ) -> None:
+        """Start without the lease.
+
+        Args:
+            name: Name of this node.
+            store: The store.
+            knowledge: Tells whether another node holds the lease.
+            generator: Spreads attempts.
+            lease_seconds: Time of the lease.
+        """
+        self.fencing_token = 0
+        self._name = name
+        self._store = store
+        self._knowledge = knowledge
+        self._generator = generator
+        self._lease_seconds = lease_seconds
+        self._lease = ""
+        self._valid_until = 0.0
+        self._order_from = 0.0
+        self._released = False
+
+    @property
+    def may_order(self) -> bool:
+        """Whether an order may be sent now."""
+        now = trio.current_time()
+        return bool(self.fencing_token) and self._order_from <= now <= self._order_until
+
+    @property
+    def _order_until(self) -> float:
+        """Time after which no order may be sent."""
+        return self._valid_until - SAFETY_SECONDS
+
+    async def run(self) -> None:
+        """Acquire the lease whenever nobody holds it, and keep it, until cancelled."""
+        while not self._released:
+            await self._wait_vacant()
+            try:
+                await self._acquire()
+                await self._keep()
+            except StoreError:
+                await trio.sleep(RETRY_SECONDS * (0.5 + self._generator.random()))
+
+    async def release(self) -> None:
+        """End the lease, so that another node needn't wait for it to lapse."""
+        self._released = True
+        self._lose("released")
+        if self._lease:
+            try:
+                await self._store.end_lease(self._lease)
+            except StoreError:
+                return
+
+    async def _wait_vacant(self) -> None:
+        """Wait until weights are named and nobody is known to hold the lease."""
+        knowledge = self._knowledge
+        while not knowledge.weights.models() or knowledge.rollout_record is not None:
+            with trio.move_on_after(RECHECK_SECONDS):
+                await knowledge.changed.wait()
+
+    async def _acquire(self) -> None:
+        """Create the key under a new lease; raises ``StoreError`` when that isn't proved."""
+        sent_at = trio.current_time()
+        lease = await self._store.grant_lease(self._lease_seconds)
+        try:
+            token = await self._store.compare_and_swap(
+                ROLLOUT_KEY, ABSENT, self._name.encode(), lease
+            )
+        except StoreError:
+            await self._store.end_lease(lease)
+            raise
+        self._lease = lease
+        self._valid_until = sent_at + self._lease_seconds
+        self._order_from = trio.current_time() + self._lease_seconds
+        self.fencing_token = token
+        emit(log_events.ROLLOUT_LEASE_ACQUIRED, fencing_token=token)
+
+    async def _keep(self) -> None:
+        """Renew the lease until it is lost."""
+        while self.fencing_token:
+            await trio.sleep(self._lease_seconds / RENEWALS_IN_A_LEASE)
+            if trio.current_time() > self._valid_until:
+                self._lose("lapsed")
+                return
+            await self._renew()
+
+    async def _renew(self) -> None:
+        """Renew once; failures are borne until the lease lapses."""
+        sent_at = trio.current_time()
+        try:
+            await self._store.keep_alive(self._lease)
+        except StoreConflictError:
+            self._lose("over")
+        except StoreError:
+            return
+        else:
+            self._valid_until = sent_at + self._lease_seconds
+
+    def _lose(self, reason: str) -> None:
+        """Stop ordering."""
+        if self.fencing_token:
+            emit(log_events.ROLLOUT_LEASE_LOST, fencing_token=self.fencing_token, reason=reason)
+        self.fencing_token = 0
--- /dev/null
+++ b/hopstep/services/exchanges/service.py
@@ -0,0 +1,131 @@
+"""Entry of requests: admission, one exchange each, and a log line for each outcome."""
+
+from __future__ import annotations
+
+import random
+
+import trio
+
+from hopstep import log_events
+from hopstep.domain.exchanges.repeat_budget import RepeatBounds, RepeatBudget
+from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.exchanges.serving import RequestLimits
+from hopstep.exceptions import ServiceError
+from hopstep.logs import emit
+from hopstep.ports.instance_calls import InstanceCalls
+from hopstep.services.exchanges.admission import ExchangeAdmission, RequestHead
+from hopstep.services.exchanges.exchange import ClientAnswer, Exchange, ExchangeParts
+from hopstep.services.exchanges.instance_choice import InstanceChoice
+from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.load_sharing import LoadSharing
+from hopstep.services.lifecycle import Lifecycle
+
+
+class ExchangeService:
+    """Serves requests of a node."""
+
+    def __init__(
+        self,
+        knowledge: ServingKnowledge,
+        lifecycle: Lifecycle,
+        calls: InstanceCalls,
+        sharing: LoadSharing,
+        bounds: RepeatBounds,
+        generator: random.Random,
+    ) -> None:
+        """Join the parts.
+
+        Args:
+            knowledge: What the node knows.
+            lifecycle: Counts active requests.
+            calls: Instances.
+            sharing: Told of each prompt that is sent.
+            bounds: Bounds of retries over all nodes.
+            generator: Splits traffic and breaks ties.
+        """
+        self.admission = ExchangeAdmission(knowledge, lifecycle)
+        self._knowledge = knowledge
+        self._lifecycle = lifecycle
+        self._generator = generator
+        self._bounds = bounds
+        self._budgets: dict[str, RepeatBudget] = {}
+        self._parts = ExchangeParts(
+            calls=calls,
+            choice=InstanceChoice(knowledge, generator),
+            budgets=self._budget,
+            nodes=sharing.count_nodes,
+            note_sent=sharing.note_sent,
+        )
+
+    def max_body_bytes(self) -> int:
+        """Return the longest body that is read into memory."""
+        current = self._knowledge.current
+        return (current.limits if current is not None else RequestLimits()).max_body_bytes
+
+    async def serve(self, head: RequestHead, body: bytes, answer: ClientAnswer) -> None:
+        """Serve one request.
+
+        Raises:
+            ServiceError: When nothing of an answer was sent.
+        """
+        with self._lifecycle.active():
+            try:
+                request = self.admission.admit(head, body)
+            except ServiceError as error:
+                self._log_refusal(head, error)
+                raise
+            await self._run(request, answer)
+
+    async def _run(self, request: ExchangeRequest, answer: ClientAnswer) -> None:
+        """Run an admitted request and log its outcome."""
+        service = request.route.choose_service(self._generator)
+        exchange = Exchange(self._parts, request, service, answer)
+        outcome = exchange.outcome
+        try:
+            await exchange.run()
+        except ServiceError as error:
+            outcome.outcome = f"{error.code.value}:{error.execution.value}"
+            raise
+        except trio.Cancelled:
+            outcome.outcome = "client_left"
+            raise
+        finally:
+            emit(
+                log_events.EXCHANGE_ENDED,
+                request_id=request.request_id,
+                route=request.route.name,
+                tenant=request.tenant.name if request.tenant is not None else "",
+                service=service,
+                instance=outcome.instance,
+                attempts=outcome.attempts,
+                outcome=outcome.outcome,
+                first_byte_ms=outcome.first_byte_ms,
+                total_ms=round((trio.current_time() - request.received_at) * 1_000),
+                events=outcome.events,
+                configuration=self._version(),
+                age_ms=round(self._knowledge.age_seconds * 1_000),
+            )
+
+    def _log_refusal(self, head: RequestHead, error: ServiceError) -> None:
+        """Log a request that wasn't admitted."""
+        known = self._knowledge.current is not None
+        emit(
+            log_events.EXCHANGE_REFUSED,
+            request_id=head.request_id,
+            code=error.code.value,
+            reason=error.message,
+            configuration=self._version(),
+            age_ms=round(self._knowledge.age_seconds * 1_000) if known else -1,
+        )
+
+    def _version(self) -> int:
+        """Return the version of the configuration in force; 0 for none."""
+        current = self._knowledge.current
+        return current.version if current is not None else 0
+
+    def _budget(self, service: str) -> RepeatBudget:
+        """Return the retry budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RepeatBudget(self._bounds)
+        return budget
--- /dev/null
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -0,0 +1,145 @@
+"""Loads named weights into engines, a few at a time, under the rollout lease."""
+
+from __future__ import annotations
+
+import trio
+
+from hopstep import log_events
+from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.exchanges.instances import NamedWeights
+from hopstep.domain.exchanges.weights import engines_behind
+from hopstep.logs import emit
+from hopstep.ports.weights_orders import OrderOutcome, WeightsOrder, WeightsOrders
+from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.load_sharing import LoadSharing
+from hopstep.services.exchanges.rollout_lease import RolloutLease
+
+CHECK_SECONDS = 0.1
+POLL_SECONDS = 0.25
+LOADING_SECONDS = 1.0
+"""For so long peers keep requests from an engine after an order, unless they hear more."""
+
+MAX_LOAD_SECONDS = 4.0
+RETRY_SECONDS = 0.5
+
+
+class WeightsRollout:
+    """Brings engines to the newest weights while this node holds the lease."""
+
+    def __init__(
+        self,
+        name: str,
+        knowledge: ServingKnowledge,
+        lease: RolloutLease,
+        orders: WeightsOrders,
+        sharing: LoadSharing,
+    ) -> None:
+        """Join the parts.
+
+        Args:
+            name: Name of this node.
+            knowledge: Engines and named weights.
+            lease: Permission to order.
+            orders: Orders to engines.
+            sharing: Tells peers which engines load.
+        """
+        self._name = name
+        self._knowledge = knowledge
+        self._lease = lease
+        self._orders = orders
+        self._sharing = sharing
+        self._loading: set[str] = set()
+        self._retry_at: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Order loads as they fall due until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(CHECK_SECONDS)
+                if self._lease.may_order:
+                    self._start_due(nursery)
+
+    def _start_due(self, nursery: trio.Nursery) -> None:
+        """Start the loads that are due now."""
+        weights = self._knowledge.weights
+        now = trio.current_time()
+        for model in weights.models():
+            newest = NamedWeights(model, weights.newest(model))
+            behind = engines_behind(self._knowledge.table, model, newest.version)
+            if not behind:
+                continue
+            oldest = behind[0].versions[model]
+            if now < weights.due_at(model, len(behind), oldest):
+                continue
+            for view in behind:
+                self._start(nursery, view, newest, now)
+
+    def _start(
+        self, nursery: trio.Nursery, view: InstanceView, weights: NamedWeights, now: float
+    ) -> None:
+        """Start one load if there is room beside the others."""
+        instance_id = view.instance.instance_id
+        if instance_id in self._loading or now < self._retry_at.get(instance_id, 0.0):
+            return
+        if len(self._loading) >= self._knowledge.weights.bounds.together:
+            return
+        self._loading.add(instance_id)
+        nursery.start_soon(self._load, view, weights)
+
+    async def _load(self, view: InstanceView, weights: NamedWeights) -> None:
+        """Load one engine and wait until it is done."""
+        instance_id = view.instance.instance_id
+        try:
+            outcome = await self._order(view, weights)
+            emit(
+                log_events.WEIGHTS_ORDER_SENT,
+                instance=instance_id,
+                model=weights.model,
+                version=weights.version,
+                fencing_token=self._lease.fencing_token,
+                outcome=outcome.value,
+            )
+            self._retry_at[instance_id] = trio.current_time() + RETRY_SECONDS
+            if outcome in (OrderOutcome.UNDER_WAY, OrderOutcome.UNKNOWN):
+                await self._follow(view, weights)
+            elif outcome is OrderOutcome.HOLDS_ALREADY:
+                view.learn_version(weights.model, weights.version)
+        finally:
+            self._loading.discard(instance_id)
+
+    async def _order(self, view: InstanceView, weights: NamedWeights) -> OrderOutcome:
+        """Send the order; once more after a look at how many orders the engine has taken."""
+        await self._mark_loading(view)
+        sequence = view.instance.order_sequence
+        for _ in range(2):
+            if not self._lease.may_order:
+                return OrderOutcome.REJECTED
+            order = WeightsOrder(weights, self._name, self._lease.fencing_token, sequence)
+            outcome = await self._orders.order(view.instance, order)
+            if outcome is not OrderOutcome.BUSY_OR_MOVED_ON:
+                return outcome
+            report = await self._orders.report(view.instance)
+            if report is None or report.busy or report.order_sequence == sequence:
+                return outcome
+            sequence = report.order_sequence
+        return outcome
+
+    async def _follow(self, view: InstanceView, weights: NamedWeights) -> None:
+        """Wait until an engine has loaded."""
+        with trio.move_on_after(MAX_LOAD_SECONDS):
+            while True:
+                await trio.sleep(POLL_SECONDS)
+                report = await self._orders.report(view.instance)
+                if report is None:
+                    continue
+                if report.versions.get(weights.model, 0) >= weights.version:
+                    view.learn_version(weights.model, weights.version)
+                    return
+                if not report.busy:
+                    return
+                await self._mark_loading(view)
+
+    async def _mark_loading(self, view: InstanceView) -> None:
+        """Keep requests from an engine for a while, here and at the peers."""
+        view.loading_until = trio.current_time() + LOADING_SECONDS
+        await self._sharing.announce_loading(view.instance.instance_id, LOADING_SECONDS)
--- a/hopstep/services/lifecycle.py
+++ b/hopstep/services/lifecycle.py
@@ -8,13 +8,13 @@
 
 import contextlib
 from collections.abc import Iterator
+from typing import Protocol
 
 import trio
 
 from hopstep import log_events
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.logs import emit
-from hopstep.services.configuration.holder import ConfigurationHolder
 
 STOPPING_RETRY_AFTER_SECONDS = 1.0
 
@@ -26,18 +26,32 @@
 """
 
 
+class ConfigurationSource(Protocol):
+    """Whatever holds the configuration in force."""
+
+    @property
+    def current(self) -> object | None:
+        """The configuration in force, or None before the first."""
+
+
 class Lifecycle:
     """Counts active requests and carries a node through its planned stop."""
 
-    def __init__(self, holder: ConfigurationHolder, drain_seconds: float) -> None:
+    def __init__(
+        self, holder: ConfigurationSource, drain_seconds: float, accept_seconds: float = 0.0
+    ) -> None:
         """Start in service.
 
         Args:
             holder: A node is ready as soon as it has a configuration.
             drain_seconds: Longest wait for active requests.
+            accept_seconds: Time for which a stopping node still serves requests, which come on
+                kept connections and from load balancers that haven't noticed yet.
         """
         self._holder = holder
         self._drain_seconds = drain_seconds
+        self._accept_seconds = accept_seconds
+        self._refuse_at = float("inf")
         self._active = 0
         self._idle = trio.Event()
         self._idle.set()
@@ -59,8 +73,8 @@
         return self._holder.current is not None and not self.stopping
 
     def check_serving(self) -> None:
-        """Raise ``STOPPING`` once a stop was asked for."""
-        if self.stopping:
+        """Raise ``STOPPING`` once a stop was asked for and the time to accept is over."""
+        if self.stopping and trio.current_time() >= self._refuse_at:
             raise ServiceError(
                 ErrorCode.STOPPING,
                 "this router is stopping; use another one",
@@ -85,6 +99,7 @@
         if self.stopping:
             return
         emit(log_events.PROCESS_STOPPING, active_requests=self._active)
+        self._refuse_at = trio.current_time() + self._accept_seconds
         self._stopping.set()
 
     async def wait_stopping(self) -> None:
@@ -98,7 +113,7 @@
             True when every request ended by itself.
         """
         with trio.move_on_after(self._drain_seconds):
-            await trio.sleep(MIN_REFUSING_SECONDS)
+            await trio.sleep(self._accept_seconds + MIN_REFUSING_SECONDS)
             while self._active:
                 await self._idle.wait()
         if self._active:
--- a/hopstep/settings_loader.py
+++ b/hopstep/settings_loader.py
@@ -14,6 +14,7 @@
 from hopstep.domain.addresses import parse_address
 from hopstep.domain.configuration.decoding import convert_document
 from hopstep.exceptions import ErrorCode, HopstepError, ValidationError
+from hopstep.exchange_settings import ExchangeBounds, ExchangeSettings
 from hopstep.settings import RouterSettings, TlsSettings
 
 EXIT_BAD_SETTINGS = 2
@@ -162,6 +163,52 @@
     return settings
 
 
+def load_exchange_settings(path: Path) -> ExchangeSettings:
+    """Return the settings of a node for routed exchanges.
+
+    Raises:
+        SettingsError: When the file can't be read or a value is bad.
+    """
+    return parse_exchange_settings(read_toml(path), str(path))
+
+
+def parse_exchange_settings(document: Mapping[str, Any], source: str) -> ExchangeSettings:
+    """Return the settings of a decoded document for a node of routed exchanges.
+
+    Args:
+        document: Maps, lists and scalars.
+        source: Name of the file, for errors.
+
+    Raises:
+        SettingsError: When a field is unknown, missing, of a wrong type or out of range.
+    """
+    try:
+        settings = convert_document(dict(document), ExchangeSettings, ErrorCode.INVALID_SETTINGS)
+        _check_exchange(settings)
+    except ValidationError as error:
+        raise SettingsError(source, error.field, error.message) from None
+    return settings
+
+
+def _check_exchange(settings: ExchangeSettings) -> None:
+    """Check what the types of a node's settings don't say."""
+    _check_texts(settings)
+    addresses = {
+        "address": settings.address,
+        "readiness_address": settings.readiness_address,
+        "peer_address": settings.peer_address,
+        "store": settings.store,
+    }
+    if settings.metrics_address:
+        addresses["metrics_address"] = settings.metrics_address
+    for field, address in addresses.items():
+        parse_address(address, field)
+    for field in ExchangeBounds.__struct_fields__:
+        value = getattr(settings.bounds, field)
+        if not 0 < value < float("inf"):
+            raise _invalid(f"bounds.{field}", f"expected a number above 0, got {value}")
+
+
 def _override(document: dict[str, Any], field: _FlagField, value: object, path: str | None) -> None:
     """Set a field of the document to a flag's value."""
     section = document
@@ -180,7 +227,7 @@
     _check_tls(settings.tls)
 
 
-def _check_texts(settings: RouterSettings) -> None:
+def _check_texts(settings: RouterSettings | ExchangeSettings) -> None:
     """Check names and the log level."""
     for field in ("name", "zone"):
         if not getattr(settings, field):
