--- a/hopstep/cli/node.py
+++ b/hopstep/cli/node.py
@@ -22,6 +22,7 @@
 from hopstep.garbage_collection import configure_garbage_collection
 from hopstep.library_logs import capture_library_logs
 from hopstep.logs import configure_logging
+from hopstep.platform.cache_events import PlatformCacheEvents
 from hopstep.platform.directory import PlatformDirectory
 from hopstep.platform.front import ExchangeFront
 from hopstep.platform.http_client import HttpClient
@@ -52,6 +53,7 @@
         calls=instances,
         orders=instances,
         loads=loads,
+        cache_events=PlatformCacheEvents(client),
         generator=random.Random(secrets.randbits(64)),  # noqa: S311 - spreads load only
     )
     services = ExchangeServices(settings, ports)
--- a/hopstep/domain/exchanges/serving.py
+++ b/hopstep/domain/exchanges/serving.py
@@ -91,6 +91,15 @@
     link_megabits: float
     models: tuple[str, ...] = ()
 
+    def move_seconds_per_token(self, link_megabits: float) -> float:
+        """Return the time to move one cached token from a link to an instance's own.
+
+        Args:
+            link_megabits: Megabits a second of the other link; infinite time without a link.
+        """
+        slower = min(self.link_megabits, link_megabits)
+        return self.token_bytes * 8 / (slower * 1e6) if slower > 0 else float("inf")
+
 
 class CacheStore(msgspec.Struct, frozen=True):
     """A store of cached prompt segments.
@@ -99,11 +108,13 @@
         address: ``ip:port``.
         zone: Zone of the store.
         cache_tokens: Tokens that it holds.
+        link_megabits: Megabits a second of its link.
     """
 
     address: str
     zone: str
     cache_tokens: int
+    link_megabits: float = 0.0
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/hopstep/domain/exchanges/weights.py
+++ b/hopstep/domain/exchanges/weights.py
@@ -9,6 +9,10 @@
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import NamedWeights
 
+LOAD_SMOOTHING = 0.3
+START_SECONDS = 2.5
+"""For so long a node that has just started sends requests to engines with older weights."""
+
 
 class WeightsBounds(msgspec.Struct, frozen=True):
     """Bounds of a rollout.
@@ -23,7 +27,7 @@
     propagation_seconds: float = 8.0
     reserve_seconds: float = 1.5
     together: int = 2
-    load_seconds: float = 0.8
+    load_seconds: float = 1.0
 
 
 class NamedVersion(msgspec.Struct, frozen=True):
@@ -31,13 +35,11 @@
 
     Attributes:
         version: The version.
-        since: Steady clock when this node first saw it.
-        dated: Whether it was seen as it was named; else it may be older.
+        since: Steady clock, seconds: not later than the naming as far as is known.
     """
 
     version: int
     since: float
-    dated: bool
 
 
 class WeightsBook:
@@ -50,16 +52,34 @@
             bounds: Bounds of a rollout.
         """
         self.bounds = bounds
+        self.load_seconds = bounds.load_seconds
         self._named: dict[str, list[NamedVersion]] = {}
 
-    def put(self, weights: NamedWeights, now: float, *, dated: bool) -> bool:
-        """Take a named version; return whether it is the newest of its model."""
+    def put(self, weights: NamedWeights, since: float) -> bool:
+        """Take a named version; return whether it is the newest of its model.
+
+        Args:
+            weights: The version.
+            since: Time from which its bound counts.
+        """
         versions = self._named.setdefault(weights.model, [])
         if versions and weights.version <= versions[-1].version:
             return False
-        versions.append(NamedVersion(weights.version, now, dated))
+        versions.append(NamedVersion(weights.version, since))
         return True
 
+    def record_load(self, seconds: float) -> None:
+        """Learn how long a load takes, from the order until it is known to be done."""
+        self.load_seconds += LOAD_SMOOTHING * (seconds - self.load_seconds)
+
+    def oldest_since(self, now: float) -> float:
+        """Return from when a bound counts for a version of unknown age.
+
+        A node that has just started isn't held to the bound at once, and has little time left.
+        """
+        bounds = self.bounds
+        return now - (bounds.propagation_seconds - bounds.reserve_seconds - START_SECONDS)
+
     def models(self) -> tuple[str, ...]:
         """Return the models for which weights were named."""
         return tuple(self._named)
@@ -75,7 +95,7 @@
         limit = bounds.propagation_seconds - bounds.reserve_seconds
         required = 0
         for named in self._named.get(model, ()):
-            if not named.dated or now - named.since >= limit:
+            if now - named.since >= limit:
                 required = named.version
         return required
 
@@ -91,14 +111,12 @@
         """
         bounds = self.bounds
         batches = -(-behind // max(1, bounds.together))
-        needed = batches * bounds.load_seconds + bounds.reserve_seconds
+        needed = batches * self.load_seconds + bounds.reserve_seconds
         pending = [named for named in self._named.get(model, ()) if named.version > oldest]
         if not pending:
             return float("inf")
         first = pending[0]
-        if not first.dated:
-            return first.since
-        return first.since + max(0.0, bounds.propagation_seconds - bounds.reserve_seconds - needed)
+        return first.since + max(0.0, bounds.propagation_seconds - needed)
 
 
 def engines_behind(views: Iterable[InstanceView], model: str, version: int) -> list[InstanceView]:
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -16,6 +16,7 @@
 from hopstep.domain.exchanges.weights import WeightsBook, WeightsBounds
 from hopstep.exchange_settings import ExchangeSettings
 from hopstep.logs import emit
+from hopstep.ports.cache_events import CacheEvents
 from hopstep.ports.instance_calls import InstanceCalls
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.ports.load_exchange import LoadExchange
@@ -26,6 +27,7 @@
 from hopstep.services.exchanges.registration import Registration
 from hopstep.services.exchanges.rollout_lease import RolloutLease
 from hopstep.services.exchanges.service import ExchangeService
+from hopstep.services.exchanges.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.weights_rollout import WeightsRollout
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.settings_loader import SettingsError, load_exchange_settings
@@ -47,6 +49,7 @@
         calls: Requests to instances.
         orders: Orders to engines.
         loads: Datagrams between nodes.
+        cache_events: What cache stores keep.
         generator: Source of random choices.
     """
 
@@ -55,6 +58,7 @@
     calls: InstanceCalls
     orders: WeightsOrders
     loads: LoadExchange
+    cache_events: CacheEvents
     generator: random.Random
 
 
@@ -84,11 +88,13 @@
             min(ACCEPT_SECONDS, bounds.grace_seconds / 3),
         )
         self.sharing = LoadSharing(settings.name, self.knowledge, ports.loads)
+        self.store_watch = CacheStoreWatch(self.knowledge, ports.cache_events)
         self.exchanges = ExchangeService(
             self.knowledge,
             self.lifecycle,
             ports.calls,
             self.sharing,
+            self.store_watch,
             RepeatBounds(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds),
             generator,
         )
@@ -116,6 +122,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.knowledge.run)
             nursery.start_soon(self.sharing.run)
+            nursery.start_soon(self.store_watch.run)
             nursery.start_soon(self.registration.run)
             nursery.start_soon(self.lease.run)
             nursery.start_soon(self.rollout.run)
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -397,7 +397,7 @@
 )
 INSTANCE_REMOVED = LogEvent("HS6102", "instance_removed", Level.INFO, ("instance",), "Nothing.")
 WEIGHTS_NAMED = LogEvent(
-    "HS6103", "weights_named", Level.INFO, ("model", "version", "dated"), "Nothing."
+    "HS6103", "weights_named", Level.INFO, ("model", "version", "age_ms"), "Nothing."
 )
 WEIGHTS_ORDER_SENT = LogEvent(
     "HS6104",
@@ -406,6 +406,13 @@
     ("instance", "model", "version", "fencing_token", "outcome"),
     "If rejected or unknown recurs: look at the engine's own logs.",
 )
+CACHE_STORE_CHANGED = LogEvent(
+    "HS6107",
+    "cache_store_changed",
+    Level.WARNING,
+    ("address", "reachable"),
+    "If false: look at the cache store; prompts are read anew meanwhile.",
+)
 ROLLOUT_LEASE_ACQUIRED = LogEvent(
     "HS6105", "rollout_lease_acquired", Level.INFO, ("fencing_token",), "Nothing."
 )
--- /dev/null
+++ b/hopstep/platform/cache_events.py
@@ -0,0 +1,73 @@
+"""Events of the platform's cache stores."""
+
+from __future__ import annotations
+
+import httpcore
+import msgspec
+import trio
+
+from hopstep.domain.exchanges.store_contents import StoreEvent
+from hopstep.platform import names
+from hopstep.platform.http_client import HttpCall, HttpClient, SendProof
+from hopstep.ports.cache_events import CacheEvents, StoreEvents
+
+ANSWER_SECONDS = 0.7
+MILLISECONDS = 1_000
+OK = 200
+
+
+class _Event(msgspec.Struct, frozen=True, array_like=True):
+    number: int
+    sign: str
+    salt: str
+    segment_id: str
+    tokens: int
+    model: str
+
+
+class _Events(msgspec.Struct, frozen=True, rename="camel"):
+    epoch: int
+    next_page_token: int
+    lost: bool = False
+    events: tuple[_Event, ...] = ()
+
+
+class PlatformCacheEvents(CacheEvents):
+    """Reads events by long polling."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Use a client.
+
+        Args:
+            client: HTTP client, owned by the caller.
+        """
+        self._client = client
+
+    async def read(self, address: str, position: int, wait_seconds: float) -> StoreEvents | None:
+        """Return events; see the port."""
+        wait = str(int(wait_seconds * MILLISECONDS)).encode()
+        headers = ((b"host", address.encode()), (names.WAIT, wait))
+        target = f"{names.CACHE_EVENTS_PATH}?since={position}".encode()
+        call = HttpCall(address, b"GET", target, headers, b"")
+        try:
+            with trio.fail_after(ANSWER_SECONDS + wait_seconds):
+                async with self._client.open(call, SendProof()) as response:
+                    body = await response.aread()
+            if response.status != OK:
+                return None
+            read = msgspec.json.decode(body, type=_Events)
+        except (
+            httpcore.ProtocolError,
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            trio.TooSlowError,
+            msgspec.DecodeError,
+        ):
+            return None
+        events = tuple(_read(event) for event in read.events)
+        return StoreEvents(read.epoch, read.next_page_token, read.lost, events)
+
+
+def _read(event: _Event) -> StoreEvent:
+    """Return one event; what is dropped whole keeps no tokens."""
+    return StoreEvent(event.salt, event.segment_id, event.tokens, event.model)
--- a/hopstep/platform/documents.py
+++ b/hopstep/platform/documents.py
@@ -96,12 +96,15 @@
     kv_store_address: str = ""
     zone: str = ""
     kv_capacity_tokens: int = 0
+    link_mbps: float = 0.0
 
     def read(self) -> Service:
         """Return the service."""
         store = None
         if self.kv_store_address:
-            store = CacheStore(self.kv_store_address, self.zone, self.kv_capacity_tokens)
+            store = CacheStore(
+                self.kv_store_address, self.zone, self.kv_capacity_tokens, self.link_mbps
+            )
         engine = self.engine.read() if self.engine is not None else None
         return Service(self.name, self.connection_limit, engine, store)
 
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -22,7 +22,7 @@
 from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
 
 CONNECT_SECONDS = 0.4
-ORDER_SECONDS = 1.0
+ORDER_SECONDS = 0.4
 MILLISECONDS = 1_000
 MISDIRECTED = 421
 NO_BODY_STATUSES = (204, 304)
@@ -199,6 +199,10 @@
         headers.append((names.EXPECT_VERSION, str(call.expected_version).encode()))
     if call.cache_salt:
         headers.append((names.CACHE_SALT, call.cache_salt.encode()))
+    if call.cache_source:
+        headers.append((names.CACHE_SOURCE, call.cache_source.encode()))
+    if call.cache_target:
+        headers.append((names.CACHE_TARGET, call.cache_target.encode()))
     return tuple(headers)
 
 
--- a/hopstep/platform/names.py
+++ b/hopstep/platform/names.py
@@ -14,6 +14,9 @@
 MODEL = b"model"
 TOKEN_USAGE = b"token-usage"
 CACHE_SALT = b"cache-salt"
+CACHE_SOURCE = b"cache-source"
+CACHE_TARGET = b"cache-target"
+WAIT = b"wait-ms"
 PRIORITY = b"request-priority"
 VERSIONS = b"weight-versions"
 EXPECT_VERSION = b"expect-version"
@@ -29,8 +32,8 @@
         PRIORITY,
         EXPECT_VERSION,
         API_KEY,
-        b"cache-source",
-        b"cache-target",
+        CACHE_SOURCE,
+        CACHE_TARGET,
         b"cache-backup",
         b"kv-from",
         b"pin-ms",
@@ -59,6 +62,7 @@
 READINESS_PATH = "/readiness"
 ORDER_PATH = "/order"
 REPORT_PATH = "/report"
+CACHE_EVENTS_PATH = "/kv-events"
 
 STORE_ITEM = "/kv-key"
 STORE_RANGE = "/kv-range"
--- /dev/null
+++ b/hopstep/ports/cache_events.py
@@ -0,0 +1,33 @@
+"""Port to the events of a cache store."""
+
+from __future__ import annotations
+
+import abc
+
+import msgspec
+
+from hopstep.domain.exchanges.store_contents import StoreEvent
+
+
+class StoreEvents(msgspec.Struct, frozen=True):
+    """Events since a position.
+
+    Attributes:
+        epoch: Changes when the store restarts empty.
+        position: Where the next call goes on.
+        lost: Whether events are missing before these.
+        events: Oldest first.
+    """
+
+    epoch: int
+    position: int
+    lost: bool
+    events: tuple[StoreEvent, ...]
+
+
+class CacheEvents(abc.ABC):
+    """Reads events."""
+
+    @abc.abstractmethod
+    async def read(self, address: str, position: int, wait_seconds: float) -> StoreEvents | None:
+        """Return events after a position, waiting for some; None without a usable answer."""
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -42,6 +42,8 @@
         resume_after: Last event that the client has; empty for a new stream.
         expected_version: Weights version that the instance must have; 0 for any.
         cache_salt: Text under which segments are kept; empty for none.
+        cache_source: ``ip:port`` from which kept segments are brought; empty for none.
+        cache_target: ``ip:port`` of a cache store that gets the segments; empty for none.
     """
 
     instance: Instance
@@ -51,6 +53,8 @@
     resume_after: str = ""
     expected_version: int = 0
     cache_salt: str = ""
+    cache_source: str = ""
+    cache_target: str = ""
 
 
 class InstanceAnswer(abc.ABC):
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -230,7 +230,7 @@
     async def _exchange(self, candidate: Candidate, sent_at: float) -> None:
         """Open the call and relay its answer."""
         view = candidate.view
-        async with self._parts.calls.open(self._make_call(view)) as answer:
+        async with self._parts.calls.open(self._make_call(candidate)) as answer:
             now = trio.current_time()
             view.heard(now)
             if answer.weights_version and self._request.prompt is not None:
@@ -240,8 +240,9 @@
             else:
                 await self._relay_whole(candidate, answer, sent_at)
 
-    def _make_call(self, view: InstanceView) -> InstanceCall:
+    def _make_call(self, candidate: Candidate) -> InstanceCall:
         """Return the call of an attempt."""
+        view = candidate.view
         request = self._request
         prompt = request.prompt
         last_id = self._framer.last_id
@@ -253,6 +254,8 @@
             resume_after=str(last_id) if last_id is not None else request.resume_after,
             expected_version=view.versions.get(prompt.model, 0) if prompt is not None else 0,
             cache_salt=self._parts.choice.salt(request, view),
+            cache_source=candidate.source,
+            cache_target=self._parts.choice.push_target(request, view),
         )
 
     def _is_stream(self, answer: InstanceAnswer) -> bool:
@@ -279,9 +282,9 @@
             raise InstanceCallError(
                 ErrorCode.STREAM_INTERRUPTED, "the stream ended in an event", Execution.UNKNOWN
             )
-        await self._answer.finish()
         self.outcome.events = self._framer.events
         self.outcome.outcome = str(answer.status)
+        await self._answer.finish()
 
     async def _send_events(self, answer: InstanceAnswer, data: bytes) -> None:
         """Pass on the events that are whole with ``data``."""
@@ -340,8 +343,8 @@
         """Pass a whole answer on."""
         await self._start(whole.status, whole.headers, len(whole.body))
         await self._answer.send(whole.body)
-        await self._answer.finish()
         self.outcome.outcome = str(whole.status)
+        await self._answer.finish()
 
     async def _start(self, status: int, headers: Headers, length: int | None) -> None:
         """Send the head of the answer."""
--- a/hopstep/services/exchanges/instance_choice.py
+++ b/hopstep/services/exchanges/instance_choice.py
@@ -3,28 +3,47 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Set
+from collections.abc import Callable, Set
 
 import trio
 
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.request import ExchangeRequest, Prompt
 from hopstep.domain.exchanges.segments import SegmentKey, chain_keys
-from hopstep.domain.exchanges.selection import Candidate, choose_engine, choose_server
+from hopstep.domain.exchanges.selection import (
+    Candidate,
+    EngineRequest,
+    StoreSource,
+    choose_engine,
+    choose_server,
+)
+from hopstep.domain.exchanges.serving import EngineTraits
+from hopstep.domain.exchanges.store_contents import StoreContents
 from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.store_watch import CacheStoreWatch
+
+MIN_SAVED_TOKENS = 1_000
+"""Prompts with fewer shared tokens are read anew faster than they are moved about."""
 
 
 class InstanceChoice:
     """Applies the domain's choice to the instances of a service."""
 
-    def __init__(self, knowledge: ServingKnowledge, generator: random.Random) -> None:
+    def __init__(
+        self,
+        knowledge: ServingKnowledge,
+        store_watch: CacheStoreWatch,
+        generator: random.Random,
+    ) -> None:
         """Use what the node knows.
 
         Args:
             knowledge: Instances and weights.
+            store_watch: What the cache stores keep.
             generator: Breaks ties.
         """
         self._knowledge = knowledge
+        self._store_watch = store_watch
         self._generator = generator
 
     def choose(self, request: ExchangeRequest, service: str, tried: Set[str]) -> Candidate | None:
@@ -41,14 +60,9 @@
         views = usable or views
         if request.prompt is None:
             return choose_server(views, now, self._generator)
-        prompt = request.prompt
-        return choose_engine(
-            views,
-            lambda view: self._keys(request, prompt, view),
-            prompt.prompt_tokens,
-            now,
-            self._generator,
-        )
+        sources = [view for view in self._sources(service) if view.is_usable(now)]
+        engine_request = self._engine_request(request, request.prompt, service)
+        return choose_engine(views, sources, engine_request, now, self._generator)
 
     def salt(self, request: ExchangeRequest, view: InstanceView) -> str:
         """Return the text under which a request's segments are kept at an instance."""
@@ -73,8 +87,79 @@
             and (not required or view.versions.get(model, 0) >= required)
         ]
 
-    def _keys(
-        self, request: ExchangeRequest, prompt: Prompt, view: InstanceView
-    ) -> tuple[SegmentKey, ...]:
-        """Return the keys of a prompt's segments for an instance."""
-        return chain_keys(self.salt(request, view), prompt.segments)
+    def _sources(self, service: str) -> list[InstanceView]:
+        """Return the instances from which segments may be brought."""
+        views = self._knowledge.table.of_service(service)
+        return [view for view in views if not view.instance.draining]
+
+    def _engine_request(
+        self, request: ExchangeRequest, prompt: Prompt, service: str
+    ) -> EngineRequest:
+        """Return what the choice of an engine depends on."""
+        by_salt: dict[str, tuple[SegmentKey, ...]] = {}
+
+        def keys_of(view: InstanceView) -> tuple[SegmentKey, ...]:
+            salt = self.salt(request, view)
+            if salt not in by_salt:
+                by_salt[salt] = chain_keys(salt, prompt.segments)
+            return by_salt[salt]
+
+        traits = self._traits(service)
+        if traits is None:
+            return EngineRequest(keys_of, prompt.model, prompt.prompt_tokens, float("inf"))
+        return EngineRequest(
+            keys_of,
+            prompt.model,
+            prompt.prompt_tokens,
+            traits.move_seconds_per_token(traits.link_megabits),
+            self._stores(request, prompt, traits),
+        )
+
+    def _stores(
+        self, request: ExchangeRequest, prompt: Prompt, traits: EngineTraits
+    ) -> tuple[StoreSource, ...]:
+        """Return the cache stores from which segments may be brought."""
+        index = self._knowledge.require_index()
+        sources = []
+        for store in index.cache_stores():
+            contents = self._store_watch.contents(store.address)
+            if contents is not None and contents.reachable:
+                per_token = traits.move_seconds_per_token(store.link_megabits)
+                tokens_for = self._tokens_in_store(request, prompt, contents)
+                sources.append(StoreSource(store.address, store.zone, per_token, tokens_for))
+        return tuple(sources)
+
+    def _tokens_in_store(
+        self, request: ExchangeRequest, prompt: Prompt, contents: StoreContents
+    ) -> Callable[[InstanceView], int]:
+        """Return how many tokens of a prompt a store keeps for an instance's weights."""
+        by_salt: dict[str, int] = {}
+
+        def tokens_for(view: InstanceView) -> int:
+            salt = self.salt(request, view)
+            if salt not in by_salt:
+                by_salt[salt] = contents.cached_tokens(prompt.model, salt, prompt.segments)
+            return by_salt[salt]
+
+        return tokens_for
+
+    def push_target(self, request: ExchangeRequest, view: InstanceView) -> str:
+        """Return the cache store to which an instance should save a prompt; empty for none."""
+        prompt = request.prompt
+        if prompt is None or len(prompt.segments) <= 1:
+            return ""
+        shared = prompt.segments[:-1]
+        if sum(segment.tokens for segment in shared) < MIN_SAVED_TOKENS:
+            return ""
+        salt = self.salt(request, view)
+        for store in self._knowledge.require_index().cache_stores():
+            contents = self._store_watch.contents(store.address)
+            now = trio.current_time()
+            if contents is not None and contents.claim_push(prompt.model, salt, shared, now):
+                return store.address
+        return ""
+
+    def _traits(self, service: str) -> EngineTraits | None:
+        """Return the traits of a service's engines."""
+        found = self._knowledge.require_index().services.get(service)
+        return found.engine if found is not None else None
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -36,6 +36,9 @@
 MARGIN_SECONDS = 0.6
 """Requests with keys are refused this long before the revocation bound."""
 
+DEAF_SECONDS = 1.0
+"""A watch may have heard nothing for so long before its history was lost."""
+
 MIN_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 0.8
 STALE_RETRY_AFTER_SECONDS = 1.0
@@ -79,6 +82,12 @@
         """The configuration in force, or None before the first."""
         return self.index.configuration if self.index is not None else None
 
+    @property
+    def has_engines(self) -> bool:
+        """Whether the configuration has a service of language-model engines."""
+        services = self.current.services if self.current is not None else ()
+        return any(service.engine is not None for service in services)
+
     @property
     def age_seconds(self) -> float:
         """Age of the knowledge."""
@@ -134,10 +143,10 @@
         if self._revision is None:
             batch = await self._directory.snapshot()
             self._drop_missing(batch)
-            self._take(batch, dated=False)
+            self._take(batch, self._unseen_since(sent_at))
         else:
             batch = await self._directory.changes(self._revision, WATCH_SECONDS)
-            self._take(batch, dated=True)
+            self._take(batch, sent_at)
         self._revision = max(self._revision or 0, batch.revision)
         self._confirmed_at = sent_at
 
@@ -151,15 +160,20 @@
         if ROLLOUT_KEY not in keys:
             self.rollout_record = None
 
-    def _take(self, batch: DirectoryBatch, *, dated: bool) -> None:
-        """Take the changes of a batch."""
+    def _unseen_since(self, now: float) -> float:
+        """Return the time before which nothing can have changed unseen."""
+        seen_at = self._confirmed_at - DEAF_SECONDS
+        return max(seen_at, self.weights.oldest_since(now))
+
+    def _take(self, batch: DirectoryBatch, since: float) -> None:
+        """Take the changes of a batch, which were made after ``since``."""
         for change in batch.changes:
-            self._take_change(change, dated)
+            self._take_change(change, since)
         if batch.changes:
             self.changed.set()
             self.changed = trio.Event()
 
-    def _take_change(self, change: DirectoryChange, dated: bool) -> None:
+    def _take_change(self, change: DirectoryChange, since: float) -> None:
         """Take one change."""
         match change:
             case ConfigurationPublished(configuration):
@@ -179,12 +193,12 @@
                 if self.table.remove(instance_id):
                     emit(log_events.INSTANCE_REMOVED, instance=instance_id)
             case WeightsPublished(weights):
-                if self.weights.put(weights, trio.current_time(), dated=dated):
+                if self.weights.put(weights, since):
                     emit(
                         log_events.WEIGHTS_NAMED,
                         model=weights.model,
                         version=weights.version,
-                        dated=dated,
+                        age_ms=round((trio.current_time() - since) * 1_000),
                     )
             case RecordWritten():
                 self._take_record(change)
--- a/hopstep/services/exchanges/rollout_lease.py
+++ b/hopstep/services/exchanges/rollout_lease.py
@@ -90,9 +90,9 @@
                 return
 
     async def _wait_vacant(self) -> None:
-        """Wait until weights are named and nobody is known to hold the lease."""
+        """Wait until there are engines and nobody is known to hold the lease."""
         knowledge = self._knowledge
-        while not knowledge.weights.models() or knowledge.rollout_record is not None:
+        while not knowledge.has_engines or knowledge.rollout_record is not None:
             with trio.move_on_after(RECHECK_SECONDS):
                 await knowledge.changed.wait()
 
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -18,6 +18,7 @@
 from hopstep.services.exchanges.instance_choice import InstanceChoice
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
+from hopstep.services.exchanges.store_watch import CacheStoreWatch
 from hopstep.services.lifecycle import Lifecycle
 
 
@@ -30,6 +31,7 @@
         lifecycle: Lifecycle,
         calls: InstanceCalls,
         sharing: LoadSharing,
+        store_watch: CacheStoreWatch,
         bounds: RepeatBounds,
         generator: random.Random,
     ) -> None:
@@ -39,6 +41,7 @@
             knowledge: What the node knows.
             lifecycle: Counts active requests.
             calls: Instances.
+            store_watch: What the cache stores keep.
             sharing: Told of each prompt that is sent.
             bounds: Bounds of retries over all nodes.
             generator: Splits traffic and breaks ties.
@@ -51,7 +54,7 @@
         self._budgets: dict[str, RepeatBudget] = {}
         self._parts = ExchangeParts(
             calls=calls,
-            choice=InstanceChoice(knowledge, generator),
+            choice=InstanceChoice(knowledge, store_watch, generator),
             budgets=self._budget,
             nodes=sharing.count_nodes,
             note_sent=sharing.note_sent,
@@ -87,7 +90,7 @@
             outcome.outcome = f"{error.code.value}:{error.execution.value}"
             raise
         except trio.Cancelled:
-            outcome.outcome = "client_left"
+            outcome.outcome = outcome.outcome or "client_left"
             raise
         finally:
             emit(
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -9,13 +9,15 @@
 from hopstep.domain.exchanges.instances import NamedWeights
 from hopstep.domain.exchanges.weights import engines_behind
 from hopstep.logs import emit
-from hopstep.ports.weights_orders import OrderOutcome, WeightsOrder, WeightsOrders
+from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.rollout_lease import RolloutLease
 
 CHECK_SECONDS = 0.1
-POLL_SECONDS = 0.25
+FIRST_POLL_SECONDS = 0.5
+POLL_SECONDS = 0.15
+MAX_SILENT_POLLS = 3
 LOADING_SECONDS = 1.0
 """For so long peers keep requests from an engine after an order, unless they hear more."""
 
@@ -89,55 +91,68 @@
     async def _load(self, view: InstanceView, weights: NamedWeights) -> None:
         """Load one engine and wait until it is done."""
         instance_id = view.instance.instance_id
+        started_at = trio.current_time()
         try:
-            outcome = await self._order(view, weights)
-            emit(
-                log_events.WEIGHTS_ORDER_SENT,
-                instance=instance_id,
-                model=weights.model,
-                version=weights.version,
-                fencing_token=self._lease.fencing_token,
-                outcome=outcome.value,
-            )
-            self._retry_at[instance_id] = trio.current_time() + RETRY_SECONDS
-            if outcome in (OrderOutcome.UNDER_WAY, OrderOutcome.UNKNOWN):
-                await self._follow(view, weights)
-            elif outcome is OrderOutcome.HOLDS_ALREADY:
-                view.learn_version(weights.model, weights.version)
+            with trio.move_on_after(MAX_LOAD_SECONDS):
+                if await self._order_until_done(view, weights):
+                    self._knowledge.weights.record_load(trio.current_time() - started_at)
         finally:
+            self._retry_at[instance_id] = trio.current_time() + RETRY_SECONDS
             self._loading.discard(instance_id)
 
-    async def _order(self, view: InstanceView, weights: NamedWeights) -> OrderOutcome:
-        """Send the order; once more after a look at how many orders the engine has taken."""
-        await self._mark_loading(view)
+    async def _order_until_done(self, view: InstanceView, weights: NamedWeights) -> bool:
+        """Order, and again as long as the engine isn't known to load; return whether it did.
+
+        An order without an answer may be carried out later. It names how many orders the engine
+        had taken, so it is void once another one was taken.
+        """
         sequence = view.instance.order_sequence
-        for _ in range(2):
-            if not self._lease.may_order:
-                return OrderOutcome.REJECTED
-            order = WeightsOrder(weights, self._name, self._lease.fencing_token, sequence)
-            outcome = await self._orders.order(view.instance, order)
-            if outcome is not OrderOutcome.BUSY_OR_MOVED_ON:
-                return outcome
-            report = await self._orders.report(view.instance)
-            if report is None or report.busy or report.order_sequence == sequence:
-                return outcome
+        while self._lease.may_order:
+            await self._mark_loading(view)
+            outcome = await self._order(view, weights, sequence)
+            if outcome is OrderOutcome.HOLDS_ALREADY:
+                view.learn_version(weights.model, weights.version)
+                return False
+            if outcome in (OrderOutcome.FENCED, OrderOutcome.REJECTED):
+                return False
+            if outcome is OrderOutcome.UNDER_WAY:
+                await trio.sleep(FIRST_POLL_SECONDS)
+            report = await self._follow(view, weights)
+            if report is None or view.versions.get(weights.model, 0) >= weights.version:
+                return report is not None
             sequence = report.order_sequence
+        return False
+
+    async def _order(
+        self, view: InstanceView, weights: NamedWeights, sequence: int
+    ) -> OrderOutcome:
+        """Send one order."""
+        order = WeightsOrder(weights, self._name, self._lease.fencing_token, sequence)
+        outcome = await self._orders.order(view.instance, order)
+        emit(
+            log_events.WEIGHTS_ORDER_SENT,
+            instance=view.instance.instance_id,
+            model=weights.model,
+            version=weights.version,
+            fencing_token=order.fencing_token,
+            outcome=outcome.value,
+        )
         return outcome
 
-    async def _follow(self, view: InstanceView, weights: NamedWeights) -> None:
-        """Wait until an engine has loaded."""
-        with trio.move_on_after(MAX_LOAD_SECONDS):
-            while True:
+    async def _follow(self, view: InstanceView, weights: NamedWeights) -> EngineReport | None:
+        """Return the report of an engine once it isn't busy; None when it gives none."""
+        for _ in range(MAX_SILENT_POLLS):
+            report = await self._orders.report(view.instance)
+            while report is not None and report.busy:
+                await self._mark_loading(view)
                 await trio.sleep(POLL_SECONDS)
                 report = await self._orders.report(view.instance)
-                if report is None:
-                    continue
-                if report.versions.get(weights.model, 0) >= weights.version:
-                    view.learn_version(weights.model, weights.version)
-                    return
-                if not report.busy:
-                    return
-                await self._mark_loading(view)
+            if report is not None:
+                for model, version in report.versions.items():
+                    view.learn_version(model, version)
+                return report
+            await trio.sleep(POLL_SECONDS)
+        return None
 
     async def _mark_loading(self, view: InstanceView) -> None:
         """Keep requests from an engine for a while, here and at the peers."""
