Load a third of a model's engines at once, by the order count just reported

Cause: loads began 6.5 s before the bound on the label's nine engines, two at a time, so that versions named every three seconds were loaded one by one, and each order was sent twice because the listed order count lags.

--- a/hopstep/domain/exchanges/weights.py
+++ b/hopstep/domain/exchanges/weights.py
@@ -10,6 +10,7 @@
 from hopstep.domain.exchanges.instances import NamedWeights
 
 LOAD_SMOOTHING = 0.3
+MIN_TOGETHER = 2
 START_SECONDS = 2.5
 """For so long a node that has just started sends requests to engines with older weights."""
 
@@ -20,13 +21,13 @@
     Attributes:
         propagation_seconds: From the naming until no request may start on an older version.
         reserve_seconds: Time kept in reserve before that bound for requests that wait.
-        together: Engines that load at once without slowing each other.
+        together: Part of a model's engines that load at once.
         load_seconds: First guess of the time of one load.
     """
 
     propagation_seconds: float = 8.0
     reserve_seconds: float = 1.5
-    together: int = 2
+    together: float = 1 / 3
     load_seconds: float = 1.0
 
 
@@ -99,7 +100,11 @@
                 required = named.version
         return required
 
-    def due_at(self, model: str, behind: int, oldest: int) -> float:
+    def together(self, engines: int) -> int:
+        """Return how many of a model's engines may load at once."""
+        return max(MIN_TOGETHER, int(engines * self.bounds.together))
+
+    def due_at(self, model: str, behind: int, together: int, oldest: int) -> float:
         """Return when loading must begin so that all engines are done in time.
 
         Waiting until then loads once for versions that follow each other closely.
@@ -107,10 +112,11 @@
         Args:
             model: The model.
             behind: Engines that aren't at the newest version.
+            together: How many load at once.
             oldest: Lowest version among them.
         """
         bounds = self.bounds
-        batches = -(-behind // max(1, bounds.together))
+        batches = -(-behind // together)
         needed = batches * self.load_seconds + bounds.reserve_seconds
         pending = [named for named in self._named.get(model, ()) if named.version > oldest]
         if not pending:
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -83,6 +83,9 @@
         attempts: Attempts of which a byte was sent.
         first_byte_ms: From the head of the request to the first byte of the answer.
         events: Events of a stream.
+        read_tokens: Prompt tokens that the last instance was expected to read.
+        source: Where it was told to bring segments from.
+        target: Where it was told to save segments.
     """
 
     outcome: str = ""
@@ -90,6 +93,9 @@
     attempts: int = 0
     first_byte_ms: int = -1
     events: int = 0
+    read_tokens: int = 0
+    source: str = ""
+    target: str = ""
 
 
 class ExchangeParts(msgspec.Struct, frozen=True):
@@ -246,6 +252,9 @@
         request = self._request
         prompt = request.prompt
         last_id = self._framer.last_id
+        self.outcome.read_tokens = candidate.uncached_tokens
+        self.outcome.source = candidate.source
+        self.outcome.target = self._parts.choice.push_target(request, view)
         return InstanceCall(
             instance=view.instance,
             request=request,
@@ -255,7 +264,7 @@
             expected_version=view.versions.get(prompt.model, 0) if prompt is not None else 0,
             cache_salt=self._parts.choice.salt(request, view),
             cache_source=candidate.source,
-            cache_target=self._parts.choice.push_target(request, view),
+            cache_target=self.outcome.target,
         )
 
     def _is_stream(self, answer: InstanceAnswer) -> bool:
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -36,6 +36,9 @@
 MARGIN_SECONDS = 0.6
 """Requests with keys are refused this long before the revocation bound."""
 
+WATCH_LAG_SECONDS = 0.3
+"""A pending watch is answered at most this long after a change was acknowledged."""
+
 DEAF_SECONDS = 1.0
 """A watch may have heard nothing for so long before its history was lost."""
 
@@ -146,7 +149,7 @@
             self._take(batch, self._unseen_since(sent_at))
         else:
             batch = await self._directory.changes(self._revision, WATCH_SECONDS)
-            self._take(batch, sent_at)
+            self._take(batch, max(sent_at, trio.current_time() - WATCH_LAG_SECONDS))
         self._revision = max(self._revision or 0, batch.revision)
         self._confirmed_at = sent_at
 
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -105,6 +105,9 @@
                 first_byte_ms=outcome.first_byte_ms,
                 total_ms=round((trio.current_time() - request.received_at) * 1_000),
                 events=outcome.events,
+                read_tokens=outcome.read_tokens,
+                source=outcome.source,
+                target=outcome.target,
                 configuration=self._version(),
                 age_ms=round(self._knowledge.age_seconds * 1_000),
             )
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -70,21 +70,22 @@
             behind = engines_behind(self._knowledge.table, model, newest.version)
             if not behind:
                 continue
+            engines = sum(1 for view in self._knowledge.table if model in view.versions)
+            together = weights.together(engines)
             oldest = behind[0].versions[model]
-            if now < weights.due_at(model, len(behind), oldest):
+            if now < weights.due_at(model, len(behind), together, oldest):
                 continue
             for view in behind:
-                self._start(nursery, view, newest, now)
+                if len(self._loading) < together:
+                    self._start(nursery, view, newest, now)
 
     def _start(
         self, nursery: trio.Nursery, view: InstanceView, weights: NamedWeights, now: float
     ) -> None:
-        """Start one load if there is room beside the others."""
+        """Start one load unless it is under way or has just failed."""
         instance_id = view.instance.instance_id
         if instance_id in self._loading or now < self._retry_at.get(instance_id, 0.0):
             return
-        if len(self._loading) >= self._knowledge.weights.bounds.together:
-            return
         self._loading.add(instance_id)
         nursery.start_soon(self._load, view, weights)
 
@@ -106,7 +107,10 @@
         An order without an answer may be carried out later. It names how many orders the engine
         had taken, so it is void once another one was taken.
         """
-        sequence = view.instance.order_sequence
+        report = await self._orders.report(view.instance)
+        if report is None:
+            return False
+        sequence = report.order_sequence
         while self._lease.may_order:
             await self._mark_loading(view)
             outcome = await self._order(view, weights, sequence)
