Never promise not run for a request that its deadline cuts at work

An attempt was counted at its end, so a request whose deadline passed during it was answered 503 as not run. Ruled out: instances that run after a rejection (the runs began before the answer). An attempt under way at the deadline now counts as one that may have run.

Also: an engine that reads a long prompt isn't taken for silent any more; the silence a node waits for grows with the tokens that are being read there.

--- /dev/null
+++ b/emulator/exchange_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of the users' platform, written from its published protocol."""
--- /dev/null
+++ b/emulator/exchange_platform/instances.py
@@ -0,0 +1,261 @@
+"""Instances in process, on trio's clock: they run requests, fail in many ways and load weights.
+
+Each instance keeps a record of what it ran, so that tests can check what must hold.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+from collections.abc import AsyncIterator
+
+import msgspec
+import trio
+import trio.lowlevel
+
+from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.exchanges.request import Headers
+from hopstep.domain.exchanges.serving import RequestKind
+from hopstep.exceptions import ErrorCode, Execution
+from hopstep.ports.instance_calls import (
+    InstanceAnswer,
+    InstanceCall,
+    InstanceCallError,
+    InstanceCalls,
+)
+from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
+
+FAILURE_STATUS = 500
+SUCCESS_STATUS = 200
+
+
+class Behaviour(enum.StrEnum):
+    """What an instance does with requests."""
+
+    SERVE = "serve"
+    FAIL = "fail"
+    REJECT = "reject"
+    UNREACHABLE = "unreachable"
+    SILENT = "silent"
+    LOSE_ANSWER = "lose_answer"
+    BREAK_STREAM = "break_stream"
+    CUT_EVENT = "cut_event"
+    OTHER_ANSWER = "other_answer"
+    PROMISE_WITHOUT_PROOF = "promise_without_proof"
+    UNSIGNED = "unsigned"
+
+
+class Run(msgspec.Struct, frozen=True):
+    """One request that an instance began to work on.
+
+    Attributes:
+        request_id: The request.
+        at: Steady clock, seconds.
+        version: Weights version at the instance.
+        salt: Text under which segments are kept.
+        resume_after: Last event that the client had.
+    """
+
+    request_id: str
+    at: float
+    version: int
+    salt: str
+    resume_after: str
+
+
+class EmulatedInstance:
+    """One instance."""
+
+    def __init__(self, instance: Instance) -> None:
+        """Start healthy.
+
+        Args:
+            instance: As it publishes itself.
+        """
+        self.instance = instance
+        self.behaviour = Behaviour.SERVE
+        self.work_seconds = 0.05
+        self.events = 5
+        self.event_seconds = 0.02
+        self.events_before_break = 2
+        self.load_seconds = 0.6
+        self.lose_order_answers = 0
+        self.order_delay_seconds = 0.0
+        self.runs: list[Run] = []
+        self.arrivals = 0
+        self.cancelled: list[str] = []
+        self.versions = dict(instance.versions)
+        self.order_sequence = instance.order_sequence
+        self.highest_fence = 0
+        self.orders: list[tuple[float, WeightsOrder]] = []
+        self.busy = False
+
+
+class EmulatedAnswer(InstanceAnswer):
+    """An answer of an emulated instance."""
+
+    def __init__(self, server: EmulatedInstance, call: InstanceCall, status: int) -> None:
+        """Answer a call.
+
+        Args:
+            server: The instance.
+            call: The call.
+            status: HTTP status.
+        """
+        self.status = status
+        self.headers: Headers = ((b"x-instance", server.instance.instance_id.encode()),)
+        self.signed = server.behaviour is not Behaviour.UNSIGNED
+        self.weights_version = max(server.versions.values(), default=0)
+        self._server = server
+        self._call = call
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield the body; see the port."""
+        if self._call.request.route.kind is not RequestKind.STREAM:
+            await trio.lowlevel.checkpoint()
+            yield b"answer of " + self._call.request.request_id.encode()
+            return
+        async for data in self._stream():
+            yield data
+
+    async def _stream(self) -> AsyncIterator[bytes]:
+        """Yield events."""
+        server = self._server
+        behaviour = server.behaviour
+        resumed = self._call.resume_after
+        first = int(resumed) + 1 if resumed else 0
+        for number in range(first, server.events):
+            await trio.sleep(server.event_seconds)
+            breaks = behaviour in (Behaviour.BREAK_STREAM, Behaviour.CUT_EVENT)
+            if breaks and number - first >= server.events_before_break:
+                if behaviour is Behaviour.CUT_EVENT:
+                    yield f"id: {number}\ndata: cut o".encode()
+                raise _broken()
+            yield f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+class EmulatedInstances(InstanceCalls, WeightsOrders):
+    """All instances of a simulated deployment."""
+
+    def __init__(self) -> None:
+        """Start without instances."""
+        self.servers: dict[str, EmulatedInstance] = {}
+        self.calls: list[InstanceCall] = []
+
+    def add(self, instance: Instance) -> EmulatedInstance:
+        """Start an instance."""
+        server = self.servers[instance.instance_id] = EmulatedInstance(instance)
+        return server
+
+    def runs(self, request_id: str) -> list[Run]:
+        """Return all runs of a request, at any instance."""
+        runs = [run for server in self.servers.values() for run in server.runs]
+        return sorted((run for run in runs if run.request_id == request_id), key=lambda run: run.at)
+
+    @contextlib.asynccontextmanager
+    async def open(self, call: InstanceCall) -> AsyncIterator[InstanceAnswer]:
+        """Send a request; see the port."""
+        self.calls.append(call)
+        server = self.servers.get(call.instance.instance_id)
+        if server is None or server.behaviour is Behaviour.UNREACHABLE:
+            await trio.sleep(0.001)
+            raise InstanceCallError(
+                ErrorCode.ENGINE_UNREACHABLE, "no connection", Execution.NOT_RUN, sent=False
+            )
+        server.arrivals += 1
+        try:
+            yield await self._begin(server, call)
+        except trio.Cancelled:
+            server.cancelled.append(call.request.request_id)
+            raise
+
+    async def _begin(self, server: EmulatedInstance, call: InstanceCall) -> InstanceAnswer:
+        """Run a request until the head of its answer."""
+        if server.behaviour is Behaviour.REJECT or not _meets(server, call):
+            await trio.sleep(0.001)
+            raise InstanceCallError(ErrorCode.OVERLOADED, "not run", Execution.NOT_RUN)
+        if server.behaviour is Behaviour.SILENT:
+            await trio.sleep_forever()
+        model = call.request.prompt.model if call.request.prompt is not None else ""
+        server.runs.append(
+            Run(
+                call.request.request_id,
+                trio.current_time(),
+                server.versions.get(model, 0),
+                call.cache_salt,
+                call.resume_after,
+            )
+        )
+        await trio.sleep(server.work_seconds)
+        if server.behaviour is Behaviour.LOSE_ANSWER:
+            raise _broken()
+        if server.behaviour is Behaviour.OTHER_ANSWER:
+            raise InstanceCallError(ErrorCode.EXECUTION_UNKNOWN, "another's", Execution.UNKNOWN)
+        status = SUCCESS_STATUS
+        if server.behaviour is Behaviour.FAIL:
+            status = FAILURE_STATUS
+        if server.behaviour is Behaviour.PROMISE_WITHOUT_PROOF:
+            status = 503
+        return EmulatedAnswer(server, call, status)
+
+    async def forget(self, address: str) -> None:
+        """Close the connections to an address; see the port."""
+        await trio.lowlevel.checkpoint()
+
+    async def order(self, instance: Instance, order: WeightsOrder) -> OrderOutcome:
+        """Take an order; see the port."""
+        server = self.servers[instance.instance_id]
+        await trio.sleep(0.001)
+        if server.order_delay_seconds:
+            trio.lowlevel.spawn_system_task(self._carry_out_late, server, order)
+            return OrderOutcome.UNKNOWN
+        outcome = self._take(server, order)
+        if server.lose_order_answers > 0:
+            server.lose_order_answers -= 1
+            return OrderOutcome.UNKNOWN
+        return outcome
+
+    async def _carry_out_late(self, server: EmulatedInstance, order: WeightsOrder) -> None:
+        """Take an order whose answer was lost."""
+        await trio.sleep(server.order_delay_seconds)
+        self._take(server, order)
+
+    def _take(self, server: EmulatedInstance, order: WeightsOrder) -> OrderOutcome:
+        """Take an order if its conditions hold."""
+        if order.fencing_token < server.highest_fence:
+            return OrderOutcome.FENCED
+        server.highest_fence = order.fencing_token
+        if server.versions.get(order.weights.model) == order.weights.version:
+            return OrderOutcome.HOLDS_ALREADY
+        if server.busy or order.expected_sequence != server.order_sequence:
+            return OrderOutcome.BUSY_OR_MOVED_ON
+        server.orders.append((trio.current_time(), order))
+        server.order_sequence += 1
+        server.busy = True
+        trio.lowlevel.spawn_system_task(self._load, server, order)
+        return OrderOutcome.UNDER_WAY
+
+    async def _load(self, server: EmulatedInstance, order: WeightsOrder) -> None:
+        """Load weights."""
+        await trio.sleep(server.load_seconds)
+        server.versions[order.weights.model] = order.weights.version
+        server.busy = False
+
+    async def report(self, instance: Instance) -> EngineReport | None:
+        """Return an engine's report; see the port."""
+        await trio.sleep(0.001)
+        server = self.servers[instance.instance_id]
+        return EngineReport(server.busy, server.order_sequence, dict(server.versions))
+
+
+def _meets(server: EmulatedInstance, call: InstanceCall) -> bool:
+    """Return whether an instance meets a call's preconditions."""
+    prompt = call.request.prompt
+    if not call.expected_version or prompt is None:
+        return not server.busy
+    return not server.busy and server.versions.get(prompt.model) == call.expected_version
+
+
+def _broken() -> InstanceCallError:
+    """Return the error of an answer that broke off."""
+    return InstanceCallError(ErrorCode.STREAM_INTERRUPTED, "broke off", Execution.UNKNOWN)
--- /dev/null
+++ b/emulator/exchange_platform/store.py
@@ -0,0 +1,174 @@
+"""The platform's metadata store over HTTP, on the model and faults of the other store stand-in."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any
+
+import msgspec
+import quart
+import quart_trio
+import trio
+
+from emulator.http_responses import json_response, lost_response
+from emulator.platform.shared_store import SharedStore
+from hopstep.adapters import key_value_store_wire as wire
+from hopstep.exceptions import (
+    ErrorCode,
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
+from hopstep.ports.key_value_store import StoredValue
+
+LEASE_NAME = "lease-"
+MILLISECONDS = 1_000.0
+PAGE_LIMIT = 500
+
+STATUS_OF_CODE = {
+    ErrorCode.STORE_CONFLICT: 412,
+    ErrorCode.STORE_RATE_LIMITED: 429,
+    ErrorCode.STORE_UNAVAILABLE: 503,
+}
+
+
+class _Condition(msgspec.Struct, rename="camel"):
+    private_key: str
+    revision: int
+
+
+class _Put(msgspec.Struct, rename="camel"):
+    private_key: str
+    value: str
+    lease_id: int = 0
+
+
+class _Transaction(msgspec.Struct, rename="camel"):
+    expected_revision: list[_Condition] = []
+    put: list[_Put] = []
+    removals: list[str] = []
+
+
+class _LeaseRequest(msgspec.Struct, rename="camel"):
+    ttl_ms: int
+
+
+def create_store_app(shared: SharedStore) -> quart_trio.QuartTrio:
+    """Return the HTTP application.
+
+    Args:
+        shared: The store behind it.
+    """
+    app = quart_trio.QuartTrio(__name__)
+    _add_reads(app, shared)
+    _add_writes(app, shared)
+    _add_leases(app, shared)
+
+    @app.errorhandler(StoreError)
+    async def refused(error: StoreError) -> quart.Response:
+        """Render a refusal, or break the answer of a write that is lost."""
+        if isinstance(error, StoreOutcomeUnknownError):
+            return lost_response()
+        return json_response({"error": error.message}, STATUS_OF_CODE[error.code])
+
+    return app
+
+
+def _add_reads(app: quart_trio.QuartTrio, shared: SharedStore) -> None:
+    """Add items, ranges and watches."""
+
+    @app.get("/kv-key")
+    async def item() -> quart.Response:
+        """Return one item."""
+        value = await shared.execute(wire.Get(quart.request.args["privateKey"]))
+        if value is None:
+            return json_response({"atRevision": shared.model.revision}, 404)
+        assert isinstance(value, StoredValue)  # noqa: S101 - the result of a read
+        return json_response({**_item(value), "atRevision": shared.model.revision})
+
+    @app.get("/kv-range")
+    async def items() -> quart.Response:
+        """Return a page of items."""
+        arguments = quart.request.args
+        operation = wire.List(arguments["pathPrefix"], arguments.get("after", ""), PAGE_LIMIT)
+        page: Any = await shared.execute(operation)
+        body = {
+            "items": [_item(value) for value in page],
+            "hasMore": len(page) == PAGE_LIMIT,
+            "atRevision": shared.model.revision,
+        }
+        return json_response(body)
+
+    @app.get("/kv-watch")
+    async def watch() -> quart.Response:
+        """Return changes, as soon as there are any."""
+        arguments = quart.request.args
+        after = int(arguments["after"])
+        if not shared.model.remembers_after(after):
+            return json_response({"error": "the history is gone"}, 410)
+        wait = float(arguments["waitMs"]) / MILLISECONDS
+        batch: Any = await shared.execute(wire.Watch(arguments["pathPrefix"], after, wait))
+        events = [_event(value) for value in batch.values]
+        return json_response({"events": events, "atRevision": batch.revision})
+
+
+def _add_writes(app: quart_trio.QuartTrio, shared: SharedStore) -> None:
+    """Add conditional writes; this stand-in takes one key in each."""
+
+    @app.post("/kv-txn")
+    async def transaction() -> quart.Response:
+        """Write or remove one key at an expected revision."""
+        read = msgspec.json.decode(await quart.request.get_data(), type=_Transaction)
+        condition = read.expected_revision[0]
+        operation: wire.StoreOperation = wire.Delete(condition.private_key, condition.revision)
+        if read.put:
+            put = read.put[0]
+            value = base64.b64decode(put.value)
+            lease = f"{LEASE_NAME}{put.lease_id}" if put.lease_id else ""
+            operation = wire.CompareAndSwap(put.private_key, condition.revision, value, lease)
+        await shared.execute(operation)
+        return json_response({"revision": shared.model.revision})
+
+
+def _add_leases(app: quart_trio.QuartTrio, shared: SharedStore) -> None:
+    """Add leases."""
+
+    @app.post("/kv-lease")
+    async def grant() -> quart.Response:
+        """Return a new lease."""
+        read = msgspec.json.decode(await quart.request.get_data(), type=_LeaseRequest)
+        name = await shared.execute(wire.GrantLease(read.ttl_ms / MILLISECONDS))
+        lease_id = int(str(name).removeprefix(LEASE_NAME))
+        return json_response({"leaseId": lease_id, "ttlMs": read.ttl_ms})
+
+    @app.post("/kv-keep/<int:lease_id>")
+    async def renew(lease_id: int) -> quart.Response:
+        """Renew a lease."""
+        try:
+            await shared.execute(wire.KeepAlive(f"{LEASE_NAME}{lease_id}"))
+        except StoreConflictError:
+            return json_response({"error": "the lease is over"}, 404)
+        return json_response({})
+
+    @app.delete("/kv-lease-end/<int:lease_id>")
+    async def end(lease_id: int) -> quart.Response:
+        """End a lease with its keys."""
+        shared.end_lease(f"{LEASE_NAME}{lease_id}")
+        await trio.lowlevel.checkpoint()
+        return json_response({})
+
+
+def _item(value: StoredValue) -> dict[str, object]:
+    """Return an item."""
+    return {
+        "privateKey": value.key,
+        "value": base64.b64encode(value.value).decode(),
+        "revision": value.version,
+    }
+
+
+def _event(value: StoredValue) -> dict[str, object]:
+    """Return an item as a watch shows it."""
+    if value.value:
+        return _item(value)
+    return {"privateKey": value.key, "revision": value.version, "deleted": True}
--- a/emulator/platform/shared_store.py
+++ b/emulator/platform/shared_store.py
@@ -43,6 +43,12 @@
             self.model.lapse_all()
             self._announce()
 
+    def end_lease(self, lease: str) -> None:
+        """End a lease with its keys, if there is such a lease."""
+        if self.model.has_lease(lease):
+            self.model.lapse(lease)
+            self._announce()
+
     async def execute(self, operation: wire.StoreOperation) -> object:
         """Carry out an operation under the faults in force.
 
--- a/emulator/platform/store_model.py
+++ b/emulator/platform/store_model.py
@@ -82,6 +82,14 @@
                 self._keep_alive(lease, now)
         return None
 
+    def remembers_after(self, revision: int) -> bool:
+        """Return whether every change after a revision is still in the history."""
+        return self._revision - revision <= len(self._history)
+
+    def forget_history(self) -> None:
+        """Drop all changes that watches could look back on."""
+        self._history.clear()
+
     def changes(self, prefix: str, after_revision: int) -> WatchBatch:
         """Return changes after a revision; those beyond the history are lost."""
         changes = (change for change in self._history if change.version > after_revision)
@@ -99,6 +107,10 @@
         """Return the time at which the next lease lapses; infinity if there is none."""
         return min((lease.lapses_at for lease in self._leases.values()), default=float("inf"))
 
+    def has_lease(self, name: str) -> bool:
+        """Return whether a lease holds."""
+        return name in self._leases
+
     def lapse(self, name: str) -> None:
         """Let a lease lapse now; its keys vanish."""
         lease = self._leases.pop(name)
--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -12,6 +12,9 @@
 SILENCE_SECONDS = 1.0
 """An instance that has let requests wait this long without a byte to anyone counts as silent."""
 
+SILENCE_SECONDS_PER_TOKEN = 1.0 / 10_000
+"""An engine that reads long prompts says nothing meanwhile: a quarter of the usual speed."""
+
 SMOOTHING = 0.2
 PEER_REPORT_SECONDS = 1.0
 """Peers' reports of load are forgotten after this time."""
@@ -135,7 +138,8 @@
         if not self._waiting_since:
             return False
         oldest = min(self._waiting_since.values())
-        return now - max(oldest, self._heard_at) > SILENCE_SECONDS
+        patience = SILENCE_SECONDS + self.total_pending_tokens(now) * SILENCE_SECONDS_PER_TOKEN
+        return now - max(oldest, self._heard_at) > patience
 
     def is_usable(self, now: float) -> bool:
         """Return whether a new request may be sent with good hope."""
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -114,15 +114,19 @@
     answer its connection is closed.
     """
 
-    def __init__(self, address: str, client: HttpClient) -> None:
+    def __init__(
+        self, address: str, client: HttpClient, answer_seconds: float = ANSWER_SECONDS
+    ) -> None:
         """Use a client.
 
         Args:
             address: ``ip:port`` of the store.
             client: HTTP client, owned by the caller.
+            answer_seconds: Longest wait for an answer, beyond what a watch asks for.
         """
         self._address = address
         self._client = client
+        self._answer_seconds = answer_seconds
 
     async def get(self, key: str) -> StoredValue | None:
         """Return one value; see the port."""
@@ -150,7 +154,7 @@
         self, key: str, expected_version: int, value: bytes, lease: str = ""
     ) -> int:
         """Write one key; see the port."""
-        put = _Put(key, base64.b64encode(value).decode(), int(lease or 0))
+        put = _Put(key, base64.b64encode(value).decode(), _lease_number(lease))
         transaction = _Transaction([_Condition(key, expected_version)], put=[put])
         return await self._transact(transaction)
 
@@ -216,7 +220,7 @@
         )
         proof = SendProof()
         try:
-            with trio.fail_after(ANSWER_SECONDS + extra_seconds):
+            with trio.fail_after(self._answer_seconds + extra_seconds):
                 async with self._client.open(call, proof) as response:
                     answer = _Answer(response.status, await response.aread())
         except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException) as error:
@@ -230,6 +234,13 @@
         return answer
 
 
+def _lease_number(lease: str) -> int:
+    """Return the number of a lease; 0 for none."""
+    if lease and not lease.isdecimal():
+        raise StoreConflictError(ErrorCode.STORE_CONFLICT, "the store never granted this lease")
+    return int(lease or 0)
+
+
 def _no_answer(method: bytes, proof: SendProof) -> StoreError:
     """Return the error of a call without an answer."""
     if method == GET or not proof.sent:
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -141,6 +141,7 @@
         self._unsent_tries = 0
         self._started = False
         self._may_have_run = False
+        self._in_flight = False
         self._failure: WholeAnswer | None = None
 
     async def run(self) -> None:
@@ -153,6 +154,7 @@
         with trio.CancelScope(deadline=self._request.deadline) as scope:
             await self._run_attempts()
         if scope.cancelled_caught:
+            self._may_have_run = self._may_have_run or self._in_flight
             self._fail(ErrorCode.DEADLINE_EXCEEDED, "no whole answer in time")
 
     async def _run_attempts(self) -> None:
@@ -187,6 +189,7 @@
         view.begin(request.request_id, candidate.uncached_tokens, now)
         view.segments.record(candidate.keys)
         self._parts.note_sent(candidate)
+        self._in_flight = True
         try:
             await self._call(candidate)
         except InstanceCallError as error:
@@ -195,9 +198,11 @@
             else:
                 self._unsent_tries += 1
             self._tried.add(view.instance.instance_id)
+            self._in_flight = False
             return error
         finally:
             view.end(request.request_id, candidate.uncached_tokens)
+        self._in_flight = False
         self._count_sent(view)
         return None
 
@@ -375,8 +380,6 @@
             self.outcome.outcome = "cut"
             return
         execution = Execution.UNKNOWN if self._may_have_run else Execution.NOT_RUN
-        if code is ErrorCode.DEADLINE_EXCEEDED and self.outcome.attempts == 0 and self._tried:
-            execution = Execution.UNKNOWN
         raise ServiceError(
             code, message, execution=execution, retry_after_seconds=NO_ROOM_RETRY_AFTER_SECONDS
         )
--- /dev/null
+++ b/tests/services/exchanges/exchange_world.py
@@ -0,0 +1,281 @@
+"""One or more nodes of routed exchanges over emulated ports, on a virtual clock."""
+
+import random
+
+import trio
+from trio.testing import MockClock
+
+from emulator.exchange_platform.instances import EmulatedInstances
+from emulator.platform.in_memory import InMemoryStore
+from emulator.platform.shared_store import SharedStore
+from hopstep.domain.exchanges.instances import Instance, NamedWeights
+from hopstep.domain.exchanges.request import Prompt, PromptSegment
+from hopstep.domain.exchanges.serving import (
+    EngineTraits,
+    RequestKind,
+    Route,
+    Service,
+    ServiceShare,
+    ServingConfiguration,
+    Tenant,
+)
+from hopstep.exceptions import ErrorCode, ServiceError, StoreError
+from hopstep.exchange_node import ExchangePorts, ExchangeServices
+from hopstep.exchange_settings import ExchangeBounds, ExchangeSettings
+from hopstep.ports.cache_events import CacheEvents
+from hopstep.ports.load_exchange import LoadExchange
+from hopstep.ports.serving_directory import (
+    ConfigurationPublished,
+    DirectoryBatch,
+    InstanceListed,
+    InstanceRemoved,
+    RecordWritten,
+    ServingDirectory,
+    WeightsPublished,
+)
+from hopstep.services.exchanges.admission import RequestHead
+from hopstep.services.exchanges.exchange import ClientAnswer
+
+KEY = "key-1"
+ISOLATED_KEY = "key-2"
+MODEL = "m"
+BOUNDS = ExchangeBounds()
+
+
+def route(name, kind, **options):
+    values = {
+        "name": name,
+        "host": "h",
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_seconds": 3.0,
+        "objective_seconds": 0.5,
+        "priority": 0,
+        "shares": (ServiceShare("plain"),),
+    }
+    return Route(**{**values, **options})
+
+
+ROUTES = (
+    route("safe", RequestKind.REPEATABLE, max_attempts=2),
+    route("unsafe", RequestKind.AT_MOST_ONCE),
+    route("unsafe2", RequestKind.AT_MOST_ONCE, max_attempts=2),
+    route("stream", RequestKind.STREAM, shares=(ServiceShare("llm"),)),
+    route(
+        "resumable",
+        RequestKind.STREAM,
+        shares=(ServiceShare("llm"),),
+        resumable=True,
+        max_attempts=2,
+    ),
+    route("open", RequestKind.REPEATABLE, public=True),
+)
+SERVICES = (
+    Service("plain"),
+    Service("llm", engine=EngineTraits(8, 100_000, 1000.0, 1000.0, (MODEL,))),
+)
+TENANTS = (Tenant("t1", (KEY,), 1), Tenant("t2", (ISOLATED_KEY,), 0, isolated=True))
+
+
+def configuration(version=1, routes=ROUTES, tenants=TENANTS):
+    return ServingConfiguration(version, routes, SERVICES, tenants)
+
+
+class EmulatedDirectory(ServingDirectory):
+    """A directory over a shared store for records, with outages and a forgotten history."""
+
+    def __init__(self, world):
+        self._world = world
+        self.down = False
+        self.deaf = False
+
+    async def snapshot(self):
+        await trio.sleep(0.004)
+        self._check()
+        world = self._world
+        changes = [world.published, *map(InstanceListed, world.listed.values())]
+        changes += [WeightsPublished(NamedWeights(m, v)) for m, v in world.named.items()]
+        values = await InMemoryStore(world.shared).list("")
+        changes += [RecordWritten(v.key, v.value, v.version) for v in values]
+        return DirectoryBatch(len(world.log), tuple(changes))
+
+    async def changes(self, after_revision, wait_seconds):
+        world = self._world
+        with trio.move_on_after(wait_seconds):
+            while len(world.log) <= after_revision or self.deaf:
+                self._check()
+                await world.changed.wait()
+        await trio.sleep(0.004)
+        self._check()
+        return DirectoryBatch(len(world.log), tuple(world.log[after_revision:]))
+
+    def _check(self):
+        if self.down:
+            raise StoreError(ErrorCode.STORE_UNAVAILABLE, "down")
+
+
+class QuietLoads(LoadExchange):
+    async def send(self, report, addresses):
+        await trio.lowlevel.checkpoint()
+
+    async def receive(self):
+        await trio.sleep_forever()
+
+
+class NoCacheEvents(CacheEvents):
+    async def read(self, address, position, wait_seconds):
+        await trio.sleep(wait_seconds)
+
+
+class RecordedAnswer(ClientAnswer):
+    def __init__(self):
+        self.status = None
+        self.headers = ()
+        self.body = b""
+        self.finished = False
+        self.error = None
+
+    async def start(self, status, headers, length):
+        await trio.lowlevel.checkpoint()
+        self.status = status
+        self.headers = headers
+
+    async def send(self, data):
+        await trio.lowlevel.checkpoint()
+        self.body += data
+
+    async def finish(self):
+        await trio.lowlevel.checkpoint()
+        self.finished = True
+
+    @property
+    def promised_not_run(self):
+        return self.error is not None and self.error.execution.value == "not_run"
+
+
+class ExchangeWorld:
+    """A store, instances and nodes."""
+
+    def __init__(self, nodes=1, seed=1):
+        self.shared = SharedStore()
+        self.instances = EmulatedInstances()
+        self.listed = {}
+        self.named = {}
+        self.published = ConfigurationPublished(configuration())
+        self.log = []
+        self.nodes = []
+        self.directories = []
+        self._node_count = nodes
+        self._seed = seed
+        self._requests = 0
+
+    def add(self, instance_id, service="plain", **options):
+        """Start and list an instance."""
+        versions = {MODEL: 1} if service == "llm" else {}
+        values = {"zone": "z1", "slots": 4, "versions": versions, **options}
+        instance = Instance(instance_id, service, f"10.0.0.1:{len(self.listed)}", **values)
+        self.listed[instance_id] = instance
+        self.publish(InstanceListed(instance))
+        return self.instances.add(instance)
+
+    def publish(self, change):
+        """Write a change into the directory."""
+        if isinstance(change, ConfigurationPublished):
+            self.published = change
+        if isinstance(change, InstanceListed):
+            self.listed[change.instance.instance_id] = change.instance
+        if isinstance(change, InstanceRemoved):
+            self.listed.pop(change.instance_id, None)
+        if isinstance(change, WeightsPublished):
+            self.named[change.weights.model] = change.weights.version
+        self.log.append(change)
+        if hasattr(self, "changed"):
+            self.changed.set()
+            self.changed = trio.Event()
+
+    def name_weights(self, version):
+        """Name weights as operators do."""
+        self.publish(WeightsPublished(NamedWeights(MODEL, version)))
+
+    def run(self, script):
+        """Run ``script(world)`` beside the nodes."""
+        trio.run(self._run, script, clock=MockClock(autojump_threshold=0))
+
+    async def _run(self, script):
+        self.changed = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._relay_records)
+            for number in range(self._node_count):
+                self.start_node(nursery, f"n{number}")
+            self.nursery = nursery
+            await trio.sleep(0.1)
+            await script(self)
+            nursery.cancel_scope.cancel()
+
+    def start_node(self, nursery, name):
+        """Start a node and return its services."""
+        directory = EmulatedDirectory(self)
+        ports = ExchangePorts(
+            store=InMemoryStore(self.shared),
+            directory=directory,
+            calls=self.instances,
+            orders=self.instances,
+            loads=QuietLoads(),
+            cache_events=NoCacheEvents(),
+            generator=random.Random(self._seed + len(self.nodes)),
+        )
+        settings = ExchangeSettings(
+            name=name,
+            zone="z1",
+            address="127.0.0.1:1",
+            readiness_address="127.0.0.1:2",
+            peer_address=f"127.0.0.1:{3 + len(self.nodes)}",
+            store="127.0.0.1:9",
+            bounds=BOUNDS,
+        )
+        services = ExchangeServices(settings, ports)
+        self.nodes.append(services)
+        self.directories.append(directory)
+        nursery.start_soon(services.run)
+        return services
+
+    async def _relay_records(self):
+        """Show the store's own keys in the directory."""
+        store = InMemoryStore(self.shared)
+        revision = 0
+        while True:
+            batch = await store.watch("", revision, 5.0)
+            revision = batch.revision
+            for value in batch.values:
+                self.publish(RecordWritten(value.key, value.value, value.version))
+
+    async def request(self, name, node=0, key=KEY, request_id="", resume_after="", patience=2.0):
+        """Send a request to a node and return the client's answer."""
+        answer = RecordedAnswer()
+        head = self.head(name, key, request_id, resume_after, patience)
+        try:
+            await self.nodes[node].exchanges.serve(head, b"body", answer)
+        except ServiceError as error:
+            answer.error = error
+        return answer
+
+    def head(self, name, key=KEY, request_id="", resume_after="", patience=2.0):
+        """Return the head of a request."""
+        self._requests += 1
+        prompt = None
+        if name in ("stream", "resumable"):
+            segments = (PromptSegment("a1", 3_000), PromptSegment("b2", 500))
+            prompt = Prompt(MODEL, segments, 3_500, 50)
+        return RequestHead(
+            request_id=request_id or f"r{self._requests}",
+            method=b"POST",
+            host="h",
+            path=f"/{name}/x",
+            target=f"/{name}/x".encode(),
+            headers=(),
+            key=key,
+            patience_seconds=patience,
+            prompt=prompt,
+            resume_after=resume_after,
+            received_at=trio.current_time(),
+        )
