--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -141,14 +141,15 @@
                 pause = min(MAX_PAUSE_SECONDS, pause * 2.0)
 
     async def _step(self) -> None:
-        """Make one call and take what it says."""
+        """Make one call and take what it says; after a failure one that is answered at once."""
         sent_at = trio.current_time()
         if self._revision is None:
             batch = await self._directory.snapshot()
             self._drop_missing(batch)
             self._take(batch, self._unseen_since(sent_at))
         else:
-            batch = await self._directory.changes(self._revision, WATCH_SECONDS)
+            wait_seconds = WATCH_SECONDS if self._connected else 0.0
+            batch = await self._directory.changes(self._revision, wait_seconds)
             self._take(batch, max(sent_at, trio.current_time() - WATCH_LAG_SECONDS))
         self._revision = max(self._revision or 0, batch.revision)
         self._confirmed_at = sent_at
