--- /dev/null
+++ b/tests/domain/exchanges/test_event_stream.py
@@ -0,0 +1,63 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hopstep.domain.exchanges.event_stream import (
+    MAX_EVENT_BYTES,
+    EventFramer,
+    StreamOrderError,
+)
+
+
+def event(number):
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+class EventFramerTest(unittest.TestCase):
+    @given(st.integers(1, 8), st.lists(st.integers(1, 40)))
+    def test_any_cutting_gives_the_same_whole_events(self, count, cuts):
+        data = b"".join(event(number) for number in range(count))
+        framer = EventFramer()
+        out = b""
+        rest = data
+        for cut in cuts:
+            out += framer.feed(rest[:cut])
+            rest = rest[cut:]
+            self.assertTrue(out == b"" or out.endswith(b"\n\n"))
+        out += framer.feed(rest)
+        self.assertEqual(out, data)
+        self.assertEqual((framer.events, framer.last_id), (count, count - 1))
+        self.assertFalse(framer.has_partial)
+
+    @given(st.integers(0, 5), st.integers(1, 20))
+    def test_another_instance_goes_on_after_the_last_whole_event(self, whole, cut):
+        framer = EventFramer()
+        out = b"".join(framer.feed(event(number)) for number in range(whole))
+        out += framer.feed(event(whole)[:cut])
+        framer.restart()
+        out += framer.feed(event(whole) + event(whole + 1))
+        self.assertEqual(out, b"".join(event(number) for number in range(whole + 2)))
+
+    def test_gaps_and_repeats_are_refused(self):
+        for name, numbers in (("gap", (0, 2)), ("repeat", (0, 0)), ("back", (3, 1))):
+            with self.subTest(name):
+                framer = EventFramer()
+                framer.feed(event(numbers[0]))
+                with self.assertRaises(StreamOrderError):
+                    framer.feed(event(numbers[1]))
+
+    def test_the_first_event_follows_what_the_client_has(self):
+        with self.assertRaises(StreamOrderError):
+            EventFramer(last_id=3).feed(event(3))
+        self.assertEqual(EventFramer(last_id=3).feed(event(4)), event(4))
+
+    def test_an_event_that_never_ends_is_refused(self):
+        framer = EventFramer()
+        with self.assertRaises(StreamOrderError):
+            framer.feed(b"x" * (MAX_EVENT_BYTES + 1))
+
+    def test_a_partial_event_is_told(self):
+        framer = EventFramer()
+        framer.feed(event(0) + b"id: 1\nda")
+        self.assertTrue(framer.has_partial)
--- /dev/null
+++ b/tests/domain/exchanges/test_selection.py
@@ -0,0 +1,141 @@
+import random
+import unittest
+
+from hopstep.domain.exchanges.instance_view import InstanceView, PeerLoad
+from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.exchanges.request import PromptSegment
+from hopstep.domain.exchanges.segments import SegmentPicture, chain_keys
+from hopstep.domain.exchanges.selection import (
+    EngineRequest,
+    StoreSource,
+    choose_engine,
+    choose_server,
+)
+
+MODEL = "m"
+SEGMENTS = (PromptSegment("a", 4_000), PromptSegment("b", 3_000), PromptSegment("c", 500))
+TOKENS = sum(segment.tokens for segment in SEGMENTS)
+KEYS = chain_keys("1.", SEGMENTS)
+NOW = 50.0
+
+
+def view(name, zone="z1", version=1, slots=4):
+    instance = Instance(name, "llm", f"10.0.0.1:{name}", zone, slots, versions={MODEL: version})
+    return InstanceView(instance, 100_000)
+
+
+def request(stores=(), move_seconds=1e-6):
+    return EngineRequest(lambda _view: KEYS, MODEL, TOKENS, move_seconds, stores)
+
+
+def choose(views, **options):
+    return choose_engine(views, views, request(**options), NOW, random.Random(1))
+
+
+class ChooseEngineTest(unittest.TestCase):
+    def test_the_engine_that_keeps_the_segments_is_chosen(self):
+        views = [view(str(number)) for number in range(5)]
+        views[3].segments.record(KEYS)
+        chosen = choose(views)
+        self.assertIs(chosen.view, views[3])
+        self.assertEqual((chosen.uncached_tokens, chosen.source), (0, ""))
+
+    def test_a_loaded_engine_gives_way_and_its_segments_are_brought(self):
+        views = [view("0"), view("1")]
+        views[0].segments.record(KEYS)
+        views[0].pending_tokens = 60_000
+        chosen = choose(views)
+        self.assertIs(chosen.view, views[1])
+        self.assertEqual((chosen.source, chosen.uncached_tokens), ("10.0.0.1:0", 0))
+
+    def test_peers_load_counts_until_it_is_old(self):
+        views = [view("0"), view("1")]
+        views[0].peers["n"] = PeerLoad(9, 50_000, NOW - 0.1)
+        self.assertIs(choose(views).view, views[1])
+        views[0].peers["n"] = PeerLoad(9, 50_000, NOW - 5.0)
+        views[1].peers["n"] = PeerLoad(9, 50_000, NOW - 0.1)
+        self.assertIs(choose(views).view, views[0])
+
+    def test_nothing_is_brought_from_an_engine_with_other_weights(self):
+        views = [view("0"), view("1", version=2)]
+        views[1].segments.record(KEYS)
+        views[1].pending_tokens = 90_000
+        chosen = choose(views)
+        self.assertIs(chosen.view, views[0])
+        self.assertEqual(chosen.source, "")
+
+    def test_a_cache_store_serves_what_no_engine_keeps(self):
+        store = StoreSource("10.9.0.1:1", "z2", 1e-6, lambda _view: 7_000)
+        chosen = choose([view("0")], stores=(store,))
+        self.assertEqual((chosen.source, chosen.uncached_tokens), ("10.9.0.1:1", 500))
+
+    def test_a_near_source_goes_before_a_far_one(self):
+        views = [view("0"), view("far", zone="z2"), view("near")]
+        for source in views[1:]:
+            source.segments.record(KEYS)
+            source.pending_tokens = 90_000
+        self.assertEqual(choose(views).source, "10.0.0.1:near")
+
+    def test_long_prompts_keep_away_from_engines_that_decode_much(self):
+        views = [view("0"), view("1")]
+        views[0].active = 20
+        self.assertIs(choose(views).view, views[1])
+
+    def test_no_engines_no_choice(self):
+        self.assertIsNone(choose([]))
+
+
+class ChooseServerTest(unittest.TestCase):
+    def test_the_server_with_fewest_requests_a_slot_is_chosen(self):
+        views = [view("0", slots=2), view("1", slots=8)]
+        views[0].active = views[1].active = 2
+        self.assertIs(choose_server(views, NOW, random.Random(1)).view, views[1])
+
+    def test_slow_and_failing_servers_are_avoided(self):
+        views = [view("0"), view("1"), view("2")]
+        for _ in range(10):
+            views[0].failed(NOW, unreachable=False)
+            views[1].succeeded(2.0)
+            views[2].succeeded(0.05)
+        self.assertIs(choose_server(views, NOW, random.Random(1)).view, views[2])
+
+
+class SegmentPictureTest(unittest.TestCase):
+    def test_a_segment_counts_only_behind_those_before_it(self):
+        picture = SegmentPicture(100_000)
+        picture.record(KEYS[1:])
+        self.assertEqual(picture.cached_tokens(KEYS), 0)
+        picture.record(KEYS[:1])
+        self.assertEqual(picture.cached_tokens(KEYS), TOKENS)
+
+    def test_other_salts_never_match(self):
+        picture = SegmentPicture(100_000)
+        picture.record(KEYS)
+        for salt in ("2.", "1.t"):
+            self.assertEqual(picture.cached_tokens(chain_keys(salt, SEGMENTS)), 0)
+
+    def test_the_least_recently_used_give_way(self):
+        picture = SegmentPicture(10_000)
+        for number in range(20):
+            picture.record(chain_keys("1.", (PromptSegment(str(number), 1_000),)))
+        self.assertEqual(len(picture), 10)
+        newest = chain_keys("1.", (PromptSegment("19", 1_000),))
+        self.assertEqual(picture.cached_tokens(newest), 1_000)
+
+
+class InstanceViewTest(unittest.TestCase):
+    def test_failures_in_a_row_suspend_for_longer_and_a_success_ends_it(self):
+        server = view("0")
+        server.failed(NOW, unreachable=True)
+        first = server.suspended_until - NOW
+        server.failed(NOW, unreachable=True)
+        self.assertGreater(server.suspended_until - NOW, first)
+        self.assertFalse(server.is_usable(NOW))
+        server.succeeded(0.1)
+        self.assertTrue(server.is_usable(NOW))
+
+    def test_new_weights_empty_the_picture(self):
+        engine = view("0")
+        engine.segments.record(KEYS)
+        engine.learn_version(MODEL, 2)
+        self.assertEqual(engine.segments.cached_tokens(KEYS), 0)
--- /dev/null
+++ b/tests/domain/exchanges/test_store_contents.py
@@ -0,0 +1,47 @@
+import unittest
+
+from hopstep.domain.exchanges.request import PromptSegment
+from hopstep.domain.exchanges.store_contents import PUSH_SECONDS, StoreContents, StoreEvent
+
+SEGMENTS = (PromptSegment("a", 100), PromptSegment("b", 50))
+
+
+def kept(segment_id, tokens=100, salt="1."):
+    return StoreEvent(salt, segment_id, tokens, "m")
+
+
+class StoreContentsTest(unittest.TestCase):
+    def contents(self, *events):
+        contents = StoreContents()
+        contents.reachable = True
+        contents.apply(events)
+        return contents
+
+    def tokens(self, contents, salt="1."):
+        return contents.cached_tokens("m", salt, SEGMENTS)
+
+    def test_leading_segments_count(self):
+        self.assertEqual(self.tokens(self.contents(kept("a"), kept("b"))), 150)
+        self.assertEqual(self.tokens(self.contents(kept("a"))), 100)
+        self.assertEqual(self.tokens(self.contents(kept("b"))), 0)
+
+    def test_dropped_segments_and_other_salts_do_not_count(self):
+        contents = self.contents(kept("a"), kept("a", 0))
+        self.assertEqual(self.tokens(contents), 0)
+        self.assertEqual(self.tokens(self.contents(kept("a")), "2."), 0)
+
+    def test_nothing_counts_while_the_store_is_out_of_reach(self):
+        contents = self.contents(kept("a"))
+        contents.reachable = False
+        self.assertEqual(self.tokens(contents), 0)
+        self.assertFalse(contents.claim_push("m", "1.", SEGMENTS, 0.0))
+
+    def test_a_segment_is_saved_once_in_a_while(self):
+        contents = self.contents()
+        self.assertTrue(contents.claim_push("m", "1.", SEGMENTS, 5.0))
+        self.assertFalse(contents.claim_push("m", "1.", SEGMENTS, 5.0 + PUSH_SECONDS / 2))
+        self.assertTrue(contents.claim_push("m", "1.", SEGMENTS, 5.0 + PUSH_SECONDS))
+
+    def test_what_is_kept_is_not_saved_again(self):
+        contents = self.contents(kept("a"), kept("b"))
+        self.assertFalse(contents.claim_push("m", "1.", SEGMENTS, 5.0))
--- /dev/null
+++ b/tests/platform/test_front.py
@@ -0,0 +1,185 @@
+"""Clients' HTTP requests as exchanges, and answers back."""
+
+import unittest
+
+import trio
+
+from hopstep.exceptions import ErrorCode, Execution, ServiceError
+from hopstep.platform.front import ExchangeFront
+
+HEADERS = (
+    (b"host", b"h.example"),
+    (b"attempt-id", b"r1"),
+    (b"deadline-ms", b"1500"),
+    (b"x-api-key", b"secret"),
+    (b"model", b"m"),
+    (b"token-usage", b"1460,80"),
+    (b"prompt-prefix", b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+    (b"connection", b"keep-alive, x-hop"),
+    (b"x-hop", b"1"),
+    (b"x-kept", b"2"),
+    (b"tenant", b"forged"),
+    (b"cache-salt", b"forged"),
+    (b"expect-instance", b"forged"),
+    (b"request-priority", b"0"),
+    (b"transfer-encoding", b"chunked"),
+)
+
+
+class Service:
+    """Records what it is asked, and answers as it is told."""
+
+    def __init__(self, error=None):
+        self.error = error
+        self.heads = []
+        self.bodies = []
+
+    def max_body_bytes(self):
+        return 10
+
+    async def serve(self, head, body, answer):
+        self.heads.append(head)
+        self.bodies.append(body)
+        if self.error is not None:
+            raise self.error
+        await answer.start(201, ((b"response-stamp", b"s"),), 2)
+        await answer.send(b"ok")
+        await answer.finish()
+
+
+class FrontTest(unittest.TestCase):
+    def exchange(self, service, body=(b"12", b"345"), headers=HEADERS, stopping=False, query=b""):
+        sent = []
+        parts = list(body)
+
+        async def receive():
+            if not parts:
+                await trio.sleep_forever()
+            data = parts.pop(0)
+            return {"type": "http.request", "body": data, "more_body": bool(parts)}
+
+        async def send(message):
+            sent.append(message)
+
+        scope = {
+            "type": "http",
+            "method": "PUT",
+            "raw_path": b"/a%2Fb/c",
+            "query_string": query,
+            "headers": list(headers),
+        }
+        front = ExchangeFront(service, lambda: stopping)
+        trio.run(front, scope, receive, send)
+        return sent
+
+    def test_method_target_body_and_headers_go_on_untouched(self):
+        service = Service()
+        self.exchange(service, query=b"x=1&y=%20")
+        head = service.heads[0]
+        self.assertEqual((head.method, head.target), (b"PUT", b"/a%2Fb/c?x=1&y=%20"))
+        self.assertEqual((head.path, head.host), ("/a%2Fb/c", "h.example"))
+        self.assertEqual(service.bodies, [b"12345"])
+        self.assertIn((b"x-kept", b"2"), head.headers)
+        self.assertIn((b"attempt-id", b"r1"), head.headers)
+        self.assertEqual((head.request_id, head.key, head.patience_seconds), ("r1", "secret", 1.5))
+
+    def test_what_concerns_one_connection_or_is_set_here_does_not_go_on(self):
+        service = Service()
+        self.exchange(service)
+        passed = {name for name, _ in service.heads[0].headers}
+        for name in (
+            b"connection",
+            b"x-hop",
+            b"x-api-key",
+            b"tenant",
+            b"cache-salt",
+            b"expect-instance",
+            b"request-priority",
+            b"transfer-encoding",
+            b"deadline-ms",
+        ):
+            self.assertNotIn(name, passed)
+
+    def test_the_prompt_is_read(self):
+        service = Service()
+        self.exchange(service)
+        prompt = service.heads[0].prompt
+        self.assertEqual(
+            (prompt.model, prompt.prompt_tokens, prompt.answer_tokens), ("m", 1460, 80)
+        )
+        self.assertEqual([s.tokens for s in prompt.segments], [800, 410, 250])
+
+    def test_headers_that_cannot_be_read_are_as_if_missing(self):
+        service = Service()
+        bad = (
+            (b"deadline-ms", b"soon"),
+            (b"model", b"m"),
+            (b"token-usage", b"x"),
+            (b"prompt-prefix", b"a:b,,c"),
+        )
+        self.exchange(service, headers=bad)
+        head = service.heads[0]
+        self.assertIsNone(head.patience_seconds)
+        self.assertEqual((head.prompt.prompt_tokens, head.request_id), (0, ""))
+
+    def test_errors_become_statuses_and_only_proved_ones_promise(self):
+        for code, execution, status in (
+            (ErrorCode.NOT_FOUND, Execution.NOT_RUN, 404),
+            (ErrorCode.INVALID_KEY, Execution.NOT_RUN, 401),
+            (ErrorCode.BODY_TOO_LARGE, Execution.NOT_RUN, 413),
+            (ErrorCode.MALFORMED_REQUEST, Execution.NOT_RUN, 400),
+            (ErrorCode.OVERLOADED, Execution.NOT_RUN, 503),
+            (ErrorCode.DEADLINE_EXCEEDED, Execution.NOT_RUN, 503),
+            (ErrorCode.DEADLINE_EXCEEDED, Execution.UNKNOWN, 504),
+            (ErrorCode.OVERLOADED, Execution.UNKNOWN, 502),
+            (ErrorCode.EXECUTION_UNKNOWN, Execution.UNKNOWN, 502),
+        ):
+            with self.subTest(code=code, execution=execution):
+                error = ServiceError(code, "m", execution=execution, retry_after_seconds=0.25)
+                start = self.exchange(Service(error))[0]
+                headers = dict(start["headers"])
+                self.assertEqual(start["status"], status)
+                self.assertEqual(headers.get(b"retry-after"), b"0.250" if status == 503 else None)
+                self.assertNotIn(b"response-stamp", headers)
+
+    def test_a_stopping_node_asks_clients_to_leave(self):
+        start = self.exchange(Service(), stopping=True)[0]
+        self.assertIn((b"connection", b"close"), start["headers"])
+
+    def test_a_long_body_is_read_but_not_kept(self):
+        service = Service()
+        self.exchange(service, body=[b"123456789"] * 50)
+        self.assertLess(len(service.bodies[0]), 40)
+        self.assertGreater(len(service.bodies[0]), 10)
+
+    def test_a_client_that_leaves_cancels(self):
+        cancelled = []
+
+        class Waiting(Service):
+            async def serve(self, head, body, answer):
+                try:
+                    await trio.sleep_forever()
+                except trio.Cancelled:
+                    cancelled.append(head.request_id)
+                    raise
+
+        messages = [
+            {"type": "http.request", "body": b"", "more_body": False},
+            {"type": "http.disconnect"},
+        ]
+
+        async def receive():
+            return messages.pop(0)
+
+        async def send(message):
+            raise AssertionError(message)
+
+        scope = {
+            "type": "http",
+            "method": "GET",
+            "raw_path": b"/",
+            "query_string": b"",
+            "headers": [(b"attempt-id", b"r1")],
+        }
+        trio.run(ExchangeFront(Waiting(), lambda: False), scope, receive, send)
+        self.assertEqual(cancelled, ["r1"])
--- /dev/null
+++ b/tests/platform/test_instances.py
@@ -0,0 +1,258 @@
+"""What is proved of a request by each way in which an instance may answer it, over real sockets."""
+
+import contextlib
+import re
+import struct
+import unittest
+
+import trio
+
+from hopstep.domain.exchanges.instances import Instance, NamedWeights
+from hopstep.domain.exchanges.request import ExchangeRequest, Prompt
+from hopstep.domain.exchanges.serving import RequestKind, Route, Tenant
+from hopstep.exceptions import ErrorCode, Execution
+from hopstep.platform.http_client import HttpClient
+from hopstep.platform.instances import HttpInstances
+from hopstep.ports.instance_calls import InstanceCall, InstanceCallError
+from hopstep.ports.weights_orders import OrderOutcome, WeightsOrder
+
+ROUTE = Route("r", "h", "/", RequestKind.AT_MOST_ONCE, 3.0, 0.5, 0, ())
+HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Stamp: s\r\n"
+OTHER = b"HTTP/1.1 200 OK\r\nAttempt-Id: r0\r\nResponse-Stamp: s\r\nContent-Length: 5\r\n\r\nother"
+WHOLE = HEAD + b"Content-Length: 4\r\n\r\nbody"
+NOT_RUN = (Execution.NOT_RUN, True)
+UNKNOWN = (Execution.UNKNOWN, True)
+
+WHOLE_ANSWERS = (
+    ("with a length", WHOLE),
+    ("in chunks", HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+    ("without a length", HEAD + b"Connection: close\r\n\r\nbody"),
+)
+REFUSALS = (
+    ("full", b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", NOT_RUN),
+    ("limited", b"HTTP/1.1 429 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", NOT_RUN),
+    ("another instance", b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", NOT_RUN),
+    ("rejected early", b"HTTP/1.1 400 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", NOT_RUN),
+    ("an answer to another request", OTHER, UNKNOWN),
+    (
+        "a late refusal of another",
+        b"HTTP/1.1 503 X\r\nAttempt-Id: r0\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        UNKNOWN,
+    ),
+    ("no id", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", UNKNOWN),
+    ("no answer", b"", UNKNOWN),
+    ("no HTTP", b"garbage\r\n\r\n", UNKNOWN),
+    ("cut within the head", b"HTTP/1.1 200 OK\r\nAtte", UNKNOWN),
+)
+BROKEN = (
+    ("too short", HEAD + b"Content-Length: 9\r\n\r\nbody"),
+    ("chunks without an end", HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"),
+)
+
+
+class RawServer:
+    """Answers every request on a connection with given bytes."""
+
+    def __init__(self, answer, keep=False, reset=False):
+        self.answer = answer
+        self.keep = keep
+        self.reset = reset
+        self.received = []
+        self.connections = 0
+
+    async def read_request(self, stream):
+        data = b""
+        while True:
+            head, end, body = data.partition(b"\r\n\r\n")
+            length = re.search(rb"content-length: (\d+)", head.lower())
+            if end and len(body) >= int(length[1] if length else 0):
+                return data
+            received = await stream.receive_some()
+            if not received:
+                return b""
+            data += received
+
+    async def handle(self, stream):
+        self.connections += 1
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            while data := await self.read_request(stream):
+                self.received.append(data)
+                await stream.send_all(self.answer)
+                if not self.keep:
+                    break
+            if self.reset:
+                linger = struct.pack("ii", 1, 0)
+                stream.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
+        await stream.aclose()
+
+
+def request(request_id="r1", body=b"payload"):
+    return ExchangeRequest(
+        request_id=request_id,
+        method=b"POST",
+        target=b"/a%2Fb?x=1",
+        headers=((b"host", b"h"), (b"attempt-id", request_id.encode()), (b"last-event-id", b"3")),
+        body=body,
+        route=ROUTE,
+        tenant=Tenant("t1", ()),
+        received_at=0.0,
+        deadline=9.0,
+        client_deadline=9.0,
+        prompt=Prompt("m"),
+    )
+
+
+class InstancesTest(unittest.TestCase):
+    def run_with(self, server, script):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(trio.serve_tcp, server.handle, 0)
+                port = listeners[0].socket.getsockname()[1]
+                client = HttpClient()
+                instance = Instance("i1", "s", f"127.0.0.1:{port}", "z", 1)
+                await script(HttpInstances(client), instance)
+                await client.aclose()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    async def call(self, instances, instance, **options):
+        call = InstanceCall(instance, request(), 1.5, **options)
+        async with instances.open(call) as answer:
+            body = b"".join([data async for data in answer.body()])
+            return answer, body
+
+    def check_error(self, answer_bytes, expected, **server_options):
+        async def script(instances, instance):
+            with self.assertRaises(InstanceCallError) as caught:
+                await self.call(instances, instance)
+            error = caught.exception
+            self.assertEqual((error.execution, error.sent), expected)
+
+        self.run_with(RawServer(answer_bytes, **server_options), script)
+
+    def test_whole_answers(self):
+        for name, answer_bytes in WHOLE_ANSWERS:
+            with self.subTest(name):
+
+                async def script(instances, instance):
+                    answer, body = await self.call(instances, instance)
+                    self.assertEqual((answer.status, answer.signed, body), (200, True, b"body"))
+
+                self.run_with(RawServer(answer_bytes), script)
+
+    def test_refusals_and_lost_answers(self):
+        for name, answer_bytes, expected in REFUSALS:
+            with self.subTest(name):
+                self.check_error(answer_bytes, expected)
+
+    def test_broken_answers_are_never_whole(self):
+        for name, answer_bytes in BROKEN:
+            with self.subTest(name):
+                self.check_error(answer_bytes, UNKNOWN)
+
+    def test_an_answer_without_a_length_that_is_reset_is_not_whole(self):
+        unframed = HEAD + b"Connection: close\r\n\r\nbody"
+        self.check_error(unframed, UNKNOWN, reset=True)
+
+    def test_what_never_left_is_proved_not_run(self):
+        async def script(instances, instance):
+            listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+            port = listener.socket.getsockname()[1]
+            await listener.aclose()
+            closed = Instance("i1", "s", f"127.0.0.1:{port}", "z", 1)
+            with self.assertRaises(InstanceCallError) as caught:
+                await self.call(instances, closed)
+            error = caught.exception
+            self.assertEqual((error.execution, error.sent), (Execution.NOT_RUN, False))
+            self.assertEqual(error.code, ErrorCode.ENGINE_UNREACHABLE)
+
+        self.run_with(RawServer(WHOLE), script)
+
+    def test_surplus_bytes_never_become_the_answer_of_the_next_request(self):
+        async def script(instances, instance):
+            for number in range(4):
+                call = InstanceCall(instance, request(f"r{number}"), 1.5)
+                try:
+                    async with instances.open(call) as answer:
+                        body = b"".join([data async for data in answer.body()])
+                except InstanceCallError as error:
+                    self.assertIs(error.execution, Execution.UNKNOWN)
+                else:
+                    self.assertEqual((number, body), (1, b"body"))
+
+        self.run_with(RawServer(WHOLE + OTHER, keep=True), script)
+
+    def test_whole_answers_keep_their_connection(self):
+        server = RawServer(WHOLE, keep=True)
+
+        async def script(instances, instance):
+            for _ in range(3):
+                await self.call(instances, instance)
+
+        self.run_with(server, script)
+        self.assertEqual(server.connections, 1)
+
+    def test_a_request_is_passed_on_with_its_preconditions(self):
+        server = RawServer(WHOLE)
+
+        async def script(instances, instance):
+            await self.call(
+                instances,
+                instance,
+                priority=2,
+                expected_version=4,
+                cache_salt="4.",
+                cache_source="10.0.0.1:1",
+                cache_target="10.0.0.2:2",
+                resume_after="7",
+            )
+
+        self.run_with(server, script)
+        sent = server.received[0]
+        self.assertTrue(sent.startswith(b"POST /a%2Fb?x=1 HTTP/1.1\r\n"))
+        self.assertTrue(sent.endswith(b"\r\n\r\npayload"))
+        for line in (
+            b"expect-instance: i1",
+            b"expect-version: 4",
+            b"tenant: t1",
+            b"deadline-ms: 1500",
+            b"cache-salt: 4.",
+            b"cache-source: 10.0.0.1:1",
+            b"cache-target: 10.0.0.2:2",
+            b"request-priority: 2",
+            b"last-event-id: 7",
+            b"content-length: 7",
+        ):
+            self.assertEqual(sent.lower().count(line + b"\r\n"), 1, line)
+
+    def test_orders_tell_what_is_proved(self):
+        order = WeightsOrder(NamedWeights("m", 2), "n", 5, 1)
+        for status, outcome in (
+            (b"202 A", OrderOutcome.UNDER_WAY),
+            (b"200 A", OrderOutcome.HOLDS_ALREADY),
+            (b"409 A", OrderOutcome.BUSY_OR_MOVED_ON),
+            (b"412 A", OrderOutcome.FENCED),
+            (b"400 A", OrderOutcome.REJECTED),
+            (b"421 A", OrderOutcome.REJECTED),
+            (b"", OrderOutcome.UNKNOWN),
+        ):
+            with self.subTest(status):
+                answer = b"HTTP/1.1 " + status + b"\r\nContent-Length: 0\r\n\r\n" if status else b""
+
+                async def script(instances, instance, outcome=outcome):
+                    self.assertEqual(await instances.order(instance, order), outcome)
+
+                self.run_with(RawServer(answer), script)
+
+    def test_reports_that_cannot_be_read_are_none(self):
+        body = b'{"busy":true,"callSequence":3,"models":[{"name":"m","version":2}]}'
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+        for answer, expected in ((body, (True, 3, {"m": 2})), (b"{", None)):
+
+            async def script(instances, instance, expected=expected):
+                report = await instances.report(instance)
+                read = report and (report.busy, report.order_sequence, dict(report.versions))
+                self.assertEqual(read, expected)
+
+            self.run_with(RawServer(head % len(answer) + answer), script)
--- /dev/null
+++ b/tests/processes/test_exchange_node.py
@@ -0,0 +1,228 @@
+"""A node as a process: started by its settings file, serving over sockets, stopped by a signal."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import httpx
+import hypercorn
+import hypercorn.trio
+import quart
+import quart_trio
+import trio
+
+from emulator.exchange_platform.store import create_store_app
+from emulator.platform.shared_store import SharedStore
+from hopstep.adapters import key_value_store_wire as wire
+from hopstep.ports.key_value_store import ABSENT
+
+START_SECONDS = 20.0
+KEY = "secret-key-1"
+CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "r",
+            "hostname": "h.example",
+            "pathPrefix": "/p/",
+            "kind": "unsafe",
+            "timeoutMs": 3000,
+            "targetLatencyMs": 300,
+            "service": "s",
+        }
+    ],
+    "services": [{"name": "s"}],
+    "limits": {"maxBodyBytes": 1000},
+    "tenants": [{"name": "t", "apiKeys": [KEY]}],
+}
+
+
+def free_ports(count):
+    """Return ports that were free a moment ago."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [opened.getsockname()[1] for opened in sockets]
+    for opened in sockets:
+        opened.close()
+    return ports
+
+
+def instance_app():
+    """An instance that answers with what it got."""
+    app = quart_trio.QuartTrio(__name__)
+    app.bodies = []
+
+    @app.route("/p/<path:rest>", methods=["GET", "POST"])
+    async def serve(rest):
+        body = await quart.request.get_data()
+        app.bodies.append(body)
+        await trio.sleep(0.5 if rest == "slow" else 0)
+        headers = {"Attempt-Id": quart.request.headers["Attempt-Id"], "Response-Stamp": "s"}
+        return quart.Response(b"got " + body, headers=headers)
+
+    return app
+
+
+class ExchangeNodeTest(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.path = Path(directory.name) / "node.toml"
+        self.log = (Path(directory.name) / "log").open("w+")
+        self.addCleanup(self.log.close)
+
+    def write_settings(self, ports, **changes):
+        values = {
+            "name": "n1",
+            "zone": "z1",
+            "address": f"127.0.0.1:{ports[0]}",
+            "readiness_address": f"127.0.0.1:{ports[1]}",
+            "peer_address": f"127.0.0.1:{ports[2]}",
+            "store": f"127.0.0.1:{ports[3]}",
+            **changes,
+        }
+        lines = [f"{name} = {json.dumps(value)}" for name, value in values.items()]
+        self.path.write_text("\n".join(lines) + "\n[bounds]\ngrace_seconds = 8\n")
+
+    def start(self):
+        process = subprocess.Popen(
+            [sys.executable, "-m", "hopstep.cli.node"],
+            env={**os.environ, "HOPSTEP_SETTINGS": str(self.path)},
+            stdout=self.log,
+            stderr=subprocess.STDOUT,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def events(self):
+        self.log.seek(0)
+        return [json.loads(line) for line in self.log.read().splitlines()]
+
+    def run_node(self, script):
+        async def main():
+            ports = free_ports(5)
+            self.write_settings(ports)
+            shared = SharedStore()
+            instances = instance_app()
+            await self.publish(shared, ports[4])
+            async with trio.open_nursery() as nursery, httpx.AsyncClient() as client:
+                for app, port in ((create_store_app(shared), ports[3]), (instances, ports[4])):
+                    await nursery.start(self.serve, app, port)
+                process = self.start()
+                await self.wait_ready(client, ports[1])
+                await script(client, f"http://127.0.0.1:{ports[0]}", process, instances)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    async def serve(self, app, port, task_status):
+        config = hypercorn.Config()
+        config.bind = [f"127.0.0.1:{port}"]
+        config.loglevel = "CRITICAL"
+        await hypercorn.trio.serve(app, config, task_status=task_status, mode="asgi")
+
+    async def publish(self, shared, port):
+        entry = {"service": "s", "address": f"127.0.0.1:{port}", "state": "ready"}
+        for key, value in (("op/config", CONFIGURATION), ("servers/i1", entry)):
+            await shared.execute(wire.CompareAndSwap(key, ABSENT, json.dumps(value).encode()))
+
+    async def wait_ready(self, client, port):
+        with trio.fail_after(START_SECONDS):
+            while True:
+                try:
+                    response = await client.get(f"http://127.0.0.1:{port}/readiness")
+                    if response.status_code == 200:
+                        return
+                except httpx.TransportError:
+                    pass
+                await trio.sleep(0.05)
+
+    async def request(self, client, url, path="/p/x", key=KEY, body=b"hello", **headers):
+        fields = {"host": "h.example", "attempt-id": "r1", "x-api-key": key, **headers}
+        return await client.post(url + path, headers=fields, content=body)
+
+    def test_a_request_goes_through_and_bad_ones_get_clear_answers(self):
+        async def script(client, url, process, instances):
+            answer = await self.request(client, url)
+            self.assertEqual((answer.status_code, answer.content), (200, b"got hello"))
+            self.assertEqual(answer.headers["response-stamp"], "s")
+            for status, options in (
+                (404, {"path": "/none/"}),
+                (401, {"key": "wrong"}),
+                (413, {"body": b"x" * 5_000}),
+                (400, {"attempt-id": ""}),
+            ):
+                answer = await self.request(client, url, **options)
+                self.assertEqual(answer.status_code, status)
+            self.assertEqual(instances.bodies, [b"hello"])
+            smuggled = await self.raw(url, b"POST /p/x HTTP/1.1\r\nHost: h.example\r\nA\r\n\r\n")
+            self.assertTrue(smuggled.startswith(b"HTTP/1.1 400"))
+            self.assertEqual((await self.request(client, url)).status_code, 200)
+
+        self.run_node(script)
+        text = self.path.parent.joinpath("log").read_text()
+        self.assertNotIn(KEY, text)
+        self.assertNotIn("hello", text)
+        outcomes = [e["outcome"] for e in self.events() if e["event"] == "exchange_ended"]
+        self.assertEqual(outcomes, ["200", "200"])
+
+    async def raw(self, url, data):
+        host, _, port = url.removeprefix("http://").rpartition(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        async with stream:
+            await stream.send_all(data)
+            with trio.fail_after(5.0):
+                return bytes(await stream.receive_some())
+
+    def test_a_planned_stop_cuts_nothing_and_serves_what_still_comes(self):
+        async def script(client, url, process, _instances):
+            results = []
+
+            async def slow():
+                results.append(await self.request(client, url, "/p/slow"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(slow)
+                await trio.sleep(0.2)
+                process.send_signal(signal.SIGTERM)
+                await trio.sleep(0.1)
+                results.append(await self.request(client, url))
+            self.assertEqual([answer.status_code for answer in results], [200, 200])
+            self.assertEqual([a.headers["connection"] for a in results], ["close", "close"])
+            with trio.fail_after(8.0):
+                code = await trio.to_thread.run_sync(process.wait, abandon_on_cancel=True)
+            self.assertEqual(code, 0)
+
+        self.run_node(script)
+        self.assertEqual(self.events()[-1]["event"], "process_stopped")
+
+    def test_a_hangup_reads_the_settings_again_and_bad_ones_change_nothing(self):
+        async def script(client, url, process, _instances):
+            text = self.path.read_text()
+            for changed in (text.replace("z1", "z2"), "name = 1"):
+                self.path.write_text(changed)
+                process.send_signal(signal.SIGHUP)
+                await trio.sleep(0.3)
+                self.assertEqual((await self.request(client, url)).status_code, 200)
+
+        self.run_node(script)
+        events = {event["event"]: event for event in self.events()}
+        self.assertEqual(events["settings_reloaded"]["changed"], ["zone"])
+        self.assertIn("name", events["settings_rejected"]["reason"])
+
+    def test_settings_that_cannot_be_used_end_the_process_with_file_and_field(self):
+        for changes, field in (({"zone": ""}, "zone"), ({"store": "nowhere"}, "store")):
+            with self.subTest(field):
+                self.write_settings([1, 2, 3, 4], **changes)
+                process = self.start()
+                self.assertEqual(process.wait(START_SECONDS), 2)
+                self.log.seek(0)
+                text = self.log.read()
+                self.assertIn(field, text)
+                self.assertIn("node.toml", text)
