--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -10,9 +10,7 @@
 from hopstep.domain.exchanges.request import Headers, Prompt, PromptSegment
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.platform import names
-from hopstep.services.exchanges.admission import RequestHead
-from hopstep.services.exchanges.exchange import ClientAnswer
-from hopstep.services.exchanges.service import ExchangeService
+from hopstep.ports.exchange_front import ClientAnswer, ExchangeHandler, RequestHead
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[Any]]
@@ -35,7 +33,7 @@
 class ExchangeFront:
     """ASGI application for clients."""
 
-    def __init__(self, service: ExchangeService, is_stopping: Callable[[], bool]) -> None:
+    def __init__(self, service: ExchangeHandler, is_stopping: Callable[[], bool]) -> None:
         """Serve by a service.
 
         Args:
--- a/hopstep/services/exchanges/admission.py
+++ b/hopstep/services/exchanges/admission.py
@@ -2,45 +2,14 @@
 
 from __future__ import annotations
 
-import msgspec
-
-from hopstep.domain.exchanges.request import ExchangeRequest, Headers, Prompt
+from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.serving import Route, ServingIndex, Tenant
 from hopstep.exceptions import ErrorCode, ServiceError
+from hopstep.ports.exchange_front import RequestHead
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.lifecycle import Lifecycle
 
 
-class RequestHead(msgspec.Struct, frozen=True):
-    """A request as it was read, before anything is decided.
-
-    Attributes:
-        request_id: Unique for each attempt of a client; empty when it is missing.
-        method: HTTP method.
-        host: Host that it was sent to.
-        path: Path as it was sent.
-        target: Raw path and query.
-        headers: Headers that are passed on.
-        key: API key; empty for none.
-        patience_seconds: How long the client waits; None when it doesn't say.
-        prompt: What it says of its prompt.
-        resume_after: Last event that the client has.
-        received_at: When its head was read.
-    """
-
-    request_id: str
-    method: bytes
-    host: str
-    path: str
-    target: bytes
-    headers: Headers
-    key: str
-    patience_seconds: float | None
-    prompt: Prompt | None
-    resume_after: str
-    received_at: float
-
-
 class ExchangeAdmission:
     """Turns heads into requests, or refuses them."""
 
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 from collections.abc import Callable
 
 import msgspec
@@ -18,6 +17,7 @@
 from hopstep.domain.exchanges.serving import RequestKind
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
+from hopstep.ports.exchange_front import ClientAnswer
 from hopstep.ports.instance_calls import (
     InstanceAnswer,
     InstanceCall,
@@ -44,22 +44,6 @@
 WATCHDOG_SECONDS = 0.2
 
 
-class ClientAnswer(abc.ABC):
-    """The answer as the client gets it."""
-
-    @abc.abstractmethod
-    async def start(self, status: int, headers: Headers, length: int | None) -> None:
-        """Send the head; ``length`` is None when the body ends with ``finish``."""
-
-    @abc.abstractmethod
-    async def send(self, data: bytes) -> None:
-        """Send a part of the body."""
-
-    @abc.abstractmethod
-    async def finish(self) -> None:
-        """End the answer as whole; without this call it ends as cut off."""
-
-
 class WholeAnswer(msgspec.Struct, frozen=True):
     """An answer that was read to its end.
 
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -12,9 +12,10 @@
 from hopstep.domain.exchanges.serving import RequestLimits
 from hopstep.exceptions import ServiceError
 from hopstep.logs import emit
+from hopstep.ports.exchange_front import ClientAnswer, ExchangeHandler, RequestHead
 from hopstep.ports.instance_calls import InstanceCalls
-from hopstep.services.exchanges.admission import ExchangeAdmission, RequestHead
-from hopstep.services.exchanges.exchange import ClientAnswer, Exchange, ExchangeParts
+from hopstep.services.exchanges.admission import ExchangeAdmission
+from hopstep.services.exchanges.exchange import Exchange, ExchangeParts
 from hopstep.services.exchanges.instance_choice import InstanceChoice
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
@@ -22,7 +23,7 @@
 from hopstep.services.lifecycle import Lifecycle
 
 
-class ExchangeService:
+class ExchangeService(ExchangeHandler):
     """Serves requests of a node."""
 
     def __init__(
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -23,6 +23,7 @@
 from hopstep.exchange_node import ExchangePorts, ExchangeServices
 from hopstep.exchange_settings import ExchangeBounds, ExchangeSettings
 from hopstep.ports.cache_events import CacheEvents
+from hopstep.ports.exchange_front import ClientAnswer, RequestHead
 from hopstep.ports.load_exchange import LoadExchange
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
@@ -33,8 +34,6 @@
     ServingDirectory,
     WeightsPublished,
 )
-from hopstep.services.exchanges.admission import RequestHead
-from hopstep.services.exchanges.exchange import ClientAnswer
 
 KEY = "key-1"
 ISOLATED_KEY = "key-2"
