Explain a failed request afterwards: bounded logs, metrics, hopstep-ctl trace

Counters and latency histograms stand on the metrics address. trace goes from a request's id to its cause over the logs of several nodes; tests make three kinds of failures happen and check the cause that it names.

--- a/hopstep/adapters/exchange_server.py
+++ b/hopstep/adapters/exchange_server.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import msgspec
 import trio
 from hypercorn.trio import serve
 
@@ -16,38 +17,62 @@
 NOT_READY_STATUS = 503
 
 
+class OperatorsListeners(msgspec.Struct, frozen=True):
+    """What operators and load balancers ask.
+
+    Attributes:
+        readiness_address: ``ip:port`` of the readiness listener.
+        metrics_address: ``ip:port`` of the metrics listener; empty for none.
+        is_ready: Whether clients should be sent here.
+        render_metrics: Returns the metrics as text.
+    """
+
+    readiness_address: str
+    metrics_address: str
+    is_ready: Callable[[], bool]
+    render_metrics: Callable[[], bytes]
+
+
 class ListenerSwitch:
     """ASGI application that answers by the listener on which a request came."""
 
-    def __init__(
-        self, clients: AsgiApp, readiness_address: str, is_ready: Callable[[], bool]
-    ) -> None:
-        """Join the two.
+    def __init__(self, clients: AsgiApp, operators: OperatorsListeners) -> None:
+        """Join the listeners.
 
         Args:
             clients: Application for clients.
-            readiness_address: ``ip:port`` of the readiness listener.
-            is_ready: Whether clients should be sent here.
+            operators: The other listeners.
         """
         self._clients = clients
-        self._readiness_port = int(readiness_address.rpartition(":")[2])
-        self._is_ready = is_ready
+        self._operators = operators
+        self._readiness_port = _port(operators.readiness_address)
+        self._metrics_port = _port(operators.metrics_address)
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one request."""
         if scope["type"] == "lifespan":
             await _serve_lifespan(receive, send)
-        elif scope["server"][1] == self._readiness_port:
-            await self._answer_readiness(send)
+            return
+        port = scope["server"][1]
+        if port == self._readiness_port:
+            ready = self._operators.is_ready()
+            await _answer(send, READY_STATUS if ready else NOT_READY_STATUS, b"")
+        elif port == self._metrics_port:
+            await _answer(send, READY_STATUS, self._operators.render_metrics())
         else:
             await self._clients(scope, receive, send)
 
-    async def _answer_readiness(self, send: Any) -> None:
-        """Say whether the node is ready."""
-        status = READY_STATUS if self._is_ready() else NOT_READY_STATUS
-        headers = [(b"content-length", b"0")]
-        await send({"type": "http.response.start", "status": status, "headers": headers})
-        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+def _port(address: str) -> int:
+    """Return the port of an address; 0 for none."""
+    return int(address.rpartition(":")[2] or 0)
+
+
+async def _answer(send: Any, status: int, body: bytes) -> None:
+    """Send a whole answer."""
+    headers = [(b"content-length", str(len(body)).encode()), (b"content-type", b"text/plain")]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body, "more_body": False})
 
 
 async def _serve_lifespan(receive: Any, send: Any) -> None:
--- a/hopstep/cli/ctl.py
+++ b/hopstep/cli/ctl.py
@@ -1,7 +1,7 @@
 """The operators' command.
 
 Verbs: ``validate FILE``, ``diff FILE``, ``apply FILE``, ``show``, ``history``, ``status``,
-``drain BACK_END``, ``explain``.
+``drain BACK_END``, ``explain``, ``trace REQUEST_ID``.
 
 Exit codes: 0 done; 1 conflict or rejected; 2 bad input; 3 unavailable, nothing was changed;
 4 unknown outcome, resubmit with the printed ``--change_id`` and ``--base_revision``.
@@ -38,6 +38,7 @@
 from hopstep.ctl.reading import explain, show, show_history
 from hopstep.ctl.results import ErrorDocument, ExitCode, VerbResult
 from hopstep.ctl.status import listed_routers, show_status
+from hopstep.ctl.trace import trace_request
 from hopstep.domain.addresses import parse_address
 from hopstep.domain.configuration.document import AcceptedConfiguration
 from hopstep.exceptions import ErrorCode, HopstepError, PortError, ValidationError
@@ -52,6 +53,7 @@
     "status": 0,
     "drain": 1,
     "explain": 0,
+    "trace": 1,
 }
 
 _STORE = flags.DEFINE_string("store", "", "ip:port of the key-value service.")
@@ -72,6 +74,7 @@
 _TENANT = flags.DEFINE_string("tenant", "", "Tenant (explain).")
 _CLASS = flags.DEFINE_string("class", "", "Request class; default: the tenant's (explain).")
 _MODEL = flags.DEFINE_string("model", "", "Model (explain).")
+_LOGS = flags.DEFINE_list("logs", [], "Log files of nodes (trace).")
 _FILE = flags.DEFINE_string("file", "", "Explain this file in place of the store's document.")
 
 
@@ -98,6 +101,8 @@
     verb, operands = _split(arguments)
     if verb == "validate":
         return validate_file(Path(operands[0]))
+    if verb == "trace":
+        return trace_request(operands[0], [Path(path) for path in _LOGS.value])
     if verb == "explain" and _FILE.value:
         accepted = AcceptedConfiguration(0, read_configuration(Path(_FILE.value)))
         return explain(accepted, _TENANT.value, _CLASS.value, _MODEL.value)
--- a/hopstep/cli/node.py
+++ b/hopstep/cli/node.py
@@ -16,6 +16,7 @@
 from absl import flags
 
 from hopstep.adapters.load_datagrams import UdpLoadExchange
+from hopstep.adapters.log_output import NonBlockingOutput
 from hopstep.cli.command import run_command
 from hopstep.exchange_node import ExchangePorts, ExchangeServices, run_exchange_node
 from hopstep.exchange_settings import ExchangeSettings
@@ -79,7 +80,7 @@
     except SettingsError as error:
         print(error.message, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    configure_logging(settings.log_level, settings.name, sys.stdout)
+    configure_logging(settings.log_level, settings.name, NonBlockingOutput(sys.stdout.fileno()))
     capture_library_logs()
     configure_garbage_collection()
     trio.run(run_node, settings, path)
--- /dev/null
+++ b/hopstep/ctl/trace.py
@@ -0,0 +1,186 @@
+"""Verb ``trace``: from a request's id to its cause, over the logs of any number of nodes."""
+
+from __future__ import annotations
+
+import datetime
+import json
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from hopstep import log_events
+from hopstep.ctl.results import ExitCode, VerbResult
+from hopstep.exceptions import ErrorCode, ValidationError
+from hopstep.log_events import LogEvent
+
+CONTEXT_SECONDS = 6.0
+"""Changes of belief are shown from this long before the request."""
+
+REQUEST_FIELD = "request_id"
+NODE_FIELD = "node"
+NUMBER_FIELD = "number"
+TIME_FIELD = "timestamp"
+
+CONTEXT_EVENTS: tuple[LogEvent, ...] = (
+    log_events.PROCESS_STARTED,
+    log_events.PROCESS_STOPPING,
+    log_events.STORE_LOST,
+    log_events.STORE_REGAINED,
+    log_events.DIRECTORY_HISTORY_LOST,
+    log_events.SERVING_CONFIGURATION_APPLIED,
+    log_events.INSTANCE_LISTED,
+    log_events.INSTANCE_REMOVED,
+    log_events.WEIGHTS_NAMED,
+    log_events.WEIGHTS_ORDER_SENT,
+    log_events.CACHE_STORE_CHANGED,
+)
+"""Changes of what a node believes."""
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """One line of a log.
+
+    Attributes:
+        at: Time of day, seconds since the epoch.
+        node: Node that wrote it.
+        number: Number of its event.
+        fields: All fields.
+    """
+
+    at: float
+    node: str
+    number: str
+    fields: dict[str, Any]
+
+    def __str__(self) -> str:
+        """Return the line for a person."""
+        hidden = {NODE_FIELD, NUMBER_FIELD, TIME_FIELD, REQUEST_FIELD, "event", "level"}
+        shown = " ".join(f"{k}={v}" for k, v in self.fields.items() if k not in hidden)
+        time = self.fields.get(TIME_FIELD, "")
+        return f"{time} {self.node} {self.number} {self.fields.get('event', '')} {shown}"
+
+
+class TraceDocument(msgspec.Struct, frozen=True):
+    """Result of ``trace``.
+
+    Attributes:
+        request_id: The request.
+        cause: Why it ended as it did.
+        lines: Its lines and the changes of belief around it, oldest first.
+    """
+
+    request_id: str
+    cause: str
+    lines: tuple[str, ...]
+
+
+def trace_request(request_id: str, paths: Sequence[Path]) -> VerbResult:
+    """Return the time line of a request and its cause.
+
+    Args:
+        request_id: The request.
+        paths: Logs of the nodes.
+
+    Raises:
+        ValidationError: When a log can't be read.
+    """
+    lines = [line for path in paths for line in _read(path)]
+    own = sorted(
+        (line for line in lines if line.fields.get(REQUEST_FIELD) == request_id),
+        key=lambda line: line.at,
+    )
+    if not own:
+        document = TraceDocument(request_id, "no line names this request", ())
+        return VerbResult(document.cause, document, ExitCode.REJECTED)
+    context = _context(own, lines)
+    cause = explain_end(own, context)
+    shown = sorted((*own, *context), key=lambda line: line.at)
+    document = TraceDocument(request_id, cause, tuple(str(line) for line in shown))
+    return VerbResult("\n".join((*document.lines, f"cause: {cause}")), document)
+
+
+def explain_end(own: Sequence[LogLine], context: Sequence[LogLine]) -> str:
+    """Return why a request ended as it did.
+
+    Args:
+        own: Lines of the request, oldest first.
+        context: Changes of belief around it.
+    """
+    last = own[-1]
+    if last.number == log_events.EXCHANGE_REFUSED.number:
+        return _explain_refusal(last, context)
+    failures = [x for x in own if x.number == log_events.EXCHANGE_ATTEMPT_FAILED.number]
+    outcome = str(last.fields.get("outcome", ""))
+    code, _, execution = outcome.partition(":")
+    if execution:
+        promise = "not run" if execution == "not_run" else "it may have run"
+        return f"{code}, {promise}; {_explain_attempts(failures, last)}"
+    if outcome == "cut":
+        return f"the answer was cut off; {_explain_attempts(failures, last)}"
+    if outcome == "client_left":
+        return f"the client left after {last.fields.get('total_ms')} ms"
+    return (
+        f"answered {outcome} by {last.fields.get('instance')}: first byte after "
+        f"{last.fields.get('first_byte_ms')} ms ({last.fields.get('read_tokens')} tokens to "
+        f"read), longest pause {last.fields.get('pause_ms')} ms, attempts "
+        f"{last.fields.get('attempts')}"
+    )
+
+
+def _explain_refusal(line: LogLine, context: Sequence[LogLine]) -> str:
+    """Return why a request wasn't admitted."""
+    code = line.fields.get("code")
+    text = f"refused, not run: {code}, {line.fields.get('reason')}"
+    lost = [x for x in context if x.number == log_events.STORE_LOST.number and x.node == line.node]
+    if code in (ErrorCode.ISOLATED.value, ErrorCode.NOT_READY.value):
+        text += f"; what the node knows is {line.fields.get('age_ms')} ms old"
+        if lost:
+            text += f"; it lost the store at {lost[-1].fields.get(TIME_FIELD)}"
+    return text
+
+
+def _explain_attempts(failures: Sequence[LogLine], last: LogLine) -> str:
+    """Return what went wrong with a request's attempts."""
+    if not failures:
+        instance = last.fields.get("instance")
+        if not instance:
+            return "no instance could be chosen"
+        return f"still at {instance} after {last.fields.get('total_ms')} ms"
+    parts = [f"{x.fields.get('instance')}: {x.fields.get('reason')}" for x in failures]
+    return "; ".join(parts)
+
+
+def _context(own: Sequence[LogLine], lines: Iterable[LogLine]) -> list[LogLine]:
+    """Return changes of belief at the request's nodes, or of its instances."""
+    numbers = {event.number for event in CONTEXT_EVENTS}
+    nodes = {line.node for line in own}
+    instances = {line.fields.get("instance") for line in own} - {None, ""}
+    start, end = own[0].at - CONTEXT_SECONDS, own[-1].at
+    return [
+        line
+        for line in lines
+        if line.number in numbers
+        and start <= line.at <= end
+        and line.node in nodes
+        and ("instance" not in line.fields or line.fields["instance"] in instances)
+    ]
+
+
+def _read(path: Path) -> Iterable[LogLine]:
+    """Yield the lines of a log that are events; text before the first brace is passed over."""
+    try:
+        text = path.read_text(encoding="utf-8", errors="replace")
+    except OSError as error:
+        raise ValidationError(
+            ErrorCode.INVALID_SETTINGS, f"{path}: {error.strerror}", "--logs"
+        ) from error
+    for line in text.splitlines():
+        _, brace, rest = line.partition("{")
+        try:
+            fields = json.loads(brace + rest)
+            at = datetime.datetime.fromisoformat(fields[TIME_FIELD]).timestamp()
+            yield LogLine(at, fields[NODE_FIELD], fields[NUMBER_FIELD], fields)
+        except (ValueError, KeyError, TypeError):
+            continue
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -8,9 +8,15 @@
 
 import msgspec
 import trio
+from prometheus_client import CollectorRegistry, generate_latest
 
 from hopstep import log_events
-from hopstep.adapters.exchange_server import AsgiApp, ListenerSwitch, serve_exchanges
+from hopstep.adapters.exchange_server import (
+    AsgiApp,
+    ListenerSwitch,
+    OperatorsListeners,
+    serve_exchanges,
+)
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds
 from hopstep.domain.exchanges.weights import WeightsBook, WeightsBounds
@@ -22,6 +28,7 @@
 from hopstep.ports.load_exchange import LoadExchange
 from hopstep.ports.serving_directory import ServingDirectory
 from hopstep.ports.weights_orders import WeightsOrders
+from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.registration import Registration
@@ -74,6 +81,7 @@
         """
         bounds = settings.bounds
         generator = ports.generator
+        self.registry = CollectorRegistry()
         self.weights = WeightsBook(WeightsBounds(bounds.weights_ms / MILLISECONDS))
         self.knowledge = ServingKnowledge(
             ports.directory,
@@ -96,6 +104,7 @@
             self.sharing,
             self.store_watch,
             RepeatBounds(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds),
+            self._make_metrics(),
             generator,
         )
         self.lease = RolloutLease(
@@ -112,6 +121,32 @@
             settings.name, settings.peer_address, ports.store, self.knowledge, generator
         )
 
+    def _make_metrics(self) -> ExchangeMetrics:
+        """Return the metrics, with gauges of what the node knows."""
+        metrics = ExchangeMetrics(self.registry)
+        knowledge = self.knowledge
+        metrics.watch(
+            "hopstep_knowledge_age_seconds",
+            "Age of what is known of configuration, keys and instances.",
+            lambda: knowledge.age_seconds,
+        )
+        metrics.watch(
+            "hopstep_serving_configuration_version",
+            "Version of the operators' configuration in force; 0 for none.",
+            lambda: knowledge.current.version if knowledge.current is not None else 0,
+        )
+        metrics.watch(
+            "hopstep_exchanges_active",
+            "Requests under way.",
+            lambda: self.lifecycle.active_requests,
+        )
+        metrics.watch(
+            "hopstep_rollout_fencing_token",
+            "Fencing token while this node holds the rollout lease; else 0.",
+            lambda: self.lease.fencing_token,
+        )
+        return metrics
+
     @property
     def is_ready(self) -> bool:
         """Whether a request sent here would be served."""
@@ -150,13 +185,23 @@
         services: The node's services.
         clients: Application for clients.
     """
-    app = ListenerSwitch(clients, settings.readiness_address, lambda: services.is_ready)
-    addresses = (settings.address, settings.readiness_address)
+    app = ListenerSwitch(
+        clients,
+        OperatorsListeners(
+            settings.readiness_address,
+            settings.metrics_address,
+            lambda: services.is_ready,
+            lambda: generate_latest(services.registry),
+        ),
+    )
+    addresses = (settings.address, settings.readiness_address, settings.metrics_address)
     async with trio.open_nursery() as nursery:
         await nursery.start(_follow_signals, settings, settings_path, services.lifecycle)
         await nursery.start(services.run)
         async with trio.open_nursery() as serving:
-            await serving.start(serve_exchanges, app, addresses, services.wait_drained)
+            await serving.start(
+                serve_exchanges, app, tuple(filter(None, addresses)), services.wait_drained
+            )
             emit(
                 log_events.PROCESS_STARTED,
                 address=settings.address,
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -331,6 +331,7 @@
         "first_byte_ms",
         "total_ms",
         "events",
+        "pause_ms",
         "read_tokens",
         "source",
         "target",
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -42,6 +42,7 @@
 """Most instances that couldn't be reached before a request is refused."""
 
 WATCHDOG_SECONDS = 0.2
+MILLISECONDS = 1_000
 
 
 class WholeAnswer(msgspec.Struct, frozen=True):
@@ -67,6 +68,7 @@
         attempts: Attempts of which a byte was sent.
         first_byte_ms: From the head of the request to the first byte of the answer.
         events: Events of a stream.
+        pause_ms: Longest time between two pieces of a stream.
         read_tokens: Prompt tokens that the last instance was expected to read.
         source: Where it was told to bring segments from.
         target: Where it was told to save segments.
@@ -77,6 +79,7 @@
     attempts: int = 0
     first_byte_ms: int = -1
     events: int = 0
+    pause_ms: int = 0
     read_tokens: int = 0
     source: str = ""
     target: str = ""
@@ -91,6 +94,7 @@
         budgets: Returns a service's retry budget.
         nodes: Returns how many nodes may be alive.
         note_sent: Told of each prompt that is sent, for the peers.
+        count_failure: Told of each failed attempt: its code, and what follows.
     """
 
     calls: InstanceCalls
@@ -98,6 +102,7 @@
     budgets: Callable[[str], RepeatBudget]
     nodes: Callable[[], int]
     note_sent: Callable[[Candidate], None]
+    count_failure: Callable[[str, str], None]
 
 
 class Exchange:
@@ -268,8 +273,13 @@
         self._require_signed(answer)
         view = candidate.view
         first = True
+        heard_at = 0.0
         async for data in answer.body():
             now = trio.current_time()
+            if not first:
+                pause_ms = round((now - heard_at) * MILLISECONDS)
+                self.outcome.pause_ms = max(self.outcome.pause_ms, pause_ms)
+            heard_at = now
             if first:
                 first = False
                 view.first_byte(self._request.request_id, candidate.uncached_tokens, now)
@@ -348,7 +358,7 @@
         """Send the head of the answer."""
         self._started = True
         elapsed = trio.current_time() - self._request.received_at
-        self.outcome.first_byte_ms = round(elapsed * 1_000)
+        self.outcome.first_byte_ms = round(elapsed * MILLISECONDS)
         await self._answer.start(status, headers, length)
 
     async def _answer_unknown(self) -> None:
@@ -396,7 +406,8 @@
         )
 
     def _log_attempt(self, view: InstanceView, error: InstanceCallError, step: NextStep) -> None:
-        """Log a failed attempt and what follows."""
+        """Log and count a failed attempt and what follows."""
+        self._parts.count_failure(error.code.value, step.value)
         emit(
             log_events.EXCHANGE_ATTEMPT_FAILED,
             request_id=self._request.request_id,
--- /dev/null
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -0,0 +1,55 @@
+"""Counters and latency histograms of a node of routed exchanges."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 2.0, 5.0, 10.0)
+
+
+class ExchangeMetrics:
+    """What the node counts; labels are bounded by the configuration and by code."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the metrics.
+
+        Args:
+            registry: Registry of this node.
+        """
+        self._registry = registry
+        self.requests = Counter(
+            "hopstep_exchanges",
+            "Requests by kind of route and outcome (status, error code, cut or client_left).",
+            ("kind", "outcome"),
+            registry=registry,
+        )
+        self.attempts = Counter(
+            "hopstep_exchange_failed_attempts",
+            "Failed attempts by error code and what followed.",
+            ("code", "next_step"),
+            registry=registry,
+        )
+        self.first_byte = Histogram(
+            "hopstep_exchange_first_byte_seconds",
+            "From the head of a request to the first byte of its answer.",
+            ("kind",),
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=registry,
+        )
+        self.pause = Histogram(
+            "hopstep_exchange_pause_seconds",
+            "Longest pause within each stream.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=registry,
+        )
+        self.read_tokens = Counter(
+            "hopstep_exchange_read_tokens",
+            "Prompt tokens that instances were expected to read.",
+            registry=registry,
+        )
+
+    def watch(self, name: str, documentation: str, read: Callable[[], float]) -> None:
+        """Register a gauge that is read when metrics are asked for."""
+        Gauge(name, documentation, registry=self._registry).set_function(read)
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -15,7 +15,13 @@
 from hopstep.ports.exchange_front import ClientAnswer, ExchangeHandler, RequestHead
 from hopstep.ports.instance_calls import InstanceCalls
 from hopstep.services.exchanges.admission import ExchangeAdmission
-from hopstep.services.exchanges.exchange import Exchange, ExchangeParts
+from hopstep.services.exchanges.exchange import (
+    MILLISECONDS,
+    Exchange,
+    ExchangeOutcome,
+    ExchangeParts,
+)
+from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.instance_choice import InstanceChoice
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
@@ -34,6 +40,7 @@
         sharing: LoadSharing,
         store_watch: CacheStoreWatch,
         bounds: RepeatBounds,
+        metrics: ExchangeMetrics,
         generator: random.Random,
     ) -> None:
         """Join the parts.
@@ -45,6 +52,7 @@
             store_watch: What the cache stores keep.
             sharing: Told of each prompt that is sent.
             bounds: Bounds of retries over all nodes.
+            metrics: Counts requests and attempts.
             generator: Splits traffic and breaks ties.
         """
         self.admission = ExchangeAdmission(knowledge, lifecycle)
@@ -52,6 +60,7 @@
         self._lifecycle = lifecycle
         self._generator = generator
         self._bounds = bounds
+        self._metrics = metrics
         self._budgets: dict[str, RepeatBudget] = {}
         self._parts = ExchangeParts(
             calls=calls,
@@ -59,6 +68,7 @@
             budgets=self._budget,
             nodes=sharing.count_nodes,
             note_sent=sharing.note_sent,
+            count_failure=self._count_failure,
         )
 
     def max_body_bytes(self) -> int:
@@ -77,6 +87,7 @@
                 request = self.admission.admit(head, body)
             except ServiceError as error:
                 self._log_refusal(head, error)
+                self._metrics.requests.labels("", error.code.value).inc()
                 raise
             await self._run(request, answer)
 
@@ -94,6 +105,7 @@
             outcome.outcome = outcome.outcome or "client_left"
             raise
         finally:
+            self._count(request, outcome)
             emit(
                 log_events.EXCHANGE_ENDED,
                 request_id=request.request_id,
@@ -104,13 +116,14 @@
                 attempts=outcome.attempts,
                 outcome=outcome.outcome,
                 first_byte_ms=outcome.first_byte_ms,
-                total_ms=round((trio.current_time() - request.received_at) * 1_000),
+                total_ms=round((trio.current_time() - request.received_at) * MILLISECONDS),
                 events=outcome.events,
+                pause_ms=outcome.pause_ms,
                 read_tokens=outcome.read_tokens,
                 source=outcome.source,
                 target=outcome.target,
                 configuration=self._version(),
-                age_ms=round(self._knowledge.age_seconds * 1_000),
+                age_ms=round(self._knowledge.age_seconds * MILLISECONDS),
             )
 
     def _log_refusal(self, head: RequestHead, error: ServiceError) -> None:
@@ -122,9 +135,23 @@
             code=error.code.value,
             reason=error.message,
             configuration=self._version(),
-            age_ms=round(self._knowledge.age_seconds * 1_000) if known else -1,
+            age_ms=round(self._knowledge.age_seconds * MILLISECONDS) if known else -1,
         )
 
+    def _count(self, request: ExchangeRequest, outcome: ExchangeOutcome) -> None:
+        """Count an admitted request that has ended."""
+        kind = request.route.kind.value
+        self._metrics.requests.labels(kind, outcome.outcome).inc()
+        self._metrics.read_tokens.inc(outcome.read_tokens)
+        if outcome.first_byte_ms >= 0:
+            self._metrics.first_byte.labels(kind).observe(outcome.first_byte_ms / MILLISECONDS)
+        if outcome.events:
+            self._metrics.pause.observe(outcome.pause_ms / MILLISECONDS)
+
+    def _count_failure(self, code: str, next_step: str) -> None:
+        """Count a failed attempt."""
+        self._metrics.attempts.labels(code, next_step).inc()
+
     def _version(self) -> int:
         """Return the version of the configuration in force; 0 for none."""
         current = self._knowledge.current
--- /dev/null
+++ b/tests/ctl/test_trace.py
@@ -0,0 +1,92 @@
+"""Three kinds of failed requests, from the id to the cause, by the node's own log lines."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+import structlog
+import trio
+
+from emulator.exchange_platform.instances import Behaviour
+from hopstep.ctl.results import ExitCode
+from hopstep.ctl.trace import trace_request
+from hopstep.exceptions import ValidationError
+from tests.services.exchanges.exchange_world import ExchangeWorld
+
+EPOCH = "2026-01-01T00:00:"
+
+
+class TraceTest(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.path = Path(directory.name) / "log"
+        self.lines = []
+
+    def record(self, _logger, _method, line):
+        seconds = trio.current_time() % 60
+        self.lines.append({**line, "node": "n0", "timestamp": f"{EPOCH}{seconds:09.6f}+00:00"})
+        raise structlog.DropEvent
+
+    def play(self, script):
+        world = ExchangeWorld()
+        world.add("p0")
+        world.add("e0", "llm")
+        before = structlog.get_config()
+        structlog.configure(processors=[self.record])
+        try:
+            world.run(script)
+        finally:
+            structlog.configure(**before)
+        text = "\n".join(f"12.5 n0 {json.dumps(line, default=str)}" for line in self.lines)
+        self.path.write_text(text)
+
+    def trace(self, request_id="r"):
+        return trace_request(request_id, [self.path])
+
+    def test_a_refused_request_leads_to_the_lost_store(self):
+        async def script(world):
+            world.directories[0].down = True
+            await trio.sleep(6.5)
+            await world.request("unsafe", request_id="r")
+
+        self.play(script)
+        result = self.trace()
+        self.assertIn("isolated", result.document.cause)
+        self.assertIn("lost the store at", result.document.cause)
+        self.assertTrue(any("store_lost" in line for line in result.document.lines))
+
+    def test_a_cut_stream_leads_to_its_instance(self):
+        async def script(world):
+            world.instances.servers["e0"].behaviour = Behaviour.BREAK_STREAM
+            await world.request("stream", request_id="r")
+
+        self.play(script)
+        cause = self.trace().document.cause
+        self.assertIn("cut off", cause)
+        self.assertIn("e0: broke off", cause)
+
+    def test_an_unknown_outcome_leads_to_the_lost_answer(self):
+        async def script(world):
+            world.instances.servers["p0"].behaviour = Behaviour.LOSE_ANSWER
+            await world.request("unsafe", request_id="r")
+
+        self.play(script)
+        cause = self.trace().document.cause
+        self.assertIn("may have run", cause)
+        self.assertIn("p0: broke off", cause)
+
+    def test_a_late_answer_tells_its_times(self):
+        async def script(world):
+            world.instances.servers["e0"].event_seconds = 0.5
+            await world.request("stream", request_id="r", patience=5.0)
+
+        self.play(script)
+        self.assertRegex(self.trace().document.cause, r"answered 200 by e0.*pause 5\d\d ms")
+
+    def test_unknown_ids_and_unreadable_logs_are_told(self):
+        self.path.write_text('no json\n{"event": "x"}\n')
+        self.assertIs(self.trace("none").exit_code, ExitCode.REJECTED)
+        with self.assertRaises(ValidationError):
+            trace_request("r", [self.path.parent / "missing"])
