Close connections within the grace time

Ruled out: a listener left open (it is closed when the server stops accepting). The server now gives half a second.

--- a/hopstep/adapters/exchange_server.py
+++ b/hopstep/adapters/exchange_server.py
@@ -13,6 +13,9 @@
 
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
 
+FINISH_SECONDS = 0.5
+"""Time for connections to close after the shutdown; requests have ended or are cut then."""
+
 READY_STATUS = 200
 NOT_READY_STATUS = 503
 
@@ -101,4 +104,5 @@
     """
     config = ServerConfig(addresses[0], None)
     config.bind = list(addresses)
+    config.graceful_timeout = FINISH_SECONDS
     await serve(app, config, shutdown_trigger=wait_shutdown, task_status=task_status, mode="asgi")
--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -1,5 +1,6 @@
 """A node as a process: started by its settings file, serving over sockets, stopped by a signal."""
 
+import contextlib
 import json
 import os
 import signal
@@ -23,6 +24,8 @@
 from hopstep.ports.key_value_store import ABSENT
 
 START_SECONDS = 20.0
+GRACE_SECONDS = 3.0
+SECONDS_OF_WORK = {"slow": 0.5, "endless": 60.0}
 KEY = "secret-key-1"
 CONFIGURATION = {
     "version": 1,
@@ -32,7 +35,7 @@
             "hostname": "h.example",
             "pathPrefix": "/p/",
             "kind": "unsafe",
-            "timeoutMs": 3000,
+            "timeoutMs": 30000,
             "targetLatencyMs": 300,
             "service": "s",
         }
@@ -61,7 +64,7 @@
     async def serve(rest):
         body = await quart.request.get_data()
         app.bodies.append(body)
-        await trio.sleep(0.5 if rest == "slow" else 0)
+        await trio.sleep(SECONDS_OF_WORK.get(rest, 0.0))
         headers = {"Attempt-Id": quart.request.headers["Attempt-Id"], "Response-Stamp": "s"}
         return quart.Response(b"got " + body, headers=headers)
 
@@ -87,7 +90,7 @@
             **changes,
         }
         lines = [f"{name} = {json.dumps(value)}" for name, value in values.items()]
-        self.path.write_text("\n".join(lines) + "\n[bounds]\ngrace_seconds = 8\n")
+        self.path.write_text("\n".join(lines) + f"\n[bounds]\ngrace_seconds = {GRACE_SECONDS}\n")
 
     def start(self):
         process = subprocess.Popen(
@@ -202,6 +205,35 @@
         self.run_node(script)
         self.assertEqual(self.events()[-1]["event"], "process_stopped")
 
+    def test_a_stop_that_takes_long_ends_in_time_and_takes_no_connection_it_cannot_serve(self):
+        async def script(client, url, process, _instances):
+            async def endless():
+                with contextlib.suppress(httpx.TransportError):
+                    await self.request(client, url, "/p/endless")
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(endless)
+                await trio.sleep(0.3)
+                process.send_signal(signal.SIGTERM)
+                with trio.fail_after(GRACE_SECONDS):
+                    answers = await self.ask_until_refused(url)
+                    code = await trio.to_thread.run_sync(process.wait, abandon_on_cancel=True)
+            self.assertEqual(code, 0)
+            self.assertEqual(set(answers), {200, 503})
+
+        self.run_node(script)
+
+    async def ask_until_refused(self, url):
+        """Ask on new connections; each is answered at once or refused by a reset or closed port."""
+        answers = []
+        async with httpx.AsyncClient(timeout=0.4) as client:
+            while True:
+                try:
+                    answers.append((await self.request(client, url)).status_code)
+                except (httpx.ConnectError, httpx.RemoteProtocolError, httpx.ReadError):
+                    return answers
+                await trio.sleep(0.02)
+
     def test_a_hangup_reads_the_settings_again_and_bad_ones_change_nothing(self):
         async def script(client, url, process, _instances):
             text = self.path.read_text()
