--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -36,6 +36,7 @@
     FAIL = "fail"
     REJECT = "reject"
     UNREACHABLE = "unreachable"
+    NO_CONNECTION = "no_connection"
     SILENT = "silent"
     LOSE_ANSWER = "lose_answer"
     BREAK_STREAM = "break_stream"
@@ -162,6 +163,9 @@
             raise InstanceCallError(
                 ErrorCode.ENGINE_UNREACHABLE, "no connection", Execution.NOT_RUN, sent=False
             )
+        if server.behaviour is Behaviour.NO_CONNECTION:
+            await trio.sleep_forever()
+        call.proof.sent = True
         server.arrivals += 1
         try:
             yield await self._begin(server, call)
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -40,7 +40,7 @@
 from hopstep.settings_loader import SettingsError, load_exchange_settings
 
 MILLISECONDS = 1_000.0
-ACCEPT_SECONDS = 2.5
+ACCEPT_SECONDS = 2.8
 """A stopping node serves for so long: load balancers notice within two questions."""
 
 CLOSING_SECONDS = 1.0
--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -8,7 +8,7 @@
 
 from hopstep.domain.exchanges.store_contents import StoreEvent
 from hopstep.platform import names
-from hopstep.platform.http_client import HttpCall, HttpClient, SendProof
+from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
 from hopstep.ports.cache_events import CacheEvents, StoreEvents
 
 ANSWER_SECONDS = 0.7
@@ -51,7 +51,7 @@
         call = HttpCall(address, b"GET", target, headers, b"")
         try:
             with trio.fail_after(ANSWER_SECONDS + wait_seconds):
-                async with self._client.open(call, SendProof()) as response:
+                async with self._client.open(call, SendTrace()) as response:
                     body = await response.aread()
             if response.status != OK:
                 return None
--- a/hopstep/platform/http_client.py
+++ b/hopstep/platform/http_client.py
@@ -9,6 +9,8 @@
 import httpcore
 import msgspec
 
+from hopstep.ports.instance_calls import SendProof
+
 SENDING_EVENT = "http11.send_request_headers.started"
 """Trace event of ``httpcore`` before the first byte of a request is written."""
 
@@ -40,17 +42,21 @@
     read_seconds: float | None = None
 
 
-class SendProof:
-    """Tells whether any byte of a request may have left."""
+class SendTrace:
+    """Follows the library's trace of one call."""
 
-    def __init__(self) -> None:
-        """Start before the first byte."""
-        self.sent = False
+    def __init__(self, proof: SendProof | None = None) -> None:
+        """Start before the first byte.
+
+        Args:
+            proof: Told when the first byte may leave; a new one if None.
+        """
+        self.proof = proof or SendProof()
 
     async def __call__(self, event: str, _details: dict[str, Any]) -> None:
-        """Follow the library's trace."""
+        """Take one event of the trace."""
         if event == SENDING_EVENT:
-            self.sent = True
+            self.proof.sent = True
 
 
 class HttpClient:
@@ -61,7 +67,7 @@
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     @contextlib.asynccontextmanager
-    async def open(self, call: HttpCall, proof: SendProof) -> AsyncIterator[httpcore.Response]:
+    async def open(self, call: HttpCall, trace: SendTrace) -> AsyncIterator[httpcore.Response]:
         """Send a call and give its answer as it comes; leaving early closes the connection."""
         host, _, port = call.address.rpartition(":")
         url = httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=call.target)
@@ -74,7 +80,7 @@
             url,
             headers=headers,
             content=call.body,
-            extensions={"timeout": timeout, "trace": proof},
+            extensions={"timeout": timeout, "trace": trace},
         )
         response = await self._pool(call.address).handle_async_request(request)
         try:
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -12,12 +12,13 @@
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform import names
-from hopstep.platform.http_client import HttpCall, HttpClient, SendProof
+from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
 from hopstep.ports.instance_calls import (
     InstanceAnswer,
     InstanceCall,
     InstanceCallError,
     InstanceCalls,
+    SendProof,
 )
 from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
 
@@ -112,12 +113,12 @@
             request.body,
             connect_seconds=CONNECT_SECONDS,
         )
-        proof = SendProof()
+        trace = SendTrace(call.proof)
         async with contextlib.AsyncExitStack() as stack:
             try:
-                response = await stack.enter_async_context(self._client.open(http_call, proof))
+                response = await stack.enter_async_context(self._client.open(http_call, trace))
             except FAILURES as error:
-                raise _no_answer(proof) from error
+                raise _no_answer(call.proof) from error
             _check_head(response, request.request_id)
             yield HttpInstanceAnswer(response)
 
@@ -176,7 +177,7 @@
         )
         try:
             with trio.fail_after(ORDER_SECONDS):
-                async with self._client.open(call, proof) as response:
+                async with self._client.open(call, SendTrace(proof)) as response:
                     return response.status, await response.aread()
         except (*FAILURES, trio.TooSlowError):
             return None
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -18,7 +18,7 @@
     StoreOutcomeUnknownError,
 )
 from hopstep.platform import names
-from hopstep.platform.http_client import HttpCall, HttpClient, SendProof
+from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
 from hopstep.ports.key_value_store import (
     KeyValueStorePort,
     StoredValue,
@@ -218,15 +218,15 @@
         call = HttpCall(
             self._address, method, target.encode(), headers, body, connect_seconds=CONNECT_SECONDS
         )
-        proof = SendProof()
+        trace = SendTrace()
         try:
             with trio.fail_after(self._answer_seconds + extra_seconds):
-                async with self._client.open(call, proof) as response:
+                async with self._client.open(call, trace) as response:
                     answer = _Answer(response.status, await response.aread())
         except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException) as error:
-            raise _no_answer(method, proof) from error
+            raise _no_answer(method, trace.proof.sent) from error
         except trio.TooSlowError as error:
-            raise _no_answer(method, proof) from error
+            raise _no_answer(method, trace.proof.sent) from error
         if answer.status == TOO_MANY:
             raise StoreError(ErrorCode.STORE_RATE_LIMITED, "the store refuses by its rate limit")
         if answer.status == UNAVAILABLE:
@@ -241,9 +241,9 @@
     return int(lease or 0)
 
 
-def _no_answer(method: bytes, proof: SendProof) -> StoreError:
+def _no_answer(method: bytes, sent: bool) -> StoreError:
     """Return the error of a call without an answer."""
-    if method == GET or not proof.sent:
+    if method == GET or not sent:
         return StoreError(ErrorCode.STORE_UNAVAILABLE, "the store gave no answer")
     return StoreOutcomeUnknownError(
         ErrorCode.STORE_OUTCOME_UNKNOWN, "the store gave no answer to a write"
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -31,6 +31,16 @@
         self.sent = sent
 
 
+class SendProof(msgspec.Struct):
+    """Tells what has left while a call is under way.
+
+    Attributes:
+        sent: Whether any byte of the request may have left.
+    """
+
+    sent: bool = False
+
+
 class InstanceCall(msgspec.Struct, frozen=True):
     """One attempt of a request.
 
@@ -44,6 +54,7 @@
         cache_salt: Text under which segments are kept; empty for none.
         cache_source: ``ip:port`` from which kept segments are brought; empty for none.
         cache_target: ``ip:port`` of a cache store that gets the segments; empty for none.
+        proof: Set by the adapter as the request leaves.
     """
 
     instance: Instance
@@ -55,6 +66,7 @@
     cache_salt: str = ""
     cache_source: str = ""
     cache_target: str = ""
+    proof: SendProof = msgspec.field(default_factory=SendProof)
 
 
 class InstanceAnswer(abc.ABC):
--- a/hopstep/services/exchanges/admission.py
+++ b/hopstep/services/exchanges/admission.py
@@ -29,12 +29,12 @@
         Raises:
             ServiceError: When it may not run here; nothing was sent.
         """
-        self._lifecycle.check_serving()
         index = self._knowledge.require_index()
         route = index.find_route(head.host, head.path)
         if route is None:
             raise self._denied(ErrorCode.NOT_FOUND, "no route for this host and path")
         tenant = self._find_tenant(index, route, head.key)
+        self._lifecycle.check_serving(route.timeout_seconds)
         if not head.request_id:
             raise ServiceError(ErrorCode.MALFORMED_REQUEST, "the request has no id")
         if len(body) > index.configuration.limits.max_body_bytes:
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -23,6 +23,7 @@
     InstanceCall,
     InstanceCallError,
     InstanceCalls,
+    SendProof,
 )
 from hopstep.services.exchanges.instance_choice import InstanceChoice
 
@@ -130,7 +131,7 @@
         self._unsent_tries = 0
         self._started = False
         self._may_have_run = False
-        self._in_flight = False
+        self._in_flight = SendProof()
         self._failure: WholeAnswer | None = None
 
     async def run(self) -> None:
@@ -143,7 +144,7 @@
         with trio.CancelScope(deadline=self._request.deadline) as scope:
             await self._run_attempts()
         if scope.cancelled_caught:
-            self._may_have_run = self._may_have_run or self._in_flight
+            self._may_have_run = self._may_have_run or self._in_flight.sent
             self._fail(ErrorCode.DEADLINE_EXCEEDED, "no whole answer in time")
 
     async def _run_attempts(self) -> None:
@@ -178,7 +179,7 @@
         view.begin(request.request_id, candidate.uncached_tokens, now)
         view.segments.record(candidate.keys)
         self._parts.note_sent(candidate)
-        self._in_flight = True
+        self._in_flight = SendProof()
         try:
             await self._call(candidate)
         except InstanceCallError as error:
@@ -187,11 +188,11 @@
             else:
                 self._unsent_tries += 1
             self._tried.add(view.instance.instance_id)
-            self._in_flight = False
+            self._in_flight = SendProof()
             return error
         finally:
             view.end(request.request_id, candidate.uncached_tokens)
-        self._in_flight = False
+        self._in_flight = SendProof()
         self._count_sent(view)
         return None
 
@@ -259,6 +260,7 @@
             cache_salt=self._parts.choice.salt(request, view),
             cache_source=candidate.source,
             cache_target=self.outcome.target,
+            proof=self._in_flight,
         )
 
     def _is_stream(self, answer: InstanceAnswer) -> bool:
--- a/hopstep/services/lifecycle.py
+++ b/hopstep/services/lifecycle.py
@@ -52,6 +52,7 @@
         self._drain_seconds = drain_seconds
         self._accept_seconds = accept_seconds
         self._refuse_at = float("inf")
+        self._drain_until = float("inf")
         self._active = 0
         self._idle = trio.Event()
         self._idle.set()
@@ -72,9 +73,14 @@
         """Whether callers should be sent here: configured and not stopping."""
         return self._holder.current is not None and not self.stopping
 
-    def check_serving(self) -> None:
-        """Raise ``STOPPING`` once a stop was asked for and the time to accept is over."""
-        if self.stopping and trio.current_time() >= self._refuse_at:
+    def check_serving(self, longest_seconds: float = float("inf")) -> None:
+        """Raise ``STOPPING`` once a stop was asked for and the time to accept is over.
+
+        Args:
+            longest_seconds: Requests that end sooner than the drain are still served.
+        """
+        now = trio.current_time()
+        if now >= self._refuse_at and now + longest_seconds > self._drain_until:
             raise ServiceError(
                 ErrorCode.STOPPING,
                 "this router is stopping; use another one",
@@ -100,6 +106,7 @@
             return
         emit(log_events.PROCESS_STOPPING, active_requests=self._active)
         self._refuse_at = trio.current_time() + self._accept_seconds
+        self._drain_until = trio.current_time() + self._drain_seconds
         self._stopping.set()
 
     async def wait_stopping(self) -> None:
--- a/tests/services/exchanges/test_exchange.py
+++ b/tests/services/exchanges/test_exchange.py
@@ -70,6 +70,15 @@
 
         self.run_world(script)
 
+    def test_a_request_that_never_left_before_its_deadline_is_promised_not_run(self):
+        async def script(world):
+            self.set_all(world, Behaviour.NO_CONNECTION)
+            answer = await world.request("unsafe", patience=0.5)
+            self.assertEqual(answer.error.code, ErrorCode.DEADLINE_EXCEEDED)
+            self.assertTrue(answer.promised_not_run)
+
+        self.run_world(script)
+
     def test_a_rejected_request_goes_on_elsewhere_only_within_its_attempts(self):
         async def script(world):
             self.set_all(world, Behaviour.REJECT)
--- a/tests/services/exchanges/test_knowledge.py
+++ b/tests/services/exchanges/test_knowledge.py
@@ -127,13 +127,15 @@
 
         self.run_world(script)
 
-    def test_a_stopping_node_serves_for_a_while_then_refuses_as_not_run(self):
+    def test_a_stopping_node_serves_what_ends_in_time_and_refuses_the_rest_as_not_run(self):
         async def script(world):
             lifecycle = world.nodes[0].lifecycle
             lifecycle.stop()
             self.assertFalse(world.nodes[0].is_ready)
             self.assertEqual((await world.request("unsafe")).status, 200)
-            await trio.sleep(2.6)
+            await trio.sleep(3.0)
+            self.assertEqual((await world.request("unsafe")).status, 200)
+            await trio.sleep(2.0)
             answer = await world.request("unsafe")
             self.assertEqual(answer.error.code, ErrorCode.STOPPING)
             self.assertTrue(answer.promised_not_run)
