Keep the rollout lease while answers of the store are lost

Ruled out: the store refusing renewals (each call was carried out). A renewal now waits 0.4 s, growing while none is answered, and is sent again at once; a creation without an answer is read back by its value.

--- a/hopstep/services/exchanges/rollout_lease.py
+++ b/hopstep/services/exchanges/rollout_lease.py
@@ -8,18 +8,33 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
+from collections.abc import Iterator
 
 import trio
 
 from hopstep import log_events
-from hopstep.exceptions import StoreConflictError, StoreError
+from hopstep.exceptions import (
+    ErrorCode,
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
 from hopstep.logs import emit
 from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.records import ROLLOUT_KEY
 
-RENEWALS_IN_A_LEASE = 3
+RENEWALS_IN_A_LEASE = 4
+RENEWAL_SECONDS = 0.4
+"""Wait for the answer to a renewal; grows while none comes."""
+
+PATIENCE_GROWTH = 1.5
+RENEWAL_PAUSE_SECONDS = 0.05
+ACQUIRE_SECONDS = 0.8
+"""Wait for the answer to each call that acquires the lease."""
+
 SAFETY_SECONDS = 0.3
 """An order is sent only if the lease holds at least this much longer."""
 
@@ -99,11 +114,10 @@
     async def _acquire(self) -> None:
         """Create the key under a new lease; raises ``StoreError`` when that isn't proved."""
         sent_at = trio.current_time()
-        lease = await self._store.grant_lease(self._lease_seconds)
+        with _answered_within(ACQUIRE_SECONDS):
+            lease = await self._store.grant_lease(self._lease_seconds)
         try:
-            token = await self._store.compare_and_swap(
-                ROLLOUT_KEY, ABSENT, self._name.encode(), lease
-            )
+            token = await self._create_key(lease)
         except StoreError:
             await self._store.end_lease(lease)
             raise
@@ -113,29 +127,66 @@
         self.fencing_token = token
         emit(log_events.ROLLOUT_LEASE_ACQUIRED, fencing_token=token)
 
+    async def _create_key(self, lease: str) -> int:
+        """Create the key and return its revision, the fencing token.
+
+        Without an answer the key is read back: the value names this node and this lease.
+        """
+        value = f"{self._name}/{lease}".encode()
+        try:
+            with _answered_within(ACQUIRE_SECONDS):
+                return await self._store.compare_and_swap(ROLLOUT_KEY, ABSENT, value, lease)
+        except StoreConflictError:
+            raise
+        except StoreError:
+            with _answered_within(ACQUIRE_SECONDS):
+                stored = await self._store.get(ROLLOUT_KEY)
+            if stored is None or stored.value != value:
+                raise
+            return stored.version
+
     async def _keep(self) -> None:
-        """Renew the lease until it is lost."""
+        """Renew the lease until it is lost; a renewal without an answer is sent again at once."""
+        patience = RENEWAL_SECONDS
         while self.fencing_token:
-            await trio.sleep(self._lease_seconds / RENEWALS_IN_A_LEASE)
             if trio.current_time() > self._valid_until:
                 self._lose("lapsed")
                 return
-            await self._renew()
-
-    async def _renew(self) -> None:
-        """Renew once; failures are borne until the lease lapses."""
+            if await self._renew(patience):
+                patience = RENEWAL_SECONDS
+                if self.fencing_token:
+                    await trio.sleep(self._lease_seconds / RENEWALS_IN_A_LEASE)
+            else:
+                patience = min(self._lease_seconds / 2, patience * PATIENCE_GROWTH)
+                await trio.sleep(RENEWAL_PAUSE_SECONDS)
+
+    async def _renew(self, patience: float) -> bool:
+        """Renew once; return whether that is proved."""
         sent_at = trio.current_time()
         try:
-            await self._store.keep_alive(self._lease)
+            with _answered_within(patience):
+                await self._store.keep_alive(self._lease)
         except StoreConflictError:
             self._lose("over")
         except StoreError:
-            return
+            return False
         else:
             self._valid_until = sent_at + self._lease_seconds
+        return True
 
     def _lose(self, reason: str) -> None:
         """Stop ordering."""
         if self.fencing_token:
             emit(log_events.ROLLOUT_LEASE_LOST, fencing_token=self.fencing_token, reason=reason)
         self.fencing_token = 0
+
+
+@contextlib.contextmanager
+def _answered_within(seconds: float) -> Iterator[None]:
+    """Bound a call to the store; raises ``StoreOutcomeUnknownError`` when it takes longer."""
+    with trio.move_on_after(seconds) as scope:
+        yield
+    if scope.cancelled_caught:
+        raise StoreOutcomeUnknownError(
+            ErrorCode.STORE_OUTCOME_UNKNOWN, "the store gave no answer in time"
+        )
--- a/tests/services/exchanges/test_weights.py
+++ b/tests/services/exchanges/test_weights.py
@@ -8,6 +8,7 @@
 from emulator.platform.faults import FaultOrder
 from hopstep.domain.exchanges.instances import NamedWeights
 from hopstep.domain.exchanges.weights import WeightsBook, WeightsBounds
+from hopstep.exceptions import ErrorCode, StoreOutcomeUnknownError
 from hopstep.ports.serving_directory import InstanceListed
 from tests.services.exchanges.exchange_world import BOUNDS, MODEL, ExchangeWorld
 
@@ -163,6 +164,34 @@
 
         self.run_world(script)
 
+    def test_a_holder_keeps_its_lease_while_answers_are_lost(self):
+        async def script(world):
+            await trio.sleep(LEASE_SECONDS + 1.0)
+            tokens = {node.lease.fencing_token for node in world.nodes}
+            for _ in range(10):
+                world.shared.order_faults(FaultOrder(lost_answers=2))
+                await trio.sleep(1.0)
+            self.assertEqual({node.lease.fencing_token for node in world.nodes}, tokens)
+
+        self.run_world(script)
+
+    def test_a_lease_whose_creation_was_not_answered_is_read_back(self):
+        async def script(world):
+            store = world.nodes[0].lease._store
+            swap = store.compare_and_swap
+
+            async def lose_answer(*arguments):
+                await swap(*arguments)
+                raise StoreOutcomeUnknownError(ErrorCode.STORE_OUTCOME_UNKNOWN, "lost")
+
+            store.compare_and_swap = lose_answer
+            await trio.sleep(1.0)
+            world.shared.order_faults(FaultOrder(lapse_leases=True))
+            await trio.sleep(1.5)
+            self.assertTrue(world.nodes[0].lease.fencing_token)
+
+        self.run_world(script, nodes=1)
+
     def test_a_released_lease_is_taken_by_another_node(self):
         async def script(world):
             await trio.sleep(LEASE_SECONDS + 1.0)
