--- a/hopstep/domain/exchanges/selection.py
+++ b/hopstep/domain/exchanges/selection.py
@@ -20,11 +20,8 @@
 SHARED_WEIGHT = 1.5
 """Weight of reading again a segment that may be kept elsewhere, against waiting."""
 
-LONG_READ_TOKENS = 16_000
-"""A read of this length makes the streams beside it pause for too long."""
-
-LONG_READ_SECONDS = 0.5
-"""What such a pause costs each stream; shorter reads cost by the square of their length."""
+INTERFERENCE = 0.1
+"""Part of the time to read a prompt that each request which decodes beside it counts as lost."""
 
 MOVE_SECONDS = 0.004
 """Fixed time of bringing segments from another instance."""
@@ -165,7 +162,7 @@
     cost = (view.total_pending_tokens(now) + uncached) * per_token + move.seconds
     cost += reread * per_token * (SHARED_WEIGHT - 1.0)
     cost += view.total_active(now) * ACTIVE_SECONDS * view.slowness
-    cost += view.total_active(now) * LONG_READ_SECONDS * (uncached / LONG_READ_TOKENS) ** 2
+    cost += view.total_active(now) * uncached * per_token * INTERFERENCE
     cost += view.failure_rate * FAILURE_SECONDS
     cost += HOME_SECONDS * _distance(view, keys)
     cost += JITTER_SECONDS * generator.random()
