--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -30,6 +30,12 @@
 """Statuses of refusals that coming back doesn't mend."""
 
 
+CRASHED = ServiceError(
+    ErrorCode.INTERNAL, "a fault in this node", execution=Execution.UNKNOWN, retry_after_seconds=0.0
+)
+"""Answer to a request that a fault of the node's own has ended."""
+
+
 class ExchangeFront:
     """ASGI application for clients."""
 
@@ -62,6 +68,11 @@
             await self._service.serve(head, body, answer)
         except ServiceError as error:
             await answer.refuse(error)
+        except Exception:
+            if answer.started:
+                raise
+            await answer.refuse(CRASHED)
+            raise
 
 
 class AsgiAnswer(ClientAnswer):
@@ -78,9 +89,11 @@
         self._send = send
         self._request_id = request_id
         self._is_stopping = is_stopping
+        self.started = False
 
     async def start(self, status: int, headers: Headers, length: int | None) -> None:
         """Send the head; see the port."""
+        self.started = True
         fields = list(headers)
         if length is not None:
             fields.append((b"content-length", str(length).encode()))
--- a/hopstep/services/exchanges/rollout_lease.py
+++ b/hopstep/services/exchanges/rollout_lease.py
@@ -27,11 +27,9 @@
 from hopstep.services.exchanges.records import ROLLOUT_KEY
 
 RENEWALS_IN_A_LEASE = 4
-RENEWAL_SECONDS = 0.4
-"""Wait for the answer to a renewal; grows while none comes."""
+RENEWAL_SPACING_SECONDS = 0.25
+"""Time after which a renewal without an answer is sent once more."""
 
-PATIENCE_GROWTH = 1.5
-RENEWAL_PAUSE_SECONDS = 0.05
 ACQUIRE_SECONDS = 0.8
 """Wait for the answer to each call that acquires the lease."""
 
@@ -146,33 +144,39 @@
             return stored.version
 
     async def _keep(self) -> None:
-        """Renew the lease until it is lost; a renewal without an answer is sent again at once."""
-        patience = RENEWAL_SECONDS
+        """Renew the lease until it is lost."""
         while self.fencing_token:
+            await trio.sleep(self._lease_seconds / RENEWALS_IN_A_LEASE)
+            await self._renew()
             if trio.current_time() > self._valid_until:
                 self._lose("lapsed")
-                return
-            if await self._renew(patience):
-                patience = RENEWAL_SECONDS
-                if self.fencing_token:
-                    await trio.sleep(self._lease_seconds / RENEWALS_IN_A_LEASE)
-            else:
-                patience = min(self._lease_seconds / 2, patience * PATIENCE_GROWTH)
-                await trio.sleep(RENEWAL_PAUSE_SECONDS)
-
-    async def _renew(self, patience: float) -> bool:
-        """Renew once; return whether that is proved."""
+
+    async def _renew(self) -> None:
+        """Renew once, by as many calls as it takes until one is answered or the lease lapses.
+
+        A call whose answer is lost says nothing more, so the next one doesn't wait for it.
+        """
+        answered = trio.Event()
+        async with trio.open_nursery() as nursery:
+            with trio.move_on_at(self._valid_until):
+                while not answered.is_set():
+                    nursery.start_soon(self._renew_by_one_call, answered)
+                    with trio.move_on_after(RENEWAL_SPACING_SECONDS):
+                        await answered.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _renew_by_one_call(self, answered: trio.Event) -> None:
+        """Make one call; the lease counts from when it was sent."""
         sent_at = trio.current_time()
         try:
-            with _answered_within(patience):
-                await self._store.keep_alive(self._lease)
+            await self._store.keep_alive(self._lease)
         except StoreConflictError:
             self._lose("over")
         except StoreError:
-            return False
+            return
         else:
-            self._valid_until = sent_at + self._lease_seconds
-        return True
+            self._valid_until = max(self._valid_until, sent_at + self._lease_seconds)
+        answered.set()
 
     def _lose(self, reason: str) -> None:
         """Stop ordering."""
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -28,6 +28,8 @@
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
 from hopstep.services.lifecycle import Lifecycle
 
+CLIENT_LEFT = "client_left"
+
 
 class ExchangeService(ExchangeHandler):
     """Serves requests of a node."""
@@ -101,8 +103,12 @@
         except ServiceError as error:
             outcome.outcome = f"{error.code.value}:{error.execution.value}"
             raise
-        except trio.Cancelled:
-            outcome.outcome = outcome.outcome or "client_left"
+        except Exception as error:
+            outcome.outcome = f"crashed:{type(error).__name__}"
+            raise
+        except BaseException:
+            # A cancellation, alone or in a group.
+            outcome.outcome = outcome.outcome or CLIENT_LEFT
             raise
         finally:
             self._count(request, outcome)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -152,6 +152,31 @@
         self.assertLess(len(service.bodies[0]), 40)
         self.assertGreater(len(service.bodies[0]), 10)
 
+    def test_a_fault_of_the_nodes_own_is_told_as_unknown(self):
+        sent = []
+
+        async def receive():
+            if sent or self.read:
+                await trio.sleep_forever()
+            self.read = True
+            return {"type": "http.request", "body": b"", "more_body": False}
+
+        async def send(message):
+            sent.append(message)
+
+        self.read = False
+        scope = {
+            "type": "http",
+            "method": "GET",
+            "raw_path": b"/",
+            "query_string": b"",
+            "headers": [],
+        }
+        front = ExchangeFront(Service(KeyError("x")), lambda: False)
+        with self.assertRaises(ExceptionGroup):
+            trio.run(front, scope, receive, send)
+        self.assertEqual(sent[0]["status"], 502)
+
     def test_a_client_that_leaves_cancels(self):
         cancelled = []
 
--- a/tests/services/exchanges/test_exchange.py
+++ b/tests/services/exchanges/test_exchange.py
@@ -3,6 +3,7 @@
 import unittest
 
 import msgspec
+import structlog
 import trio
 
 from emulator.exchange_platform.instances import Behaviour
@@ -185,6 +186,17 @@
 
         self.run_world(script)
 
+    def test_a_client_that_leaves_is_logged_as_such(self):
+        async def script(world):
+            for server in world.instances.servers.values():
+                server.work_seconds = 10.0
+            with structlog.testing.capture_logs() as lines, trio.move_on_after(0.2):
+                await world.request("unsafe", request_id="r")
+            ended = [line for line in lines if line["event"] == "exchange_ended"]
+            self.assertEqual([line["outcome"] for line in ended], ["client_left"])
+
+        self.run_world(script)
+
     def test_a_silent_instance_is_left_for_another_when_the_request_may_repeat(self):
         async def script(world):
             world.instances.servers["p0"].behaviour = Behaviour.SILENT
