--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.stamp
 
 .DEFAULT_GOAL := setup
-.PHONY: setup test lint format demo bench fuzz clean
+.PHONY: setup test lint format demo bench fuzz deploy-check clean
 
 $(STAMP): pyproject.toml requirements/dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -38,6 +38,9 @@
 fuzz: setup
 	$(BIN)/python -m tests.fuzz
 
+deploy-check: setup
+	$(BIN)/python -m tests tests.platform.test_deploy
+
 clean:
 	rm -rf $(VENV) build dist *.egg-info .hypothesis .mypy_cache .ruff_cache .import_linter_cache
 	find . -name __pycache__ -type d -prune -exec rm -rf {} +
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -45,6 +45,8 @@
 MIN_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 0.8
 STALE_RETRY_AFTER_SECONDS = 1.0
+OVERDUE = "overdue"
+"""Reason of a lost store whose answer is still waited for when the first request is refused."""
 
 
 class ServingKnowledge:
@@ -118,6 +120,7 @@
     def require_fresh(self) -> None:
         """Raise ``ISOLATED`` when keys may have been revoked without this node's knowledge."""
         if not self.is_fresh:
+            self._note_connection(False, OVERDUE)
             raise ServiceError(
                 ErrorCode.ISOLATED,
                 "this node can't tell whether the key is still valid",
--- a/tests/ctl/test_trace.py
+++ b/tests/ctl/test_trace.py
@@ -57,6 +57,15 @@
         self.assertIn("lost the store at", result.document.cause)
         self.assertTrue(any("store_lost" in line for line in result.document.lines))
 
+    def test_a_store_that_is_silent_is_named_with_the_first_refusal(self):
+        async def script(world):
+            world.directories[0].silent = True
+            await trio.sleep(5.5)
+            await world.request("unsafe", request_id="r")
+
+        self.play(script)
+        self.assertIn("lost the store at", self.trace().document.cause)
+
     def test_a_cut_stream_leads_to_its_instance(self):
         async def script(world):
             world.instances.servers["e0"].behaviour = Behaviour.BREAK_STREAM
--- /dev/null
+++ b/tests/platform/test_deploy.py
@@ -0,0 +1,72 @@
+"""The deploy file and its settings template, filled with examples of the platform's fields."""
+
+import re
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+
+from hopstep.settings_loader import SettingsError, load_exchange_settings
+
+ROOT = Path(__file__).resolve().parents[2]
+FIELDS = {
+    "nodeName": "front-1",
+    "zone": "z1",
+    "ipAddress": "10.1.0.30",
+    "listenAddresses.front": "10.1.0.30:8782",
+    "listenAddresses.ready": "10.1.0.30:8789",
+    "internalPortRange.0": "7340",
+    "internalPortRange.1": "7355",
+    "platform.address": "10.200.1.7:8784",
+    "bounds.gracePeriodS": "8",
+    "bounds.revokeTimeoutMs": "5000",
+    "bounds.retryBudgetRatio": "0.2",
+    "bounds.retryBudgetExtra": "54",
+    "bounds.budgetWindowS": "10",
+    "bounds.leaseDurationMs": "3000",
+    "bounds.versionPropagationMs": "8000",
+}
+
+
+class DeployTest(unittest.TestCase):
+    def setUp(self):
+        self.system = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+        self.role = self.system["roles"]["node"]
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.path = Path(directory.name) / "node.toml"
+
+    def render(self, **changes):
+        template = (ROOT / self.role["template"]).read_text()
+        fields = {**FIELDS, **changes}
+        self.path.write_text(re.sub(r"\{\{(.+?)\}\}", lambda gap: fields[gap[1]], template))
+        return load_exchange_settings(self.path)
+
+    def test_the_template_gives_settings_that_can_be_used(self):
+        settings = self.render()
+        self.assertEqual(settings.address, "10.1.0.30:8782")
+        self.assertEqual(settings.metrics_address, "10.1.0.30:7355")
+        self.assertEqual(settings.bounds.retry_extra, 54)
+
+    def test_a_bad_field_is_named_with_its_file(self):
+        for field, value, named in (
+            ("platform.address", "nowhere", "store"),
+            ("bounds.leaseDurationMs", "0", "bounds.lease_ms"),
+            ("bounds.gracePeriodS", '"x"', "bounds.grace_seconds"),
+            ("nodeName", "", "name"),
+        ):
+            with self.subTest(field):
+                with self.assertRaises(SettingsError) as caught:
+                    self.render(**{field: value})
+                self.assertIn(named, caught.exception.message)
+                self.assertIn("node.toml", caught.exception.message)
+
+    def test_the_role_runs_a_module_of_the_product_from_pinned_libraries(self):
+        module = self.role["run"].removeprefix("python3 -m ").replace(".", "/") + ".py"
+        self.assertTrue((ROOT / module).is_file())
+        self.assertIn("--require-hashes", self.system["build"])
+        self.assertIn("target/deps", self.system["build"])
+
+    def test_nothing_of_the_emulator_is_loaded(self):
+        for path in (ROOT / "hopstep").rglob("*.py"):
+            self.assertNotRegex(path.read_text(), r"(?m)^\s*(from|import) emulator")
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -87,6 +87,7 @@
         self._world = world
         self.down = False
         self.deaf = False
+        self.silent = False
 
     async def snapshot(self):
         await trio.sleep(0.004)
@@ -105,6 +106,8 @@
                 self._check()
                 await world.changed.wait()
         await trio.sleep(0.004)
+        if self.silent:
+            await trio.sleep_forever()
         self._check()
         return DirectoryBatch(len(world.log), tuple(world.log[after_revision:]))
 
