--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -202,6 +202,10 @@
             status = 503
         return EmulatedAnswer(server, call, status)
 
+    def idle_addresses(self) -> set[str]:
+        """Return no address: emulated calls keep no connections; see the port."""
+        return set()
+
     async def forget(self, address: str) -> None:
         """Close the connections to an address; see the port."""
         await trio.lowlevel.checkpoint()
--- a/hopstep/cli/node.py
+++ b/hopstep/cli/node.py
@@ -44,9 +44,9 @@
         settings: Settings of the node.
         path: Their file.
     """
-    client = HttpClient()
-    store = PlatformStore(settings.store, client)
-    instances = HttpInstances(client)
+    platform_client = HttpClient()
+    store = PlatformStore(settings.store, platform_client)
+    instances = HttpInstances(HttpClient())
     loads = await UdpLoadExchange.open(settings.peer_address)
     ports = ExchangePorts(
         store=store,
@@ -54,7 +54,7 @@
         calls=instances,
         orders=instances,
         loads=loads,
-        cache_events=PlatformCacheEvents(client),
+        cache_events=PlatformCacheEvents(platform_client),
         generator=random.Random(secrets.randbits(64)),  # noqa: S311 - spreads load only
     )
     services = ExchangeServices(settings, ports)
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -28,6 +28,7 @@
 from hopstep.ports.load_exchange import LoadExchange
 from hopstep.ports.serving_directory import ServingDirectory
 from hopstep.ports.weights_orders import WeightsOrders
+from hopstep.services.exchanges.connection_reaper import ConnectionReaper
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
@@ -117,6 +118,7 @@
         self.rollout = WeightsRollout(
             settings.name, self.knowledge, self.lease, ports.orders, self.sharing
         )
+        self.reaper = ConnectionReaper(ports.calls, self.knowledge.table)
         self.registration = Registration(
             settings.name, settings.peer_address, ports.store, self.knowledge, generator
         )
@@ -159,6 +161,7 @@
             nursery.start_soon(self.sharing.run)
             nursery.start_soon(self.store_watch.run)
             nursery.start_soon(self.registration.run)
+            nursery.start_soon(self.reaper.run)
             nursery.start_soon(self.lease.run)
             nursery.start_soon(self.rollout.run)
             task_status.started()
--- a/hopstep/platform/http_client.py
+++ b/hopstep/platform/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from collections import Counter
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -65,6 +66,7 @@
     def __init__(self) -> None:
         """Open no connection yet."""
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self._active: Counter[str] = Counter()
 
     @contextlib.asynccontextmanager
     async def open(self, call: HttpCall, trace: SendTrace) -> AsyncIterator[httpcore.Response]:
@@ -82,14 +84,23 @@
             content=call.body,
             extensions={"timeout": timeout, "trace": trace},
         )
-        response = await self._pool(call.address).handle_async_request(request)
+        self._active[call.address] += 1
         try:
-            yield response
+            response = await self._pool(call.address).handle_async_request(request)
+            try:
+                yield response
+            finally:
+                await response.aclose()
         finally:
-            await response.aclose()
+            self._active[call.address] -= 1
+
+    def idle_addresses(self) -> set[str]:
+        """Return the addresses with a pool on which no call is under way."""
+        return {address for address in self._pools if not self._active[address]}
 
     async def forget(self, address: str) -> None:
         """Close the pool of an address; calls under way on it fail."""
+        self._active.pop(address, None)
         pool = self._pools.pop(address, None)
         if pool is not None:
             await pool.aclose()
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -122,6 +122,10 @@
             _check_head(response, request.request_id)
             yield HttpInstanceAnswer(response)
 
+    def idle_addresses(self) -> set[str]:
+        """Return the addresses without requests under way; see the port."""
+        return self._client.idle_addresses()
+
     async def forget(self, address: str) -> None:
         """Close the connections to an address; see the port."""
         await self._client.forget(address)
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -105,6 +105,10 @@
                 that it hasn't run it.
         """
 
+    @abc.abstractmethod
+    def idle_addresses(self) -> set[str]:
+        """Return the addresses with connections on which no request is under way."""
+
     @abc.abstractmethod
     async def forget(self, address: str) -> None:
         """Close the connections to an address that is no longer used."""
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -193,6 +193,23 @@
         self.run_with(server, script)
         self.assertEqual(server.connections, 1)
 
+    def test_idle_connections_of_an_address_can_be_closed_and_busy_ones_are_told(self):
+        server = RawServer(WHOLE, keep=True)
+
+        async def script(instances, instance):
+            call = InstanceCall(instance, request(), 1.5)
+            async with instances.open(call) as answer:
+                self.assertEqual(instances.idle_addresses(), set())
+                async for _ in answer.body():
+                    pass
+            self.assertEqual(instances.idle_addresses(), {instance.address})
+            await instances.forget(instance.address)
+            self.assertEqual(instances.idle_addresses(), set())
+            await self.call(instances, instance)
+
+        self.run_with(server, script)
+        self.assertEqual(server.connections, 2)
+
     def test_a_request_is_passed_on_with_its_preconditions(self):
         server = RawServer(WHOLE)
 
--- /dev/null
+++ b/tests/services/exchanges/test_connection_reaper.py
@@ -0,0 +1,39 @@
+import unittest
+
+import trio
+from trio.testing import MockClock
+
+from emulator.exchange_platform.instances import EmulatedInstances
+from hopstep.domain.exchanges.instance_table import InstanceTable
+from hopstep.domain.exchanges.instances import Instance
+from hopstep.services.exchanges.connection_reaper import CHECK_SECONDS, ConnectionReaper
+
+
+class Calls(EmulatedInstances):
+    """Connections to three addresses, one of which is busy."""
+
+    def __init__(self):
+        super().__init__()
+        self.idle = {"10.0.0.1:1", "10.0.0.1:2"}
+        self.forgotten = []
+
+    def idle_addresses(self):
+        return set(self.idle)
+
+    async def forget(self, address):
+        await trio.lowlevel.checkpoint()
+        self.forgotten.append(address)
+
+
+class ConnectionReaperTest(unittest.TestCase):
+    def test_idle_connections_to_unlisted_instances_are_closed(self):
+        table = InstanceTable()
+        table.put(Instance("i1", "s", "10.0.0.1:1", "z", 1))
+        calls = Calls()
+
+        async def main():
+            with trio.move_on_after(1.5 * CHECK_SECONDS):
+                await ConnectionReaper(calls, table).run()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+        self.assertEqual(calls.forgotten, ["10.0.0.1:2"])
