--- a/hopstep/cli/reference_docs.py
+++ b/hopstep/cli/reference_docs.py
@@ -28,7 +28,8 @@
         [
             "# Log events",
             "",
-            "Each log line is one JSON object on standard error: `number`, `event` (the name),",
+            "Each log line is one JSON object on standard error (nodes of routed exchanges",
+            "write to standard output): `number`, `event` (the name),",
             "`level`, `timestamp`, `node`, and the fields below. Prompts, answers and keys are",
             "never fields. This page is written by `python -m hopstep.cli.reference_docs`.",
             "",
--- a/hopstep/settings_loader.py
+++ b/hopstep/settings_loader.py
@@ -6,7 +6,7 @@
 import tomllib
 from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 from absl import flags
@@ -17,6 +17,8 @@
 from hopstep.exchange_settings import ExchangeBounds, ExchangeSettings
 from hopstep.settings import RouterSettings, TlsSettings
 
+Settings = TypeVar("Settings", RouterSettings, ExchangeSettings)
+
 EXIT_BAD_SETTINGS = 2
 """Exit code of a process whose settings are bad."""
 
@@ -155,12 +157,7 @@
     Raises:
         SettingsError: When a field is unknown, missing, of a wrong type or out of range.
     """
-    try:
-        settings = convert_document(dict(document), RouterSettings, ErrorCode.INVALID_SETTINGS)
-        _check(settings)
-    except ValidationError as error:
-        raise SettingsError(source, error.field, error.message) from None
-    return settings
+    return _parse(document, source, RouterSettings, _check)
 
 
 def load_exchange_settings(path: Path) -> ExchangeSettings:
@@ -175,16 +172,21 @@
 def parse_exchange_settings(document: Mapping[str, Any], source: str) -> ExchangeSettings:
     """Return the settings of a decoded document for a node of routed exchanges.
 
-    Args:
-        document: Maps, lists and scalars.
-        source: Name of the file, for errors.
-
-    Raises:
-        SettingsError: When a field is unknown, missing, of a wrong type or out of range.
+    See ``parse_settings`` for the arguments and errors.
     """
+    return _parse(document, source, ExchangeSettings, _check_exchange)
+
+
+def _parse(
+    document: Mapping[str, Any],
+    source: str,
+    settings_type: type[Settings],
+    check: Callable[[Settings], None],
+) -> Settings:
+    """Return checked settings of a type."""
     try:
-        settings = convert_document(dict(document), ExchangeSettings, ErrorCode.INVALID_SETTINGS)
-        _check_exchange(settings)
+        settings = convert_document(dict(document), settings_type, ErrorCode.INVALID_SETTINGS)
+        check(settings)
     except ValidationError as error:
         raise SettingsError(source, error.field, error.message) from None
     return settings
