Let the server end an answer without taking that for a client that leaves

After a whole answer the server tells the application of a disconnect while it still closes the connection or starts its idle timer; the front cancelled the request then, and with it the server's own step. Kept connections thus had no idle timer and weren't closed at a stop; a request on one of them was cut when the closing time ended. Ruled out: open listeners; the grace time. The new test fails without the mend.

--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -58,7 +58,7 @@
         head = _read_head(scope, received_at)
         answer = AsgiAnswer(send, head.request_id, self._is_stopping)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_on_leaving, receive, nursery.cancel_scope)
+            nursery.start_soon(_cancel_on_leaving, receive, nursery.cancel_scope, answer)
             await self._serve(head, body, answer)
             nursery.cancel_scope.cancel()
 
@@ -90,6 +90,7 @@
         self._request_id = request_id
         self._is_stopping = is_stopping
         self.started = False
+        self.ended = False
 
     async def start(self, status: int, headers: Headers, length: int | None) -> None:
         """Send the head; see the port."""
@@ -107,6 +108,7 @@
 
     async def finish(self) -> None:
         """End the answer; see the port."""
+        self.ended = True
         await self._send({"type": "http.response.body", "body": b"", "more_body": False})
 
     async def refuse(self, error: ServiceError) -> None:
@@ -148,12 +150,17 @@
             return bytes(body)
 
 
-async def _cancel_on_leaving(receive: Receive, scope: trio.CancelScope) -> None:
-    """Cancel a request when its client leaves."""
+async def _cancel_on_leaving(receive: Receive, scope: trio.CancelScope, answer: AsgiAnswer) -> None:
+    """Cancel a request when its client leaves.
+
+    The server also reports the end of a whole answer, while it still closes the connection or
+    prepares it for the next request; that must not be cut short.
+    """
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
-            scope.cancel()
+            if not answer.ended:
+                scope.cancel()
             return
 
 
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -177,6 +177,37 @@
             trio.run(front, scope, receive, send)
         self.assertEqual(sent[0]["status"], 502)
 
+    def test_the_servers_end_of_an_answer_is_not_taken_for_a_client_that_leaves(self):
+        ended = []
+
+        async def main():
+            over = trio.Event()
+            messages = [{"type": "http.request", "body": b"", "more_body": False}]
+
+            async def receive():
+                if messages:
+                    return messages.pop()
+                await over.wait()
+                return {"type": "http.disconnect"}
+
+            async def send(message):
+                if message["type"] == "http.response.body" and not message["more_body"]:
+                    over.set()
+                    await trio.sleep(0.01)
+                    ended.append(True)
+
+            scope = {
+                "type": "http",
+                "method": "GET",
+                "raw_path": b"/",
+                "query_string": b"",
+                "headers": [],
+            }
+            await ExchangeFront(Service(), lambda: False)(scope, receive, send)
+
+        trio.run(main)
+        self.assertEqual(ended, [True])
+
     def test_a_client_that_leaves_cancels(self):
         cancelled = []
 
