--- a/hopstep/cli/node.py
+++ b/hopstep/cli/node.py
@@ -15,8 +15,8 @@
 import trio
 from absl import flags
 
-from hopstep.adapters.load_datagrams import UdpLoadExchange
 from hopstep.adapters.log_output import NonBlockingOutput
+from hopstep.adapters.node_datagrams import NodeDatagrams
 from hopstep.cli.command import run_command
 from hopstep.exchange_node import ExchangePorts, ExchangeServices, run_exchange_node
 from hopstep.exchange_settings import ExchangeSettings
@@ -32,6 +32,8 @@
 from hopstep.platform.store import PlatformStore
 from hopstep.settings_loader import EXIT_BAD_SETTINGS, SettingsError, load_exchange_settings
 
+NODE_KEY_BYTES = 16
+
 flags.DEFINE_string(
     "node_settings", None, "TOML settings file; by default the one the platform names."
 )
@@ -47,22 +49,23 @@
     platform_client = HttpClient()
     store = PlatformStore(settings.store, platform_client)
     instances = HttpInstances(HttpClient())
-    loads = await UdpLoadExchange.open(settings.peer_address)
+    node_key = secrets.token_bytes(NODE_KEY_BYTES)
+    nodes = await NodeDatagrams.open(settings.peer_address, settings.name, node_key)
     ports = ExchangePorts(
         store=store,
         directory=PlatformDirectory(store),
         calls=instances,
         orders=instances,
-        loads=loads,
+        nodes=nodes,
         cache_events=PlatformCacheEvents(platform_client),
         generator=random.Random(secrets.randbits(64)),  # noqa: S311 - spreads load only
     )
-    services = ExchangeServices(settings, ports)
+    services = ExchangeServices(settings, ports, node_key)
     front = ExchangeFront(services.exchanges, lambda: services.lifecycle.stopping)
     try:
         await run_exchange_node(settings, path, services, front)
     finally:
-        loads.close()
+        nodes.close()
 
 
 def run(arguments: Sequence[str]) -> int:
--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.exchanges.load_ledger import REPORT_SECONDS, InstanceLoad
 from hopstep.domain.exchanges.segments import SegmentPicture
 
 FIRST_SUSPENSION_SECONDS = 0.4
@@ -16,28 +15,11 @@
 """An engine that reads long prompts says nothing meanwhile: a quarter of the usual speed."""
 
 SMOOTHING = 0.2
-PEER_REPORT_SECONDS = 1.0
-"""Peers' reports of load are forgotten after this time."""
-
 DEFAULT_LATENCY_SECONDS = 0.1
 PICTURE_SHARE = 0.8
 """Part of an instance's memory that is expected to be left for kept segments."""
 
 
-class PeerLoad(msgspec.Struct, frozen=True):
-    """A peer's requests at an instance.
-
-    Attributes:
-        active: Requests under way.
-        pending_tokens: Prompt tokens not read yet.
-        at: When the report came, by this node's steady clock.
-    """
-
-    active: int
-    pending_tokens: int
-    at: float
-
-
 class InstanceView:
     """Beliefs about one instance. Times are of the steady clock, in seconds."""
 
@@ -58,7 +40,8 @@
         self.slowness = 1.0
         self.loading_until = 0.0
         self.suspended_until = 0.0
-        self.peers: dict[str, PeerLoad] = {}
+        self._others = InstanceLoad(instance.instance_id)
+        self._others_at = -REPORT_SECONDS
         self._failures = 0
         self._heard_at = 0.0
         self._waiting_since: dict[str, float] = {}
@@ -79,11 +62,20 @@
 
     def total_active(self, now: float) -> int:
         """Return the requests of all nodes at the instance, as far as known."""
-        return self.active + sum(peer.active for peer in self._fresh_peers(now))
+        return self.active + self._others_now(now).active
 
     def total_pending_tokens(self, now: float) -> int:
         """Return the prompt tokens of all nodes that aren't read yet, as far as known."""
-        return self.pending_tokens + sum(peer.pending_tokens for peer in self._fresh_peers(now))
+        return self.pending_tokens + self._others_now(now).pending_tokens
+
+    def avoided_by(self, now: float) -> int:
+        """Return how many other nodes send the instance nothing for now."""
+        return self._others_now(now).avoided_by
+
+    def set_others(self, load: InstanceLoad | None, now: float) -> None:
+        """Take the load of all other nodes; None for none."""
+        self._others = load or InstanceLoad(self.instance.instance_id)
+        self._others_at = now
 
     def begin(self, request_id: str, uncached_tokens: int, now: float) -> None:
         """Count a request in."""
@@ -145,6 +137,8 @@
         """Return whether a new request may be sent with good hope."""
         return now >= self.suspended_until and now >= self.loading_until and not self.is_silent(now)
 
-    def _fresh_peers(self, now: float) -> list[PeerLoad]:
-        """Return the reports that still count."""
-        return [peer for peer in self.peers.values() if now - peer.at < PEER_REPORT_SECONDS]
+    def _others_now(self, now: float) -> InstanceLoad:
+        """Return the load of other nodes, as long as it is recent."""
+        if now - self._others_at > REPORT_SECONDS:
+            return InstanceLoad(self.instance.instance_id)
+        return self._others
--- /dev/null
+++ b/hopstep/domain/exchanges/load_ledger.py
@@ -0,0 +1,115 @@
+"""Load of other nodes at instances, summed over the nodes that reported lately."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+REPORT_SECONDS = 1.0
+"""A node's report is forgotten after this time."""
+
+
+class InstanceLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Requests of one or more nodes at an instance.
+
+    Attributes:
+        instance_id: The instance.
+        active: Requests under way.
+        pending_tokens: Prompt tokens not read yet.
+        avoided_by: Nodes that send it nothing for now, because it failed.
+    """
+
+    instance_id: str
+    active: int = 0
+    pending_tokens: int = 0
+    avoided_by: int = 0
+
+    def plus(self, other: InstanceLoad, sign: int = 1) -> InstanceLoad:
+        """Return the sum with another load of the same instance, or the difference."""
+        return InstanceLoad(
+            self.instance_id,
+            self.active + sign * other.active,
+            self.pending_tokens + sign * other.pending_tokens,
+            self.avoided_by + sign * other.avoided_by,
+        )
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is nothing to tell."""
+        return not (self.active or self.pending_tokens or self.avoided_by)
+
+
+Loads = dict[str, InstanceLoad]
+
+
+class _Report(msgspec.Struct, frozen=True):
+    loads: tuple[InstanceLoad, ...]
+    at: float
+
+
+class LoadLedger:
+    """Reports by node, and their sum."""
+
+    def __init__(self) -> None:
+        """Start without reports."""
+        self._reports: dict[str, _Report] = {}
+        self._totals: Loads = {}
+
+    def report(self, node: str, loads: tuple[InstanceLoad, ...], now: float) -> None:
+        """Replace a node's report.
+
+        Args:
+            node: The node.
+            loads: Its loads; instances that are missing have none.
+            now: Steady clock, seconds.
+        """
+        self._withdraw(node)
+        self._reports[node] = _Report(loads, now)
+        self._add(loads, 1)
+
+    def totals(self, now: float, without: str = "") -> Loads:
+        """Return the sums over fresh reports.
+
+        Args:
+            now: Steady clock, seconds.
+            without: A node that is left out.
+        """
+        self._forget(now)
+        totals = dict(self._totals)
+        left_out = self._reports.get(without)
+        if left_out is not None:
+            add_loads(totals, left_out.loads, -1)
+        return totals
+
+    def _forget(self, now: float) -> None:
+        """Withdraw reports that are too old."""
+        old = [n for n, report in self._reports.items() if now - report.at > REPORT_SECONDS]
+        for node in old:
+            self._withdraw(node)
+
+    def _withdraw(self, node: str) -> None:
+        """Take a node's report out of the sums."""
+        report = self._reports.pop(node, None)
+        if report is not None:
+            self._add(report.loads, -1)
+
+    def _add(self, loads: tuple[InstanceLoad, ...], sign: int) -> None:
+        """Add loads to the sums, or take them away."""
+        add_loads(self._totals, loads, sign)
+
+
+def add_loads(totals: Loads, loads: Iterable[InstanceLoad], sign: int = 1) -> None:
+    """Add loads to sums, or take them away; empty sums are dropped."""
+    for load in loads:
+        known = totals.get(load.instance_id)
+        total = load if known is None and sign > 0 else _sum(known, load, sign)
+        if total.is_empty:
+            totals.pop(load.instance_id, None)
+        else:
+            totals[load.instance_id] = total
+
+
+def _sum(known: InstanceLoad | None, load: InstanceLoad, sign: int) -> InstanceLoad:
+    """Return a sum; an instance without a load counts as zero."""
+    return (known or InstanceLoad(load.instance_id)).plus(load, sign)
--- /dev/null
+++ b/hopstep/domain/exchanges/nodes.py
@@ -0,0 +1,134 @@
+"""Nodes as they register themselves, and which of them relay for the others of their zone.
+
+Every node ranks the registered nodes of its zone alike, so the choice needs no election. Views may
+differ for a moment: any node answers any other with what it knows and how old that is.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from hopstep.domain.rendezvous import hash_name
+
+NODES_PER_RELAY = 24
+MAX_UNANSWERED = 3
+"""A node that has let so many queries in a row unanswered isn't asked, only probed."""
+
+PROBE_SECONDS = 2.0
+
+
+class NodeRecord(msgspec.Struct, frozen=True):
+    """A node's entry in the store.
+
+    Attributes:
+        address: ``ip:port`` of its datagrams.
+        zone: Its zone.
+        key: Secret of this process, under which its messages are signed.
+        capacity: Processor cores; larger nodes relay.
+    """
+
+    address: str
+    zone: str = ""
+    key: bytes = b""
+    capacity: float = 1.0
+
+
+class RelayPlan:
+    """Whom this node asks, by who has answered."""
+
+    def __init__(self, name: str, record: NodeRecord) -> None:
+        """Know no other node.
+
+        Args:
+            name: Name of this node.
+            record: Its entry.
+        """
+        self._name = name
+        self._record = record
+        self._zones: dict[str, list[str]] = {record.zone: [name]}
+        self._unanswered: dict[str, int] = {}
+        self._probed_at: dict[str, float] = {}
+
+    def set_nodes(self, nodes: Mapping[str, NodeRecord]) -> None:
+        """Rank the registered nodes of each zone."""
+        known = {**nodes, self._name: self._record}
+        zones: dict[str, list[str]] = {}
+        for name, record in known.items():
+            zones.setdefault(record.zone, []).append(name)
+        for names in zones.values():
+            names.sort(key=lambda name: (-known[name].capacity, hash_name(name)))
+        self._zones = zones
+        self._unanswered = {n: count for n, count in self._unanswered.items() if n in known}
+
+    def note_asked(self, name: str) -> None:
+        """Count a query that was sent."""
+        self._unanswered[name] = self._unanswered.get(name, 0) + 1
+
+    def note_heard(self, name: str) -> None:
+        """Note a message of a node."""
+        self._unanswered.pop(name, None)
+
+    def relay(self) -> str:
+        """Return the node to ask; empty when this node reads the store itself."""
+        return next((name for name in self._preferred() if self._is_live(name)), "")
+
+    def probe(self, now: float) -> str:
+        """Return a preferred node that hasn't answered and is due to be asked again; or empty."""
+        for name in self._preferred():
+            if self._is_live(name):
+                return ""
+            if now - self._probed_at.get(name, -PROBE_SECONDS) >= PROBE_SECONDS:
+                self._probed_at[name] = now
+                return name
+        return ""
+
+    def elsewhere(self, turn: int) -> str:
+        """Return a node that may have another way to the store; each turn another one."""
+        others = [
+            name
+            for zone, ranked in self._zones.items()
+            for name in ranked[: self._relays(ranked) + 1]
+            if zone != self._record.zone or ranked.index(name) < self._relays(ranked)
+        ]
+        others = sorted(name for name in others if name != self._name)
+        return others[turn % len(others)] if others else ""
+
+    def digest_targets(self) -> list[str]:
+        """Return the relays of all zones but this node, with stand-ins for silent ones."""
+        targets: list[str] = []
+        for ranked in self._zones.values():
+            targets += self._first_live(ranked)
+        return [name for name in targets if name != self._name]
+
+    def _first_live(self, ranked: list[str]) -> list[str]:
+        """Return a zone's relays; behind silent ones also the next in rank."""
+        chosen: list[str] = []
+        live = 0
+        for name in ranked:
+            chosen.append(name)
+            live += self._is_live(name)
+            if live >= self._relays(ranked):
+                break
+        return chosen
+
+    def _preferred(self) -> Iterable[str]:
+        """Return the nodes before this one in its zone, its own relay first."""
+        ranked = self._zones[self._record.zone]
+        own = ranked.index(self._name)
+        relays = self._relays(ranked)
+        if own < relays:
+            return ()
+        first = hash_name(self._name) % relays
+        others = [*range(first, relays), *range(first), *range(relays, min(own, relays + 2))]
+        return (ranked[index] for index in others)
+
+    def _is_live(self, name: str) -> bool:
+        """Return whether a node has answered lately, or wasn't asked."""
+        return self._unanswered.get(name, 0) < MAX_UNANSWERED
+
+    @staticmethod
+    def _relays(ranked: list[str]) -> int:
+        """Return how many nodes of a zone relay."""
+        return -(-len(ranked) // NODES_PER_RELAY)
--- a/hopstep/domain/exchanges/selection.py
+++ b/hopstep/domain/exchanges/selection.py
@@ -35,6 +35,11 @@
 FAILURE_SECONDS = 1.0
 """What a certain failure would cost."""
 
+AVOIDED_SECONDS = 0.25
+"""What each other node that avoids an instance counts for, up to ``MAX_AVOIDED`` of them."""
+
+MAX_AVOIDED = 4
+
 HOME_SECONDS = 0.010
 """Advantage of a first segment's home instance, so that equal prompts meet when all is equal."""
 
@@ -163,7 +168,7 @@
     cost += reread * per_token * (SHARED_WEIGHT - 1.0)
     cost += view.total_active(now) * ACTIVE_SECONDS * view.slowness
     cost += view.total_active(now) * uncached * per_token * INTERFERENCE
-    cost += view.failure_rate * FAILURE_SECONDS
+    cost += _failure_cost(view, now)
     cost += HOME_SECONDS * _distance(view, keys)
     cost += JITTER_SECONDS * generator.random()
     return Candidate(view, keys, cost, uncached, move.address)
@@ -218,4 +223,10 @@
     latency = view.latency_seconds or DEFAULT_LATENCY_SECONDS
     slots = max(1, view.instance.slots)
     ahead = (view.total_active(now) + 1) / slots
-    return latency * (1.0 + ahead) + view.failure_rate * FAILURE_SECONDS
+    return latency * (1.0 + ahead) + _failure_cost(view, now)
+
+
+def _failure_cost(view: InstanceView, now: float) -> float:
+    """Return what this node's and other nodes' failures at an instance count for."""
+    avoided = min(MAX_AVOIDED, view.avoided_by(now))
+    return view.failure_rate * FAILURE_SECONDS + avoided * AVOIDED_SECONDS
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -18,6 +18,7 @@
     serve_exchanges,
 )
 from hopstep.domain.exchanges.instance_table import InstanceTable
+from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds
 from hopstep.domain.exchanges.weights import WeightsBook, WeightsBounds
 from hopstep.exchange_settings import ExchangeSettings
@@ -25,14 +26,16 @@
 from hopstep.ports.cache_events import CacheEvents
 from hopstep.ports.instance_calls import InstanceCalls
 from hopstep.ports.key_value_store import KeyValueStorePort
-from hopstep.ports.load_exchange import LoadExchange
+from hopstep.ports.node_exchange import NodeExchange
 from hopstep.ports.serving_directory import ServingDirectory
 from hopstep.ports.weights_orders import WeightsOrders
 from hopstep.services.exchanges.connection_reaper import ConnectionReaper
+from hopstep.services.exchanges.directory_follower import DirectoryFollower
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.registration import Registration
+from hopstep.services.exchanges.relaying import Relaying
 from hopstep.services.exchanges.rollout_lease import RolloutLease
 from hopstep.services.exchanges.service import ExchangeService
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
@@ -56,7 +59,7 @@
         directory: What operators and instances publish.
         calls: Requests to instances.
         orders: Orders to engines.
-        loads: Datagrams between nodes.
+        nodes: Datagrams between nodes.
         cache_events: What cache stores keep.
         generator: Source of random choices.
     """
@@ -65,7 +68,7 @@
     directory: ServingDirectory
     calls: InstanceCalls
     orders: WeightsOrders
-    loads: LoadExchange
+    nodes: NodeExchange
     cache_events: CacheEvents
     generator: random.Random
 
@@ -73,30 +76,38 @@
 class ExchangeServices:
     """The services of one node; ``run`` starts them. The process and the tests share this."""
 
-    def __init__(self, settings: ExchangeSettings, ports: ExchangePorts) -> None:
+    def __init__(
+        self, settings: ExchangeSettings, ports: ExchangePorts, node_key: bytes = b""
+    ) -> None:
         """Join the services. Must be called inside the event loop.
 
         Args:
             settings: Settings of the node.
             ports: Everything outside.
+            node_key: Signs the messages of this process to other nodes.
         """
+        record = node_record(settings, node_key)
         bounds = settings.bounds
         generator = ports.generator
         self.registry = CollectorRegistry()
         self.weights = WeightsBook(WeightsBounds(bounds.weights_ms / MILLISECONDS))
         self.knowledge = ServingKnowledge(
-            ports.directory,
+            settings.name,
+            record,
             InstanceTable(),
             self.weights,
-            generator,
             bounds.revocation_ms / MILLISECONDS,
         )
+        self.follower = DirectoryFollower(self.knowledge, ports.directory, generator)
         self.lifecycle = Lifecycle(
             self.knowledge,
             max(0.0, bounds.grace_seconds - CLOSING_SECONDS),
             min(ACCEPT_SECONDS, bounds.grace_seconds / 3),
         )
-        self.sharing = LoadSharing(settings.name, self.knowledge, ports.loads)
+        self.sharing = LoadSharing(self.knowledge)
+        self.relaying = Relaying(
+            self.knowledge, self.sharing, self.follower, ports.nodes, generator
+        )
         self.store_watch = CacheStoreWatch(self.knowledge, ports.cache_events)
         self.exchanges = ExchangeService(
             self.knowledge,
@@ -119,9 +130,7 @@
             settings.name, self.knowledge, self.lease, ports.orders, self.sharing
         )
         self.reaper = ConnectionReaper(ports.calls, self.knowledge.table)
-        self.registration = Registration(
-            settings.name, settings.peer_address, ports.store, self.knowledge, generator
-        )
+        self.registration = Registration(record, ports.store, self.knowledge, generator)
 
     def _make_metrics(self) -> ExchangeMetrics:
         """Return the metrics, with gauges of what the node knows."""
@@ -157,8 +166,8 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Do the background work until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.knowledge.run)
-            nursery.start_soon(self.sharing.run)
+            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.relaying.run)
             nursery.start_soon(self.store_watch.run)
             nursery.start_soon(self.registration.run)
             nursery.start_soon(self.reaper.run)
@@ -174,6 +183,12 @@
             await self.lifecycle.drain()
 
 
+def node_record(settings: ExchangeSettings, node_key: bytes) -> NodeRecord:
+    """Return a node's entry for other nodes."""
+    capacity = settings.processor_share * settings.processor_cores
+    return NodeRecord(settings.peer_address, settings.zone, node_key, capacity)
+
+
 async def run_exchange_node(
     settings: ExchangeSettings,
     settings_path: Path,
--- a/hopstep/exchange_settings.py
+++ b/hopstep/exchange_settings.py
@@ -38,6 +38,8 @@
         peer_address: ``ip:port`` of the UDP socket for other nodes.
         metrics_address: ``ip:port`` of the metrics; empty for none.
         store: ``ip:port`` of the store.
+        processor_share: Part of a core that the process may use.
+        processor_cores: How many times as fast that core is.
         log_level: debug, info, warning or error.
         bounds: What the deployment promises.
     """
@@ -49,5 +51,7 @@
     peer_address: str
     store: str
     metrics_address: str = ""
+    processor_share: float = 1.0
+    processor_cores: float = 1.0
     log_level: str = "info"
     bounds: ExchangeBounds = ExchangeBounds()
--- a/hopstep/platform/directory.py
+++ b/hopstep/platform/directory.py
@@ -11,6 +11,7 @@
     ConfigurationPublished,
     DirectoryBatch,
     DirectoryChange,
+    DirectoryEntry,
     InstanceListed,
     InstanceRemoved,
     RecordWritten,
@@ -44,10 +45,14 @@
         return DirectoryBatch(batch.revision, _read_all(batch.values))
 
 
-def _read_all(values: tuple[StoredValue, ...]) -> tuple[DirectoryChange, ...]:
-    """Return the changes that stored values stand for."""
-    changes = (_read(value) for value in values)
-    return tuple(change for change in changes if change is not None)
+def _read_all(values: tuple[StoredValue, ...]) -> tuple[DirectoryEntry, ...]:
+    """Return the entries that stored values stand for."""
+    entries = []
+    for value in values:
+        change = _read(value)
+        if change is not None:
+            entries.append(DirectoryEntry(value.key, value.version, change))
+    return tuple(entries)
 
 
 def _read(value: StoredValue) -> DirectoryChange | None:
--- /dev/null
+++ b/hopstep/ports/node_exchange.py
@@ -0,0 +1,145 @@
+"""Port to datagrams between nodes: queries to a relay, its answers, digests between relays.
+
+Datagrams may be lost, late, repeated and out of order. Messages that aren't signed by a registered
+node are dropped by the adapter.
+"""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Mapping
+
+import msgspec
+
+from hopstep.domain.exchanges.load_ledger import InstanceLoad
+from hopstep.domain.exchanges.nodes import NodeRecord
+from hopstep.domain.exchanges.segments import SegmentKey
+from hopstep.ports.serving_directory import DirectoryEntry
+
+
+class SentSegments(msgspec.Struct, frozen=True, array_like=True):
+    """Segments of a prompt that was sent to an instance."""
+
+    instance_id: str
+    keys: tuple[SegmentKey, ...]
+
+
+class LoadingEngine(msgspec.Struct, frozen=True, array_like=True):
+    """An engine that is loading weights, and for how much longer at least."""
+
+    instance_id: str
+    milliseconds: int
+
+
+class Hints(msgspec.Struct, frozen=True, array_like=True):
+    """What nodes tell of instances; it may be old or missing.
+
+    Attributes:
+        loads: Loads; instances that aren't named have none.
+        sent: Prompts sent since the last message.
+        loading: Engines that load weights.
+    """
+
+    loads: tuple[InstanceLoad, ...] = ()
+    sent: tuple[SentSegments, ...] = ()
+    loading: tuple[LoadingEngine, ...] = ()
+
+
+class RelayQuery(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """A node asks another one for what has changed.
+
+    Attributes:
+        number: Rises with each query of the process; the answer repeats it.
+        revision: The node has all changes of the directory up to it; -1 for none.
+        feed: Identity of the feed of prompts that ``position`` belongs to.
+        position: Prompts up to it are known.
+        hints: The node's own.
+    """
+
+    number: int
+    revision: int
+    feed: str = ""
+    position: int = 0
+    hints: Hints = Hints()
+
+
+class RelayedEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A change of the directory.
+
+    Attributes:
+        entry: The change.
+        age_ms: Time since the earliest moment at which it may have been acknowledged.
+    """
+
+    entry: DirectoryEntry
+    age_ms: int
+
+
+class RelayAnswer(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Answer to a query.
+
+    Attributes:
+        number: Number of the query.
+        after: Revision that the query named.
+        revision: With ``entries`` the asker has all changes up to it.
+        age_ms: Age of what the answering node knows; -1 when it knows nothing.
+        complete: Whether ``revision`` is the newest that the answering node knows.
+        beyond_reach: Whether the asker must read the store itself to get further.
+        entries: Changes, oldest first.
+        feed: Identity of the feed of prompts.
+        position: Position behind the prompts in ``hints``.
+        hints: Of all nodes but the asker.
+    """
+
+    number: int
+    after: int
+    revision: int
+    age_ms: int
+    complete: bool = True
+    beyond_reach: bool = False
+    entries: tuple[RelayedEntry, ...] = ()
+    feed: str = ""
+    position: int = 0
+    hints: Hints = Hints()
+
+
+class RelayDigest(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """A relay's summary of its own nodes for other relays.
+
+    Attributes:
+        number: Rises with each digest of the process.
+        hints: Of the relay and the nodes that ask it.
+    """
+
+    number: int
+    hints: Hints = Hints()
+
+
+NodeMessage = RelayQuery | RelayAnswer | RelayDigest
+
+
+class Received(msgspec.Struct, frozen=True):
+    """A message with its sender's name."""
+
+    sender: str
+    message: NodeMessage
+
+
+class MessageTooLongError(Exception):
+    """A message that doesn't fit into a datagram."""
+
+
+class NodeExchange(abc.ABC):
+    """Sends and receives messages."""
+
+    @abc.abstractmethod
+    async def send(self, message: NodeMessage, node: NodeRecord) -> None:
+        """Send a message; losses go unnoticed.
+
+        Raises:
+            MessageTooLongError: When it can't be sent as one datagram.
+        """
+
+    @abc.abstractmethod
+    async def receive(self, nodes: Mapping[str, NodeRecord]) -> Received:
+        """Return the next message that one of ``nodes`` has signed."""
--- a/hopstep/ports/serving_directory.py
+++ b/hopstep/ports/serving_directory.py
@@ -13,31 +13,31 @@
 from hopstep.domain.exchanges.serving import ServingConfiguration
 
 
-class ConfigurationPublished(msgspec.Struct, frozen=True):
+class ConfigurationPublished(msgspec.Struct, frozen=True, tag=True):
     """Operators published a configuration."""
 
     configuration: ServingConfiguration
 
 
-class InstanceListed(msgspec.Struct, frozen=True):
+class InstanceListed(msgspec.Struct, frozen=True, tag=True):
     """An instance wrote its entry."""
 
     instance: Instance
 
 
-class InstanceRemoved(msgspec.Struct, frozen=True):
+class InstanceRemoved(msgspec.Struct, frozen=True, tag=True):
     """An instance's entry is gone."""
 
     instance_id: str
 
 
-class WeightsPublished(msgspec.Struct, frozen=True):
+class WeightsPublished(msgspec.Struct, frozen=True, tag=True):
     """Operators named weights."""
 
     weights: NamedWeights
 
 
-class RecordWritten(msgspec.Struct, frozen=True):
+class RecordWritten(msgspec.Struct, frozen=True, tag=True):
     """A key of hopstep's own changed.
 
     Attributes:
@@ -51,7 +51,7 @@
     revision: int
 
 
-class Unreadable(msgspec.Struct, frozen=True):
+class Unreadable(msgspec.Struct, frozen=True, tag=True):
     """An entry that can't be read; what was known before it stays in force.
 
     Attributes:
@@ -73,16 +73,49 @@
 )
 
 
+class DirectoryEntry(msgspec.Struct, frozen=True):
+    """The newest change of one key.
+
+    Attributes:
+        key: Name of the key; the same one for all changes of it.
+        revision: Store revision of the change.
+        change: The change.
+    """
+
+    key: str
+    revision: int
+    change: DirectoryChange
+
+    @property
+    def removed(self) -> bool:
+        """Whether the key is gone."""
+        change = self.change
+        return isinstance(change, InstanceRemoved) or (
+            isinstance(change, RecordWritten) and not change.value
+        )
+
+    def as_removed(self, revision: int) -> DirectoryEntry | None:
+        """Return the entry after its key is gone; None for keys that are never removed."""
+        change: DirectoryChange
+        if isinstance(self.change, InstanceListed):
+            change = InstanceRemoved(self.change.instance.instance_id)
+        elif isinstance(self.change, RecordWritten):
+            change = RecordWritten(self.change.key, b"", revision)
+        else:
+            return None
+        return DirectoryEntry(self.key, revision, change)
+
+
 class DirectoryBatch(msgspec.Struct, frozen=True):
     """Entries up to a revision.
 
     Attributes:
         revision: Changes after it are still to come.
-        changes: Entries, oldest first.
+        entries: Entries, in any order.
     """
 
     revision: int
-    changes: tuple[DirectoryChange, ...]
+    entries: tuple[DirectoryEntry, ...]
 
 
 class ServingDirectory(abc.ABC):
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -1,86 +1,86 @@
-"""What a node knows of configuration, instances, weights and peers, and how old it is.
+"""What a node knows of configuration, instances, weights and nodes, and how old it is.
 
-Everything comes from the serving directory: one snapshot, then changes. The age of the knowledge
-counts from the sending of the last call that was answered. While the store is down the node goes
-on with what it has; requests with keys are refused once the age exceeds the revocation bound.
+Everything comes from the serving directory: read from the store by this node, or told by another
+node. The age counts from the sending of the call or query that was answered, plus the age that the
+answering node told. While the store is down the node goes on with what it has; requests with keys
+are refused once the age exceeds the revocation bound.
 """
 
 from __future__ import annotations
 
-import random
+from collections.abc import Iterable
 
+import msgspec
 import trio
 
 from hopstep import log_events
+from hopstep.domain.exchanges.directory_feed import DirectoryFeed, FeedEntry
 from hopstep.domain.exchanges.instance_table import InstanceTable
+from hopstep.domain.exchanges.nodes import NodeRecord, RelayPlan
 from hopstep.domain.exchanges.serving import ServingConfiguration, ServingIndex
 from hopstep.domain.exchanges.weights import WeightsBook
-from hopstep.exceptions import ErrorCode, ServiceError, StoreError, StoreHistoryLostError
+from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
     DirectoryBatch,
-    DirectoryChange,
+    DirectoryEntry,
     InstanceListed,
     InstanceRemoved,
     RecordWritten,
-    ServingDirectory,
     Unreadable,
     WeightsPublished,
 )
-from hopstep.services.exchanges.records import NODES_PREFIX, ROLLOUT_KEY
-
-WATCH_SECONDS = 1.8
-"""Wait of one watch: twice this and the time of a call stay below the revocation bound."""
+from hopstep.services.exchanges.records import NODES_PREFIX, ROLLOUT_KEY, decode_node
 
 MARGIN_SECONDS = 0.6
 """Requests with keys are refused this long before the revocation bound."""
 
-WATCH_LAG_SECONDS = 0.3
-"""A pending watch is answered at most this long after a change was acknowledged."""
-
 DEAF_SECONDS = 1.0
 """A watch may have heard nothing for so long before its history was lost."""
 
-MIN_PAUSE_SECONDS = 0.1
-MAX_PAUSE_SECONDS = 0.8
 STALE_RETRY_AFTER_SECONDS = 1.0
 OVERDUE = "overdue"
 """Reason of a lost store whose answer is still waited for when the first request is refused."""
 
+NO_REVISION = -1
+
+Entry = FeedEntry[DirectoryEntry]
+
 
 class ServingKnowledge:
-    """Follows the directory; readers look at its fields."""
+    """Takes what the directory says; readers look at its fields."""
 
     def __init__(
         self,
-        directory: ServingDirectory,
+        name: str,
+        record: NodeRecord,
         table: InstanceTable,
         weights: WeightsBook,
-        generator: random.Random,
         revocation_seconds: float,
     ) -> None:
         """Know nothing yet.
 
         Args:
-            directory: Where entries are published.
+            name: Name of this node.
+            record: Its entry for other nodes.
             table: Takes the instances.
             weights: Takes the named weights.
-            generator: Spreads retries.
             revocation_seconds: Longest time for which a key may be taken for valid.
         """
+        self.name = name
         self.table = table
         self.weights = weights
         self.index: ServingIndex | None = None
-        self.peers: dict[str, str] = {}
+        self.nodes: dict[str, NodeRecord] = {}
+        self.relays = RelayPlan(name, record)
+        self.feed: DirectoryFeed[DirectoryEntry] = DirectoryFeed()
+        self.revision = NO_REVISION
+        self.confirmed_at = -float("inf")
         self.rollout_record: RecordWritten | None = None
         self.changed = trio.Event()
-        self._directory = directory
-        self._generator = generator
         self._max_age = revocation_seconds - MARGIN_SECONDS
-        self._confirmed_at = -float("inf")
-        self._revision: int | None = None
-        self._connected = True
+        self._expired = False
 
     @property
     def current(self) -> ServingConfiguration | None:
@@ -96,7 +96,7 @@
     @property
     def age_seconds(self) -> float:
         """Age of the knowledge."""
-        return trio.current_time() - self._confirmed_at
+        return trio.current_time() - self.confirmed_at
 
     @property
     def is_fresh(self) -> bool:
@@ -120,98 +120,106 @@
     def require_fresh(self) -> None:
         """Raise ``ISOLATED`` when keys may have been revoked without this node's knowledge."""
         if not self.is_fresh:
-            self._note_connection(False, OVERDUE)
+            self._note_expired()
             raise ServiceError(
                 ErrorCode.ISOLATED,
                 "this node can't tell whether the key is still valid",
                 retry_after_seconds=STALE_RETRY_AFTER_SECONDS,
             )
 
-    async def run(self) -> None:
-        """Follow the directory until cancelled."""
-        pause = MIN_PAUSE_SECONDS
-        while True:
-            try:
-                await self._step()
-                pause = MIN_PAUSE_SECONDS
-                self._note_connection(True, "")
-            except StoreHistoryLostError:
-                emit(log_events.DIRECTORY_HISTORY_LOST, revision=self._revision or 0)
-                self._revision = None
-            except StoreError as error:
-                self._note_connection(False, error.code.value)
-                await trio.sleep(pause * (0.5 + self._generator.random()))
-                pause = min(MAX_PAUSE_SECONDS, pause * 2.0)
-
-    async def _step(self) -> None:
-        """Make one call and take what it says; after a failure one that is answered at once."""
-        sent_at = trio.current_time()
-        if self._revision is None:
-            batch = await self._directory.snapshot()
-            self._drop_missing(batch)
-            self._take(batch, self._unseen_since(sent_at))
-        else:
-            wait_seconds = WATCH_SECONDS if self._connected else 0.0
-            batch = await self._directory.changes(self._revision, wait_seconds)
-            self._take(batch, max(sent_at, trio.current_time() - WATCH_LAG_SECONDS))
-        self._revision = max(self._revision or 0, batch.revision)
-        self._confirmed_at = sent_at
-
-    def _drop_missing(self, batch: DirectoryBatch) -> None:
-        """Forget what a snapshot doesn't have."""
-        listed = [change for change in batch.changes if isinstance(change, InstanceListed)]
-        self.table.retain({change.instance.instance_id for change in listed})
-        records = [change for change in batch.changes if isinstance(change, RecordWritten)]
-        keys = {record.key for record in records}
-        self.peers = {name: at for name, at in self.peers.items() if NODES_PREFIX + name in keys}
-        if ROLLOUT_KEY not in keys:
-            self.rollout_record = None
-
-    def _unseen_since(self, now: float) -> float:
-        """Return the time before which nothing can have changed unseen."""
-        seen_at = self._confirmed_at - DEAF_SECONDS
-        return max(seen_at, self.weights.oldest_since(now))
-
-    def _take(self, batch: DirectoryBatch, since: float) -> None:
-        """Take the changes of a batch, which were made after ``since``."""
-        for change in batch.changes:
-            self._take_change(change, since)
-        if batch.changes:
+    def take_snapshot(self, batch: DirectoryBatch, sent_at: float) -> None:
+        """Take all entries of the store; what isn't among them doesn't exist.
+
+        Args:
+            batch: The entries.
+            sent_at: When the first call for them was sent.
+        """
+        since = max(self.confirmed_at - DEAF_SECONDS, self.weights.oldest_since(sent_at))
+        self.feed.start(batch.revision)
+        entries = (*batch.entries, *self._removed_by(batch))
+        self.take_entries([_feed_entry(entry, since) for entry in entries])
+        self.confirm(batch.revision, sent_at)
+
+    def take_changes(self, batch: DirectoryBatch, since: float, sent_at: float) -> None:
+        """Take changes of the store.
+
+        Args:
+            batch: The changes after ``revision``.
+            since: Time after which they were made.
+            sent_at: When the call for them was sent.
+        """
+        self.take_entries([_feed_entry(entry, since) for entry in batch.entries])
+        self.confirm(batch.revision, sent_at)
+
+    def take_entries(self, entries: Iterable[Entry]) -> None:
+        """Take changes; those that are known already change nothing."""
+        taken = False
+        for entry in sorted(entries, key=lambda entry: entry.revision):
+            if self.feed.put(entry):
+                taken = True
+                self._take_change(entry)
+        if taken:
             self.changed.set()
             self.changed = trio.Event()
 
-    def _take_change(self, change: DirectoryChange, since: float) -> None:
+    def confirm(self, revision: int, confirmed_at: float) -> None:
+        """Note that everything up to a revision is known.
+
+        Args:
+            revision: The revision.
+            confirmed_at: Time at which it was the newest, by this node's steady clock.
+        """
+        self.revision = max(self.revision, revision)
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        if self._expired and self.is_fresh:
+            self._expired = False
+            emit(log_events.STORE_REGAINED, age_seconds=round(self.age_seconds, 3))
+
+    def _removed_by(self, batch: DirectoryBatch) -> list[DirectoryEntry]:
+        """Return the removals of keys that a snapshot doesn't have."""
+        present = {entry.key for entry in batch.entries}
+        known = (entry.change for entry in self.feed.listed() if entry.key not in present)
+        removals = (entry.as_removed(batch.revision) for entry in known)
+        return [removal for removal in removals if removal is not None]
+
+    def _take_change(self, entry: Entry) -> None:
         """Take one change."""
+        change = entry.change.change
         match change:
             case ConfigurationPublished(configuration):
                 self._take_configuration(configuration)
-            case InstanceListed(instance):
-                known = self.table.get(instance.instance_id)
-                drained = known is not None and known.instance.draining
-                if self.table.put(instance) or drained != instance.draining:
-                    emit(
-                        log_events.INSTANCE_LISTED,
-                        instance=instance.instance_id,
-                        service=instance.service,
-                        draining=instance.draining,
-                        versions=dict(instance.versions),
-                    )
+            case InstanceListed():
+                self._take_instance(change)
             case InstanceRemoved(instance_id):
                 if self.table.remove(instance_id):
                     emit(log_events.INSTANCE_REMOVED, instance=instance_id)
             case WeightsPublished(weights):
-                if self.weights.put(weights, since):
+                if self.weights.put(weights, entry.since):
                     emit(
                         log_events.WEIGHTS_NAMED,
                         model=weights.model,
                         version=weights.version,
-                        age_ms=round((trio.current_time() - since) * 1_000),
+                        age_ms=round((trio.current_time() - entry.since) * 1_000),
                     )
             case RecordWritten():
                 self._take_record(change)
             case Unreadable(key, reason):
                 emit(log_events.DIRECTORY_ENTRY_REJECTED, key=key, reason=reason)
 
+    def _take_instance(self, listed: InstanceListed) -> None:
+        """Take an instance's entry."""
+        instance = listed.instance
+        known = self.table.get(instance.instance_id)
+        drained = known is not None and known.instance.draining
+        if self.table.put(instance) or drained != instance.draining:
+            emit(
+                log_events.INSTANCE_LISTED,
+                instance=instance.instance_id,
+                service=instance.service,
+                draining=instance.draining,
+                versions=dict(instance.versions),
+            )
+
     def _take_configuration(self, configuration: ServingConfiguration) -> None:
         """Put a configuration in force if its version is higher."""
         current = self.current
@@ -237,19 +245,29 @@
         if record.key == ROLLOUT_KEY:
             self.rollout_record = record if record.value else None
         elif record.key.startswith(NODES_PREFIX):
-            name = record.key.removeprefix(NODES_PREFIX)
-            if record.value:
-                self.peers[name] = record.value.decode()
-            else:
-                self.peers.pop(name, None)
-
-    def _note_connection(self, connected: bool, reason: str) -> None:
-        """Log a lost or regained store."""
-        if connected == self._connected:
+            self._take_node(record)
+
+    def _take_node(self, record: RecordWritten) -> None:
+        """Take a node's entry."""
+        name = record.key.removeprefix(NODES_PREFIX)
+        if record.value:
+            try:
+                self.nodes[name] = decode_node(record.value)
+            except msgspec.DecodeError as error:
+                emit(log_events.DIRECTORY_ENTRY_REJECTED, key=record.key, reason=str(error))
+        else:
+            self.nodes.pop(name, None)
+        self.relays.set_nodes(self.nodes)
+
+    def _note_expired(self) -> None:
+        """Log once that the node no longer knows enough."""
+        if self._expired:
             return
-        self._connected = connected
+        self._expired = True
         age = round(self.age_seconds, 3) if self.index is not None else -1.0
-        if connected:
-            emit(log_events.STORE_REGAINED, age_seconds=age)
-        else:
-            emit(log_events.STORE_LOST, reason=reason, age_seconds=age)
+        emit(log_events.STORE_LOST, reason=OVERDUE, age_seconds=age)
+
+
+def _feed_entry(entry: DirectoryEntry, since: float) -> Entry:
+    """Return an entry with the time after which it was made."""
+    return FeedEntry(entry.key, entry.revision, entry, since, entry.removed)
--- a/hopstep/services/exchanges/load_sharing.py
+++ b/hopstep/services/exchanges/load_sharing.py
@@ -1,128 +1,174 @@
-"""Tells peers what this node has sent where, and takes what they tell. Hints only.
+"""What nodes tell each other of instances: load, prompts sent, engines that load. Hints only.
 
-Without peers, or when datagrams are lost, a node chooses by its own traffic alone.
+Without other nodes, or when datagrams are lost, a node chooses by its own traffic alone.
 """
 
 from __future__ import annotations
 
+import secrets
+from collections.abc import Iterable
+
 import trio
 
-from hopstep.domain.exchanges.instance_view import PeerLoad
-from hopstep.domain.exchanges.segments import SegmentKey
+from hopstep.domain.exchanges.load_ledger import InstanceLoad, LoadLedger, Loads, add_loads
 from hopstep.domain.exchanges.selection import Candidate
-from hopstep.ports.load_exchange import (
-    InstanceLoad,
-    LoadExchange,
-    LoadingEngine,
-    LoadReport,
-    SentSegments,
-)
+from hopstep.domain.exchanges.sent_log import SentLog
+from hopstep.ports.node_exchange import Hints, LoadingEngine, SentSegments
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 
-REPORT_SECONDS = 0.1
-REFRESH_SECONDS = 0.5
-"""A load that doesn't change is reported again after this time, before peers forget it."""
+ANSWERS = "answers"
+"""Source of the loads that a relay's answer tells: of all other nodes together."""
+
+IDENTITY_BYTES = 6
+MAX_SENT = 64
+"""Most prompts in one message."""
+
+REPEAT_SECONDS = 2.0
+"""The same shared segments at the same instance aren't told again within this time."""
 
-MAX_SENT_IN_REPORT = 24
-"""Prompts in one datagram; further ones go with the next."""
+MAX_TOLD = 8_192
+MILLISECONDS = 1_000
 
 
 class LoadSharing:
-    """Sends and takes reports."""
+    """Collects hints of this node and of others, and puts them into the views of instances."""
 
-    def __init__(self, name: str, knowledge: ServingKnowledge, exchange: LoadExchange) -> None:
+    def __init__(self, knowledge: ServingKnowledge) -> None:
         """Start with nothing to tell.
 
         Args:
-            name: Name of this node.
-            knowledge: Instances, and the peers' addresses.
-            exchange: Datagrams.
+            knowledge: Instances and nodes.
         """
-        self._name = name
+        self.announced = trio.Event()
+        self.log: SentLog[SentSegments] = SentLog(secrets.token_hex(IDENTITY_BYTES))
         self._knowledge = knowledge
-        self._exchange = exchange
-        self._sequence = 0
-        self._sent: list[SentSegments] = []
-        self._told: dict[str, InstanceLoad] = {}
-        self._told_at: dict[str, float] = {}
+        self._members = LoadLedger()
+        self._others = LoadLedger()
+        self._unsent: list[SentSegments] = []
+        self._loading: dict[str, float] = {}
+        self._told: dict[tuple[str, int], float] = {}
 
     def count_nodes(self) -> int:
         """Return how many nodes may be alive, this one included."""
-        return len(self._knowledge.peers.keys() | {self._name})
+        return len(self._knowledge.nodes.keys() | {self._knowledge.name})
 
     def note_sent(self, candidate: Candidate) -> None:
-        """Note a prompt that was sent, for the next report."""
-        if candidate.keys:
-            keys: tuple[SegmentKey, ...] = candidate.keys
-            self._sent.append(SentSegments(candidate.view.instance.instance_id, keys))
-
-    async def announce_loading(self, instance_id: str, seconds: float) -> None:
-        """Tell peers at once that an engine loads weights."""
-        loading = LoadingEngine(instance_id, round(seconds * 1_000))
-        await self._send(LoadReport(self._name, self._next_sequence(), loading=(loading,)))
-
-    async def run(self) -> None:
-        """Send and take reports until cancelled."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send_reports)
-            nursery.start_soon(self._take_reports)
-
-    async def _send_reports(self) -> None:
-        """Report what has changed from time to time."""
-        while True:
-            await trio.sleep(REPORT_SECONDS)
-            loads = self._changed_loads(trio.current_time())
-            sent = tuple(self._sent[:MAX_SENT_IN_REPORT])
-            del self._sent[:MAX_SENT_IN_REPORT]
-            if loads or sent:
-                await self._send(LoadReport(self._name, self._next_sequence(), loads, sent))
-
-    def _changed_loads(self, now: float) -> tuple[InstanceLoad, ...]:
-        """Return the loads that peers don't know yet."""
-        changed = []
-        for view in self._knowledge.table:
-            instance_id = view.instance.instance_id
-            suspended = max(0, round((view.suspended_until - now) * 1_000))
-            load = InstanceLoad(instance_id, view.active, view.pending_tokens, suspended)
-            known = self._told.get(instance_id, InstanceLoad(instance_id, 0, 0))
-            due = view.active and now - self._told_at.get(instance_id, 0.0) >= REFRESH_SECONDS
-            if load != known or due:
-                self._told[instance_id] = load
-                self._told_at[instance_id] = now
-                changed.append(load)
-        return tuple(changed)
-
-    async def _take_reports(self) -> None:
-        """Take peers' reports."""
-        while True:
-            report = await self._exchange.receive()
-            self._take(report, trio.current_time())
-
-    def _take(self, report: LoadReport, now: float) -> None:
-        """Take one report."""
-        if report.node == self._name:
+        """Note a prompt that was sent, for the other nodes."""
+        keys = candidate.keys[:-1] or candidate.keys
+        if not keys:
+            return
+        now = trio.current_time()
+        told = (candidate.view.instance.instance_id, keys[-1].digest)
+        if now - self._told.get(told, -REPEAT_SECONDS) < REPEAT_SECONDS:
             return
+        if len(self._told) >= MAX_TOLD:
+            self._told.clear()
+        self._told[told] = now
+        sent = SentSegments(told[0], keys)
+        self._unsent.append(sent)
+        self.log.append(self._knowledge.name, sent)
+
+    def announce_loading(self, instance_id: str, seconds: float) -> None:
+        """Tell other nodes soon that an engine loads weights."""
+        self._loading[instance_id] = trio.current_time() + seconds
+        self.announced.set()
+        self.announced = trio.Event()
+
+    def own_hints(self) -> Hints:
+        """Return what this node has to tell since the last time."""
+        now = trio.current_time()
+        return Hints(self._own_loads(now), self._take_unsent(), self._loading_now(now))
+
+    def group_hints(self) -> Hints:
+        """Return the same for this node and those that ask it together."""
+        now = trio.current_time()
+        totals = self._members.totals(now)
+        add_loads(totals, self._own_loads(now))
+        return Hints(tuple(totals.values()), self._take_unsent(), self._loading_now(now))
+
+    def hints_for(self, node: str, identity: str, position: int) -> tuple[Hints, int]:
+        """Return what a node that asks should hear, and its position behind it."""
+        now = trio.current_time()
+        totals = self._totals(now, without=node)
+        add_loads(totals, self._own_loads(now))
+        sent, position = self.log.after(identity, position, node, MAX_SENT)
+        return Hints(tuple(totals.values()), sent, self._loading_now(now)), position
+
+    def take_from_member(self, node: str, hints: Hints) -> None:
+        """Take the hints of a node that asks this one."""
+        self._members.report(node, hints.loads, trio.current_time())
+        self._unsent += hints.sent
+        self._take(node, hints)
+
+    def take_from_relay(self, node: str, hints: Hints) -> None:
+        """Take another relay's digest."""
+        self._others.report(node, hints.loads, trio.current_time())
+        self._take(node, hints)
+
+    def take_answer(self, node: str, hints: Hints) -> None:
+        """Take what the own relay tells of all other nodes."""
+        self._others.report(ANSWERS, hints.loads, trio.current_time())
+        self._take(node, hints)
+
+    def refresh(self) -> None:
+        """Put the loads of other nodes into the views."""
+        now = trio.current_time()
+        totals = self._totals(now)
+        for view in self._knowledge.table:
+            view.set_others(totals.get(view.instance.instance_id), now)
+
+    def _totals(self, now: float, without: str = "") -> Loads:
+        """Return the loads of all other nodes but one."""
+        totals = self._members.totals(now, without)
+        add_loads(totals, self._others.totals(now, without).values())
+        return totals
+
+    def _take(self, node: str, hints: Hints) -> None:
+        """Take prompts and loading engines."""
         table = self._knowledge.table
-        for load in report.loads:
-            view = table.get(load.instance_id)
-            if view is not None:
-                view.peers[report.node] = PeerLoad(load.active, load.pending_tokens, now)
-        for sent in report.sent:
+        now = trio.current_time()
+        for sent in hints.sent:
+            self.log.append(node, sent)
             view = table.get(sent.instance_id)
             if view is not None:
                 view.segments.record(sent.keys)
-        for loading in report.loading:
-            view = table.get(loading.instance_id)
-            if view is not None:
-                view.loading_until = now + loading.milliseconds / 1_000
-
-    async def _send(self, report: LoadReport) -> None:
-        """Send a report to all peers."""
-        peers = self._knowledge.peers
-        addresses = [address for name, address in peers.items() if name != self._name]
-        await self._exchange.send(report, addresses)
-
-    def _next_sequence(self) -> int:
-        """Return the number of the next report."""
-        self._sequence += 1
-        return self._sequence
+        for loading in hints.loading:
+            self._take_loading(loading, now)
+
+    def _take_loading(self, loading: LoadingEngine, now: float) -> None:
+        """Keep requests from an engine that loads weights."""
+        until = now + loading.milliseconds / MILLISECONDS
+        self._loading[loading.instance_id] = until
+        view = self._knowledge.table.get(loading.instance_id)
+        if view is not None:
+            view.loading_until = until
+
+    def _own_loads(self, now: float) -> tuple[InstanceLoad, ...]:
+        """Return this node's own loads."""
+        loads = (
+            InstanceLoad(
+                view.instance.instance_id,
+                view.active,
+                view.pending_tokens,
+                int(view.suspended_until > now),
+            )
+            for view in self._knowledge.table
+        )
+        return tuple(load for load in loads if not load.is_empty)
+
+    def _take_unsent(self) -> tuple[SentSegments, ...]:
+        """Return prompts that weren't told yet; what is too much is dropped."""
+        sent = tuple(self._unsent[-MAX_SENT:])
+        self._unsent.clear()
+        return sent
+
+    def _loading_now(self, now: float) -> tuple[LoadingEngine, ...]:
+        """Return the engines that load, and forget those that have loaded."""
+        self._loading = {engine: until for engine, until in self._loading.items() if until > now}
+        return tuple(_loading(self._loading.items(), now))
+
+
+def _loading(engines: Iterable[tuple[str, float]], now: float) -> Iterable[LoadingEngine]:
+    """Yield engines with the time for which they still load."""
+    for instance_id, until in engines:
+        yield LoadingEngine(instance_id, round((until - now) * MILLISECONDS))
--- a/hopstep/services/exchanges/records.py
+++ b/hopstep/services/exchanges/records.py
@@ -1,9 +1,27 @@
-"""Keys that hopstep's nodes keep in the store."""
+"""Keys that hopstep's nodes keep in the store, and the form of their values."""
 
 from __future__ import annotations
 
+import msgspec
+
+from hopstep.domain.exchanges.nodes import NodeRecord
+
 NODES_PREFIX = "hopstep/nodes/"
-"""A key for each node; its value is the address of its datagrams."""
+"""A key for each node; its value is a ``NodeRecord``."""
 
 ROLLOUT_KEY = "hopstep/rollout"
 """Exists while a node holds the rollout of weights; its value names the holder."""
+
+
+def encode_node(record: NodeRecord) -> bytes:
+    """Return the value of a node's key."""
+    return msgspec.json.encode(record)
+
+
+def decode_node(value: bytes) -> NodeRecord:
+    """Return a node's record.
+
+    Raises:
+        msgspec.DecodeError: Names the field that can't be read.
+    """
+    return msgspec.json.decode(value, type=NodeRecord)
--- a/hopstep/services/exchanges/registration.py
+++ b/hopstep/services/exchanges/registration.py
@@ -1,7 +1,8 @@
-"""Writes this node's address into the store, where peers find it.
+"""Writes this node's entry into the store, where other nodes find it.
 
-The key is bound to a long lease, which is renewed rarely: peers only lose hints by an entry that
-stays after its node has gone, and the retry budget is shared among too many, never too few.
+The key is bound to a long lease, which is renewed rarely: an entry that stays after its node has
+gone costs a few queries without an answer, and shares the retry budget among too many, never too
+few.
 """
 
 from __future__ import annotations
@@ -10,10 +11,11 @@
 
 import trio
 
+from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.exceptions import StoreConflictError, StoreError
 from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort
 from hopstep.services.exchanges.knowledge import ServingKnowledge
-from hopstep.services.exchanges.records import NODES_PREFIX
+from hopstep.services.exchanges.records import NODES_PREFIX, encode_node
 
 LEASE_SECONDS = 600.0
 RENEWAL_SECONDS = 200.0
@@ -25,8 +27,7 @@
 
     def __init__(
         self,
-        name: str,
-        address: str,
+        record: NodeRecord,
         store: KeyValueStorePort,
         knowledge: ServingKnowledge,
         generator: random.Random,
@@ -34,37 +35,50 @@
         """Prepare.
 
         Args:
-            name: Name of the node.
-            address: ``ip:port`` of its datagrams.
+            record: Entry of this node.
             store: The store.
-            knowledge: Tells when the store has answered for the first time.
+            knowledge: Tells when the store has answered, and what an earlier process left.
             generator: Spreads retries.
         """
-        self._name = name
-        self._address = address
+        self._key = NODES_PREFIX + knowledge.name
+        self._record = record
         self._store = store
         self._knowledge = knowledge
         self._generator = generator
 
     async def run(self) -> None:
-        """Register, and again before the lease lapses, until cancelled."""
+        """Register, and renew the lease, until cancelled."""
         while self._knowledge.current is None:
             await self._knowledge.changed.wait()
         while True:
             try:
-                await self._register()
-                await trio.sleep(RENEWAL_SECONDS)
+                lease = await self._register()
+                await self._renew(lease)
             except StoreError:
                 await trio.sleep(RETRY_SECONDS * (0.5 + self._generator.random()))
 
-    async def _register(self) -> None:
-        """Write the key under a new lease, unless an earlier process left the same one."""
-        key = NODES_PREFIX + self._name
+    async def _register(self) -> str:
+        """Write the key under a new lease, in place of what an earlier process left."""
         lease = await self._store.grant_lease(LEASE_SECONDS)
-        value = self._address.encode()
+        value = encode_node(self._record)
         try:
-            await self._store.compare_and_swap(key, ABSENT, value, lease)
+            await self._store.compare_and_swap(self._key, self._known_version(), value, lease)
         except StoreConflictError:
-            stored = await self._store.get(key)
+            stored = await self._store.get(self._key)
             version = stored.version if stored is not None else ABSENT
-            await self._store.compare_and_swap(key, version, value, lease)
+            await self._store.compare_and_swap(self._key, version, value, lease)
+        return lease
+
+    async def _renew(self, lease: str) -> None:
+        """Renew the lease from time to time; returns when it is over."""
+        while True:
+            await trio.sleep(RENEWAL_SECONDS)
+            try:
+                await self._store.keep_alive(lease)
+            except StoreConflictError:
+                return
+
+    def _known_version(self) -> int:
+        """Return the version of the key as this node knows it."""
+        entry = self._knowledge.feed.get(self._key)
+        return entry.revision if entry is not None and not entry.removed else ABSENT
--- /dev/null
+++ b/hopstep/services/exchanges/relaying.py
@@ -0,0 +1,246 @@
+"""Nodes ask a relay of their zone for what has changed; any node answers.
+
+Without any answer a node reads the store itself and chooses by its own traffic.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+
+import msgspec
+import trio
+
+from hopstep.domain.exchanges.directory_feed import FeedEntry
+from hopstep.ports.node_exchange import (
+    Hints,
+    MessageTooLongError,
+    NodeExchange,
+    NodeMessage,
+    Received,
+    RelayAnswer,
+    RelayDigest,
+    RelayedEntry,
+    RelayQuery,
+)
+from hopstep.ports.serving_directory import ConfigurationPublished, DirectoryEntry
+from hopstep.services.exchanges.directory_follower import DirectoryFollower
+from hopstep.services.exchanges.knowledge import NO_REVISION, ServingKnowledge
+from hopstep.services.exchanges.load_sharing import LoadSharing
+
+INTERVAL_SECONDS = 0.2
+"""Between two queries of a node, and between two digests of a relay."""
+
+SEEK_AGE_SECONDS = 2.2
+"""A node whose knowledge is older also asks relays of other zones."""
+
+MAX_ENTRIES = 40
+"""Most changes in an answer."""
+
+MAX_PENDING = 64
+MILLISECONDS = 1_000
+UNKNOWN_AGE_MS = -1
+
+
+class _Pending(msgspec.Struct, frozen=True):
+    """A query that isn't answered yet, with the time at which it was sent."""
+
+    node: str
+    sent_at: float
+
+
+class Relaying:
+    """Asks, answers, and sends digests."""
+
+    def __init__(
+        self,
+        knowledge: ServingKnowledge,
+        sharing: LoadSharing,
+        follower: DirectoryFollower,
+        exchange: NodeExchange,
+        generator: random.Random,
+    ) -> None:
+        """Join the parts.
+
+        Args:
+            knowledge: What is asked for and told.
+            sharing: Hints of instances.
+            follower: Reads the store when no node can tell.
+            exchange: Datagrams.
+            generator: Spreads queries.
+        """
+        self._knowledge = knowledge
+        self._sharing = sharing
+        self._follower = follower
+        self._exchange = exchange
+        self._generator = generator
+        self._number = 0
+        self._turn = 0
+        self._pending: OrderedDict[int, _Pending] = OrderedDict()
+        self._feed = ""
+        self._position = 0
+
+    async def run(self) -> None:
+        """Ask and answer until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._tell)
+            nursery.start_soon(self._hear)
+
+    async def _tell(self) -> None:
+        """Send queries or digests from time to time, and at once when an engine begins to load."""
+        while True:
+            pause = INTERVAL_SECONDS * (0.9 + 0.2 * self._generator.random())
+            with trio.move_on_after(pause):
+                await self._sharing.announced.wait()
+            await self._send_due()
+            self._sharing.refresh()
+
+    async def _send_due(self) -> None:
+        """Send what is due now."""
+        relays = self._knowledge.relays
+        relay = relays.relay()
+        if relay:
+            await self._ask(relay, self._sharing.own_hints())
+        else:
+            await self._send_digests()
+        probed = relays.probe(trio.current_time())
+        if probed:
+            await self._ask(probed, Hints())
+        if self._knowledge.age_seconds > SEEK_AGE_SECONDS:
+            self._turn += 1
+            elsewhere = relays.elsewhere(self._turn)
+            if elsewhere:
+                await self._ask(elsewhere, Hints())
+
+    async def _ask(self, node: str, hints: Hints) -> None:
+        """Send a query to a node."""
+        self._number += 1
+        self._pending[self._number] = _Pending(node, trio.current_time())
+        while len(self._pending) > MAX_PENDING:
+            self._pending.popitem(last=False)
+        self._knowledge.relays.note_asked(node)
+        query = RelayQuery(
+            self._number, self._knowledge.revision, self._feed, self._position, hints
+        )
+        await self._send(query, node)
+
+    async def _send_digests(self) -> None:
+        """Tell other relays of this node and those that ask it."""
+        self._number += 1
+        digest = RelayDigest(self._number, self._sharing.group_hints())
+        for node in self._knowledge.relays.digest_targets():
+            self._knowledge.relays.note_asked(node)
+            await self._send(digest, node)
+
+    async def _hear(self) -> None:
+        """Take messages."""
+        while True:
+            received = await self._exchange.receive(self._knowledge.nodes)
+            self._knowledge.relays.note_heard(received.sender)
+            await self._take(received)
+
+    async def _take(self, received: Received) -> None:
+        """Take one message."""
+        message = received.message
+        match message:
+            case RelayQuery():
+                self._sharing.take_from_member(received.sender, message.hints)
+                await self._answer(received.sender, message)
+            case RelayAnswer():
+                await self._take_answer(received.sender, message)
+            case RelayDigest():
+                self._sharing.take_from_relay(received.sender, message.hints)
+
+    async def _answer(self, asker: str, query: RelayQuery) -> None:
+        """Answer a query; what doesn't fit into a datagram is left to the store."""
+        answer = self._make_answer(asker, query)
+        if not await self._send(answer, asker):
+            revision = query.revision
+            short = RelayAnswer(query.number, revision, revision, UNKNOWN_AGE_MS, beyond_reach=True)
+            await self._send(short, asker)
+
+    def _make_answer(self, asker: str, query: RelayQuery) -> RelayAnswer:
+        """Return the answer to a query."""
+        knowledge = self._knowledge
+        hints, position = self._sharing.hints_for(asker, query.feed, query.position)
+        answer = RelayAnswer(
+            number=query.number,
+            after=query.revision,
+            revision=query.revision,
+            age_ms=UNKNOWN_AGE_MS,
+            feed=self._sharing.log.identity,
+            position=position,
+            hints=hints,
+        )
+        changes = knowledge.feed.after(query.revision)
+        if changes is None:
+            return msgspec.structs.replace(answer, beyond_reach=knowledge.revision != NO_REVISION)
+        if query.revision > knowledge.revision:
+            return answer
+        part = _first_part(changes)
+        complete = len(part) == len(changes)
+        now = trio.current_time()
+        return msgspec.structs.replace(
+            answer,
+            revision=knowledge.revision if complete else part[-1].revision,
+            age_ms=_age_ms(now, knowledge.confirmed_at),
+            complete=complete,
+            entries=tuple(RelayedEntry(e.change, _age_ms(now, e.since)) for e in part),
+        )
+
+    async def _take_answer(self, sender: str, answer: RelayAnswer) -> None:
+        """Take an answer, dated by the time at which its query was sent."""
+        pending = self._pending.pop(answer.number, None)
+        if pending is None or pending.node != sender:
+            return
+        if sender == self._knowledge.relays.relay():
+            self._sharing.take_answer(sender, answer.hints)
+            self._feed, self._position = answer.feed, answer.position
+        if answer.beyond_reach:
+            self._follower.read_once()
+        if answer.age_ms == UNKNOWN_AGE_MS or answer.after > self._knowledge.revision:
+            return
+        self._take_entries(answer, pending.sent_at)
+        if not answer.complete:
+            await self._ask(sender, Hints())
+
+    def _take_entries(self, answer: RelayAnswer, sent_at: float) -> None:
+        """Take the changes of an answer; a part of them confirms nothing."""
+        knowledge = self._knowledge
+        knowledge.take_entries(
+            FeedEntry(
+                relayed.entry.key,
+                relayed.entry.revision,
+                relayed.entry,
+                sent_at - relayed.age_ms / MILLISECONDS,
+                relayed.entry.removed,
+            )
+            for relayed in answer.entries
+        )
+        confirmed_at = sent_at - answer.age_ms / MILLISECONDS
+        knowledge.confirm(answer.revision, confirmed_at if answer.complete else -float("inf"))
+
+    async def _send(self, message: NodeMessage, name: str) -> bool:
+        """Send a message to a node if it is registered; return False when it is too long."""
+        record = self._knowledge.nodes.get(name)
+        try:
+            if record is not None:
+                await self._exchange.send(message, record)
+        except MessageTooLongError:
+            return False
+        return True
+
+
+def _age_ms(now: float, since: float) -> int:
+    """Return an age in whole milliseconds, rounded up."""
+    return int((now - since) * MILLISECONDS) + 1
+
+
+def _first_part(changes: list[FeedEntry[DirectoryEntry]]) -> list[FeedEntry[DirectoryEntry]]:
+    """Return the changes of one answer: up to a bound, and a configuration as the last one."""
+    part: list[FeedEntry[DirectoryEntry]] = []
+    for entry in changes[:MAX_ENTRIES]:
+        part.append(entry)
+        if isinstance(entry.change.change, ConfigurationPublished):
+            break
+    return part
--- a/hopstep/services/exchanges/rollout_lease.py
+++ b/hopstep/services/exchanges/rollout_lease.py
@@ -38,6 +38,8 @@
 
 RETRY_SECONDS = 0.5
 RECHECK_SECONDS = 2.0
+STAND_BACK_SECONDS = 1.5
+"""Least time for which nodes that don't read the store leave a vacant lease to those that do."""
 
 
 class RolloutLease:
@@ -102,12 +104,31 @@
             except StoreError:
                 return
 
+    def give_up(self, reason: str) -> None:
+        """Stop ordering under the current fencing token: an engine has seen a higher one."""
+        self._valid_until = 0.0
+        self._lose(reason)
+
     async def _wait_vacant(self) -> None:
-        """Wait until there are engines and nobody is known to hold the lease."""
+        """Wait until there are engines and nobody is known to hold the lease.
+
+        Nodes that read the store go first, so that not all nodes try at once.
+        """
         knowledge = self._knowledge
-        while not knowledge.has_engines or knowledge.rollout_record is not None:
-            with trio.move_on_after(RECHECK_SECONDS):
-                await knowledge.changed.wait()
+        while True:
+            while not self._is_vacant:
+                with trio.move_on_after(RECHECK_SECONDS):
+                    await knowledge.changed.wait()
+            if not knowledge.relays.relay():
+                return
+            await trio.sleep(STAND_BACK_SECONDS * (1.0 + self._generator.random()))
+            if self._is_vacant:
+                return
+
+    @property
+    def _is_vacant(self) -> bool:
+        """Whether the lease is wanted and nobody is known to hold it."""
+        return self._knowledge.has_engines and self._knowledge.rollout_record is None
 
     async def _acquire(self) -> None:
         """Create the key under a new lease; raises ``StoreError`` when that isn't proved."""
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -112,12 +112,15 @@
             return False
         sequence = report.order_sequence
         while self._lease.may_order:
-            await self._mark_loading(view)
+            self._mark_loading(view)
             outcome = await self._order(view, weights, sequence)
             if outcome is OrderOutcome.HOLDS_ALREADY:
                 view.learn_version(weights.model, weights.version)
                 return False
-            if outcome in (OrderOutcome.FENCED, OrderOutcome.REJECTED):
+            if outcome is OrderOutcome.FENCED:
+                self._lease.give_up("fenced")
+                return False
+            if outcome is OrderOutcome.REJECTED:
                 return False
             if outcome is OrderOutcome.UNDER_WAY:
                 await trio.sleep(FIRST_POLL_SECONDS)
@@ -148,7 +151,7 @@
         for _ in range(MAX_SILENT_POLLS):
             report = await self._orders.report(view.instance)
             while report is not None and report.busy:
-                await self._mark_loading(view)
+                self._mark_loading(view)
                 await trio.sleep(POLL_SECONDS)
                 report = await self._orders.report(view.instance)
             if report is not None:
@@ -158,7 +161,7 @@
             await trio.sleep(POLL_SECONDS)
         return None
 
-    async def _mark_loading(self, view: InstanceView) -> None:
+    def _mark_loading(self, view: InstanceView) -> None:
         """Keep requests from an engine for a while, here and at the peers."""
         view.loading_until = trio.current_time() + LOADING_SECONDS
-        await self._sharing.announce_loading(view.instance.instance_id, LOADING_SECONDS)
+        self._sharing.announce_loading(view.instance.instance_id, LOADING_SECONDS)
--- a/hopstep/settings_loader.py
+++ b/hopstep/settings_loader.py
@@ -192,6 +192,9 @@
     return settings
 
 
+_BOUND_FIELDS = ExchangeBounds.__struct_fields__
+
+
 def _check_exchange(settings: ExchangeSettings) -> None:
     """Check what the types of a node's settings don't say."""
     _check_texts(settings)
@@ -205,10 +208,12 @@
         addresses["metrics_address"] = settings.metrics_address
     for field, address in addresses.items():
         parse_address(address, field)
-    for field in ExchangeBounds.__struct_fields__:
-        value = getattr(settings.bounds, field)
+    numbers = {f"bounds.{field}": getattr(settings.bounds, field) for field in _BOUND_FIELDS}
+    numbers["processor_share"] = settings.processor_share
+    numbers["processor_cores"] = settings.processor_cores
+    for field, value in numbers.items():
         if not 0 < value < float("inf"):
-            raise _invalid(f"bounds.{field}", f"expected a number above 0, got {value}")
+            raise _invalid(field, f"expected a number above 0, got {value}")
 
 
 def _override(document: dict[str, Any], field: _FlagField, value: object, path: str | None) -> None:
--- /dev/null
+++ b/tests/adapters/test_node_codec.py
@@ -0,0 +1,96 @@
+"""Frames between nodes: whole messages in, the same ones out; anything else is rejected."""
+
+import random
+import unittest
+import zlib
+
+import cbor2
+
+from hopstep.adapters import node_codec
+from hopstep.adapters.node_codec import FrameError, decode_frame, encode_frame
+from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.exchanges.load_ledger import InstanceLoad
+from hopstep.domain.exchanges.nodes import NodeRecord
+from hopstep.domain.exchanges.segments import SegmentKey
+from hopstep.ports.node_exchange import (
+    Hints,
+    LoadingEngine,
+    RelayAnswer,
+    RelayDigest,
+    RelayedEntry,
+    RelayQuery,
+    SentSegments,
+)
+from hopstep.ports.serving_directory import (
+    ConfigurationPublished,
+    DirectoryEntry,
+    InstanceListed,
+    InstanceRemoved,
+    RecordWritten,
+)
+from tests.services.exchanges.exchange_world import configuration
+
+NODES = {"a": NodeRecord("1.2.3.4:5", "z", b"key-a"), "b": NodeRecord("1.2.3.4:6", "z", b"key-b")}
+HINTS = Hints(
+    (InstanceLoad("i1", 3, 400, 1),),
+    (SentSegments("i1", (SegmentKey(2**63 + 5, 800), SegmentKey(7, 16))),),
+    (LoadingEngine("i2", 900),),
+)
+INSTANCE = Instance("i1", "llm", "10.0.0.1:80", "z", 4, versions={"m": 3})
+ENTRIES = (
+    DirectoryEntry("c", 1, ConfigurationPublished(configuration(7))),
+    DirectoryEntry("i", 2, InstanceListed(INSTANCE)),
+    DirectoryEntry("i", 3, InstanceRemoved("i1")),
+    DirectoryEntry("r", 4, RecordWritten("r", b"\x00\xff", 4)),
+)
+MESSAGES = (
+    RelayQuery(1, -1),
+    RelayQuery(2, 77, "feed", 12, HINTS),
+    RelayAnswer(2, 77, 80, 350, entries=tuple(RelayedEntry(e, 20) for e in ENTRIES), hints=HINTS),
+    RelayDigest(9, HINTS),
+)
+
+
+class NodeCodecTest(unittest.TestCase):
+    def frame(self, message=MESSAGES[1]):
+        return encode_frame(message, "a", b"key-a")
+
+    def test_messages_come_out_as_they_went_in(self):
+        for message in MESSAGES:
+            received = decode_frame(self.frame(message), NODES)
+            self.assertEqual((received.sender, received.message), ("a", message))
+
+    def test_frames_of_strangers_and_of_earlier_processes_are_rejected(self):
+        for sender, key in (("c", b"key-c"), ("a", b"old key"), ("b", b"key-a"), ("a", b"")):
+            with self.assertRaises(FrameError):
+                decode_frame(encode_frame(MESSAGES[0], sender, key), NODES)
+
+    def test_any_changed_byte_is_noticed(self):
+        frame = self.frame()
+        for index in range(len(frame)):
+            changed = bytearray(frame)
+            changed[index] ^= 1
+            with self.assertRaises(FrameError):
+                decode_frame(bytes(changed), NODES)
+
+    def test_truncated_and_random_bytes_are_rejected(self):
+        generator = random.Random(5)
+        frame = self.frame()
+        for length in range(len(frame)):
+            with self.assertRaises(FrameError):
+                decode_frame(frame[:length], NODES)
+        for _ in range(300):
+            with self.assertRaises(FrameError):
+                decode_frame(generator.randbytes(generator.randrange(200)), NODES)
+
+    def test_a_signed_frame_with_unknown_content_is_rejected(self):
+        for payload in (cbor2.dumps(["Other", 1]), cbor2.dumps({"x": 1}), b"\xff"):
+            rest = cbor2.dumps(["a", node_codec.PLAIN, payload])
+            with self.assertRaises(FrameError):
+                decode_frame(node_codec._tag(b"key-a", rest) + rest, NODES)
+
+    def test_a_payload_that_grows_without_end_is_rejected(self):
+        payload = zlib.compress(cbor2.dumps(["x" * (2 * node_codec.MAX_PAYLOAD_BYTES)]))
+        rest = cbor2.dumps(["a", node_codec.COMPRESSED, payload])
+        with self.assertRaises(FrameError):
+            decode_frame(node_codec._tag(b"key-a", rest) + rest, NODES)
--- /dev/null
+++ b/tests/domain/exchanges/test_nodes.py
@@ -0,0 +1,102 @@
+"""Which nodes relay, and whom a node asks when some are silent."""
+
+import unittest
+
+from hopstep.domain.exchanges.nodes import (
+    MAX_UNANSWERED,
+    NODES_PER_RELAY,
+    PROBE_SECONDS,
+    NodeRecord,
+    RelayPlan,
+)
+
+
+def fleet(sizes, large=()):
+    records = {}
+    for zone, size in sizes.items():
+        for number in range(size):
+            name = f"{zone}-{number}"
+            capacity = 2.0 if name in large else 0.5
+            records[name] = NodeRecord(f"{name}:1", zone, b"k", capacity)
+    return records
+
+
+def plans(records):
+    result = {}
+    for name, record in records.items():
+        result[name] = RelayPlan(name, record)
+        result[name].set_nodes(records)
+    return result
+
+
+def silence(plan, name):
+    for _ in range(MAX_UNANSWERED):
+        plan.note_asked(name)
+
+
+class RelayPlanTest(unittest.TestCase):
+    def test_a_node_that_knows_no_other_reads_the_store_itself(self):
+        plan = RelayPlan("a", NodeRecord("a:1", "z"))
+        self.assertEqual((plan.relay(), plan.elsewhere(0), plan.digest_targets()), ("", "", []))
+
+    def test_all_nodes_of_a_zone_agree_on_its_relays(self):
+        records = fleet({"x": 20, "y": 60})
+        relays = {name: plan.relay() for name, plan in plans(records).items()}
+        for zone, count in (("x", 1), ("y", -(-60 // NODES_PER_RELAY))):
+            own = {name for name, relay in relays.items() if name.startswith(zone) and not relay}
+            asked = {relay for name, relay in relays.items() if name.startswith(zone) and relay}
+            self.assertEqual(len(own), count)
+            self.assertEqual(asked, own)
+
+    def test_larger_nodes_relay(self):
+        records = fleet({"x": 20}, large={"x-7"})
+        self.assertEqual(plans(records)["x-3"].relay(), "x-7")
+
+    def test_a_silent_relay_is_left_and_asked_again_once_it_is_heard(self):
+        plan = plans(fleet({"x": 20}))["x-3"]
+        relay = plan.relay()
+        silence(plan, relay)
+        self.assertNotIn(plan.relay(), ("", relay))
+        plan.note_heard(relay)
+        self.assertEqual(plan.relay(), relay)
+
+    def test_without_any_relay_a_node_reads_the_store_itself(self):
+        plan = plans(fleet({"x": 20}))["x-3"]
+        left = []
+        while plan.relay():
+            left.append(plan.relay())
+            silence(plan, left[-1])
+        self.assertLessEqual(len(left), 3)
+
+    def test_a_silent_relay_is_probed_from_time_to_time(self):
+        plan = plans(fleet({"x": 20}))["x-3"]
+        relay = plan.relay()
+        self.assertEqual(plan.probe(10.0), "")
+        silence(plan, relay)
+        self.assertEqual(plan.probe(10.0), relay)
+        self.assertEqual(plan.probe(10.1), "")
+        self.assertEqual(plan.probe(10.0 + PROBE_SECONDS), relay)
+
+    def test_other_ways_to_the_store_take_turns_and_never_end_at_the_node_itself(self):
+        records = fleet({"x": 3, "y": 3, "z": 3})
+        for name, plan in plans(records).items():
+            found = {plan.elsewhere(turn) for turn in range(20)}
+            self.assertNotIn(name, found)
+            self.assertEqual({other[0] for other in found} | {name[0]}, {"x", "y", "z"})
+
+    def test_digests_go_to_each_zones_relays_and_past_silent_ones(self):
+        records = fleet({"x": 5, "y": 5})
+        known = plans(records)
+        relay = next(n for n, plan in known.items() if n[0] == "x" and not plan.relay())
+        plan = known[relay]
+        targets = plan.digest_targets()
+        self.assertEqual([name[0] for name in targets], ["y"])
+        silence(plan, targets[0])
+        self.assertEqual(len(plan.digest_targets()), 2)
+
+    def test_a_node_that_is_gone_is_asked_no_more(self):
+        records = fleet({"x": 5})
+        plan = plans(records)["x-3"]
+        relay = plan.relay()
+        plan.set_nodes({name: record for name, record in records.items() if name != relay})
+        self.assertNotEqual(plan.relay(), relay)
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -18,6 +18,8 @@
     "internalPortRange.0": "7340",
     "internalPortRange.1": "7355",
     "platform.address": "10.200.1.7:8784",
+    "limits.cpuShare": "0.537",
+    "limits.cpuCores": "2",
     "bounds.gracePeriodS": "8",
     "bounds.revokeTimeoutMs": "5000",
     "bounds.retryBudgetRatio": "0.2",
@@ -47,6 +49,7 @@
         self.assertEqual(settings.address, "10.1.0.30:8782")
         self.assertEqual(settings.metrics_address, "10.1.0.30:7355")
         self.assertEqual(settings.bounds.retry_extra, 54)
+        self.assertEqual((settings.processor_share, settings.processor_cores), (0.537, 2))
 
     def test_a_bad_field_is_named_with_its_file(self):
         for field, value, named in (
@@ -54,6 +57,7 @@
             ("bounds.leaseDurationMs", "0", "bounds.lease_ms"),
             ("bounds.gracePeriodS", '"x"', "bounds.grace_seconds"),
             ("nodeName", "", "name"),
+            ("limits.cpuShare", "0", "processor_share"),
         ):
             with self.subTest(field):
                 with self.assertRaises(SettingsError) as caught:
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -6,6 +6,7 @@
 from trio.testing import MockClock
 
 from emulator.exchange_platform.instances import EmulatedInstances
+from emulator.exchange_platform.node_network import EmulatedNodeNetwork
 from emulator.platform.in_memory import InMemoryStore
 from emulator.platform.shared_store import SharedStore
 from hopstep.domain.exchanges.instances import Instance, NamedWeights
@@ -24,10 +25,10 @@
 from hopstep.exchange_settings import ExchangeBounds, ExchangeSettings
 from hopstep.ports.cache_events import CacheEvents
 from hopstep.ports.exchange_front import ClientAnswer, RequestHead
-from hopstep.ports.load_exchange import LoadExchange
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
     DirectoryBatch,
+    DirectoryEntry,
     InstanceListed,
     InstanceRemoved,
     RecordWritten,
@@ -39,6 +40,8 @@
 ISOLATED_KEY = "key-2"
 MODEL = "m"
 BOUNDS = ExchangeBounds()
+SETTLING_SECONDS = 1.0
+"""Nodes have registered and know each other, and watches wait for changes."""
 
 
 def route(name, kind, **options):
@@ -90,17 +93,17 @@
         self.silent = False
 
     async def snapshot(self):
+        self._world.calls += 1
         await trio.sleep(0.004)
         self._check()
         world = self._world
-        changes = [world.published, *map(InstanceListed, world.listed.values())]
-        changes += [WeightsPublished(NamedWeights(m, v)) for m, v in world.named.items()]
-        values = await InMemoryStore(world.shared).list("")
-        changes += [RecordWritten(v.key, v.value, v.version) for v in values]
-        return DirectoryBatch(len(world.log), tuple(changes))
+        newest = {entry.key: entry for entry in world.log}
+        present = tuple(entry for entry in newest.values() if not entry.removed)
+        return DirectoryBatch(len(world.log), present)
 
     async def changes(self, after_revision, wait_seconds):
         world = self._world
+        world.calls += 1
         with trio.move_on_after(wait_seconds):
             while len(world.log) <= after_revision or self.deaf:
                 self._check()
@@ -116,12 +119,18 @@
             raise StoreError(ErrorCode.STORE_UNAVAILABLE, "down")
 
 
-class QuietLoads(LoadExchange):
-    async def send(self, report, addresses):
-        await trio.lowlevel.checkpoint()
-
-    async def receive(self):
-        await trio.sleep_forever()
+def directory_key(change):
+    """Return the key that a change is of."""
+    match change:
+        case InstanceListed(instance):
+            return f"instances/{instance.instance_id}"
+        case InstanceRemoved(instance_id):
+            return f"instances/{instance_id}"
+        case WeightsPublished(weights):
+            return f"weights/{weights.model}"
+        case RecordWritten(key):
+            return key
+    return "configuration"
 
 
 class NoCacheEvents(CacheEvents):
@@ -158,18 +167,20 @@
 class ExchangeWorld:
     """A store, instances and nodes."""
 
-    def __init__(self, nodes=1, seed=1):
+    def __init__(self, nodes=1, seed=1, zones=1):
         self.shared = SharedStore()
         self.instances = EmulatedInstances()
         self.listed = {}
-        self.named = {}
-        self.published = ConfigurationPublished(configuration())
         self.log = []
+        self.calls = 0
         self.nodes = []
         self.directories = []
         self._node_count = nodes
         self._seed = seed
+        self._zones = zones
         self._requests = 0
+        self.network = EmulatedNodeNetwork(random.Random(seed))
+        self.publish(ConfigurationPublished(configuration()))
 
     def add(self, instance_id, service="plain", **options):
         """Start and list an instance."""
@@ -182,15 +193,11 @@
 
     def publish(self, change):
         """Write a change into the directory."""
-        if isinstance(change, ConfigurationPublished):
-            self.published = change
         if isinstance(change, InstanceListed):
             self.listed[change.instance.instance_id] = change.instance
         if isinstance(change, InstanceRemoved):
             self.listed.pop(change.instance_id, None)
-        if isinstance(change, WeightsPublished):
-            self.named[change.weights.model] = change.weights.version
-        self.log.append(change)
+        self.log.append(DirectoryEntry(directory_key(change), len(self.log) + 1, change))
         if hasattr(self, "changed"):
             self.changed.set()
             self.changed = trio.Event()
@@ -208,34 +215,40 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._relay_records)
             for number in range(self._node_count):
-                self.start_node(nursery, f"n{number}")
+                self.start_node(nursery, f"n{number}", self._zone(number))
             self.nursery = nursery
-            await trio.sleep(0.1)
+            await trio.sleep(SETTLING_SECONDS)
             await script(self)
             nursery.cancel_scope.cancel()
 
-    def start_node(self, nursery, name):
+    def _zone(self, number):
+        """Return the zone of a node."""
+        return f"z{1 + number % self._zones}"
+
+    def start_node(self, nursery, name, zone="z1"):
         """Start a node and return its services."""
+        key = f"key of {name}".encode()
+        address = f"127.0.0.1:{3 + len(self.nodes)}"
         directory = EmulatedDirectory(self)
         ports = ExchangePorts(
             store=InMemoryStore(self.shared),
             directory=directory,
             calls=self.instances,
             orders=self.instances,
-            loads=QuietLoads(),
+            nodes=self.network.attach(name, address, key),
             cache_events=NoCacheEvents(),
             generator=random.Random(self._seed + len(self.nodes)),
         )
         settings = ExchangeSettings(
             name=name,
-            zone="z1",
+            zone=zone,
             address="127.0.0.1:1",
             readiness_address="127.0.0.1:2",
-            peer_address=f"127.0.0.1:{3 + len(self.nodes)}",
+            peer_address=address,
             store="127.0.0.1:9",
             bounds=BOUNDS,
         )
-        services = ExchangeServices(settings, ports)
+        services = ExchangeServices(settings, ports, key)
         self.nodes.append(services)
         self.directories.append(directory)
         nursery.start_soon(services.run)
