Follow cache stores on relays only, and tell all nodes before an engine loads

Cause: every node read the events of every cache store.

Change: relays read the events and number the changes; the others follow by number in the answers they get anyway. An engine is announced 0.4 s before it is ordered to load.

--- a/hopstep/domain/exchanges/store_contents.py
+++ b/hopstep/domain/exchanges/store_contents.py
@@ -1,7 +1,13 @@
-"""What a cache store keeps, as its events tell: late, and with a few missing."""
+"""What a cache store keeps, as its events tell: late, and with a few missing.
+
+One node reads the events and numbers the changes; others follow by number. Contents have an
+identity: under another one everything is learned anew.
+"""
 
 from __future__ import annotations
 
+import hashlib
+from collections import OrderedDict
 from collections.abc import Iterable
 
 import msgspec
@@ -11,6 +17,11 @@
 PUSH_SECONDS = 2.0
 """A segment that an instance was asked to save isn't saved by another one for so long."""
 
+MAX_KEPT = 65_536
+"""Most segments, those that were dropped included."""
+
+DIGEST_BYTES = 8
+
 
 class StoreEvent(msgspec.Struct, frozen=True):
     """One change of a cache store.
@@ -28,32 +39,126 @@
     model: str
 
 
+class StoredSegment(msgspec.Struct, frozen=True, array_like=True):
+    """A segment as it is kept now.
+
+    Attributes:
+        digest: 64-bit hash of model, salt and segment.
+        tokens: Tokens kept; 0 when it was dropped.
+    """
+
+    digest: int
+    tokens: int
+
+
+class ContentsPosition(msgspec.Struct, frozen=True, array_like=True):
+    """How far a node knows the contents of a store.
+
+    Attributes:
+        address: ``ip:port`` of the store.
+        identity: Identity of the contents.
+        number: Changes up to it are known.
+    """
+
+    address: str
+    identity: str = ""
+    number: int = 0
+
+
+class ContentsNews(msgspec.Struct, frozen=True, array_like=True):
+    """Changes of a store's contents behind a position.
+
+    Attributes:
+        after: The position; under another identity than ``now`` nothing of it holds.
+        now: The position behind the changes.
+        reachable: Whether the store answers.
+        changes: Oldest first.
+    """
+
+    after: ContentsPosition
+    now: ContentsPosition
+    reachable: bool
+    changes: tuple[StoredSegment, ...] = ()
+
+
+def segment_digest(model: str, salt: str, segment_id: str) -> int:
+    """Return the key of a segment in a store."""
+    hashed = hashlib.blake2b(f"{model}\0{salt}\0{segment_id}".encode(), digest_size=DIGEST_BYTES)
+    return int.from_bytes(hashed.digest(), "big")
+
+
 class StoreContents:
-    """Segments of one cache store, by model, salt and id."""
+    """Segments of one cache store."""
 
-    def __init__(self) -> None:
-        """Start empty and out of reach."""
+    def __init__(self, address: str = "") -> None:
+        """Start empty and out of reach.
+
+        Args:
+            address: ``ip:port`` of the store.
+        """
         self.reachable = False
-        self._kept: dict[tuple[str, str, str], int] = {}
-        self._pushed: dict[tuple[str, str, str], float] = {}
+        self._address = address
+        self._identity = ""
+        self._number = 0
+        self._kept: OrderedDict[int, tuple[int, int]] = OrderedDict()
+        self._pushed: dict[int, float] = {}
 
     def __len__(self) -> int:
-        """Return the number of segments."""
-        return len(self._kept)
+        """Return the number of segments that are kept."""
+        return sum(1 for tokens, _ in self._kept.values() if tokens > 0)
+
+    @property
+    def position(self) -> ContentsPosition:
+        """How far the contents are known."""
+        return ContentsPosition(self._address, self._identity, self._number)
 
-    def clear(self) -> None:
-        """Forget everything: the store was emptied, or events were lost."""
+    def clear(self, identity: str = "") -> None:
+        """Forget everything: the store was emptied, or events were lost.
+
+        Args:
+            identity: Identity of the contents from now on.
+        """
         self._kept.clear()
         self._pushed.clear()
+        self._identity = identity
+        self._number = 0
 
     def apply(self, events: Iterable[StoreEvent]) -> None:
         """Take events, oldest first."""
         for event in events:
-            key = (event.model, event.salt, event.segment_id)
-            if event.tokens > 0:
-                self._kept[key] = event.tokens
-            else:
-                self._kept.pop(key, None)
+            digest = segment_digest(event.model, event.salt, event.segment_id)
+            self._number += 1
+            self._put(StoredSegment(digest, max(0, event.tokens)))
+
+    def news_after(self, position: ContentsPosition, limit: int) -> ContentsNews:
+        """Return the changes behind a position, the oldest up to a limit.
+
+        Args:
+            position: Where the asking node stands.
+            limit: Most changes.
+        """
+        known = position.number if position.identity == self._identity else 0
+        newer: list[tuple[int, StoredSegment]] = []
+        for digest, (tokens, number) in reversed(self._kept.items()):
+            if number <= known:
+                break
+            newer.append((number, StoredSegment(digest, tokens)))
+        part = _oldest(newer[::-1], limit)
+        number = part[-1][0] if part else max(known, self._number)
+        now = ContentsPosition(self._address, self._identity, number)
+        changes = tuple(segment for _, segment in part)
+        return ContentsNews(position, now, self.reachable, changes)
+
+    def take(self, news: ContentsNews) -> None:
+        """Take changes that another node tells, unless they don't follow what is known."""
+        self.reachable = news.reachable
+        if news.after != self.position:
+            return
+        if news.now.identity != self._identity:
+            self.clear(news.now.identity)
+        self._number = news.now.number
+        for segment in news.changes:
+            self._put(segment)
 
     def cached_tokens(self, model: str, salt: str, segments: Iterable[PromptSegment]) -> int:
         """Return the tokens of the leading segments that are kept whole."""
@@ -61,7 +166,7 @@
             return 0
         tokens = 0
         for segment in segments:
-            if self._kept.get((model, salt, segment.segment_id), 0) <= 0:
+            if not self._keeps(segment_digest(model, salt, segment.segment_id)):
                 break
             tokens += segment.tokens
         return tokens
@@ -79,12 +184,36 @@
         """
         if not self.reachable:
             return False
-        keys = [(model, salt, segment.segment_id) for segment in segments]
+        digests = [segment_digest(model, salt, segment.segment_id) for segment in segments]
         missing = [
-            key
-            for key in keys
-            if key not in self._kept and now - self._pushed.get(key, -PUSH_SECONDS) >= PUSH_SECONDS
+            digest
+            for digest in digests
+            if not self._keeps(digest)
+            and now - self._pushed.get(digest, -PUSH_SECONDS) >= PUSH_SECONDS
         ]
-        for key in missing:
-            self._pushed[key] = now
+        for digest in missing:
+            self._pushed[digest] = now
         return bool(missing)
+
+    def _keeps(self, digest: int) -> bool:
+        """Return whether a segment is kept."""
+        return self._kept.get(digest, (0, 0))[0] > 0
+
+    def _put(self, segment: StoredSegment) -> None:
+        """Take a segment's newest state under the number reached."""
+        self._kept[segment.digest] = (segment.tokens, self._number)
+        self._kept.move_to_end(segment.digest)
+        if len(self._kept) > MAX_KEPT:
+            self._kept.popitem(last=False)
+
+
+def _oldest(
+    changes: list[tuple[int, StoredSegment]], limit: int
+) -> list[tuple[int, StoredSegment]]:
+    """Return the first changes up to a limit, and all that share the last one's number."""
+    part = changes[:limit]
+    for number, segment in changes[limit:]:
+        if number != part[-1][0]:
+            break
+        part.append((number, segment))
+    return part
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -105,10 +105,10 @@
             min(ACCEPT_SECONDS, bounds.grace_seconds / 3),
         )
         self.sharing = LoadSharing(self.knowledge)
+        self.store_watch = CacheStoreWatch(self.knowledge, ports.cache_events)
         self.relaying = Relaying(
-            self.knowledge, self.sharing, self.follower, ports.nodes, generator
+            self.knowledge, self.sharing, self.store_watch, self.follower, ports.nodes, generator
         )
-        self.store_watch = CacheStoreWatch(self.knowledge, ports.cache_events)
         self.exchanges = ExchangeService(
             self.knowledge,
             self.lifecycle,
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -14,6 +14,7 @@
 from hopstep.domain.exchanges.load_ledger import InstanceLoad
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.segments import SegmentKey
+from hopstep.domain.exchanges.store_contents import ContentsNews, ContentsPosition
 from hopstep.ports.serving_directory import DirectoryEntry
 
 
@@ -54,6 +55,7 @@
         feed: Identity of the feed of prompts that ``position`` belongs to.
         position: Prompts up to it are known.
         hints: The node's own.
+        contents: How far the node knows each cache store.
     """
 
     number: int
@@ -61,6 +63,7 @@
     feed: str = ""
     position: int = 0
     hints: Hints = Hints()
+    contents: tuple[ContentsPosition, ...] = ()
 
 
 class RelayedEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -89,6 +92,7 @@
         feed: Identity of the feed of prompts.
         position: Position behind the prompts in ``hints``.
         hints: Of all nodes but the asker.
+        contents: What the asker doesn't know of the cache stores.
     """
 
     number: int
@@ -101,6 +105,7 @@
     feed: str = ""
     position: int = 0
     hints: Hints = Hints()
+    contents: tuple[ContentsNews, ...] = ()
 
 
 class RelayDigest(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/relaying.py
@@ -12,6 +12,7 @@
 import trio
 
 from hopstep.domain.exchanges.directory_feed import FeedEntry
+from hopstep.domain.exchanges.store_contents import ContentsPosition
 from hopstep.ports.node_exchange import (
     Hints,
     MessageTooLongError,
@@ -27,6 +28,7 @@
 from hopstep.services.exchanges.directory_follower import DirectoryFollower
 from hopstep.services.exchanges.knowledge import NO_REVISION, ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
+from hopstep.services.exchanges.store_watch import CacheStoreWatch
 
 INTERVAL_SECONDS = 0.2
 """Between two queries of a node, and between two digests of a relay."""
@@ -56,6 +58,7 @@
         self,
         knowledge: ServingKnowledge,
         sharing: LoadSharing,
+        store_watch: CacheStoreWatch,
         follower: DirectoryFollower,
         exchange: NodeExchange,
         generator: random.Random,
@@ -65,12 +68,14 @@
         Args:
             knowledge: What is asked for and told.
             sharing: Hints of instances.
+            store_watch: What the cache stores keep.
             follower: Reads the store when no node can tell.
             exchange: Datagrams.
             generator: Spreads queries.
         """
         self._knowledge = knowledge
         self._sharing = sharing
+        self._store_watch = store_watch
         self._follower = follower
         self._exchange = exchange
         self._generator = generator
@@ -100,7 +105,7 @@
         relays = self._knowledge.relays
         relay = relays.relay()
         if relay:
-            await self._ask(relay, self._sharing.own_hints())
+            await self._ask(relay, self._sharing.own_hints(), self._store_watch.positions())
         else:
             await self._send_digests()
         probed = relays.probe(trio.current_time())
@@ -112,7 +117,9 @@
             if elsewhere:
                 await self._ask(elsewhere, Hints())
 
-    async def _ask(self, node: str, hints: Hints) -> None:
+    async def _ask(
+        self, node: str, hints: Hints, contents: tuple[ContentsPosition, ...] = ()
+    ) -> None:
         """Send a query to a node."""
         self._number += 1
         self._pending[self._number] = _Pending(node, trio.current_time())
@@ -120,7 +127,7 @@
             self._pending.popitem(last=False)
         self._knowledge.relays.note_asked(node)
         query = RelayQuery(
-            self._number, self._knowledge.revision, self._feed, self._position, hints
+            self._number, self._knowledge.revision, self._feed, self._position, hints, contents
         )
         await self._send(query, node)
 
@@ -171,6 +178,7 @@
             feed=self._sharing.log.identity,
             position=position,
             hints=hints,
+            contents=self._store_watch.news_after(query.contents),
         )
         changes = knowledge.feed.after(query.revision)
         if changes is None:
@@ -195,6 +203,7 @@
             return
         if sender == self._knowledge.relays.relay():
             self._sharing.take_answer(sender, answer.hints)
+            self._store_watch.take(answer.contents)
             self._feed, self._position = answer.feed, answer.position
         if answer.beyond_reach:
             self._follower.read_once()
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -18,6 +18,9 @@
 FIRST_POLL_SECONDS = 0.5
 POLL_SECONDS = 0.15
 MAX_SILENT_POLLS = 3
+SETTLE_SECONDS = 0.4
+"""An engine that isn't ordered yet gets no more requests from any node after this time."""
+
 LOADING_SECONDS = 1.0
 """For so long peers keep requests from an engine after an order, unless they hear more."""
 
@@ -104,9 +107,13 @@
     async def _order_until_done(self, view: InstanceView, weights: NamedWeights) -> bool:
         """Order, and again as long as the engine isn't known to load; return whether it did.
 
+        All nodes are told first, so that what waits at the engine has begun before it loads.
+
         An order without an answer may be carried out later. It names how many orders the engine
         had taken, so it is void once another one was taken.
         """
+        self._mark_loading(view)
+        await trio.sleep(SETTLE_SECONDS)
         report = await self._orders.report(view.instance)
         if report is None:
             return False
--- a/tests/domain/exchanges/test_store_contents.py
+++ b/tests/domain/exchanges/test_store_contents.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 
 from hopstep.domain.exchanges.request import PromptSegment
@@ -45,3 +46,47 @@
     def test_what_is_kept_is_not_saved_again(self):
         contents = self.contents(kept("a"), kept("b"))
         self.assertFalse(contents.claim_push("m", "1.", SEGMENTS, 5.0))
+
+
+class FollowingTest(unittest.TestCase):
+    """A node that follows another one by numbers ends with the same contents."""
+
+    def tokens(self, contents, count=40):
+        return [
+            contents.cached_tokens("m", "1.", (PromptSegment(f"s{number}", 10),))
+            for number in range(count)
+        ]
+
+    def follow(self, follower, source, limit=7):
+        follower.take(source.news_after(follower.position, limit))
+
+    def test_followers_of_followers_end_with_the_same_contents(self):
+        generator = random.Random(9)
+        source, first, second = (StoreContents("a") for _ in range(3))
+        source.clear("one")
+        source.reachable = True
+        for step in range(400):
+            number = generator.randrange(40)
+            source.apply([kept(f"s{number}", generator.choice((0, 10)))])
+            if step == 200:
+                source.clear("two")
+            if generator.random() < 0.3:
+                self.follow(first, source)
+            if generator.random() < 0.3:
+                self.follow(second, generator.choice((first, source)))
+        for _ in range(40):
+            self.follow(first, source)
+            self.follow(second, first)
+        self.assertEqual(self.tokens(first), self.tokens(source))
+        self.assertEqual(self.tokens(second), self.tokens(source))
+
+    def test_news_that_do_not_follow_what_is_known_change_nothing(self):
+        source, follower = StoreContents("a"), StoreContents("a")
+        source.clear("one")
+        source.reachable = True
+        source.apply([kept("s1", 10)])
+        late = source.news_after(follower.position, 9)
+        source.apply([kept("s1", 0)])
+        self.follow(follower, source)
+        follower.take(late)
+        self.assertEqual(self.tokens(follower, 3), [0, 0, 0])
