Look up the sources of a prompt once, and prefer the own zone

Change: the two best sources of each weights version and zone are kept, so rating is linear. A request to another zone counts as 15 ms (`other_zone_ms`).

--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -5,6 +5,7 @@
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.load_ledger import REPORT_SECONDS, InstanceLoad
 from hopstep.domain.exchanges.segments import SegmentPicture
+from hopstep.domain.rendezvous import hash_name
 
 FIRST_SUSPENSION_SECONDS = 0.4
 MAX_SUSPENSION_SECONDS = 4.0
@@ -31,6 +32,7 @@
             cache_tokens: Memory of the instance for segments.
         """
         self.instance = instance
+        self.hashed = hash_name(instance.instance_id)
         self.segments = SegmentPicture(int(cache_tokens * PICTURE_SHARE))
         self.versions: dict[str, int] = dict(instance.versions)
         self.active = 0
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -118,6 +118,8 @@
             RepeatBounds(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds),
             self._make_metrics(),
             generator,
+            settings.zone,
+            bounds.other_zone_ms / MILLISECONDS,
         )
         self.lease = RolloutLease(
             settings.name,
--- a/hopstep/exchange_settings.py
+++ b/hopstep/exchange_settings.py
@@ -15,6 +15,7 @@
         retry_extra: Retries that are always allowed in a window, over all nodes.
         retry_window_seconds: Length of that window.
         lease_ms: Time of the rollout holder's lease, and the pause between two holders.
+        other_zone_ms: Delay that a request to an instance of another zone counts for in choices.
         weights_ms: From the naming of weights until no request may start on older ones.
     """
 
@@ -25,6 +26,7 @@
     retry_window_seconds: float = 10.0
     lease_ms: float = 3_000.0
     weights_ms: float = 8_000.0
+    other_zone_ms: float = 15.0
 
 
 class ExchangeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/hopstep/services/exchanges/instance_choice.py
+++ b/hopstep/services/exchanges/instance_choice.py
@@ -9,14 +9,9 @@
 
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.request import ExchangeRequest, Prompt
+from hopstep.domain.exchanges.segment_moves import EngineRequest, StoreSource
 from hopstep.domain.exchanges.segments import SegmentKey, chain_keys
-from hopstep.domain.exchanges.selection import (
-    Candidate,
-    EngineRequest,
-    StoreSource,
-    choose_engine,
-    choose_server,
-)
+from hopstep.domain.exchanges.selection import Candidate, choose_engine, choose_server
 from hopstep.domain.exchanges.serving import EngineTraits
 from hopstep.domain.exchanges.store_contents import StoreContents
 from hopstep.services.exchanges.knowledge import ServingKnowledge
@@ -34,6 +29,8 @@
         knowledge: ServingKnowledge,
         store_watch: CacheStoreWatch,
         generator: random.Random,
+        zone: str,
+        other_zone_seconds: float,
     ) -> None:
         """Use what the node knows.
 
@@ -41,10 +38,14 @@
             knowledge: Instances and weights.
             store_watch: What the cache stores keep.
             generator: Breaks ties.
+            zone: Zone of this node.
+            other_zone_seconds: Delay that a request to another zone counts for.
         """
         self._knowledge = knowledge
         self._store_watch = store_watch
         self._generator = generator
+        self._zone = zone
+        self._other_zone_seconds = other_zone_seconds
 
     def choose(self, request: ExchangeRequest, service: str, tried: Set[str]) -> Candidate | None:
         """Return the best instance, or None when none may serve the request now.
@@ -59,7 +60,7 @@
         usable = [view for view in views if view.is_usable(now)]
         views = usable or views
         if request.prompt is None:
-            return choose_server(views, now, self._generator)
+            return choose_server(views, now, self._generator, self._zone, self._other_zone_seconds)
         sources = [view for view in self._sources(service) if view.is_usable(now)]
         engine_request = self._engine_request(request, request.prompt, service)
         return choose_engine(views, sources, engine_request, now, self._generator)
@@ -113,6 +114,8 @@
             prompt.prompt_tokens,
             traits.move_seconds_per_token(traits.link_megabits),
             self._stores(request, prompt, traits),
+            self._zone,
+            self._other_zone_seconds,
         )
 
     def _stores(
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -40,6 +40,8 @@
         bounds: RepeatBounds,
         metrics: ExchangeMetrics,
         generator: random.Random,
+        zone: str,
+        other_zone_seconds: float,
     ) -> None:
         """Join the parts.
 
@@ -52,6 +54,8 @@
             bounds: Bounds of retries over all nodes.
             metrics: Counts requests and attempts.
             generator: Splits traffic and breaks ties.
+            zone: Zone of this node.
+            other_zone_seconds: Delay that a request to another zone counts for.
         """
         self.admission = ExchangeAdmission(knowledge, lifecycle)
         self._knowledge = knowledge
@@ -62,7 +66,7 @@
         self._budgets: dict[str, RepeatBudget] = {}
         self._parts = ExchangeParts(
             calls=calls,
-            choice=InstanceChoice(knowledge, store_watch, generator),
+            choice=InstanceChoice(knowledge, store_watch, generator, zone, other_zone_seconds),
             budgets=self._budget,
             nodes=sharing.count_nodes,
             note_sent=sharing.note_sent,
--- a/tests/domain/exchanges/test_selection.py
+++ b/tests/domain/exchanges/test_selection.py
@@ -1,16 +1,13 @@
 import random
 import unittest
 
-from hopstep.domain.exchanges.instance_view import InstanceView, PeerLoad
+from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.exchanges.load_ledger import InstanceLoad
 from hopstep.domain.exchanges.request import PromptSegment
+from hopstep.domain.exchanges.segment_moves import EngineRequest, StoreSource
 from hopstep.domain.exchanges.segments import SegmentPicture, chain_keys
-from hopstep.domain.exchanges.selection import (
-    EngineRequest,
-    StoreSource,
-    choose_engine,
-    choose_server,
-)
+from hopstep.domain.exchanges.selection import choose_engine, choose_server
 
 MODEL = "m"
 SEGMENTS = (PromptSegment("a", 4_000), PromptSegment("b", 3_000), PromptSegment("c", 500))
@@ -50,10 +47,10 @@
 
     def test_peers_load_counts_until_it_is_old(self):
         views = [view("0"), view("1")]
-        views[0].peers["n"] = PeerLoad(9, 50_000, NOW - 0.1)
+        views[0].set_others(InstanceLoad("0", 9, 50_000), NOW - 0.1)
         self.assertIs(choose(views).view, views[1])
-        views[0].peers["n"] = PeerLoad(9, 50_000, NOW - 5.0)
-        views[1].peers["n"] = PeerLoad(9, 50_000, NOW - 0.1)
+        views[0].set_others(InstanceLoad("0", 9, 50_000), NOW - 5.0)
+        views[1].set_others(InstanceLoad("1", 9, 50_000), NOW - 0.1)
         self.assertIs(choose(views).view, views[0])
 
     def test_nothing_is_brought_from_an_engine_with_other_weights(self):
@@ -81,6 +78,24 @@
         views[0].active = 20
         self.assertIs(choose(views).view, views[1])
 
+    def test_engines_of_the_own_zone_go_first_among_equals(self):
+        views = [view(str(number), zone=f"z{number}") for number in range(4)]
+        chosen = choose_engine(
+            views,
+            views,
+            EngineRequest(lambda _view: KEYS, MODEL, TOKENS, 1e-6, (), "z2", 0.02),
+            NOW,
+            random.Random(1),
+        )
+        self.assertIs(chosen.view, views[2])
+
+    def test_an_engine_that_other_nodes_avoid_gives_way(self):
+        views = [view("0"), view("1")]
+        for first, second in (views, views[::-1]):
+            first.set_others(InstanceLoad(first.instance.instance_id, avoided_by=2), NOW)
+            second.set_others(None, NOW)
+            self.assertIs(choose(views).view, second)
+
     def test_no_engines_no_choice(self):
         self.assertIsNone(choose([]))
 
@@ -91,6 +106,11 @@
         views[0].active = views[1].active = 2
         self.assertIs(choose_server(views, NOW, random.Random(1)).view, views[1])
 
+    def test_servers_of_the_own_zone_go_first_among_equals(self):
+        views = [view(str(number), zone=f"z{number}") for number in range(4)]
+        chosen = choose_server(views, NOW, random.Random(1), "z3", 0.02)
+        self.assertIs(chosen.view, views[3])
+
     def test_slow_and_failing_servers_are_avoided(self):
         views = [view("0"), view("1"), view("2")]
         for _ in range(10):
