Tell all nodes at once of long prompts and loads, and load half of the engines first

Ruled out: that kept parts were missed.

Change: a prompt with 3,000 tokens or more to read, and an engine about to load, are told to all nodes at once, through the relays. Half of a model's engines load a named version at once, the oldest first, so versions in turn alternate between halves; engines with older weights count as 0.25 s slower one second after the naming.

--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -7,7 +7,7 @@
 
 import contextlib
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import msgspec
 import trio
@@ -89,6 +89,7 @@
         self.order_sequence = instance.order_sequence
         self.highest_fence = 0
         self.orders: list[tuple[float, WeightsOrder]] = []
+        self.attempted: list[tuple[float, WeightsOrder]] = []
         self.busy = False
 
 
@@ -141,6 +142,7 @@
     def __init__(self) -> None:
         """Start without instances."""
         self.servers: dict[str, EmulatedInstance] = {}
+        self.on_changed: Callable[[Instance], None] = lambda _entry: None
         self.calls: list[InstanceCall] = []
 
     def add(self, instance: Instance) -> EmulatedInstance:
@@ -230,6 +232,7 @@
 
     def _take(self, server: EmulatedInstance, order: WeightsOrder) -> OrderOutcome:
         """Take an order if its conditions hold."""
+        server.attempted.append((trio.current_time(), order))
         if order.fencing_token < server.highest_fence:
             return OrderOutcome.FENCED
         server.highest_fence = order.fencing_token
@@ -248,6 +251,13 @@
         await trio.sleep(server.load_seconds)
         server.versions[order.weights.model] = order.weights.version
         server.busy = False
+        self.on_changed(
+            msgspec.structs.replace(
+                server.instance,
+                versions=dict(server.versions),
+                order_sequence=server.order_sequence,
+            )
+        )
 
     async def report(self, instance: Instance) -> EngineReport | None:
         """Return an engine's report; see the port."""
--- a/hopstep/domain/exchanges/load_ledger.py
+++ b/hopstep/domain/exchanges/load_ledger.py
@@ -68,6 +68,28 @@
         self._reports[node] = _Report(loads, now)
         self._add(loads, 1)
 
+    def add(self, node: str, load: InstanceLoad, now: float) -> None:
+        """Add a load that isn't in a node's last report yet.
+
+        Args:
+            node: The node.
+            load: What has come since.
+            now: Steady clock, seconds.
+        """
+        known = self._reports.get(node)
+        loads = (*known.loads, load) if known is not None else (load,)
+        self._reports[node] = _Report(loads, known.at if known is not None else now)
+        self._add((load,), 1)
+
+    def nodes(self, now: float) -> list[str]:
+        """Return the nodes with fresh reports."""
+        self._forget(now)
+        return list(self._reports)
+
+    def total(self, instance_id: str) -> InstanceLoad:
+        """Return the sum for one instance."""
+        return self._totals.get(instance_id, InstanceLoad(instance_id))
+
     def totals(self, now: float, without: str = "") -> Loads:
         """Return the sums over fresh reports.
 
--- a/hopstep/domain/exchanges/segment_moves.py
+++ b/hopstep/domain/exchanges/segment_moves.py
@@ -52,6 +52,7 @@
         stores: Cache stores.
         zone: Zone of this node.
         other_zone_seconds: Delay that a request to another zone counts for.
+        preferred_version: Engines with older weights give way.
     """
 
     keys_of: KeysOf
@@ -61,6 +62,7 @@
     stores: tuple[StoreSource, ...] = ()
     zone: str = ""
     other_zone_seconds: float = 0.0
+    preferred_version: int = 0
 
 
 class Move(msgspec.Struct, frozen=True):
--- a/hopstep/domain/exchanges/selection.py
+++ b/hopstep/domain/exchanges/selection.py
@@ -31,6 +31,9 @@
 
 MAX_AVOIDED = 4
 
+OLDER_WEIGHTS_SECONDS = 0.25
+"""What older weights than the preferred ones count for."""
+
 HOME_SECONDS = 0.010
 """Advantage of a first segment's home instance, so that equal prompts meet when all is equal."""
 
@@ -127,6 +130,8 @@
     cost += HOME_SECONDS * _distance(view, keys)
     if view.instance.zone != request.zone:
         cost += request.other_zone_seconds
+    if view.versions.get(request.model, 0) < request.preferred_version:
+        cost += OLDER_WEIGHTS_SECONDS
     cost += JITTER_SECONDS * generator.random()
     return Candidate(view, keys, cost, uncached, move.address)
 
--- a/hopstep/domain/exchanges/weights.py
+++ b/hopstep/domain/exchanges/weights.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 import msgspec
@@ -11,6 +12,12 @@
 
 LOAD_SMOOTHING = 0.3
 MIN_TOGETHER = 2
+FIRST_WAVE = 0.5
+"""Part of a model's engines that load a named version at once; the rest waits for the bound."""
+
+PREFERRED_FROM_SECONDS = 1.0
+"""So long after its naming engines with a version are preferred to those with older ones."""
+
 START_SECONDS = 2.5
 """For so long a node that has just started sends requests to engines with older weights."""
 
@@ -100,6 +107,23 @@
                 required = named.version
         return required
 
+    def preferred(self, model: str, now: float) -> int:
+        """Return the newest version that isn't just named; 0 when there is none."""
+        versions = [
+            named.version
+            for named in self._named.get(model, ())
+            if now - named.since >= PREFERRED_FROM_SECONDS
+        ]
+        return max(versions, default=0)
+
+    def first_wave(self, engines: int) -> int:
+        """Return how many of a model's engines load a named version at once.
+
+        The oldest go first, so that versions named in turn alternate between two halves: one serves
+        the version before while the other loads the newest.
+        """
+        return math.ceil(engines * FIRST_WAVE)
+
     def together(self, engines: int) -> int:
         """Return how many of a model's engines may load at once."""
         return max(MIN_TOGETHER, int(engines * self.bounds.together))
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -1,4 +1,4 @@
-"""Port to datagrams between nodes: queries to a relay, its answers, digests between relays.
+"""Port to datagrams between nodes: queries to a relay, its answers, digests, urgent news.
 
 Datagrams may be lost, late, repeated and out of order. Messages that aren't signed by a registered
 node are dropped by the adapter.
@@ -32,6 +32,18 @@
     milliseconds: int
 
 
+class SentPrompt(msgspec.Struct, frozen=True, array_like=True):
+    """A long prompt that was just sent to an instance.
+
+    Attributes:
+        instance_id: The instance.
+        tokens: Tokens that it has to read.
+    """
+
+    instance_id: str
+    tokens: int
+
+
 class Hints(msgspec.Struct, frozen=True, array_like=True):
     """What nodes tell of instances; it may be old or missing.
 
@@ -54,7 +66,7 @@
         revision: The node has all changes of the directory up to it; -1 for none.
         feed: Identity of the feed of prompts that ``position`` belongs to.
         position: Prompts up to it are known.
-        hints: The node's own.
+        hints: The node's own, told to its relay only; None for a node that just looks for news.
         contents: How far the node knows each cache store.
     """
 
@@ -62,7 +74,7 @@
     revision: int
     feed: str = ""
     position: int = 0
-    hints: Hints = Hints()
+    hints: Hints | None = None
     contents: tuple[ContentsPosition, ...] = ()
 
 
@@ -120,7 +132,21 @@
     hints: Hints = Hints()
 
 
-NodeMessage = RelayQuery | RelayAnswer | RelayDigest
+class UrgentNews(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """What changes the choices of all nodes at once; passed on by relays.
+
+    Attributes:
+        number: Rises with each message of the process.
+        prompts: Long prompts, in addition to the loads that were told.
+        loading: Engines that are about to load weights.
+    """
+
+    number: int
+    prompts: tuple[SentPrompt, ...] = ()
+    loading: tuple[LoadingEngine, ...] = ()
+
+
+NodeMessage = RelayQuery | RelayAnswer | RelayDigest | UrgentNews
 
 
 class Received(msgspec.Struct, frozen=True):
--- a/hopstep/services/exchanges/directory_follower.py
+++ b/hopstep/services/exchanges/directory_follower.py
@@ -15,8 +15,8 @@
 from hopstep.ports.serving_directory import ServingDirectory
 from hopstep.services.exchanges.knowledge import NO_REVISION, ServingKnowledge
 
-WATCH_SECONDS = 1.2
-"""Wait of one watch: what other nodes hear of this one is older by up to this time."""
+WATCH_SECONDS = 0.9
+"""Wait of one watch; what is known is up to twice as old before the next answer."""
 
 CALL_SPACING_SECONDS = 0.4
 """Between the starts of two calls, so that changes gather."""
@@ -27,7 +27,7 @@
 WATCH_LAG_SECONDS = 0.3
 """A pending watch is answered at most this long after a change was acknowledged."""
 
-OWN_WAY_AGE_SECONDS = 3.0
+OWN_WAY_AGE_SECONDS = 3.2
 """A node whose knowledge is older reads the store itself, whoever else should tell it."""
 
 CHECK_SECONDS = 0.1
--- a/hopstep/services/exchanges/instance_choice.py
+++ b/hopstep/services/exchanges/instance_choice.py
@@ -116,6 +116,7 @@
             self._stores(request, prompt, traits),
             self._zone,
             self._other_zone_seconds,
+            self._knowledge.weights.preferred(prompt.model, trio.current_time()),
         )
 
     def _stores(
--- a/hopstep/services/exchanges/load_sharing.py
+++ b/hopstep/services/exchanges/load_sharing.py
@@ -13,7 +13,7 @@
 from hopstep.domain.exchanges.load_ledger import InstanceLoad, LoadLedger, Loads, add_loads
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.sent_log import SentLog
-from hopstep.ports.node_exchange import Hints, LoadingEngine, SentSegments
+from hopstep.ports.node_exchange import Hints, LoadingEngine, SentPrompt, SentSegments
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 
 ANSWERS = "answers"
@@ -27,6 +27,9 @@
 """The same shared segments at the same instance aren't told again within this time."""
 
 MAX_TOLD = 8_192
+URGENT_TOKENS = 3_000
+"""A prompt with so many tokens to read is told to all nodes at once."""
+
 MILLISECONDS = 1_000
 
 
@@ -39,7 +42,7 @@
         Args:
             knowledge: Instances and nodes.
         """
-        self.announced = trio.Event()
+        self.urgent = trio.Event()
         self.log: SentLog[SentSegments] = SentLog(secrets.token_hex(IDENTITY_BYTES))
         self._knowledge = knowledge
         self._members = LoadLedger()
@@ -47,6 +50,8 @@
         self._unsent: list[SentSegments] = []
         self._loading: dict[str, float] = {}
         self._told: dict[tuple[str, int], float] = {}
+        self._urgent_prompts: list[SentPrompt] = []
+        self._urgent_loading: list[LoadingEngine] = []
 
     def count_nodes(self) -> int:
         """Return how many nodes may be alive, this one included."""
@@ -54,6 +59,14 @@
 
     def note_sent(self, candidate: Candidate) -> None:
         """Note a prompt that was sent, for the other nodes."""
+        if candidate.uncached_tokens >= URGENT_TOKENS:
+            instance_id = candidate.view.instance.instance_id
+            self._urgent_prompts.append(SentPrompt(instance_id, candidate.uncached_tokens))
+            self.urgent.set()
+        self._note_segments(candidate)
+
+    def _note_segments(self, candidate: Candidate) -> None:
+        """Note the shared segments of a prompt, unless they were told lately."""
         keys = candidate.keys[:-1] or candidate.keys
         if not keys:
             return
@@ -69,10 +82,56 @@
         self.log.append(self._knowledge.name, sent)
 
     def announce_loading(self, instance_id: str, seconds: float) -> None:
-        """Tell other nodes soon that an engine loads weights."""
+        """Tell other nodes at once that an engine loads weights."""
         self._loading[instance_id] = trio.current_time() + seconds
-        self.announced.set()
-        self.announced = trio.Event()
+        self._urgent_loading.append(LoadingEngine(instance_id, round(seconds * MILLISECONDS)))
+        self.urgent.set()
+
+    def take_urgent(self) -> tuple[tuple[SentPrompt, ...], tuple[LoadingEngine, ...]]:
+        """Return this node's urgent news, once."""
+        prompts, loading = tuple(self._urgent_prompts), tuple(self._urgent_loading)
+        self._urgent_prompts.clear()
+        self._urgent_loading.clear()
+        self.urgent = trio.Event()
+        return prompts, loading
+
+    def members(self) -> list[str]:
+        """Return the nodes that asked this one lately."""
+        return self._members.nodes(trio.current_time())
+
+    def is_member(self, node: str) -> bool:
+        """Return whether a node asked this one lately."""
+        return node in self.members()
+
+    def take_news(
+        self, node: str, prompts: Iterable[SentPrompt], loading: Iterable[LoadingEngine]
+    ) -> None:
+        """Take urgent news.
+
+        Args:
+            node: The node that sent them.
+            prompts: Long prompts.
+            loading: Engines about to load.
+        """
+        now = trio.current_time()
+        for prompt in prompts:
+            self._add_prompt(node, prompt, now)
+        for engine in loading:
+            self._take_loading(engine, now)
+
+    def _add_prompt(self, node: str, prompt: SentPrompt, now: float) -> None:
+        """Add a long prompt to the load that its sender told."""
+        load = InstanceLoad(prompt.instance_id, 1, prompt.tokens)
+        if self._knowledge.relays.relay() == node:
+            self._others.add(ANSWERS, load, now)
+        elif self.is_member(node):
+            self._members.add(node, load, now)
+        else:
+            self._others.add(node, load, now)
+        view = self._knowledge.table.get(prompt.instance_id)
+        if view is not None:
+            total = self._members.total(prompt.instance_id)
+            view.set_others(total.plus(self._others.total(prompt.instance_id)), now)
 
     def own_hints(self) -> Hints:
         """Return what this node has to tell since the last time."""
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/relaying.py
@@ -23,6 +23,7 @@
     RelayDigest,
     RelayedEntry,
     RelayQuery,
+    UrgentNews,
 )
 from hopstep.ports.serving_directory import ConfigurationPublished, DirectoryEntry
 from hopstep.services.exchanges.directory_follower import DirectoryFollower
@@ -33,7 +34,7 @@
 INTERVAL_SECONDS = 0.2
 """Between two queries of a node, and between two digests of a relay."""
 
-SEEK_AGE_SECONDS = 2.2
+SEEK_AGE_SECONDS = 2.6
 """A node whose knowledge is older also asks relays of other zones."""
 
 MAX_ENTRIES = 40
@@ -89,17 +90,44 @@
         """Ask and answer until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._tell)
+            nursery.start_soon(self._tell_urgent)
             nursery.start_soon(self._hear)
 
     async def _tell(self) -> None:
-        """Send queries or digests from time to time, and at once when an engine begins to load."""
+        """Send queries or digests from time to time."""
         while True:
-            pause = INTERVAL_SECONDS * (0.9 + 0.2 * self._generator.random())
-            with trio.move_on_after(pause):
-                await self._sharing.announced.wait()
+            await trio.sleep(INTERVAL_SECONDS * (0.9 + 0.2 * self._generator.random()))
             await self._send_due()
             self._sharing.refresh()
 
+    async def _tell_urgent(self) -> None:
+        """Send this node's urgent news as they come."""
+        while True:
+            await self._sharing.urgent.wait()
+            prompts, loading = self._sharing.take_urgent()
+            self._number += 1
+            news = UrgentNews(self._number, prompts, loading)
+            relay = self._knowledge.relays.relay()
+            await self._spread(news, [relay] if relay else self._all_below())
+
+    def _all_below(self) -> list[str]:
+        """Return the nodes that a relay passes the news of its own nodes on to."""
+        targets = {*self._sharing.members(), *self._knowledge.relays.digest_targets()}
+        return sorted(targets)
+
+    async def _pass_on(self, sender: str, news: UrgentNews) -> None:
+        """Pass news on: a member's to everyone, those of another relay to the members."""
+        if self._knowledge.relays.relay():
+            return
+        own = self._sharing.is_member(sender)
+        targets = self._all_below() if own else self._sharing.members()
+        await self._spread(news, [name for name in targets if name != sender])
+
+    async def _spread(self, news: UrgentNews, names: list[str]) -> None:
+        """Send news to nodes."""
+        for name in names:
+            await self._send(news, name)
+
     async def _send_due(self) -> None:
         """Send what is due now."""
         relays = self._knowledge.relays
@@ -110,15 +138,15 @@
             await self._send_digests()
         probed = relays.probe(trio.current_time())
         if probed:
-            await self._ask(probed, Hints())
+            await self._ask(probed)
         if self._knowledge.age_seconds > SEEK_AGE_SECONDS:
             self._turn += 1
             elsewhere = relays.elsewhere(self._turn)
             if elsewhere:
-                await self._ask(elsewhere, Hints())
+                await self._ask(elsewhere)
 
     async def _ask(
-        self, node: str, hints: Hints, contents: tuple[ContentsPosition, ...] = ()
+        self, node: str, hints: Hints | None = None, contents: tuple[ContentsPosition, ...] = ()
     ) -> None:
         """Send a query to a node."""
         self._number += 1
@@ -151,12 +179,16 @@
         message = received.message
         match message:
             case RelayQuery():
-                self._sharing.take_from_member(received.sender, message.hints)
+                if message.hints is not None:
+                    self._sharing.take_from_member(received.sender, message.hints)
                 await self._answer(received.sender, message)
             case RelayAnswer():
                 await self._take_answer(received.sender, message)
             case RelayDigest():
                 self._sharing.take_from_relay(received.sender, message.hints)
+            case UrgentNews():
+                self._sharing.take_news(received.sender, message.prompts, message.loading)
+                await self._pass_on(received.sender, message)
 
     async def _answer(self, asker: str, query: RelayQuery) -> None:
         """Answer a query; what doesn't fit into a datagram is left to the store."""
@@ -211,7 +243,7 @@
             return
         self._take_entries(answer, pending.sent_at)
         if not answer.complete:
-            await self._ask(sender, Hints())
+            await self._ask(sender)
 
     def _take_entries(self, answer: RelayAnswer, sent_at: float) -> None:
         """Take the changes of an answer; a part of them confirms nothing."""
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -18,7 +18,7 @@
 FIRST_POLL_SECONDS = 0.5
 POLL_SECONDS = 0.15
 MAX_SILENT_POLLS = 3
-SETTLE_SECONDS = 0.4
+SETTLE_SECONDS = 0.15
 """An engine that isn't ordered yet gets no more requests from any node after this time."""
 
 LOADING_SECONDS = 1.0
@@ -76,9 +76,10 @@
             engines = sum(1 for view in self._knowledge.table if model in view.versions)
             together = weights.together(engines)
             oldest = behind[0].versions[model]
-            if now < weights.due_at(model, len(behind), together, oldest):
-                continue
-            for view in behind:
+            wanted = weights.first_wave(engines) - (engines - len(behind))
+            if now >= weights.due_at(model, len(behind), together, oldest):
+                wanted = len(behind)
+            for view in behind[: max(0, wanted)]:
                 if len(self._loading) < together:
                     self._start(nursery, view, newest, now)
 
--- a/tests/domain/exchanges/test_selection.py
+++ b/tests/domain/exchanges/test_selection.py
@@ -89,6 +89,15 @@
         )
         self.assertIs(chosen.view, views[2])
 
+    def test_engines_with_older_weights_give_way_unless_the_others_are_busy(self):
+        views = [view("0"), view("1", version=2)]
+        preferring = EngineRequest(lambda _view: KEYS, MODEL, TOKENS, 1e-6, preferred_version=2)
+        chosen = choose_engine(views, views, preferring, NOW, random.Random(1))
+        self.assertIs(chosen.view, views[1])
+        views[1].pending_tokens = 90_000
+        chosen = choose_engine(views, views, preferring, NOW, random.Random(1))
+        self.assertIs(chosen.view, views[0])
+
     def test_an_engine_that_other_nodes_avoid_gives_way(self):
         views = [view("0"), view("1")]
         for first, second in (views, views[::-1]):
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -170,6 +170,7 @@
     def __init__(self, nodes=1, seed=1, zones=1):
         self.shared = SharedStore()
         self.instances = EmulatedInstances()
+        self.instances.on_changed = self.relist
         self.listed = {}
         self.log = []
         self.calls = 0
@@ -191,6 +192,11 @@
         self.publish(InstanceListed(instance))
         return self.instances.add(instance)
 
+    def relist(self, instance):
+        """Write a listed instance's changed entry, as instances do."""
+        if instance.instance_id in self.listed:
+            self.publish(InstanceListed(instance))
+
     def publish(self, change):
         """Write a change into the directory."""
         if isinstance(change, InstanceListed):
