--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.stamp
 
 .DEFAULT_GOAL := setup
-.PHONY: setup test lint format demo bench fuzz deploy-check clean
+.PHONY: setup test lint format demo bench fuzz soak deploy-check clean
 
 $(STAMP): pyproject.toml requirements/dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -38,6 +38,9 @@
 fuzz: setup
 	$(BIN)/python -m tests.fuzz
 
+soak: setup
+	$(BIN)/hopstep-emulator soak --seed $(shell date +%s) --runs 3
+
 deploy-check: setup
 	$(BIN)/python -m tests tests.platform.test_deploy
 
--- a/emulator/cli/main.py
+++ b/emulator/cli/main.py
@@ -1,7 +1,7 @@
 """The stand-ins and the experiment tool: ``hopstep-emulator ROLE [--flag=value ...]``.
 
 Roles: ``engine``, ``platform``, ``load``, ``experiment``, ``bench``, ``scale``,
-``capacity``, ``recovery``.
+``capacity``, ``recovery``, ``soak``.
 ``hopstep-emulator ROLE --helpfull`` documents the flags of a role.
 
 Exit codes: 0 done; 1 a check failed; 2 bad command line.
@@ -16,7 +16,17 @@
 
 from hopstep.cli.command import run_command
 
-ROLES = ("engine", "platform", "load", "experiment", "bench", "scale", "capacity", "recovery")
+ROLES = (
+    "engine",
+    "platform",
+    "load",
+    "experiment",
+    "bench",
+    "scale",
+    "capacity",
+    "recovery",
+    "soak",
+)
 EXIT_BAD_USAGE = 2
 
 
--- /dev/null
+++ b/emulator/cli/soak.py
@@ -0,0 +1,48 @@
+"""``hopstep-emulator soak``: real nodes as processes under drawn faults, promises checked.
+
+Starts a few nodes, a store and instances on loopback, each behind proxies. Faults of all kinds are
+drawn by the seed; callers record what they see. Exit code 1 when a promise was broken.
+"""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+import trio
+from absl import flags
+
+from emulator.soak.run import SoakPlan, SoakResult, run_soak
+
+MAX_NODES = 24
+
+_SEED = flags.DEFINE_integer("seed", 1, "Seed of the first soak.", 0)
+_RUNS = flags.DEFINE_integer("runs", 1, "Soaks, one after the other, with rising seeds.", 1)
+_SECONDS = flags.DEFINE_float("seconds", 60.0, "Time with faults of each soak.", 1.0)
+_NODES = flags.DEFINE_integer("nodes", 6, "Nodes.", 1, MAX_NODES)
+_RATE = flags.DEFINE_float("rate", 40.0, "Requests a second.", 1.0)
+_DIRECTORY = flags.DEFINE_string(
+    "directory", None, "Where settings and logs of the nodes are kept; a temporary one by default."
+)
+
+
+def run() -> int:
+    """Run the soaks; 1 when a promise was broken."""
+    broken = 0
+    for seed in range(_SEED.value, _SEED.value + _RUNS.value):
+        with tempfile.TemporaryDirectory() as temporary:
+            directory = Path(_DIRECTORY.value or temporary) / f"soak-{seed}"
+            directory.mkdir(parents=True, exist_ok=True)
+            plan = SoakPlan(seed, _SECONDS.value, _NODES.value, _RATE.value, directory)
+            broken += _report(seed, trio.run(run_soak, plan))
+    return 1 if broken else 0
+
+
+def _report(seed: int, result: SoakResult) -> int:
+    """Print what came of a soak and return the number of broken promises."""
+    print(f"soak: seed {seed}, {result.requests} requests, ends {result.statuses}")
+    print(f"soak: faults {result.faults}")
+    for violation in result.violations:
+        print(f"soak: BROKEN {violation.promise}: {violation.detail}")
+    print(f"soak: seed {seed}, {len(result.violations)} broken", flush=True)
+    return len(result.violations)
--- /dev/null
+++ b/emulator/exchange_platform/http_instance.py
@@ -0,0 +1,297 @@
+"""An instance of a service over HTTP, by the platform's published protocol.
+
+It answers plain requests and streams of events, checks its preconditions, takes fenced orders to
+load weights, and tells a listener what it did. Faults are fields that may change at any time.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import random
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+import msgspec
+import quart
+import quart_trio
+import trio
+from werkzeug.datastructures import Headers
+
+from emulator.http_responses import json_response, lost_response
+
+MISDIRECTED = 421
+UNAVAILABLE = 503
+FAILED = 500
+EVENT_SECONDS = 0.02
+MILLISECONDS = 1_000.0
+
+
+class InstanceTraits(msgspec.Struct, frozen=True):
+    """What an instance is.
+
+    Attributes:
+        instance_id: New with every start.
+        service: Name of its service.
+        zone: Its zone.
+        slots: Requests at once; more are refused as not run.
+        model: Name of its model; empty for a plain service.
+        load_seconds: Time to load weights.
+    """
+
+    instance_id: str
+    service: str
+    zone: str
+    slots: int = 32
+    model: str = ""
+    load_seconds: float = 0.5
+
+
+class InstanceFaults(msgspec.Struct):
+    """Shares of requests that go wrong, and lost answers to orders.
+
+    Attributes:
+        failing: Answered with 500 after the run.
+        losing: Run, and the answer breaks off.
+        breaking: Streams that break off midway.
+        late_orders: Orders that get no answer and are carried out later.
+        late_order_seconds: How much later.
+    """
+
+    failing: float = 0.0
+    losing: float = 0.0
+    breaking: float = 0.0
+    late_orders: float = 0.0
+    late_order_seconds: float = 2.0
+
+
+class RunHeaders(msgspec.Struct, frozen=True):
+    """What an instance was told of a request."""
+
+    request_id: str
+    tenant: str
+    salt: str
+    key_shown: bool
+
+
+class InstanceListener(Protocol):
+    """Hears what an instance does."""
+
+    def arrived(self, instance: HttpInstance, request_id: str) -> None:
+        """A request has come, run or not."""
+
+    def began(self, instance: HttpInstance, headers: RunHeaders, stamp: str) -> None:
+        """A request begins to run."""
+
+    def ordered(self, instance: HttpInstance, holder: str, token: int) -> None:
+        """An order is carried out."""
+
+    def changed(self, instance: HttpInstance) -> None:
+        """The instance's entry has changed."""
+
+
+class _Order(msgspec.Struct, rename="camel"):
+    operation: str
+    model: str
+    version: int
+    holder: str
+    fencing_token: int
+    expected_revision: int | None = None
+
+
+class HttpInstance:
+    """State of one instance; ``app`` serves it."""
+
+    def __init__(
+        self, traits: InstanceTraits, listener: InstanceListener, generator: random.Random
+    ) -> None:
+        """Start healthy and empty.
+
+        Args:
+            traits: What it is.
+            listener: Told what it does.
+            generator: Draws faults.
+        """
+        self.traits = traits
+        self.faults = InstanceFaults()
+        self.version = 1 if traits.model else 0
+        self.draining = False
+        self.order_sequence = 0
+        self.active = 0
+        self.app = _create_app(self)
+        self._listener = listener
+        self._generator = generator
+        self._busy = False
+        self._highest_fence = 0
+        self._nursery: trio.Nursery | None = None
+
+    def use_nursery(self, nursery: trio.Nursery) -> None:
+        """Let loads and late orders run in a nursery."""
+        self._nursery = nursery
+
+    def entry(self, address: str) -> dict[str, object]:
+        """Return the entry by which the instance lists itself."""
+        traits = self.traits
+        models = [{"name": traits.model, "version": self.version}] if traits.model else []
+        return {
+            "service": traits.service,
+            "address": address,
+            "zone": traits.zone,
+            "slots": traits.slots,
+            "state": "draining" if self.draining else "ready",
+            "models": models,
+            "callSequence": self.order_sequence,
+        }
+
+    async def serve(self) -> quart.Response:
+        """Answer the present request."""
+        headers = quart.request.headers
+        request_id = headers.get("Attempt-Id", "")
+        body = await quart.request.get_data()
+        self._listener.arrived(self, request_id)
+        refusal = self._refusal(headers)
+        if refusal is not None:
+            return refusal
+        stamp = self._stamp(request_id)
+        shown = RunHeaders(
+            request_id,
+            headers.get("Tenant", ""),
+            headers.get("Cache-Salt", ""),
+            "X-Api-Key" in headers,
+        )
+        self._listener.began(self, shown, stamp)
+        wanted = json.loads(body) if body else {}
+        fields = {
+            "Attempt-Id": request_id,
+            "Response-Stamp": stamp,
+            "Weight-Versions": str(self.version),
+        }
+        if "events" in wanted:
+            first = int(headers["Last-Event-Id"]) + 1 if "Last-Event-Id" in headers else 0
+            events = self._events(request_id, first, int(wanted["events"]))
+            return quart.Response(events, headers=fields, content_type="text/event-stream")
+        return await self._plain(request_id, fields, float(wanted.get("work_ms", 20.0)))
+
+    def _refusal(self, headers: Headers) -> quart.Response | None:
+        """Return the refusal of a request that isn't run; None to run it."""
+        own = self.traits.instance_id
+        expected = headers.get("Expect-Version")
+        if headers.get("Expect-Instance", own) != own or (
+            expected is not None and int(expected) != self.version
+        ):
+            return quart.Response(b"", status=MISDIRECTED, headers={"Instance-Id": own})
+        if self._busy or self.active >= self.traits.slots:
+            return quart.Response(b"", status=UNAVAILABLE, headers={"Not-Executed": "1"})
+        return None
+
+    async def _plain(
+        self, request_id: str, fields: dict[str, str], work_ms: float
+    ) -> quart.Response:
+        """Work, and answer whole."""
+        self.active += 1
+        try:
+            await trio.sleep(work_ms / MILLISECONDS)
+        finally:
+            self.active -= 1
+        if self._draws(self.faults.losing):
+            return lost_response()
+        if self._draws(self.faults.failing):
+            return quart.Response(b"failed", status=FAILED, headers=fields)
+        return quart.Response(f"done {request_id}".encode(), headers=fields)
+
+    async def _events(self, request_id: str, first: int, count: int) -> AsyncIterator[bytes]:
+        """Yield events, or break off in the middle of one."""
+        breaks_at = -1
+        if self._draws(self.faults.breaking):
+            breaks_at = self._generator.randrange(first, max(first + 1, count))
+        self.active += 1
+        try:
+            for number in range(first, count):
+                await trio.sleep(EVENT_SECONDS)
+                event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+                if number == breaks_at:
+                    yield event[: len(event) // 2]
+                    raise ConnectionResetError
+                yield event
+        finally:
+            self.active -= 1
+
+    async def order(self) -> quart.Response:
+        """Take an order, or lose its answer and carry it out later."""
+        if quart.request.headers.get("Expect-Instance", "") != self.traits.instance_id:
+            return quart.Response(b"", status=MISDIRECTED)
+        order = msgspec.json.decode(await quart.request.get_data(), type=_Order)
+        if self._draws(self.faults.late_orders) and self._nursery is not None:
+            self._nursery.start_soon(self._carry_out_late, order)
+            return lost_response()
+        return quart.Response(b"", status=self._take(order))
+
+    async def _carry_out_late(self, order: _Order) -> None:
+        """Carry an order out after its answer was lost."""
+        await trio.sleep(self.faults.late_order_seconds)
+        self._take(order)
+
+    def _take(self, order: _Order) -> int:
+        """Carry an order out if its conditions hold; return the status."""
+        if order.fencing_token < self._highest_fence:
+            return 412
+        self._highest_fence = order.fencing_token
+        if order.version == self.version:
+            return 200
+        expected = order.expected_revision
+        if self._busy or (expected is not None and expected != self.order_sequence):
+            return 409
+        self._listener.ordered(self, order.holder, order.fencing_token)
+        self.order_sequence += 1
+        self._busy = True
+        if self._nursery is not None:
+            self._nursery.start_soon(self._load, order.version)
+        return 202
+
+    async def _load(self, version: int) -> None:
+        """Load weights."""
+        await trio.sleep(self.traits.load_seconds)
+        self.version = version
+        self._busy = False
+        self._listener.changed(self)
+
+    def report(self) -> dict[str, object]:
+        """Return what the instance tells of itself."""
+        return {
+            "busy": self._busy,
+            "callSequence": self.order_sequence,
+            "activeRequests": self.active,
+            "models": [{"name": self.traits.model, "version": self.version}],
+        }
+
+    def _stamp(self, request_id: str) -> str:
+        """Return a signature that is new for each run."""
+        salt = self._generator.randbytes(8)
+        text = f"{self.traits.instance_id} {request_id}".encode()
+        return hashlib.blake2b(text, key=salt, digest_size=8).hexdigest()
+
+    def _draws(self, share: float) -> bool:
+        """Return whether a fault strikes."""
+        return share > 0 and self._generator.random() < share
+
+
+def _create_app(instance: HttpInstance) -> quart_trio.QuartTrio:
+    """Return the HTTP application of an instance."""
+    app = quart_trio.QuartTrio(__name__)
+
+    @app.get("/report")
+    async def report() -> quart.Response:
+        """Tell of the instance."""
+        return json_response(instance.report())
+
+    @app.post("/order")
+    async def order() -> quart.Response:
+        """Take an order."""
+        return await instance.order()
+
+    @app.route("/<path:path>", methods=["GET", "POST"])
+    async def serve(path: str) -> quart.Response:
+        """Run a request."""
+        return await instance.serve()
+
+    return app
--- a/emulator/platform/shared_store.py
+++ b/emulator/platform/shared_store.py
@@ -49,6 +49,12 @@
             self.model.lapse(lease)
             self._announce()
 
+    def write_directly(self, operation: wire.StoreOperation) -> object:
+        """Carry out a write that no fault touches, as the store may serve some and not others."""
+        result = self.model.apply(operation, trio.current_time())
+        self._announce()
+        return result
+
     async def execute(self, operation: wire.StoreOperation) -> object:
         """Carry out an operation under the faults in force.
 
--- /dev/null
+++ b/emulator/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: nodes as processes, faults from outside, promises checked by what is seen."""
--- /dev/null
+++ b/emulator/soak/callers.py
@@ -0,0 +1,179 @@
+"""Callers of a soak: they send requests of every kind, leave some early, and record the rest."""
+
+from __future__ import annotations
+
+import json
+import random
+import socket
+from collections import deque
+
+import httpx
+import msgspec
+import trio
+
+from emulator.soak.deployment import ENGINES, HOST, MODEL, PLAIN, Deployment, NodeLinks
+from emulator.soak.history import RequestKind, SentRequest
+
+PATIENCE_SECONDS = 4.0
+LEAVING_SHARE = 0.03
+LATEST_ANSWER_SECONDS = 6.0
+"""A caller waits for so long beyond its deadline, to see how late an answer comes."""
+
+READINESS_SECONDS = 0.5
+MISSES = 2
+READINESS_TIMEOUT_SECONDS = 0.5
+SEGMENTS = 30
+KINDS = (
+    RequestKind.SAFE,
+    RequestKind.UNSAFE,
+    RequestKind.UNSAFE,
+    RequestKind.STREAM,
+    RequestKind.RESUMABLE,
+)
+SERVICES = {
+    RequestKind.SAFE: PLAIN,
+    RequestKind.UNSAFE: PLAIN,
+    RequestKind.STREAM: ENGINES,
+    RequestKind.RESUMABLE: ENGINES,
+}
+
+
+class Readiness(msgspec.Struct):
+    """Which nodes get callers, as a load balancer sees it.
+
+    Attributes:
+        misses: Questions in a row without a good answer, by node.
+    """
+
+    misses: dict[str, int] = {}
+
+    def usable(self, nodes: list[NodeLinks]) -> list[NodeLinks]:
+        """Return the nodes that answer; all of them when fewer than half do."""
+        ready = [node for node in nodes if self.misses.get(node.name, MISSES) < MISSES]
+        return ready if 2 * len(ready) >= len(nodes) else nodes
+
+
+class Callers:
+    """Sends requests at a steady rate."""
+
+    def __init__(self, deployment: Deployment, generator: random.Random, rate: float) -> None:
+        """Send nothing yet.
+
+        Args:
+            deployment: Nodes and history.
+            generator: Draws requests.
+            rate: Requests a second.
+        """
+        self.recent: deque[str] = deque(maxlen=100)
+        self._deployment = deployment
+        self._generator = generator
+        self._rate = rate
+        self._readiness = Readiness()
+        self._clients: dict[str, httpx.AsyncClient] = {}
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for node in self._deployment.nodes:
+                nursery.start_soon(self._ask_readiness, node)
+            while True:
+                await trio.sleep(self._generator.expovariate(self._rate))
+                nursery.start_soon(self._send, self._draw())
+
+    def _draw(self) -> SentRequest:
+        """Return a new request."""
+        generator = self._generator
+        kind = generator.choice(KINDS)
+        nodes = self._readiness.usable(self._deployment.nodes)
+        now = trio.current_time()
+        request = SentRequest(
+            request_id=generator.randbytes(8).hex(),
+            kind=kind,
+            service=SERVICES[kind],
+            key=generator.choice(sorted(self._deployment.history.tenants)),
+            node=generator.choice(nodes).name,
+            sent_at=now,
+            deadline_at=now + PATIENCE_SECONDS,
+            events=generator.randrange(1, 40),
+        )
+        self._deployment.history.requests[request.request_id] = request
+        return request
+
+    async def _send(self, request: SentRequest) -> None:
+        """Send a request and record how it ends."""
+        leaves = self._generator.random() < LEAVING_SHARE
+        patience = self._generator.uniform(0.05, 0.6) if leaves else float("inf")
+        limit = min(patience, PATIENCE_SECONDS + LATEST_ANSWER_SECONDS)
+        with trio.move_on_after(limit) as scope:
+            await self._exchange(request)
+        request.left = leaves and scope.cancelled_caught
+        request.ended_at = trio.current_time()
+
+    async def _exchange(self, request: SentRequest) -> None:
+        """Send, and read the answer as far as it comes."""
+        client = self._client(request.node)
+        try:
+            async with client.stream(
+                "POST", f"/{request.kind}/x", headers=self._headers(request), content=_body(request)
+            ) as response:
+                request.status = response.status_code
+                request.stamp = response.headers.get("response-stamp", "")
+                async for data in response.aiter_raw():
+                    request.body += data
+            request.whole = True
+        except httpx.ConnectError:
+            request.refused_connection = True
+        except httpx.TransportError:
+            return
+
+    def _headers(self, request: SentRequest) -> dict[str, str]:
+        """Return a request's headers."""
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": request.request_id,
+            "X-Api-Key": request.key,
+            "Deadline-Ms": str(round(PATIENCE_SECONDS * 1_000)),
+            "Tenant": "forged",
+            "Cache-Salt": "forged",
+        }
+        if request.service == ENGINES:
+            shared = f"{self._generator.randrange(SEGMENTS):04x}"
+            headers["Model"] = MODEL
+            headers["Token-Usage"] = "2000,50"
+            headers["Prompt-Prefix"] = f"{shared}:1800,{request.request_id}:200"
+        return headers
+
+    def _client(self, node: str) -> httpx.AsyncClient:
+        """Return the connections to a node."""
+        client = self._clients.get(node)
+        if client is None:
+            links = next(links for links in self._deployment.nodes if links.name == node)
+            client = self._clients[node] = httpx.AsyncClient(
+                base_url=f"http://{links.clients.address}",
+                timeout=httpx.Timeout(None, connect=1.0),
+                transport=httpx.AsyncHTTPTransport(
+                    socket_options=[(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)]
+                ),
+            )
+        return client
+
+    async def _ask_readiness(self, node: NodeLinks) -> None:
+        """Ask a node whether it is ready, from time to time."""
+        async with httpx.AsyncClient(timeout=READINESS_TIMEOUT_SECONDS) as client:
+            while True:
+                ready = False
+                try:
+                    answer = await client.get(f"http://{node.readiness}/readiness")
+                    ready = answer.status_code == httpx.codes.OK
+                except httpx.TransportError:
+                    pass
+                misses = self._readiness.misses
+                misses[node.name] = 0 if ready else misses.get(node.name, 0) + 1
+                await trio.sleep(READINESS_SECONDS)
+
+
+def _body(request: SentRequest) -> bytes:
+    """Return a request's body, which says what the instance should do."""
+    if request.service == ENGINES:
+        return json.dumps({"events": request.events}).encode()
+    return json.dumps({"work_ms": 20}).encode()
--- /dev/null
+++ b/emulator/soak/checks.py
@@ -0,0 +1,318 @@
+"""The promises, checked over a history alone. Each check yields what broke it."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from emulator.soak.history import Arrival, History, RequestKind, Run, SentRequest
+
+PROMISES = frozenset({408, 421, 429, 503})
+STORE = "store"
+OK = 200
+LATE_SECONDS = 0.75
+"""An answer may come so much later than the caller's deadline on an undisturbed node."""
+
+RECOVERED_SHARE = 0.9
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """What the deployment promises; seconds.
+
+    Attributes:
+        revocation: From the taking away of a key until nothing runs with it.
+        weights: From the naming of weights until nothing starts on older ones.
+        drain: From ``draining`` until an instance gets nothing new.
+        contact: Quiet before a time-bound promise holds for a node or the store.
+        lease: Time of the rollout lease.
+        thaw: Orders of a paused holder may arrive this much later than it was resumed.
+        retry_ratio: Repeats for each request.
+        retry_extra: Repeats that are always allowed in a window.
+        retry_window: Length of that window.
+    """
+
+    revocation: float = 5.0
+    weights: float = 8.0
+    drain: float = 2.0
+    contact: float = 3.0
+    lease: float = 3.0
+    thaw: float = 0.3
+    retry_ratio: float = 0.2
+    retry_extra: float = 50.0
+    retry_window: float = 10.0
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """A broken promise.
+
+    Attributes:
+        promise: Name of the check.
+        detail: What was seen.
+    """
+
+    promise: str
+    detail: str
+
+
+Check = Callable[[History, Bounds], Iterable[str]]
+
+
+def check_all(history: History, bounds: Bounds) -> list[Violation]:
+    """Return everything that broke a promise."""
+    return [
+        Violation(name, detail)
+        for name, check in CHECKS.items()
+        for detail in check(history, bounds)
+    ]
+
+
+def at_most_once(history: History, _bounds: Bounds) -> Iterable[str]:
+    """Yield requests that may run once and ran more often."""
+    for request_id, runs in _runs_by_request(history).items():
+        request = history.requests.get(request_id)
+        if request is not None and request.kind.at_most_once and len(runs) > 1:
+            where = [run.instance_id for run in runs]
+            yield f"{request.kind} {request_id} ran {len(runs)} times, at {where}"
+
+
+def not_run_is_true(history: History, _bounds: Bounds) -> Iterable[str]:
+    """Yield requests whose answer says not run although they ran."""
+    runs = _runs_by_request(history)
+    for request in history.requests.values():
+        if request.kind.at_most_once and request.status in PROMISES and runs[request.request_id]:
+            yield f"{request.kind} {request.request_id} got {request.status} and ran"
+
+
+def answers_are_own_and_whole(history: History, _bounds: Bounds) -> Iterable[str]:
+    """Yield successes that aren't the whole answer of a run of the same request."""
+    runs = _runs_by_request(history)
+    for request in history.requests.values():
+        if request.status != OK or not request.whole or request.left:
+            continue
+        stamps = {run.stamp for run in runs[request.request_id]}
+        if request.stamp not in stamps:
+            yield f"{request.request_id} got an answer with stamp {request.stamp!r} of no run"
+        elif request.body != expected_body(request):
+            yield f"{request.kind} {request.request_id} got another body than its own"
+
+
+def expected_body(request: SentRequest) -> bytes:
+    """Return the body of a request's whole answer."""
+    if request.kind in (RequestKind.STREAM, RequestKind.RESUMABLE):
+        return b"".join(event_bytes(request.request_id, n) for n in range(request.events))
+    return f"done {request.request_id}".encode()
+
+
+def event_bytes(request_id: str, number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+
+
+def only_what_was_sent_runs(history: History, _bounds: Bounds) -> Iterable[str]:
+    """Yield runs of unknown requests, for other tenants, at other services, or with a key shown."""
+    for run in history.runs:
+        request = history.requests.get(run.request_id)
+        if request is None:
+            yield f"{run.instance_id} ran the unknown {run.request_id}"
+        elif run.tenant != history.tenants.get(request.key, ""):
+            yield f"{run.request_id} ran for tenant {run.tenant!r}"
+        elif run.service != request.service:
+            yield f"{run.request_id} ran at service {run.service}"
+        elif run.key_shown:
+            yield f"{run.request_id} showed its key to an instance"
+
+
+def revoked_keys_run_nothing(history: History, bounds: Bounds) -> Iterable[str]:
+    """Yield requests that ran although their key was taken away long before they were sent."""
+    revoked = {revocation.key: revocation.at for revocation in history.revocations}
+    for run in history.runs:
+        request = history.requests.get(run.request_id)
+        if request is None or request.key not in revoked:
+            continue
+        late = request.sent_at - revoked[request.key]
+        if late > bounds.revocation:
+            yield f"{run.request_id} of node {request.node} ran, sent {late:.2f} s after revocation"
+
+
+def weights_are_new_enough(history: History, bounds: Bounds) -> Iterable[str]:
+    """Yield runs on older weights than their bound allows, while nothing disturbed."""
+    for run in history.runs:
+        request = history.requests.get(run.request_id)
+        required = [n for n in history.namings if run.at - n.at > bounds.weights]
+        if not required or not run.version or request is None:
+            continue
+        naming = max(required, key=lambda n: n.version)
+        since = naming.at - bounds.contact
+        disturbed = history.disturbed(STORE, since, run.at)
+        disturbed = disturbed or history.disturbed(request.node, since, run.at)
+        if run.version < naming.version and not disturbed:
+            yield (
+                f"{run.request_id} started on version {run.version} at {run.instance_id}, "
+                f"{run.at - naming.at:.2f} s after version {naming.version} was named"
+            )
+
+
+def draining_instances_get_nothing(history: History, bounds: Bounds) -> Iterable[str]:
+    """Yield runs at instances that said long before that they are draining."""
+    leaving = {leaving.instance_id: leaving.at for leaving in history.leavings}
+    for run in history.runs:
+        at = leaving.get(run.instance_id)
+        request = history.requests.get(run.request_id)
+        if at is None or request is None or run.at - at <= bounds.drain:
+            continue
+        since = at - bounds.contact
+        quiet = not history.disturbed(STORE, since, run.at)
+        quiet = quiet and not history.disturbed(request.node, since, run.at)
+        if quiet:
+            yield f"{run.request_id} ran at {run.instance_id}, draining for {run.at - at:.2f} s"
+
+
+def one_holder_orders(history: History, bounds: Bounds) -> Iterable[str]:
+    """Yield tokens with two holders, and holders that take turns within a lease."""
+    holders: dict[int, set[str]] = defaultdict(set)
+    for order in history.orders:
+        holders[order.token].add(order.holder)
+    for token, names in holders.items():
+        if len(names) > 1:
+            yield f"token {token} was used by {sorted(names)}"
+    for earlier, later in itertools.pairwise(history.orders):
+        close = later.at - earlier.at < bounds.lease
+        resumed = history.disturbed(earlier.holder, earlier.at - bounds.thaw, earlier.at)
+        if close and later.holder != earlier.holder and not resumed:
+            yield f"{later.holder} ordered {later.at - earlier.at:.2f} s after {earlier.holder}"
+        if later.token < earlier.token and not resumed:
+            yield f"token {later.token} was taken after {earlier.token}"
+
+
+def isolation_is_kept(history: History, _bounds: Bounds) -> Iterable[str]:
+    """Yield salts that an isolated tenant shares, or that two weights versions share."""
+    tenants: dict[str, set[str]] = defaultdict(set)
+    versions: dict[str, set[int]] = defaultdict(set)
+    for run in history.runs:
+        if run.salt:
+            tenants[run.salt].add(run.tenant)
+            versions[run.salt].add(run.version)
+    for salt, names in tenants.items():
+        if len(names) > 1 and names & history.isolated:
+            yield f"salt {salt!r} is shared by {sorted(names)}"
+    for salt, found in versions.items():
+        if len(found) > 1:
+            yield f"salt {salt!r} is used for versions {sorted(found)}"
+
+
+def planned_stops_cut_nothing(history: History, _bounds: Bounds) -> Iterable[str]:
+    """Yield requests that a planned stop cut off, while nothing else disturbed."""
+    stops = [fault for fault in history.disturbances if fault.planned]
+    others = [fault for fault in history.disturbances if not fault.planned]
+    for request in history.requests.values():
+        if request.left or request.refused_connection or request.ended_at is None:
+            continue
+        answered = request.status is not None and (request.whole or request.status != OK)
+        meets = any(
+            stop.subject == request.node and stop.since <= request.ended_at <= stop.until
+            for stop in stops
+        )
+        disturbed = any(
+            fault.since <= request.ended_at and fault.until >= request.sent_at for fault in others
+        )
+        if meets and not answered and not disturbed:
+            yield f"{request.kind} {request.request_id} was cut off by the stop of {request.node}"
+
+
+def answers_come_in_time(history: History, bounds: Bounds) -> Iterable[str]:
+    """Yield requests without a final answer long after their deadline, on undisturbed nodes."""
+    for request in history.requests.values():
+        if request.left or request.ended_at is None:
+            continue
+        late = request.ended_at - request.deadline_at
+        since = request.sent_at - bounds.contact
+        if late > LATE_SECONDS and not history.disturbed(request.node, since, request.ended_at):
+            yield f"{request.kind} {request.request_id} ended {late:.2f} s after its deadline"
+
+
+def retries_stay_in_budget(history: History, bounds: Bounds) -> Iterable[str]:
+    """Yield windows with more arrivals beyond the first of each request than allowed."""
+    services = {request.service for request in history.requests.values()}
+    for service in sorted(services):
+        arrivals = [a for a in history.arrivals if a.service == service]
+        sent = sorted(r.sent_at for r in history.requests.values() if r.service == service)
+        repeats = _repeats(arrivals)
+        for start in repeats:
+            window = [at for at in repeats if start <= at <= start + bounds.retry_window]
+            known = sum(
+                start - bounds.retry_window <= at <= start + bounds.retry_window for at in sent
+            )
+            allowed = bounds.retry_ratio * known + bounds.retry_extra
+            if len(window) > allowed:
+                yield f"{service}: {len(window)} repeats in a window, {allowed:.0f} allowed"
+                break
+
+
+def processes_stay_alive(history: History, _bounds: Bounds) -> Iterable[str]:
+    """Yield processes that ended by themselves."""
+    for node in history.unexpected_ends:
+        yield f"{node} ended by itself"
+
+
+def check_recovery(history: History, since: float, until: float) -> list[Violation]:
+    """Return what shows that requests aren't served again after all faults have gone.
+
+    Args:
+        history: What was seen.
+        since: Recovery should have ended.
+        until: End of the soak.
+    """
+    revoked = {revocation.key for revocation in history.revocations}
+    late = [
+        request
+        for request in history.requests.values()
+        if since <= request.sent_at <= until - 3.0
+        and not request.left
+        and request.key not in revoked
+    ]
+    served = sum(1 for r in late if r.whole and r.status is not None and r.status not in PROMISES)
+    if not late or served < RECOVERED_SHARE * len(late):
+        ends = Counter(str(request.status) for request in late)
+        detail = f"{served} of {len(late)} served after recovery: {dict(ends)}"
+        return [Violation("recovery", detail)]
+    return []
+
+
+def _repeats(arrivals: list[Arrival]) -> list[float]:
+    """Return the times of arrivals beyond the first of each request."""
+    seen: set[str] = set()
+    repeats = []
+    for arrival in arrivals:
+        request_id = arrival.request_id
+        if request_id in seen:
+            repeats.append(arrival.at)
+        seen.add(request_id)
+    return repeats
+
+
+def _runs_by_request(history: History) -> dict[str, list[Run]]:
+    """Return the runs of each request."""
+    runs: dict[str, list[Run]] = defaultdict(list)
+    for run in history.runs:
+        runs[run.request_id].append(run)
+    return runs
+
+
+CHECKS: dict[str, Check] = {
+    "at most once": at_most_once,
+    "not run is true": not_run_is_true,
+    "own and whole answers": answers_are_own_and_whole,
+    "only what was sent": only_what_was_sent_runs,
+    "revocation": revoked_keys_run_nothing,
+    "weights": weights_are_new_enough,
+    "draining": draining_instances_get_nothing,
+    "one holder": one_holder_orders,
+    "isolation": isolation_is_kept,
+    "planned stop": planned_stops_cut_nothing,
+    "answers in time": answers_come_in_time,
+    "retry budget": retries_stay_in_budget,
+    "processes": processes_stay_alive,
+}
--- /dev/null
+++ b/emulator/soak/history.py
@@ -0,0 +1,185 @@
+"""What callers, instances and the operator saw during a soak; times are of its steady clock."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class RequestKind(enum.StrEnum):
+    """How often a request may run."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+    RESUMABLE = "resumable"
+
+    @property
+    def at_most_once(self) -> bool:
+        """Whether a request may run once only."""
+        return self in (RequestKind.UNSAFE, RequestKind.STREAM)
+
+
+class SentRequest(msgspec.Struct):
+    """A request of a caller and how it ended.
+
+    Attributes:
+        request_id: Its id.
+        kind: How often it may run.
+        service: Service of its route.
+        key: Key that it carries.
+        node: Node that it was sent to.
+        sent_at: Time of sending.
+        deadline_at: When the caller gives up.
+        events: Events that a whole stream has.
+        ended_at: Time of its end; None while it runs.
+        status: HTTP status; None without an answer.
+        stamp: Signature of the instance.
+        body: Body that came.
+        whole: Whether the answer ended as the protocol says.
+        left: Whether the caller left on purpose.
+        refused_connection: Whether no connection came about.
+    """
+
+    request_id: str
+    kind: RequestKind
+    service: str
+    key: str
+    node: str
+    sent_at: float
+    deadline_at: float
+    events: int
+    ended_at: float | None = None
+    status: int | None = None
+    stamp: str = ""
+    body: bytes = b""
+    whole: bool = False
+    left: bool = False
+    refused_connection: bool = False
+
+
+class Run(msgspec.Struct):
+    """A request that an instance began to work on.
+
+    Attributes:
+        request_id: The request.
+        instance_id: The instance.
+        service: Service of the instance.
+        at: Start.
+        tenant: Tenant that the instance was told.
+        version: Weights version at the instance.
+        salt: Text under which segments are kept.
+        key_shown: Whether the caller's key reached the instance.
+        stamp: Signature of the run.
+    """
+
+    request_id: str
+    instance_id: str
+    service: str
+    at: float
+    tenant: str
+    version: int
+    salt: str
+    key_shown: bool
+    stamp: str
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """A request that reached an instance, whether it ran or not."""
+
+    request_id: str
+    service: str
+    at: float
+
+
+class TakenOrder(msgspec.Struct, frozen=True):
+    """An order that an instance carried out.
+
+    Attributes:
+        instance_id: The instance.
+        holder: Node that sent it.
+        token: Its fencing token.
+        at: When it was taken.
+    """
+
+    instance_id: str
+    holder: str
+    token: int
+    at: float
+
+
+class Revocation(msgspec.Struct, frozen=True):
+    """A key that was taken away, and when the store acknowledged that."""
+
+    key: str
+    at: float
+
+
+class Naming(msgspec.Struct, frozen=True):
+    """A weights version, and when the store acknowledged it."""
+
+    version: int
+    at: float
+
+
+class Leaving(msgspec.Struct, frozen=True):
+    """An instance that said that it is draining, and when the store acknowledged that."""
+
+    instance_id: str
+    at: float
+
+
+class Disturbance(msgspec.Struct):
+    """A fault, from when it began until it was healed.
+
+    Attributes:
+        what: Kind of fault.
+        subject: Node or instance; ``store`` for the store.
+        since: Begin.
+        until: End; infinite while it lasts.
+        planned: Whether it is a planned stop.
+    """
+
+    what: str
+    subject: str
+    since: float
+    until: float = float("inf")
+    planned: bool = False
+
+
+class History(msgspec.Struct):
+    """Everything that was seen.
+
+    Attributes:
+        requests: By id.
+        runs: In the order of their starts.
+        arrivals: In order.
+        orders: In order.
+        revocations: In order.
+        namings: In order.
+        leavings: In order.
+        disturbances: In the order of their begins.
+        unexpected_ends: Nodes whose process ended by itself.
+        tenants: Tenant of each key.
+        isolated: Tenants that share nothing.
+    """
+
+    requests: dict[str, SentRequest] = {}
+    runs: list[Run] = []
+    arrivals: list[Arrival] = []
+    orders: list[TakenOrder] = []
+    revocations: list[Revocation] = []
+    namings: list[Naming] = []
+    leavings: list[Leaving] = []
+    disturbances: list[Disturbance] = []
+    unexpected_ends: list[str] = []
+    tenants: dict[str, str] = {}
+    isolated: set[str] = set()
+
+    def disturbed(self, subject: str, since: float, until: float) -> bool:
+        """Return whether a fault of a subject overlaps with a time."""
+        return any(
+            fault.subject == subject and fault.since <= until and fault.until >= since
+            for fault in self.disturbances
+        )
--- /dev/null
+++ b/emulator/soak/operators.py
@@ -0,0 +1,126 @@
+"""The operator of a soak: configurations, keys taken away, weights named."""
+
+from __future__ import annotations
+
+import random
+
+import trio
+
+from emulator.soak.deployment import CONFIGURATION_KEY, ENGINES, HOST, MODEL, PLAIN, Deployment
+from emulator.soak.history import Naming, RequestKind, Revocation
+
+TENANTS = ("t1", "t2", "t3")
+ISOLATED = ("t3",)
+KEYS_OF_A_TENANT = 6
+TIMEOUT_MS = 4_000
+SHARES = {RequestKind.SAFE: PLAIN, RequestKind.UNSAFE: PLAIN}
+
+
+class Operator:
+    """Writes what operators write; its writes are acknowledged unless the store is down for all."""
+
+    def __init__(self, deployment: Deployment, generator: random.Random) -> None:
+        """Write nothing yet.
+
+        Args:
+            deployment: Store and history.
+            generator: Draws changes.
+        """
+        self._deployment = deployment
+        self._generator = generator
+        self._version = 0
+        self._weights = 1
+        self._idle_routes = 0
+        history = deployment.history
+        history.isolated.update(ISOLATED)
+        for tenant in TENANTS:
+            for number in range(KEYS_OF_A_TENANT):
+                history.tenants[f"key-{tenant}-{number}"] = tenant
+
+    def publish(self) -> None:
+        """Write the configuration as it is now."""
+        self._version += self._generator.randrange(1, 4)
+        self._deployment.store.put(CONFIGURATION_KEY, self._document())
+
+    def revoke(self) -> None:
+        """Take a key away; each tenant keeps one."""
+        history = self._deployment.history
+        gone = {revocation.key for revocation in history.revocations}
+        left = [key for key in history.tenants if key not in gone and not key.endswith("-0")]
+        if not left:
+            return
+        key = self._generator.choice(left)
+        revoked_at = trio.current_time()
+        history.revocations.append(Revocation(key, revoked_at))
+        self.publish()
+
+    def add_route(self) -> None:
+        """Write a configuration with one more route."""
+        self._idle_routes += 1
+        self.publish()
+
+    def name_weights(self) -> None:
+        """Name new weights."""
+        self._weights += 1
+        document = {"model": MODEL, "version": self._weights}
+        self._deployment.store.put(f"op/version/{MODEL}", document)
+        naming = Naming(self._weights, trio.current_time())
+        self._deployment.history.namings.append(naming)
+
+    @property
+    def weights(self) -> int:
+        """The newest version of the weights."""
+        return self._weights
+
+    def _document(self) -> dict[str, object]:
+        """Return the configuration's document."""
+        gone = {revocation.key for revocation in self._deployment.history.revocations}
+        tenants = [
+            {
+                "name": tenant,
+                "apiKeys": [
+                    key
+                    for key, holder in self._deployment.history.tenants.items()
+                    if holder == tenant and key not in gone
+                ],
+                "isolated": tenant in ISOLATED,
+            }
+            for tenant in TENANTS
+        ]
+        engine = {
+            "slots": 32,
+            "kvCapacityTokens": 50_000,
+            "kvTokenBytes": 1_000,
+            "linkMbps": 10_000,
+            "models": [{"name": MODEL}],
+        }
+        return {
+            "version": self._version,
+            "routes": [_route(kind) for kind in RequestKind] + self._idle(),
+            "services": [{"name": PLAIN}, {"name": ENGINES, "engine": engine}],
+            "limits": {"maxBodyBytes": 65_536},
+            "tenants": tenants,
+        }
+
+    def _idle(self) -> list[dict[str, object]]:
+        """Return routes that nobody uses."""
+        return [
+            {**_route(RequestKind.SAFE), "name": f"idle{number}", "pathPrefix": f"/idle{number}/"}
+            for number in range(self._idle_routes)
+        ]
+
+
+def _route(kind: RequestKind) -> dict[str, object]:
+    """Return the route of a kind of request."""
+    streaming = kind in (RequestKind.STREAM, RequestKind.RESUMABLE)
+    return {
+        "name": kind.value,
+        "hostname": HOST,
+        "pathPrefix": f"/{kind}/",
+        "kind": "streaming" if streaming else kind.value,
+        "timeoutMs": TIMEOUT_MS,
+        "targetLatencyMs": 500,
+        "service": SHARES.get(kind, ENGINES),
+        "maxAttempts": 1 if kind.at_most_once else 2,
+        "resumable": kind is RequestKind.RESUMABLE,
+    }
--- /dev/null
+++ b/emulator/soak/proxies.py
@@ -0,0 +1,182 @@
+"""Loopback proxies that harm connections and datagrams from outside the processes at their ends."""
+
+from __future__ import annotations
+
+import enum
+import random
+import socket
+import struct
+
+import trio
+
+CHUNK_BYTES = 65_536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which a close resets the connection."""
+
+LOOPBACK = "127.0.0.1"
+
+
+class LinkState(enum.StrEnum):
+    """What a link does."""
+
+    OPEN = "open"
+    SILENT = "silent"
+    ONE_WAY = "one_way"
+    RESET = "reset"
+
+
+class TcpProxy:
+    """Forwards connections to one target; faults are fields that may change at any time.
+
+    A silent link holds what comes in both directions, a one-way link what comes back; what was held
+    is delivered late once the link passes again. A resetting link ends all connections.
+    """
+
+    def __init__(self, target: str) -> None:
+        """Forward to a target.
+
+        Args:
+            target: ``ip:port``.
+        """
+        self.address = ""
+        self.target = target
+        self.delay_seconds = 0.0
+        self._state = LinkState.OPEN
+        self._changed = trio.Event()
+
+    @property
+    def state(self) -> LinkState:
+        """What the link does now."""
+        return self._state
+
+    def set_state(self, state: LinkState) -> None:
+        """Change what the link does, for open connections too."""
+        self._state = state
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def run(
+        self, port: int = 0, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Listen and forward until cancelled; starts with the bound address."""
+        listeners = await trio.open_tcp_listeners(port, host=LOOPBACK)
+        self.address = f"{LOOPBACK}:{listeners[0].socket.getsockname()[1]}"
+        await trio.serve_listeners(
+            self._carry, listeners, task_status=_Started(task_status, self.address)
+        )
+
+    async def _carry(self, client: trio.SocketStream) -> None:
+        """Carry one connection."""
+        host, _, port = self.target.rpartition(":")
+        try:
+            if self._state is LinkState.RESET:
+                raise trio.BrokenResourceError
+            server = await trio.open_tcp_stream(host, int(port))
+        except (OSError, trio.BrokenResourceError):
+            _reset(client)
+            return
+        async with client, server, trio.open_nursery() as nursery:
+            nursery.start_soon(self._pump, client, server, False, nursery.cancel_scope)
+            nursery.start_soon(self._pump, server, client, True, nursery.cancel_scope)
+            nursery.start_soon(self._watch_reset, client, server, nursery.cancel_scope)
+
+    async def _pump(
+        self,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        back: bool,
+        scope: trio.CancelScope,
+    ) -> None:
+        """Forward one direction; a broken end resets the other one."""
+        try:
+            async for data in source:
+                await self._wait_open(back)
+                if self.delay_seconds:
+                    await trio.sleep(self.delay_seconds)
+                await sink.send_all(data)
+            await self._wait_open(back)
+            await sink.send_eof()
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            _reset(sink)
+            scope.cancel()
+            return
+        if back:
+            scope.cancel()
+
+    async def _wait_open(self, back: bool) -> None:
+        """Wait until the link passes bytes in a direction."""
+        while self._state is LinkState.SILENT or (back and self._state is LinkState.ONE_WAY):
+            await self._changed.wait()
+
+    async def _watch_reset(
+        self, client: trio.SocketStream, server: trio.SocketStream, scope: trio.CancelScope
+    ) -> None:
+        """End the connection once the link resets."""
+        while self._state is not LinkState.RESET:
+            await self._changed.wait()
+        _reset(client)
+        _reset(server)
+        scope.cancel()
+
+
+class _Started:
+    """Passes the address on when the listeners are open."""
+
+    def __init__(self, status: trio.TaskStatus[str], address: str) -> None:
+        self._status = status
+        self._address = address
+
+    def started(self, _listeners: object = None) -> None:
+        """Note that the listeners are open."""
+        self._status.started(self._address)
+
+
+def _reset(stream: trio.SocketStream) -> None:
+    """Close a connection with a reset."""
+    try:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        stream.socket.close()
+    except (OSError, trio.ClosedResourceError):
+        return
+
+
+class UdpProxy:
+    """Forwards datagrams to one target; loses, delays and cuts them."""
+
+    def __init__(self, target: str, generator: random.Random) -> None:
+        """Forward to a target.
+
+        Args:
+            target: ``ip:port``.
+            generator: Draws losses and delays.
+        """
+        self.address = ""
+        self.target = target
+        self.loss = 0.0
+        self.delay_seconds = 0.0
+        self.cut = False
+        self._generator = generator
+
+    async def run(self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
+        """Forward until cancelled; starts with the bound address."""
+        incoming = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        await incoming.bind((LOOPBACK, 0))
+        self.address = f"{LOOPBACK}:{incoming.getsockname()[1]}"
+        with incoming:
+            task_status.started(self.address)
+            async with trio.open_nursery() as nursery:
+                while True:
+                    data, _ = await incoming.recvfrom(CHUNK_BYTES)
+                    if self.cut or self._generator.random() < self.loss:
+                        continue
+                    nursery.start_soon(self._forward, incoming, data)
+
+    async def _forward(self, outgoing: trio.socket.SocketType, data: bytes) -> None:
+        """Deliver a datagram, late if so ordered."""
+        if self.delay_seconds:
+            await trio.sleep(self.delay_seconds * self._generator.random())
+        host, _, port = self.target.rpartition(":")
+        try:
+            await outgoing.sendto(data, (host, int(port)))
+        except OSError:
+            return
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -188,7 +188,8 @@
 def node_record(settings: ExchangeSettings, node_key: bytes) -> NodeRecord:
     """Return a node's entry for other nodes."""
     capacity = settings.processor_share * settings.processor_cores
-    return NodeRecord(settings.peer_address, settings.zone, node_key, capacity)
+    address = settings.peer_public_address or settings.peer_address
+    return NodeRecord(address, settings.zone, node_key, capacity)
 
 
 async def run_exchange_node(
--- a/hopstep/exchange_settings.py
+++ b/hopstep/exchange_settings.py
@@ -39,6 +39,7 @@
         readiness_address: ``ip:port`` where load balancers ask whether the node is ready.
         peer_address: ``ip:port`` of the UDP socket for other nodes.
         metrics_address: ``ip:port`` of the metrics; empty for none.
+        peer_public_address: Where other nodes reach ``peer_address``; the same if empty.
         store: ``ip:port`` of the store.
         processor_share: Part of a core that the process may use.
         processor_cores: How many times as fast that core is.
@@ -52,6 +53,7 @@
     readiness_address: str
     peer_address: str
     store: str
+    peer_public_address: str = ""
     metrics_address: str = ""
     processor_share: float = 1.0
     processor_cores: float = 1.0
--- a/hopstep/settings_loader.py
+++ b/hopstep/settings_loader.py
@@ -204,8 +204,9 @@
         "peer_address": settings.peer_address,
         "store": settings.store,
     }
-    if settings.metrics_address:
-        addresses["metrics_address"] = settings.metrics_address
+    for field in ("metrics_address", "peer_public_address"):
+        if getattr(settings, field):
+            addresses[field] = getattr(settings, field)
     for field, address in addresses.items():
         parse_address(address, field)
     numbers = {f"bounds.{field}": getattr(settings.bounds, field) for field in _BOUND_FIELDS}
--- /dev/null
+++ b/tests/emulator/soak/test_checks.py
@@ -0,0 +1,195 @@
+"""Each check of the soak: a clean history passes, and one that breaks the promise is caught."""
+
+import unittest
+
+from emulator.soak.checks import CHECKS, STORE, Bounds, check_all, check_recovery, expected_body
+from emulator.soak.history import (
+    Arrival,
+    Disturbance,
+    History,
+    Leaving,
+    Naming,
+    RequestKind,
+    Revocation,
+    Run,
+    SentRequest,
+    TakenOrder,
+)
+
+BOUNDS = Bounds()
+
+
+def request(request_id="r", kind=RequestKind.UNSAFE, at=100.0, **changes):
+    service = "engines" if kind in (RequestKind.STREAM, RequestKind.RESUMABLE) else "plain"
+    sent = SentRequest(request_id, kind, service, "key", "n0", at, at + 4.0, 5, ended_at=at + 0.1)
+    sent.status, sent.stamp, sent.whole = 200, f"stamp-{request_id}", True
+    sent.body = expected_body(sent)
+    for field, value in changes.items():
+        setattr(sent, field, value)
+    return sent
+
+
+def run_of(sent, **changes):
+    version = 1 if sent.service == "engines" else 0
+    run = Run(
+        sent.request_id, "i1", sent.service, sent.sent_at, "t", version, "", False, sent.stamp
+    )
+    for field, value in changes.items():
+        setattr(run, field, value)
+    return run
+
+
+def history(*requests, **changes):
+    seen = History(
+        requests={sent.request_id: sent for sent in requests},
+        runs=[run_of(sent) for sent in requests],
+        arrivals=[Arrival(sent.request_id, sent.service, sent.sent_at) for sent in requests],
+        tenants={"key": "t", "key2": "t2"},
+        isolated={"t2"},
+    )
+    for field, value in changes.items():
+        setattr(seen, field, value)
+    return seen
+
+
+class ChecksTest(unittest.TestCase):
+    def broken(self, seen):
+        return {violation.promise for violation in check_all(seen, BOUNDS)}
+
+    def test_a_clean_history_breaks_nothing(self):
+        kinds = list(RequestKind)
+        seen = history(*(request(f"r{n}", kinds[n % 4], 100.0 + n) for n in range(40)))
+        self.assertEqual(self.broken(seen), set())
+
+    def test_every_check_is_held_by_a_test(self):
+        held = {
+            "at most once",
+            "not run is true",
+            "own and whole answers",
+            "only what was sent",
+            "revocation",
+            "weights",
+            "draining",
+            "one holder",
+            "isolation",
+            "planned stop",
+            "answers in time",
+            "retry budget",
+            "processes",
+        }
+        self.assertEqual(held, CHECKS.keys())
+
+    def test_two_runs(self):
+        for kind, caught in (
+            (RequestKind.UNSAFE, True),
+            (RequestKind.STREAM, True),
+            (RequestKind.SAFE, False),
+            (RequestKind.RESUMABLE, False),
+        ):
+            sent = request(kind=kind)
+            seen = history(sent)
+            seen.runs.append(run_of(sent, instance_id="i2"))
+            self.assertEqual("at most once" in self.broken(seen), caught, kind)
+
+    def test_a_refusal_of_what_ran(self):
+        seen = history(request(status=503, stamp=""))
+        self.assertIn("not run is true", self.broken(seen))
+
+    def test_foreign_and_changed_answers(self):
+        for change in ({"stamp": "other"}, {"body": b"done other"}):
+            sent = request()
+            seen = history(sent)
+            seen.requests["r"] = request(**change)
+            self.assertIn("own and whole answers", self.broken(seen), change)
+
+    def test_a_stream_that_lacks_repeats_or_mixes_events(self):
+        whole = request(kind=RequestKind.STREAM)
+        events = whole.body.split(b"\n\n")[:-1]
+        for wrong in (events[1:], events[:-1], [events[0], *events], events[::-1]):
+            body = b"".join(event + b"\n\n" for event in wrong)
+            seen = history(request(kind=RequestKind.STREAM))
+            seen.requests["r"].body = body
+            self.assertIn("own and whole answers", self.broken(seen))
+
+    def test_a_cut_stream_that_does_not_look_whole_breaks_nothing(self):
+        sent = request(kind=RequestKind.STREAM, whole=False, body=b"id: 0\n")
+        self.assertEqual(self.broken(history(sent)), set())
+
+    def test_unknown_requests_tenants_services_and_keys(self):
+        for change in (
+            {"request_id": "other"},
+            {"tenant": "t2"},
+            {"service": "engines"},
+            {"key_shown": True},
+        ):
+            sent = request()
+            seen = history(sent, runs=[run_of(sent, **change)])
+            self.assertIn("only what was sent", self.broken(seen), change)
+
+    def test_a_revoked_key(self):
+        for at, caught in ((94.0, True), (96.0, False), (101.0, False)):
+            seen = history(request(), revocations=[Revocation("key", at)])
+            self.assertEqual("revocation" in self.broken(seen), caught, at)
+
+    def test_old_weights(self):
+        for at, caught in ((91.0, True), (93.0, False)):
+            sent = request(kind=RequestKind.RESUMABLE)
+            seen = history(sent, namings=[Naming(2, at)])
+            self.assertEqual("weights" in self.broken(seen), caught, at)
+            seen.disturbances.append(Disturbance("outage", STORE, at + 1.0, at + 2.0))
+            self.assertNotIn("weights", self.broken(seen))
+
+    def test_a_draining_instance(self):
+        for at, caught in ((97.0, True), (99.0, False)):
+            seen = history(request(), leavings=[Leaving("i1", at)])
+            self.assertEqual("draining" in self.broken(seen), caught, at)
+
+    def test_two_holders(self):
+        for first, second, caught in (
+            (TakenOrder("i1", "n0", 5, 10.0), TakenOrder("i2", "n1", 5, 90.0), True),
+            (TakenOrder("i1", "n0", 5, 10.0), TakenOrder("i2", "n1", 6, 11.0), True),
+            (TakenOrder("i1", "n0", 6, 10.0), TakenOrder("i2", "n1", 5, 90.0), True),
+            (TakenOrder("i1", "n0", 5, 10.0), TakenOrder("i2", "n1", 6, 13.5), False),
+            (TakenOrder("i1", "n0", 5, 10.0), TakenOrder("i2", "n0", 5, 10.1), False),
+        ):
+            seen = history(orders=[first, second])
+            self.assertEqual("one holder" in self.broken(seen), caught, (first, second))
+
+    def test_shared_salts(self):
+        first, second = request("a", RequestKind.STREAM), request("b", RequestKind.STREAM)
+        for change in ({"tenant": "t2"}, {"version": 2}):
+            runs = [run_of(first, salt="s"), run_of(second, salt="s", **change)]
+            seen = history(first, second, runs=runs)
+            self.assertIn("isolation", self.broken(seen), change)
+
+    def test_a_planned_stop_that_cuts(self):
+        stop = Disturbance("stopped", "n0", 99.0, 104.0, planned=True)
+        cut = {"status": None, "whole": False, "body": b"", "stamp": ""}
+        seen = history(request(**cut), disturbances=[stop])
+        self.assertIn("planned stop", self.broken(seen))
+        seen = history(request(**cut, refused_connection=True), disturbances=[stop])
+        self.assertNotIn("planned stop", self.broken(seen))
+
+    def test_a_late_end(self):
+        seen = history(request(ended_at=105.0))
+        self.assertIn("answers in time", self.broken(seen))
+        seen = history(request(ended_at=104.5))
+        self.assertNotIn("answers in time", self.broken(seen))
+
+    def test_too_many_repeats(self):
+        sent = request(kind=RequestKind.SAFE)
+        for count, caught in ((49, False), (60, True)):
+            seen = history(sent)
+            seen.arrivals += [Arrival("r", "plain", 100.0 + n / 10) for n in range(count)]
+            self.assertEqual("retry budget" in self.broken(seen), caught, count)
+
+    def test_a_process_that_ends(self):
+        self.assertIn("processes", self.broken(history(unexpected_ends=["n0"])))
+
+    def test_recovery_asks_for_served_requests(self):
+        served = history(*(request(f"r{n}", at=100.0 + n / 10) for n in range(20)))
+        self.assertEqual(check_recovery(served, 100.0, 110.0), [])
+        for sent in served.requests.values():
+            sent.status = 503
+        self.assertTrue(check_recovery(served, 100.0, 110.0))
+        self.assertTrue(check_recovery(history(), 100.0, 110.0))
--- /dev/null
+++ b/tests/emulator/test_http_instance.py
@@ -0,0 +1,107 @@
+"""The stand-in of instances over HTTP: preconditions, orders, streams and faults."""
+
+import json
+import random
+import unittest
+
+import trio
+
+from emulator.exchange_platform.http_instance import HttpInstance, InstanceTraits
+
+
+class Listener:
+    def __init__(self):
+        self.seen = []
+
+    def arrived(self, _instance, request_id):
+        self.seen.append(("arrived", request_id))
+
+    def began(self, _instance, headers, _stamp):
+        self.seen.append(("began", headers.request_id))
+
+    def ordered(self, _instance, holder, token):
+        self.seen.append(("ordered", holder, token))
+
+    def changed(self, instance):
+        self.seen.append(("changed", instance.version))
+
+
+class HttpInstanceTest(unittest.TestCase):
+    def play(self, script):
+        async def main():
+            listener = Listener()
+            traits = InstanceTraits("i1", "engines", "z", slots=2, model="m", load_seconds=0.01)
+            instance = HttpInstance(traits, listener, random.Random(1))
+            async with trio.open_nursery() as nursery:
+                instance.use_nursery(nursery)
+                await script(instance, instance.app.test_client(), listener)
+
+        trio.run(main)
+
+    async def post(self, client, body=b"", path="/x", **headers):
+        fields = {"Attempt-Id": "r", **headers}
+        return await client.post(path, headers=fields, data=body)
+
+    async def order(self, client, version=2, token=7, expected=0, instance="i1"):
+        document = {
+            "operation": "version",
+            "model": "m",
+            "version": version,
+            "method": "retain",
+            "holder": "n0",
+            "fencingToken": token,
+            "expectedRevision": expected,
+        }
+        headers = {"Expect-Instance": instance}
+        answer = await client.post("/order", headers=headers, data=json.dumps(document))
+        return answer.status_code
+
+    def test_a_request_is_answered_with_its_id_and_a_stamp(self):
+        async def script(_instance, client, listener):
+            answer = await self.post(client)
+            self.assertEqual(answer.status_code, 200)
+            self.assertEqual(answer.headers["Attempt-Id"], "r")
+            self.assertTrue(answer.headers["Response-Stamp"])
+            self.assertEqual(listener.seen, [("arrived", "r"), ("began", "r")])
+
+        self.play(script)
+
+    def test_another_incarnation_or_version_is_not_run(self):
+        async def script(_instance, client, listener):
+            for headers in ({"Expect-Instance": "i0"}, {"Expect-Version": "2"}):
+                answer = await self.post(client, **headers)
+                self.assertEqual(answer.status_code, 421)
+            self.assertNotIn(("began", "r"), listener.seen)
+
+        self.play(script)
+
+    def test_a_stream_goes_on_behind_the_last_event(self):
+        async def script(_instance, client, _listener):
+            body = json.dumps({"events": 4}).encode()
+            whole = await self.post(client, body)
+            rest = await self.post(client, body, **{"Last-Event-Id": "1"})
+            whole_text, rest_text = await whole.get_data(), await rest.get_data()
+            self.assertEqual(whole_text.count(b"id: "), 4)
+            self.assertTrue(whole_text.endswith(rest_text))
+            self.assertTrue(rest_text.startswith(b"id: 2\n"))
+
+        self.play(script)
+
+    def test_orders_are_fenced_and_checked(self):
+        async def script(instance, client, listener):
+            self.assertEqual(await self.order(client, instance="i0"), 421)
+            self.assertEqual(await self.order(client), 202)
+            self.assertEqual(await self.order(client, 3, expected=1), 409)
+            busy = await self.post(client)
+            self.assertEqual((busy.status_code, "Not-Executed" in busy.headers), (503, True))
+            await trio.sleep(0.1)
+            self.assertEqual(instance.version, 2)
+            self.assertEqual(await self.order(client, 3, token=6, expected=1), 412)
+            self.assertEqual(await self.order(client, 3, expected=0), 409)
+            self.assertEqual(await self.order(client, 2, expected=1), 200)
+            self.assertEqual(
+                [x for x in listener.seen if x[0] != "arrived"],
+                [("ordered", "n0", 7), ("changed", 2)],
+            )
+
+        self.play(script)
