Open a node's listeners before its libraries are loaded

Loading the libraries takes 0.35 s and nothing listened until all was there.

Ruled out: the store's first answer (20 ms after the start), the server, membership.

Change: the entry opens the listeners by the standard library alone, the server takes them over, requests of the first second wait for the first reading of the store (design 0016). `python3 -S` leaves the machine's site packages out.

Left: the half second in which the killed process isn't there.

--- a/hopstep/adapters/exchange_server.py
+++ b/hopstep/adapters/exchange_server.py
@@ -10,6 +10,7 @@
 from hypercorn.trio import serve
 
 from hopstep.adapters.http_server import ServerConfig
+from hopstep.early_listeners import Listeners
 
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
 
@@ -90,6 +91,7 @@
 async def serve_exchanges(
     app: AsgiApp,
     addresses: tuple[str, ...],
+    listeners: Listeners,
     wait_shutdown: Callable[[], Awaitable[None]],
     *,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
@@ -99,10 +101,17 @@
     Args:
         app: Application for all listeners.
         addresses: ``ip:port`` of each listener.
+        listeners: Those of them that are open already; the server closes them.
         wait_shutdown: Returns when the listeners should close.
         task_status: Told the bound addresses once the listeners are open.
     """
     config = ServerConfig(addresses[0], None)
-    config.bind = list(addresses)
+    config.bind = [_binding(address, listeners) for address in addresses]
     config.graceful_timeout = FINISH_SECONDS
     await serve(app, config, shutdown_trigger=wait_shutdown, task_status=task_status, mode="asgi")
+
+
+def _binding(address: str, listeners: Listeners) -> str:
+    """Return how the server names an open listener, or one that it has to open."""
+    listener = listeners.get(address)
+    return address if listener is None else f"fd://{listener.detach()}"
--- a/hopstep/cli/node.py
+++ b/hopstep/cli/node.py
@@ -1,4 +1,7 @@
-"""A node that carries routed exchanges on the users' platform.
+"""Entry of a node that carries routed exchanges on the users' platform.
+
+This module loads only the standard library until the node's listeners are open: connections then
+wait in their queues while the rest of the program loads, where a closed port would refuse them.
 
 Exit codes: 0 after a planned stop; 2 for settings that can't be used.
 """
@@ -6,93 +9,23 @@
 from __future__ import annotations
 
 import os
-import random
-import secrets
+import signal
 import sys
-from collections.abc import Sequence
-from pathlib import Path
-
-import trio
-from absl import flags
 
-from hopstep.adapters.log_output import NonBlockingOutput
-from hopstep.adapters.node_datagrams import NodeDatagrams
-from hopstep.cli.command import run_command
-from hopstep.exchange_node import ExchangePorts, ExchangeServices, run_exchange_node
-from hopstep.exchange_settings import ExchangeSettings
-from hopstep.garbage_collection import configure_garbage_collection
-from hopstep.library_logs import capture_library_logs
-from hopstep.logs import configure_logging
-from hopstep.platform.cache_events import PlatformCacheEvents
-from hopstep.platform.directory import PlatformDirectory
-from hopstep.platform.front import ExchangeFront
-from hopstep.platform.http_client import HttpClient
-from hopstep.platform.instances import HttpInstances
+from hopstep.early_listeners import open_listeners
 from hopstep.platform.names import SETTINGS_VARIABLE
-from hopstep.platform.store import PlatformStore
-from hopstep.settings_loader import EXIT_BAD_SETTINGS, SettingsError, load_exchange_settings
-
-NODE_KEY_BYTES = 16
-
-flags.DEFINE_string(
-    "node_settings", None, "TOML settings file; by default the one the platform names."
-)
-
-
-async def run_node(settings: ExchangeSettings, path: Path) -> None:
-    """Join the platform's adapters and the node's services, and serve.
-
-    Args:
-        settings: Settings of the node.
-        path: Their file.
-    """
-    platform_client = HttpClient()
-    store = PlatformStore(settings.store, platform_client)
-    instances = HttpInstances(HttpClient())
-    node_key = secrets.token_bytes(NODE_KEY_BYTES)
-    nodes = await NodeDatagrams.open(settings.peer_address, settings.name, node_key)
-    ports = ExchangePorts(
-        store=store,
-        directory=PlatformDirectory(store),
-        calls=instances,
-        orders=instances,
-        nodes=nodes,
-        cache_events=PlatformCacheEvents(platform_client),
-        generator=random.Random(secrets.randbits(64)),  # noqa: S311 - spreads load only
-    )
-    services = ExchangeServices(settings, ports, node_key)
-    front = ExchangeFront(services.exchanges, lambda: services.lifecycle.stopping)
-    try:
-        await run_exchange_node(settings, path, services, front)
-    finally:
-        nodes.close()
-
-
-def run(arguments: Sequence[str]) -> int:
-    """Run one node and return the exit code.
-
-    Args:
-        arguments: Command line after flags were taken out, the program's name first.
-    """
-    if len(arguments) > 1:
-        print(f"unexpected argument {arguments[1]!r}", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
-    path = Path(flags.FLAGS.node_settings or os.environ.get(SETTINGS_VARIABLE, ""))
-    try:
-        settings = load_exchange_settings(path)
-    except SettingsError as error:
-        print(error.message, file=sys.stderr)
-        return EXIT_BAD_SETTINGS
-    configure_logging(settings.log_level, settings.name, NonBlockingOutput(sys.stdout.fileno()))
-    capture_library_logs()
-    configure_garbage_collection()
-    trio.run(run_node, settings, path)
-    return 0
 
 
 def main() -> None:
-    """Enter the command."""
-    run_command(run, __doc__ or "", EXIT_BAD_SETTINGS)
+    """Open the listeners, then load and enter the command."""
+    # Without a handler SIGHUP ends the process; the settings are read after this line.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Arguments may name other settings, so listeners wait until these are parsed.
+    started_plainly = len(sys.argv) == 1
+    listeners = open_listeners(os.environ.get(SETTINGS_VARIABLE, "")) if started_plainly else {}
+    from hopstep.cli import node_process
+
+    node_process.main(listeners, __doc__ or "")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/hopstep/early_listeners.py
@@ -0,0 +1,48 @@
+"""Listeners that a node opens before it loads its libraries.
+
+Loading takes about a third of a second of processor time. A port that listens meanwhile holds new
+connections in its queue; a closed one refuses them, and clients repeat a request only once or
+twice. Only the standard library is imported here.
+"""
+
+from __future__ import annotations
+
+import socket
+import tomllib
+
+BACKLOG = 1024
+"""Connections that may wait at a listener: several times what reaches a node while it loads."""
+
+FIELDS = ("address", "readiness_address", "metrics_address")
+"""Settings that name listeners."""
+
+Listeners = dict[str, socket.socket]
+"""Open listeners by their ``ip:port``."""
+
+
+def open_listeners(path: str) -> Listeners:
+    """Open the listeners that the settings name.
+
+    What can't be read or opened is left out here. The program checks its settings in full and
+    binds what is missing a moment later, and says what is wrong.
+
+    Args:
+        path: Settings file.
+    """
+    try:
+        with open(path, "rb") as file:
+            settings = tomllib.load(file)
+    except (OSError, ValueError):
+        return {}
+    addresses = (settings.get(field) for field in FIELDS)
+    opened = ((address, _open(address)) for address in addresses if isinstance(address, str))
+    return {address: listener for address, listener in opened if listener is not None}
+
+
+def _open(address: str) -> socket.socket | None:
+    """Return a listener at ``ip:port``, or None."""
+    host, _, port = address.rpartition(":")
+    try:
+        return socket.create_server((host, int(port)), backlog=BACKLOG)
+    except (OSError, ValueError, OverflowError):
+        return None
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -21,6 +21,7 @@
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds
 from hopstep.domain.exchanges.weights import WeightsBook, WeightsBounds
+from hopstep.early_listeners import Listeners
 from hopstep.exchange_settings import ExchangeSettings
 from hopstep.logs import emit
 from hopstep.ports.cache_events import CacheEvents
@@ -197,6 +198,7 @@
     settings_path: Path,
     services: ExchangeServices,
     clients: AsgiApp,
+    listeners: Listeners,
 ) -> None:
     """Serve until a planned stop has ended.
 
@@ -205,6 +207,7 @@
         settings_path: File that is read again on SIGHUP.
         services: The node's services.
         clients: Application for clients.
+        listeners: Those that are open already.
     """
     app = ListenerSwitch(
         clients,
@@ -221,7 +224,11 @@
         await nursery.start(services.run)
         async with trio.open_nursery() as serving:
             await serving.start(
-                serve_exchanges, app, tuple(filter(None, addresses)), services.wait_drained
+                serve_exchanges,
+                app,
+                tuple(filter(None, addresses)),
+                listeners,
+                services.wait_drained,
             )
             emit(
                 log_events.PROCESS_STARTED,
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -39,6 +39,13 @@
 DEAF_SECONDS = 1.0
 """A watch may have heard nothing for so long before its history was lost."""
 
+FIRST_READING_SECONDS = 1.0
+"""So long after its start a node lets requests wait for its first reading of the store.
+
+The reading takes some 20 ms, ten times that where the store is slow. Requests that come later than
+this find a store that doesn't answer and are refused at once.
+"""
+
 STALE_RETRY_AFTER_SECONDS = 1.0
 OVERDUE = "overdue"
 """Reason of a lost store whose answer is still waited for when the first request is refused."""
@@ -59,7 +66,7 @@
         weights: WeightsBook,
         revocation_seconds: float,
     ) -> None:
-        """Know nothing yet.
+        """Know nothing yet. Must be called inside the event loop.
 
         Args:
             name: Name of this node.
@@ -79,6 +86,7 @@
         self.confirmed_at = -float("inf")
         self.rollout_record: RecordWritten | None = None
         self.changed = trio.Event()
+        self._started_at = trio.current_time()
         self._max_age = revocation_seconds - MARGIN_SECONDS
         self._expired = False
 
@@ -103,6 +111,12 @@
         """Whether keys may still be taken for valid."""
         return self.age_seconds <= self._max_age
 
+    async def wait_first_reading(self) -> None:
+        """Wait for the first configuration, for as long as a node that has just started may."""
+        with trio.move_on_at(self._started_at + FIRST_READING_SECONDS):
+            while self.index is None:
+                await self.changed.wait()
+
     def require_index(self) -> ServingIndex:
         """Return the configuration in force.
 
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -85,6 +85,7 @@
             ServiceError: When nothing of an answer was sent.
         """
         with self._lifecycle.active():
+            await self._knowledge.wait_first_reading()
             try:
                 request = self.admission.admit(head, body)
             except ServiceError as error:
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -66,7 +66,7 @@
                 self.assertIn("node.toml", caught.exception.message)
 
     def test_the_role_runs_a_module_of_the_product_from_pinned_libraries(self):
-        module = self.role["run"].removeprefix("python3 -m ").replace(".", "/") + ".py"
+        module = self.role["run"].removeprefix("python3 -S -m ").replace(".", "/") + ".py"
         self.assertTrue((ROOT / module).is_file())
         self.assertIn("--require-hashes", self.system["build"])
         self.assertIn("target/deps", self.system["build"])
--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -92,10 +92,10 @@
         lines = [f"{name} = {json.dumps(value)}" for name, value in values.items()]
         self.path.write_text("\n".join(lines) + f"\n[bounds]\ngrace_seconds = {GRACE_SECONDS}\n")
 
-    def start(self):
+    def start(self, *arguments, **environment):
         process = subprocess.Popen(
-            [sys.executable, "-m", "hopstep.cli.node"],
-            env={**os.environ, "HOPSTEP_SETTINGS": str(self.path)},
+            [sys.executable, "-m", "hopstep.cli.node", *arguments],
+            env={**os.environ, "HOPSTEP_SETTINGS": str(self.path), **environment},
             stdout=self.log,
             stderr=subprocess.STDOUT,
         )
@@ -248,6 +248,44 @@
         self.assertEqual(events["settings_reloaded"]["changed"], ["zone"])
         self.assertIn("name", events["settings_rejected"]["reason"])
 
+    def test_the_ports_listen_while_the_libraries_still_load(self):
+        ports = free_ports(4)
+        self.write_settings(ports)
+        stand_in = self.path.parent / "trio.py"
+        stand_in.write_text("import time\ntime.sleep(600)\n")
+        process = self.start(PYTHONPATH=str(stand_in.parent))
+        for port in ports[:2]:
+            self.connect_while_it_runs(process, port).close()
+        self.assertEqual(self.events(), [])
+
+    def connect_while_it_runs(self, process, port):
+        """Return a connection as soon as one is accepted, unless the process ends before."""
+        while True:
+            self.assertIsNone(process.poll(), "the process has ended")
+            with contextlib.suppress(ConnectionRefusedError):
+                return socket.create_connection(("127.0.0.1", port))
+
+    def test_a_hangup_while_the_libraries_load_ends_nothing(self):
+        ports = free_ports(4)
+        self.write_settings(ports)
+        gate = self.path.parent / "gate"
+        os.mkfifo(gate)
+        stand_in = self.path.parent / "trio.py"
+        stand_in.write_text(f"open({str(gate)!r}).read()\nraise SystemExit(7)\n")
+        process = self.start(PYTHONPATH=str(stand_in.parent))
+        self.connect_while_it_runs(process, ports[0]).close()
+        process.send_signal(signal.SIGHUP)
+        gate.write_text("go on")
+        self.assertEqual(process.wait(START_SECONDS), 7)
+
+    def test_settings_by_a_flag_open_no_listener_of_the_other_settings(self):
+        ports = free_ports(4)
+        self.write_settings(ports)
+        process = self.start("--node_settings", "nowhere.toml")
+        self.assertEqual(process.wait(START_SECONDS), 2)
+        self.log.seek(0)
+        self.assertIn("nowhere.toml", self.log.read())
+
     def test_settings_that_cannot_be_used_end_the_process_with_file_and_field(self):
         for changes, field in (({"zone": ""}, "zone"), ({"store": "nowhere"}, "store")):
             with self.subTest(field):
--- a/tests/services/exchanges/test_knowledge.py
+++ b/tests/services/exchanges/test_knowledge.py
@@ -6,6 +6,7 @@
 
 from hopstep.exceptions import ErrorCode
 from hopstep.ports.serving_directory import ConfigurationPublished, Unreadable
+from hopstep.services.exchanges.knowledge import FIRST_READING_SECONDS
 from tests.services.exchanges.exchange_world import (
     BOUNDS,
     KEY,
@@ -119,6 +120,25 @@
 
         self.run_world(script)
 
+    def test_requests_to_a_node_that_has_just_started_wait_for_its_first_reading(self):
+        async def script(world):
+            world.start_node(world.nursery, "late")
+            self.assertEqual((await world.request("unsafe", node=1)).status, 200)
+
+        self.run_world(script)
+
+    def test_requests_wait_for_the_first_reading_no_longer_than_a_start_may_take(self):
+        async def script(world):
+            world.start_node(world.nursery, "late")
+            world.directories[-1].down = True
+            started_at = trio.current_time()
+            for waited in (FIRST_READING_SECONDS, FIRST_READING_SECONDS):
+                answer = await world.request("unsafe", node=1)
+                self.assertEqual(answer.error.code, ErrorCode.NOT_READY)
+                self.assertAlmostEqual(trio.current_time() - started_at, waited)
+
+        self.run_world(script)
+
     def test_an_entry_that_cannot_be_read_changes_nothing(self):
         async def script(world):
             world.publish(Unreadable("some/key", "expected int"))
