--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -93,7 +93,7 @@
         self.path.write_text("\n".join(lines) + f"\n[bounds]\ngrace_seconds = {GRACE_SECONDS}\n")
 
     def start(self, *arguments, **environment):
-        process = subprocess.Popen(
+        process = subprocess.Popen(  # noqa: S603 - the arguments are the tests' own
             [sys.executable, "-m", "hopstep.cli.node", *arguments],
             env={**os.environ, "HOPSTEP_SETTINGS": str(self.path), **environment},
             stdout=self.log,
