--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -42,7 +42,8 @@
         self.slowness = 1.0
         self.loading_until = 0.0
         self.suspended_until = 0.0
-        self._others = InstanceLoad(instance.instance_id)
+        self._no_load = InstanceLoad(instance.instance_id)
+        self._others = self._no_load
         self._others_at = -REPORT_SECONDS
         self._failures = 0
         self._heard_at = 0.0
@@ -76,7 +77,7 @@
 
     def set_others(self, load: InstanceLoad | None, now: float) -> None:
         """Take the load of all other nodes; None for none."""
-        self._others = load or InstanceLoad(self.instance.instance_id)
+        self._others = load or self._no_load
         self._others_at = now
 
     def begin(self, request_id: str, uncached_tokens: int, now: float) -> None:
@@ -141,6 +142,4 @@
 
     def _others_now(self, now: float) -> InstanceLoad:
         """Return the load of other nodes, as long as it is recent."""
-        if now - self._others_at > REPORT_SECONDS:
-            return InstanceLoad(self.instance.instance_id)
-        return self._others
+        return self._others if now - self._others_at <= REPORT_SECONDS else self._no_load
--- a/hopstep/domain/exchanges/segment_moves.py
+++ b/hopstep/domain/exchanges/segment_moves.py
@@ -80,24 +80,42 @@
 
 
 class _Source(msgspec.Struct, frozen=True):
-    view: InstanceView
+    """What a place keeps of the prompt.
+
+    Attributes:
+        address: ``ip:port``.
+        zone: Its zone.
+        tokens: Leading tokens that it keeps.
+        seconds_per_token: Time to bring one to an instance of the same zone.
+        instance_id: The instance; empty for a cache store.
+    """
+
+    address: str
+    zone: str
     tokens: int
+    seconds_per_token: float
+    instance_id: str = ""
 
 
 class SegmentSources:
-    """All sources of one request."""
+    """All sources of one request, by weights version, those that keep most first."""
 
-    def __init__(self, sources: Iterable[InstanceView], request: EngineRequest) -> None:
-        """Look up what each source keeps.
+    def __init__(self, sources: Sequence[InstanceView], request: EngineRequest, now: float) -> None:
+        """Look up what each source has read.
 
         Args:
             sources: Instances from which segments may be brought.
             request: The request.
+            now: Steady clock, seconds.
         """
         self._request = request
-        self._best: dict[tuple[int, str], list[_Source]] = {}
+        self._by_version: dict[int, list[_Source]] = {}
+        self._stored: set[int] = set()
+        best: dict[tuple[int, str], list[_Source]] = {}
         for view in sources:
-            self._add(view)
+            self._add_engine(view, best, now)
+        for (version, _), found in best.items():
+            self._by_version.setdefault(version, []).extend(found)
 
     def best_move(self, view: InstanceView, cached: int) -> Move:
         """Return the way that brings the most tokens, the fastest among equals.
@@ -106,51 +124,55 @@
             view: The instance to which they are brought.
             cached: Tokens that it keeps itself.
         """
-        moves = [
-            self._from_store(view, store, cached)
-            for store in self._request.stores
-            if store.tokens_for(view) - cached >= MIN_MOVED_TOKENS
-        ]
-        version = view.versions.get(self._request.model, 0)
-        for (known_version, _), sources in self._best.items():
-            if known_version == version:
-                moves += self._from_engines(view, sources, cached)
-        return max(moves, key=lambda move: (move.tokens, -move.seconds), default=Move())
+        best = Move()
+        for source in self._of_version(view):
+            tokens = source.tokens - cached
+            if tokens < max(best.tokens, MIN_MOVED_TOKENS):
+                break
+            if source.instance_id == view.instance.instance_id:
+                continue
+            seconds = _move_seconds(tokens, source, view.instance.zone)
+            if not best.address or seconds < best.seconds:
+                best = Move(source.address, tokens, seconds)
+        return best
 
-    def _add(self, view: InstanceView) -> None:
-        """Take a source if it is among the two best of its version and zone."""
+    def _of_version(self, view: InstanceView) -> list[_Source]:
+        """Return the sources for an instance's weights, those that keep most first."""
+        version = view.versions.get(self._request.model, 0)
+        found = self._by_version.setdefault(version, [])
+        if version not in self._stored:
+            self._stored.add(version)
+            found.extend(self._cache_stores(view))
+            found.sort(key=lambda source: -source.tokens)
+        return found
+
+    def _add_engine(
+        self, view: InstanceView, best: dict[tuple[int, str], list[_Source]], now: float
+    ) -> None:
+        """Take an engine if it is among the two best of its version and zone."""
         request = self._request
-        tokens = min(view.segments.cached_tokens(request.keys_of(view)), request.prompt_tokens)
+        movable = view.segments.movable_tokens(request.keys_of(view), now)
+        tokens = min(movable, request.prompt_tokens)
         if tokens < MIN_MOVED_TOKENS:
             return
-        key = (view.versions.get(request.model, 0), view.instance.zone)
-        best = self._best.setdefault(key, [])
-        best.append(_Source(view, tokens))
-        best.sort(key=lambda source: -source.tokens)
-        del best[2:]
-
-    def _from_engines(
-        self, view: InstanceView, sources: Sequence[_Source], cached: int
-    ) -> list[Move]:
-        """Return the move from the best of a zone's engines that isn't the instance itself."""
-        for source in sources:
-            tokens = source.tokens - cached
-            if source.view is view or tokens < MIN_MOVED_TOKENS:
-                continue
-            instance = source.view.instance
-            per_token = self._request.move_seconds_per_token
-            seconds = _move_seconds(tokens, per_token, instance.zone, view)
-            return [Move(instance.address, tokens, seconds)]
-        return []
-
-    def _from_store(self, view: InstanceView, store: StoreSource, cached: int) -> Move:
-        """Return the move from a cache store."""
-        tokens = min(store.tokens_for(view), self._request.prompt_tokens) - cached
-        seconds = _move_seconds(tokens, store.move_seconds_per_token, store.zone, view)
-        return Move(store.address, tokens, seconds)
-
-
-def _move_seconds(tokens: int, per_token: float, zone: str, view: InstanceView) -> float:
-    """Return the time of a move to an instance."""
-    factor = OTHER_ZONE_FACTOR if zone != view.instance.zone else 1.0
-    return MOVE_SECONDS + tokens * per_token * factor
+        instance = view.instance
+        found = best.setdefault((view.versions.get(request.model, 0), instance.zone), [])
+        per_token = request.move_seconds_per_token
+        found.append(
+            _Source(instance.address, instance.zone, tokens, per_token, instance.instance_id)
+        )
+        found.sort(key=lambda source: -source.tokens)
+        del found[2:]
+
+    def _cache_stores(self, view: InstanceView) -> Iterable[_Source]:
+        """Yield the cache stores that keep something for an instance's weights."""
+        for store in self._request.stores:
+            tokens = min(store.tokens_for(view), self._request.prompt_tokens)
+            if tokens >= MIN_MOVED_TOKENS:
+                yield _Source(store.address, store.zone, tokens, store.move_seconds_per_token)
+
+
+def _move_seconds(tokens: int, source: _Source, zone: str) -> float:
+    """Return the time of a move to an instance of a zone."""
+    factor = OTHER_ZONE_FACTOR if source.zone != zone else 1.0
+    return MOVE_SECONDS + tokens * source.seconds_per_token * factor
--- a/hopstep/domain/exchanges/segments.py
+++ b/hopstep/domain/exchanges/segments.py
@@ -1,7 +1,7 @@
 """Which prompt segments an instance probably keeps: hints, never truth.
 
-A segment counts as kept only behind all segments before it, so keys are chained hashes. The salt
-goes into the chain: segments of another isolation group or weights version never match.
+A segment counts as kept only behind all segments before it. Model and salt go into its key, so
+segments of another isolation group or weights version never match.
 """
 
 from __future__ import annotations
@@ -18,10 +18,10 @@
 
 
 class SegmentKey(msgspec.Struct, frozen=True, array_like=True):
-    """One segment behind all those before it.
+    """One segment under a salt.
 
     Attributes:
-        digest: Chained 64-bit hash.
+        digest: 64-bit hash of model, salt and segment.
         tokens: Length of this segment.
     """
 
@@ -29,37 +29,50 @@
     tokens: int
 
 
-def chain_keys(salt: str, segments: Iterable[PromptSegment]) -> tuple[SegmentKey, ...]:
+def segment_digest(model: str, salt: str, segment_id: str) -> int:
+    """Return the 64-bit hash of a segment under a salt."""
+    hashed = hashlib.blake2b(f"{model}\0{salt}\0{segment_id}".encode(), digest_size=DIGEST_BYTES)
+    return int.from_bytes(hashed.digest(), "big")
+
+
+def segment_keys(
+    model: str, salt: str, segments: Iterable[PromptSegment]
+) -> tuple[SegmentKey, ...]:
     """Return the keys of a prompt's segments under a salt."""
-    keys: list[SegmentKey] = []
-    previous = salt.encode()
-    for segment in segments:
-        hashed = hashlib.blake2b(previous, digest_size=DIGEST_BYTES)
-        hashed.update(segment.segment_id.encode())
-        previous = hashed.digest()
-        keys.append(SegmentKey(int.from_bytes(previous, "big"), segment.tokens))
-    return tuple(keys)
+    return tuple(
+        SegmentKey(segment_digest(model, salt, segment.segment_id), segment.tokens)
+        for segment in segments
+    )
 
 
 class SegmentPicture:
-    """Segments of one instance by least recent use, bounded by its memory."""
+    """Segments of one instance by least recent use, bounded by its memory.
+
+    It has what was sent to the instance, also while that is still being read, less what the
+    instance's cache events took away.
+    """
 
     def __init__(self, capacity_tokens: int) -> None:
         """Start empty.
 
         Args:
-            capacity_tokens: Tokens that the instance is expected to keep.
+            capacity_tokens: Tokens that the instance may keep.
         """
         self._capacity = capacity_tokens
         self._kept: OrderedDict[int, int] = OrderedDict()
+        self._read_at: dict[int, float] = {}
         self._tokens = 0
 
     def __len__(self) -> int:
         """Return the number of segments."""
         return len(self._kept)
 
+    def __contains__(self, digest: int) -> bool:
+        """Return whether a segment is kept or being read."""
+        return digest in self._kept
+
     def cached_tokens(self, keys: Iterable[SegmentKey]) -> int:
-        """Return the tokens of the leading segments that are kept."""
+        """Return the tokens of the leading segments that a new prompt would find."""
         tokens = 0
         for key in keys:
             if key.digest not in self._kept:
@@ -67,18 +80,68 @@
             tokens += key.tokens
         return tokens
 
-    def record(self, keys: Iterable[SegmentKey]) -> None:
-        """Note that a prompt with these segments was sent to the instance."""
+    def movable_tokens(self, keys: Iterable[SegmentKey], now: float) -> int:
+        """Return the tokens of the leading segments that are read by now.
+
+        Args:
+            keys: The prompt.
+            now: Steady clock, seconds.
+        """
+        tokens = 0
+        for key in keys:
+            if key.digest not in self._kept or self._read_at[key.digest] > now:
+                break
+            tokens += key.tokens
+        return tokens
+
+    def read_between(self, start: float, end: float) -> list[int]:
+        """Return the segments that were expected to be read in a span of the steady clock."""
+        return [digest for digest, at in self._read_at.items() if start <= at < end]
+
+    def read_at(self, digest: int) -> float:
+        """Return when a kept segment is, or was, expected to be read; steady clock, seconds."""
+        return self._read_at[digest]
+
+    def record(self, keys: Iterable[SegmentKey], read_at: float = 0.0) -> None:
+        """Note that a prompt with these segments was sent to the instance.
+
+        Args:
+            keys: The prompt.
+            read_at: When those that it didn't keep are read, by the steady clock.
+        """
         for key in keys:
             known = self._kept.pop(key.digest, None)
             if known is None:
                 self._tokens += key.tokens
+                self._read_at[key.digest] = read_at
             self._kept[key.digest] = key.tokens
         while self._tokens > self._capacity and self._kept:
-            _, tokens = self._kept.popitem(last=False)
-            self._tokens -= tokens
+            self._forget(next(iter(self._kept)))
+
+    def mark_read(self, keys: Iterable[SegmentKey], now: float) -> None:
+        """Note that these segments are read.
+
+        Args:
+            keys: The prompt.
+            now: Steady clock, seconds.
+        """
+        for key in keys:
+            if self._read_at.get(key.digest, now) > now:
+                self._read_at[key.digest] = now
+
+    def drop(self, digests: Iterable[int]) -> None:
+        """Note that the instance doesn't keep these segments."""
+        for digest in digests:
+            if digest in self._kept:
+                self._forget(digest)
 
     def clear(self) -> None:
         """Forget everything: the instance was emptied."""
         self._kept.clear()
+        self._read_at.clear()
         self._tokens = 0
+
+    def _forget(self, digest: int) -> None:
+        """Forget one segment."""
+        self._tokens -= self._kept.pop(digest)
+        del self._read_at[digest]
--- a/hopstep/domain/exchanges/selection.py
+++ b/hopstep/domain/exchanges/selection.py
@@ -51,6 +51,8 @@
         cost_seconds: Expected time to the first byte, with penalties.
         uncached_tokens: Prompt tokens that it would read.
         source: ``ip:port`` from which it would bring segments; empty for none.
+        kept_tokens: Prompt tokens that it keeps itself.
+        read_seconds: Expected time until it has read the prompt.
     """
 
     view: InstanceView
@@ -58,6 +60,8 @@
     cost_seconds: float
     uncached_tokens: int
     source: str = ""
+    kept_tokens: int = 0
+    read_seconds: float = 0.0
 
 
 def choose_engine(
@@ -76,7 +80,7 @@
         now: Steady clock.
         generator: Breaks ties.
     """
-    known = SegmentSources(sources, request)
+    known = SegmentSources(sources, request, now)
     candidates = [_rate_engine(view, known, request, now, generator) for view in views]
     return min(candidates, key=lambda candidate: candidate.cost_seconds, default=None)
 
@@ -120,12 +124,12 @@
     kept = cached + move.tokens
     uncached = max(0, request.prompt_tokens - kept)
     shared = sum(key.tokens for key in keys[:-1])
-    reread = max(0, shared - kept)
     per_token = READ_SECONDS_PER_TOKEN * view.slowness
-    cost = (view.total_pending_tokens(now) + uncached) * per_token + move.seconds
-    cost += reread * per_token * (SHARED_WEIGHT - 1.0)
-    cost += view.total_active(now) * ACTIVE_SECONDS * view.slowness
-    cost += view.total_active(now) * uncached * per_token * INTERFERENCE
+    active = view.total_active(now)
+    read_seconds = (view.total_pending_tokens(now) + uncached) * per_token + move.seconds
+    cost = read_seconds
+    cost += max(0, shared - kept) * per_token * (SHARED_WEIGHT - 1.0)
+    cost += active * (ACTIVE_SECONDS * view.slowness + uncached * per_token * INTERFERENCE)
     cost += _failure_cost(view, now)
     cost += HOME_SECONDS * _distance(view, keys)
     if view.instance.zone != request.zone:
@@ -133,7 +137,7 @@
     if view.versions.get(request.model, 0) < request.preferred_version:
         cost += OLDER_WEIGHTS_SECONDS
     cost += JITTER_SECONDS * generator.random()
-    return Candidate(view, keys, cost, uncached, move.address)
+    return Candidate(view, keys, cost, uncached, move.address, cached, read_seconds)
 
 
 def _distance(view: InstanceView, keys: tuple[SegmentKey, ...]) -> float:
--- a/hopstep/domain/exchanges/store_contents.py
+++ b/hopstep/domain/exchanges/store_contents.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections import OrderedDict
 from collections.abc import Iterable
 
 import msgspec
 
-from hopstep.domain.exchanges.request import PromptSegment
+from hopstep.domain.exchanges.segments import SegmentKey, segment_digest
 
 PUSH_SECONDS = 2.0
 """A segment that an instance was asked to save isn't saved by another one for so long."""
@@ -20,11 +19,9 @@
 MAX_KEPT = 65_536
 """Most segments, those that were dropped included."""
 
-DIGEST_BYTES = 8
 
-
-class StoreEvent(msgspec.Struct, frozen=True):
-    """One change of a cache store.
+class CacheEvent(msgspec.Struct, frozen=True):
+    """One change of what a cache store or an engine keeps.
 
     Attributes:
         salt: Text under which the segment is kept.
@@ -38,6 +35,11 @@
     tokens: int
     model: str
 
+    @property
+    def digest(self) -> int:
+        """Key of the segment."""
+        return segment_digest(self.model, self.salt, self.segment_id)
+
 
 class StoredSegment(msgspec.Struct, frozen=True, array_like=True):
     """A segment as it is kept now.
@@ -81,12 +83,6 @@
     changes: tuple[StoredSegment, ...] = ()
 
 
-def segment_digest(model: str, salt: str, segment_id: str) -> int:
-    """Return the key of a segment in a store."""
-    hashed = hashlib.blake2b(f"{model}\0{salt}\0{segment_id}".encode(), digest_size=DIGEST_BYTES)
-    return int.from_bytes(hashed.digest(), "big")
-
-
 class StoreContents:
     """Segments of one cache store."""
 
@@ -123,12 +119,11 @@
         self._identity = identity
         self._number = 0
 
-    def apply(self, events: Iterable[StoreEvent]) -> None:
+    def apply(self, events: Iterable[CacheEvent]) -> None:
         """Take events, oldest first."""
         for event in events:
-            digest = segment_digest(event.model, event.salt, event.segment_id)
             self._number += 1
-            self._put(StoredSegment(digest, max(0, event.tokens)))
+            self._put(StoredSegment(event.digest, max(0, event.tokens)))
 
     def news_after(self, position: ContentsPosition, limit: int) -> ContentsNews:
         """Return the changes behind a position, the oldest up to a limit.
@@ -160,36 +155,31 @@
         for segment in news.changes:
             self._put(segment)
 
-    def cached_tokens(self, model: str, salt: str, segments: Iterable[PromptSegment]) -> int:
+    def cached_tokens(self, keys: Iterable[SegmentKey]) -> int:
         """Return the tokens of the leading segments that are kept whole."""
         if not self.reachable:
             return 0
         tokens = 0
-        for segment in segments:
-            if not self._keeps(segment_digest(model, salt, segment.segment_id)):
+        for key in keys:
+            if not self._keeps(key.digest):
                 break
-            tokens += segment.tokens
+            tokens += key.tokens
         return tokens
 
-    def claim_push(
-        self, model: str, salt: str, segments: Iterable[PromptSegment], now: float
-    ) -> bool:
+    def claim_push(self, keys: Iterable[SegmentKey], now: float) -> bool:
         """Return whether an instance should save these segments, and note that it will.
 
         Args:
-            model: Their model.
-            salt: Text under which they are kept.
-            segments: Shared segments of a prompt.
+            keys: Shared segments of a prompt.
             now: Steady clock, seconds.
         """
         if not self.reachable:
             return False
-        digests = [segment_digest(model, salt, segment.segment_id) for segment in segments]
         missing = [
-            digest
-            for digest in digests
-            if not self._keeps(digest)
-            and now - self._pushed.get(digest, -PUSH_SECONDS) >= PUSH_SECONDS
+            key.digest
+            for key in keys
+            if not self._keeps(key.digest)
+            and now - self._pushed.get(key.digest, -PUSH_SECONDS) >= PUSH_SECONDS
         ]
         for digest in missing:
             self._pushed[digest] = now
--- /dev/null
+++ b/hopstep/domain/exchanges/watch_plan.py
@@ -0,0 +1,40 @@
+"""Which node follows the cache events of which engine.
+
+Each node ranks the registered nodes alike, so nobody needs to agree. While two nodes' views differ
+an engine is followed by two nodes or by none, for a moment; pictures bear both.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.exchanges.nodes import NodeRecord
+from hopstep.domain.rendezvous import Rendezvous
+
+
+class WatchPlan:
+    """The following node of each engine, one of the engine's zone where there are any."""
+
+    def __init__(self) -> None:
+        """Know no nodes."""
+        self._nodes: dict[str, NodeRecord] = {}
+        self._zones: dict[str, Rendezvous] = {}
+        self._all = Rendezvous({})
+
+    def set_nodes(self, nodes: Mapping[str, NodeRecord]) -> None:
+        """Take the registered nodes; larger ones follow more engines."""
+        if nodes == self._nodes:
+            return
+        self._nodes = dict(nodes)
+        zones: dict[str, dict[str, float]] = {}
+        for name, record in nodes.items():
+            zones.setdefault(record.zone, {})[name] = record.capacity
+        self._zones = {zone: Rendezvous(weights) for zone, weights in zones.items()}
+        self._all = Rendezvous({name: record.capacity for name, record in nodes.items()})
+
+    def watcher(self, instance: Instance) -> str:
+        """Return the node that follows an engine; empty without nodes."""
+        ranking = self._zones.get(instance.zone, self._all)
+        owners = ranking.owners(instance.instance_id)
+        return owners[0] if owners else ""
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -32,6 +32,7 @@
 from hopstep.ports.weights_orders import WeightsOrders
 from hopstep.services.exchanges.connection_reaper import ConnectionReaper
 from hopstep.services.exchanges.directory_follower import DirectoryFollower
+from hopstep.services.exchanges.engine_cache_watch import EngineCacheWatch
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
@@ -61,7 +62,7 @@
         calls: Requests to instances.
         orders: Orders to engines.
         nodes: Datagrams between nodes.
-        cache_events: What cache stores keep.
+        cache_events: What cache stores and engines keep.
         generator: Source of random choices.
     """
 
@@ -107,6 +108,7 @@
         )
         self.sharing = LoadSharing(self.knowledge)
         self.store_watch = CacheStoreWatch(self.knowledge, ports.cache_events)
+        self.engine_watch = EngineCacheWatch(self.knowledge, ports.cache_events, self.sharing)
         self.relaying = Relaying(
             self.knowledge, self.sharing, self.store_watch, self.follower, ports.nodes, generator
         )
@@ -172,6 +174,7 @@
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.relaying.run)
             nursery.start_soon(self.store_watch.run)
+            nursery.start_soon(self.engine_watch.run)
             nursery.start_soon(self.registration.run)
             nursery.start_soon(self.reaper.run)
             nursery.start_soon(self.lease.run)
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -417,6 +417,13 @@
     ("address", "reachable"),
     "If false: look at the cache store; prompts are read anew meanwhile.",
 )
+ENGINE_EVENTS_CHANGED = LogEvent(
+    "HS6108",
+    "engine_events_changed",
+    Level.INFO,
+    ("instance", "readable"),
+    "If false for long: look at the engine; its cache is taken for what was sent to it.",
+)
 ROLLOUT_LEASE_ACQUIRED = LogEvent(
     "HS6105", "rollout_lease_acquired", Level.INFO, ("fencing_token",), "Nothing."
 )
--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -1,4 +1,4 @@
-"""Events of the platform's cache stores."""
+"""Cache events of the platform's stores and engines."""
 
 from __future__ import annotations
 
@@ -6,10 +6,10 @@
 import msgspec
 import trio
 
-from hopstep.domain.exchanges.store_contents import StoreEvent
+from hopstep.domain.exchanges.store_contents import CacheEvent
 from hopstep.platform import names
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
-from hopstep.ports.cache_events import CacheEvents, StoreEvents
+from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
 
 ANSWER_SECONDS = 0.7
 MILLISECONDS = 1_000
@@ -43,7 +43,9 @@
         """
         self._client = client
 
-    async def read(self, address: str, position: int, wait_seconds: float) -> StoreEvents | None:
+    async def read(
+        self, address: str, position: int, wait_seconds: float
+    ) -> CacheEventBatch | None:
         """Return events; see the port."""
         wait = str(int(wait_seconds * MILLISECONDS)).encode()
         headers = ((b"host", address.encode()), (names.WAIT, wait))
@@ -65,9 +67,9 @@
         ):
             return None
         events = tuple(_read(event) for event in read.events)
-        return StoreEvents(read.epoch, read.next_page_token, read.lost, events)
+        return CacheEventBatch(read.epoch, read.next_page_token, read.lost, events)
 
 
-def _read(event: _Event) -> StoreEvent:
+def _read(event: _Event) -> CacheEvent:
     """Return one event; what is dropped whole keeps no tokens."""
-    return StoreEvent(event.salt, event.segment_id, event.tokens, event.model)
+    return CacheEvent(event.salt, event.segment_id, event.tokens, event.model)
--- a/hopstep/ports/cache_events.py
+++ b/hopstep/ports/cache_events.py
@@ -1,4 +1,4 @@
-"""Port to the events of a cache store."""
+"""Port to the events of caches: what cache stores and engines keep."""
 
 from __future__ import annotations
 
@@ -6,14 +6,14 @@
 
 import msgspec
 
-from hopstep.domain.exchanges.store_contents import StoreEvent
+from hopstep.domain.exchanges.store_contents import CacheEvent
 
 
-class StoreEvents(msgspec.Struct, frozen=True):
+class CacheEventBatch(msgspec.Struct, frozen=True):
     """Events since a position.
 
     Attributes:
-        epoch: Changes when the store restarts empty.
+        epoch: Changes when the store or engine restarts empty.
         position: Where the next call goes on.
         lost: Whether events are missing before these.
         events: Oldest first.
@@ -22,12 +22,14 @@
     epoch: int
     position: int
     lost: bool
-    events: tuple[StoreEvent, ...]
+    events: tuple[CacheEvent, ...]
 
 
 class CacheEvents(abc.ABC):
     """Reads events."""
 
     @abc.abstractmethod
-    async def read(self, address: str, position: int, wait_seconds: float) -> StoreEvents | None:
+    async def read(
+        self, address: str, position: int, wait_seconds: float
+    ) -> CacheEventBatch | None:
         """Return events after a position, waiting for some; None without a usable answer."""
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -18,11 +18,20 @@
 from hopstep.ports.serving_directory import DirectoryEntry
 
 
-class SentSegments(msgspec.Struct, frozen=True, array_like=True):
-    """Segments of a prompt that was sent to an instance."""
+class SegmentNews(msgspec.Struct, frozen=True, array_like=True):
+    """What has changed in the segments that an instance keeps.
+
+    Attributes:
+        instance_id: The instance.
+        sent: Segments of a prompt that was sent to it, or that its cache events report.
+        read_ms: Expected time until it has read them.
+        dropped: Digests of segments that it doesn't keep.
+    """
 
     instance_id: str
-    keys: tuple[SegmentKey, ...]
+    sent: tuple[SegmentKey, ...] = ()
+    read_ms: int = 0
+    dropped: tuple[int, ...] = ()
 
 
 class LoadingEngine(msgspec.Struct, frozen=True, array_like=True):
@@ -36,11 +45,11 @@
     """A long prompt that was just sent to an instance.
 
     Attributes:
-        instance_id: The instance.
+        segments: The instance, and the prompt's shared segments.
         tokens: Tokens that it has to read.
     """
 
-    instance_id: str
+    segments: SegmentNews
     tokens: int
 
 
@@ -49,12 +58,12 @@
 
     Attributes:
         loads: Loads; instances that aren't named have none.
-        sent: Prompts sent since the last message.
+        segments: Changes of kept segments since the last message.
         loading: Engines that load weights.
     """
 
     loads: tuple[InstanceLoad, ...] = ()
-    sent: tuple[SentSegments, ...] = ()
+    segments: tuple[SegmentNews, ...] = ()
     loading: tuple[LoadingEngine, ...] = ()
 
 
@@ -64,8 +73,8 @@
     Attributes:
         number: Rises with each query of the process; the answer repeats it.
         revision: The node has all changes of the directory up to it; -1 for none.
-        feed: Identity of the feed of prompts that ``position`` belongs to.
-        position: Prompts up to it are known.
+        feed: Identity of the feed of segment news that ``position`` belongs to.
+        position: News up to it are known.
         hints: The node's own, told to its relay only; None for a node that just looks for news.
         contents: How far the node knows each cache store.
     """
@@ -101,8 +110,8 @@
         complete: Whether ``revision`` is the newest that the answering node knows.
         beyond_reach: Whether the asker must read the store itself to get further.
         entries: Changes, oldest first.
-        feed: Identity of the feed of prompts.
-        position: Position behind the prompts in ``hints``.
+        feed: Identity of the feed of segment news.
+        position: Position behind the news in ``hints``.
         hints: Of all nodes but the asker.
         contents: What the asker doesn't know of the cache stores.
     """
--- /dev/null
+++ b/hopstep/services/exchanges/engine_cache_watch.py
@@ -0,0 +1,116 @@
+"""Follows the cache events of engines: each engine's on one node, which tells the others.
+
+While an engine's events can't be read, or its node is gone, pictures of it go on from what is sent.
+"""
+
+from __future__ import annotations
+
+import trio
+
+from hopstep import log_events
+from hopstep.domain.exchanges.engine_contents import EngineContents
+from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.exchanges.watch_plan import WatchPlan
+from hopstep.logs import emit
+from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
+from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.load_sharing import LoadSharing
+
+WAIT_SECONDS = 1.0
+"""Longest wait of one call; waits of 0.2 s and more aren't priced."""
+
+PAUSE_SECONDS = 0.15
+"""Between two calls, so that events gather."""
+
+RETRY_SECONDS = 1.0
+ASSIGN_SECONDS = 0.5
+"""Between two looks at which engines this node follows."""
+
+
+class EngineCacheWatch:
+    """Reads the events of the engines that fall to this node."""
+
+    def __init__(
+        self, knowledge: ServingKnowledge, events: CacheEvents, sharing: LoadSharing
+    ) -> None:
+        """Follow nothing yet.
+
+        Args:
+            knowledge: Engines and nodes.
+            events: Reads events.
+            sharing: Told what the events say.
+        """
+        self._knowledge = knowledge
+        self._events = events
+        self._sharing = sharing
+        self._plan = WatchPlan()
+        self._followed: dict[str, trio.CancelScope] = {}
+
+    async def run(self) -> None:
+        """Follow the engines of this node until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._assign(nursery)
+                await trio.sleep(ASSIGN_SECONDS)
+
+    def _assign(self, nursery: trio.Nursery) -> None:
+        """Begin with engines that have come to this node and leave those that went."""
+        knowledge = self._knowledge
+        self._plan.set_nodes({**knowledge.nodes, knowledge.name: knowledge.record})
+        own = {
+            view.instance.instance_id: view
+            for view in knowledge.table
+            if view.versions and self._plan.watcher(view.instance) == knowledge.name
+        }
+        for instance_id in self._followed.keys() - own.keys():
+            self._followed.pop(instance_id).cancel()
+        for instance_id in own.keys() - self._followed.keys():
+            scope = self._followed[instance_id] = trio.CancelScope()
+            nursery.start_soon(self._follow, own[instance_id], scope)
+
+    async def _follow(self, view: InstanceView, scope: trio.CancelScope) -> None:
+        """Follow one engine until its scope is cancelled."""
+        with scope:
+            contents = EngineContents(trio.current_time())
+            position = 0
+            epoch: int | None = None
+            readable = True
+            while True:
+                batch = await self._events.read(view.instance.address, position, WAIT_SECONDS)
+                if readable != (batch is not None):
+                    readable = batch is not None
+                    _log_readable(view, readable)
+                if batch is None:
+                    await trio.sleep(RETRY_SECONDS)
+                    continue
+                self._take(view, contents, batch, epoch)
+                position, epoch = batch.position, batch.epoch
+                await trio.sleep(PAUSE_SECONDS)
+
+    def _take(
+        self,
+        view: InstanceView,
+        contents: EngineContents,
+        batch: CacheEventBatch,
+        epoch: int | None,
+    ) -> None:
+        """Take a batch and tell what it changes."""
+        now = trio.current_time()
+        if epoch is not None and batch.epoch != epoch:
+            contents.restart(now)
+        elif batch.lost:
+            contents.note_gap(now)
+        corrections = contents.take(batch.events, view.segments, now)
+        if not corrections.is_empty:
+            self._sharing.note_cache_events(
+                view.instance.instance_id, corrections.kept, corrections.dropped
+            )
+
+
+def _log_readable(view: InstanceView, readable: bool) -> None:
+    """Log that an engine's events can be read again, or no longer."""
+    emit(
+        log_events.ENGINE_EVENTS_CHANGED,
+        instance=view.instance.instance_id,
+        readable=readable,
+    )
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -116,7 +116,7 @@
         now = trio.current_time()
         self.outcome.instance = view.instance.instance_id
         view.begin(request.request_id, candidate.uncached_tokens, now)
-        view.segments.record(candidate.keys)
+        view.segments.record(candidate.keys, now + candidate.read_seconds)
         self._parts.note_sent(candidate)
         self._in_flight = SendProof()
         try:
@@ -223,6 +223,7 @@
             heard_at = now
             if first:
                 first = False
+                view.segments.mark_read(candidate.keys, now)
                 view.first_byte(self._request.request_id, candidate.uncached_tokens, now)
                 view.succeeded(now - sent_at)
             view.heard(now)
--- a/hopstep/services/exchanges/instance_choice.py
+++ b/hopstep/services/exchanges/instance_choice.py
@@ -9,8 +9,8 @@
 
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.request import ExchangeRequest, Prompt
-from hopstep.domain.exchanges.segment_moves import EngineRequest, StoreSource
-from hopstep.domain.exchanges.segments import SegmentKey, chain_keys
+from hopstep.domain.exchanges.segment_moves import EngineRequest, KeysOf, StoreSource
+from hopstep.domain.exchanges.segments import SegmentKey, segment_keys
 from hopstep.domain.exchanges.selection import Candidate, choose_engine, choose_server
 from hopstep.domain.exchanges.serving import EngineTraits
 from hopstep.domain.exchanges.store_contents import StoreContents
@@ -102,7 +102,7 @@
         def keys_of(view: InstanceView) -> tuple[SegmentKey, ...]:
             salt = self.salt(request, view)
             if salt not in by_salt:
-                by_salt[salt] = chain_keys(salt, prompt.segments)
+                by_salt[salt] = segment_keys(prompt.model, salt, prompt.segments)
             return by_salt[salt]
 
         traits = self._traits(service)
@@ -113,15 +113,13 @@
             prompt.model,
             prompt.prompt_tokens,
             traits.move_seconds_per_token(traits.link_megabits),
-            self._stores(request, prompt, traits),
+            self._stores(keys_of, traits),
             self._zone,
             self._other_zone_seconds,
             self._knowledge.weights.preferred(prompt.model, trio.current_time()),
         )
 
-    def _stores(
-        self, request: ExchangeRequest, prompt: Prompt, traits: EngineTraits
-    ) -> tuple[StoreSource, ...]:
+    def _stores(self, keys_of: KeysOf, traits: EngineTraits) -> tuple[StoreSource, ...]:
         """Return the cache stores from which segments may be brought."""
         index = self._knowledge.require_index()
         sources = []
@@ -129,24 +127,10 @@
             contents = self._store_watch.contents(store.address)
             if contents is not None and contents.reachable:
                 per_token = traits.move_seconds_per_token(store.link_megabits)
-                tokens_for = self._tokens_in_store(request, prompt, contents)
+                tokens_for = _tokens_in_store(keys_of, contents)
                 sources.append(StoreSource(store.address, store.zone, per_token, tokens_for))
         return tuple(sources)
 
-    def _tokens_in_store(
-        self, request: ExchangeRequest, prompt: Prompt, contents: StoreContents
-    ) -> Callable[[InstanceView], int]:
-        """Return how many tokens of a prompt a store keeps for an instance's weights."""
-        by_salt: dict[str, int] = {}
-
-        def tokens_for(view: InstanceView) -> int:
-            salt = self.salt(request, view)
-            if salt not in by_salt:
-                by_salt[salt] = contents.cached_tokens(prompt.model, salt, prompt.segments)
-            return by_salt[salt]
-
-        return tokens_for
-
     def push_target(self, request: ExchangeRequest, view: InstanceView) -> str:
         """Return the cache store to which an instance should save a prompt; empty for none."""
         prompt = request.prompt
@@ -155,11 +139,11 @@
         shared = prompt.segments[:-1]
         if sum(segment.tokens for segment in shared) < MIN_SAVED_TOKENS:
             return ""
-        salt = self.salt(request, view)
+        keys = segment_keys(prompt.model, self.salt(request, view), shared)
         for store in self._knowledge.require_index().cache_stores():
             contents = self._store_watch.contents(store.address)
             now = trio.current_time()
-            if contents is not None and contents.claim_push(prompt.model, salt, shared, now):
+            if contents is not None and contents.claim_push(keys, now):
                 return store.address
         return ""
 
@@ -167,3 +151,8 @@
         """Return the traits of a service's engines."""
         found = self._knowledge.require_index().services.get(service)
         return found.engine if found is not None else None
+
+
+def _tokens_in_store(keys_of: KeysOf, contents: StoreContents) -> Callable[[InstanceView], int]:
+    """Return a function that tells how many tokens a store keeps for an instance's weights."""
+    return lambda view: contents.cached_tokens(keys_of(view))
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -76,6 +76,7 @@
             revocation_seconds: Longest time for which a key may be taken for valid.
         """
         self.name = name
+        self.record = record
         self.table = table
         self.weights = weights
         self.index: ServingIndex | None = None
--- a/hopstep/services/exchanges/load_sharing.py
+++ b/hopstep/services/exchanges/load_sharing.py
@@ -1,4 +1,4 @@
-"""What nodes tell each other of instances: load, prompts sent, engines that load. Hints only.
+"""What nodes tell each other of instances: load, kept segments, engines that load. Hints only.
 
 Without other nodes, or when datagrams are lost, a node chooses by its own traffic alone.
 """
@@ -11,20 +11,21 @@
 import trio
 
 from hopstep.domain.exchanges.load_ledger import InstanceLoad, LoadLedger, Loads, add_loads
+from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.sent_log import SentLog
-from hopstep.ports.node_exchange import Hints, LoadingEngine, SentPrompt, SentSegments
+from hopstep.ports.node_exchange import Hints, LoadingEngine, SegmentNews, SentPrompt
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 
 ANSWERS = "answers"
 """Source of the loads that a relay's answer tells: of all other nodes together."""
 
 IDENTITY_BYTES = 6
-MAX_SENT = 64
-"""Most prompts in one message."""
+MAX_NEWS = 256
+"""Most news of segments in one message: some 10 kB."""
 
 REPEAT_SECONDS = 2.0
-"""The same shared segments at the same instance aren't told again within this time."""
+"""Shared segments that an instance keeps already aren't told again within this time."""
 
 MAX_TOLD = 8_192
 URGENT_TOKENS = 3_000
@@ -43,11 +44,11 @@
             knowledge: Instances and nodes.
         """
         self.urgent = trio.Event()
-        self.log: SentLog[SentSegments] = SentLog(secrets.token_hex(IDENTITY_BYTES))
+        self.log: SentLog[SegmentNews] = SentLog(secrets.token_hex(IDENTITY_BYTES))
         self._knowledge = knowledge
         self._members = LoadLedger()
         self._others = LoadLedger()
-        self._unsent: list[SentSegments] = []
+        self._unsent: list[SegmentNews] = []
         self._loading: dict[str, float] = {}
         self._told: dict[tuple[str, int], float] = {}
         self._urgent_prompts: list[SentPrompt] = []
@@ -59,27 +60,47 @@
 
     def note_sent(self, candidate: Candidate) -> None:
         """Note a prompt that was sent, for the other nodes."""
-        if candidate.uncached_tokens >= URGENT_TOKENS:
-            instance_id = candidate.view.instance.instance_id
-            self._urgent_prompts.append(SentPrompt(instance_id, candidate.uncached_tokens))
-            self.urgent.set()
-        self._note_segments(candidate)
-
-    def _note_segments(self, candidate: Candidate) -> None:
-        """Note the shared segments of a prompt, unless they were told lately."""
         keys = candidate.keys[:-1] or candidate.keys
         if not keys:
             return
+        instance_id = candidate.view.instance.instance_id
+        news = SegmentNews(instance_id, keys, round(candidate.read_seconds * MILLISECONDS))
+        if candidate.uncached_tokens >= URGENT_TOKENS:
+            self._urgent_prompts.append(SentPrompt(news, candidate.uncached_tokens))
+            self.urgent.set()
+        kept_already = candidate.kept_tokens >= sum(key.tokens for key in keys)
+        if not kept_already or self._is_due(instance_id, keys[-1].digest):
+            self._tell(news)
+
+    def note_cache_events(
+        self, instance_id: str, kept: tuple[SegmentKey, ...], dropped: tuple[int, ...]
+    ) -> None:
+        """Note what an instance's cache events tell, here and for the other nodes.
+
+        Args:
+            instance_id: The instance.
+            kept: Segments that it keeps and that weren't known.
+            dropped: Digests of segments that were taken for kept.
+        """
+        news = SegmentNews(instance_id, kept, 0, dropped)
+        self._take_segments(news, trio.current_time())
+        self._tell(news)
+
+    def _is_due(self, instance_id: str, digest: int) -> bool:
+        """Return whether segments that an instance keeps should be told again, and note that."""
         now = trio.current_time()
-        told = (candidate.view.instance.instance_id, keys[-1].digest)
+        told = (instance_id, digest)
         if now - self._told.get(told, -REPEAT_SECONDS) < REPEAT_SECONDS:
-            return
+            return False
         if len(self._told) >= MAX_TOLD:
             self._told.clear()
         self._told[told] = now
-        sent = SentSegments(told[0], keys)
-        self._unsent.append(sent)
-        self.log.append(self._knowledge.name, sent)
+        return True
+
+    def _tell(self, news: SegmentNews) -> None:
+        """Tell other nodes of segments with the next messages."""
+        self._unsent.append(news)
+        self.log.append(self._knowledge.name, news)
 
     def announce_loading(self, instance_id: str, seconds: float) -> None:
         """Tell other nodes at once that an engine loads weights."""
@@ -121,17 +142,19 @@
 
     def _add_prompt(self, node: str, prompt: SentPrompt, now: float) -> None:
         """Add a long prompt to the load that its sender told."""
-        load = InstanceLoad(prompt.instance_id, 1, prompt.tokens)
+        instance_id = prompt.segments.instance_id
+        load = InstanceLoad(instance_id, 1, prompt.tokens)
         if self._knowledge.relays.relay() == node:
             self._others.add(ANSWERS, load, now)
         elif self.is_member(node):
             self._members.add(node, load, now)
         else:
             self._others.add(node, load, now)
-        view = self._knowledge.table.get(prompt.instance_id)
+        view = self._knowledge.table.get(instance_id)
         if view is not None:
-            total = self._members.total(prompt.instance_id)
-            view.set_others(total.plus(self._others.total(prompt.instance_id)), now)
+            total = self._members.total(instance_id)
+            view.set_others(total.plus(self._others.total(instance_id)), now)
+            self._take_segments(prompt.segments, now)
 
     def own_hints(self) -> Hints:
         """Return what this node has to tell since the last time."""
@@ -150,13 +173,13 @@
         now = trio.current_time()
         totals = self._totals(now, without=node)
         add_loads(totals, self._own_loads(now))
-        sent, position = self.log.after(identity, position, node, MAX_SENT)
-        return Hints(tuple(totals.values()), sent, self._loading_now(now)), position
+        news, position = self.log.after(identity, position, node, MAX_NEWS)
+        return Hints(tuple(totals.values()), news, self._loading_now(now)), position
 
     def take_from_member(self, node: str, hints: Hints) -> None:
         """Take the hints of a node that asks this one."""
         self._members.report(node, hints.loads, trio.current_time())
-        self._unsent += hints.sent
+        self._unsent += hints.segments
         self._take(node, hints)
 
     def take_from_relay(self, node: str, hints: Hints) -> None:
@@ -183,17 +206,21 @@
         return totals
 
     def _take(self, node: str, hints: Hints) -> None:
-        """Take prompts and loading engines."""
-        table = self._knowledge.table
+        """Take news of segments and loading engines."""
         now = trio.current_time()
-        for sent in hints.sent:
-            self.log.append(node, sent)
-            view = table.get(sent.instance_id)
-            if view is not None:
-                view.segments.record(sent.keys)
+        for news in hints.segments:
+            self.log.append(node, news)
+            self._take_segments(news, now)
         for loading in hints.loading:
             self._take_loading(loading, now)
 
+    def _take_segments(self, news: SegmentNews, now: float) -> None:
+        """Put news of an instance's segments into its picture."""
+        view = self._knowledge.table.get(news.instance_id)
+        if view is not None:
+            view.segments.drop(news.dropped)
+            view.segments.record(news.sent, now + news.read_ms / MILLISECONDS)
+
     def _take_loading(self, loading: LoadingEngine, now: float) -> None:
         """Keep requests from an engine that loads weights."""
         until = now + loading.milliseconds / MILLISECONDS
@@ -215,11 +242,11 @@
         )
         return tuple(load for load in loads if not load.is_empty)
 
-    def _take_unsent(self) -> tuple[SentSegments, ...]:
-        """Return prompts that weren't told yet; what is too much is dropped."""
-        sent = tuple(self._unsent[-MAX_SENT:])
+    def _take_unsent(self) -> tuple[SegmentNews, ...]:
+        """Return news of segments that weren't told yet; what is too much is dropped."""
+        news = tuple(self._unsent[-MAX_NEWS:])
         self._unsent.clear()
-        return sent
+        return news
 
     def _loading_now(self, now: float) -> tuple[LoadingEngine, ...]:
         """Return the engines that load, and forget those that have loaded."""
--- a/hopstep/services/exchanges/store_watch.py
+++ b/hopstep/services/exchanges/store_watch.py
@@ -16,7 +16,7 @@
     StoreContents,
 )
 from hopstep.logs import emit
-from hopstep.ports.cache_events import CacheEvents, StoreEvents
+from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 
 WAIT_SECONDS = 1.0
@@ -104,7 +104,7 @@
             await trio.sleep(PAUSE_SECONDS)
 
 
-def _take(contents: StoreContents, batch: StoreEvents, epoch: int | None) -> None:
+def _take(contents: StoreContents, batch: CacheEventBatch, epoch: int | None) -> None:
     """Take a batch; a restart or a gap empties what is known."""
     if batch.epoch != epoch or batch.lost:
         contents.clear(secrets.token_hex(IDENTITY_BYTES))
--- a/tests/adapters/test_node_codec.py
+++ b/tests/adapters/test_node_codec.py
@@ -19,7 +19,7 @@
     RelayDigest,
     RelayedEntry,
     RelayQuery,
-    SentSegments,
+    SegmentNews,
 )
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
@@ -33,7 +33,7 @@
 NODES = {"a": NodeRecord("1.2.3.4:5", "z", b"key-a"), "b": NodeRecord("1.2.3.4:6", "z", b"key-b")}
 HINTS = Hints(
     (InstanceLoad("i1", 3, 400, 1),),
-    (SentSegments("i1", (SegmentKey(2**63 + 5, 800), SegmentKey(7, 16))),),
+    (SegmentNews("i1", (SegmentKey(2**63 + 5, 800), SegmentKey(7, 16))),),
     (LoadingEngine("i2", 900),),
 )
 INSTANCE = Instance("i1", "llm", "10.0.0.1:80", "z", 4, versions={"m": 3})
--- a/tests/domain/exchanges/test_selection.py
+++ b/tests/domain/exchanges/test_selection.py
@@ -6,13 +6,13 @@
 from hopstep.domain.exchanges.load_ledger import InstanceLoad
 from hopstep.domain.exchanges.request import PromptSegment
 from hopstep.domain.exchanges.segment_moves import EngineRequest, StoreSource
-from hopstep.domain.exchanges.segments import SegmentPicture, chain_keys
+from hopstep.domain.exchanges.segments import SegmentPicture, segment_keys
 from hopstep.domain.exchanges.selection import choose_engine, choose_server
 
 MODEL = "m"
 SEGMENTS = (PromptSegment("a", 4_000), PromptSegment("b", 3_000), PromptSegment("c", 500))
 TOKENS = sum(segment.tokens for segment in SEGMENTS)
-KEYS = chain_keys("1.", SEGMENTS)
+KEYS = segment_keys(MODEL, "1.", SEGMENTS)
 NOW = 50.0
 
 
@@ -141,14 +141,14 @@
         picture = SegmentPicture(100_000)
         picture.record(KEYS)
         for salt in ("2.", "1.t"):
-            self.assertEqual(picture.cached_tokens(chain_keys(salt, SEGMENTS)), 0)
+            self.assertEqual(picture.cached_tokens(segment_keys(MODEL, salt, SEGMENTS)), 0)
 
     def test_the_least_recently_used_give_way(self):
         picture = SegmentPicture(10_000)
         for number in range(20):
-            picture.record(chain_keys("1.", (PromptSegment(str(number), 1_000),)))
+            picture.record(segment_keys(MODEL, "1.", (PromptSegment(str(number), 1_000),)))
         self.assertEqual(len(picture), 10)
-        newest = chain_keys("1.", (PromptSegment("19", 1_000),))
+        newest = segment_keys(MODEL, "1.", (PromptSegment("19", 1_000),))
         self.assertEqual(picture.cached_tokens(newest), 1_000)
 
 
--- a/tests/domain/exchanges/test_store_contents.py
+++ b/tests/domain/exchanges/test_store_contents.py
@@ -2,13 +2,15 @@
 import unittest
 
 from hopstep.domain.exchanges.request import PromptSegment
-from hopstep.domain.exchanges.store_contents import PUSH_SECONDS, StoreContents, StoreEvent
+from hopstep.domain.exchanges.segments import segment_keys
+from hopstep.domain.exchanges.store_contents import PUSH_SECONDS, CacheEvent, StoreContents
 
 SEGMENTS = (PromptSegment("a", 100), PromptSegment("b", 50))
+KEYS = segment_keys("m", "1.", SEGMENTS)
 
 
 def kept(segment_id, tokens=100, salt="1."):
-    return StoreEvent(salt, segment_id, tokens, "m")
+    return CacheEvent(salt, segment_id, tokens, "m")
 
 
 class StoreContentsTest(unittest.TestCase):
@@ -19,7 +21,7 @@
         return contents
 
     def tokens(self, contents, salt="1."):
-        return contents.cached_tokens("m", salt, SEGMENTS)
+        return contents.cached_tokens(segment_keys("m", salt, SEGMENTS))
 
     def test_leading_segments_count(self):
         self.assertEqual(self.tokens(self.contents(kept("a"), kept("b"))), 150)
@@ -35,17 +37,17 @@
         contents = self.contents(kept("a"))
         contents.reachable = False
         self.assertEqual(self.tokens(contents), 0)
-        self.assertFalse(contents.claim_push("m", "1.", SEGMENTS, 0.0))
+        self.assertFalse(contents.claim_push(KEYS, 0.0))
 
     def test_a_segment_is_saved_once_in_a_while(self):
         contents = self.contents()
-        self.assertTrue(contents.claim_push("m", "1.", SEGMENTS, 5.0))
-        self.assertFalse(contents.claim_push("m", "1.", SEGMENTS, 5.0 + PUSH_SECONDS / 2))
-        self.assertTrue(contents.claim_push("m", "1.", SEGMENTS, 5.0 + PUSH_SECONDS))
+        self.assertTrue(contents.claim_push(KEYS, 5.0))
+        self.assertFalse(contents.claim_push(KEYS, 5.0 + PUSH_SECONDS / 2))
+        self.assertTrue(contents.claim_push(KEYS, 5.0 + PUSH_SECONDS))
 
     def test_what_is_kept_is_not_saved_again(self):
         contents = self.contents(kept("a"), kept("b"))
-        self.assertFalse(contents.claim_push("m", "1.", SEGMENTS, 5.0))
+        self.assertFalse(contents.claim_push(KEYS, 5.0))
 
 
 class FollowingTest(unittest.TestCase):
@@ -53,7 +55,7 @@
 
     def tokens(self, contents, count=40):
         return [
-            contents.cached_tokens("m", "1.", (PromptSegment(f"s{number}", 10),))
+            contents.cached_tokens(segment_keys("m", "1.", (PromptSegment(f"s{number}", 10),)))
             for number in range(count)
         ]
 
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -1,6 +1,7 @@
 """One or more nodes of routed exchanges over emulated ports, on a virtual clock."""
 
 import random
+from collections import Counter
 
 import trio
 from trio.testing import MockClock
@@ -23,7 +24,7 @@
 from hopstep.exceptions import ErrorCode, ServiceError, StoreError
 from hopstep.exchange_node import ExchangePorts, ExchangeServices
 from hopstep.exchange_settings import ExchangeBounds, ExchangeSettings
-from hopstep.ports.cache_events import CacheEvents
+from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
 from hopstep.ports.exchange_front import ClientAnswer, RequestHead
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
@@ -133,9 +134,31 @@
     return "configuration"
 
 
-class NoCacheEvents(CacheEvents):
+class EmulatedCacheEvents(CacheEvents):
+    """Cache events by address; addresses without any give no answer."""
+
+    def __init__(self):
+        self.events = {}
+        self.readers = Counter()
+        self._added = trio.Event()
+
+    def add(self, address, event):
+        self.events[address].append(event)
+        self._added.set()
+        self._added = trio.Event()
+
     async def read(self, address, position, wait_seconds):
-        await trio.sleep(wait_seconds)
+        self.readers[address] += 1
+        try:
+            with trio.move_on_after(wait_seconds):
+                while len(self.events.get(address, ())) <= position:
+                    await self._added.wait()
+        finally:
+            self.readers[address] -= 1
+        events = self.events.get(address)
+        if events is None:
+            return None
+        return CacheEventBatch(1, len(events), False, tuple(events[position:]))
 
 
 class RecordedAnswer(ClientAnswer):
@@ -170,6 +193,7 @@
     def __init__(self, nodes=1, seed=1, zones=1):
         self.shared = SharedStore()
         self.instances = EmulatedInstances()
+        self.cache_events = EmulatedCacheEvents()
         self.instances.on_changed = self.relist
         self.listed = {}
         self.log = []
@@ -242,7 +266,7 @@
             calls=self.instances,
             orders=self.instances,
             nodes=self.network.attach(name, address, key),
-            cache_events=NoCacheEvents(),
+            cache_events=self.cache_events,
             generator=random.Random(self._seed + len(self.nodes)),
         )
         settings = ExchangeSettings(
--- a/tests/services/exchanges/test_relaying.py
+++ b/tests/services/exchanges/test_relaying.py
@@ -7,6 +7,7 @@
 import trio
 
 from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.ports.node_exchange import MessageTooLongError, RelayAnswer
 from hopstep.ports.serving_directory import (
@@ -25,6 +26,7 @@
 )
 
 REVOCATION_SECONDS = BOUNDS.revocation_ms / 1_000
+KEYS = (SegmentKey(1, 9_000), SegmentKey(2, 500))
 WITHOUT_KEY = configuration(2, tenants=TENANTS[1:])
 
 
@@ -316,12 +318,14 @@
             now = trio.current_time()
             await trio.sleep(2.0)
             view = world.nodes[5].knowledge.table.get("e0")
-            world.nodes[5].sharing.note_sent(Candidate(view, (), 0.0, 9_000))
+            world.nodes[5].sharing.note_sent(Candidate(view, KEYS, 0.0, 9_000))
             await trio.sleep(0.01)
             now = trio.current_time()
             for node in world.nodes[:5] + world.nodes[6:]:
                 pending = node.knowledge.table.get("e0").total_pending_tokens(now)
                 self.assertEqual(pending, 9_000)
+                kept = node.knowledge.table.get("e0").segments.cached_tokens(KEYS[:1])
+                self.assertEqual(kept, 9_000)
             await trio.sleep(1.0)
             for node in world.nodes:
                 pending = node.knowledge.table.get("e0").total_pending_tokens(trio.current_time())
