Say in the log from whom a node has what it takes, and whom it asks

Who had told a configuration or an instance's entry, and when a node changed whom it asks, had to be inferred from gaps between lines.

HS4101, HS6101 and HS6102 carry the source and the age at which a change arrived; HS4106 is written when a node asks another source. No change of logic.

--- a/hopstep/ctl/trace.py
+++ b/hopstep/ctl/trace.py
@@ -29,6 +29,7 @@
     log_events.STORE_LOST,
     log_events.STORE_REGAINED,
     log_events.DIRECTORY_HISTORY_LOST,
+    log_events.DIRECTORY_SOURCE_CHANGED,
     log_events.SERVING_CONFIGURATION_APPLIED,
     log_events.INSTANCE_LISTED,
     log_events.INSTANCE_REMOVED,
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -359,8 +359,8 @@
     "HS4101",
     "serving_configuration_applied",
     Level.INFO,
-    ("version", "routes", "tenants"),
-    "Nothing.",
+    ("version", "routes", "tenants", "source", "age_ms"),
+    "Nothing; if nodes of one zone take versions late, look at the node that `source` names.",
 )
 DIRECTORY_ENTRY_REJECTED = LogEvent(
     "HS4102",
@@ -384,6 +384,13 @@
     "If it lasts: requests with keys are refused once the age reaches the revocation bound.",
 )
 STORE_REGAINED = LogEvent("HS4105", "store_regained", Level.INFO, ("age_seconds",), "Nothing.")
+DIRECTORY_SOURCE_CHANGED = LogEvent(
+    "HS4106",
+    "directory_source_changed",
+    Level.INFO,
+    ("source", "previous", "age_seconds"),
+    "Nothing; frequent changes point to nodes of the zone that fail or lose the store.",
+)
 SETTINGS_RELOADED = LogEvent("HS1005", "settings_reloaded", Level.INFO, ("changed",), "Nothing.")
 SETTINGS_REJECTED = LogEvent(
     "HS1006",
@@ -396,10 +403,12 @@
     "HS6101",
     "instance_listed",
     Level.INFO,
-    ("instance", "service", "draining", "versions"),
+    ("instance", "service", "draining", "versions", "source", "age_ms"),
     "Nothing.",
 )
-INSTANCE_REMOVED = LogEvent("HS6102", "instance_removed", Level.INFO, ("instance",), "Nothing.")
+INSTANCE_REMOVED = LogEvent(
+    "HS6102", "instance_removed", Level.INFO, ("instance", "source", "age_ms"), "Nothing."
+)
 WEIGHTS_NAMED = LogEvent(
     "HS6103", "weights_named", Level.INFO, ("model", "version", "age_ms"), "Nothing."
 )
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -51,6 +51,10 @@
 """Reason of a lost store whose answer is still waited for when the first request is refused."""
 
 NO_REVISION = -1
+STORE_SOURCE = "store"
+"""Source of what this node has read from the store itself."""
+
+MILLISECONDS = 1_000
 
 Entry = FeedEntry[DirectoryEntry]
 
@@ -152,7 +156,7 @@
         since = max(self.confirmed_at - DEAF_SECONDS, self.weights.oldest_since(sent_at))
         self.feed.start(batch.revision)
         entries = (*batch.entries, *self._removed_by(batch))
-        self.take_entries([_feed_entry(entry, since) for entry in entries])
+        self.take_entries([_feed_entry(entry, since) for entry in entries], STORE_SOURCE)
         self.confirm(batch.revision, sent_at)
 
     def take_changes(self, batch: DirectoryBatch, since: float, sent_at: float) -> None:
@@ -163,16 +167,21 @@
             since: Time after which they were made.
             sent_at: When the call for them was sent.
         """
-        self.take_entries([_feed_entry(entry, since) for entry in batch.entries])
+        self.take_entries([_feed_entry(entry, since) for entry in batch.entries], STORE_SOURCE)
         self.confirm(batch.revision, sent_at)
 
-    def take_entries(self, entries: Iterable[Entry]) -> None:
-        """Take changes; those that are known already change nothing."""
+    def take_entries(self, entries: Iterable[Entry], source: str) -> None:
+        """Take changes; those that are known already change nothing.
+
+        Args:
+            entries: The changes.
+            source: Node that told them, or ``STORE_SOURCE``; for the log.
+        """
         taken = False
         for entry in sorted(entries, key=lambda entry: entry.revision):
             if self.feed.put(entry):
                 taken = True
-                self._take_change(entry)
+                self._take_change(entry, source)
         if taken:
             self.changed.set()
             self.changed = trio.Event()
@@ -197,31 +206,37 @@
         removals = (entry.as_removed(batch.revision) for entry in known)
         return [removal for removal in removals if removal is not None]
 
-    def _take_change(self, entry: Entry) -> None:
+    def _take_change(self, entry: Entry, source: str) -> None:
         """Take one change."""
         change = entry.change.change
+        age_ms = round((trio.current_time() - entry.since) * MILLISECONDS)
         match change:
             case ConfigurationPublished(configuration):
-                self._take_configuration(configuration)
+                self._take_configuration(configuration, source, age_ms)
             case InstanceListed():
-                self._take_instance(change)
+                self._take_instance(change, source, age_ms)
             case InstanceRemoved(instance_id):
                 if self.table.remove(instance_id):
-                    emit(log_events.INSTANCE_REMOVED, instance=instance_id)
+                    emit(
+                        log_events.INSTANCE_REMOVED,
+                        instance=instance_id,
+                        source=source,
+                        age_ms=age_ms,
+                    )
             case WeightsPublished(weights):
                 if self.weights.put(weights, entry.since):
                     emit(
                         log_events.WEIGHTS_NAMED,
                         model=weights.model,
                         version=weights.version,
-                        age_ms=round((trio.current_time() - entry.since) * 1_000),
+                        age_ms=age_ms,
                     )
             case RecordWritten():
                 self._take_record(change)
             case Unreadable(key, reason):
                 emit(log_events.DIRECTORY_ENTRY_REJECTED, key=key, reason=reason)
 
-    def _take_instance(self, listed: InstanceListed) -> None:
+    def _take_instance(self, listed: InstanceListed, source: str, age_ms: int) -> None:
         """Take an instance's entry."""
         instance = listed.instance
         known = self.table.get(instance.instance_id)
@@ -233,9 +248,13 @@
                 service=instance.service,
                 draining=instance.draining,
                 versions=dict(instance.versions),
+                source=source,
+                age_ms=age_ms,
             )
 
-    def _take_configuration(self, configuration: ServingConfiguration) -> None:
+    def _take_configuration(
+        self, configuration: ServingConfiguration, source: str, age_ms: int
+    ) -> None:
         """Put a configuration in force if its version is higher."""
         current = self.current
         if current is not None and configuration.version <= current.version:
@@ -253,6 +272,8 @@
             version=configuration.version,
             routes=len(configuration.routes),
             tenants=len(configuration.tenants),
+            source=source,
+            age_ms=age_ms,
         )
 
     def _take_record(self, record: RecordWritten) -> None:
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/relaying.py
@@ -5,14 +5,17 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import OrderedDict
 
 import msgspec
 import trio
 
+from hopstep import log_events
 from hopstep.domain.exchanges.directory_feed import FeedEntry
 from hopstep.domain.exchanges.store_contents import ContentsPosition
+from hopstep.logs import emit
 from hopstep.ports.node_exchange import (
     Hints,
     MessageTooLongError,
@@ -27,7 +30,7 @@
 )
 from hopstep.ports.serving_directory import ConfigurationPublished, DirectoryEntry
 from hopstep.services.exchanges.directory_follower import DirectoryFollower
-from hopstep.services.exchanges.knowledge import NO_REVISION, ServingKnowledge
+from hopstep.services.exchanges.knowledge import NO_REVISION, STORE_SOURCE, ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
 
@@ -85,6 +88,7 @@
         self._pending: OrderedDict[int, _Pending] = OrderedDict()
         self._feed = ""
         self._position = 0
+        self._source = STORE_SOURCE
 
     async def run(self) -> None:
         """Ask and answer until cancelled."""
@@ -132,6 +136,7 @@
         """Send what is due now."""
         relays = self._knowledge.relays
         relay = relays.relay()
+        self._note_source(relay or STORE_SOURCE)
         if relay:
             await self._ask(relay, self._sharing.own_hints(), self._store_watch.positions())
         else:
@@ -145,6 +150,19 @@
             if elsewhere:
                 await self._ask(elsewhere)
 
+    def _note_source(self, source: str) -> None:
+        """Log whom this node asks for the directory, when that has changed."""
+        if source == self._source:
+            return
+        age = self._knowledge.age_seconds
+        emit(
+            log_events.DIRECTORY_SOURCE_CHANGED,
+            source=source,
+            previous=self._source,
+            age_seconds=round(age, 3) if math.isfinite(age) else -1.0,
+        )
+        self._source = source
+
     async def _ask(
         self, node: str, hints: Hints | None = None, contents: tuple[ContentsPosition, ...] = ()
     ) -> None:
@@ -241,14 +259,14 @@
             self._follower.read_once()
         if answer.age_ms == UNKNOWN_AGE_MS or answer.after > self._knowledge.revision:
             return
-        self._take_entries(answer, pending.sent_at)
+        self._take_entries(answer, pending)
         if not answer.complete:
             await self._ask(sender)
 
-    def _take_entries(self, answer: RelayAnswer, sent_at: float) -> None:
+    def _take_entries(self, answer: RelayAnswer, query: _Pending) -> None:
         """Take the changes of an answer; a part of them confirms nothing."""
-        knowledge = self._knowledge
-        knowledge.take_entries(
+        knowledge, sent_at = self._knowledge, query.sent_at
+        entries = (
             FeedEntry(
                 relayed.entry.key,
                 relayed.entry.revision,
@@ -258,6 +276,7 @@
             )
             for relayed in answer.entries
         )
+        knowledge.take_entries(entries, query.node)
         confirmed_at = sent_at - answer.age_ms / MILLISECONDS
         knowledge.confirm(answer.revision, confirmed_at if answer.complete else -float("inf"))
 
--- a/tests/services/exchanges/test_relaying.py
+++ b/tests/services/exchanges/test_relaying.py
@@ -4,6 +4,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+import structlog
 import trio
 
 from hopstep.domain.exchanges.instances import Instance
@@ -82,6 +84,24 @@
 
         self.run_world(script)
 
+    def test_logs_tell_from_whom_a_node_has_what_it_takes(self):
+        async def script(world):
+            relays = {self.name(node) for node in self.relays(world)}
+            silent = self.others(world)[0].knowledge.relays.relay()
+            with structlog.testing.capture_logs() as lines:
+                world.publish(ConfigurationPublished(configuration(2)))
+                await trio.sleep(1.0)
+                world.network.isolate(silent)
+                await trio.sleep(1.0)
+            applied = [line for line in lines if line["number"] == "HS4101"]
+            self.assertEqual(len(applied), len(world.nodes))
+            self.assertEqual({line["source"] for line in applied}, {"store", *relays})
+            self.assertTrue(all(0 <= line["age_ms"] < 3_000 for line in applied))
+            left = [line["previous"] for line in lines if line["number"] == "HS4106"]
+            self.assertEqual(set(left), {silent})
+
+        self.run_world(script)
+
     def test_nodes_of_a_silent_relay_hear_from_another(self):
         async def script(world):
             for relay in self.relays(world):
@@ -249,8 +269,8 @@
     def test_dating_by_the_arrival_of_an_answer_is_caught(self):
         take = relaying.Relaying._take_entries
 
-        def by_arrival(self, answer, _sent_at):
-            take(self, answer, trio.current_time())
+        def by_arrival(self, answer, query):
+            take(self, answer, msgspec.structs.replace(query, sent_at=trio.current_time()))
 
         with mock.patch.object(relaying.Relaying, "_take_entries", by_arrival):
             self.assertTrue(self.late_runs_behind_slow_frames())
