--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -24,6 +24,7 @@
 from hopstep.exceptions import ErrorCode, ServiceError, StoreError
 from hopstep.exchange_node import ExchangePorts, ExchangeServices
 from hopstep.exchange_settings import ExchangeBounds, ExchangeSettings
+from hopstep.platform.store import ANSWER_SECONDS
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
 from hopstep.ports.exchange_front import ClientAnswer, RequestHead
 from hopstep.ports.serving_directory import (
@@ -85,17 +86,24 @@
 
 
 class EmulatedDirectory(ServingDirectory):
-    """A directory over a shared store for records, with outages and a forgotten history."""
+    """A directory over a shared store for records.
+
+    Attributes:
+        down: Calls fail at once.
+        dark: Calls get no answer, also those under way, and fail after the adapter's limit.
+        deaf: Watches hear nothing.
+    """
 
     def __init__(self, world):
         self._world = world
         self.down = False
+        self.dark = False
         self.deaf = False
-        self.silent = False
 
     async def snapshot(self):
         self._world.calls += 1
         await trio.sleep(0.004)
+        await self._check_answered(ANSWER_SECONDS)
         self._check()
         world = self._world
         newest = {entry.key: entry for entry in world.log}
@@ -106,15 +114,19 @@
         world = self._world
         world.calls += 1
         with trio.move_on_after(wait_seconds):
-            while len(world.log) <= after_revision or self.deaf:
+            while len(world.log) <= after_revision or self.deaf or self.dark:
                 self._check()
                 await world.changed.wait()
         await trio.sleep(0.004)
-        if self.silent:
-            await trio.sleep_forever()
+        await self._check_answered(ANSWER_SECONDS)
         self._check()
         return DirectoryBatch(len(world.log), tuple(world.log[after_revision:]))
 
+    async def _check_answered(self, limit_seconds):
+        if self.dark:
+            await trio.sleep(limit_seconds)
+            raise StoreError(ErrorCode.STORE_UNAVAILABLE, "no answer")
+
     def _check(self):
         if self.down:
             raise StoreError(ErrorCode.STORE_UNAVAILABLE, "down")
--- /dev/null
+++ b/tests/services/exchanges/test_freshness.py
@@ -0,0 +1,156 @@
+"""What a node knows stays as new as operators demand, whatever happens to the nodes it asks.
+
+A node whose own way to the store is whole has each configuration in force, and sends nothing to an
+instance that leaves, within the operators' bounds; also while the relay of its zone has lost the
+store and still answers.
+"""
+
+import random
+import unittest
+
+import msgspec
+import trio
+
+from hopstep.ports.serving_directory import ConfigurationPublished, InstanceListed
+from tests.services.exchanges.exchange_world import ExchangeWorld, configuration
+
+BOUND_SECONDS = 2.0
+"""Of configurations and of leaving instances, on the smallest of the users' deployments."""
+
+STORM_SECONDS = 0.4
+"""Between two configurations: each watch of a healthy relay is answered at once."""
+
+SAMPLE_SECONDS = 0.02
+FAULT_SECONDS = 12.0
+NODES = 8
+ZONES = 4
+
+
+class FreshnessCase(unittest.TestCase):
+    def run_world(self, script, seed=1):
+        world = ExchangeWorld(NODES, seed, ZONES)
+        for number in range(3):
+            world.add(f"p{number}")
+        world.run(script)
+
+    def relays(self, world):
+        """Return the numbers of the nodes that relay."""
+        return [n for n, node in enumerate(world.nodes) if not node.knowledge.relays.relay()]
+
+    def lose_store(self, world, numbers, fault):
+        """Let some nodes lose the store, and return the others' numbers."""
+        for number in numbers:
+            setattr(world.directories[number], fault, True)
+        return [number for number in range(NODES) if number not in numbers]
+
+    async def publish_storm(self, world):
+        """Publish a configuration every moment."""
+        for version in range(2, 1_000):
+            world.publish(ConfigurationPublished(configuration(version)))
+            await trio.sleep(STORM_SECONDS)
+
+    async def worst_delay(self, world, numbers, seconds):
+        """Return the longest time that a configuration took to be in force at one of some nodes."""
+        published = {}
+        worst = 0.0
+        with trio.move_on_after(seconds):
+            while True:
+                now = trio.current_time()
+                newest = max(
+                    entry.change.configuration.version
+                    for entry in world.log
+                    if isinstance(entry.change, ConfigurationPublished)
+                )
+                published.setdefault(newest, now)
+                for number in numbers:
+                    version = world.nodes[number].knowledge.current.version
+                    missing = [at for known, at in published.items() if known > version]
+                    worst = max([worst, *(now - at for at in missing)])
+                await trio.sleep(SAMPLE_SECONDS)
+        return worst
+
+
+class LostStoreTest(FreshnessCase):
+    """Relays lose the store and go on answering other nodes."""
+
+    def test_configurations_are_in_force_in_time_behind_relays_without_the_store(self):
+        for fault in ("dark", "down"):
+            for lost in (1, 2):
+                with self.subTest(fault=fault, lost=lost):
+                    self.assertLess(self.worst_in_a_storm(fault, lost, seed=lost), BOUND_SECONDS)
+
+    def worst_in_a_storm(self, fault, lost, seed):
+        found = []
+
+        async def script(world):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.publish_storm, world)
+                await trio.sleep(random.Random(seed).uniform(1.0, 2.0))
+                others = self.lose_store(world, self.relays(world)[:lost], fault)
+                found.append(await self.worst_delay(world, others, FAULT_SECONDS))
+                nursery.cancel_scope.cancel()
+
+        self.run_world(script, seed)
+        return found[0]
+
+    def test_a_leaving_instance_gets_nothing_in_time_behind_relays_without_the_store(self):
+        for fault in ("dark", "down"):
+            for seed in range(1, 4):
+                with self.subTest(fault=fault, seed=seed):
+                    self.assertEqual(self.late_arrivals(fault, seed), [])
+
+    def late_arrivals(self, fault, seed):
+        """Return the instances that were sent something too long after they said they leave."""
+        late = []
+
+        async def script(world):
+            generator = random.Random(seed)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.publish_storm, world)
+                await trio.sleep(generator.uniform(1.0, 2.0))
+                others = self.lose_store(world, self.relays(world)[:1], fault)
+                for instance_id in ("p0", "p1"):
+                    await trio.sleep(generator.uniform(1.0, 3.0))
+                    late.extend(await self.drain_and_ask(world, instance_id, others))
+                nursery.cancel_scope.cancel()
+
+        self.run_world(script, seed)
+        return late
+
+    async def drain_and_ask(self, world, instance_id, numbers):
+        """Drain an instance and ask nodes until well after the bound."""
+        leaving = msgspec.structs.replace(world.listed[instance_id], draining=True)
+        world.publish(InstanceListed(leaving))
+        left_at = trio.current_time()
+        while trio.current_time() < left_at + 2 * BOUND_SECONDS:
+            async with trio.open_nursery() as nursery:
+                for number in numbers:
+                    nursery.start_soon(world.request, "safe", number)
+            await trio.sleep(0.05)
+        runs = world.instances.servers[instance_id].runs
+        delays = [round(run.at - left_at, 2) for run in runs]
+        return [(instance_id, delay) for delay in delays if delay > BOUND_SECONDS]
+
+    def test_configurations_are_in_force_in_time_behind_a_relay_that_hears_its_zone_only(self):
+        found = []
+
+        async def script(world):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.publish_storm, world)
+                await trio.sleep(1.0)
+                relay = self.relays(world)[0]
+                others = self.lose_store(world, [relay], "dark")
+                self.cut_from_other_zones(world, relay)
+                found.append(await self.worst_delay(world, others, FAULT_SECONDS))
+                nursery.cancel_scope.cancel()
+
+        self.run_world(script)
+        self.assertLess(found[0], BOUND_SECONDS)
+
+    def cut_from_other_zones(self, world, number):
+        """Cut a node off from the nodes of all other zones, both ways."""
+        name, zone = f"n{number}", world.nodes[number].knowledge.record.zone
+        for other in world.nodes:
+            if other.knowledge.record.zone != zone:
+                world.network.cut.add((name, other.knowledge.name))
+                world.network.cut.add((other.knowledge.name, name))
