Follow a relay only while the store answers it, by the operators' bounds

A relay that had lost the store kept its whole zone, which looked elsewhere only when its knowledge was 2.6 s old, and then was content for the next 2.6 s. The figure came from the bound on keys (5 s); the bounds on configurations and leaving instances (2 s) weren't settings at all.

Now every answer tells the silence: the time since the store last answered whoever read it. All limits follow from the settings bounds.configuration_ms and bounds.drain_ms. Queries that only look for news are no longer answered with loads.

Changed in tests: RelayPlan.elsewhere returns a list, the same is asserted of it.

--- a/hopstep/domain/exchanges/nodes.py
+++ b/hopstep/domain/exchanges/nodes.py
@@ -18,6 +18,9 @@
 
 PROBE_SECONDS = 2.0
 
+STAND_INS = 2
+"""Nodes of a zone behind its relays, by rank, that read the store when all relays have lost it."""
+
 
 class NodeRecord(msgspec.Struct, frozen=True):
     """A node's entry in the store.
@@ -36,7 +39,7 @@
 
 
 class RelayPlan:
-    """Whom this node asks, by who has answered."""
+    """Whom this node asks, by who has answered and who has lost the store."""
 
     def __init__(self, name: str, record: NodeRecord) -> None:
         """Know no other node.
@@ -49,6 +52,7 @@
         self._record = record
         self._zones: dict[str, list[str]] = {record.zone: [name]}
         self._unanswered: dict[str, int] = {}
+        self._without_store: set[str] = set()
         self._probed_at: dict[str, float] = {}
 
     def set_nodes(self, nodes: Mapping[str, NodeRecord]) -> None:
@@ -61,6 +65,7 @@
             names.sort(key=lambda name: (-known[name].capacity, hash_name(name)))
         self._zones = zones
         self._unanswered = {n: count for n, count in self._unanswered.items() if n in known}
+        self._without_store &= known.keys()
 
     def note_asked(self, name: str) -> None:
         """Count a query that was sent."""
@@ -70,22 +75,45 @@
         """Note a message of a node."""
         self._unanswered.pop(name, None)
 
+    def note_store(self, name: str, *, lost: bool) -> None:
+        """Note whether a node that answered has lost the store."""
+        if lost:
+            self._without_store.add(name)
+        else:
+            self._without_store.discard(name)
+
     def relay(self) -> str:
-        """Return the node to ask; empty when this node reads the store itself."""
-        return next((name for name in self._preferred() if self._is_live(name)), "")
+        """Return the node to ask; empty when none before this one in its zone answers.
+
+        One that has lost the store is asked only when no other answers: it still tells loads.
+        """
+        live = [name for name in self._preferred() if self._is_live(name)]
+        return next((name for name in live if self._has_store(name)), next(iter(live), ""))
+
+    @property
+    def has_source(self) -> bool:
+        """Whether the node to ask is one that hasn't lost the store, as far as known."""
+        relay = self.relay()
+        return bool(relay) and self._has_store(relay)
+
+    @property
+    def is_stand_in(self) -> bool:
+        """Whether this node is among the first to read the store when relays have lost it."""
+        ranked = self._zones[self._record.zone]
+        return ranked.index(self._name) < self._relays(ranked) + STAND_INS
 
     def probe(self, now: float) -> str:
-        """Return a preferred node that hasn't answered and is due to be asked again; or empty."""
+        """Return a preferred node that isn't asked and is due to be asked again; or empty."""
         for name in self._preferred():
-            if self._is_live(name):
+            if self._is_live(name) and self._has_store(name):
                 return ""
             if now - self._probed_at.get(name, -PROBE_SECONDS) >= PROBE_SECONDS:
                 self._probed_at[name] = now
                 return name
         return ""
 
-    def elsewhere(self, turn: int) -> str:
-        """Return a node that may have another way to the store; each turn another one."""
+    def elsewhere(self, turn: int, count: int = 1) -> list[str]:
+        """Return nodes that may have another way to the store; each turn the next ones."""
         others = [
             name
             for zone, ranked in self._zones.items()
@@ -93,7 +121,8 @@
             if zone != self._record.zone or ranked.index(name) < self._relays(ranked)
         ]
         others = sorted(name for name in others if name != self._name)
-        return others[turn % len(others)] if others else ""
+        first = turn * count
+        return [others[(first + n) % len(others)] for n in range(min(count, len(others)))]
 
     def digest_targets(self) -> list[str]:
         """Return the relays of all zones but this node, with stand-ins for silent ones."""
@@ -121,13 +150,21 @@
         if own < relays:
             return ()
         first = hash_name(self._name) % relays
-        others = [*range(first, relays), *range(first), *range(relays, min(own, relays + 2))]
+        others = [
+            *range(first, relays),
+            *range(first),
+            *range(relays, min(own, relays + STAND_INS)),
+        ]
         return (ranked[index] for index in others)
 
     def _is_live(self, name: str) -> bool:
         """Return whether a node has answered lately, or wasn't asked."""
         return self._unanswered.get(name, 0) < MAX_UNANSWERED
 
+    def _has_store(self, name: str) -> bool:
+        """Return whether a node hasn't lost the store, as far as known."""
+        return name not in self._without_store
+
     @staticmethod
     def _relays(ranked: list[str]) -> int:
         """Return how many nodes of a zone relay."""
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -17,6 +17,7 @@
     OperatorsListeners,
     serve_exchanges,
 )
+from hopstep.domain.exchanges.freshness import freshness_limits
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds
@@ -100,7 +101,8 @@
             self.weights,
             bounds.revocation_ms / MILLISECONDS,
         )
-        self.follower = DirectoryFollower(self.knowledge, ports.directory, generator)
+        limits = freshness_limits(min(bounds.configuration_ms, bounds.drain_ms) / MILLISECONDS)
+        self.follower = DirectoryFollower(self.knowledge, ports.directory, generator, limits)
         self.lifecycle = Lifecycle(
             self.knowledge,
             max(0.0, bounds.grace_seconds - CLOSING_SECONDS),
@@ -110,7 +112,13 @@
         self.store_watch = CacheStoreWatch(self.knowledge, ports.cache_events)
         self.engine_watch = EngineCacheWatch(self.knowledge, ports.cache_events, self.sharing)
         self.relaying = Relaying(
-            self.knowledge, self.sharing, self.store_watch, self.follower, ports.nodes, generator
+            self.knowledge,
+            self.sharing,
+            self.store_watch,
+            self.follower,
+            ports.nodes,
+            generator,
+            limits,
         )
         self.exchanges = ExchangeService(
             self.knowledge,
@@ -146,6 +154,11 @@
             "Age of what is known of configuration, keys and instances.",
             lambda: knowledge.age_seconds,
         )
+        metrics.watch(
+            "hopstep_store_silence_seconds",
+            "Time since the store last answered this node or whoever told it.",
+            lambda: trio.current_time() - knowledge.heard_at,
+        )
         metrics.watch(
             "hopstep_serving_configuration_version",
             "Version of the operators' configuration in force; 0 for none.",
--- a/hopstep/exchange_settings.py
+++ b/hopstep/exchange_settings.py
@@ -10,6 +10,8 @@
 
     Attributes:
         grace_seconds: From the request to stop until the process is killed.
+        configuration_ms: From a configuration's acknowledgement until every node acts by it.
+        drain_ms: From the acknowledgement that an instance leaves until it is sent nothing new.
         revocation_ms: After a key was taken away, no request with it may run later than this.
         retry_ratio: Retries of all nodes for each request to a service.
         retry_extra: Retries that are always allowed in a window, over all nodes.
@@ -20,6 +22,8 @@
     """
 
     grace_seconds: float = 8.0
+    configuration_ms: float = 2_000.0
+    drain_ms: float = 2_000.0
     revocation_ms: float = 5_000.0
     retry_ratio: float = 0.2
     retry_extra: float = 50.0
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -112,8 +112,10 @@
         entries: Changes, oldest first.
         feed: Identity of the feed of segment news.
         position: Position behind the news in ``hints``.
-        hints: Of all nodes but the asker.
+        hints: Of all nodes but the asker; empty when the query had none.
         contents: What the asker doesn't know of the cache stores.
+        silence_ms: Time since the store last answered whoever read what the answering node knows;
+            -1 when that never happened.
     """
 
     number: int
@@ -127,6 +129,7 @@
     position: int = 0
     hints: Hints = Hints()
     contents: tuple[ContentsNews, ...] = ()
+    silence_ms: int = -1
 
 
 class RelayDigest(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/hopstep/services/exchanges/directory_follower.py
+++ b/hopstep/services/exchanges/directory_follower.py
@@ -1,4 +1,4 @@
-"""Reads the directory from the store: on relays always, on other nodes when no relay answers.
+"""Reads the directory from the store: on relays always, on other nodes when no relay can tell.
 
 While the store is down calls are repeated, ever more rarely; what is known ages meanwhile.
 """
@@ -10,17 +10,18 @@
 import trio
 
 from hopstep import log_events
+from hopstep.domain.exchanges.freshness import FreshnessLimits
 from hopstep.exceptions import StoreError, StoreHistoryLostError
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import ServingDirectory
-from hopstep.services.exchanges.knowledge import NO_REVISION, ServingKnowledge
-
-WATCH_SECONDS = 0.9
-"""Wait of one watch; what is known is up to twice as old before the next answer."""
+from hopstep.services.exchanges.knowledge import NO_REVISION, OVERDUE, ServingKnowledge
 
 CALL_SPACING_SECONDS = 0.4
 """Between the starts of two calls, so that changes gather."""
 
+MIN_WAIT_SECONDS = 0.1
+"""Of a watch, also where the next answer is due sooner."""
+
 PROMPT_ANSWER_SECONDS = 0.5
 """A watch that was answered later had nothing to tell when it was sent."""
 
@@ -39,7 +40,11 @@
     """Keeps a node's knowledge current by its own calls to the store."""
 
     def __init__(
-        self, knowledge: ServingKnowledge, directory: ServingDirectory, generator: random.Random
+        self,
+        knowledge: ServingKnowledge,
+        directory: ServingDirectory,
+        generator: random.Random,
+        limits: FreshnessLimits,
     ) -> None:
         """Follow nothing yet.
 
@@ -47,20 +52,45 @@
             knowledge: Takes what the store says.
             directory: Where entries are published.
             generator: Spreads retries.
+            limits: How long the store or a relay may be silent.
         """
         self._knowledge = knowledge
         self._directory = directory
         self._generator = generator
+        self._limits = limits
         self._connected = True
         self._history_lost = False
         self._asked = False
+        self._reading_since: float | None = None
 
     def read_once(self) -> None:
         """Make one call, although relays answer: they can't tell everything."""
         self._asked = True
 
+    @property
+    def reads(self) -> bool:
+        """Whether this node reads the store itself, since no other can tell what is new."""
+        knowledge = self._knowledge
+        silent = knowledge.told_silence_seconds > self._limits.own_reading
+        relays = knowledge.relays
+        return silent or (relays.is_stand_in and not relays.has_source) or not relays.relay()
+
+    @property
+    def has_lost_store(self) -> bool:
+        """Whether this node reads the store and has had no answer for too long."""
+        if self._reading_since is None:
+            return False
+        since = max(self._knowledge.read_at, self._reading_since)
+        return trio.current_time() - since > self._limits.silence
+
     async def run(self) -> None:
         """Read until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_silence)
+            await self._read()
+
+    async def _read(self) -> None:
+        """Make calls whenever they are needed, until cancelled."""
         pause = MIN_PAUSE_SECONDS
         while True:
             await self._wait_needed()
@@ -78,10 +108,21 @@
                 await trio.sleep(pause * (0.5 + self._generator.random()))
                 pause = min(MAX_PAUSE_SECONDS, pause * 2.0)
 
+    async def _watch_silence(self) -> None:
+        """Note a lost store as soon as an answer is overdue, although the call still waits."""
+        while True:
+            await trio.sleep(CHECK_SECONDS)
+            if not self.reads:
+                self._reading_since = None
+            elif self._reading_since is None:
+                self._reading_since = trio.current_time()
+            if self.has_lost_store:
+                self._note_connection(False, OVERDUE)
+
     async def _wait_needed(self) -> None:
         """Wait until this node should read the store itself."""
         knowledge = self._knowledge
-        while knowledge.relays.relay() and knowledge.age_seconds < OWN_WAY_AGE_SECONDS:
+        while not self.reads and knowledge.age_seconds < OWN_WAY_AGE_SECONDS:
             if self._asked:
                 break
             await trio.sleep(CHECK_SECONDS)
@@ -95,18 +136,22 @@
             self._history_lost = False
             return
         confirmed_at = knowledge.confirmed_at
-        wait_seconds = WATCH_SECONDS if self._may_wait else 0.0
-        batch = await self._directory.changes(knowledge.revision, wait_seconds)
+        batch = await self._directory.changes(knowledge.revision, self._wait_seconds(sent_at))
         now = trio.current_time()
         waited = now - sent_at > PROMPT_ANSWER_SECONDS
         since = now - WATCH_LAG_SECONDS if waited else min(sent_at, confirmed_at)
         knowledge.take_changes(batch, since, sent_at)
 
-    @property
-    def _may_wait(self) -> bool:
-        """Whether a call may wait for a change: not while the age of what is known grows."""
-        own = not self._knowledge.relays.relay()
-        return self._connected and own
+    def _wait_seconds(self, sent_at: float) -> float:
+        """Return how long a watch may wait: until an answer is due, so that a loss shows in time.
+
+        A call that finds out whether the store is back doesn't wait, nor one beside a relay.
+        """
+        if not self._connected or not self.reads:
+            return 0.0
+        due_at = max(self._knowledge.read_at, sent_at - CALL_SPACING_SECONDS)
+        due_at += self._limits.answer_interval
+        return max(MIN_WAIT_SECONDS, due_at - sent_at)
 
     def _note_connection(self, connected: bool, reason: str) -> None:
         """Log a lost or regained way to the store."""
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -3,7 +3,8 @@
 Everything comes from the serving directory: read from the store by this node, or told by another
 node. The age counts from the sending of the call or query that was answered, plus the age that the
 answering node told. While the store is down the node goes on with what it has; requests with keys
-are refused once the age exceeds the revocation bound.
+are refused once the age exceeds the revocation bound. Beside the age a node knows the silence: the
+time since the store last answered it or whoever told it (see ``domain.exchanges.freshness``).
 """
 
 from __future__ import annotations
@@ -89,6 +90,8 @@
         self.feed: DirectoryFeed[DirectoryEntry] = DirectoryFeed()
         self.revision = NO_REVISION
         self.confirmed_at = -float("inf")
+        self.read_at = -float("inf")
+        self.told_at = -float("inf")
         self.rollout_record: RecordWritten | None = None
         self.changed = trio.Event()
         self._started_at = trio.current_time()
@@ -111,6 +114,16 @@
         """Age of the knowledge."""
         return trio.current_time() - self.confirmed_at
 
+    @property
+    def heard_at(self) -> float:
+        """When the store last answered this node or whoever told it; minus infinity for never."""
+        return max(self.read_at, self.told_at)
+
+    @property
+    def told_silence_seconds(self) -> float:
+        """Time since the store last answered any other node that told this one everything."""
+        return trio.current_time() - self.told_at
+
     @property
     def is_fresh(self) -> bool:
         """Whether keys may still be taken for valid."""
@@ -158,6 +171,7 @@
         entries = (*batch.entries, *self._removed_by(batch))
         self.take_entries([_feed_entry(entry, since) for entry in entries], STORE_SOURCE)
         self.confirm(batch.revision, sent_at)
+        self.read_at = trio.current_time()
 
     def take_changes(self, batch: DirectoryBatch, since: float, sent_at: float) -> None:
         """Take changes of the store.
@@ -169,6 +183,7 @@
         """
         self.take_entries([_feed_entry(entry, since) for entry in batch.entries], STORE_SOURCE)
         self.confirm(batch.revision, sent_at)
+        self.read_at = trio.current_time()
 
     def take_entries(self, entries: Iterable[Entry], source: str) -> None:
         """Take changes; those that are known already change nothing.
@@ -186,6 +201,10 @@
             self.changed.set()
             self.changed = trio.Event()
 
+    def note_told(self, heard_at: float) -> None:
+        """Note when the store last answered a node that has told this one all it knows."""
+        self.told_at = max(self.told_at, heard_at)
+
     def confirm(self, revision: int, confirmed_at: float) -> None:
         """Note that everything up to a revision is known.
 
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/relaying.py
@@ -14,7 +14,9 @@
 
 from hopstep import log_events
 from hopstep.domain.exchanges.directory_feed import FeedEntry
+from hopstep.domain.exchanges.freshness import FreshnessLimits
 from hopstep.domain.exchanges.store_contents import ContentsPosition
+from hopstep.domain.rendezvous import hash_name
 from hopstep.logs import emit
 from hopstep.ports.node_exchange import (
     Hints,
@@ -37,15 +39,19 @@
 INTERVAL_SECONDS = 0.2
 """Between two queries of a node, and between two digests of a relay."""
 
-SEEK_AGE_SECONDS = 2.6
-"""A node whose knowledge is older also asks relays of other zones."""
+SEEK_NODES = 2
+"""Nodes elsewhere that one without the store asks at a time: some of them may be without it too."""
 
 MAX_ENTRIES = 40
 """Most changes in an answer."""
 
-MAX_PENDING = 64
+MAX_PENDING = 256
+"""Queries that may still be answered: 15 a second of a node without the store, for 17 s."""
+
 MILLISECONDS = 1_000
 UNKNOWN_AGE_MS = -1
+NEVER_MS = -1
+"""Silence of a node that nobody with the store has ever told anything."""
 
 
 class _Pending(msgspec.Struct, frozen=True):
@@ -53,6 +59,7 @@
 
     node: str
     sent_at: float
+    asks_hints: bool
 
 
 class Relaying:
@@ -66,6 +73,7 @@
         follower: DirectoryFollower,
         exchange: NodeExchange,
         generator: random.Random,
+        limits: FreshnessLimits,
     ) -> None:
         """Join the parts.
 
@@ -76,6 +84,7 @@
             follower: Reads the store when no node can tell.
             exchange: Datagrams.
             generator: Spreads queries.
+            limits: How long the store or a relay may be silent.
         """
         self._knowledge = knowledge
         self._sharing = sharing
@@ -83,8 +92,9 @@
         self._follower = follower
         self._exchange = exchange
         self._generator = generator
+        self._limits = limits
         self._number = 0
-        self._turn = 0
+        self._turn = hash_name(knowledge.name)
         self._pending: OrderedDict[int, _Pending] = OrderedDict()
         self._feed = ""
         self._position = 0
@@ -136,7 +146,7 @@
         """Send what is due now."""
         relays = self._knowledge.relays
         relay = relays.relay()
-        self._note_source(relay or STORE_SOURCE)
+        self._note_source(STORE_SOURCE if self._follower.reads else relay)
         if relay:
             await self._ask(relay, self._sharing.own_hints(), self._store_watch.positions())
         else:
@@ -144,11 +154,14 @@
         probed = relays.probe(trio.current_time())
         if probed:
             await self._ask(probed)
-        if self._knowledge.age_seconds > SEEK_AGE_SECONDS:
-            self._turn += 1
-            elsewhere = relays.elsewhere(self._turn)
-            if elsewhere:
-                await self._ask(elsewhere)
+        if self._follower.has_lost_store:
+            await self._ask_elsewhere()
+
+    async def _ask_elsewhere(self) -> None:
+        """Ask nodes that may have another way to the store, each time others."""
+        self._turn += 1
+        for node in self._knowledge.relays.elsewhere(self._turn, SEEK_NODES):
+            await self._ask(node)
 
     def _note_source(self, source: str) -> None:
         """Log whom this node asks for the directory, when that has changed."""
@@ -168,7 +181,7 @@
     ) -> None:
         """Send a query to a node."""
         self._number += 1
-        self._pending[self._number] = _Pending(node, trio.current_time())
+        self._pending[self._number] = _Pending(node, trio.current_time(), hints is not None)
         while len(self._pending) > MAX_PENDING:
             self._pending.popitem(last=False)
         self._knowledge.relays.note_asked(node)
@@ -212,24 +225,32 @@
         """Answer a query; what doesn't fit into a datagram is left to the store."""
         answer = self._make_answer(asker, query)
         if not await self._send(answer, asker):
-            revision = query.revision
-            short = RelayAnswer(query.number, revision, revision, UNKNOWN_AGE_MS, beyond_reach=True)
+            short = RelayAnswer(
+                query.number,
+                query.revision,
+                query.revision,
+                UNKNOWN_AGE_MS,
+                beyond_reach=True,
+                silence_ms=answer.silence_ms,
+            )
             await self._send(short, asker)
 
     def _make_answer(self, asker: str, query: RelayQuery) -> RelayAnswer:
         """Return the answer to a query."""
         knowledge = self._knowledge
-        hints, position = self._sharing.hints_for(asker, query.feed, query.position)
+        now = trio.current_time()
         answer = RelayAnswer(
             number=query.number,
             after=query.revision,
             revision=query.revision,
             age_ms=UNKNOWN_AGE_MS,
-            feed=self._sharing.log.identity,
-            position=position,
-            hints=hints,
             contents=self._store_watch.news_after(query.contents),
+            silence_ms=_silence_ms(now, knowledge.heard_at),
         )
+        if query.hints is not None:
+            hints, position = self._sharing.hints_for(asker, query.feed, query.position)
+            identity = self._sharing.log.identity
+            answer = msgspec.structs.replace(answer, feed=identity, position=position, hints=hints)
         changes = knowledge.feed.after(query.revision)
         if changes is None:
             return msgspec.structs.replace(answer, beyond_reach=knowledge.revision != NO_REVISION)
@@ -237,7 +258,6 @@
             return answer
         part = _first_part(changes)
         complete = len(part) == len(changes)
-        now = trio.current_time()
         return msgspec.structs.replace(
             answer,
             revision=knowledge.revision if complete else part[-1].revision,
@@ -251,16 +271,21 @@
         pending = self._pending.pop(answer.number, None)
         if pending is None or pending.node != sender:
             return
-        if sender == self._knowledge.relays.relay():
+        if pending.asks_hints and sender == self._knowledge.relays.relay():
             self._sharing.take_answer(sender, answer.hints)
             self._store_watch.take(answer.contents)
             self._feed, self._position = answer.feed, answer.position
+        heard_at = _heard_at(answer, pending)
+        lost = trio.current_time() - heard_at > self._limits.silence
+        self._knowledge.relays.note_store(sender, lost=lost)
         if answer.beyond_reach:
             self._follower.read_once()
         if answer.age_ms == UNKNOWN_AGE_MS or answer.after > self._knowledge.revision:
             return
         self._take_entries(answer, pending)
-        if not answer.complete:
+        if answer.complete:
+            self._knowledge.note_told(heard_at)
+        else:
             await self._ask(sender)
 
     def _take_entries(self, answer: RelayAnswer, query: _Pending) -> None:
@@ -296,6 +321,18 @@
     return int((now - since) * MILLISECONDS) + 1
 
 
+def _silence_ms(now: float, heard_at: float) -> int:
+    """Return a time since the store last answered; ``NEVER_MS`` for never."""
+    return _age_ms(now, heard_at) if math.isfinite(heard_at) else NEVER_MS
+
+
+def _heard_at(answer: RelayAnswer, query: _Pending) -> float:
+    """Return when the store last answered the node that sent an answer, or those it heard from."""
+    if answer.silence_ms == NEVER_MS:
+        return -float("inf")
+    return query.sent_at - answer.silence_ms / MILLISECONDS
+
+
 def _first_part(changes: list[FeedEntry[DirectoryEntry]]) -> list[FeedEntry[DirectoryEntry]]:
     """Return the changes of one answer: up to a bound, and a configuration as the last one."""
     part: list[FeedEntry[DirectoryEntry]] = []
--- a/tests/domain/exchanges/test_nodes.py
+++ b/tests/domain/exchanges/test_nodes.py
@@ -37,7 +37,7 @@
 class RelayPlanTest(unittest.TestCase):
     def test_a_node_that_knows_no_other_reads_the_store_itself(self):
         plan = RelayPlan("a", NodeRecord("a:1", "z"))
-        self.assertEqual((plan.relay(), plan.elsewhere(0), plan.digest_targets()), ("", "", []))
+        self.assertEqual((plan.relay(), plan.elsewhere(0), plan.digest_targets()), ("", [], []))
 
     def test_all_nodes_of_a_zone_agree_on_its_relays(self):
         records = fleet({"x": 20, "y": 60})
@@ -77,10 +77,49 @@
         self.assertEqual(plan.probe(10.1), "")
         self.assertEqual(plan.probe(10.0 + PROBE_SECONDS), relay)
 
+    def test_a_relay_without_the_store_is_left_for_one_that_has_it(self):
+        plan = plans(fleet({"x": 2 * NODES_PER_RELAY}))["x-3"]
+        relay = plan.relay()
+        plan.note_store(relay, lost=True)
+        self.assertNotIn(plan.relay(), ("", relay))
+        self.assertTrue(plan.has_source)
+        self.assertEqual(plan.probe(10.0), relay)
+        plan.note_store(relay, lost=False)
+        self.assertEqual(plan.relay(), relay)
+
+    def test_a_relay_without_the_store_still_tells_loads_when_no_other_answers(self):
+        plan = plans(fleet({"x": 2}))
+        member = next(p for p in plan.values() if p.relay())
+        relay = member.relay()
+        member.note_store(relay, lost=True)
+        self.assertEqual(member.relay(), relay)
+        self.assertFalse(member.has_source)
+
+    def test_without_any_relay_that_has_the_store_only_few_nodes_read_it_at_once(self):
+        records = fleet({"x": 40})
+        relays = {name for name, plan in plans(records).items() if not plan.relay()}
+        readers = set()
+        for name, plan in plans(records).items():
+            for relay in relays:
+                plan.note_store(relay, lost=True)
+            if plan.is_stand_in and not plan.has_source:
+                readers.add(name)
+        self.assertEqual(len(readers - relays), 1)
+
+    def test_a_node_that_is_gone_is_forgotten_with_what_it_had_lost(self):
+        records = fleet({"x": 5})
+        plan = plans(records)["x-3"]
+        relay = plan.relay()
+        plan.note_store(relay, lost=True)
+        plan.set_nodes({name: record for name, record in records.items() if name != relay})
+        plan.set_nodes(records)
+        self.assertEqual(plan.relay(), relay)
+        self.assertTrue(plan.has_source)
+
     def test_other_ways_to_the_store_take_turns_and_never_end_at_the_node_itself(self):
         records = fleet({"x": 3, "y": 3, "z": 3})
         for name, plan in plans(records).items():
-            found = {plan.elsewhere(turn) for turn in range(20)}
+            found = {other for turn in range(20) for other in plan.elsewhere(turn)}
             self.assertNotIn(name, found)
             self.assertEqual({other[0] for other in found} | {name[0]}, {"x", "y", "z"})
 
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -21,6 +21,8 @@
     "limits.cpuShare": "0.537",
     "limits.cpuCores": "2",
     "bounds.gracePeriodS": "8",
+    "bounds.configApplyMs": "3000",
+    "bounds.drainTimeoutMs": "4000",
     "bounds.revokeTimeoutMs": "5000",
     "bounds.retryBudgetRatio": "0.2",
     "bounds.retryBudgetExtra": "54",
@@ -49,12 +51,16 @@
         self.assertEqual(settings.address, "10.1.0.30:8782")
         self.assertEqual(settings.metrics_address, "10.1.0.30:7355")
         self.assertEqual(settings.bounds.retry_extra, 54)
+        self.assertEqual(settings.bounds.configuration_ms, 3_000)
+        self.assertEqual(settings.bounds.drain_ms, 4_000)
         self.assertEqual((settings.processor_share, settings.processor_cores), (0.537, 2))
 
     def test_a_bad_field_is_named_with_its_file(self):
         for field, value, named in (
             ("platform.address", "nowhere", "store"),
             ("bounds.leaseDurationMs", "0", "bounds.lease_ms"),
+            ("bounds.configApplyMs", "0", "bounds.configuration_ms"),
+            ("bounds.drainTimeoutMs", "-1", "bounds.drain_ms"),
             ("bounds.gracePeriodS", '"x"', "bounds.grace_seconds"),
             ("nodeName", "", "name"),
             ("limits.cpuShare", "0", "processor_share"),
--- a/tests/services/exchanges/test_freshness.py
+++ b/tests/services/exchanges/test_freshness.py
@@ -7,10 +7,13 @@
 
 import random
 import unittest
+from unittest import mock
 
 import msgspec
+import structlog
 import trio
 
+from hopstep.ports.node_exchange import MessageTooLongError, RelayAnswer
 from hopstep.ports.serving_directory import ConfigurationPublished, InstanceListed
 from tests.services.exchanges.exchange_world import ExchangeWorld, configuration
 
@@ -27,8 +30,8 @@
 
 
 class FreshnessCase(unittest.TestCase):
-    def run_world(self, script, seed=1):
-        world = ExchangeWorld(NODES, seed, ZONES)
+    def run_world(self, script, seed=1, nodes=NODES, zones=ZONES):
+        world = ExchangeWorld(nodes, seed, zones)
         for number in range(3):
             world.add(f"p{number}")
         world.run(script)
@@ -41,7 +44,15 @@
         """Let some nodes lose the store, and return the others' numbers."""
         for number in numbers:
             setattr(world.directories[number], fault, True)
-        return [number for number in range(NODES) if number not in numbers]
+        return [number for number in range(len(world.nodes)) if number not in numbers]
+
+    def cut_from_other_zones(self, world, number):
+        """Cut a node off from the nodes of all other zones, both ways."""
+        name, zone = f"n{number}", world.nodes[number].knowledge.record.zone
+        for other in world.nodes:
+            if other.knowledge.record.zone != zone:
+                world.network.cut.add((name, other.knowledge.name))
+                world.network.cut.add((other.knowledge.name, name))
 
     async def publish_storm(self, world):
         """Publish a configuration every moment."""
@@ -147,10 +158,101 @@
         self.run_world(script)
         self.assertLess(found[0], BOUND_SECONDS)
 
-    def cut_from_other_zones(self, world, number):
-        """Cut a node off from the nodes of all other zones, both ways."""
-        name, zone = f"n{number}", world.nodes[number].knowledge.record.zone
-        for other in world.nodes:
-            if other.knowledge.record.zone != zone:
-                world.network.cut.add((name, other.knowledge.name))
-                world.network.cut.add((other.knowledge.name, name))
+    def test_a_zone_behind_a_relay_without_the_store_asks_others_and_not_the_store(self):
+        calls = {}
+
+        async def script(world):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.publish_storm, world)
+                relays = self.relays(world)
+                world.calls = 0
+                await trio.sleep(FAULT_SECONDS)
+                calls["before"] = world.calls
+                others = self.lose_store(world, relays[:1], "dark")
+                world.calls = 0
+                worst = await self.worst_delay(world, others, FAULT_SECONDS)
+                calls["after"] = world.calls
+                self.assertLess(worst, BOUND_SECONDS)
+                nursery.cancel_scope.cancel()
+
+        self.run_world(script, nodes=40, zones=1)
+        self.assertLess(calls["after"], 1.3 * calls["before"])
+
+    def test_the_log_tells_of_a_lost_store_as_soon_as_an_answer_is_overdue(self):
+        async def script(world):
+            with structlog.testing.capture_logs() as lines:
+                self.lose_store(world, self.relays(world)[:1], "dark")
+                await trio.sleep(BOUND_SECONDS)
+            lost = [line for line in lines if line["number"] == "HS4104"]
+            self.assertEqual([line["reason"] for line in lost], ["overdue"])
+
+        self.run_world(script)
+
+    def test_a_relay_that_knows_too_much_for_a_datagram_has_not_lost_the_store(self):
+        async def script(world):
+            exchange = type(world.network.attach("x", "x:1", b""))
+            send = exchange.send
+
+            async def bounded(sender, message, node):
+                if isinstance(message, RelayAnswer) and message.entries:
+                    raise MessageTooLongError
+                await send(sender, message, node)
+
+            members = [n for n in world.nodes if n.knowledge.relays.relay()]
+            with mock.patch.object(exchange, "send", bounded):
+                world.publish(ConfigurationPublished(configuration(2)))
+                await trio.sleep(BOUND_SECONDS)
+            for member in members:
+                self.assertEqual(member.knowledge.current.version, 2)
+                self.assertTrue(member.knowledge.relays.has_source)
+
+        self.run_world(script)
+
+
+class DrawnFaultsTest(FreshnessCase):
+    """Some nodes meet faults in series and at once; the others keep the bound."""
+
+    def worst_beside_victims(self, seed):
+        found = []
+
+        async def script(world):
+            generator = random.Random(seed)
+            world.network.loss = generator.choice((0.0, 0.02, 0.05))
+            victims = generator.sample(range(NODES), generator.randrange(1, 5))
+            others = [number for number in range(NODES) if number not in victims]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.publish_storm, world)
+                for victim in victims:
+                    nursery.start_soon(self.disturb, world, generator, victim)
+                found.append(await self.worst_delay(world, others, 2 * FAULT_SECONDS))
+                nursery.cancel_scope.cancel()
+
+        self.run_world(script, seed)
+        return found[0]
+
+    async def disturb(self, world, generator, number):
+        """Let a node meet one fault after the other, some of them at once."""
+        directory = world.directories[number]
+        name = world.nodes[number].knowledge.name
+        while True:
+            await trio.sleep(generator.uniform(0.0, 3.0))
+            match generator.randrange(4):
+                case 0:
+                    directory.dark = True
+                case 1:
+                    directory.down = True
+                case 2:
+                    self.cut_from_other_zones(world, number)
+                case 3:
+                    inbound = generator.random() < 0.7
+                    world.network.isolate(name, inbound=inbound, outbound=not inbound)
+            await trio.sleep(generator.uniform(0.0, 5.0))
+            if generator.random() < 0.7:
+                directory.dark = directory.down = False
+            if generator.random() < 0.7:
+                world.network.cut -= {pair for pair in world.network.cut if name in pair}
+
+    def test_nodes_with_a_way_of_their_own_are_never_late(self):
+        for seed in range(1, 7):
+            with self.subTest(seed=seed):
+                self.assertLess(self.worst_beside_victims(seed), BOUND_SECONDS)
