Hand over what was counted, and count no silence while the node stood still

A piece counted and not sent was missing after a resume (ORDER); a head counted and not sent was sent again. Handing over is now shielded from the moment of counting. (b) the node's own pause counted as silence of its instances, its store and cache events, although their bytes waited unread. A pause is noticed (HS1008) before anyone is judged, and left out. (c) an error of one connection ended the process. Each connection now runs for itself; its failure is logged (HS2006) and counted.

Ruled out: the second way without 'the instance is silent' is the deadline, by (a); shown by a test.

--- a/hopstep/adapters/exchange_server.py
+++ b/hopstep/adapters/exchange_server.py
@@ -7,9 +7,8 @@
 
 import msgspec
 import trio
-from hypercorn.trio import serve
 
-from hopstep.adapters.http_server import ServerConfig
+from hopstep.adapters.http_server import CountFailure, ServerConfig, serve_app
 from hopstep.early_listeners import Listeners
 
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
@@ -93,6 +92,7 @@
     addresses: tuple[str, ...],
     listeners: Listeners,
     wait_shutdown: Callable[[], Awaitable[None]],
+    count_failure: CountFailure,
     *,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -103,12 +103,13 @@
         addresses: ``ip:port`` of each listener.
         listeners: Those of them that are open already; the server closes them.
         wait_shutdown: Returns when the listeners should close.
+        count_failure: Called for each connection that a fault has ended.
         task_status: Told the bound addresses once the listeners are open.
     """
     config = ServerConfig(addresses[0], None)
     config.bind = [_binding(address, listeners) for address in addresses]
     config.graceful_timeout = FINISH_SECONDS
-    await serve(app, config, shutdown_trigger=wait_shutdown, task_status=task_status, mode="asgi")
+    await serve_app(app, config, wait_shutdown, count_failure, task_status=task_status)
 
 
 def _binding(address: str, listeners: Listeners) -> str:
--- a/hopstep/adapters/http_server.py
+++ b/hopstep/adapters/http_server.py
@@ -1,14 +1,27 @@
-"""Serving the HTTP application by ``hypercorn``, with or without TLS."""
+"""Serving the HTTP application by ``hypercorn``, with or without TLS.
+
+A connection that fails is logged and closed; the others, and the process, go on. The server's own
+way to run connections would end the process instead.
+"""
 
 from __future__ import annotations
 
+import functools
 import ssl
-from collections.abc import Awaitable, Callable
+import traceback
+from collections.abc import Awaitable, Callable, Iterator
+from typing import cast
 
 import trio
+from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
-from hypercorn.trio import serve
-from hypercorn.typing import ASGIFramework
+from hypercorn.trio.lifespan import Lifespan
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ASGIFramework, ConnectionState, LifespanState
+
+from hopstep import log_events
+from hopstep.logs import emit
 
 KEEP_ALIVE_SECONDS = 75.0
 """Longer than common clients keep a connection, so that they close it and not this side."""
@@ -17,6 +30,13 @@
 FINISH_SECONDS = 2.0
 """Time for connections to close after the shutdown; requests have ended before it."""
 
+Listener = trio.SocketListener | trio.SSLListener[trio.SocketStream]
+CountFailure = Callable[[], None]
+
+
+def ignore_failure() -> None:
+    """Count no failed connection."""
+
 
 class ServerConfig(Config):
     """Hypercorn's configuration, with a TLS context that is made elsewhere."""
@@ -48,6 +68,104 @@
         return self._tls
 
 
+def _leaves(error: BaseException) -> Iterator[BaseException]:
+    """Yield the single errors of a group."""
+    if isinstance(error, BaseExceptionGroup):
+        for part in error.exceptions:
+            yield from _leaves(part)
+    else:
+        yield error
+
+
+def _location(error: BaseException) -> str:
+    """Return where an error was raised; its text is withheld, for it may quote a request."""
+    frames = traceback.extract_tb(error.__traceback__)
+    return f"{frames[-1].name}:{frames[-1].lineno}" if frames else ""
+
+
+class _Connections:
+    """Runs connections of one server, each for itself."""
+
+    def __init__(self, app: ASGIFramework, config: Config, count_failure: CountFailure) -> None:
+        self.state: LifespanState = {}
+        self.app = ASGIWrapper(app)
+        self.context = WorkerContext(None)
+        self._config = config
+        self._count_failure = count_failure
+
+    async def run(self, stream: trio.SocketStream | trio.SSLStream[trio.SocketStream]) -> None:
+        """Serve a connection to its end; log its failure."""
+        state = ConnectionState(self.state.copy())
+        # The server names the type of encrypted streams only, and takes both.
+        either = cast(trio.SSLStream[trio.SocketStream], stream)
+        try:
+            await TCPServer(self.app, self._config, self.context, state, either).run()
+        except* Exception as errors:
+            self._count_failure()
+            for error in _leaves(errors):
+                emit(
+                    log_events.CONNECTION_FAILED,
+                    error_type=type(error).__name__,
+                    location=_location(error),
+                )
+
+
+async def serve_app(
+    app: ASGIFramework,
+    config: Config,
+    wait_shutdown: Callable[[], Awaitable[None]],
+    count_failure: CountFailure = ignore_failure,
+    *,
+    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until ``wait_shutdown`` returns and connections have had time to close.
+
+    Args:
+        app: ASGI application.
+        config: Listeners, and the time for connections to close.
+        wait_shutdown: Returns when the listeners should close.
+        count_failure: Called for each connection that a fault has ended.
+        task_status: Told the bound addresses once the listeners are open.
+    """
+    served = _Connections(app, config, count_failure)
+    lifespan = Lifespan(served.app, config, served.state)
+    async with trio.open_nursery() as lifespan_nursery:
+        await lifespan_nursery.start(lifespan.handle_lifespan)
+        await lifespan.wait_for_startup()
+        async with trio.open_nursery() as connections:
+            listeners, bound = _open_listeners(config)
+            task_status.started(bound)
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(
+                    functools.partial(
+                        trio.serve_listeners, served.run, listeners, handler_nursery=connections
+                    )
+                )
+                await wait_shutdown()
+                accepting.cancel_scope.cancel()
+            await served.context.terminated.set()
+            connections.cancel_scope.deadline = trio.current_time() + config.graceful_timeout
+        await lifespan.wait_for_shutdown()
+        lifespan_nursery.cancel_scope.cancel()
+
+
+def _open_listeners(config: Config) -> tuple[list[Listener], list[str]]:
+    """Return the listeners of a configuration, listening, and their URLs."""
+    sockets = config.create_sockets()
+    tls = config.create_ssl_context()
+    listeners: list[Listener] = []
+    urls = []
+    for listening in (*sockets.secure_sockets, *sockets.insecure_sockets):
+        listening.listen(config.backlog)
+        host, port = listening.getsockname()[:2]
+        urls.append(f"{'http' if tls is None else 'https'}://{host}:{port}")
+        plain = trio.SocketListener(trio.socket.from_stdlib_socket(listening))
+        listeners.append(
+            plain if tls is None else trio.SSLListener(plain, tls, https_compatible=True)
+        )
+    return listeners, urls
+
+
 async def serve_http(
     app: ASGIFramework,
     address: str,
@@ -66,4 +184,4 @@
         task_status: Told the bound addresses once the listener is open.
     """
     config = ServerConfig(address, tls)
-    await serve(app, config, shutdown_trigger=wait_shutdown, task_status=task_status, mode="asgi")
+    await serve_app(app, config, wait_shutdown, task_status=task_status)
--- a/hopstep/domain/exchanges/instance_table.py
+++ b/hopstep/domain/exchanges/instance_table.py
@@ -47,6 +47,11 @@
         """Return one view."""
         return self._views.get(instance_id)
 
+    def excuse(self, seconds: float) -> None:
+        """Leave out a time in which this node couldn't hear any instance."""
+        for view in self._views.values():
+            view.excuse(seconds)
+
     def of_service(self, service: str) -> list[InstanceView]:
         """Return the views of a service's instances."""
         return [view for view in self._views.values() if view.instance.service == service]
--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -128,6 +128,12 @@
         pause = FIRST_SUSPENSION_SECONDS * 2.0 ** (self._failures - 1)
         self.suspended_until = now + min(MAX_SUSPENSION_SECONDS, pause)
 
+    def excuse(self, seconds: float) -> None:
+        """Leave out a time in which this node couldn't hear anything."""
+        self._heard_at += seconds
+        for request_id in self._waiting_since:
+            self._waiting_since[request_id] += seconds
+
     def is_silent(self, now: float) -> bool:
         """Return whether requests wait although nothing came from the instance for long."""
         if not self._waiting_since:
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -37,6 +37,7 @@
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
+from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.registration import Registration
 from hopstep.services.exchanges.relaying import Relaying
 from hopstep.services.exchanges.rollout_lease import RolloutLease
@@ -102,15 +103,21 @@
             bounds.revocation_ms / MILLISECONDS,
         )
         limits = freshness_limits(min(bounds.configuration_ms, bounds.drain_ms) / MILLISECONDS)
-        self.follower = DirectoryFollower(self.knowledge, ports.directory, generator, limits)
+        self.pauses = PauseWatch()
+        self.pauses.on_pause(self.knowledge.table.excuse)
+        self.follower = DirectoryFollower(
+            self.knowledge, ports.directory, generator, limits, self.pauses
+        )
         self.lifecycle = Lifecycle(
             self.knowledge,
             max(0.0, bounds.grace_seconds - CLOSING_SECONDS),
             min(ACCEPT_SECONDS, bounds.grace_seconds / 3),
         )
         self.sharing = LoadSharing(self.knowledge)
-        self.store_watch = CacheStoreWatch(self.knowledge, ports.cache_events)
-        self.engine_watch = EngineCacheWatch(self.knowledge, ports.cache_events, self.sharing)
+        self.store_watch = CacheStoreWatch(self.knowledge, ports.cache_events, self.pauses)
+        self.engine_watch = EngineCacheWatch(
+            self.knowledge, ports.cache_events, self.sharing, self.pauses
+        )
         self.relaying = Relaying(
             self.knowledge,
             self.sharing,
@@ -120,14 +127,16 @@
             generator,
             limits,
         )
+        self.metrics = self._make_metrics()
         self.exchanges = ExchangeService(
             self.knowledge,
             self.lifecycle,
             ports.calls,
             self.sharing,
             self.store_watch,
+            self.pauses,
             RepeatBounds(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds),
-            self._make_metrics(),
+            self.metrics,
             generator,
             settings.zone,
             bounds.other_zone_ms / MILLISECONDS,
@@ -184,6 +193,7 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Do the background work until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.pauses.run)
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.relaying.run)
             nursery.start_soon(self.store_watch.run)
@@ -245,6 +255,7 @@
                 tuple(filter(None, addresses)),
                 listeners,
                 services.wait_drained,
+                services.metrics.failed_connections.inc,
             )
             emit(
                 log_events.PROCESS_STARTED,
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -55,6 +55,13 @@
     ("active_requests",),
     "Raise drain_seconds above the longest answer.",
 )
+PROCESS_PAUSED = LogEvent(
+    "HS1008",
+    "process_paused",
+    Level.WARNING,
+    ("seconds",),
+    "Look at the machine: the process got no processor time, and clients waited meanwhile.",
+)
 LIBRARY_WARNING = LogEvent(
     "HS1007",
     "library_warning",
@@ -121,6 +128,13 @@
 CALLER_LEFT = LogEvent(
     "HS2004", "caller_left", Level.DEBUG, ("request_id", "tenant", "tokens"), "Nothing."
 )
+CONNECTION_FAILED = LogEvent(
+    "HS2006",
+    "connection_failed",
+    Level.ERROR,
+    ("error_type", "location"),
+    "Report it: a fault in hopstep or its server. Only this connection was closed.",
+)
 REQUEST_CRASHED = LogEvent(
     "HS2005",
     "request_crashed",
--- a/hopstep/services/exchanges/directory_follower.py
+++ b/hopstep/services/exchanges/directory_follower.py
@@ -15,6 +15,7 @@
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import ServingDirectory
 from hopstep.services.exchanges.knowledge import NO_REVISION, OVERDUE, ServingKnowledge
+from hopstep.services.exchanges.pause_watch import PauseWatch
 
 CALL_SPACING_SECONDS = 0.4
 """Between the starts of two calls, so that changes gather."""
@@ -32,6 +33,9 @@
 """A node whose knowledge is older reads the store itself, whoever else should tell it."""
 
 CHECK_SECONDS = 0.1
+MOMENT_SECONDS = 0.01
+"""Behind the time at which an answer is due, so that it is past."""
+
 MIN_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 0.8
 
@@ -45,6 +49,7 @@
         directory: ServingDirectory,
         generator: random.Random,
         limits: FreshnessLimits,
+        pauses: PauseWatch,
     ) -> None:
         """Follow nothing yet.
 
@@ -53,15 +58,19 @@
             directory: Where entries are published.
             generator: Spreads retries.
             limits: How long the store or a relay may be silent.
+            pauses: Notices pauses of the node itself.
         """
         self._knowledge = knowledge
         self._directory = directory
         self._generator = generator
         self._limits = limits
+        self._pauses = pauses
+        pauses.on_pause(self._excuse)
         self._connected = True
         self._history_lost = False
         self._asked = False
         self._reading_since: float | None = None
+        self._began = trio.Event()
 
     def read_once(self) -> None:
         """Make one call, although relays answer: they can't tell everything."""
@@ -78,10 +87,20 @@
     @property
     def has_lost_store(self) -> bool:
         """Whether this node reads the store and has had no answer for too long."""
+        self._pauses.look()
+        return trio.current_time() > self._answer_due_at
+
+    @property
+    def _answer_due_at(self) -> float:
+        """When the store counts as lost without an answer; infinite while it isn't read."""
         if self._reading_since is None:
-            return False
-        since = max(self._knowledge.read_at, self._reading_since)
-        return trio.current_time() - since > self._limits.silence
+            return float("inf")
+        return max(self._knowledge.read_at, self._reading_since) + self._limits.silence
+
+    def _excuse(self, _seconds: float) -> None:
+        """Wait for an answer as if from now on: this node couldn't hear any."""
+        if self._reading_since is not None:
+            self._reading_since = trio.current_time()
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -111,22 +130,27 @@
     async def _watch_silence(self) -> None:
         """Note a lost store as soon as an answer is overdue, although the call still waits."""
         while True:
-            await trio.sleep(CHECK_SECONDS)
-            if not self.reads:
-                self._reading_since = None
-            elif self._reading_since is None:
-                self._reading_since = trio.current_time()
-            if self.has_lost_store:
+            if self._reading_since is None:
+                await self._began.wait()
+            elif self.has_lost_store:
                 self._note_connection(False, OVERDUE)
+                await trio.sleep(CHECK_SECONDS)
+            else:
+                await trio.sleep_until(self._answer_due_at + MOMENT_SECONDS)
 
     async def _wait_needed(self) -> None:
         """Wait until this node should read the store itself."""
         knowledge = self._knowledge
         while not self.reads and knowledge.age_seconds < OWN_WAY_AGE_SECONDS:
+            self._reading_since = None
             if self._asked:
                 break
             await trio.sleep(CHECK_SECONDS)
         self._asked = False
+        if self.reads and self._reading_since is None:
+            self._reading_since = trio.current_time()
+            self._began.set()
+            self._began = trio.Event()
 
     async def _call(self, sent_at: float) -> None:
         """Make one call and take what it says; after a failure one that is answered at once."""
@@ -155,7 +179,7 @@
 
     def _note_connection(self, connected: bool, reason: str) -> None:
         """Log a lost or regained way to the store."""
-        if connected == self._connected:
+        if connected == self._connected or (not connected and self._pauses.has_just_ended):
             return
         self._connected = connected
         knowledge = self._knowledge
--- a/hopstep/services/exchanges/engine_cache_watch.py
+++ b/hopstep/services/exchanges/engine_cache_watch.py
@@ -15,6 +15,7 @@
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
+from hopstep.services.exchanges.pause_watch import PauseWatch
 
 WAIT_SECONDS = 1.0
 """Longest wait of one call; waits of 0.2 s and more aren't priced."""
@@ -31,7 +32,11 @@
     """Reads the events of the engines that fall to this node."""
 
     def __init__(
-        self, knowledge: ServingKnowledge, events: CacheEvents, sharing: LoadSharing
+        self,
+        knowledge: ServingKnowledge,
+        events: CacheEvents,
+        sharing: LoadSharing,
+        pauses: PauseWatch,
     ) -> None:
         """Follow nothing yet.
 
@@ -39,10 +44,12 @@
             knowledge: Engines and nodes.
             events: Reads events.
             sharing: Told what the events say.
+            pauses: Notices pauses of the node itself.
         """
         self._knowledge = knowledge
         self._events = events
         self._sharing = sharing
+        self._pauses = pauses
         self._plan = WatchPlan()
         self._followed: dict[str, trio.CancelScope] = {}
 
@@ -77,6 +84,9 @@
             readable = True
             while True:
                 batch = await self._events.read(view.instance.address, position, WAIT_SECONDS)
+                if batch is None and self._pauses.has_just_ended:
+                    await trio.sleep(PAUSE_SECONDS)
+                    continue
                 if readable != (batch is not None):
                     readable = batch is not None
                     _log_readable(view, readable)
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -25,6 +25,7 @@
     ExchangeParts,
     WholeAnswer,
 )
+from hopstep.services.exchanges.pause_watch import PauseWatch
 
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that say to a client that its request has not run."""
@@ -151,7 +152,7 @@
         view = candidate.view
         sent_at = trio.current_time()
         async with trio.open_nursery() as nursery:
-            watchdog = _Watchdog(view, self._request.route.idempotent)
+            watchdog = _Watchdog(view, self._request.route.idempotent, self._parts.pauses)
             nursery.start_soon(watchdog.run, nursery.cancel_scope)
             try:
                 await self._exchange(candidate, sent_at)
@@ -234,10 +235,14 @@
             )
         self.outcome.events = self._framer.events
         self.outcome.outcome = str(answer.status)
-        await self._answer.finish()
+        with trio.CancelScope(shield=True):
+            await self._answer.finish()
 
     async def _send_events(self, answer: InstanceAnswer, data: bytes) -> None:
-        """Pass on the events that are whole with ``data``."""
+        """Pass on the events that are whole with ``data``.
+
+        The framer has counted them, so nothing may end the attempt before they are handed over.
+        """
         try:
             whole = self._framer.feed(data)
         except StreamOrderError as error:
@@ -246,9 +251,10 @@
             ) from error
         if not whole:
             return
-        if not self._started:
-            await self._start(answer.status, answer.headers, None)
-        await self._answer.send(whole)
+        with trio.CancelScope(shield=True):
+            if not self._started:
+                await self._start(answer.status, answer.headers, None)
+            await self._answer.send(whole)
 
     async def _relay_whole(
         self, candidate: Candidate, answer: InstanceAnswer, sent_at: float
@@ -290,11 +296,12 @@
             )
 
     async def _send_whole(self, whole: WholeAnswer) -> None:
-        """Pass a whole answer on."""
-        await self._start(whole.status, whole.headers, len(whole.body))
-        await self._answer.send(whole.body)
-        self.outcome.outcome = str(whole.status)
-        await self._answer.finish()
+        """Pass a whole answer on, all of it or nothing."""
+        with trio.CancelScope(shield=True):
+            await self._start(whole.status, whole.headers, len(whole.body))
+            await self._answer.send(whole.body)
+            self.outcome.outcome = str(whole.status)
+            await self._answer.finish()
 
     async def _start(self, status: int, headers: Headers, length: int | None) -> None:
         """Send the head of the answer."""
@@ -365,15 +372,17 @@
 class _Watchdog:
     """Ends an attempt that may be repeated when its instance has fallen silent."""
 
-    def __init__(self, view: InstanceView, armed: bool) -> None:
+    def __init__(self, view: InstanceView, armed: bool, pauses: PauseWatch) -> None:
         self.fired = False
         self._view = view
         self._armed = armed
+        self._pauses = pauses
 
     async def run(self, scope: trio.CancelScope) -> None:
         """Watch until cancelled."""
         while self._armed:
             await trio.sleep(WATCHDOG_SECONDS)
+            self._pauses.look()
             if self._view.is_silent(trio.current_time()):
                 self.fired = True
                 scope.cancel()
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -49,6 +49,11 @@
             "Prompt tokens that instances were expected to read.",
             registry=registry,
         )
+        self.failed_connections = Counter(
+            "hopstep_failed_connections",
+            "Clients' connections that a fault of this node has ended.",
+            registry=registry,
+        )
 
     def watch(self, name: str, documentation: str, read: Callable[[], float]) -> None:
         """Register a gauge that is read when metrics are asked for."""
--- a/hopstep/services/exchanges/exchange_parts.py
+++ b/hopstep/services/exchanges/exchange_parts.py
@@ -11,6 +11,7 @@
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.ports.instance_calls import InstanceCalls
 from hopstep.services.exchanges.instance_choice import InstanceChoice
+from hopstep.services.exchanges.pause_watch import PauseWatch
 
 
 class WholeAnswer(msgspec.Struct, frozen=True):
@@ -62,6 +63,7 @@
         budgets: Returns a service's retry budget.
         nodes: Returns how many nodes may be alive.
         note_sent: Told of each prompt that is sent, for the peers.
+        pauses: Notices pauses of the node itself.
         count_failure: Told of each failed attempt: its code, and what follows.
     """
 
@@ -70,4 +72,5 @@
     budgets: Callable[[str], RepeatBudget]
     nodes: Callable[[], int]
     note_sent: Callable[[Candidate], None]
+    pauses: PauseWatch
     count_failure: Callable[[str, str], None]
--- a/hopstep/services/exchanges/instance_choice.py
+++ b/hopstep/services/exchanges/instance_choice.py
@@ -15,6 +15,7 @@
 from hopstep.domain.exchanges.serving import EngineTraits
 from hopstep.domain.exchanges.store_contents import StoreContents
 from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
 
 MIN_SAVED_TOKENS = 1_000
@@ -28,6 +29,7 @@
         self,
         knowledge: ServingKnowledge,
         store_watch: CacheStoreWatch,
+        pauses: PauseWatch,
         generator: random.Random,
         zone: str,
         other_zone_seconds: float,
@@ -37,12 +39,14 @@
         Args:
             knowledge: Instances and weights.
             store_watch: What the cache stores keep.
+            pauses: Notices pauses of the node itself.
             generator: Breaks ties.
             zone: Zone of this node.
             other_zone_seconds: Delay that a request to another zone counts for.
         """
         self._knowledge = knowledge
         self._store_watch = store_watch
+        self._pauses = pauses
         self._generator = generator
         self._zone = zone
         self._other_zone_seconds = other_zone_seconds
@@ -55,6 +59,7 @@
             service: Service that the route chose.
             tried: Ids of instances that it was sent to.
         """
+        self._pauses.look()
         now = trio.current_time()
         views = self._admissible(request, service, tried, now)
         usable = [view for view in views if view.is_usable(now)]
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -21,6 +21,7 @@
 from hopstep.services.exchanges.instance_choice import InstanceChoice
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
+from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
 from hopstep.services.lifecycle import Lifecycle
 
@@ -37,6 +38,7 @@
         calls: InstanceCalls,
         sharing: LoadSharing,
         store_watch: CacheStoreWatch,
+        pauses: PauseWatch,
         bounds: RepeatBounds,
         metrics: ExchangeMetrics,
         generator: random.Random,
@@ -49,8 +51,9 @@
             knowledge: What the node knows.
             lifecycle: Counts active requests.
             calls: Instances.
-            store_watch: What the cache stores keep.
             sharing: Told of each prompt that is sent.
+            store_watch: What the cache stores keep.
+            pauses: Notices pauses of the node itself.
             bounds: Bounds of retries over all nodes.
             metrics: Counts requests and attempts.
             generator: Splits traffic and breaks ties.
@@ -66,10 +69,13 @@
         self._budgets: dict[str, RepeatBudget] = {}
         self._parts = ExchangeParts(
             calls=calls,
-            choice=InstanceChoice(knowledge, store_watch, generator, zone, other_zone_seconds),
+            choice=InstanceChoice(
+                knowledge, store_watch, pauses, generator, zone, other_zone_seconds
+            ),
             budgets=self._budget,
             nodes=sharing.count_nodes,
             note_sent=sharing.note_sent,
+            pauses=pauses,
             count_failure=self._count_failure,
         )
 
--- a/hopstep/services/exchanges/store_watch.py
+++ b/hopstep/services/exchanges/store_watch.py
@@ -18,6 +18,7 @@
 from hopstep.logs import emit
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
 from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.pause_watch import PauseWatch
 
 WAIT_SECONDS = 1.0
 PAUSE_SECONDS = 0.3
@@ -31,15 +32,19 @@
 class CacheStoreWatch:
     """Keeps the contents of each cache store that the configuration names."""
 
-    def __init__(self, knowledge: ServingKnowledge, events: CacheEvents) -> None:
+    def __init__(
+        self, knowledge: ServingKnowledge, events: CacheEvents, pauses: PauseWatch
+    ) -> None:
         """Know no store yet.
 
         Args:
             knowledge: Names the stores.
             events: Reads their events.
+            pauses: Notices pauses of the node itself.
         """
         self._knowledge = knowledge
         self._events = events
+        self._pauses = pauses
         self._contents: dict[str, StoreContents] = {}
 
     def contents(self, address: str) -> StoreContents | None:
@@ -93,6 +98,9 @@
         epoch: int | None = None
         while not self._knowledge.relays.relay():
             batch = await self._events.read(address, position, WAIT_SECONDS)
+            if batch is None and self._pauses.has_just_ended:
+                await trio.sleep(PAUSE_SECONDS)
+                continue
             before, contents.reachable = contents.reachable, batch is not None
             _log_reachable(address, before, contents)
             if batch is not None:
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -250,7 +250,8 @@
 
     def run(self, script):
         """Run ``script(world)`` beside the nodes."""
-        trio.run(self._run, script, clock=MockClock(autojump_threshold=0))
+        self.clock = MockClock(autojump_threshold=0)
+        trio.run(self._run, script, clock=self.clock)
 
     async def _run(self, script):
         self.changed = trio.Event()
@@ -306,9 +307,11 @@
             for value in batch.values:
                 self.publish(RecordWritten(value.key, value.value, value.version))
 
-    async def request(self, name, node=0, key=KEY, request_id="", resume_after="", patience=2.0):
+    async def request(
+        self, name, node=0, key=KEY, request_id="", resume_after="", patience=2.0, answer=None
+    ):
         """Send a request to a node and return the client's answer."""
-        answer = RecordedAnswer()
+        answer = answer or RecordedAnswer()
         head = self.head(name, key, request_id, resume_after, patience)
         try:
             await self.nodes[node].exchanges.serve(head, b"body", answer)
