Let the soak find what the users found: changes throughout, something calm, callers that stay

Now profiles of faults take turns, most of them leave the store calm; faults come in series and overlap; configurations change throughout, and probes ask every node for the routes that changed last; loyal callers use their connection until it is closed. Check 'configuration' is new; 'draining' excuses less (the time around the run counts, losing only other nodes excuses nothing). The machine's own stalls are measured, printed, and excuse what is bound in time. A request that went nowhere and whose connection was closed within 0.2 s crossed a close, as the users' rules say; it no longer counts as cut off by a planned stop, which loyal callers meet.

--- a/emulator/cli/soak.py
+++ b/emulator/cli/soak.py
@@ -14,7 +14,8 @@
 
 from emulator.soak.run import SoakPlan, SoakResult, run_soak
 
-MAX_NODES = 24
+MAX_NODES = 64
+"""Some 35 MB and, with traffic, a twentieth of a core each."""
 
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of the first soak.", 0)
 _RUNS = flags.DEFINE_integer("runs", 1, "Soaks, one after the other, with rising seeds.", 1)
@@ -40,8 +41,13 @@
 
 def _report(seed: int, result: SoakResult) -> int:
     """Print what came of a soak and return the number of broken promises."""
-    print(f"soak: seed {seed}, {result.requests} requests, ends {result.statuses}")
-    print(f"soak: faults {result.faults}")
+    stalls = result.stalls
+    print(f"soak: seed {seed}, {result.profile}, {result.requests} requests, {result.statuses}")
+    print(f"soak: {result.route_changes} changes of routes, faults {result.faults}")
+    print(
+        f"soak: the machine stood still {stalls.count} times, {stalls.total_seconds:.2f} s in all, "
+        f"{stalls.longest_seconds:.2f} s at the longest"
+    )
     for violation in result.violations:
         print(f"soak: BROKEN {violation.promise}: {violation.detail}")
     print(f"soak: seed {seed}, {len(result.violations)} broken", flush=True)
--- a/emulator/exchange_platform/http_instance.py
+++ b/emulator/exchange_platform/http_instance.py
@@ -24,6 +24,7 @@
 UNAVAILABLE = 503
 FAILED = 500
 EVENT_SECONDS = 0.02
+FIRST_EPOCH = 1
 MILLISECONDS = 1_000.0
 
 
@@ -284,6 +285,15 @@
         """Tell of the instance."""
         return json_response(instance.report())
 
+    @app.get("/kv-events")
+    async def cache_events() -> quart.Response:
+        """Answer after the wait that nothing has changed: these instances keep no segments."""
+        await trio.sleep(float(quart.request.headers.get("Wait-Ms", "0")) / MILLISECONDS)
+        position = int(quart.request.args.get("since", "0"))
+        return json_response(
+            {"epoch": FIRST_EPOCH, "nextPageToken": position, "lost": False, "events": []}
+        )
+
     @app.post("/order")
     async def order() -> quart.Response:
         """Take an order."""
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -5,6 +5,7 @@
 import json
 import random
 import socket
+import ssl
 from collections import deque
 
 import httpx
@@ -13,6 +14,7 @@
 
 from emulator.soak.deployment import ENGINES, HOST, MODEL, PLAIN, Deployment, NodeLinks
 from emulator.soak.history import RequestKind, SentRequest
+from emulator.soak.operators import LASTING_KEY
 
 PATIENCE_SECONDS = 4.0
 LEAVING_SHARE = 0.03
@@ -23,6 +25,9 @@
 MISSES = 2
 READINESS_TIMEOUT_SECONDS = 0.5
 SEGMENTS = 30
+UNUSED_TLS = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+"""All is plain HTTP here; loading the machine's certificates for each client takes a while."""
+
 KINDS = (
     RequestKind.SAFE,
     RequestKind.UNSAFE,
@@ -68,7 +73,7 @@
         self._deployment = deployment
         self._generator = generator
         self._rate = rate
-        self._readiness = Readiness()
+        self.readiness = Readiness()
         self._clients: dict[str, httpx.AsyncClient] = {}
 
     async def run(self) -> None:
@@ -84,20 +89,8 @@
         """Return a new request."""
         generator = self._generator
         kind = generator.choice(KINDS)
-        nodes = self._readiness.usable(self._deployment.nodes)
-        now = trio.current_time()
-        request = SentRequest(
-            request_id=generator.randbytes(8).hex(),
-            kind=kind,
-            service=SERVICES[kind],
-            key=generator.choice(sorted(self._deployment.history.tenants)),
-            node=generator.choice(nodes).name,
-            sent_at=now,
-            deadline_at=now + PATIENCE_SECONDS,
-            events=generator.randrange(1, 40),
-        )
-        self._deployment.history.requests[request.request_id] = request
-        return request
+        nodes = self.readiness.usable(self._deployment.nodes)
+        return draw_request(self._deployment, generator, kind, generator.choice(nodes))
 
     async def _send(self, request: SentRequest) -> None:
         """Send a request and record how it ends."""
@@ -114,7 +107,7 @@
         client = self._client(request.node)
         try:
             async with client.stream(
-                "POST", f"/{request.kind}/x", headers=self._headers(request), content=_body(request)
+                "POST", path_of(request), headers=headers_of(request), content=body_of(request)
             ) as response:
                 request.status = response.status_code
                 request.stamp = response.headers.get("response-stamp", "")
@@ -126,23 +119,6 @@
         except httpx.TransportError:
             return
 
-    def _headers(self, request: SentRequest) -> dict[str, str]:
-        """Return a request's headers."""
-        headers = {
-            "Host": HOST,
-            "Attempt-Id": request.request_id,
-            "X-Api-Key": request.key,
-            "Deadline-Ms": str(round(PATIENCE_SECONDS * 1_000)),
-            "Tenant": "forged",
-            "Cache-Salt": "forged",
-        }
-        if request.service == ENGINES:
-            shared = f"{self._generator.randrange(SEGMENTS):04x}"
-            headers["Model"] = MODEL
-            headers["Token-Usage"] = "2000,50"
-            headers["Prompt-Prefix"] = f"{shared}:1800,{request.request_id}:200"
-        return headers
-
     def _client(self, node: str) -> httpx.AsyncClient:
         """Return the connections to a node."""
         client = self._clients.get(node)
@@ -152,14 +128,16 @@
                 base_url=f"http://{links.clients.address}",
                 timeout=httpx.Timeout(None, connect=1.0),
                 transport=httpx.AsyncHTTPTransport(
-                    socket_options=[(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)]
+                    verify=UNUSED_TLS, socket_options=[(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)]
                 ),
             )
         return client
 
     async def _ask_readiness(self, node: NodeLinks) -> None:
         """Ask a node whether it is ready, from time to time."""
-        async with httpx.AsyncClient(timeout=READINESS_TIMEOUT_SECONDS) as client:
+        async with httpx.AsyncClient(
+            timeout=READINESS_TIMEOUT_SECONDS, verify=UNUSED_TLS
+        ) as client:
             while True:
                 ready = False
                 try:
@@ -167,12 +145,69 @@
                     ready = answer.status_code == httpx.codes.OK
                 except httpx.TransportError:
                     pass
-                misses = self._readiness.misses
+                misses = self.readiness.misses
                 misses[node.name] = 0 if ready else misses.get(node.name, 0) + 1
                 await trio.sleep(READINESS_SECONDS)
 
 
-def _body(request: SentRequest) -> bytes:
+def draw_request(
+    deployment: Deployment,
+    generator: random.Random,
+    kind: RequestKind,
+    node: NodeLinks,
+    path: str = "",
+) -> SentRequest:
+    """Return a new request, recorded.
+
+    Args:
+        deployment: Keys and history.
+        generator: Draws the rest.
+        kind: How often it may run.
+        node: Where it goes.
+        path: Path of a probe of the configuration; the kind's own if empty.
+    """
+    history = deployment.history
+    keys = [key for key in sorted(history.tenants) if not path or key.endswith(LASTING_KEY)]
+    now = trio.current_time()
+    request = SentRequest(
+        request_id=generator.randbytes(8).hex(),
+        kind=kind,
+        service=SERVICES[kind],
+        key=generator.choice(keys),
+        node=node.name,
+        sent_at=now,
+        deadline_at=now + PATIENCE_SECONDS,
+        events=generator.randrange(1, 40),
+        path=path,
+    )
+    history.requests[request.request_id] = request
+    return request
+
+
+def path_of(request: SentRequest) -> str:
+    """Return a request's path."""
+    return f"{request.path or f'/{request.kind}/'}x"
+
+
+def headers_of(request: SentRequest) -> dict[str, str]:
+    """Return a request's headers."""
+    headers = {
+        "Host": HOST,
+        "Attempt-Id": request.request_id,
+        "X-Api-Key": request.key,
+        "Deadline-Ms": str(round(PATIENCE_SECONDS * 1_000)),
+        "Tenant": "forged",
+        "Cache-Salt": "forged",
+    }
+    if request.service == ENGINES:
+        shared = f"{int(request.request_id, 16) % SEGMENTS:04x}"
+        headers["Model"] = MODEL
+        headers["Token-Usage"] = "2000,50"
+        headers["Prompt-Prefix"] = f"{shared}:1800,{request.request_id}:200"
+    return headers
+
+
+def body_of(request: SentRequest) -> bytes:
     """Return a request's body, which says what the instance should do."""
     if request.service == ENGINES:
         return json.dumps({"events": request.events}).encode()
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -8,11 +8,13 @@
 
 import msgspec
 
-from emulator.soak.history import Arrival, History, RequestKind, Run, SentRequest
+from emulator.soak.history import Arrival, History, RequestKind, RouteChange, Run, SentRequest
 
 PROMISES = frozenset({408, 421, 429, 503})
-STORE = "store"
 OK = 200
+DENIALS = frozenset({401, 403, 404})
+"""Answers that only a node may give whose configuration has no such route or key."""
+
 LATE_SECONDS = 0.75
 """An answer may come so much later than the caller's deadline on an undisturbed node."""
 
@@ -25,6 +27,7 @@
     Attributes:
         revocation: From the taking away of a key until nothing runs with it.
         weights: From the naming of weights until nothing starts on older ones.
+        configuration: From a configuration's acknowledgement until every node acts by it.
         drain: From ``draining`` until an instance gets nothing new.
         contact: Quiet before a time-bound promise holds for a node or the store.
         lease: Time of the rollout lease.
@@ -32,10 +35,12 @@
         retry_ratio: Repeats for each request.
         retry_extra: Repeats that are always allowed in a window.
         retry_window: Length of that window.
+        loss_slack: A request that went nowhere and whose connection ended sooner crossed a close.
     """
 
     revocation: float = 5.0
     weights: float = 8.0
+    configuration: float = 2.0
     drain: float = 2.0
     contact: float = 3.0
     lease: float = 3.0
@@ -43,6 +48,7 @@
     retry_ratio: float = 0.2
     retry_extra: float = 50.0
     retry_window: float = 10.0
+    loss_slack: float = 0.2
 
 
 class Violation(msgspec.Struct, frozen=True):
@@ -146,8 +152,7 @@
             continue
         naming = max(required, key=lambda n: n.version)
         since = naming.at - bounds.contact
-        disturbed = history.disturbed(STORE, since, run.at)
-        disturbed = disturbed or history.disturbed(request.node, since, run.at)
+        disturbed = not history.bounded(request.node, since, run.at)
         if run.version < naming.version and not disturbed:
             yield (
                 f"{run.request_id} started on version {run.version} at {run.instance_id}, "
@@ -163,13 +168,29 @@
         request = history.requests.get(run.request_id)
         if at is None or request is None or run.at - at <= bounds.drain:
             continue
-        since = at - bounds.contact
-        quiet = not history.disturbed(STORE, since, run.at)
-        quiet = quiet and not history.disturbed(request.node, since, run.at)
-        if quiet:
+        if history.bounded(request.node, run.at - bounds.contact, run.at):
             yield f"{run.request_id} ran at {run.instance_id}, draining for {run.at - at:.2f} s"
 
 
+def configurations_are_in_force(history: History, bounds: Bounds) -> Iterable[str]:
+    """Yield probes that were answered as only an older configuration says."""
+    changes: dict[str, list[RouteChange]] = defaultdict(list)
+    for change in history.route_changes:
+        changes[change.path].append(change)
+    for request in history.requests.values():
+        known = [c for c in changes[request.path] if request.sent_at - c.at > bounds.configuration]
+        if not request.path or not known or request.ended_at is None:
+            continue
+        later = [c for c in changes[request.path] if c not in known and c.at <= request.ended_at]
+        present = known[-1].present
+        wrong = request.status in DENIALS if present else request.status == OK
+        since = request.sent_at - bounds.contact
+        if wrong and not later and history.bounded(request.node, since, request.ended_at):
+            late = request.sent_at - known[-1].at
+            what = "added" if present else "removed"
+            yield f"{request.path} {what}, {late:.2f} s later {request.node} said {request.status}"
+
+
 def one_holder_orders(history: History, bounds: Bounds) -> Iterable[str]:
     """Yield tokens with two holders, and holders that take turns within a lease."""
     holders: dict[int, set[str]] = defaultdict(set)
@@ -203,8 +224,13 @@
             yield f"salt {salt!r} is used for versions {sorted(found)}"
 
 
-def planned_stops_cut_nothing(history: History, _bounds: Bounds) -> Iterable[str]:
-    """Yield requests that a planned stop cut off, while nothing else disturbed."""
+def planned_stops_cut_nothing(history: History, bounds: Bounds) -> Iterable[str]:
+    """Yield requests that a planned stop cut off, while nothing else disturbed.
+
+    A connection may be closed as a request crosses on it: that one went nowhere, and its caller
+    knows at once.
+    """
+    arrived = {arrival.request_id for arrival in history.arrivals}
     stops = [fault for fault in history.disturbances if fault.planned]
     others = [fault for fault in history.disturbances if not fault.planned]
     for request in history.requests.values():
@@ -218,7 +244,9 @@
         disturbed = any(
             fault.since <= request.ended_at and fault.until >= request.sent_at for fault in others
         )
-        if meets and not answered and not disturbed:
+        crossed = request.request_id not in arrived
+        crossed = crossed and request.ended_at - request.sent_at <= bounds.loss_slack
+        if meets and not answered and not disturbed and not crossed:
             yield f"{request.kind} {request.request_id} was cut off by the stop of {request.node}"
 
 
@@ -272,6 +300,7 @@
         if since <= request.sent_at <= until - 3.0
         and not request.left
         and request.key not in revoked
+        and not request.path
     ]
     served = sum(1 for r in late if r.whole and r.status is not None and r.status not in PROMISES)
     if not late or served < RECOVERED_SHARE * len(late):
@@ -307,6 +336,7 @@
     "own and whole answers": answers_are_own_and_whole,
     "only what was sent": only_what_was_sent_runs,
     "revocation": revoked_keys_run_nothing,
+    "configuration": configurations_are_in_force,
     "weights": weights_are_new_enough,
     "draining": draining_instances_get_nothing,
     "one holder": one_holder_orders,
--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -9,7 +9,6 @@
 import trio
 
 from emulator.platform.faults import FaultOrder
-from emulator.soak.checks import STORE
 from emulator.soak.deployment import (
     ENGINES,
     GRACE_SECONDS,
@@ -18,12 +17,14 @@
     InstanceLinks,
     NodeLinks,
 )
-from emulator.soak.history import Leaving
+from emulator.soak.history import ONLY_PEERS, STORE, Leaving
 from emulator.soak.operators import Operator
+from emulator.soak.profiles import Profile
 from emulator.soak.proxies import LinkState
 
-PAUSE_SECONDS = (0.3, 1.5)
-"""Between the begins of two faults."""
+SERIES_LENGTH = (2, 4)
+SERIES_SECONDS = (0.1, 0.8)
+"""Between the begins of two faults of a series."""
 
 FAULT_SECONDS = (0.5, 6.0)
 SETTLE_SECONDS = 2.5
@@ -40,15 +41,21 @@
     """Draws faults and carries them out."""
 
     def __init__(
-        self, deployment: Deployment, operator: Operator, generator: random.Random
+        self,
+        deployment: Deployment,
+        operator: Operator,
+        generator: random.Random,
+        profile: Profile,
     ) -> None:
         """Prepare.
 
         Args:
             deployment: What is disturbed.
-            operator: Changes configurations, keys and weights.
+            operator: Changes keys and weights.
             generator: Draws kind, subject, time and strength.
+            profile: Kinds, and how closely they follow each other.
         """
+        self._profile = profile
         self.counts: dict[str, int] = {}
         self._deployment = deployment
         self._operator = operator
@@ -74,19 +81,32 @@
             "instance fails": self._instance_fails,
             "orders late": self._orders_late,
             "key revoked": self._key_revoked,
-            "route added": self._route_added,
             "weights named": self._weights_named,
         }
 
+    @property
+    def kinds(self) -> set[str]:
+        """Kinds of faults that can be drawn."""
+        return set(self._kinds)
+
     async def run(self, seconds: float) -> None:
-        """Disturb for a time, and wait until everything is healed."""
+        """Disturb for a time, and wait until everything is healed.
+
+        Faults go on while others begin; some come in series of their kind.
+        """
+        profile = self._profile
         async with trio.open_nursery() as nursery:
             with trio.move_on_after(seconds):
                 while True:
-                    await trio.sleep(self._generator.uniform(*PAUSE_SECONDS))
-                    kind = self._generator.choice(sorted(self._kinds))
-                    self.counts[kind] = self.counts.get(kind, 0) + 1
-                    nursery.start_soon(self._kinds[kind])
+                    await trio.sleep(self._generator.uniform(*profile.pause_seconds))
+                    kind = self._generator.choice(profile.kinds)
+                    times = 1
+                    if self._generator.random() < profile.series_share:
+                        times = self._generator.randint(*SERIES_LENGTH)
+                    for _ in range(times):
+                        self.counts[kind] = self.counts.get(kind, 0) + 1
+                        nursery.start_soon(self._kinds[kind])
+                        await trio.sleep(self._generator.uniform(*SERIES_SECONDS))
 
     def _time(self) -> float:
         """Return how long a fault lasts."""
@@ -141,7 +161,7 @@
 
     async def _node_without_peers(self) -> None:
         node = self._node()
-        disturbance = self._deployment.disturb("peer link", node.name)
+        disturbance = self._deployment.disturb(ONLY_PEERS, node.name)
         node.peers.cut = True
         await trio.sleep(self._time())
         node.peers.cut = False
@@ -295,10 +315,6 @@
         await trio.lowlevel.checkpoint()
         self._operator.revoke()
 
-    async def _route_added(self) -> None:
-        await trio.lowlevel.checkpoint()
-        self._operator.add_route()
-
     async def _weights_named(self) -> None:
         await trio.lowlevel.checkpoint()
         self._operator.name_weights()
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -6,6 +6,16 @@
 
 import msgspec
 
+STORE = "store"
+"""Subject of disturbances of the store for everyone."""
+
+MACHINE = "machine"
+"""Subject of the times at which the machine of the soak itself stood still."""
+
+
+ONLY_PEERS = "peer link"
+"""What happens to a node that is cut off from other nodes, and from nothing else."""
+
 
 class RequestKind(enum.StrEnum):
     """How often a request may run."""
@@ -40,6 +50,7 @@
         whole: Whether the answer ended as the protocol says.
         left: Whether the caller left on purpose.
         refused_connection: Whether no connection came about.
+        path: Path of a probe of the configuration; empty for others.
     """
 
     request_id: str
@@ -57,6 +68,7 @@
     whole: bool = False
     left: bool = False
     refused_connection: bool = False
+    path: str = ""
 
 
 class Run(msgspec.Struct):
@@ -116,6 +128,20 @@
     at: float
 
 
+class RouteChange(msgspec.Struct, frozen=True):
+    """A route that was added or removed.
+
+    Attributes:
+        path: Its path; each is added and removed once at most.
+        present: Whether it was added.
+        at: When the store acknowledged the change.
+    """
+
+    path: str
+    present: bool
+    at: float
+
+
 class Naming(msgspec.Struct, frozen=True):
     """A weights version, and when the store acknowledged it."""
 
@@ -158,6 +184,7 @@
         orders: In order.
         revocations: In order.
         namings: In order.
+        route_changes: In order.
         leavings: In order.
         disturbances: In the order of their begins.
         unexpected_ends: Nodes whose process ended by itself.
@@ -171,12 +198,27 @@
     orders: list[TakenOrder] = []
     revocations: list[Revocation] = []
     namings: list[Naming] = []
+    route_changes: list[RouteChange] = []
     leavings: list[Leaving] = []
     disturbances: list[Disturbance] = []
     unexpected_ends: list[str] = []
     tenants: dict[str, str] = {}
     isolated: set[str] = set()
 
+    def bounded(self, node: str, since: float, until: float) -> bool:
+        """Return whether promises that are bound in time hold for a node.
+
+        They do while its process, its links, the store and the machine were undisturbed. Losing all
+        other nodes excuses nothing.
+        """
+        excuses = (fault for fault in self.disturbances if fault.what != ONLY_PEERS)
+        return not any(
+            fault.subject in (node, STORE, MACHINE)
+            and fault.since <= until
+            and fault.until >= since
+            for fault in excuses
+        )
+
     def disturbed(self, subject: str, since: float, until: float) -> bool:
         """Return whether a fault of a subject overlaps with a time."""
         return any(
--- /dev/null
+++ b/emulator/soak/loyal_callers.py
@@ -0,0 +1,127 @@
+"""Callers that keep a connection and use it until it is closed, whatever the node is about to do.
+
+Load balancers turn new connections away from a node that stops or fails; these don't notice.
+"""
+
+from __future__ import annotations
+
+import random
+
+import httpcore
+import trio
+
+from emulator.soak.callers import (
+    KINDS,
+    LATEST_ANSWER_SECONDS,
+    PATIENCE_SECONDS,
+    Readiness,
+    body_of,
+    draw_request,
+    headers_of,
+    path_of,
+)
+from emulator.soak.deployment import Deployment, NodeLinks
+from emulator.soak.history import SentRequest
+
+THINK_SECONDS = (0.0, 0.3)
+"""Between the end of an answer and the next request on its connection."""
+
+CONNECT_SECONDS = 1.0
+BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.ConnectionNotAvailable)
+
+
+class LoyalCallers:
+    """Some callers with a connection each."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        generator: random.Random,
+        readiness: Readiness,
+        count: int,
+    ) -> None:
+        """Connect nowhere yet.
+
+        Args:
+            deployment: Nodes and history.
+            generator: Draws requests.
+            readiness: Where a new connection may go.
+            count: How many callers.
+        """
+        self._deployment = deployment
+        self._generator = generator
+        self._readiness = readiness
+        self._count = count
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(self._count):
+                nursery.start_soon(self._keep_calling)
+
+    async def _keep_calling(self) -> None:
+        """Connect anew whenever a connection has ended."""
+        while True:
+            nodes = self._readiness.usable(self._deployment.nodes)
+            await self._use(self._generator.choice(nodes))
+            await trio.sleep(self._generator.uniform(*THINK_SECONDS))
+
+    async def _use(self, node: NodeLinks) -> None:
+        """Send one request after the other on one connection until it is closed."""
+        host, _, port = node.clients.address.rpartition(":")
+        origin = httpcore.Origin(b"http", host.encode(), int(port))
+        connection = httpcore.AsyncHTTPConnection(origin)
+        try:
+            while not connection.is_closed() and connection.is_available():
+                kind = self._generator.choice(KINDS)
+                request = draw_request(self._deployment, self._generator, kind, node)
+                await self._send(connection, origin, request)
+                await trio.sleep(self._generator.uniform(*THINK_SECONDS))
+        finally:
+            with trio.CancelScope(shield=True):
+                await connection.aclose()
+
+    async def _send(
+        self,
+        connection: httpcore.AsyncHTTPConnection,
+        origin: httpcore.Origin,
+        request: SentRequest,
+    ) -> None:
+        """Send a request and record how it ends."""
+        with trio.move_on_after(PATIENCE_SECONDS + LATEST_ANSWER_SECONDS):
+            await self._exchange(connection, origin, request)
+        request.ended_at = trio.current_time()
+
+    async def _exchange(
+        self,
+        connection: httpcore.AsyncHTTPConnection,
+        origin: httpcore.Origin,
+        request: SentRequest,
+    ) -> None:
+        """Send, and read the answer as far as it comes."""
+        body = body_of(request)
+        call = httpcore.Request(
+            b"POST",
+            httpcore.URL(
+                scheme=origin.scheme,
+                host=origin.host,
+                port=origin.port,
+                target=path_of(request).encode(),
+            ),
+            headers=[*headers_of(request).items(), ("Content-Length", str(len(body)))],
+            content=body,
+            extensions={"timeout": {"connect": CONNECT_SECONDS}},
+        )
+        try:
+            response = await connection.handle_async_request(call)
+            found = {name.lower(): value for name, value in response.headers}
+            request.status = response.status
+            request.stamp = found.get(b"response-stamp", b"").decode()
+            async for data in response.aiter_stream():
+                request.body += data
+            request.whole = True
+            await response.aclose()
+        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            request.refused_connection = True
+        except BROKEN:
+            return
--- a/emulator/soak/operators.py
+++ b/emulator/soak/operators.py
@@ -7,12 +7,18 @@
 import trio
 
 from emulator.soak.deployment import CONFIGURATION_KEY, ENGINES, HOST, MODEL, PLAIN, Deployment
-from emulator.soak.history import Naming, RequestKind, Revocation
+from emulator.soak.history import Naming, RequestKind, Revocation, RouteChange
 
 TENANTS = ("t1", "t2", "t3")
 ISOLATED = ("t3",)
 KEYS_OF_A_TENANT = 6
+LASTING_KEY = "-0"
+"""End of the key of each tenant that is never taken away."""
+
 TIMEOUT_MS = 4_000
+MAX_ADDED_ROUTES = 12
+"""The oldest added route is removed when there are more."""
+
 SHARES = {RequestKind.SAFE: PLAIN, RequestKind.UNSAFE: PLAIN}
 
 
@@ -30,7 +36,8 @@
         self._generator = generator
         self._version = 0
         self._weights = 1
-        self._idle_routes = 0
+        self._added: list[str] = []
+        self._routes_so_far = 0
         history = deployment.history
         history.isolated.update(ISOLATED)
         for tenant in TENANTS:
@@ -46,7 +53,7 @@
         """Take a key away; each tenant keeps one."""
         history = self._deployment.history
         gone = {revocation.key for revocation in history.revocations}
-        left = [key for key in history.tenants if key not in gone and not key.endswith("-0")]
+        left = [key for key in history.tenants if key not in gone and not key.endswith(LASTING_KEY)]
         if not left:
             return
         key = self._generator.choice(left)
@@ -54,10 +61,23 @@
         history.revocations.append(Revocation(key, revoked_at))
         self.publish()
 
-    def add_route(self) -> None:
-        """Write a configuration with one more route."""
-        self._idle_routes += 1
+    async def change_routes(self, seconds: float) -> None:
+        """Add a route every so often, and remove the oldest, until cancelled."""
+        while True:
+            await trio.sleep(seconds * self._generator.uniform(0.3, 1.7))
+            if len(self._added) >= MAX_ADDED_ROUTES:
+                self._change_route(self._added.pop(0), present=False)
+            else:
+                self._routes_so_far += 1
+                path = f"/added{self._routes_so_far}/"
+                self._added.append(path)
+                self._change_route(path, present=True)
+
+    def _change_route(self, path: str, *, present: bool) -> None:
+        """Write a configuration after a route was added or removed."""
         self.publish()
+        change = RouteChange(path, present, trio.current_time())
+        self._deployment.history.route_changes.append(change)
 
     def name_weights(self) -> None:
         """Name new weights."""
@@ -96,17 +116,17 @@
         }
         return {
             "version": self._version,
-            "routes": [_route(kind) for kind in RequestKind] + self._idle(),
+            "routes": [_route(kind) for kind in RequestKind] + self._added_routes(),
             "services": [{"name": PLAIN}, {"name": ENGINES, "engine": engine}],
             "limits": {"maxBodyBytes": 65_536},
             "tenants": tenants,
         }
 
-    def _idle(self) -> list[dict[str, object]]:
-        """Return routes that nobody uses."""
+    def _added_routes(self) -> list[dict[str, object]]:
+        """Return the routes that were added and not removed."""
         return [
-            {**_route(RequestKind.SAFE), "name": f"idle{number}", "pathPrefix": f"/idle{number}/"}
-            for number in range(self._idle_routes)
+            {**_route(RequestKind.SAFE), "name": path.strip("/"), "pathPrefix": path}
+            for path in self._added
         ]
 
 
--- /dev/null
+++ b/emulator/soak/profiles.py
@@ -0,0 +1,91 @@
+"""Which faults a soak draws: days on which everything fails prove little of what is bound in time.
+
+A promise with a bound holds for nodes and a store that are undisturbed for a while. While the store
+fails every few seconds no such promise is ever judged; so most profiles leave something calm.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+STORE_KINDS = (
+    "store outage",
+    "store slow",
+    "store loses answers",
+    "store forgets history",
+    "leases lapse",
+)
+NODE_KINDS = (
+    "node without store",
+    "node without peers",
+    "node paused",
+    "node killed",
+    "node stopped",
+    "settings reloaded",
+    "callers' link",
+)
+FLEET_KINDS = ("datagrams lost and late", "all nodes killed")
+INSTANCE_KINDS = ("instance link", "instance crashed", "instance fails", "orders late")
+CHANGE_KINDS = ("instance leaves", "key revoked", "weights named")
+
+
+class Profile(msgspec.Struct, frozen=True):
+    """Faults of a soak.
+
+    Attributes:
+        name: Printed with the verdict.
+        kinds: Kinds that are drawn; one that stands twice is drawn twice as often.
+        pause_seconds: Between the begins of two faults, shortest and longest.
+        series_share: Share of drawn faults that come several times, one shortly after the other.
+        change_seconds: Between two changes of the configuration.
+    """
+
+    name: str
+    kinds: tuple[str, ...]
+    pause_seconds: tuple[float, float]
+    series_share: float
+    change_seconds: float
+
+
+PROFILES = (
+    Profile(
+        "everything",
+        (*STORE_KINDS, *NODE_KINDS, *FLEET_KINDS, *INSTANCE_KINDS, *CHANGE_KINDS),
+        (0.3, 1.5),
+        0.2,
+        1.0,
+    ),
+    Profile(
+        "calm store",
+        (*NODE_KINDS, *INSTANCE_KINDS, *CHANGE_KINDS, *CHANGE_KINDS),
+        (0.4, 1.5),
+        0.3,
+        0.4,
+    ),
+    Profile(
+        "ways to the store",
+        ("node without store", "node without store", "node without peers", "instance leaves"),
+        (0.5, 2.0),
+        0.3,
+        0.4,
+    ),
+    Profile(
+        "planned work",
+        ("node stopped", "settings reloaded", "instance leaves", "key revoked", "weights named"),
+        (0.5, 2.0),
+        0.4,
+        0.5,
+    ),
+    Profile(
+        "store under changes",
+        (*STORE_KINDS, "node stopped", *CHANGE_KINDS),
+        (0.8, 3.0),
+        0.2,
+        0.5,
+    ),
+)
+
+
+def profile_of(seed: int) -> Profile:
+    """Return the profile of a seed: they take turns, so that a few seeds meet all of them."""
+    return PROFILES[seed % len(PROFILES)]
--- a/emulator/soak/run.py
+++ b/emulator/soak/run.py
@@ -14,11 +14,18 @@
 from emulator.soak.deployment import Deployment
 from emulator.soak.faults import Faults
 from emulator.soak.history import History
+from emulator.soak.loyal_callers import LoyalCallers
+from emulator.soak.machine import MachineStalls, MachineWatch
 from emulator.soak.operators import Operator
+from emulator.soak.probes import Probes
+from emulator.soak.profiles import profile_of
 
 START_SECONDS = 30.0
 RECOVERY_SECONDS = 12.0
 QUIET_SECONDS = 22.0
+"""After the faults, the time for recovery included."""
+
+LOYAL_CALLERS_PER_NODE = 2
 WATCH_SECONDS = 0.2
 SETTLED_SECONDS = 5.0
 
@@ -32,6 +39,7 @@
         nodes: Processes.
         rate: Requests a second.
         directory: Settings and logs of the nodes.
+        quiet_seconds: After the faults, the time for recovery included.
     """
 
     seed: int
@@ -39,6 +47,7 @@
     nodes: int
     rate: float
     directory: Path
+    quiet_seconds: float = QUIET_SECONDS
 
 
 class SoakResult(msgspec.Struct):
@@ -49,12 +58,18 @@
         requests: Requests sent.
         statuses: How they ended, by status.
         faults: Faults by kind.
+        profile: Name of the profile of faults.
+        route_changes: Changes of configurations that probes asked for.
+        stalls: How long the machine itself stood still.
     """
 
     violations: list[Violation]
     requests: int
     statuses: dict[str, int]
     faults: dict[str, int]
+    profile: str
+    route_changes: int
+    stalls: MachineStalls
 
 
 async def run_soak(plan: SoakPlan) -> SoakResult:
@@ -64,10 +79,19 @@
         plan: What to do.
     """
     generator = random.Random(plan.seed)
+    profile = profile_of(plan.seed)
     deployment = Deployment(plan.directory, random.Random(plan.seed + 1))
     operator = Operator(deployment, random.Random(plan.seed + 2))
     callers = Callers(deployment, random.Random(plan.seed + 3), plan.rate)
-    faults = Faults(deployment, operator, generator)
+    probes = Probes(deployment, random.Random(plan.seed + 4))
+    loyal = LoyalCallers(
+        deployment,
+        random.Random(plan.seed + 5),
+        callers.readiness,
+        LOYAL_CALLERS_PER_NODE * plan.nodes,
+    )
+    faults = Faults(deployment, operator, generator, profile)
+    machine = MachineWatch(deployment.history)
     with ProcessGroup(plan.directory) as processes:
         async with trio.open_nursery() as nursery:
             operator.publish()
@@ -75,16 +99,20 @@
             for node in deployment.nodes:
                 await processes.wait_listening(node.name, node.readiness)
             nursery.start_soon(_watch_ends, deployment)
+            nursery.start_soon(machine.run)
             nursery.start_soon(callers.run)
+            nursery.start_soon(loyal.run)
+            nursery.start_soon(operator.change_routes, profile.change_seconds)
+            nursery.start_soon(probes.run)
             await trio.sleep(SETTLED_SECONDS)
             await faults.run(plan.seconds)
             healed_at = trio.current_time()
-            await trio.sleep(QUIET_SECONDS)
+            await trio.sleep(plan.quiet_seconds)
             ended_at = trio.current_time()
             nursery.cancel_scope.cancel()
     violations = check_all(deployment.history, Bounds())
     violations += check_recovery(deployment.history, healed_at + RECOVERY_SECONDS, ended_at)
-    return _result(deployment.history, violations, faults)
+    return _result(deployment.history, violations, faults, profile.name, machine.stalls)
 
 
 async def _watch_ends(deployment: Deployment) -> None:
@@ -99,11 +127,24 @@
                 deployment.history.unexpected_ends.append(node.name)
 
 
-def _result(history: History, violations: list[Violation], faults: Faults) -> SoakResult:
+def _result(
+    history: History,
+    violations: list[Violation],
+    faults: Faults,
+    profile: str,
+    stalls: MachineStalls,
+) -> SoakResult:
     """Return what a history and the faults come to."""
     statuses: dict[str, int] = {}
     for request in history.requests.values():
         name = "left" if request.left else str(request.status)
         statuses[name] = statuses.get(name, 0) + 1
-    counts = dict(sorted(faults.counts.items()))
-    return SoakResult(violations, len(history.requests), statuses, counts)
+    return SoakResult(
+        violations,
+        len(history.requests),
+        dict(sorted(statuses.items())),
+        dict(sorted(faults.counts.items())),
+        profile,
+        len(history.route_changes),
+        stalls,
+    )
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -2,8 +2,11 @@
 
 import unittest
 
-from emulator.soak.checks import CHECKS, STORE, Bounds, check_all, check_recovery, expected_body
+from emulator.soak.checks import CHECKS, Bounds, check_all, check_recovery, expected_body
 from emulator.soak.history import (
+    MACHINE,
+    ONLY_PEERS,
+    STORE,
     Arrival,
     Disturbance,
     History,
@@ -11,6 +14,7 @@
     Naming,
     RequestKind,
     Revocation,
+    RouteChange,
     Run,
     SentRequest,
     TakenOrder,
@@ -68,6 +72,7 @@
             "own and whole answers",
             "only what was sent",
             "revocation",
+            "configuration",
             "weights",
             "draining",
             "one holder",
@@ -144,6 +149,56 @@
             seen = history(request(), leavings=[Leaving("i1", at)])
             self.assertEqual("draining" in self.broken(seen), caught, at)
 
+    def test_losing_only_other_nodes_excuses_no_request_at_a_draining_instance(self):
+        for what, caught in ((ONLY_PEERS, True), ("store link", False), ("paused", False)):
+            seen = history(request(), leavings=[Leaving("i1", 97.0)])
+            seen.disturbances.append(Disturbance(what, "n0", 96.0, 98.0))
+            self.assertEqual("draining" in self.broken(seen), caught, what)
+
+    def test_a_draining_instance_long_after_trouble(self):
+        seen = history(request(), leavings=[Leaving("i1", 90.0)])
+        seen.disturbances.append(Disturbance("outage", STORE, 89.0, 96.5))
+        self.assertIn("draining", self.broken(seen))
+
+    def probe(self, status, **changes):
+        return request(kind=RequestKind.SAFE, path="/added1/", status=status, **changes)
+
+    def test_a_route_that_is_not_in_force_in_time(self):
+        for present, status, at, caught in (
+            (True, 404, 97.9, True),
+            (True, 401, 97.9, True),
+            (True, 404, 98.1, False),
+            (True, 503, 97.9, False),
+            (True, 200, 97.9, False),
+            (False, 200, 97.9, True),
+            (False, 200, 98.1, False),
+            (False, 404, 97.9, False),
+        ):
+            seen = history(self.probe(status))
+            seen.route_changes.append(RouteChange("/added1/", present, at))
+            self.assertEqual("configuration" in self.broken(seen), caught, (present, status, at))
+
+    def test_a_route_that_is_removed_meanwhile_may_be_gone(self):
+        seen = history(self.probe(404))
+        seen.route_changes.append(RouteChange("/added1/", present=True, at=90.0))
+        seen.route_changes.append(RouteChange("/added1/", present=False, at=99.0))
+        self.assertNotIn("configuration", self.broken(seen))
+
+    def test_what_excuses_a_configuration_that_is_late(self):
+        for what, subject, until, caught in (
+            ("store link", "n0", 97.5, False),
+            ("store link", "n0", 96.5, True),
+            ("store link", "n1", 99.0, True),
+            (ONLY_PEERS, "n0", 99.0, True),
+            ("outage", STORE, 97.5, False),
+            ("outage", STORE, 96.5, True),
+            ("stood still", MACHINE, 98.0, False),
+        ):
+            seen = history(self.probe(404))
+            seen.route_changes.append(RouteChange("/added1/", present=True, at=96.0))
+            seen.disturbances.append(Disturbance(what, subject, 90.0, until))
+            self.assertEqual("configuration" in self.broken(seen), caught, (what, subject, until))
+
     def test_two_holders(self):
         for first, second, caught in (
             (TakenOrder("i1", "n0", 5, 10.0), TakenOrder("i2", "n1", 5, 90.0), True),
@@ -170,6 +225,18 @@
         seen = history(request(**cut, refused_connection=True), disturbances=[stop])
         self.assertNotIn("planned stop", self.broken(seen))
 
+    def test_a_request_that_crosses_the_close_of_a_planned_stop(self):
+        stop = Disturbance("stopped", "n0", 99.0, 104.0, planned=True)
+        cut = {"status": None, "whole": False, "body": b"", "stamp": ""}
+        for ended_at, arrived, caught in (
+            (100.1, False, False),
+            (100.1, True, True),
+            (100.3, False, True),
+        ):
+            seen = history(request(**cut, ended_at=ended_at), disturbances=[stop])
+            seen.arrivals = seen.arrivals if arrived else []
+            self.assertEqual("planned stop" in self.broken(seen), caught, (ended_at, arrived))
+
     def test_a_late_end(self):
         seen = history(request(ended_at=105.0))
         self.assertIn("answers in time", self.broken(seen))
--- /dev/null
+++ b/tests/emulator/soak/test_profiles.py
@@ -0,0 +1,32 @@
+"""Profiles of faults: all kinds are drawn somewhere, and most profiles leave the store calm."""
+
+import random
+import tempfile
+import unittest
+from pathlib import Path
+
+from emulator.soak.deployment import Deployment
+from emulator.soak.faults import Faults
+from emulator.soak.operators import Operator
+from emulator.soak.profiles import PROFILES, STORE_KINDS, profile_of
+
+
+class ProfilesTest(unittest.TestCase):
+    def known_kinds(self, profile):
+        with tempfile.TemporaryDirectory() as directory:
+            generator = random.Random(1)
+            deployment = Deployment(Path(directory), generator)
+            operator = Operator(deployment, generator)
+            return Faults(deployment, operator, generator, profile).kinds
+
+    def test_profiles_draw_known_kinds_and_all_of_them(self):
+        drawn = {kind for profile in PROFILES for kind in profile.kinds}
+        self.assertEqual(drawn, self.known_kinds(PROFILES[0]))
+
+    def test_some_profiles_leave_the_store_calm(self):
+        calm = [p for p in PROFILES if not set(p.kinds) & set(STORE_KINDS)]
+        self.assertGreaterEqual(len(calm), 3)
+
+    def test_seeds_in_a_row_meet_all_profiles(self):
+        met = {profile_of(seed).name for seed in range(7, 7 + len(PROFILES))}
+        self.assertEqual(met, {profile.name for profile in PROFILES})
