Leave connections that have fallen silent for new ones

Requests to instances had no limit but their deadline.

The directory's calls are joined by others on new connections when they are overdue, and the first answer counts; an instance from which nothing comes for a second loses its idle connections here. What may run once is never sent again for that.

--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -144,6 +144,12 @@
         self.servers: dict[str, EmulatedInstance] = {}
         self.on_changed: Callable[[Instance], None] = lambda _entry: None
         self.calls: list[InstanceCall] = []
+        self.dropped: list[str] = []
+        self._silent: set[str] = set()
+
+    def silence_connections(self, address: str) -> None:
+        """Let calls to an address get nothing until its idle connections are dropped."""
+        self._silent.add(address)
 
     def add(self, instance: Instance) -> EmulatedInstance:
         """Start an instance."""
@@ -168,6 +174,8 @@
         if server.behaviour is Behaviour.NO_CONNECTION:
             await trio.sleep_forever()
         call.proof.sent = True
+        if call.instance.address in self._silent:
+            await trio.sleep_forever()
         server.arrivals += 1
         try:
             yield await self._begin(server, call)
@@ -208,6 +216,12 @@
         """Return no address: emulated calls keep no connections; see the port."""
         return set()
 
+    async def drop_idle(self, address: str) -> None:
+        """Leave connections that may have fallen silent; see the port."""
+        await trio.lowlevel.checkpoint()
+        self.dropped.append(address)
+        self._silent.discard(address)
+
     async def forget(self, address: str) -> None:
         """Close the connections to an address; see the port."""
         await trio.lowlevel.checkpoint()
--- a/emulator/fleet/processes.py
+++ b/emulator/fleet/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import os
 import signal
 import socket
@@ -21,16 +22,35 @@
 LOOPBACK = "127.0.0.1"
 
 
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+"""Below those that the system gives to outgoing connections: a process that is down keeps its."""
+
+PORTS_OF_A_RUN = 500
+"""Runs side by side begin at different places, by their process id."""
+
+_ports = itertools.count(os.getpid() * PORTS_OF_A_RUN)
+
+
 def free_addresses(count: int) -> list[str]:
-    """Return ``count`` addresses on loopback whose ports are free at this moment."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Return ``count`` addresses on loopback whose ports are free and given to nobody else here."""
+    addresses: list[str] = []
+    while len(addresses) < count:
+        port = FIRST_PORT + next(_ports) % (LAST_PORT - FIRST_PORT)
+        if _is_free(port):
+            addresses.append(f"{LOOPBACK}:{port}")
+    return addresses
+
+
+def _is_free(port: int) -> bool:
+    """Return whether a port can be bound at this moment, for connections and datagrams."""
     try:
-        for each in sockets:
-            each.bind((LOOPBACK, 0))
-        return [f"{LOOPBACK}:{each.getsockname()[1]}" for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as each:
+                each.bind((LOOPBACK, port))
+    except OSError:
+        return False
+    return True
 
 
 async def accepts_connections(address: str) -> bool:
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -282,7 +282,7 @@
 def processes_stay_alive(history: History, _bounds: Bounds) -> Iterable[str]:
     """Yield processes that ended by themselves."""
     for node in history.unexpected_ends:
-        yield f"{node} ended by itself"
+        yield f"ended by itself: {node}"
 
 
 def check_recovery(history: History, since: float, until: float) -> list[Violation]:
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -114,6 +114,7 @@
         readiness: Address that is asked whether the node is ready.
         settings: Settings file.
         running: Whether the process should run.
+        started_at: When it was started last.
     """
 
     name: str
@@ -124,6 +125,7 @@
     readiness: str
     settings: Path
     running: bool = False
+    started_at: float = 0.0
 
 
 class InstanceLinks(msgspec.Struct):
@@ -205,6 +207,7 @@
         """Start a node's process."""
         self._processes.start(node.name, NODE_MODULE, [f"--node_settings={node.settings}"])
         node.running = True
+        node.started_at = trio.current_time()
 
     def signal_node(self, node: NodeLinks, number: signal.Signals) -> None:
         """Send a signal to a node."""
--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -30,6 +30,9 @@
 SETTLE_SECONDS = 2.5
 """A started node counts as disturbed for so long."""
 
+INTERPRETER_SECONDS = 0.3
+"""For the interpreter to start: SIGHUP ends it until the first line of the program ignores it."""
+
 DRAIN_SECONDS = 2.5
 BROKEN_LINKS = (LinkState.SILENT, LinkState.ONE_WAY, LinkState.RESET)
 MIN_INSTANCES = 2
@@ -68,6 +71,7 @@
             "leases lapse": self._leases_lapse,
             "node without store": self._node_without_store,
             "node without peers": self._node_without_peers,
+            "store connections silent": self._store_connections_silent,
             "datagrams lost and late": self._datagrams_lossy,
             "callers' link": self._callers_link,
             "node paused": self._node_paused,
@@ -76,6 +80,7 @@
             "node stopped": self._node_stopped,
             "settings reloaded": self._hang_up,
             "instance link": self._instance_link,
+            "instance connections silent": self._instance_connections_silent,
             "instance crashed": self._instance_crashed,
             "instance leaves": self._instance_leaves,
             "instance fails": self._instance_fails,
@@ -159,6 +164,14 @@
         node.store.set_state(LinkState.OPEN)
         disturbance.until = trio.current_time()
 
+    async def _store_connections_silent(self) -> None:
+        """Silence what is open between a node and the store; new connections work."""
+        node = self._node()
+        disturbance = self._deployment.disturb("store connections silent", node.name)
+        node.store.silence_established(back_only=self._generator.random() < 0.5)
+        await trio.lowlevel.checkpoint()
+        disturbance.until = trio.current_time()
+
     async def _node_without_peers(self) -> None:
         node = self._node()
         disturbance = self._deployment.disturb(ONLY_PEERS, node.name)
@@ -241,7 +254,8 @@
     async def _hang_up(self) -> None:
         node = self._node()
         await trio.lowlevel.checkpoint()
-        if node.running and self._deployment.node_exit_code(node) is None:
+        started = trio.current_time() - node.started_at > INTERPRETER_SECONDS
+        if node.running and started and self._deployment.node_exit_code(node) is None:
             self._deployment.signal_node(node, signal.SIGHUP)
 
     async def _instance_link(self) -> None:
@@ -256,6 +270,15 @@
         links.proxy.set_state(LinkState.OPEN)
         disturbance.until = trio.current_time()
 
+    async def _instance_connections_silent(self) -> None:
+        """Silence what is open between all nodes and an instance; new connections work."""
+        links = self._instance()
+        instance_id = links.instance.traits.instance_id
+        disturbance = self._deployment.disturb("connections silent", instance_id)
+        links.proxy.silence_established(back_only=self._generator.random() < 0.5)
+        await trio.lowlevel.checkpoint()
+        disturbance.until = trio.current_time()
+
     async def _instance_crashed(self) -> None:
         links = self._instance()
         traits = links.instance.traits
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -23,9 +23,16 @@
     "node stopped",
     "settings reloaded",
     "callers' link",
+    "store connections silent",
 )
 FLEET_KINDS = ("datagrams lost and late", "all nodes killed")
-INSTANCE_KINDS = ("instance link", "instance crashed", "instance fails", "orders late")
+INSTANCE_KINDS = (
+    "instance link",
+    "instance crashed",
+    "instance fails",
+    "instance connections silent",
+    "orders late",
+)
 CHANGE_KINDS = ("instance leaves", "key revoked", "weights named")
 
 
--- a/emulator/soak/proxies.py
+++ b/emulator/soak/proxies.py
@@ -25,11 +25,24 @@
     RESET = "reset"
 
 
+class _Connection:
+    """What a connection has stopped to pass on."""
+
+    def __init__(self) -> None:
+        self.silent_forth = False
+        self.silent_back = False
+
+    def holds(self, back: bool) -> bool:
+        """Return whether a direction passes nothing more."""
+        return self.silent_back if back else self.silent_forth
+
+
 class TcpProxy:
     """Forwards connections to one target; faults are fields that may change at any time.
 
     A silent link holds what comes in both directions, a one-way link what comes back; what was held
-    is delivered late once the link passes again. A resetting link ends all connections.
+    is delivered late once the link passes again. A resetting link ends all connections. Apart from
+    the link, connections that are open may be silenced for good, while new ones work.
     """
 
     def __init__(self, target: str) -> None:
@@ -42,6 +55,7 @@
         self.target = target
         self.delay_seconds = 0.0
         self._state = LinkState.OPEN
+        self._open: set[_Connection] = set()
         self._changed = trio.Event()
 
     @property
@@ -55,6 +69,17 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def silence_established(self, *, back_only: bool = False) -> int:
+        """Let the connections that are open now pass nothing more, and return how many they are.
+
+        Args:
+            back_only: Only what comes back from the target is held.
+        """
+        for connection in self._open:
+            connection.silent_back = True
+            connection.silent_forth = connection.silent_forth or not back_only
+        return len(self._open)
+
     async def run(
         self, port: int = 0, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -75,25 +100,36 @@
         except (OSError, trio.BrokenResourceError):
             _reset(client)
             return
-        async with client, server, trio.open_nursery() as nursery:
-            nursery.start_soon(self._pump, client, server, False, nursery.cancel_scope)
-            nursery.start_soon(self._pump, server, client, True, nursery.cancel_scope)
-            nursery.start_soon(self._watch_reset, client, server, nursery.cancel_scope)
+        connection = _Connection()
+        self._open.add(connection)
+        try:
+            async with client, server, trio.open_nursery() as nursery:
+                scope = nursery.cancel_scope
+                nursery.start_soon(self._pump, client, server, connection, False, scope)
+                nursery.start_soon(self._pump, server, client, connection, True, scope)
+                nursery.start_soon(self._watch_reset, client, server, scope)
+        finally:
+            self._open.discard(connection)
 
     async def _pump(
         self,
         source: trio.SocketStream,
         sink: trio.SocketStream,
+        connection: _Connection,
         back: bool,
         scope: trio.CancelScope,
     ) -> None:
         """Forward one direction; a broken end resets the other one."""
         try:
             async for data in source:
+                if connection.holds(back):
+                    continue
                 await self._wait_open(back)
                 if self.delay_seconds:
                     await trio.sleep(self.delay_seconds)
                 await sink.send_all(data)
+            if connection.holds(back):
+                return
             await self._wait_open(back)
             await sink.send_eof()
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
--- a/emulator/soak/run.py
+++ b/emulator/soak/run.py
@@ -124,7 +124,8 @@
             ended = node.running and deployment.node_exit_code(node) is not None
             if ended and node.name not in seen:
                 seen.add(node.name)
-                deployment.history.unexpected_ends.append(node.name)
+                code = deployment.node_exit_code(node)
+                deployment.history.unexpected_ends.append(f"{node.name}, code {code}")
 
 
 def _result(
--- a/hopstep/cli/node.py
+++ b/hopstep/cli/node.py
@@ -8,17 +8,22 @@
 
 from __future__ import annotations
 
-import os
 import signal
-import sys
 
-from hopstep.early_listeners import open_listeners
-from hopstep.platform.names import SETTINGS_VARIABLE
+if __name__ == "__main__":
+    # Without a handler SIGHUP ends the process, also while the rest is loaded.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import os  # noqa: E402
+import sys  # noqa: E402
+
+from hopstep.early_listeners import open_listeners  # noqa: E402
+from hopstep.platform.names import SETTINGS_VARIABLE  # noqa: E402
 
 
 def main() -> None:
     """Open the listeners, then load and enter the command."""
-    # Without a handler SIGHUP ends the process; the settings are read after this line.
+    # Entered as a command; the settings are read after this line.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Arguments may name other settings, so listeners wait until these are parsed.
     started_plainly = len(sys.argv) == 1
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -151,7 +151,7 @@
         self.rollout = WeightsRollout(
             settings.name, self.knowledge, self.lease, ports.orders, self.sharing
         )
-        self.reaper = ConnectionReaper(ports.calls, self.knowledge.table)
+        self.reaper = ConnectionReaper(ports.calls, self.knowledge.table, self.pauses)
         self.registration = Registration(record, ports.store, self.knowledge, generator)
 
     def _make_metrics(self) -> ExchangeMetrics:
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -62,6 +62,13 @@
     ("seconds",),
     "Look at the machine: the process got no processor time, and clients waited meanwhile.",
 )
+CONNECTIONS_DROPPED = LogEvent(
+    "HS1009",
+    "connections_dropped",
+    Level.INFO,
+    ("peer", "reason"),
+    "Nothing once; if it recurs for one peer: something between here and there drops connections.",
+)
 LIBRARY_WARNING = LogEvent(
     "HS1007",
     "library_warning",
--- a/hopstep/platform/directory.py
+++ b/hopstep/platform/directory.py
@@ -39,6 +39,10 @@
         listing = await self._store.listing(EVERYTHING)
         return DirectoryBatch(listing.revision, _read_all(listing.values))
 
+    async def reconnect(self) -> None:
+        """Leave the store's connections; see the port."""
+        await self._store.reconnect()
+
     async def changes(self, after_revision: int, wait_seconds: float) -> DirectoryBatch:
         """Return changes; see the port."""
         batch = await self._store.watch(EVERYTHING, after_revision, wait_seconds)
--- a/hopstep/platform/http_client.py
+++ b/hopstep/platform/http_client.py
@@ -98,6 +98,13 @@
         """Return the addresses with a pool on which no call is under way."""
         return {address for address in self._pools if not self._active[address]}
 
+    async def drop_idle(self, address: str) -> None:
+        """Close the idle connections of an address; calls under way on others go on."""
+        pool = self._pools.get(address)
+        for connection in pool.connections if pool is not None else ():
+            if connection.is_idle():
+                await connection.aclose()
+
     async def forget(self, address: str) -> None:
         """Close the pool of an address; calls under way on it fail."""
         self._active.pop(address, None)
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -126,6 +126,10 @@
         """Return the addresses without requests under way; see the port."""
         return self._client.idle_addresses()
 
+    async def drop_idle(self, address: str) -> None:
+        """Close the idle connections to an address; see the port."""
+        await self._client.drop_idle(address)
+
     async def forget(self, address: str) -> None:
         """Close the connections to an address; see the port."""
         await self._client.forget(address)
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -185,6 +185,10 @@
             raise StoreConflictError(ErrorCode.STORE_CONFLICT, "the lease is over")
         _require_ok(answer)
 
+    async def reconnect(self) -> None:
+        """Leave idle connections; see the port. Calls under way keep theirs until they end."""
+        await self._client.drop_idle(self._address)
+
     async def end_lease(self, lease: str) -> None:
         """End a lease; see the port."""
         await self._call(DELETE, names.STORE_LEASE_END + lease)
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -109,6 +109,10 @@
     def idle_addresses(self) -> set[str]:
         """Return the addresses with connections on which no request is under way."""
 
+    @abc.abstractmethod
+    async def drop_idle(self, address: str) -> None:
+        """Make later requests to an address on new connections: idle ones may be silent."""
+
     @abc.abstractmethod
     async def forget(self, address: str) -> None:
         """Close the connections to an address that is no longer used."""
--- a/hopstep/ports/key_value_store.py
+++ b/hopstep/ports/key_value_store.py
@@ -120,5 +120,8 @@
     async def keep_alive(self, lease: str) -> None:
         """Renew a lease; raises ``StoreConflictError`` when it has lapsed."""
 
+    async def reconnect(self) -> None:  # noqa: B027 - optional
+        """Leave connections that may have fallen silent; adapters without any do nothing."""
+
     async def end_lease(self, lease: str) -> None:  # noqa: B027 - optional
         """End a lease early, with its keys; services without such a call let it lapse."""
--- a/hopstep/ports/serving_directory.py
+++ b/hopstep/ports/serving_directory.py
@@ -125,6 +125,10 @@
     async def snapshot(self) -> DirectoryBatch:
         """Return all entries; what isn't among them doesn't exist."""
 
+    @abc.abstractmethod
+    async def reconnect(self) -> None:
+        """Make later calls on new connections: those that are open may have fallen silent."""
+
     @abc.abstractmethod
     async def changes(self, after_revision: int, wait_seconds: float) -> DirectoryBatch:
         """Return changes after a revision as soon as there are any, or none after the wait.
--- a/hopstep/services/exchanges/directory_follower.py
+++ b/hopstep/services/exchanges/directory_follower.py
@@ -10,11 +10,16 @@
 import trio
 
 from hopstep import log_events
-from hopstep.domain.exchanges.freshness import FreshnessLimits
+from hopstep.domain.exchanges.freshness import ANSWER_SLACK_SECONDS, FreshnessLimits
 from hopstep.exceptions import StoreError, StoreHistoryLostError
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import ServingDirectory
-from hopstep.services.exchanges.knowledge import NO_REVISION, OVERDUE, ServingKnowledge
+from hopstep.services.exchanges.knowledge import (
+    NO_REVISION,
+    OVERDUE,
+    STORE_SOURCE,
+    ServingKnowledge,
+)
 from hopstep.services.exchanges.pause_watch import PauseWatch
 
 CALL_SPACING_SECONDS = 0.4
@@ -32,6 +37,9 @@
 OWN_WAY_AGE_SECONDS = 3.2
 """A node whose knowledge is older reads the store itself, whoever else should tell it."""
 
+MAX_CALLS = 3
+"""Side by side for one answer: each waits twice as long as the one before it for company."""
+
 CHECK_SECONDS = 0.1
 MOMENT_SECONDS = 0.01
 """Behind the time at which an answer is due, so that it is past."""
@@ -115,7 +123,7 @@
             await self._wait_needed()
             started_at = trio.current_time()
             try:
-                await self._call(started_at)
+                await self._call_until_answered()
                 pause = MIN_PAUSE_SECONDS
                 self._note_connection(True, "")
                 await trio.sleep_until(started_at + CALL_SPACING_SECONDS)
@@ -152,6 +160,52 @@
             self._began.set()
             self._began = trio.Event()
 
+    async def _call_until_answered(self) -> None:
+        """Make a call, and others beside it when its answer is overdue; the first answer counts.
+
+        The connection of a call may have fallen silent while new ones work; or the store is slow,
+        and the first call is answered after all. While the store is lost one call is enough.
+
+        Raises:
+            StoreError: The last error, when all calls have failed.
+        """
+        patience = self._wait_seconds(trio.current_time()) + ANSWER_SLACK_SECONDS
+        sender, outcomes = trio.open_memory_channel[StoreError | None](MAX_CALLS)
+        failure: StoreError | None = None
+        pending = 0
+        async with trio.open_nursery() as nursery:
+            for calls_left in reversed(range(MAX_CALLS if self._connected else 1)):
+                nursery.start_soon(self._report_call, sender)
+                pending += 1
+                with trio.move_on_after(patience if calls_left else float("inf")) as overdue:
+                    while pending:
+                        failure = await outcomes.receive()
+                        pending -= 1
+                        if failure is None:
+                            break
+                if not overdue.cancelled_caught:
+                    nursery.cancel_scope.cancel()
+                    break
+                await self._leave_connections()
+                patience *= 2
+        if failure is not None:
+            raise failure
+
+    async def _report_call(self, outcomes: trio.MemorySendChannel[StoreError | None]) -> None:
+        """Make one call, and send how it ended."""
+        try:
+            await self._call(trio.current_time())
+        except StoreError as error:
+            outcomes.send_nowait(error)
+        else:
+            outcomes.send_nowait(None)
+
+    async def _leave_connections(self) -> None:
+        """Make later calls on new connections, unless this node itself stood still."""
+        if not self._pauses.has_just_ended:
+            emit(log_events.CONNECTIONS_DROPPED, peer=STORE_SOURCE, reason=OVERDUE)
+            await self._directory.reconnect()
+
     async def _call(self, sent_at: float) -> None:
         """Make one call and take what it says; after a failure one that is answered at once."""
         knowledge = self._knowledge
--- a/tests/emulator/soak/test_proxies.py
+++ b/tests/emulator/soak/test_proxies.py
@@ -48,6 +48,24 @@
 
         self.run_link(script)
 
+    def test_established_connections_fall_silent_and_new_ones_work(self):
+        for back_only, served in ((False, b"zero"), (True, b"zeroone")):
+            with self.subTest(back_only=back_only):
+
+                async def script(proxy, stream, back_only=back_only, served=served):
+                    await stream.send_all(b"zero")
+                    self.assertEqual(await self.hears(stream), b"zero")
+                    self.assertEqual(proxy.silence_established(back_only=back_only), 1)
+                    await stream.send_all(b"one")
+                    self.assertEqual(await self.hears(stream), b"")
+                    self.assertEqual(self.served, served)
+                    host, _, port = proxy.address.rpartition(":")
+                    async with await trio.open_tcp_stream(host, int(port)) as another:
+                        await another.send_all(b"two")
+                        self.assertEqual(await self.hears(another), b"two")
+
+                self.run_link(script)
+
     def test_a_silent_link_holds_everything_and_delivers_it_late(self):
         async def script(proxy, stream):
             proxy.set_state(LinkState.SILENT)
