Show that nothing runs for clients that have left

So no change of the node: the proof is what was missing. A test with real sockets, and a check of the soak, whose callers that leave now ask for streams long enough to show it.

Left: a client that sends a second request before the first one's answer and closes is noticed only after that answer.

--- a/emulator/exchange_platform/http_instance.py
+++ b/emulator/exchange_platform/http_instance.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
 import json
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from typing import Protocol
 
 import msgspec
@@ -84,6 +85,9 @@
     def began(self, instance: HttpInstance, headers: RunHeaders, stamp: str) -> None:
         """A request begins to run."""
 
+    def ended(self, instance: HttpInstance, stamp: str) -> None:
+        """A run has ended, whole or not."""
+
     def ordered(self, instance: HttpInstance, holder: str, token: int) -> None:
         """An order is carried out."""
 
@@ -169,9 +173,9 @@
         }
         if "events" in wanted:
             first = int(headers["Last-Event-Id"]) + 1 if "Last-Event-Id" in headers else 0
-            events = self._events(request_id, first, int(wanted["events"]))
+            events = self._events(request_id, stamp, first, int(wanted["events"]))
             return quart.Response(events, headers=fields, content_type="text/event-stream")
-        return await self._plain(request_id, fields, float(wanted.get("work_ms", 20.0)))
+        return await self._plain(request_id, stamp, fields, float(wanted.get("work_ms", 20.0)))
 
     def _refusal(self, headers: Headers) -> quart.Response | None:
         """Return the refusal of a request that isn't run; None to run it."""
@@ -185,28 +189,36 @@
             return quart.Response(b"", status=UNAVAILABLE, headers={"Not-Executed": "1"})
         return None
 
-    async def _plain(
-        self, request_id: str, fields: dict[str, str], work_ms: float
-    ) -> quart.Response:
-        """Work, and answer whole."""
+    @contextlib.contextmanager
+    def _running(self, stamp: str) -> Iterator[None]:
+        """Count a run as active until it ends."""
         self.active += 1
         try:
-            await trio.sleep(work_ms / MILLISECONDS)
+            yield
         finally:
             self.active -= 1
+            self._listener.ended(self, stamp)
+
+    async def _plain(
+        self, request_id: str, stamp: str, fields: dict[str, str], work_ms: float
+    ) -> quart.Response:
+        """Work, and answer whole."""
+        with self._running(stamp):
+            await trio.sleep(work_ms / MILLISECONDS)
         if self._draws(self.faults.losing):
             return lost_response()
         if self._draws(self.faults.failing):
             return quart.Response(b"failed", status=FAILED, headers=fields)
         return quart.Response(f"done {request_id}".encode(), headers=fields)
 
-    async def _events(self, request_id: str, first: int, count: int) -> AsyncIterator[bytes]:
+    async def _events(
+        self, request_id: str, stamp: str, first: int, count: int
+    ) -> AsyncIterator[bytes]:
         """Yield events, or break off in the middle of one."""
         breaks_at = -1
         if self._draws(self.faults.breaking):
             breaks_at = self._generator.randrange(first, max(first + 1, count))
-        self.active += 1
-        try:
+        with self._running(stamp):
             for number in range(first, count):
                 await trio.sleep(EVENT_SECONDS)
                 event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
@@ -214,8 +226,6 @@
                     yield event[: len(event) // 2]
                     raise ConnectionResetError
                 yield event
-        finally:
-            self.active -= 1
 
     async def order(self) -> quart.Response:
         """Take an order, or lose its answer and carry it out later."""
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -18,6 +18,9 @@
 
 PATIENCE_SECONDS = 4.0
 LEAVING_SHARE = 0.03
+LEAVING_EVENTS = 150
+"""A caller that leaves asked for a stream of three seconds, so that its end shows."""
+
 LATEST_ANSWER_SECONDS = 6.0
 """A caller waits for so long beyond its deadline, to see how late an answer comes."""
 
@@ -96,6 +99,8 @@
         """Send a request and record how it ends."""
         leaves = self._generator.random() < LEAVING_SHARE
         patience = self._generator.uniform(0.05, 0.6) if leaves else float("inf")
+        if leaves:
+            request.events = LEAVING_EVENTS
         limit = min(patience, PATIENCE_SECONDS + LATEST_ANSWER_SECONDS)
         with trio.move_on_after(limit) as scope:
             await self._exchange(request)
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -19,6 +19,10 @@
 """An answer may come so much later than the caller's deadline on an undisturbed node."""
 
 RECOVERED_SHARE = 0.9
+MAX_LATE_ARRIVALS = 3
+"""A few may be on their way as a caller leaves."""
+
+MAX_LATE_ENDS_SHARE = 0.25
 
 
 class Bounds(msgspec.Struct, frozen=True):
@@ -35,6 +39,7 @@
         retry_ratio: Repeats for each request.
         retry_extra: Repeats that are always allowed in a window.
         retry_window: Length of that window.
+        leaving: After a caller has left, its runs end and nothing arrives for it any more.
         loss_slack: A request that went nowhere and whose connection ended sooner crossed a close.
     """
 
@@ -48,6 +53,7 @@
     retry_ratio: float = 0.2
     retry_extra: float = 50.0
     retry_window: float = 10.0
+    leaving: float = 0.5
     loss_slack: float = 0.2
 
 
@@ -250,6 +256,36 @@
             yield f"{request.kind} {request.request_id} was cut off by the stop of {request.node}"
 
 
+def clients_that_left_occupy_nothing(history: History, bounds: Bounds) -> Iterable[str]:
+    """Yield what arrives or still runs for callers that left, where that may be repeated."""
+    arrivals = [a for a in history.arrivals if _left_before(history, a.request_id, a.at, bounds)]
+    if len(arrivals) > MAX_LATE_ARRIVALS:
+        yield f"{len(arrivals)} arrivals for callers that had left"
+    left = [run for run in history.runs if _left_and_repeatable(history, run)]
+    late = [
+        run for run in left if _left_before(history, run.request_id, run.ended_at or 0.0, bounds)
+    ]
+    if len(late) > max(MAX_LATE_ARRIVALS, MAX_LATE_ENDS_SHARE * len(left)):
+        yield f"{len(late)} of {len(left)} runs went on for callers that had left"
+
+
+def _left_and_repeatable(history: History, run: Run) -> bool:
+    """Return whether a run that has ended was for a caller that left, and may be repeated."""
+    request = history.requests.get(run.request_id)
+    if request is None or run.ended_at is None:
+        return False
+    return request.left and request.kind is not RequestKind.UNSAFE
+
+
+def _left_before(history: History, request_id: str, at: float, bounds: Bounds) -> bool:
+    """Return whether a caller had left well before a moment, on a node that could know."""
+    request = history.requests.get(request_id)
+    if request is None or not request.left or request.ended_at is None:
+        return False
+    late = at - request.ended_at > bounds.leaving
+    return late and history.bounded(request.node, request.sent_at - bounds.contact, at)
+
+
 def answers_come_in_time(history: History, bounds: Bounds) -> Iterable[str]:
     """Yield requests without a final answer long after their deadline, on undisturbed nodes."""
     for request in history.requests.values():
@@ -342,6 +378,7 @@
     "one holder": one_holder_orders,
     "isolation": isolation_is_kept,
     "planned stop": planned_stops_cut_nothing,
+    "clients that left": clients_that_left_occupy_nothing,
     "answers in time": answers_come_in_time,
     "retry budget": retries_stay_in_budget,
     "processes": processes_stay_alive,
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -64,6 +64,12 @@
             )
         )
 
+    def ended(self, instance: HttpInstance, stamp: str) -> None:
+        """Record the end of a run."""
+        run = next((x for x in reversed(self._history.runs) if x.stamp == stamp), None)
+        if run is not None:
+            run.ended_at = trio.current_time()
+
     def ordered(self, instance: HttpInstance, holder: str, token: int) -> None:
         """Record an order."""
         order = TakenOrder(instance.traits.instance_id, holder, token, trio.current_time())
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -84,6 +84,7 @@
         salt: Text under which segments are kept.
         key_shown: Whether the caller's key reached the instance.
         stamp: Signature of the run.
+        ended_at: Its end, whole or not; None while it runs.
     """
 
     request_id: str
@@ -95,6 +96,7 @@
     salt: str
     key_shown: bool
     stamp: str
+    ended_at: float | None = None
 
 
 class Arrival(msgspec.Struct, frozen=True):
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -78,6 +78,7 @@
             "one holder",
             "isolation",
             "planned stop",
+            "clients that left",
             "answers in time",
             "retry budget",
             "processes",
@@ -237,6 +238,27 @@
             seen.arrivals = seen.arrivals if arrived else []
             self.assertEqual("planned stop" in self.broken(seen), caught, (ended_at, arrived))
 
+    def test_callers_that_left_and_are_still_served(self):
+        for kind, seconds, caught in (
+            (RequestKind.STREAM, 0.6, True),
+            (RequestKind.STREAM, 0.4, False),
+            (RequestKind.UNSAFE, 0.6, False),
+        ):
+            sent = [request(f"r{n}", kind, at=100.0 + n, left=True) for n in range(8)]
+            seen = history(*sent)
+            for run, gone in zip(seen.runs, sent, strict=True):
+                run.ended_at = gone.ended_at + seconds
+            self.assertEqual("clients that left" in self.broken(seen), caught, (kind, seconds))
+
+    def test_requests_that_arrive_for_callers_that_left(self):
+        for count, caught in ((3, False), (4, True)):
+            sent = [request(f"r{n}", at=100.0 + n, left=True) for n in range(count)]
+            seen = history(*sent, runs=[])
+            seen.arrivals = [
+                Arrival(gone.request_id, "plain", gone.ended_at + 0.6) for gone in sent
+            ]
+            self.assertEqual("clients that left" in self.broken(seen), caught, count)
+
     def test_a_late_end(self):
         seen = history(request(ended_at=105.0))
         self.assertIn("answers in time", self.broken(seen))
--- a/tests/emulator/test_http_instance.py
+++ b/tests/emulator/test_http_instance.py
@@ -12,6 +12,7 @@
 class Listener:
     def __init__(self):
         self.seen = []
+        self.ends = 0
 
     def arrived(self, _instance, request_id):
         self.seen.append(("arrived", request_id))
@@ -19,6 +20,9 @@
     def began(self, _instance, headers, _stamp):
         self.seen.append(("began", headers.request_id))
 
+    def ended(self, _instance, _stamp):
+        self.ends += 1
+
     def ordered(self, _instance, holder, token):
         self.seen.append(("ordered", holder, token))
 
--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -59,12 +59,17 @@
     """An instance that answers with what it got."""
     app = quart_trio.QuartTrio(__name__)
     app.bodies = []
+    app.active = 0
 
     @app.route("/p/<path:rest>", methods=["GET", "POST"])
     async def serve(rest):
         body = await quart.request.get_data()
         app.bodies.append(body)
-        await trio.sleep(SECONDS_OF_WORK.get(rest, 0.0))
+        app.active += 1
+        try:
+            await trio.sleep(SECONDS_OF_WORK.get(rest, 0.0))
+        finally:
+            app.active -= 1
         headers = {"Attempt-Id": quart.request.headers["Attempt-Id"], "Response-Stamp": "s"}
         return quart.Response(b"got " + body, headers=headers)
 
@@ -234,6 +239,48 @@
                     return answers
                 await trio.sleep(0.02)
 
+    def test_clients_that_leave_end_what_runs_for_them(self):
+        async def script(_client, url, process, instances):
+            for paused in (False, True):
+                for wait_seconds in (0.0, 0.2):
+                    if paused:
+                        process.send_signal(signal.SIGSTOP)
+                    for _ in range(5):
+                        await self.ask_and_leave(url, b"/p/endless", wait_seconds)
+                    process.send_signal(signal.SIGCONT)
+                    await self.wait_idle(instances)
+            answer = await self.raw(url, self.request_bytes(b"/p/x", b"last"))
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
+            arrived = len(instances.bodies)
+            await trio.sleep(0.5)
+            self.assertEqual((len(instances.bodies), instances.active), (arrived, 0))
+
+        self.run_node(script)
+        outcomes = {e["outcome"] for e in self.events() if e["event"] == "exchange_ended"}
+        self.assertLessEqual(outcomes, {"200", "client_left"})
+
+    async def wait_idle(self, instances):
+        """Wait until an instance works on nothing; its work would take a minute."""
+        with trio.fail_after(5.0):
+            while True:
+                if not instances.active:
+                    return
+                await trio.sleep(0.05)
+
+    def request_bytes(self, path, request_id):
+        """Return a whole request as it goes over the wire."""
+        return (
+            b"POST %b HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: %b\r\nX-Api-Key: %b\r\n"
+            b"Content-Length: 5\r\n\r\nhello" % (path, request_id, KEY.encode())
+        )
+
+    async def ask_and_leave(self, url, path, wait_seconds):
+        """Send a request and close the connection, at once or a little later."""
+        host, _, port = url.removeprefix("http://").rpartition(":")
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            await stream.send_all(self.request_bytes(path, os.urandom(4).hex().encode()))
+            await trio.sleep(wait_seconds)
+
     def test_a_hangup_reads_the_settings_again_and_bad_ones_change_nothing(self):
         async def script(client, url, process, _instances):
             text = self.path.read_text()
