Learn from refusals whether an instance has ended or has other weights

Another incarnation answered at the address of a crashed instance, which the node went on to use until its entry lapsed; or the engine had loaded weights unnoticed.

An instance at whose address another one answers counts as ended; an engine with other weights than expected is asked again under the newest named version. Neither counts as a further instance of the route; both cost the retry budget. The rollout goes by confirmed versions alone.

--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -35,6 +35,7 @@
     SERVE = "serve"
     FAIL = "fail"
     REJECT = "reject"
+    REPLACED = "replaced"
     UNREACHABLE = "unreachable"
     NO_CONNECTION = "no_connection"
     SILENT = "silent"
@@ -185,9 +186,18 @@
 
     async def _begin(self, server: EmulatedInstance, call: InstanceCall) -> InstanceAnswer:
         """Run a request until the head of its answer."""
-        if server.behaviour is Behaviour.REJECT or not _meets(server, call):
+        rejecting = server.behaviour in (Behaviour.REJECT, Behaviour.REPLACED)
+        if rejecting or not _meets(server, call):
             await trio.sleep(0.001)
-            raise InstanceCallError(ErrorCode.OVERLOADED, "not run", Execution.NOT_RUN)
+            replaced = server.behaviour is Behaviour.REPLACED
+            stale = not server.busy and not replaced and server.behaviour is not Behaviour.REJECT
+            raise InstanceCallError(
+                ErrorCode.OVERLOADED,
+                "not run",
+                Execution.NOT_RUN,
+                stale_version=stale,
+                replaced=replaced,
+            )
         if server.behaviour is Behaviour.SILENT:
             await trio.sleep_forever()
         model = call.request.prompt.model if call.request.prompt is not None else ""
--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -35,10 +35,12 @@
         self.hashed = hash_name(instance.instance_id)
         self.segments = SegmentPicture(int(cache_tokens * PICTURE_SHARE))
         self.versions: dict[str, int] = dict(instance.versions)
+        self._assumed: dict[str, int] = {}
         self.active = 0
         self.pending_tokens = 0
         self.latency_seconds = 0.0
         self.failure_rate = 0.0
+        self.replaced = False
         self.slowness = 1.0
         self.loading_until = 0.0
         self.suspended_until = 0.0
@@ -58,10 +60,31 @@
     def learn_version(self, model: str, version: int) -> None:
         """Take a weights version; versions of one incarnation never go down."""
         if version > self.versions.get(model, 0):
-            if model in self.versions:
+            if model in self.versions and version != self._assumed.get(model):
                 self.segments.clear()
                 self.loading_until = 0.0
             self.versions[model] = version
+        if version:
+            self._assumed.pop(model, None)
+
+    def assume_version(self, model: str, version: int) -> bool:
+        """Send requests under a version that no answer has shown yet; return whether it is newer.
+
+        The rollout goes by what was shown (``versions``) alone.
+        """
+        if version <= self.serving_version(model):
+            return False
+        self._assumed[model] = version
+        self.segments.clear()
+        return True
+
+    def drop_assumption(self, model: str) -> bool:
+        """Go back to the version that was shown; return whether another one had been assumed."""
+        return self._assumed.pop(model, None) is not None
+
+    def serving_version(self, model: str) -> int:
+        """Return the version under which requests are sent; 0 when none is known."""
+        return max(self.versions.get(model, 0), self._assumed.get(model, 0))
 
     def total_active(self, now: float) -> int:
         """Return the requests of all nodes at the instance, as far as known."""
@@ -134,6 +157,11 @@
         for request_id in self._waiting_since:
             self._waiting_since[request_id] += seconds
 
+    @property
+    def takes_requests(self) -> bool:
+        """Whether the instance neither leaves nor has ended, as far as known."""
+        return not self.instance.draining and not self.replaced
+
     def is_silent(self, now: float) -> bool:
         """Return whether requests wait although nothing came from the instance for long."""
         if not self._waiting_since:
--- a/hopstep/domain/exchanges/segment_moves.py
+++ b/hopstep/domain/exchanges/segment_moves.py
@@ -138,7 +138,7 @@
 
     def _of_version(self, view: InstanceView) -> list[_Source]:
         """Return the sources for an instance's weights, those that keep most first."""
-        version = view.versions.get(self._request.model, 0)
+        version = view.serving_version(self._request.model)
         found = self._by_version.setdefault(version, [])
         if version not in self._stored:
             self._stored.add(version)
@@ -156,7 +156,7 @@
         if tokens < MIN_MOVED_TOKENS:
             return
         instance = view.instance
-        found = best.setdefault((view.versions.get(request.model, 0), instance.zone), [])
+        found = best.setdefault((view.serving_version(request.model), instance.zone), [])
         per_token = request.move_seconds_per_token
         found.append(
             _Source(instance.address, instance.zone, tokens, per_token, instance.instance_id)
--- a/hopstep/domain/exchanges/selection.py
+++ b/hopstep/domain/exchanges/selection.py
@@ -134,7 +134,7 @@
     cost += HOME_SECONDS * _distance(view, keys)
     if view.instance.zone != request.zone:
         cost += request.other_zone_seconds
-    if view.versions.get(request.model, 0) < request.preferred_version:
+    if view.serving_version(request.model) < request.preferred_version:
         cost += OLDER_WEIGHTS_SECONDS
     cost += JITTER_SECONDS * generator.random()
     return Candidate(view, keys, cost, uncached, move.address, cached, read_seconds)
--- a/hopstep/domain/exchanges/weights.py
+++ b/hopstep/domain/exchanges/weights.py
@@ -152,8 +152,6 @@
 def engines_behind(views: Iterable[InstanceView], model: str, version: int) -> list[InstanceView]:
     """Return the engines with a lower version of a model, those with least work first."""
     behind = [
-        view
-        for view in views
-        if not view.instance.draining and 0 < view.versions.get(model, 0) < version
+        view for view in views if view.takes_requests and 0 < view.versions.get(model, 0) < version
     ]
     return sorted(behind, key=lambda view: (view.versions[model], view.active))
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -119,7 +119,7 @@
                 response = await stack.enter_async_context(self._client.open(http_call, trace))
             except FAILURES as error:
                 raise _no_answer(call.proof) from error
-            _check_head(response, request.request_id)
+            _check_head(response, call)
             yield HttpInstanceAnswer(response)
 
     def idle_addresses(self) -> set[str]:
@@ -215,11 +215,11 @@
     return tuple(headers)
 
 
-def _check_head(response: httpcore.Response, request_id: str) -> None:
+def _check_head(response: httpcore.Response, call: InstanceCall) -> None:
     """Raise unless an answer's head belongs to a request that the instance ran."""
     found = {name.lower(): value for name, value in response.headers}
     answered = found.get(names.REQUEST_ID)
-    if answered is not None and answered != request_id.encode():
+    if answered is not None and answered != call.request.request_id.encode():
         raise InstanceCallError(
             ErrorCode.EXECUTION_UNKNOWN, "an answer to another request came", Execution.UNKNOWN
         )
@@ -227,7 +227,15 @@
         code = ErrorCode.OVERLOADED
         if response.status == MISDIRECTED:
             code = ErrorCode.PRECONDITION_FAILED
-        raise InstanceCallError(code, f"not run, status {response.status}", Execution.NOT_RUN)
+        named = found.get(names.INSTANCE_ID, b"") if response.status == MISDIRECTED else b""
+        own = named == call.instance.instance_id.encode()
+        raise InstanceCallError(
+            code,
+            f"not run, status {response.status}",
+            Execution.NOT_RUN,
+            stale_version=own and bool(call.expected_version),
+            replaced=bool(named) and not own,
+        )
     if answered is None:
         raise InstanceCallError(
             ErrorCode.EXECUTION_UNKNOWN, "an answer without an id came", Execution.UNKNOWN
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -21,14 +21,25 @@
         message: One sentence.
         execution: Not run only when that is proved.
         sent: Whether any byte of the request may have left.
+        stale_version: Whether the instance itself says that its weights have another version.
+        replaced: Whether another incarnation answers at its address, so that it has ended.
     """
 
     def __init__(
-        self, code: ErrorCode, message: str, execution: Execution, *, sent: bool = True
+        self,
+        code: ErrorCode,
+        message: str,
+        execution: Execution,
+        *,
+        sent: bool = True,
+        stale_version: bool = False,
+        replaced: bool = False,
     ) -> None:
         super().__init__(code, message)
         self.execution = execution
         self.sent = sent
+        self.stale_version = stale_version
+        self.replaced = replaced
 
 
 class SendProof(msgspec.Struct):
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -89,8 +89,9 @@
 
     async def _run_attempts(self) -> None:
         """Make attempts until the answer is whole or nothing more can be done."""
+        only: str | None = None
         while True:
-            candidate = self._parts.choice.choose(self._request, self._service, self._tried)
+            candidate = self._parts.choice.choose(self._request, self._service, self._tried, only)
             if candidate is None:
                 self._fail(ErrorCode.OVERLOADED, "no instance may serve the request now")
                 return
@@ -98,6 +99,9 @@
             if error is None:
                 return
             self._learn(candidate.view, error)
+            only = self._go_on(candidate.view, error)
+            if only is not None:
+                continue
             step = decide_step(self._progress(error))
             self._log_attempt(candidate.view, error, step)
             if step is NextStep.CUT:
@@ -110,6 +114,37 @@
                 return
             self._framer.restart()
 
+    def _go_on(self, view: InstanceView, error: InstanceCallError) -> str | None:
+        """Return where to go on after a refusal that doesn't count as an instance of the route.
+
+        Instances that have ended, and a second request to the same one, aren't counted. Both cost
+        the retry budget.
+
+        Returns:
+            The id of the one instance to go to, empty for any other, None when the refusal counts.
+        """
+        where = self._learn_from_refusal(view, error)
+        if where is None or not self._budget.allows(trio.current_time(), self._parts.nodes()):
+            return None
+        self._budget.record_repeat(trio.current_time())
+        self.outcome.attempts -= 1
+        if where:
+            self._tried.discard(where)
+        self._log_attempt(view, error, NextStep.RETRY)
+        return where
+
+    def _learn_from_refusal(self, view: InstanceView, error: InstanceCallError) -> str | None:
+        """Learn what a refusal tells of an instance; see ``_go_on`` for what is returned."""
+        if error.replaced:
+            view.replaced = True
+            return ""
+        prompt = self._request.prompt
+        if not error.stale_version or prompt is None or view.drop_assumption(prompt.model):
+            return None
+        if self._parts.choice.assume_newest(self._request, view):
+            return view.instance.instance_id
+        return None
+
     async def _attempt(self, candidate: Candidate) -> InstanceCallError | None:
         """Make one attempt; return what went wrong, or None after a whole answer."""
         view = candidate.view
@@ -196,7 +231,7 @@
             remaining_seconds=request.deadline - trio.current_time(),
             priority=_rank(request) if prompt is not None else None,
             resume_after=str(last_id) if last_id is not None else request.resume_after,
-            expected_version=view.versions.get(prompt.model, 0) if prompt is not None else 0,
+            expected_version=view.serving_version(prompt.model) if prompt is not None else 0,
             cache_salt=self._parts.choice.salt(request, view),
             cache_source=candidate.source,
             cache_target=self.outcome.target,
--- a/hopstep/services/exchanges/instance_choice.py
+++ b/hopstep/services/exchanges/instance_choice.py
@@ -51,18 +51,23 @@
         self._zone = zone
         self._other_zone_seconds = other_zone_seconds
 
-    def choose(self, request: ExchangeRequest, service: str, tried: Set[str]) -> Candidate | None:
+    def choose(
+        self, request: ExchangeRequest, service: str, tried: Set[str], only: str | None = None
+    ) -> Candidate | None:
         """Return the best instance, or None when none may serve the request now.
 
         Args:
             request: The request.
             service: Service that the route chose.
             tried: Ids of instances that it was sent to.
+            only: Id of the one instance that it may go to; none for any that wasn't tried.
         """
         self._pauses.look()
         self._knowledge.expire_lapsed()
         now = trio.current_time()
         views = self._admissible(request, service, tried, now)
+        if only:
+            views = [view for view in views if view.instance.instance_id == only]
         usable = [view for view in views if view.is_usable(now)]
         views = usable or views
         if request.prompt is None:
@@ -71,11 +76,18 @@
         engine_request = self._engine_request(request, request.prompt, service)
         return choose_engine(views, sources, engine_request, now, self._generator)
 
+    def assume_newest(self, request: ExchangeRequest, view: InstanceView) -> bool:
+        """Take an instance to have the newest weights, and return whether that is news."""
+        if request.prompt is None:
+            return False
+        model = request.prompt.model
+        return view.assume_version(model, self._knowledge.weights.newest(model))
+
     def salt(self, request: ExchangeRequest, view: InstanceView) -> str:
         """Return the text under which a request's segments are kept at an instance."""
         if request.prompt is None:
             return ""
-        version = view.versions.get(request.prompt.model, 0)
+        version = view.serving_version(request.prompt.model)
         tenant = request.tenant
         group = tenant.name if tenant is not None and tenant.isolated else ""
         return f"{version}.{group}"
@@ -89,15 +101,15 @@
         return [
             view
             for view in self._knowledge.table.of_service(service)
-            if not view.instance.draining
+            if view.takes_requests
             and view.instance.instance_id not in tried
-            and (not required or view.versions.get(model, 0) >= required)
+            and (not required or view.serving_version(model) >= required)
         ]
 
     def _sources(self, service: str) -> list[InstanceView]:
         """Return the instances from which segments may be brought."""
         views = self._knowledge.table.of_service(service)
-        return [view for view in views if not view.instance.draining]
+        return [view for view in views if view.takes_requests]
 
     def _engine_request(
         self, request: ExchangeRequest, prompt: Prompt, service: str
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -146,6 +146,27 @@
             with self.subTest(name):
                 self.check_error(answer_bytes, expected)
 
+    def test_what_a_misdirected_request_tells(self):
+        for named, version, stale, replaced in (
+            (b"Instance-Id: i1\r\n", 1, True, False),
+            (b"Instance-Id: i1\r\n", 0, False, False),
+            (b"Instance-Id: i2\r\n", 1, False, True),
+            (b"", 1, False, False),
+        ):
+            with self.subTest(named=named, version=version):
+                answer = b"HTTP/1.1 421 X\r\n" + named + b"Content-Length: 0\r\n\r\n"
+
+                async def script(
+                    instances, instance, version=version, stale=stale, replaced=replaced
+                ):
+                    with self.assertRaises(InstanceCallError) as caught:
+                        await self.call(instances, instance, expected_version=version)
+                    error = caught.exception
+                    self.assertEqual((error.stale_version, error.replaced), (stale, replaced))
+                    self.assertIs(error.execution, Execution.NOT_RUN)
+
+                self.run_with(RawServer(answer), script)
+
     def test_broken_answers_are_never_whole(self):
         for name, answer_bytes in BROKEN:
             with self.subTest(name):
