Tell refused clients when to come back by what the node observes

Cause: Retry-After was 0.4 or 1.0 s whatever the reason; a node that stops or is cut off alone kept its clients for a second although their next try meets another node.

--- /dev/null
+++ b/hopstep/domain/exchanges/retry_after.py
@@ -0,0 +1,122 @@
+"""When a client should come back after a refusal, by what the node observes.
+
+Clients come back once or twice, to another node, and heed a wait of up to a third of the time that
+they have left. So a wait that is too long costs them their answer in time, and one that is too
+short costs them one of their few tries.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from hopstep.exceptions import ErrorCode
+
+AT_ONCE_SECONDS = 0.03
+"""The next try meets another node or instance, so only what the client needs itself."""
+
+DEFAULT_SECONDS = 0.4
+"""When nothing tells more: about the time in which a page or a first token is owed."""
+
+MAX_SECONDS = 1.5
+"""Clients with four to five seconds heed no longer wait."""
+
+OUTAGE_SHARE = 0.25
+"""An outage that has lasted a while is expected to last this part of it longer."""
+
+MIN_SPREAD = 0.3
+"""Part of a wait by which clients are spread at least, so that they don't return together."""
+
+SPREAD_BY_TOLD = 0.05
+"""Further part for each client that was told the same lately."""
+
+MAX_SPREAD = 1.0
+
+
+class RetryReason(enum.StrEnum):
+    """What the wait is for."""
+
+    OTHER_NODE = "other_node"
+    OTHER_INSTANCE = "other_instance"
+    STORE_AWAY = "store_away"
+    LOADING = "loading"
+    RELISTING = "relisting"
+    UNKNOWN = "unknown"
+
+
+class RefusalFacts(msgspec.Struct, frozen=True):
+    """What the node observes as it refuses; times in seconds.
+
+    Attributes:
+        code: Why it refuses.
+        other_instance: Whether an instance that the request wasn't sent to would take it now.
+        loading_seconds: Until the first engine of the service has loaded weights; None for none.
+        relisting_seconds: Until lapsed entries are back or gone; None when none are expected.
+        store_silence_seconds: Time since the store answered this node or whoever told it.
+        others_answer: Whether other nodes answer this one, so that it isn't cut off alone.
+        told_lately: Clients that were told the same reason within the last moments.
+    """
+
+    code: ErrorCode
+    other_instance: bool = False
+    loading_seconds: float | None = None
+    relisting_seconds: float | None = None
+    store_silence_seconds: float = 0.0
+    others_answer: bool = False
+    told_lately: int = 0
+
+
+class RetryAdvice(msgspec.Struct, frozen=True):
+    """When to come back, and why then.
+
+    Attributes:
+        seconds: Value of ``Retry-After``.
+        reason: What the wait is for.
+    """
+
+    seconds: float
+    reason: RetryReason
+
+
+def retry_reason(facts: RefusalFacts) -> RetryReason:
+    """Return what a refused client should wait for."""
+    if facts.code is ErrorCode.STOPPING:
+        return RetryReason.OTHER_NODE
+    if facts.code in (ErrorCode.ISOLATED, ErrorCode.NOT_READY):
+        return RetryReason.STORE_AWAY if facts.others_answer else RetryReason.OTHER_NODE
+    if facts.other_instance:
+        return RetryReason.OTHER_INSTANCE
+    if facts.loading_seconds is not None:
+        return RetryReason.LOADING
+    if facts.relisting_seconds is not None:
+        return RetryReason.RELISTING
+    return RetryReason.UNKNOWN
+
+
+def advise(facts: RefusalFacts, draw: float) -> RetryAdvice:
+    """Return when a client should come back.
+
+    Args:
+        facts: What is observed.
+        draw: Random number from 0 to 1 that spreads clients.
+    """
+    reason = retry_reason(facts)
+    wait = min(MAX_SECONDS, max(AT_ONCE_SECONDS, _expected_seconds(reason, facts)))
+    spread = min(MAX_SPREAD, MIN_SPREAD + SPREAD_BY_TOLD * facts.told_lately)
+    return RetryAdvice(min(MAX_SECONDS, wait * (1.0 + spread * draw)), reason)
+
+
+def _expected_seconds(reason: RetryReason, facts: RefusalFacts) -> float:
+    """Return the time after which a client is likely to be served."""
+    match reason:
+        case RetryReason.OTHER_NODE | RetryReason.OTHER_INSTANCE:
+            return AT_ONCE_SECONDS
+        case RetryReason.STORE_AWAY:
+            return max(DEFAULT_SECONDS, OUTAGE_SHARE * facts.store_silence_seconds)
+        case RetryReason.LOADING:
+            return facts.loading_seconds or DEFAULT_SECONDS
+        case RetryReason.RELISTING:
+            return min(DEFAULT_SECONDS, facts.relisting_seconds or DEFAULT_SECONDS)
+        case RetryReason.UNKNOWN:
+            return DEFAULT_SECONDS
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -358,6 +358,8 @@
         "target",
         "configuration",
         "age_ms",
+        "retry_after_ms",
+        "retry_reason",
     ),
     "Nothing by itself; see the operators' page for how to get from a request to its cause.",
 )
@@ -365,7 +367,15 @@
     "HS3102",
     "exchange_refused",
     Level.INFO,
-    ("request_id", "code", "reason", "configuration", "age_ms"),
+    (
+        "request_id",
+        "code",
+        "reason",
+        "configuration",
+        "age_ms",
+        "retry_after_ms",
+        "retry_reason",
+    ),
     "Look the code up in the errors page; a high age means that the store can't be reached.",
 )
 EXCHANGE_ATTEMPT_FAILED = LogEvent(
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
+
 import trio
 
 from hopstep import log_events
@@ -37,7 +39,6 @@
 PRIORITIES_OF_A_TENANT = 3
 """Routes' ranks that fit between two ranks of tenants."""
 
-NO_ROOM_RETRY_AFTER_SECONDS = 0.4
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_UNSENT_TRIES = 3
 """Most instances that couldn't be reached before a request is refused."""
@@ -74,6 +75,11 @@
         self._in_flight = SendProof()
         self._failure: WholeAnswer | None = None
 
+    @property
+    def tried(self) -> Set[str]:
+        """Ids of the instances that the request was sent to, or that couldn't be reached."""
+        return self._tried
+
     async def run(self) -> None:
         """Give the client an answer, or cut it when it can't be completed.
 
@@ -358,9 +364,7 @@
             self.outcome.outcome = "cut"
             return
         execution = Execution.UNKNOWN if self._may_have_run else Execution.NOT_RUN
-        raise ServiceError(
-            code, message, execution=execution, retry_after_seconds=NO_ROOM_RETRY_AFTER_SECONDS
-        )
+        raise ServiceError(code, message, execution=execution)
 
     def _learn(self, view: InstanceView, error: InstanceCallError) -> None:
         """Learn from a failed attempt."""
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -56,7 +56,6 @@
 this find a store that doesn't answer and are refused at once.
 """
 
-STALE_RETRY_AFTER_SECONDS = 1.0
 OVERDUE = "overdue"
 """Reason of a lost store whose answer is still waited for when the first request is refused."""
 
@@ -104,6 +103,7 @@
         self.confirmed_at = -float("inf")
         self.read_at = -float("inf")
         self.told_at = -float("inf")
+        self.node_heard_at = -float("inf")
         self._returned_at = -float("inf")
         self.rollout_record: RecordWritten | None = None
         self.changed = trio.Event()
@@ -155,11 +155,7 @@
             ServiceError: ``NOT_READY`` before the first.
         """
         if self.index is None:
-            raise ServiceError(
-                ErrorCode.NOT_READY,
-                "this node has no configuration yet",
-                retry_after_seconds=STALE_RETRY_AFTER_SECONDS,
-            )
+            raise ServiceError(ErrorCode.NOT_READY, "this node has no configuration yet")
         return self.index
 
     def require_fresh(self) -> None:
@@ -167,9 +163,7 @@
         if not self.is_fresh:
             self._note_expired()
             raise ServiceError(
-                ErrorCode.ISOLATED,
-                "this node can't tell whether the key is still valid",
-                retry_after_seconds=STALE_RETRY_AFTER_SECONDS,
+                ErrorCode.ISOLATED, "this node can't tell whether the key is still valid"
             )
 
     def take_snapshot(self, batch: DirectoryBatch, sent_at: float) -> None:
@@ -222,6 +216,12 @@
         if AWAY_SECONDS < away < float("inf"):
             self._returned_at = heard_at
 
+    @property
+    def relisting_seconds(self) -> float | None:
+        """Time in which entries that lapsed may still come back; None when it is over."""
+        left = self._returned_at + RELISTING_SECONDS - trio.current_time()
+        return left if left > 0 else None
+
     def expire_lapsed(self) -> None:
         """Forget instances whose entries lapsed while the store was away and didn't come back."""
         for instance_id in self.table.expire(trio.current_time()):
@@ -294,7 +294,7 @@
     def _take_removal(self, instance_id: str, source: str, age_ms: int) -> None:
         """Take the end of an instance's entry; one that may have lapsed is expected back."""
         until = self._returned_at + RELISTING_SECONDS
-        if trio.current_time() < until and self.table.lapse(instance_id, until):
+        if self.relisting_seconds is not None and self.table.lapse(instance_id, until):
             emit(log_events.INSTANCE_LAPSED, instance=instance_id, source=source)
         elif self.table.remove(instance_id):
             emit(log_events.INSTANCE_REMOVED, instance=instance_id, source=source, age_ms=age_ms)
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/relaying.py
@@ -271,6 +271,7 @@
         pending = self._pending.pop(answer.number, None)
         if pending is None or pending.node != sender:
             return
+        self._knowledge.node_heard_at = trio.current_time()
         if pending.asks_hints and sender == self._knowledge.relays.relay():
             self._sharing.take_answer(sender, answer.hints)
             self._store_watch.take(answer.contents)
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -9,6 +9,7 @@
 from hopstep import log_events
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds, RepeatBudget
 from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.exchanges.retry_after import RetryAdvice
 from hopstep.domain.exchanges.serving import RequestLimits
 from hopstep.exceptions import ServiceError
 from hopstep.logs import emit
@@ -22,6 +23,7 @@
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.services.exchanges.retry_advisor import RetryAdvisor
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
 from hopstep.services.lifecycle import Lifecycle
 
@@ -63,6 +65,7 @@
         self.admission = ExchangeAdmission(knowledge, lifecycle)
         self._knowledge = knowledge
         self._lifecycle = lifecycle
+        self._advisor = RetryAdvisor(knowledge, generator)
         self._generator = generator
         self._bounds = bounds
         self._metrics = metrics
@@ -95,7 +98,9 @@
             try:
                 request = self.admission.admit(head, body)
             except ServiceError as error:
-                self._log_refusal(head, error)
+                advice = self._advisor.advise(error.code)
+                error.retry_after_seconds = advice.seconds
+                self._log_refusal(head, error, advice)
                 self._metrics.requests.labels("", error.code.value).inc()
                 raise
             await self._run(request, answer)
@@ -104,11 +109,14 @@
         """Run an admitted request and log its outcome."""
         service = request.route.choose_service(self._generator)
         exchange = Exchange(self._parts, request, service, answer)
+        advice: RetryAdvice | None = None
         outcome = exchange.outcome
         try:
             await exchange.run()
         except ServiceError as error:
             outcome.outcome = f"{error.code.value}:{error.execution.value}"
+            advice = self._advisor.advise(error.code, service, exchange.tried)
+            error.retry_after_seconds = advice.seconds
             raise
         except Exception as error:
             outcome.outcome = f"crashed:{type(error).__name__}"
@@ -137,9 +145,11 @@
                 target=outcome.target,
                 configuration=self._version(),
                 age_ms=round(self._knowledge.age_seconds * MILLISECONDS),
+                retry_after_ms=_retry_after_ms(advice),
+                retry_reason=advice.reason.value if advice is not None else "",
             )
 
-    def _log_refusal(self, head: RequestHead, error: ServiceError) -> None:
+    def _log_refusal(self, head: RequestHead, error: ServiceError, advice: RetryAdvice) -> None:
         """Log a request that wasn't admitted."""
         known = self._knowledge.current is not None
         emit(
@@ -149,6 +159,8 @@
             reason=error.message,
             configuration=self._version(),
             age_ms=round(self._knowledge.age_seconds * MILLISECONDS) if known else -1,
+            retry_after_ms=_retry_after_ms(advice),
+            retry_reason=advice.reason.value,
         )
 
     def _count(self, request: ExchangeRequest, outcome: ExchangeOutcome) -> None:
@@ -176,3 +188,8 @@
         if budget is None:
             budget = self._budgets[service] = RepeatBudget(self._bounds)
         return budget
+
+
+def _retry_after_ms(advice: RetryAdvice | None) -> int:
+    """Return the wait that a client was told; 0 for none."""
+    return round(advice.seconds * MILLISECONDS) if advice is not None else 0
