--- a/hopstep/ports/serving_directory.py
+++ b/hopstep/ports/serving_directory.py
@@ -121,6 +121,8 @@
 class ServingDirectory(abc.ABC):
     """Reads the directory."""
 
+    __slots__ = ()
+
     @abc.abstractmethod
     async def snapshot(self) -> DirectoryBatch:
         """Return all entries; what isn't among them doesn't exist."""
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -88,6 +88,8 @@
 class EmulatedDirectory(ServingDirectory):
     """A directory over a shared store for records.
 
+    Its attributes are slots, so that a test which sets a fault that doesn't exist fails.
+
     Attributes:
         down: Calls fail at once.
         dark: Calls get no answer, also those under way, and fail after the adapter's limit.
@@ -95,6 +97,16 @@
         answer_seconds: Time that an answer takes.
     """
 
+    __slots__ = (
+        "_connection",
+        "_silent_connection",
+        "_world",
+        "answer_seconds",
+        "dark",
+        "deaf",
+        "down",
+    )
+
     def __init__(self, world):
         self._world = world
         self.down = False
