Read the configuration without its readers when nobody confirms it

Routers of the OpenAI-style interface leave reading the store to three owners among the live members. Readers that are alive and have lost the store stay readers; nobody else reads, and a change is in force nowhere.

A router that isn't a reader now reads once when its revision was confirmed by nobody for 6 s, some 20 routers a second together (design 0005). The one that gets through tells the others by gossip.

Before: test_others_read_the_store_when_its_readers_have_lost_it fails (no router has the change after 14 s). After: it passes five times in a row; a fleet of 200 makes under 40 calls a second to a store that is down (1,000 in 20 s if all read at each check: that test fails then).

Ruled out elsewhere: the machine list is read by everyone, seldom in a large cluster (leaving_watch).

--- a/hopstep/services/configuration/sync.py
+++ b/hopstep/services/configuration/sync.py
@@ -3,6 +3,9 @@
 A few routers read the store; all take revisions from peers that show a higher one. Nothing ever
 goes back: a stale answer of the store or of a peer leaves the revision in force as it is.
 
+Readers may be alive and yet have lost the store. So routers don't go by who should read it: one
+whose revision nobody has confirmed for some seconds reads the store itself, a few of them a second.
+
 With the store down the configuration in force stays, revisions that any live router holds still
 spread among peers, and a starting router takes its first configuration from them. A router that
 starts while no peer has a configuration stays not ready until the store answers.
@@ -44,7 +47,11 @@
 
     Attributes:
         poll_seconds: Longest time between two reads of the store by a reader.
-        reader_check_seconds: Time between two checks of whether this node is a reader.
+        reader_check_seconds: Time between two checks of whether this node should read.
+        unconfirmed_seconds: A node that isn't a reader reads too when its revision was confirmed
+            by nobody for so long: more than a reader's poll and the spread of its news take, and
+            little enough for a change to be in force everywhere within 14 s.
+        other_reads_per_second: Reads by all such nodes together.
         min_backoff_seconds: First wait after a failure.
         max_backoff_seconds: Longest wait after failures.
         peer_timeout_seconds: Longest wait for a peer's answer.
@@ -55,6 +62,8 @@
 
     poll_seconds: float = 3.0
     reader_check_seconds: float = 1.0
+    unconfirmed_seconds: float = 6.0
+    other_reads_per_second: float = 20.0
     min_backoff_seconds: float = 0.25
     max_backoff_seconds: float = 4.0
     peer_timeout_seconds: float = 2.0
@@ -150,15 +159,17 @@
         return ConfigurationTransfer(snapshot=current)
 
     async def _read_store(self) -> None:
-        """Read the store while this node is a reader."""
+        """Read the store while this node is a reader, or while nobody else confirms anything."""
         backoff = self._config.min_backoff_seconds
         while True:
-            if not self._reads_store():
+            follows = self._follows_store()
+            if not follows and not self._should_read_once():
                 await trio.sleep(self._config.reader_check_seconds)
                 continue
             try:
                 await self._read_once()
-                await self._store.wait_for_change(self._config.poll_seconds)
+                if follows:
+                    await self._store.wait_for_change(self._config.poll_seconds)
             except HopstepError as error:
                 self._note_store_failure(error)
                 await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
@@ -168,10 +179,18 @@
                 # A watch that returns at once, again and again, must not become a busy loop.
                 await trio.sleep(self._config.min_backoff_seconds)
 
-    def _reads_store(self) -> bool:
-        """Return whether to read the store now."""
+    def _follows_store(self) -> bool:
+        """Return whether to follow the store now."""
         return self._holder.current is None or self._is_reader()
 
+    def _should_read_once(self) -> bool:
+        """Return whether to read although others are the readers: they may have lost the store."""
+        if self.seconds_since_confirmed() < self._config.unconfirmed_seconds:
+            return False
+        nodes = len(self._live_peers()) + 1
+        reads_per_check = self._config.other_reads_per_second * self._config.reader_check_seconds
+        return self._rng.random() < reads_per_check / nodes
+
     async def _read_once(self) -> None:
         """List again from the revision in force, whatever a watch has told."""
         asked_at = trio.current_time()
