Count no event of a stream that is refused together with a later one

The events before it were counted and never passed on, so the stream was resumed behind them: a lost piece (ORDER), if an instance sends a wrong event in one piece with right ones.

All events of a piece count now, or none.

Before: test_events_before_a_refused_one_are_not_counted_since_nobody_gets_them and test_a_stream_goes_on_after_its_last_whole_event_at_another_engine (new behaviour 'skip_event') fail: resumed after event 2, the client has 1. After: both pass.

--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -42,11 +42,16 @@
     LOSE_ANSWER = "lose_answer"
     BREAK_STREAM = "break_stream"
     CUT_EVENT = "cut_event"
+    SKIP_EVENT = "skip_event"
     OTHER_ANSWER = "other_answer"
     PROMISE_WITHOUT_PROOF = "promise_without_proof"
     UNSIGNED = "unsigned"
 
 
+BREAKING = frozenset({Behaviour.BREAK_STREAM, Behaviour.CUT_EVENT, Behaviour.SKIP_EVENT})
+"""Behaviours that end a stream before its last event."""
+
+
 class Run(msgspec.Struct, frozen=True):
     """One request that an instance began to work on.
 
@@ -129,12 +134,13 @@
         first = int(resumed) + 1 if resumed else 0
         for number in range(first, server.events):
             await trio.sleep(server.event_seconds)
-            breaks = behaviour in (Behaviour.BREAK_STREAM, Behaviour.CUT_EVENT)
-            if breaks and number - first >= server.events_before_break:
+            if behaviour in BREAKING and number - first >= server.events_before_break:
                 if behaviour is Behaviour.CUT_EVENT:
                     yield f"id: {number}\ndata: cut o".encode()
+                if behaviour is Behaviour.SKIP_EVENT:
+                    yield _event(number) + _event(number + 2)
                 raise _broken()
-            yield f"id: {number}\ndata: piece {number}\n\n".encode()
+            yield _event(number)
 
 
 class EmulatedInstances(InstanceCalls, WeightsOrders):
@@ -298,6 +304,11 @@
     return not server.busy and server.versions.get(prompt.model) == call.expected_version
 
 
+def _event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
 def _broken() -> InstanceCallError:
     """Return the error of an answer that broke off."""
     return InstanceCallError(ErrorCode.STREAM_INTERRUPTED, "broke off", Execution.UNKNOWN)
--- a/hopstep/domain/exchanges/event_stream.py
+++ b/hopstep/domain/exchanges/event_stream.py
@@ -31,6 +31,8 @@
     def feed(self, data: bytes) -> bytes:
         """Return the bytes of the events that are whole with ``data``.
 
+        Either all of them count as passed on, or none of them.
+
         Raises:
             StreamOrderError: When an id doesn't follow the last one.
         """
@@ -41,10 +43,11 @@
             return b""
         end += len(EVENT_END)
         whole = end_of_data[:end]
+        events = [event for event in whole.split(EVENT_END) if event.strip()]
+        last_id = _follow(self.last_id, events)
         self._keep(end_of_data[end:])
-        for event in whole.split(EVENT_END):
-            if event.strip():
-                self._check(event)
+        self.last_id = last_id
+        self.events += len(events)
         return whole
 
     def restart(self) -> None:
@@ -62,15 +65,21 @@
             raise StreamOrderError("an event is too long")
         self._partial = partial
 
-    def _check(self, event: bytes) -> None:
-        """Follow the id of one event."""
-        self.events += 1
+
+def _follow(last_id: int | None, events: list[bytes]) -> int | None:
+    """Return the id of the last one of some events, or the one before them if they have none.
+
+    Raises:
+        StreamOrderError: When an id doesn't follow the one before it.
+    """
+    for event in events:
         event_id = _event_id(event)
         if event_id is None:
-            return
-        if self.last_id is not None and event_id != self.last_id + 1:
-            raise StreamOrderError(f"event {event_id} after {self.last_id}")
-        self.last_id = event_id
+            continue
+        if last_id is not None and event_id != last_id + 1:
+            raise StreamOrderError(f"event {event_id} after {last_id}")
+        last_id = event_id
+    return last_id
 
 
 def _event_id(event: bytes) -> int | None:
--- a/tests/domain/exchanges/test_event_stream.py
+++ b/tests/domain/exchanges/test_event_stream.py
@@ -47,6 +47,15 @@
                 with self.assertRaises(StreamOrderError):
                     framer.feed(event(numbers[1]))
 
+    def test_events_before_a_refused_one_are_not_counted_since_nobody_gets_them(self):
+        framer = EventFramer()
+        framer.feed(event(0))
+        with self.assertRaises(StreamOrderError):
+            framer.feed(event(1) + event(2) + event(4))
+        self.assertEqual((framer.events, framer.last_id), (1, 0))
+        framer.restart()
+        self.assertEqual(framer.feed(event(1)), event(1))
+
     def test_the_first_event_follows_what_the_client_has(self):
         with self.assertRaises(StreamOrderError):
             EventFramer(last_id=3).feed(event(3))
--- a/tests/services/exchanges/test_exchange.py
+++ b/tests/services/exchanges/test_exchange.py
@@ -6,7 +6,7 @@
 import structlog
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.instances import BREAKING, Behaviour
 from hopstep.exceptions import ErrorCode
 from hopstep.ports.serving_directory import InstanceListed, InstanceRemoved
 from tests.services.exchanges.exchange_world import ISOLATED_KEY, ExchangeWorld
@@ -143,7 +143,7 @@
         self.run_world(script)
 
     def test_a_stream_goes_on_after_its_last_whole_event_at_another_engine(self):
-        for behaviour in (Behaviour.BREAK_STREAM, Behaviour.CUT_EVENT):
+        for behaviour in BREAKING:
             with self.subTest(behaviour):
                 self.check_resume(behaviour)
 
