Split what the client has of an answer, and the watchdog, from a request's attempts

AnswerRelay passes answers on and knows what the client has, SilenceWatchdog ends an attempt, Exchange decides what follows.

--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -8,44 +8,24 @@
 
 from hopstep import log_events
 from hopstep.domain.exchanges.attempt_rules import ExchangeProgress, NextStep, decide_step
-from hopstep.domain.exchanges.event_stream import EventFramer, StreamOrderError
 from hopstep.domain.exchanges.instance_view import InstanceView
-from hopstep.domain.exchanges.request import ExchangeRequest, Headers
+from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
-from hopstep.domain.exchanges.serving import RequestKind
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer
-from hopstep.ports.instance_calls import (
-    InstanceAnswer,
-    InstanceCall,
-    InstanceCallError,
-    SendProof,
-)
-from hopstep.services.exchanges.exchange_parts import (
-    ExchangeOutcome,
-    ExchangeParts,
-    WholeAnswer,
-)
-from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.ports.instance_calls import InstanceCall, InstanceCallError, SendProof
+from hopstep.services.exchanges.answer_relay import AnswerRelay
+from hopstep.services.exchanges.exchange_parts import ExchangeOutcome, ExchangeParts
+from hopstep.services.exchanges.silence_watchdog import SilenceWatchdog
 
-PROMISES = frozenset({408, 421, 429, 503})
-"""Statuses that say to a client that its request has not run."""
-
-FIRST_FAILURE_STATUS = 500
-FIRST_SUCCESS_STATUS = 200
-LAST_SUCCESS_STATUS = 299
 MAX_PRIORITY = 9
 PRIORITIES_OF_A_TENANT = 3
 """Routes' ranks that fit between two ranks of tenants."""
 
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_UNSENT_TRIES = 3
 """Most instances that couldn't be reached before a request is refused."""
 
-WATCHDOG_SECONDS = 0.2
-MILLISECONDS = 1_000
-
 
 class Exchange:
     """Carries one request."""
@@ -65,15 +45,12 @@
         self._parts = parts
         self._request = request
         self._service = service
-        self._answer = answer
+        self._relay = AnswerRelay(request, answer, self.outcome)
         self._budget = parts.budgets(service)
-        self._framer = EventFramer(_event_number(request.resume_after))
         self._tried: set[str] = set()
         self._unsent_tries = 0
-        self._started = False
         self._may_have_run = False
         self._in_flight = SendProof()
-        self._failure: WholeAnswer | None = None
 
     @property
     def tried(self) -> Set[str]:
@@ -118,7 +95,7 @@
             if step is NextStep.ANSWER_UNKNOWN:
                 await self._answer_unknown()
                 return
-            self._framer.restart()
+            self._relay.restart()
 
     def _go_on(self, view: InstanceView, error: InstanceCallError) -> str | None:
         """Return where to go on after a refusal that doesn't count as an instance of the route.
@@ -193,8 +170,9 @@
         view = candidate.view
         sent_at = trio.current_time()
         async with trio.open_nursery() as nursery:
-            watchdog = _Watchdog(view, self._request.route.idempotent, self._parts.pauses)
-            nursery.start_soon(watchdog.run, nursery.cancel_scope)
+            watchdog = SilenceWatchdog(view, self._parts.pauses)
+            if self._request.route.idempotent:
+                nursery.start_soon(watchdog.run, nursery.cancel_scope)
             try:
                 await self._exchange(candidate, sent_at)
             except InstanceCallError as error:
@@ -217,17 +195,13 @@
             view.heard(now)
             if answer.weights_version and self._request.prompt is not None:
                 view.learn_version(self._request.prompt.model, answer.weights_version)
-            if self._is_stream(answer):
-                await self._relay_stream(candidate, answer, sent_at)
-            else:
-                await self._relay_whole(candidate, answer, sent_at)
+            await self._relay.relay(candidate, answer, sent_at)
 
     def _make_call(self, candidate: Candidate) -> InstanceCall:
         """Return the call of an attempt."""
         view = candidate.view
         request = self._request
         prompt = request.prompt
-        last_id = self._framer.last_id
         self.outcome.read_tokens = candidate.uncached_tokens
         self.outcome.source = candidate.source
         self.outcome.target = self._parts.choice.push_target(request, view)
@@ -236,7 +210,7 @@
             request=request,
             remaining_seconds=request.deadline - trio.current_time(),
             priority=_rank(request) if prompt is not None else None,
-            resume_after=str(last_id) if last_id is not None else request.resume_after,
+            resume_after=self._relay.resume_after,
             expected_version=view.serving_version(prompt.model) if prompt is not None else 0,
             cache_salt=self._parts.choice.salt(request, view),
             cache_source=candidate.source,
@@ -244,123 +218,14 @@
             proof=self._in_flight,
         )
 
-    def _is_stream(self, answer: InstanceAnswer) -> bool:
-        """Return whether an answer is passed on event by event."""
-        successful = FIRST_SUCCESS_STATUS <= answer.status <= LAST_SUCCESS_STATUS
-        return successful and self._request.route.kind is RequestKind.STREAM
-
-    async def _relay_stream(
-        self, candidate: Candidate, answer: InstanceAnswer, sent_at: float
-    ) -> None:
-        """Pass events on as they come."""
-        self._require_signed(answer)
-        view = candidate.view
-        first = True
-        heard_at = 0.0
-        async for data in answer.body():
-            now = trio.current_time()
-            if not first:
-                pause_ms = round((now - heard_at) * MILLISECONDS)
-                self.outcome.pause_ms = max(self.outcome.pause_ms, pause_ms)
-            heard_at = now
-            if first:
-                first = False
-                view.segments.mark_read(candidate.keys, now)
-                view.first_byte(self._request.request_id, candidate.uncached_tokens, now)
-                view.succeeded(now - sent_at)
-            view.heard(now)
-            await self._send_events(answer, data)
-        if self._framer.has_partial or not self._started:
-            raise InstanceCallError(
-                ErrorCode.STREAM_INTERRUPTED, "the stream ended in an event", Execution.UNKNOWN
-            )
-        self.outcome.events = self._framer.events
-        self.outcome.outcome = str(answer.status)
-        with trio.CancelScope(shield=True):
-            await self._answer.finish()
-
-    async def _send_events(self, answer: InstanceAnswer, data: bytes) -> None:
-        """Pass on the events that are whole with ``data``.
-
-        The framer has counted them, so nothing may end the attempt before they are handed over.
-        """
-        try:
-            whole = self._framer.feed(data)
-        except StreamOrderError as error:
-            raise InstanceCallError(
-                ErrorCode.STREAM_INTERRUPTED, str(error), Execution.UNKNOWN
-            ) from error
-        if not whole:
-            return
-        with trio.CancelScope(shield=True):
-            if not self._started:
-                await self._start(answer.status, answer.headers, None)
-            await self._answer.send(whole)
-
-    async def _relay_whole(
-        self, candidate: Candidate, answer: InstanceAnswer, sent_at: float
-    ) -> None:
-        """Read an answer to its end and pass it on, unless another attempt may do better."""
-        body = bytearray()
-        async for data in answer.body():
-            body += data
-            if len(body) > MAX_ANSWER_BYTES:
-                raise InstanceCallError(
-                    ErrorCode.EXECUTION_UNKNOWN, "the answer is too long", Execution.UNKNOWN
-                )
-        now = trio.current_time()
-        candidate.view.first_byte(self._request.request_id, candidate.uncached_tokens, now)
-        if answer.status in PROMISES:
-            raise InstanceCallError(
-                ErrorCode.EXECUTION_UNKNOWN,
-                f"status {answer.status} without the proof",
-                Execution.UNKNOWN,
-            )
-        whole = WholeAnswer(answer.status, answer.headers, bytes(body))
-        if self._started or answer.status >= FIRST_FAILURE_STATUS:
-            self._failure = whole
-            raise InstanceCallError(
-                ErrorCode.RETRIES_EXHAUSTED,
-                f"the instance answered {answer.status}",
-                Execution.UNKNOWN,
-            )
-        if FIRST_SUCCESS_STATUS <= answer.status <= LAST_SUCCESS_STATUS:
-            self._require_signed(answer)
-        candidate.view.succeeded(now - sent_at)
-        await self._send_whole(whole)
-
-    def _require_signed(self, answer: InstanceAnswer) -> None:
-        """Raise unless a success carries its instance's signature."""
-        if not answer.signed:
-            raise InstanceCallError(
-                ErrorCode.EXECUTION_UNKNOWN, "the answer isn't signed", Execution.UNKNOWN
-            )
-
-    async def _send_whole(self, whole: WholeAnswer) -> None:
-        """Pass a whole answer on, all of it or nothing."""
-        with trio.CancelScope(shield=True):
-            await self._start(whole.status, whole.headers, len(whole.body))
-            await self._answer.send(whole.body)
-            self.outcome.outcome = str(whole.status)
-            await self._answer.finish()
-
-    async def _start(self, status: int, headers: Headers, length: int | None) -> None:
-        """Send the head of the answer."""
-        self._started = True
-        elapsed = trio.current_time() - self._request.received_at
-        self.outcome.first_byte_ms = round(elapsed * MILLISECONDS)
-        await self._answer.start(status, headers, length)
-
     async def _answer_unknown(self) -> None:
         """Pass on an instance's own failure, or say that the request may have run."""
-        if self._failure is not None and not self._started:
-            await self._send_whole(self._failure)
-            return
-        self._fail(ErrorCode.EXECUTION_UNKNOWN, "the request may have run")
+        if not await self._relay.send_failure():
+            self._fail(ErrorCode.EXECUTION_UNKNOWN, "the request may have run")
 
     def _fail(self, code: ErrorCode, message: str) -> None:
         """Raise the error that ends the request, or end as cut when an answer has begun."""
-        if self._started:
+        if self._relay.started:
             self.outcome.outcome = "cut"
             return
         execution = Execution.UNKNOWN if self._may_have_run else Execution.NOT_RUN
@@ -384,7 +249,7 @@
         return ExchangeProgress(
             idempotent=route.idempotent,
             resumable=route.resumable,
-            answer_started=self._started,
+            answer_started=self._relay.started,
             last=error.execution,
             may_have_run=self._may_have_run,
             attempts=attempts,
@@ -408,25 +273,6 @@
         )
 
 
-class _Watchdog:
-    """Ends an attempt that may be repeated when its instance has fallen silent."""
-
-    def __init__(self, view: InstanceView, armed: bool, pauses: PauseWatch) -> None:
-        self.fired = False
-        self._view = view
-        self._armed = armed
-        self._pauses = pauses
-
-    async def run(self, scope: trio.CancelScope) -> None:
-        """Watch until cancelled."""
-        while self._armed:
-            await trio.sleep(WATCHDOG_SECONDS)
-            self._pauses.look()
-            if self._view.is_silent(trio.current_time()):
-                self.fired = True
-                scope.cancel()
-
-
 def _rank(request: ExchangeRequest) -> int:
     """Return the rank of a request at an instance: its tenant's first, then its route's."""
     priority = request.route.priority
@@ -435,8 +281,3 @@
         priority = min(priority, PRIORITIES_OF_A_TENANT - 1)
         priority += tenant.priority * PRIORITIES_OF_A_TENANT
     return max(0, min(MAX_PRIORITY, priority))
-
-
-def _event_number(text: str) -> int | None:
-    """Return the number of an event that a client names, or None."""
-    return int(text) if text.isdecimal() else None
--- a/hopstep/services/exchanges/exchange_parts.py
+++ b/hopstep/services/exchanges/exchange_parts.py
@@ -13,6 +13,8 @@
 from hopstep.services.exchanges.instance_choice import InstanceChoice
 from hopstep.services.exchanges.pause_watch import PauseWatch
 
+MILLISECONDS = 1_000
+
 
 class WholeAnswer(msgspec.Struct, frozen=True):
     """An answer that was read to its end.
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -16,9 +16,9 @@
 from hopstep.ports.exchange_front import ClientAnswer, ExchangeHandler, RequestHead
 from hopstep.ports.instance_calls import InstanceCalls
 from hopstep.services.exchanges.admission import ExchangeAdmission
-from hopstep.services.exchanges.exchange import MILLISECONDS, Exchange
+from hopstep.services.exchanges.exchange import Exchange
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
-from hopstep.services.exchanges.exchange_parts import ExchangeOutcome, ExchangeParts
+from hopstep.services.exchanges.exchange_parts import MILLISECONDS, ExchangeOutcome, ExchangeParts
 from hopstep.services.exchanges.instance_choice import InstanceChoice
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
