Leave an answer alone that the client has whole

Before: test_an_answer_that_is_whole_is_not_asked_for_again_when_its_instance_falls_silent and test_an_answer_that_is_whole_at_the_deadline_is_not_called_cut (twice) fail.

--- a/hopstep/services/exchanges/answer_relay.py
+++ b/hopstep/services/exchanges/answer_relay.py
@@ -35,6 +35,7 @@
 
     Attributes:
         started: Whether the head has been counted as handed over.
+        finished: Whether the whole answer has.
         failure: An instance's own failure, for want of anything better.
     """
 
@@ -49,6 +50,7 @@
             outcome: Takes times, events and the status.
         """
         self.started = False
+        self.finished = False
         self.failure: WholeAnswer | None = None
         self._request = request
         self._answer = answer
@@ -120,6 +122,7 @@
             )
         self._outcome.events = self._framer.events
         self._outcome.outcome = str(answer.status)
+        self.finished = True
         with trio.CancelScope(shield=True):
             await self._answer.finish()
 
@@ -182,6 +185,7 @@
 
     async def _send_whole(self, whole: WholeAnswer) -> None:
         """Pass a whole answer on, all of it or nothing."""
+        self.finished = True
         with trio.CancelScope(shield=True):
             await self._start(whole.status, whole.headers, len(whole.body))
             await self._answer.send(whole.body)
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -66,7 +66,7 @@
         self._budget.record_request(self._request.received_at)
         with trio.CancelScope(deadline=self._request.deadline) as scope:
             await self._run_attempts()
-        if scope.cancelled_caught:
+        if scope.cancelled_caught and not self._relay.finished:
             self._may_have_run = self._may_have_run or self._in_flight.sent
             self._fail(ErrorCode.DEADLINE_EXCEEDED, "no whole answer in time")
 
@@ -162,7 +162,7 @@
         self._tried.add(view.instance.instance_id)
 
     async def _call(self, candidate: Candidate) -> None:
-        """Send the request and pass its answer on.
+        """Send the request and pass its answer on; one that the client has whole stays so.
 
         Raises:
             InstanceCallError: When the answer isn't whole.
@@ -180,6 +180,8 @@
             else:
                 failure = None
             nursery.cancel_scope.cancel()
+        if self._relay.finished:
+            return
         if watchdog.fired:
             raise InstanceCallError(
                 ErrorCode.ENGINE_UNREACHABLE, "the instance is silent", Execution.UNKNOWN
--- a/tests/services/exchanges/test_own_pauses.py
+++ b/tests/services/exchanges/test_own_pauses.py
@@ -39,6 +39,14 @@
         await super().send(data)
 
 
+class SlowEnd(RecordedAnswer):
+    """A client to which the end of an answer takes a while."""
+
+    async def finish(self):
+        await trio.sleep(3.0)
+        await super().finish()
+
+
 class HandingOverTest(unittest.TestCase):
     """What was counted as passed on reaches the client, whatever ends the attempt meanwhile."""
 
@@ -68,6 +76,44 @@
 
         self.run_world(script)
 
+    def test_an_answer_that_is_whole_is_not_asked_for_again_when_its_instance_falls_silent(self):
+        async def script(world):
+            answer = SlowEnd()
+            with structlog.testing.capture_logs() as lines:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.ask, world, answer)
+                    await trio.sleep(0.5)
+                    world.instances.servers["e0"].behaviour = Behaviour.SILENT
+                    nursery.start_soon(world.request, "stream")
+                    await trio.sleep(0.1)
+                    world.add("e1", "llm")
+            self.assertEqual((answer.body, answer.finished), (WHOLE_STREAM, True))
+            self.assertEqual(len(world.instances.runs("r")), 1)
+            ended = [line for line in lines if line.get("request_id") == "r"]
+            self.assertEqual([line["event"] for line in ended], ["exchange_ended"])
+            self.assertEqual(ended[0]["outcome"], "200")
+
+        self.run_world(script)
+
+    def test_an_answer_that_is_whole_at_the_deadline_is_not_called_cut(self):
+        for name in ("resumable", "unsafe"):
+            with self.subTest(name):
+                self.check_whole_at_deadline(name)
+
+    def check_whole_at_deadline(self, name):
+        async def script(world):
+            answer = SlowEnd()
+            with structlog.testing.capture_logs() as lines:
+                await world.request(name, patience=1.0, answer=answer)
+            self.assertTrue(answer.finished)
+            outcomes = [line["outcome"] for line in lines if line["event"] == "exchange_ended"]
+            self.assertEqual(outcomes, ["200"])
+
+        world = ExchangeWorld()
+        world.add("e0", "llm")
+        world.add("p0")
+        world.run(script)
+
     async def ask(self, world, answer):
         await world.request("resumable", request_id="r", patience=60.0, answer=answer)
 
