Let a relay that has lost the store ask the stand-ins of its own zone

Cause, found while a test was written: a reader without the store asked other zones only. In a fleet of one zone its relay had nobody to ask, and refused every request with a key 4.4 s after it alone had lost the store, although its own zone's stand-ins read it by then.

Before: test_a_relay_without_the_store_hears_the_other_nodes_of_a_lone_zone fails in all six cases (down and dark; 2, 3 and 8 nodes), and the pure test in test_nodes. After: both pass, 41 of 41 in test_freshness, test_nodes and test_relaying.

--- a/hopstep/domain/exchanges/nodes.py
+++ b/hopstep/domain/exchanges/nodes.py
@@ -114,16 +114,20 @@
 
     def elsewhere(self, turn: int, count: int = 1) -> list[str]:
         """Return nodes that may have another way to the store; each turn the next ones."""
-        others = [
-            name
-            for zone, ranked in self._zones.items()
-            for name in ranked[: self._relays(ranked) + 1]
-            if zone != self._record.zone or ranked.index(name) < self._relays(ranked)
-        ]
-        others = sorted(name for name in others if name != self._name)
+        may_tell = [name for zone in self._zones for name in self._may_read(zone)]
+        others = sorted(name for name in may_tell if name != self._name)
         first = turn * count
         return [others[(first + n) % len(others)] for n in range(min(count, len(others)))]
 
+    def _may_read(self, zone: str) -> list[str]:
+        """Return the nodes of a zone that may read the store: its relays, and some behind them.
+
+        In this node's own zone that is all stand-ins, since there may be no other zone.
+        """
+        ranked = self._zones[zone]
+        behind = STAND_INS if zone == self._record.zone else 1
+        return ranked[: self._relays(ranked) + behind]
+
     def digest_targets(self) -> list[str]:
         """Return the relays of all zones but this node, with stand-ins for silent ones."""
         targets: list[str] = []
--- a/tests/domain/exchanges/test_nodes.py
+++ b/tests/domain/exchanges/test_nodes.py
@@ -123,6 +123,13 @@
             self.assertNotIn(name, found)
             self.assertEqual({other[0] for other in found} | {name[0]}, {"x", "y", "z"})
 
+    def test_a_relay_of_a_lone_zone_asks_the_nodes_that_read_the_store_in_its_place(self):
+        records = fleet({"x": 20})
+        known = plans(records)
+        relay = next(name for name, plan in known.items() if not plan.relay())
+        found = {other for turn in range(20) for other in known[relay].elsewhere(turn)}
+        self.assertEqual(found, {n for n, p in known.items() if p.is_stand_in} - {relay})
+
     def test_digests_go_to_each_zones_relays_and_past_silent_ones(self):
         records = fleet({"x": 5, "y": 5})
         known = plans(records)
--- a/tests/services/exchanges/test_freshness.py
+++ b/tests/services/exchanges/test_freshness.py
@@ -104,6 +104,27 @@
         self.run_world(script, seed)
         return found[0]
 
+    def test_a_relay_without_the_store_hears_the_other_nodes_of_a_lone_zone(self):
+        for fault in ("dark", "down"):
+            for nodes in (2, 3, 8):
+                with self.subTest(fault=fault, nodes=nodes):
+                    self.assertEqual(set(self.statuses_of_relay(fault, nodes)), {200})
+
+    def statuses_of_relay(self, fault, nodes):
+        """Let the relay of a fleet with one zone lose the store; return how it answers."""
+        statuses = []
+
+        async def script(world):
+            (relay,) = self.relays(world)
+            self.lose_store(world, [relay], fault)
+            until = trio.current_time() + FAULT_SECONDS
+            while trio.current_time() < until:
+                statuses.append((await world.request("safe", node=relay)).status)
+                await trio.sleep(0.2)
+
+        self.run_world(script, nodes=nodes, zones=1)
+        return statuses
+
     def test_a_leaving_instance_gets_nothing_in_time_behind_relays_without_the_store(self):
         for fault in ("dark", "down"):
             for seed in range(1, 4):
