Count no bound on named weights while the store is away

Cause: weights that were heard of after an outage were dated to the store's last answer before it, five seconds too early, and required a second after its return, while nobody may load engines yet.

Ruled out: engines or places (most were free), the configuration (in force within 0.4 s).

The bound now counts from the last call to the store that failed or is overdue, if neither this node nor any that it hears was answered for two seconds. A watch answered after a pause of the node itself no longer dates what it tells by the time of reading (found by the new test).

--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -448,7 +448,11 @@
     "Nothing: it is used on for two seconds; HS6102 follows unless its entry comes back.",
 )
 WEIGHTS_NAMED = LogEvent(
-    "HS6103", "weights_named", Level.INFO, ("model", "version", "age_ms"), "Nothing."
+    "HS6103",
+    "weights_named",
+    Level.INFO,
+    ("model", "version", "age_ms", "counted_ms"),
+    "Nothing.",
 )
 WEIGHTS_ORDER_SENT = LogEvent(
     "HS6104",
--- a/hopstep/services/exchanges/directory_follower.py
+++ b/hopstep/services/exchanges/directory_follower.py
@@ -29,7 +29,7 @@
 """Of a watch, also where the next answer is due sooner."""
 
 PROMPT_ANSWER_SECONDS = 0.5
-"""A watch that was answered later had nothing to tell when it was sent."""
+"""A watch that was answered later had nothing to tell when it was sent, if this node ran on."""
 
 WATCH_LAG_SECONDS = 0.3
 """A pending watch is answered at most this long after a change was acknowledged."""
@@ -77,6 +77,7 @@
         self._connected = True
         self._history_lost = False
         self._asked = False
+        self._called_at = float("inf")
         self._reading_since: float | None = None
         self._began = trio.Event()
 
@@ -142,10 +143,19 @@
                 await self._began.wait()
             elif self.has_lost_store:
                 self._note_connection(False, OVERDUE)
+                self._note_overdue_call()
                 await trio.sleep(CHECK_SECONDS)
             else:
                 await trio.sleep_until(self._answer_due_at + MOMENT_SECONDS)
 
+    def _note_overdue_call(self) -> None:
+        """Note a call under way that should have been answered: it tells as much as a failed one.
+
+        While the store is lost no call waits for a change.
+        """
+        if not self._connected and trio.current_time() - self._called_at > ANSWER_SLACK_SECONDS:
+            self._knowledge.note_unanswered(self._called_at)
+
     async def _wait_needed(self) -> None:
         """Wait until this node should read the store itself."""
         knowledge = self._knowledge
@@ -193,9 +203,13 @@
 
     async def _report_call(self, outcomes: trio.MemorySendChannel[StoreError | None]) -> None:
         """Make one call, and send how it ended."""
+        sent_at = self._called_at = trio.current_time()
         try:
-            await self._call(trio.current_time())
+            await self._call(sent_at)
         except StoreError as error:
+            lost_history = isinstance(error, StoreHistoryLostError)
+            if not lost_history and not self._pauses.has_just_ended:
+                self._knowledge.note_unanswered(sent_at)
             outcomes.send_nowait(error)
         else:
             outcomes.send_nowait(None)
@@ -216,7 +230,7 @@
         confirmed_at = knowledge.confirmed_at
         batch = await self._directory.changes(knowledge.revision, self._wait_seconds(sent_at))
         now = trio.current_time()
-        waited = now - sent_at > PROMPT_ANSWER_SECONDS
+        waited = now - sent_at > PROMPT_ANSWER_SECONDS and not self._pauses.has_just_ended
         since = now - WATCH_LAG_SECONDS if waited else min(sent_at, confirmed_at)
         knowledge.take_changes(batch, since, sent_at)
 
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -17,6 +17,7 @@
 from hopstep import log_events
 from hopstep.domain.exchanges.directory_feed import DirectoryFeed, FeedEntry
 from hopstep.domain.exchanges.instance_table import InstanceTable
+from hopstep.domain.exchanges.instances import NamedWeights
 from hopstep.domain.exchanges.nodes import NodeRecord, RelayPlan
 from hopstep.domain.exchanges.serving import ServingConfiguration, ServingIndex
 from hopstep.domain.exchanges.weights import WeightsBook
@@ -104,6 +105,8 @@
         self.read_at = -float("inf")
         self.told_at = -float("inf")
         self.node_heard_at = -float("inf")
+        self._unanswered_at = -float("inf")
+        self._away_until = -float("inf")
         self._returned_at = -float("inf")
         self.rollout_record: RecordWritten | None = None
         self.changed = trio.Event()
@@ -210,11 +213,25 @@
             self.changed.set()
             self.changed = trio.Event()
 
+    def note_unanswered(self, sent_at: float) -> None:
+        """Note a call to the store that failed, or whose answer is overdue.
+
+        Args:
+            sent_at: When it was sent.
+        """
+        self._unanswered_at = max(self._unanswered_at, sent_at)
+
     def note_return(self, heard_at: float) -> None:
-        """Note whether an answer of the store, heard here or by others, ends its absence."""
+        """Note whether an answer of the store, heard here or by others, ends its absence.
+
+        A node that stood still heard nothing either; but then no call of its own has failed.
+        """
         away = heard_at - self.heard_at
-        if AWAY_SECONDS < away < float("inf"):
-            self._returned_at = heard_at
+        if not AWAY_SECONDS < away < float("inf"):
+            return
+        self._returned_at = heard_at
+        if self._unanswered_at > self.heard_at:
+            self._away_until = self._unanswered_at
 
     @property
     def relisting_seconds(self) -> float | None:
@@ -263,18 +280,25 @@
             case InstanceRemoved(instance_id):
                 self._take_removal(instance_id, source, age_ms)
             case WeightsPublished(weights):
-                if self.weights.put(weights, entry.since):
-                    emit(
-                        log_events.WEIGHTS_NAMED,
-                        model=weights.model,
-                        version=weights.version,
-                        age_ms=age_ms,
-                    )
+                self._take_weights(weights, entry.since, age_ms)
             case RecordWritten():
                 self._take_record(change)
             case Unreadable(key, reason):
                 emit(log_events.DIRECTORY_ENTRY_REJECTED, key=key, reason=reason)
 
+    def _take_weights(self, weights: NamedWeights, since: float, age_ms: int) -> None:
+        """Take named weights; their bound leaves out the time in which the store was away."""
+        counts_from = max(since, self._away_until)
+        if not self.weights.put(weights, counts_from):
+            return
+        emit(
+            log_events.WEIGHTS_NAMED,
+            model=weights.model,
+            version=weights.version,
+            age_ms=age_ms,
+            counted_ms=round((trio.current_time() - counts_from) * MILLISECONDS),
+        )
+
     def _take_instance(self, listed: InstanceListed, source: str, age_ms: int) -> None:
         """Take an instance's entry."""
         instance = listed.instance
--- /dev/null
+++ b/tests/services/exchanges/test_weights_after_outage.py
@@ -0,0 +1,94 @@
+"""From when on weights are required whose naming was heard of after the store was away."""
+
+import unittest
+import unittest.mock
+
+import trio
+
+from hopstep.services.exchanges.weights_rollout import WeightsRollout
+from tests.services.exchanges.exchange_world import BOUNDS, ExchangeWorld
+
+BOUND_SECONDS = BOUNDS.weights_ms / 1_000
+AWAY_SECONDS = 5.0
+NOTICED_SECONDS = 1.5
+"""Until all nodes have heard that the store is back: until then keys may be too old to serve."""
+
+USED_SECONDS = 4.5
+"""After the store's return older weights serve for so long at least: the bound less its reserve
+(6.5 s), and less the age of the last call that failed (2 s)."""
+
+NODES = 3
+SEEDS = range(1, 9)
+
+
+class WeightsAfterOutageTest(unittest.TestCase):
+    """No node loads engines in these tests."""
+
+    def run_world(self, script, seed=1):
+        world = ExchangeWorld(NODES, seed)
+        for number in range(4):
+            world.add(f"e{number}", "llm")
+        with unittest.mock.patch.object(WeightsRollout, "_start_due"):
+            world.run(script)
+
+    async def ask(self, world, until, nodes=range(NODES)):
+        """Ask nodes every so often; return statuses (None for refusals) by time."""
+        found = []
+        while trio.current_time() < until:
+            for node in nodes:
+                found.append((await world.request("stream", node=node)).status)
+            await trio.sleep(0.1)
+        return found
+
+    def check_no_old_run(self, world, since):
+        """No request has started on older weights from a time on."""
+        runs = [run for server in world.instances.servers.values() for run in server.runs]
+        late = [run.at - since for run in runs if run.version < 2 and run.at > since]
+        self.assertEqual(late, [])
+
+    async def away(self, world, fault, nodes=range(NODES)):
+        """Let the store be away from nodes while weights are named; return when it was back."""
+        for node in nodes:
+            setattr(world.directories[node], fault, True)
+        await trio.sleep(0.5)
+        world.name_weights(2)
+        await trio.sleep(AWAY_SECONDS - 0.5)
+        for node in nodes:
+            setattr(world.directories[node], fault, False)
+        return trio.current_time()
+
+    def test_time_without_the_store_is_not_counted(self):
+        for fault in ("down", "dark"):
+            with self.subTest(fault=fault):
+
+                async def script(world, fault=fault):
+                    returned_at = await self.away(world, fault)
+                    await trio.sleep(NOTICED_SECONDS)
+                    statuses = await self.ask(world, returned_at + USED_SECONDS)
+                    self.assertEqual(set(statuses), {200})
+                    statuses = await self.ask(world, returned_at + BOUND_SECONDS + 2.0)
+                    self.assertIsNone(statuses[-1])
+                    self.check_no_old_run(world, returned_at + BOUND_SECONDS)
+
+                self.run_world(script)
+
+    def test_time_in_which_other_nodes_have_the_store_is_counted(self):
+        async def script(world):
+            named_at = trio.current_time() + 0.5
+            await self.away(world, "down", nodes=[0])
+            await self.ask(world, named_at + BOUND_SECONDS + 3.0)
+            self.check_no_old_run(world, named_at + BOUND_SECONDS)
+
+        self.run_world(script)
+
+    def test_time_in_which_the_nodes_themselves_stood_still_is_counted(self):
+        async def script(world):
+            named_at = trio.current_time()
+            world.name_weights(2)
+            world.clock.jump(AWAY_SECONDS)
+            await self.ask(world, named_at + BOUND_SECONDS + 3.0)
+            self.check_no_old_run(world, named_at + BOUND_SECONDS)
+
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.run_world(script, seed)
