Count no bound on named weights for nodes that start while the store is away

Cause: a node that has just started dates what it reads first so that 2.5 s of the bound are left.

A node whose calls have failed for two seconds since its start counts from the last of them (design 0021).

--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -226,11 +226,11 @@
 
         A node that stood still heard nothing either; but then no call of its own has failed.
         """
-        away = heard_at - self.heard_at
-        if not AWAY_SECONDS < away < float("inf"):
+        away_since = max(self.heard_at, self._started_at)
+        if heard_at - away_since <= AWAY_SECONDS:
             return
         self._returned_at = heard_at
-        if self._unanswered_at > self.heard_at:
+        if self._unanswered_at > away_since:
             self._away_until = self._unanswered_at
 
     @property
--- a/tests/services/exchanges/test_weights_after_outage.py
+++ b/tests/services/exchanges/test_weights_after_outage.py
@@ -72,6 +72,39 @@
 
                 self.run_world(script)
 
+    def test_a_node_that_started_without_the_store_does_not_count_that_time_either(self):
+        async def script(world):
+            for directory in world.directories:
+                directory.down = True
+            await trio.sleep(0.5)
+            world.name_weights(2)
+            await trio.sleep(1.0)
+            world.start_node(world.nursery, "late")
+            world.directories[-1].down = True
+            await trio.sleep(AWAY_SECONDS - 1.5)
+            for directory in world.directories:
+                directory.down = False
+            returned_at = trio.current_time()
+            await trio.sleep(NOTICED_SECONDS)
+            statuses = await self.ask(world, returned_at + USED_SECONDS, [NODES])
+            self.assertEqual(set(statuses), {200})
+            statuses = await self.ask(world, returned_at + BOUND_SECONDS + 2.0, [NODES])
+            self.assertIsNone(statuses[-1])
+            self.check_no_old_run(world, returned_at + BOUND_SECONDS)
+
+        self.run_world(script)
+
+    def test_a_node_that_started_while_the_store_answered_has_little_time_left(self):
+        async def script(world):
+            world.name_weights(2)
+            named_at = trio.current_time()
+            await trio.sleep(1.0)
+            world.start_node(world.nursery, "late")
+            await self.ask(world, named_at + BOUND_SECONDS + 2.0, [NODES])
+            self.check_no_old_run(world, named_at + BOUND_SECONDS)
+
+        self.run_world(script)
+
     def test_time_in_which_other_nodes_have_the_store_is_counted(self):
         async def script(world):
             named_at = trio.current_time() + 0.5
