Go on under an own lease of the rollout that still exists after an outage

Cause: leases may wait while the store is down.

A node that finds the key with its own name and address renews the lease and goes on under the same fencing token; restarted, after a lease time. Another machine with that name waits as before.

--- a/emulator/platform/store_model.py
+++ b/emulator/platform/store_model.py
@@ -117,6 +117,11 @@
         for key in sorted(lease.keys):
             self._remove(key)
 
+    def put_off_lapses(self, seconds: float) -> None:
+        """Let every lease last longer, as in a store whose leases wait while it is down."""
+        for lease in self._leases.values():
+            lease.lapses_at += seconds
+
     def lapse_all(self) -> None:
         """Let every lease lapse now."""
         for name in list(self._leases):
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -452,7 +452,7 @@
     "weights_named",
     Level.INFO,
     ("model", "version", "age_ms", "counted_ms"),
-    "Nothing.",
+    "Nothing: of the greatest age that the naming may have, time without the store isn't counted.",
 )
 WEIGHTS_ORDER_SENT = LogEvent(
     "HS6104",
@@ -476,7 +476,11 @@
     "If false for long: look at the engine; its cache is taken for what was sent to it.",
 )
 ROLLOUT_LEASE_ACQUIRED = LogEvent(
-    "HS6105", "rollout_lease_acquired", Level.INFO, ("fencing_token",), "Nothing."
+    "HS6105",
+    "rollout_lease_acquired",
+    Level.INFO,
+    ("fencing_token", "resumed"),
+    "Nothing: resumed is an own lease that still existed after an outage or a restart.",
 )
 ROLLOUT_LEASE_LOST = LogEvent(
     "HS6106",
--- a/hopstep/services/exchanges/records.py
+++ b/hopstep/services/exchanges/records.py
@@ -10,7 +10,35 @@
 """A key for each node; its value is a ``NodeRecord``."""
 
 ROLLOUT_KEY = "hopstep/rollout"
-"""Exists while a node holds the rollout of weights; its value names the holder."""
+"""Exists while a node holds the rollout of weights; its value is a ``RolloutHolder``."""
+
+
+class RolloutHolder(msgspec.Struct, frozen=True):
+    """Who holds the rollout of weights.
+
+    Attributes:
+        name: Name of the node.
+        address: ``ip:port`` of its datagrams: a machine that replaces another may take its name.
+        lease: Lease to which the key is bound.
+    """
+
+    name: str
+    address: str
+    lease: str
+
+
+def encode_holder(holder: RolloutHolder) -> bytes:
+    """Return the value of the rollout's key."""
+    return msgspec.json.encode(holder)
+
+
+def decode_holder(value: bytes) -> RolloutHolder:
+    """Return the holder that the rollout's key names.
+
+    Raises:
+        msgspec.DecodeError: Names the field that can't be read.
+    """
+    return msgspec.json.decode(value, type=RolloutHolder)
 
 
 def encode_node(record: NodeRecord) -> bytes:
--- a/hopstep/services/exchanges/rollout_lease.py
+++ b/hopstep/services/exchanges/rollout_lease.py
@@ -4,6 +4,10 @@
 token. A holder counts the lease from when the grant or renewal was sent, and stops before it can
 have lapsed. A new holder waits for one lease time before its first order. While the store is down
 nobody becomes holder, and the holder stops when its lease ends.
+
+Leases may wait while the store is down. A node that finds the key with its own name after that,
+also one that was restarted, goes on under the same lease and fencing token: the key has existed
+all the time, so nobody else has held it.
 """
 
 from __future__ import annotations
@@ -12,6 +16,7 @@
 import random
 from collections.abc import Iterator
 
+import msgspec
 import trio
 
 from hopstep import log_events
@@ -24,7 +29,12 @@
 from hopstep.logs import emit
 from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort
 from hopstep.services.exchanges.knowledge import ServingKnowledge
-from hopstep.services.exchanges.records import ROLLOUT_KEY
+from hopstep.services.exchanges.records import (
+    ROLLOUT_KEY,
+    RolloutHolder,
+    decode_holder,
+    encode_holder,
+)
 
 RENEWALS_IN_A_LEASE = 4
 RENEWAL_SPACING_SECONDS = 0.25
@@ -38,10 +48,25 @@
 
 RETRY_SECONDS = 0.5
 RECHECK_SECONDS = 2.0
+RESUME_CHECK_SECONDS = 0.2
+"""Between two looks whether the store answers again at a node whose own lease may still exist."""
+
 STAND_BACK_SECONDS = 1.5
 """Least time for which nodes that don't read the store leave a vacant lease to those that do."""
 
 
+class _OwnKey(msgspec.Struct, frozen=True):
+    """The lease's key as this node has written it.
+
+    Attributes:
+        lease: Lease to which it is bound.
+        token: Its revision, the fencing token.
+    """
+
+    lease: str
+    token: int
+
+
 class RolloutLease:
     """Acquires and keeps the lease."""
 
@@ -71,6 +96,9 @@
         self._lease = ""
         self._valid_until = 0.0
         self._order_from = 0.0
+        self._held_token = 0
+        self._refused_token = 0
+        self._failed_at = -float("inf")
         self._released = False
 
     @property
@@ -87,11 +115,15 @@
     async def run(self) -> None:
         """Acquire the lease whenever nobody holds it, and keep it, until cancelled."""
         while not self._released:
-            await self._wait_vacant()
+            await self._wait_turn()
             try:
-                await self._acquire()
+                if self._own_key is None:
+                    await self._acquire()
+                else:
+                    await self._resume(self._own_key)
                 await self._keep()
             except StoreError:
+                self._failed_at = trio.current_time()
                 await trio.sleep(RETRY_SECONDS * (0.5 + self._generator.random()))
 
     async def release(self) -> None:
@@ -107,19 +139,21 @@
     def give_up(self, reason: str) -> None:
         """Stop ordering under the current fencing token: an engine has seen a higher one."""
         self._valid_until = 0.0
+        self._refused_token = self._held_token
         self._lose(reason)
 
-    async def _wait_vacant(self) -> None:
-        """Wait until there are engines and nobody is known to hold the lease.
+    async def _wait_turn(self) -> None:
+        """Wait until there are engines and nobody else is known to hold the lease.
 
         Nodes that read the store go first, so that not all nodes try at once.
         """
         knowledge = self._knowledge
         while True:
-            while not self._is_vacant:
-                with trio.move_on_after(RECHECK_SECONDS):
+            while not self._is_vacant and not self._may_resume:
+                own = self._own_key is not None
+                with trio.move_on_after(RESUME_CHECK_SECONDS if own else RECHECK_SECONDS):
                     await knowledge.changed.wait()
-            if not knowledge.relays.relay():
+            if self._may_resume or not knowledge.relays.relay():
                 return
             await trio.sleep(STAND_BACK_SECONDS * (1.0 + self._generator.random()))
             if self._is_vacant:
@@ -130,6 +164,38 @@
         """Whether the lease is wanted and nobody is known to hold it."""
         return self._knowledge.has_engines and self._knowledge.rollout_record is None
 
+    @property
+    def _own_key(self) -> _OwnKey | None:
+        """The lease's key if it names this node and this machine, and may still be used."""
+        record = self._knowledge.rollout_record
+        if record is None or record.revision <= self._refused_token:
+            return None
+        try:
+            holder = decode_holder(record.value)
+        except msgspec.DecodeError:
+            # A key of another release: it isn't this node's own, and lapses like any other.
+            return None
+        if holder != self._identity(holder.lease):
+            return None
+        return _OwnKey(holder.lease, record.revision)
+
+    @property
+    def _may_resume(self) -> bool:
+        """Whether an own lease may still exist, and the store has answered since a call failed."""
+        return self._own_key is not None and self._knowledge.heard_at > self._failed_at
+
+    async def _resume(self, key: _OwnKey) -> None:
+        """Go on under an own lease that still exists; raises ``StoreError`` when that isn't proved.
+
+        A node that hasn't held it in this life doesn't know when it took over, so it waits again.
+        """
+        sent_at = trio.current_time()
+        with _answered_within(ACQUIRE_SECONDS):
+            await self._store.keep_alive(key.lease)
+        if key.token != self._held_token:
+            self._order_from = trio.current_time() + self._lease_seconds
+        self._hold(key.lease, sent_at, key.token, resumed=True)
+
     async def _acquire(self) -> None:
         """Create the key under a new lease; raises ``StoreError`` when that isn't proved."""
         sent_at = trio.current_time()
@@ -140,18 +206,28 @@
         except StoreError:
             await self._store.end_lease(lease)
             raise
+        self._order_from = trio.current_time() + self._lease_seconds
+        self._hold(lease, sent_at, token, resumed=False)
+
+    def _hold(self, lease: str, sent_at: float, token: int, *, resumed: bool) -> None:
+        """Note that this node holds the lease, from when the answered call was sent."""
         self._lease = lease
+        if self._released:
+            return
         self._valid_until = sent_at + self._lease_seconds
-        self._order_from = trio.current_time() + self._lease_seconds
-        self.fencing_token = token
-        emit(log_events.ROLLOUT_LEASE_ACQUIRED, fencing_token=token)
+        self._held_token = self.fencing_token = token
+        emit(log_events.ROLLOUT_LEASE_ACQUIRED, fencing_token=token, resumed=resumed)
+
+    def _identity(self, lease: str) -> RolloutHolder:
+        """Return how this node names itself as the holder."""
+        return RolloutHolder(self._name, self._knowledge.record.address, lease)
 
     async def _create_key(self, lease: str) -> int:
         """Create the key and return its revision, the fencing token.
 
         Without an answer the key is read back: the value names this node and this lease.
         """
-        value = f"{self._name}/{lease}".encode()
+        value = encode_holder(self._identity(lease))
         try:
             with _answered_within(ACQUIRE_SECONDS):
                 return await self._store.compare_and_swap(ROLLOUT_KEY, ABSENT, value, lease)
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -300,10 +300,10 @@
         """Return the zone of a node."""
         return f"z{1 + number % self._zones}"
 
-    def start_node(self, nursery, name, zone="z1"):
-        """Start a node and return its services."""
+    def start_node(self, nursery, name, zone="z1", address=""):
+        """Start a node, at an address of its own by default, and return its services."""
         key = f"key of {name}".encode()
-        address = f"127.0.0.1:{3 + len(self.nodes)}"
+        address = address or f"127.0.0.1:{3 + len(self.nodes)}"
         directory = EmulatedDirectory(self)
         ports = ExchangePorts(
             store=InMemoryStore(self.shared),
@@ -330,11 +330,15 @@
         return services
 
     async def _relay_records(self):
-        """Show the store's own keys in the directory."""
+        """Show the store's own keys in the directory, later while the store is down."""
         store = InMemoryStore(self.shared)
         revision = 0
         while True:
-            batch = await store.watch("", revision, 5.0)
+            try:
+                batch = await store.watch("", revision, 5.0)
+            except StoreError:
+                await trio.sleep(0.1)
+                continue
             revision = batch.revision
             for value in batch.values:
                 self.publish(RecordWritten(value.key, value.value, value.version))
