Name in the log of a failed attempt which request it is, whoever sends it again

Sight for the repeated crashes: the log shows request ids, which are new with each try of a client, so nothing told whether ten ends of instances had one request in common. HS3103 now carries a digest of caller, path and body, salted by the caller.

--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from hopstep.domain.exchanges.serving import Route, Tenant
+from hopstep.domain.request_fingerprint import request_fingerprint
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -67,3 +68,9 @@
     client_deadline: float
     prompt: Prompt | None = None
     resume_after: str = ""
+
+    @property
+    def fingerprint(self) -> bytes:
+        """Digest that equal requests of one caller share; computed anew at each use."""
+        caller = self.tenant.name if self.tenant is not None else ""
+        return request_fingerprint(caller, self.target, self.body)
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -382,8 +382,17 @@
     "HS3103",
     "exchange_attempt_failed",
     Level.INFO,
-    ("request_id", "instance", "code", "reason", "execution", "sent", "next_step"),
-    "If one instance recurs: look at its own logs.",
+    (
+        "request_id",
+        "fingerprint",
+        "instance",
+        "code",
+        "reason",
+        "execution",
+        "sent",
+        "next_step",
+    ),
+    "If one instance recurs: look at its own logs; if one `fingerprint` does: at the request.",
 )
 
 SERVING_CONFIGURATION_APPLIED = LogEvent(
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -266,6 +266,7 @@
         emit(
             log_events.EXCHANGE_ATTEMPT_FAILED,
             request_id=self._request.request_id,
+            fingerprint=self._request.fingerprint.hex(),
             instance=view.instance.instance_id,
             code=error.code.value,
             reason=error.message,
