Reproduce the repeated crashes: a request goes on ending the instances which begin it

The emulated instances learn to end under a request that they have begun; nodes of the tests can be killed.

--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -25,6 +25,9 @@
 )
 from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
 
+FATAL_SECONDS = 0.1
+"""From the beginning of a fatal request to the instance's end, as seen at the users' engines."""
+
 FAILURE_STATUS = 500
 SUCCESS_STATUS = 200
 
@@ -97,6 +100,30 @@
         self.orders: list[tuple[float, WeightsOrder]] = []
         self.attempted: list[tuple[float, WeightsOrder]] = []
         self.busy = False
+        self.ended_at: float | None = None
+        self._ended = trio.Event()
+
+    def end(self) -> None:
+        """End at once: answers under way break off, and nothing listens any more."""
+        if self.ended_at is None:
+            self.ended_at = trio.current_time()
+            self._ended.set()
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether it takes connections."""
+        return self.ended_at is None and self.behaviour is not Behaviour.UNREACHABLE
+
+    async def work(self, seconds: float) -> None:
+        """Let a request's work take time.
+
+        Raises:
+            InstanceCallError: When the instance ends meanwhile.
+        """
+        with trio.move_on_after(seconds):
+            await self._ended.wait()
+        if self.ended_at is not None:
+            raise _broken()
 
 
 class EmulatedAnswer(InstanceAnswer):
@@ -133,7 +160,7 @@
         resumed = self._call.resume_after
         first = int(resumed) + 1 if resumed else 0
         for number in range(first, server.events):
-            await trio.sleep(server.event_seconds)
+            await server.work(server.event_seconds)
             if behaviour in BREAKING and number - first >= server.events_before_break:
                 if behaviour is Behaviour.CUT_EVENT:
                     yield f"id: {number}\ndata: cut o".encode()
@@ -144,12 +171,25 @@
 
 
 class EmulatedInstances(InstanceCalls, WeightsOrders):
-    """All instances of a simulated deployment."""
+    """All instances of a simulated deployment.
+
+    Attributes:
+        servers: The instances by id, also those that have ended.
+        on_changed: Told of an instance's changed entry.
+        on_ended: Told of an instance that has ended under a request.
+        fatal_bodies: Bodies of requests that end each instance which begins to work on them.
+        fatal_seconds: From such a beginning to the end.
+        calls: All calls.
+        dropped: Addresses whose idle connections were dropped.
+    """
 
     def __init__(self) -> None:
         """Start without instances."""
         self.servers: dict[str, EmulatedInstance] = {}
         self.on_changed: Callable[[Instance], None] = lambda _entry: None
+        self.on_ended: Callable[[EmulatedInstance], None] = lambda _server: None
+        self.fatal_bodies: set[bytes] = set()
+        self.fatal_seconds = FATAL_SECONDS
         self.calls: list[InstanceCall] = []
         self.dropped: list[str] = []
         self._silent: set[str] = set()
@@ -173,7 +213,7 @@
         """Send a request; see the port."""
         self.calls.append(call)
         server = self.servers.get(call.instance.instance_id)
-        if server is None or server.behaviour is Behaviour.UNREACHABLE:
+        if server is None or not server.is_reachable:
             await trio.sleep(0.001)
             raise InstanceCallError(
                 ErrorCode.ENGINE_UNREACHABLE, "no connection", Execution.NOT_RUN, sent=False
@@ -216,7 +256,10 @@
                 call.resume_after,
             )
         )
-        await trio.sleep(server.work_seconds)
+        if call.request.body in self.fatal_bodies:
+            trio.lowlevel.spawn_system_task(self._end_later, server)
+            await server.work(float("inf"))
+        await server.work(server.work_seconds)
         if server.behaviour is Behaviour.LOSE_ANSWER:
             raise _broken()
         if server.behaviour is Behaviour.OTHER_ANSWER:
@@ -228,6 +271,13 @@
             status = 503
         return EmulatedAnswer(server, call, status)
 
+    async def _end_later(self, server: EmulatedInstance) -> None:
+        """End an instance under a request that it has begun."""
+        await trio.sleep(self.fatal_seconds)
+        if server.ended_at is None:
+            server.end()
+            self.on_ended(server)
+
     def idle_addresses(self) -> set[str]:
         """Return no address: emulated calls keep no connections; see the port."""
         return set()
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -244,6 +244,7 @@
         self.calls = 0
         self.nodes = []
         self.directories = []
+        self._lives = []
         self._node_count = nodes
         self._seed = seed
         self._zones = zones
@@ -326,9 +327,22 @@
         services = ExchangeServices(settings, ports, key)
         self.nodes.append(services)
         self.directories.append(directory)
-        nursery.start_soon(services.run)
+        nursery.start_soon(self._run_node, services)
         return services
 
+    async def _run_node(self, services):
+        """Run a node until it is killed."""
+        with trio.CancelScope() as life:
+            self._lives.append(life)
+            await services.run()
+
+    def kill_nodes(self):
+        """Kill all nodes at the same moment; they leave what is in the store."""
+        for life in self._lives:
+            life.cancel()
+        for known in (self._lives, self.nodes, self.directories):
+            known.clear()
+
     async def _relay_records(self):
         """Show the store's own keys in the directory, later while the store is down."""
         store = InMemoryStore(self.shared)
@@ -344,13 +358,21 @@
                 self.publish(RecordWritten(value.key, value.value, value.version))
 
     async def request(
-        self, name, node=0, key=KEY, request_id="", resume_after="", patience=2.0, answer=None
+        self,
+        name,
+        node=0,
+        key=KEY,
+        request_id="",
+        resume_after="",
+        patience=2.0,
+        answer=None,
+        body=b"body",
     ):
         """Send a request to a node and return the client's answer."""
         answer = answer or RecordedAnswer()
         head = self.head(name, key, request_id, resume_after, patience)
         try:
-            await self.nodes[node].exchanges.serve(head, b"body", answer)
+            await self.nodes[node].exchanges.serve(head, body, answer)
         except ServiceError as error:
             answer.error = error
         return answer
--- /dev/null
+++ b/tests/services/exchanges/test_repeated_crashes.py
@@ -0,0 +1,120 @@
+"""A request that ends the instances which begin to work on it is kept from them by all nodes.
+
+One request of a tenant ended each engine that began it, some 100 ms after its arrival and before
+its first event. Its client sent it again and again, each time under a new request id and at any
+node. Every node took each repeat for a new request, since it knew of a request's own attempts only;
+so the same request ended ten engines, and 54 other answers broke off with them.
+
+Three engines had ended under it at 11.42, 11.72 and 12.26 s. Four more were sent it later than
+three seconds after that, and ended at 21.92, 22.29, 22.82 and 23.58 s. Each node logged the same as
+at the first time, for one attempt of a request that it had never seen:
+
+    exchange_attempt_failed  reason="the answer broke off"  next_step=answer_unknown
+    exchange_ended  attempts=1  events=0  outcome=execution_unknown:unknown
+"""
+
+import unittest
+
+import trio
+
+from hopstep.ports.serving_directory import InstanceRemoved
+from tests.services.exchanges.exchange_world import ExchangeWorld
+
+NODES = 7
+ZONES = 3
+ENGINES = 9
+FATAL = b"fatal"
+ENDS_BEFORE_BOUND = 3
+BOUND_SECONDS = 3.0
+"""After the third end, until when all nodes that are in touch know of it."""
+
+MAX_LATE_RETRIES = 3
+"""Most sends to instances later than that."""
+
+LAPSE_SECONDS = 2.6
+RESTART_SECONDS = 3.3
+"""From an engine's end to the lapse of its entry, and to the start of the next one: as observed."""
+
+REPEAT_SECONDS = 0.4
+WATCHED_SECONDS = 20.0
+
+
+class RepeatedCrashesCase(unittest.TestCase):
+    def run_world(self, script, nodes=NODES, zones=ZONES):
+        world = ExchangeWorld(nodes, zones=zones)
+        for number in range(ENGINES):
+            world.add(f"e{number}", "llm")
+        world.instances.fatal_bodies.add(FATAL)
+        world.instances.on_ended = lambda server: world.nursery.start_soon(
+            self.replace, world, server
+        )
+        world.run(script)
+        return world
+
+    async def replace(self, world, server):
+        """Let an ended engine's entry lapse, and start another one."""
+        ended_id = server.instance.instance_id
+        await trio.sleep(LAPSE_SECONDS)
+        world.publish(InstanceRemoved(ended_id))
+        await trio.sleep(RESTART_SECONDS - LAPSE_SECONDS)
+        world.add(f"{ended_id}+", "llm")
+
+    async def repeat(self, world, seconds, at_once=1):
+        """Send the fatal request again and again, at one node after the other."""
+        until = trio.current_time() + seconds
+        turn = 0
+        while trio.current_time() < until:
+            for _ in range(at_once):
+                number = turn % len(world.nodes)
+                world.nursery.start_soon(self.send, world, number)
+                turn += 1
+            await trio.sleep(REPEAT_SECONDS)
+
+    async def send(self, world, number):
+        """Send the fatal request once."""
+        await world.request("stream", number, patience=5.0, body=FATAL)
+
+    def ends(self, world):
+        """Return when engines ended, in order."""
+        ended = (server.ended_at for server in world.instances.servers.values())
+        return sorted(at for at in ended if at is not None)
+
+    def late_runs(self, world):
+        """Return when engines began the fatal request later than the bound after its third end."""
+        ends = self.ends(world)
+        if len(ends) < ENDS_BEFORE_BOUND:
+            return []
+        from_then = ends[ENDS_BEFORE_BOUND - 1] + BOUND_SECONDS
+        runs = (run.at for server in world.instances.servers.values() for run in server.runs)
+        return sorted(at for at in runs if at > from_then)
+
+
+class RepeatedCrashesTest(RepeatedCrashesCase):
+    def test_nodes_stop_sending_a_request_under_which_three_instances_have_ended(self):
+        async def script(world):
+            await self.repeat(world, WATCHED_SECONDS)
+
+        world = self.run_world(script)
+        self.assertGreaterEqual(len(self.ends(world)), ENDS_BEFORE_BOUND)
+        self.assertLessEqual(len(self.late_runs(world)), MAX_LATE_RETRIES)
+
+    def test_nodes_stop_sending_it_when_it_comes_several_times_at_once(self):
+        async def script(world):
+            await self.repeat(world, WATCHED_SECONDS, at_once=3)
+
+        world = self.run_world(script)
+        self.assertGreaterEqual(len(self.ends(world)), ENDS_BEFORE_BOUND)
+        self.assertLessEqual(len(self.late_runs(world)), MAX_LATE_RETRIES)
+
+    def test_nodes_that_start_later_know_it_from_the_store(self):
+        async def script(world):
+            await self.repeat(world, BOUND_SECONDS)
+            world.kill_nodes()
+            await trio.sleep(RESTART_SECONDS)
+            for number in range(NODES):
+                world.start_node(world.nursery, f"n{number}", f"z{1 + number % ZONES}")
+            await self.repeat(world, WATCHED_SECONDS)
+
+        world = self.run_world(script)
+        self.assertGreaterEqual(len(self.ends(world)), ENDS_BEFORE_BOUND)
+        self.assertLessEqual(len(self.late_runs(world)), MAX_LATE_RETRIES)
