--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -16,6 +16,7 @@
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.request import Headers
 from hopstep.domain.exchanges.serving import RequestKind
+from hopstep.domain.quarantine.crashes import InstanceSign
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.ports.instance_calls import (
     InstanceAnswer,
@@ -28,6 +29,9 @@
 FATAL_SECONDS = 0.1
 """From the beginning of a fatal request to the instance's end, as seen at the users' engines."""
 
+LOOK_SECONDS = 0.003
+"""A connection within a region."""
+
 FAILURE_STATUS = 500
 SUCCESS_STATUS = 200
 
@@ -55,6 +59,10 @@
 """Behaviours that end a stream before its last event."""
 
 
+UNHEARD = frozenset({Behaviour.NO_CONNECTION})
+"""Behaviours of an instance that can't be reached and may live."""
+
+
 class Run(msgspec.Struct, frozen=True):
     """One request that an instance began to work on.
 
@@ -278,6 +286,15 @@
             server.end()
             self.on_ended(server)
 
+    async def look(self, instance: Instance) -> InstanceSign:
+        """Look at an instance; see the port."""
+        await trio.sleep(LOOK_SECONDS)
+        server = self.servers.get(instance.instance_id)
+        if server is not None and server.behaviour in UNHEARD:
+            return InstanceSign.NO_ANSWER
+        reachable = server is not None and server.is_reachable
+        return InstanceSign.ANSWERS if reachable else InstanceSign.ENDED
+
     def idle_addresses(self) -> set[str]:
         """Return no address: emulated calls keep no connections; see the port."""
         return set()
--- a/hopstep/domain/exchanges/instance_table.py
+++ b/hopstep/domain/exchanges/instance_table.py
@@ -47,17 +47,17 @@
         self._lapsed.setdefault(instance_id, until)
         return True
 
-    def expire(self, now: float) -> list[str]:
-        """Forget the instances whose entries have not come back in time, and return their ids."""
+    def expire(self, now: float) -> list[Instance]:
+        """Forget the instances whose entries have not come back in time, and return them."""
         expired = [name for name, until in self._lapsed.items() if now >= until]
-        for instance_id in expired:
-            self.remove(instance_id)
-        return expired
+        removed = [self.remove(instance_id) for instance_id in expired]
+        return [instance for instance in removed if instance is not None]
 
-    def remove(self, instance_id: str) -> bool:
-        """Forget an instance; return whether it was known."""
+    def remove(self, instance_id: str) -> Instance | None:
+        """Forget an instance and return it; None when it isn't known."""
         self._lapsed.pop(instance_id, None)
-        return self._views.pop(instance_id, None) is not None
+        view = self._views.pop(instance_id, None)
+        return view.instance if view is not None else None
 
     def retain(self, instance_ids: set[str]) -> None:
         """Forget all instances but these."""
--- a/hopstep/domain/exchanges/instances.py
+++ b/hopstep/domain/exchanges/instances.py
@@ -7,11 +7,27 @@
 import msgspec
 
 
+class InstanceLife(msgspec.Struct, frozen=True):
+    """One start of an instance: a later one under the same id holds nothing of this one.
+
+    Attributes:
+        instance_id: Id of the instance.
+        born_ms: Unix time of the start in milliseconds, as it tells; 0 when it tells none.
+    """
+
+    instance_id: str
+    born_ms: int = 0
+
+    def __str__(self) -> str:
+        """Return the life as nodes tell and log it."""
+        return f"{self.instance_id}@{self.born_ms}" if self.born_ms else self.instance_id
+
+
 class Instance(msgspec.Struct, frozen=True):
-    """One incarnation of a server of a service.
+    """One life of a server of a service.
 
     Attributes:
-        instance_id: New with every start.
+        instance_id: Its id; it may start again under it.
         service: Name of its service.
         address: ``ip:port``.
         zone: Its zone.
@@ -19,6 +35,7 @@
         draining: Whether it is about to leave and takes nothing new.
         versions: Weights version of each of its models.
         order_sequence: Orders that it has taken.
+        born_ms: Unix time of its start in milliseconds, as it tells; 0 when it tells none.
     """
 
     instance_id: str
@@ -29,6 +46,12 @@
     draining: bool = False
     versions: Mapping[str, int] = {}
     order_sequence: int = 0
+    born_ms: int = 0
+
+    @property
+    def life(self) -> InstanceLife:
+        """Which start of the instance this is."""
+        return InstanceLife(self.instance_id, self.born_ms)
 
 
 class NamedWeights(msgspec.Struct, frozen=True):
--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from hopstep.domain.exchanges.serving import Route, Tenant
-from hopstep.domain.request_fingerprint import request_fingerprint
+from hopstep.domain.quarantine.crashes import RequestName
+from hopstep.domain.quarantine.fingerprint import request_fingerprint
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -69,8 +70,8 @@
     prompt: Prompt | None = None
     resume_after: str = ""
 
-    @property
-    def fingerprint(self) -> bytes:
-        """Digest that equal requests of one caller share; computed anew at each use."""
+    def name(self) -> RequestName:
+        """Return what it shares with equal requests of its caller; digests the whole body."""
         caller = self.tenant.name if self.tenant is not None else ""
-        return request_fingerprint(caller, self.target, self.body)
+        fingerprint = request_fingerprint(caller, self.target, self.body)
+        return RequestName(fingerprint, caller, self.route.name)
--- a/hopstep/domain/exchanges/retry_after.py
+++ b/hopstep/domain/exchanges/retry_after.py
@@ -42,6 +42,7 @@
     STORE_AWAY = "store_away"
     LOADING = "loading"
     RELISTING = "relisting"
+    QUARANTINE = "quarantine"
     UNKNOWN = "unknown"
 
 
@@ -118,5 +119,5 @@
             return facts.loading_seconds or DEFAULT_SECONDS
         case RetryReason.RELISTING:
             return min(DEFAULT_SECONDS, facts.relisting_seconds or DEFAULT_SECONDS)
-        case RetryReason.UNKNOWN:
+        case RetryReason.UNKNOWN | RetryReason.QUARANTINE:
             return DEFAULT_SECONDS
--- a/hopstep/exceptions.py
+++ b/hopstep/exceptions.py
@@ -39,6 +39,7 @@
     PRECONDITION_FAILED = "precondition_failed"
     STREAM_INTERRUPTED = "stream_interrupted"
     EXECUTION_UNKNOWN = "execution_unknown"
+    REQUEST_QUARANTINED = "request_quarantined"
     ALREADY_CLAIMED = "already_claimed"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     # Node state
@@ -78,6 +79,7 @@
     ErrorCode.PRECONDITION_FAILED: "The engine restarted or changed weights meanwhile.",
     ErrorCode.STREAM_INTERRUPTED: "The answer broke off and could not be continued.",
     ErrorCode.EXECUTION_UNKNOWN: "A request that must run at most once may have run; check first.",
+    ErrorCode.REQUEST_QUARANTINED: "Back ends ended under this request; change it, or see its log.",
     ErrorCode.ALREADY_CLAIMED: "The idempotency key was used before; that request may have run.",
     ErrorCode.CLAIMS_UNAVAILABLE: "The store of claims is down; only requests with a key wait.",
     ErrorCode.NOT_READY: "The router has no configuration yet.",
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -32,6 +32,7 @@
 from hopstep.ports.serving_directory import ServingDirectory
 from hopstep.ports.weights_orders import WeightsOrders
 from hopstep.services.exchanges.connection_reaper import ConnectionReaper
+from hopstep.services.exchanges.crash_news import CrashNews
 from hopstep.services.exchanges.directory_follower import DirectoryFollower
 from hopstep.services.exchanges.engine_cache_watch import EngineCacheWatch
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
@@ -43,8 +44,11 @@
 from hopstep.services.exchanges.rollout_lease import RolloutLease
 from hopstep.services.exchanges.service import ExchangeService
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
+from hopstep.services.exchanges.urgent_box import UrgentBox
 from hopstep.services.exchanges.weights_rollout import WeightsRollout
 from hopstep.services.lifecycle import Lifecycle
+from hopstep.services.quarantine.quarantine import Quarantine
+from hopstep.services.quarantine.records import QUARANTINE_PREFIX, QuarantineRecords
 from hopstep.settings_loader import SettingsError, load_exchange_settings
 
 MILLISECONDS = 1_000.0
@@ -113,7 +117,18 @@
             max(0.0, bounds.grace_seconds - CLOSING_SECONDS),
             min(ACCEPT_SECONDS, bounds.grace_seconds / 3),
         )
-        self.sharing = LoadSharing(self.knowledge)
+        urgent = UrgentBox()
+        self.quarantine = Quarantine(settings.name)
+        self.knowledge.follow_ends(
+            lambda life, evidence: self.quarantine.note_ended(str(life), evidence)
+        )
+        self.quarantine_records = QuarantineRecords(self.quarantine, ports.store, generator)
+        self.knowledge.follow_records(
+            QUARANTINE_PREFIX,
+            lambda record: self.quarantine_records.take(record.key, record.value, record.revision),
+        )
+        self.crash_news = CrashNews(self.quarantine, urgent)
+        self.sharing = LoadSharing(self.knowledge, urgent)
         self.store_watch = CacheStoreWatch(self.knowledge, ports.cache_events, self.pauses)
         self.engine_watch = EngineCacheWatch(
             self.knowledge, ports.cache_events, self.sharing, self.pauses
@@ -123,6 +138,8 @@
             self.sharing,
             self.store_watch,
             self.follower,
+            urgent,
+            self.quarantine,
             ports.nodes,
             generator,
             limits,
@@ -135,6 +152,7 @@
             self.sharing,
             self.store_watch,
             self.pauses,
+            self.quarantine,
             RepeatBounds(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds),
             self.metrics,
             generator,
@@ -178,6 +196,11 @@
             "Requests under way.",
             lambda: self.lifecycle.active_requests,
         )
+        metrics.watch(
+            "hopstep_quarantined_requests",
+            "Requests that are refused since several instances have ended under them.",
+            lambda: self.quarantine.refused_requests,
+        )
         metrics.watch(
             "hopstep_rollout_fencing_token",
             "Fencing token while this node holds the rollout lease; else 0.",
@@ -198,6 +221,9 @@
             nursery.start_soon(self.relaying.run)
             nursery.start_soon(self.store_watch.run)
             nursery.start_soon(self.engine_watch.run)
+            nursery.start_soon(self.quarantine.run)
+            nursery.start_soon(self.quarantine_records.run)
+            nursery.start_soon(self.crash_news.run)
             nursery.start_soon(self.registration.run)
             nursery.start_soon(self.reaper.run)
             nursery.start_soon(self.lease.run)
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -343,6 +343,7 @@
     Level.INFO,
     (
         "request_id",
+        "fingerprint",
         "route",
         "tenant",
         "service",
@@ -395,6 +396,35 @@
     "If one instance recurs: look at its own logs; if one `fingerprint` does: at the request.",
 )
 
+INSTANCE_ENDED = LogEvent(
+    "HS3104",
+    "instance_ended",
+    Level.INFO,
+    ("instance", "evidence", "requests"),
+    "Look at the instance's own logs; `requests` answers of this node broke off with it.",
+)
+INSTANCE_ENDED_UNDER_REQUEST = LogEvent(
+    "HS3105",
+    "instance_ended_under_request",
+    Level.WARNING,
+    ("fingerprint", "tenant", "route", "instance", "seen_by", "ends"),
+    "Several instances ended while this request was under way: look at what it asks for.",
+)
+REQUEST_QUARANTINED = LogEvent(
+    "HS3106",
+    "request_quarantined",
+    Level.WARNING,
+    ("fingerprint", "tenant", "route", "ends", "seconds"),
+    "The request is refused meanwhile; the operators' page says how to find it and to allow it.",
+)
+REQUEST_RELEASED = LogEvent(
+    "HS3107",
+    "request_released",
+    Level.INFO,
+    ("fingerprint", "tenant", "route", "reason"),
+    "Nothing; if instances end under it again it is refused again.",
+)
+
 SERVING_CONFIGURATION_APPLIED = LogEvent(
     "HS4101",
     "serving_configuration_applied",
--- a/hopstep/platform/documents.py
+++ b/hopstep/platform/documents.py
@@ -136,6 +136,7 @@
     state: str = ""
     models: tuple[_Model, ...] = ()
     call_sequence: int = 0
+    born: int = 0
 
 
 class _Weights(msgspec.Struct, frozen=True, rename="camel"):
@@ -178,6 +179,7 @@
         draining=entry.state == names.DRAINING,
         versions={model.name: model.version for model in entry.models},
         order_sequence=entry.call_sequence,
+        born_ms=entry.born,
     )
 
 
--- a/hopstep/platform/http_client.py
+++ b/hopstep/platform/http_client.py
@@ -9,6 +9,7 @@
 
 import httpcore
 import msgspec
+import trio
 
 from hopstep.ports.instance_calls import SendProof
 
@@ -94,6 +95,24 @@
         finally:
             self._active[call.address] -= 1
 
+    async def listens(self, address: str, seconds: float) -> bool | None:
+        """Return whether an address takes a new connection; None when nothing says so.
+
+        Args:
+            address: ``ip:port``.
+            seconds: Longest wait.
+        """
+        host, _, port = address.rpartition(":")
+        with trio.move_on_after(seconds), trio.socket.socket() as socket:
+            try:
+                await socket.connect((host, int(port)))
+            except ConnectionRefusedError:
+                return False
+            except OSError:
+                return None
+            return True
+        return None
+
     def idle_addresses(self) -> set[str]:
         """Return the addresses with a pool on which no call is under way."""
         return {address for address in self._pools if not self._active[address]}
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -10,6 +10,7 @@
 import trio
 
 from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.quarantine.crashes import InstanceSign
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform import names
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
@@ -30,6 +31,13 @@
 
 FAILURES = (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException)
 
+SIGNS = {
+    True: InstanceSign.ANSWERS,
+    False: InstanceSign.ENDED,
+    None: InstanceSign.NO_ANSWER,
+}
+"""By whether an instance's address takes connections. A port is closed as its process ends."""
+
 ORDER_OUTCOMES = {
     200: OrderOutcome.HOLDS_ALREADY,
     202: OrderOutcome.UNDER_WAY,
@@ -122,6 +130,10 @@
             _check_head(response, call)
             yield HttpInstanceAnswer(response)
 
+    async def look(self, instance: Instance) -> InstanceSign:
+        """Look at an instance; see the port."""
+        return SIGNS[await self._client.listens(instance.address, CONNECT_SECONDS)]
+
     def idle_addresses(self) -> set[str]:
         """Return the addresses without requests under way; see the port."""
         return self._client.idle_addresses()
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -10,6 +10,7 @@
 
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.request import ExchangeRequest, Headers
+from hopstep.domain.quarantine.crashes import InstanceSign
 from hopstep.exceptions import ErrorCode, Execution, PortError
 
 
@@ -116,6 +117,10 @@
                 that it hasn't run it.
         """
 
+    @abc.abstractmethod
+    async def look(self, instance: Instance) -> InstanceSign:
+        """Return whether something listens at an instance's address, or it has surely ended."""
+
     @abc.abstractmethod
     def idle_addresses(self) -> set[str]:
         """Return the addresses with connections on which no request is under way."""
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -15,6 +15,7 @@
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.store_contents import ContentsNews, ContentsPosition
+from hopstep.domain.quarantine.crashes import RequestCrashes
 from hopstep.ports.serving_directory import DirectoryEntry
 
 
@@ -151,11 +152,13 @@
         number: Rises with each message of the process.
         prompts: Long prompts, in addition to the loads that were told.
         loading: Engines that are about to load weights.
+        crashes: Requests under which instances have ended.
     """
 
     number: int
     prompts: tuple[SentPrompt, ...] = ()
     loading: tuple[LoadingEngine, ...] = ()
+    crashes: tuple[RequestCrashes, ...] = ()
 
 
 NodeMessage = RelayQuery | RelayAnswer | RelayDigest | UrgentNews
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Set
 
 import trio
@@ -11,6 +12,7 @@
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
+from hopstep.domain.quarantine.crashes import EndEvidence, RequestName
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer
@@ -23,12 +25,23 @@
 PRIORITIES_OF_A_TENANT = 3
 """Routes' ranks that fit between two ranks of tenants."""
 
+FURTHER_STEPS = (NextStep.RETRY, NextStep.RESUME)
+"""Steps that send the request to another instance."""
+
+ANSWERED_CODES = frozenset({ErrorCode.RETRIES_EXHAUSTED})
+"""Codes of attempts that the instance itself has answered with a failure."""
+
 MAX_UNSENT_TRIES = 3
 """Most instances that couldn't be reached before a request is refused."""
 
 
 class Exchange:
-    """Carries one request."""
+    """Carries one request.
+
+    Attributes:
+        outcome: What is told of it when it has ended.
+        refused_seconds: For how much longer it is refused since it ends instances; else 0.
+    """
 
     def __init__(
         self, parts: ExchangeParts, request: ExchangeRequest, service: str, answer: ClientAnswer
@@ -42,6 +55,7 @@
             answer: The client's answer.
         """
         self.outcome = ExchangeOutcome()
+        self.refused_seconds = 0.0
         self._parts = parts
         self._request = request
         self._service = service
@@ -74,6 +88,7 @@
         """Make attempts until the answer is whole or nothing more can be done."""
         only: str | None = None
         while True:
+            self._refuse_quarantined()
             candidate = self._parts.choice.choose(self._request, self._service, self._tried, only)
             if candidate is None:
                 self._fail(ErrorCode.OVERLOADED, "no instance may serve the request now")
@@ -87,6 +102,8 @@
                 continue
             step = decide_step(self._progress(error))
             self._log_attempt(candidate.view, error, step)
+            if step in FURTHER_STEPS:
+                await self._settle(candidate.view)
             if step is NextStep.CUT:
                 self.outcome.outcome = "cut"
                 return
@@ -97,6 +114,25 @@
                 return
             self._relay.restart()
 
+    @functools.cached_property
+    def _name(self) -> RequestName:
+        """What it shares with equal requests of its caller."""
+        return self._request.name()
+
+    def _refuse_quarantined(self) -> None:
+        """End a request that has ended too many instances, before each that it would be sent to.
+
+        Without this one request that came again and again ended ten engines within 13 s, and 54
+        other answers broke off with them.
+        """
+        quarantine = self._parts.quarantine
+        if quarantine.is_idle:
+            return
+        self.outcome.fingerprint = self._name.fingerprint.hex()
+        self.refused_seconds = quarantine.refused_seconds(self._name.fingerprint)
+        if self.refused_seconds:
+            self._fail(ErrorCode.REQUEST_QUARANTINED, "instances have ended under this request")
+
     def _go_on(self, view: InstanceView, error: InstanceCallError) -> str | None:
         """Return where to go on after a refusal that doesn't count as an instance of the route.
 
@@ -120,6 +156,8 @@
         """Learn what a refusal tells of an instance; see ``_go_on`` for what is returned."""
         if error.replaced:
             view.replaced = True
+            life = str(view.instance.life)
+            self._parts.quarantine.note_ended(life, EndEvidence.REPLACED)
             return ""
         prompt = self._request.prompt
         if not error.stale_version or prompt is None or view.drop_assumption(prompt.model):
@@ -138,22 +176,47 @@
         view.segments.record(candidate.keys, now + candidate.read_seconds)
         self._parts.note_sent(candidate)
         self._in_flight = SendProof()
+        left_midway = True
         try:
             await self._call(candidate)
+            left_midway = False
         except InstanceCallError as error:
-            if error.sent:
-                self._count_sent(view)
-            else:
-                self._unsent_tries += 1
-            self._tried.add(view.instance.instance_id)
-            self._in_flight = SendProof()
+            left_midway = False
+            self._learn_from_attempt(view, error)
             return error
         finally:
             view.end(request.request_id, candidate.uncached_tokens)
+            if left_midway and self._in_flight.sent and not self._relay.finished:
+                self._parts.quarantine.note_broken(self._name, str(view.instance.life))
         self._in_flight = SendProof()
         self._count_sent(view)
+        if not self._parts.quarantine.is_idle:
+            self._parts.quarantine.note_whole_answer(self._name.fingerprint)
         return None
 
+    def _learn_from_attempt(self, view: InstanceView, error: InstanceCallError) -> None:
+        """Count an attempt without a whole answer, and have a silent instance looked at."""
+        if error.sent:
+            self._count_sent(view)
+            self._note_broken(view, error)
+        else:
+            self._unsent_tries += 1
+        self._tried.add(view.instance.instance_id)
+        self._in_flight = SendProof()
+
+    def _note_broken(self, view: InstanceView, error: InstanceCallError) -> None:
+        """Have the instance looked at that gave no answer, or broke one off."""
+        answered = error.execution is Execution.NOT_RUN or error.code in ANSWERED_CODES
+        if not answered:
+            look = functools.partial(self._parts.calls.look, view.instance)
+            self._parts.quarantine.note_broken(self._name, str(view.instance.life), look)
+
+    async def _settle(self, view: InstanceView) -> None:
+        """Know whether the instance has ended, before a request that may end others goes on."""
+        quarantine = self._parts.quarantine
+        if not quarantine.is_idle:
+            await quarantine.settle(self._name.fingerprint, str(view.instance.life))
+
     def _count_sent(self, view: InstanceView) -> None:
         """Count an attempt that left."""
         if self.outcome.attempts:
@@ -193,8 +256,8 @@
         """Open the call and relay its answer."""
         view = candidate.view
         async with self._parts.calls.open(self._make_call(candidate)) as answer:
-            now = trio.current_time()
-            view.heard(now)
+            view.heard(trio.current_time())
+            self._parts.quarantine.note_answer(str(view.instance.life), sent_at)
             if answer.weights_version and self._request.prompt is not None:
                 view.learn_version(self._request.prompt.model, answer.weights_version)
             await self._relay.relay(candidate, answer, sent_at)
@@ -266,7 +329,7 @@
         emit(
             log_events.EXCHANGE_ATTEMPT_FAILED,
             request_id=self._request.request_id,
-            fingerprint=self._request.fingerprint.hex(),
+            fingerprint=self._name.fingerprint.hex(),
             instance=view.instance.instance_id,
             code=error.code.value,
             reason=error.message,
--- a/hopstep/services/exchanges/exchange_parts.py
+++ b/hopstep/services/exchanges/exchange_parts.py
@@ -12,6 +12,7 @@
 from hopstep.ports.instance_calls import InstanceCalls
 from hopstep.services.exchanges.instance_choice import InstanceChoice
 from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.services.quarantine.quarantine import Quarantine
 
 MILLISECONDS = 1_000
 
@@ -43,6 +44,8 @@
         read_tokens: Prompt tokens that the last instance was expected to read.
         source: Where it was told to bring segments from.
         target: Where it was told to save segments.
+        fingerprint: Digest that equal requests share, in hexadecimal digits; empty when nothing
+            counts against any request.
     """
 
     outcome: str = ""
@@ -54,6 +57,7 @@
     read_tokens: int = 0
     source: str = ""
     target: str = ""
+    fingerprint: str = ""
 
 
 class ExchangeParts(msgspec.Struct, frozen=True):
@@ -66,6 +70,7 @@
         nodes: Returns how many nodes may be alive.
         note_sent: Told of each prompt that is sent, for the peers.
         pauses: Notices pauses of the node itself.
+        quarantine: Requests that end instances.
         count_failure: Told of each failed attempt: its code, and what follows.
     """
 
@@ -75,4 +80,5 @@
     nodes: Callable[[], int]
     note_sent: Callable[[Candidate], None]
     pauses: PauseWatch
+    quarantine: Quarantine
     count_failure: Callable[[str, str], None]
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 import trio
@@ -17,11 +17,12 @@
 from hopstep import log_events
 from hopstep.domain.exchanges.directory_feed import DirectoryFeed, FeedEntry
 from hopstep.domain.exchanges.instance_table import InstanceTable
-from hopstep.domain.exchanges.instances import NamedWeights
+from hopstep.domain.exchanges.instances import InstanceLife, NamedWeights
 from hopstep.domain.exchanges.nodes import NodeRecord, RelayPlan
 from hopstep.domain.exchanges.serving import ServingConfiguration, ServingIndex
 from hopstep.domain.exchanges.store_contact import StoreContact
 from hopstep.domain.exchanges.weights import WeightsBook
+from hopstep.domain.quarantine.crashes import EndEvidence
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import (
@@ -63,6 +64,12 @@
 
 Entry = FeedEntry[DirectoryEntry]
 
+RecordListener = Callable[[RecordWritten], None]
+"""Takes a key of hopstep's own; its value is empty when it is gone."""
+
+EndListener = Callable[[InstanceLife, EndEvidence], None]
+"""Told a life of an instance that is over, and what shows it."""
+
 
 class ServingKnowledge:
     """Takes what the directory says; readers look at its fields."""
@@ -99,9 +106,19 @@
         self.node_heard_at = -float("inf")
         self.rollout_record: RecordWritten | None = None
         self.changed = trio.Event()
+        self._record_listeners: dict[str, RecordListener] = {}
+        self._end_listeners: list[EndListener] = []
         self._max_age = revocation_seconds - MARGIN_SECONDS
         self._expired = False
 
+    def follow_records(self, prefix: str, listener: RecordListener) -> None:
+        """Tell a listener of hopstep's own keys under a prefix."""
+        self._record_listeners[prefix] = listener
+
+    def follow_ends(self, listener: EndListener) -> None:
+        """Tell a listener of instances that the directory shows to have ended."""
+        self._end_listeners.append(listener)
+
     @property
     def current(self) -> ServingConfiguration | None:
         """The configuration in force, or None before the first."""
@@ -198,8 +215,14 @@
 
     def expire_lapsed(self) -> None:
         """Forget instances whose entries lapsed while the store was away and didn't come back."""
-        for instance_id in self.table.expire(trio.current_time()):
-            emit(log_events.INSTANCE_REMOVED, instance=instance_id, source=LAPSED, age_ms=0)
+        for instance in self.table.expire(trio.current_time()):
+            self._note_ended(instance.life, EndEvidence.UNLISTED)
+            emit(
+                log_events.INSTANCE_REMOVED,
+                instance=instance.instance_id,
+                source=LAPSED,
+                age_ms=0,
+            )
 
     def confirm(self, revision: int, confirmed_at: float) -> None:
         """Note that everything up to a revision is known.
@@ -257,6 +280,8 @@
         instance = listed.instance
         known = self.table.get(instance.instance_id)
         drained = known is not None and known.instance.draining
+        if known is not None and known.instance.born_ms < instance.born_ms:
+            self._note_ended(known.instance.life, EndEvidence.RESTARTED)
         if self.table.put(instance) or drained != instance.draining:
             emit(
                 log_events.INSTANCE_LISTED,
@@ -273,8 +298,18 @@
         until = self.contact.relisting_until
         if trio.current_time() < until and self.table.lapse(instance_id, until):
             emit(log_events.INSTANCE_LAPSED, instance=instance_id, source=source)
-        elif self.table.remove(instance_id):
-            emit(log_events.INSTANCE_REMOVED, instance=instance_id, source=source, age_ms=age_ms)
+            return
+        removed = self.table.remove(instance_id)
+        if removed is None:
+            return
+        emit(log_events.INSTANCE_REMOVED, instance=instance_id, source=source, age_ms=age_ms)
+        if not removed.draining:
+            self._note_ended(removed.life, EndEvidence.UNLISTED)
+
+    def _note_ended(self, life: InstanceLife, evidence: EndEvidence) -> None:
+        """Tell of a life that is over."""
+        for listener in self._end_listeners:
+            listener(life, evidence)
 
     def _take_configuration(
         self, configuration: ServingConfiguration, source: str, age_ms: int
@@ -306,6 +341,9 @@
             self.rollout_record = record if record.value else None
         elif record.key.startswith(NODES_PREFIX):
             self._take_node(record)
+        for prefix, listener in self._record_listeners.items():
+            if record.key.startswith(prefix):
+                listener(record)
 
     def _take_node(self, record: RecordWritten) -> None:
         """Take a node's entry."""
--- a/hopstep/services/exchanges/load_sharing.py
+++ b/hopstep/services/exchanges/load_sharing.py
@@ -16,6 +16,7 @@
 from hopstep.domain.exchanges.sent_log import SentLog
 from hopstep.ports.node_exchange import Hints, LoadingEngine, SegmentNews, SentPrompt
 from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.urgent_box import UrgentBox
 
 ANSWERS = "answers"
 """Source of the loads that a relay's answer tells: of all other nodes together."""
@@ -37,13 +38,14 @@
 class LoadSharing:
     """Collects hints of this node and of others, and puts them into the views of instances."""
 
-    def __init__(self, knowledge: ServingKnowledge) -> None:
+    def __init__(self, knowledge: ServingKnowledge, urgent: UrgentBox) -> None:
         """Start with nothing to tell.
 
         Args:
             knowledge: Instances and nodes.
+            urgent: Takes what all nodes are told at once.
         """
-        self.urgent = trio.Event()
+        self._urgent = urgent
         self.log: SentLog[SegmentNews] = SentLog(secrets.token_hex(IDENTITY_BYTES))
         self._knowledge = knowledge
         self._members = LoadLedger()
@@ -51,8 +53,6 @@
         self._unsent: list[SegmentNews] = []
         self._loading: dict[str, float] = {}
         self._told: dict[tuple[str, int], float] = {}
-        self._urgent_prompts: list[SentPrompt] = []
-        self._urgent_loading: list[LoadingEngine] = []
 
     def count_nodes(self) -> int:
         """Return how many nodes may be alive, this one included."""
@@ -66,8 +66,7 @@
         instance_id = candidate.view.instance.instance_id
         news = SegmentNews(instance_id, keys, round(candidate.read_seconds * MILLISECONDS))
         if candidate.uncached_tokens >= URGENT_TOKENS:
-            self._urgent_prompts.append(SentPrompt(news, candidate.uncached_tokens))
-            self.urgent.set()
+            self._urgent.put_prompt(SentPrompt(news, candidate.uncached_tokens))
         kept_already = candidate.kept_tokens >= sum(key.tokens for key in keys)
         if not kept_already or self._is_due(instance_id, keys[-1].digest):
             self._tell(news)
@@ -105,16 +104,7 @@
     def announce_loading(self, instance_id: str, seconds: float) -> None:
         """Tell other nodes at once that an engine loads weights."""
         self._loading[instance_id] = trio.current_time() + seconds
-        self._urgent_loading.append(LoadingEngine(instance_id, round(seconds * MILLISECONDS)))
-        self.urgent.set()
-
-    def take_urgent(self) -> tuple[tuple[SentPrompt, ...], tuple[LoadingEngine, ...]]:
-        """Return this node's urgent news, once."""
-        prompts, loading = tuple(self._urgent_prompts), tuple(self._urgent_loading)
-        self._urgent_prompts.clear()
-        self._urgent_loading.clear()
-        self.urgent = trio.Event()
-        return prompts, loading
+        self._urgent.put_loading(LoadingEngine(instance_id, round(seconds * MILLISECONDS)))
 
     def members(self) -> list[str]:
         """Return the nodes that asked this one lately."""
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/relaying.py
@@ -35,6 +35,8 @@
 from hopstep.services.exchanges.knowledge import NO_REVISION, STORE_SOURCE, ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
+from hopstep.services.exchanges.urgent_box import UrgentBox
+from hopstep.services.quarantine.quarantine import Quarantine
 
 INTERVAL_SECONDS = 0.2
 """Between two queries of a node, and between two digests of a relay."""
@@ -71,6 +73,8 @@
         sharing: LoadSharing,
         store_watch: CacheStoreWatch,
         follower: DirectoryFollower,
+        urgent: UrgentBox,
+        quarantine: Quarantine,
         exchange: NodeExchange,
         generator: random.Random,
         limits: FreshnessLimits,
@@ -82,6 +86,8 @@
             sharing: Hints of instances.
             store_watch: What the cache stores keep.
             follower: Reads the store when no node can tell.
+            urgent: What all nodes are told at once.
+            quarantine: Requests under which instances have ended.
             exchange: Datagrams.
             generator: Spreads queries.
             limits: How long the store or a relay may be silent.
@@ -90,6 +96,8 @@
         self._sharing = sharing
         self._store_watch = store_watch
         self._follower = follower
+        self._urgent = urgent
+        self._quarantine = quarantine
         self._exchange = exchange
         self._generator = generator
         self._limits = limits
@@ -117,10 +125,11 @@
     async def _tell_urgent(self) -> None:
         """Send this node's urgent news as they come."""
         while True:
-            await self._sharing.urgent.wait()
-            prompts, loading = self._sharing.take_urgent()
+            await self._urgent.filled.wait()
+            contents = self._urgent.take()
+            crashes = tuple(self._quarantine.told(request) for request in contents.requests)
             self._number += 1
-            news = UrgentNews(self._number, prompts, loading)
+            news = UrgentNews(self._number, contents.prompts, contents.loading, crashes)
             relay = self._knowledge.relays.relay()
             await self._spread(news, [relay] if relay else self._all_below())
 
@@ -219,6 +228,7 @@
                 self._sharing.take_from_relay(received.sender, message.hints)
             case UrgentNews():
                 self._sharing.take_news(received.sender, message.prompts, message.loading)
+                self._quarantine.take(message.crashes)
                 await self._pass_on(received.sender, message)
 
     async def _answer(self, asker: str, query: RelayQuery) -> None:
--- a/hopstep/services/exchanges/retry_advisor.py
+++ b/hopstep/services/exchanges/retry_advisor.py
@@ -41,7 +41,11 @@
         self._told: dict[RetryReason, deque[float]] = {reason: deque() for reason in RetryReason}
 
     def advise(
-        self, code: ErrorCode, service: str = "", tried: Set[str] = frozenset()
+        self,
+        code: ErrorCode,
+        service: str = "",
+        tried: Set[str] = frozenset(),
+        refused_seconds: float = 0.0,
     ) -> RetryAdvice:
         """Return when a client should come back.
 
@@ -49,7 +53,10 @@
             code: Why it is refused.
             service: Service that it asked for; empty when it wasn't looked up.
             tried: Ids of instances that the request was sent to.
+            refused_seconds: For how much longer the request itself is refused; 0 for not at all.
         """
+        if refused_seconds:
+            return RetryAdvice(refused_seconds, RetryReason.QUARANTINE)
         now = trio.current_time()
         knowledge = self._knowledge
         views = [view for view in knowledge.table.of_service(service) if view.takes_requests]
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -26,6 +26,7 @@
 from hopstep.services.exchanges.retry_advisor import RetryAdvisor
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
 from hopstep.services.lifecycle import Lifecycle
+from hopstep.services.quarantine.quarantine import Quarantine
 
 CLIENT_LEFT = "client_left"
 
@@ -41,6 +42,7 @@
         sharing: LoadSharing,
         store_watch: CacheStoreWatch,
         pauses: PauseWatch,
+        quarantine: Quarantine,
         bounds: RepeatBounds,
         metrics: ExchangeMetrics,
         generator: random.Random,
@@ -56,6 +58,7 @@
             sharing: Told of each prompt that is sent.
             store_watch: What the cache stores keep.
             pauses: Notices pauses of the node itself.
+            quarantine: Requests that end instances.
             bounds: Bounds of retries over all nodes.
             metrics: Counts requests and attempts.
             generator: Splits traffic and breaks ties.
@@ -79,6 +82,7 @@
             nodes=sharing.count_nodes,
             note_sent=sharing.note_sent,
             pauses=pauses,
+            quarantine=quarantine,
             count_failure=self._count_failure,
         )
 
@@ -115,7 +119,9 @@
             await exchange.run()
         except ServiceError as error:
             outcome.outcome = f"{error.code.value}:{error.execution.value}"
-            advice = self._advisor.advise(error.code, service, exchange.tried)
+            advice = self._advisor.advise(
+                error.code, service, exchange.tried, exchange.refused_seconds
+            )
             error.retry_after_seconds = advice.seconds
             raise
         except Exception as error:
@@ -130,6 +136,7 @@
             emit(
                 log_events.EXCHANGE_ENDED,
                 request_id=request.request_id,
+                fingerprint=outcome.fingerprint,
                 route=request.route.name,
                 tenant=request.tenant.name if request.tenant is not None else "",
                 service=service,
--- /dev/null
+++ b/hopstep/services/quarantine/quarantine.py
@@ -0,0 +1,279 @@
+"""Finds the requests that end instances, and says which are refused because of that.
+
+An answer that breaks off may have many reasons. So the instance is looked at: only one that no
+longer listens, has started anew or is no longer listed has ended. Such an end is counted for every
+request whose answer broke off there; see ``domain.quarantine.crash_ledger`` for what follows.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable, Iterable
+
+import trio
+
+from hopstep import log_events
+from hopstep.domain.quarantine.crash_ledger import (
+    ENDS_TO_REFUSE,
+    MAX_REQUESTS,
+    CountedEnd,
+    CrashLedger,
+)
+from hopstep.domain.quarantine.crashes import (
+    EndEvidence,
+    InstanceSign,
+    RequestCrashes,
+    RequestName,
+)
+from hopstep.logs import emit
+
+LOOKS = 4
+LOOK_SPACING_SECONDS = 0.4
+"""A look without an answer is repeated: its first packets may be lost, and all nodes should know of
+an end within the three seconds that the operators' bound leaves.
+"""
+
+MAX_WAITING_LOOKS = 256
+SETTLING_SECONDS = 0.4
+"""Longest wait for a look before a request goes to another instance."""
+
+EXPIRY_SECONDS = 5.0
+"""Between two looks for what is too old."""
+
+LOGGED_FROM_ENDS = 2
+"""One end says nothing about a request: most of those that it broke off just were there."""
+
+ABRUPT = frozenset({EndEvidence.REFUSED, EndEvidence.RESTARTED})
+"""Evidence of an end at once, with which all answers under way at the instance broke off."""
+
+EXPIRED = "expired"
+ANSWERED = "answered"
+LIFTED = "lifted"
+
+Look = Callable[[], Awaitable[InstanceSign]]
+"""Looks at an instance once."""
+
+SeenListener = Callable[[bytes], None]
+"""Told a request of which this node itself has seen something new."""
+
+
+class Quarantine:
+    """What this node knows of requests that end instances."""
+
+    def __init__(self, node: str) -> None:
+        """Know nothing. Must be called inside the event loop.
+
+        Args:
+            node: Name of this node.
+        """
+        self.node = node
+        self.changed = trio.Event()
+        self._ledger = CrashLedger(node)
+        self._names: OrderedDict[bytes, RequestName] = OrderedDict()
+        self._listeners: list[SeenListener] = []
+        self._looking: dict[str, trio.Event] = {}
+        self._looks, self._due = trio.open_memory_channel[tuple[str, Look]](MAX_WAITING_LOOKS)
+
+    def subscribe(self, listener: SeenListener) -> None:
+        """Tell a listener of what this node sees, so that it can tell others."""
+        self._listeners.append(listener)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing counts against any request, so that none needs to be looked up."""
+        return self._ledger.is_empty
+
+    @property
+    def refused_requests(self) -> int:
+        """How many requests are refused now."""
+        now = trio.current_time()
+        repeated = self._ledger.repeated()
+        return sum(self._ledger.refused_seconds(fingerprint, now) > 0 for fingerprint in repeated)
+
+    def refused_seconds(self, fingerprint: bytes) -> float:
+        """Return for how much longer a request is refused; 0 when it isn't."""
+        return self._ledger.refused_seconds(fingerprint, trio.current_time())
+
+    def told(self, fingerprint: bytes) -> RequestCrashes:
+        """Return all that is known of a request."""
+        return self._ledger.told(fingerprint)
+
+    def ends(self, fingerprint: bytes) -> int:
+        """Return how many instances have ended under a request, as far as it counts."""
+        return self._ledger.ends(fingerprint)
+
+    def wake(self) -> None:
+        """Have those look again that keep or tell what is known."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def name(self, fingerprint: bytes) -> RequestName:
+        """Return how a request is named in the log, as far as this node has met it."""
+        return self._names.get(fingerprint, RequestName(fingerprint))
+
+    def repeated(self) -> list[bytes]:
+        """Return the requests under which more than one instance has ended."""
+        return self._ledger.repeated()
+
+    def note_broken(self, request: RequestName, life: str, look: Look | None = None) -> None:
+        """Note a request whose answer broke off, or that was left before it was answered.
+
+        Args:
+            request: The request.
+            life: The instance.
+            look: Looks whether the instance has ended; None when nothing says so.
+        """
+        self._remember(request)
+        counted = self._ledger.note_broken(request.fingerprint, life, trio.current_time())
+        if counted is not None:
+            self._note_counted(counted)
+        elif look is not None and life not in self._looking:
+            self._begin_look(life, look)
+
+    def note_answer(self, life: str, sent_at: float) -> None:
+        """Note an instance's answer to a request that was sent at a time."""
+        self._ledger.note_answer(life, sent_at)
+
+    def note_whole_answer(self, fingerprint: bytes) -> None:
+        """Take back an end that counts for a request: it has run to a whole answer."""
+        if self._ledger.is_empty:
+            return
+        was_refused = self.refused_seconds(fingerprint) > 0
+        if self._ledger.note_whole_answer(fingerprint):
+            self._note_changed(fingerprint, seen_here=True)
+            if was_refused and not self.refused_seconds(fingerprint):
+                self._log_release(fingerprint, ANSWERED)
+
+    def note_ended(self, life: str, evidence: EndEvidence) -> None:
+        """Note that an instance has ended.
+
+        Args:
+            life: The instance.
+            evidence: What shows it.
+        """
+        abruptly = evidence in ABRUPT
+        counted = self._ledger.note_ended(life, trio.current_time(), abruptly=abruptly)
+        if not counted:
+            return
+        emit(
+            log_events.INSTANCE_ENDED,
+            instance=life,
+            evidence=evidence.value,
+            requests=len(counted),
+        )
+        for end in counted:
+            self._note_counted(end)
+
+    def take(self, told: Iterable[RequestCrashes]) -> None:
+        """Take what other nodes tell, or what is in the store."""
+        for request in told:
+            before = self._ledger.told(request.fingerprint)
+            for end in self._ledger.merge(request, trio.current_time()):
+                self._log(end)
+            if self._ledger.told(request.fingerprint) != before:
+                self._note_changed(request.fingerprint, seen_here=False)
+
+    def lift(self, fingerprint: bytes) -> None:
+        """Let a request run again: operators say so."""
+        was_refused = self.refused_seconds(fingerprint) > 0
+        self._ledger.clear(fingerprint)
+        if was_refused:
+            self._log_release(fingerprint, LIFTED)
+
+    async def settle(self, fingerprint: bytes, life: str) -> None:
+        """Wait for the look at an instance if one more end would have the request refused."""
+        looking = self._looking.get(life)
+        if looking is None or self._ledger.ends(fingerprint) < ENDS_TO_REFUSE - 1:
+            return
+        with trio.move_on_after(SETTLING_SECONDS):
+            await looking.wait()
+
+    async def run(self) -> None:
+        """Look at instances, and forget what is too old, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._expire)
+            async for life, look in self._due:
+                nursery.start_soon(self._look, life, look)
+
+    async def _expire(self) -> None:
+        """Forget what is too old from time to time."""
+        while True:
+            await trio.sleep(EXPIRY_SECONDS)
+            for fingerprint in self._ledger.expire(trio.current_time()):
+                self._log_release(fingerprint, EXPIRED)
+
+    def _begin_look(self, life: str, look: Look) -> None:
+        """Have an instance looked at; beyond the bound the end of its entry has to show it."""
+        try:
+            self._looks.send_nowait((life, look))
+        except trio.WouldBlock:
+            return
+        self._looking[life] = trio.Event()
+
+    async def _look(self, life: str, look: Look) -> None:
+        """Look at an instance until it answers or has ended."""
+        try:
+            for number in range(LOOKS):
+                if number:
+                    await trio.sleep(LOOK_SPACING_SECONDS)
+                sign = await look()
+                if sign is InstanceSign.ENDED:
+                    self.note_ended(life, EndEvidence.REFUSED)
+                if sign is not InstanceSign.NO_ANSWER:
+                    return
+        finally:
+            self._looking.pop(life).set()
+
+    def _remember(self, request: RequestName) -> None:
+        """Keep how a request is named in the log."""
+        self._names[request.fingerprint] = request
+        self._names.move_to_end(request.fingerprint)
+        while len(self._names) > MAX_REQUESTS:
+            self._names.popitem(last=False)
+
+    def _note_counted(self, end: CountedEnd) -> None:
+        """Log an end that this node has seen, and have it told to the others."""
+        self._log(end)
+        self._note_changed(end.fingerprint, seen_here=True)
+
+    def _note_changed(self, fingerprint: bytes, *, seen_here: bool) -> None:
+        """Wake up those who keep or tell what is known."""
+        if seen_here:
+            for listener in self._listeners:
+                listener(fingerprint)
+        self.wake()
+
+    def _log(self, end: CountedEnd) -> None:
+        """Log an end that counts for a request, and the beginning of its refusal."""
+        name = self.name(end.fingerprint)
+        if end.ends >= LOGGED_FROM_ENDS:
+            emit(
+                log_events.INSTANCE_ENDED_UNDER_REQUEST,
+                fingerprint=end.fingerprint.hex(),
+                tenant=name.caller,
+                route=name.route,
+                instance=end.crash.life,
+                seen_by=end.crash.node,
+                ends=end.ends,
+            )
+        if end.ends == ENDS_TO_REFUSE:
+            known = self._ledger.told(end.fingerprint)
+            emit(
+                log_events.REQUEST_QUARANTINED,
+                fingerprint=end.fingerprint.hex(),
+                tenant=name.caller,
+                route=name.route,
+                ends=[f"{crash.life} seen by {crash.node}" for crash in known.crashes],
+                seconds=round(self.refused_seconds(end.fingerprint)),
+            )
+
+    def _log_release(self, fingerprint: bytes, reason: str) -> None:
+        """Log that a request is no longer refused."""
+        name = self.name(fingerprint)
+        emit(
+            log_events.REQUEST_RELEASED,
+            fingerprint=fingerprint.hex(),
+            tenant=name.caller,
+            route=name.route,
+            reason=reason,
+        )
--- a/tests/adapters/test_node_codec.py
+++ b/tests/adapters/test_node_codec.py
@@ -12,6 +12,7 @@
 from hopstep.domain.exchanges.load_ledger import InstanceLoad
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.segments import SegmentKey
+from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
 from hopstep.ports.node_exchange import (
     Hints,
     LoadingEngine,
@@ -20,6 +21,7 @@
     RelayedEntry,
     RelayQuery,
     SegmentNews,
+    UrgentNews,
 )
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
@@ -48,6 +50,9 @@
     RelayQuery(2, 77, "feed", 12, HINTS),
     RelayAnswer(2, 77, 80, 350, entries=tuple(RelayedEntry(e, 20) for e in ENTRIES), hints=HINTS),
     RelayDigest(9, HINTS),
+    UrgentNews(
+        10, crashes=(RequestCrashes(b"\x00\xff" * 8, (Crash("i1@7", "a"),), ("i0", "i1@6")),)
+    ),
 )
 
 
--- /dev/null
+++ b/tests/domain/quarantine/test_crash_ledger.py
@@ -0,0 +1,172 @@
+import unittest
+
+from hopstep.domain.quarantine.crash_ledger import (
+    ENDS_TO_REFUSE,
+    MAX_ENDS,
+    MAX_REQUESTS,
+    MEMORY_SECONDS,
+    UNPROVED_SECONDS,
+    CrashLedger,
+)
+from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
+
+FATAL = b"fatal"
+OTHER = b"other"
+
+
+class CrashLedgerTest(unittest.TestCase):
+    def setUp(self):
+        self.ledger = CrashLedger("n1")
+
+    def end_under(self, fingerprint, *lives, at=0.0, ledger=None):
+        ledger = ledger or self.ledger
+        for life in lives:
+            ledger.note_broken(fingerprint, life, at)
+            ledger.note_ended(life, at)
+
+    def refused(self, fingerprint, now=0.0):
+        return self.ledger.refused_seconds(fingerprint, now) > 0
+
+    def test_a_request_is_refused_after_three_instances_have_ended_under_it(self):
+        for number in range(ENDS_TO_REFUSE):
+            self.assertFalse(self.refused(FATAL))
+            self.end_under(FATAL, f"i{number}")
+        self.assertTrue(self.refused(FATAL))
+        self.assertFalse(self.refused(OTHER))
+
+    def test_one_end_counts_once(self):
+        for _ in range(5):
+            self.end_under(FATAL, "i1")
+        self.assertEqual(self.ledger.ends(FATAL), 1)
+
+    def test_a_second_life_of_an_instance_counts_anew(self):
+        self.end_under(FATAL, "i1@1", "i1@2", "i1@3")
+        self.assertTrue(self.refused(FATAL))
+
+    def test_an_answer_that_broke_off_counts_only_when_the_instance_has_ended(self):
+        self.assertIsNone(self.ledger.note_broken(FATAL, "i1", 0.0))
+        self.assertEqual(self.ledger.ends(FATAL), 0)
+        self.assertTrue(self.ledger.is_empty)
+        counted = self.ledger.note_ended("i1", 0.1)
+        self.assertEqual(counted[0].crash, Crash("i1", "n1"))
+        self.assertEqual(counted[0].ends, 1)
+
+    def test_an_answer_that_breaks_off_after_the_end_was_noticed_counts_at_once(self):
+        self.ledger.note_broken(FATAL, "i1", 0.0)
+        self.ledger.note_ended("i1", 0.1)
+        counted = self.ledger.note_broken(OTHER, "i1", 0.2)
+        self.assertEqual(counted.fingerprint, OTHER)
+
+    def test_an_old_broken_answer_has_nothing_to_do_with_the_end(self):
+        self.ledger.note_broken(FATAL, "i1", 0.0)
+        self.assertEqual(self.ledger.note_ended("i1", UNPROVED_SECONDS + 0.1), [])
+
+    def test_an_instance_that_answered_later_and_was_unlisted_did_not_end_under_a_request(self):
+        self.ledger.note_broken(FATAL, "i1", 1.0)
+        self.ledger.note_broken(OTHER, "i1", 3.0)
+        self.ledger.note_answer("i1", sent_at=2.0)
+        counted = self.ledger.note_ended("i1", 4.0, abruptly=False)
+        self.assertEqual([end.fingerprint for end in counted], [OTHER])
+
+    def test_an_instance_that_was_unlisted_may_still_be_at_work(self):
+        self.ledger.note_ended("i1", 1.0, abruptly=False)
+        self.assertIsNone(self.ledger.note_broken(FATAL, "i1", 2.0))
+
+    def test_each_whole_answer_takes_one_end_back(self):
+        self.end_under(FATAL, "i1", "i2")
+        self.assertEqual(self.ledger.note_whole_answer(FATAL), "i1")
+        self.end_under(FATAL, "i3")
+        self.assertFalse(self.refused(FATAL))
+        self.end_under(FATAL, "i4")
+        self.assertTrue(self.refused(FATAL))
+
+    def test_a_popular_request_is_never_refused_for_ends_of_other_causes(self):
+        for number in range(100):
+            self.end_under(FATAL, f"i{number}")
+            self.assertFalse(self.refused(FATAL))
+            self.ledger.note_whole_answer(FATAL)
+
+    def test_a_request_that_ends_half_of_its_instances_is_refused_in_the_end(self):
+        ends = 0
+        while not self.refused(FATAL):
+            self.end_under(FATAL, f"i{ends}", f"j{ends}")
+            self.ledger.note_whole_answer(FATAL)
+            ends += 1
+            self.assertLess(ends, 5)
+
+    def test_it_is_forgotten_some_time_after_the_last_end(self):
+        self.end_under(FATAL, "i1", "i2", at=0.0)
+        self.end_under(FATAL, "i3", at=10.0)
+        self.assertEqual(self.ledger.expire(MEMORY_SECONDS), [])
+        self.assertTrue(self.refused(FATAL, MEMORY_SECONDS))
+        self.assertEqual(self.ledger.expire(10.0 + MEMORY_SECONDS), [FATAL])
+        self.assertTrue(self.ledger.is_empty)
+
+    def test_clearing_takes_all_ends_back(self):
+        self.end_under(FATAL, "i1", "i2", "i3")
+        self.assertEqual(self.ledger.clear(FATAL), 3)
+        self.assertFalse(self.refused(FATAL))
+        self.assertEqual(self.ledger.clear(OTHER), 0)
+
+
+class MergeTest(unittest.TestCase):
+    def setUp(self):
+        self.ledger = CrashLedger("n1")
+
+    def told(self, *lives, cleared=()):
+        return RequestCrashes(FATAL, tuple(Crash(life, "n2") for life in lives), cleared)
+
+    def test_ends_that_several_nodes_saw_add_up(self):
+        self.ledger.note_broken(FATAL, "i1", 0.0)
+        self.ledger.note_ended("i1", 0.0)
+        new = self.ledger.merge(self.told("i1", "i2"), 0.0)
+        self.assertEqual([end.crash for end in new], [Crash("i2", "n2")])
+        self.ledger.merge(self.told("i3"), 0.0)
+        self.assertGreater(self.ledger.refused_seconds(FATAL, 0.0), 0.0)
+
+    def test_what_is_told_again_changes_nothing(self):
+        self.ledger.merge(self.told("i1", "i2", "i3"), 0.0)
+        self.assertEqual(self.ledger.merge(self.told("i3", "i2", "i1"), 100.0), [])
+        self.assertEqual(self.ledger.refused_seconds(FATAL, 100.0), MEMORY_SECONDS - 100.0)
+
+    def test_what_was_cleared_elsewhere_stays_cleared(self):
+        self.ledger.merge(self.told("i1", "i2"), 0.0)
+        self.ledger.merge(self.told("i3", cleared=("i1",)), 0.0)
+        self.ledger.merge(self.told("i1"), 0.0)
+        self.assertEqual(self.ledger.ends(FATAL), 2)
+
+    def test_two_nodes_that_tell_each_other_all_agree(self):
+        other = CrashLedger("n2")
+        for ledger, lives in ((self.ledger, ("i1", "i2")), (other, ("i2", "i3"))):
+            for life in lives:
+                ledger.note_broken(FATAL, life, 0.0)
+                ledger.note_ended(life, 0.0)
+        self.ledger.note_whole_answer(FATAL)
+        told = self.ledger.told(FATAL), other.told(FATAL)
+        self.ledger.merge(told[1], 0.0)
+        other.merge(told[0], 0.0)
+        self.assertEqual((self.ledger.ends(FATAL), other.ends(FATAL)), (2, 2))
+
+
+class BoundsTest(unittest.TestCase):
+    def test_memory_is_bounded_however_many_requests_crash(self):
+        ledger = CrashLedger("n1")
+        for number in range(3 * MAX_REQUESTS):
+            fingerprint = number.to_bytes(16, "big")
+            ledger.merge(RequestCrashes(fingerprint, (Crash(f"i{number}", "n"),)), 0.0)
+        self.assertLessEqual(len(ledger._once) + len(ledger._repeated), 2 * MAX_REQUESTS)
+
+    def test_requests_with_one_end_do_not_push_out_those_with_several(self):
+        ledger = CrashLedger("n1")
+        crashes = tuple(Crash(f"i{number}", "n") for number in range(ENDS_TO_REFUSE))
+        ledger.merge(RequestCrashes(FATAL, crashes), 0.0)
+        for number in range(3 * MAX_REQUESTS):
+            fingerprint = number.to_bytes(16, "big")
+            ledger.merge(RequestCrashes(fingerprint, (Crash("j", "n"),)), 0.0)
+        self.assertGreater(ledger.refused_seconds(FATAL, 0.0), 0.0)
+
+    def test_ends_of_one_request_are_bounded(self):
+        ledger = CrashLedger("n1")
+        for number in range(3 * MAX_ENDS):
+            ledger.merge(RequestCrashes(FATAL, (Crash(f"i{number}", "n"),)), 0.0)
+        self.assertEqual(ledger.ends(FATAL), MAX_ENDS)
--- a/tests/domain/test_request_fingerprint.py
+++ b/tests/domain/quarantine/test_fingerprint.py
@@ -1,6 +1,6 @@
 import unittest
 
-from hopstep.domain.request_fingerprint import FINGERPRINT_BYTES, request_fingerprint
+from hopstep.domain.quarantine.fingerprint import FINGERPRINT_BYTES, request_fingerprint
 
 
 class RequestFingerprintTest(unittest.TestCase):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -3,6 +3,7 @@
 
 import msgspec
 
+from hopstep.domain.exchanges.instances import InstanceLife
 from hopstep.domain.exchanges.serving import RequestKind, ServingIndex
 from hopstep.platform.documents import read_configuration, read_instance, read_weights
 
@@ -87,7 +88,9 @@
             "state": "draining",
             "models": [{"name": "m", "version": 3, "adapters": []}],
             "callSequence": 5,
+            "born": 1_700_000_000_123,
         }
         instance = read_instance("i", json.dumps(entry).encode())
         self.assertTrue(instance.draining)
+        self.assertEqual(instance.life, InstanceLife("i", 1_700_000_000_123))
         self.assertEqual((instance.versions, instance.order_sequence), ({"m": 3}, 5))
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -2,14 +2,17 @@
 
 import contextlib
 import re
+import socket
 import struct
 import unittest
 
+import msgspec
 import trio
 
 from hopstep.domain.exchanges.instances import Instance, NamedWeights
 from hopstep.domain.exchanges.request import ExchangeRequest, Prompt
 from hopstep.domain.exchanges.serving import RequestKind, Route, Tenant
+from hopstep.domain.quarantine.crashes import InstanceSign
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform.http_client import HttpClient
 from hopstep.platform.instances import HttpInstances
@@ -131,6 +134,34 @@
 
         self.run_with(RawServer(answer_bytes, **server_options), script)
 
+    def test_a_look_tells_an_instance_that_listens_from_one_that_has_ended(self):
+        async def script(instances, instance):
+            self.assertIs(await instances.look(instance), InstanceSign.ANSWERS)
+            with socket.socket() as closed:
+                closed.bind(("127.0.0.1", 0))
+                address = f"127.0.0.1:{closed.getsockname()[1]}"
+            ended = msgspec.structs.replace(instance, address=address)
+            self.assertIs(await instances.look(ended), InstanceSign.ENDED)
+
+        self.run_with(RawServer(b""), script)
+
+    def test_a_look_that_nobody_answers_shows_nothing(self):
+        async def script(instances, instance):
+            with socket.socket() as full:
+                full.bind(("127.0.0.1", 0))
+                full.listen(0)
+                address = full.getsockname()
+                waiting = [socket.socket() for _ in range(3)]
+                for connection in waiting:
+                    connection.setblocking(False)
+                    connection.connect_ex(address)
+                dark = msgspec.structs.replace(instance, address=f"127.0.0.1:{address[1]}")
+                self.assertIs(await instances.look(dark), InstanceSign.NO_ANSWER)
+                for connection in waiting:
+                    connection.close()
+
+        self.run_with(RawServer(b""), script)
+
     def test_whole_answers(self):
         for name, answer_bytes in WHOLE_ANSWERS:
             with self.subTest(name):
