--- a/emulator/engine/in_process.py
+++ b/emulator/engine/in_process.py
@@ -10,6 +10,7 @@
 from typing import TypeVar
 
 import trio
+import trio.lowlevel
 
 from emulator.engine.attempts import Attempt, prepare_prompt
 from emulator.engine.faults import EngineFaults, Frames, StreamCutError
@@ -34,10 +35,17 @@
 
 DEFAULT_IDLE_TIMEOUT_SECONDS = 10.0
 DEFAULT_LATENCY_SECONDS = 0.001
+FATAL_SECONDS = 0.005
+"""From the beginning of a fatal prompt to the engine's end: before its first token."""
 
 
 class InProcessEngines(EnginePort):
-    """Several emulated engines by address, with a latency and fault knobs."""
+    """Several emulated engines by address, with a latency and fault knobs.
+
+    Attributes:
+        fatal_prompts: Prompts that end each engine which begins them; it starts again at once.
+        ends: When engines have ended under such prompts.
+    """
 
     def __init__(
         self,
@@ -56,6 +64,8 @@
         self._hosts: dict[str, EngineHost] = {}
         self._kv_cache_stores: dict[str, KvCacheStoreModel] = {}
         self._down: set[str] = set()
+        self.fatal_prompts: set[str] = set()
+        self.ends: list[float] = []
 
     def add_engine(self, address: str, model: EngineModel) -> None:
         """Serve an engine at ``address``."""
@@ -88,6 +98,8 @@
         host = self._connect(address)
         importable = self._importable_blocks(request)
         attempt = await self._exchange(lambda: host.generate(request, importable))
+        if request.prompt in self.fatal_prompts:
+            trio.lowlevel.spawn_system_task(self._end_later, host)
         frames = self._read(host, attempt, attempt.first_sequence)
         async with contextlib.aclosing(frames):
             yield frames
@@ -134,6 +146,12 @@
         host = self._connect(address)
         return await self._call(host, lambda now: host.model.order(order, now))
 
+    async def _end_later(self, host: EngineHost) -> None:
+        """End an engine under a prompt that it has begun."""
+        await trio.sleep(FATAL_SECONDS)
+        self.ends.append(trio.current_time())
+        host.set_faults(EngineFaults(crash=True))
+
     def _connect(self, address: str) -> EngineHost:
         """Return the engine at an address, if it takes connections."""
         host = self._hosts.get(address)
