--- a/hopstep/cli/ctl.py
+++ b/hopstep/cli/ctl.py
@@ -1,7 +1,7 @@
 """The operators' command.
 
 Verbs: ``validate FILE``, ``diff FILE``, ``apply FILE``, ``show``, ``history``, ``status``,
-``drain BACK_END``, ``explain``, ``trace REQUEST_ID``.
+``drain BACK_END``, ``explain``, ``trace REQUEST_ID``, ``quarantine``, ``release FINGERPRINT``.
 
 Exit codes: 0 done; 1 conflict or rejected; 2 bad input; 3 unavailable, nothing was changed;
 4 unknown outcome, resubmit with the printed ``--change_id`` and ``--base_revision``.
@@ -35,6 +35,7 @@
     drain_back_end,
     validate_file,
 )
+from hopstep.ctl.quarantine import release_request, show_quarantine
 from hopstep.ctl.reading import explain, show, show_history
 from hopstep.ctl.results import ErrorDocument, ExitCode, VerbResult
 from hopstep.ctl.status import listed_routers, show_status
@@ -54,6 +55,8 @@
     "drain": 1,
     "explain": 0,
     "trace": 1,
+    "quarantine": 0,
+    "release": 1,
 }
 
 _STORE = flags.DEFINE_string("store", "", "ip:port of the key-value service.")
@@ -110,6 +113,10 @@
         if verb == "status" and _ROUTERS.value:
             return await show_status(client, _checked_routers(), _router_scheme())
         key_value_store = HttpKeyValueStore(_store_address(), client)
+        if verb == "quarantine":
+            return await show_quarantine(key_value_store)
+        if verb == "release":
+            return await release_request(key_value_store, operands[0])
         store = ConfigurationStore(key_value_store, random.SystemRandom())
         return await _run_store_verb(verb, operands, store, client)
 
--- a/hopstep/ctl/trace.py
+++ b/hopstep/ctl/trace.py
@@ -19,6 +19,7 @@
 """Changes of belief are shown from this long before the request."""
 
 REQUEST_FIELD = "request_id"
+FINGERPRINT_FIELD = "fingerprint"
 NODE_FIELD = "node"
 NUMBER_FIELD = "number"
 TIME_FIELD = "timestamp"
@@ -39,6 +40,13 @@
 )
 """Changes of what a node believes."""
 
+QUARANTINE_EVENTS: tuple[LogEvent, ...] = (
+    log_events.INSTANCE_ENDED_UNDER_REQUEST,
+    log_events.REQUEST_QUARANTINED,
+    log_events.REQUEST_RELEASED,
+)
+"""What is believed of a request, under its fingerprint."""
+
 
 class LogLine(msgspec.Struct, frozen=True):
     """One line of a log.
@@ -95,7 +103,7 @@
     if not own:
         document = TraceDocument(request_id, "no line names this request", ())
         return VerbResult(document.cause, document, ExitCode.REJECTED)
-    context = _context(own, lines)
+    context = [*_context(own, lines), *_ends(own, lines)]
     cause = explain_end(own, context)
     shown = sorted((*own, *context), key=lambda line: line.at)
     document = TraceDocument(request_id, cause, tuple(str(line) for line in shown))
@@ -115,6 +123,8 @@
     failures = [x for x in own if x.number == log_events.EXCHANGE_ATTEMPT_FAILED.number]
     outcome = str(last.fields.get("outcome", ""))
     code, _, execution = outcome.partition(":")
+    if code == ErrorCode.REQUEST_QUARANTINED.value:
+        return _explain_quarantine(execution, context)
     if execution:
         promise = "not run" if execution == "not_run" else "it may have run"
         return f"{code}, {promise}; {_explain_attempts(failures, last)}"
@@ -142,6 +152,14 @@
     return text
 
 
+def _explain_quarantine(execution: str, context: Sequence[LogLine]) -> str:
+    """Return why a request is kept from instances."""
+    promise = "not run" if execution == "not_run" else "it may have run"
+    number = log_events.REQUEST_QUARANTINED.number
+    ends = next((x.fields.get("ends", ()) for x in context if x.number == number), ())
+    return f"refused, {promise}: instances have ended under it: {', '.join(ends)}"
+
+
 def _explain_attempts(failures: Sequence[LogLine], last: LogLine) -> str:
     """Return what went wrong with a request's attempts."""
     if not failures:
@@ -169,6 +187,17 @@
     ]
 
 
+def _ends(own: Sequence[LogLine], lines: Iterable[LogLine]) -> list[LogLine]:
+    """Return what any node saw of instances that ended under the request, whoever sent it."""
+    fingerprints = {line.fields.get(FINGERPRINT_FIELD) for line in own} - {None, ""}
+    numbers = {event.number for event in QUARANTINE_EVENTS}
+    return [
+        line
+        for line in lines
+        if line.number in numbers and line.fields.get(FINGERPRINT_FIELD) in fingerprints
+    ]
+
+
 def _read(path: Path) -> Iterable[LogLine]:
     """Yield the lines of a log that are events; text before the first brace is passed over."""
     try:
--- /dev/null
+++ b/tests/ctl/test_quarantine.py
@@ -0,0 +1,71 @@
+import unittest
+
+import msgspec
+import trio
+from trio.testing import MockClock
+
+from emulator.platform.in_memory import InMemoryStore
+from emulator.platform.shared_store import SharedStore
+from hopstep.ctl.quarantine import release_request, show_quarantine
+from hopstep.ctl.results import ExitCode
+from hopstep.domain.quarantine.crashes import Crash
+from hopstep.exceptions import ValidationError
+from hopstep.ports.key_value_store import ABSENT
+from hopstep.services.quarantine.records import QUARANTINE_PREFIX, StoredRequest
+
+FINGERPRINT = "00ff" * 8
+CRASHES = tuple(Crash(f"i{number}@7", f"n{number}") for number in range(3))
+
+
+class QuarantineVerbsTest(unittest.TestCase):
+    def run_with_store(self, scenario):
+        async def main():
+            store = InMemoryStore(SharedStore())
+            await scenario(store)
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    async def keep(self, store, **changes):
+        value = StoredRequest(**{"tenant": "t", "route": "r", "crashes": CRASHES, **changes})
+        key = QUARANTINE_PREFIX + FINGERPRINT
+        await store.compare_and_swap(key, ABSENT, msgspec.json.encode(value))
+
+    def test_kept_requests_are_listed_with_the_nodes_that_saw_the_ends(self):
+        async def scenario(store):
+            await self.keep(store)
+            result = await show_quarantine(store)
+            self.assertEqual(
+                result.text,
+                f"{FINGERPRINT}  t  r  refused  i0@7 seen by n0, i1@7 seen by n1, i2@7 seen by n2",
+            )
+
+        self.run_with_store(scenario)
+
+    def test_ends_that_no_longer_count_are_left_out(self):
+        async def scenario(store):
+            await self.keep(store, cleared=("i0@7",))
+            [request] = (await show_quarantine(store)).document.requests
+            self.assertFalse(request.refused)
+            self.assertEqual(len(request.ends), 2)
+
+        self.run_with_store(scenario)
+
+    def test_a_request_is_allowed(self):
+        async def scenario(store):
+            await self.keep(store)
+            result = await release_request(store, FINGERPRINT)
+            self.assertEqual(result.exit_code, ExitCode.OK)
+            kept = await store.get(QUARANTINE_PREFIX + FINGERPRINT)
+            self.assertTrue(msgspec.json.decode(kept.value, type=StoredRequest).lifted)
+
+        self.run_with_store(scenario)
+
+    def test_what_is_not_kept_or_no_fingerprint_is_refused(self):
+        async def scenario(store):
+            result = await release_request(store, FINGERPRINT)
+            self.assertEqual(result.exit_code, ExitCode.REJECTED)
+            with self.assertRaisesRegex(ValidationError, "hexadecimal"):
+                await release_request(store, "no digits")
+            self.assertEqual((await show_quarantine(store)).text, "no request is kept")
+
+        self.run_with_store(scenario)
--- a/tests/ctl/test_trace.py
+++ b/tests/ctl/test_trace.py
@@ -57,6 +57,21 @@
         self.assertIn("lost the store at", result.document.cause)
         self.assertTrue(any("store_lost" in line for line in result.document.lines))
 
+    def test_a_quarantined_request_leads_to_the_ends_of_instances(self):
+        async def script(world):
+            world.instances.fatal_bodies.add(b"fatal")
+            for number in range(1, 4):
+                world.add(f"p{number}")
+                await trio.sleep(1.0)
+                await world.request("unsafe", body=b"fatal")
+            await trio.sleep(0.1)
+            await world.request("unsafe", body=b"fatal", request_id="r")
+
+        self.play(script)
+        cause = self.trace().document.cause
+        self.assertIn("refused, not run: instances have ended under it", cause)
+        self.assertEqual(cause.count("seen by n0"), 3)
+
     def test_a_store_that_is_silent_is_named_with_the_first_refusal(self):
         async def script(world):
             world.directories[0].dark = True
