Take an instance that starts again under its id for what it is: a new life without a past

Cause: views of instances were found by id alone, and the start that an instance tells was decoded nowhere.

One type, InstanceLife, decoded in the adapter in entries, reports and cache events and told in all messages between nodes. A new life begins without experience; what is said of another life is dropped. The rollout orders nothing more for a life that is no longer listed, and believes lower weights that the instance shows with a higher count of orders, so that a late order in the next life is put right.

--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -108,6 +108,7 @@
         self.orders: list[tuple[float, WeightsOrder]] = []
         self.attempted: list[tuple[float, WeightsOrder]] = []
         self.busy = False
+        self.reported_born_ms = instance.born_ms
         self.ended_at: float | None = None
         self._ended = trio.Event()
 
@@ -279,6 +280,15 @@
             status = 503
         return EmulatedAnswer(server, call, status)
 
+    def restart(self, instance: Instance) -> EmulatedInstance:
+        """End an instance and start it again under its id; it holds nothing of before.
+
+        Args:
+            instance: As it publishes itself in its new life.
+        """
+        self.servers[instance.instance_id].end()
+        return self.add(instance)
+
     async def _end_later(self, server: EmulatedInstance) -> None:
         """End an instance under a request that it has begun."""
         await trio.sleep(self.fatal_seconds)
@@ -323,9 +333,9 @@
         return outcome
 
     async def _carry_out_late(self, server: EmulatedInstance, order: WeightsOrder) -> None:
-        """Take an order whose answer was lost."""
+        """Take an order whose answer was lost, in whatever life the instance is by then."""
         await trio.sleep(server.order_delay_seconds)
-        self._take(server, order)
+        self._take(self.servers[server.instance.instance_id], order)
 
     def _take(self, server: EmulatedInstance, order: WeightsOrder) -> OrderOutcome:
         """Take an order if its conditions hold."""
@@ -360,7 +370,9 @@
         """Return an engine's report; see the port."""
         await trio.sleep(0.001)
         server = self.servers[instance.instance_id]
-        return EngineReport(server.busy, server.order_sequence, dict(server.versions))
+        return EngineReport(
+            server.busy, server.order_sequence, dict(server.versions), server.reported_born_ms
+        )
 
 
 def _meets(server: EmulatedInstance, call: InstanceCall) -> bool:
--- a/hopstep/domain/exchanges/instance_table.py
+++ b/hopstep/domain/exchanges/instance_table.py
@@ -5,7 +5,12 @@
 from collections.abc import Iterator
 
 from hopstep.domain.exchanges.instance_view import InstanceView
-from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.exchanges.instances import LIFE_SEPARATOR, Instance
+
+
+def is_same_life(known: Instance, newer: Instance) -> bool:
+    """Return whether a newer entry is of the known life: so is one that tells no start."""
+    return not newer.born_ms or newer.born_ms == known.born_ms
 
 
 class InstanceTable:
@@ -26,10 +31,13 @@
         self._cache_tokens = cache_tokens
 
     def put(self, instance: Instance) -> bool:
-        """Take an entry; return whether the instance is new."""
+        """Take an entry, newer than those before; return whether it is of a new life.
+
+        A new life begins without experience: it holds nothing of what was believed of the last.
+        """
         self._lapsed.pop(instance.instance_id, None)
         view = self._views.get(instance.instance_id)
-        if view is not None:
+        if view is not None and is_same_life(view.instance, instance):
             view.update(instance)
             return False
         tokens = self._cache_tokens.get(instance.service, 0)
@@ -68,6 +76,15 @@
         """Return one view."""
         return self._views.get(instance_id)
 
+    def of_life(self, life: str) -> InstanceView | None:
+        """Return the view of a life; None when it isn't the one that is listed.
+
+        Args:
+            life: As ``str(InstanceLife)``.
+        """
+        view = self._views.get(life.rpartition(LIFE_SEPARATOR)[0]) or self._views.get(life)
+        return view if view is not None and view.life == life else None
+
     def excuse(self, seconds: float) -> None:
         """Leave out a time in which this node couldn't hear any instance."""
         for view in self._views.values():
--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
+import msgspec
+
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.load_ledger import REPORT_SECONDS, InstanceLoad
 from hopstep.domain.exchanges.segments import SegmentPicture
@@ -32,6 +36,7 @@
             cache_tokens: Memory of the instance for segments.
         """
         self.instance = instance
+        self.life = str(instance.life)
         self.hashed = hash_name(instance.instance_id)
         self.segments = SegmentPicture(int(cache_tokens * PICTURE_SHARE))
         self.versions: dict[str, int] = dict(instance.versions)
@@ -44,21 +49,45 @@
         self.slowness = 1.0
         self.loading_until = 0.0
         self.suspended_until = 0.0
-        self._no_load = InstanceLoad(instance.instance_id)
+        self._no_load = InstanceLoad(self.life)
         self._others = self._no_load
         self._others_at = -REPORT_SECONDS
         self._failures = 0
         self._heard_at = 0.0
         self._waiting_since: dict[str, float] = {}
+        self._shown_sequence = instance.order_sequence
 
     def update(self, instance: Instance) -> None:
-        """Take a newer entry of the same incarnation."""
-        self.instance = instance
-        for model, version in instance.versions.items():
-            self.learn_version(model, version)
+        """Take a newer entry of the same life; one that tells no start keeps the known one."""
+        self.instance = msgspec.structs.replace(instance, born_ms=self.instance.born_ms)
+        self.show_versions(instance.versions, instance.order_sequence)
+
+    def show_versions(self, versions: Mapping[str, int], order_sequence: int) -> None:
+        """Take the weights that the instance itself shows.
+
+        Lower ones than known are older news, unless it has taken another order since: one that was
+        given up may be carried out late.
+
+        Args:
+            versions: Weights version by model.
+            order_sequence: Orders that it had taken by then.
+        """
+        for model, version in versions.items():
+            known = self.versions.get(model, 0)
+            if order_sequence > self._shown_sequence and 0 < version < known:
+                self._lower_version(model, version)
+            else:
+                self.learn_version(model, version)
+        self._shown_sequence = max(self._shown_sequence, order_sequence)
+
+    def _lower_version(self, model: str, version: int) -> None:
+        """Take a version below the known one; what was kept is gone."""
+        self.segments.clear()
+        self.versions[model] = version
+        self._assumed.pop(model, None)
 
     def learn_version(self, model: str, version: int) -> None:
-        """Take a weights version; versions of one incarnation never go down."""
+        """Take a weights version that an answer tells; it never goes down."""
         if version > self.versions.get(model, 0):
             if model in self.versions and version != self._assumed.get(model):
                 self.segments.clear()
@@ -151,6 +180,10 @@
         pause = FIRST_SUSPENSION_SECONDS * 2.0 ** (self._failures - 1)
         self.suspended_until = now + min(MAX_SUSPENSION_SECONDS, pause)
 
+    def suspend(self, until: float) -> None:
+        """Send nothing there before a time, as long as there are others."""
+        self.suspended_until = max(self.suspended_until, until)
+
     def excuse(self, seconds: float) -> None:
         """Leave out a time in which this node couldn't hear anything."""
         self._heard_at += seconds
--- a/hopstep/domain/exchanges/instances.py
+++ b/hopstep/domain/exchanges/instances.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+LIFE_SEPARATOR = "@"
+"""Between id and start in the text form of a life."""
+
 
 class InstanceLife(msgspec.Struct, frozen=True):
     """One start of an instance: a later one under the same id holds nothing of this one.
@@ -20,7 +23,19 @@
 
     def __str__(self) -> str:
         """Return the life as nodes tell and log it."""
-        return f"{self.instance_id}@{self.born_ms}" if self.born_ms else self.instance_id
+        return (
+            f"{self.instance_id}{LIFE_SEPARATOR}{self.born_ms}"
+            if self.born_ms
+            else self.instance_id
+        )
+
+    def may_tell(self, born_ms: int) -> bool:
+        """Return whether a word with a start is of this life; one without may be.
+
+        Starts are compared for equality only: which of two lives is the later follows from the
+        store's revisions, since the clocks of machines may step back.
+        """
+        return not (born_ms and self.born_ms) or born_ms == self.born_ms
 
 
 class Instance(msgspec.Struct, frozen=True):
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -59,6 +59,10 @@
 """Part of the grace time that is left for closing connections."""
 
 
+ENDED_SECONDS = 4.0
+"""The entry of an instance that has ended lapses after three heartbeats of 1.2 s."""
+
+
 class ExchangePorts(msgspec.Struct, frozen=True):
     """Everything outside the process.
 
@@ -122,6 +126,7 @@
         self.knowledge.follow_ends(
             lambda life, evidence: self.quarantine.note_ended(str(life), evidence)
         )
+        self.quarantine.follow_ends(self._suspend_ended)
         self.quarantine_records = QuarantineRecords(self.quarantine, ports.store, generator)
         self.knowledge.follow_records(
             QUARANTINE_PREFIX,
@@ -172,6 +177,15 @@
         self.reaper = ConnectionReaper(ports.calls, self.knowledge.table, self.pauses)
         self.registration = Registration(record, ports.store, self.knowledge, generator)
 
+    def _suspend_ended(self, life: str) -> None:
+        """Send nothing to an instance that has ended, until its entry lapses.
+
+        Without this each other node finds that out by a request of its own.
+        """
+        view = self.knowledge.table.of_life(life)
+        if view is not None:
+            view.suspend(trio.current_time() + ENDED_SECONDS)
+
     def _make_metrics(self) -> ExchangeMetrics:
         """Return the metrics, with gauges of what the node knows."""
         metrics = ExchangeMetrics(self.registry)
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -473,7 +473,7 @@
     "HS6101",
     "instance_listed",
     Level.INFO,
-    ("instance", "service", "draining", "versions", "source", "age_ms"),
+    ("instance", "born_ms", "service", "draining", "versions", "source", "age_ms"),
     "Nothing.",
 )
 INSTANCE_REMOVED = LogEvent(
--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -30,6 +30,7 @@
     next_page_token: int
     lost: bool = False
     events: tuple[_Event, ...] = ()
+    born: int = 0
 
 
 class PlatformCacheEvents(CacheEvents):
@@ -67,7 +68,7 @@
         ):
             return None
         events = tuple(_read(event) for event in read.events)
-        return CacheEventBatch(read.epoch, read.next_page_token, read.lost, events)
+        return CacheEventBatch(read.epoch, read.next_page_token, read.lost, events, read.born)
 
 
 def _read(event: _Event) -> CacheEvent:
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -64,6 +64,7 @@
 class _Report(msgspec.Struct, frozen=True, rename="camel"):
     busy: bool = False
     call_sequence: int = 0
+    born: int = 0
     models: list[_ReportedModel] = []
 
 
@@ -175,7 +176,7 @@
         except msgspec.DecodeError:
             return None
         versions = {model.name: model.version for model in report.models}
-        return EngineReport(report.busy, report.call_sequence, versions)
+        return EngineReport(report.busy, report.call_sequence, versions, report.born)
 
     async def _control(
         self, instance: Instance, method: bytes, path: str, body: bytes, proof: SendProof
--- a/hopstep/ports/cache_events.py
+++ b/hopstep/ports/cache_events.py
@@ -17,12 +17,14 @@
         position: Where the next call goes on.
         lost: Whether events are missing before these.
         events: Oldest first.
+        born_ms: Unix time in milliseconds of the start of who tells them; 0 when it tells none.
     """
 
     epoch: int
     position: int
     lost: bool
     events: tuple[CacheEvent, ...]
+    born_ms: int = 0
 
 
 class CacheEvents(abc.ABC):
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -23,22 +23,22 @@
     """What has changed in the segments that an instance keeps.
 
     Attributes:
-        instance_id: The instance.
+        life: The instance's life, as ``str(InstanceLife)``.
         sent: Segments of a prompt that was sent to it, or that its cache events report.
         read_ms: Expected time until it has read them.
         dropped: Digests of segments that it doesn't keep.
     """
 
-    instance_id: str
+    life: str
     sent: tuple[SegmentKey, ...] = ()
     read_ms: int = 0
     dropped: tuple[int, ...] = ()
 
 
 class LoadingEngine(msgspec.Struct, frozen=True, array_like=True):
-    """An engine that is loading weights, and for how much longer at least."""
+    """An engine that is loading weights, by its life, and for how much longer at least."""
 
-    instance_id: str
+    life: str
     milliseconds: int
 
 
--- a/hopstep/ports/weights_orders.py
+++ b/hopstep/ports/weights_orders.py
@@ -45,11 +45,13 @@
         busy: Whether an order is under way.
         order_sequence: Orders taken.
         versions: Weights version of each model.
+        born_ms: Unix time of its start in milliseconds; 0 when it tells none.
     """
 
     busy: bool
     order_sequence: int
     versions: Mapping[str, int]
+    born_ms: int = 0
 
 
 class WeightsOrders(abc.ABC):
--- a/hopstep/services/exchanges/engine_cache_watch.py
+++ b/hopstep/services/exchanges/engine_cache_watch.py
@@ -65,15 +65,15 @@
         knowledge = self._knowledge
         self._plan.set_nodes({**knowledge.nodes, knowledge.name: knowledge.record})
         own = {
-            view.instance.instance_id: view
+            view.life: view
             for view in knowledge.table
             if view.versions and self._plan.watcher(view.instance) == knowledge.name
         }
-        for instance_id in self._followed.keys() - own.keys():
-            self._followed.pop(instance_id).cancel()
-        for instance_id in own.keys() - self._followed.keys():
-            scope = self._followed[instance_id] = trio.CancelScope()
-            nursery.start_soon(self._follow, own[instance_id], scope)
+        for life in self._followed.keys() - own.keys():
+            self._followed.pop(life).cancel()
+        for life in own.keys() - self._followed.keys():
+            scope = self._followed[life] = trio.CancelScope()
+            nursery.start_soon(self._follow, own[life], scope)
 
     async def _follow(self, view: InstanceView, scope: trio.CancelScope) -> None:
         """Follow one engine until its scope is cancelled."""
@@ -90,7 +90,7 @@
                 if readable != (batch is not None):
                     readable = batch is not None
                     _log_readable(view, readable)
-                if batch is None:
+                if batch is None or not view.instance.life.may_tell(batch.born_ms):
                     await trio.sleep(RETRY_SECONDS)
                     continue
                 self._take(view, contents, batch, epoch)
@@ -112,9 +112,7 @@
             contents.note_gap(now)
         corrections = contents.take(batch.events, view.segments, now)
         if not corrections.is_empty:
-            self._sharing.note_cache_events(
-                view.instance.instance_id, corrections.kept, corrections.dropped
-            )
+            self._sharing.note_cache_events(view.life, corrections.kept, corrections.dropped)
 
 
 def _log_readable(view: InstanceView, readable: bool) -> None:
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -156,8 +156,7 @@
         """Learn what a refusal tells of an instance; see ``_go_on`` for what is returned."""
         if error.replaced:
             view.replaced = True
-            life = str(view.instance.life)
-            self._parts.quarantine.note_ended(life, EndEvidence.REPLACED)
+            self._parts.quarantine.note_ended(view.life, EndEvidence.REPLACED)
             return ""
         prompt = self._request.prompt
         if not error.stale_version or prompt is None or view.drop_assumption(prompt.model):
@@ -187,7 +186,7 @@
         finally:
             view.end(request.request_id, candidate.uncached_tokens)
             if left_midway and self._in_flight.sent and not self._relay.finished:
-                self._parts.quarantine.note_broken(self._name, str(view.instance.life))
+                self._parts.quarantine.note_broken(self._name, view.life)
         self._in_flight = SendProof()
         self._count_sent(view)
         if not self._parts.quarantine.is_idle:
@@ -209,13 +208,13 @@
         answered = error.execution is Execution.NOT_RUN or error.code in ANSWERED_CODES
         if not answered:
             look = functools.partial(self._parts.calls.look, view.instance)
-            self._parts.quarantine.note_broken(self._name, str(view.instance.life), look)
+            self._parts.quarantine.note_broken(self._name, view.life, look)
 
     async def _settle(self, view: InstanceView) -> None:
         """Know whether the instance has ended, before a request that may end others goes on."""
         quarantine = self._parts.quarantine
         if not quarantine.is_idle:
-            await quarantine.settle(self._name.fingerprint, str(view.instance.life))
+            await quarantine.settle(self._name.fingerprint, view.life)
 
     def _count_sent(self, view: InstanceView) -> None:
         """Count an attempt that left."""
@@ -257,7 +256,7 @@
         view = candidate.view
         async with self._parts.calls.open(self._make_call(candidate)) as answer:
             view.heard(trio.current_time())
-            self._parts.quarantine.note_answer(str(view.instance.life), sent_at)
+            self._parts.quarantine.note_answer(view.life, sent_at)
             if answer.weights_version and self._request.prompt is not None:
                 view.learn_version(self._request.prompt.model, answer.weights_version)
             await self._relay.relay(candidate, answer, sent_at)
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -16,7 +16,7 @@
 
 from hopstep import log_events
 from hopstep.domain.exchanges.directory_feed import DirectoryFeed, FeedEntry
-from hopstep.domain.exchanges.instance_table import InstanceTable
+from hopstep.domain.exchanges.instance_table import InstanceTable, is_same_life
 from hopstep.domain.exchanges.instances import InstanceLife, NamedWeights
 from hopstep.domain.exchanges.nodes import NodeRecord, RelayPlan
 from hopstep.domain.exchanges.serving import ServingConfiguration, ServingIndex
@@ -280,12 +280,13 @@
         instance = listed.instance
         known = self.table.get(instance.instance_id)
         drained = known is not None and known.instance.draining
-        if known is not None and known.instance.born_ms < instance.born_ms:
+        if known is not None and not is_same_life(known.instance, instance):
             self._note_ended(known.instance.life, EndEvidence.RESTARTED)
         if self.table.put(instance) or drained != instance.draining:
             emit(
                 log_events.INSTANCE_LISTED,
                 instance=instance.instance_id,
+                born_ms=instance.born_ms,
                 service=instance.service,
                 draining=instance.draining,
                 versions=dict(instance.versions),
--- a/hopstep/services/exchanges/load_sharing.py
+++ b/hopstep/services/exchanges/load_sharing.py
@@ -63,32 +63,32 @@
         keys = candidate.keys[:-1] or candidate.keys
         if not keys:
             return
-        instance_id = candidate.view.instance.instance_id
-        news = SegmentNews(instance_id, keys, round(candidate.read_seconds * MILLISECONDS))
+        life = candidate.view.life
+        news = SegmentNews(life, keys, round(candidate.read_seconds * MILLISECONDS))
         if candidate.uncached_tokens >= URGENT_TOKENS:
             self._urgent.put_prompt(SentPrompt(news, candidate.uncached_tokens))
         kept_already = candidate.kept_tokens >= sum(key.tokens for key in keys)
-        if not kept_already or self._is_due(instance_id, keys[-1].digest):
+        if not kept_already or self._is_due(life, keys[-1].digest):
             self._tell(news)
 
     def note_cache_events(
-        self, instance_id: str, kept: tuple[SegmentKey, ...], dropped: tuple[int, ...]
+        self, life: str, kept: tuple[SegmentKey, ...], dropped: tuple[int, ...]
     ) -> None:
         """Note what an instance's cache events tell, here and for the other nodes.
 
         Args:
-            instance_id: The instance.
+            life: The instance's life.
             kept: Segments that it keeps and that weren't known.
             dropped: Digests of segments that were taken for kept.
         """
-        news = SegmentNews(instance_id, kept, 0, dropped)
+        news = SegmentNews(life, kept, 0, dropped)
         self._take_segments(news, trio.current_time())
         self._tell(news)
 
-    def _is_due(self, instance_id: str, digest: int) -> bool:
+    def _is_due(self, life: str, digest: int) -> bool:
         """Return whether segments that an instance keeps should be told again, and note that."""
         now = trio.current_time()
-        told = (instance_id, digest)
+        told = (life, digest)
         if now - self._told.get(told, -REPEAT_SECONDS) < REPEAT_SECONDS:
             return False
         if len(self._told) >= MAX_TOLD:
@@ -101,10 +101,10 @@
         self._unsent.append(news)
         self.log.append(self._knowledge.name, news)
 
-    def announce_loading(self, instance_id: str, seconds: float) -> None:
+    def announce_loading(self, life: str, seconds: float) -> None:
         """Tell other nodes at once that an engine loads weights."""
-        self._loading[instance_id] = trio.current_time() + seconds
-        self._urgent.put_loading(LoadingEngine(instance_id, round(seconds * MILLISECONDS)))
+        self._loading[life] = trio.current_time() + seconds
+        self._urgent.put_loading(LoadingEngine(life, round(seconds * MILLISECONDS)))
 
     def members(self) -> list[str]:
         """Return the nodes that asked this one lately."""
@@ -132,18 +132,18 @@
 
     def _add_prompt(self, node: str, prompt: SentPrompt, now: float) -> None:
         """Add a long prompt to the load that its sender told."""
-        instance_id = prompt.segments.instance_id
-        load = InstanceLoad(instance_id, 1, prompt.tokens)
+        life = prompt.segments.life
+        load = InstanceLoad(life, 1, prompt.tokens)
         if self._knowledge.relays.relay() == node:
             self._others.add(ANSWERS, load, now)
         elif self.is_member(node):
             self._members.add(node, load, now)
         else:
             self._others.add(node, load, now)
-        view = self._knowledge.table.get(instance_id)
+        view = self._knowledge.table.of_life(life)
         if view is not None:
-            total = self._members.total(instance_id)
-            view.set_others(total.plus(self._others.total(instance_id)), now)
+            total = self._members.total(life)
+            view.set_others(total.plus(self._others.total(life)), now)
             self._take_segments(prompt.segments, now)
 
     def own_hints(self) -> Hints:
@@ -187,7 +187,7 @@
         now = trio.current_time()
         totals = self._totals(now)
         for view in self._knowledge.table:
-            view.set_others(totals.get(view.instance.instance_id), now)
+            view.set_others(totals.get(view.life), now)
 
     def _totals(self, now: float, without: str = "") -> Loads:
         """Return the loads of all other nodes but one."""
@@ -206,7 +206,7 @@
 
     def _take_segments(self, news: SegmentNews, now: float) -> None:
         """Put news of an instance's segments into its picture."""
-        view = self._knowledge.table.get(news.instance_id)
+        view = self._knowledge.table.of_life(news.life)
         if view is not None:
             view.segments.drop(news.dropped)
             view.segments.record(news.sent, now + news.read_ms / MILLISECONDS)
@@ -214,8 +214,8 @@
     def _take_loading(self, loading: LoadingEngine, now: float) -> None:
         """Keep requests from an engine that loads weights."""
         until = now + loading.milliseconds / MILLISECONDS
-        self._loading[loading.instance_id] = until
-        view = self._knowledge.table.get(loading.instance_id)
+        self._loading[loading.life] = until
+        view = self._knowledge.table.of_life(loading.life)
         if view is not None:
             view.loading_until = until
 
@@ -223,7 +223,7 @@
         """Return this node's own loads."""
         loads = (
             InstanceLoad(
-                view.instance.instance_id,
+                view.life,
                 view.active,
                 view.pending_tokens,
                 int(view.suspended_until > now),
@@ -246,5 +246,5 @@
 
 def _loading(engines: Iterable[tuple[str, float]], now: float) -> Iterable[LoadingEngine]:
     """Yield engines with the time for which they still load."""
-    for instance_id, until in engines:
-        yield LoadingEngine(instance_id, round((until - now) * MILLISECONDS))
+    for life, until in engines:
+        yield LoadingEngine(life, round((until - now) * MILLISECONDS))
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -87,23 +87,21 @@
         self, nursery: trio.Nursery, view: InstanceView, weights: NamedWeights, now: float
     ) -> None:
         """Start one load unless it is under way or has just failed."""
-        instance_id = view.instance.instance_id
-        if instance_id in self._loading or now < self._retry_at.get(instance_id, 0.0):
+        if view.life in self._loading or now < self._retry_at.get(view.life, 0.0):
             return
-        self._loading.add(instance_id)
+        self._loading.add(view.life)
         nursery.start_soon(self._load, view, weights)
 
     async def _load(self, view: InstanceView, weights: NamedWeights) -> None:
         """Load one engine and wait until it is done."""
-        instance_id = view.instance.instance_id
         started_at = trio.current_time()
         try:
             with trio.move_on_after(MAX_LOAD_SECONDS):
                 if await self._order_until_done(view, weights):
                     self._knowledge.weights.record_load(trio.current_time() - started_at)
         finally:
-            self._retry_at[instance_id] = trio.current_time() + RETRY_SECONDS
-            self._loading.discard(instance_id)
+            self._retry_at[view.life] = trio.current_time() + RETRY_SECONDS
+            self._loading.discard(view.life)
 
     async def _order_until_done(self, view: InstanceView, weights: NamedWeights) -> bool:
         """Order, and again as long as the engine isn't known to load; return whether it did.
@@ -115,11 +113,11 @@
         """
         self._mark_loading(view)
         await trio.sleep(SETTLE_SECONDS)
-        report = await self._orders.report(view.instance)
+        report = await self._report(view)
         if report is None:
             return False
         sequence = report.order_sequence
-        while self._lease.may_order:
+        while self._lease.may_order and self._is_listed(view):
             self._mark_loading(view)
             outcome = await self._order(view, weights, sequence)
             if outcome is OrderOutcome.HOLDS_ALREADY:
@@ -157,19 +155,29 @@
     async def _follow(self, view: InstanceView, weights: NamedWeights) -> EngineReport | None:
         """Return the report of an engine once it isn't busy; None when it gives none."""
         for _ in range(MAX_SILENT_POLLS):
-            report = await self._orders.report(view.instance)
+            report = await self._report(view)
             while report is not None and report.busy:
                 self._mark_loading(view)
                 await trio.sleep(POLL_SECONDS)
-                report = await self._orders.report(view.instance)
+                report = await self._report(view)
             if report is not None:
-                for model, version in report.versions.items():
-                    view.learn_version(model, version)
+                view.show_versions(report.versions, report.order_sequence)
                 return report
             await trio.sleep(POLL_SECONDS)
         return None
 
+    async def _report(self, view: InstanceView) -> EngineReport | None:
+        """Return an engine's report; None without one, or with one of another life."""
+        report = await self._orders.report(view.instance)
+        if report is None or not view.instance.life.may_tell(report.born_ms):
+            return None
+        return report
+
+    def _is_listed(self, view: InstanceView) -> bool:
+        """Return whether an engine's life is still the one that is listed."""
+        return self._knowledge.table.of_life(view.life) is view
+
     def _mark_loading(self, view: InstanceView) -> None:
         """Keep requests from an engine for a while, here and at the peers."""
         view.loading_until = trio.current_time() + LOADING_SECONDS
-        self._sharing.announce_loading(view.instance.instance_id, LOADING_SECONDS)
+        self._sharing.announce_loading(view.life, LOADING_SECONDS)
--- a/hopstep/services/quarantine/quarantine.py
+++ b/hopstep/services/quarantine/quarantine.py
@@ -53,6 +53,9 @@
 Look = Callable[[], Awaitable[InstanceSign]]
 """Looks at an instance once."""
 
+EndListener = Callable[[str], None]
+"""Told a life of an instance that this node, or another one, has seen end."""
+
 SeenListener = Callable[[bytes], None]
 """Told a request of which this node itself has seen something new."""
 
@@ -71,6 +74,7 @@
         self._ledger = CrashLedger(node)
         self._names: OrderedDict[bytes, RequestName] = OrderedDict()
         self._listeners: list[SeenListener] = []
+        self._end_listeners: list[EndListener] = []
         self._looking: dict[str, trio.Event] = {}
         self._looks, self._due = trio.open_memory_channel[tuple[str, Look]](MAX_WAITING_LOOKS)
 
@@ -78,6 +82,10 @@
         """Tell a listener of what this node sees, so that it can tell others."""
         self._listeners.append(listener)
 
+    def follow_ends(self, listener: EndListener) -> None:
+        """Tell a listener of instances that have ended under requests, whoever saw it."""
+        self._end_listeners.append(listener)
+
     @property
     def is_idle(self) -> bool:
         """Whether nothing counts against any request, so that none needs to be looked up."""
@@ -169,7 +177,7 @@
         for request in told:
             before = self._ledger.told(request.fingerprint)
             for end in self._ledger.merge(request, trio.current_time()):
-                self._log(end)
+                self._announce(end)
             if self._ledger.told(request.fingerprint) != before:
                 self._note_changed(request.fingerprint, seen_here=False)
 
@@ -234,7 +242,7 @@
 
     def _note_counted(self, end: CountedEnd) -> None:
         """Log an end that this node has seen, and have it told to the others."""
-        self._log(end)
+        self._announce(end)
         self._note_changed(end.fingerprint, seen_here=True)
 
     def _note_changed(self, fingerprint: bytes, *, seen_here: bool) -> None:
@@ -244,8 +252,10 @@
                 listener(fingerprint)
         self.wake()
 
-    def _log(self, end: CountedEnd) -> None:
-        """Log an end that counts for a request, and the beginning of its refusal."""
+    def _announce(self, end: CountedEnd) -> None:
+        """Tell of an end that counts for a request, and of the beginning of its refusal."""
+        for listener in self._end_listeners:
+            listener(end.crash.life)
         name = self.name(end.fingerprint)
         if end.ends >= LOGGED_FROM_ENDS:
             emit(
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 
+import msgspec
 import trio
 from trio.testing import MockClock
 
@@ -183,6 +184,7 @@
 
     def __init__(self):
         self.events = {}
+        self.born_ms = {}
         self.readers = Counter()
         self._added = trio.Event()
 
@@ -202,7 +204,8 @@
         events = self.events.get(address)
         if events is None:
             return None
-        return CacheEventBatch(1, len(events), False, tuple(events[position:]))
+        born_ms = self.born_ms.get(address, 0)
+        return CacheEventBatch(1, len(events), False, tuple(events[position:]), born_ms)
 
 
 class RecordedAnswer(ClientAnswer):
@@ -261,6 +264,14 @@
         self.publish(InstanceListed(instance))
         return self.instances.add(instance)
 
+    def restart(self, instance_id, born_ms, **changes):
+        """End an instance and start it again under its id, and list its new life."""
+        changes = {"born_ms": born_ms, "order_sequence": 0, "draining": False, **changes}
+        instance = msgspec.structs.replace(self.listed[instance_id], **changes)
+        server = self.instances.restart(instance)
+        self.publish(InstanceListed(instance))
+        return server
+
     def relist(self, instance):
         """Write a listed instance's changed entry, as instances do."""
         if instance.instance_id in self.listed:
--- a/tests/services/exchanges/test_quarantined_requests.py
+++ b/tests/services/exchanges/test_quarantined_requests.py
@@ -267,6 +267,23 @@
 
         self.run_world(script, nodes=7, zones=3)
 
+    def test_no_node_sends_anything_to_an_instance_that_another_has_seen_end(self):
+        async def script(world):
+            near = world.instances.servers["i0"]
+            for instance in list(world.listed.values())[1:]:
+                world.publish(InstanceListed(msgspec.structs.replace(instance, zone="z9")))
+            await trio.sleep(1.0)
+            await self.end_instances(world, 1, name="unsafe")
+            self.assertIsNotNone(near.ended_at)
+            world.instances.calls.clear()
+            for number in range(30):
+                answer = await world.request("safe", number % 3, body=b"%d" % number)
+                self.assertEqual(answer.status, 200)
+            called = [call.instance.instance_id for call in world.instances.calls]
+            self.assertNotIn("i0", called)
+
+        self.run_world(script, service="plain")
+
     def test_nodes_know_it_while_the_store_is_away(self):
         async def script(world):
             for directory in world.directories:
