Take no instance out of an entry that can't be trusted, and let the others hold

Cause: entries were read with defaults for whatever was missing, and no field but its type was looked at; an entry that turned unreadable left the instance of its last readable form in use (design 0024).

Each field is checked once in the adapter, with a typed reason; a rejected entry takes its instance out of use, at all nodes, until a good one comes.

--- a/hopstep/domain/exchanges/instance_table.py
+++ b/hopstep/domain/exchanges/instance_table.py
@@ -21,6 +21,7 @@
         self._views: dict[str, InstanceView] = {}
         self._lapsed: dict[str, float] = {}
         self._cache_tokens: dict[str, int] = {}
+        self._tell_starts: set[str] = set()
 
     def __iter__(self) -> Iterator[InstanceView]:
         """Iterate over all views."""
@@ -36,6 +37,8 @@
         A new life begins without experience: it holds nothing of what was believed of the last.
         """
         self._lapsed.pop(instance.instance_id, None)
+        if instance.born_ms:
+            self._tell_starts.add(instance.service)
         view = self._views.get(instance.instance_id)
         if view is not None and is_same_life(view.instance, instance):
             view.update(instance)
@@ -44,6 +47,12 @@
         self._views[instance.instance_id] = InstanceView(instance, tokens)
         return True
 
+    def reject(self, instance_id: str) -> None:
+        """Take an instance out of use until its next good entry: this one can't be trusted."""
+        view = self._views.get(instance_id)
+        if view is not None:
+            view.rejected = True
+
     def lapse(self, instance_id: str, until: float) -> bool:
         """Expect the entry of an instance back until a time; return whether that is done.
 
@@ -91,5 +100,11 @@
             view.excuse(seconds)
 
     def of_service(self, service: str) -> list[InstanceView]:
-        """Return the views of a service's instances."""
-        return [view for view in self._views.values() if view.instance.service == service]
+        """Return the views of a service's instances.
+
+        Where any of them tells its start, an entry without one is incomplete and names none.
+        """
+        views = [view for view in self._views.values() if view.instance.service == service]
+        if service not in self._tell_starts:
+            return views
+        return [view for view in views if view.tells_start]
--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -46,6 +46,8 @@
         self.latency_seconds = 0.0
         self.failure_rate = 0.0
         self.replaced = False
+        self.rejected = False
+        self.tells_start = bool(instance.born_ms)
         self.slowness = 1.0
         self.loading_until = 0.0
         self.suspended_until = 0.0
@@ -59,6 +61,8 @@
 
     def update(self, instance: Instance) -> None:
         """Take a newer entry of the same life; one that tells no start keeps the known one."""
+        self.rejected = False
+        self.tells_start = bool(instance.born_ms)
         self.instance = msgspec.structs.replace(instance, born_ms=self.instance.born_ms)
         self.show_versions(instance.versions, instance.order_sequence)
 
@@ -192,8 +196,8 @@
 
     @property
     def takes_requests(self) -> bool:
-        """Whether the instance neither leaves nor has ended, as far as known."""
-        return not self.instance.draining and not self.replaced
+        """Whether the instance neither leaves nor has ended, and its entry can be trusted."""
+        return not (self.instance.draining or self.replaced or self.rejected)
 
     def is_silent(self, now: float) -> bool:
         """Return whether requests wait although nothing came from the instance for long."""
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -190,6 +190,9 @@
         """Return the metrics, with gauges of what the node knows."""
         metrics = ExchangeMetrics(self.registry)
         knowledge = self.knowledge
+        knowledge.follow_rejections(
+            lambda reason: metrics.rejected_entries.labels(reason.value).inc()
+        )
         metrics.watch(
             "hopstep_knowledge_age_seconds",
             "Age of what is known of configuration, keys and instances.",
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -436,8 +436,8 @@
     "HS4102",
     "directory_entry_rejected",
     Level.ERROR,
-    ("key", "reason"),
-    "Mend the entry; what was known before it stays in force.",
+    ("key", "reason", "field", "detail"),
+    "Mend it; an instance is out of use until then, else what was known before stays in force.",
 )
 DIRECTORY_HISTORY_LOST = LogEvent(
     "HS4103",
--- a/hopstep/platform/directory.py
+++ b/hopstep/platform/directory.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from hopstep.platform import names
 from hopstep.platform.documents import read_configuration, read_instance, read_weights
+from hopstep.platform.rejections import FAULTS, explain
 from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
@@ -13,6 +12,7 @@
     DirectoryChange,
     DirectoryEntry,
     InstanceListed,
+    InstanceRejected,
     InstanceRemoved,
     RecordWritten,
     ServingDirectory,
@@ -53,27 +53,36 @@
     """Return the entries that stored values stand for."""
     entries = []
     for value in values:
-        change = _read(value)
+        change = read_change(value)
         if change is not None:
             entries.append(DirectoryEntry(value.key, value.version, change))
     return tuple(entries)
 
 
-def _read(value: StoredValue) -> DirectoryChange | None:
-    """Return the change that one value stands for; None for keys of others."""
+def read_change(value: StoredValue) -> DirectoryChange | None:
+    """Return the change that one value stands for, whatever its bytes; None for keys of others."""
     key = value.key
+    if key.startswith(names.INSTANCES_PREFIX):
+        return _read_entry(key.removeprefix(names.INSTANCES_PREFIX), value.value)
     try:
         if key == names.CONFIGURATION_KEY:
             return ConfigurationPublished(read_configuration(value.value))
         if key.startswith(names.WEIGHTS_PREFIX):
             return WeightsPublished(read_weights(value.value))
-        if key.startswith(names.INSTANCES_PREFIX):
-            instance_id = key.removeprefix(names.INSTANCES_PREFIX)
-            if not value.value:
-                return InstanceRemoved(instance_id)
-            return InstanceListed(read_instance(instance_id, value.value))
-    except msgspec.DecodeError as error:
-        return Unreadable(key, str(error))
+    except FAULTS as error:
+        rejection = explain(error)
+        return Unreadable(key, rejection.reason, rejection.field, rejection.detail)
     if key.startswith(names.OPERATORS_PREFIX):
         return None
     return RecordWritten(key, value.value, value.version)
+
+
+def _read_entry(instance_id: str, value: bytes) -> DirectoryChange:
+    """Return the change that an instance's key stands for."""
+    if not value:
+        return InstanceRemoved(instance_id)
+    try:
+        return InstanceListed(read_instance(instance_id, value))
+    except FAULTS as error:
+        rejection = explain(error)
+        return InstanceRejected(instance_id, rejection.reason, rejection.field, rejection.detail)
--- a/hopstep/platform/documents.py
+++ b/hopstep/platform/documents.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import re
+from typing import Annotated, Literal
+
 import msgspec
 
+from hopstep.domain.addresses import parse_address
 from hopstep.domain.exchanges.instances import Instance, NamedWeights
 from hopstep.domain.exchanges.serving import (
     CacheStore,
@@ -16,10 +20,26 @@
     ServingConfiguration,
     Tenant,
 )
+from hopstep.exceptions import ValidationError
 from hopstep.platform import names
+from hopstep.platform.rejections import MAX_DETAIL, FieldValueError
 
 MILLISECONDS = 1_000.0
 
+MAX_SLOTS = 65_536
+"""A thousand times what the largest engines work on at once."""
+
+MAX_NUMBER = 2**53
+"""Whole numbers that every reader of JSON has."""
+
+INSTANCE_ID = re.compile(r"[!-~]{1,200}")
+"""Ids are sent in a header; keys have at most 200 bytes."""
+
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Start = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
 KINDS = {
     names.KIND_SAFE: RequestKind.REPEATABLE,
     names.KIND_UNSAFE: RequestKind.AT_MOST_ONCE,
@@ -128,15 +148,25 @@
     tenants: tuple[_Tenant, ...] = ()
 
 
+class _ListedModel(msgspec.Struct, frozen=True, rename="camel"):
+    name: _Text
+    version: _Count
+
+
 class _Entry(msgspec.Struct, frozen=True, rename="camel"):
-    service: str
+    """An instance's entry; every instance writes all fields that have no default here."""
+
+    service: _Text
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = ""
-    models: tuple[_Model, ...] = ()
-    call_sequence: int = 0
-    born: int = 0
+    zone: _Text
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: _Milliseconds
+    call_sequence: _Count
+    stage: str = ""
+    models: tuple[_ListedModel, ...] = ()
+    born: _Start | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Weights(msgspec.Struct, frozen=True, rename="camel"):
@@ -164,25 +194,38 @@
 
 
 def read_instance(instance_id: str, value: bytes) -> Instance:
-    """Return an instance's entry.
+    """Return an instance's entry; anybody may have written it.
 
     Raises:
-        msgspec.DecodeError: Names the field that can't be read.
+        Exception: One of ``rejections.FAULTS``.
     """
+    if not INSTANCE_ID.fullmatch(instance_id):
+        raise FieldValueError("", "expected an id of visible ASCII characters")
     entry = msgspec.json.decode(value, type=_Entry)
     return Instance(
         instance_id=instance_id,
         service=entry.service,
-        address=entry.address,
+        address=_read_address(entry.address),
         zone=entry.zone,
         slots=entry.slots,
         draining=entry.state == names.DRAINING,
         versions={model.name: model.version for model in entry.models},
         order_sequence=entry.call_sequence,
-        born_ms=entry.born,
+        born_ms=0 if entry.born is msgspec.UNSET else entry.born,
     )
 
 
+def _read_address(text: str) -> str:
+    """Return an address by IP number, with a port that can be called."""
+    try:
+        address = parse_address(text)
+    except ValidationError as error:
+        raise FieldValueError("address", error.message[:MAX_DETAIL]) from error
+    if not address.port:
+        raise FieldValueError("address", "expected a port from 1 on")
+    return str(address)
+
+
 def read_weights(value: bytes) -> NamedWeights:
     """Return named weights.
 
--- /dev/null
+++ b/hopstep/platform/rejections.py
@@ -0,0 +1,67 @@
+"""Why a document of others can't be read, from what the decoder says."""
+
+from __future__ import annotations
+
+import re
+
+import msgspec
+
+from hopstep.ports.serving_directory import RejectReason
+
+FIELD_PATH = re.compile(r" - at `\$\.?(?P<path>[^`]*)`$")
+"""Where the decoder says the fault is."""
+
+MISSING_FIELD = re.compile(r"missing required field `(?P<name>[^`]+)`")
+WRONG_TYPE = re.compile(r"^Expected `[^`]+`, got ")
+
+MAX_DETAIL = 200
+"""Characters of a log line: the decoder may repeat a part of the document."""
+
+
+class Rejection(msgspec.Struct, frozen=True):
+    """Why a document isn't taken.
+
+    Attributes:
+        reason: Kind of fault.
+        field: Path of the field at fault; empty when there is none.
+        detail: What was expected, for a person.
+    """
+
+    reason: RejectReason
+    field: str
+    detail: str
+
+
+class FieldValueError(Exception):
+    """A field with a value that means nothing.
+
+    Args:
+        field: Name of the field.
+        detail: What was expected.
+    """
+
+    def __init__(self, field: str, detail: str) -> None:
+        super().__init__(detail)
+        self.field = field
+        self.detail = detail
+
+
+FAULTS = (msgspec.DecodeError, FieldValueError, UnicodeDecodeError, RecursionError)
+"""What decoding the bytes of others may raise."""
+
+
+def explain(error: Exception) -> Rejection:
+    """Return what one of ``FAULTS`` says of a document."""
+    if isinstance(error, FieldValueError):
+        return Rejection(RejectReason.FIELD_VALUE, error.field, error.detail)
+    detail = str(error)[:MAX_DETAIL]
+    if not isinstance(error, msgspec.ValidationError):
+        return Rejection(RejectReason.UNREADABLE, "", detail)
+    path = FIELD_PATH.search(str(error))
+    field = path["path"] if path is not None else ""
+    missing = MISSING_FIELD.search(str(error))
+    if missing is not None:
+        name = ".".join(part for part in (field, missing["name"]) if part)
+        return Rejection(RejectReason.FIELD_MISSING, name, detail)
+    wrong = WRONG_TYPE.search(str(error)) is not None
+    return Rejection(RejectReason.FIELD_TYPE if wrong else RejectReason.FIELD_VALUE, field, detail)
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -51,7 +51,7 @@
 
     def read(self) -> StoredValue:
         """Return the stored value."""
-        value = b"" if self.deleted else base64.b64decode(self.value)
+        value = b"" if self.deleted else _decode_value(self.value)
         return StoredValue(self.private_key, value, self.revision)
 
 
@@ -238,6 +238,17 @@
         return answer
 
 
+def _decode_value(text: str) -> bytes:
+    """Return the bytes of a value; a text that is no base64 stands for itself.
+
+    Its reader rejects it then as it does other bytes without meaning, and the items beside it hold.
+    """
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError:
+        return text.encode("utf-8", "surrogatepass")
+
+
 def _lease_number(lease: str) -> int:
     """Return the number of a lease; 0 for none."""
     if lease and not lease.isdecimal():
--- a/hopstep/ports/serving_directory.py
+++ b/hopstep/ports/serving_directory.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import abc
+import enum
 
 import msgspec
 
@@ -51,21 +52,51 @@
     revision: int
 
 
+class RejectReason(enum.StrEnum):
+    """Kinds of faults in a document of others."""
+
+    UNREADABLE = "unreadable"
+    FIELD_MISSING = "field_missing"
+    FIELD_TYPE = "field_type"
+    FIELD_VALUE = "field_value"
+
+
+class InstanceRejected(msgspec.Struct, frozen=True, tag=True):
+    """An entry that names no instance to use: also one that was used before is so no longer.
+
+    Attributes:
+        instance_id: Id of the key.
+        reason: Kind of fault.
+        field: Field at fault; empty when there is none.
+        detail: What was expected, for a person.
+    """
+
+    instance_id: str
+    reason: RejectReason
+    field: str = ""
+    detail: str = ""
+
+
 class Unreadable(msgspec.Struct, frozen=True, tag=True):
-    """An entry that can't be read; what was known before it stays in force.
+    """Another document that can't be read; what was known before it stays in force.
 
     Attributes:
         key: The key.
-        reason: Field and expectation.
+        reason: Kind of fault.
+        field: Field at fault; empty when there is none.
+        detail: What was expected, for a person.
     """
 
     key: str
-    reason: str
+    reason: RejectReason
+    field: str = ""
+    detail: str = ""
 
 
 DirectoryChange = (
     ConfigurationPublished
     | InstanceListed
+    | InstanceRejected
     | InstanceRemoved
     | WeightsPublished
     | RecordWritten
@@ -99,6 +130,8 @@
         change: DirectoryChange
         if isinstance(self.change, InstanceListed):
             change = InstanceRemoved(self.change.instance.instance_id)
+        elif isinstance(self.change, InstanceRejected):
+            change = InstanceRemoved(self.change.instance_id)
         elif isinstance(self.change, RecordWritten):
             change = RecordWritten(self.change.key, b"", revision)
         else:
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -49,6 +49,12 @@
             "Prompt tokens that instances were expected to read.",
             registry=registry,
         )
+        self.rejected_entries = Counter(
+            "hopstep_rejected_entries",
+            "Documents in the store that this node doesn't trust, by reason.",
+            ("reason",),
+            registry=registry,
+        )
         self.failed_connections = Counter(
             "hopstep_failed_connections",
             "Clients' connections that a fault of this node has ended.",
--- a/hopstep/services/exchanges/instance_choice.py
+++ b/hopstep/services/exchanges/instance_choice.py
@@ -103,6 +103,7 @@
             for view in self._knowledge.table.of_service(service)
             if view.takes_requests
             and view.instance.instance_id not in tried
+            and (not model or model in view.versions)
             and (not required or view.serving_version(model) >= required)
         ]
 
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -30,8 +30,10 @@
     DirectoryBatch,
     DirectoryEntry,
     InstanceListed,
+    InstanceRejected,
     InstanceRemoved,
     RecordWritten,
+    RejectReason,
     Unreadable,
     WeightsPublished,
 )
@@ -108,6 +110,7 @@
         self.changed = trio.Event()
         self._record_listeners: dict[str, RecordListener] = {}
         self._end_listeners: list[EndListener] = []
+        self._count_rejected: Callable[[RejectReason], None] = lambda _reason: None
         self._max_age = revocation_seconds - MARGIN_SECONDS
         self._expired = False
 
@@ -115,6 +118,10 @@
         """Tell a listener of hopstep's own keys under a prefix."""
         self._record_listeners[prefix] = listener
 
+    def follow_rejections(self, listener: Callable[[RejectReason], None]) -> None:
+        """Tell a listener of each document that can't be trusted."""
+        self._count_rejected = listener
+
     def follow_ends(self, listener: EndListener) -> None:
         """Tell a listener of instances that the directory shows to have ended."""
         self._end_listeners.append(listener)
@@ -253,14 +260,29 @@
                 self._take_configuration(configuration, source, age_ms)
             case InstanceListed():
                 self._take_instance(change, source, age_ms)
+            case InstanceRejected():
+                self.table.reject(change.instance_id)
+                key = change.instance_id
+                self._log_rejected(key, change.reason, change.field, change.detail)
             case InstanceRemoved(instance_id):
                 self._take_removal(instance_id, source, age_ms)
             case WeightsPublished(weights):
                 self._take_weights(weights, entry.since, age_ms)
             case RecordWritten():
                 self._take_record(change)
-            case Unreadable(key, reason):
-                emit(log_events.DIRECTORY_ENTRY_REJECTED, key=key, reason=reason)
+            case Unreadable():
+                self._log_rejected(change.key, change.reason, change.field, change.detail)
+
+    def _log_rejected(self, key: str, reason: RejectReason, field: str, detail: str) -> None:
+        """Log and count a document that can't be trusted: once for each of its revisions."""
+        self._count_rejected(reason)
+        emit(
+            log_events.DIRECTORY_ENTRY_REJECTED,
+            key=key,
+            reason=reason.value,
+            field=field,
+            detail=detail,
+        )
 
     def _take_weights(self, weights: NamedWeights, since: float, age_ms: int) -> None:
         """Take named weights; their bound leaves out the time in which the store was away."""
@@ -353,7 +375,7 @@
             try:
                 self.nodes[name] = decode_node(record.value)
             except msgspec.DecodeError as error:
-                emit(log_events.DIRECTORY_ENTRY_REJECTED, key=record.key, reason=str(error))
+                self._log_rejected(record.key, RejectReason.UNREADABLE, "", str(error))
         else:
             self.nodes.pop(name, None)
         self.relays.set_nodes(self.nodes)
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -19,6 +19,7 @@
 from hopstep.exceptions import StoreConflictError, StoreError
 from hopstep.logs import emit
 from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort
+from hopstep.ports.serving_directory import RejectReason
 from hopstep.services.quarantine.quarantine import Quarantine
 
 QUARANTINE_PREFIX = "hopstep/quarantine/"
@@ -97,7 +98,14 @@
             fingerprint = bytes.fromhex(key.removeprefix(QUARANTINE_PREFIX))
             stored = msgspec.json.decode(value, type=StoredRequest) if value else None
         except (ValueError, msgspec.DecodeError) as error:
-            emit(log_events.DIRECTORY_ENTRY_REJECTED, key=key, reason=str(error))
+            reason = RejectReason.UNREADABLE.value
+            emit(
+                log_events.DIRECTORY_ENTRY_REJECTED,
+                key=key,
+                reason=reason,
+                field="",
+                detail=str(error),
+            )
             return
         if stored is None:
             self._note_lapsed(fingerprint)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -88,6 +88,8 @@
             "state": "draining",
             "models": [{"name": "m", "version": 3, "adapters": []}],
             "callSequence": 5,
+            "version": "v1",
+            "coldRemainingMs": 0,
             "born": 1_700_000_000_123,
         }
         instance = read_instance("i", json.dumps(entry).encode())
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -33,6 +33,7 @@
     DirectoryBatch,
     DirectoryEntry,
     InstanceListed,
+    InstanceRejected,
     InstanceRemoved,
     RecordWritten,
     ServingDirectory,
@@ -170,7 +171,7 @@
     match change:
         case InstanceListed(instance):
             return f"instances/{instance.instance_id}"
-        case InstanceRemoved(instance_id):
+        case InstanceRemoved(instance_id) | InstanceRejected(instance_id):
             return f"instances/{instance_id}"
         case WeightsPublished(weights):
             return f"weights/{weights.model}"
--- a/tests/services/exchanges/test_instance_lives.py
+++ b/tests/services/exchanges/test_instance_lives.py
@@ -125,12 +125,14 @@
     def test_an_entry_that_tells_no_start_is_of_the_life_that_is_known(self):
         async def script(world):
             await self.read_tokens(world)
-            unborn = msgspec.structs.replace(world.listed["e0"], born_ms=0, slots=9)
-            world.publish(InstanceListed(unborn))
+            born = world.listed["e0"]
+            world.publish(InstanceListed(msgspec.structs.replace(born, born_ms=0, slots=9)))
             await trio.sleep(HEARD_SECONDS)
             view = self.views(world)[0]
             self.assertEqual(view.instance.life, InstanceLife("e0", FIRST))
             self.assertEqual(view.instance.slots, 9)
+            world.publish(InstanceListed(born))
+            await trio.sleep(HEARD_SECONDS)
             self.assertLess(await self.read_tokens(world), PROMPT_TOKENS)
 
         self.run_world(script)
--- a/tests/services/exchanges/test_knowledge.py
+++ b/tests/services/exchanges/test_knowledge.py
@@ -5,7 +5,7 @@
 import trio
 
 from hopstep.exceptions import ErrorCode
-from hopstep.ports.serving_directory import ConfigurationPublished, Unreadable
+from hopstep.ports.serving_directory import ConfigurationPublished, RejectReason, Unreadable
 from hopstep.services.exchanges.knowledge import FIRST_READING_SECONDS
 from tests.services.exchanges.exchange_world import (
     BOUNDS,
@@ -141,7 +141,7 @@
 
     def test_an_entry_that_cannot_be_read_changes_nothing(self):
         async def script(world):
-            world.publish(Unreadable("some/key", "expected int"))
+            world.publish(Unreadable("some/key", RejectReason.FIELD_TYPE, "x", "expected int"))
             await trio.sleep(0.1)
             self.assertEqual((await world.request("unsafe")).status, 200)
 
--- /dev/null
+++ b/tests/services/exchanges/test_rejected_entries.py
@@ -0,0 +1,139 @@
+"""An entry that can't be trusted takes its instance out of use, and nothing else."""
+
+import unittest
+
+import msgspec
+import structlog
+import trio
+from prometheus_client import generate_latest
+
+from hopstep.ports.serving_directory import (
+    InstanceListed,
+    InstanceRejected,
+    InstanceRemoved,
+    RejectReason,
+)
+from tests.services.exchanges.exchange_world import ExchangeWorld
+
+HEARD_SECONDS = 1.5
+INSTANCES = 3
+BORN = 1_700_000_000_000
+
+
+def rejected(instance_id, reason=RejectReason.FIELD_TYPE, field="slots"):
+    return InstanceRejected(instance_id, reason, field, "expected something else")
+
+
+class RejectedEntriesTest(unittest.TestCase):
+    def run_world(self, script, nodes=6, zones=2, service="plain", **options):
+        world = ExchangeWorld(nodes, zones=zones)
+        for number in range(INSTANCES):
+            world.add(f"i{number}", service, **options)
+        world.run(script)
+        return world
+
+    async def used(self, world, name="safe"):
+        """Ask every node several times, and return the instances that were called."""
+        world.instances.calls.clear()
+        for node in range(len(world.nodes)):
+            for _ in range(2 * INSTANCES):
+                self.assertEqual((await world.request(name, node)).status, 200)
+        return {call.instance.instance_id for call in world.instances.calls}
+
+    def test_an_instance_is_out_of_use_until_a_good_entry_comes(self):
+        async def script(world):
+            entry = world.listed["i0"]
+            self.assertIn("i0", await self.used(world))
+            world.publish(rejected("i0"))
+            await trio.sleep(HEARD_SECONDS)
+            self.assertEqual(await self.used(world), {"i1", "i2"})
+            world.publish(InstanceListed(entry))
+            await trio.sleep(HEARD_SECONDS)
+            self.assertIn("i0", await self.used(world))
+
+        self.run_world(script)
+
+    def test_what_was_known_of_it_is_kept_meanwhile(self):
+        async def script(world):
+            view = world.nodes[0].knowledge.table.get("i0")
+            world.publish(rejected("i0"))
+            await trio.sleep(HEARD_SECONDS)
+            world.publish(InstanceListed(world.listed["i0"]))
+            await trio.sleep(HEARD_SECONDS)
+            self.assertIs(world.nodes[0].knowledge.table.get("i0"), view)
+
+        self.run_world(script)
+
+    def test_a_key_that_never_named_an_instance_is_passed_over(self):
+        async def script(world):
+            world.publish(rejected("never"))
+            world.publish(InstanceRemoved("never"))
+            world.publish(rejected("ever"))
+            await trio.sleep(HEARD_SECONDS)
+            self.assertEqual(await self.used(world), {"i0", "i1", "i2"})
+
+        self.run_world(script)
+
+    def test_good_entries_of_the_same_moment_are_taken(self):
+        async def script(world):
+            late = msgspec.structs.replace(world.listed["i1"], draining=True)
+            world.publish(rejected("x", RejectReason.UNREADABLE, ""))
+            world.publish(InstanceListed(late))
+            world.publish(rejected("i2"))
+            await trio.sleep(HEARD_SECONDS)
+            self.assertEqual(await self.used(world), {"i0"})
+
+        self.run_world(script)
+
+    def test_nodes_that_start_later_use_none_of_them(self):
+        async def script(world):
+            world.publish(rejected("i0"))
+            world.publish(rejected("x"))
+            await trio.sleep(HEARD_SECONDS)
+            world.start_node(world.nursery, "late", "z1")
+            await trio.sleep(HEARD_SECONDS)
+            self.assertEqual(await self.used(world), {"i1", "i2"})
+
+        self.run_world(script)
+
+    def test_an_entry_without_its_start_is_incomplete_where_others_tell_theirs(self):
+        async def script(world):
+            self.assertIn("i0", await self.used(world))
+            unborn = msgspec.structs.replace(world.listed["i0"], born_ms=0)
+            world.publish(InstanceListed(unborn))
+            await trio.sleep(HEARD_SECONDS)
+            self.assertEqual(await self.used(world), {"i1", "i2"})
+            world.publish(InstanceListed(msgspec.structs.replace(unborn, born_ms=BORN)))
+            await trio.sleep(HEARD_SECONDS)
+            self.assertIn("i0", await self.used(world))
+
+        self.run_world(script, born_ms=BORN)
+
+    def test_where_nobody_tells_a_start_none_is_missed(self):
+        async def script(world):
+            self.assertEqual(await self.used(world), {"i0", "i1", "i2"})
+
+        self.run_world(script)
+
+    def test_an_engine_whose_entry_names_no_model_gets_no_prompt(self):
+        async def script(world):
+            bare = msgspec.structs.replace(world.listed["i0"], instance_id="bare", versions={})
+            world.instances.add(bare)
+            world.publish(InstanceListed(bare))
+            await trio.sleep(HEARD_SECONDS)
+            self.assertNotIn("bare", await self.used(world, "stream"))
+
+        self.run_world(script, service="llm")
+
+    def test_each_is_logged_once_and_counted_by_reason(self):
+        async def script(world):
+            with structlog.testing.capture_logs() as lines:
+                world.publish(rejected("x", RejectReason.FIELD_VALUE, "state"))
+                await trio.sleep(4.0)
+            lines = [line for line in lines if line["event"] == "directory_entry_rejected"]
+            self.assertEqual(len(lines), len(world.nodes))
+            self.assertEqual((lines[0]["reason"], lines[0]["field"]), ("field_value", "state"))
+            text = generate_latest(world.nodes[0].registry).decode()
+            self.assertIn('hopstep_rejected_entries_total{reason="field_value"} 1.0', text)
+
+        self.run_world(script)
