Count the time in which the machine was suspended, in every age, lease and deadline

Cause: the event loop ran on the ordinary steady clock, which stands still with the machine. After a suspension a node held its rollout lease for valid, a revoked key for fresh and a configuration for just confirmed, and saw no pause (design 0025).

Idle connections are left by the same clock.

The stand-ins of instances write all fields of an entry, as the platform does: without them their entries count as incomplete since the last change, and the tests over real processes failed.

--- a/emulator/exchange_platform/http_instance.py
+++ b/emulator/exchange_platform/http_instance.py
@@ -142,8 +142,10 @@
             "service": traits.service,
             "address": address,
             "zone": traits.zone,
+            "version": "v1",
             "slots": traits.slots,
             "state": "draining" if self.draining else "ready",
+            "coldRemainingMs": 0,
             "models": models,
             "callSequence": self.order_sequence,
         }
--- a/hopstep/adapters/http_api/rendering.py
+++ b/hopstep/adapters/http_api/rendering.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import abc
-import time
 
 import msgspec
 
@@ -18,6 +17,7 @@
     UsageBody,
 )
 from hopstep.adapters.http_api.errors import encode_error
+from hopstep.clock import time_of_day_seconds
 from hopstep.domain.inference import AnswerFinish, AnswerPart, AnswerUsage, InferenceRequest
 from hopstep.exceptions import ServiceError
 
@@ -48,7 +48,7 @@
         """
         self._id = self.id_prefix + request.request_id
         self._model = request.model.name
-        self._created = int(time.time())
+        self._created = int(time_of_day_seconds())
         self._encoder = msgspec.json.Encoder()
 
     def whole(self, text: str, last: AnswerPart, engines: tuple[str, ...]) -> bytes:
--- a/hopstep/adapters/peer_codec.py
+++ b/hopstep/adapters/peer_codec.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import hmac
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -17,6 +16,7 @@
 import msgspec
 
 from hopstep.adapters.peer_keys import PeerKeys
+from hopstep.clock import time_of_day_seconds
 from hopstep.domain.peer_message import Body, PeerMessage
 from hopstep.exceptions import ErrorCode, PeerMessageError
 
@@ -104,7 +104,7 @@
         sender: str,
         incarnation: int,
         keys: PeerKeys,
-        wall_clock: Callable[[], float] = time.time,
+        wall_clock: Callable[[], float] = time_of_day_seconds,
     ) -> None:
         """Start a new sequence.
 
--- a/hopstep/cli/node_process.py
+++ b/hopstep/cli/node_process.py
@@ -16,6 +16,7 @@
 from hopstep.adapters.log_output import NonBlockingOutput
 from hopstep.adapters.node_datagrams import NodeDatagrams
 from hopstep.cli.command import run_command
+from hopstep.clock import SuspensionClock
 from hopstep.early_listeners import Listeners
 from hopstep.exchange_node import ExchangePorts, ExchangeServices, run_exchange_node
 from hopstep.exchange_settings import ExchangeSettings
@@ -87,7 +88,7 @@
     configure_logging(settings.log_level, settings.name, NonBlockingOutput(sys.stdout.fileno()))
     capture_library_logs()
     configure_garbage_collection()
-    trio.run(run_node, settings, path, listeners)
+    trio.run(run_node, settings, path, listeners, clock=SuspensionClock())
     return 0
 
 
--- a/hopstep/cli/router.py
+++ b/hopstep/cli/router.py
@@ -12,6 +12,7 @@
 from absl import flags
 
 from hopstep.cli.command import run_command
+from hopstep.clock import SuspensionClock
 from hopstep.exceptions import ErrorCode, PortError
 from hopstep.garbage_collection import configure_garbage_collection
 from hopstep.library_logs import capture_library_logs
@@ -45,7 +46,7 @@
     capture_library_logs()
     configure_garbage_collection()
     try:
-        trio.run(run_node, settings)
+        trio.run(run_node, settings, clock=SuspensionClock())
     except PortError as error:
         if error.code is not ErrorCode.INVALID_SETTINGS:
             raise
--- a/hopstep/logs.py
+++ b/hopstep/logs.py
@@ -4,12 +4,12 @@
 
 import logging
 import sys
-import time
 from collections.abc import Callable, MutableMapping
 from typing import Any, Protocol
 
 import structlog
 
+from hopstep.clock import steady_seconds
 from hopstep.log_events import LogEvent
 
 LINES_PER_SECOND = 100.0
@@ -39,7 +39,7 @@
     def __init__(
         self,
         lines_per_second: float = LINES_PER_SECOND,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = steady_seconds,
     ) -> None:
         """Start with a full budget for each kind.
 
--- a/hopstep/node.py
+++ b/hopstep/node.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 import signal
-import time
 from pathlib import Path
 from typing import Any
 
@@ -28,6 +27,7 @@
 from hopstep.adapters.tls import TlsContexts, load_tls
 from hopstep.adapters.udp_peer_transport import UdpPeerTransport
 from hopstep.adapters.watched_files import WatchedFiles, follow_files
+from hopstep.clock import time_of_day_seconds
 from hopstep.logs import emit
 from hopstep.services.router import RouterPorts, RouterServices
 from hopstep.settings import PeerSettings, RouterSettings
@@ -149,7 +149,7 @@
         PortError: When the peers' socket can't be bound, or a file that the settings name
             can't be used; names the field.
     """
-    incarnation = int(time.time() * MILLISECONDS)
+    incarnation = int(time_of_day_seconds() * MILLISECONDS)
     tls = load_tls(settings.tls)
     keys, watched_keys = _load_keys(settings.peers)
     watched: tuple[WatchedFiles[Any], ...] = (*tls.watched, *watched_keys)
--- a/hopstep/platform/http_client.py
+++ b/hopstep/platform/http_client.py
@@ -68,6 +68,7 @@
         """Open no connection yet."""
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
         self._active: Counter[str] = Counter()
+        self._used_at: dict[str, float] = {}
 
     @contextlib.asynccontextmanager
     async def open(self, call: HttpCall, trace: SendTrace) -> AsyncIterator[httpcore.Response]:
@@ -85,6 +86,7 @@
             content=call.body,
             extensions={"timeout": timeout, "trace": trace},
         )
+        await self._leave_unused(call.address)
         self._active[call.address] += 1
         try:
             response = await self._pool(call.address).handle_async_request(request)
@@ -95,6 +97,16 @@
         finally:
             self._active[call.address] -= 1
 
+    async def _leave_unused(self, address: str) -> None:
+        """Close connections that have been idle for too long.
+
+        The library counts that by a clock which stands still while the machine is suspended.
+        """
+        now = trio.current_time()
+        if now - self._used_at.get(address, now) > IDLE_SECONDS:
+            await self.drop_idle(address)
+        self._used_at[address] = now
+
     async def listens(self, address: str, seconds: float) -> bool | None:
         """Return whether an address takes a new connection; None when nothing says so.
 
@@ -127,6 +139,7 @@
     async def forget(self, address: str) -> None:
         """Close the pool of an address; calls under way on it fail."""
         self._active.pop(address, None)
+        self._used_at.pop(address, None)
         pool = self._pools.pop(address, None)
         if pool is not None:
             await pool.aclose()
--- a/hopstep/services/claim_sweeper.py
+++ b/hopstep/services/claim_sweeper.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 
 import trio
 
 from hopstep import log_events
+from hopstep.clock import time_of_day_seconds
 from hopstep.domain.claims import CLAIM_PREFIX, HeldClaim, may_forget
 from hopstep.exceptions import ServiceError, StoreError
 from hopstep.logs import emit
@@ -45,7 +45,7 @@
         store: KeyValueStorePort,
         engines: EnginePort,
         rng: random.Random,
-        wall_clock: Callable[[], float] = time.time,
+        wall_clock: Callable[[], float] = time_of_day_seconds,
         retention_seconds: float = DEFAULT_RETENTION_SECONDS,
     ) -> None:
         self._store = store
--- a/hopstep/services/claims.py
+++ b/hopstep/services/claims.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import msgspec
 import trio
 
 from hopstep import log_events
+from hopstep.clock import time_of_day_seconds
 from hopstep.domain.claims import (
     Claim,
     ClaimStep,
@@ -75,7 +75,7 @@
         store: KeyValueStorePort,
         engines: EnginePort,
         router_name: str,
-        wall_clock: Callable[[], float] = time.time,
+        wall_clock: Callable[[], float] = time_of_day_seconds,
         timeout_seconds: float = DEFAULT_TIMEOUT_SECONDS,
     ) -> None:
         self._store = store
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -89,6 +89,7 @@
         only: str | None = None
         while True:
             self._refuse_quarantined()
+            self._refuse_unproved_key()
             candidate = self._parts.choice.choose(self._request, self._service, self._tried, only)
             if candidate is None:
                 self._fail(ErrorCode.OVERLOADED, "no instance may serve the request now")
@@ -133,6 +134,19 @@
         if self.refused_seconds:
             self._fail(ErrorCode.REQUEST_QUARANTINED, "instances have ended under this request")
 
+    def _refuse_unproved_key(self) -> None:
+        """End a request whose key may have been revoked since it was admitted.
+
+        A node that was suspended between two attempts sent the second one under a key that it had
+        last confirmed up to 26 s before (drawn suspensions of up to 30 s on a virtual clock).
+        """
+        if self._request.tenant is None:
+            return
+        try:
+            self._parts.require_fresh()
+        except ServiceError as error:
+            self._fail(error.code, error.message)
+
     def _go_on(self, view: InstanceView, error: InstanceCallError) -> str | None:
         """Return where to go on after a refusal that doesn't count as an instance of the route.
 
--- a/hopstep/services/exchanges/exchange_parts.py
+++ b/hopstep/services/exchanges/exchange_parts.py
@@ -71,6 +71,7 @@
         note_sent: Told of each prompt that is sent, for the peers.
         pauses: Notices pauses of the node itself.
         quarantine: Requests that end instances.
+        require_fresh: Raises ``ServiceError`` when keys may have been revoked unnoticed.
         count_failure: Told of each failed attempt: its code, and what follows.
     """
 
@@ -81,4 +82,5 @@
     note_sent: Callable[[Candidate], None]
     pauses: PauseWatch
     quarantine: Quarantine
+    require_fresh: Callable[[], None]
     count_failure: Callable[[str, str], None]
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -83,6 +83,7 @@
             note_sent=sharing.note_sent,
             pauses=pauses,
             quarantine=quarantine,
+            require_fresh=knowledge.require_fresh,
             count_failure=self._count_failure,
         )
 
--- a/hopstep/services/router.py
+++ b/hopstep/services/router.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 
 import msgspec
 import trio
 from prometheus_client import CollectorRegistry
 
+from hopstep.clock import time_of_day_seconds
 from hopstep.domain.rendezvous import hash_name
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.ports.engine import EnginePort
@@ -66,7 +66,7 @@
     peer_transport: PeerTransport
     peer_configuration: PeerConfigurationPort
     generator: random.Random
-    wall_clock: Callable[[], float] = time.time
+    wall_clock: Callable[[], float] = time_of_day_seconds
     make_nonce: Callable[[], str] = new_nonce
 
 
--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -136,7 +136,16 @@
         await hypercorn.trio.serve(app, config, task_status=task_status, mode="asgi")
 
     async def publish(self, shared, port):
-        entry = {"service": "s", "address": f"127.0.0.1:{port}", "state": "ready"}
+        entry = {
+            "service": "s",
+            "address": f"127.0.0.1:{port}",
+            "zone": "z1",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "callSequence": 0,
+        }
         for key, value in (("op/config", CONFIGURATION), ("servers/i1", entry)):
             await shared.execute(wire.CompareAndSwap(key, ABSENT, json.dumps(value).encode()))
 
