--- a/hopstep/domain/quarantine/crash_ledger.py
+++ b/hopstep/domain/quarantine/crash_ledger.py
@@ -2,9 +2,9 @@
 
 A request whose instance has ended is one of perhaps many that were under way, and most of them
 have nothing to do with the end. So a request is refused only when ``ENDS_TO_REFUSE`` instances have
-ended under it, and each whole answer to it takes one of these ends back: one that merely was there
-is answered far more often than its instances end. What is known of a request is forgotten some time
-after the last end.
+ended under it, and each whole answer to it takes one of these ends back, or excuses one to come: a
+request that merely was there is answered far more often than its instances end. What is known of a
+request is forgotten some time after the last end.
 
 Times are of the steady clock, in seconds.
 """
@@ -43,6 +43,14 @@
 
 MAX_ENDED = 1_024
 
+MAX_EXCUSED = 3
+"""Ends that earlier whole answers excuse at a node: without them a popular request was refused for
+ten minutes when all instances of a service ended together.
+"""
+
+MAX_ANSWERED = 1_024
+"""Requests whose whole answers are remembered, those answered last."""
+
 
 class CountedEnd(msgspec.Struct, frozen=True):
     """An instance's end that was counted for a request.
@@ -97,6 +105,7 @@
         self._repeated: OrderedDict[bytes, _Record] = OrderedDict()
         self._unproved: OrderedDict[str, OrderedDict[bytes, _Unproved]] = OrderedDict()
         self._ended: OrderedDict[str, None] = OrderedDict()
+        self._answered: OrderedDict[bytes, int] = OrderedDict()
 
     @property
     def is_empty(self) -> bool:
@@ -146,14 +155,19 @@
         return [end for end in counted if end is not None]
 
     def note_whole_answer(self, fingerprint: bytes) -> str:
-        """Take back the oldest end that counts for a request; return its life, empty for none."""
+        """Take back the oldest end that counts for a request, or excuse one to come.
+
+        Returns:
+            The life whose end no longer counts; empty for none.
+        """
         record = self._find(fingerprint)
-        if record is None:
-            return ""
-        for life in record.crashes:
-            if life not in record.cleared:
-                self._clear(record, life)
-                return life
+        if record is not None and record.ends:
+            life = next(life for life in record.crashes if life not in record.cleared)
+            self._clear(record, life)
+            return life
+        self._answered[fingerprint] = min(MAX_EXCUSED, self._answered.get(fingerprint, 0) + 1)
+        self._answered.move_to_end(fingerprint)
+        _drop_oldest(self._answered, MAX_ANSWERED)
         return ""
 
     def clear(self, fingerprint: bytes) -> int:
@@ -213,7 +227,11 @@
         return released
 
     def _count(self, fingerprint: bytes, life: str, now: float) -> CountedEnd | None:
-        """Count an end that this node saw."""
+        """Count an end that this node saw, unless an earlier answer excuses it."""
+        excused = self._answered.get(fingerprint, 0)
+        if excused:
+            self._answered[fingerprint] = excused - 1
+            return None
         return self._add(fingerprint, Crash(life, self._node), now)
 
     def _add(self, fingerprint: bytes, crash: Crash, now: float) -> CountedEnd | None:
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -203,8 +203,7 @@
                 self._parts.quarantine.note_broken(self._name, view.life)
         self._in_flight = SendProof()
         self._count_sent(view)
-        if not self._parts.quarantine.is_idle:
-            self._parts.quarantine.note_whole_answer(self._name.fingerprint)
+        self._parts.quarantine.note_whole_answer(self._name.fingerprint)
         return None
 
     def _learn_from_attempt(self, view: InstanceView, error: InstanceCallError) -> None:
--- a/hopstep/services/quarantine/quarantine.py
+++ b/hopstep/services/quarantine/quarantine.py
@@ -143,9 +143,7 @@
         self._ledger.note_answer(life, sent_at)
 
     def note_whole_answer(self, fingerprint: bytes) -> None:
-        """Take back an end that counts for a request: it has run to a whole answer."""
-        if self._ledger.is_empty:
-            return
+        """Take back an end that counts for a request, or excuse one: it was answered whole."""
         was_refused = self.refused_seconds(fingerprint) > 0
         if self._ledger.note_whole_answer(fingerprint):
             self._note_changed(fingerprint, seen_here=True)
--- a/hopstep/services/requests/engine_ends.py
+++ b/hopstep/services/requests/engine_ends.py
@@ -67,8 +67,7 @@
 
     def note_whole_answer(self, request: InferenceRequest) -> None:
         """Note a request that has run to a whole answer."""
-        if not self._quarantine.is_idle:
-            self._quarantine.note_whole_answer(request.name().fingerprint)
+        self._quarantine.note_whole_answer(request.name().fingerprint)
 
     async def settle(self, request: InferenceRequest, attempt: Attempt) -> None:
         """Wait for the look at an attempt's engine if one more end would have it refused."""
--- a/tests/domain/quarantine/test_crash_ledger.py
+++ b/tests/domain/quarantine/test_crash_ledger.py
@@ -2,7 +2,9 @@
 
 from hopstep.domain.quarantine.crash_ledger import (
     ENDS_TO_REFUSE,
+    MAX_ANSWERED,
     MAX_ENDS,
+    MAX_EXCUSED,
     MAX_REQUESTS,
     MEMORY_SECONDS,
     UNPROVED_SECONDS,
@@ -86,6 +88,19 @@
             self.assertFalse(self.refused(FATAL))
             self.ledger.note_whole_answer(FATAL)
 
+    def test_answers_of_before_excuse_some_ends(self):
+        for _ in range(100):
+            self.ledger.note_whole_answer(FATAL)
+        self.end_under(FATAL, *(f"i{number}" for number in range(MAX_EXCUSED)))
+        self.assertEqual(self.ledger.ends(FATAL), 0)
+        self.end_under(FATAL, *(f"j{number}" for number in range(ENDS_TO_REFUSE)))
+        self.assertTrue(self.refused(FATAL))
+
+    def test_answers_to_one_request_excuse_no_other(self):
+        self.ledger.note_whole_answer(OTHER)
+        self.end_under(FATAL, "i1")
+        self.assertEqual(self.ledger.ends(FATAL), 1)
+
     def test_a_request_that_ends_half_of_its_instances_is_refused_in_the_end(self):
         ends = 0
         while not self.refused(FATAL):
@@ -156,6 +171,12 @@
             ledger.merge(RequestCrashes(fingerprint, (Crash(f"i{number}", "n"),)), 0.0)
         self.assertLessEqual(len(ledger._once) + len(ledger._repeated), 2 * MAX_REQUESTS)
 
+    def test_remembered_answers_are_bounded(self):
+        ledger = CrashLedger("n1")
+        for number in range(3 * MAX_ANSWERED):
+            ledger.note_whole_answer(number.to_bytes(16, "big"))
+        self.assertEqual(len(ledger._answered), MAX_ANSWERED)
+
     def test_requests_with_one_end_do_not_push_out_those_with_several(self):
         ledger = CrashLedger("n1")
         crashes = tuple(Crash(f"i{number}", "n") for number in range(ENDS_TO_REFUSE))
--- a/tests/services/exchanges/test_quarantined_requests.py
+++ b/tests/services/exchanges/test_quarantined_requests.py
@@ -165,6 +165,26 @@
 
         self.run_world(script, service="plain")
 
+    def test_a_popular_request_outlives_the_end_of_all_instances_at_once(self):
+        async def script(world):
+            for node in range(3):
+                for _ in range(4):
+                    self.assertEqual((await world.request("safe", node)).status, 200)
+            async with trio.open_nursery() as nursery:
+                for number in range(3 * ENGINES):
+                    nursery.start_soon(world.request, "safe", number % 3)
+                await trio.sleep(0.01)
+                for server in list(world.instances.servers.values()):
+                    server.end()
+                await trio.sleep(1.0)
+            self.unlist_ended(world)
+            world.add("new")
+            await trio.sleep(1.0)
+            for node in range(3):
+                self.assertEqual((await world.request("safe", node)).status, 200)
+
+        self.run_world(script, service="plain")
+
     def test_answers_that_break_off_at_instances_that_live_do_not_count(self):
         async def script(world):
             for server in world.instances.servers.values():
