Teach the soak fatal requests, lives of instances, foreign entries and suspended machines

Cause: no soak could have found the incident: nothing in it ended instances under a request that comes again, no instance came back under its id, no other writer wrote entries and no machine was suspended.

New faults: a request that ends each instance which begins it, sent again at any node, several at once; instances that restart under their id; addresses passed on to another service; entries of another writer that lead to a decoy; nodes whose ordinary steady clock stands still. New checks: arrivals of a fatal request at instances, honest requests refused as if they were fatal, whatever reaches the decoy, weights of all listed engines at the end.

--- a/emulator/exchange_platform/http_instance.py
+++ b/emulator/exchange_platform/http_instance.py
@@ -33,12 +33,13 @@
     """What an instance is.
 
     Attributes:
-        instance_id: New with every start.
+        instance_id: Its id; it may start again under it.
         service: Name of its service.
         zone: Its zone.
         slots: Requests at once; more are refused as not run.
         model: Name of its model; empty for a plain service.
         load_seconds: Time to load weights.
+        born_ms: Unix time of this start in milliseconds.
     """
 
     instance_id: str
@@ -47,6 +48,7 @@
     slots: int = 32
     model: str = ""
     load_seconds: float = 0.5
+    born_ms: int = 1
 
 
 class InstanceFaults(msgspec.Struct):
@@ -94,6 +96,9 @@
     def changed(self, instance: HttpInstance) -> None:
         """The instance's entry has changed."""
 
+    def met_fatal(self, instance: HttpInstance, request: str) -> None:
+        """A request that ends the instance begins to run; it is named by its caller."""
+
 
 class _Order(msgspec.Struct, rename="camel"):
     operation: str
@@ -148,6 +153,7 @@
             "coldRemainingMs": 0,
             "models": models,
             "callSequence": self.order_sequence,
+            "born": traits.born_ms,
         }
 
     async def serve(self) -> quart.Response:
@@ -168,6 +174,10 @@
         )
         self._listener.began(self, shown, stamp)
         wanted = json.loads(body) if body else {}
+        if "fatal" in wanted:
+            self._listener.met_fatal(self, wanted["fatal"])
+            with self._running(stamp):
+                await trio.sleep_forever()
         fields = {
             "Attempt-Id": request_id,
             "Response-Stamp": stamp,
@@ -275,6 +285,7 @@
             "callSequence": self.order_sequence,
             "activeRequests": self.active,
             "models": [{"name": self.traits.model, "version": self.version}],
+            "born": self.traits.born_ms,
         }
 
     def _stamp(self, request_id: str) -> str:
@@ -303,7 +314,13 @@
         await trio.sleep(float(quart.request.headers.get("Wait-Ms", "0")) / MILLISECONDS)
         position = int(quart.request.args.get("since", "0"))
         return json_response(
-            {"epoch": FIRST_EPOCH, "nextPageToken": position, "lost": False, "events": []}
+            {
+                "epoch": FIRST_EPOCH,
+                "nextPageToken": position,
+                "lost": False,
+                "events": [],
+                "born": instance.traits.born_ms,
+            }
         )
 
     @app.post("/order")
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -86,7 +86,7 @@
                 nursery.start_soon(self._ask_readiness, node)
             while True:
                 await trio.sleep(self._generator.expovariate(self._rate))
-                nursery.start_soon(self._send, self._draw())
+                nursery.start_soon(self._send_or_leave, self._draw())
 
     def _draw(self) -> SentRequest:
         """Return a new request."""
@@ -95,8 +95,14 @@
         nodes = self.readiness.usable(self._deployment.nodes)
         return draw_request(self._deployment, generator, kind, generator.choice(nodes))
 
-    async def _send(self, request: SentRequest) -> None:
-        """Send a request and record how it ends."""
+    async def send(self, request: SentRequest) -> None:
+        """Send a request of a caller that stays, and record how it ends."""
+        with trio.move_on_after(PATIENCE_SECONDS + LATEST_ANSWER_SECONDS):
+            await self._exchange(request)
+        request.ended_at = trio.current_time()
+
+    async def _send_or_leave(self, request: SentRequest) -> None:
+        """Send a request and record how it ends; some callers leave."""
         leaves = self._generator.random() < LEAVING_SHARE
         patience = self._generator.uniform(0.05, 0.6) if leaves else float("inf")
         if leaves:
@@ -114,6 +120,7 @@
             async with client.stream(
                 "POST", path_of(request), headers=headers_of(request), content=body_of(request)
             ) as response:
+                request.head_at = trio.current_time()
                 request.status = response.status_code
                 request.stamp = response.headers.get("response-stamp", "")
                 async for data in response.aiter_raw():
@@ -214,6 +221,8 @@
 
 def body_of(request: SentRequest) -> bytes:
     """Return a request's body, which says what the instance should do."""
+    if request.fatal:
+        return json.dumps({"fatal": request.fatal}).encode()
     if request.service == ENGINES:
         return json.dumps({"events": request.events}).encode()
     return json.dumps({"work_ms": 20}).encode()
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -5,19 +5,36 @@
 import json
 import random
 import signal
+from collections.abc import Callable
 from pathlib import Path
 
 import hypercorn
 import hypercorn.trio
 import msgspec
+import quart
+import quart_trio
 import trio
 
-from emulator.exchange_platform.http_instance import HttpInstance, InstanceTraits, RunHeaders
+from emulator.exchange_platform.http_instance import (
+    MISDIRECTED,
+    HttpInstance,
+    InstanceTraits,
+    RunHeaders,
+)
 from emulator.exchange_platform.store import create_store_app
 from emulator.fleet.processes import ProcessGroup, free_addresses
 from emulator.platform.shared_store import SharedStore
-from emulator.soak.history import Arrival, Disturbance, History, Run, TakenOrder
+from emulator.soak.history import (
+    Arrival,
+    Disturbance,
+    History,
+    InstanceEnd,
+    ListedInstance,
+    Run,
+    TakenOrder,
+)
 from emulator.soak.proxies import TcpProxy, UdpProxy
+from emulator.soak.suspendable_node import FILE_ARGUMENT
 from hopstep.adapters import key_value_store_wire as wire
 from hopstep.ports.key_value_store import ABSENT, StoredValue
 
@@ -26,7 +43,15 @@
 HOST = "soak.example"
 CONFIGURATION_KEY = "op/config"
 GRACE_SECONDS = 4.0
-NODE_MODULE = "hopstep.cli.node"
+NODE_MODULE = "emulator.soak.suspendable_node"
+
+FIRST_BORN_MS = 1_700_000_000_000
+FATAL_SECONDS = (0.05, 0.15)
+"""From the beginning of a fatal request to the instance's end."""
+
+RESTART_SECONDS = (0.5, 3.0)
+SAME_ID_SHARE = 0.6
+"""Of instances that ended and start again under the id that they had."""
 
 
 class Recorder:
@@ -42,6 +67,8 @@
         self._history = history
         self._store = store
         self.addresses: dict[str, str] = {}
+        self.lives: dict[str, HttpInstance] = {}
+        self.on_fatal: Callable[[HttpInstance, str], None] = lambda _instance, _request: None
 
     def arrived(self, instance: HttpInstance, request_id: str) -> None:
         """Record an arrival."""
@@ -76,12 +103,16 @@
         self._history.orders.append(order)
 
     def changed(self, instance: HttpInstance) -> None:
-        """Write an instance's entry."""
+        """Write an instance's entry, if it is the one that lives under its id."""
         instance_id = instance.traits.instance_id
         address = self.addresses.get(instance_id)
-        if address is not None:
+        if address is not None and self.lives.get(instance_id) is instance:
             self._store.put(f"servers/{instance_id}", instance.entry(address))
 
+    def met_fatal(self, instance: HttpInstance, request: str) -> None:
+        """Have an instance end under a request."""
+        self.on_fatal(instance, request)
+
 
 class DirectStore:
     """Writes of the operator and of instances, which the store's faults don't touch."""
@@ -96,9 +127,12 @@
 
     def put(self, key: str, document: object) -> None:
         """Write a document."""
+        self.put_bytes(key, json.dumps(document).encode())
+
+    def put_bytes(self, key: str, value: bytes) -> None:
+        """Write any bytes."""
         stored = self._shared.model.apply(wire.Get(key), trio.current_time())
         version = stored.version if isinstance(stored, StoredValue) else ABSENT
-        value = json.dumps(document).encode()
         self._shared.write_directly(wire.CompareAndSwap(key, version, value))
 
     def remove(self, key: str) -> None:
@@ -119,8 +153,10 @@
         peers: Before the node's datagrams.
         readiness: Address that is asked whether the node is ready.
         settings: Settings file.
+        suspended: File with the seconds for which its machine was suspended.
         running: Whether the process should run.
         started_at: When it was started last.
+        suspended_seconds: What the file says.
     """
 
     name: str
@@ -130,16 +166,19 @@
     peers: UdpProxy
     readiness: str
     settings: Path
+    suspended: Path
     running: bool = False
     started_at: float = 0.0
+    suspended_seconds: float = 0.0
 
 
 class InstanceLinks(msgspec.Struct):
-    """An instance and the proxy before it."""
+    """An instance, the proxy before it, and when it was listed."""
 
     instance: HttpInstance
     proxy: TcpProxy
     scope: trio.CancelScope
+    since: float
 
 
 class Deployment:
@@ -158,9 +197,12 @@
         self.recorder = Recorder(self.history, self.store)
         self.nodes: list[NodeLinks] = []
         self.instances: list[InstanceLinks] = []
+        self.decoy = ""
         self._directory = directory
         self._generator = generator
         self._started = 0
+        self._born_ms = FIRST_BORN_MS
+        self.recorder.on_fatal = self._end_under
 
     async def start(self, nursery: trio.Nursery, processes: ProcessGroup, nodes: int) -> None:
         """Start store, instances and nodes.
@@ -174,6 +216,8 @@
         self._nursery = nursery
         store_address = free_addresses(1)[0]
         await nursery.start(_serve, create_store_app(self.shared), store_address)
+        self.decoy = free_addresses(1)[0]
+        await nursery.start(_serve, _create_decoy(self.history), self.decoy)
         for zone in ZONES:
             await self.add_instance(PLAIN, zone)
             await self.add_instance(ENGINES, zone)
@@ -181,11 +225,28 @@
         for number in range(nodes):
             await self._add_node(f"n{number}", ZONES[number % len(ZONES)], store_address)
 
-    async def add_instance(self, service: str, zone: str, version: int = 1) -> InstanceLinks:
-        """Start an instance behind a proxy, and list it."""
+    async def add_instance(
+        self, service: str, zone: str, version: int = 1, instance_id: str = "", port: int = 0
+    ) -> InstanceLinks:
+        """Start an instance behind a proxy, and list it.
+
+        Args:
+            service: Its service.
+            zone: Its zone.
+            version: Its weights version.
+            instance_id: Id under which it starts again; a new one if empty.
+            port: Port at which it is reached; a free one if 0.
+        """
         self._started += 1
+        self._born_ms += self._generator.randrange(1, 5_000)
         model = MODEL if service == ENGINES else ""
-        traits = InstanceTraits(f"i{self._started}", service, zone, model=model)
+        traits = InstanceTraits(
+            instance_id or f"i{self._started}",
+            service,
+            zone,
+            model=model,
+            born_ms=self._born_ms,
+        )
         instance = HttpInstance(traits, self.recorder, self._generator)
         instance.use_nursery(self._nursery)
         if model:
@@ -193,9 +254,10 @@
         address = free_addresses(1)[0]
         scope = await self._nursery.start(_serve_in_scope, instance.app, address)
         proxy = TcpProxy(address)
-        listed = await self._nursery.start(proxy.run)
+        listed = await self._nursery.start(proxy.run, port)
         self.recorder.addresses[traits.instance_id] = listed
-        links = InstanceLinks(instance, proxy, scope)
+        self.recorder.lives[traits.instance_id] = instance
+        links = InstanceLinks(instance, proxy, scope, trio.current_time())
         self.instances.append(links)
         self.recorder.changed(instance)
         return links
@@ -204,14 +266,52 @@
         """End an instance at once."""
         instance_id = links.instance.traits.instance_id
         links.scope.cancel()
+        links.proxy.close()
         self.instances.remove(links)
         self.recorder.addresses.pop(instance_id)
+        self.recorder.lives.pop(instance_id)
         if unlisted:
             self.store.remove(f"servers/{instance_id}")
 
+    def note_listed(self) -> None:
+        """Record the instances that take requests now."""
+        self.history.listed = [
+            ListedInstance(
+                links.instance.traits.instance_id,
+                links.instance.traits.service,
+                links.since,
+                links.instance.version,
+            )
+            for links in self.instances
+            if not links.instance.draining
+        ]
+
+    def _end_under(self, instance: HttpInstance, request: str) -> None:
+        """Let an instance end soon under a request that has begun there, and start again."""
+        self._nursery.start_soon(self._end_and_restart, instance, request)
+
+    async def _end_and_restart(self, instance: HttpInstance, request: str) -> None:
+        """End an instance under a request; it is back after some seconds, mostly under its id."""
+        traits = instance.traits
+        await trio.sleep(self._generator.uniform(*FATAL_SECONDS))
+        links = next((links for links in self.instances if links.instance is instance), None)
+        if links is None:
+            return
+        life = f"{traits.instance_id}@{traits.born_ms}"
+        self.history.ends.append(InstanceEnd(request, life, trio.current_time()))
+        self.end_instance(links, unlisted=False)
+        await trio.sleep(self._generator.uniform(*RESTART_SECONDS))
+        own_id = self._generator.random() < SAME_ID_SHARE
+        if not own_id:
+            self.store.remove(f"servers/{traits.instance_id}")
+        await self.add_instance(
+            traits.service, traits.zone, instance.version, traits.instance_id if own_id else ""
+        )
+
     def start_node(self, node: NodeLinks) -> None:
         """Start a node's process."""
-        self._processes.start(node.name, NODE_MODULE, [f"--node_settings={node.settings}"])
+        arguments = [f"{FILE_ARGUMENT}{node.suspended}", f"--node_settings={node.settings}"]
+        self._processes.start(node.name, NODE_MODULE, arguments)
         node.running = True
         node.started_at = trio.current_time()
 
@@ -257,11 +357,26 @@
         }
         lines = [f"{field} = {json.dumps(value)}" for field, value in values.items()]
         path.write_text("\n".join(lines) + f"\n[bounds]\ngrace_seconds = {GRACE_SECONDS}\n")
-        node = NodeLinks(name, zone, clients, store, peers, readiness, path)
+        suspended = self._directory / f"{name}.suspended"
+        node = NodeLinks(name, zone, clients, store, peers, readiness, path, suspended)
         self.nodes.append(node)
         self.start_node(node)
 
 
+def _create_decoy(history: History) -> quart_trio.QuartTrio:
+    """Return an application that only entries lead to which can't be trusted."""
+    app = quart_trio.QuartTrio(__name__)
+
+    @app.route("/<path:path>", methods=["GET", "POST"])
+    async def serve(path: str) -> quart.Response:
+        """Record what comes; refuse it as an instance of another id does."""
+        request_id = quart.request.headers.get("Attempt-Id", "")
+        history.decoyed.append(f"/{path} {request_id}")
+        return quart.Response(b"", status=MISDIRECTED, headers={"Instance-Id": "decoy"})
+
+    return app
+
+
 async def _serve(
     app: object, address: str, *, task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED
 ) -> None:
--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -12,11 +12,13 @@
 from emulator.soak.deployment import (
     ENGINES,
     GRACE_SECONDS,
+    PLAIN,
     ZONES,
     Deployment,
     InstanceLinks,
     NodeLinks,
 )
+from emulator.soak.foreign_entries import FOREIGN_PREFIX, foreign_entry
 from emulator.soak.history import ONLY_PEERS, STORE, Leaving
 from emulator.soak.operators import Operator
 from emulator.soak.profiles import Profile
@@ -36,6 +38,8 @@
 DRAIN_SECONDS = 2.5
 BROKEN_LINKS = (LinkState.SILENT, LinkState.ONE_WAY, LinkState.RESET)
 MIN_INSTANCES = 2
+REUSE_SECONDS = 2.0
+"""The platform gives an address of an ended instance to another one no sooner."""
 
 Fault = Callable[[], Awaitable[None]]
 
@@ -49,6 +53,7 @@
         operator: Operator,
         generator: random.Random,
         profile: Profile,
+        insist: Fault,
     ) -> None:
         """Prepare.
 
@@ -57,6 +62,7 @@
             operator: Changes keys and weights.
             generator: Draws kind, subject, time and strength.
             profile: Kinds, and how closely they follow each other.
+            insist: Sends a request again and again that ends instances.
         """
         self._profile = profile
         self.counts: dict[str, int] = {}
@@ -87,6 +93,11 @@
             "orders late": self._orders_late,
             "key revoked": self._key_revoked,
             "weights named": self._weights_named,
+            "node suspended": self._node_suspended,
+            "instance restarts": self._instance_restarts,
+            "address passed on": self._address_passed_on,
+            "foreign entries": self._foreign_entries,
+            "fatal request": insist,
         }
 
     @property
@@ -212,6 +223,21 @@
             self._deployment.signal_node(node, signal.SIGCONT)
         disturbance.until = trio.current_time()
 
+    async def _node_suspended(self) -> None:
+        """Suspend a node's machine: its ordinary steady clock doesn't count the time."""
+        node = self._node()
+        if not node.running:
+            return
+        disturbance = self._deployment.disturb("suspended", node.name)
+        self._deployment.signal_node(node, signal.SIGSTOP)
+        seconds = self._time()
+        await trio.sleep(seconds)
+        node.suspended_seconds += seconds
+        node.suspended.write_text(str(node.suspended_seconds))
+        if self._deployment.node_exit_code(node) is None:
+            self._deployment.signal_node(node, signal.SIGCONT)
+        disturbance.until = trio.current_time()
+
     async def _node_killed(self) -> None:
         await self._kill(self._node())
 
@@ -292,6 +318,65 @@
         await self._deployment.add_instance(traits.service, traits.zone, version)
         disturbance.until = trio.current_time()
 
+    async def _instance_restarts(self) -> None:
+        """End an instance, and start it again under its id before or after its entry lapses."""
+        links = self._instance()
+        traits = links.instance.traits
+        if links.instance.draining or self._count(traits.service) <= MIN_INSTANCES:
+            return
+        disturbance = self._deployment.disturb("restarted", traits.instance_id)
+        version = links.instance.version
+        self._deployment.end_instance(links, unlisted=False)
+        await trio.sleep(self._generator.uniform(0.1, 4.0))
+        if self._generator.random() < 0.3:
+            self._deployment.store.remove(f"servers/{traits.instance_id}")
+            await trio.sleep(self._generator.uniform(0.1, 1.0))
+        await self._deployment.add_instance(
+            traits.service, traits.zone, version, traits.instance_id
+        )
+        disturbance.until = trio.current_time()
+
+    async def _address_passed_on(self) -> None:
+        """End an instance, start another one at its address, and it again elsewhere."""
+        links = self._instance()
+        traits = links.instance.traits
+        if links.instance.draining or self._count(traits.service) <= MIN_INSTANCES:
+            return
+        disturbance = self._deployment.disturb("address passed on", traits.instance_id)
+        port = int(self._deployment.recorder.addresses[traits.instance_id].rpartition(":")[2])
+        version = links.instance.version
+        self._deployment.end_instance(links, unlisted=False)
+        await trio.sleep(REUSE_SECONDS)
+        other = PLAIN if traits.service == ENGINES else ENGINES
+        await self._deployment.add_instance(other, traits.zone, self._operator.weights, port=port)
+        await trio.sleep(self._generator.uniform(0.5, 2.0))
+        await self._deployment.add_instance(
+            traits.service, traits.zone, version, traits.instance_id
+        )
+        disturbance.until = trio.current_time()
+
+    async def _foreign_entries(self) -> None:
+        """Write entries of another writer for a while, one of them over an instance's own."""
+        generator, store = self._generator, self._deployment.store
+        keys = []
+        for _ in range(generator.randint(1, 4)):
+            service, zone = generator.choice((PLAIN, ENGINES)), generator.choice(ZONES)
+            key = f"servers/{FOREIGN_PREFIX}-{generator.randbytes(3).hex()}"
+            store.put_bytes(key, foreign_entry(generator, service, zone, self._deployment.decoy))
+            keys.append(key)
+        links = self._instance()
+        traits = links.instance.traits
+        over = self._count(traits.service) > MIN_INSTANCES and not links.instance.draining
+        if over:
+            decoy = self._deployment.decoy
+            entry = foreign_entry(generator, traits.service, traits.zone, decoy)
+            store.put_bytes(f"servers/{traits.instance_id}", entry)
+        await trio.sleep(self._time())
+        for key in keys:
+            store.remove(key)
+        if over:
+            self._deployment.recorder.changed(links.instance)
+
     async def _instance_leaves(self) -> None:
         links = self._instance()
         instance = links.instance
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -51,6 +51,8 @@
         left: Whether the caller left on purpose.
         refused_connection: Whether no connection came about.
         path: Path of a probe of the configuration; empty for others.
+        fatal: Name that equal requests share which end each instance that begins them; else empty.
+        head_at: When the head of the answer came; None without one.
     """
 
     request_id: str
@@ -69,6 +71,8 @@
     left: bool = False
     refused_connection: bool = False
     path: str = ""
+    fatal: str = ""
+    head_at: float | None = None
 
 
 class Run(msgspec.Struct):
@@ -107,6 +111,36 @@
     at: float
 
 
+class InstanceEnd(msgspec.Struct, frozen=True):
+    """The end of an instance under a request that ends each one which begins it.
+
+    Attributes:
+        fatal: Name of the request.
+        life: The instance and its start.
+        at: When it ended.
+    """
+
+    fatal: str
+    life: str
+    at: float
+
+
+class ListedInstance(msgspec.Struct, frozen=True):
+    """An instance that is listed and takes requests.
+
+    Attributes:
+        instance_id: Its id.
+        service: Its service.
+        since: When it was listed in this life.
+        version: Its weights version; 0 for a plain service.
+    """
+
+    instance_id: str
+    service: str
+    since: float
+    version: int
+
+
 class TakenOrder(msgspec.Struct, frozen=True):
     """An order that an instance carried out.
 
@@ -183,6 +217,9 @@
         requests: By id.
         runs: In the order of their starts.
         arrivals: In order.
+        ends: Ends of instances under fatal requests, in order.
+        decoyed: Requests that came where only an entry leads that can't be trusted.
+        listed: Instances at the end of the soak.
         orders: In order.
         revocations: In order.
         namings: In order.
@@ -197,6 +234,9 @@
     requests: dict[str, SentRequest] = {}
     runs: list[Run] = []
     arrivals: list[Arrival] = []
+    ends: list[InstanceEnd] = []
+    decoyed: list[str] = []
+    listed: list[ListedInstance] = []
     orders: list[TakenOrder] = []
     revocations: list[Revocation] = []
     namings: list[Naming] = []
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -24,6 +24,7 @@
     "settings reloaded",
     "callers' link",
     "store connections silent",
+    "node suspended",
 )
 FLEET_KINDS = ("datagrams lost and late", "all nodes killed")
 INSTANCE_KINDS = (
@@ -32,7 +33,12 @@
     "instance fails",
     "instance connections silent",
     "orders late",
+    "instance restarts",
+    "address passed on",
+    "foreign entries",
 )
+FATAL = "fatal request"
+
 CHANGE_KINDS = ("instance leaves", "key revoked", "weights named")
 
 
@@ -57,7 +63,7 @@
 PROFILES = (
     Profile(
         "everything",
-        (*STORE_KINDS, *NODE_KINDS, *FLEET_KINDS, *INSTANCE_KINDS, *CHANGE_KINDS),
+        (*STORE_KINDS, *NODE_KINDS, *FLEET_KINDS, *INSTANCE_KINDS, *CHANGE_KINDS, FATAL),
         (0.3, 1.5),
         0.2,
         1.0,
@@ -90,6 +96,41 @@
         0.2,
         0.5,
     ),
+    Profile(
+        "fatal requests",
+        (
+            FATAL,
+            FATAL,
+            "instance restarts",
+            "instance crashed",
+            "instance leaves",
+            "node stopped",
+            "node killed",
+            "node suspended",
+            "weights named",
+            "store outage",
+        ),
+        (1.0, 4.0),
+        0.2,
+        1.0,
+    ),
+    Profile(
+        "lives and entries",
+        (
+            "instance restarts",
+            "instance restarts",
+            "address passed on",
+            "address passed on",
+            "foreign entries",
+            "foreign entries",
+            "node suspended",
+            "orders late",
+            *CHANGE_KINDS,
+        ),
+        (0.4, 1.5),
+        0.3,
+        0.8,
+    ),
 )
 
 
--- a/emulator/soak/proxies.py
+++ b/emulator/soak/proxies.py
@@ -57,6 +57,7 @@
         self._state = LinkState.OPEN
         self._open: set[_Connection] = set()
         self._changed = trio.Event()
+        self._scope = trio.CancelScope()
 
     @property
     def state(self) -> LinkState:
@@ -86,9 +87,14 @@
         """Listen and forward until cancelled; starts with the bound address."""
         listeners = await trio.open_tcp_listeners(port, host=LOOPBACK)
         self.address = f"{LOOPBACK}:{listeners[0].socket.getsockname()[1]}"
-        await trio.serve_listeners(
-            self._carry, listeners, task_status=_Started(task_status, self.address)
-        )
+        with self._scope:
+            await trio.serve_listeners(
+                self._carry, listeners, task_status=_Started(task_status, self.address)
+            )
+
+    def close(self) -> None:
+        """Close the port and end all connections, as at the end of the process behind it."""
+        self._scope.cancel()
 
     async def _carry(self, client: trio.SocketStream) -> None:
         """Carry one connection."""
--- a/emulator/soak/run.py
+++ b/emulator/soak/run.py
@@ -9,9 +9,11 @@
 import trio
 
 from emulator.fleet.processes import ProcessGroup
+from emulator.soak.beside_fatal import BesideFatal, compare_beside_fatal
 from emulator.soak.callers import Callers
 from emulator.soak.checks import Bounds, Violation, check_all, check_recovery
 from emulator.soak.deployment import Deployment
+from emulator.soak.fatal_requests import FatalCallers
 from emulator.soak.faults import Faults
 from emulator.soak.history import History
 from emulator.soak.loyal_callers import LoyalCallers
@@ -60,6 +62,7 @@
         faults: Faults by kind.
         profile: Name of the profile of faults.
         route_changes: Changes of configurations that probes asked for.
+        beside: How honest requests fared, with fatal ones under way and without.
         stalls: How long the machine itself stood still.
     """
 
@@ -69,6 +72,7 @@
     faults: dict[str, int]
     profile: str
     route_changes: int
+    beside: BesideFatal
     stalls: MachineStalls
 
 
@@ -90,7 +94,8 @@
         callers.readiness,
         LOYAL_CALLERS_PER_NODE * plan.nodes,
     )
-    faults = Faults(deployment, operator, generator, profile)
+    fatal = FatalCallers(deployment, callers, random.Random(plan.seed + 6))
+    faults = Faults(deployment, operator, generator, profile, fatal.insist)
     machine = MachineWatch(deployment.history)
     with ProcessGroup(plan.directory) as processes:
         async with trio.open_nursery() as nursery:
@@ -107,8 +112,10 @@
             await trio.sleep(SETTLED_SECONDS)
             await faults.run(plan.seconds)
             healed_at = trio.current_time()
+            operator.name_weights()
             await trio.sleep(plan.quiet_seconds)
             ended_at = trio.current_time()
+            deployment.note_listed()
             nursery.cancel_scope.cancel()
     violations = check_all(deployment.history, Bounds())
     violations += check_recovery(deployment.history, healed_at + RECOVERY_SECONDS, ended_at)
@@ -147,5 +154,6 @@
         dict(sorted(faults.counts.items())),
         profile,
         len(history.route_changes),
+        compare_beside_fatal(history),
         stalls,
     )
--- a/tests/emulator/soak/test_profiles.py
+++ b/tests/emulator/soak/test_profiles.py
@@ -5,6 +5,8 @@
 import unittest
 from pathlib import Path
 
+import trio
+
 from emulator.soak.deployment import Deployment
 from emulator.soak.faults import Faults
 from emulator.soak.operators import Operator
@@ -17,7 +19,7 @@
             generator = random.Random(1)
             deployment = Deployment(Path(directory), generator)
             operator = Operator(deployment, generator)
-            return Faults(deployment, operator, generator, profile).kinds
+            return Faults(deployment, operator, generator, profile, trio.sleep_forever).kinds
 
     def test_profiles_draw_known_kinds_and_all_of_them(self):
         drawn = {kind for profile in PROFILES for kind in profile.kinds}
