Don't count one end of a request that another, refused request explains

Ruled out: counting no explained end at all, since two requests that come together would hide each other; one end leaves two of the three retries that the operators allow.

A refusal's beginning and end are logged exactly once each, also when nothing ended under the request itself; a release names its reason.

--- a/hopstep/ctl/quarantine.py
+++ b/hopstep/ctl/quarantine.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from hopstep.ctl.results import ExitCode, VerbResult
-from hopstep.domain.quarantine.crash_ledger import ENDS_TO_REFUSE
+from hopstep.domain.quarantine.crash_ledger import CrashLedger
+from hopstep.domain.quarantine.crashes import RequestCrashes
 from hopstep.exceptions import ErrorCode, StoreConflictError, ValidationError
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.services.quarantine.records import QUARANTINE_PREFIX, StoredRequest
@@ -54,8 +55,12 @@
 async def show_quarantine(store: KeyValueStorePort) -> VerbResult:
     """List the kept requests; those that can't be read are left out."""
     listing = await store.listing(QUARANTINE_PREFIX)
-    requests = [_read(value.key, value.value) for value in listing.values]
-    document = QuarantineDocument(tuple(request for request in requests if request is not None))
+    stored = [_read(value.key, value.value) for value in listing.values]
+    readable = [request for request in stored if request is not None]
+    ledger = CrashLedger(node="")
+    for told, _ in readable:
+        ledger.merge(told, now=0.0)
+    document = QuarantineDocument(tuple(_kept(*request, ledger) for request in readable))
     lines = [str(request) for request in document.requests]
     return VerbResult("\n".join(lines) or "no request is kept", document)
 
@@ -90,17 +95,29 @@
     return VerbResult("it may run again", ReleaseDocument(fingerprint, released=True))
 
 
-def _read(key: str, value: bytes) -> KeptRequest | None:
+def _read(key: str, value: bytes) -> tuple[RequestCrashes, StoredRequest] | None:
     """Return a kept request; None when it can't be read."""
     try:
+        fingerprint = bytes.fromhex(key.removeprefix(QUARANTINE_PREFIX))
         stored = msgspec.json.decode(value, type=StoredRequest)
-    except msgspec.DecodeError:
+    except ValueError:
         return None
-    crashes = [crash for crash in stored.crashes if crash.life not in stored.cleared]
+    return RequestCrashes(fingerprint, stored.crashes, stored.cleared), stored
+
+
+def _kept(told: RequestCrashes, stored: StoredRequest, ledger: CrashLedger) -> KeptRequest:
+    """Return a request as it is shown.
+
+    Args:
+        told: What is known of it.
+        stored: How it is named.
+        ledger: All kept requests; one may explain ends of another.
+    """
+    crashes = [crash for crash in told.crashes if crash.life not in told.cleared]
     return KeptRequest(
-        fingerprint=key.removeprefix(QUARANTINE_PREFIX),
+        fingerprint=told.fingerprint.hex(),
         tenant=stored.tenant,
         route=stored.route,
         ends=tuple(f"{crash.life} seen by {crash.node}" for crash in crashes),
-        refused=len(crashes) >= ENDS_TO_REFUSE,
+        refused=ledger.refused_seconds(told.fingerprint, now=0.0) > 0,
     )
--- a/hopstep/services/quarantine/quarantine.py
+++ b/hopstep/services/quarantine/quarantine.py
@@ -13,12 +13,8 @@
 import trio
 
 from hopstep import log_events
-from hopstep.domain.quarantine.crash_ledger import (
-    ENDS_TO_REFUSE,
-    MAX_REQUESTS,
-    CountedEnd,
-    CrashLedger,
-)
+from hopstep.domain.quarantine.crash_ledger import ENDS_TO_REFUSE, CountedEnd, CrashLedger
+from hopstep.domain.quarantine.crash_records import MAX_REQUESTS
 from hopstep.domain.quarantine.crashes import (
     EndEvidence,
     InstanceSign,
@@ -49,6 +45,8 @@
 EXPIRED = "expired"
 ANSWERED = "answered"
 LIFTED = "lifted"
+EXPLAINED = "explained"
+"""Another request has ended these instances."""
 
 Look = Callable[[], Awaitable[InstanceSign]]
 """Looks at an instance once."""
@@ -73,6 +71,7 @@
         self.changed = trio.Event()
         self._ledger = CrashLedger(node)
         self._names: OrderedDict[bytes, RequestName] = OrderedDict()
+        self._refused: set[bytes] = set()
         self._listeners: list[SeenListener] = []
         self._end_listeners: list[EndListener] = []
         self._looking: dict[str, trio.Event] = {}
@@ -144,11 +143,9 @@
 
     def note_whole_answer(self, fingerprint: bytes) -> None:
         """Take back an end that counts for a request, or excuse one: it was answered whole."""
-        was_refused = self.refused_seconds(fingerprint) > 0
         if self._ledger.note_whole_answer(fingerprint):
             self._note_changed(fingerprint, seen_here=True)
-            if was_refused and not self.refused_seconds(fingerprint):
-                self._log_release(fingerprint, ANSWERED)
+            self._review(fingerprint, ANSWERED)
 
     def note_ended(self, life: str, evidence: EndEvidence) -> None:
         """Note that an instance has ended.
@@ -178,14 +175,13 @@
                 self._announce(end)
             if self._ledger.told(request.fingerprint) != before:
                 self._note_changed(request.fingerprint, seen_here=False)
+                self._review(request.fingerprint, ANSWERED)
 
     def lift(self, fingerprint: bytes) -> None:
         """Let a request run again: operators say so."""
-        was_refused = self.refused_seconds(fingerprint) > 0
         if self._ledger.clear(fingerprint):
             self._note_changed(fingerprint, seen_here=True)
-        if was_refused:
-            self._log_release(fingerprint, LIFTED)
+            self._review(fingerprint, LIFTED)
 
     async def settle(self, fingerprint: bytes, life: str) -> None:
         """Wait for the look at an instance if one more end would have the request refused."""
@@ -206,8 +202,9 @@
         """Forget what is too old from time to time."""
         while True:
             await trio.sleep(EXPIRY_SECONDS)
-            for fingerprint in self._ledger.expire(trio.current_time()):
-                self._log_release(fingerprint, EXPIRED)
+            self._ledger.expire(trio.current_time())
+            for fingerprint in self._refused.union(self._ledger.repeated()):
+                self._review(fingerprint, EXPIRED)
 
     def _begin_look(self, life: str, look: Look) -> None:
         """Have an instance looked at; beyond the bound the end of its entry has to show it."""
@@ -251,7 +248,7 @@
         self.wake()
 
     def _announce(self, end: CountedEnd) -> None:
-        """Tell of an end that counts for a request, and of the beginning of its refusal."""
+        """Tell of an end that counts for a request, and of what follows for it and others."""
         for listener in self._end_listeners:
             listener(end.crash.life)
         name = self.name(end.fingerprint)
@@ -265,16 +262,37 @@
                 seen_by=end.crash.node,
                 ends=end.ends,
             )
-        if end.ends == ENDS_TO_REFUSE:
-            known = self._ledger.told(end.fingerprint)
-            emit(
-                log_events.REQUEST_QUARANTINED,
-                fingerprint=end.fingerprint.hex(),
-                tenant=name.caller,
-                route=name.route,
-                ends=[f"{crash.life} seen by {crash.node}" for crash in known.crashes],
-                seconds=round(self.refused_seconds(end.fingerprint)),
-            )
+        self._review(end.fingerprint, EXPLAINED)
+        for sharing in self._ledger.sharing(end.crash.life) & self._refused:
+            self._review(sharing, EXPLAINED)
+
+    def _review(self, fingerprint: bytes, reason: str) -> None:
+        """Log when a request begins to be refused, or no longer is.
+
+        Args:
+            fingerprint: Of the request.
+            reason: What may have released it.
+        """
+        refused = self.refused_seconds(fingerprint) > 0
+        if refused and fingerprint not in self._refused:
+            self._refused.add(fingerprint)
+            self._log_refusal(fingerprint)
+        elif not refused and fingerprint in self._refused:
+            self._refused.discard(fingerprint)
+            self._log_release(fingerprint, reason)
+
+    def _log_refusal(self, fingerprint: bytes) -> None:
+        """Log that a request is refused from now on."""
+        name = self.name(fingerprint)
+        known = self._ledger.told(fingerprint)
+        emit(
+            log_events.REQUEST_QUARANTINED,
+            fingerprint=fingerprint.hex(),
+            tenant=name.caller,
+            route=name.route,
+            ends=[f"{crash.life} seen by {crash.node}" for crash in known.crashes],
+            seconds=round(self.refused_seconds(fingerprint)),
+        )
 
     def _log_release(self, fingerprint: bytes, reason: str) -> None:
         """Log that a request is no longer refused."""
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -14,7 +14,7 @@
 import trio
 
 from hopstep import log_events
-from hopstep.domain.quarantine.crash_ledger import MAX_REQUESTS
+from hopstep.domain.quarantine.crash_records import MAX_REQUESTS
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
 from hopstep.exceptions import StoreConflictError, StoreError
 from hopstep.logs import emit
--- a/tests/services/exchanges/test_quarantined_requests.py
+++ b/tests/services/exchanges/test_quarantined_requests.py
@@ -9,7 +9,8 @@
 from emulator.exchange_platform.instances import Behaviour
 from emulator.platform.faults import FaultOrder
 from emulator.platform.in_memory import InMemoryStore
-from hopstep.domain.quarantine.crash_ledger import ENDS_TO_REFUSE, MEMORY_SECONDS
+from hopstep.domain.quarantine.crash_ledger import ENDS_TO_REFUSE
+from hopstep.domain.quarantine.crash_records import MEMORY_SECONDS
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.ports.serving_directory import InstanceListed, InstanceRemoved
 from hopstep.services.quarantine.records import QUARANTINE_PREFIX, StoredRequest
