Count an instance's end for no request whose answer broke off long before it answered others

Cause: a client that leaves has its request counted as under way for 20 s, and an end that was noticed at once counted for it although the instance had answered requests which were sent later.

Ruled out: counting no request that was left: a client may leave a fatal one and send it again, and the instance ends some tenths of a second later.

The new test failed before; the other new one holds what is still counted.

--- a/hopstep/domain/quarantine/crash_ledger.py
+++ b/hopstep/domain/quarantine/crash_ledger.py
@@ -37,6 +37,12 @@
 unlisted within some four seconds, and an unlisted one is looked for at most ten seconds.
 """
 
+AT_ONCE_SECONDS = 1.0
+"""An instance may answer others between the breaking off of an answer, by a client that leaves,
+and its own end under that request: it ends some tenths of a second after it has begun it. Without
+this bound requests whose clients often leave were refused after three ends of other causes.
+"""
+
 MAX_UNPROVED_LIVES = 512
 MAX_UNPROVED_REQUESTS = 64
 """Of each instance: as many as the largest engines work on at once."""
@@ -127,8 +133,7 @@
         Args:
             life: The instance.
             now: The time.
-            abruptly: Whether it has ended just then; otherwise it may have answered others since
-                a request's answer broke off, and that request doesn't count.
+            abruptly: Whether it has ended just then, and not some time before.
         """
         if abruptly:
             self._ended[life] = None
@@ -136,7 +141,7 @@
         counted = [
             self._count(fingerprint, life, now)
             for fingerprint, unproved in self._unproved.pop(life, {}).items()
-            if now - unproved.at <= UNPROVED_SECONDS and (abruptly or not unproved.survived)
+            if self._may_have_ended_it(unproved, now - unproved.at, abruptly=abruptly)
         ]
         return [end for end in counted if end is not None]
 
@@ -223,6 +228,19 @@
             return None
         return CountedEnd(fingerprint, crash, record.ends)
 
+    @staticmethod
+    def _may_have_ended_it(unproved: _Unproved, seconds: float, *, abruptly: bool) -> bool:
+        """Return whether an instance may have ended under a request.
+
+        Args:
+            unproved: The request.
+            seconds: From the breaking off of its answer until the end was noticed.
+            abruptly: Whether the instance has ended just then.
+        """
+        if unproved.survived:
+            return abruptly and seconds <= AT_ONCE_SECONDS
+        return seconds <= UNPROVED_SECONDS
+
     def _is_refused(self, fingerprint: bytes) -> bool:
         """Return whether enough ends count that no other request explains."""
         record = self._records.find(fingerprint)
--- a/tests/domain/quarantine/test_crash_ledger.py
+++ b/tests/domain/quarantine/test_crash_ledger.py
@@ -1,6 +1,7 @@
 import unittest
 
 from hopstep.domain.quarantine.crash_ledger import (
+    AT_ONCE_SECONDS,
     ENDS_TO_REFUSE,
     MAX_ANSWERED,
     MAX_EXCUSED,
@@ -68,6 +69,18 @@
         counted = self.ledger.note_ended("i1", 4.0, abruptly=False)
         self.assertEqual([end.fingerprint for end in counted], [OTHER])
 
+    def test_an_instance_that_answered_later_did_not_end_under_a_request(self):
+        self.ledger.note_broken(FATAL, "i1", 1.0)
+        self.ledger.note_broken(OTHER, "i1", 10.0)
+        self.ledger.note_answer("i1", sent_at=2.0)
+        counted = self.ledger.note_ended("i1", 11.0)
+        self.assertEqual([end.fingerprint for end in counted], [OTHER])
+
+    def test_an_instance_may_answer_others_just_before_it_ends_under_a_request(self):
+        self.ledger.note_broken(FATAL, "i1", 1.0)
+        self.ledger.note_answer("i1", sent_at=1.1)
+        self.assertEqual(len(self.ledger.note_ended("i1", 1.0 + AT_ONCE_SECONDS)), 1)
+
     def test_an_instance_that_was_unlisted_may_still_be_at_work(self):
         self.ledger.note_ended("i1", 1.0, abruptly=False)
         self.assertIsNone(self.ledger.note_broken(FATAL, "i1", 2.0))
