Let instances of the soak restart with their image's weights, and keys be used after a suspension

Cause: nothing in the soak showed what a later life of an instance inherits, or what a node takes for fresh when its machine goes on.

Half of the restarted instances come back with the first weights; in half of the suspensions a key is taken away, and requests with it reach the node as it goes on, later than the five seconds for which it may be used. The checks of weights and revocation judge both.

--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -14,6 +14,7 @@
 from emulator.soak.operators import Operator
 from emulator.soak.profiles import Profile
 from emulator.soak.proxies import LinkState
+from emulator.soak.stubborn_callers import StubbornCallers
 
 SERIES_LENGTH = (2, 4)
 SERIES_SECONDS = (0.1, 0.8)
@@ -26,6 +27,16 @@
 """For the interpreter to start: SIGHUP ends it until the first line of the program ignores it."""
 
 
+REVOKING_SHARE = 0.5
+"""Of suspensions: a key is taken away."""
+
+LONG_SECONDS = (5.5, 9.0)
+"""Longer than a key may be used that was taken away."""
+
+ON_THE_WAY_SECONDS = 0.05
+"""For requests to reach the socket of a node that doesn't run."""
+
+
 class Faults:
     """Draws faults and carries them out."""
 
@@ -33,23 +44,24 @@
         self,
         deployment: Deployment,
         operator: Operator,
+        callers: StubbornCallers,
         generator: random.Random,
         profile: Profile,
-        insist: Fault,
     ) -> None:
         """Prepare.
 
         Args:
             deployment: What is disturbed.
             operator: Changes keys and weights.
+            callers: Send what ends instances, or has a key that was taken away.
             generator: Draws kind, subject, time and strength.
             profile: Kinds, and how closely they follow each other.
-            insist: Sends a request again and again that ends instances.
         """
         self._profile = profile
         self.counts: dict[str, int] = {}
         self._deployment = deployment
         self._operator = operator
+        self._callers = callers
         self._generator = generator
         self._kinds: dict[str, Fault] = {
             "store outage": self._store_outage,
@@ -70,7 +82,7 @@
             "key revoked": self._key_revoked,
             "weights named": self._weights_named,
             "node suspended": self._node_suspended,
-            "fatal request": insist,
+            "fatal request": callers.insist,
             **instance_faults(deployment, operator, generator),
         }
 
@@ -190,19 +202,28 @@
         disturbance.until = trio.current_time()
 
     async def _node_suspended(self) -> None:
-        """Suspend a node's machine: its ordinary steady clock doesn't count the time."""
+        """Suspend a node's machine: its ordinary steady clock doesn't count the time.
+
+        In some of the cases a key is taken away meanwhile, and is used as the machine goes on.
+        """
         node = self._node()
         if not node.running:
             return
         disturbance = self._deployment.disturb("suspended", node.name)
         self._deployment.signal_node(node, signal.SIGSTOP)
-        seconds = draw_seconds(self._generator)
+        seconds, key = draw_seconds(self._generator), ""
+        if self._generator.random() < REVOKING_SHARE:
+            seconds, key = self._generator.uniform(*LONG_SECONDS), self._operator.revoke()
         await trio.sleep(seconds)
         node.suspended_seconds += seconds
         node.suspended.write_text(str(node.suspended_seconds))
-        if self._deployment.node_exit_code(node) is None:
-            self._deployment.signal_node(node, signal.SIGCONT)
-        disturbance.until = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            if key:
+                nursery.start_soon(self._callers.use_key, node, key)
+                await trio.sleep(ON_THE_WAY_SECONDS)
+            if self._deployment.node_exit_code(node) is None:
+                self._deployment.signal_node(node, signal.SIGCONT)
+            disturbance.until = trio.current_time()
 
     async def _node_killed(self) -> None:
         await self._kill(self._node())
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -17,6 +17,10 @@
 DRAIN_SECONDS = 2.5
 BROKEN_LINKS = (LinkState.SILENT, LinkState.ONE_WAY, LinkState.RESET)
 MIN_INSTANCES = 2
+IMAGE_VERSION = 1
+IMAGE_SHARE = 0.5
+"""Of instances that restart: they come back with the weights of their image."""
+
 REUSE_SECONDS = 2.0
 """The platform gives an address of an ended instance to another one no sooner."""
 
@@ -101,13 +105,18 @@
         disturbance.until = trio.current_time()
 
     async def instance_restarts(self) -> None:
-        """End an instance, and start it again under its id before or after its entry lapses."""
+        """End an instance, and start it again under its id before or after its entry lapses.
+
+        It comes back with the weights that it had, or with those of its image.
+        """
         links = self._instance()
         traits = links.instance.traits
         if links.instance.draining or self._count(traits.service) <= MIN_INSTANCES:
             return
         disturbance = self._deployment.disturb("restarted", traits.instance_id)
         version = links.instance.version
+        if self._generator.random() < IMAGE_SHARE:
+            version = IMAGE_VERSION
         self._deployment.end_instance(links, unlisted=False)
         await trio.sleep(self._generator.uniform(0.1, 4.0))
         if self._generator.random() < 0.3:
--- a/emulator/soak/operators.py
+++ b/emulator/soak/operators.py
@@ -49,17 +49,18 @@
         self._version += self._generator.randrange(1, 4)
         self._deployment.store.put(CONFIGURATION_KEY, self._document())
 
-    def revoke(self) -> None:
-        """Take a key away; each tenant keeps one."""
+    def revoke(self) -> str:
+        """Take a key away and return it; each tenant keeps one. Empty when no other is left."""
         history = self._deployment.history
         gone = {revocation.key for revocation in history.revocations}
         left = [key for key in history.tenants if key not in gone and not key.endswith(LASTING_KEY)]
         if not left:
-            return
+            return ""
         key = self._generator.choice(left)
         revoked_at = trio.current_time()
         history.revocations.append(Revocation(key, revoked_at))
         self.publish()
+        return key
 
     async def change_routes(self, seconds: float) -> None:
         """Add a route every so often, and remove the oldest, until cancelled."""
--- a/emulator/soak/run.py
+++ b/emulator/soak/run.py
@@ -13,7 +13,6 @@
 from emulator.soak.callers import Callers
 from emulator.soak.checks import check_all, check_recovery
 from emulator.soak.deployment import Deployment
-from emulator.soak.fatal_requests import FatalCallers
 from emulator.soak.faults import Faults
 from emulator.soak.history import History
 from emulator.soak.loyal_callers import LoyalCallers
@@ -22,6 +21,7 @@
 from emulator.soak.probes import Probes
 from emulator.soak.profiles import profile_of
 from emulator.soak.promises import Bounds, Violation
+from emulator.soak.stubborn_callers import StubbornCallers
 
 START_SECONDS = 30.0
 RECOVERY_SECONDS = 12.0
@@ -95,8 +95,8 @@
         callers.readiness,
         LOYAL_CALLERS_PER_NODE * plan.nodes,
     )
-    fatal = FatalCallers(deployment, callers, random.Random(plan.seed + 6))
-    faults = Faults(deployment, operator, generator, profile, fatal.insist)
+    stubborn = StubbornCallers(deployment, callers, random.Random(plan.seed + 6))
+    faults = Faults(deployment, operator, stubborn, generator, profile)
     machine = MachineWatch(deployment.history)
     with ProcessGroup(plan.directory) as processes:
         async with trio.open_nursery() as nursery:
--- a/emulator/soak/fatal_requests.py
+++ b/emulator/soak/stubborn_callers.py
@@ -1,6 +1,7 @@
-"""Callers that send a request again and again which ends each instance that begins it.
+"""Callers that don't give up, whatever they are told, and don't ask whether a node is ready.
 
-They don't give up, whatever they are told, and sometimes send it several times at once.
+They send a request again and again which ends each instance that begins it, sometimes several times
+at once, or send requests with a key that was taken away.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 import trio
 
 from emulator.soak.callers import KINDS, Callers, draw_request
-from emulator.soak.deployment import Deployment
+from emulator.soak.deployment import Deployment, NodeLinks
 from emulator.soak.operators import LASTING_KEY
 
 SENDING_SECONDS = (8.0, 16.0)
@@ -21,8 +22,8 @@
 """Drawn: how often it is sent at the same moment."""
 
 
-class FatalCallers:
-    """Sends such requests; each by one caller, at any node."""
+class StubbornCallers:
+    """Sends such requests."""
 
     def __init__(self, deployment: Deployment, callers: Callers, generator: random.Random) -> None:
         """Send nothing yet.
@@ -37,7 +38,7 @@
         self._generator = generator
 
     async def insist(self) -> None:
-        """Send one request again and again for a while."""
+        """Send one fatal request again and again for a while, at any node."""
         generator = self._generator
         name = generator.randbytes(4).hex()
         kind = generator.choice(KINDS)
@@ -54,3 +55,11 @@
                     request.key, request.fatal = key, name
                     nursery.start_soon(self._callers.send, request)
                 await trio.sleep(generator.uniform(*BETWEEN_SECONDS))
+
+    async def use_key(self, node: NodeLinks, key: str) -> None:
+        """Send a node one request of each kind with a key."""
+        async with trio.open_nursery() as nursery:
+            for kind in sorted(set(KINDS)):
+                request = draw_request(self._deployment, self._generator, kind, node)
+                request.key = key
+                nursery.start_soon(self._callers.send, request)
--- a/tests/emulator/soak/test_profiles.py
+++ b/tests/emulator/soak/test_profiles.py
@@ -5,12 +5,12 @@
 import unittest
 from pathlib import Path
 
-import trio
-
+from emulator.soak.callers import Callers
 from emulator.soak.deployment import Deployment
 from emulator.soak.faults import Faults
 from emulator.soak.operators import Operator
 from emulator.soak.profiles import PROFILES, STORE_KINDS, profile_of
+from emulator.soak.stubborn_callers import StubbornCallers
 
 
 class ProfilesTest(unittest.TestCase):
@@ -19,7 +19,8 @@
             generator = random.Random(1)
             deployment = Deployment(Path(directory), generator)
             operator = Operator(deployment, generator)
-            return Faults(deployment, operator, generator, profile, trio.sleep_forever).kinds
+            callers = StubbornCallers(deployment, Callers(deployment, generator, 1.0), generator)
+            return Faults(deployment, operator, callers, generator, profile).kinds
 
     def test_profiles_draw_known_kinds_and_all_of_them(self):
         drawn = {kind for profile in PROFILES for kind in profile.kinds}
