Judge draining by the life of an instance that said it leaves

Cause: the soak's check went by the instance's id. The trace shows that the case is allowed. As strict otherwise: the same life gets nothing.

--- a/emulator/exchange_platform/http_instance.py
+++ b/emulator/exchange_platform/http_instance.py
@@ -50,6 +50,11 @@
     load_seconds: float = 0.5
     born_ms: int = 1
 
+    @property
+    def life(self) -> str:
+        """The instance and this start of it."""
+        return f"{self.instance_id}@{self.born_ms}"
+
 
 class InstanceFaults(msgspec.Struct):
     """Shares of requests that go wrong, and lost answers to orders.
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -121,9 +121,9 @@
 
 def draining_instances_get_nothing(history: History, bounds: Bounds) -> Iterable[str]:
     """Yield runs at instances that said long before that they are draining."""
-    leaving = {leaving.instance_id: leaving.at for leaving in history.leavings}
+    leaving = {leaving.life: leaving.at for leaving in history.leavings}
     for run in history.runs:
-        at = leaving.get(run.instance_id)
+        at = leaving.get(run.life)
         request = history.requests.get(run.request_id)
         if at is None or request is None or run.at - at <= bounds.drain:
             continue
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -194,8 +194,7 @@
         links = next((links for links in self.instances if links.instance is instance), None)
         if links is None:
             return
-        life = f"{traits.instance_id}@{traits.born_ms}"
-        self.history.ends.append(InstanceEnd(request, life, trio.current_time()))
+        self.history.ends.append(InstanceEnd(request, traits.life, trio.current_time()))
         self.end_instance(links, unlisted=False)
         await trio.sleep(self._generator.uniform(*RESTART_SECONDS))
         own_id = self._generator.random() < SAME_ID_SHARE
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -81,6 +81,7 @@
     Attributes:
         request_id: The request.
         instance_id: The instance.
+        life: The instance and its start.
         service: Service of the instance.
         at: Start.
         tenant: Tenant that the instance was told.
@@ -93,6 +94,7 @@
 
     request_id: str
     instance_id: str
+    life: str
     service: str
     at: float
     tenant: str
@@ -186,9 +188,14 @@
 
 
 class Leaving(msgspec.Struct, frozen=True):
-    """An instance that said that it is draining, and when the store acknowledged that."""
+    """An instance that said that it is draining.
 
-    instance_id: str
+    Attributes:
+        life: The instance and its start: it may come back and take requests again.
+        at: When the store acknowledged that.
+    """
+
+    life: str
     at: float
 
 
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -178,7 +178,7 @@
         )
         instance.draining = True
         self._deployment.recorder.changed(instance)
-        leaving = Leaving(instance.traits.instance_id, trio.current_time())
+        leaving = Leaving(instance.traits.life, trio.current_time())
         self._deployment.history.leavings.append(leaving)
         await trio.sleep(DRAIN_SECONDS + draw_seconds(self._generator))
         if links in self._deployment.instances:
--- a/emulator/soak/recorder.py
+++ b/emulator/soak/recorder.py
@@ -69,6 +69,7 @@
             Run(
                 request_id=headers.request_id,
                 instance_id=instance.traits.instance_id,
+                life=instance.traits.life,
                 service=instance.traits.service,
                 at=trio.current_time(),
                 tenant=headers.tenant,
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -39,7 +39,16 @@
 def run_of(sent, **changes):
     version = 1 if sent.service == "engines" else 0
     run = Run(
-        sent.request_id, "i1", sent.service, sent.sent_at, "t", version, "", False, sent.stamp
+        sent.request_id,
+        "i1",
+        "i1@1",
+        sent.service,
+        sent.sent_at,
+        "t",
+        version,
+        "",
+        False,
+        sent.stamp,
     )
     for field, value in changes.items():
         setattr(run, field, value)
@@ -154,17 +163,23 @@
 
     def test_a_draining_instance(self):
         for at, caught in ((97.0, True), (99.0, False)):
-            seen = history(request(), leavings=[Leaving("i1", at)])
+            seen = history(request(), leavings=[Leaving("i1@1", at)])
             self.assertEqual("draining" in self.broken(seen), caught, at)
 
+    def test_a_draining_instance_that_comes_back_may_take_requests(self):
+        sent = request()
+        runs = [run_of(sent, life="i1@2")]
+        seen = history(sent, runs=runs, leavings=[Leaving("i1@1", 90.0)])
+        self.assertNotIn("draining", self.broken(seen))
+
     def test_losing_only_other_nodes_excuses_no_request_at_a_draining_instance(self):
         for what, caught in ((ONLY_PEERS, True), ("store link", False), ("paused", False)):
-            seen = history(request(), leavings=[Leaving("i1", 97.0)])
+            seen = history(request(), leavings=[Leaving("i1@1", 97.0)])
             seen.disturbances.append(Disturbance(what, "n0", 96.0, 98.0))
             self.assertEqual("draining" in self.broken(seen), caught, what)
 
     def test_a_draining_instance_long_after_trouble(self):
-        seen = history(request(), leavings=[Leaving("i1", 90.0)])
+        seen = history(request(), leavings=[Leaving("i1@1", 90.0)])
         seen.disturbances.append(Disturbance("outage", STORE, 89.0, 96.5))
         self.assertIn("draining", self.broken(seen))
 
