Let a whole answer at any node excuse an end that would have its request refused

Cause: answers of before excused only ends that the same node saw.

The node that knows of an answer takes back the end that would have the request refused, and tells all; everybody uses an answer up with it. So the excuses are the cluster's: before, each node had three of its own, which a request that turned harmful could use one after the other. Eight in all now, for as many instances of a service as the existing test ends together.

An end and its taking back may be heard in any order; before, one that was heard together with its end was forgotten and counted when the end came alone.

--- a/hopstep/domain/quarantine/crash_ledger.py
+++ b/hopstep/domain/quarantine/crash_ledger.py
@@ -49,9 +49,10 @@
 
 MAX_ENDED = 1_024
 
-MAX_EXCUSED = 3
-"""Ends that earlier whole answers excuse at a node: without them a popular request was refused for
-ten minutes when all instances of a service ended together.
+MAX_EXCUSED = 8
+"""Ends that earlier whole answers excuse, an answer one: without them a popular request was refused
+for ten minutes when all instances of a service ended together. All nodes excuse the same ends, so a
+request that was harmless before and ends instances now ends eleven at the most.
 """
 
 MAX_ANSWERED = 1_024
@@ -65,11 +66,13 @@
         fingerprint: Of the request.
         crash: The end.
         ends: How many count now.
+        excused: Whether it no longer does, since this node has seen the request answered whole.
     """
 
     fingerprint: bytes
     crash: Crash
     ends: int
+    excused: bool = False
 
 
 class _Unproved(msgspec.Struct):
@@ -172,14 +175,14 @@
         return ends
 
     def merge(self, told: RequestCrashes, now: float) -> list[CountedEnd]:
-        """Take what another node knows; return the ends that were new and count."""
+        """Take what another node knows; return the ends that were new and counted."""
+        uncleared = [crash for crash in told.crashes if crash.life not in told.cleared]
+        for crash in told.crashes:
+            if crash.life in told.cleared:
+                self._records.add(told.fingerprint, crash, now)
         for life in told.cleared[-MAX_ENDS:]:
-            record = self._records.find(told.fingerprint)
-            if record is not None:
-                record.clear(life)
-        cleared = frozenset(told.cleared)
-        new = [crash for crash in told.crashes if crash.life not in cleared]
-        counted = [self._add(told.fingerprint, crash, now) for crash in new]
+            self._clear_told(told.fingerprint, life)
+        counted = [self._add(told.fingerprint, crash, now) for crash in uncleared]
         return [end for end in counted if end is not None]
 
     def ends(self, fingerprint: bytes) -> int:
@@ -214,19 +217,36 @@
         self._records.expire(now)
 
     def _count(self, fingerprint: bytes, life: str, now: float) -> CountedEnd | None:
-        """Count an end that this node saw, unless an earlier answer excuses it."""
-        excused = self._answered.get(fingerprint, 0)
-        if excused:
-            self._answered[fingerprint] = excused - 1
-            return None
+        """Count an end that this node saw."""
         return self._add(fingerprint, Crash(life, self._node), now)
 
     def _add(self, fingerprint: bytes, crash: Crash, now: float) -> CountedEnd | None:
-        """Count an end unless it is known, or too many are."""
+        """Count an end unless it is known, or too many are.
+
+        The one that would have the request refused is excused if the request was answered before.
+        """
         record = self._records.add(fingerprint, crash, now)
         if record is None or crash.life in record.cleared:
             return None
-        return CountedEnd(fingerprint, crash, record.ends)
+        answers = self._answered.get(fingerprint, 0)
+        if not answers or not self._is_refused(fingerprint):
+            return CountedEnd(fingerprint, crash, record.ends)
+        self._answered[fingerprint] = answers - 1
+        record.clear(crash.life)
+        return CountedEnd(fingerprint, crash, record.ends, excused=True)
+
+    def _clear_told(self, fingerprint: bytes, life: str) -> None:
+        """Let an end no longer count that another node doesn't count.
+
+        An answer that was seen here is used up with it: otherwise each node could excuse as many
+        ends by its own answers.
+        """
+        record = self._records.find(fingerprint)
+        if record is None or life in record.cleared:
+            return
+        record.clear(life)
+        if self._answered.get(fingerprint, 0):
+            self._answered[fingerprint] -= 1
 
     @staticmethod
     def _may_have_ended_it(unproved: _Unproved, seconds: float, *, abruptly: bool) -> bool:
--- a/hopstep/services/quarantine/crash_entries.py
+++ b/hopstep/services/quarantine/crash_entries.py
@@ -1,8 +1,8 @@
 """Shares what a router sees of requests that end engines with all routers, by gossip.
 
-Each router tells what it has seen itself; the others join that to what they know. Entries are small
-enough for a datagram, and as many as there are slots: a withdrawn entry is kept by all members, so
-subjects may not grow without bound.
+Each router tells the ends that it has seen itself, and those that no longer count; the others join
+that to what they know. Entries are small enough for a datagram, and as many as there are slots: a
+withdrawn entry is kept by all members, so subjects may not grow without bound.
 """
 
 from __future__ import annotations
@@ -48,10 +48,13 @@
             slot = self._slots.popitem(last=False)[1] if full else next(self._free)
         self._slots[fingerprint] = slot
         known = self._quarantine.told(fingerprint)
-        seen = [crash for crash in known.crashes if crash.node == self._quarantine.node]
-        entry = CrashEntry(
-            RequestCrashes(fingerprint, tuple(seen[-MAX_TOLD:]), known.cleared[-MAX_TOLD:])
-        )
+        cleared = known.cleared[-MAX_TOLD:]
+        told = [
+            crash
+            for crash in known.crashes
+            if crash.node == self._quarantine.node or crash.life in cleared
+        ]
+        entry = CrashEntry(RequestCrashes(fingerprint, tuple(told[-MAX_TOLD:]), cleared))
         self._membership.publish(EntryKind.CRASHES, str(slot), entry)
 
     def _take(self, action: Action) -> None:
--- a/hopstep/services/quarantine/quarantine.py
+++ b/hopstep/services/quarantine/quarantine.py
@@ -171,10 +171,12 @@
         """Take what other nodes tell, or what is in the store."""
         for request in told:
             before = self._ledger.told(request.fingerprint)
-            for end in self._ledger.merge(request, trio.current_time()):
+            ends = self._ledger.merge(request, trio.current_time())
+            for end in ends:
                 self._announce(end)
             if self._ledger.told(request.fingerprint) != before:
-                self._note_changed(request.fingerprint, seen_here=False)
+                excused_here = any(end.excused for end in ends)
+                self._note_changed(request.fingerprint, seen_here=excused_here)
                 self._review(request.fingerprint, ANSWERED)
 
     def lift(self, fingerprint: bytes) -> None:
