Read no cache events and order nothing where only an entry leads that names no instance

Cause: requests went to instances of good entries only, but the readers of cache events and the rollout went through all views: an entry without a start, beside others that tell theirs, was followed and could be ordered.

One place now says which views are trusted, and all that send something use it. The new test failed before (three reads at such an address; a rejected instance's events were read on as well) and passes now.

--- a/hopstep/domain/exchanges/instance_table.py
+++ b/hopstep/domain/exchanges/instance_table.py
@@ -99,12 +99,26 @@
         for view in self._views.values():
             view.excuse(seconds)
 
+    def trusted(self) -> list[InstanceView]:
+        """Return the views whose newest entry names an instance to use, draining ones included.
+
+        Nothing is sent to the address of any other.
+        """
+        return [view for view in self._views.values() if self._is_trusted(view)]
+
     def of_service(self, service: str) -> list[InstanceView]:
-        """Return the views of a service's instances.
+        """Return the trusted views of a service's instances."""
+        return [
+            view
+            for view in self._views.values()
+            if view.instance.service == service and self._is_trusted(view)
+        ]
 
-        Where any of them tells its start, an entry without one is incomplete and names none.
+    def _is_trusted(self, view: InstanceView) -> bool:
+        """Return whether an entry is good.
+
+        Where any instance of a service tells its start, an entry without one is incomplete.
         """
-        views = [view for view in self._views.values() if view.instance.service == service]
-        if service not in self._tell_starts:
-            return views
-        return [view for view in views if view.tells_start]
+        if view.rejected:
+            return False
+        return view.tells_start or view.instance.service not in self._tell_starts
--- a/hopstep/services/exchanges/engine_cache_watch.py
+++ b/hopstep/services/exchanges/engine_cache_watch.py
@@ -66,7 +66,7 @@
         self._plan.set_nodes({**knowledge.nodes, knowledge.name: knowledge.record})
         own = {
             view.life: view
-            for view in knowledge.table
+            for view in knowledge.table.trusted()
             if view.versions and self._plan.watcher(view.instance) == knowledge.name
         }
         for life in self._followed.keys() - own.keys():
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -68,12 +68,13 @@
         """Start the loads that are due now."""
         weights = self._knowledge.weights
         now = trio.current_time()
+        trusted = self._knowledge.table.trusted()
         for model in weights.models():
             newest = NamedWeights(model, weights.newest(model))
-            behind = engines_behind(self._knowledge.table, model, newest.version)
+            behind = engines_behind(trusted, model, newest.version)
             if not behind:
                 continue
-            engines = sum(1 for view in self._knowledge.table if model in view.versions)
+            engines = sum(1 for view in trusted if model in view.versions)
             together = weights.together(engines)
             oldest = behind[0].versions[model]
             wanted = weights.first_wave(engines) - (engines - len(behind))
@@ -174,8 +175,8 @@
         return report
 
     def _is_listed(self, view: InstanceView) -> bool:
-        """Return whether an engine's life is still the one that is listed."""
-        return self._knowledge.table.of_life(view.life) is view
+        """Return whether an engine's life is still the one that a good entry names."""
+        return view in self._knowledge.table.trusted()
 
     def _mark_loading(self, view: InstanceView) -> None:
         """Keep requests from an engine for a while, here and at the peers."""
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -187,6 +187,7 @@
         self.events = {}
         self.born_ms = {}
         self.readers = Counter()
+        self.reads = Counter()
         self._added = trio.Event()
 
     def add(self, address, event):
@@ -196,6 +197,7 @@
 
     async def read(self, address, position, wait_seconds):
         self.readers[address] += 1
+        self.reads[address] += 1
         try:
             with trio.move_on_after(wait_seconds):
                 while len(self.events.get(address, ())) <= position:
--- a/tests/services/exchanges/test_rejected_entries.py
+++ b/tests/services/exchanges/test_rejected_entries.py
@@ -109,6 +109,32 @@
 
         self.run_world(script, born_ms=BORN)
 
+    def test_nothing_else_is_sent_to_an_instance_that_an_entry_does_not_name(self):
+        """A soak saw cache events read at addresses that only entries without a start named."""
+
+        async def script(world):
+            entries = {}
+            for name, born_ms in (("unborn", 0), ("rejected", BORN)):
+                entries[name] = msgspec.structs.replace(
+                    world.listed["i0"], instance_id=name, address=f"{name}:1", born_ms=born_ms
+                )
+                world.instances.add(entries[name])
+                world.cache_events.events[f"{name}:1"] = []
+                world.publish(InstanceListed(entries[name]))
+            await trio.sleep(HEARD_SECONDS)
+            world.publish(rejected("rejected"))
+            await trio.sleep(HEARD_SECONDS)
+            reads = world.cache_events.reads.copy()
+            world.name_weights(2)
+            await trio.sleep(10 * HEARD_SECONDS)
+            self.assertEqual(reads["unborn:1"], 0)
+            for name in entries:
+                self.assertEqual(world.cache_events.reads[f"{name}:1"], reads[f"{name}:1"], name)
+                self.assertEqual(world.instances.servers[name].attempted, [], name)
+            self.assertTrue(world.instances.servers["i0"].attempted)
+
+        self.run_world(script, service="llm", born_ms=BORN)
+
     def test_where_nobody_tells_a_start_none_is_missed(self):
         async def script(world):
             self.assertEqual(await self.used(world), {"i0", "i1", "i2"})
