Try a refused request once, and let answers of before excuse only ends that come together

Reading the code for the operators' bound: eight excused ends could come at any time.

Ruled out: keeping answers in the store (tens of writes for each end); letting ties explain each other (a fatal request would hide behind any ordinary one).

The new tests failed before: a second run claimed by no one, eleven ends at one a second (6 now), no wait for the others' word. The test of the ten minutes now wants the one run that is allowed in them, and none beside it: users allow three after the third end.

--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -9,7 +9,7 @@
 
 from emulator.platform.faults import FaultOrder
 from emulator.soak.deployment import GRACE_SECONDS, Deployment, NodeLinks
-from emulator.soak.history import LEASES_LAPSE, ONLY_PEERS, STORE
+from emulator.soak.history import KILLED, LEASES_LAPSE, ONLY_PEERS, STORE
 from emulator.soak.instance_faults import BROKEN_LINKS, Fault, draw_seconds, instance_faults
 from emulator.soak.operators import Operator
 from emulator.soak.profiles import Profile
@@ -240,7 +240,7 @@
         if not node.running:
             return
         node.running = False
-        disturbance = self._deployment.disturb("killed", node.name)
+        disturbance = self._deployment.disturb(KILLED, node.name)
         self._deployment.signal_node(node, signal.SIGKILL)
         await trio.sleep(self._generator.uniform(0.1, 2.0))
         self._deployment.start_node(node)
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -16,6 +16,9 @@
 LEASES_LAPSE = "leases lapse"
 """Leases that the store ends before their time, against its protocol."""
 
+KILLED = "killed"
+"""What happens to a node whose process is killed; it is started again."""
+
 ONLY_PEERS = "peer link"
 """What happens to a node that is cut off from other nodes, and from nothing else."""
 
@@ -278,6 +281,15 @@
             for fault in self.disturbances
         )
 
+    def restarted(self, node: str, since: float, until: float) -> bool:
+        """Return whether a node's process ended within a time, and forgot all that it knew."""
+        return any(
+            fault.subject == node
+            and (fault.planned or fault.what == KILLED)
+            and since <= fault.since <= until
+            for fault in self.disturbances
+        )
+
     def happened(self, what: str, since: float, until: float) -> bool:
         """Return whether a kind of fault overlaps with a time, whatever its subject."""
         return any(
--- a/emulator/soak/instance_checks.py
+++ b/emulator/soak/instance_checks.py
@@ -5,12 +5,18 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from emulator.soak.history import Arrival, History
+from emulator.soak.callers import body_of, path_of
+from emulator.soak.history import Arrival, History, SentRequest
 from emulator.soak.promises import Bounds, Check
 
 QUARANTINED = b"request_quarantined"
 """Body of the refusal of a request that ends instances."""
 
+RELEASE_SECONDS = 12.0
+"""After the last end: a refused request is tried again after eight, and its whole answer told."""
+
+SERVED = 200
+
 
 def fatal_requests_end_few(history: History, bounds: Bounds) -> Iterable[str]:
     """Yield requests that reach instances too often after they have ended some."""
@@ -38,13 +44,51 @@
             yield f"{fatal} reached instances {len(late)} times more, {len(times)} ended in all"
 
 
-def honest_requests_are_not_quarantined(history: History, _bounds: Bounds) -> Iterable[str]:
-    """Yield requests that were refused as if they ended instances."""
+def honest_requests_are_not_quarantined(history: History, bounds: Bounds) -> Iterable[str]:
+    """Yield requests that were refused as if they ended instances, and could be told from those.
+
+    One that was never answered whole, as far as any node can know, can't be told from a fatal one
+    when three instances have just ended while it was under way; it is refused until it is tried.
+    """
     for request in history.requests.values():
-        if not request.fatal and request.body == QUARANTINED:
+        if request.fatal or request.body != QUARANTINED:
+            continue
+        if not _instances_just_ended(history, request, bounds) or _is_known(history, request):
             yield f"{request.kind} {request.request_id} was quarantined by {request.node}"
 
 
+def _instances_just_ended(history: History, request: SentRequest, bounds: Bounds) -> bool:
+    """Return whether as many instances as it takes ended a short time before a request."""
+    since = request.sent_at - RELEASE_SECONDS
+    until = _end_of(request)
+    recent = {end.life for end in history.ends if since <= end.at <= until}
+    return len(recent) >= bounds.fatal_ends
+
+
+def _is_known(history: History, request: SentRequest) -> bool:
+    """Return whether a node that has run on since then had answered an equal request whole."""
+    asked = _identity(history, request)
+    return any(
+        answered.status == SERVED
+        and answered.whole
+        and _end_of(answered) < request.sent_at
+        and not answered.fatal
+        and _identity(history, answered) == asked
+        and not history.restarted(answered.node, answered.sent_at, _end_of(request))
+        for answered in history.requests.values()
+    )
+
+
+def _identity(history: History, request: SentRequest) -> tuple[str, str, bytes]:
+    """Return what equal requests share: caller, path and body."""
+    return history.tenants.get(request.key, ""), path_of(request), body_of(request)
+
+
+def _end_of(request: SentRequest) -> float:
+    """Return when a request ended; infinite while it is under way."""
+    return request.ended_at if request.ended_at is not None else float("inf")
+
+
 def untrusted_entries_lead_nowhere(history: History, _bounds: Bounds) -> Iterable[str]:
     """Yield what came where only an entry leads that names no instance."""
     yield from (f"{what} was sent by an entry that can't be trusted" for what in history.decoyed)
--- a/hopstep/domain/quarantine/crash_ledger.py
+++ b/hopstep/domain/quarantine/crash_ledger.py
@@ -55,6 +55,13 @@
 request that was harmless before and ends instances now ends eleven at the most.
 """
 
+EXCUSING_SECONDS = 2.0
+"""Ends that come later than this after the first excused one count, until the request is answered
+whole again. Operators count runs that were sent three seconds after the third end and more: without
+this bound a request that had been answered often, and then ended an instance a second, was run
+eight times more by then (test of the ledger).
+"""
+
 MAX_ANSWERED = 1_024
 """Requests whose whole answers are remembered, those answered last."""
 
@@ -75,6 +82,31 @@
     excused: bool = False
 
 
+class _Excuses(msgspec.Struct):
+    """Whole answers to a request that excuse ends to come.
+
+    Attributes:
+        left: How many.
+        until: When they no longer do; infinite until one is used.
+    """
+
+    left: int = 0
+    until: float = float("inf")
+
+    def renew(self) -> None:
+        """Add a whole answer: the request ends no instances now."""
+        self.left = min(MAX_EXCUSED, self.left + 1)
+        self.until = float("inf")
+
+    def use(self, now: float) -> bool:
+        """Use one up; return False when none holds any longer."""
+        if not self.left or now > self.until:
+            return False
+        self.left -= 1
+        self.until = min(self.until, now + EXCUSING_SECONDS)
+        return True
+
+
 class _Unproved(msgspec.Struct):
     """A request whose answer broke off, while it isn't known whether its instance has ended.
 
@@ -100,7 +132,7 @@
         self._records = CrashRecords()
         self._unproved: OrderedDict[str, OrderedDict[bytes, _Unproved]] = OrderedDict()
         self._ended: OrderedDict[str, None] = OrderedDict()
-        self._answered: OrderedDict[bytes, int] = OrderedDict()
+        self._answered: OrderedDict[bytes, _Excuses] = OrderedDict()
 
     @property
     def is_empty(self) -> bool:
@@ -158,8 +190,10 @@
         if record is not None and record.ends:
             life = record.counting()[0]
             record.clear(life)
+            if fingerprint in self._answered:
+                self._answered[fingerprint].until = float("inf")
             return life
-        self._answered[fingerprint] = min(MAX_EXCUSED, self._answered.get(fingerprint, 0) + 1)
+        self._answered.setdefault(fingerprint, _Excuses()).renew()
         self._answered.move_to_end(fingerprint)
         drop_oldest(self._answered, MAX_ANSWERED)
         return ""
@@ -181,7 +215,7 @@
             if crash.life in told.cleared:
                 self._records.add(told.fingerprint, crash, now)
         for life in told.cleared[-MAX_ENDS:]:
-            self._clear_told(told.fingerprint, life)
+            self._clear_told(told.fingerprint, life, now)
         counted = [self._add(told.fingerprint, crash, now) for crash in uncleared]
         return [end for end in counted if end is not None]
 
@@ -197,6 +231,11 @@
             return 0.0
         return max(0.0, record.last_at + MEMORY_SECONDS - now)
 
+    def last_end_at(self, fingerprint: bytes) -> float:
+        """Return when the last end under a request became known; minus infinity for none."""
+        record = self._records.find(fingerprint)
+        return record.last_at if record is not None else -float("inf")
+
     def told(self, fingerprint: bytes) -> RequestCrashes:
         """Return all that is known of a request."""
         record = self._records.find(fingerprint)
@@ -228,14 +267,13 @@
         record = self._records.add(fingerprint, crash, now)
         if record is None or crash.life in record.cleared:
             return None
-        answers = self._answered.get(fingerprint, 0)
-        if not answers or not self._is_refused(fingerprint):
+        excuses = self._answered.get(fingerprint)
+        if excuses is None or not self._is_refused(fingerprint) or not excuses.use(now):
             return CountedEnd(fingerprint, crash, record.ends)
-        self._answered[fingerprint] = answers - 1
         record.clear(crash.life)
         return CountedEnd(fingerprint, crash, record.ends, excused=True)
 
-    def _clear_told(self, fingerprint: bytes, life: str) -> None:
+    def _clear_told(self, fingerprint: bytes, life: str, now: float) -> None:
         """Let an end no longer count that another node doesn't count.
 
         An answer that was seen here is used up with it: otherwise each node could excuse as many
@@ -245,8 +283,9 @@
         if record is None or life in record.cleared:
             return
         record.clear(life)
-        if self._answered.get(fingerprint, 0):
-            self._answered[fingerprint] -= 1
+        excuses = self._answered.get(fingerprint)
+        if excuses is not None:
+            excuses.use(now)
 
     @staticmethod
     def _may_have_ended_it(unproved: _Unproved, seconds: float, *, abruptly: bool) -> bool:
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -424,6 +424,20 @@
     ("fingerprint", "tenant", "route", "reason"),
     "Nothing; if instances end under it again it is refused again.",
 )
+QUARANTINED_REQUEST_TRIED = LogEvent(
+    "HS3108",
+    "quarantined_request_tried",
+    Level.INFO,
+    ("fingerprint", "tenant", "route"),
+    "Nothing: a whole answer releases the request, an end keeps it refused.",
+)
+QUARANTINED_REQUEST_NOT_TRIED = LogEvent(
+    "HS3109",
+    "quarantined_request_not_tried",
+    Level.INFO,
+    ("fingerprint", "reason"),
+    "Nothing: another node tries it, or the store didn't answer; the request stays refused.",
+)
 
 SERVING_CONFIGURATION_APPLIED = LogEvent(
     "HS4101",
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -64,6 +64,7 @@
         self._tried: set[str] = set()
         self._unsent_tries = 0
         self._may_have_run = False
+        self._admitted_ends = -1
         self._in_flight = SendProof()
 
     @property
@@ -88,7 +89,7 @@
         """Make attempts until the answer is whole or nothing more can be done."""
         only: str | None = None
         while True:
-            self._refuse_quarantined()
+            await self._refuse_quarantined()
             self._refuse_unproved_key()
             candidate = self._parts.choice.choose(self._request, self._service, self._tried, only)
             if candidate is None:
@@ -120,7 +121,7 @@
         """What it shares with equal requests of its caller."""
         return self._request.name()
 
-    def _refuse_quarantined(self) -> None:
+    async def _refuse_quarantined(self) -> None:
         """End a request that has ended too many instances, before each that it would be sent to.
 
         Without this one request that came again and again ended ten engines within 13 s, and 54
@@ -129,10 +130,15 @@
         quarantine = self._parts.quarantine
         if quarantine.is_idle:
             return
-        self.outcome.fingerprint = self._name.fingerprint.hex()
-        self.refused_seconds = quarantine.refused_seconds(self._name.fingerprint)
+        fingerprint = self._name.fingerprint
+        self.outcome.fingerprint = fingerprint.hex()
+        reached_none = not self.outcome.attempts
+        if reached_none and quarantine.ends(fingerprint) <= self._admitted_ends:
+            return
+        self.refused_seconds = await quarantine.admit(fingerprint)
         if self.refused_seconds:
             self._fail(ErrorCode.REQUEST_QUARANTINED, "instances have ended under this request")
+        self._admitted_ends = quarantine.ends(fingerprint)
 
     def _refuse_unproved_key(self) -> None:
         """End a request whose key may have been revoked since it was admitted.
--- a/hopstep/services/quarantine/quarantine.py
+++ b/hopstep/services/quarantine/quarantine.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Iterable
+from typing import Protocol
 
 import trio
 
@@ -33,6 +34,11 @@
 SETTLING_SECONDS = 0.4
 """Longest wait for a look before a request goes to another instance."""
 
+HEARING_SECONDS = 0.5
+"""After an end that has a request refused midway: for other nodes to tell that they have answered
+it. Their word took 0.1 to 0.3 s in soaks, and ordinary requests were given up meanwhile.
+"""
+
 EXPIRY_SECONDS = 5.0
 """Between two looks for what is too old."""
 
@@ -58,6 +64,16 @@
 """Told a request of which this node itself has seen something new."""
 
 
+class Trials(Protocol):
+    """Single runs that refused requests are allowed, so that none is refused without cause."""
+
+    def wait_seconds(self, fingerprint: bytes) -> float:
+        """Return for how long none may be claimed; infinite when none is left."""
+
+    async def claim(self, fingerprint: bytes) -> bool:
+        """Return whether this node, and no other, may run a request once."""
+
+
 class Quarantine:
     """What this node knows of requests that end instances."""
 
@@ -75,6 +91,7 @@
         self._listeners: list[SeenListener] = []
         self._end_listeners: list[EndListener] = []
         self._looking: dict[str, trio.Event] = {}
+        self._trials: Trials | None = None
         self._looks, self._due = trio.open_memory_channel[tuple[str, Look]](MAX_WAITING_LOOKS)
 
     def subscribe(self, listener: SeenListener) -> None:
@@ -85,6 +102,10 @@
         """Tell a listener of instances that have ended under requests, whoever saw it."""
         self._end_listeners.append(listener)
 
+    def offer_trials(self, trials: Trials) -> None:
+        """Allow refused requests single runs."""
+        self._trials = trials
+
     @property
     def is_idle(self) -> bool:
         """Whether nothing counts against any request, so that none needs to be looked up."""
@@ -101,6 +122,36 @@
         """Return for how much longer a request is refused; 0 when it isn't."""
         return self._ledger.refused_seconds(fingerprint, trio.current_time())
 
+    async def admit(self, fingerprint: bytes) -> float:
+        """Return for how much longer a request is refused; 0 when it may be sent to an instance.
+
+        Some time after the last end one node may try a refused request once.
+        """
+        seconds = self.refused_seconds(fingerprint)
+        if not seconds or self._trials is None:
+            return seconds
+        if await self._trials.claim(fingerprint):
+            name = self.name(fingerprint)
+            emit(
+                log_events.QUARANTINED_REQUEST_TRIED,
+                fingerprint=fingerprint.hex(),
+                tenant=name.caller,
+                route=name.route,
+            )
+            return 0.0
+        return seconds
+
+    async def _hear_others(self, fingerprint: bytes) -> None:
+        """Wait while a request is refused for an end that others may excuse any moment."""
+        until = self._ledger.last_end_at(fingerprint) + HEARING_SECONDS
+        while self.refused_seconds(fingerprint) and trio.current_time() < until:
+            with trio.move_on_at(until):
+                await self.changed.wait()
+
+    def last_end_at(self, fingerprint: bytes) -> float:
+        """Return when the last end under a request became known; minus infinity for none."""
+        return self._ledger.last_end_at(fingerprint)
+
     def told(self, fingerprint: bytes) -> RequestCrashes:
         """Return all that is known of a request."""
         return self._ledger.told(fingerprint)
@@ -186,12 +237,15 @@
             self._review(fingerprint, LIFTED)
 
     async def settle(self, fingerprint: bytes, life: str) -> None:
-        """Wait for the look at an instance if one more end would have the request refused."""
+        """Wait for the look at an instance if one more end would have the request refused.
+
+        If one more has it refused, wait for the other nodes' word as well.
+        """
         looking = self._looking.get(life)
-        if looking is None or self._ledger.ends(fingerprint) < ENDS_TO_REFUSE - 1:
-            return
-        with trio.move_on_after(SETTLING_SECONDS):
-            await looking.wait()
+        if looking is not None and self._ledger.ends(fingerprint) >= ENDS_TO_REFUSE - 1:
+            with trio.move_on_after(SETTLING_SECONDS):
+                await looking.wait()
+        await self._hear_others(fingerprint)
 
     async def run(self) -> None:
         """Look at instances, and forget what is too old, until cancelled."""
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -34,6 +34,19 @@
 ENDS_TO_KEEP = 2
 """One end says nothing about a request: most of those that it broke off just were there."""
 
+MAX_TRIALS = 1
+"""Runs that a refused request is allowed, over all nodes. Operators allow three after the third
+end: one may go to an end that another request explains, and one may be under way.
+"""
+
+TRIAL_AFTER_SECONDS = 8.0
+"""After the last end under a request: longer than instances take to be back. An ordinary request
+that was under way when all instances of a service ended three times was refused for ten minutes.
+"""
+
+CLAIM_SECONDS = 0.5
+"""Longest wait for the store's answer to a claim, while the request waits."""
+
 RETRY_SECONDS = 0.3
 RECHECK_SECONDS = 1.0
 STAND_BACK_SECONDS = 2.0
@@ -49,6 +62,7 @@
         crashes: Ends of instances under it.
         cleared: Lives whose ends no longer count.
         lifted: Written by operators: nothing that is known so far counts any longer.
+        trials: Runs that it was allowed although it is refused.
     """
 
     tenant: str = ""
@@ -56,6 +70,7 @@
     crashes: tuple[Crash, ...] = ()
     cleared: tuple[str, ...] = ()
     lifted: bool = False
+    trials: int = 0
 
 
 class _Stored(msgspec.Struct, frozen=True):
@@ -63,6 +78,7 @@
 
     version: int
     crashes: RequestCrashes
+    trials: int = 0
 
 
 class QuarantineRecords:
@@ -85,6 +101,39 @@
         self._missing_since: dict[bytes, float] = {}
         self._lease = ""
         self._lease_until = -float("inf")
+        self._claiming: set[bytes] = set()
+        quarantine.offer_trials(self)
+
+    def wait_seconds(self, fingerprint: bytes) -> float:
+        """Return for how long no run may be claimed; infinite when none is left."""
+        stored = self._stored.get(fingerprint)
+        if stored is None or stored.version == ABSENT or stored.trials >= MAX_TRIALS:
+            return float("inf")
+        due_at = self._quarantine.last_end_at(fingerprint) + TRIAL_AFTER_SECONDS
+        return max(0.0, due_at - trio.current_time())
+
+    async def claim(self, fingerprint: bytes) -> bool:
+        """Return whether this node, and no other, may run a refused request once.
+
+        The claim counts when the store has acknowledged it. Without an answer it may be used up
+        for nothing; the request stays refused then, as it was.
+        """
+        if self.wait_seconds(fingerprint) > 0 or fingerprint in self._claiming:
+            return False
+        self._claiming.add(fingerprint)
+        try:
+            with trio.move_on_after(CLAIM_SECONDS):
+                await self._write(fingerprint, trials=1)
+                return True
+        except StoreError as error:
+            emit(
+                log_events.QUARANTINED_REQUEST_NOT_TRIED,
+                fingerprint=fingerprint.hex(),
+                reason=error.code.value,
+            )
+        finally:
+            self._claiming.discard(fingerprint)
+        return False
 
     def take(self, key: str, value: bytes, version: int) -> None:
         """Take a key as the store holds it.
@@ -111,7 +160,7 @@
             self._note_lapsed(fingerprint)
             return
         told = RequestCrashes(fingerprint, stored.crashes, stored.cleared)
-        self._note_stored(fingerprint, _Stored(version, told))
+        self._note_stored(fingerprint, _Stored(version, told, stored.trials))
         if stored.lifted:
             self._quarantine.lift(fingerprint)
         else:
@@ -172,13 +221,19 @@
             return None
         return own
 
-    async def _write(self, fingerprint: bytes) -> None:
-        """Write all that is known of a request; what others wrote meanwhile is taken first."""
+    async def _write(self, fingerprint: bytes, trials: int = 0) -> None:
+        """Write all that is known of a request; what others wrote meanwhile is taken first.
+
+        Args:
+            fingerprint: The request.
+            trials: Runs that it is allowed from now on, beside those of before.
+        """
         key = QUARANTINE_PREFIX + fingerprint.hex()
         stored = self._stored.get(fingerprint)
         known = self._quarantine.told(fingerprint)
         name = self._quarantine.name(fingerprint)
-        value = StoredRequest(name.caller, name.route, known.crashes, known.cleared)
+        trials += stored.trials if stored is not None else 0
+        value = StoredRequest(name.caller, name.route, known.crashes, known.cleared, trials=trials)
         lease = await self._current_lease()
         expected = stored.version if stored is not None else ABSENT
         try:
@@ -192,7 +247,7 @@
             else:
                 self.take(key, found.value, found.version)
             raise
-        self._note_stored(fingerprint, _Stored(version, known))
+        self._note_stored(fingerprint, _Stored(version, known, trials))
 
     async def _current_lease(self) -> str:
         """Return a lease that is young enough for one more key."""
--- a/hopstep/services/requests/engine_ends.py
+++ b/hopstep/services/requests/engine_ends.py
@@ -30,21 +30,38 @@
         self._port = port
         table.follow_restarts(self._note_restart)
 
-    def require_allowed(self, request: InferenceRequest) -> None:
+    async def require_allowed(self, request: InferenceRequest) -> int:
         """Refuse a request under which too many engines have ended.
 
         Without this a prompt that ends its engines, sent 12 times to three routers, ended 60.
 
+        Returns:
+            How many have ended under it, as far as it counts.
+
         Raises:
             ServiceError: ``REQUEST_QUARANTINED``.
         """
-        seconds = self._refused_seconds(request)
+        if self._quarantine.is_idle:
+            return 0
+        fingerprint = request.name().fingerprint
+        seconds = await self._quarantine.admit(fingerprint)
         if seconds:
-            raise ServiceError(
-                ErrorCode.REQUEST_QUARANTINED,
-                "engines have ended under this request",
-                retry_after_seconds=seconds,
-            )
+            raise _quarantined(seconds)
+        return self._quarantine.ends(fingerprint)
+
+    def require_no_more(self, request: InferenceRequest, ends: int) -> None:
+        """Refuse a request that was allowed, when more engines have ended under it since.
+
+        Args:
+            request: The request.
+            ends: How many had ended when it was allowed.
+
+        Raises:
+            ServiceError: ``REQUEST_QUARANTINED``.
+        """
+        seconds = self._refused_seconds(request)
+        if seconds and self._quarantine.ends(request.name().fingerprint) > ends:
+            raise _quarantined(seconds)
 
     def is_refused(self, request: InferenceRequest) -> bool:
         """Return whether a request is kept from engines."""
@@ -95,3 +112,12 @@
 def _life(attempt: Attempt) -> str:
     """Return the incarnation of the engine that an attempt was sent to, as routers tell it."""
     return f"{attempt.address}@{attempt.incarnation}"
+
+
+def _quarantined(seconds: float) -> ServiceError:
+    """Return the refusal of a request for so many seconds."""
+    return ServiceError(
+        ErrorCode.REQUEST_QUARANTINED,
+        "engines have ended under this request",
+        retry_after_seconds=seconds,
+    )
--- a/hopstep/services/requests/request_execution.py
+++ b/hopstep/services/requests/request_execution.py
@@ -186,13 +186,13 @@
         """Wait for room at an engine and make the attempt the current one."""
         state = self._state
         try:
-            self._context.ends.require_allowed(self._request)
+            ends = await self._context.ends.require_allowed(self._request)
             attempt = await self._context.factory.prepare(
                 self._request, self._progress.tokens, state.tried, further
             )
             state.begin(attempt)
             # Its engines may have ended while it waited for room.
-            self._context.ends.require_allowed(self._request)
+            self._context.ends.require_no_more(self._request, ends)
         except ServiceError as error:
             raise self._truthful(error) from error
         return attempt
--- a/tests/domain/quarantine/test_crash_ledger.py
+++ b/tests/domain/quarantine/test_crash_ledger.py
@@ -3,6 +3,7 @@
 from hopstep.domain.quarantine.crash_ledger import (
     AT_ONCE_SECONDS,
     ENDS_TO_REFUSE,
+    EXCUSING_SECONDS,
     MAX_ANSWERED,
     MAX_EXCUSED,
     UNPROVED_SECONDS,
@@ -107,6 +108,36 @@
             self.end_under(FATAL, f"i{number}")
         self.assertTrue(self.refused(FATAL))
 
+    def end_one_a_second_until_refused(self):
+        """Return how many instances end under a request, one after the other."""
+        ends = 0
+        while not self.refused(FATAL, float(ends)):
+            ends += 1
+            self.end_under(FATAL, f"i{ends}", at=float(ends))
+        return ends
+
+    def test_answers_of_before_excuse_only_ends_that_come_together(self):
+        for _ in range(100):
+            self.ledger.note_whole_answer(FATAL)
+        excused = int(EXCUSING_SECONDS) + 1
+        self.assertEqual(self.end_one_a_second_until_refused(), ENDS_TO_REFUSE + excused)
+
+    def test_what_another_node_excuses_begins_the_time_for_excuses_here_too(self):
+        for _ in range(100):
+            self.ledger.note_whole_answer(FATAL)
+        crashes = tuple(Crash(f"i{number}", "n2") for number in range(ENDS_TO_REFUSE))
+        self.ledger.merge(RequestCrashes(FATAL, crashes, ("i2",)), 0.0)
+        self.end_under(FATAL, "j1", at=EXCUSING_SECONDS + 0.1)
+        self.assertTrue(self.refused(FATAL, EXCUSING_SECONDS + 0.1))
+
+    def test_a_whole_answer_lets_later_ends_be_excused_again(self):
+        self.ledger.note_whole_answer(FATAL)
+        for moment in range(0, 100, 10):
+            for number in range(ENDS_TO_REFUSE):
+                self.ledger.note_whole_answer(FATAL)
+                self.end_under(FATAL, f"i{moment + number}", at=float(moment))
+            self.assertFalse(self.refused(FATAL, float(moment)))
+
     def test_answers_to_one_request_excuse_no_other(self):
         self.ledger.note_whole_answer(OTHER)
         self.end_under(FATAL, "i1")
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -350,6 +350,36 @@
         seen = history(request(**refused, fatal="f"), runs=[])
         self.assertNotIn("honest requests", self.broken(seen))
 
+    def quarantined(self, answers=(), ends=3, faults=(), at=100.0):
+        """Return whether an ordinary request's refusal is caught."""
+        refused = request(
+            "refused", at=at, status=503, stamp="", body=b"request_quarantined", whole=True
+        )
+        answered = [
+            request(f"answered-{number}", at=answered_at)
+            for number, answered_at in enumerate(answers)
+        ]
+        lives = [InstanceEnd("f", f"i{number}@1", 99.0) for number in range(ends)]
+        seen = history(refused, *answered, ends=lives, disturbances=list(faults))
+        return "honest requests" in self.broken(seen)
+
+    def test_an_ordinary_request_that_nobody_can_tell_from_a_fatal_one(self):
+        killed = Disturbance("killed", "n0", 98.0, 98.5)
+        self.assertFalse(self.quarantined())
+        self.assertFalse(self.quarantined(answers=[97.0], faults=[killed]))
+        self.assertFalse(self.quarantined(answers=[101.0]))
+
+    def test_an_ordinary_request_that_a_node_has_answered_before(self):
+        killed = Disturbance("killed", "n0", 98.0, 98.5)
+        other = Disturbance("killed", "n1", 98.0, 98.5)
+        self.assertTrue(self.quarantined(answers=[97.0]))
+        self.assertTrue(self.quarantined(answers=[97.0], faults=[other]))
+        self.assertTrue(self.quarantined(answers=[97.0, 99.0], faults=[killed]))
+
+    def test_an_ordinary_request_that_is_refused_for_too_few_ends_or_too_long(self):
+        self.assertTrue(self.quarantined(ends=2))
+        self.assertTrue(self.quarantined(at=112.0))
+
     def test_what_an_untrusted_entry_leads_to(self):
         self.assertIn("untrusted entries", self.broken(history(decoyed=["/report"])))
 
--- a/tests/services/exchanges/test_quarantined_requests.py
+++ b/tests/services/exchanges/test_quarantined_requests.py
@@ -13,7 +13,7 @@
 from hopstep.domain.quarantine.crash_records import MEMORY_SECONDS
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.ports.serving_directory import InstanceListed, InstanceRemoved
-from hopstep.services.quarantine.records import QUARANTINE_PREFIX, StoredRequest
+from hopstep.services.quarantine.records import MAX_TRIALS, QUARANTINE_PREFIX, StoredRequest
 from tests.services.exchanges.exchange_world import ISOLATED_KEY, ExchangeWorld
 
 FATAL = b"fatal"
@@ -106,8 +106,17 @@
     def test_it_may_run_again_some_time_after_the_last_end(self):
         async def script(world):
             await self.end_instances(world)
-            await trio.sleep(MEMORY_SECONDS / 2)
             self.assertTrue(await self.refused(world, node=2))
+            self.unlist_ended(world)
+            await trio.sleep(MEMORY_SECONDS / 2)
+            self.assertFalse(await self.refused(world, node=2))
+            await trio.sleep(TOLD_SECONDS)
+            for node in range(3):
+                self.assertTrue(await self.refused(world, node=node))
+            self.assertEqual(self.ended(world), ENDS_TO_REFUSE + MAX_TRIALS)
+            await trio.sleep(MEMORY_SECONDS / 2)
+            for node in range(3):
+                self.assertTrue(await self.refused(world, node=node))
             await trio.sleep(MEMORY_SECONDS + KEPT_SECONDS)
             self.unlist_ended(world)
             await trio.sleep(KEPT_SECONDS)
--- a/tests/services/quarantine/test_quarantine.py
+++ b/tests/services/quarantine/test_quarantine.py
@@ -1,14 +1,23 @@
 """A node logs when a request begins to be refused, and when it no longer is, and why."""
 
+import random
 import unittest
 
 import structlog
 import trio
 from trio.testing import MockClock
 
+from emulator.platform.in_memory import InMemoryStore
+from emulator.platform.shared_store import SharedStore
 from hopstep.domain.quarantine.crash_records import MEMORY_SECONDS
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
-from hopstep.services.quarantine.quarantine import EXPIRY_SECONDS, Quarantine
+from hopstep.services.quarantine.quarantine import EXPIRY_SECONDS, HEARING_SECONDS, Quarantine
+from hopstep.services.quarantine.records import (
+    QUARANTINE_PREFIX,
+    STAND_BACK_SECONDS,
+    TRIAL_AFTER_SECONDS,
+    QuarantineRecords,
+)
 
 FATAL = b"fatal"
 OTHER = b"other"
@@ -83,5 +92,98 @@
         )
 
 
+class AdmissionTest(unittest.TestCase):
+    """A request that all instances of a service took with them isn't refused for good.
+
+    A soak had this: all nodes were killed, so none knew of the request's 162 whole answers; the
+    three instances ended within 2.4 s under other requests; the request was refused from then on.
+    """
+
+    def run_script(self, script):
+        async def main():
+            store = InMemoryStore(SharedStore())
+            async with trio.open_nursery() as nursery:
+                quarantines = [Quarantine(f"n{number}") for number in range(2)]
+                records = [
+                    QuarantineRecords(quarantine, store, random.Random(1))
+                    for quarantine in quarantines
+                ]
+                for part in (*quarantines, *records):
+                    nursery.start_soon(part.run)
+                await script(store, quarantines, records)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    @staticmethod
+    async def tell_all(store, quarantines, records):
+        """Refuse a request at all nodes, and let them write and read the store."""
+        for quarantine in quarantines:
+            quarantine.take([told(FATAL, "i1", "i2", "i3")])
+        await trio.sleep(2 * STAND_BACK_SECONDS)
+        stored = await store.get(QUARANTINE_PREFIX + FATAL.hex())
+        for part in records:
+            part.take(stored.key, stored.value, stored.version)
+
+    def test_one_node_may_try_a_refused_request_once(self):
+        async def script(store, quarantines, records):
+            await self.tell_all(store, quarantines, records)
+            self.assertGreater(await quarantines[0].admit(FATAL), 0.0)
+            await trio.sleep(TRIAL_AFTER_SECONDS)
+            self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
+            for quarantine in (*quarantines, *quarantines):
+                self.assertGreater(await quarantine.admit(FATAL), 100.0)
+
+        self.run_script(script)
+
+    def test_a_whole_answer_to_it_releases_the_request(self):
+        async def script(store, quarantines, records):
+            await self.tell_all(store, quarantines, records)
+            await trio.sleep(TRIAL_AFTER_SECONDS)
+            self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
+            quarantines[0].note_whole_answer(FATAL)
+            self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
+
+        self.run_script(script)
+
+    def test_none_is_tried_while_the_store_is_away(self):
+        async def script(store, quarantines, records):
+            await self.tell_all(store, quarantines, records)
+            await trio.sleep(TRIAL_AFTER_SECONDS)
+            store.cut_off = True
+            self.assertGreater(await quarantines[0].admit(FATAL), 100.0)
+            store.cut_off = False
+            self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
+
+        self.run_script(script)
+
+    def test_an_end_that_others_excuse_a_moment_later_refuses_nothing(self):
+        async def script(store, quarantines, records):
+            quarantine = quarantines[0]
+            quarantine.take([told(FATAL, "i1", "i2", "i3")])
+
+            async def excuse():
+                await trio.sleep(HEARING_SECONDS / 2)
+                quarantine.take([told(FATAL, "i1", "i2", "i3", cleared=("i3",))])
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(excuse)
+                await quarantine.settle(FATAL, "i3")
+            self.assertEqual(await quarantine.admit(FATAL), 0.0)
+
+        self.run_script(script)
+
+    def test_the_word_of_others_is_awaited_once_and_for_half_a_second(self):
+        async def script(store, quarantines, records):
+            quarantines[0].take([told(FATAL, "i1", "i2", "i3")])
+            began_at = trio.current_time()
+            for _ in range(2):
+                await quarantines[0].settle(FATAL, "i3")
+                self.assertEqual(trio.current_time() - began_at, HEARING_SECONDS)
+            self.assertGreater(await quarantines[0].admit(FATAL), 0.0)
+
+        self.run_script(script)
+
+
 if __name__ == "__main__":
     unittest.main()
