Wake an idle node once for all that it does five times a second

Cause: an idle node woke 48 times a second (79 nodes, a virtual clock): the clock's look, silent instances, the relay's query, the follower's and the cache stores' looks whether they are needed, the rollout's of nodes that don't hold the lease. Each wake is a pass of the event loop.

They wait for the same look now, for the lease, or for the moment at which an answer is overdue.

Ruled out: a steady pace without any spread; nodes that start together then query their relay at the same moment, and leave a silent one together.

--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -111,7 +111,7 @@
             bounds.revocation_ms / MILLISECONDS,
         )
         limits = freshness_limits(min(bounds.configuration_ms, bounds.drain_ms) / MILLISECONDS)
-        self.pauses = PauseWatch()
+        self.pauses = PauseWatch(generator)
         self.pauses.on_pause(self.knowledge.table.excuse)
         self.follower = DirectoryFollower(
             self.knowledge, ports.directory, generator, limits, self.pauses
@@ -146,7 +146,7 @@
             urgent,
             self.quarantine,
             ports.nodes,
-            generator,
+            self.pauses,
             limits,
         )
         self.metrics = self._make_metrics()
--- a/hopstep/services/exchanges/connection_reaper.py
+++ b/hopstep/services/exchanges/connection_reaper.py
@@ -18,9 +18,6 @@
 CHECK_SECONDS = 5.0
 """Between two looks for connections to instances that aren't listed."""
 
-SILENCE_CHECK_SECONDS = 0.25
-"""Between two looks for silent instances, whose silence counts from a second on."""
-
 SILENT = "silent"
 
 
@@ -45,7 +42,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._forget_unlisted)
             while True:
-                await trio.sleep(SILENCE_CHECK_SECONDS)
+                await self._pauses.wait_look()
                 await self._leave_silent()
 
     async def _forget_unlisted(self) -> None:
@@ -58,7 +55,6 @@
 
     async def _leave_silent(self) -> None:
         """Drop the idle connections of instances that have fallen silent, once each time."""
-        self._pauses.look()
         now = trio.current_time()
         silent = {view.instance.address for view in self._table if view.is_silent(now)}
         for address in silent - self._silent:
--- a/hopstep/services/exchanges/directory_follower.py
+++ b/hopstep/services/exchanges/directory_follower.py
@@ -41,6 +41,8 @@
 """Side by side for one answer: each waits twice as long as the one before it for company."""
 
 CHECK_SECONDS = 0.1
+"""Between two looks at a call that is overdue."""
+
 MOMENT_SECONDS = 0.01
 """Behind the time at which an answer is due, so that it is past."""
 
@@ -80,10 +82,17 @@
         self._called_at = float("inf")
         self._reading_since: float | None = None
         self._began = trio.Event()
+        self._reconsidered = trio.Event()
 
     def read_once(self) -> None:
         """Make one call, although relays answer: they can't tell everything."""
         self._asked = True
+        self.reconsider()
+
+    def reconsider(self) -> None:
+        """Look again whether this node should read the store: relays may have fallen silent."""
+        self._reconsidered.set()
+        self._reconsidered = trio.Event()
 
     @property
     def reads(self) -> bool:
@@ -163,7 +172,10 @@
             self._reading_since = None
             if self._asked:
                 break
-            await trio.sleep(CHECK_SECONDS)
+            told_until = knowledge.contact.told_at + self._limits.own_reading
+            known_until = knowledge.confirmed_at + OWN_WAY_AGE_SECONDS
+            with trio.move_on_at(min(told_until, known_until) + MOMENT_SECONDS):
+                await self._reconsidered.wait()
         self._asked = False
         if self.reads and self._reading_since is None:
             self._reading_since = trio.current_time()
--- a/hopstep/services/exchanges/pause_watch.py
+++ b/hopstep/services/exchanges/pause_watch.py
@@ -3,10 +3,15 @@
 A process that was frozen, or got no processor time, finds its timers overdue and bytes of others
 unread in its sockets. Whoever judges others by silence looks here first, and starts to count anew.
 Deadlines of clients and leases aren't moved: time passed for them.
+
+The looks are the node's tick as well: what else is done five times a second waits for them, so that
+an idle process wakes once for all of it. Woken for each by itself it took 7.8 ms of processor time
+a second, 79 nodes idle on a virtual clock.
 """
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
 import trio
@@ -17,6 +22,9 @@
 LOOK_SECONDS = 0.2
 """Between two looks at the clock."""
 
+SPREAD = 0.1
+"""Share by which the time between two looks varies."""
+
 PAUSE_SECONDS = 0.6
 """A look that comes so long after the last one comes after a pause, not after some busy moments."""
 
@@ -29,11 +37,17 @@
 class PauseWatch:
     """Looks at the clock from time to time."""
 
-    def __init__(self) -> None:
-        """Start now. Must be called inside the event loop."""
+    def __init__(self, generator: random.Random | None = None) -> None:
+        """Start now. Must be called inside the event loop.
+
+        Args:
+            generator: Spreads the looks of nodes that started together; None for a steady pace.
+        """
+        self._generator = generator
         self._looked_at = trio.current_time()
         self._excused_until = -float("inf")
         self._listeners: list[Listener] = []
+        self._looked = trio.Event()
 
     def on_pause(self, listener: Listener) -> None:
         """Tell a listener of each pause: the seconds by which its marks of time should move."""
@@ -60,5 +74,12 @@
     async def run(self) -> None:
         """Look until cancelled."""
         while True:
-            await trio.sleep(LOOK_SECONDS)
+            spread = self._generator.uniform(-SPREAD, SPREAD) if self._generator else 0.0
+            await trio.sleep(LOOK_SECONDS * (1.0 + spread))
             self.look()
+            self._looked.set()
+            self._looked = trio.Event()
+
+    async def wait_look(self) -> None:
+        """Wait for the next look at the clock."""
+        await self._looked.wait()
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/relaying.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import math
-import random
 from collections import OrderedDict
 
 import msgspec
@@ -34,13 +33,11 @@
 from hopstep.services.exchanges.directory_follower import DirectoryFollower
 from hopstep.services.exchanges.knowledge import NO_REVISION, STORE_SOURCE, ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
+from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.urgent_box import UrgentBox
 from hopstep.services.quarantine.quarantine import Quarantine
 
-INTERVAL_SECONDS = 0.2
-"""Between two queries of a node, and between two digests of a relay."""
-
 SEEK_NODES = 2
 """Nodes elsewhere that one without the store asks at a time: some of them may be without it too."""
 
@@ -76,7 +73,7 @@
         urgent: UrgentBox,
         quarantine: Quarantine,
         exchange: NodeExchange,
-        generator: random.Random,
+        pauses: PauseWatch,
         limits: FreshnessLimits,
     ) -> None:
         """Join the parts.
@@ -89,7 +86,7 @@
             urgent: What all nodes are told at once.
             quarantine: Requests under which instances have ended.
             exchange: Datagrams.
-            generator: Spreads queries.
+            pauses: The node's tick.
             limits: How long the store or a relay may be silent.
         """
         self._knowledge = knowledge
@@ -99,7 +96,7 @@
         self._urgent = urgent
         self._quarantine = quarantine
         self._exchange = exchange
-        self._generator = generator
+        self._pauses = pauses
         self._limits = limits
         self._number = 0
         self._turn = hash_name(knowledge.name)
@@ -116,11 +113,19 @@
             nursery.start_soon(self._hear)
 
     async def _tell(self) -> None:
-        """Send queries or digests from time to time."""
+        """Send queries or digests with each look of the node at its clock, every 0.2 s."""
         while True:
-            await trio.sleep(INTERVAL_SECONDS * (0.9 + 0.2 * self._generator.random()))
+            await self._pauses.wait_look()
             await self._send_due()
             self._sharing.refresh()
+            self._reconsider()
+
+    def _reconsider(self) -> None:
+        """Have those look again that work only while no relay does it for them."""
+        if self._follower.reads:
+            self._follower.reconsider()
+        if not self._knowledge.relays.relay():
+            self._store_watch.reconsider()
 
     async def _tell_urgent(self) -> None:
         """Send this node's urgent news as they come."""
@@ -289,6 +294,7 @@
         heard_at = _heard_at(answer, pending)
         lost = trio.current_time() - heard_at > self._limits.silence
         self._knowledge.relays.note_store(sender, lost=lost)
+        self._reconsider()
         if answer.beyond_reach:
             self._follower.read_once()
         if answer.age_ms == UNKNOWN_AGE_MS or answer.after > self._knowledge.revision:
--- a/hopstep/services/exchanges/rollout_lease.py
+++ b/hopstep/services/exchanges/rollout_lease.py
@@ -100,6 +100,11 @@
         self._refused_token = 0
         self._failed_at = -float("inf")
         self._released = False
+        self._held = trio.Event()
+
+    async def wait_held(self) -> None:
+        """Wait until this node holds the lease."""
+        await self._held.wait()
 
     @property
     def may_order(self) -> bool:
@@ -216,6 +221,7 @@
             return
         self._valid_until = sent_at + self._lease_seconds
         self._held_token = self.fencing_token = token
+        self._held.set()
         emit(log_events.ROLLOUT_LEASE_ACQUIRED, fencing_token=token, resumed=resumed)
 
     def _identity(self, lease: str) -> RolloutHolder:
@@ -279,6 +285,7 @@
         """Stop ordering."""
         if self.fencing_token:
             emit(log_events.ROLLOUT_LEASE_LOST, fencing_token=self.fencing_token, reason=reason)
+            self._held = trio.Event()
         self.fencing_token = 0
 
 
--- a/hopstep/services/exchanges/store_watch.py
+++ b/hopstep/services/exchanges/store_watch.py
@@ -46,6 +46,12 @@
         self._events = events
         self._pauses = pauses
         self._contents: dict[str, StoreContents] = {}
+        self._reconsidered = trio.Event()
+
+    def reconsider(self) -> None:
+        """Look again whether this node has to read the stores: it may have no relay any more."""
+        self._reconsidered.set()
+        self._reconsidered = trio.Event()
 
     def contents(self, address: str) -> StoreContents | None:
         """Return what a store keeps; None when it isn't followed yet."""
@@ -90,7 +96,7 @@
             if not self._knowledge.relays.relay():
                 contents.clear(secrets.token_hex(IDENTITY_BYTES))
                 await self._read(address, contents)
-            await trio.sleep(PAUSE_SECONDS)
+            await self._reconsidered.wait()
 
     async def _read(self, address: str, contents: StoreContents) -> None:
         """Read a store's events until a relay tells them."""
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -60,6 +60,7 @@
         """Order loads as they fall due until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
+                await self._lease.wait_held()
                 await trio.sleep(CHECK_SECONDS)
                 if self._lease.may_order:
                     self._start_due(nursery)
