Gather news of long prompts in busy moments, and encode once what goes to many

Cause: each long prompt was a datagram to every node at once, encoded for each: requests a second times nodes.

Ruled out: gathering also in quiet moments (nodes that choose just then don't know; an existing test holds it at 10 ms); news of loading engines and of crashes, which are few, go on at once.

--- a/hopstep/adapters/node_datagrams.py
+++ b/hopstep/adapters/node_datagrams.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import errno
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import trio
 
@@ -45,9 +45,18 @@
 
     async def send(self, message: NodeMessage, node: NodeRecord) -> None:
         """Send a message; see the port."""
+        await self.send_all(message, (node,))
+
+    async def send_all(self, message: NodeMessage, nodes: Iterable[NodeRecord]) -> None:
+        """Send one message to several nodes, encoded once; see the port."""
         frame = encode_frame(message, self._name, self._key)
         if len(frame) > MAX_DATAGRAM_BYTES:
             raise MessageTooLongError
+        for node in nodes:
+            await self._send_frame(frame, node)
+
+    async def _send_frame(self, frame: bytes, node: NodeRecord) -> None:
+        """Send an encoded message."""
         host, _, port = node.address.rpartition(":")
         try:
             await self._socket.sendto(frame, (host, int(port)))
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -186,6 +186,11 @@
             MessageTooLongError: When it can't be sent as one datagram.
         """
 
+    async def send_all(self, message: NodeMessage, nodes: Iterable[NodeRecord]) -> None:
+        """Send one message to several nodes; see ``send``."""
+        for node in nodes:
+            await self.send(message, node)
+
     @abc.abstractmethod
     async def receive(self, nodes: Mapping[str, NodeRecord]) -> Received:
         """Return the next message that one of ``nodes`` has signed."""
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/relaying.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 from collections import OrderedDict
+from collections.abc import Iterable
 
 import msgspec
 import trio
@@ -14,6 +16,7 @@
 from hopstep import log_events
 from hopstep.domain.exchanges.directory_feed import FeedEntry
 from hopstep.domain.exchanges.freshness import FreshnessLimits
+from hopstep.domain.exchanges.gathered_news import GATHER_SECONDS, GatheredNews
 from hopstep.domain.exchanges.store_contents import ContentsPosition
 from hopstep.domain.rendezvous import hash_name
 from hopstep.logs import emit
@@ -27,6 +30,7 @@
     RelayDigest,
     RelayedEntry,
     RelayQuery,
+    SentPrompt,
     UrgentNews,
 )
 from hopstep.ports.serving_directory import ConfigurationPublished, DirectoryEntry
@@ -104,12 +108,16 @@
         self._feed = ""
         self._position = 0
         self._source = STORE_SOURCE
+        self._prompts = GatheredNews[SentPrompt]()
+        self._own_prompts = GatheredNews[SentPrompt]()
+        self._gathering = trio.Event()
 
     async def run(self) -> None:
         """Ask and answer until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._tell)
             nursery.start_soon(self._tell_urgent)
+            nursery.start_soon(self._tell_gathered)
             nursery.start_soon(self._hear)
 
     async def _tell(self) -> None:
@@ -136,25 +144,43 @@
             self._number += 1
             news = UrgentNews(self._number, contents.prompts, contents.loading, crashes)
             relay = self._knowledge.relays.relay()
-            await self._spread(news, [relay] if relay else self._all_below())
+            if relay:
+                await self._spread(news, [relay])
+            else:
+                await self._pass_on(self._knowledge.name, news, own=True)
 
-    def _all_below(self) -> list[str]:
-        """Return the nodes that a relay passes the news of its own nodes on to."""
-        targets = {*self._sharing.members(), *self._knowledge.relays.digest_targets()}
-        return sorted(targets)
+    async def _pass_on(self, origin: str, news: UrgentNews, *, own: bool) -> None:
+        """Pass news on: those of this relay's own nodes to everyone, others to its nodes.
 
-    async def _pass_on(self, sender: str, news: UrgentNews) -> None:
-        """Pass news on: a member's to everyone, those of another relay to the members."""
-        if self._knowledge.relays.relay():
-            return
-        own = self._sharing.is_member(sender)
-        targets = self._all_below() if own else self._sharing.members()
-        await self._spread(news, [name for name in targets if name != sender])
-
-    async def _spread(self, news: UrgentNews, names: list[str]) -> None:
-        """Send news to nodes."""
-        for name in names:
-            await self._send(news, name)
+        Prompts are many, and are gathered for a moment; the rest goes on at once.
+        """
+        self._prompts.add(origin, news.prompts)
+        if own:
+            self._own_prompts.add(origin, news.prompts)
+        if news.prompts:
+            self._gathering.set()
+        if news.loading or news.crashes:
+            relays = self._knowledge.relays.digest_targets() if own else []
+            targets = sorted({*self._sharing.members(), *relays} - {origin})
+            await self._spread(msgspec.structs.replace(news, prompts=()), targets)
+
+    async def _tell_gathered(self) -> None:
+        """Send prompts at once, those of busy moments together, until cancelled."""
+        while True:
+            await self._gathering.wait()
+            self._gathering = trio.Event()
+            members = self._sharing.members()
+            relays = [n for n in self._knowledge.relays.digest_targets() if n not in members]
+            for bundle in (*self._prompts.take(members), *self._own_prompts.take(relays)):
+                self._number += 1
+                await self._spread(UrgentNews(self._number, bundle.news), bundle.targets)
+            await trio.sleep(GATHER_SECONDS)
+
+    async def _spread(self, news: UrgentNews, names: Iterable[str]) -> None:
+        """Send news to nodes; what is too long for a datagram is told with the loads later."""
+        known = self._knowledge.nodes
+        with contextlib.suppress(MessageTooLongError):
+            await self._exchange.send_all(news, [known[name] for name in names if name in known])
 
     async def _send_due(self) -> None:
         """Send what is due now."""
@@ -234,7 +260,9 @@
             case UrgentNews():
                 self._sharing.take_news(received.sender, message.prompts, message.loading)
                 self._quarantine.take(message.crashes)
-                await self._pass_on(received.sender, message)
+                if not self._knowledge.relays.relay():
+                    own = self._sharing.is_member(received.sender)
+                    await self._pass_on(received.sender, message, own=own)
 
     async def _answer(self, asker: str, query: RelayQuery) -> None:
         """Answer a query; what doesn't fit into a datagram is left to the store."""
