Hold tenants' quotas over all nodes, by shares of what is left

Also: all Connection headers name what isn't passed on, not the last one alone; a test over sockets that nothing only a node may set comes from a client.

--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -55,6 +55,7 @@
         client_deadline: When the client gives up, by the same clock.
         prompt: What it says of its prompt; None for other services.
         resume_after: Last event that the client has; empty for a new stream.
+        usage_tokens: Tokens of its prompt and longest answer; None when it doesn't say.
     """
 
     request_id: str
@@ -69,6 +70,7 @@
     client_deadline: float
     prompt: Prompt | None = None
     resume_after: str = ""
+    usage_tokens: int | None = None
 
     def name(self) -> RequestName:
         """Return what it shares with equal requests of its caller; digests the whole body."""
--- a/hopstep/domain/exchanges/retry_after.py
+++ b/hopstep/domain/exchanges/retry_after.py
@@ -43,6 +43,7 @@
     LOADING = "loading"
     RELISTING = "relisting"
     QUARANTINE = "quarantine"
+    QUOTA = "quota"
     UNKNOWN = "unknown"
 
 
@@ -119,5 +120,5 @@
             return facts.loading_seconds or DEFAULT_SECONDS
         case RetryReason.RELISTING:
             return min(DEFAULT_SECONDS, facts.relisting_seconds or DEFAULT_SECONDS)
-        case RetryReason.UNKNOWN | RetryReason.QUARANTINE:
+        case RetryReason.UNKNOWN | RetryReason.QUARANTINE | RetryReason.QUOTA:
             return DEFAULT_SECONDS
--- a/hopstep/domain/exchanges/serving.py
+++ b/hopstep/domain/exchanges/serving.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from hopstep.domain.limits.quota_ledger import TenantQuota
+
 
 class RequestKind(enum.StrEnum):
     """How often a request may run."""
@@ -141,12 +143,14 @@
         keys: API keys.
         priority: Rank that goes before the route's; None for none.
         isolated: Whether no cached segment may be shared with other tenants.
+        quota: What it may use over all nodes; None for no limit.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
     isolated: bool = False
+    quota: TenantQuota | None = None
 
 
 class RequestLimits(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/hopstep/domain/limits/fleet_usage.py
@@ -0,0 +1,166 @@
+"""What nodes tell of tenants' usage, and its sums over groups of nodes.
+
+Each node tells the whole of its own window, not changes, so lost, repeated and late messages do no
+harm, and a relay that has just started knows its nodes' usage with their first messages. What a
+node told before it fell silent or started anew counts until the window has passed.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+import msgspec
+
+FRESH_SECONDS = 1.0
+"""A node that told nothing for longer isn't counted among those that are heard: five messages."""
+
+SWEEP_SECONDS = 0.2
+"""Between two looks for reports that are too old."""
+
+MAX_TENANTS = 64
+"""In one message, those with the greatest usage: some 2 kB."""
+
+
+class TenantUsage(msgspec.Struct, frozen=True, array_like=True):
+    """Usage of one tenant, in the unit of its quota.
+
+    Attributes:
+        tenant: Its name.
+        admitted: Within the window.
+        offered: Within the last second, what was refused included.
+    """
+
+    tenant: str
+    admitted: int
+    offered: int
+
+
+class UsageReport(msgspec.Struct, frozen=True):
+    """What a node tells, of itself or of its group.
+
+    Attributes:
+        usage: By tenant; tenants that aren't named have none.
+        nodes: Nodes whose usage is in it.
+    """
+
+    usage: tuple[TenantUsage, ...] = ()
+    nodes: int = 1
+
+
+class NodeProcess(msgspec.Struct, frozen=True):
+    """A process of a node: one that starts anew has forgotten what it had admitted.
+
+    Attributes:
+        name: Of the node.
+        key: Under which the process signs its messages.
+    """
+
+    name: str
+    key: bytes
+
+
+class _Heard(msgspec.Struct):
+    """A report.
+
+    Attributes:
+        report: As it was told.
+        at: When it came.
+        fresh: Whether its process may still be there: demand and nodes of others don't count.
+    """
+
+    report: UsageReport
+    at: float
+    fresh: bool = True
+
+
+def largest(usage: Iterable[TenantUsage]) -> tuple[TenantUsage, ...]:
+    """Return the usage that is told: of the tenants with the greatest, up to the bound."""
+    ranked = sorted(usage, key=lambda each: max(each.admitted, each.offered), reverse=True)
+    return tuple(ranked[:MAX_TENANTS])
+
+
+class UsageReports:
+    """The latest report of each process, and their sum."""
+
+    def __init__(self, window_seconds: float) -> None:
+        """Know none.
+
+        Args:
+            window_seconds: For so long usage counts.
+        """
+        self._window_seconds = window_seconds
+        self._heard: dict[NodeProcess, _Heard] = {}
+        self._current: dict[str, NodeProcess] = {}
+        self._admitted: Counter[str] = Counter()
+        self._offered: Counter[str] = Counter()
+        self._nodes = 0
+        self._swept_at = -float("inf")
+
+    def take(self, process: NodeProcess, report: UsageReport, now: float) -> None:
+        """Take a report in the place of the process's last one."""
+        self._remove(process)
+        earlier = self._current.get(process.name)
+        if earlier is not None and earlier in self._heard:
+            self._age(self._heard[earlier])
+        self._current[process.name] = process
+        self._heard[process] = _Heard(report, now)
+        self._nodes += report.nodes
+        for each in report.usage:
+            self._admitted[each.tenant] += each.admitted
+            self._offered[each.tenant] += each.offered
+
+    def sum(self, now: float) -> UsageReport:
+        """Return what all that are known tell together."""
+        if now - self._swept_at >= SWEEP_SECONDS:
+            self._swept_at = now
+            self._sweep(now)
+        usage = (
+            TenantUsage(tenant, admitted, self._offered[tenant])
+            for tenant, admitted in self._admitted.items()
+        )
+        return UsageReport(
+            tuple(each for each in usage if each.admitted or each.offered), self._nodes
+        )
+
+    def _sweep(self, now: float) -> None:
+        """Drop what is too old, and mark what is no longer fresh."""
+        for process, heard in list(self._heard.items()):
+            if now - heard.at > self._window_seconds:
+                self._remove(process)
+            elif now - heard.at > FRESH_SECONDS:
+                self._age(heard)
+
+    def _age(self, heard: _Heard) -> None:
+        """Count the demand and nodes of a report no longer."""
+        if not heard.fresh:
+            return
+        heard.fresh = False
+        self._nodes -= heard.report.nodes
+        for each in heard.report.usage:
+            self._offered[each.tenant] -= each.offered
+
+    def _remove(self, process: NodeProcess) -> None:
+        """Count a process's report no longer."""
+        heard = self._heard.pop(process, None)
+        if heard is None:
+            return
+        self._age(heard)
+        if self._current.get(process.name) == process:
+            del self._current[process.name]
+        for each in heard.report.usage:
+            self._admitted[each.tenant] -= each.admitted
+
+
+def join(reports: Iterable[UsageReport]) -> UsageReport:
+    """Return the sum of reports that have no node in common."""
+    nodes = 0
+    admitted: Counter[str] = Counter()
+    offered: Counter[str] = Counter()
+    for report in reports:
+        nodes += report.nodes
+        for each in report.usage:
+            admitted[each.tenant] += each.admitted
+            offered[each.tenant] += each.offered
+    usage = (TenantUsage(tenant, amount, offered[tenant]) for tenant, amount in admitted.items())
+    return UsageReport(tuple(usage), nodes)
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -22,6 +22,7 @@
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds
 from hopstep.domain.exchanges.weights import WeightsBook, WeightsBounds
+from hopstep.domain.limits.quota_ledger import QuotaBounds
 from hopstep.early_listeners import Listeners
 from hopstep.exchange_settings import ExchangeSettings
 from hopstep.logs import emit
@@ -39,6 +40,7 @@
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.services.exchanges.quotas import Quotas
 from hopstep.services.exchanges.registration import Registration
 from hopstep.services.exchanges.relaying import Relaying
 from hopstep.services.exchanges.rollout_lease import RolloutLease
@@ -138,6 +140,11 @@
         self.engine_watch = EngineCacheWatch(
             self.knowledge, ports.cache_events, self.sharing, self.pauses
         )
+        self.quotas = Quotas(
+            self.knowledge,
+            QuotaBounds(bounds.quota_window_seconds, bounds.quota_overshoot, bounds.quota_slack),
+            generator,
+        )
         self.relaying = Relaying(
             self.knowledge,
             self.sharing,
@@ -145,6 +152,7 @@
             self.follower,
             urgent,
             self.quarantine,
+            self.quotas,
             ports.nodes,
             self.pauses,
             limits,
@@ -158,6 +166,7 @@
             self.store_watch,
             self.pauses,
             self.quarantine,
+            self.quotas,
             RepeatBounds(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds),
             self.metrics,
             generator,
--- a/hopstep/exchange_settings.py
+++ b/hopstep/exchange_settings.py
@@ -19,6 +19,9 @@
         lease_ms: Time of the rollout holder's lease, and the pause between two holders.
         other_zone_ms: Delay that a request to an instance of another zone counts for in choices.
         weights_ms: From the naming of weights until no request may start on older ones.
+        quota_window_seconds: Length of the windows over which tenants' quotas are counted.
+        quota_overshoot: Share by which a quota may be exceeded in a window.
+        quota_slack: Units of the quota by which it may be exceeded beyond that.
     """
 
     grace_seconds: float = 8.0
@@ -31,6 +34,9 @@
     lease_ms: float = 3_000.0
     weights_ms: float = 8_000.0
     other_zone_ms: float = 15.0
+    quota_window_seconds: float = 10.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 0.0
 
 
 class ExchangeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -438,6 +438,13 @@
     ("fingerprint", "reason"),
     "Nothing: another node tries it, or the store didn't answer; the request stays refused.",
 )
+QUOTA_EXCEEDED = LogEvent(
+    "HS3110",
+    "quota_exceeded",
+    Level.INFO,
+    ("request_id", "tenant", "cost", "room", "share", "used", "nodes", "wait_ms"),
+    "Nothing, or raise the tenant's quota; few `nodes` tell of a node that hears few others.",
+)
 
 SERVING_CONFIGURATION_APPLIED = LogEvent(
     "HS4101",
--- a/hopstep/platform/documents.py
+++ b/hopstep/platform/documents.py
@@ -20,6 +20,7 @@
     ServingConfiguration,
     Tenant,
 )
+from hopstep.domain.limits.quota_ledger import TenantQuota
 from hopstep.exceptions import ValidationError
 from hopstep.platform import names
 from hopstep.platform.rejections import MAX_DETAIL, FieldValueError
@@ -38,6 +39,7 @@
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 _Start = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
 KINDS = {
@@ -138,6 +140,26 @@
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
     isolated: bool = False
+    rate_per_s: _Amount = 0.0
+    burst_size: _Amount = 0.0
+    unit: str = names.UNIT_REQUESTS
+    uncached_tokens: _Count = 0
+
+    def read(self) -> Tenant:
+        """Return the tenant; a rate of 0 is no quota."""
+        quota = TenantQuota(
+            per_second=self.rate_per_s,
+            burst=self.burst_size,
+            in_tokens=self.unit == names.UNIT_TOKENS,
+            plain_tokens=self.uncached_tokens,
+        )
+        return Tenant(
+            self.name,
+            tuple(self.api_keys),
+            self.priority,
+            self.isolated,
+            quota if self.rate_per_s else None,
+        )
 
 
 class _Configuration(msgspec.Struct, frozen=True, rename="camel"):
@@ -185,10 +207,7 @@
         version=document.version,
         routes=tuple(route.read() for route in document.routes),
         services=tuple(service.read() for service in document.services),
-        tenants=tuple(
-            Tenant(tenant.name, tuple(tenant.api_keys), tenant.priority, tenant.isolated)
-            for tenant in document.tenants
-        ),
+        tenants=tuple(tenant.read() for tenant in document.tenants),
         limits=RequestLimits(document.limits.max_body_bytes),
     )
 
--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -26,8 +26,12 @@
     ErrorCode.INVALID_KEY: 401,
     ErrorCode.NOT_FOUND: 404,
     ErrorCode.BODY_TOO_LARGE: 413,
+    ErrorCode.RATE_LIMITED: 429,
 }
-"""Statuses of refusals that coming back doesn't mend."""
+"""Statuses of refusals for what the request itself is or asks for."""
+
+COME_BACK_STATUSES = frozenset({429, REFUSED_STATUS})
+"""Statuses that tell when to come back."""
 
 
 CRASHED = ServiceError(
@@ -117,7 +121,7 @@
         fields: list[tuple[bytes, bytes]] = []
         if self._request_id:
             fields.append((names.REQUEST_ID, self._request_id.encode()))
-        if status == REFUSED_STATUS:
+        if status in COME_BACK_STATUSES:
             wait = f"{error.retry_after_seconds:.3f}".encode()
             fields.append((names.RETRY_AFTER, wait))
         body = error.code.value.encode()
@@ -178,18 +182,20 @@
         host=_text(found, b"host"),
         path=path,
         target=target,
-        headers=_passed_on(scope["headers"], found),
+        headers=_passed_on(scope["headers"]),
         key=_text(found, names.API_KEY),
         patience_seconds=patience / MILLISECONDS if patience is not None else None,
         prompt=_read_prompt(found),
         resume_after=_text(found, names.LAST_EVENT),
         received_at=received_at,
+        usage_tokens=_read_usage(found),
     )
 
 
-def _passed_on(headers: list[tuple[bytes, bytes]], found: dict[bytes, bytes]) -> Headers:
+def _passed_on(headers: list[tuple[bytes, bytes]]) -> Headers:
     """Return the headers that an instance gets as they came."""
-    tokens = found.get(b"connection", b"").lower().split(b",")
+    connections = (value for name, value in headers if name == b"connection")
+    tokens = b",".join(connections).lower().split(b",")
     dropped = names.PER_CONNECTION | names.SET_BY_US | {token.strip() for token in tokens}
     return tuple((name, value) for name, value in headers if name not in dropped)
 
@@ -206,6 +212,12 @@
     return Prompt(model, segments, prompt_tokens, answer_tokens)
 
 
+def _read_usage(found: dict[bytes, bytes]) -> int | None:
+    """Return the tokens of the prompt and of the longest answer; None when neither is told."""
+    text = _text(found, names.TOKEN_USAGE)
+    return sum(_whole(part) for part in text.split(",")[:2]) if text else None
+
+
 def _read_segments(text: str) -> tuple[PromptSegment, ...]:
     """Return the segments of ``ID:TOKENS`` by commas; those that can't be read are left out."""
     segments = []
--- a/hopstep/platform/names.py
+++ b/hopstep/platform/names.py
@@ -78,6 +78,8 @@
 OPERATORS_PREFIX = "op/"
 INSTANCES_PREFIX = "servers/"
 
+UNIT_REQUESTS = "requests"
+UNIT_TOKENS = "tokens"
 DRAINING = "draining"
 KIND_SAFE = "safe"
 KIND_UNSAFE = "unsafe"
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -24,6 +24,7 @@
         prompt: What it says of its prompt.
         resume_after: Last event that the client has.
         received_at: When its head was read.
+        usage_tokens: Tokens of its prompt and longest answer; None when it doesn't say.
     """
 
     request_id: str
@@ -37,6 +38,7 @@
     prompt: Prompt | None
     resume_after: str
     received_at: float
+    usage_tokens: int | None = None
 
 
 class ClientAnswer(abc.ABC):
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -15,6 +15,7 @@
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.store_contents import ContentsNews, ContentsPosition
+from hopstep.domain.limits.fleet_usage import TenantUsage
 from hopstep.domain.quarantine.crashes import RequestCrashes
 from hopstep.ports.serving_directory import DirectoryEntry
 
@@ -61,11 +62,15 @@
         loads: Loads; instances that aren't named have none.
         segments: Changes of kept segments since the last message.
         loading: Engines that load weights.
+        usage: What tenants with quotas have used; see ``nodes`` for where.
+        nodes: Nodes whose usage is told: the sender, its group, or all.
     """
 
     loads: tuple[InstanceLoad, ...] = ()
     segments: tuple[SegmentNews, ...] = ()
     loading: tuple[LoadingEngine, ...] = ()
+    usage: tuple[TenantUsage, ...] = ()
+    nodes: int = 0
 
 
 class RelayQuery(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/hopstep/services/exchanges/admission.py
+++ b/hopstep/services/exchanges/admission.py
@@ -77,4 +77,5 @@
         client_deadline=head.received_at + patience,
         prompt=head.prompt,
         resume_after=head.resume_after,
+        usage_tokens=head.usage_tokens,
     )
--- /dev/null
+++ b/hopstep/services/exchanges/quotas.py
@@ -0,0 +1,162 @@
+"""Holds tenants' quotas: admits or refuses requests here, and tells other nodes what was used.
+
+What is told goes along with the messages that nodes send each other anyway.
+"""
+
+from __future__ import annotations
+
+import random
+
+import trio
+
+from hopstep import log_events
+from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.limits.fleet_usage import NodeProcess, UsageReport, UsageReports, join, largest
+from hopstep.domain.limits.quota_ledger import (
+    FleetUsage,
+    QuotaBounds,
+    QuotaDecision,
+    QuotaLedger,
+    TenantQuota,
+)
+from hopstep.exceptions import ErrorCode, ServiceError
+from hopstep.logs import emit
+from hopstep.services.exchanges.knowledge import ServingKnowledge
+
+MILLISECONDS = 1_000
+
+FIRST_TELLING_SECONDS = 1.5
+"""A node that has just started waits so long to hear what others have used, before it refuses: five
+of its queries to a relay, and some time to find one.
+"""
+
+
+class Quotas:
+    """Quotas of one node."""
+
+    def __init__(
+        self, knowledge: ServingKnowledge, bounds: QuotaBounds, generator: random.Random
+    ) -> None:
+        """Start without any usage. Must be called inside the event loop.
+
+        Args:
+            knowledge: Tenants, nodes and relays.
+            bounds: What operators tolerate.
+            generator: Draws who admits where a node's share is less than a request.
+        """
+        self._knowledge = knowledge
+        self._generator = generator
+        self._started_at = trio.current_time()
+        self._told = trio.Event()
+        self._ledger = QuotaLedger(bounds, self._started_at)
+        self._members = UsageReports(bounds.window_seconds)
+        self._relays = UsageReports(bounds.window_seconds)
+
+    async def require(self, request: ExchangeRequest) -> None:
+        """Count a request, or refuse it.
+
+        Raises:
+            ServiceError: ``RATE_LIMITED``, with the time after which one like it may be admitted.
+        """
+        tenant = request.tenant
+        if tenant is None or tenant.quota is None:
+            return
+        cost = tenant.quota.cost(request.usage_tokens)
+        decision = self._decide(tenant.name, tenant.quota, cost)
+        if decision.wait_seconds and not self._told.is_set():
+            with trio.move_on_at(self._started_at + FIRST_TELLING_SECONDS):
+                await self._told.wait()
+            decision = self._decide(tenant.name, tenant.quota, cost)
+        if not decision.wait_seconds:
+            return
+        emit(
+            log_events.QUOTA_EXCEEDED,
+            request_id=request.request_id,
+            tenant=tenant.name,
+            cost=cost,
+            room=round(decision.room),
+            share=round(decision.share, 4),
+            used=round(decision.used),
+            nodes=decision.nodes,
+            wait_ms=round(decision.wait_seconds * MILLISECONDS),
+        )
+        raise ServiceError(
+            ErrorCode.RATE_LIMITED,
+            "the tenant's quota is used up",
+            retry_after_seconds=decision.wait_seconds,
+        )
+
+    def _decide(self, tenant: str, quota: TenantQuota, cost: int) -> QuotaDecision:
+        """Admit and count a request, or return when to come back."""
+        now = trio.current_time()
+        if not self._knowledge.relays.relay():
+            self._take_told(self.fleet_report(), now)
+        return self._ledger.admit(
+            tenant, quota, cost, now, self._count_nodes(), self._generator.random()
+        )
+
+    def _take_told(self, report: UsageReport, asked_at: float) -> None:
+        """Take the usage of all nodes; the report of this one alone tells nothing."""
+        self._ledger.take_told(FleetUsage(report, asked_at))
+        if report.nodes > 1:
+            self._told.set()
+
+    def give_back(self, request: ExchangeRequest) -> None:
+        """Count a request no longer that has not run."""
+        tenant = request.tenant
+        if tenant is not None and tenant.quota is not None:
+            cost = tenant.quota.cost(request.usage_tokens)
+            self._ledger.give_back(tenant.name, cost, trio.current_time())
+
+    def own_report(self) -> UsageReport:
+        """Return this node's usage."""
+        quotas = self._quotas()
+        if not quotas:
+            return UsageReport()
+        return self._ledger.own_report(quotas, trio.current_time(), self._count_nodes())
+
+    def group_report(self) -> UsageReport:
+        """Return the usage of this node and those that ask it."""
+        return self._bounded(join((self.own_report(), self._members.sum(trio.current_time()))))
+
+    def fleet_report(self) -> UsageReport:
+        """Return the usage of all nodes, as far as this relay knows."""
+        others = self._relays.sum(trio.current_time())
+        return self._bounded(join((self.group_report(), others)))
+
+    def take_from_member(self, node: str, report: UsageReport) -> None:
+        """Take the usage of a node that asks this one."""
+        self._members.take(self._process(node), report, trio.current_time())
+
+    def take_from_relay(self, node: str, report: UsageReport) -> None:
+        """Take the usage of another relay's group."""
+        self._relays.take(self._process(node), report, trio.current_time())
+
+    def take_answer(self, report: UsageReport, asked_at: float) -> None:
+        """Take what the own relay tells of all nodes.
+
+        Args:
+            report: Usage of all nodes.
+            asked_at: When the query was sent that told the relay of this node's own.
+        """
+        self._take_told(report, asked_at)
+
+    def _quotas(self) -> dict[str, TenantQuota]:
+        """Return the quotas by tenant."""
+        current = self._knowledge.current
+        tenants = current.tenants if current is not None else ()
+        return {tenant.name: tenant.quota for tenant in tenants if tenant.quota is not None}
+
+    def _count_nodes(self) -> int:
+        """Return how many nodes may be alive, this one included."""
+        return len(self._knowledge.nodes.keys() | {self._knowledge.name})
+
+    def _process(self, node: str) -> NodeProcess:
+        """Return a node's process as it is registered now."""
+        record = self._knowledge.nodes.get(node)
+        return NodeProcess(node, record.key if record is not None else b"")
+
+    @staticmethod
+    def _bounded(report: UsageReport) -> UsageReport:
+        """Return a report as it is told."""
+        return UsageReport(largest(report.usage), report.nodes)
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/relaying.py
@@ -18,6 +18,7 @@
 from hopstep.domain.exchanges.freshness import FreshnessLimits
 from hopstep.domain.exchanges.gathered_news import GATHER_SECONDS, GatheredNews
 from hopstep.domain.exchanges.store_contents import ContentsPosition
+from hopstep.domain.limits.fleet_usage import UsageReport
 from hopstep.domain.rendezvous import hash_name
 from hopstep.logs import emit
 from hopstep.ports.node_exchange import (
@@ -38,6 +39,7 @@
 from hopstep.services.exchanges.knowledge import NO_REVISION, STORE_SOURCE, ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.services.exchanges.quotas import Quotas
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.urgent_box import UrgentBox
 from hopstep.services.quarantine.quarantine import Quarantine
@@ -76,6 +78,7 @@
         follower: DirectoryFollower,
         urgent: UrgentBox,
         quarantine: Quarantine,
+        quotas: Quotas,
         exchange: NodeExchange,
         pauses: PauseWatch,
         limits: FreshnessLimits,
@@ -89,6 +92,7 @@
             follower: Reads the store when no node can tell.
             urgent: What all nodes are told at once.
             quarantine: Requests under which instances have ended.
+            quotas: What tenants have used.
             exchange: Datagrams.
             pauses: The node's tick.
             limits: How long the store or a relay may be silent.
@@ -99,6 +103,7 @@
         self._follower = follower
         self._urgent = urgent
         self._quarantine = quarantine
+        self._quotas = quotas
         self._exchange = exchange
         self._pauses = pauses
         self._limits = limits
@@ -188,7 +193,8 @@
         relay = relays.relay()
         self._note_source(STORE_SOURCE if self._follower.reads else relay)
         if relay:
-            await self._ask(relay, self._sharing.own_hints(), self._store_watch.positions())
+            hints = _with_usage(self._sharing.own_hints(), self._quotas.own_report())
+            await self._ask(relay, hints, self._store_watch.positions())
         else:
             await self._send_digests()
         probed = relays.probe(trio.current_time())
@@ -233,7 +239,8 @@
     async def _send_digests(self) -> None:
         """Tell other relays of this node and those that ask it."""
         self._number += 1
-        digest = RelayDigest(self._number, self._sharing.group_hints())
+        hints = _with_usage(self._sharing.group_hints(), self._quotas.group_report())
+        digest = RelayDigest(self._number, hints)
         for node in self._knowledge.relays.digest_targets():
             self._knowledge.relays.note_asked(node)
             await self._send(digest, node)
@@ -252,11 +259,13 @@
             case RelayQuery():
                 if message.hints is not None:
                     self._sharing.take_from_member(received.sender, message.hints)
+                    self._quotas.take_from_member(received.sender, _usage(message.hints))
                 await self._answer(received.sender, message)
             case RelayAnswer():
                 await self._take_answer(received.sender, message)
             case RelayDigest():
                 self._sharing.take_from_relay(received.sender, message.hints)
+                self._quotas.take_from_relay(received.sender, _usage(message.hints))
             case UrgentNews():
                 self._sharing.take_news(received.sender, message.prompts, message.loading)
                 self._quarantine.take(message.crashes)
@@ -292,6 +301,7 @@
         )
         if query.hints is not None:
             hints, position = self._sharing.hints_for(asker, query.feed, query.position)
+            hints = _with_usage(hints, self._quotas.fleet_report())
             identity = self._sharing.log.identity
             answer = msgspec.structs.replace(answer, feed=identity, position=position, hints=hints)
         changes = knowledge.feed.after(query.revision)
@@ -317,6 +327,7 @@
         self._knowledge.node_heard_at = trio.current_time()
         if pending.asks_hints and sender == self._knowledge.relays.relay():
             self._sharing.take_answer(sender, answer.hints)
+            self._quotas.take_answer(_usage(answer.hints), pending.sent_at)
             self._store_watch.take(answer.contents)
             self._feed, self._position = answer.feed, answer.position
         heard_at = _heard_at(answer, pending)
@@ -362,6 +373,16 @@
         return True
 
 
+def _with_usage(hints: Hints, report: UsageReport) -> Hints:
+    """Return hints that tell a report of usage."""
+    return msgspec.structs.replace(hints, usage=report.usage, nodes=report.nodes)
+
+
+def _usage(hints: Hints) -> UsageReport:
+    """Return the report of usage in hints."""
+    return UsageReport(hints.usage, hints.nodes)
+
+
 def _age_ms(now: float, since: float) -> int:
     """Return an age in whole milliseconds, rounded up."""
     return int((now - since) * MILLISECONDS) + 1
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -9,9 +9,9 @@
 from hopstep import log_events
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds, RepeatBudget
 from hopstep.domain.exchanges.request import ExchangeRequest
-from hopstep.domain.exchanges.retry_after import RetryAdvice
+from hopstep.domain.exchanges.retry_after import RetryAdvice, RetryReason
 from hopstep.domain.exchanges.serving import RequestLimits
-from hopstep.exceptions import ServiceError
+from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer, ExchangeHandler, RequestHead
 from hopstep.ports.instance_calls import InstanceCalls
@@ -23,6 +23,7 @@
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.services.exchanges.quotas import Quotas
 from hopstep.services.exchanges.retry_advisor import RetryAdvisor
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
 from hopstep.services.lifecycle import Lifecycle
@@ -43,6 +44,7 @@
         store_watch: CacheStoreWatch,
         pauses: PauseWatch,
         quarantine: Quarantine,
+        quotas: Quotas,
         bounds: RepeatBounds,
         metrics: ExchangeMetrics,
         generator: random.Random,
@@ -59,6 +61,7 @@
             store_watch: What the cache stores keep.
             pauses: Notices pauses of the node itself.
             quarantine: Requests that end instances.
+            quotas: What tenants may use.
             bounds: Bounds of retries over all nodes.
             metrics: Counts requests and attempts.
             generator: Splits traffic and breaks ties.
@@ -71,6 +74,7 @@
         self._advisor = RetryAdvisor(knowledge, generator)
         self._generator = generator
         self._bounds = bounds
+        self._quotas = quotas
         self._metrics = metrics
         self._budgets: dict[str, RepeatBudget] = {}
         self._parts = ExchangeParts(
@@ -102,14 +106,21 @@
             await self._knowledge.wait_first_reading()
             try:
                 request = self.admission.admit(head, body)
+                await self._quotas.require(request)
             except ServiceError as error:
-                advice = self._advisor.advise(error.code)
+                advice = self._advise(error)
                 error.retry_after_seconds = advice.seconds
                 self._log_refusal(head, error, advice)
                 self._metrics.requests.labels("", error.code.value).inc()
                 raise
             await self._run(request, answer)
 
+    def _advise(self, error: ServiceError) -> RetryAdvice:
+        """Return when a client that wasn't admitted should come back."""
+        if error.code is ErrorCode.RATE_LIMITED:
+            return RetryAdvice(error.retry_after_seconds or 0.0, RetryReason.QUOTA)
+        return self._advisor.advise(error.code)
+
     async def _run(self, request: ExchangeRequest, answer: ClientAnswer) -> None:
         """Run an admitted request and log its outcome."""
         service = request.route.choose_service(self._generator)
@@ -124,6 +135,8 @@
                 error.code, service, exchange.tried, exchange.refused_seconds
             )
             error.retry_after_seconds = advice.seconds
+            if error.execution is Execution.NOT_RUN:
+                self._quotas.give_back(request)
             raise
         except Exception as error:
             outcome.outcome = f"crashed:{type(error).__name__}"
--- a/hopstep/settings_loader.py
+++ b/hopstep/settings_loader.py
@@ -193,6 +193,8 @@
 
 
 _BOUND_FIELDS = ExchangeBounds.__struct_fields__
+_TOLERANCES = ("bounds.quota_overshoot", "bounds.quota_slack")
+"""Bounds of which none may be tolerated at all."""
 
 
 def _check_exchange(settings: ExchangeSettings) -> None:
@@ -212,6 +214,10 @@
     numbers = {f"bounds.{field}": getattr(settings.bounds, field) for field in _BOUND_FIELDS}
     numbers["processor_share"] = settings.processor_share
     numbers["processor_cores"] = settings.processor_cores
+    for field in _TOLERANCES:
+        value = numbers.pop(field)
+        if not 0 <= value < float("inf"):
+            raise _invalid(field, f"expected a number of at least 0, got {value}")
     for field, value in numbers.items():
         if not 0 < value < float("inf"):
             raise _invalid(field, f"expected a number above 0, got {value}")
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -43,6 +43,11 @@
     def render(self, **changes):
         template = (ROOT / self.role["template"]).read_text()
         fields = {**FIELDS, **changes}
+        template = re.sub(
+            r"\{\{#(.+?)\}\}(.*?)\{\{/\1\}\}",
+            lambda part: part[2].replace("{{.}}", fields[part[1]]) if part[1] in fields else "",
+            template,
+        )
         self.path.write_text(re.sub(r"\{\{(.+?)\}\}", lambda gap: fields[gap[1]], template))
         return load_exchange_settings(self.path)
 
@@ -55,6 +60,21 @@
         self.assertEqual(settings.bounds.drain_ms, 4_000)
         self.assertEqual((settings.processor_share, settings.processor_cores), (0.537, 2))
 
+    def test_bounds_of_quotas_are_taken_where_there_are_any(self):
+        defaults = self.render().bounds
+        self.assertEqual((defaults.quota_window_seconds, defaults.quota_slack), (10.0, 0.0))
+        bounds = self.render(
+            **{
+                "bounds.quotaWindowS": "8",
+                "bounds.quotaOvershoot": "0.15",
+                "bounds.quotaSlack": "110000",
+            }
+        ).bounds
+        self.assertEqual(
+            (bounds.quota_window_seconds, bounds.quota_overshoot, bounds.quota_slack),
+            (8.0, 0.15, 110_000.0),
+        )
+
     def test_a_bad_field_is_named_with_its_file(self):
         for field, value, named in (
             ("platform.address", "nowhere", "store"),
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,6 +5,7 @@
 
 from hopstep.domain.exchanges.instances import InstanceLife
 from hopstep.domain.exchanges.serving import RequestKind, ServingIndex
+from hopstep.domain.limits.quota_ledger import TenantQuota
 from hopstep.platform.documents import read_configuration, read_instance, read_weights
 
 CONFIGURATION = {
@@ -68,6 +69,17 @@
         self.assertIs(route.kind, RequestKind.AT_MOST_ONCE)
         self.assertFalse(route.idempotent)
 
+    def test_a_tenants_rate_reads_as_its_quota(self):
+        limited = {"name": "x", "ratePerS": 286803, "burstSize": 5.5, "unit": "tokens"}
+        tenants = [{**limited, "uncachedTokens": 200}, {"name": "y", "ratePerS": 7}, {"name": "z"}]
+        quotas = [tenant.quota for tenant in self.read(tenants=tenants).tenants]
+        self.assertEqual(quotas[0], TenantQuota(286_803.0, 5.5, in_tokens=True, plain_tokens=200))
+        self.assertEqual(quotas[1], TenantQuota(7.0))
+        self.assertIsNone(quotas[2])
+        self.assertIsNone(self.read(tenants=[{"name": "x", "ratePerS": 0}]).tenants[0].quota)
+        with self.assertRaisesRegex(msgspec.DecodeError, "tenants.*ratePerS"):
+            self.read(tenants=[{"name": "x", "ratePerS": -1}])
+
     def test_bad_documents_name_the_field(self):
         for read, value, field in (
             (read_configuration, b'{"version":"x"}', "version"),
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -83,6 +83,27 @@
         self.assertIn((b"attempt-id", b"r1"), head.headers)
         self.assertEqual((head.request_id, head.key, head.patience_seconds), ("r1", "secret", 1.5))
 
+    def test_all_connection_headers_name_what_does_not_go_on(self):
+        service = Service()
+        extra = ((b"connection", b"X-Second"), (b"x-second", b"3"))
+        self.exchange(service, headers=(*HEADERS, *extra))
+        passed = {name for name, _ in service.heads[0].headers}
+        self.assertFalse({b"x-hop", b"x-second"} & passed)
+
+    def test_tokens_of_a_request_are_those_of_prompt_and_longest_answer(self):
+        for value, tokens in ((b"1460,80", 1_540), (b"1460", 1_460), (b"x,5", 5), (None, None)):
+            service = Service()
+            usage = ((b"token-usage", value),) if value is not None else ()
+            headers = [header for header in HEADERS if header[0] != b"token-usage"]
+            self.exchange(service, headers=(*headers, *usage))
+            self.assertEqual(service.heads[0].usage_tokens, tokens)
+
+    def test_a_tenant_over_its_quota_is_told_when_to_come_back(self):
+        error = ServiceError(ErrorCode.RATE_LIMITED, "used up", retry_after_seconds=0.75)
+        sent = self.exchange(Service(error))
+        self.assertEqual(sent[0]["status"], 429)
+        self.assertIn((b"retry-after", b"0.750"), sent[0]["headers"])
+
     def test_what_concerns_one_connection_or_is_set_here_does_not_go_on(self):
         service = Service()
         self.exchange(service)
--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -59,12 +59,14 @@
     """An instance that answers with what it got."""
     app = quart_trio.QuartTrio(__name__)
     app.bodies = []
+    app.headers = []
     app.active = 0
 
     @app.route("/p/<path:rest>", methods=["GET", "POST"])
     async def serve(rest):
         body = await quart.request.get_data()
         app.bodies.append(body)
+        app.headers.append(list(quart.request.headers))
         app.active += 1
         try:
             await trio.sleep(SECONDS_OF_WORK.get(rest, 0.0))
@@ -164,6 +166,48 @@
         fields = {"host": "h.example", "attempt-id": "r1", "x-api-key": key, **headers}
         return await client.post(url + path, headers=fields, content=body)
 
+    def test_what_only_a_node_may_set_never_comes_from_a_client(self):
+        forged = (
+            "Hold: 1",
+            "hold: 2",
+            "HOLD: 3",
+            "Pin-Ms: 4",
+            "pin-ms: 5",
+            "Cache-Backup: 6",
+            "CACHE-BACKUP: 7",
+            "Kv-From: 8",
+            "KV-FROM: 9",
+            "Connection: hold, x-other",
+            "Connection: keep-alive, kv-from",
+            "Trailer: Hold, Kv-From",
+        )
+        request = "\r\n".join(
+            (
+                "POST /p/x HTTP/1.1",
+                "Host: h.example",
+                f"X-Api-Key: {KEY}",
+                "Attempt-Id: r1",
+                "Transfer-Encoding: chunked",
+                *forged,
+                "",
+                "5\r\nHold:\r\n0\r\nHold: 10\r\nKv-From: 11\r\n\r\n",
+            )
+        )
+
+        async def script(client, url, process, instances):
+            host, _, port = url.removeprefix("http://").partition(":")
+            stream = await trio.open_tcp_stream(host, int(port))
+            await stream.send_all(request.encode())
+            answer = b""
+            while b"got Hold:" not in answer:
+                answer += await stream.receive_some()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            names = {name.lower() for name, _ in instances.headers[0]}
+            self.assertFalse({"hold", "pin-ms", "cache-backup", "kv-from", "trailer"} & names)
+            await stream.aclose()
+
+        self.run_node(script)
+
     def test_a_request_for_another_protocol_is_an_ordinary_one(self):
         asked = (
             {"Upgrade": "websocket", "Sec-WebSocket-Version": "13", "Sec-WebSocket-Key": "eA=="},
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -381,10 +381,12 @@
         patience=2.0,
         answer=None,
         body=b"body",
+        usage_tokens=None,
     ):
         """Send a request to a node and return the client's answer."""
         answer = answer or RecordedAnswer()
         head = self.head(name, key, request_id, resume_after, patience)
+        head = msgspec.structs.replace(head, usage_tokens=usage_tokens)
         try:
             await self.nodes[node].exchanges.serve(head, body, answer)
         except ServiceError as error:
