Count no end under a try, and let nothing explain an end later

An end under a try counts no longer, and what is explained two seconds after a refusal changes nothing.

Each excused end used up an answer at every node, so twelve answers at three nodes excused four ends.

Ends are remembered for ten minutes, so the check counts all, and the last one must be that recent.

--- a/emulator/soak/instance_checks.py
+++ b/emulator/soak/instance_checks.py
@@ -58,11 +58,14 @@
 
 
 def _instances_just_ended(history: History, request: SentRequest, bounds: Bounds) -> bool:
-    """Return whether as many instances as it takes ended a short time before a request."""
-    since = request.sent_at - RELEASE_SECONDS
-    until = _end_of(request)
-    recent = {end.life for end in history.ends if since <= end.at <= until}
-    return len(recent) >= bounds.fatal_ends
+    """Return whether enough instances had ended, the last one a short time before a request.
+
+    They may have ended some time apart: ends are remembered for ten minutes.
+    """
+    earlier = [end for end in history.ends if end.at <= _end_of(request)]
+    latest = max((end.at for end in earlier), default=-float("inf"))
+    lives = {end.life for end in earlier}
+    return len(lives) >= bounds.fatal_ends and latest >= request.sent_at - RELEASE_SECONDS
 
 
 def _is_known(history: History, request: SentRequest) -> bool:
--- a/hopstep/domain/quarantine/crash_ledger.py
+++ b/hopstep/domain/quarantine/crash_ledger.py
@@ -50,16 +50,18 @@
 MAX_ENDED = 1_024
 
 MAX_EXCUSED = 8
-"""Ends that earlier whole answers excuse, an answer one: without them a popular request was refused
-for ten minutes when all instances of a service ended together. All nodes excuse the same ends, so a
-request that was harmless before and ends instances now ends eleven at the most.
+"""Ends that earlier whole answers excuse, an answer one, over all nodes: without them a popular
+request was refused for ten minutes when all instances of a service ended together. A request that
+was harmless before and ends instances now ends eleven at the most.
 """
 
 EXCUSING_SECONDS = 2.0
 """Ends that come later than this after the first excused one count, until the request is answered
-whole again. Operators count runs that were sent three seconds after the third end and more: without
-this bound a request that had been answered often, and then ended an instance a second, was run
-eight times more by then (test of the ledger).
+whole again; and what others explain later than this after a request was refused changes nothing.
+Operators count runs that are sent three seconds after the third end and more: without this bound a
+request that had been answered often, and then ended an instance a second, was run eight times more
+by then (test of the ledger), and one that another's fourth end released 8 s later four times at
+once (soak).
 """
 
 MAX_ANSWERED = 1_024
@@ -86,26 +88,38 @@
     """Whole answers to a request that excuse ends to come.
 
     Attributes:
-        left: How many.
+        left: How many this node has seen.
+        used: Ends that any node has excused since this one saw the last answer.
         until: When they no longer do; infinite until one is used.
     """
 
     left: int = 0
+    used: int = 0
     until: float = float("inf")
 
     def renew(self) -> None:
         """Add a whole answer: the request ends no instances now."""
         self.left = min(MAX_EXCUSED, self.left + 1)
+        self.reopen()
+
+    def reopen(self) -> None:
+        """Let answers excuse ends again as if none had been excused."""
+        self.used = 0
         self.until = float("inf")
 
     def use(self, now: float) -> bool:
         """Use one up; return False when none holds any longer."""
-        if not self.left or now > self.until:
+        if not self.left or self.used >= MAX_EXCUSED or now > self.until:
             return False
         self.left -= 1
-        self.until = min(self.until, now + EXCUSING_SECONDS)
+        self.note_used(now)
         return True
 
+    def note_used(self, now: float) -> None:
+        """Note an end that is excused, here or at another node."""
+        self.used += 1
+        self.until = min(self.until, now + EXCUSING_SECONDS)
+
 
 class _Unproved(msgspec.Struct):
     """A request whose answer broke off, while it isn't known whether its instance has ended.
@@ -191,7 +205,7 @@
             life = record.counting()[0]
             record.clear(life)
             if fingerprint in self._answered:
-                self._answered[fingerprint].until = float("inf")
+                self._answered[fingerprint].reopen()
             return life
         self._answered.setdefault(fingerprint, _Excuses()).renew()
         self._answered.move_to_end(fingerprint)
@@ -227,7 +241,7 @@
     def refused_seconds(self, fingerprint: bytes, now: float) -> float:
         """Return for how much longer a request is kept from instances; 0 when it isn't."""
         record = self._records.find(fingerprint)
-        if record is None or not self._is_refused(fingerprint):
+        if record is None or not self._is_refused(fingerprint, now):
             return 0.0
         return max(0.0, record.last_at + MEMORY_SECONDS - now)
 
@@ -268,7 +282,7 @@
         if record is None or crash.life in record.cleared:
             return None
         excuses = self._answered.get(fingerprint)
-        if excuses is None or not self._is_refused(fingerprint) or not excuses.use(now):
+        if excuses is None or not self._is_refused(fingerprint, now) or not excuses.use(now):
             return CountedEnd(fingerprint, crash, record.ends)
         record.clear(crash.life)
         return CountedEnd(fingerprint, crash, record.ends, excused=True)
@@ -276,7 +290,7 @@
     def _clear_told(self, fingerprint: bytes, life: str, now: float) -> None:
         """Let an end no longer count that another node doesn't count.
 
-        An answer that was seen here is used up with it: otherwise each node could excuse as many
+        It counts among those that may be excused here too: otherwise each node could excuse as many
         ends by its own answers.
         """
         record = self._records.find(fingerprint)
@@ -285,7 +299,7 @@
         record.clear(life)
         excuses = self._answered.get(fingerprint)
         if excuses is not None:
-            excuses.use(now)
+            excuses.note_used(now)
 
     @staticmethod
     def _may_have_ended_it(unproved: _Unproved, seconds: float, *, abruptly: bool) -> bool:
@@ -300,14 +314,23 @@
             return abruptly and seconds <= AT_ONCE_SECONDS
         return seconds <= UNPROVED_SECONDS
 
-    def _is_refused(self, fingerprint: bytes) -> bool:
+    def _is_refused(self, fingerprint: bytes, now: float) -> bool:
         """Return whether enough ends count that no other request explains."""
         record = self._records.find(fingerprint)
         if record is None or record.ends < ENDS_TO_REFUSE:
+            if record is not None:
+                record.refused_at = None
             return False
+        if record.refused_at is not None and now - record.refused_at > EXCUSING_SECONDS:
+            return True
         lives = record.counting()
         explained = sum(self._is_explained(life, len(lives)) for life in lives)
-        return len(lives) - min(explained, MAX_EXPLAINED) >= ENDS_TO_REFUSE
+        refused = len(lives) - min(explained, MAX_EXPLAINED) >= ENDS_TO_REFUSE
+        if not refused:
+            record.refused_at = None
+        elif record.refused_at is None:
+            record.refused_at = now
+        return refused
 
     def _is_explained(self, life: str, ends: int) -> bool:
         """Return whether a request that has ended more instances has ended this one too."""
--- a/hopstep/domain/quarantine/crash_records.py
+++ b/hopstep/domain/quarantine/crash_records.py
@@ -31,6 +31,7 @@
         crashes: Ends of instances, by their lives, the oldest first.
         cleared: Lives whose ends no longer count.
         last_at: When the last end became known.
+        refused_at: When it was first found to be refused; None while it isn't.
     """
 
     def __init__(self, now: float) -> None:
@@ -38,6 +39,7 @@
         self.crashes: OrderedDict[str, Crash] = OrderedDict()
         self.cleared: OrderedDict[str, None] = OrderedDict()
         self.last_at = now
+        self.refused_at: float | None = None
 
     @property
     def ends(self) -> int:
--- a/hopstep/services/quarantine/quarantine.py
+++ b/hopstep/services/quarantine/quarantine.py
@@ -39,6 +39,9 @@
 it. Their word took 0.1 to 0.3 s in soaks, and ordinary requests were given up meanwhile.
 """
 
+TRIAL_MEMORY_SECONDS = 60.0
+"""Longer than any run of a request."""
+
 EXPIRY_SECONDS = 5.0
 """Between two looks for what is too old."""
 
@@ -92,6 +95,7 @@
         self._end_listeners: list[EndListener] = []
         self._looking: dict[str, trio.Event] = {}
         self._trials: Trials | None = None
+        self._tried: dict[bytes, float] = {}
         self._looks, self._due = trio.open_memory_channel[tuple[str, Look]](MAX_WAITING_LOOKS)
 
     def subscribe(self, listener: SeenListener) -> None:
@@ -131,6 +135,7 @@
         if not seconds or self._trials is None:
             return seconds
         if await self._trials.claim(fingerprint):
+            self._tried[fingerprint] = trio.current_time()
             name = self.name(fingerprint)
             emit(
                 log_events.QUARANTINED_REQUEST_TRIED,
@@ -181,6 +186,10 @@
             life: The instance.
             look: Looks whether the instance has ended; None when nothing says so.
         """
+        if request.fingerprint in self._tried:
+            # It is refused already. One more end would make it the worse one of those that shared
+            # instances with it, and release these.
+            return
         self._remember(request)
         counted = self._ledger.note_broken(request.fingerprint, life, trio.current_time())
         if counted is not None:
@@ -194,6 +203,7 @@
 
     def note_whole_answer(self, fingerprint: bytes) -> None:
         """Take back an end that counts for a request, or excuse one: it was answered whole."""
+        self._tried.pop(fingerprint, None)
         if self._ledger.note_whole_answer(fingerprint):
             self._note_changed(fingerprint, seen_here=True)
             self._review(fingerprint, ANSWERED)
@@ -258,7 +268,13 @@
         """Forget what is too old from time to time."""
         while True:
             await trio.sleep(EXPIRY_SECONDS)
-            self._ledger.expire(trio.current_time())
+            now = trio.current_time()
+            self._ledger.expire(now)
+            self._tried = {
+                fingerprint: at
+                for fingerprint, at in self._tried.items()
+                if now - at < TRIAL_MEMORY_SECONDS
+            }
             for fingerprint in self._refused.union(self._ledger.repeated()):
                 self._review(fingerprint, EXPIRED)
 
--- a/tests/domain/quarantine/test_crash_ledger.py
+++ b/tests/domain/quarantine/test_crash_ledger.py
@@ -197,6 +197,14 @@
         self.tell(FATAL, "i1", "i2", "i3", "i4")
         self.assertFalse(self.refused(OTHER))
 
+    def test_what_is_explained_long_after_a_request_was_refused_releases_it_no_more(self):
+        self.tell(OTHER, "j1", "j2", "i4")
+        self.assertTrue(self.refused(OTHER))
+        crashes = tuple(Crash(life, "n2") for life in ("i1", "i2", "i3", "i4"))
+        later = EXCUSING_SECONDS + 0.1
+        self.ledger.merge(RequestCrashes(FATAL, crashes), later)
+        self.assertGreater(self.ledger.refused_seconds(OTHER, later), 0)
+
     def test_two_requests_that_end_instances_together_are_both_refused(self):
         self.tell(FATAL, "i1", "i2", "i3", "i4", "i5", "i6")
         self.tell(OTHER, "i1", "i2", "i3")
@@ -309,6 +317,20 @@
             ends += 1
         self.assertEqual(ends, MAX_EXCUSED + ENDS_TO_REFUSE)
 
+    def test_answers_at_all_nodes_add_up(self):
+        """Twelve answers at three nodes, and all eight instances of a service end at once.
+
+        By the order in which nodes heard of each other's ends two of eight runs refused the request
+        that had been answered, since each excused end used up an answer at every node.
+        """
+        for ledger in self.ledgers[:3]:
+            for _ in range(4):
+                ledger.note_whole_answer(FATAL)
+        for number in range(8):
+            self.end_at(number % 3, f"i{number}")
+            self.tell_all()
+        self.assertEqual(self.refusing(), [False] * 4)
+
     def test_what_no_longer_counts_may_be_heard_before_the_end_itself(self):
         crash = Crash("i1", "n1")
         self.ledgers[0].merge(RequestCrashes(FATAL, (crash,), ("i1",)), 0.0)
--- a/tests/services/quarantine/test_quarantine.py
+++ b/tests/services/quarantine/test_quarantine.py
@@ -9,8 +9,9 @@
 
 from emulator.platform.in_memory import InMemoryStore
 from emulator.platform.shared_store import SharedStore
+from hopstep.domain.quarantine.crash_ledger import ENDS_TO_REFUSE
 from hopstep.domain.quarantine.crash_records import MEMORY_SECONDS
-from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
+from hopstep.domain.quarantine.crashes import Crash, EndEvidence, RequestCrashes, RequestName
 from hopstep.services.quarantine.quarantine import EXPIRY_SECONDS, HEARING_SECONDS, Quarantine
 from hopstep.services.quarantine.records import (
     QUARANTINE_PREFIX,
@@ -146,6 +147,23 @@
 
         self.run_script(script)
 
+    def test_an_end_under_a_try_counts_for_no_other_request(self):
+        """A soak had this: a try's end made a request the worse one, and released those beside it.
+
+        Then four nodes sent one of these at once, 8 s after it had ended its third instance.
+        """
+
+        async def script(store, quarantines, records):
+            await self.tell_all(store, quarantines, records)
+            await trio.sleep(TRIAL_AFTER_SECONDS)
+            self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
+            quarantines[0].note_broken(RequestName(FATAL), "i4")
+            quarantines[0].note_ended("i4", EndEvidence.REFUSED)
+            self.assertEqual(quarantines[0].ends(FATAL), ENDS_TO_REFUSE)
+            self.assertGreater(await quarantines[0].admit(FATAL), 0.0)
+
+        self.run_script(script)
+
     def test_none_is_tried_while_the_store_is_away(self):
         async def script(store, quarantines, records):
             await self.tell_all(store, quarantines, records)
