Ask an instance nothing while its entry can't be trusted, also in the midst of a task

The node that followed the engine looks every half second at which engines it follows; between two looks the next read went to the address of the newest entry. The rollout's questions between an order and its end went the same way.

Each call of a task that lasts looks first whether the view is trusted.

--- a/hopstep/domain/exchanges/instance_table.py
+++ b/hopstep/domain/exchanges/instance_table.py
@@ -106,6 +106,14 @@
         """
         return [view for view in self._views.values() if self._is_trusted(view)]
 
+    def is_trusted(self, view: InstanceView) -> bool:
+        """Return whether a view is still listed, and its newest entry names an instance to use.
+
+        Looked up before each call that comes later than the view was chosen: its address may have
+        become another one meanwhile.
+        """
+        return self._views.get(view.instance.instance_id) is view and self._is_trusted(view)
+
     def of_service(self, service: str) -> list[InstanceView]:
         """Return the trusted views of a service's instances."""
         return [
--- a/hopstep/services/exchanges/engine_cache_watch.py
+++ b/hopstep/services/exchanges/engine_cache_watch.py
@@ -83,6 +83,9 @@
             epoch: int | None = None
             readable = True
             while True:
+                if not self._knowledge.table.is_trusted(view):
+                    await trio.sleep(PAUSE_SECONDS)
+                    continue
                 batch = await self._events.read(view.instance.address, position, WAIT_SECONDS)
                 if batch is None and self._pauses.has_just_ended:
                     await trio.sleep(PAUSE_SECONDS)
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -170,6 +170,8 @@
 
     async def _report(self, view: InstanceView) -> EngineReport | None:
         """Return an engine's report; None without one, or with one of another life."""
+        if not self._is_listed(view):
+            return None
         report = await self._orders.report(view.instance)
         if report is None or not view.instance.life.may_tell(report.born_ms):
             return None
@@ -177,7 +179,7 @@
 
     def _is_listed(self, view: InstanceView) -> bool:
         """Return whether an engine's life is still the one that a good entry names."""
-        return view in self._knowledge.table.trusted()
+        return self._knowledge.table.is_trusted(view)
 
     def _mark_loading(self, view: InstanceView) -> None:
         """Keep requests from an engine for a while, here and at the peers."""
--- a/tests/services/exchanges/test_rejected_entries.py
+++ b/tests/services/exchanges/test_rejected_entries.py
@@ -135,6 +135,35 @@
 
         self.run_world(script, service="llm", born_ms=BORN)
 
+    def test_what_is_under_way_does_not_follow_an_entry_to_another_address(self):
+        """A soak had this: an engine whose events were being read got an entry without a start.
+
+        Its events were read once at the address which that entry named, before the next look at
+        which engines a node follows.
+        """
+
+        async def script(world):
+            real = {entry.address: entry for entry in world.listed.values()}
+            read = world.cache_events.read
+
+            async def read_and_replace(address, position, wait_seconds):
+                """Let the entry be replaced just as a read of the engine's events returns."""
+                batch = await read(address, position, wait_seconds)
+                entry = real.get(address)
+                for node in world.nodes if entry is not None else ():
+                    decoy = msgspec.structs.replace(entry, address="decoy:1", born_ms=0)
+                    node.knowledge.table.put(decoy)
+                return batch
+
+            for address in (*real, "decoy:1"):
+                world.cache_events.events[address] = []
+            world.cache_events.read = read_and_replace
+            await trio.sleep(10 * HEARD_SECONDS)
+            self.assertGreater(sum(world.cache_events.reads[address] for address in real), 0)
+            self.assertEqual(world.cache_events.reads["decoy:1"], 0)
+
+        self.run_world(script, service="llm", born_ms=BORN)
+
     def test_where_nobody_tells_a_start_none_is_missed(self):
         async def script(world):
             self.assertEqual(await self.used(world), {"i0", "i1", "i2"})
