Release a request whose try was answered whole, however many ends it has

The answer to a try takes back the oldest ends until two are left: one more has the request refused again, and there is no further try.

--- a/hopstep/domain/quarantine/crash_ledger.py
+++ b/hopstep/domain/quarantine/crash_ledger.py
@@ -212,6 +212,17 @@
         drop_oldest(self._answered, MAX_ANSWERED)
         return ""
 
+    def release(self, fingerprint: bytes) -> None:
+        """Take back the oldest ends until a request isn't refused: a try was answered whole.
+
+        One more end has it refused again. Taking back one alone, as for any whole answer, left
+        requests refused that had five to seven ends by then.
+        """
+        record = self._records.find(fingerprint)
+        for life in record.counting() if record is not None else ():
+            if record is not None and record.ends >= ENDS_TO_REFUSE:
+                record.clear(life)
+
     def clear(self, fingerprint: bytes) -> int:
         """Take back all ends that count for a request, and return how many these were."""
         record = self._records.find(fingerprint)
--- a/hopstep/services/quarantine/quarantine.py
+++ b/hopstep/services/quarantine/quarantine.py
@@ -203,7 +203,8 @@
 
     def note_whole_answer(self, fingerprint: bytes) -> None:
         """Take back an end that counts for a request, or excuse one: it was answered whole."""
-        self._tried.pop(fingerprint, None)
+        if self._tried.pop(fingerprint, None) is not None:
+            self._ledger.release(fingerprint)
         if self._ledger.note_whole_answer(fingerprint):
             self._note_changed(fingerprint, seen_here=True)
             self._review(fingerprint, ANSWERED)
--- a/tests/services/quarantine/test_quarantine.py
+++ b/tests/services/quarantine/test_quarantine.py
@@ -147,6 +147,24 @@
 
         self.run_script(script)
 
+    def test_it_is_released_at_all_nodes_however_many_ends_had_come_together(self):
+        async def script(store, quarantines, records):
+            lives = [f"i{number}" for number in range(7)]
+            for quarantine in quarantines:
+                quarantine.take([told(FATAL, *lives)])
+            await self.tell_all(store, quarantines, records)
+            await trio.sleep(TRIAL_AFTER_SECONDS)
+            self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
+            quarantines[0].note_whole_answer(FATAL)
+            quarantines[1].take([quarantines[0].told(FATAL)])
+            for quarantine in quarantines:
+                self.assertEqual(quarantine.refused_seconds(FATAL), 0.0)
+                quarantine.take([told(FATAL, "j1")])
+                quarantine.take([told(FATAL, "j2")])
+                self.assertGreater(quarantine.refused_seconds(FATAL), 0.0)
+
+        self.run_script(script)
+
     def test_an_end_under_a_try_counts_for_no_other_request(self):
         """A soak had this: a try's end made a request the worse one, and released those beside it.
 
