--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -137,6 +137,10 @@
         services = self.current.services if self.current is not None else ()
         return any(service.engine is not None for service in services)
 
+    def count_nodes(self) -> int:
+        """Return how many nodes may be alive, this one included."""
+        return len(self.nodes.keys() | {self.name})
+
     @property
     def age_seconds(self) -> float:
         """Age of the knowledge."""
--- a/hopstep/services/exchanges/load_sharing.py
+++ b/hopstep/services/exchanges/load_sharing.py
@@ -54,10 +54,6 @@
         self._loading: dict[str, float] = {}
         self._told: dict[tuple[str, int], float] = {}
 
-    def count_nodes(self) -> int:
-        """Return how many nodes may be alive, this one included."""
-        return len(self._knowledge.nodes.keys() | {self._knowledge.name})
-
     def note_sent(self, candidate: Candidate) -> None:
         """Note a prompt that was sent, for the other nodes."""
         keys = candidate.keys[:-1] or candidate.keys
--- a/hopstep/services/exchanges/quotas.py
+++ b/hopstep/services/exchanges/quotas.py
@@ -92,7 +92,7 @@
         if not self._knowledge.relays.relay():
             self._take_told(self.fleet_report(), now)
         return self._ledger.admit(
-            tenant, quota, cost, now, self._count_nodes(), self._generator.random()
+            tenant, quota, cost, now, self._knowledge.count_nodes(), self._generator.random()
         )
 
     def _take_told(self, report: UsageReport, asked_at: float) -> None:
@@ -113,7 +113,7 @@
         quotas = self._quotas()
         if not quotas:
             return UsageReport()
-        return self._ledger.own_report(quotas, trio.current_time(), self._count_nodes())
+        return self._ledger.own_report(quotas, trio.current_time(), self._knowledge.count_nodes())
 
     def group_report(self) -> UsageReport:
         """Return the usage of this node and those that ask it."""
@@ -147,10 +147,6 @@
         tenants = current.tenants if current is not None else ()
         return {tenant.name: tenant.quota for tenant in tenants if tenant.quota is not None}
 
-    def _count_nodes(self) -> int:
-        """Return how many nodes may be alive, this one included."""
-        return len(self._knowledge.nodes.keys() | {self._knowledge.name})
-
     def _process(self, node: str) -> NodeProcess:
         """Return a node's process as it is registered now."""
         record = self._knowledge.nodes.get(node)
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/relaying.py
@@ -5,10 +5,8 @@
 
 from __future__ import annotations
 
-import contextlib
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
 
 import msgspec
 import trio
@@ -16,7 +14,6 @@
 from hopstep import log_events
 from hopstep.domain.exchanges.directory_feed import FeedEntry
 from hopstep.domain.exchanges.freshness import FreshnessLimits
-from hopstep.domain.exchanges.gathered_news import GATHER_SECONDS, GatheredNews
 from hopstep.domain.exchanges.store_contents import ContentsPosition
 from hopstep.domain.limits.fleet_usage import UsageReport
 from hopstep.domain.rendezvous import hash_name
@@ -31,13 +28,13 @@
     RelayDigest,
     RelayedEntry,
     RelayQuery,
-    SentPrompt,
     UrgentNews,
 )
 from hopstep.ports.serving_directory import ConfigurationPublished, DirectoryEntry
 from hopstep.services.exchanges.directory_follower import DirectoryFollower
 from hopstep.services.exchanges.knowledge import NO_REVISION, STORE_SOURCE, ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
+from hopstep.services.exchanges.news_spreading import NewsSpreading
 from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.quotas import Quotas
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
@@ -101,7 +98,6 @@
         self._sharing = sharing
         self._store_watch = store_watch
         self._follower = follower
-        self._urgent = urgent
         self._quarantine = quarantine
         self._quotas = quotas
         self._exchange = exchange
@@ -113,16 +109,13 @@
         self._feed = ""
         self._position = 0
         self._source = STORE_SOURCE
-        self._prompts = GatheredNews[SentPrompt]()
-        self._own_prompts = GatheredNews[SentPrompt]()
-        self._gathering = trio.Event()
+        self._news = NewsSpreading(knowledge, sharing, urgent, quarantine, exchange)
 
     async def run(self) -> None:
         """Ask and answer until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._tell)
-            nursery.start_soon(self._tell_urgent)
-            nursery.start_soon(self._tell_gathered)
+            nursery.start_soon(self._news.run)
             nursery.start_soon(self._hear)
 
     async def _tell(self) -> None:
@@ -140,53 +133,6 @@
         if not self._knowledge.relays.relay():
             self._store_watch.reconsider()
 
-    async def _tell_urgent(self) -> None:
-        """Send this node's urgent news as they come."""
-        while True:
-            await self._urgent.filled.wait()
-            contents = self._urgent.take()
-            crashes = tuple(self._quarantine.told(request) for request in contents.requests)
-            self._number += 1
-            news = UrgentNews(self._number, contents.prompts, contents.loading, crashes)
-            relay = self._knowledge.relays.relay()
-            if relay:
-                await self._spread(news, [relay])
-            else:
-                await self._pass_on(self._knowledge.name, news, own=True)
-
-    async def _pass_on(self, origin: str, news: UrgentNews, *, own: bool) -> None:
-        """Pass news on: those of this relay's own nodes to everyone, others to its nodes.
-
-        Prompts are many, and are gathered for a moment; the rest goes on at once.
-        """
-        self._prompts.add(origin, news.prompts)
-        if own:
-            self._own_prompts.add(origin, news.prompts)
-        if news.prompts:
-            self._gathering.set()
-        if news.loading or news.crashes:
-            relays = self._knowledge.relays.digest_targets() if own else []
-            targets = sorted({*self._sharing.members(), *relays} - {origin})
-            await self._spread(msgspec.structs.replace(news, prompts=()), targets)
-
-    async def _tell_gathered(self) -> None:
-        """Send prompts at once, those of busy moments together, until cancelled."""
-        while True:
-            await self._gathering.wait()
-            self._gathering = trio.Event()
-            members = self._sharing.members()
-            relays = [n for n in self._knowledge.relays.digest_targets() if n not in members]
-            for bundle in (*self._prompts.take(members), *self._own_prompts.take(relays)):
-                self._number += 1
-                await self._spread(UrgentNews(self._number, bundle.news), bundle.targets)
-            await trio.sleep(GATHER_SECONDS)
-
-    async def _spread(self, news: UrgentNews, names: Iterable[str]) -> None:
-        """Send news to nodes; what is too long for a datagram is told with the loads later."""
-        known = self._knowledge.nodes
-        with contextlib.suppress(MessageTooLongError):
-            await self._exchange.send_all(news, [known[name] for name in names if name in known])
-
     async def _send_due(self) -> None:
         """Send what is due now."""
         relays = self._knowledge.relays
@@ -269,9 +215,7 @@
             case UrgentNews():
                 self._sharing.take_news(received.sender, message.prompts, message.loading)
                 self._quarantine.take(message.crashes)
-                if not self._knowledge.relays.relay():
-                    own = self._sharing.is_member(received.sender)
-                    await self._pass_on(received.sender, message, own=own)
+                await self._news.pass_on(received.sender, message)
 
     async def _answer(self, asker: str, query: RelayQuery) -> None:
         """Answer a query; what doesn't fit into a datagram is left to the store."""
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -83,7 +83,7 @@
                 knowledge, store_watch, pauses, generator, zone, other_zone_seconds
             ),
             budgets=self._budget,
-            nodes=sharing.count_nodes,
+            nodes=knowledge.count_nodes,
             note_sent=sharing.note_sent,
             pauses=pauses,
             quarantine=quarantine,
