Hear what instances say of themselves in answers, and log it, without acting on it

One decoded notice for requests, refusals, orders and reports, from an instance's own answers only (surplus answers, other instances at the address and bytes of nobody say nothing), HS6111, HS6112 and a counter. Nothing acts on it yet.

--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -16,6 +16,7 @@
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.request import Headers
 from hopstep.domain.exchanges.serving import RequestKind
+from hopstep.domain.instance_notices import InstanceNotice, NoticeListener, ignore_notice
 from hopstep.domain.quarantine.crashes import InstanceSign
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.ports.instance_calls import (
@@ -109,6 +110,9 @@
         self.attempted: list[tuple[float, WeightsOrder]] = []
         self.busy = False
         self.reported_born_ms = instance.born_ms
+        self.says_leaving = False
+        self.sheds_for = 0.0
+        self.arrived_at: list[float] = []
         self.ended_at: float | None = None
         self._ended = trio.Event()
 
@@ -123,6 +127,10 @@
         """Whether it takes connections."""
         return self.ended_at is None and self.behaviour is not Behaviour.UNREACHABLE
 
+    def notice(self) -> InstanceNotice:
+        """Return what its answers say of it: ``sheds_for`` is the rest that refusals ask for."""
+        return InstanceNotice(self.says_leaving, self.sheds_for)
+
     async def work(self, seconds: float) -> None:
         """Let a request's work take time.
 
@@ -233,6 +241,7 @@
         if call.instance.address in self._silent:
             await trio.sleep_forever()
         server.arrivals += 1
+        server.arrived_at.append(trio.current_time())
         try:
             yield await self._begin(server, call)
         except trio.Cancelled:
@@ -241,6 +250,10 @@
 
     async def _begin(self, server: EmulatedInstance, call: InstanceCall) -> InstanceAnswer:
         """Run a request until the head of its answer."""
+        if server.sheds_for:
+            await trio.sleep(0.001)
+            call.hear(server.notice())
+            raise InstanceCallError(ErrorCode.OVERLOADED, "not run", Execution.NOT_RUN)
         rejecting = server.behaviour in (Behaviour.REJECT, Behaviour.REPLACED)
         if rejecting or not _meets(server, call):
             await trio.sleep(0.001)
@@ -273,6 +286,7 @@
             raise _broken()
         if server.behaviour is Behaviour.OTHER_ANSWER:
             raise InstanceCallError(ErrorCode.EXECUTION_UNKNOWN, "another's", Execution.UNKNOWN)
+        call.hear(server.notice())
         status = SUCCESS_STATUS
         if server.behaviour is Behaviour.FAIL:
             status = FAILURE_STATUS
@@ -319,10 +333,14 @@
         """Close the connections to an address; see the port."""
         await trio.lowlevel.checkpoint()
 
-    async def order(self, instance: Instance, order: WeightsOrder) -> OrderOutcome:
+    async def order(
+        self, instance: Instance, order: WeightsOrder, hear: NoticeListener = ignore_notice
+    ) -> OrderOutcome:
         """Take an order; see the port."""
         server = self.servers[instance.instance_id]
         await trio.sleep(0.001)
+        server.arrived_at.append(trio.current_time())
+        hear(server.notice())
         if server.order_delay_seconds:
             trio.lowlevel.spawn_system_task(self._carry_out_late, server, order)
             return OrderOutcome.UNKNOWN
@@ -366,10 +384,14 @@
             )
         )
 
-    async def report(self, instance: Instance) -> EngineReport | None:
+    async def report(
+        self, instance: Instance, hear: NoticeListener = ignore_notice
+    ) -> EngineReport | None:
         """Return an engine's report; see the port."""
         await trio.sleep(0.001)
         server = self.servers[instance.instance_id]
+        server.arrived_at.append(trio.current_time())
+        hear(server.notice())
         return EngineReport(
             server.busy, server.order_sequence, dict(server.versions), server.reported_born_ms
         )
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -37,6 +37,7 @@
 from hopstep.services.exchanges.directory_follower import DirectoryFollower
 from hopstep.services.exchanges.engine_cache_watch import EngineCacheWatch
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
+from hopstep.services.exchanges.instance_notices import InstanceNotices
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.pause_watch import PauseWatch
@@ -158,6 +159,9 @@
             limits,
         )
         self.metrics = self._make_metrics()
+        self.notices = InstanceNotices(
+            lambda kind, source: self.metrics.notices.labels(kind, source).inc()
+        )
         self.exchanges = ExchangeService(
             self.knowledge,
             self.lifecycle,
@@ -167,6 +171,7 @@
             self.pauses,
             self.quarantine,
             self.quotas,
+            self.notices,
             RepeatBounds(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds),
             self.metrics,
             generator,
@@ -181,7 +186,7 @@
             bounds.lease_ms / MILLISECONDS,
         )
         self.rollout = WeightsRollout(
-            settings.name, self.knowledge, self.lease, ports.orders, self.sharing
+            settings.name, self.knowledge, self.lease, ports.orders, self.sharing, self.notices
         )
         self.reaper = ConnectionReaper(ports.calls, self.knowledge.table, self.pauses)
         self.registration = Registration(record, ports.store, self.knowledge, generator)
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -507,6 +507,20 @@
     ("instance", "source"),
     "Nothing: it is used on for two seconds; HS6102 follows unless its entry comes back.",
 )
+INSTANCE_SAYS_LEAVING = LogEvent(
+    "HS6111",
+    "instance_says_leaving",
+    Level.INFO,
+    ("instance", "source", "age_ms"),
+    "Nothing: it gets no new requests; if it stays listed as ready, look at its writes.",
+)
+INSTANCE_WANTS_REST = LogEvent(
+    "HS6112",
+    "instance_wants_rest",
+    Level.INFO,
+    ("instance", "rest_ms"),
+    "Nothing once: this node leaves it alone for so long; if it recurs, it is overloaded.",
+)
 WEIGHTS_NAMED = LogEvent(
     "HS6103",
     "weights_named",
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -10,10 +10,12 @@
 import trio
 
 from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.instance_notices import NoticeListener, ignore_notice
 from hopstep.domain.quarantine.crashes import InstanceSign
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform import names
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
+from hopstep.platform.notices import read_notice
 from hopstep.ports.instance_calls import (
     InstanceAnswer,
     InstanceCall,
@@ -128,6 +130,8 @@
                 response = await stack.enter_async_context(self._client.open(http_call, trace))
             except FAILURES as error:
                 raise _no_answer(call.proof) from error
+            if _is_own_answer(response, call):
+                call.hear(read_notice(response.status, response.headers))
             _check_head(response, call)
             yield HttpInstanceAnswer(response)
 
@@ -147,7 +151,9 @@
         """Close the connections to an address; see the port."""
         await self._client.forget(address)
 
-    async def order(self, instance: Instance, order: WeightsOrder) -> OrderOutcome:
+    async def order(
+        self, instance: Instance, order: WeightsOrder, hear: NoticeListener = ignore_notice
+    ) -> OrderOutcome:
         """Send an order; see the port."""
         body = _Order(
             operation=names.VERSION_OPERATION,
@@ -160,15 +166,17 @@
         )
         proof = SendProof()
         answer = await self._control(
-            instance, b"POST", names.ORDER_PATH, msgspec.json.encode(body), proof
+            instance, b"POST", names.ORDER_PATH, msgspec.json.encode(body), proof, hear
         )
         if answer is None:
             return OrderOutcome.UNKNOWN if proof.sent else OrderOutcome.REJECTED
         return ORDER_OUTCOMES.get(answer[0], OrderOutcome.REJECTED)
 
-    async def report(self, instance: Instance) -> EngineReport | None:
+    async def report(
+        self, instance: Instance, hear: NoticeListener = ignore_notice
+    ) -> EngineReport | None:
         """Return an engine's report; see the port."""
-        answer = await self._control(instance, b"GET", names.REPORT_PATH, b"", SendProof())
+        answer = await self._control(instance, b"GET", names.REPORT_PATH, b"", SendProof(), hear)
         if answer is None or answer[0] != 200:  # noqa: PLR2004
             return None
         try:
@@ -179,7 +187,13 @@
         return EngineReport(report.busy, report.call_sequence, versions, report.born)
 
     async def _control(
-        self, instance: Instance, method: bytes, path: str, body: bytes, proof: SendProof
+        self,
+        instance: Instance,
+        method: bytes,
+        path: str,
+        body: bytes,
+        proof: SendProof,
+        hear: NoticeListener,
     ) -> tuple[int, bytes] | None:
         """Make a call beside the requests; return status and body, or None."""
         headers = [
@@ -199,6 +213,8 @@
         try:
             with trio.fail_after(ORDER_SECONDS):
                 async with self._client.open(call, SendTrace(proof)) as response:
+                    if _is_control_answer(response):
+                        hear(read_notice(response.status, response.headers))
                     return response.status, await response.aread()
         except (*FAILURES, trio.TooSlowError):
             return None
@@ -228,6 +244,30 @@
     return tuple(headers)
 
 
+def _is_own_answer(response: httpcore.Response, call: InstanceCall) -> bool:
+    """Return whether the instance that a request was sent to answers this request.
+
+    An answer that repeats the request's id does; so does a refusal without an id. A surplus answer
+    names another request, and 421 may come from whoever has the address now.
+    """
+    found = {name.lower(): value for name, value in response.headers}
+    answered = found.get(names.REQUEST_ID)
+    if response.status == MISDIRECTED:
+        return found.get(names.INSTANCE_ID) == call.instance.instance_id.encode()
+    if answered is None:
+        return names.NOT_EXECUTED in found
+    return answered == call.request.request_id.encode()
+
+
+def _is_control_answer(response: httpcore.Response) -> bool:
+    """Return whether an answer is to a call beside the requests, of the instance it was sent to.
+
+    Such calls have no id, so one with an id is a surplus answer to an earlier request.
+    """
+    found = {name.lower() for name, _value in response.headers}
+    return names.REQUEST_ID not in found and response.status != MISDIRECTED
+
+
 def _check_head(response: httpcore.Response, call: InstanceCall) -> None:
     """Raise unless an answer's head belongs to a request that the instance ran."""
     found = {name.lower(): value for name, value in response.headers}
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -10,6 +10,7 @@
 
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.request import ExchangeRequest, Headers
+from hopstep.domain.instance_notices import NoticeListener, ignore_notice
 from hopstep.domain.quarantine.crashes import InstanceSign
 from hopstep.exceptions import ErrorCode, Execution, PortError
 
@@ -67,6 +68,7 @@
         cache_source: ``ip:port`` from which kept segments are brought; empty for none.
         cache_target: ``ip:port`` of a cache store that gets the segments; empty for none.
         proof: Set by the adapter as the request leaves.
+        hear: Told what the instance's own answer says of it, also when that is a refusal.
     """
 
     instance: Instance
@@ -79,6 +81,7 @@
     cache_source: str = ""
     cache_target: str = ""
     proof: SendProof = msgspec.field(default_factory=SendProof)
+    hear: NoticeListener = ignore_notice
 
 
 class InstanceAnswer(abc.ABC):
--- a/hopstep/ports/weights_orders.py
+++ b/hopstep/ports/weights_orders.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from hopstep.domain.exchanges.instances import Instance, NamedWeights
+from hopstep.domain.instance_notices import NoticeListener, ignore_notice
 
 
 class OrderOutcome(enum.StrEnum):
@@ -58,9 +59,24 @@
     """Orders to engines."""
 
     @abc.abstractmethod
-    async def order(self, instance: Instance, order: WeightsOrder) -> OrderOutcome:
-        """Send an order; without an answer it is ``UNKNOWN`` and may be carried out later."""
+    async def order(
+        self, instance: Instance, order: WeightsOrder, hear: NoticeListener = ignore_notice
+    ) -> OrderOutcome:
+        """Send an order; without an answer it is ``UNKNOWN`` and may be carried out later.
+
+        Args:
+            instance: The engine.
+            order: The order.
+            hear: Told what the answer says of the engine.
+        """
 
     @abc.abstractmethod
-    async def report(self, instance: Instance) -> EngineReport | None:
-        """Return what the engine says of itself, or None without a usable answer."""
+    async def report(
+        self, instance: Instance, hear: NoticeListener = ignore_notice
+    ) -> EngineReport | None:
+        """Return what the engine says of itself, or None without a usable answer.
+
+        Args:
+            instance: The engine.
+            hear: Told what the answer's head says of the engine.
+        """
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -299,6 +299,7 @@
             cache_source=candidate.source,
             cache_target=self.outcome.target,
             proof=self._in_flight,
+            hear=self._parts.notices.listener(view),
         )
 
     async def _answer_unknown(self) -> None:
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -55,6 +55,12 @@
             ("reason",),
             registry=registry,
         )
+        self.notices = Counter(
+            "hopstep_instance_notices",
+            "What instances say of themselves, as news: kind (leaving, rest), and who told it.",
+            ("kind", "source"),
+            registry=registry,
+        )
         self.failed_connections = Counter(
             "hopstep_failed_connections",
             "Clients' connections that a fault of this node has ended.",
--- a/hopstep/services/exchanges/exchange_parts.py
+++ b/hopstep/services/exchanges/exchange_parts.py
@@ -11,6 +11,7 @@
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.ports.instance_calls import InstanceCalls
 from hopstep.services.exchanges.instance_choice import InstanceChoice
+from hopstep.services.exchanges.instance_notices import InstanceNotices
 from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.quarantine.quarantine import Quarantine
 
@@ -73,6 +74,7 @@
         quarantine: Requests that end instances.
         require_fresh: Raises ``ServiceError`` when keys may have been revoked unnoticed.
         count_failure: Told of each failed attempt: its code, and what follows.
+        notices: Hears what instances say of themselves.
     """
 
     calls: InstanceCalls
@@ -84,3 +86,4 @@
     quarantine: Quarantine
     require_fresh: Callable[[], None]
     count_failure: Callable[[str, str], None]
+    notices: InstanceNotices
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -20,6 +20,7 @@
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.exchange_parts import MILLISECONDS, ExchangeOutcome, ExchangeParts
 from hopstep.services.exchanges.instance_choice import InstanceChoice
+from hopstep.services.exchanges.instance_notices import InstanceNotices
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.pause_watch import PauseWatch
@@ -45,6 +46,7 @@
         pauses: PauseWatch,
         quarantine: Quarantine,
         quotas: Quotas,
+        notices: InstanceNotices,
         bounds: RepeatBounds,
         metrics: ExchangeMetrics,
         generator: random.Random,
@@ -62,6 +64,7 @@
             pauses: Notices pauses of the node itself.
             quarantine: Requests that end instances.
             quotas: What tenants may use.
+            notices: Hears what instances say of themselves.
             bounds: Bounds of retries over all nodes.
             metrics: Counts requests and attempts.
             generator: Splits traffic and breaks ties.
@@ -89,6 +92,7 @@
             quarantine=quarantine,
             require_fresh=knowledge.require_fresh,
             count_failure=self._count_failure,
+            notices=notices,
         )
 
     def max_body_bytes(self) -> int:
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -10,6 +10,7 @@
 from hopstep.domain.exchanges.weights import engines_behind
 from hopstep.logs import emit
 from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
+from hopstep.services.exchanges.instance_notices import InstanceNotices
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.rollout_lease import RolloutLease
@@ -38,6 +39,7 @@
         lease: RolloutLease,
         orders: WeightsOrders,
         sharing: LoadSharing,
+        notices: InstanceNotices,
     ) -> None:
         """Join the parts.
 
@@ -47,12 +49,14 @@
             lease: Permission to order.
             orders: Orders to engines.
             sharing: Tells peers which engines load.
+            notices: Hears what engines say of themselves.
         """
         self._name = name
         self._knowledge = knowledge
         self._lease = lease
         self._orders = orders
         self._sharing = sharing
+        self._notices = notices
         self._loading: set[str] = set()
         self._retry_at: dict[str, float] = {}
 
@@ -143,7 +147,7 @@
     ) -> OrderOutcome:
         """Send one order."""
         order = WeightsOrder(weights, self._name, self._lease.fencing_token, sequence)
-        outcome = await self._orders.order(view.instance, order)
+        outcome = await self._orders.order(view.instance, order, self._notices.listener(view))
         emit(
             log_events.WEIGHTS_ORDER_SENT,
             instance=view.instance.instance_id,
@@ -172,7 +176,7 @@
         """Return an engine's report; None without one, or with one of another life."""
         if not self._is_listed(view):
             return None
-        report = await self._orders.report(view.instance)
+        report = await self._orders.report(view.instance, self._notices.listener(view))
         if report is None or not view.instance.life.may_tell(report.born_ms):
             return None
         return report
--- /dev/null
+++ b/tests/platform/test_notices.py
@@ -0,0 +1,108 @@
+"""What instances say of themselves is heard from their own answers only, over real sockets."""
+
+import unittest
+
+import trio
+
+from hopstep.domain.exchanges.instances import Instance, NamedWeights
+from hopstep.domain.instance_notices import InstanceNotice
+from hopstep.platform.http_client import HttpClient
+from hopstep.platform.instances import HttpInstances
+from hopstep.ports.instance_calls import InstanceCall, InstanceCallError
+from hopstep.ports.weights_orders import WeightsOrder
+from tests.platform.test_instances import RawServer, request
+
+LEAVES = InstanceNotice(leaving=True)
+RESTS = InstanceNotice(rest_seconds=3.0)
+NOT_RUN = b"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+OWN = b"Attempt-Id: r1\r\n"
+WORD = b"Server-Leaving: 1\r\n"
+WAIT = b"Retry-After: 3\r\n"
+BODY = b"Response-Stamp: s\r\nContent-Length: 4\r\n\r\nbody"
+
+ANSWERS = (
+    ("a success", b"HTTP/1.1 200 OK\r\n" + OWN + WORD + BODY, LEAVES),
+    ("a failure", b"HTTP/1.1 500 X\r\n" + OWN + WORD + BODY, LEAVES),
+    ("a success without the word", b"HTTP/1.1 200 OK\r\n" + OWN + BODY, InstanceNotice()),
+    ("another value", b"HTTP/1.1 200 OK\r\n" + OWN + b"Server-Leaving: 0\r\n" + BODY, None),
+    ("a refusal with its id", b"HTTP/1.1 503 X\r\n" + OWN + WAIT + NOT_RUN, RESTS),
+    ("a refusal without an id", b"HTTP/1.1 503 X\r\n" + WAIT + NOT_RUN, RESTS),
+    ("a refusal as it leaves", b"HTTP/1.1 503 X\r\n" + OWN + WORD + NOT_RUN, LEAVES),
+    ("a success that names a wait", b"HTTP/1.1 200 OK\r\n" + OWN + WAIT + BODY, None),
+    (
+        "a surplus answer",
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: r0\r\n" + WORD + BODY,
+        None,
+    ),
+    ("a late refusal", b"HTTP/1.1 503 X\r\nAttempt-Id: r0\r\n" + WAIT + NOT_RUN, None),
+    ("bytes of nobody", b"HTTP/1.1 200 OK\r\n" + WORD + BODY, None),
+    (
+        "another instance at the address",
+        b"HTTP/1.1 421 X\r\nInstance-Id: i2\r\n" + OWN + WORD + NOT_RUN,
+        None,
+    ),
+    ("whoever has the address", b"HTTP/1.1 421 X\r\n" + OWN + WORD + NOT_RUN, None),
+    (
+        "a precondition that it doesn't meet",
+        b"HTTP/1.1 421 X\r\nInstance-Id: i1\r\n" + OWN + WORD + NOT_RUN,
+        LEAVES,
+    ),
+)
+
+REPORT = b'{"busy":false,"callSequence":1,"models":[]}'
+CONTROL_ANSWERS = (
+    ("an answer", b"HTTP/1.1 200 OK\r\n" + WORD + b"Content-Length: 43\r\n\r\n" + REPORT, LEAVES),
+    ("a refusal", b"HTTP/1.1 503 X\r\n" + WAIT + b"Content-Length: 0\r\n\r\n", RESTS),
+    ("a surplus answer", b"HTTP/1.1 200 OK\r\n" + OWN + WORD + BODY, None),
+    ("whoever has the address", b"HTTP/1.1 421 X\r\n" + WORD + b"Content-Length: 0\r\n\r\n", None),
+)
+
+
+class NoticesTest(unittest.TestCase):
+    def heard(self, answer, call):
+        """Return what is heard when ``call(instances, instance, hear)`` gets an answer."""
+        notices = []
+
+        async def main():
+            server = RawServer(answer)
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(trio.serve_tcp, server.handle, 0)
+                port = listeners[0].socket.getsockname()[1]
+                client = HttpClient()
+                instance = Instance("i1", "s", f"127.0.0.1:{port}", "z", 1)
+                await call(HttpInstances(client), instance, notices.append)
+                await client.aclose()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        return notices
+
+    def check(self, answers, call):
+        for name, answer, expected in answers:
+            with self.subTest(name):
+                empty = expected is None or expected.is_empty
+                heard = [notice for notice in self.heard(answer, call) if not notice.is_empty]
+                self.assertEqual(heard, [] if empty else [expected])
+
+    def test_a_request_hears_its_own_answer_only(self):
+        async def call(instances, instance, hear):
+            try:
+                async with instances.open(InstanceCall(instance, request(), 1.5, hear=hear)):
+                    pass
+            except InstanceCallError:
+                return
+
+        self.check(ANSWERS, call)
+
+    def test_a_report_hears_its_own_answer_only(self):
+        async def call(instances, instance, hear):
+            await instances.report(instance, hear)
+
+        self.check(CONTROL_ANSWERS, call)
+
+    def test_an_order_hears_its_own_answer_only(self):
+        async def call(instances, instance, hear):
+            order = WeightsOrder(NamedWeights("m", 2), "n1", 7, 0)
+            await instances.order(instance, order, hear)
+
+        self.check(CONTROL_ANSWERS, call)
--- a/tests/services/exchanges/test_suspensions.py
+++ b/tests/services/exchanges/test_suspensions.py
@@ -150,11 +150,11 @@
                 async def script(world, suspension, late=late):
                     order = world.instances.order
 
-                    async def order_checked(instance, sent):
+                    async def order_checked(instance, sent, hear):
                         [node] = [n for n in world.nodes if n.knowledge.name == sent.holder]
                         if not node.lease.may_order:
                             late.append((trio.current_time(), sent))
-                        return await order(instance, sent)
+                        return await order(instance, sent, hear)
 
                     world.instances.order = order_checked
                     for version in range(2, 8):
