Act on what instances say of themselves: send nothing to one that leaves or wants rest

Cause: an instance left for a node only by its entry in the store, and a refusal's wait was dropped with its headers. Ruled out: words that were heard and undone (no code read them), requests that waited at a node (9 to 10 ms between arrival there and at the instance). What one life has said is kept for that life, also over entries that go and come back; it bounds requests, retries, resumes, sources of segments, reports, orders and event readers, and is asked again right before the first byte leaves. After a rest a node sends one request, then twice as many each 0.25 s. Where all rest, a refusal names the earliest end.

--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -24,6 +24,7 @@
     InstanceCall,
     InstanceCallError,
     InstanceCalls,
+    withdrawn_call,
 )
 from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
 
@@ -110,6 +111,7 @@
         self.attempted: list[tuple[float, WeightsOrder]] = []
         self.busy = False
         self.reported_born_ms = instance.born_ms
+        self.connect_seconds = 0.0
         self.says_leaving = False
         self.sheds_for = 0.0
         self.arrived_at: list[float] = []
@@ -237,6 +239,9 @@
             )
         if server.behaviour is Behaviour.NO_CONNECTION:
             await trio.sleep_forever()
+        await trio.sleep(server.connect_seconds)
+        if not call.may_send():
+            raise withdrawn_call()
         call.proof.sent = True
         if call.instance.address in self._silent:
             await trio.sleep_forever()
--- a/hopstep/domain/exchanges/instance_table.py
+++ b/hopstep/domain/exchanges/instance_table.py
@@ -6,6 +6,7 @@
 
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import LIFE_SEPARATOR, Instance
+from hopstep.domain.instance_standing import StandingBook
 
 
 def is_same_life(known: Instance, newer: Instance) -> bool:
@@ -14,10 +15,15 @@
 
 
 class InstanceTable:
-    """Views of instances; entries come and go as the directory tells."""
+    """Views of instances; entries come and go as the directory tells.
+
+    Attributes:
+        standings: What lives have said of themselves in answers.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
+        self.standings = StandingBook()
         self._views: dict[str, InstanceView] = {}
         self._lapsed: dict[str, float] = {}
         self._cache_tokens: dict[str, int] = {}
@@ -44,7 +50,8 @@
             view.update(instance)
             return False
         tokens = self._cache_tokens.get(instance.service, 0)
-        self._views[instance.instance_id] = InstanceView(instance, tokens)
+        standing = self.standings.of_life(str(instance.life))
+        self._views[instance.instance_id] = InstanceView(instance, tokens, standing)
         return True
 
     def reject(self, instance_id: str) -> None:
--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -9,6 +9,7 @@
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.load_ledger import REPORT_SECONDS, InstanceLoad
 from hopstep.domain.exchanges.segments import SegmentPicture
+from hopstep.domain.instance_standing import InstanceStanding
 from hopstep.domain.rendezvous import hash_name
 
 FIRST_SUSPENSION_SECONDS = 0.4
@@ -28,14 +29,21 @@
 class InstanceView:
     """Beliefs about one instance. Times are of the steady clock, in seconds."""
 
-    def __init__(self, instance: Instance, cache_tokens: int = 0) -> None:
+    def __init__(
+        self,
+        instance: Instance,
+        cache_tokens: int = 0,
+        standing: InstanceStanding | None = None,
+    ) -> None:
         """Start without experience.
 
         Args:
             instance: As it publishes itself.
             cache_tokens: Memory of the instance for segments.
+            standing: What this life has said of itself in answers; None for nothing yet.
         """
         self.instance = instance
+        self.standing = standing or InstanceStanding()
         self.life = str(instance.life)
         self.hashed = hash_name(instance.instance_id)
         self.segments = SegmentPicture(int(cache_tokens * PICTURE_SHARE))
@@ -194,9 +202,48 @@
         for request_id in self._waiting_since:
             self._waiting_since[request_id] += seconds
 
+    def takes_requests(self, now: float) -> bool:
+        """Return whether a new request may be sent by all that the node knows.
+
+        The instance must not have ended, its entry must be trusted, and neither the entry nor its
+        own answers may say that it leaves or wants rest. With the entry alone requests reached
+        instances up to 5.9 s after they had said that they leave, while the store was away.
+        """
+        return self._serves and not self.standing.leaves and self.standing.admits(self.active, now)
+
+    def takes_later(self, now: float) -> bool:
+        """Return whether all that keeps a new request from the instance is its rest."""
+        kept = not self.standing.admits(self.active, now)
+        return self._serves and not self.standing.leaves and kept
+
+    def takes_orders(self, now: float) -> bool:
+        """Return whether orders and reports may be asked of the instance."""
+        return self._serves and not self.standing.leaves and not self.standing.rests(now)
+
+    def takes_last_requests(self, now: float, bound_seconds: float) -> bool:
+        """Return whether a leaving instance may still be sent what no other could serve.
+
+        Args:
+            now: Steady clock.
+            bound_seconds: For so long after its word it still takes requests.
+        """
+        since = self.standing.leaving_since
+        within_bound = since is not None and now < since + bound_seconds
+        return self._serves and within_bound and self.standing.admits(self.active, now)
+
+    def still_takes(self, now: float, *, leaving: bool) -> bool:
+        """Return whether a request that was counted in may still be sent.
+
+        Args:
+            now: Steady clock.
+            leaving: Whether the instance was chosen although it leaves.
+        """
+        unchanged = leaving or not self.standing.leaves
+        return self._serves and unchanged and not self.standing.rests(now)
+
     @property
-    def takes_requests(self) -> bool:
-        """Whether the instance neither leaves nor has ended, and its entry can be trusted."""
+    def _serves(self) -> bool:
+        """Whether the instance neither leaves nor has ended by the directory's word."""
         return not (self.instance.draining or self.replaced or self.rejected)
 
     def is_silent(self, now: float) -> bool:
--- a/hopstep/domain/exchanges/retry_after.py
+++ b/hopstep/domain/exchanges/retry_after.py
@@ -41,12 +41,17 @@
     OTHER_INSTANCE = "other_instance"
     STORE_AWAY = "store_away"
     LOADING = "loading"
+    RESTING = "resting"
     RELISTING = "relisting"
     QUARANTINE = "quarantine"
     QUOTA = "quota"
     UNKNOWN = "unknown"
 
 
+CERTAIN_REASONS = frozenset({RetryReason.RESTING})
+"""Reasons whose end is known, so that an earlier return is certain to be refused."""
+
+
 class RefusalFacts(msgspec.Struct, frozen=True):
     """What the node observes as it refuses; times in seconds.
 
@@ -54,6 +59,8 @@
         code: Why it refuses.
         other_instance: Whether an instance that the request wasn't sent to would take it now.
         loading_seconds: Until the first engine of the service has loaded weights; None for none.
+        resting_seconds: Until the first instance wants requests again; None unless all that may
+            serve have asked this node for rest.
         relisting_seconds: Until lapsed entries are back or gone; None when none are expected.
         store_silence_seconds: Time since the store answered this node or whoever told it.
         others_answer: Whether other nodes answer this one, so that it isn't cut off alone.
@@ -63,6 +70,7 @@
     code: ErrorCode
     other_instance: bool = False
     loading_seconds: float | None = None
+    resting_seconds: float | None = None
     relisting_seconds: float | None = None
     store_silence_seconds: float = 0.0
     others_answer: bool = False
@@ -91,6 +99,8 @@
         return RetryReason.OTHER_INSTANCE
     if facts.loading_seconds is not None:
         return RetryReason.LOADING
+    if facts.resting_seconds is not None:
+        return RetryReason.RESTING
     if facts.relisting_seconds is not None:
         return RetryReason.RELISTING
     return RetryReason.UNKNOWN
@@ -104,9 +114,10 @@
         draw: Random number from 0 to 1 that spreads clients.
     """
     reason = retry_reason(facts)
-    wait = min(MAX_SECONDS, max(AT_ONCE_SECONDS, _expected_seconds(reason, facts)))
+    longest = float("inf") if reason in CERTAIN_REASONS else MAX_SECONDS
+    wait = min(longest, max(AT_ONCE_SECONDS, _expected_seconds(reason, facts)))
     spread = min(MAX_SPREAD, MIN_SPREAD + SPREAD_BY_TOLD * facts.told_lately)
-    return RetryAdvice(min(MAX_SECONDS, wait * (1.0 + spread * draw)), reason)
+    return RetryAdvice(min(longest, wait * (1.0 + spread * draw)), reason)
 
 
 def _expected_seconds(reason: RetryReason, facts: RefusalFacts) -> float:
@@ -118,6 +129,8 @@
             return max(DEFAULT_SECONDS, OUTAGE_SHARE * facts.store_silence_seconds)
         case RetryReason.LOADING:
             return facts.loading_seconds or DEFAULT_SECONDS
+        case RetryReason.RESTING:
+            return facts.resting_seconds or DEFAULT_SECONDS
         case RetryReason.RELISTING:
             return min(DEFAULT_SECONDS, facts.relisting_seconds or DEFAULT_SECONDS)
         case RetryReason.UNKNOWN | RetryReason.QUARANTINE | RetryReason.QUOTA:
--- a/hopstep/domain/exchanges/weights.py
+++ b/hopstep/domain/exchanges/weights.py
@@ -149,9 +149,13 @@
         return first.since + max(0.0, bounds.propagation_seconds - needed)
 
 
-def engines_behind(views: Iterable[InstanceView], model: str, version: int) -> list[InstanceView]:
+def engines_behind(
+    views: Iterable[InstanceView], model: str, version: int, now: float
+) -> list[InstanceView]:
     """Return the engines with a lower version of a model, those with least work first."""
     behind = [
-        view for view in views if view.takes_requests and 0 < view.versions.get(model, 0) < version
+        view
+        for view in views
+        if view.takes_orders(now) and 0 < view.versions.get(model, 0) < version
     ]
     return sorted(behind, key=lambda view: (view.versions[model], view.active))
--- /dev/null
+++ b/hopstep/domain/instance_standing.py
@@ -0,0 +1,97 @@
+"""Whether an instance wants requests, by its own word. All times are of the steady clock, seconds.
+
+The word is of one life of an instance. That it leaves stays true for that life, whatever an entry
+says that is read before or after; a rest runs to its end, and a later one never shortens it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from hopstep.domain.instance_notices import InstanceNotice
+
+OPENING_STEP_SECONDS = 0.25
+"""After a rest a node sends one request at a time, and twice as many after each such step: long
+enough for a refusal of the first ones to come back (some 10 ms within a region, 40 times that where
+links are slow)."""
+
+MAX_REMEMBERED_LIVES = 4_096
+"""Lives whose word is remembered: a fleet of 10,000 instances, 40 in 100 of which leave while the
+store can't say so; some 0.5 MB."""
+
+
+class InstanceStanding:
+    """What one life of an instance has said of itself.
+
+    Attributes:
+        leaving_since: When it said that it leaves; None as long as it hasn't.
+        resting_until: End of the rest that it asked this node for.
+    """
+
+    def __init__(self) -> None:
+        """Have heard nothing."""
+        self.leaving_since: float | None = None
+        self.resting_until = -float("inf")
+
+    @property
+    def leaves(self) -> bool:
+        """Whether it has said that it leaves."""
+        return self.leaving_since is not None
+
+    def take(self, notice: InstanceNotice, now: float) -> InstanceNotice:
+        """Take a notice and return the part of it that is news."""
+        leaving = notice.leaving and self.note_leaving(now)
+        until = now + notice.rest_seconds
+        if not notice.rest_seconds or until <= self.resting_until:
+            return InstanceNotice(leaving)
+        self.resting_until = until
+        return InstanceNotice(leaving, notice.rest_seconds)
+
+    def note_leaving(self, since: float) -> bool:
+        """Note that it leaves, from the earliest time told; return whether that is news."""
+        is_news = self.leaving_since is None
+        if self.leaving_since is None or since < self.leaving_since:
+            self.leaving_since = since
+        return is_news
+
+    def rests(self, now: float) -> bool:
+        """Return whether it has asked this node for rest that isn't over."""
+        return now < self.resting_until
+
+    def admits(self, active: int, now: float) -> bool:
+        """Return whether it wants one more request, apart from leaving.
+
+        Args:
+            active: Requests of this node at the instance.
+            now: Steady clock.
+        """
+        return now >= self.opens_at(active)
+
+    def opens_at(self, active: int) -> float:
+        """Return when it admits one more request; in the past when it does now.
+
+        Without the steps all that had waited for the end of a rest would come at once.
+        """
+        return self.resting_until + active.bit_length() * OPENING_STEP_SECONDS
+
+
+class StandingBook:
+    """Remembers what lives have said, also when their entries go and come back."""
+
+    def __init__(self) -> None:
+        """Remember nothing."""
+        self._standings: dict[str, InstanceStanding] = {}
+
+    def __iter__(self) -> Iterator[tuple[str, InstanceStanding]]:
+        """Iterate over the lives that have said something, the longest known first."""
+        return iter(tuple(self._standings.items()))
+
+    def of_life(self, life: str) -> InstanceStanding:
+        """Return what a life has said; of one that has said nothing, an empty standing."""
+        return self._standings.get(life) or InstanceStanding()
+
+    def remember(self, life: str, standing: InstanceStanding) -> None:
+        """Keep what a life has said; beyond the bound the longest known is forgotten."""
+        self._standings[life] = standing
+        if len(self._standings) > MAX_REMEMBERED_LIVES:
+            del self._standings[next(iter(self._standings))]
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -160,7 +160,8 @@
         )
         self.metrics = self._make_metrics()
         self.notices = InstanceNotices(
-            lambda kind, source: self.metrics.notices.labels(kind, source).inc()
+            self.knowledge.table,
+            lambda kind, source: self.metrics.notices.labels(kind, source).inc(),
         )
         self.exchanges = ExchangeService(
             self.knowledge,
@@ -177,6 +178,7 @@
             generator,
             settings.zone,
             bounds.other_zone_ms / MILLISECONDS,
+            bounds.drain_ms / MILLISECONDS,
         )
         self.lease = RolloutLease(
             settings.name,
--- a/hopstep/platform/http_client.py
+++ b/hopstep/platform/http_client.py
@@ -4,7 +4,7 @@
 
 import contextlib
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import httpcore
@@ -44,21 +44,36 @@
     read_seconds: float | None = None
 
 
+class SendWithdrawnError(Exception):
+    """A call that was no longer to be sent when its connection was ready."""
+
+
 class SendTrace:
     """Follows the library's trace of one call."""
 
-    def __init__(self, proof: SendProof | None = None) -> None:
+    def __init__(
+        self, proof: SendProof | None = None, may_send: Callable[[], bool] = lambda: True
+    ) -> None:
         """Start before the first byte.
 
         Args:
             proof: Told when the first byte may leave; a new one if None.
+            may_send: Asked right before that.
         """
         self.proof = proof or SendProof()
+        self._may_send = may_send
 
     async def __call__(self, event: str, _details: dict[str, Any]) -> None:
-        """Take one event of the trace."""
-        if event == SENDING_EVENT:
-            self.proof.sent = True
+        """Take one event of the trace.
+
+        Raises:
+            SendWithdrawnError: When the call isn't to be sent any more.
+        """
+        if event != SENDING_EVENT:
+            return
+        if not self._may_send():
+            raise SendWithdrawnError
+        self.proof.sent = True
 
 
 class HttpClient:
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -14,7 +14,7 @@
 from hopstep.domain.quarantine.crashes import InstanceSign
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform import names
-from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
+from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace, SendWithdrawnError
 from hopstep.platform.notices import read_notice
 from hopstep.ports.instance_calls import (
     InstanceAnswer,
@@ -22,6 +22,7 @@
     InstanceCallError,
     InstanceCalls,
     SendProof,
+    withdrawn_call,
 )
 from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
 
@@ -124,10 +125,12 @@
             request.body,
             connect_seconds=CONNECT_SECONDS,
         )
-        trace = SendTrace(call.proof)
+        trace = SendTrace(call.proof, call.may_send)
         async with contextlib.AsyncExitStack() as stack:
             try:
                 response = await stack.enter_async_context(self._client.open(http_call, trace))
+            except SendWithdrawnError as error:
+                raise withdrawn_call() from error
             except FAILURES as error:
                 raise _no_answer(call.proof) from error
             if _is_own_answer(response, call):
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager
 
 import msgspec
@@ -25,6 +25,7 @@
         sent: Whether any byte of the request may have left.
         stale_version: Whether the instance itself says that its weights have another version.
         replaced: Whether another incarnation answers at its address, so that it has ended.
+        withdrawn: Whether nothing was sent because ``InstanceCall.may_send`` said so.
     """
 
     def __init__(
@@ -36,12 +37,25 @@
         sent: bool = True,
         stale_version: bool = False,
         replaced: bool = False,
+        withdrawn: bool = False,
     ) -> None:
         super().__init__(code, message)
         self.execution = execution
         self.sent = sent
         self.stale_version = stale_version
         self.replaced = replaced
+        self.withdrawn = withdrawn
+
+
+def withdrawn_call() -> InstanceCallError:
+    """Return the error of a call that wasn't sent because ``InstanceCall.may_send`` said so."""
+    return InstanceCallError(
+        ErrorCode.ENGINE_UNREACHABLE,
+        "the instance leaves or wants rest",
+        Execution.NOT_RUN,
+        sent=False,
+        withdrawn=True,
+    )
 
 
 class SendProof(msgspec.Struct):
@@ -69,6 +83,8 @@
         cache_target: ``ip:port`` of a cache store that gets the segments; empty for none.
         proof: Set by the adapter as the request leaves.
         hear: Told what the instance's own answer says of it, also when that is a refusal.
+        may_send: Asked right before the first byte leaves, which may be long after the choice:
+            while a connection is made the instance may say that it leaves or wants rest.
     """
 
     instance: Instance
@@ -82,6 +98,7 @@
     cache_target: str = ""
     proof: SendProof = msgspec.field(default_factory=SendProof)
     hear: NoticeListener = ignore_notice
+    may_send: Callable[[], bool] = lambda: True
 
 
 class InstanceAnswer(abc.ABC):
--- a/hopstep/services/exchanges/engine_cache_watch.py
+++ b/hopstep/services/exchanges/engine_cache_watch.py
@@ -83,7 +83,8 @@
             epoch: int | None = None
             readable = True
             while True:
-                if not self._knowledge.table.is_trusted(view):
+                resting = view.standing.rests(trio.current_time())
+                if resting or not self._knowledge.table.is_trusted(view):
                     await trio.sleep(PAUSE_SECONDS)
                     continue
                 batch = await self._events.read(view.instance.address, position, WAIT_SECONDS)
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -98,6 +98,9 @@
             error = await self._attempt(candidate)
             if error is None:
                 return
+            if error.withdrawn:
+                self._log_attempt(candidate.view, error, NextStep.RETRY)
+                continue
             self._learn(candidate.view, error)
             only = self._go_on(candidate.view, error)
             if only is not None:
@@ -213,7 +216,12 @@
         return None
 
     def _learn_from_attempt(self, view: InstanceView, error: InstanceCallError) -> None:
-        """Count an attempt without a whole answer, and have a silent instance looked at."""
+        """Count an attempt without a whole answer, and have a silent instance looked at.
+
+        One that was withdrawn before it was sent counts for nothing: another instance is chosen.
+        """
+        if error.withdrawn:
+            return
         if error.sent:
             self._count_sent(view)
             self._note_broken(view, error)
@@ -300,6 +308,9 @@
             cache_target=self.outcome.target,
             proof=self._in_flight,
             hear=self._parts.notices.listener(view),
+            may_send=functools.partial(
+                self._parts.choice.may_send, view, leaving=view.standing.leaves
+            ),
         )
 
     async def _answer_unknown(self) -> None:
--- a/hopstep/services/exchanges/instance_choice.py
+++ b/hopstep/services/exchanges/instance_choice.py
@@ -18,6 +18,10 @@
 from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
 
+LAST_REQUESTS_SHARE = 0.5
+"""Part of the drain bound in which an instance that leaves is sent what nobody else can serve. The
+rest is left for connecting, 0.4 s at most, and for the way there."""
+
 MIN_SAVED_TOKENS = 1_000
 """Prompts with fewer shared tokens are read anew faster than they are moved about."""
 
@@ -33,6 +37,7 @@
         generator: random.Random,
         zone: str,
         other_zone_seconds: float,
+        drain_seconds: float,
     ) -> None:
         """Use what the node knows.
 
@@ -43,7 +48,9 @@
             generator: Breaks ties.
             zone: Zone of this node.
             other_zone_seconds: Delay that a request to another zone counts for.
+            drain_seconds: Time after an instance's word that it leaves in which it still serves.
         """
+        self._last_requests_seconds = LAST_REQUESTS_SHARE * drain_seconds
         self._knowledge = knowledge
         self._store_watch = store_watch
         self._pauses = pauses
@@ -95,22 +102,35 @@
     def _admissible(
         self, request: ExchangeRequest, service: str, tried: Set[str], now: float
     ) -> list[InstanceView]:
-        """Return the instances that may serve a request at all."""
+        """Return the instances that may serve a request at all; those that leave only alone."""
         model = request.prompt.model if request.prompt is not None else ""
         required = self._knowledge.weights.required(model, now) if model else 0
-        return [
+        views = [
             view
             for view in self._knowledge.table.of_service(service)
-            if view.takes_requests
-            and view.instance.instance_id not in tried
+            if view.instance.instance_id not in tried
             and (not model or model in view.versions)
             and (not required or view.serving_version(model) >= required)
         ]
+        taking = [view for view in views if view.takes_requests(now)]
+        bound = self._last_requests_seconds
+        return taking or [view for view in views if view.takes_last_requests(now, bound)]
+
+    def may_send(self, view: InstanceView, *, leaving: bool) -> bool:
+        """Return whether a request may still be sent to an instance that was chosen for it.
+
+        Args:
+            view: The instance.
+            leaving: Whether it was chosen although it leaves.
+        """
+        listed = self._knowledge.table.is_trusted(view)
+        return listed and view.still_takes(trio.current_time(), leaving=leaving)
 
     def _sources(self, service: str) -> list[InstanceView]:
         """Return the instances from which segments may be brought."""
+        now = trio.current_time()
         views = self._knowledge.table.of_service(service)
-        return [view for view in views if view.takes_requests]
+        return [view for view in views if view.takes_requests(now)]
 
     def _engine_request(
         self, request: ExchangeRequest, prompt: Prompt, service: str
--- a/hopstep/services/exchanges/instance_notices.py
+++ b/hopstep/services/exchanges/instance_notices.py
@@ -1,11 +1,14 @@
-"""Takes what instances say of themselves in answers: logs and counts it."""
+"""Takes what instances say of themselves in answers, logs what is news, and counts it."""
 
 from __future__ import annotations
 
 import functools
 from collections.abc import Callable
 
+import trio
+
 from hopstep import log_events
+from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.instance_notices import InstanceNotice, NoticeListener
 from hopstep.logs import emit
@@ -16,33 +19,35 @@
 LEAVING = "leaving"
 REST = "rest"
 MILLISECONDS = 1_000
-MAX_REMEMBERED = 4_096
-"""Lives whose words are remembered: what 10,000 instances of a region that all leave within the
-time in which entries lapse come to on one node, with room."""
 
 
 class InstanceNotices:
-    """Hears what instances say of themselves."""
+    """Puts what instances say of themselves into the table."""
 
-    def __init__(self, count: Callable[[str, str], None]) -> None:
+    def __init__(self, table: InstanceTable, count: Callable[[str, str], None]) -> None:
         """Have heard nothing.
 
         Args:
+            table: Keeps what lives of instances have said.
             count: Told the kind and the source of each change of belief.
         """
+        self._table = table
         self._count = count
-        self._leaving: dict[str, None] = {}
 
     def listener(self, view: InstanceView) -> NoticeListener:
         """Return what takes notices of the life that a view is of."""
         return functools.partial(self.take, view)
 
     def take(self, view: InstanceView, notice: InstanceNotice) -> None:
-        """Take what a life of an instance says of itself."""
-        if notice.leaving and view.life not in self._leaving:
-            self._leaving[view.life] = None
-            if len(self._leaving) > MAX_REMEMBERED:
-                self._leaving.pop(next(iter(self._leaving)))
+        """Take what a life of an instance says of itself in an answer to this node.
+
+        The word is of the life that was asked, also when a later one is listed by now.
+        """
+        if notice.is_empty:
+            return
+        news = view.standing.take(notice, trio.current_time())
+        self._table.standings.remember(view.life, view.standing)
+        if news.leaving:
             self._count(LEAVING, ANSWER_SOURCE)
             emit(
                 log_events.INSTANCE_SAYS_LEAVING,
@@ -50,7 +55,7 @@
                 source=ANSWER_SOURCE,
                 age_ms=0,
             )
-        if notice.rest_seconds:
+        if news.rest_seconds:
             self._count(REST, ANSWER_SOURCE)
-            rest_ms = round(notice.rest_seconds * MILLISECONDS)
+            rest_ms = round(news.rest_seconds * MILLISECONDS)
             emit(log_events.INSTANCE_WANTS_REST, instance=view.life, rest_ms=rest_ms)
--- a/hopstep/services/exchanges/retry_advisor.py
+++ b/hopstep/services/exchanges/retry_advisor.py
@@ -59,13 +59,18 @@
             return RetryAdvice(refused_seconds, RetryReason.QUARANTINE)
         now = trio.current_time()
         knowledge = self._knowledge
-        views = [view for view in knowledge.table.of_service(service) if view.takes_requests]
+        listed = knowledge.table.of_service(service)
+        views = [view for view in listed if view.takes_requests(now)]
+        resting = [
+            view.standing.opens_at(view.active) - now for view in listed if view.takes_later(now)
+        ]
         loading = [view.loading_until - now for view in views if view.loading_until > now]
         untried = [view for view in views if view.instance.instance_id not in tried]
         facts = RefusalFacts(
             code=code,
             other_instance=bool(tried) and any(view.is_usable(now) for view in untried),
             loading_seconds=min(loading, default=None),
+            resting_seconds=None if views else min(resting, default=None),
             relisting_seconds=None if views else knowledge.contact.relisting_seconds(now),
             store_silence_seconds=now - knowledge.contact.heard_at,
             others_answer=now - knowledge.node_heard_at < ANSWERED_SECONDS,
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -52,6 +52,7 @@
         generator: random.Random,
         zone: str,
         other_zone_seconds: float,
+        drain_seconds: float,
     ) -> None:
         """Join the parts.
 
@@ -70,6 +71,7 @@
             generator: Splits traffic and breaks ties.
             zone: Zone of this node.
             other_zone_seconds: Delay that a request to another zone counts for.
+            drain_seconds: Time after an instance's word that it leaves in which it still serves.
         """
         self.admission = ExchangeAdmission(knowledge, lifecycle)
         self._knowledge = knowledge
@@ -83,7 +85,13 @@
         self._parts = ExchangeParts(
             calls=calls,
             choice=InstanceChoice(
-                knowledge, store_watch, pauses, generator, zone, other_zone_seconds
+                knowledge,
+                store_watch,
+                pauses,
+                generator,
+                zone,
+                other_zone_seconds,
+                drain_seconds,
             ),
             budgets=self._budget,
             nodes=knowledge.count_nodes,
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -76,7 +76,7 @@
         trusted = self._knowledge.table.trusted()
         for model in weights.models():
             newest = NamedWeights(model, weights.newest(model))
-            behind = engines_behind(trusted, model, newest.version)
+            behind = engines_behind(trusted, model, newest.version, now)
             if not behind:
                 continue
             engines = sum(1 for view in trusted if model in view.versions)
@@ -123,7 +123,7 @@
         if report is None:
             return False
         sequence = report.order_sequence
-        while self._lease.may_order and self._is_listed(view):
+        while self._lease.may_order and self._may_ask(view):
             self._mark_loading(view)
             outcome = await self._order(view, weights, sequence)
             if outcome is OrderOutcome.HOLDS_ALREADY:
@@ -174,16 +174,17 @@
 
     async def _report(self, view: InstanceView) -> EngineReport | None:
         """Return an engine's report; None without one, or with one of another life."""
-        if not self._is_listed(view):
+        if not self._may_ask(view):
             return None
         report = await self._orders.report(view.instance, self._notices.listener(view))
         if report is None or not view.instance.life.may_tell(report.born_ms):
             return None
         return report
 
-    def _is_listed(self, view: InstanceView) -> bool:
-        """Return whether an engine's life is still the one that a good entry names."""
-        return self._knowledge.table.is_trusted(view)
+    def _may_ask(self, view: InstanceView) -> bool:
+        """Return whether an engine's life is still listed by a good entry, and wants orders."""
+        now = trio.current_time()
+        return self._knowledge.table.is_trusted(view) and view.takes_orders(now)
 
     def _mark_loading(self, view: InstanceView) -> None:
         """Keep requests from an engine for a while, here and at the peers."""
