Tell other nodes with what is sent anyway which instances leave by their own word

Nodes that never asked an instance, and nodes that start while the store is away, send it nothing either. Told only while the directory lists the life as ready, the 32 latest, with their age; no datagram more. Event readers keep to a rest too.

--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -136,10 +136,15 @@
             lambda record: self.quarantine_records.take(record.key, record.value, record.revision),
         )
         self.crash_news = CrashNews(self.quarantine, urgent)
-        self.sharing = LoadSharing(self.knowledge, urgent)
+        self.metrics = self._make_metrics()
+        self.notices = InstanceNotices(
+            self.knowledge.table,
+            lambda kind, source: self.metrics.notices.labels(kind, source).inc(),
+        )
+        self.sharing = LoadSharing(self.knowledge, urgent, self.notices)
         self.store_watch = CacheStoreWatch(self.knowledge, ports.cache_events, self.pauses)
         self.engine_watch = EngineCacheWatch(
-            self.knowledge, ports.cache_events, self.sharing, self.pauses
+            self.knowledge, ports.cache_events, self.sharing, self.pauses, self.notices
         )
         self.quotas = Quotas(
             self.knowledge,
@@ -158,11 +163,6 @@
             self.pauses,
             limits,
         )
-        self.metrics = self._make_metrics()
-        self.notices = InstanceNotices(
-            self.knowledge.table,
-            lambda kind, source: self.metrics.notices.labels(kind, source).inc(),
-        )
         self.exchanges = ExchangeService(
             self.knowledge,
             self.lifecycle,
--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -7,8 +7,10 @@
 import trio
 
 from hopstep.domain.exchanges.store_contents import CacheEvent
+from hopstep.domain.instance_notices import NoticeListener, ignore_notice
 from hopstep.platform import names
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
+from hopstep.platform.notices import read_notice
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
 
 ANSWER_SECONDS = 0.7
@@ -45,7 +47,11 @@
         self._client = client
 
     async def read(
-        self, address: str, position: int, wait_seconds: float
+        self,
+        address: str,
+        position: int,
+        wait_seconds: float,
+        hear: NoticeListener = ignore_notice,
     ) -> CacheEventBatch | None:
         """Return events; see the port."""
         wait = str(int(wait_seconds * MILLISECONDS)).encode()
@@ -55,6 +61,7 @@
         try:
             with trio.fail_after(ANSWER_SECONDS + wait_seconds):
                 async with self._client.open(call, SendTrace()) as response:
+                    hear(read_notice(response.status, response.headers))
                     body = await response.aread()
             if response.status != OK:
                 return None
--- a/hopstep/ports/cache_events.py
+++ b/hopstep/ports/cache_events.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hopstep.domain.exchanges.store_contents import CacheEvent
+from hopstep.domain.instance_notices import NoticeListener, ignore_notice
 
 
 class CacheEventBatch(msgspec.Struct, frozen=True):
@@ -32,6 +33,18 @@
 
     @abc.abstractmethod
     async def read(
-        self, address: str, position: int, wait_seconds: float
+        self,
+        address: str,
+        position: int,
+        wait_seconds: float,
+        hear: NoticeListener = ignore_notice,
     ) -> CacheEventBatch | None:
-        """Return events after a position, waiting for some; None without a usable answer."""
+        """Return events after a position, waiting for some; None without a usable answer.
+
+        Args:
+            address: ``ip:port`` of a cache store or an engine.
+            position: Where the last batch ended; 0 at first.
+            wait_seconds: Longest wait for events.
+            hear: Told what the answer's head says of whoever has the address; the batch tells
+                whose life that is.
+        """
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -43,6 +43,18 @@
     milliseconds: int
 
 
+class LeavingInstance(msgspec.Struct, frozen=True, array_like=True):
+    """A life of an instance that has said in an answer that it leaves.
+
+    Attributes:
+        life: As ``str(InstanceLife)``.
+        age_ms: Time since it said so first to any node.
+    """
+
+    life: str
+    age_ms: int
+
+
 class SentPrompt(msgspec.Struct, frozen=True, array_like=True):
     """A long prompt that was just sent to an instance.
 
@@ -64,6 +76,7 @@
         loading: Engines that load weights.
         usage: What tenants with quotas have used; see ``nodes`` for where.
         nodes: Nodes whose usage is told: the sender, its group, or all.
+        leaving: Instances that have said that they leave, while the directory lists them as ready.
     """
 
     loads: tuple[InstanceLoad, ...] = ()
@@ -71,6 +84,7 @@
     loading: tuple[LoadingEngine, ...] = ()
     usage: tuple[TenantUsage, ...] = ()
     nodes: int = 0
+    leaving: tuple[LeavingInstance, ...] = ()
 
 
 class RelayQuery(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/hopstep/services/exchanges/engine_cache_watch.py
+++ b/hopstep/services/exchanges/engine_cache_watch.py
@@ -11,8 +11,10 @@
 from hopstep.domain.exchanges.engine_contents import EngineContents
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.watch_plan import WatchPlan
+from hopstep.domain.instance_notices import InstanceNotice
 from hopstep.logs import emit
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
+from hopstep.services.exchanges.instance_notices import InstanceNotices
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.pause_watch import PauseWatch
@@ -37,6 +39,7 @@
         events: CacheEvents,
         sharing: LoadSharing,
         pauses: PauseWatch,
+        notices: InstanceNotices,
     ) -> None:
         """Follow nothing yet.
 
@@ -45,7 +48,9 @@
             events: Reads events.
             sharing: Told what the events say.
             pauses: Notices pauses of the node itself.
+            notices: Hears what engines say of themselves.
         """
+        self._notices = notices
         self._knowledge = knowledge
         self._events = events
         self._sharing = sharing
@@ -87,7 +92,10 @@
                 if resting or not self._knowledge.table.is_trusted(view):
                     await trio.sleep(PAUSE_SECONDS)
                     continue
-                batch = await self._events.read(view.instance.address, position, WAIT_SECONDS)
+                heard: list[InstanceNotice] = []
+                batch = await self._events.read(
+                    view.instance.address, position, WAIT_SECONDS, heard.append
+                )
                 if batch is None and self._pauses.has_just_ended:
                     await trio.sleep(PAUSE_SECONDS)
                     continue
@@ -95,12 +103,25 @@
                     readable = batch is not None
                     _log_readable(view, readable)
                 if batch is None or not view.instance.life.may_tell(batch.born_ms):
-                    await trio.sleep(RETRY_SECONDS)
+                    rests = [notice.rest_seconds for notice in heard]
+                    await trio.sleep(max(RETRY_SECONDS, max(rests, default=0.0)))
                     continue
+                self._hear(view, heard, batch)
                 self._take(view, contents, batch, epoch)
                 position, epoch = batch.position, batch.epoch
                 await trio.sleep(PAUSE_SECONDS)
 
+    def _hear(
+        self, view: InstanceView, heard: list[InstanceNotice], batch: CacheEventBatch
+    ) -> None:
+        """Take what the answer's head said, if the batch proves that it is of this life.
+
+        Calls for events name no instance, so another one at the address may have answered.
+        """
+        if batch.born_ms and batch.born_ms == view.instance.born_ms:
+            for notice in heard:
+                self._notices.take(view, notice)
+
     def _take(
         self,
         view: InstanceView,
--- a/hopstep/services/exchanges/instance_notices.py
+++ b/hopstep/services/exchanges/instance_notices.py
@@ -16,6 +16,12 @@
 ANSWER_SOURCE = "answer"
 """Source of what an instance has told this node itself."""
 
+PEER_SOURCE = "node"
+"""Label for what other nodes have told: their names aren't bounded."""
+
+MAX_TOLD_LIVES = 32
+"""Most instances that leave in one message to other nodes, the latest: some 1 kB."""
+
 LEAVING = "leaving"
 REST = "rest"
 MILLISECONDS = 1_000
@@ -48,14 +54,53 @@
         news = view.standing.take(notice, trio.current_time())
         self._table.standings.remember(view.life, view.standing)
         if news.leaving:
-            self._count(LEAVING, ANSWER_SOURCE)
-            emit(
-                log_events.INSTANCE_SAYS_LEAVING,
-                instance=view.life,
-                source=ANSWER_SOURCE,
-                age_ms=0,
-            )
+            self._note_news(view.life, ANSWER_SOURCE, 0)
         if news.rest_seconds:
             self._count(REST, ANSWER_SOURCE)
             rest_ms = round(news.rest_seconds * MILLISECONDS)
             emit(log_events.INSTANCE_WANTS_REST, instance=view.life, rest_ms=rest_ms)
+
+    def take_told(self, life: str, since: float, node: str) -> None:
+        """Take from another node that a life of an instance leaves.
+
+        The life may be unknown here: a node that has just started may read its entry later.
+
+        Args:
+            life: As ``str(InstanceLife)``.
+            since: When it said so first, by this node's steady clock.
+            node: Who tells it.
+        """
+        view = self._table.of_life(life)
+        standing = view.standing if view is not None else self._table.standings.of_life(life)
+        is_news = standing.note_leaving(since)
+        self._table.standings.remember(life, standing)
+        if is_news:
+            age_ms = round((trio.current_time() - since) * MILLISECONDS)
+            self._note_news(life, node, age_ms)
+
+    def unlisted_leaving(self) -> list[tuple[str, float]]:
+        """Return the latest lives that leave, with since when, while their entry says ``ready``.
+
+        What the directory shows itself isn't told among nodes.
+        """
+        leaving = [
+            (life, standing.leaving_since)
+            for life, standing in self._table.standings
+            if standing.leaving_since is not None and self._is_listed_ready(life)
+        ]
+        return leaving[-MAX_TOLD_LIVES:]
+
+    def _is_listed_ready(self, life: str) -> bool:
+        """Return whether a life is listed, and not as leaving."""
+        view = self._table.of_life(life)
+        return view is not None and not view.instance.draining
+
+    def _note_news(self, life: str, source: str, age_ms: int) -> None:
+        """Log and count that an instance is now known to leave."""
+        self._count(LEAVING, PEER_SOURCE if source != ANSWER_SOURCE else source)
+        emit(
+            log_events.INSTANCE_SAYS_LEAVING,
+            instance=life,
+            source=source,
+            age_ms=age_ms,
+        )
--- a/hopstep/services/exchanges/load_sharing.py
+++ b/hopstep/services/exchanges/load_sharing.py
@@ -14,7 +14,14 @@
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.sent_log import SentLog
-from hopstep.ports.node_exchange import Hints, LoadingEngine, SegmentNews, SentPrompt
+from hopstep.ports.node_exchange import (
+    Hints,
+    LeavingInstance,
+    LoadingEngine,
+    SegmentNews,
+    SentPrompt,
+)
+from hopstep.services.exchanges.instance_notices import InstanceNotices
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.urgent_box import UrgentBox
 
@@ -38,13 +45,17 @@
 class LoadSharing:
     """Collects hints of this node and of others, and puts them into the views of instances."""
 
-    def __init__(self, knowledge: ServingKnowledge, urgent: UrgentBox) -> None:
+    def __init__(
+        self, knowledge: ServingKnowledge, urgent: UrgentBox, notices: InstanceNotices
+    ) -> None:
         """Start with nothing to tell.
 
         Args:
             knowledge: Instances and nodes.
             urgent: Takes what all nodes are told at once.
+            notices: What instances say of themselves.
         """
+        self._notices = notices
         self._urgent = urgent
         self.log: SentLog[SegmentNews] = SentLog(secrets.token_hex(IDENTITY_BYTES))
         self._knowledge = knowledge
@@ -145,14 +156,24 @@
     def own_hints(self) -> Hints:
         """Return what this node has to tell since the last time."""
         now = trio.current_time()
-        return Hints(self._own_loads(now), self._take_unsent(), self._loading_now(now))
+        return Hints(
+            self._own_loads(now),
+            self._take_unsent(),
+            self._loading_now(now),
+            leaving=self._leaving_now(now),
+        )
 
     def group_hints(self) -> Hints:
         """Return the same for this node and those that ask it together."""
         now = trio.current_time()
         totals = self._members.totals(now)
         add_loads(totals, self._own_loads(now))
-        return Hints(tuple(totals.values()), self._take_unsent(), self._loading_now(now))
+        return Hints(
+            tuple(totals.values()),
+            self._take_unsent(),
+            self._loading_now(now),
+            leaving=self._leaving_now(now),
+        )
 
     def hints_for(self, node: str, identity: str, position: int) -> tuple[Hints, int]:
         """Return what a node that asks should hear, and its position behind it."""
@@ -160,7 +181,13 @@
         totals = self._totals(now, without=node)
         add_loads(totals, self._own_loads(now))
         news, position = self.log.after(identity, position, node, MAX_NEWS)
-        return Hints(tuple(totals.values()), news, self._loading_now(now)), position
+        hints = Hints(
+            tuple(totals.values()),
+            news,
+            self._loading_now(now),
+            leaving=self._leaving_now(now),
+        )
+        return hints, position
 
     def take_from_member(self, node: str, hints: Hints) -> None:
         """Take the hints of a node that asks this one."""
@@ -199,6 +226,9 @@
             self._take_segments(news, now)
         for loading in hints.loading:
             self._take_loading(loading, now)
+        for leaving in hints.leaving:
+            since = now - max(0, leaving.age_ms) / MILLISECONDS
+            self._notices.take_told(leaving.life, since, node)
 
     def _take_segments(self, news: SegmentNews, now: float) -> None:
         """Put news of an instance's segments into its picture."""
@@ -234,6 +264,13 @@
         self._unsent.clear()
         return news
 
+    def _leaving_now(self, now: float) -> tuple[LeavingInstance, ...]:
+        """Return the instances that leave by their own word alone."""
+        return tuple(
+            LeavingInstance(life, round((now - since) * MILLISECONDS))
+            for life, since in self._notices.unlisted_leaving()
+        )
+
     def _loading_now(self, now: float) -> tuple[LoadingEngine, ...]:
         """Return the engines that load, and forget those that have loaded."""
         self._loading = {engine: until for engine, until in self._loading.items() if until > now}
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -6,6 +6,7 @@
 
 from hopstep.domain.exchanges.instances import Instance, NamedWeights
 from hopstep.domain.instance_notices import InstanceNotice
+from hopstep.exceptions import Execution
 from hopstep.platform.http_client import HttpClient
 from hopstep.platform.instances import HttpInstances
 from hopstep.ports.instance_calls import InstanceCall, InstanceCallError
@@ -106,3 +107,30 @@
             await instances.order(instance, order, hear)
 
         self.check(CONTROL_ANSWERS, call)
+
+    def test_a_request_that_is_withdrawn_while_it_connects_sends_nothing(self):
+        received = []
+
+        async def main():
+            server = RawServer(b"HTTP/1.1 200 OK\r\n" + OWN + BODY, keep=True)
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(trio.serve_tcp, server.handle, 0)
+                port = listeners[0].socket.getsockname()[1]
+                client = HttpClient()
+                instances = HttpInstances(client)
+                instance = Instance("i1", "s", f"127.0.0.1:{port}", "z", 1)
+                withdrawn = InstanceCall(instance, request(), 1.5, may_send=lambda: False)
+                with self.assertRaises(InstanceCallError) as caught:
+                    async with instances.open(withdrawn):
+                        pass
+                self.assertTrue(caught.exception.withdrawn)
+                self.assertFalse(caught.exception.sent or withdrawn.proof.sent)
+                self.assertEqual(caught.exception.execution, Execution.NOT_RUN)
+                async with instances.open(InstanceCall(instance, request(), 1.5)) as answer:
+                    self.assertEqual(answer.status, 200)
+                received.extend(server.received)
+                await client.aclose()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        self.assertEqual(len(received), 1)
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -22,6 +22,7 @@
     ServingConfiguration,
     Tenant,
 )
+from hopstep.domain.instance_notices import ignore_notice
 from hopstep.exceptions import ErrorCode, ServiceError, StoreError
 from hopstep.exchange_node import ExchangePorts, ExchangeServices
 from hopstep.exchange_settings import ExchangeBounds, ExchangeSettings
@@ -195,7 +196,7 @@
         self._added.set()
         self._added = trio.Event()
 
-    async def read(self, address, position, wait_seconds):
+    async def read(self, address, position, wait_seconds, hear=ignore_notice):
         self.readers[address] += 1
         self.reads[address] += 1
         try:
--- a/tests/services/exchanges/test_instance_notices.py
+++ b/tests/services/exchanges/test_instance_notices.py
@@ -13,9 +13,13 @@
 
 import unittest
 
+import msgspec
 import trio
 
+from hopstep.domain.exchanges.retry_after import RetryReason
 from hopstep.domain.instance_notices import InstanceNotice
+from hopstep.exceptions import ErrorCode
+from hopstep.ports.serving_directory import InstanceListed, InstanceRemoved
 from tests.services.exchanges.exchange_world import BOUNDS, ExchangeWorld
 
 INSTANCES = ("i1", "i2", "i3")
@@ -45,7 +49,7 @@
         return self._notice()
 
 
-class InstanceNoticesTest(unittest.TestCase):
+class NoticesCase(unittest.TestCase):
     def make_world(self, **options):
         world = ExchangeWorld(**options)
         for instance_id in INSTANCES:
@@ -70,6 +74,8 @@
                 await trio.sleep(REQUEST_SECONDS)
         return answers
 
+
+class InstanceNoticesTest(NoticesCase):
     def test_an_instance_that_says_it_leaves_gets_nothing_after_the_bound(self):
         world = self.make_world()
 
@@ -121,3 +127,245 @@
             self.assertEqual(refused, [])
 
         world.run(script)
+
+
+class LeavingTest(NoticesCase):
+    """What else must hold of an instance that has said that it leaves."""
+
+    def tell(self, world, instance_id="i1", node=0):
+        """Let a node have read that an instance leaves."""
+        services = world.nodes[node]
+        view = services.knowledge.table.get(instance_id)
+        services.notices.take(view, InstanceNotice(leaving=True))
+
+    def test_an_entry_that_says_ready_takes_nothing_back(self):
+        world = self.make_world()
+
+        async def script(world):
+            server = world.instances.servers["i1"]
+            self.tell(world)
+            ready = world.listed["i1"]
+            world.publish(InstanceListed(msgspec.structs.replace(ready, slots=9)))
+            await self.load(world, 1.0)
+            self.assertEqual(server.arrived_at, [])
+            world.publish(InstanceRemoved("i1"))
+            await trio.sleep(1.0)
+            world.publish(InstanceListed(ready))
+            await self.load(world, 1.0)
+            self.assertEqual(server.arrived_at, [])
+
+        world.run(script)
+
+    def test_a_later_life_does_not_leave(self):
+        world = self.make_world()
+
+        async def script(world):
+            self.tell(world)
+            for instance_id in INSTANCES[1:]:
+                world.publish(InstanceRemoved(instance_id))
+            server = world.restart("i1", born_ms=2)
+            await trio.sleep(3.0)
+            answers = await self.load(world, 1.0)
+            self.assertTrue(server.arrived_at)
+            self.assertTrue(all(answer.status == 200 for answer in answers))
+
+        world.run(script)
+
+    def test_the_word_of_an_earlier_life_marks_no_later_one(self):
+        world = self.make_world()
+
+        async def script(world):
+            earlier = world.nodes[0].knowledge.table.get("i1")
+            world.restart("i1", born_ms=2)
+            await trio.sleep(1.0)
+            world.nodes[0].notices.take(earlier, InstanceNotice(leaving=True, rest_seconds=9.0))
+            later = world.nodes[0].knowledge.table.get("i1")
+            self.assertIsNot(earlier, later)
+            self.assertTrue(later.takes_requests(trio.current_time()))
+
+        world.run(script)
+
+    def test_what_waits_for_a_connection_is_sent_to_another(self):
+        world = self.make_world()
+
+        async def script(world):
+            server = world.instances.servers["i1"]
+            self.make_busy(world)
+            server.connect_seconds = 0.3
+            answers = []
+
+            async def send():
+                answers.append(await world.request("unsafe"))
+
+            async with trio.open_nursery() as nursery:
+                for _request in range(6):
+                    nursery.start_soon(send)
+                await trio.sleep(0.1)
+                waiting = world.nodes[0].knowledge.table.get("i1").active
+                self.assertGreater(waiting, 0)
+                self.tell(world)
+            self.assertEqual(server.arrived_at, [])
+            self.assertEqual([answer.status for answer in answers], [200] * 6)
+
+        world.run(script)
+
+    def test_where_all_leave_requests_go_on_until_half_of_the_bound(self):
+        world = self.make_world()
+
+        async def script(world):
+            for instance_id in INSTANCES:
+                self.tell(world, instance_id)
+            told_at = trio.current_time()
+            answers = await self.load(world, DRAIN_SECONDS)
+            arrived = [
+                at for server in world.instances.servers.values() for at in server.arrived_at
+            ]
+            self.assertTrue(arrived)
+            self.assertLess(max(arrived), told_at + DRAIN_SECONDS)
+            refused = [answer for answer in answers if answer.error is not None]
+            self.assertTrue(refused)
+            self.assertTrue(all(answer.promised_not_run for answer in refused))
+
+        world.run(script)
+
+    def test_other_nodes_hear_of_it_without_the_store_and_so_does_one_that_starts(self):
+        world = self.make_world(nodes=4, zones=2)
+
+        async def script(world):
+            await trio.sleep(1.0)
+            for directory in world.directories:
+                directory.down = True
+            self.tell(world)
+            await trio.sleep(1.5)
+            for services in world.nodes:
+                view = services.knowledge.table.get("i1")
+                self.assertTrue(view.standing.leaves, services.knowledge.name)
+            for directory in world.directories:
+                directory.down = False
+            started = world.start_node(world.nursery, "n9")
+            await trio.sleep(2.0)
+            self.assertTrue(started.knowledge.table.get("i1").standing.leaves)
+
+        world.run(script)
+
+    def test_nothing_is_told_once_the_directory_says_so_itself(self):
+        world = self.make_world()
+
+        async def script(world):
+            self.tell(world)
+            self.assertEqual(len(world.nodes[0].sharing.own_hints().leaving), 1)
+            leaving = msgspec.structs.replace(world.listed["i1"], draining=True)
+            world.publish(InstanceListed(leaving))
+            await trio.sleep(1.0)
+            self.assertEqual(world.nodes[0].sharing.own_hints().leaving, ())
+
+        world.run(script)
+
+
+class RestingTest(NoticesCase):
+    """What else must hold of an instance that has asked for rest."""
+
+    def ask_for_rest(self, world, seconds, instance_id="i1", node=0):
+        """Let a node have been asked for rest."""
+        services = world.nodes[node]
+        view = services.knowledge.table.get(instance_id)
+        services.notices.take(view, InstanceNotice(rest_seconds=seconds))
+
+    def test_a_later_rest_does_not_shorten_an_earlier_one(self):
+        world = self.make_world()
+
+        async def script(world):
+            self.make_busy(world)
+            self.ask_for_rest(world, 5.0)
+            self.ask_for_rest(world, 0.5)
+            started_at = trio.current_time()
+            await self.load(world, 6.0)
+            arrived = world.instances.servers["i1"].arrived_at
+            self.assertTrue(arrived)
+            self.assertGreaterEqual(min(arrived), started_at + 5.0)
+
+        world.run(script)
+
+    def test_a_node_that_was_not_asked_goes_on(self):
+        world = self.make_world(nodes=2)
+
+        async def script(world):
+            self.make_busy(world)
+            self.ask_for_rest(world, 3.0)
+            await self.load(world, 1.0, node=1)
+            self.assertTrue(world.instances.servers["i1"].arrived_at)
+
+        world.run(script)
+
+    def test_a_new_life_has_no_rest(self):
+        world = self.make_world()
+
+        async def script(world):
+            self.ask_for_rest(world, 60.0)
+            server = world.restart("i1", born_ms=2)
+            await trio.sleep(1.0)
+            await self.load(world, 1.0)
+            self.assertTrue(server.arrived_at)
+
+        world.run(script)
+
+    def test_where_all_rest_clients_are_refused_at_once_until_the_earliest_end(self):
+        world = self.make_world()
+
+        async def script(world):
+            for number, instance_id in enumerate(INSTANCES):
+                self.ask_for_rest(world, 2.0 + number, instance_id)
+            asked_at = trio.current_time()
+            answer = await world.request("unsafe")
+            self.assertEqual(trio.current_time(), asked_at)
+            self.assertTrue(answer.promised_not_run)
+            self.assertEqual(answer.error.code, ErrorCode.OVERLOADED)
+            self.assertGreaterEqual(answer.error.retry_after_seconds, 2.0)
+            self.assertLessEqual(answer.error.retry_after_seconds, 2.0 * 1.3)
+            advisor = world.nodes[0].exchanges._advisor
+            advice = advisor.advise(ErrorCode.OVERLOADED, "plain")
+            self.assertIs(advice.reason, RetryReason.RESTING)
+
+        world.run(script)
+
+    def test_at_the_end_of_a_rest_not_all_come_at_once(self):
+        world = self.make_world()
+
+        async def script(world):
+            for instance_id in INSTANCES:
+                self.ask_for_rest(world, 1.0, instance_id)
+            await trio.sleep(1.0)
+            answers = []
+
+            async def send():
+                answers.append(await world.request("unsafe"))
+
+            async with trio.open_nursery() as nursery:
+                for _request in range(30):
+                    nursery.start_soon(send)
+            servers = world.instances.servers.values()
+            self.assertEqual([server.arrivals for server in servers], [1, 1, 1])
+            refused = [answer for answer in answers if answer.error is not None]
+            self.assertEqual(len(refused), 27)
+            self.assertTrue(all(a.error.retry_after_seconds <= 0.5 for a in refused))
+
+        world.run(script)
+
+    def test_an_engine_that_rests_gets_neither_reports_nor_orders(self):
+        world = ExchangeWorld()
+        world.add("e0", "llm")
+
+        async def script(world):
+            await trio.sleep(5.0)
+            server = world.instances.servers["e0"]
+            self.ask_for_rest(world, 3.0, "e0")
+            asked_at = trio.current_time()
+            before = len(server.arrived_at)
+            world.name_weights(2)
+            await trio.sleep(2.9)
+            self.assertEqual(server.arrived_at[before:], [])
+            await trio.sleep(4.0)
+            self.assertEqual(server.versions, {"m": 2})
+            self.assertGreater(server.arrived_at[before], asked_at + 3.0)
+
+        world.run(script)
