Leave engines alone for the time that their refusals name, behind the OpenAI-style interface too

The wait of an engine's refusal went into the client's refusal only; the router sent the next request to the same engine. Both front doors share InstanceStanding now. Where all engines rest for longer than a request may wait it is refused at once with the earliest end; the test fails without the mend (0 of 2).

--- a/hopstep/domain/routing/routing_table.py
+++ b/hopstep/domain/routing/routing_table.py
@@ -23,7 +23,9 @@
 from hopstep.domain.configuration.index import ConfigurationIndex
 from hopstep.domain.engines import CacheEventBatch, CacheEventKind, EngineFacts
 from hopstep.domain.inference import InferenceRequest
+from hopstep.domain.instance_notices import InstanceNotice
 from hopstep.domain.requests_in_force import choose_kv_cache_store
+from hopstep.domain.retry_after_header import MAX_REST_SECONDS
 from hopstep.domain.routing.engine_view import EngineView, QueuePlace
 from hopstep.domain.routing.prefix_owners import PrefixOwners
 from hopstep.domain.routing.prefix_picture import PrefixPicture
@@ -229,6 +231,22 @@
         """Avoid an engine for a while after a failed attempt or probe."""
         self._view(address).record_failure(now)
 
+    def record_rest(self, address: str, seconds: float, now: float) -> None:
+        """Send an engine nothing for the time that its refusal asked for; 0 for none."""
+        if seconds > 0:
+            notice = InstanceNotice(rest_seconds=min(seconds, MAX_REST_SECONDS))
+            self._view(address).standing.take(notice, now)
+
+    def opens_at(self, address: str, active: int) -> float:
+        """Return when an engine that asked for rest admits one more request; else in the past.
+
+        Args:
+            address: The engine.
+            active: This router's requests there.
+        """
+        view = self._views.get(address)
+        return view.standing.opens_at(active) if view is not None else float("-inf")
+
     def record_precondition_failed(self, address: str, now: float) -> None:
         """Forget what was believed of an engine that refused a precondition.
 
--- a/hopstep/services/requests/admission.py
+++ b/hopstep/services/requests/admission.py
@@ -118,6 +118,7 @@
         request = self._placement.in_force(request)
         engines = self._placement.engines(request)
         waiting = self._new_waiting(request, excluded, further)
+        self._refuse_resting(request, engines)
         if not further:
             self._shed(waiting.entry, request, engines)
         self._queue.push(waiting.entry)
@@ -192,6 +193,13 @@
         if wait * WAIT_SPREAD > min(request.request_class.max_queue_seconds, patience):
             raise self._overloaded("the expected wait for an engine is too long", wait)
 
+    def _refuse_resting(self, request: InferenceRequest, engines: tuple[BackEnd, ...]) -> None:
+        """Refuse a request at once when all engines want rest for longer than it may wait."""
+        rest = min((self._opens_in(engine) for engine in engines), default=0.0)
+        patience = request.deadline - trio.current_time()
+        if rest > min(request.request_class.max_queue_seconds, patience):
+            raise self._overloaded("all engines want rest", rest)
+
     async def _wait(self, waiting: _Waiting) -> None:
         """Wait until a slot is granted; raise when the wait runs out."""
         now = trio.current_time()
@@ -288,12 +296,17 @@
 
     def _has_room(self, engine: BackEnd) -> bool:
         """Return whether an engine can take one more request."""
-        if not self.slots.is_free(engine):
+        if not self.slots.is_free(engine) or self._opens_in(engine) > 0:
             return False
         if self._expected_requests is None:
             return True
         return self._expected_requests(engine.address) < engine.max_concurrent_requests
 
+    def _opens_in(self, engine: BackEnd) -> float:
+        """Return for how much longer an engine that asked for rest gets nothing more."""
+        opens_at = self._table.opens_at(engine.address, self.slots.in_flight(engine.address))
+        return max(0.0, opens_at - trio.current_time())
+
     def _competes(self, other: QueueEntry, names: set[str]) -> bool:
         """Return whether a queued request may use one of the named engines."""
         placed = self._placement.engines(self._waiting[other.entry_id].request)
