Let the soak's instances say that they leave and ask for rest, and check what nodes do after it

Words without an entry and entries after the word, rests of drawn length at one or all instances of a service, beside store trouble, suspension, kills, later lives; a profile by name, so that the seeds of the others stay what they were.

--- a/emulator/exchange_platform/http_instance.py
+++ b/emulator/exchange_platform/http_instance.py
@@ -74,6 +74,18 @@
     late_order_seconds: float = 2.0
 
 
+class InstanceWords(msgspec.Struct):
+    """What an instance says of itself in its answers, whatever its entry says.
+
+    Attributes:
+        leaving: Every answer says that it leaves.
+        rest_seconds: Every request is refused, and so much rest is asked for; 0 for none.
+    """
+
+    leaving: bool = False
+    rest_seconds: float = 0.0
+
+
 class RunHeaders(msgspec.Struct, frozen=True):
     """What an instance was told of a request."""
 
@@ -89,6 +101,9 @@
     def arrived(self, instance: HttpInstance, request_id: str) -> None:
         """A request has come, run or not."""
 
+    def said(self, instance: HttpInstance, request_id: str, words: InstanceWords) -> None:
+        """An answer to a request says something of the instance."""
+
     def began(self, instance: HttpInstance, headers: RunHeaders, stamp: str) -> None:
         """A request begins to run."""
 
@@ -129,6 +144,7 @@
         """
         self.traits = traits
         self.faults = InstanceFaults()
+        self.words = InstanceWords()
         self.version = 1 if traits.model else 0
         self.draining = False
         self.order_sequence = 0
@@ -202,6 +218,13 @@
             expected is not None and int(expected) != self.version
         ):
             return quart.Response(b"", status=MISDIRECTED, headers={"Instance-Id": own})
+        if self.words.rest_seconds:
+            fields = {
+                "Not-Executed": "1",
+                "Attempt-Id": headers.get("Attempt-Id", ""),
+                "Retry-After": f"{self.words.rest_seconds:.3f}",
+            }
+            return quart.Response(b"", status=UNAVAILABLE, headers=fields)
         if self._busy or self.active >= self.traits.slots:
             return quart.Response(b"", status=UNAVAILABLE, headers={"Not-Executed": "1"})
         return None
@@ -293,6 +316,12 @@
             "born": self.traits.born_ms,
         }
 
+    def tell_words(self, request_id: str, *, rests: bool) -> None:
+        """Tell the listener what an answer says of the instance, if it says anything."""
+        words = InstanceWords(self.words.leaving, self.words.rest_seconds if rests else 0.0)
+        if words.leaving or words.rest_seconds:
+            self._listener.said(self, request_id, words)
+
     def _stamp(self, request_id: str) -> str:
         """Return a signature that is new for each run."""
         salt = self._generator.randbytes(8)
@@ -308,6 +337,16 @@
     """Return the HTTP application of an instance."""
     app = quart_trio.QuartTrio(__name__)
 
+    @app.after_request
+    async def say(response: quart.Response) -> quart.Response:
+        """Let an answer say what the instance says of itself, and tell the listener."""
+        request_id = quart.request.headers.get("Attempt-Id", "")
+        if instance.words.leaving:
+            response.headers["Server-Leaving"] = "1"
+        if request_id:
+            instance.tell_words(request_id, rests="Retry-After" in response.headers)
+        return response
+
     @app.get("/report")
     async def report() -> quart.Response:
         """Tell of the instance."""
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -17,6 +17,7 @@
 )
 from emulator.soak.instance_checks import INSTANCE_CHECKS
 from emulator.soak.promises import Bounds, Check, Violation
+from emulator.soak.word_checks import WORD_CHECKS
 
 PROMISES = frozenset({408, 421, 429, 503})
 OK = 200
@@ -349,5 +350,6 @@
     "answers in time": answers_come_in_time,
     "retry budget": retries_stay_in_budget,
     **INSTANCE_CHECKS,
+    **WORD_CHECKS,
     "processes": processes_stay_alive,
 }
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -180,7 +180,7 @@
                 links.instance.version,
             )
             for links in self.instances
-            if not links.instance.draining
+            if not (links.instance.draining or links.instance.words.leaving)
         ]
 
     def _end_under(self, instance: HttpInstance, request: str) -> None:
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -112,11 +112,37 @@
 
 
 class Arrival(msgspec.Struct, frozen=True):
-    """A request that reached an instance, whether it ran or not."""
+    """A request that reached an instance, whether it ran or not.
+
+    Attributes:
+        request_id: The request.
+        service: Service of the instance.
+        at: When it came.
+        life: The instance and its start.
+    """
 
     request_id: str
     service: str
     at: float
+    life: str = ""
+
+
+class SaidWord(msgspec.Struct, frozen=True):
+    """What an instance said of itself in an answer.
+
+    Attributes:
+        request_id: The request that was answered.
+        life: The instance and its start.
+        at: When the answer was made.
+        leaving: Whether it says that the instance leaves.
+        rest_seconds: Rest that it asks for; 0 for none.
+    """
+
+    request_id: str
+    life: str
+    at: float
+    leaving: bool
+    rest_seconds: float
 
 
 class InstanceEnd(msgspec.Struct, frozen=True):
@@ -238,6 +264,7 @@
         namings: In order.
         route_changes: In order.
         leavings: In order.
+        words: What instances said of themselves in answers, in order.
         disturbances: In the order of their begins.
         unexpected_ends: Nodes whose process ended by itself, with the exit code.
         tenants: Tenant of each key.
@@ -255,6 +282,7 @@
     namings: list[Naming] = []
     route_changes: list[RouteChange] = []
     leavings: list[Leaving] = []
+    words: list[SaidWord] = []
     disturbances: list[Disturbance] = []
     unexpected_ends: list[str] = []
     tenants: dict[str, str] = {}
@@ -281,6 +309,16 @@
             for fault in self.disturbances
         )
 
+    def interrupted(self, node: str, since: float, until: float) -> bool:
+        """Return whether a node was killed, stopped, started, halted or cut off within a time."""
+        return any(
+            fault.subject in (node, MACHINE)
+            and fault.what != ONLY_PEERS
+            and fault.since <= until
+            and fault.until >= since
+            for fault in self.disturbances
+        )
+
     def restarted(self, node: str, since: float, until: float) -> bool:
         """Return whether a node's process ended within a time, and forgot all that it knew."""
         return any(
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -21,6 +21,13 @@
 IMAGE_SHARE = 0.5
 """Of instances that restart: they come back with the weights of their image."""
 
+REST_SECONDS = (0.3, 4.0)
+SHED_SECONDS = (0.2, 1.5)
+"""For so long an instance refuses everything and asks for rest."""
+
+WORD_ALONE_SHARE = 0.5
+"""Of instances that leave by their word: their entry says ready until they have ended."""
+
 REUSE_SECONDS = 2.0
 """The platform gives an address of an ended instance to another one no sooner."""
 
@@ -48,6 +55,8 @@
         "instance connections silent": faults.instance_connections_silent,
         "instance crashed": faults.instance_crashed,
         "instance leaves": faults.instance_leaves,
+        "instance says it leaves": faults.instance_says_leaving,
+        "instances want rest": faults.instances_want_rest,
         "instance fails": faults.instance_fails,
         "orders late": faults.orders_late,
         "instance restarts": faults.instance_restarts,
@@ -184,10 +193,47 @@
         if links in self._deployment.instances:
             self._deployment.end_instance(links, unlisted=True)
 
+    async def instance_says_leaving(self) -> None:
+        """Let an instance say in its answers that it leaves, its entry later or never, and end."""
+        links = self._instance()
+        instance = links.instance
+        if self._count(instance.traits.service) <= MIN_INSTANCES or instance.draining:
+            return
+        await self._deployment.add_instance(
+            instance.traits.service, self._generator.choice(ZONES), self._operator.weights
+        )
+        instance.words.leaving = True
+        await trio.sleep(DRAIN_SECONDS + draw_seconds(self._generator))
+        if links not in self._deployment.instances:
+            return
+        if self._generator.random() >= WORD_ALONE_SHARE:
+            instance.draining = True
+            self._deployment.recorder.changed(instance)
+            await trio.sleep(DRAIN_SECONDS)
+        if links in self._deployment.instances:
+            self._deployment.end_instance(links, unlisted=True)
+
+    async def instances_want_rest(self) -> None:
+        """Let one instance, or all of its service, refuse for a moment and ask for rest."""
+        chosen = [self._instance()]
+        service = chosen[0].instance.traits.service
+        if self._generator.random() < 0.5:
+            chosen = [
+                links
+                for links in self._deployment.instances
+                if links.instance.traits.service == service
+            ]
+        for links in chosen:
+            links.instance.words.rest_seconds = self._generator.uniform(*REST_SECONDS)
+        await trio.sleep(self._generator.uniform(*SHED_SECONDS))
+        for links in chosen:
+            links.instance.words.rest_seconds = 0.0
+
     def _count(self, service: str) -> int:
         """Return how many instances of a service take requests."""
         return sum(
-            links.instance.traits.service == service and not links.instance.draining
+            links.instance.traits.service == service
+            and not (links.instance.draining or links.instance.words.leaving)
             for links in self._deployment.instances
         )
 
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -152,6 +152,34 @@
 """What happens to instances, in one profile for soaks that are too short for all."""
 
 
+WORDS = Profile(
+    "words of instances",
+    (
+        "instance says it leaves",
+        "instance says it leaves",
+        "instances want rest",
+        "instances want rest",
+        "instances want rest",
+        "store outage",
+        "node without store",
+        "node without peers",
+        "instance restarts",
+        "instance leaves",
+        "node suspended",
+        "node killed",
+        "weights named",
+        "settings reloaded",
+    ),
+    (0.3, 1.2),
+    0.3,
+    0.8,
+)
+"""What instances say of themselves in answers, while the store can't say it and beside later lives.
+
+By name only: the seeds of the others stay what they were.
+"""
+
+
 def profile_of(seed: int, name: str = "") -> Profile:
     """Return the profile of a seed: they take turns, so that a few seeds meet all of them.
 
@@ -164,7 +192,7 @@
     """
     if not name:
         return PROFILES[seed % len(PROFILES)]
-    found = {profile.name: profile for profile in (*PROFILES, SHORT)}
+    found = {profile.name: profile for profile in (*PROFILES, SHORT, WORDS)}
     if name not in found:
         raise ValueError(f"profile: expected one of {sorted(found)}, got {name!r}")
     return found[name]
--- a/emulator/soak/promises.py
+++ b/emulator/soak/promises.py
@@ -26,6 +26,8 @@
         leaving: After a caller has left, its runs end and nothing arrives for it any more.
         loss_slack: A request that went nowhere and whose connection ended sooner crossed a close.
         fatal_ends: Instances that may end under one request before the next bound holds.
+        on_the_way: Requests sent before a refusal was read may still arrive for so long.
+        within_rest: Requests of one node that may reach an instance later than that in its rest.
         fatal_retries: Times that it may reach instances later than ``contact`` after that.
     """
 
@@ -43,6 +45,8 @@
     loss_slack: float = 0.2
     fatal_ends: int = 3
     fatal_retries: int = 3
+    on_the_way: float = 0.5
+    within_rest: int = 2
 
 
 class Violation(msgspec.Struct, frozen=True):
--- a/emulator/soak/recorder.py
+++ b/emulator/soak/recorder.py
@@ -7,9 +7,9 @@
 
 import trio
 
-from emulator.exchange_platform.http_instance import HttpInstance, RunHeaders
+from emulator.exchange_platform.http_instance import HttpInstance, InstanceWords, RunHeaders
 from emulator.platform.shared_store import SharedStore
-from emulator.soak.history import Arrival, History, Run, TakenOrder
+from emulator.soak.history import Arrival, History, Run, SaidWord, TakenOrder
 from hopstep.adapters import key_value_store_wire as wire
 from hopstep.ports.key_value_store import ABSENT, StoredValue
 
@@ -60,9 +60,17 @@
 
     def arrived(self, instance: HttpInstance, request_id: str) -> None:
         """Record an arrival."""
-        arrival = Arrival(request_id, instance.traits.service, trio.current_time())
+        traits = instance.traits
+        arrival = Arrival(request_id, traits.service, trio.current_time(), traits.life)
         self._history.arrivals.append(arrival)
 
+    def said(self, instance: HttpInstance, request_id: str, words: InstanceWords) -> None:
+        """Record what an instance said of itself in an answer."""
+        life = instance.traits.life
+        now = trio.current_time()
+        word = SaidWord(request_id, life, now, words.leaving, words.rest_seconds)
+        self._history.words.append(word)
+
     def began(self, instance: HttpInstance, headers: RunHeaders, stamp: str) -> None:
         """Record a run."""
         self._history.runs.append(
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -98,6 +98,8 @@
             "honest requests",
             "untrusted entries",
             "weights everywhere",
+            "word of leaving",
+            "rest",
             "processes",
         }
         self.assertEqual(held, CHECKS.keys())
