Read hints of versions that name instances without their start, tell message forms, and keep golden bytes

Loads, kept segments and loading engines told by a node of before lives named nothing at a newer node, without a line. A hint without a start counts for the listed life now; words of leaving need the exact life. Nodes write the number of their message form into their record; HS5007 says when forms side by side change, HS5006 counts messages that can't be read, which were dropped in silence. Bytes of two landed forms and of today's are read with their meaning checked, and today's by the form before; a change of form without its golden case fails.

--- a/hopstep/adapters/node_datagrams.py
+++ b/hopstep/adapters/node_datagrams.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import errno
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
 import trio
 
+from hopstep import log_events
 from hopstep.adapters.node_codec import FrameError, decode_frame, encode_frame
 from hopstep.domain.addresses import parse_address
 from hopstep.domain.exchanges.nodes import NodeRecord
+from hopstep.logs import emit
 from hopstep.ports.node_exchange import (
     MessageTooLongError,
     NodeExchange,
@@ -34,6 +37,7 @@
         self._socket = socket
         self._name = name
         self._key = key
+        self._rejected: Counter[str] = Counter()
 
     @classmethod
     async def open(cls, address: str, name: str, key: bytes) -> NodeDatagrams:
@@ -70,8 +74,22 @@
             try:
                 frame, _ = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
                 return decode_frame(frame, nodes)
-            except (OSError, FrameError):
+            except FrameError as error:
+                self._count_rejected(str(error))
                 await trio.lowlevel.checkpoint()
+            except OSError:
+                # A datagram that was sent to a port where nobody listens any more comes back.
+                await trio.lowlevel.checkpoint()
+
+    def _count_rejected(self, reason: str) -> None:
+        """Log the first message that can't be read, and later ones each time their number doubles.
+
+        Nodes that start or end, and nodes of other versions, may send many of them.
+        """
+        self._rejected[reason] += 1
+        count = self._rejected[reason]
+        if count & (count - 1) == 0:
+            emit(log_events.NODE_MESSAGE_REJECTED, reason=reason, count=count)
 
     def close(self) -> None:
         """Close the socket."""
--- a/hopstep/domain/exchanges/instance_table.py
+++ b/hopstep/domain/exchanges/instance_table.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 from hopstep.domain.exchanges.instance_view import InstanceView
-from hopstep.domain.exchanges.instances import LIFE_SEPARATOR, Instance
+from hopstep.domain.exchanges.instances import Instance, instance_id_of
 from hopstep.domain.instance_standing import StandingBook
 
 
@@ -98,9 +98,19 @@
         Args:
             life: As ``str(InstanceLife)``.
         """
-        view = self._views.get(life.rpartition(LIFE_SEPARATOR)[0]) or self._views.get(life)
+        view = self._views.get(instance_id_of(life))
         return view if view is not None and view.life == life else None
 
+    def of_told(self, life: str) -> InstanceView | None:
+        """Return the view that another node's hint is of; None for another life.
+
+        A hint without a start may be of the listed life: nodes of versions before lives were told
+        name instances by their ids alone, and without this all that they tell would be lost.
+        """
+        instance_id = instance_id_of(life)
+        view = self._views.get(instance_id)
+        return view if view is not None and life in (view.life, instance_id) else None
+
     def excuse(self, seconds: float) -> None:
         """Leave out a time in which this node couldn't hear any instance."""
         for view in self._views.values():
--- a/hopstep/domain/exchanges/nodes.py
+++ b/hopstep/domain/exchanges/nodes.py
@@ -22,6 +22,11 @@
 """Nodes of a zone behind its relays, by rank, that read the store when all relays have lost it."""
 
 
+MESSAGE_FORM = 1
+"""Form of the messages and records that this version writes. It rises with each change after which
+an older version reads less of them; 0 is all before nodes told it (design 0029)."""
+
+
 class NodeRecord(msgspec.Struct, frozen=True):
     """A node's entry in the store.
 
@@ -30,12 +35,14 @@
         zone: Its zone.
         key: Secret of this process, under which its messages are signed.
         capacity: Processor cores; larger nodes relay.
+        form: ``MESSAGE_FORM`` of its version; 0 from versions that don't tell it.
     """
 
     address: str
     zone: str = ""
     key: bytes = b""
     capacity: float = 1.0
+    form: int = 0
 
 
 class RelayPlan:
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -19,7 +19,7 @@
 )
 from hopstep.domain.exchanges.freshness import freshness_limits
 from hopstep.domain.exchanges.instance_table import InstanceTable
-from hopstep.domain.exchanges.nodes import NodeRecord
+from hopstep.domain.exchanges.nodes import MESSAGE_FORM, NodeRecord
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds
 from hopstep.domain.exchanges.weights import WeightsBook, WeightsBounds
 from hopstep.domain.limits.quota_ledger import QuotaBounds
@@ -275,7 +275,7 @@
     """Return a node's entry for other nodes."""
     capacity = settings.processor_share * settings.processor_cores
     address = settings.peer_public_address or settings.peer_address
-    return NodeRecord(address, settings.zone, node_key, capacity)
+    return NodeRecord(address, settings.zone, node_key, capacity, MESSAGE_FORM)
 
 
 async def run_exchange_node(
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -337,6 +337,21 @@
     "Mend the key file; the earlier keys stay in use until then.",
 )
 
+NODE_MESSAGE_REJECTED = LogEvent(
+    "HS5006",
+    "node_message_rejected",
+    Level.WARNING,
+    ("reason", "count"),
+    "Nothing for a few as nodes start; if `malformed` rises: a version with other messages.",
+)
+NODE_FORMS_CHANGED = LogEvent(
+    "HS5007",
+    "node_forms_changed",
+    Level.INFO,
+    ("own", "nodes_by_form"),
+    "Nothing while a version is rolled out or back; otherwise find the nodes left behind.",
+)
+
 EXCHANGE_ENDED = LogEvent(
     "HS3101",
     "exchange_ended",
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -99,6 +100,7 @@
         self.weights = weights
         self.index: ServingIndex | None = None
         self.nodes: dict[str, NodeRecord] = {}
+        self._forms = {record.form}
         self.relays = RelayPlan(name, record)
         self.feed: DirectoryFeed[DirectoryEntry] = DirectoryFeed()
         self.revision = NO_REVISION
@@ -383,6 +385,16 @@
         else:
             self.nodes.pop(name, None)
         self.relays.set_nodes(self.nodes)
+        self._note_forms()
+
+    def _note_forms(self) -> None:
+        """Log when versions with other forms of messages come or go."""
+        forms = Counter(record.form for record in self.nodes.values())
+        if forms.keys() == self._forms:
+            return
+        self._forms = set(forms)
+        by_form = {str(form): count for form, count in sorted(forms.items())}
+        emit(log_events.NODE_FORMS_CHANGED, own=self.record.form, nodes_by_form=by_form)
 
     def _note_expired(self) -> None:
         """Log once that the node no longer knows enough."""
--- a/hopstep/services/exchanges/load_sharing.py
+++ b/hopstep/services/exchanges/load_sharing.py
@@ -8,6 +8,7 @@
 import secrets
 from collections.abc import Iterable
 
+import msgspec
 import trio
 
 from hopstep.domain.exchanges.load_ledger import InstanceLoad, LoadLedger, Loads, add_loads
@@ -139,15 +140,15 @@
 
     def _add_prompt(self, node: str, prompt: SentPrompt, now: float) -> None:
         """Add a long prompt to the load that its sender told."""
-        life = prompt.segments.life
-        load = InstanceLoad(life, 1, prompt.tokens)
+        [load] = self._listed((InstanceLoad(prompt.segments.life, 1, prompt.tokens),))
+        life = load.life
         if self._knowledge.relays.relay() == node:
             self._others.add(ANSWERS, load, now)
         elif self.is_member(node):
             self._members.add(node, load, now)
         else:
             self._others.add(node, load, now)
-        view = self._knowledge.table.of_life(life)
+        view = self._knowledge.table.of_told(life)
         if view is not None:
             total = self._members.total(life)
             view.set_others(total.plus(self._others.total(life)), now)
@@ -191,20 +192,31 @@
 
     def take_from_member(self, node: str, hints: Hints) -> None:
         """Take the hints of a node that asks this one."""
-        self._members.report(node, hints.loads, trio.current_time())
+        self._members.report(node, self._listed(hints.loads), trio.current_time())
         self._unsent += hints.segments
         self._take(node, hints)
 
     def take_from_relay(self, node: str, hints: Hints) -> None:
         """Take another relay's digest."""
-        self._others.report(node, hints.loads, trio.current_time())
+        self._others.report(node, self._listed(hints.loads), trio.current_time())
         self._take(node, hints)
 
     def take_answer(self, node: str, hints: Hints) -> None:
         """Take what the own relay tells of all other nodes."""
-        self._others.report(ANSWERS, hints.loads, trio.current_time())
+        self._others.report(ANSWERS, self._listed(hints.loads), trio.current_time())
         self._take(node, hints)
 
+    def _listed(self, loads: Iterable[InstanceLoad]) -> tuple[InstanceLoad, ...]:
+        """Return told loads under the lives that are listed, where they may be of those."""
+        return tuple(self._listed_load(load) for load in loads)
+
+    def _listed_load(self, load: InstanceLoad) -> InstanceLoad:
+        """Return a told load under the listed life, if it may be of that one."""
+        view = self._knowledge.table.of_told(load.life)
+        if view is None or view.life == load.life:
+            return load
+        return msgspec.structs.replace(load, life=view.life)
+
     def refresh(self) -> None:
         """Put the loads of other nodes into the views."""
         now = trio.current_time()
@@ -232,7 +244,7 @@
 
     def _take_segments(self, news: SegmentNews, now: float) -> None:
         """Put news of an instance's segments into its picture."""
-        view = self._knowledge.table.of_life(news.life)
+        view = self._knowledge.table.of_told(news.life)
         if view is not None:
             view.segments.drop(news.dropped)
             view.segments.record(news.sent, now + news.read_ms / MILLISECONDS)
@@ -241,7 +253,7 @@
         """Keep requests from an engine that loads weights."""
         until = now + loading.milliseconds / MILLISECONDS
         self._loading[loading.life] = until
-        view = self._knowledge.table.of_life(loading.life)
+        view = self._knowledge.table.of_told(loading.life)
         if view is not None:
             view.loading_until = until
 
--- /dev/null
+++ b/tests/adapters/test_golden_frames.py
@@ -0,0 +1,239 @@
+"""Messages and records that earlier versions wrote mean the same today, and the other way round.
+
+``golden/`` holds bytes as each landed form wrote them, under its first commit or its number.
+Whoever changes a form adds a file, and raises ``MESSAGE_FORM`` where older versions read less.
+"""
+
+import json
+import unittest
+import zlib
+from pathlib import Path
+
+import cbor2
+import msgspec
+
+from hopstep.adapters.node_codec import decode_frame, encode_frame
+from hopstep.domain.exchanges.instances import Instance, NamedWeights
+from hopstep.domain.exchanges.load_ledger import InstanceLoad
+from hopstep.domain.exchanges.nodes import MESSAGE_FORM, NodeRecord
+from hopstep.domain.exchanges.segments import SegmentKey
+from hopstep.domain.exchanges.store_contents import ContentsPosition
+from hopstep.domain.limits.fleet_usage import TenantUsage
+from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
+from hopstep.ports.node_exchange import (
+    Hints,
+    LeavingInstance,
+    LoadingEngine,
+    RelayAnswer,
+    RelayDigest,
+    RelayedEntry,
+    RelayQuery,
+    SegmentNews,
+    SentPrompt,
+    UrgentNews,
+)
+from hopstep.ports.serving_directory import (
+    DirectoryEntry,
+    InstanceListed,
+    InstanceRejected,
+    InstanceRemoved,
+    RecordWritten,
+    RejectReason,
+    WeightsPublished,
+)
+from hopstep.services.exchanges.records import (
+    RolloutHolder,
+    decode_holder,
+    decode_node,
+    encode_holder,
+    encode_node,
+)
+from hopstep.services.quarantine.records import StoredRequest
+
+GOLDEN = Path(__file__).parent / "golden"
+BEFORE_LIVES = "f985196"
+"""Names instances without their start; knows no usage and no requests that end instances."""
+
+BEFORE_LEAVING = "7781470"
+"""Knows no instances that leave by their own word, and tells no form."""
+
+NODES = {"a": NodeRecord("1.2.3.4:5", "z", b"key-a")}
+COMPRESSED = 1
+
+SEGMENT = SegmentKey(7, 800)
+HINTS = Hints(
+    (InstanceLoad("i1@5", 3, 400, 1),),
+    (SegmentNews("i1@5", (SEGMENT,), 20, (9,)),),
+    (LoadingEngine("i2@6", 900),),
+    (TenantUsage("t1", 40, 7),),
+    2,
+    (LeavingInstance("i3@7", 1500),),
+)
+INSTANCE = Instance("i1", "llm", "10.0.0.1:80", "z", 4, True, {"m": 3}, 2, 5)
+ENTRIES = (
+    DirectoryEntry("servers/i1", 2, InstanceListed(INSTANCE)),
+    DirectoryEntry("servers/i4", 3, InstanceRemoved("i4")),
+    DirectoryEntry("w", 4, WeightsPublished(NamedWeights("m", 3))),
+    DirectoryEntry("r", 5, RecordWritten("r", b"\x00\xff", 5)),
+    DirectoryEntry(
+        "servers/i9", 6, InstanceRejected("i9", RejectReason.FIELD_MISSING, "service", "expected")
+    ),
+)
+CRASHES = RequestCrashes(b"\x00\xff" * 8, (Crash("i1@5", "a"),), ("i0@1",))
+MESSAGES = {
+    "query": RelayQuery(2, 77, "feed", 12, HINTS, (ContentsPosition("10.0.0.9:80", "c", 3),)),
+    "answer": RelayAnswer(
+        2,
+        77,
+        80,
+        350,
+        entries=tuple(RelayedEntry(entry, 20) for entry in ENTRIES),
+        feed="f",
+        position=8,
+        hints=HINTS,
+        silence_ms=40,
+    ),
+    "digest": RelayDigest(9, HINTS),
+    "urgent": UrgentNews(
+        10,
+        (SentPrompt(SegmentNews("i1@5", (SEGMENT,), 20), 800),),
+        (LoadingEngine("i2@6", 900),),
+        (CRASHES,),
+    ),
+}
+RECORDS = {
+    "node": encode_node(NodeRecord("1.2.3.4:5", "z", b"key-a", 1.5, MESSAGE_FORM)),
+    "rollout": encode_holder(RolloutHolder("a", "1.2.3.4:5", "77")),
+    "quarantine": msgspec.json.encode(
+        StoredRequest("t1", "r", (Crash("i1@5", "a"),), ("i0@1",), False, 1)
+    ),
+}
+
+
+class HintsBeforeLeaving(msgspec.Struct, frozen=True, array_like=True):
+    """``Hints`` as versions before the form 1 read them."""
+
+    loads: tuple[InstanceLoad, ...] = ()
+    segments: tuple[SegmentNews, ...] = ()
+    loading: tuple[LoadingEngine, ...] = ()
+    usage: tuple[TenantUsage, ...] = ()
+    nodes: int = 0
+
+
+class QueryBeforeLeaving(msgspec.Struct, frozen=True, array_like=True, tag="RelayQuery"):
+    """``RelayQuery`` as versions before the form 1 read it."""
+
+    number: int
+    revision: int
+    feed: str = ""
+    position: int = 0
+    hints: HintsBeforeLeaving | None = None
+
+
+class NodeBeforeForms(msgspec.Struct, frozen=True):
+    """``NodeRecord`` as versions before the form 1 read it."""
+
+    address: str
+    zone: str = ""
+    key: bytes = b""
+    capacity: float = 1.0
+
+
+def golden(name):
+    return json.loads((GOLDEN / f"{name}.json").read_text())
+
+
+def document(frame):
+    """Return what a frame carries, before any type is put on it."""
+    _sender, form, payload = cbor2.loads(frame[16:])
+    return cbor2.loads(zlib.decompress(payload) if form == COMPRESSED else payload)
+
+
+class GoldenFramesTest(unittest.TestCase):
+    def decoded(self, name):
+        frames = golden(name)["frames"]
+        return {
+            kind: decode_frame(bytes.fromhex(frame), NODES).message
+            for kind, frame in frames.items()
+        }
+
+    def check_common(self, messages, life, engine):
+        """Check what every form says, field by field."""
+        query, answer = messages["query"], messages["answer"]
+        self.assertEqual(
+            (query.number, query.revision, query.feed, query.position), (2, 77, "feed", 12)
+        )
+        self.assertEqual(query.contents, (ContentsPosition("10.0.0.9:80", "c", 3),))
+        self.assertEqual((answer.after, answer.revision, answer.age_ms), (77, 80, 350))
+        self.assertEqual((answer.complete, answer.beyond_reach), (True, False))
+        self.assertEqual((answer.feed, answer.position, answer.silence_ms), ("f", 8, 40))
+        self.assertTrue(all(relayed.age_ms == 20 for relayed in answer.entries))
+        for hints in (query.hints, answer.hints, messages["digest"].hints):
+            self.assertEqual(hints.loads, (InstanceLoad(life, 3, 400, 1),))
+            self.assertEqual(hints.segments, (SegmentNews(life, (SEGMENT,), 20, (9,)),))
+            self.assertEqual(hints.loading, (LoadingEngine(engine, 900),))
+        self.assertEqual(messages["digest"].number, 9)
+        urgent = messages["urgent"]
+        self.assertEqual(urgent.prompts, (SentPrompt(SegmentNews(life, (SEGMENT,), 20), 800),))
+        self.assertEqual(urgent.loading, (LoadingEngine(engine, 900),))
+
+    def test_frames_of_before_lives(self):
+        messages = self.decoded(BEFORE_LIVES)
+        self.check_common(messages, "i1", "i2")
+        entries = tuple(relayed.entry for relayed in messages["answer"].entries)
+        listed = InstanceListed(msgspec.structs.replace(INSTANCE, born_ms=0))
+        self.assertEqual(entries[0].change, listed)
+        self.assertEqual(entries[1:], ENTRIES[1:4])
+        self.assertEqual(messages["query"].hints.usage, ())
+        self.assertEqual(messages["query"].hints.nodes, 0)
+        self.assertEqual(messages["urgent"].crashes, ())
+
+    def test_frames_of_before_words_of_leaving(self):
+        messages = self.decoded(BEFORE_LEAVING)
+        self.check_common(messages, "i1@5", "i2@6")
+        entries = tuple(relayed.entry for relayed in messages["answer"].entries)
+        self.assertEqual(entries, ENTRIES)
+        hints = messages["query"].hints
+        self.assertEqual((hints.usage, hints.nodes, hints.leaving), (HINTS.usage, 2, ()))
+        self.assertEqual(messages["urgent"].crashes, (CRASHES,))
+
+    def test_todays_frames_are_those_of_the_present_form(self):
+        frames = golden(f"form-{MESSAGE_FORM}")["frames"]
+        self.assertEqual(frames.keys(), MESSAGES.keys())
+        for kind, message in MESSAGES.items():
+            with self.subTest(kind):
+                kept = bytes.fromhex(frames[kind])
+                self.assertEqual(decode_frame(kept, NODES).message, message)
+                self.assertEqual(document(encode_frame(message, "a", b"key-a")), document(kept))
+
+    def test_the_version_before_reads_todays_hints(self):
+        frame = encode_frame(MESSAGES["query"], "a", b"key-a")
+        query = msgspec.convert(document(frame), QueryBeforeLeaving)
+        self.assertEqual((query.number, query.position), (2, 12))
+        self.assertEqual(query.hints, HintsBeforeLeaving(*msgspec.structs.astuple(HINTS)[:5]))
+
+
+class GoldenRecordsTest(unittest.TestCase):
+    def test_records_of_earlier_forms(self):
+        for name, form in ((BEFORE_LIVES, 0), (BEFORE_LEAVING, 0), (f"form-{MESSAGE_FORM}", 1)):
+            with self.subTest(name):
+                records = golden(name)["records"]
+                node = decode_node(records["node"].encode())
+                self.assertEqual(node, NodeRecord("1.2.3.4:5", "z", b"key-a", 1.5, form))
+                holder = decode_holder(records["rollout"].encode())
+                self.assertEqual(holder, RolloutHolder("a", "1.2.3.4:5", "77"))
+
+    def test_a_quarantined_request_of_the_version_before(self):
+        value = golden(BEFORE_LEAVING)["records"]["quarantine"]
+        stored = msgspec.json.decode(value, type=StoredRequest)
+        self.assertEqual(
+            stored, StoredRequest("t1", "r", (Crash("i1@5", "a"),), ("i0@1",), False, 1)
+        )
+
+    def test_todays_records_are_those_of_the_present_form(self):
+        kept = golden(f"form-{MESSAGE_FORM}")["records"]
+        self.assertEqual({kind: value.decode() for kind, value in RECORDS.items()}, kept)
+
+    def test_the_version_before_reads_todays_node(self):
+        node = msgspec.json.decode(RECORDS["node"], type=NodeBeforeForms)
+        self.assertEqual(node, NodeBeforeForms("1.2.3.4:5", "z", b"key-a", 1.5))
--- /dev/null
+++ b/tests/services/exchanges/test_mixed_versions.py
@@ -0,0 +1,80 @@
+"""Nodes of two versions side by side: what an earlier one tells isn't lost on a newer one."""
+
+import json
+import unittest
+
+import structlog.testing
+
+from hopstep.domain.exchanges.load_ledger import InstanceLoad
+from hopstep.domain.exchanges.nodes import MESSAGE_FORM, NodeRecord
+from hopstep.domain.exchanges.segments import SegmentKey
+from hopstep.ports.node_exchange import Hints, LoadingEngine, SegmentNews
+from hopstep.services.exchanges.records import NODES_PREFIX
+from tests.services.exchanges.exchange_world import ExchangeWorld
+
+SEGMENT = SegmentKey(7, 800)
+
+
+class MixedVersionsTest(unittest.TestCase):
+    def run_world(self, script):
+        world = ExchangeWorld()
+        world.add("e1", "llm", born_ms=5)
+        world.run(script)
+
+    def tell(self, services, life):
+        """Let a relay of another version tell of an engine."""
+        hints = Hints(
+            (InstanceLoad(life, 3, 400, 1),),
+            (SegmentNews(life, (SEGMENT,), 0),),
+            (LoadingEngine(life, 900),),
+        )
+        services.sharing.take_answer("n9", hints)
+        services.sharing.refresh()
+
+    def test_hints_that_name_no_start_are_of_the_listed_life(self):
+        async def script(world):
+            services = world.nodes[0]
+            now = world.clock.current_time()
+            view = services.knowledge.table.get("e1")
+            self.tell(services, "e1")
+            self.assertEqual(view.total_active(now), 3)
+            self.assertEqual(view.total_pending_tokens(now), 400)
+            self.assertEqual(view.avoided_by(now), 1)
+            self.assertGreater(view.loading_until, now)
+            self.assertEqual(view.segments.cached_tokens((SEGMENT,)), 800)
+
+        self.run_world(script)
+
+    def test_hints_of_another_life_are_not(self):
+        async def script(world):
+            services = world.nodes[0]
+            now = world.clock.current_time()
+            view = services.knowledge.table.get("e1")
+            self.tell(services, "e1@4")
+            self.assertEqual(view.total_active(now), 0)
+            self.assertEqual(view.loading_until, 0.0)
+            self.assertEqual(view.segments.cached_tokens((SEGMENT,)), 0)
+
+        self.run_world(script)
+
+    def test_nodes_with_other_forms_are_logged_as_they_come_and_go(self):
+        async def script(world):
+            knowledge = world.nodes[0].knowledge
+            before = NodeRecord("10.0.0.9:1", "z1", b"k")
+            record = json.dumps({"address": before.address, "zone": "z1", "key": "aw=="}).encode()
+            with structlog.testing.capture_logs() as lines:
+                for value in (record, b""):
+                    change = world.nodes[0].knowledge
+                    change._take_node(_written(value))
+            logged = [line for line in lines if line["event"] == "node_forms_changed"]
+            own = knowledge.record.form
+            self.assertEqual(own, MESSAGE_FORM)
+            self.assertEqual([line["nodes_by_form"].get("0") for line in logged], [1, None])
+
+        self.run_world(script)
+
+
+def _written(value):
+    from hopstep.ports.serving_directory import RecordWritten
+
+    return RecordWritten(f"{NODES_PREFIX}n9", value, 99)
