--- a/tests/services/exchanges/test_mixed_versions.py
+++ b/tests/services/exchanges/test_mixed_versions.py
@@ -5,10 +5,12 @@
 
 import structlog.testing
 
+from hopstep.domain.exchanges.directory_feed import FeedEntry
 from hopstep.domain.exchanges.load_ledger import InstanceLoad
-from hopstep.domain.exchanges.nodes import MESSAGE_FORM, NodeRecord
+from hopstep.domain.exchanges.nodes import MESSAGE_FORM
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.ports.node_exchange import Hints, LoadingEngine, SegmentNews
+from hopstep.ports.serving_directory import DirectoryEntry, RecordWritten
 from hopstep.services.exchanges.records import NODES_PREFIX
 from tests.services.exchanges.exchange_world import ExchangeWorld
 
@@ -60,21 +62,15 @@
     def test_nodes_with_other_forms_are_logged_as_they_come_and_go(self):
         async def script(world):
             knowledge = world.nodes[0].knowledge
-            before = NodeRecord("10.0.0.9:1", "z1", b"k")
-            record = json.dumps({"address": before.address, "zone": "z1", "key": "aw=="}).encode()
+            record = json.dumps({"address": "10.0.0.9:1", "zone": "z1", "key": "aw=="}).encode()
             with structlog.testing.capture_logs() as lines:
-                for value in (record, b""):
-                    change = world.nodes[0].knowledge
-                    change._take_node(_written(value))
+                for revision, value in ((98, record), (99, b"")):
+                    written = RecordWritten(f"{NODES_PREFIX}n9", value, revision)
+                    entry = DirectoryEntry(written.key, revision, written)
+                    knowledge.take_entries([FeedEntry(entry.key, revision, entry, 0.0)], "n8")
             logged = [line for line in lines if line["event"] == "node_forms_changed"]
             own = knowledge.record.form
             self.assertEqual(own, MESSAGE_FORM)
             self.assertEqual([line["nodes_by_form"].get("0") for line in logged], [1, None])
 
         self.run_world(script)
-
-
-def _written(value):
-    from hopstep.ports.serving_directory import RecordWritten
-
-    return RecordWritten(f"{NODES_PREFIX}n9", value, 99)
