Give an attempt's course a module of its own, and count the end of a leaving instance's entry against nobody

An instance that left by its word alone was listed as ready until its entry went, which counted as an unexpected end for requests under way there (test first).

--- a/hopstep/domain/exchanges/instance_table.py
+++ b/hopstep/domain/exchanges/instance_table.py
@@ -66,11 +66,15 @@
         Instances that aren't known, or that have said that they leave, aren't expected back.
         """
         view = self._views.get(instance_id)
-        if view is None or view.instance.draining:
+        if view is None or self.is_leaving(view.instance):
             return False
         self._lapsed.setdefault(instance_id, until)
         return True
 
+    def is_leaving(self, instance: Instance) -> bool:
+        """Return whether an instance leaves by its entry or by its own word."""
+        return instance.draining or self.standings.of_life(str(instance.life)).leaves
+
     def expire(self, now: float) -> list[Instance]:
         """Forget the instances whose entries have not come back in time, and return them."""
         expired = [name for name, until in self._lapsed.items() if now >= until]
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -50,7 +50,7 @@
 def withdrawn_call() -> InstanceCallError:
     """Return the error of a call that wasn't sent because ``InstanceCall.may_send`` said so."""
     return InstanceCallError(
-        ErrorCode.ENGINE_UNREACHABLE,
+        ErrorCode.OVERLOADED,
         "the instance leaves or wants rest",
         Execution.NOT_RUN,
         sent=False,
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -16,18 +16,14 @@
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer
-from hopstep.ports.instance_calls import InstanceCall, InstanceCallError, SendProof
+from hopstep.ports.instance_calls import InstanceCallError, SendProof
 from hopstep.services.exchanges.answer_relay import AnswerRelay
 from hopstep.services.exchanges.exchange_parts import (
     MILLISECONDS,
     ExchangeOutcome,
     ExchangeParts,
 )
-from hopstep.services.exchanges.silence_watchdog import SilenceWatchdog
-
-MAX_PRIORITY = 9
-PRIORITIES_OF_A_TENANT = 3
-"""Routes' ranks that fit between two ranks of tenants."""
+from hopstep.services.exchanges.instance_attempt import InstanceAttempt
 
 FURTHER_STEPS = (NextStep.RETRY, NextStep.RESUME)
 """Steps that send the request to another instance."""
@@ -217,26 +213,15 @@
     async def _attempt(self, candidate: Candidate) -> InstanceCallError | None:
         """Make one attempt; return what went wrong, or None after a whole answer."""
         view = candidate.view
-        request = self._request
-        now = trio.current_time()
-        self.outcome.instance = view.instance.instance_id
-        view.begin(request.request_id, candidate.uncached_tokens, now)
-        view.segments.record(candidate.keys, now + candidate.read_seconds)
-        self._parts.note_sent(candidate)
+        attempt = InstanceAttempt(
+            self._parts, self._request, self._name, self._relay, self.outcome, candidate
+        )
+        self._in_flight = attempt.proof
+        error = await attempt.run()
         self._in_flight = SendProof()
-        left_midway = True
-        try:
-            await self._call(candidate)
-            left_midway = False
-        except InstanceCallError as error:
-            left_midway = False
+        if error is not None:
             self._learn_from_attempt(view, error)
             return error
-        finally:
-            view.end(request.request_id, candidate.uncached_tokens)
-            if left_midway and self._in_flight.sent and not self._relay.finished:
-                self._parts.quarantine.note_broken(self._name, view.life)
-        self._in_flight = SendProof()
         self._count_sent(view)
         self._parts.quarantine.note_whole_answer(self._name.fingerprint)
         return None
@@ -254,7 +239,6 @@
         else:
             self._unsent_tries += 1
         self._tried.add(view.instance.instance_id)
-        self._in_flight = SendProof()
 
     def _note_broken(self, view: InstanceView, error: InstanceCallError) -> None:
         """Have the instance looked at that gave no answer, or broke one off."""
@@ -276,69 +260,6 @@
         self.outcome.attempts += 1
         self._tried.add(view.instance.instance_id)
 
-    async def _call(self, candidate: Candidate) -> None:
-        """Send the request and pass its answer on; one that the client has whole stays so.
-
-        Raises:
-            InstanceCallError: When the answer isn't whole.
-        """
-        view = candidate.view
-        sent_at = trio.current_time()
-        async with trio.open_nursery() as nursery:
-            watchdog = SilenceWatchdog(view, self._parts.pauses)
-            if self._request.route.idempotent:
-                nursery.start_soon(watchdog.run, nursery.cancel_scope)
-            try:
-                await self._exchange(candidate, sent_at)
-            except InstanceCallError as error:
-                failure: InstanceCallError | None = error
-            else:
-                failure = None
-            nursery.cancel_scope.cancel()
-        if self._relay.finished:
-            return
-        if watchdog.fired:
-            raise InstanceCallError(
-                ErrorCode.ENGINE_UNREACHABLE, "the instance is silent", Execution.UNKNOWN
-            )
-        if failure is not None:
-            raise failure
-
-    async def _exchange(self, candidate: Candidate, sent_at: float) -> None:
-        """Open the call and relay its answer."""
-        view = candidate.view
-        async with self._parts.calls.open(self._make_call(candidate)) as answer:
-            view.heard(trio.current_time())
-            self._parts.quarantine.note_answer(view.life, sent_at)
-            if answer.weights_version and self._request.prompt is not None:
-                view.learn_version(self._request.prompt.model, answer.weights_version)
-            await self._relay.relay(candidate, answer, sent_at)
-
-    def _make_call(self, candidate: Candidate) -> InstanceCall:
-        """Return the call of an attempt."""
-        view = candidate.view
-        request = self._request
-        prompt = request.prompt
-        self.outcome.read_tokens = candidate.uncached_tokens
-        self.outcome.source = candidate.source
-        self.outcome.target = self._parts.choice.push_target(request, view)
-        return InstanceCall(
-            instance=view.instance,
-            request=request,
-            remaining_seconds=request.deadline - trio.current_time(),
-            priority=_rank(request) if prompt is not None else None,
-            resume_after=self._relay.resume_after,
-            expected_version=view.serving_version(prompt.model) if prompt is not None else 0,
-            cache_salt=self._parts.choice.salt(request, view),
-            cache_source=candidate.source,
-            cache_target=self.outcome.target,
-            proof=self._in_flight,
-            hear=self._parts.notices.listener(view),
-            may_send=functools.partial(
-                self._parts.choice.may_send, view, leaving=view.standing.leaves
-            ),
-        )
-
     async def _answer_unknown(self) -> None:
         """Pass on an instance's own failure, or say that the request may have run."""
         if not await self._relay.send_failure():
@@ -393,13 +314,3 @@
             sent=error.sent,
             next_step=step.value,
         )
-
-
-def _rank(request: ExchangeRequest) -> int:
-    """Return the rank of a request at an instance: its tenant's first, then its route's."""
-    priority = request.route.priority
-    tenant = request.tenant
-    if tenant is not None and tenant.priority is not None:
-        priority = min(priority, PRIORITIES_OF_A_TENANT - 1)
-        priority += tenant.priority * PRIORITIES_OF_A_TENANT
-    return max(0, min(MAX_PRIORITY, priority))
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -38,6 +37,7 @@
     Unreadable,
     WeightsPublished,
 )
+from hopstep.services.exchanges.message_forms import MessageForms
 from hopstep.services.exchanges.records import NODES_PREFIX, ROLLOUT_KEY, decode_node
 
 MARGIN_SECONDS = 0.6
@@ -100,7 +100,7 @@
         self.weights = weights
         self.index: ServingIndex | None = None
         self.nodes: dict[str, NodeRecord] = {}
-        self._forms = {record.form}
+        self._forms = MessageForms(record.form)
         self.relays = RelayPlan(name, record)
         self.feed: DirectoryFeed[DirectoryEntry] = DirectoryFeed()
         self.revision = NO_REVISION
@@ -332,7 +332,7 @@
         if removed is None:
             return
         emit(log_events.INSTANCE_REMOVED, instance=instance_id, source=source, age_ms=age_ms)
-        if not removed.draining:
+        if not self.table.is_leaving(removed):
             self._note_ended(removed.life, EndEvidence.UNLISTED)
 
     def _note_ended(self, life: InstanceLife, evidence: EndEvidence) -> None:
@@ -385,16 +385,7 @@
         else:
             self.nodes.pop(name, None)
         self.relays.set_nodes(self.nodes)
-        self._note_forms()
-
-    def _note_forms(self) -> None:
-        """Log when versions with other forms of messages come or go."""
-        forms = Counter(record.form for record in self.nodes.values())
-        if forms.keys() == self._forms:
-            return
-        self._forms = set(forms)
-        by_form = {str(form): count for form, count in sorted(forms.items())}
-        emit(log_events.NODE_FORMS_CHANGED, own=self.record.form, nodes_by_form=by_form)
+        self._forms.note(self.nodes.values())
 
     def _note_expired(self) -> None:
         """Log once that the node no longer knows enough."""
--- a/tests/services/exchanges/test_instance_notices.py
+++ b/tests/services/exchanges/test_instance_notices.py
@@ -229,6 +229,20 @@
 
         world.run(script)
 
+    def test_the_end_of_its_entry_counts_against_no_request(self):
+        world = self.make_world()
+
+        async def script(world):
+            ended = []
+            world.nodes[0].knowledge.follow_ends(lambda life, _evidence: ended.append(life))
+            self.tell(world)
+            for instance_id in INSTANCES[:2]:
+                world.publish(InstanceRemoved(instance_id))
+            await trio.sleep(3.0)
+            self.assertEqual([life.instance_id for life in ended], ["i2"])
+
+        world.run(script)
+
     def test_other_nodes_hear_of_it_without_the_store_and_so_does_one_that_starts(self):
         world = self.make_world(nodes=4, zones=2)
 
