--- a/emulator/cli/soak.py
+++ b/emulator/cli/soak.py
@@ -23,6 +23,12 @@
 _NODES = flags.DEFINE_integer("nodes", 6, "Nodes.", 1, MAX_NODES)
 _RATE = flags.DEFINE_float("rate", 40.0, "Requests a second.", 1.0)
 _PROFILE = flags.DEFINE_string("profile", "", "Profile of faults; the seed's by default.")
+_OTHER_BUILD = flags.DEFINE_string(
+    "other_build",
+    None,
+    "Root of a checkout of another version of hopstep, made from this repository's history. All "
+    "nodes start on it; the profile 'versions side by side' replaces them.",
+)
 _DIRECTORY = flags.DEFINE_string(
     "directory", None, "Where settings and logs of the nodes are kept; a temporary one by default."
 )
@@ -42,6 +48,7 @@
                 _RATE.value,
                 directory,
                 profile=_PROFILE.value,
+                other_build=Path(_OTHER_BUILD.value) if _OTHER_BUILD.value else None,
             )
             broken += _report(seed, trio.run(run_soak, plan))
     return 1 if broken else 0
--- a/emulator/fleet/processes.py
+++ b/emulator/fleet/processes.py
@@ -9,7 +9,7 @@
 import subprocess  # noqa: S404 - only this project's own commands are started
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from types import TracebackType
 
@@ -97,9 +97,30 @@
             module: Module to run.
             arguments: Its arguments.
         """
+        return self._start(name, ["-m", module, *arguments], None)
+
+    def start_script(
+        self, name: str, script: Path, arguments: Sequence[str], source: Path
+    ) -> subprocess.Popen[bytes]:
+        """Start a script over the packages of another checkout.
+
+        Args:
+            name: Name of the process and of its output file.
+            script: File to run.
+            arguments: Its arguments.
+            source: Root of the checkout.
+        """
+        # With -P the script's own folder isn't searched for modules.
+        environment = {**os.environ, "PYTHONPATH": str(source)}
+        return self._start(name, ["-P", str(script), *arguments], environment)
+
+    def _start(
+        self, name: str, arguments: Sequence[str], environment: Mapping[str, str] | None
+    ) -> subprocess.Popen[bytes]:
+        """Start an interpreter; ``environment`` is this process's own if None."""
         with (self._directory / f"{name}.log").open("ab") as output:
             process = subprocess.Popen(  # noqa: S603 - fixed program, no shell
-                [sys.executable, "-m", module, *arguments], stdout=output, stderr=output
+                [sys.executable, *arguments], stdout=output, stderr=output, env=environment
             )
         self._processes[name] = process
         return process
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -18,6 +18,7 @@
 from emulator.exchange_platform.store import create_store_app
 from emulator.fleet.processes import ProcessGroup, free_addresses
 from emulator.platform.shared_store import SharedStore
+from emulator.soak import suspendable_node
 from emulator.soak.history import Disturbance, History, InstanceEnd, ListedInstance
 from emulator.soak.proxies import TcpProxy, UdpProxy
 from emulator.soak.recorder import DirectStore, Recorder
@@ -54,6 +55,7 @@
         running: Whether the process should run.
         started_at: When it was started last.
         suspended_seconds: What the file says.
+        other_build: Whether it runs the deployment's other build.
     """
 
     name: str
@@ -67,6 +69,7 @@
     running: bool = False
     started_at: float = 0.0
     suspended_seconds: float = 0.0
+    other_build: bool = False
 
 
 class InstanceLinks(msgspec.Struct):
@@ -81,13 +84,18 @@
 class Deployment:
     """Starts the parts, and holds them for callers, operator and faults."""
 
-    def __init__(self, directory: Path, generator: random.Random) -> None:
+    def __init__(
+        self, directory: Path, generator: random.Random, other_build: Path | None = None
+    ) -> None:
         """Start nothing yet.
 
         Args:
             directory: Settings and logs of the nodes.
             generator: Draws ids.
+            other_build: Root of a checkout of another version, on which all nodes start; None to
+                run this one only.
         """
+        self.other_build = other_build
         self.history = History()
         self.shared = SharedStore()
         self.store = DirectStore(self.shared)
@@ -207,7 +215,11 @@
     def start_node(self, node: NodeLinks) -> None:
         """Start a node's process."""
         arguments = [f"{FILE_ARGUMENT}{node.suspended}", f"--node_settings={node.settings}"]
-        self._processes.start(node.name, NODE_MODULE, arguments)
+        if node.other_build and self.other_build is not None:
+            script = Path(suspendable_node.__file__)
+            self._processes.start_script(node.name, script, arguments, self.other_build)
+        else:
+            self._processes.start(node.name, NODE_MODULE, arguments)
         node.running = True
         node.started_at = trio.current_time()
 
@@ -255,6 +267,7 @@
         path.write_text("\n".join(lines) + f"\n[bounds]\ngrace_seconds = {GRACE_SECONDS}\n")
         suspended = self._directory / f"{name}.suspended"
         node = NodeLinks(name, zone, clients, store, peers, readiness, path, suspended)
+        node.other_build = self.other_build is not None
         self.nodes.append(node)
         self.start_node(node)
 
--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -27,6 +27,9 @@
 """For the interpreter to start: SIGHUP ends it until the first line of the program ignores it."""
 
 
+BACK_SHARE = 0.25
+"""Of replaced nodes: any node changes its build, also back to the earlier one."""
+
 REVOKING_SHARE = 0.5
 """Of suspensions: a key is taken away."""
 
@@ -78,6 +81,7 @@
             "node killed": self._node_killed,
             "all nodes killed": self._all_killed,
             "node stopped": self._node_stopped,
+            "node replaced": self._node_replaced,
             "settings reloaded": self._hang_up,
             "key revoked": self._key_revoked,
             "weights named": self._weights_named,
@@ -248,7 +252,20 @@
         disturbance.until = trio.current_time()
 
     async def _node_stopped(self) -> None:
-        node = self._node()
+        await self._stop_and_start(self._node())
+
+    async def _node_replaced(self) -> None:
+        """Replace a node by one of the other build: forwards, and now and then back."""
+        behind = [node for node in self._deployment.nodes if node.other_build]
+        forwards = bool(behind) and self._generator.random() >= BACK_SHARE
+        node = self._generator.choice(behind) if forwards else self._node()
+        if self._deployment.other_build is None or not node.running:
+            return
+        node.other_build = not node.other_build
+        await self._stop_and_start(node)
+
+    async def _stop_and_start(self, node: NodeLinks) -> None:
+        """Stop a node as planned, and start it again."""
         if not node.running:
             return
         node.running = False
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -180,6 +180,31 @@
 """
 
 
+VERSIONS = Profile(
+    "versions side by side",
+    (
+        "node replaced",
+        "node replaced",
+        "node replaced",
+        "node replaced",
+        "store outage",
+        "node without store",
+        "node without peers",
+        "node killed",
+        "instance crashed",
+        "instance leaves",
+        "key revoked",
+        "weights named",
+        "weights named",
+    ),
+    (0.8, 2.5),
+    0.2,
+    0.8,
+)
+"""Nodes of two builds; by name only, with another build. It has no words of instances: builds
+before they were heard don't keep them."""
+
+
 def profile_of(seed: int, name: str = "") -> Profile:
     """Return the profile of a seed: they take turns, so that a few seeds meet all of them.
 
@@ -192,7 +217,7 @@
     """
     if not name:
         return PROFILES[seed % len(PROFILES)]
-    found = {profile.name: profile for profile in (*PROFILES, SHORT, WORDS)}
+    found = {profile.name: profile for profile in (*PROFILES, SHORT, WORDS, VERSIONS)}
     if name not in found:
         raise ValueError(f"profile: expected one of {sorted(found)}, got {name!r}")
     return found[name]
--- a/emulator/soak/run.py
+++ b/emulator/soak/run.py
@@ -44,6 +44,7 @@
         directory: Settings and logs of the nodes.
         quiet_seconds: After the faults, the time for recovery included.
         profile: Name of the profile of faults; the seed's if empty.
+        other_build: Root of a checkout of another version on which all nodes start; None for none.
     """
 
     seed: int
@@ -53,6 +54,7 @@
     directory: Path
     quiet_seconds: float = QUIET_SECONDS
     profile: str = ""
+    other_build: Path | None = None
 
 
 class SoakResult(msgspec.Struct):
@@ -87,7 +89,7 @@
     """
     generator = random.Random(plan.seed)
     profile = profile_of(plan.seed, plan.profile)
-    deployment = Deployment(plan.directory, random.Random(plan.seed + 1))
+    deployment = Deployment(plan.directory, random.Random(plan.seed + 1), plan.other_build)
     operator = Operator(deployment, random.Random(plan.seed + 2))
     callers = Callers(deployment, random.Random(plan.seed + 3), plan.rate)
     probes = Probes(deployment, random.Random(plan.seed + 4))
