--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -452,7 +452,7 @@
     "quarantined_request_not_tried",
     Level.INFO,
     ("fingerprint", "reason"),
-    "Nothing: another node tries it, or the store didn't answer; the request stays refused.",
+    "Nothing: the store didn't answer, or the try showed nothing and is `given_back`.",
 )
 QUOTA_EXCEEDED = LogEvent(
     "HS3110",
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -65,6 +65,7 @@
         self._unsent_tries = 0
         self._may_have_run = False
         self._admitted_ends = -1
+        self._is_trial = False
         self._in_flight = SendProof()
 
     @property
@@ -80,7 +81,10 @@
         """
         self._budget.record_request(self._request.received_at)
         with trio.CancelScope(deadline=self._request.deadline) as scope:
-            await self._run_attempts()
+            try:
+                await self._run_attempts()
+            finally:
+                self._end_trial()
         if scope.cancelled_caught and not self._relay.finished:
             self._may_have_run = self._may_have_run or self._in_flight.sent
             self._fail(ErrorCode.DEADLINE_EXCEEDED, "no whole answer in time")
@@ -163,8 +167,14 @@
         self.refused_seconds = await quarantine.admit(fingerprint)
         if self.refused_seconds:
             self._fail(ErrorCode.REQUEST_QUARANTINED, "instances have ended under this request")
+        self._is_trial = self._is_trial or quarantine.refused_seconds(fingerprint) > 0
         self._admitted_ends = quarantine.ends(fingerprint)
 
+    def _end_trial(self) -> None:
+        """Have the run judged that a refused request was allowed, if this was it."""
+        if self._is_trial:
+            self._parts.quarantine.end_trial(self._name.fingerprint)
+
     def _refuse_unproved_key(self) -> None:
         """End a request whose key may have been revoked since it was admitted.
 
--- a/hopstep/services/exchanges/instance_attempt.py
+++ b/hopstep/services/exchanges/instance_attempt.py
@@ -75,7 +75,8 @@
         finally:
             view.end(request_id, candidate.uncached_tokens)
             if left_midway and self.proof.sent and not self._relay.finished:
-                self._parts.quarantine.note_broken(self._name, view.life)
+                look = functools.partial(self._parts.calls.look, view.instance)
+                self._parts.quarantine.note_left(self._name, view.life, look)
         return None
 
     async def _call(self) -> None:
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/knowledge.py
@@ -230,12 +230,8 @@
         """Forget instances whose entries lapsed while the store was away and didn't come back."""
         for instance in self.table.expire(trio.current_time()):
             self._note_ended(instance.life, EndEvidence.UNLISTED)
-            emit(
-                log_events.INSTANCE_REMOVED,
-                instance=instance.instance_id,
-                source=LAPSED,
-                age_ms=0,
-            )
+            lapsed = instance.instance_id
+            emit(log_events.INSTANCE_REMOVED, instance=lapsed, source=LAPSED, age_ms=0)
 
     def confirm(self, revision: int, confirmed_at: float) -> None:
         """Note that everything up to a revision is known.
--- a/hopstep/services/quarantine/quarantine.py
+++ b/hopstep/services/quarantine/quarantine.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import trio
@@ -23,6 +23,7 @@
     RequestName,
 )
 from hopstep.logs import emit
+from hopstep.services.quarantine.trial_verdicts import Look, TrialVerdicts
 
 LOOKS = 4
 LOOK_SPACING_SECONDS = 0.4
@@ -57,9 +58,6 @@
 EXPLAINED = "explained"
 """Another request has ended these instances."""
 
-Look = Callable[[], Awaitable[InstanceSign]]
-"""Looks at an instance once."""
-
 EndListener = Callable[[str], None]
 """Told a life of an instance that this node, or another one, has seen end."""
 
@@ -76,6 +74,9 @@
     async def claim(self, fingerprint: bytes) -> bool:
         """Return whether this node, and no other, may run a request once."""
 
+    async def give_back(self, fingerprint: bytes) -> None:
+        """Allow a request one run more: the last one has shown nothing."""
+
 
 class Quarantine:
     """What this node knows of requests that end instances."""
@@ -95,6 +96,7 @@
         self._end_listeners: list[EndListener] = []
         self._looking: dict[str, trio.Event] = {}
         self._trials: Trials | None = None
+        self._verdicts = TrialVerdicts()
         self._tried: dict[bytes, float] = {}
         self._looks, self._due = trio.open_memory_channel[tuple[str, Look]](MAX_WAITING_LOOKS)
 
@@ -109,6 +111,7 @@
     def offer_trials(self, trials: Trials) -> None:
         """Allow refused requests single runs."""
         self._trials = trials
+        self._verdicts.offer(trials.give_back)
 
     @property
     def is_idle(self) -> bool:
@@ -136,6 +139,7 @@
             return seconds
         if await self._trials.claim(fingerprint):
             self._tried[fingerprint] = trio.current_time()
+            self._verdicts.begin(fingerprint)
             name = self.name(fingerprint)
             emit(
                 log_events.QUARANTINED_REQUEST_TRIED,
@@ -146,6 +150,10 @@
             return 0.0
         return seconds
 
+    def end_trial(self, fingerprint: bytes) -> None:
+        """Note that a request has ended that may have been this node's try of it."""
+        self._verdicts.end(fingerprint, trio.current_time())
+
     async def _hear_others(self, fingerprint: bytes) -> None:
         """Wait while a request is refused for an end that others may excuse any moment."""
         until = self._ledger.last_end_at(fingerprint) + HEARING_SECONDS
@@ -189,6 +197,7 @@
         if request.fingerprint in self._tried:
             # It is refused already. One more end would make it the worse one of those that shared
             # instances with it, and release these.
+            self._verdicts.note_reached(request.fingerprint, life, look)
             return
         self._remember(request)
         counted = self._ledger.note_broken(request.fingerprint, life, trio.current_time())
@@ -197,6 +206,13 @@
         elif look is not None and life not in self._looking:
             self._begin_look(life, look)
 
+    def note_left(self, request: RequestName, life: str, look: Look) -> None:
+        """Note a request that was left before it was answered whole; see ``note_broken``.
+
+        The instance is looked at for the verdict on a try only: clients leave often.
+        """
+        self.note_broken(request, life, look if request.fingerprint in self._tried else None)
+
     def note_answer(self, life: str, sent_at: float) -> None:
         """Note an instance's answer to a request that was sent at a time."""
         self._ledger.note_answer(life, sent_at)
@@ -204,6 +220,7 @@
     def note_whole_answer(self, fingerprint: bytes) -> None:
         """Take back an end that counts for a request, or excuse one: it was answered whole."""
         if self._tried.pop(fingerprint, None) is not None:
+            self._verdicts.forget(fingerprint)
             self._ledger.release(fingerprint)
         if self._ledger.note_whole_answer(fingerprint):
             self._note_changed(fingerprint, seen_here=True)
@@ -216,6 +233,7 @@
             life: The instance.
             evidence: What shows it.
         """
+        self._verdicts.note_ended(life)
         abruptly = evidence in ABRUPT
         counted = self._ledger.note_ended(life, trio.current_time(), abruptly=abruptly)
         if not counted:
@@ -262,6 +280,7 @@
         """Look at instances, and forget what is too old, until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._expire)
+            nursery.start_soon(self._verdicts.run)
             async for life, look in self._due:
                 nursery.start_soon(self._look, life, look)
 
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -47,6 +47,12 @@
 CLAIM_SECONDS = 0.5
 """Longest wait for the store's answer to a claim, while the request waits."""
 
+GIVE_BACK_TRIES = 3
+"""Writes of others may come between."""
+
+GIVEN_BACK = "given_back"
+"""Reason of a run that its client left, or that reached no instance."""
+
 RETRY_SECONDS = 0.3
 RECHECK_SECONDS = 1.0
 STAND_BACK_SECONDS = 2.0
@@ -126,15 +132,39 @@
                 await self._write(fingerprint, trials=1)
                 return True
         except StoreError as error:
-            emit(
-                log_events.QUARANTINED_REQUEST_NOT_TRIED,
-                fingerprint=fingerprint.hex(),
-                reason=error.code.value,
-            )
+            self._log_not_tried(fingerprint, error.code.value)
         finally:
             self._claiming.discard(fingerprint)
         return False
 
+    async def give_back(self, fingerprint: bytes) -> None:
+        """Allow a request one run more: the last one has shown nothing.
+
+        Without the store's answer the request stays refused, as it was.
+        """
+        for _ in range(GIVE_BACK_TRIES):
+            stored = self._stored.get(fingerprint)
+            if stored is None or stored.version == ABSENT or not stored.trials:
+                return
+            try:
+                await self._write(fingerprint, trials=-1)
+            except StoreConflictError:
+                continue
+            except StoreError as error:
+                self._log_not_tried(fingerprint, error.code.value)
+                return
+            self._log_not_tried(fingerprint, GIVEN_BACK)
+            return
+
+    @staticmethod
+    def _log_not_tried(fingerprint: bytes, reason: str) -> None:
+        """Log that a run that a refused request was allowed hasn't shown anything."""
+        emit(
+            log_events.QUARANTINED_REQUEST_NOT_TRIED,
+            fingerprint=fingerprint.hex(),
+            reason=reason,
+        )
+
     def take(self, key: str, value: bytes, version: int) -> None:
         """Take a key as the store holds it.
 
--- a/hopstep/services/requests/engine_ends.py
+++ b/hopstep/services/requests/engine_ends.py
@@ -28,6 +28,7 @@
         """
         self._quarantine = quarantine
         self._port = port
+        self._trials: set[str] = set()
         table.follow_restarts(self._note_restart)
 
     async def require_allowed(self, request: InferenceRequest) -> int:
@@ -47,8 +48,16 @@
         seconds = await self._quarantine.admit(fingerprint)
         if seconds:
             raise _quarantined(seconds)
+        if self._refused_seconds(request):
+            self._trials.add(request.request_id)
         return self._quarantine.ends(fingerprint)
 
+    def note_finished(self, request: InferenceRequest) -> None:
+        """Have a run judged that a refused request was allowed, if this was it."""
+        if request.request_id in self._trials:
+            self._trials.remove(request.request_id)
+            self._quarantine.end_trial(request.name().fingerprint)
+
     def require_no_more(self, request: InferenceRequest, ends: int) -> None:
         """Refuse a request that was allowed, when more engines have ended under it since.
 
--- a/hopstep/services/requests/request_execution.py
+++ b/hopstep/services/requests/request_execution.py
@@ -103,6 +103,7 @@
                 raise self._failure(ErrorCode.DEADLINE_EXCEEDED, self._state.proved())
         finally:
             self._close_attempt()
+            self._context.ends.note_finished(self._request)
 
     async def _run_attempts(self) -> None:
         """Make attempts until one finishes the answer."""
--- a/tests/services/exchanges/test_quarantined_requests.py
+++ b/tests/services/exchanges/test_quarantined_requests.py
@@ -13,7 +13,13 @@
 from hopstep.domain.quarantine.crash_records import MEMORY_SECONDS
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.ports.serving_directory import InstanceListed, InstanceRemoved
-from hopstep.services.quarantine.records import MAX_TRIALS, QUARANTINE_PREFIX, StoredRequest
+from hopstep.services.quarantine.records import (
+    MAX_TRIALS,
+    QUARANTINE_PREFIX,
+    TRIAL_AFTER_SECONDS,
+    StoredRequest,
+)
+from hopstep.services.quarantine.trial_verdicts import VERDICT_CHECK_SECONDS, VERDICT_SECONDS
 from tests.services.exchanges.exchange_world import ISOLATED_KEY, ExchangeWorld
 
 FATAL = b"fatal"
@@ -127,6 +133,26 @@
         self.run_world(script)
 
 
+class TrialTest(QuarantinedRequestsCase):
+    def test_a_client_that_leaves_the_try_does_not_have_the_request_refused_for_good(self):
+        async def script(world):
+            await self.end_instances(world)
+            self.unlist_ended(world)
+            world.instances.fatal_bodies.clear()
+            for server in world.instances.servers.values():
+                server.work_seconds = 1.0
+            await trio.sleep(2 * TRIAL_AFTER_SECONDS)
+            with trio.move_on_after(0.1):
+                await world.request("stream", body=FATAL)
+            self.assertTrue(await self.refused(world))
+            await trio.sleep(VERDICT_SECONDS + 2 * VERDICT_CHECK_SECONDS)
+            answer = await world.request("stream", body=FATAL)
+            self.assertEqual(answer.status, 200)
+            self.assertEqual((await world.request("stream", body=FATAL)).status, 200)
+
+        self.run_world(script)
+
+
 class OtherRequestsTest(QuarantinedRequestsCase):
     def test_other_requests_and_other_callers_are_served(self):
         async def script(world):
--- a/tests/services/quarantine/test_quarantine.py
+++ b/tests/services/quarantine/test_quarantine.py
@@ -11,7 +11,13 @@
 from emulator.platform.shared_store import SharedStore
 from hopstep.domain.quarantine.crash_ledger import ENDS_TO_REFUSE
 from hopstep.domain.quarantine.crash_records import MEMORY_SECONDS
-from hopstep.domain.quarantine.crashes import Crash, EndEvidence, RequestCrashes, RequestName
+from hopstep.domain.quarantine.crashes import (
+    Crash,
+    EndEvidence,
+    InstanceSign,
+    RequestCrashes,
+    RequestName,
+)
 from hopstep.services.quarantine.quarantine import EXPIRY_SECONDS, HEARING_SECONDS, Quarantine
 from hopstep.services.quarantine.records import (
     QUARANTINE_PREFIX,
@@ -19,6 +25,7 @@
     TRIAL_AFTER_SECONDS,
     QuarantineRecords,
 )
+from hopstep.services.quarantine.trial_verdicts import VERDICT_CHECK_SECONDS, VERDICT_SECONDS
 
 FATAL = b"fatal"
 OTHER = b"other"
@@ -147,6 +154,91 @@
 
         self.run_script(script)
 
+    async def try_once(self, store, quarantines, records):
+        """Refuse a request at all nodes, and have the first one try it."""
+        await self.tell_all(store, quarantines, records)
+        await trio.sleep(TRIAL_AFTER_SECONDS)
+        self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
+
+    async def count_admitted(self, store, quarantines, records):
+        """Return how often all nodes let the request run now, as they read the store again."""
+        admitted = 0
+        for _ in range(2):
+            stored = await store.get(QUARANTINE_PREFIX + FATAL.hex())
+            for part in records:
+                part.take(stored.key, stored.value, stored.version)
+            for quarantine in quarantines:
+                admitted += await quarantine.admit(FATAL) == 0.0
+        return admitted
+
+    def test_a_try_whose_client_leaves_is_followed_by_another_one(self):
+        async def script(store, quarantines, records):
+            await self.try_once(store, quarantines, records)
+            quarantines[0].note_broken(RequestName(FATAL), "i9")
+            quarantines[0].end_trial(FATAL)
+            self.assertEqual(await self.count_admitted(store, quarantines, records), 0)
+            await trio.sleep(VERDICT_SECONDS + 2 * VERDICT_CHECK_SECONDS)
+            self.assertEqual(await self.count_admitted(store, quarantines, records), 1)
+
+        self.run_script(script)
+
+    def test_a_try_that_reached_no_instance_is_followed_by_another_one(self):
+        async def script(store, quarantines, records):
+            await self.try_once(store, quarantines, records)
+            quarantines[0].end_trial(FATAL)
+            await trio.sleep(VERDICT_SECONDS + 2 * VERDICT_CHECK_SECONDS)
+            self.assertEqual(await self.count_admitted(store, quarantines, records), 1)
+
+        self.run_script(script)
+
+    def test_a_try_that_ends_an_instance_is_the_last_one(self):
+        for ends_first in (True, False):
+            with self.subTest(ends_first=ends_first):
+
+                async def script(store, quarantines, records, ends_first=ends_first):
+                    await self.try_once(store, quarantines, records)
+                    quarantines[0].note_broken(RequestName(FATAL), "i9")
+                    if ends_first:
+                        quarantines[0].note_ended("i9", EndEvidence.REFUSED)
+                    quarantines[0].end_trial(FATAL)
+                    await trio.sleep(VERDICT_SECONDS / 2)
+                    if not ends_first:
+                        quarantines[0].note_ended("i9", EndEvidence.UNLISTED)
+                    await trio.sleep(2 * VERDICT_SECONDS)
+                    self.assertEqual(await self.count_admitted(store, quarantines, records), 0)
+
+                self.run_script(script)
+
+    def test_a_try_whose_instance_does_not_answer_a_look_is_the_last_one(self):
+        for sign, admitted in (
+            (InstanceSign.ANSWERS, 1),
+            (InstanceSign.ENDED, 0),
+            (InstanceSign.NO_ANSWER, 0),
+        ):
+            with self.subTest(sign=sign):
+
+                async def look(sign=sign):
+                    await trio.lowlevel.checkpoint()
+                    return sign
+
+                async def script(store, quarantines, records, look=look, admitted=admitted):
+                    await self.try_once(store, quarantines, records)
+                    quarantines[0].note_left(RequestName(FATAL), "i9", look)
+                    quarantines[0].end_trial(FATAL)
+                    await trio.sleep(VERDICT_SECONDS + 2 * VERDICT_CHECK_SECONDS)
+                    found = await self.count_admitted(store, quarantines, records)
+                    self.assertEqual(found, admitted)
+
+                self.run_script(script)
+
+    def test_a_try_is_not_followed_by_another_one_while_it_runs(self):
+        async def script(store, quarantines, records):
+            await self.try_once(store, quarantines, records)
+            await trio.sleep(3 * VERDICT_SECONDS)
+            self.assertEqual(await self.count_admitted(store, quarantines, records), 0)
+
+        self.run_script(script)
+
     def test_it_is_released_at_all_nodes_however_many_ends_had_come_together(self):
         async def script(store, quarantines, records):
             lives = [f"i{number}" for number in range(7)]
