--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -7,6 +7,7 @@
 from hopstep.domain.exchanges.instances import Instance, NamedWeights
 from hopstep.domain.instance_notices import InstanceNotice
 from hopstep.exceptions import Execution
+from hopstep.platform.cache_events import PlatformCacheEvents
 from hopstep.platform.http_client import HttpClient
 from hopstep.platform.instances import HttpInstances
 from hopstep.ports.instance_calls import InstanceCall, InstanceCallError
@@ -108,6 +109,21 @@
 
         self.check(CONTROL_ANSWERS, call)
 
+    def test_a_read_of_cache_events_hears_the_head_also_of_a_refusal(self):
+        body = b'{"epoch":1,"nextPageToken":0,"lost":false,"events":[],"born":5}'
+        length = b"Content-Length: %d\r\n\r\n" % len(body)
+        answers = (
+            ("events", b"HTTP/1.1 200 OK\r\n" + WORD + length + body, LEAVES),
+            ("a refusal", b"HTTP/1.1 503 X\r\n" + WAIT + b"Content-Length: 0\r\n\r\n", RESTS),
+        )
+
+        async def call(_instances, instance, hear):
+            client = HttpClient()
+            await PlatformCacheEvents(client).read(instance.address, 0, 0.1, hear)
+            await client.aclose()
+
+        self.check(answers, call)
+
     def test_a_request_that_is_withdrawn_while_it_connects_sends_nothing(self):
         received = []
 
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -22,7 +22,7 @@
     ServingConfiguration,
     Tenant,
 )
-from hopstep.domain.instance_notices import ignore_notice
+from hopstep.domain.instance_notices import InstanceNotice, ignore_notice
 from hopstep.exceptions import ErrorCode, ServiceError, StoreError
 from hopstep.exchange_node import ExchangePorts, ExchangeServices
 from hopstep.exchange_settings import ExchangeBounds, ExchangeSettings
@@ -187,6 +187,7 @@
     def __init__(self):
         self.events = {}
         self.born_ms = {}
+        self.notices = {}
         self.readers = Counter()
         self.reads = Counter()
         self._added = trio.Event()
@@ -205,6 +206,7 @@
                     await self._added.wait()
         finally:
             self.readers[address] -= 1
+        hear(self.notices.get(address, InstanceNotice()))
         events = self.events.get(address)
         if events is None:
             return None
--- a/tests/services/exchanges/test_engine_cache_watch.py
+++ b/tests/services/exchanges/test_engine_cache_watch.py
@@ -8,6 +8,7 @@
 from hopstep.domain.exchanges.request import PromptSegment
 from hopstep.domain.exchanges.segments import segment_keys
 from hopstep.domain.exchanges.store_contents import CacheEvent
+from hopstep.domain.instance_notices import InstanceNotice
 from hopstep.services.exchanges.engine_cache_watch import RETRY_SECONDS
 from tests.services.exchanges.exchange_world import MODEL, ExchangeWorld
 
@@ -75,3 +76,44 @@
             self.assertEqual([line["readable"] for line in changed], [False])
 
         self.run_world(script)
+
+
+class NoticesOfEventsTest(unittest.TestCase):
+    """Calls for events name no instance, so only a batch that tells its start speaks for it."""
+
+    def run_world(self, script, **entry):
+        world = ExchangeWorld()
+        world.add("e0", "llm", **entry)
+        world.cache_events.events[world.listed["e0"].address] = []
+        world.run(script)
+
+    def say(self, world, notice):
+        world.cache_events.notices[world.listed["e0"].address] = notice
+
+    def test_the_word_of_leaving_counts_with_the_start_of_the_listed_life(self):
+        for told, leaves in ((5, True), (4, False), (0, False)):
+            with self.subTest(told=told):
+
+                async def script(world, told=told, leaves=leaves):
+                    world.cache_events.born_ms[world.listed["e0"].address] = told
+                    self.say(world, InstanceNotice(leaving=True))
+                    await trio.sleep(4.0)
+                    view = world.nodes[0].knowledge.table.get("e0")
+                    self.assertIs(view.standing.leaves, leaves)
+
+                self.run_world(script, born_ms=5)
+
+    def test_a_refused_reader_keeps_to_the_wait(self):
+        async def script(world):
+            address = world.listed["e0"].address
+            await trio.sleep(2.0)
+            self.say(world, InstanceNotice(rest_seconds=5.0))
+            del world.cache_events.events[address]
+            await trio.sleep(2.0)
+            reads = world.cache_events.reads[address]
+            await trio.sleep(2.5)
+            self.assertEqual(world.cache_events.reads[address], reads)
+            await trio.sleep(4.5)
+            self.assertGreater(world.cache_events.reads[address], reads)
+
+        self.run_world(script)
