Hear limits that instances name in answers, and log them, without acting on it

Calls beside requests name a limit but never lift one: whether those answers carry the word each time isn't known.

--- a/hopstep/domain/instance_notices.py
+++ b/hopstep/domain/instance_notices.py
@@ -1,4 +1,4 @@
-"""What an instance says of itself in the head of an answer: that it leaves, or wants rest."""
+"""What an instance says of itself in the head of an answer: leaving, rest, a limit."""
 
 from __future__ import annotations
 
@@ -7,21 +7,36 @@
 import msgspec
 
 
+class LimitWord(msgspec.Struct, frozen=True):
+    """What the head of one answer says of the instance's limit.
+
+    Attributes:
+        per_second: Requests a second that it takes from all nodes together; None when the answer
+            names no limit, so that there is none any more.
+        date: Unix time at which the head was made, by the instance's clock; None when not told.
+    """
+
+    per_second: float | None = None
+    date: float | None = None
+
+
 class InstanceNotice(msgspec.Struct, frozen=True):
     """What the head of one answer says of the instance that gave it.
 
     Attributes:
         leaving: Whether the instance is about to leave and wants nothing new.
         rest_seconds: For so long it wants nothing from this node; 0 for no such wish.
+        limit: What it says of its limit; None when the answer tells nothing of it either way.
     """
 
     leaving: bool = False
     rest_seconds: float = 0.0
+    limit: LimitWord | None = None
 
     @property
     def is_empty(self) -> bool:
         """Whether the answer says nothing of the instance."""
-        return not self.leaving and not self.rest_seconds
+        return not self.leaving and not self.rest_seconds and self.limit is None
 
 
 NoticeListener = Callable[[InstanceNotice], None]
--- a/hopstep/domain/instance_standing.py
+++ b/hopstep/domain/instance_standing.py
@@ -1,13 +1,15 @@
 """Whether an instance wants requests, by its own word. All times are of the steady clock, seconds.
 
 The word is of one life of an instance. That it leaves stays true for that life, whatever an entry
-says that is read before or after; a rest runs to its end, and a later one never shortens it.
+says that is read before or after; a rest runs to its end, and a later one never shortens it; a
+limit holds until a later answer names another one or none.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterator
 
+from hopstep.domain.instance_limit import HeadTimes, InstanceLimit
 from hopstep.domain.instance_notices import InstanceNotice
 
 OPENING_STEP_SECONDS = 0.25
@@ -26,26 +28,42 @@
     Attributes:
         leaving_since: When it said that it leaves; None as long as it hasn't.
         resting_until: End of the rest that it asked this node for.
+        limit: Requests a second that it takes from all nodes together.
     """
 
     def __init__(self) -> None:
         """Have heard nothing."""
         self.leaving_since: float | None = None
         self.resting_until = -float("inf")
+        self.limit = InstanceLimit()
 
     @property
     def leaves(self) -> bool:
         """Whether it has said that it leaves."""
         return self.leaving_since is not None
 
-    def take(self, notice: InstanceNotice, now: float) -> InstanceNotice:
-        """Take a notice and return the part of it that is news."""
+    def take(
+        self, notice: InstanceNotice, now: float, asked_at: float = -float("inf")
+    ) -> InstanceNotice:
+        """Take a notice and return the part of it that is news.
+
+        Args:
+            notice: What the head of an answer says.
+            now: When the head was read.
+            asked_at: The request had not been sent before then.
+        """
         leaving = notice.leaving and self.note_leaving(now)
-        until = now + notice.rest_seconds
-        if not notice.rest_seconds or until <= self.resting_until:
-            return InstanceNotice(leaving)
+        rest = self._take_rest(now + notice.rest_seconds) if notice.rest_seconds else False
+        word = notice.limit
+        limits = word is not None and self.limit.take(word, HeadTimes(asked_at, now, word.date))
+        return InstanceNotice(leaving, notice.rest_seconds * rest, word if limits else None)
+
+    def _take_rest(self, until: float) -> bool:
+        """Take the end of a rest; return False when a later one is known."""
+        if until <= self.resting_until:
+            return False
         self.resting_until = until
-        return InstanceNotice(leaving, notice.rest_seconds)
+        return True
 
     def note_leaving(self, since: float) -> bool:
         """Note that it leaves, from the earliest time told; return whether that is news."""
--- a/hopstep/domain/retry_after_header.py
+++ b/hopstep/domain/retry_after_header.py
@@ -34,11 +34,11 @@
     numbers = [part.strip() for part in value.split(",")]
     if all(_NUMBER.fullmatch(number) for number in numbers):
         return max(float(number) for number in numbers)
-    until, answered = _unix_seconds(value), _unix_seconds(date)
+    until, answered = unix_seconds(value), unix_seconds(date)
     return max(0.0, until - answered) if until is not None and answered is not None else 0.0
 
 
-def _unix_seconds(date: str) -> float | None:
+def unix_seconds(date: str) -> float | None:
     """Return the Unix time of an HTTP date, or None for what isn't one."""
     try:
         return email.utils.parsedate_to_datetime(date).timestamp()
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -537,6 +537,13 @@
     ("instance", "life", "service", "rest_ms"),
     "Nothing once: this node leaves it alone for so long; if it recurs, it is overloaded.",
 )
+INSTANCE_LIMIT_CHANGED = LogEvent(
+    "HS6113",
+    "instance_limit_changed",
+    Level.INFO,
+    ("instance", "life", "service", "limit", "previous", "source", "age_ms"),
+    "Nothing: all nodes together send it so many requests a second; -1 is no limit.",
+)
 WEIGHTS_NAMED = LogEvent(
     "HS6103",
     "weights_named",
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -10,7 +10,7 @@
 import trio
 
 from hopstep.domain.exchanges.instances import Instance
-from hopstep.domain.instance_notices import NoticeListener, ignore_notice
+from hopstep.domain.instance_notices import InstanceNotice, NoticeListener, ignore_notice
 from hopstep.domain.quarantine.crashes import InstanceSign
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform import names
@@ -134,7 +134,7 @@
             except FAILURES as error:
                 raise _no_answer(call.proof) from error
             if _is_own_answer(response, call):
-                call.hear(read_notice(response.status, response.headers))
+                call.hear(_request_notice(response))
             _check_head(response, call)
             yield HttpInstanceAnswer(response)
 
@@ -262,6 +262,16 @@
     return answered == call.request.request_id.encode()
 
 
+def _request_notice(response: httpcore.Response) -> InstanceNotice:
+    """Return what the instance's own answer to a request says of it.
+
+    Only an answer that repeats the request's id lifts a limit by naming none: whether refusals
+    without an id would name it isn't known.
+    """
+    found = {name.lower() for name, _value in response.headers}
+    return read_notice(response.status, response.headers, lifts_limit=names.REQUEST_ID in found)
+
+
 def _is_control_answer(response: httpcore.Response) -> bool:
     """Return whether an answer is to a call beside the requests, of the instance it was sent to.
 
--- a/hopstep/platform/notices.py
+++ b/hopstep/platform/notices.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Iterable
 
-from hopstep.domain.instance_notices import InstanceNotice
-from hopstep.domain.retry_after_header import rest_seconds
+from hopstep.domain.instance_notices import InstanceNotice, LimitWord
+from hopstep.domain.limit_header import limit_per_second
+from hopstep.domain.retry_after_header import rest_seconds, unix_seconds
 from hopstep.platform import names
 
 LEAVES = b"1"
@@ -13,17 +14,33 @@
 """Status of an answer whose ``Retry-After`` is about the instance as a whole."""
 
 
-def read_notice(status: int, headers: Iterable[tuple[bytes, bytes]]) -> InstanceNotice:
+def read_notice(
+    status: int, headers: Iterable[tuple[bytes, bytes]], *, lifts_limit: bool = False
+) -> InstanceNotice:
     """Return what an answer's head says of its instance.
 
     Args:
         status: HTTP status.
         headers: All headers of the answer.
+        lifts_limit: Whether an answer of this kind that names no limit says that there is none.
     """
     pairs = [(name.lower(), value.strip()) for name, value in headers]
     leaving = (names.LEAVING, LEAVES) in pairs
-    if status != TURNED_AWAY:
-        return InstanceNotice(leaving)
-    waits = [value.decode("latin-1") for name, value in pairs if name == names.RETRY_AFTER]
-    dates = [value.decode("latin-1") for name, value in pairs if name == names.DATE]
-    return InstanceNotice(leaving, rest_seconds(waits, dates[0] if dates else ""))
+    dates = _texts(pairs, names.DATE)
+    date = dates[0] if dates else ""
+    rest = rest_seconds(_texts(pairs, names.RETRY_AFTER), date) if status == TURNED_AWAY else 0.0
+    return InstanceNotice(leaving, rest, _limit_word(pairs, date, lifts_limit))
+
+
+def _limit_word(pairs: list[tuple[bytes, bytes]], date: str, lifts_limit: bool) -> LimitWord | None:
+    """Return what a head says of the instance's limit; None when it tells nothing of it."""
+    values = _texts(pairs, names.LIMIT)
+    if not values:
+        return LimitWord(None, unix_seconds(date)) if lifts_limit else None
+    per_second = limit_per_second(values)
+    return LimitWord(per_second, unix_seconds(date)) if per_second is not None else None
+
+
+def _texts(pairs: list[tuple[bytes, bytes]], name: bytes) -> list[str]:
+    """Return the values of all fields of a name."""
+    return [value.decode("latin-1") for found, value in pairs if found == name]
--- a/hopstep/services/exchanges/engine_cache_watch.py
+++ b/hopstep/services/exchanges/engine_cache_watch.py
@@ -93,6 +93,7 @@
                     await trio.sleep(PAUSE_SECONDS)
                     continue
                 heard: list[InstanceNotice] = []
+                asked_at = trio.current_time()
                 batch = await self._events.read(
                     view.instance.address, position, WAIT_SECONDS, heard.append
                 )
@@ -106,13 +107,17 @@
                     rests = [notice.rest_seconds for notice in heard]
                     await trio.sleep(max(RETRY_SECONDS, max(rests, default=0.0)))
                     continue
-                self._hear(view, heard, batch)
+                self._hear(view, asked_at, heard, batch)
                 self._take(view, contents, batch, epoch)
                 position, epoch = batch.position, batch.epoch
                 await trio.sleep(PAUSE_SECONDS)
 
     def _hear(
-        self, view: InstanceView, heard: list[InstanceNotice], batch: CacheEventBatch
+        self,
+        view: InstanceView,
+        asked_at: float,
+        heard: list[InstanceNotice],
+        batch: CacheEventBatch,
     ) -> None:
         """Take what the answer's head said, if the batch proves that it is of this life.
 
@@ -120,7 +125,7 @@
         """
         if batch.born_ms and batch.born_ms == view.instance.born_ms:
             for notice in heard:
-                self._notices.take(view, notice)
+                self._notices.take(view, asked_at, notice)
 
     def _take(
         self,
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -57,7 +57,7 @@
         )
         self.notices = Counter(
             "hopstep_instance_notices",
-            "What instances say of themselves, as news: kind (leaving, rest), and who told it.",
+            "What instances say of themselves, as news: kind (leaving, rest, limit) and source.",
             ("kind", "source"),
             registry=registry,
         )
--- a/hopstep/services/exchanges/instance_notices.py
+++ b/hopstep/services/exchanges/instance_notices.py
@@ -11,6 +11,7 @@
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import instance_id_of
+from hopstep.domain.instance_limit import NO_LIMIT
 from hopstep.domain.instance_notices import InstanceNotice, NoticeListener
 from hopstep.logs import emit
 
@@ -24,6 +25,10 @@
 """Most instances that leave in one message to other nodes, the latest: some 1 kB."""
 
 LEAVING = "leaving"
+LIMIT = "limit"
+NONE_SHOWN = -1.0
+"""How a log line shows that there is no limit."""
+
 REST = "rest"
 MILLISECONDS = 1_000
 
@@ -43,17 +48,27 @@
 
     def listener(self, view: InstanceView) -> NoticeListener:
         """Return what takes notices of the life that a view is of."""
-        return functools.partial(self.take, view)
+        return functools.partial(self.take, view, trio.current_time())
 
-    def take(self, view: InstanceView, notice: InstanceNotice) -> None:
+    def take(self, view: InstanceView, asked_at: float, notice: InstanceNotice) -> None:
         """Take what a life of an instance says of itself in an answer to this node.
 
         The word is of the life that was asked, also when a later one is listed by now.
+
+        Args:
+            view: The life.
+            asked_at: The call had not been sent before then.
+            notice: What the answer's head says.
         """
         if notice.is_empty:
             return
-        news = view.standing.take(notice, trio.current_time())
+        previous = view.standing.limit.per_second
+        news = view.standing.take(notice, trio.current_time(), asked_at)
+        if news.is_empty:
+            return
         self._table.standings.remember(view.life, view.standing)
+        if news.limit is not None:
+            self._note_limit(view.life, previous, ANSWER_SOURCE, 0)
         if news.leaving:
             self._note_news(view.life, ANSWER_SOURCE, 0)
         if news.rest_seconds:
@@ -102,6 +117,22 @@
         view = self._table.of_life(life)
         return view is not None and not view.instance.draining
 
+    def _note_limit(self, life: str, previous: float, source: str, age_ms: int) -> None:
+        """Log and count that a life has another limit, or none any more."""
+        view = self._table.of_life(life)
+        limit = self._table.standings.of_life(life).limit.per_second
+        self._count(LIMIT, PEER_SOURCE if source != ANSWER_SOURCE else source)
+        emit(
+            log_events.INSTANCE_LIMIT_CHANGED,
+            instance=instance_id_of(life),
+            life=life,
+            service=view.instance.service if view is not None else "",
+            limit=_shown(limit),
+            previous=_shown(previous),
+            source=source,
+            age_ms=age_ms,
+        )
+
     def _note_news(self, life: str, source: str, age_ms: int) -> None:
         """Log and count that an instance is now known to leave."""
         view = self._table.of_life(life)
@@ -114,3 +145,8 @@
             source=source,
             age_ms=age_ms,
         )
+
+
+def _shown(limit: float) -> float:
+    """Return a limit as log lines show it."""
+    return NONE_SHOWN if limit == NO_LIMIT else limit
--- /dev/null
+++ b/tests/domain/test_instance_limit.py
@@ -0,0 +1,62 @@
+"""Which of several answers tells the limit that holds."""
+
+import unittest
+
+from hopstep.domain.instance_limit import NO_LIMIT, HeadTimes, InstanceLimit
+from hopstep.domain.instance_notices import LimitWord
+
+LIMITED = LimitWord(1.5)
+LIFTED = LimitWord()
+
+
+class InstanceLimitTest(unittest.TestCase):
+    def take(self, limit, per_second, after, before, date=None):
+        return limit.take(LimitWord(per_second, date), HeadTimes(after, before, date))
+
+    def test_without_a_word_there_is_no_limit(self):
+        limit = InstanceLimit()
+        self.assertFalse(limit.is_set)
+        self.assertFalse(self.take(limit, None, 0.0, 0.1))
+
+    def test_a_later_answer_changes_the_limit_or_lifts_it(self):
+        limit = InstanceLimit()
+        for number, value in enumerate((1.5, 8.0, 0.3, None, 2.0)):
+            self.assertTrue(self.take(limit, value, number, number + 0.1))
+            self.assertEqual(limit.per_second, NO_LIMIT if value is None else value)
+
+    def test_where_the_order_is_not_known_the_lower_limit_counts(self):
+        for first, second in ((1.5, None), (None, 1.5), (8.0, 1.5), (1.5, 8.0)):
+            with self.subTest(first=first, second=second):
+                limit = InstanceLimit()
+                self.take(limit, first, 0.0, 1.0)
+                self.take(limit, second, 0.5, 1.2)
+                self.assertEqual(limit.per_second, 1.5)
+
+    def test_the_next_answer_settles_what_was_not_known(self):
+        limit = InstanceLimit()
+        self.take(limit, 1.5, 0.0, 1.0)
+        self.take(limit, None, 0.5, 1.2)
+        self.assertTrue(self.take(limit, None, 1.1, 1.3))
+        self.assertFalse(limit.is_set)
+
+    def test_an_answer_that_was_read_before_another_was_asked_for_changes_nothing(self):
+        limit = InstanceLimit()
+        self.take(limit, None, 4.0, 4.1)
+        self.assertFalse(self.take(limit, 1.5, 0.5, 4.0))
+        self.assertFalse(limit.is_set)
+
+    def test_the_date_tells_which_of_two_heads_is_newer(self):
+        limit = InstanceLimit()
+        self.take(limit, None, 4.0, 4.1, date=104.0)
+        self.assertFalse(self.take(limit, 1.5, 0.5, 5.0, date=101.0), "an old head restores")
+        self.take(limit, 1.5, 5.0, 5.1, date=105.0)
+        self.assertFalse(self.take(limit, None, 0.5, 9.0, date=103.0), "an old head lifts")
+        self.assertEqual(limit.per_second, 1.5)
+        self.assertTrue(self.take(limit, None, 0.5, 9.0, date=106.0))
+
+    def test_answers_that_say_the_same_keep_the_newest_time(self):
+        limit = InstanceLimit()
+        self.take(limit, 1.5, 0.0, 3.0)
+        self.take(limit, 1.5, 1.0, 1.5)
+        self.assertFalse(self.take(limit, None, 1.2, 2.9))
+        self.assertEqual(limit.per_second, 1.5)
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -5,7 +5,7 @@
 import trio
 
 from hopstep.domain.exchanges.instances import Instance, NamedWeights
-from hopstep.domain.instance_notices import InstanceNotice
+from hopstep.domain.instance_notices import InstanceNotice, LimitWord
 from hopstep.exceptions import Execution
 from hopstep.platform.cache_events import PlatformCacheEvents
 from hopstep.platform.http_client import HttpClient
@@ -16,21 +16,59 @@
 
 LEAVES = InstanceNotice(leaving=True)
 RESTS = InstanceNotice(rest_seconds=3.0)
+NO_LIMIT = LimitWord()
+UNLIMITED = InstanceNotice(limit=NO_LIMIT)
+"""What an answer to a request that names no limit says: there is none any more."""
+
 NOT_RUN = b"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 OWN = b"Attempt-Id: r1\r\n"
 WORD = b"Server-Leaving: 1\r\n"
 WAIT = b"Retry-After: 3\r\n"
 BODY = b"Response-Stamp: s\r\nContent-Length: 4\r\n\r\nbody"
+LIMIT = b"Server-Limit: 1.5\r\n"
+LIMITED = InstanceNotice(limit=LimitWord(1.5))
 
 ANSWERS = (
-    ("a success", b"HTTP/1.1 200 OK\r\n" + OWN + WORD + BODY, LEAVES),
-    ("a failure", b"HTTP/1.1 500 X\r\n" + OWN + WORD + BODY, LEAVES),
-    ("a success without the word", b"HTTP/1.1 200 OK\r\n" + OWN + BODY, InstanceNotice()),
-    ("another value", b"HTTP/1.1 200 OK\r\n" + OWN + b"Server-Leaving: 0\r\n" + BODY, None),
-    ("a refusal with its id", b"HTTP/1.1 503 X\r\n" + OWN + WAIT + NOT_RUN, RESTS),
+    ("a success", b"HTTP/1.1 200 OK\r\n" + OWN + WORD + BODY, InstanceNotice(True, 0.0, NO_LIMIT)),
+    ("a failure", b"HTTP/1.1 500 X\r\n" + OWN + WORD + BODY, InstanceNotice(True, 0.0, NO_LIMIT)),
+    ("a success without a word", b"HTTP/1.1 200 OK\r\n" + OWN + BODY, UNLIMITED),
+    ("another value", b"HTTP/1.1 200 OK\r\n" + OWN + b"Server-Leaving: 0\r\n" + BODY, UNLIMITED),
+    (
+        "a refusal with its id",
+        b"HTTP/1.1 503 X\r\n" + OWN + WAIT + NOT_RUN,
+        InstanceNotice(False, 3.0, NO_LIMIT),
+    ),
     ("a refusal without an id", b"HTTP/1.1 503 X\r\n" + WAIT + NOT_RUN, RESTS),
-    ("a refusal as it leaves", b"HTTP/1.1 503 X\r\n" + OWN + WORD + NOT_RUN, LEAVES),
-    ("a success that names a wait", b"HTTP/1.1 200 OK\r\n" + OWN + WAIT + BODY, None),
+    (
+        "a refusal as it leaves",
+        b"HTTP/1.1 503 X\r\n" + OWN + WORD + NOT_RUN,
+        InstanceNotice(True, 0.0, NO_LIMIT),
+    ),
+    ("a success that names a wait", b"HTTP/1.1 200 OK\r\n" + OWN + WAIT + BODY, UNLIMITED),
+    ("a success with a limit", b"HTTP/1.1 200 OK\r\n" + OWN + LIMIT + BODY, LIMITED),
+    ("a failure with a limit", b"HTTP/1.1 500 X\r\n" + OWN + LIMIT + BODY, LIMITED),
+    ("a refusal with a limit", b"HTTP/1.1 503 X\r\n" + OWN + LIMIT + NOT_RUN, LIMITED),
+    ("a refusal with a limit, no id", b"HTTP/1.1 503 X\r\n" + LIMIT + NOT_RUN, LIMITED),
+    (
+        "a surplus answer with a limit",
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: r0\r\n" + LIMIT + BODY,
+        None,
+    ),
+    (
+        "a limit with its date",
+        b"HTTP/1.1 200 OK\r\nDate: Thu, 01 Jan 1970 00:01:00 GMT\r\n" + OWN + LIMIT + BODY,
+        InstanceNotice(limit=LimitWord(1.5, 60.0)),
+    ),
+    (
+        "a limit that can't be read",
+        b"HTTP/1.1 200 OK\r\n" + OWN + b"Server-Limit: some\r\n" + BODY,
+        None,
+    ),
+    (
+        "a limit named twice",
+        b"HTTP/1.1 200 OK\r\n" + OWN + b"Server-Limit: 4\r\n" + LIMIT + BODY,
+        LIMITED,
+    ),
     (
         "a surplus answer",
         b"HTTP/1.1 200 OK\r\nAttempt-Id: r0\r\n" + WORD + BODY,
@@ -47,7 +85,7 @@
     (
         "a precondition that it doesn't meet",
         b"HTTP/1.1 421 X\r\nInstance-Id: i1\r\n" + OWN + WORD + NOT_RUN,
-        LEAVES,
+        InstanceNotice(True, 0.0, NO_LIMIT),
     ),
 )
 
@@ -55,6 +93,8 @@
 CONTROL_ANSWERS = (
     ("an answer", b"HTTP/1.1 200 OK\r\n" + WORD + b"Content-Length: 43\r\n\r\n" + REPORT, LEAVES),
     ("a refusal", b"HTTP/1.1 503 X\r\n" + WAIT + b"Content-Length: 0\r\n\r\n", RESTS),
+    ("a limit", b"HTTP/1.1 200 OK\r\n" + LIMIT + b"Content-Length: 43\r\n\r\n" + REPORT, LIMITED),
+    ("no word", b"HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n" + REPORT, None),
     ("a surplus answer", b"HTTP/1.1 200 OK\r\n" + OWN + WORD + BODY, None),
     ("whoever has the address", b"HTTP/1.1 421 X\r\n" + WORD + b"Content-Length: 0\r\n\r\n", None),
 )
--- a/tests/services/exchanges/test_instance_notices.py
+++ b/tests/services/exchanges/test_instance_notices.py
@@ -137,7 +137,7 @@
         """Let a node have read that an instance leaves."""
         services = world.nodes[node]
         view = services.knowledge.table.get(instance_id)
-        services.notices.take(view, InstanceNotice(leaving=True))
+        services.notices.listener(view)(InstanceNotice(leaving=True))
 
     def test_an_entry_that_says_ready_takes_nothing_back(self):
         world = self.make_world()
@@ -179,7 +179,7 @@
             earlier = world.nodes[0].knowledge.table.get("i1")
             world.restart("i1", born_ms=2)
             await trio.sleep(1.0)
-            world.nodes[0].notices.take(earlier, InstanceNotice(leaving=True, rest_seconds=9.0))
+            world.nodes[0].notices.listener(earlier)(InstanceNotice(leaving=True, rest_seconds=9.0))
             later = world.nodes[0].knowledge.table.get("i1")
             self.assertIsNot(earlier, later)
             self.assertTrue(later.takes_requests(trio.current_time()))
@@ -284,7 +284,7 @@
         """Let a node have been asked for rest."""
         services = world.nodes[node]
         view = services.knowledge.table.get(instance_id)
-        services.notices.take(view, InstanceNotice(rest_seconds=seconds))
+        services.notices.listener(view)(InstanceNotice(rest_seconds=seconds))
 
     def test_a_later_rest_does_not_shorten_an_earlier_one(self):
         world = self.make_world()
