--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -16,7 +16,7 @@
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.request import Headers
 from hopstep.domain.exchanges.serving import RequestKind
-from hopstep.domain.instance_notices import InstanceNotice, NoticeListener, ignore_notice
+from hopstep.domain.instance_notices import InstanceNotice, LimitWord, NoticeListener, ignore_notice
 from hopstep.domain.quarantine.crashes import InstanceSign
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.ports.instance_calls import (
@@ -114,6 +114,7 @@
         self.connect_seconds = 0.0
         self.says_leaving = False
         self.sheds_for = 0.0
+        self.names_limit: float | None = None
         self.arrived_at: list[float] = []
         self.ended_at: float | None = None
         self._ended = trio.Event()
@@ -130,8 +131,12 @@
         return self.ended_at is None and self.behaviour is not Behaviour.UNREACHABLE
 
     def notice(self) -> InstanceNotice:
-        """Return what its answers say of it: ``sheds_for`` is the rest that refusals ask for."""
-        return InstanceNotice(self.says_leaving, self.sheds_for)
+        """Return what its answers say of it.
+
+        ``sheds_for`` is the rest that refusals ask for, ``names_limit`` the requests a second that
+        it takes from all nodes together.
+        """
+        return InstanceNotice(self.says_leaving, self.sheds_for, LimitWord(self.names_limit))
 
     async def work(self, seconds: float) -> None:
         """Let a request's work take time.
