--- a/hopstep/domain/limits/fleet_usage.py
+++ b/hopstep/domain/limits/fleet_usage.py
@@ -1,4 +1,6 @@
-"""What nodes tell of tenants' usage, and its sums over groups of nodes.
+"""What nodes tell of what they use of something limited, and its sums over groups of nodes.
+
+That is a tenant's quota, or an instance that takes only so many requests.
 
 Each node tells the whole of its own window, not changes, so lost, repeated and late messages do no
 harm, and a relay that has just started knows its nodes' usage with their first messages. What a
@@ -18,20 +20,20 @@
 SWEEP_SECONDS = 0.2
 """Between two looks for reports that are too old."""
 
-MAX_TENANTS = 64
-"""In one message, those with the greatest usage: some 2 kB."""
+MAX_TOLD = 64
+"""Most in one message, those with the greatest usage: some 2 kB."""
 
 
-class TenantUsage(msgspec.Struct, frozen=True, array_like=True):
-    """Usage of one tenant, in the unit of its quota.
+class Usage(msgspec.Struct, frozen=True, array_like=True):
+    """Usage of one tenant's quota, in its unit, or of one life of an instance, in requests.
 
     Attributes:
-        tenant: Its name.
-        admitted: Within the window.
-        offered: Within the last second, what was refused included.
+        name: The tenant's name, or the life as ``str(InstanceLife)``.
+        admitted: Within the window; to an instance, what was sent.
+        offered: Within the last second, what was refused included; to an instance, what waits.
     """
 
-    tenant: str
+    name: str
     admitted: int
     offered: int
 
@@ -40,11 +42,11 @@
     """What a node tells, of itself or of its group.
 
     Attributes:
-        usage: By tenant; tenants that aren't named have none.
+        usage: By name; what isn't named has none.
         nodes: Nodes whose usage is in it.
     """
 
-    usage: tuple[TenantUsage, ...] = ()
+    usage: tuple[Usage, ...] = ()
     nodes: int = 1
 
 
@@ -74,10 +76,10 @@
     fresh: bool = True
 
 
-def largest(usage: Iterable[TenantUsage]) -> tuple[TenantUsage, ...]:
-    """Return the usage that is told: of the tenants with the greatest, up to the bound."""
+def largest(usage: Iterable[Usage]) -> tuple[Usage, ...]:
+    """Return the usage that is told: the greatest, up to the bound."""
     ranked = sorted(usage, key=lambda each: max(each.admitted, each.offered), reverse=True)
-    return tuple(ranked[:MAX_TENANTS])
+    return tuple(ranked[:MAX_TOLD])
 
 
 class UsageReports:
@@ -107,8 +109,8 @@
         self._heard[process] = _Heard(report, now)
         self._nodes += report.nodes
         for each in report.usage:
-            self._admitted[each.tenant] += each.admitted
-            self._offered[each.tenant] += each.offered
+            self._admitted[each.name] += each.admitted
+            self._offered[each.name] += each.offered
 
     def sum(self, now: float) -> UsageReport:
         """Return what all that are known tell together."""
@@ -116,8 +118,7 @@
             self._swept_at = now
             self._sweep(now)
         usage = (
-            TenantUsage(tenant, admitted, self._offered[tenant])
-            for tenant, admitted in self._admitted.items()
+            Usage(name, admitted, self._offered[name]) for name, admitted in self._admitted.items()
         )
         return UsageReport(
             tuple(each for each in usage if each.admitted or each.offered), self._nodes
@@ -138,7 +139,7 @@
         heard.fresh = False
         self._nodes -= heard.report.nodes
         for each in heard.report.usage:
-            self._offered[each.tenant] -= each.offered
+            self._offered[each.name] -= each.offered
 
     def _remove(self, process: NodeProcess) -> None:
         """Count a process's report no longer."""
@@ -149,7 +150,7 @@
         if self._current.get(process.name) == process:
             del self._current[process.name]
         for each in heard.report.usage:
-            self._admitted[each.tenant] -= each.admitted
+            self._admitted[each.name] -= each.admitted
 
 
 def join(reports: Iterable[UsageReport]) -> UsageReport:
@@ -160,7 +161,7 @@
     for report in reports:
         nodes += report.nodes
         for each in report.usage:
-            admitted[each.tenant] += each.admitted
-            offered[each.tenant] += each.offered
-    usage = (TenantUsage(tenant, amount, offered[tenant]) for tenant, amount in admitted.items())
+            admitted[each.name] += each.admitted
+            offered[each.name] += each.offered
+    usage = (Usage(name, amount, offered[name]) for name, amount in admitted.items())
     return UsageReport(tuple(usage), nodes)
--- a/hopstep/domain/limits/quota_ledger.py
+++ b/hopstep/domain/limits/quota_ledger.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from hopstep.domain.limits.fleet_usage import TenantUsage, UsageReport, largest
+from hopstep.domain.limits.fleet_usage import Usage, UsageReport, largest
 from hopstep.domain.limits.usage_window import UsageWindow
 
 USED_TOLERANCE = 0.25
@@ -143,7 +143,7 @@
         self._started_at = now
         self._tenants: dict[str, _TenantWindows] = {}
         self._fleet: FleetUsage | None = None
-        self._told: dict[str, TenantUsage] = {}
+        self._told: dict[str, Usage] = {}
 
     def own_report(self, quotas: Mapping[str, TenantQuota], now: float, nodes: int) -> UsageReport:
         """Return this node's usage, to tell others.
@@ -157,7 +157,7 @@
             for tenant in quotas:
                 self._windows(tenant)
         usage = (
-            TenantUsage(
+            Usage(
                 tenant,
                 round(windows.admitted.total(now) + self._forgotten(quotas[tenant], now, nodes)),
                 round(windows.offered.total(now)),
@@ -181,7 +181,7 @@
         if known is not None and fewer and fleet.asked_at - known.asked_at < PREFERRED_SECONDS:
             return
         self._fleet = fleet
-        self._told = {each.tenant: each for each in fleet.report.usage}
+        self._told = {each.name: each for each in fleet.report.usage}
 
     def admit(
         self, tenant: str, quota: TenantQuota, cost: int, now: float, nodes: int, draw: float
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -15,7 +15,7 @@
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.store_contents import ContentsNews, ContentsPosition
-from hopstep.domain.limits.fleet_usage import TenantUsage
+from hopstep.domain.limits.fleet_usage import Usage
 from hopstep.domain.quarantine.crashes import RequestCrashes
 from hopstep.ports.serving_directory import DirectoryEntry
 
@@ -82,7 +82,7 @@
     loads: tuple[InstanceLoad, ...] = ()
     segments: tuple[SegmentNews, ...] = ()
     loading: tuple[LoadingEngine, ...] = ()
-    usage: tuple[TenantUsage, ...] = ()
+    usage: tuple[Usage, ...] = ()
     nodes: int = 0
     leaving: tuple[LeavingInstance, ...] = ()
 
--- a/hopstep/services/exchanges/quotas.py
+++ b/hopstep/services/exchanges/quotas.py
@@ -11,7 +11,7 @@
 
 from hopstep import log_events
 from hopstep.domain.exchanges.request import ExchangeRequest
-from hopstep.domain.limits.fleet_usage import NodeProcess, UsageReport, UsageReports, join, largest
+from hopstep.domain.limits.fleet_usage import UsageReport
 from hopstep.domain.limits.quota_ledger import (
     FleetUsage,
     QuotaBounds,
@@ -22,6 +22,7 @@
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.logs import emit
 from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.usage_book import UsageBook
 
 MILLISECONDS = 1_000
 
@@ -32,7 +33,11 @@
 
 
 class Quotas:
-    """Quotas of one node."""
+    """Quotas of one node.
+
+    Attributes:
+        book: What all nodes have used of their tenants' quotas.
+    """
 
     def __init__(
         self, knowledge: ServingKnowledge, bounds: QuotaBounds, generator: random.Random
@@ -49,8 +54,7 @@
         self._started_at = trio.current_time()
         self._told = trio.Event()
         self._ledger = QuotaLedger(bounds, self._started_at)
-        self._members = UsageReports(bounds.window_seconds)
-        self._relays = UsageReports(bounds.window_seconds)
+        self.book = UsageBook(knowledge, bounds.window_seconds, self._own_report)
 
     async def require(self, request: ExchangeRequest) -> None:
         """Count a request, or refuse it.
@@ -90,7 +94,7 @@
         """Admit and count a request, or return when to come back."""
         now = trio.current_time()
         if not self._knowledge.relays.relay():
-            self._take_told(self.fleet_report(), now)
+            self._take_told(self.book.fleet_report(), now)
         return self._ledger.admit(
             tenant, quota, cost, now, self._knowledge.count_nodes(), self._generator.random()
         )
@@ -108,30 +112,13 @@
             cost = tenant.quota.cost(request.usage_tokens)
             self._ledger.give_back(tenant.name, cost, trio.current_time())
 
-    def own_report(self) -> UsageReport:
+    def _own_report(self) -> UsageReport:
         """Return this node's usage."""
         quotas = self._quotas()
         if not quotas:
             return UsageReport()
         return self._ledger.own_report(quotas, trio.current_time(), self._knowledge.count_nodes())
 
-    def group_report(self) -> UsageReport:
-        """Return the usage of this node and those that ask it."""
-        return self._bounded(join((self.own_report(), self._members.sum(trio.current_time()))))
-
-    def fleet_report(self) -> UsageReport:
-        """Return the usage of all nodes, as far as this relay knows."""
-        others = self._relays.sum(trio.current_time())
-        return self._bounded(join((self.group_report(), others)))
-
-    def take_from_member(self, node: str, report: UsageReport) -> None:
-        """Take the usage of a node that asks this one."""
-        self._members.take(self._process(node), report, trio.current_time())
-
-    def take_from_relay(self, node: str, report: UsageReport) -> None:
-        """Take the usage of another relay's group."""
-        self._relays.take(self._process(node), report, trio.current_time())
-
     def take_answer(self, report: UsageReport, asked_at: float) -> None:
         """Take what the own relay tells of all nodes.
 
@@ -146,13 +133,3 @@
         current = self._knowledge.current
         tenants = current.tenants if current is not None else ()
         return {tenant.name: tenant.quota for tenant in tenants if tenant.quota is not None}
-
-    def _process(self, node: str) -> NodeProcess:
-        """Return a node's process as it is registered now."""
-        record = self._knowledge.nodes.get(node)
-        return NodeProcess(node, record.key if record is not None else b"")
-
-    @staticmethod
-    def _bounded(report: UsageReport) -> UsageReport:
-        """Return a report as it is told."""
-        return UsageReport(largest(report.usage), report.nodes)
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/relaying.py
@@ -139,7 +139,7 @@
         relay = relays.relay()
         self._note_source(STORE_SOURCE if self._follower.reads else relay)
         if relay:
-            hints = _with_usage(self._sharing.own_hints(), self._quotas.own_report())
+            hints = _with_usage(self._sharing.own_hints(), self._quotas.book.own_report())
             await self._ask(relay, hints, self._store_watch.positions())
         else:
             await self._send_digests()
@@ -185,7 +185,7 @@
     async def _send_digests(self) -> None:
         """Tell other relays of this node and those that ask it."""
         self._number += 1
-        hints = _with_usage(self._sharing.group_hints(), self._quotas.group_report())
+        hints = _with_usage(self._sharing.group_hints(), self._quotas.book.group_report())
         digest = RelayDigest(self._number, hints)
         for node in self._knowledge.relays.digest_targets():
             self._knowledge.relays.note_asked(node)
@@ -205,13 +205,13 @@
             case RelayQuery():
                 if message.hints is not None:
                     self._sharing.take_from_member(received.sender, message.hints)
-                    self._quotas.take_from_member(received.sender, _usage(message.hints))
+                    self._quotas.book.take_from_member(received.sender, _usage(message.hints))
                 await self._answer(received.sender, message)
             case RelayAnswer():
                 await self._take_answer(received.sender, message)
             case RelayDigest():
                 self._sharing.take_from_relay(received.sender, message.hints)
-                self._quotas.take_from_relay(received.sender, _usage(message.hints))
+                self._quotas.book.take_from_relay(received.sender, _usage(message.hints))
             case UrgentNews():
                 self._sharing.take_news(received.sender, message.prompts, message.loading)
                 self._quarantine.take(message.crashes)
@@ -245,7 +245,7 @@
         )
         if query.hints is not None:
             hints, position = self._sharing.hints_for(asker, query.feed, query.position)
-            hints = _with_usage(hints, self._quotas.fleet_report())
+            hints = _with_usage(hints, self._quotas.book.fleet_report())
             identity = self._sharing.log.identity
             answer = msgspec.structs.replace(answer, feed=identity, position=position, hints=hints)
         changes = knowledge.feed.after(query.revision)
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -18,7 +18,7 @@
 from hopstep.domain.exchanges.nodes import MESSAGE_FORM, NodeRecord
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.store_contents import ContentsPosition
-from hopstep.domain.limits.fleet_usage import TenantUsage
+from hopstep.domain.limits.fleet_usage import Usage
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
 from hopstep.ports.node_exchange import (
     Hints,
@@ -65,7 +65,7 @@
     (InstanceLoad("i1@5", 3, 400, 1),),
     (SegmentNews("i1@5", (SEGMENT,), 20, (9,)),),
     (LoadingEngine("i2@6", 900),),
-    (TenantUsage("t1", 40, 7),),
+    (Usage("t1", 40, 7),),
     2,
     (LeavingInstance("i3@7", 1500),),
 )
@@ -116,7 +116,7 @@
     loads: tuple[InstanceLoad, ...] = ()
     segments: tuple[SegmentNews, ...] = ()
     loading: tuple[LoadingEngine, ...] = ()
-    usage: tuple[TenantUsage, ...] = ()
+    usage: tuple[Usage, ...] = ()
     nodes: int = 0
 
 
--- a/tests/domain/limits/test_quota_ledger.py
+++ b/tests/domain/limits/test_quota_ledger.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hopstep.domain.limits.fleet_usage import TenantUsage, UsageReport
+from hopstep.domain.limits.fleet_usage import Usage, UsageReport
 from hopstep.domain.limits.quota_ledger import (
     MAX_SILENCE_SECONDS,
     FleetUsage,
@@ -124,7 +124,7 @@
         self.ledger = QuotaLedger(BOUNDS, -100.0)
 
     def told(self, admitted, offered, nodes=10, asked_at=0.0):
-        report = UsageReport((TenantUsage(TENANT, admitted, offered),), nodes)
+        report = UsageReport((Usage(TENANT, admitted, offered),), nodes)
         self.ledger.take_told(FleetUsage(report, asked_at))
 
     def admit(self, now, cost=REQUEST, nodes=10, draw=1.0):
@@ -133,7 +133,7 @@
     def test_what_was_admitted_since_the_telling_counts_until_the_next(self):
         quota = TenantQuota(10.0)
         ledger = QuotaLedger(QuotaBounds(10.0), -100.0)
-        ledger.take_told(FleetUsage(UsageReport((TenantUsage("t", 97, 0),), 1), 0.5))
+        ledger.take_told(FleetUsage(UsageReport((Usage("t", 97, 0),), 1), 0.5))
         decisions = [ledger.admit("t", quota, 1, 0.6, 1, 1.0).wait_seconds for _ in range(4)]
         self.assertEqual([wait == 0 for wait in decisions], [True, True, True, False])
 
