--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -9,6 +9,13 @@
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.load_ledger import REPORT_SECONDS, InstanceLoad
 from hopstep.domain.exchanges.segments import SegmentPicture
+from hopstep.domain.instance_admission import (
+    Admission,
+    AskedInstance,
+    Barrier,
+    Purpose,
+    admission,
+)
 from hopstep.domain.instance_standing import InstanceStanding
 from hopstep.domain.rendezvous import hash_name
 
@@ -202,44 +209,23 @@
         for request_id in self._waiting_since:
             self._waiting_since[request_id] += seconds
 
-    def takes_requests(self, now: float) -> bool:
-        """Return whether a new request may be sent by all that the node knows.
-
-        The instance must not have ended, its entry must be trusted, and neither the entry nor its
-        own answers may say that it leaves or wants rest. With the entry alone requests reached
-        instances up to 5.9 s after they had said that they leave, while the store was away.
-        """
-        return self._serves and not self.standing.leaves and self.standing.admits(self.active, now)
-
-    def takes_later(self, now: float) -> bool:
-        """Return whether all that keeps a new request from the instance is its rest."""
-        kept = not self.standing.admits(self.active, now)
-        return self._serves and not self.standing.leaves and kept
-
-    def takes_orders(self, now: float) -> bool:
-        """Return whether orders and reports may be asked of the instance."""
-        return self._serves and not self.standing.leaves and not self.standing.rests(now)
-
-    def takes_last_requests(self, now: float, bound_seconds: float) -> bool:
-        """Return whether a leaving instance may still be sent what no other could serve.
+    def admission(
+        self, purpose: Purpose, now: float, last_requests_seconds: float = 0.0
+    ) -> Admission:
+        """Return whether something may be sent to the instance by all that the node knows.
 
         Args:
+            purpose: What would be sent.
             now: Steady clock.
-            bound_seconds: For so long after its word it still takes requests.
+            last_requests_seconds: For so long after its word that it leaves it takes what no other
+                instance may serve.
         """
-        since = self.standing.leaving_since
-        within_bound = since is not None and now < since + bound_seconds
-        return self._serves and within_bound and self.standing.admits(self.active, now)
+        asked = AskedInstance(self.standing, self._listed, self.active, last_requests_seconds)
+        return admission(asked, purpose, now)
 
-    def still_takes(self, now: float, *, leaving: bool) -> bool:
-        """Return whether a request that was counted in may still be sent.
-
-        Args:
-            now: Steady clock.
-            leaving: Whether the instance was chosen although it leaves.
-        """
-        unchanged = leaving or not self.standing.leaves
-        return self._serves and unchanged and not self.standing.rests(now)
+    def takes(self, purpose: Purpose, now: float) -> bool:
+        """Return whether something may be sent to the instance now."""
+        return self.admission(purpose, now).is_open
 
     @property
     def expected_latency(self) -> float:
@@ -247,9 +233,13 @@
         return self.latency_seconds or DEFAULT_LATENCY_SECONDS
 
     @property
-    def _serves(self) -> bool:
-        """Whether the instance neither leaves nor has ended by the directory's word."""
-        return not (self.instance.draining or self.replaced or self.rejected)
+    def _listed(self) -> Barrier | None:
+        """What the directory has against sending anything; None for nothing."""
+        if self.rejected:
+            return Barrier.UNTRUSTED
+        if self.replaced:
+            return Barrier.ENDED
+        return Barrier.DRAINING if self.instance.draining else None
 
     def is_silent(self, now: float) -> bool:
         """Return whether requests wait although nothing came from the instance for long."""
--- a/hopstep/domain/exchanges/nodes.py
+++ b/hopstep/domain/exchanges/nodes.py
@@ -22,7 +22,7 @@
 """Nodes of a zone behind its relays, by rank, that read the store when all relays have lost it."""
 
 
-MESSAGE_FORM = 1
+MESSAGE_FORM = 2
 """Form of the messages and records that this version writes. It rises with each change after which
 an older version reads less of them; 0 is all before nodes told it (design 0029)."""
 
@@ -142,6 +142,10 @@
             targets += self._first_live(ranked)
         return [name for name in targets if name != self._name]
 
+    def live_relays(self) -> list[str]:
+        """Return the relays that answer, as this one knows them, itself included."""
+        return [self._name, *(name for name in self.digest_targets() if self._is_live(name))]
+
     def _first_live(self, ranked: list[str]) -> list[str]:
         """Return a zone's relays; behind silent ones also the next in rank."""
         chosen: list[str] = []
--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -11,6 +11,11 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
+MAX_PRIORITY = 9
+PRIORITIES_OF_A_TENANT = 3
+"""Routes' ranks that fit between two ranks of tenants."""
+
+
 class PromptSegment(msgspec.Struct, frozen=True):
     """A named part of a prompt.
 
@@ -72,6 +77,15 @@
     resume_after: str = ""
     usage_tokens: int | None = None
 
+    @property
+    def rank(self) -> int:
+        """Rank at an instance, 0 first: its tenant's, and within that its route's."""
+        priority = self.route.priority
+        if self.tenant is not None and self.tenant.priority is not None:
+            priority = min(priority, PRIORITIES_OF_A_TENANT - 1)
+            priority += self.tenant.priority * PRIORITIES_OF_A_TENANT
+        return max(0, min(MAX_PRIORITY, priority))
+
     def name(self) -> RequestName:
         """Return what it shares with equal requests of its caller; digests the whole body."""
         caller = self.tenant.name if self.tenant is not None else ""
--- a/hopstep/domain/exchanges/retry_after.py
+++ b/hopstep/domain/exchanges/retry_after.py
@@ -42,6 +42,7 @@
     STORE_AWAY = "store_away"
     LOADING = "loading"
     RESTING = "resting"
+    LIMITED = "limited"
     RELISTING = "relisting"
     QUARANTINE = "quarantine"
     QUOTA = "quota"
@@ -61,6 +62,8 @@
         loading_seconds: Until the first engine of the service has loaded weights; None for none.
         resting_seconds: Until the first instance wants requests again; None unless all that may
             serve have asked this node for rest.
+        limited_seconds: Until a permit is likely to come for the first instance under a limit; None
+            unless all that may serve rest or are limited.
         relisting_seconds: Until lapsed entries are back or gone; None when none are expected.
         store_silence_seconds: Time since the store answered this node or whoever told it.
         others_answer: Whether other nodes answer this one, so that it isn't cut off alone.
@@ -71,6 +74,7 @@
     other_instance: bool = False
     loading_seconds: float | None = None
     resting_seconds: float | None = None
+    limited_seconds: float | None = None
     relisting_seconds: float | None = None
     store_silence_seconds: float = 0.0
     others_answer: bool = False
@@ -99,6 +103,10 @@
         return RetryReason.OTHER_INSTANCE
     if facts.loading_seconds is not None:
         return RetryReason.LOADING
+    if facts.limited_seconds is not None and facts.limited_seconds < _or_never(
+        facts.resting_seconds
+    ):
+        return RetryReason.LIMITED
     if facts.resting_seconds is not None:
         return RetryReason.RESTING
     if facts.relisting_seconds is not None:
@@ -106,6 +114,11 @@
     return RetryReason.UNKNOWN
 
 
+def _or_never(seconds: float | None) -> float:
+    """Return a time, or infinity for none."""
+    return float("inf") if seconds is None else seconds
+
+
 def advise(facts: RefusalFacts, draw: float) -> RetryAdvice:
     """Return when a client should come back.
 
@@ -131,6 +144,8 @@
             return facts.loading_seconds or DEFAULT_SECONDS
         case RetryReason.RESTING:
             return facts.resting_seconds or DEFAULT_SECONDS
+        case RetryReason.LIMITED:
+            return facts.limited_seconds or DEFAULT_SECONDS
         case RetryReason.RELISTING:
             return min(DEFAULT_SECONDS, facts.relisting_seconds or DEFAULT_SECONDS)
         case RetryReason.UNKNOWN | RetryReason.QUARANTINE | RetryReason.QUOTA:
--- a/hopstep/domain/exchanges/weights.py
+++ b/hopstep/domain/exchanges/weights.py
@@ -9,6 +9,7 @@
 
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import NamedWeights
+from hopstep.domain.instance_admission import Barrier, Purpose
 
 LOAD_SMOOTHING = 0.3
 MIN_TOGETHER = 2
@@ -149,6 +150,12 @@
         return first.since + max(0.0, bounds.propagation_seconds - needed)
 
 
+def _may_be_ordered(view: InstanceView, now: float) -> bool:
+    """Return whether an engine may get an order now, or as soon as there is a permit for it."""
+    barrier = view.admission(Purpose.ORDER, now).barrier
+    return barrier is None or barrier is Barrier.LIMITED
+
+
 def engines_behind(
     views: Iterable[InstanceView], model: str, version: int, now: float
 ) -> list[InstanceView]:
@@ -156,6 +163,6 @@
     behind = [
         view
         for view in views
-        if view.takes_orders(now) and 0 < view.versions.get(model, 0) < version
+        if _may_be_ordered(view, now) and 0 < view.versions.get(model, 0) < version
     ]
     return sorted(behind, key=lambda view: (view.versions[model], view.active))
--- a/hopstep/domain/instance_standing.py
+++ b/hopstep/domain/instance_standing.py
@@ -10,7 +10,8 @@
 from collections.abc import Iterator
 
 from hopstep.domain.instance_limit import HeadTimes, InstanceLimit
-from hopstep.domain.instance_notices import InstanceNotice
+from hopstep.domain.instance_notices import InstanceNotice, LimitWord
+from hopstep.domain.limits.limited_sends import LimitedSends
 
 OPENING_STEP_SECONDS = 0.25
 """After a rest a node sends one request at a time, and twice as many after each such step: long
@@ -29,6 +30,7 @@
         leaving_since: When it said that it leaves; None as long as it hasn't.
         resting_until: End of the rest that it asked this node for.
         limit: Requests a second that it takes from all nodes together.
+        sends: What this node sends it under a limit; None as long as it has named none.
     """
 
     def __init__(self) -> None:
@@ -36,6 +38,7 @@
         self.leaving_since: float | None = None
         self.resting_until = -float("inf")
         self.limit = InstanceLimit()
+        self.sends: LimitedSends | None = None
 
     @property
     def leaves(self) -> bool:
@@ -55,9 +58,21 @@
         leaving = notice.leaving and self.note_leaving(now)
         rest = self._take_rest(now + notice.rest_seconds) if notice.rest_seconds else False
         word = notice.limit
-        limits = word is not None and self.limit.take(word, HeadTimes(asked_at, now, word.date))
+        limits = word is not None and self.take_limit(word, HeadTimes(asked_at, now, word.date))
         return InstanceNotice(leaving, notice.rest_seconds * rest, word if limits else None)
 
+    def take_limit(self, word: LimitWord, times: HeadTimes) -> bool:
+        """Take what a head says of the limit, and return whether another one holds now."""
+        is_news = self.limit.take(word, times)
+        if self.limit.is_set and self.sends is None:
+            self.sends = LimitedSends()
+        return is_news
+
+    @property
+    def limited_sends(self) -> LimitedSends | None:
+        """What this node sends it under the limit that holds now; None without a limit."""
+        return self.sends if self.limit.is_set else None
+
     def _take_rest(self, until: float) -> bool:
         """Take the end of a rest; return False when a later one is known."""
         if until <= self.resting_until:
--- a/hopstep/domain/limits/fleet_usage.py
+++ b/hopstep/domain/limits/fleet_usage.py
@@ -31,11 +31,27 @@
         name: The tenant's name, or the life as ``str(InstanceLife)``.
         admitted: Within the window; to an instance, what was sent.
         offered: Within the last second, what was refused included; to an instance, what waits.
+        expected: To an instance, what would be sent before the next telling, beside what waits.
     """
 
     name: str
     admitted: int
     offered: int
+    expected: int = 0
+
+    def plus(self, other: Usage) -> Usage:
+        """Return the sum with other usage of the same."""
+        return Usage(
+            self.name,
+            self.admitted + other.admitted,
+            self.offered + other.offered,
+            self.expected + other.expected,
+        )
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is nothing to tell."""
+        return not (self.admitted or self.offered or self.expected)
 
 
 class UsageReport(msgspec.Struct, frozen=True):
@@ -78,7 +94,9 @@
 
 def largest(usage: Iterable[Usage]) -> tuple[Usage, ...]:
     """Return the usage that is told: the greatest, up to the bound."""
-    ranked = sorted(usage, key=lambda each: max(each.admitted, each.offered), reverse=True)
+    ranked = sorted(
+        usage, key=lambda each: max(each.admitted, each.offered, each.expected), reverse=True
+    )
     return tuple(ranked[:MAX_TOLD])
 
 
@@ -96,6 +114,7 @@
         self._current: dict[str, NodeProcess] = {}
         self._admitted: Counter[str] = Counter()
         self._offered: Counter[str] = Counter()
+        self._expected: Counter[str] = Counter()
         self._nodes = 0
         self._swept_at = -float("inf")
 
@@ -111,6 +130,7 @@
         for each in report.usage:
             self._admitted[each.name] += each.admitted
             self._offered[each.name] += each.offered
+            self._expected[each.name] += each.expected
 
     def sum(self, now: float) -> UsageReport:
         """Return what all that are known tell together."""
@@ -120,9 +140,17 @@
         usage = (
             Usage(name, admitted, self._offered[name]) for name, admitted in self._admitted.items()
         )
-        return UsageReport(
-            tuple(each for each in usage if each.admitted or each.offered), self._nodes
-        )
+        return UsageReport(tuple(each for each in usage if not each.is_empty), self._nodes)
+
+    def of_name(self, name: str) -> dict[str, Usage]:
+        """Return what each node that is heard told last of one name."""
+        return {
+            process.name: each
+            for process, heard in self._heard.items()
+            if heard.fresh
+            for each in heard.report.usage
+            if each.name == name
+        }
 
     def _sweep(self, now: float) -> None:
         """Drop what is too old, and mark what is no longer fresh."""
@@ -140,6 +168,7 @@
         self._nodes -= heard.report.nodes
         for each in heard.report.usage:
             self._offered[each.name] -= each.offered
+            self._expected[each.name] -= each.expected
 
     def _remove(self, process: NodeProcess) -> None:
         """Count a process's report no longer."""
@@ -156,12 +185,10 @@
 def join(reports: Iterable[UsageReport]) -> UsageReport:
     """Return the sum of reports that have no node in common."""
     nodes = 0
-    admitted: Counter[str] = Counter()
-    offered: Counter[str] = Counter()
+    usage: dict[str, Usage] = {}
     for report in reports:
         nodes += report.nodes
         for each in report.usage:
-            admitted[each.name] += each.admitted
-            offered[each.name] += each.offered
-    usage = (Usage(name, amount, offered[name]) for name, amount in admitted.items())
-    return UsageReport(tuple(usage), nodes)
+            known = usage.get(each.name)
+            usage[each.name] = each if known is None else known.plus(each)
+    return UsageReport(tuple(usage.values()), nodes)
--- a/hopstep/domain/limits/quota_ledger.py
+++ b/hopstep/domain/limits/quota_ledger.py
@@ -165,7 +165,7 @@
             for tenant, windows in self._tenants.items()
             if tenant in quotas
         )
-        report = UsageReport(largest(each for each in usage if each.admitted or each.offered))
+        report = UsageReport(largest(each for each in usage if not each.is_empty))
         self._forget_idle(now)
         return report
 
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -37,10 +37,12 @@
 from hopstep.services.exchanges.directory_follower import DirectoryFollower
 from hopstep.services.exchanges.engine_cache_watch import EngineCacheWatch
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
+from hopstep.services.exchanges.instance_limits import InstanceLimits
 from hopstep.services.exchanges.instance_notices import InstanceNotices
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.services.exchanges.permit_sharing import PermitSharing
 from hopstep.services.exchanges.quotas import Quotas
 from hopstep.services.exchanges.registration import Registration
 from hopstep.services.exchanges.relaying import Relaying
@@ -141,6 +143,8 @@
             self.knowledge.table,
             lambda kind, source: self.metrics.notices.labels(kind, source).inc(),
         )
+        self.limits = InstanceLimits(self.knowledge, self.notices)
+        self.permits = PermitSharing(self.knowledge, self.notices, self.limits)
         self.sharing = LoadSharing(self.knowledge, urgent, self.notices)
         self.store_watch = CacheStoreWatch(self.knowledge, ports.cache_events, self.pauses)
         self.engine_watch = EngineCacheWatch(
@@ -159,6 +163,7 @@
             urgent,
             self.quarantine,
             self.quotas,
+            self.permits,
             ports.nodes,
             self.pauses,
             limits,
@@ -173,6 +178,7 @@
             self.quarantine,
             self.quotas,
             self.notices,
+            self.limits,
             RepeatBounds(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds),
             self.metrics,
             generator,
@@ -188,7 +194,13 @@
             bounds.lease_ms / MILLISECONDS,
         )
         self.rollout = WeightsRollout(
-            settings.name, self.knowledge, self.lease, ports.orders, self.sharing, self.notices
+            settings.name,
+            self.knowledge,
+            self.lease,
+            ports.orders,
+            self.sharing,
+            self.notices,
+            self.limits,
         )
         self.reaper = ConnectionReaper(ports.calls, self.knowledge.table, self.pauses)
         self.registration = Registration(record, ports.store, self.knowledge, generator)
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -373,6 +373,7 @@
         "source",
         "target",
         "waited_ms",
+        "kept_from",
         "configuration",
         "age_ms",
         "retry_after_ms",
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -55,6 +55,40 @@
     age_ms: int
 
 
+class LimitedInstance(msgspec.Struct, frozen=True, array_like=True):
+    """What a life of an instance has said last of its limit, in an answer to any node.
+
+    Attributes:
+        life: As ``str(InstanceLife)``.
+        per_second_milli: Thousandths of a request a second, from all nodes together;
+            ``LIMIT_LIFTED`` when it names no limit any more.
+        asked_ms: Time since its request was sent, and so at most since its head was made.
+        heard_ms: Time since the head was read, and so at least since it was made.
+    """
+
+    life: str
+    per_second_milli: int
+    asked_ms: int
+    heard_ms: int
+
+
+LIMIT_LIFTED = -1
+
+
+class GrantedPermits(msgspec.Struct, frozen=True, array_like=True):
+    """Permits to send to an instance that has named a limit.
+
+    Attributes:
+        life: As ``str(InstanceLife)``.
+        count: How many.
+        relay: The relay that they are for; empty in an answer, where they are for who asked.
+    """
+
+    life: str
+    count: int
+    relay: str = ""
+
+
 class SentPrompt(msgspec.Struct, frozen=True, array_like=True):
     """A long prompt that was just sent to an instance.
 
@@ -77,6 +111,10 @@
         usage: What tenants with quotas have used; see ``nodes`` for where.
         nodes: Nodes whose usage is told: the sender, its group, or all.
         leaving: Instances that have said that they leave, while the directory lists them as ready.
+        limits: Limits that instances have named, or lifted lately.
+        sends: What was sent to limited instances, by life, and what waits for permits; of the same
+            nodes as ``usage``.
+        permits: Permits to send to them.
     """
 
     loads: tuple[InstanceLoad, ...] = ()
@@ -85,6 +123,9 @@
     usage: tuple[Usage, ...] = ()
     nodes: int = 0
     leaving: tuple[LeavingInstance, ...] = ()
+    limits: tuple[LimitedInstance, ...] = ()
+    sends: tuple[Usage, ...] = ()
+    permits: tuple[GrantedPermits, ...] = ()
 
 
 class RelayQuery(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/hopstep/services/exchanges/engine_cache_watch.py
+++ b/hopstep/services/exchanges/engine_cache_watch.py
@@ -11,6 +11,7 @@
 from hopstep.domain.exchanges.engine_contents import EngineContents
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.watch_plan import WatchPlan
+from hopstep.domain.instance_admission import Purpose
 from hopstep.domain.instance_notices import InstanceNotice
 from hopstep.logs import emit
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
@@ -88,8 +89,8 @@
             epoch: int | None = None
             readable = True
             while True:
-                resting = view.standing.rests(trio.current_time())
-                if resting or not self._knowledge.table.is_trusted(view):
+                wanted = view.takes(Purpose.CACHE_EVENTS, trio.current_time())
+                if not wanted or not self._knowledge.table.is_trusted(view):
                     await trio.sleep(PAUSE_SECONDS)
                     continue
                 heard: list[InstanceNotice] = []
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -96,7 +96,7 @@
             await self._refuse_quarantined()
             self._refuse_unproved_key()
             candidate = self._parts.choice.choose(self._request, self._service, self._tried, only)
-            if candidate is None and await self._wait_for_rest():
+            if candidate is None and await self._wait_for_room():
                 continue
             if candidate is None:
                 self._fail(ErrorCode.OVERLOADED, "no instance may serve the request now")
@@ -125,23 +125,23 @@
                 return
             self._relay.restart()
 
-    async def _wait_for_rest(self) -> bool:
-        """Wait for the first instance whose rest ends early enough; return False for none.
+    async def _wait_for_room(self) -> bool:
+        """Wait until an instance takes the request; return False when none will early enough.
 
-        Only for an answer within the route's objective: where all instances rest for 1 s, shares
-        of 0.792, 0.812 and 0.726 of the requests were answered in time, in place of 0.756, 0.785
-        and 0.685 with refusals at once (seeds 1 to 3, virtual clock). Waiting as far as the
-        deadline allows gave 0.759, 0.786 and 0.698, and with rests of 3 s it held requests that
-        were refused in the end for 274 s in all, a mean of 0.34 s for each request that came.
+        Only for an answer within the route's objective: a longer wait makes most answers late, and
+        holds requests that are refused in the end.
         """
-        answer_by = self._request.received_at + self._request.route.objective_seconds
-        opens_at = self._parts.choice.next_opening(
-            self._request, self._service, self._tried, answer_by
-        )
-        if opens_at is None:
-            return False
+        parts, request = self._parts, self._request
+        answer_by = request.received_at + request.route.objective_seconds
+        opening = parts.choice.next_opening(request, self._service, self._tried, answer_by)
         began_at = trio.current_time()
-        await trio.sleep_until(opens_at)
+        until = min(opening.permit_by, opening.rest_ends_at or float("inf"))
+        if opening.limited and parts.limits.may_wait(opening.limited, request.rank, until):
+            await parts.limits.wait(opening.limited, request.rank, until)
+        elif opening.rest_ends_at is not None:
+            await trio.sleep_until(opening.rest_ends_at)
+        else:
+            return False
         self.outcome.waited_ms += round((trio.current_time() - began_at) * MILLISECONDS)
         return True
 
--- a/hopstep/services/exchanges/exchange_parts.py
+++ b/hopstep/services/exchanges/exchange_parts.py
@@ -11,6 +11,7 @@
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.ports.instance_calls import InstanceCalls
 from hopstep.services.exchanges.instance_choice import InstanceChoice
+from hopstep.services.exchanges.instance_limits import InstanceLimits
 from hopstep.services.exchanges.instance_notices import InstanceNotices
 from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.quarantine.quarantine import Quarantine
@@ -45,7 +46,8 @@
         read_tokens: Prompt tokens that the last instance was expected to read.
         source: Where it was told to bring segments from.
         target: Where it was told to save segments.
-        waited_ms: Time for which it waited here for the end of an instance's rest.
+        waited_ms: Time for which it waited here until an instance took it.
+        kept_from: How many instances each barrier kept it from when it was refused.
         fingerprint: Digest that equal requests share, in hexadecimal digits; empty when nothing
             counts against any request.
     """
@@ -60,6 +62,7 @@
     source: str = ""
     target: str = ""
     waited_ms: int = 0
+    kept_from: dict[str, int] = {}
     fingerprint: str = ""
 
 
@@ -77,6 +80,7 @@
         require_fresh: Raises ``ServiceError`` when keys may have been revoked unnoticed.
         count_failure: Told of each failed attempt: its code, and what follows.
         notices: Hears what instances say of themselves.
+        limits: Permits to send to limited instances.
     """
 
     calls: InstanceCalls
@@ -89,3 +93,4 @@
     require_fresh: Callable[[], None]
     count_failure: Callable[[str, str], None]
     notices: InstanceNotices
+    limits: InstanceLimits
--- a/hopstep/services/exchanges/instance_attempt.py
+++ b/hopstep/services/exchanges/instance_attempt.py
@@ -8,6 +8,7 @@
 
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
+from hopstep.domain.instance_admission import Purpose
 from hopstep.domain.quarantine.crashes import RequestName
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.ports.instance_calls import InstanceCall, InstanceCallError, SendProof
@@ -15,10 +16,6 @@
 from hopstep.services.exchanges.exchange_parts import ExchangeOutcome, ExchangeParts
 from hopstep.services.exchanges.silence_watchdog import SilenceWatchdog
 
-MAX_PRIORITY = 9
-PRIORITIES_OF_A_TENANT = 3
-"""Routes' ranks that fit between two ranks of tenants."""
-
 
 class InstanceAttempt:
     """Sends a request to the instance that was chosen, and passes the answer on.
@@ -54,7 +51,9 @@
         self._outcome = outcome
         self._candidate = candidate
         self._view = candidate.view
-        self._leaving = self._view.standing.leaves
+        leaves = self._view.standing.leaves
+        self._purpose = Purpose.LAST_SENDING if leaves else Purpose.SENDING
+        self._permit = parts.limits.hold(self._view)
 
     async def run(self) -> InstanceCallError | None:
         """Make the attempt; return what went wrong, or None after a whole answer."""
@@ -74,6 +73,7 @@
             return error
         finally:
             view.end(request_id, candidate.uncached_tokens)
+            self._parts.limits.release(view, self._permit)
             if left_midway and self.proof.sent and not self._relay.finished:
                 look = functools.partial(self._parts.calls.look, view.instance)
                 self._parts.quarantine.note_left(self._name, view.life, look)
@@ -127,7 +127,7 @@
             instance=view.instance,
             request=request,
             remaining_seconds=request.deadline - trio.current_time(),
-            priority=_rank(request) if prompt is not None else None,
+            priority=request.rank if prompt is not None else None,
             resume_after=self._relay.resume_after,
             expected_version=view.serving_version(prompt.model) if prompt is not None else 0,
             cache_salt=choice.salt(request, view),
@@ -135,15 +135,10 @@
             cache_target=self._outcome.target,
             proof=self.proof,
             hear=self._parts.notices.listener(view),
-            may_send=functools.partial(choice.may_send, view, leaving=self._leaving),
+            may_send=self._may_send,
         )
 
-
-def _rank(request: ExchangeRequest) -> int:
-    """Return the rank of a request at an instance: its tenant's first, then its route's."""
-    priority = request.route.priority
-    tenant = request.tenant
-    if tenant is not None and tenant.priority is not None:
-        priority = min(priority, PRIORITIES_OF_A_TENANT - 1)
-        priority += tenant.priority * PRIORITIES_OF_A_TENANT
-    return max(0, min(MAX_PRIORITY, priority))
+    def _may_send(self) -> bool:
+        """Return whether the request may leave now; counts it as sent under a limit."""
+        may_send = self._parts.choice.may_send(self._view, self._purpose)
+        return may_send and self._permit.use(trio.current_time())
--- a/hopstep/services/exchanges/instance_choice.py
+++ b/hopstep/services/exchanges/instance_choice.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable, Set
+from typing import NamedTuple
 
 import trio
 
@@ -14,6 +15,7 @@
 from hopstep.domain.exchanges.selection import Candidate, choose_engine, choose_server
 from hopstep.domain.exchanges.serving import EngineTraits
 from hopstep.domain.exchanges.store_contents import StoreContents
+from hopstep.domain.instance_admission import Admission, Barrier, Purpose
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
@@ -26,6 +28,25 @@
 """Prompts with fewer shared tokens are read anew faster than they are moved about."""
 
 
+class Opening(NamedTuple):
+    """How an instance may come to take a request.
+
+    Attributes:
+        rest_ends_at: When the first one that rests takes it; None for too late or never.
+        limited: Those that take it as soon as this node has a permit.
+        permit_by: A permit must come by then.
+    """
+
+    rest_ends_at: float | None
+    limited: list[InstanceView]
+    permit_by: float
+
+
+def is_limited(view: InstanceView, now: float) -> bool:
+    """Return whether all that keeps a request from an instance is its limit."""
+    return view.admission(Purpose.REQUEST, now).barrier is Barrier.LIMITED
+
+
 class InstanceChoice:
     """Applies the domain's choice to the instances of a service."""
 
@@ -72,9 +93,39 @@
         self._pauses.look()
         self._knowledge.expire_lapsed()
         now = trio.current_time()
-        views = self._admissible(request, service, tried, now)
+        eligible = self._eligible(request, service, tried, now)
         if only:
-            views = [view for view in views if view.instance.instance_id == only]
+            eligible = [view for view in eligible if view.instance.instance_id == only]
+        views = self._admissible(eligible, now)
+        if views:
+            self._note_wanted(request, service, eligible, views, now)
+        return self._best(request, service, views, now)
+
+    def _note_wanted(
+        self,
+        request: ExchangeRequest,
+        service: str,
+        eligible: list[InstanceView],
+        views: list[InstanceView],
+        now: float,
+    ) -> None:
+        """Ask for a permit where the best instance is one under a limit.
+
+        Without this a limited instance would get nothing as long as any other takes requests,
+        however late those answer.
+        """
+        if all(view.standing.limited_sends is None for view in eligible):
+            return
+        kept = [view for view in eligible if is_limited(view, now)]
+        best = self._best(request, service, [*views, *kept], now)
+        sends = best.view.standing.limited_sends if best is not None else None
+        if sends is not None:
+            sends.note_wanted(now)
+
+    def _best(
+        self, request: ExchangeRequest, service: str, views: list[InstanceView], now: float
+    ) -> Candidate | None:
+        """Return the best of some instances, those of which nothing bad is known first."""
         usable = [view for view in views if view.is_usable(now)]
         views = usable or views
         if request.prompt is None:
@@ -99,14 +150,14 @@
         group = tenant.name if tenant is not None and tenant.isolated else ""
         return f"{version}.{group}"
 
-    def _admissible(
-        self, request: ExchangeRequest, service: str, tried: Set[str], now: float
-    ) -> list[InstanceView]:
-        """Return the instances that may serve a request at all; those that leave only alone."""
-        views = self._eligible(request, service, tried, now)
-        taking = [view for view in views if view.takes_requests(now)]
-        bound = self._last_requests_seconds
-        return taking or [view for view in views if view.takes_last_requests(now, bound)]
+    def _admissible(self, eligible: list[InstanceView], now: float) -> list[InstanceView]:
+        """Return the instances that take a request now; those that leave only alone."""
+        taking = [view for view in eligible if view.takes(Purpose.REQUEST, now)]
+        return taking or [view for view in eligible if self._last_admission(view, now).is_open]
+
+    def _last_admission(self, view: InstanceView, now: float) -> Admission:
+        """Return whether an instance takes what no other may serve."""
+        return view.admission(Purpose.LAST_REQUEST, now, self._last_requests_seconds)
 
     def _eligible(
         self, request: ExchangeRequest, service: str, tried: Set[str], now: float
@@ -122,41 +173,53 @@
             and (not required or view.serving_version(model) >= required)
         ]
 
-    def next_opening(
-        self, request: ExchangeRequest, service: str, tried: Set[str], answer_by: float
-    ) -> float | None:
-        """Return when the first instance that rests wants a request; None for too late or never.
+    def kept_from(
+        self, request: ExchangeRequest, service: str, tried: Set[str]
+    ) -> list[tuple[InstanceView, Admission]]:
+        """Return the instances that may serve a request at another time, and what is in the way.
 
         Args:
             request: The request.
             service: Service that the route chose.
             tried: Ids of instances that it was sent to.
-            answer_by: An answer is expected by then.
         """
         now = trio.current_time()
-        openings = [
-            view.standing.opens_at(view.active)
-            for view in self._eligible(request, service, tried, now)
-            if view.takes_later(now)
-            and view.standing.opens_at(view.active) + view.expected_latency <= answer_by
-        ]
-        return min(openings, default=None)
+        eligible = self._eligible(request, service, tried, now)
+        asked = ((view, self._last_admission(view, now)) for view in eligible)
+        return [(view, answer) for view, answer in asked if not answer.is_open]
 
-    def may_send(self, view: InstanceView, *, leaving: bool) -> bool:
-        """Return whether a request may still be sent to an instance that was chosen for it.
+    def next_opening(
+        self, request: ExchangeRequest, service: str, tried: Set[str], answer_by: float
+    ) -> Opening:
+        """Return how an instance may come to take a request early enough for its answer.
 
         Args:
-            view: The instance.
-            leaving: Whether it was chosen although it leaves.
+            request: The request.
+            service: Service that the route chose.
+            tried: Ids of instances that it was sent to.
+            answer_by: An answer is expected by then.
         """
+        kept = self.kept_from(request, service, tried)
+        rests = [
+            answer.until
+            for view, answer in kept
+            if answer.barrier is Barrier.RESTING
+            and answer.until + view.expected_latency <= answer_by
+        ]
+        limited = [view for view, answer in kept if answer.barrier is Barrier.LIMITED]
+        latency = min((view.expected_latency for view in limited), default=0.0)
+        return Opening(min(rests, default=None), limited, answer_by - latency)
+
+    def may_send(self, view: InstanceView, purpose: Purpose) -> bool:
+        """Return whether a request may still be sent to an instance that was chosen for it."""
         listed = self._knowledge.table.is_trusted(view)
-        return listed and view.still_takes(trio.current_time(), leaving=leaving)
+        return listed and view.takes(purpose, trio.current_time())
 
     def _sources(self, service: str) -> list[InstanceView]:
         """Return the instances from which segments may be brought."""
         now = trio.current_time()
         views = self._knowledge.table.of_service(service)
-        return [view for view in views if view.takes_requests(now)]
+        return [view for view in views if view.takes(Purpose.SOURCE, now)]
 
     def _engine_request(
         self, request: ExchangeRequest, prompt: Prompt, service: str
--- /dev/null
+++ b/hopstep/services/exchanges/instance_limits.py
@@ -0,0 +1,218 @@
+"""This node's part in keeping to the limits that instances name: permits, and who waits for one."""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Sequence
+
+import msgspec
+import trio
+
+from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.instance_standing import InstanceStanding
+from hopstep.domain.limits.fleet_usage import UsageReport
+from hopstep.domain.limits.limited_sends import LimitedSends
+from hopstep.domain.limits.send_permits import LEAST_PER_SECOND
+from hopstep.services.exchanges.instance_notices import InstanceNotices
+from hopstep.services.exchanges.knowledge import ServingKnowledge
+
+CONTROL_RANK = -1
+"""Orders and reports go before all requests: engines must load in time."""
+
+LEAST_PERMITS_PER_SECOND = 0.1
+"""Foretells when a permit comes where none came lately."""
+
+
+class HeldPermit:
+    """Leave to send one request to an instance; without a limit that needs no permit."""
+
+    def __init__(self, standing: InstanceStanding, now: float) -> None:
+        """Take a permit if the instance has a limit and this node holds one.
+
+        Args:
+            standing: Of the life that the request is for.
+            now: Steady clock, seconds.
+        """
+        self._standing = standing
+        self._until = self._take(now)
+
+    def use(self, now: float) -> bool:
+        """Count a send right before its first byte; return False when it may not leave.
+
+        The limit may have come, and the permit may have expired, since the instance was chosen.
+        """
+        sends = self._standing.limited_sends
+        if sends is None:
+            return True
+        if self._until is None or self._until <= now:
+            self._until = self._take(now)
+        if self._until is None:
+            return False
+        self._until = None
+        sends.note_sent(now)
+        return True
+
+    def release(self) -> bool:
+        """Give a permit back that wasn't used; return whether there was one."""
+        sends, until = self._standing.limited_sends, self._until
+        self._until = None
+        if sends is None or until is None:
+            return False
+        sends.permits.put(1, until)
+        return True
+
+    def _take(self, now: float) -> float | None:
+        """Take a permit; return until when it may be used, None for none."""
+        sends = self._standing.limited_sends
+        return sends.permits.take_one(now) if sends is not None else None
+
+
+class _Waiter(msgspec.Struct, eq=False):
+    """One that waits: the lowest rank is served first, and then who came first."""
+
+    rank: int
+    number: int
+    woken: trio.Event = msgspec.field(default_factory=trio.Event)
+
+    def __lt__(self, other: _Waiter) -> bool:
+        """Return whether this one is served before another."""
+        return (self.rank, self.number) < (other.rank, other.number)
+
+
+class InstanceLimits:
+    """Holds this node's permits, and lets requests wait for them in the order of their rank."""
+
+    def __init__(self, knowledge: ServingKnowledge, notices: InstanceNotices) -> None:
+        """Hold no permits.
+
+        Args:
+            knowledge: Instances and nodes.
+            notices: What instances say of themselves.
+        """
+        self._knowledge = knowledge
+        self._notices = notices
+        self._waiters: dict[str, list[_Waiter]] = {}
+        self._number = 0
+
+    def own_report(self) -> UsageReport:
+        """Return what this node has sent to limited instances, and what waits for permits."""
+        now = trio.current_time()
+        limited = self._notices.limited()
+        usage = (sends.usage(life, now) for life, _limit, sends in limited)
+        return UsageReport(tuple(each for each in usage if not each.is_empty))
+
+    def receive(self, life: str, count: int) -> None:
+        """Take permits for a life, and wake as many of those that wait."""
+        sends = self._sends(life)
+        if sends is not None and count > 0:
+            sends.receive(count, trio.current_time())
+            self._wake(life, sends)
+
+    def hold(self, view: InstanceView) -> HeldPermit:
+        """Return leave to send one request to an instance that was chosen."""
+        return HeldPermit(view.standing, trio.current_time())
+
+    def release(self, view: InstanceView, permit: HeldPermit) -> None:
+        """Give a permit back if it wasn't used."""
+        sends = view.standing.limited_sends
+        if permit.release() and sends is not None:
+            self._wake(view.life, sends)
+
+    def may_wait(self, views: Sequence[InstanceView], rank: int, until: float) -> bool:
+        """Return whether a permit may come in time, by what has come lately.
+
+        Args:
+            views: Limited instances, any of which may serve the request.
+            rank: Rank of the request; lower ones are served first.
+            until: The permit must come by then.
+        """
+        now = trio.current_time()
+        if until <= now:
+            return False
+        return any(
+            self._expected_within(view, until - now) > self._ahead(view, rank) for view in views
+        )
+
+    def expected_seconds(self, view: InstanceView, rank: int) -> float:
+        """Return the time after which a permit for a request is likely to come."""
+        now = trio.current_time()
+        sends = view.standing.limited_sends
+        if sends is None:
+            return 0.0
+        even = view.standing.limit.per_second / max(1, self._knowledge.count_nodes())
+        rate = max(sends.permits_per_second(now), even, LEAST_PERMITS_PER_SECOND)
+        return (1 + self._ahead(view, rank)) / rate
+
+    async def acquire(self, view: InstanceView, rank: int, until: float) -> bool:
+        """Count a send to an instance as soon as a permit comes; return False for none in time.
+
+        Args:
+            view: The instance.
+            rank: Lower ones are served first.
+            until: Longest wait.
+        """
+        sends = view.standing.limited_sends
+        if sends is not None and sends.free(trio.current_time()) <= 0:
+            await self.wait([view], rank, until)
+        return self.hold(view).use(trio.current_time())
+
+    async def wait(self, views: Sequence[InstanceView], rank: int, until: float) -> None:
+        """Wait for a permit of the instance where fewest wait, or until a time.
+
+        Args:
+            views: Limited instances, any of which may serve the request.
+            rank: Rank of the request; lower ones are served first.
+            until: Longest wait.
+        """
+        view = min(views, key=self._crowd)
+        sends = view.standing.limited_sends
+        if sends is None:
+            return
+        self._number += 1
+        waiter = _Waiter(rank, self._number)
+        waiters = self._waiters.setdefault(view.life, [])
+        bisect.insort(waiters, waiter)
+        sends.waiting += 1
+        try:
+            with trio.move_on_at(until):
+                await waiter.woken.wait()
+        finally:
+            waiters.remove(waiter)
+            if waiter.woken.is_set():
+                sends.claimed -= 1
+            else:
+                sends.waiting -= 1
+            if not waiters:
+                self._waiters.pop(view.life, None)
+
+    def _wake(self, life: str, sends: LimitedSends) -> None:
+        """Let as many go on as there are permits."""
+        free = sends.free(trio.current_time())
+        for waiter in self._waiters.get(life, ()):
+            if free <= 0:
+                return
+            if not waiter.woken.is_set():
+                waiter.woken.set()
+                sends.claimed += 1
+                sends.waiting -= 1
+                free -= 1
+
+    def _expected_within(self, view: InstanceView, seconds: float) -> float:
+        """Return how many permits are likely to come within a time: one at least."""
+        sends = view.standing.limited_sends
+        rate = sends.permits_per_second(trio.current_time()) if sends is not None else 0.0
+        return 1.0 + rate * seconds
+
+    def _ahead(self, view: InstanceView, rank: int) -> int:
+        """Return how many wait for an instance before a request of a rank."""
+        return sum(1 for waiter in self._waiters.get(view.life, ()) if waiter.rank <= rank)
+
+    def _crowd(self, view: InstanceView) -> float:
+        """Return how many wait for an instance for each request a second that it takes."""
+        limit = max(view.standing.limit.per_second, LEAST_PER_SECOND)
+        return len(self._waiters.get(view.life, ())) / limit
+
+    def _sends(self, life: str) -> LimitedSends | None:
+        """Return what is sent to a life that is listed and has a limit."""
+        view = self._knowledge.table.of_life(life)
+        return view.standing.limited_sends if view is not None else None
--- a/hopstep/services/exchanges/instance_notices.py
+++ b/hopstep/services/exchanges/instance_notices.py
@@ -4,6 +4,7 @@
 
 import functools
 from collections.abc import Callable
+from typing import NamedTuple
 
 import trio
 
@@ -11,9 +12,12 @@
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import instance_id_of
-from hopstep.domain.instance_limit import NO_LIMIT
-from hopstep.domain.instance_notices import InstanceNotice, NoticeListener
+from hopstep.domain.instance_limit import NO_LIMIT, HeadTimes
+from hopstep.domain.instance_notices import InstanceNotice, LimitWord, NoticeListener
+from hopstep.domain.instance_standing import InstanceStanding
+from hopstep.domain.limits.limited_sends import LimitedSends
 from hopstep.logs import emit
+from hopstep.ports.node_exchange import LIMIT_LIFTED, LimitedInstance
 
 ANSWER_SOURCE = "answer"
 """Source of what an instance has told this node itself."""
@@ -30,7 +34,34 @@
 """How a log line shows that there is no limit."""
 
 REST = "rest"
+LIFTED_TOLD_SECONDS = 10.0
+"""For so long after a limit was lifted other nodes are told so: longer than any is cut off while it
+still counts as heard."""
+
+MAX_TOLD_SECONDS = 600.0
+"""Longest time that is told since a request was sent."""
+
+ON_THE_WAY_SECONDS = 0.05
+"""Messages between nodes take up to so long, usually: for so much longer a request may have been
+under way than the node that told it knew."""
+
 MILLISECONDS = 1_000
+MILLI = 1_000
+"""Limits are told in thousandths of a request a second."""
+
+
+class LimitedLife(NamedTuple):
+    """A life that takes only so many requests.
+
+    Attributes:
+        life: As ``str(InstanceLife)``.
+        per_second: Requests a second from all nodes together.
+        sends: What this node sends it.
+    """
+
+    life: str
+    per_second: float
+    sends: LimitedSends
 
 
 class InstanceNotices:
@@ -45,6 +76,7 @@
         """
         self._table = table
         self._count = count
+        self._limits: dict[str, InstanceStanding] = {}
 
     def listener(self, view: InstanceView) -> NoticeListener:
         """Return what takes notices of the life that a view is of."""
@@ -68,7 +100,7 @@
             return
         self._table.standings.remember(view.life, view.standing)
         if news.limit is not None:
-            self._note_limit(view.life, previous, ANSWER_SOURCE, 0)
+            self._note_limit(view.life, view.standing, previous, ANSWER_SOURCE)
         if news.leaving:
             self._note_news(view.life, ANSWER_SOURCE, 0)
         if news.rest_seconds:
@@ -117,10 +149,52 @@
         view = self._table.of_life(life)
         return view is not None and not view.instance.draining
 
-    def _note_limit(self, life: str, previous: float, source: str, age_ms: int) -> None:
+    def take_told_limit(self, told: LimitedInstance, node: str) -> None:
+        """Take from another node what a life of an instance has said last of its limit.
+
+        Args:
+            told: What it said, and when.
+            node: Who tells it.
+        """
+        now = trio.current_time()
+        lifted = told.per_second_milli == LIMIT_LIFTED
+        word = LimitWord(None if lifted else told.per_second_milli / MILLI)
+        asked_at = now - told.asked_ms / MILLISECONDS - ON_THE_WAY_SECONDS
+        times = HeadTimes(asked_at, now - told.heard_ms / MILLISECONDS)
+        view = self._table.of_life(told.life)
+        standing = view.standing if view is not None else self._table.standings.of_life(told.life)
+        previous = standing.limit.per_second
+        if standing.take_limit(word, times):
+            self._table.standings.remember(told.life, standing)
+            self._note_limit(told.life, standing, previous, node)
+
+    def limited(self) -> list[LimitedLife]:
+        """Return the listed lives that have a limit."""
+        return [
+            LimitedLife(life, standing.limit.per_second, standing.sends)
+            for life, standing in self._limits.items()
+            if standing.limit.is_set and standing.sends and self._table.of_life(life) is not None
+        ]
+
+    def told_limits(self) -> tuple[LimitedInstance, ...]:
+        """Return what other nodes are told of limits: those that hold, and those lifted lately."""
+        now = trio.current_time()
+        self._limits = {
+            life: standing
+            for life, standing in self._limits.items()
+            if standing.limit.is_set or now - standing.limit.times.before < LIFTED_TOLD_SECONDS
+        }
+        told = list(self._limits.items())[-MAX_TOLD_LIVES:]
+        return tuple(_told_limit(life, standing, now) for life, standing in told)
+
+    def _note_limit(
+        self, life: str, standing: InstanceStanding, previous: float, source: str
+    ) -> None:
         """Log and count that a life has another limit, or none any more."""
+        self._limits[life] = standing
         view = self._table.of_life(life)
-        limit = self._table.standings.of_life(life).limit.per_second
+        limit = standing.limit.per_second
+        age_ms = round((trio.current_time() - standing.limit.times.before) * MILLISECONDS)
         self._count(LIMIT, PEER_SOURCE if source != ANSWER_SOURCE else source)
         emit(
             log_events.INSTANCE_LIMIT_CHANGED,
@@ -147,6 +221,17 @@
         )
 
 
+def _told_limit(life: str, standing: InstanceStanding, now: float) -> LimitedInstance:
+    """Return what another node is told of a limit."""
+    limit = standing.limit
+    milli = round(limit.per_second * MILLI) if limit.is_set else LIMIT_LIFTED
+    asked_seconds = min(MAX_TOLD_SECONDS, now - limit.times.after)
+    heard_seconds = now - limit.times.before
+    return LimitedInstance(
+        life, milli, round(asked_seconds * MILLISECONDS), round(heard_seconds * MILLISECONDS)
+    )
+
+
 def _shown(limit: float) -> float:
     """Return a limit as log lines show it."""
     return NONE_SHOWN if limit == NO_LIMIT else limit
--- a/hopstep/services/exchanges/load_sharing.py
+++ b/hopstep/services/exchanges/load_sharing.py
@@ -162,6 +162,7 @@
             self._take_unsent(),
             self._loading_now(now),
             leaving=self._leaving_now(now),
+            limits=self._notices.told_limits(),
         )
 
     def group_hints(self) -> Hints:
@@ -174,6 +175,7 @@
             self._take_unsent(),
             self._loading_now(now),
             leaving=self._leaving_now(now),
+            limits=self._notices.told_limits(),
         )
 
     def hints_for(self, node: str, identity: str, position: int) -> tuple[Hints, int]:
@@ -187,6 +189,7 @@
             news,
             self._loading_now(now),
             leaving=self._leaving_now(now),
+            limits=self._notices.told_limits(),
         )
         return hints, position
 
@@ -241,6 +244,8 @@
         for leaving in hints.leaving:
             since = now - max(0, leaving.age_ms) / MILLISECONDS
             self._notices.take_told(leaving.life, since, node)
+        for limited in hints.limits:
+            self._notices.take_told_limit(limited, node)
 
     def _take_segments(self, news: SegmentNews, now: float) -> None:
         """Put news of an instance's segments into its picture."""
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/relaying.py
@@ -36,6 +36,7 @@
 from hopstep.services.exchanges.load_sharing import LoadSharing
 from hopstep.services.exchanges.news_spreading import NewsSpreading
 from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.services.exchanges.permit_sharing import PermitSharing
 from hopstep.services.exchanges.quotas import Quotas
 from hopstep.services.exchanges.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.urgent_box import UrgentBox
@@ -76,6 +77,7 @@
         urgent: UrgentBox,
         quarantine: Quarantine,
         quotas: Quotas,
+        permits: PermitSharing,
         exchange: NodeExchange,
         pauses: PauseWatch,
         limits: FreshnessLimits,
@@ -90,6 +92,7 @@
             urgent: What all nodes are told at once.
             quarantine: Requests under which instances have ended.
             quotas: What tenants have used.
+            permits: What may be sent to limited instances.
             exchange: Datagrams.
             pauses: The node's tick.
             limits: How long the store or a relay may be silent.
@@ -100,6 +103,7 @@
         self._follower = follower
         self._quarantine = quarantine
         self._quotas = quotas
+        self._permits = permits
         self._exchange = exchange
         self._pauses = pauses
         self._limits = limits
@@ -140,6 +144,7 @@
         self._note_source(STORE_SOURCE if self._follower.reads else relay)
         if relay:
             hints = _with_usage(self._sharing.own_hints(), self._quotas.book.own_report())
+            hints = msgspec.structs.replace(hints, sends=self._permits.own_sends())
             await self._ask(relay, hints, self._store_watch.positions())
         else:
             await self._send_digests()
@@ -185,7 +190,9 @@
     async def _send_digests(self) -> None:
         """Tell other relays of this node and those that ask it."""
         self._number += 1
+        permits = self._permits.allocate()
         hints = _with_usage(self._sharing.group_hints(), self._quotas.book.group_report())
+        hints = msgspec.structs.replace(hints, sends=self._permits.group_sends(), permits=permits)
         digest = RelayDigest(self._number, hints)
         for node in self._knowledge.relays.digest_targets():
             self._knowledge.relays.note_asked(node)
@@ -212,6 +219,7 @@
             case RelayDigest():
                 self._sharing.take_from_relay(received.sender, message.hints)
                 self._quotas.book.take_from_relay(received.sender, _usage(message.hints))
+                self._permits.take_digest(received.sender, message.number, message.hints)
             case UrgentNews():
                 self._sharing.take_news(received.sender, message.prompts, message.loading)
                 self._quarantine.take(message.crashes)
@@ -246,6 +254,8 @@
         if query.hints is not None:
             hints, position = self._sharing.hints_for(asker, query.feed, query.position)
             hints = _with_usage(hints, self._quotas.book.fleet_report())
+            permits = self._permits.serve(asker, query.hints)
+            hints = msgspec.structs.replace(hints, permits=permits)
             identity = self._sharing.log.identity
             answer = msgspec.structs.replace(answer, feed=identity, position=position, hints=hints)
         changes = knowledge.feed.after(query.revision)
@@ -272,6 +282,7 @@
         if pending.asks_hints and sender == self._knowledge.relays.relay():
             self._sharing.take_answer(sender, answer.hints)
             self._quotas.take_answer(_usage(answer.hints), pending.sent_at)
+            self._permits.take_answer(answer.hints.permits)
             self._store_watch.take(answer.contents)
             self._feed, self._position = answer.feed, answer.position
         heard_at = _heard_at(answer, pending)
--- a/hopstep/services/exchanges/retry_advisor.py
+++ b/hopstep/services/exchanges/retry_advisor.py
@@ -16,9 +16,14 @@
     advise,
     retry_reason,
 )
+from hopstep.domain.instance_admission import Barrier, Purpose
 from hopstep.exceptions import ErrorCode
+from hopstep.services.exchanges.instance_limits import InstanceLimits
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 
+LAST_RANK = 9
+"""Rank of the requests that are served last: a wait that suits all."""
+
 LATELY_SECONDS = 0.5
 """Clients that were told the same within this time would come back together."""
 
@@ -29,14 +34,18 @@
 class RetryAdvisor:
     """Collects what is observed at a refusal."""
 
-    def __init__(self, knowledge: ServingKnowledge, generator: random.Random) -> None:
+    def __init__(
+        self, knowledge: ServingKnowledge, limits: InstanceLimits, generator: random.Random
+    ) -> None:
         """Use what the node knows.
 
         Args:
             knowledge: Instances, and the age of what is known.
+            limits: When permits for limited instances come.
             generator: Spreads clients.
         """
         self._knowledge = knowledge
+        self._limits = limits
         self._generator = generator
         self._told: dict[RetryReason, deque[float]] = {reason: deque() for reason in RetryReason}
 
@@ -60,9 +69,13 @@
         now = trio.current_time()
         knowledge = self._knowledge
         listed = knowledge.table.of_service(service)
-        views = [view for view in listed if view.takes_requests(now)]
-        resting = [
-            view.standing.opens_at(view.active) - now for view in listed if view.takes_later(now)
+        asked = [(view, view.admission(Purpose.REQUEST, now)) for view in listed]
+        views = [view for view, answer in asked if answer.is_open]
+        resting = [a.until - now for _view, a in asked if a.barrier is Barrier.RESTING]
+        limited = [
+            self._limits.expected_seconds(view, LAST_RANK)
+            for view, answer in asked
+            if answer.barrier is Barrier.LIMITED
         ]
         loading = [view.loading_until - now for view in views if view.loading_until > now]
         untried = [view for view in views if view.instance.instance_id not in tried]
@@ -71,6 +84,7 @@
             other_instance=bool(tried) and any(view.is_usable(now) for view in untried),
             loading_seconds=min(loading, default=None),
             resting_seconds=None if views else min(resting, default=None),
+            limited_seconds=None if views else min(limited, default=None),
             relisting_seconds=None if views else knowledge.contact.relisting_seconds(now),
             store_silence_seconds=now - knowledge.contact.heard_at,
             others_answer=now - knowledge.node_heard_at < ANSWERED_SECONDS,
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/service.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
+from collections.abc import Set
 
 import trio
 
@@ -20,6 +22,7 @@
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.exchange_parts import MILLISECONDS, ExchangeOutcome, ExchangeParts
 from hopstep.services.exchanges.instance_choice import InstanceChoice
+from hopstep.services.exchanges.instance_limits import InstanceLimits
 from hopstep.services.exchanges.instance_notices import InstanceNotices
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
@@ -47,6 +50,7 @@
         quarantine: Quarantine,
         quotas: Quotas,
         notices: InstanceNotices,
+        limits: InstanceLimits,
         bounds: RepeatBounds,
         metrics: ExchangeMetrics,
         generator: random.Random,
@@ -66,6 +70,7 @@
             quarantine: Requests that end instances.
             quotas: What tenants may use.
             notices: Hears what instances say of themselves.
+            limits: Permits to send to limited instances.
             bounds: Bounds of retries over all nodes.
             metrics: Counts requests and attempts.
             generator: Splits traffic and breaks ties.
@@ -76,7 +81,7 @@
         self.admission = ExchangeAdmission(knowledge, lifecycle)
         self._knowledge = knowledge
         self._lifecycle = lifecycle
-        self._advisor = RetryAdvisor(knowledge, generator)
+        self._advisor = RetryAdvisor(knowledge, limits, generator)
         self._generator = generator
         self._bounds = bounds
         self._quotas = quotas
@@ -101,6 +106,7 @@
             require_fresh=knowledge.require_fresh,
             count_failure=self._count_failure,
             notices=notices,
+            limits=limits,
         )
 
     def max_body_bytes(self) -> int:
@@ -143,6 +149,7 @@
             await exchange.run()
         except ServiceError as error:
             outcome.outcome = f"{error.code.value}:{error.execution.value}"
+            outcome.kept_from = self._kept_from(request, service, exchange.tried)
             advice = self._advisor.advise(
                 error.code, service, exchange.tried, exchange.refused_seconds
             )
@@ -177,12 +184,18 @@
                 source=outcome.source,
                 target=outcome.target,
                 waited_ms=outcome.waited_ms,
+                kept_from=outcome.kept_from,
                 configuration=self._version(),
                 age_ms=round(self._knowledge.age_seconds * MILLISECONDS),
                 retry_after_ms=_retry_after_ms(advice),
                 retry_reason=advice.reason.value if advice is not None else "",
             )
 
+    def _kept_from(self, request: ExchangeRequest, service: str, tried: Set[str]) -> dict[str, int]:
+        """Return how many instances each barrier keeps a request from."""
+        kept = self._parts.choice.kept_from(request, service, tried)
+        return dict(Counter(a.barrier.value for _view, a in kept if a.barrier is not None))
+
     def _log_refusal(self, head: RequestHead, error: ServiceError, advice: RetryAdvice) -> None:
         """Log a request that wasn't admitted."""
         known = self._knowledge.current is not None
--- a/hopstep/services/exchanges/usage_book.py
+++ b/hopstep/services/exchanges/usage_book.py
@@ -6,7 +6,14 @@
 
 import trio
 
-from hopstep.domain.limits.fleet_usage import NodeProcess, UsageReport, UsageReports, join, largest
+from hopstep.domain.limits.fleet_usage import (
+    NodeProcess,
+    Usage,
+    UsageReport,
+    UsageReports,
+    join,
+    largest,
+)
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 
 
@@ -48,6 +55,10 @@
         """Take the usage of another relay's group."""
         self._relays.take(self._process(node), report, trio.current_time())
 
+    def relays_usage(self, name: str) -> dict[str, Usage]:
+        """Return what each other relay told last of one name, for its group."""
+        return self._relays.of_name(name)
+
     def _process(self, node: str) -> NodeProcess:
         """Return a node's process as it is registered now."""
         record = self._knowledge.nodes.get(node)
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -8,8 +8,10 @@
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import NamedWeights
 from hopstep.domain.exchanges.weights import engines_behind
+from hopstep.domain.instance_admission import Purpose
 from hopstep.logs import emit
 from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
+from hopstep.services.exchanges.instance_limits import CONTROL_RANK, InstanceLimits
 from hopstep.services.exchanges.instance_notices import InstanceNotices
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.load_sharing import LoadSharing
@@ -25,6 +27,9 @@
 LOADING_SECONDS = 1.0
 """For so long peers keep requests from an engine after an order, unless they hear more."""
 
+PERMIT_PATIENCE_SECONDS = 2.0
+"""Longest wait for leave to ask a limited engine; its requests wait behind."""
+
 MAX_LOAD_SECONDS = 4.0
 RETRY_SECONDS = 0.5
 
@@ -40,6 +45,7 @@
         orders: WeightsOrders,
         sharing: LoadSharing,
         notices: InstanceNotices,
+        limits: InstanceLimits,
     ) -> None:
         """Join the parts.
 
@@ -50,6 +56,7 @@
             orders: Orders to engines.
             sharing: Tells peers which engines load.
             notices: Hears what engines say of themselves.
+            limits: Permits to send to limited engines.
         """
         self._name = name
         self._knowledge = knowledge
@@ -57,6 +64,7 @@
         self._orders = orders
         self._sharing = sharing
         self._notices = notices
+        self._limits = limits
         self._loading: set[str] = set()
         self._retry_at: dict[str, float] = {}
 
@@ -123,7 +131,7 @@
         if report is None:
             return False
         sequence = report.order_sequence
-        while self._lease.may_order and self._may_ask(view):
+        while self._lease.may_order and await self._may_ask(view):
             self._mark_loading(view)
             outcome = await self._order(view, weights, sequence)
             if outcome is OrderOutcome.HOLDS_ALREADY:
@@ -174,17 +182,20 @@
 
     async def _report(self, view: InstanceView) -> EngineReport | None:
         """Return an engine's report; None without one, or with one of another life."""
-        if not self._may_ask(view):
+        if not await self._may_ask(view):
             return None
         report = await self._orders.report(view.instance, self._notices.listener(view))
         if report is None or not view.instance.life.may_tell(report.born_ms):
             return None
         return report
 
-    def _may_ask(self, view: InstanceView) -> bool:
-        """Return whether an engine's life is still listed by a good entry, and wants orders."""
-        now = trio.current_time()
-        return self._knowledge.table.is_trusted(view) and view.takes_orders(now)
+    async def _may_ask(self, view: InstanceView) -> bool:
+        """Return whether an engine may be sent an order or a report, once there is a permit."""
+        until = trio.current_time() + PERMIT_PATIENCE_SECONDS
+        if not await self._limits.acquire(view, CONTROL_RANK, until):
+            return False
+        open_now = view.takes(Purpose.ORDER_SENDING, trio.current_time())
+        return self._knowledge.table.is_trusted(view) and open_now
 
     def _mark_loading(self, view: InstanceView) -> None:
         """Keep requests from an engine for a while, here and at the peers."""
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -21,8 +21,10 @@
 from hopstep.domain.limits.fleet_usage import Usage
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
 from hopstep.ports.node_exchange import (
+    GrantedPermits,
     Hints,
     LeavingInstance,
+    LimitedInstance,
     LoadingEngine,
     RelayAnswer,
     RelayDigest,
@@ -57,6 +59,9 @@
 BEFORE_LEAVING = "7781470"
 """Knows no instances that leave by their own word, and tells no form."""
 
+BEFORE_LIMITS = "form-1"
+"""Knows no limits of instances, and no permits to send to them."""
+
 NODES = {"a": NodeRecord("1.2.3.4:5", "z", b"key-a")}
 COMPRESSED = 1
 
@@ -68,6 +73,9 @@
     (Usage("t1", 40, 7),),
     2,
     (LeavingInstance("i3@7", 1500),),
+    (LimitedInstance("i4@8", 1500, 320, 40),),
+    (Usage("i4@8", 6, 2, 1),),
+    (GrantedPermits("i4@8", 3, "b"),),
 )
 INSTANCE = Instance("i1", "llm", "10.0.0.1:80", "z", 4, True, {"m": 3}, 2, 5)
 ENTRIES = (
@@ -110,13 +118,42 @@
 }
 
 
+class UsageBeforeLimits(msgspec.Struct, frozen=True, array_like=True):
+    """``Usage`` as versions before the form 2 read it."""
+
+    name: str
+    admitted: int
+    offered: int
+
+
+class HintsBeforeLimits(msgspec.Struct, frozen=True, array_like=True):
+    """``Hints`` as versions before the form 2 read them."""
+
+    loads: tuple[InstanceLoad, ...] = ()
+    segments: tuple[SegmentNews, ...] = ()
+    loading: tuple[LoadingEngine, ...] = ()
+    usage: tuple[UsageBeforeLimits, ...] = ()
+    nodes: int = 0
+    leaving: tuple[LeavingInstance, ...] = ()
+
+
+class QueryBeforeLimits(msgspec.Struct, frozen=True, array_like=True, tag="RelayQuery"):
+    """``RelayQuery`` as versions before the form 2 read it."""
+
+    number: int
+    revision: int
+    feed: str = ""
+    position: int = 0
+    hints: HintsBeforeLimits | None = None
+
+
 class HintsBeforeLeaving(msgspec.Struct, frozen=True, array_like=True):
     """``Hints`` as versions before the form 1 read them."""
 
     loads: tuple[InstanceLoad, ...] = ()
     segments: tuple[SegmentNews, ...] = ()
     loading: tuple[LoadingEngine, ...] = ()
-    usage: tuple[Usage, ...] = ()
+    usage: tuple[UsageBeforeLimits, ...] = ()
     nodes: int = 0
 
 
@@ -197,6 +234,15 @@
         self.assertEqual((hints.usage, hints.nodes, hints.leaving), (HINTS.usage, 2, ()))
         self.assertEqual(messages["urgent"].crashes, (CRASHES,))
 
+    def test_frames_of_before_limits(self):
+        messages = self.decoded(BEFORE_LIMITS)
+        self.check_common(messages, "i1@5", "i2@6")
+        for hints in (messages["query"].hints, messages["digest"].hints):
+            self.assertEqual(
+                (hints.usage, hints.nodes, hints.leaving), (HINTS.usage, 2, HINTS.leaving)
+            )
+            self.assertEqual((hints.limits, hints.sends, hints.permits), ((), (), ()))
+
     def test_todays_frames_are_those_of_the_present_form(self):
         frames = golden(f"form-{MESSAGE_FORM}")["frames"]
         self.assertEqual(frames.keys(), MESSAGES.keys())
@@ -207,15 +253,29 @@
                 self.assertEqual(document(encode_frame(message, "a", b"key-a")), document(kept))
 
     def test_the_version_before_reads_todays_hints(self):
+        frame = encode_frame(MESSAGES["query"], "a", b"key-a")
+        query = msgspec.convert(document(frame), QueryBeforeLimits)
+        self.assertEqual((query.number, query.position), (2, 12))
+        self.assertEqual(query.hints.leaving, HINTS.leaving)
+        self.assertEqual(query.hints.usage, (UsageBeforeLimits("t1", 40, 7),))
+
+    def test_versions_before_words_of_leaving_read_todays_hints(self):
         frame = encode_frame(MESSAGES["query"], "a", b"key-a")
         query = msgspec.convert(document(frame), QueryBeforeLeaving)
         self.assertEqual((query.number, query.position), (2, 12))
-        self.assertEqual(query.hints, HintsBeforeLeaving(*msgspec.structs.astuple(HINTS)[:5]))
+        told = (HINTS.loads, HINTS.segments, HINTS.loading, (UsageBeforeLimits("t1", 40, 7),), 2)
+        self.assertEqual(query.hints, HintsBeforeLeaving(*told))
 
 
 class GoldenRecordsTest(unittest.TestCase):
     def test_records_of_earlier_forms(self):
-        for name, form in ((BEFORE_LIVES, 0), (BEFORE_LEAVING, 0), (f"form-{MESSAGE_FORM}", 1)):
+        forms = (
+            (BEFORE_LIVES, 0),
+            (BEFORE_LEAVING, 0),
+            (BEFORE_LIMITS, 1),
+            (f"form-{MESSAGE_FORM}", MESSAGE_FORM),
+        )
+        for name, form in forms:
             with self.subTest(name):
                 records = golden(name)["records"]
                 node = decode_node(records["node"].encode())
--- a/tests/services/exchanges/test_instance_limits.py
+++ b/tests/services/exchanges/test_instance_limits.py
@@ -7,8 +7,13 @@
 other one got 14 where 13 are. Two nodes of its zone sent nearly all of them, 24 and 26 of 54. The
 word was read nowhere: the logs of that time show requests to both instances like any other
 (``exchange_ended``, ``attempts: 1``, ``outcome: 200``), as many after the word as before it.
+
+A limit is over all nodes together, so no node can keep to it by itself: one relay gives out
+permits to send, along with what nodes tell each other anyway, and the line
+``instance_limit_changed`` says at each node which limit holds and who told it.
 """
 
+import itertools
 import unittest
 
 import trio
@@ -28,6 +33,9 @@
 TOLD_SECONDS = 0.5
 """From so long after an instance first named its limit, what it gets is counted."""
 
+USED_SECONDS = 20.0
+"""Time over which the use of a limit is counted: some 30 requests at 1.5 a second."""
+
 
 def allowed(limit):
     """Return how many requests an instance with a limit may get within the window."""
@@ -43,7 +51,7 @@
             world.instances.servers[instance_id].work_seconds = BUSY_SECONDS
         return world
 
-    async def load(self, world, seconds, nodes=None, name="unsafe"):
+    async def load(self, world, seconds, nodes=None, name="unsafe", every=REQUEST_SECONDS):
         """Send requests to nodes for a time, and return the answers."""
         answers = []
 
@@ -51,12 +59,27 @@
             answers.append(await world.request(name, node=node))
 
         async with trio.open_nursery() as nursery:
-            for _round in range(round(seconds / REQUEST_SECONDS)):
+            for _round in range(round(seconds / every)):
                 for node in nodes or range(len(world.nodes)):
                     nursery.start_soon(send, node)
-                await trio.sleep(REQUEST_SECONDS)
+                await trio.sleep(every)
         return answers
 
+    async def name_limit(self, world, limit, instances=("i1",)):
+        """Let instances name a limit, and nodes hear it; return when that is counted from."""
+        for instance_id in instances:
+            world.instances.servers[instance_id].names_limit = limit
+        await self.load(world, 2 * TOLD_SECONDS)
+        return trio.current_time()
+
+    def arrived(self, world, since, instance_id="i1"):
+        """Return when requests came to an instance after a time."""
+        return [at for at in world.instances.servers[instance_id].arrived_at if at >= since]
+
+    def check_bound(self, world, since, limit, instance_id="i1"):
+        arrived = self.arrived(world, since, instance_id)
+        self.assertLessEqual(most_within(arrived, WINDOW_SECONDS), allowed(limit))
+
 
 class InstanceLimitsTest(LimitsCase):
     def test_an_instance_that_names_a_limit_gets_no_more_from_all_nodes_together(self):
@@ -70,7 +93,236 @@
                     server.names_limit = limit
                     named_at = trio.current_time()
                     await self.load(world, TOLD_SECONDS + 3 * WINDOW_SECONDS)
-                    arrived = [at for at in server.arrived_at if at >= named_at + TOLD_SECONDS]
-                    self.assertLessEqual(most_within(arrived, WINDOW_SECONDS), allowed(limit))
+                    self.check_bound(world, named_at + TOLD_SECONDS, limit)
+
+                world.run(script)
+
+    def test_nine_tenths_of_a_limit_are_used_while_the_instance_would_serve_best(self):
+        for nodes, limit in itertools.product((3, 6, 24), (0.3, 1.5, 8.0)):
+            with self.subTest(nodes=nodes, limit=limit):
+                world = self.make_world(nodes)
+
+                async def script(world, limit=limit, nodes=nodes):
+                    since = await self.name_limit(world, limit)
+                    answers = await self.load(world, USED_SECONDS, every=0.02 * nodes)
+                    used = len(self.arrived(world, since)) / (limit * USED_SECONDS)
+                    print(nodes, limit, used)
+                    self.check_bound(world, since, limit)
+                    self.assertTrue(all(answer.status == 200 for answer in answers))
 
                 world.run(script)
+
+    def test_a_lifted_limit_binds_no_node_any_more(self):
+        world = self.make_world()
+
+        async def script(world):
+            await self.name_limit(world, 1.5)
+            world.instances.servers["i1"].names_limit = None
+            await self.load(world, 3.0)
+            for services in world.nodes:
+                view = services.knowledge.table.get("i1")
+                self.assertFalse(view.standing.limit.is_set, services.knowledge.name)
+            since = trio.current_time()
+            await self.load(world, 2.0)
+            self.assertGreater(len(self.arrived(world, since)), 2 * allowed(1.5))
+
+        world.run(script)
+
+    def test_a_changed_limit_holds_at_once(self):
+        for first, second in ((8.0, 1.5), (1.5, 8.0)):
+            with self.subTest(first=first, second=second):
+                world = self.make_world()
+
+                async def script(world, first=first, second=second):
+                    await self.name_limit(world, first)
+                    await self.load(world, WINDOW_SECONDS)
+                    since = await self.name_limit(world, second)
+                    await self.load(world, USED_SECONDS)
+                    self.check_bound(world, since, second)
+                    used = len(self.arrived(world, since)) / (second * USED_SECONDS)
+                    self.assertGreaterEqual(used, 0.8)
+
+                world.run(script)
+
+    def test_a_later_life_has_no_limit(self):
+        world = self.make_world()
+
+        async def script(world):
+            await self.name_limit(world, 0.3)
+            server = world.restart("i1", born_ms=2)
+            await trio.sleep(1.0)
+            await self.load(world, 1.0)
+            self.assertGreater(len(server.arrived_at), allowed(0.3))
+
+        world.run(script)
+
+    def test_a_limit_of_nothing_is_kept_and_its_end_is_found_out(self):
+        world = self.make_world()
+
+        async def script(world):
+            since = await self.name_limit(world, 0.0)
+            await self.load(world, 4 * WINDOW_SECONDS)
+            self.check_bound(world, since, 0.0)
+            world.instances.servers["i1"].names_limit = None
+            await self.load(world, 3 * WINDOW_SECONDS)
+            self.assertFalse(world.nodes[0].knowledge.table.get("i1").standing.limit.is_set)
+
+        world.run(script)
+
+    def test_a_node_that_has_just_started_keeps_to_it(self):
+        world = self.make_world()
+
+        async def script(world):
+            since = await self.name_limit(world, 1.5)
+            started = world.start_node(world.nursery, "n9")
+            await trio.sleep(1.0)
+            self.assertEqual(started.knowledge.table.get("i1").standing.limit.per_second, 1.5)
+            await self.load(world, 2 * WINDOW_SECONDS)
+            self.check_bound(world, since, 1.5)
+
+        world.run(script)
+
+    def test_reports_and_orders_count_and_events_are_not_read(self):
+        world = ExchangeWorld(nodes=3, zones=3)
+        world.add("e0", "llm")
+
+        async def script(world):
+            server = world.instances.servers["e0"]
+            await trio.sleep(3.0)
+            server.names_limit = 1.5
+            await self.load(world, 1.0, name="stream")
+            since = trio.current_time()
+            reads = world.cache_events.reads[server.instance.address]
+            world.name_weights(2)
+            await self.load(world, 3 * WINDOW_SECONDS, name="stream")
+            self.check_bound(world, since, 1.5, "e0")
+            self.assertEqual(server.versions, {"m": 2})
+            self.assertLessEqual(world.cache_events.reads[server.instance.address], reads + 1)
+
+        world.run(script)
+
+
+class AllLimitedTest(LimitsCase):
+    """Where all instances of a service have limits."""
+
+    def make_limited(self):
+        world = self.make_world()
+        for server in world.instances.servers.values():
+            server.work_seconds = 0.05
+        return world
+
+    def test_requests_are_served_up_to_the_limits_or_refused_as_not_run(self):
+        world = self.make_limited()
+
+        async def script(world):
+            since = await self.name_limit(world, 8.0, INSTANCES)
+            answers = await self.load(world, USED_SECONDS)
+            for instance_id in INSTANCES:
+                self.check_bound(world, since, 8.0, instance_id)
+                used = len(self.arrived(world, since, instance_id)) / (8.0 * USED_SECONDS)
+                self.assertGreaterEqual(used, 0.9)
+            refused = [answer for answer in answers if answer.error is not None]
+            self.assertTrue(refused)
+            self.assertTrue(all(answer.promised_not_run for answer in refused))
+            self.assertTrue(all(answer.error.retry_after_seconds > 0 for answer in refused))
+
+        world.run(script)
+
+    def test_what_waits_is_served_by_its_rank(self):
+        world = self.make_limited()
+
+        async def script(world):
+            await self.name_limit(world, 1.5, INSTANCES)
+            limits = world.nodes[0].limits
+            views = [world.nodes[0].knowledge.table.get("i1")]
+            served = []
+
+            async def wait(rank):
+                await limits.wait(views, rank, trio.current_time() + 30.0)
+                served.append((trio.current_time(), rank))
+
+            async with trio.open_nursery() as nursery:
+                for rank in (7, 3, 5, 1):
+                    nursery.start_soon(wait, rank)
+                    await trio.sleep(0.001)
+            by_rank = sorted(served, key=lambda each: each[1])
+            self.assertEqual([at for at, _rank in by_rank], sorted(at for at, _rank in served))
+            self.assertLess(by_rank[0][0], by_rank[-1][0])
+
+        world.run(script)
+
+
+class DoubtTest(LimitsCase):
+    """What isn't known never lets more through."""
+
+    LIMIT = 1.5
+
+    def check_while(self, disturb, nodes=NODES, zones=3):
+        """Check the bound while something is done to a world that keeps to a limit."""
+        world = self.make_world(nodes, zones)
+
+        async def script(world):
+            since = await self.name_limit(world, self.LIMIT)
+            await self.load(world, WINDOW_SECONDS)
+            await disturb(world)
+            await self.load(world, 3 * WINDOW_SECONDS)
+            self.check_bound(world, since, self.LIMIT)
+
+        world.run(script)
+
+    def test_nodes_that_do_not_hear_each_other(self):
+        async def disturb(world):
+            for number in range(NODES):
+                world.network.isolate(f"n{number}")
+
+        self.check_while(disturb)
+
+    def test_a_fleet_in_two_halves(self):
+        async def disturb(world):
+            halves = ({0, 1, 2}, {3, 4, 5})
+            for first, second in itertools.permutations(halves):
+                world.network.cut |= {(f"n{a}", f"n{b}") for a in first for b in second}
+
+        self.check_while(disturb)
+
+    def test_a_relay_that_is_lost(self):
+        async def disturb(world):
+            world.network.isolate("n0")
+
+        self.check_while(disturb, nodes=9)
+
+    def test_messages_that_are_lost_repeated_and_late(self):
+        async def disturb(world):
+            world.network.loss = 0.3
+            world.network.repeats = 0.3
+            world.network.extra_delay_seconds = 0.3
+
+        self.check_while(disturb)
+
+    def test_a_store_that_is_away(self):
+        async def disturb(world):
+            for directory in world.directories:
+                directory.down = True
+
+        self.check_while(disturb)
+
+    def test_nodes_that_start_anew(self):
+        async def disturb(world):
+            for number, life in list(enumerate(world._lives))[:3]:
+                life.cancel()
+                name = f"n{number}"
+                world.nodes[number] = world.start_node(
+                    world.nursery, name, world._zone(number), f"127.0.0.1:{3 + number}"
+                )
+                world.nodes.pop()
+                await self.load(world, 1.0)
+
+        self.check_while(disturb)
+
+    def test_a_fleet_that_grows(self):
+        async def disturb(world):
+            for number in range(10, 13):
+                world.start_node(world.nursery, f"n{number}", "z1")
+                await self.load(world, 0.5)
+
+        self.check_while(disturb)
--- a/tests/services/exchanges/test_instance_notices.py
+++ b/tests/services/exchanges/test_instance_notices.py
@@ -17,6 +17,7 @@
 import trio
 
 from hopstep.domain.exchanges.retry_after import RetryReason
+from hopstep.domain.instance_admission import Purpose
 from hopstep.domain.instance_notices import InstanceNotice
 from hopstep.domain.instance_standing import OPENING_STEP_SECONDS
 from hopstep.exceptions import ErrorCode
@@ -182,7 +183,7 @@
             world.nodes[0].notices.listener(earlier)(InstanceNotice(leaving=True, rest_seconds=9.0))
             later = world.nodes[0].knowledge.table.get("i1")
             self.assertIsNot(earlier, later)
-            self.assertTrue(later.takes_requests(trio.current_time()))
+            self.assertTrue(later.takes(Purpose.REQUEST, trio.current_time()))
 
         world.run(script)
 
--- a/tests/services/exchanges/test_resting_load.py
+++ b/tests/services/exchanges/test_resting_load.py
@@ -12,7 +12,7 @@
 import msgspec
 import trio
 
-from hopstep.services.exchanges.instance_choice import InstanceChoice
+from hopstep.services.exchanges.instance_choice import InstanceChoice, Opening
 from tests.services.exchanges.exchange_world import ExchangeWorld
 
 NODES = 3
@@ -105,7 +105,9 @@
             for seed, order_seed in itertools.product(SEEDS, ORDER_SEEDS):
                 with self.subTest(rest_seconds=rest_seconds, seed=seed, order_seed=order_seed):
                     kept = RestingLoad(seed, rest_seconds, order_seed).play()
-                    with mock.patch.object(InstanceChoice, "next_opening", return_value=None):
+                    with mock.patch.object(
+                        InstanceChoice, "next_opening", return_value=Opening(None, [], 0.0)
+                    ):
                         at_once = RestingLoad(seed, rest_seconds, order_seed).play()
                     self.assertLess(kept.refused, at_once.refused)
                     gained += kept.in_time - at_once.in_time
