Let permits keep their time when they are handed on, ask nodes that have just started to hear first

A node that has just started sends an instance one request at a time until that answers or another node tells, for 0.6 s at most. Both front doors ask hopstep.domain.instance_admission.

--- a/hopstep/domain/exchanges/instance_table.py
+++ b/hopstep/domain/exchanges/instance_table.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 
+from hopstep.domain.exchanges.first_telling import FirstTelling
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import Instance, instance_id_of
 from hopstep.domain.instance_standing import StandingBook
@@ -19,11 +20,13 @@
 
     Attributes:
         standings: What lives have said of themselves in answers.
+        first_telling: When this node may first hear what others know of instances.
     """
 
     def __init__(self) -> None:
         """Start empty."""
         self.standings = StandingBook()
+        self.first_telling = FirstTelling()
         self._views: dict[str, InstanceView] = {}
         self._lapsed: dict[str, float] = {}
         self._cache_tokens: dict[str, int] = {}
@@ -51,7 +54,9 @@
             return False
         tokens = self._cache_tokens.get(instance.service, 0)
         standing = self.standings.of_life(str(instance.life))
-        self._views[instance.instance_id] = InstanceView(instance, tokens, standing)
+        self._views[instance.instance_id] = InstanceView(
+            instance, tokens, standing, self.first_telling
+        )
         return True
 
     def reject(self, instance_id: str) -> None:
--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from hopstep.domain.exchanges.first_telling import FirstTelling
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.load_ledger import REPORT_SECONDS, InstanceLoad
 from hopstep.domain.exchanges.segments import SegmentPicture
@@ -41,6 +42,7 @@
         instance: Instance,
         cache_tokens: int = 0,
         standing: InstanceStanding | None = None,
+        first_telling: FirstTelling | None = None,
     ) -> None:
         """Start without experience.
 
@@ -48,9 +50,11 @@
             instance: As it publishes itself.
             cache_tokens: Memory of the instance for segments.
             standing: What this life has said of itself in answers; None for nothing yet.
+            first_telling: When this node may first hear what others know; None for no others.
         """
         self.instance = instance
         self.standing = standing or InstanceStanding()
+        self._first_telling = first_telling or FirstTelling()
         self.life = str(instance.life)
         self.hashed = hash_name(instance.instance_id)
         self.segments = SegmentPicture(int(cache_tokens * PICTURE_SHARE))
@@ -220,7 +224,13 @@
             last_requests_seconds: For so long after its word that it leaves it takes what no other
                 instance may serve.
         """
-        asked = AskedInstance(self.standing, self._listed, self.active, last_requests_seconds)
+        asked = AskedInstance(
+            self.standing,
+            self._listed,
+            self.active,
+            last_requests_seconds,
+            self._first_telling.due_by,
+        )
         return admission(asked, purpose, now)
 
     def takes(self, purpose: Purpose, now: float) -> bool:
--- a/hopstep/domain/instance_admission.py
+++ b/hopstep/domain/instance_admission.py
@@ -34,6 +34,10 @@
     RESTING = "resting"
     """It has asked this node for rest, or opens again in steps after one."""
 
+    UNHEARD = "unheard"
+    """This node has just started and hasn't heard yet what the instance takes: it gets one request
+    at a time until it answers or another node tells."""
+
     LIMITED = "limited"
     """It takes only so many requests from all nodes, and this node holds no permit."""
 
@@ -85,6 +89,9 @@
 
 OPEN = Admission()
 
+UNHEARD_SECONDS = 0.05
+"""Between two looks whether a node that has just started has heard of an instance."""
+
 CHOOSING = frozenset({Purpose.REQUEST, Purpose.LAST_REQUEST})
 """Purposes that add one more request to those of this node at the instance."""
 
@@ -103,6 +110,7 @@
         standing: What this life has said of itself.
         listed: What the directory has against it; None for nothing.
         active: Requests of this node at it.
+        told_by: Until then a node that has just started may not have heard what others know.
         last_requests_seconds: For so long after its word a leaving instance takes what no other
             instance may serve.
     """
@@ -111,6 +119,7 @@
     listed: Barrier | None = None
     active: int = 0
     last_requests_seconds: float = 0.0
+    told_by: float = -float("inf")
 
 
 def admission(asked: AskedInstance, purpose: Purpose, now: float) -> Admission:
@@ -130,6 +139,8 @@
         return Admission(Barrier.RESTING, rest_ends_at)
     if _is_limited(asked.standing, purpose, now):
         return Admission(Barrier.LIMITED)
+    if purpose in CHOOSING and now < asked.told_by and asked.active and not asked.standing.heard:
+        return Admission(Barrier.UNHEARD, now + UNHEARD_SECONDS)
     return OPEN
 
 
--- a/hopstep/domain/instance_standing.py
+++ b/hopstep/domain/instance_standing.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Iterator
 
-from hopstep.domain.instance_limit import HeadTimes, InstanceLimit
+from hopstep.domain.instance_limit import NEVER, HeadTimes, InstanceLimit
 from hopstep.domain.instance_notices import InstanceNotice, LimitWord
 from hopstep.domain.limits.limited_sends import LimitedSends
 
@@ -68,6 +68,11 @@
             self.sends = LimitedSends()
         return is_news
 
+    @property
+    def heard(self) -> bool:
+        """Whether any answer has told whether there is a limit."""
+        return self.limit.times != NEVER
+
     @property
     def limited_sends(self) -> LimitedSends | None:
         """What this node sends it under the limit that holds now; None without a limit."""
--- a/hopstep/domain/limits/limited_sends.py
+++ b/hopstep/domain/limits/limited_sends.py
@@ -8,7 +8,7 @@
 import math
 
 from hopstep.domain.limits.fleet_usage import Usage
-from hopstep.domain.limits.send_permits import PERMIT_SECONDS, WINDOW_SECONDS, PermitStock
+from hopstep.domain.limits.send_permits import WINDOW_SECONDS, PermitStock
 from hopstep.domain.limits.usage_window import UsageWindow
 
 DEMAND_SECONDS = 1.0
@@ -41,9 +41,9 @@
         """Return how many permits a request that hasn't waited may use."""
         return self.permits.held(now) - self.claimed
 
-    def receive(self, count: int, now: float) -> None:
-        """Take permits that a relay gives."""
-        self.permits.put(count, now + PERMIT_SECONDS)
+    def receive(self, count: int, until: float, now: float) -> None:
+        """Take permits that a relay gives, and that may be used until a time."""
+        self.permits.put(count, until)
         self._received.add(now, count)
 
     def note_sent(self, now: float) -> None:
--- a/hopstep/domain/limits/send_permits.py
+++ b/hopstep/domain/limits/send_permits.py
@@ -17,11 +17,12 @@
 WINDOW_SECONDS = 4.0
 """Span over which operators count the requests that a limited instance gets."""
 
-PERMIT_SECONDS = 0.6
-"""For so long a permit may be used: three messages between nodes."""
+PERMIT_SECONDS = 1.0
+"""For so long a permit may be used, also by whom it is handed on to: five messages between nodes.
+Nodes with a request or two a second use most of theirs."""
 
-REPORT_SECONDS = 0.6
-"""After so long the use of a permit is known to the relay that gave it: three messages."""
+REPORT_SECONDS = 0.4
+"""After so long the use of a permit is known to the relay that gave it: two messages."""
 
 LEAST_EXTRA_SECONDS = 0.0
 MOST_EXTRA_SECONDS = 1.6
@@ -98,11 +99,17 @@
         """Use the permit that expires first; return until when it may be used, None for none."""
         return self._expiries.pop(0) if self.held(now) else None
 
-    def take(self, count: int, now: float) -> int:
-        """Use up to so many permits, those first that expire first; return how many."""
+    def take(self, count: int, now: float) -> list[float]:
+        """Take up to so many permits, those first that expire first; return until when each holds.
+
+        Args:
+            count: Most that are taken.
+            now: The time.
+        """
         taken = max(0, min(count, self.held(now)))
+        expiries = self._expiries[:taken]
         del self._expiries[:taken]
-        return taken
+        return expiries
 
 
 class PermitAllocator:
--- a/hopstep/domain/routing/routing_table.py
+++ b/hopstep/domain/routing/routing_table.py
@@ -23,6 +23,13 @@
 from hopstep.domain.configuration.index import ConfigurationIndex
 from hopstep.domain.engines import CacheEventBatch, CacheEventKind, EngineFacts
 from hopstep.domain.inference import InferenceRequest
+from hopstep.domain.instance_admission import (
+    OPEN,
+    Admission,
+    AskedInstance,
+    Purpose,
+    admission,
+)
 from hopstep.domain.instance_notices import InstanceNotice
 from hopstep.domain.requests_in_force import choose_kv_cache_store
 from hopstep.domain.retry_after_header import MAX_REST_SECONDS
@@ -237,15 +244,18 @@
             notice = InstanceNotice(rest_seconds=min(seconds, MAX_REST_SECONDS))
             self._view(address).standing.take(notice, now)
 
-    def opens_at(self, address: str, active: int) -> float:
-        """Return when an engine that asked for rest admits one more request; else in the past.
+    def admission(self, address: str, active: int, now: float) -> Admission:
+        """Return whether an engine takes one more request by its own word.
 
         Args:
             address: The engine.
             active: This router's requests there.
+            now: Time.
         """
         view = self._views.get(address)
-        return view.standing.opens_at(active) if view is not None else float("-inf")
+        if view is None:
+            return OPEN
+        return admission(AskedInstance(view.standing, active=active), Purpose.REQUEST, now)
 
     def record_precondition_failed(self, address: str, now: float) -> None:
         """Forget what was believed of an engine that refused a precondition.
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -64,6 +64,9 @@
 """Part of the grace time that is left for closing connections."""
 
 
+FIRST_TELLING_SECONDS = 0.6
+"""A node that has just started hears of instances from other nodes within three messages."""
+
 ENDED_SECONDS = 4.0
 """The entry of an instance that has ended lapses after three heartbeats of 1.2 s."""
 
@@ -115,6 +118,7 @@
             self.weights,
             bounds.revocation_ms / MILLISECONDS,
         )
+        self.knowledge.table.first_telling.expect(trio.current_time() + FIRST_TELLING_SECONDS)
         limits = freshness_limits(min(bounds.configuration_ms, bounds.drain_ms) / MILLISECONDS)
         self.pauses = PauseWatch(generator)
         self.pauses.on_pause(self.knowledge.table.excuse)
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -81,11 +81,13 @@
     Attributes:
         life: As ``str(InstanceLife)``.
         count: How many.
+        valid_ms: For so long they may be used.
         relay: The relay that they are for; empty in an answer, where they are for who asked.
     """
 
     life: str
     count: int
+    valid_ms: int
     relay: str = ""
 
 
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -135,11 +135,11 @@
         answer_by = request.received_at + request.route.objective_seconds
         opening = parts.choice.next_opening(request, self._service, self._tried, answer_by)
         began_at = trio.current_time()
-        until = min(opening.permit_by, opening.rest_ends_at or float("inf"))
+        until = min(opening.permit_by, opening.opens_at or float("inf"))
         if opening.limited and parts.limits.may_wait(opening.limited, request.rank, until):
             await parts.limits.wait(opening.limited, request.rank, until)
-        elif opening.rest_ends_at is not None:
-            await trio.sleep_until(opening.rest_ends_at)
+        elif opening.opens_at is not None:
+            await trio.sleep_until(opening.opens_at)
         else:
             return False
         self.outcome.waited_ms += round((trio.current_time() - began_at) * MILLISECONDS)
--- a/hopstep/services/exchanges/instance_choice.py
+++ b/hopstep/services/exchanges/instance_choice.py
@@ -32,12 +32,12 @@
     """How an instance may come to take a request.
 
     Attributes:
-        rest_ends_at: When the first one that rests takes it; None for too late or never.
+        opens_at: When the first one takes it by itself; None for too late or never.
         limited: Those that take it as soon as this node has a permit.
         permit_by: A permit must come by then.
     """
 
-    rest_ends_at: float | None
+    opens_at: float | None
     limited: list[InstanceView]
     permit_by: float
 
@@ -200,15 +200,15 @@
             answer_by: An answer is expected by then.
         """
         kept = self.kept_from(request, service, tried)
-        rests = [
+        openings = [
             answer.until
             for view, answer in kept
-            if answer.barrier is Barrier.RESTING
+            if answer.barrier in (Barrier.RESTING, Barrier.UNHEARD)
             and answer.until + view.expected_latency <= answer_by
         ]
         limited = [view for view, answer in kept if answer.barrier is Barrier.LIMITED]
         latency = min((view.expected_latency for view in limited), default=0.0)
-        return Opening(min(rests, default=None), limited, answer_by - latency)
+        return Opening(min(openings, default=None), limited, answer_by - latency)
 
     def may_send(self, view: InstanceView, purpose: Purpose) -> bool:
         """Return whether a request may still be sent to an instance that was chosen for it."""
--- a/hopstep/services/exchanges/instance_limits.py
+++ b/hopstep/services/exchanges/instance_limits.py
@@ -101,11 +101,17 @@
         usage = (sends.usage(life, now) for life, _limit, sends in limited)
         return UsageReport(tuple(each for each in usage if not each.is_empty))
 
-    def receive(self, life: str, count: int) -> None:
-        """Take permits for a life, and wake as many of those that wait."""
+    def receive(self, life: str, count: int, until: float) -> None:
+        """Take permits for a life, and wake as many of those that wait.
+
+        Args:
+            life: The life, as ``str(InstanceLife)``.
+            count: How many.
+            until: They may be used until then.
+        """
         sends = self._sends(life)
         if sends is not None and count > 0:
-            sends.receive(count, trio.current_time())
+            sends.receive(count, until, trio.current_time())
             self._wake(life, sends)
 
     def hold(self, view: InstanceView) -> HeldPermit:
--- a/hopstep/services/exchanges/load_sharing.py
+++ b/hopstep/services/exchanges/load_sharing.py
@@ -234,8 +234,9 @@
         return totals
 
     def _take(self, node: str, hints: Hints) -> None:
-        """Take news of segments and loading engines."""
+        """Take what another node tells of instances."""
         now = trio.current_time()
+        self._knowledge.table.first_telling.note_told()
         for news in hints.segments:
             self.log.append(node, news)
             self._take_segments(news, now)
--- a/hopstep/services/exchanges/permit_sharing.py
+++ b/hopstep/services/exchanges/permit_sharing.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 
 import msgspec
@@ -27,6 +28,7 @@
 from hopstep.services.exchanges.knowledge import ServingKnowledge
 from hopstep.services.exchanges.usage_book import UsageBook
 
+MILLISECONDS = 1_000
 UNSEEN_SECONDS = 0.3
 """What a relay was given within this time isn't taken into account yet in what it wants: its next
 digest comes within 0.2 s."""
@@ -80,12 +82,12 @@
     def serve(self, node: str, hints: Hints) -> tuple[GrantedPermits, ...]:
         """Take what a node that asks this one has sent and wants, and return its permits."""
         now = trio.current_time()
-        granted, usage = [], []
+        granted: list[GrantedPermits] = []
+        usage = []
         for wanted in hints.sends:
-            count = self._stock(wanted.name).take(wanted.offered + wanted.expected, now)
-            usage.append(_less(wanted, count))
-            if count:
-                granted.append(GrantedPermits(wanted.name, count))
+            expiries = self._stock(wanted.name).take(wanted.offered + wanted.expected, now)
+            usage.append(_less(wanted, len(expiries)))
+            granted += _granted(wanted.name, expiries, now)
         self.book.take_from_member(node, UsageReport(tuple(usage), hints.nodes))
         return tuple(granted)
 
@@ -99,13 +101,21 @@
         self._digests[process] = number
         for granted in hints.permits:
             if granted.relay == self._knowledge.name:
-                self._stock(granted.life).put(granted.count, trio.current_time() + PERMIT_SECONDS)
+                until = trio.current_time() + granted.valid_ms / MILLISECONDS
+                self._stock(granted.life).put(granted.count, until)
                 self._serve_own(granted.life)
 
-    def take_answer(self, granted: Iterable[GrantedPermits]) -> None:
-        """Take permits that this node's relay gives it."""
+    def take_answer(self, granted: Iterable[GrantedPermits], asked_at: float) -> None:
+        """Take permits that this node's relay gives it.
+
+        Args:
+            granted: The permits.
+            asked_at: When they were asked for: their time counts from then, since the answer may
+                have been long under way.
+        """
         for each in granted:
-            self._limits.receive(each.life, each.count)
+            until = asked_at + each.valid_ms / MILLISECONDS
+            self._limits.receive(each.life, each.count, until)
 
     def _allocate(self, life: str, limit: float) -> list[GrantedPermits]:
         """Give out permits for one life; return those for other relays."""
@@ -118,7 +128,8 @@
         reach = Reach(self.book.fleet_report().nodes, nodes)
         shares = allocator.allocate(limit, sent, reach, self._wants(life, allocator, now), now)
         self._stock(life).put(shares.pop(self._knowledge.name, 0), now + PERMIT_SECONDS)
-        return [GrantedPermits(life, count, relay) for relay, count in shares.items()]
+        valid_ms = round(PERMIT_SECONDS * MILLISECONDS)
+        return [GrantedPermits(life, count, valid_ms, relay) for relay, count in shares.items()]
 
     def _wants(self, life: str, allocator: PermitAllocator, now: float) -> dict[str, Wants]:
         """Return what each relay's nodes want, beyond what they have been given."""
@@ -135,8 +146,9 @@
         now = trio.current_time()
         for wanted in self._limits.own_report().usage:
             if wanted.name == life:
-                count = self._stock(life).take(wanted.offered + wanted.expected, now)
-                self._limits.receive(life, count)
+                expiries = self._stock(life).take(wanted.offered + wanted.expected, now)
+                for until, count in Counter(expiries).items():
+                    self._limits.receive(life, count, until)
 
     def _lacking(self, usage: Usage, now: float) -> Usage:
         """Return usage without the wants that this relay's stock meets."""
@@ -165,6 +177,14 @@
     return msgspec.structs.replace(usage, offered=offered, expected=max(0, usage.expected - left))
 
 
+def _granted(life: str, expiries: Iterable[float], now: float) -> list[GrantedPermits]:
+    """Return permits for a node, those together that hold for as long."""
+    return [
+        GrantedPermits(life, count, int((until - now) * MILLISECONDS))
+        for until, count in Counter(expiries).items()
+    ]
+
+
 def _wants(usage: Usage) -> Wants:
     """Return the permits that are wanted."""
     return Wants(usage.offered, usage.expected)
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/relaying.py
@@ -282,7 +282,7 @@
         if pending.asks_hints and sender == self._knowledge.relays.relay():
             self._sharing.take_answer(sender, answer.hints)
             self._quotas.take_answer(_usage(answer.hints), pending.sent_at)
-            self._permits.take_answer(answer.hints.permits)
+            self._permits.take_answer(answer.hints.permits, pending.sent_at)
             self._store_watch.take(answer.contents)
             self._feed, self._position = answer.feed, answer.position
         heard_at = _heard_at(answer, pending)
--- a/hopstep/services/requests/admission.py
+++ b/hopstep/services/requests/admission.py
@@ -303,9 +303,11 @@
         return self._expected_requests(engine.address) < engine.max_concurrent_requests
 
     def _opens_in(self, engine: BackEnd) -> float:
-        """Return for how much longer an engine that asked for rest gets nothing more."""
-        opens_at = self._table.opens_at(engine.address, self.slots.in_flight(engine.address))
-        return max(0.0, opens_at - trio.current_time())
+        """Return for how much longer an engine gets nothing more by its own word."""
+        now = trio.current_time()
+        active = self.slots.in_flight(engine.address)
+        answer = self._table.admission(engine.address, active, now)
+        return 0.0 if answer.is_open else answer.until - now
 
     def _competes(self, other: QueueEntry, names: set[str]) -> bool:
         """Return whether a queued request may use one of the named engines."""
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -75,7 +75,7 @@
     (LeavingInstance("i3@7", 1500),),
     (LimitedInstance("i4@8", 1500, 320, 40),),
     (Usage("i4@8", 6, 2, 1),),
-    (GrantedPermits("i4@8", 3, "b"),),
+    (GrantedPermits("i4@8", 3, 900, "b"),),
 )
 INSTANCE = Instance("i1", "llm", "10.0.0.1:80", "z", 4, True, {"m": 3}, 2, 5)
 ENTRIES = (
--- a/tests/services/exchanges/test_instance_limits.py
+++ b/tests/services/exchanges/test_instance_limits.py
@@ -106,7 +106,7 @@
                     since = await self.name_limit(world, limit)
                     answers = await self.load(world, USED_SECONDS, every=0.02 * nodes)
                     used = len(self.arrived(world, since)) / (limit * USED_SECONDS)
-                    print(nodes, limit, used)
+                    self.assertGreaterEqual(used, 0.9)
                     self.check_bound(world, since, limit)
                     self.assertTrue(all(answer.status == 200 for answer in answers))
 
