--- a/hopstep/cli/node_process.py
+++ b/hopstep/cli/node_process.py
@@ -31,6 +31,7 @@
 from hopstep.platform.instances import HttpInstances
 from hopstep.platform.names import SETTINGS_VARIABLE
 from hopstep.platform.store import PlatformStore
+from hopstep.services.exchanges.unknown_words import UnknownWords
 from hopstep.settings_loader import EXIT_BAD_SETTINGS, SettingsError, load_exchange_settings
 
 NODE_KEY_BYTES = 16
@@ -49,20 +50,22 @@
         listeners: Those that are open already.
     """
     platform_client = HttpClient()
-    store = PlatformStore(settings.store, platform_client)
-    instances = HttpInstances(HttpClient())
+    unknown_words = UnknownWords()
+    store = PlatformStore(settings.store, platform_client, on_unknown=unknown_words.note)
+    instances = HttpInstances(HttpClient(), unknown_words.note)
     node_key = secrets.token_bytes(NODE_KEY_BYTES)
     nodes = await NodeDatagrams.open(settings.peer_address, settings.name, node_key)
     ports = ExchangePorts(
         store=store,
-        directory=PlatformDirectory(store),
+        directory=PlatformDirectory(store, unknown_words.note),
         calls=instances,
         orders=instances,
         nodes=nodes,
-        cache_events=PlatformCacheEvents(platform_client),
+        cache_events=PlatformCacheEvents(platform_client, unknown_words.note),
         generator=random.Random(secrets.randbits(64)),  # noqa: S311 - spreads load only
     )
     services = ExchangeServices(settings, ports, node_key)
+    unknown_words.count_with(lambda place: services.metrics.unknown_words.labels(place).inc())
     front = ExchangeFront(services.exchanges, lambda: services.lifecycle.stopping)
     try:
         await run_exchange_node(settings, path, services, front, listeners)
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -545,6 +545,13 @@
     ("instance", "life", "service", "limit", "previous", "source", "age_ms"),
     "Nothing: all nodes together send it so many requests a second; -1 is no limit.",
 )
+WORD_UNKNOWN = LogEvent(
+    "HS6114",
+    "word_unknown",
+    Level.WARNING,
+    ("place", "name", "source", "status"),
+    "Read on the other side's pages what it asks for: this version doesn't heed it.",
+)
 WEIGHTS_NAMED = LogEvent(
     "HS6103",
     "weights_named",
--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -11,7 +11,9 @@
 from hopstep.platform import names
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
 from hopstep.platform.notices import read_notice
+from hopstep.platform.vocabulary import Vocabulary
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
+from hopstep.ports.unknown_words import UnknownWordListener, WordPlace, ignore_unknown
 
 ANSWER_SECONDS = 0.7
 MILLISECONDS = 1_000
@@ -38,13 +40,17 @@
 class PlatformCacheEvents(CacheEvents):
     """Reads events by long polling."""
 
-    def __init__(self, client: HttpClient) -> None:
+    def __init__(
+        self, client: HttpClient, on_unknown: UnknownWordListener = ignore_unknown
+    ) -> None:
         """Use a client.
 
         Args:
             client: HTTP client, owned by the caller.
+            on_unknown: Told of what answers say that nothing reads.
         """
         self._client = client
+        self._vocabulary = Vocabulary(on_unknown)
 
     async def read(
         self,
@@ -62,6 +68,9 @@
             with trio.fail_after(ANSWER_SECONDS + wait_seconds):
                 async with self._client.open(call, SendTrace()) as response:
                     hear(read_notice(response.status, response.headers))
+                    self._vocabulary.note_headers(
+                        WordPlace.ANSWER_HEAD, address, response.status, response.headers
+                    )
                     body = await response.aread()
             if response.status != OK:
                 return None
@@ -74,6 +83,7 @@
             msgspec.DecodeError,
         ):
             return None
+        self._vocabulary.note_fields(WordPlace.CACHE_EVENTS, address, body, _Events)
         events = tuple(_read(event) for event in read.events)
         return CacheEventBatch(read.epoch, read.next_page_token, read.lost, events, read.born)
 
--- a/hopstep/platform/directory.py
+++ b/hopstep/platform/directory.py
@@ -2,9 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
+import msgspec
+
 from hopstep.platform import names
-from hopstep.platform.documents import read_configuration, read_instance, read_weights
+from hopstep.platform.documents import (
+    ConfigurationDocument,
+    EntryDocument,
+    WeightsDocument,
+    read_configuration,
+    read_instance,
+    read_weights,
+)
 from hopstep.platform.rejections import FAULTS, explain
+from hopstep.platform.vocabulary import Vocabulary
 from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
@@ -19,25 +31,37 @@
     Unreadable,
     WeightsPublished,
 )
+from hopstep.ports.unknown_words import UnknownWordListener, WordPlace, ignore_unknown
 
 EVERYTHING = ""
 
+READ_AS: Mapping[type, tuple[WordPlace, type[msgspec.Struct]]] = {
+    ConfigurationPublished: (WordPlace.CONFIGURATION, ConfigurationDocument),
+    InstanceListed: (WordPlace.ENTRY, EntryDocument),
+    WeightsPublished: (WordPlace.WEIGHTS, WeightsDocument),
+}
+"""What documents are read as, by what they stand for."""
+
 
 class PlatformDirectory(ServingDirectory):
     """Reads all keys by one listing and one watch; when the store is down it raises its errors."""
 
-    def __init__(self, store: KeyValueStorePort) -> None:
+    def __init__(
+        self, store: KeyValueStorePort, on_unknown: UnknownWordListener = ignore_unknown
+    ) -> None:
         """Use a store.
 
         Args:
             store: The platform's store.
+            on_unknown: Told of fields that nothing reads.
         """
         self._store = store
+        self._vocabulary = Vocabulary(on_unknown)
 
     async def snapshot(self) -> DirectoryBatch:
         """Return all entries; see the port."""
         listing = await self._store.listing(EVERYTHING)
-        return DirectoryBatch(listing.revision, _read_all(listing.values))
+        return DirectoryBatch(listing.revision, self._read_all(listing.values))
 
     async def reconnect(self) -> None:
         """Leave the store's connections; see the port."""
@@ -46,17 +70,24 @@
     async def changes(self, after_revision: int, wait_seconds: float) -> DirectoryBatch:
         """Return changes; see the port."""
         batch = await self._store.watch(EVERYTHING, after_revision, wait_seconds)
-        return DirectoryBatch(batch.revision, _read_all(batch.values))
-
-
-def _read_all(values: tuple[StoredValue, ...]) -> tuple[DirectoryEntry, ...]:
-    """Return the entries that stored values stand for."""
-    entries = []
-    for value in values:
-        change = read_change(value)
-        if change is not None:
-            entries.append(DirectoryEntry(value.key, value.version, change))
-    return tuple(entries)
+        return DirectoryBatch(batch.revision, self._read_all(batch.values))
+
+    def _read_all(self, values: tuple[StoredValue, ...]) -> tuple[DirectoryEntry, ...]:
+        """Return the entries that stored values stand for."""
+        entries = []
+        for value in values:
+            change = read_change(value)
+            if change is not None:
+                entries.append(DirectoryEntry(value.key, value.version, change))
+                self._note_fields(value, change)
+        return tuple(entries)
+
+    def _note_fields(self, value: StoredValue, change: DirectoryChange) -> None:
+        """Tell of the fields of a document that was read and that nothing knows."""
+        read = READ_AS.get(type(change))
+        if read is not None:
+            place, shape = read
+            self._vocabulary.note_fields(place, value.key, value.value, shape)
 
 
 def read_change(value: StoredValue) -> DirectoryChange | None:
--- a/hopstep/platform/documents.py
+++ b/hopstep/platform/documents.py
@@ -162,7 +162,9 @@
         )
 
 
-class _Configuration(msgspec.Struct, frozen=True, rename="camel"):
+class ConfigurationDocument(msgspec.Struct, frozen=True, rename="camel"):
+    """The operators' configuration as it is written."""
+
     version: int
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
@@ -175,7 +177,7 @@
     version: _Count
 
 
-class _Entry(msgspec.Struct, frozen=True, rename="camel"):
+class EntryDocument(msgspec.Struct, frozen=True, rename="camel"):
     """An instance's entry; every instance writes all fields that have no default here."""
 
     service: _Text
@@ -191,7 +193,9 @@
     born: _Start | msgspec.UnsetType = msgspec.UNSET
 
 
-class _Weights(msgspec.Struct, frozen=True, rename="camel"):
+class WeightsDocument(msgspec.Struct, frozen=True, rename="camel"):
+    """Named weights as they are written."""
+
     model: str
     version: int
 
@@ -202,7 +206,7 @@
     Raises:
         msgspec.DecodeError: Names the field that can't be read.
     """
-    document = msgspec.json.decode(value, type=_Configuration)
+    document = msgspec.json.decode(value, type=ConfigurationDocument)
     return ServingConfiguration(
         version=document.version,
         routes=tuple(route.read() for route in document.routes),
@@ -220,7 +224,7 @@
     """
     if not INSTANCE_ID.fullmatch(instance_id):
         raise FieldValueError("", "expected an id of visible ASCII characters")
-    entry = msgspec.json.decode(value, type=_Entry)
+    entry = msgspec.json.decode(value, type=EntryDocument)
     return Instance(
         instance_id=instance_id,
         service=entry.service,
@@ -251,5 +255,5 @@
     Raises:
         msgspec.DecodeError: Names the field that can't be read.
     """
-    document = msgspec.json.decode(value, type=_Weights)
+    document = msgspec.json.decode(value, type=WeightsDocument)
     return NamedWeights(document.model, document.version)
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -16,6 +16,8 @@
 from hopstep.platform import names
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace, SendWithdrawnError
 from hopstep.platform.notices import read_notice
+from hopstep.platform.vocabulary import Vocabulary
+from hopstep.platform.weights_lines import WeightsLines
 from hopstep.ports.instance_calls import (
     InstanceAnswer,
     InstanceCall,
@@ -24,6 +26,7 @@
     SendProof,
     withdrawn_call,
 )
+from hopstep.ports.unknown_words import UnknownWordListener, WordPlace, ignore_unknown
 from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
 
 CONNECT_SECONDS = 0.4
@@ -93,8 +96,10 @@
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the body; see the port."""
+        lines = WeightsLines()
         try:
             async for data in self._response.aiter_stream():
+                self.weights_version = lines.feed(data) or self.weights_version
                 yield data
         except FAILURES as error:
             raise InstanceCallError(
@@ -105,13 +110,17 @@
 class HttpInstances(InstanceCalls, WeightsOrders):
     """Calls instances over pooled connections."""
 
-    def __init__(self, client: HttpClient) -> None:
+    def __init__(
+        self, client: HttpClient, on_unknown: UnknownWordListener = ignore_unknown
+    ) -> None:
         """Use a client.
 
         Args:
             client: HTTP client, owned by the caller.
+            on_unknown: Told of what answers say that nothing reads.
         """
         self._client = client
+        self._vocabulary = Vocabulary(on_unknown)
 
     @contextlib.asynccontextmanager
     async def open(self, call: InstanceCall) -> AsyncIterator[InstanceAnswer]:
@@ -134,6 +143,7 @@
             except FAILURES as error:
                 raise _no_answer(call.proof) from error
             if _is_own_answer(response, call):
+                self._note_headers(call.instance, response)
                 call.hear(_request_notice(response))
             _check_head(response, call)
             yield HttpInstanceAnswer(response)
@@ -186,9 +196,16 @@
             report = msgspec.json.decode(answer[1], type=_Report)
         except msgspec.DecodeError:
             return None
+        self._vocabulary.note_fields(WordPlace.REPORT, instance.address, answer[1], _Report)
         versions = {model.name: model.version for model in report.models}
         return EngineReport(report.busy, report.call_sequence, versions, report.born)
 
+    def _note_headers(self, instance: Instance, response: httpcore.Response) -> None:
+        """Tell of headers that nothing reads."""
+        self._vocabulary.note_headers(
+            WordPlace.ANSWER_HEAD, instance.address, response.status, response.headers
+        )
+
     async def _control(
         self,
         instance: Instance,
@@ -217,6 +234,7 @@
             with trio.fail_after(ORDER_SECONDS):
                 async with self._client.open(call, SendTrace(proof)) as response:
                     if _is_control_answer(response):
+                        self._note_headers(instance, response)
                         hear(read_notice(response.status, response.headers))
                     return response.status, await response.aread()
         except (*FAILURES, trio.TooSlowError):
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -19,12 +19,14 @@
 )
 from hopstep.platform import names
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
+from hopstep.platform.vocabulary import Vocabulary
 from hopstep.ports.key_value_store import (
     KeyValueStorePort,
     StoredValue,
     StoreListing,
     WatchBatch,
 )
+from hopstep.ports.unknown_words import UnknownWordListener, WordPlace, ignore_unknown
 
 CONNECT_SECONDS = 1.0
 ANSWER_SECONDS = 2.0
@@ -102,7 +104,7 @@
     body: bytes
 
 
-Document = TypeVar("Document")
+Document = TypeVar("Document", bound=msgspec.Struct)
 
 
 class PlatformStore(KeyValueStorePort):
@@ -115,7 +117,11 @@
     """
 
     def __init__(
-        self, address: str, client: HttpClient, answer_seconds: float = ANSWER_SECONDS
+        self,
+        address: str,
+        client: HttpClient,
+        answer_seconds: float = ANSWER_SECONDS,
+        on_unknown: UnknownWordListener = ignore_unknown,
     ) -> None:
         """Use a client.
 
@@ -123,7 +129,9 @@
             address: ``ip:port`` of the store.
             client: HTTP client, owned by the caller.
             answer_seconds: Longest wait for an answer, beyond what a watch asks for.
+            on_unknown: Told of what answers say that nothing reads.
         """
+        self._vocabulary = Vocabulary(on_unknown)
         self._address = address
         self._client = client
         self._answer_seconds = answer_seconds
@@ -133,7 +141,7 @@
         answer = await self._call(GET, names.STORE_ITEM, {"privateKey": key})
         if answer.status == NOT_FOUND:
             return None
-        return _decode(answer, _Item).read()
+        return self._decode(answer, _Item).read()
 
     async def list(self, prefix: str, after_key: str = "", limit: int = 1000) -> list[StoredValue]:
         """Return a page of values; see the port."""
@@ -169,14 +177,14 @@
         answer = await self._call(GET, names.STORE_WATCH, query, extra_seconds=wait_seconds)
         if answer.status == GONE:
             raise StoreHistoryLostError(ErrorCode.STORE_HISTORY_LOST, "the history is gone")
-        batch = _decode(answer, _Events)
+        batch = self._decode(answer, _Events)
         return WatchBatch(batch.at_revision, tuple(item.read() for item in batch.events))
 
     async def grant_lease(self, time_to_live_seconds: float) -> str:
         """Return a new lease; see the port."""
         body = msgspec.json.encode(_LeaseRequest(int(time_to_live_seconds * MILLISECONDS)))
         answer = await self._call(POST, names.STORE_LEASE, body=body)
-        return str(_decode(answer, _Lease).lease_id)
+        return str(self._decode(answer, _Lease).lease_id)
 
     async def keep_alive(self, lease: str) -> None:
         """Renew a lease; see the port."""
@@ -198,7 +206,7 @@
         query: dict[str, object] = {"pathPrefix": prefix}
         if after_key:
             query["after"] = after_key
-        return _decode(await self._call(GET, names.STORE_RANGE, query), _Range)
+        return self._decode(await self._call(GET, names.STORE_RANGE, query), _Range)
 
     async def _transact(self, transaction: _Transaction) -> int:
         """Carry out a transaction and return its revision."""
@@ -206,7 +214,14 @@
         answer = await self._call(POST, names.STORE_TRANSACTION, body=body)
         if answer.status in (CONDITION_FAILED, NOT_FOUND):
             raise StoreConflictError(ErrorCode.STORE_CONFLICT, "the condition doesn't hold")
-        return _decode(answer, _Written).revision
+        return self._decode(answer, _Written).revision
+
+    def _decode(self, answer: _Answer, document: type[Document]) -> Document:
+        """Return the document of an answer, and tell of its fields that nothing reads."""
+        decoded = _decode(answer, document)
+        place = WordPlace.STORE_ANSWER
+        self._vocabulary.note_fields(place, self._address, answer.body, document)
+        return decoded
 
     async def _call(
         self,
@@ -226,6 +241,9 @@
         try:
             with trio.fail_after(self._answer_seconds + extra_seconds):
                 async with self._client.open(call, trace) as response:
+                    self._vocabulary.note_headers(
+                        WordPlace.STORE_HEAD, self._address, response.status, response.headers
+                    )
                     answer = _Answer(response.status, await response.aread())
         except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException) as error:
             raise _no_answer(method, trace.proof.sent) from error
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -108,7 +108,8 @@
         status: HTTP status.
         headers: Headers that are passed back.
         signed: Whether the answer carries the instance's signature.
-        weights_version: Version that the answer names; 0 for none.
+        weights_version: Version that the answer names, in its head or with an event that has come
+            since; 0 for none.
     """
 
     status: int
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -61,6 +61,12 @@
             ("kind", "source"),
             registry=registry,
         )
+        self.unknown_words = Counter(
+            "hopstep_unknown_words",
+            "Words of others that nothing here reads, each time, by where they stood.",
+            ("place",),
+            registry=registry,
+        )
         self.failed_connections = Counter(
             "hopstep_failed_connections",
             "Clients' connections that a fault of this node has ended.",
--- a/hopstep/services/exchanges/instance_attempt.py
+++ b/hopstep/services/exchanges/instance_attempt.py
@@ -11,7 +11,12 @@
 from hopstep.domain.instance_admission import Purpose
 from hopstep.domain.quarantine.crashes import RequestName
 from hopstep.exceptions import ErrorCode, Execution
-from hopstep.ports.instance_calls import InstanceCall, InstanceCallError, SendProof
+from hopstep.ports.instance_calls import (
+    InstanceAnswer,
+    InstanceCall,
+    InstanceCallError,
+    SendProof,
+)
 from hopstep.services.exchanges.answer_relay import AnswerRelay
 from hopstep.services.exchanges.exchange_parts import ExchangeOutcome, ExchangeParts
 from hopstep.services.exchanges.silence_watchdog import SilenceWatchdog
@@ -112,9 +117,16 @@
         async with self._parts.calls.open(self._make_call()) as answer:
             view.heard(trio.current_time())
             self._parts.quarantine.note_answer(view.life, sent_at)
-            if answer.weights_version and self._request.prompt is not None:
-                view.learn_version(self._request.prompt.model, answer.weights_version)
-            await self._relay.relay(self._candidate, answer, sent_at)
+            self._learn_version(answer)
+            try:
+                await self._relay.relay(self._candidate, answer, sent_at)
+            finally:
+                self._learn_version(answer)
+
+    def _learn_version(self, answer: InstanceAnswer) -> None:
+        """Learn the weights that an answer names: under a stream that goes on they may change."""
+        if answer.weights_version and self._request.prompt is not None:
+            self._view.learn_version(self._request.prompt.model, answer.weights_version)
 
     def _make_call(self) -> InstanceCall:
         """Return the call."""
--- a/hopstep/services/exchanges/store_watch.py
+++ b/hopstep/services/exchanges/store_watch.py
@@ -15,6 +15,7 @@
     ContentsPosition,
     StoreContents,
 )
+from hopstep.domain.instance_notices import InstanceNotice
 from hopstep.logs import emit
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
 from hopstep.services.exchanges.knowledge import ServingKnowledge
@@ -103,7 +104,8 @@
         position = 0
         epoch: int | None = None
         while not self._knowledge.relays.relay():
-            batch = await self._events.read(address, position, WAIT_SECONDS)
+            heard: list[InstanceNotice] = []
+            batch = await self._events.read(address, position, WAIT_SECONDS, heard.append)
             if batch is None and self._pauses.has_just_ended:
                 await trio.sleep(PAUSE_SECONDS)
                 continue
@@ -115,7 +117,8 @@
                     batch = await self._events.read(address, 0, 0.0) or batch
                     _take(contents, batch, batch.epoch)
                 epoch, position = batch.epoch, batch.position
-            await trio.sleep(PAUSE_SECONDS)
+            rests = [notice.rest_seconds for notice in heard]
+            await trio.sleep(max(PAUSE_SECONDS, max(rests, default=0.0)))
 
 
 def _take(contents: StoreContents, batch: CacheEventBatch, epoch: int | None) -> None:
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -232,6 +232,7 @@
 
         class Response:
             status = 200
+            headers = ()
 
             async def aread(self):
                 await trio.lowlevel.checkpoint()
--- /dev/null
+++ b/tests/platform/test_vocabulary.py
@@ -0,0 +1,161 @@
+"""A word that nothing reads is told, once it is seen, wherever others may say it."""
+
+import json
+import unittest
+
+import trio
+
+from hopstep.domain.exchanges.instances import Instance
+from hopstep.platform.cache_events import PlatformCacheEvents
+from hopstep.platform.directory import PlatformDirectory
+from hopstep.platform.http_client import HttpClient
+from hopstep.platform.instances import HttpInstances
+from hopstep.platform.store import PlatformStore
+from hopstep.platform.vocabulary import KNOWN_HEADERS, READ_HEADERS, UNREAD_HEADERS
+from hopstep.ports.instance_calls import InstanceCall, InstanceCallError
+from hopstep.ports.key_value_store import StoredValue, StoreListing
+from hopstep.ports.unknown_words import WordPlace
+from tests.platform.test_entries import ENGINE
+from tests.platform.test_instances import RawServer, request
+
+OWN = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Stamp: s\r\n"
+BODY = b"Content-Length: 4\r\n\r\nbody"
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {"name": "r", "hostname": "h", "pathPrefix": "/", "stickySessions": True, "mood": 1}
+    ],
+    "services": [{"name": "s", "engine": {"slots": 4, "stride": 4, "colour": "red"}}],
+    "limits": {"maxBodyBytes": 9, "idleTimeoutMs": 9},
+    "tenants": [{"name": "t", "apiKeys": ["k"], "plan": "gold"}],
+    "season": "wet",
+}
+
+
+class StoredDocuments:
+    """A store that lists fixed values."""
+
+    def __init__(self, **values):
+        self.values = values
+
+    async def listing(self, _prefix):
+        await trio.lowlevel.checkpoint()
+        values = (
+            StoredValue(key, json.dumps(value).encode(), 1) for key, value in self.values.items()
+        )
+        return StoreListing(1, tuple(values))
+
+
+class VocabularyTest(unittest.TestCase):
+    def told(self, answer, call):
+        """Return the words that are told when ``call`` gets an answer over a socket."""
+        words = []
+
+        async def main():
+            server = RawServer(answer)
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(trio.serve_tcp, server.handle, 0)
+                port = listeners[0].socket.getsockname()[1]
+                client = HttpClient()
+                await call(client, f"127.0.0.1:{port}", words.append)
+                await client.aclose()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        return [(word.place, word.name, word.status) for word in words]
+
+    def told_of_head(self, answer):
+        async def call(client, address, on_unknown):
+            instance = Instance("i1", "s", address, "z", 1)
+            try:
+                async with HttpInstances(client, on_unknown).open(
+                    InstanceCall(instance, request(), 1.5)
+                ):
+                    pass
+            except InstanceCallError:
+                return
+
+        return self.told(answer, call)
+
+    def test_a_header_that_nothing_reads_is_told(self):
+        told = self.told_of_head(OWN + b"Server-Mood: low\r\n" + BODY)
+        self.assertEqual(told, [(WordPlace.ANSWER_HEAD, "server-mood", 200)])
+
+    def test_headers_that_are_read_or_left_on_purpose_are_not(self):
+        known = [name for name in READ_HEADERS | UNREAD_HEADERS.keys() if name != b"attempt-id"]
+        lines = b"".join(name + b": 1\r\n" for name in known)
+        self.assertEqual(self.told_of_head(OWN + lines + BODY), [])
+
+    def test_a_header_of_a_surplus_answer_is_nobodys_word(self):
+        surplus = OWN.replace(b"r1", b"r0") + b"Server-Mood: low\r\n" + BODY
+        self.assertEqual(self.told_of_head(surplus), [])
+
+    def test_each_header_left_unread_has_a_reason(self):
+        self.assertTrue(all(UNREAD_HEADERS.values()))
+        self.assertFalse(READ_HEADERS & UNREAD_HEADERS.keys())
+        for known in KNOWN_HEADERS.values():
+            self.assertTrue(all(name == name.lower() for name in known))
+
+    def test_a_field_of_a_report_that_nothing_reads_is_told(self):
+        report = {"busy": False, "callSequence": 1, "models": [], "kvUsed": 1, "temperature": 90}
+        body = json.dumps(report).encode()
+
+        async def call(client, address, on_unknown):
+            instance = Instance("i1", "s", address, "z", 1)
+            await HttpInstances(client, on_unknown).report(instance)
+
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        self.assertEqual(self.told(answer, call), [(WordPlace.REPORT, "temperature", 0)])
+
+    def test_a_field_and_a_header_of_cache_events_that_nothing_reads_are_told(self):
+        body = b'{"epoch":1,"nextPageToken":0,"lost":false,"events":[],"pace":5}'
+
+        async def call(client, address, on_unknown):
+            await PlatformCacheEvents(client, on_unknown).read(address, 0, 0.2)
+
+        head = b"HTTP/1.1 200 OK\r\nX-Pace: 1\r\nContent-Length: %d\r\n\r\n" % len(body)
+        told = self.told(head + body, call)
+        self.assertEqual(
+            told, [(WordPlace.ANSWER_HEAD, "x-pace", 200), (WordPlace.CACHE_EVENTS, "pace", 0)]
+        )
+
+    def test_a_field_and_a_header_of_the_store_that_nothing_reads_are_told(self):
+        body = b'{"atRevision":1,"events":[{"privateKey":"k","revision":1,"leaseId":0,"by":"x"}]}'
+
+        async def call(client, address, on_unknown):
+            await PlatformStore(address, client, on_unknown=on_unknown).watch("", 0, 0.1)
+
+        head = b"HTTP/1.1 200 OK\r\nX-Shard: 1\r\nContent-Length: %d\r\n\r\n" % len(body)
+        told = self.told(head + body, call)
+        self.assertEqual(
+            told, [(WordPlace.STORE_HEAD, "x-shard", 200), (WordPlace.STORE_ANSWER, "events.by", 0)]
+        )
+
+    def directory_words(self, **values):
+        words = []
+        directory = PlatformDirectory(StoredDocuments(**values), words.append)
+        trio.run(directory.snapshot)
+        return [(word.place, word.name, word.source) for word in words]
+
+    def test_fields_of_an_entry_that_nothing_reads_are_told(self):
+        entry = {**ENGINE, "mood": {"deep": [[[1]]]}}
+        entry["models"] = [{"name": "m", "version": 1, "adapters": [], "size": 7}]
+        told = self.directory_words(**{"servers/i1": entry})
+        place = WordPlace.ENTRY
+        self.assertEqual(
+            sorted(told), [(place, "models.size", "servers/i1"), (place, "mood", "servers/i1")]
+        )
+
+    def test_fields_of_the_configuration_that_nothing_reads_are_told(self):
+        told = self.directory_words(**{"op/config": CONFIGURATION})
+        paths = sorted(name for _place, name, _source in told)
+        self.assertEqual(paths, ["routes.mood", "season", "services.engine.colour", "tenants.plan"])
+
+    def test_a_document_that_nests_without_end_is_read_and_tells_nothing(self):
+        entry = json.dumps({**ENGINE, "mood": 0}).replace(
+            ": 0}", ": " + "[" * 900 + "]" * 900 + "}"
+        )
+        words = []
+        directory = PlatformDirectory(StoredDocuments(), words.append)
+        change = directory._read_all((StoredValue("servers/i1", entry.encode(), 1),))
+        self.assertEqual(len(change), 1)
--- /dev/null
+++ b/tests/platform/test_weights_lines.py
@@ -0,0 +1,34 @@
+"""A version in the first line of an event is found, wherever the pieces of a stream end."""
+
+import unittest
+
+from hopstep.platform.weights_lines import WeightsLines
+
+STREAM = b"id: 0\ndata: a\n\nweight-versions: 12\nid: 1\ndata: b\n\nid: 2\ndata: c\n\n"
+OTHERS = (
+    b"id: 0\ndata: weight-versions: 3\n\n",
+    b"id: 0\nweight-versions: 3\ndata: a\n\n",
+    b"id: 0\ndata: a\n\nweight-versions: x\nid: 1\n\n",
+    b"id: 0\ndata: a\n\nweight-versions: 3",
+)
+
+
+class WeightsLinesTest(unittest.TestCase):
+    def test_the_version_is_found_however_the_stream_is_cut(self):
+        for size in range(1, len(STREAM) + 1):
+            lines = WeightsLines()
+            pieces = [STREAM[at : at + size] for at in range(0, len(STREAM), size)]
+            self.assertEqual(max(lines.feed(piece) for piece in pieces), 12, size)
+
+    def test_the_first_event_may_tell_it(self):
+        self.assertEqual(WeightsLines().feed(b"weight-versions: 4\nid: 0\ndata: a\n\n"), 4)
+
+    def test_other_lines_tell_nothing(self):
+        for stream in OTHERS:
+            with self.subTest(stream):
+                self.assertEqual(WeightsLines().feed(stream), 0)
+
+    def test_a_line_is_found_once_it_is_whole(self):
+        lines = WeightsLines()
+        self.assertEqual(lines.feed(b"id: 0\n\nweight-versions: 1"), 0)
+        self.assertEqual(lines.feed(b"3\nid: 1\n\n"), 13)
