Let the soak's instances name limits, count what they get, and check what nodes make of it

Limits of 0 to 12 a second at one instance, half or all of a service, changed and lifted, beside rests, leavings, later lives, a store that is away and nodes that are cut off, suspended and start anew. Checks: the bound at the instance over all nodes that were told (a store that is away, lost peers and other nodes' interruptions excuse nobody), the limit used while callers are refused, none refused while a plain instance is free.

--- a/emulator/exchange_platform/http_instance.py
+++ b/emulator/exchange_platform/http_instance.py
@@ -80,10 +80,12 @@
     Attributes:
         leaving: Every answer says that it leaves.
         rest_seconds: Every request is refused, and so much rest is asked for; 0 for none.
+        limit: Every answer names so many requests a second, from all nodes; None for no limit.
     """
 
     leaving: bool = False
     rest_seconds: float = 0.0
+    limit: float | None = None
 
 
 class RunHeaders(msgspec.Struct, frozen=True):
@@ -113,6 +115,9 @@
     def ordered(self, instance: HttpInstance, holder: str, token: int) -> None:
         """An order is carried out."""
 
+    def asked(self, instance: HttpInstance) -> None:
+        """A report or an order has come."""
+
     def changed(self, instance: HttpInstance) -> None:
         """The instance's entry has changed."""
 
@@ -318,10 +323,15 @@
 
     def tell_words(self, request_id: str, *, rests: bool) -> None:
         """Tell the listener what an answer says of the instance, if it says anything."""
-        words = InstanceWords(self.words.leaving, self.words.rest_seconds if rests else 0.0)
-        if words.leaving or words.rest_seconds:
+        said = self.words
+        words = InstanceWords(said.leaving, said.rest_seconds if rests else 0.0, said.limit)
+        if words != InstanceWords():
             self._listener.said(self, request_id, words)
 
+    def note_asked(self) -> None:
+        """Tell the listener of a report or an order."""
+        self._listener.asked(self)
+
     def _stamp(self, request_id: str) -> str:
         """Return a signature that is new for each run."""
         salt = self._generator.randbytes(8)
@@ -343,6 +353,8 @@
         request_id = quart.request.headers.get("Attempt-Id", "")
         if instance.words.leaving:
             response.headers["Server-Leaving"] = "1"
+        if instance.words.limit is not None:
+            response.headers["Server-Limit"] = f"{instance.words.limit:g}"
         if request_id:
             instance.tell_words(request_id, rests="Retry-After" in response.headers)
         return response
@@ -350,6 +362,7 @@
     @app.get("/report")
     async def report() -> quart.Response:
         """Tell of the instance."""
+        instance.note_asked()
         return json_response(instance.report())
 
     @app.get("/kv-events")
@@ -370,6 +383,7 @@
     @app.post("/order")
     async def order() -> quart.Response:
         """Take an order."""
+        instance.note_asked()
         return await instance.order()
 
     @app.route("/<path:path>", methods=["GET", "POST"])
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -16,6 +16,7 @@
     SentRequest,
 )
 from emulator.soak.instance_checks import INSTANCE_CHECKS
+from emulator.soak.limit_checks import LIMIT_CHECKS
 from emulator.soak.promises import Bounds, Check, Violation
 from emulator.soak.word_checks import WORD_CHECKS
 
@@ -351,5 +352,6 @@
     "retry budget": retries_stay_in_budget,
     **INSTANCE_CHECKS,
     **WORD_CHECKS,
+    **LIMIT_CHECKS,
     "processes": processes_stay_alive,
 }
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -19,7 +19,13 @@
 from emulator.fleet.processes import ProcessGroup, free_addresses
 from emulator.platform.shared_store import SharedStore
 from emulator.soak import suspendable_node
-from emulator.soak.history import Disturbance, History, InstanceEnd, ListedInstance
+from emulator.soak.history import (
+    Disturbance,
+    History,
+    InstanceEnd,
+    InstanceTime,
+    ListedInstance,
+)
 from emulator.soak.proxies import TcpProxy, UdpProxy
 from emulator.soak.recorder import DirectStore, Recorder
 from emulator.soak.suspendable_node import FILE_ARGUMENT
@@ -164,6 +170,9 @@
         self.recorder.lives[traits.instance_id] = instance
         links = InstanceLinks(instance, proxy, scope, trio.current_time())
         self.instances.append(links)
+        self.history.instances.append(
+            InstanceTime(traits.life, service, trio.current_time(), is_plain=not model)
+        )
         self.recorder.changed(instance)
         return links
 
@@ -172,6 +181,9 @@
         instance_id = links.instance.traits.instance_id
         links.scope.cancel()
         links.proxy.close()
+        life = links.instance.traits.life
+        ended = next(time for time in self.history.instances if time.life == life)
+        ended.until = trio.current_time()
         self.instances.remove(links)
         self.recorder.addresses.pop(instance_id)
         self.recorder.lives.pop(instance_id)
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -115,7 +115,7 @@
     """A request that reached an instance, whether it ran or not.
 
     Attributes:
-        request_id: The request.
+        request_id: The request; empty for a report or an order.
         service: Service of the instance.
         at: When it came.
         life: The instance and its start.
@@ -136,6 +136,7 @@
         at: When the answer was made.
         leaving: Whether it says that the instance leaves.
         rest_seconds: Rest that it asks for; 0 for none.
+        limit: Requests a second that it takes from all nodes together; None for no limit.
     """
 
     request_id: str
@@ -143,6 +144,21 @@
     at: float
     leaving: bool
     rest_seconds: float
+    limit: float | None = None
+
+
+class LimitChange(msgspec.Struct, frozen=True):
+    """A limit that an instance names from a time on.
+
+    Attributes:
+        life: The instance and its start.
+        at: From when on its answers say so.
+        per_second: Requests a second that it takes from all nodes together; None for no limit.
+    """
+
+    life: str
+    at: float
+    per_second: float | None
 
 
 class InstanceEnd(msgspec.Struct, frozen=True):
@@ -159,6 +175,24 @@
     at: float
 
 
+class InstanceTime(msgspec.Struct):
+    """The time in which a life of an instance serves.
+
+    Attributes:
+        life: The instance and its start.
+        service: Its service.
+        since: When it was listed.
+        is_plain: Whether it is no engine.
+        until: Its end; infinite while it lives.
+    """
+
+    life: str
+    service: str
+    since: float
+    is_plain: bool
+    until: float = float("inf")
+
+
 class ListedInstance(msgspec.Struct, frozen=True):
     """An instance that is listed and takes requests.
 
@@ -265,6 +299,8 @@
         route_changes: In order.
         leavings: In order.
         words: What instances said of themselves in answers, in order.
+        limits: Limits that instances named, in order.
+        instances: All lives of instances.
         disturbances: In the order of their begins.
         unexpected_ends: Nodes whose process ended by itself, with the exit code.
         tenants: Tenant of each key.
@@ -283,6 +319,8 @@
     route_changes: list[RouteChange] = []
     leavings: list[Leaving] = []
     words: list[SaidWord] = []
+    limits: list[LimitChange] = []
+    instances: list[InstanceTime] = []
     disturbances: list[Disturbance] = []
     unexpected_ends: list[str] = []
     tenants: dict[str, str] = {}
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -9,7 +9,7 @@
 
 from emulator.soak.deployment import ENGINES, PLAIN, ZONES, Deployment, InstanceLinks
 from emulator.soak.foreign_entries import FOREIGN_PREFIX, foreign_entry
-from emulator.soak.history import Leaving
+from emulator.soak.history import Leaving, LimitChange
 from emulator.soak.operators import Operator
 from emulator.soak.proxies import LinkState
 
@@ -25,6 +25,12 @@
 SHED_SECONDS = (0.2, 1.5)
 """For so long an instance refuses everything and asks for rest."""
 
+LIMITS = (0.0, 0.3, 1.5, 1.5, 4.0, 12.0)
+"""Requests a second."""
+
+LIMIT_SECONDS = (4.0, 10.0)
+"""For so long an instance names one limit."""
+
 WORD_ALONE_SHARE = 0.5
 """Of instances that leave by their word: their entry says ready until they have ended."""
 
@@ -57,6 +63,7 @@
         "instance leaves": faults.instance_leaves,
         "instance says it leaves": faults.instance_says_leaving,
         "instances want rest": faults.instances_want_rest,
+        "instances name limits": faults.instances_name_limits,
         "instance fails": faults.instance_fails,
         "orders late": faults.orders_late,
         "instance restarts": faults.instance_restarts,
@@ -229,6 +236,27 @@
         for links in chosen:
             links.instance.words.rest_seconds = 0.0
 
+    async def instances_name_limits(self) -> None:
+        """Let one instance, half or all of a service name limits, change them, and lift them."""
+        service = self._instance().instance.traits.service
+        chosen = [x for x in self._deployment.instances if x.instance.traits.service == service]
+        share = self._generator.choice((0.0, 0.5, 1.0))
+        chosen = self._generator.sample(chosen, max(1, round(share * len(chosen))))
+        for _change in range(self._generator.choice((1, 1, 2, 3))):
+            for links in chosen:
+                self._name_limit(links, self._generator.choice(LIMITS))
+            await trio.sleep(self._generator.uniform(*LIMIT_SECONDS))
+        for links in chosen:
+            self._name_limit(links, None)
+
+    def _name_limit(self, links: InstanceLinks, per_second: float | None) -> None:
+        """Let an instance's answers name another limit; one that has ended names nothing."""
+        if links in self._deployment.instances:
+            links.instance.words.limit = per_second
+            life = links.instance.traits.life
+            change = LimitChange(life, trio.current_time(), per_second)
+            self._deployment.history.limits.append(change)
+
     def _count(self, service: str) -> int:
         """Return how many instances of a service take requests."""
         return sum(
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -180,6 +180,32 @@
 """
 
 
+LIMITS = Profile(
+    "limits of instances",
+    (
+        "instances name limits",
+        "instances name limits",
+        "instances name limits",
+        "instances want rest",
+        "instance says it leaves",
+        "instance restarts",
+        "instance leaves",
+        "store outage",
+        "node without store",
+        "node without peers",
+        "node suspended",
+        "node killed",
+        "node stopped",
+        "weights named",
+    ),
+    (0.5, 1.8),
+    0.3,
+    0.8,
+)
+"""Limits at one, half and all instances of a service, beside rests, leavings, later lives, a store
+that is away, and nodes that are cut off, suspended and start anew; by name only."""
+
+
 VERSIONS = Profile(
     "versions side by side",
     (
@@ -217,7 +243,7 @@
     """
     if not name:
         return PROFILES[seed % len(PROFILES)]
-    found = {profile.name: profile for profile in (*PROFILES, SHORT, WORDS, VERSIONS)}
+    found = {profile.name: profile for profile in (*PROFILES, SHORT, WORDS, LIMITS, VERSIONS)}
     if name not in found:
         raise ValueError(f"profile: expected one of {sorted(found)}, got {name!r}")
     return found[name]
--- a/emulator/soak/promises.py
+++ b/emulator/soak/promises.py
@@ -28,6 +28,11 @@
         fatal_ends: Instances that may end under one request before the next bound holds.
         on_the_way: Requests sent before a refusal was read may still arrive for so long.
         within_rest: Requests of one node that may reach an instance later than that in its rest.
+        limit_window: Span over which the requests to an instance with a limit are counted.
+        limit_factor: Requests that it may get there, for each that its limit takes.
+        limit_extra: Requests beyond these.
+        limit_used: Part of a limit that is used while callers are refused.
+        limit_missed: Requests by which that may be missed, in one time without faults.
         fatal_retries: Times that it may reach instances later than ``contact`` after that.
     """
 
@@ -47,6 +52,11 @@
     fatal_retries: int = 3
     on_the_way: float = 0.5
     within_rest: int = 2
+    limit_window: float = 4.0
+    limit_factor: float = 1.5
+    limit_extra: float = 5.0
+    limit_used: float = 0.9
+    limit_missed: int = 2
 
 
 class Violation(msgspec.Struct, frozen=True):
--- a/emulator/soak/recorder.py
+++ b/emulator/soak/recorder.py
@@ -64,11 +64,17 @@
         arrival = Arrival(request_id, traits.service, trio.current_time(), traits.life)
         self._history.arrivals.append(arrival)
 
+    def asked(self, instance: HttpInstance) -> None:
+        """Record a report or an order."""
+        traits = instance.traits
+        arrival = Arrival("", traits.service, trio.current_time(), traits.life)
+        self._history.arrivals.append(arrival)
+
     def said(self, instance: HttpInstance, request_id: str, words: InstanceWords) -> None:
         """Record what an instance said of itself in an answer."""
         life = instance.traits.life
         now = trio.current_time()
-        word = SaidWord(request_id, life, now, words.leaving, words.rest_seconds)
+        word = SaidWord(request_id, life, now, words.leaving, words.rest_seconds, words.limit)
         self._history.words.append(word)
 
     def began(self, instance: HttpInstance, headers: RunHeaders, stamp: str) -> None:
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -100,6 +100,9 @@
             "weights everywhere",
             "word of leaving",
             "rest",
+            "limit",
+            "limit used",
+            "refused with room",
             "processes",
         }
         self.assertEqual(held, CHECKS.keys())
--- a/tests/emulator/test_http_instance.py
+++ b/tests/emulator/test_http_instance.py
@@ -23,6 +23,9 @@
     def ended(self, _instance, _stamp):
         self.ends += 1
 
+    def asked(self, instance):
+        return
+
     def ordered(self, _instance, holder, token):
         self.seen.append(("ordered", holder, token))
 
