Load engines that take few requests by one order, and hear limits lifted from reports where they name them

Now such an engine gets one order with the permit that it waits for, and its entry shows the load; and an answer of a kind that has named a limit lifts it by naming none, also a report's or an order's. Before: test_an_engine_that_takes_nothing_loads_named_weights fails with version 1 of 2.

--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -103,6 +103,11 @@
                 self.learn_version(model, version)
         self._shown_sequence = max(self._shown_sequence, order_sequence)
 
+    @property
+    def order_sequence(self) -> int:
+        """Orders that the instance has taken, as it showed last."""
+        return self._shown_sequence
+
     def _lower_version(self, model: str, version: int) -> None:
         """Take a version below the known one; what was kept is gone."""
         self.segments.clear()
--- a/hopstep/domain/instance_limit.py
+++ b/hopstep/domain/instance_limit.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from hopstep.domain.instance_notices import LimitWord
+from hopstep.domain.instance_notices import AnswerKind, LimitWord
 
 NO_LIMIT = float("inf")
 
@@ -57,6 +57,7 @@
         """Have heard nothing, so that there is no limit."""
         self.per_second = NO_LIMIT
         self.times = NEVER
+        self._named_by = {AnswerKind.REQUEST}
 
     @property
     def is_set(self) -> bool:
@@ -64,7 +65,14 @@
         return self.per_second != NO_LIMIT
 
     def take(self, word: LimitWord, times: HeadTimes) -> bool:
-        """Take what a head says, and return whether another limit holds now."""
+        """Take what a head says, and return whether another limit holds now.
+
+        An answer that names no limit lifts one only if answers of its kind have named some.
+        """
+        if word.per_second is not None:
+            self._named_by.add(word.kind)
+        elif word.kind not in self._named_by:
+            return False
         said = NO_LIMIT if word.per_second is None else word.per_second
         if said == self.per_second:
             self.times = times.joined(self.times)
--- a/hopstep/domain/instance_notices.py
+++ b/hopstep/domain/instance_notices.py
@@ -2,11 +2,28 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable
 
 import msgspec
 
 
+class AnswerKind(enum.Enum):
+    """What an answer is to. Whether all kinds of answers name a limit isn't known beforehand."""
+
+    REQUEST = enum.auto()
+    """To a request, with its id: it names a limit as long as there is one."""
+
+    REFUSAL = enum.auto()
+    """A refusal without the request's id."""
+
+    CONTROL = enum.auto()
+    """To a report or an order."""
+
+    CACHE_EVENTS = enum.auto()
+    """To a read of cache events."""
+
+
 class LimitWord(msgspec.Struct, frozen=True):
     """What the head of one answer says of the instance's limit.
 
@@ -14,10 +31,12 @@
         per_second: Requests a second that it takes from all nodes together; None when the answer
             names no limit, so that there is none any more.
         date: Unix time at which the head was made, by the instance's clock; None when not told.
+        kind: What the answer is to.
     """
 
     per_second: float | None = None
     date: float | None = None
+    kind: AnswerKind = AnswerKind.REQUEST
 
 
 class InstanceNotice(msgspec.Struct, frozen=True):
--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -7,7 +7,7 @@
 import trio
 
 from hopstep.domain.exchanges.store_contents import CacheEvent
-from hopstep.domain.instance_notices import NoticeListener, ignore_notice
+from hopstep.domain.instance_notices import AnswerKind, NoticeListener, ignore_notice
 from hopstep.platform import names
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
 from hopstep.platform.notices import read_notice
@@ -67,7 +67,8 @@
         try:
             with trio.fail_after(ANSWER_SECONDS + wait_seconds):
                 async with self._client.open(call, SendTrace()) as response:
-                    hear(read_notice(response.status, response.headers))
+                    kind = AnswerKind.CACHE_EVENTS
+                    hear(read_notice(response.status, response.headers, kind))
                     self._vocabulary.note_headers(
                         WordPlace.ANSWER_HEAD, address, response.status, response.headers
                     )
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -10,7 +10,12 @@
 import trio
 
 from hopstep.domain.exchanges.instances import Instance
-from hopstep.domain.instance_notices import InstanceNotice, NoticeListener, ignore_notice
+from hopstep.domain.instance_notices import (
+    AnswerKind,
+    InstanceNotice,
+    NoticeListener,
+    ignore_notice,
+)
 from hopstep.domain.quarantine.crashes import InstanceSign
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform import names
@@ -235,7 +240,7 @@
                 async with self._client.open(call, SendTrace(proof)) as response:
                     if _is_control_answer(response):
                         self._note_headers(instance, response)
-                        hear(read_notice(response.status, response.headers))
+                        hear(read_notice(response.status, response.headers, AnswerKind.CONTROL))
                     return response.status, await response.aread()
         except (*FAILURES, trio.TooSlowError):
             return None
@@ -281,13 +286,10 @@
 
 
 def _request_notice(response: httpcore.Response) -> InstanceNotice:
-    """Return what the instance's own answer to a request says of it.
-
-    Only an answer that repeats the request's id lifts a limit by naming none: whether refusals
-    without an id would name it isn't known.
-    """
+    """Return what the instance's own answer to a request says of it."""
     found = {name.lower() for name, _value in response.headers}
-    return read_notice(response.status, response.headers, lifts_limit=names.REQUEST_ID in found)
+    kind = AnswerKind.REQUEST if names.REQUEST_ID in found else AnswerKind.REFUSAL
+    return read_notice(response.status, response.headers, kind)
 
 
 def _is_control_answer(response: httpcore.Response) -> bool:
--- a/hopstep/platform/notices.py
+++ b/hopstep/platform/notices.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from hopstep.domain.instance_notices import InstanceNotice, LimitWord
+from hopstep.domain.instance_notices import AnswerKind, InstanceNotice, LimitWord
 from hopstep.domain.limit_header import limit_per_second
 from hopstep.domain.retry_after_header import rest_seconds, unix_seconds
 from hopstep.platform import names
@@ -15,30 +15,30 @@
 
 
 def read_notice(
-    status: int, headers: Iterable[tuple[bytes, bytes]], *, lifts_limit: bool = False
+    status: int, headers: Iterable[tuple[bytes, bytes]], kind: AnswerKind
 ) -> InstanceNotice:
     """Return what an answer's head says of its instance.
 
     Args:
         status: HTTP status.
         headers: All headers of the answer.
-        lifts_limit: Whether an answer of this kind that names no limit says that there is none.
+        kind: What the answer is to.
     """
     pairs = [(name.lower(), value.strip()) for name, value in headers]
     leaving = (names.LEAVING, LEAVES) in pairs
     dates = _texts(pairs, names.DATE)
     date = dates[0] if dates else ""
     rest = rest_seconds(_texts(pairs, names.RETRY_AFTER), date) if status == TURNED_AWAY else 0.0
-    return InstanceNotice(leaving, rest, _limit_word(pairs, date, lifts_limit))
+    return InstanceNotice(leaving, rest, _limit_word(pairs, date, kind))
 
 
-def _limit_word(pairs: list[tuple[bytes, bytes]], date: str, lifts_limit: bool) -> LimitWord | None:
-    """Return what a head says of the instance's limit; None when it tells nothing of it."""
+def _limit_word(pairs: list[tuple[bytes, bytes]], date: str, kind: AnswerKind) -> LimitWord | None:
+    """Return what a head says of the instance's limit; None for what can't be read."""
     values = _texts(pairs, names.LIMIT)
-    if not values:
-        return LimitWord(None, unix_seconds(date)) if lifts_limit else None
-    per_second = limit_per_second(values)
-    return LimitWord(per_second, unix_seconds(date)) if per_second is not None else None
+    per_second = limit_per_second(values) if values else None
+    if values and per_second is None:
+        return None
+    return LimitWord(per_second, unix_seconds(date), kind)
 
 
 def _texts(pairs: list[tuple[bytes, bytes]], name: bytes) -> list[str]:
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights_rollout.py
@@ -30,6 +30,10 @@
 PERMIT_PATIENCE_SECONDS = 2.0
 """Longest wait for leave to ask a limited engine; its requests wait behind."""
 
+LIMITED_PATIENCE_SECONDS = 6.0
+"""The same for the one order that loads an engine which takes few requests: longer than the time
+between two permits at the lowest limit."""
+
 MAX_LOAD_SECONDS = 4.0
 RETRY_SECONDS = 0.5
 
@@ -108,8 +112,11 @@
 
     async def _load(self, view: InstanceView, weights: NamedWeights) -> None:
         """Load one engine and wait until it is done."""
-        started_at = trio.current_time()
         try:
+            if view.standing.limited_sends is not None:
+                await self._load_limited(view, weights)
+                return
+            started_at = trio.current_time()
             with trio.move_on_after(MAX_LOAD_SECONDS):
                 if await self._order_until_done(view, weights):
                     self._knowledge.weights.record_load(trio.current_time() - started_at)
@@ -117,6 +124,21 @@
             self._retry_at[view.life] = trio.current_time() + RETRY_SECONDS
             self._loading.discard(view.life)
 
+    async def _load_limited(self, view: InstanceView, weights: NamedWeights) -> None:
+        """Order a load of an engine that takes few requests, and wait until its entry shows it.
+
+        With reports, as others are followed, one that takes a request each four seconds would
+        never have loaded in time.
+        """
+        if not await self._may_ask(view, trio.current_time() + LIMITED_PATIENCE_SECONDS):
+            return
+        self._mark_loading(view)
+        await self._order(view, weights, view.order_sequence)
+        with trio.move_on_after(MAX_LOAD_SECONDS):
+            while view.versions.get(weights.model, 0) < weights.version:
+                self._mark_loading(view)
+                await trio.sleep(POLL_SECONDS)
+
     async def _order_until_done(self, view: InstanceView, weights: NamedWeights) -> bool:
         """Order, and again as long as the engine isn't known to load; return whether it did.
 
@@ -131,7 +153,7 @@
         if report is None:
             return False
         sequence = report.order_sequence
-        while self._lease.may_order and await self._may_ask(view):
+        while self._lease.may_order and await self._may_ask(view, _patience()):
             self._mark_loading(view)
             outcome = await self._order(view, weights, sequence)
             if outcome is OrderOutcome.HOLDS_ALREADY:
@@ -182,16 +204,15 @@
 
     async def _report(self, view: InstanceView) -> EngineReport | None:
         """Return an engine's report; None without one, or with one of another life."""
-        if not await self._may_ask(view):
+        if not await self._may_ask(view, _patience()):
             return None
         report = await self._orders.report(view.instance, self._notices.listener(view))
         if report is None or not view.instance.life.may_tell(report.born_ms):
             return None
         return report
 
-    async def _may_ask(self, view: InstanceView) -> bool:
+    async def _may_ask(self, view: InstanceView, until: float) -> bool:
         """Return whether an engine may be sent an order or a report, once there is a permit."""
-        until = trio.current_time() + PERMIT_PATIENCE_SECONDS
         if not await self._limits.acquire(view, CONTROL_RANK, until):
             return False
         open_now = view.takes(Purpose.ORDER_SENDING, trio.current_time())
@@ -201,3 +222,8 @@
         """Keep requests from an engine for a while, here and at the peers."""
         view.loading_until = trio.current_time() + LOADING_SECONDS
         self._sharing.announce_loading(view.life, LOADING_SECONDS)
+
+
+def _patience() -> float:
+    """Return until when leave to ask an engine is waited for."""
+    return trio.current_time() + PERMIT_PATIENCE_SECONDS
--- a/tests/domain/test_instance_limit.py
+++ b/tests/domain/test_instance_limit.py
@@ -3,7 +3,7 @@
 import unittest
 
 from hopstep.domain.instance_limit import NO_LIMIT, HeadTimes, InstanceLimit
-from hopstep.domain.instance_notices import LimitWord
+from hopstep.domain.instance_notices import AnswerKind, LimitWord
 
 LIMITED = LimitWord(1.5)
 LIFTED = LimitWord()
@@ -54,6 +54,15 @@
         self.assertEqual(limit.per_second, 1.5)
         self.assertTrue(self.take(limit, None, 0.5, 9.0, date=106.0))
 
+    def test_an_answer_of_a_kind_that_has_named_no_limit_lifts_none(self):
+        limit = InstanceLimit()
+        report = LimitWord(kind=AnswerKind.CONTROL)
+        self.take(limit, 1.5, 0.0, 0.1)
+        self.assertFalse(limit.take(report, HeadTimes(1.0, 1.1)))
+        limit.take(LimitWord(1.5, kind=AnswerKind.CONTROL), HeadTimes(2.0, 2.1))
+        self.assertTrue(limit.take(report, HeadTimes(3.0, 3.1)))
+        self.assertFalse(limit.is_set)
+
     def test_answers_that_say_the_same_keep_the_newest_time(self):
         limit = InstanceLimit()
         self.take(limit, 1.5, 0.0, 3.0)
--- a/tests/services/exchanges/test_instance_limits.py
+++ b/tests/services/exchanges/test_instance_limits.py
@@ -202,6 +202,55 @@
         world.run(script)
 
 
+class LimitedEnginesTest(LimitsCase):
+    """Engines under limits still load named weights.
+
+    An engine that took nothing for a while was behind when weights were named. No request could go
+    there, so nobody heard that its limit had been lifted; and a load asked for a report, an order
+    and more reports within four seconds, with a permit for one each four seconds. It stayed behind
+    for good (``instance_limit_changed`` with ``limit: 0.0``, and no ``weights_order_sent``).
+    """
+
+    def test_an_engine_that_takes_nothing_loads_named_weights(self):
+        world = ExchangeWorld(nodes=3, zones=3)
+        for number in range(3):
+            world.add(f"e{number}", "llm")
+
+        async def script(world):
+            server = world.instances.servers["e0"]
+            await trio.sleep(3.0)
+            server.names_limit = 0.0
+            await self.load(world, 2.0, name="stream")
+            since = trio.current_time()
+            world.name_weights(2)
+            await self.load(world, 2 * WINDOW_SECONDS, name="stream")
+            self.assertEqual(server.versions, {"m": 2})
+            self.check_bound(world, since, 0.0, "e0")
+
+        world.run(script)
+
+    def test_a_limit_that_was_lifted_while_an_engine_was_behind_is_found_out(self):
+        world = ExchangeWorld(nodes=3, zones=3)
+        world.add("e0", "llm")
+        world.add("e1", "llm")
+
+        async def script(world):
+            server = world.instances.servers["e0"]
+            await trio.sleep(3.0)
+            server.names_limit = 0.0
+            await self.load(world, 2.0, name="stream")
+            world.name_weights(2)
+            await trio.sleep(2 * WINDOW_SECONDS)
+            server.names_limit = None
+            world.name_weights(3)
+            await self.load(world, 3 * WINDOW_SECONDS, name="stream")
+            self.assertEqual(server.versions, {"m": 3})
+            for services in world.nodes:
+                self.assertFalse(services.knowledge.table.get("e0").standing.limit.is_set)
+
+        world.run(script)
+
+
 class AllLimitedTest(LimitsCase):
     """Where all instances of a service have limits."""
 
