--- a/hopstep/cli/command.py
+++ b/hopstep/cli/command.py
@@ -25,8 +25,7 @@
     """
     arguments = list(sys.argv if arguments is None else arguments)
     if len(arguments) == 1:
-        # Without flags there is nothing that the application of absl adds; loading it took 10 of
-        # 480 ms of a node's start (import times, libraries compiled).
+        # Without flags the application of absl adds nothing; a start is shorter without loading it.
         sys.exit(run(_parse_flags(bad_usage, arguments)))
     from absl import app
 
--- a/hopstep/cli/node.py
+++ b/hopstep/cli/node.py
@@ -30,8 +30,8 @@
     """Open the listeners, then load and enter the command."""
     # Entered as a command; the settings are read after this line.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # What is loaded lives as long as the process: to look for garbage after every 700 new objects
-    # took 0.03 s of processor time more.
+    # What is loaded lives as long as the process: to look for garbage after every few hundred new
+    # objects makes a start longer.
     gc.set_threshold(LOADING_OBJECTS)
     leave_unused_modules_out()
     # Arguments may name other settings, so listeners wait until these are parsed.
--- a/hopstep/clock.py
+++ b/hopstep/clock.py
@@ -14,10 +14,7 @@
 import trio.abc
 
 STEADY_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
-"""Never steps back, and on Linux counts suspension, which the ordinary steady clock does not.
-
-A reading takes 0.15 us, the ordinary one 0.13 (median of five million readings).
-"""
+"""Never steps back, and on Linux counts suspension, which the ordinary steady clock does not."""
 
 
 def steady_seconds() -> float:
--- a/hopstep/domain/limits/quota_ledger.py
+++ b/hopstep/domain/limits/quota_ledger.py
@@ -20,10 +20,7 @@
 
 USED_TOLERANCE = 0.25
 """Part of the operators' tolerance above a quota that is used; the rest is for shares that add up
-to more than one while demand moves, and for chance. A tenant at 4.2 times its quota got 1.02 to
-1.07 of its rate like this, and 0.90 to 0.99 of the bound in its busiest window (24 simulated runs,
-7 to 390 nodes).
-"""
+to more than one while demand moves, and for chance."""
 
 DEMAND_SECONDS = 1.0
 """Demand is what was offered within this time: two tellings between zones take 0.6 s."""
@@ -36,14 +33,12 @@
 
 TELLING_SECONDS = 0.4
 """What this node admitted within this time before it asked is known to the one that it asked, but
-not to all others yet: two of their messages. It counts as unknown, or else all nodes together
-admitted up to 0.07 too much.
-"""
+not to all others yet: two of their messages. Without counting it as unknown all nodes together
+would admit too much."""
 
 REDRAW_SECONDS = 0.8
 """A draw counts for so long: until all nodes know what was admitted by it. Drawn anew with each
-telling, 79 nodes admitted up to a twentieth too much.
-"""
+telling, many nodes would admit too much together."""
 
 LEAST_WAIT_SECONDS = 0.2
 """Between two tellings nothing changes."""
--- a/hopstep/domain/quarantine/crash_ledger.py
+++ b/hopstep/domain/quarantine/crash_ledger.py
@@ -59,9 +59,7 @@
 """Ends that come later than this after the first excused one count, until the request is answered
 whole again; and what others explain later than this after a request was refused changes nothing.
 Operators count runs that are sent three seconds after the third end and more: without this bound a
-request that had been answered often, and then ended an instance a second, was run eight times more
-by then (test of the ledger), and one that another's fourth end released 8 s later four times at
-once (soak).
+request that had been answered often would go on to end one instance after the other.
 """
 
 MAX_ANSWERED = 1_024
--- a/hopstep/garbage_collection.py
+++ b/hopstep/garbage_collection.py
@@ -16,8 +16,8 @@
 def configure_garbage_collection() -> None:
     """Collect less often, and leave out what exists now, since it lives as long as the process.
 
-    Called once, after the imports and before the first request. It doesn't collect first: that
-    took 0.05 s of processor time for the garbage of the imports, some 2,400 objects.
+    Called once, after the imports and before the first request. It doesn't collect first,
+    which would make a start longer.
     """
     _, *older = gc.get_threshold()
     gc.set_threshold(YOUNG_OBJECTS, *older)
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/exchange.py
@@ -155,8 +155,8 @@
     async def _refuse_quarantined(self) -> None:
         """End a request that has ended too many instances, before each that it would be sent to.
 
-        Without this one request that came again and again ended ten engines within 13 s, and 54
-        other answers broke off with them.
+        Without this one request that comes again and again ends one instance after the other, and
+        breaks off the answers of all that run beside it.
         """
         quarantine = self._parts.quarantine
         if quarantine.is_idle:
@@ -180,8 +180,8 @@
     def _refuse_unproved_key(self) -> None:
         """End a request whose key may have been revoked since it was admitted.
 
-        A node that was suspended between two attempts sent the second one under a key that it had
-        last confirmed up to 26 s before (drawn suspensions of up to 30 s on a virtual clock).
+        A node that was suspended between two attempts would send the second one under a key that
+        it confirmed long before.
         """
         if self._request.tenant is None:
             return
--- a/hopstep/services/exchanges/pause_watch.py
+++ b/hopstep/services/exchanges/pause_watch.py
@@ -5,8 +5,7 @@
 Deadlines of clients and leases aren't moved: time passed for them.
 
 The looks are the node's tick as well: what else is done five times a second waits for them, so that
-an idle process wakes once for all of it. Woken for each by itself it took 7.8 ms of processor time
-a second, 79 nodes idle on a virtual clock.
+an idle process wakes once for all of it.
 """
 
 from __future__ import annotations
--- a/hopstep/services/quarantine/quarantine.py
+++ b/hopstep/services/quarantine/quarantine.py
@@ -37,8 +37,7 @@
 
 HEARING_SECONDS = 0.5
 """After an end that has a request refused midway: for other nodes to tell that they have answered
-it. Their word took 0.1 to 0.3 s in soaks, and ordinary requests were given up meanwhile.
-"""
+it. Without this ordinary requests would be given up before their word comes."""
 
 TRIAL_MEMORY_SECONDS = 60.0
 """Longer than any run of a request."""
--- a/hopstep/services/requests/engine_ends.py
+++ b/hopstep/services/requests/engine_ends.py
@@ -34,7 +34,7 @@
     async def require_allowed(self, request: InferenceRequest) -> int:
         """Refuse a request under which too many engines have ended.
 
-        Without this a prompt that ends its engines, sent 12 times to three routers, ended 60.
+        Without this a prompt that ends its engines ends one after the other, each time it is sent.
 
         Returns:
             How many have ended under it, as far as it counts.
--- a/hopstep/unused_modules.py
+++ b/hopstep/unused_modules.py
@@ -2,9 +2,8 @@
 
 A node loads its libraries at each of its many starts, and holds them all its life. The libraries
 import more than a node runs: servers and clients of other protocols, other event loops, blocking
-twins of what it uses. Without these a start takes 0.42 in place of 0.55 s of processor time, and a
-process holds 23.8 in place of 29.6 MB of its own memory (medians of three loads, libraries
-compiled).
+twins of what it uses. Without these a start is shorter, and a
+process holds less.
 
 A placeholder has whatever name is asked of it, so that ``from module import Name`` works, also as
 a base class or in an annotation. To use one is a fault and raises ``UnusedModuleError``.
