Sort the services of exchanges into folders by job, join what nodes tell each other in one place; show that a former holder may order

requests, directory, peers, instances, weights. What the directory says of instances has a module of its own, as has what goes into the hints of a message. No change of behaviour.

--- a/hopstep/cli/node_process.py
+++ b/hopstep/cli/node_process.py
@@ -31,7 +31,7 @@
 from hopstep.platform.instances import HttpInstances
 from hopstep.platform.names import SETTINGS_VARIABLE
 from hopstep.platform.store import PlatformStore
-from hopstep.services.exchanges.unknown_words import UnknownWords
+from hopstep.services.exchanges.instances.unknown_words import UnknownWords
 from hopstep.settings_loader import EXIT_BAD_SETTINGS, SettingsError, load_exchange_settings
 
 NODE_KEY_BYTES = 16
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -32,25 +32,26 @@
 from hopstep.ports.node_exchange import NodeExchange
 from hopstep.ports.serving_directory import ServingDirectory
 from hopstep.ports.weights_orders import WeightsOrders
-from hopstep.services.exchanges.connection_reaper import ConnectionReaper
-from hopstep.services.exchanges.crash_news import CrashNews
-from hopstep.services.exchanges.directory_follower import DirectoryFollower
-from hopstep.services.exchanges.engine_cache_watch import EngineCacheWatch
+from hopstep.services.exchanges.directory.directory_follower import DirectoryFollower
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.registration import Registration
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
-from hopstep.services.exchanges.instance_limits import InstanceLimits
-from hopstep.services.exchanges.instance_notices import InstanceNotices
-from hopstep.services.exchanges.knowledge import ServingKnowledge
-from hopstep.services.exchanges.load_sharing import LoadSharing
+from hopstep.services.exchanges.instances.connection_reaper import ConnectionReaper
+from hopstep.services.exchanges.instances.engine_cache_watch import EngineCacheWatch
+from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
+from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
+from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.pause_watch import PauseWatch
-from hopstep.services.exchanges.permit_sharing import PermitSharing
-from hopstep.services.exchanges.quotas import Quotas
-from hopstep.services.exchanges.registration import Registration
-from hopstep.services.exchanges.relaying import Relaying
-from hopstep.services.exchanges.rollout_lease import RolloutLease
-from hopstep.services.exchanges.service import ExchangeService
-from hopstep.services.exchanges.store_watch import CacheStoreWatch
-from hopstep.services.exchanges.urgent_box import UrgentBox
-from hopstep.services.exchanges.weights_rollout import WeightsRollout
+from hopstep.services.exchanges.peers.crash_news import CrashNews
+from hopstep.services.exchanges.peers.fleet_hints import FleetHints
+from hopstep.services.exchanges.peers.load_sharing import LoadSharing
+from hopstep.services.exchanges.peers.permit_sharing import PermitSharing
+from hopstep.services.exchanges.peers.relaying import Relaying
+from hopstep.services.exchanges.peers.urgent_box import UrgentBox
+from hopstep.services.exchanges.requests.quotas import Quotas
+from hopstep.services.exchanges.requests.service import ExchangeService
+from hopstep.services.exchanges.weights.rollout_lease import RolloutLease
+from hopstep.services.exchanges.weights.weights_rollout import WeightsRollout
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.services.quarantine.quarantine import Quarantine
 from hopstep.services.quarantine.records import QUARANTINE_PREFIX, QuarantineRecords
@@ -132,7 +133,7 @@
         )
         urgent = UrgentBox()
         self.quarantine = Quarantine(settings.name)
-        self.knowledge.follow_ends(
+        self.knowledge.instances.follow_ends(
             lambda life, evidence: self.quarantine.note_ended(str(life), evidence)
         )
         self.quarantine.follow_ends(self._suspend_ended)
@@ -166,8 +167,7 @@
             self.follower,
             urgent,
             self.quarantine,
-            self.quotas,
-            self.permits,
+            FleetHints(self.sharing, self.quotas, self.permits),
             ports.nodes,
             self.pauses,
             limits,
--- a/hopstep/services/exchanges/directory_follower.py
+++ b/hopstep/services/exchanges/directory/directory_follower.py
@@ -14,7 +14,7 @@
 from hopstep.exceptions import StoreError, StoreHistoryLostError
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import ServingDirectory
-from hopstep.services.exchanges.knowledge import (
+from hopstep.services.exchanges.directory.knowledge import (
     NO_REVISION,
     OVERDUE,
     STORE_SOURCE,
--- a/hopstep/services/exchanges/knowledge.py
+++ b/hopstep/services/exchanges/directory/knowledge.py
@@ -16,13 +16,12 @@
 
 from hopstep import log_events
 from hopstep.domain.exchanges.directory_feed import DirectoryFeed, FeedEntry
-from hopstep.domain.exchanges.instance_table import InstanceTable, is_same_life
-from hopstep.domain.exchanges.instances import InstanceLife, NamedWeights
+from hopstep.domain.exchanges.instance_table import InstanceTable
+from hopstep.domain.exchanges.instances import NamedWeights
 from hopstep.domain.exchanges.nodes import NodeRecord, RelayPlan
 from hopstep.domain.exchanges.serving import ServingConfiguration, ServingIndex
 from hopstep.domain.exchanges.store_contact import StoreContact
 from hopstep.domain.exchanges.weights import WeightsBook
-from hopstep.domain.quarantine.crashes import EndEvidence
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import (
@@ -37,8 +36,9 @@
     Unreadable,
     WeightsPublished,
 )
-from hopstep.services.exchanges.message_forms import MessageForms
-from hopstep.services.exchanges.records import NODES_PREFIX, ROLLOUT_KEY, decode_node
+from hopstep.services.exchanges.directory.instance_changes import InstanceChanges
+from hopstep.services.exchanges.directory.message_forms import MessageForms
+from hopstep.services.exchanges.directory.records import NODES_PREFIX, ROLLOUT_KEY, decode_node
 
 MARGIN_SECONDS = 0.6
 """Requests with keys are refused this long before the revocation bound."""
@@ -60,9 +60,6 @@
 STORE_SOURCE = "store"
 """Source of what this node has read from the store itself."""
 
-LAPSED = "lapsed"
-"""Source of the removal of an instance whose entry didn't come back."""
-
 MILLISECONDS = 1_000
 
 Entry = FeedEntry[DirectoryEntry]
@@ -70,9 +67,6 @@
 RecordListener = Callable[[RecordWritten], None]
 """Takes a key of hopstep's own; its value is empty when it is gone."""
 
-EndListener = Callable[[InstanceLife, EndEvidence], None]
-"""Told a life of an instance that is over, and what shows it."""
-
 
 class ServingKnowledge:
     """Takes what the directory says; readers look at its fields."""
@@ -107,11 +101,11 @@
         self.confirmed_at = -float("inf")
         self._started_at = trio.current_time()
         self.contact = StoreContact(self._started_at)
+        self.instances = InstanceChanges(table, self.contact)
         self.node_heard_at = -float("inf")
         self.rollout_record: RecordWritten | None = None
         self.changed = trio.Event()
         self._record_listeners: dict[str, RecordListener] = {}
-        self._end_listeners: list[EndListener] = []
         self._count_rejected: Callable[[RejectReason], None] = lambda _reason: None
         self._max_age = revocation_seconds - MARGIN_SECONDS
         self._expired = False
@@ -124,10 +118,6 @@
         """Tell a listener of each document that can't be trusted."""
         self._count_rejected = listener
 
-    def follow_ends(self, listener: EndListener) -> None:
-        """Tell a listener of instances that the directory shows to have ended."""
-        self._end_listeners.append(listener)
-
     @property
     def current(self) -> ServingConfiguration | None:
         """The configuration in force, or None before the first."""
@@ -226,13 +216,6 @@
             self.changed.set()
             self.changed = trio.Event()
 
-    def expire_lapsed(self) -> None:
-        """Forget instances whose entries lapsed while the store was away and didn't come back."""
-        for instance in self.table.expire(trio.current_time()):
-            self._note_ended(instance.life, EndEvidence.UNLISTED)
-            lapsed = instance.instance_id
-            emit(log_events.INSTANCE_REMOVED, instance=lapsed, source=LAPSED, age_ms=0)
-
     def confirm(self, revision: int, confirmed_at: float) -> None:
         """Note that everything up to a revision is known.
 
@@ -260,14 +243,14 @@
         match change:
             case ConfigurationPublished(configuration):
                 self._take_configuration(configuration, source, age_ms)
-            case InstanceListed():
-                self._take_instance(change, source, age_ms)
+            case InstanceListed(instance):
+                self.instances.take_listed(instance, source, age_ms)
             case InstanceRejected():
                 self.table.reject(change.instance_id)
                 key = change.instance_id
                 self._log_rejected(key, change.reason, change.field, change.detail)
             case InstanceRemoved(instance_id):
-                self._take_removal(instance_id, source, age_ms)
+                self.instances.take_removed(instance_id, source, age_ms)
             case WeightsPublished(weights):
                 self._take_weights(weights, entry.since, age_ms)
             case RecordWritten():
@@ -299,43 +282,6 @@
             counted_ms=round((trio.current_time() - counts_from) * MILLISECONDS),
         )
 
-    def _take_instance(self, listed: InstanceListed, source: str, age_ms: int) -> None:
-        """Take an instance's entry."""
-        instance = listed.instance
-        known = self.table.get(instance.instance_id)
-        drained = known is not None and known.instance.draining
-        if known is not None and not is_same_life(known.instance, instance):
-            self._note_ended(known.instance.life, EndEvidence.RESTARTED)
-        if self.table.put(instance) or drained != instance.draining:
-            emit(
-                log_events.INSTANCE_LISTED,
-                instance=instance.instance_id,
-                born_ms=instance.born_ms,
-                service=instance.service,
-                draining=instance.draining,
-                versions=dict(instance.versions),
-                source=source,
-                age_ms=age_ms,
-            )
-
-    def _take_removal(self, instance_id: str, source: str, age_ms: int) -> None:
-        """Take the end of an instance's entry; one that may have lapsed is expected back."""
-        until = self.contact.relisting_until
-        if trio.current_time() < until and self.table.lapse(instance_id, until):
-            emit(log_events.INSTANCE_LAPSED, instance=instance_id, source=source)
-            return
-        removed = self.table.remove(instance_id)
-        if removed is None:
-            return
-        emit(log_events.INSTANCE_REMOVED, instance=instance_id, source=source, age_ms=age_ms)
-        if not self.table.is_leaving(removed):
-            self._note_ended(removed.life, EndEvidence.UNLISTED)
-
-    def _note_ended(self, life: InstanceLife, evidence: EndEvidence) -> None:
-        """Tell of a life that is over."""
-        for listener in self._end_listeners:
-            listener(life, evidence)
-
     def _take_configuration(
         self, configuration: ServingConfiguration, source: str, age_ms: int
     ) -> None:
--- a/hopstep/services/exchanges/registration.py
+++ b/hopstep/services/exchanges/directory/registration.py
@@ -14,8 +14,8 @@
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.exceptions import StoreConflictError, StoreError
 from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort
-from hopstep.services.exchanges.knowledge import ServingKnowledge
-from hopstep.services.exchanges.records import NODES_PREFIX, encode_node
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.records import NODES_PREFIX, encode_node
 
 LEASE_SECONDS = 600.0
 RENEWAL_SECONDS = 200.0
--- a/hopstep/services/exchanges/engine_cache_watch.py
+++ b/hopstep/services/exchanges/instances/engine_cache_watch.py
@@ -15,10 +15,10 @@
 from hopstep.domain.instance_notices import InstanceNotice
 from hopstep.logs import emit
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
-from hopstep.services.exchanges.instance_notices import InstanceNotices
-from hopstep.services.exchanges.knowledge import ServingKnowledge
-from hopstep.services.exchanges.load_sharing import LoadSharing
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
 from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.services.exchanges.peers.load_sharing import LoadSharing
 
 WAIT_SECONDS = 1.0
 """Longest wait of one call; waits of 0.2 s and more aren't priced."""
--- a/hopstep/services/exchanges/instance_limits.py
+++ b/hopstep/services/exchanges/instances/instance_limits.py
@@ -13,8 +13,8 @@
 from hopstep.domain.limits.fleet_usage import UsageReport
 from hopstep.domain.limits.limited_sends import LimitedSends
 from hopstep.domain.limits.send_permits import LEAST_PER_SECOND
-from hopstep.services.exchanges.instance_notices import InstanceNotices
-from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
 
 CONTROL_RANK = -1
 """Orders and reports go before all requests: engines must load in time."""
@@ -139,6 +139,10 @@
             self._expected_within(view, until - now) > self._ahead(view, rank) for view in views
         )
 
+    def waits_for(self, life: str) -> bool:
+        """Return whether anything waits for a permit for a life."""
+        return life in self._waiters
+
     def note_refused(self, views: Sequence[InstanceView]) -> None:
         """Ask for permits for requests that are refused for want of one: others like them come."""
         sends = min(views, key=self._crowd).standing.limited_sends
--- a/hopstep/services/exchanges/store_watch.py
+++ b/hopstep/services/exchanges/instances/store_watch.py
@@ -18,7 +18,7 @@
 from hopstep.domain.instance_notices import InstanceNotice
 from hopstep.logs import emit
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
-from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.pause_watch import PauseWatch
 
 WAIT_SECONDS = 1.0
--- /dev/null
+++ b/hopstep/services/exchanges/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What nodes tell each other by way of relays."""
--- a/hopstep/services/exchanges/crash_news.py
+++ b/hopstep/services/exchanges/peers/crash_news.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from hopstep.services.exchanges.urgent_box import UrgentBox
+from hopstep.services.exchanges.peers.urgent_box import UrgentBox
 from hopstep.services.quarantine.quarantine import Quarantine
 
 REPEAT_SECONDS = (0.3, 0.9)
--- a/hopstep/services/exchanges/load_sharing.py
+++ b/hopstep/services/exchanges/peers/load_sharing.py
@@ -22,9 +22,9 @@
     SegmentNews,
     SentPrompt,
 )
-from hopstep.services.exchanges.instance_notices import InstanceNotices
-from hopstep.services.exchanges.knowledge import ServingKnowledge
-from hopstep.services.exchanges.urgent_box import UrgentBox
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
+from hopstep.services.exchanges.peers.urgent_box import UrgentBox
 
 ANSWERS = "answers"
 """Source of the loads that a relay's answer tells: of all other nodes together."""
--- a/hopstep/services/exchanges/news_spreading.py
+++ b/hopstep/services/exchanges/peers/news_spreading.py
@@ -18,9 +18,9 @@
     SentPrompt,
     UrgentNews,
 )
-from hopstep.services.exchanges.knowledge import ServingKnowledge
-from hopstep.services.exchanges.load_sharing import LoadSharing
-from hopstep.services.exchanges.urgent_box import UrgentBox
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.peers.load_sharing import LoadSharing
+from hopstep.services.exchanges.peers.urgent_box import UrgentBox
 from hopstep.services.quarantine.quarantine import Quarantine
 
 
--- a/hopstep/services/exchanges/permit_sharing.py
+++ b/hopstep/services/exchanges/peers/permit_sharing.py
@@ -22,10 +22,10 @@
 )
 from hopstep.domain.rendezvous import Rendezvous
 from hopstep.ports.node_exchange import GrantedPermits, Hints
-from hopstep.services.exchanges.instance_limits import InstanceLimits
-from hopstep.services.exchanges.instance_notices import InstanceNotices
-from hopstep.services.exchanges.knowledge import ServingKnowledge
-from hopstep.services.exchanges.usage_book import UsageBook
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
+from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
+from hopstep.services.exchanges.peers.usage_book import UsageBook
 
 MILLISECONDS = 1_000
 UNSEEN_SECONDS = 0.3
--- a/hopstep/services/exchanges/relaying.py
+++ b/hopstep/services/exchanges/peers/relaying.py
@@ -15,7 +15,6 @@
 from hopstep.domain.exchanges.directory_feed import FeedEntry
 from hopstep.domain.exchanges.freshness import FreshnessLimits
 from hopstep.domain.exchanges.store_contents import ContentsPosition
-from hopstep.domain.limits.fleet_usage import UsageReport
 from hopstep.domain.rendezvous import hash_name
 from hopstep.logs import emit
 from hopstep.ports.node_exchange import (
@@ -31,15 +30,18 @@
     UrgentNews,
 )
 from hopstep.ports.serving_directory import ConfigurationPublished, DirectoryEntry
-from hopstep.services.exchanges.directory_follower import DirectoryFollower
-from hopstep.services.exchanges.knowledge import NO_REVISION, STORE_SOURCE, ServingKnowledge
-from hopstep.services.exchanges.load_sharing import LoadSharing
-from hopstep.services.exchanges.news_spreading import NewsSpreading
+from hopstep.services.exchanges.directory.directory_follower import DirectoryFollower
+from hopstep.services.exchanges.directory.knowledge import (
+    NO_REVISION,
+    STORE_SOURCE,
+    ServingKnowledge,
+)
+from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.pause_watch import PauseWatch
-from hopstep.services.exchanges.permit_sharing import PermitSharing
-from hopstep.services.exchanges.quotas import Quotas
-from hopstep.services.exchanges.store_watch import CacheStoreWatch
-from hopstep.services.exchanges.urgent_box import UrgentBox
+from hopstep.services.exchanges.peers.fleet_hints import FleetHints
+from hopstep.services.exchanges.peers.load_sharing import LoadSharing
+from hopstep.services.exchanges.peers.news_spreading import NewsSpreading
+from hopstep.services.exchanges.peers.urgent_box import UrgentBox
 from hopstep.services.quarantine.quarantine import Quarantine
 
 SEEK_NODES = 2
@@ -76,8 +78,7 @@
         follower: DirectoryFollower,
         urgent: UrgentBox,
         quarantine: Quarantine,
-        quotas: Quotas,
-        permits: PermitSharing,
+        hints: FleetHints,
         exchange: NodeExchange,
         pauses: PauseWatch,
         limits: FreshnessLimits,
@@ -86,13 +87,12 @@
 
         Args:
             knowledge: What is asked for and told.
-            sharing: Hints of instances.
+            sharing: Loads and news of instances.
             store_watch: What the cache stores keep.
             follower: Reads the store when no node can tell.
             urgent: What all nodes are told at once.
             quarantine: Requests under which instances have ended.
-            quotas: What tenants have used.
-            permits: What may be sent to limited instances.
+            hints: What is told of instances, quotas and permits.
             exchange: Datagrams.
             pauses: The node's tick.
             limits: How long the store or a relay may be silent.
@@ -102,8 +102,7 @@
         self._store_watch = store_watch
         self._follower = follower
         self._quarantine = quarantine
-        self._quotas = quotas
-        self._permits = permits
+        self._hints = hints
         self._exchange = exchange
         self._pauses = pauses
         self._limits = limits
@@ -143,9 +142,7 @@
         relay = relays.relay()
         self._note_source(STORE_SOURCE if self._follower.reads else relay)
         if relay:
-            hints = _with_usage(self._sharing.own_hints(), self._quotas.book.own_report())
-            hints = msgspec.structs.replace(hints, sends=self._permits.own_sends())
-            await self._ask(relay, hints, self._store_watch.positions())
+            await self._ask(relay, self._hints.of_node(), self._store_watch.positions())
         else:
             await self._send_digests()
         probed = relays.probe(trio.current_time())
@@ -190,10 +187,7 @@
     async def _send_digests(self) -> None:
         """Tell other relays of this node and those that ask it."""
         self._number += 1
-        permits = self._permits.allocate()
-        hints = _with_usage(self._sharing.group_hints(), self._quotas.book.group_report())
-        hints = msgspec.structs.replace(hints, sends=self._permits.group_sends(), permits=permits)
-        digest = RelayDigest(self._number, hints)
+        digest = RelayDigest(self._number, self._hints.of_group())
         for node in self._knowledge.relays.digest_targets():
             self._knowledge.relays.note_asked(node)
             await self._send(digest, node)
@@ -211,15 +205,12 @@
         match message:
             case RelayQuery():
                 if message.hints is not None:
-                    self._sharing.take_from_member(received.sender, message.hints)
-                    self._quotas.book.take_from_member(received.sender, _usage(message.hints))
+                    self._hints.take_from_member(received.sender, message.hints)
                 await self._answer(received.sender, message)
             case RelayAnswer():
                 await self._take_answer(received.sender, message)
             case RelayDigest():
-                self._sharing.take_from_relay(received.sender, message.hints)
-                self._quotas.book.take_from_relay(received.sender, _usage(message.hints))
-                self._permits.take_digest(received.sender, message.number, message.hints)
+                self._hints.take_digest(received.sender, message.number, message.hints)
             case UrgentNews():
                 self._sharing.take_news(received.sender, message.prompts, message.loading)
                 self._quarantine.take(message.crashes)
@@ -252,10 +243,7 @@
             silence_ms=_silence_ms(now, knowledge.contact.heard_at),
         )
         if query.hints is not None:
-            hints, position = self._sharing.hints_for(asker, query.feed, query.position)
-            hints = _with_usage(hints, self._quotas.book.fleet_report())
-            permits = self._permits.serve(asker, query.hints)
-            hints = msgspec.structs.replace(hints, permits=permits)
+            hints, position = self._hints.for_asker(asker, query, query.hints)
             identity = self._sharing.log.identity
             answer = msgspec.structs.replace(answer, feed=identity, position=position, hints=hints)
         changes = knowledge.feed.after(query.revision)
@@ -280,9 +268,7 @@
             return
         self._knowledge.node_heard_at = trio.current_time()
         if pending.asks_hints and sender == self._knowledge.relays.relay():
-            self._sharing.take_answer(sender, answer.hints)
-            self._quotas.take_answer(_usage(answer.hints), pending.sent_at)
-            self._permits.take_answer(answer.hints.permits, pending.sent_at)
+            self._hints.take_answer(sender, answer.hints, pending.sent_at)
             self._store_watch.take(answer.contents)
             self._feed, self._position = answer.feed, answer.position
         heard_at = _heard_at(answer, pending)
@@ -328,16 +314,6 @@
         return True
 
 
-def _with_usage(hints: Hints, report: UsageReport) -> Hints:
-    """Return hints that tell a report of usage."""
-    return msgspec.structs.replace(hints, usage=report.usage, nodes=report.nodes)
-
-
-def _usage(hints: Hints) -> UsageReport:
-    """Return the report of usage in hints."""
-    return UsageReport(hints.usage, hints.nodes)
-
-
 def _age_ms(now: float, since: float) -> int:
     """Return an age in whole milliseconds, rounded up."""
     return int((now - since) * MILLISECONDS) + 1
--- a/hopstep/services/exchanges/usage_book.py
+++ b/hopstep/services/exchanges/peers/usage_book.py
@@ -14,7 +14,7 @@
     join,
     largest,
 )
-from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 
 
 class UsageBook:
--- /dev/null
+++ b/hopstep/services/exchanges/requests/__init__.py
@@ -0,0 +1,1 @@
+"""One request on its way: admission, choice, attempts, answer, refusal."""
--- a/hopstep/services/exchanges/admission.py
+++ b/hopstep/services/exchanges/requests/admission.py
@@ -6,7 +6,7 @@
 from hopstep.domain.exchanges.serving import Route, ServingIndex, Tenant
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.ports.exchange_front import RequestHead
-from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.lifecycle import Lifecycle
 
 
--- a/hopstep/services/exchanges/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -15,7 +15,7 @@
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.ports.exchange_front import ClientAnswer
 from hopstep.ports.instance_calls import InstanceAnswer, InstanceCallError
-from hopstep.services.exchanges.exchange_parts import (
+from hopstep.services.exchanges.requests.exchange_parts import (
     MILLISECONDS,
     ExchangeOutcome,
     WholeAnswer,
--- a/hopstep/services/exchanges/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -17,13 +17,13 @@
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer
 from hopstep.ports.instance_calls import InstanceCallError, SendProof
-from hopstep.services.exchanges.answer_relay import AnswerRelay
-from hopstep.services.exchanges.exchange_parts import (
+from hopstep.services.exchanges.requests.answer_relay import AnswerRelay
+from hopstep.services.exchanges.requests.exchange_parts import (
     MILLISECONDS,
     ExchangeOutcome,
     ExchangeParts,
 )
-from hopstep.services.exchanges.instance_attempt import InstanceAttempt
+from hopstep.services.exchanges.requests.instance_attempt import InstanceAttempt
 
 FURTHER_STEPS = (NextStep.RETRY, NextStep.RESUME)
 """Steps that send the request to another instance."""
--- a/hopstep/services/exchanges/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -10,10 +10,10 @@
 from hopstep.domain.exchanges.request import Headers
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.ports.instance_calls import InstanceCalls
-from hopstep.services.exchanges.instance_choice import InstanceChoice
-from hopstep.services.exchanges.instance_limits import InstanceLimits
-from hopstep.services.exchanges.instance_notices import InstanceNotices
+from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
+from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
 from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
 from hopstep.services.quarantine.quarantine import Quarantine
 
 MILLISECONDS = 1_000
--- a/hopstep/services/exchanges/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -17,9 +17,9 @@
     InstanceCallError,
     SendProof,
 )
-from hopstep.services.exchanges.answer_relay import AnswerRelay
-from hopstep.services.exchanges.exchange_parts import ExchangeOutcome, ExchangeParts
-from hopstep.services.exchanges.silence_watchdog import SilenceWatchdog
+from hopstep.services.exchanges.requests.answer_relay import AnswerRelay
+from hopstep.services.exchanges.requests.exchange_parts import ExchangeOutcome, ExchangeParts
+from hopstep.services.exchanges.requests.silence_watchdog import SilenceWatchdog
 
 
 class InstanceAttempt:
--- a/hopstep/services/exchanges/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -16,9 +16,9 @@
 from hopstep.domain.exchanges.serving import EngineTraits
 from hopstep.domain.exchanges.store_contents import StoreContents
 from hopstep.domain.instance_admission import Admission, Barrier, Purpose
-from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.pause_watch import PauseWatch
-from hopstep.services.exchanges.store_watch import CacheStoreWatch
 
 LAST_REQUESTS_SHARE = 0.5
 """Part of the drain bound in which an instance that leaves is sent what nobody else can serve. The
@@ -91,7 +91,7 @@
             only: Id of the one instance that it may go to; none for any that wasn't tried.
         """
         self._pauses.look()
-        self._knowledge.expire_lapsed()
+        self._knowledge.instances.expire_lapsed()
         now = trio.current_time()
         eligible = self._eligible(request, service, tried, now)
         if only:
--- a/hopstep/services/exchanges/quotas.py
+++ b/hopstep/services/exchanges/requests/quotas.py
@@ -21,8 +21,8 @@
 )
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.logs import emit
-from hopstep.services.exchanges.knowledge import ServingKnowledge
-from hopstep.services.exchanges.usage_book import UsageBook
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.peers.usage_book import UsageBook
 
 MILLISECONDS = 1_000
 
--- a/hopstep/services/exchanges/retry_advisor.py
+++ b/hopstep/services/exchanges/requests/retry_advisor.py
@@ -18,8 +18,8 @@
 )
 from hopstep.domain.instance_admission import Barrier, Purpose
 from hopstep.exceptions import ErrorCode
-from hopstep.services.exchanges.instance_limits import InstanceLimits
-from hopstep.services.exchanges.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
 
 LAST_RANK = 9
 """Rank of the requests that are served last: a wait that suits all."""
--- a/hopstep/services/exchanges/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -17,19 +17,23 @@
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer, ExchangeHandler, RequestHead
 from hopstep.ports.instance_calls import InstanceCalls
-from hopstep.services.exchanges.admission import ExchangeAdmission
-from hopstep.services.exchanges.exchange import Exchange
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
-from hopstep.services.exchanges.exchange_parts import MILLISECONDS, ExchangeOutcome, ExchangeParts
-from hopstep.services.exchanges.instance_choice import InstanceChoice
-from hopstep.services.exchanges.instance_limits import InstanceLimits
-from hopstep.services.exchanges.instance_notices import InstanceNotices
-from hopstep.services.exchanges.knowledge import ServingKnowledge
-from hopstep.services.exchanges.load_sharing import LoadSharing
+from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
+from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
+from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.pause_watch import PauseWatch
-from hopstep.services.exchanges.quotas import Quotas
-from hopstep.services.exchanges.retry_advisor import RetryAdvisor
-from hopstep.services.exchanges.store_watch import CacheStoreWatch
+from hopstep.services.exchanges.peers.load_sharing import LoadSharing
+from hopstep.services.exchanges.requests.admission import ExchangeAdmission
+from hopstep.services.exchanges.requests.exchange import Exchange
+from hopstep.services.exchanges.requests.exchange_parts import (
+    MILLISECONDS,
+    ExchangeOutcome,
+    ExchangeParts,
+)
+from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
+from hopstep.services.exchanges.requests.quotas import Quotas
+from hopstep.services.exchanges.requests.retry_advisor import RetryAdvisor
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.services.quarantine.quarantine import Quarantine
 
--- /dev/null
+++ b/hopstep/services/exchanges/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Loading of named weights under a lease."""
--- a/hopstep/services/exchanges/rollout_lease.py
+++ b/hopstep/services/exchanges/weights/rollout_lease.py
@@ -28,8 +28,8 @@
 )
 from hopstep.logs import emit
 from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort
-from hopstep.services.exchanges.knowledge import ServingKnowledge
-from hopstep.services.exchanges.records import (
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.records import (
     ROLLOUT_KEY,
     RolloutHolder,
     decode_holder,
--- a/hopstep/services/exchanges/weights_rollout.py
+++ b/hopstep/services/exchanges/weights/weights_rollout.py
@@ -11,11 +11,11 @@
 from hopstep.domain.instance_admission import Purpose
 from hopstep.logs import emit
 from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
-from hopstep.services.exchanges.instance_limits import CONTROL_RANK, InstanceLimits
-from hopstep.services.exchanges.instance_notices import InstanceNotices
-from hopstep.services.exchanges.knowledge import ServingKnowledge
-from hopstep.services.exchanges.load_sharing import LoadSharing
-from hopstep.services.exchanges.rollout_lease import RolloutLease
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.instances.instance_limits import CONTROL_RANK, InstanceLimits
+from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
+from hopstep.services.exchanges.peers.load_sharing import LoadSharing
+from hopstep.services.exchanges.weights.rollout_lease import RolloutLease
 
 CHECK_SECONDS = 0.1
 FIRST_POLL_SECONDS = 0.5
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -43,7 +43,7 @@
     RejectReason,
     WeightsPublished,
 )
-from hopstep.services.exchanges.records import (
+from hopstep.services.exchanges.directory.records import (
     RolloutHolder,
     decode_holder,
     decode_node,
--- a/tests/services/exchanges/test_connection_reaper.py
+++ b/tests/services/exchanges/test_connection_reaper.py
@@ -6,7 +6,7 @@
 from emulator.virtual_time import run_in_virtual_time
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.instances import Instance
-from hopstep.services.exchanges.connection_reaper import CHECK_SECONDS, ConnectionReaper
+from hopstep.services.exchanges.instances.connection_reaper import CHECK_SECONDS, ConnectionReaper
 from hopstep.services.exchanges.pause_watch import PauseWatch
 
 
--- a/tests/services/exchanges/test_crash_news.py
+++ b/tests/services/exchanges/test_crash_news.py
@@ -6,8 +6,8 @@
 
 from emulator.virtual_time import run_in_virtual_time
 from hopstep.domain.quarantine.crashes import InstanceSign, RequestName
-from hopstep.services.exchanges.crash_news import MAX_REPEATS, REPEAT_SECONDS, CrashNews
-from hopstep.services.exchanges.urgent_box import MAX_REQUESTS, UrgentBox
+from hopstep.services.exchanges.peers.crash_news import MAX_REPEATS, REPEAT_SECONDS, CrashNews
+from hopstep.services.exchanges.peers.urgent_box import MAX_REQUESTS, UrgentBox
 from hopstep.services.quarantine.quarantine import Quarantine
 
 
--- a/tests/services/exchanges/test_engine_cache_watch.py
+++ b/tests/services/exchanges/test_engine_cache_watch.py
@@ -9,7 +9,7 @@
 from hopstep.domain.exchanges.segments import segment_keys
 from hopstep.domain.exchanges.store_contents import CacheEvent
 from hopstep.domain.instance_notices import InstanceNotice
-from hopstep.services.exchanges.engine_cache_watch import RETRY_SECONDS
+from hopstep.services.exchanges.instances.engine_cache_watch import RETRY_SECONDS
 from tests.services.exchanges.exchange_world import MODEL, ExchangeWorld
 
 SALT = "1."
--- a/tests/services/exchanges/test_instance_limits.py
+++ b/tests/services/exchanges/test_instance_limits.py
@@ -229,6 +229,34 @@
 
         world.run(script)
 
+    def test_a_holder_that_loses_its_lease_while_it_waits_orders_nothing(self):
+        """An order went out with the fencing token 0 of a holder that was none any more.
+
+        It had waited for leave to ask an engine under a limit, and lost its lease meanwhile.
+        """
+        world = ExchangeWorld(nodes=1)
+        world.add("e0", "llm")
+        world.add("e1", "llm")
+
+        async def script(world):
+            server = world.instances.servers["e0"]
+            await trio.sleep(3.0)
+            server.names_limit = 0.0
+            await self.load(world, 2.0, name="stream")
+            world.name_weights(2)
+            [services] = world.nodes
+            with trio.fail_after(3.0):
+                while not services.limits.waits_for("e0"):
+                    await trio.sleep(0.01)
+            services.lease.give_up("taken away")
+            await trio.sleep(2 * WINDOW_SECONDS)
+            await self.load(world, 1.0, name="stream")
+            for engine in world.instances.servers.values():
+                tokens = [order.fencing_token for _at, order in engine.attempted]
+                self.assertNotIn(0, tokens)
+
+        world.run(script)
+
     def test_a_limit_that_was_lifted_while_an_engine_was_behind_is_found_out(self):
         world = ExchangeWorld(nodes=3, zones=3)
         world.add("e0", "llm")
--- a/tests/services/exchanges/test_instance_notices.py
+++ b/tests/services/exchanges/test_instance_notices.py
@@ -235,7 +235,9 @@
 
         async def script(world):
             ended = []
-            world.nodes[0].knowledge.follow_ends(lambda life, _evidence: ended.append(life))
+            world.nodes[0].knowledge.instances.follow_ends(
+                lambda life, _evidence: ended.append(life)
+            )
             self.tell(world)
             for instance_id in INSTANCES[:2]:
                 world.publish(InstanceRemoved(instance_id))
--- a/tests/services/exchanges/test_knowledge.py
+++ b/tests/services/exchanges/test_knowledge.py
@@ -6,7 +6,7 @@
 
 from hopstep.exceptions import ErrorCode
 from hopstep.ports.serving_directory import ConfigurationPublished, RejectReason, Unreadable
-from hopstep.services.exchanges.knowledge import FIRST_READING_SECONDS
+from hopstep.services.exchanges.directory.knowledge import FIRST_READING_SECONDS
 from tests.services.exchanges.exchange_world import (
     BOUNDS,
     KEY,
--- a/tests/services/exchanges/test_lease_resumed.py
+++ b/tests/services/exchanges/test_lease_resumed.py
@@ -7,7 +7,7 @@
 
 from emulator.platform.faults import FaultOrder
 from hopstep.exceptions import ErrorCode, StoreOutcomeUnknownError
-from hopstep.services.exchanges.records import ROLLOUT_KEY
+from hopstep.services.exchanges.directory.records import ROLLOUT_KEY
 from tests.services.exchanges.exchange_world import BOUNDS, ExchangeWorld
 
 LEASE_SECONDS = BOUNDS.lease_ms / 1_000
--- a/tests/services/exchanges/test_limited_load.py
+++ b/tests/services/exchanges/test_limited_load.py
@@ -12,7 +12,7 @@
 import msgspec
 import trio
 
-from hopstep.services.exchanges.instance_limits import InstanceLimits
+from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
 from tests.services.exchanges.exchange_world import ExchangeWorld
 
 NODES = 3
--- a/tests/services/exchanges/test_mixed_versions.py
+++ b/tests/services/exchanges/test_mixed_versions.py
@@ -11,7 +11,7 @@
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.ports.node_exchange import Hints, LoadingEngine, SegmentNews
 from hopstep.ports.serving_directory import DirectoryEntry, RecordWritten
-from hopstep.services.exchanges.records import NODES_PREFIX
+from hopstep.services.exchanges.directory.records import NODES_PREFIX
 from tests.services.exchanges.exchange_world import ExchangeWorld
 
 SEGMENT = SegmentKey(7, 800)
--- a/tests/services/exchanges/test_relaying.py
+++ b/tests/services/exchanges/test_relaying.py
@@ -17,7 +17,7 @@
     InstanceListed,
     InstanceRemoved,
 )
-from hopstep.services.exchanges import relaying
+from hopstep.services.exchanges.peers import relaying
 from tests.services.exchanges.exchange_world import (
     BOUNDS,
     MODEL,
--- a/tests/services/exchanges/test_unknown_words.py
+++ b/tests/services/exchanges/test_unknown_words.py
@@ -6,7 +6,11 @@
 from structlog.testing import capture_logs
 
 from hopstep.ports.unknown_words import UnknownWord, WordPlace
-from hopstep.services.exchanges.unknown_words import MAX_NAME_LENGTH, MAX_NAMES, UnknownWords
+from hopstep.services.exchanges.instances.unknown_words import (
+    MAX_NAME_LENGTH,
+    MAX_NAMES,
+    UnknownWords,
+)
 
 
 def word(name, place=WordPlace.ANSWER_HEAD):
--- a/tests/services/exchanges/test_weights_after_outage.py
+++ b/tests/services/exchanges/test_weights_after_outage.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from hopstep.services.exchanges.weights_rollout import WeightsRollout
+from hopstep.services.exchanges.weights.weights_rollout import WeightsRollout
 from tests.services.exchanges.exchange_world import BOUNDS, ExchangeWorld
 
 BOUND_SECONDS = BOUNDS.weights_ms / 1_000
