Order nothing once the lease is lost, also after a wait for leave to ask a limited engine

Cause: the token is read as the order is made, and since limits a wait lies between the check of the lease and the order. The lease is asked right before the order, so no wait can come between.

--- a/hopstep/services/exchanges/weights/weights_rollout.py
+++ b/hopstep/services/exchanges/weights/weights_rollout.py
@@ -37,6 +37,11 @@
 MAX_LOAD_SECONDS = 4.0
 RETRY_SECONDS = 0.5
 
+ENDING_OUTCOMES = frozenset(
+    {OrderOutcome.HOLDS_ALREADY, OrderOutcome.FENCED, OrderOutcome.REJECTED}
+)
+"""Outcomes after which no further order to the same engine helps for now."""
+
 
 class WeightsRollout:
     """Brings engines to the newest weights while this node holds the lease."""
@@ -133,7 +138,10 @@
         if not await self._may_ask(view, trio.current_time() + LIMITED_PATIENCE_SECONDS):
             return
         self._mark_loading(view)
-        await self._order(view, weights, view.order_sequence)
+        outcome = await self._order(view, weights, view.order_sequence)
+        if outcome not in (OrderOutcome.UNDER_WAY, OrderOutcome.UNKNOWN):
+            self._end_order(view, weights, outcome)
+            return
         with trio.move_on_after(MAX_LOAD_SECONDS):
             while view.versions.get(weights.model, 0) < weights.version:
                 self._mark_loading(view)
@@ -156,13 +164,8 @@
         while self._lease.may_order and await self._may_ask(view, _patience()):
             self._mark_loading(view)
             outcome = await self._order(view, weights, sequence)
-            if outcome is OrderOutcome.HOLDS_ALREADY:
-                view.learn_version(weights.model, weights.version)
-                return False
-            if outcome is OrderOutcome.FENCED:
-                self._lease.give_up("fenced")
-                return False
-            if outcome is OrderOutcome.REJECTED:
+            if outcome in ENDING_OUTCOMES:
+                self._end_order(view, weights, outcome)
                 return False
             if outcome is OrderOutcome.UNDER_WAY:
                 await trio.sleep(FIRST_POLL_SECONDS)
@@ -175,7 +178,12 @@
     async def _order(
         self, view: InstanceView, weights: NamedWeights, sequence: int
     ) -> OrderOutcome:
-        """Send one order."""
+        """Send one order; none once the lease is lost, which it may be since the engine was chosen.
+
+        Without this a node that waited for leave to ask the engine would order without a token.
+        """
+        if not self._lease.may_order:
+            return OrderOutcome.REJECTED
         order = WeightsOrder(weights, self._name, self._lease.fencing_token, sequence)
         outcome = await self._orders.order(view.instance, order, self._notices.listener(view))
         emit(
@@ -188,6 +196,13 @@
         )
         return outcome
 
+    def _end_order(self, view: InstanceView, weights: NamedWeights, outcome: OrderOutcome) -> None:
+        """Learn from an order after which nothing is under way."""
+        if outcome is OrderOutcome.HOLDS_ALREADY:
+            view.learn_version(weights.model, weights.version)
+        if outcome is OrderOutcome.FENCED:
+            self._lease.give_up("fenced")
+
     async def _follow(self, view: InstanceView, weights: NamedWeights) -> EngineReport | None:
         """Return the report of an engine once it isn't busy; None when it gives none."""
         for _ in range(MAX_SILENT_POLLS):
