--- a/hopstep/domain/limits/send_permits.py
+++ b/hopstep/domain/limits/send_permits.py
@@ -25,7 +25,7 @@
 """After so long the use of a permit is known to the relay that gave it: two messages."""
 
 LEAST_EXTRA_SECONDS = 0.0
-MOST_EXTRA_SECONDS = 1.6
+MOST_EXTRA_SECONDS = 1.8
 """Permits are given for a window that is longer by an extra between these, since a permit counts as
 given for a while after it was used or has expired. The extra is found from what was sent, and what
 is sent within ``WINDOW_SECONDS`` never exceeds what is given for the longer one."""
