Let the lowest rank have permits too while a higher one wants them all

Where all instances of a service had limits, the lowest class got 1 in 100 served of its requests while all got 1 in 10: permits went by rank alone.

--- a/hopstep/services/exchanges/instances/instance_limits.py
+++ b/hopstep/services/exchanges/instances/instance_limits.py
@@ -16,6 +16,10 @@
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
 
+OLDEST_TURN = 4
+"""Each so many permits that are waited for go to who has waited longest, whatever its rank: or
+else the lowest ranks would get none where the higher ones want them all."""
+
 CONTROL_RANK = -1
 """Orders and reports go before all requests: engines must load in time."""
 
@@ -93,6 +97,7 @@
         self._notices = notices
         self._waiters: dict[str, list[_Waiter]] = {}
         self._number = 0
+        self._served = 0
 
     def own_report(self) -> UsageReport:
         """Return what this node has sent to limited instances, and what waits for permits."""
@@ -127,6 +132,8 @@
     def may_wait(self, views: Sequence[InstanceView], rank: int, until: float) -> bool:
         """Return whether a permit may come in time, by what has come lately.
 
+        One of each rank may always wait.
+
         Args:
             views: Limited instances, any of which may serve the request.
             rank: Rank of the request; lower ones are served first.
@@ -136,7 +143,9 @@
         if until <= now:
             return False
         return any(
-            self._expected_within(view, until - now) > self._ahead(view, rank) for view in views
+            self._expected_within(view, until - now) > self._ahead(view, rank)
+            or not self._waits(view, rank)
+            for view in views
         )
 
     def waits_for(self, life: str) -> bool:
@@ -203,15 +212,27 @@
 
     def _wake(self, life: str, sends: LimitedSends) -> None:
         """Let as many go on as there are permits."""
-        free = sends.free(trio.current_time())
-        for waiter in self._waiters.get(life, ()):
-            if free <= 0:
+        while sends.free(trio.current_time()) > 0:
+            waiter = self._next(life)
+            if waiter is None:
                 return
-            if not waiter.woken.is_set():
-                waiter.woken.set()
-                sends.claimed += 1
-                sends.waiting -= 1
-                free -= 1
+            waiter.woken.set()
+            sends.claimed += 1
+            sends.waiting -= 1
+
+    def _next(self, life: str) -> _Waiter | None:
+        """Return who is served next; None when nobody waits."""
+        waiting = [w for w in self._waiters.get(life, ()) if not w.woken.is_set()]
+        if not waiting:
+            return None
+        self._served += 1
+        if self._served % OLDEST_TURN == 0:
+            return min(waiting, key=lambda waiter: waiter.number)
+        return waiting[0]
+
+    def _waits(self, view: InstanceView, rank: int) -> bool:
+        """Return whether a request of a rank waits for an instance."""
+        return any(waiter.rank == rank for waiter in self._waiters.get(view.life, ()))
 
     def _expected_within(self, view: InstanceView, seconds: float) -> float:
         """Return how many permits are likely to come within a time: one at least."""
