--- a/hopstep/services/exchanges/instances/instance_limits.py
+++ b/hopstep/services/exchanges/instances/instance_limits.py
@@ -245,9 +245,9 @@
         return sum(1 for waiter in self._waiters.get(view.life, ()) if waiter.rank <= rank)
 
     def _crowd(self, view: InstanceView) -> float:
-        """Return how many wait for an instance for each request a second that it takes."""
+        """Return how many would wait for an instance for each request a second that it takes."""
         limit = max(view.standing.limit.per_second, LEAST_PER_SECOND)
-        return len(self._waiters.get(view.life, ())) / limit
+        return (1 + len(self._waiters.get(view.life, ()))) / limit
 
     def _sends(self, life: str) -> LimitedSends | None:
         """Return what is sent to a life that is listed and has a limit."""
--- a/tests/services/exchanges/test_instance_limits.py
+++ b/tests/services/exchanges/test_instance_limits.py
@@ -313,6 +313,25 @@
 
         world.run(script)
 
+    def test_requests_wait_where_permits_come_most_often(self):
+        """Of three instances that took 0.3, 0.3 and 12 a second the first one was waited for.
+
+        The one with most room got half of what it would take, and as many requests were refused
+        (``kept_from: {"limited": 3}``).
+        """
+        world = self.make_limited()
+        limits = {"i1": 0.3, "i2": 0.3, "i3": 12.0}
+
+        async def script(world):
+            for instance_id, limit in limits.items():
+                await self.name_limit(world, limit, (instance_id,))
+            since = trio.current_time()
+            await self.load(world, USED_SECONDS, every=0.4)
+            used = len(self.arrived(world, since, "i3")) / (12.0 * USED_SECONDS)
+            self.assertGreaterEqual(used, 0.9)
+
+        world.run(script)
+
     def test_what_waits_is_served_by_its_rank_and_now_and_then_by_its_age(self):
         world = self.make_limited()
 
