--- a/hopstep/services/exchanges/instances/instance_notices.py
+++ b/hopstep/services/exchanges/instances/instance_notices.py
@@ -38,6 +38,10 @@
 """For so long after a limit was lifted other nodes are told so: longer than any is cut off while it
 still counts as heard."""
 
+UNLISTED_TOLD_SECONDS = 60.0
+"""For so long a limit of a life that isn't listed is told: its entry may have lapsed or not have
+been read yet. Later it has ended."""
+
 MAX_TOLD_SECONDS = 600.0
 """Longest time that is told since a request was sent."""
 
@@ -182,11 +186,18 @@
         self._limits = {
             life: standing
             for life, standing in self._limits.items()
-            if standing.limit.is_set or now - standing.limit.times.before < LIFTED_TOLD_SECONDS
+            if self._is_worth_telling(life, standing, now)
         }
         told = list(self._limits.items())[-MAX_TOLD_LIVES:]
         return tuple(_told_limit(life, standing, now) for life, standing in told)
 
+    def _is_worth_telling(self, life: str, standing: InstanceStanding, now: float) -> bool:
+        """Return whether a limit of a life may still bind anybody who doesn't know it."""
+        heard_seconds = now - standing.limit.times.before
+        if not standing.limit.is_set:
+            return heard_seconds < LIFTED_TOLD_SECONDS
+        return self._table.of_life(life) is not None or heard_seconds < UNLISTED_TOLD_SECONDS
+
     def _note_limit(
         self, life: str, standing: InstanceStanding, previous: float, source: str
     ) -> None:
--- a/hopstep/services/exchanges/peers/permit_sharing.py
+++ b/hopstep/services/exchanges/peers/permit_sharing.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import trio
 
@@ -33,6 +34,13 @@
 digest comes within 0.2 s."""
 
 
+class _LastDigest(NamedTuple):
+    """Number of a relay's last digest, and the key of its process: each counts from the start."""
+
+    key: bytes
+    number: int
+
+
 class PermitSharing:
     """The part of a relay, and of any node that gets permits from one."""
 
@@ -53,7 +61,7 @@
         self._started_at = trio.current_time()
         self._allocators: dict[str, PermitAllocator] = {}
         self._stocks: dict[str, PermitStock] = {}
-        self._digests: dict[tuple[str, bytes], int] = {}
+        self._digests: dict[str, _LastDigest] = {}
 
     def own_sends(self) -> tuple[Usage, ...]:
         """Return what this node tells its relay."""
@@ -93,17 +101,24 @@
     def take_digest(self, relay: str, number: int, hints: Hints) -> None:
         """Take what another relay tells; permits of a digest that came before count once."""
         self.book.take_from_relay(relay, UsageReport(hints.sends, hints.nodes))
-        record = self._knowledge.nodes.get(relay)
-        process = (relay, record.key if record is not None else b"")
-        if number <= self._digests.get(process, -1):
+        if not self._is_new(relay, number):
             return
-        self._digests[process] = number
         for granted in hints.permits:
             if granted.relay == self._knowledge.name:
                 until = trio.current_time() + granted.valid_ms / MILLISECONDS
                 self._stock(granted.life).put(granted.count, until)
                 self._serve_own(granted.life)
 
+    def _is_new(self, relay: str, number: int) -> bool:
+        """Return whether a digest comes after all others of its process, and note it."""
+        record = self._knowledge.nodes.get(relay)
+        key = record.key if record is not None else b""
+        last = self._digests.get(relay)
+        if last is not None and last.key == key and number <= last.number:
+            return False
+        self._digests[relay] = _LastDigest(key, number)
+        return True
+
     def take_answer(self, granted: Iterable[GrantedPermits], asked_at: float) -> None:
         """Take permits that this node's relay gives it.
 
--- a/tests/services/exchanges/test_instance_limits.py
+++ b/tests/services/exchanges/test_instance_limits.py
@@ -20,7 +20,7 @@
 import trio
 
 from emulator.sliding_window import most_within
-from hopstep.ports.serving_directory import ConfigurationPublished
+from hopstep.ports.serving_directory import ConfigurationPublished, InstanceRemoved
 from tests.services.exchanges import exchange_world
 from tests.services.exchanges.exchange_world import ExchangeWorld
 
@@ -162,6 +162,20 @@
 
         world.run(script)
 
+    def test_the_limit_of_an_instance_that_has_ended_is_told_no_more(self):
+        world = self.make_world(nodes=3)
+
+        async def script(world):
+            await self.name_limit(world, 1.5)
+            self.assertEqual(len(world.nodes[0].sharing.own_hints().limits), 1)
+            world.instances.servers["i1"].end()
+            world.publish(InstanceRemoved("i1"))
+            await trio.sleep(90.0)
+            for services in world.nodes:
+                self.assertEqual(services.sharing.own_hints().limits, ())
+
+        world.run(script)
+
     def test_a_limit_of_nothing_is_kept_and_its_end_is_found_out(self):
         world = self.make_world()
 
