--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -148,7 +148,7 @@
             self.knowledge.table,
             lambda kind, source: self.metrics.notices.labels(kind, source).inc(),
         )
-        self.limits = InstanceLimits(self.knowledge, self.notices)
+        self.limits = InstanceLimits(self.knowledge, self.notices, generator)
         self.permits = PermitSharing(self.knowledge, self.notices, self.limits)
         self.sharing = LoadSharing(self.knowledge, urgent, self.notices)
         self.store_watch = CacheStoreWatch(self.knowledge, ports.cache_events, self.pauses)
--- a/hopstep/services/exchanges/instances/instance_limits.py
+++ b/hopstep/services/exchanges/instances/instance_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import random
 from collections.abc import Sequence
 
 import msgspec
@@ -86,13 +87,20 @@
 class InstanceLimits:
     """Holds this node's permits, and lets requests wait for them in the order of their rank."""
 
-    def __init__(self, knowledge: ServingKnowledge, notices: InstanceNotices) -> None:
+    def __init__(
+        self,
+        knowledge: ServingKnowledge,
+        notices: InstanceNotices,
+        generator: random.Random,
+    ) -> None:
         """Hold no permits.
 
         Args:
             knowledge: Instances and nodes.
             notices: What instances say of themselves.
+            generator: Draws for which instance a request waits.
         """
+        self._generator = generator
         self._knowledge = knowledge
         self._notices = notices
         self._waiters: dict[str, list[_Waiter]] = {}
@@ -154,7 +162,7 @@
 
     def note_refused(self, views: Sequence[InstanceView]) -> None:
         """Ask for permits for requests that are refused for want of one: others like them come."""
-        sends = min(views, key=self._crowd).standing.limited_sends
+        sends = self._draw(views).standing.limited_sends
         if sends is not None:
             sends.note_wanted(trio.current_time())
 
@@ -182,14 +190,14 @@
         return self.hold(view).use(trio.current_time())
 
     async def wait(self, views: Sequence[InstanceView], rank: int, until: float) -> None:
-        """Wait for a permit of the instance where fewest wait, or until a time.
+        """Wait for a permit of one of some instances, or until a time.
 
         Args:
             views: Limited instances, any of which may serve the request.
             rank: Rank of the request; lower ones are served first.
             until: Longest wait.
         """
-        view = min(views, key=self._crowd)
+        view = self._draw(views)
         sends = view.standing.limited_sends
         if sends is None:
             return
@@ -244,10 +252,18 @@
         """Return how many wait for an instance before a request of a rank."""
         return sum(1 for waiter in self._waiters.get(view.life, ()) if waiter.rank <= rank)
 
-    def _crowd(self, view: InstanceView) -> float:
-        """Return how many would wait for an instance for each request a second that it takes."""
+    def _draw(self, views: Sequence[InstanceView]) -> InstanceView:
+        """Draw an instance to wait for: by its limit, and by how few wait for it.
+
+        If each node took the best one, the few that wait at each of many nodes would all wait for
+        the same instance, and the limits of others would go unused.
+        """
+        return self._generator.choices(views, [self._room(view) for view in views])[0]
+
+    def _room(self, view: InstanceView) -> float:
+        """Return what an instance takes in a second for each request that would wait for it."""
         limit = max(view.standing.limit.per_second, LEAST_PER_SECOND)
-        return (1 + len(self._waiters.get(view.life, ()))) / limit
+        return limit / (1 + len(self._waiters.get(view.life, ())))
 
     def _sends(self, life: str) -> LimitedSends | None:
         """Return what is sent to a life that is listed and has a limit."""
--- a/tests/services/exchanges/test_instance_limits.py
+++ b/tests/services/exchanges/test_instance_limits.py
@@ -14,6 +14,7 @@
 """
 
 import itertools
+import random
 import unittest
 
 import msgspec
@@ -346,6 +347,34 @@
 
         world.run(script)
 
+    def test_all_limits_are_used_where_few_requests_wait_at_each_node(self):
+        """Of six engines under limits one of 1.5 a second got 1 of 10 requests that it took.
+
+        Each node had a request or two that waited, and all of them for the engine that took most
+        (soak, seed 9301).
+        """
+        limits = (4.0, 1.5, 1.5, 1.5, 0.3, 0.3)
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                world = ExchangeWorld(nodes=NODES, zones=3, seed=seed)
+                for number, limit in enumerate(limits):
+                    world.add(f"i{number}").names_limit = limit
+                generator = random.Random(seed)
+
+                async def script(world, generator=generator):
+                    await self.load(world, 3.0)
+                    since = trio.current_time()
+                    async with trio.open_nursery() as nursery:
+                        while trio.current_time() < since + USED_SECONDS:
+                            node = generator.randrange(NODES)
+                            nursery.start_soon(world.request, "unsafe", node)
+                            await trio.sleep(generator.expovariate(20.0))
+                    for number, limit in enumerate(limits[:4]):
+                        used = len(self.arrived(world, since, f"i{number}"))
+                        self.assertGreaterEqual(used / (limit * USED_SECONDS), 0.9)
+
+                world.run(script)
+
     def test_what_waits_is_served_by_its_rank_and_now_and_then_by_its_age(self):
         world = self.make_limited()
 
