--- a/emulator/cli/soak.py
+++ b/emulator/cli/soak.py
@@ -64,6 +64,10 @@
         f"soak: the machine stood still {stalls.count} times, {stalls.total_seconds:.2f} s in all, "
         f"{stalls.longest_seconds:.2f} s at the longest"
     )
+    print(
+        f"soak: load {result.load.average:.1f}, "
+        f"{result.load.stolen_share:.1%} of the processor time stolen (negative: unknown)"
+    )
     for violation in result.violations:
         print(f"soak: BROKEN {violation.promise}: {violation.detail}")
     print(f"soak: seed {seed}, {len(result.violations)} broken", flush=True)
--- a/emulator/soak/run.py
+++ b/emulator/soak/run.py
@@ -16,7 +16,13 @@
 from emulator.soak.faults import Faults
 from emulator.soak.history import History
 from emulator.soak.loyal_callers import LoyalCallers
-from emulator.soak.machine import MachineStalls, MachineWatch
+from emulator.soak.machine import (
+    MachineLoad,
+    MachineStalls,
+    MachineWatch,
+    machine_load,
+    read_processor_times,
+)
 from emulator.soak.operators import Operator
 from emulator.soak.probes import Probes
 from emulator.soak.profiles import profile_of
@@ -69,6 +75,7 @@
         route_changes: Changes of configurations that probes asked for.
         beside: How honest requests fared, with fatal ones under way and without.
         stalls: How long the machine itself stood still.
+        load: What else the machine did.
     """
 
     violations: list[Violation]
@@ -79,6 +86,7 @@
     route_changes: int
     beside: BesideFatal
     stalls: MachineStalls
+    load: MachineLoad
 
 
 async def run_soak(plan: SoakPlan) -> SoakResult:
@@ -87,6 +95,7 @@
     Args:
         plan: What to do.
     """
+    processor_times = read_processor_times()
     generator = random.Random(plan.seed)
     profile = profile_of(plan.seed, plan.profile)
     deployment = Deployment(plan.directory, random.Random(plan.seed + 1), plan.other_build)
@@ -124,7 +133,8 @@
             nursery.cancel_scope.cancel()
     violations = check_all(deployment.history, Bounds())
     violations += check_recovery(deployment.history, healed_at + RECOVERY_SECONDS, ended_at)
-    return _result(deployment.history, violations, faults, profile.name, machine.stalls)
+    load = machine_load(processor_times)
+    return _result(deployment.history, violations, faults, profile.name, machine.stalls, load)
 
 
 async def _watch_ends(deployment: Deployment) -> None:
@@ -146,6 +156,7 @@
     faults: Faults,
     profile: str,
     stalls: MachineStalls,
+    load: MachineLoad,
 ) -> SoakResult:
     """Return what a history and the faults come to."""
     statuses: dict[str, int] = {}
@@ -161,4 +172,5 @@
         len(history.route_changes),
         compare_beside_fatal(history),
         stalls,
+        load,
     )
--- a/tests/emulator/soak/test_machine.py
+++ b/tests/emulator/soak/test_machine.py
@@ -1,11 +1,21 @@
 """Stalls of the machine: what counts as one, and what is recorded of it."""
 
+import tempfile
 import unittest
+from pathlib import Path
 
 import trio
 
 from emulator.soak.history import MACHINE, History
-from emulator.soak.machine import LOOK_SECONDS, STALL_SECONDS, MachineWatch
+from emulator.soak.machine import (
+    LOOK_SECONDS,
+    STALL_SECONDS,
+    UNKNOWN_SHARE,
+    MachineWatch,
+    ProcessorTimes,
+    machine_load,
+    read_processor_times,
+)
 from emulator.virtual_time import run_in_virtual_time
 
 
@@ -33,3 +43,21 @@
 
         run_in_virtual_time(main)
         self.assertEqual(watch.stalls.count, 0)
+
+
+class MachineLoadTest(unittest.TestCase):
+    def read(self, text):
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "stat"
+            path.write_text(text)
+            return read_processor_times(path)
+
+    def test_processor_times_are_read_without_guests(self):
+        found = self.read("cpu  10 20 30 40 50 60 70 80 1000 1000\ncpu0 1 1 1 1 1 1 1 1 1 1\n")
+        self.assertEqual(found, ProcessorTimes(total=360, stolen=80))
+
+    def test_what_cannot_be_read_is_unknown(self):
+        for text in ("", "cpu", "cpu a b c d e f g h", "cpu 1 2 3"):
+            with self.subTest(text):
+                self.assertIsNone(self.read(text))
+        self.assertEqual(machine_load(None).stolen_share, UNKNOWN_SHARE)
