Refuse nothing at a node that has just started, and hold back only where other nodes may tell

Now a request that can't wait goes anyway, and a lone node holds nothing back. Profiles' test knows the new kind of fault.

--- a/hopstep/domain/exchanges/first_telling.py
+++ b/hopstep/domain/exchanges/first_telling.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+NOT_EXPECTED = -float("inf")
+
 
 class FirstTelling:
     """When the first word of another node is expected.
@@ -13,12 +15,18 @@
 
     def __init__(self) -> None:
         """Expect none."""
-        self.due_by = -float("inf")
+        self.due_by = NOT_EXPECTED
+        self._expected_by = NOT_EXPECTED
 
     def expect(self, due_by: float) -> None:
-        """Expect the first word until a time."""
-        self.due_by = due_by
+        """Expect the first word until a time, once there is another node."""
+        self._expected_by = due_by
+
+    def note_others(self) -> None:
+        """Note that there are other nodes."""
+        self.due_by = self._expected_by
 
     def note_told(self) -> None:
         """Note that another node has told what it knows."""
-        self.due_by = -float("inf")
+        self.due_by = NOT_EXPECTED
+        self._expected_by = NOT_EXPECTED
--- a/hopstep/services/exchanges/directory/knowledge.py
+++ b/hopstep/services/exchanges/directory/knowledge.py
@@ -326,6 +326,8 @@
                 self._log_rejected(record.key, RejectReason.UNREADABLE, "", str(error))
         else:
             self.nodes.pop(name, None)
+        if self.nodes.keys() - {self.name}:
+            self.table.first_telling.note_others()
         self.relays.set_nodes(self.nodes)
         self._forms.note(self.nodes.values())
 
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -96,7 +96,7 @@
         eligible = self._eligible(request, service, tried, now)
         if only:
             eligible = [view for view in eligible if view.instance.instance_id == only]
-        views = self._admissible(eligible, now)
+        views = self._admissible(eligible, now) or self._unheard(eligible, request, now)
         if views:
             self._note_wanted(request, service, eligible, views, now)
         return self._best(request, service, views, now)
@@ -155,6 +155,22 @@
         taking = [view for view in eligible if view.takes(Purpose.REQUEST, now)]
         return taking or [view for view in eligible if self._last_admission(view, now).is_open]
 
+    def _unheard(
+        self, eligible: list[InstanceView], request: ExchangeRequest, now: float
+    ) -> list[InstanceView]:
+        """Return the instances that this node hasn't heard of yet, for a request that can't wait.
+
+        Nothing is refused for that: nobody has said anything against it.
+        """
+        answer_by = request.received_at + request.route.objective_seconds
+        kept = ((view, view.admission(Purpose.REQUEST, now)) for view in eligible)
+        return [
+            view
+            for view, answer in kept
+            if answer.barrier is Barrier.UNHEARD
+            and answer.until + view.expected_latency > answer_by
+        ]
+
     def _last_admission(self, view: InstanceView, now: float) -> Admission:
         """Return whether an instance takes what no other may serve."""
         return view.admission(Purpose.LAST_REQUEST, now, self._last_requests_seconds)
--- a/tests/emulator/soak/test_profiles.py
+++ b/tests/emulator/soak/test_profiles.py
@@ -9,7 +9,15 @@
 from emulator.soak.deployment import Deployment
 from emulator.soak.faults import Faults
 from emulator.soak.operators import Operator
-from emulator.soak.profiles import PROFILES, SHORT, STORE_KINDS, VERSIONS, WORDS, profile_of
+from emulator.soak.profiles import (
+    LIMITS,
+    PROFILES,
+    SHORT,
+    STORE_KINDS,
+    VERSIONS,
+    WORDS,
+    profile_of,
+)
 from emulator.soak.stubborn_callers import StubbornCallers
 
 
@@ -23,11 +31,11 @@
             return Faults(deployment, operator, callers, generator, profile).kinds
 
     def test_profiles_draw_known_kinds_and_all_of_them(self):
-        drawn = {kind for profile in (*PROFILES, WORDS, VERSIONS) for kind in profile.kinds}
+        drawn = {kind for profile in (*PROFILES, WORDS, LIMITS, VERSIONS) for kind in profile.kinds}
         self.assertEqual(drawn, self.known_kinds(PROFILES[0]))
 
     def test_a_profile_is_found_by_its_name(self):
-        for profile in (*PROFILES, SHORT, WORDS, VERSIONS):
+        for profile in (*PROFILES, SHORT, WORDS, LIMITS, VERSIONS):
             self.assertIs(profile_of(1, profile.name), profile)
         with self.assertRaisesRegex(ValueError, "profile: expected one of"):
             profile_of(1, "none")
--- /dev/null
+++ b/tests/services/exchanges/test_first_telling.py
@@ -0,0 +1,69 @@
+"""A node that has just started asks an instance little before it has heard of it; none is refused.
+
+A node that had just started refused a request while the only instance was busy with its first one:
+for 0.6 s it had taken each instance for one that may have a limit, also where no other node was
+there to tell of any.
+"""
+
+import unittest
+
+import trio
+
+from tests.services.exchanges.exchange_world import SETTLING_SECONDS, ExchangeWorld
+
+SLOW_SECONDS = 1.0
+
+
+class FirstTellingTest(unittest.TestCase):
+    def answers_of(self, world, count):
+        """Return the answers to requests that come at once to a node that has just started."""
+        answers = []
+
+        async def script(world):
+            started = world.start_node(world.nursery, "n9")
+            while started.knowledge.index is None:
+                await started.knowledge.changed.wait()
+
+            async def send():
+                answers.append(await world.request("unsafe", node=len(world.nodes) - 1))
+
+            async with trio.open_nursery() as nursery:
+                for _request in range(count):
+                    nursery.start_soon(send)
+
+        world.run(script)
+        return answers
+
+    def test_requests_that_come_at_once_are_all_served(self):
+        for nodes in (0, 3):
+            with self.subTest(nodes=nodes):
+                world = ExchangeWorld(nodes=nodes)
+                world.add("i1", slots=64).work_seconds = SLOW_SECONDS
+                answers = self.answers_of(world, 8)
+                self.assertEqual([answer.status for answer in answers], [200] * 8)
+
+    def test_a_limited_instance_is_sent_little_before_the_others_have_told_of_it(self):
+        world = ExchangeWorld(nodes=3, zones=3)
+        for number in range(4):
+            world.add(f"i{number}", slots=64).work_seconds = 0.3
+        server = world.instances.servers["i0"]
+        server.names_limit = 0.3
+
+        async def script(world):
+            for _round in range(10):
+                for node in range(3):
+                    world.nursery.start_soon(world.request, "unsafe", node)
+                await trio.sleep(0.1)
+            await trio.sleep(SETTLING_SECONDS)
+            since = trio.current_time()
+            started = world.start_node(world.nursery, "n9")
+            while started.knowledge.index is None:
+                await started.knowledge.changed.wait()
+            async with trio.open_nursery() as nursery:
+                for _request in range(20):
+                    nursery.start_soon(world.request, "unsafe", 3)
+                    await trio.sleep(0.02)
+            arrived = [at for at in server.arrived_at if at >= since]
+            self.assertLessEqual(len(arrived), 2)
+
+        world.run(script)
