--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -499,6 +499,20 @@
     ("source", "previous", "age_seconds"),
     "Nothing; frequent changes point to nodes of the zone that fail or lose the store.",
 )
+STORE_ERA_CHANGED = LogEvent(
+    "HS4107",
+    "store_era_changed",
+    Level.WARNING,
+    ("era", "previous", "revision", "previous_revision"),
+    "The store was restored from a copy: see the operators' page.",
+)
+DIRECTORY_ENTRIES_OLDER = LogEvent(
+    "HS4108",
+    "directory_entries_older",
+    Level.WARNING,
+    ("era", "revision", "count", "keys"),
+    "The store shows older entries than the node knows: see HS4107 before it.",
+)
 SETTINGS_RELOADED = LogEvent("HS1005", "settings_reloaded", Level.INFO, ("changed",), "Nothing.")
 SETTINGS_REJECTED = LogEvent(
     "HS1006",
--- a/hopstep/platform/directory.py
+++ b/hopstep/platform/directory.py
@@ -61,7 +61,7 @@
     async def snapshot(self) -> DirectoryBatch:
         """Return all entries; see the port."""
         listing = await self._store.listing(EVERYTHING)
-        return DirectoryBatch(listing.revision, self._read_all(listing.values))
+        return DirectoryBatch(listing.revision, self._read_all(listing.values), listing.era)
 
     async def reconnect(self) -> None:
         """Leave the store's connections; see the port."""
@@ -70,7 +70,7 @@
     async def changes(self, after_revision: int, wait_seconds: float) -> DirectoryBatch:
         """Return changes; see the port."""
         batch = await self._store.watch(EVERYTHING, after_revision, wait_seconds)
-        return DirectoryBatch(batch.revision, self._read_all(batch.values))
+        return DirectoryBatch(batch.revision, self._read_all(batch.values), batch.era)
 
     def _read_all(self, values: tuple[StoredValue, ...]) -> tuple[DirectoryEntry, ...]:
         """Return the entries that stored values stand for."""
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Sequence
 from typing import TypeVar
 from urllib.parse import urlencode
 
@@ -21,6 +22,7 @@
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
 from hopstep.platform.vocabulary import Vocabulary
 from hopstep.ports.key_value_store import (
+    UNTOLD_ERA,
     KeyValueStorePort,
     StoredValue,
     StoreListing,
@@ -98,10 +100,11 @@
 
 
 class _Answer(msgspec.Struct, frozen=True):
-    """Status and body of a call."""
+    """Status, body and era of a call."""
 
     status: int
     body: bytes
+    era: int
 
 
 Document = TypeVar("Document", bound=msgspec.Struct)
@@ -145,18 +148,18 @@
 
     async def list(self, prefix: str, after_key: str = "", limit: int = 1000) -> list[StoredValue]:
         """Return a page of values; see the port."""
-        page = await self._page(prefix, after_key)
+        page, _ = await self._page(prefix, after_key)
         return [item.read() for item in page.items[:limit]]
 
     async def listing(self, prefix: str) -> StoreListing:
         """Return all values; see the port."""
-        page = await self._page(prefix, "")
+        page, era = await self._page(prefix, "")
         revision = page.at_revision
         values = [item.read() for item in page.items]
         while page.has_more and page.items:
-            page = await self._page(prefix, page.items[-1].private_key)
+            page, _ = await self._page(prefix, page.items[-1].private_key)
             values.extend(item.read() for item in page.items)
-        return StoreListing(revision, tuple(values))
+        return StoreListing(revision, tuple(values), era)
 
     async def compare_and_swap(
         self, key: str, expected_version: int, value: bytes, lease: str = ""
@@ -178,7 +181,8 @@
         if answer.status == GONE:
             raise StoreHistoryLostError(ErrorCode.STORE_HISTORY_LOST, "the history is gone")
         batch = self._decode(answer, _Events)
-        return WatchBatch(batch.at_revision, tuple(item.read() for item in batch.events))
+        values = tuple(item.read() for item in batch.events)
+        return WatchBatch(batch.at_revision, values, answer.era)
 
     async def grant_lease(self, time_to_live_seconds: float) -> str:
         """Return a new lease; see the port."""
@@ -201,12 +205,13 @@
         """End a lease; see the port."""
         await self._call(DELETE, names.STORE_LEASE_END + lease)
 
-    async def _page(self, prefix: str, after_key: str) -> _Range:
-        """Return one page of a range."""
+    async def _page(self, prefix: str, after_key: str) -> tuple[_Range, int]:
+        """Return one page of a range, and the era of its answer."""
         query: dict[str, object] = {"pathPrefix": prefix}
         if after_key:
             query["after"] = after_key
-        return self._decode(await self._call(GET, names.STORE_RANGE, query), _Range)
+        answer = await self._call(GET, names.STORE_RANGE, query)
+        return self._decode(answer, _Range), answer.era
 
     async def _transact(self, transaction: _Transaction) -> int:
         """Carry out a transaction and return its revision."""
@@ -244,7 +249,8 @@
                     self._vocabulary.note_headers(
                         WordPlace.STORE_HEAD, self._address, response.status, response.headers
                     )
-                    answer = _Answer(response.status, await response.aread())
+                    era = _read_era(response.headers)
+                    answer = _Answer(response.status, await response.aread(), era)
         except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException) as error:
             raise _no_answer(method, trace.proof.sent) from error
         except trio.TooSlowError as error:
@@ -256,6 +262,14 @@
         return answer
 
 
+def _read_era(headers: Sequence[tuple[bytes, bytes]]) -> int:
+    """Return the era that an answer names; ``UNTOLD_ERA`` when it names none, or no number."""
+    for name, value in headers:
+        if name.lower() == names.STORE_ERA and value.isdigit():
+            return int(value)
+    return UNTOLD_ERA
+
+
 def _decode_value(text: str) -> bytes:
     """Return the bytes of a value; a text that is no base64 stands for itself.
 
--- a/hopstep/platform/vocabulary.py
+++ b/hopstep/platform/vocabulary.py
@@ -52,11 +52,14 @@
     b"server": "names a program, and says nothing of its state",
     names.RETRY_AFTER: "the store's pages give it no meaning; callers back off by themselves",
 }
-"""The same for answers of the store, of which no header is read."""
+"""The same for answers of the store."""
+
+READ_STORE_HEADERS = frozenset({names.STORE_ERA})
+"""Headers of the store's answers that are read."""
 
 KNOWN_HEADERS: Mapping[WordPlace, Set[bytes]] = {
     WordPlace.ANSWER_HEAD: READ_HEADERS | UNREAD_HEADERS.keys() | names.PER_CONNECTION,
-    WordPlace.STORE_HEAD: UNREAD_STORE_HEADERS.keys() | names.PER_CONNECTION,
+    WordPlace.STORE_HEAD: READ_STORE_HEADERS | UNREAD_STORE_HEADERS.keys() | names.PER_CONNECTION,
 }
 
 NOT_USED = "what it is for isn't used here"
--- a/hopstep/ports/key_value_store.py
+++ b/hopstep/ports/key_value_store.py
@@ -14,6 +14,10 @@
 """Version of a key that does not exist."""
 
 
+UNTOLD_ERA = 0
+"""Era of a store that tells none."""
+
+
 class StoredValue(msgspec.Struct, frozen=True):
     """A value with its version.
 
@@ -35,10 +39,12 @@
         revision: Store-wide revision up to which the batch reaches.
         values: Changed values, oldest first. A watch may lose changes: readers list again
             from time to time.
+        era: How often the store has been restored from a copy, as it tells.
     """
 
     revision: int
     values: tuple[StoredValue, ...]
+    era: int = UNTOLD_ERA
 
 
 class StoreListing(msgspec.Struct, frozen=True):
@@ -48,10 +54,12 @@
         revision: No change after it is missing from a watch that starts here; values may already
             hold later ones.
         values: Values by key.
+        era: How often the store has been restored from a copy, as it tells.
     """
 
     revision: int
     values: tuple[StoredValue, ...]
+    era: int = UNTOLD_ERA
 
 
 class KeyValueStorePort(abc.ABC):
--- a/hopstep/ports/serving_directory.py
+++ b/hopstep/ports/serving_directory.py
@@ -145,10 +145,12 @@
     Attributes:
         revision: Changes after it are still to come.
         entries: Entries, in any order.
+        era: How often the store has been restored from a copy, as it tells.
     """
 
     revision: int
     entries: tuple[DirectoryEntry, ...]
+    era: int = 0
 
 
 class ServingDirectory(abc.ABC):
--- a/hopstep/services/exchanges/directory/knowledge.py
+++ b/hopstep/services/exchanges/directory/knowledge.py
@@ -56,6 +56,8 @@
 OVERDUE = "overdue"
 """Reason of a lost store whose answer is still waited for when the first request is refused."""
 
+MAX_LOGGED_KEYS = 8
+
 NO_REVISION = -1
 STORE_SOURCE = "store"
 """Source of what this node has read from the store itself."""
@@ -109,6 +111,7 @@
         self._count_rejected: Callable[[RejectReason], None] = lambda _reason: None
         self._max_age = revocation_seconds - MARGIN_SECONDS
         self._expired = False
+        self._era: int | None = None
 
     def follow_records(self, prefix: str, listener: RecordListener) -> None:
         """Tell a listener of hopstep's own keys under a prefix."""
@@ -181,6 +184,8 @@
         """
         since = max(self.confirmed_at - DEAF_SECONDS, self.weights.oldest_since(sent_at))
         self.contact.note_return(trio.current_time())
+        self._note_era(batch)
+        self._note_passed_over(batch)
         self.feed.start(batch.revision)
         entries = (*batch.entries, *self._removed_by(batch))
         self.take_entries([_feed_entry(entry, since) for entry in entries], STORE_SOURCE)
@@ -196,6 +201,7 @@
             sent_at: When the call for them was sent.
         """
         self.contact.note_return(trio.current_time())
+        self._note_era(batch)
         self.take_entries([_feed_entry(entry, since) for entry in batch.entries], STORE_SOURCE)
         self.confirm(batch.revision, sent_at)
         self.contact.note_read(trio.current_time())
@@ -229,6 +235,37 @@
             self._expired = False
             emit(log_events.STORE_REGAINED, age_seconds=round(self.age_seconds, 3))
 
+    def _note_era(self, batch: DirectoryBatch) -> None:
+        """Log the era of the store's answers when it has changed."""
+        if self._era in (None, batch.era):
+            self._era = batch.era
+            return
+        emit(
+            log_events.STORE_ERA_CHANGED,
+            era=batch.era,
+            previous=self._era,
+            revision=batch.revision,
+            previous_revision=self.revision,
+        )
+        self._era = batch.era
+
+    def _note_passed_over(self, batch: DirectoryBatch) -> None:
+        """Log which entries of a snapshot are older than what is known of their keys."""
+        known = {entry.key: entry.revision for entry in self.feed.listed()}
+        older = [
+            entry.key
+            for entry in batch.entries
+            if entry.revision < known.get(entry.key, NO_REVISION)
+        ]
+        if older:
+            emit(
+                log_events.DIRECTORY_ENTRIES_OLDER,
+                era=batch.era,
+                revision=batch.revision,
+                count=len(older),
+                keys=sorted(older)[:MAX_LOGGED_KEYS],
+            )
+
     def _removed_by(self, batch: DirectoryBatch) -> list[DirectoryEntry]:
         """Return the removals of keys that a snapshot doesn't have."""
         present = {entry.key for entry in batch.entries}
