Let the stand-ins of the store come back from a copy, and keep the test world's directory in its store

The store model goes back to a copy: values, history, leases and their numbers, revisions given out again; the era rises. The HTTP stand-in names the era in which an answer took effect, also when it comes later. The test world had two histories, one of its directory and one of its store; a restore must take both back at once, so the directory reads the store.

--- a/emulator/exchange_platform/store.py
+++ b/emulator/exchange_platform/store.py
@@ -19,11 +19,12 @@
     StoreError,
     StoreOutcomeUnknownError,
 )
-from hopstep.ports.key_value_store import StoredValue
+from hopstep.ports.key_value_store import UNTOLD_ERA, StoredValue
 
 LEASE_NAME = "lease-"
 MILLISECONDS = 1_000.0
 PAGE_LIMIT = 500
+ERA_HEADER = "Store-Era"
 
 STATUS_OF_CODE = {
     ErrorCode.STORE_CONFLICT: 412,
@@ -69,7 +70,8 @@
         """Render a refusal, or break the answer of a write that is lost."""
         if isinstance(error, StoreOutcomeUnknownError):
             return lost_response()
-        return json_response({"error": error.message}, STATUS_OF_CODE[error.code])
+        refusal = json_response({"error": error.message}, STATUS_OF_CODE[error.code])
+        return _tell_era(refusal, shared.model.era)
 
     return app
 
@@ -80,24 +82,26 @@
     @app.get("/kv-key")
     async def item() -> quart.Response:
         """Return one item."""
-        value = await shared.execute(wire.Get(quart.request.args["privateKey"]))
+        effect = await shared.execute_in_era(wire.Get(quart.request.args["privateKey"]))
+        value, at_revision = effect.result, {"atRevision": effect.revision}
         if value is None:
-            return json_response({"atRevision": shared.model.revision}, 404)
+            return _tell_era(json_response(at_revision, 404), effect.era)
         assert isinstance(value, StoredValue)  # noqa: S101 - the result of a read
-        return json_response({**_item(value), "atRevision": shared.model.revision})
+        return _tell_era(json_response({**_item(value), **at_revision}), effect.era)
 
     @app.get("/kv-range")
     async def items() -> quart.Response:
         """Return a page of items."""
         arguments = quart.request.args
         operation = wire.List(arguments["pathPrefix"], arguments.get("after", ""), PAGE_LIMIT)
-        page: Any = await shared.execute(operation)
+        effect = await shared.execute_in_era(operation)
+        page: Any = effect.result
         body = {
             "items": [_item(value) for value in page],
             "hasMore": len(page) == PAGE_LIMIT,
-            "atRevision": shared.model.revision,
+            "atRevision": effect.revision,
         }
-        return json_response(body)
+        return _tell_era(json_response(body), effect.era)
 
     @app.get("/kv-watch")
     async def watch() -> quart.Response:
@@ -105,11 +109,13 @@
         arguments = quart.request.args
         after = int(arguments["after"])
         if not shared.model.remembers_after(after):
-            return json_response({"error": "the history is gone"}, 410)
+            gone = json_response({"error": "the history is gone"}, 410)
+            return _tell_era(gone, shared.model.era)
         wait = float(arguments["waitMs"]) / MILLISECONDS
         batch: Any = await shared.execute(wire.Watch(arguments["pathPrefix"], after, wait))
         events = [_event(value) for value in batch.values]
-        return json_response({"events": events, "atRevision": batch.revision})
+        body = {"events": events, "atRevision": batch.revision}
+        return _tell_era(json_response(body), batch.era)
 
 
 def _add_writes(app: quart_trio.QuartTrio, shared: SharedStore) -> None:
@@ -126,8 +132,8 @@
             value = base64.b64decode(put.value)
             lease = f"{LEASE_NAME}{put.lease_id}" if put.lease_id else ""
             operation = wire.CompareAndSwap(put.private_key, condition.revision, value, lease)
-        await shared.execute(operation)
-        return json_response({"revision": shared.model.revision})
+        effect = await shared.execute_in_era(operation)
+        return _tell_era(json_response({"revision": effect.revision}), effect.era)
 
 
 def _add_leases(app: quart_trio.QuartTrio, shared: SharedStore) -> None:
@@ -137,25 +143,32 @@
     async def grant() -> quart.Response:
         """Return a new lease."""
         read = msgspec.json.decode(await quart.request.get_data(), type=_LeaseRequest)
-        name = await shared.execute(wire.GrantLease(read.ttl_ms / MILLISECONDS))
-        lease_id = int(str(name).removeprefix(LEASE_NAME))
-        return json_response({"leaseId": lease_id, "ttlMs": read.ttl_ms})
+        effect = await shared.execute_in_era(wire.GrantLease(read.ttl_ms / MILLISECONDS))
+        lease_id = int(str(effect.result).removeprefix(LEASE_NAME))
+        return _tell_era(json_response({"leaseId": lease_id, "ttlMs": read.ttl_ms}), effect.era)
 
     @app.post("/kv-keep/<int:lease_id>")
     async def renew(lease_id: int) -> quart.Response:
         """Renew a lease."""
         try:
-            await shared.execute(wire.KeepAlive(f"{LEASE_NAME}{lease_id}"))
+            effect = await shared.execute_in_era(wire.KeepAlive(f"{LEASE_NAME}{lease_id}"))
         except StoreConflictError:
-            return json_response({"error": "the lease is over"}, 404)
-        return json_response({})
+            return _tell_era(json_response({"error": "the lease is over"}, 404), shared.model.era)
+        return _tell_era(json_response({}), effect.era)
 
     @app.delete("/kv-lease-end/<int:lease_id>")
     async def end(lease_id: int) -> quart.Response:
         """End a lease with its keys."""
         shared.end_lease(f"{LEASE_NAME}{lease_id}")
         await trio.lowlevel.checkpoint()
-        return json_response({})
+        return _tell_era(json_response({}), shared.model.era)
+
+
+def _tell_era(response: quart.Response, era: int) -> quart.Response:
+    """Name in an answer the era in which it was made, where the store tells one."""
+    if era != UNTOLD_ERA:
+        response.headers[ERA_HEADER] = str(era)
+    return response
 
 
 def _item(value: StoredValue) -> dict[str, object]:
--- a/emulator/platform/shared_store.py
+++ b/emulator/platform/shared_store.py
@@ -6,7 +6,12 @@
 import trio
 
 from emulator.platform.faults import FaultOrder, StoreFaults
-from emulator.platform.store_model import KeyValueStoreModel, TokenBucket, list_page
+from emulator.platform.store_model import (
+    KeyValueStoreModel,
+    StoreCopy,
+    TokenBucket,
+    list_page,
+)
 from hopstep.adapters import key_value_store_wire as wire
 from hopstep.exceptions import ErrorCode, StoreError, StoreOutcomeUnknownError
 from hopstep.ports.key_value_store import StoredValue, WatchBatch
@@ -15,6 +20,20 @@
 """Seconds of the rate limit that may come at once."""
 
 
+class Effect(msgspec.Struct, frozen=True):
+    """An operation that took effect.
+
+    Attributes:
+        result: The result that the operation's class documents.
+        era: The store's era at that moment.
+        revision: The store's revision at that moment.
+    """
+
+    result: object
+    era: int
+    revision: int
+
+
 class SharedStore:
     """One key-value service, as all its clients share it.
 
@@ -49,9 +68,24 @@
             self.model.lapse(lease)
             self._announce()
 
-    def write_directly(self, operation: wire.StoreOperation) -> object:
-        """Carry out a write that no fault touches, as the store may serve some and not others."""
-        result = self.model.apply(operation, trio.current_time())
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy."""
+        self.model.restore(copy, trio.current_time())
+        self._hidden_versions.clear()
+        self._announce()
+
+    async def wait_changed(self) -> None:
+        """Wait until something changes."""
+        await self._changed.wait()
+
+    def write_directly(self, operation: wire.StoreOperation, now: float | None = None) -> object:
+        """Carry out a write that no fault touches, as the store may serve some and not others.
+
+        Args:
+            operation: The write.
+            now: Time in seconds, for writes outside of the event loop.
+        """
+        result = self.model.apply(operation, trio.current_time() if now is None else now)
         self._announce()
         return result
 
@@ -65,12 +99,17 @@
             StoreError: Outage, rate limit or conflict; no effect.
             StoreOutcomeUnknownError: A write was lost, before or after its effect.
         """
+        return (await self.execute_in_era(operation)).result
+
+    async def execute_in_era(self, operation: wire.StoreOperation) -> Effect:
+        """Carry out an operation, and tell the era in which it took effect; see ``execute``."""
         delay = self.faults.slow_seconds / 2
         await trio.sleep(delay)
         self._refuse_when_unavailable()
         result = await self._take_effect(operation)
+        effect = Effect(result, self.model.era, self.model.revision)
         await trio.sleep(delay)
-        return result
+        return effect
 
     async def _take_effect(self, operation: wire.StoreOperation) -> object:
         """Carry out an operation now, and lose it or its answer if so ordered."""
@@ -115,10 +154,12 @@
             batch = self._visible_changes(operation)
             if batch.values or trio.current_time() >= deadline:
                 return batch
-            changed = self._changed
+            changed, era = self._changed, self.model.era
             with trio.move_on_at(min(deadline, self.model.next_lapse())):
                 await changed.wait()
             self._refuse_when_down()
+            if self.model.era != era:
+                raise StoreError(ErrorCode.STORE_UNAVAILABLE, "the store was restored")
 
     def _visible_changes(self, operation: wire.Watch) -> WatchBatch:
         """Return what a watch shows now."""
--- a/emulator/platform/store_model.py
+++ b/emulator/platform/store_model.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Mapping
 
 import msgspec
 
 from hopstep.adapters import key_value_store_wire as wire
 from hopstep.exceptions import ErrorCode, StoreConflictError, StoreError
-from hopstep.ports.key_value_store import ABSENT, StoredValue, WatchBatch
+from hopstep.ports.key_value_store import ABSENT, UNTOLD_ERA, StoredValue, WatchBatch
 
 DEFAULT_HISTORY_LENGTH = 1024
 """Changes that a watch can look back on."""
@@ -26,6 +27,24 @@
     keys: set[str] = msgspec.field(default_factory=set)
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """What a copy of the service holds: everything up to a revision.
+
+    Attributes:
+        revision: Store-wide revision.
+        values: Values by key.
+        history: Changes that a watch can look back on.
+        leases: Time to live of each lease, with the keys bound to it.
+        leases_granted: Number of leases that were granted.
+    """
+
+    revision: int
+    values: Mapping[str, StoredValue]
+    history: tuple[StoredValue, ...]
+    leases: Mapping[str, tuple[float, frozenset[str]]]
+    leases_granted: int
+
+
 class KeyValueStoreModel:
     """The service's state and what each operation does to it.
 
@@ -34,6 +53,7 @@
     """
 
     def __init__(self, history_length: int = DEFAULT_HISTORY_LENGTH) -> None:
+        self.era = UNTOLD_ERA
         self._revision = 0
         self._values: dict[str, StoredValue] = {}
         self._lease_of_key: dict[str, str] = {}
@@ -50,6 +70,36 @@
         """Return a copy of all values, as a cache in front of the service would hold it."""
         return dict(self._values)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the service as it is now."""
+        leases = {
+            name: (lease.time_to_live_seconds, frozenset(lease.keys))
+            for name, lease in self._leases.items()
+        }
+        return StoreCopy(
+            self._revision, dict(self._values), tuple(self._history), leases, self._leases_granted
+        )
+
+    def restore(self, copy: StoreCopy, now: float) -> None:
+        """Go back to a copy: what was done since is gone, and revisions and leases come again.
+
+        Args:
+            copy: The copy.
+            now: Time in seconds; the copy's leases run from now.
+        """
+        self.era += 1
+        self._revision = copy.revision
+        self._values = dict(copy.values)
+        self._history = collections.deque(copy.history, maxlen=self._history.maxlen)
+        self._leases_granted = copy.leases_granted
+        self._leases = {
+            name: _Lease(seconds, now + seconds, set(keys))
+            for name, (seconds, keys) in copy.leases.items()
+        }
+        self._lease_of_key = {
+            key: name for name, lease in self._leases.items() for key in lease.keys
+        }
+
     def apply(self, operation: wire.StoreOperation, now: float) -> object:
         """Carry out any operation; a watch answers at once.
 
@@ -83,8 +133,8 @@
         return None
 
     def remembers_after(self, revision: int) -> bool:
-        """Return whether every change after a revision is still in the history."""
-        return self._revision - revision <= len(self._history)
+        """Return whether a revision was reached and every change after it is in the history."""
+        return 0 <= self._revision - revision <= len(self._history)
 
     def forget_history(self) -> None:
         """Drop all changes that watches could look back on."""
@@ -93,9 +143,8 @@
     def changes(self, prefix: str, after_revision: int) -> WatchBatch:
         """Return changes after a revision; those beyond the history are lost."""
         changes = (change for change in self._history if change.version > after_revision)
-        return WatchBatch(
-            self._revision, tuple(change for change in changes if change.key.startswith(prefix))
-        )
+        values = tuple(change for change in changes if change.key.startswith(prefix))
+        return WatchBatch(self._revision, values, self.era)
 
     def expire_leases(self, now: float) -> None:
         """Let every lease lapse whose time has come."""
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -11,6 +11,7 @@
 from emulator.platform.in_memory import InMemoryStore
 from emulator.platform.shared_store import SharedStore
 from emulator.virtual_time import run_in_virtual_time, virtual_clock
+from hopstep.adapters import key_value_store_wire as wire
 from hopstep.domain.exchanges.instances import Instance, NamedWeights
 from hopstep.domain.exchanges.request import Prompt, PromptSegment
 from hopstep.domain.exchanges.serving import (
@@ -23,28 +24,32 @@
     Tenant,
 )
 from hopstep.domain.instance_notices import InstanceNotice, ignore_notice
-from hopstep.exceptions import ErrorCode, ServiceError, StoreError
+from hopstep.exceptions import ServiceError
 from hopstep.exchange_node import ExchangePorts, ExchangeServices
 from hopstep.exchange_settings import ExchangeBounds, ExchangeSettings
-from hopstep.platform.store import ANSWER_SECONDS
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
 from hopstep.ports.exchange_front import ClientAnswer, RequestHead
+from hopstep.ports.key_value_store import ABSENT
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
-    DirectoryBatch,
-    DirectoryEntry,
     InstanceListed,
-    InstanceRejected,
     InstanceRemoved,
-    RecordWritten,
-    ServingDirectory,
     WeightsPublished,
 )
+from tests.services.exchanges.emulated_directory import (
+    EmulatedDirectory,
+    directory_key,
+    encode_change,
+    read_entry,
+)
 
 KEY = "key-1"
 ISOLATED_KEY = "key-2"
 MODEL = "m"
 BOUNDS = ExchangeBounds()
+HISTORY_LENGTH = 100_000
+"""Changes that a watch can look back on."""
+
 SETTLING_SECONDS = 1.0
 """Nodes have registered and know each other, and watches wait for changes."""
 
@@ -88,99 +93,6 @@
     return ServingConfiguration(version, routes, SERVICES, tenants)
 
 
-class EmulatedDirectory(ServingDirectory):
-    """A directory over a shared store for records.
-
-    Its attributes are slots, so that a test which sets a fault that doesn't exist fails.
-
-    Attributes:
-        down: Calls fail at once.
-        dark: Calls get no answer, also those under way, and fail after the adapter's limit.
-        deaf: Watches hear nothing.
-        answer_seconds: Time that an answer takes.
-    """
-
-    __slots__ = (
-        "_connection",
-        "_silent_connection",
-        "_world",
-        "answer_seconds",
-        "dark",
-        "deaf",
-        "down",
-    )
-
-    def __init__(self, world):
-        self._world = world
-        self.down = False
-        self.dark = False
-        self.deaf = False
-        self.answer_seconds = 0.004
-        self._connection = 0
-        self._silent_connection = -1
-
-    def silence_connections(self):
-        """Let calls on connections that are open now get nothing, and later ones on them."""
-        self._silent_connection = self._connection
-
-    async def reconnect(self):
-        await trio.lowlevel.checkpoint()
-        self._connection += 1
-
-    async def _pass_connection(self, connection):
-        if connection <= self._silent_connection:
-            await trio.sleep(ANSWER_SECONDS)
-            raise StoreError(ErrorCode.STORE_UNAVAILABLE, "no answer")
-
-    async def snapshot(self):
-        self._world.calls += 1
-        await trio.sleep(self.answer_seconds)
-        await self._pass_connection(self._connection)
-        await self._check_answered(ANSWER_SECONDS)
-        self._check()
-        world = self._world
-        newest = {entry.key: entry for entry in world.log}
-        present = tuple(entry for entry in newest.values() if not entry.removed)
-        return DirectoryBatch(len(world.log), present)
-
-    async def changes(self, after_revision, wait_seconds):
-        world = self._world
-        world.calls += 1
-        connection = self._connection
-        with trio.move_on_after(wait_seconds):
-            while len(world.log) <= after_revision or self.deaf or self.dark:
-                self._check()
-                await world.changed.wait()
-        await trio.sleep(self.answer_seconds)
-        await self._pass_connection(connection)
-        await self._check_answered(ANSWER_SECONDS)
-        self._check()
-        return DirectoryBatch(len(world.log), tuple(world.log[after_revision:]))
-
-    async def _check_answered(self, limit_seconds):
-        if self.dark:
-            await trio.sleep(limit_seconds)
-            raise StoreError(ErrorCode.STORE_UNAVAILABLE, "no answer")
-
-    def _check(self):
-        if self.down:
-            raise StoreError(ErrorCode.STORE_UNAVAILABLE, "down")
-
-
-def directory_key(change):
-    """Return the key that a change is of."""
-    match change:
-        case InstanceListed(instance):
-            return f"instances/{instance.instance_id}"
-        case InstanceRemoved(instance_id) | InstanceRejected(instance_id):
-            return f"instances/{instance_id}"
-        case WeightsPublished(weights):
-            return f"weights/{weights.model}"
-        case RecordWritten(key):
-            return key
-    return "configuration"
-
-
 class EmulatedCacheEvents(CacheEvents):
     """Cache events by address; addresses without any give no answer."""
 
@@ -244,13 +156,13 @@
     """A store, instances and nodes."""
 
     def __init__(self, nodes=1, seed=1, zones=1, order_seed=None):
-        self.shared = SharedStore()
+        self.shared = SharedStore(HISTORY_LENGTH)
         self.instances = EmulatedInstances()
         self.cache_events = EmulatedCacheEvents()
         self.instances.on_changed = self.relist
         self.listed = {}
-        self.log = []
         self.calls = 0
+        self.clock = None
         self.nodes = []
         self.directories = []
         self._lives = []
@@ -290,10 +202,33 @@
             self.listed[change.instance.instance_id] = change.instance
         if isinstance(change, InstanceRemoved):
             self.listed.pop(change.instance_id, None)
-        self.log.append(DirectoryEntry(directory_key(change), len(self.log) + 1, change))
-        if hasattr(self, "changed"):
-            self.changed.set()
-            self.changed = trio.Event()
+        key, model = directory_key(change), self.shared.model
+        stored = model.apply(wire.Get(key), self._now)
+        version = stored.version if stored is not None else ABSENT
+        if not isinstance(change, InstanceRemoved):
+            write = wire.CompareAndSwap(key, version, encode_change(change))
+        elif stored is not None:
+            write = wire.Delete(key, version)
+        else:
+            return
+        self.shared.write_directly(write, self._now)
+
+    @property
+    def revision(self):
+        """Store revision of the last change."""
+        return self.shared.model.revision
+
+    @property
+    def _now(self):
+        """Time of the store; 0 before the world runs."""
+        return self.clock.current_time() if self.clock is not None else 0.0
+
+    @property
+    def published_version(self):
+        """Version of the configuration that the store holds."""
+        key = directory_key(ConfigurationPublished(configuration()))
+        stored = self.shared.model.apply(wire.Get(key), self._now)
+        return read_entry(stored).change.configuration.version
 
     def name_weights(self, version):
         """Name weights as operators do."""
@@ -305,9 +240,7 @@
         run_in_virtual_time(self._run, script, seed=self._order_seed, clock=self.clock)
 
     async def _run(self, script):
-        self.changed = trio.Event()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._relay_records)
             for number in range(self._node_count):
                 self.start_node(nursery, f"n{number}", self._zone(number))
             self.nursery = nursery
@@ -361,20 +294,6 @@
         for known in (self._lives, self.nodes, self.directories):
             known.clear()
 
-    async def _relay_records(self):
-        """Show the store's own keys in the directory, later while the store is down."""
-        store = InMemoryStore(self.shared)
-        revision = 0
-        while True:
-            try:
-                batch = await store.watch("", revision, 5.0)
-            except StoreError:
-                await trio.sleep(0.1)
-                continue
-            revision = batch.revision
-            for value in batch.values:
-                self.publish(RecordWritten(value.key, value.value, value.version))
-
     async def request(
         self,
         name,
--- a/tests/services/exchanges/test_freshness.py
+++ b/tests/services/exchanges/test_freshness.py
@@ -67,11 +67,7 @@
         with trio.move_on_after(seconds):
             while True:
                 now = trio.current_time()
-                newest = max(
-                    entry.change.configuration.version
-                    for entry in world.log
-                    if isinstance(entry.change, ConfigurationPublished)
-                )
+                newest = world.published_version
                 published.setdefault(newest, now)
                 for number in numbers:
                     version = world.nodes[number].knowledge.current.version
--- a/tests/services/exchanges/test_suspensions.py
+++ b/tests/services/exchanges/test_suspensions.py
@@ -176,7 +176,7 @@
                 def publish(world, published=published):
                     leaving = world.listed["i0"]
                     world.publish(InstanceListed(leaving))
-                    published[len(world.log)] = trio.current_time()
+                    published[world.revision] = trio.current_time()
 
                 async def script(world, suspension, published=published, wrong=wrong):
                     world.network.extra_delay_seconds = 0.05
