--- a/emulator/exchange_platform/store.py
+++ b/emulator/exchange_platform/store.py
@@ -13,13 +13,13 @@
 from emulator.http_responses import json_response, lost_response
 from emulator.platform.shared_store import SharedStore
 from hopstep.adapters import key_value_store_wire as wire
+from hopstep.domain.store_place import UNTOLD_ERA
 from hopstep.exceptions import (
     ErrorCode,
     StoreConflictError,
     StoreError,
     StoreOutcomeUnknownError,
 )
-from hopstep.ports.key_value_store import UNTOLD_ERA, StoredValue
 
 LEASE_NAME = "lease-"
 MILLISECONDS = 1_000.0
@@ -86,7 +86,7 @@
         value, at_revision = effect.result, {"atRevision": effect.revision}
         if value is None:
             return _tell_era(json_response(at_revision, 404), effect.era)
-        assert isinstance(value, StoredValue)  # noqa: S101 - the result of a read
+        assert isinstance(value, wire.Item)  # noqa: S101 - the result of a read
         return _tell_era(json_response({**_item(value), **at_revision}), effect.era)
 
     @app.get("/kv-range")
@@ -112,10 +112,11 @@
             gone = json_response({"error": "the history is gone"}, 410)
             return _tell_era(gone, shared.model.era)
         wait = float(arguments["waitMs"]) / MILLISECONDS
-        batch: Any = await shared.execute(wire.Watch(arguments["pathPrefix"], after, wait))
-        events = [_event(value) for value in batch.values]
-        body = {"events": events, "atRevision": batch.revision}
-        return _tell_era(json_response(body), batch.era)
+        effect = await shared.execute_in_era(wire.Watch(arguments["pathPrefix"], after, wait))
+        changes: wire.Changes = effect.result
+        events = [_event(value) for value in changes.values]
+        body = {"events": events, "atRevision": changes.revision}
+        return _tell_era(json_response(body), effect.era)
 
 
 def _add_writes(app: quart_trio.QuartTrio, shared: SharedStore) -> None:
@@ -171,7 +172,7 @@
     return response
 
 
-def _item(value: StoredValue) -> dict[str, object]:
+def _item(value: wire.Item) -> dict[str, object]:
     """Return an item."""
     return {
         "privateKey": value.key,
@@ -180,7 +181,7 @@
     }
 
 
-def _event(value: StoredValue) -> dict[str, object]:
+def _event(value: wire.Item) -> dict[str, object]:
     """Return an item as a watch shows it."""
     if value.value:
         return _item(value)
--- a/emulator/platform/in_memory.py
+++ b/emulator/platform/in_memory.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import trio
 
 from emulator.platform.machine_list import MachineListModel
-from emulator.platform.shared_store import SharedStore
+from emulator.platform.shared_store import Effect, SharedStore
 from hopstep.adapters import key_value_store_wire as wire
+from hopstep.domain.store_place import StorePlace
 from hopstep.exceptions import ErrorCode, StoreError, StoreOutcomeUnknownError
-from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue, WatchBatch
+from hopstep.ports.key_value_store import (
+    KeyValueStorePort,
+    StoredValue,
+    StoreLease,
+    WatchBatch,
+    require_era,
+    require_lease_era,
+    require_write_era,
+)
 from hopstep.ports.machine_list import Machine, MachineListPort
 
 DEFAULT_TIMEOUT_SECONDS = 2.0
@@ -37,48 +44,60 @@
 
     async def get(self, key: str) -> StoredValue | None:
         """Return the value of ``key``; see the port."""
-        value: StoredValue | None = await self._call(wire.Get(key))
-        return value
+        effect = await self._call(wire.Get(key))
+        item: wire.Item | None = effect.result
+        return item.read(effect.era) if item is not None else None
 
     async def list(self, prefix: str, after_key: str = "", limit: int = 1000) -> list[StoredValue]:
         """Return a page of values; see the port."""
-        page: list[StoredValue] = await self._call(wire.List(prefix, after_key, limit))
-        return page
+        effect = await self._call(wire.List(prefix, after_key, limit))
+        return [item.read(effect.era) for item in effect.result]
 
     async def compare_and_swap(
-        self, key: str, expected_version: int, value: bytes, lease: str = ""
-    ) -> int:
+        self,
+        key: str,
+        expected_version: StorePlace,
+        value: bytes,
+        lease: StoreLease | None = None,
+    ) -> StorePlace:
         """Write one key at an expected version; see the port."""
-        operation = wire.CompareAndSwap(key, expected_version, value, lease)
-        version: int = await self._call(operation)
-        return version
+        name = lease.name if lease is not None else ""
+        operation = wire.CompareAndSwap(key, expected_version.revision, value, name)
+        effect = await self._call(operation)
+        require_write_era(expected_version, lease, effect.era)
+        return StorePlace(effect.era, effect.result)
 
-    async def delete(self, key: str, expected_version: int) -> None:
+    async def delete(self, key: str, expected_version: StorePlace) -> None:
         """Delete one key at an expected version; see the port."""
-        await self._call(wire.Delete(key, expected_version))
-
-    async def watch(self, prefix: str, after_revision: int, wait_seconds: float) -> WatchBatch:
-        """Return changes after a revision; see the port."""
-        operation = wire.Watch(prefix, after_revision, wait_seconds)
-        batch: WatchBatch = await self._call(operation, extra_seconds=wait_seconds)
-        return batch
-
-    async def grant_lease(self, time_to_live_seconds: float) -> str:
+        effect = await self._call(wire.Delete(key, expected_version.revision))
+        require_write_era(expected_version, None, effect.era)
+
+    async def watch(self, prefix: str, after: StorePlace, wait_seconds: float) -> WatchBatch:
+        """Return changes after a place; see the port."""
+        operation = wire.Watch(prefix, after.revision, wait_seconds)
+        effect = await self._call(operation, extra_seconds=wait_seconds)
+        require_era(after.era, effect.era)
+        changes: wire.Changes = effect.result
+        values = tuple(item.read(effect.era) for item in changes.values)
+        return WatchBatch(StorePlace(effect.era, changes.revision), values)
+
+    async def grant_lease(self, time_to_live_seconds: float) -> StoreLease:
         """Return a new lease; see the port."""
-        lease: str = await self._call(wire.GrantLease(time_to_live_seconds))
-        return lease
+        effect = await self._call(wire.GrantLease(time_to_live_seconds))
+        return StoreLease(effect.result, effect.era)
 
-    async def keep_alive(self, lease: str) -> None:
+    async def keep_alive(self, lease: StoreLease) -> None:
         """Renew a lease; see the port."""
-        await self._call(wire.KeepAlive(lease))
+        effect = await self._call(wire.KeepAlive(lease.name))
+        require_lease_era(lease, effect.era)
 
-    async def _call(self, operation: wire.StoreOperation, extra_seconds: float = 0.0) -> Any:
+    async def _call(self, operation: wire.StoreOperation, extra_seconds: float = 0.0) -> Effect:
         """Carry out an operation within the timeout."""
         if self.cut_off:
             await trio.lowlevel.checkpoint()
             raise StoreError(ErrorCode.STORE_UNAVAILABLE, "this client is cut off")
         with trio.move_on_after(self._timeout_seconds + extra_seconds):
-            return await self._shared.execute(operation)
+            return await self._shared.execute_in_era(operation)
         message = "no answer came in time"
         if wire.is_write(operation):
             raise StoreOutcomeUnknownError(ErrorCode.STORE_OUTCOME_UNKNOWN, message)
--- a/emulator/platform/server.py
+++ b/emulator/platform/server.py
@@ -15,11 +15,13 @@
 from emulator.platform.machine_list import MachineListModel
 from emulator.platform.shared_store import SharedStore
 from hopstep.adapters.key_value_store_wire import (
+    ERA_HEADER,
     MACHINES_PATH,
     STORE_PATH,
     StoreFailure,
     StoreOperation,
 )
+from hopstep.domain.store_place import UNTOLD_ERA
 from hopstep.exceptions import ErrorCode, StoreError, StoreOutcomeUnknownError
 from hopstep.ports.machine_list import Machine
 
@@ -51,7 +53,8 @@
         """Carry out one store operation."""
         operation = msgspec.json.decode(await quart.request.get_data(), type=StoreOperation)
         try:
-            return _json(await shared.execute(operation))
+            effect = await shared.execute_in_era(operation)
+            return _tell_era(_json(effect.result), effect.era)
         except StoreOutcomeUnknownError:
             return _lost_answer()
 
@@ -80,7 +83,7 @@
     async def store_error(error: StoreError) -> quart.Response:
         """Render a refusal of the store or the machine list."""
         failure = StoreFailure(error.code, error.message)
-        return _json(failure, STATUS_OF_CODE[error.code])
+        return _tell_era(_json(failure, STATUS_OF_CODE[error.code]), shared.model.era)
 
     @app.errorhandler(msgspec.DecodeError)
     async def bad_request(error: msgspec.DecodeError) -> quart.Response:
@@ -118,6 +121,13 @@
     )
 
 
+def _tell_era(response: quart.Response, era: int) -> quart.Response:
+    """Name in an answer the era in which it was made, where the store tells one."""
+    if era != UNTOLD_ERA:
+        response.headers[ERA_HEADER] = str(era)
+    return response
+
+
 def _json(result: object, status: int = 200) -> quart.Response:
     """Return a JSON response."""
     return quart.Response(msgspec.json.encode(result), status=status, content_type=JSON_TYPE)
--- a/emulator/platform/shared_store.py
+++ b/emulator/platform/shared_store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 import trio
 
@@ -14,7 +16,6 @@
 )
 from hopstep.adapters import key_value_store_wire as wire
 from hopstep.exceptions import ErrorCode, StoreError, StoreOutcomeUnknownError
-from hopstep.ports.key_value_store import StoredValue, WatchBatch
 
 BURST_SECONDS = 1.0
 """Seconds of the rate limit that may come at once."""
@@ -29,7 +30,7 @@
         revision: The store's revision at that moment.
     """
 
-    result: object
+    result: Any
     era: int
     revision: int
 
@@ -45,7 +46,7 @@
         self.model = KeyValueStoreModel(history_length)
         self.faults = StoreFaults()
         self._bucket = TokenBucket()
-        self._cache: dict[str, StoredValue] | None = None
+        self._cache: dict[str, wire.Item] | None = None
         self._hidden_versions: set[int] = set()
         self._changed = trio.Event()
 
@@ -147,7 +148,7 @@
                 return list_page(self._cache, operation)
         return self.model.apply(operation, trio.current_time())
 
-    async def _watch(self, operation: wire.Watch) -> WatchBatch:
+    async def _watch(self, operation: wire.Watch) -> wire.Changes:
         """Wait for a change below the prefix that isn't hidden, or for the time to pass."""
         deadline = trio.current_time() + operation.wait_seconds
         while True:
@@ -161,7 +162,7 @@
             if self.model.era != era:
                 raise StoreError(ErrorCode.STORE_UNAVAILABLE, "the store was restored")
 
-    def _visible_changes(self, operation: wire.Watch) -> WatchBatch:
+    def _visible_changes(self, operation: wire.Watch) -> wire.Changes:
         """Return what a watch shows now."""
         self.model.expire_leases(trio.current_time())
         batch = self.model.changes(operation.prefix, operation.after_revision)
--- a/emulator/platform/store_model.py
+++ b/emulator/platform/store_model.py
@@ -12,8 +12,11 @@
 import msgspec
 
 from hopstep.adapters import key_value_store_wire as wire
+from hopstep.domain.store_place import UNTOLD_ERA
 from hopstep.exceptions import ErrorCode, StoreConflictError, StoreError
-from hopstep.ports.key_value_store import ABSENT, UNTOLD_ERA, StoredValue, WatchBatch
+
+ABSENT_REVISION = 0
+"""Revision of a key that does not exist."""
 
 DEFAULT_HISTORY_LENGTH = 1024
 """Changes that a watch can look back on."""
@@ -39,8 +42,8 @@
     """
 
     revision: int
-    values: Mapping[str, StoredValue]
-    history: tuple[StoredValue, ...]
+    values: Mapping[str, wire.Item]
+    history: tuple[wire.Item, ...]
     leases: Mapping[str, tuple[float, frozenset[str]]]
     leases_granted: int
 
@@ -55,18 +58,18 @@
     def __init__(self, history_length: int = DEFAULT_HISTORY_LENGTH) -> None:
         self.era = UNTOLD_ERA
         self._revision = 0
-        self._values: dict[str, StoredValue] = {}
+        self._values: dict[str, wire.Item] = {}
         self._lease_of_key: dict[str, str] = {}
         self._leases: dict[str, _Lease] = {}
         self._leases_granted = 0
-        self._history: collections.deque[StoredValue] = collections.deque(maxlen=history_length)
+        self._history: collections.deque[wire.Item] = collections.deque(maxlen=history_length)
 
     @property
     def revision(self) -> int:
         """Store-wide revision of the last change; 0 before the first."""
         return self._revision
 
-    def snapshot(self) -> dict[str, StoredValue]:
+    def snapshot(self) -> dict[str, wire.Item]:
         """Return a copy of all values, as a cache in front of the service would hold it."""
         return dict(self._values)
 
@@ -140,11 +143,11 @@
         """Drop all changes that watches could look back on."""
         self._history.clear()
 
-    def changes(self, prefix: str, after_revision: int) -> WatchBatch:
+    def changes(self, prefix: str, after_revision: int) -> wire.Changes:
         """Return changes after a revision; those beyond the history are lost."""
         changes = (change for change in self._history if change.version > after_revision)
         values = tuple(change for change in changes if change.key.startswith(prefix))
-        return WatchBatch(self._revision, values, self.era)
+        return wire.Changes(self._revision, values)
 
     def expire_leases(self, now: float) -> None:
         """Let every lease lapse whose time has come."""
@@ -192,7 +195,7 @@
     def _require_version(self, key: str, expected_version: int) -> None:
         """Raise a conflict unless ``key`` is at ``expected_version``."""
         value = self._values.get(key)
-        version = value.version if value else ABSENT
+        version = value.version if value else ABSENT_REVISION
         if version != expected_version:
             raise StoreConflictError(
                 ErrorCode.STORE_CONFLICT, f"version {version} found, {expected_version} expected"
@@ -214,7 +217,7 @@
     def _record(self, key: str, value: bytes) -> None:
         """Count a change and keep it for watches."""
         self._revision += 1
-        self._history.append(StoredValue(key, value, self._revision))
+        self._history.append(wire.Item(key, value, self._revision))
 
     def _grant_lease(self, time_to_live_seconds: float, now: float) -> str:
         """Return a new lease."""
@@ -233,7 +236,7 @@
         lease.lapses_at = now + lease.time_to_live_seconds
 
 
-def list_page(values: dict[str, StoredValue], operation: wire.List) -> list[StoredValue]:
+def list_page(values: dict[str, wire.Item], operation: wire.List) -> list[wire.Item]:
     """Return one page of ``values``, by key."""
     keys = sorted(
         key for key in values if key.startswith(operation.prefix) and key > operation.after_key
--- a/emulator/soak/recorder.py
+++ b/emulator/soak/recorder.py
@@ -9,9 +9,9 @@
 
 from emulator.exchange_platform.http_instance import HttpInstance, InstanceWords, RunHeaders
 from emulator.platform.shared_store import SharedStore
+from emulator.platform.store_model import ABSENT_REVISION
 from emulator.soak.history import Arrival, History, Run, SaidWord, TakenOrder
 from hopstep.adapters import key_value_store_wire as wire
-from hopstep.ports.key_value_store import ABSENT, StoredValue
 
 
 class DirectStore:
@@ -32,13 +32,13 @@
     def put_bytes(self, key: str, value: bytes) -> None:
         """Write any bytes."""
         stored = self._shared.model.apply(wire.Get(key), trio.current_time())
-        version = stored.version if isinstance(stored, StoredValue) else ABSENT
+        version = stored.version if isinstance(stored, wire.Item) else ABSENT_REVISION
         self._shared.write_directly(wire.CompareAndSwap(key, version, value))
 
     def remove(self, key: str) -> None:
         """Remove a key that may exist."""
         stored = self._shared.model.apply(wire.Get(key), trio.current_time())
-        if isinstance(stored, StoredValue):
+        if isinstance(stored, wire.Item):
             self._shared.write_directly(wire.Delete(key, stored.version))
 
 
--- a/hopstep/adapters/key_value_store_http.py
+++ b/hopstep/adapters/key_value_store_http.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
+from typing import Generic, TypeVar
 
 import httpx
 import msgspec
@@ -10,13 +10,22 @@
 
 from hopstep.adapters import key_value_store_wire as wire
 from hopstep.adapters.platform_http import PlatformHttpClient
+from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
 from hopstep.exceptions import (
     ErrorCode,
     StoreConflictError,
     StoreError,
     StoreOutcomeUnknownError,
 )
-from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue, WatchBatch
+from hopstep.ports.key_value_store import (
+    KeyValueStorePort,
+    StoredValue,
+    StoreLease,
+    WatchBatch,
+    require_era,
+    require_lease_era,
+    require_write_era,
+)
 
 NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 """Failures before the first byte of a request left this process."""
@@ -28,14 +37,21 @@
 
 Result = TypeVar("Result")
 
-_VALUE: msgspec.json.Decoder[StoredValue | None] = msgspec.json.Decoder(StoredValue | None)
-_PAGE = msgspec.json.Decoder(list[StoredValue])
-_VERSION = msgspec.json.Decoder(int)
-_BATCH = msgspec.json.Decoder(WatchBatch)
+_ITEM: msgspec.json.Decoder[wire.Item | None] = msgspec.json.Decoder(wire.Item | None)
+_PAGE = msgspec.json.Decoder(list[wire.Item])
+_REVISION = msgspec.json.Decoder(int)
+_CHANGES = msgspec.json.Decoder(wire.Changes)
 _LEASE = msgspec.json.Decoder(str)
 _NOTHING: msgspec.json.Decoder[None] = msgspec.json.Decoder(None)
 
 
+class _Answer(msgspec.Struct, Generic[Result], frozen=True):
+    """Result of an operation, and the era that the answer names."""
+
+    result: Result
+    era: int
+
+
 class HttpKeyValueStore(PlatformHttpClient, KeyValueStorePort):
     """Client of the key-value service; see ``PlatformHttpClient`` for its arguments.
 
@@ -46,41 +62,57 @@
 
     async def get(self, key: str) -> StoredValue | None:
         """Return the value of ``key``; see the port."""
-        return await self._call(wire.Get(key), _VALUE)
+        answer = await self._call(wire.Get(key), _ITEM)
+        return answer.result.read(answer.era) if answer.result is not None else None
 
     async def list(self, prefix: str, after_key: str = "", limit: int = 1000) -> list[StoredValue]:
         """Return a page of values; see the port."""
-        return await self._call(wire.List(prefix, after_key, limit), _PAGE)
+        answer = await self._call(wire.List(prefix, after_key, limit), _PAGE)
+        return [item.read(answer.era) for item in answer.result]
 
     async def compare_and_swap(
-        self, key: str, expected_version: int, value: bytes, lease: str = ""
-    ) -> int:
+        self,
+        key: str,
+        expected_version: StorePlace,
+        value: bytes,
+        lease: StoreLease | None = None,
+    ) -> StorePlace:
         """Write one key at an expected version; see the port."""
-        return await self._call(wire.CompareAndSwap(key, expected_version, value, lease), _VERSION)
+        name = lease.name if lease is not None else ""
+        operation = wire.CompareAndSwap(key, expected_version.revision, value, name)
+        answer = await self._call(operation, _REVISION)
+        require_write_era(expected_version, lease, answer.era)
+        return StorePlace(answer.era, answer.result)
 
-    async def delete(self, key: str, expected_version: int) -> None:
+    async def delete(self, key: str, expected_version: StorePlace) -> None:
         """Delete one key at an expected version; see the port."""
-        await self._call(wire.Delete(key, expected_version), _NOTHING)
-
-    async def watch(self, prefix: str, after_revision: int, wait_seconds: float) -> WatchBatch:
-        """Return changes after a revision; see the port."""
-        operation = wire.Watch(prefix, after_revision, wait_seconds)
-        return await self._call(operation, _BATCH, extra_seconds=wait_seconds)
-
-    async def grant_lease(self, time_to_live_seconds: float) -> str:
+        answer = await self._call(wire.Delete(key, expected_version.revision), _NOTHING)
+        require_write_era(expected_version, None, answer.era)
+
+    async def watch(self, prefix: str, after: StorePlace, wait_seconds: float) -> WatchBatch:
+        """Return changes after a place; see the port."""
+        operation = wire.Watch(prefix, after.revision, wait_seconds)
+        answer = await self._call(operation, _CHANGES, extra_seconds=wait_seconds)
+        require_era(after.era, answer.era)
+        values = tuple(item.read(answer.era) for item in answer.result.values)
+        return WatchBatch(StorePlace(answer.era, answer.result.revision), values)
+
+    async def grant_lease(self, time_to_live_seconds: float) -> StoreLease:
         """Return a new lease; see the port."""
-        return await self._call(wire.GrantLease(time_to_live_seconds), _LEASE)
+        answer = await self._call(wire.GrantLease(time_to_live_seconds), _LEASE)
+        return StoreLease(answer.result, answer.era)
 
-    async def keep_alive(self, lease: str) -> None:
+    async def keep_alive(self, lease: StoreLease) -> None:
         """Renew a lease; see the port."""
-        await self._call(wire.KeepAlive(lease), _NOTHING)
+        answer = await self._call(wire.KeepAlive(lease.name), _NOTHING)
+        require_lease_era(lease, answer.era)
 
     async def _call(
         self,
         operation: wire.StoreOperation,
         decoder: msgspec.json.Decoder[Result],
         extra_seconds: float = 0.0,
-    ) -> Result:
+    ) -> _Answer[Result]:
         """Carry out one operation and decode its result."""
         timeout = httpx.Timeout(self._timeout_seconds, read=self._timeout_seconds + extra_seconds)
         content = msgspec.json.encode(operation)
@@ -97,9 +129,15 @@
         if response.status_code != httpx.codes.OK:
             raise _failure(operation, response.content)
         try:
-            return decoder.decode(response.content)
+            result = decoder.decode(response.content)
         except msgspec.DecodeError as error:
             raise _no_answer(operation) from error
+        return _Answer(result, _read_era(response.headers.get(wire.ERA_HEADER, "")))
+
+
+def _read_era(text: str) -> int:
+    """Return the era that a header names; ``UNTOLD_ERA`` without one, or for no number."""
+    return int(text) if text.isdecimal() and text.isascii() else UNTOLD_ERA
 
 
 def _failure(operation: wire.StoreOperation, content: bytes) -> StoreError:
--- a/hopstep/adapters/key_value_store_wire.py
+++ b/hopstep/adapters/key_value_store_wire.py
@@ -2,27 +2,61 @@
 
 Every operation is one ``POST`` to ``STORE_PATH``; the field ``operation`` names it and bytes
 are base64. The answer of status 200 is the result alone, of the type that the operation's
-class documents. Every other status carries a ``StoreFailure``.
+class documents. Every other status carries a ``StoreFailure``. All answers name the service's era
+in the header ``ERA_HEADER``, where it tells one.
 """
 
 from __future__ import annotations
 
 import msgspec
 
+from hopstep.domain.store_place import StorePlace
 from hopstep.exceptions import ErrorCode
+from hopstep.ports.key_value_store import StoredValue
 
 STORE_PATH = "/v1/store"
 MACHINES_PATH = "/v1/machines"
+ERA_HEADER = "store-era"
+
+
+class Item(msgspec.Struct, frozen=True):
+    """A value as the service holds it.
+
+    Attributes:
+        key: Key.
+        value: Bytes; empty where a watch shows that the key is gone.
+        version: Store-wide revision of the last write, above 0.
+    """
+
+    key: str
+    value: bytes
+    version: int
+
+    def read(self, era: int) -> StoredValue:
+        """Return the value as an answer of an era shows it."""
+        return StoredValue(self.key, self.value, StorePlace(era, self.version))
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """What a watch shows.
+
+    Attributes:
+        revision: Store-wide revision up to which it reaches.
+        values: Changed values, oldest first.
+    """
+
+    revision: int
+    values: tuple[Item, ...]
 
 
 class Get(msgspec.Struct, frozen=True, tag_field="operation", tag="get"):
-    """Read one key; answers ``StoredValue | None``."""
+    """Read one key; answers ``Item | None``."""
 
     key: str
 
 
 class List(msgspec.Struct, frozen=True, tag_field="operation", tag="list"):
-    """Read a page of keys; answers ``list[StoredValue]``."""
+    """Read a page of keys; answers ``list[Item]``."""
 
     prefix: str
     after_key: str = ""
@@ -46,7 +80,7 @@
 
 
 class Watch(msgspec.Struct, frozen=True, tag_field="operation", tag="watch"):
-    """Read changes; answers ``WatchBatch``, after up to ``wait_seconds`` without any."""
+    """Read changes; answers ``Changes``, after up to ``wait_seconds`` without any."""
 
     prefix: str
     after_revision: int
--- a/hopstep/domain/claims.py
+++ b/hopstep/domain/claims.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from hopstep.domain.store_place import StorePlace
+
 CLAIM_PREFIX = "claims/"
 """Prefix of all claims in the key-value store."""
 
@@ -54,7 +56,7 @@
     """
 
     key: str
-    version: int
+    version: StorePlace
     claim: Claim
 
 
--- a/hopstep/domain/exchanges/directory_feed.py
+++ b/hopstep/domain/exchanges/directory_feed.py
@@ -1,4 +1,4 @@
-"""The newest change of every directory key, in the order of store revisions, for other nodes.
+"""The newest change of every directory key, in the order of the store's history, for other nodes.
 
 Removals are kept too, a bounded number of them: a reader that lacks older ones must read the store.
 """
@@ -10,7 +10,10 @@
 
 import msgspec
 
+from hopstep.domain.store_place import NOWHERE, StorePlace
+
 MAX_REMOVALS = 2_000
+MAX_ERAS_LEFT = 64
 
 Change = TypeVar("Change")
 
@@ -20,14 +23,14 @@
 
     Attributes:
         key: The key.
-        revision: Store revision of the change.
+        place: Place of the change.
         change: The change.
         since: Steady clock, seconds: not later than when the change was acknowledged.
         removed: Whether the key is gone.
     """
 
     key: str
-    revision: int
+    place: StorePlace
     change: Change
     since: float
     removed: bool = False
@@ -37,25 +40,32 @@
     """Changes by key."""
 
     def __init__(self) -> None:
-        """Know nothing yet; ``start`` says from which revision on nothing is missing."""
+        """Know nothing yet; ``start`` says from which place on nothing is missing."""
         self._entries: OrderedDict[str, FeedEntry[Change]] = OrderedDict()
-        self._removals: deque[tuple[str, int]] = deque()
-        self._complete_from: int | None = None
+        self._removals: deque[tuple[str, StorePlace]] = deque()
+        self._complete_from: StorePlace | None = None
+        self._left: dict[int, StorePlace] = {}
 
-    def start(self, revision: int) -> None:
-        """Note the revision of the first snapshot; later ones change nothing."""
+    def start(self, place: StorePlace) -> None:
+        """Note the place of the first snapshot; later ones change nothing."""
         if self._complete_from is None:
-            self._complete_from = revision
+            self._complete_from = place
+
+    def leave(self, place: StorePlace) -> None:
+        """Note where an era is left: what was written in it after this place isn't known."""
+        self._left[place.era] = place
+        while len(self._left) > MAX_ERAS_LEFT:
+            del self._left[next(iter(self._left))]
 
     def put(self, entry: FeedEntry[Change]) -> bool:
         """Take a change; return False when a newer one of its key is known."""
         known = self._entries.get(entry.key)
-        if known is not None and known.revision >= entry.revision:
+        if known is not None and known.place >= entry.place:
             return False
         self._entries[entry.key] = entry
         self._entries.move_to_end(entry.key)
         if entry.removed:
-            self._removals.append((entry.key, entry.revision))
+            self._removals.append((entry.key, entry.place))
             self._forget_removals()
         return True
 
@@ -67,22 +77,32 @@
         """Return the entries of keys that exist."""
         return [entry for entry in self._entries.values() if not entry.removed]
 
-    def after(self, revision: int) -> list[FeedEntry[Change]] | None:
-        """Return the changes after a revision, oldest first; None when some aren't known."""
-        if self._complete_from is None or revision < self._complete_from:
+    def after(self, place: StorePlace) -> list[FeedEntry[Change]] | None:
+        """Return the changes after a place, oldest first; None when some aren't known.
+
+        A place of an earlier era counts as long as that era was left behind it.
+        """
+        if self._complete_from is None or place < self._complete_from:
+            return None
+        if self._newest_era() > place.era and place > self._left.get(place.era, NOWHERE):
             return None
         newer = []
         for entry in reversed(self._entries.values()):
-            if entry.revision <= revision:
+            if entry.place <= place:
                 break
             newer.append(entry)
         return newer[::-1]
 
+    def _newest_era(self) -> int:
+        """Return the era of the newest change."""
+        newest = next(reversed(self._entries.values()), None)
+        return newest.place.era if newest is not None else NOWHERE.era
+
     def _forget_removals(self) -> None:
         """Drop the oldest removals beyond the bound."""
         while len(self._removals) > MAX_REMOVALS:
-            key, revision = self._removals.popleft()
+            key, place = self._removals.popleft()
             entry = self._entries.get(key)
-            if entry is not None and entry.removed and entry.revision == revision:
+            if entry is not None and entry.removed and entry.place == place:
                 del self._entries[key]
-                self._complete_from = max(self._complete_from or 0, revision)
+                self._complete_from = max(self._complete_from or place, place)
--- a/hopstep/domain/exchanges/nodes.py
+++ b/hopstep/domain/exchanges/nodes.py
@@ -22,10 +22,13 @@
 """Nodes of a zone behind its relays, by rank, that read the store when all relays have lost it."""
 
 
-MESSAGE_FORM = 2
+MESSAGE_FORM = 3
 """Form of the messages and records that this version writes. It rises with each change after which
 an older version reads less of them; 0 is all before nodes told it (design 0029)."""
 
+FORM_WITH_ERAS = 3
+"""From this form on nodes tell the era of each place in the store's history."""
+
 
 class NodeRecord(msgspec.Struct, frozen=True):
     """A node's entry in the store.
--- /dev/null
+++ b/hopstep/domain/store_place.py
@@ -0,0 +1,28 @@
+"""A place in the history of a store that may be restored from a copy.
+
+After a restore the store's revisions go back and are given out again, so that a revision alone says
+nothing of which of two changes is the later one. The era rises with each restore.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+UNTOLD_ERA = 0
+"""Era of a store that tells none."""
+
+
+class StorePlace(msgspec.Struct, frozen=True, order=True):
+    """A moment of the store's history; later ones are greater.
+
+    Attributes:
+        era: How often the store had been restored, as it tells.
+        revision: Store-wide revision within the era.
+    """
+
+    era: int
+    revision: int
+
+
+NOWHERE = StorePlace(-1, -1)
+"""Before anything: place of a node that knows nothing."""
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -140,7 +140,7 @@
         self.quarantine_records = QuarantineRecords(self.quarantine, ports.store, generator)
         self.knowledge.follow_records(
             QUARANTINE_PREFIX,
-            lambda record: self.quarantine_records.take(record.key, record.value, record.revision),
+            lambda record: self.quarantine_records.take(record.key, record.value, record.version),
         )
         self.crash_news = CrashNews(self.quarantine, urgent)
         self.metrics = self._make_metrics()
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -481,7 +481,7 @@
     "HS4103",
     "directory_history_lost",
     Level.WARNING,
-    ("revision",),
+    ("era", "revision"),
     "Nothing: the node lists the store again.",
 )
 STORE_LOST = LogEvent(
@@ -506,12 +506,12 @@
     ("era", "previous", "revision", "previous_revision"),
     "The store was restored from a copy: see the operators' page.",
 )
-DIRECTORY_ENTRIES_OLDER = LogEvent(
+STORE_ANSWER_OUTDATED = LogEvent(
     "HS4108",
-    "directory_entries_older",
-    Level.WARNING,
-    ("era", "revision", "count", "keys"),
-    "The store shows older entries than the node knows: see HS4107 before it.",
+    "store_answer_outdated",
+    Level.INFO,
+    ("era", "revision", "known_era"),
+    "Nothing once; if it lasts, the store names a lower era than before: restart the nodes.",
 )
 SETTINGS_RELOADED = LogEvent("HS1005", "settings_reloaded", Level.INFO, ("changed",), "Nothing.")
 SETTINGS_REJECTED = LogEvent(
--- a/hopstep/platform/directory.py
+++ b/hopstep/platform/directory.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from hopstep.domain.store_place import StorePlace
 from hopstep.platform import names
 from hopstep.platform.documents import (
     ConfigurationDocument,
@@ -61,16 +62,16 @@
     async def snapshot(self) -> DirectoryBatch:
         """Return all entries; see the port."""
         listing = await self._store.listing(EVERYTHING)
-        return DirectoryBatch(listing.revision, self._read_all(listing.values), listing.era)
+        return DirectoryBatch(listing.place, self._read_all(listing.values))
 
     async def reconnect(self) -> None:
         """Leave the store's connections; see the port."""
         await self._store.reconnect()
 
-    async def changes(self, after_revision: int, wait_seconds: float) -> DirectoryBatch:
+    async def changes(self, after: StorePlace, wait_seconds: float) -> DirectoryBatch:
         """Return changes; see the port."""
-        batch = await self._store.watch(EVERYTHING, after_revision, wait_seconds)
-        return DirectoryBatch(batch.revision, self._read_all(batch.values), batch.era)
+        batch = await self._store.watch(EVERYTHING, after, wait_seconds)
+        return DirectoryBatch(batch.place, self._read_all(batch.values))
 
     def _read_all(self, values: tuple[StoredValue, ...]) -> tuple[DirectoryEntry, ...]:
         """Return the entries that stored values stand for."""
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -11,6 +11,7 @@
 import msgspec
 import trio
 
+from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
 from hopstep.exceptions import (
     ErrorCode,
     StoreConflictError,
@@ -22,11 +23,14 @@
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
 from hopstep.platform.vocabulary import Vocabulary
 from hopstep.ports.key_value_store import (
-    UNTOLD_ERA,
     KeyValueStorePort,
     StoredValue,
+    StoreLease,
     StoreListing,
     WatchBatch,
+    require_era,
+    require_lease_era,
+    require_write_era,
 )
 from hopstep.ports.unknown_words import UnknownWordListener, WordPlace, ignore_unknown
 
@@ -53,10 +57,10 @@
     value: str = ""
     deleted: bool = False
 
-    def read(self) -> StoredValue:
-        """Return the stored value."""
+    def read(self, era: int) -> StoredValue:
+        """Return the stored value as an answer of an era shows it."""
         value = b"" if self.deleted else _decode_value(self.value)
-        return StoredValue(self.private_key, value, self.revision)
+        return StoredValue(self.private_key, value, StorePlace(era, self.revision))
 
 
 class _Range(msgspec.Struct, frozen=True, rename="camel"):
@@ -144,55 +148,66 @@
         answer = await self._call(GET, names.STORE_ITEM, {"privateKey": key})
         if answer.status == NOT_FOUND:
             return None
-        return self._decode(answer, _Item).read()
+        return self._decode(answer, _Item).read(answer.era)
 
     async def list(self, prefix: str, after_key: str = "", limit: int = 1000) -> list[StoredValue]:
         """Return a page of values; see the port."""
-        page, _ = await self._page(prefix, after_key)
-        return [item.read() for item in page.items[:limit]]
+        page, era = await self._page(prefix, after_key)
+        return [item.read(era) for item in page.items[:limit]]
 
     async def listing(self, prefix: str) -> StoreListing:
         """Return all values; see the port."""
         page, era = await self._page(prefix, "")
-        revision = page.at_revision
-        values = [item.read() for item in page.items]
+        place = StorePlace(era, page.at_revision)
+        values = [item.read(era) for item in page.items]
         while page.has_more and page.items:
-            page, _ = await self._page(prefix, page.items[-1].private_key)
-            values.extend(item.read() for item in page.items)
-        return StoreListing(revision, tuple(values), era)
+            page, page_era = await self._page(prefix, page.items[-1].private_key)
+            require_era(era, page_era)
+            values.extend(item.read(era) for item in page.items)
+        return StoreListing(place, tuple(values))
 
     async def compare_and_swap(
-        self, key: str, expected_version: int, value: bytes, lease: str = ""
-    ) -> int:
+        self,
+        key: str,
+        expected_version: StorePlace,
+        value: bytes,
+        lease: StoreLease | None = None,
+    ) -> StorePlace:
         """Write one key; see the port."""
         put = _Put(key, base64.b64encode(value).decode(), _lease_number(lease))
-        transaction = _Transaction([_Condition(key, expected_version)], put=[put])
-        return await self._transact(transaction)
+        condition = _Condition(key, expected_version.revision)
+        place = await self._transact(_Transaction([condition], put=[put]))
+        require_write_era(expected_version, lease, place.era)
+        return place
 
-    async def delete(self, key: str, expected_version: int) -> None:
+    async def delete(self, key: str, expected_version: StorePlace) -> None:
         """Delete one key; see the port."""
-        await self._transact(_Transaction([_Condition(key, expected_version)], removals=[key]))
+        condition = _Condition(key, expected_version.revision)
+        place = await self._transact(_Transaction([condition], removals=[key]))
+        require_write_era(expected_version, None, place.era)
 
-    async def watch(self, prefix: str, after_revision: int, wait_seconds: float) -> WatchBatch:
+    async def watch(self, prefix: str, after: StorePlace, wait_seconds: float) -> WatchBatch:
         """Return changes; see the port."""
         wait = int(wait_seconds * MILLISECONDS)
-        query = {"pathPrefix": prefix, "after": after_revision, "waitMs": wait}
+        query = {"pathPrefix": prefix, "after": after.revision, "waitMs": wait}
         answer = await self._call(GET, names.STORE_WATCH, query, extra_seconds=wait_seconds)
         if answer.status == GONE:
             raise StoreHistoryLostError(ErrorCode.STORE_HISTORY_LOST, "the history is gone")
         batch = self._decode(answer, _Events)
-        values = tuple(item.read() for item in batch.events)
-        return WatchBatch(batch.at_revision, values, answer.era)
+        require_era(after.era, answer.era)
+        values = tuple(item.read(answer.era) for item in batch.events)
+        return WatchBatch(StorePlace(answer.era, batch.at_revision), values)
 
-    async def grant_lease(self, time_to_live_seconds: float) -> str:
+    async def grant_lease(self, time_to_live_seconds: float) -> StoreLease:
         """Return a new lease; see the port."""
         body = msgspec.json.encode(_LeaseRequest(int(time_to_live_seconds * MILLISECONDS)))
         answer = await self._call(POST, names.STORE_LEASE, body=body)
-        return str(self._decode(answer, _Lease).lease_id)
+        return StoreLease(str(self._decode(answer, _Lease).lease_id), answer.era)
 
-    async def keep_alive(self, lease: str) -> None:
+    async def keep_alive(self, lease: StoreLease) -> None:
         """Renew a lease; see the port."""
-        answer = await self._call(POST, names.STORE_RENEW + lease)
+        answer = await self._call(POST, names.STORE_RENEW + lease.name)
+        require_lease_era(lease, answer.era)
         if answer.status == NOT_FOUND:
             raise StoreConflictError(ErrorCode.STORE_CONFLICT, "the lease is over")
         _require_ok(answer)
@@ -201,9 +216,9 @@
         """Leave idle connections; see the port. Calls under way keep theirs until they end."""
         await self._client.drop_idle(self._address)
 
-    async def end_lease(self, lease: str) -> None:
+    async def end_lease(self, lease: StoreLease) -> None:
         """End a lease; see the port."""
-        await self._call(DELETE, names.STORE_LEASE_END + lease)
+        await self._call(DELETE, names.STORE_LEASE_END + lease.name)
 
     async def _page(self, prefix: str, after_key: str) -> tuple[_Range, int]:
         """Return one page of a range, and the era of its answer."""
@@ -213,13 +228,13 @@
         answer = await self._call(GET, names.STORE_RANGE, query)
         return self._decode(answer, _Range), answer.era
 
-    async def _transact(self, transaction: _Transaction) -> int:
-        """Carry out a transaction and return its revision."""
+    async def _transact(self, transaction: _Transaction) -> StorePlace:
+        """Carry out a transaction and return its place."""
         body = msgspec.json.encode(transaction)
         answer = await self._call(POST, names.STORE_TRANSACTION, body=body)
         if answer.status in (CONDITION_FAILED, NOT_FOUND):
             raise StoreConflictError(ErrorCode.STORE_CONFLICT, "the condition doesn't hold")
-        return self._decode(answer, _Written).revision
+        return StorePlace(answer.era, self._decode(answer, _Written).revision)
 
     def _decode(self, answer: _Answer, document: type[Document]) -> Document:
         """Return the document of an answer, and tell of its fields that nothing reads."""
@@ -281,11 +296,13 @@
         return text.encode("utf-8", "surrogatepass")
 
 
-def _lease_number(lease: str) -> int:
+def _lease_number(lease: StoreLease | None) -> int:
     """Return the number of a lease; 0 for none."""
-    if lease and not lease.isdecimal():
+    if lease is None:
+        return 0
+    if not lease.name.isdecimal():
         raise StoreConflictError(ErrorCode.STORE_CONFLICT, "the store never granted this lease")
-    return int(lease or 0)
+    return int(lease.name)
 
 
 def _no_answer(method: bytes, sent: bool) -> StoreError:
--- a/hopstep/ports/key_value_store.py
+++ b/hopstep/ports/key_value_store.py
@@ -2,6 +2,10 @@
 
 The service is small, rate-limited, and has outages. When it is down every method raises
 ``StoreError`` at once or after the adapter's timeout; nothing blocks for longer.
+
+It may come back from a copy that is some seconds old: what was written since is gone, leases too,
+and revisions and leases are given out again. Versions and leases therefore carry the era of the
+answer that named them; a condition is checked by the service against the revision alone.
 """
 
 from __future__ import annotations
@@ -10,12 +14,16 @@
 
 import msgspec
 
-ABSENT = 0
-"""Version of a key that does not exist."""
-
+from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
+from hopstep.exceptions import (
+    ErrorCode,
+    StoreConflictError,
+    StoreHistoryLostError,
+    StoreOutcomeUnknownError,
+)
 
-UNTOLD_ERA = 0
-"""Era of a store that tells none."""
+ABSENT = StorePlace(UNTOLD_ERA, 0)
+"""Version of a key that does not exist."""
 
 
 class StoredValue(msgspec.Struct, frozen=True):
@@ -24,42 +32,51 @@
     Attributes:
         key: Key.
         value: Bytes.
-        version: Store-wide revision of the last write to this key, above 0.
+        version: Place of the last write to this key, after ``ABSENT``. Its era is that of the
+            answer: the write itself may have been made in an earlier one.
     """
 
     key: str
     value: bytes
-    version: int
+    version: StorePlace
 
 
 class WatchBatch(msgspec.Struct, frozen=True):
-    """Changed keys since a revision; deleted keys have an empty value.
+    """Changed keys since a place; deleted keys have an empty value.
 
     Attributes:
-        revision: Store-wide revision up to which the batch reaches.
+        place: Place up to which the batch reaches.
         values: Changed values, oldest first. A watch may lose changes: readers list again
             from time to time.
-        era: How often the store has been restored from a copy, as it tells.
     """
 
-    revision: int
+    place: StorePlace
     values: tuple[StoredValue, ...]
-    era: int = UNTOLD_ERA
 
 
 class StoreListing(msgspec.Struct, frozen=True):
-    """All values below a prefix, with the revision from which a watch goes on.
+    """All values below a prefix, with the place from which a watch goes on.
 
     Attributes:
-        revision: No change after it is missing from a watch that starts here; values may already
+        place: No change after it is missing from a watch that starts here; values may already
             hold later ones.
         values: Values by key.
-        era: How often the store has been restored from a copy, as it tells.
     """
 
-    revision: int
+    place: StorePlace
     values: tuple[StoredValue, ...]
-    era: int = UNTOLD_ERA
+
+
+class StoreLease(msgspec.Struct, frozen=True):
+    """A lease; it means nothing in another era, where its name may be that of another lease.
+
+    Attributes:
+        name: Name that the service gave it.
+        era: Era in which it was granted.
+    """
+
+    name: str
+    era: int
 
 
 class KeyValueStorePort(abc.ABC):
@@ -67,7 +84,8 @@
 
     All methods raise ``StoreError`` (no effect: unavailable or rate-limited). Writes raise
     ``StoreConflictError`` when the expected version differs and ``StoreOutcomeUnknownError``
-    when the answer was lost after sending.
+    when the answer was lost after sending, or when the service was restored from a copy between
+    what the write relies on and the write.
     """
 
     @abc.abstractmethod
@@ -80,30 +98,35 @@
 
     @abc.abstractmethod
     async def compare_and_swap(
-        self, key: str, expected_version: int, value: bytes, lease: str = ""
-    ) -> int:
+        self,
+        key: str,
+        expected_version: StorePlace,
+        value: bytes,
+        lease: StoreLease | None = None,
+    ) -> StorePlace:
         """Write ``value`` if the key is at ``expected_version`` (``ABSENT`` to create).
 
         Args:
             key: Key.
             expected_version: Version that the key must have.
             value: New bytes.
-            lease: Lease that the key is bound to; empty for none.
+            lease: Lease that the key is bound to; None for none.
 
         Returns:
             The new version.
         """
 
     @abc.abstractmethod
-    async def delete(self, key: str, expected_version: int) -> None:
+    async def delete(self, key: str, expected_version: StorePlace) -> None:
         """Delete ``key`` if it is at ``expected_version``."""
 
     @abc.abstractmethod
-    async def watch(self, prefix: str, after_revision: int, wait_seconds: float) -> WatchBatch:
-        """Return changes below ``prefix`` after a revision, waiting up to ``wait_seconds``.
+    async def watch(self, prefix: str, after: StorePlace, wait_seconds: float) -> WatchBatch:
+        """Return changes below ``prefix`` after a place, waiting up to ``wait_seconds``.
 
         Raises:
-            StoreHistoryLostError: When the service has forgotten these changes; list again.
+            StoreHistoryLostError: When the service doesn't have the place, or has forgotten these
+                changes; list again.
         """
 
     async def listing(self, prefix: str) -> StoreListing:
@@ -111,25 +134,59 @@
 
         Adapters whose service tells its revision override this; here it is the highest one seen
         on the first page, which is never too high.
+
+        Raises:
+            StoreHistoryLostError: When the service was restored meanwhile; list again.
         """
         values: list[StoredValue] = []
-        revision: int | None = None
+        place: StorePlace | None = None
         while page := await self.list(prefix, values[-1].key if values else ""):
-            if revision is None:
-                revision = max(value.version for value in page)
+            if place is None:
+                place = max(value.version for value in page)
+            require_era(place.era, page[0].version.era)
             values.extend(page)
-        return StoreListing(revision or 0, tuple(values))
+        return StoreListing(place or ABSENT, tuple(values))
 
     @abc.abstractmethod
-    async def grant_lease(self, time_to_live_seconds: float) -> str:
+    async def grant_lease(self, time_to_live_seconds: float) -> StoreLease:
         """Return a new lease; keys bound to it vanish when it lapses."""
 
     @abc.abstractmethod
-    async def keep_alive(self, lease: str) -> None:
-        """Renew a lease; raises ``StoreConflictError`` when it has lapsed."""
+    async def keep_alive(self, lease: StoreLease) -> None:
+        """Renew a lease; raises ``StoreConflictError`` when it has lapsed, or is of another era."""
 
     async def reconnect(self) -> None:  # noqa: B027 - optional
         """Leave connections that may have fallen silent; adapters without any do nothing."""
 
-    async def end_lease(self, lease: str) -> None:  # noqa: B027 - optional
+    async def end_lease(self, lease: StoreLease) -> None:  # noqa: B027 - optional
         """End a lease early, with its keys; services without such a call let it lapse."""
+
+
+def require_era(expected: int, era: int) -> None:
+    """Raise ``StoreHistoryLostError`` unless an answer is of the era that a reader goes on from."""
+    if era != expected:
+        raise StoreHistoryLostError(
+            ErrorCode.STORE_HISTORY_LOST, f"an answer of era {era} in place of {expected}"
+        )
+
+
+def require_lease_era(lease: StoreLease, era: int) -> None:
+    """Raise ``StoreConflictError`` unless a renewal's answer is of the lease's own era."""
+    if era != lease.era:
+        raise StoreConflictError(
+            ErrorCode.STORE_CONFLICT, f"the lease was granted in era {lease.era}, not in {era}"
+        )
+
+
+def require_write_era(expected_version: StorePlace, lease: StoreLease | None, era: int) -> None:
+    """Raise ``StoreOutcomeUnknownError`` unless a write was done in the era that it relies on.
+
+    Done in another one it may have overwritten something else, or be bound to another's lease.
+    """
+    relied = [lease.era] if lease is not None else []
+    if expected_version != ABSENT:
+        relied.append(expected_version.era)
+    if any(relied_era != era for relied_era in relied):
+        raise StoreOutcomeUnknownError(
+            ErrorCode.STORE_OUTCOME_UNKNOWN, f"the write was done in era {era}"
+        )
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -17,7 +17,17 @@
 from hopstep.domain.exchanges.store_contents import ContentsNews, ContentsPosition
 from hopstep.domain.limits.fleet_usage import Usage
 from hopstep.domain.quarantine.crashes import RequestCrashes
-from hopstep.ports.serving_directory import DirectoryEntry
+from hopstep.domain.store_place import NOWHERE, UNTOLD_ERA, StorePlace
+from hopstep.ports.serving_directory import (
+    ConfigurationPublished,
+    DirectoryEntry,
+    InstanceListed,
+    InstanceRejected,
+    InstanceRemoved,
+    RecordWritten,
+    Unreadable,
+    WeightsPublished,
+)
 
 
 class SegmentNews(msgspec.Struct, frozen=True, array_like=True):
@@ -140,6 +150,7 @@
         position: News up to it are known.
         hints: The node's own, told to its relay only; None for a node that just looks for news.
         contents: How far the node knows each cache store.
+        era: Era of ``revision``.
     """
 
     number: int
@@ -148,6 +159,71 @@
     position: int = 0
     hints: Hints | None = None
     contents: tuple[ContentsPosition, ...] = ()
+    era: int = UNTOLD_ERA
+
+    @property
+    def place(self) -> StorePlace:
+        """Place up to which the node has all changes; ``NOWHERE`` for none."""
+        return StorePlace(self.era, self.revision) if self.revision >= 0 else NOWHERE
+
+
+class ToldRecord(msgspec.Struct, frozen=True, tag="RecordWritten"):
+    """A ``RecordWritten`` as nodes tell it; its era is that of the entry."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+ToldChange = (
+    ConfigurationPublished
+    | InstanceListed
+    | InstanceRejected
+    | InstanceRemoved
+    | WeightsPublished
+    | ToldRecord
+    | Unreadable
+)
+
+
+class ToldEntry(msgspec.Struct, frozen=True):
+    """A ``DirectoryEntry`` as nodes tell it.
+
+    Attributes:
+        key: Name of the key.
+        revision: Store revision of the change.
+        change: The change.
+        era: Era of ``revision``.
+    """
+
+    key: str
+    revision: int
+    change: ToldChange
+    era: int = UNTOLD_ERA
+
+    @classmethod
+    def of(cls, entry: DirectoryEntry) -> ToldEntry:
+        """Return what is told of an entry."""
+        change = entry.change
+        told: ToldChange
+        if isinstance(change, RecordWritten):
+            told = ToldRecord(change.key, change.value, change.version.revision)
+        else:
+            told = change
+        return cls(entry.key, entry.place.revision, told, entry.place.era)
+
+    def read(self, era: int) -> DirectoryEntry:
+        """Return the entry that was told.
+
+        Args:
+            era: Era to take it for; the told one unless its teller tells none.
+        """
+        place = StorePlace(era, self.revision)
+        change = self.change
+        if isinstance(change, ToldRecord):
+            version = StorePlace(era, change.revision)
+            return DirectoryEntry(self.key, place, RecordWritten(change.key, change.value, version))
+        return DirectoryEntry(self.key, place, change)
 
 
 class RelayedEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -158,7 +234,7 @@
         age_ms: Time since the earliest moment at which it may have been acknowledged.
     """
 
-    entry: DirectoryEntry
+    entry: ToldEntry
     age_ms: int
 
 
@@ -179,6 +255,8 @@
         contents: What the asker doesn't know of the cache stores.
         silence_ms: Time since the store last answered whoever read what the answering node knows;
             -1 when that never happened.
+        after_era: Era of ``after``.
+        era: Era of ``revision``.
     """
 
     number: int
@@ -193,6 +271,18 @@
     hints: Hints = Hints()
     contents: tuple[ContentsNews, ...] = ()
     silence_ms: int = -1
+    after_era: int = UNTOLD_ERA
+    era: int = UNTOLD_ERA
+
+    @property
+    def after_place(self) -> StorePlace:
+        """Place that the query named."""
+        return StorePlace(self.after_era, self.after) if self.after >= 0 else NOWHERE
+
+    @property
+    def place(self) -> StorePlace:
+        """With ``entries`` the asker has all changes up to it."""
+        return StorePlace(self.era, self.revision) if self.revision >= 0 else NOWHERE
 
 
 class RelayDigest(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/hopstep/ports/serving_directory.py
+++ b/hopstep/ports/serving_directory.py
@@ -12,6 +12,7 @@
 
 from hopstep.domain.exchanges.instances import Instance, NamedWeights
 from hopstep.domain.exchanges.serving import ServingConfiguration
+from hopstep.domain.store_place import StorePlace
 
 
 class ConfigurationPublished(msgspec.Struct, frozen=True, tag=True):
@@ -44,12 +45,12 @@
     Attributes:
         key: The key.
         value: Its value; empty when it is gone.
-        revision: Store revision of the change.
+        version: Place of the change.
     """
 
     key: str
     value: bytes
-    revision: int
+    version: StorePlace
 
 
 class RejectReason(enum.StrEnum):
@@ -109,12 +110,12 @@
 
     Attributes:
         key: Name of the key; the same one for all changes of it.
-        revision: Store revision of the change.
+        place: Place of the change, in the era of the answer that showed it.
         change: The change.
     """
 
     key: str
-    revision: int
+    place: StorePlace
     change: DirectoryChange
 
     @property
@@ -125,7 +126,7 @@
             isinstance(change, RecordWritten) and not change.value
         )
 
-    def as_removed(self, revision: int) -> DirectoryEntry | None:
+    def as_removed(self, place: StorePlace) -> DirectoryEntry | None:
         """Return the entry after its key is gone; None for keys that are never removed."""
         change: DirectoryChange
         if isinstance(self.change, InstanceListed):
@@ -133,24 +134,22 @@
         elif isinstance(self.change, InstanceRejected):
             change = InstanceRemoved(self.change.instance_id)
         elif isinstance(self.change, RecordWritten):
-            change = RecordWritten(self.change.key, b"", revision)
+            change = RecordWritten(self.change.key, b"", place)
         else:
             return None
-        return DirectoryEntry(self.key, revision, change)
+        return DirectoryEntry(self.key, place, change)
 
 
 class DirectoryBatch(msgspec.Struct, frozen=True):
-    """Entries up to a revision.
+    """Entries up to a place.
 
     Attributes:
-        revision: Changes after it are still to come.
+        place: Changes after it are still to come.
         entries: Entries, in any order.
-        era: How often the store has been restored from a copy, as it tells.
     """
 
-    revision: int
+    place: StorePlace
     entries: tuple[DirectoryEntry, ...]
-    era: int = 0
 
 
 class ServingDirectory(abc.ABC):
@@ -167,9 +166,10 @@
         """Make later calls on new connections: those that are open may have fallen silent."""
 
     @abc.abstractmethod
-    async def changes(self, after_revision: int, wait_seconds: float) -> DirectoryBatch:
-        """Return changes after a revision as soon as there are any, or none after the wait.
+    async def changes(self, after: StorePlace, wait_seconds: float) -> DirectoryBatch:
+        """Return changes after a place as soon as there are any, or none after the wait.
 
         Raises:
-            StoreHistoryLostError: When the changes are no longer known; take a snapshot.
+            StoreHistoryLostError: When the store doesn't have the place, or no longer knows the
+                changes; take a snapshot.
         """
--- a/hopstep/services/configuration/rate_limit_retry.py
+++ b/hopstep/services/configuration/rate_limit_retry.py
@@ -12,8 +12,14 @@
 
 import trio
 
+from hopstep.domain.store_place import StorePlace
 from hopstep.exceptions import ErrorCode, StoreError
-from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue, WatchBatch
+from hopstep.ports.key_value_store import (
+    KeyValueStorePort,
+    StoredValue,
+    StoreLease,
+    WatchBatch,
+)
 
 MIN_WAIT_SECONDS = 0.1
 MAX_WAIT_SECONDS = 1.5
@@ -39,26 +45,30 @@
         return await self._retry(lambda: self._store.list(prefix, after_key, limit))
 
     async def compare_and_swap(
-        self, key: str, expected_version: int, value: bytes, lease: str = ""
-    ) -> int:
+        self,
+        key: str,
+        expected_version: StorePlace,
+        value: bytes,
+        lease: StoreLease | None = None,
+    ) -> StorePlace:
         """Write one key at an expected version; see the port."""
         return await self._retry(
             lambda: self._store.compare_and_swap(key, expected_version, value, lease)
         )
 
-    async def delete(self, key: str, expected_version: int) -> None:
+    async def delete(self, key: str, expected_version: StorePlace) -> None:
         """Delete one key at an expected version; see the port."""
         await self._retry(lambda: self._store.delete(key, expected_version))
 
-    async def watch(self, prefix: str, after_revision: int, wait_seconds: float) -> WatchBatch:
-        """Return changes after a revision; see the port."""
-        return await self._retry(lambda: self._store.watch(prefix, after_revision, wait_seconds))
+    async def watch(self, prefix: str, after: StorePlace, wait_seconds: float) -> WatchBatch:
+        """Return changes after a place; see the port."""
+        return await self._retry(lambda: self._store.watch(prefix, after, wait_seconds))
 
-    async def grant_lease(self, time_to_live_seconds: float) -> str:
+    async def grant_lease(self, time_to_live_seconds: float) -> StoreLease:
         """Return a new lease; see the port."""
         return await self._retry(lambda: self._store.grant_lease(time_to_live_seconds))
 
-    async def keep_alive(self, lease: str) -> None:
+    async def keep_alive(self, lease: StoreLease) -> None:
         """Renew a lease; see the port."""
         await self._retry(lambda: self._store.keep_alive(lease))
 
--- a/hopstep/services/configuration/store.py
+++ b/hopstep/services/configuration/store.py
@@ -81,7 +81,7 @@
             snapshot_interval: Changes between two snapshots.
         """
         self._store = RateLimitRetryStore(store, rng)
-        self._watched_revision = 0
+        self._watched = ABSENT
         self.snapshots = ConfigurationSnapshots(self._store, snapshot_interval)
 
     async def read_latest(self, after: int = 0) -> ConfigurationTransfer:
@@ -140,8 +140,8 @@
         Raises:
             StoreError: When the store is down.
         """
-        batch = await self._store.watch(CHANGES_PREFIX, self._watched_revision, wait_seconds)
-        self._watched_revision = max(batch.revision, self._watched_revision)
+        batch = await self._store.watch(CHANGES_PREFIX, self._watched, wait_seconds)
+        self._watched = max(batch.place, self._watched)
 
     async def maintain(self, accepted: AcceptedConfiguration) -> bool:
         """Write a snapshot when one is due, and trim below an older one; return if written.
@@ -172,8 +172,7 @@
             if len(page) < LIST_LIMIT:
                 break
             after_key = page[-1].key
-        seen = max((value.version for value in values), default=0)
-        self._watched_revision = max(self._watched_revision, seen)
+        self._watched = max([self._watched, *(value.version for value in values)])
         return values
 
 
--- a/hopstep/services/exchanges/directory/directory_follower.py
+++ b/hopstep/services/exchanges/directory/directory_follower.py
@@ -11,11 +11,11 @@
 
 from hopstep import log_events
 from hopstep.domain.exchanges.freshness import ANSWER_SLACK_SECONDS, FreshnessLimits
+from hopstep.domain.store_place import NOWHERE
 from hopstep.exceptions import StoreError, StoreHistoryLostError
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import ServingDirectory
 from hopstep.services.exchanges.directory.knowledge import (
-    NO_REVISION,
     OVERDUE,
     STORE_SOURCE,
     ServingKnowledge,
@@ -138,7 +138,8 @@
                 self._note_connection(True, "")
                 await trio.sleep_until(started_at + CALL_SPACING_SECONDS)
             except StoreHistoryLostError:
-                emit(log_events.DIRECTORY_HISTORY_LOST, revision=self._knowledge.revision)
+                place = self._knowledge.place
+                emit(log_events.DIRECTORY_HISTORY_LOST, era=place.era, revision=place.revision)
                 self._history_lost = True
             except StoreError as error:
                 self._note_connection(False, error.code.value)
@@ -235,12 +236,12 @@
     async def _call(self, sent_at: float) -> None:
         """Make one call and take what it says; after a failure one that is answered at once."""
         knowledge = self._knowledge
-        if self._history_lost or knowledge.revision == NO_REVISION:
+        if self._history_lost or knowledge.place == NOWHERE:
             knowledge.take_snapshot(await self._directory.snapshot(), sent_at)
             self._history_lost = False
             return
         confirmed_at = knowledge.confirmed_at
-        batch = await self._directory.changes(knowledge.revision, self._wait_seconds(sent_at))
+        batch = await self._directory.changes(knowledge.place, self._wait_seconds(sent_at))
         now = trio.current_time()
         waited = now - sent_at > PROMPT_ANSWER_SECONDS and not self._pauses.has_just_ended
         since = now - WATCH_LAG_SECONDS if waited else min(sent_at, confirmed_at)
--- a/hopstep/services/exchanges/directory/knowledge.py
+++ b/hopstep/services/exchanges/directory/knowledge.py
@@ -22,11 +22,14 @@
 from hopstep.domain.exchanges.serving import ServingConfiguration, ServingIndex
 from hopstep.domain.exchanges.store_contact import StoreContact
 from hopstep.domain.exchanges.weights import WeightsBook
-from hopstep.exceptions import ErrorCode, ServiceError
+from hopstep.domain.store_place import NOWHERE, StorePlace
+from hopstep.exceptions import ErrorCode, ServiceError, StoreError
 from hopstep.logs import emit
+from hopstep.ports.key_value_store import ABSENT
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
     DirectoryBatch,
+    DirectoryChange,
     DirectoryEntry,
     InstanceListed,
     InstanceRejected,
@@ -56,9 +59,6 @@
 OVERDUE = "overdue"
 """Reason of a lost store whose answer is still waited for when the first request is refused."""
 
-MAX_LOGGED_KEYS = 8
-
-NO_REVISION = -1
 STORE_SOURCE = "store"
 """Source of what this node has read from the store itself."""
 
@@ -99,7 +99,8 @@
         self._forms = MessageForms(record.form)
         self.relays = RelayPlan(name, record)
         self.feed: DirectoryFeed[DirectoryEntry] = DirectoryFeed()
-        self.revision = NO_REVISION
+        self.place = NOWHERE
+        self.was_restored = False
         self.confirmed_at = -float("inf")
         self._started_at = trio.current_time()
         self.contact = StoreContact(self._started_at)
@@ -111,7 +112,6 @@
         self._count_rejected: Callable[[RejectReason], None] = lambda _reason: None
         self._max_age = revocation_seconds - MARGIN_SECONDS
         self._expired = False
-        self._era: int | None = None
 
     def follow_records(self, prefix: str, listener: RecordListener) -> None:
         """Tell a listener of hopstep's own keys under a prefix."""
@@ -181,29 +181,35 @@
         Args:
             batch: The entries.
             sent_at: When the first call for them was sent.
+
+        Raises:
+            StoreError: When the answer was made before the store's last restore.
         """
+        self._require_current(batch.place)
         since = max(self.confirmed_at - DEAF_SECONDS, self.weights.oldest_since(sent_at))
         self.contact.note_return(trio.current_time())
-        self._note_era(batch)
-        self._note_passed_over(batch)
-        self.feed.start(batch.revision)
+        self.enter(batch.place)
+        self.feed.start(batch.place)
         entries = (*batch.entries, *self._removed_by(batch))
         self.take_entries([_feed_entry(entry, since) for entry in entries], STORE_SOURCE)
-        self.confirm(batch.revision, sent_at)
+        self.confirm(batch.place, sent_at)
         self.contact.note_read(trio.current_time())
 
     def take_changes(self, batch: DirectoryBatch, since: float, sent_at: float) -> None:
         """Take changes of the store.
 
         Args:
-            batch: The changes after ``revision``.
+            batch: The changes after ``place``.
             since: Time after which they were made.
             sent_at: When the call for them was sent.
+
+        Raises:
+            StoreError: When the answer was made before the store's last restore.
         """
+        self._require_current(batch.place)
         self.contact.note_return(trio.current_time())
-        self._note_era(batch)
         self.take_entries([_feed_entry(entry, since) for entry in batch.entries], STORE_SOURCE)
-        self.confirm(batch.revision, sent_at)
+        self.confirm(batch.place, sent_at)
         self.contact.note_read(trio.current_time())
 
     def take_entries(self, entries: Iterable[Entry], source: str) -> None:
@@ -214,63 +220,75 @@
             source: Node that told them, or ``STORE_SOURCE``; for the log.
         """
         taken = False
-        for entry in sorted(entries, key=lambda entry: entry.revision):
-            if self.feed.put(entry):
+        for entry in sorted(entries, key=lambda entry: entry.place):
+            if not self._is_known_write(entry) and self.feed.put(entry):
                 taken = True
                 self._take_change(entry, source)
         if taken:
             self.changed.set()
             self.changed = trio.Event()
 
-    def confirm(self, revision: int, confirmed_at: float) -> None:
-        """Note that everything up to a revision is known.
+    def confirm(self, place: StorePlace, confirmed_at: float) -> None:
+        """Note that everything up to a place is known.
 
         Args:
-            revision: The revision.
+            place: The place.
             confirmed_at: Time at which it was the newest, by this node's steady clock.
         """
-        self.revision = max(self.revision, revision)
+        self.enter(place)
+        self.place = max(self.place, place)
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         if self._expired and self.is_fresh:
             self._expired = False
             emit(log_events.STORE_REGAINED, age_seconds=round(self.age_seconds, 3))
 
-    def _note_era(self, batch: DirectoryBatch) -> None:
-        """Log the era of the store's answers when it has changed."""
-        if self._era in (None, batch.era):
-            self._era = batch.era
+    def version_of(self, key: str) -> StorePlace:
+        """Return the version of a key that a write may expect; ``ABSENT`` when there is none."""
+        entry = self.feed.get(key)
+        if entry is None or entry.removed:
+            return ABSENT
+        return StorePlace(self.place.era, entry.place.revision)
+
+    def _require_current(self, place: StorePlace) -> None:
+        """Raise ``StoreError`` for an answer that was made before the store's last restore."""
+        if place.era >= self.place.era:
+            return
+        emit(
+            log_events.STORE_ANSWER_OUTDATED,
+            era=place.era,
+            revision=place.revision,
+            known_era=self.place.era,
+        )
+        raise StoreError(ErrorCode.STORE_UNAVAILABLE, "the answer is of before a restore")
+
+    def enter(self, place: StorePlace) -> None:
+        """Note that the store has been restored, when a place is of a later era."""
+        if self.place == NOWHERE or place.era <= self.place.era:
             return
+        self.was_restored = True
+        self.feed.leave(self.place)
         emit(
             log_events.STORE_ERA_CHANGED,
-            era=batch.era,
-            previous=self._era,
-            revision=batch.revision,
-            previous_revision=self.revision,
+            era=place.era,
+            previous=self.place.era,
+            revision=place.revision,
+            previous_revision=self.place.revision,
         )
-        self._era = batch.era
-
-    def _note_passed_over(self, batch: DirectoryBatch) -> None:
-        """Log which entries of a snapshot are older than what is known of their keys."""
-        known = {entry.key: entry.revision for entry in self.feed.listed()}
-        older = [
-            entry.key
-            for entry in batch.entries
-            if entry.revision < known.get(entry.key, NO_REVISION)
-        ]
-        if older:
-            emit(
-                log_events.DIRECTORY_ENTRIES_OLDER,
-                era=batch.era,
-                revision=batch.revision,
-                count=len(older),
-                keys=sorted(older)[:MAX_LOGGED_KEYS],
-            )
+        self.place = StorePlace(place.era, NOWHERE.revision)
+
+    def _is_known_write(self, entry: Entry) -> bool:
+        """Return whether an entry is one of an earlier era that a copy has kept as it was."""
+        known = self.feed.get(entry.key)
+        if known is None or known.place.era >= entry.place.era:
+            return False
+        same_revision = known.place.revision == entry.place.revision
+        return same_revision and _content(known.change.change) == _content(entry.change.change)
 
     def _removed_by(self, batch: DirectoryBatch) -> list[DirectoryEntry]:
         """Return the removals of keys that a snapshot doesn't have."""
         present = {entry.key for entry in batch.entries}
         known = (entry.change for entry in self.feed.listed() if entry.key not in present)
-        removals = (entry.as_removed(batch.revision) for entry in known)
+        removals = (entry.as_removed(batch.place) for entry in known)
         return [removal for removal in removals if removal is not None]
 
     def _take_change(self, entry: Entry, source: str) -> None:
@@ -379,4 +397,11 @@
 
 def _feed_entry(entry: DirectoryEntry, since: float) -> Entry:
     """Return an entry with the time after which it was made."""
-    return FeedEntry(entry.key, entry.revision, entry, since, entry.removed)
+    return FeedEntry(entry.key, entry.place, entry, since, entry.removed)
+
+
+def _content(change: DirectoryChange) -> DirectoryChange:
+    """Return a change without the era in which it was seen."""
+    if isinstance(change, RecordWritten):
+        return RecordWritten(change.key, change.value, ABSENT)
+    return change
--- a/hopstep/services/exchanges/directory/registration.py
+++ b/hopstep/services/exchanges/directory/registration.py
@@ -13,7 +13,7 @@
 
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.exceptions import StoreConflictError, StoreError
-from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort
+from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort, StoreLease
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.records import NODES_PREFIX, encode_node
 
@@ -57,19 +57,21 @@
             except StoreError:
                 await trio.sleep(RETRY_SECONDS * (0.5 + self._generator.random()))
 
-    async def _register(self) -> str:
+    async def _register(self) -> StoreLease:
         """Write the key under a new lease, in place of what an earlier process left."""
         lease = await self._store.grant_lease(LEASE_SECONDS)
         value = encode_node(self._record)
         try:
-            await self._store.compare_and_swap(self._key, self._known_version(), value, lease)
+            await self._store.compare_and_swap(
+                self._key, self._knowledge.version_of(self._key), value, lease
+            )
         except StoreConflictError:
             stored = await self._store.get(self._key)
             version = stored.version if stored is not None else ABSENT
             await self._store.compare_and_swap(self._key, version, value, lease)
         return lease
 
-    async def _renew(self, lease: str) -> None:
+    async def _renew(self, lease: StoreLease) -> None:
         """Renew the lease from time to time; returns when it is over."""
         while True:
             await trio.sleep(RENEWAL_SECONDS)
@@ -77,8 +79,3 @@
                 await self._store.keep_alive(lease)
             except StoreConflictError:
                 return
-
-    def _known_version(self) -> int:
-        """Return the version of the key as this node knows it."""
-        entry = self._knowledge.feed.get(self._key)
-        return entry.revision if entry is not None and not entry.removed else ABSENT
--- a/hopstep/services/exchanges/peers/relaying.py
+++ b/hopstep/services/exchanges/peers/relaying.py
@@ -14,8 +14,10 @@
 from hopstep import log_events
 from hopstep.domain.exchanges.directory_feed import FeedEntry
 from hopstep.domain.exchanges.freshness import FreshnessLimits
+from hopstep.domain.exchanges.nodes import FORM_WITH_ERAS
 from hopstep.domain.exchanges.store_contents import ContentsPosition
 from hopstep.domain.rendezvous import hash_name
+from hopstep.domain.store_place import NOWHERE, UNTOLD_ERA, StorePlace
 from hopstep.logs import emit
 from hopstep.ports.node_exchange import (
     Hints,
@@ -27,12 +29,12 @@
     RelayDigest,
     RelayedEntry,
     RelayQuery,
+    ToldEntry,
     UrgentNews,
 )
 from hopstep.ports.serving_directory import ConfigurationPublished, DirectoryEntry
 from hopstep.services.exchanges.directory.directory_follower import DirectoryFollower
 from hopstep.services.exchanges.directory.knowledge import (
-    NO_REVISION,
     STORE_SOURCE,
     ServingKnowledge,
 )
@@ -179,8 +181,15 @@
         while len(self._pending) > MAX_PENDING:
             self._pending.popitem(last=False)
         self._knowledge.relays.note_asked(node)
+        place = self._knowledge.place
         query = RelayQuery(
-            self._number, self._knowledge.revision, self._feed, self._position, hints, contents
+            self._number,
+            place.revision,
+            self._feed,
+            self._position,
+            hints,
+            contents,
+            place.era,
         )
         await self._send(query, node)
 
@@ -227,6 +236,8 @@
                 UNKNOWN_AGE_MS,
                 beyond_reach=True,
                 silence_ms=answer.silence_ms,
+                after_era=query.era,
+                era=query.era,
             )
             await self._send(short, asker)
 
@@ -241,26 +252,45 @@
             age_ms=UNKNOWN_AGE_MS,
             contents=self._store_watch.news_after(query.contents),
             silence_ms=_silence_ms(now, knowledge.contact.heard_at),
+            after_era=query.era,
+            era=query.era,
         )
         if query.hints is not None:
             hints, position = self._hints.for_asker(asker, query, query.hints)
             identity = self._sharing.log.identity
             answer = msgspec.structs.replace(answer, feed=identity, position=position, hints=hints)
-        changes = knowledge.feed.after(query.revision)
-        if changes is None:
-            return msgspec.structs.replace(answer, beyond_reach=knowledge.revision != NO_REVISION)
-        if query.revision > knowledge.revision:
+        asked_after = self._placed(asker, query.place)
+        if asked_after > knowledge.place:
             return answer
+        changes = knowledge.feed.after(asked_after)
+        if changes is None:
+            return msgspec.structs.replace(answer, beyond_reach=knowledge.place != NOWHERE)
         part = _first_part(changes)
         complete = len(part) == len(changes)
+        reached = knowledge.place if complete else part[-1].place
         return msgspec.structs.replace(
             answer,
-            revision=knowledge.revision if complete else part[-1].revision,
+            revision=reached.revision,
+            era=reached.era,
             age_ms=_age_ms(now, knowledge.confirmed_at),
             complete=complete,
-            entries=tuple(RelayedEntry(e.change, _age_ms(now, e.since)) for e in part),
+            entries=tuple(
+                RelayedEntry(ToldEntry.of(e.change), _age_ms(now, e.since)) for e in part
+            ),
         )
 
+    def _placed(self, node: str, place: StorePlace) -> StorePlace:
+        """Return the place that a node means, which tells no era if its version knows none.
+
+        As long as this node has seen one era only, that is the one.
+        """
+        record = self._knowledge.nodes.get(node)
+        told = record is not None and record.form >= FORM_WITH_ERAS
+        if told or place == NOWHERE or self._knowledge.place == NOWHERE:
+            return place
+        era = UNTOLD_ERA if self._knowledge.was_restored else self._knowledge.place.era
+        return StorePlace(era, place.revision)
+
     async def _take_answer(self, sender: str, answer: RelayAnswer) -> None:
         """Take an answer, dated by the time at which its query was sent."""
         pending = self._pending.pop(answer.number, None)
@@ -277,31 +307,38 @@
         self._reconsider()
         if answer.beyond_reach:
             self._follower.read_once()
-        if answer.age_ms == UNKNOWN_AGE_MS or answer.after > self._knowledge.revision:
+        if answer.age_ms == UNKNOWN_AGE_MS:
+            return
+        reached = self._placed(sender, answer.place)
+        if self._placed(sender, answer.after_place) > self._knowledge.place:
+            return
+        if reached < self._knowledge.place and reached.era < self._knowledge.place.era:
             return
         self._knowledge.contact.note_return(heard_at)
-        self._take_entries(answer, pending)
+        self._take_entries(answer, pending, reached)
         if answer.complete:
             self._knowledge.contact.note_told(heard_at)
         else:
             await self._ask(sender)
 
-    def _take_entries(self, answer: RelayAnswer, query: _Pending) -> None:
+    def _take_entries(self, answer: RelayAnswer, query: _Pending, reached: StorePlace) -> None:
         """Take the changes of an answer; a part of them confirms nothing."""
         knowledge, sent_at = self._knowledge, query.sent_at
+        knowledge.enter(reached)
         entries = (
-            FeedEntry(
-                relayed.entry.key,
-                relayed.entry.revision,
-                relayed.entry,
+            _feed_entry(
+                relayed.entry.read(self._era_of(query.node, relayed.entry)),
                 sent_at - relayed.age_ms / MILLISECONDS,
-                relayed.entry.removed,
             )
             for relayed in answer.entries
         )
         knowledge.take_entries(entries, query.node)
         confirmed_at = sent_at - answer.age_ms / MILLISECONDS
-        knowledge.confirm(answer.revision, confirmed_at if answer.complete else -float("inf"))
+        knowledge.confirm(reached, confirmed_at if answer.complete else -float("inf"))
+
+    def _era_of(self, node: str, entry: ToldEntry) -> int:
+        """Return the era that a node means by an entry; see ``_placed``."""
+        return self._placed(node, StorePlace(entry.era, entry.revision)).era
 
     async def _send(self, message: NodeMessage, name: str) -> bool:
         """Send a message to a node if it is registered; return False when it is too long."""
@@ -314,6 +351,11 @@
         return True
 
 
+def _feed_entry(entry: DirectoryEntry, since: float) -> FeedEntry[DirectoryEntry]:
+    """Return an entry with the time after which it was made."""
+    return FeedEntry(entry.key, entry.place, entry, since, entry.removed)
+
+
 def _age_ms(now: float, since: float) -> int:
     """Return an age in whole milliseconds, rounded up."""
     return int((now - since) * MILLISECONDS) + 1
--- a/hopstep/services/exchanges/weights/rollout_lease.py
+++ b/hopstep/services/exchanges/weights/rollout_lease.py
@@ -20,6 +20,7 @@
 import trio
 
 from hopstep import log_events
+from hopstep.domain.store_place import StorePlace
 from hopstep.exceptions import (
     ErrorCode,
     StoreConflictError,
@@ -27,7 +28,7 @@
     StoreOutcomeUnknownError,
 )
 from hopstep.logs import emit
-from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort
+from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort, StoreLease
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.records import (
     ROLLOUT_KEY,
@@ -60,11 +61,11 @@
 
     Attributes:
         lease: Lease to which it is bound.
-        token: Its revision, the fencing token.
+        version: Its version; the revision is the fencing token.
     """
 
-    lease: str
-    token: int
+    lease: StoreLease
+    version: StorePlace
 
 
 class RolloutLease:
@@ -93,11 +94,11 @@
         self._knowledge = knowledge
         self._generator = generator
         self._lease_seconds = lease_seconds
-        self._lease = ""
+        self._lease: StoreLease | None = None
         self._valid_until = 0.0
         self._order_from = 0.0
-        self._held_token = 0
-        self._refused_token = 0
+        self._held_version = ABSENT
+        self._refused_version = ABSENT
         self._failed_at = -float("inf")
         self._released = False
         self._held = trio.Event()
@@ -135,7 +136,7 @@
         """End the lease, so that another node needn't wait for it to lapse."""
         self._released = True
         self._lose("released")
-        if self._lease:
+        if self._lease is not None:
             try:
                 await self._store.end_lease(self._lease)
             except StoreError:
@@ -144,7 +145,7 @@
     def give_up(self, reason: str) -> None:
         """Stop ordering under the current fencing token: an engine has seen a higher one."""
         self._valid_until = 0.0
-        self._refused_token = self._held_token
+        self._refused_version = self._held_version
         self._lose(reason)
 
     async def _wait_turn(self) -> None:
@@ -173,7 +174,7 @@
     def _own_key(self) -> _OwnKey | None:
         """The lease's key if it names this node and this machine, and may still be used."""
         record = self._knowledge.rollout_record
-        if record is None or record.revision <= self._refused_token:
+        if record is None or record.version <= self._refused_version:
             return None
         try:
             holder = decode_holder(record.value)
@@ -182,7 +183,8 @@
             return None
         if holder != self._identity(holder.lease):
             return None
-        return _OwnKey(holder.lease, record.revision)
+        lease = StoreLease(holder.lease, record.version.era)
+        return _OwnKey(lease, record.version)
 
     @property
     def _may_resume(self) -> bool:
@@ -197,9 +199,9 @@
         sent_at = trio.current_time()
         with _answered_within(ACQUIRE_SECONDS):
             await self._store.keep_alive(key.lease)
-        if key.token != self._held_token:
+        if key.version != self._held_version:
             self._order_from = trio.current_time() + self._lease_seconds
-        self._hold(key.lease, sent_at, key.token, resumed=True)
+        self._hold(key.lease, sent_at, key.version, resumed=True)
 
     async def _acquire(self) -> None:
         """Create the key under a new lease; raises ``StoreError`` when that isn't proved."""
@@ -207,33 +209,40 @@
         with _answered_within(ACQUIRE_SECONDS):
             lease = await self._store.grant_lease(self._lease_seconds)
         try:
-            token = await self._create_key(lease)
+            version = await self._create_key(lease)
         except StoreError:
             await self._store.end_lease(lease)
             raise
         self._order_from = trio.current_time() + self._lease_seconds
-        self._hold(lease, sent_at, token, resumed=False)
+        self._hold(lease, sent_at, version, resumed=False)
 
-    def _hold(self, lease: str, sent_at: float, token: int, *, resumed: bool) -> None:
+    def _hold(
+        self, lease: StoreLease, sent_at: float, version: StorePlace, *, resumed: bool
+    ) -> None:
         """Note that this node holds the lease, from when the answered call was sent."""
         self._lease = lease
         if self._released:
             return
         self._valid_until = sent_at + self._lease_seconds
-        self._held_token = self.fencing_token = token
+        self._held_version = version
+        self.fencing_token = version.revision
         self._held.set()
-        emit(log_events.ROLLOUT_LEASE_ACQUIRED, fencing_token=token, resumed=resumed)
+        emit(
+            log_events.ROLLOUT_LEASE_ACQUIRED,
+            fencing_token=self.fencing_token,
+            resumed=resumed,
+        )
 
     def _identity(self, lease: str) -> RolloutHolder:
         """Return how this node names itself as the holder."""
         return RolloutHolder(self._name, self._knowledge.record.address, lease)
 
-    async def _create_key(self, lease: str) -> int:
-        """Create the key and return its revision, the fencing token.
+    async def _create_key(self, lease: StoreLease) -> StorePlace:
+        """Create the key and return its version.
 
         Without an answer the key is read back: the value names this node and this lease.
         """
-        value = encode_holder(self._identity(lease))
+        value = encode_holder(self._identity(lease.name))
         try:
             with _answered_within(ACQUIRE_SECONDS):
                 return await self._store.compare_and_swap(ROLLOUT_KEY, ABSENT, value, lease)
@@ -271,6 +280,8 @@
     async def _renew_by_one_call(self, answered: trio.Event) -> None:
         """Make one call; the lease counts from when it was sent."""
         sent_at = trio.current_time()
+        if self._lease is None:
+            return
         try:
             await self._store.keep_alive(self._lease)
         except StoreConflictError:
--- a/hopstep/services/quarantine/reader.py
+++ b/hopstep/services/quarantine/reader.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from hopstep.domain.store_place import StorePlace
 from hopstep.exceptions import StoreError
 from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort
 from hopstep.services.quarantine.records import QUARANTINE_PREFIX, QuarantineRecords
@@ -42,7 +43,7 @@
         self._store = store
         self._reads = reads
         self._generator = generator
-        self._versions: dict[str, int] = {}
+        self._versions: dict[str, StorePlace] = {}
         self._has_read = False
 
     async def run(self) -> None:
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -16,9 +16,10 @@
 from hopstep import log_events
 from hopstep.domain.quarantine.crash_records import MAX_REQUESTS
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
+from hopstep.domain.store_place import StorePlace
 from hopstep.exceptions import StoreConflictError, StoreError
 from hopstep.logs import emit
-from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort
+from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort, StoreLease
 from hopstep.ports.serving_directory import RejectReason
 from hopstep.services.quarantine.quarantine import Quarantine
 
@@ -82,7 +83,7 @@
 class _Stored(msgspec.Struct, frozen=True):
     """What the store holds of a request; version ``ABSENT`` once the key has lapsed."""
 
-    version: int
+    version: StorePlace
     crashes: RequestCrashes
     trials: int = 0
 
@@ -105,7 +106,7 @@
         self._generator = generator
         self._stored: OrderedDict[bytes, _Stored] = OrderedDict()
         self._missing_since: dict[bytes, float] = {}
-        self._lease = ""
+        self._lease: StoreLease | None = None
         self._lease_until = -float("inf")
         self._claiming: set[bytes] = set()
         quarantine.offer_trials(self)
@@ -165,13 +166,13 @@
             reason=reason,
         )
 
-    def take(self, key: str, value: bytes, version: int) -> None:
+    def take(self, key: str, value: bytes, version: StorePlace) -> None:
         """Take a key as the store holds it.
 
         Args:
             key: The key, under ``QUARANTINE_PREFIX``.
             value: Its value; empty when it is gone.
-            version: Store revision of the change.
+            version: Place of the change.
         """
         try:
             fingerprint = bytes.fromhex(key.removeprefix(QUARANTINE_PREFIX))
@@ -204,7 +205,7 @@
                 for fingerprint in self._due():
                     await self._write(fingerprint)
             except StoreError:
-                self._lease = ""
+                self._lease = None
                 await trio.sleep(RETRY_SECONDS * (0.5 + self._generator.random()))
                 continue
             if self._missing_since:
@@ -279,10 +280,10 @@
             raise
         self._note_stored(fingerprint, _Stored(version, known, trials))
 
-    async def _current_lease(self) -> str:
+    async def _current_lease(self) -> StoreLease:
         """Return a lease that is young enough for one more key."""
         now = trio.current_time()
-        if not self._lease or now >= self._lease_until:
+        if self._lease is None or now >= self._lease_until:
             self._lease = await self._store.grant_lease(LEASE_SECONDS)
             self._lease_until = now + LEASE_USE_SECONDS
         return self._lease
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -20,6 +20,7 @@
 from hopstep.domain.exchanges.store_contents import ContentsPosition
 from hopstep.domain.limits.fleet_usage import Usage
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
+from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
 from hopstep.ports.node_exchange import (
     GrantedPermits,
     Hints,
@@ -32,14 +33,15 @@
     RelayQuery,
     SegmentNews,
     SentPrompt,
+    ToldChange,
+    ToldEntry,
+    ToldRecord,
     UrgentNews,
 )
 from hopstep.ports.serving_directory import (
-    DirectoryEntry,
     InstanceListed,
     InstanceRejected,
     InstanceRemoved,
-    RecordWritten,
     RejectReason,
     WeightsPublished,
 )
@@ -62,6 +64,9 @@
 BEFORE_LIMITS = "form-1"
 """Knows no limits of instances, and no permits to send to them."""
 
+BEFORE_ERAS = "form-2"
+"""Tells places in the store's history without their era."""
+
 NODES = {"a": NodeRecord("1.2.3.4:5", "z", b"key-a")}
 COMPRESSED = 1
 
@@ -79,17 +84,21 @@
 )
 INSTANCE = Instance("i1", "llm", "10.0.0.1:80", "z", 4, True, {"m": 3}, 2, 5)
 ENTRIES = (
-    DirectoryEntry("servers/i1", 2, InstanceListed(INSTANCE)),
-    DirectoryEntry("servers/i4", 3, InstanceRemoved("i4")),
-    DirectoryEntry("w", 4, WeightsPublished(NamedWeights("m", 3))),
-    DirectoryEntry("r", 5, RecordWritten("r", b"\x00\xff", 5)),
-    DirectoryEntry(
-        "servers/i9", 6, InstanceRejected("i9", RejectReason.FIELD_MISSING, "service", "expected")
+    ToldEntry("servers/i1", 2, InstanceListed(INSTANCE), 3),
+    ToldEntry("servers/i4", 3, InstanceRemoved("i4"), 3),
+    ToldEntry("w", 4, WeightsPublished(NamedWeights("m", 3)), 3),
+    ToldEntry("r", 5, ToldRecord("r", b"\x00\xff", 5), 3),
+    ToldEntry(
+        "servers/i9",
+        6,
+        InstanceRejected("i9", RejectReason.FIELD_MISSING, "service", "expected"),
+        3,
     ),
 )
+ENTRIES_BEFORE_ERAS = tuple(msgspec.structs.replace(entry, era=0) for entry in ENTRIES)
 CRASHES = RequestCrashes(b"\x00\xff" * 8, (Crash("i1@5", "a"),), ("i0@1",))
 MESSAGES = {
-    "query": RelayQuery(2, 77, "feed", 12, HINTS, (ContentsPosition("10.0.0.9:80", "c", 3),)),
+    "query": RelayQuery(2, 77, "feed", 12, HINTS, (ContentsPosition("10.0.0.9:80", "c", 3),), 3),
     "answer": RelayAnswer(
         2,
         77,
@@ -100,6 +109,8 @@
         position=8,
         hints=HINTS,
         silence_ms=40,
+        after_era=2,
+        era=3,
     ),
     "digest": RelayDigest(9, HINTS),
     "urgent": UrgentNews(
@@ -167,6 +178,33 @@
     hints: HintsBeforeLeaving | None = None
 
 
+class EntryBeforeEras(msgspec.Struct, frozen=True):
+    """``DirectoryEntry`` as versions before the form 3 told it."""
+
+    key: str
+    revision: int
+    change: ToldChange
+
+
+class RelayedBeforeEras(msgspec.Struct, frozen=True, array_like=True):
+    """``RelayedEntry`` as versions before the form 3 read it."""
+
+    entry: EntryBeforeEras
+    age_ms: int
+
+
+class AnswerBeforeEras(msgspec.Struct, frozen=True, array_like=True, tag="RelayAnswer"):
+    """``RelayAnswer`` as versions before the form 3 read it."""
+
+    number: int
+    after: int
+    revision: int
+    age_ms: int
+    complete: bool = True
+    beyond_reach: bool = False
+    entries: tuple[RelayedBeforeEras, ...] = ()
+
+
 class NodeBeforeForms(msgspec.Struct, frozen=True):
     """``NodeRecord`` as versions before the form 1 read it."""
 
@@ -220,7 +258,7 @@
         entries = tuple(relayed.entry for relayed in messages["answer"].entries)
         listed = InstanceListed(msgspec.structs.replace(INSTANCE, born_ms=0))
         self.assertEqual(entries[0].change, listed)
-        self.assertEqual(entries[1:], ENTRIES[1:4])
+        self.assertEqual(entries[1:], ENTRIES_BEFORE_ERAS[1:4])
         self.assertEqual(messages["query"].hints.usage, ())
         self.assertEqual(messages["query"].hints.nodes, 0)
         self.assertEqual(messages["urgent"].crashes, ())
@@ -229,7 +267,7 @@
         messages = self.decoded(BEFORE_LEAVING)
         self.check_common(messages, "i1@5", "i2@6")
         entries = tuple(relayed.entry for relayed in messages["answer"].entries)
-        self.assertEqual(entries, ENTRIES)
+        self.assertEqual(entries, ENTRIES_BEFORE_ERAS)
         hints = messages["query"].hints
         self.assertEqual((hints.usage, hints.nodes, hints.leaving), (HINTS.usage, 2, ()))
         self.assertEqual(messages["urgent"].crashes, (CRASHES,))
@@ -243,6 +281,17 @@
             )
             self.assertEqual((hints.limits, hints.sends, hints.permits), ((), (), ()))
 
+    def test_frames_of_before_eras(self):
+        messages = self.decoded(BEFORE_ERAS)
+        self.check_common(messages, "i1@5", "i2@6")
+        answer = messages["answer"]
+        entries = tuple(relayed.entry for relayed in answer.entries)
+        self.assertEqual(entries, ENTRIES_BEFORE_ERAS)
+        self.assertEqual(messages["query"].place, StorePlace(UNTOLD_ERA, 77))
+        self.assertEqual(answer.after_place, StorePlace(UNTOLD_ERA, 77))
+        self.assertEqual(answer.place, StorePlace(UNTOLD_ERA, 80))
+        self.assertEqual(messages["query"].hints, HINTS)
+
     def test_todays_frames_are_those_of_the_present_form(self):
         frames = golden(f"form-{MESSAGE_FORM}")["frames"]
         self.assertEqual(frames.keys(), MESSAGES.keys())
@@ -259,6 +308,14 @@
         self.assertEqual(query.hints.leaving, HINTS.leaving)
         self.assertEqual(query.hints.usage, (UsageBeforeLimits("t1", 40, 7),))
 
+    def test_the_version_before_reads_todays_answer(self):
+        frame = encode_frame(MESSAGES["answer"], "a", b"key-a")
+        answer = msgspec.convert(document(frame), AnswerBeforeEras)
+        self.assertEqual((answer.after, answer.revision), (77, 80))
+        for relayed, told in zip(answer.entries, ENTRIES, strict=True):
+            self.assertEqual((relayed.entry.key, relayed.entry.revision), (told.key, told.revision))
+        self.assertEqual(answer.entries[3].entry.change, ToldRecord("r", b"\x00\xff", 5))
+
     def test_versions_before_words_of_leaving_read_todays_hints(self):
         frame = encode_frame(MESSAGES["query"], "a", b"key-a")
         query = msgspec.convert(document(frame), QueryBeforeLeaving)
@@ -273,6 +330,7 @@
             (BEFORE_LIVES, 0),
             (BEFORE_LEAVING, 0),
             (BEFORE_LIMITS, 1),
+            (BEFORE_ERAS, 2),
             (f"form-{MESSAGE_FORM}", MESSAGE_FORM),
         )
         for name, form in forms:
--- a/tests/adapters/test_node_codec.py
+++ b/tests/adapters/test_node_codec.py
@@ -13,6 +13,7 @@
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
+from hopstep.domain.store_place import StorePlace
 from hopstep.ports.node_exchange import (
     Hints,
     LoadingEngine,
@@ -21,6 +22,7 @@
     RelayedEntry,
     RelayQuery,
     SegmentNews,
+    ToldEntry,
     UrgentNews,
 )
 from hopstep.ports.serving_directory import (
@@ -40,15 +42,24 @@
 )
 INSTANCE = Instance("i1", "llm", "10.0.0.1:80", "z", 4, versions={"m": 3})
 ENTRIES = (
-    DirectoryEntry("c", 1, ConfigurationPublished(configuration(7))),
-    DirectoryEntry("i", 2, InstanceListed(INSTANCE)),
-    DirectoryEntry("i", 3, InstanceRemoved("i1")),
-    DirectoryEntry("r", 4, RecordWritten("r", b"\x00\xff", 4)),
+    DirectoryEntry("c", StorePlace(1, 1), ConfigurationPublished(configuration(7))),
+    DirectoryEntry("i", StorePlace(1, 2), InstanceListed(INSTANCE)),
+    DirectoryEntry("i", StorePlace(1, 3), InstanceRemoved("i1")),
+    DirectoryEntry("r", StorePlace(1, 4), RecordWritten("r", b"\x00\xff", StorePlace(1, 4))),
 )
 MESSAGES = (
     RelayQuery(1, -1),
-    RelayQuery(2, 77, "feed", 12, HINTS),
-    RelayAnswer(2, 77, 80, 350, entries=tuple(RelayedEntry(e, 20) for e in ENTRIES), hints=HINTS),
+    RelayQuery(2, 77, "feed", 12, HINTS, era=1),
+    RelayAnswer(
+        2,
+        77,
+        80,
+        350,
+        entries=tuple(RelayedEntry(ToldEntry.of(entry), 20) for entry in ENTRIES),
+        hints=HINTS,
+        after_era=1,
+        era=1,
+    ),
     RelayDigest(9, HINTS),
     UrgentNews(
         10, crashes=(RequestCrashes(b"\x00\xff" * 8, (Crash("i1@7", "a"),), ("i0", "i1@6")),)
@@ -57,6 +68,10 @@
 
 
 class NodeCodecTest(unittest.TestCase):
+    def test_entries_are_read_as_they_were_told(self):
+        for entry in ENTRIES:
+            self.assertEqual(ToldEntry.of(entry).read(entry.place.era), entry)
+
     def frame(self, message=MESSAGES[1]):
         return encode_frame(message, "a", b"key-a")
 
--- a/tests/contract/store_contract.py
+++ b/tests/contract/store_contract.py
@@ -5,13 +5,14 @@
 import trio
 
 from emulator.platform.faults import FaultOrder
+from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
 from hopstep.exceptions import (
     ErrorCode,
     StoreConflictError,
     StoreError,
     StoreOutcomeUnknownError,
 )
-from hopstep.ports.key_value_store import ABSENT, StoredValue
+from hopstep.ports.key_value_store import ABSENT, StoredValue, StoreLease
 
 CLIENT_TIMEOUT_SECONDS = 0.3
 BRIEF_LEASE_SECONDS = 1.0
@@ -33,6 +34,12 @@
 CLEARED = FaultOrder(
     outage=False, requests_per_second=0, slow_seconds=0, lost_answers=0, lost_requests=0
 )
+NO_LEASE = StoreLease("none", UNTOLD_ERA)
+
+
+def _next(version):
+    """Return another version than a key's own."""
+    return StorePlace(version.era, version.revision + 1)
 
 
 class StoreContract:
@@ -59,7 +66,7 @@
             first = await store.compare_and_swap("a", ABSENT, b"\x00\xff")
             second = await store.compare_and_swap("b", ABSENT, b"2")
             third = await store.compare_and_swap("a", first, b"3")
-            self.assertTrue(0 < first < second < third)
+            self.assertTrue(ABSENT < first < second < third)
             self.assertEqual(await store.get("a"), StoredValue("a", b"3", third))
 
         self.check(test)
@@ -69,11 +76,11 @@
             version = await store.compare_and_swap("a", ABSENT, b"1")
             for name, write in (
                 ("create", lambda: store.compare_and_swap("a", ABSENT, b"x")),
-                ("replace", lambda: store.compare_and_swap("a", version + 1, b"x")),
+                ("replace", lambda: store.compare_and_swap("a", _next(version), b"x")),
                 ("replace absent", lambda: store.compare_and_swap("b", version, b"x")),
-                ("delete", lambda: store.delete("a", version + 1)),
-                ("lapsed lease", lambda: store.compare_and_swap("c", ABSENT, b"x", "none")),
-                ("renew", lambda: store.keep_alive("none")),
+                ("delete", lambda: store.delete("a", _next(version))),
+                ("lapsed lease", lambda: store.compare_and_swap("c", ABSENT, b"x", NO_LEASE)),
+                ("renew", lambda: store.keep_alive(NO_LEASE)),
             ):
                 with self.subTest(name), self.assertRaises(StoreConflictError) as caught:
                     await write()
@@ -101,8 +108,8 @@
             await store.delete("p/a", second)
             batch = await store.watch("p/", start, 0.0)
             self.assertEqual([value.value for value in batch.values], [b"2", b""])
-            self.assertEqual(batch.revision, batch.values[-1].version)
-            self.assertEqual((await store.watch("p/", batch.revision, 0.05)).values, ())
+            self.assertEqual(batch.place, batch.values[-1].version)
+            self.assertEqual((await store.watch("p/", batch.place, 0.05)).values, ())
 
         self.check(test)
 
@@ -110,7 +117,7 @@
         async def test(store, _order):
             async def watch(task_status):
                 task_status.started()
-                seen.append(await store.watch("a", 0, 30.0))
+                seen.append(await store.watch("a", ABSENT, 30.0))
 
             seen = []
             async with trio.open_nursery() as nursery:
@@ -149,7 +156,7 @@
             await order(fault)
             await self.check_call(lambda: store.get("a"), read_error)
             await self.check_call(lambda: store.list(""), read_error)
-            await self.check_call(lambda: store.compare_and_swap("a", 0, b"1"), write_error)
+            await self.check_call(lambda: store.compare_and_swap("a", ABSENT, b"1"), write_error)
             await order(CLEARED)
             self.assertEqual(await store.get("a") is not None, took_effect)
 
@@ -191,8 +198,8 @@
             await order(FaultOrder(dropped_changes=1))
             await store.compare_and_swap("a", ABSENT, b"hidden")
             version = await store.compare_and_swap("b", ABSENT, b"shown")
-            batch = await store.watch("", 0, 0.0)
+            batch = await store.watch("", ABSENT, 0.0)
             self.assertEqual(batch.values, (StoredValue("b", b"shown", version),))
-            self.assertEqual(batch.revision, version)
+            self.assertEqual(batch.place, version)
 
         self.check(test)
--- a/tests/contract/test_platform_store.py
+++ b/tests/contract/test_platform_store.py
@@ -54,7 +54,7 @@
             await store.compare_and_swap("a", ABSENT, b"1")
             version = await store.compare_and_swap("b", ABSENT, b"2")
             listing = await store.listing("")
-            self.assertEqual(listing.revision, version)
+            self.assertEqual(listing.place, version)
             self.assertEqual([value.key for value in listing.values], ["a", "b"])
 
         self.check(test)
@@ -80,7 +80,7 @@
                 await store.compare_and_swap("a", ABSENT, b"1")
                 shared.model.forget_history()
                 with self.assertRaises(StoreHistoryLostError) as caught:
-                    await store.watch("", 0, 0.0)
+                    await store.watch("", ABSENT, 0.0)
                 self.assertEqual(caught.exception.code, ErrorCode.STORE_HISTORY_LOST)
 
         self.run_async(test)
@@ -99,4 +99,4 @@
 
 def _write(name):
 
-    return wire.CompareAndSwap(name, ABSENT, b"1")
+    return wire.CompareAndSwap(name, ABSENT.revision, b"1")
--- a/tests/contract/test_store_contract.py
+++ b/tests/contract/test_store_contract.py
@@ -13,7 +13,9 @@
 from hopstep.adapters.key_value_store_http import HttpKeyValueStore
 from hopstep.adapters.key_value_store_wire import STORE_PATH
 from hopstep.adapters.machine_list_http import HttpMachineList
+from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
 from hopstep.exceptions import ErrorCode, StoreError, StoreOutcomeUnknownError
+from hopstep.ports.key_value_store import ABSENT
 from hopstep.ports.machine_list import Machine, MachineState
 from tests.contract.store_contract import CLIENT_TIMEOUT_SECONDS, StoreContract
 
@@ -64,7 +66,8 @@
             shared = SharedStore()
             cut, whole = InMemoryStore(shared), InMemoryStore(shared)
             cut.cut_off = True
-            self.assertEqual(await whole.compare_and_swap("a", 0, b"1"), 1)
+            version = await whole.compare_and_swap("a", ABSENT, b"1")
+            self.assertEqual(version, StorePlace(UNTOLD_ERA, 1))
             await self.check_call(lambda: cut.get("a"), (StoreError, ErrorCode.STORE_UNAVAILABLE))
 
         self.run_async(test)
@@ -73,8 +76,8 @@
         async def test():
             store = InMemoryStore(SharedStore(history_length=2))
             for key in ("a", "b", "c"):
-                await store.compare_and_swap(key, 0, b"1")
-            batch = await store.watch("", 0, 0.0)
+                await store.compare_and_swap(key, ABSENT, b"1")
+            batch = await store.watch("", ABSENT, 0.0)
             self.assertEqual([value.key for value in batch.values], ["b", "c"])
 
         self.run_async(test)
@@ -109,7 +112,7 @@
             async with httpx.AsyncClient() as client:
                 store = HttpKeyValueStore(f"127.0.0.1:{port}", client)
                 expected = (StoreError, ErrorCode.STORE_UNAVAILABLE)
-                await self.check_call(lambda: store.compare_and_swap("a", 0, b"1"), expected)
+                await self.check_call(lambda: store.compare_and_swap("a", ABSENT, b"1"), expected)
 
         self.run_async(test)
 
@@ -130,7 +133,7 @@
             store = HttpKeyValueStore(address, client)
             unknown = (StoreOutcomeUnknownError, ErrorCode.STORE_OUTCOME_UNKNOWN)
             unavailable = (StoreError, ErrorCode.STORE_UNAVAILABLE)
-            await self.check_call(lambda: store.compare_and_swap("a", 0, b"1"), unknown)
+            await self.check_call(lambda: store.compare_and_swap("a", ABSENT, b"1"), unknown)
             await self.check_call(lambda: store.get("a"), unavailable)
             nursery.cancel_scope.cancel()
 
--- a/tests/emulator/test_store_stateful.py
+++ b/tests/emulator/test_store_stateful.py
@@ -10,11 +10,14 @@
 from emulator.platform.in_memory import InMemoryStore
 from emulator.platform.shared_store import SharedStore
 from emulator.virtual_time import run_in_virtual_time, virtual_clock
+from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
 from hopstep.exceptions import StoreConflictError, StoreError, StoreOutcomeUnknownError
+from hopstep.ports.key_value_store import ABSENT, StoreLease
 from tests import fuzz_settings
 
 KEYS = st.sampled_from(["a", "a/1", "a/2", "b/1"])
 VALUES = st.binary(min_size=1, max_size=3)
+UNKNOWN_LEASE = StoreLease("unknown", UNTOLD_ERA)
 LIVES = st.sampled_from([1.0, 5.0])
 
 
@@ -33,7 +36,7 @@
         self.leases = {}
         self.revision = 0
         self.follower = {}
-        self.followed = 0
+        self.followed = ABSENT
         self.now = 0.0
         self.run(self.start)
 
@@ -48,9 +51,9 @@
 
     @rule(key=KEYS, value=VALUES, right=st.booleans(), data=st.data())
     def compare_and_swap(self, key, value, right, data):
-        lease = data.draw(st.sampled_from(["", "unknown", *self.leases]))
+        lease = data.draw(st.sampled_from([None, UNKNOWN_LEASE, *self.leases]))
         version = self.expected_version(key, right)
-        valid = right and lease != "unknown"
+        valid = right and lease != UNKNOWN_LEASE
         if self.write(valid, self.store.compare_and_swap, key, version, value, lease):
             self.record(key, value, lease)
 
@@ -89,7 +92,7 @@
             assert value.version > self.followed
             self.followed = value.version
             self.follower[value.key] = (value.value, value.version)
-        self.followed = batch.revision
+        self.followed = batch.place
         live = {key: entry for key, entry in self.follower.items() if entry[0]}
         assert live == self.values
 
@@ -102,7 +105,7 @@
     @precondition(lambda self: self.leases)
     @rule(data=st.data())
     def keep_alive(self, data):
-        lease = data.draw(st.sampled_from(sorted(self.leases)))
+        lease = data.draw(st.sampled_from(sorted(self.leases, key=lambda lease: lease.name)))
         self.run(self.store.keep_alive, lease)
         seconds, _ = self.leases[lease]
         self.leases[lease] = (seconds, self.now + seconds)
@@ -130,7 +133,7 @@
 
     def compare_and_swap_unbound(self, key):
         if self.write(True, self.store.compare_and_swap, key, self.version(key), b"lost"):
-            self.record(key, b"lost", "")
+            self.record(key, b"lost", None)
 
     @rule(key=KEYS)
     def refuse_in_an_outage(self, key):
@@ -155,14 +158,15 @@
     def expected_version(self, key, right):
         """Return the version of a key, or one that is wrong: absent for present, or a guess."""
         version = self.version(key)
-        return version if right else int(version == 0)
+        wrong = StorePlace(UNTOLD_ERA, 1) if version == ABSENT else ABSENT
+        return version if right else wrong
 
     def version(self, key):
-        return self.values[key][1] if key in self.values else 0
+        return self.values[key][1] if key in self.values else ABSENT
 
     def record(self, key, value, lease):
         self.revision += 1
-        self.values[key] = (value, self.revision)
+        self.values[key] = (value, StorePlace(UNTOLD_ERA, self.revision))
         self.lease_of_key[key] = lease
 
     def forget(self, key):
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -9,6 +9,7 @@
 import trio
 from hypothesis import strategies
 
+from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
 from hopstep.platform.directory import PlatformDirectory, read_change
 from hopstep.platform.store import PlatformStore
 from hopstep.ports.key_value_store import StoredValue
@@ -119,7 +120,7 @@
 
 def read(document, key=KEY):
     value = document if isinstance(document, bytes) else json.dumps(document).encode()
-    return read_change(StoredValue(key, value, 9))
+    return read_change(StoredValue(key, value, StorePlace(UNTOLD_ERA, 9)))
 
 
 def is_number(value, lowest, highest=2**53):
@@ -220,7 +221,10 @@
     def test_what_stands_beside_a_bad_entry_is_taken(self, drawn):
         good = json.dumps(GOOD).encode()
         values = [good if item is True else b"{}" if item is False else item for item in drawn]
-        stored = [StoredValue(f"servers/i-{n}", value, n + 1) for n, value in enumerate(values)]
+        stored = [
+            StoredValue(f"servers/i-{n}", value, StorePlace(UNTOLD_ERA, n + 1))
+            for n, value in enumerate(values)
+        ]
         listed = [isinstance(read_change(value), InstanceListed) for value in stored]
         self.assertEqual(listed, [value == good for value in values])
 
--- a/tests/platform/test_vocabulary.py
+++ b/tests/platform/test_vocabulary.py
@@ -6,6 +6,7 @@
 import trio
 
 from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
 from hopstep.platform.cache_events import PlatformCacheEvents
 from hopstep.platform.directory import PlatformDirectory
 from hopstep.platform.http_client import HttpClient
@@ -13,7 +14,7 @@
 from hopstep.platform.store import PlatformStore
 from hopstep.platform.vocabulary import KNOWN_HEADERS, READ_HEADERS, UNREAD_HEADERS
 from hopstep.ports.instance_calls import InstanceCall, InstanceCallError
-from hopstep.ports.key_value_store import StoredValue, StoreListing
+from hopstep.ports.key_value_store import ABSENT, StoredValue, StoreListing
 from hopstep.ports.unknown_words import WordPlace
 from tests.platform.test_entries import ENGINE
 from tests.platform.test_instances import RawServer, request
@@ -31,6 +32,8 @@
     "season": "wet",
 }
 
+PLACE = StorePlace(UNTOLD_ERA, 1)
+
 
 class StoredDocuments:
     """A store that lists fixed values."""
@@ -41,9 +44,10 @@
     async def listing(self, _prefix):
         await trio.lowlevel.checkpoint()
         values = (
-            StoredValue(key, json.dumps(value).encode(), 1) for key, value in self.values.items()
+            StoredValue(key, json.dumps(value).encode(), PLACE)
+            for key, value in self.values.items()
         )
-        return StoreListing(1, tuple(values))
+        return StoreListing(PLACE, tuple(values))
 
 
 class VocabularyTest(unittest.TestCase):
@@ -123,7 +127,7 @@
         body = b'{"atRevision":1,"events":[{"privateKey":"k","revision":1,"leaseId":0,"by":"x"}]}'
 
         async def call(client, address, on_unknown):
-            await PlatformStore(address, client, on_unknown=on_unknown).watch("", 0, 0.1)
+            await PlatformStore(address, client, on_unknown=on_unknown).watch("", ABSENT, 0.1)
 
         head = b"HTTP/1.1 200 OK\r\nX-Shard: 1\r\nContent-Length: %d\r\n\r\n" % len(body)
         told = self.told(head + body, call)
@@ -157,5 +161,5 @@
         )
         words = []
         directory = PlatformDirectory(StoredDocuments(), words.append)
-        change = directory._read_all((StoredValue("servers/i1", entry.encode(), 1),))
+        change = directory._read_all((StoredValue("servers/i1", entry.encode(), PLACE),))
         self.assertEqual(len(change), 1)
--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -149,7 +149,9 @@
             "callSequence": 0,
         }
         for key, value in (("op/config", CONFIGURATION), ("servers/i1", entry)):
-            await shared.execute(wire.CompareAndSwap(key, ABSENT, json.dumps(value).encode()))
+            await shared.execute(
+                wire.CompareAndSwap(key, ABSENT.revision, json.dumps(value).encode())
+            )
 
     async def wait_ready(self, client, port):
         with trio.fail_after(START_SECONDS):
--- a/tests/services/exchanges/emulated_directory.py
+++ b/tests/services/exchanges/emulated_directory.py
@@ -3,8 +3,10 @@
 import msgspec
 import trio
 
+from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
 from hopstep.exceptions import ErrorCode, StoreError, StoreHistoryLostError
 from hopstep.platform.store import ANSWER_SECONDS
+from hopstep.ports.key_value_store import require_era
 from hopstep.ports.serving_directory import (
     DirectoryBatch,
     DirectoryChange,
@@ -41,14 +43,14 @@
     return msgspec.msgpack.encode(change)
 
 
-def read_entry(stored):
+def read_entry(stored, era=UNTOLD_ERA):
     """Return the entry that a stored value stands for; records of nodes are values as they are."""
-    key, value, revision = stored.key, stored.value, stored.version
+    key, value, place = stored.key, stored.value, StorePlace(era, stored.version)
     if not key.startswith(PUBLISHED_PREFIXES):
-        return DirectoryEntry(key, revision, RecordWritten(key, value, revision))
+        return DirectoryEntry(key, place, RecordWritten(key, value, place))
     if not value:
-        return DirectoryEntry(key, revision, InstanceRemoved(key.removeprefix(INSTANCES_PREFIX)))
-    return DirectoryEntry(key, revision, msgspec.msgpack.decode(value, type=DirectoryChange))
+        return DirectoryEntry(key, place, InstanceRemoved(key.removeprefix(INSTANCES_PREFIX)))
+    return DirectoryEntry(key, place, msgspec.msgpack.decode(value, type=DirectoryChange))
 
 
 class EmulatedDirectory(ServingDirectory):
@@ -102,15 +104,15 @@
         await self._check_answered(ANSWER_SECONDS)
         self._check()
         model = self._world.shared.model
-        entries = tuple(read_entry(stored) for stored in model.snapshot().values())
-        return DirectoryBatch(model.revision, entries, model.era)
+        entries = tuple(read_entry(item, model.era) for item in model.snapshot().values())
+        return DirectoryBatch(StorePlace(model.era, model.revision), entries)
 
-    async def changes(self, after_revision, wait_seconds):
+    async def changes(self, after, wait_seconds):
         self._world.calls += 1
         connection = self._connection
         model = self._world.shared.model
         deadline = trio.current_time() + wait_seconds
-        while self._hears_nothing(after_revision) and trio.current_time() < deadline:
+        while self._hears_nothing(after) and trio.current_time() < deadline:
             self._check()
             with trio.move_on_at(min(deadline, model.next_lapse())):
                 await self._world.shared.wait_changed()
@@ -118,16 +120,17 @@
         await self._pass_connection(connection)
         await self._check_answered(ANSWER_SECONDS)
         self._check()
-        if not model.remembers_after(after_revision):
+        if not model.remembers_after(after.revision):
             raise StoreHistoryLostError(ErrorCode.STORE_HISTORY_LOST, "the history is gone")
-        batch = model.changes("", after_revision)
-        entries = tuple(read_entry(stored) for stored in batch.values)
-        return DirectoryBatch(batch.revision, entries, batch.era)
+        require_era(after.era, model.era)
+        batch = model.changes("", after.revision)
+        entries = tuple(read_entry(item, model.era) for item in batch.values)
+        return DirectoryBatch(StorePlace(model.era, batch.revision), entries)
 
-    def _hears_nothing(self, after_revision):
+    def _hears_nothing(self, after):
         model = self._world.shared.model
         model.expire_leases(trio.current_time())
-        return model.revision == after_revision or self.deaf or self.dark
+        return model.revision == after.revision or self.deaf or self.dark
 
     async def _check_answered(self, limit_seconds):
         if self.dark:
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -10,6 +10,7 @@
 from emulator.exchange_platform.node_network import EmulatedNodeNetwork
 from emulator.platform.in_memory import InMemoryStore
 from emulator.platform.shared_store import SharedStore
+from emulator.platform.store_model import ABSENT_REVISION
 from emulator.virtual_time import run_in_virtual_time, virtual_clock
 from hopstep.adapters import key_value_store_wire as wire
 from hopstep.domain.exchanges.instances import Instance, NamedWeights
@@ -29,7 +30,6 @@
 from hopstep.exchange_settings import ExchangeBounds, ExchangeSettings
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
 from hopstep.ports.exchange_front import ClientAnswer, RequestHead
-from hopstep.ports.key_value_store import ABSENT
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
     InstanceListed,
@@ -204,7 +204,7 @@
             self.listed.pop(change.instance_id, None)
         key, model = directory_key(change), self.shared.model
         stored = model.apply(wire.Get(key), self._now)
-        version = stored.version if stored is not None else ABSENT
+        version = stored.version if stored is not None else ABSENT_REVISION
         if not isinstance(change, InstanceRemoved):
             write = wire.CompareAndSwap(key, version, encode_change(change))
         elif stored is not None:
--- a/tests/services/exchanges/test_relaying.py
+++ b/tests/services/exchanges/test_relaying.py
@@ -269,8 +269,9 @@
     def test_dating_by_the_arrival_of_an_answer_is_caught(self):
         take = relaying.Relaying._take_entries
 
-        def by_arrival(self, answer, query):
-            take(self, answer, msgspec.structs.replace(query, sent_at=trio.current_time()))
+        def by_arrival(self, answer, query, reached):
+            arrived = msgspec.structs.replace(query, sent_at=trio.current_time())
+            take(self, answer, arrived, reached)
 
         with mock.patch.object(relaying.Relaying, "_take_entries", by_arrival):
             self.assertTrue(self.late_runs_behind_slow_frames())
--- a/tests/services/exchanges/test_suspensions.py
+++ b/tests/services/exchanges/test_suspensions.py
@@ -187,7 +187,9 @@
                         await trio.sleep(0.05)
                         for node in world.nodes:
                             knowledge = node.knowledge
-                            missed = [at for r, at in published.items() if r > knowledge.revision]
+                            missed = [
+                                at for r, at in published.items() if r > knowledge.place.revision
+                            ]
                             if missed and knowledge.confirmed_at > min(missed):
                                 wrong.append((trio.current_time(), knowledge.name))
 
