Hold the rollout's lease in its own era only, with tokens that rise through restores

Cause: 'the key has existed all the time' and 'a lease is mine if its renewal is answered' rest on a store that never goes back, and the token was its bare revision.

Now a key names its era and holds in that one only; one of an earlier era is written over. Renewals count in the era of the grant. The token is the era above the revision (beside nodes of older versions, and before any restore seen, the revision as before). Who takes the lease after a restore waits for two lease times from when it saw the new era: the last holder may have renewed right before it and may not have heard of it.

What a node may do is decided in RolloutTenure, apart from the calls.

--- a/emulator/platform/in_memory.py
+++ b/emulator/platform/in_memory.py
@@ -7,12 +7,11 @@
 from emulator.platform.machine_list import MachineListModel
 from emulator.platform.shared_store import Effect, SharedStore
 from hopstep.adapters import key_value_store_wire as wire
-from hopstep.domain.store_place import StorePlace
+from hopstep.domain.store_place import StoreLease, StorePlace
 from hopstep.exceptions import ErrorCode, StoreError, StoreOutcomeUnknownError
 from hopstep.ports.key_value_store import (
     KeyValueStorePort,
     StoredValue,
-    StoreLease,
     WatchBatch,
     require_era,
     require_lease_era,
--- a/hopstep/adapters/key_value_store_http.py
+++ b/hopstep/adapters/key_value_store_http.py
@@ -10,7 +10,7 @@
 
 from hopstep.adapters import key_value_store_wire as wire
 from hopstep.adapters.platform_http import PlatformHttpClient
-from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
+from hopstep.domain.store_place import UNTOLD_ERA, StoreLease, StorePlace
 from hopstep.exceptions import (
     ErrorCode,
     StoreConflictError,
@@ -20,7 +20,6 @@
 from hopstep.ports.key_value_store import (
     KeyValueStorePort,
     StoredValue,
-    StoreLease,
     WatchBatch,
     require_era,
     require_lease_era,
--- /dev/null
+++ b/hopstep/domain/exchanges/rollout_tenure.py
@@ -0,0 +1,183 @@
+"""When one node may take, keep and use the lease of the rollout.
+
+The lease's key is created where nobody holds it. Its version is the fencing token. A holder counts
+the lease from when the grant or renewal was sent, and a new one lets one lease time pass before its
+first order.
+
+A store that is restored from a copy may have lost the key, or show that of an earlier holder again,
+whose lease may by then be another node's. So a key holds in the era that it names itself, and in no
+other one, and whoever takes the lease soon after a restore waits for one lease time more: the last
+holder before the restore may not have heard of it, and renewed right before.
+
+All times are of the steady clock, in seconds.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from hopstep.domain.store_place import ABSENT, StoreLease, StorePlace
+
+ERA_BITS = 40
+"""Bits of a fencing token below the era: a store that changes 1,000 times a second for 30 years."""
+
+NEVER = -float("inf")
+
+
+class RolloutHolder(msgspec.Struct, frozen=True):
+    """Who holds the rollout of weights; value of its key.
+
+    Attributes:
+        name: Name of the node.
+        address: ``ip:port`` of its datagrams: a machine that replaces another may take its name.
+        lease: Name of the lease to which the key is bound.
+        era: Era of that lease; None from versions that know none.
+    """
+
+    name: str
+    address: str
+    lease: str
+    era: int | None = None
+
+
+class RolloutKey(msgspec.Struct, frozen=True):
+    """The rollout's key as the store shows it.
+
+    Attributes:
+        version: Its version, in the era in which it was seen.
+        holder: Who it names; None for a value that can't be read.
+    """
+
+    version: StorePlace
+    holder: RolloutHolder | None
+
+    @property
+    def is_void(self) -> bool:
+        """Whether it was written in an earlier era than the one in which it was seen."""
+        holder = self.holder
+        return holder is not None and holder.era is not None and holder.era != self.version.era
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """What a node may do to hold the lease.
+
+    Attributes:
+        expected: Version of the key to write over, ``ABSENT`` to create it.
+        resumed: The own lease to renew instead; None to take a new one.
+    """
+
+    expected: StorePlace = ABSENT
+    resumed: StoreLease | None = None
+
+
+class RolloutTenure:
+    """One node's hold on the lease."""
+
+    def __init__(self, name: str, address: str, lease_seconds: float) -> None:
+        """Hold nothing.
+
+        Args:
+            name: Name of the node.
+            address: ``ip:port`` of its datagrams.
+            lease_seconds: Time of the lease.
+        """
+        self.lease: StoreLease | None = None
+        self.version = ABSENT
+        self.valid_until = NEVER
+        self._name = name
+        self._address = address
+        self._lease_seconds = lease_seconds
+        self._holding = False
+        self._era: int | None = None
+        self._order_from = NEVER
+        self._restored_at = NEVER
+        self._refused = ABSENT
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the node holds the lease as far as it knows."""
+        return self._holding
+
+    def holder(self, lease: StoreLease) -> RolloutHolder:
+        """Return how the node names itself as the holder."""
+        return RolloutHolder(self._name, self._address, lease.name, lease.era)
+
+    def see_era(self, era: int, now: float) -> None:
+        """Note the era of an answer of the store, or of whoever tells of it.
+
+        A lease of an earlier era is lost.
+        """
+        if self._era is not None and era <= self._era:
+            return
+        if self._era is not None:
+            self.suspect_restore(now)
+        self._era = era
+
+    def suspect_restore(self, now: float) -> None:
+        """Note that the store has been restored now or before, without all nodes knowing it."""
+        self._restored_at = now
+
+    def claim(self, key: RolloutKey | None) -> Claim | None:
+        """Return what the node may do to hold the lease; None while another node holds it.
+
+        Args:
+            key: The key as the store has shown it last; None when there is none.
+        """
+        if key is None:
+            return Claim()
+        if key.is_void:
+            return Claim(key.version)
+        if key.holder is None or key.version <= self._refused:
+            return None
+        lease = StoreLease(key.holder.lease, key.version.era)
+        if key.holder != self.holder(lease):
+            return None
+        return Claim(key.version, lease)
+
+    def begin(self, lease: StoreLease, version: StorePlace, sent_at: float, now: float) -> None:
+        """Hold the lease.
+
+        Args:
+            lease: The lease.
+            version: Version of its key.
+            sent_at: When the call that granted or renewed it was sent.
+            now: Steady clock.
+        """
+        self.see_era(lease.era, now)
+        if version != self.version:
+            another_until = self._restored_at + self._lease_seconds
+            self._order_from = max(now, another_until) + self._lease_seconds
+        self.lease = lease
+        self.version = version
+        self.valid_until = sent_at + self._lease_seconds
+        self._holding = True
+
+    def renew(self, sent_at: float) -> None:
+        """Note that the lease was renewed by a call that was sent at a time."""
+        self.valid_until = max(self.valid_until, sent_at + self._lease_seconds)
+
+    def end(self) -> None:
+        """Hold the lease no more; it may still be valid in the store."""
+        self._holding = False
+
+    def give_up(self) -> None:
+        """Leave the lease for good: an engine has seen a higher token."""
+        self.valid_until = NEVER
+        self._refused = self.version
+        self._holding = False
+
+    def may_order(self, now: float, reserve_seconds: float) -> bool:
+        """Return whether an order may be sent.
+
+        Args:
+            now: Steady clock.
+            reserve_seconds: The lease must hold at least this much longer.
+        """
+        if not self._holding or self.lease is None or self.lease.era != self._era:
+            return False
+        return self._order_from <= now <= self.valid_until - reserve_seconds
+
+
+def fencing_token(version: StorePlace) -> int:
+    """Return the number that engines compare; it rises with the version, through restores too."""
+    return version.era << ERA_BITS | version.revision
--- a/hopstep/domain/store_place.py
+++ b/hopstep/domain/store_place.py
@@ -26,3 +26,18 @@
 
 NOWHERE = StorePlace(-1, -1)
 """Before anything: place of a node that knows nothing."""
+
+ABSENT = StorePlace(UNTOLD_ERA, 0)
+"""Version of a key that does not exist."""
+
+
+class StoreLease(msgspec.Struct, frozen=True):
+    """A lease; it means nothing in another era, where its name may be that of another lease.
+
+    Attributes:
+        name: Name that the service gave it.
+        era: Era in which it was granted.
+    """
+
+    name: str
+    era: int
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -598,7 +598,7 @@
     "HS6105",
     "rollout_lease_acquired",
     Level.INFO,
-    ("fencing_token", "resumed"),
+    ("fencing_token", "era", "resumed"),
     "Nothing: resumed is an own lease that still existed after an outage or a restart.",
 )
 ROLLOUT_LEASE_LOST = LogEvent(
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
+from hopstep.domain.store_place import UNTOLD_ERA, StoreLease, StorePlace
 from hopstep.exceptions import (
     ErrorCode,
     StoreConflictError,
@@ -25,7 +25,6 @@
 from hopstep.ports.key_value_store import (
     KeyValueStorePort,
     StoredValue,
-    StoreLease,
     StoreListing,
     WatchBatch,
     require_era,
--- a/hopstep/ports/key_value_store.py
+++ b/hopstep/ports/key_value_store.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
+from hopstep.domain.store_place import ABSENT, StoreLease, StorePlace
 from hopstep.exceptions import (
     ErrorCode,
     StoreConflictError,
@@ -22,9 +22,6 @@
     StoreOutcomeUnknownError,
 )
 
-ABSENT = StorePlace(UNTOLD_ERA, 0)
-"""Version of a key that does not exist."""
-
 
 class StoredValue(msgspec.Struct, frozen=True):
     """A value with its version.
@@ -67,18 +64,6 @@
     values: tuple[StoredValue, ...]
 
 
-class StoreLease(msgspec.Struct, frozen=True):
-    """A lease; it means nothing in another era, where its name may be that of another lease.
-
-    Attributes:
-        name: Name that the service gave it.
-        era: Era in which it was granted.
-    """
-
-    name: str
-    era: int
-
-
 class KeyValueStorePort(abc.ABC):
     """The key-value service.
 
--- a/hopstep/services/claims.py
+++ b/hopstep/services/claims.py
@@ -22,7 +22,7 @@
     claim_key,
     next_step,
 )
-from hopstep.domain.store_place import StorePlace
+from hopstep.domain.store_place import ABSENT, StorePlace
 from hopstep.exceptions import (
     EngineError,
     ErrorCode,
@@ -34,7 +34,7 @@
 )
 from hopstep.logs import emit
 from hopstep.ports.engine import AttemptStatus, EnginePort
-from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort, StoredValue
+from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
 
 DEFAULT_TIMEOUT_SECONDS = 3.0
 """Longest time for a claim, all calls to the store and the engine together."""
--- a/hopstep/services/configuration/rate_limit_retry.py
+++ b/hopstep/services/configuration/rate_limit_retry.py
@@ -12,14 +12,9 @@
 
 import trio
 
-from hopstep.domain.store_place import StorePlace
+from hopstep.domain.store_place import StoreLease, StorePlace
 from hopstep.exceptions import ErrorCode, StoreError
-from hopstep.ports.key_value_store import (
-    KeyValueStorePort,
-    StoredValue,
-    StoreLease,
-    WatchBatch,
-)
+from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue, WatchBatch
 
 MIN_WAIT_SECONDS = 0.1
 MAX_WAIT_SECONDS = 1.5
--- a/hopstep/services/configuration/snapshots.py
+++ b/hopstep/services/configuration/snapshots.py
@@ -15,8 +15,9 @@
 from hopstep.domain.configuration.decoding import convert_document
 from hopstep.domain.configuration.document import AcceptedConfiguration
 from hopstep.domain.configuration.encoding import decode_snapshot, encode
+from hopstep.domain.store_place import ABSENT
 from hopstep.exceptions import ErrorCode, StoreConflictError, StoreError
-from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort, StoredValue
+from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
 
 MANIFESTS_PREFIX = "configuration/snapshots/"
 CHUNKS_PREFIX = "configuration/snapshot_chunks/"
--- a/hopstep/services/configuration/store.py
+++ b/hopstep/services/configuration/store.py
@@ -20,8 +20,9 @@
     apply_transfer,
     empty_configuration,
 )
+from hopstep.domain.store_place import ABSENT
 from hopstep.exceptions import DomainError, ErrorCode, StoreError
-from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort, StoredValue
+from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
 from hopstep.services.configuration.rate_limit_retry import RateLimitRetryStore
 from hopstep.services.configuration.snapshots import (
     SNAPSHOT_INTERVAL,
--- a/hopstep/services/exchanges/directory/knowledge.py
+++ b/hopstep/services/exchanges/directory/knowledge.py
@@ -18,14 +18,13 @@
 from hopstep.domain.exchanges.directory_feed import DirectoryFeed, FeedEntry
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.instances import NamedWeights
-from hopstep.domain.exchanges.nodes import NodeRecord, RelayPlan
+from hopstep.domain.exchanges.nodes import FORM_WITH_ERAS, NodeRecord, RelayPlan
 from hopstep.domain.exchanges.serving import ServingConfiguration, ServingIndex
 from hopstep.domain.exchanges.store_contact import StoreContact
 from hopstep.domain.exchanges.weights import WeightsBook
-from hopstep.domain.store_place import NOWHERE, StorePlace
+from hopstep.domain.store_place import ABSENT, NOWHERE, StorePlace
 from hopstep.exceptions import ErrorCode, ServiceError, StoreError
 from hopstep.logs import emit
-from hopstep.ports.key_value_store import ABSENT
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
     DirectoryBatch,
@@ -132,6 +131,11 @@
         services = self.current.services if self.current is not None else ()
         return any(service.engine is not None for service in services)
 
+    @property
+    def all_know_eras(self) -> bool:
+        """Whether the versions of all registered nodes tell the store's eras."""
+        return all(record.form >= FORM_WITH_ERAS for record in self.nodes.values())
+
     def count_nodes(self) -> int:
         """Return how many nodes may be alive, this one included."""
         return len(self.nodes.keys() | {self.name})
--- a/hopstep/services/exchanges/directory/records.py
+++ b/hopstep/services/exchanges/directory/records.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from hopstep.domain.exchanges.nodes import NodeRecord
+from hopstep.domain.exchanges.rollout_tenure import RolloutHolder
 
 NODES_PREFIX = "hopstep/nodes/"
 """A key for each node; its value is a ``NodeRecord``."""
@@ -13,20 +14,6 @@
 """Exists while a node holds the rollout of weights; its value is a ``RolloutHolder``."""
 
 
-class RolloutHolder(msgspec.Struct, frozen=True):
-    """Who holds the rollout of weights.
-
-    Attributes:
-        name: Name of the node.
-        address: ``ip:port`` of its datagrams: a machine that replaces another may take its name.
-        lease: Lease to which the key is bound.
-    """
-
-    name: str
-    address: str
-    lease: str
-
-
 def encode_holder(holder: RolloutHolder) -> bytes:
     """Return the value of the rollout's key."""
     return msgspec.json.encode(holder)
--- a/hopstep/services/exchanges/directory/registration.py
+++ b/hopstep/services/exchanges/directory/registration.py
@@ -12,8 +12,9 @@
 import trio
 
 from hopstep.domain.exchanges.nodes import NodeRecord
+from hopstep.domain.store_place import ABSENT, StoreLease
 from hopstep.exceptions import StoreConflictError, StoreError
-from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort, StoreLease
+from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.records import NODES_PREFIX, encode_node
 
--- a/hopstep/services/exchanges/weights/rollout_lease.py
+++ b/hopstep/services/exchanges/weights/rollout_lease.py
@@ -1,13 +1,12 @@
 """The lease under which one node at a time orders engines to load weights.
 
-The key of the lease is created only where it doesn't exist; its creation revision is the fencing
-token. A holder counts the lease from when the grant or renewal was sent, and stops before it can
-have lapsed. A new holder waits for one lease time before its first order. While the store is down
-nobody becomes holder, and the holder stops when its lease ends.
+``RolloutTenure`` decides when this node may take, keep and use it; here are the calls. While the
+store is down nobody becomes holder, and the holder stops when its lease ends.
 
 Leases may wait while the store is down. A node that finds the key with its own name after that,
 also one that was restarted, goes on under the same lease and fencing token: the key has existed
-all the time, so nobody else has held it.
+all the time, so nobody else has held it. After a restore from a copy that isn't so, and it takes
+the lease anew.
 """
 
 from __future__ import annotations
@@ -20,7 +19,13 @@
 import trio
 
 from hopstep import log_events
-from hopstep.domain.store_place import StorePlace
+from hopstep.domain.exchanges.rollout_tenure import (
+    Claim,
+    RolloutKey,
+    RolloutTenure,
+    fencing_token,
+)
+from hopstep.domain.store_place import NOWHERE, StoreLease, StorePlace
 from hopstep.exceptions import (
     ErrorCode,
     StoreConflictError,
@@ -28,11 +33,10 @@
     StoreOutcomeUnknownError,
 )
 from hopstep.logs import emit
-from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort, StoreLease
+from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.records import (
     ROLLOUT_KEY,
-    RolloutHolder,
     decode_holder,
     encode_holder,
 )
@@ -56,18 +60,6 @@
 """Least time for which nodes that don't read the store leave a vacant lease to those that do."""
 
 
-class _OwnKey(msgspec.Struct, frozen=True):
-    """The lease's key as this node has written it.
-
-    Attributes:
-        lease: Lease to which it is bound.
-        version: Its version; the revision is the fencing token.
-    """
-
-    lease: StoreLease
-    version: StorePlace
-
-
 class RolloutLease:
     """Acquires and keeps the lease."""
 
@@ -89,16 +81,11 @@
             lease_seconds: Time of the lease.
         """
         self.fencing_token = 0
-        self._name = name
+        self._tenure = RolloutTenure(name, knowledge.record.address, lease_seconds)
         self._store = store
         self._knowledge = knowledge
         self._generator = generator
         self._lease_seconds = lease_seconds
-        self._lease: StoreLease | None = None
-        self._valid_until = 0.0
-        self._order_from = 0.0
-        self._held_version = ABSENT
-        self._refused_version = ABSENT
         self._failed_at = -float("inf")
         self._released = False
         self._held = trio.Event()
@@ -110,23 +97,15 @@
     @property
     def may_order(self) -> bool:
         """Whether an order may be sent now."""
-        now = trio.current_time()
-        return bool(self.fencing_token) and self._order_from <= now <= self._order_until
-
-    @property
-    def _order_until(self) -> float:
-        """Time after which no order may be sent."""
-        return self._valid_until - SAFETY_SECONDS
+        self._see_era()
+        return self._tenure.may_order(trio.current_time(), SAFETY_SECONDS)
 
     async def run(self) -> None:
         """Acquire the lease whenever nobody holds it, and keep it, until cancelled."""
         while not self._released:
             await self._wait_turn()
             try:
-                if self._own_key is None:
-                    await self._acquire()
-                else:
-                    await self._resume(self._own_key)
+                await self._take()
                 await self._keep()
             except StoreError:
                 self._failed_at = trio.current_time()
@@ -136,17 +115,18 @@
         """End the lease, so that another node needn't wait for it to lapse."""
         self._released = True
         self._lose("released")
-        if self._lease is not None:
-            try:
-                await self._store.end_lease(self._lease)
-            except StoreError:
-                return
+        lease = self._tenure.lease
+        if lease is None or lease.era != self._knowledge.place.era:
+            return
+        try:
+            await self._store.end_lease(lease)
+        except StoreError:
+            return
 
     def give_up(self, reason: str) -> None:
         """Stop ordering under the current fencing token: an engine has seen a higher one."""
-        self._valid_until = 0.0
-        self._refused_version = self._held_version
         self._lose(reason)
+        self._tenure.give_up()
 
     async def _wait_turn(self) -> None:
         """Wait until there are engines and nobody else is known to hold the lease.
@@ -156,7 +136,7 @@
         knowledge = self._knowledge
         while True:
             while not self._is_vacant and not self._may_resume:
-                own = self._own_key is not None
+                own = self._claim is not None
                 with trio.move_on_after(RESUME_CHECK_SECONDS if own else RECHECK_SECONDS):
                     await knowledge.changed.wait()
             if self._may_resume or not knowledge.relays.relay():
@@ -166,137 +146,146 @@
                 return
 
     @property
-    def _is_vacant(self) -> bool:
-        """Whether the lease is wanted and nobody is known to hold it."""
-        return self._knowledge.has_engines and self._knowledge.rollout_record is None
+    def _claim(self) -> Claim | None:
+        """What this node may do to hold the lease, by what the directory shows."""
+        self._see_era()
+        return self._tenure.claim(self._key())
 
-    @property
-    def _own_key(self) -> _OwnKey | None:
-        """The lease's key if it names this node and this machine, and may still be used."""
+    def _key(self) -> RolloutKey | None:
+        """Return the key as the directory shows it."""
         record = self._knowledge.rollout_record
-        if record is None or record.version <= self._refused_version:
+        if record is None:
             return None
+        version = self._knowledge.version_of(ROLLOUT_KEY)
         try:
-            holder = decode_holder(record.value)
+            return RolloutKey(version, decode_holder(record.value))
         except msgspec.DecodeError:
             # A key of another release: it isn't this node's own, and lapses like any other.
-            return None
-        if holder != self._identity(holder.lease):
-            return None
-        lease = StoreLease(holder.lease, record.version.era)
-        return _OwnKey(lease, record.version)
+            return RolloutKey(version, None)
+
+    def _see_era(self) -> None:
+        """Take the era that the directory is known to be in."""
+        if self._knowledge.place != NOWHERE:
+            self._tenure.see_era(self._knowledge.place.era, trio.current_time())
+
+    @property
+    def _is_vacant(self) -> bool:
+        """Whether the lease is wanted and nobody is known to hold it."""
+        claim = self._claim
+        return self._knowledge.has_engines and claim is not None and claim.resumed is None
 
     @property
     def _may_resume(self) -> bool:
         """Whether an own lease may still exist, and the store has answered since a call failed."""
-        return self._own_key is not None and self._knowledge.contact.heard_at > self._failed_at
-
-    async def _resume(self, key: _OwnKey) -> None:
-        """Go on under an own lease that still exists; raises ``StoreError`` when that isn't proved.
-
-        A node that hasn't held it in this life doesn't know when it took over, so it waits again.
-        """
-        sent_at = trio.current_time()
-        with _answered_within(ACQUIRE_SECONDS):
-            await self._store.keep_alive(key.lease)
-        if key.version != self._held_version:
-            self._order_from = trio.current_time() + self._lease_seconds
-        self._hold(key.lease, sent_at, key.version, resumed=True)
-
-    async def _acquire(self) -> None:
-        """Create the key under a new lease; raises ``StoreError`` when that isn't proved."""
+        claim = self._claim
+        own = claim is not None and claim.resumed is not None
+        return own and self._knowledge.contact.heard_at > self._failed_at
+
+    async def _take(self) -> None:
+        """Acquire or resume; raises ``StoreError`` when that isn't proved."""
+        claim = self._claim
+        if claim is None:
+            return
         sent_at = trio.current_time()
+        if claim.resumed is not None:
+            with _answered_within(ACQUIRE_SECONDS):
+                await self._store.keep_alive(claim.resumed)
+            self._hold(claim.resumed, claim.expected, sent_at, resumed=True)
+            return
         with _answered_within(ACQUIRE_SECONDS):
             lease = await self._store.grant_lease(self._lease_seconds)
         try:
-            version = await self._create_key(lease)
+            version = await self._write_key(lease, claim.expected)
         except StoreError:
             await self._store.end_lease(lease)
             raise
-        self._order_from = trio.current_time() + self._lease_seconds
-        self._hold(lease, sent_at, version, resumed=False)
+        self._hold(lease, version, sent_at, resumed=False)
 
     def _hold(
-        self, lease: StoreLease, sent_at: float, version: StorePlace, *, resumed: bool
+        self, lease: StoreLease, version: StorePlace, sent_at: float, *, resumed: bool
     ) -> None:
         """Note that this node holds the lease, from when the answered call was sent."""
-        self._lease = lease
+        self._tenure.begin(lease, version, sent_at, trio.current_time())
         if self._released:
+            self._tenure.end()
             return
-        self._valid_until = sent_at + self._lease_seconds
-        self._held_version = version
-        self.fencing_token = version.revision
+        self.fencing_token = self._token(version)
         self._held.set()
         emit(
             log_events.ROLLOUT_LEASE_ACQUIRED,
             fencing_token=self.fencing_token,
+            era=version.era,
             resumed=resumed,
         )
 
-    def _identity(self, lease: str) -> RolloutHolder:
-        """Return how this node names itself as the holder."""
-        return RolloutHolder(self._name, self._knowledge.record.address, lease)
+    def _token(self, version: StorePlace) -> int:
+        """Return the fencing token; beside nodes that know no eras one that they may follow."""
+        if self._knowledge.all_know_eras or self._knowledge.was_restored:
+            return fencing_token(version)
+        return version.revision
 
-    async def _create_key(self, lease: StoreLease) -> StorePlace:
-        """Create the key and return its version.
+    async def _write_key(self, lease: StoreLease, expected: StorePlace) -> StorePlace:
+        """Create the key, or write over one of an earlier era, and return its version.
 
         Without an answer the key is read back: the value names this node and this lease.
         """
-        value = encode_holder(self._identity(lease.name))
+        value = encode_holder(self._tenure.holder(lease))
         try:
             with _answered_within(ACQUIRE_SECONDS):
-                return await self._store.compare_and_swap(ROLLOUT_KEY, ABSENT, value, lease)
+                return await self._store.compare_and_swap(ROLLOUT_KEY, expected, value, lease)
         except StoreConflictError:
             raise
         except StoreError:
             with _answered_within(ACQUIRE_SECONDS):
                 stored = await self._store.get(ROLLOUT_KEY)
-            if stored is None or stored.value != value:
+            if stored is None or stored.value != value or stored.version.era != lease.era:
                 raise
             return stored.version
 
     async def _keep(self) -> None:
         """Renew the lease until it is lost."""
-        while self.fencing_token:
+        while self._tenure.is_held:
             await trio.sleep(self._lease_seconds / RENEWALS_IN_A_LEASE)
-            await self._renew()
-            if trio.current_time() > self._valid_until:
+            lease = self._tenure.lease
+            if lease is None:
+                return
+            await self._renew(lease)
+            if trio.current_time() > self._tenure.valid_until:
                 self._lose("lapsed")
 
-    async def _renew(self) -> None:
+    async def _renew(self, lease: StoreLease) -> None:
         """Renew once, by as many calls as it takes until one is answered or the lease lapses.
 
         A call whose answer is lost says nothing more, so the next one doesn't wait for it.
         """
         answered = trio.Event()
         async with trio.open_nursery() as nursery:
-            with trio.move_on_at(self._valid_until):
+            with trio.move_on_at(self._tenure.valid_until):
                 while not answered.is_set():
-                    nursery.start_soon(self._renew_by_one_call, answered)
+                    nursery.start_soon(self._renew_by_one_call, lease, answered)
                     with trio.move_on_after(RENEWAL_SPACING_SECONDS):
                         await answered.wait()
             nursery.cancel_scope.cancel()
 
-    async def _renew_by_one_call(self, answered: trio.Event) -> None:
+    async def _renew_by_one_call(self, lease: StoreLease, answered: trio.Event) -> None:
         """Make one call; the lease counts from when it was sent."""
         sent_at = trio.current_time()
-        if self._lease is None:
-            return
         try:
-            await self._store.keep_alive(self._lease)
+            await self._store.keep_alive(lease)
         except StoreConflictError:
             self._lose("over")
         except StoreError:
             return
         else:
-            self._valid_until = max(self._valid_until, sent_at + self._lease_seconds)
+            self._tenure.renew(sent_at)
         answered.set()
 
     def _lose(self, reason: str) -> None:
         """Stop ordering."""
-        if self.fencing_token:
+        if self._tenure.is_held:
             emit(log_events.ROLLOUT_LEASE_LOST, fencing_token=self.fencing_token, reason=reason)
             self._held = trio.Event()
+        self._tenure.end()
         self.fencing_token = 0
 
 
--- a/hopstep/services/quarantine/reader.py
+++ b/hopstep/services/quarantine/reader.py
@@ -11,9 +11,9 @@
 
 import trio
 
-from hopstep.domain.store_place import StorePlace
+from hopstep.domain.store_place import ABSENT, StorePlace
 from hopstep.exceptions import StoreError
-from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort
+from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.services.quarantine.records import QUARANTINE_PREFIX, QuarantineRecords
 
 RETRY_SECONDS = 1.0
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -16,10 +16,10 @@
 from hopstep import log_events
 from hopstep.domain.quarantine.crash_records import MAX_REQUESTS
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
-from hopstep.domain.store_place import StorePlace
+from hopstep.domain.store_place import ABSENT, StoreLease, StorePlace
 from hopstep.exceptions import StoreConflictError, StoreError
 from hopstep.logs import emit
-from hopstep.ports.key_value_store import ABSENT, KeyValueStorePort, StoreLease
+from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.ports.serving_directory import RejectReason
 from hopstep.services.quarantine.quarantine import Quarantine
 
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -15,7 +15,8 @@
 from hopstep.adapters.node_codec import decode_frame, encode_frame
 from hopstep.domain.exchanges.instances import Instance, NamedWeights
 from hopstep.domain.exchanges.load_ledger import InstanceLoad
-from hopstep.domain.exchanges.nodes import MESSAGE_FORM, NodeRecord
+from hopstep.domain.exchanges.nodes import FORM_WITH_ERAS, MESSAGE_FORM, NodeRecord
+from hopstep.domain.exchanges.rollout_tenure import RolloutHolder
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.store_contents import ContentsPosition
 from hopstep.domain.limits.fleet_usage import Usage
@@ -46,7 +47,6 @@
     WeightsPublished,
 )
 from hopstep.services.exchanges.directory.records import (
-    RolloutHolder,
     decode_holder,
     decode_node,
     encode_holder,
@@ -70,6 +70,7 @@
 NODES = {"a": NodeRecord("1.2.3.4:5", "z", b"key-a")}
 COMPRESSED = 1
 
+ERA = 3
 SEGMENT = SegmentKey(7, 800)
 HINTS = Hints(
     (InstanceLoad("i1@5", 3, 400, 1),),
@@ -122,7 +123,7 @@
 }
 RECORDS = {
     "node": encode_node(NodeRecord("1.2.3.4:5", "z", b"key-a", 1.5, MESSAGE_FORM)),
-    "rollout": encode_holder(RolloutHolder("a", "1.2.3.4:5", "77")),
+    "rollout": encode_holder(RolloutHolder("a", "1.2.3.4:5", "77", ERA)),
     "quarantine": msgspec.json.encode(
         StoredRequest("t1", "r", (Crash("i1@5", "a"),), ("i0@1",), False, 1)
     ),
@@ -339,7 +340,8 @@
                 node = decode_node(records["node"].encode())
                 self.assertEqual(node, NodeRecord("1.2.3.4:5", "z", b"key-a", 1.5, form))
                 holder = decode_holder(records["rollout"].encode())
-                self.assertEqual(holder, RolloutHolder("a", "1.2.3.4:5", "77"))
+                era = ERA if form >= FORM_WITH_ERAS else None
+                self.assertEqual(holder, RolloutHolder("a", "1.2.3.4:5", "77", era))
 
     def test_a_quarantined_request_of_the_version_before(self):
         value = golden(BEFORE_LEAVING)["records"]["quarantine"]
--- a/tests/contract/store_contract.py
+++ b/tests/contract/store_contract.py
@@ -5,14 +5,14 @@
 import trio
 
 from emulator.platform.faults import FaultOrder
-from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
+from hopstep.domain.store_place import ABSENT, UNTOLD_ERA, StoreLease, StorePlace
 from hopstep.exceptions import (
     ErrorCode,
     StoreConflictError,
     StoreError,
     StoreOutcomeUnknownError,
 )
-from hopstep.ports.key_value_store import ABSENT, StoredValue, StoreLease
+from hopstep.ports.key_value_store import StoredValue
 
 CLIENT_TIMEOUT_SECONDS = 0.3
 BRIEF_LEASE_SECONDS = 1.0
--- a/tests/contract/test_platform_store.py
+++ b/tests/contract/test_platform_store.py
@@ -10,10 +10,10 @@
 from emulator.exchange_platform.store import create_store_app
 from emulator.platform.shared_store import SharedStore
 from hopstep.adapters import key_value_store_wire as wire
+from hopstep.domain.store_place import ABSENT
 from hopstep.exceptions import ErrorCode, StoreError, StoreHistoryLostError
 from hopstep.platform.http_client import HttpClient
 from hopstep.platform.store import PlatformStore
-from hopstep.ports.key_value_store import ABSENT
 from tests.contract.store_contract import CLIENT_TIMEOUT_SECONDS, StoreContract
 
 
--- a/tests/contract/test_store_contract.py
+++ b/tests/contract/test_store_contract.py
@@ -13,9 +13,8 @@
 from hopstep.adapters.key_value_store_http import HttpKeyValueStore
 from hopstep.adapters.key_value_store_wire import STORE_PATH
 from hopstep.adapters.machine_list_http import HttpMachineList
-from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
+from hopstep.domain.store_place import ABSENT, UNTOLD_ERA, StorePlace
 from hopstep.exceptions import ErrorCode, StoreError, StoreOutcomeUnknownError
-from hopstep.ports.key_value_store import ABSENT
 from hopstep.ports.machine_list import Machine, MachineState
 from tests.contract.store_contract import CLIENT_TIMEOUT_SECONDS, StoreContract
 
--- a/tests/ctl/test_quarantine.py
+++ b/tests/ctl/test_quarantine.py
@@ -8,8 +8,8 @@
 from hopstep.ctl.quarantine import release_request, show_quarantine
 from hopstep.ctl.results import ExitCode
 from hopstep.domain.quarantine.crashes import Crash
+from hopstep.domain.store_place import ABSENT
 from hopstep.exceptions import ValidationError
-from hopstep.ports.key_value_store import ABSENT
 from hopstep.services.quarantine.records import QUARANTINE_PREFIX, StoredRequest
 
 FINGERPRINT = "00ff" * 8
--- a/tests/emulator/test_store_stateful.py
+++ b/tests/emulator/test_store_stateful.py
@@ -10,9 +10,8 @@
 from emulator.platform.in_memory import InMemoryStore
 from emulator.platform.shared_store import SharedStore
 from emulator.virtual_time import run_in_virtual_time, virtual_clock
-from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
+from hopstep.domain.store_place import ABSENT, UNTOLD_ERA, StoreLease, StorePlace
 from hopstep.exceptions import StoreConflictError, StoreError, StoreOutcomeUnknownError
-from hopstep.ports.key_value_store import ABSENT, StoreLease
 from tests import fuzz_settings
 
 KEYS = st.sampled_from(["a", "a/1", "a/2", "b/1"])
--- a/tests/platform/test_vocabulary.py
+++ b/tests/platform/test_vocabulary.py
@@ -6,7 +6,7 @@
 import trio
 
 from hopstep.domain.exchanges.instances import Instance
-from hopstep.domain.store_place import UNTOLD_ERA, StorePlace
+from hopstep.domain.store_place import ABSENT, UNTOLD_ERA, StorePlace
 from hopstep.platform.cache_events import PlatformCacheEvents
 from hopstep.platform.directory import PlatformDirectory
 from hopstep.platform.http_client import HttpClient
@@ -14,7 +14,7 @@
 from hopstep.platform.store import PlatformStore
 from hopstep.platform.vocabulary import KNOWN_HEADERS, READ_HEADERS, UNREAD_HEADERS
 from hopstep.ports.instance_calls import InstanceCall, InstanceCallError
-from hopstep.ports.key_value_store import ABSENT, StoredValue, StoreListing
+from hopstep.ports.key_value_store import StoredValue, StoreListing
 from hopstep.ports.unknown_words import WordPlace
 from tests.platform.test_entries import ENGINE
 from tests.platform.test_instances import RawServer, request
--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -21,7 +21,7 @@
 from emulator.exchange_platform.store import create_store_app
 from emulator.platform.shared_store import SharedStore
 from hopstep.adapters import key_value_store_wire as wire
-from hopstep.ports.key_value_store import ABSENT
+from hopstep.domain.store_place import ABSENT
 
 START_SECONDS = 20.0
 GRACE_SECONDS = 3.0
