Take an answer of a copy for what it is: keys count as confirmed again once operators have written theirs, or could have

Callers' requests ran with a key that had been taken away: at nodes that had not heard of it before the outage, up to 5.7 s after it was acknowledged (bound 5 s); at nodes that started in that moment, until operators wrote the configuration again, although other nodes knew the newer one.

Cause: any answer of the store dated what a node knows, and a node that starts took the store's contents for all there is. A copy proves nothing of what was written after it was made.

Now an answer after a restore confirms keys when the configuration is seen written in the new era (by its version and its place), or from 2 s after the new era was seen; until then keys are as old as before, and served up to the bound as in any outage. Relays tell the age of keys apart from the age of the rest. Nodes compare versions of configuration and weights beside places, and tell each other the newer ones whatever the store shows; a node that starts while most entries of nodes are of an earlier era asks others first. Documents with an order of their own are kept by that order, and not told again when a copy shows older ones.

Two teeth of the relays' tests took out a line that no longer dates keys; they take out its successor, and the one that forgets changes also forgets the version, without which the keys would rightly stay unconfirmed.

--- a/hopstep/domain/exchanges/rollout_tenure.py
+++ b/hopstep/domain/exchanges/rollout_tenure.py
@@ -115,7 +115,7 @@
 
     def suspect_restore(self, now: float) -> None:
         """Note that the store has been restored now or before, without all nodes knowing it."""
-        self._restored_at = now
+        self._restored_at = max(self._restored_at, now)
 
     def claim(self, key: RolloutKey | None) -> Claim | None:
         """Return what the node may do to hold the lease; None while another node holds it.
--- a/hopstep/domain/exchanges/weights.py
+++ b/hopstep/domain/exchanges/weights.py
@@ -10,6 +10,7 @@
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import NamedWeights
 from hopstep.domain.instance_admission import Barrier, Purpose
+from hopstep.domain.rendezvous import hash_name
 
 LOAD_SMOOTHING = 0.3
 MIN_TOGETHER = 2
@@ -23,6 +24,9 @@
 """For so long a node that has just started sends requests to engines with older weights."""
 
 
+DIGEST_MASK = 2**32 - 1
+
+
 class WeightsBounds(msgspec.Struct, frozen=True):
     """Bounds of a rollout.
 
@@ -89,6 +93,14 @@
         bounds = self.bounds
         return now - (bounds.propagation_seconds - bounds.reserve_seconds - START_SECONDS)
 
+    @property
+    def digest(self) -> int:
+        """A number of 32 bits that is the same at nodes which know the same weights; 0 for none."""
+        if not self._named:
+            return 0
+        named = sorted((model, versions[-1].version) for model, versions in self._named.items())
+        return hash_name(repr(named)) & DIGEST_MASK
+
     def models(self) -> tuple[str, ...]:
         """Return the models for which weights were named."""
         return tuple(self._named)
@@ -98,6 +110,10 @@
         versions = self._named.get(model)
         return versions[-1].version if versions else 0
 
+    def newest_since(self, model: str) -> float:
+        """Return from when the bound of the newest version counts."""
+        return self._named[model][-1].since
+
     def required(self, model: str, now: float) -> int:
         """Return the oldest version on which a request may still be sent; 0 for any."""
         bounds = self.bounds
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -151,6 +151,8 @@
         hints: The node's own, told to its relay only; None for a node that just looks for news.
         contents: How far the node knows each cache store.
         era: Era of ``revision``.
+        configuration: Version of the configuration that the node has; 0 for none.
+        weights: Digest of the named weights that it knows; see ``WeightsBook``.
     """
 
     number: int
@@ -160,6 +162,8 @@
     hints: Hints | None = None
     contents: tuple[ContentsPosition, ...] = ()
     era: int = UNTOLD_ERA
+    configuration: int = 0
+    weights: int = 0
 
     @property
     def place(self) -> StorePlace:
@@ -257,6 +261,11 @@
             -1 when that never happened.
         after_era: Era of ``after``.
         era: Era of ``revision``.
+        keys_age_ms: Time since no key can have been taken away without the answering node's
+            knowledge; -1 when it knows none, or its version doesn't tell.
+        configuration: Version of its configuration; 0 for none.
+        newer: Configuration and weights that the asker doesn't know by what its query said, though
+            ``entries`` may not have them: a store restored from a copy doesn't show them.
     """
 
     number: int
@@ -273,6 +282,9 @@
     silence_ms: int = -1
     after_era: int = UNTOLD_ERA
     era: int = UNTOLD_ERA
+    keys_age_ms: int = -1
+    configuration: int = 0
+    newer: tuple[RelayedEntry, ...] = ()
 
     @property
     def after_place(self) -> StorePlace:
--- a/hopstep/services/exchanges/directory/directory_follower.py
+++ b/hopstep/services/exchanges/directory/directory_follower.py
@@ -169,12 +169,12 @@
     async def _wait_needed(self) -> None:
         """Wait until this node should read the store itself."""
         knowledge = self._knowledge
-        while not self.reads and knowledge.age_seconds < OWN_WAY_AGE_SECONDS:
+        while not self.reads and knowledge.place_age_seconds < OWN_WAY_AGE_SECONDS:
             self._reading_since = None
             if self._asked:
                 break
             told_until = knowledge.contact.told_at + self._limits.own_reading
-            known_until = knowledge.confirmed_at + OWN_WAY_AGE_SECONDS
+            known_until = knowledge.placed_at + OWN_WAY_AGE_SECONDS
             with trio.move_on_at(min(told_until, known_until) + MOMENT_SECONDS):
                 await self._reconsidered.wait()
         self._asked = False
@@ -240,21 +240,23 @@
             knowledge.take_snapshot(await self._directory.snapshot(), sent_at)
             self._history_lost = False
             return
-        confirmed_at = knowledge.confirmed_at
+        placed_at = knowledge.placed_at
         batch = await self._directory.changes(knowledge.place, self._wait_seconds(sent_at))
         now = trio.current_time()
         waited = now - sent_at > PROMPT_ANSWER_SECONDS and not self._pauses.has_just_ended
-        since = now - WATCH_LAG_SECONDS if waited else min(sent_at, confirmed_at)
+        since = now - WATCH_LAG_SECONDS if waited else min(sent_at, placed_at)
         knowledge.take_changes(batch, since, sent_at)
 
     def _wait_seconds(self, sent_at: float) -> float:
         """Return how long a watch may wait: until an answer is due, so that a loss shows in time.
 
-        A call that finds out whether the store is back doesn't wait, nor one beside a relay.
+        A call that finds out whether the store is back doesn't wait, nor one beside a relay, nor
+        one that may confirm keys.
         """
-        if not self._connected or not self.reads:
+        knowledge = self._knowledge
+        if not self._connected or not self.reads or knowledge.is_settling or not knowledge.is_fresh:
             return 0.0
-        due_at = max(self._knowledge.contact.read_at, sent_at - CALL_SPACING_SECONDS)
+        due_at = max(knowledge.contact.read_at, sent_at - CALL_SPACING_SECONDS)
         due_at += self._limits.answer_interval
         return max(MIN_WAIT_SECONDS, due_at - sent_at)
 
--- a/hopstep/services/exchanges/directory/knowledge.py
+++ b/hopstep/services/exchanges/directory/knowledge.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
@@ -19,6 +20,7 @@
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.instances import NamedWeights
 from hopstep.domain.exchanges.nodes import NodeRecord, RelayPlan
+from hopstep.domain.exchanges.restored_copy import RestoredCopy
 from hopstep.domain.exchanges.serving import ServingConfiguration, ServingIndex
 from hopstep.domain.exchanges.store_contact import StoreContact
 from hopstep.domain.exchanges.weights import WeightsBook
@@ -58,6 +60,8 @@
 OVERDUE = "overdue"
 """Reason of a lost store whose answer is still waited for when the first request is refused."""
 
+NO_AGE_MS = -1
+
 STORE_SOURCE = "store"
 """Source of what this node has read from the store itself."""
 
@@ -97,7 +101,9 @@
         self.node_book = KnownNodes(name, record)
         self.feed: DirectoryFeed[DirectoryEntry] = DirectoryFeed()
         self.place = NOWHERE
-        self.was_restored = False
+        self.placed_at = -float("inf")
+        self.restored_at = -float("inf")
+        self.copy = RestoredCopy()
         self.confirmed_at = -float("inf")
         self._started_at = trio.current_time()
         self.contact = StoreContact(self._started_at)
@@ -145,9 +151,20 @@
 
     @property
     def age_seconds(self) -> float:
-        """Age of the knowledge."""
+        """Time since no key can have been taken away without this node's knowledge."""
         return trio.current_time() - self.confirmed_at
 
+    @property
+    def shown_age_ms(self) -> int:
+        """The age as log lines show it; ``NO_AGE_MS`` when nothing was ever confirmed."""
+        age = self.age_seconds
+        return round(age * MILLISECONDS) if math.isfinite(age) else NO_AGE_MS
+
+    @property
+    def place_age_seconds(self) -> float:
+        """Time since ``place`` was the newest in the store."""
+        return trio.current_time() - self.placed_at
+
     @property
     def told_silence_seconds(self) -> float:
         """Time since the store last answered any other node that told this one everything."""
@@ -158,10 +175,20 @@
         """Whether keys may still be taken for valid."""
         return self.age_seconds <= self._max_age
 
+    @property
+    def was_restored(self) -> bool:
+        """Whether the store has been restored since this node started, or shortly before."""
+        return math.isfinite(self.restored_at)
+
+    @property
+    def is_settling(self) -> bool:
+        """Whether the store has come back from a copy that may lack what others know."""
+        return self.copy.is_settling(trio.current_time())
+
     async def wait_first_reading(self) -> None:
         """Wait for the first configuration, for as long as a node that has just started may."""
         with trio.move_on_at(self._started_at + FIRST_READING_SECONDS):
-            while self.index is None:
+            while self.index is None or (self.is_settling and not self.is_fresh):
                 await self.changed.wait()
 
     def require_index(self) -> ServingIndex:
@@ -193,13 +220,16 @@
             StoreError: When the answer was made before the store's last restore.
         """
         self._require_current(batch.place)
-        since = max(self.confirmed_at - DEAF_SECONDS, self.weights.oldest_since(sent_at))
+        since = max(self.placed_at - DEAF_SECONDS, self.weights.oldest_since(sent_at))
+        is_first = self.place == NOWHERE
         self.contact.note_return(trio.current_time())
         self.enter(batch.place)
         self.feed.start(batch.place)
         entries = (*batch.entries, *self._removed_by(batch))
-        self.take_entries([_feed_entry(entry, since) for entry in entries], STORE_SOURCE)
-        self.confirm(batch.place, sent_at)
+        self._take_read([_feed_entry(entry, since) for entry in entries])
+        if is_first:
+            self._suspect_restore(batch.place)
+        self._confirm_read(batch.place, sent_at)
         self.contact.note_read(trio.current_time())
 
     def take_changes(self, batch: DirectoryBatch, since: float, sent_at: float) -> None:
@@ -215,8 +245,8 @@
         """
         self._require_current(batch.place)
         self.contact.note_return(trio.current_time())
-        self.take_entries([_feed_entry(entry, since) for entry in batch.entries], STORE_SOURCE)
-        self.confirm(batch.place, sent_at)
+        self._take_read([_feed_entry(entry, since) for entry in batch.entries])
+        self._confirm_read(batch.place, sent_at)
         self.contact.note_read(trio.current_time())
 
     def take_entries(self, entries: Iterable[Entry], source: str) -> None:
@@ -229,7 +259,9 @@
         taken = False
         for entry in sorted(entries, key=lambda entry: entry.place):
             known = self.feed.get(entry.key)
-            if not _is_same_write(known, entry) and self.feed.put(entry):
+            if _is_same_write(known, entry) or self._is_outdated(entry.change.change):
+                continue
+            if self.feed.put(entry):
                 taken = True
                 self._take_change(entry, source, known.place if known is not None else NOWHERE)
         if taken:
@@ -249,7 +281,14 @@
         """
         self.enter(place)
         self.place = max(self.place, place)
+        self.placed_at = max(self.placed_at, confirmed_at)
+
+    def confirm_keys(self, confirmed_at: float) -> None:
+        """Note that no key was taken away unnoticed before a time, by this node's steady clock."""
+        was_fresh = self.is_fresh
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        if self.is_fresh and not was_fresh:
+            self._tell_changed()
         if self._expired and self.is_fresh:
             self._expired = False
             emit(log_events.STORE_REGAINED, age_seconds=round(self.age_seconds, 3))
@@ -277,9 +316,7 @@
         """Note that the store has been restored, when a place is of a later era."""
         if self.place == NOWHERE or place.era <= self.place.era:
             return
-        self.was_restored = True
-        self.node_book.note_restore(trio.current_time())
-        self.contact.note_restore(trio.current_time())
+        self._note_restore(place)
         self.feed.leave(self.place)
         emit(
             log_events.STORE_ERA_CHANGED,
@@ -291,6 +328,67 @@
         self.place = StorePlace(place.era, NOWHERE.revision)
         self._tell_changed()
 
+    def _note_restore(self, place: StorePlace) -> None:
+        """Expect others to write again what a copy lacks; a place is the first one seen of it."""
+        now = trio.current_time()
+        self.restored_at = now
+        self.copy.enter(place, now)
+        self.node_book.note_restore(now)
+        self.contact.note_restore(now)
+
+    def _suspect_restore(self, place: StorePlace) -> None:
+        """Look, at the start, whether the store was restored just before: few know of its era.
+
+        Without this a node that starts in that moment takes the copy for all there is.
+        """
+        behind = self.node_book.count_behind(place.era)
+        if behind:
+            self.restored_at = trio.current_time()
+        if 2 * behind > len(self.nodes):
+            self._note_restore(place)
+
+    def _confirm_read(self, place: StorePlace, sent_at: float) -> None:
+        """Note that the store has shown everything up to a place, by a call sent at a time."""
+        self.confirm(place, sent_at)
+        if self.copy.confirms(sent_at):
+            self.confirm_keys(sent_at)
+
+    def _take_read(self, entries: list[Entry]) -> None:
+        """Take entries that the store has shown this node itself."""
+        for entry in entries:
+            if isinstance(entry.change.change, ConfigurationPublished):
+                self._see_configuration(entry, entry.change.change.configuration.version)
+        self.take_entries(entries, STORE_SOURCE)
+
+    def _see_configuration(self, entry: Entry, version: int) -> None:
+        """Look whether a configuration shows that operators have written what a copy lacks."""
+        known = self.feed.get(entry.key)
+        known_version = self.current.version if self.current is not None else 0
+        known_at = known.place if known is not None else NOWHERE
+        self.copy.see_configuration(entry.place, version, known_version, known_at)
+
+    def take_documents(self, entries: Iterable[Entry], source: str) -> None:
+        """Take documents that have an order of their own, wherever in the store's history.
+
+        Args:
+            entries: Configurations and named weights.
+            source: Node that told them; for the log.
+        """
+        newer = [entry for entry in entries if not self._is_outdated(entry.change.change)]
+        for entry in newer:
+            self._take_change(entry, source, NOWHERE)
+        if newer:
+            self._tell_changed()
+
+    def _is_outdated(self, change: DirectoryChange) -> bool:
+        """Return whether a document is known as new or newer, by its own order."""
+        match change:
+            case ConfigurationPublished(configuration):
+                return self.current is not None and configuration.version <= self.current.version
+            case WeightsPublished(weights):
+                return weights.version <= self.weights.newest(weights.model)
+        return False
+
     def _removed_by(self, batch: DirectoryBatch) -> list[DirectoryEntry]:
         """Return the removals of keys that a snapshot doesn't have."""
         present = {entry.key for entry in batch.entries}
--- a/hopstep/services/exchanges/directory/known_nodes.py
+++ b/hopstep/services/exchanges/directory/known_nodes.py
@@ -57,6 +57,11 @@
         """Whether the versions of all registered nodes tell the store's eras."""
         return all(record.form >= FORM_WITH_ERAS for record in self.records.values())
 
+    def count_behind(self, era: int) -> int:
+        """Return how many nodes have not written their entry since the store entered an era."""
+        known = (record for record in self.records.values() if record.form >= FORM_WITH_ERAS)
+        return sum(1 for record in known if record.era < era)
+
     def note_restore(self, now: float) -> None:
         """Expect the entries that a copy lacks to be written again."""
         self._kept_until = now + RESTATED_SECONDS + 2 * rewriting_seconds(self.count)
--- a/hopstep/services/exchanges/peers/relaying.py
+++ b/hopstep/services/exchanges/peers/relaying.py
@@ -40,6 +40,7 @@
 )
 from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.services.exchanges.peers.document_exchange import DocumentExchange
 from hopstep.services.exchanges.peers.fleet_hints import FleetHints
 from hopstep.services.exchanges.peers.load_sharing import LoadSharing
 from hopstep.services.exchanges.peers.news_spreading import NewsSpreading
@@ -108,6 +109,7 @@
         self._exchange = exchange
         self._pauses = pauses
         self._limits = limits
+        self._documents = DocumentExchange(knowledge)
         self._number = 0
         self._turn = hash_name(knowledge.name)
         self._pending: OrderedDict[int, _Pending] = OrderedDict()
@@ -151,7 +153,7 @@
         probed = relays.probe(trio.current_time())
         if probed:
             await self._ask(probed)
-        if self._follower.has_lost_store:
+        if self._follower.has_lost_store or self._knowledge.is_settling:
             await self._ask_elsewhere()
 
     async def _ask_elsewhere(self) -> None:
@@ -191,6 +193,8 @@
             hints,
             contents,
             place.era,
+            self._documents.configuration_version,
+            self._knowledge.weights.digest,
         )
         await self._send(query, node)
 
@@ -241,6 +245,8 @@
                 era=query.era,
             )
             await self._send(short, asker)
+        if self._knowledge.is_settling and query.configuration > answer.configuration:
+            await self._ask(asker)
 
     def _make_answer(self, asker: str, query: RelayQuery) -> RelayAnswer:
         """Return the answer to a query."""
@@ -255,6 +261,9 @@
             silence_ms=_silence_ms(now, knowledge.contact.heard_at),
             after_era=query.era,
             era=query.era,
+            keys_age_ms=_age_or_unknown(now, knowledge.confirmed_at),
+            configuration=self._documents.configuration_version,
+            newer=self._documents.newer_than(query),
         )
         if query.hints is not None:
             hints, position = self._hints.for_asker(asker, query, query.hints)
@@ -273,11 +282,12 @@
             answer,
             revision=reached.revision,
             era=reached.era,
-            age_ms=_age_ms(now, knowledge.confirmed_at),
+            age_ms=_age_ms(now, knowledge.placed_at),
             complete=complete,
             entries=tuple(
                 RelayedEntry(ToldEntry.of(e.change), _age_ms(now, e.since)) for e in part
             ),
+            newer=self._documents.not_among(answer.newer, part),
         )
 
     def _placed(self, node: str, place: StorePlace) -> StorePlace:
@@ -308,6 +318,14 @@
         self._reconsider()
         if answer.beyond_reach:
             self._follower.read_once()
+        self._documents.take(answer, sender, pending.sent_at)
+        await self._take_changes(sender, answer, pending, heard_at)
+        self._confirm_keys(answer, pending.sent_at)
+
+    async def _take_changes(
+        self, sender: str, answer: RelayAnswer, pending: _Pending, heard_at: float
+    ) -> None:
+        """Take the changes of an answer if they follow what is known."""
         if answer.age_ms == UNKNOWN_AGE_MS:
             return
         reached = self._placed(sender, answer.place)
@@ -334,8 +352,18 @@
             for relayed in answer.entries
         )
         knowledge.take_entries(entries, query.node)
-        confirmed_at = sent_at - answer.age_ms / MILLISECONDS
-        knowledge.confirm(reached, confirmed_at if answer.complete else -float("inf"))
+        placed_at = sent_at - answer.age_ms / MILLISECONDS
+        knowledge.confirm(reached, placed_at if answer.complete else -float("inf"))
+
+    def _confirm_keys(self, answer: RelayAnswer, sent_at: float) -> None:
+        """Take how old the answering node's knowledge of keys is, if this node knows as much."""
+        age_ms = answer.keys_age_ms
+        if age_ms == UNKNOWN_AGE_MS and answer.complete:
+            # Of a version before eras, which tells one age.
+            age_ms = answer.age_ms if not self._knowledge.was_restored else UNKNOWN_AGE_MS
+        knows_as_much = self._documents.configuration_version >= answer.configuration
+        if age_ms != UNKNOWN_AGE_MS and knows_as_much:
+            self._knowledge.confirm_keys(sent_at - age_ms / MILLISECONDS)
 
     def _era_of(self, node: str, entry: ToldEntry) -> int:
         """Return the era that a node means by an entry; see ``_placed``."""
@@ -362,6 +390,11 @@
     return int((now - since) * MILLISECONDS) + 1
 
 
+def _age_or_unknown(now: float, since: float) -> int:
+    """Return an age in whole milliseconds, rounded up; ``UNKNOWN_AGE_MS`` for an infinite one."""
+    return _age_ms(now, since) if math.isfinite(since) else UNKNOWN_AGE_MS
+
+
 def _silence_ms(now: float, heard_at: float) -> int:
     """Return a time since the store last answered; ``NEVER_MS`` for never."""
     return _age_ms(now, heard_at) if math.isfinite(heard_at) else NEVER_MS
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -190,7 +190,7 @@
                 waited_ms=outcome.waited_ms,
                 kept_from=outcome.kept_from,
                 configuration=self._version(),
-                age_ms=round(self._knowledge.age_seconds * MILLISECONDS),
+                age_ms=self._knowledge.shown_age_ms,
                 retry_after_ms=_retry_after_ms(advice),
                 retry_reason=advice.reason.value if advice is not None else "",
             )
@@ -202,14 +202,13 @@
 
     def _log_refusal(self, head: RequestHead, error: ServiceError, advice: RetryAdvice) -> None:
         """Log a request that wasn't admitted."""
-        known = self._knowledge.current is not None
         emit(
             log_events.EXCHANGE_REFUSED,
             request_id=head.request_id,
             code=error.code.value,
             reason=error.message,
             configuration=self._version(),
-            age_ms=round(self._knowledge.age_seconds * MILLISECONDS) if known else -1,
+            age_ms=self._knowledge.shown_age_ms,
             retry_after_ms=_retry_after_ms(advice),
             retry_reason=advice.reason.value,
         )
--- a/hopstep/services/exchanges/weights/rollout_lease.py
+++ b/hopstep/services/exchanges/weights/rollout_lease.py
@@ -164,9 +164,10 @@
             return RolloutKey(version, None)
 
     def _see_era(self) -> None:
-        """Take the era that the directory is known to be in."""
+        """Take the era that the directory is known to be in, and when a restore was noticed."""
         if self._knowledge.place != NOWHERE:
             self._tenure.see_era(self._knowledge.place.era, trio.current_time())
+        self._tenure.suspect_restore(self._knowledge.restored_at)
 
     @property
     def _is_vacant(self) -> bool:
--- a/tests/services/exchanges/test_relaying.py
+++ b/tests/services/exchanges/test_relaying.py
@@ -267,29 +267,20 @@
                 self.assertEqual(self.late_runs(seed), [])
 
     def test_dating_by_the_arrival_of_an_answer_is_caught(self):
-        take = relaying.Relaying._take_entries
+        confirm = relaying.Relaying._confirm_keys
 
-        def by_arrival(self, answer, query, reached):
-            arrived = msgspec.structs.replace(query, sent_at=trio.current_time())
-            take(self, answer, arrived, reached)
+        def by_arrival(self, answer, _sent_at):
+            confirm(self, answer, trio.current_time())
 
-        with mock.patch.object(relaying.Relaying, "_take_entries", by_arrival):
+        with mock.patch.object(relaying.Relaying, "_confirm_keys", by_arrival):
             self.assertTrue(self.late_runs_behind_slow_frames())
 
     def test_confirming_by_a_part_of_the_changes_is_caught(self):
-        def always_complete(changes):
-            return changes[:0]
-
         make = relaying.Relaying._make_answer
 
         def forgetful(self, asker, query):
             answer = make(self, asker, query)
-            return RelayAnswer(
-                **{
-                    **{field: getattr(answer, field) for field in answer.__struct_fields__},
-                    "entries": always_complete(answer.entries),
-                }
-            )
+            return msgspec.structs.replace(answer, entries=(), newer=(), configuration=0)
 
         with mock.patch.object(relaying.Relaying, "_make_answer", forgetful):
             self.assertTrue(any(self.late_runs(seed) for seed in range(1, 13)))
