Keep what is known of instances through a restore: leaving, ended, and those that a copy lacks

Requests reached an instance that had said that it leaves, and one that had left, as a copy showed them as ready: up to 6 s after the word, from all nodes, also those that started since. They were sent to where an instance had ended until its entry lapsed again. Instances that a copy lacked were given up at once where the outage was short, and callers refused.

Cause: an entry replaced what was known of its key whole. Now a life never takes back that it leaves, also when its entry has gone since; the word is told to other nodes as an instance's own word is. A life that has ended is left alone while its entry may be the copy's (its place is not after the first one seen of the era), until it is written anew or has stood for 4 s, by which entries of the dead lapse. What a copy lacks is kept for 2.6 s from when the node sees the era: two that instances may take, and what hearing of them takes.

--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -65,6 +65,7 @@
         self.latency_seconds = 0.0
         self.failure_rate = 0.0
         self.replaced = False
+        self.doubted_until = -float("inf")
         self.rejected = False
         self.tells_start = bool(instance.born_ms)
         self.slowness = 1.0
@@ -231,7 +232,7 @@
         """
         asked = AskedInstance(
             self.standing,
-            self._listed,
+            self._listed(now),
             self.active,
             last_requests_seconds,
             self._first_telling.due_by,
@@ -247,12 +248,11 @@
         """Time from sending a request to its first byte, as observed; a guess without any."""
         return self.latency_seconds or DEFAULT_LATENCY_SECONDS
 
-    @property
-    def _listed(self) -> Barrier | None:
-        """What the directory has against sending anything; None for nothing."""
+    def _listed(self, now: float) -> Barrier | None:
+        """Return what the directory has against sending anything; None for nothing."""
         if self.rejected:
             return Barrier.UNTRUSTED
-        if self.replaced:
+        if self.replaced or now < self.doubted_until:
             return Barrier.ENDED
         return Barrier.DRAINING if self.instance.draining else None
 
--- a/hopstep/domain/exchanges/restored_copy.py
+++ b/hopstep/domain/exchanges/restored_copy.py
@@ -56,6 +56,10 @@
         if self._lacks_configuration or written_since or (same_again and known_at != NOWHERE):
             self._settled_at = SETTLED
 
+    def may_hold(self, place: StorePlace) -> bool:
+        """Return whether what is shown at a place may be of the copy, not written since."""
+        return place.era == self._place.era and place <= self._place
+
     def confirms(self, sent_at: float) -> bool:
         """Return whether an answer confirms keys as of when its call was sent."""
         return sent_at >= self._settled_at
--- a/hopstep/domain/exchanges/store_contact.py
+++ b/hopstep/domain/exchanges/store_contact.py
@@ -15,6 +15,12 @@
 """What operators and instances had in the store, and it has lost, is back so long after its return:
 entries that lapsed while it was away, and what a copy lacks."""
 
+HEARD_SECONDS = 0.6
+"""Until all nodes have heard of what is written: from the store, and from whoever reads it."""
+
+ENTRY_LAPSE_SECONDS = 4.0
+"""The entry of an instance that has ended lapses after three heartbeats of 1.2 s."""
+
 NEVER = -float("inf")
 
 
@@ -71,7 +77,8 @@
 
     def note_restore(self, now: float) -> None:
         """Note that the store has come back from a copy, which may lack entries."""
-        self.relisting_until = max(self.relisting_until, now + RESTATED_SECONDS)
+        until = now + RESTATED_SECONDS + HEARD_SECONDS
+        self.relisting_until = max(self.relisting_until, until)
 
     def note_read(self, answered_at: float) -> None:
         """Note an answer to this node."""
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -21,6 +21,7 @@
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.nodes import MESSAGE_FORM, NodeRecord
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds
+from hopstep.domain.exchanges.store_contact import ENTRY_LAPSE_SECONDS
 from hopstep.domain.exchanges.weights import WeightsBook, WeightsBounds
 from hopstep.domain.limits.quota_ledger import QuotaBounds
 from hopstep.early_listeners import Listeners
@@ -68,9 +69,6 @@
 FIRST_TELLING_SECONDS = 0.6
 """A node that has just started hears of instances from other nodes within three messages."""
 
-ENDED_SECONDS = 4.0
-"""The entry of an instance that has ended lapses after three heartbeats of 1.2 s."""
-
 
 class ExchangePorts(msgspec.Struct, frozen=True):
     """Everything outside the process.
@@ -216,7 +214,7 @@
         """
         view = self.knowledge.table.of_life(life)
         if view is not None:
-            view.suspend(trio.current_time() + ENDED_SECONDS)
+            view.suspend(trio.current_time() + ENTRY_LAPSE_SECONDS)
 
     def _make_metrics(self) -> ExchangeMetrics:
         """Return the metrics, with gauges of what the node knows."""
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -538,6 +538,13 @@
     ("instance", "source"),
     "Nothing: it is used on for two seconds; HS6102 follows unless its entry comes back.",
 )
+INSTANCE_ENTRY_OUTDATED = LogEvent(
+    "HS6115",
+    "instance_entry_outdated",
+    Level.INFO,
+    ("instance", "born_ms", "known", "source"),
+    "Nothing: after a restore of the store an old entry is shown; the instance isn't used by it.",
+)
 INSTANCE_SAYS_LEAVING = LogEvent(
     "HS6111",
     "instance_says_leaving",
--- a/hopstep/services/exchanges/directory/instance_changes.py
+++ b/hopstep/services/exchanges/directory/instance_changes.py
@@ -1,7 +1,13 @@
-"""Takes what the directory says of instances into the table, and tells of lives that are over."""
+"""Takes what the directory says of instances into the table, and tells of lives that are over.
+
+A life never takes back that it leaves. After a restore the copy may show lives as they were before
+they left or ended: one that has ended is used again once its entry is written anew, or has stood
+for as long as only an instance that lives keeps it up.
+"""
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable
 
 import trio
@@ -9,13 +15,19 @@
 from hopstep import log_events
 from hopstep.domain.exchanges.instance_table import InstanceTable, is_same_life
 from hopstep.domain.exchanges.instances import Instance, InstanceLife
-from hopstep.domain.exchanges.store_contact import StoreContact
+from hopstep.domain.exchanges.store_contact import ENTRY_LAPSE_SECONDS, StoreContact
 from hopstep.domain.quarantine.crashes import EndEvidence
 from hopstep.logs import emit
 
+MAX_ENDED_LIVES = 4_096
+"""Lives that have ended and are remembered: all restarts of four days in a large fleet."""
+
 LAPSED = "lapsed"
 """Source of the removal of an instance whose entry didn't come back."""
 
+LEAVES, HAS_ENDED = "leaves", "has_ended"
+"""What is known of a life that an entry shows as it was before."""
+
 EndListener = Callable[[InstanceLife, EndEvidence], None]
 """Told a life of an instance that is over, and what shows it."""
 
@@ -33,24 +45,32 @@
         self._table = table
         self._contact = contact
         self._end_listeners: list[EndListener] = []
+        self._ended: OrderedDict[InstanceLife, None] = OrderedDict()
 
     def follow_ends(self, listener: EndListener) -> None:
         """Tell a listener of instances that the directory shows to have ended."""
         self._end_listeners.append(listener)
 
-    def take_listed(self, instance: Instance, source: str, age_ms: int) -> None:
+    def take_listed(
+        self, instance: Instance, source: str, age_ms: int, *, may_be_copied: bool = False
+    ) -> None:
         """Take an instance's entry.
 
         Args:
             instance: The entry.
             source: Who told it; for the log.
             age_ms: How old that is.
+            may_be_copied: Whether it may be from a copy of the store, as it was before a restore.
         """
         known = self._table.get(instance.instance_id)
         drained = known is not None and known.instance.draining
         if known is not None and not is_same_life(known.instance, instance):
             self._note_ended(known.instance.life, EndEvidence.RESTARTED)
-        if self._table.put(instance) or drained != instance.draining:
+        is_new = self._table.put(instance)
+        if drained and not is_new and not instance.draining:
+            self._keep_leaving(instance, source)
+        self._doubt(instance, source, may_be_copied=may_be_copied)
+        if is_new or drained != instance.draining:
             emit(
                 log_events.INSTANCE_LISTED,
                 instance=instance.instance_id,
@@ -78,8 +98,13 @@
         if removed is None:
             return
         emit(log_events.INSTANCE_REMOVED, instance=instance_id, source=source, age_ms=age_ms)
+        if removed.draining:
+            self._remember_leaving(removed)
         if not self._table.is_leaving(removed):
             self._note_ended(removed.life, EndEvidence.UNLISTED)
+        self._ended[removed.life] = None
+        while len(self._ended) > MAX_ENDED_LIVES:
+            self._ended.popitem(last=False)
 
     def expire_lapsed(self) -> None:
         """Forget instances whose entries lapsed while the store was away and didn't come back."""
@@ -88,6 +113,42 @@
             lapsed = instance.instance_id
             emit(log_events.INSTANCE_REMOVED, instance=lapsed, source=LAPSED, age_ms=0)
 
+    def _keep_leaving(self, instance: Instance, source: str) -> None:
+        """Keep to the word of a life that leaves, although an entry shows it as ready."""
+        self._remember_leaving(instance)
+        self._log_outdated(instance, LEAVES, source)
+
+    def _remember_leaving(self, instance: Instance) -> None:
+        """Remember that a life leaves, beyond its entry."""
+        life = str(instance.life)
+        view = self._table.of_life(life)
+        standing = view.standing if view is not None else self._table.standings.of_life(life)
+        standing.note_leaving(trio.current_time())
+        self._table.standings.remember(life, standing)
+
+    def _doubt(self, instance: Instance, source: str, *, may_be_copied: bool) -> None:
+        """Leave a life alone that is known to have ended, unless its entry is written anew."""
+        view = self._table.get(instance.instance_id)
+        if view is None or view.instance.life not in self._ended:
+            return
+        if not may_be_copied:
+            view.doubted_until = -float("inf")
+            del self._ended[view.instance.life]
+            return
+        view.doubted_until = trio.current_time() + ENTRY_LAPSE_SECONDS
+        self._log_outdated(instance, HAS_ENDED, source)
+
+    @staticmethod
+    def _log_outdated(instance: Instance, known: str, source: str) -> None:
+        """Log that an entry shows a life as it was before."""
+        emit(
+            log_events.INSTANCE_ENTRY_OUTDATED,
+            instance=instance.instance_id,
+            born_ms=instance.born_ms,
+            known=known,
+            source=source,
+        )
+
     def _note_ended(self, life: InstanceLife, evidence: EndEvidence) -> None:
         """Tell of a life that is over."""
         for listener in self._end_listeners:
--- a/hopstep/services/exchanges/directory/knowledge.py
+++ b/hopstep/services/exchanges/directory/knowledge.py
@@ -404,7 +404,8 @@
             case ConfigurationPublished(configuration):
                 self._take_configuration(configuration, source, age_ms)
             case InstanceListed(instance):
-                self.instances.take_listed(instance, source, age_ms)
+                may_be_copied = self.copy.may_hold(entry.place)
+                self.instances.take_listed(instance, source, age_ms, may_be_copied=may_be_copied)
             case InstanceRejected():
                 self.table.reject(change.instance_id)
                 key = change.instance_id
