Let a request that ends instances have one try, also where a restored store shows none

A request that had used up its one try was tried again after a restore, and ended one instance more: the copy has fewer tries, or no record, and the node that wrote the record again had forgotten the try with its lapsed version. The test fails before for a record that was lost whole. Tries that a node knows of are kept through lapse and restore, and written again with the rest.

--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -274,7 +274,7 @@
         except StoreConflictError:
             found = await self._store.get(key)
             if found is None:
-                self._stored.pop(fingerprint, None)
+                self._note_lapsed(fingerprint)
             else:
                 self.take(key, found.value, found.version)
             raise
@@ -293,6 +293,8 @@
         known = self._stored.get(fingerprint)
         if known is not None and known.version > stored.version:
             return
+        if known is not None and known.version.era < stored.version.era:
+            stored = _restored(known, stored)
         self._stored[fingerprint] = stored
         self._stored.move_to_end(fingerprint)
         while len(self._stored) > MAX_REQUESTS:
@@ -300,6 +302,18 @@
 
     def _note_lapsed(self, fingerprint: bytes) -> None:
         """Note that the store no longer holds a request."""
-        if fingerprint in self._stored:
-            self._stored[fingerprint] = _Stored(ABSENT, RequestCrashes(fingerprint))
+        known = self._stored.get(fingerprint)
+        if known is not None:
+            lapsed = _Stored(ABSENT, RequestCrashes(fingerprint), known.trials)
+            self._stored[fingerprint] = lapsed
             self._quarantine.wake()
+
+
+def _restored(known: _Stored, stored: _Stored) -> _Stored:
+    """Return what a store that was restored holds: runs that were used up stay used up.
+
+    Where it shows fewer of them it counts as lacking the rest too, so that it is written again.
+    """
+    if stored.trials >= known.trials:
+        return stored
+    return _Stored(stored.version, RequestCrashes(stored.crashes.fingerprint), known.trials)
--- a/tests/services/quarantine/test_quarantine.py
+++ b/tests/services/quarantine/test_quarantine.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+import msgspec
 import structlog
 import trio
 
@@ -18,6 +19,7 @@
     RequestCrashes,
     RequestName,
 )
+from hopstep.domain.store_place import StorePlace
 from hopstep.services.quarantine.quarantine import EXPIRY_SECONDS, HEARING_SECONDS, Quarantine
 from hopstep.services.quarantine.records import (
     QUARANTINE_PREFIX,
@@ -31,8 +33,8 @@
 OTHER = b"other"
 
 
-def told(fingerprint, *lives, cleared=()):
-    return RequestCrashes(fingerprint, tuple(Crash(life, "n2") for life in lives), cleared)
+def told(fingerprint, *lives, cleared=(), seen_by="n2"):
+    return RequestCrashes(fingerprint, tuple(Crash(life, seen_by) for life in lives), cleared)
 
 
 class LoggedRefusalsTest(unittest.TestCase):
@@ -124,10 +126,10 @@
         run_in_virtual_time(main)
 
     @staticmethod
-    async def tell_all(store, quarantines, records):
+    async def tell_all(store, quarantines, records, seen_by="n2"):
         """Refuse a request at all nodes, and let them write and read the store."""
         for quarantine in quarantines:
-            quarantine.take([told(FATAL, "i1", "i2", "i3")])
+            quarantine.take([told(FATAL, "i1", "i2", "i3", seen_by=seen_by)])
         await trio.sleep(2 * STAND_BACK_SECONDS)
         stored = await store.get(QUARANTINE_PREFIX + FATAL.hex())
         for part in records:
@@ -171,6 +173,44 @@
                 admitted += await quarantine.admit(FATAL) == 0.0
         return admitted
 
+    def test_a_request_is_tried_again_since_a_restored_store_shows_no_try(self):
+        # Each restore let a request that ends instances reach one more of them.
+        for lost_whole in (False, True):
+            with self.subTest(lost_whole=lost_whole):
+
+                async def script(store, quarantines, records, lost_whole=lost_whole):
+                    empty = store._shared.model.copy()
+                    await self.tell_all(store, quarantines, records, seen_by="n0")
+                    copy = empty if lost_whole else store._shared.model.copy()
+                    await trio.sleep(TRIAL_AFTER_SECONDS)
+                    self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
+                    quarantines[0].note_broken(RequestName(FATAL), "i9")
+                    quarantines[0].note_ended("i9", EndEvidence.REFUSED)
+                    quarantines[0].end_trial(FATAL)
+                    await trio.sleep(VERDICT_SECONDS)
+                    for part in records:
+                        part.take(*await self.read(store))
+                    store._shared.restore(copy)
+                    for _ in range(3):
+                        for part in records:
+                            part.take(*await self.read(store))
+                        for quarantine in quarantines:
+                            self.assertGreater(await quarantine.admit(FATAL), 0.0)
+                        await trio.sleep(TRIAL_AFTER_SECONDS)
+                    stored = await store.get(QUARANTINE_PREFIX + FATAL.hex())
+                    self.assertEqual(msgspec.json.decode(stored.value)["trials"], 1)
+
+                self.run_script(script)
+
+    @staticmethod
+    async def read(store):
+        """Return the request's key as the store shows it: key, value, version."""
+        key = QUARANTINE_PREFIX + FATAL.hex()
+        stored = await store.get(key)
+        if stored is None:
+            return key, b"", StorePlace(store._shared.model.era, store._shared.model.revision)
+        return key, stored.value, stored.version
+
     def test_a_try_whose_client_leaves_is_followed_by_another_one(self):
         async def script(store, quarantines, records):
             await self.try_once(store, quarantines, records)
