Give each kind of news its own module, and show operators by which era and place a node believes

ServingKnowledge had taken every kind of news in one module; configuration, weights, nodes, records, instances, keys' age and the place in the store's history are modules now, each with its order. HS4107 names both places, how old the copy is at least, and what it is known to lack by kind; HS4109 a start in such a moment, HS4110 an own entry that is written again, HS6106 'restored' a lease that is gone by it. HS3101, HS3102, HS4101, HS6101 and HS6103 name era and revision, hopstep_store_era is a gauge, and 'trace' says by which places a request's configuration and instance were believed.

--- a/hopstep/ctl/trace.py
+++ b/hopstep/ctl/trace.py
@@ -31,10 +31,14 @@
     log_events.STORE_LOST,
     log_events.STORE_REGAINED,
     log_events.DIRECTORY_HISTORY_LOST,
+    log_events.STORE_ERA_CHANGED,
+    log_events.STORE_ANSWER_OUTDATED,
+    log_events.STORE_RESTORE_SUSPECTED,
     log_events.DIRECTORY_SOURCE_CHANGED,
     log_events.SERVING_CONFIGURATION_APPLIED,
     log_events.INSTANCE_LISTED,
     log_events.INSTANCE_REMOVED,
+    log_events.INSTANCE_ENTRY_OUTDATED,
     log_events.INSTANCE_SAYS_LEAVING,
     log_events.INSTANCE_WANTS_REST,
     log_events.INSTANCE_LIMIT_CHANGED,
@@ -90,11 +94,13 @@
     Attributes:
         request_id: The request.
         cause: Why it ended as it did.
+        known: By which places in the store's history its node believed what it decided by.
         lines: Its lines and the changes of belief around it, oldest first.
     """
 
     request_id: str
     cause: str
+    known: str
     lines: tuple[str, ...]
 
 
@@ -114,13 +120,53 @@
         key=lambda line: line.at,
     )
     if not own:
-        document = TraceDocument(request_id, "no line names this request", ())
+        document = TraceDocument(request_id, "no line names this request", "", ())
         return VerbResult(document.cause, document, ExitCode.REJECTED)
     context = [*_context(own, lines), *_ends(own, lines)]
     cause = explain_end(own, context)
     shown = sorted((*own, *context), key=lambda line: line.at)
-    document = TraceDocument(request_id, cause, tuple(str(line) for line in shown))
-    return VerbResult("\n".join((*document.lines, f"cause: {cause}")), document)
+    known = explain_places(own, lines)
+    document = TraceDocument(request_id, cause, known, tuple(str(line) for line in shown))
+    text = (*document.lines, f"known by: {known}", f"cause: {cause}")
+    return VerbResult("\n".join(text), document)
+
+
+def explain_places(own: Sequence[LogLine], lines: Sequence[LogLine]) -> str:
+    """Return where in the store's history a node had what it decided a request by.
+
+    Args:
+        own: Lines of the request, oldest first.
+        lines: All lines.
+    """
+    last = own[-1]
+    before = [line for line in lines if line.node == last.node and line.at <= last.at]
+    version, instance = last.fields.get("configuration"), last.fields.get("instance")
+    configurations = [
+        line
+        for line in before
+        if line.number == log_events.SERVING_CONFIGURATION_APPLIED.number
+        and line.fields.get("version") == version
+    ]
+    entries = [
+        line
+        for line in before
+        if line.number == log_events.INSTANCE_LISTED.number
+        and line.fields.get("instance") == instance
+    ]
+    parts = [f"the store up to {_place(last)}, keys as of {last.fields.get('age_ms')} ms before"]
+    parts += [f"configuration {version} {_told(line)}" for line in configurations[-1:]]
+    parts += [f"{instance} {_told(line)}" for line in entries[-1:]]
+    return "; ".join(parts)
+
+
+def _told(line: LogLine) -> str:
+    """Return where a change was made, and who told it."""
+    return f"of {_place(line)}, from {line.fields.get('source')}"
+
+
+def _place(line: LogLine) -> str:
+    """Return the place that a line names."""
+    return f"era {line.fields.get('era')} revision {line.fields.get('revision')}"
 
 
 def explain_end(own: Sequence[LogLine], context: Sequence[LogLine]) -> str:
--- a/hopstep/domain/exchanges/directory_feed.py
+++ b/hopstep/domain/exchanges/directory_feed.py
@@ -77,6 +77,10 @@
         """Return the entries of keys that exist."""
         return [entry for entry in self._entries.values() if not entry.removed]
 
+    def newest(self) -> list[FeedEntry[Change]]:
+        """Return the newest change of every key, also of those that are gone."""
+        return list(self._entries.values())
+
     def after(self, place: StorePlace) -> list[FeedEntry[Change]] | None:
         """Return the changes after a place, oldest first; None when some aren't known.
 
--- a/hopstep/exceptions.py
+++ b/hopstep/exceptions.py
@@ -142,6 +142,10 @@
     """A compare-and-swap found another version; nothing was written."""
 
 
+class StoreRestoredError(StoreConflictError):
+    """What the call relies on is of before a restore of the store from a copy."""
+
+
 class StoreOutcomeUnknownError(StoreError):
     """The request was sent, but no answer came: the effect may have taken place."""
 
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -136,7 +136,7 @@
         )
         self.quarantine.follow_ends(self._suspend_ended)
         self.quarantine_records = QuarantineRecords(self.quarantine, ports.store, generator)
-        self.knowledge.follow_records(
+        self.knowledge.records.follow(
             QUARANTINE_PREFIX,
             lambda record: self.quarantine_records.take(record.key, record.value, record.version),
         )
@@ -226,13 +226,18 @@
         metrics.watch(
             "hopstep_knowledge_age_seconds",
             "Age of what is known of configuration, keys and instances.",
-            lambda: knowledge.age_seconds,
+            lambda: knowledge.keys.age_seconds,
         )
         metrics.watch(
             "hopstep_store_silence_seconds",
             "Time since the store last answered this node or whoever told it.",
             lambda: trio.current_time() - knowledge.contact.heard_at,
         )
+        metrics.watch(
+            "hopstep_store_era",
+            "How often the store had been restored from a copy, by the newest answer; -1 for none.",
+            lambda: knowledge.place.era,
+        )
         metrics.watch(
             "hopstep_serving_configuration_version",
             "Version of the operators' configuration in force; 0 for none.",
@@ -280,7 +285,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether a request sent here would be served."""
-        return self.lifecycle.ready and self.knowledge.is_fresh
+        return self.lifecycle.ready and self.knowledge.keys.is_fresh
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Do the background work until cancelled."""
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -376,6 +376,8 @@
         "kept_from",
         "configuration",
         "age_ms",
+        "era",
+        "revision",
         "retry_after_ms",
         "retry_reason",
     ),
@@ -391,6 +393,8 @@
         "reason",
         "configuration",
         "age_ms",
+        "era",
+        "revision",
         "retry_after_ms",
         "retry_reason",
     ),
@@ -467,7 +471,7 @@
     "HS4101",
     "serving_configuration_applied",
     Level.INFO,
-    ("version", "routes", "tenants", "source", "age_ms"),
+    ("version", "routes", "tenants", "source", "age_ms", "era", "revision"),
     "Nothing; if nodes of one zone take versions late, look at the node that `source` names.",
 )
 DIRECTORY_ENTRY_REJECTED = LogEvent(
@@ -503,9 +507,31 @@
     "HS4107",
     "store_era_changed",
     Level.WARNING,
-    ("era", "previous", "revision", "previous_revision"),
+    (
+        "era",
+        "previous",
+        "revision",
+        "previous_revision",
+        "copy_age_seconds",
+        "lacking",
+        "source",
+    ),
     "The store was restored from a copy: see the operators' page.",
 )
+OWN_ENTRY_REWRITTEN = LogEvent(
+    "HS4110",
+    "own_entry_rewritten",
+    Level.INFO,
+    ("era",),
+    "Nothing: the store was restored, and the node writes its own entry again.",
+)
+STORE_RESTORE_SUSPECTED = LogEvent(
+    "HS4109",
+    "store_restore_suspected",
+    Level.WARNING,
+    ("era", "nodes_behind"),
+    "Nothing: keys are served once other nodes, or two seconds, have shown what the copy lacks.",
+)
 STORE_ANSWER_OUTDATED = LogEvent(
     "HS4108",
     "store_answer_outdated",
@@ -525,7 +551,17 @@
     "HS6101",
     "instance_listed",
     Level.INFO,
-    ("instance", "born_ms", "service", "draining", "versions", "source", "age_ms"),
+    (
+        "instance",
+        "born_ms",
+        "service",
+        "draining",
+        "versions",
+        "source",
+        "age_ms",
+        "era",
+        "revision",
+    ),
     "Nothing.",
 )
 INSTANCE_REMOVED = LogEvent(
@@ -542,7 +578,7 @@
     "HS6115",
     "instance_entry_outdated",
     Level.INFO,
-    ("instance", "born_ms", "known", "source"),
+    ("instance", "born_ms", "known", "source", "era", "revision"),
     "Nothing: after a restore of the store an old entry is shown; the instance isn't used by it.",
 )
 INSTANCE_SAYS_LEAVING = LogEvent(
@@ -577,7 +613,7 @@
     "HS6103",
     "weights_named",
     Level.INFO,
-    ("model", "version", "age_ms", "counted_ms"),
+    ("model", "version", "age_ms", "counted_ms", "era", "revision"),
     "Nothing: of the greatest age that the naming may have, time without the store isn't counted.",
 )
 WEIGHTS_ORDER_SENT = LogEvent(
--- a/hopstep/ports/key_value_store.py
+++ b/hopstep/ports/key_value_store.py
@@ -17,9 +17,9 @@
 from hopstep.domain.store_place import ABSENT, StoreLease, StorePlace
 from hopstep.exceptions import (
     ErrorCode,
-    StoreConflictError,
     StoreHistoryLostError,
     StoreOutcomeUnknownError,
+    StoreRestoredError,
 )
 
 
@@ -138,7 +138,10 @@
 
     @abc.abstractmethod
     async def keep_alive(self, lease: StoreLease) -> None:
-        """Renew a lease; raises ``StoreConflictError`` when it has lapsed, or is of another era."""
+        """Renew a lease; raises ``StoreConflictError`` when it has lapsed or is of another era.
+
+        The latter is a ``StoreRestoredError``.
+        """
 
     async def reconnect(self) -> None:  # noqa: B027 - optional
         """Leave connections that may have fallen silent; adapters without any do nothing."""
@@ -156,9 +159,9 @@
 
 
 def require_lease_era(lease: StoreLease, era: int) -> None:
-    """Raise ``StoreConflictError`` unless a renewal's answer is of the lease's own era."""
+    """Raise ``StoreRestoredError`` unless a renewal's answer is of the lease's own era."""
     if era != lease.era:
-        raise StoreConflictError(
+        raise StoreRestoredError(
             ErrorCode.STORE_CONFLICT, f"the lease was granted in era {lease.era}, not in {era}"
         )
 
--- a/hopstep/services/exchanges/directory/directory_follower.py
+++ b/hopstep/services/exchanges/directory/directory_follower.py
@@ -15,11 +15,9 @@
 from hopstep.exceptions import StoreError, StoreHistoryLostError
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import ServingDirectory
-from hopstep.services.exchanges.directory.knowledge import (
-    OVERDUE,
-    STORE_SOURCE,
-    ServingKnowledge,
-)
+from hopstep.services.exchanges.directory.key_freshness import OVERDUE
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.news import STORE_SOURCE
 from hopstep.services.exchanges.pause_watch import PauseWatch
 
 CALL_SPACING_SECONDS = 0.4
@@ -169,12 +167,12 @@
     async def _wait_needed(self) -> None:
         """Wait until this node should read the store itself."""
         knowledge = self._knowledge
-        while not self.reads and knowledge.place_age_seconds < OWN_WAY_AGE_SECONDS:
+        while not self.reads and knowledge.history.age_seconds < OWN_WAY_AGE_SECONDS:
             self._reading_since = None
             if self._asked:
                 break
             told_until = knowledge.contact.told_at + self._limits.own_reading
-            known_until = knowledge.placed_at + OWN_WAY_AGE_SECONDS
+            known_until = knowledge.history.reached_at + OWN_WAY_AGE_SECONDS
             with trio.move_on_at(min(told_until, known_until) + MOMENT_SECONDS):
                 await self._reconsidered.wait()
         self._asked = False
@@ -240,7 +238,7 @@
             knowledge.take_snapshot(await self._directory.snapshot(), sent_at)
             self._history_lost = False
             return
-        placed_at = knowledge.placed_at
+        placed_at = knowledge.history.reached_at
         batch = await self._directory.changes(knowledge.place, self._wait_seconds(sent_at))
         now = trio.current_time()
         waited = now - sent_at > PROMPT_ANSWER_SECONDS and not self._pauses.has_just_ended
@@ -254,7 +252,12 @@
         one that may confirm keys.
         """
         knowledge = self._knowledge
-        if not self._connected or not self.reads or knowledge.is_settling or not knowledge.is_fresh:
+        if (
+            not self._connected
+            or not self.reads
+            or knowledge.is_settling
+            or not knowledge.keys.is_fresh
+        ):
             return 0.0
         due_at = max(knowledge.contact.read_at, sent_at - CALL_SPACING_SECONDS)
         due_at += self._limits.answer_interval
@@ -266,7 +269,7 @@
             return
         self._connected = connected
         knowledge = self._knowledge
-        age = round(knowledge.age_seconds, 3) if knowledge.index is not None else -1.0
+        age = round(knowledge.keys.age_seconds, 3) if knowledge.index is not None else -1.0
         if connected:
             emit(log_events.STORE_REGAINED, age_seconds=age)
         else:
--- a/hopstep/services/exchanges/directory/instance_changes.py
+++ b/hopstep/services/exchanges/directory/instance_changes.py
@@ -18,6 +18,7 @@
 from hopstep.domain.exchanges.store_contact import ENTRY_LAPSE_SECONDS, StoreContact
 from hopstep.domain.quarantine.crashes import EndEvidence
 from hopstep.logs import emit
+from hopstep.services.exchanges.directory.news import News
 
 MAX_ENDED_LIVES = 4_096
 """Lives that have ended and are remembered: all restarts of four days in a large fleet."""
@@ -51,25 +52,16 @@
         """Tell a listener of instances that the directory shows to have ended."""
         self._end_listeners.append(listener)
 
-    def take_listed(
-        self, instance: Instance, source: str, age_ms: int, *, may_be_copied: bool = False
-    ) -> None:
-        """Take an instance's entry.
-
-        Args:
-            instance: The entry.
-            source: Who told it; for the log.
-            age_ms: How old that is.
-            may_be_copied: Whether it may be from a copy of the store, as it was before a restore.
-        """
+    def take_listed(self, instance: Instance, news: News) -> None:
+        """Take an instance's entry."""
         known = self._table.get(instance.instance_id)
         drained = known is not None and known.instance.draining
         if known is not None and not is_same_life(known.instance, instance):
             self._note_ended(known.instance.life, EndEvidence.RESTARTED)
         is_new = self._table.put(instance)
         if drained and not is_new and not instance.draining:
-            self._keep_leaving(instance, source)
-        self._doubt(instance, source, may_be_copied=may_be_copied)
+            self._keep_leaving(instance, news)
+        self._doubt(instance, news)
         if is_new or drained != instance.draining:
             emit(
                 log_events.INSTANCE_LISTED,
@@ -78,26 +70,27 @@
                 service=instance.service,
                 draining=instance.draining,
                 versions=dict(instance.versions),
-                source=source,
-                age_ms=age_ms,
+                source=news.source,
+                age_ms=news.age_ms,
+                era=news.place.era,
+                revision=news.place.revision,
             )
 
-    def take_removed(self, instance_id: str, source: str, age_ms: int) -> None:
-        """Take the end of an instance's entry; one that may have lapsed is expected back.
-
-        Args:
-            instance_id: The instance.
-            source: Who told it; for the log.
-            age_ms: How old that is.
-        """
+    def take_removed(self, instance_id: str, news: News) -> None:
+        """Take the end of an instance's entry; one that may have lapsed is expected back."""
         until = self._contact.relisting_until
         if trio.current_time() < until and self._table.lapse(instance_id, until):
-            emit(log_events.INSTANCE_LAPSED, instance=instance_id, source=source)
+            emit(log_events.INSTANCE_LAPSED, instance=instance_id, source=news.source)
             return
         removed = self._table.remove(instance_id)
         if removed is None:
             return
-        emit(log_events.INSTANCE_REMOVED, instance=instance_id, source=source, age_ms=age_ms)
+        emit(
+            log_events.INSTANCE_REMOVED,
+            instance=instance_id,
+            source=news.source,
+            age_ms=news.age_ms,
+        )
         if removed.draining:
             self._remember_leaving(removed)
         if not self._table.is_leaving(removed):
@@ -113,10 +106,10 @@
             lapsed = instance.instance_id
             emit(log_events.INSTANCE_REMOVED, instance=lapsed, source=LAPSED, age_ms=0)
 
-    def _keep_leaving(self, instance: Instance, source: str) -> None:
+    def _keep_leaving(self, instance: Instance, news: News) -> None:
         """Keep to the word of a life that leaves, although an entry shows it as ready."""
         self._remember_leaving(instance)
-        self._log_outdated(instance, LEAVES, source)
+        self._log_outdated(instance, LEAVES, news)
 
     def _remember_leaving(self, instance: Instance) -> None:
         """Remember that a life leaves, beyond its entry."""
@@ -126,27 +119,29 @@
         standing.note_leaving(trio.current_time())
         self._table.standings.remember(life, standing)
 
-    def _doubt(self, instance: Instance, source: str, *, may_be_copied: bool) -> None:
+    def _doubt(self, instance: Instance, news: News) -> None:
         """Leave a life alone that is known to have ended, unless its entry is written anew."""
         view = self._table.get(instance.instance_id)
         if view is None or view.instance.life not in self._ended:
             return
-        if not may_be_copied:
+        if not news.may_be_copied:
             view.doubted_until = -float("inf")
             del self._ended[view.instance.life]
             return
         view.doubted_until = trio.current_time() + ENTRY_LAPSE_SECONDS
-        self._log_outdated(instance, HAS_ENDED, source)
+        self._log_outdated(instance, HAS_ENDED, news)
 
     @staticmethod
-    def _log_outdated(instance: Instance, known: str, source: str) -> None:
+    def _log_outdated(instance: Instance, known: str, news: News) -> None:
         """Log that an entry shows a life as it was before."""
         emit(
             log_events.INSTANCE_ENTRY_OUTDATED,
             instance=instance.instance_id,
             born_ms=instance.born_ms,
             known=known,
-            source=source,
+            source=news.source,
+            era=news.place.era,
+            revision=news.place.revision,
         )
 
     def _note_ended(self, life: InstanceLife, evidence: EndEvidence) -> None:
--- a/hopstep/services/exchanges/directory/knowledge.py
+++ b/hopstep/services/exchanges/directory/knowledge.py
@@ -1,15 +1,19 @@
 """What a node knows of configuration, instances, weights and nodes, and how old it is.
 
 Everything comes from the serving directory: read from the store by this node, or told by another
-node. The age counts from the sending of the call or query that was answered, plus the age that the
+node. Ages count from the sending of the call or query that was answered, plus the age that the
 answering node told. While the store is down the node goes on with what it has; requests with keys
-are refused once the age exceeds the revocation bound. Beside the age a node knows the silence: the
-time since the store last answered it or whoever told it (see ``domain.exchanges.freshness``).
+are refused once the age of keys exceeds the revocation bound. Beside the ages a node knows the
+silence: the time since the store last answered it or whoever told it (see
+``domain.exchanges.freshness``).
+
+Each kind of document is kept by a module of its own, in its own order where it has one: a
+configuration and named weights by version, a life of an instance by its start and by its word that
+it leaves. For the rest the place in the store's history decides.
 """
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
@@ -18,14 +22,12 @@
 from hopstep import log_events
 from hopstep.domain.exchanges.directory_feed import DirectoryFeed, FeedEntry
 from hopstep.domain.exchanges.instance_table import InstanceTable
-from hopstep.domain.exchanges.instances import NamedWeights
 from hopstep.domain.exchanges.nodes import NodeRecord, RelayPlan
-from hopstep.domain.exchanges.restored_copy import RestoredCopy
 from hopstep.domain.exchanges.serving import ServingConfiguration, ServingIndex
 from hopstep.domain.exchanges.store_contact import StoreContact
 from hopstep.domain.exchanges.weights import WeightsBook
 from hopstep.domain.store_place import ABSENT, NOWHERE, StorePlace
-from hopstep.exceptions import ErrorCode, ServiceError, StoreError
+from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
@@ -40,12 +42,15 @@
     Unreadable,
     WeightsPublished,
 )
+from hopstep.services.exchanges.directory.copy_losses import CopyLosses, losses_of
 from hopstep.services.exchanges.directory.instance_changes import InstanceChanges
+from hopstep.services.exchanges.directory.key_freshness import KeyFreshness
+from hopstep.services.exchanges.directory.known_configuration import KnownConfiguration
 from hopstep.services.exchanges.directory.known_nodes import KnownNodes
-from hopstep.services.exchanges.directory.records import NODES_PREFIX, ROLLOUT_KEY
-
-MARGIN_SECONDS = 0.6
-"""Requests with keys are refused this long before the revocation bound."""
+from hopstep.services.exchanges.directory.known_records import KnownRecords
+from hopstep.services.exchanges.directory.known_weights import KnownWeights
+from hopstep.services.exchanges.directory.news import STORE_SOURCE, News
+from hopstep.services.exchanges.directory.store_history import StoreHistory
 
 DEAF_SECONDS = 1.0
 """A watch may have heard nothing for so long before its history was lost."""
@@ -57,21 +62,10 @@
 this find a store that doesn't answer and are refused at once.
 """
 
-OVERDUE = "overdue"
-"""Reason of a lost store whose answer is still waited for when the first request is refused."""
-
-NO_AGE_MS = -1
-
-STORE_SOURCE = "store"
-"""Source of what this node has read from the store itself."""
-
 MILLISECONDS = 1_000
 
 Entry = FeedEntry[DirectoryEntry]
 
-RecordListener = Callable[[RecordWritten], None]
-"""Takes a key of hopstep's own; its value is empty when it is gone."""
-
 
 class ServingKnowledge:
     """Takes what the directory says; readers look at its fields."""
@@ -97,37 +91,33 @@
         self.record = record
         self.table = table
         self.weights = weights
-        self.index: ServingIndex | None = None
-        self.node_book = KnownNodes(name, record)
-        self.feed: DirectoryFeed[DirectoryEntry] = DirectoryFeed()
-        self.place = NOWHERE
-        self.placed_at = -float("inf")
-        self.restored_at = -float("inf")
-        self.copy = RestoredCopy()
-        self.confirmed_at = -float("inf")
         self._started_at = trio.current_time()
+        self.feed: DirectoryFeed[DirectoryEntry] = DirectoryFeed()
         self.contact = StoreContact(self._started_at)
+        self.node_book = KnownNodes(name, record)
+        self.history = StoreHistory(self.contact, self.node_book, self.feed)
+        self.configuration = KnownConfiguration(table)
+        self.named_weights = KnownWeights(weights, self.contact)
         self.instances = InstanceChanges(table, self.contact)
+        self.records = KnownRecords(self.node_book)
+        self.keys = KeyFreshness(revocation_seconds)
         self.node_heard_at = -float("inf")
-        self.rollout_record: RecordWritten | None = None
         self.changed = trio.Event()
-        self._record_listeners: dict[str, RecordListener] = {}
         self._count_rejected: Callable[[RejectReason], None] = lambda _reason: None
-        self._max_age = revocation_seconds - MARGIN_SECONDS
-        self._expired = False
-
-    def follow_records(self, prefix: str, listener: RecordListener) -> None:
-        """Tell a listener of hopstep's own keys under a prefix."""
-        self._record_listeners[prefix] = listener
 
     def follow_rejections(self, listener: Callable[[RejectReason], None]) -> None:
         """Tell a listener of each document that can't be trusted."""
         self._count_rejected = listener
 
+    @property
+    def index(self) -> ServingIndex | None:
+        """Lookups over the configuration in force, or None before the first."""
+        return self.configuration.index
+
     @property
     def current(self) -> ServingConfiguration | None:
         """The configuration in force, or None before the first."""
-        return self.index.configuration if self.index is not None else None
+        return self.configuration.current
 
     @property
     def has_engines(self) -> bool:
@@ -135,6 +125,11 @@
         services = self.current.services if self.current is not None else ()
         return any(service.engine is not None for service in services)
 
+    @property
+    def place(self) -> StorePlace:
+        """Everything up to this place in the store's history is known."""
+        return self.history.place
+
     @property
     def nodes(self) -> Mapping[str, NodeRecord]:
         """The registered nodes by name."""
@@ -149,46 +144,20 @@
         """Return how many nodes may be alive, this one included."""
         return self.node_book.count
 
-    @property
-    def age_seconds(self) -> float:
-        """Time since no key can have been taken away without this node's knowledge."""
-        return trio.current_time() - self.confirmed_at
-
-    @property
-    def shown_age_ms(self) -> int:
-        """The age as log lines show it; ``NO_AGE_MS`` when nothing was ever confirmed."""
-        age = self.age_seconds
-        return round(age * MILLISECONDS) if math.isfinite(age) else NO_AGE_MS
-
-    @property
-    def place_age_seconds(self) -> float:
-        """Time since ``place`` was the newest in the store."""
-        return trio.current_time() - self.placed_at
-
     @property
     def told_silence_seconds(self) -> float:
         """Time since the store last answered any other node that told this one everything."""
         return trio.current_time() - self.contact.told_at
 
-    @property
-    def is_fresh(self) -> bool:
-        """Whether keys may still be taken for valid."""
-        return self.age_seconds <= self._max_age
-
-    @property
-    def was_restored(self) -> bool:
-        """Whether the store has been restored since this node started, or shortly before."""
-        return math.isfinite(self.restored_at)
-
     @property
     def is_settling(self) -> bool:
         """Whether the store has come back from a copy that may lack what others know."""
-        return self.copy.is_settling(trio.current_time())
+        return self.history.copy.is_settling(trio.current_time())
 
     async def wait_first_reading(self) -> None:
         """Wait for the first configuration, for as long as a node that has just started may."""
         with trio.move_on_at(self._started_at + FIRST_READING_SECONDS):
-            while self.index is None or (self.is_settling and not self.is_fresh):
+            while self.index is None or (self.is_settling and not self.keys.is_fresh):
                 await self.changed.wait()
 
     def require_index(self) -> ServingIndex:
@@ -201,13 +170,12 @@
             raise ServiceError(ErrorCode.NOT_READY, "this node has no configuration yet")
         return self.index
 
-    def require_fresh(self) -> None:
-        """Raise ``ISOLATED`` when keys may have been revoked without this node's knowledge."""
-        if not self.is_fresh:
-            self._note_expired()
-            raise ServiceError(
-                ErrorCode.ISOLATED, "this node can't tell whether the key is still valid"
-            )
+    def version_of(self, key: str) -> StorePlace:
+        """Return the version of a key that a write may expect; ``ABSENT`` when there is none."""
+        entry = self.feed.get(key)
+        if entry is None or entry.removed:
+            return ABSENT
+        return StorePlace(self.place.era, entry.place.revision)
 
     def take_snapshot(self, batch: DirectoryBatch, sent_at: float) -> None:
         """Take all entries of the store; what isn't among them doesn't exist.
@@ -219,18 +187,18 @@
         Raises:
             StoreError: When the answer was made before the store's last restore.
         """
-        self._require_current(batch.place)
-        since = max(self.placed_at - DEAF_SECONDS, self.weights.oldest_since(sent_at))
-        is_first = self.place == NOWHERE
+        self.history.require_current(batch.place)
+        reached_at, is_first = self.history.reached_at, self.place == NOWHERE
+        since = max(reached_at - DEAF_SECONDS, self.weights.oldest_since(sent_at))
         self.contact.note_return(trio.current_time())
-        self.enter(batch.place)
+        if self.history.is_later_era(batch.place):
+            self._enter(batch.place, STORE_SOURCE, losses_of(batch, self.feed))
         self.feed.start(batch.place)
         entries = (*batch.entries, *self._removed_by(batch))
         self._take_read([_feed_entry(entry, since) for entry in entries])
         if is_first:
-            self._suspect_restore(batch.place)
+            self.history.suspect_restore(batch.place)
         self._confirm_read(batch.place, sent_at)
-        self.contact.note_read(trio.current_time())
 
     def take_changes(self, batch: DirectoryBatch, since: float, sent_at: float) -> None:
         """Take changes of the store.
@@ -243,11 +211,15 @@
         Raises:
             StoreError: When the answer was made before the store's last restore.
         """
-        self._require_current(batch.place)
+        self.history.require_current(batch.place)
         self.contact.note_return(trio.current_time())
         self._take_read([_feed_entry(entry, since) for entry in batch.entries])
         self._confirm_read(batch.place, sent_at)
-        self.contact.note_read(trio.current_time())
+
+    def enter(self, place: StorePlace, source: str) -> None:
+        """Go on in a later era if another node tells of a place in one."""
+        if self.history.is_later_era(place):
+            self._enter(place, source, CopyLosses())
 
     def take_entries(self, entries: Iterable[Entry], source: str) -> None:
         """Take changes; those that are known already change nothing.
@@ -263,95 +235,38 @@
                 continue
             if self.feed.put(entry):
                 taken = True
-                self._take_change(entry, source, known.place if known is not None else NOWHERE)
+                known_at = known.place if known is not None else NOWHERE
+                self._take_change(entry, self._news(entry, source, known_at))
         if taken:
             self._tell_changed()
 
-    def _tell_changed(self) -> None:
-        """Wake whoever waits for news."""
-        self.changed.set()
-        self.changed = trio.Event()
-
-    def confirm(self, place: StorePlace, confirmed_at: float) -> None:
-        """Note that everything up to a place is known.
+    def take_documents(self, entries: Iterable[Entry], source: str) -> None:
+        """Take documents that have an order of their own, wherever in the store's history.
 
         Args:
-            place: The place.
-            confirmed_at: Time at which it was the newest, by this node's steady clock.
+            entries: Configurations and named weights.
+            source: Node that told them; for the log.
         """
-        self.enter(place)
-        self.place = max(self.place, place)
-        self.placed_at = max(self.placed_at, confirmed_at)
+        newer = [entry for entry in entries if not self._is_outdated(entry.change.change)]
+        for entry in newer:
+            self._take_change(entry, self._news(entry, source, NOWHERE))
+        if newer:
+            self._tell_changed()
 
     def confirm_keys(self, confirmed_at: float) -> None:
         """Note that no key was taken away unnoticed before a time, by this node's steady clock."""
-        was_fresh = self.is_fresh
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        if self.is_fresh and not was_fresh:
+        if self.keys.confirm(confirmed_at):
             self._tell_changed()
-        if self._expired and self.is_fresh:
-            self._expired = False
-            emit(log_events.STORE_REGAINED, age_seconds=round(self.age_seconds, 3))
-
-    def version_of(self, key: str) -> StorePlace:
-        """Return the version of a key that a write may expect; ``ABSENT`` when there is none."""
-        entry = self.feed.get(key)
-        if entry is None or entry.removed:
-            return ABSENT
-        return StorePlace(self.place.era, entry.place.revision)
 
-    def _require_current(self, place: StorePlace) -> None:
-        """Raise ``StoreError`` for an answer that was made before the store's last restore."""
-        if place.era >= self.place.era:
-            return
-        emit(
-            log_events.STORE_ANSWER_OUTDATED,
-            era=place.era,
-            revision=place.revision,
-            known_era=self.place.era,
-        )
-        raise StoreError(ErrorCode.STORE_UNAVAILABLE, "the answer is of before a restore")
-
-    def enter(self, place: StorePlace) -> None:
-        """Note that the store has been restored, when a place is of a later era."""
-        if self.place == NOWHERE or place.era <= self.place.era:
-            return
-        self._note_restore(place)
-        self.feed.leave(self.place)
-        emit(
-            log_events.STORE_ERA_CHANGED,
-            era=place.era,
-            previous=self.place.era,
-            revision=place.revision,
-            previous_revision=self.place.revision,
-        )
-        self.place = StorePlace(place.era, NOWHERE.revision)
+    def _enter(self, place: StorePlace, source: str, losses: CopyLosses) -> None:
+        """Go on in a later era."""
+        self.history.enter(place, source, losses)
         self._tell_changed()
 
-    def _note_restore(self, place: StorePlace) -> None:
-        """Expect others to write again what a copy lacks; a place is the first one seen of it."""
-        now = trio.current_time()
-        self.restored_at = now
-        self.copy.enter(place, now)
-        self.node_book.note_restore(now)
-        self.contact.note_restore(now)
-
-    def _suspect_restore(self, place: StorePlace) -> None:
-        """Look, at the start, whether the store was restored just before: few know of its era.
-
-        Without this a node that starts in that moment takes the copy for all there is.
-        """
-        behind = self.node_book.count_behind(place.era)
-        if behind:
-            self.restored_at = trio.current_time()
-        if 2 * behind > len(self.nodes):
-            self._note_restore(place)
-
-    def _confirm_read(self, place: StorePlace, sent_at: float) -> None:
-        """Note that the store has shown everything up to a place, by a call sent at a time."""
-        self.confirm(place, sent_at)
-        if self.copy.confirms(sent_at):
-            self.confirm_keys(sent_at)
+    def _tell_changed(self) -> None:
+        """Wake whoever waits for news."""
+        self.changed.set()
+        self.changed = trio.Event()
 
     def _take_read(self, entries: list[Entry]) -> None:
         """Take entries that the store has shown this node itself."""
@@ -360,33 +275,28 @@
                 self._see_configuration(entry, entry.change.change.configuration.version)
         self.take_entries(entries, STORE_SOURCE)
 
+    def _confirm_read(self, place: StorePlace, sent_at: float) -> None:
+        """Note that the store has shown everything up to a place, by a call sent at a time."""
+        self.history.reach(place, sent_at)
+        if self.history.copy.confirms(sent_at):
+            self.confirm_keys(sent_at)
+        self.contact.note_read(trio.current_time())
+
     def _see_configuration(self, entry: Entry, version: int) -> None:
         """Look whether a configuration shows that operators have written what a copy lacks."""
         known = self.feed.get(entry.key)
-        known_version = self.current.version if self.current is not None else 0
         known_at = known.place if known is not None else NOWHERE
-        self.copy.see_configuration(entry.place, version, known_version, known_at)
-
-    def take_documents(self, entries: Iterable[Entry], source: str) -> None:
-        """Take documents that have an order of their own, wherever in the store's history.
-
-        Args:
-            entries: Configurations and named weights.
-            source: Node that told them; for the log.
-        """
-        newer = [entry for entry in entries if not self._is_outdated(entry.change.change)]
-        for entry in newer:
-            self._take_change(entry, source, NOWHERE)
-        if newer:
-            self._tell_changed()
+        self.history.copy.see_configuration(
+            entry.place, version, self.configuration.version, known_at
+        )
 
     def _is_outdated(self, change: DirectoryChange) -> bool:
         """Return whether a document is known as new or newer, by its own order."""
         match change:
             case ConfigurationPublished(configuration):
-                return self.current is not None and configuration.version <= self.current.version
+                return self.configuration.is_outdated(configuration)
             case WeightsPublished(weights):
-                return weights.version <= self.weights.newest(weights.model)
+                return self.named_weights.is_outdated(weights)
         return False
 
     def _removed_by(self, batch: DirectoryBatch) -> list[DirectoryEntry]:
@@ -396,29 +306,42 @@
         removals = (entry.as_removed(batch.place) for entry in known)
         return [removal for removal in removals if removal is not None]
 
-    def _take_change(self, entry: Entry, source: str, known_at: StorePlace) -> None:
-        """Take one change; the one before it of its key was known at a place."""
-        change = entry.change.change
+    def _news(self, entry: Entry, source: str, known_at: StorePlace) -> News:
+        """Return how a change is known."""
         age_ms = round((trio.current_time() - entry.since) * MILLISECONDS)
+        may_be_copied = self.history.copy.may_hold(entry.place)
+        return News(source, entry.since, age_ms, entry.place, known_at, may_be_copied)
+
+    def _take_change(self, entry: Entry, news: News) -> None:
+        """Take one change."""
+        change = entry.change.change
         match change:
             case ConfigurationPublished(configuration):
-                self._take_configuration(configuration, source, age_ms)
+                self.configuration.take(configuration, news)
             case InstanceListed(instance):
-                may_be_copied = self.copy.may_hold(entry.place)
-                self.instances.take_listed(instance, source, age_ms, may_be_copied=may_be_copied)
+                self.instances.take_listed(instance, news)
             case InstanceRejected():
                 self.table.reject(change.instance_id)
                 key = change.instance_id
                 self._log_rejected(key, change.reason, change.field, change.detail)
             case InstanceRemoved(instance_id):
-                self.instances.take_removed(instance_id, source, age_ms)
+                self.instances.take_removed(instance_id, news)
             case WeightsPublished(weights):
-                self._take_weights(weights, entry.since, age_ms)
+                self.named_weights.take(weights, news)
             case RecordWritten():
-                self._take_record(change, known_at)
+                self._take_record(change, news)
             case Unreadable():
                 self._log_rejected(change.key, change.reason, change.field, change.detail)
 
+    def _take_record(self, record: RecordWritten, news: News) -> None:
+        """Take a key of hopstep's own."""
+        try:
+            self.records.take(record, news)
+        except msgspec.DecodeError as error:
+            self._log_rejected(record.key, RejectReason.UNREADABLE, "", str(error))
+        if self.node_book.has_others:
+            self.table.first_telling.note_others()
+
     def _log_rejected(self, key: str, reason: RejectReason, field: str, detail: str) -> None:
         """Log and count a document that can't be trusted: once for each of its revisions."""
         self._count_rejected(reason)
@@ -430,71 +353,6 @@
             detail=detail,
         )
 
-    def _take_weights(self, weights: NamedWeights, since: float, age_ms: int) -> None:
-        """Take named weights; their bound leaves out the time in which the store was away."""
-        counts_from = max(since, self.contact.away_until)
-        if not self.weights.put(weights, counts_from):
-            return
-        emit(
-            log_events.WEIGHTS_NAMED,
-            model=weights.model,
-            version=weights.version,
-            age_ms=age_ms,
-            counted_ms=round((trio.current_time() - counts_from) * MILLISECONDS),
-        )
-
-    def _take_configuration(
-        self, configuration: ServingConfiguration, source: str, age_ms: int
-    ) -> None:
-        """Put a configuration in force if its version is higher."""
-        current = self.current
-        if current is not None and configuration.version <= current.version:
-            return
-        self.index = ServingIndex(configuration)
-        self.table.set_cache_tokens(
-            {
-                service.name: service.engine.cache_tokens
-                for service in configuration.services
-                if service.engine is not None
-            }
-        )
-        emit(
-            log_events.SERVING_CONFIGURATION_APPLIED,
-            version=configuration.version,
-            routes=len(configuration.routes),
-            tenants=len(configuration.tenants),
-            source=source,
-            age_ms=age_ms,
-        )
-
-    def _take_record(self, record: RecordWritten, known_at: StorePlace) -> None:
-        """Take a key of hopstep's own."""
-        if record.key == ROLLOUT_KEY:
-            self.rollout_record = record if record.value else None
-        elif record.key.startswith(NODES_PREFIX):
-            self._take_node(record, known_at)
-        for prefix, listener in self._record_listeners.items():
-            if record.key.startswith(prefix):
-                listener(record)
-
-    def _take_node(self, record: RecordWritten, known_at: StorePlace) -> None:
-        """Take a node's entry."""
-        name = record.key.removeprefix(NODES_PREFIX)
-        try:
-            self.node_book.take(name, record.value, record.version, known_at)
-        except msgspec.DecodeError as error:
-            self._log_rejected(record.key, RejectReason.UNREADABLE, "", str(error))
-        if self.node_book.has_others:
-            self.table.first_telling.note_others()
-
-    def _note_expired(self) -> None:
-        """Log once that the node no longer knows enough."""
-        if self._expired:
-            return
-        self._expired = True
-        age = round(self.age_seconds, 3) if self.index is not None else -1.0
-        emit(log_events.STORE_LOST, reason=OVERDUE, age_seconds=age)
-
 
 def _feed_entry(entry: DirectoryEntry, since: float) -> Entry:
     """Return an entry with the time after which it was made."""
--- a/hopstep/services/exchanges/directory/registration.py
+++ b/hopstep/services/exchanges/directory/registration.py
@@ -13,9 +13,11 @@
 import msgspec
 import trio
 
+from hopstep import log_events
 from hopstep.domain.exchanges.nodes import NodeRecord, rewriting_seconds
 from hopstep.domain.store_place import ABSENT, StoreLease
 from hopstep.exceptions import StoreConflictError, StoreError
+from hopstep.logs import emit
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.records import NODES_PREFIX, encode_node
@@ -80,6 +82,7 @@
                 await self._wait_restored(lease)
                 spread = rewriting_seconds(self._knowledge.count_nodes())
                 await trio.sleep(spread * self._generator.random())
+                emit(log_events.OWN_ENTRY_REWRITTEN, era=self._knowledge.place.era)
                 return
             try:
                 await self._store.keep_alive(lease)
--- a/hopstep/services/exchanges/peers/relaying.py
+++ b/hopstep/services/exchanges/peers/relaying.py
@@ -34,10 +34,8 @@
 )
 from hopstep.ports.serving_directory import ConfigurationPublished, DirectoryEntry
 from hopstep.services.exchanges.directory.directory_follower import DirectoryFollower
-from hopstep.services.exchanges.directory.knowledge import (
-    STORE_SOURCE,
-    ServingKnowledge,
-)
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.news import STORE_SOURCE
 from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.peers.document_exchange import DocumentExchange
@@ -166,7 +164,7 @@
         """Log whom this node asks for the directory, when that has changed."""
         if source == self._source:
             return
-        age = self._knowledge.age_seconds
+        age = self._knowledge.keys.age_seconds
         emit(
             log_events.DIRECTORY_SOURCE_CHANGED,
             source=source,
@@ -261,7 +259,7 @@
             silence_ms=_silence_ms(now, knowledge.contact.heard_at),
             after_era=query.era,
             era=query.era,
-            keys_age_ms=_age_or_unknown(now, knowledge.confirmed_at),
+            keys_age_ms=_age_or_unknown(now, knowledge.keys.confirmed_at),
             configuration=self._documents.configuration_version,
             newer=self._documents.newer_than(query),
         )
@@ -282,7 +280,7 @@
             answer,
             revision=reached.revision,
             era=reached.era,
-            age_ms=_age_ms(now, knowledge.placed_at),
+            age_ms=_age_ms(now, knowledge.history.reached_at),
             complete=complete,
             entries=tuple(
                 RelayedEntry(ToldEntry.of(e.change), _age_ms(now, e.since)) for e in part
@@ -299,7 +297,7 @@
         told = record is not None and record.form >= FORM_WITH_ERAS
         if told or place == NOWHERE or self._knowledge.place == NOWHERE:
             return place
-        era = UNTOLD_ERA if self._knowledge.was_restored else self._knowledge.place.era
+        era = UNTOLD_ERA if self._knowledge.history.was_restored else self._knowledge.place.era
         return StorePlace(era, place.revision)
 
     async def _take_answer(self, sender: str, answer: RelayAnswer) -> None:
@@ -343,7 +341,7 @@
     def _take_entries(self, answer: RelayAnswer, query: _Pending, reached: StorePlace) -> None:
         """Take the changes of an answer; a part of them confirms nothing."""
         knowledge, sent_at = self._knowledge, query.sent_at
-        knowledge.enter(reached)
+        knowledge.enter(reached, query.node)
         entries = (
             _feed_entry(
                 relayed.entry.read(self._era_of(query.node, relayed.entry)),
@@ -353,14 +351,14 @@
         )
         knowledge.take_entries(entries, query.node)
         placed_at = sent_at - answer.age_ms / MILLISECONDS
-        knowledge.confirm(reached, placed_at if answer.complete else -float("inf"))
+        knowledge.history.reach(reached, placed_at if answer.complete else -float("inf"))
 
     def _confirm_keys(self, answer: RelayAnswer, sent_at: float) -> None:
         """Take how old the answering node's knowledge of keys is, if this node knows as much."""
         age_ms = answer.keys_age_ms
         if age_ms == UNKNOWN_AGE_MS and answer.complete:
             # Of a version before eras, which tells one age.
-            age_ms = answer.age_ms if not self._knowledge.was_restored else UNKNOWN_AGE_MS
+            age_ms = answer.age_ms if not self._knowledge.history.was_restored else UNKNOWN_AGE_MS
         knows_as_much = self._documents.configuration_version >= answer.configuration
         if age_ms != UNKNOWN_AGE_MS and knows_as_much:
             self._knowledge.confirm_keys(sent_at - age_ms / MILLISECONDS)
--- a/hopstep/services/exchanges/requests/admission.py
+++ b/hopstep/services/exchanges/requests/admission.py
@@ -45,7 +45,7 @@
         """Return the tenant of a request; None on a public route or without tenants."""
         if route.public or not index.keys_required:
             return None
-        self._knowledge.require_fresh()
+        self._knowledge.keys.require()
         tenant = index.find_tenant(key)
         if tenant is None:
             raise self._denied(ErrorCode.INVALID_KEY, "the key is of no tenant")
@@ -53,7 +53,7 @@
 
     def _denied(self, code: ErrorCode, message: str) -> ServiceError:
         """Return the refusal of what isn't configured, if what is known is recent enough."""
-        self._knowledge.require_fresh()
+        self._knowledge.keys.require()
         return ServiceError(code, message)
 
 
--- a/hopstep/services/exchanges/weights/rollout_lease.py
+++ b/hopstep/services/exchanges/weights/rollout_lease.py
@@ -31,6 +31,7 @@
     StoreConflictError,
     StoreError,
     StoreOutcomeUnknownError,
+    StoreRestoredError,
 )
 from hopstep.logs import emit
 from hopstep.ports.key_value_store import KeyValueStorePort
@@ -153,7 +154,7 @@
 
     def _key(self) -> RolloutKey | None:
         """Return the key as the directory shows it."""
-        record = self._knowledge.rollout_record
+        record = self._knowledge.records.rollout
         if record is None:
             return None
         version = self._knowledge.version_of(ROLLOUT_KEY)
@@ -167,7 +168,7 @@
         """Take the era that the directory is known to be in, and when a restore was noticed."""
         if self._knowledge.place != NOWHERE:
             self._tenure.see_era(self._knowledge.place.era, trio.current_time())
-        self._tenure.suspect_restore(self._knowledge.restored_at)
+        self._tenure.suspect_restore(self._knowledge.history.restored_at)
 
     @property
     def _is_vacant(self) -> bool:
@@ -221,7 +222,7 @@
 
     def _token(self, version: StorePlace) -> int:
         """Return the fencing token; beside nodes that know no eras one that they may follow."""
-        if self._knowledge.node_book.all_know_eras or self._knowledge.was_restored:
+        if self._knowledge.node_book.all_know_eras or self._knowledge.history.was_restored:
             return fencing_token(version)
         return version.revision
 
@@ -273,6 +274,8 @@
         sent_at = trio.current_time()
         try:
             await self._store.keep_alive(lease)
+        except StoreRestoredError:
+            self._lose("restored")
         except StoreConflictError:
             self._lose("over")
         except StoreError:
--- a/tests/ctl/test_trace.py
+++ b/tests/ctl/test_trace.py
@@ -12,7 +12,8 @@
 from hopstep.ctl.results import ExitCode
 from hopstep.ctl.trace import trace_request
 from hopstep.exceptions import ValidationError
-from tests.services.exchanges.exchange_world import ExchangeWorld
+from hopstep.ports.serving_directory import ConfigurationPublished
+from tests.services.exchanges.exchange_world import ExchangeWorld, configuration
 
 EPOCH = "2026-01-01T00:00:"
 
@@ -57,6 +58,24 @@
         self.assertIn("lost the store at", result.document.cause)
         self.assertTrue(any("store_lost" in line for line in result.document.lines))
 
+    def test_a_request_after_a_restore_shows_by_which_era_it_was_decided(self):
+        async def script(world):
+            copy = world.shared.model.copy()
+            world.publish(ConfigurationPublished(configuration(2)))
+            await trio.sleep(2.0)
+            world.shared.restore(copy)
+            await trio.sleep(3.0)
+            await world.request("unsafe", request_id="r")
+
+        self.play(script)
+        document = self.trace().document
+        self.assertIn("the store up to era 1 revision", document.known)
+        self.assertIn("configuration 2 of era 0 revision", document.known)
+        self.assertIn("p0 of era 0 revision", document.known)
+        restored = next(line for line in document.lines if "store_era_changed" in line)
+        self.assertIn("'configuration': 1", restored)
+        self.assertIn("previous=0", restored)
+
     def test_a_quarantined_request_leads_to_the_ends_of_instances(self):
         async def script(world):
             world.instances.fatal_bodies.add(b"fatal")
--- a/tests/services/exchanges/test_relaying.py
+++ b/tests/services/exchanges/test_relaying.py
@@ -65,7 +65,7 @@
             self.assertEqual(self.versions(world), {6})
             self.assertLessEqual(world.calls, 3 * (seconds / 0.9 + 5 + 2))
             for node in world.nodes:
-                self.assertLess(node.knowledge.age_seconds, 3.0)
+                self.assertLess(node.knowledge.keys.age_seconds, 3.0)
 
         self.run_world(script)
 
--- a/tests/services/exchanges/test_suspensions.py
+++ b/tests/services/exchanges/test_suspensions.py
@@ -124,7 +124,7 @@
 
                     def open_dated(call):
                         node = world.nodes[int(call.request.request_id[4:]) % len(world.nodes)]
-                        ages.append(node.knowledge.age_seconds)
+                        ages.append(node.knowledge.keys.age_seconds)
                         return open_call(call)
 
                     world.instances.open = open_dated
@@ -190,7 +190,7 @@
                             missed = [
                                 at for r, at in published.items() if r > knowledge.place.revision
                             ]
-                            if missed and knowledge.confirmed_at > min(missed):
+                            if missed and knowledge.keys.confirmed_at > min(missed):
                                 wrong.append((trio.current_time(), knowledge.name))
 
                 self.run_suspended(seed, script, publish, nodes=4)
