Write accepted changes again that a restored store lacks, and tell those whose places are taken

Operators had been told that a change is accepted; after a restore of the store it was gone from there, routers kept it in force for good, and the next submission was given a revision that routers had already: from then on they disagreed, and nobody said so.

Now a router that reads a store in a later era compares sequences: what it holds and the store lacks it writes again, in order (HS4007); where another change has the place, the store's sequence counts, the loss is an error line with both named (HS4008) and shown by 'hopstep-ctl status', and the sequence is made longer than what any router has, so that none goes on from the other one. Open: a router that is cut off through all of that and then learns from a peer which has been restarted since may go on from the other sequence until it reads the store; at-most-once claims that a copy lacks aren't written again (docs/design/0031).

--- a/hopstep/adapters/http_api/composition.py
+++ b/hopstep/adapters/http_api/composition.py
@@ -39,6 +39,7 @@
         is_isolated=services.is_isolated,
         seconds_since_confirmed=services.synchronization.seconds_since_confirmed,
         member_count=lambda: len(services.cluster.live_routers()),
+        displaced_changes=lambda: tuple(str(item) for item in services.synchronization.displaced),
     )
     return ApiContext(
         settings=settings,
--- a/hopstep/adapters/http_api/context.py
+++ b/hopstep/adapters/http_api/context.py
@@ -40,11 +40,13 @@
         is_isolated: Whether it has been cut off for too long to trust its placement.
         seconds_since_confirmed: Age of the proof that its configuration was the latest.
         member_count: Live members that it sees, itself included.
+        displaced_changes: Accepted changes that a restore of the store has taken away for good.
     """
 
     is_isolated: Callable[[], bool]
     seconds_since_confirmed: Callable[[], float]
     member_count: Callable[[], int]
+    displaced_changes: Callable[[], tuple[str, ...]] = tuple
 
 
 class ApiContext(msgspec.Struct, frozen=True):
--- a/hopstep/adapters/http_api/operator.py
+++ b/hopstep/adapters/http_api/operator.py
@@ -43,6 +43,8 @@
         isolated: Whether the node has been cut off for too long.
         active_requests: Requests whose answers aren't whole yet.
         members: Live members that the node sees, itself included.
+        displaced: Accepted changes that a restore of the store has taken away for good, each with
+            the change that has its place.
     """
 
     name: str
@@ -55,6 +57,7 @@
     isolated: bool
     active_requests: int
     members: int
+    displaced: tuple[str, ...] = ()
 
 
 def operator_blueprint(context: ApiContext) -> Blueprint:
@@ -107,4 +110,5 @@
         isolated=context.health.is_isolated(),
         active_requests=context.lifecycle.active_requests,
         members=context.health.member_count(),
+        displaced=context.health.displaced_changes(),
     )
--- a/hopstep/ctl/status.py
+++ b/hopstep/ctl/status.py
@@ -29,6 +29,7 @@
         stopping: Whether it drains.
         active_requests: Requests in work.
         members: Live members that it sees.
+        displaced: Accepted changes that a restore of the store has taken away for good.
         error: Why it wasn't reachable.
     """
 
@@ -42,6 +43,7 @@
     stopping: bool = False
     active_requests: int = 0
     members: int = 0
+    displaced: tuple[str, ...] = ()
     error: str = ""
 
     def __str__(self) -> str:
@@ -49,10 +51,11 @@
         if not self.reachable:
             return f"{self.address}  unreachable: {self.error}"
         state = "stopping" if self.stopping else "ready" if self.ready else "not ready"
-        return (
+        line = (
             f"{self.address}  {self.name}  zone {self.zone}  {state}  revision {self.revision}  "
             f"{self.active_requests} active  {self.members} members"
         )
+        return "\n".join((line, *(f"  lost by a restore: {text}" for text in self.displaced)))
 
 
 class StatusDocument(msgspec.Struct, frozen=True):
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -183,6 +183,20 @@
     ("error",),
     "Nothing; it is tried again.",
 )
+CONFIGURATION_CHANGE_REWRITTEN = LogEvent(
+    "HS4007",
+    "configuration_change_rewritten",
+    Level.WARNING,
+    ("revision", "change_id", "author", "era"),
+    "Nothing: the store was restored from a copy without this accepted change.",
+)
+CONFIGURATION_CHANGE_DISPLACED = LogEvent(
+    "HS4008",
+    "configuration_change_displaced",
+    Level.ERROR,
+    ("revision", "lost", "lost_author", "taken_by", "taken_by_author", "era"),
+    "Submit the lost change anew if it is still wanted: its place in the sequence is another's.",
+)
 ENGINE_ANSWER_MALFORMED = LogEvent(
     "HS6001",
     "engine_answer_malformed",
--- a/hopstep/services/configuration/store.py
+++ b/hopstep/services/configuration/store.py
@@ -20,7 +20,7 @@
     apply_transfer,
     empty_configuration,
 )
-from hopstep.domain.store_place import ABSENT
+from hopstep.domain.store_place import ABSENT, UNTOLD_ERA
 from hopstep.exceptions import DomainError, ErrorCode, StoreError
 from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
 from hopstep.services.configuration.rate_limit_retry import RateLimitRetryStore
@@ -66,7 +66,11 @@
 
 
 class ConfigurationStore:
-    """Reads and appends the accepted sequence; raises ``StoreError`` with the store down."""
+    """Reads and appends the accepted sequence; raises ``StoreError`` with the store down.
+
+    Attributes:
+        era: How often the store had been restored from a copy, by the newest listing.
+    """
 
     def __init__(
         self,
@@ -83,6 +87,7 @@
         """
         self._store = RateLimitRetryStore(store, rng)
         self._watched = ABSENT
+        self.era = UNTOLD_ERA
         self.snapshots = ConfigurationSnapshots(self._store, snapshot_interval)
 
     async def read_latest(self, after: int = 0) -> ConfigurationTransfer:
@@ -108,6 +113,15 @@
         changes = _contiguous(await self._list_changes(start), start)
         return ConfigurationTransfer(snapshot, changes)
 
+    async def read_era(self) -> None:
+        """Learn the era of the store's answers, from the first change.
+
+        Raises:
+            StoreError: When the store is down.
+        """
+        first = await self._store.list(CHANGES_PREFIX, limit=1)
+        self.era = max([self.era, *(value.version.era for value in first)])
+
     async def read_history(self) -> ConfigurationHistory:
         """Return the latest revision and every retained change.
 
@@ -174,6 +188,7 @@
                 break
             after_key = page[-1].key
         self._watched = max([self._watched, *(value.version for value in values)])
+        self.era = max(self.era, self._watched.era)
         return values
 
 
--- a/hopstep/services/configuration/sync.py
+++ b/hopstep/services/configuration/sync.py
@@ -27,7 +27,8 @@
     apply_transfer,
     empty_configuration,
 )
-from hopstep.exceptions import HopstepError
+from hopstep.domain.configuration.restoration import DisplacedChange
+from hopstep.exceptions import HopstepError, StoreError
 from hopstep.log_events import (
     CONFIGURATION_APPLIED,
     CONFIGURATION_MAINTENANCE_FAILED,
@@ -39,8 +40,11 @@
 from hopstep.logs import emit
 from hopstep.ports.peer_configuration import PeerConfigurationPort
 from hopstep.services.configuration.holder import ConfigurationHolder
+from hopstep.services.configuration.restoration import ConfigurationRestoration
 from hopstep.services.configuration.store import ConfigurationStore
 
+STORE_SOURCE = "store"
+
 
 class SyncConfig(msgspec.Struct, frozen=True):
     """Times and sizes of synchronization.
@@ -112,6 +116,12 @@
         self._hinted = trio.Event()
         self._confirmed_at = float("-inf")
         self._store_failing = False
+        self._restoration = ConfigurationRestoration(holder, store)
+
+    @property
+    def displaced(self) -> tuple[DisplacedChange, ...]:
+        """Accepted changes that a restore of the store has taken away for good."""
+        return self._restoration.displaced
 
     async def run(self) -> None:
         """Synchronize until cancelled."""
@@ -194,14 +204,30 @@
     async def _read_once(self) -> None:
         """List again from the revision in force, whatever a watch has told."""
         asked_at = trio.current_time()
-        revision = self._holder.revision
-        transfer = await self._store.read_latest(revision)
-        if self._take(transfer, "store"):
+        try:
+            transfer = await self._store.read_latest(self._holder.revision)
+        except StoreError:
+            if not await self._restoration.is_due_after_failure():
+                raise
+        if self._restoration.is_due():
+            await self._restore()
+            return
+        if self._take(transfer, STORE_SOURCE):
             self._confirmed_at = max(self._confirmed_at, asked_at)
         if self._store_failing:
             self._store_failing = False
             emit(CONFIGURATION_STORE_RECOVERED, revision=self._holder.revision)
 
+    async def _restore(self) -> None:
+        """Compare with a store that was restored, and go on from its sequence if that differs.
+
+        What is held of the other sequence goes: peers are told the whole configuration then.
+        """
+        history = await self._restoration.run(tuple(self._tail))
+        if history is not None and self._holder.apply(history.latest):
+            self._tail.clear()
+            emit(CONFIGURATION_APPLIED, revision=history.latest.revision, source=STORE_SOURCE)
+
     def _note_store_failure(self, error: HopstepError) -> None:
         """Log the first of a row of failures."""
         if not self._store_failing:
--- a/tests/ctl/test_verbs.py
+++ b/tests/ctl/test_verbs.py
@@ -22,11 +22,12 @@
 )
 from hopstep.ctl.reading import ExplainDocument, explain, show, show_history
 from hopstep.ctl.results import ExitCode, VerbResult
-from hopstep.ctl.status import StatusDocument, show_status
+from hopstep.ctl.status import RouterStatus, StatusDocument, show_status
 from hopstep.domain.configuration.document import Configuration
+from hopstep.domain.configuration.restoration import DisplacedChange
 from hopstep.exceptions import ValidationError
 from hopstep.services.configuration.store import ConfigurationStore
-from tests.services.configuration_samples import document, engine
+from tests.services.configuration_samples import document, engine, first_change
 
 
 class Operator:
@@ -149,3 +150,11 @@
             self.assertEqual([item.reachable for item in result.document.routers], [True, False])
 
         self.run_scenario(scenario)
+
+
+class StatusLineTest(unittest.TestCase):
+    def test_a_change_that_a_restore_took_away_is_shown_with_the_one_in_its_place(self):
+        lost = str(DisplacedChange(2, first_change(), "c9", "ops"))
+        shown = str(RouterStatus("a:1", True, "r1", displaced=(lost,)))
+        expected = "lost by a restore: revision 2: first by tests; in its place: c9 by ops"
+        self.assertIn(expected, shown)
