Let the soak's store come back from copies, and check that nothing goes back with it

Promises hold from the store's return on; a new check holds that a node never answers by an older configuration than it has shown.

--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -18,6 +18,7 @@
 from emulator.soak.instance_checks import INSTANCE_CHECKS
 from emulator.soak.limit_checks import LIMIT_CHECKS
 from emulator.soak.promises import Bounds, Check, Violation
+from emulator.soak.regress_checks import REGRESS_CHECKS
 from emulator.soak.word_checks import WORD_CHECKS
 
 PROMISES = frozenset({408, 421, 429, 503})
@@ -353,5 +354,6 @@
     **INSTANCE_CHECKS,
     **WORD_CHECKS,
     **LIMIT_CHECKS,
+    **REGRESS_CHECKS,
     "processes": processes_stay_alive,
 }
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -28,6 +28,7 @@
 )
 from emulator.soak.proxies import TcpProxy, UdpProxy
 from emulator.soak.recorder import DirectStore, Recorder
+from emulator.soak.restores import Restores
 from emulator.soak.suspendable_node import FILE_ARGUMENT
 
 ZONES = ("z1", "z2", "z3")
@@ -106,6 +107,7 @@
         self.shared = SharedStore()
         self.store = DirectStore(self.shared)
         self.recorder = Recorder(self.history, self.store)
+        self.restores = Restores(self.shared, self.store, generator)
         self.nodes: list[NodeLinks] = []
         self.instances: list[InstanceLinks] = []
         self.decoy = ""
--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -9,10 +9,10 @@
 
 from emulator.platform.faults import FaultOrder
 from emulator.soak.deployment import GRACE_SECONDS, Deployment, NodeLinks
-from emulator.soak.history import KILLED, LEASES_LAPSE, ONLY_PEERS, STORE
+from emulator.soak.history import KILLED, LEASES_LAPSE, ONLY_PEERS, RESTORED, STORE
 from emulator.soak.instance_faults import BROKEN_LINKS, Fault, draw_seconds, instance_faults
 from emulator.soak.operators import Operator
-from emulator.soak.profiles import Profile
+from emulator.soak.profiles import RESTORE, Profile
 from emulator.soak.proxies import LinkState
 from emulator.soak.stubborn_callers import StubbornCallers
 
@@ -72,6 +72,7 @@
             "store loses answers": self._store_loses_answers,
             "store forgets history": self._store_forgets,
             "leases lapse": self._leases_lapse,
+            RESTORE: self._store_restored,
             "node without store": self._node_without_store,
             "node without peers": self._node_without_peers,
             "store connections silent": self._store_connections_silent,
@@ -143,6 +144,14 @@
         await trio.lowlevel.checkpoint()
         disturbance.until = trio.current_time()
 
+    async def _store_restored(self) -> None:
+        """Come back from a copy; promises hold from the store's return on."""
+        disturbance = self._deployment.disturb(RESTORED, STORE)
+        restores = self._deployment.restores
+        await restores.come_back()
+        disturbance.until = trio.current_time()
+        await restores.write_again()
+
     async def _leases_lapse(self) -> None:
         disturbance = self._deployment.disturb(LEASES_LAPSE, STORE)
         self._deployment.shared.order_faults(FaultOrder(lapse_leases=True))
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -16,6 +16,9 @@
 LEASES_LAPSE = "leases lapse"
 """Leases that the store ends before their time, against its protocol."""
 
+RESTORED = "restored"
+"""A store that is away and comes back from a copy."""
+
 KILLED = "killed"
 """What happens to a node whose process is killed; it is started again."""
 
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -38,6 +38,7 @@
     "foreign entries",
 )
 FATAL = "fatal request"
+RESTORE = "store restored"
 
 CHANGE_KINDS = ("instance leaves", "key revoked", "weights named")
 
@@ -206,6 +207,37 @@
 that is away, and nodes that are cut off, suspended and start anew; by name only."""
 
 
+RESTORES = Profile(
+    "restored store",
+    (
+        RESTORE,
+        RESTORE,
+        RESTORE,
+        "store outage",
+        "store slow",
+        "store loses answers",
+        "node without store",
+        "node without peers",
+        "node paused",
+        "node suspended",
+        "node killed",
+        "all nodes killed",
+        "node stopped",
+        "instance crashed",
+        "instance restarts",
+        "instance says it leaves",
+        "instances want rest",
+        "instances name limits",
+        *CHANGE_KINDS,
+        *CHANGE_KINDS,
+    ),
+    (0.4, 1.6),
+    0.25,
+    0.5,
+)
+"""A store that comes back from copies, in series and within each other's rewriting, beside all that
+a restore may meet: holders that are paused or killed, nodes that start, changes right after it."""
+
 VERSIONS = Profile(
     "versions side by side",
     (
@@ -231,6 +263,21 @@
 before they were heard don't keep them."""
 
 
+FIRST_SEED_WITH_RESTORES = 10_000
+"""Seeds from here on draw restores among everything; those before stay what they were."""
+
+
+def _with_restores(profile: Profile) -> Profile:
+    """Return a profile of everything with restores, others as they are."""
+    if profile.name != "everything":
+        return profile
+    kinds = (*profile.kinds, RESTORE)
+    return msgspec.structs.replace(profile, name="everything, restores too", kinds=kinds)
+
+
+PROFILES_WITH_RESTORES = tuple(_with_restores(profile) for profile in PROFILES)
+
+
 def profile_of(seed: int, name: str = "") -> Profile:
     """Return the profile of a seed: they take turns, so that a few seeds meet all of them.
 
@@ -242,8 +289,10 @@
         ValueError: When no profile has the name.
     """
     if not name:
-        return PROFILES[seed % len(PROFILES)]
-    found = {profile.name: profile for profile in (*PROFILES, SHORT, WORDS, LIMITS, VERSIONS)}
+        newer = seed >= FIRST_SEED_WITH_RESTORES
+        return (PROFILES_WITH_RESTORES if newer else PROFILES)[seed % len(PROFILES)]
+    by_name = (*PROFILES, *PROFILES_WITH_RESTORES, SHORT, WORDS, LIMITS, RESTORES, VERSIONS)
+    found = {profile.name: profile for profile in by_name}
     if name not in found:
         raise ValueError(f"profile: expected one of {sorted(found)}, got {name!r}")
     return found[name]
--- a/emulator/soak/promises.py
+++ b/emulator/soak/promises.py
@@ -16,6 +16,7 @@
         revocation: From the taking away of a key until nothing runs with it.
         weights: From the naming of weights until nothing starts on older ones.
         configuration: From a configuration's acknowledgement until every node acts by it.
+        downgrade: A node that has shown a configuration acts by no older one this much later.
         drain: From ``draining`` until an instance gets nothing new.
         contact: Quiet before a time-bound promise holds for a node or the store.
         lease: Time of the rollout lease.
@@ -39,6 +40,7 @@
     revocation: float = 5.0
     weights: float = 8.0
     configuration: float = 2.0
+    downgrade: float = 0.25
     drain: float = 2.0
     contact: float = 3.0
     lease: float = 3.0
--- a/emulator/soak/recorder.py
+++ b/emulator/soak/recorder.py
@@ -13,9 +13,15 @@
 from emulator.soak.history import Arrival, History, Run, SaidWord, TakenOrder
 from hopstep.adapters import key_value_store_wire as wire
 
+OTHERS = ("op/", "servers/")
+"""Keys of operators and instances."""
+
 
 class DirectStore:
-    """Writes of the operator and of instances, which the store's faults don't touch."""
+    """Writes of the operator and of instances, which the store's faults don't touch.
+
+    They remember what they have written: a store that is restored from a copy may lack it.
+    """
 
     def __init__(self, shared: SharedStore) -> None:
         """Use a store.
@@ -24,6 +30,7 @@
             shared: The store.
         """
         self._shared = shared
+        self._documents: dict[str, bytes] = {}
 
     def put(self, key: str, document: object) -> None:
         """Write a document."""
@@ -31,12 +38,37 @@
 
     def put_bytes(self, key: str, value: bytes) -> None:
         """Write any bytes."""
+        self._documents[key] = value
+        self._write(key, value)
+
+    def write_again(self, key: str) -> None:
+        """Write a document that the store may lack, unless it is gone by now."""
+        if key in self.lacking():
+            self._write(key, self._documents[key])
+
+    def lacking(self) -> list[str]:
+        """Return the documents that the store lacks, or has another version of."""
+        stored = self._shared.model.snapshot()
+        return [
+            key
+            for key, value in self._documents.items()
+            if key not in stored or stored[key].value != value
+        ]
+
+    def outlived(self) -> list[str]:
+        """Return the keys of operators and instances that the store has although they are gone."""
+        stored = self._shared.model.snapshot()
+        return [key for key in stored if key.startswith(OTHERS) and key not in self._documents]
+
+    def _write(self, key: str, value: bytes) -> None:
+        """Write bytes, whatever the key holds."""
         stored = self._shared.model.apply(wire.Get(key), trio.current_time())
         version = stored.version if isinstance(stored, wire.Item) else ABSENT_REVISION
         self._shared.write_directly(wire.CompareAndSwap(key, version, value))
 
     def remove(self, key: str) -> None:
         """Remove a key that may exist."""
+        self._documents.pop(key, None)
         stored = self._shared.model.apply(wire.Get(key), trio.current_time())
         if isinstance(stored, wire.Item):
             self._shared.write_directly(wire.Delete(key, stored.version))
--- a/emulator/soak/run.py
+++ b/emulator/soak/run.py
@@ -25,7 +25,7 @@
 )
 from emulator.soak.operators import Operator
 from emulator.soak.probes import Probes
-from emulator.soak.profiles import profile_of
+from emulator.soak.profiles import RESTORE, profile_of
 from emulator.soak.promises import Bounds, Violation
 from emulator.soak.stubborn_callers import StubbornCallers
 
@@ -119,6 +119,8 @@
                 await processes.wait_listening(node.name, node.readiness)
             nursery.start_soon(_watch_ends, deployment)
             nursery.start_soon(machine.run)
+            if RESTORE in profile.kinds:
+                nursery.start_soon(deployment.restores.keep_copies)
             nursery.start_soon(callers.run)
             nursery.start_soon(loyal.run)
             nursery.start_soon(operator.change_routes, profile.change_seconds)
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -103,6 +103,7 @@
             "limit",
             "limit used",
             "refused with room",
+            "never goes back",
             "processes",
         }
         self.assertEqual(held, CHECKS.keys())
--- a/tests/emulator/soak/test_profiles.py
+++ b/tests/emulator/soak/test_profiles.py
@@ -12,6 +12,8 @@
 from emulator.soak.profiles import (
     LIMITS,
     PROFILES,
+    RESTORE,
+    RESTORES,
     SHORT,
     STORE_KINDS,
     VERSIONS,
@@ -31,11 +33,15 @@
             return Faults(deployment, operator, callers, generator, profile).kinds
 
     def test_profiles_draw_known_kinds_and_all_of_them(self):
-        drawn = {kind for profile in (*PROFILES, WORDS, LIMITS, VERSIONS) for kind in profile.kinds}
+        drawn = {
+            kind
+            for profile in (*PROFILES, WORDS, LIMITS, RESTORES, VERSIONS)
+            for kind in profile.kinds
+        }
         self.assertEqual(drawn, self.known_kinds(PROFILES[0]))
 
     def test_a_profile_is_found_by_its_name(self):
-        for profile in (*PROFILES, SHORT, WORDS, LIMITS, VERSIONS):
+        for profile in (*PROFILES, SHORT, WORDS, LIMITS, RESTORES, VERSIONS):
             self.assertIs(profile_of(1, profile.name), profile)
         with self.assertRaisesRegex(ValueError, "profile: expected one of"):
             profile_of(1, "none")
@@ -45,6 +51,11 @@
         calm = [p for p in PROFILES if not set(p.kinds) & set(STORE_KINDS)]
         self.assertGreaterEqual(len(calm), 3)
 
+    def test_newer_seeds_draw_restores_among_everything(self):
+        drawing = {profile_of(seed).name for seed in range(10_000, 10_007)}
+        self.assertIn("everything, restores too", drawing)
+        self.assertNotIn(RESTORE, {k for seed in range(7) for k in profile_of(seed).kinds})
+
     def test_seeds_in_a_row_meet_all_profiles(self):
         met = {profile_of(seed).name for seed in range(7, 7 + len(PROFILES))}
         self.assertEqual(met, {profile.name for profile in PROFILES})
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -10,17 +10,18 @@
 
 import trio
 
-from emulator.soak.profiles import LIMITS, SHORT, WORDS
+from emulator.soak.profiles import LIMITS, RESTORES, SHORT, WORDS
 from emulator.soak.run import SoakPlan, run_soak
 
 FAULT_SECONDS = 15.0
 QUIET_SECONDS = 16.0
 NODES = 5
 RATE = 30.0
-SOAKS = ((2, ""), (3, ""), (5, SHORT.name), (8, WORDS.name), (9, LIMITS.name))
+SOAKS = ((2, ""), (3, ""), (5, SHORT.name), (8, WORDS.name), (9, LIMITS.name), (11, RESTORES.name))
 """Seeds and profiles: ways to the store that are lost under changes; planned work under changes;
 fatal requests, later lives of instances, entries of other writers and suspended machines; instances
-that say in their answers that they leave or want rest; and that name limits.
+that say in their answers that they leave or want rest; that name limits; and a store that comes
+back from copies.
 """
 
 
