Ask whether a limit that was heard long ago still holds, by one request at a time

Nothing in the choice made a limited instance get a request unless it was the best one.

A limit that no answer has named for two seconds, and a place of the node of its own among nodes/50 s more, is in doubt: the node asks for a permit a second and sends one request that can be answered in time. The others hear within half a second.

test_an_instance_stays_unused_after_its_limit_is_lifted failed before (limits of 0, 2.3 and 60 a second at 1, 6 and 24 nodes, all and one of them asked); it found out none of them.

--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -19,6 +19,7 @@
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.services.exchanges.requests.permit_demand import LimitAsking, is_limited, note_wanted
 
 LAST_REQUESTS_SHARE = 0.5
 """Part of the drain bound in which an instance that leaves is sent what nobody else can serve. The
@@ -42,11 +43,6 @@
     permit_by: float
 
 
-def is_limited(view: InstanceView, now: float) -> bool:
-    """Return whether all that keeps a request from an instance is its limit."""
-    return view.admission(Purpose.REQUEST, now).barrier is Barrier.LIMITED
-
-
 class InstanceChoice:
     """Applies the domain's choice to the instances of a service."""
 
@@ -73,6 +69,7 @@
         """
         self._last_requests_seconds = LAST_REQUESTS_SHARE * drain_seconds
         self._knowledge = knowledge
+        self._asking = LimitAsking(knowledge)
         self._store_watch = store_watch
         self._pauses = pauses
         self._generator = generator
@@ -99,7 +96,8 @@
         views = self._admissible(eligible, now) or self._unheard(eligible, request, now)
         if views:
             self._note_wanted(request, service, eligible, views, now)
-        return self._best(request, service, views, now)
+        asked = self._asked(request, service, views, now)
+        return asked or self._best(request, service, views, now)
 
     def _note_wanted(
         self,
@@ -109,18 +107,22 @@
         views: list[InstanceView],
         now: float,
     ) -> None:
-        """Ask for a permit where the best instance is one under a limit.
-
-        Without this a limited instance would get nothing as long as any other takes requests,
-        however late those answer.
-        """
+        """Ask for a permit where the best instance is one under a limit, or a limit is in doubt."""
         if all(view.standing.limited_sends is None for view in eligible):
             return
         kept = [view for view in eligible if is_limited(view, now)]
-        best = self._best(request, service, [*views, *kept], now)
-        sends = best.view.standing.limited_sends if best is not None else None
-        if sends is not None:
-            sends.note_wanted(now)
+        note_wanted(self._best(request, service, [*views, *kept], now), now)
+        self._asking.note_doubted([*views, *kept], now)
+
+    def _asked(
+        self, request: ExchangeRequest, service: str, views: list[InstanceView], now: float
+    ) -> Candidate | None:
+        """Return an instance that the request finds out about; None when none is in doubt."""
+        askable = self._asking.askable(views, now)
+        candidate = self._best(request, service, askable, now)
+        if candidate is None or not self._asking.asks(request, candidate, now):
+            return None
+        return candidate
 
     def _best(
         self, request: ExchangeRequest, service: str, views: list[InstanceView], now: float
--- a/tests/services/exchanges/test_instance_limits.py
+++ b/tests/services/exchanges/test_instance_limits.py
@@ -302,6 +302,52 @@
         world.run(script)
 
 
+class UnneededInstanceTest(LimitsCase):
+    """An instance under a limit that nobody needs, since the others answer sooner."""
+
+    DOUBT_SECONDS = 2.0
+    PERMIT_SECONDS = 1.0
+    NODES_PER_SECOND = 50.0
+
+    def run_limited(self, limit, nodes, script, asking=None):
+        world = ExchangeWorld(nodes=nodes, zones=3)
+        for instance_id in INSTANCES:
+            world.add(instance_id)
+
+        async def limited(world):
+            server = world.instances.servers["i1"]
+            await self.load(world, 1.0, every=0.1)
+            server.work_seconds = BUSY_SECONDS
+            server.names_limit = limit
+            named_at = trio.current_time()
+            await self.load(world, 2 * WINDOW_SECONDS, asking, every=0.1)
+            self.check_bound(world, named_at + TOLD_SECONDS, limit)
+            await script(world)
+
+        world.run(limited)
+
+    def asked_within(self, limit, nodes):
+        """Return the time within which a lifted limit is found out while requests come."""
+        doubted = self.DOUBT_SECONDS + nodes / self.NODES_PER_SECOND
+        return doubted + self.PERMIT_SECONDS + 1 / max(limit, 0.25)
+
+    def test_an_instance_stays_unused_after_its_limit_is_lifted(self):
+        for limit, nodes in itertools.product((0.0, 2.3, 60.0), (1, 6, 24)):
+            for asking in (None, [nodes - 1]):
+                with self.subTest(limit=limit, nodes=nodes, asking=asking):
+
+                    async def script(world, limit=limit, nodes=nodes, asking=asking):
+                        world.instances.servers["i1"].names_limit = None
+                        seconds = self.asked_within(limit, nodes)
+                        await self.load(world, seconds, asking, every=0.1)
+                        await trio.sleep(TOLD_SECONDS)
+                        for services in world.nodes:
+                            view = services.knowledge.table.get("i1")
+                            self.assertFalse(view.standing.limit.is_set, services.knowledge.name)
+
+                    self.run_limited(limit, nodes, script, asking)
+
+
 class AllLimitedTest(LimitsCase):
     """Where all instances of a service have limits."""
 
