Let what waits for a permit go on at once when the limit is lifted

Requests that waited for a permit went on waiting, for half a second at most, although their node had heard that the instance takes everything again: only permits woke them. The end of a limit wakes all that wait for that life.

test_requests_go_on_waiting_for_permits_after_the_limit_is_lifted failed before: 20 waited on.

--- a/hopstep/services/exchanges/instances/instance_limits.py
+++ b/hopstep/services/exchanges/instances/instance_limits.py
@@ -106,6 +106,7 @@
         self._waiters: dict[str, list[_Waiter]] = {}
         self._number = 0
         self._served = 0
+        notices.follow_lifted(self._wake_all)
 
     def own_report(self) -> UsageReport:
         """Return what this node has sent to limited instances, and what waits for permits."""
@@ -220,13 +221,25 @@
 
     def _wake(self, life: str, sends: LimitedSends) -> None:
         """Let as many go on as there are permits."""
-        while sends.free(trio.current_time()) > 0:
-            waiter = self._next(life)
-            if waiter is None:
-                return
-            waiter.woken.set()
-            sends.claimed += 1
-            sends.waiting -= 1
+        while sends.free(trio.current_time()) > 0 and self._wake_next(life, sends):
+            pass
+
+    def _wake_all(self, life: str) -> None:
+        """Let all go on that wait for a permit for a life whose limit was lifted."""
+        view = self._knowledge.table.of_life(life)
+        sends = view.standing.sends if view is not None else None
+        while sends is not None and self._wake_next(life, sends):
+            pass
+
+    def _wake_next(self, life: str, sends: LimitedSends) -> bool:
+        """Let the one go on that is served next; return False when nobody waits."""
+        waiter = self._next(life)
+        if waiter is None:
+            return False
+        waiter.woken.set()
+        sends.claimed += 1
+        sends.waiting -= 1
+        return True
 
     def _next(self, life: str) -> _Waiter | None:
         """Return who is served next; None when nobody waits."""
--- a/hopstep/services/exchanges/instances/instance_notices.py
+++ b/hopstep/services/exchanges/instances/instance_notices.py
@@ -81,6 +81,11 @@
         self._table = table
         self._count = count
         self._limits: dict[str, InstanceStanding] = {}
+        self._tell_lifted: Callable[[str], None] = lambda _life: None
+
+    def follow_lifted(self, listener: Callable[[str], None]) -> None:
+        """Tell a listener of each life that has no limit any more."""
+        self._tell_lifted = listener
 
     def listener(self, view: InstanceView) -> NoticeListener:
         """Return what takes notices of the life that a view is of."""
@@ -217,6 +222,8 @@
             source=source,
             age_ms=age_ms,
         )
+        if not standing.limit.is_set:
+            self._tell_lifted(life)
 
     def _note_news(self, life: str, source: str, age_ms: int) -> None:
         """Log and count that an instance is now known to leave."""
--- a/tests/services/exchanges/test_instance_limits.py
+++ b/tests/services/exchanges/test_instance_limits.py
@@ -19,8 +19,10 @@
 
 import msgspec
 import trio
+import trio.testing
 
 from emulator.sliding_window import most_within
+from hopstep.ports.node_exchange import LIMIT_LIFTED, LimitedInstance
 from hopstep.ports.serving_directory import ConfigurationPublished, InstanceRemoved
 from tests.services.exchanges import exchange_world
 from tests.services.exchanges.exchange_world import ExchangeWorld
@@ -421,6 +423,25 @@
 
                 world.run(script)
 
+    def test_requests_go_on_waiting_for_permits_after_the_limit_is_lifted(self):
+        world = self.make_limited()
+
+        async def script(world):
+            await self.name_limit(world, 0.0, INSTANCES)
+            services = world.nodes[0]
+            view = services.knowledge.table.get("i1")
+            lifted = LimitedInstance(view.life, LIMIT_LIFTED, asked_ms=-1_000, heard_ms=-1_000)
+            with trio.fail_after(1.0):
+                async with trio.open_nursery() as nursery:
+                    for _waiter in range(20):
+                        nursery.start_soon(services.limits.wait, [view], 0, float("inf"))
+                    await trio.testing.wait_all_tasks_blocked()
+                    services.notices.take_told_limit(lifted, "n1")
+            self.assertFalse(view.standing.limit.is_set)
+            self.assertEqual(view.standing.sends.claimed, 0)
+
+        world.run(script)
+
     def test_what_waits_is_served_by_its_rank_and_now_and_then_by_its_age(self):
         world = self.make_limited()
 
