--- a/hopstep/services/exchanges/directory/knowledge.py
+++ b/hopstep/services/exchanges/directory/knowledge.py
@@ -49,7 +49,7 @@
 from hopstep.services.exchanges.directory.known_nodes import KnownNodes
 from hopstep.services.exchanges.directory.known_records import KnownRecords
 from hopstep.services.exchanges.directory.known_weights import KnownWeights
-from hopstep.services.exchanges.directory.news import STORE_SOURCE, News
+from hopstep.services.exchanges.directory.news import STORE_SOURCE, News, feed_entry
 from hopstep.services.exchanges.directory.store_history import StoreHistory
 
 DEAF_SECONDS = 1.0
@@ -195,7 +195,7 @@
             self._enter(batch.place, STORE_SOURCE, losses_of(batch, self.feed))
         self.feed.start(batch.place)
         entries = (*batch.entries, *self._removed_by(batch))
-        self._take_read([_feed_entry(entry, since) for entry in entries])
+        self._take_read([feed_entry(entry, since) for entry in entries])
         if is_first:
             self.history.suspect_restore(batch.place)
         self._confirm_read(batch.place, sent_at)
@@ -213,7 +213,7 @@
         """
         self.history.require_current(batch.place)
         self.contact.note_return(trio.current_time())
-        self._take_read([_feed_entry(entry, since) for entry in batch.entries])
+        self._take_read([feed_entry(entry, since) for entry in batch.entries])
         self._confirm_read(batch.place, sent_at)
 
     def enter(self, place: StorePlace, source: str) -> None:
@@ -354,11 +354,6 @@
         )
 
 
-def _feed_entry(entry: DirectoryEntry, since: float) -> Entry:
-    """Return an entry with the time after which it was made."""
-    return FeedEntry(entry.key, entry.place, entry, since, entry.removed)
-
-
 def _is_same_write(known: Entry | None, entry: Entry) -> bool:
     """Return whether an entry is one of an earlier era that a copy has kept as it was."""
     if known is None or known.place.era >= entry.place.era:
--- a/hopstep/services/exchanges/directory/news.py
+++ b/hopstep/services/exchanges/directory/news.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
+from hopstep.domain.exchanges.directory_feed import FeedEntry
 from hopstep.domain.store_place import NOWHERE, StorePlace
+from hopstep.ports.serving_directory import DirectoryEntry
 
 STORE_SOURCE = "store"
 """Source of what this node has read from the store itself."""
@@ -28,3 +30,13 @@
     place: StorePlace
     known_at: StorePlace = NOWHERE
     may_be_copied: bool = False
+
+
+def feed_entry(entry: DirectoryEntry, since: float) -> FeedEntry[DirectoryEntry]:
+    """Return an entry with the time after which it was made.
+
+    Args:
+        entry: The entry.
+        since: Steady clock, seconds: not later than when it was acknowledged.
+    """
+    return FeedEntry(entry.key, entry.place, entry, since, entry.removed)
--- /dev/null
+++ b/hopstep/services/exchanges/peers/relay_answers.py
@@ -0,0 +1,123 @@
+"""What a node answers to another one that asks for changes and hints."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+
+from hopstep.domain.exchanges.directory_feed import FeedEntry
+from hopstep.domain.store_place import NOWHERE
+from hopstep.ports.node_exchange import RelayAnswer, RelayedEntry, RelayQuery, ToldEntry
+from hopstep.ports.serving_directory import ConfigurationPublished, DirectoryEntry
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
+from hopstep.services.exchanges.peers.document_exchange import DocumentExchange
+from hopstep.services.exchanges.peers.fleet_hints import FleetHints
+from hopstep.services.exchanges.peers.load_sharing import LoadSharing
+from hopstep.services.exchanges.peers.message_ages import (
+    UNKNOWN_AGE_MS,
+    age_ms,
+    age_or_unknown,
+    silence_ms,
+)
+from hopstep.services.exchanges.peers.told_places import ToldPlaces
+
+MAX_ENTRIES = 40
+"""Most changes in an answer."""
+
+
+class RelayAnswers:
+    """Makes answers."""
+
+    def __init__(
+        self,
+        knowledge: ServingKnowledge,
+        documents: DocumentExchange,
+        hints: FleetHints,
+        sharing: LoadSharing,
+        store_watch: CacheStoreWatch,
+    ) -> None:
+        """Use what the node knows.
+
+        Args:
+            knowledge: Changes of the directory.
+            documents: Documents that are told by version.
+            hints: What is told of instances, quotas and permits.
+            sharing: Names the log of news of this process.
+            store_watch: What the cache stores keep.
+        """
+        self._knowledge = knowledge
+        self._documents = documents
+        self._hints = hints
+        self._sharing = sharing
+        self._store_watch = store_watch
+        self._places = ToldPlaces(knowledge)
+
+    def make(self, asker: str, query: RelayQuery) -> RelayAnswer:
+        """Return the answer to a query.
+
+        Args:
+            asker: Name of the node that asks.
+            query: What it asks.
+        """
+        knowledge = self._knowledge
+        now = trio.current_time()
+        answer = RelayAnswer(
+            number=query.number,
+            after=query.revision,
+            revision=query.revision,
+            age_ms=UNKNOWN_AGE_MS,
+            contents=self._store_watch.news_after(query.contents),
+            silence_ms=silence_ms(now, knowledge.contact.heard_at),
+            after_era=query.era,
+            era=query.era,
+            keys_age_ms=age_or_unknown(now, knowledge.keys.confirmed_at),
+            configuration=self._documents.configuration_version,
+            newer=self._documents.newer_than(query),
+        )
+        if query.hints is not None:
+            hints, position = self._hints.for_asker(asker, query, query.hints)
+            identity = self._sharing.log.identity
+            answer = msgspec.structs.replace(answer, feed=identity, position=position, hints=hints)
+        asked_after = self._places.read(asker, query.place)
+        if asked_after > knowledge.place:
+            return answer
+        changes = knowledge.feed.after(asked_after)
+        if changes is None:
+            return msgspec.structs.replace(answer, beyond_reach=knowledge.place != NOWHERE)
+        part = _first_part(changes)
+        complete = len(part) == len(changes)
+        reached = knowledge.place if complete else part[-1].place
+        return msgspec.structs.replace(
+            answer,
+            revision=reached.revision,
+            era=reached.era,
+            age_ms=age_ms(now, knowledge.history.reached_at),
+            complete=complete,
+            entries=tuple(RelayedEntry(ToldEntry.of(e.change), age_ms(now, e.since)) for e in part),
+            newer=self._documents.not_among(answer.newer, part),
+        )
+
+    @staticmethod
+    def too_long(query: RelayQuery, answer: RelayAnswer) -> RelayAnswer:
+        """Return what is answered where the answer doesn't fit: the store must be read."""
+        return RelayAnswer(
+            query.number,
+            query.revision,
+            query.revision,
+            UNKNOWN_AGE_MS,
+            beyond_reach=True,
+            silence_ms=answer.silence_ms,
+            after_era=query.era,
+            era=query.era,
+        )
+
+
+def _first_part(changes: list[FeedEntry[DirectoryEntry]]) -> list[FeedEntry[DirectoryEntry]]:
+    """Return the changes of one answer: up to a bound, and a configuration as the last one."""
+    part: list[FeedEntry[DirectoryEntry]] = []
+    for entry in changes[:MAX_ENTRIES]:
+        part.append(entry)
+        if isinstance(entry.change.change, ConfigurationPublished):
+            break
+    return part
--- a/tests/services/exchanges/test_relaying.py
+++ b/tests/services/exchanges/test_relaying.py
@@ -17,7 +17,7 @@
     InstanceListed,
     InstanceRemoved,
 )
-from hopstep.services.exchanges.peers import relaying
+from hopstep.services.exchanges.peers import answer_taking, relay_answers
 from tests.services.exchanges.exchange_world import (
     BOUNDS,
     MODEL,
@@ -158,7 +158,7 @@
 
     def test_many_changes_come_in_parts(self):
         async def script(world):
-            for number in range(3 * relaying.MAX_ENTRIES):
+            for number in range(3 * relay_answers.MAX_ENTRIES):
                 instance = Instance(f"m{number}", "plain", f"10.0.1.1:{number}", "z1", 4)
                 world.publish(InstanceListed(instance))
             await trio.sleep(1.5)
@@ -267,22 +267,22 @@
                 self.assertEqual(self.late_runs(seed), [])
 
     def test_dating_by_the_arrival_of_an_answer_is_caught(self):
-        confirm = relaying.Relaying._confirm_keys
+        confirm = answer_taking.AnswerTaking._confirm_keys
 
         def by_arrival(self, answer, _sent_at):
             confirm(self, answer, trio.current_time())
 
-        with mock.patch.object(relaying.Relaying, "_confirm_keys", by_arrival):
+        with mock.patch.object(answer_taking.AnswerTaking, "_confirm_keys", by_arrival):
             self.assertTrue(self.late_runs_behind_slow_frames())
 
     def test_confirming_by_a_part_of_the_changes_is_caught(self):
-        make = relaying.Relaying._make_answer
+        make = relay_answers.RelayAnswers.make
 
         def forgetful(self, asker, query):
             answer = make(self, asker, query)
             return msgspec.structs.replace(answer, entries=(), newer=(), configuration=0)
 
-        with mock.patch.object(relaying.Relaying, "_make_answer", forgetful):
+        with mock.patch.object(relay_answers.RelayAnswers, "make", forgetful):
             self.assertTrue(any(self.late_runs(seed) for seed in range(1, 13)))
 
 
