Wait for the line of a request in the test that counts them, instead of for its answer alone

test_a_request_goes_through_and_bad_ones_get_clear_answers failed once beside three soaks: one line exchange_ended in the log where two requests had their answers. The answer leaves before the line is written. With 0.3 s before the line on a scratch copy it fails each time, with the same words. The test still asks for exactly the two lines.

--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -24,6 +24,7 @@
 from hopstep.domain.store_place import ABSENT
 
 START_SECONDS = 20.0
+LOGGED_SECONDS = 5.0
 GRACE_SECONDS = 3.0
 SECONDS_OF_WORK = {"slow": 0.5, "endless": 60.0}
 KEY = "secret-key-1"
@@ -250,6 +251,7 @@
             smuggled = await self.raw(url, b"POST /p/x HTTP/1.1\r\nHost: h.example\r\nA\r\n\r\n")
             self.assertTrue(smuggled.startswith(b"HTTP/1.1 400"))
             self.assertEqual((await self.request(client, url)).status_code, 200)
+            await self.wait_logged("exchange_ended", 2)
 
         self.run_node(script)
         text = self.path.parent.joinpath("log").read_text()
@@ -337,6 +339,12 @@
         outcomes = {e["outcome"] for e in self.events() if e["event"] == "exchange_ended"}
         self.assertLessEqual(outcomes, {"200", "client_left"})
 
+    async def wait_logged(self, event, count):
+        """Wait for so many lines of an event: a client may have its answer before they are written."""
+        with trio.fail_after(LOGGED_SECONDS):
+            while sum(line["event"] == event for line in self.events()) < count:
+                await trio.sleep(0.05)
+
     async def wait_idle(self, instances):
         """Wait until an instance works on nothing; its work would take a minute."""
         with trio.fail_after(5.0):
