--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 from collections.abc import Set
 
 import trio
@@ -12,7 +11,7 @@
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
-from hopstep.domain.quarantine.crashes import EndEvidence, RequestName
+from hopstep.domain.quarantine.crashes import EndEvidence
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer
@@ -24,13 +23,11 @@
     ExchangeParts,
 )
 from hopstep.services.exchanges.requests.instance_attempt import InstanceAttempt
+from hopstep.services.exchanges.requests.quarantine_gate import QuarantineGate
 
 FURTHER_STEPS = (NextStep.RETRY, NextStep.RESUME)
 """Steps that send the request to another instance."""
 
-ANSWERED_CODES = frozenset({ErrorCode.RETRIES_EXHAUSTED})
-"""Codes of attempts that the instance itself has answered with a failure."""
-
 MAX_UNSENT_TRIES = 3
 """Most instances that couldn't be reached before a request is refused."""
 
@@ -64,8 +61,7 @@
         self._tried: set[str] = set()
         self._unsent_tries = 0
         self._may_have_run = False
-        self._admitted_ends = -1
-        self._is_trial = False
+        self._gate = QuarantineGate(parts.quarantine, parts.calls, request, self.outcome)
         self._in_flight = SendProof()
 
     @property
@@ -84,7 +80,7 @@
             try:
                 await self._run_attempts()
             finally:
-                self._end_trial()
+                self._gate.end()
         if scope.cancelled_caught and not self._relay.finished:
             self._may_have_run = self._may_have_run or self._in_flight.sent
             self._fail(ErrorCode.DEADLINE_EXCEEDED, "no whole answer in time")
@@ -114,7 +110,7 @@
             step = decide_step(self._progress(error))
             self._log_attempt(candidate.view, error, step)
             if step in FURTHER_STEPS:
-                await self._settle(candidate.view)
+                await self._gate.settle(candidate.view)
             if step is NextStep.CUT:
                 self.outcome.outcome = "cut"
                 return
@@ -147,35 +143,11 @@
         self.outcome.waited_ms += round((trio.current_time() - began_at) * MILLISECONDS)
         return True
 
-    @functools.cached_property
-    def _name(self) -> RequestName:
-        """What it shares with equal requests of its caller."""
-        return self._request.name()
-
     async def _refuse_quarantined(self) -> None:
-        """End a request that has ended too many instances, before each that it would be sent to.
-
-        Without this one request that comes again and again ends one instance after the other, and
-        breaks off the answers of all that run beside it.
-        """
-        quarantine = self._parts.quarantine
-        if quarantine.is_idle:
-            return
-        fingerprint = self._name.fingerprint
-        self.outcome.fingerprint = fingerprint.hex()
-        reached_none = not self.outcome.attempts
-        if reached_none and quarantine.ends(fingerprint) <= self._admitted_ends:
-            return
-        self.refused_seconds = await quarantine.admit(fingerprint)
+        """End a request that has ended too many instances, before each that it would be sent to."""
+        self.refused_seconds = await self._gate.refused_seconds()
         if self.refused_seconds:
             self._fail(ErrorCode.REQUEST_QUARANTINED, "instances have ended under this request")
-        self._is_trial = self._is_trial or quarantine.refused_seconds(fingerprint) > 0
-        self._admitted_ends = quarantine.ends(fingerprint)
-
-    def _end_trial(self) -> None:
-        """Have the run judged that a refused request was allowed, if this was it."""
-        if self._is_trial:
-            self._parts.quarantine.end_trial(self._name.fingerprint)
 
     def _refuse_unproved_key(self) -> None:
         """End a request whose key may have been revoked since it was admitted.
@@ -226,7 +198,7 @@
         """Make one attempt; return what went wrong, or None after a whole answer."""
         view = candidate.view
         attempt = InstanceAttempt(
-            self._parts, self._request, self._name, self._relay, self.outcome, candidate
+            self._parts, self._request, self._gate.name, self._relay, self.outcome, candidate
         )
         self._in_flight = attempt.proof
         error = await attempt.run()
@@ -235,7 +207,7 @@
             self._learn_from_attempt(view, error)
             return error
         self._count_sent(view)
-        self._parts.quarantine.note_whole_answer(self._name.fingerprint)
+        self._gate.note_whole_answer()
         return None
 
     def _learn_from_attempt(self, view: InstanceView, error: InstanceCallError) -> None:
@@ -247,24 +219,11 @@
             return
         if error.sent:
             self._count_sent(view)
-            self._note_broken(view, error)
+            self._gate.note_broken(view, error)
         else:
             self._unsent_tries += 1
         self._tried.add(view.instance.instance_id)
 
-    def _note_broken(self, view: InstanceView, error: InstanceCallError) -> None:
-        """Have the instance looked at that gave no answer, or broke one off."""
-        answered = error.execution is Execution.NOT_RUN or error.code in ANSWERED_CODES
-        if not answered:
-            look = functools.partial(self._parts.calls.look, view.instance)
-            self._parts.quarantine.note_broken(self._name, view.life, look)
-
-    async def _settle(self, view: InstanceView) -> None:
-        """Know whether the instance has ended, before a request that may end others goes on."""
-        quarantine = self._parts.quarantine
-        if not quarantine.is_idle:
-            await quarantine.settle(self._name.fingerprint, view.life)
-
     def _count_sent(self, view: InstanceView) -> None:
         """Count an attempt that left."""
         if self.outcome.attempts:
@@ -318,7 +277,7 @@
         emit(
             log_events.EXCHANGE_ATTEMPT_FAILED,
             request_id=self._request.request_id,
-            fingerprint=self._name.fingerprint.hex(),
+            fingerprint=self._gate.name.fingerprint.hex(),
             instance=view.instance.instance_id,
             code=error.code.value,
             reason=error.message,
