--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -340,9 +340,11 @@
         self.assertLessEqual(outcomes, {"200", "client_left"})
 
     async def wait_logged(self, event, count):
-        """Wait for so many lines of an event: a client may have its answer before they are written."""
+        """Wait for so many lines of an event: a client has its answer before they are written."""
         with trio.fail_after(LOGGED_SECONDS):
-            while sum(line["event"] == event for line in self.events()) < count:
+            while True:
+                if sum(line["event"] == event for line in self.events()) >= count:
+                    return
                 await trio.sleep(0.05)
 
     async def wait_idle(self, instances):
