--- a/tests/services/exchanges/test_instance_limits.py
+++ b/tests/services/exchanges/test_instance_limits.py
@@ -1,17 +1,4 @@
-"""A limit that an instance names binds all nodes together.
-
-Two of nine instances of a service were in need and named in every answer how much they take from
-all nodes together: 1.7 and 1.4 requests a second. Nodes passed these answers on and went on as
-before. Within the four seconds from half a second after it had been told, one instance got 16
-requests of those nodes, where one and a half times its limit and five more, 15, are allowed; the
-other one got 14 where 13 are. Two nodes of its zone sent nearly all of them, 24 and 26 of 54. The
-word was read nowhere: the logs of that time show requests to both instances like any other
-(``exchange_ended``, ``attempts: 1``, ``outcome: 200``), as many after the word as before it.
-
-A limit is over all nodes together, so no node can keep to it by itself: one relay gives out
-permits to send, along with what nodes tell each other anyway, and the line
-``instance_limit_changed`` says at each node which limit holds and who told it.
-"""
+"""A limit that an instance names binds all nodes together, and its end is found out."""
 
 import itertools
 import random
@@ -226,13 +213,7 @@
 
 
 class LimitedEnginesTest(LimitsCase):
-    """Engines under limits still load named weights.
-
-    An engine that took nothing for a while was behind when weights were named. No request could go
-    there, so nobody heard that its limit had been lifted; and a load asked for a report, an order
-    and more reports within four seconds, with a permit for one each four seconds. It stayed behind
-    for good (``instance_limit_changed`` with ``limit: 0.0``, and no ``weights_order_sent``).
-    """
+    """Engines under limits still load named weights."""
 
     def test_an_engine_that_takes_nothing_loads_named_weights(self):
         world = ExchangeWorld(nodes=3, zones=3)
@@ -253,10 +234,7 @@
         world.run(script)
 
     def test_a_holder_that_loses_its_lease_while_it_waits_orders_nothing(self):
-        """An order went out with the fencing token 0 of a holder that was none any more.
-
-        It had waited for leave to ask an engine under a limit, and lost its lease meanwhile.
-        """
+        """A holder that waits for leave to ask a limited engine may lose its lease meanwhile."""
         world = ExchangeWorld(nodes=1)
         world.add("e0", "llm")
         world.add("e1", "llm")
@@ -377,11 +355,7 @@
         world.run(script)
 
     def test_requests_wait_where_permits_come_most_often(self):
-        """Of three instances that took 0.3, 0.3 and 12 a second the first one was waited for.
-
-        The one with most room got half of what it would take, and as many requests were refused
-        (``kept_from: {"limited": 3}``).
-        """
+        """With nobody waiting all limited instances look alike."""
         world = self.make_limited()
         limits = {"i1": 0.3, "i2": 0.3, "i3": 12.0}
 
@@ -396,11 +370,7 @@
         world.run(script)
 
     def test_all_limits_are_used_where_few_requests_wait_at_each_node(self):
-        """Of six engines under limits one of 1.5 a second got 1 of 10 requests that it took.
-
-        Each node had a request or two that waited, and all of them for the engine that took most
-        (soak, seed 9301).
-        """
+        """Few wait at each node; all of them may not wait for the same engine."""
         limits = (4.0, 1.5, 1.5, 1.5, 0.3, 0.3)
         for seed in (1, 2, 3):
             with self.subTest(seed=seed):
