Let the store of the cluster simulation come back from copies, and ask for every accepted change

A restore beside each other fault of the configuration's tests: no router goes back, all agree, and what operators were told is accepted is in the store or named by a router as lost. Nothing was found. Without the writing again it is caught: routers that write nothing again lose the change silently.

--- a/emulator/simulation/cluster.py
+++ b/emulator/simulation/cluster.py
@@ -14,6 +14,7 @@
 from emulator.engine.faults import EngineFaults
 from emulator.platform.faults import FaultOrder
 from emulator.platform.in_memory import InMemoryStore
+from emulator.platform.store_model import StoreCopy
 from emulator.simulation.callers import ask
 from emulator.simulation.deployment import sample_deployment
 from emulator.simulation.history import Answer, Call, History, Interval, Leaving, Outcome, Topic
@@ -22,10 +23,15 @@
 from emulator.simulation.world import RunsByNonce, World
 from emulator.virtual_time import run_in_virtual_time
 from hopstep.domain.configuration.document import BackEnd, BackEndKind, Configuration
+from hopstep.domain.configuration.encoding import decode_change
 from hopstep.domain.configuration.log import Change, Edit, NamedItem, Section, diff
 from hopstep.exceptions import StoreError
-from hopstep.services.configuration.store import ConfigurationStore
-from hopstep.services.configuration.submission import SubmitOutcome, submit_change
+from hopstep.services.configuration.store import CHANGES_PREFIX, ConfigurationStore
+from hopstep.services.configuration.submission import (
+    SubmitOutcome,
+    SubmitStatus,
+    submit_change,
+)
 from hopstep.settings import PeerSettings, RouterSettings
 
 DRAIN_SECONDS = 120.0
@@ -55,6 +61,7 @@
         history: What happened, for the oracle.
         routers: The latest start of each router, by name.
         runs: Runs at engines by nonce, taken at the end.
+        accepted_changes: Identities of the changes that operators were told are accepted.
     """
 
     def __init__(
@@ -79,6 +86,7 @@
         self.history = history
         self.routers: dict[str, SimulatedRouter] = {}
         self.runs: RunsByNonce = {}
+        self.accepted_changes: set[str] = set()
         self._nursery = nursery
         self._peers = PeerDirectory()
         self._numbers = itertools.count(1)
@@ -183,6 +191,22 @@
         else:
             self._calm("machine list")
 
+    def stored_changes(self) -> list[str]:
+        """Return the identities of the changes in the store's sequence, in order."""
+        values = self.world.store.model.snapshot()
+        keys = sorted(key for key in values if key.startswith(CHANGES_PREFIX))
+        return [decode_change(values[key].value).change_id for key in keys]
+
+    def copy_store(self) -> StoreCopy:
+        """Return a copy of the store as it is now."""
+        return self.world.store.model.copy()
+
+    def restore_store(self, copy: StoreCopy) -> None:
+        """Let the store come back from a copy."""
+        self._disturb("restore", "", frozenset({Topic.CONFIGURATION}))
+        self.world.store.restore(copy)
+        self._calm("restore")
+
     def set_engine_faults(self, name: str, faults: EngineFaults) -> None:
         """Induce faults at an engine, in place of its earlier ones."""
         self.world.engines.set_faults(self.back_end(name).address, faults)
@@ -223,9 +247,13 @@
             base = (await store.read_history()).latest.revision
             number = next(self._changes)
             edits = (Edit(section, item.name, item),)
-            return await submit_change(store, Change(f"c{number}", "operator", "", base, edits))
+            change = Change(f"c{number}", "operator", "", base, edits)
+            outcome = await submit_change(store, change)
         except StoreError:
             return None
+        if outcome.status is SubmitStatus.ACCEPTED:
+            self.accepted_changes.add(change.change_id)
+        return outcome
 
     async def ask(
         self,
--- a/emulator/simulation/world.py
+++ b/emulator/simulation/world.py
@@ -45,12 +45,16 @@
 
 
 class RecordingStoreModel(KeyValueStoreModel):
-    """Notes every accepted revision at the moment of its acceptance."""
+    """Notes every accepted revision at the moment of its acceptance.
+
+    What is written again after a restore, as it was, isn't noted a second time.
+    """
 
     def __init__(self, history: History) -> None:
         """Start empty."""
         super().__init__(HISTORY_LENGTH)
         self._accepted = history.accepted
+        self._sequence: dict[int, AcceptedConfiguration] = {0: empty_configuration()}
 
     def apply(self, operation: wire.StoreOperation, now: float) -> object:
         """Carry out any operation."""
@@ -63,10 +67,12 @@
         if not key.startswith(CHANGES_PREFIX):
             return
         revision = int(key.removeprefix(CHANGES_PREFIX))
-        before = self._accepted[-1].accepted if self._accepted else empty_configuration()
         change = AcceptedChange(revision, decode_change(value))
-        after = apply_transfer(before, ConfigurationTransfer(changes=(change,)))
-        self._accepted.append(Accepted(now, after))
+        transfer = ConfigurationTransfer(changes=(change,))
+        after = apply_transfer(self._sequence[revision - 1], transfer)
+        self._sequence[revision] = after
+        if all(item.accepted != after for item in self._accepted):
+            self._accepted.append(Accepted(now, after))
 
 
 class World:
--- a/tests/simulation/test_configuration.py
+++ b/tests/simulation/test_configuration.py
@@ -1,13 +1,17 @@
 """An accepted configuration is in force everywhere within seconds and never reverts."""
 
+from unittest import mock
+
 import msgspec
 import trio
 
 from emulator.platform.faults import FaultOrder
+from emulator.simulation.cluster import run_simulation
 from emulator.simulation.deployment import sample_deployment
 from emulator.simulation.history import Outcome
 from hopstep.domain.configuration.log import Section
 from hopstep.services.configuration.holder import ConfigurationHolder
+from hopstep.services.configuration.restoration import ConfigurationRestoration
 from hopstep.services.configuration.submission import SubmitStatus
 from hopstep.services.configuration.sync import ConfigurationSync
 from tests.simulation.harness import STEADY, SimulationTest, alone_and_in_pairs, call, under_load
@@ -27,6 +31,23 @@
             await router.services.holder.wait_above(cluster.world.latest().revision - 1)
 
 
+async def settle(cluster):
+    """Give routers the time to write again what a copy lacks, and to follow."""
+    await trio.sleep(CONVERGENCE_SECONDS + 1)
+    await agree(cluster)
+
+
+def silently_lost(cluster):
+    """Return accepted changes that the store doesn't have, and that no router names as lost."""
+    kept = set(cluster.stored_changes())
+    named = {
+        displaced.lost.change_id
+        for router in cluster.routers.values()
+        for displaced in router.services.synchronization.displaced
+    }
+    return cluster.accepted_changes - kept - named
+
+
 async def racing_operators(cluster):
     async with trio.open_nursery() as nursery:
         for zone in ("a", "b", "c"):
@@ -90,6 +111,14 @@
     cluster.order_platform_faults(FaultOrder(requests_per_second=0.0))
 
 
+async def restored_store(cluster):
+    """The store comes back from a copy that lacks a change which all routers have."""
+    copy = cluster.copy_store()
+    await edit(cluster)
+    await trio.sleep(3)
+    cluster.restore_store(copy)
+
+
 async def without_store(cluster):
     """Two of three routers have only their peers, for as long as a revision may take."""
     for name in ("r0", "r1"):
@@ -110,6 +139,7 @@
     "a rate limit": rate_limit,
 }
 LASTING_FAULTS = {"two routers without the store": without_store}
+RESTORED = {"a restored store": restored_store}
 
 
 class ConfigurationTest(SimulationTest):
@@ -119,6 +149,18 @@
                 cluster = self.run_clean(self.body(*names, convergence=agree))
                 self.assertGreater(cluster.world.latest().revision, 1)
 
+    def test_an_accepted_change_disappears_silently_with_a_restored_store(self):
+        for other in ((), *((name,) for name in FAULTS)):
+            with self.subTest(beside=other):
+                cluster = self.run_clean(self.body(*RESTORED, *other, convergence=settle))
+                self.assertEqual(silently_lost(cluster), set())
+
+    def test_routers_that_write_nothing_again_are_caught(self):
+        variant = (ConfigurationRestoration, "is_due", lambda _restoration: False)
+        with mock.patch.object(*variant):
+            cluster = run_simulation(self.body(*RESTORED))
+        self.assertTrue(silently_lost(cluster))
+
     def test_revisions_spread_among_peers_while_the_store_is_down(self):
         async def body(cluster):
             for name in ("r0", "r1"):
@@ -175,7 +217,7 @@
     @staticmethod
     def body(*names, convergence=None):
         async def run(cluster):
-            faults = [{**FAULTS, **LASTING_FAULTS}[name] for name in names]
+            faults = [{**FAULTS, **LASTING_FAULTS, **RESTORED}[name] for name in names]
             await under_load(cluster, *faults, mix=STEADY)
             cluster.end_faults()
             if convergence is None:
