--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -8,6 +8,7 @@
 
 from hopstep.domain.announced_state import AnnouncedState
 from hopstep.domain.exchanges.first_peer_report import FirstPeerReport
+from hopstep.domain.exchanges.instance_capacity import CapacityNeed, queue_allowance
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.load_ledger import REPORT_SECONDS, InstanceLoad
 from hopstep.domain.exchanges.segments import SegmentIndex
@@ -166,6 +167,19 @@
         """Return how many other nodes avoid the instance now."""
         return self._others_now(now).avoided_by
 
+    def occupancy(self, now: float) -> float:
+        """Return the requests of all nodes at the instance as a fraction of its slots."""
+        return self.total_active(now) / max(1, self.instance.slots)
+
+    def free_places(self, now: float, *, urgent: bool = False) -> int:
+        """Return how many more requests it may be sent; negative when it has too many."""
+        slots = max(1, self.instance.slots)
+        return slots + queue_allowance(slots, urgent=urgent) - self.total_active(now)
+
+    def has_room(self, need: CapacityNeed, now: float) -> bool:
+        """Return whether the instance has capacity for a request."""
+        return self.is_usable(now) and self.free_places(now, urgent=need.urgent) > 0
+
     def set_load_of_others(self, load: InstanceLoad | None, now: float) -> None:
         """Set the load of all other nodes; None for none."""
         self._others = load or self._no_load
