Bound the bytes that a node holds for slow readers

A response of up to 16 MiB was read whole before it was relayed, for any number of requests, so clients that read slowly decided how much memory a node needs.

The new setting memory_mb gives a budget: a quarter of the machine's memory, at most what is left above 64 MB. It counts bodies as they arrive, and responses until they are written. A request without space for its body and 64 KiB of response is refused before it is sent; a longer response is read whole within the spare half of the budget and otherwise relayed part by part. Clients that move no byte for 5 s are disconnected while the budget is short. Without the setting nothing is counted.

A response that was begun in parts can't be resumed or repeated: decide_step() is told so for routes that are marked as resumable.

The harness of test_exchange_node moves to a base class, so that test_slow_readers can use it; test_deploy fills the new field of the template.

--- a/hopstep/adapters/exchange_server.py
+++ b/hopstep/adapters/exchange_server.py
@@ -2,20 +2,37 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, cast
 
 import msgspec
 import trio
-
-from hopstep.adapters.http_server import CountFailure, ServerConfig, serve_app
+from hypercorn.typing import LifespanState
+
+from hopstep.adapters.http_server import (
+    CountFailure,
+    ServerConfig,
+    ServerStream,
+    keep_stream,
+    serve_app,
+)
 from hopstep.early_listeners import Listeners
+from hopstep.ports.exchange_front import CONNECTION_STATE, ClientConnection
 
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
 
 CONNECTION_CLOSE_SECONDS = 0.5
 """Time for connections to close at shutdown; requests that are still running are cut off."""
 
+WRITE_BYTES = 16 * 1024
+"""Bytes in one write: the kernel reports space for a client in steps of about this size."""
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` by which closing drops unsent bytes, instead of keeping them for a client
+that doesn't read."""
+
 READY_STATUS = 200
 NOT_READY_STATUS = 503
 
@@ -36,6 +53,73 @@
     render_metrics: Callable[[], bytes]
 
 
+class TrackedConnection(ClientConnection):
+    """A connection of the server that notes when bytes move.
+
+    It has those methods of a stream that the server uses; the server writes without a limit of
+    time, and nothing but closing the socket ends such a write.
+    """
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        """Use a connection's stream.
+
+        Args:
+            stream: Plain stream of the connection.
+        """
+        self.socket = stream.socket
+        self.client = _client_address(stream)
+        self.last_progress_at = trio.current_time()
+        self.is_writing = False
+        self._stream = stream
+
+    async def receive_some(self, max_bytes: int) -> bytes | bytearray:
+        """Read bytes of the client."""
+        data = await self._stream.receive_some(max_bytes)
+        self.last_progress_at = trio.current_time()
+        return data
+
+    async def send_all(self, data: bytes) -> None:
+        """Write bytes to the client."""
+        self.is_writing = True
+        self.last_progress_at = trio.current_time()
+        try:
+            with memoryview(data) as view:
+                for start in range(0, len(view), WRITE_BYTES):
+                    await self._stream.send_all(view[start : start + WRITE_BYTES])
+                    self.last_progress_at = trio.current_time()
+        finally:
+            self.is_writing = False
+
+    async def send_eof(self) -> None:
+        """End the connection's outgoing direction."""
+        await self._stream.send_eof()
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    def disconnect(self) -> None:
+        """Reset the connection; see the port."""
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.socket.close()
+
+
+def _client_address(stream: trio.SocketStream) -> str:
+    """Return the client's ``ip:port``; empty when it has disconnected already."""
+    try:
+        address, port = stream.socket.getpeername()[:2]
+    except OSError:
+        return ""
+    return f"{address}:{port}"
+
+
+def track_connection(stream: ServerStream, state: LifespanState) -> ServerStream:
+    """Serve a connection by a ``TrackedConnection``, which its requests find in their state."""
+    connection = TrackedConnection(cast(trio.SocketStream, stream))
+    state[CONNECTION_STATE] = connection
+    return cast(trio.SocketStream, connection)
+
+
 class ListenerSwitch:
     """ASGI application that dispatches requests by the listener that received them."""
 
@@ -94,6 +178,7 @@
     wait_shutdown: Callable[[], Awaitable[None]],
     count_failure: CountFailure,
     *,
+    track_connections: bool = False,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until ``wait_shutdown`` returns; requests must have ended by then.
@@ -104,12 +189,14 @@
         listeners: Sockets that are already open; the server closes them.
         wait_shutdown: Returns when the listeners should close.
         count_failure: Called for each connection that failed.
+        track_connections: Whether requests get the ``ClientConnection`` that they arrived by.
         task_status: Receives the bound addresses once the listeners are open.
     """
     config = ServerConfig(addresses[0], None)
     config.bind = [_binding(address, listeners) for address in addresses]
     config.graceful_timeout = CONNECTION_CLOSE_SECONDS
-    await serve_app(app, config, wait_shutdown, count_failure, task_status=task_status)
+    wrap_stream = track_connection if track_connections else keep_stream
+    await serve_app(app, config, wait_shutdown, count_failure, wrap_stream, task_status=task_status)
 
 
 def _binding(address: str, listeners: Listeners) -> str:
--- a/hopstep/adapters/http_server.py
+++ b/hopstep/adapters/http_server.py
@@ -32,12 +32,20 @@
 
 Listener = trio.SocketListener | trio.SSLListener[trio.SocketStream]
 CountFailure = Callable[[], None]
+ServerStream = trio.SocketStream | trio.SSLStream[trio.SocketStream]
+WrapStream = Callable[[ServerStream, LifespanState], ServerStream]
+"""Returns the stream that is served for a connection; may add to the state of its requests."""
 
 
 def ignore_failure() -> None:
     """Ignore a failed connection."""
 
 
+def keep_stream(stream: ServerStream, _state: LifespanState) -> ServerStream:
+    """Serve a connection by its own stream."""
+    return stream
+
+
 class ServerConfig(Config):
     """Hypercorn's configuration, with a given TLS context."""
 
@@ -86,19 +94,26 @@
 class _Connections:
     """Runs the connections of one server and isolates their failures."""
 
-    def __init__(self, app: ASGIFramework, config: Config, count_failure: CountFailure) -> None:
+    def __init__(
+        self,
+        app: ASGIFramework,
+        config: Config,
+        count_failure: CountFailure,
+        wrap_stream: WrapStream,
+    ) -> None:
         self.state: LifespanState = {}
         self.app = ASGIWrapper(app)
         self.context = WorkerContext(None)
         self._config = config
         self._count_failure = count_failure
+        self._wrap_stream = wrap_stream
 
-    async def run(self, stream: trio.SocketStream | trio.SSLStream[trio.SocketStream]) -> None:
+    async def run(self, stream: ServerStream) -> None:
         """Serve a connection until it closes; log its failure."""
         state = ConnectionState(self.state.copy())
-        # The server's type hints name encrypted streams only, but it accepts both.
-        any_stream = cast(trio.SSLStream[trio.SocketStream], stream)
         try:
+            # The server's type hints name encrypted streams only, but it accepts both.
+            any_stream = cast(trio.SSLStream[trio.SocketStream], self._wrap_stream(stream, state))
             await TCPServer(self.app, self._config, self.context, state, any_stream).run()
         except* Exception as errors:
             self._count_failure()
@@ -115,6 +130,7 @@
     config: Config,
     wait_shutdown: Callable[[], Awaitable[None]],
     count_failure: CountFailure = ignore_failure,
+    wrap_stream: WrapStream = keep_stream,
     *,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -125,9 +141,10 @@
         config: Listeners, and the time for connections to close.
         wait_shutdown: Returns when the listeners should close.
         count_failure: Called for each connection that failed.
+        wrap_stream: Returns the stream that is served for a connection.
         task_status: Receives the bound addresses once the listeners are open.
     """
-    server = _Connections(app, config, count_failure)
+    server = _Connections(app, config, count_failure, wrap_stream)
     lifespan = Lifespan(server.app, config, server.state)
     async with trio.open_nursery() as lifespan_nursery:
         await lifespan_nursery.start(lifespan.handle_lifespan)
--- a/hopstep/cli/node_process.py
+++ b/hopstep/cli/node_process.py
@@ -53,7 +53,7 @@
     platform_client = HttpClient()
     unknown_words = UnrecognizedValues()
     store = PlatformStore(settings.store, platform_client, on_unrecognized=unknown_words.note)
-    instances = HttpInstances(HttpClient(), unknown_words.note)
+    instances = HttpInstances(HttpClient(short_reads=settings.memory_mb > 0), unknown_words.note)
     node_key = secrets.token_bytes(NODE_KEY_BYTES)
     nodes = await NodeDatagrams.open(settings.peer_address, settings.name, node_key)
     ports = ExchangePorts(
@@ -67,7 +67,11 @@
     )
     services = ExchangeServices(settings, ports, node_key)
     unknown_words.count_with(lambda place: services.metrics.unknown_words.labels(place).inc())
-    front = ExchangeFront(services.exchanges, lambda: services.lifecycle.stopping)
+    front = ExchangeFront(
+        services.exchanges,
+        lambda: services.lifecycle.stopping,
+        services.held_bytes.open_share,
+    )
     try:
         await run_exchange_node(settings, path, services, front, listeners)
     finally:
--- a/hopstep/domain/exchanges/event_stream.py
+++ b/hopstep/domain/exchanges/event_stream.py
@@ -59,6 +59,11 @@
         """Whether an event has begun and isn't complete."""
         return bool(self._partial.strip())
 
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes that are kept of an incomplete event."""
+        return len(self._partial)
+
     def _keep(self, partial: bytes) -> None:
         """Keep the bytes of an incomplete event."""
         if len(partial) > MAX_EVENT_BYTES:
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import signal
 from pathlib import Path
 
@@ -54,7 +55,7 @@
         await nursery.start(services.run)
         async with trio.open_nursery() as serving:
             await serving.start(
-                serve_exchanges,
+                functools.partial(serve_exchanges, track_connections=settings.memory_mb > 0),
                 app,
                 tuple(filter(None, addresses)),
                 listeners,
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -8,6 +8,7 @@
 import trio
 from prometheus_client import CollectorRegistry
 
+from hopstep.domain.byte_budget import byte_limit
 from hopstep.domain.exchanges.freshness import freshness_limits
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.nodes import MESSAGE_FORMAT_VERSION, NodeRecord
@@ -31,7 +32,12 @@
 from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
 from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
-from hopstep.services.exchanges.node_gauges import watch_knowledge, watch_limits, watch_work
+from hopstep.services.exchanges.node_gauges import (
+    watch_held_bytes,
+    watch_knowledge,
+    watch_limits,
+    watch_work,
+)
 from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.peers.crash_reports import CrashReports
 from hopstep.services.exchanges.peers.fleet_hints import FleetHints
@@ -39,6 +45,7 @@
 from hopstep.services.exchanges.peers.permit_sharing import PermitSharing
 from hopstep.services.exchanges.peers.relaying import Relaying
 from hopstep.services.exchanges.peers.urgent_queue import UrgentQueue
+from hopstep.services.exchanges.requests.held_bytes import HeldBytes
 from hopstep.services.exchanges.requests.quotas import Quotas
 from hopstep.services.exchanges.requests.service import ExchangeService
 from hopstep.services.exchanges.weights.rollout_lease import RolloutLease
@@ -138,6 +145,7 @@
         )
         self.crash_reports = CrashReports(self.quarantine, urgent)
         self.metrics = ExchangeMetrics(self.registry)
+        self.held_bytes = HeldBytes(byte_limit(settings.memory_mb), self.metrics)
         self.notices = InstanceNotices(
             self.knowledge.table,
             lambda kind, source: self.metrics.notices.labels(kind, source).inc(),
@@ -218,6 +226,7 @@
         watch_knowledge(self.metrics, self.knowledge)
         watch_work(self.metrics, self.lifecycle, self.quarantine, self.lease)
         watch_limits(self.metrics, self.notices)
+        watch_held_bytes(self.metrics, self.held_bytes.budget)
 
     @property
     def is_ready(self) -> bool:
@@ -239,6 +248,8 @@
             nursery.start_soon(self.reaper.run)
             nursery.start_soon(self.lease.run)
             nursery.start_soon(self.rollout.run)
+            if self.held_bytes.budget.limit_bytes:
+                nursery.start_soon(self.held_bytes.run)
             task_status.started()
 
     async def wait_drained(self) -> None:
--- a/hopstep/exchange_settings.py
+++ b/hopstep/exchange_settings.py
@@ -53,6 +53,8 @@
         store: ``ip:port`` of the store.
         processor_share: Fraction of a core that the process may use.
         processor_cores: Speed factor of that core.
+        memory_mb: Memory of the machine in megabytes, which bounds the bytes of requests and
+            responses that the node holds; 0 when not given, then nothing bounds them.
         log_level: debug, info, warning or error.
         bounds: Guarantees of the deployment.
     """
@@ -67,5 +69,6 @@
     metrics_address: str = ""
     processor_share: float = 1.0
     processor_cores: float = 1.0
+    memory_mb: float = 0.0
     log_level: str = "info"
     bounds: ExchangeBounds = ExchangeBounds()
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -431,6 +431,20 @@
     "If one instance recurs: check its own logs; if one `fingerprint` does: check the request.",
 )
 
+RESPONSE_RELAYED_IN_PARTS = LogEvent(
+    "HS3121",
+    "response_relayed_in_parts",
+    Level.INFO,
+    ("request_id", "instance", "read_bytes"),
+    "Nothing for a few. If many: the node holds much for slow readers; see HS3122 and the metrics.",
+)
+STALLED_CLIENT_DISCONNECTED = LogEvent(
+    "HS3122",
+    "stalled_client_disconnected",
+    Level.WARNING,
+    ("request_id", "client", "waiting_seconds", "held_bytes", "all_held_bytes", "limit_bytes"),
+    "Check the client: it moved no byte while the node's `memory_mb` left no space for others.",
+)
 INSTANCE_ENDED = LogEvent(
     "HS3104",
     "instance_ended",
--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -2,19 +2,29 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager
 from typing import Any
 
 import trio
 
+from hopstep.domain.byte_budget import ByteBudget, ByteShare
 from hopstep.domain.exchanges.request import Headers, Prompt, PromptSegment
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.platform import names
-from hopstep.ports.exchange_front import ClientAnswer, ExchangeHandler, RequestHead
+from hopstep.ports.exchange_front import (
+    CONNECTION_STATE,
+    ClientAnswer,
+    ClientConnection,
+    ExchangeHandler,
+    RequestHead,
+)
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[Any]]
 Send = Callable[[Any], Awaitable[None]]
+OpenShare = Callable[[str, ClientConnection | None], AbstractContextManager[ByteShare]]
 
 MILLISECONDS = 1_000.0
 UNKNOWN_STATUS = 502
@@ -40,31 +50,44 @@
 """Answer to a request that failed with an unexpected exception in this node."""
 
 
+def open_unlimited(request_id: str, _connection: Any) -> AbstractContextManager[ByteShare]:
+    """Return the share of a request at a node without a budget."""
+    return contextlib.nullcontext(ByteShare(ByteBudget(), request_id))
+
+
 class ExchangeFront:
     """ASGI application for clients."""
 
-    def __init__(self, service: ExchangeHandler, is_stopping: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        service: ExchangeHandler,
+        is_stopping: Callable[[], bool],
+        open_share: OpenShare = open_unlimited,
+    ) -> None:
         """Pass requests to a service.
 
         Args:
             service: Serves requests.
             is_stopping: Returns whether clients should close their connections.
+            open_share: Opens the share of a request of the bytes that the node may hold.
         """
         self._service = service
         self._is_stopping = is_stopping
+        self._open_share = open_share
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
-        received_at = trio.current_time()
-        body = await _read_body(receive, self._service.max_body_bytes)
-        if body is None:
-            return
-        head = _read_head(scope, received_at)
-        answer = AsgiAnswer(send, head.request_id, self._is_stopping)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope, answer)
-            await self._serve(head, body, answer)
-            nursery.cancel_scope.cancel()
+        head = _read_head(scope, trio.current_time())
+        connection = scope.get("state", {}).get(CONNECTION_STATE)
+        with self._open_share(head.request_id, connection) as share:
+            body = await _read_body(receive, self._service.max_body_bytes, share)
+            if body is None:
+                return
+            answer = AsgiAnswer(send, self._is_stopping, share)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope, answer)
+                await self._serve(head, body, answer)
+                nursery.cancel_scope.cancel()
 
     async def _serve(self, head: RequestHead, body: bytes, answer: AsgiAnswer) -> None:
         """Serve one request; answer with the error if that fails before an answer has started."""
@@ -82,16 +105,16 @@
 class AsgiAnswer(ClientAnswer):
     """An HTTP response to a client."""
 
-    def __init__(self, send: Send, request_id: str, is_stopping: Callable[[], bool]) -> None:
+    def __init__(self, send: Send, is_stopping: Callable[[], bool], share: ByteShare) -> None:
         """Answer one request.
 
         Args:
             send: ASGI callable of the server.
-            request_id: Id that refusals repeat.
             is_stopping: Returns whether the client should close its connection.
+            share: Bytes that are held for the request; refusals repeat its id.
         """
+        self.share = share
         self._send = send
-        self._request_id = request_id
         self._is_stopping = is_stopping
         self.started = False
         self.ended = False
@@ -119,8 +142,8 @@
         """Answer with an error of this node."""
         status = _status(error)
         fields: list[tuple[bytes, bytes]] = []
-        if self._request_id:
-            fields.append((names.REQUEST_ID, self._request_id.encode()))
+        if self.share.request_id:
+            fields.append((names.REQUEST_ID, self.share.request_id.encode()))
         if status in RETRY_AFTER_STATUSES:
             wait = f"{error.retry_after_seconds:.3f}".encode()
             fields.append((names.RETRY_AFTER, wait))
@@ -141,16 +164,30 @@
     return TIMEOUT_STATUS if error.code is ErrorCode.DEADLINE_EXCEEDED else UNKNOWN_STATUS
 
 
-async def _read_body(receive: Receive, max_bytes: Callable[[], int]) -> bytes | None:
-    """Return the body, truncated past the limit; None when the client disconnected."""
+async def _read_body(
+    receive: Receive, max_bytes: Callable[[], int], share: ByteShare
+) -> bytes | None:
+    """Return the body, truncated past the limit; None when the client disconnected.
+
+    A body without space in the budget is read to its end, since closing the connection earlier may
+    lose the refusal, but nothing of it is kept.
+    """
     body = bytearray()
+    share.body_pending = True
     while True:
         message = await receive()
         if message["type"] != "http.request":
             return None
-        if len(body) <= max_bytes():
-            body += message.get("body", b"")
+        data = message.get("body", b"")
+        if not share.refused and len(body) <= max_bytes():
+            if share.take(len(data)):
+                body += data
+            else:
+                body = bytearray()
+                share.refused = True
+                share.close()
         if not message.get("more_body", False):
+            share.body_pending = False
             return bytes(body)
 
 
--- a/hopstep/platform/http_client.py
+++ b/hopstep/platform/http_client.py
@@ -4,7 +4,7 @@
 
 import contextlib
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from typing import Any
 
 import httpcore
@@ -22,6 +22,10 @@
 MAX_CONNECTIONS = 512
 """Connections to one address."""
 
+SHORT_READ_BYTES = 16 * 1024
+"""Bytes in one read where memory is bounded: the library and the server hold a few copies of what
+was read until a client has taken it."""
+
 
 class HttpCall(msgspec.Struct, frozen=True):
     """One call.
@@ -77,11 +81,76 @@
         self.proof.sent = True
 
 
+class ShortReadStream(httpcore.AsyncNetworkStream):
+    """A connection that reads at most ``SHORT_READ_BYTES`` at once."""
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        """Read from a stream.
+
+        Args:
+            stream: The library's stream.
+        """
+        self._stream = stream
+
+    async def read(
+        self,
+        max_bytes: int,
+        timeout: float | None = None,  # noqa: ASYNC109 - the library's signature
+    ) -> bytes:
+        """Read what has arrived, up to the limit."""
+        return await self._stream.read(min(max_bytes, SHORT_READ_BYTES), timeout)
+
+    async def write(
+        self,
+        buffer: bytes,
+        timeout: float | None = None,  # noqa: ASYNC109 - the library's signature
+    ) -> None:
+        """Write all bytes."""
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return what the library asks about the connection."""
+        return self._stream.get_extra_info(info)
+
+
+class ShortReadBackend(httpcore.AsyncNetworkBackend):
+    """Opens connections that read little at once."""
+
+    def __init__(self) -> None:
+        """Open connections by the library's own backend."""
+        self._backend = httpcore.TrioBackend()
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,  # noqa: ASYNC109 - the library's signature
+        local_address: str | None = None,
+        socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Open a connection."""
+        stream = await self._backend.connect_tcp(host, port, timeout, local_address, socket_options)
+        return ShortReadStream(stream)
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait before another try to connect."""
+        await self._backend.sleep(seconds)
+
+
 class HttpClient:
     """Connection pools, one for each address."""
 
-    def __init__(self) -> None:
-        """Start without any connection."""
+    def __init__(self, *, short_reads: bool = False) -> None:
+        """Start without any connection.
+
+        Args:
+            short_reads: Whether to read at most ``SHORT_READ_BYTES`` at once.
+        """
+        self._backend = ShortReadBackend() if short_reads else None
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
         self._active: Counter[str] = Counter()
         self._used_at: dict[str, float] = {}
@@ -173,5 +242,6 @@
                 max_connections=MAX_CONNECTIONS,
                 max_keepalive_connections=MAX_CONNECTIONS,
                 keepalive_expiry=IDLE_SECONDS,
+                network_backend=self._backend,
             )
         return pool
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -6,8 +6,12 @@
 
 import msgspec
 
+from hopstep.domain.byte_budget import UNLIMITED_SHARE, ByteShare
 from hopstep.domain.exchanges.request import Headers, Prompt
 
+CONNECTION_STATE = "client_connection"
+"""Entry of a request's ASGI ``state`` with its ``ClientConnection``; missing if not tracked."""
+
 
 class RequestHead(msgspec.Struct, frozen=True):
     """A client's request without its body, as it was read.
@@ -41,8 +45,33 @@
     usage_tokens: int | None = None
 
 
+class ClientConnection(abc.ABC):
+    """The connection of a client, as the HTTP server uses it.
+
+    Attributes:
+        client: ``ip:port`` of the client.
+        last_progress_at: Clock time in seconds at which a byte was last read from the client or
+            accepted for it, or the current write began.
+        is_writing: Whether a write waits for the client.
+    """
+
+    client: str
+    last_progress_at: float
+    is_writing: bool
+
+    @abc.abstractmethod
+    def disconnect(self) -> None:
+        """Reset the connection; the client learns nothing about its request."""
+
+
 class ClientAnswer(abc.ABC):
-    """The response to a client."""
+    """The response to a client.
+
+    Attributes:
+        share: Bytes that are held for the request.
+    """
+
+    share: ByteShare = UNLIMITED_SHARE
 
     @abc.abstractmethod
     async def start(self, status: int, headers: Headers, length: int | None) -> None:
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -72,6 +72,21 @@
             "Clients' connections that a fault of this node has ended.",
             registry=registry,
         )
+        self.refused_for_memory = Counter(
+            "hopstep_exchanges_refused_for_memory",
+            "Requests refused since the node had no space for their body or response.",
+            registry=registry,
+        )
+        self.responses_in_parts = Counter(
+            "hopstep_responses_relayed_in_parts",
+            "Responses relayed before they were read to their end, for lack of space.",
+            registry=registry,
+        )
+        self.stalled_clients = Counter(
+            "hopstep_stalled_clients",
+            "Clients disconnected since they didn't read while the node lacked space.",
+            registry=registry,
+        )
 
     def watch(self, name: str, documentation: str, read: Callable[[], float]) -> None:
         """Register a gauge whose value is read when metrics are scraped."""
--- a/hopstep/services/exchanges/node_gauges.py
+++ b/hopstep/services/exchanges/node_gauges.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from hopstep.domain.byte_budget import ByteBudget
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
@@ -60,6 +61,20 @@
     )
 
 
+def watch_held_bytes(metrics: ExchangeMetrics, budget: ByteBudget) -> None:
+    """Register the gauges of the bytes that are held for clients and instances."""
+    metrics.watch(
+        "hopstep_held_bytes",
+        "Bytes of requests and responses that this node holds; 0 without a limit.",
+        lambda: budget.held_bytes,
+    )
+    metrics.watch(
+        "hopstep_held_bytes_limit",
+        "Most bytes of requests and responses that this node may hold; 0 for no limit.",
+        lambda: budget.limit_bytes,
+    )
+
+
 def watch_limits(metrics: ExchangeMetrics, notices: InstanceNotices) -> None:
     """Register the gauges of rate-limited instances and of the requests sent to them."""
     metrics.watch(
--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -1,18 +1,24 @@
 """Relays responses of instances to one client and tracks what the client has received.
 
 Once data is counted as delivered, sending it is shielded from cancellation: neither the watchdog
-for unresponsive instances nor the request's deadline can interrupt it.
+for unresponsive instances nor the request's deadline can interrupt it. A response that is relayed
+in parts is an exception: it counts as begun with its head, and as delivered only when it has ended.
 """
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator, Iterable
+
 import trio
 
+from hopstep import log_events
+from hopstep.domain.byte_budget import RESPONSE_BYTES, ResponseSpace
 from hopstep.domain.exchanges.event_stream import EventFramer, StreamOrderError
 from hopstep.domain.exchanges.request import ExchangeRequest, Headers
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.serving import RequestKind
 from hopstep.exceptions import ErrorCode, Execution
+from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer
 from hopstep.ports.instance_calls import InstanceAnswer, InstanceCallError
 from hopstep.services.exchanges.requests.exchange_parts import (
@@ -20,6 +26,7 @@
     CompleteResponse,
     ExchangeOutcome,
 )
+from hopstep.services.exchanges.requests.held_bytes import HeldResponse, require_length
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which clients are told that their request has not run."""
@@ -27,7 +34,6 @@
 FIRST_FAILURE_STATUS = 500
 FIRST_SUCCESS_STATUS = 200
 LAST_SUCCESS_STATUS = 299
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 class AnswerRelay:
@@ -37,6 +43,8 @@
         started: Whether the response head is counted as delivered.
         finished: Whether the complete response is counted as delivered.
         failure: Latest failure response of an instance, sent if no attempt does better.
+        in_parts: Whether the response was relayed before it had been read to its end; it can't be
+            continued by another instance.
     """
 
     def __init__(
@@ -52,6 +60,7 @@
         self.started = False
         self.finished = False
         self.failure: CompleteResponse | None = None
+        self.in_parts = False
         self._request = request
         self._answer = answer
         self._outcome = outcome
@@ -78,16 +87,16 @@
         Raises:
             InstanceCallError: When the response is incomplete, or another attempt may do better.
         """
-        if self._is_stream(answer):
-            await self._relay_stream(candidate, answer, sent_at)
-        else:
-            await self._relay_complete(candidate, answer, sent_at)
+        relay = self._relay_stream if self._is_stream(answer) else self._relay_complete
+        with ResponseSpace(self._answer.share) as space:
+            await relay(candidate, answer, sent_at, space)
 
     async def send_failure(self) -> bool:
         """Send the recorded failure response; return False when there is none to send."""
         if self.failure is None or self.started:
             return False
-        await self._send_complete(self.failure)
+        failure = self.failure
+        await self._send_complete(failure, len(failure.body), (failure.body,))
         return True
 
     def _is_stream(self, answer: InstanceAnswer) -> bool:
@@ -96,7 +105,7 @@
         return successful and self._request.route.kind is RequestKind.STREAM
 
     async def _relay_stream(
-        self, candidate: Candidate, answer: InstanceAnswer, sent_at: float
+        self, candidate: Candidate, answer: InstanceAnswer, sent_at: float, space: ResponseSpace
     ) -> None:
         """Relay events as they arrive."""
         self._require_signed(answer)
@@ -116,15 +125,21 @@
                 view.succeeded(now - sent_at)
             view.note_received_byte(now)
             await self._send_events(answer, data)
+            self._require_space(space)
         if self._framer.has_partial or not self.started:
             raise InstanceCallError(
                 ErrorCode.STREAM_INTERRUPTED, "the stream ended within an event", Execution.UNKNOWN
             )
         self._outcome.events = self._framer.events
-        self._outcome.outcome = str(answer.status)
-        self.finished = True
-        with trio.CancelScope(shield=True):
-            await self._answer.finish()
+        await self._finish(answer.status)
+
+    def _require_space(self, space: ResponseSpace) -> None:
+        """Raise when the node has no space for an incomplete event, which can't be passed on."""
+        if not space.grow(self._framer.partial_bytes):
+            raise InstanceCallError(
+                ErrorCode.STREAM_INTERRUPTED, "no space for a long event", Execution.UNKNOWN
+            )
+        space.shrink(max(RESPONSE_BYTES, self._framer.partial_bytes))
 
     async def _send_events(self, answer: InstanceAnswer, data: bytes) -> None:
         """Send the events that ``data`` completes.
@@ -145,16 +160,40 @@
             await self._answer.send(complete)
 
     async def _relay_complete(
-        self, candidate: Candidate, answer: InstanceAnswer, sent_at: float
+        self, candidate: Candidate, answer: InstanceAnswer, sent_at: float, space: ResponseSpace
     ) -> None:
-        """Read a response to its end and send it, unless another attempt may do better."""
-        body = bytearray()
-        async for data in answer.body():
-            body += data
-            if len(body) > MAX_ANSWER_BYTES:
-                raise InstanceCallError(
-                    ErrorCode.EXECUTION_UNKNOWN, "the answer is too long", Execution.UNKNOWN
-                )
+        """Read a response to its end and send it, unless another attempt may do better.
+
+        A response that the node has no space for is relayed in parts from there on.
+        """
+        parts = answer.body()
+        held = HeldResponse(space)
+        async for data in parts:
+            if not held.add(data):
+                self._accept(candidate, answer, sent_at, None)
+                await self._relay_in_parts(answer, held, data, parts)
+                return
+        self._accept(candidate, answer, sent_at, held)
+        await self._send_complete(answer, held.size, held.take_pieces())
+
+    def _accept(
+        self,
+        candidate: Candidate,
+        answer: InstanceAnswer,
+        sent_at: float,
+        held: HeldResponse | None,
+    ) -> None:
+        """Report a response to the view of its instance, and check that it may be sent.
+
+        Args:
+            candidate: The instance that responds.
+            answer: Head of the response.
+            sent_at: When the request was sent there, by the steady clock in seconds.
+            held: The complete response; None when it isn't read to its end.
+
+        Raises:
+            InstanceCallError: When another attempt may do better.
+        """
         now = trio.current_time()
         candidate.view.first_byte(self._request.request_id, candidate.uncached_tokens, now)
         if answer.status in NOT_RUN_STATUSES:
@@ -163,9 +202,8 @@
                 f"status {answer.status} without proof that the request has not run",
                 Execution.UNKNOWN,
             )
-        complete = CompleteResponse(answer.status, answer.headers, bytes(body))
         if self.started or answer.status >= FIRST_FAILURE_STATUS:
-            self.failure = complete
+            self._keep_failure(answer, held)
             raise InstanceCallError(
                 ErrorCode.RETRIES_EXHAUSTED,
                 f"the instance answered {answer.status}",
@@ -174,7 +212,49 @@
         if FIRST_SUCCESS_STATUS <= answer.status <= LAST_SUCCESS_STATUS:
             self._require_signed(answer)
         candidate.view.succeeded(now - sent_at)
-        await self._send_complete(complete)
+
+    def _keep_failure(self, answer: InstanceAnswer, held: HeldResponse | None) -> None:
+        """Keep a failure response instead of the one before, if the node has space for it."""
+        share = self._answer.share
+        if held is None or not share.take_spare(held.size):
+            return
+        if self.failure is not None:
+            share.release(len(self.failure.body))
+        self.failure = CompleteResponse(answer.status, answer.headers, held.read())
+
+    async def _relay_in_parts(
+        self,
+        answer: InstanceAnswer,
+        held: HeldResponse,
+        data: bytes,
+        parts: AsyncIterator[bytes],
+    ) -> None:
+        """Relay a response part by part; the next part is read when the last one was written.
+
+        Args:
+            answer: Head of the response.
+            held: What has arrived before.
+            data: The part that had no space.
+            parts: The remaining parts.
+        """
+        self.in_parts = True
+        self._answer.share.relayed_in_parts = True
+        emit(
+            log_events.RESPONSE_RELAYED_IN_PARTS,
+            request_id=self._request.request_id,
+            instance=self._outcome.instance,
+            read_bytes=held.size + len(data),
+        )
+        size = held.size + len(data)
+        await self._start(answer.status, answer.headers, None)
+        for piece in held.take_pieces(RESPONSE_BYTES):
+            await self._answer.send(piece)
+        await self._answer.send(data)
+        async for data in parts:
+            size += len(data)
+            require_length(size)
+            await self._answer.send(data)
+        await self._finish(answer.status)
 
     def _require_signed(self, answer: InstanceAnswer) -> None:
         """Raise unless a successful response carries its instance's signature."""
@@ -183,13 +263,22 @@
                 ErrorCode.EXECUTION_UNKNOWN, "the answer isn't signed", Execution.UNKNOWN
             )
 
-    async def _send_complete(self, complete: CompleteResponse) -> None:
+    async def _send_complete(
+        self, head: InstanceAnswer | CompleteResponse, length: int, pieces: Iterable[bytes]
+    ) -> None:
         """Send a complete response, all of it or nothing."""
         self.finished = True
         with trio.CancelScope(shield=True):
-            await self._start(complete.status, complete.headers, len(complete.body))
-            await self._answer.send(complete.body)
-            self._outcome.outcome = str(complete.status)
+            await self._start(head.status, head.headers, length)
+            for piece in pieces:
+                await self._answer.send(piece)
+            await self._finish(head.status)
+
+    async def _finish(self, status: int) -> None:
+        """End the response as complete."""
+        self.finished = True
+        self._outcome.outcome = str(status)
+        with trio.CancelScope(shield=True):
             await self._answer.finish()
 
     async def _start(self, status: int, headers: Headers, length: int | None) -> None:
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -263,7 +263,7 @@
             attempts = route.max_attempts
         return ExchangeProgress(
             idempotent=route.idempotent,
-            resumable=route.resumable,
+            resumable=route.resumable and not self._relay.in_parts,
             answer_started=self._relay.started,
             last=error.execution,
             may_have_run=self._may_have_run,
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -31,6 +31,7 @@
     ExchangeOutcome,
     ExchangeParts,
 )
+from hopstep.services.exchanges.requests.held_bytes import require_space
 from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
 from hopstep.services.exchanges.requests.quotas import Quotas
 from hopstep.services.exchanges.requests.retry_advisor import RetryAdvisor
@@ -128,6 +129,7 @@
             await self._knowledge.wait_first_reading()
             try:
                 request = self.admission.admit(head, body)
+                require_space(answer.share)
                 await self._quotas.require(request)
             except ServiceError as error:
                 advice = self._advise(error)
--- a/hopstep/settings_loader.py
+++ b/hopstep/settings_loader.py
@@ -193,8 +193,8 @@
 
 
 _BOUND_FIELDS = ExchangeBounds.__struct_fields__
-_TOLERANCES = ("bounds.quota_overshoot", "bounds.quota_slack")
-"""Bounds that may be 0."""
+_OPTIONAL_NUMBERS = ("bounds.quota_overshoot", "bounds.quota_slack", "memory_mb")
+"""Numbers that may be 0."""
 
 
 def _check_exchange(settings: ExchangeSettings) -> None:
@@ -214,7 +214,8 @@
     numbers = {f"bounds.{field}": getattr(settings.bounds, field) for field in _BOUND_FIELDS}
     numbers["processor_share"] = settings.processor_share
     numbers["processor_cores"] = settings.processor_cores
-    for field in _TOLERANCES:
+    numbers["memory_mb"] = settings.memory_mb
+    for field in _OPTIONAL_NUMBERS:
         value = numbers.pop(field)
         if not 0 <= value < float("inf"):
             raise _invalid(field, f"expected a number of at least 0, got {value}")
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -20,6 +20,7 @@
     "platform.address": "10.200.1.7:8784",
     "limits.cpuShare": "0.537",
     "limits.cpuCores": "2",
+    "limits.memoryMb": "200",
     "bounds.gracePeriodS": "8",
     "bounds.configApplyMs": "3000",
     "bounds.drainTimeoutMs": "4000",
@@ -63,6 +64,7 @@
         self.assertEqual(settings.bounds.configuration_ms, 3_000)
         self.assertEqual(settings.bounds.drain_ms, 4_000)
         self.assertEqual((settings.processor_share, settings.processor_cores), (0.537, 2))
+        self.assertEqual(settings.memory_mb, 200.0)
 
     def test_bounds_of_quotas_are_taken_where_there_are_any(self):
         defaults = self.render().bounds
@@ -88,6 +90,7 @@
             ("bounds.gracePeriodS", '"x"', "bounds.grace_seconds"),
             ("nodeName", "", "name"),
             ("limits.cpuShare", "0", "processor_share"),
+            ("limits.memoryMb", "-1", "memory_mb"),
         ):
             with self.subTest(field):
                 with self.assertRaises(SettingsError) as caught:
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -1,11 +1,14 @@
 """Conversion of clients' HTTP requests to exchanges, and of answers to responses."""
 
+import contextlib
 import unittest
 
 import trio
 
+from hopstep.domain.byte_budget import ByteBudget, ByteShare
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.platform.front import ExchangeFront
+from hopstep.ports.exchange_front import CONNECTION_STATE
 
 HEADERS = (
     (b"host", b"h.example"),
@@ -262,3 +265,51 @@
         }
         trio.run(ExchangeFront(Waiting(), lambda: False), scope, receive, send)
         self.assertEqual(cancelled, ["r1"])
+
+
+class ByteShareTest(unittest.TestCase):
+    def exchange(self, body, limit_bytes):
+        """Return the service, the node's budget, and the connection of the share."""
+        service, budget, connections = Service(), ByteBudget(limit_bytes), []
+        parts = list(body)
+
+        @contextlib.contextmanager
+        def open_share(request_id, connection):
+            connections.append((request_id, connection))
+            share = ByteShare(budget, request_id)
+            yield share
+            self.share = share
+            self.held = share.held_bytes
+            share.close()
+
+        async def receive():
+            if not parts:
+                await trio.sleep_forever()
+            data = parts.pop(0)
+            return {"type": "http.request", "body": data, "more_body": bool(parts)}
+
+        async def send(message):
+            await trio.lowlevel.checkpoint()
+
+        scope = {
+            "type": "http",
+            "method": "PUT",
+            "raw_path": b"/",
+            "query_string": b"",
+            "headers": list(HEADERS),
+            "state": {CONNECTION_STATE: "connection"},
+        }
+        trio.run(ExchangeFront(service, lambda: False, open_share), scope, receive, send)
+        self.assertEqual(connections, [("r1", "connection")])
+        return service, budget
+
+    def test_a_body_is_counted_as_it_arrives_until_its_request_has_ended(self):
+        service, budget = self.exchange((b"12", b"345"), limit_bytes=100)
+        self.assertEqual((service.bodies, self.held, budget.held_bytes), ([b"12345"], 5, 0))
+        self.assertFalse(self.share.refused or self.share.body_pending)
+
+    def test_a_body_without_space_is_read_to_its_end_and_dropped(self):
+        """Guards against bodies beyond the budget, and refusals that are lost with a reset."""
+        service, _ = self.exchange((b"12", b"345", b"6"), limit_bytes=4)
+        self.assertEqual((service.bodies, self.held), ([b""], 0))
+        self.assertTrue(self.share.refused)
--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -79,7 +79,9 @@
     return app
 
 
-class ExchangeNodeTest(unittest.TestCase):
+class NodeProcessCase(unittest.TestCase):
+    """Runs a node as a process between a store and an instance; has no tests of its own."""
+
     def setUp(self):
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
@@ -118,16 +120,19 @@
     def events(self):
         return [json.loads(line) for line in self.read_log().splitlines()]
 
-    def run_node(self, script):
+    def run_node(self, script, serve_instances=None, configuration=CONFIGURATION, **settings):
         async def main():
             ports = free_ports(5)
-            self.write_settings(ports)
+            self.write_settings(ports, **settings)
             shared = SharedStore()
             instances = instance_app()
-            await self.publish(shared, ports[4])
+            await self.publish(shared, ports[4], configuration)
             async with trio.open_nursery() as nursery, httpx.AsyncClient() as client:
-                for app, port in ((create_store_app(shared), ports[3]), (instances, ports[4])):
-                    await nursery.start(self.serve, app, port)
+                await nursery.start(self.serve, create_store_app(shared), ports[3])
+                if serve_instances is None:
+                    await nursery.start(self.serve, instances, ports[4])
+                else:
+                    await nursery.start(serve_instances, ports[4])
                 process = self.start()
                 await self.wait_ready(client, ports[1])
                 await script(client, f"http://127.0.0.1:{ports[0]}", process, instances)
@@ -141,7 +146,7 @@
         config.loglevel = "CRITICAL"
         await hypercorn.trio.serve(app, config, task_status=task_status, mode="asgi")
 
-    async def publish(self, shared, port):
+    async def publish(self, shared, port, configuration):
         entry = {
             "service": "s",
             "address": f"127.0.0.1:{port}",
@@ -152,7 +157,7 @@
             "coldRemainingMs": 0,
             "callSequence": 0,
         }
-        for key, value in (("op/config", CONFIGURATION), ("servers/i1", entry)):
+        for key, value in (("op/config", configuration), ("servers/i1", entry)):
             await shared.execute(
                 wire.CompareAndSwap(key, ABSENT.revision, json.dumps(value).encode())
             )
@@ -172,6 +177,8 @@
         fields = {"host": "h.example", "attempt-id": "r1", "x-api-key": key, **headers}
         return await client.post(url + path, headers=fields, content=body)
 
+
+class ExchangeNodeTest(NodeProcessCase):
     def test_headers_that_only_nodes_may_set_are_dropped_from_client_requests(self):
         forged = (
             "Hold: 1",
