--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -103,6 +103,8 @@
         )
         self.signed = names.SIGNATURE in found
         self.weights_version = _number(found.get(names.VERSIONS, b""))
+        if b"content-length" in found and b"transfer-encoding" not in found:
+            self.length = _number(found[b"content-length"])
         self._response = response
 
     async def body(self) -> AsyncIterator[bytes]:
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -110,12 +110,14 @@
         signed: Whether the response carries the instance's signature.
         weights_version: Version that the response names, in its head or with an event received
             since; 0 for none.
+        length: Length of the body in bytes; None when the head doesn't state it.
     """
 
     status: int
     headers: Headers
     signed: bool
     weights_version: int
+    length: int | None = None
 
     @abc.abstractmethod
     def body(self) -> AsyncIterator[bytes]:
--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -237,6 +237,7 @@
             data: The part that had no space.
             parts: The remaining parts.
         """
+        require_length(answer.length or 0)
         self.in_parts = True
         self._answer.share.relayed_in_parts = True
         emit(
@@ -246,7 +247,7 @@
             read_bytes=held.size + len(data),
         )
         size = held.size + len(data)
-        await self._start(answer.status, answer.headers, None)
+        await self._start(answer.status, answer.headers, answer.length)
         for piece in held.take_pieces(RESPONSE_BYTES):
             await self._answer.send(piece)
         await self._answer.send(data)
--- a/tests/services/exchanges/test_held_bytes.py
+++ b/tests/services/exchanges/test_held_bytes.py
@@ -112,6 +112,15 @@
         self.assertEqual(answer.read_before, [2, 2, 3, 4])
         self.assertEqual(set(answer.held), {RESPONSE_BYTES})
 
+    def test_a_stated_length_is_passed_on_with_a_response_in_parts(self):
+        """Guards against clients that take a response without a length for whole when it is cut."""
+        with mock.patch.object(EmulatedAnswer, "length", len(WHOLE)):
+            answer, _ = self.exchange("unsafe", PARTS, spare=0)
+        self.assertEqual((answer.body, answer.length), (WHOLE, len(WHOLE)))
+        with mock.patch.object(EmulatedAnswer, "length", MAX_RESPONSE_BYTES + 1):
+            answer, _ = self.exchange("unsafe", PARTS, spare=0)
+        self.assertEqual((answer.status, answer.promised_not_run), (None, False))
+
     def test_a_response_broken_off_after_it_began_is_cut_and_never_run_again(self):
         """Guards against a second run, or a second response after parts of the first."""
         for name in ("safe", "unsafe2", "odd"):
@@ -145,6 +154,8 @@
         answer, instances = self.exchange("safe", PARTS, 0, Behaviour.FAIL)
         self.assertEqual(answer.error.code, ErrorCode.EXECUTION_UNKNOWN)
         self.assertEqual(len(instances.runs("r")), 2)
+        answer, _ = self.exchange("safe", PARTS, len(WHOLE) - RESPONSE_BYTES, Behaviour.FAIL)
+        self.assertEqual(answer.error.code, ErrorCode.EXECUTION_UNKNOWN)
         answer, _ = self.exchange("safe", PARTS, 2 * len(WHOLE), Behaviour.FAIL)
         self.assertEqual((answer.status, answer.body), (500, WHOLE))
 
