Test the metrics of held bytes

The gauges and counters are what operators see of the budget; the test shows that a share is counted while its request runs, and what the budget did when it has ended.

--- a/tests/services/exchanges/test_held_bytes.py
+++ b/tests/services/exchanges/test_held_bytes.py
@@ -15,6 +15,7 @@
 from hopstep.ports.instance_calls import InstanceCallError
 from hopstep.ports.serving_directory import ConfigurationPublished
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
+from hopstep.services.exchanges.node_gauges import watch_held_bytes
 from hopstep.services.exchanges.requests.held_bytes import (
     CHECK_SECONDS,
     MAX_RESPONSE_BYTES,
@@ -190,6 +191,27 @@
                 self.assertEqual((answer.body, answer.finished), (body, bool(body)))
 
 
+class HeldBytesTest(unittest.TestCase):
+    def test_metrics_tell_what_is_held_and_what_the_budget_did(self):
+        registry = CollectorRegistry()
+        metrics = ExchangeMetrics(registry)
+        held = HeldBytes(1_000, metrics)
+        watch_held_bytes(metrics, held.budget)
+        with held.open_share("r", None) as share:
+            self.assertTrue(share.take(300))
+            self.assertEqual(registry.get_sample_value("hopstep_held_bytes"), 300)
+            share.refused = share.relayed_in_parts = True
+        for name, value in (
+            ("hopstep_held_bytes", 0),
+            ("hopstep_held_bytes_limit", 1_000),
+            ("hopstep_exchanges_refused_for_memory_total", 1),
+            ("hopstep_responses_relayed_in_parts_total", 1),
+            ("hopstep_stalled_clients_total", 0),
+        ):
+            with self.subTest(name):
+                self.assertEqual(registry.get_sample_value(name), value)
+
+
 class FakeConnection(ClientConnection):
     def __init__(self, is_writing=True):
         self.client = "127.0.0.1:5"
