Split the view of an instance into load, health and what remains

instance_view.py had load, health, cache and weights in one class of 304 lines. Load of this node and of others is now in instance_load_view.py, failures, suspension and silence in instance_health.py.

--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -9,8 +9,9 @@
 from hopstep.domain.announced_state import AnnouncedState
 from hopstep.domain.exchanges.first_peer_report import FirstPeerReport
 from hopstep.domain.exchanges.instance_capacity import CapacityNeed, queue_allowance
+from hopstep.domain.exchanges.instance_health import InstanceHealth
+from hopstep.domain.exchanges.instance_load_view import InstanceLoadView
 from hopstep.domain.exchanges.instances import Instance
-from hopstep.domain.exchanges.load_ledger import REPORT_SECONDS, InstanceLoad
 from hopstep.domain.exchanges.segments import SegmentIndex
 from hopstep.domain.instance_admission import (
     Admission,
@@ -21,29 +22,11 @@
 )
 from hopstep.domain.rendezvous import hash_name
 
-FIRST_SUSPENSION_SECONDS = 0.4
-"""Suspension after a first failure; each consecutive failure doubles it."""
-
-MAX_SUSPENSION_SECONDS = 4.0
-UNRESPONSIVE_SECONDS = 1.0
-"""Time for which requests wait without a byte of any response, after which an instance counts as
-unresponsive."""
-
-UNRESPONSIVE_SECONDS_PER_TOKEN = 1.0 / 10_000
-"""Further time for each pending prompt token, as an engine sends nothing during the prefill of long
-prompts: a quarter of the usual speed."""
-
-SMOOTHING = 0.2
-"""Weight of the latest observation in moving averages."""
-
-DEFAULT_LATENCY_SECONDS = 0.1
-"""Expected latency without any observation."""
-
 INDEXED_SHARE = 0.8
 """Part of an instance's cache that is expected to be available for cached segments."""
 
 
-class InstanceView:
+class InstanceView(InstanceLoadView, InstanceHealth):
     """One instance as this node knows it. Times are of the steady clock, in seconds."""
 
     def __init__(
@@ -63,31 +46,21 @@
             first_peer_report: Until when the first report of another node may arrive; None when
                 none is expected.
         """
+        InstanceLoadView.__init__(self, str(instance.incarnation))
+        InstanceHealth.__init__(self)
         self.instance = instance
         self.announced_state = announced_state or AnnouncedState()
         self._first_telling = first_peer_report or FirstPeerReport()
-        self.incarnation = str(instance.incarnation)
         self.hashed = hash_name(instance.instance_id)
         self.segments = SegmentIndex(int(cache_tokens * INDEXED_SHARE))
         self.versions: dict[str, int] = dict(instance.versions)
         self._assumed: dict[str, int] = {}
-        self.active = 0
-        self.pending_tokens = 0
-        self.latency_seconds = 0.0
-        self.failure_rate = 0.0
         self.replaced = False
         self.presumed_ended_until = -float("inf")
         self.rejected = False
         self.has_start_time = bool(instance.born_ms)
         self.slowness = 1.0
         self.loading_until = 0.0
-        self.suspended_until = 0.0
-        self._no_load = InstanceLoad(self.incarnation)
-        self._others = self._no_load
-        self._others_at = -REPORT_SECONDS
-        self._failures = 0
-        self._last_byte_at = 0.0
-        self._waiting_since: dict[str, float] = {}
         self._shown_sequence = instance.order_sequence
 
     def update(self, instance: Instance) -> None:
@@ -155,18 +128,6 @@
         """Return the version under which requests are sent; 0 when none is known."""
         return max(self.versions.get(model, 0), self._assumed.get(model, 0))
 
-    def total_active(self, now: float) -> int:
-        """Return the requests of all nodes at the instance, as far as known."""
-        return self.active + self._others_now(now).active
-
-    def total_pending_tokens(self, now: float) -> int:
-        """Return the prompt tokens of all nodes still to be prefilled, as far as known."""
-        return self.pending_tokens + self._others_now(now).pending_tokens
-
-    def avoided_by(self, now: float) -> int:
-        """Return how many other nodes avoid the instance now."""
-        return self._others_now(now).avoided_by
-
     def occupancy(self, now: float) -> float:
         """Return the requests of all nodes at the instance as a fraction of its slots."""
         return self.total_active(now) / max(1, self.instance.slots)
@@ -180,11 +141,6 @@
         """Return whether the instance has capacity for a request."""
         return self.is_usable(now) and self.free_places(now, urgent=need.urgent) > 0
 
-    def set_load_of_others(self, load: InstanceLoad | None, now: float) -> None:
-        """Set the load of all other nodes; None for none."""
-        self._others = load or self._no_load
-        self._others_at = now
-
     def begin(self, request_id: str, uncached_tokens: int, now: float) -> None:
         """Count a request that is sent to the instance."""
         self.active += 1
@@ -203,47 +159,6 @@
         if self._waiting_since.pop(request_id, None) is not None:
             self.pending_tokens -= uncached_tokens
 
-    def note_received_byte(self, now: float) -> None:
-        """Note that a byte has arrived from the instance."""
-        self._last_byte_at = now
-
-    def succeeded(self, seconds: float) -> None:
-        """Update the statistics after a complete response.
-
-        Args:
-            seconds: Time from sending the request to the first byte.
-        """
-        self._failures = 0
-        self.suspended_until = 0.0
-        self.failure_rate += SMOOTHING * (0.0 - self.failure_rate)
-        known = self.latency_seconds or seconds
-        self.latency_seconds = known + SMOOTHING * (seconds - known)
-
-    def failed(self, now: float, *, unreachable: bool) -> None:
-        """Update the statistics after a failure.
-
-        Args:
-            now: Steady clock.
-            unreachable: Whether it couldn't be reached or the connection broke; otherwise it
-                answered.
-        """
-        self.failure_rate += SMOOTHING * (1.0 - self.failure_rate)
-        if not unreachable:
-            return
-        self._failures += 1
-        pause = FIRST_SUSPENSION_SECONDS * 2.0 ** (self._failures - 1)
-        self.suspended_until = now + min(MAX_SUSPENSION_SECONDS, pause)
-
-    def suspend(self, until: float) -> None:
-        """Send it nothing before a time, as long as there are other instances."""
-        self.suspended_until = max(self.suspended_until, until)
-
-    def discount_pause(self, seconds: float) -> None:
-        """Disregard a time in which this node was paused and received nothing."""
-        self._last_byte_at += seconds
-        for request_id in self._waiting_since:
-            self._waiting_since[request_id] += seconds
-
     def admission(
         self, purpose: Purpose, now: float, last_requests_seconds: float = 0.0
     ) -> Admission:
@@ -268,11 +183,6 @@
         """Return whether something may be sent to the instance now."""
         return self.admission(purpose, now).is_open
 
-    @property
-    def expected_latency(self) -> float:
-        """Time from sending a request to its first byte, as observed, or a default."""
-        return self.latency_seconds or DEFAULT_LATENCY_SECONDS
-
     def _listed(self, now: float) -> Barrier | None:
         """Return the barrier that follows from the directory's entry; None for none."""
         if self.rejected:
@@ -283,13 +193,7 @@
 
     def is_unresponsive(self, now: float) -> bool:
         """Return whether requests wait and nothing has arrived from the instance for too long."""
-        if not self._waiting_since:
-            return False
-        oldest = min(self._waiting_since.values())
-        patience = (
-            UNRESPONSIVE_SECONDS + self.total_pending_tokens(now) * UNRESPONSIVE_SECONDS_PER_TOKEN
-        )
-        return now - max(oldest, self._last_byte_at) > patience
+        return self._is_silent(self.total_pending_tokens(now), now)
 
     def is_usable(self, now: float) -> bool:
         """Return whether the instance is likely to serve a new request."""
@@ -298,7 +202,3 @@
             and now >= self.loading_until
             and not self.is_unresponsive(now)
         )
-
-    def _others_now(self, now: float) -> InstanceLoad:
-        """Return the load of other nodes, or no load when the report is too old."""
-        return self._others if now - self._others_at <= REPORT_SECONDS else self._no_load
