Avoid full instances, and tell all nodes at once of unresponsive ones

Instances rejected up to a third of their arrivals, since a rejection only raised a failure rate that the next answer lowered. An instance that rejects for lack of capacity is now full for 0.2 s, doubled up to 1.6 s, until a first byte.

When engines went silent each node found out by its own failed requests, again after each suspension. Nodes now report instances that can't be reached or are silent in UrgentUpdates (appended field suspected; with the reporting node, since relays forward it). The domain decides which reports are followed: two nodes', or one node's once; never against a byte of the last 0.4 s, and never for more than half of a service's instances. After a suspension an instance gets one request at a time.

Message format 4: golden bytes added, frames of format 3 are still read and today's are read by it.

--- a/hopstep/domain/exchanges/instance_capacity.py
+++ b/hopstep/domain/exchanges/instance_capacity.py
@@ -1,9 +1,52 @@
-"""Whether an instance has capacity for one more request."""
+"""Whether an instance has capacity for one more request.
+
+Addresses callers that compete for too few slots: an instance that rejects gets nothing for a while
+instead of the next request, which it would reject as well.
+"""
 
 from __future__ import annotations
 
 import msgspec
 
+FIRST_FULL_SECONDS = 0.2
+"""Time without requests after a rejection: one interval of load reports."""
+
+MAX_FULL_SECONDS = 1.6
+"""Longest time without requests after consecutive rejections."""
+
+
+class FullMark:
+    """Marks an instance as full after it has rejected a request for lack of capacity."""
+
+    def __init__(self) -> None:
+        """Start without a rejection."""
+        self._until = -float("inf")
+        self._rejections = 0
+
+    def note_rejected(self, now: float) -> bool:
+        """Note a rejection; return whether the instance wasn't marked already.
+
+        Rejections while it is marked are of requests sent before, and don't prolong the mark.
+
+        Args:
+            now: Steady clock, seconds.
+        """
+        if self.is_set(now):
+            return False
+        seconds = min(MAX_FULL_SECONDS, FIRST_FULL_SECONDS * 2.0**self._rejections)
+        self._rejections += 1
+        self._until = now + seconds
+        return True
+
+    def clear(self) -> None:
+        """Note that the instance has begun to answer a request."""
+        self._until = -float("inf")
+        self._rejections = 0
+
+    def is_set(self, now: float) -> bool:
+        """Return whether the instance counts as full."""
+        return now < self._until
+
 
 class CapacityNeed(msgspec.Struct, frozen=True):
     """What a request needs at an instance.
--- a/hopstep/domain/exchanges/instance_health.py
+++ b/hopstep/domain/exchanges/instance_health.py
@@ -1,4 +1,8 @@
-"""Health of one instance: failures, latency, suspension, and silence."""
+"""Health of one instance: failures, latency, suspension, and silence.
+
+Addresses engines that go silent without closing a connection: after a suspension an instance gets
+one request at a time, so that a node loses one request to it and not all that it has waiting.
+"""
 
 from __future__ import annotations
 
@@ -36,6 +40,9 @@
         self.failure_rate = 0.0
         self.suspended_until = 0.0
         self._failures = 0
+        self._is_reported = False
+        self._on_trial = False
+        self._trial_request = ""
         self._last_byte_at = 0.0
         self._waiting_since: dict[str, float] = {}
 
@@ -45,8 +52,17 @@
         return self.latency_seconds or DEFAULT_LATENCY_SECONDS
 
     def note_received_byte(self, now: float) -> None:
-        """Note that a byte has arrived from the instance."""
+        """Note that a byte has arrived; it ends a trial, and a suspension by others' reports."""
         self._last_byte_at = now
+        self._end_trial()
+        if self._is_reported:
+            self._is_reported = False
+            self.suspended_until = 0.0
+            self._failures = 0
+
+    def seconds_without_byte(self, now: float) -> float:
+        """Return the time since the last byte from the instance."""
+        return now - self._last_byte_at
 
     def succeeded(self, seconds: float) -> None:
         """Update the statistics after a complete response.
@@ -70,15 +86,55 @@
         """
         self.failure_rate += SMOOTHING * (1.0 - self.failure_rate)
         if not unreachable:
+            self._end_trial()
             return
         self._failures += 1
-        pause = FIRST_SUSPENSION_SECONDS * 2.0 ** (self._failures - 1)
-        self.suspended_until = now + min(MAX_SUSPENSION_SECONDS, pause)
+        self._is_reported = False
+        self._on_trial = True
+        self.suspended_until = now + _suspension_seconds(self._failures)
 
     def suspend(self, until: float) -> None:
         """Send it nothing before a time, as long as there are other instances."""
+        self._on_trial = True
         self.suspended_until = max(self.suspended_until, until)
 
+    def suspend_as_reported(self, seconds: float, now: float) -> None:
+        """Suspend it as other nodes report that it doesn't respond to them.
+
+        An own failure afterwards doubles the reported suspension.
+
+        Args:
+            seconds: Suspension that they report.
+            now: Steady clock.
+        """
+        seconds = min(MAX_SUSPENSION_SECONDS, seconds)
+        if now + seconds <= self.suspended_until:
+            return
+        while _suspension_seconds(self._failures) < seconds:
+            self._failures += 1
+        self._is_reported = True
+        self.suspend(now + seconds)
+
+    @property
+    def awaits_trial(self) -> bool:
+        """Whether it is on trial after a suspension, and the request that tries it is under way."""
+        return self._on_trial and bool(self._trial_request)
+
+    def _begin_trial(self, request_id: str) -> None:
+        """Let a request try the instance if it is on trial."""
+        if self._on_trial and not self._trial_request:
+            self._trial_request = request_id
+
+    def _leave_trial(self, request_id: str) -> None:
+        """Let another request try the instance, since this one has ended."""
+        if request_id == self._trial_request:
+            self._trial_request = ""
+
+    def _end_trial(self) -> None:
+        """Return to normal use, since the instance responds."""
+        self._on_trial = False
+        self._trial_request = ""
+
     def discount_pause(self, seconds: float) -> None:
         """Disregard a time in which this node was paused and received nothing."""
         self._last_byte_at += seconds
@@ -97,3 +153,10 @@
         oldest = min(self._waiting_since.values())
         patience = UNRESPONSIVE_SECONDS + pending_tokens * UNRESPONSIVE_SECONDS_PER_TOKEN
         return now - max(oldest, self._last_byte_at) > patience
+
+
+def _suspension_seconds(failures: int) -> float:
+    """Return the suspension after a number of consecutive failures."""
+    if not failures:
+        return 0.0
+    return min(MAX_SUSPENSION_SECONDS, FIRST_SUSPENSION_SECONDS * 2.0 ** (failures - 1))
--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -8,7 +8,7 @@
 
 from hopstep.domain.announced_state import AnnouncedState
 from hopstep.domain.exchanges.first_peer_report import FirstPeerReport
-from hopstep.domain.exchanges.instance_capacity import CapacityNeed, queue_allowance
+from hopstep.domain.exchanges.instance_capacity import CapacityNeed, FullMark, queue_allowance
 from hopstep.domain.exchanges.instance_health import InstanceHealth
 from hopstep.domain.exchanges.instance_load_view import InstanceLoadView
 from hopstep.domain.exchanges.instances import Instance
@@ -60,6 +60,7 @@
         self.rejected = False
         self.has_start_time = bool(instance.born_ms)
         self.slowness = 1.0
+        self._full = FullMark()
         self.loading_until = 0.0
         self._shown_sequence = instance.order_sequence
 
@@ -146,16 +147,19 @@
         self.active += 1
         self.pending_tokens += uncached_tokens
         self._waiting_since[request_id] = now
+        self._begin_trial(request_id)
 
     def first_byte(self, request_id: str, uncached_tokens: int, now: float) -> None:
         """Note the first byte of a response's body."""
         if self._waiting_since.pop(request_id, None) is not None:
             self.pending_tokens -= uncached_tokens
+        self._full.clear()
         self.note_received_byte(now)
 
     def end(self, request_id: str, uncached_tokens: int) -> None:
         """Count a request that has ended."""
         self.active -= 1
+        self._leave_trial(request_id)
         if self._waiting_since.pop(request_id, None) is not None:
             self.pending_tokens -= uncached_tokens
 
@@ -195,10 +199,27 @@
         """Return whether requests wait and nothing has arrived from the instance for too long."""
         return self._is_silent(self.total_pending_tokens(now), now)
 
+    def rejected_as_full(self, now: float) -> bool:
+        """Note that it rejected a request as full; return whether it didn't count as full yet."""
+        return self._full.note_rejected(now)
+
+    def is_full(self, now: float) -> bool:
+        """Return whether it has recently rejected a request as full."""
+        return self._full.is_set(now)
+
+    def responds(self, now: float) -> bool:
+        """Return whether it is neither suspended nor silent."""
+        return now >= self.suspended_until and not self.is_unresponsive(now)
+
+    def is_avoided(self, now: float) -> bool:
+        """Return whether this node sends it nothing because of failures or rejections."""
+        return self.is_full(now) or not self.responds(now)
+
     def is_usable(self, now: float) -> bool:
         """Return whether the instance is likely to serve a new request."""
         return (
-            now >= self.suspended_until
-            and now >= self.loading_until
-            and not self.is_unresponsive(now)
+            now >= self.loading_until
+            and not self.awaits_trial
+            and not self.is_full(now)
+            and self.responds(now)
         )
--- /dev/null
+++ b/hopstep/domain/exchanges/suspicion.py
@@ -0,0 +1,92 @@
+"""Which reports of other nodes about an unresponsive instance this node follows.
+
+Addresses engines that go silent together: without reports each node finds out by failed requests of
+its own, again after each suspension. A node whose own link is cut reports too, and must not take an
+instance away from the others.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+REPORT_VALID_SECONDS = 4.0
+"""Time for which a report counts: the longest suspension."""
+
+SINGLE_REPORT_SECONDS = 8.0
+"""A node that reports an instance more often than this, with no other node doing so, is followed
+the first time only."""
+
+SILENT_SECONDS = 1.0
+"""A single report is followed only if this node has had no byte from the instance for so long."""
+
+RESPONSE_SECONDS = 0.4
+"""No report is followed if this node has had a byte from the instance within this time: the time in
+which a connection attempt fails."""
+
+MAX_REPORTED_INSTANCES = 1_024
+"""Bounds the memory for reports."""
+
+
+class OwnEvidence(msgspec.Struct, frozen=True):
+    """What a node knows itself when it receives a report.
+
+    Attributes:
+        seconds_without_byte: Time since its last byte from the instance.
+        responding: Other instances of the service that are neither suspended nor silent.
+        listed: All instances of the service.
+    """
+
+    seconds_without_byte: float
+    responding: int
+    listed: int
+
+
+class SuspicionLedger:
+    """Recent reports by instance and node. Times are of the steady clock, in seconds."""
+
+    def __init__(self) -> None:
+        """Start without reports."""
+        self._reports: dict[str, dict[str, float]] = {}
+
+    def note(self, incarnation: str, node: str, now: float) -> None:
+        """Record a report of another node."""
+        if incarnation not in self._reports and len(self._reports) >= MAX_REPORTED_INSTANCES:
+            self._forget(now)
+        if len(self._reports) < MAX_REPORTED_INSTANCES:
+            self._reports.setdefault(incarnation, {})[node] = now
+
+    def is_followed(self, incarnation: str, node: str, own: OwnEvidence, now: float) -> bool:
+        """Record a report; return whether to suspend the instance because of it.
+
+        At least half of a service's instances stay in use whatever is reported, and always one: if
+        most of them seem unresponsive, the links of the reporting nodes are the likelier cause.
+
+        Args:
+            incarnation: The instance's incarnation.
+            node: The node that reports it.
+            own: What this node knows itself.
+            now: Steady clock.
+        """
+        reported_before = self._reports.get(incarnation, {}).get(node, -float("inf"))
+        self.note(incarnation, node, now)
+        if own.seconds_without_byte < RESPONSE_SECONDS or 2 * own.responding < own.listed:
+            return False
+        if not own.responding:
+            return False
+        if self._count(incarnation, now) >= 2:
+            return True
+        is_repeated = now - reported_before <= SINGLE_REPORT_SECONDS
+        return own.seconds_without_byte >= SILENT_SECONDS and not is_repeated
+
+    def _count(self, incarnation: str, now: float) -> int:
+        """Return how many nodes have recently reported an instance."""
+        reports = self._reports.get(incarnation, {})
+        return sum(now - at <= REPORT_VALID_SECONDS for at in reports.values())
+
+    def _forget(self, now: float) -> None:
+        """Drop the instances without a report that still matters."""
+        self._reports = {
+            incarnation: reports
+            for incarnation, reports in self._reports.items()
+            if now - max(reports.values()) <= SINGLE_REPORT_SECONDS
+        }
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -623,6 +623,20 @@
     ("place", "name", "source", "status"),
     "Look up the value in the sender's documentation: this version ignores it.",
 )
+INSTANCE_FULL = LogEvent(
+    "HS6120",
+    "instance_full",
+    Level.INFO,
+    ("instance", "life", "service", "active", "slots"),
+    "If it recurs for most instances of a service: add instances, or lower its callers' quotas.",
+)
+INSTANCE_SUSPECTED = LogEvent(
+    "HS6121",
+    "instance_suspected",
+    Level.WARNING,
+    ("instance", "life", "service", "suspended_ms", "node"),
+    "If all lines name one `node`: check its link; otherwise check the instance.",
+)
 WEIGHTS_NAMED = LogEvent(
     "HS6103",
     "weights_named",
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -114,6 +114,20 @@
     tokens: int
 
 
+class SuspectedInstance(msgspec.Struct, frozen=True, array_like=True):
+    """An instance that doesn't respond to a node.
+
+    Attributes:
+        incarnation: As ``str(InstanceIncarnation)``.
+        milliseconds: Time for which the node sends it nothing.
+        node: The node; relays forward its report.
+    """
+
+    incarnation: str
+    milliseconds: int
+    node: str
+
+
 class Hints(msgspec.Struct, frozen=True, array_like=True):
     """Reports of nodes about instances; they may be outdated or missing.
 
@@ -321,12 +335,14 @@
         prompts: Long prompts, in addition to the loads that were reported.
         loading: Engines that are about to load weights.
         crashes: Requests during which instances have crashed.
+        suspected: Instances that don't respond to the nodes that report them.
     """
 
     number: int
     prompts: tuple[SentPrompt, ...] = ()
     loading: tuple[LoadingEngine, ...] = ()
     crashes: tuple[RequestCrashes, ...] = ()
+    suspected: tuple[SuspectedInstance, ...] = ()
 
 
 NodeMessage = RelayQuery | RelayAnswer | RelayDigest | UrgentUpdates
--- a/hopstep/services/exchanges/peers/load_sharing.py
+++ b/hopstep/services/exchanges/peers/load_sharing.py
@@ -24,6 +24,7 @@
 )
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
+from hopstep.services.exchanges.peers.suspicions import Suspicions
 from hopstep.services.exchanges.peers.urgent_queue import UrgentQueue
 
 RELAY_ANSWERS = "answers"
@@ -44,7 +45,11 @@
 
 
 class LoadSharing:
-    """Collects hints of this node and of others, and applies them to the views of instances."""
+    """Collects hints of this node and of others, and applies them to the views of instances.
+
+    Attributes:
+        suspicions: Instances that don't respond to this node or to others.
+    """
 
     def __init__(
         self, knowledge: ServingKnowledge, urgent: UrgentQueue, notices: InstanceNotices
@@ -56,6 +61,7 @@
             urgent: Receives updates that are sent to all nodes at once.
             notices: What instances announce in response headers.
         """
+        self.suspicions = Suspicions(knowledge, urgent)
         self._notices = notices
         self._urgent = urgent
         self.log: SentLog[SegmentUpdate] = SentLog(secrets.token_hex(LOG_IDENTITY_BYTES))
@@ -221,7 +227,8 @@
         return msgspec.structs.replace(load, incarnation=view.incarnation)
 
     def refresh(self) -> None:
-        """Update the views with the loads of other nodes."""
+        """Update the views with the loads of other nodes, and report silent instances."""
+        self.suspicions.check()
         now = trio.current_time()
         totals = self._totals(now)
         for view in self._knowledge.table:
@@ -270,7 +277,7 @@
                 view.incarnation,
                 view.active,
                 view.pending_tokens,
-                int(view.suspended_until > now),
+                int(view.is_avoided(now)),
             )
             for view in self._knowledge.table
         )
--- a/hopstep/services/exchanges/peers/relaying.py
+++ b/hopstep/services/exchanges/peers/relaying.py
@@ -203,6 +203,7 @@
                 self._hints.take_digest(received.sender, message.number, message.hints)
             case UrgentUpdates():
                 self._sharing.apply_urgent(received.sender, message.prompts, message.loading)
+                self._sharing.suspicions.apply(message.suspected)
                 self._quarantine.merge_reports(message.crashes)
                 await self._broadcast.forward(received.sender, message)
 
--- a/hopstep/services/exchanges/peers/update_broadcast.py
+++ b/hopstep/services/exchanges/peers/update_broadcast.py
@@ -68,7 +68,9 @@
             batch = self._urgent.take()
             crashes = tuple(self._quarantine.known_crashes(request) for request in batch.requests)
             self._number += 1
-            update = UrgentUpdates(self._number, batch.prompts, batch.loading, crashes)
+            update = UrgentUpdates(
+                self._number, batch.prompts, batch.loading, crashes, batch.suspected
+            )
             relay = self._knowledge.relays.relay()
             if relay:
                 await self._send(update, [relay])
@@ -90,7 +92,7 @@
             self._own_prompts.add(origin, update.prompts)
         if update.prompts:
             self._prompts_added.set()
-        if update.loading or update.crashes:
+        if update.loading or update.crashes or update.suspected:
             relays = self._knowledge.relays.digest_targets() if own else []
             targets = sorted({*self._sharing.members(), *relays} - {origin})
             await self._send(msgspec.structs.replace(update, prompts=()), targets)
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -17,6 +17,7 @@
 from hopstep.ports.exchange_front import ClientAnswer
 from hopstep.ports.instance_calls import InstanceCallError, SendProof
 from hopstep.services.exchanges.requests.answer_relay import AnswerRelay
+from hopstep.services.exchanges.requests.attempt_failures import note_failure
 from hopstep.services.exchanges.requests.exchange_parts import (
     MILLISECONDS,
     ExchangeOutcome,
@@ -250,9 +251,7 @@
         """Update the instance's view after a failed attempt."""
         if error.execution is Execution.UNKNOWN:
             self._may_have_run = True
-        answered = error.execution is Execution.NOT_RUN and error.sent
-        unreachable = not answered and error.code is not ErrorCode.RETRIES_EXHAUSTED
-        view.failed(trio.current_time(), unreachable=unreachable)
+        note_failure(self._parts, view, error)
 
     def _progress(self, error: InstanceCallError) -> ExchangeProgress:
         """Return the request's progress, from which the next step is decided."""
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.repeat_budget import RepeatBudget
 from hopstep.domain.exchanges.request import Headers
 from hopstep.domain.exchanges.selection import Candidate
@@ -77,6 +78,8 @@
         budgets: Returns a service's retry budget.
         nodes: Returns how many nodes may be alive.
         note_sent: Called with each prompt that is sent; reports it to other nodes.
+        note_suspected: Called with each instance that couldn't be reached or was silent; reports it
+            to other nodes.
         pauses: Detects pauses of the node's own process.
         quarantine: Requests under which instances crash.
         require_fresh: Raises ``ServiceError`` when keys may have been revoked unnoticed.
@@ -90,6 +93,7 @@
     budgets: Callable[[str], RepeatBudget]
     nodes: Callable[[], int]
     note_sent: Callable[[Candidate], None]
+    note_suspected: Callable[[InstanceView], None]
     pauses: PauseWatch
     quarantine: Quarantine
     require_fresh: Callable[[], None]
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -105,6 +105,7 @@
             budgets=self._budget,
             nodes=knowledge.count_nodes,
             note_sent=sharing.note_sent,
+            note_suspected=sharing.suspicions.note_failed,
             pauses=pauses,
             quarantine=quarantine,
             require_fresh=knowledge.keys.require,
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -42,6 +42,7 @@
     ReportedRecord,
     SegmentUpdate,
     SentPrompt,
+    SuspectedInstance,
     UrgentUpdates,
 )
 from hopstep.ports.serving_directory import (
@@ -72,6 +73,9 @@
 BEFORE_ERAS = "form-2"
 """Version whose store positions have no era."""
 
+BEFORE_CAPACITY = "form-3"
+"""Version without the memory and speed of instances, and without suspected instances."""
+
 NODES = {"a": NodeRecord("1.2.3.4:5", "z", b"key-a")}
 COMPRESSED = 1
 
@@ -124,6 +128,7 @@
         (SentPrompt(SegmentUpdate("i1@5", (SEGMENT,), 20), 800),),
         (LoadingEngine("i2@6", 900),),
         (CRASHES,),
+        (SuspectedInstance("i5@9", 400, "a"),),
     ),
 }
 RECORDS = {
@@ -143,6 +148,15 @@
     offered: int
 
 
+class UrgentBeforeCapacity(msgspec.Struct, frozen=True, array_like=True, tag="UrgentNews"):
+    """``UrgentUpdates`` as read by versions before format 4."""
+
+    number: int
+    prompts: tuple[SentPrompt, ...] = ()
+    loading: tuple[LoadingEngine, ...] = ()
+    crashes: tuple[RequestCrashes, ...] = ()
+
+
 class HintsBeforeLimits(msgspec.Struct, frozen=True, array_like=True):
     """``Hints`` as read by versions before format 2."""
 
@@ -300,6 +314,19 @@
         self.assertEqual(answer.store_position, StorePosition(UNSPECIFIED_ERA, 80))
         self.assertEqual(messages["query"].hints, HINTS)
 
+    def test_frames_of_before_capacity(self):
+        messages = self.decoded(BEFORE_CAPACITY)
+        self.check_common(messages, "i1@5", "i2@6")
+        self.assertEqual(messages["urgent"].crashes, (CRASHES,))
+        self.assertEqual(messages["urgent"].suspected, ())
+
+    def test_the_version_before_reads_todays_urgent_updates(self):
+        """Otherwise a crash or a load of weights reported beside a suspicion would be lost."""
+        frame = encode_frame(MESSAGES["urgent"], "a", b"key-a")
+        urgent = msgspec.convert(payload_document(frame), UrgentBeforeCapacity)
+        self.assertEqual((urgent.number, urgent.crashes), (10, (CRASHES,)))
+        self.assertEqual(urgent.loading, MESSAGES["urgent"].loading)
+
     def test_todays_frames_are_those_of_the_present_form(self):
         frames = read_golden(f"form-{MESSAGE_FORMAT_VERSION}")["frames"]
         self.assertEqual(frames.keys(), MESSAGES.keys())
@@ -349,6 +376,7 @@
             (BEFORE_LEAVING, 0),
             (BEFORE_LIMITS, 1),
             (BEFORE_ERAS, 2),
+            (BEFORE_CAPACITY, 3),
             (f"form-{MESSAGE_FORMAT_VERSION}", MESSAGE_FORMAT_VERSION),
         )
         for name, version in versions:
