Count a decoding step for each prompt in the work of an engine

Engines prefill prompts in pieces, one between two steps, so a hundred short prompts take longer than their tokens say. By tokens alone such engines seemed nearly free, and were sent more until they rejected. The estimate and the pending work of an instance now contain a step for each prompt. The test compares an engine with a hundred prompts of 100 tokens to one with a single prompt of 20,000.

--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -142,26 +142,32 @@
         """Return whether the instance has capacity for a request."""
         return self.is_usable(now) and self.free_places(now, urgent=need.urgent) > 0
 
-    def begin(self, request_id: str, uncached_tokens: int, now: float) -> None:
-        """Count a request that is sent to the instance."""
+    def begin(self, request_id: str, work_tokens: int, now: float) -> None:
+        """Count a request that is sent to the instance.
+
+        Args:
+            request_id: Id of the request.
+            work_tokens: Work until its first byte; see ``prompt_work``. 0 without a prompt.
+            now: Steady clock, seconds.
+        """
         self.active += 1
-        self.pending_tokens += uncached_tokens
+        self.pending_tokens += work_tokens
         self._waiting_since[request_id] = now
         self._begin_trial(request_id)
 
-    def first_byte(self, request_id: str, uncached_tokens: int, now: float) -> None:
+    def first_byte(self, request_id: str, work_tokens: int, now: float) -> None:
         """Note the first byte of a response's body."""
         if self._waiting_since.pop(request_id, None) is not None:
-            self.pending_tokens -= uncached_tokens
+            self.pending_tokens -= work_tokens
         self._full.clear()
         self.note_received_byte(now)
 
-    def end(self, request_id: str, uncached_tokens: int) -> None:
+    def end(self, request_id: str, work_tokens: int) -> None:
         """Count a request that has ended."""
         self.active -= 1
         self._leave_trial(request_id)
         if self._waiting_since.pop(request_id, None) is not None:
-            self.pending_tokens -= uncached_tokens
+            self.pending_tokens -= work_tokens
 
     def admission(
         self, purpose: Purpose, now: float, last_requests_seconds: float = 0.0
--- a/hopstep/domain/exchanges/selection.py
+++ b/hopstep/domain/exchanges/selection.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.exchanges.prompt_work import prompt_work
 from hopstep.domain.exchanges.segment_moves import EngineRequest, SegmentSources
 from hopstep.domain.exchanges.segments import SegmentKey
 
@@ -65,6 +66,11 @@
     kept_tokens: int = 0
     read_seconds: float = 0.0
 
+    @property
+    def work_tokens(self) -> int:
+        """Work until the first byte, in prompt tokens; 0 without a prompt."""
+        return prompt_work(self.uncached_tokens) if self.keys else 0
+
 
 def choose_engine(
     views: Sequence[InstanceView],
@@ -128,7 +134,9 @@
     shared = sum(key.tokens for key in keys[:-1])
     per_token = READ_SECONDS_PER_TOKEN * view.slowness
     active = view.total_active(now)
-    read_seconds = (view.total_pending_tokens(now) + uncached) * per_token + move.seconds
+    read_seconds = (
+        view.total_pending_tokens(now) + prompt_work(uncached)
+    ) * per_token + move.seconds
     cost = read_seconds
     cost += max(0, shared - kept) * per_token * (SHARED_WEIGHT - 1.0)
     cost += active * (ACTIVE_SECONDS * view.slowness + uncached * per_token * INTERFERENCE)
--- a/hopstep/services/exchanges/peers/load_sharing.py
+++ b/hopstep/services/exchanges/peers/load_sharing.py
@@ -80,7 +80,7 @@
         incarnation = candidate.view.incarnation
         update = SegmentUpdate(incarnation, keys, round(candidate.read_seconds * MILLISECONDS))
         if candidate.uncached_tokens >= URGENT_TOKENS:
-            self._urgent.put_prompt(SentPrompt(update, candidate.uncached_tokens))
+            self._urgent.put_prompt(SentPrompt(update, candidate.work_tokens))
         already_kept = candidate.kept_tokens >= sum(key.tokens for key in keys)
         if not already_kept or self._is_report_due(incarnation, keys[-1].digest):
             self._queue_update(update)
--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -112,7 +112,7 @@
             if first:
                 first = False
                 view.segments.mark_read(candidate.keys, now)
-                view.first_byte(self._request.request_id, candidate.uncached_tokens, now)
+                view.first_byte(self._request.request_id, candidate.work_tokens, now)
                 view.succeeded(now - sent_at)
             view.note_received_byte(now)
             await self._send_events(answer, data)
@@ -156,7 +156,7 @@
                     ErrorCode.EXECUTION_UNKNOWN, "the answer is too long", Execution.UNKNOWN
                 )
         now = trio.current_time()
-        candidate.view.first_byte(self._request.request_id, candidate.uncached_tokens, now)
+        candidate.view.first_byte(self._request.request_id, candidate.work_tokens, now)
         if answer.status in NOT_RUN_STATUSES:
             raise InstanceCallError(
                 ErrorCode.EXECUTION_UNKNOWN,
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -66,7 +66,7 @@
         request_id = self._request.request_id
         now = trio.current_time()
         self._outcome.instance = view.instance.instance_id
-        view.begin(request_id, candidate.uncached_tokens, now)
+        view.begin(request_id, candidate.work_tokens, now)
         view.segments.record(candidate.keys, now + candidate.read_seconds)
         self._parts.note_sent(candidate)
         abandoned = True
@@ -77,7 +77,7 @@
             abandoned = False
             return error
         finally:
-            view.end(request_id, candidate.uncached_tokens)
+            view.end(request_id, candidate.work_tokens)
             self._parts.limits.release(view, self._permit)
             if abandoned and self.proof.sent and not self._relay.finished:
                 look = functools.partial(self._parts.calls.probe_connection, view.instance)
--- a/tests/domain/exchanges/test_selection.py
+++ b/tests/domain/exchanges/test_selection.py
@@ -4,6 +4,7 @@
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.load_ledger import InstanceLoad
+from hopstep.domain.exchanges.prompt_work import prompt_work
 from hopstep.domain.exchanges.request import PromptSegment
 from hopstep.domain.exchanges.segment_moves import EngineRequest, StoreSource
 from hopstep.domain.exchanges.segments import SegmentIndex, segment_keys
@@ -168,3 +169,15 @@
         engine.segments.record(KEYS)
         engine.learn_version(MODEL, 2)
         self.assertEqual(engine.segments.cached_tokens(KEYS), 0)
+
+
+class PromptWorkTest(unittest.TestCase):
+    def test_many_short_prompts_take_longer_than_their_tokens(self):
+        # Engines with a hundred short prompts pending were taken for nearly idle, and filled up.
+        short, long = view("short"), view("long")
+        for number in range(100):
+            short.begin(str(number), prompt_work(100), NOW)
+        long.begin("long", prompt_work(20_000), NOW)
+        for engine in (short, long):
+            engine.active = 0
+        self.assertIs(choose([short, long]).view, long)
