Read from a route how long clients wait for the next event of a stream

Clients give a stream up after the longest of two seconds, four objectives and eight of its longest pauses without an event, also before the first one; that is earlier than their deadline. ExchangeRequest.first_byte_by is the time that follows.

--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -77,6 +77,12 @@
     resume_after: str = ""
     usage_tokens: int | None = None
 
+    @property
+    def first_byte_by(self) -> float:
+        """When the client gives up without a byte of the answer, by the steady clock in seconds."""
+        patience = self.route.event_patience_seconds
+        return min(self.deadline, self.received_at + patience) if patience else self.deadline
+
     @property
     def rank(self) -> int:
         """Priority at an instance, 0 first: by its tenant's, then by its route's."""
--- a/hopstep/domain/exchanges/serving.py
+++ b/hopstep/domain/exchanges/serving.py
@@ -45,6 +45,8 @@
         max_attempts: Highest number of instances that one request may be sent to.
         public: Whether no key is needed.
         resumable: Whether a stream may be resumed at another instance after its last event.
+        event_patience_seconds: Time without an event of a stream, also before its first one, after
+            which clients give up; 0 for no such time.
     """
 
     name: str
@@ -58,6 +60,7 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    event_patience_seconds: float = 0.0
 
     @property
     def idempotent(self) -> bool:
--- a/hopstep/platform/documents.py
+++ b/hopstep/platform/documents.py
@@ -26,6 +26,11 @@
 from hopstep.platform.rejections import MAX_DETAIL, FieldValueError
 
 MILLISECONDS = 1_000.0
+MIN_EVENT_PATIENCE_MS = 2_000.0
+PATIENCE_OBJECTIVES = 4
+PATIENCE_GAPS = 8
+"""Clients give a stream up after the longest of ``MIN_EVENT_PATIENCE_MS``, this many objectives or
+this many longest pauses without an event."""
 
 MAX_SLOTS = 65_536
 """Upper bound of an entry's ``slots``: a thousand times the slots of the largest engines."""
@@ -61,6 +66,7 @@
     kind: str = names.KIND_UNSAFE
     timeout_ms: float = 30_000.0
     target_latency_ms: float = 1_000.0
+    target_gap_ms: float = 0.0
     priority: int = 5
     service: str = ""
     traffic_split: tuple[_Share, ...] = ()
@@ -85,8 +91,20 @@
             max_attempts=self.max_attempts,
             public=self.public_access,
             resumable=self.resumable,
+            event_patience_seconds=self._event_patience_seconds(),
         )
 
+    def _event_patience_seconds(self) -> float:
+        """Return the time without an event after which clients give a stream up."""
+        if self.kind != names.KIND_STREAMING:
+            return 0.0
+        patience_ms = max(
+            MIN_EVENT_PATIENCE_MS,
+            PATIENCE_OBJECTIVES * self.target_latency_ms,
+            PATIENCE_GAPS * self.target_gap_ms,
+        )
+        return patience_ms / MILLISECONDS
+
 
 class _Model(msgspec.Struct, frozen=True, rename="camel"):
     name: str
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -71,6 +71,15 @@
         self.assertIs(route.kind, RequestKind.AT_MOST_ONCE)
         self.assertFalse(route.idempotent)
 
+    def test_clients_patience_with_a_stream_follows_from_its_objective_and_pauses(self):
+        # Requests waited for engines until their deadlines, long after their clients had left.
+        stream, plain = CONFIGURATION["routes"]
+        cases = [(stream, 3.2), ({**stream, "targetGapMs": 500}, 4.0), (plain, 0.0)]
+        cases.append(({**stream, "targetLatencyMs": 100}, 2.0))
+        for document, seconds in cases:
+            route = self.read(routes=[document]).routes[0]
+            self.assertEqual(route.event_patience_seconds, seconds)
+
     def test_a_tenants_rate_reads_as_its_quota(self):
         limited = {"name": "x", "ratePerS": 286803, "burstSize": 5.5, "unit": "tokens"}
         tenants = [{**limited, "uncachedTokens": 200}, {"name": "y", "ratePerS": 7}, {"name": "z"}]
