Load weights as far as the other engines have capacity

Half of the engines loaded at once whatever ran, so that versions named in quick succession during a burst took a third of the capacity for each of them. The holder of the rollout lease now plans loads by the requests and the pending prompts of all nodes; without capacity a load waits until the operators' bound leaves no more time, for each version by its own bound, and then skips to the newest. Streams may end before the order, for 0.6 s at most.

--- a/hopstep/domain/exchanges/segments.py
+++ b/hopstep/domain/exchanges/segments.py
@@ -71,6 +71,11 @@
         """Return whether a segment is cached or being prefilled."""
         return digest in self._kept
 
+    @property
+    def used_share(self) -> float:
+        """Tokens of all segments as a fraction of what the instance can cache."""
+        return self._tokens / max(1, self._capacity)
+
     def cached_tokens(self, keys: Iterable[SegmentKey]) -> int:
         """Return the tokens of the leading segments that a new prompt would find cached."""
         tokens = 0
--- a/hopstep/domain/exchanges/serving.py
+++ b/hopstep/domain/exchanges/serving.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import enum
+import math
 import random
+from collections.abc import Set
 
 import msgspec
 
@@ -180,6 +182,19 @@
     tenants: tuple[Tenant, ...] = ()
     limits: RequestLimits = RequestLimits()
 
+    def shortest_objective(self, services: Set[str]) -> float:
+        """Return the shortest objective of the routes to services, in seconds; infinite for none.
+
+        Args:
+            services: Names of the services.
+        """
+        objectives = (
+            route.objective_seconds
+            for route in self.routes
+            if any(share.service in services for share in route.shares)
+        )
+        return min(objectives, default=math.inf)
+
 
 class ServingIndex:
     """Lookups over one configuration."""
--- a/hopstep/domain/exchanges/weights.py
+++ b/hopstep/domain/exchanges/weights.py
@@ -69,6 +69,7 @@
         """
         self.bounds = bounds
         self.load_seconds = bounds.load_seconds
+        self.load_measured = False
         self._named: dict[str, list[NamedVersion]] = {}
 
     def put(self, weights: NamedWeights, since: float) -> bool:
@@ -85,7 +86,15 @@
         return True
 
     def record_load(self, seconds: float) -> None:
-        """Update the mean load time, from the order until the load is known to be done."""
+        """Update the mean load time, from the order until the load is known to be done.
+
+        A first load that takes longer than the estimate replaces it, as further loads are planned
+        by it at once.
+        """
+        if not self.load_measured:
+            self.load_measured = True
+            self.load_seconds = max(self.load_seconds, seconds)
+            return
         self.load_seconds += LOAD_SMOOTHING * (seconds - self.load_seconds)
 
     def oldest_since(self, now: float) -> float:
@@ -117,6 +126,11 @@
         """Return the start of the newest version's propagation time."""
         return self._named[model][-1].since
 
+    def newest_gap(self, model: str) -> float:
+        """Return the time in seconds between the naming of the newest version and the previous."""
+        versions = self._named[model]
+        return versions[-1].since - versions[-2].since if len(versions) > 1 else math.inf
+
     def required(self, model: str, now: float) -> int:
         """Return the oldest version on which a request may still be sent; 0 for any."""
         bounds = self.bounds
@@ -178,10 +192,18 @@
 def engines_behind(
     views: Iterable[InstanceView], model: str, version: int, now: float
 ) -> list[InstanceView]:
-    """Return the engines with an older version: lowest version first, then fewest requests."""
+    """Return the engines with an older version: lowest version first, then the smallest loss.
+
+    An engine that loads loses its cached prompts, and what its running requests still produce.
+    """
     behind = [
         view
         for view in views
         if _may_be_ordered(view, now) and 0 < view.versions.get(model, 0) < version
     ]
-    return sorted(behind, key=lambda view: (view.versions[model], view.active))
+    return sorted(behind, key=lambda view: (view.versions[model], _loss(view, now)))
+
+
+def _loss(view: InstanceView, now: float) -> float:
+    """Return what an engine loses by a load: its used slots and used cache, as fractions."""
+    return view.occupancy(now) + view.segments.used_share
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -31,7 +31,12 @@
 from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
 from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
-from hopstep.services.exchanges.node_gauges import watch_knowledge, watch_limits, watch_work
+from hopstep.services.exchanges.node_gauges import (
+    watch_knowledge,
+    watch_limits,
+    watch_rollout,
+    watch_work,
+)
 from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.peers.crash_reports import CrashReports
 from hopstep.services.exchanges.peers.fleet_hints import FleetHints
@@ -218,6 +223,7 @@
         watch_knowledge(self.metrics, self.knowledge)
         watch_work(self.metrics, self.lifecycle, self.quarantine, self.lease)
         watch_limits(self.metrics, self.notices)
+        watch_rollout(self.metrics, self.rollout)
 
     @property
     def is_ready(self) -> bool:
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -637,6 +637,13 @@
     ("instance", "model", "version", "fencing_token", "outcome"),
     "If rejected or unknown recurs: check the engine's own logs.",
 )
+WEIGHTS_LOADS_WAITING = LogEvent(
+    "HS6140",
+    "weights_loads_waiting",
+    Level.INFO,
+    ("model", "version", "engines", "due_ms"),
+    "Nothing: loads go on as engines have capacity, after `due_ms` at the latest.",
+)
 CACHE_STORE_CHANGED = LogEvent(
     "HS6107",
     "cache_store_changed",
--- a/hopstep/services/exchanges/node_gauges.py
+++ b/hopstep/services/exchanges/node_gauges.py
@@ -8,6 +8,7 @@
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
 from hopstep.services.exchanges.weights.rollout_lease import RolloutLease
+from hopstep.services.exchanges.weights.weights_rollout import WeightsRollout
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.services.quarantine.quarantine import Quarantine
 
@@ -60,6 +61,20 @@
     )
 
 
+def watch_rollout(metrics: ExchangeMetrics, rollout: WeightsRollout) -> None:
+    """Register the gauges of the loads of weights that this node orders."""
+    metrics.watch(
+        "hopstep_weights_loads",
+        "Engines that this node is loading weights into.",
+        lambda: rollout.loads_in_progress,
+    )
+    metrics.watch(
+        "hopstep_weights_loads_waiting",
+        "Engines whose load waits for capacity of the others, or for a further version.",
+        lambda: rollout.loads_waiting,
+    )
+
+
 def watch_limits(metrics: ExchangeMetrics, notices: InstanceNotices) -> None:
     """Register the gauges of rate-limited instances and of the requests sent to them."""
     metrics.watch(
--- a/hopstep/services/exchanges/weights/weights_rollout.py
+++ b/hopstep/services/exchanges/weights/weights_rollout.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import math
+
 import trio
 
 from hopstep import log_events
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import NamedWeights
-from hopstep.domain.exchanges.weights import engines_behind
+from hopstep.domain.exchanges.load_schedule import (
+    DRAIN_SECONDS,
+    SETTLE_SECONDS,
+    LoadPlan,
+    LoadStart,
+    RolloutState,
+    plan_loads,
+)
 from hopstep.domain.instance_admission import Purpose
 from hopstep.logs import emit
 from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
@@ -21,9 +30,7 @@
 FIRST_POLL_SECONDS = 0.5
 POLL_SECONDS = 0.15
 MAX_UNANSWERED_POLLS = 3
-SETTLE_SECONDS = 0.15
-"""Time after which no node sends further requests to an engine that is about to be ordered."""
-
+DRAIN_CHECK_SECONDS = 0.05
 LOADING_SECONDS = 1.0
 """Time for which nodes send no requests to an engine after a report that it loads."""
 
@@ -34,6 +41,7 @@
 """Longest wait for a permit to send the single order of a limited engine: longer than the time
 between two permits at the lowest limit."""
 
+MILLISECONDS = 1_000
 MAX_LOAD_SECONDS = 4.0
 RETRY_SECONDS = 0.5
 
@@ -76,6 +84,18 @@
         self._limits = limits
         self._loading: set[str] = set()
         self._retry_at: dict[str, float] = {}
+        self._waiting: dict[str, int] = {}
+        self._logged_waiting: dict[str, int] = {}
+
+    @property
+    def loads_in_progress(self) -> int:
+        """Engines that this node is loading weights into."""
+        return len(self._loading)
+
+    @property
+    def loads_waiting(self) -> int:
+        """Engines whose load waits for capacity, or for a further version."""
+        return sum(self._waiting.values()) if self._lease.may_order else 0
 
     async def run(self) -> None:
         """Order loads as they become due, until cancelled."""
@@ -88,47 +108,82 @@
 
     def _start_due(self, nursery: trio.Nursery) -> None:
         """Start the loads that are due."""
-        weights = self._knowledge.weights
         now = trio.current_time()
         trusted = self._knowledge.table.trusted()
-        for model in weights.models():
-            newest = NamedWeights(model, weights.newest(model))
-            behind = engines_behind(trusted, model, newest.version, now)
-            if not behind:
-                continue
-            engines = sum(1 for view in trusted if model in view.versions)
-            concurrent = weights.together(engines)
-            oldest = behind[0].versions[model]
-            start_count = weights.first_wave(engines) - (engines - len(behind))
-            if now >= weights.due_at(model, len(behind), concurrent, oldest):
-                start_count = len(behind)
-            for view in behind[: max(0, start_count)]:
-                if len(self._loading) < concurrent:
-                    self._start(nursery, view, newest, now)
-
-    def _start(
-        self, nursery: trio.Nursery, view: InstanceView, weights: NamedWeights, now: float
-    ) -> None:
-        """Start one load unless it is in progress or has just failed."""
-        if view.incarnation in self._loading or now < self._retry_at.get(view.incarnation, 0.0):
+        self._retry_at = {name: until for name, until in self._retry_at.items() if now < until}
+        for model in self._knowledge.weights.models():
+            engines = [view for view in trusted if model in view.versions]
+            plan = plan_loads(self._state(model, engines, now))
+            self._note_waiting(model, plan, now)
+            for start in plan.starts:
+                self._loading.add(start.view.incarnation)
+                nursery.start_soon(self._load, start, model)
+
+    def _state(self, model: str, engines: list[InstanceView], now: float) -> RolloutState:
+        """Return what the loads of a model are planned by."""
+        current = self._knowledge.current
+        services = {view.instance.service for view in engines}
+        return RolloutState(
+            self._knowledge.weights,
+            model,
+            engines,
+            self._loading,
+            self._retry_at.keys(),
+            current.shortest_objective(services) if current is not None else math.inf,
+            now,
+        )
+
+    def _note_waiting(self, model: str, plan: LoadPlan, now: float) -> None:
+        """Record how many loads wait for capacity; log it once for each version."""
+        self._waiting[model] = plan.waiting
+        version = self._knowledge.weights.newest(model)
+        if not plan.waiting or self._logged_waiting.get(model) == version:
             return
-        self._loading.add(view.incarnation)
-        nursery.start_soon(self._load, view, weights)
+        self._logged_waiting[model] = version
+        emit(
+            log_events.WEIGHTS_LOADS_WAITING,
+            model=model,
+            version=version,
+            engines=plan.waiting,
+            due_ms=round((plan.due_at - now) * MILLISECONDS),
+        )
 
-    async def _load(self, view: InstanceView, weights: NamedWeights) -> None:
-        """Have one engine load weights, and wait until it is done."""
+    async def _load(self, start: LoadStart, model: str) -> None:
+        """Have one engine load the newest weights, and wait until it is done."""
+        view = start.view
         try:
             if view.announced_state.limited_sends is not None:
-                await self._load_limited(view, weights)
+                await self._load_limited(view, self._newest(model))
                 return
-            started_at = trio.current_time()
+            await self._drain(start)
+            started_at = trio.current_time() - SETTLE_SECONDS
             with trio.move_on_after(MAX_LOAD_SECONDS):
-                if await self._order_until_done(view, weights):
+                if await self._order_until_done(view, self._newest(model)):
                     self._knowledge.weights.record_load(trio.current_time() - started_at)
         finally:
             self._retry_at[view.incarnation] = trio.current_time() + RETRY_SECONDS
             self._loading.discard(view.incarnation)
 
+    def _newest(self, model: str) -> NamedWeights:
+        """Return a model's newest weights: a further version may have been named meanwhile."""
+        return NamedWeights(model, self._knowledge.weights.newest(model))
+
+    async def _drain(self, start: LoadStart) -> None:
+        """Report a load to all nodes, and wait until the engine's requests have ended.
+
+        Requests on their way have arrived then. The order isn't delayed by more than
+        ``DRAIN_SECONDS``, or beyond the time when it is due.
+        """
+        view = start.view
+        self._mark_loading(view)
+        started_at = trio.current_time()
+        await trio.sleep(SETTLE_SECONDS)
+        order_at = min(started_at + DRAIN_SECONDS, start.order_by)
+        while trio.current_time() < order_at:
+            if not view.total_active(trio.current_time()):
+                return
+            await trio.sleep(DRAIN_CHECK_SECONDS)
+
     async def _load_limited(self, view: InstanceView, weights: NamedWeights) -> None:
         """Order a load of an engine with a send limit, and wait until its entry shows the version.
 
@@ -152,14 +207,9 @@
     async def _order_until_done(self, view: InstanceView, weights: NamedWeights) -> bool:
         """Repeat the order until the engine is known to load; return whether it has loaded.
 
-        The load is reported to all nodes first, so that requests waiting at the engine have started
-        before it loads.
-
         An unanswered order may be carried out later. It contains the number of orders that the
         engine had accepted, so it is void once another one is accepted.
         """
-        self._mark_loading(view)
-        await trio.sleep(SETTLE_SECONDS)
         report = await self._report(view)
         if report is None:
             return False
