Test a rollout of weights at full engines, and leave time between loads

Engines that don't serve load after the others of their version, since their orders are likely to fail and take up places.

--- a/hopstep/domain/exchanges/load_schedule.py
+++ b/hopstep/domain/exchanges/load_schedule.py
@@ -31,6 +31,9 @@
 SETTLE_SECONDS = 0.15
 """Time after which no node sends further requests to an engine that is about to be ordered."""
 
+START_SECONDS = 0.1
+"""Longest time from the end of a load until the next one starts in its place."""
+
 MAX_OBJECTIVE_SECONDS = 60.0
 """Objective by which pending prompts count where none is configured."""
 
@@ -243,20 +246,23 @@
     """Return when engines must start to load, by their version.
 
     Each version has a bound of its own, and engines with older versions load first: the time
-    for a version covers the loads of all engines with this or an older one.
+    for a version covers the loads of all engines with this or an older one. Loads start earlier by
+    the time in which streams may end first, and by the time between two loads.
 
     Args:
         state: What is known.
         behind: Engines with an older version than the newest.
     """
     versions = [view.versions[state.model] for view in behind]
+    busy = any(view.total_active(state.now) for view in behind)
+    further_seconds = START_SECONDS + (DRAIN_SECONDS - SETTLE_SECONDS if busy else 0.0)
     due: dict[int, _DueTimes] = {}
     times = _DueTimes()
     for version in sorted(set(versions), reverse=True):
         count = sum(other <= version for other in versions)
         order_by = state.table.due_at(state.model, count, state.together, version)
         batches = -(-count // state.together)
-        start_by = order_by - batches * (DRAIN_SECONDS - SETTLE_SECONDS)
+        start_by = order_by - batches * further_seconds
         times = _DueTimes(min(times.start_by, start_by), min(times.order_by, order_by))
         due[version] = times
     return due
--- a/hopstep/domain/exchanges/weights.py
+++ b/hopstep/domain/exchanges/weights.py
@@ -195,13 +195,17 @@
     """Return the engines with an older version: lowest version first, then the smallest loss.
 
     An engine that loads loses its cached prompts, and what its running requests still produce.
+    Within a version, engines that don't serve come last: their orders are likely to fail, and would
+    take up the places of others.
     """
     behind = [
         view
         for view in views
         if _may_be_ordered(view, now) and 0 < view.versions.get(model, 0) < version
     ]
-    return sorted(behind, key=lambda view: (view.versions[model], _loss(view, now)))
+    return sorted(
+        behind, key=lambda view: (view.versions[model], not view.is_usable(now), _loss(view, now))
+    )
 
 
 def _loss(view: InstanceView, now: float) -> float:
--- a/hopstep/services/exchanges/weights/weights_rollout.py
+++ b/hopstep/services/exchanges/weights/weights_rollout.py
@@ -12,6 +12,7 @@
 from hopstep.domain.exchanges.load_schedule import (
     DRAIN_SECONDS,
     SETTLE_SECONDS,
+    START_SECONDS,
     LoadPlan,
     LoadStart,
     RolloutState,
@@ -26,7 +27,6 @@
 from hopstep.services.exchanges.peers.load_sharing import LoadSharing
 from hopstep.services.exchanges.weights.rollout_lease import RolloutLease
 
-CHECK_SECONDS = 0.1
 FIRST_POLL_SECONDS = 0.5
 POLL_SECONDS = 0.15
 MAX_UNANSWERED_POLLS = 3
@@ -102,7 +102,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await self._lease.wait_held()
-                await trio.sleep(CHECK_SECONDS)
+                await trio.sleep(START_SECONDS)
                 if self._lease.may_order:
                     self._start_due(nursery)
 
--- a/tests/domain/exchanges/test_load_schedule.py
+++ b/tests/domain/exchanges/test_load_schedule.py
@@ -54,7 +54,7 @@
 def half_at_once(known):
     """Return the engines to order now by the rules before: half of them, whatever runs."""
     weights, now, engines = known.table, known.now, known.engines
-    behind = engines_behind(engines, MODEL, weights.newest(MODEL), now)
+    behind = [view for view in engines if view.versions[MODEL] < weights.newest(MODEL)]
     if not behind:
         return []
     behind.sort(key=lambda view: (view.versions[MODEL], view.active))
@@ -197,6 +197,16 @@
             view.suspend(now + 5.0)
         self.assertEqual(plan(table(2.0), views, now).starts, ())
 
+    def test_suspended_engines_load_after_the_others_of_their_version(self):
+        """Guards against orders without an answer that delay other engines beyond the bound."""
+        now = 14.0
+        views = self.views(active=20, now=now)
+        for view in views[:8]:
+            view.set_load_of_others(None, now)
+            view.suspend(now + 5.0)
+        chosen = started(plan(table(2.0), views, now))
+        self.assertEqual(chosen, [f"e{number}" for number in range(8, 18)])
+
     def test_requests_at_loading_engines_count(self):
         """Guards against further loads while those under way still run requests."""
         now = 3.0
