Queue requests at a node while no instance has capacity, and refuse hopeless ones early

Instances rejected requests after seconds in their own queues, since a node sent every request at once, however full the instances were, and refused none by an estimate.

A request for which no usable instance has capacity now waits at the node and is bound to an instance when it leaves the queue: by priority, then requests in time, then tenants by tokens. The queue is bounded in requests and bytes. A request whose expected answer would come after its deadline is refused at once as not run, with the time after which the queue has drained. Key, route, quarantine and weights are checked again after a wait.

tests.services.exchanges.test_instance_limits declared 4 slots for instances that it sent 25 requests at once; they now declare 64, so that only limits hold requests back, as it presupposes.

--- /dev/null
+++ b/hopstep/domain/exchanges/early_refusal.py
@@ -0,0 +1,131 @@
+"""Whether a request is refused before it waits in vain, and when its client should come back.
+
+The load that this answers: bursts in which callers want more than all engines can serve, so that
+requests wait for seconds at an engine or a node and are refused when it is too late for a retry.
+Every input follows from the order of the queue and from observed times; a priority is no reason.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+import msgspec
+
+ERROR_FACTOR = 1.25
+"""Factor on estimated times, which may be too low by a quarter of the observed ones."""
+
+SMOOTHING = 0.2
+"""Weight of the latest observation in the mean time to the first byte."""
+
+DEFAULT_FIRST_BYTE_SECONDS = 0.1
+"""Expected time to the first byte without any observation."""
+
+MAX_RETURNING = 1_024
+"""Refused clients that are remembered, the latest: more than return within a few seconds."""
+
+
+class Prospect(msgspec.Struct, frozen=True):
+    """What a node expects of a request that would wait, or waits.
+
+    Attributes:
+        ahead: Requests of its service that go before it.
+        wait_seconds: Expected wait for an instance; 0 when too little was observed.
+        first_byte_seconds: Expected time from sending it to the first byte.
+        remaining_seconds: Time until its deadline.
+        free_places: Requests that the service's instances may still be sent.
+        taken_places: Requests of all nodes at these instances.
+        less_urgent_waits: Whether a less urgent request of its service waits.
+    """
+
+    ahead: int
+    wait_seconds: float
+    first_byte_seconds: float
+    remaining_seconds: float
+    free_places: int = 0
+    taken_places: int = 0
+    less_urgent_waits: bool = False
+
+    @property
+    def answer_seconds(self) -> float:
+        """Time until its first byte, with a margin for the error of the estimate."""
+        return (self.wait_seconds + self.first_byte_seconds) * ERROR_FACTOR
+
+
+def may_refuse(prospect: Prospect) -> bool:
+    """Return whether a request may be refused for its wait.
+
+    Never while half of the places are free, as then the wait has another cause than load; and
+    never while a less urgent request of the service is kept.
+    """
+    return prospect.free_places < prospect.taken_places and not prospect.less_urgent_waits
+
+
+def is_hopeless(prospect: Prospect) -> bool:
+    """Return whether to refuse a request at once, as its answer would come after its deadline."""
+    return may_refuse(prospect) and prospect.answer_seconds > prospect.remaining_seconds
+
+
+def last_useful_at(deadline: float, first_byte_seconds: float) -> float:
+    """Return until when it makes sense to wait for an instance, as a time of the same clock.
+
+    Args:
+        deadline: When the answer is due, in seconds.
+        first_byte_seconds: Expected time from sending the request to the first byte.
+    """
+    return deadline - first_byte_seconds * ERROR_FACTOR
+
+
+def return_seconds(prospect: Prospect, interval_seconds: float, returning: int) -> float:
+    """Return the time after which the same request would be served in time.
+
+    While its client stays away, the queue drains and its deadline comes nearer. Both shorten what
+    is left by the same time, but the margin applies to the wait only.
+
+    Args:
+        prospect: What is expected of the request now.
+        interval_seconds: Mean time between two requests that leave the queue.
+        returning: Clients that were refused before and come back before it.
+    """
+    before = returning * interval_seconds
+    answer = prospect.answer_seconds + before * ERROR_FACTOR
+    until_served = (answer - prospect.remaining_seconds) / (ERROR_FACTOR - 1.0)
+    return max(before + interval_seconds, until_served)
+
+
+class FirstByteTimes:
+    """Mean times from sending a request to its first byte, by route.
+
+    Memory is bounded by the number of configured routes.
+    """
+
+    def __init__(self) -> None:
+        """Start without observations."""
+        self._means: dict[str, float] = {}
+
+    def observe(self, route: str, seconds: float) -> None:
+        """Add an observation."""
+        mean = self._means.get(route, seconds)
+        self._means[route] = mean + SMOOTHING * (seconds - mean)
+
+    def expected(self, route: str) -> float:
+        """Return the expected seconds for a request of a route."""
+        return self._means.get(route, DEFAULT_FIRST_BYTE_SECONDS)
+
+
+class ReturningClients:
+    """Refused clients of one service that haven't come back yet."""
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self._due_at: deque[float] = deque(maxlen=MAX_RETURNING)
+
+    def add(self, due_at: float) -> None:
+        """Note when a refused client is expected back, by the steady clock in seconds."""
+        self._due_at.append(due_at)
+
+    def count(self, now: float) -> int:
+        """Return how many are still expected."""
+        if self._due_at and min(self._due_at) <= now:
+            still = [at for at in self._due_at if at > now]
+            self._due_at = deque(still, maxlen=MAX_RETURNING)
+        return len(self._due_at)
--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -61,6 +61,7 @@
         prompt: What it states about its prompt; None for services without prompts.
         resume_after: Last event that the client has; empty for a new stream.
         usage_tokens: Tokens of its prompt and longest answer; None when not stated.
+        key: API key that it was admitted with; empty for none.
     """
 
     request_id: str
@@ -76,6 +77,7 @@
     prompt: Prompt | None = None
     resume_after: str = ""
     usage_tokens: int | None = None
+    key: str = ""
 
     @property
     def rank(self) -> int:
--- a/hopstep/domain/exchanges/retry_after.py
+++ b/hopstep/domain/exchanges/retry_after.py
@@ -34,6 +34,12 @@
 MAX_SPREAD = 1.0
 """Largest spread, as a part of the wait."""
 
+QUEUE_SPREAD = 0.25
+"""Random part of the wait for a queue; a larger one would change the order of the refused."""
+
+OBEYED_SHARE = 1.0 / 3.0
+"""Part of a client's remaining time that it waits at most before it retries."""
+
 
 class RetryReason(enum.StrEnum):
     """What a refused client waits for."""
@@ -47,6 +53,7 @@
     RELISTING = "relisting"
     QUARANTINE = "quarantine"
     QUOTA = "quota"
+    QUEUE_FULL = "queue_full"
     UNKNOWN = "unknown"
 
 
@@ -54,6 +61,18 @@
 """Reasons whose end is known, so that an earlier retry is certain to be refused."""
 
 
+class QueueReturn(msgspec.Struct, frozen=True):
+    """When a request that was refused for its expected wait would be served.
+
+    Attributes:
+        seconds: Expected time until then; 0 when unknown.
+        client_seconds: Time until its client gives up.
+    """
+
+    seconds: float
+    client_seconds: float
+
+
 class RefusalFacts(msgspec.Struct, frozen=True):
     """What the node observes when it refuses a request; times in seconds.
 
@@ -70,6 +89,7 @@
         store_silence_seconds: Time since the store answered this node or one that reports to it.
         others_answer: Whether other nodes answer this one, so that it isn't isolated.
         recent_refusals: Clients that were refused for the same reason within the last moments.
+        queue_return: When the queue has drained; None unless the request's wait was the reason.
     """
 
     code: ErrorCode
@@ -81,6 +101,7 @@
     store_silence_seconds: float = 0.0
     others_answer: bool = False
     recent_refusals: int = 0
+    queue_return: QueueReturn | None = None
 
 
 class RetryAdvice(msgspec.Struct, frozen=True):
@@ -101,6 +122,8 @@
         return RetryReason.OTHER_NODE
     if facts.code in (ErrorCode.ISOLATED, ErrorCode.NOT_READY):
         return RetryReason.STORE_OUTAGE if facts.others_answer else RetryReason.OTHER_NODE
+    if facts.queue_return is not None:
+        return RetryReason.QUEUE_FULL
     if facts.other_instance:
         return RetryReason.OTHER_INSTANCE
     if facts.loading_seconds is not None:
@@ -129,12 +152,21 @@
         draw: Random number from 0 to 1 that spreads the waits of clients.
     """
     reason = retry_reason(facts)
+    if reason is RetryReason.QUEUE_FULL and facts.queue_return is not None:
+        return RetryAdvice(_queue_seconds(facts.queue_return, draw), reason)
     longest = float("inf") if reason in CERTAIN_REASONS else MAX_SECONDS
     wait = min(longest, max(AT_ONCE_SECONDS, _expected_seconds(reason, facts)))
     spread = min(MAX_SPREAD, MIN_SPREAD + SPREAD_PER_REFUSAL * facts.recent_refusals)
     return RetryAdvice(min(longest, wait * (1.0 + spread * draw)), reason)
 
 
+def _queue_seconds(queue_return: QueueReturn, draw: float) -> float:
+    """Return the wait for a queue to drain: spread, and no longer than the client waits."""
+    longest = OBEYED_SHARE * queue_return.client_seconds
+    expected = min(queue_return.seconds or DEFAULT_SECONDS, longest / (1.0 + QUEUE_SPREAD))
+    return max(AT_ONCE_SECONDS, expected) * (1.0 + QUEUE_SPREAD * draw)
+
+
 def _expected_seconds(reason: RetryReason, facts: RefusalFacts) -> float:
     """Return the time after which a client is likely to be served."""
     match reason:
@@ -150,5 +182,10 @@
             return facts.limited_seconds or DEFAULT_SECONDS
         case RetryReason.RELISTING:
             return min(DEFAULT_SECONDS, facts.relisting_seconds or DEFAULT_SECONDS)
-        case RetryReason.UNKNOWN | RetryReason.QUARANTINE | RetryReason.QUOTA:
+        case (
+            RetryReason.UNKNOWN
+            | RetryReason.QUARANTINE
+            | RetryReason.QUOTA
+            | RetryReason.QUEUE_FULL
+        ):
             return DEFAULT_SECONDS
--- a/hopstep/domain/exchanges/serving.py
+++ b/hopstep/domain/exchanges/serving.py
@@ -194,8 +194,12 @@
         self.services = {service.name: service for service in configuration.services}
         self._tenants = {key: tenant for tenant in configuration.tenants for key in tenant.keys}
         self._routes: dict[str, list[Route]] = {}
+        self._least_urgent: dict[str, int] = {}
         for route in configuration.routes:
             self._routes.setdefault(route.host, []).append(route)
+            for share in route.shares:
+                least = max(route.priority, self._least_urgent.get(share.service, 0))
+                self._least_urgent[share.service] = least
         for routes in self._routes.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
 
@@ -221,6 +225,10 @@
         """Return the tenant that holds a key, or None."""
         return self._tenants.get(key)
 
+    def least_urgent(self, service: str) -> int:
+        """Return the priority of the least urgent route of a service."""
+        return self._least_urgent.get(service, 0)
+
     def cache_stores(self) -> tuple[CacheStore, ...]:
         """Return the cache stores."""
         stores = (service.cache_store for service in self.configuration.services)
--- a/hopstep/domain/fair_queue.py
+++ b/hopstep/domain/fair_queue.py
@@ -93,6 +93,12 @@
         self.passed_over = 0
         self.discard(entry)
 
+    def last(self) -> QueueEntry:
+        """Return the entry with the latest virtual start; some entry must wait."""
+        starts = {name: _start_of_last(queue) for name, queue in self.tenants.items()}
+        tenant = max(starts, key=lambda name: (starts[name], name))
+        return next(reversed(self.tenants[tenant].entries.values()))
+
     def discard(self, entry: QueueEntry) -> None:
         """Remove an entry without charging its tenant."""
         queue = self.tenants[entry.tenant]
@@ -189,6 +195,15 @@
                 virtual_start += other.cost / max(other.weight, MIN_WEIGHT)
         return before
 
+    def lowest_priority(self) -> int | None:
+        """Return the least urgent waiting priority, or None when nothing waits."""
+        return max((p for p, queue in self._priorities.items() if queue.tenants), default=None)
+
+    def last(self) -> QueueEntry | None:
+        """Return the request that would be served last, or None when nothing waits."""
+        priority = self.lowest_priority()
+        return None if priority is None else self._priorities[priority].last()
+
     def _order(self) -> list[int]:
         """Return the waiting priorities in the order in which they are tried now."""
         waiting = [p for p, queue in self._priorities.items() if queue.tenants]
@@ -215,6 +230,12 @@
             del self._tenant_counts[entry.tenant]
 
 
+def _start_of_last(queue: _TenantQueue) -> float:
+    """Return the virtual start of a tenant's last waiting request."""
+    entries = tuple(queue.entries.values())
+    return queue.start + sum(e.cost / max(e.weight, MIN_WEIGHT) for e in entries[:-1])
+
+
 def _start_behind_own(queue: _PriorityQueue, entry: QueueEntry) -> float:
     """Return the virtual start of a new entry after its tenant's queued ones."""
     start = queue.next_start(entry.tenant)
--- a/hopstep/domain/queue_pace.py
+++ b/hopstep/domain/queue_pace.py
@@ -15,6 +15,9 @@
 MIN_INTERVALS = 8
 """Intervals needed for a mean: the few ones of a short queue are waits, not a rate."""
 
+MAX_AGE_SECONDS = 10.0
+"""Age of the latest admission from which observations of an emptied queue no longer count."""
+
 
 class _Pace(msgspec.Struct):
     """Observations of one queue.
@@ -23,17 +26,20 @@
         entered_at: When the latest request was admitted, or the first one began to wait.
         mean_seconds: Mean time between two admitted requests.
         intervals: Number of observed intervals.
+        paused: Whether the queue is empty, so that the time until its next request doesn't count.
     """
 
     entered_at: float
     mean_seconds: float = 0.0
     intervals: int = 0
+    paused: bool = False
 
 
 class QueuePace:
     """Mean admission intervals of the waiting tenants, by tenant and priority.
 
-    Memory is bounded by the queue: call ``forget`` when a tenant has no waiting requests any more.
+    Memory is bounded by the queue: call ``forget`` when a tenant has no waiting requests any more,
+    or ``pause`` where the number of names is bounded.
     """
 
     def __init__(self) -> None:
@@ -45,7 +51,14 @@
 
     def begin(self, tenant: str, priority: int, now: float) -> None:
         """Note that a request begins to wait."""
-        self._paces.setdefault((tenant, priority), _Pace(now))
+        pace = self._paces.setdefault((tenant, priority), _Pace(now))
+        if not pace.paused:
+            return
+        if now - pace.entered_at > MAX_AGE_SECONDS:
+            self._paces[tenant, priority] = _Pace(now)
+            return
+        pace.paused = False
+        pace.entered_at = now
 
     def record_entry(self, tenant: str, priority: int, now: float) -> None:
         """Note that a waiting request was admitted."""
@@ -56,6 +69,12 @@
         weight = max(SMOOTHING, 1.0 / pace.intervals)
         pace.mean_seconds += weight * (interval - pace.mean_seconds)
 
+    def pause(self, tenant: str, priority: int) -> None:
+        """Keep the observations of an empty queue until its next request, if that comes soon."""
+        pace = self._paces.get((tenant, priority))
+        if pace is not None:
+            pace.paused = True
+
     def forget(self, tenant: str, priority: int) -> None:
         """Drop the observations of an empty queue."""
         self._paces.pop((tenant, priority), None)
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -230,6 +230,7 @@
             nursery.start_soon(self.pauses.run)
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.relaying.run)
+            nursery.start_soon(self.exchanges.queue.run)
             nursery.start_soon(self.store_watch.run)
             nursery.start_soon(self.engine_watch.run)
             nursery.start_soon(self.quarantine.run)
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -480,6 +480,44 @@
     ("request_id", "tenant", "cost", "room", "share", "used", "nodes", "wait_ms"),
     "Nothing, or raise the tenant's quota; few `nodes` mean that the node gets few reports.",
 )
+REQUEST_WAITED = LogEvent(
+    "HS3111",
+    "request_waited",
+    Level.INFO,
+    (
+        "request_id",
+        "route",
+        "service",
+        "priority",
+        "waited_ms",
+        "ahead",
+        "late",
+        "instance",
+        "waiting",
+    ),
+    "Nothing; if it recurs: the service lacks capacity. Without an `instance` the wait ended so.",
+)
+REQUEST_REFUSED_EARLY = LogEvent(
+    "HS3112",
+    "request_refused_early",
+    Level.INFO,
+    (
+        "request_id",
+        "route",
+        "service",
+        "priority",
+        "reason",
+        "waited_ms",
+        "ahead",
+        "expected_wait_ms",
+        "first_byte_ms",
+        "remaining_ms",
+        "per_second",
+        "free_places",
+        "taken_places",
+    ),
+    "Add instances if it recurs; `per_second` is how many requests left the queue lately.",
+)
 
 SERVING_CONFIGURATION_APPLIED = LogEvent(
     "HS4101",
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -44,6 +44,24 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=registry,
         )
+        self.waiting = Gauge(
+            "hopstep_exchanges_waiting",
+            "Requests that wait at this node for an instance with capacity, by priority.",
+            ("priority",),
+            registry=registry,
+        )
+        self.waited = Histogram(
+            "hopstep_exchange_wait_seconds",
+            "Waits of requests at this node for an instance with capacity.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=registry,
+        )
+        self.early_refusals = Counter(
+            "hopstep_exchange_early_refusals",
+            "Requests refused before they were sent since they would wait too long, by priority.",
+            ("priority",),
+            registry=registry,
+        )
         self.read_tokens = Counter(
             "hopstep_exchange_read_tokens",
             "Prompt tokens that instances were expected to read.",
--- a/hopstep/services/exchanges/requests/admission.py
+++ b/hopstep/services/exchanges/requests/admission.py
@@ -41,6 +41,23 @@
             raise ServiceError(ErrorCode.BODY_TOO_LARGE, "the body is too long")
         return _make_request(head, body, route, tenant)
 
+    def readmit(self, request: ExchangeRequest, service: str) -> None:
+        """Check a request that has waited against the configuration in force by now.
+
+        Raises:
+            ServiceError: Its route, the route's service or its key isn't valid any more.
+        """
+        index = self._knowledge.require_index()
+        routes = index.configuration.routes
+        route = next((each for each in routes if each.name == request.route.name), None)
+        if route is None:
+            raise self._denied(ErrorCode.NOT_FOUND, "the route was removed")
+        if service not in (share.service for share in route.shares):
+            raise ServiceError(ErrorCode.OVERLOADED, "the route's service was replaced")
+        tenant = self._find_tenant(index, route, request.key)
+        if tenant is not None and request.tenant is not None and tenant.name != request.tenant.name:
+            raise self._denied(ErrorCode.INVALID_KEY, "the key is of another tenant by now")
+
     def _find_tenant(self, index: ServingIndex, route: Route, key: str) -> Tenant | None:
         """Return the tenant of a request; None on a public route or without tenants."""
         if route.public or not index.keys_required:
@@ -82,4 +99,5 @@
         prompt=head.prompt,
         resume_after=head.resume_after,
         usage_tokens=head.usage_tokens,
+        key=head.key if tenant is not None else "",
     )
--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import trio
 
 from hopstep.domain.exchanges.event_stream import EventFramer, StreamOrderError
@@ -40,7 +42,11 @@
     """
 
     def __init__(
-        self, request: ExchangeRequest, answer: ClientAnswer, outcome: ExchangeOutcome
+        self,
+        request: ExchangeRequest,
+        answer: ClientAnswer,
+        outcome: ExchangeOutcome,
+        on_first_byte: Callable[[], None],
     ) -> None:
         """Create the relay of one request.
 
@@ -48,6 +54,7 @@
             request: The request.
             answer: Writes the response to the client.
             outcome: Records times, number of events and the status.
+            on_first_byte: Called after the first byte of each instance's response.
         """
         self.started = False
         self.finished = False
@@ -55,6 +62,7 @@
         self._request = request
         self._answer = answer
         self._outcome = outcome
+        self._on_first_byte = on_first_byte
         self._framer = EventFramer(_event_number(request.resume_after))
 
     @property
@@ -114,6 +122,7 @@
                 view.segments.mark_read(candidate.keys, now)
                 view.first_byte(self._request.request_id, candidate.uncached_tokens, now)
                 view.succeeded(now - sent_at)
+                self._on_first_byte()
             view.note_received_byte(now)
             await self._send_events(answer, data)
         if self._framer.has_partial or not self.started:
@@ -157,6 +166,7 @@
                 )
         now = trio.current_time()
         candidate.view.first_byte(self._request.request_id, candidate.uncached_tokens, now)
+        self._on_first_byte()
         if answer.status in NOT_RUN_STATUSES:
             raise InstanceCallError(
                 ErrorCode.EXECUTION_UNKNOWN,
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -18,11 +18,11 @@
 from hopstep.ports.instance_calls import InstanceCallError, SendProof
 from hopstep.services.exchanges.requests.answer_relay import AnswerRelay
 from hopstep.services.exchanges.requests.exchange_parts import (
-    MILLISECONDS,
     ExchangeOutcome,
     ExchangeParts,
 )
 from hopstep.services.exchanges.requests.instance_attempt import InstanceAttempt
+from hopstep.services.exchanges.requests.instance_waits import InstanceWaits
 from hopstep.services.exchanges.requests.quarantine_gate import QuarantineGate
 
 FURTHER_STEPS = (NextStep.RETRY, NextStep.RESUME)
@@ -38,6 +38,7 @@
     Attributes:
         outcome: What is logged when the request has ended.
         refused_seconds: Remaining time for which the quarantine refuses the request; else 0.
+        waits: Its waits for instances.
     """
 
     def __init__(
@@ -56,9 +57,10 @@
         self._parts = parts
         self._request = request
         self._service = service
-        self._relay = AnswerRelay(request, answer, self.outcome)
+        self._relay = AnswerRelay(request, answer, self.outcome, parts.queue.recheck)
         self._budget = parts.budgets(service)
         self._tried: set[str] = set()
+        self.waits = InstanceWaits(parts, request, service, self._tried, self.outcome)
         self._unsent_attempts = 0
         self._may_have_run = False
         self._gate = QuarantineGate(parts.quarantine, parts.calls, request, self.outcome)
@@ -90,10 +92,15 @@
         """Make attempts until the response is complete or no further attempt is allowed."""
         only: str | None = None
         while True:
-            await self._refuse_quarantined()
-            self._refuse_unproved_key()
-            candidate = self._parts.choice.choose(self._request, self._service, self._tried, only)
-            if candidate is None and await self._wait_for_capacity():
+            await self._check_again()
+            try:
+                candidate = await self.waits.acquire(
+                    only, self._check_again, started=self._relay.started
+                )
+            except ServiceError as refusal:
+                self._fail(refusal.code, refusal.message)
+                return
+            if candidate is None and await self.waits.wait_for_opening():
                 continue
             if candidate is None:
                 self._fail(ErrorCode.OVERLOADED, "no instance may serve the request now")
@@ -122,27 +129,10 @@
                 return
             self._relay.restart()
 
-    async def _wait_for_capacity(self) -> bool:
-        """Wait until an instance accepts the request; return False when none will early enough.
-
-        Waits only as long as a response within the route's objective is expected: a longer wait
-        makes most responses late, and holds requests that are refused in the end.
-        """
-        parts, request = self._parts, self._request
-        answer_by = request.received_at + request.route.objective_seconds
-        opening = parts.choice.next_opening(request, self._service, self._tried, answer_by)
-        began_at = trio.current_time()
-        until = min(opening.permit_by, opening.opens_at or float("inf"))
-        if opening.limited and parts.limits.may_wait(opening.limited, request.rank, until):
-            await parts.limits.wait(opening.limited, request.rank, until)
-        elif opening.opens_at is not None:
-            await trio.sleep_until(opening.opens_at)
-        else:
-            if opening.limited:
-                parts.limits.note_refused(opening.limited)
-            return False
-        self.outcome.waited_ms += round((trio.current_time() - began_at) * MILLISECONDS)
-        return True
+    async def _check_again(self) -> None:
+        """Check whether the request may be sent; called before each attempt and after a wait."""
+        await self._refuse_quarantined()
+        self._refuse_unproved_key()
 
     async def _refuse_quarantined(self) -> None:
         """Refuse a request under which too many instances crashed; called before each attempt."""
@@ -205,6 +195,7 @@
         self._in_flight = attempt.proof
         error = await attempt.run()
         self._in_flight = SendProof()
+        self._parts.queue.recheck()
         if error is not None:
             self._record_attempt(view, error)
             return error
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -7,13 +7,14 @@
 import msgspec
 
 from hopstep.domain.exchanges.repeat_budget import RepeatBudget
-from hopstep.domain.exchanges.request import Headers
+from hopstep.domain.exchanges.request import ExchangeRequest, Headers
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.ports.instance_calls import InstanceCalls
 from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
 from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
+from hopstep.services.exchanges.requests.request_queue import RequestQueue
 from hopstep.services.quarantine.quarantine import Quarantine
 
 MILLISECONDS = 1_000
@@ -83,6 +84,9 @@
         count_failure: Called for each failed attempt with its error code and the next step.
         notices: Receives what instances announce in response headers.
         limits: Permits to send to rate-limited instances.
+        queue: Requests that wait for an instance with capacity.
+        readmit: Raises ``ServiceError`` when a request that has waited for a service isn't allowed
+            any more.
     """
 
     calls: InstanceCalls
@@ -96,3 +100,5 @@
     count_failure: Callable[[str, str], None]
     notices: InstanceNotices
     limits: InstanceLimits
+    queue: RequestQueue
+    readmit: Callable[[ExchangeRequest, str], None]
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -79,7 +79,12 @@
         self._other_zone_seconds = other_zone_seconds
 
     def choose(
-        self, request: ExchangeRequest, service: str, tried: Set[str], only: str | None = None
+        self,
+        request: ExchangeRequest,
+        service: str,
+        tried: Set[str],
+        only: str | None = None,
+        within: Set[str] | None = None,
     ) -> Candidate | None:
         """Return the best instance, or None when none may serve the request now.
 
@@ -88,6 +93,7 @@
             service: Service that the route chose.
             tried: Ids of instances that the request was sent to.
             only: Id of the only instance allowed; empty or None for any that wasn't tried.
+            within: Ids of the instances with capacity; None when capacity doesn't restrict it.
         """
         self._pauses.check()
         self._knowledge.instances.remove_expired()
@@ -96,11 +102,37 @@
         if only:
             eligible = [view for view in eligible if view.instance.instance_id == only]
         views = self._admissible(eligible, now) or self._without_report(eligible, request, now)
+        if within is not None:
+            views = [view for view in views if view.instance.instance_id in within]
         if views:
             self._note_wanted(request, service, eligible, views, now)
         asked = self._limit_probe(request, service, views, now)
         return asked or self._best(request, service, views, now)
 
+    def admissible(
+        self, request: ExchangeRequest, service: str, tried: Set[str]
+    ) -> list[InstanceView]:
+        """Return the instances that a request may be sent to now, whatever their capacity."""
+        self._pauses.check()
+        self._knowledge.instances.remove_expired()
+        now = trio.current_time()
+        eligible = self._eligible(request, service, tried, now)
+        return self._admissible(eligible, now) or self._without_report(eligible, request, now)
+
+    def note_waiting(self, request: ExchangeRequest, service: str, tried: Set[str]) -> None:
+        """Request permits for limited instances on behalf of a request that waits for capacity."""
+        now = trio.current_time()
+        eligible = self._eligible(request, service, tried, now)
+        self._note_wanted(request, service, eligible, self._admissible(eligible, now), now)
+
+    def uncached_tokens(self, request: ExchangeRequest, view: InstanceView) -> int:
+        """Return the tokens of a request's prompt that an instance hasn't cached."""
+        prompt = request.prompt
+        if prompt is None:
+            return 0
+        keys = segment_keys(prompt.model, self.salt(request, view), prompt.segments)
+        return max(0, prompt.prompt_tokens - view.segments.cached_tokens(keys))
+
     def _note_wanted(
         self,
         request: ExchangeRequest,
--- /dev/null
+++ b/hopstep/services/exchanges/requests/queue_binding.py
@@ -0,0 +1,61 @@
+"""Binds waiting requests to instances with capacity, each as it leaves the queue."""
+
+from __future__ import annotations
+
+from collections.abc import Set
+
+from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
+from hopstep.services.exchanges.requests.queue_refusals import WaitingExchange
+from hopstep.services.exchanges.requests.service_capacity import Capacity, ServiceCapacity
+
+
+class QueueBinding:
+    """Chooses instances for waiting requests.
+
+    An instance that was chosen for a request gets no other one until the first is counted there.
+    """
+
+    def __init__(self, capacity: ServiceCapacity, choice: InstanceChoice) -> None:
+        """Start without any bound request.
+
+        Args:
+            capacity: Tells which instances have capacity.
+            choice: Chooses the instance of a request.
+        """
+        self._capacity = capacity
+        self._choice = choice
+        self._reserved: set[str] = set()
+        self._blocked: set[tuple[str, str, bool]] = set()
+
+    def look(self, request: ExchangeRequest, service: str, tried: Set[str]) -> Capacity:
+        """Return the capacity for a request now."""
+        views = self._capacity.candidates(request, service, tried)
+        return self._capacity.of(request, service, views, self._reserved)
+
+    def begin_pass(self) -> None:
+        """Begin to go through the waiting requests: what was found before no longer holds."""
+        self._blocked.clear()
+
+    def try_bind(self, waiting: WaitingExchange) -> bool:
+        """Return whether a request needn't wait any more; if so, its instance is chosen."""
+        request, service, tried = waiting.request, waiting.service, waiting.tried
+        model = request.prompt.model if request.prompt is not None else ""
+        group = (service, model, self._capacity.is_urgent(request, service))
+        if group in self._blocked and not tried:
+            return False
+        capacity = self.look(request, service, tried)
+        if capacity.must_wait:
+            self._choice.note_waiting(request, service, tried)
+            if not capacity.has_places and not tried:
+                self._blocked.add(group)
+            return False
+        waiting.candidate = self._choice.choose(request, service, tried, within=capacity.within)
+        if waiting.candidate is not None:
+            self._reserved.add(waiting.candidate.view.instance.instance_id)
+        return True
+
+    def release(self, waiting: WaitingExchange) -> None:
+        """Note that a request that was bound is about to be counted, or has been given up."""
+        if waiting.candidate is not None:
+            self._reserved.discard(waiting.candidate.view.instance.instance_id)
--- /dev/null
+++ b/hopstep/services/exchanges/requests/queue_refusals.py
@@ -0,0 +1,155 @@
+"""Expects how long requests wait at this node, and refuses those that would wait in vain."""
+
+from __future__ import annotations
+
+from collections.abc import Set
+
+import msgspec
+import trio
+
+from hopstep import log_events
+from hopstep.domain.exchanges.early_refusal import (
+    FirstByteTimes,
+    Prospect,
+    ReturningClients,
+    return_seconds,
+)
+from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.exchanges.selection import Candidate
+from hopstep.domain.exchanges.waiting_order import WaitingRequest
+from hopstep.domain.queue_pace import QueuePace
+from hopstep.exceptions import ErrorCode, ServiceError
+from hopstep.logs import emit
+from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
+from hopstep.services.exchanges.requests.service_capacity import Capacity
+
+MILLISECONDS = 1_000
+
+ALL_PRIORITIES = 0
+"""Priority under which the pace of a whole service is kept."""
+
+
+class QueueRefusalError(ServiceError):
+    """A request is refused because it would wait for too long; it hasn't been sent."""
+
+    def __init__(self, message: str, return_seconds: float) -> None:
+        """Create the refusal.
+
+        Args:
+            message: Why, for a person.
+            return_seconds: Time after which the request would be served; 0 when unknown.
+        """
+        super().__init__(ErrorCode.OVERLOADED, message)
+        self.return_seconds = return_seconds
+
+
+class WaitingExchange(msgspec.Struct, eq=False):
+    """A request that waits at this node, and how its wait ended.
+
+    Attributes:
+        order: What its place in the order depends on.
+        request: The request.
+        service: Service that the route chose.
+        tried: Ids of instances that the request was sent to.
+        began_at: When it began to wait, by the steady clock in seconds.
+        ahead: Requests that went before it then.
+        woken: Set when its wait has ended.
+        candidate: Instance that was chosen for it; None when there is none.
+        error: Why it was refused; None when it wasn't.
+    """
+
+    order: WaitingRequest
+    request: ExchangeRequest
+    service: str
+    tried: Set[str]
+    began_at: float
+    ahead: int
+    woken: trio.Event = msgspec.field(default_factory=trio.Event)
+    candidate: Candidate | None = None
+    error: ServiceError | None = None
+
+
+class QueueRefusals:
+    """Observes the queue of one node, and makes its refusals.
+
+    Attributes:
+        first_bytes: Times from sending a request to its first byte, by route.
+    """
+
+    def __init__(self, metrics: ExchangeMetrics) -> None:
+        """Start without observations.
+
+        Args:
+            metrics: Counts early refusals.
+        """
+        self.first_bytes = FirstByteTimes()
+        self._metrics = metrics
+        self._pace = QueuePace()
+        self._returning: dict[str, ReturningClients] = {}
+
+    def note_entered(self, service: str) -> None:
+        """Note that a request begins to wait for a service."""
+        self._pace.begin(service, ALL_PRIORITIES, trio.current_time())
+
+    def note_departed(self, service: str) -> None:
+        """Note that an instance was chosen for a waiting request."""
+        self._pace.record_entry(service, ALL_PRIORITIES, trio.current_time())
+
+    def note_empty(self, service: str) -> None:
+        """Note that no request waits for a service any more."""
+        self._pace.pause(service, ALL_PRIORITIES)
+
+    def prospect(
+        self, waiting: WaitingExchange, ahead: int, capacity: Capacity, less_urgent_waits: bool
+    ) -> Prospect:
+        """Return what is expected of a request.
+
+        Args:
+            waiting: The request.
+            ahead: Requests of its service that go before it.
+            capacity: Capacity of the instances that may serve it.
+            less_urgent_waits: Whether a less urgent request of its service waits.
+        """
+        now = trio.current_time()
+        request = waiting.request
+        return Prospect(
+            ahead=ahead,
+            wait_seconds=self._expected_wait(waiting.service, ahead),
+            first_byte_seconds=self.first_bytes.expected(request.route.name),
+            remaining_seconds=request.deadline - now,
+            free_places=capacity.free_places,
+            taken_places=capacity.taken_places,
+            less_urgent_waits=less_urgent_waits,
+        )
+
+    def refuse(
+        self, waiting: WaitingExchange, prospect: Prospect, message: str
+    ) -> QueueRefusalError:
+        """Return the refusal of a request, with the time after which it would be served."""
+        now = trio.current_time()
+        interval = self._expected_wait(waiting.service, 0)
+        returning = self._returning.setdefault(waiting.service, ReturningClients())
+        seconds = return_seconds(prospect, interval, returning.count(now))
+        returning.add(now + seconds)
+        self._metrics.early_refusals.labels(str(waiting.order.rank)).inc()
+        emit(
+            log_events.REQUEST_REFUSED_EARLY,
+            request_id=waiting.request.request_id,
+            route=waiting.request.route.name,
+            service=waiting.service,
+            priority=waiting.order.rank,
+            reason=message,
+            waited_ms=round((now - waiting.began_at) * MILLISECONDS),
+            ahead=prospect.ahead,
+            expected_wait_ms=round(prospect.wait_seconds * MILLISECONDS),
+            first_byte_ms=round(prospect.first_byte_seconds * MILLISECONDS),
+            remaining_ms=round(prospect.remaining_seconds * MILLISECONDS),
+            per_second=round(1.0 / interval, 2) if interval else 0.0,
+            free_places=prospect.free_places,
+            taken_places=prospect.taken_places,
+        )
+        return QueueRefusalError(message, seconds)
+
+    def _expected_wait(self, service: str, ahead: int) -> float:
+        """Return the expected wait in seconds behind a number of requests; 0 when unknown."""
+        return self._pace.expected_wait(service, ALL_PRIORITIES, ahead, trio.current_time())
--- a/hopstep/services/exchanges/requests/retry_advisor.py
+++ b/hopstep/services/exchanges/requests/retry_advisor.py
@@ -10,6 +10,7 @@
 import trio
 
 from hopstep.domain.exchanges.retry_after import (
+    QueueReturn,
     RefusalFacts,
     RetryAdvice,
     RetryReason,
@@ -56,6 +57,7 @@
         service: str = "",
         tried: Set[str] = frozenset(),
         refused_seconds: float = 0.0,
+        queue_return: QueueReturn | None = None,
     ) -> RetryAdvice:
         """Return when a client should retry.
 
@@ -64,6 +66,7 @@
             service: Service of the request; empty when it wasn't looked up.
             tried: Ids of instances that the request was sent to.
             refused_seconds: Remaining time for which the quarantine refuses the request; else 0.
+            queue_return: When the queue has drained; None when it wasn't the reason.
         """
         if refused_seconds:
             return RetryAdvice(refused_seconds, RetryReason.QUARANTINE)
@@ -89,6 +92,7 @@
             relisting_seconds=None if views else knowledge.contact.relisting_seconds(now),
             store_silence_seconds=now - knowledge.contact.last_answer_at,
             others_answer=now - knowledge.last_answer_at < NODE_ANSWER_SECONDS,
+            queue_return=queue_return,
         )
         return self._spread(facts, now)
 
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -11,7 +11,7 @@
 from hopstep import log_events
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds, RepeatBudget
 from hopstep.domain.exchanges.request import ExchangeRequest
-from hopstep.domain.exchanges.retry_after import RetryAdvice, RetryReason
+from hopstep.domain.exchanges.retry_after import QueueReturn, RetryAdvice, RetryReason
 from hopstep.domain.exchanges.serving import RequestLimits
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
@@ -33,7 +33,9 @@
 )
 from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
 from hopstep.services.exchanges.requests.quotas import Quotas
+from hopstep.services.exchanges.requests.request_queue import RequestQueue
 from hopstep.services.exchanges.requests.retry_advisor import RetryAdvisor
+from hopstep.services.exchanges.requests.service_capacity import ServiceCapacity
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.services.quarantine.quarantine import Quarantine
 
@@ -91,17 +93,14 @@
         self._quotas = quotas
         self._metrics = metrics
         self._budgets: dict[str, RepeatBudget] = {}
+        choice = InstanceChoice(
+            knowledge, store_watch, pauses, generator, zone, other_zone_seconds, drain_seconds
+        )
+        capacity = ServiceCapacity(knowledge, choice)
+        self.queue = RequestQueue(capacity, choice, lifecycle, metrics)
         self._parts = ExchangeParts(
             calls=calls,
-            choice=InstanceChoice(
-                knowledge,
-                store_watch,
-                pauses,
-                generator,
-                zone,
-                other_zone_seconds,
-                drain_seconds,
-            ),
+            choice=choice,
             budgets=self._budget,
             nodes=knowledge.count_nodes,
             note_sent=sharing.note_sent,
@@ -111,6 +110,8 @@
             count_failure=self._count_failure,
             notices=notices,
             limits=limits,
+            queue=self.queue,
+            readmit=self.admission.readmit,
         )
 
     def max_body_bytes(self) -> int:
@@ -155,7 +156,11 @@
             outcome.outcome = f"{error.code.value}:{error.execution.value}"
             outcome.kept_from = self._kept_from(request, service, exchange.tried)
             advice = self._advisor.advise(
-                error.code, service, exchange.tried, exchange.refused_seconds
+                error.code,
+                service,
+                exchange.tried,
+                exchange.refused_seconds,
+                _queue_return(request, exchange),
             )
             error.retry_after_seconds = advice.seconds
             if error.execution is Execution.NOT_RUN:
@@ -220,6 +225,9 @@
     def _count(self, request: ExchangeRequest, outcome: ExchangeOutcome) -> None:
         """Count an admitted request that has ended."""
         kind = request.route.kind.value
+        if outcome.first_byte_ms >= 0 and outcome.attempts == 1:
+            sent_ms = max(0, outcome.first_byte_ms - outcome.waited_ms)
+            self.queue.refusals.first_bytes.observe(request.route.name, sent_ms / MILLISECONDS)
         self._metrics.requests.labels(kind, outcome.outcome).inc()
         self._metrics.read_tokens.inc(outcome.read_tokens)
         if outcome.first_byte_ms >= 0:
@@ -244,6 +252,15 @@
         return budget
 
 
+def _queue_return(request: ExchangeRequest, exchange: Exchange) -> QueueReturn | None:
+    """Return when a client should return that was refused for the wait of its request."""
+    seconds = exchange.waits.return_seconds
+    if seconds is None:
+        return None
+    remaining = request.client_deadline - trio.current_time()
+    return QueueReturn(seconds, remaining)
+
+
 def _retry_after_ms(advice: RetryAdvice | None) -> int:
     """Return the advised wait in milliseconds; 0 for none."""
     return round(advice.seconds * MILLISECONDS) if advice is not None else 0
--- a/tests/domain/exchanges/test_retry_after.py
+++ b/tests/domain/exchanges/test_retry_after.py
@@ -6,6 +6,7 @@
     AT_ONCE_SECONDS,
     DEFAULT_SECONDS,
     MAX_SECONDS,
+    QueueReturn,
     RefusalFacts,
     RetryReason,
     advise,
@@ -69,3 +70,20 @@
                     found = self.advice(code, draw, loading_seconds=loading, recent_refusals=50)
                     self.assertGreaterEqual(found.seconds, AT_ONCE_SECONDS)
                     self.assertLessEqual(found.seconds, MAX_SECONDS)
+
+    def test_clients_of_a_full_queue_return_when_it_has_drained(self):
+        for draw, seconds in ((0.0, 1.0), (1.0, 1.25)):
+            found = self.advice(
+                ErrorCode.OVERLOADED, draw, other_instance=True, queue_return=QueueReturn(1.0, 9.0)
+            )
+            self.assertEqual((found.reason, found.seconds), (RetryReason.QUEUE_FULL, seconds))
+
+    def test_clients_of_a_full_queue_are_never_told_more_than_they_wait(self):
+        for draw in (0.0, 0.5, 1.0):
+            found = self.advice(ErrorCode.OVERLOADED, draw, queue_return=QueueReturn(60.0, 6.0))
+            self.assertLessEqual(found.seconds, 2.0)
+            self.assertGreaterEqual(found.seconds, 1.6)
+
+    def test_a_node_that_stops_sends_clients_of_its_queue_elsewhere(self):
+        found = self.advice(ErrorCode.STOPPING, queue_return=QueueReturn(1.0, 9.0))
+        self.assertEqual(found.reason, RetryReason.OTHER_NODE)
--- a/tests/services/exchanges/test_instance_limits.py
+++ b/tests/services/exchanges/test_instance_limits.py
@@ -19,6 +19,9 @@
 REQUEST_SECONDS = 0.05
 """Seconds between two requests at each node: 20 a second."""
 
+SLOTS = 64
+"""Slots of each instance: more than the load needs, so that only limits hold requests back."""
+
 BUSY_SECONDS = 0.5
 """Seconds that a request takes at a busy instance: ten times as long as at an idle one."""
 
@@ -43,7 +46,7 @@
     def make_world(self, nodes=NODES, zones=3, seed=1):
         world = ExchangeWorld(nodes=nodes, zones=zones, seed=seed)
         for instance_id in INSTANCES:
-            world.add(instance_id)
+            world.add(instance_id, slots=SLOTS)
         for instance_id in INSTANCES[1:]:
             world.instances.servers[instance_id].work_seconds = BUSY_SECONDS
         return world
@@ -295,7 +298,7 @@
     def run_limited(self, limit, nodes, script, asking_nodes=None):
         world = ExchangeWorld(nodes=nodes, zones=3)
         for instance_id in INSTANCES:
-            world.add(instance_id)
+            world.add(instance_id, slots=SLOTS)
 
         async def limited(world):
             server = world.instances.servers["i1"]
