--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 
 import trio
 
@@ -48,7 +48,11 @@
     """
 
     def __init__(
-        self, request: ExchangeRequest, answer: ClientAnswer, outcome: ExchangeOutcome
+        self,
+        request: ExchangeRequest,
+        answer: ClientAnswer,
+        outcome: ExchangeOutcome,
+        on_first_byte: Callable[[], None],
     ) -> None:
         """Create the relay of one request.
 
@@ -56,6 +60,7 @@
             request: The request.
             answer: Writes the response to the client.
             outcome: Records times, number of events and the status.
+            on_first_byte: Called after the first byte of each instance's response.
         """
         self.started = False
         self.finished = False
@@ -64,6 +69,7 @@
         self._request = request
         self._answer = answer
         self._outcome = outcome
+        self._on_first_byte = on_first_byte
         self._framer = EventFramer(_event_number(request.resume_after))
 
     @property
@@ -123,6 +129,7 @@
                 view.segments.mark_read(candidate.keys, now)
                 view.first_byte(self._request.request_id, candidate.work_tokens, now)
                 view.succeeded(now - sent_at)
+                self._on_first_byte()
             view.note_received_byte(now)
             await self._send_events(answer, data)
             self._require_space(space)
@@ -196,6 +203,7 @@
         """
         now = trio.current_time()
         candidate.view.first_byte(self._request.request_id, candidate.work_tokens, now)
+        self._on_first_byte()
         if answer.status in NOT_RUN_STATUSES:
             raise InstanceCallError(
                 ErrorCode.EXECUTION_UNKNOWN,
