Learn prefill speeds, count memory, and notice streams that fall silent

Every engine was taken to prefill 40,000 tokens a second, and nobody knew what its memory held. Nodes now add up observed and expected prefill times of the last 10 s and send both sums with their loads (InstanceLoad, appended fields read_ms, expected_read_ms, used_tokens); slowness is their ratio, the median of the service without observations. A message reports the speeds of at most 256 idle instances.

Requests count with their uncached prompt tokens and expected answer tokens (Length-Hint) until they end; has_room compares the sum of all nodes with the engine's memory.

An engine that went silent after its first byte was used until the deadline. Streams that wait for a chunk now count like requests that wait for a first byte, except while the engine loads weights or the client doesn't read. Resumable streams continue elsewhere; others are left, and new requests avoid the engine.

Golden bytes of format 4 were written anew for the appended fields; the check of format 2 compares with hints without these fields, as the bytes of that version have none.

--- a/hopstep/domain/exchanges/instance_health.py
+++ b/hopstep/domain/exchanges/instance_health.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 FIRST_SUSPENSION_SECONDS = 0.4
 """Suspension after a first failure; each consecutive failure doubles it."""
 
@@ -44,7 +46,8 @@
         self._on_trial = False
         self._trial_request = ""
         self._last_byte_at = 0.0
-        self._waiting_since: dict[str, float] = {}
+        self._unanswered_since: dict[str, float] = {}
+        self._streaming_since: dict[str, float] = {}
 
     @property
     def expected_latency(self) -> float:
@@ -138,21 +141,51 @@
     def discount_pause(self, seconds: float) -> None:
         """Disregard a time in which this node was paused and received nothing."""
         self._last_byte_at += seconds
-        for request_id in self._waiting_since:
-            self._waiting_since[request_id] += seconds
+        for since in (self._unanswered_since, self._streaming_since):
+            for request_id in since:
+                since[request_id] += seconds
+
+    def expect_chunk(self, request_id: str, now: float) -> None:
+        """Note that a stream waits for the next chunk, and no longer for its client to read."""
+        self._streaming_since[request_id] = now
+
+    def note_chunk(self, request_id: str, now: float) -> None:
+        """Note that a chunk of a stream has arrived."""
+        self._streaming_since.pop(request_id, None)
+        self.note_received_byte(now)
+
+    def end_stream(self, request_id: str) -> None:
+        """Note that a stream has ended, or was left."""
+        self._streaming_since.pop(request_id, None)
 
-    def _is_silent(self, pending_tokens: int, now: float) -> bool:
-        """Return whether requests wait and nothing has arrived from the instance for too long.
+    def _leaves_unanswered(self, pending_tokens: int, now: float) -> bool:
+        """Return whether requests wait for a first byte and no byte has arrived for too long.
 
         Args:
             pending_tokens: Prompt tokens that the instance has still to prefill.
             now: Steady clock.
         """
-        if not self._waiting_since:
-            return False
-        oldest = min(self._waiting_since.values())
+        return self._is_silent(self._unanswered_since, pending_tokens, self._last_byte_at, now)
+
+    def _pauses_streams(self, pending_tokens: int, now: float, loading_until: float) -> bool:
+        """Return whether streams that have begun wait and no byte has arrived for too long.
+
+        Args:
+            pending_tokens: Prompt tokens that the instance has still to prefill.
+            now: Steady clock.
+            loading_until: Until then it may pause streams, as it loads weights.
+        """
+        last_at = max(self._last_byte_at, loading_until)
+        return self._is_silent(self._streaming_since, pending_tokens, last_at, now)
+
+    def _is_silent(
+        self, since: Mapping[str, float], pending_tokens: int, last_at: float, now: float
+    ) -> bool:
+        """Return whether requests have waited for too long, counted from ``last_at`` at least."""
         patience = UNRESPONSIVE_SECONDS + pending_tokens * UNRESPONSIVE_SECONDS_PER_TOKEN
-        return now - max(oldest, self._last_byte_at) > patience
+        if not since or now - last_at <= patience:
+            return False
+        return now - max(last_at, min(since.values())) > patience
 
 
 def _suspension_seconds(failures: int) -> float:
--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -52,6 +52,7 @@
         self.announced_state = announced_state or AnnouncedState()
         self._first_telling = first_peer_report or FirstPeerReport()
         self.hashed = hash_name(instance.instance_id)
+        self.cache_tokens = cache_tokens
         self.segments = SegmentIndex(int(cache_tokens * INDEXED_SHARE))
         self.versions: dict[str, int] = dict(instance.versions)
         self._assumed: dict[str, int] = {}
@@ -140,28 +141,73 @@
 
     def has_room(self, need: CapacityNeed, now: float) -> bool:
         """Return whether the instance has capacity for a request."""
-        return self.is_usable(now) and self.free_places(now, urgent=need.urgent) > 0
+        if not self.is_usable(now) or self.free_places(now, urgent=need.urgent) <= 0:
+            return False
+        used = self.total_used_tokens(now)
+        return not self.cache_tokens or not used or used + need.tokens <= self.cache_tokens
 
-    def begin(self, request_id: str, uncached_tokens: int, now: float) -> None:
-        """Count a request that is sent to the instance."""
-        self.active += 1
-        self.pending_tokens += uncached_tokens
-        self._waiting_since[request_id] = now
+    def begin(
+        self,
+        request_id: str,
+        uncached_tokens: int,
+        now: float,
+        *,
+        used_tokens: int = 0,
+        moves_segments: bool = False,
+    ) -> None:
+        """Count a request that is sent to the instance.
+
+        Args:
+            request_id: Id of the request.
+            uncached_tokens: Prompt tokens that it has to prefill.
+            now: Steady clock.
+            used_tokens: Memory in tokens that the request takes until its end.
+            moves_segments: Whether cached segments are moved to it first.
+        """
+        has_slot = self.total_active(now) < self.instance.slots
+        is_observed = has_slot and not moves_segments and now >= self.loading_until
+        self._add_request(request_id, uncached_tokens, now, is_observed=is_observed)
+        self.used_tokens += used_tokens
+        self._unanswered_since[request_id] = now
         self._begin_trial(request_id)
 
-    def first_byte(self, request_id: str, uncached_tokens: int, now: float) -> None:
-        """Note the first byte of a response's body."""
-        if self._waiting_since.pop(request_id, None) is not None:
-            self.pending_tokens -= uncached_tokens
+    def first_byte(
+        self, request_id: str, uncached_tokens: int, now: float, *, shows_speed: bool = False
+    ) -> None:
+        """Note the first byte of a response's body.
+
+        Args:
+            request_id: Id of the request.
+            uncached_tokens: As given when it began.
+            now: Steady clock.
+            shows_speed: Whether it is the first token of an answer to a prompt.
+        """
+        work = self._end_prefill(request_id, uncached_tokens)
+        if work is not None and shows_speed:
+            self._observe(work, uncached_tokens, now)
+        self._unanswered_since.pop(request_id, None)
         self._full.clear()
         self.note_received_byte(now)
 
-    def end(self, request_id: str, uncached_tokens: int) -> None:
-        """Count a request that has ended."""
+    def end(self, request_id: str, uncached_tokens: int, used_tokens: int = 0) -> None:
+        """Count a request that has ended.
+
+        Args:
+            request_id: Id of the request.
+            uncached_tokens: As given when it began.
+            used_tokens: As given when it began.
+        """
         self.active -= 1
+        self.used_tokens -= used_tokens
+        self._end_prefill(request_id, uncached_tokens)
+        self._unanswered_since.pop(request_id, None)
+        self.end_stream(request_id)
         self._leave_trial(request_id)
-        if self._waiting_since.pop(request_id, None) is not None:
-            self.pending_tokens -= uncached_tokens
+
+    def discount_pause(self, seconds: float) -> None:
+        """Disregard a time in which this node was paused and received nothing."""
+        InstanceLoadView.discount_pause(self, seconds)
+        InstanceHealth.discount_pause(self, seconds)
 
     def admission(
         self, purpose: Purpose, now: float, last_requests_seconds: float = 0.0
@@ -195,9 +241,16 @@
             return Barrier.ENDED
         return Barrier.DRAINING if self.instance.draining else None
 
+    def leaves_unanswered(self, now: float) -> bool:
+        """Return whether requests wait for a first byte and nothing has arrived for too long."""
+        return self._leaves_unanswered(self.total_pending_tokens(now), now)
+
     def is_unresponsive(self, now: float) -> bool:
-        """Return whether requests wait and nothing has arrived from the instance for too long."""
-        return self._is_silent(self.total_pending_tokens(now), now)
+        """Return whether requests or streams wait and nothing has arrived for too long."""
+        pending = self.total_pending_tokens(now)
+        return self._leaves_unanswered(pending, now) or self._pauses_streams(
+            pending, now, self.loading_until
+        )
 
     def rejected_as_full(self, now: float) -> bool:
         """Note that it rejected a request as full; return whether it didn't count as full yet."""
--- a/hopstep/domain/exchanges/load_ledger.py
+++ b/hopstep/domain/exchanges/load_ledger.py
@@ -17,13 +17,19 @@
         incarnation: The instance's incarnation, as ``str(InstanceIncarnation)``.
         active: Requests in progress.
         pending_tokens: Prompt tokens still to be prefilled.
-        avoided_by: Nodes that send it nothing now, because it failed.
+        avoided_by: Nodes that send it nothing now, because it failed or is full.
+        read_ms: Observed times of recent prefills, in milliseconds.
+        expected_read_ms: Expected times of the same prefills; see ``ReadSums``.
+        used_tokens: Memory of the requests in progress, in tokens.
     """
 
     incarnation: str = msgspec.field(name="life")
     active: int = 0
     pending_tokens: int = 0
     avoided_by: int = 0
+    read_ms: int = 0
+    expected_read_ms: int = 0
+    used_tokens: int = 0
 
     def plus(self, other: InstanceLoad, sign: int = 1) -> InstanceLoad:
         """Return the sum with another load of the same instance, or the difference for -1."""
@@ -32,16 +38,37 @@
             self.active + sign * other.active,
             self.pending_tokens + sign * other.pending_tokens,
             self.avoided_by + sign * other.avoided_by,
+            self.read_ms + sign * other.read_ms,
+            self.expected_read_ms + sign * other.expected_read_ms,
+            self.used_tokens + sign * other.used_tokens,
         )
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether it has no requests and nobody avoids it; its speed may be known."""
+        return not (self.active or self.pending_tokens or self.avoided_by or self.used_tokens)
+
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing to report."""
-        return not (self.active or self.pending_tokens or self.avoided_by)
+        return self.is_idle and not (self.read_ms or self.expected_read_ms)
 
 
 Loads = dict[str, InstanceLoad]
 
+MAX_IDLE_LOADS = 256
+"""Most instances without requests of which one message reports the speed: some 10 kB."""
+
+
+def reportable(loads: Iterable[InstanceLoad]) -> tuple[InstanceLoad, ...]:
+    """Return the loads that a message reports; of too many idle instances, the most observed."""
+    used: list[InstanceLoad] = []
+    idle: list[InstanceLoad] = []
+    for load in loads:
+        (idle if load.is_idle else used).append(load)
+    idle.sort(key=lambda load: load.expected_read_ms, reverse=True)
+    return (*used, *idle[:MAX_IDLE_LOADS])
+
 
 class _Report(msgspec.Struct, frozen=True):
     loads: tuple[InstanceLoad, ...]
--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -36,12 +36,22 @@
         segments: Parts in order; the last is specific to the request or its session.
         prompt_tokens: Length of the whole prompt.
         answer_tokens: Highest number of tokens in the answer.
+        expected_answer_tokens: Expected number; 0 when not stated.
     """
 
     model: str
     segments: tuple[PromptSegment, ...] = ()
     prompt_tokens: int = 0
     answer_tokens: int = 0
+    expected_answer_tokens: int = 0
+
+    def used_tokens(self, uncached_tokens: int) -> int:
+        """Return the memory in tokens that a request takes at an instance until its end.
+
+        Args:
+            uncached_tokens: Prompt tokens that the instance hasn't cached.
+        """
+        return uncached_tokens + (self.expected_answer_tokens or self.answer_tokens)
 
 
 class ExchangeRequest(msgspec.Struct, frozen=True):
--- a/hopstep/domain/exchanges/selection.py
+++ b/hopstep/domain/exchanges/selection.py
@@ -8,12 +8,10 @@
 import msgspec
 
 from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.exchanges.read_speed import READ_SECONDS_PER_TOKEN
 from hopstep.domain.exchanges.segment_moves import EngineRequest, SegmentSources
 from hopstep.domain.exchanges.segments import SegmentKey
 
-READ_SECONDS_PER_TOKEN = 1.0 / 40_000
-"""Assumed time to prefill one prompt token; each instance's slowness scales it."""
-
 ACTIVE_SECONDS = 0.002
 """Delay of a new request by each request that is decoding."""
 
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -637,6 +637,13 @@
     ("instance", "life", "service", "suspended_ms", "node"),
     "If all lines name one `node`: check its link; otherwise check the instance.",
 )
+INSTANCE_SPEED_CHANGED = LogEvent(
+    "HS6122",
+    "instance_speed_changed",
+    Level.INFO,
+    ("instance", "life", "service", "slowness", "previous"),
+    "If one stays far above the others of its service: check its machine. 1 is the assumed speed.",
+)
 WEIGHTS_NAMED = LogEvent(
     "HS6103",
     "weights_named",
--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -211,7 +211,8 @@
     usage = _text(found, names.TOKEN_USAGE).split(",")
     prompt_tokens = _count(usage[0]) or sum(segment.tokens for segment in segments)
     answer_tokens = _count(usage[1]) if len(usage) > 1 else 0
-    return Prompt(model, segments, prompt_tokens, answer_tokens)
+    expected_tokens = _count(_text(found, names.LENGTH_HINT))
+    return Prompt(model, segments, prompt_tokens, answer_tokens, expected_tokens)
 
 
 def _read_usage(found: dict[bytes, bytes]) -> int | None:
--- a/hopstep/services/exchanges/peers/load_sharing.py
+++ b/hopstep/services/exchanges/peers/load_sharing.py
@@ -11,7 +11,13 @@
 import msgspec
 import trio
 
-from hopstep.domain.exchanges.load_ledger import InstanceLoad, LoadLedger, Loads, add_loads
+from hopstep.domain.exchanges.load_ledger import (
+    InstanceLoad,
+    LoadLedger,
+    Loads,
+    add_loads,
+    reportable,
+)
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.sent_log import SentLog
@@ -24,6 +30,7 @@
 )
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
+from hopstep.services.exchanges.instances.instance_speeds import InstanceSpeeds
 from hopstep.services.exchanges.peers.suspicions import Suspicions
 from hopstep.services.exchanges.peers.urgent_queue import UrgentQueue
 
@@ -62,6 +69,7 @@
             notices: What instances announce in response headers.
         """
         self.suspicions = Suspicions(knowledge, urgent)
+        self._speeds = InstanceSpeeds(knowledge.table)
         self._notices = notices
         self._urgent = urgent
         self.log: SentLog[SegmentUpdate] = SentLog(secrets.token_hex(LOG_IDENTITY_BYTES))
@@ -146,7 +154,10 @@
 
     def _add_prompt(self, node: str, prompt: SentPrompt, now: float) -> None:
         """Add a long prompt to the load that its sender reported."""
-        [load] = self._assign_listed((InstanceLoad(prompt.segments.incarnation, 1, prompt.tokens),))
+        sent = InstanceLoad(
+            prompt.segments.incarnation, 1, prompt.tokens, used_tokens=prompt.tokens
+        )
+        load = self._assign_load(sent)
         incarnation = load.incarnation
         if self._knowledge.relays.relay() == node:
             self._others.add(RELAY_ANSWERS, load, now)
@@ -163,26 +174,14 @@
     def own_hints(self) -> Hints:
         """Return this node's loads, and its updates since the last call."""
         now = trio.current_time()
-        return Hints(
-            self._own_loads(now),
-            self._take_unsent(),
-            self._loading_now(now),
-            leaving=self._leaving_now(now),
-            limits=self._notices.limit_reports(),
-        )
+        return self._hints(self._own_loads(now), self._take_unsent(), now)
 
     def group_hints(self) -> Hints:
         """Return the same as ``own_hints`` for this node and the nodes that query it."""
         now = trio.current_time()
         totals = self._members.totals(now)
         add_loads(totals, self._own_loads(now))
-        return Hints(
-            tuple(totals.values()),
-            self._take_unsent(),
-            self._loading_now(now),
-            leaving=self._leaving_now(now),
-            limits=self._notices.limit_reports(),
-        )
+        return self._hints(totals.values(), self._take_unsent(), now)
 
     def hints_for(self, node: str, identity: str, position: int) -> tuple[Hints, int]:
         """Return the hints for a querying node, and its next position in the log."""
@@ -190,14 +189,19 @@
         totals = self._totals(now, without=node)
         add_loads(totals, self._own_loads(now))
         updates, position = self.log.after(identity, position, node, MAX_SEGMENT_UPDATES)
-        hints = Hints(
-            tuple(totals.values()),
+        return self._hints(totals.values(), updates, now), position
+
+    def _hints(
+        self, loads: Iterable[InstanceLoad], updates: tuple[SegmentUpdate, ...], now: float
+    ) -> Hints:
+        """Return hints with some loads and segment updates."""
+        return Hints(
+            reportable(loads),
             updates,
             self._loading_now(now),
             leaving=self._leaving_now(now),
             limits=self._notices.limit_reports(),
         )
-        return hints, position
 
     def take_from_member(self, node: str, hints: Hints) -> None:
         """Apply the hints of a node that queries this one."""
@@ -233,6 +237,7 @@
         totals = self._totals(now)
         for view in self._knowledge.table:
             view.set_load_of_others(totals.get(view.incarnation), now)
+        self._speeds.refresh()
 
     def _totals(self, now: float, without: str = "") -> Loads:
         """Return the loads of all other nodes, optionally without one."""
@@ -272,15 +277,8 @@
 
     def _own_loads(self, now: float) -> tuple[InstanceLoad, ...]:
         """Return this node's own loads."""
-        loads = (
-            InstanceLoad(
-                view.incarnation,
-                view.active,
-                view.pending_tokens,
-                int(view.is_avoided(now)),
-            )
-            for view in self._knowledge.table
-        )
+        table = self._knowledge.table
+        loads = (view.own_load(now, avoided=view.is_avoided(now)) for view in table)
         return tuple(load for load in loads if not load.is_empty)
 
     def _take_unsent(self) -> tuple[SegmentUpdate, ...]:
@@ -299,10 +297,7 @@
     def _loading_now(self, now: float) -> tuple[LoadingEngine, ...]:
         """Return the engines that are loading, and drop those that have finished."""
         self._loading = {engine: until for engine, until in self._loading.items() if until > now}
-        return tuple(_loading(self._loading.items(), now))
-
-
-def _loading(engines: Iterable[tuple[str, float]], now: float) -> Iterable[LoadingEngine]:
-    """Yield engines with their remaining loading times."""
-    for incarnation, until in engines:
-        yield LoadingEngine(incarnation, round((until - now) * MILLISECONDS))
+        return tuple(
+            LoadingEngine(incarnation, round((until - now) * MILLISECONDS))
+            for incarnation, until in self._loading.items()
+        )
--- a/hopstep/services/exchanges/peers/suspicions.py
+++ b/hopstep/services/exchanges/peers/suspicions.py
@@ -52,7 +52,7 @@
         """
         now = trio.current_time()
         for view in self._knowledge.table:
-            if now >= view.suspended_until and view.is_unresponsive(now):
+            if now >= view.suspended_until and view.leaves_unanswered(now):
                 view.failed(now, unreachable=True)
                 self.note_failed(view)
 
--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -100,7 +100,7 @@
     ) -> None:
         """Relay events as they arrive."""
         self._require_signed(answer)
-        view = candidate.view
+        view, request_id = candidate.view, self._request.request_id
         first = True
         previous_chunk_at = 0.0
         async for data in answer.body():
@@ -112,10 +112,12 @@
             if first:
                 first = False
                 view.segments.mark_read(candidate.keys, now)
-                view.first_byte(self._request.request_id, candidate.uncached_tokens, now)
+                view.first_byte(request_id, candidate.uncached_tokens, now, shows_speed=True)
                 view.succeeded(now - sent_at)
-            view.note_received_byte(now)
+            view.note_chunk(request_id, now)
             await self._send_events(answer, data)
+            view.expect_chunk(request_id, trio.current_time())
+        view.end_stream(request_id)
         if self._framer.has_partial or not self.started:
             raise InstanceCallError(
                 ErrorCode.STREAM_INTERRUPTED, "the stream ended within an event", Execution.UNKNOWN
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -58,6 +58,7 @@
         self._view = candidate.view
         leaves = self._view.announced_state.has_announced_leaving
         self._purpose = Purpose.LAST_SENDING if leaves else Purpose.SENDING
+        self._has_answered = False
         self._permit = parts.limits.hold(self._view)
 
     async def run(self) -> InstanceCallError | None:
@@ -66,7 +67,15 @@
         request_id = self._request.request_id
         now = trio.current_time()
         self._outcome.instance = view.instance.instance_id
-        view.begin(request_id, candidate.uncached_tokens, now)
+        prompt = self._request.prompt
+        used_tokens = prompt.used_tokens(candidate.uncached_tokens) if prompt is not None else 0
+        view.begin(
+            request_id,
+            candidate.uncached_tokens,
+            now,
+            used_tokens=used_tokens,
+            moves_segments=bool(candidate.source),
+        )
         view.segments.record(candidate.keys, now + candidate.read_seconds)
         self._parts.note_sent(candidate)
         abandoned = True
@@ -77,7 +86,7 @@
             abandoned = False
             return error
         finally:
-            view.end(request_id, candidate.uncached_tokens)
+            view.end(request_id, candidate.uncached_tokens, used_tokens)
             self._parts.limits.release(view, self._permit)
             if abandoned and self.proof.sent and not self._relay.finished:
                 look = functools.partial(self._parts.calls.probe_connection, view.instance)
@@ -103,6 +112,10 @@
             nursery.cancel_scope.cancel()
         if self._relay.finished:
             return
+        if watchdog.fired and self._has_answered:
+            raise InstanceCallError(
+                ErrorCode.STREAM_INTERRUPTED, "the stream is silent", Execution.UNKNOWN
+            )
         if watchdog.fired:
             raise InstanceCallError(
                 ErrorCode.ENGINE_UNREACHABLE, "the instance is silent", Execution.UNKNOWN
@@ -115,6 +128,7 @@
         view = self._view
         sent_at = trio.current_time()
         async with self._parts.calls.open(self._make_call()) as answer:
+            self._has_answered = True
             view.note_received_byte(trio.current_time())
             self._parts.quarantine.note_answer(view.incarnation, sent_at)
             self._record_version(answer)
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -82,7 +82,7 @@
 ERA = 3
 SEGMENT = SegmentKey(7, 800)
 HINTS = Hints(
-    (InstanceLoad("i1@5", 3, 400, 1),),
+    (InstanceLoad("i1@5", 3, 400, 1, 120, 100, 9_000),),
     (SegmentUpdate("i1@5", (SEGMENT,), 20, (9,)),),
     (LoadingEngine("i2@6", 900),),
     (Usage("t1", 40, 7),),
@@ -92,6 +92,7 @@
     (Usage("i4@8", 6, 2, 1),),
     (GrantedPermits("i4@8", 3, 900, "b"),),
 )
+HINTS_BEFORE_CAPACITY = msgspec.structs.replace(HINTS, loads=(InstanceLoad("i1@5", 3, 400, 1),))
 INSTANCE = Instance("i1", "llm", "10.0.0.1:80", "z", 4, True, {"m": 3}, 2, 5)
 ENTRIES = (
     ReportedEntry("servers/i1", 2, InstanceListed(INSTANCE), 3),
@@ -148,6 +149,15 @@
     offered: int
 
 
+class LoadBeforeCapacity(msgspec.Struct, frozen=True, array_like=True):
+    """``InstanceLoad`` as read by versions before format 4."""
+
+    incarnation: str
+    active: int = 0
+    pending_tokens: int = 0
+    avoided_by: int = 0
+
+
 class UrgentBeforeCapacity(msgspec.Struct, frozen=True, array_like=True, tag="UrgentNews"):
     """``UrgentUpdates`` as read by versions before format 4."""
 
@@ -312,14 +322,23 @@
         self.assertEqual(messages["query"].store_position, StorePosition(UNSPECIFIED_ERA, 77))
         self.assertEqual(answer.after_store_position, StorePosition(UNSPECIFIED_ERA, 77))
         self.assertEqual(answer.store_position, StorePosition(UNSPECIFIED_ERA, 80))
-        self.assertEqual(messages["query"].hints, HINTS)
+        self.assertEqual(messages["query"].hints, HINTS_BEFORE_CAPACITY)
 
     def test_frames_of_before_capacity(self):
         messages = self.decoded(BEFORE_CAPACITY)
         self.check_common(messages, "i1@5", "i2@6")
+        for hints in (messages["query"].hints, messages["digest"].hints):
+            self.assertEqual(hints, HINTS_BEFORE_CAPACITY)
         self.assertEqual(messages["urgent"].crashes, (CRASHES,))
         self.assertEqual(messages["urgent"].suspected, ())
 
+    def test_the_version_before_reads_todays_loads(self):
+        """Otherwise nodes of both versions would choose instances by half of the load."""
+        for kind, position in (("query", 5), ("digest", 2)):
+            document = payload_document(encode_frame(MESSAGES[kind], "a", b"key-a"))
+            loads = msgspec.convert(document[position][0], tuple[LoadBeforeCapacity, ...])
+            self.assertEqual(loads, (LoadBeforeCapacity("i1@5", 3, 400, 1),))
+
     def test_the_version_before_reads_todays_urgent_updates(self):
         """Otherwise a crash or a load of weights reported beside a suspicion would be lost."""
         frame = encode_frame(MESSAGES["urgent"], "a", b"key-a")
--- a/tests/domain/exchanges/test_instance_capacity.py
+++ b/tests/domain/exchanges/test_instance_capacity.py
@@ -12,6 +12,8 @@
 )
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.exchanges.load_ledger import InstanceLoad
+from hopstep.domain.exchanges.request import Prompt
 from hopstep.domain.exchanges.selection import choose_server
 
 NEED = CapacityNeed()
@@ -95,3 +97,52 @@
         self.assertTrue(view.has_room(CapacityNeed(urgent=True), 1.0))
         view.active = 12
         self.assertFalse(view.has_room(CapacityNeed(urgent=True), 1.0))
+
+
+class MemoryTest(unittest.TestCase):
+    """An engine preempts requests when its memory is short, although it has free slots."""
+
+    def preempted(self, cache_tokens):
+        """Return how often more is held than fits, and how many requests were sent."""
+        view = InstanceView(Instance("e", "llm", "10.0.0.1:1", "z", 32), cache_tokens)
+        memory, held, preempted, sent = 150_000, [], 0, 0
+        for step in range(200):
+            now = 1.0 + step / 100
+            for _end, request, used in (each for each in held if each[0] <= now):
+                view.end(request, used, used)
+            held = [each for each in held if each[0] > now]
+            tokens = 17_000 if step % 3 else 400
+            if not view.has_room(CapacityNeed(tokens), now):
+                continue
+            sent += 1
+            view.begin(str(step), tokens, now, used_tokens=tokens)
+            held.append((now + 0.3, str(step), tokens))
+            preempted += sum(used for _end, _request, used in held) > memory
+        return preempted, sent
+
+    def test_requests_that_do_not_fit_are_not_sent(self):
+        before, _sent = self.preempted(0)
+        after, sent = self.preempted(150_000)
+        self.assertGreater(before, 50)
+        self.assertEqual(after, 0)
+        self.assertGreater(sent, 50)
+
+    def test_the_memory_of_all_nodes_counts_until_their_requests_end(self):
+        view = InstanceView(Instance("e", "llm", "10.0.0.1:1", "z", 32), 10_000)
+        view.set_load_of_others(InstanceLoad("e", 1, used_tokens=7_000), 1.0)
+        self.assertFalse(view.has_room(CapacityNeed(3_001), 1.0))
+        self.assertTrue(view.has_room(CapacityNeed(3_000), 1.0))
+        view.begin("r", 3_000, 1.0, used_tokens=3_000)
+        view.first_byte("r", 3_000, 1.1)
+        self.assertFalse(view.has_room(CapacityNeed(1), 1.1))
+        view.end("r", 3_000, 3_000)
+        self.assertTrue(view.has_room(CapacityNeed(1), 1.1))
+
+    def test_a_request_larger_than_the_memory_is_sent_to_an_empty_engine(self):
+        """Otherwise it would wait until its deadline without ever having a chance."""
+        view = InstanceView(Instance("e", "llm", "10.0.0.1:1", "z", 32), 10_000)
+        self.assertTrue(view.has_room(CapacityNeed(20_000), 1.0))
+
+    def test_the_expected_length_of_an_answer_counts_if_it_is_given(self):
+        self.assertEqual(Prompt("m", (), 4_000, 500).used_tokens(1_000), 1_500)
+        self.assertEqual(Prompt("m", (), 4_000, 500, 20).used_tokens(1_000), 1_020)
--- /dev/null
+++ b/tests/services/exchanges/test_instance_speeds.py
@@ -0,0 +1,68 @@
+"""The prefill speed that one node observes is known to all, and to nodes that start later."""
+
+import unittest
+
+import structlog
+import trio
+
+from tests.services.exchanges.exchange_world import ExchangeWorld
+
+
+class InstanceSpeedsTest(unittest.TestCase):
+    def run_world(self, script, nodes=6):
+        world = ExchangeWorld(nodes, zones=3)
+        for number in range(3):
+            world.add(f"e{number}", "llm")
+        world.run(script)
+
+    def slowness(self, world, node=-1):
+        return {
+            view.instance.instance_id: view.slowness for view in world.nodes[node].knowledge.table
+        }
+
+    async def read_prompts(self, world):
+        """Let one node observe prompts of 4,000 tokens at two of three engines."""
+        for name, seconds in (("e0", 0.3), ("e1", 0.1)):
+            view = world.nodes[2].knowledge.table.get(name)
+            view.begin("p", 4_000, trio.current_time())
+            await trio.sleep(seconds)
+            view.first_byte("p", 4_000, trio.current_time(), shows_speed=True)
+            view.end("p", 4_000)
+        await trio.sleep(0.7)
+
+    def test_all_nodes_learn_the_speed_that_one_observes(self):
+        async def script(world):
+            with structlog.testing.capture_logs() as lines:
+                await self.read_prompts(world)
+            for node in range(len(world.nodes)):
+                self.assertEqual(self.slowness(world, node), {"e0": 3.0, "e1": 1.0, "e2": 2.0})
+            logged = [line for line in lines if line["event"] == "instance_speed_changed"]
+            self.assertIn("e0", {line["instance"] for line in logged})
+
+        self.run_world(script)
+
+    def test_a_node_that_starts_has_them_with_its_first_report(self):
+        async def script(world):
+            await self.read_prompts(world)
+            world.start_node(world.nursery, "late")
+            await trio.sleep(1.0)
+            self.assertEqual(self.slowness(world), {"e0": 3.0, "e1": 1.0, "e2": 2.0})
+
+        self.run_world(script)
+
+    def test_without_observations_all_are_as_fast_as_assumed(self):
+        async def script(world):
+            await self.read_prompts(world)
+            await trio.sleep(12.0)
+            self.assertEqual(set(self.slowness(world).values()), {1.0})
+
+        self.run_world(script)
+
+    def test_a_new_incarnation_starts_without_the_old_ones_speed(self):
+        async def script(world):
+            await self.read_prompts(world)
+            world.restart("e0", 77)
+            await trio.sleep(1.0)
+            self.assertEqual(self.slowness(world), {"e0": 1.0, "e1": 1.0, "e2": 1.0})
+
+        self.run_world(script)
