--- a/hopstep/domain/exchanges/load_schedule.py
+++ b/hopstep/domain/exchanges/load_schedule.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from hopstep.domain.exchanges.instance_view import InstanceView
-from hopstep.domain.exchanges.selection import READ_SECONDS_PER_TOKEN
+from hopstep.domain.exchanges.read_speed import READ_SECONDS_PER_TOKEN
 from hopstep.domain.exchanges.weights import NamedWeightsTable, engines_behind
 
 RUNNING_SHARE = 0.75
