Place prompts by their objective, spread nodes' choices, keep engines for short objectives

Engines were chosen by the lowest cost alone: preferences for newer weights and home instances made answers late, nodes with equal reports sent to the same engine, and short prompts waited behind long ones of other routes.

The estimate now counts a wait for a slot. Instances with capacity come first, then those in time for what is left of the objective, by cost; without any, the earliest. Where an objective is shorter than the prefill of a usual long prompt, a part of the engines is kept free of long prompts.

--- a/hopstep/domain/exchanges/segment_moves.py
+++ b/hopstep/domain/exchanges/segment_moves.py
@@ -41,6 +41,27 @@
     tokens_for: Callable[[InstanceView], int]
 
 
+class EnginePreference(msgspec.Struct, frozen=True):
+    """Costs by which some engines are kept for requests with short objectives.
+
+    Attributes:
+        kept_engines: Ids of these engines.
+        kept_seconds: Cost of a kept engine.
+        other_seconds: Cost of any other engine.
+    """
+
+    kept_engines: frozenset[str] = frozenset()
+    kept_seconds: float = 0.0
+    other_seconds: float = 0.0
+
+    def cost_at(self, instance_id: str) -> float:
+        """Return the cost of an engine in seconds."""
+        return self.kept_seconds if instance_id in self.kept_engines else self.other_seconds
+
+
+NO_PREFERENCE = EnginePreference()
+
+
 class EngineRequest(msgspec.Struct, frozen=True):
     """Input to the choice of an engine.
 
@@ -53,6 +74,11 @@
         zone: Zone of this node.
         other_zone_seconds: Cost of sending a request to another zone, as a delay.
         preferred_version: Engines with older weights are penalized.
+        objective_seconds: What is left of the time in which the first token is expected.
+        nodes: Nodes that choose by the same reports.
+        answer_tokens: Expected length of the answer.
+        urgent: Whether its priority is above the least urgent one of the service.
+        engine_preference: Engines that are kept for some requests, and what that costs this one.
     """
 
     keys_of: KeysOf
@@ -63,6 +89,11 @@
     zone: str = ""
     other_zone_seconds: float = 0.0
     preferred_version: int = 0
+    objective_seconds: float = float("inf")
+    nodes: int = 1
+    answer_tokens: int = 0
+    urgent: bool = False
+    engine_preference: EnginePreference = NO_PREFERENCE
 
 
 class Move(msgspec.Struct, frozen=True):
--- a/hopstep/domain/exchanges/selection.py
+++ b/hopstep/domain/exchanges/selection.py
@@ -7,9 +7,11 @@
 
 import msgspec
 
+from hopstep.domain.exchanges.instance_capacity import CapacityNeed
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.segment_moves import EngineRequest, SegmentSources
 from hopstep.domain.exchanges.segments import SegmentKey
+from hopstep.domain.exchanges.spread_choice import ChoiceBounds, Rating, choose_rated
 
 READ_SECONDS_PER_TOKEN = 1.0 / 40_000
 """Assumed time to prefill one prompt token; each instance's slowness scales it."""
@@ -17,6 +19,12 @@
 ACTIVE_SECONDS = 0.002
 """Delay of a new request by each request that is decoding."""
 
+DECODE_SECONDS_PER_TOKEN = 0.008
+"""Assumed time to decode one token of an answer while slots are in use; slowness scales it."""
+
+MAX_EXPECTED_ANSWER_TOKENS = 100
+"""Longest answer that is expected: requests state the longest possible one."""
+
 SHARED_WEIGHT = 1.5
 """Weight of prefilling a segment again that may be cached elsewhere, relative to waiting."""
 
@@ -43,6 +51,9 @@
 
 MASK = (1 << 64) - 1
 
+SERVER_BOUNDS = ChoiceBounds(sampling=False)
+"""Bounds of the choice among instances of plain services, for one node."""
+
 
 class Candidate(msgspec.Struct, frozen=True):
     """An instance with its expected cost for a request.
@@ -50,7 +61,7 @@
     Attributes:
         view: The instance.
         keys: The prompt's segments under the salt for this instance; empty without a prompt.
-        cost_seconds: Expected time to the first byte, with penalties.
+        rating: Expected time and costs.
         uncached_tokens: Prompt tokens that it would prefill.
         source: ``ip:port`` from which segments would be moved to it; empty for none.
         kept_tokens: Prompt tokens in its own cache.
@@ -59,7 +70,7 @@
 
     view: InstanceView
     keys: tuple[SegmentKey, ...]
-    cost_seconds: float
+    rating: Rating
     uncached_tokens: int
     source: str = ""
     kept_tokens: int = 0
@@ -73,18 +84,19 @@
     now: float,
     generator: random.Random,
 ) -> Candidate | None:
-    """Return the engine with the lowest expected time to the first token.
+    """Return the engine with the lowest cost of those in time, or the earliest one.
 
     Args:
         views: Instances that may serve the request.
         sources: Instances from which segments may be moved.
         request: The request.
         now: Steady clock.
-        generator: Breaks ties.
+        generator: Breaks ties, and chooses among engines that can't be told apart.
     """
     known = SegmentSources(sources, request, now)
     candidates = [_rate_engine(view, known, request, now, generator) for view in views]
-    return min(candidates, key=lambda candidate: candidate.cost_seconds, default=None)
+    bounds = ChoiceBounds(request.objective_seconds, request.nodes)
+    return choose_rated(candidates, bounds, generator)
 
 
 def choose_server(
@@ -93,23 +105,26 @@
     generator: random.Random,
     zone: str = "",
     other_zone_seconds: float = 0.0,
+    bounds: ChoiceBounds = SERVER_BOUNDS,
+    urgent: bool = False,
 ) -> Candidate | None:
-    """Return the instance of a plain service with the lowest expected time to an answer.
+    """Return the instance of a plain service with the lowest cost of those in time.
 
     Args:
         views: Instances that may serve the request.
         now: Steady clock.
-        generator: Breaks ties.
+        generator: Breaks ties, and chooses among instances that can't be told apart.
         zone: Zone of this node.
         other_zone_seconds: Cost of sending a request to another zone, as a delay.
+        bounds: What is left of the time in which the answer is expected, and the number of nodes.
+        urgent: Whether its priority is above the least urgent one of the service.
     """
-
-    def cost(view: InstanceView) -> float:
-        zone_seconds = other_zone_seconds if view.instance.zone != zone else 0.0
-        return _server_cost(view, now) + zone_seconds + JITTER_SECONDS * generator.random()
-
-    candidates = [Candidate(view, (), cost(view), 0) for view in views]
-    return min(candidates, key=lambda candidate: candidate.cost_seconds, default=None)
+    need = CapacityNeed(urgent=urgent)
+    candidates = []
+    for view in views:
+        policy = other_zone_seconds if view.instance.zone != zone else 0.0
+        candidates.append(_rate_server(view, policy, need, now, generator))
+    return choose_rated(candidates, bounds, generator)
 
 
 def _rate_engine(
@@ -128,18 +143,70 @@
     shared = sum(key.tokens for key in keys[:-1])
     per_token = READ_SECONDS_PER_TOKEN * view.slowness
     active = view.total_active(now)
-    read_seconds = (view.total_pending_tokens(now) + uncached) * per_token + move.seconds
-    cost = read_seconds
+    queued_seconds = view.total_pending_tokens(now) * per_token
+    queued_seconds += _slot_seconds(view, request, active)
+    decoding_seconds = active * ACTIVE_SECONDS * view.slowness
+    read_seconds = queued_seconds + uncached * per_token + move.seconds
+    first_byte = read_seconds + decoding_seconds + _failure_cost(view, now)
+    policy = _policy_cost(view, request)
+    cost = first_byte + policy
     cost += max(0, shared - kept) * per_token * (SHARED_WEIGHT - 1.0)
-    cost += active * (ACTIVE_SECONDS * view.slowness + uncached * per_token * INTERFERENCE)
-    cost += _failure_cost(view, now)
+    cost += active * uncached * per_token * INTERFERENCE
     cost += HOME_SECONDS * _distance(view, keys)
-    if view.instance.zone != request.zone:
-        cost += request.other_zone_seconds
+    cost += JITTER_SECONDS * generator.random()
+    need = CapacityNeed(uncached + request.answer_tokens, request.urgent)
+    rating = Rating(
+        cost_seconds=cost,
+        first_byte_seconds=first_byte,
+        wait_seconds=queued_seconds + decoding_seconds,
+        policy_seconds=policy,
+        uncached_tokens=uncached,
+        occupancy=view.occupancy(now),
+        has_room=view.has_room(need, now),
+    )
+    return Candidate(view, keys, rating, uncached, move.address, cached, read_seconds)
+
+
+def _slot_seconds(view: InstanceView, request: EngineRequest, active: int) -> float:
+    """Return the expected wait for a slot: slots become free as answers end.
+
+    The prompts ahead are counted by their pending tokens, so only their decoding counts here.
+    """
+    slots = max(1, view.instance.slots)
+    ahead = max(0, active + 1 - slots)
+    answer_tokens = min(request.answer_tokens, MAX_EXPECTED_ANSWER_TOKENS)
+    return ahead / slots * answer_tokens * DECODE_SECONDS_PER_TOKEN * view.slowness
+
+
+def _policy_cost(view: InstanceView, request: EngineRequest) -> float:
+    """Return the cost of preferences that yield to the request's objective."""
+    cost = request.other_zone_seconds if view.instance.zone != request.zone else 0.0
     if view.serving_version(request.model) < request.preferred_version:
         cost += OLDER_WEIGHTS_SECONDS
-    cost += JITTER_SECONDS * generator.random()
-    return Candidate(view, keys, cost, uncached, move.address, cached, read_seconds)
+    return cost + request.engine_preference.cost_at(view.instance.instance_id)
+
+
+def _rate_server(
+    view: InstanceView,
+    policy_seconds: float,
+    need: CapacityNeed,
+    now: float,
+    generator: random.Random,
+) -> Candidate:
+    """Return an instance of a plain service with its expected cost."""
+    latency = view.expected_latency
+    occupancy = view.occupancy(now)
+    ahead = occupancy + 1 / max(1, view.instance.slots)
+    first_byte = latency * (1.0 + ahead) + _failure_cost(view, now)
+    rating = Rating(
+        cost_seconds=first_byte + policy_seconds + JITTER_SECONDS * generator.random(),
+        first_byte_seconds=first_byte,
+        wait_seconds=latency * occupancy,
+        policy_seconds=policy_seconds,
+        occupancy=occupancy,
+        has_room=view.has_room(need, now),
+    )
+    return Candidate(view, (), rating, 0)
 
 
 def _distance(view: InstanceView, keys: tuple[SegmentKey, ...]) -> float:
@@ -150,14 +217,6 @@
     return (((keys[-2].digest ^ hashed) * (hashed | 1)) & MASK) / MASK
 
 
-def _server_cost(view: InstanceView, now: float) -> float:
-    """Return the expected time to an answer of a plain service's instance."""
-    latency = view.expected_latency
-    slots = max(1, view.instance.slots)
-    ahead = (view.total_active(now) + 1) / slots
-    return latency * (1.0 + ahead) + _failure_cost(view, now)
-
-
 def _failure_cost(view: InstanceView, now: float) -> float:
     """Return the cost of this node's and other nodes' failures at an instance."""
     avoided = min(MAX_AVOIDED, view.avoided_by(now))
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -637,6 +637,13 @@
     ("instance", "model", "version", "fencing_token", "outcome"),
     "If rejected or unknown recurs: check the engine's own logs.",
 )
+ENGINES_KEPT = LogEvent(
+    "HS6120",
+    "engines_kept",
+    Level.INFO,
+    ("service", "routes", "kept", "engines", "long_tokens"),
+    "Nothing: `kept` of the `engines` get no prompts of `long_tokens` or more from other routes.",
+)
 CACHE_STORE_CHANGED = LogEvent(
     "HS6107",
     "cache_store_changed",
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -69,6 +69,7 @@
         view.begin(request_id, candidate.uncached_tokens, now)
         view.segments.record(candidate.keys, now + candidate.read_seconds)
         self._parts.note_sent(candidate)
+        self._parts.choice.note_sent(self._request, candidate)
         abandoned = True
         try:
             await self._call()
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -3,22 +3,25 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Set
+from collections.abc import Set
 from typing import NamedTuple
 
 import trio
 
 from hopstep.domain.exchanges.instance_view import InstanceView
-from hopstep.domain.exchanges.request import ExchangeRequest, Prompt
-from hopstep.domain.exchanges.segment_moves import EngineRequest, KeysOf, StoreSource
-from hopstep.domain.exchanges.segments import SegmentKey, segment_keys
+from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.exchanges.segments import segment_keys
 from hopstep.domain.exchanges.selection import Candidate, choose_engine, choose_server
-from hopstep.domain.exchanges.serving import EngineTraits
-from hopstep.domain.exchanges.store_contents import StoreContents
+from hopstep.domain.exchanges.spread_choice import ChoiceBounds
 from hopstep.domain.instance_admission import Admission, Barrier, Purpose
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.services.exchanges.requests.engine_requests import (
+    EngineRequests,
+    cache_salt,
+    remaining_objective,
+)
 from hopstep.services.exchanges.requests.permit_demand import LimitProbes, is_limited, note_wanted
 
 LAST_REQUESTS_SHARE = 0.5
@@ -77,6 +80,7 @@
         self._generator = generator
         self._zone = zone
         self._other_zone_seconds = other_zone_seconds
+        self._engine_requests = EngineRequests(knowledge, store_watch, zone, other_zone_seconds)
 
     def choose(
         self, request: ExchangeRequest, service: str, tried: Set[str], only: str | None = None
@@ -133,11 +137,31 @@
         usable = [view for view in views if view.is_usable(now)]
         views = usable or views
         if request.prompt is None:
-            return choose_server(views, now, self._generator, self._zone, self._other_zone_seconds)
+            return self._best_server(request, service, views, now)
         sources = [view for view in self._sources(service) if view.is_usable(now)]
-        engine_request = self._engine_request(request, request.prompt, service)
+        engine_request = self._engine_requests.build(request, request.prompt, service)
         return choose_engine(views, sources, engine_request, now, self._generator)
 
+    def _best_server(
+        self, request: ExchangeRequest, service: str, views: list[InstanceView], now: float
+    ) -> Candidate | None:
+        """Return the best of some instances of a plain service."""
+        nodes = self._knowledge.count_nodes()
+        bounds = ChoiceBounds(remaining_objective(request, now), nodes, sampling=False)
+        urgent = self._engine_requests.is_urgent(request, service)
+        return choose_server(
+            views, now, self._generator, self._zone, self._other_zone_seconds, bounds, urgent
+        )
+
+    def note_sent(self, request: ExchangeRequest, candidate: Candidate) -> None:
+        """Count a request that is sent to the chosen instance."""
+        self._engine_requests.note_sent(request, candidate)
+
+    @property
+    def kept_engines(self) -> int:
+        """Number of engines that this node keeps free of long prompts."""
+        return self._engine_requests.kept_engines
+
     def assume_newest(self, request: ExchangeRequest, view: InstanceView) -> bool:
         """Assume that an instance has the newest weights; return whether the view changed."""
         if request.prompt is None:
@@ -147,12 +171,7 @@
 
     def salt(self, request: ExchangeRequest, view: InstanceView) -> str:
         """Return the salt of a request's segment keys: weights version and isolated tenant."""
-        if request.prompt is None:
-            return ""
-        version = view.serving_version(request.prompt.model)
-        tenant = request.tenant
-        group = tenant.name if tenant is not None and tenant.isolated else ""
-        return f"{version}.{group}"
+        return cache_salt(request, view)
 
     def _admissible(self, eligible: list[InstanceView], now: float) -> list[InstanceView]:
         """Return the instances that accept a request now; if none, those shutting down."""
@@ -241,44 +260,6 @@
         views = self._knowledge.table.of_service(service)
         return [view for view in views if view.takes(Purpose.SOURCE, now)]
 
-    def _engine_request(
-        self, request: ExchangeRequest, prompt: Prompt, service: str
-    ) -> EngineRequest:
-        """Return what the choice of an engine depends on."""
-        by_salt: dict[str, tuple[SegmentKey, ...]] = {}
-
-        def keys_of(view: InstanceView) -> tuple[SegmentKey, ...]:
-            salt = self.salt(request, view)
-            if salt not in by_salt:
-                by_salt[salt] = segment_keys(prompt.model, salt, prompt.segments)
-            return by_salt[salt]
-
-        traits = self._traits(service)
-        if traits is None:
-            return EngineRequest(keys_of, prompt.model, prompt.prompt_tokens, float("inf"))
-        return EngineRequest(
-            keys_of,
-            prompt.model,
-            prompt.prompt_tokens,
-            traits.move_seconds_per_token(traits.link_megabits),
-            self._stores(keys_of, traits),
-            self._zone,
-            self._other_zone_seconds,
-            self._knowledge.weights.preferred(prompt.model, trio.current_time()),
-        )
-
-    def _stores(self, keys_of: KeysOf, traits: EngineTraits) -> tuple[StoreSource, ...]:
-        """Return the cache stores from which segments may be loaded."""
-        index = self._knowledge.require_index()
-        sources = []
-        for store in index.cache_stores():
-            contents = self._store_watch.contents(store.address)
-            if contents is not None and contents.reachable:
-                per_token = traits.move_seconds_per_token(store.link_megabits)
-                tokens_for = _tokens_in_store(keys_of, contents)
-                sources.append(StoreSource(store.address, store.zone, per_token, tokens_for))
-        return tuple(sources)
-
     def push_target(self, request: ExchangeRequest, view: InstanceView) -> str:
         """Return the cache store to which an instance should save a prompt; empty for none."""
         prompt = request.prompt
@@ -294,13 +275,3 @@
             if contents is not None and contents.claim_push(keys, now):
                 return store.address
         return ""
-
-    def _traits(self, service: str) -> EngineTraits | None:
-        """Return the traits of a service's engines."""
-        found = self._knowledge.require_index().services.get(service)
-        return found.engine if found is not None else None
-
-
-def _tokens_in_store(keys_of: KeysOf, contents: StoreContents) -> Callable[[InstanceView], int]:
-    """Return a function from an instance to the tokens that a store holds for its weights."""
-    return lambda view: contents.cached_tokens(keys_of(view))
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -112,6 +112,11 @@
             notices=notices,
             limits=limits,
         )
+        metrics.watch(
+            "hopstep_kept_engines",
+            "Engines that this node keeps free of long prompts.",
+            lambda: self._parts.choice.kept_engines,
+        )
 
     def max_body_bytes(self) -> int:
         """Return the size of the largest body that is read into memory, in bytes."""
--- a/tests/domain/exchanges/test_selection.py
+++ b/tests/domain/exchanges/test_selection.py
@@ -1,6 +1,8 @@
 import random
 import unittest
 
+import msgspec
+
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.load_ledger import InstanceLoad
@@ -8,6 +10,7 @@
 from hopstep.domain.exchanges.segment_moves import EngineRequest, StoreSource
 from hopstep.domain.exchanges.segments import SegmentIndex, segment_keys
 from hopstep.domain.exchanges.selection import choose_engine, choose_server
+from hopstep.domain.exchanges.spread_choice import ChoiceBounds
 
 MODEL = "m"
 SEGMENTS = (PromptSegment("a", 4_000), PromptSegment("b", 3_000), PromptSegment("c", 500))
@@ -105,6 +108,45 @@
             second.set_load_of_others(None, NOW)
             self.assertIs(choose(views).view, second)
 
+    def test_an_engine_with_more_requests_than_slots_is_expected_to_start_later(self):
+        """Otherwise a full engine with little left to prefill looks better than one with slots."""
+        views = [view("0"), view("1")]
+        views[0].active, views[1].active = 12, 2
+        views[1].pending_tokens = 2_000
+        answering = msgspec.structs.replace(request(), answer_tokens=20)
+        chosen = choose_engine(views, views, answering, NOW, random.Random(1))
+        self.assertIs(chosen.view, views[1])
+
+    def test_slower_engines_get_their_learned_time(self):
+        views = [view("0"), view("1")]
+        views[0].slowness, views[1].slowness = 1.6, 0.8
+        views[1].pending_tokens = 3_000
+        chosen = choose(views)
+        self.assertIs(chosen.view, views[1])
+        self.assertAlmostEqual(chosen.read_seconds, 0.8 * (3_000 + TOKENS) / 40_000)
+
+    def test_newer_weights_and_the_own_zone_yield_to_the_objective(self):
+        """Otherwise prompts are late at the few engines that have loaded new weights."""
+        views = [view("0"), view("1", version=2)]
+        views[0].instance = msgspec.structs.replace(views[0].instance, zone="z2")
+        views[1].pending_tokens = 6_000
+        asked = EngineRequest(lambda _view: KEYS, MODEL, TOKENS, 1e-6, (), "z1", 0.05, 2)
+        for objective, expected in ((1.0, views[1]), (0.3, views[0])):
+            asked = msgspec.structs.replace(asked, objective_seconds=objective)
+            chosen = choose_engine(views, views, asked, NOW, random.Random(1))
+            self.assertIs(chosen.view, expected)
+
+    def test_another_zone_is_chosen_when_the_own_one_lacks_capacity(self):
+        """Otherwise instances of the own zone reject requests that others would serve."""
+        views = [view("0"), view("1", zone="z2")]
+        views[0].active = 8
+        asked = EngineRequest(lambda _view: KEYS, MODEL, TOKENS, 1e-6, (), "z1", 5.0)
+        chosen = choose_engine(views, views, asked, NOW, random.Random(1))
+        self.assertIs(chosen.view, views[1])
+        views[0].active = 7
+        chosen = choose_engine(views, views, asked, NOW, random.Random(1))
+        self.assertIs(chosen.view, views[0])
+
     def test_no_engines_no_choice(self):
         self.assertIsNone(choose([]))
 
@@ -120,6 +162,14 @@
         chosen = choose_server(views, NOW, random.Random(1), "z3", 0.02)
         self.assertIs(chosen.view, views[3])
 
+    def test_another_zone_is_chosen_when_the_own_one_would_be_late(self):
+        views = [view("0"), view("1", zone="z2")]
+        views[0].active = 7
+        for objective, expected in ((1.0, views[0]), (0.2, views[1])):
+            bounds = ChoiceBounds(objective, sampling=False)
+            chosen = choose_server(views, NOW, random.Random(1), "z1", 0.5, bounds)
+            self.assertIs(chosen.view, expected)
+
     def test_slow_and_failing_servers_are_avoided(self):
         views = [view("0"), view("1"), view("2")]
         for _ in range(10):
--- a/tests/services/exchanges/test_relaying.py
+++ b/tests/services/exchanges/test_relaying.py
@@ -11,6 +11,7 @@
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.selection import Candidate
+from hopstep.domain.exchanges.spread_choice import Rating
 from hopstep.ports.node_exchange import MessageTooLongError, RelayAnswer
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
@@ -330,7 +331,7 @@
             now = trio.current_time()
             await trio.sleep(2.0)
             view = world.nodes[5].knowledge.table.get("e0")
-            world.nodes[5].sharing.note_sent(Candidate(view, KEYS, 0.0, 9_000))
+            world.nodes[5].sharing.note_sent(Candidate(view, KEYS, Rating(0.0, 0.0), 9_000))
             await trio.sleep(0.01)
             now = trio.current_time()
             for node in world.nodes[:5] + world.nodes[6:]:
