--- a/hopstep/domain/exchanges/spread_choice.py
+++ b/hopstep/domain/exchanges/spread_choice.py
@@ -122,7 +122,7 @@
     lowest = seconds_of(best)
     limit = lowest + _uncertainty(lowest, rated, bounds)
     near = [each for each in preferred if seconds_of(each) <= limit]
-    return generator.choice(near)
+    return generator.choice(near) if len(near) > 1 else best
 
 
 def _uncertainty(lowest: float, rated: Sequence[RatedInstance], bounds: ChoiceBounds) -> float:
