--- a/hopstep/domain/exchanges/engine_partition.py
+++ b/hopstep/domain/exchanges/engine_partition.py
@@ -12,9 +12,10 @@
 import msgspec
 
 from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.exchanges.read_speed import READ_SECONDS_PER_TOKEN
 from hopstep.domain.exchanges.route_work import RouteWork, WorkByRoute
 from hopstep.domain.exchanges.segment_moves import NO_PREFERENCE, EnginePreference
-from hopstep.domain.exchanges.selection import ACTIVE_SECONDS, READ_SECONDS_PER_TOKEN
+from hopstep.domain.exchanges.selection import ACTIVE_SECONDS
 
 MIN_KEPT_SHARE = 1 / 6
 MAX_KEPT_SHARE = 1 / 2
