Leave a prompt's own decoding step out of the comparison of engines

It is the same everywhere but for the engines' speed, and outweighed the weighted homes of shared segments: idle slow engines were never a home.

--- a/hopstep/domain/exchanges/selection.py
+++ b/hopstep/domain/exchanges/selection.py
@@ -150,7 +150,7 @@
     queued_seconds = view.total_pending_tokens(now) * per_token
     queued_seconds += _slot_seconds(view, request, active)
     decoding_seconds = active * ACTIVE_SECONDS * view.slowness
-    read_seconds = queued_seconds + prompt_work(uncached) * per_token + move.seconds
+    read_seconds = queued_seconds + uncached * per_token + move.seconds
     first_byte = read_seconds + decoding_seconds + _failure_cost(view, now)
     policy = _policy_cost(view, request)
     cost = first_byte + policy
