--- a/hopstep/domain/exchanges/serving.py
+++ b/hopstep/domain/exchanges/serving.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import enum
+import math
 import random
+from collections.abc import Set
 
 import msgspec
 
@@ -45,6 +47,8 @@
         max_attempts: Highest number of instances that one request may be sent to.
         public: Whether no key is needed.
         resumable: Whether a stream may be resumed at another instance after its last event.
+        event_patience_seconds: Time without an event of a stream, also before its first one, after
+            which clients give up; 0 for no such time.
     """
 
     name: str
@@ -58,6 +62,7 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    event_patience_seconds: float = 0.0
 
     @property
     def idempotent(self) -> bool:
@@ -180,6 +185,19 @@
     tenants: tuple[Tenant, ...] = ()
     limits: RequestLimits = RequestLimits()
 
+    def shortest_objective(self, services: Set[str]) -> float:
+        """Return the shortest objective of the routes to services, in seconds; infinite for none.
+
+        Args:
+            services: Names of the services.
+        """
+        objectives = (
+            route.objective_seconds
+            for route in self.routes
+            if any(share.service in services for share in route.shares)
+        )
+        return min(objectives, default=math.inf)
+
 
 class ServingIndex:
     """Lookups over one configuration."""
@@ -194,8 +212,12 @@
         self.services = {service.name: service for service in configuration.services}
         self._tenants = {key: tenant for tenant in configuration.tenants for key in tenant.keys}
         self._routes: dict[str, list[Route]] = {}
+        self._least_urgent: dict[str, int] = {}
         for route in configuration.routes:
             self._routes.setdefault(route.host, []).append(route)
+            for share in route.shares:
+                least = max(route.priority, self._least_urgent.get(share.service, 0))
+                self._least_urgent[share.service] = least
         for routes in self._routes.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
 
@@ -221,6 +243,10 @@
         """Return the tenant that holds a key, or None."""
         return self._tenants.get(key)
 
+    def least_urgent(self, service: str) -> int:
+        """Return the priority of the least urgent route of a service."""
+        return self._least_urgent.get(service, 0)
+
     def cache_stores(self) -> tuple[CacheStore, ...]:
         """Return the cache stores."""
         stores = (service.cache_store for service in self.configuration.services)
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -36,6 +36,7 @@
     watch_held_bytes,
     watch_knowledge,
     watch_limits,
+    watch_rollout,
     watch_work,
 )
 from hopstep.services.exchanges.pause_watch import PauseWatch
@@ -226,6 +227,7 @@
         watch_knowledge(self.metrics, self.knowledge)
         watch_work(self.metrics, self.lifecycle, self.quarantine, self.lease)
         watch_limits(self.metrics, self.notices)
+        watch_rollout(self.metrics, self.rollout)
         watch_held_bytes(self.metrics, self.held_bytes.budget)
 
     @property
@@ -239,6 +241,7 @@
             nursery.start_soon(self.pauses.run)
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.relaying.run)
+            nursery.start_soon(self.exchanges.queue.run)
             nursery.start_soon(self.store_watch.run)
             nursery.start_soon(self.engine_watch.run)
             nursery.start_soon(self.quarantine.run)
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -44,11 +44,35 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=registry,
         )
+        self.waiting = Gauge(
+            "hopstep_exchanges_waiting",
+            "Requests that wait at this node for an instance with capacity, by priority.",
+            ("priority",),
+            registry=registry,
+        )
+        self.waited = Histogram(
+            "hopstep_exchange_wait_seconds",
+            "Waits of requests at this node for an instance with capacity.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=registry,
+        )
+        self.early_refusals = Counter(
+            "hopstep_exchange_early_refusals",
+            "Requests refused before they were sent since they would wait too long, by priority.",
+            ("priority",),
+            registry=registry,
+        )
         self.read_tokens = Counter(
             "hopstep_exchange_read_tokens",
             "Prompt tokens that instances were expected to read.",
             registry=registry,
         )
+        self.shared_prefill = Counter(
+            "hopstep_exchange_shared_prefill_tokens",
+            "Tokens of shared segments that engines were expected to prefill, by cause.",
+            ("cause",),
+            registry=registry,
+        )
         self.rejected_entries = Counter(
             "hopstep_rejected_entries",
             "Documents in the store that this node doesn't trust, by reason.",
