--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -239,14 +239,7 @@
         data: bytes,
         parts: AsyncIterator[bytes],
     ) -> None:
-        """Relay a response part by part; the next part is read when the last one was written.
-
-        Args:
-            answer: Head of the response.
-            held: What has arrived before.
-            data: The part that had no space.
-            parts: The remaining parts.
-        """
+        """Relay what is held, the part without space, then the others, each read after the last."""
         require_length(answer.length or 0)
         self.in_parts = True
         self._answer.share.relayed_in_parts = True
