--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -239,14 +239,8 @@
         data: bytes,
         parts: AsyncIterator[bytes],
     ) -> None:
-        """Relay a response part by part; the next part is read when the last one was written.
-
-        Args:
-            answer: Head of the response.
-            held: What has arrived before.
-            data: The part that had no space.
-            parts: The remaining parts.
-        """
+        """Relay what is held, the part without space, then the others, each read after the last."""
+        require_length(answer.length or 0)
         self.in_parts = True
         self._answer.share.relayed_in_parts = True
         emit(
@@ -256,7 +250,7 @@
             read_bytes=held.size + len(data),
         )
         size = held.size + len(data)
-        await self._start(answer.status, answer.headers, None)
+        await self._start(answer.status, answer.headers, answer.length)
         for piece in held.take_pieces(RESPONSE_BYTES):
             await self._answer.send(piece)
         await self._answer.send(data)
--- a/tests/services/exchanges/test_held_bytes.py
+++ b/tests/services/exchanges/test_held_bytes.py
@@ -15,6 +15,7 @@
 from hopstep.ports.instance_calls import InstanceCallError
 from hopstep.ports.serving_directory import ConfigurationPublished
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
+from hopstep.services.exchanges.node_gauges import watch_held_bytes
 from hopstep.services.exchanges.requests.held_bytes import (
     CHECK_SECONDS,
     MAX_RESPONSE_BYTES,
@@ -112,6 +113,15 @@
         self.assertEqual(answer.read_before, [2, 2, 3, 4])
         self.assertEqual(set(answer.held), {RESPONSE_BYTES})
 
+    def test_a_stated_length_is_passed_on_with_a_response_in_parts(self):
+        """Guards against clients that take a response without a length for whole when it is cut."""
+        with mock.patch.object(EmulatedAnswer, "length", len(WHOLE)):
+            answer, _ = self.exchange("unsafe", PARTS, spare=0)
+        self.assertEqual((answer.body, answer.length), (WHOLE, len(WHOLE)))
+        with mock.patch.object(EmulatedAnswer, "length", MAX_RESPONSE_BYTES + 1):
+            answer, _ = self.exchange("unsafe", PARTS, spare=0)
+        self.assertEqual((answer.status, answer.promised_not_run), (None, False))
+
     def test_a_response_broken_off_after_it_began_is_cut_and_never_run_again(self):
         """Guards against a second run, or a second response after parts of the first."""
         for name in ("safe", "unsafe2", "odd"):
@@ -145,6 +155,8 @@
         answer, instances = self.exchange("safe", PARTS, 0, Behaviour.FAIL)
         self.assertEqual(answer.error.code, ErrorCode.EXECUTION_UNKNOWN)
         self.assertEqual(len(instances.runs("r")), 2)
+        answer, _ = self.exchange("safe", PARTS, len(WHOLE) - RESPONSE_BYTES, Behaviour.FAIL)
+        self.assertEqual(answer.error.code, ErrorCode.EXECUTION_UNKNOWN)
         answer, _ = self.exchange("safe", PARTS, 2 * len(WHOLE), Behaviour.FAIL)
         self.assertEqual((answer.status, answer.body), (500, WHOLE))
 
@@ -179,6 +191,27 @@
                 self.assertEqual((answer.body, answer.finished), (body, bool(body)))
 
 
+class HeldBytesTest(unittest.TestCase):
+    def test_metrics_tell_what_is_held_and_what_the_budget_did(self):
+        registry = CollectorRegistry()
+        metrics = ExchangeMetrics(registry)
+        held = HeldBytes(1_000, metrics)
+        watch_held_bytes(metrics, held.budget)
+        with held.open_share("r", None) as share:
+            self.assertTrue(share.take(300))
+            self.assertEqual(registry.get_sample_value("hopstep_held_bytes"), 300)
+            share.refused = share.relayed_in_parts = True
+        for name, value in (
+            ("hopstep_held_bytes", 0),
+            ("hopstep_held_bytes_limit", 1_000),
+            ("hopstep_exchanges_refused_for_memory_total", 1),
+            ("hopstep_responses_relayed_in_parts_total", 1),
+            ("hopstep_stalled_clients_total", 0),
+        ):
+            with self.subTest(name):
+                self.assertEqual(registry.get_sample_value(name), value)
+
+
 class FakeConnection(ClientConnection):
     def __init__(self, is_writing=True):
         self.client = "127.0.0.1:5"
