Hold up short prompts behind one that lacks only memory, and keep places in the queue

Short prompts took each bit of an engine's memory that became free, so that a long one ahead of them never fitted; a request in time for which only memory is missing now holds up those behind it. A check of a waiting request no longer moves it behind its tenant's newer ones: the fair queue returns the position of a queued request.

Tests: an engine with little memory, and unequal instances compared with sending all at once, in tests.services.exchanges.test_request_queue; positions form an order in the stateful test of the fair queue.

--- a/hopstep/domain/exchanges/waiting_order.py
+++ b/hopstep/domain/exchanges/waiting_order.py
@@ -100,6 +100,10 @@
         entry = _entry(msgspec.structs.replace(request, late=late))
         return self._queue.count_before(entry, lambda _entry: True)
 
+    def position(self, entry_id: str) -> int:
+        """Return how many requests go before a waiting one."""
+        return self._queue.position(entry_id)
+
     def sort_late(self, now: float) -> None:
         """Move requests that can no longer meet their objective behind those that can.
 
--- a/hopstep/domain/fair_queue.py
+++ b/hopstep/domain/fair_queue.py
@@ -49,6 +49,13 @@
         self.entries: OrderedDict[str, QueueEntry] = OrderedDict()
         self.start = 0.0
 
+    def starts(self) -> Iterator[tuple[float, QueueEntry]]:
+        """Yield each request with the virtual time at which it starts after those before it."""
+        start = self.start
+        for entry in self.entries.values():
+            yield start, entry
+            start += entry.cost / max(entry.weight, MIN_WEIGHT)
+
     def finish(self, entry: QueueEntry) -> float:
         """Return the virtual time at which ``entry`` finishes if it is served next."""
         return self.start + entry.cost / max(entry.weight, MIN_WEIGHT)
@@ -95,9 +102,8 @@
 
     def last(self) -> QueueEntry:
         """Return the entry with the latest virtual start; some entry must wait."""
-        starts = {name: _start_of_last(queue) for name, queue in self.tenants.items()}
-        tenant = max(starts, key=lambda name: (starts[name], name))
-        return next(reversed(self.tenants[tenant].entries.values()))
+        starts = [each for queue in self.tenants.values() for each in queue.starts()]
+        return max(starts, key=lambda each: (each[0], each[1].tenant))[1]
 
     def discard(self, entry: QueueEntry) -> None:
         """Remove an entry without charging its tenant."""
@@ -183,16 +189,25 @@
             competes: Whether a queued request waits for the same back ends.
         """
         queue = self._priorities.get(entry.priority, _PriorityQueue())
-        start = _start_behind_own(queue, entry)
+        return self._count_before(entry, _start_behind_own(queue, entry), competes)
+
+    def position(self, entry_id: str) -> int:
+        """Return how many queued requests would be served before a queued one."""
+        entry = self._entries[entry_id]
+        waiting = self._priorities[entry.priority].tenants[entry.tenant]
+        start = next(start for start, other in waiting.starts() if other is entry)
+        return self._count_before(entry, start, lambda other: other is not entry)
+
+    def _count_before(self, entry: QueueEntry, start: float, competes: Eligible) -> int:
+        """Return how many queued requests would be served before one with a virtual start."""
+        queue = self._priorities.get(entry.priority, _PriorityQueue())
         better = (e for e in self._entries.values() if e.priority < entry.priority)
         before = sum(1 for other in better if competes(other))
         for tenant, waiting in queue.tenants.items():
-            virtual_start = waiting.start
-            for other in waiting.entries.values():
+            for virtual_start, other in waiting.starts():
                 if virtual_start > start or (virtual_start == start and tenant > entry.tenant):
                     break
                 before += 1 if competes(other) else 0
-                virtual_start += other.cost / max(other.weight, MIN_WEIGHT)
         return before
 
     def lowest_priority(self) -> int | None:
@@ -230,12 +245,6 @@
             del self._tenant_counts[entry.tenant]
 
 
-def _start_of_last(queue: _TenantQueue) -> float:
-    """Return the virtual start of a tenant's last waiting request."""
-    entries = tuple(queue.entries.values())
-    return queue.start + sum(e.cost / max(e.weight, MIN_WEIGHT) for e in entries[:-1])
-
-
 def _start_behind_own(queue: _PriorityQueue, entry: QueueEntry) -> float:
     """Return the virtual start of a new entry after its tenant's queued ones."""
     start = queue.next_start(entry.tenant)
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -125,13 +125,25 @@
         eligible = self._eligible(request, service, tried, now)
         self._note_wanted(request, service, eligible, self._admissible(eligible, now), now)
 
-    def uncached_tokens(self, request: ExchangeRequest, view: InstanceView) -> int:
-        """Return the tokens of a request's prompt that an instance hasn't cached."""
-        prompt = request.prompt
-        if prompt is None:
-            return 0
-        keys = segment_keys(prompt.model, self.salt(request, view), prompt.segments)
-        return max(0, prompt.prompt_tokens - view.segments.cached_tokens(keys))
+    def uncached_tokens(
+        self, request: ExchangeRequest, prompt: Prompt
+    ) -> Callable[[InstanceView], int]:
+        """Return a function from an instance to the tokens of a prompt that it hasn't cached."""
+        keys_of = self._keys_of(request, prompt)
+        tokens = prompt.prompt_tokens
+        return lambda view: max(0, tokens - view.segments.cached_tokens(keys_of(view)))
+
+    def _keys_of(self, request: ExchangeRequest, prompt: Prompt) -> KeysOf:
+        """Return a function from an instance to the keys of a prompt's segments there."""
+        by_salt: dict[str, tuple[SegmentKey, ...]] = {}
+
+        def keys_of(view: InstanceView) -> tuple[SegmentKey, ...]:
+            salt = self.salt(request, view)
+            if salt not in by_salt:
+                by_salt[salt] = segment_keys(prompt.model, salt, prompt.segments)
+            return by_salt[salt]
+
+        return keys_of
 
     def _note_wanted(
         self,
@@ -277,14 +289,7 @@
         self, request: ExchangeRequest, prompt: Prompt, service: str
     ) -> EngineRequest:
         """Return what the choice of an engine depends on."""
-        by_salt: dict[str, tuple[SegmentKey, ...]] = {}
-
-        def keys_of(view: InstanceView) -> tuple[SegmentKey, ...]:
-            salt = self.salt(request, view)
-            if salt not in by_salt:
-                by_salt[salt] = segment_keys(prompt.model, salt, prompt.segments)
-            return by_salt[salt]
-
+        keys_of = self._keys_of(request, prompt)
         traits = self._traits(service)
         if traits is None:
             return EngineRequest(keys_of, prompt.model, prompt.prompt_tokens, float("inf"))
--- a/hopstep/services/exchanges/requests/queue_binding.py
+++ b/hopstep/services/exchanges/requests/queue_binding.py
@@ -6,8 +6,8 @@
 
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
-from hopstep.services.exchanges.requests.queue_refusals import WaitingExchange
 from hopstep.services.exchanges.requests.service_capacity import Capacity, ServiceCapacity
+from hopstep.services.exchanges.requests.waiting_exchange import WaitingExchange
 
 
 class QueueBinding:
@@ -27,6 +27,7 @@
         self._choice = choice
         self._reserved: set[str] = set()
         self._blocked: set[tuple[str, str, bool]] = set()
+        self._held_up: set[tuple[str, str]] = set()
 
     def look(self, request: ExchangeRequest, service: str, tried: Set[str]) -> Capacity:
         """Return the capacity for a request now."""
@@ -36,25 +37,38 @@
     def begin_pass(self) -> None:
         """Begin to go through the waiting requests: what was found before no longer holds."""
         self._blocked.clear()
+        self._held_up.clear()
 
     def try_bind(self, waiting: WaitingExchange) -> bool:
-        """Return whether a request needn't wait any more; if so, its instance is chosen."""
+        """Return whether a request needn't wait any more; if so, its instance is chosen.
+
+        A request in time for which only memory is missing holds up those behind it: otherwise short
+        prompts would take what becomes free, and long ones would never find enough.
+        """
         request, service, tried = waiting.request, waiting.service, waiting.tried
         model = request.prompt.model if request.prompt is not None else ""
         group = (service, model, self._capacity.is_urgent(request, service))
-        if group in self._blocked and not tried:
+        if (group in self._blocked and not tried) or (service, model) in self._held_up:
             return False
         capacity = self.look(request, service, tried)
         if capacity.must_wait:
             self._choice.note_waiting(request, service, tried)
-            if not capacity.has_places and not tried:
-                self._blocked.add(group)
+            self._note_refused(waiting, capacity, group)
             return False
         waiting.candidate = self._choice.choose(request, service, tried, within=capacity.within)
         if waiting.candidate is not None:
             self._reserved.add(waiting.candidate.view.instance.instance_id)
         return True
 
+    def _note_refused(
+        self, waiting: WaitingExchange, capacity: Capacity, group: tuple[str, str, bool]
+    ) -> None:
+        """Note which other requests needn't be tried in this pass."""
+        if capacity.has_places and not waiting.order.late:
+            self._held_up.add(group[:2])
+        if not capacity.has_places and not waiting.tried:
+            self._blocked.add(group)
+
     def release(self, waiting: WaitingExchange) -> None:
         """Note that a request that was bound is about to be counted, or has been given up."""
         if waiting.candidate is not None:
--- a/hopstep/services/exchanges/requests/queue_refusals.py
+++ b/hopstep/services/exchanges/requests/queue_refusals.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Set
-
-import msgspec
 import trio
 
 from hopstep import log_events
@@ -14,14 +11,12 @@
     ReturningClients,
     return_seconds,
 )
-from hopstep.domain.exchanges.request import ExchangeRequest
-from hopstep.domain.exchanges.selection import Candidate
-from hopstep.domain.exchanges.waiting_order import WaitingRequest
 from hopstep.domain.queue_pace import QueuePace
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.logs import emit
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.requests.service_capacity import Capacity
+from hopstep.services.exchanges.requests.waiting_exchange import WaitingExchange
 
 MILLISECONDS = 1_000
 
@@ -43,32 +38,6 @@
         self.return_seconds = return_seconds
 
 
-class WaitingExchange(msgspec.Struct, eq=False):
-    """A request that waits at this node, and how its wait ended.
-
-    Attributes:
-        order: What its place in the order depends on.
-        request: The request.
-        service: Service that the route chose.
-        tried: Ids of instances that the request was sent to.
-        began_at: When it began to wait, by the steady clock in seconds.
-        ahead: Requests that went before it then.
-        woken: Set when its wait has ended.
-        candidate: Instance that was chosen for it; None when there is none.
-        error: Why it was refused; None when it wasn't.
-    """
-
-    order: WaitingRequest
-    request: ExchangeRequest
-    service: str
-    tried: Set[str]
-    began_at: float
-    ahead: int
-    woken: trio.Event = msgspec.field(default_factory=trio.Event)
-    candidate: Candidate | None = None
-    error: ServiceError | None = None
-
-
 class QueueRefusals:
     """Observes the queue of one node, and makes its refusals.
 
--- a/hopstep/services/exchanges/requests/request_queue.py
+++ b/hopstep/services/exchanges/requests/request_queue.py
@@ -10,7 +10,6 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.early_refusal import (
     Prospect,
     is_hopeless,
@@ -21,16 +20,14 @@
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.waiting_order import STARTED_RANK, WaitingOrder, WaitingRequest
 from hopstep.exceptions import ServiceError
-from hopstep.logs import emit
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
 from hopstep.services.exchanges.requests.queue_binding import QueueBinding
-from hopstep.services.exchanges.requests.queue_refusals import QueueRefusals, WaitingExchange
+from hopstep.services.exchanges.requests.queue_refusals import QueueRefusals
 from hopstep.services.exchanges.requests.service_capacity import Capacity, ServiceCapacity
+from hopstep.services.exchanges.requests.waiting_exchange import WaitingExchange
 from hopstep.services.lifecycle import Lifecycle
 
-MILLISECONDS = 1_000
-
 RECHECK_SECONDS = 0.1
 """Interval at which waiting requests are tried again, for changes that nothing here announces:
 load reports of other nodes, which come every 0.2 s, and new entries of instances."""
@@ -41,9 +38,6 @@
 MAX_WAITING_BYTES = 8 * 1024 * 1024
 """Bytes of bodies of the requests that may wait at a node."""
 
-LOGGED_WAIT_SECONDS = 0.05
-"""Longer waits are logged."""
-
 Recheck = Callable[[], Awaitable[None]]
 """Checks again whether a request may be sent; raises ``ServiceError`` when it may not."""
 
@@ -241,13 +235,9 @@
 
     def _ahead(self, waiting: WaitingExchange) -> int:
         """Return how many requests go before a waiting one."""
-        now = trio.current_time()
         order = self._orders[waiting.service]
-        order.sort_late(now)
-        order.discard(waiting.order.entry_id)
-        ahead = order.ahead_of(waiting.order, now)
-        order.add(waiting.order, now)
-        return ahead
+        order.sort_late(trio.current_time())
+        return order.position(waiting.order.entry_id)
 
     def _leave(self, waiting: WaitingExchange) -> None:
         """Note that a request waits no longer, and let the next one be tried."""
@@ -255,8 +245,7 @@
         self._end_wait(waiting)
         waited = trio.current_time() - waiting.began_at
         self._metrics.waited.observe(waited)
-        if waited > LOGGED_WAIT_SECONDS:
-            self._log_wait(waiting, waited)
+        waiting.log_wait(waited, len(self._waiting))
         self.recheck()
 
     def _end_wait(self, waiting: WaitingExchange) -> None:
@@ -296,22 +285,6 @@
         """Return whether a request needn't wait any more; if so, its instance is chosen."""
         return self._binding.try_bind(self._waiting[entry_id])
 
-    def _log_wait(self, waiting: WaitingExchange, seconds: float) -> None:
-        """Log a wait."""
-        candidate = waiting.candidate
-        emit(
-            log_events.REQUEST_WAITED,
-            request_id=waiting.request.request_id,
-            route=waiting.request.route.name,
-            service=waiting.service,
-            priority=waiting.order.rank,
-            waited_ms=round(seconds * MILLISECONDS),
-            ahead=waiting.ahead,
-            late=waiting.order.late,
-            instance=candidate.view.instance.instance_id if candidate is not None else "",
-            waiting=len(self._waiting),
-        )
-
 
 async def _wait_until(event: trio.Event, until: float) -> None:
     """Wait for an event, at most until a time of the steady clock in seconds."""
--- a/hopstep/services/exchanges/requests/service_capacity.py
+++ b/hopstep/services/exchanges/requests/service_capacity.py
@@ -80,7 +80,7 @@
         urgent = self.is_urgent(request, service)
         unreserved = [view for view in views if view.instance.instance_id not in reserved]
         open_views = [v for v in unreserved if v.has_room(CapacityNeed(urgent=urgent), now)]
-        room = [view for view in open_views if self._fits(request, view, urgent, now)]
+        room = self._with_memory(request, open_views, urgent, now)
         taken = sum(view.total_active(now) for view in views)
         places = sum(max(0, view.free_places(now, urgent=urgent)) for view in views)
         if len(room) == len(views):
@@ -91,9 +91,17 @@
         must_wait = taken > 0 or len(unreserved) < len(views)
         return Capacity(must_wait, None, places, taken, bool(open_views))
 
-    def _fits(self, request: ExchangeRequest, view: InstanceView, urgent: bool, now: float) -> bool:
-        """Return whether an instance with a free place has memory for a request."""
-        if request.prompt is None:
-            return True
-        tokens = self._choice.uncached_tokens(request, view) + request.prompt.answer_tokens
-        return view.has_room(CapacityNeed(tokens, urgent), now)
+    def _with_memory(
+        self,
+        request: ExchangeRequest,
+        views: Sequence[InstanceView],
+        urgent: bool,
+        now: float,
+    ) -> list[InstanceView]:
+        """Return those instances with a free place that have memory for a request."""
+        prompt = request.prompt
+        if prompt is None:
+            return list(views)
+        uncached = self._choice.uncached_tokens(request, prompt)
+        needs = [CapacityNeed(uncached(view) + prompt.answer_tokens, urgent) for view in views]
+        return [view for view, need in zip(views, needs, strict=True) if view.has_room(need, now)]
--- /dev/null
+++ b/hopstep/services/exchanges/requests/waiting_exchange.py
@@ -0,0 +1,69 @@
+"""A request that waits at this node, and the log line of its wait."""
+
+from __future__ import annotations
+
+from collections.abc import Set
+
+import msgspec
+import trio
+
+from hopstep import log_events
+from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.exchanges.selection import Candidate
+from hopstep.domain.exchanges.waiting_order import WaitingRequest
+from hopstep.exceptions import ServiceError
+from hopstep.logs import emit
+
+MILLISECONDS = 1_000
+
+LOGGED_WAIT_SECONDS = 0.05
+"""Longer waits are logged."""
+
+
+class WaitingExchange(msgspec.Struct, eq=False):
+    """A request that waits at this node, and how its wait ended.
+
+    Attributes:
+        order: What its place in the order depends on.
+        request: The request.
+        service: Service that the route chose.
+        tried: Ids of instances that the request was sent to.
+        began_at: When it began to wait, by the steady clock in seconds.
+        ahead: Requests that went before it then.
+        woken: Set when its wait has ended.
+        candidate: Instance that was chosen for it; None when there is none.
+        error: Why it was refused; None when it wasn't.
+    """
+
+    order: WaitingRequest
+    request: ExchangeRequest
+    service: str
+    tried: Set[str]
+    began_at: float
+    ahead: int
+    woken: trio.Event = msgspec.field(default_factory=trio.Event)
+    candidate: Candidate | None = None
+    error: ServiceError | None = None
+
+    def log_wait(self, seconds: float, still_waiting: int) -> None:
+        """Log the wait if it was long.
+
+        Args:
+            seconds: How long it waited.
+            still_waiting: Requests that wait at the node after it has left.
+        """
+        if seconds <= LOGGED_WAIT_SECONDS:
+            return
+        candidate = self.candidate
+        emit(
+            log_events.REQUEST_WAITED,
+            request_id=self.request.request_id,
+            route=self.request.route.name,
+            service=self.service,
+            priority=self.order.rank,
+            waited_ms=round(seconds * MILLISECONDS),
+            ahead=self.ahead,
+            late=self.order.late,
+            instance=candidate.view.instance.instance_id if candidate is not None else "",
+            waiting=still_waiting,
+        )
--- a/tests/domain/test_fair_queue_stateful.py
+++ b/tests/domain/test_fair_queue_stateful.py
@@ -72,6 +72,13 @@
         if not self._waits(entry.priority):
             self.passed_over[entry.priority] = 0
 
+    @invariant()
+    def positions_are_an_order(self):
+        positions = {entry: self.queue.position(entry.entry_id) for entry in self.waiting}
+        assert sorted(positions.values()) == list(range(len(self.waiting)))
+        last = self.queue.last()
+        assert last is None if not self.waiting else positions[last] == len(self.waiting) - 1
+
     @invariant()
     def counts_agree(self):
         assert len(self.queue) == len(self.waiting)
--- a/tests/services/exchanges/test_request_queue.py
+++ b/tests/services/exchanges/test_request_queue.py
@@ -1,5 +1,6 @@
 """Requests that wait at a node for an instance with capacity, on emulated ports."""
 
+import contextlib
 import unittest
 from unittest import mock
 
@@ -8,13 +9,16 @@
 import trio
 
 from emulator.exchange_platform.instances import Behaviour
+from hopstep.domain.exchanges.request import PromptSegment
 from hopstep.exceptions import ErrorCode
 from hopstep.ports.serving_directory import ConfigurationPublished
 from hopstep.services.exchanges.requests import request_queue
+from hopstep.services.exchanges.requests.service_capacity import Capacity, ServiceCapacity
 from tests.services.exchanges.exchange_world import (
     ROUTES,
     TENANTS,
     ExchangeWorld,
+    RecordedAnswer,
     configuration,
 )
 
@@ -78,6 +82,78 @@
 
         self.run_world(script, work_seconds=2.0)
 
+    def test_unequal_instances_answer_more_in_time_than_when_all_is_sent_at_once(self):
+        """Requests in the queue of a slow instance can't be sent to a fast one any more."""
+
+        def limit_to_slots(server):
+            limiter, work = trio.CapacityLimiter(1), server.work
+
+            async def work_in_turn(seconds):
+                async with limiter:
+                    await work(seconds)
+
+            server.work = work_in_turn
+
+        def in_time(at_once):
+            answered = []
+
+            async def script(world):
+                for name, seconds in (("p0", 0.05), ("p1", 0.3)):
+                    server = world.instances.servers[name]
+                    server.work_seconds = seconds
+                    limit_to_slots(server)
+
+                async def one():
+                    began_at = trio.current_time()
+                    answer = await world.request("unsafe")
+                    late = trio.current_time() - began_at > 0.5
+                    answered.append(answer.status == 200 and not late)
+
+                async with trio.open_nursery() as nursery:
+                    for _ in range(14):
+                        nursery.start_soon(one)
+
+            with contextlib.ExitStack() as stack:
+                if at_once:
+                    unlimited = mock.patch.object(ServiceCapacity, "of", return_value=Capacity())
+                    stack.enter_context(unlimited)
+                self.run_world(script, instances=2)
+            return sum(answered)
+
+        self.assertGreater(in_time(at_once=False), in_time(at_once=True))
+
+    def test_short_prompts_do_not_keep_a_long_one_out_of_an_engines_memory(self):
+        async def script(world):
+            world.add("e0", "llm", slots=4)
+            await trio.sleep(0.5)
+            view = world.nodes[0].knowledge.table.get("e0")
+
+            def has_room(need, now):
+                return view.active < (1 if need.tokens > 3_000 else 3)
+
+            with mock.patch.object(view, "has_room", has_room):
+                async with trio.open_nursery() as nursery:
+                    for name, tokens in (
+                        ("short 0", 100),
+                        ("short 1", 100),
+                        ("short 2", 100),
+                        ("long", 3_500),
+                        ("short 3", 100),
+                    ):
+                        nursery.start_soon(self.send_prompt, world, name, tokens)
+                        await trio.sleep(0.005)
+            runs = [run.request_id for run in world.instances.servers["e0"].runs]
+            self.assertEqual(runs, ["short 0", "short 1", "short 2", "long", "short 3"])
+
+        self.run_world(script)
+
+    async def send_prompt(self, world, request_id, tokens):
+        head = world.head("stream", request_id=request_id)
+        segments = (PromptSegment(head.request_id, tokens),)
+        prompt = msgspec.structs.replace(head.prompt, segments=segments, prompt_tokens=tokens)
+        head = msgspec.structs.replace(head, prompt=prompt)
+        await world.nodes[0].exchanges.serve(head, b"", RecordedAnswer())
+
     def test_rejecting_or_suspended_instances_are_tried_as_before(self):
         """Otherwise a request would wait until its deadline for nothing that runs."""
         for behaviour in (Behaviour.REJECT, Behaviour.UNREACHABLE):
