Sum the requests that a relay's nodes expect at limited instances

A relay left them out of the sum of its group, so a node that only expected requests for a limited instance got no permit from it, and a lifted limit was never noticed.

--- a/hopstep/domain/limits/fleet_usage.py
+++ b/hopstep/domain/limits/fleet_usage.py
@@ -147,7 +147,8 @@
             self._swept_at = now
             self._sweep(now)
         usage = (
-            Usage(name, admitted, self._offered[name]) for name, admitted in self._admitted.items()
+            Usage(name, admitted, self._offered[name], self._expected[name])
+            for name, admitted in self._admitted.items()
         )
         return UsageReport(tuple(each for each in usage if not each.is_empty), self._nodes)
 
