--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -141,7 +141,9 @@
 
     def has_room(self, need: CapacityNeed, now: float) -> bool:
         """Return whether the instance has capacity for a request."""
-        if not self.is_usable(now) or self.free_places(now, urgent=need.urgent) <= 0:
+        if self.is_full(now) or not self.is_usable(now):
+            return False
+        if self.free_places(now, urgent=need.urgent) <= 0:
             return False
         used = self.total_used_tokens(now)
         return not self.cache_tokens or not used or used + need.tokens <= self.cache_tokens
@@ -149,7 +151,7 @@
     def begin(
         self,
         request_id: str,
-        uncached_tokens: int,
+        work_tokens: int,
         now: float,
         *,
         used_tokens: int = 0,
@@ -159,47 +161,47 @@
 
         Args:
             request_id: Id of the request.
-            uncached_tokens: Prompt tokens that it has to prefill.
+            work_tokens: Work until its first byte; see ``prompt_work``. 0 without a prompt.
             now: Steady clock.
             used_tokens: Memory in tokens that the request takes until its end.
             moves_segments: Whether cached segments are moved to it first.
         """
         has_slot = self.total_active(now) < self.instance.slots
         is_observed = has_slot and not moves_segments and now >= self.loading_until
-        self._add_request(request_id, uncached_tokens, now, is_observed=is_observed)
+        self._add_request(request_id, work_tokens, now, is_observed=is_observed)
         self.used_tokens += used_tokens
         self._unanswered_since[request_id] = now
         self._begin_trial(request_id)
 
     def first_byte(
-        self, request_id: str, uncached_tokens: int, now: float, *, shows_speed: bool = False
+        self, request_id: str, work_tokens: int, now: float, *, shows_speed: bool = False
     ) -> None:
         """Note the first byte of a response's body.
 
         Args:
             request_id: Id of the request.
-            uncached_tokens: As given when it began.
+            work_tokens: As given when it began.
             now: Steady clock.
             shows_speed: Whether it is the first token of an answer to a prompt.
         """
-        work = self._end_prefill(request_id, uncached_tokens)
+        work = self._end_prefill(request_id, work_tokens)
         if work is not None and shows_speed:
-            self._observe(work, uncached_tokens, now)
+            self._observe(work, work_tokens, now)
         self._unanswered_since.pop(request_id, None)
         self._full.clear()
         self.note_received_byte(now)
 
-    def end(self, request_id: str, uncached_tokens: int, used_tokens: int = 0) -> None:
+    def end(self, request_id: str, work_tokens: int, used_tokens: int = 0) -> None:
         """Count a request that has ended.
 
         Args:
             request_id: Id of the request.
-            uncached_tokens: As given when it began.
+            work_tokens: As given when it began.
             used_tokens: As given when it began.
         """
         self.active -= 1
         self.used_tokens -= used_tokens
-        self._end_prefill(request_id, uncached_tokens)
+        self._end_prefill(request_id, work_tokens)
         self._unanswered_since.pop(request_id, None)
         self.end_stream(request_id)
         self._leave_trial(request_id)
@@ -269,10 +271,5 @@
         return self.is_full(now) or not self.responds(now)
 
     def is_usable(self, now: float) -> bool:
-        """Return whether the instance is likely to serve a new request."""
-        return (
-            now >= self.loading_until
-            and not self.awaits_trial
-            and not self.is_full(now)
-            and self.responds(now)
-        )
+        """Return whether the instance is likely to serve a new request once it has capacity."""
+        return now >= self.loading_until and not self.awaits_trial and self.responds(now)
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -44,6 +44,24 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=registry,
         )
+        self.waiting = Gauge(
+            "hopstep_exchanges_waiting",
+            "Requests that wait at this node for an instance with capacity, by priority.",
+            ("priority",),
+            registry=registry,
+        )
+        self.waited = Histogram(
+            "hopstep_exchange_wait_seconds",
+            "Waits of requests at this node for an instance with capacity.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=registry,
+        )
+        self.early_refusals = Counter(
+            "hopstep_exchange_early_refusals",
+            "Requests refused before they were sent since they would wait too long, by priority.",
+            ("priority",),
+            registry=registry,
+        )
         self.read_tokens = Counter(
             "hopstep_exchange_read_tokens",
             "Prompt tokens that instances were expected to read.",
@@ -72,6 +90,21 @@
             "Clients' connections that a fault of this node has ended.",
             registry=registry,
         )
+        self.refused_for_memory = Counter(
+            "hopstep_exchanges_refused_for_memory",
+            "Requests refused since the node had no space for their body or response.",
+            registry=registry,
+        )
+        self.responses_in_parts = Counter(
+            "hopstep_responses_relayed_in_parts",
+            "Responses relayed before they were read to their end, for lack of space.",
+            registry=registry,
+        )
+        self.stalled_clients = Counter(
+            "hopstep_stalled_clients",
+            "Clients disconnected since they didn't read while the node lacked space.",
+            registry=registry,
+        )
 
     def watch(self, name: str, documentation: str, read: Callable[[], float]) -> None:
         """Register a gauge whose value is read when metrics are scraped."""
--- a/hopstep/services/exchanges/node_gauges.py
+++ b/hopstep/services/exchanges/node_gauges.py
@@ -4,10 +4,12 @@
 
 import trio
 
+from hopstep.domain.byte_budget import ByteBudget
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
 from hopstep.services.exchanges.weights.rollout_lease import RolloutLease
+from hopstep.services.exchanges.weights.weights_rollout import WeightsRollout
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.services.quarantine.quarantine import Quarantine
 
@@ -60,6 +62,34 @@
     )
 
 
+def watch_rollout(metrics: ExchangeMetrics, rollout: WeightsRollout) -> None:
+    """Register the gauges of the loads of weights that this node orders."""
+    metrics.watch(
+        "hopstep_weights_loads",
+        "Engines that this node is loading weights into.",
+        lambda: rollout.loads_in_progress,
+    )
+    metrics.watch(
+        "hopstep_weights_loads_waiting",
+        "Engines whose load waits for capacity of the others, or for a further version.",
+        lambda: rollout.loads_waiting,
+    )
+
+
+def watch_held_bytes(metrics: ExchangeMetrics, budget: ByteBudget) -> None:
+    """Register the gauges of the bytes that are held for clients and instances."""
+    metrics.watch(
+        "hopstep_held_bytes",
+        "Bytes of requests and responses that this node holds; 0 without a limit.",
+        lambda: budget.held_bytes,
+    )
+    metrics.watch(
+        "hopstep_held_bytes_limit",
+        "Most bytes of requests and responses that this node may hold; 0 for no limit.",
+        lambda: budget.limit_bytes,
+    )
+
+
 def watch_limits(metrics: ExchangeMetrics, notices: InstanceNotices) -> None:
     """Register the gauges of rate-limited instances and of the requests sent to them."""
     metrics.watch(
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -71,7 +71,7 @@
         used_tokens = prompt.used_tokens(candidate.uncached_tokens) if prompt is not None else 0
         view.begin(
             request_id,
-            candidate.uncached_tokens,
+            candidate.work_tokens,
             now,
             used_tokens=used_tokens,
             moves_segments=bool(candidate.source),
@@ -86,7 +86,7 @@
             abandoned = False
             return error
         finally:
-            view.end(request_id, candidate.uncached_tokens, used_tokens)
+            view.end(request_id, candidate.work_tokens, used_tokens)
             self._parts.limits.release(view, self._permit)
             if abandoned and self.proof.sent and not self._relay.finished:
                 look = functools.partial(self._parts.calls.probe_connection, view.instance)
