--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -27,6 +27,7 @@
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.registration import Registration
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
+from hopstep.services.exchanges.instance_gauges import watch_capacity
 from hopstep.services.exchanges.instances.connection_reaper import ConnectionReaper
 from hopstep.services.exchanges.instances.engine_cache_watch import EngineCacheWatch
 from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
@@ -227,6 +228,7 @@
         watch_knowledge(self.metrics, self.knowledge)
         watch_work(self.metrics, self.lifecycle, self.quarantine, self.lease)
         watch_limits(self.metrics, self.notices)
+        watch_capacity(self.metrics, self.registry, self.knowledge.table)
         watch_rollout(self.metrics, self.rollout)
         watch_held_bytes(self.metrics, self.held_bytes.budget)
 
