--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -717,6 +717,13 @@
     ("model", "version", "engines", "due_ms"),
     "Nothing: loads go on as engines have capacity, after `due_ms` at the latest.",
 )
+ENGINES_KEPT = LogEvent(
+    "HS6130",
+    "engines_kept",
+    Level.INFO,
+    ("service", "routes", "kept", "engines", "long_tokens"),
+    "Nothing: `kept` of the `engines` get no prompts of `long_tokens` or more from other routes.",
+)
 CACHE_STORE_CHANGED = LogEvent(
     "HS6107",
     "cache_store_changed",
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -9,6 +9,7 @@
 import trio
 
 from hopstep import log_events
+from hopstep.domain.exchanges.prefill_causes import SharedPrefill
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds, RepeatBudget
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.retry_after import QueueReturn, RetryAdvice, RetryReason
@@ -95,7 +96,14 @@
         self._metrics = metrics
         self._budgets: dict[str, RepeatBudget] = {}
         choice = InstanceChoice(
-            knowledge, store_watch, pauses, generator, zone, other_zone_seconds, drain_seconds
+            knowledge,
+            store_watch,
+            pauses,
+            generator,
+            zone,
+            other_zone_seconds,
+            drain_seconds,
+            self._count_prefilled,
         )
         capacity = ServiceCapacity(knowledge, choice)
         self.queue = RequestQueue(capacity, choice, lifecycle, metrics)
@@ -115,6 +123,11 @@
             queue=self.queue,
             readmit=self.admission.readmit,
         )
+        metrics.watch(
+            "hopstep_kept_engines",
+            "Engines that this node keeps free of long prompts.",
+            lambda: self._parts.choice.kept_engines,
+        )
 
     def max_body_bytes(self) -> int:
         """Return the size of the largest body that is read into memory, in bytes."""
@@ -242,6 +255,10 @@
         """Count a failed attempt."""
         self._metrics.attempts.labels(code, next_step).inc()
 
+    def _count_prefilled(self, prefilled: SharedPrefill) -> None:
+        """Count shared tokens that an engine has to prefill."""
+        self._metrics.shared_prefill.labels(prefilled.cause.value).inc(prefilled.tokens)
+
     def _version(self) -> int:
         """Return the version of the configuration in force; 0 for none."""
         current = self._knowledge.current
