--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -141,7 +141,9 @@
 
     def has_room(self, need: CapacityNeed, now: float) -> bool:
         """Return whether the instance has capacity for a request."""
-        if not self.is_usable(now) or self.free_places(now, urgent=need.urgent) <= 0:
+        if self.is_full(now) or not self.is_usable(now):
+            return False
+        if self.free_places(now, urgent=need.urgent) <= 0:
             return False
         used = self.total_used_tokens(now)
         return not self.cache_tokens or not used or used + need.tokens <= self.cache_tokens
@@ -269,10 +271,5 @@
         return self.is_full(now) or not self.responds(now)
 
     def is_usable(self, now: float) -> bool:
-        """Return whether the instance is likely to serve a new request."""
-        return (
-            now >= self.loading_until
-            and not self.awaits_trial
-            and not self.is_full(now)
-            and self.responds(now)
-        )
+        """Return whether the instance is likely to serve a new request once it has capacity."""
+        return now >= self.loading_until and not self.awaits_trial and self.responds(now)
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -10,7 +10,7 @@
 
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.prefill_causes import SharedPrefill
-from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.exchanges.request import ExchangeRequest, Prompt
 from hopstep.domain.exchanges.segments import segment_keys
 from hopstep.domain.exchanges.selection import Candidate, choose_engine, choose_server
 from hopstep.domain.exchanges.spread_choice import ChoiceBounds
@@ -22,6 +22,7 @@
 from hopstep.services.exchanges.requests.engine_requests import (
     EngineRequests,
     cache_salt,
+    keys_by_salt,
     remaining_objective,
 )
 from hopstep.services.exchanges.requests.permit_demand import LimitProbes, is_limited, note_wanted
@@ -139,22 +140,10 @@
         self, request: ExchangeRequest, prompt: Prompt
     ) -> Callable[[InstanceView], int]:
         """Return a function from an instance to the tokens of a prompt that it hasn't cached."""
-        keys_of = self._keys_of(request, prompt)
+        keys_of = keys_by_salt(request, prompt)
         tokens = prompt.prompt_tokens
         return lambda view: max(0, tokens - view.segments.cached_tokens(keys_of(view)))
 
-    def _keys_of(self, request: ExchangeRequest, prompt: Prompt) -> KeysOf:
-        """Return a function from an instance to the keys of a prompt's segments there."""
-        by_salt: dict[str, tuple[SegmentKey, ...]] = {}
-
-        def keys_of(view: InstanceView) -> tuple[SegmentKey, ...]:
-            salt = self.salt(request, view)
-            if salt not in by_salt:
-                by_salt[salt] = segment_keys(prompt.model, salt, prompt.segments)
-            return by_salt[salt]
-
-        return keys_of
-
     def _note_wanted(
         self,
         request: ExchangeRequest,
--- a/hopstep/services/exchanges/requests/service_capacity.py
+++ b/hopstep/services/exchanges/requests/service_capacity.py
@@ -103,5 +103,5 @@
         if prompt is None:
             return list(views)
         uncached = self._choice.uncached_tokens(request, prompt)
-        needs = [CapacityNeed(uncached(view) + prompt.answer_tokens, urgent) for view in views]
+        needs = [CapacityNeed(prompt.used_tokens(uncached(view)), urgent) for view in views]
         return [view for view, need in zip(views, needs, strict=True) if view.has_room(need, now)]
