--- a/hopstep/services/exchanges/requests/queue_refusals.py
+++ b/hopstep/services/exchanges/requests/queue_refusals.py
@@ -85,7 +85,7 @@
             ahead=ahead,
             wait_seconds=self._expected_wait(waiting.service, ahead),
             first_byte_seconds=self.first_bytes.expected(request.route.name),
-            remaining_seconds=request.deadline - now,
+            remaining_seconds=request.first_byte_by - now,
             free_places=capacity.free_places,
             taken_places=capacity.taken_places,
             less_urgent_waits=less_urgent_waits,
--- a/hopstep/services/exchanges/requests/request_queue.py
+++ b/hopstep/services/exchanges/requests/request_queue.py
@@ -209,7 +209,7 @@
         started = waiting.order.rank == STARTED_RANK
         if not started:
             first_byte = self.refusals.first_bytes.expected(waiting.request.route.name)
-            last_useful = last_useful_at(waiting.request.deadline, first_byte)
+            last_useful = last_useful_at(waiting.request.first_byte_by, first_byte)
             await _wait_until(waiting.woken, min(waiting.order.late_from, last_useful))
             self._refuse_late(waiting)
             await _wait_until(waiting.woken, last_useful)
