Weight home engines by their speed and count why shared segments are prefilled

Slow engines were the home of as many segments as fast ones, and nothing told why shared segments are prefilled again.

--- a/hopstep/domain/exchanges/selection.py
+++ b/hopstep/domain/exchanges/selection.py
@@ -210,11 +210,15 @@
 
 
 def _distance(view: InstanceView, keys: tuple[SegmentKey, ...]) -> float:
-    """Return 0 to 1, lowest at the home instance of the prompt's last shared segment."""
+    """Return 0 to 1, lowest at the home instance of the prompt's last shared segment.
+
+    Weighted rendezvous hashing: an instance is the home of segments in proportion to its speed.
+    """
     if len(keys) < 2:
         return 0.0
     hashed = view.hashed
-    return (((keys[-2].digest ^ hashed) * (hashed | 1)) & MASK) / MASK
+    uniform = (((keys[-2].digest ^ hashed) * (hashed | 1)) & MASK) / MASK
+    return float(1.0 - (1.0 - uniform) ** view.slowness)
 
 
 def _failure_cost(view: InstanceView, now: float) -> float:
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -49,6 +49,12 @@
             "Prompt tokens that instances were expected to read.",
             registry=registry,
         )
+        self.shared_prefill = Counter(
+            "hopstep_exchange_shared_prefill_tokens",
+            "Tokens of shared segments that engines were expected to prefill, by cause.",
+            ("cause",),
+            registry=registry,
+        )
         self.rejected_entries = Counter(
             "hopstep_rejected_entries",
             "Documents in the store that this node doesn't trust, by reason.",
--- a/hopstep/services/exchanges/requests/engine_requests.py
+++ b/hopstep/services/exchanges/requests/engine_requests.py
@@ -7,6 +7,7 @@
 import trio
 
 from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.exchanges.prefill_causes import PrefillCauses, SharedPrefill
 from hopstep.domain.exchanges.request import ExchangeRequest, Prompt
 from hopstep.domain.exchanges.segment_moves import EngineRequest, KeysOf, StoreSource
 from hopstep.domain.exchanges.segments import SegmentKey, segment_keys
@@ -27,6 +28,7 @@
         store_watch: CacheStoreWatch,
         zone: str,
         other_zone_seconds: float,
+        count_prefilled: Callable[[SharedPrefill], None],
     ) -> None:
         """Create the builder of one node.
 
@@ -35,12 +37,15 @@
             store_watch: Contents of the cache stores.
             zone: Zone of this node.
             other_zone_seconds: Cost of sending a request to another zone, as a delay.
+            count_prefilled: Called with the shared tokens that an engine has to prefill.
         """
         self._knowledge = knowledge
         self._store_watch = store_watch
         self._zone = zone
         self._other_zone_seconds = other_zone_seconds
         self._separation = EngineSeparation()
+        self._causes = PrefillCauses()
+        self._count_prefilled = count_prefilled
 
     @property
     def kept_engines(self) -> int:
@@ -49,7 +54,15 @@
 
     def note_sent(self, request: ExchangeRequest, candidate: Candidate) -> None:
         """Count a prompt that is sent to an engine."""
+        prompt = request.prompt
+        if prompt is None:
+            return
         self._separation.note_sent(request, candidate, trio.current_time())
+        views = self._knowledge.table.of_service(candidate.view.instance.service)
+        group = isolation_group(request)
+        prefilled = self._causes.note_sent(prompt, group, candidate, views)
+        if prefilled is not None:
+            self._count_prefilled(prefilled)
 
     def build(self, request: ExchangeRequest, prompt: Prompt, service: str) -> EngineRequest:
         """Return what the choice of an engine for a request depends on.
@@ -122,9 +135,13 @@
     if request.prompt is None:
         return ""
     version = view.serving_version(request.prompt.model)
+    return f"{version}.{isolation_group(request)}"
+
+
+def isolation_group(request: ExchangeRequest) -> str:
+    """Return the group whose cached segments a request may share; empty for the common one."""
     tenant = request.tenant
-    group = tenant.name if tenant is not None and tenant.isolated else ""
-    return f"{version}.{group}"
+    return tenant.name if tenant is not None and tenant.isolated else ""
 
 
 def _keys_by_salt(request: ExchangeRequest, prompt: Prompt) -> KeysOf:
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Set
+from collections.abc import Callable, Set
 from typing import NamedTuple
 
 import trio
 
 from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.exchanges.prefill_causes import SharedPrefill
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.segments import segment_keys
 from hopstep.domain.exchanges.selection import Candidate, choose_engine, choose_server
@@ -60,6 +61,7 @@
         zone: str,
         other_zone_seconds: float,
         drain_seconds: float,
+        count_prefilled: Callable[[SharedPrefill], None],
     ) -> None:
         """Create the choice of one node.
 
@@ -71,6 +73,7 @@
             zone: Zone of this node.
             other_zone_seconds: Delay that is added to the estimate of instances in other zones.
             drain_seconds: Time for which an instance still serves after it announced its shutdown.
+            count_prefilled: Called with the shared tokens that an engine has to prefill.
         """
         self._last_requests_seconds = LAST_REQUESTS_SHARE * drain_seconds
         self._knowledge = knowledge
@@ -80,7 +83,9 @@
         self._generator = generator
         self._zone = zone
         self._other_zone_seconds = other_zone_seconds
-        self._engine_requests = EngineRequests(knowledge, store_watch, zone, other_zone_seconds)
+        self._engine_requests = EngineRequests(
+            knowledge, store_watch, zone, other_zone_seconds, count_prefilled
+        )
 
     def choose(
         self, request: ExchangeRequest, service: str, tried: Set[str], only: str | None = None
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -9,6 +9,7 @@
 import trio
 
 from hopstep import log_events
+from hopstep.domain.exchanges.prefill_causes import SharedPrefill
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds, RepeatBudget
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.retry_after import RetryAdvice, RetryReason
@@ -101,6 +102,7 @@
                 zone,
                 other_zone_seconds,
                 drain_seconds,
+                self._count_prefilled,
             ),
             budgets=self._budget,
             nodes=knowledge.count_nodes,
@@ -236,6 +238,10 @@
         """Count a failed attempt."""
         self._metrics.attempts.labels(code, next_step).inc()
 
+    def _count_prefilled(self, prefilled: SharedPrefill) -> None:
+        """Count shared tokens that an engine has to prefill."""
+        self._metrics.shared_prefill.labels(prefilled.cause.value).inc(prefilled.tokens)
+
     def _version(self) -> int:
         """Return the version of the configuration in force; 0 for none."""
         current = self._knowledge.current
--- a/tests/domain/exchanges/test_selection.py
+++ b/tests/domain/exchanges/test_selection.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+from collections import Counter
 
 import msgspec
 
@@ -9,7 +10,7 @@
 from hopstep.domain.exchanges.request import PromptSegment
 from hopstep.domain.exchanges.segment_moves import EngineRequest, StoreSource
 from hopstep.domain.exchanges.segments import SegmentIndex, segment_keys
-from hopstep.domain.exchanges.selection import choose_engine, choose_server
+from hopstep.domain.exchanges.selection import _distance, choose_engine, choose_server
 from hopstep.domain.exchanges.spread_choice import ChoiceBounds
 
 MODEL = "m"
@@ -125,6 +126,34 @@
         self.assertIs(chosen.view, views[1])
         self.assertAlmostEqual(chosen.read_seconds, 0.8 * (3_000 + TOKENS) / 40_000)
 
+    def test_faster_engines_are_the_home_of_more_segments(self):
+        """Otherwise slow engines get as many long prompts as fast ones."""
+        views = [view(str(number)) for number in range(6)]
+        for slow in views[3:]:
+            slow.slowness = 2.0
+        homes = Counter()
+        for number in range(2_000):
+            segments = (PromptSegment(f"shared {number}", 1), PromptSegment("own", 1))
+            keys = segment_keys(MODEL, "1.", segments)
+            asked = EngineRequest(lambda _view, keys=keys: keys, MODEL, 2, 1e-6)
+            homes[choose_engine(views, views, asked, NOW, random.Random(1)).view.slowness] += 1
+        self.assertAlmostEqual(homes[1.0] / homes[2.0], 2.0, delta=0.4)
+
+    def test_all_nodes_choose_the_same_few_second_homes_when_the_first_one_would_be_late(self):
+        """Otherwise the segments of a loaded engine are prefilled again at all of the others."""
+        views = [view(str(number)) for number in range(8)]
+        asked = EngineRequest(lambda _view: KEYS, MODEL, TOKENS, 1.0, objective_seconds=0.5)
+        asked = msgspec.structs.replace(asked, nodes=24)
+
+        def choices():
+            chosen = (choose_engine(views, (), asked, NOW, random.Random(s)) for s in range(24))
+            return {int(candidate.view.instance.instance_id) for candidate in chosen}
+
+        by_distance = sorted(range(8), key=lambda number: _distance(views[number], KEYS))
+        self.assertEqual(choices(), {by_distance[0]})
+        views[by_distance[0]].pending_tokens = 20_000
+        self.assertLessEqual(choices(), set(by_distance[1:4]))
+
     def test_newer_weights_and_the_own_zone_yield_to_the_objective(self):
         """Otherwise prompts are late at the few engines that have loaded new weights."""
         views = [view("0"), view("1", version=2)]
