--- a/hopstep/domain/exchanges/engine_partition.py
+++ b/hopstep/domain/exchanges/engine_partition.py
@@ -24,9 +24,6 @@
 LONG_SHARE = 0.5
 """Part of the usual length of the longest prompts from which a prompt counts as long."""
 
-KEPT_SECONDS = 1.0
-"""Cost of a kept engine for a long prompt, as long as other engines meet its objective."""
-
 BEHIND_SHARE = 0.5
 """Part of a long prompt's prefill that a request expects at an engine that isn't kept: reports
 don't show the prompts that other nodes are just sending there."""
@@ -53,12 +50,17 @@
     long_seconds: float = 0.0
     engines: frozenset[str] = frozenset()
 
-    def preference(self, route: str, prompt_tokens: int) -> EnginePreference:
+    def preference(
+        self, route: str, prompt_tokens: int, objective_seconds: float
+    ) -> EnginePreference:
         """Return the costs of engines for a request.
 
+        A kept engine costs a long prompt its objective, so that any other one in time is better.
+
         Args:
             route: Name of its route.
             prompt_tokens: Length of its prompt.
+            objective_seconds: Its route's objective.
         """
         if not self.engines:
             return NO_PREFERENCE
@@ -67,7 +69,7 @@
             return EnginePreference(self.engines, other_seconds=behind)
         if prompt_tokens < self.long_tokens:
             return NO_PREFERENCE
-        return EnginePreference(self.engines, kept_seconds=KEPT_SECONDS)
+        return EnginePreference(self.engines, kept_seconds=objective_seconds)
 
 
 NO_PARTITION = EnginePartition()
--- a/hopstep/services/exchanges/requests/engine_separation.py
+++ b/hopstep/services/exchanges/requests/engine_separation.py
@@ -83,7 +83,8 @@
         if now - state.planned_at >= PLAN_SECONDS:
             state.planned_at = now
             self._plan(state, service, views, now)
-        return state.partition.preference(request.route.name, request.prompt.prompt_tokens)
+        route, tokens = request.route, request.prompt.prompt_tokens
+        return state.partition.preference(route.name, tokens, route.objective_seconds)
 
     def _plan(
         self, state: _ServiceState, service: str, views: Sequence[InstanceView], now: float
--- a/tests/domain/exchanges/placement_replay.py
+++ b/tests/domain/exchanges/placement_replay.py
@@ -107,7 +107,9 @@
             answer_tokens=load.answer_tokens,
         )
         if self.improved:
-            preference = self.partitions[node].preference(load.route, load.prompt_tokens)
+            preference = self.partitions[node].preference(
+                load.route, load.prompt_tokens, load.objective
+            )
             request = msgspec.structs.replace(
                 request,
                 objective_seconds=load.objective,
--- a/tests/domain/exchanges/test_engine_partition.py
+++ b/tests/domain/exchanges/test_engine_partition.py
@@ -22,17 +22,17 @@
         plan = plan_partition({"short": SHORT, "long": LONG}, views())
         self.assertEqual((plan.routes, len(plan.engines)), ({"short"}, 2))
         kept = next(iter(plan.engines))
-        self.assertGreater(plan.preference("long", 17_000).cost_at(kept), 0.863)
-        self.assertEqual(plan.preference("long", 17_000).cost_at("other"), 0.0)
-        self.assertEqual(plan.preference("short", 383).cost_at(kept), 0.0)
-        self.assertGreater(plan.preference("short", 383).cost_at("other"), 0.0)
+        self.assertEqual(plan.preference("long", 17_000, 0.863).cost_at(kept), 0.863)
+        self.assertEqual(plan.preference("long", 17_000, 0.863).cost_at("other"), 0.0)
+        self.assertEqual(plan.preference("short", 383, 0.423).cost_at(kept), 0.0)
+        self.assertGreater(plan.preference("short", 383, 0.423).cost_at("other"), 0.0)
 
     def test_nothing_is_kept_when_the_objective_tolerates_a_long_prompt(self):
         """Otherwise engines are lost to long prompts although nothing is gained."""
         tolerant = RouteWork(2.023, 1_000, 383_000, 291_000)
         plan = plan_partition({"short": tolerant, "long": LONG}, views())
         self.assertIs(plan, NO_PARTITION)
-        self.assertIs(plan.preference("long", 17_000), NO_PREFERENCE)
+        self.assertIs(plan.preference("long", 17_000, 0.863), NO_PREFERENCE)
 
     def test_nothing_is_kept_without_long_prompts_or_for_one_engine(self):
         self.assertIs(plan_partition({"short": SHORT}, views()), NO_PARTITION)
