--- a/hopstep/services/exchanges/weights/weights_rollout.py
+++ b/hopstep/services/exchanges/weights/weights_rollout.py
@@ -31,6 +31,7 @@
 POLL_SECONDS = 0.15
 MAX_UNANSWERED_POLLS = 3
 DRAIN_CHECK_SECONDS = 0.05
+
 LOADING_SECONDS = 1.0
 """Time for which nodes send no requests to an engine after a report that it loads."""
 
