--- a/hopstep/domain/fair_queue.py
+++ b/hopstep/domain/fair_queue.py
@@ -49,6 +49,13 @@
         self.entries: OrderedDict[str, QueueEntry] = OrderedDict()
         self.start = 0.0
 
+    def starts(self) -> Iterator[tuple[float, QueueEntry]]:
+        """Yield each request with the virtual time at which it starts after those before it."""
+        start = self.start
+        for entry in self.entries.values():
+            yield start, entry
+            start += entry.cost / max(entry.weight, MIN_WEIGHT)
+
     def finish(self, entry: QueueEntry) -> float:
         """Return the virtual time at which ``entry`` finishes if it is served next."""
         return self.start + entry.cost / max(entry.weight, MIN_WEIGHT)
@@ -93,6 +100,11 @@
         self.passed_over = 0
         self.discard(entry)
 
+    def last(self) -> QueueEntry:
+        """Return the entry with the latest virtual start; some entry must wait."""
+        starts = [each for queue in self.tenants.values() for each in queue.starts()]
+        return max(starts, key=lambda each: (each[0], each[1].tenant))[1]
+
     def discard(self, entry: QueueEntry) -> None:
         """Remove an entry without charging its tenant."""
         queue = self.tenants[entry.tenant]
@@ -177,18 +189,36 @@
             competes: Whether a queued request waits for the same back ends.
         """
         queue = self._priorities.get(entry.priority, _PriorityQueue())
-        start = _start_behind_own(queue, entry)
+        return self._count_before(entry, _start_behind_own(queue, entry), competes)
+
+    def position(self, entry_id: str) -> int:
+        """Return how many queued requests would be served before a queued one."""
+        entry = self._entries[entry_id]
+        waiting = self._priorities[entry.priority].tenants[entry.tenant]
+        start = next(start for start, other in waiting.starts() if other is entry)
+        return self._count_before(entry, start, lambda other: other is not entry)
+
+    def _count_before(self, entry: QueueEntry, start: float, competes: Eligible) -> int:
+        """Return how many queued requests would be served before one with a virtual start."""
+        queue = self._priorities.get(entry.priority, _PriorityQueue())
         better = (e for e in self._entries.values() if e.priority < entry.priority)
         before = sum(1 for other in better if competes(other))
         for tenant, waiting in queue.tenants.items():
-            virtual_start = waiting.start
-            for other in waiting.entries.values():
+            for virtual_start, other in waiting.starts():
                 if virtual_start > start or (virtual_start == start and tenant > entry.tenant):
                     break
                 before += 1 if competes(other) else 0
-                virtual_start += other.cost / max(other.weight, MIN_WEIGHT)
         return before
 
+    def lowest_priority(self) -> int | None:
+        """Return the least urgent waiting priority, or None when nothing waits."""
+        return max((p for p, queue in self._priorities.items() if queue.tenants), default=None)
+
+    def last(self) -> QueueEntry | None:
+        """Return the request that would be served last, or None when nothing waits."""
+        priority = self.lowest_priority()
+        return None if priority is None else self._priorities[priority].last()
+
     def _order(self) -> list[int]:
         """Return the waiting priorities in the order in which they are tried now."""
         waiting = [p for p, queue in self._priorities.items() if queue.tenants]
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -431,6 +431,20 @@
     "If one instance recurs: check its own logs; if one `fingerprint` does: check the request.",
 )
 
+RESPONSE_RELAYED_IN_PARTS = LogEvent(
+    "HS3121",
+    "response_relayed_in_parts",
+    Level.INFO,
+    ("request_id", "instance", "read_bytes"),
+    "Nothing for a few. If many: the node holds much for slow readers; see HS3122 and the metrics.",
+)
+STALLED_CLIENT_DISCONNECTED = LogEvent(
+    "HS3122",
+    "stalled_client_disconnected",
+    Level.WARNING,
+    ("request_id", "client", "waiting_seconds", "held_bytes", "all_held_bytes", "limit_bytes"),
+    "Check the client: it moved no byte while the node's `memory_mb` left no space for others.",
+)
 INSTANCE_ENDED = LogEvent(
     "HS3104",
     "instance_ended",
@@ -480,6 +494,44 @@
     ("request_id", "tenant", "cost", "room", "share", "used", "nodes", "wait_ms"),
     "Nothing, or raise the tenant's quota; few `nodes` mean that the node gets few reports.",
 )
+REQUEST_WAITED = LogEvent(
+    "HS3111",
+    "request_waited",
+    Level.INFO,
+    (
+        "request_id",
+        "route",
+        "service",
+        "priority",
+        "waited_ms",
+        "ahead",
+        "late",
+        "instance",
+        "waiting",
+    ),
+    "Nothing; if it recurs: the service lacks capacity. Without an `instance` the wait ended so.",
+)
+REQUEST_REFUSED_EARLY = LogEvent(
+    "HS3112",
+    "request_refused_early",
+    Level.INFO,
+    (
+        "request_id",
+        "route",
+        "service",
+        "priority",
+        "reason",
+        "waited_ms",
+        "ahead",
+        "expected_wait_ms",
+        "first_byte_ms",
+        "remaining_ms",
+        "per_second",
+        "free_places",
+        "taken_places",
+    ),
+    "Add instances if it recurs; `per_second` is how many requests left the queue lately.",
+)
 
 SERVING_CONFIGURATION_APPLIED = LogEvent(
     "HS4101",
@@ -623,6 +675,27 @@
     ("place", "name", "source", "status"),
     "Look up the value in the sender's documentation: this version ignores it.",
 )
+INSTANCE_FULL = LogEvent(
+    "HS6120",
+    "instance_full",
+    Level.INFO,
+    ("instance", "life", "service", "active", "slots"),
+    "If it recurs for most instances of a service: add instances, or lower its callers' quotas.",
+)
+INSTANCE_SUSPECTED = LogEvent(
+    "HS6121",
+    "instance_suspected",
+    Level.WARNING,
+    ("instance", "life", "service", "suspended_ms", "node"),
+    "If all lines name one `node`: check its link; otherwise check the instance.",
+)
+INSTANCE_SPEED_CHANGED = LogEvent(
+    "HS6122",
+    "instance_speed_changed",
+    Level.INFO,
+    ("instance", "life", "service", "slowness", "previous"),
+    "If one stays far above the others of its service: check its machine. 1 is the assumed speed.",
+)
 WEIGHTS_NAMED = LogEvent(
     "HS6103",
     "weights_named",
@@ -644,6 +717,13 @@
     ("model", "version", "engines", "due_ms"),
     "Nothing: loads go on as engines have capacity, after `due_ms` at the latest.",
 )
+ENGINES_KEPT = LogEvent(
+    "HS6130",
+    "engines_kept",
+    Level.INFO,
+    ("service", "routes", "kept", "engines", "long_tokens"),
+    "Nothing: `kept` of the `engines` get no prompts of `long_tokens` or more from other routes.",
+)
 CACHE_STORE_CHANGED = LogEvent(
     "HS6107",
     "cache_store_changed",
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -6,14 +6,16 @@
 
 import msgspec
 
+from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.repeat_budget import RepeatBudget
-from hopstep.domain.exchanges.request import Headers
+from hopstep.domain.exchanges.request import ExchangeRequest, Headers
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.ports.instance_calls import InstanceCalls
 from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
 from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
+from hopstep.services.exchanges.requests.request_queue import RequestQueue
 from hopstep.services.quarantine.quarantine import Quarantine
 
 MILLISECONDS = 1_000
@@ -77,12 +79,17 @@
         budgets: Returns a service's retry budget.
         nodes: Returns how many nodes may be alive.
         note_sent: Called with each prompt that is sent; reports it to other nodes.
+        note_suspected: Called with each instance that couldn't be reached or was silent; reports it
+            to other nodes.
         pauses: Detects pauses of the node's own process.
         quarantine: Requests under which instances crash.
         require_fresh: Raises ``ServiceError`` when keys may have been revoked unnoticed.
         count_failure: Called for each failed attempt with its error code and the next step.
         notices: Receives what instances announce in response headers.
         limits: Permits to send to rate-limited instances.
+        queue: Requests that wait for an instance with capacity.
+        readmit: Raises ``ServiceError`` when a request that has waited for a service isn't allowed
+            any more.
     """
 
     calls: InstanceCalls
@@ -90,9 +97,12 @@
     budgets: Callable[[str], RepeatBudget]
     nodes: Callable[[], int]
     note_sent: Callable[[Candidate], None]
+    note_suspected: Callable[[InstanceView], None]
     pauses: PauseWatch
     quarantine: Quarantine
     require_fresh: Callable[[], None]
     count_failure: Callable[[str, str], None]
     notices: InstanceNotices
     limits: InstanceLimits
+    queue: RequestQueue
+    readmit: Callable[[ExchangeRequest, str], None]
