Learn an engine's speed relative to its service

The ratio of observed to assumed prefill time also contains delays that all engines share. In a play of a small deployment under a burst it rose to 2.1 to 2.5 at all of them, so that no engine seemed to meet the objective of a long prompt. Speeds are now relative to the median of the service, and few observations change little.

--- a/hopstep/domain/exchanges/read_speed.py
+++ b/hopstep/domain/exchanges/read_speed.py
@@ -22,6 +22,10 @@
 WINDOW_SECONDS = 10
 """Time for which an observation counts."""
 
+USUAL_MS = 500
+"""Expected time of prefills, in milliseconds, that count as observed at the median speed: single
+observations vary."""
+
 MIN_SLOWNESS = 0.4
 MAX_SLOWNESS = 4.0
 MILLISECONDS = 1_000
@@ -75,22 +79,28 @@
 
 
 def learned_slowness(observed: Sequence[ReadSums]) -> list[float]:
-    """Return the slowness of each instance of a service.
+    """Return the slowness of each instance of a service, relative to the service's median.
 
-    It is the ratio of observed to expected time. Instances without observations get the median of
-    the others; without any, all get 1.0.
+    Delays that all instances have in common, such as a high load of all, make none of them slow.
+    Instances without observations get 1.0, and few observations change little.
 
     Args:
         observed: Observations of all nodes, one entry for each instance.
     """
-    learned = [_ratio(sums) for sums in observed]
-    known = [ratio for ratio in learned if ratio is not None]
-    usual = statistics.median(known) if known else 1.0
-    return [usual if ratio is None else ratio for ratio in learned]
+    ratios = [sums.read_ms / sums.expected_read_ms for sums in observed if sums.expected_read_ms]
+    usual = statistics.median(ratios) if ratios else 0.0
+    if not usual:
+        return [1.0] * len(observed)
+    return [_slowness(sums, usual) for sums in observed]
+
 
+def _slowness(sums: ReadSums, usual: float) -> float:
+    """Return the limited ratio of two sums to the usual one.
 
-def _ratio(sums: ReadSums) -> float | None:
-    """Return the limited ratio of two sums; None without observations."""
-    if sums.expected_read_ms <= 0:
-        return None
-    return max(MIN_SLOWNESS, min(MAX_SLOWNESS, sums.read_ms / sums.expected_read_ms))
+    Args:
+        sums: Observations of one instance.
+        usual: Median ratio of observed to expected time of the service.
+    """
+    expected_ms = sums.expected_read_ms + USUAL_MS
+    slowness = (sums.read_ms / usual + USUAL_MS) / expected_ms
+    return max(MIN_SLOWNESS, min(MAX_SLOWNESS, slowness))
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -694,7 +694,7 @@
     "instance_speed_changed",
     Level.INFO,
     ("instance", "life", "service", "slowness", "previous"),
-    "If one stays far above the others of its service: check its machine. 1 is the assumed speed.",
+    "If one stays far above the others of its service: check its machine. 1 is their median.",
 )
 WEIGHTS_NAMED = LogEvent(
     "HS6103",
--- a/hopstep/services/exchanges/instance_gauges.py
+++ b/hopstep/services/exchanges/instance_gauges.py
@@ -41,7 +41,9 @@
         )
         free = _gauge("free_places", "Requests that it may still be sent; negative for too many.")
         used = _gauge("used_tokens", "Memory of the requests of all nodes, in tokens.")
-        slowness = _gauge("slowness", "Learned time to read a prompt; 1 is the assumed speed.")
+        slowness = _gauge(
+            "slowness", "Learned time to read a prompt; 1 is the median of its service."
+        )
         for view in views:
             labels = (view.instance.instance_id,)
             free.add_metric(labels, view.free_places(now))
