Bound the loads of a message and their cost at 10,000 instances

10,000 loads made a message of 124 kB, which was lost as a whole, and the new fields made it longer. A message now has at most 3,000 loads, 500 of them with memory and speed, the busiest first; up to 500 are reported whole.

--- a/hopstep/domain/exchanges/instance_load_view.py
+++ b/hopstep/domain/exchanges/instance_load_view.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from hopstep.domain.exchanges.load_ledger import REPORT_SECONDS, InstanceLoad
-from hopstep.domain.exchanges.read_speed import MIN_OBSERVED_TOKENS, ReadSums, ReadWindow
+from hopstep.domain.exchanges.read_speed import MIN_OBSERVED_TOKENS, NO_READS, ReadSums, ReadWindow
 
 
 class SentWork(msgspec.Struct, frozen=True):
@@ -61,6 +61,8 @@
     def read_sums(self, now: float) -> ReadSums:
         """Return the recent prefills of all nodes' prompts, as far as known."""
         own, others = self._reads.sums(now), self._others_now(now)
+        if not others.expected_read_ms:
+            return own
         return ReadSums(
             own.read_ms + others.read_ms, own.expected_read_ms + others.expected_read_ms
         )
@@ -74,6 +76,10 @@
         self._others = load or self._no_load
         self._others_at = now
 
+    def has_own_load(self, now: float) -> bool:
+        """Return whether this node has requests there, or has lately observed its speed."""
+        return self.active != 0 or self._reads.sums(now) is not NO_READS
+
     def own_load(self, now: float, *, avoided: bool) -> InstanceLoad:
         """Return what this node reports to others.
 
--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -245,10 +245,14 @@
 
     def leaves_unanswered(self, now: float) -> bool:
         """Return whether requests wait for a first byte and nothing has arrived for too long."""
+        if not self._unanswered_since:
+            return False
         return self._leaves_unanswered(self.total_pending_tokens(now), now)
 
     def is_unresponsive(self, now: float) -> bool:
         """Return whether requests or streams wait and nothing has arrived for too long."""
+        if not self._unanswered_since and not self._streaming_since:
+            return False
         pending = self.total_pending_tokens(now)
         return self._leaves_unanswered(pending, now) or self._pauses_streams(
             pending, now, self.loading_until
--- a/hopstep/domain/exchanges/load_ledger.py
+++ b/hopstep/domain/exchanges/load_ledger.py
@@ -43,6 +43,10 @@
             self.used_tokens + sign * other.used_tokens,
         )
 
+    def without_details(self) -> InstanceLoad:
+        """Return the load without memory and speed."""
+        return InstanceLoad(self.incarnation, self.active, self.pending_tokens, self.avoided_by)
+
     @property
     def is_idle(self) -> bool:
         """Whether it has no requests and nobody avoids it; its speed may be known."""
@@ -56,18 +60,22 @@
 
 Loads = dict[str, InstanceLoad]
 
-MAX_IDLE_LOADS = 256
-"""Most instances without requests of which one message reports the speed: some 10 kB."""
+MAX_DETAILED_LOADS = 500
+"""Most loads of one message with memory and speed: some 11 kB, compressed."""
+
+MAX_LOADS = 3_000
+"""Most loads of one message: some 45 kB, compressed, which leaves space for the rest of it."""
 
 
 def reportable(loads: Iterable[InstanceLoad]) -> tuple[InstanceLoad, ...]:
-    """Return the loads that a message reports; of too many idle instances, the most observed."""
-    used: list[InstanceLoad] = []
-    idle: list[InstanceLoad] = []
-    for load in loads:
-        (idle if load.is_idle else used).append(load)
-    idle.sort(key=lambda load: load.expected_read_ms, reverse=True)
-    return (*used, *idle[:MAX_IDLE_LOADS])
+    """Return the loads that a message reports; of too many, those with the most requests."""
+    known = tuple(loads)
+    if len(known) <= MAX_DETAILED_LOADS:
+        return known
+    ranked = sorted(known, key=lambda load: (load.is_idle, -load.active, -load.expected_read_ms))
+    others = ranked[MAX_DETAILED_LOADS:MAX_LOADS]
+    plain = (load.without_details() for load in others if not load.is_idle)
+    return (*ranked[:MAX_DETAILED_LOADS], *plain)
 
 
 class _Report(msgspec.Struct, frozen=True):
--- a/hopstep/domain/exchanges/read_speed.py
+++ b/hopstep/domain/exchanges/read_speed.py
@@ -39,6 +39,9 @@
     expected_read_ms: int = 0
 
 
+NO_READS = ReadSums()
+
+
 class ReadWindow:
     """Sums of the observations of the last ``WINDOW_SECONDS``, by whole seconds."""
 
@@ -66,6 +69,8 @@
 
     def sums(self, now: float) -> ReadSums:
         """Return the sums, and forget older observations."""
+        if not self._seconds:
+            return NO_READS
         while self._seconds and self._seconds[0][0] < now - WINDOW_SECONDS:
             self._seconds.popleft()
         return ReadSums(
--- a/hopstep/services/exchanges/peers/load_sharing.py
+++ b/hopstep/services/exchanges/peers/load_sharing.py
@@ -277,9 +277,12 @@
 
     def _own_loads(self, now: float) -> tuple[InstanceLoad, ...]:
         """Return this node's own loads."""
-        table = self._knowledge.table
-        loads = (view.own_load(now, avoided=view.is_avoided(now)) for view in table)
-        return tuple(load for load in loads if not load.is_empty)
+        loads = []
+        for view in self._knowledge.table:
+            avoided = view.is_avoided(now)
+            if avoided or view.has_own_load(now):
+                loads.append(view.own_load(now, avoided=avoided))
+        return tuple(loads)
 
     def _take_unsent(self) -> tuple[SegmentUpdate, ...]:
         """Return the latest ``MAX_SEGMENT_UPDATES`` unsent segment updates; drop the others."""
