Expect longer waits of requests that later ones overtake

The expected wait counted the requests ahead only. Under overload, requests in time overtake those that can't meet their objective any more, and urgent ones overtake others, so that requests were admitted to the queue and refused after seconds. Each order class now has its share of the departures while it waits, and an arriving request that would become late is judged as a late one.

Tests: shares in tests.domain.exchanges.test_early_refusal, places in test_waiting_order.

--- a/hopstep/domain/exchanges/early_refusal.py
+++ b/hopstep/domain/exchanges/early_refusal.py
@@ -8,9 +8,12 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 
 import msgspec
 
+from hopstep.domain.fair_queue import MAX_PASSED_OVER
+
 ERROR_FACTOR = 1.25
 """Factor on estimated times, which may be too low by a quarter of the observed ones."""
 
@@ -20,6 +23,13 @@
 DEFAULT_FIRST_BYTE_SECONDS = 0.1
 """Expected time to the first byte without any observation."""
 
+SHARE_SMOOTHING = 1.0 / MAX_PASSED_OVER
+"""Weight of the latest departure in the share of a class: one of a class that is always passed over
+comes after that many others."""
+
+MIN_SHARE = 1.0 / (MAX_PASSED_OVER + 1)
+"""Part of the departures that each waiting class gets at least."""
+
 MAX_RETURNING = 1_024
 """Refused clients that are remembered, the latest: more than return within a few seconds."""
 
@@ -129,3 +139,34 @@
             still = [at for at in self._due_at if at > now]
             self._due_at = deque(still, maxlen=MAX_RETURNING)
         return len(self._due_at)
+
+
+class ServedShares:
+    """Part of the departures from one service's queue that each order class gets while it waits.
+
+    The order alone tells too short a wait for a class that later requests of others overtake.
+    Memory is bounded by the number of ranks.
+    """
+
+    def __init__(self) -> None:
+        """Start without observations."""
+        self._shares: dict[int, float] = {}
+
+    def note_departure(self, served: int, waiting: Iterable[int]) -> None:
+        """Note that a request has left the queue.
+
+        Args:
+            served: Its order class.
+            waiting: Order classes that still wait.
+        """
+        for order_class in {served, *waiting}:
+            share = self.share(order_class)
+            self._shares[order_class] = share + SHARE_SMOOTHING * ((order_class == served) - share)
+
+    def clear(self) -> None:
+        """Drop the observations: nothing waits."""
+        self._shares.clear()
+
+    def share(self, order_class: int) -> float:
+        """Return the share of a class; all of it without observations."""
+        return max(MIN_SHARE, self._shares.get(order_class, 1.0))
--- a/hopstep/domain/exchanges/waiting_order.py
+++ b/hopstep/domain/exchanges/waiting_order.py
@@ -44,6 +44,25 @@
     late_from: float
     late: bool = False
 
+    @property
+    def order_class(self) -> int:
+        """Priority in the fair queue, by rank and by whether it can meet its objective."""
+        return CLASSES_PER_RANK * self.rank + int(self.late)
+
+
+class Place(msgspec.Struct, frozen=True):
+    """Place of a request in the order.
+
+    Attributes:
+        ahead: Requests that go before it now; others may overtake it.
+        alike: Those of them in its own order class.
+        order_class: Priority of the fair queue: rank, and whether the objective can be met.
+    """
+
+    ahead: int
+    alike: int
+    order_class: int
+
 
 class WaitingOrder:
     """Waiting requests of one service."""
@@ -89,20 +108,30 @@
         del self._waiting[entry.entry_id]
         return entry.entry_id
 
-    def ahead_of(self, request: WaitingRequest, now: float) -> int:
-        """Return how many requests go before one that doesn't wait yet.
+    def place_of(self, request: WaitingRequest, now: float, *, late: bool = False) -> Place:
+        """Return the place of a request that doesn't wait yet.
 
         Args:
             request: The request.
             now: Steady clock, seconds.
+            late: Whether it will be late even if it isn't yet.
         """
-        late = request.late or now >= request.late_from
+        late = late or request.late or now >= request.late_from
         entry = _entry(msgspec.structs.replace(request, late=late))
-        return self._queue.count_before(entry, lambda _entry: True)
+        ahead = self._queue.count_before(entry, lambda _other: True)
+        alike = self._queue.count_before(entry, lambda other: other.priority == entry.priority)
+        return Place(ahead, alike, entry.priority)
+
+    def place(self, entry_id: str) -> Place:
+        """Return the place of a waiting request."""
+        order_class = self._waiting[entry_id].order_class
+        ahead = self._queue.position(entry_id, lambda _other: True)
+        alike = self._queue.position(entry_id, lambda other: other.priority == order_class)
+        return Place(ahead, alike, order_class)
 
-    def position(self, entry_id: str) -> int:
-        """Return how many requests go before a waiting one."""
-        return self._queue.position(entry_id)
+    def classes(self) -> list[int]:
+        """Return the order classes that wait."""
+        return self._queue.waiting_priorities()
 
     def sort_late(self, now: float) -> None:
         """Move requests that can no longer meet their objective behind those that can.
@@ -133,6 +162,6 @@
         entry_id=request.entry_id,
         tenant=request.tenant,
         weight=EVEN_WEIGHT,
-        priority=CLASSES_PER_RANK * request.rank + int(request.late),
+        priority=request.order_class,
         cost=float(request.tokens),
     )
--- a/hopstep/domain/fair_queue.py
+++ b/hopstep/domain/fair_queue.py
@@ -191,12 +191,19 @@
         queue = self._priorities.get(entry.priority, _PriorityQueue())
         return self._count_before(entry, _start_behind_own(queue, entry), competes)
 
-    def position(self, entry_id: str) -> int:
-        """Return how many queued requests would be served before a queued one."""
+    def position(self, entry_id: str, competes: Eligible) -> int:
+        """Return how many queued requests would be served before a queued one.
+
+        Args:
+            entry_id: The queued request.
+            competes: Whether another request counts.
+        """
         entry = self._entries[entry_id]
         waiting = self._priorities[entry.priority].tenants[entry.tenant]
         start = next(start for start, other in waiting.starts() if other is entry)
-        return self._count_before(entry, start, lambda other: other is not entry)
+        return self._count_before(
+            entry, start, lambda other: other is not entry and competes(other)
+        )
 
     def _count_before(self, entry: QueueEntry, start: float, competes: Eligible) -> int:
         """Return how many queued requests would be served before one with a virtual start."""
@@ -210,9 +217,13 @@
                 before += 1 if competes(other) else 0
         return before
 
+    def waiting_priorities(self) -> list[int]:
+        """Return the priorities that wait."""
+        return [p for p, queue in self._priorities.items() if queue.tenants]
+
     def lowest_priority(self) -> int | None:
         """Return the least urgent waiting priority, or None when nothing waits."""
-        return max((p for p, queue in self._priorities.items() if queue.tenants), default=None)
+        return max(self.waiting_priorities(), default=None)
 
     def last(self) -> QueueEntry | None:
         """Return the request that would be served last, or None when nothing waits."""
@@ -221,8 +232,7 @@
 
     def _order(self) -> list[int]:
         """Return the waiting priorities in the order in which they are tried now."""
-        waiting = [p for p, queue in self._priorities.items() if queue.tenants]
-        return sorted(waiting, key=self._urgency)
+        return sorted(self.waiting_priorities(), key=self._urgency)
 
     def _urgency(self, priority: int) -> tuple[int, int]:
         """Return the sort key of a priority: passed over too often first, then by number."""
--- a/hopstep/services/exchanges/requests/queue_refusals.py
+++ b/hopstep/services/exchanges/requests/queue_refusals.py
@@ -9,8 +9,10 @@
     FirstByteTimes,
     Prospect,
     ReturningClients,
+    ServedShares,
     return_seconds,
 )
+from hopstep.domain.exchanges.waiting_order import Place, WaitingOrder, WaitingRequest
 from hopstep.domain.queue_pace import QueuePace
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.logs import emit
@@ -54,36 +56,53 @@
         self.first_bytes = FirstByteTimes()
         self._metrics = metrics
         self._pace = QueuePace()
+        self._shares: dict[str, ServedShares] = {}
         self._returning: dict[str, ReturningClients] = {}
 
     def note_entered(self, service: str) -> None:
         """Note that a request begins to wait for a service."""
         self._pace.begin(service, ALL_PRIORITIES, trio.current_time())
 
-    def note_departed(self, service: str) -> None:
-        """Note that an instance was chosen for a waiting request."""
+    def note_departed(self, service: str, order_class: int, waiting: list[int]) -> None:
+        """Note that a request needn't wait any more.
+
+        Args:
+            service: Its service.
+            order_class: Its order class.
+            waiting: Order classes that still wait.
+        """
+        self._shares.setdefault(service, ServedShares()).note_departure(order_class, waiting)
         self._pace.record_entry(service, ALL_PRIORITIES, trio.current_time())
 
     def note_empty(self, service: str) -> None:
         """Note that no request waits for a service any more."""
         self._pace.pause(service, ALL_PRIORITIES)
+        if service in self._shares:
+            self._shares[service].clear()
+
+    def place_on_arrival(self, service: str, order: WaitingOrder, request: WaitingRequest) -> Place:
+        """Return the place of an arriving request: among the late ones if it would become late."""
+        now = trio.current_time()
+        place = order.place_of(request, now)
+        late = now + self._expected_wait(service, place) >= request.late_from
+        return order.place_of(request, now, late=late)
 
     def prospect(
-        self, waiting: WaitingExchange, ahead: int, capacity: Capacity, less_urgent_waits: bool
+        self, waiting: WaitingExchange, place: Place, capacity: Capacity, less_urgent_waits: bool
     ) -> Prospect:
         """Return what is expected of a request.
 
         Args:
             waiting: The request.
-            ahead: Requests of its service that go before it.
+            place: Its place in the order.
             capacity: Capacity of the instances that may serve it.
             less_urgent_waits: Whether a less urgent request of its service waits.
         """
         now = trio.current_time()
         request = waiting.request
         return Prospect(
-            ahead=ahead,
-            wait_seconds=self._expected_wait(waiting.service, ahead),
+            ahead=place.ahead,
+            wait_seconds=self._expected_wait(waiting.service, place),
             first_byte_seconds=self.first_bytes.expected(request.route.name),
             remaining_seconds=request.deadline - now,
             free_places=capacity.free_places,
@@ -96,7 +115,7 @@
     ) -> QueueRefusalError:
         """Return the refusal of a request, with the time after which it would be served."""
         now = trio.current_time()
-        interval = self._expected_wait(waiting.service, 0)
+        interval = self._interval(waiting.service)
         returning = self._returning.setdefault(waiting.service, ReturningClients())
         seconds = return_seconds(prospect, interval, returning.count(now))
         returning.add(now + seconds)
@@ -119,6 +138,14 @@
         )
         return QueueRefusalError(message, seconds)
 
-    def _expected_wait(self, service: str, ahead: int) -> float:
-        """Return the expected wait in seconds behind a number of requests; 0 when unknown."""
-        return self._pace.expected_wait(service, ALL_PRIORITIES, ahead, trio.current_time())
+    def _expected_wait(self, service: str, place: Place) -> float:
+        """Return the expected wait in seconds at a place in the order; 0 when unknown."""
+        now = trio.current_time()
+        by_order = self._pace.expected_wait(service, ALL_PRIORITIES, place.ahead, now)
+        shares = self._shares.get(service)
+        share = shares.share(place.order_class) if shares is not None else 1.0
+        return max(by_order, (place.alike + 1) * self._interval(service) / share)
+
+    def _interval(self, service: str) -> float:
+        """Return the expected seconds between two requests that leave; 0 when unknown."""
+        return self._pace.expected_wait(service, ALL_PRIORITIES, 0, trio.current_time())
--- a/hopstep/services/exchanges/requests/request_queue.py
+++ b/hopstep/services/exchanges/requests/request_queue.py
@@ -18,7 +18,12 @@
 )
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
-from hopstep.domain.exchanges.waiting_order import STARTED_RANK, WaitingOrder, WaitingRequest
+from hopstep.domain.exchanges.waiting_order import (
+    STARTED_RANK,
+    Place,
+    WaitingOrder,
+    WaitingRequest,
+)
 from hopstep.exceptions import ServiceError
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
@@ -129,7 +134,7 @@
             return self._choice.choose(request, service, tried, within=capacity.within)
         waiting = self._make_waiting(request, service, tried, started)
         if not started:
-            self._refuse_hopeless(waiting, waiting.ahead, capacity)
+            self._refuse_hopeless(waiting, waiting.place, capacity)
         try:
             self._enter(waiting)
             await self._wait(waiting)
@@ -147,7 +152,6 @@
         self, request: ExchangeRequest, service: str, tried: Set[str], started: bool
     ) -> WaitingExchange:
         """Return the waiting entry of a request."""
-        now = trio.current_time()
         self._next_id += 1
         prompt = request.prompt
         first_byte = self.refusals.first_bytes.expected(request.route.name)
@@ -158,24 +162,25 @@
             tokens=1 + (prompt.prompt_tokens + prompt.answer_tokens if prompt is not None else 0),
             late_from=request.received_at + request.route.objective_seconds - first_byte,
         )
-        ahead = self._orders.setdefault(service, WaitingOrder()).ahead_of(order, now)
-        return WaitingExchange(order, request, service, tried, now, ahead)
+        service_order = self._orders.setdefault(service, WaitingOrder())
+        place = self.refusals.place_on_arrival(service, service_order, order)
+        return WaitingExchange(order, request, service, tried, trio.current_time(), place)
 
-    def _refuse_hopeless(self, waiting: WaitingExchange, ahead: int, capacity: Capacity) -> None:
+    def _refuse_hopeless(self, waiting: WaitingExchange, place: Place, capacity: Capacity) -> None:
         """Refuse a request whose answer would come after its deadline.
 
         Raises:
             QueueRefusalError: It would.
         """
-        prospect = self._prospect(waiting, ahead, capacity)
+        prospect = self._prospect(waiting, place, capacity)
         if is_hopeless(prospect):
             raise self.refusals.refuse(waiting, prospect, "the expected wait is too long")
 
-    def _prospect(self, waiting: WaitingExchange, ahead: int, capacity: Capacity) -> Prospect:
+    def _prospect(self, waiting: WaitingExchange, place: Place, capacity: Capacity) -> Prospect:
         """Return what is expected of a request."""
         order = self._orders[waiting.service]
         less_urgent_waits = order.has_less_urgent(waiting.order.rank)
-        return self.refusals.prospect(waiting, ahead, capacity, less_urgent_waits)
+        return self.refusals.prospect(waiting, place, capacity, less_urgent_waits)
 
     def _enter(self, waiting: WaitingExchange) -> None:
         """Queue a request; refuse those that would be served last while too many wait."""
@@ -193,9 +198,9 @@
         lasts = (order.last() for order in self._orders.values())
         waiting = [self._waiting[last.entry_id] for last in lasts if last is not None]
         last = max(waiting, key=lambda each: (each.order.rank, each.order.late, each.began_at))
-        ahead = len(self._orders[last.service]) - 1
+        place = self._place(last)
         prospect = self._prospect(
-            last, ahead, self._binding.look(last.request, last.service, last.tried)
+            last, place, self._binding.look(last.request, last.service, last.tried)
         )
         last.error = self.refusals.refuse(last, prospect, "too many requests wait")
         self._end_wait(last)
@@ -222,22 +227,22 @@
         """Refuse a request that can't meet its objective, and won't meet its deadline either."""
         if not waiting.woken.is_set():
             capacity = self._binding.look(waiting.request, waiting.service, waiting.tried)
-            self._refuse_hopeless(waiting, self._ahead(waiting), capacity)
+            self._refuse_hopeless(waiting, self._place(waiting), capacity)
 
     def _refuse_useless(self, waiting: WaitingExchange) -> None:
         """Refuse a request that an instance couldn't answer before its deadline any more."""
         if waiting.woken.is_set():
             return
         capacity = self._binding.look(waiting.request, waiting.service, waiting.tried)
-        prospect = self._prospect(waiting, self._ahead(waiting), capacity)
+        prospect = self._prospect(waiting, self._place(waiting), capacity)
         if may_refuse(prospect):
             raise self.refusals.refuse(waiting, prospect, "no instance had capacity in time")
 
-    def _ahead(self, waiting: WaitingExchange) -> int:
-        """Return how many requests go before a waiting one."""
+    def _place(self, waiting: WaitingExchange) -> Place:
+        """Return the place of a waiting request."""
         order = self._orders[waiting.service]
         order.sort_late(trio.current_time())
-        return order.position(waiting.order.entry_id)
+        return order.place(waiting.order.entry_id)
 
     def _leave(self, waiting: WaitingExchange) -> None:
         """Note that a request waits no longer, and let the next one be tried."""
@@ -278,8 +283,9 @@
         for service, order in self._orders.items():
             order.sort_late(now)
             while (entry_id := order.pop(self._try_bind)) is not None:
-                self.refusals.note_departed(service)
-                self._end_wait(self._waiting[entry_id])
+                waiting = self._waiting[entry_id]
+                self.refusals.note_departed(service, waiting.order.order_class, order.classes())
+                self._end_wait(waiting)
 
     def _try_bind(self, entry_id: str) -> bool:
         """Return whether a request needn't wait any more; if so, its instance is chosen."""
--- a/hopstep/services/exchanges/requests/waiting_exchange.py
+++ b/hopstep/services/exchanges/requests/waiting_exchange.py
@@ -10,7 +10,7 @@
 from hopstep import log_events
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
-from hopstep.domain.exchanges.waiting_order import WaitingRequest
+from hopstep.domain.exchanges.waiting_order import Place, WaitingRequest
 from hopstep.exceptions import ServiceError
 from hopstep.logs import emit
 
@@ -29,7 +29,7 @@
         service: Service that the route chose.
         tried: Ids of instances that the request was sent to.
         began_at: When it began to wait, by the steady clock in seconds.
-        ahead: Requests that went before it then.
+        place: Its place in the order then.
         woken: Set when its wait has ended.
         candidate: Instance that was chosen for it; None when there is none.
         error: Why it was refused; None when it wasn't.
@@ -40,7 +40,7 @@
     service: str
     tried: Set[str]
     began_at: float
-    ahead: int
+    place: Place
     woken: trio.Event = msgspec.field(default_factory=trio.Event)
     candidate: Candidate | None = None
     error: ServiceError | None = None
@@ -62,7 +62,7 @@
             service=self.service,
             priority=self.order.rank,
             waited_ms=round(seconds * MILLISECONDS),
-            ahead=self.ahead,
+            ahead=self.place.ahead,
             late=self.order.late,
             instance=candidate.view.instance.instance_id if candidate is not None else "",
             waiting=still_waiting,
--- a/tests/domain/exchanges/test_early_refusal.py
+++ b/tests/domain/exchanges/test_early_refusal.py
@@ -9,6 +9,7 @@
     FirstByteTimes,
     Prospect,
     ReturningClients,
+    ServedShares,
     is_hopeless,
     return_seconds,
 )
@@ -61,6 +62,17 @@
             clients.add(due_at)
         self.assertEqual([clients.count(now) for now in (0.0, 2.0, 9.0)], [3, 1, 0])
 
+    def test_a_class_that_is_overtaken_gets_a_small_share(self):
+        """By the order alone, requests that newer ones overtake would be expected to leave soon."""
+        shares = ServedShares()
+        self.assertEqual((shares.share(0), shares.share(1)), (1.0, 1.0))
+        for number in range(200):
+            shares.note_departure(1 if number % 17 == 16 else 0, (0, 1))
+        self.assertAlmostEqual(shares.share(1), 1 / 17, delta=0.04)
+        self.assertGreater(shares.share(0), 0.9)
+        shares.clear()
+        self.assertEqual(shares.share(1), 1.0)
+
     def test_the_first_byte_is_expected_by_route(self):
         times = FirstByteTimes()
         for _ in range(30):
--- a/tests/domain/exchanges/test_waiting_order.py
+++ b/tests/domain/exchanges/test_waiting_order.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hopstep.domain.exchanges.waiting_order import WaitingOrder, WaitingRequest
+from hopstep.domain.exchanges.waiting_order import STARTED_RANK, Place, WaitingOrder, WaitingRequest
 from hopstep.domain.fair_queue import MAX_PASSED_OVER
 
 
@@ -28,11 +28,12 @@
     def test_urgent_first_then_in_time_then_age(self):
         order = make_order(
             waiting("less urgent", rank=2),
+            waiting("begun", rank=STARTED_RANK),
             waiting("late", late_from=-1.0),
             waiting("older"),
             waiting("newer"),
         )
-        self.assertEqual(drain(order), ["older", "newer", "late", "less urgent"])
+        self.assertEqual(drain(order), ["begun", "older", "newer", "late", "less urgent"])
 
     def test_a_request_that_becomes_late_goes_behind_those_in_time(self):
         order = make_order(waiting("first", late_from=1.0), waiting("second", late_from=9.0))
@@ -65,8 +66,11 @@
 
     def test_ahead_and_last_follow_the_order(self):
         order = make_order(waiting("a"), waiting("b", tenant="u"), waiting("low", rank=2))
-        self.assertEqual(order.ahead_of(waiting("new"), 0.0), 2)
-        self.assertEqual(order.ahead_of(waiting("new", rank=2), 0.0), 3)
+        self.assertEqual(order.place_of(waiting("new"), 0.0), Place(2, 2, 0))
+        self.assertEqual(order.place_of(waiting("new"), 0.0, late=True), Place(2, 0, 1))
+        self.assertEqual(order.place_of(waiting("new", rank=2), 0.0), Place(3, 1, 4))
+        self.assertEqual(order.place("low"), Place(2, 0, 4))
+        self.assertEqual(sorted(order.classes()), [0, 4])
         self.assertEqual(order.last().entry_id, "low")
         self.assertTrue(order.has_less_urgent(0))
         self.assertFalse(order.has_less_urgent(2))
--- a/tests/domain/test_fair_queue_stateful.py
+++ b/tests/domain/test_fair_queue_stateful.py
@@ -74,7 +74,9 @@
 
     @invariant()
     def positions_are_an_order(self):
-        positions = {entry: self.queue.position(entry.entry_id) for entry in self.waiting}
+        positions = {
+            entry: self.queue.position(entry.entry_id, lambda _: True) for entry in self.waiting
+        }
         assert sorted(positions.values()) == list(range(len(self.waiting)))
         last = self.queue.last()
         assert last is None if not self.waiting else positions[last] == len(self.waiting) - 1
