--- a/hopstep/domain/exchanges/early_refusal.py
+++ b/hopstep/domain/exchanges/early_refusal.py
@@ -61,6 +61,18 @@
         return (self.wait_seconds + self.first_byte_seconds) * ERROR_FACTOR
 
 
+def expected_wait(by_order: float, alike: int, interval_seconds: float, share: float) -> float:
+    """Return the expected wait in seconds, the longer of two estimates.
+
+    Args:
+        by_order: Time until all requests that go before it now have left.
+        alike: Requests before it in its own order class.
+        interval_seconds: Mean time between two requests that leave the queue.
+        share: Part of them that are of its order class.
+    """
+    return max(by_order, (alike + 1) * interval_seconds / share)
+
+
 def may_refuse(prospect: Prospect) -> bool:
     """Return whether a request may be refused for its wait.
 
--- a/hopstep/services/exchanges/requests/queue_refusals.py
+++ b/hopstep/services/exchanges/requests/queue_refusals.py
@@ -10,6 +10,7 @@
     Prospect,
     ReturningClients,
     ServedShares,
+    expected_wait,
     return_seconds,
 )
 from hopstep.domain.exchanges.waiting_order import Place, WaitingOrder, WaitingRequest
@@ -144,7 +145,7 @@
         by_order = self._pace.expected_wait(service, ALL_PRIORITIES, place.ahead, now)
         shares = self._shares.get(service)
         share = shares.share(place.order_class) if shares is not None else 1.0
-        return max(by_order, (place.alike + 1) * self._interval(service) / share)
+        return expected_wait(by_order, place.alike, self._interval(service), share)
 
     def _interval(self, service: str) -> float:
         """Return the expected seconds between two requests that leave; 0 when unknown."""
--- a/tests/domain/exchanges/test_early_refusal.py
+++ b/tests/domain/exchanges/test_early_refusal.py
@@ -10,9 +10,11 @@
     Prospect,
     ReturningClients,
     ServedShares,
+    expected_wait,
     is_hopeless,
     return_seconds,
 )
+from hopstep.domain.exchanges.waiting_order import WaitingOrder, WaitingRequest
 from hopstep.domain.queue_pace import MAX_AGE_SECONDS, QueuePace
 
 FULL = Prospect(
@@ -138,6 +140,73 @@
         self.assertGreater(after.answered, before.answered)
 
 
+class OvertakenOverload:
+    """The same with an objective: requests in time overtake those that can't meet it any more."""
+
+    OBJECTIVE_SECONDS = 0.5
+
+    def __init__(self, with_shares):
+        self.with_shares = with_shares
+        self.pace = QueuePace()
+        self.shares = ServedShares()
+        self.order = WaitingOrder()
+        self.arrived_at = {}
+        self.held_then_refused = 0
+        self.answered = 0
+
+    def play(self):
+        next_service = 0.0
+        for number in range(Overload.ARRIVALS):
+            now = number * Overload.ARRIVAL_SECONDS
+            while next_service <= now:
+                self.serve(next_service)
+                next_service += Overload.SERVICE_SECONDS
+            self.arrive(str(number), now)
+        return self
+
+    def wait(self, place, now):
+        share = self.shares.share(place.order_class) if self.with_shares else 1.0
+        by_order = self.pace.expected_wait("s", 0, place.ahead, now)
+        interval = self.pace.expected_wait("s", 0, 0, now)
+        return expected_wait(by_order, place.alike, interval, share)
+
+    def arrive(self, name, now):
+        late_from = now + self.OBJECTIVE_SECONDS
+        request = WaitingRequest(name, "t", 0, 1, late_from)
+        place = self.order.place_of(request, now)
+        if self.with_shares and now + self.wait(place, now) >= late_from:
+            place = self.order.place_of(request, now, late=True)
+        remaining = Overload.DEADLINE_SECONDS
+        prospect = Prospect(place.ahead, self.wait(place, now), 0.0, remaining, 0, 1)
+        if is_hopeless(prospect):
+            return
+        self.pace.begin("s", 0, now)
+        self.order.add(request, now)
+        self.arrived_at[name] = now
+
+    def serve(self, now):
+        for name, arrived_at in tuple(self.arrived_at.items()):
+            if now - arrived_at > Overload.DEADLINE_SECONDS:
+                self.order.discard(name)
+                del self.arrived_at[name]
+                self.held_then_refused += 1
+        self.order.sort_late(now)
+        name = self.order.pop(lambda _name: True)
+        if name is not None:
+            late = now - self.arrived_at.pop(name) >= self.OBJECTIVE_SECONDS
+            self.shares.note_departure(int(late), self.order.classes())
+            self.pace.record_entry("s", 0, now)
+            self.answered += 1
+
+
+class OvertakenOverloadTest(unittest.TestCase):
+    def test_requests_that_would_be_overtaken_are_refused_at_once(self):
+        by_order, by_share = (OvertakenOverload(each).play() for each in (False, True))
+        self.assertGreater(by_order.held_then_refused, 50)
+        self.assertLess(by_share.held_then_refused, 0.3 * by_order.held_then_refused)
+        self.assertGreaterEqual(by_share.answered, 0.98 * by_order.answered)
+
+
 class PausedPaceTest(unittest.TestCase):
     def observed(self):
         pace = QueuePace()
