--- a/tests/domain/exchanges/test_selection.py
+++ b/tests/domain/exchanges/test_selection.py
@@ -8,7 +8,7 @@
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.load_ledger import InstanceLoad
 from hopstep.domain.exchanges.request import PromptSegment
-from hopstep.domain.exchanges.segment_moves import EngineRequest, StoreSource
+from hopstep.domain.exchanges.segment_moves import EnginePreference, EngineRequest, StoreSource
 from hopstep.domain.exchanges.segments import SegmentIndex, segment_keys
 from hopstep.domain.exchanges.selection import _distance, choose_engine, choose_server
 from hopstep.domain.exchanges.spread_choice import ChoiceBounds
@@ -176,6 +176,22 @@
         chosen = choose_engine(views, views, asked, NOW, random.Random(1))
         self.assertIs(chosen.view, views[0])
 
+    def test_kept_engines_that_fail_or_fill_up_are_passed_over(self):
+        """Otherwise the requests for which engines are kept fail with them."""
+        views = [view("0"), view("1")]
+        preference = EnginePreference(frozenset({"0"}), other_seconds=0.3)
+        asked = msgspec.structs.replace(request(), engine_preference=preference)
+        asked = msgspec.structs.replace(asked, objective_seconds=0.4)
+        chosen = choose_engine(views, views, asked, NOW, random.Random(1))
+        self.assertIs(chosen.view, views[0])
+        views[0].failed(NOW, unreachable=True)
+        chosen = choose_engine(views, views, asked, NOW, random.Random(1))
+        self.assertIs(chosen.view, views[1])
+        views[0].succeeded(0.1)
+        views[0].pending_tokens = 20_000
+        chosen = choose_engine(views, views, asked, NOW, random.Random(1))
+        self.assertIs(chosen.view, views[1])
+
     def test_no_engines_no_choice(self):
         self.assertIsNone(choose([]))
 
