--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -8,9 +8,10 @@
 
 from hopstep.domain.announced_state import AnnouncedState
 from hopstep.domain.exchanges.first_peer_report import FirstPeerReport
-from hopstep.domain.exchanges.instance_capacity import CapacityNeed, queue_allowance
+from hopstep.domain.exchanges.instance_capacity import CapacityNeed, FullMark, queue_allowance
+from hopstep.domain.exchanges.instance_health import InstanceHealth
+from hopstep.domain.exchanges.instance_load_view import InstanceLoadView
 from hopstep.domain.exchanges.instances import Instance
-from hopstep.domain.exchanges.load_ledger import REPORT_SECONDS, InstanceLoad
 from hopstep.domain.exchanges.segments import SegmentIndex
 from hopstep.domain.instance_admission import (
     Admission,
@@ -21,29 +22,11 @@
 )
 from hopstep.domain.rendezvous import hash_name
 
-FIRST_SUSPENSION_SECONDS = 0.4
-"""Suspension after a first failure; each consecutive failure doubles it."""
-
-MAX_SUSPENSION_SECONDS = 4.0
-UNRESPONSIVE_SECONDS = 1.0
-"""Time for which requests wait without a byte of any response, after which an instance counts as
-unresponsive."""
-
-UNRESPONSIVE_SECONDS_PER_TOKEN = 1.0 / 10_000
-"""Further time for each pending prompt token, as an engine sends nothing during the prefill of long
-prompts: a quarter of the usual speed."""
-
-SMOOTHING = 0.2
-"""Weight of the latest observation in moving averages."""
-
-DEFAULT_LATENCY_SECONDS = 0.1
-"""Expected latency without any observation."""
-
 INDEXED_SHARE = 0.8
 """Part of an instance's cache that is expected to be available for cached segments."""
 
 
-class InstanceView:
+class InstanceView(InstanceLoadView, InstanceHealth):
     """One instance as this node knows it. Times are of the steady clock, in seconds."""
 
     def __init__(
@@ -63,31 +46,23 @@
             first_peer_report: Until when the first report of another node may arrive; None when
                 none is expected.
         """
+        InstanceLoadView.__init__(self, str(instance.incarnation))
+        InstanceHealth.__init__(self)
         self.instance = instance
         self.announced_state = announced_state or AnnouncedState()
         self._first_telling = first_peer_report or FirstPeerReport()
-        self.incarnation = str(instance.incarnation)
         self.hashed = hash_name(instance.instance_id)
+        self.cache_tokens = cache_tokens
         self.segments = SegmentIndex(int(cache_tokens * INDEXED_SHARE))
         self.versions: dict[str, int] = dict(instance.versions)
         self._assumed: dict[str, int] = {}
-        self.active = 0
-        self.pending_tokens = 0
-        self.latency_seconds = 0.0
-        self.failure_rate = 0.0
         self.replaced = False
         self.presumed_ended_until = -float("inf")
         self.rejected = False
         self.has_start_time = bool(instance.born_ms)
         self.slowness = 1.0
+        self._full = FullMark()
         self.loading_until = 0.0
-        self.suspended_until = 0.0
-        self._no_load = InstanceLoad(self.incarnation)
-        self._others = self._no_load
-        self._others_at = -REPORT_SECONDS
-        self._failures = 0
-        self._last_byte_at = 0.0
-        self._waiting_since: dict[str, float] = {}
         self._shown_sequence = instance.order_sequence
 
     def update(self, instance: Instance) -> None:
@@ -155,18 +130,6 @@
         """Return the version under which requests are sent; 0 when none is known."""
         return max(self.versions.get(model, 0), self._assumed.get(model, 0))
 
-    def total_active(self, now: float) -> int:
-        """Return the requests of all nodes at the instance, as far as known."""
-        return self.active + self._others_now(now).active
-
-    def total_pending_tokens(self, now: float) -> int:
-        """Return the prompt tokens of all nodes still to be prefilled, as far as known."""
-        return self.pending_tokens + self._others_now(now).pending_tokens
-
-    def avoided_by(self, now: float) -> int:
-        """Return how many other nodes avoid the instance now."""
-        return self._others_now(now).avoided_by
-
     def occupancy(self, now: float) -> float:
         """Return the requests of all nodes at the instance as a fraction of its slots."""
         return self.total_active(now) / max(1, self.instance.slots)
@@ -178,71 +141,75 @@
 
     def has_room(self, need: CapacityNeed, now: float) -> bool:
         """Return whether the instance has capacity for a request."""
-        return self.is_usable(now) and self.free_places(now, urgent=need.urgent) > 0
-
-    def set_load_of_others(self, load: InstanceLoad | None, now: float) -> None:
-        """Set the load of all other nodes; None for none."""
-        self._others = load or self._no_load
-        self._others_at = now
-
-    def begin(self, request_id: str, uncached_tokens: int, now: float) -> None:
-        """Count a request that is sent to the instance."""
-        self.active += 1
-        self.pending_tokens += uncached_tokens
-        self._waiting_since[request_id] = now
-
-    def first_byte(self, request_id: str, uncached_tokens: int, now: float) -> None:
-        """Note the first byte of a response's body."""
-        if self._waiting_since.pop(request_id, None) is not None:
-            self.pending_tokens -= uncached_tokens
-        self.note_received_byte(now)
-
-    def end(self, request_id: str, uncached_tokens: int) -> None:
-        """Count a request that has ended."""
-        self.active -= 1
-        if self._waiting_since.pop(request_id, None) is not None:
-            self.pending_tokens -= uncached_tokens
-
-    def note_received_byte(self, now: float) -> None:
-        """Note that a byte has arrived from the instance."""
-        self._last_byte_at = now
+        if self.is_full(now) or not self.is_usable(now):
+            return False
+        if self.free_places(now, urgent=need.urgent) <= 0:
+            return False
+        used = self.total_used_tokens(now)
+        return not self.cache_tokens or not used or used + need.tokens <= self.cache_tokens
 
-    def succeeded(self, seconds: float) -> None:
-        """Update the statistics after a complete response.
+    def begin(
+        self,
+        request_id: str,
+        work_tokens: int,
+        now: float,
+        *,
+        used_tokens: int = 0,
+        moves_segments: bool = False,
+    ) -> None:
+        """Count a request that is sent to the instance.
 
         Args:
-            seconds: Time from sending the request to the first byte.
+            request_id: Id of the request.
+            work_tokens: Work until its first byte; see ``prompt_work``. 0 without a prompt.
+            now: Steady clock.
+            used_tokens: Memory in tokens that the request takes until its end.
+            moves_segments: Whether cached segments are moved to it first.
         """
-        self._failures = 0
-        self.suspended_until = 0.0
-        self.failure_rate += SMOOTHING * (0.0 - self.failure_rate)
-        known = self.latency_seconds or seconds
-        self.latency_seconds = known + SMOOTHING * (seconds - known)
-
-    def failed(self, now: float, *, unreachable: bool) -> None:
-        """Update the statistics after a failure.
+        has_slot = self.total_active(now) < self.instance.slots
+        is_observed = has_slot and not moves_segments and now >= self.loading_until
+        self._add_request(request_id, work_tokens, now, is_observed=is_observed)
+        self.used_tokens += used_tokens
+        self._unanswered_since[request_id] = now
+        self._begin_trial(request_id)
+
+    def first_byte(
+        self, request_id: str, work_tokens: int, now: float, *, shows_speed: bool = False
+    ) -> None:
+        """Note the first byte of a response's body.
 
         Args:
+            request_id: Id of the request.
+            work_tokens: As given when it began.
             now: Steady clock.
-            unreachable: Whether it couldn't be reached or the connection broke; otherwise it
-                answered.
+            shows_speed: Whether it is the first token of an answer to a prompt.
         """
-        self.failure_rate += SMOOTHING * (1.0 - self.failure_rate)
-        if not unreachable:
-            return
-        self._failures += 1
-        pause = FIRST_SUSPENSION_SECONDS * 2.0 ** (self._failures - 1)
-        self.suspended_until = now + min(MAX_SUSPENSION_SECONDS, pause)
+        work = self._end_prefill(request_id, work_tokens)
+        if work is not None and shows_speed:
+            self._observe(work, work_tokens, now)
+        self._unanswered_since.pop(request_id, None)
+        self._full.clear()
+        self.note_received_byte(now)
 
-    def suspend(self, until: float) -> None:
-        """Send it nothing before a time, as long as there are other instances."""
-        self.suspended_until = max(self.suspended_until, until)
+    def end(self, request_id: str, work_tokens: int, used_tokens: int = 0) -> None:
+        """Count a request that has ended.
+
+        Args:
+            request_id: Id of the request.
+            work_tokens: As given when it began.
+            used_tokens: As given when it began.
+        """
+        self.active -= 1
+        self.used_tokens -= used_tokens
+        self._end_prefill(request_id, work_tokens)
+        self._unanswered_since.pop(request_id, None)
+        self.end_stream(request_id)
+        self._leave_trial(request_id)
 
     def discount_pause(self, seconds: float) -> None:
         """Disregard a time in which this node was paused and received nothing."""
-        self._last_byte_at += seconds
-        for request_id in self._waiting_since:
-            self._waiting_since[request_id] += seconds
+        InstanceLoadView.discount_pause(self, seconds)
+        InstanceHealth.discount_pause(self, seconds)
 
     def admission(
         self, purpose: Purpose, now: float, last_requests_seconds: float = 0.0
@@ -268,11 +235,6 @@
         """Return whether something may be sent to the instance now."""
         return self.admission(purpose, now).is_open
 
-    @property
-    def expected_latency(self) -> float:
-        """Time from sending a request to its first byte, as observed, or a default."""
-        return self.latency_seconds or DEFAULT_LATENCY_SECONDS
-
     def _listed(self, now: float) -> Barrier | None:
         """Return the barrier that follows from the directory's entry; None for none."""
         if self.rejected:
@@ -281,24 +243,37 @@
             return Barrier.ENDED
         return Barrier.DRAINING if self.instance.draining else None
 
+    def leaves_unanswered(self, now: float) -> bool:
+        """Return whether requests wait for a first byte and nothing has arrived for too long."""
+        if not self._unanswered_since:
+            return False
+        return self._leaves_unanswered(self.total_pending_tokens(now), now)
+
     def is_unresponsive(self, now: float) -> bool:
-        """Return whether requests wait and nothing has arrived from the instance for too long."""
-        if not self._waiting_since:
+        """Return whether requests or streams wait and nothing has arrived for too long."""
+        if not self._unanswered_since and not self._streaming_since:
             return False
-        oldest = min(self._waiting_since.values())
-        patience = (
-            UNRESPONSIVE_SECONDS + self.total_pending_tokens(now) * UNRESPONSIVE_SECONDS_PER_TOKEN
+        pending = self.total_pending_tokens(now)
+        return self._leaves_unanswered(pending, now) or self._pauses_streams(
+            pending, now, self.loading_until
         )
-        return now - max(oldest, self._last_byte_at) > patience
 
-    def is_usable(self, now: float) -> bool:
-        """Return whether the instance is likely to serve a new request."""
-        return (
-            now >= self.suspended_until
-            and now >= self.loading_until
-            and not self.is_unresponsive(now)
-        )
+    def rejected_as_full(self, now: float) -> bool:
+        """Note that it rejected a request as full; return whether it didn't count as full yet."""
+        return self._full.note_rejected(now)
 
-    def _others_now(self, now: float) -> InstanceLoad:
-        """Return the load of other nodes, or no load when the report is too old."""
-        return self._others if now - self._others_at <= REPORT_SECONDS else self._no_load
+    def is_full(self, now: float) -> bool:
+        """Return whether it has recently rejected a request as full."""
+        return self._full.is_set(now)
+
+    def responds(self, now: float) -> bool:
+        """Return whether it is neither suspended nor silent."""
+        return now >= self.suspended_until and not self.is_unresponsive(now)
+
+    def is_avoided(self, now: float) -> bool:
+        """Return whether this node sends it nothing because of failures or rejections."""
+        return self.is_full(now) or not self.responds(now)
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether the instance is likely to serve a new request once it has capacity."""
+        return now >= self.loading_until and not self.awaits_trial and self.responds(now)
--- a/hopstep/domain/exchanges/load_ledger.py
+++ b/hopstep/domain/exchanges/load_ledger.py
@@ -17,13 +17,19 @@
         incarnation: The instance's incarnation, as ``str(InstanceIncarnation)``.
         active: Requests in progress.
         pending_tokens: Prompt tokens still to be prefilled.
-        avoided_by: Nodes that send it nothing now, because it failed.
+        avoided_by: Nodes that send it nothing now, because it failed or is full.
+        read_ms: Observed times of recent prefills, in milliseconds.
+        expected_read_ms: Expected times of the same prefills; see ``ReadSums``.
+        used_tokens: Memory of the requests in progress, in tokens.
     """
 
     incarnation: str = msgspec.field(name="life")
     active: int = 0
     pending_tokens: int = 0
     avoided_by: int = 0
+    read_ms: int = 0
+    expected_read_ms: int = 0
+    used_tokens: int = 0
 
     def plus(self, other: InstanceLoad, sign: int = 1) -> InstanceLoad:
         """Return the sum with another load of the same instance, or the difference for -1."""
@@ -32,16 +38,45 @@
             self.active + sign * other.active,
             self.pending_tokens + sign * other.pending_tokens,
             self.avoided_by + sign * other.avoided_by,
+            self.read_ms + sign * other.read_ms,
+            self.expected_read_ms + sign * other.expected_read_ms,
+            self.used_tokens + sign * other.used_tokens,
         )
 
+    def without_details(self) -> InstanceLoad:
+        """Return the load without memory and speed."""
+        return InstanceLoad(self.incarnation, self.active, self.pending_tokens, self.avoided_by)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether it has no requests and nobody avoids it; its speed may be known."""
+        return not (self.active or self.pending_tokens or self.avoided_by or self.used_tokens)
+
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing to report."""
-        return not (self.active or self.pending_tokens or self.avoided_by)
+        return self.is_idle and not (self.read_ms or self.expected_read_ms)
 
 
 Loads = dict[str, InstanceLoad]
 
+MAX_DETAILED_LOADS = 500
+"""Most loads of one message with memory and speed: some 11 kB, compressed."""
+
+MAX_LOADS = 3_000
+"""Most loads of one message: some 45 kB, compressed, which leaves space for the rest of it."""
+
+
+def reportable(loads: Iterable[InstanceLoad]) -> tuple[InstanceLoad, ...]:
+    """Return the loads that a message reports; of too many, those with the most requests."""
+    known = tuple(loads)
+    if len(known) <= MAX_DETAILED_LOADS:
+        return known
+    ranked = sorted(known, key=lambda load: (load.is_idle, -load.active, -load.expected_read_ms))
+    others = ranked[MAX_DETAILED_LOADS:MAX_LOADS]
+    plain = (load.without_details() for load in others if not load.is_idle)
+    return (*ranked[:MAX_DETAILED_LOADS], *plain)
+
 
 class _Report(msgspec.Struct, frozen=True):
     loads: tuple[InstanceLoad, ...]
--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -36,12 +36,22 @@
         segments: Parts in order; the last is specific to the request or its session.
         prompt_tokens: Length of the whole prompt.
         answer_tokens: Highest number of tokens in the answer.
+        expected_answer_tokens: Expected number; 0 when not stated.
     """
 
     model: str
     segments: tuple[PromptSegment, ...] = ()
     prompt_tokens: int = 0
     answer_tokens: int = 0
+    expected_answer_tokens: int = 0
+
+    def used_tokens(self, uncached_tokens: int) -> int:
+        """Return the memory in tokens that a request takes at an instance until its end.
+
+        Args:
+            uncached_tokens: Prompt tokens that the instance hasn't cached.
+        """
+        return uncached_tokens + (self.expected_answer_tokens or self.answer_tokens)
 
 
 class ExchangeRequest(msgspec.Struct, frozen=True):
@@ -61,6 +71,7 @@
         prompt: What it states about its prompt; None for services without prompts.
         resume_after: Last event that the client has; empty for a new stream.
         usage_tokens: Tokens of its prompt and longest answer; None when not stated.
+        key: API key that it was admitted with; empty for none.
     """
 
     request_id: str
@@ -76,6 +87,13 @@
     prompt: Prompt | None = None
     resume_after: str = ""
     usage_tokens: int | None = None
+    key: str = ""
+
+    @property
+    def first_byte_by(self) -> float:
+        """When the client gives up without a byte of the answer, by the steady clock in seconds."""
+        patience = self.route.event_patience_seconds
+        return min(self.deadline, self.received_at + patience) if patience else self.deadline
 
     @property
     def rank(self) -> int:
--- a/hopstep/domain/exchanges/selection.py
+++ b/hopstep/domain/exchanges/selection.py
@@ -9,13 +9,12 @@
 
 from hopstep.domain.exchanges.instance_capacity import CapacityNeed
 from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.exchanges.prompt_work import prompt_work
+from hopstep.domain.exchanges.read_speed import READ_SECONDS_PER_TOKEN
 from hopstep.domain.exchanges.segment_moves import EngineRequest, SegmentSources
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.spread_choice import ChoiceBounds, Rating, choose_rated
 
-READ_SECONDS_PER_TOKEN = 1.0 / 40_000
-"""Assumed time to prefill one prompt token; each instance's slowness scales it."""
-
 ACTIVE_SECONDS = 0.002
 """Delay of a new request by each request that is decoding."""
 
@@ -76,6 +75,11 @@
     kept_tokens: int = 0
     read_seconds: float = 0.0
 
+    @property
+    def work_tokens(self) -> int:
+        """Work until the first byte, in prompt tokens; 0 without a prompt."""
+        return prompt_work(self.uncached_tokens) if self.keys else 0
+
 
 def choose_engine(
     views: Sequence[InstanceView],
--- a/hopstep/services/exchanges/requests/engine_requests.py
+++ b/hopstep/services/exchanges/requests/engine_requests.py
@@ -73,7 +73,7 @@
             service: Service that its route chose.
         """
         now = trio.current_time()
-        keys_of = _keys_by_salt(request, prompt)
+        keys_of = keys_by_salt(request, prompt)
         traits = self._traits(service)
         stores = self._stores(keys_of, traits) if traits is not None else ()
         views = self._knowledge.table.of_service(service)
@@ -144,7 +144,7 @@
     return tenant.name if tenant is not None and tenant.isolated else ""
 
 
-def _keys_by_salt(request: ExchangeRequest, prompt: Prompt) -> KeysOf:
+def keys_by_salt(request: ExchangeRequest, prompt: Prompt) -> KeysOf:
     """Return a function from an instance to the prompt's keys, which are hashed once a salt."""
     by_salt: dict[str, tuple[SegmentKey, ...]] = {}
 
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -10,10 +10,11 @@
 
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.prefill_causes import SharedPrefill
-from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.exchanges.request import ExchangeRequest, Prompt
 from hopstep.domain.exchanges.segments import segment_keys
 from hopstep.domain.exchanges.selection import Candidate, choose_engine, choose_server
 from hopstep.domain.exchanges.spread_choice import ChoiceBounds
+from hopstep.domain.exchanges.store_contents import choose_push_target
 from hopstep.domain.instance_admission import Admission, Barrier, Purpose
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
@@ -21,6 +22,7 @@
 from hopstep.services.exchanges.requests.engine_requests import (
     EngineRequests,
     cache_salt,
+    keys_by_salt,
     remaining_objective,
 )
 from hopstep.services.exchanges.requests.permit_demand import LimitProbes, is_limited, note_wanted
@@ -88,7 +90,12 @@
         )
 
     def choose(
-        self, request: ExchangeRequest, service: str, tried: Set[str], only: str | None = None
+        self,
+        request: ExchangeRequest,
+        service: str,
+        tried: Set[str],
+        only: str | None = None,
+        within: Set[str] | None = None,
     ) -> Candidate | None:
         """Return the best instance, or None when none may serve the request now.
 
@@ -97,6 +104,7 @@
             service: Service that the route chose.
             tried: Ids of instances that the request was sent to.
             only: Id of the only instance allowed; empty or None for any that wasn't tried.
+            within: Ids of the instances with capacity; None when capacity doesn't restrict it.
         """
         self._pauses.check()
         self._knowledge.instances.remove_expired()
@@ -105,11 +113,37 @@
         if only:
             eligible = [view for view in eligible if view.instance.instance_id == only]
         views = self._admissible(eligible, now) or self._without_report(eligible, request, now)
+        if within is not None:
+            views = [view for view in views if view.instance.instance_id in within]
         if views:
             self._note_wanted(request, service, eligible, views, now)
         asked = self._limit_probe(request, service, views, now)
         return asked or self._best(request, service, views, now)
 
+    def admissible(
+        self, request: ExchangeRequest, service: str, tried: Set[str]
+    ) -> list[InstanceView]:
+        """Return the instances that a request may be sent to now, whatever their capacity."""
+        self._pauses.check()
+        self._knowledge.instances.remove_expired()
+        now = trio.current_time()
+        eligible = self._eligible(request, service, tried, now)
+        return self._admissible(eligible, now) or self._without_report(eligible, request, now)
+
+    def note_waiting(self, request: ExchangeRequest, service: str, tried: Set[str]) -> None:
+        """Request permits for limited instances on behalf of a request that waits for capacity."""
+        now = trio.current_time()
+        eligible = self._eligible(request, service, tried, now)
+        self._note_wanted(request, service, eligible, self._admissible(eligible, now), now)
+
+    def uncached_tokens(
+        self, request: ExchangeRequest, prompt: Prompt
+    ) -> Callable[[InstanceView], int]:
+        """Return a function from an instance to the tokens of a prompt that it hasn't cached."""
+        keys_of = keys_by_salt(request, prompt)
+        tokens = prompt.prompt_tokens
+        return lambda view: max(0, tokens - view.segments.cached_tokens(keys_of(view)))
+
     def _note_wanted(
         self,
         request: ExchangeRequest,
@@ -274,9 +308,7 @@
         if sum(segment.tokens for segment in shared) < MIN_SAVED_TOKENS:
             return ""
         keys = segment_keys(prompt.model, self.salt(request, view), shared)
-        for store in self._knowledge.require_index().cache_stores():
-            contents = self._store_watch.contents(store.address)
-            now = trio.current_time()
-            if contents is not None and contents.claim_push(keys, now):
-                return store.address
-        return ""
+        stores = self._knowledge.require_index().cache_stores()
+        known = (self._store_watch.contents(store.address) for store in stores)
+        contents = [each for each in known if each is not None]
+        return choose_push_target(contents, keys, trio.current_time())
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -42,6 +42,7 @@
     ReportedRecord,
     SegmentUpdate,
     SentPrompt,
+    SuspectedInstance,
     UrgentUpdates,
 )
 from hopstep.ports.serving_directory import (
@@ -72,13 +73,16 @@
 BEFORE_ERAS = "form-2"
 """Version whose store positions have no era."""
 
+BEFORE_CAPACITY = "form-3"
+"""Version without the memory and speed of instances, and without suspected instances."""
+
 NODES = {"a": NodeRecord("1.2.3.4:5", "z", b"key-a")}
 COMPRESSED = 1
 
 ERA = 3
 SEGMENT = SegmentKey(7, 800)
 HINTS = Hints(
-    (InstanceLoad("i1@5", 3, 400, 1),),
+    (InstanceLoad("i1@5", 3, 400, 1, 120, 100, 9_000),),
     (SegmentUpdate("i1@5", (SEGMENT,), 20, (9,)),),
     (LoadingEngine("i2@6", 900),),
     (Usage("t1", 40, 7),),
@@ -88,6 +92,7 @@
     (Usage("i4@8", 6, 2, 1),),
     (GrantedPermits("i4@8", 3, 900, "b"),),
 )
+HINTS_BEFORE_CAPACITY = msgspec.structs.replace(HINTS, loads=(InstanceLoad("i1@5", 3, 400, 1),))
 INSTANCE = Instance("i1", "llm", "10.0.0.1:80", "z", 4, True, {"m": 3}, 2, 5)
 ENTRIES = (
     ReportedEntry("servers/i1", 2, InstanceListed(INSTANCE), 3),
@@ -124,6 +129,7 @@
         (SentPrompt(SegmentUpdate("i1@5", (SEGMENT,), 20), 800),),
         (LoadingEngine("i2@6", 900),),
         (CRASHES,),
+        (SuspectedInstance("i5@9", 400, "a"),),
     ),
 }
 RECORDS = {
@@ -143,6 +149,24 @@
     offered: int
 
 
+class LoadBeforeCapacity(msgspec.Struct, frozen=True, array_like=True):
+    """``InstanceLoad`` as read by versions before format 4."""
+
+    incarnation: str
+    active: int = 0
+    pending_tokens: int = 0
+    avoided_by: int = 0
+
+
+class UrgentBeforeCapacity(msgspec.Struct, frozen=True, array_like=True, tag="UrgentNews"):
+    """``UrgentUpdates`` as read by versions before format 4."""
+
+    number: int
+    prompts: tuple[SentPrompt, ...] = ()
+    loading: tuple[LoadingEngine, ...] = ()
+    crashes: tuple[RequestCrashes, ...] = ()
+
+
 class HintsBeforeLimits(msgspec.Struct, frozen=True, array_like=True):
     """``Hints`` as read by versions before format 2."""
 
@@ -298,7 +322,29 @@
         self.assertEqual(messages["query"].store_position, StorePosition(UNSPECIFIED_ERA, 77))
         self.assertEqual(answer.after_store_position, StorePosition(UNSPECIFIED_ERA, 77))
         self.assertEqual(answer.store_position, StorePosition(UNSPECIFIED_ERA, 80))
-        self.assertEqual(messages["query"].hints, HINTS)
+        self.assertEqual(messages["query"].hints, HINTS_BEFORE_CAPACITY)
+
+    def test_frames_of_before_capacity(self):
+        messages = self.decoded(BEFORE_CAPACITY)
+        self.check_common(messages, "i1@5", "i2@6")
+        for hints in (messages["query"].hints, messages["digest"].hints):
+            self.assertEqual(hints, HINTS_BEFORE_CAPACITY)
+        self.assertEqual(messages["urgent"].crashes, (CRASHES,))
+        self.assertEqual(messages["urgent"].suspected, ())
+
+    def test_the_version_before_reads_todays_loads(self):
+        """Otherwise nodes of both versions would choose instances by half of the load."""
+        for kind, position in (("query", 5), ("digest", 2)):
+            document = payload_document(encode_frame(MESSAGES[kind], "a", b"key-a"))
+            loads = msgspec.convert(document[position][0], tuple[LoadBeforeCapacity, ...])
+            self.assertEqual(loads, (LoadBeforeCapacity("i1@5", 3, 400, 1),))
+
+    def test_the_version_before_reads_todays_urgent_updates(self):
+        """Otherwise a crash or a load of weights reported beside a suspicion would be lost."""
+        frame = encode_frame(MESSAGES["urgent"], "a", b"key-a")
+        urgent = msgspec.convert(payload_document(frame), UrgentBeforeCapacity)
+        self.assertEqual((urgent.number, urgent.crashes), (10, (CRASHES,)))
+        self.assertEqual(urgent.loading, MESSAGES["urgent"].loading)
 
     def test_todays_frames_are_those_of_the_present_form(self):
         frames = read_golden(f"form-{MESSAGE_FORMAT_VERSION}")["frames"]
@@ -349,6 +395,7 @@
             (BEFORE_LEAVING, 0),
             (BEFORE_LIMITS, 1),
             (BEFORE_ERAS, 2),
+            (BEFORE_CAPACITY, 3),
             (f"form-{MESSAGE_FORMAT_VERSION}", MESSAGE_FORMAT_VERSION),
         )
         for name, version in versions:
