Count the expected length of an answer when an engine is chosen

The longest answer was counted, so engines seemed to lack memory or slots that the queue, which counts the stated expected length, saw as free. The test shows the expected length when it is stated, else the longest.

--- a/hopstep/services/exchanges/requests/engine_requests.py
+++ b/hopstep/services/exchanges/requests/engine_requests.py
@@ -88,7 +88,7 @@
             self._knowledge.weights.preferred(prompt.model, now),
             objective_seconds=remaining_objective(request, now),
             nodes=self._knowledge.count_nodes(),
-            answer_tokens=prompt.answer_tokens,
+            answer_tokens=prompt.used_tokens(0),
             urgent=self.is_urgent(request, service),
             engine_preference=self._separation.preference(request, service, views, now),
         )
--- a/tests/services/exchanges/test_engine_separation.py
+++ b/tests/services/exchanges/test_engine_separation.py
@@ -1,14 +1,19 @@
 import unittest
+from unittest import mock
 
+import msgspec
+
+from emulator.virtual_time import run_in_virtual_time
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.request import ExchangeRequest, Prompt
 from hopstep.domain.exchanges.segment_moves import NO_PREFERENCE
 from hopstep.domain.exchanges.selection import Candidate
-from hopstep.domain.exchanges.serving import RequestKind
+from hopstep.domain.exchanges.serving import RequestKind, ServingIndex
 from hopstep.domain.exchanges.spread_choice import Rating
+from hopstep.services.exchanges.requests.engine_requests import EngineRequests
 from hopstep.services.exchanges.requests.engine_separation import EngineSeparation
-from tests.services.exchanges.exchange_world import MODEL, route
+from tests.services.exchanges.exchange_world import MODEL, configuration, route
 
 VIEWS = [InstanceView(Instance(f"e{n}", "llm", f"e:{n}", "z1", 16)) for n in range(6)]
 
@@ -45,3 +50,21 @@
         send(separation, SHORT, 1.0)
         send(separation, LONG, 1.0)
         self.assertIs(separation.preference(LONG, "other", VIEWS, 2.0), NO_PREFERENCE)
+
+
+class EngineRequestsTest(unittest.TestCase):
+    def test_the_expected_length_of_the_answer_counts_when_it_is_stated(self):
+        """Guards against engines that seem full since longest answers are counted."""
+        knowledge = mock.Mock()
+        knowledge.require_index.return_value = ServingIndex(configuration())
+        knowledge.table.of_service.return_value = VIEWS
+        requests = EngineRequests(knowledge, mock.Mock(), "z1", 0.0, mock.Mock())
+        for expected, answer_tokens in ((9, 9), (0, 900)):
+            prompt = Prompt(MODEL, (), 400, 900, expected)
+            asked = msgspec.structs.replace(SHORT, prompt=prompt)
+
+            async def build(asked=asked):
+                return requests.build(asked, asked.prompt, "llm")
+
+            built = run_in_virtual_time(build)
+            self.assertEqual(built.answer_tokens, answer_tokens)
