--- a/tests/services/exchanges/test_relaying.py
+++ b/tests/services/exchanges/test_relaying.py
@@ -9,6 +9,7 @@
 import trio
 
 from hopstep.domain.exchanges.instances import Instance
+from hopstep.domain.exchanges.prompt_work import prompt_work
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.spread_choice import Rating
@@ -336,7 +337,7 @@
             now = trio.current_time()
             for node in world.nodes[:5] + world.nodes[6:]:
                 pending = node.knowledge.table.get("e0").total_pending_tokens(now)
-                self.assertEqual(pending, 9_000)
+                self.assertEqual(pending, prompt_work(9_000))
                 kept = node.knowledge.table.get("e0").segments.cached_tokens(KEYS[:1])
                 self.assertEqual(kept, 9_000)
             await trio.sleep(1.0)
