Mend what a newcomer's reading of the change found

Suspensions no longer overflow after a thousand failures without an answer; a client is disconnected once, and only if it holds bytes; a request that is late to be refused is looked at again; an answer that has begun isn't dropped from a full queue; reports of old nodes are forgotten; refused clients are expected back when they were told to come. Names and texts that stopped the reader are changed.

--- a/hopstep/adapters/exchange_server.py
+++ b/hopstep/adapters/exchange_server.py
@@ -99,7 +99,9 @@
         await self._stream.aclose()
 
     def disconnect(self) -> None:
-        """Reset the connection; see the port."""
+        """Reset the connection, unless it is closed already; see the port."""
+        if self.socket.fileno() < 0:
+            return
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.socket.close()
 
--- a/hopstep/domain/byte_budget.py
+++ b/hopstep/domain/byte_budget.py
@@ -1,9 +1,10 @@
 """Budget for the bytes that a node holds on behalf of clients and instances.
 
-The load it addresses: a node with 160 MB of memory, hundreds of clients that read slowly or not at
-all, and responses of up to 16 MiB. Each request has a share of the budget. A request is admitted
-with its body and the first 64 KiB of its response; only responses within the spare part of the
-budget may take more, so that large responses don't keep other requests from being admitted.
+Each request has a share of the budget. A request is admitted with its body and the first
+``RESPONSE_BYTES`` of its response; only responses within the spare part of the budget may take
+more, so that large responses don't keep other requests from being admitted.
+
+Load pattern: clients that read slowly or not at all, at machines with little memory.
 """
 
 from __future__ import annotations
@@ -188,7 +189,7 @@
 def choose_stalled(
     clients: Iterable[tuple[ClientId, WaitingClient]], excess_bytes: int
 ) -> list[ClientId]:
-    """Return the clients to disconnect, so that those who read find space again.
+    """Return the clients to disconnect, so that others find space again; none that hold nothing.
 
     The load it addresses: clients that stop reading hold the whole budget, and every other request
     is refused. Clients without progress for ``STALL_SECONDS`` are disconnected, the longest waiting
@@ -198,7 +199,11 @@
         clients: Clients that the node waits for.
         excess_bytes: Bytes to release; 0 while the budget isn't short.
     """
-    overdue = [each for each in clients if each[1].waiting_seconds >= STALL_SECONDS]
+    overdue = [
+        each
+        for each in clients
+        if each[1].waiting_seconds >= STALL_SECONDS and each[1].held_bytes > 0
+    ]
     overdue.sort(key=lambda each: each[1].waiting_seconds, reverse=True)
     chosen = []
     for client, waiting in overdue:
--- a/hopstep/domain/exchanges/early_refusal.py
+++ b/hopstep/domain/exchanges/early_refusal.py
@@ -34,7 +34,7 @@
 """Refused clients that are remembered, the latest: more than return within a few seconds."""
 
 
-class Prospect(msgspec.Struct, frozen=True):
+class WaitEstimate(msgspec.Struct, frozen=True):
     """What a node expects of a request that would wait, or waits.
 
     Attributes:
@@ -61,30 +61,37 @@
         return (self.wait_seconds + self.first_byte_seconds) * ERROR_FACTOR
 
 
-def expected_wait(by_order: float, alike: int, interval_seconds: float, share: float) -> float:
+def expected_wait(
+    by_order: float, ahead_in_class: int, interval_seconds: float, share: float
+) -> float:
     """Return the expected wait in seconds, the longer of two estimates.
 
     Args:
         by_order: Time until all requests that go before it now have left.
-        alike: Requests before it in its own order class.
+        ahead_in_class: Requests before it in its own order class.
         interval_seconds: Mean time between two requests that leave the queue.
         share: Part of them that are of its order class.
     """
-    return max(by_order, (alike + 1) * interval_seconds / share)
+    return max(by_order, (ahead_in_class + 1) * interval_seconds / share)
 
 
-def may_refuse(prospect: Prospect) -> bool:
+def may_refuse(wait_estimate: WaitEstimate) -> bool:
     """Return whether a request may be refused for its wait.
 
     Never while half of the places are free, as then the wait has another cause than load; and
     never while a less urgent request of the service is kept.
     """
-    return prospect.free_places < prospect.taken_places and not prospect.less_urgent_waits
+    return (
+        wait_estimate.free_places < wait_estimate.taken_places
+        and not wait_estimate.less_urgent_waits
+    )
 
 
-def is_hopeless(prospect: Prospect) -> bool:
+def misses_deadline(wait_estimate: WaitEstimate) -> bool:
     """Return whether to refuse a request at once, as its answer would come after its deadline."""
-    return may_refuse(prospect) and prospect.answer_seconds > prospect.remaining_seconds
+    return (
+        may_refuse(wait_estimate) and wait_estimate.answer_seconds > wait_estimate.remaining_seconds
+    )
 
 
 def last_useful_at(deadline: float, first_byte_seconds: float) -> float:
@@ -97,20 +104,20 @@
     return deadline - first_byte_seconds * ERROR_FACTOR
 
 
-def return_seconds(prospect: Prospect, interval_seconds: float, returning: int) -> float:
+def return_seconds(wait_estimate: WaitEstimate, interval_seconds: float, returning: int) -> float:
     """Return the time after which the same request would be served in time.
 
-    While its client stays away, the queue drains and its deadline comes nearer. Both shorten what
-    is left by the same time, but the margin applies to the wait only.
+    While its client stays away, the queue drains and its deadline comes nearer by the same time, so
+    that only the margin of the estimate shrinks. The result may lie beyond the deadline.
 
     Args:
-        prospect: What is expected of the request now.
+        wait_estimate: What is expected of the request now.
         interval_seconds: Mean time between two requests that leave the queue.
         returning: Clients that were refused before and come back before it.
     """
     before = returning * interval_seconds
-    answer = prospect.answer_seconds + before * ERROR_FACTOR
-    until_served = (answer - prospect.remaining_seconds) / (ERROR_FACTOR - 1.0)
+    answer = wait_estimate.answer_seconds + before * ERROR_FACTOR
+    until_served = (answer - wait_estimate.remaining_seconds) / (ERROR_FACTOR - 1.0)
     return max(before + interval_seconds, until_served)
 
 
--- a/hopstep/domain/exchanges/instance_capacity.py
+++ b/hopstep/domain/exchanges/instance_capacity.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from hopstep.domain.exchanges.backoff import doubled_seconds
+
 FIRST_FULL_SECONDS = 0.2
 """Time without requests after a rejection: one interval of load reports."""
 
@@ -33,7 +35,7 @@
         """
         if self.is_set(now):
             return False
-        seconds = min(MAX_FULL_SECONDS, FIRST_FULL_SECONDS * 2.0**self._rejections)
+        seconds = doubled_seconds(FIRST_FULL_SECONDS, self._rejections, MAX_FULL_SECONDS)
         self._rejections += 1
         self._until = now + seconds
         return True
--- a/hopstep/domain/exchanges/instance_health.py
+++ b/hopstep/domain/exchanges/instance_health.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Mapping
 
+from hopstep.domain.exchanges.backoff import doubled_seconds
+
 FIRST_SUSPENSION_SECONDS = 0.4
 """Suspension after a first failure; each consecutive failure doubles it."""
 
@@ -192,4 +194,4 @@
     """Return the suspension after a number of consecutive failures."""
     if not failures:
         return 0.0
-    return min(MAX_SUSPENSION_SECONDS, FIRST_SUSPENSION_SECONDS * 2.0 ** (failures - 1))
+    return doubled_seconds(FIRST_SUSPENSION_SECONDS, failures - 1, MAX_SUSPENSION_SECONDS)
--- a/hopstep/domain/exchanges/load_schedule.py
+++ b/hopstep/domain/exchanges/load_schedule.py
@@ -35,7 +35,7 @@
 """Longest time from the end of a load until the next one starts in its place."""
 
 MAX_OBJECTIVE_SECONDS = 60.0
-"""Objective by which pending prompts count where none is configured."""
+"""Longest objective by which pending prompts count."""
 
 DRAIN_SECONDS = 0.6
 """Longest time for which an order waits for the engine's streams to end."""
@@ -173,7 +173,7 @@
         ]
         return SpareCapacity(self.engines, serving, self.objective_seconds, self.now)
 
-    def is_succession(self, *, short: bool) -> bool:
+    def expects_newer_version(self, *, short: bool) -> bool:
         """Return whether a further version is to be expected, so that a first wave waits for it.
 
         Args:
@@ -235,11 +235,12 @@
             spare.take(view)
             chosen.append(view)
     waiting = min(len(wave), state.free - len(forced)) - len(chosen)
-    if state.is_succession(short=waiting > 0):
+    if state.expects_newer_version(short=waiting > 0):
         return [], len(wave)
     if not (state.table.load_measured or state.occupied or forced or chosen):
         chosen = list(wave[:TRIAL_LOADS])
-    return chosen, waiting
+        waiting -= len(chosen)
+    return chosen, max(0, waiting)
 
 
 def _due_times(state: RolloutState, behind: Sequence[InstanceView]) -> dict[int, _DueTimes]:
--- a/hopstep/domain/exchanges/prompt_work.py
+++ b/hopstep/domain/exchanges/prompt_work.py
@@ -1,8 +1,8 @@
 """Work of an engine for one prompt, in prompt tokens.
 
-Load pattern: many short prompts at the same engines as a few long ones. An engine prefills prompts
-in pieces, one between two decoding steps, so each prompt takes a step however short it is. Counted
-by tokens alone, an engine with a hundred short prompts seems to be free long before it is.
+An engine prefills prompts in pieces, one between two decoding steps, so each prompt takes a step
+however short it is. Counted by tokens alone, an engine with many short prompts seems to be free
+long before it is.
 """
 
 from __future__ import annotations
--- a/hopstep/domain/exchanges/retry_after.py
+++ b/hopstep/domain/exchanges/retry_after.py
@@ -153,18 +153,19 @@
     """
     reason = retry_reason(facts)
     if reason is RetryReason.QUEUE_FULL and facts.queue_return is not None:
-        return RetryAdvice(_queue_seconds(facts.queue_return, draw), reason)
+        wait = queue_wait_seconds(facts.queue_return)
+        return RetryAdvice(wait * (1.0 + QUEUE_SPREAD * draw), reason)
     longest = float("inf") if reason in CERTAIN_REASONS else MAX_SECONDS
     wait = min(longest, max(AT_ONCE_SECONDS, _expected_seconds(reason, facts)))
     spread = min(MAX_SPREAD, MIN_SPREAD + SPREAD_PER_REFUSAL * facts.recent_refusals)
     return RetryAdvice(min(longest, wait * (1.0 + spread * draw)), reason)
 
 
-def _queue_seconds(queue_return: QueueReturn, draw: float) -> float:
-    """Return the wait for a queue to drain: spread, and no longer than the client waits."""
+def queue_wait_seconds(queue_return: QueueReturn) -> float:
+    """Return the wait for a queue to drain, no longer than the client obeys with its spread."""
     longest = OBEYED_SHARE * queue_return.client_seconds
     expected = min(queue_return.seconds or DEFAULT_SECONDS, longest / (1.0 + QUEUE_SPREAD))
-    return max(AT_ONCE_SECONDS, expected) * (1.0 + QUEUE_SPREAD * draw)
+    return max(AT_ONCE_SECONDS, expected)
 
 
 def _expected_seconds(reason: RetryReason, facts: RefusalFacts) -> float:
--- a/hopstep/domain/exchanges/suspicion.py
+++ b/hopstep/domain/exchanges/suspicion.py
@@ -49,11 +49,15 @@
         self._reports: dict[str, dict[str, float]] = {}
 
     def note(self, incarnation: str, node: str, now: float) -> None:
-        """Record a report of another node."""
+        """Record a report of another node; without space for the instance it is ignored."""
         if incarnation not in self._reports and len(self._reports) >= MAX_REPORTED_INSTANCES:
             self._forget(now)
-        if len(self._reports) < MAX_REPORTED_INSTANCES:
-            self._reports.setdefault(incarnation, {})[node] = now
+        if incarnation not in self._reports and len(self._reports) >= MAX_REPORTED_INSTANCES:
+            return
+        reports = self._reports.setdefault(incarnation, {})
+        reports[node] = now
+        for reporter in [each for each, at in reports.items() if _is_over(at, now)]:
+            del reports[reporter]
 
     def is_followed(self, incarnation: str, node: str, own: OwnEvidence, now: float) -> bool:
         """Record a report; return whether to suspend the instance because of it.
@@ -88,5 +92,10 @@
         self._reports = {
             incarnation: reports
             for incarnation, reports in self._reports.items()
-            if now - max(reports.values()) <= SINGLE_REPORT_SECONDS
+            if not _is_over(max(reports.values()), now)
         }
+
+
+def _is_over(reported_at: float, now: float) -> bool:
+    """Return whether a report is too old to matter."""
+    return now - reported_at > SINGLE_REPORT_SECONDS
--- a/hopstep/domain/exchanges/waiting_order.py
+++ b/hopstep/domain/exchanges/waiting_order.py
@@ -55,12 +55,12 @@
 
     Attributes:
         ahead: Requests that go before it now; others may overtake it.
-        alike: Those of them in its own order class.
+        ahead_in_class: Those of them in its own order class.
         order_class: Priority of the fair queue: rank, and whether the objective can be met.
     """
 
     ahead: int
-    alike: int
+    ahead_in_class: int
     order_class: int
 
 
@@ -119,15 +119,17 @@
         late = late or request.late or now >= request.late_from
         entry = _entry(msgspec.structs.replace(request, late=late))
         ahead = self._queue.count_before(entry, lambda _other: True)
-        alike = self._queue.count_before(entry, lambda other: other.priority == entry.priority)
-        return Place(ahead, alike, entry.priority)
+        ahead_in_class = self._queue.count_before(
+            entry, lambda other: other.priority == entry.priority
+        )
+        return Place(ahead, ahead_in_class, entry.priority)
 
     def place(self, entry_id: str) -> Place:
         """Return the place of a waiting request."""
         order_class = self._waiting[entry_id].order_class
         ahead = self._queue.position(entry_id, lambda _other: True)
-        alike = self._queue.position(entry_id, lambda other: other.priority == order_class)
-        return Place(ahead, alike, order_class)
+        ahead_in_class = self._queue.position(entry_id, lambda other: other.priority == order_class)
+        return Place(ahead, ahead_in_class, order_class)
 
     def classes(self) -> list[int]:
         """Return the order classes that wait."""
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -509,7 +509,7 @@
         "instance",
         "waiting",
     ),
-    "Nothing; if it recurs: the service lacks capacity. Without an `instance` the wait ended so.",
+    "Nothing; if it recurs: add instances. Without an `instance` the request was never sent.",
 )
 REQUEST_REFUSED_EARLY = LogEvent(
     "HS3112",
@@ -530,7 +530,7 @@
         "free_places",
         "taken_places",
     ),
-    "Add instances if it recurs; `per_second` is how many requests left the queue lately.",
+    "Add instances if it recurs; `reason` tells a long wait from a full queue.",
 )
 
 SERVING_CONFIGURATION_APPLIED = LogEvent(
@@ -722,7 +722,7 @@
     "engines_kept",
     Level.INFO,
     ("service", "routes", "kept", "engines", "long_tokens"),
-    "Nothing: `kept` of the `engines` get no prompts of `long_tokens` or more from other routes.",
+    "Nothing: prompts of `long_tokens` or more avoid `kept` of the `engines` while others do.",
 )
 CACHE_STORE_CHANGED = LogEvent(
     "HS6107",
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -50,8 +50,8 @@
 
     Attributes:
         client: ``ip:port`` of the client.
-        last_progress_at: Clock time in seconds at which a byte was last read from the client or
-            accepted for it, or the current write began.
+        last_progress_at: When a byte was last read from the client or accepted for it, or the
+            current write began; steady clock, seconds.
         is_writing: Whether a write waits for the client.
     """
 
--- a/hopstep/services/exchanges/requests/engine_requests.py
+++ b/hopstep/services/exchanges/requests/engine_requests.py
@@ -95,12 +95,7 @@
 
     def is_urgent(self, request: ExchangeRequest, service: str) -> bool:
         """Return whether a request's priority is above the least urgent one of the service."""
-        routes = self._knowledge.require_index().configuration.routes
-        return any(
-            route.priority > request.route.priority
-            for route in routes
-            if any(share.service == service for share in route.shares)
-        )
+        return request.route.priority < self._knowledge.require_index().least_urgent(service)
 
     def _traits(self, service: str) -> EngineTraits | None:
         """Return the traits of a service's engines."""
--- a/hopstep/services/exchanges/requests/queue_refusals.py
+++ b/hopstep/services/exchanges/requests/queue_refusals.py
@@ -7,12 +7,13 @@
 from hopstep import log_events
 from hopstep.domain.exchanges.early_refusal import (
     FirstByteTimes,
-    Prospect,
     ReturningClients,
     ServedShares,
+    WaitEstimate,
     expected_wait,
     return_seconds,
 )
+from hopstep.domain.exchanges.retry_after import QueueReturn, queue_wait_seconds
 from hopstep.domain.exchanges.waiting_order import Place, WaitingOrder, WaitingRequest
 from hopstep.domain.queue_pace import QueuePace
 from hopstep.exceptions import ErrorCode, ServiceError
@@ -88,9 +89,9 @@
         late = now + self._expected_wait(service, place) >= request.late_from
         return order.place_of(request, now, late=late)
 
-    def prospect(
+    def wait_estimate(
         self, waiting: WaitingExchange, place: Place, capacity: Capacity, less_urgent_waits: bool
-    ) -> Prospect:
+    ) -> WaitEstimate:
         """Return what is expected of a request.
 
         Args:
@@ -101,7 +102,7 @@
         """
         now = trio.current_time()
         request = waiting.request
-        return Prospect(
+        return WaitEstimate(
             ahead=place.ahead,
             wait_seconds=self._expected_wait(waiting.service, place),
             first_byte_seconds=self.first_bytes.expected(request.route.name),
@@ -112,14 +113,15 @@
         )
 
     def refuse(
-        self, waiting: WaitingExchange, prospect: Prospect, message: str
+        self, waiting: WaitingExchange, wait_estimate: WaitEstimate, message: str
     ) -> QueueRefusalError:
         """Return the refusal of a request, with the time after which it would be served."""
         now = trio.current_time()
         interval = self._interval(waiting.service)
         returning = self._returning.setdefault(waiting.service, ReturningClients())
-        seconds = return_seconds(prospect, interval, returning.count(now))
-        returning.add(now + seconds)
+        seconds = return_seconds(wait_estimate, interval, returning.count(now))
+        client_seconds = waiting.request.client_deadline - now
+        returning.add(now + queue_wait_seconds(QueueReturn(seconds, client_seconds)))
         self._metrics.early_refusals.labels(str(waiting.order.rank)).inc()
         emit(
             log_events.REQUEST_REFUSED_EARLY,
@@ -129,13 +131,13 @@
             priority=waiting.order.rank,
             reason=message,
             waited_ms=round((now - waiting.began_at) * MILLISECONDS),
-            ahead=prospect.ahead,
-            expected_wait_ms=round(prospect.wait_seconds * MILLISECONDS),
-            first_byte_ms=round(prospect.first_byte_seconds * MILLISECONDS),
-            remaining_ms=round(prospect.remaining_seconds * MILLISECONDS),
+            ahead=wait_estimate.ahead,
+            expected_wait_ms=round(wait_estimate.wait_seconds * MILLISECONDS),
+            first_byte_ms=round(wait_estimate.first_byte_seconds * MILLISECONDS),
+            remaining_ms=round(wait_estimate.remaining_seconds * MILLISECONDS),
             per_second=round(1.0 / interval, 2) if interval else 0.0,
-            free_places=prospect.free_places,
-            taken_places=prospect.taken_places,
+            free_places=wait_estimate.free_places,
+            taken_places=wait_estimate.taken_places,
         )
         return QueueRefusalError(message, seconds)
 
@@ -145,7 +147,7 @@
         by_order = self._pace.expected_wait(service, ALL_PRIORITIES, place.ahead, now)
         shares = self._shares.get(service)
         share = shares.share(place.order_class) if shares is not None else 1.0
-        return expected_wait(by_order, place.alike, self._interval(service), share)
+        return expected_wait(by_order, place.ahead_in_class, self._interval(service), share)
 
     def _interval(self, service: str) -> float:
         """Return the expected seconds between two requests that leave; 0 when unknown."""
--- a/hopstep/services/exchanges/requests/request_queue.py
+++ b/hopstep/services/exchanges/requests/request_queue.py
@@ -11,10 +11,10 @@
 import trio
 
 from hopstep.domain.exchanges.early_refusal import (
-    Prospect,
-    is_hopeless,
+    WaitEstimate,
     last_useful_at,
     may_refuse,
+    misses_deadline,
 )
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
@@ -134,7 +134,7 @@
             return self._choice.choose(request, service, tried, within=capacity.within)
         waiting = self._make_waiting(request, service, tried, started)
         if not started:
-            self._refuse_hopeless(waiting, waiting.place, capacity)
+            self._refuse_if_late(waiting, waiting.place, capacity)
         try:
             self._enter(waiting)
             await self._wait(waiting)
@@ -166,21 +166,23 @@
         place = self.refusals.place_on_arrival(service, service_order, order)
         return WaitingExchange(order, request, service, tried, trio.current_time(), place)
 
-    def _refuse_hopeless(self, waiting: WaitingExchange, place: Place, capacity: Capacity) -> None:
+    def _refuse_if_late(self, waiting: WaitingExchange, place: Place, capacity: Capacity) -> None:
         """Refuse a request whose answer would come after its deadline.
 
         Raises:
             QueueRefusalError: It would.
         """
-        prospect = self._prospect(waiting, place, capacity)
-        if is_hopeless(prospect):
-            raise self.refusals.refuse(waiting, prospect, "the expected wait is too long")
+        wait_estimate = self._estimate_wait(waiting, place, capacity)
+        if misses_deadline(wait_estimate):
+            raise self.refusals.refuse(waiting, wait_estimate, "the expected wait is too long")
 
-    def _prospect(self, waiting: WaitingExchange, place: Place, capacity: Capacity) -> Prospect:
+    def _estimate_wait(
+        self, waiting: WaitingExchange, place: Place, capacity: Capacity
+    ) -> WaitEstimate:
         """Return what is expected of a request."""
         order = self._orders[waiting.service]
         less_urgent_waits = order.has_less_urgent(waiting.order.rank)
-        return self.refusals.prospect(waiting, place, capacity, less_urgent_waits)
+        return self.refusals.wait_estimate(waiting, place, capacity, less_urgent_waits)
 
     def _enter(self, waiting: WaitingExchange) -> None:
         """Queue a request; refuse those that would be served last while too many wait."""
@@ -190,20 +192,28 @@
         self._bytes += len(waiting.request.body)
         self._metrics.waiting.labels(str(waiting.order.rank)).inc()
         while len(self._waiting) > MAX_WAITING or self._bytes > MAX_WAITING_BYTES:
-            self._refuse_last()
+            if not self._refuse_last():
+                break
         self.recheck()
 
-    def _refuse_last(self) -> None:
-        """Refuse the request that would be served last."""
+    def _refuse_last(self) -> bool:
+        """Refuse the request that would be served last, unless its answer has begun.
+
+        Returns:
+            Whether a request was refused.
+        """
         lasts = (order.last() for order in self._orders.values())
         waiting = [self._waiting[last.entry_id] for last in lasts if last is not None]
+        if all(each.order.rank == STARTED_RANK for each in waiting):
+            return False
         last = max(waiting, key=lambda each: (each.order.rank, each.order.late, each.began_at))
         place = self._place(last)
-        prospect = self._prospect(
+        wait_estimate = self._estimate_wait(
             last, place, self._binding.look(last.request, last.service, last.tried)
         )
-        last.error = self.refusals.refuse(last, prospect, "too many requests wait")
+        last.error = self.refusals.refuse(last, wait_estimate, "too many requests wait")
         self._end_wait(last)
+        return True
 
     async def _wait(self, waiting: WaitingExchange) -> None:
         """Wait until an instance is chosen, or until that has become useless.
@@ -218,7 +228,9 @@
             await _wait_until(waiting.woken, min(waiting.order.late_from, last_useful))
             self._refuse_late(waiting)
             await _wait_until(waiting.woken, last_useful)
-            self._refuse_useless(waiting)
+            while not waiting.woken.is_set():
+                self._refuse_useless(waiting)
+                await _wait_until(waiting.woken, trio.current_time() + RECHECK_SECONDS)
         await waiting.woken.wait()
         if waiting.error is not None:
             raise waiting.error
@@ -227,16 +239,14 @@
         """Refuse a request that can't meet its objective, and won't meet its deadline either."""
         if not waiting.woken.is_set():
             capacity = self._binding.look(waiting.request, waiting.service, waiting.tried)
-            self._refuse_hopeless(waiting, self._place(waiting), capacity)
+            self._refuse_if_late(waiting, self._place(waiting), capacity)
 
     def _refuse_useless(self, waiting: WaitingExchange) -> None:
         """Refuse a request that an instance couldn't answer before its deadline any more."""
-        if waiting.woken.is_set():
-            return
         capacity = self._binding.look(waiting.request, waiting.service, waiting.tried)
-        prospect = self._prospect(waiting, self._place(waiting), capacity)
-        if may_refuse(prospect):
-            raise self.refusals.refuse(waiting, prospect, "no instance had capacity in time")
+        wait_estimate = self._estimate_wait(waiting, self._place(waiting), capacity)
+        if may_refuse(wait_estimate):
+            raise self.refusals.refuse(waiting, wait_estimate, "no instance had capacity in time")
 
     def _place(self, waiting: WaitingExchange) -> Place:
         """Return the place of a waiting request."""
--- a/tests/domain/exchanges/test_early_refusal.py
+++ b/tests/domain/exchanges/test_early_refusal.py
@@ -7,17 +7,17 @@
 
 from hopstep.domain.exchanges.early_refusal import (
     FirstByteTimes,
-    Prospect,
     ReturningClients,
     ServedShares,
+    WaitEstimate,
     expected_wait,
-    is_hopeless,
+    misses_deadline,
     return_seconds,
 )
 from hopstep.domain.exchanges.waiting_order import WaitingOrder, WaitingRequest
 from hopstep.domain.queue_pace import MAX_AGE_SECONDS, QueuePace
 
-FULL = Prospect(
+FULL = WaitEstimate(
     ahead=20,
     wait_seconds=4.0,
     first_byte_seconds=0.5,
@@ -40,9 +40,9 @@
             ("a less urgent one is kept", changed(less_urgent_waits=True), False),
             ("nothing observed", changed(wait_seconds=0.0), False),
         )
-        for name, prospect, refused in cases:
+        for name, wait_estimate, refused in cases:
             with self.subTest(name):
-                self.assertEqual(is_hopeless(prospect), refused)
+                self.assertEqual(misses_deadline(wait_estimate), refused)
 
     def test_a_request_that_returns_then_is_not_refused_again(self):
         seconds = return_seconds(FULL, 0.2, 0)
@@ -50,9 +50,9 @@
             wait_seconds=FULL.wait_seconds - seconds,
             remaining_seconds=FULL.remaining_seconds - seconds,
         )
-        self.assertFalse(is_hopeless(later))
+        self.assertFalse(misses_deadline(later))
         sooner = changed(wait_seconds=4.0 - 0.9 * seconds, remaining_seconds=5.0 - 0.9 * seconds)
-        self.assertTrue(is_hopeless(sooner))
+        self.assertTrue(misses_deadline(sooner))
 
     def test_clients_return_in_the_order_of_their_refusals(self):
         waits = [return_seconds(FULL, 0.2, returning) for returning in range(4)]
@@ -114,8 +114,8 @@
     def arrive(self, now):
         ahead = len(self.waiting)
         wait = self.pace.expected_wait("s", 0, ahead, now)
-        prospect = Prospect(ahead, wait, self.SERVICE_SECONDS, self.DEADLINE_SECONDS, 0, 1)
-        if self.refuses and is_hopeless(prospect):
+        wait_estimate = WaitEstimate(ahead, wait, self.SERVICE_SECONDS, self.DEADLINE_SECONDS, 0, 1)
+        if self.refuses and misses_deadline(wait_estimate):
             self.refused_at_once += 1
             return
         self.pace.begin("s", 0, now)
@@ -168,7 +168,7 @@
         share = self.shares.share(place.order_class) if self.with_shares else 1.0
         by_order = self.pace.expected_wait("s", 0, place.ahead, now)
         interval = self.pace.expected_wait("s", 0, 0, now)
-        return expected_wait(by_order, place.alike, interval, share)
+        return expected_wait(by_order, place.ahead_in_class, interval, share)
 
     def arrive(self, name, now):
         late_from = now + self.OBJECTIVE_SECONDS
@@ -177,8 +177,8 @@
         if self.with_shares and now + self.wait(place, now) >= late_from:
             place = self.order.place_of(request, now, late=True)
         remaining = Overload.DEADLINE_SECONDS
-        prospect = Prospect(place.ahead, self.wait(place, now), 0.0, remaining, 0, 1)
-        if is_hopeless(prospect):
+        wait_estimate = WaitEstimate(place.ahead, self.wait(place, now), 0.0, remaining, 0, 1)
+        if misses_deadline(wait_estimate):
             return
         self.pace.begin("s", 0, now)
         self.order.add(request, now)
