--- a/hopstep/domain/exchanges/read_speed.py
+++ b/hopstep/domain/exchanges/read_speed.py
@@ -26,6 +26,9 @@
 """Expected time of prefills, in milliseconds, that count as observed at the median speed: single
 observations vary."""
 
+SAME_FACTOR = 4 / 3
+"""Speeds that differ by less count as equal: they can't be told from different loads."""
+
 MIN_SLOWNESS = 0.4
 MAX_SLOWNESS = 4.0
 MILLISECONDS = 1_000
@@ -108,4 +111,6 @@
     """
     expected_ms = sums.expected_read_ms + USUAL_MS
     slowness = (sums.read_ms / usual + USUAL_MS) / expected_ms
+    if 1 / SAME_FACTOR < slowness < SAME_FACTOR:
+        return 1.0
     return max(MIN_SLOWNESS, min(MAX_SLOWNESS, slowness))
