Let preferences alone yield to an objective, not all other costs

Choosing only among engines in time, or else the earliest one, spread long prompts over all engines under a burst. Urgent long prompts are prefilled before less urgent short ones there, which then missed their deadlines. When the engine with the lowest cost would be late, only zone, weights and kept engines no longer count.

--- a/hopstep/domain/exchanges/spread_choice.py
+++ b/hopstep/domain/exchanges/spread_choice.py
@@ -78,10 +78,10 @@
 def choose_rated(
     rated: Sequence[Rated], bounds: ChoiceBounds, generator: random.Random
 ) -> Rated | None:
-    """Return an instance in time by its cost, or the earliest one when none is in time.
+    """Return the instance with the lowest cost.
 
-    Instances with capacity come first. Without an instance in time, costs that stand for
-    preferences don't count, as they would delay an answer that is late already.
+    Instances with capacity come first. When the best one would be late, costs that stand for
+    preferences don't count: they would delay an answer that another instance may give in time.
 
     Args:
         rated: The instances that may serve a request.
@@ -89,13 +89,12 @@
         generator: Chooses among instances that can't be told apart.
     """
     fitting = [each for each in rated if each.rating.has_room] or rated
-    objective = bounds.objective_seconds
-    in_time = [each for each in fitting if each.rating.first_byte_seconds <= objective]
-    if in_time:
+    if not fitting:
+        return None
+    in_time = [each for each in fitting if _is_in_time(each, bounds)]
+    if _is_in_time(min(fitting, key=_cost), bounds):
         return _spread(in_time, _cost, bounds, generator)
-    if fitting:
-        return _spread(fitting, _first_byte, bounds, generator)
-    return None
+    return _spread(fitting, _cost_without_policy, bounds, generator)
 
 
 def sample_size(instances: int, nodes: int) -> int:
@@ -152,6 +151,11 @@
     return rated.rating.cost_seconds
 
 
-def _first_byte(rated: RatedInstance) -> float:
-    """Return the expected time to an instance's first byte."""
-    return rated.rating.first_byte_seconds
+def _is_in_time(rated: RatedInstance, bounds: ChoiceBounds) -> bool:
+    """Return whether an instance is expected to meet the request's objective."""
+    return rated.rating.first_byte_seconds <= bounds.objective_seconds
+
+
+def _cost_without_policy(rated: RatedInstance) -> float:
+    """Return the cost of an instance without preferences for it."""
+    return rated.rating.cost_seconds - rated.rating.policy_seconds
