Follow reports of unresponsive instances only from many nodes of a large fleet

A node of a large fleet sends an instance a request every few seconds, so its own silence tells nothing, and two of 75 nodes whose requests starve at a busy engine took that engine from all others. One report for each eight nodes is needed now, and a lone one counts only in a fleet of up to eight.

--- a/hopstep/domain/exchanges/suspicion.py
+++ b/hopstep/domain/exchanges/suspicion.py
@@ -23,6 +23,10 @@
 """No report is followed if this node has had a byte from the instance within this time: the time in
 which a connection attempt fails."""
 
+NODES_FOR_A_REPORT = 8
+"""One report is needed for each so many nodes, two at least. Requests that starve at a busy engine
+look like silence to the few nodes that sent them."""
+
 MAX_REPORTED_INSTANCES = 1_024
 """Bounds the memory for reports."""
 
@@ -34,11 +38,24 @@
         seconds_without_byte: Time since its last byte from the instance.
         responding: Other instances of the service that are neither suspended nor silent.
         listed: All instances of the service.
+        nodes: Nodes that may be alive, this one included.
     """
 
     seconds_without_byte: float
     responding: int
     listed: int
+    nodes: int = 1
+
+    @property
+    def reports_needed(self) -> int:
+        """Nodes that must report an instance before it is suspended."""
+        return max(2, self.nodes // NODES_FOR_A_REPORT)
+
+    @property
+    def shows_silence(self) -> bool:
+        """Whether its own silence tells something: in a large fleet a node sends there rarely."""
+        is_small_fleet = self.nodes <= NODES_FOR_A_REPORT
+        return is_small_fleet and self.seconds_without_byte >= SILENT_SECONDS
 
 
 class SuspicionLedger:
@@ -77,10 +94,10 @@
             return False
         if not own.responding:
             return False
-        if self._count(incarnation, now) >= 2:
+        if self._count(incarnation, now) >= own.reports_needed:
             return True
         is_repeated = now - reported_before <= SINGLE_REPORT_SECONDS
-        return own.seconds_without_byte >= SILENT_SECONDS and not is_repeated
+        return own.shows_silence and not is_repeated
 
     def _count(self, incarnation: str, now: float) -> int:
         """Return how many nodes have recently reported an instance."""
--- a/hopstep/services/exchanges/peers/suspicions.py
+++ b/hopstep/services/exchanges/peers/suspicions.py
@@ -76,7 +76,8 @@
         """Return what this node knows itself of a reported instance and its service."""
         listed = self._knowledge.table.of_service(view.instance.service)
         responding = sum(other is not view and other.responds(now) for other in listed)
-        return OwnEvidence(view.seconds_without_byte(now), responding, len(listed))
+        nodes = self._knowledge.count_nodes()
+        return OwnEvidence(view.seconds_without_byte(now), responding, len(listed), nodes)
 
 
 def _log(view: InstanceView, seconds: float, node: str) -> None:
--- a/tests/domain/exchanges/test_suspicion.py
+++ b/tests/domain/exchanges/test_suspicion.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from hopstep.domain.exchanges.instance_health import FIRST_SUSPENSION_SECONDS
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import Instance
@@ -31,6 +33,13 @@
         later = 40.0 + SINGLE_REPORT_SECONDS
         self.assertTrue(ledger.is_followed("i", "a", SILENT, later))
 
+    def test_a_large_fleet_needs_more_reports(self):
+        # Requests that starved at busy engines of 75 nodes took these engines from all nodes.
+        own = msgspec.structs.replace(SILENT, nodes=75)
+        ledger = SuspicionLedger()
+        followed = [ledger.is_followed("i", f"n{number}", own, 1.0) for number in range(12)]
+        self.assertEqual(followed, [False] * 8 + [True] * 4)
+
     def test_an_instance_that_answers_this_node_stays_in_use(self):
         ledger = SuspicionLedger()
         answering = OwnEvidence(seconds_without_byte=0.1, responding=7, listed=8)
