--- a/hopstep/domain/exchanges/selection.py
+++ b/hopstep/domain/exchanges/selection.py
@@ -13,7 +13,12 @@
 from hopstep.domain.exchanges.read_speed import READ_SECONDS_PER_TOKEN
 from hopstep.domain.exchanges.segment_moves import EngineRequest, SegmentSources
 from hopstep.domain.exchanges.segments import SegmentKey
-from hopstep.domain.exchanges.spread_choice import ChoiceBounds, Rating, choose_rated
+from hopstep.domain.exchanges.spread_choice import (
+    ChoiceBounds,
+    Rating,
+    choose_rated,
+    first_byte,
+)
 
 ACTIVE_SECONDS = 0.002
 """Delay of a new request by each request that is decoding."""
@@ -128,7 +133,7 @@
     for view in views:
         policy = other_zone_seconds if view.instance.zone != zone else 0.0
         candidates.append(_rate_server(view, policy, need, now, generator))
-    return choose_rated(candidates, bounds, generator)
+    return choose_rated(candidates, bounds, generator, first_byte)
 
 
 def _rate_engine(
--- a/hopstep/domain/exchanges/spread_choice.py
+++ b/hopstep/domain/exchanges/spread_choice.py
@@ -76,7 +76,10 @@
 
 
 def choose_rated(
-    rated: Sequence[Rated], bounds: ChoiceBounds, generator: random.Random
+    rated: Sequence[Rated],
+    bounds: ChoiceBounds,
+    generator: random.Random,
+    cost_when_late: Callable[[RatedInstance], float] | None = None,
 ) -> Rated | None:
     """Return the instance with the lowest cost.
 
@@ -87,6 +90,8 @@
         rated: The instances that may serve a request.
         bounds: The request's objective, and the number of nodes.
         generator: Chooses among instances that can't be told apart.
+        cost_when_late: Cost that decides when the best instance would be late; None for the cost
+            without preferences.
     """
     fitting = [each for each in rated if each.rating.has_room] or rated
     if not fitting:
@@ -94,7 +99,7 @@
     in_time = [each for each in fitting if _is_in_time(each, bounds)]
     if _is_in_time(min(fitting, key=_cost), bounds):
         return _spread(in_time, _cost, bounds, generator)
-    return _spread(fitting, _cost_without_policy, bounds, generator)
+    return _spread(fitting, cost_when_late or cost_without_policy, bounds, generator)
 
 
 def sample_size(instances: int, nodes: int) -> int:
@@ -156,6 +161,11 @@
     return rated.rating.first_byte_seconds <= bounds.objective_seconds
 
 
-def _cost_without_policy(rated: RatedInstance) -> float:
+def first_byte(rated: RatedInstance) -> float:
+    """Return the expected time to an instance's first byte."""
+    return rated.rating.first_byte_seconds
+
+
+def cost_without_policy(rated: RatedInstance) -> float:
     """Return the cost of an instance without preferences for it."""
     return rated.rating.cost_seconds - rated.rating.policy_seconds
