--- a/hopstep/domain/exchanges/prefill_causes.py
+++ b/hopstep/domain/exchanges/prefill_causes.py
@@ -53,7 +53,7 @@
 
 
 class PrefillCauses:
-    """Tells causes by the segments that this node has sent, and by its index of caches."""
+    """Finds causes by the segments that this node has sent, and by its index of caches."""
 
     def __init__(self) -> None:
         """Start without known segments."""
--- a/hopstep/domain/exchanges/read_speed.py
+++ b/hopstep/domain/exchanges/read_speed.py
@@ -27,7 +27,7 @@
 observations vary."""
 
 SAME_FACTOR = 4 / 3
-"""Speeds that differ by less count as equal: they can't be told from different loads."""
+"""Speeds within this factor count as equal: different loads look the same."""
 
 MIN_SLOWNESS = 0.4
 MAX_SLOWNESS = 4.0
