Log the software versions of instances, and which request a client's resume continues

Callers of the incident got streams of two software versions. A node's log couldn't tell why: no line named an instance's software version, and a client's resume looked like a new stream. HS6101, HS3101 and HS3103 now name the version, HS3101 the resumed request and the last event that the client has. The version is read from the instance's entry and passed on between nodes at the end of the entry (message format 5, golden bytes of format 4 still read both ways).

--- a/hopstep/domain/exchanges/instances.py
+++ b/hopstep/domain/exchanges/instances.py
@@ -57,6 +57,8 @@
         versions: Weights version of each of its models.
         order_sequence: Number of orders that it has accepted.
         born_ms: Unix time of its start in milliseconds, as it states; 0 when it states none.
+        software_version: Version of its software, not of its weights; empty when the node that
+            reported the entry is of a version that doesn't pass it on.
     """
 
     instance_id: str
@@ -68,6 +70,7 @@
     versions: Mapping[str, int] = {}
     order_sequence: int = 0
     born_ms: int = 0
+    software_version: str = ""
 
     @property
     def incarnation(self) -> InstanceIncarnation:
--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -70,6 +70,7 @@
         client_deadline: When the client gives up, by the same clock.
         prompt: What it states about its prompt; None for services without prompts.
         resume_after: Last event that the client has; empty for a new stream.
+        resumes: Id of the request that began the stream, as the client states; empty for none.
         usage_tokens: Tokens of its prompt and longest answer; None when not stated.
         key: API key that it was admitted with; empty for none.
     """
@@ -88,6 +89,7 @@
     resume_after: str = ""
     usage_tokens: int | None = None
     key: str = ""
+    resumes: str = ""
 
     @property
     def first_byte_by(self) -> float:
--- a/hopstep/platform/documents.py
+++ b/hopstep/platform/documents.py
@@ -253,6 +253,7 @@
         versions={model.name: model.version for model in entry.models},
         order_sequence=entry.call_sequence,
         born_ms=0 if entry.born is msgspec.UNSET else entry.born,
+        software_version=entry.version,
     )
 
 
--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -228,6 +228,7 @@
         resume_after=_text(found, names.LAST_EVENT),
         received_at=received_at,
         usage_tokens=_read_usage(found),
+        resumes=_text(found, names.RESUMES),
     )
 
 
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -27,6 +27,7 @@
         client_timeout_seconds: Timeout of the client, from the start; None when it names none.
         prompt: Description of its prompt; None when it names no model.
         resume_after: Id of the last event that the client has; empty for none.
+        resumes: Id of the request that began the stream that the client resumes; empty for none.
         received_at: Clock time in seconds at which its head was read.
         usage_tokens: Tokens of its prompt and longest answer; None when it names none.
     """
@@ -43,6 +44,7 @@
     resume_after: str
     received_at: float
     usage_tokens: int | None = None
+    resumes: str = ""
 
 
 class ClientConnection(abc.ABC):
--- a/hopstep/services/exchanges/directory/instance_changes.py
+++ b/hopstep/services/exchanges/directory/instance_changes.py
@@ -68,6 +68,7 @@
                 instance=instance.instance_id,
                 born_ms=instance.born_ms,
                 service=instance.service,
+                software_version=instance.software_version,
                 draining=instance.draining,
                 versions=dict(instance.versions),
                 source=origin.source,
--- a/hopstep/services/exchanges/requests/admission.py
+++ b/hopstep/services/exchanges/requests/admission.py
@@ -100,4 +100,5 @@
         resume_after=head.resume_after,
         usage_tokens=head.usage_tokens,
         key=head.key if tenant is not None else "",
+        resumes=head.resumes,
     )
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -271,6 +271,7 @@
             request_id=self._request.request_id,
             fingerprint=self._gate.name.fingerprint.hex(),
             instance=view.instance.instance_id,
+            software_version=view.instance.software_version,
             code=error.code.value,
             reason=error.message,
             execution=error.execution.value,
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -42,6 +42,7 @@
     Attributes:
         outcome: Status of the response, error code with execution, ``cut`` or ``client_left``.
         instance: Id of the last instance that the request was sent to.
+        software_version: Software version of that instance.
         attempts: Attempts of which a byte was sent.
         first_byte_ms: Milliseconds from the head of the request to the first byte of the
             response; -1 for none.
@@ -60,6 +61,7 @@
 
     outcome: str = ""
     instance: str = ""
+    software_version: str = ""
     attempts: int = 0
     first_byte_ms: int = -1
     events: int = 0
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -67,6 +67,7 @@
         request_id = self._request.request_id
         now = trio.current_time()
         self._outcome.instance = view.instance.instance_id
+        self._outcome.software_version = view.instance.software_version
         prompt = self._request.prompt
         used_tokens = prompt.used_tokens(candidate.uncached_tokens) if prompt is not None else 0
         view.begin(
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -76,6 +76,9 @@
 BEFORE_CAPACITY = "form-3"
 """Version without the memory and speed of instances, and without suspected instances."""
 
+BEFORE_SOFTWARE_VERSIONS = "form-4"
+"""Version without the software versions of instances."""
+
 NODES = {"a": NodeRecord("1.2.3.4:5", "z", b"key-a")}
 COMPRESSED = 1
 
@@ -93,7 +96,8 @@
     (GrantedPermits("i4@8", 3, 900, "b"),),
 )
 HINTS_BEFORE_CAPACITY = msgspec.structs.replace(HINTS, loads=(InstanceLoad("i1@5", 3, 400, 1),))
-INSTANCE = Instance("i1", "llm", "10.0.0.1:80", "z", 4, True, {"m": 3}, 2, 5)
+INSTANCE = Instance("i1", "llm", "10.0.0.1:80", "z", 4, True, {"m": 3}, 2, 5, "v1")
+INSTANCE_BEFORE_SOFTWARE_VERSIONS = msgspec.structs.replace(INSTANCE, software_version="")
 ENTRIES = (
     ReportedEntry("servers/i1", 2, InstanceListed(INSTANCE), 3),
     ReportedEntry("servers/i4", 3, InstanceRemoved("i4"), 3),
@@ -106,7 +110,13 @@
         3,
     ),
 )
-ENTRIES_BEFORE_ERAS = tuple(msgspec.structs.replace(entry, era=0) for entry in ENTRIES)
+ENTRIES_BEFORE_SOFTWARE_VERSIONS = (
+    msgspec.structs.replace(ENTRIES[0], change=InstanceListed(INSTANCE_BEFORE_SOFTWARE_VERSIONS)),
+    *ENTRIES[1:],
+)
+ENTRIES_BEFORE_ERAS = tuple(
+    msgspec.structs.replace(entry, era=0) for entry in ENTRIES_BEFORE_SOFTWARE_VERSIONS
+)
 CRASHES = RequestCrashes(b"\x00\xff" * 8, (Crash("i1@5", "a"),), ("i0@1",))
 MESSAGES = {
     "query": RelayQuery(2, 77, "feed", 12, HINTS, (ContentsPosition("10.0.0.9:80", "c", 3),), 3),
@@ -235,6 +245,60 @@
     entries: tuple[RelayedBeforeEras, ...] = ()
 
 
+class InstanceBeforeSoftwareVersions(msgspec.Struct, frozen=True):
+    """``Instance`` as read by versions before format 5."""
+
+    instance_id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    draining: bool = False
+    versions: dict[str, int] = {}
+    order_sequence: int = 0
+    born_ms: int = 0
+
+
+class ListedBeforeSoftwareVersions(msgspec.Struct, frozen=True, tag="InstanceListed"):
+    """``InstanceListed`` as read by versions before format 5."""
+
+    instance: InstanceBeforeSoftwareVersions
+
+
+class EntryBeforeSoftwareVersions(msgspec.Struct, frozen=True):
+    """``ReportedEntry`` as read by versions before format 5."""
+
+    key: str
+    revision: int
+    change: (
+        ListedBeforeSoftwareVersions
+        | InstanceRejected
+        | InstanceRemoved
+        | WeightsPublished
+        | ReportedRecord
+    )
+    era: int = UNSPECIFIED_ERA
+
+
+class RelayedBeforeSoftwareVersions(msgspec.Struct, frozen=True, array_like=True):
+    """``RelayedEntry`` as read by versions before format 5."""
+
+    entry: EntryBeforeSoftwareVersions
+    age_ms: int
+
+
+class AnswerBeforeSoftwareVersions(msgspec.Struct, frozen=True, array_like=True, tag="RelayAnswer"):
+    """``RelayAnswer`` as read by versions before format 5."""
+
+    number: int
+    after: int
+    revision: int
+    age_ms: int
+    complete: bool = True
+    must_read_store: bool = False
+    entries: tuple[RelayedBeforeSoftwareVersions, ...] = ()
+
+
 class NodeBeforeForms(msgspec.Struct, frozen=True):
     """``NodeRecord`` as read by versions before format 1."""
 
@@ -288,7 +352,8 @@
         messages = self.decoded(BEFORE_INCARNATIONS)
         self.check_common(messages, "i1", "i2")
         entries = tuple(relayed.entry for relayed in messages["answer"].entries)
-        listed = InstanceListed(msgspec.structs.replace(INSTANCE, born_ms=0))
+        instance = msgspec.structs.replace(INSTANCE_BEFORE_SOFTWARE_VERSIONS, born_ms=0)
+        listed = InstanceListed(instance)
         self.assertEqual(entries[0].change, listed)
         self.assertEqual(entries[1:], ENTRIES_BEFORE_ERAS[1:4])
         self.assertEqual(messages["query"].hints.usage, ())
@@ -332,6 +397,19 @@
         self.assertEqual(messages["urgent"].crashes, (CRASHES,))
         self.assertEqual(messages["urgent"].suspected, ())
 
+    def test_frames_of_before_software_versions(self):
+        answer = self.decoded(BEFORE_SOFTWARE_VERSIONS)["answer"]
+        entries = tuple(relayed.entry for relayed in answer.entries)
+        self.assertEqual(entries, ENTRIES_BEFORE_SOFTWARE_VERSIONS)
+
+    def test_the_version_before_reads_todays_instances(self):
+        """Otherwise nodes of the version before would lose instances that nodes of today relay."""
+        frame = encode_frame(MESSAGES["answer"], "a", b"key-a")
+        answer = msgspec.convert(payload_document(frame), AnswerBeforeSoftwareVersions)
+        listed = answer.entries[0].entry.change
+        self.assertEqual(listed.instance.instance_id, "i1")
+        self.assertEqual(listed.instance.born_ms, 5)
+
     def test_the_version_before_reads_todays_loads(self):
         """Otherwise nodes of both versions would choose instances by half of the load."""
         for kind, position in (("query", 5), ("digest", 2)):
@@ -396,6 +474,7 @@
             (BEFORE_LIMITS, 1),
             (BEFORE_ERAS, 2),
             (BEFORE_CAPACITY, 3),
+            (BEFORE_SOFTWARE_VERSIONS, 4),
             (f"form-{MESSAGE_FORMAT_VERSION}", MESSAGE_FORMAT_VERSION),
         )
         for name, version in versions:
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -155,6 +155,7 @@
         for entry in GOOD_ENTRIES:
             with self.subTest(entry=entry):
                 self.assertIsInstance(read(entry), InstanceListed)
+                self.assertEqual(read(entry).instance.software_version, "v1")
 
     def test_an_entry_without_one_of_its_fields_names_none(self):
         for name in GOOD:
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -88,6 +88,14 @@
             (head.request_id, head.key, head.client_timeout_seconds), ("r1", "secret", 1.5)
         )
 
+    def test_the_attempt_that_a_client_resumes_is_read_and_goes_on(self):
+        service = Service()
+        resumed = ((b"resumes", b"r0"), (b"last-event-id", b"7"))
+        self.exchange(service, headers=(*HEADERS, *resumed))
+        head = service.heads[0]
+        self.assertEqual((head.resumes, head.resume_after), ("r0", "7"))
+        self.assertIn((b"resumes", b"r0"), head.headers)
+
     def test_all_connection_headers_name_what_does_not_go_on(self):
         service = Service()
         extra = ((b"connection", b"X-Second"), (b"x-second", b"3"))
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -180,7 +180,8 @@
     def add(self, instance_id, service="plain", **options):
         """Start and list an instance."""
         versions = {MODEL: 1} if service == "llm" else {}
-        values = {"zone": "z1", "slots": 4, "versions": versions, **options}
+        values = {"zone": "z1", "slots": 4, "versions": versions, "software_version": "v1"}
+        values |= options
         instance = Instance(instance_id, service, f"10.0.0.1:{len(self.listed)}", **values)
         self.listed[instance_id] = instance
         self.publish(InstanceListed(instance))
@@ -311,11 +312,12 @@
         answer=None,
         body=b"body",
         usage_tokens=None,
+        resumes="",
     ):
         """Send a request to a node and return the client's answer."""
         answer = answer or RecordedAnswer()
         head = self.head(name, key, request_id, resume_after, patience)
-        head = msgspec.structs.replace(head, usage_tokens=usage_tokens)
+        head = msgspec.structs.replace(head, usage_tokens=usage_tokens, resumes=resumes)
         try:
             await self.nodes[node].exchanges.serve(head, body, answer)
         except ServiceError as error:
