Reproduce the incident of streams of two software versions: a resume goes to any instance

The world of these tests can kill and restart a single node; emulated instances record the events that they sent.

--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -90,6 +90,20 @@
     resume_after: str
 
 
+class SentEvent(msgspec.Struct, frozen=True):
+    """One complete event of a stream that an instance has sent.
+
+    Attributes:
+        request_id: Id of the request.
+        number: Number of the event.
+        software_version: Version of the instance's software.
+    """
+
+    request_id: str
+    number: int
+    software_version: str
+
+
 class EmulatedInstance:
     """One instance."""
 
@@ -109,6 +123,7 @@
         self.lost_order_answers = 0
         self.order_delay_seconds = 0.0
         self.runs: list[Run] = []
+        self.sent_events: list[SentEvent] = []
         self.arrivals = 0
         self.cancelled: list[str] = []
         self.versions = dict(instance.versions)
@@ -202,6 +217,8 @@
                 if behaviour is Behaviour.SKIP_EVENT:
                     yield _event(number) + _event(number + 2)
                 raise _broken_off()
+            version = server.instance.software_version
+            server.sent_events.append(SentEvent(self._call.request.request_id, number, version))
             yield _event(number)
 
 
@@ -216,11 +233,13 @@
         fatal_seconds: Time from the start of such a request to the crash.
         calls: All calls.
         dropped: Addresses whose idle connections were dropped.
+        all_servers: All processes, those that ended and were replaced under their id included.
     """
 
     def __init__(self) -> None:
         """Start without instances."""
         self.servers: dict[str, EmulatedInstance] = {}
+        self.all_servers: list[EmulatedInstance] = []
         self.on_changed: Callable[[Instance], None] = lambda _entry: None
         self.on_ended: Callable[[EmulatedInstance], None] = lambda _server: None
         self.fatal_bodies: set[bytes] = set()
@@ -236,6 +255,7 @@
     def add(self, instance: Instance) -> EmulatedInstance:
         """Start an instance."""
         server = self.servers[instance.instance_id] = EmulatedInstance(instance)
+        self.all_servers.append(server)
         return server
 
     def runs(self, request_id: str) -> list[Run]:
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -173,6 +173,7 @@
         self._order_seed = seed if order_seed is None else order_seed
         self._zones = zones
         self._requests = 0
+        self._restarts = 0
         self.tunnels = EmulatedTunnels()
         self.network = EmulatedNodeNetwork(random.Random(seed))
         self.publish(ConfigurationPublished(configuration()))
@@ -256,8 +257,11 @@
         """Return the zone of a node."""
         return f"z{1 + number % self._zones}"
 
-    def start_node(self, nursery, name, zone="z1", address="", key_suffix=""):
-        """Start a node, at an address of its own by default, and return its services."""
+    def start_node(self, nursery, name, zone="z1", address="", key_suffix="", number=None):
+        """Start a node, at an address of its own by default, and return its services.
+
+        With a number it takes the place of the node with that number, which was killed.
+        """
         key = f"key of {name}{key_suffix}".encode()
         address = address or f"127.0.0.1:{3 + len(self.nodes)}"
         directory = EmulatedDirectory(self)
@@ -282,18 +286,39 @@
         )
         services = ExchangeServices(settings, ports, key)
         self.tunnels.attach(name, links, services.tunnel_gate)
-        self.nodes.append(services)
-        self.links.append(links)
-        self.directories.append(directory)
-        nursery.start_soon(self._run_node, services)
+        scope = trio.CancelScope()
+        known = (self._node_scopes, self.nodes, self.links, self.directories)
+        for kept, part in zip(known, (scope, services, links, directory), strict=True):
+            if number is None:
+                kept.append(part)
+            else:
+                kept[number] = part
+        nursery.start_soon(self._run_node, services, scope)
         return services
 
-    async def _run_node(self, services):
+    async def _run_node(self, services, scope):
         """Run a node until it is killed."""
-        with trio.CancelScope() as scope:
-            self._node_scopes.append(scope)
+        with scope:
             await services.run()
 
+    def kill_node(self, number):
+        """Kill one node; its entry stays in the store."""
+        self._node_scopes[number].cancel()
+        self.tunnels.detach(self.nodes[number].knowledge.name)
+
+    def restart_node(self, number):
+        """Start a killed node again, as another process under its name and at its address."""
+        killed = self.nodes[number]
+        self._restarts += 1
+        return self.start_node(
+            self.nursery,
+            killed.knowledge.name,
+            self._zone(number),
+            killed.knowledge.record.address,
+            f" {self._restarts}",
+            number,
+        )
+
     def kill_nodes(self):
         """Kill all nodes at once; their entries stay in the store."""
         for scope in self._node_scopes:
--- a/tests/services/exchanges/test_stream_versions.py
+++ b/tests/services/exchanges/test_stream_versions.py
@@ -3,9 +3,11 @@
 import unittest
 
 import structlog
+import trio
 
 from emulator.exchange_platform.instances import Behaviour
 from tests.services.exchanges.exchange_world import ExchangeWorld
+from tests.services.exchanges.versioned_streams import VersionedStreams
 
 
 class LogsTest(unittest.TestCase):
@@ -30,3 +32,93 @@
         fields = ("request_id", "software_version", "resumes", "resume_after")
         told = [tuple(line[name] for name in fields) for line in ended]
         self.assertEqual(told, [("r1", "v1", "", ""), ("r2", "v1", "r1", "1")])
+
+
+SEEDS = (1, 2, 3)
+STREAMS = 40
+STREAM_INTERVAL_SECONDS = 0.1
+ALLOWED_GAP = 0.02
+"""Part by which fewer resumes may go on than new streams begin."""
+
+
+class StreamsTest(unittest.TestCase):
+    def play(self, played, disturb=None, **options):
+        """Play streams, and something beside them; return what was played."""
+        for number in range(6):
+            played.add(f"e{number}", f"v{1 + number % 2}")
+
+        async def script(_world):
+            async with trio.open_nursery() as nursery:
+                if disturb is not None:
+                    nursery.start_soon(disturb, played)
+                for _ in range(STREAMS):
+                    nursery.start_soon(lambda: played.stream(**options))
+                    await trio.sleep(STREAM_INTERVAL_SECONDS)
+
+        played.world.run(script)
+        return played
+
+    def check_resumed(self, played):
+        """Check the users' two rules, with stricter bounds."""
+        self.assertEqual(played.mixed(), [])
+        self.assertGreater(played.resumed.tried, 0)
+        self.assertGreaterEqual(played.resumed.share, played.began.share - ALLOWED_GAP)
+
+
+class BrokenStreamsTest(StreamsTest):
+    def test_a_stream_does_not_go_on_at_another_software_version(self):
+        # A node went on with a broken stream at any instance of the service.
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                played = VersionedStreams(nodes=1, seed=seed)
+                self.play(played, lambda played: played.crash_in_turn(4.0))
+                self.assertEqual(played.mixed(), [])
+
+
+class ResumedStreamsTest(StreamsTest):
+    NODES = 3
+
+    def play_seeds(self, disturb=None, **options):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.check_resumed(
+                    self.play(VersionedStreams(self.NODES, seed), disturb, **options)
+                )
+
+    async def crash(self, played):
+        """Crash engines while clients break their connections."""
+        await played.crash_in_turn(4.0, every=0.5)
+
+    async def kill(self, played):
+        """Kill one node after the other."""
+        for _ in range(4):
+            await trio.sleep(0.9)
+            number = played.generator.randrange(self.NODES)
+            played.kill_node(number)
+            await trio.sleep(0.3)
+            played.restart_node(number)
+
+    async def kill_all(self, played):
+        """Kill all nodes at once."""
+        await trio.sleep(2.0)
+        for number in range(self.NODES):
+            played.kill_node(number)
+        await trio.sleep(0.3)
+        for number in range(self.NODES):
+            played.restart_node(number)
+
+    def test_a_resumed_stream_goes_on_at_the_version_that_began_it(self):
+        # A node sent a client's resume to any instance; it read neither what the client named, nor
+        # remembered its own streams, nor asked the node that had begun this one.
+        ways = {
+            "same node": (self.crash, {"leave_after": 0.4, "node": 0, "resume_node": 0}),
+            "other node": (None, {"leave_after": 0.4, "node": 0, "resume_node": 1}),
+            "its node died": (self.kill, {}),
+        }
+        for way, (disturb, options) in ways.items():
+            with self.subTest(way=way):
+                self.play_seeds(disturb, **options)
+
+    def test_a_resumed_stream_keeps_its_version_after_all_nodes_died(self):
+        # No node remembered any stream.
+        self.play_seeds(self.kill_all)
