Pass what restricts a request's instances as one object

Request, service and tried instances went as three parameters through the choice, the queue, the binding, the capacity and the waits. InstanceScope holds them, so that a further restriction reaches all of these at once.

--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Set
-
 import trio
 
 from hopstep import log_events
 from hopstep.domain.exchanges.attempt_rules import ExchangeProgress, NextStep, decide_step
+from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
@@ -39,6 +38,7 @@
     Attributes:
         outcome: What is logged when the request has ended.
         refused_seconds: Remaining time for which the quarantine refuses the request; else 0.
+        scope: Which instances may serve its next attempt.
         waits: Its waits for instances.
     """
 
@@ -57,21 +57,15 @@
         self.refused_seconds = 0.0
         self._parts = parts
         self._request = request
-        self._service = service
         self._relay = AnswerRelay(request, answer, self.outcome, parts.queue.recheck)
         self._budget = parts.budgets(service)
-        self._tried: set[str] = set()
-        self.waits = InstanceWaits(parts, request, service, self._tried, self.outcome)
+        self.scope = InstanceScope(request, service)
+        self.waits = InstanceWaits(parts, self.scope, self.outcome)
         self._unsent_attempts = 0
         self._may_have_run = False
         self._gate = QuarantineGate(parts.quarantine, parts.calls, request, self.outcome)
         self._in_flight = SendProof()
 
-    @property
-    def tried(self) -> Set[str]:
-        """Ids of the instances that the request was sent to, or that couldn't be reached."""
-        return self._tried
-
     async def run(self) -> None:
         """Send the client a response, or cut it off when it can't be completed.
 
@@ -170,7 +164,7 @@
         self._budget.record_repeat(trio.current_time())
         self.outcome.attempts -= 1
         if where:
-            self._tried.discard(where)
+            self.scope.tried.discard(where)
         self._log_attempt(view, error, NextStep.RETRY)
         return where
 
@@ -216,14 +210,14 @@
             self._gate.note_broken(view, error)
         else:
             self._unsent_attempts += 1
-        self._tried.add(view.instance.instance_id)
+        self.scope.tried.add(view.instance.instance_id)
 
     def _count_sent(self, view: InstanceView) -> None:
         """Count an attempt that was sent."""
         if self.outcome.attempts:
             self._budget.record_repeat(trio.current_time())
         self.outcome.attempts += 1
-        self._tried.add(view.instance.instance_id)
+        self.scope.tried.add(view.instance.instance_id)
 
     async def _answer_unknown(self) -> None:
         """Send an instance's failure response, or the error that the request may have run."""
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.prefill_causes import SharedPrefill
 from hopstep.domain.exchanges.request import ExchangeRequest, Prompt
@@ -91,25 +92,22 @@
 
     def choose(
         self,
-        request: ExchangeRequest,
-        service: str,
-        tried: Set[str],
+        scope: InstanceScope,
         only: str | None = None,
         within: Set[str] | None = None,
     ) -> Candidate | None:
         """Return the best instance, or None when none may serve the request now.
 
         Args:
-            request: The request.
-            service: Service that the route chose.
-            tried: Ids of instances that the request was sent to.
+            scope: The request, and which instances may serve it.
             only: Id of the only instance allowed; empty or None for any that wasn't tried.
             within: Ids of the instances with capacity; None when capacity doesn't restrict it.
         """
         self._pauses.check()
         self._knowledge.instances.remove_expired()
         now = trio.current_time()
-        eligible = self._eligible(request, service, tried, now)
+        request, service = scope.request, scope.service
+        eligible = self._eligible(scope, now)
         if only:
             eligible = [view for view in eligible if view.instance.instance_id == only]
         views = self._admissible(eligible, now) or self._without_report(eligible, request, now)
@@ -120,21 +118,20 @@
         asked = self._limit_probe(request, service, views, now)
         return asked or self._best(request, service, views, now)
 
-    def admissible(
-        self, request: ExchangeRequest, service: str, tried: Set[str]
-    ) -> list[InstanceView]:
+    def admissible(self, scope: InstanceScope) -> list[InstanceView]:
         """Return the instances that a request may be sent to now, whatever their capacity."""
         self._pauses.check()
         self._knowledge.instances.remove_expired()
         now = trio.current_time()
-        eligible = self._eligible(request, service, tried, now)
-        return self._admissible(eligible, now) or self._without_report(eligible, request, now)
+        eligible = self._eligible(scope, now)
+        return self._admissible(eligible, now) or self._without_report(eligible, scope.request, now)
 
-    def note_waiting(self, request: ExchangeRequest, service: str, tried: Set[str]) -> None:
+    def note_waiting(self, scope: InstanceScope) -> None:
         """Request permits for limited instances on behalf of a request that waits for capacity."""
         now = trio.current_time()
-        eligible = self._eligible(request, service, tried, now)
-        self._note_wanted(request, service, eligible, self._admissible(eligible, now), now)
+        eligible = self._eligible(scope, now)
+        views = self._admissible(eligible, now)
+        self._note_wanted(scope.request, scope.service, eligible, views, now)
 
     def uncached_tokens(
         self, request: ExchangeRequest, prompt: Prompt
@@ -237,47 +234,33 @@
         """Return whether an instance accepts requests that no other can serve."""
         return view.admission(Purpose.LAST_REQUEST, now, self._last_requests_seconds)
 
-    def _eligible(
-        self, request: ExchangeRequest, service: str, tried: Set[str], now: float
-    ) -> list[InstanceView]:
+    def _eligible(self, scope: InstanceScope, now: float) -> list[InstanceView]:
         """Return the instances able to serve a request, whether or not they accept it now."""
-        model = request.prompt.model if request.prompt is not None else ""
+        model = scope.model
         required = self._knowledge.weights.required(model, now) if model else 0
         return [
             view
-            for view in self._knowledge.table.of_service(service)
-            if view.instance.instance_id not in tried
+            for view in self._knowledge.table.of_service(scope.service)
+            if view.instance.instance_id not in scope.tried
             and (not model or model in view.versions)
             and (not required or view.serving_version(model) >= required)
         ]
 
-    def blocked_instances(
-        self, request: ExchangeRequest, service: str, tried: Set[str]
-    ) -> list[tuple[InstanceView, Admission]]:
-        """Return the instances that may serve a request later, and what prevents it now.
-
-        Args:
-            request: The request.
-            service: Service that the route chose.
-            tried: Ids of instances that the request was sent to.
-        """
+    def blocked_instances(self, scope: InstanceScope) -> list[tuple[InstanceView, Admission]]:
+        """Return the instances that may serve a request later, and what prevents it now."""
         now = trio.current_time()
-        eligible = self._eligible(request, service, tried, now)
+        eligible = self._eligible(scope, now)
         asked = ((view, self._last_admission(view, now)) for view in eligible)
         return [(view, answer) for view, answer in asked if not answer.is_open]
 
-    def next_opening(
-        self, request: ExchangeRequest, service: str, tried: Set[str], answer_by: float
-    ) -> Opening:
+    def next_opening(self, scope: InstanceScope, answer_by: float) -> Opening:
         """Return when an instance may accept a request early enough for its response.
 
         Args:
-            request: The request.
-            service: Service that the route chose.
-            tried: Ids of instances that the request was sent to.
+            scope: The request, and which instances may serve it.
             answer_by: Time by which the response is expected, by the steady clock in seconds.
         """
-        kept = self.blocked_instances(request, service, tried)
+        kept = self.blocked_instances(scope)
         openings = [
             answer.until
             for view, answer in kept
--- a/hopstep/services/exchanges/requests/instance_waits.py
+++ b/hopstep/services/exchanges/requests/instance_waits.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Set
+from collections.abc import Awaitable, Callable
 
 import trio
 
-from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.services.exchanges.requests.exchange_parts import (
     MILLISECONDS,
@@ -25,27 +25,18 @@
     """
 
     def __init__(
-        self,
-        parts: ExchangeParts,
-        request: ExchangeRequest,
-        service: str,
-        tried: Set[str],
-        outcome: ExchangeOutcome,
+        self, parts: ExchangeParts, scope: InstanceScope, outcome: ExchangeOutcome
     ) -> None:
         """Create the waits of one request.
 
         Args:
             parts: Objects that all requests share.
-            request: The request.
-            service: Service that its route chose.
-            tried: Ids of the instances that it was sent to; the caller adds to it.
+            scope: The request, and which instances may serve it; the caller changes it.
             outcome: Records how long it waited.
         """
         self.return_seconds: float | None = None
         self._parts = parts
-        self._request = request
-        self._service = service
-        self._tried = tried
+        self._scope = scope
         self._outcome = outcome
 
     async def acquire(
@@ -55,13 +46,11 @@
         began_at = trio.current_time()
 
         async def check_again() -> None:
-            self._parts.readmit(self._request, self._service)
+            self._parts.readmit(self._scope.request, self._scope.service)
             await recheck()
 
         try:
-            return await self._parts.queue.acquire(
-                self._request, self._service, self._tried, only, check_again, started=started
-            )
+            return await self._parts.queue.acquire(self._scope, only, check_again, started=started)
         except QueueRefusalError as refusal:
             self.return_seconds = refusal.return_seconds
             raise
@@ -74,9 +63,9 @@
         Waits only as long as a response within the route's objective is expected: a longer wait
         makes most responses late, and holds requests that are refused in the end.
         """
-        parts, request = self._parts, self._request
+        parts, request = self._parts, self._scope.request
         answer_by = request.received_at + request.route.objective_seconds
-        opening = parts.choice.next_opening(request, self._service, self._tried, answer_by)
+        opening = parts.choice.next_opening(self._scope, answer_by)
         began_at = trio.current_time()
         until = min(opening.permit_by, opening.opens_at or float("inf"))
         if opening.limited and parts.limits.may_wait(opening.limited, request.rank, until):
--- a/hopstep/services/exchanges/requests/queue_binding.py
+++ b/hopstep/services/exchanges/requests/queue_binding.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Set
-
-from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
 from hopstep.services.exchanges.requests.service_capacity import Capacity, ServiceCapacity
 from hopstep.services.exchanges.requests.waiting_exchange import WaitingExchange
@@ -29,10 +27,10 @@
         self._blocked: set[tuple[str, str, bool]] = set()
         self._held_up: set[tuple[str, str]] = set()
 
-    def look(self, request: ExchangeRequest, service: str, tried: Set[str]) -> Capacity:
+    def look(self, scope: InstanceScope) -> Capacity:
         """Return the capacity for a request now."""
-        views = self._capacity.candidates(request, service, tried)
-        return self._capacity.of(request, service, views, self._reserved)
+        views = self._capacity.candidates(scope)
+        return self._capacity.of(scope, views, self._reserved)
 
     def begin_pass(self) -> None:
         """Begin to go through the waiting requests: what was found before no longer holds."""
@@ -45,17 +43,16 @@
         A request in time for which only memory is missing holds up those behind it: otherwise short
         prompts would take what becomes free, and long ones would never find enough.
         """
-        request, service, tried = waiting.request, waiting.service, waiting.tried
-        model = request.prompt.model if request.prompt is not None else ""
-        group = (service, model, self._capacity.is_urgent(request, service))
-        if (group in self._blocked and not tried) or (service, model) in self._held_up:
+        scope = waiting.scope
+        group = (scope.service, scope.model, self._capacity.is_urgent(scope.request, scope.service))
+        if (group in self._blocked and not scope.tried) or group[:2] in self._held_up:
             return False
-        capacity = self.look(request, service, tried)
+        capacity = self.look(scope)
         if capacity.must_wait:
-            self._choice.note_waiting(request, service, tried)
+            self._choice.note_waiting(scope)
             self._note_refused(waiting, capacity, group)
             return False
-        waiting.candidate = self._choice.choose(request, service, tried, within=capacity.within)
+        waiting.candidate = self._choice.choose(scope, within=capacity.within)
         if waiting.candidate is not None:
             self._reserved.add(waiting.candidate.view.instance.instance_id)
         return True
@@ -66,7 +63,7 @@
         """Note which other requests needn't be tried in this pass."""
         if capacity.has_places and not waiting.order.late:
             self._held_up.add(group[:2])
-        if not capacity.has_places and not waiting.tried:
+        if not capacity.has_places and not waiting.scope.tried:
             self._blocked.add(group)
 
     def release(self, waiting: WaitingExchange) -> None:
--- a/hopstep/services/exchanges/requests/request_queue.py
+++ b/hopstep/services/exchanges/requests/request_queue.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Set
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -16,7 +16,7 @@
     may_refuse,
     misses_deadline,
 )
-from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.waiting_order import (
     STARTED_RANK,
@@ -100,9 +100,7 @@
 
     async def acquire(
         self,
-        request: ExchangeRequest,
-        service: str,
-        tried: Set[str],
+        scope: InstanceScope,
         only: str | None,
         recheck: Recheck,
         *,
@@ -113,9 +111,7 @@
         The caller counts the request at the instance before it awaits anything else.
 
         Args:
-            request: The request.
-            service: Service that the route chose.
-            tried: Ids of instances that the request was sent to.
+            scope: The request, and which instances may serve it.
             only: Id of the only instance allowed; empty or None for any that wasn't tried.
             recheck: Called after a wait, before the request may be sent.
             started: Whether a part of the answer was delivered: then it isn't refused.
@@ -128,11 +124,11 @@
                 the node stops before its end, or whatever ``recheck`` raises.
         """
         if only:
-            return self._choice.choose(request, service, tried, only)
-        capacity = self._binding.look(request, service, tried)
-        if not capacity.must_wait and not self._waits_for(service):
-            return self._choice.choose(request, service, tried, within=capacity.within)
-        waiting = self._make_waiting(request, service, tried, started)
+            return self._choice.choose(scope, only)
+        capacity = self._binding.look(scope)
+        if not capacity.must_wait and not self._waits_for(scope.service):
+            return self._choice.choose(scope, within=capacity.within)
+        waiting = self._make_waiting(scope, started)
         if not started:
             self._refuse_if_late(waiting, waiting.place, capacity)
         try:
@@ -148,12 +144,10 @@
         order = self._orders.get(service)
         return order is not None and len(order) > 0
 
-    def _make_waiting(
-        self, request: ExchangeRequest, service: str, tried: Set[str], started: bool
-    ) -> WaitingExchange:
+    def _make_waiting(self, scope: InstanceScope, started: bool) -> WaitingExchange:
         """Return the waiting entry of a request."""
         self._next_id += 1
-        prompt = request.prompt
+        request, service, prompt = scope.request, scope.service, scope.request.prompt
         first_byte = self.refusals.first_bytes.expected(request.route.name)
         order = WaitingRequest(
             entry_id=str(self._next_id),
@@ -164,7 +158,7 @@
         )
         service_order = self._orders.setdefault(service, WaitingOrder())
         place = self.refusals.place_on_arrival(service, service_order, order)
-        return WaitingExchange(order, request, service, tried, trio.current_time(), place)
+        return WaitingExchange(order, scope, trio.current_time(), place)
 
     def _refuse_if_late(self, waiting: WaitingExchange, place: Place, capacity: Capacity) -> None:
         """Refuse a request whose answer would come after its deadline.
@@ -208,9 +202,7 @@
             return False
         last = max(waiting, key=lambda each: (each.order.rank, each.order.late, each.began_at))
         place = self._place(last)
-        wait_estimate = self._estimate_wait(
-            last, place, self._binding.look(last.request, last.service, last.tried)
-        )
+        wait_estimate = self._estimate_wait(last, place, self._binding.look(last.scope))
         last.error = self.refusals.refuse(last, wait_estimate, "too many requests wait")
         self._end_wait(last)
         return True
@@ -238,12 +230,12 @@
     def _refuse_late(self, waiting: WaitingExchange) -> None:
         """Refuse a request that can't meet its objective, and won't meet its deadline either."""
         if not waiting.woken.is_set():
-            capacity = self._binding.look(waiting.request, waiting.service, waiting.tried)
+            capacity = self._binding.look(waiting.scope)
             self._refuse_if_late(waiting, self._place(waiting), capacity)
 
     def _refuse_useless(self, waiting: WaitingExchange) -> None:
         """Refuse a request that an instance couldn't answer before its deadline any more."""
-        capacity = self._binding.look(waiting.request, waiting.service, waiting.tried)
+        capacity = self._binding.look(waiting.scope)
         wait_estimate = self._estimate_wait(waiting, self._place(waiting), capacity)
         if may_refuse(wait_estimate):
             raise self.refusals.refuse(waiting, wait_estimate, "no instance had capacity in time")
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -4,11 +4,11 @@
 
 import random
 from collections import Counter
-from collections.abc import Set
 
 import trio
 
 from hopstep import log_events
+from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.domain.exchanges.prefill_causes import SharedPrefill
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds, RepeatBudget
 from hopstep.domain.exchanges.request import ExchangeRequest
@@ -174,11 +174,11 @@
             await exchange.run()
         except ServiceError as error:
             outcome.outcome = f"{error.code.value}:{error.execution.value}"
-            outcome.kept_from = self._kept_from(request, service, exchange.tried)
+            outcome.kept_from = self._kept_from(exchange.scope)
             advice = self._advisor.advise(
                 error.code,
                 service,
-                exchange.tried,
+                exchange.scope.tried,
                 exchange.refused_seconds,
                 _queue_return(request, exchange),
             )
@@ -226,9 +226,9 @@
                 retry_reason=advice.reason.value if advice is not None else "",
             )
 
-    def _kept_from(self, request: ExchangeRequest, service: str, tried: Set[str]) -> dict[str, int]:
+    def _kept_from(self, scope: InstanceScope) -> dict[str, int]:
         """Return the number of instances that each barrier keeps a request from."""
-        blocked = self._parts.choice.blocked_instances(request, service, tried)
+        blocked = self._parts.choice.blocked_instances(scope)
         return dict(Counter(a.barrier.value for _view, a in blocked if a.barrier is not None))
 
     def _log_refusal(self, head: RequestHead, error: ServiceError, advice: RetryAdvice) -> None:
--- a/hopstep/services/exchanges/requests/service_capacity.py
+++ b/hopstep/services/exchanges/requests/service_capacity.py
@@ -8,6 +8,7 @@
 import trio
 
 from hopstep.domain.exchanges.instance_capacity import CapacityNeed
+from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
@@ -50,18 +51,15 @@
         index = self._knowledge.index
         return index is not None and request.route.priority < index.least_urgent(service)
 
-    def candidates(
-        self, request: ExchangeRequest, service: str, tried: Set[str]
-    ) -> list[InstanceView]:
+    def candidates(self, scope: InstanceScope) -> list[InstanceView]:
         """Return the instances without known problems that may be sent a request now."""
         now = trio.current_time()
-        views = self._choice.admissible(request, service, tried)
+        views = self._choice.admissible(scope)
         return [view for view in views if view.is_usable(now)]
 
     def of(
         self,
-        request: ExchangeRequest,
-        service: str,
+        scope: InstanceScope,
         views: Sequence[InstanceView],
         reserved: Set[str] = frozenset(),
     ) -> Capacity:
@@ -71,16 +69,15 @@
         or that reject although nothing is known to run there, give no reason to wait.
 
         Args:
-            request: The request.
-            service: Its service.
+            scope: The request.
             views: Instances that may be sent the request, from ``candidates``.
             reserved: Ids of instances whose place is taken by a request that is about to be sent.
         """
         now = trio.current_time()
-        urgent = self.is_urgent(request, service)
+        urgent = self.is_urgent(scope.request, scope.service)
         unreserved = [view for view in views if view.instance.instance_id not in reserved]
         open_views = [v for v in unreserved if v.has_room(CapacityNeed(urgent=urgent), now)]
-        room = self._with_memory(request, open_views, urgent, now)
+        room = self._with_memory(scope.request, open_views, urgent, now)
         taken = sum(view.total_active(now) for view in views)
         places = sum(max(0, view.free_places(now, urgent=urgent)) for view in views)
         if len(room) == len(views):
--- a/hopstep/services/exchanges/requests/waiting_exchange.py
+++ b/hopstep/services/exchanges/requests/waiting_exchange.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Set
-
 import msgspec
 import trio
 
 from hopstep import log_events
+from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.waiting_order import Place, WaitingRequest
@@ -25,9 +24,7 @@
 
     Attributes:
         order: What its place in the order depends on.
-        request: The request.
-        service: Service that the route chose.
-        tried: Ids of instances that the request was sent to.
+        scope: The request, and which instances may serve it.
         began_at: When it began to wait, by the steady clock in seconds.
         place: Its place in the order then.
         woken: Set when its wait has ended.
@@ -36,15 +33,23 @@
     """
 
     order: WaitingRequest
-    request: ExchangeRequest
-    service: str
-    tried: Set[str]
+    scope: InstanceScope
     began_at: float
     place: Place
     woken: trio.Event = msgspec.field(default_factory=trio.Event)
     candidate: Candidate | None = None
     error: ServiceError | None = None
 
+    @property
+    def request(self) -> ExchangeRequest:
+        """The request."""
+        return self.scope.request
+
+    @property
+    def service(self) -> str:
+        """Service that its route chose."""
+        return self.scope.service
+
     def log_wait(self, seconds: float, still_waiting: int) -> None:
         """Log the wait if it was long.
 
