Let a stream go on only at instances of the software version that began it

What callers saw: one answer with events of two software versions of a service. Cause: the version in an instance's entry was read and dropped, so whatever chose the next instance of a broken stream chose among all of the service. Change: from its first event on, a stream has an origin (service, version, incarnation) in its InstanceScope, which the choice, the capacity, the queue with its groups, waits for permits and backoffs, and the advice to a refused client all ask. Without an instance of the version it is cut at once; while those are full it waits, before new requests. Why it works: all ways to an instance go through the scope; an instance without a known version takes only streams of its own incarnation.

--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -14,6 +14,7 @@
 from hopstep import log_events
 from hopstep.domain.byte_budget import RESPONSE_BYTES, ResponseSpace
 from hopstep.domain.exchanges.event_stream import EventFramer, StreamOrderError
+from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.request import ExchangeRequest, Headers
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.serving import RequestKind
@@ -53,6 +54,7 @@
         answer: ClientAnswer,
         outcome: ExchangeOutcome,
         on_first_byte: Callable[[], None],
+        on_stream_begun: Callable[[InstanceView], None],
     ) -> None:
         """Create the relay of one request.
 
@@ -61,6 +63,8 @@
             answer: Writes the response to the client.
             outcome: Records times, number of events and the status.
             on_first_byte: Called after the first byte of each instance's response.
+            on_stream_begun: Called with the instance whose event is the first that the client gets,
+                before that event is sent.
         """
         self.started = False
         self.finished = False
@@ -70,6 +74,7 @@
         self._answer = answer
         self._outcome = outcome
         self._on_first_byte = on_first_byte
+        self._on_stream_begun = on_stream_begun
         self._framer = EventFramer(_event_number(request.resume_after))
 
     @property
@@ -131,7 +136,7 @@
                 view.succeeded(now - sent_at)
                 self._on_first_byte()
             view.note_chunk(request_id, now)
-            await self._send_events(answer, data)
+            await self._send_events(view, answer, data)
             self._require_space(space)
             view.expect_chunk(request_id, trio.current_time())
         view.end_stream(request_id)
@@ -150,7 +155,7 @@
             )
         space.shrink(max(RESPONSE_BYTES, self._framer.partial_bytes))
 
-    async def _send_events(self, answer: InstanceAnswer, data: bytes) -> None:
+    async def _send_events(self, view: InstanceView, answer: InstanceAnswer, data: bytes) -> None:
         """Send the events that ``data`` completes.
 
         The framer has counted them, so nothing may cancel the attempt before they are sent.
@@ -165,6 +170,7 @@
             return
         with trio.CancelScope(shield=True):
             if not self.started:
+                self._on_stream_begun(view)
                 await self._start(answer.status, answer.headers, None)
             await self._answer.send(complete)
 
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -10,6 +10,7 @@
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
+from hopstep.domain.exchanges.streams.origin import StreamOrigin
 from hopstep.domain.quarantine.crashes import TerminationEvidence
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
@@ -57,7 +58,9 @@
         self.refused_seconds = 0.0
         self._parts = parts
         self._request = request
-        self._relay = AnswerRelay(request, answer, self.outcome, parts.queue.recheck)
+        self._relay = AnswerRelay(
+            request, answer, self.outcome, parts.queue.recheck, self._note_stream_begun
+        )
         self._budget = parts.budgets(service)
         self.scope = InstanceScope(request, service)
         self.waits = InstanceWaits(parts, self.scope, self.outcome)
@@ -212,6 +215,10 @@
             self._unsent_attempts += 1
         self.scope.tried.add(view.instance.instance_id)
 
+    def _note_stream_begun(self, view: InstanceView) -> None:
+        """Let the stream go on only where the software is that of its first instance."""
+        self.scope.origin = self.scope.origin or StreamOrigin.of(view.instance)
+
     def _count_sent(self, view: InstanceView) -> None:
         """Count an attempt that was sent."""
         if self.outcome.attempts:
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -241,7 +241,7 @@
         return [
             view
             for view in self._knowledge.table.of_service(scope.service)
-            if view.instance.instance_id not in scope.tried
+            if scope.admits(view.instance)
             and (not model or model in view.versions)
             and (not required or view.serving_version(model) >= required)
         ]
--- a/hopstep/services/exchanges/requests/queue_binding.py
+++ b/hopstep/services/exchanges/requests/queue_binding.py
@@ -24,8 +24,8 @@
         self._capacity = capacity
         self._choice = choice
         self._reserved: set[str] = set()
-        self._blocked: set[tuple[str, str, bool]] = set()
-        self._held_up: set[tuple[str, str]] = set()
+        self._blocked: set[tuple[str, str, str, bool]] = set()
+        self._held_up: set[tuple[str, str, str]] = set()
 
     def look(self, scope: InstanceScope) -> Capacity:
         """Return the capacity for a request now."""
@@ -41,11 +41,13 @@
         """Return whether a request needn't wait any more; if so, its instance is chosen.
 
         A request in time for which only memory is missing holds up those behind it: otherwise short
-        prompts would take what becomes free, and long ones would never find enough.
+        prompts would take what becomes free, and long ones would never find enough. One that may
+        go to a single software version holds up those that may go there only, too.
         """
         scope = waiting.scope
-        group = (scope.service, scope.model, self._capacity.is_urgent(scope.request, scope.service))
-        if (group in self._blocked and not scope.tried) or group[:2] in self._held_up:
+        urgent = self._capacity.is_urgent(scope.request, scope.service)
+        group = (scope.service, scope.model, scope.software_version, urgent)
+        if (group in self._blocked and not scope.tried) or group[:3] in self._held_up:
             return False
         capacity = self.look(scope)
         if capacity.must_wait:
@@ -58,11 +60,11 @@
         return True
 
     def _note_refused(
-        self, waiting: WaitingExchange, capacity: Capacity, group: tuple[str, str, bool]
+        self, waiting: WaitingExchange, capacity: Capacity, group: tuple[str, str, str, bool]
     ) -> None:
         """Note which other requests needn't be tried in this pass."""
         if capacity.has_places and not waiting.order.late:
-            self._held_up.add(group[:2])
+            self._held_up.add(group[:3])
         if not capacity.has_places and not waiting.scope.tried:
             self._blocked.add(group)
 
--- a/hopstep/services/exchanges/requests/retry_advisor.py
+++ b/hopstep/services/exchanges/requests/retry_advisor.py
@@ -17,6 +17,7 @@
     advise,
     retry_reason,
 )
+from hopstep.domain.exchanges.streams.origin import StreamOrigin
 from hopstep.domain.instance_admission import Barrier, Purpose
 from hopstep.exceptions import ErrorCode
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
@@ -58,6 +59,7 @@
         tried: Set[str] = frozenset(),
         refused_seconds: float = 0.0,
         queue_return: QueueReturn | None = None,
+        origin: StreamOrigin | None = None,
     ) -> RetryAdvice:
         """Return when a client should retry.
 
@@ -67,12 +69,17 @@
             tried: Ids of instances that the request was sent to.
             refused_seconds: Remaining time for which the quarantine refuses the request; else 0.
             queue_return: When the queue has drained; None when it wasn't the reason.
+            origin: What began the stream that the request goes on with; None for none.
         """
         if refused_seconds:
             return RetryAdvice(refused_seconds, RetryReason.QUARANTINE)
         now = trio.current_time()
         knowledge = self._knowledge
-        listed = knowledge.table.of_service(service)
+        listed = [
+            view
+            for view in knowledge.table.of_service(service)
+            if origin is None or origin.allows(view.instance)
+        ]
         asked = [(view, view.admission(Purpose.REQUEST, now)) for view in listed]
         views = [view for view, answer in asked if answer.is_open]
         backing_off = [a.until - now for _view, a in asked if a.barrier is Barrier.BACKING_OFF]
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -181,6 +181,7 @@
                 exchange.scope.tried,
                 exchange.refused_seconds,
                 _queue_return(request, exchange),
+                exchange.scope.origin,
             )
             error.retry_after_seconds = advice.seconds
             if error.execution is Execution.NOT_RUN:
--- a/tests/services/exchanges/test_stream_versions.py
+++ b/tests/services/exchanges/test_stream_versions.py
@@ -71,8 +71,50 @@
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 played = VersionedStreams(nodes=1, seed=seed)
-                self.play(played, lambda played: played.crash_in_turn(4.0))
+                self.play(played, lambda played: played.crash_in_turn(4.0), tries=1)
                 self.assertEqual(played.mixed(), [])
+                self.assertGreater(played.resumed_within(), 0)
+
+    def run_one(self, prepare, **options):
+        """Break a stream at its first engine, list others, and return it and its end."""
+        played = VersionedStreams(nodes=1)
+        ended = []
+
+        async def script(world):
+            first = played.add("a1", "v1", **options)
+            await trio.sleep(0.5)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(played.stream, 0, None, None, 1)
+                await trio.sleep(0.3)
+                prepare(played, nursery)
+                await trio.sleep(0.1)
+                first.end()
+                ended.append(trio.current_time())
+            ended.append(trio.current_time())
+
+        played.world.run(script)
+        return played, ended[1] - ended[0]
+
+    def test_a_stream_without_another_instance_of_its_version_is_cut_at_once(self):
+        # It went on at another version; a wait until its deadline would serve nobody.
+        played, seconds = self.run_one(lambda played, _nursery: played.add("b1", "v2"))
+        stream = played.streams[0]
+        self.assertTrue(stream.events)
+        self.assertFalse(stream.complete)
+        self.assertEqual(played.mixed(), [])
+        self.assertLess(seconds, 0.5)
+
+    def test_a_stream_waits_for_a_full_instance_of_its_version_before_new_requests(self):
+        # It went on at an idle instance of another version.
+        def prepare(played, nursery):
+            played.add("b1", "v1", slots=1).events = 40
+            played.add("b2", "v2")
+            for _ in range(4):
+                nursery.start_soon(played.stream, 0, None, None, 1)
+
+        played, _seconds = self.run_one(prepare)
+        self.assertTrue(played.streams[0].complete)
+        self.assertEqual(played.mixed(), [])
 
 
 class ResumedStreamsTest(StreamsTest):
--- a/tests/services/exchanges/versioned_streams.py
+++ b/tests/services/exchanges/versioned_streams.py
@@ -1,6 +1,7 @@
 """Clients that resume broken streams at any node of a world with several software versions."""
 
 import random
+from collections import Counter
 
 import msgspec
 import trio
@@ -138,13 +139,14 @@
         """Return the engines that run."""
         return [s for s in self.world.instances.all_servers if s.ended_at is None]
 
-    async def stream(self, node=None, leave_after=None, resume_node=None):
+    async def stream(self, node=None, leave_after=None, resume_node=None, tries=CLIENT_TRIES):
         """Hold one stream, and resume it when it breaks.
 
         Args:
             node: Node of the first try; None for any.
             leave_after: Seconds after which the client breaks its first connection; None for never.
             resume_node: Node of all further tries; None for any.
+            tries: Highest number of tries.
 
         Returns:
             The stream.
@@ -152,7 +154,7 @@
         stream = ClientStream(f"s{len(self.streams)}")
         self.streams.append(stream)
         until = trio.current_time() + CLIENT_SECONDS
-        for number in range(CLIENT_TRIES):
+        for number in range(tries):
             chosen = node if number == 0 else resume_node
             await self._try(stream, f"{stream.name}-{number}", chosen, until, leave_after)
             leave_after = None
@@ -194,6 +196,12 @@
         }
         return {sent[event] for event in stream.events}
 
+    def resumed_within(self):
+        """Return how many streams went on at another instance within one answer, to their end."""
+        runs = Counter(run.request_id for s in self.world.instances.all_servers for run in s.runs)
+        ids = {request_id for s in self.streams if s.complete for request_id, _number in s.events}
+        return sum(runs[request_id] > 1 for request_id in ids)
+
     def mixed(self):
         """Return the names of the streams that hold events of several software versions."""
         return [stream.name for stream in self.streams if len(self.versions(stream)) > 1]
