Send a client's resume to the software version that began its stream, at any node

What callers saw: over the tries of one client a stream with events of two software versions. Cause: a client's resume was a new request to the node that got it. Resumes was passed on and read by nobody, and nobody remembered which version had begun a stream. Change: a node remembers the origin (service, version, incarnation) of each resumable stream until its client gives up, under a key of tenant, route and request id. While a service has or lately had several versions, the record also goes to three other nodes by rendezvous hashing and to the node's relay, before or with the first event; running streams follow when a second version appears. A resume asks them, three rounds of 0.1 s at most. Without a record it goes on only if all that answer know of a single version for as long as a stream may last; otherwise it is refused as not run (stream_not_resumable), as is one whose version has no instance left. A different version is a different incarnation, also without a start time. Nodes that don't pass on versions are ranked last as relays. HS3113 tells each resume. Why it works: a wrong version would need a record that is wrong, not one that is missing.

--- a/hopstep/domain/exchanges/instance_table.py
+++ b/hopstep/domain/exchanges/instance_table.py
@@ -11,7 +11,13 @@
 
 
 def is_same_incarnation(known: Instance, newer: Instance) -> bool:
-    """Return whether a newer entry is of the known incarnation; so is one without a start time."""
+    """Return whether a newer entry is of the known incarnation.
+
+    One without a start time is, unless its software has another version: a process keeps its own.
+    """
+    versions = {known.software_version, newer.software_version} - {""}
+    if len(versions) > 1:
+        return False
     return not newer.born_ms or newer.born_ms == known.born_ms
 
 
--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -66,10 +66,19 @@
         self._shown_sequence = instance.order_sequence
 
     def update(self, instance: Instance) -> None:
-        """Apply a newer entry of the same incarnation; without a start time the known one stays."""
+        """Apply a newer entry of the same incarnation.
+
+        Without a start time the known one stays. Without a software version the known one stays if
+        the start time shows the same process.
+        """
+        known_version = self.instance.software_version if instance.born_ms else ""
         self.rejected = False
         self.has_start_time = bool(instance.born_ms)
-        self.instance = msgspec.structs.replace(instance, born_ms=self.instance.born_ms)
+        self.instance = msgspec.structs.replace(
+            instance,
+            born_ms=self.instance.born_ms,
+            software_version=instance.software_version or known_version,
+        )
         self.show_versions(instance.versions, instance.order_sequence)
 
     def show_versions(self, versions: Mapping[str, int], order_sequence: int) -> None:
--- a/hopstep/domain/exchanges/nodes.py
+++ b/hopstep/domain/exchanges/nodes.py
@@ -32,6 +32,10 @@
 FORMAT_VERSION_WITH_ERAS = 3
 """First format version in which nodes state the era of each store position."""
 
+FORMAT_VERSION_WITH_STREAMS = 5
+"""First format version in which nodes pass on the software versions of instances, and the origins
+of streams."""
+
 
 REWRITES_PER_SECOND = 150.0
 """Entries a second that all nodes together write after a restore, on average: with the writes of
@@ -90,7 +94,7 @@
         for name, record in known.items():
             zones.setdefault(record.zone, []).append(name)
         for names in zones.values():
-            names.sort(key=lambda name: (-known[name].capacity, hash_name(name)))
+            names.sort(key=lambda name: _rank(name, known[name]))
         self._zones = zones
         self._unanswered = {n: count for n, count in self._unanswered.items() if n in known}
         self._without_store &= known.keys()
@@ -205,3 +209,12 @@
     def _relays(ranked: list[str]) -> int:
         """Return how many nodes of a zone are relays."""
         return -(-len(ranked) // NODES_PER_RELAY)
+
+
+def _rank(name: str, record: NodeRecord) -> tuple[bool, float, int]:
+    """Return the rank of a node among those of its zone, the first relays first.
+
+    Nodes that don't pass on software versions are last: what they relay lacks them.
+    """
+    lacks_versions = record.form < FORMAT_VERSION_WITH_STREAMS
+    return lacks_versions, -record.capacity, hash_name(name)
--- a/hopstep/domain/rendezvous.py
+++ b/hopstep/domain/rendezvous.py
@@ -62,6 +62,10 @@
             self._rankings[key, replicas] = ranking
         return ranking.owners
 
+    def owners_once(self, key: str, replicas: int) -> tuple[str, ...]:
+        """Return the same as ``owners`` for a key that isn't looked up again."""
+        return self._rank(key, replicas).owners
+
     def owns(self, member: str, key: str, replicas: int = 1) -> bool:
         """Return whether ``member`` is among the owners of ``key``."""
         return member in self.owners(key, replicas)
--- a/hopstep/exceptions.py
+++ b/hopstep/exceptions.py
@@ -38,6 +38,7 @@
     ENGINE_UNREACHABLE = "engine_unreachable"
     PRECONDITION_FAILED = "precondition_failed"
     STREAM_INTERRUPTED = "stream_interrupted"
+    STREAM_NOT_RESUMABLE = "stream_not_resumable"
     EXECUTION_UNKNOWN = "execution_unknown"
     REQUEST_QUARANTINED = "request_quarantined"
     ALREADY_CLAIMED = "already_claimed"
@@ -78,6 +79,7 @@
     ErrorCode.ENGINE_UNREACHABLE: "No engine could be reached.",
     ErrorCode.PRECONDITION_FAILED: "The engine restarted or changed weights in between.",
     ErrorCode.STREAM_INTERRUPTED: "The answer broke off and could not be continued.",
+    ErrorCode.STREAM_NOT_RESUMABLE: "No engine can go on with this stream; begin a new one.",
     ErrorCode.EXECUTION_UNKNOWN: "A request that must run at most once may have run; check first.",
     ErrorCode.REQUEST_QUARANTINED: "Back ends crashed on this request; change it, or see its log.",
     ErrorCode.ALREADY_CLAIMED: "The idempotency key was used before; that request may have run.",
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -54,6 +54,7 @@
 from hopstep.services.exchanges.requests.held_bytes import HeldBytes
 from hopstep.services.exchanges.requests.quotas import Quotas
 from hopstep.services.exchanges.requests.service import ExchangeService
+from hopstep.services.exchanges.streams.stream_origins import StreamOrigins
 from hopstep.services.exchanges.weights.rollout_lease import RolloutLease
 from hopstep.services.exchanges.weights.weights_rollout import WeightsRollout
 from hopstep.services.lifecycle import Lifecycle
@@ -168,6 +169,7 @@
             QuotaBounds(bounds.quota_window_seconds, bounds.quota_overshoot, bounds.quota_slack),
             generator,
         )
+        self.origins = StreamOrigins(self.knowledge, ports.nodes)
         self.relaying = Relaying(
             self.knowledge,
             self.sharing,
@@ -179,6 +181,7 @@
             ports.nodes,
             self.pauses,
             limits,
+            self.origins,
         )
         self.paths = InstancePaths(ports.calls, self.knowledge, settings.zone)
         self.tunnel_gate = InstanceTunnelGate(
@@ -197,6 +200,7 @@
             self.quotas,
             self.notices,
             self.limits,
+            self.origins,
             RepeatBounds(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds),
             self.metrics,
             generator,
@@ -255,6 +259,7 @@
             nursery.start_soon(self.pauses.run)
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.relaying.run)
+            nursery.start_soon(self.origins.run)
             nursery.start_soon(self.exchanges.queue.run)
             nursery.start_soon(self.store_watch.run)
             nursery.start_soon(self.engine_watch.run)
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -437,6 +437,26 @@
     "If one instance recurs: check its own logs; if one `fingerprint` does: check the request.",
 )
 
+STREAM_RESUMED = LogEvent(
+    "HS3113",
+    "stream_resumed",
+    Level.INFO,
+    (
+        "request_id",
+        "resumes",
+        "service",
+        "software_version",
+        "known_from",
+        "keeper",
+        "age_ms",
+        "candidates",
+        "asked",
+        "answered",
+        "waited_ms",
+    ),
+    "Nothing while `candidates` is above 0. `known_from` is `unknown` where the resume is refused.",
+)
+
 RESPONSE_RELAYED_IN_PARTS = LogEvent(
     "HS3121",
     "response_relayed_in_parts",
--- a/hopstep/services/exchanges/directory/instance_changes.py
+++ b/hopstep/services/exchanges/directory/instance_changes.py
@@ -16,6 +16,7 @@
 from hopstep.domain.exchanges.instance_table import InstanceTable, is_same_incarnation
 from hopstep.domain.exchanges.instances import Instance, InstanceIncarnation
 from hopstep.domain.exchanges.store_contact import ENTRY_LAPSE_SECONDS, StoreContact
+from hopstep.domain.exchanges.streams.listed_versions import ListedVersions
 from hopstep.domain.quarantine.crashes import TerminationEvidence
 from hopstep.logs import emit
 from hopstep.services.exchanges.directory.change_origin import ChangeOrigin
@@ -34,7 +35,11 @@
 
 
 class InstanceChanges:
-    """Applies entries of instances to the table."""
+    """Applies entries of instances to the table.
+
+    Attributes:
+        versions: Software versions of the listed instances, and of those that have gone lately.
+    """
 
     def __init__(self, table: InstanceTable, contact: StoreContact) -> None:
         """Start without any instance.
@@ -47,6 +52,7 @@
         self._contact = contact
         self._termination_listeners: list[TerminationListener] = []
         self._terminated: OrderedDict[InstanceIncarnation, None] = OrderedDict()
+        self.versions = ListedVersions()
 
     def subscribe_terminations(self, listener: TerminationListener) -> None:
         """Call a listener for each instance that the directory shows to be terminated."""
@@ -55,10 +61,14 @@
     def apply_listed(self, instance: Instance, origin: ChangeOrigin) -> None:
         """Apply an instance's entry."""
         known = self._table.get(instance.instance_id)
-        was_draining = known is not None and known.instance.draining
-        if known is not None and not is_same_incarnation(known.instance, instance):
-            self._report_terminated(known.instance.incarnation, TerminationEvidence.RESTARTED)
+        previous = known.instance if known is not None else None
+        was_draining = previous is not None and previous.draining
+        if previous is not None and not is_same_incarnation(previous, instance):
+            self._report_terminated(previous.incarnation, TerminationEvidence.RESTARTED)
         is_new = self._table.put(instance)
+        listed = self._table.get(instance.instance_id)
+        current = listed.instance if listed is not None else None
+        self.versions.replace(previous, current, trio.current_time())
         if was_draining and not is_new and not instance.draining:
             self._keep_as_leaving(instance, origin)
         self._distrust_terminated(instance, origin)
@@ -86,6 +96,7 @@
         removed = self._table.remove(instance_id)
         if removed is None:
             return
+        self.versions.replace(removed, None, trio.current_time())
         emit(
             log_events.INSTANCE_REMOVED,
             instance=instance_id,
@@ -102,7 +113,9 @@
 
     def remove_expired(self) -> None:
         """Remove instances whose expired entries weren't written again after a store outage."""
-        for instance in self._table.expire(trio.current_time()):
+        now = trio.current_time()
+        for instance in self._table.expire(now):
+            self.versions.replace(instance, None, now)
             self._report_terminated(instance.incarnation, TerminationEvidence.UNLISTED)
             expired = instance.instance_id
             emit(log_events.INSTANCE_REMOVED, instance=expired, source=ENTRY_EXPIRED, age_ms=0)
--- a/hopstep/services/exchanges/peers/relaying.py
+++ b/hopstep/services/exchanges/peers/relaying.py
@@ -19,6 +19,9 @@
     MessageTooLongError,
     NodeExchange,
     NodeMessage,
+    OriginAnswer,
+    OriginQuery,
+    OriginUpdate,
     Received,
     RelayAnswer,
     RelayDigest,
@@ -39,6 +42,7 @@
 from hopstep.services.exchanges.peers.relay_answers import RelayAnswers
 from hopstep.services.exchanges.peers.update_broadcast import UpdateBroadcast
 from hopstep.services.exchanges.peers.urgent_queue import UrgentQueue
+from hopstep.services.exchanges.streams.stream_origins import StreamOrigins
 from hopstep.services.quarantine.quarantine import Quarantine
 
 STORE_SEARCH_NODES = 2
@@ -60,6 +64,7 @@
         exchange: NodeExchange,
         pauses: PauseWatch,
         limits: FreshnessLimits,
+        origins: StreamOrigins,
     ) -> None:
         """Connect the parts.
 
@@ -74,7 +79,9 @@
             exchange: Sends and receives datagrams.
             pauses: Provides the periodic tick.
             limits: How long the store or a relay may be unresponsive.
+            origins: Receives messages about the origins of streams.
         """
+        self._origins = origins
         self._knowledge = knowledge
         self._sharing = sharing
         self._store_watch = store_watch
@@ -206,6 +213,8 @@
                 self._sharing.suspicions.apply(message.suspected)
                 self._quarantine.merge_reports(message.crashes)
                 await self._broadcast.forward(received.sender, message)
+            case OriginUpdate() | OriginQuery() | OriginAnswer():
+                await self._origins.take(received.sender, message)
 
     async def _answer(self, asker: str, query: RelayQuery) -> None:
         """Answer a query; if that is too long for a datagram, refer the asker to the store."""
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -8,6 +8,7 @@
 from hopstep.domain.exchanges.attempt_rules import ExchangeProgress, NextStep, decide_step
 from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.exchanges.repeat_budget import RepeatBudget
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.streams.origin import StreamOrigin
@@ -25,6 +26,8 @@
 from hopstep.services.exchanges.requests.instance_attempt import InstanceAttempt
 from hopstep.services.exchanges.requests.instance_waits import InstanceWaits
 from hopstep.services.exchanges.requests.quarantine_gate import QuarantineGate
+from hopstep.services.exchanges.streams.origin_lookup import log_resume
+from hopstep.services.exchanges.streams.stream_origins import is_resumed
 
 FURTHER_STEPS = (NextStep.RETRY, NextStep.RESUME)
 """Steps that send the request to another instance."""
@@ -61,7 +64,6 @@
         self._relay = AnswerRelay(
             request, answer, self.outcome, parts.queue.recheck, self._note_stream_begun
         )
-        self._budget = parts.budgets(service)
         self.scope = InstanceScope(request, service)
         self.waits = InstanceWaits(parts, self.scope, self.outcome)
         self._unsent_attempts = 0
@@ -76,9 +78,10 @@
             ServiceError: When nothing of a response was sent; ``execution`` says whether the
                 request may have run.
         """
-        self._budget.record_request(self._request.received_at)
         with trio.CancelScope(deadline=self._request.deadline) as scope:
             try:
+                await self._find_origin()
+                self._budget.record_request(self._request.received_at)
                 await self._run_attempts()
             finally:
                 self._gate.end()
@@ -86,6 +89,30 @@
             self._may_have_run = self._may_have_run or self._in_flight.sent
             self._fail(ErrorCode.DEADLINE_EXCEEDED, "no whole answer in time")
 
+    @property
+    def _budget(self) -> RepeatBudget:
+        """Retry budget of the service."""
+        return self._parts.budgets(self.scope.service)
+
+    async def _find_origin(self) -> None:
+        """Find out what began the stream that the client resumes; refuse it if that is unknown."""
+        if not is_resumed(self._request):
+            return
+        began_at = trio.current_time()
+        lookup = await self._parts.origins.find(self._request)
+        candidates = 0
+        if lookup.origin is not None:
+            self.scope.service = lookup.origin.service
+            self.scope.origin = lookup.origin
+            candidates = self._parts.choice.count_instances(self.scope)
+        log_resume(self.scope, lookup, candidates, trio.current_time() - began_at)
+        if lookup.origin is None:
+            self._fail(ErrorCode.STREAM_NOT_RESUMABLE, "the stream's software version is unknown")
+        if self.scope.service not in (share.service for share in self._request.route.shares):
+            self._fail(ErrorCode.STREAM_NOT_RESUMABLE, "the route no longer has its service")
+        if not candidates:
+            self._fail(ErrorCode.STREAM_NOT_RESUMABLE, "no instance has its software version")
+
     async def _run_attempts(self) -> None:
         """Make attempts until the response is complete or no further attempt is allowed."""
         only: str | None = None
@@ -218,6 +245,7 @@
     def _note_stream_begun(self, view: InstanceView) -> None:
         """Let the stream go on only where the software is that of its first instance."""
         self.scope.origin = self.scope.origin or StreamOrigin.of(view.instance)
+        self._parts.origins.note_begun(self._request, self.scope.origin)
 
     def _count_sent(self, view: InstanceView) -> None:
         """Count an attempt that was sent."""
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -17,6 +17,7 @@
 from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
 from hopstep.services.exchanges.requests.request_queue import RequestQueue
+from hopstep.services.exchanges.streams.stream_origins import StreamOrigins
 from hopstep.services.quarantine.quarantine import Quarantine
 
 MILLISECONDS = 1_000
@@ -94,6 +95,7 @@
         notices: Receives what instances announce in response headers.
         limits: Permits to send to rate-limited instances.
         queue: Requests that wait for an instance with capacity.
+        origins: What began the streams that clients may resume.
         readmit: Raises ``ServiceError`` when a request that has waited for a service isn't allowed
             any more.
     """
@@ -112,4 +114,5 @@
     notices: InstanceNotices
     limits: InstanceLimits
     queue: RequestQueue
+    origins: StreamOrigins
     readmit: Callable[[ExchangeRequest, str], None]
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -126,6 +126,10 @@
         eligible = self._eligible(scope, now)
         return self._admissible(eligible, now) or self._without_report(eligible, scope.request, now)
 
+    def count_instances(self, scope: InstanceScope) -> int:
+        """Return the number of listed instances that may serve a request, now or later."""
+        return len(self._eligible(scope, trio.current_time()))
+
     def note_waiting(self, scope: InstanceScope) -> None:
         """Request permits for limited instances on behalf of a request that waits for capacity."""
         now = trio.current_time()
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -39,6 +39,7 @@
 from hopstep.services.exchanges.requests.request_queue import RequestQueue
 from hopstep.services.exchanges.requests.retry_advisor import RetryAdvisor
 from hopstep.services.exchanges.requests.service_capacity import ServiceCapacity
+from hopstep.services.exchanges.streams.stream_origins import StreamOrigins
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.services.quarantine.quarantine import Quarantine
 
@@ -61,6 +62,7 @@
         quotas: Quotas,
         notices: InstanceNotices,
         limits: InstanceLimits,
+        origins: StreamOrigins,
         bounds: RepeatBounds,
         metrics: ExchangeMetrics,
         generator: random.Random,
@@ -82,6 +84,7 @@
             quotas: Quotas of tenants.
             notices: Receives what instances announce in response headers.
             limits: Permits to send to rate-limited instances.
+            origins: What began the streams that clients may resume.
             bounds: Bounds of retries over all nodes.
             metrics: Counts requests and attempts.
             generator: Splits traffic and breaks ties.
@@ -125,6 +128,7 @@
             notices=notices,
             limits=limits,
             queue=self.queue,
+            origins=origins,
             readmit=self.admission.readmit,
         )
         metrics.watch(
@@ -177,7 +181,7 @@
             outcome.kept_from = self._kept_from(exchange.scope)
             advice = self._advisor.advise(
                 error.code,
-                service,
+                exchange.scope.service,
                 exchange.scope.tried,
                 exchange.refused_seconds,
                 _queue_return(request, exchange),
@@ -202,7 +206,7 @@
                 fingerprint=outcome.fingerprint,
                 route=request.route.name,
                 tenant=request.tenant.name if request.tenant is not None else "",
-                service=service,
+                service=exchange.scope.service,
                 instance=outcome.instance,
                 software_version=outcome.software_version,
                 resumes=request.resumes,
--- /dev/null
+++ b/hopstep/services/exchanges/streams/stream_origins.py
@@ -0,0 +1,190 @@
+"""Remembers what began each resumable stream, and finds it out when a client resumes one.
+
+Each node remembers the streams that it has begun. While the instances of a service may have several
+software versions, other nodes and the store keep the records too, since the node that gets the
+resume is often another one, and the one that began the stream has often died.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import trio
+
+from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.exchanges.serving import RequestKind, Route
+from hopstep.domain.exchanges.streams.origin import StreamOrigin
+from hopstep.domain.exchanges.streams.origin_records import (
+    OriginRecord,
+    OriginRecords,
+    stream_key,
+)
+from hopstep.domain.exchanges.streams.version_claims import VersionClaim, sole_version
+from hopstep.ports.node_exchange import NodeExchange, OriginAnswer, OriginQuery, OriginUpdate
+from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.streams.origin_holders import OriginHolders
+from hopstep.services.exchanges.streams.origin_lookup import OriginLookup, OriginSource
+from hopstep.services.exchanges.streams.origin_messages import read_record
+from hopstep.services.exchanges.streams.origin_sharing import Inquiry, OriginSharing
+
+FRESH_SECONDS = 3.0
+"""Age up to which a node's view of the directory is recent: twice the interval of its readings."""
+
+KEPT_BEYOND_SECONDS = 1.0
+"""Time for which a record is kept after its client's deadline, for clocks and delays."""
+
+OriginMessage = OriginUpdate | OriginQuery | OriginAnswer
+
+
+class StreamOrigins:
+    """The origins of streams that this node knows."""
+
+    def __init__(self, knowledge: ServingKnowledge, exchange: NodeExchange) -> None:
+        """Start without records. Must be called inside the event loop.
+
+        Args:
+            knowledge: Instances, configuration and nodes.
+            exchange: Sends datagrams to other nodes.
+        """
+        self._knowledge = knowledge
+        self._versions = knowledge.instances.versions
+        self._started_at = trio.current_time()
+        self._own = OriginRecords()
+        self._kept = OriginRecords()
+        self._sharing = OriginSharing(knowledge, OriginHolders(knowledge), exchange)
+        self._shared_services: set[str] = set()
+
+    def note_begun(self, request: ExchangeRequest, origin: StreamOrigin) -> None:
+        """Remember the origin of a stream whose first event is about to be sent to the client.
+
+        Args:
+            request: The request that began or resumed it.
+            origin: What began it.
+        """
+        if not is_resumable(request.route):
+            return
+        now = trio.current_time()
+        self._versions.note_stream_seconds(request.client_deadline - request.received_at)
+        keep_until = request.client_deadline + KEPT_BEYOND_SECONDS
+        record = OriginRecord(_key(request), origin, now, keep_until)
+        self._own.put(record, now)
+        if self._needs_copies(request.route, origin.service, now):
+            self._sharing.put((record,))
+
+    async def find(self, request: ExchangeRequest) -> OriginLookup:
+        """Return what began the stream that a client resumes.
+
+        The other nodes are asked even if this one knows a single version: another node may have
+        learned of a further one earlier.
+        """
+        key = _key(request)
+        known = self._known(key)
+        if known is not None:
+            age = trio.current_time() - known.began_at
+            return OriginLookup(OriginSource.OWN, known.origin, self._knowledge.name, age)
+        services = [share.service for share in request.route.shares]
+        service = services[0] if len(services) == 1 else ""
+        inquiry = await self._sharing.ask(
+            key, service, lambda inquiry: bool(self._sole_version(service, inquiry))
+        )
+        return self._conclude(service, inquiry)
+
+    def _conclude(self, service: str, inquiry: Inquiry) -> OriginLookup:
+        """Return what follows from the answers of other nodes."""
+        answered = len(inquiry.claims)
+        record = inquiry.record
+        if record is not None:
+            age = trio.current_time() - record.began_at
+            return OriginLookup(
+                OriginSource.NODE, record.origin, inquiry.node, age, inquiry.asked, answered
+            )
+        version = self._sole_version(service, inquiry)
+        if not version:
+            return OriginLookup(OriginSource.UNKNOWN, asked=inquiry.asked, answered=answered)
+        origin = StreamOrigin(service, version)
+        return OriginLookup(
+            OriginSource.SOLE_VERSION, origin, asked=inquiry.asked, answered=answered
+        )
+
+    def _sole_version(self, service: str, inquiry: Inquiry) -> str:
+        """Return the only version that may have begun a stream; empty when unknown."""
+        if not service:
+            return ""
+        return sole_version(self._claim(service), inquiry.claims, inquiry.asked)
+
+    async def take(self, sender: str, message: OriginMessage) -> None:
+        """Apply another node's message."""
+        now = trio.current_time()
+        match message:
+            case OriginUpdate(_, origins):
+                for origin in origins:
+                    self._kept.put(read_record(origin, now), now)
+            case OriginQuery():
+                record = self._known(message.key)
+                await self._sharing.answer(sender, message, record, self._claim(message.service))
+            case OriginAnswer():
+                self._sharing.take_answer(sender, message)
+
+    async def run(self) -> None:
+        """Send records, and share all of a service's once it has several versions."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._sharing.run)
+            while True:
+                self._share_mixed()
+                await self._knowledge.changed.wait()
+
+    def _share_mixed(self) -> None:
+        """Share the running streams of services that have come to have several versions."""
+        now = trio.current_time()
+        mixed = {s for s in self._versions.services() if self._versions.is_mixed(s, now)}
+        for service in mixed - self._shared_services:
+            self._sharing.put(self._own.of_service(service, now))
+        self._shared_services = mixed
+
+    def _known(self, key: bytes) -> OriginRecord | None:
+        """Return this node's record of a stream, the one that began last of two."""
+        now = trio.current_time()
+        records = [r for r in (self._own.get(key, now), self._kept.get(key, now)) if r is not None]
+        return max(records, key=lambda record: record.began_at, default=None)
+
+    def _needs_copies(self, route: Route, service: str, now: float) -> bool:
+        """Return whether a stream's origin can't be known without its record."""
+        return len(route.shares) > 1 or self._versions.is_mixed(service, now)
+
+    def _claim(self, service: str) -> VersionClaim:
+        """Return what this node knows of the software versions of a service.
+
+        Its view is complete if it has followed the directory for long enough, or began with a
+        reading of the store, which has the records of streams of other versions.
+        """
+        now = trio.current_time()
+        recorded = {record.origin.software_version for record in self._records(service, now)}
+        versions = self._versions.recent(service, now) | recorded
+        followed_seconds = now - self._started_at
+        has_read_store = self._knowledge.contact.read_at >= self._started_at
+        return VersionClaim(
+            tuple(sorted(versions)),
+            has_read_store or followed_seconds >= self._versions.retention_seconds,
+            self._knowledge.keys.age_seconds <= FRESH_SECONDS,
+        )
+
+    def _records(self, service: str, now: float) -> Iterable[OriginRecord]:
+        """Return this node's records of a service's streams."""
+        yield from self._own.of_service(service, now)
+        yield from self._kept.of_service(service, now)
+
+
+def is_resumable(route: Route) -> bool:
+    """Return whether clients may resume the streams of a route."""
+    return route.kind is RequestKind.STREAM and route.resumable
+
+
+def is_resumed(request: ExchangeRequest) -> bool:
+    """Return whether a request goes on with a stream that another request began."""
+    return is_resumable(request.route) and bool(request.resumes or request.resume_after)
+
+
+def _key(request: ExchangeRequest) -> bytes:
+    """Return the key of the stream that a request began, or that it resumes."""
+    tenant = request.tenant.name if request.tenant is not None else ""
+    return stream_key(tenant, request.route.name, request.resumes or request.request_id)
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -24,6 +24,7 @@
 from hopstep.domain.exchanges.rollout_lease_state import RolloutHolder
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.store_contents import ContentsPosition
+from hopstep.domain.exchanges.streams.version_claims import VersionClaim
 from hopstep.domain.limits.fleet_usage import Usage
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
 from hopstep.domain.store_position import UNSPECIFIED_ERA, StorePosition
@@ -33,12 +34,16 @@
     LeavingInstance,
     LimitedInstance,
     LoadingEngine,
+    OriginAnswer,
+    OriginQuery,
+    OriginUpdate,
     RelayAnswer,
     RelayDigest,
     RelayedEntry,
     RelayQuery,
     ReportedChange,
     ReportedEntry,
+    ReportedOrigin,
     ReportedRecord,
     SegmentUpdate,
     SentPrompt,
@@ -77,7 +82,7 @@
 """Version without the memory and speed of instances, and without suspected instances."""
 
 BEFORE_SOFTWARE_VERSIONS = "form-4"
-"""Version without the software versions of instances."""
+"""Version without the software versions of instances and the origins of streams."""
 
 NODES = {"a": NodeRecord("1.2.3.4:5", "z", b"key-a")}
 COMPRESSED = 1
@@ -117,6 +122,7 @@
 ENTRIES_BEFORE_ERAS = tuple(
     msgspec.structs.replace(entry, era=0) for entry in ENTRIES_BEFORE_SOFTWARE_VERSIONS
 )
+ORIGIN = ReportedOrigin(b"\x00\xff" * 6, "llm", "v1", "i1@5", 700, 9_300)
 CRASHES = RequestCrashes(b"\x00\xff" * 8, (Crash("i1@5", "a"),), ("i0@1",))
 MESSAGES = {
     "query": RelayQuery(2, 77, "feed", 12, HINTS, (ContentsPosition("10.0.0.9:80", "c", 3),), 3),
@@ -141,6 +147,9 @@
         (CRASHES,),
         (SuspectedInstance("i5@9", 400, "a"),),
     ),
+    "origins": OriginUpdate(11, (ORIGIN,)),
+    "origin query": OriginQuery(12, ORIGIN.key, "llm"),
+    "origin answer": OriginAnswer(12, ORIGIN, VersionClaim(("v1", "v2"), True, True)),
 }
 RECORDS = {
     "node": encode_node(NodeRecord("1.2.3.4:5", "z", b"key-a", 1.5, MESSAGE_FORMAT_VERSION, ERA)),
