Keep origins of streams in the store, so that they outlast all nodes at once

Cause: records of streams were in nodes' memories only. Change: while a service has several versions, one relay for every 24 nodes writes the records of new streams, 0.3 s of them at a time, under keys of short leases; every node reads them with its first reading of the store, and relays by their watch. They aren't passed on between nodes: who needs one asks. HS3114 tells a write that failed.

--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -457,6 +457,14 @@
     "Nothing while `candidates` is above 0. `known_from` is `unknown` where the resume is refused.",
 )
 
+ORIGINS_NOT_WRITTEN = LogEvent(
+    "HS3114",
+    "origins_not_written",
+    Level.INFO,
+    ("records", "code"),
+    "Nothing while the store is down; written later. Else look the code up in the errors page.",
+)
+
 RESPONSE_RELAYED_IN_PARTS = LogEvent(
     "HS3121",
     "response_relayed_in_parts",
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -372,10 +372,12 @@
     Attributes:
         number: Rises with each message of the process.
         origins: The origins.
+        for_store: Whether the receiver is to write them to the store.
     """
 
     number: int
     origins: tuple[ReportedOrigin, ...] = ()
+    for_store: bool = False
 
 
 class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/hopstep/services/exchanges/directory/knowledge.py
+++ b/hopstep/services/exchanges/directory/knowledge.py
@@ -54,6 +54,7 @@
 from hopstep.services.exchanges.directory.known_nodes import KnownNodes
 from hopstep.services.exchanges.directory.known_records import KnownRecords
 from hopstep.services.exchanges.directory.known_weights import KnownWeights
+from hopstep.services.exchanges.directory.records import is_passed_on
 from hopstep.services.exchanges.directory.store_history import StoreHistory
 
 MAX_WATCH_GAP_SECONDS = 1.0
@@ -234,6 +235,9 @@
         """
         applied = False
         for entry in sorted(entries, key=lambda entry: entry.position):
+            if not is_passed_on(entry.key):
+                self._apply_change(entry, self._origin(entry, source, NO_POSITION))
+                continue
             known = self.feed.get(entry.key)
             if _is_same_write(known, entry) or self._is_outdated(entry.change.change):
                 continue
--- a/hopstep/services/exchanges/directory/records.py
+++ b/hopstep/services/exchanges/directory/records.py
@@ -14,6 +14,18 @@
 """Exists while a node holds the rollout lease; its value is a ``RolloutHolder``."""
 
 
+STREAMS_PREFIX = "hopstep/streams/"
+"""Prefix of the keys of origins of streams; each value is a list of ``ReportedOrigin``."""
+
+
+def is_passed_on(key: str) -> bool:
+    """Return whether nodes pass on the changes of a key to each other.
+
+    Origins of streams are many, and a node that needs one asks for it.
+    """
+    return not key.startswith(STREAMS_PREFIX)
+
+
 def encode_holder(holder: RolloutHolder) -> bytes:
     """Return the value of the rollout's key."""
     return msgspec.json.encode(holder)
--- a/hopstep/services/exchanges/streams/origin_holders.py
+++ b/hopstep/services/exchanges/streams/origin_holders.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from hopstep.domain.exchanges.nodes import FORMAT_VERSION_WITH_STREAMS
-from hopstep.domain.rendezvous import Rendezvous
+from hopstep.domain.exchanges.nodes import FORMAT_VERSION_WITH_STREAMS, NODES_PER_RELAY
+from hopstep.domain.rendezvous import Rendezvous, hash_name
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 
 HASHED_HOLDERS = 3
-"""Nodes that keep a record besides the one that began the stream and its relay."""
+"""Nodes that keep a record besides the one that began the stream and its writer."""
 
 ASKED_HASHED = 5
 """Nodes with the highest rank for a stream that are asked: the holders, also after two nodes of a
@@ -35,11 +35,27 @@
         )
 
     def keepers(self, key: bytes) -> list[str]:
-        """Return the nodes that keep the record of a stream that this node has begun."""
+        """Return the other nodes that keep the record of a stream that this node has begun."""
         others = self.others()
-        relay = self._knowledge.relays.relay()
         chosen = self._ranked(key, others, HASHED_HOLDERS)
-        return sorted({*chosen, *({relay} & others)})
+        return sorted({*chosen, self.writer()} - {self._knowledge.name})
+
+    def writers(self) -> int:
+        """Return the number of nodes that write records to the store."""
+        return -(-self._knowledge.count_nodes() // NODES_PER_RELAY)
+
+    def writer(self) -> str:
+        """Return the relay that writes this node's records to the store.
+
+        Relays see the writes of all others by their watches, so they know all records then.
+        """
+        relays = self.others().intersection(self._knowledge.relays.digest_targets())
+        if not self._knowledge.relays.relay():
+            relays |= {self._knowledge.name}
+        ranked = sorted(relays, key=hash_name)[: self.writers()]
+        if not ranked:
+            return self._knowledge.name
+        return ranked[hash_name(self._knowledge.name) % len(ranked)]
 
     def asked(self, key: bytes) -> list[str]:
         """Return the nodes that are asked for the record of a stream."""
--- a/hopstep/services/exchanges/streams/origin_sharing.py
+++ b/hopstep/services/exchanges/streams/origin_sharing.py
@@ -106,7 +106,8 @@
             part = records[first : first + MAX_UPDATE_ORIGINS]
             self._number += 1
             origins = tuple(report_record(record, now) for record in part)
-            await self._send(OriginUpdate(self._number, origins), name)
+            for_store = name == self._holders.writer()
+            await self._send(OriginUpdate(self._number, origins, for_store), name)
 
     async def ask(self, key: bytes, service: str, is_enough: Callable[[Inquiry], bool]) -> Inquiry:
         """Ask other nodes for the origin of a stream.
--- /dev/null
+++ b/hopstep/services/exchanges/streams/stored_origins.py
@@ -0,0 +1,130 @@
+"""Records of origins in the store, so that they outlast all nodes.
+
+Few nodes write, each for many others, in batches: each write wakes every node that watches the
+store. The keys are bound to short leases and end by themselves.
+"""
+
+from __future__ import annotations
+
+import secrets
+from collections import deque
+from collections.abc import Iterable
+
+import msgspec
+import trio
+
+from hopstep import log_events
+from hopstep.domain.exchanges.streams.origin_records import OriginRecord
+from hopstep.domain.store_position import ABSENT, StoreLease
+from hopstep.exceptions import StoreConflictError, StoreError
+from hopstep.logs import emit
+from hopstep.ports.key_value_store import KeyValueStorePort
+from hopstep.ports.node_exchange import ReportedOrigin
+from hopstep.ports.serving_directory import RecordWritten
+from hopstep.services.exchanges.directory.records import STREAMS_PREFIX
+from hopstep.services.exchanges.streams.origin_messages import read_record, report_record
+
+WRITE_SPACING_SECONDS = 0.3
+"""Shortest time between two writes of all nodes together, on average."""
+
+RETRY_SECONDS = 0.5
+
+LEASE_USE_SECONDS = 10.0
+"""Time for which a lease is used for further keys."""
+
+MAX_BATCH = 512
+"""Records in one write: some 40 kB."""
+
+MAX_UNWRITTEN = 4_096
+"""Records that wait to be written; the oldest ones are dropped."""
+
+WRITER_TOKEN_BYTES = 4
+
+
+class StoredOrigins:
+    """Writes records to the store, and reads those that any node has written."""
+
+    def __init__(self, name: str, store: KeyValueStorePort) -> None:
+        """Start without records. Must be called inside the event loop.
+
+        Args:
+            name: Name of this node.
+            store: The store.
+        """
+        self._prefix = f"{STREAMS_PREFIX}{name}/{secrets.token_hex(WRITER_TOKEN_BYTES)}/"
+        self._store = store
+        self._unwritten: deque[OriginRecord] = deque(maxlen=MAX_UNWRITTEN)
+        self._filled = trio.Event()
+        self._writes = 0
+        self._lease: StoreLease | None = None
+        self._lease_until = -float("inf")
+        self._keep_seconds = 0.0
+        self.writers = 1
+
+    def put(self, records: Iterable[OriginRecord]) -> None:
+        """Write records with the next batch."""
+        self._unwritten.extend(records)
+        if self._unwritten:
+            self._filled.set()
+
+    @staticmethod
+    def read(record: RecordWritten) -> list[OriginRecord]:
+        """Return the records of a key; none when the key has ended.
+
+        Their ages count from now: they are kept a little longer than their clients hold on.
+
+        Raises:
+            msgspec.DecodeError: Names the field that can't be read.
+        """
+        if not record.value:
+            return []
+        now = trio.current_time()
+        reported = msgspec.json.decode(record.value, type=tuple[ReportedOrigin, ...])
+        return [read_record(each, now) for each in reported]
+
+    async def run(self) -> None:
+        """Write records until cancelled."""
+        while True:
+            await self._filled.wait()
+            batch = self._take_batch()
+            try:
+                if batch:
+                    await self._write(batch)
+            except StoreError as error:
+                self._unwritten.extendleft(reversed(batch))
+                self._note_failure(error, len(batch))
+                await trio.sleep(RETRY_SECONDS)
+                continue
+            if not self._unwritten:
+                self._filled = trio.Event()
+            await trio.sleep(WRITE_SPACING_SECONDS * self.writers)
+
+    def _take_batch(self) -> list[OriginRecord]:
+        """Remove and return the latest records that clients may still resume."""
+        now = trio.current_time()
+        live = [record for record in self._unwritten if now < record.keep_until]
+        self._unwritten.clear()
+        return live[-MAX_BATCH:]
+
+    async def _write(self, batch: list[OriginRecord]) -> None:
+        """Write a batch under a key of its own."""
+        now = trio.current_time()
+        lease = await self._current_lease(max(record.keep_until for record in batch) - now)
+        self._writes += 1
+        value = msgspec.json.encode(tuple(report_record(record, now) for record in batch))
+        await self._store.compare_and_swap(f"{self._prefix}{self._writes}", ABSENT, value, lease)
+
+    async def _current_lease(self, keep_seconds: float) -> StoreLease:
+        """Return a lease that lasts for at least a time from now on."""
+        now = trio.current_time()
+        if self._lease is None or now >= self._lease_until or keep_seconds > self._keep_seconds:
+            self._keep_seconds = max(self._keep_seconds, keep_seconds)
+            self._lease = await self._store.grant_lease(LEASE_USE_SECONDS + self._keep_seconds)
+            self._lease_until = now + LEASE_USE_SECONDS
+        return self._lease
+
+    def _note_failure(self, error: StoreError, records: int) -> None:
+        """Log a failed write, and use another lease for the next one if this one has ended."""
+        if isinstance(error, StoreConflictError):
+            self._lease = None
+        emit(log_events.ORIGINS_NOT_WRITTEN, records=records, code=error.code.value)
--- a/hopstep/services/exchanges/streams/stream_origins.py
+++ b/hopstep/services/exchanges/streams/stream_origins.py
@@ -20,12 +20,16 @@
     stream_key,
 )
 from hopstep.domain.exchanges.streams.version_claims import VersionClaim, sole_version
+from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.ports.node_exchange import NodeExchange, OriginAnswer, OriginQuery, OriginUpdate
+from hopstep.ports.serving_directory import RecordWritten
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.records import STREAMS_PREFIX
 from hopstep.services.exchanges.streams.origin_holders import OriginHolders
 from hopstep.services.exchanges.streams.origin_lookup import OriginLookup, OriginSource
 from hopstep.services.exchanges.streams.origin_messages import read_record
 from hopstep.services.exchanges.streams.origin_sharing import Inquiry, OriginSharing
+from hopstep.services.exchanges.streams.stored_origins import StoredOrigins
 
 FRESH_SECONDS = 3.0
 """Age up to which a node's view of the directory is recent: twice the interval of its readings."""
@@ -39,20 +43,26 @@
 class StreamOrigins:
     """The origins of streams that this node knows."""
 
-    def __init__(self, knowledge: ServingKnowledge, exchange: NodeExchange) -> None:
+    def __init__(
+        self, knowledge: ServingKnowledge, exchange: NodeExchange, store: KeyValueStorePort
+    ) -> None:
         """Start without records. Must be called inside the event loop.
 
         Args:
             knowledge: Instances, configuration and nodes.
             exchange: Sends datagrams to other nodes.
+            store: Keeps records of all nodes.
         """
         self._knowledge = knowledge
         self._versions = knowledge.instances.versions
         self._started_at = trio.current_time()
         self._own = OriginRecords()
         self._kept = OriginRecords()
-        self._sharing = OriginSharing(knowledge, OriginHolders(knowledge), exchange)
+        self._holders = OriginHolders(knowledge)
+        self._sharing = OriginSharing(knowledge, self._holders, exchange)
+        self._stored = StoredOrigins(knowledge.name, store)
         self._shared_services: set[str] = set()
+        knowledge.records.subscribe_records(STREAMS_PREFIX, self._take_stored)
 
     def note_begun(self, request: ExchangeRequest, origin: StreamOrigin) -> None:
         """Remember the origin of a stream whose first event is about to be sent to the client.
@@ -69,7 +79,7 @@
         record = OriginRecord(_key(request), origin, now, keep_until)
         self._own.put(record, now)
         if self._needs_copies(request.route, origin.service, now):
-            self._sharing.put((record,))
+            self._share((record,))
 
     async def find(self, request: ExchangeRequest) -> OriginLookup:
         """Return what began the stream that a client resumes.
@@ -116,19 +126,45 @@
         """Apply another node's message."""
         now = trio.current_time()
         match message:
-            case OriginUpdate(_, origins):
-                for origin in origins:
-                    self._kept.put(read_record(origin, now), now)
+            case OriginUpdate():
+                self._take_records(message, now)
             case OriginQuery():
                 record = self._known(message.key)
                 await self._sharing.answer(sender, message, record, self._claim(message.service))
             case OriginAnswer():
                 self._sharing.take_answer(sender, message)
 
+    def _take_records(self, update: OriginUpdate, now: float) -> None:
+        """Keep another node's records, and write them to the store if it asks for that."""
+        records = [read_record(origin, now) for origin in update.origins]
+        for record in records:
+            self._kept.put(record, now)
+        if update.for_store:
+            self._write(records)
+
+    def _take_stored(self, written: RecordWritten) -> None:
+        """Keep the records that any node has written to the store."""
+        now = trio.current_time()
+        for record in self._stored.read(written):
+            self._kept.put(record, now)
+
+    def _share(self, records: Iterable[OriginRecord]) -> None:
+        """Let other nodes and the store keep records of this node's streams."""
+        records = tuple(records)
+        self._sharing.put(records)
+        if self._holders.writer() == self._knowledge.name:
+            self._write(records)
+
+    def _write(self, records: Iterable[OriginRecord]) -> None:
+        """Write records to the store."""
+        self._stored.writers = self._holders.writers()
+        self._stored.put(records)
+
     async def run(self) -> None:
-        """Send records, and share all of a service's once it has several versions."""
+        """Share and write records until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._sharing.run)
+            nursery.start_soon(self._stored.run)
             while True:
                 self._share_mixed()
                 await self._knowledge.changed.wait()
@@ -138,7 +174,7 @@
         now = trio.current_time()
         mixed = {s for s in self._versions.services() if self._versions.is_mixed(s, now)}
         for service in mixed - self._shared_services:
-            self._sharing.put(self._own.of_service(service, now))
+            self._share(self._own.of_service(service, now))
         self._shared_services = mixed
 
     def _known(self, key: bytes) -> OriginRecord | None:
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -130,6 +130,7 @@
 class RecordedAnswer(ClientAnswer):
     def __init__(self):
         self.status = None
+        self.started_at = None
         self.headers = ()
         self.body = b""
         self.finished = False
@@ -137,6 +138,7 @@
 
     async def start(self, status, headers, length):
         await trio.lowlevel.checkpoint()
+        self.started_at = trio.current_time()
         self.status = status
         self.headers = headers
 
--- a/tests/services/exchanges/versioned_streams.py
+++ b/tests/services/exchanges/versioned_streams.py
@@ -45,6 +45,7 @@
 
     Attributes:
         origin: Id of the try that brought the first event; empty before that.
+        began_at: When that event came.
         last_event: Number of the last event that the client has; empty before the first.
         events: Request id and number of each event that the client has.
         errors: Refusals, in order.
@@ -54,6 +55,7 @@
     def __init__(self, name):
         self.name = name
         self.origin = ""
+        self.began_at = float("inf")
         self.last_event = ""
         self.events = []
         self.errors = []
@@ -64,6 +66,7 @@
         ids = [int(line[3:]) for line in answer.body.decode().splitlines() if line[:3] == "id:"]
         if ids and not self.origin:
             self.origin = request_id
+            self.began_at = answer.started_at
         self.events += [(request_id, number) for number in ids]
         self.last_event = str(ids[-1]) if ids else self.last_event
         self.complete = answer.finished
@@ -80,6 +83,7 @@
         streams: All streams that clients began.
         began: Tries of new streams.
         resumed: Tries that resume a stream.
+        all_killed_at: When no node was alive any more; None as long as one was.
     """
 
     def __init__(self, nodes=3, seed=1, zones=1):
@@ -88,6 +92,7 @@
         self.began = Shares()
         self.resumed = Shares()
         self.generator = random.Random(seed)
+        self.all_killed_at = None
         self._tries = {number: set() for number in range(nodes)}
         self._dead = set()
         self._started = 0
@@ -104,6 +109,8 @@
     def kill_node(self, number):
         """Kill a node; the connections of its clients break."""
         self._dead.add(number)
+        if len(self._dead) == len(self._tries):
+            self.all_killed_at = trio.current_time()
         self.world.kill_node(number)
         for scope in self._tries[number]:
             scope.cancel()
@@ -202,6 +209,15 @@
         ids = {request_id for s in self.streams if s.complete for request_id, _number in s.events}
         return sum(runs[request_id] > 1 for request_id in ids)
 
+    def lost(self, older_than):
+        """Return the streams that were open when all nodes died, for longer, and never completed.
+
+        Args:
+            older_than: Seconds between the first event of a stream and the death of all nodes.
+        """
+        began_by = self.all_killed_at - older_than
+        return [s.name for s in self.streams if not s.complete and s.began_at < began_by]
+
     def mixed(self):
         """Return the names of the streams that hold events of several software versions."""
         return [stream.name for stream in self.streams if len(self.versions(stream)) > 1]
