Ask again after 30 ms where another node doesn't answer for a stream's origin

A resume waited 0.1 s for nodes that had died, also where the service has one version. Now 30 ms, if half of the asked nodes answered and all of these know a single version.

--- a/hopstep/services/exchanges/streams/origin_sharing.py
+++ b/hopstep/services/exchanges/streams/origin_sharing.py
@@ -26,10 +26,10 @@
 from hopstep.services.exchanges.streams.origin_holders import OriginHolders
 from hopstep.services.exchanges.streams.origin_messages import read_record, report_record
 
-ROUND_SECONDS = 0.1
-"""Time after which nodes that haven't answered are asked again."""
-
-MAX_ROUNDS = 3
+ROUND_SECONDS = (0.03, 0.1, 0.1)
+"""Times after which nodes that haven't answered are asked again, at last given up. Answers take a
+few milliseconds within a region; the first round is short since nodes that have died are asked
+too."""
 
 MAX_UPDATE_ORIGINS = 200
 """Records in one message: some 16 kB."""
@@ -118,7 +118,7 @@
             is_enough: Whether the answers so far decide, asked after each round.
 
         Returns:
-            The answers: a record, all answers without one, or what came within ``MAX_ROUNDS``.
+            The answers: a record, all answers without one, or what came within ``ROUND_SECONDS``.
         """
         names = self._holders.asked(key)
         inquiry = Inquiry(set(names), len(names), claims=[])
@@ -126,10 +126,10 @@
         number = self._number
         self._inquiries[number] = inquiry
         try:
-            for _ in range(MAX_ROUNDS):
+            for round_seconds in ROUND_SECONDS:
                 for name in sorted(inquiry.missing):
                     await self._send(OriginQuery(number, key, service), name)
-                with trio.move_on_after(ROUND_SECONDS):
+                with trio.move_on_after(round_seconds):
                     while inquiry.missing and inquiry.record is None:
                         await inquiry.progress.wait()
                 if inquiry.record is not None or not inquiry.missing or is_enough(inquiry):
--- a/hopstep/services/exchanges/streams/stream_origins.py
+++ b/hopstep/services/exchanges/streams/stream_origins.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Iterable
 
 import trio
@@ -94,11 +95,14 @@
             return OriginLookup(OriginSource.OWN, known.origin, self._knowledge.name, age)
         services = [share.service for share in request.route.shares]
         service = services[0] if len(services) == 1 else ""
-        inquiry = await self._sharing.ask(
-            key, service, lambda inquiry: bool(self._sole_version(service, inquiry))
-        )
+        inquiry = await self._sharing.ask(key, service, functools.partial(self._is_enough, service))
         return self._conclude(service, inquiry)
 
+    def _is_enough(self, service: str, inquiry: Inquiry) -> bool:
+        """Return whether a single version is known, also to half of the nodes that were asked."""
+        enough_answered = 2 * len(inquiry.claims) >= inquiry.asked
+        return enough_answered and bool(self._sole_version(service, inquiry))
+
     def _conclude(self, service: str, inquiry: Inquiry) -> OriginLookup:
         """Return what follows from the answers of other nodes."""
         answered = len(inquiry.claims)
