Let a client's resume wait before new requests

What callers would see: their resume waits behind all new requests for the instances of its version, and their time runs out. Cause: only what had begun within the same answer went first in a node's queue. Whether it is refused early still goes by its own answer, of which nothing was delivered yet.

--- a/hopstep/domain/exchanges/waiting_order.py
+++ b/hopstep/domain/exchanges/waiting_order.py
@@ -16,7 +16,8 @@
 from hopstep.domain.fair_queue import FairQueue, QueueEntry
 
 STARTED_RANK = -1
-"""Rank of requests whose answer has begun: their clients have a part of it already."""
+"""Rank of requests whose stream has begun, in this answer or an earlier one: their clients have a
+part of it already."""
 
 CLASSES_PER_RANK = 2
 """Priorities of the fair queue for each rank: requests in time, then late ones."""
--- a/hopstep/services/exchanges/requests/request_queue.py
+++ b/hopstep/services/exchanges/requests/request_queue.py
@@ -149,16 +149,17 @@
         self._next_id += 1
         request, service, prompt = scope.request, scope.service, scope.request.prompt
         first_byte = self.refusals.first_bytes.expected(request.route.name)
+        rank = request.rank if scope.origin is None else STARTED_RANK
         order = WaitingRequest(
             entry_id=str(self._next_id),
             tenant=request.tenant.name if request.tenant is not None else "",
-            rank=STARTED_RANK if started else request.rank,
+            rank=rank,
             tokens=1 + (prompt.prompt_tokens + prompt.answer_tokens if prompt is not None else 0),
             late_from=request.received_at + request.route.objective_seconds - first_byte,
         )
         service_order = self._orders.setdefault(service, WaitingOrder())
         place = self.refusals.place_on_arrival(service, service_order, order)
-        return WaitingExchange(order, scope, trio.current_time(), place)
+        return WaitingExchange(order, scope, trio.current_time(), place, started)
 
     def _refuse_if_late(self, waiting: WaitingExchange, place: Place, capacity: Capacity) -> None:
         """Refuse a request whose answer would come after its deadline.
@@ -198,7 +199,8 @@
         """
         lasts = (order.last() for order in self._orders.values())
         waiting = [self._waiting[last.entry_id] for last in lasts if last is not None]
-        if all(each.order.rank == STARTED_RANK for each in waiting):
+        waiting = [each for each in waiting if not each.started]
+        if not waiting:
             return False
         last = max(waiting, key=lambda each: (each.order.rank, each.order.late, each.began_at))
         place = self._place(last)
@@ -213,8 +215,7 @@
         Raises:
             ServiceError: The request is refused.
         """
-        started = waiting.order.rank == STARTED_RANK
-        if not started:
+        if not waiting.started:
             first_byte = self.refusals.first_bytes.expected(waiting.request.route.name)
             last_useful = last_useful_at(waiting.request.first_byte_by, first_byte)
             await _wait_until(waiting.woken, min(waiting.order.late_from, last_useful))
--- a/hopstep/services/exchanges/requests/waiting_exchange.py
+++ b/hopstep/services/exchanges/requests/waiting_exchange.py
@@ -27,6 +27,7 @@
         scope: The request, and which instances may serve it.
         began_at: When it began to wait, by the steady clock in seconds.
         place: Its place in the order then.
+        started: Whether a part of the answer was delivered: then it isn't refused.
         woken: Set when its wait has ended.
         candidate: Instance that was chosen for it; None when there is none.
         error: Why it was refused; None when it wasn't.
@@ -36,6 +37,7 @@
     scope: InstanceScope
     began_at: float
     place: Place
+    started: bool = False
     woken: trio.Event = msgspec.field(default_factory=trio.Event)
     candidate: Candidate | None = None
     error: ServiceError | None = None
