Doubt a stream's version where its instance had started again under its id by then

What callers would see: a stream of two versions, where an instance comes back under its id with other software and answers before nodes have read its new entry: the record named the entry's version. Cause: the version was taken from the entry that the sending node had, which may lag behind the process that answers. Evidence: both tests of RestartedInstancesTest about a lagging entry, which failed: the resume went on at the outdated version. Change: a node remembers which incarnation followed which, when, with what version. A stream that began before two seconds had passed since then, or after the later entry was read, is doubtful: its resume is refused, its answer cut if it breaks. Not covered: a resume before any node has read the later entry.

--- a/hopstep/services/exchanges/directory/instance_changes.py
+++ b/hopstep/services/exchanges/directory/instance_changes.py
@@ -17,6 +17,7 @@
 from hopstep.domain.exchanges.instances import Instance, InstanceIncarnation
 from hopstep.domain.exchanges.store_contact import ENTRY_LAPSE_SECONDS, StoreContact
 from hopstep.domain.exchanges.streams.listed_versions import ListedVersions
+from hopstep.domain.exchanges.streams.successions import Successions
 from hopstep.domain.quarantine.crashes import TerminationEvidence
 from hopstep.logs import emit
 from hopstep.services.exchanges.directory.change_origin import ChangeOrigin
@@ -39,6 +40,7 @@
 
     Attributes:
         versions: Software versions of the listed instances, and of those that have gone lately.
+        successions: Incarnations that were followed by others under their ids.
     """
 
     def __init__(self, table: InstanceTable, contact: StoreContact) -> None:
@@ -53,6 +55,7 @@
         self._termination_listeners: list[TerminationListener] = []
         self._terminated: OrderedDict[InstanceIncarnation, None] = OrderedDict()
         self.versions = ListedVersions()
+        self.successions = Successions()
 
     def subscribe_terminations(self, listener: TerminationListener) -> None:
         """Call a listener for each instance that the directory shows to be terminated."""
@@ -65,6 +68,7 @@
         was_draining = previous is not None and previous.draining
         if previous is not None and not is_same_incarnation(previous, instance):
             self._report_terminated(previous.incarnation, TerminationEvidence.RESTARTED)
+            self.successions.note(previous, instance, trio.current_time())
         is_new = self._table.put(instance)
         listed = self._table.get(instance.instance_id)
         current = listed.instance if listed is not None else None
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -66,6 +66,7 @@
         )
         self.scope = InstanceScope(request, service)
         self.waits = InstanceWaits(parts, self.scope, self.outcome)
+        self._stream_began_at = float("inf")
         self._unsent_attempts = 0
         self._may_have_run = False
         self._gate = QuarantineGate(parts.quarantine, parts.calls, request, self.outcome)
@@ -141,6 +142,8 @@
             if only is not None:
                 continue
             step = decide_step(self._progress(error))
+            if step is NextStep.RESUME and self._is_origin_doubtful():
+                step = NextStep.CUT
             self._log_attempt(candidate.view, error, step)
             if step in FURTHER_STEPS:
                 await self._gate.settle(candidate.view)
@@ -244,9 +247,15 @@
 
     def _note_stream_begun(self, view: InstanceView) -> None:
         """Let the stream go on only where the software is that of its first instance."""
+        self._stream_began_at = trio.current_time()
         self.scope.origin = self.scope.origin or StreamOrigin.of(view.instance)
         self._parts.origins.note_begun(self._request, self.scope.origin)
 
+    def _is_origin_doubtful(self) -> bool:
+        """Return whether the stream may have begun at other software than is recorded."""
+        origin = self.scope.origin
+        return origin is not None and self._parts.origins.is_doubtful(origin, self._stream_began_at)
+
     def _count_sent(self, view: InstanceView) -> None:
         """Count an attempt that was sent."""
         if self.outcome.attempts:
--- a/hopstep/services/exchanges/streams/origin_lookup.py
+++ b/hopstep/services/exchanges/streams/origin_lookup.py
@@ -26,6 +26,9 @@
     SOLE_VERSION = "sole_version"
     """The service has had a single software version for as long as a stream may last."""
 
+    DOUBTFUL = "doubtful"
+    """The instance that is recorded may have started again, with other software, by then."""
+
     UNKNOWN = "unknown"
     """No node that answered knows the stream, and it may have begun at several versions."""
 
--- a/hopstep/services/exchanges/streams/stream_origins.py
+++ b/hopstep/services/exchanges/streams/stream_origins.py
@@ -10,6 +10,7 @@
 import functools
 from collections.abc import Iterable
 
+import msgspec
 import trio
 
 from hopstep.domain.exchanges.request import ExchangeRequest
@@ -91,8 +92,7 @@
         key = _key(request)
         known = self._known(key)
         if known is not None:
-            age = trio.current_time() - known.began_at
-            return OriginLookup(OriginSource.OWN, known.origin, self._knowledge.name, age)
+            return self._judge(OriginSource.OWN, known, self._knowledge.name)
         services = [share.service for share in request.route.shares]
         service = services[0] if len(services) == 1 else ""
         inquiry = await self._sharing.ask(key, service, functools.partial(self._is_enough, service))
@@ -108,10 +108,8 @@
         answered = len(inquiry.claims)
         record = inquiry.record
         if record is not None:
-            age = trio.current_time() - record.began_at
-            return OriginLookup(
-                OriginSource.NODE, record.origin, inquiry.node, age, inquiry.asked, answered
-            )
+            found = self._judge(OriginSource.NODE, record, inquiry.node)
+            return msgspec.structs.replace(found, asked=inquiry.asked, answered=answered)
         version = self._sole_version(service, inquiry)
         if not version:
             return OriginLookup(OriginSource.UNKNOWN, asked=inquiry.asked, answered=answered)
@@ -120,6 +118,22 @@
             OriginSource.SOLE_VERSION, origin, asked=inquiry.asked, answered=answered
         )
 
+    def is_doubtful(self, origin: StreamOrigin, began_at: float) -> bool:
+        """Return whether a stream may have begun at other software than that of its instance.
+
+        Args:
+            origin: What is recorded of it.
+            began_at: When its first event came, by the steady clock in seconds.
+        """
+        return self._knowledge.instances.successions.makes_doubtful(origin, began_at)
+
+    def _judge(self, source: OriginSource, record: OriginRecord, keeper: str) -> OriginLookup:
+        """Return what follows from the record of a stream."""
+        age = trio.current_time() - record.began_at
+        if self.is_doubtful(record.origin, record.began_at):
+            return OriginLookup(OriginSource.DOUBTFUL, None, keeper, age)
+        return OriginLookup(source, record.origin, keeper, age)
+
     def _sole_version(self, service: str, inquiry: Inquiry) -> str:
         """Return the only version that may have begun a stream; empty when unknown."""
         if not service:
