Let the soak run engines of several software versions, with callers that resume at other nodes

Profile software versions (by name; seeds from 70000 on draw it among everything): rolling replacements there and back, crashed engines that come back, also under their ids, with any of the versions, nodes killed one and all. Callers hold streams, break them off and resume them at any node with what the platform's clients name. Two checks with the users' bounds: no more than two streams of several versions; resumes at nodes without faults go on at least half as often as new streams begin, while two instances of their version serve.

--- a/emulator/cli/soak.py
+++ b/emulator/cli/soak.py
@@ -60,6 +60,8 @@
     print(f"soak: seed {seed}, {result.profile}, {result.requests} requests, {result.statuses}")
     print(f"soak: {result.route_changes} changes of routes, faults {result.faults}")
     print(f"soak: {result.impact}")
+    if result.streams.streams:
+        print(f"soak: {result.streams}")
     print(
         f"soak: the machine stood still {stalls.count} times, {stalls.total_seconds:.2f} s in all, "
         f"{stalls.longest_seconds:.2f} s at the longest"
--- a/emulator/exchange_platform/http_instance.py
+++ b/emulator/exchange_platform/http_instance.py
@@ -40,6 +40,7 @@
         model: Name of its model; empty for a plain service.
         load_seconds: Time to load weights.
         born_ms: Unix time of this start in milliseconds.
+        software_version: Version of its software.
     """
 
     instance_id: str
@@ -49,6 +50,7 @@
     model: str = ""
     load_seconds: float = 0.5
     born_ms: int = 1
+    software_version: str = "v1"
 
     @property
     def incarnation(self) -> str:
@@ -89,12 +91,21 @@
 
 
 class RunHeaders(msgspec.Struct, frozen=True):
-    """Headers that an instance received with a request."""
+    """Headers that an instance received with a request.
+
+    Attributes:
+        request_id: Id of the request.
+        tenant: Tenant.
+        salt: Cache salt.
+        key_shown: Whether the caller's key was among them.
+        first_event: Number of the first event that the caller lacks.
+    """
 
     request_id: str
     tenant: str
     salt: str
     key_shown: bool
+    first_event: int = 0
 
 
 class InstanceListener(Protocol):
@@ -175,7 +186,7 @@
             "service": traits.service,
             "address": address,
             "zone": traits.zone,
-            "version": "v1",
+            "version": traits.software_version,
             "slots": traits.slots,
             "state": "draining" if self.draining else "ready",
             "coldRemainingMs": 0,
@@ -199,6 +210,7 @@
             headers.get("Tenant", ""),
             headers.get("Cache-Salt", ""),
             "X-Api-Key" in headers,
+            int(headers["Last-Event-Id"]) + 1 if "Last-Event-Id" in headers else 0,
         )
         self._listener.run_started(self, shown, stamp)
         wanted = json.loads(body) if body else {}
@@ -212,8 +224,7 @@
             "Weight-Versions": str(self.version),
         }
         if "events" in wanted:
-            first = int(headers["Last-Event-Id"]) + 1 if "Last-Event-Id" in headers else 0
-            events = self._events(request_id, stamp, first, int(wanted["events"]))
+            events = self._events(request_id, stamp, shown.first_event, int(wanted["events"]))
             return quart.Response(events, headers=fields, content_type="text/event-stream")
         return await self._plain(request_id, stamp, fields, float(wanted.get("work_ms", 20.0)))
 
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -213,7 +213,7 @@
         "Host": HOST,
         "Attempt-Id": request.request_id,
         "X-Api-Key": request.key,
-        "Deadline-Ms": str(round(PATIENCE_SECONDS * 1_000)),
+        "Deadline-Ms": str(max(1, round((request.deadline_at - request.sent_at) * 1_000))),
         "Tenant": "forged",
         "Cache-Salt": "forged",
     }
@@ -222,6 +222,9 @@
         headers["Model"] = MODEL
         headers["Token-Usage"] = "2000,50"
         headers["Prompt-Prefix"] = f"{shared}:1800,{request.request_id}:200"
+    if request.resumes:
+        headers["Resumes"] = request.resumes
+        headers["Last-Event-Id"] = str(request.first_event - 1)
     return headers
 
 
@@ -230,5 +233,6 @@
     if request.fatal:
         return json.dumps({"fatal": request.fatal}).encode()
     if request.service == ENGINES:
-        return json.dumps({"events": request.events}).encode()
+        named = {"name": request.name} if request.name else {}
+        return json.dumps({"events": request.events, **named}).encode()
     return json.dumps({"work_ms": 20}).encode()
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -21,6 +21,7 @@
 from emulator.soak.notice_checks import NOTICE_CHECKS
 from emulator.soak.promises import Bounds, Check, Violation
 from emulator.soak.regress_checks import REGRESS_CHECKS
+from emulator.soak.stream_checks import STREAM_CHECKS
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """HTTP statuses that state that the request wasn't executed."""
@@ -88,7 +89,9 @@
 def expected_body(request: SentRequest) -> bytes:
     """Return the body of a request's complete response."""
     if request.kind in (RequestKind.STREAM, RequestKind.RESUMABLE):
-        return b"".join(event_bytes(request.request_id, n) for n in range(request.events))
+        return b"".join(
+            event_bytes(request.request_id, n) for n in range(request.first_event, request.events)
+        )
     return f"done {request.request_id}".encode()
 
 
@@ -370,6 +373,7 @@
     **NOTICE_CHECKS,
     **LIMIT_CHECKS,
     **LINK_CHECKS,
+    **STREAM_CHECKS,
     **REGRESS_CHECKS,
     "processes": processes_stay_alive,
 }
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -43,6 +43,8 @@
 """Time from the start of a fatal request to the instance's crash, shortest and longest."""
 
 RESTART_SECONDS = (0.5, 3.0)
+FIRST_SOFTWARE = "v1"
+
 SAME_ID_SHARE = 0.6
 """Share of crashed instances that start again under their former id."""
 
@@ -115,6 +117,7 @@
         self.nodes: list[NodeLinks] = []
         self.instances: list[InstanceLinks] = []
         self.decoy = ""
+        self.software_versions: tuple[str, ...] = (FIRST_SOFTWARE,)
         self._directory = directory
         self._generator = generator
         self._started = 0
@@ -142,8 +145,20 @@
         for number in range(nodes):
             await self._add_node(f"n{number}", ZONES[number % len(ZONES)], store_address)
 
+    def draw_software(self, service: str) -> str:
+        """Return the software version of an instance that starts: for engines any of those used."""
+        if service != ENGINES or len(self.software_versions) == 1:
+            return FIRST_SOFTWARE
+        return self._generator.choice(self.software_versions)
+
     async def add_instance(
-        self, service: str, zone: str, version: int = 1, instance_id: str = "", port: int = 0
+        self,
+        service: str,
+        zone: str,
+        version: int = 1,
+        instance_id: str = "",
+        port: int = 0,
+        software_version: str = "",
     ) -> InstanceLinks:
         """Start an instance behind a proxy, and list it.
 
@@ -153,6 +168,7 @@
             version: Its weights version.
             instance_id: Id under which it starts again; a new one if empty.
             port: Port at which it is reached; a free one if 0.
+            software_version: Version of its software; any of those used if empty.
         """
         self._started += 1
         self._born_ms += self._generator.randrange(1, 5_000)
@@ -163,6 +179,7 @@
             zone,
             model=model,
             born_ms=self._born_ms,
+            software_version=software_version or self.draw_software(service),
         )
         instance = HttpInstance(traits, self.recorder, self._generator)
         instance.use_nursery(self._nursery)
@@ -177,7 +194,13 @@
         links = InstanceLinks(instance, proxy, scope, trio.current_time())
         self.instances.append(links)
         self.history.instances.append(
-            IncarnationPeriod(traits.incarnation, service, trio.current_time(), is_plain=not model)
+            IncarnationPeriod(
+                traits.incarnation,
+                service,
+                trio.current_time(),
+                is_plain=not model,
+                software_version=traits.software_version,
+            )
         )
         self.recorder.entry_changed(instance)
         return links
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -9,6 +9,9 @@
 
 import msgspec
 
+OK = 200
+EVENT_END = b"\n\n"
+
 STORE = "store"
 """Subject of faults of the store that affect every client."""
 
@@ -69,6 +72,9 @@
         fatal: Name shared by equal requests that crash each instance that begins them; empty for
             other requests.
         head_at: When the head of the response arrived; None without one.
+        first_event: Number of the first event that is still missing, for a resume.
+        resumes: Request that brought the first event of the stream; empty for a new one.
+        name: Name that makes the body differ from those of other callers; empty for none.
     """
 
     request_id: str
@@ -89,6 +95,39 @@
     path: str = ""
     fatal: str = ""
     head_at: float | None = None
+    first_event: int = 0
+    resumes: str = ""
+    name: str = ""
+
+    @property
+    def received(self) -> int:
+        """Number of complete events in the response so far."""
+        return self.body.count(EVENT_END) if self.status == OK else 0
+
+
+class HeldStream(msgspec.Struct):
+    """A stream of a caller, over all its tries.
+
+    Attributes:
+        events: Number of its events.
+        tries: Requests, in order.
+        received: Events that the caller has.
+        origin: Request that brought the first one; empty before that.
+        complete: Whether the caller has the whole stream.
+    """
+
+    events: int
+    tries: list[str] = []
+    received: int = 0
+    origin: str = ""
+    complete: bool = False
+
+    def take(self, request: SentRequest) -> None:
+        """Take the events of a try that has ended."""
+        if request.received and not self.origin:
+            self.origin = request.request_id
+        self.received += request.received
+        self.complete = request.whole and request.status == OK
 
 
 class Run(msgspec.Struct):
@@ -106,6 +145,8 @@
         key_shown: Whether the caller's key reached the instance.
         stamp: Signature of the run.
         ended_at: Its end, complete or not; None while it runs.
+        software_version: Software version of the instance.
+        first_event: Number of the first event that it sends.
     """
 
     request_id: str
@@ -119,6 +160,8 @@
     key_shown: bool
     stamp: str
     ended_at: float | None = None
+    software_version: str = ""
+    first_event: int = 0
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -194,6 +237,7 @@
         since: When it was listed.
         is_plain: Whether it belongs to a plain service rather than to engines.
         until: Its end; infinite while it runs.
+        software_version: Version of its software.
     """
 
     incarnation: str
@@ -201,6 +245,7 @@
     since: float
     is_plain: bool
     until: float = float("inf")
+    software_version: str = ""
 
 
 class ListedInstance(msgspec.Struct, frozen=True):
@@ -299,6 +344,7 @@
 
     Attributes:
         requests: Requests by id.
+        streams: Streams of callers that resume them.
         runs: Executions of requests, in the order of their starts.
         arrivals: Requests that reached instances.
         fatal_terminations: Crashes of instances under fatal requests.
@@ -319,6 +365,7 @@
     """
 
     requests: dict[str, SentRequest] = {}
+    streams: list[HeldStream] = []
     runs: list[Run] = []
     arrivals: list[Arrival] = []
     fatal_terminations: list[FatalTermination] = []
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -11,6 +11,7 @@
 from emulator.soak.foreign_entries import FOREIGN_PREFIX, foreign_entry
 from emulator.soak.history import DrainStart, LimitChange
 from emulator.soak.operators import Operator
+from emulator.soak.profiles import SOFTWARE
 from emulator.soak.proxies import LinkState
 
 FAULT_SECONDS = (0.5, 6.0)
@@ -36,6 +37,9 @@
 NOTICE_ONLY_SHARE = 0.5
 """Share of instances announcing shutdown in responses whose entry says ready until they end."""
 
+REPLACEMENT_SECONDS = (0.2, 1.0)
+"""Time between two steps of a rolling replacement."""
+
 REUSE_SECONDS = 2.0
 """Time before the platform gives the address of a terminated instance to another one."""
 
@@ -71,6 +75,7 @@
         "instance restarts": faults.instance_restarts,
         "address passed on": faults.address_passed_on,
         "foreign entries": faults.foreign_entries,
+        SOFTWARE: faults.software_replaced,
     }
 
 
@@ -202,6 +207,45 @@
         if links in self._deployment.instances:
             self._deployment.terminate_instance(links, unlisted=True)
 
+    async def software_replaced(self) -> None:
+        """Replace engines one after the other by others of one software version.
+
+        Any version may be next, also one of before. Each new engine starts before an old one
+        drains; some replacements stop midway.
+        """
+        versions = self._deployment.software_versions
+        target = self._generator.choice(versions)
+        outdated = [
+            links
+            for links in self._deployment.instances
+            if links.instance.traits.service == ENGINES
+            and links.instance.traits.software_version != target
+        ]
+        count = self._generator.randint(1, max(1, len(outdated)))
+        async with trio.open_nursery() as nursery:
+            for links in outdated[:count]:
+                nursery.start_soon(self._replace, links, target)
+                await trio.sleep(self._generator.uniform(*REPLACEMENT_SECONDS))
+
+    async def _replace(self, links: InstanceLinks, software_version: str) -> None:
+        """Start an engine of a software version, and drain another one."""
+        traits = links.instance.traits
+        if links not in self._deployment.instances or links.instance.draining:
+            return
+        await self._deployment.add_instance(
+            ENGINES, traits.zone, self._operator.weights, software_version=software_version
+        )
+        await trio.sleep(self._generator.uniform(*REPLACEMENT_SECONDS))
+        if links not in self._deployment.instances or links.instance.draining:
+            return
+        links.instance.draining = True
+        self._deployment.recorder.entry_changed(links.instance)
+        started = DrainStart(traits.incarnation, trio.current_time())
+        self._deployment.history.drain_starts.append(started)
+        await trio.sleep(DRAIN_SECONDS + draw_seconds(self._generator) / 2)
+        if links in self._deployment.instances:
+            self._deployment.terminate_instance(links, unlisted=True)
+
     async def instance_announces_leaving(self) -> None:
         """Let an instance announce its shutdown in responses, and later or never in its entry."""
         links = self._instance()
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -41,6 +41,7 @@
 FATAL = "fatal request"
 RESTORE = "store restored"
 LINKS = "nodes without instances"
+SOFTWARE = "software replaced"
 
 CHANGE_KINDS = ("instance leaves", "key revoked", "weights named")
 
@@ -293,6 +294,43 @@
 kills, changes and store outages; chosen by name only."""
 
 
+SOFTWARE_VERSIONS = Profile(
+    "software versions",
+    (
+        SOFTWARE,
+        SOFTWARE,
+        "instance crashed",
+        "instance crashed",
+        "instance restarts",
+        "instance restarts",
+        "instance restarts",
+        "instance fails",
+        "instance link",
+        "instance leaves",
+        "node killed",
+        "node killed",
+        "node killed",
+        "all nodes killed",
+        "node stopped",
+        "node suspended",
+        "callers' link",
+        "datagrams lost and late",
+        "node without store",
+        "node without peers",
+        "store outage",
+        "instances name limits",
+        LINKS,
+        "weights named",
+    ),
+    (0.4, 1.4),
+    0.25,
+    0.8,
+)
+"""Engines of several software versions that are replaced there and back, crash, and come back under
+their ids with any of them, while callers resume their streams at other nodes. Chosen by name only.
+"""
+
+
 FIRST_SEED_WITH_RESTORES = 10_000
 """First seed with restores in the profile "everything"; earlier seeds keep their profiles."""
 
@@ -323,6 +361,21 @@
 PROFILES_WITH_CUTS = tuple(_with_cuts(profile) for profile in PROFILES)
 
 
+FIRST_SEED_WITH_SOFTWARE = 70_000
+"""First seed with several software versions in the profile "everything"."""
+
+
+def _with_software(profile: Profile) -> Profile:
+    """Return the profile "everything" with restores, cut links and software, others unchanged."""
+    if profile.name != "everything":
+        return profile
+    kinds = (*profile.kinds, RESTORE, LINKS, LINKS, SOFTWARE, SOFTWARE)
+    return msgspec.structs.replace(profile, name="everything, software too", kinds=kinds)
+
+
+PROFILES_WITH_SOFTWARE = tuple(_with_software(profile) for profile in PROFILES)
+
+
 def profile_of(seed: int, name: str = "") -> Profile:
     """Return the profile of a seed; consecutive seeds have different profiles.
 
@@ -339,12 +392,14 @@
         *PROFILES,
         *PROFILES_WITH_RESTORES,
         *PROFILES_WITH_CUTS,
+        *PROFILES_WITH_SOFTWARE,
         SHORT,
         NOTICES,
         LIMITS,
         RESTORES,
         CUTS,
         VERSIONS,
+        SOFTWARE_VERSIONS,
     )
     found = {profile.name: profile for profile in named}
     if name not in found:
@@ -354,6 +409,8 @@
 
 def _profiles_of(seed: int) -> tuple[Profile, ...]:
     """Return the profiles from which a seed takes its own."""
+    if seed >= FIRST_SEED_WITH_SOFTWARE:
+        return PROFILES_WITH_SOFTWARE
     if seed >= FIRST_SEED_WITH_CUTS:
         return PROFILES_WITH_CUTS
     return PROFILES_WITH_RESTORES if seed >= FIRST_SEED_WITH_RESTORES else PROFILES
--- a/emulator/soak/recorder.py
+++ b/emulator/soak/recorder.py
@@ -131,6 +131,8 @@
                 salt=headers.salt,
                 key_shown=headers.key_shown,
                 stamp=stamp,
+                software_version=instance.traits.software_version,
+                first_event=headers.first_event,
             )
         )
 
--- a/emulator/soak/run.py
+++ b/emulator/soak/run.py
@@ -26,8 +26,10 @@
 from emulator.soak.operators import Operator
 from emulator.soak.persistent_callers import PersistentCallers
 from emulator.soak.probes import Probes
-from emulator.soak.profiles import RESTORE, profile_of
+from emulator.soak.profiles import RESTORE, SOFTWARE, profile_of
 from emulator.soak.promises import Bounds, Violation
+from emulator.soak.resuming_callers import ResumingCallers
+from emulator.soak.stream_checks import StreamFigures, stream_figures
 
 START_SECONDS = 30.0
 RECOVERY_SECONDS = 12.0
@@ -35,6 +37,10 @@
 """Time after the faults; includes the time for recovery."""
 
 PERSISTENT_CALLERS_PER_NODE = 2
+RESUMING_CALLERS_PER_NODE = 2
+SOFTWARE_USED = ("v1", "v1.1")
+"""Software versions of engines where a profile replaces software."""
+
 WATCH_SECONDS = 0.2
 """Time between two checks for exited processes."""
 
@@ -76,6 +82,7 @@
         faults: Number of faults by kind.
         profile: Name of the profile of faults.
         route_changes: Number of routes added or removed.
+        streams: What became of the streams that callers resume.
         impact: Outcomes of ordinary requests during fatal ones and otherwise.
         stalls: Stalls of the machine.
         load: Load of the machine.
@@ -87,6 +94,7 @@
     faults: dict[str, int]
     profile: str
     route_changes: int
+    streams: StreamFigures
     impact: FatalImpact
     stalls: MachineStalls
     load: MachineLoad
@@ -111,9 +119,14 @@
         callers.readiness,
         PERSISTENT_CALLERS_PER_NODE * plan.nodes,
     )
+    resuming = ResumingCallers(
+        deployment, callers, random.Random(plan.seed + 7), RESUMING_CALLERS_PER_NODE * plan.nodes
+    )
     hostile = HostileCallers(deployment, callers, random.Random(plan.seed + 6))
     faults = Faults(deployment, operator, hostile, generator, profile)
     machine = MachineWatch(deployment.history)
+    if SOFTWARE in profile.kinds:
+        deployment.software_versions = SOFTWARE_USED
     with ProcessGroup(plan.directory) as processes:
         async with trio.open_nursery() as nursery:
             operator.publish()
@@ -126,6 +139,8 @@
                 nursery.start_soon(deployment.restores.take_backups)
             nursery.start_soon(callers.run)
             nursery.start_soon(persistent.run)
+            if SOFTWARE in profile.kinds:
+                nursery.start_soon(resuming.run)
             nursery.start_soon(operator.change_routes, profile.change_seconds)
             nursery.start_soon(probes.run)
             await trio.sleep(SETTLED_SECONDS)
@@ -175,6 +190,7 @@
         dict(sorted(faults.counts.items())),
         profile,
         len(history.route_changes),
+        stream_figures(history),
         measure_fatal_impact(history),
         stalls,
         load,
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -100,6 +100,8 @@
             "weights everywhere",
             "word of leaving",
             "rest",
+            "software versions",
+            "resumed streams",
             "limit",
             "limit used",
             "refused with room",
--- a/tests/emulator/soak/test_profiles.py
+++ b/tests/emulator/soak/test_profiles.py
@@ -18,6 +18,8 @@
     RESTORE,
     RESTORES,
     SHORT,
+    SOFTWARE,
+    SOFTWARE_VERSIONS,
     STORE_KINDS,
     VERSIONS,
     profile_of,
@@ -36,13 +38,13 @@
     def test_profiles_draw_known_kinds_and_all_of_them(self):
         drawn = {
             kind
-            for profile in (*PROFILES, NOTICES, LIMITS, RESTORES, CUTS, VERSIONS)
+            for profile in (*PROFILES, NOTICES, LIMITS, RESTORES, CUTS, VERSIONS, SOFTWARE_VERSIONS)
             for kind in profile.kinds
         }
         self.assertEqual(drawn, self.known_kinds(PROFILES[0]))
 
     def test_a_profile_is_found_by_its_name(self):
-        for profile in (*PROFILES, SHORT, NOTICES, LIMITS, RESTORES, VERSIONS):
+        for profile in (*PROFILES, SHORT, NOTICES, LIMITS, RESTORES, VERSIONS, SOFTWARE_VERSIONS):
             self.assertIs(profile_of(1, profile.name), profile)
         with self.assertRaisesRegex(ValueError, "profile: expected one of"):
             profile_of(1, "none")
@@ -57,6 +59,12 @@
         self.assertIn("everything, restores too", names)
         self.assertNotIn(RESTORE, {k for seed in range(7) for k in profile_of(seed).kinds})
 
+    def test_newer_seeds_still_draw_software_among_everything(self):
+        names = {profile_of(seed).name for seed in range(70_000, 70_007)}
+        self.assertIn("everything, software too", names)
+        earlier = {kind for seed in range(60_000, 60_007) for kind in profile_of(seed).kinds}
+        self.assertNotIn(SOFTWARE, earlier)
+
     def test_seeds_in_a_row_meet_all_profiles(self):
         found = {profile_of(seed).name for seed in range(7, 7 + len(PROFILES))}
         self.assertEqual(found, {profile.name for profile in PROFILES})
