End a resumed stream that lacks only its end

What a caller sees: 502 or 503 for a stream of which it has every event, when its connection broke just before the end. Cause: a whole answer without an event was taken for one that broke off, also where the client has events already. Evidence: the test, which failed (no further instance to try after the first one's empty answer). Change: where the client has an event, an empty whole answer is the end of its stream.

--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -140,10 +140,13 @@
             self._require_space(space)
             view.expect_chunk(request_id, trio.current_time())
         view.end_stream(request_id)
-        if self._framer.has_partial or not self.started:
+        may_be_empty = bool(self.resume_after)
+        if self._framer.has_partial or not (self.started or may_be_empty):
             raise InstanceCallError(
                 ErrorCode.STREAM_INTERRUPTED, "the stream ended within an event", Execution.UNKNOWN
             )
+        if not self.started:
+            await self._start(answer.status, answer.headers, None)
         self._outcome.events = self._framer.events
         await self._finish(answer.status)
 
--- a/tests/services/exchanges/test_stream_versions.py
+++ b/tests/services/exchanges/test_stream_versions.py
@@ -167,6 +167,18 @@
             with self.subTest(way=way):
                 self.play_seeds(disturb, **options)
 
+    def test_a_stream_that_lacks_only_its_end_is_ended(self):
+        # A resume without a further event was taken for an answer that broke off: 502.
+        played = VersionedStreams(nodes=1)
+        played.add("a", "v1").events = 5
+
+        async def script(world):
+            answer = await world.request("resumable", resumes="r", resume_after="4")
+            self.assertTrue(answer.finished, answer.error)
+            self.assertEqual((answer.status, answer.body), (200, b""))
+
+        played.world.run(script)
+
     def test_a_resumed_stream_keeps_its_version_after_all_nodes_died(self):
         # No node remembered any stream.
         for seed in SEEDS:
