Let a stream that has begun go on at an instance that has begun to drain, where no other has its version

Cause: nothing at all was sent to a draining instance, also where no other may serve the request. New streams and other requests get nothing there, as before. Evidence: the test of draining instances, which failed.

--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -58,6 +58,7 @@
         self._assumed: dict[str, int] = {}
         self.replaced = False
         self.presumed_ended_until = -float("inf")
+        self.draining_since = -float("inf")
         self.rejected = False
         self.has_start_time = bool(instance.born_ms)
         self.slowness = 1.0
@@ -237,6 +238,7 @@
             self.active,
             last_requests_seconds,
             self._first_telling.due_by,
+            self.draining_since,
         )
         return admission(asked, purpose, now)
 
--- a/hopstep/domain/instance_admission.py
+++ b/hopstep/domain/instance_admission.py
@@ -51,12 +51,19 @@
     LAST_REQUEST = enum.auto()
     """A request that no other instance may serve."""
 
+    RESUME = enum.auto()
+    """A stream that has begun, and that no other instance of its software version may go on with.
+    """
+
     SENDING = enum.auto()
     """A request that was chosen for the instance, right before its first byte leaves."""
 
     LAST_SENDING = enum.auto()
     """The same, where the instance was chosen although it is shutting down."""
 
+    RESUME_SENDING = enum.auto()
+    """The same for a stream that has begun."""
+
     ORDER = enum.auto()
     """An order or a report."""
 
@@ -92,14 +99,16 @@
 STATE_CHECK_SECONDS = 0.05
 """Interval at which a node that has just started checks whether an instance's limit is known."""
 
-CHOOSING = frozenset({Purpose.REQUEST, Purpose.LAST_REQUEST})
+CHOOSING = frozenset({Purpose.REQUEST, Purpose.LAST_REQUEST, Purpose.RESUME})
 """Purposes that add a request to those of this node at the instance."""
 
-PAST_LEAVING = frozenset({Purpose.CACHE_EVENTS, Purpose.LAST_SENDING})
+PAST_LEAVING = frozenset({Purpose.CACHE_EVENTS, Purpose.LAST_SENDING, Purpose.RESUME_SENDING})
 """Purposes that are allowed while an instance shuts down. Reads of events cost it nothing."""
 
 
-WITH_PERMIT = frozenset({Purpose.SENDING, Purpose.LAST_SENDING, Purpose.ORDER_SENDING})
+WITH_PERMIT = frozenset(
+    {Purpose.SENDING, Purpose.LAST_SENDING, Purpose.RESUME_SENDING, Purpose.ORDER_SENDING}
+)
 """Purposes for which a permit is held already."""
 
 
@@ -112,7 +121,8 @@
         active: Requests of this node at it.
         reports_due_by: Until then a node that has just started may lack the others' reports.
         last_requests_seconds: Time after its leaving notice in which it still accepts requests
-            that no other instance may serve.
+            that no other instance may serve; for a stream that has begun also after its draining.
+        draining_since: When its entry was acknowledged as draining, or earlier.
     """
 
     announced_state: AnnouncedState
@@ -120,6 +130,7 @@
     active: int = 0
     last_requests_seconds: float = 0.0
     reports_due_by: float = -float("inf")
+    draining_since: float = -float("inf")
 
 
 def admission(asked: AskedInstance, purpose: Purpose, now: float) -> Admission:
@@ -130,7 +141,7 @@
         purpose: Kind of call that would be sent.
         now: Steady clock, seconds.
     """
-    if asked.listed is not None and purpose is not Purpose.CACHE_EVENTS:
+    if asked.listed is not None and not _passes_listed(asked, purpose, now):
         return Admission(asked.listed)
     if _is_leaving(asked, purpose, now):
         return Admission(Barrier.LEAVING)
@@ -149,12 +160,23 @@
     return OPEN
 
 
+def _passes_listed(asked: AskedInstance, purpose: Purpose, now: float) -> bool:
+    """Return whether a purpose is allowed despite the barrier of the directory entry."""
+    if purpose is Purpose.CACHE_EVENTS:
+        return True
+    if asked.listed is not Barrier.DRAINING:
+        return False
+    if purpose is Purpose.RESUME:
+        return now < asked.draining_since + asked.last_requests_seconds
+    return purpose is Purpose.RESUME_SENDING
+
+
 def _is_leaving(asked: AskedInstance, purpose: Purpose, now: float) -> bool:
     """Return whether a purpose is ruled out because the instance is shutting down."""
     since = asked.announced_state.leaving_since
     if since is None or purpose in PAST_LEAVING:
         return False
-    if purpose is Purpose.LAST_REQUEST:
+    if purpose in (Purpose.LAST_REQUEST, Purpose.RESUME):
         return now >= since + asked.last_requests_seconds
     return True
 
--- a/hopstep/services/exchanges/directory/instance_changes.py
+++ b/hopstep/services/exchanges/directory/instance_changes.py
@@ -71,6 +71,8 @@
             self.successions.note(previous, instance, trio.current_time())
         is_new = self._table.put(instance)
         listed = self._table.get(instance.instance_id)
+        if listed is not None and instance.draining and not (was_draining and not is_new):
+            listed.draining_since = origin.since
         current = listed.instance if listed is not None else None
         self.versions.replace(previous, current, trio.current_time())
         if was_draining and not is_new and not instance.draining:
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -218,7 +218,13 @@
         """Make one attempt; return its error, or None after a complete response."""
         view = candidate.view
         attempt = InstanceAttempt(
-            self._parts, self._request, self._gate.name, self._relay, self.outcome, candidate
+            self._parts,
+            self._request,
+            self._gate.name,
+            self._relay,
+            self.outcome,
+            candidate,
+            is_stream_begun=self.scope.origin is not None,
         )
         self._in_flight = attempt.proof
         error = await attempt.run()
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -37,6 +37,8 @@
         relay: AnswerRelay,
         outcome: ExchangeOutcome,
         candidate: Candidate,
+        *,
+        is_stream_begun: bool = False,
     ) -> None:
         """Create an attempt that is sent by ``run``.
 
@@ -47,6 +49,7 @@
             relay: Relays responses to the client.
             outcome: Records what is logged of the attempt.
             candidate: The instance, and the estimated work of the request there.
+            is_stream_begun: Whether the request goes on with a stream.
         """
         self.proof = SendProof()
         self._parts = parts
@@ -56,11 +59,17 @@
         self._outcome = outcome
         self._candidate = candidate
         self._view = candidate.view
-        leaves = self._view.announced_state.has_announced_leaving
-        self._purpose = Purpose.LAST_SENDING if leaves else Purpose.SENDING
+        self._purpose = self._sending_purpose(is_stream_begun)
         self._has_answered = False
         self._permit = parts.limits.hold(self._view)
 
+    def _sending_purpose(self, is_stream_begun: bool) -> Purpose:
+        """Return the purpose of the request right before its first byte is sent."""
+        if is_stream_begun and self._view.instance.draining:
+            return Purpose.RESUME_SENDING
+        leaves = self._view.announced_state.has_announced_leaving
+        return Purpose.LAST_SENDING if leaves else Purpose.SENDING
+
     async def run(self) -> InstanceCallError | None:
         """Make the attempt; return its error, or None after a complete response."""
         view, candidate = self._view, self._candidate
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -110,7 +110,8 @@
         eligible = self._eligible(scope, now)
         if only:
             eligible = [view for view in eligible if view.instance.instance_id == only]
-        views = self._admissible(eligible, now) or self._without_report(eligible, request, now)
+        views = self._admissible(scope, eligible, now)
+        views = views or self._without_report(eligible, request, now)
         if within is not None:
             views = [view for view in views if view.instance.instance_id in within]
         if views:
@@ -124,7 +125,8 @@
         self._knowledge.instances.remove_expired()
         now = trio.current_time()
         eligible = self._eligible(scope, now)
-        return self._admissible(eligible, now) or self._without_report(eligible, scope.request, now)
+        views = self._admissible(scope, eligible, now)
+        return views or self._without_report(eligible, scope.request, now)
 
     def count_instances(self, scope: InstanceScope) -> int:
         """Return the number of listed instances that may serve a request, now or later."""
@@ -134,7 +136,7 @@
         """Request permits for limited instances on behalf of a request that waits for capacity."""
         now = trio.current_time()
         eligible = self._eligible(scope, now)
-        views = self._admissible(eligible, now)
+        views = self._admissible(scope, eligible, now)
         self._note_wanted(scope.request, scope.service, eligible, views, now)
 
     def uncached_tokens(
@@ -213,10 +215,13 @@
         """Return the salt of a request's segment keys: weights version and isolated tenant."""
         return cache_salt(request, view)
 
-    def _admissible(self, eligible: list[InstanceView], now: float) -> list[InstanceView]:
+    def _admissible(
+        self, scope: InstanceScope, eligible: list[InstanceView], now: float
+    ) -> list[InstanceView]:
         """Return the instances that accept a request now; if none, those shutting down."""
         taking = [view for view in eligible if view.takes(Purpose.REQUEST, now)]
-        return taking or [view for view in eligible if self._last_admission(view, now).is_open]
+        last = (view for view in eligible if self._last_admission(scope, view, now).is_open)
+        return taking or list(last)
 
     def _without_report(
         self, eligible: list[InstanceView], request: ExchangeRequest, now: float
@@ -234,9 +239,10 @@
             and answer.until + view.expected_latency > answer_by
         ]
 
-    def _last_admission(self, view: InstanceView, now: float) -> Admission:
-        """Return whether an instance accepts requests that no other can serve."""
-        return view.admission(Purpose.LAST_REQUEST, now, self._last_requests_seconds)
+    def _last_admission(self, scope: InstanceScope, view: InstanceView, now: float) -> Admission:
+        """Return whether an instance accepts a request that no other can serve."""
+        purpose = Purpose.LAST_REQUEST if scope.origin is None else Purpose.RESUME
+        return view.admission(purpose, now, self._last_requests_seconds)
 
     def _eligible(self, scope: InstanceScope, now: float) -> list[InstanceView]:
         """Return the instances able to serve a request, whether or not they accept it now."""
@@ -254,7 +260,7 @@
         """Return the instances that may serve a request later, and what prevents it now."""
         now = trio.current_time()
         eligible = self._eligible(scope, now)
-        asked = ((view, self._last_admission(view, now)) for view in eligible)
+        asked = ((view, self._last_admission(scope, view, now)) for view in eligible)
         return [(view, answer) for view, answer in asked if not answer.is_open]
 
     def next_opening(self, scope: InstanceScope, answer_by: float) -> Opening:
--- a/tests/services/exchanges/test_stream_origins.py
+++ b/tests/services/exchanges/test_stream_origins.py
@@ -186,6 +186,23 @@
 
         self.run_world(script)
 
+    def test_a_stream_goes_on_where_all_instances_of_its_version_drain(self):
+        # They got nothing new, and nobody else may go on with it.
+        async def script(played):
+            version, last = await self.begin(played)
+            for server in played.world.instances.all_servers:
+                if server.instance.software_version == version:
+                    entry = msgspec.structs.replace(server.instance, draining=True)
+                    played.world.publish(InstanceListed(entry))
+            await trio.sleep(0.2)
+            self.check_resumed(played, await self.resume(played, last), version)
+            await trio.sleep(0.5)
+            answer = await self.resume(played, last, request_id="r3")
+            self.assertTrue(answer.promised_not_run)
+            self.assertEqual(played.world.instances.runs("r3"), [])
+
+        self.run_world(script)
+
     def test_a_stream_does_not_change_its_service_midway(self):
         # The route's split chose a service anew for each try.
         def split(version, *services):
