Show operators software versions, resumes and the whole of a resumed stream

Gauges of software versions a service, of streams whose version has hardly an instance left, and of records kept for other nodes; a counter of resumes by where the version was known from. trace shows the lines of all requests of a stream, also those of other nodes, and says why a resume was refused. Lines of logs have a module of their own.

--- a/hopstep/ctl/trace.py
+++ b/hopstep/ctl/trace.py
@@ -2,29 +2,22 @@
 
 from __future__ import annotations
 
-import datetime
-import json
 from collections.abc import Iterable, Sequence
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
 from hopstep import log_events
+from hopstep.ctl.log_lines import FINGERPRINT_FIELD, REQUEST_FIELD, TIME_FIELD, LogLine, read_log
 from hopstep.ctl.results import ExitCode, VerbResult
+from hopstep.ctl.trace_streams import explain_resume, stream_lines
 from hopstep.domain.exchanges.retry_after import RetryReason
-from hopstep.exceptions import ErrorCode, ValidationError
+from hopstep.exceptions import ErrorCode
 from hopstep.log_events import LogEvent
 
 CONTEXT_SECONDS = 6.0
 """Seconds before the request from which changes of nodes' state are shown."""
 
-REQUEST_FIELD = "request_id"
-FINGERPRINT_FIELD = "fingerprint"
-NODE_FIELD = "node"
-NUMBER_FIELD = "number"
-TIME_FIELD = "timestamp"
-
 CONTEXT_EVENTS: tuple[LogEvent, ...] = (
     log_events.PROCESS_STARTED,
     log_events.PROCESS_STOPPING,
@@ -65,29 +58,6 @@
 """Changes of a request's quarantine, found by its fingerprint."""
 
 
-class LogLine(msgspec.Struct, frozen=True):
-    """One line of a log.
-
-    Attributes:
-        at: Time of day, seconds since the epoch.
-        node: Node that wrote it.
-        number: Number of its event.
-        fields: All fields.
-    """
-
-    at: float
-    node: str
-    number: str
-    fields: dict[str, Any]
-
-    def __str__(self) -> str:
-        """Return the line for a person."""
-        hidden = {NODE_FIELD, NUMBER_FIELD, TIME_FIELD, REQUEST_FIELD, "event", "level"}
-        shown = " ".join(f"{k}={v}" for k, v in self.fields.items() if k not in hidden)
-        time = self.fields.get(TIME_FIELD, "")
-        return f"{time} {self.node} {self.number} {self.fields.get('event', '')} {shown}"
-
-
 class TraceDocument(msgspec.Struct, frozen=True):
     """Result of ``trace``.
 
@@ -95,7 +65,8 @@
         request_id: The request.
         cause: Why it ended as it did.
         known: Store positions of the state by which its node decided.
-        lines: Its lines and the changes of nodes' state around it, oldest first.
+        lines: Its lines, those of its stream's other requests, and the changes of nodes' state
+            around it, oldest first.
     """
 
     request_id: str
@@ -114,7 +85,7 @@
     Raises:
         ValidationError: When a log can't be read.
     """
-    lines = [line for path in paths for line in _read(path)]
+    lines = [line for path in paths for line in read_log(path)]
     own = sorted(
         (line for line in lines if line.fields.get(REQUEST_FIELD) == request_id),
         key=lambda line: line.at,
@@ -123,14 +94,23 @@
         document = TraceDocument(request_id, "no line names this request", "", ())
         return VerbResult(document.cause, document, ExitCode.REJECTED)
     context = [*_context(own, lines), *_quarantine_lines(own, lines)]
-    cause = explain_outcome(own, context)
-    shown = sorted((*own, *context), key=lambda line: line.at)
+    resume = explain_resume(own)
+    cause = "; ".join(filter(None, (explain_outcome(own, context), resume)))
+    others = [line for line in stream_lines(request_id, lines) if line not in context]
+    shown = sorted((*own, *context, *others), key=lambda line: line.at)
     known = explain_positions(own, lines)
-    document = TraceDocument(request_id, cause, known, tuple(str(line) for line in shown))
+    texts = tuple(_shown(line, request_id) for line in shown)
+    document = TraceDocument(request_id, cause, known, texts)
     text = (*document.lines, f"known by: {known}", f"cause: {cause}")
     return VerbResult("\n".join(text), document)
 
 
+def _shown(line: LogLine, request_id: str) -> str:
+    """Return a line for a person, with the request if it is another one."""
+    other = line.fields.get(REQUEST_FIELD, request_id)
+    return str(line) if other == request_id else f"{line} {REQUEST_FIELD}={other}"
+
+
 def explain_positions(own: Sequence[LogLine], lines: Sequence[LogLine]) -> str:
     """Return the store positions of the state by which a node decided a request.
 
@@ -278,21 +258,3 @@
         for line in lines
         if line.number in numbers and line.fields.get(FINGERPRINT_FIELD) in fingerprints
     ]
-
-
-def _read(path: Path) -> Iterable[LogLine]:
-    """Yield the lines of a log that are events; text before the first brace is ignored."""
-    try:
-        text = path.read_text(encoding="utf-8", errors="replace")
-    except OSError as error:
-        raise ValidationError(
-            ErrorCode.INVALID_SETTINGS, f"{path}: {error.strerror}", "--logs"
-        ) from error
-    for line in text.splitlines():
-        _, brace, rest = line.partition("{")
-        try:
-            fields = json.loads(brace + rest)
-            at = datetime.datetime.fromisoformat(fields[TIME_FIELD]).timestamp()
-            yield LogLine(at, fields[NODE_FIELD], fields[NUMBER_FIELD], fields)
-        except (ValueError, KeyError, TypeError):
-            continue
--- a/hopstep/services/exchanges/streams/origin_lookup.py
+++ b/hopstep/domain/exchanges/streams/origin_lookup.py
@@ -1,4 +1,4 @@
-"""Result of the search for what began a resumed stream, and its log line."""
+"""Result of the search for what began a resumed stream."""
 
 from __future__ import annotations
 
@@ -6,12 +6,7 @@
 
 import msgspec
 
-from hopstep import log_events
-from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.domain.exchanges.streams.origin import StreamOrigin
-from hopstep.logs import emit
-
-MILLISECONDS = 1_000
 
 
 class OriginSource(enum.StrEnum):
@@ -51,30 +46,3 @@
     age_seconds: float = 0.0
     asked: int = 0
     answered: int = 0
-
-
-def log_resume(
-    scope: InstanceScope, lookup: OriginLookup, candidates: int, waited_seconds: float
-) -> None:
-    """Log a client's resume.
-
-    Args:
-        scope: Its request, with the origin if that is known.
-        lookup: What was found out.
-        candidates: Listed instances that may go on with the stream.
-        waited_seconds: Time that the search took.
-    """
-    emit(
-        log_events.STREAM_RESUMED,
-        request_id=scope.request.request_id,
-        resumes=scope.request.resumes,
-        service=scope.service,
-        software_version=scope.software_version,
-        known_from=lookup.source.value,
-        keeper=lookup.node,
-        age_ms=round(lookup.age_seconds * MILLISECONDS),
-        candidates=candidates,
-        asked=lookup.asked,
-        answered=lookup.answered,
-        waited_ms=round(waited_seconds * MILLISECONDS),
-    )
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -54,6 +54,7 @@
 from hopstep.services.exchanges.requests.held_bytes import HeldBytes
 from hopstep.services.exchanges.requests.quotas import Quotas
 from hopstep.services.exchanges.requests.service import ExchangeService
+from hopstep.services.exchanges.streams.stream_gauges import watch_streams
 from hopstep.services.exchanges.streams.stream_origins import StreamOrigins
 from hopstep.services.exchanges.weights.rollout_lease import RolloutLease
 from hopstep.services.exchanges.weights.weights_rollout import WeightsRollout
@@ -247,6 +248,8 @@
         watch_capacity(self.metrics, self.registry, self.knowledge.table)
         watch_rollout(self.metrics, self.rollout)
         watch_held_bytes(self.metrics, self.held_bytes.budget)
+        versions = self.knowledge.instances.versions
+        watch_streams(self.metrics, self.registry, versions, self.origins)
 
     @property
     def is_ready(self) -> bool:
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -62,6 +62,12 @@
             ("priority",),
             registry=registry,
         )
+        self.resumes = Counter(
+            "hopstep_stream_resumes",
+            "Clients' resumes of streams, by where the version that began them was known from.",
+            ("known_from",),
+            registry=registry,
+        )
         self.read_tokens = Counter(
             "hopstep_exchange_read_tokens",
             "Prompt tokens that instances were expected to read.",
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -26,7 +26,7 @@
 from hopstep.services.exchanges.requests.instance_attempt import InstanceAttempt
 from hopstep.services.exchanges.requests.instance_waits import InstanceWaits
 from hopstep.services.exchanges.requests.quarantine_gate import QuarantineGate
-from hopstep.services.exchanges.streams.origin_lookup import log_resume
+from hopstep.services.exchanges.streams.resume_log import log_resume
 from hopstep.services.exchanges.streams.stream_origins import is_resumed
 
 FURTHER_STEPS = (NextStep.RETRY, NextStep.RESUME)
@@ -106,6 +106,7 @@
             self.scope.service = lookup.origin.service
             self.scope.origin = lookup.origin
             candidates = self._parts.choice.count_instances(self.scope)
+        self._parts.count_resume(lookup.source.value)
         log_resume(self.scope, lookup, candidates, trio.current_time() - began_at)
         if lookup.origin is None:
             self._fail(ErrorCode.STREAM_NOT_RESUMABLE, "the stream's software version is unknown")
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -92,6 +92,7 @@
         quarantine: Requests under which instances crash.
         require_fresh: Raises ``ServiceError`` when keys may have been revoked unnoticed.
         count_failure: Called for each failed attempt with its error code and the next step.
+        count_resume: Called for each resume with where its origin was known from.
         notices: Receives what instances announce in response headers.
         limits: Permits to send to rate-limited instances.
         queue: Requests that wait for an instance with capacity.
@@ -111,6 +112,7 @@
     quarantine: Quarantine
     require_fresh: Callable[[], None]
     count_failure: Callable[[str, str], None]
+    count_resume: Callable[[str], None]
     notices: InstanceNotices
     limits: InstanceLimits
     queue: RequestQueue
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -125,6 +125,7 @@
             quarantine=quarantine,
             require_fresh=knowledge.keys.require,
             count_failure=self._count_failure,
+            count_resume=lambda source: metrics.resumes.labels(source).inc(),
             notices=notices,
             limits=limits,
             queue=self.queue,
--- a/hopstep/services/exchanges/streams/stream_origins.py
+++ b/hopstep/services/exchanges/streams/stream_origins.py
@@ -16,6 +16,7 @@
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.serving import RequestKind, Route
 from hopstep.domain.exchanges.streams.origin import StreamOrigin
+from hopstep.domain.exchanges.streams.origin_lookup import OriginLookup, OriginSource
 from hopstep.domain.exchanges.streams.origin_records import (
     OriginRecord,
     OriginRecords,
@@ -28,7 +29,6 @@
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.records import STREAMS_PREFIX
 from hopstep.services.exchanges.streams.origin_holders import OriginHolders
-from hopstep.services.exchanges.streams.origin_lookup import OriginLookup, OriginSource
 from hopstep.services.exchanges.streams.origin_messages import read_record
 from hopstep.services.exchanges.streams.origin_sharing import Inquiry, OriginSharing
 from hopstep.services.exchanges.streams.stored_origins import StoredOrigins
@@ -36,6 +36,9 @@
 FRESH_SECONDS = 3.0
 """Age up to which a node's view of the directory is recent: twice the interval of its readings."""
 
+FEW_INSTANCES = 2
+"""With fewer listed instances of its version a stream has hardly anywhere to go on."""
+
 KEPT_BEYOND_SECONDS = 1.0
 """Time for which a record is kept after its client's deadline, for clocks and delays."""
 
@@ -83,6 +86,16 @@
         if self._needs_copies(request.route, origin.service, now):
             self._share((record,))
 
+    def count_scarce(self, service: str) -> int:
+        """Return how many of its own streams have a version with few listed instances."""
+        records = self._own.of_service(service, trio.current_time())
+        versions = (record.origin.software_version for record in records)
+        return sum(self._versions.count(service, each) < FEW_INSTANCES for each in versions)
+
+    def count_kept(self) -> int:
+        """Return the number of records that this node keeps for others."""
+        return len(self._kept)
+
     async def find(self, request: ExchangeRequest) -> OriginLookup:
         """Return what began the stream that a client resumes.
 
--- a/tests/ctl/test_trace.py
+++ b/tests/ctl/test_trace.py
@@ -171,6 +171,33 @@
         self.record_log(script)
         self.assertRegex(self.trace().document.cause, r"answered 200 by e0.*pause 5\d\d ms")
 
+    def test_a_resumed_stream_shows_the_lines_of_all_its_requests(self):
+        async def script(world):
+            world.instances.servers["e0"].behaviour = Behaviour.BREAK_STREAM
+            await world.request("resumable", request_id="first")
+            world.instances.servers["e0"].behaviour = Behaviour.SERVE
+            await trio.sleep(1.0)
+            await world.request("resumable", request_id="r", resumes="first", resume_after="1")
+
+        self.record_log(script)
+        for request_id in ("r", "first"):
+            lines = " ".join(self.trace(request_id).document.lines)
+            other = "first" if request_id == "r" else "r"
+            self.assertIn(f"request_id={other}", lines)
+            self.assertIn("stream_resumed", lines)
+        self.assertIn("stream of first at software version v1", self.trace().document.cause)
+
+    def test_a_refused_resume_says_who_was_asked(self):
+        async def script(world):
+            world.add("e1", "llm", software_version="v2")
+            await trio.sleep(0.5)
+            await world.request("resumable", request_id="r", resumes="first", resume_after="1")
+
+        self.record_log(script)
+        cause = self.trace().document.cause
+        self.assertIn("stream_not_resumable, not run", cause)
+        self.assertIn("no node knew the stream of first; 0 of 0 nodes answered", cause)
+
     def test_unknown_ids_and_unreadable_logs_are_reported(self):
         self.path.write_text('no json\n{"event": "x"}\n')
         self.assertIs(self.trace("none").exit_code, ExitCode.REJECTED)
--- a/tests/services/exchanges/test_stream_origins.py
+++ b/tests/services/exchanges/test_stream_origins.py
@@ -255,6 +255,32 @@
         self.run_world(script)
 
 
+class GaugesTest(OriginsTest):
+    def test_operators_see_versions_and_streams_that_have_hardly_anywhere_to_go(self):
+        async def script(played):
+            version, last = await self.begin(played)
+            registry = played.world.nodes[0].registry
+            labels = {"service": "llm"}
+            self.assertEqual(registry.get_sample_value("hopstep_service_versions", labels), 2)
+            scarce = "hopstep_streams_with_few_instances"
+            self.assertEqual(registry.get_sample_value(scarce, labels), 0)
+            for name, server in played.world.instances.servers.items():
+                if server.instance.software_version == version:
+                    played.world.publish(InstanceRemoved(name))
+                    break
+            await trio.sleep(0.5)
+            self.assertEqual(registry.get_sample_value(scarce, labels), 1)
+            await self.resume(played, last)
+            others = [node.registry for node in played.world.nodes[1:]]
+            kept = [each.get_sample_value("hopstep_kept_stream_origins") for each in others]
+            self.assertEqual(kept, [1, 1])
+            resumes = "hopstep_stream_resumes_total"
+            known = others[0].get_sample_value(resumes, {"known_from": "own"})
+            self.assertEqual(known, 1)
+
+        self.run_world(script)
+
+
 class FullInstancesTest(OriginsTest):
     def test_a_resume_goes_before_new_requests_that_wait_for_its_version(self):
         # It came after all that waited already, and its client's time ran out.
