--- a/tests/domain/exchanges/test_nodes.py
+++ b/tests/domain/exchanges/test_nodes.py
@@ -2,7 +2,10 @@
 
 import unittest
 
+import msgspec
+
 from hopstep.domain.exchanges.nodes import (
+    FORMAT_VERSION_WITH_STREAMS,
     MAX_UNANSWERED,
     NODES_PER_RELAY,
     PROBE_SECONDS,
@@ -54,6 +57,17 @@
         records = fleet({"x": 20}, large={"x-7"})
         self.assertEqual(plans(records)["x-3"].relay(), "x-7")
 
+    def test_nodes_that_drop_software_versions_are_relays_last(self):
+        # What they relayed lacked the versions, so that no stream could be resumed.
+        records = {
+            name: msgspec.structs.replace(record, form=FORMAT_VERSION_WITH_STREAMS)
+            for name, record in fleet({"a": 3}).items()
+        }
+        records["a-old"] = NodeRecord("a-old:1", "a", b"k", 8.0, FORMAT_VERSION_WITH_STREAMS - 1)
+        relays = {plan.relay() for plan in plans(records).values()} - {""}
+        self.assertEqual(len(relays), 1)
+        self.assertNotIn("a-old", relays)
+
     def test_an_unresponsive_relay_is_replaced_until_it_sends_a_message(self):
         plan = plans(fleet({"x": 20}))["x-3"]
         relay = plan.relay()
--- a/tests/services/exchanges/test_mixed_versions.py
+++ b/tests/services/exchanges/test_mixed_versions.py
@@ -7,12 +7,13 @@
 
 from hopstep.domain.exchanges.directory_change_log import LoggedChange
 from hopstep.domain.exchanges.load_ledger import InstanceLoad
-from hopstep.domain.exchanges.nodes import MESSAGE_FORMAT_VERSION
+from hopstep.domain.exchanges.nodes import FORMAT_VERSION_WITH_ERAS, MESSAGE_FORMAT_VERSION
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.store_position import UNSPECIFIED_ERA, StorePosition
 from hopstep.ports.node_exchange import Hints, LoadingEngine, SegmentUpdate
 from hopstep.ports.serving_directory import DirectoryEntry, RecordWritten
 from hopstep.services.exchanges.directory.records import NODES_PREFIX
+from hopstep.services.exchanges.streams.origin_holders import OriginHolders
 from tests.services.exchanges.exchange_world import ExchangeWorld
 
 SEGMENT = SegmentKey(7, 800)
@@ -60,6 +61,23 @@
 
         self.run_world(script)
 
+    def test_nodes_that_know_no_origins_of_streams_get_no_messages_about_them(self):
+        # They would reject each as malformed, and a record that they were to keep would be lost.
+        async def script(world):
+            knowledge = world.nodes[0].knowledge
+            for name, form in (("n8", MESSAGE_FORMAT_VERSION), ("n9", FORMAT_VERSION_WITH_ERAS)):
+                fields = {"address": "10.0.0.9:1", "zone": "z1", "key": "aw==", "form": form}
+                position = StorePosition(UNSPECIFIED_ERA, 98)
+                key = f"{NODES_PREFIX}{name}"
+                written = RecordWritten(key, json.dumps(fields).encode(), position)
+                entry = DirectoryEntry(key, position, written)
+                knowledge.apply_entries([LoggedChange(key, position, entry, 0.0)], "n8")
+            holders = OriginHolders(knowledge)
+            self.assertEqual(holders.asked(b"key"), ["n8"])
+            self.assertEqual(holders.keepers(b"key"), ["n8"])
+
+        self.run_world(script)
+
     def test_nodes_with_other_forms_are_logged_as_they_come_and_go(self):
         async def script(world):
             knowledge = world.nodes[0].knowledge
--- a/tests/services/exchanges/test_stream_versions.py
+++ b/tests/services/exchanges/test_stream_versions.py
@@ -37,6 +37,9 @@
 SEEDS = (1, 2, 3)
 STREAMS = 40
 STREAM_INTERVAL_SECONDS = 0.1
+LARGE_FLEETS = ((7, 4), (79, 60))
+"""Nodes, and how many of them die at once."""
+
 LEAST_SHARE = 0.5
 """The users' bound: part of the share of new streams that resumes must reach."""
 
@@ -167,6 +170,20 @@
             with self.subTest(way=way):
                 self.play_seeds(disturb, **options)
 
+    def test_streams_keep_their_version_where_most_of_a_large_fleet_dies(self):
+        # Records were with the nodes that died, and the others asked nobody who had them.
+        for nodes, killed in LARGE_FLEETS:
+            with self.subTest(nodes=nodes):
+
+                async def kill_most(played, killed=killed):
+                    await trio.sleep(2.0)
+                    for number in range(killed):
+                        played.kill_node(number)
+
+                played = VersionedStreams(nodes, zones=3)
+                self.play(played, kill_most)
+                self.check_resumed(played)
+
     def test_a_stream_that_lacks_only_its_end_is_ended(self):
         # A resume without a further event was taken for an answer that broke off: 502.
         played = VersionedStreams(nodes=1)
