Give a stream's continuation a module of its own, and count attempts by a typed count

The run of a request had grown by finding and keeping the origin of its stream. Attempts that don't count were subtracted from the number that is logged and bounds further ones; both are counted now. Event framing moves to the streams' room.

--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -13,11 +13,11 @@
 
 from hopstep import log_events
 from hopstep.domain.byte_budget import RESPONSE_BYTES, ResponseSpace
-from hopstep.domain.exchanges.event_stream import EventFramer, StreamOrderError
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.request import ExchangeRequest, Headers
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.serving import RequestKind
+from hopstep.domain.exchanges.streams.event_stream import EventFramer, StreamOrderError
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -11,7 +11,6 @@
 from hopstep.domain.exchanges.repeat_budget import RepeatBudget
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
-from hopstep.domain.exchanges.streams.origin import StreamOrigin
 from hopstep.domain.quarantine.crashes import TerminationEvidence
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
@@ -26,8 +25,7 @@
 from hopstep.services.exchanges.requests.instance_attempt import InstanceAttempt
 from hopstep.services.exchanges.requests.instance_waits import InstanceWaits
 from hopstep.services.exchanges.requests.quarantine_gate import QuarantineGate
-from hopstep.services.exchanges.streams.resume_log import log_resume
-from hopstep.services.exchanges.streams.stream_origins import is_resumed
+from hopstep.services.exchanges.streams.stream_continuation import StreamContinuation
 
 FURTHER_STEPS = (NextStep.RETRY, NextStep.RESUME)
 """Steps that send the request to another instance."""
@@ -61,12 +59,12 @@
         self.refused_seconds = 0.0
         self._parts = parts
         self._request = request
+        self.scope = InstanceScope(request, service)
+        self._stream = StreamContinuation(parts, self.scope)
         self._relay = AnswerRelay(
-            request, answer, self.outcome, parts.queue.recheck, self._note_stream_begun
+            request, answer, self.outcome, parts.queue.recheck, self._stream.note_begun
         )
-        self.scope = InstanceScope(request, service)
         self.waits = InstanceWaits(parts, self.scope, self.outcome)
-        self._stream_began_at = float("inf")
         self._unsent_attempts = 0
         self._may_have_run = False
         self._gate = QuarantineGate(parts.quarantine, parts.calls, request, self.outcome)
@@ -81,7 +79,7 @@
         """
         with trio.CancelScope(deadline=self._request.deadline) as scope:
             try:
-                await self._find_origin()
+                await self._stream.find_origin()
                 self._budget.record_request(self._request.received_at)
                 await self._run_attempts()
             finally:
@@ -95,26 +93,6 @@
         """Retry budget of the service."""
         return self._parts.budgets(self.scope.service)
 
-    async def _find_origin(self) -> None:
-        """Find out what began the stream that the client resumes; refuse it if that is unknown."""
-        if not is_resumed(self._request):
-            return
-        began_at = trio.current_time()
-        lookup = await self._parts.origins.find(self._request)
-        candidates = 0
-        if lookup.origin is not None:
-            self.scope.service = lookup.origin.service
-            self.scope.origin = lookup.origin
-            candidates = self._parts.choice.count_instances(self.scope)
-        self._parts.count_resume(lookup.source.value)
-        log_resume(self.scope, lookup, candidates, trio.current_time() - began_at)
-        if lookup.origin is None:
-            self._fail(ErrorCode.STREAM_NOT_RESUMABLE, "the stream's software version is unknown")
-        if self.scope.service not in (share.service for share in self._request.route.shares):
-            self._fail(ErrorCode.STREAM_NOT_RESUMABLE, "the route no longer has its service")
-        if not candidates:
-            self._fail(ErrorCode.STREAM_NOT_RESUMABLE, "no instance has its software version")
-
     async def _run_attempts(self) -> None:
         """Make attempts until the response is complete or no further attempt is allowed."""
         only: str | None = None
@@ -143,7 +121,7 @@
             if only is not None:
                 continue
             step = decide_step(self._progress(error))
-            if step is NextStep.RESUME and self._is_origin_doubtful():
+            if step is NextStep.RESUME and self._stream.is_doubtful:
                 step = NextStep.CUT
             self._log_attempt(candidate.view, error, step)
             if step in FURTHER_STEPS:
@@ -196,7 +174,7 @@
         if where is None or not self._budget.allows(trio.current_time(), self._parts.nodes()):
             return None
         self._budget.record_repeat(trio.current_time())
-        self.outcome.attempts -= 1
+        self.outcome.attempts.note_uncounted()
         if where:
             self.scope.tried.discard(where)
         self._log_attempt(view, error, NextStep.RETRY)
@@ -252,22 +230,11 @@
             self._unsent_attempts += 1
         self.scope.tried.add(view.instance.instance_id)
 
-    def _note_stream_begun(self, view: InstanceView) -> None:
-        """Let the stream go on only where the software is that of its first instance."""
-        self._stream_began_at = trio.current_time()
-        self.scope.origin = self.scope.origin or StreamOrigin.of(view.instance)
-        self._parts.origins.note_begun(self._request, self.scope.origin)
-
-    def _is_origin_doubtful(self) -> bool:
-        """Return whether the stream may have begun at other software than is recorded."""
-        origin = self.scope.origin
-        return origin is not None and self._parts.origins.is_doubtful(origin, self._stream_began_at)
-
     def _count_sent(self, view: InstanceView) -> None:
         """Count an attempt that was sent."""
-        if self.outcome.attempts:
+        if self.outcome.attempts.counted:
             self._budget.record_repeat(trio.current_time())
-        self.outcome.attempts += 1
+        self.outcome.attempts.note_sent()
         self.scope.tried.add(view.instance.instance_id)
 
     async def _answer_unknown(self) -> None:
@@ -293,7 +260,7 @@
         """Return the request's progress, from which the next step is decided."""
         now = trio.current_time()
         route = self._request.route
-        attempts = self.outcome.attempts
+        attempts = self.outcome.attempts.counted
         if self._unsent_attempts >= MAX_UNSENT_ATTEMPTS:
             attempts = route.max_attempts
         return ExchangeProgress(
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -37,6 +37,32 @@
     body: bytes
 
 
+class AttemptCount(msgspec.Struct):
+    """Attempts of one request.
+
+    Attributes:
+        sent: Attempts of which a byte was sent.
+        uncounted: Those of them that don't count as attempts of the route: refused by an instance
+            that had been replaced, or by one whose weights weren't the expected ones.
+    """
+
+    sent: int = 0
+    uncounted: int = 0
+
+    @property
+    def counted(self) -> int:
+        """Attempts that count against the route's limit."""
+        return self.sent - self.uncounted
+
+    def note_sent(self) -> None:
+        """Count an attempt of which a byte was sent."""
+        self.sent += 1
+
+    def note_uncounted(self) -> None:
+        """Note that the last attempt doesn't count."""
+        self.uncounted += 1
+
+
 class ExchangeOutcome(msgspec.Struct):
     """What is logged of a request when it has ended.
 
@@ -44,7 +70,7 @@
         outcome: Status of the response, error code with execution, ``cut`` or ``client_left``.
         instance: Id of the last instance that the request was sent to.
         software_version: Software version of that instance.
-        attempts: Attempts of which a byte was sent.
+        attempts: Attempts that were made.
         first_byte_ms: Milliseconds from the head of the request to the first byte of the
             response; -1 for none.
         events: Events of a stream.
@@ -63,7 +89,7 @@
     outcome: str = ""
     instance: str = ""
     software_version: str = ""
-    attempts: int = 0
+    attempts: AttemptCount = msgspec.field(default_factory=AttemptCount)
     first_byte_ms: int = -1
     events: int = 0
     pause_ms: int = 0
--- a/hopstep/services/exchanges/requests/quarantine_gate.py
+++ b/hopstep/services/exchanges/requests/quarantine_gate.py
@@ -57,7 +57,7 @@
             return 0.0
         fingerprint = self.name.fingerprint
         self._outcome.fingerprint = fingerprint.hex()
-        reached_none = not self._outcome.attempts
+        reached_none = not self._outcome.attempts.counted
         if reached_none and quarantine.terminations(fingerprint) <= self._admitted_crashes:
             return 0.0
         seconds = await quarantine.admit(fingerprint)
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -212,7 +212,7 @@
                 software_version=outcome.software_version,
                 resumes=request.resumes,
                 resume_after=request.resume_after,
-                attempts=outcome.attempts,
+                attempts=outcome.attempts.counted,
                 outcome=outcome.outcome,
                 first_byte_ms=outcome.first_byte_ms,
                 total_ms=round((trio.current_time() - request.received_at) * MILLISECONDS),
@@ -255,7 +255,7 @@
     def _count(self, request: ExchangeRequest, outcome: ExchangeOutcome) -> None:
         """Count an admitted request that has ended."""
         kind = request.route.kind.value
-        if outcome.first_byte_ms >= 0 and outcome.attempts == 1:
+        if outcome.first_byte_ms >= 0 and outcome.attempts.counted == 1:
             sent_ms = max(0, outcome.first_byte_ms - outcome.waited_ms)
             self.queue.refusals.first_bytes.observe(request.route.name, sent_ms / MILLISECONDS)
         self._metrics.requests.labels(kind, outcome.outcome).inc()
--- a/tests/domain/exchanges/test_event_stream.py
+++ b/tests/domain/exchanges/streams/test_event_stream.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hopstep.domain.exchanges.event_stream import (
+from hopstep.domain.exchanges.streams.event_stream import (
     MAX_EVENT_BYTES,
     EventFramer,
     StreamOrderError,
--- a/tests/services/exchanges/test_exchange_chaos.py
+++ b/tests/services/exchanges/test_exchange_chaos.py
@@ -8,7 +8,7 @@
 
 from emulator.exchange_platform.instances import Behaviour
 from hopstep.domain.exchanges.attempt_rules import NextStep
-from hopstep.domain.exchanges.event_stream import EventFramer
+from hopstep.domain.exchanges.streams.event_stream import EventFramer
 from hopstep.services.exchanges.requests import exchange
 from tests.services.exchanges.exchange_world import BOUNDS, ExchangeWorld
 
