Split the paths to instances by their jobs, and log tunnels that break and leases that don't end

HS6128 tells a tunnel that broke at the gateway, HS6141 a rollout lease whose end the store didn't take: both errors were swallowed.

--- a/hopstep/adapters/tunnel_server.py
+++ b/hopstep/adapters/tunnel_server.py
@@ -45,6 +45,10 @@
 
 QUIET_CHECK_SECONDS = 0.1
 
+NODE_END, REQUEST_DIRECTION, RESPONSE_DIRECTION = "node", "request", "response"
+"""Logged place at which a tunnel broke: the other node's connection, or the bytes of a request or
+response that were passed on."""
+
 
 class TunnelServer:
     """Serves the tunnels of other nodes through this one."""
@@ -102,8 +106,9 @@
             await self._serve_tunnel(client)
         except TunnelFrameError as error:
             emit(log_events.TUNNEL_REJECTED, reason=str(error))
-        except BROKEN:
+        except BROKEN as error:
             # The other node is gone, or no longer wants the tunnel.
+            _log_broken("", NODE_END, error)
             await trio.lowlevel.checkpoint()
         finally:
             self._open -= 1
@@ -124,7 +129,8 @@
             instance, failure = await self._connect(request.target)
         await client.send_all(encode_status(failure, self._key, challenge))
         if instance is not None:
-            await _Tunnel(client, reader, instance, self._lifecycle).run()
+            instance_id = request.target.instance_id
+            await _Tunnel(client, reader, instance, instance_id, self._lifecycle).run()
 
     def _authenticate(self, frame: bytes, challenge: bytes) -> OpenRequest:
         """Return a request that a registered node has signed for this node.
@@ -161,11 +167,13 @@
         client: trio.SocketStream,
         reader: FrameReader,
         instance: trio.SocketStream,
+        instance_id: str,
         lifecycle: Lifecycle,
     ) -> None:
         self._client = client
         self._reader = reader
         self._instance = instance
+        self._instance_id = instance_id
         self._lifecycle = lifecycle
         self._sending = trio.Lock()
         self._moved_at = trio.current_time()
@@ -188,8 +196,9 @@
                 self._awaits_response = True
                 self._moved_at = trio.current_time()
                 await self._instance.send_all(data)
-        except BROKEN:
+        except BROKEN as error:
             # The end that broke is closed; a reset of the instance is passed on as one.
+            _log_broken(self._instance_id, REQUEST_DIRECTION, error)
             await trio.lowlevel.checkpoint()
         scope.cancel()
 
@@ -204,7 +213,8 @@
             async with self._sending:
                 await self._client.send_eof()
             await self._wait_closed()
-        except BROKEN:
+        except BROKEN as error:
+            _log_broken(self._instance_id, RESPONSE_DIRECTION, error)
             await trio.lowlevel.checkpoint()
         scope.cancel()
 
@@ -224,7 +234,8 @@
         with self._lifecycle.active():
             try:
                 await self._send(CHUNK_HEADER.pack(STOP))
-            except BROKEN:
+            except BROKEN as error:
+                _log_broken(self._instance_id, NODE_END, error)
                 scope.cancel()
             await self._wait_quiet()
         scope.cancel()
@@ -236,3 +247,8 @@
             if not self._awaits_response and trio.current_time() >= quiet_at:
                 return
             await trio.sleep(max(QUIET_CHECK_SECONDS, quiet_at - trio.current_time()))
+
+
+def _log_broken(instance_id: str, end: str, error: Exception) -> None:
+    """Log that a tunnel broke."""
+    emit(log_events.TUNNEL_BROKEN, instance=instance_id, end=end, reason=type(error).__name__)
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -647,6 +647,13 @@
     ("reason",),
     "Fix the settings file; the earlier settings stay in use.",
 )
+ROLLOUT_LEASE_NOT_ENDED = LogEvent(
+    "HS6141",
+    "rollout_lease_not_ended",
+    Level.INFO,
+    ("reason", "code"),
+    "Nothing: the lease ends by itself, and the next holder waits for that.",
+)
 INSTANCE_LISTED = LogEvent(
     "HS6101",
     "instance_listed",
@@ -752,6 +759,13 @@
     ("reason",),
     "If it recurs: something other than a node of this fleet connects to the peer port.",
 )
+TUNNEL_BROKEN = LogEvent(
+    "HS6128",
+    "tunnel_broken",
+    Level.INFO,
+    ("instance", "end", "reason"),
+    "Nothing for a few: the node that uses the tunnel logs what became of its request.",
+)
 TUNNELS_UNAVAILABLE = LogEvent(
     "HS6127",
     "tunnels_unavailable",
--- a/hopstep/services/exchanges/reachability/suspicion_checks.py
+++ b/hopstep/services/exchanges/reachability/suspicion_checks.py
@@ -12,7 +12,8 @@
 
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.services.exchanges.peers.suspicions import Suspicions
-from hopstep.services.exchanges.reachability.instance_paths import InstancePaths, Reachability
+from hopstep.services.exchanges.reachability.instance_paths import InstancePaths
+from hopstep.services.exchanges.reachability.path_probes import Reachability
 
 REPORTED = frozenset({Reachability.DIRECT, Reachability.REFUSED, Reachability.SILENT})
 """Results after which an instance is reported; one that accepts connections may still be silent."""
--- a/hopstep/services/exchanges/weights/rollout_lease.py
+++ b/hopstep/services/exchanges/weights/rollout_lease.py
@@ -130,8 +130,8 @@
             return
         try:
             await self._store.end_lease(lease)
-        except StoreError:
-            return
+        except StoreError as error:
+            emit(log_events.ROLLOUT_LEASE_NOT_ENDED, reason=reason, code=error.code.value)
 
     def give_up(self, reason: str) -> None:
         """Stop ordering under the current fencing token: an engine has seen a higher one."""
--- a/tests/services/exchanges/test_suspicions.py
+++ b/tests/services/exchanges/test_suspicions.py
@@ -9,7 +9,7 @@
 from emulator.exchange_platform.instances import Behaviour
 from hopstep.domain.exchanges.instance_health import InstanceHealth
 from hopstep.services.exchanges.peers.suspicions import Suspicions
-from hopstep.services.exchanges.reachability.instance_paths import Reachability
+from hopstep.services.exchanges.reachability.path_probes import Reachability
 from tests.services.exchanges.exchange_world import KEY, ExchangeWorld
 
 NODES = 12
