--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -1,5 +1,7 @@
 """Port to datagrams between nodes: queries to a relay, its answers, digests, urgent updates.
 
+Messages about the origins of streams are in ``origin_messages``.
+
 Datagrams may be lost, delayed, repeated and out of order. The adapter drops messages that aren't
 signed by a registered node.
 """
@@ -15,10 +17,10 @@
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.segments import SegmentKey
 from hopstep.domain.exchanges.store_contents import ContentsPosition, ContentsUpdate
-from hopstep.domain.exchanges.streams.version_claims import VersionClaim
 from hopstep.domain.limits.fleet_usage import Usage
 from hopstep.domain.quarantine.crashes import RequestCrashes
 from hopstep.domain.store_position import NO_POSITION, UNSPECIFIED_ERA, StorePosition
+from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
     DirectoryEntry,
@@ -346,68 +348,6 @@
     suspected: tuple[SuspectedInstance, ...] = ()
 
 
-class ReportedOrigin(msgspec.Struct, frozen=True, array_like=True):
-    """The origin of a stream, as nodes send it.
-
-    Attributes:
-        key: Key of the stream, see ``stream_key``.
-        service: Service whose instance began it.
-        software_version: Software version of that instance; empty when unknown.
-        incarnation: As ``str(InstanceIncarnation)``.
-        age_ms: Milliseconds since its first event was sent to the client.
-        remaining_ms: Milliseconds until its client gives up at the latest.
-    """
-
-    key: bytes
-    service: str
-    software_version: str
-    incarnation: str
-    age_ms: int
-    remaining_ms: int
-
-
-class OriginUpdate(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """Origins of streams that the sender has begun, for nodes that keep them in its place.
-
-    Attributes:
-        number: Rises with each message of the process.
-        origins: The origins.
-        for_store: Whether the receiver is to write them to the store.
-    """
-
-    number: int
-    origins: tuple[ReportedOrigin, ...] = ()
-    for_store: bool = False
-
-
-class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """A node's query for the origin of a stream that a client resumes there.
-
-    Attributes:
-        number: Rises with each query of the process; the answer repeats it.
-        key: Key of the stream.
-        service: Service whose instances may have begun it.
-    """
-
-    number: int
-    key: bytes
-    service: str
-
-
-class OriginAnswer(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """Answer to a query for an origin.
-
-    Attributes:
-        number: Number of the query.
-        origin: The origin; None when the answering node doesn't know it.
-        claim: What it knows of the software versions of the service.
-    """
-
-    number: int
-    origin: ReportedOrigin | None = None
-    claim: VersionClaim = VersionClaim()
-
-
 NodeMessage = (
     RelayQuery
     | RelayAnswer
--- a/hopstep/services/exchanges/peers/relaying.py
+++ b/hopstep/services/exchanges/peers/relaying.py
@@ -19,15 +19,13 @@
     MessageTooLongError,
     NodeExchange,
     NodeMessage,
-    OriginAnswer,
-    OriginQuery,
-    OriginUpdate,
     Received,
     RelayAnswer,
     RelayDigest,
     RelayQuery,
     UrgentUpdates,
 )
+from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate
 from hopstep.services.exchanges.directory.change_origin import STORE_SOURCE
 from hopstep.services.exchanges.directory.directory_follower import DirectoryFollower
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
--- a/hopstep/services/exchanges/streams/origin_messages.py
+++ b/hopstep/services/exchanges/streams/origin_messages.py
@@ -4,7 +4,7 @@
 
 from hopstep.domain.exchanges.streams.origin import StreamOrigin
 from hopstep.domain.exchanges.streams.origin_records import OriginRecord
-from hopstep.ports.node_exchange import ReportedOrigin
+from hopstep.ports.origin_messages import ReportedOrigin
 
 MILLISECONDS = 1_000
 
--- a/hopstep/services/exchanges/streams/origin_sharing.py
+++ b/hopstep/services/exchanges/streams/origin_sharing.py
@@ -14,14 +14,8 @@
 
 from hopstep.domain.exchanges.streams.origin_records import OriginRecord
 from hopstep.domain.exchanges.streams.version_claims import VersionClaim
-from hopstep.ports.node_exchange import (
-    MessageTooLongError,
-    NodeExchange,
-    NodeMessage,
-    OriginAnswer,
-    OriginQuery,
-    OriginUpdate,
-)
+from hopstep.ports.node_exchange import MessageTooLongError, NodeExchange, NodeMessage
+from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.streams.origin_holders import OriginHolders
 from hopstep.services.exchanges.streams.origin_messages import read_record, report_record
--- a/hopstep/services/exchanges/streams/stored_origins.py
+++ b/hopstep/services/exchanges/streams/stored_origins.py
@@ -19,7 +19,7 @@
 from hopstep.exceptions import StoreConflictError, StoreError
 from hopstep.logs import emit
 from hopstep.ports.key_value_store import KeyValueStorePort
-from hopstep.ports.node_exchange import ReportedOrigin
+from hopstep.ports.origin_messages import ReportedOrigin
 from hopstep.ports.serving_directory import RecordWritten
 from hopstep.services.exchanges.directory.records import STREAMS_PREFIX
 from hopstep.services.exchanges.streams.origin_messages import read_record, report_record
--- a/hopstep/services/exchanges/streams/stream_origins.py
+++ b/hopstep/services/exchanges/streams/stream_origins.py
@@ -24,7 +24,8 @@
 )
 from hopstep.domain.exchanges.streams.version_claims import VersionClaim, sole_version
 from hopstep.ports.key_value_store import KeyValueStorePort
-from hopstep.ports.node_exchange import NodeExchange, OriginAnswer, OriginQuery, OriginUpdate
+from hopstep.ports.node_exchange import NodeExchange
+from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate
 from hopstep.ports.serving_directory import RecordWritten
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.records import STREAMS_PREFIX
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -34,22 +34,19 @@
     LeavingInstance,
     LimitedInstance,
     LoadingEngine,
-    OriginAnswer,
-    OriginQuery,
-    OriginUpdate,
     RelayAnswer,
     RelayDigest,
     RelayedEntry,
     RelayQuery,
     ReportedChange,
     ReportedEntry,
-    ReportedOrigin,
     ReportedRecord,
     SegmentUpdate,
     SentPrompt,
     SuspectedInstance,
     UrgentUpdates,
 )
+from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate, ReportedOrigin
 from hopstep.ports.serving_directory import (
     InstanceListed,
     InstanceRejected,
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -10,7 +10,14 @@
 
 import trio
 
-from emulator.soak.profiles import CUTS, LIMITS, NOTICES, RESTORES, SHORT
+from emulator.soak.profiles import (
+    CUTS,
+    LIMITS,
+    NOTICES,
+    RESTORES,
+    SHORT,
+    SOFTWARE_VERSIONS,
+)
 from emulator.soak.run import SoakPlan, run_soak
 
 FAULT_SECONDS = 15.0
@@ -25,12 +32,13 @@
     (9, LIMITS.name),
     (11, RESTORES.name),
     (13, CUTS.name),
+    (17, SOFTWARE_VERSIONS.name),
 )
 """Seeds and profiles: lost routes to the store during changes; planned work during changes;
 fatal requests, later incarnations of instances, entries of other writers and suspended machines;
 instances that announce in responses that they are shutting down or want backoff; instances that
-announce limits; a store that is restored from backups; and nodes that lose their links to
-instances.
+announce limits; a store that is restored from backups; nodes that lose their links to instances;
+and instances of several software versions.
 """
 
 
@@ -49,7 +57,8 @@
                 print(
                     f"soak: seed {seed}, {result.profile}, {result.requests} requests, "
                     f"{result.route_changes} changes of routes, faults {result.faults}, "
-                    f"{result.impact}, machine stood still {result.stalls.total_seconds:.2f} s, "
+                    f"{result.impact}, {result.streams}, "
+                    f"machine stood still {result.stalls.total_seconds:.2f} s, "
                     f"{len(result.violations)} broken",
                     flush=True,
                 )
