Keep when a stream began over its resumes, and bind resumes on routes that no longer allow them

What callers would see: a resume refused as doubtful although its stream had begun long before its first instance came back with other software; and, after a change of the configuration that took resuming away, a stream of two versions. Cause: each resume was recorded as the begin of its stream; and only routes that allow resuming looked for an origin. Evidence: two tests that failed. Change: the time of the first event goes along; any resume of a stream is bound.

--- a/hopstep/services/exchanges/streams/stream_continuation.py
+++ b/hopstep/services/exchanges/streams/stream_continuation.py
@@ -25,7 +25,7 @@
         """
         self._parts = parts
         self._scope = scope
-        self._began_at = float("inf")
+        self._began_at: float | None = None
 
     async def find_origin(self) -> None:
         """Find out what began the stream that the client resumes.
@@ -36,15 +36,16 @@
         scope = self._scope
         if not is_resumed(scope.request):
             return
-        began_at = trio.current_time()
+        asked_at = trio.current_time()
         lookup = await self._parts.origins.find(scope.request)
         candidates = 0
         if lookup.origin is not None:
             scope.service = lookup.origin.service
             scope.origin = lookup.origin
+            self._began_at = trio.current_time() - lookup.age_seconds
             candidates = self._parts.choice.count_instances(scope)
         self._parts.count_resume(lookup.source.value)
-        log_resume(scope, lookup, candidates, trio.current_time() - began_at)
+        log_resume(scope, lookup, candidates, trio.current_time() - asked_at)
         if lookup.origin is None:
             raise _not_resumable("the stream's software version is unknown")
         if scope.service not in (share.service for share in scope.request.route.shares):
@@ -54,15 +55,19 @@
 
     def note_begun(self, view: InstanceView) -> None:
         """Note that the first event of the answer is about to be sent to the client."""
-        self._began_at = trio.current_time()
+        if self._began_at is None:
+            self._began_at = trio.current_time()
         self._scope.origin = self._scope.origin or StreamOrigin.of(view.instance)
-        self._parts.origins.note_begun(self._scope.request, self._scope.origin)
+        origins = self._parts.origins
+        origins.note_begun(self._scope.request, self._scope.origin, self._began_at)
 
     @property
     def is_doubtful(self) -> bool:
         """Whether the stream may have begun at other software than is recorded."""
-        origin = self._scope.origin
-        return origin is not None and self._parts.origins.is_doubtful(origin, self._began_at)
+        origin, began_at = self._scope.origin, self._began_at
+        if origin is None or began_at is None:
+            return False
+        return self._parts.origins.is_doubtful(origin, began_at)
 
 
 def _not_resumable(message: str) -> ServiceError:
--- a/hopstep/services/exchanges/streams/stream_origins.py
+++ b/hopstep/services/exchanges/streams/stream_origins.py
@@ -70,20 +70,22 @@
         self._shared_services: set[str] = set()
         knowledge.records.subscribe_records(STREAMS_PREFIX, self._take_stored)
 
-    def note_begun(self, request: ExchangeRequest, origin: StreamOrigin) -> None:
-        """Remember the origin of a stream whose first event is about to be sent to the client.
+    def note_begun(self, request: ExchangeRequest, origin: StreamOrigin, began_at: float) -> None:
+        """Remember the origin of a stream of which an event is about to be sent to the client.
 
         Args:
             request: The request that began or resumed it.
             origin: What began it.
+            began_at: When its first event came, by the steady clock in seconds.
         """
-        if not is_resumable(request.route):
+        if not (request.route.resumable or is_resumed(request)):
             return
         now = trio.current_time()
         self._versions.note_stream_seconds(request.client_deadline - request.received_at)
         keep_until = request.client_deadline + KEPT_BEYOND_SECONDS
-        record = OriginRecord(_key(request), origin, now, keep_until)
-        self._own.put(record, now)
+        record = OriginRecord(_key(request), origin, began_at, keep_until)
+        if not self._own.put(record, now):
+            return
         if self._needs_copies(request.route, origin.service, now):
             self._share((record,))
 
@@ -242,14 +244,14 @@
         yield from self._kept.of_service(service, now)
 
 
-def is_resumable(route: Route) -> bool:
-    """Return whether clients may resume the streams of a route."""
-    return route.kind is RequestKind.STREAM and route.resumable
-
-
 def is_resumed(request: ExchangeRequest) -> bool:
-    """Return whether a request goes on with a stream that another request began."""
-    return is_resumable(request.route) and bool(request.resumes or request.resume_after)
+    """Return whether a request goes on with a stream that another request began.
+
+    It is bound to what began the stream also where its route doesn't allow resuming any more.
+    """
+    if request.route.kind is not RequestKind.STREAM:
+        return False
+    return bool(request.resumes or request.resume_after)
 
 
 def _key(request: ExchangeRequest) -> bytes:
--- a/tests/services/exchanges/test_stream_origins.py
+++ b/tests/services/exchanges/test_stream_origins.py
@@ -18,6 +18,9 @@
 )
 from tests.services.exchanges.versioned_streams import ROUTE, VersionedStreams
 
+CLIENT_SECONDS = 9.0
+"""Time for which a client holds its stream."""
+
 BROKEN_SECONDS = 0.4
 """Time after which a client's first connection breaks."""
 
@@ -33,7 +36,9 @@
         """Begin a stream whose connection breaks; return its version and its last event."""
         answer = RecordedAnswer()
         with trio.move_on_after(seconds):
-            await played.world.request(ROUTE, node, KEY, request_id, answer=answer)
+            await played.world.request(
+                ROUTE, node, KEY, request_id, patience=CLIENT_SECONDS, answer=answer
+            )
         last = answer.body.decode().rsplit("id: ", 1)[1].split("\n")[0]
         return self.version_of(played, request_id), last
 
@@ -124,6 +129,21 @@
 
         self.run_world(script)
 
+    def test_a_resume_is_bound_also_where_its_route_no_longer_allows_it(self):
+        # A change of the configuration sent it to any version, with the last event of another.
+        async def script(played):
+            routes = [
+                msgspec.structs.replace(route, resumable=False) if route.name == ROUTE else route
+                for route in ROUTES
+            ]
+            version, last = await self.begin(played)
+            played.world.publish(ConfigurationPublished(configuration(2, tuple(routes))))
+            await trio.sleep(0.5)
+            self.check_resumed(played, await self.resume(played, last), version)
+            self.check_refused(await self.resume(played, last, resumes="never begun"))
+
+        self.run_world(script)
+
     def test_a_resume_without_a_record_goes_on_where_one_version_is_known(self):
         # Refusing it would harm every service whose instances all have one version.
         async def script(played):
@@ -366,6 +386,29 @@
 
         self.run_single(script)
 
+    def test_a_stream_that_went_on_elsewhere_is_not_doubted_for_a_later_restart(self):
+        # Its resume counted as its begin: a later restart of its first instance made it doubtful.
+        async def script(played):
+            for number in range(2):
+                played.add(f"old{number}", "v1", born_ms=self.BORN + 5, zone="z9")
+            version, last = await self.begin(played, seconds=0.3)
+            self.assertEqual(
+                played.world.instances.runs("r1"), played.world.instances.servers["x"].runs
+            )
+            await trio.sleep(2.5)
+            self.replace(played, "v2")
+            await trio.sleep(0.3)
+            for request_id in ("r2", "r3"):
+                answer = RecordedAnswer()
+                with trio.move_on_after(0.2):
+                    await played.world.request(
+                        ROUTE, 1, KEY, request_id, last, 9.0, answer, resumes="r1"
+                    )
+                self.assertIsNone(answer.error)
+                self.assertEqual(self.version_of(played, request_id), version)
+
+        self.run_single(script)
+
     def test_an_instance_that_came_back_with_other_software_takes_no_stream_of_before(self):
         # It was known by its id, and had begun the stream.
         async def script(played):
