Bound how long origins are kept, and keep the latest of a store's outage

What would happen: a client that states a deadline of years had the store refuse the lease of the next batch, and with it every later write of origins; with more than 4,096 records waiting for the store the newest were dropped in place of the oldest. Cause: the lease's time came from the clients' deadlines unbounded; a full deque drops at its other end.

--- a/hopstep/services/exchanges/streams/origin_sharing.py
+++ b/hopstep/services/exchanges/streams/origin_sharing.py
@@ -51,6 +51,12 @@
     claims: list[VersionClaim] = []
     progress: trio.Event = msgspec.field(default_factory=trio.Event)
 
+    def take_record(self, record: OriginRecord, node: str) -> None:
+        """Keep a record that a node has answered, the one that began last of several."""
+        if self.record is None or record.began_at > self.record.began_at:
+            self.record = record
+            self.node = node
+
 
 class OriginSharing:
     """Messages between nodes about the origins of streams."""
@@ -115,7 +121,7 @@
             The answers: a record, all answers without one, or what came within ``ROUND_SECONDS``.
         """
         names = self._holders.asked(key)
-        inquiry = Inquiry(set(names), len(names), claims=[])
+        inquiry = Inquiry(set(names), len(names))
         self._number += 1
         number = self._number
         self._inquiries[number] = inquiry
@@ -147,20 +153,10 @@
         inquiry.missing.discard(sender)
         inquiry.claims.append(answer.claim)
         if answer.origin is not None:
-            self._take_record(inquiry, sender, answer)
+            inquiry.take_record(read_record(answer.origin, trio.current_time()), sender)
         inquiry.progress.set()
         inquiry.progress = trio.Event()
 
-    @staticmethod
-    def _take_record(inquiry: Inquiry, sender: str, answer: OriginAnswer) -> None:
-        """Keep the record of an answer, the one that began last of several."""
-        if answer.origin is None:
-            return
-        record = read_record(answer.origin, trio.current_time())
-        if inquiry.record is None or record.began_at > inquiry.record.began_at:
-            inquiry.record = record
-            inquiry.node = sender
-
     async def _send(self, message: NodeMessage, name: str) -> None:
         """Send a message to a node, if it is registered."""
         record = self._knowledge.nodes.get(name)
--- a/hopstep/services/exchanges/streams/stored_origins.py
+++ b/hopstep/services/exchanges/streams/stored_origins.py
@@ -15,7 +15,7 @@
 
 from hopstep import log_events
 from hopstep.domain.exchanges.streams.origin_records import OriginRecord
-from hopstep.domain.store_position import ABSENT, StoreLease
+from hopstep.domain.store_position import ABSENT
 from hopstep.exceptions import StoreConflictError, StoreError
 from hopstep.logs import emit
 from hopstep.ports.key_value_store import KeyValueStorePort
@@ -23,6 +23,7 @@
 from hopstep.ports.serving_directory import RecordWritten
 from hopstep.services.exchanges.directory.records import STREAMS_PREFIX
 from hopstep.services.exchanges.streams.origin_messages import read_record, report_record
+from hopstep.services.short_lease import ShortLease
 
 WRITE_SPACING_SECONDS = 0.3
 """Shortest time between two writes of all nodes together, on average."""
@@ -42,7 +43,11 @@
 
 
 class StoredOrigins:
-    """Writes records to the store, and reads those that any node has written."""
+    """Writes records to the store, and reads those that any node has written.
+
+    Attributes:
+        writers: Number of nodes that write records.
+    """
 
     def __init__(self, name: str, store: KeyValueStorePort) -> None:
         """Start without records. Must be called inside the event loop.
@@ -56,9 +61,7 @@
         self._unwritten: deque[OriginRecord] = deque(maxlen=MAX_UNWRITTEN)
         self._filled = trio.Event()
         self._writes = 0
-        self._lease: StoreLease | None = None
-        self._lease_until = -float("inf")
-        self._keep_seconds = 0.0
+        self._lease = ShortLease(store, LEASE_USE_SECONDS)
         self.writers = 1
 
     def put(self, records: Iterable[OriginRecord]) -> None:
@@ -91,7 +94,7 @@
                 if batch:
                     await self._write(batch)
             except StoreError as error:
-                self._unwritten.extendleft(reversed(batch))
+                self._unwritten = deque((*batch, *self._unwritten), MAX_UNWRITTEN)
                 self._note_failure(error, len(batch))
                 await trio.sleep(RETRY_SECONDS)
                 continue
@@ -109,22 +112,14 @@
     async def _write(self, batch: list[OriginRecord]) -> None:
         """Write a batch under a key of its own."""
         now = trio.current_time()
-        lease = await self._current_lease(max(record.keep_until for record in batch) - now)
+        keep_seconds = max(record.keep_until for record in batch) - now
+        lease = await self._lease.current(keep_seconds)
         self._writes += 1
         value = msgspec.json.encode(tuple(report_record(record, now) for record in batch))
         await self._store.compare_and_swap(f"{self._prefix}{self._writes}", ABSENT, value, lease)
 
-    async def _current_lease(self, keep_seconds: float) -> StoreLease:
-        """Return a lease that lasts for at least a time from now on."""
-        now = trio.current_time()
-        if self._lease is None or now >= self._lease_until or keep_seconds > self._keep_seconds:
-            self._keep_seconds = max(self._keep_seconds, keep_seconds)
-            self._lease = await self._store.grant_lease(LEASE_USE_SECONDS + self._keep_seconds)
-            self._lease_until = now + LEASE_USE_SECONDS
-        return self._lease
-
     def _note_failure(self, error: StoreError, records: int) -> None:
         """Log a failed write, and use another lease for the next one if this one has ended."""
         if isinstance(error, StoreConflictError):
-            self._lease = None
+            self._lease.forget()
         emit(log_events.ORIGINS_NOT_WRITTEN, records=records, code=error.code.value)
--- a/hopstep/services/exchanges/streams/stream_origins.py
+++ b/hopstep/services/exchanges/streams/stream_origins.py
@@ -15,6 +15,7 @@
 
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.serving import RequestKind, Route
+from hopstep.domain.exchanges.streams.listed_versions import MAX_RETENTION_SECONDS
 from hopstep.domain.exchanges.streams.origin import StreamOrigin
 from hopstep.domain.exchanges.streams.origin_lookup import OriginLookup, OriginSource
 from hopstep.domain.exchanges.streams.origin_records import (
@@ -43,6 +44,9 @@
 KEPT_BEYOND_SECONDS = 1.0
 """Time for which a record is kept after its client's deadline, for clocks and delays."""
 
+MAX_KEPT_SECONDS = MAX_RETENTION_SECONDS
+"""Longest time for which a record is kept, whatever deadline a client states."""
+
 OriginMessage = OriginUpdate | OriginQuery | OriginAnswer
 
 
@@ -82,7 +86,7 @@
             return
         now = trio.current_time()
         self._versions.note_stream_seconds(request.client_deadline - request.received_at)
-        keep_until = request.client_deadline + KEPT_BEYOND_SECONDS
+        keep_until = min(request.client_deadline + KEPT_BEYOND_SECONDS, now + MAX_KEPT_SECONDS)
         record = OriginRecord(_key(request), origin, began_at, keep_until)
         if not self._own.put(record, now):
             return
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -16,18 +16,19 @@
 from hopstep import log_events
 from hopstep.domain.quarantine.crash_records import MAX_REQUESTS
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
-from hopstep.domain.store_position import ABSENT, StoreLease, StorePosition
+from hopstep.domain.store_position import ABSENT, StorePosition
 from hopstep.exceptions import StoreConflictError, StoreError
 from hopstep.logs import emit
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.ports.serving_directory import RejectReason
 from hopstep.services.quarantine.quarantine import Quarantine
+from hopstep.services.short_lease import ShortLease
 
 QUARANTINE_PREFIX = "hopstep/quarantine/"
 """Prefix of a request's key, followed by its fingerprint in hexadecimal digits."""
 
-LEASE_SECONDS = 600.0
-"""Lease duration: the platform's longest. Keys last for at least half of it."""
+KEEP_SECONDS = 300.0
+"""Time for which a key lasts at least: half of the platform's longest lease."""
 
 LEASE_USE_SECONDS = 300.0
 """Age above which a lease isn't used for further keys."""
@@ -110,8 +111,7 @@
         self._generator = generator
         self._stored: OrderedDict[bytes, _Stored] = OrderedDict()
         self._missing_since: dict[bytes, float] = {}
-        self._lease: StoreLease | None = None
-        self._lease_until = -float("inf")
+        self._lease = ShortLease(store, LEASE_USE_SECONDS)
         self._claiming: set[bytes] = set()
         quarantine.set_trials(self)
 
@@ -209,7 +209,7 @@
                 for fingerprint in self._due():
                     await self._write(fingerprint)
             except StoreError:
-                self._lease = None
+                self._lease.forget()
                 await trio.sleep(RETRY_SECONDS * (0.5 + self._generator.random()))
                 continue
             if self._missing_since:
@@ -270,7 +270,7 @@
         name = self._quarantine.name(fingerprint)
         trials += stored.trials if stored is not None else 0
         value = StoredRequest(name.caller, name.route, known.crashes, known.cleared, trials=trials)
-        lease = await self._current_lease()
+        lease = await self._lease.current(KEEP_SECONDS)
         expected = stored.version if stored is not None else ABSENT
         try:
             version = await self._store.compare_and_swap(
@@ -285,14 +285,6 @@
             raise
         self._record_stored(fingerprint, _Stored(version, known, trials))
 
-    async def _current_lease(self) -> StoreLease:
-        """Return a lease that is recent enough for another key."""
-        now = trio.current_time()
-        if self._lease is None or now >= self._lease_until:
-            self._lease = await self._store.grant_lease(LEASE_SECONDS)
-            self._lease_until = now + LEASE_USE_SECONDS
-        return self._lease
-
     def _record_stored(self, fingerprint: bytes, stored: _Stored) -> None:
         """Remember a stored record, unless a newer one is known."""
         known = self._stored.get(fingerprint)
