Check resumes of streams whose first node was killed by themselves

Cause: the bound was held against all resumes together.

Change: the same bound also holds for the resumes of streams whose first node lost its state; the figures of a run print both.

--- a/emulator/soak/stream_checks.py
+++ b/emulator/soak/stream_checks.py
@@ -32,6 +32,9 @@
         new_tries: Tries of new streams.
         went_on: Resumes that brought an event or the end.
         resumes: Resumes.
+        orphans_went_on: Resumes that went on although the node that began their stream had lost its
+            state.
+        orphans: Resumes of such streams.
     """
 
     streams: int
@@ -41,12 +44,15 @@
     new_tries: int
     went_on: int
     resumes: int
+    orphans_went_on: int
+    orphans: int
 
 
 def stream_figures(history: History) -> StreamFigures:
     """Return the figures of all held streams, whatever faults there were."""
     versions = _VersionsOfAnswers(history)
-    new, resumes = _tries(history)
+    new, resumes = _new_tries(history), _resumes(history)
+    orphaned = [request for request in resumes if _is_orphaned(history, request)]
     mixed = [stream for stream in history.streams if len(versions.of_stream(stream)) > 1]
     within = [s for s in mixed if any(len(versions.of_answer(t)) > 1 for t in s.tries)]
     return StreamFigures(
@@ -57,6 +63,8 @@
         len(new),
         sum(map(_went_on, resumes)),
         len(resumes),
+        sum(map(_went_on, orphaned)),
+        len(orphaned),
     )
 
 
@@ -74,9 +82,21 @@
 
 def resumed_streams_go_on(history: History, bounds: Bounds) -> Iterable[str]:
     """Yield the shares of resumes and new streams, if resumes go on far less often."""
-    new, resumes = _tries(history)
+    yield from _lost_resumes(history, bounds, _resumes(history))
+
+
+def orphaned_streams_go_on(history: History, bounds: Bounds) -> Iterable[str]:
+    """Yield the same of streams whose first node has lost its state since it began them."""
+    orphaned = [request for request in _resumes(history) if _is_orphaned(history, request)]
+    yield from _lost_resumes(history, bounds, orphaned)
+
+
+def _lost_resumes(
+    history: History, bounds: Bounds, resumes: Iterable[SentRequest]
+) -> Iterable[str]:
+    """Yield the shares of some resumes and of new streams, if the resumes go on far less often."""
     versions = _VersionsOfAnswers(history)
-    began = [_is_begun(r) for r in new if _counts(history, r, bounds)]
+    began = [_is_begun(r) for r in _new_tries(history) if _counts(history, r, bounds)]
     gone_on = [
         _went_on(request)
         for request in resumes
@@ -124,11 +144,25 @@
         return found
 
 
-def _tries(history: History) -> tuple[list[SentRequest], list[SentRequest]]:
-    """Return the tries of new streams, and the resumes."""
-    tries = [history.requests[name] for stream in history.streams for name in stream.tries]
-    new = [request for request in tries if not request.resumes]
-    return new, [request for request in tries if request.resumes]
+def _tries(history: History) -> list[SentRequest]:
+    """Return all tries of held streams."""
+    return [history.requests[name] for stream in history.streams for name in stream.tries]
+
+
+def _new_tries(history: History) -> list[SentRequest]:
+    """Return the tries of streams that had brought no event before."""
+    return [request for request in _tries(history) if not request.resumes]
+
+
+def _resumes(history: History) -> list[SentRequest]:
+    """Return the tries that take a stream up."""
+    return [request for request in _tries(history) if request.resumes]
+
+
+def _is_orphaned(history: History, resume: SentRequest) -> bool:
+    """Return whether the node that began a stream has lost its state before a resume of it."""
+    first = history.requests[resume.resumes]
+    return history.restarted(first.node, first.sent_at, resume.sent_at)
 
 
 def _is_begun(request: SentRequest) -> bool:
@@ -178,4 +212,5 @@
 STREAM_CHECKS: dict[str, Check] = {
     "software versions": streams_keep_their_version,
     "resumed streams": resumed_streams_go_on,
+    "orphaned streams": orphaned_streams_go_on,
 }
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -102,6 +102,7 @@
             "rest",
             "software versions",
             "resumed streams",
+            "orphaned streams",
             "limit",
             "limit used",
             "refused with room",
--- a/tests/emulator/soak/test_stream_checks.py
+++ b/tests/emulator/soak/test_stream_checks.py
@@ -3,6 +3,7 @@
 import unittest
 
 from emulator.soak.history import (
+    KILLED,
     Disturbance,
     DrainStart,
     HeldStream,
@@ -14,6 +15,7 @@
 )
 from emulator.soak.promises import Bounds
 from emulator.soak.stream_checks import (
+    orphaned_streams_go_on,
     resumed_streams_go_on,
     stream_figures,
     streams_keep_their_version,
@@ -104,3 +106,16 @@
         self.resume(12, 0)
         self.history.disturbances.append(Disturbance("killed", "n0", 8.0, 9.0))
         self.assertEqual(self.lost(), [])
+
+    def test_orphaned_streams_that_do_not_go_on_are_seen_among_others_that_do(self):
+        self.resume(12, 0)
+        for name in list(self.history.requests):
+            request = self.history.requests[name]
+            if request.resumes:
+                request.node, request.sent_at, request.ended_at = "n1", 13.0, 13.5
+        self.resume(40, 40)
+        self.history.disturbances.append(Disturbance(KILLED, "n0", 11.0, 11.2))
+        bounds = Bounds(settling=1.0)
+        self.assertEqual(list(resumed_streams_go_on(self.history, bounds)), [])
+        self.assertEqual(len(list(orphaned_streams_go_on(self.history, bounds))), 1)
+        self.assertEqual(stream_figures(self.history).orphans, 12)
