Test the emulated instance's orders on the virtual clock

What was seen: test_orders_are_fenced_and_checked failed once beside load (2026-12-03 22:14, load 10): 202 in place of 409.

Cause: the test ran in real time against a load of 10 ms. With more than that between two orders the first load has ended, and the second order is rightly taken.

Evidence: with 30 ms of real time before each order the test fails on the code before, and passes with this change. All assertions stay as they were.

--- a/tests/emulator/test_http_instance.py
+++ b/tests/emulator/test_http_instance.py
@@ -7,6 +7,7 @@
 import trio
 
 from emulator.exchange_platform.http_instance import HttpInstance, InstanceTraits
+from emulator.virtual_time import run_in_virtual_time
 
 
 class Listener:
@@ -43,7 +44,7 @@
                 instance.use_nursery(nursery)
                 await script(instance, instance.app.test_client(), listener)
 
-        trio.run(main)
+        run_in_virtual_time(main)
 
     async def post(self, client, body=b"", path="/x", **headers):
         fields = {"Attempt-Id": "r", **headers}
