--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -465,6 +465,14 @@
     "Nothing while the store is down; written later. Else look the code up in the errors page.",
 )
 
+ORIGINS_NOT_SENT = LogEvent(
+    "HS3115",
+    "origins_not_sent",
+    Level.WARNING,
+    ("receiver", "message"),
+    "Report it: a message about the origins of streams didn't fit into one datagram.",
+)
+
 RESPONSE_RELAYED_IN_PARTS = LogEvent(
     "HS3121",
     "response_relayed_in_parts",
--- a/hopstep/services/exchanges/streams/origin_sharing.py
+++ b/hopstep/services/exchanges/streams/origin_sharing.py
@@ -6,14 +6,15 @@
 
 from __future__ import annotations
 
-import contextlib
 from collections.abc import Callable, Iterable
 
 import msgspec
 import trio
 
+from hopstep import log_events
 from hopstep.domain.exchanges.streams.origin_records import OriginRecord
 from hopstep.domain.exchanges.streams.version_claims import VersionClaim
+from hopstep.logs import emit
 from hopstep.ports.node_exchange import MessageTooLongError, NodeExchange, NodeMessage
 from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
@@ -162,5 +163,7 @@
         record = self._knowledge.nodes.get(name)
         if record is None:
             return
-        with contextlib.suppress(MessageTooLongError):
+        try:
             await self._exchange.send(message, record)
+        except MessageTooLongError:
+            emit(log_events.ORIGINS_NOT_SENT, receiver=name, message=type(message).__name__)
