--- a/emulator/soak/stream_checks.py
+++ b/emulator/soak/stream_checks.py
@@ -34,7 +34,7 @@
         resumes: Resumes.
         orphans_went_on: Resumes that went on although the node that began their stream had lost its
             state.
-        orphans: Resumes of such streams.
+        orphans: Resumes of such streams that a node received.
     """
 
     streams: int
@@ -52,7 +52,8 @@
     """Return the figures of all held streams, whatever faults there were."""
     versions = _VersionsOfAnswers(history)
     new, resumes = _new_tries(history), _resumes(history)
-    orphaned = [request for request in resumes if _is_orphaned(history, request)]
+    received = [request for request in resumes if not request.refused_connection]
+    orphaned = [request for request in received if _is_orphaned(history, request)]
     mixed = [stream for stream in history.streams if len(versions.of_stream(stream)) > 1]
     within = [s for s in mixed if any(len(versions.of_answer(t)) > 1 for t in s.tries)]
     return StreamFigures(
