Expect no service of the soak while every node has lost its links to instances

Cause: three overlapping faults cut n4; n0 and n3; n1, n4, n2, n0 and n5 between 1.1 and 7.6 s, so all six nodes. The fault leaves one node with links by itself, several together don't. No node could then send to i1, and the check looked at the instance alone.

Change: an instance counts as free only while some node, itself undisturbed, has kept its links for as long as the check asks of the request's own node. With any such node the check is as it was; the test has both cases.

--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -198,7 +198,10 @@
         disturbance.until = trio.current_time()
 
     async def _nodes_without_instances(self) -> None:
-        """Cut the links of some nodes to all instances: one, a zone, or any number but all."""
+        """Cut the links of some nodes to all instances: one, a zone, or any number but all.
+
+        Several at a time may cut those of all nodes.
+        """
         nodes = self._deployment.nodes
         kind = self._generator.choice((REFUSING, HANGING))
         zone = self._generator.choice(nodes).zone
--- a/emulator/soak/limit_checks.py
+++ b/emulator/soak/limit_checks.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from emulator.soak.history import Arrival, History, IncarnationPeriod, LimitChange, SentRequest
+from emulator.soak.link_checks import has_linked_node
 from emulator.soak.promises import Bounds, Check
 
 REFUSED = 503
@@ -79,7 +80,8 @@
 def refused_only_without_free_capacity(history: History, bounds: Bounds) -> Iterable[str]:
     """Yield requests that reached no instance although one of their service had free capacity.
 
-    Only plain services are checked: an engine may be loading weights.
+    Only plain services are checked: an engine may be loading weights. Nothing is free while no node
+    has its links to instances.
     """
     reached = {arrival.request_id for arrival in history.arrivals}
     for request in history.requests.values():
@@ -90,6 +92,8 @@
         since = request.sent_at - bounds.settling
         if not history.time_bounds_apply(request.node, since, ended_at):
             continue
+        if not has_linked_node(history, since, ended_at):
+            continue
         free = _free_instances(history, request, since, ended_at)
         if free:
             yield f"{request.request_id} was refused while {free[0]} was free"
--- a/emulator/soak/link_checks.py
+++ b/emulator/soak/link_checks.py
@@ -43,6 +43,19 @@
             )
 
 
+def has_linked_node(history: History, since: float, until: float) -> bool:
+    """Return whether a node kept its process and its links to instances for all of a period.
+
+    Requests may be sent through it from any node.
+    """
+    nodes = {request.node for request in history.requests.values()}
+    return any(
+        not history.interrupted(node, since, until)
+        and not history.disturbed(subject_of(node), since, until)
+        for node in nodes
+    )
+
+
 def _counts(history: History, request: SentRequest) -> bool:
     """Return whether a request should be served, as far as its node's other faults go."""
     revoked = {revocation.key for revocation in history.revocations}
--- a/tests/emulator/soak/test_limit_checks.py
+++ b/tests/emulator/soak/test_limit_checks.py
@@ -4,13 +4,21 @@
 
 import msgspec
 
-from emulator.soak.history import Arrival, Disturbance, IncarnationPeriod, LimitChange, SentNotice
+from emulator.soak.history import (
+    INSTANCE_LINKS_CUT,
+    Arrival,
+    Disturbance,
+    IncarnationPeriod,
+    LimitChange,
+    SentNotice,
+)
 from emulator.soak.limit_checks import (
     limit_periods,
     limits_are_kept,
     limits_are_used,
     refused_only_without_free_capacity,
 )
+from emulator.soak.link_checks import subject_of
 from emulator.soak.promises import Bounds
 from tests.emulator.soak.test_checks import history, request
 
@@ -113,3 +121,16 @@
         self.assertEqual(len(list(refused_only_without_free_capacity(found, BOUNDS))), 1)
         found.disturbances = [Disturbance("link", "i2", 104.0, 105.0)]
         self.assertEqual(list(refused_only_without_free_capacity(found, BOUNDS)), [])
+
+    def test_a_refusal_while_every_node_has_lost_its_links_is_allowed(self):
+        found = self.seen(0)
+        found.requests["no"] = request("no", at=105.0, status=503, ended_at=105.0)
+        found.requests["other"] = request("other", at=90.0, node="n1")
+        service = found.requests["no"].service
+        found.instances.append(IncarnationPeriod("i2@1", service, 90.0, is_plain=True))
+        cut = Disturbance(INSTANCE_LINKS_CUT, subject_of("n0"), 104.0, 106.0)
+        found.disturbances = [cut]
+        self.assertEqual(len(list(refused_only_without_free_capacity(found, BOUNDS))), 1)
+        other = Disturbance(INSTANCE_LINKS_CUT, subject_of("n1"), 101.5, 102.5)
+        found.disturbances = [cut, other]
+        self.assertEqual(list(refused_only_without_free_capacity(found, BOUNDS)), [])
