Let the soak's callers outlast a start of all nodes, and count orphaned streams once

Change: callers hold streams for 4 or 10 s, and a refused connection is no try. The check of orphaned streams counts streams, not tries, at nodes that were in touch with store and nodes for half a second, if the store was there since the stream began.

--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -103,7 +103,7 @@
 
     async def send(self, request: SentRequest) -> None:
         """Send a request of a caller that doesn't disconnect, and record its outcome."""
-        with trio.move_on_after(PATIENCE_SECONDS + LATEST_ANSWER_SECONDS):
+        with trio.CancelScope(deadline=request.deadline_at + LATEST_ANSWER_SECONDS):
             await self._exchange(request)
         request.ended_at = trio.current_time()
 
--- a/emulator/soak/resuming_callers.py
+++ b/emulator/soak/resuming_callers.py
@@ -9,11 +9,19 @@
 
 import trio
 
-from emulator.soak.callers import PATIENCE_SECONDS, Callers, draw_request
+from emulator.soak.callers import Callers, draw_request
 from emulator.soak.deployment import Deployment
 from emulator.soak.history import HeldStream, RequestKind, SentRequest
 
-MAX_TRIES = 4
+HOLD_SECONDS = (4.0, 10.0)
+"""Times for which callers hold a stream; the longer one is more than a node takes to start."""
+
+PAUSES_SECONDS = (0.05, 0.05, 0.2, 0.8, 1.6, 0.0)
+"""Time after each try that reached a node; their number is that of the tries."""
+
+REFUSED_PAUSE_SECONDS = 0.2
+"""Time after a connection that was refused; such a try doesn't count."""
+
 EVENTS = (10, 100)
 """Events of a stream, fewest and most; the longest lasts some two seconds."""
 
@@ -21,8 +29,9 @@
 """Share of tries in which the caller breaks its connection off."""
 
 LEAVING_SECONDS = (0.1, 1.5)
-PAUSE_SECONDS = 0.05
-"""Time between two tries."""
+
+LEAST_SECONDS = 0.05
+"""Time that a try must have left before the caller gives up."""
 
 
 class ResumingCallers:
@@ -60,14 +69,22 @@
         """Hold one stream over several tries, until it is complete or the caller gives up."""
         stream = HeldStream(self._generator.randrange(*EVENTS))
         self._deployment.history.streams.append(stream)
-        give_up_at = trio.current_time() + PATIENCE_SECONDS
-        for _ in range(MAX_TRIES):
+        give_up_at = trio.current_time() + self._generator.choice(HOLD_SECONDS)
+        for pause in PAUSES_SECONDS:
+            await self._try_until_received(stream, give_up_at)
+            await trio.sleep(pause)
+            if stream.complete or trio.current_time() >= give_up_at - LEAST_SECONDS:
+                return
+
+    async def _try_until_received(self, stream: HeldStream, give_up_at: float) -> None:
+        """Make tries until one reaches a node."""
+        while trio.current_time() < give_up_at - LEAST_SECONDS:
             request = self._next_try(stream, give_up_at)
             await self._send(request)
             stream.take(request)
-            await trio.sleep(PAUSE_SECONDS)
-            if stream.complete or trio.current_time() >= give_up_at - PAUSE_SECONDS:
+            if not request.refused_connection:
                 return
+            await trio.sleep(REFUSED_PAUSE_SECONDS)
 
     def _next_try(self, stream: HeldStream, give_up_at: float) -> SentRequest:
         """Return the request of the next try, at any node."""
--- a/emulator/soak/stream_checks.py
+++ b/emulator/soak/stream_checks.py
@@ -10,13 +10,25 @@
 
 import msgspec
 
-from emulator.soak.history import HeldStream, History, IncarnationPeriod, Run, SentRequest
+from emulator.soak.history import (
+    MACHINE,
+    STORE,
+    HeldStream,
+    History,
+    IncarnationPeriod,
+    Run,
+    SentRequest,
+)
 from emulator.soak.promises import Bounds, Check
 
 OK_STATUS = 200
 MAX_MIXED_STREAMS = 2
 MIN_RESUMES = 12
 LEAST_SHARE = 0.5
+
+IN_TOUCH_SECONDS = 0.5
+"""Time without faults after which a node counts as in touch with store and nodes."""
+
 MIN_SERVING = 2
 """Instances of a version that must serve for its resumes to count."""
 
@@ -83,26 +95,44 @@
 
 def resumed_streams_go_on(history: History, bounds: Bounds) -> Iterable[str]:
     """Yield the shares of resumes and new streams, if resumes go on far less often."""
-    yield from _lost_resumes(history, bounds, _resumes(history))
-
-
-def orphaned_streams_go_on(history: History, bounds: Bounds) -> Iterable[str]:
-    """Yield the same of streams whose first node has lost its state since it began them."""
-    orphaned = [request for request in _resumes(history) if _is_orphaned(history, request)]
-    yield from _lost_resumes(history, bounds, orphaned)
-
-
-def _lost_resumes(
-    history: History, bounds: Bounds, resumes: Iterable[SentRequest]
-) -> Iterable[str]:
-    """Yield the shares of some resumes and of new streams, if the resumes go on far less often."""
     versions = _VersionsOfAnswers(history)
-    began = [_is_begun(r) for r in _new_tries(history) if _counts(history, r, bounds)]
+    began = [_is_begun(r) for r in _new_tries(history) if _counts(history, r, bounds.settling)]
     gone_on = [
         _went_on(request)
-        for request in resumes
-        if _counts(history, request, bounds) and _is_served(history, versions, request)
+        for request in _resumes(history)
+        if _counts(history, request, bounds.settling) and _is_served(history, versions, request)
     ]
+    yield from _compare(gone_on, began)
+
+
+def orphaned_streams_go_on(history: History, _bounds: Bounds) -> Iterable[str]:
+    """Yield the shares of orphaned and new streams, if orphaned ones go on far less often.
+
+    A stream is orphaned when the node that began it has lost its state. It counts once, however
+    often it is resumed, and only if neither store nor machine had a fault since it began.
+    """
+    versions = _VersionsOfAnswers(history)
+    gone_on, began = [], []
+    for stream in history.streams:
+        tries = [history.requests[name] for name in stream.tries]
+        touched = [request for request in tries if _is_in_touch(history, request)]
+        new = [request for request in touched if not request.resumes]
+        orphaned = [
+            request
+            for request in touched
+            if request.resumes
+            and _is_orphaned(history, request)
+            and _is_served(history, versions, request)
+        ]
+        if new:
+            began.append(any(map(_is_begun, new)))
+        if orphaned:
+            gone_on.append(any(map(_went_on, orphaned)))
+    yield from _compare(gone_on, began)
+
+
+def _compare(gone_on: list[bool], began: list[bool]) -> Iterable[str]:
+    """Yield both shares if what is resumed goes on far less often than what is new begins."""
     if len(gone_on) < MIN_RESUMES or not began:
         return
     share_on, share_new = sum(gone_on) / len(gone_on), sum(began) / len(began)
@@ -176,23 +206,39 @@
     return request.received > 0 or (request.whole and request.status == OK_STATUS)
 
 
-def _counts(history: History, request: SentRequest, bounds: Bounds) -> bool:
+def _counts(history: History, request: SentRequest, settling: float) -> bool:
     """Return whether a try was made at a node without faults for a while, with a lasting key."""
     revoked = {revocation.key for revocation in history.revocations}
-    ended_at = request.ended_at if request.ended_at is not None else request.deadline_at
     left_early = request.left and not request.received
     return (
         request.key not in revoked
         and not left_early
         and not request.refused_connection
-        and history.time_bounds_apply(request.node, request.sent_at - bounds.settling, ended_at)
+        and history.time_bounds_apply(request.node, request.sent_at - settling, _end_of(request))
     )
 
 
+def _is_in_touch(history: History, request: SentRequest) -> bool:
+    """Return whether a try counts at a node that had its links, to the other nodes too."""
+    since, until = request.sent_at - IN_TOUCH_SECONDS, _end_of(request)
+    began_at = history.requests[request.resumes].sent_at if request.resumes else since
+    return (
+        _counts(history, request, IN_TOUCH_SECONDS)
+        and not history.disturbed(request.node, since, until)
+        and not history.disturbed(STORE, began_at, until)
+        and not history.disturbed(MACHINE, began_at, until)
+    )
+
+
+def _end_of(request: SentRequest) -> float:
+    """Return when a try ended, or its caller's deadline."""
+    return request.ended_at if request.ended_at is not None else request.deadline_at
+
+
 def _is_served(history: History, versions: _VersionsOfAnswers, request: SentRequest) -> bool:
     """Return whether enough instances of a resumed stream's version served all the time."""
     began = versions.of_answer(request.resumes)
-    ended_at = request.ended_at if request.ended_at is not None else request.deadline_at
+    ended_at = _end_of(request)
     draining = {start.incarnation for start in history.drain_starts if start.at < ended_at}
     serving = [
         period
