--- a/emulator/soak/stream_checks.py
+++ b/emulator/soak/stream_checks.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from emulator.soak.history import (
+    KILLED,
     MACHINE,
     STORE,
     HeldStream,
@@ -208,23 +209,35 @@
 
 def _counts(history: History, request: SentRequest, settling: float) -> bool:
     """Return whether a try was made at a node without faults for a while, with a lasting key."""
+    since = request.sent_at - settling
+    return _could_be_served(history, request) and history.time_bounds_apply(
+        request.node, since, _end_of(request)
+    )
+
+
+def _could_be_served(history: History, request: SentRequest) -> bool:
+    """Return whether a try reached a node, with a lasting key, and its caller waited."""
     revoked = {revocation.key for revocation in history.revocations}
     left_early = request.left and not request.received
-    return (
-        request.key not in revoked
-        and not left_early
-        and not request.refused_connection
-        and history.time_bounds_apply(request.node, request.sent_at - settling, _end_of(request))
-    )
+    return request.key not in revoked and not left_early and not request.refused_connection
 
 
 def _is_in_touch(history: History, request: SentRequest) -> bool:
-    """Return whether a try counts at a node that had its links, to the other nodes too."""
+    """Return whether a try counts at a node that had its links, to the other nodes too.
+
+    A node that was killed counts from its first answers on.
+    """
     since, until = request.sent_at - IN_TOUCH_SECONDS, _end_of(request)
     began_at = history.requests[request.resumes].sent_at if request.resumes else since
+    has_started = request.status is not None
+    at_node = [
+        fault
+        for fault in history.disturbances
+        if fault.subject == request.node and fault.since <= until and fault.until >= since
+    ]
     return (
-        _counts(history, request, IN_TOUCH_SECONDS)
-        and not history.disturbed(request.node, since, until)
+        _could_be_served(history, request)
+        and all(fault.what == KILLED and has_started for fault in at_node)
         and not history.disturbed(STORE, began_at, until)
         and not history.disturbed(MACHINE, began_at, until)
     )
