Let other nodes write origins of streams that their writer can't write

What callers saw: after the death of all nodes, streams that had begun seconds before were refused (stream_not_resumable), though the store had been there all the time.

Cause: one node writes the records of all. While it alone had lost the store it kept them for its return (HS3114 eight times), and died with all others.

Change: a writer whose write fails passes each of the records on once to two other nodes that may read the store, which write them in its place and pass nothing on. In an outage of the store itself that costs two more messages a record.

--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -462,7 +462,7 @@
     "origins_not_written",
     Level.INFO,
     ("records", "code"),
-    "Nothing while the store is down; written later. Else look the code up in the errors page.",
+    "Nothing while the store is down: other nodes get them too. Else look the code up.",
 )
 
 ORIGINS_NOT_SENT = LogEvent(
--- a/hopstep/ports/origin_messages.py
+++ b/hopstep/ports/origin_messages.py
@@ -2,11 +2,25 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from hopstep.domain.exchanges.streams.version_claims import VersionClaim
 
 
+class StoreWrite(enum.IntEnum):
+    """What the receiver of origins does for the store.
+
+    ``NONE``: nothing. ``WRITER``: it writes them, and passes them on when it can't.
+    ``SUBSTITUTE``: it writes them in the place of a writer that can't.
+    """
+
+    NONE = 0
+    WRITER = 1
+    SUBSTITUTE = 2
+
+
 class ReportedOrigin(msgspec.Struct, frozen=True, array_like=True):
     """The origin of a stream, as nodes send it.
 
@@ -33,12 +47,12 @@
     Attributes:
         number: Rises with each message of the process.
         origins: The origins.
-        for_store: Whether the receiver is to write them to the store.
+        store_write: What the receiver does for the store.
     """
 
     number: int
     origins: tuple[ReportedOrigin, ...] = ()
-    for_store: bool = False
+    store_write: StoreWrite = StoreWrite.NONE
 
 
 class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/hopstep/services/exchanges/streams/origin_holders.py
+++ b/hopstep/services/exchanges/streams/origin_holders.py
@@ -13,6 +13,9 @@
 """Nodes with the highest rank for a stream that are asked: the holders, also after two nodes of a
 higher rank have been registered since."""
 
+SUBSTITUTES = 2
+"""Nodes that write records to the store in the place of a writer that can't."""
+
 SMALL_FLEET = 12
 """Up to this number all other nodes are asked."""
 
@@ -57,6 +60,11 @@
             return self._knowledge.name
         return ranked[hash_name(self._knowledge.name) % len(ranked)]
 
+    def substitutes(self, turn: int) -> list[str]:
+        """Return the nodes that write to the store when this one can't, others at each turn."""
+        readers = self._knowledge.relays.readers_elsewhere(turn, SUBSTITUTES)
+        return sorted(self.others().intersection(readers))
+
     def asked(self, key: bytes) -> list[str]:
         """Return the nodes that are asked for the record of a stream."""
         others = self.others()
--- a/hopstep/services/exchanges/streams/origin_sharing.py
+++ b/hopstep/services/exchanges/streams/origin_sharing.py
@@ -16,7 +16,7 @@
 from hopstep.domain.exchanges.streams.version_claims import VersionClaim
 from hopstep.logs import emit
 from hopstep.ports.node_exchange import MessageTooLongError, NodeExchange, NodeMessage
-from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate
+from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate, StoreWrite
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.streams.origin_holders import OriginHolders
 from hopstep.services.exchanges.streams.origin_messages import read_record, report_record
@@ -77,6 +77,8 @@
         self._exchange = exchange
         self._number = 0
         self._unsent: list[OriginRecord] = []
+        self._unwritten: list[OriginRecord] = []
+        self._substitution = 0
         self._filled = trio.Event()
         self._inquiries: dict[int, Inquiry] = {}
 
@@ -87,28 +89,52 @@
         if self._unsent:
             self._filled.set()
 
+    def put_unwritten(self, records: Iterable[OriginRecord]) -> None:
+        """Send records that this node can't write to the store to nodes that may."""
+        self._unwritten += records
+        del self._unwritten[MAX_UNSENT:]
+        if self._unwritten:
+            self._filled.set()
+
     async def run(self) -> None:
         """Send records until cancelled."""
         while True:
             await self._filled.wait()
             self._filled = trio.Event()
-            records, self._unsent = self._unsent, []
-            by_node: dict[str, list[OriginRecord]] = {}
-            for record in records:
-                for name in self._holders.keepers(record.key):
-                    by_node.setdefault(name, []).append(record)
-            for name, kept in by_node.items():
-                await self._send_records(name, kept)
-
-    async def _send_records(self, name: str, records: list[OriginRecord]) -> None:
+            await self._send_to_keepers()
+            await self._send_to_substitutes()
+
+    async def _send_to_keepers(self) -> None:
+        """Send new records to the nodes that keep them, the writer among them."""
+        records, self._unsent = self._unsent, []
+        by_node: dict[str, list[OriginRecord]] = {}
+        for record in records:
+            for name in self._holders.keepers(record.key):
+                by_node.setdefault(name, []).append(record)
+        writer = self._holders.writer()
+        for name, kept in by_node.items():
+            write = StoreWrite.WRITER if name == writer else StoreWrite.NONE
+            await self._send_records(name, kept, write)
+
+    async def _send_to_substitutes(self) -> None:
+        """Send the records that this node can't write to others that may, others each time."""
+        records, self._unwritten = self._unwritten, []
+        if not records:
+            return
+        self._substitution += 1
+        for name in self._holders.substitutes(self._substitution):
+            await self._send_records(name, records, StoreWrite.SUBSTITUTE)
+
+    async def _send_records(
+        self, name: str, records: list[OriginRecord], store_write: StoreWrite
+    ) -> None:
         """Send records to one node."""
         now = trio.current_time()
         for first in range(0, len(records), MAX_UPDATE_ORIGINS):
             part = records[first : first + MAX_UPDATE_ORIGINS]
             self._number += 1
             origins = tuple(report_record(record, now) for record in part)
-            for_store = name == self._holders.writer()
-            await self._send(OriginUpdate(self._number, origins, for_store), name)
+            await self._send(OriginUpdate(self._number, origins, store_write), name)
 
     async def ask(self, key: bytes, service: str, is_enough: Callable[[Inquiry], bool]) -> Inquiry:
         """Ask other nodes for the origin of a stream.
--- a/hopstep/services/exchanges/streams/stream_origins.py
+++ b/hopstep/services/exchanges/streams/stream_origins.py
@@ -26,7 +26,7 @@
 from hopstep.domain.exchanges.streams.version_claims import VersionClaim, sole_version
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.ports.node_exchange import NodeExchange
-from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate
+from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate, StoreWrite
 from hopstep.ports.serving_directory import RecordWritten
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.records import STREAMS_PREFIX
@@ -70,7 +70,7 @@
         self._kept = OriginRecords()
         self._holders = OriginHolders(knowledge)
         self._sharing = OriginSharing(knowledge, self._holders, exchange)
-        self._stored = StoredOrigins(knowledge.name, store)
+        self._stored = StoredOrigins(knowledge.name, store, self._sharing.put_unwritten)
         self._shared_services: set[str] = set()
         knowledge.records.subscribe_records(STREAMS_PREFIX, self._take_stored)
 
@@ -177,8 +177,8 @@
         records = [read_record(origin, now) for origin in update.origins]
         for record in records:
             self._kept.put(record, now)
-        if update.for_store:
-            self._write(records)
+        if update.store_write is not StoreWrite.NONE:
+            self._write(records, may_pass_on=update.store_write is StoreWrite.WRITER)
 
     def _take_stored(self, written: RecordWritten) -> None:
         """Keep the records that any node has written to the store."""
@@ -191,12 +191,12 @@
         records = tuple(records)
         self._sharing.put(records)
         if self._holders.writer() == self._knowledge.name:
-            self._write(records)
+            self._write(records, may_pass_on=True)
 
-    def _write(self, records: Iterable[OriginRecord]) -> None:
-        """Write records to the store."""
+    def _write(self, records: Iterable[OriginRecord], *, may_pass_on: bool) -> None:
+        """Write records to the store, or let other nodes do so."""
         self._stored.writers = self._holders.writers()
-        self._stored.put(records)
+        self._stored.put(records, may_pass_on=may_pass_on)
 
     async def run(self) -> None:
         """Share and write records until cancelled."""
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -46,7 +46,13 @@
     SuspectedInstance,
     UrgentUpdates,
 )
-from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate, ReportedOrigin
+from hopstep.ports.origin_messages import (
+    OriginAnswer,
+    OriginQuery,
+    OriginUpdate,
+    ReportedOrigin,
+    StoreWrite,
+)
 from hopstep.ports.serving_directory import (
     InstanceListed,
     InstanceRejected,
@@ -144,7 +150,7 @@
         (CRASHES,),
         (SuspectedInstance("i5@9", 400, "a"),),
     ),
-    "origins": OriginUpdate(11, (ORIGIN,), True),
+    "origins": OriginUpdate(11, (ORIGIN,), StoreWrite.SUBSTITUTE),
     "origin query": OriginQuery(12, ORIGIN.key, "llm"),
     "origin answer": OriginAnswer(12, ORIGIN, VersionClaim(("v1", "v2"), True, True)),
 }
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -169,6 +169,7 @@
         self.nodes = []
         self.links = []
         self.directories = []
+        self.stores = []
         self._node_scopes = []
         self._node_count = nodes
         self._seed = seed
@@ -268,8 +269,9 @@
         address = address or f"127.0.0.1:{3 + len(self.nodes)}"
         directory = EmulatedDirectory(self)
         links = EmulatedNodeLinks(name, self.instances, self.tunnels)
+        store = InMemoryStore(self.shared)
         ports = ExchangePorts(
-            store=InMemoryStore(self.shared),
+            store=store,
             directory=directory,
             calls=links,
             orders=links,
@@ -289,8 +291,8 @@
         services = ExchangeServices(settings, ports, key)
         self.tunnels.attach(name, links, services.tunnel_gate)
         scope = trio.CancelScope()
-        known = (self._node_scopes, self.nodes, self.links, self.directories)
-        for kept, part in zip(known, (scope, services, links, directory), strict=True):
+        known = (self._node_scopes, self.nodes, self.links, self.directories, self.stores)
+        for kept, part in zip(known, (scope, services, links, directory, store), strict=True):
             if number is None:
                 kept.append(part)
             else:
@@ -325,7 +327,7 @@
         """Kill all nodes at once; their entries stay in the store."""
         for scope in self._node_scopes:
             scope.cancel()
-        for known in (self._node_scopes, self.nodes, self.links, self.directories):
+        for known in (self._node_scopes, self.nodes, self.links, self.directories, self.stores):
             known.clear()
 
     async def request(
--- a/tests/services/exchanges/streams/test_stored_origins.py
+++ b/tests/services/exchanges/streams/test_stored_origins.py
@@ -55,7 +55,8 @@
     def run_stored(self, script):
         async def main():
             store = RecordingStore()
-            stored = StoredOrigins("n0", store)
+            self.passed_on = []
+            stored = StoredOrigins("n0", store, self.passed_on.extend)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(stored.run)
                 await script(store, stored)
@@ -112,6 +113,19 @@
 
         self.run_stored(script)
 
+    def test_records_that_can_not_be_written_are_passed_on_once(self):
+        async def script(store, stored):
+            store.failure = StoreError(ErrorCode.STORE_UNAVAILABLE, "down")
+            stored.put([record(1)], may_pass_on=True)
+            stored.put([record(2)], may_pass_on=False)
+            await trio.sleep(2.0)
+            self.assertEqual([each.key for each in self.passed_on], [record(1).key])
+            store.failure = None
+            await trio.sleep(1.0)
+            self.assertEqual(self.keys(store), [1, 2])
+
+        self.run_stored(script)
+
     def test_a_lease_that_has_ended_is_replaced(self):
         async def script(store, stored):
             stored.put([record(1)])
--- a/tests/services/exchanges/test_stream_origins.py
+++ b/tests/services/exchanges/test_stream_origins.py
@@ -274,6 +274,27 @@
 
         self.run_world(script)
 
+    def test_records_outlast_all_nodes_while_any_one_node_has_lost_the_store(self):
+        # One node writes the records of all; cut off from the store alone it kept them to itself.
+        for cut in range(4):
+            with self.subTest(cut):
+                self.run_world(lambda played, cut=cut: self.outlast(played, cut), nodes=4)
+
+    async def outlast(self, played, cut):
+        """Let all nodes die after a stream has begun while one node was cut off from the store."""
+        world = played.world
+        world.stores[cut].cut_off = world.directories[cut].unresponsive = True
+        version, last = await self.begin(played, node=(cut + 1) % 4, seconds=1.0)
+        await trio.sleep(1.0)
+        for number in range(4):
+            played.kill_node(number)
+        for number in range(4):
+            played.restart_node(number)
+        await trio.sleep(0.1)
+        answer = await self.resume(played, last)
+        self.assertIsNone(answer.error)
+        self.assertEqual(self.version_of(played, "r2"), version)
+
 
 class GaugesTest(OriginsTest):
     def test_operators_see_versions_and_streams_that_have_hardly_anywhere_to_go(self):
