Try further instances after three that can't be reached

What callers saw: 503 "not run" (engine_unreachable) while instances of the service were free.

Cause: a request was refused after three attempts that sent nothing, whatever was known of other instances. When three instances of a service end within the seconds before their entries expire, every node that hasn't found them out yet refuses.

Change: after three, a request tries another instance as long as one responds, as far as is known, and it has spent less than a second on unreachable ones. Where none can be reached it is refused soon, as before: 40 instances that refuse or hang for 0.4 s each, within 1.5 s (virtual clock).

--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -269,7 +269,7 @@
         self.calls.append(call)
         server = self.servers.get(call.instance.instance_id)
         if server is None or not server.is_reachable:
-            await trio.sleep(0.001)
+            await trio.sleep(max(0.001, server.connect_seconds if server else 0.0))
             raise InstanceCallError(
                 ErrorCode.ENGINE_UNREACHABLE, "no connection", Execution.NOT_RUN, sent=False
             )
--- a/hopstep/domain/exchanges/attempt_rules.py
+++ b/hopstep/domain/exchanges/attempt_rules.py
@@ -12,6 +12,41 @@
 """Seconds; with less time to the deadline no further attempt is made."""
 
 
+MAX_UNSENT_ATTEMPTS = 3
+"""Number of unreachable instances from which a request tries others only under conditions."""
+
+MAX_UNSENT_SECONDS = 1.0
+"""Seconds that a request may spend on more unreachable instances than that. Refused connections
+take some milliseconds each, silent ones some tenths of a second."""
+
+
+class UnsentAttempts(msgspec.Struct):
+    """Attempts of a request that sent nothing, because the instances couldn't be reached.
+
+    Attributes:
+        count: Their number.
+        seconds: Time spent on them.
+    """
+
+    count: int = 0
+    seconds: float = 0.0
+
+    def note(self, seconds: float) -> None:
+        """Count an attempt that took some seconds."""
+        self.count += 1
+        self.seconds += seconds
+
+    def allow_another(self, *, others_respond: bool) -> bool:
+        """Return whether another instance may be tried.
+
+        Args:
+            others_respond: Whether an instance that wasn't tried isn't known to be unreachable.
+        """
+        if self.count < MAX_UNSENT_ATTEMPTS:
+            return True
+        return others_respond and self.seconds < MAX_UNSENT_SECONDS
+
+
 class NextStep(enum.StrEnum):
     """What to do next with a request."""
 
@@ -33,6 +68,7 @@
         may_have_run: Whether any attempt may have run.
         attempts: Number of attempts of which at least one byte was sent.
         max_attempts: Highest allowed number of attempts.
+        may_connect: Whether another instance may be tried after those that couldn't be reached.
         within_budget: Whether the retry budget allows another attempt.
         remaining_seconds: Seconds to the deadline.
     """
@@ -44,6 +80,7 @@
     may_have_run: bool
     attempts: int
     max_attempts: int
+    may_connect: bool
     within_budget: bool
     remaining_seconds: float
 
@@ -52,6 +89,7 @@
     """Return what to do after an attempt without a complete response."""
     another = (
         progress.attempts < progress.max_attempts
+        and progress.may_connect
         and progress.remaining_seconds > MIN_REMAINING_SECONDS
         and (progress.within_budget or progress.attempts == 0)
     )
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -5,7 +5,12 @@
 import trio
 
 from hopstep import log_events
-from hopstep.domain.exchanges.attempt_rules import ExchangeProgress, NextStep, decide_step
+from hopstep.domain.exchanges.attempt_rules import (
+    ExchangeProgress,
+    NextStep,
+    UnsentAttempts,
+    decide_step,
+)
 from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.repeat_budget import RepeatBudget
@@ -30,9 +35,6 @@
 FURTHER_STEPS = (NextStep.RETRY, NextStep.RESUME)
 """Steps that send the request to another instance."""
 
-MAX_UNSENT_ATTEMPTS = 3
-"""Number of unreachable instances after which a request is refused."""
-
 
 class Exchange:
     """Runs one request.
@@ -65,7 +67,7 @@
             request, answer, self.outcome, parts.queue.recheck, self._stream.note_begun
         )
         self.waits = InstanceWaits(parts, self.scope, self.outcome)
-        self._unsent_attempts = 0
+        self._unsent = UnsentAttempts()
         self._may_have_run = False
         self._gate = QuarantineGate(parts.quarantine, parts.calls, request, self.outcome)
         self._in_flight = SendProof()
@@ -206,20 +208,26 @@
             is_stream_begun=self.scope.origin is not None,
         )
         self._in_flight = attempt.proof
+        began_at = trio.current_time()
         error = await attempt.run()
         self._in_flight = SendProof()
         self._parts.queue.recheck()
         if error is not None:
-            self._record_attempt(view, error)
+            self._record_attempt(view, error, trio.current_time() - began_at)
             return error
         self._count_sent(view)
         self._gate.note_whole_answer()
         return None
 
-    def _record_attempt(self, view: InstanceView, error: InstanceCallError) -> None:
+    def _record_attempt(self, view: InstanceView, error: InstanceCallError, seconds: float) -> None:
         """Count an attempt without a complete response, and have the instance checked.
 
         An attempt that was withdrawn before it was sent isn't counted: another instance is chosen.
+
+        Args:
+            view: The instance.
+            error: How the attempt failed.
+            seconds: Duration of the attempt.
         """
         if error.withdrawn:
             return
@@ -227,7 +235,7 @@
             self._count_sent(view)
             self._gate.note_broken(view, error)
         else:
-            self._unsent_attempts += 1
+            self._unsent.note(seconds)
         self.scope.tried.add(view.instance.instance_id)
 
     def _count_sent(self, view: InstanceView) -> None:
@@ -260,17 +268,16 @@
         """Return the request's progress, from which the next step is decided."""
         now = trio.current_time()
         route = self._request.route
-        attempts = self.outcome.attempts.counted
-        if self._unsent_attempts >= MAX_UNSENT_ATTEMPTS:
-            attempts = route.max_attempts
+        others_respond = self._parts.choice.any_responds(self.scope)
         return ExchangeProgress(
             idempotent=route.idempotent,
             resumable=route.resumable and not self._relay.in_parts,
             answer_started=self._relay.started,
             last=error.execution,
             may_have_run=self._may_have_run,
-            attempts=attempts,
+            attempts=self.outcome.attempts.counted,
             max_attempts=route.max_attempts,
+            may_connect=self._unsent.allow_another(others_respond=others_respond),
             within_budget=self._budget.allows(now, self._parts.nodes()),
             remaining_seconds=self._request.deadline - now,
         )
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -132,6 +132,11 @@
         """Return the number of listed instances that may serve a request, now or later."""
         return len(self._eligible(scope, trio.current_time()))
 
+    def any_responds(self, scope: InstanceScope) -> bool:
+        """Return whether an instance that may serve a request is neither suspended nor silent."""
+        now = trio.current_time()
+        return any(view.responds(now) for view in self._eligible(scope, now))
+
     def note_waiting(self, scope: InstanceScope) -> None:
         """Request permits for limited instances on behalf of a request that waits for capacity."""
         now = trio.current_time()
--- a/tests/services/exchanges/test_exchange.py
+++ b/tests/services/exchanges/test_exchange.py
@@ -142,6 +142,40 @@
 
         self.run_world(script)
 
+    def test_a_request_reaches_the_last_instance_after_all_others_have_ended(self):
+        # It was refused after three ended instances, though others were free.
+        for name, prefix in (("safe", "p"), ("unsafe", "p"), ("resumable", "e")):
+            for number in range(8):
+                with self.subTest(route=name, last=number):
+                    self.check_last_instance(name, f"{prefix}{number}")
+
+    def check_last_instance(self, name, instance_id):
+        async def script(world):
+            self.set_all(world, Behaviour.UNREACHABLE)
+            world.instances.servers[instance_id].behaviour = Behaviour.SERVE
+            answer = await world.request(name)
+            self.assertEqual((answer.status, answer.finished), (200, True))
+
+        self.run_world(script, plain=8, engines=8)
+
+    def test_a_request_is_refused_soon_where_no_instance_can_be_reached(self):
+        for connect_seconds in (0.0, 0.4):
+            with self.subTest(connect_seconds=connect_seconds):
+                self.check_no_instance(connect_seconds)
+
+    def check_no_instance(self, connect_seconds):
+        async def script(world):
+            self.set_all(world, Behaviour.UNREACHABLE)
+            for server in world.instances.servers.values():
+                server.connect_seconds = connect_seconds
+            began_at = trio.current_time()
+            answer = await world.request("unsafe", patience=30.0)
+            self.assertEqual(answer.error.code, ErrorCode.ENGINE_UNREACHABLE)
+            self.assertTrue(answer.promised_not_run)
+            self.assertLess(trio.current_time() - began_at, 1.5)
+
+        self.run_world(script, plain=40)
+
     def test_a_stream_goes_on_after_its_last_whole_event_at_another_engine(self):
         for behaviour in BREAKING:
             with self.subTest(behaviour):
