Reserve the ports of a run, so that no concurrent run takes them

Cause, by reading: runs take ports from a block that follows from the process id, and the blocks repeat every 44 ids. A port was free when it was looked at, and taken by the other run before the node bound it.

Evidence: with ids 44 apart, the code before returns 13500 to 13502 to both.

Change: a run keeps the first port of each of its blocks bound; a block whose first port is bound is left to its run.

--- a/emulator/fleet/fleet.py
+++ b/emulator/fleet/fleet.py
@@ -10,7 +10,8 @@
 import msgspec
 import trio
 
-from emulator.fleet.processes import ProcessGroup, free_addresses
+from emulator.fleet.ports import free_addresses
+from emulator.fleet.processes import ProcessGroup
 from hopstep.adapters.tls import client_context
 from hopstep.ctl.documents import read_configuration, write_configuration
 from hopstep.ctl.status import STATUS_PATH
--- a/emulator/fleet/processes.py
+++ b/emulator/fleet/processes.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import itertools
 import os
 import signal
-import socket
 import subprocess  # noqa: S404 - only this project's own commands are started
 import sys
 import time
@@ -19,38 +17,6 @@
 END_TIMEOUT_SECONDS = 5.0
 POLL_SECONDS = 0.05
 OUTPUT_CHARACTERS = 2_000
-LOOPBACK = "127.0.0.1"
-
-
-FIRST_PORT = 10_000
-LAST_PORT = 32_000
-"""Below the ephemeral range, so no outgoing connection takes a stopped process's port."""
-
-PORTS_OF_A_RUN = 500
-"""Offset between the first ports of concurrent runs, multiplied by the process id."""
-
-_ports = itertools.count(os.getpid() * PORTS_OF_A_RUN)
-
-
-def free_addresses(count: int) -> list[str]:
-    """Return ``count`` loopback addresses with free ports, none of them returned before."""
-    addresses: list[str] = []
-    while len(addresses) < count:
-        port = FIRST_PORT + next(_ports) % (LAST_PORT - FIRST_PORT)
-        if _is_free(port):
-            addresses.append(f"{LOOPBACK}:{port}")
-    return addresses
-
-
-def _is_free(port: int) -> bool:
-    """Return whether a port can currently be bound for both TCP and UDP."""
-    try:
-        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-            with socket.socket(socket.AF_INET, kind) as each:
-                each.bind((LOOPBACK, port))
-    except OSError:
-        return False
-    return True
 
 
 async def accepts_connections(address: str) -> bool:
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -16,7 +16,8 @@
 
 from emulator.exchange_platform.http_instance import MISDIRECTED, HttpInstance, InstanceTraits
 from emulator.exchange_platform.store import create_store_app
-from emulator.fleet.processes import ProcessGroup, free_addresses
+from emulator.fleet.ports import free_addresses
+from emulator.fleet.processes import ProcessGroup
 from emulator.platform.shared_store import SharedStore
 from emulator.soak import suspendable_node
 from emulator.soak.history import (
