--- a/hopstep/domain/exchanges/attempt_rules.py
+++ b/hopstep/domain/exchanges/attempt_rules.py
@@ -11,13 +11,12 @@
 MIN_REMAINING_SECONDS = 0.05
 """Seconds; with less time to the deadline no further attempt is made."""
 
-
 MAX_UNSENT_ATTEMPTS = 3
-"""Number of unreachable instances from which a request tries others only under conditions."""
+"""Number of unreachable instances that a request may try whatever is known of the others."""
 
 MAX_UNSENT_SECONDS = 1.0
-"""Seconds that a request may spend on more unreachable instances than that. Refused connections
-take some milliseconds each, silent ones some tenths of a second."""
+"""Seconds on unreachable instances after which a request tries no more than that number. Refused
+connections take some milliseconds each, silent ones some tenths of a second."""
 
 
 class UnsentAttempts(msgspec.Struct):
--- a/hopstep/domain/exchanges/streams/origin.py
+++ b/hopstep/domain/exchanges/streams/origin.py
@@ -32,8 +32,8 @@
     def allows(self, instance: Instance) -> bool:
         """Return whether an instance may go on with the stream.
 
-        Without both versions only the same incarnation may, and only if its start time tells it
-        from a later one under its id.
+        When either version is unknown only the same incarnation may. Without a start time it can't
+        be distinguished from a later one under the same id, so then none may.
         """
         if instance.service != self.service:
             return False
--- a/tests/services/exchanges/test_stream_origins.py
+++ b/tests/services/exchanges/test_stream_origins.py
@@ -70,6 +70,17 @@
         self.assertTrue(answer.finished, answer.error)
         self.assertEqual(self.version_of(played, request_id), version)
 
+    async def check_outlasts_all(self, played, nodes, version, last):
+        """Kill and restart all nodes; the stream must then be resumed at its version."""
+        for number in range(nodes):
+            played.kill_node(number)
+        for number in range(nodes):
+            played.restart_node(number)
+        await trio.sleep(0.1)
+        answer = await self.resume(played, last)
+        self.assertIsNone(answer.error)
+        self.assertEqual(self.version_of(played, "r2"), version)
+
     def check_refused(self, answer):
         self.assertTrue(answer.promised_not_run)
         self.assertIs(answer.error.code, ErrorCode.STREAM_NOT_RESUMABLE)
@@ -263,14 +274,7 @@
             version, last = await self.begin(played, seconds=1.0)
             world.shared.model.down = False
             await trio.sleep(1.2)
-            for number in range(3):
-                played.kill_node(number)
-            for number in range(3):
-                played.restart_node(number)
-            await trio.sleep(0.1)
-            answer = await self.resume(played, last)
-            self.assertIsNone(answer.error)
-            self.assertEqual(self.version_of(played, "r2"), version)
+            await self.check_outlasts_all(played, 3, version, last)
 
         self.run_world(script)
 
@@ -286,14 +290,7 @@
         world.stores[cut].cut_off = world.directories[cut].unresponsive = True
         version, last = await self.begin(played, node=(cut + 1) % 4, seconds=1.0)
         await trio.sleep(1.0)
-        for number in range(4):
-            played.kill_node(number)
-        for number in range(4):
-            played.restart_node(number)
-        await trio.sleep(0.1)
-        answer = await self.resume(played, last)
-        self.assertIsNone(answer.error)
-        self.assertEqual(self.version_of(played, "r2"), version)
+        await self.check_outlasts_all(played, 4, version, last)
 
 
 class GaugesTest(OriginsTest):
