Log the shared parts of a prompt and how long an answer was being written with failed attempts

The logs of the incident couldn't tell what the requests at its crashes share: HS3103 names a digest of the whole request only, and not whether the instance had begun to write. It now has the digests of the parts of the prompt but the last, and the milliseconds since the attempt's first event. The group of callers that share caches is a property of the request now, as the digests are salted by it too.

--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -6,12 +6,15 @@
 
 from hopstep.domain.exchanges.serving import Route, Tenant
 from hopstep.domain.quarantine.crashes import RequestIdentity
-from hopstep.domain.quarantine.fingerprint import request_fingerprint
+from hopstep.domain.quarantine.fingerprint import part_fingerprint, request_fingerprint
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
 MAX_PRIORITY = 9
+MAX_SHARED_PARTS = 64
+"""Maximum number of a prompt's parts that are told apart when instances crash under it."""
+
 PRIORITIES_OF_A_TENANT = 3
 """Route priorities that fit between two tenant priorities."""
 
@@ -106,8 +109,20 @@
             priority += self.tenant.priority * PRIORITIES_OF_A_TENANT
         return max(0, min(MAX_PRIORITY, priority))
 
+    @property
+    def isolation_group(self) -> str:
+        """Group whose cached segments it may share; empty for the common one."""
+        return self.tenant.name if self.tenant is not None and self.tenant.isolated else ""
+
     def name(self) -> RequestIdentity:
         """Return the name it shares with equal requests of its caller; hashes the whole body."""
         caller = self.tenant.name if self.tenant is not None else ""
         fingerprint = request_fingerprint(caller, self.target, self.body)
-        return RequestIdentity(fingerprint, caller, self.route.name)
+        return RequestIdentity(fingerprint, caller, self.route.name, self._shared_parts())
+
+    def _shared_parts(self) -> tuple[bytes, ...]:
+        """Return the fingerprints of the prompt's parts but the last, which only it has."""
+        segments = self.prompt.segments[:-1] if self.prompt is not None else ()
+        ids = dict.fromkeys(segment.segment_id for segment in segments)
+        group = self.isolation_group
+        return tuple(part_fingerprint(group, part_id) for part_id in list(ids)[:MAX_SHARED_PARTS])
--- a/hopstep/domain/quarantine/crashes.py
+++ b/hopstep/domain/quarantine/crashes.py
@@ -14,11 +14,13 @@
         fingerprint: Digest of caller, path and body.
         caller: Name of the tenant; empty where requests carry no key.
         route: Name of the route or request class, for the log.
+        parts: Fingerprints of the parts of its prompt that other requests may share.
     """
 
     fingerprint: bytes
     caller: str = ""
     route: str = ""
+    parts: tuple[bytes, ...] = ()
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
--- a/hopstep/domain/quarantine/fingerprint.py
+++ b/hopstep/domain/quarantine/fingerprint.py
@@ -1,7 +1,8 @@
-"""Fingerprints of requests; equal requests of one caller have the same one."""
+"""Fingerprints of requests and of parts of prompts; equal ones of one caller are the same."""
 
 from __future__ import annotations
 
+import functools
 import hashlib
 
 FINGERPRINT_BYTES = 16
@@ -11,7 +12,11 @@
 """Bytes of the length that precedes each hashed part."""
 
 PURPOSE = b"hopstep.request"
-"""Personalization of the hash, so that these digests differ from others over the same bytes."""
+PART_PURPOSE = b"hopstep.part"
+"""Personalizations of the hash, so that these digests differ from others over the same bytes."""
+
+MAX_REMEMBERED_PARTS = 4_096
+"""Maximum number of digests that are kept, as most requests repeat the parts of others."""
 
 
 def request_fingerprint(caller: str, target: bytes, body: bytes) -> bytes:
@@ -25,8 +30,25 @@
         target: Raw path and query.
         body: Whole body.
     """
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES, person=PURPOSE)
-    for part in (caller.encode(), target, body):
-        digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
-        digest.update(part)
+    return _digest(PURPOSE, caller.encode(), target, body)
+
+
+@functools.lru_cache(MAX_REMEMBERED_PARTS)
+def part_fingerprint(isolation_group: str, part_id: str) -> bytes:
+    """Return a digest that is the same for all prompts with one part.
+
+    Args:
+        isolation_group: Group of callers that share cached parts: in these a part's id names the
+            same text. It keeps callers outside the group from having its prompts refused.
+        part_id: Id of the part.
+    """
+    return _digest(PART_PURPOSE, isolation_group.encode(), part_id.encode())
+
+
+def _digest(purpose: bytes, *fields: bytes) -> bytes:
+    """Return a digest of several fields, each preceded by its length."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES, person=purpose)
+    for value in fields:
+        digest.update(len(value).to_bytes(LENGTH_BYTES, "big"))
+        digest.update(value)
     return digest.digest()
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -425,6 +425,8 @@
     (
         "request_id",
         "fingerprint",
+        "parts",
+        "writing_ms",
         "instance",
         "software_version",
         "code",
@@ -434,7 +436,8 @@
         "gateway",
         "next_step",
     ),
-    "If one instance recurs: check its own logs; if one `fingerprint` does: check the request.",
+    "If one instance recurs: check its own logs; if one `fingerprint`, or one of `parts` where "
+    "`writing_ms` is -1, does: check the request, or that part of its prompt.",
 )
 
 STREAM_RESUMED = LogEvent(
--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -46,6 +46,8 @@
         failure: Latest failure response of an instance, sent if no attempt does better.
         in_parts: Whether the response was relayed before it had been read to its end; it can't be
             continued by another instance.
+        first_event_at: When the current attempt brought its first complete event, by the steady
+            clock in seconds; None before that.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.finished = False
         self.failure: CompleteResponse | None = None
         self.in_parts = False
+        self.first_event_at: float | None = None
         self._request = request
         self._answer = answer
         self._outcome = outcome
@@ -83,6 +86,10 @@
         last_id = self._framer.last_id
         return str(last_id) if last_id is not None else self._request.resume_after
 
+    def begin_attempt(self) -> None:
+        """Note that the request is about to be sent to an instance."""
+        self.first_event_at = None
+
     def restart(self) -> None:
         """Discard a partial event: the next attempt resumes after the last complete one."""
         self._framer.restart()
@@ -171,6 +178,8 @@
             ) from error
         if not complete:
             return
+        if self.first_event_at is None:
+            self.first_event_at = trio.current_time()
         with trio.CancelScope(shield=True):
             if not self.started:
                 self._on_stream_begun(view)
--- a/hopstep/services/exchanges/requests/engine_requests.py
+++ b/hopstep/services/exchanges/requests/engine_requests.py
@@ -59,7 +59,7 @@
             return
         self._separation.note_sent(request, candidate, trio.current_time())
         views = self._knowledge.table.of_service(candidate.view.instance.service)
-        group = isolation_group(request)
+        group = request.isolation_group
         prefilled = self._causes.note_sent(prompt, group, candidate, views)
         if prefilled is not None:
             self._count_prefilled(prefilled)
@@ -130,13 +130,7 @@
     if request.prompt is None:
         return ""
     version = view.serving_version(request.prompt.model)
-    return f"{version}.{isolation_group(request)}"
-
-
-def isolation_group(request: ExchangeRequest) -> str:
-    """Return the group whose cached segments a request may share; empty for the common one."""
-    tenant = request.tenant
-    return tenant.name if tenant is not None and tenant.isolated else ""
+    return f"{version}.{request.isolation_group}"
 
 
 def keys_by_salt(request: ExchangeRequest, prompt: Prompt) -> KeysOf:
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -24,6 +24,7 @@
 from hopstep.services.exchanges.requests.answer_relay import AnswerRelay
 from hopstep.services.exchanges.requests.attempt_failures import note_failure
 from hopstep.services.exchanges.requests.exchange_parts import (
+    MILLISECONDS,
     ExchangeOutcome,
     ExchangeParts,
 )
@@ -282,6 +283,11 @@
             remaining_seconds=self._request.deadline - now,
         )
 
+    def _writing_ms(self) -> int:
+        """Return the milliseconds since the attempt's first event; -1 when it brought none."""
+        begun_at = self._relay.first_event_at
+        return round((trio.current_time() - begun_at) * MILLISECONDS) if begun_at else -1
+
     def _log_attempt(self, view: InstanceView, error: InstanceCallError, step: NextStep) -> None:
         """Log and count a failed attempt and the next step."""
         self._parts.count_failure(error.code.value, step.value)
@@ -289,6 +295,8 @@
             log_events.EXCHANGE_ATTEMPT_FAILED,
             request_id=self._request.request_id,
             fingerprint=self._gate.name.fingerprint.hex(),
+            parts=[part.hex() for part in self._gate.name.parts],
+            writing_ms=self._writing_ms(),
             instance=view.instance.instance_id,
             software_version=view.instance.software_version,
             code=error.code.value,
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -77,6 +77,7 @@
         now = trio.current_time()
         self._outcome.instance = view.instance.instance_id
         self._outcome.software_version = view.instance.software_version
+        self._relay.begin_attempt()
         prompt = self._request.prompt
         used_tokens = prompt.used_tokens(candidate.uncached_tokens) if prompt is not None else 0
         view.begin(
--- /dev/null
+++ b/tests/domain/quarantine/test_part_fingerprint.py
@@ -0,0 +1,16 @@
+import unittest
+
+from hopstep.domain.quarantine.fingerprint import FINGERPRINT_BYTES, part_fingerprint
+
+
+class PartFingerprintTest(unittest.TestCase):
+    def test_equal_parts_of_one_group_have_the_same_and_others_another(self):
+        digest = part_fingerprint("g", "a1")
+        self.assertEqual(len(digest), FINGERPRINT_BYTES)
+        self.assertEqual(digest, part_fingerprint("g", "a1"))
+        others = [
+            part_fingerprint("", "a1"),
+            part_fingerprint("g", "a2"),
+            part_fingerprint("ga", "1"),
+        ]
+        self.assertEqual(len({digest, *others}), 4)
