--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -14,7 +14,7 @@
 import trio.lowlevel
 
 from hopstep.domain.exchanges.instances import Instance
-from hopstep.domain.exchanges.request import Headers
+from hopstep.domain.exchanges.request import ExchangeRequest, Headers
 from hopstep.domain.exchanges.serving import RequestKind
 from hopstep.domain.instance_notices import (
     InstanceNotice,
@@ -243,6 +243,7 @@
         self.on_changed: Callable[[Instance], None] = lambda _entry: None
         self.on_ended: Callable[[EmulatedInstance], None] = lambda _server: None
         self.fatal_bodies: set[bytes] = set()
+        self.fatal_parts: set[str] = set()
         self.fatal_seconds = FATAL_SECONDS
         self.calls: list[InstanceCall] = []
         self.dropped: list[str] = []
@@ -320,7 +321,7 @@
                 call.resume_after,
             )
         )
-        if call.request.body in self.fatal_bodies:
+        if self._is_fatal(call.request):
             trio.lowlevel.spawn_system_task(self._crash_later, server)
             await server.work(float("inf"))
         await server.work(server.work_seconds)
@@ -345,6 +346,12 @@
         self.servers[instance.instance_id].end()
         return self.add(instance)
 
+    def _is_fatal(self, request: ExchangeRequest) -> bool:
+        """Return whether an instance crashes when it begins a request."""
+        segments = request.prompt.segments if request.prompt is not None else ()
+        fatal_parts = self.fatal_parts.intersection(segment.segment_id for segment in segments)
+        return bool(fatal_parts) or request.body in self.fatal_bodies
+
     async def _crash_later(self, server: EmulatedInstance) -> None:
         """Crash an instance some time after it began a fatal request."""
         await trio.sleep(self.fatal_seconds)
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -342,10 +342,11 @@
         body=b"body",
         usage_tokens=None,
         resumes="",
+        segments=None,
     ):
         """Send a request to a node and return the client's answer."""
         answer = answer or RecordedAnswer()
-        head = self.head(name, key, request_id, resume_after, patience)
+        head = self.head(name, key, request_id, resume_after, patience, segments)
         head = msgspec.structs.replace(head, usage_tokens=usage_tokens, resumes=resumes)
         try:
             await self.nodes[node].exchanges.serve(head, body, answer)
@@ -353,12 +354,12 @@
             answer.error = error
         return answer
 
-    def head(self, name, key=KEY, request_id="", resume_after="", patience=2.0):
-        """Return the head of a request."""
+    def head(self, name, key=KEY, request_id="", resume_after="", patience=2.0, segments=None):
+        """Return the head of a request; its prompt has the given parts, or two by default."""
         self._requests += 1
         prompt = None
         if name in ("stream", "resumable"):
-            segments = (PromptSegment("a1", 3_000), PromptSegment("b2", 500))
+            segments = segments or (PromptSegment("a1", 3_000), PromptSegment("b2", 500))
             prompt = Prompt(MODEL, segments, 3_500, 50)
         return RequestHead(
             request_id=request_id or f"r{self._requests}",
