--- a/hopstep/ctl/quarantine.py
+++ b/hopstep/ctl/quarantine.py
@@ -1,4 +1,4 @@
-"""Verbs for requests that crash back ends: list the quarantined ones, and release one."""
+"""Verbs for requests and parts of prompts that crash back ends: list them, and release one."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from hopstep.ctl.results import ExitCode, VerbResult
 from hopstep.domain.quarantine.crash_ledger import CrashLedger
-from hopstep.domain.quarantine.crashes import RequestCrashes
+from hopstep.domain.quarantine.crashes import CrashSubject, RequestCrashes
 from hopstep.exceptions import ErrorCode, StoreConflictError, ValidationError
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.services.quarantine.records import QUARANTINE_PREFIX, StoredRequest
@@ -16,27 +16,35 @@
 
 
 class QuarantineEntry(msgspec.Struct, frozen=True):
-    """A request under which back ends terminated.
+    """A request, or a part of prompts, under which back ends terminated.
 
     Attributes:
         fingerprint: Fingerprint in hexadecimal digits, as in the log.
+        subject: Whether it is a request or a part.
         tenant: Tenant that sent it.
         route: Its route or class.
         ends: Terminated incarnations that count, each with the node that saw the termination.
+        discounted: Number of terminations that don't count, as it was answered or lifted.
+        trials: Trials that it has used.
         refused: Whether it is refused.
     """
 
     fingerprint: str
+    subject: str
     tenant: str
     route: str
     ends: tuple[str, ...]
+    discounted: int
+    trials: int
     refused: bool
 
     def __str__(self) -> str:
         """Return the request as one line."""
         state = "refused" if self.refused else "allowed"
         ends = ", ".join(self.ends)
-        return f"{self.fingerprint}  {self.tenant}  {self.route}  {state}  {ends}"
+        used = f"{self.discounted} discounted, {self.trials} trials"
+        name = f"{self.fingerprint}  {self.subject}  {self.tenant}  {self.route}"
+        return f"{name}  {state}  {ends}  ({used})"
 
 
 class QuarantineDocument(msgspec.Struct, frozen=True):
@@ -122,8 +130,11 @@
     ]
     return QuarantineEntry(
         fingerprint=request_crashes.fingerprint.hex(),
+        subject=CrashSubject(request_crashes.fingerprint).kind.value,
         tenant=stored.tenant,
         route=stored.route,
         ends=tuple(f"{crash.incarnation} seen by {crash.node}" for crash in crashes),
+        discounted=len(request_crashes.crashes) - len(crashes),
+        trials=stored.trials,
         refused=ledger.refused_seconds(request_crashes.fingerprint, now=0.0) > 0,
     )
--- a/hopstep/ctl/trace.py
+++ b/hopstep/ctl/trace.py
@@ -50,6 +50,12 @@
 )
 """Notices of instances, which may exclude them for all requests to their service."""
 
+PART_CODE = ErrorCode.PROMPT_PART_QUARANTINED.value
+QUARANTINE_CODES = frozenset({ErrorCode.REQUEST_QUARANTINED.value, PART_CODE})
+QUARANTINED_FOR_FIELD = "quarantined_for"
+PARTS_FIELD = "parts"
+"""Fields that name digests of the parts of a request's prompt."""
+
 QUARANTINE_EVENTS: tuple[LogEvent, ...] = (
     log_events.INSTANCE_ENDED_UNDER_REQUEST,
     log_events.REQUEST_QUARANTINED,
@@ -162,8 +168,8 @@
     failures = [x for x in own if x.number == log_events.EXCHANGE_ATTEMPT_FAILED.number]
     outcome = str(last.fields.get("outcome", ""))
     code, _, execution = outcome.partition(":")
-    if code == ErrorCode.REQUEST_QUARANTINED.value:
-        return _explain_quarantine(execution, context)
+    if code in QUARANTINE_CODES:
+        return _explain_quarantine(execution, last, context)
     if execution:
         effect = "not run" if execution == "not_run" else "it may have run"
         explained = _explain_attempts(failures, last)
@@ -192,12 +198,17 @@
     return text
 
 
-def _explain_quarantine(execution: str, context: Sequence[LogLine]) -> str:
-    """Return why a request is quarantined."""
+def _explain_quarantine(execution: str, last: LogLine, context: Sequence[LogLine]) -> str:
+    """Return for which request, or part of its prompt, a request is quarantined, and why."""
     effect = "not run" if execution == "not_run" else "it may have run"
     number = log_events.REQUEST_QUARANTINED.number
-    ends = next((x.fields.get("ends", ()) for x in context if x.number == number), ())
-    return f"refused, {effect}: instances have ended under it: {', '.join(ends)}"
+    refused_for = last.fields.get(QUARANTINED_FOR_FIELD)
+    lines = [x for x in context if x.number == number]
+    own = [x for x in lines if x.fields.get(FINGERPRINT_FIELD) == refused_for] or lines
+    ends = own[0].fields.get("ends", ()) if own else ()
+    is_for_part = str(last.fields.get("outcome", "")).startswith(PART_CODE)
+    subject = f"part {refused_for} of its prompt" if is_for_part else "it"
+    return f"refused, {effect}: instances have ended under {subject}: {', '.join(ends)}"
 
 
 def _explain_barriers(last: LogLine) -> str:
@@ -251,7 +262,9 @@
 
 def _quarantine_lines(own: Sequence[LogLine], lines: Iterable[LogLine]) -> list[LogLine]:
     """Return any node's lines on terminations under the request, also when sent by others."""
-    fingerprints = {line.fields.get(FINGERPRINT_FIELD) for line in own} - {None, ""}
+    names = (FINGERPRINT_FIELD, QUARANTINED_FOR_FIELD)
+    fingerprints = {line.fields.get(name) for line in own for name in names} - {None, ""}
+    fingerprints.update(part for line in own for part in line.fields.get(PARTS_FIELD, ()))
     numbers = {event.number for event in QUARANTINE_EVENTS}
     return [
         line
--- a/hopstep/domain/quarantine/crash_ledger.py
+++ b/hopstep/domain/quarantine/crash_ledger.py
@@ -1,11 +1,16 @@
-"""Counts, for each request, the instances that have terminated while it was under way there.
+"""Counts, for each subject, the instances that have terminated while it was under way there.
 
-A request whose instance has terminated is one of perhaps many that were under way, and most of
-them have nothing to do with the termination. So a request is refused only when
-``TERMINATIONS_TO_REFUSE`` instances have terminated under it. Each complete response to it clears
-one of these terminations, or disregards one to come: a request that merely was under way gets far
-more responses than its instances terminate. A termination that another, refused request explains
-counts for that one only. The record of a request is dropped some time after the last termination.
+A subject is what a termination may be due to: a request, equal for all its repeats, or a part of a
+prompt, equal in all requests that have it. What was under way at an instance that has terminated
+is much, and most of it has nothing to do with the termination. So a subject is refused only when
+``TERMINATIONS_TO_REFUSE`` instances have terminated under it.
+
+Complete responses speak for it. Each one to a request clears one of these terminations, or
+disregards one to come: a request that merely was under way gets far more responses than its
+instances terminate. One to any request with a part clears all terminations under the part: if they
+were due to it, no instance could have written that response. A termination that another, refused
+subject explains counts for that one only, and a part isn't refused while one request that has it
+may be the cause. A subject's record is dropped some time after the last termination.
 
 Times are of the steady clock, in seconds.
 """
@@ -16,13 +21,17 @@
 
 import msgspec
 
+from hopstep.domain.quarantine.answer_credits import DISREGARDING_SECONDS, AnswerCredits
 from hopstep.domain.quarantine.crash_records import (
     MAX_TERMINATIONS,
     RETENTION_SECONDS,
+    CrashRecord,
     CrashRecords,
     drop_oldest,
 )
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
+from hopstep.domain.quarantine.fingerprint import is_part
+from hopstep.domain.quarantine.interruptions import Interruptions
 
 TERMINATIONS_TO_REFUSE = 3
 """Number of counted terminations from which a request is refused: the operators allow three retries
@@ -33,43 +42,8 @@
 such requests at once gain one termination by it, and the operators allow three retries.
 """
 
-MAX_INTERRUPTED_AGE_SECONDS = 20.0
-"""Time in seconds: an answer that broke off earlier is unrelated to an instance's termination. An
-unresponsive instance is unlisted within some four seconds, and an unlisted one is probed for at
-most ten seconds.
-"""
-
-ABRUPT_TERMINATION_SECONDS = 1.0
-"""Time in seconds. An instance may answer other requests between the breaking off of an answer,
-because its client disconnected, and its own termination under that request: it terminates some
-tenths of a second after it has begun the request. Without this bound, requests whose clients often
-disconnect would be refused after three terminations of other causes.
-"""
-
-MAX_INTERRUPTED_INCARNATIONS = 512
-MAX_INTERRUPTED_REQUESTS = 64
-"""Maximum number for each instance: as many as the largest engines process at once."""
-
 MAX_TERMINATED_INCARNATIONS = 1_024
 
-MAX_DISREGARDED = 8
-"""Maximum number of terminations, over all nodes, that earlier complete responses disregard, one
-each. Otherwise a popular request would be refused for ten minutes when all instances of a service
-terminate together. A request that was harmless before and terminates instances now terminates
-eleven at the most.
-"""
-
-DISREGARDING_SECONDS = 2.0
-"""Time in seconds. Terminations later than this after the first disregarded one count, until the
-next complete response; and explanations by other requests later than this after a request was
-refused change nothing. Operators count runs that are sent three seconds or more after the third
-termination. Otherwise a request that had been answered often would terminate one instance after
-the other.
-"""
-
-MAX_ANSWERED = 1_024
-"""Maximum number of requests whose complete responses are kept, those answered last."""
-
 
 class CountedTermination(msgspec.Struct, frozen=True):
     """A termination of an instance that was counted for a request.
@@ -87,55 +61,6 @@
     disregarded: bool = False
 
 
-class _DisregardCredit(msgspec.Struct):
-    """Complete responses to a request, each of which disregards a later termination.
-
-    Attributes:
-        left: Number of complete responses at this node that haven't been used.
-        used: Terminations that any node has disregarded since the last complete response here.
-        until: Time until which terminations are disregarded; infinite until the first one is.
-    """
-
-    left: int = 0
-    used: int = 0
-    until: float = float("inf")
-
-    def renew(self) -> None:
-        """Add a complete response, which shows that the request terminates no instances now."""
-        self.left = min(MAX_DISREGARDED, self.left + 1)
-        self.reopen()
-
-    def reopen(self) -> None:
-        """Allow terminations to be disregarded again as if none had been."""
-        self.used = 0
-        self.until = float("inf")
-
-    def use(self, now: float) -> bool:
-        """Use one complete response; return False when none is left or valid."""
-        if not self.left or self.used >= MAX_DISREGARDED or now > self.until:
-            return False
-        self.left -= 1
-        self.note_used(now)
-        return True
-
-    def note_used(self, now: float) -> None:
-        """Record a termination that is disregarded, here or at another node."""
-        self.used += 1
-        self.until = min(self.until, now + DISREGARDING_SECONDS)
-
-
-class _Interruption(msgspec.Struct):
-    """A request whose answer broke off, while its instance isn't found to have terminated.
-
-    Attributes:
-        at: When it broke off.
-        survived: Whether the instance has answered a request that was sent later.
-    """
-
-    at: float
-    survived: bool = False
-
-
 class CrashLedger:
     """One node's record of requests and the terminations of instances under them."""
 
@@ -147,9 +72,9 @@
         """
         self._node = node
         self._records = CrashRecords()
-        self._interruptions: OrderedDict[str, OrderedDict[bytes, _Interruption]] = OrderedDict()
+        self._interruptions = Interruptions()
         self._terminated: OrderedDict[str, None] = OrderedDict()
-        self._answered: OrderedDict[bytes, _DisregardCredit] = OrderedDict()
+        self._credits = AnswerCredits()
 
     @property
     def is_empty(self) -> bool:
@@ -168,18 +93,12 @@
         """
         if incarnation in self._terminated:
             return self._count(fingerprint, incarnation, now)
-        interruptions = self._interruptions.setdefault(incarnation, OrderedDict())
-        interruptions[fingerprint] = _Interruption(now)
-        interruptions.move_to_end(fingerprint)
-        self._interruptions.move_to_end(incarnation)
-        drop_oldest(interruptions, MAX_INTERRUPTED_REQUESTS)
-        drop_oldest(self._interruptions, MAX_INTERRUPTED_INCARNATIONS)
+        self._interruptions.note_broken(fingerprint, incarnation, now)
         return None
 
     def note_answer(self, incarnation: str, sent_at: float) -> None:
         """Record an instance's answer to a request that was sent at a time."""
-        for interruption in self._interruptions.get(incarnation, {}).values():
-            interruption.survived = interruption.survived or interruption.at <= sent_at
+        self._interruptions.note_answer(incarnation, sent_at)
 
     def note_ended(
         self, incarnation: str, now: float, *, abruptly: bool = True
@@ -196,28 +115,39 @@
             drop_oldest(self._terminated, MAX_TERMINATED_INCARNATIONS)
         counted = [
             self._count(fingerprint, incarnation, now)
-            for fingerprint, interruption in self._interruptions.pop(incarnation, {}).items()
-            if self._may_have_terminated(interruption, now - interruption.at, abruptly=abruptly)
+            for fingerprint in self._interruptions.take(incarnation, now, abruptly=abruptly)
         ]
         return [termination for termination in counted if termination is not None]
 
-    def note_complete_response(self, fingerprint: bytes) -> str:
-        """Clear the oldest counted termination of a request, or disregard one to come.
+    def note_complete_response(self, fingerprint: bytes) -> list[str]:
+        """Clear terminations under a subject that was answered, or disregard one to come.
 
         Returns:
-            The incarnation whose termination no longer counts; empty for none.
+            The incarnations whose terminations no longer count, for the other nodes.
         """
         record = self._records.find(fingerprint)
-        if record is not None and record.terminations:
-            incarnation = record.counting()[0]
-            record.clear(incarnation)
-            if fingerprint in self._answered:
-                self._answered[fingerprint].reopen()
-            return incarnation
-        self._answered.setdefault(fingerprint, _DisregardCredit()).renew()
-        self._answered.move_to_end(fingerprint)
-        drop_oldest(self._answered, MAX_ANSWERED)
-        return ""
+        if record is None or not record.terminations:
+            self._credits.renew(fingerprint)
+            return []
+        if is_part(fingerprint):
+            return self._clear_part(fingerprint, record)
+        cleared = record.counting()[:1]
+        record.clear(*cleared)
+        credit = self._credits.find(fingerprint)
+        if credit is not None:
+            credit.reopen()
+        return cleared
+
+    def _clear_part(self, fingerprint: bytes, record: CrashRecord) -> list[str]:
+        """Clear all terminations under a part; return them unless it is the first one.
+
+        Each termination happens under some parts that are answered again at once, at many nodes.
+        They need not report that before a second one.
+        """
+        self._credits.renew(fingerprint)
+        cleared = record.counting()
+        record.clear(*cleared)
+        return cleared if len(record.crashes) > 1 else []
 
     def release(self, fingerprint: bytes) -> None:
         """Clear the oldest terminations until a request isn't refused: a trial got a whole answer.
@@ -230,15 +160,29 @@
             if record is not None and record.terminations >= TERMINATIONS_TO_REFUSE:
                 record.clear(incarnation)
 
-    def clear(self, fingerprint: bytes) -> int:
-        """Clear all counted terminations of a request, and return their number."""
+    def clear(self, fingerprint: bytes) -> list[bytes]:
+        """Clear all counted terminations of a subject, as operators allow it.
+
+        Those of parts of prompts that may be due to it alone are cleared before them.
+
+        Returns:
+            The subjects with cleared terminations, in this order.
+        """
         record = self._records.find(fingerprint)
-        if record is None:
-            return 0
-        terminations = record.terminations
-        for incarnation in record.crashes:
-            record.clear(incarnation)
-        return terminations
+        if record is None or not record.terminations:
+            return []
+        parts = self._clear_parts_under(record.counting())
+        record.clear(*record.crashes)
+        return [*parts, fingerprint]
+
+    def _clear_parts_under(self, incarnations: list[str]) -> list[bytes]:
+        """Clear and return the parts that one request may explain, at some instances."""
+        subjects = {f for incarnation in incarnations for f in self.requests_at(incarnation)}
+        parts = [f for f in subjects if self.is_due_to_one_request(f)]
+        for record in map(self._records.find, parts):
+            if record is not None:
+                record.clear(*record.counting())
+        return parts
 
     def merge(self, received: RequestCrashes, now: float) -> list[CountedTermination]:
         """Merge another node's record; return the terminations that were new and counted."""
@@ -301,7 +245,7 @@
         record = self._records.add(fingerprint, crash, now)
         if record is None or crash.incarnation in record.cleared:
             return None
-        credit = self._answered.get(fingerprint)
+        credit = self._credits.find(fingerprint)
         if credit is None or not self._is_refused(fingerprint, now) or not credit.use(now):
             return CountedTermination(fingerprint, crash, record.terminations)
         record.clear(crash.incarnation)
@@ -317,27 +261,33 @@
         if record is None or incarnation in record.cleared:
             return
         record.clear(incarnation)
-        credit = self._answered.get(fingerprint)
+        credit = self._credits.find(fingerprint)
         if credit is not None:
             credit.note_used(now)
 
-    @staticmethod
-    def _may_have_terminated(
-        interruption: _Interruption, seconds: float, *, abruptly: bool
-    ) -> bool:
-        """Return whether an instance may have terminated under a request.
+    def is_due_to_one_request(self, fingerprint: bytes) -> bool:
+        """Return whether a part's terminations may all be due to one request that has it.
 
-        Args:
-            interruption: The request's interruption.
-            seconds: Time from the breaking off of its answer until the termination was detected.
-            abruptly: Whether the instance has terminated just then.
+        It is enough to refuse that request, and any other request with the part is served.
         """
-        if interruption.survived:
-            return abruptly and seconds <= ABRUPT_TERMINATION_SECONDS
-        return seconds <= MAX_INTERRUPTED_AGE_SECONDS
+        record = self._records.find(fingerprint)
+        if record is None or not is_part(fingerprint):
+            return False
+        shared = [self._requests_counting(incarnation) for incarnation in record.counting()]
+        return bool(shared and frozenset.intersection(*shared))
+
+    def _requests_counting(self, incarnation: str) -> frozenset[bytes]:
+        """Return the requests, without parts, for which the termination of an instance counts."""
+        requests = (f for f in self._records.requests_at(incarnation) if not is_part(f))
+        records = ((f, self._records.find(f)) for f in requests)
+        return frozenset(
+            fingerprint
+            for fingerprint, record in records
+            if record is not None and incarnation not in record.cleared
+        )
 
     def _is_refused(self, fingerprint: bytes, now: float) -> bool:
-        """Return whether enough terminations count that no other request explains."""
+        """Return whether enough terminations count that no other subject explains."""
         record = self._records.find(fingerprint)
         if record is None or record.terminations < TERMINATIONS_TO_REFUSE:
             if record is not None:
@@ -349,7 +299,9 @@
         explained = sum(
             self._is_explained(incarnation, len(incarnations)) for incarnation in incarnations
         )
-        refused = len(incarnations) - min(explained, MAX_EXPLAINED) >= TERMINATIONS_TO_REFUSE
+        counted = len(incarnations) - min(explained, MAX_EXPLAINED)
+        refused = counted >= TERMINATIONS_TO_REFUSE
+        refused = refused and not self.is_due_to_one_request(fingerprint)
         if not refused:
             record.refused_at = None
         elif record.refused_at is None:
--- a/hopstep/domain/quarantine/crash_records.py
+++ b/hopstep/domain/quarantine/crash_records.py
@@ -52,9 +52,9 @@
         """Return the incarnations whose terminations count, the oldest first."""
         return [incarnation for incarnation in self.crashes if incarnation not in self.cleared]
 
-    def clear(self, incarnation: str) -> None:
-        """Stop counting a termination."""
-        self.cleared[incarnation] = None
+    def clear(self, *incarnations: str) -> None:
+        """Stop counting terminations."""
+        self.cleared.update(dict.fromkeys(incarnations))
         drop_oldest(self.cleared, MAX_TERMINATIONS)
 
 
--- a/hopstep/domain/quarantine/fingerprint.py
+++ b/hopstep/domain/quarantine/fingerprint.py
@@ -15,6 +15,9 @@
 PART_PURPOSE = b"hopstep.part"
 """Personalizations of the hash, so that these digests differ from others over the same bytes."""
 
+PART_MARK = b"p"
+"""First byte of a part's fingerprint, which is longer by it than a request's."""
+
 MAX_REMEMBERED_PARTS = 4_096
 """Maximum number of digests that are kept, as most requests repeat the parts of others."""
 
@@ -42,7 +45,12 @@
             same text. It keeps callers outside the group from having its prompts refused.
         part_id: Id of the part.
     """
-    return _digest(PART_PURPOSE, isolation_group.encode(), part_id.encode())
+    return PART_MARK + _digest(PART_PURPOSE, isolation_group.encode(), part_id.encode())
+
+
+def is_part(fingerprint: bytes) -> bool:
+    """Return whether a fingerprint is that of a part of prompts, and not of a request."""
+    return len(fingerprint) == len(PART_MARK) + FINGERPRINT_BYTES
 
 
 def _digest(purpose: bytes, *fields: bytes) -> bytes:
--- a/hopstep/exceptions.py
+++ b/hopstep/exceptions.py
@@ -41,6 +41,7 @@
     STREAM_NOT_RESUMABLE = "stream_not_resumable"
     EXECUTION_UNKNOWN = "execution_unknown"
     REQUEST_QUARANTINED = "request_quarantined"
+    PROMPT_PART_QUARANTINED = "prompt_part_quarantined"
     ALREADY_CLAIMED = "already_claimed"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     # Node state
@@ -82,6 +83,7 @@
     ErrorCode.STREAM_NOT_RESUMABLE: "No engine can go on with this stream; begin a new one.",
     ErrorCode.EXECUTION_UNKNOWN: "A request that must run at most once may have run; check first.",
     ErrorCode.REQUEST_QUARANTINED: "Back ends crashed on this request; change it, or see its log.",
+    ErrorCode.PROMPT_PART_QUARANTINED: "Back ends crashed on a part of the prompt; leave it out.",
     ErrorCode.ALREADY_CLAIMED: "The idempotency key was used before; that request may have run.",
     ErrorCode.CLAIMS_UNAVAILABLE: "The store of claims is down; requests with a key are refused.",
     ErrorCode.NOT_READY: "The router has no configuration yet.",
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -391,6 +391,7 @@
         "target",
         "waited_ms",
         "kept_from",
+        "quarantined_for",
         "gateway",
         "configuration",
         "age_ms",
@@ -437,7 +438,7 @@
         "next_step",
     ),
     "If one instance recurs: check its own logs; if one `fingerprint`, or one of `parts` where "
-    "`writing_ms` is -1, does: check the request, or that part of its prompt.",
+    "`writing_ms` is 0, does: check the request, or that part of its prompt.",
 )
 
 STREAM_RESUMED = LogEvent(
@@ -494,35 +495,38 @@
     "HS3104",
     "instance_ended",
     Level.INFO,
-    ("instance", "evidence", "requests"),
-    "Check the instance's own logs; `requests` answers of this node broke off with it.",
+    ("instance", "evidence", "requests", "parts"),
+    "Check the instance's own logs; `requests` answers of this node broke off with it, and `parts` "
+    "of their prompts may be the cause.",
 )
 INSTANCE_ENDED_UNDER_REQUEST = LogEvent(
     "HS3105",
     "instance_ended_under_request",
     Level.WARNING,
-    ("fingerprint", "tenant", "route", "instance", "seen_by", "ends"),
-    "Several instances terminated while they ran this request: check the request.",
+    ("fingerprint", "subject", "tenant", "route", "instance", "seen_by", "ends"),
+    "Several instances terminated while they ran this request, or began to answer prompts with "
+    "this part: check it.",
 )
 REQUEST_QUARANTINED = LogEvent(
     "HS3106",
     "request_quarantined",
     Level.WARNING,
-    ("fingerprint", "tenant", "route", "ends", "seconds"),
-    "The request is refused for `seconds`; the operators' page says how to find and allow it.",
+    ("fingerprint", "subject", "tenant", "route", "ends", "seconds"),
+    "The request, or each with this part, is refused for `seconds`; the operators' page says how "
+    "to find and allow it.",
 )
 REQUEST_RELEASED = LogEvent(
     "HS3107",
     "request_released",
     Level.INFO,
-    ("fingerprint", "tenant", "route", "reason"),
+    ("fingerprint", "subject", "tenant", "route", "reason"),
     "Nothing; if instances terminate under it again, it is refused again.",
 )
 QUARANTINED_REQUEST_TRIED = LogEvent(
     "HS3108",
     "quarantined_request_tried",
     Level.INFO,
-    ("fingerprint", "tenant", "route"),
+    ("fingerprint", "subject", "tenant", "route"),
     "Nothing: a complete response releases the request; a termination keeps it refused.",
 )
 QUARANTINED_REQUEST_NOT_TRIED = LogEvent(
--- a/hopstep/services/exchanges/node_gauges.py
+++ b/hopstep/services/exchanges/node_gauges.py
@@ -58,6 +58,11 @@
         "Requests that are refused since several instances have ended under them.",
         lambda: quarantine.refused_requests,
     )
+    metrics.watch(
+        "hopstep_quarantined_prompt_parts",
+        "Parts of prompts for which requests are refused since instances have ended under them.",
+        lambda: quarantine.refused_parts,
+    )
     metrics.watch(
         "hopstep_rollout_fencing_token",
         "Fencing token while this node holds the rollout lease; else 0.",
--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -46,8 +46,7 @@
         failure: Latest failure response of an instance, sent if no attempt does better.
         in_parts: Whether the response was relayed before it had been read to its end; it can't be
             continued by another instance.
-        first_event_at: When the current attempt brought its first complete event, by the steady
-            clock in seconds; None before that.
+        has_succeeded: Whether a complete, successful response is counted as delivered.
     """
 
     def __init__(
@@ -72,7 +71,8 @@
         self.finished = False
         self.failure: CompleteResponse | None = None
         self.in_parts = False
-        self.first_event_at: float | None = None
+        self.has_succeeded = False
+        self._first_event_at: float | None = None
         self._request = request
         self._answer = answer
         self._outcome = outcome
@@ -88,7 +88,13 @@
 
     def begin_attempt(self) -> None:
         """Note that the request is about to be sent to an instance."""
-        self.first_event_at = None
+        self._first_event_at = None
+
+    def writing_seconds(self) -> float:
+        """Return the seconds since the attempt's first complete event; 0 when it brought none."""
+        if self._first_event_at is None:
+            return 0.0
+        return trio.current_time() - self._first_event_at
 
     def restart(self) -> None:
         """Discard a partial event: the next attempt resumes after the last complete one."""
@@ -178,8 +184,8 @@
             ) from error
         if not complete:
             return
-        if self.first_event_at is None:
-            self.first_event_at = trio.current_time()
+        if self._first_event_at is None:
+            self._first_event_at = trio.current_time()
         with trio.CancelScope(shield=True):
             if not self.started:
                 self._on_stream_begun(view)
@@ -299,6 +305,7 @@
     async def _finish(self, status: int) -> None:
         """End the response as complete."""
         self.finished = True
+        self.has_succeeded = FIRST_SUCCESS_STATUS <= status <= LAST_SUCCESS_STATUS
         self._outcome.outcome = str(status)
         with trio.CancelScope(shield=True):
             await self._answer.finish()
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -17,6 +17,7 @@
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.quarantine.crashes import TerminationEvidence
+from hopstep.domain.quarantine.fingerprint import is_part
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer
@@ -146,9 +147,16 @@
 
     async def _refuse_quarantined(self) -> None:
         """Refuse a request under which too many instances crashed; called before each attempt."""
-        self.refused_seconds = await self._gate.refused_seconds()
-        if self.refused_seconds:
-            self._fail(ErrorCode.REQUEST_QUARANTINED, "instances have ended under this request")
+        refusal = await self._gate.refusal()
+        self.refused_seconds = refusal.seconds
+        if not refusal.seconds:
+            return
+        self.outcome.quarantined_for = refusal.fingerprint.hex()
+        if is_part(refusal.fingerprint):
+            code, subject = ErrorCode.PROMPT_PART_QUARANTINED, "a part of its prompt"
+        else:
+            code, subject = ErrorCode.REQUEST_QUARANTINED, "this request"
+        self._fail(code, f"instances have ended under {subject}")
 
     def _refuse_unproved_key(self) -> None:
         """Refuse a request whose key may have been revoked since it was admitted.
@@ -217,7 +225,7 @@
             self._record_attempt(view, error, trio.current_time() - began_at)
             return error
         self._count_sent(view)
-        self._gate.note_whole_answer()
+        self._gate.note_whole_answer(is_success=self._relay.has_succeeded)
         return None
 
     def _record_attempt(self, view: InstanceView, error: InstanceCallError, seconds: float) -> None:
@@ -234,7 +242,7 @@
             return
         if error.sent:
             self._count_sent(view)
-            self._gate.note_broken(view, error)
+            self._gate.note_broken(view, error, self._relay.writing_seconds())
         else:
             self._unsent.note(seconds)
         self.scope.tried.add(view.instance.instance_id)
@@ -283,11 +291,6 @@
             remaining_seconds=self._request.deadline - now,
         )
 
-    def _writing_ms(self) -> int:
-        """Return the milliseconds since the attempt's first event; -1 when it brought none."""
-        begun_at = self._relay.first_event_at
-        return round((trio.current_time() - begun_at) * MILLISECONDS) if begun_at else -1
-
     def _log_attempt(self, view: InstanceView, error: InstanceCallError, step: NextStep) -> None:
         """Log and count a failed attempt and the next step."""
         self._parts.count_failure(error.code.value, step.value)
@@ -296,7 +299,7 @@
             request_id=self._request.request_id,
             fingerprint=self._gate.name.fingerprint.hex(),
             parts=[part.hex() for part in self._gate.name.parts],
-            writing_ms=self._writing_ms(),
+            writing_ms=round(self._relay.writing_seconds() * MILLISECONDS),
             instance=view.instance.instance_id,
             software_version=view.instance.software_version,
             code=error.code.value,
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -84,6 +84,8 @@
         gateway: Node through which the last attempt was sent; empty for a direct connection.
         fingerprint: Digest that equal requests share, in hexadecimal digits; empty when nothing
             counts against any request.
+        quarantined_for: Digest of the request, or of the part of its prompt, for which it is
+            refused, in hexadecimal digits; empty when it isn't.
     """
 
     outcome: str = ""
@@ -100,6 +102,7 @@
     kept_from: dict[str, int] = {}
     gateway: str = ""
     fingerprint: str = ""
+    quarantined_for: str = ""
 
 
 class ExchangeParts(msgspec.Struct, frozen=True):
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -103,7 +103,9 @@
             self._parts.limits.release(view, self._permit)
             if abandoned and self.proof.sent and not self._relay.finished:
                 look = functools.partial(self._parts.calls.probe_connection, view.instance)
-                self._parts.quarantine.note_abandoned(self._name, view.incarnation, look)
+                self._parts.quarantine.note_abandoned(
+                    self._name, view.incarnation, look, self._relay.writing_seconds()
+                )
         return None
 
     async def _call(self) -> None:
--- a/hopstep/services/exchanges/requests/quarantine_gate.py
+++ b/hopstep/services/exchanges/requests/quarantine_gate.py
@@ -7,6 +7,7 @@
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.quarantine.crashes import RequestIdentity
+from hopstep.domain.quarantine.refusals import NOT_REFUSED, Refusal
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.ports.instance_calls import InstanceCallError, InstanceCalls
 from hopstep.services.exchanges.requests.exchange_parts import ExchangeOutcome
@@ -42,47 +43,61 @@
         self._calls = calls
         self._request = request
         self._outcome = outcome
-        self._admitted_crashes = -1
-        self._is_trial = False
+        self._trial_terminations: int | None = None
 
     @functools.cached_property
     def name(self) -> RequestIdentity:
         """Name that the request shares with equal requests of its caller."""
         return self._request.name()
 
-    async def refused_seconds(self) -> float:
-        """Return the seconds for which it is still refused, before each attempt; 0 if admitted."""
+    async def refusal(self) -> Refusal:
+        """Return whether it is still refused, before each attempt, or admitted."""
         quarantine = self._quarantine
         if quarantine.is_idle:
-            return 0.0
-        fingerprint = self.name.fingerprint
-        self._outcome.fingerprint = fingerprint.hex()
-        reached_none = not self._outcome.attempts.counted
-        if reached_none and quarantine.terminations(fingerprint) <= self._admitted_crashes:
-            return 0.0
-        seconds = await quarantine.admit(fingerprint)
-        if not seconds:
-            self._is_trial = self._is_trial or quarantine.refused_seconds(fingerprint) > 0
-            self._admitted_crashes = quarantine.terminations(fingerprint)
-        return seconds
+            return NOT_REFUSED
+        self._outcome.fingerprint = self.name.fingerprint.hex()
+        if self._is_admitted_trial():
+            return NOT_REFUSED
+        refusal = await quarantine.admit(self.name)
+        if not refusal.seconds and quarantine.refusal(self.name).seconds:
+            self._trial_terminations = quarantine.most_terminations(self.name)
+        return refusal
 
     def end(self) -> None:
         """End the trial run of a quarantined request, if this run was one."""
-        if self._is_trial:
-            self._quarantine.end_trial(self.name.fingerprint)
+        if self._trial_terminations is not None:
+            self._quarantine.end_trial(self.name)
 
-    def note_whole_answer(self) -> None:
-        """Record a complete response."""
-        self._quarantine.note_complete_response(self.name.fingerprint)
+    def note_whole_answer(self, *, is_success: bool) -> None:
+        """Record a complete response.
 
-    def note_broken(self, view: InstanceView, error: InstanceCallError) -> None:
-        """Have the instance checked that gave no response, or an incomplete one."""
+        Args:
+            is_success: Whether it is the answer that the prompt asks for.
+        """
+        self._quarantine.note_complete_response(self.name, is_success=is_success)
+
+    def note_broken(
+        self, view: InstanceView, error: InstanceCallError, writing_seconds: float
+    ) -> None:
+        """Have the instance checked that gave no response, or an incomplete one.
+
+        Args:
+            view: The instance.
+            error: How the attempt failed.
+            writing_seconds: Time for which the instance had been writing the response.
+        """
         answered = error.execution is Execution.NOT_RUN or error.code in ANSWERED_CODES
         if not answered:
             look = functools.partial(self._calls.probe_connection, view.instance)
-            self._quarantine.note_interrupted(self.name, view.incarnation, look)
+            self._quarantine.note_interrupted(self.name, view.incarnation, look, writing_seconds)
 
     async def settle(self, view: InstanceView) -> None:
         """Wait until it is known whether the instance crashed, before another is tried."""
         if not self._quarantine.is_idle:
-            await self._quarantine.settle(self.name.fingerprint, view.incarnation)
+            await self._quarantine.settle(self.name, view.incarnation)
+
+    def _is_admitted_trial(self) -> bool:
+        """Return whether it is a trial that reached no instance yet, with no termination since."""
+        if self._trial_terminations is None or self._outcome.attempts.counted:
+            return False
+        return self._quarantine.most_terminations(self.name) <= self._trial_terminations
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -223,6 +223,7 @@
                 target=outcome.target,
                 waited_ms=outcome.waited_ms,
                 kept_from=outcome.kept_from,
+                quarantined_for=outcome.quarantined_for,
                 gateway=outcome.gateway,
                 configuration=self._version(),
                 age_ms=self._knowledge.keys.shown_age_ms,
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -15,7 +15,8 @@
 
 from hopstep import log_events
 from hopstep.domain.quarantine.crash_records import MAX_REQUESTS
-from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
+from hopstep.domain.quarantine.crashes import Crash, RequestCrashes, SubjectKind
+from hopstep.domain.quarantine.fingerprint import is_part
 from hopstep.domain.store_position import ABSENT, StorePosition
 from hopstep.exceptions import StoreConflictError, StoreError
 from hopstep.logs import emit
@@ -43,6 +44,11 @@
 progress.
 """
 
+MAX_PART_TRIALS = 2
+"""The same for a part of prompts: the last one is by a request that is refused for this part alone,
+as one that several parts have refused may not show which of them is to blame.
+"""
+
 TRIAL_AFTER_SECONDS = 8.0
 """Wait after the last termination under a request: longer than instances take to restart. Otherwise
 an ordinary request that is in progress while all instances of a service terminate three times is
@@ -75,6 +81,7 @@
         cleared: Incarnations whose terminations no longer count.
         lifted: Set by operators: no termination recorded so far counts any longer.
         trials: Trials that the request has used.
+        subject: What the record is of: a request, or a part of prompts.
     """
 
     tenant: str = ""
@@ -83,6 +90,7 @@
     cleared: tuple[str, ...] = ()
     lifted: bool = False
     trials: int = 0
+    subject: SubjectKind = SubjectKind.REQUEST
 
 
 class _Stored(msgspec.Struct, frozen=True):
@@ -115,26 +123,34 @@
         self._claiming: set[bytes] = set()
         quarantine.set_trials(self)
 
-    def wait_seconds(self, fingerprint: bytes) -> float:
-        """Return the seconds until a trial may be claimed; infinite when none is left."""
+    def wait_seconds(self, fingerprint: bytes, *, alone: bool = True) -> float:
+        """Return the seconds until a trial may be claimed; infinite when none is left.
+
+        Args:
+            fingerprint: The refused subject.
+            alone: Whether the request is refused for it only.
+        """
         stored = self._stored.get(fingerprint)
-        if stored is None or stored.version == ABSENT or stored.trials >= MAX_TRIALS:
+        most = _most_trials(fingerprint, alone=alone)
+        if stored is None or stored.version == ABSENT or stored.trials >= most:
             return float("inf")
         due_at = self._quarantine.last_end_at(fingerprint) + TRIAL_AFTER_SECONDS
         return max(0.0, due_at - trio.current_time())
 
-    async def claim(self, fingerprint: bytes) -> bool:
+    async def claim(self, fingerprint: bytes, *, alone: bool = True) -> bool:
         """Claim a trial; return whether this node, and no other, may run a refused request once.
 
         The claim counts once the store has acknowledged it. Without an answer the trial may be
         used up without a run; the request stays refused then.
         """
-        if self.wait_seconds(fingerprint) > 0 or fingerprint in self._claiming:
+        if self.wait_seconds(fingerprint, alone=alone) > 0 or fingerprint in self._claiming:
             return False
         self._claiming.add(fingerprint)
         try:
             with trio.move_on_after(CLAIM_SECONDS):
-                await self._write(fingerprint, trials=1)
+                used = self._stored[fingerprint].trials
+                most = _most_trials(fingerprint, alone=alone)
+                await self._write(fingerprint, trials=most - used)
                 return True
         except StoreError as error:
             self._log_not_tried(fingerprint, error.code.value)
@@ -245,7 +261,7 @@
         stored = self._stored.get(fingerprint)
         known = self._quarantine.known_crashes(fingerprint)
         in_store = stored.crashes if stored is not None else RequestCrashes(fingerprint)
-        if stored is None and self._quarantine.terminations(fingerprint) < MIN_STORED_TERMINATIONS:
+        if stored is None and not self._is_worth_storing(fingerprint):
             return None
         lacking = set(known.crashes) - set(in_store.crashes)
         cleared = set(known.cleared) - set(in_store.cleared)
@@ -257,6 +273,12 @@
             return None
         return own
 
+    def _is_worth_storing(self, fingerprint: bytes) -> bool:
+        """Return whether a subject may be to blame for several terminations."""
+        if self._quarantine.terminations(fingerprint) < MIN_STORED_TERMINATIONS:
+            return False
+        return not self._quarantine.is_due_to_one_request(fingerprint)
+
     async def _write(self, fingerprint: bytes, trials: int = 0) -> None:
         """Write a request's record; on a conflict, apply the other node's record and raise.
 
@@ -267,9 +289,16 @@
         key = QUARANTINE_PREFIX + fingerprint.hex()
         stored = self._stored.get(fingerprint)
         known = self._quarantine.known_crashes(fingerprint)
-        name = self._quarantine.name(fingerprint)
+        subject = self._quarantine.subject(fingerprint)
         trials += stored.trials if stored is not None else 0
-        value = StoredRequest(name.caller, name.route, known.crashes, known.cleared, trials=trials)
+        value = StoredRequest(
+            subject.caller,
+            subject.route,
+            known.crashes,
+            known.cleared,
+            trials=trials,
+            subject=subject.kind,
+        )
         lease = await self._lease.current(KEEP_SECONDS)
         expected = stored.version if stored is not None else ABSENT
         try:
@@ -306,6 +335,16 @@
             self._quarantine.notify_changed()
 
 
+def _most_trials(fingerprint: bytes, *, alone: bool) -> int:
+    """Return how many trials a subject may have used after one more.
+
+    Args:
+        fingerprint: The subject.
+        alone: Whether the request that is to run is refused for it only.
+    """
+    return MAX_PART_TRIALS if alone and is_part(fingerprint) else MAX_TRIALS
+
+
 def _restored(known: _Stored, stored: _Stored) -> _Stored:
     """Return a record of a store that was restored from a backup, with all trials used so far.
 
--- /dev/null
+++ b/hopstep/services/quarantine/trial_runs.py
@@ -0,0 +1,102 @@
+"""Trials at this node: single runs of requests that are refused, so that none is without cause."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import trio
+
+from hopstep.services.quarantine.trial_verdicts import ProbeInstance, TrialVerdicts
+
+TRIAL_MEMORY_SECONDS = 60.0
+"""Time for which a trial is remembered: longer than any run of a request."""
+
+
+class Trials(Protocol):
+    """Claims of trials, over all nodes."""
+
+    def wait_seconds(self, fingerprint: bytes, *, alone: bool) -> float:
+        """Return the seconds until a trial may be claimed; infinite when none is left.
+
+        Args:
+            fingerprint: The refused subject.
+            alone: Whether the request is refused for it only.
+        """
+
+    async def claim(self, fingerprint: bytes, *, alone: bool) -> bool:
+        """Claim a trial; return whether this node, and no other, may run a request once."""
+
+    async def release_trial(self, fingerprint: bytes) -> None:
+        """Allow a subject another trial: the last one was inconclusive."""
+
+
+class TrialRuns:
+    """The trials that this node has claimed lately."""
+
+    def __init__(self) -> None:
+        """Start without trials; until ``set_trials`` is called, none is claimed."""
+        self._trials: Trials | None = None
+        self._verdicts = TrialVerdicts()
+        self._tried: dict[bytes, float] = {}
+
+    def set_trials(self, trials: Trials) -> None:
+        """Set the source of trials."""
+        self._trials = trials
+        self._verdicts.set_release(trials.release_trial)
+
+    async def claim(self, refused: Sequence[bytes]) -> bool:
+        """Claim a trial of each subject for which a request is refused; return whether it may run.
+
+        A request that several subjects have refused may not tell which of them is to blame. So the
+        last trial of each is kept for a request that only it has refused.
+        """
+        trials, alone = self._trials, len(refused) == 1
+        if trials is None or any(trials.wait_seconds(f, alone=alone) > 0 for f in refused):
+            return False
+        for fingerprint in refused:
+            if not await trials.claim(fingerprint, alone=alone):
+                return False
+        for fingerprint in refused:
+            self._tried[fingerprint] = trio.current_time()
+            self._verdicts.begin(fingerprint)
+        return True
+
+    def tried(self, fingerprints: Sequence[bytes]) -> list[bytes]:
+        """Return those of some subjects that had a trial at this node lately."""
+        return [fingerprint for fingerprint in fingerprints if fingerprint in self._tried]
+
+    def note_reached(
+        self, fingerprint: bytes, incarnation: str, probe: ProbeInstance | None
+    ) -> None:
+        """Record that a trial may have run at an instance, without a complete response."""
+        self._verdicts.note_reached(fingerprint, incarnation, probe)
+
+    def note_terminated(self, incarnation: str) -> None:
+        """Record the termination of an instance: trials that reached it were conclusive."""
+        self._verdicts.note_terminated(incarnation)
+
+    def end(self, fingerprints: Sequence[bytes]) -> None:
+        """Record the end of a trial's run."""
+        now = trio.current_time()
+        for fingerprint in fingerprints:
+            self._verdicts.end(fingerprint, now)
+
+    def succeed(self, fingerprint: bytes) -> bool:
+        """Return whether a subject that was answered had a trial, which ends with that."""
+        if self._tried.pop(fingerprint, None) is None:
+            return False
+        self._verdicts.forget(fingerprint)
+        return True
+
+    def expire(self, now: float) -> None:
+        """Forget old trials."""
+        self._tried = {
+            fingerprint: at
+            for fingerprint, at in self._tried.items()
+            if now - at < TRIAL_MEMORY_SECONDS
+        }
+
+    async def run(self) -> None:
+        """Release inconclusive trials until cancelled."""
+        await self._verdicts.run()
--- a/hopstep/services/requests/engine_terminations.py
+++ b/hopstep/services/requests/engine_terminations.py
@@ -45,19 +45,19 @@
         """
         if self._quarantine.is_idle:
             return 0
-        fingerprint = request.name().fingerprint
-        seconds = await self._quarantine.admit(fingerprint)
-        if seconds:
-            raise _quarantined(seconds)
+        name = request.name()
+        refusal = await self._quarantine.admit(name)
+        if refusal.seconds:
+            raise _quarantined(refusal.seconds)
         if self._refused_seconds(request):
             self._trials.add(request.request_id)
-        return self._quarantine.terminations(fingerprint)
+        return self._quarantine.terminations(name.fingerprint)
 
     def note_finished(self, request: InferenceRequest) -> None:
         """Have a trial judged, if this request was the trial of a refused one."""
         if request.request_id in self._trials:
             self._trials.remove(request.request_id)
-            self._quarantine.end_trial(request.name().fingerprint)
+            self._quarantine.end_trial(request.name())
 
     def require_no_more(self, request: InferenceRequest, terminations: int) -> None:
         """Refuse an allowed request when more engines have terminated under it since.
@@ -94,12 +94,12 @@
 
     def note_complete_response(self, request: InferenceRequest) -> None:
         """Record a request that got a complete response."""
-        self._quarantine.note_complete_response(request.name().fingerprint)
+        self._quarantine.note_complete_response(request.name())
 
     async def settle(self, request: InferenceRequest, attempt: Attempt) -> None:
         """Wait for the probe of an attempt's engine if its termination would refuse the request."""
         if not self._quarantine.is_idle:
-            await self._quarantine.settle(request.name().fingerprint, _incarnation_name(attempt))
+            await self._quarantine.settle(request.name(), _incarnation_name(attempt))
 
     def _refused_seconds(self, request: InferenceRequest) -> float:
         """Return the seconds for which a request is still refused; 0 when it isn't."""
--- a/tests/ctl/test_quarantine.py
+++ b/tests/ctl/test_quarantine.py
@@ -35,7 +35,8 @@
             result = await show_quarantine(store)
             self.assertEqual(
                 result.text,
-                f"{FINGERPRINT}  t  r  refused  i0@7 seen by n0, i1@7 seen by n1, i2@7 seen by n2",
+                f"{FINGERPRINT}  request  t  r  refused  i0@7 seen by n0, i1@7 seen by n1, "
+                "i2@7 seen by n2  (0 discounted, 0 trials)",
             )
 
         self.run_with_store(scenario)
--- a/tests/domain/quarantine/test_crash_ledger.py
+++ b/tests/domain/quarantine/test_crash_ledger.py
@@ -1,20 +1,21 @@
 import unittest
 
-from hopstep.domain.quarantine.crash_ledger import (
-    ABRUPT_TERMINATION_SECONDS,
+from hopstep.domain.quarantine.answer_credits import (
     DISREGARDING_SECONDS,
     MAX_ANSWERED,
     MAX_DISREGARDED,
-    MAX_INTERRUPTED_AGE_SECONDS,
-    TERMINATIONS_TO_REFUSE,
-    CrashLedger,
 )
+from hopstep.domain.quarantine.crash_ledger import TERMINATIONS_TO_REFUSE, CrashLedger
 from hopstep.domain.quarantine.crash_records import (
     MAX_REQUESTS,
     MAX_TERMINATIONS,
     RETENTION_SECONDS,
 )
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
+from hopstep.domain.quarantine.interruptions import (
+    ABRUPT_TERMINATION_SECONDS,
+    MAX_INTERRUPTED_AGE_SECONDS,
+)
 
 FATAL = b"fatal"
 OTHER = b"other"
@@ -92,7 +93,7 @@
 
     def test_each_whole_answer_takes_one_end_back(self):
         self.terminate_under(FATAL, "i1", "i2")
-        self.assertEqual(self.ledger.note_complete_response(FATAL), "i1")
+        self.assertEqual(self.ledger.note_complete_response(FATAL), ["i1"])
         self.terminate_under(FATAL, "i3")
         self.assertFalse(self.refused(FATAL))
         self.terminate_under(FATAL, "i4")
@@ -169,9 +170,9 @@
 
     def test_clearing_takes_all_ends_back(self):
         self.terminate_under(FATAL, "i1", "i2", "i3")
-        self.assertEqual(self.ledger.clear(FATAL), 3)
+        self.assertEqual(self.ledger.clear(FATAL), [FATAL])
         self.assertFalse(self.refused(FATAL))
-        self.assertEqual(self.ledger.clear(OTHER), 0)
+        self.assertEqual(self.ledger.clear(OTHER), [])
 
 
 class SharedEndsTest(unittest.TestCase):
@@ -361,7 +362,7 @@
         ledger = CrashLedger("n1")
         for number in range(3 * MAX_ANSWERED):
             ledger.note_complete_response(number.to_bytes(16, "big"))
-        self.assertEqual(len(ledger._answered), MAX_ANSWERED)
+        self.assertEqual(len(ledger._credits._requests), MAX_ANSWERED)
 
     def test_requests_with_one_end_do_not_push_out_those_with_several(self):
         ledger = CrashLedger("n1")
--- a/tests/services/quarantine/test_quarantine.py
+++ b/tests/services/quarantine/test_quarantine.py
@@ -31,6 +31,7 @@
 
 FATAL = b"fatal"
 OTHER = b"other"
+REQUEST = RequestIdentity(FATAL)
 
 
 def report(fingerprint, *incarnations, cleared=(), seen_by="n2"):
@@ -71,7 +72,7 @@
                 incarnations = [f"{reason}{number}" for number in range(3)]
                 quarantine.merge_reports([report(FATAL, *incarnations)])
                 if reason == "answered":
-                    quarantine.note_complete_response(FATAL)
+                    quarantine.note_complete_response(REQUEST)
                 elif reason == "lifted":
                     quarantine.lift(FATAL)
                 else:
@@ -141,11 +142,11 @@
     def test_one_node_may_try_a_refused_request_once(self):
         async def script(store, quarantines, records):
             await self.refuse_at_all(store, quarantines, records)
-            self.assertGreater(await quarantines[0].admit(FATAL), 0.0)
+            self.assertGreater((await quarantines[0].admit(REQUEST)).seconds, 0.0)
             await trio.sleep(TRIAL_AFTER_SECONDS)
-            self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
+            self.assertEqual((await quarantines[0].admit(REQUEST)).seconds, 0.0)
             for quarantine in (*quarantines, *quarantines):
-                self.assertGreater(await quarantine.admit(FATAL), 100.0)
+                self.assertGreater((await quarantine.admit(REQUEST)).seconds, 100.0)
 
         self.run_script(script)
 
@@ -153,9 +154,9 @@
         async def script(store, quarantines, records):
             await self.refuse_at_all(store, quarantines, records)
             await trio.sleep(TRIAL_AFTER_SECONDS)
-            self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
-            quarantines[0].note_complete_response(FATAL)
-            self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
+            self.assertEqual((await quarantines[0].admit(REQUEST)).seconds, 0.0)
+            quarantines[0].note_complete_response(REQUEST)
+            self.assertEqual((await quarantines[0].admit(REQUEST)).seconds, 0.0)
 
         self.run_script(script)
 
@@ -163,7 +164,7 @@
         """Have a request refused at all nodes, and run its trial at the first one."""
         await self.refuse_at_all(store, quarantines, records)
         await trio.sleep(TRIAL_AFTER_SECONDS)
-        self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
+        self.assertEqual((await quarantines[0].admit(REQUEST)).seconds, 0.0)
 
     async def count_admitted(self, store, quarantines, records):
         """Return how often all nodes admit the request now, after reading the store again."""
@@ -173,7 +174,7 @@
             for record in records:
                 record.apply_stored(stored.key, stored.value, stored.version)
             for quarantine in quarantines:
-                admitted += await quarantine.admit(FATAL) == 0.0
+                admitted += (await quarantine.admit(REQUEST)).seconds == 0.0
         return admitted
 
     def test_a_restored_store_that_shows_no_trial_does_not_allow_another_one(self):
@@ -186,10 +187,10 @@
                     await self.refuse_at_all(store, quarantines, records, seen_by="n0")
                     copy = empty if lost_whole else store._shared.model.backup()
                     await trio.sleep(TRIAL_AFTER_SECONDS)
-                    self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
-                    quarantines[0].note_interrupted(RequestIdentity(FATAL), "i9")
+                    self.assertEqual((await quarantines[0].admit(REQUEST)).seconds, 0.0)
+                    quarantines[0].note_interrupted(REQUEST, "i9")
                     quarantines[0].note_terminated("i9", TerminationEvidence.REFUSED)
-                    quarantines[0].end_trial(FATAL)
+                    quarantines[0].end_trial(REQUEST)
                     await trio.sleep(VERDICT_SECONDS)
                     for record in records:
                         record.apply_stored(*await self.read(store))
@@ -198,7 +199,7 @@
                         for record in records:
                             record.apply_stored(*await self.read(store))
                         for quarantine in quarantines:
-                            self.assertGreater(await quarantine.admit(FATAL), 0.0)
+                            self.assertGreater((await quarantine.admit(REQUEST)).seconds, 0.0)
                         await trio.sleep(TRIAL_AFTER_SECONDS)
                     stored = await store.get(QUARANTINE_PREFIX + FATAL.hex())
                     self.assertEqual(msgspec.json.decode(stored.value)["trials"], 1)
@@ -217,8 +218,8 @@
     def test_a_trial_whose_client_leaves_is_followed_by_another_one(self):
         async def script(store, quarantines, records):
             await self.claim_trial(store, quarantines, records)
-            quarantines[0].note_interrupted(RequestIdentity(FATAL), "i9")
-            quarantines[0].end_trial(FATAL)
+            quarantines[0].note_interrupted(REQUEST, "i9")
+            quarantines[0].end_trial(REQUEST)
             self.assertEqual(await self.count_admitted(store, quarantines, records), 0)
             await trio.sleep(VERDICT_SECONDS + 2 * VERDICT_CHECK_SECONDS)
             self.assertEqual(await self.count_admitted(store, quarantines, records), 1)
@@ -228,7 +229,7 @@
     def test_a_trial_that_reached_no_instance_is_followed_by_another_one(self):
         async def script(store, quarantines, records):
             await self.claim_trial(store, quarantines, records)
-            quarantines[0].end_trial(FATAL)
+            quarantines[0].end_trial(REQUEST)
             await trio.sleep(VERDICT_SECONDS + 2 * VERDICT_CHECK_SECONDS)
             self.assertEqual(await self.count_admitted(store, quarantines, records), 1)
 
@@ -240,10 +241,10 @@
 
                 async def script(store, quarantines, records, terminates_first=terminates_first):
                     await self.claim_trial(store, quarantines, records)
-                    quarantines[0].note_interrupted(RequestIdentity(FATAL), "i9")
+                    quarantines[0].note_interrupted(REQUEST, "i9")
                     if terminates_first:
                         quarantines[0].note_terminated("i9", TerminationEvidence.REFUSED)
-                    quarantines[0].end_trial(FATAL)
+                    quarantines[0].end_trial(REQUEST)
                     await trio.sleep(VERDICT_SECONDS / 2)
                     if not terminates_first:
                         quarantines[0].note_terminated("i9", TerminationEvidence.UNLISTED)
@@ -266,8 +267,8 @@
 
                 async def script(store, quarantines, records, probe=probe, admitted=admitted):
                     await self.claim_trial(store, quarantines, records)
-                    quarantines[0].note_abandoned(RequestIdentity(FATAL), "i9", probe)
-                    quarantines[0].end_trial(FATAL)
+                    quarantines[0].note_abandoned(REQUEST, "i9", probe)
+                    quarantines[0].end_trial(REQUEST)
                     await trio.sleep(VERDICT_SECONDS + 2 * VERDICT_CHECK_SECONDS)
                     found = await self.count_admitted(store, quarantines, records)
                     self.assertEqual(found, admitted)
@@ -289,8 +290,8 @@
                 quarantine.merge_reports([report(FATAL, *incarnations)])
             await self.refuse_at_all(store, quarantines, records)
             await trio.sleep(TRIAL_AFTER_SECONDS)
-            self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
-            quarantines[0].note_complete_response(FATAL)
+            self.assertEqual((await quarantines[0].admit(REQUEST)).seconds, 0.0)
+            quarantines[0].note_complete_response(REQUEST)
             quarantines[1].merge_reports([quarantines[0].known_crashes(FATAL)])
             for quarantine in quarantines:
                 self.assertEqual(quarantine.refused_seconds(FATAL), 0.0)
@@ -309,11 +310,11 @@
         async def script(store, quarantines, records):
             await self.refuse_at_all(store, quarantines, records)
             await trio.sleep(TRIAL_AFTER_SECONDS)
-            self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
-            quarantines[0].note_interrupted(RequestIdentity(FATAL), "i4")
+            self.assertEqual((await quarantines[0].admit(REQUEST)).seconds, 0.0)
+            quarantines[0].note_interrupted(REQUEST, "i4")
             quarantines[0].note_terminated("i4", TerminationEvidence.REFUSED)
             self.assertEqual(quarantines[0].terminations(FATAL), TERMINATIONS_TO_REFUSE)
-            self.assertGreater(await quarantines[0].admit(FATAL), 0.0)
+            self.assertGreater((await quarantines[0].admit(REQUEST)).seconds, 0.0)
 
         self.run_script(script)
 
@@ -322,9 +323,9 @@
             await self.refuse_at_all(store, quarantines, records)
             await trio.sleep(TRIAL_AFTER_SECONDS)
             store.cut_off = True
-            self.assertGreater(await quarantines[0].admit(FATAL), 100.0)
+            self.assertGreater((await quarantines[0].admit(REQUEST)).seconds, 100.0)
             store.cut_off = False
-            self.assertEqual(await quarantines[0].admit(FATAL), 0.0)
+            self.assertEqual((await quarantines[0].admit(REQUEST)).seconds, 0.0)
 
         self.run_script(script)
 
@@ -339,8 +340,8 @@
 
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(clear)
-                await quarantine.settle(FATAL, "i3")
-            self.assertEqual(await quarantine.admit(FATAL), 0.0)
+                await quarantine.settle(REQUEST, "i3")
+            self.assertEqual((await quarantine.admit(REQUEST)).seconds, 0.0)
 
         self.run_script(script)
 
@@ -349,9 +350,9 @@
             quarantines[0].merge_reports([report(FATAL, "i1", "i2", "i3")])
             began_at = trio.current_time()
             for _ in range(2):
-                await quarantines[0].settle(FATAL, "i3")
+                await quarantines[0].settle(REQUEST, "i3")
                 self.assertEqual(trio.current_time() - began_at, PEER_REPORT_SECONDS)
-            self.assertGreater(await quarantines[0].admit(FATAL), 0.0)
+            self.assertGreater((await quarantines[0].admit(REQUEST)).seconds, 0.0)
 
         self.run_script(script)
 
