--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -15,7 +15,7 @@
 
 from hopstep import log_events
 from hopstep.domain.quarantine.crash_records import MAX_REQUESTS
-from hopstep.domain.quarantine.crashes import Crash, RequestCrashes, SubjectKind
+from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
 from hopstep.domain.quarantine.fingerprint import is_part
 from hopstep.domain.store_position import ABSENT, StorePosition
 from hopstep.exceptions import StoreConflictError, StoreError
@@ -81,7 +81,6 @@
         cleared: Incarnations whose terminations no longer count.
         lifted: Set by operators: no termination recorded so far counts any longer.
         trials: Trials that the request has used.
-        subject: What the record is of: a request, or a part of prompts.
     """
 
     tenant: str = ""
@@ -90,7 +89,6 @@
     cleared: tuple[str, ...] = ()
     lifted: bool = False
     trials: int = 0
-    subject: SubjectKind = SubjectKind.REQUEST
 
 
 class _Stored(msgspec.Struct, frozen=True):
@@ -292,12 +290,7 @@
         subject = self._quarantine.subject(fingerprint)
         trials += stored.trials if stored is not None else 0
         value = StoredRequest(
-            subject.caller,
-            subject.route,
-            known.crashes,
-            known.cleared,
-            trials=trials,
-            subject=subject.kind,
+            subject.caller, subject.route, known.crashes, known.cleared, trials=trials
         )
         lease = await self._lease.current(KEEP_SECONDS)
         expected = stored.version if stored is not None else ABSENT
--- a/tests/services/exchanges/fatal_part_traffic.py
+++ b/tests/services/exchanges/fatal_part_traffic.py
@@ -37,11 +37,30 @@
 
 
 class FatalPartCase(unittest.TestCase):
-    def run_traffic(self, script=None, nodes=3, zones=1, fatal_seconds=FATAL_SECONDS):
-        """Run sound and, after some seconds, fatal requests; return the world."""
+    def run_traffic(
+        self,
+        script=None,
+        nodes=3,
+        zones=1,
+        fatal_seconds=FATAL_SECONDS,
+        segments_of=None,
+        repeats=1,
+    ):
+        """Run sound and, after some seconds, fatal requests; return the world.
+
+        Args:
+            script: Runs beside the fatal requests.
+            nodes: Number of nodes.
+            zones: Number of zones of nodes.
+            fatal_seconds: Time between two requests with the fatal part.
+            segments_of: Returns the shared parts of such a request by its number.
+            repeats: Number of equal requests that are sent one after the other.
+        """
         world = ExchangeWorld(nodes, zones=zones)
         world.sound_answers = []
         world.fatal_answers = []
+        world.segments_of = segments_of or fatal_segments
+        world.repeats = repeats
         for number in range(ENGINES):
             world.add(f"e{number}", "llm")
         world.instances.fatal_parts.add(FATAL_PART)
@@ -63,6 +82,12 @@
         world.run(run)
         return world
 
+    def check_bounds(self, part=FATAL_PART, **options):
+        """Run traffic, and check the operators' bound on late arrivals; return the world."""
+        world = self.run_traffic(**options)
+        self.assertLessEqual(len(self.late_arrivals(world, part)), MAX_LATE_ARRIVALS)
+        return world
+
     async def replace(self, world, server):
         """Let a crashed engine's entry expire, and start another one."""
         ended_id = server.instance.instance_id
@@ -83,9 +108,8 @@
     async def send_fatal(self, world, seconds):
         """Send requests with the fatal part beside the parts of sound ones, no two alike."""
         for number in itertools.count():
-            fatal = PromptSegment(FATAL_PART, 300)
-            own = PromptSegment(f"f0{number:x}", 100)
-            segments = (*shared_parts(number), fatal, own)
+            own = PromptSegment(f"f0{number // world.repeats:x}", 100)
+            segments = (*world.segments_of(number // world.repeats), own)
             world.nursery.start_soon(
                 self.send, world, number + 1, "stream", segments, world.fatal_answers
             )
@@ -106,17 +130,22 @@
         ended = (server.ended_at for server in world.instances.all_servers)
         return sorted(at for at in ended if at is not None)
 
-    def late_arrivals(self, world, seconds=BOUND_SECONDS):
-        """Return when fatal requests reached engines later than some seconds after the bound."""
-        crashes = self.crashes(world)
-        if len(crashes) < COUNTED_CRASHES:
-            return []
+    def late_arrivals(self, world, part=FATAL_PART):
+        """Return when requests with a part reached engines too late after its fifth crash."""
         fatal = {
             call.request.request_id
             for call in world.instances.calls
-            if FATAL_PART in {segment.segment_id for segment in call.request.prompt.segments}
+            if part in {segment.segment_id for segment in call.request.prompt.segments}
         }
-        since = crashes[COUNTED_CRASHES - 1] + seconds
+        crashes = sorted(
+            server.ended_at
+            for server in world.instances.all_servers
+            if server.ended_at is not None
+            and fatal.intersection(run.request_id for run in server.runs)
+        )
+        if len(crashes) < COUNTED_CRASHES:
+            return []
+        since = crashes[COUNTED_CRASHES - 1] + BOUND_SECONDS
         runs = (run for server in world.instances.all_servers for run in server.runs)
         return sorted(run.at for run in runs if run.request_id in fatal and run.at > since)
 
@@ -137,6 +166,11 @@
     return first, second
 
 
+def fatal_segments(number):
+    """Return the shared parts of a request with the fatal part."""
+    return (*shared_parts(number), PromptSegment(FATAL_PART, 300))
+
+
 def is_quarantined(answer):
     """Return whether an answer is a refusal by the quarantine."""
     return answer.error is not None and answer.error.code.value in REFUSALS
