--- a/emulator/exchange_platform/http_instance.py
+++ b/emulator/exchange_platform/http_instance.py
@@ -21,6 +21,9 @@
 
 from emulator.http_responses import json_response, lost_response
 
+FATAL_PART_START = "fa7a1"
+"""First digits of the ids of parts that crash each instance that begins a prompt with them."""
+
 MISDIRECTED = 421
 UNAVAILABLE = 503
 FAILED = 500
@@ -135,7 +138,12 @@
         """Handle a change of the instance's entry."""
 
     def fatal_request_started(self, instance: HttpInstance, request: str) -> None:
-        """Handle the start of a request, named by its caller, that crashes the instance."""
+        """Handle the start of a request that crashes the instance.
+
+        Args:
+            instance: The instance.
+            request: Name that the caller gave it, or id of the part of its prompt that does so.
+        """
 
 
 class _Order(msgspec.Struct, rename="camel"):
@@ -214,8 +222,9 @@
         )
         self._listener.run_started(self, shown, stamp)
         wanted = json.loads(body) if body else {}
-        if "fatal" in wanted:
-            self._listener.fatal_request_started(self, wanted["fatal"])
+        fatal = wanted.get("fatal", "") or _fatal_part(headers)
+        if fatal:
+            self._listener.fatal_request_started(self, fatal)
             with self._running(stamp):
                 await trio.sleep_forever()
         fields = {
@@ -407,3 +416,9 @@
         return await instance.serve()
 
     return app
+
+
+def _fatal_part(headers: Headers) -> str:
+    """Return the id of the shared part of a prompt that crashes instances; empty for none."""
+    ids = [part.partition(":")[0] for part in headers.get("Prompt-Prefix", "").split(",")]
+    return next((part for part in ids[:-1] if part.startswith(FATAL_PART_START)), "")
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -207,6 +207,11 @@
     return f"{request.path or f'/{request.kind}/'}x"
 
 
+def shared_part(request: SentRequest) -> str:
+    """Return the id of the first part of a prompt, which many requests have."""
+    return f"{int(request.request_id, 16) % SEGMENTS:04x}"
+
+
 def headers_of(request: SentRequest) -> dict[str, str]:
     """Return a request's headers."""
     headers = {
@@ -218,10 +223,11 @@
         "Cache-Salt": "forged",
     }
     if request.service == ENGINES:
-        shared = f"{int(request.request_id, 16) % SEGMENTS:04x}"
+        shared = shared_part(request)
         headers["Model"] = MODEL
         headers["Token-Usage"] = "2000,50"
-        headers["Prompt-Prefix"] = f"{shared}:1800,{request.request_id}:200"
+        fatal = f"{request.fatal}:300," if request.has_fatal_part else ""
+        headers["Prompt-Prefix"] = f"{shared}:1800,{fatal}{request.request_id}:200"
     if request.resumes:
         headers["Resumes"] = request.resumes
         headers["Last-Event-Id"] = str(request.first_event - 1)
@@ -230,7 +236,7 @@
 
 def body_of(request: SentRequest) -> bytes:
     """Return a request's body, which tells the instance what to do."""
-    if request.fatal:
+    if request.fatal and not request.has_fatal_part:
         return json.dumps({"fatal": request.fatal}).encode()
     if request.service == ENGINES:
         named = {"name": request.name} if request.name else {}
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -19,6 +19,7 @@
 from emulator.soak.limit_checks import LIMIT_CHECKS
 from emulator.soak.link_checks import LINK_CHECKS
 from emulator.soak.notice_checks import NOTICE_CHECKS
+from emulator.soak.part_checks import PART_CHECKS
 from emulator.soak.promises import Bounds, Check, Violation
 from emulator.soak.regress_checks import REGRESS_CHECKS
 from emulator.soak.stream_checks import STREAM_CHECKS
@@ -370,6 +371,7 @@
     "answers in time": answers_come_in_time,
     "retry budget": retries_stay_in_budget,
     **INSTANCE_CHECKS,
+    **PART_CHECKS,
     **NOTICE_CHECKS,
     **LIMIT_CHECKS,
     **LINK_CHECKS,
--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -21,7 +21,7 @@
 from emulator.soak.instance_faults import BROKEN_LINKS, Fault, draw_seconds, instance_faults
 from emulator.soak.link_checks import subject_of
 from emulator.soak.operators import Operator
-from emulator.soak.profiles import LINKS, RESTORE, Profile
+from emulator.soak.profiles import FATAL, FATAL_PART, LINKS, RESTORE, Profile
 from emulator.soak.proxies import LinkState
 from emulator.soak.suspendable_node import HANGING, REFUSING
 
@@ -100,7 +100,8 @@
             "key revoked": self._key_revoked,
             "weights named": self._weights_named,
             "node suspended": self._node_suspended,
-            "fatal request": callers.repeat_fatal_request,
+            FATAL: callers.repeat_fatal_request,
+            FATAL_PART: callers.share_fatal_part,
             **instance_faults(deployment, operator, generator),
         }
 
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -70,7 +70,9 @@
         refused_connection: Whether the connection couldn't be established.
         path: Path of a configuration probe; empty for other requests.
         fatal: Name shared by equal requests that crash each instance that begins them; empty for
-            other requests.
+            other requests. For requests that differ and share a part of their prompts that does so,
+            the id of the part.
+        has_fatal_part: Whether it is the part that crashes instances.
         head_at: When the head of the response arrived; None without one.
         first_event: Number of the first event that is still missing, for a resume.
         resumes: Request that brought the first event of the stream; empty for a new one.
@@ -94,6 +96,7 @@
     refused_connection: bool = False
     path: str = ""
     fatal: str = ""
+    has_fatal_part: bool = False
     head_at: float | None = None
     first_event: int = 0
     resumes: str = ""
@@ -218,7 +221,7 @@
     """The crash of an instance that was caused by a fatal request.
 
     Attributes:
-        fatal: Name of the request.
+        fatal: Name of the request, or id of the part of its prompt.
         incarnation: Instance id and start of the incarnation.
         at: Time of the crash.
     """
--- a/emulator/soak/hostile_callers.py
+++ b/emulator/soak/hostile_callers.py
@@ -1,7 +1,8 @@
 """Callers that ignore refusals and the readiness of nodes.
 
-They repeat a request that crashes each instance that begins it, sometimes several times at once, or
-send requests with a revoked key.
+They repeat a request that crashes each instance that begins it, sometimes several times at once,
+send different requests that share a part of their prompts that does so, or requests with a revoked
+key.
 """
 
 from __future__ import annotations
@@ -10,8 +11,10 @@
 
 import trio
 
+from emulator.exchange_platform.http_instance import FATAL_PART_START
 from emulator.soak.callers import KINDS, Callers, draw_request
 from emulator.soak.deployment import Deployment, NodeLinks
+from emulator.soak.history import RequestKind
 from emulator.soak.operators import LASTING_KEY
 
 SENDING_SECONDS = (8.0, 16.0)
@@ -41,9 +44,24 @@
 
     async def repeat_fatal_request(self) -> None:
         """Repeat one fatal request for a while, at random nodes."""
+        name = self._generator.randbytes(4).hex()
+        await self._send_fatal(name, self._generator.choice(KINDS), has_part=False)
+
+    async def share_fatal_part(self) -> None:
+        """Send different requests that share a fatal part for a while, at random nodes."""
+        part = FATAL_PART_START + self._generator.randbytes(4).hex()
+        kind = self._generator.choice((RequestKind.STREAM, RequestKind.RESUMABLE))
+        await self._send_fatal(part, kind, has_part=True)
+
+    async def _send_fatal(self, name: str, kind: RequestKind, *, has_part: bool) -> None:
+        """Send fatal requests with the key of one tenant.
+
+        Args:
+            name: Name of equal requests, or id of the part that different ones share.
+            kind: Kind of the requests.
+            has_part: Whether they differ.
+        """
         generator = self._generator
-        name = generator.randbytes(4).hex()
-        kind = generator.choice(KINDS)
         keys = [
             key for key in sorted(self._deployment.history.tenants) if key.endswith(LASTING_KEY)
         ]
@@ -54,7 +72,7 @@
                 for _ in range(generator.choice(AT_ONCE)):
                     node = generator.choice(self._deployment.nodes)
                     request = draw_request(self._deployment, generator, kind, node)
-                    request.key, request.fatal = key, name
+                    request.key, request.fatal, request.has_fatal_part = key, name, has_part
                     nursery.start_soon(self._callers.send, request)
                 await trio.sleep(generator.uniform(*BETWEEN_SECONDS))
 
--- a/emulator/soak/instance_checks.py
+++ b/emulator/soak/instance_checks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from emulator.soak.callers import body_of, path_of
 from emulator.soak.history import Arrival, History, SentRequest
@@ -23,18 +23,40 @@
 
 def fatal_requests_end_few(history: History, bounds: Bounds) -> Iterable[str]:
     """Yield fatal requests that still reach instances after they have crashed several."""
+    names = {r.fatal for r in history.requests.values() if r.fatal and not r.has_fatal_part}
+    yield from _late_arrivals(history, bounds, names, bounds.max_fatal_terminations)
+
+
+def fatal_parts_end_few(history: History, bounds: Bounds) -> Iterable[str]:
+    """Yield parts of prompts that still reach instances after they have crashed several."""
+    parts = {r.fatal for r in history.requests.values() if r.has_fatal_part}
+    yield from _late_arrivals(history, bounds, parts, bounds.max_part_terminations)
+
+
+def _late_arrivals(
+    history: History, bounds: Bounds, names: Set[str], max_terminations: int
+) -> Iterable[str]:
+    """Yield what reached instances too often after it had crashed several.
+
+    Args:
+        history: Observations of the soak.
+        bounds: The promised bounds.
+        names: Names of fatal requests, or ids of fatal parts.
+        max_terminations: Crashes from which arrivals are bounded.
+    """
     ends: dict[str, list[float]] = defaultdict(list)
     for end in history.fatal_terminations:
-        ends[end.fatal].append(end.at)
+        if end.fatal in names:
+            ends[end.fatal].append(end.at)
     arrivals: dict[str, list[Arrival]] = defaultdict(list)
     for arrival in history.arrivals:
         request = history.requests.get(arrival.request_id)
         if request is not None and request.fatal:
             arrivals[request.fatal].append(arrival)
     for fatal, times in ends.items():
-        if len(times) < bounds.max_fatal_terminations:
+        if len(times) < max_terminations:
             continue
-        bounded_from = sorted(times)[bounds.max_fatal_terminations - 1] + bounds.settling
+        bounded_from = sorted(times)[max_terminations - 1] + bounds.settling
         late = [
             arrival
             for arrival in arrivals[fatal]
@@ -117,6 +139,7 @@
 
 INSTANCE_CHECKS: dict[str, Check] = {
     "fatal requests": fatal_requests_end_few,
+    "fatal parts": fatal_parts_end_few,
     "honest requests": ordinary_requests_are_not_quarantined,
     "untrusted entries": untrusted_entries_lead_nowhere,
     "weights everywhere": weights_reach_all_engines,
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -39,6 +39,7 @@
     "foreign entries",
 )
 FATAL = "fatal request"
+FATAL_PART = "fatal part of prompts"
 RESTORE = "store restored"
 LINKS = "nodes without instances"
 SOFTWARE = "software replaced"
@@ -331,6 +332,36 @@
 """
 
 
+PARTS = Profile(
+    "fatal parts",
+    (
+        FATAL_PART,
+        FATAL_PART,
+        FATAL_PART,
+        FATAL,
+        "instance crashed",
+        "instance restarts",
+        "instance restarts",
+        "instance leaves",
+        "node killed",
+        "node killed",
+        "all nodes killed",
+        "node stopped",
+        "node suspended",
+        "node without store",
+        "node without peers",
+        "store outage",
+        "datagrams lost and late",
+        "weights named",
+    ),
+    (1.0, 3.5),
+    0.2,
+    1.0,
+)
+"""Parts of prompts that crash engines, also several at once, beside crashes of other causes, nodes
+that are killed, one and all, and a store that is away; chosen by name only."""
+
+
 FIRST_SEED_WITH_RESTORES = 10_000
 """First seed with restores in the profile "everything"; earlier seeds keep their profiles."""
 
@@ -376,6 +407,21 @@
 PROFILES_WITH_SOFTWARE = tuple(_with_software(profile) for profile in PROFILES)
 
 
+FIRST_SEED_WITH_PARTS = 80_000
+"""First seed with fatal parts of prompts in the profile "everything"."""
+
+
+def _with_parts(profile: Profile) -> Profile:
+    """Return the profile "everything" with all that later seeds have, others unchanged."""
+    if profile.name != "everything":
+        return profile
+    kinds = (*profile.kinds, RESTORE, LINKS, LINKS, SOFTWARE, SOFTWARE, FATAL_PART, FATAL_PART)
+    return msgspec.structs.replace(profile, name="everything, parts too", kinds=kinds)
+
+
+PROFILES_WITH_PARTS = tuple(_with_parts(profile) for profile in PROFILES)
+
+
 def profile_of(seed: int, name: str = "") -> Profile:
     """Return the profile of a seed; consecutive seeds have different profiles.
 
@@ -393,7 +439,9 @@
         *PROFILES_WITH_RESTORES,
         *PROFILES_WITH_CUTS,
         *PROFILES_WITH_SOFTWARE,
+        *PROFILES_WITH_PARTS,
         SHORT,
+        PARTS,
         NOTICES,
         LIMITS,
         RESTORES,
@@ -409,6 +457,8 @@
 
 def _profiles_of(seed: int) -> tuple[Profile, ...]:
     """Return the profiles from which a seed takes its own."""
+    if seed >= FIRST_SEED_WITH_PARTS:
+        return PROFILES_WITH_PARTS
     if seed >= FIRST_SEED_WITH_SOFTWARE:
         return PROFILES_WITH_SOFTWARE
     if seed >= FIRST_SEED_WITH_CUTS:
--- a/emulator/soak/promises.py
+++ b/emulator/soak/promises.py
@@ -29,7 +29,8 @@
         loss_slack: Longest time to failure of a request that didn't reach an instance because its
             connection was being closed.
         max_fatal_terminations: Crashes under one fatal request before ``fatal_retries`` applies.
-        fatal_retries: Times that such a request may reach instances later than ``settling`` after
+        max_part_terminations: Crashes under one fatal part of prompts before the same applies.
+        fatal_retries: Times that such requests may reach instances later than ``settling`` after
             the last of these crashes.
         in_flight: Time in which requests sent before a refusal was read may still arrive.
         within_backoff: Requests of one node that may reach an instance after ``in_flight`` and
@@ -55,6 +56,7 @@
     abandoned: float = 0.5
     loss_slack: float = 0.2
     max_fatal_terminations: int = 3
+    max_part_terminations: int = 5
     fatal_retries: int = 3
     in_flight: float = 0.5
     within_backoff: int = 2
--- a/tests/emulator/soak/test_profiles.py
+++ b/tests/emulator/soak/test_profiles.py
@@ -12,8 +12,10 @@
 from emulator.soak.operators import Operator
 from emulator.soak.profiles import (
     CUTS,
+    FATAL_PART,
     LIMITS,
     NOTICES,
+    PARTS,
     PROFILES,
     RESTORE,
     RESTORES,
@@ -25,6 +27,8 @@
     profile_of,
 )
 
+CHOSEN_BY_NAME = (NOTICES, LIMITS, RESTORES, CUTS, VERSIONS, SOFTWARE_VERSIONS, PARTS)
+
 
 class ProfilesTest(unittest.TestCase):
     def known_kinds(self, profile):
@@ -36,15 +40,11 @@
             return Faults(deployment, operator, callers, generator, profile).kinds
 
     def test_profiles_draw_known_kinds_and_all_of_them(self):
-        drawn = {
-            kind
-            for profile in (*PROFILES, NOTICES, LIMITS, RESTORES, CUTS, VERSIONS, SOFTWARE_VERSIONS)
-            for kind in profile.kinds
-        }
+        drawn = {kind for profile in (*PROFILES, *CHOSEN_BY_NAME) for kind in profile.kinds}
         self.assertEqual(drawn, self.known_kinds(PROFILES[0]))
 
     def test_a_profile_is_found_by_its_name(self):
-        for profile in (*PROFILES, SHORT, NOTICES, LIMITS, RESTORES, VERSIONS, SOFTWARE_VERSIONS):
+        for profile in (*PROFILES, SHORT, *CHOSEN_BY_NAME):
             self.assertIs(profile_of(1, profile.name), profile)
         with self.assertRaisesRegex(ValueError, "profile: expected one of"):
             profile_of(1, "none")
@@ -54,6 +54,12 @@
         undisturbed = [p for p in PROFILES if not set(p.kinds) & set(STORE_KINDS)]
         self.assertGreaterEqual(len(undisturbed), 3)
 
+    def test_the_newest_seeds_draw_fatal_parts_among_everything(self):
+        names = {profile_of(seed).name for seed in range(80_000, 80_007)}
+        self.assertIn("everything, parts too", names)
+        older = {kind for seed in range(70_000, 70_007) for kind in profile_of(seed).kinds}
+        self.assertNotIn(FATAL_PART, older)
+
     def test_newer_seeds_draw_restores_among_everything(self):
         names = {profile_of(seed).name for seed in range(10_000, 10_007)}
         self.assertIn("everything, restores too", names)
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -14,6 +14,7 @@
     CUTS,
     LIMITS,
     NOTICES,
+    PARTS,
     RESTORES,
     SHORT,
     SOFTWARE_VERSIONS,
@@ -33,12 +34,13 @@
     (11, RESTORES.name),
     (13, CUTS.name),
     (17, SOFTWARE_VERSIONS.name),
+    (19, PARTS.name),
 )
 """Seeds and profiles: lost routes to the store during changes; planned work during changes;
 fatal requests, later incarnations of instances, entries of other writers and suspended machines;
 instances that announce in responses that they are shutting down or want backoff; instances that
 announce limits; a store that is restored from backups; nodes that lose their links to instances;
-and instances of several software versions.
+instances of several software versions; and parts of prompts that crash instances.
 """
 
 
