Let only answers with a body or events speak for the parts of a prompt

A resume at the end of its stream gets an empty answer, and a response that ends with its connection may be empty because its instance has ended. Either cleared the terminations under the parts of its prompt. Found by reading; the test fails without the change: the part isn't refused.

--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -46,7 +46,8 @@
         failure: Latest failure response of an instance, sent if no attempt does better.
         in_parts: Whether the response was relayed before it had been read to its end; it can't be
             continued by another instance.
-        has_succeeded: Whether a complete, successful response is counted as delivered.
+        has_succeeded: Whether a complete, successful response with a body or events is counted as
+            delivered. One without may be what an instance left that ended before it wrote any.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         self.failure: CompleteResponse | None = None
         self.in_parts = False
         self.has_succeeded = False
+        self._has_sent = False
         self._first_event_at: float | None = None
         self._request = request
         self._answer = answer
@@ -190,7 +192,7 @@
             if not self.started:
                 self._on_stream_begun(view)
                 await self._start(answer.status, answer.headers, None)
-            await self._answer.send(complete)
+            await self._send(complete)
 
     async def _relay_complete(
         self, candidate: Candidate, answer: InstanceAnswer, sent_at: float, space: ResponseSpace
@@ -276,12 +278,12 @@
         size = held.size + len(data)
         await self._start(answer.status, answer.headers, answer.length)
         for piece in held.take_pieces(RESPONSE_BYTES):
-            await self._answer.send(piece)
-        await self._answer.send(data)
+            await self._send(piece)
+        await self._send(data)
         async for data in parts:
             size += len(data)
             require_length(size)
-            await self._answer.send(data)
+            await self._send(data)
         await self._finish(answer.status)
 
     def _require_signed(self, answer: InstanceAnswer) -> None:
@@ -299,13 +301,19 @@
         with trio.CancelScope(shield=True):
             await self._start(head.status, head.headers, length)
             for piece in pieces:
-                await self._answer.send(piece)
+                await self._send(piece)
             await self._finish(head.status)
 
+    async def _send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self._has_sent = self._has_sent or bool(data)
+        await self._answer.send(data)
+
     async def _finish(self, status: int) -> None:
         """End the response as complete."""
         self.finished = True
-        self.has_succeeded = FIRST_SUCCESS_STATUS <= status <= LAST_SUCCESS_STATUS
+        is_success = FIRST_SUCCESS_STATUS <= status <= LAST_SUCCESS_STATUS
+        self.has_succeeded = is_success and self._has_sent
         self._outcome.outcome = str(status)
         with trio.CancelScope(shield=True):
             await self._answer.finish()
--- a/tests/services/exchanges/test_fatal_parts.py
+++ b/tests/services/exchanges/test_fatal_parts.py
@@ -8,9 +8,11 @@
 
 from emulator.platform.faults import FaultOrder
 from hopstep.domain.exchanges.request import PromptSegment
+from tests.services.exchanges.exchange_world import ExchangeWorld
 from tests.services.exchanges.fatal_part_traffic import (
     BOUND_SECONDS,
     COUNTED_CRASHES,
+    ENGINES,
     FATAL_PART,
     MAX_LATE_ARRIVALS,
     FatalPartCase,
@@ -86,6 +88,31 @@
         self.assertEqual(self.refused_sound(world), [])
 
 
+class EmptyAnswerTest(FatalPartCase):
+    def test_an_answer_without_events_does_not_clear_the_crashes_under_a_part(self):
+        shared = PromptSegment("b0", 500)
+
+        async def send(world, number, **options):
+            own = PromptSegment(f"e{number}", 100)
+            body = b"%d" % number
+            return await world.request(segments=(shared, own), body=body, **options)
+
+        async def script(world):
+            for number in range(3):
+                world.instances.fatal_bodies.add(b"%d" % number)
+                await send(world, number, name="stream")
+                await trio.sleep(0.1)
+                if number < 2:
+                    answer = await send(world, 9, name="resumable", resume_after="4", resumes="r0")
+                    self.assertEqual((answer.status, answer.body), (200, b""))
+            self.assertTrue(is_refused_for_part(await send(world, 7, name="stream")))
+
+        world = ExchangeWorld()
+        for number in range(ENGINES):
+            world.add(f"e{number}", "llm")
+        world.run(script)
+
+
 class FatalPartBesideFaultsTest(FatalPartCase):
     def test_nodes_that_all_died_read_from_the_store_what_they_knew(self):
         for seconds, crashes in ((0.5, 2), (0.9, 3)):
