Take an answer to a prompt that ends before its first byte for broken off

A complete answer with neither length nor chunks ends with its connection. An instance that terminates as it begins to write closes the connection too, so callers got an empty answer as complete, and the termination was counted for nothing. A successful answer of this kind to a prompt breaks off now, is retried where its route allows it, and has the instance probed.

--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -62,6 +62,7 @@
     OTHER_ANSWER = "other_answer"
     PROMISE_WITHOUT_PROOF = "promise_without_proof"
     UNSIGNED = "unsigned"
+    END_UNWRITTEN = "end_unwritten"
 
 
 BREAKING = frozenset({Behaviour.BREAK_STREAM, Behaviour.CUT_EVENT, Behaviour.SKIP_EVENT})
@@ -191,6 +192,7 @@
         self.headers: Headers = ((b"x-instance", server.instance.instance_id.encode()),)
         self.signed = server.behaviour is not Behaviour.UNSIGNED
         self.weights_version = max(server.versions.values(), default=0)
+        self.ends_with_connection = server.behaviour is Behaviour.END_UNWRITTEN
         self._server = server
         self._call = call
 
@@ -198,6 +200,8 @@
         """Yield the body; see the port."""
         if self._call.request.route.kind is not RequestKind.STREAM:
             await trio.lowlevel.checkpoint()
+            if self.ends_with_connection:
+                return
             yield b"answer of " + self._call.request.request_id.encode()
             return
         async for data in self._stream():
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -112,8 +112,10 @@
         )
         self.signed = names.SIGNATURE in found
         self.weights_version = _number(found.get(names.VERSIONS, b""))
-        if b"content-length" in found and b"transfer-encoding" not in found:
+        is_chunked = b"transfer-encoding" in found
+        if b"content-length" in found and not is_chunked:
             self.length = _number(found[b"content-length"])
+        self.ends_with_connection = self.length is None and not is_chunked
         self._response = response
 
     async def body(self) -> AsyncIterator[bytes]:
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -126,6 +126,8 @@
         weights_version: Version that the response names, in its head or with an event received
             since; 0 for none.
         length: Length of the body in bytes; None when the head doesn't state it.
+        ends_with_connection: Whether the body has neither a length nor chunks, so that it ends with
+            the connection, also when the instance terminates.
     """
 
     status: int
@@ -133,6 +135,7 @@
     signed: bool
     weights_version: int
     length: int | None = None
+    ends_with_connection: bool = False
 
     @abc.abstractmethod
     def body(self) -> AsyncIterator[bytes]:
--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -208,9 +208,23 @@
                 self._accept(candidate, answer, sent_at, None)
                 await self._relay_in_parts(answer, held, data, parts)
                 return
+        self._require_written(answer, held)
         self._accept(candidate, answer, sent_at, held)
         await self._send_complete(answer, held.size, held.take_pieces())
 
+    def _require_written(self, answer: InstanceAnswer, held: HeldResponse) -> None:
+        """Raise when an answer to a prompt ended with its connection before its first byte.
+
+        An instance that terminates as it begins to write leaves such an answer.
+        """
+        is_success = FIRST_SUCCESS_STATUS <= answer.status <= LAST_SUCCESS_STATUS
+        is_written = held.size > 0 or not answer.ends_with_connection
+        if self._request.prompt is None or not is_success or is_written:
+            return
+        raise InstanceCallError(
+            ErrorCode.STREAM_INTERRUPTED, "the answer ended before a byte", Execution.UNKNOWN
+        )
+
     def _accept(
         self,
         candidate: Candidate,
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -249,6 +249,16 @@
             with self.subTest(name):
                 self.check_error(answer_bytes, UNKNOWN)
 
+    def test_answers_with_neither_length_nor_chunks_are_told_from_others(self):
+        for name, answer_bytes in COMPLETE_RESPONSES:
+            with self.subTest(name):
+
+                async def script(instances, instance, name=name):
+                    answer, _ = await self.call(instances, instance)
+                    self.assertEqual(answer.ends_with_connection, name == "without a length")
+
+                self.run_with(RawServer(answer_bytes), script)
+
     def test_an_answer_without_a_length_that_is_reset_is_not_whole(self):
         unframed = HEAD + b"Connection: close\r\n\r\nbody"
         self.check_error(unframed, UNKNOWN, reset=True)
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -82,6 +82,7 @@
         max_attempts=2,
     ),
     route("open", RequestKind.REPEATABLE, public=True),
+    route("whole", RequestKind.REPEATABLE, shares=(ServiceShare("llm"),)),
 )
 SERVICES = (
     Service("plain"),
@@ -358,7 +359,7 @@
         """Return the head of a request; its prompt has the given parts, or two by default."""
         self._requests += 1
         prompt = None
-        if name in ("stream", "resumable"):
+        if name in ("stream", "resumable", "whole"):
             segments = segments or (PromptSegment("a1", 3_000), PromptSegment("b2", 500))
             prompt = Prompt(MODEL, segments, 3_500, 50)
         return RequestHead(
--- a/tests/services/exchanges/test_fatal_parts.py
+++ b/tests/services/exchanges/test_fatal_parts.py
@@ -4,10 +4,14 @@
 differ, and share the part that crashes, crashed one instance after the other.
 """
 
+import unittest
+
 import trio
 
+from emulator.exchange_platform.instances import Behaviour
 from emulator.platform.faults import FaultOrder
 from hopstep.domain.exchanges.request import PromptSegment
+from hopstep.exceptions import Execution
 from tests.services.exchanges.exchange_world import ExchangeWorld
 from tests.services.exchanges.fatal_part_traffic import (
     BOUND_SECONDS,
@@ -113,6 +117,28 @@
         world.run(script)
 
 
+class UnwrittenAnswerTest(unittest.TestCase):
+    def answer(self, name, service):
+        """Return the answer of an instance that closes its connection instead of writing one."""
+        answers = []
+
+        async def script(world):
+            for server in world.instances.servers.values():
+                server.behaviour = Behaviour.END_UNWRITTEN
+            answers.append(await world.request(name))
+
+        world = ExchangeWorld()
+        world.add("e0", service)
+        world.run(script)
+        return answers[0]
+
+    def test_an_answer_that_ends_before_its_first_byte_is_none_to_a_prompt(self):
+        answer = self.answer("whole", "llm")
+        self.assertIsNone(answer.status)
+        self.assertIs(answer.error.execution, Execution.UNKNOWN)
+        self.assertEqual(self.answer("safe", "plain").status, 200)
+
+
 class FatalPartBesideFaultsTest(FatalPartCase):
     def test_nodes_that_all_died_read_from_the_store_what_they_knew(self):
         for seconds, crashes in ((0.5, 2), (0.9, 3)):
