--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -127,8 +127,7 @@
 
     def _is_stream(self, answer: InstanceAnswer) -> bool:
         """Return whether a response is relayed event by event."""
-        successful = FIRST_SUCCESS_STATUS <= answer.status <= LAST_SUCCESS_STATUS
-        return successful and self._request.route.kind is RequestKind.STREAM
+        return _is_success(answer.status) and self._request.route.kind is RequestKind.STREAM
 
     async def _relay_stream(
         self, candidate: Candidate, answer: InstanceAnswer, sent_at: float, space: ResponseSpace
@@ -217,9 +216,8 @@
 
         An instance that terminates as it begins to write leaves such an answer.
         """
-        is_success = FIRST_SUCCESS_STATUS <= answer.status <= LAST_SUCCESS_STATUS
         is_written = held.size > 0 or not answer.ends_with_connection
-        if self._request.prompt is None or not is_success or is_written:
+        if self._request.prompt is None or not _is_success(answer.status) or is_written:
             return
         raise InstanceCallError(
             ErrorCode.STREAM_INTERRUPTED, "the answer ended before a byte", Execution.UNKNOWN
@@ -259,7 +257,7 @@
                 f"the instance answered {answer.status}",
                 Execution.UNKNOWN,
             )
-        if FIRST_SUCCESS_STATUS <= answer.status <= LAST_SUCCESS_STATUS:
+        if _is_success(answer.status):
             self._require_signed(answer)
         candidate.view.succeeded(now - sent_at)
 
@@ -326,8 +324,7 @@
     async def _finish(self, status: int) -> None:
         """End the response as complete."""
         self.finished = True
-        is_success = FIRST_SUCCESS_STATUS <= status <= LAST_SUCCESS_STATUS
-        self.has_succeeded = is_success and self._has_sent
+        self.has_succeeded = _is_success(status) and self._has_sent
         self._outcome.outcome = str(status)
         with trio.CancelScope(shield=True):
             await self._answer.finish()
@@ -340,6 +337,11 @@
         await self._answer.start(status, headers, length)
 
 
+def _is_success(status: int) -> bool:
+    """Return whether a status is that of a successful response."""
+    return FIRST_SUCCESS_STATUS <= status <= LAST_SUCCESS_STATUS
+
+
 def _event_number(text: str) -> int | None:
     """Return the event number in a ``Last-Event-Id`` header, or None when it has none."""
     return int(text) if text.isdecimal() else None
