--- a/tests/services/exchanges/fatal_part_traffic.py
+++ b/tests/services/exchanges/fatal_part_traffic.py
@@ -66,7 +66,7 @@
         world.instances.fatal_parts.add(FATAL_PART)
         world.instances.fatal_seconds = 0.04
         world.instances.on_ended = lambda server: world.nursery.start_soon(
-            self.replace, world, server
+            replace_engine, world, server
         )
 
         async def run(world):
@@ -88,14 +88,6 @@
         self.assertLessEqual(len(self.late_arrivals(world, part)), MAX_LATE_ARRIVALS)
         return world
 
-    async def replace(self, world, server):
-        """Let a crashed engine's entry expire, and start another one."""
-        ended_id = server.instance.instance_id
-        await trio.sleep(EXPIRY_SECONDS)
-        world.publish(InstanceRemoved(ended_id))
-        await trio.sleep(RESTART_SECONDS - EXPIRY_SECONDS)
-        world.add(f"{ended_id}+", "llm")
-
     async def send_sound(self, world):
         """Send sound requests, each with parts that many others have."""
         for number in itertools.count():
@@ -159,6 +151,15 @@
         return [answer for _at, answer in world.sound_answers if is_quarantined(answer)]
 
 
+async def replace_engine(world, server):
+    """Let a crashed engine's entry expire, and start another one."""
+    ended_id = server.instance.instance_id
+    await trio.sleep(EXPIRY_SECONDS)
+    world.publish(InstanceRemoved(ended_id))
+    await trio.sleep(RESTART_SECONDS - EXPIRY_SECONDS)
+    world.add(f"{ended_id}+", "llm")
+
+
 def shared_parts(number):
     """Return two parts that many requests have."""
     first = PromptSegment(f"a{number % FIRST_PARTS:x}", 1_000)
--- a/tests/services/exchanges/test_repeated_crashes.py
+++ b/tests/services/exchanges/test_repeated_crashes.py
@@ -15,8 +15,8 @@
 
 import trio
 
-from hopstep.ports.serving_directory import InstanceRemoved
 from tests.services.exchanges.exchange_world import ExchangeWorld
+from tests.services.exchanges.fatal_part_traffic import RESTART_SECONDS, replace_engine
 
 NODES = 7
 ZONES = 3
@@ -29,10 +29,6 @@
 MAX_LATE_RETRIES = 3
 """Most requests sent to instances after that bound."""
 
-EXPIRY_SECONDS = 2.6
-RESTART_SECONDS = 3.3
-"""Seconds from an engine's crash to the expiry of its entry, and to the start of the next."""
-
 REPEAT_SECONDS = 0.4
 WATCHED_SECONDS = 20.0
 
@@ -44,19 +40,11 @@
             world.add(f"e{number}", "llm")
         world.instances.fatal_bodies.add(FATAL)
         world.instances.on_ended = lambda server: world.nursery.start_soon(
-            self.replace, world, server
+            replace_engine, world, server
         )
         world.run(script)
         return world
 
-    async def replace(self, world, server):
-        """Let a crashed engine's entry expire, and start another one."""
-        ended_id = server.instance.instance_id
-        await trio.sleep(EXPIRY_SECONDS)
-        world.publish(InstanceRemoved(ended_id))
-        await trio.sleep(RESTART_SECONDS - EXPIRY_SECONDS)
-        world.add(f"{ended_id}+", "llm")
-
     async def repeat(self, world, seconds, at_once=1):
         """Send the fatal request repeatedly, to one node after the other."""
         until = trio.current_time() + seconds
