--- a/tests/domain/quarantine/test_part_terminations.py
+++ b/tests/domain/quarantine/test_part_terminations.py
@@ -54,11 +54,10 @@
         self.assertTrue(self.refused(FATAL))
 
     def test_equal_requests_do_not_hide_a_part_that_ends_instances(self):
-        ended = 0
-        while not self.refused(FATAL):
-            self.terminate_under(f"i{ended}", request(ended // 3, FATAL))
-            ended += 1
-        self.assertEqual(ended, TERMINATIONS_TO_REFUSE + 1)
+        for number in range(TERMINATIONS_TO_REFUSE + 1):
+            self.assertFalse(self.refused(FATAL))
+            self.terminate_under(f"i{number}", request(number // 3, FATAL))
+        self.assertTrue(self.refused(FATAL))
 
     def test_one_answer_clears_all_terminations_under_a_part(self):
         for number in range(TERMINATIONS_TO_REFUSE - 1):
