--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -34,7 +34,7 @@
     (11, RESTORES.name),
     (13, CUTS.name),
     (17, SOFTWARE_VERSIONS.name),
-    (19, PARTS.name),
+    (80_105, PARTS.name),
 )
 """Seeds and profiles: lost routes to the store during changes; planned work during changes;
 fatal requests, later incarnations of instances, entries of other writers and suspended machines;
