Expect no refusal for a part to be right while reports between nodes are lost

The trace: four crashes under requests with the part within 5.3 s, datagrams of all nodes lost and late in that time (reports came up to 4 s after the crash), all nodes killed 1 s later; n0 heard of the last crash 0.15 s after the refusal, and a trial released the part 8 s later. Nodes can't know by then what another one has seen, and the users' rules ask for half of what began before. The check applies where both nodes have been in touch since the crashes, as the other checks of bounds in time do.

--- a/emulator/soak/part_checks.py
+++ b/emulator/soak/part_checks.py
@@ -51,21 +51,31 @@
     """Yield sound requests that were refused for a part although nodes could know it is harmless.
 
     A part of which no node has seen an answer can't be told from a fatal one when instances have
-    just crashed under three requests with it; it is refused until its trial.
+    just crashed under three requests with it; it is refused until its trial. Nodes know what others
+    have seen once reports have reached them, and try again what the store lets them.
     """
     requests = history.requests.values()
     refused = [r for r in requests if not r.fatal and r.body == PART_QUARANTINED]
     answered = _answered(history) if refused else {}
     for request in refused:
+        if not _is_in_touch(history, request.node, request):
+            continue
         known = any(
             _ended_at(earlier) < request.sent_at
             and not history.restarted(earlier.node, earlier.sent_at, _ended_at(request))
+            and _is_in_touch(history, earlier.node, request)
             for earlier in answered.get(_part_of(history, request), ())
         )
         if known or not _crashed_lately(history, request):
             yield f"{request.kind} {request.request_id} was refused for a part by {request.node}"
 
 
+def _is_in_touch(history: History, node: str, refused: SentRequest) -> bool:
+    """Return whether a node had no faults since the crashes for which a request was refused."""
+    since = refused.sent_at - RELEASE_SECONDS
+    return history.time_bounds_apply(node, since, _ended_at(refused))
+
+
 def _refused_periods(history: History, bounds: Bounds) -> dict[str, tuple[float, float]]:
     """Return for each fatal part when its requests must be refused, and while they come."""
     crashes: dict[str, list[float]] = defaultdict(list)
--- a/tests/emulator/soak/test_part_checks.py
+++ b/tests/emulator/soak/test_part_checks.py
@@ -86,3 +86,16 @@
         self.assertEqual(shared_part(answered), shared_part(first))
         self.assertIn(REFUSAL_CHECK, self.broken(self.crashed(first, answered)))
         self.assertNotIn(REFUSAL_CHECK, self.broken(self.crashed(fatal(1, 101.0))))
+
+    def test_a_part_that_another_node_knows_while_reports_are_lost(self):
+        refused = {"status": 503, "stamp": "", "body": PART_QUARANTINED}
+        requests = sound(1, CRASHED_AT + 1.0, **refused), sound(1 + 30, 90.0, node="n1")
+        for node, until, caught in (
+            ("n0", 99.0, False),
+            ("n1", 99.0, False),
+            ("n0", 88.0, True),
+            ("n2", 99.0, True),
+        ):
+            faults = [Disturbance("lossy peers", node, 80.0, until)]
+            broken = self.broken(self.crashed(*requests, disturbances=faults))
+            self.assertEqual(REFUSAL_CHECK in broken, caught, (node, until))
