--- a/review/1/case.py
+++ b/review/1/case.py
@@ -34,6 +34,7 @@
     free_port,
     read_body,
     read_head,
+    run_case,
 )
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -242,4 +243,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main()))
--- a/review/standins.py
+++ b/review/standins.py
@@ -11,11 +11,12 @@
 import json
 import os
 import re
+import signal
 import socket
 import subprocess
 import time  # noqa: TID251 - stand-ins read the real clock
 import urllib.parse
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +25,8 @@
 KEY = "key-of-tenant-a"
 TENANT = "tenant-a"
 HOST = "shop.example"
+COULD_NOT_RUN = 2
+"""Exit code of a case that didn't run to its end."""
 
 Headers = dict[str, str]
 
@@ -441,3 +444,18 @@
             "tenants": [{"name": TENANT, "apiKeys": [KEY], "priority": 1, "isolated": False}],
         }
     ).encode()
+
+
+def run_case(case: Coroutine[Any, Any, int]) -> int:
+    """Run a case and return its exit code; an interrupted one ends its processes too."""
+
+    async def run() -> int:
+        loop, task = asyncio.get_running_loop(), asyncio.create_task(case)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            return COULD_NOT_RUN
+
+    return asyncio.run(run())
