Collect request bodies in the services, and log those that aren't kept whole

The decision is now in domain/exchanges/request_body.py, behind a port that takes on a request at its head (ExchangeHandler.begin) and gets its body in parts; what is kept is unchanged by this commit.

HS3120 body_not_kept: reason, bytes received and kept, the limit at the first part that wasn't kept, the limit when the body had ended, and the configuration then.

Tests: the stub of tests.platform.test_front follows the port; what it checked of limits and budget is checked in tests.services.exchanges.test_request_body.

--- a/hopstep/cli/node_process.py
+++ b/hopstep/cli/node_process.py
@@ -73,11 +73,7 @@
     )
     services = ExchangeServices(settings, ports, node_key)
     unknown_words.count_with(lambda place: services.metrics.unknown_words.labels(place).inc())
-    front = ExchangeFront(
-        services.exchanges,
-        lambda: services.lifecycle.stopping,
-        services.held_bytes.open_share,
-    )
+    front = ExchangeFront(services.exchanges, lambda: services.lifecycle.stopping)
     tunnel_server = TunnelServer(
         settings.name,
         node_key,
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -202,6 +202,7 @@
             self.notices,
             self.limits,
             self.origins,
+            self.held_bytes,
             RepeatBounds(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds),
             self.metrics,
             generator,
--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -2,29 +2,26 @@
 
 from __future__ import annotations
 
-import contextlib
 from collections.abc import Awaitable, Callable
-from contextlib import AbstractContextManager
 from typing import Any
 
 import trio
 
-from hopstep.domain.byte_budget import ByteBudget, ByteShare
+from hopstep.domain.byte_budget import ByteShare
 from hopstep.domain.exchanges.request import Headers, Prompt, PromptSegment
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.platform import names
 from hopstep.ports.exchange_front import (
     CONNECTION_STATE,
     ClientAnswer,
-    ClientConnection,
     ExchangeHandler,
+    IncomingRequest,
     RequestHead,
 )
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[Any]]
 Send = Callable[[Any], Awaitable[None]]
-OpenShare = Callable[[str, ClientConnection | None], AbstractContextManager[ByteShare]]
 
 MILLISECONDS = 1_000.0
 UNKNOWN_STATUS = 502
@@ -50,56 +47,44 @@
 """Answer to a request that failed with an unexpected exception in this node."""
 
 
-def open_unlimited(request_id: str, _connection: Any) -> AbstractContextManager[ByteShare]:
-    """Return the share of a request at a node without a budget."""
-    return contextlib.nullcontext(ByteShare(ByteBudget(), request_id))
-
-
 class ExchangeFront:
     """ASGI application for clients."""
 
-    def __init__(
-        self,
-        service: ExchangeHandler,
-        is_stopping: Callable[[], bool],
-        open_share: OpenShare = open_unlimited,
-    ) -> None:
+    def __init__(self, service: ExchangeHandler, is_stopping: Callable[[], bool]) -> None:
         """Pass requests to a service.
 
         Args:
             service: Serves requests.
             is_stopping: Returns whether clients should close their connections.
-            open_share: Opens the share of a request of the bytes that the node may hold.
         """
         self._service = service
         self._is_stopping = is_stopping
-        self._open_share = open_share
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         head = _read_head(scope, trio.current_time())
         connection = scope.get("state", {}).get(CONNECTION_STATE)
-        with self._open_share(head.request_id, connection) as share:
-            body = await _read_body(receive, self._service.max_body_bytes, share)
-            if body is None:
+        async with self._service.begin(head, connection) as request:
+            if not await _read_body(receive, request):
                 return
-            answer = AsgiAnswer(send, self._is_stopping, share)
+            answer = AsgiAnswer(send, self._is_stopping, request.share)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope, answer)
-                await self._serve(head, body, answer)
+                await _serve(request, answer)
                 nursery.cancel_scope.cancel()
 
-    async def _serve(self, head: RequestHead, body: bytes, answer: AsgiAnswer) -> None:
-        """Serve one request; answer with the error if that fails before an answer has started."""
-        try:
-            await self._service.serve(head, body, answer)
-        except ServiceError as error:
-            await answer.refuse(error)
-        except Exception:
-            if answer.started:
-                raise
-            await answer.refuse(INTERNAL_ERROR)
+
+async def _serve(request: IncomingRequest, answer: AsgiAnswer) -> None:
+    """Serve one request; answer with the error if that fails before an answer has started."""
+    try:
+        await request.serve(answer)
+    except ServiceError as error:
+        await answer.refuse(error)
+    except Exception:
+        if answer.started:
             raise
+        await answer.refuse(INTERNAL_ERROR)
+        raise
 
 
 class AsgiAnswer(ClientAnswer):
@@ -164,31 +149,15 @@
     return TIMEOUT_STATUS if error.code is ErrorCode.DEADLINE_EXCEEDED else UNKNOWN_STATUS
 
 
-async def _read_body(
-    receive: Receive, max_bytes: Callable[[], int], share: ByteShare
-) -> bytes | None:
-    """Return the body, truncated past the limit; None when the client disconnected.
-
-    A body without space in the budget is read to its end, since closing the connection earlier may
-    lose the refusal, but nothing of it is kept.
-    """
-    body = bytearray()
-    share.body_pending = True
+async def _read_body(receive: Receive, request: IncomingRequest) -> bool:
+    """Read a request's body to its end; return False when the client disconnected."""
     while True:
         message = await receive()
         if message["type"] != "http.request":
-            return None
-        data = message.get("body", b"")
-        if not share.refused and len(body) <= max_bytes():
-            if share.take(len(data)):
-                body += data
-            else:
-                body = bytearray()
-                share.refused = True
-                share.close()
+            return False
+        request.add(message.get("body", b""))
         if not message.get("more_body", False):
-            share.body_pending = False
-            return bytes(body)
+            return True
 
 
 async def _cancel_on_disconnect(
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+from contextlib import AbstractAsyncContextManager
 
 import msgspec
 
@@ -88,17 +89,38 @@
         """End the response as complete; without this call the client sees it cut off."""
 
 
-class ExchangeHandler(abc.ABC):
-    """Handles clients' requests."""
+class IncomingRequest(abc.ABC):
+    """A client's request whose head has been read, and whose body arrives in parts.
+
+    Attributes:
+        share: Bytes that are held for the request.
+    """
+
+    share: ByteShare
 
     @abc.abstractmethod
-    def max_body_bytes(self) -> int:
-        """Return the size of the longest body that is read into memory, in bytes."""
+    def add(self, data: bytes) -> None:
+        """Add the next part of the body."""
 
     @abc.abstractmethod
-    async def serve(self, head: RequestHead, body: bytes, answer: ClientAnswer) -> None:
-        """Serve one request.
+    async def serve(self, answer: ClientAnswer) -> None:
+        """Serve the request, whose body has ended.
 
         Raises:
             ServiceError: When the request failed before any part of a response was sent.
         """
+
+
+class ExchangeHandler(abc.ABC):
+    """Handles clients' requests."""
+
+    @abc.abstractmethod
+    def begin(
+        self, head: RequestHead, connection: ClientConnection | None
+    ) -> AbstractAsyncContextManager[IncomingRequest]:
+        """Return a context for a request whose head has been read, until its response has ended.
+
+        Args:
+            head: Head of the request.
+            connection: Connection of the client; None when it isn't tracked.
+        """
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 from collections import Counter
+from collections.abc import AsyncIterator
 
 import trio
 
@@ -12,11 +14,18 @@
 from hopstep.domain.exchanges.prefill_causes import SharedPrefill
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds, RepeatBudget
 from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.exchanges.request_body import RequestBody
 from hopstep.domain.exchanges.retry_after import QueueReturn, RetryAdvice, RetryReason
 from hopstep.domain.exchanges.serving import RequestLimits
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.logs import emit
-from hopstep.ports.exchange_front import ClientAnswer, ExchangeHandler, RequestHead
+from hopstep.ports.exchange_front import (
+    ClientAnswer,
+    ClientConnection,
+    ExchangeHandler,
+    IncomingRequest,
+    RequestHead,
+)
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
@@ -33,7 +42,8 @@
     ExchangeOutcome,
     ExchangeParts,
 )
-from hopstep.services.exchanges.requests.held_bytes import require_space
+from hopstep.services.exchanges.requests.held_bytes import HeldBytes, require_space
+from hopstep.services.exchanges.requests.incoming_exchange import IncomingExchange
 from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
 from hopstep.services.exchanges.requests.quotas import Quotas
 from hopstep.services.exchanges.requests.request_queue import RequestQueue
@@ -63,6 +73,7 @@
         notices: InstanceNotices,
         limits: InstanceLimits,
         origins: StreamOrigins,
+        held_bytes: HeldBytes,
         bounds: RepeatBounds,
         metrics: ExchangeMetrics,
         generator: random.Random,
@@ -85,6 +96,7 @@
             notices: Receives what instances announce in response headers.
             limits: Permits to send to rate-limited instances.
             origins: What began the streams that clients may resume.
+            held_bytes: Counts the bytes that are held for each request.
             bounds: Bounds of retries over all nodes.
             metrics: Counts requests and attempts.
             generator: Splits traffic and breaks ties.
@@ -99,6 +111,7 @@
         self._generator = generator
         self._bounds = bounds
         self._quotas = quotas
+        self._held_bytes = held_bytes
         self._metrics = metrics
         self._budgets: dict[str, RepeatBudget] = {}
         choice = InstanceChoice(
@@ -138,12 +151,20 @@
             lambda: self._parts.choice.kept_engines,
         )
 
-    def max_body_bytes(self) -> int:
+    @contextlib.asynccontextmanager
+    async def begin(
+        self, head: RequestHead, connection: ClientConnection | None
+    ) -> AsyncIterator[IncomingRequest]:
+        """Take on a request whose head has been read; see the port."""
+        with self._held_bytes.open_share(head.request_id, connection) as share:
+            yield IncomingExchange(head, share, self._max_body_bytes, self._serve)
+
+    def _max_body_bytes(self) -> int:
         """Return the size of the largest body that is read into memory, in bytes."""
         current = self._knowledge.current
         return (current.limits if current is not None else RequestLimits()).max_body_bytes
 
-    async def serve(self, head: RequestHead, body: bytes, answer: ClientAnswer) -> None:
+    async def _serve(self, head: RequestHead, body: RequestBody, answer: ClientAnswer) -> None:
         """Serve one request.
 
         Raises:
@@ -151,8 +172,10 @@
         """
         with self._lifecycle.active():
             await self._knowledge.wait_first_reading()
+            if body.omission is not None:
+                self._log_omission(head, body)
             try:
-                request = self.admission.admit(head, body)
+                request = self.admission.admit(head, body.read())
                 require_space(answer.share)
                 await self._quotas.require(request)
             except ServiceError as error:
@@ -238,6 +261,19 @@
         blocked = self._parts.choice.blocked_instances(scope)
         return dict(Counter(a.barrier.value for _view, a in blocked if a.barrier is not None))
 
+    def _log_omission(self, head: RequestHead, body: RequestBody) -> None:
+        """Log a request whose body isn't kept whole."""
+        emit(
+            log_events.BODY_NOT_KEPT,
+            request_id=head.request_id,
+            reason=body.omission,
+            received_bytes=body.received_bytes,
+            kept_bytes=body.kept_bytes,
+            limit_bytes=body.limit_bytes,
+            limit_now_bytes=self._max_body_bytes(),
+            configuration=self._version(),
+        )
+
     def _log_refusal(self, head: RequestHead, error: ServiceError, advice: RetryAdvice) -> None:
         """Log a request that wasn't admitted."""
         emit(
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -8,7 +8,7 @@
 from hopstep.domain.byte_budget import ByteBudget, ByteShare
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.platform.front import ExchangeFront
-from hopstep.ports.exchange_front import CONNECTION_STATE
+from hopstep.ports.exchange_front import CONNECTION_STATE, ExchangeHandler, IncomingRequest
 
 HEADERS = (
     (b"host", b"h.example"),
@@ -29,19 +29,26 @@
 )
 
 
-class Service:
+class Service(ExchangeHandler):
     """Records requests, and responds or raises the given error."""
 
     def __init__(self, error=None):
         self.error = error
         self.heads = []
+        self.connections = []
         self.bodies = []
+        self.ended = []
 
-    def max_body_bytes(self):
-        return 10
+    @contextlib.asynccontextmanager
+    async def begin(self, head, connection):
+        self.heads.append(head)
+        self.connections.append(connection)
+        try:
+            yield Incoming(self, head)
+        finally:
+            self.ended.append(head.request_id)
 
     async def serve(self, head, body, answer):
-        self.heads.append(head)
         self.bodies.append(body)
         if self.error is not None:
             raise self.error
@@ -50,6 +57,22 @@
         await answer.finish()
 
 
+class Incoming(IncomingRequest):
+    """A request at the service above."""
+
+    def __init__(self, service, head):
+        self.share = ByteShare(ByteBudget(), head.request_id)
+        self.service = service
+        self.head = head
+        self.parts = []
+
+    def add(self, data):
+        self.parts.append(data)
+
+    async def serve(self, answer):
+        await self.service.serve(self.head, b"".join(self.parts), answer)
+
+
 class FrontTest(unittest.TestCase):
     def exchange(self, service, body=(b"12", b"345"), headers=HEADERS, stopping=False, query=b""):
         sent = []
@@ -180,11 +203,30 @@
         start = self.exchange(Service(), stopping=True)[0]
         self.assertIn((b"connection", b"close"), start["headers"])
 
-    def test_a_long_body_is_read_but_not_kept(self):
+    def test_a_client_that_leaves_during_its_body_is_not_served(self):
         service = Service()
-        self.exchange(service, body=[b"123456789"] * 50)
-        self.assertLess(len(service.bodies[0]), 40)
-        self.assertGreater(len(service.bodies[0]), 10)
+        messages = [
+            {"type": "http.request", "body": b"12", "more_body": True},
+            {"type": "http.disconnect"},
+        ]
+
+        async def receive():
+            return messages.pop(0)
+
+        async def send(message):
+            raise AssertionError(message)
+
+        scope = {
+            "type": "http",
+            "method": "PUT",
+            "raw_path": b"/",
+            "query_string": b"",
+            "headers": [(b"attempt-id", b"r1")],
+            "state": {CONNECTION_STATE: "connection"},
+        }
+        trio.run(ExchangeFront(service, lambda: False), scope, receive, send)
+        self.assertEqual((service.bodies, service.ended), ([], ["r1"]))
+        self.assertEqual(service.connections, ["connection"])
 
     def test_a_fault_of_the_nodes_own_is_told_as_unknown(self):
         sent = []
@@ -273,51 +315,3 @@
         }
         trio.run(ExchangeFront(Waiting(), lambda: False), scope, receive, send)
         self.assertEqual(cancelled, ["r1"])
-
-
-class ByteShareTest(unittest.TestCase):
-    def exchange(self, body, limit_bytes):
-        """Return the service, the node's budget, and the connection of the share."""
-        service, budget, connections = Service(), ByteBudget(limit_bytes), []
-        parts = list(body)
-
-        @contextlib.contextmanager
-        def open_share(request_id, connection):
-            connections.append((request_id, connection))
-            share = ByteShare(budget, request_id)
-            yield share
-            self.share = share
-            self.held = share.held_bytes
-            share.close()
-
-        async def receive():
-            if not parts:
-                await trio.sleep_forever()
-            data = parts.pop(0)
-            return {"type": "http.request", "body": data, "more_body": bool(parts)}
-
-        async def send(message):
-            await trio.lowlevel.checkpoint()
-
-        scope = {
-            "type": "http",
-            "method": "PUT",
-            "raw_path": b"/",
-            "query_string": b"",
-            "headers": list(HEADERS),
-            "state": {CONNECTION_STATE: "connection"},
-        }
-        trio.run(ExchangeFront(service, lambda: False, open_share), scope, receive, send)
-        self.assertEqual(connections, [("r1", "connection")])
-        return service, budget
-
-    def test_a_body_is_counted_as_it_arrives_until_its_request_has_ended(self):
-        service, budget = self.exchange((b"12", b"345"), limit_bytes=100)
-        self.assertEqual((service.bodies, self.held, budget.held_bytes), ([b"12345"], 5, 0))
-        self.assertFalse(self.share.refused or self.share.body_pending)
-
-    def test_a_body_without_space_is_read_to_its_end_and_dropped(self):
-        """Guards against bodies beyond the budget, and refusals that are lost with a reset."""
-        service, _ = self.exchange((b"12", b"345", b"6"), limit_bytes=4)
-        self.assertEqual((service.bodies, self.held), ([b""], 0))
-        self.assertTrue(self.share.refused)
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -156,6 +156,13 @@
         return self.error is not None and self.error.execution.value == "not_run"
 
 
+async def serve(exchanges, head, body, answer):
+    """Have a node serve a request whose body comes in one part."""
+    async with exchanges.begin(head, None) as request:
+        request.add(body)
+        await request.serve(answer)
+
+
 class ExchangeWorld:
     """A store, instances and nodes."""
 
@@ -350,7 +357,7 @@
         head = self.head(name, key, request_id, resume_after, patience, segments)
         head = msgspec.structs.replace(head, usage_tokens=usage_tokens, resumes=resumes)
         try:
-            await self.nodes[node].exchanges.serve(head, body, answer)
+            await serve(self.nodes[node].exchanges, head, body, answer)
         except ServiceError as error:
             answer.error = error
         return answer
--- /dev/null
+++ b/tests/services/exchanges/test_request_body.py
@@ -0,0 +1,61 @@
+"""Bodies of clients' requests as they arrive at a node."""
+
+import unittest
+
+from prometheus_client import CollectorRegistry
+
+from emulator.virtual_time import run_in_virtual_time
+from hopstep.domain.byte_budget import ByteBudget, ByteShare
+from hopstep.domain.exchanges.request_body import BodyOmission, RequestBody
+from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
+from hopstep.services.exchanges.requests.held_bytes import HeldBytes
+from hopstep.services.exchanges.requests.incoming_exchange import IncomingExchange
+
+
+class RequestBodyTest(unittest.TestCase):
+    def body(self, parts, limit_bytes=10, budget_bytes=0):
+        """Return a body that arrived in parts, and its share."""
+        share = ByteShare(ByteBudget(budget_bytes), "r1")
+        body = RequestBody(lambda: limit_bytes, share)
+        for part in parts:
+            body.add(part)
+        return body, share
+
+    def test_a_body_is_kept_in_order(self):
+        body, _ = self.body((b"12", b"", b"345"))
+        self.assertEqual((body.read(), body.omission), (b"12345", None))
+
+    def test_a_long_body_is_read_but_not_kept(self):
+        body, _ = self.body([b"123456789"] * 50)
+        self.assertEqual((body.received_bytes, body.omission), (450, BodyOmission.TOO_LONG))
+        self.assertLess(body.kept_bytes, 40)
+        self.assertGreater(body.kept_bytes, 10)
+
+    def test_a_body_without_space_is_read_to_its_end_and_dropped(self):
+        """Guards against bodies beyond the budget, and refusals that are lost with a reset."""
+        body, share = self.body((b"12", b"345", b"6"), budget_bytes=4)
+        self.assertEqual((body.read(), body.received_bytes), (b"", 6))
+        self.assertEqual((share.held_bytes, share.refused), (0, True))
+        self.assertIs(body.omission, BodyOmission.NO_SPACE)
+
+
+class IncomingExchangeTest(unittest.TestCase):
+    def test_a_body_is_counted_as_it_arrives_until_its_request_has_ended(self):
+        seen = []
+
+        async def serve(head, body, answer):
+            seen.append((body.read(), held.budget.held_bytes, share.body_pending))
+
+        held = HeldBytes(100, ExchangeMetrics(CollectorRegistry()))
+        with held.open_share("r1", None) as share:
+            request = IncomingExchange(None, share, lambda: 10, serve)
+            request.add(b"12")
+            self.assertEqual((held.budget.held_bytes, share.body_pending), (2, True))
+            request.add(b"345")
+            run_in_virtual_time(request.serve, None)
+        self.assertEqual(seen, [(b"12345", 5, False)])
+        self.assertEqual(held.budget.held_bytes, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/services/exchanges/test_request_queue.py
+++ b/tests/services/exchanges/test_request_queue.py
@@ -20,6 +20,7 @@
     ExchangeWorld,
     RecordedAnswer,
     configuration,
+    serve,
 )
 
 PLACES = 2
@@ -152,7 +153,7 @@
         segments = (PromptSegment(head.request_id, tokens),)
         prompt = msgspec.structs.replace(head.prompt, segments=segments, prompt_tokens=tokens)
         head = msgspec.structs.replace(head, prompt=prompt)
-        await world.nodes[0].exchanges.serve(head, b"", RecordedAnswer())
+        await serve(world.nodes[0].exchanges, head, b"", RecordedAnswer())
 
     def test_rejecting_or_suspended_instances_are_tried_as_before(self):
         """Otherwise a request would wait until its deadline for nothing that runs."""
