Keep a request's body whole or not at all when the limit on bodies rises

Cause: the limit was asked for again with each part of a body, parts over it were left out, and that was remembered nowhere. Once the limit had risen later parts were appended behind the gap, and the shorter body was within the new limit.

Change: a body has the limit in force at its head for its whole life and is kept whole or not at all; reading one that wasn't kept raises. At its end it is judged as a whole by the configuration then in force: too long, or, if only the limit at its head was too low, configuration_changed: 503, not run, come back at once. A starting node waits for its first configuration before it reads a body, not after.

Why this works: between the head and the end no second limit can be applied to a part, and no request can be made of a body that lacks one.

tests.services.exchanges.test_request_body: a body over the limit now keeps nothing, which the test checks in place of a bound on what was kept.

--- a/hopstep/domain/exchanges/request_body.py
+++ b/hopstep/domain/exchanges/request_body.py
@@ -3,67 +3,67 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable
 
 from hopstep.domain.byte_budget import ByteShare
 
 
 class BodyOmission(enum.StrEnum):
-    """Why a body isn't kept whole."""
+    """Why a body isn't kept."""
 
     TOO_LONG = "too_long"
     NO_SPACE = "no_space"
 
 
 class RequestBody:
-    """A body that is read to its end: closing the connection earlier may lose the refusal.
+    """A body that is kept whole or not at all, and read to its end in either case.
+
+    Closing the connection before the end may lose the refusal. Once a part isn't kept nothing is
+    any more, whatever the limit or the free space become later.
 
     Attributes:
         received_bytes: Bytes that have arrived.
-        limit_bytes: Limit on the body at the first part that wasn't kept, else the last one used.
-        omission: Why the body isn't kept whole; None while it is.
+        limit_bytes: Limit on the whole body.
+        omission: Why the body isn't kept; None while it is.
     """
 
-    def __init__(self, max_bytes: Callable[[], int], share: ByteShare) -> None:
+    def __init__(self, limit_bytes: int, share: ByteShare) -> None:
         """Start without any bytes.
 
         Args:
-            max_bytes: Returns the limit on a body.
+            limit_bytes: Limit on the whole body.
             share: What the node holds for the request.
         """
         self.received_bytes = 0
-        self.limit_bytes = max_bytes()
+        self.limit_bytes = limit_bytes
         self.omission: BodyOmission | None = None
-        self._max_bytes = max_bytes
         self._share = share
         self._data = bytearray()
 
     def add(self, data: bytes) -> None:
         """Add the next part."""
         self.received_bytes += len(data)
-        if self._share.refused:
+        if self.omission is not None:
             return
-        if len(self._data) > self._max_bytes():
+        if self.received_bytes > self.limit_bytes:
             self._omit(BodyOmission.TOO_LONG)
-        elif self._share.take(len(data)):
-            self._data += data
-        else:
-            self._data = bytearray()
+        elif not self._share.take(len(data)):
             self._share.refused = True
-            self._share.close()
             self._omit(BodyOmission.NO_SPACE)
+        else:
+            self._data += data
 
     def _omit(self, omission: BodyOmission) -> None:
-        """Note why the body isn't kept whole."""
-        if self.omission is None:
-            self.omission = omission
-            self.limit_bytes = self._max_bytes()
-
-    @property
-    def kept_bytes(self) -> int:
-        """Number of bytes that are kept."""
-        return len(self._data)
+        """Drop the body."""
+        self.omission = omission
+        self._data = bytearray()
+        self._share.close()
 
     def read(self) -> bytes:
-        """Return the bytes that are kept."""
+        """Return the whole body.
+
+        Raises:
+            ValueError: It wasn't kept.
+        """
+        if self.omission is not None:
+            raise ValueError(f"the body wasn't kept: {self.omission}")
         return bytes(self._data)
--- a/hopstep/domain/exchanges/retry_after.py
+++ b/hopstep/domain/exchanges/retry_after.py
@@ -46,6 +46,7 @@
 
     OTHER_NODE = "other_node"
     OTHER_INSTANCE = "other_instance"
+    CONFIGURATION = "configuration"
     STORE_OUTAGE = "store_away"
     LOADING = "loading"
     BACKING_OFF = "resting"
@@ -120,6 +121,8 @@
     """Return what a refused client should wait for."""
     if facts.code is ErrorCode.STOPPING:
         return RetryReason.OTHER_NODE
+    if facts.code is ErrorCode.CONFIGURATION_CHANGED:
+        return RetryReason.CONFIGURATION
     if facts.code in (ErrorCode.ISOLATED, ErrorCode.NOT_READY):
         return RetryReason.STORE_OUTAGE if facts.others_answer else RetryReason.OTHER_NODE
     if facts.queue_return is not None:
@@ -171,7 +174,7 @@
 def _expected_seconds(reason: RetryReason, facts: RefusalFacts) -> float:
     """Return the time after which a client is likely to be served."""
     match reason:
-        case RetryReason.OTHER_NODE | RetryReason.OTHER_INSTANCE:
+        case RetryReason.OTHER_NODE | RetryReason.OTHER_INSTANCE | RetryReason.CONFIGURATION:
             return AT_ONCE_SECONDS
         case RetryReason.STORE_OUTAGE:
             return max(DEFAULT_SECONDS, OUTAGE_SHARE * facts.store_silence_seconds)
--- a/hopstep/exceptions.py
+++ b/hopstep/exceptions.py
@@ -46,6 +46,7 @@
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     # Node state
     NOT_READY = "not_ready"
+    CONFIGURATION_CHANGED = "configuration_changed"
     STOPPING = "stopping"
     ISOLATED = "isolated"
     INTERNAL = "internal"
@@ -87,6 +88,7 @@
     ErrorCode.ALREADY_CLAIMED: "The idempotency key was used before; that request may have run.",
     ErrorCode.CLAIMS_UNAVAILABLE: "The store of claims is down; requests with a key are refused.",
     ErrorCode.NOT_READY: "The router has no configuration yet.",
+    ErrorCode.CONFIGURATION_CHANGED: "The configuration changed during the request; send it again.",
     ErrorCode.STOPPING: "The router is stopping; use another one.",
     ErrorCode.ISOLATED: "The router is isolated and can't check that its placement is valid.",
     ErrorCode.INTERNAL: "A fault in hopstep; the log names its location.",
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -481,17 +481,9 @@
     "HS3120",
     "body_not_kept",
     Level.INFO,
-    (
-        "request_id",
-        "reason",
-        "received_bytes",
-        "kept_bytes",
-        "limit_bytes",
-        "limit_now_bytes",
-        "configuration",
-    ),
-    "Nothing: HS3102 says how it was refused. `too_long`: over the limit of `configuration`, or, "
-    "where `limit_now_bytes` is larger, of the one before. `no_space`: see HS3122.",
+    ("request_id", "reason", "received_bytes", "limit_bytes", "limit_now_bytes", "configuration"),
+    "Nothing: HS3102 says how it was refused. `too_long`: over `limit_bytes`, the limit at its "
+    "head; `limit_now_bytes` is that of `configuration`. `no_space`: see HS3122.",
 )
 RESPONSE_RELAYED_IN_PARTS = LogEvent(
     "HS3121",
--- a/hopstep/services/exchanges/requests/admission.py
+++ b/hopstep/services/exchanges/requests/admission.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from hopstep.domain.exchanges.request import ExchangeRequest
-from hopstep.domain.exchanges.serving import Route, ServingIndex, Tenant
+from hopstep.domain.exchanges.request_body import BodyOmission, RequestBody
+from hopstep.domain.exchanges.serving import RequestLimits, Route, ServingIndex, Tenant
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.ports.exchange_front import RequestHead
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.requests.held_bytes import no_space
 from hopstep.services.lifecycle import Lifecycle
 
 
@@ -23,7 +25,7 @@
         self._knowledge = knowledge
         self._lifecycle = lifecycle
 
-    def admit(self, head: RequestHead, body: bytes) -> ExchangeRequest:
+    def admit(self, head: RequestHead, body: RequestBody) -> ExchangeRequest:
         """Return the admitted request.
 
         Raises:
@@ -37,9 +39,8 @@
         self._lifecycle.check_serving(route.timeout_seconds)
         if not head.request_id:
             raise ServiceError(ErrorCode.MALFORMED_REQUEST, "the request has no id")
-        if len(body) > index.configuration.limits.max_body_bytes:
-            raise ServiceError(ErrorCode.BODY_TOO_LARGE, "the body is too long")
-        return _make_request(head, body, route, tenant)
+        _check_body(body, index.configuration.limits)
+        return _make_request(head, body.read(), route, tenant)
 
     def readmit(self, request: ExchangeRequest, service: str) -> None:
         """Check a request that has waited against the configuration in force by now.
@@ -78,6 +79,23 @@
         return ServiceError(code, message)
 
 
+def _check_body(body: RequestBody, limits: RequestLimits) -> None:
+    """Raise unless a body is within the limits and was kept.
+
+    Args:
+        body: A complete body.
+        limits: Limits in force now; those at the request's head decided whether it was kept.
+    """
+    if body.received_bytes > limits.max_body_bytes:
+        raise ServiceError(ErrorCode.BODY_TOO_LARGE, "the body is too long")
+    if body.omission is BodyOmission.TOO_LONG:
+        raise ServiceError(
+            ErrorCode.CONFIGURATION_CHANGED, "the limit on bodies rose while the body arrived"
+        )
+    if body.omission is BodyOmission.NO_SPACE:
+        raise no_space()
+
+
 def _make_request(
     head: RequestHead, body: bytes, route: Route, tenant: Tenant | None
 ) -> ExchangeRequest:
--- a/hopstep/services/exchanges/requests/held_bytes.py
+++ b/hopstep/services/exchanges/requests/held_bytes.py
@@ -113,13 +113,18 @@
     """Reserve space for the beginning of a response, before the request is sent.
 
     Raises:
-        ServiceError: When the budget has no space for the request's body or its response.
+        ServiceError: When the budget has no space for the response.
     """
-    if not share.refused and share.take(RESPONSE_BYTES):
+    if share.take(RESPONSE_BYTES):
         return
     share.refused = True
     share.close()
-    raise ServiceError(ErrorCode.OVERLOADED, "the node holds too many bytes for other clients")
+    raise no_space()
+
+
+def no_space() -> ServiceError:
+    """Return the refusal of a request for whose body or response the budget has no space."""
+    return ServiceError(ErrorCode.OVERLOADED, "the node holds too many bytes for other clients")
 
 
 def require_length(size: int) -> None:
--- a/hopstep/services/exchanges/requests/incoming_exchange.py
+++ b/hopstep/services/exchanges/requests/incoming_exchange.py
@@ -14,24 +14,18 @@
 class IncomingExchange(IncomingRequest):
     """Collects the body of a request, and has it served once it is complete."""
 
-    def __init__(
-        self,
-        head: RequestHead,
-        share: ByteShare,
-        max_bytes: Callable[[], int],
-        serve: Serve,
-    ) -> None:
+    def __init__(self, head: RequestHead, share: ByteShare, limit_bytes: int, serve: Serve) -> None:
         """Start without any part of the body.
 
         Args:
             head: Head of the request.
             share: Bytes that are held for the request.
-            max_bytes: Returns the limit on a body.
+            limit_bytes: Limit on the body, which stays the same until its end.
             serve: Serves a complete request.
         """
         self.share = share
         self._head = head
-        self._body = RequestBody(max_bytes, share)
+        self._body = RequestBody(limit_bytes, share)
         self._serve = serve
         share.body_pending = True
 
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -157,12 +157,14 @@
     ) -> AsyncIterator[IncomingRequest]:
         """Take on a request whose head has been read; see the port."""
         with self._held_bytes.open_share(head.request_id, connection) as share:
-            yield IncomingExchange(head, share, self._max_body_bytes, self._serve)
+            await self._knowledge.wait_first_reading()
+            limits = self._limits_in_force()
+            yield IncomingExchange(head, share, limits.max_body_bytes, self._serve)
 
-    def _max_body_bytes(self) -> int:
-        """Return the size of the largest body that is read into memory, in bytes."""
+    def _limits_in_force(self) -> RequestLimits:
+        """Return the limits of the configuration in force; the default ones before the first."""
         current = self._knowledge.current
-        return (current.limits if current is not None else RequestLimits()).max_body_bytes
+        return current.limits if current is not None else RequestLimits()
 
     async def _serve(self, head: RequestHead, body: RequestBody, answer: ClientAnswer) -> None:
         """Serve one request.
@@ -171,11 +173,10 @@
             ServiceError: When nothing of a response was sent.
         """
         with self._lifecycle.active():
-            await self._knowledge.wait_first_reading()
             if body.omission is not None:
                 self._log_omission(head, body)
             try:
-                request = self.admission.admit(head, body.read())
+                request = self.admission.admit(head, body)
                 require_space(answer.share)
                 await self._quotas.require(request)
             except ServiceError as error:
@@ -262,15 +263,14 @@
         return dict(Counter(a.barrier.value for _view, a in blocked if a.barrier is not None))
 
     def _log_omission(self, head: RequestHead, body: RequestBody) -> None:
-        """Log a request whose body isn't kept whole."""
+        """Log a request whose body isn't kept."""
         emit(
             log_events.BODY_NOT_KEPT,
             request_id=head.request_id,
             reason=body.omission,
             received_bytes=body.received_bytes,
-            kept_bytes=body.kept_bytes,
             limit_bytes=body.limit_bytes,
-            limit_now_bytes=self._max_body_bytes(),
+            limit_now_bytes=self._limits_in_force().max_body_bytes,
             configuration=self._version(),
         )
 
--- a/tests/services/exchanges/test_request_body.py
+++ b/tests/services/exchanges/test_request_body.py
@@ -16,7 +16,7 @@
     def body(self, parts, limit_bytes=10, budget_bytes=0):
         """Return a body that arrived in parts, and its share."""
         share = ByteShare(ByteBudget(budget_bytes), "r1")
-        body = RequestBody(lambda: limit_bytes, share)
+        body = RequestBody(limit_bytes, share)
         for part in parts:
             body.add(part)
         return body, share
@@ -26,17 +26,23 @@
         self.assertEqual((body.read(), body.omission), (b"12345", None))
 
     def test_a_long_body_is_read_but_not_kept(self):
-        body, _ = self.body([b"123456789"] * 50)
+        body, share = self.body([b"123456789"] * 50, budget_bytes=1_000)
         self.assertEqual((body.received_bytes, body.omission), (450, BodyOmission.TOO_LONG))
-        self.assertLess(body.kept_bytes, 40)
-        self.assertGreater(body.kept_bytes, 10)
+        self.assertEqual((share.held_bytes, share.refused), (0, False))
+        with self.assertRaisesRegex(ValueError, "too_long"):
+            body.read()
+
+    def test_a_body_of_exactly_the_limit_is_kept(self):
+        body, share = self.body((b"1234", b"567890"), budget_bytes=1_000)
+        self.assertEqual((body.read(), share.held_bytes), (b"1234567890", 10))
 
     def test_a_body_without_space_is_read_to_its_end_and_dropped(self):
         """Guards against bodies beyond the budget, and refusals that are lost with a reset."""
         body, share = self.body((b"12", b"345", b"6"), budget_bytes=4)
-        self.assertEqual((body.read(), body.received_bytes), (b"", 6))
+        self.assertEqual((body.received_bytes, body.omission), (6, BodyOmission.NO_SPACE))
         self.assertEqual((share.held_bytes, share.refused), (0, True))
-        self.assertIs(body.omission, BodyOmission.NO_SPACE)
+        with self.assertRaisesRegex(ValueError, "no_space"):
+            body.read()
 
 
 class IncomingExchangeTest(unittest.TestCase):
@@ -48,7 +54,7 @@
 
         held = HeldBytes(100, ExchangeMetrics(CollectorRegistry()))
         with held.open_share("r1", None) as share:
-            request = IncomingExchange(None, share, lambda: 10, serve)
+            request = IncomingExchange(None, share, 10, serve)
             request.add(b"12")
             self.assertEqual((held.budget.held_bytes, share.body_pending), (2, True))
             request.add(b"345")
