--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -389,6 +389,7 @@
         "read_tokens",
         "source",
         "target",
+        "cache_salt",
         "waited_ms",
         "kept_from",
         "quarantined_for",
@@ -594,7 +595,7 @@
     "HS4101",
     "serving_configuration_applied",
     Level.INFO,
-    ("version", "routes", "tenants", "source", "age_ms", "era", "revision"),
+    ("version", "routes", "tenants", "isolated", "source", "age_ms", "era", "revision"),
     "Nothing; if nodes of one zone take versions late, look at the node that `source` names.",
 )
 DIRECTORY_ENTRY_REJECTED = LogEvent(
--- a/hopstep/services/exchanges/directory/known_configuration.py
+++ b/hopstep/services/exchanges/directory/known_configuration.py
@@ -56,6 +56,7 @@
             version=configuration.version,
             routes=len(configuration.routes),
             tenants=len(configuration.tenants),
+            isolated=sum(tenant.isolated for tenant in configuration.tenants),
             source=origin.source,
             age_ms=origin.age_ms,
             era=origin.position.era,
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -78,6 +78,7 @@
         read_tokens: Prompt tokens that the last instance was expected to read.
         source: Address from which the last instance was to load segments; empty for none.
         target: Address to which the last instance was to save segments; empty for none.
+        cache_salt: Salt of the cached segments at the last instance; empty without a prompt.
         waited_ms: Milliseconds for which the request waited for an instance to accept it.
         kept_from: Number of instances for each barrier that kept the request from them when it
             was refused.
@@ -98,6 +99,7 @@
     read_tokens: int = 0
     source: str = ""
     target: str = ""
+    cache_salt: str = ""
     waited_ms: int = 0
     kept_from: dict[str, int] = {}
     gateway: str = ""
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -177,6 +177,7 @@
         self._outcome.read_tokens = candidate.uncached_tokens
         self._outcome.source = candidate.source
         self._outcome.target = choice.push_target(request, view)
+        self._outcome.cache_salt = choice.salt(request, view)
         return InstanceCall(
             instance=view.instance,
             request=request,
@@ -184,7 +185,7 @@
             priority=request.rank if prompt is not None else None,
             resume_after=self._relay.resume_after,
             expected_version=view.serving_version(prompt.model) if prompt is not None else 0,
-            cache_salt=choice.salt(request, view),
+            cache_salt=self._outcome.cache_salt,
             cache_source=candidate.source,
             cache_target=self._outcome.target,
             proof=self.proof,
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -245,6 +245,7 @@
                 read_tokens=outcome.read_tokens,
                 source=outcome.source,
                 target=outcome.target,
+                cache_salt=outcome.cache_salt,
                 waited_ms=outcome.waited_ms,
                 kept_from=outcome.kept_from,
                 quarantined_for=outcome.quarantined_for,
