Name the cache group of tenants that share after who is in it

Cause: all tenants that aren't isolated used one salt for good. A tenant that became isolated got a salt of its own; that of the others stayed, and with it what the tenant had put there.

Change: the salt names the group of callers, and the common group is named by a digest of the tenants in it. A tenant that is isolated or removed leaves the group and the others get another name, from the configuration alone. The group is looked up when a request is sent, not when it was admitted, and again before its first byte: a call that was made for an earlier group is withdrawn.

Why this works: what lies under a name was made by those it names, and a request reads only under names of groups that the configuration in force puts it in.

Two tests that spelled the salts out use the group's name now.

--- a/hopstep/domain/exchanges/prefill_causes.py
+++ b/hopstep/domain/exchanges/prefill_causes.py
@@ -36,6 +36,9 @@
     WEIGHTS_CHANGED = "weights_changed"
     """It was cached under another weights version."""
 
+    SHARING_CHANGED = "sharing_changed"
+    """It was cached for another group of callers, which its callers don't belong to any more."""
+
     EVICTED = "evicted"
     """No engine has it any more."""
 
@@ -52,21 +55,39 @@
     tokens: int
 
 
+class _SentSegment(msgspec.Struct, frozen=True):
+    """What a segment was last sent as.
+
+    Attributes:
+        digest: Its key's digest.
+        group: Group of callers that shared it.
+    """
+
+    digest: int
+    group: str
+
+
 class PrefillCauses:
     """Finds causes by the segments that this node has sent, and by its index of caches."""
 
     def __init__(self) -> None:
         """Start without known segments."""
-        self._seen: OrderedDict[int, int] = OrderedDict()
+        self._seen: OrderedDict[int, _SentSegment] = OrderedDict()
 
     def note_sent(
-        self, prompt: Prompt, group: str, candidate: Candidate, views: Iterable[InstanceView]
+        self,
+        prompt: Prompt,
+        isolated: str,
+        group: str,
+        candidate: Candidate,
+        views: Iterable[InstanceView],
     ) -> SharedPrefill | None:
         """Return what an engine prefills of a prompt's shared segments; None for nothing.
 
         Args:
             prompt: The prompt.
-            group: Isolation group; empty for the shared one.
+            isolated: Name of its tenant if that is isolated; else empty.
+            group: Group of callers that share its segments.
             candidate: The engine that it is sent to.
             views: The service's engines.
         """
@@ -75,28 +96,36 @@
         found = None
         if missing is not None:
             others = (view for view in views if view is not candidate.view)
-            name = segment_digest(prompt.model, group, prompt.segments[missing].segment_id)
-            cause = self._cause(name, shared[missing], others)
+            name = segment_digest(prompt.model, isolated, prompt.segments[missing].segment_id)
+            cause = self._cause(name, group, shared[missing], others)
             cached = prompt.prompt_tokens - candidate.uncached_tokens
             tokens = sum(key.tokens for key in shared) - cached
             found = SharedPrefill(cause, tokens) if tokens >= MIN_TOKENS else None
-        self._remember(prompt, group, shared)
+        self._remember(prompt, isolated, group, shared)
         return found
 
-    def _cause(self, name: int, key: SegmentKey, others: Iterable[InstanceView]) -> PrefillCause:
+    def _cause(
+        self, name: int, group: str, key: SegmentKey, others: Iterable[InstanceView]
+    ) -> PrefillCause:
         """Return why a segment is prefilled."""
         if any(key.digest in view.segments for view in others):
             return PrefillCause.ELSEWHERE
         known = self._seen.get(name)
         if known is None:
             return PrefillCause.FIRST
-        return PrefillCause.EVICTED if known == key.digest else PrefillCause.WEIGHTS_CHANGED
-
-    def _remember(self, prompt: Prompt, group: str, shared: Sequence[SegmentKey]) -> None:
-        """Remember under which weights the shared segments were sent last."""
+        if known.digest == key.digest:
+            return PrefillCause.EVICTED
+        if known.group != group:
+            return PrefillCause.SHARING_CHANGED
+        return PrefillCause.WEIGHTS_CHANGED
+
+    def _remember(
+        self, prompt: Prompt, isolated: str, group: str, shared: Sequence[SegmentKey]
+    ) -> None:
+        """Remember under which weights, and for whom, the shared segments were sent last."""
         for segment, key in zip(prompt.segments, shared, strict=False):
-            name = segment_digest(prompt.model, group, segment.segment_id)
-            self._seen[name] = key.digest
+            name = segment_digest(prompt.model, isolated, segment.segment_id)
+            self._seen[name] = _SentSegment(key.digest, group)
             self._seen.move_to_end(name)
         while len(self._seen) > MAX_SEGMENTS:
             self._seen.popitem(last=False)
--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -109,14 +109,19 @@
             priority += self.tenant.priority * PRIORITIES_OF_A_TENANT
         return max(0, min(MAX_PRIORITY, priority))
 
+    @property
+    def caller(self) -> str:
+        """Name of its tenant; empty for none."""
+        return self.tenant.name if self.tenant is not None else ""
+
     @property
     def isolation_group(self) -> str:
-        """Group whose cached segments it may share; empty for the common one."""
+        """Its tenant's name if that is isolated; else empty."""
         return self.tenant.name if self.tenant is not None and self.tenant.isolated else ""
 
     def name(self) -> RequestIdentity:
         """Return the name it shares with equal requests of its caller; hashes the whole body."""
-        caller = self.tenant.name if self.tenant is not None else ""
+        caller = self.caller
         fingerprint = request_fingerprint(caller, self.target, self.body)
         return RequestIdentity(fingerprint, caller, self.route.name, self._shared_parts())
 
--- a/hopstep/domain/exchanges/serving.py
+++ b/hopstep/domain/exchanges/serving.py
@@ -5,10 +5,11 @@
 import enum
 import math
 import random
-from collections.abc import Set
+from collections.abc import Iterable, Set
 
 import msgspec
 
+from hopstep.domain.exchanges.cache_groups import CacheGroups
 from hopstep.domain.limits.quota_ledger import TenantQuota
 
 
@@ -200,7 +201,13 @@
 
 
 class ServingIndex:
-    """Lookups over one configuration."""
+    """Lookups over one configuration.
+
+    Attributes:
+        configuration: The configuration.
+        services: Its services by name.
+        cache_groups: Groups of tenants that share cached prompt segments.
+    """
 
     def __init__(self, configuration: ServingConfiguration) -> None:
         """Build the lookups.
@@ -210,6 +217,7 @@
         """
         self.configuration = configuration
         self.services = {service.name: service for service in configuration.services}
+        self.cache_groups = CacheGroups(_sharing_tenants(configuration.tenants))
         self._tenants = {key: tenant for tenant in configuration.tenants for key in tenant.keys}
         self._routes: dict[str, list[Route]] = {}
         self._least_urgent: dict[str, int] = {}
@@ -251,3 +259,10 @@
         """Return the cache stores."""
         stores = (service.cache_store for service in self.configuration.services)
         return tuple(store for store in stores if store is not None)
+
+
+def _sharing_tenants(tenants: Iterable[Tenant]) -> set[str]:
+    """Return the names of the tenants that aren't isolated by any entry."""
+    known = tuple(tenants)
+    isolated = {tenant.name for tenant in known if tenant.isolated}
+    return {tenant.name for tenant in known} - isolated
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -595,8 +595,9 @@
     "HS4101",
     "serving_configuration_applied",
     Level.INFO,
-    ("version", "routes", "tenants", "isolated", "source", "age_ms", "era", "revision"),
-    "Nothing; if nodes of one zone take versions late, look at the node that `source` names.",
+    ("version", "routes", "tenants", "isolated", "sharing", "source", "age_ms", "era", "revision"),
+    "Nothing; if nodes of one zone take versions late, look at the node that `source` names. A new "
+    "`sharing`: other tenants share cached prompts, and read what they had in common once more.",
 )
 DIRECTORY_ENTRY_REJECTED = LogEvent(
     "HS4102",
--- a/hopstep/services/exchanges/directory/known_configuration.py
+++ b/hopstep/services/exchanges/directory/known_configuration.py
@@ -57,6 +57,7 @@
             routes=len(configuration.routes),
             tenants=len(configuration.tenants),
             isolated=sum(tenant.isolated for tenant in configuration.tenants),
+            sharing=self.index.cache_groups.common,
             source=origin.source,
             age_ms=origin.age_ms,
             era=origin.position.era,
--- a/hopstep/services/exchanges/requests/engine_requests.py
+++ b/hopstep/services/exchanges/requests/engine_requests.py
@@ -59,8 +59,8 @@
             return
         self._separation.note_sent(request, candidate, trio.current_time())
         views = self._knowledge.table.of_service(candidate.view.instance.service)
-        group = request.isolation_group
-        prefilled = self._causes.note_sent(prompt, group, candidate, views)
+        group = self.cache_group(request)
+        prefilled = self._causes.note_sent(prompt, request.isolation_group, group, candidate, views)
         if prefilled is not None:
             self._count_prefilled(prefilled)
 
@@ -73,7 +73,7 @@
             service: Service that its route chose.
         """
         now = trio.current_time()
-        keys_of = keys_by_salt(request, prompt)
+        keys_of = self.keys_by_salt(request, prompt)
         traits = self._traits(service)
         stores = self._stores(keys_of, traits) if traits is not None else ()
         views = self._knowledge.table.of_service(service)
@@ -93,6 +93,29 @@
             engine_preference=self._separation.preference(request, service, views, now),
         )
 
+    def cache_group(self, request: ExchangeRequest) -> str:
+        """Return the group of callers that a request shares cached segments with now."""
+        return self._knowledge.require_index().cache_groups.of(request.caller)
+
+    def salt(self, request: ExchangeRequest, view: InstanceView) -> str:
+        """Return the salt of a request's segment keys at an instance; empty without a prompt."""
+        if request.prompt is None:
+            return ""
+        return cache_salt(self.cache_group(request), view.serving_version(request.prompt.model))
+
+    def keys_by_salt(self, request: ExchangeRequest, prompt: Prompt) -> KeysOf:
+        """Return a function from an instance to a prompt's keys, which are hashed once a salt."""
+        group = self.cache_group(request)
+        by_salt: dict[str, tuple[SegmentKey, ...]] = {}
+
+        def keys_of(view: InstanceView) -> tuple[SegmentKey, ...]:
+            salt = cache_salt(group, view.serving_version(prompt.model))
+            if salt not in by_salt:
+                by_salt[salt] = segment_keys(prompt.model, salt, prompt.segments)
+            return by_salt[salt]
+
+        return keys_of
+
     def is_urgent(self, request: ExchangeRequest, service: str) -> bool:
         """Return whether a request's priority is above the least urgent one of the service."""
         return request.route.priority < self._knowledge.require_index().least_urgent(service)
@@ -125,25 +148,9 @@
     return request.received_at + request.route.objective_seconds - now
 
 
-def cache_salt(request: ExchangeRequest, view: InstanceView) -> str:
-    """Return the salt of a request's segment keys: weights version and isolated tenant."""
-    if request.prompt is None:
-        return ""
-    version = view.serving_version(request.prompt.model)
-    return f"{version}.{request.isolation_group}"
-
-
-def keys_by_salt(request: ExchangeRequest, prompt: Prompt) -> KeysOf:
-    """Return a function from an instance to the prompt's keys, which are hashed once a salt."""
-    by_salt: dict[str, tuple[SegmentKey, ...]] = {}
-
-    def keys_of(view: InstanceView) -> tuple[SegmentKey, ...]:
-        salt = cache_salt(request, view)
-        if salt not in by_salt:
-            by_salt[salt] = segment_keys(prompt.model, salt, prompt.segments)
-        return by_salt[salt]
-
-    return keys_of
+def cache_salt(group: str, version: int) -> str:
+    """Return the salt of segments of a group of callers, made under a weights version."""
+    return f"{group}.{version}"
 
 
 def _move_seconds(traits: EngineTraits | None) -> float:
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -61,6 +61,7 @@
         self._view = candidate.view
         self._purpose = self._sending_purpose(is_stream_begun)
         self._has_answered = False
+        self._cache_group = ""
         self._permit = parts.limits.hold(self._view)
 
     def _sending_purpose(self, is_stream_begun: bool) -> Purpose:
@@ -174,6 +175,7 @@
         """Return the call to the instance."""
         view, request, candidate = self._view, self._request, self._candidate
         choice, prompt = self._parts.choice, request.prompt
+        self._cache_group = choice.cache_group(request)
         self._outcome.read_tokens = candidate.uncached_tokens
         self._outcome.source = candidate.source
         self._outcome.target = choice.push_target(request, view)
@@ -199,5 +201,8 @@
 
     def _may_send(self) -> bool:
         """Return whether the request may be sent now; counts it as sent under a limit."""
-        may_send = self._parts.choice.may_send(self._view, self._purpose)
+        choice = self._parts.choice
+        if choice.cache_group(self._request) != self._cache_group:
+            return False
+        may_send = choice.may_send(self._view, self._purpose)
         return may_send and self._permit.use(trio.current_time())
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -20,12 +20,7 @@
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.pause_watch import PauseWatch
-from hopstep.services.exchanges.requests.engine_requests import (
-    EngineRequests,
-    cache_salt,
-    keys_by_salt,
-    remaining_objective,
-)
+from hopstep.services.exchanges.requests.engine_requests import EngineRequests, remaining_objective
 from hopstep.services.exchanges.requests.permit_demand import LimitProbes, is_limited, note_wanted
 
 LAST_REQUESTS_SHARE = 0.5
@@ -148,7 +143,7 @@
         self, request: ExchangeRequest, prompt: Prompt
     ) -> Callable[[InstanceView], int]:
         """Return a function from an instance to the tokens of a prompt that it hasn't cached."""
-        keys_of = keys_by_salt(request, prompt)
+        keys_of = self._engine_requests.keys_by_salt(request, prompt)
         tokens = prompt.prompt_tokens
         return lambda view: max(0, tokens - view.segments.cached_tokens(keys_of(view)))
 
@@ -216,9 +211,13 @@
         model = request.prompt.model
         return view.assume_version(model, self._knowledge.weights.newest(model))
 
+    def cache_group(self, request: ExchangeRequest) -> str:
+        """Return the group of callers that a request shares cached segments with now."""
+        return self._engine_requests.cache_group(request)
+
     def salt(self, request: ExchangeRequest, view: InstanceView) -> str:
-        """Return the salt of a request's segment keys: weights version and isolated tenant."""
-        return cache_salt(request, view)
+        """Return the salt of a request's segment keys at an instance; empty without a prompt."""
+        return self._engine_requests.salt(request, view)
 
     def _admissible(
         self, scope: InstanceScope, eligible: list[InstanceView], now: float
--- a/tests/domain/exchanges/test_prefill_causes.py
+++ b/tests/domain/exchanges/test_prefill_causes.py
@@ -20,10 +20,10 @@
         self.causes = PrefillCauses()
         self.views = [InstanceView(Instance(f"e{n}", "llm", f"e:{n}", "z1", 4)) for n in range(2)]
 
-    def send(self, cached, version=1):
-        keys = segment_keys(MODEL, f"{version}.", SEGMENTS)
+    def send(self, cached, version=1, group="g", isolated=""):
+        keys = segment_keys(MODEL, f"{group}.{version}", SEGMENTS)
         candidate = Candidate(self.views[0], keys, Rating(0.0, 0.0), PROMPT.prompt_tokens - cached)
-        found = self.causes.note_sent(PROMPT, "", candidate, self.views)
+        found = self.causes.note_sent(PROMPT, isolated, group, candidate, self.views)
         return (found.cause, found.tokens) if found is not None else None
 
     def test_cached_segments_are_not_counted(self):
@@ -34,7 +34,7 @@
 
     def test_a_segment_that_another_engine_has(self):
         self.views[1].segments = InstanceView(self.views[1].instance, 100_000).segments
-        self.views[1].segments.record(segment_keys(MODEL, "1.", SEGMENTS))
+        self.views[1].segments.record(segment_keys(MODEL, "g.1", SEGMENTS))
         self.assertEqual(self.send(4_000), (PrefillCause.ELSEWHERE, 3_000))
 
     def test_a_segment_that_was_cached_before(self):
@@ -44,3 +44,8 @@
     def test_a_segment_that_was_cached_under_other_weights(self):
         self.send(0)
         self.assertEqual(self.send(0, version=2), (PrefillCause.WEIGHTS_CHANGED, 7_000))
+
+    def test_a_segment_that_was_cached_with_a_tenant_that_left(self):
+        self.send(0)
+        self.assertEqual(self.send(0, group="h"), (PrefillCause.SHARING_CHANGED, 7_000))
+        self.assertEqual(self.send(0, group="t", isolated="t"), (PrefillCause.FIRST, 7_000))
--- a/tests/services/exchanges/test_exchange.py
+++ b/tests/services/exchanges/test_exchange.py
@@ -7,6 +7,7 @@
 import trio
 
 from emulator.exchange_platform.instances import BREAKING, Behaviour
+from hopstep.domain.exchanges.cache_groups import CacheGroups
 from hopstep.exceptions import ErrorCode
 from hopstep.ports.serving_directory import InstanceListed, InstanceRemoved
 from tests.services.exchanges.exchange_world import ISOLATED_KEY, ExchangeWorld
@@ -285,7 +286,8 @@
             await world.request("stream", request_id="shared")
             await world.request("stream", request_id="alone", key=ISOLATED_KEY)
             salts = [world.instances.runs(r)[0].salt for r in ("shared", "alone")]
-            self.assertEqual(salts, ["1.", "1.t2"])
+            common = CacheGroups({"t1"}).common
+            self.assertEqual(salts, [f"{common}.1", "isolated-t2.1"])
 
         self.run_world(script)
 
--- a/tests/services/exchanges/test_telling_refusals.py
+++ b/tests/services/exchanges/test_telling_refusals.py
@@ -5,6 +5,7 @@
 import trio
 
 from emulator.exchange_platform.instances import Behaviour
+from hopstep.domain.exchanges.cache_groups import CacheGroups
 from tests.services.exchanges.exchange_world import MODEL, ExchangeWorld
 
 COMPLETE_STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(5))
@@ -31,7 +32,9 @@
             self.assertEqual((answer.status, answer.body), (200, COMPLETE_STREAM))
             calls = world.instances.calls
             self.assertEqual([call.expected_version for call in calls], [1, 2])
-            self.assertEqual([call.cache_salt for call in calls], ["1.", "2."])
+            common = CacheGroups({"t1"}).common
+            salts = [f"{common}.1", f"{common}.2"]
+            self.assertEqual([call.cache_salt for call in calls], salts)
             self.assertEqual(len(world.instances.runs("r")), 1)
             await world.request("stream")
             self.assertEqual(world.instances.calls[-1].expected_version, 2)
