Give the rollout lease up as soon as this node reaches no engine

Cause: the holder asked whether it reaches engines once in a renewal, each 0.75 s. The next holder then waits out the lease and orders two engines at a time.

Change: while it holds the lease the node asks each 0.1 s (a look-up).

--- a/hopstep/services/exchanges/weights/rollout_lease.py
+++ b/hopstep/services/exchanges/weights/rollout_lease.py
@@ -53,6 +53,9 @@
 SAFETY_SECONDS = 0.3
 """An order is sent only if the lease is valid for at least this much longer."""
 
+LINK_CHECK_SECONDS = 0.1
+"""Time between two checks whether this node still reaches engines while it holds the lease."""
+
 RETRY_SECONDS = 0.5
 RECHECK_SECONDS = 2.0
 RESUME_CHECK_SECONDS = 0.2
@@ -260,17 +263,25 @@
     async def _keep(self) -> None:
         """Renew the lease periodically until it is lost."""
         while self._tenure.is_held:
-            await trio.sleep(self._lease_seconds / RENEWALS_IN_A_LEASE)
+            if not await self._reaches_engines_for(self._lease_seconds / RENEWALS_IN_A_LEASE):
+                await self._end("cut_off")
+                return
             lease = self._tenure.lease
             if lease is None:
                 return
-            if not self._reaches_engines():
-                await self._end("cut_off")
-                return
             await self._renew(lease)
             if trio.current_time() > self._tenure.valid_until:
                 self._lose("lapsed")
 
+    async def _reaches_engines_for(self, seconds: float) -> bool:
+        """Wait while this node reaches engines; return False as soon as it doesn't."""
+        until = trio.current_time() + seconds
+        while trio.current_time() < until:
+            if not self._reaches_engines():
+                return False
+            await trio.sleep(min(LINK_CHECK_SECONDS, until - trio.current_time()))
+        return self._reaches_engines()
+
     async def _renew(self, lease: StoreLease) -> None:
         """Renew once, repeating the call until one is answered or the lease expires.
 
