Log the end of a drain, and requests that the end of a stop cuts

HS1010 drain_ended: seconds since the stop was requested, active requests. HS3101: outcome `stopped` once the drain has ended, and body_ms, the time from head to the end of the body.

--- a/hopstep/ctl/trace.py
+++ b/hopstep/ctl/trace.py
@@ -176,6 +176,8 @@
         return f"{code}, {effect}; {explained}{_explain_barriers(last)}{_explain_backoff(last)}"
     if outcome == "cut":
         return f"the answer was cut off; {_explain_attempts(failures, last)}"
+    if outcome == "stopped":
+        return f"cut by the end of its node's stop; {_explain_attempts(failures, last)}"
     if outcome == "client_left":
         return f"the client left after {last.fields.get('total_ms')} ms"
     return (
--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -69,6 +69,7 @@
         route: Its route.
         tenant: Tenant of its API key; None on public routes.
         received_at: When its head was read, by the steady clock in seconds.
+        complete_at: When its body had arrived, by the same clock.
         deadline: When the final answer is due, by the same clock.
         client_deadline: When the client gives up, by the same clock.
         prompt: What it states about its prompt; None for services without prompts.
@@ -86,6 +87,7 @@
     route: Route
     tenant: Tenant | None
     received_at: float
+    complete_at: float
     deadline: float
     client_deadline: float
     prompt: Prompt | None = None
--- a/hopstep/log_events.py
+++ b/hopstep/log_events.py
@@ -55,6 +55,13 @@
     ("active_requests",),
     "Raise drain_seconds above the longest answer.",
 )
+DRAIN_ENDED = LogEvent(
+    "HS1010",
+    "drain_ended",
+    Level.INFO,
+    ("seconds", "active_requests"),
+    "Nothing: connections close now. Requests that HS3101 shows as `stopped` were cut.",
+)
 PROCESS_PAUSED = LogEvent(
     "HS1008",
     "process_paused",
@@ -382,6 +389,7 @@
         "resume_after",
         "attempts",
         "outcome",
+        "body_ms",
         "first_byte_ms",
         "total_ms",
         "events",
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -21,7 +21,7 @@
         self._registry = registry
         self.requests = Counter(
             "hopstep_exchanges",
-            "Requests by kind of route and outcome (status, error code, cut or client_left).",
+            "Requests by kind of route and outcome: status, error code, cut, client_left, stopped.",
             ("kind", "outcome"),
             registry=registry,
         )
--- a/hopstep/services/exchanges/requests/admission.py
+++ b/hopstep/services/exchanges/requests/admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import trio
+
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.request_body import BodyOmission, RequestBody
 from hopstep.domain.exchanges.serving import RequestLimits, Route, ServingIndex, Tenant
@@ -112,6 +114,7 @@
         route=route,
         tenant=tenant,
         received_at=head.received_at,
+        complete_at=trio.current_time(),
         deadline=head.received_at + min(patience, route.timeout_seconds),
         client_deadline=head.received_at + patience,
         prompt=head.prompt,
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -67,7 +67,8 @@
     """What is logged of a request when it has ended.
 
     Attributes:
-        outcome: Status of the response, error code with execution, ``cut`` or ``client_left``.
+        outcome: Status of the response, error code with execution, ``cut``, ``client_left`` or
+            ``stopped``.
         instance: Id of the last instance that the request was sent to.
         software_version: Software version of that instance.
         attempts: Attempts that were made.
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -54,6 +54,8 @@
 from hopstep.services.quarantine.quarantine import Quarantine
 
 CLIENT_LEFT = "client_left"
+STOPPED = "stopped"
+"""Outcomes of requests that were cancelled: by their client, or by the end of a planned stop."""
 
 
 class ExchangeService(ExchangeHandler):
@@ -221,7 +223,7 @@
             raise
         except BaseException:
             # A cancellation, alone or in a group.
-            outcome.outcome = outcome.outcome or CLIENT_LEFT
+            outcome.outcome = outcome.outcome or self._cancelled_outcome()
             raise
         finally:
             self._count(request, outcome)
@@ -238,6 +240,7 @@
                 resume_after=request.resume_after,
                 attempts=outcome.attempts.counted,
                 outcome=outcome.outcome,
+                body_ms=round((request.complete_at - request.received_at) * MILLISECONDS),
                 first_byte_ms=outcome.first_byte_ms,
                 total_ms=round((trio.current_time() - request.received_at) * MILLISECONDS),
                 events=outcome.events,
@@ -258,6 +261,10 @@
                 retry_reason=advice.reason.value if advice is not None else "",
             )
 
+    def _cancelled_outcome(self) -> str:
+        """Return the outcome of a request that is cancelled now."""
+        return STOPPED if self._lifecycle.is_drained else CLIENT_LEFT
+
     def _kept_from(self, scope: InstanceScope) -> dict[str, int]:
         """Return the number of instances that each barrier keeps a request from."""
         blocked = self._parts.choice.blocked_instances(scope)
--- a/hopstep/services/lifecycle.py
+++ b/hopstep/services/lifecycle.py
@@ -54,6 +54,8 @@
         self._accept_seconds = accept_seconds
         self._refuse_at = float("inf")
         self._drain_until = float("inf")
+        self._stopped_at = 0.0
+        self._is_drained = False
         self._active = 0
         self._idle = trio.Event()
         self._idle.set()
@@ -69,6 +71,11 @@
         """Whether a stop was requested."""
         return self._stopping.is_set()
 
+    @property
+    def is_drained(self) -> bool:
+        """Whether the drain has ended, so that connections close."""
+        return self._is_drained
+
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here: configured and not stopping."""
@@ -107,8 +114,9 @@
         if self.stopping:
             return
         emit(log_events.PROCESS_STOPPING, active_requests=self._active)
-        self._refuse_at = trio.current_time() + self._accept_seconds
-        self._drain_until = trio.current_time() + self._drain_seconds
+        self._stopped_at = trio.current_time()
+        self._refuse_at = self._stopped_at + self._accept_seconds
+        self._drain_until = self._stopped_at + self._drain_seconds
         self._stopping.set()
 
     async def wait_stopping(self) -> None:
@@ -125,6 +133,9 @@
             await trio.sleep(self._accept_seconds + MIN_REFUSING_SECONDS)
             while self._active:
                 await self._idle.wait()
+        self._is_drained = True
+        seconds = round(trio.current_time() - self._stopped_at, 3)
+        emit(log_events.DRAIN_ENDED, seconds=seconds, active_requests=self._active)
         if self._active:
             emit(log_events.DRAIN_CUT_SHORT, active_requests=self._active)
         return self._active == 0
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -102,6 +102,7 @@
         route=ROUTE,
         tenant=Tenant("t1", ()),
         received_at=0.0,
+        complete_at=0.0,
         deadline=9.0,
         client_deadline=9.0,
         prompt=Prompt("m"),
--- a/tests/services/exchanges/test_engine_separation.py
+++ b/tests/services/exchanges/test_engine_separation.py
@@ -21,7 +21,7 @@
 def request(name, objective, tokens):
     path = route(name, RequestKind.STREAM, objective_seconds=objective)
     prompt = Prompt(MODEL, prompt_tokens=tokens)
-    return ExchangeRequest(name, b"POST", b"/", (), b"", path, None, 0.0, 9.0, 9.0, prompt)
+    return ExchangeRequest(name, b"POST", b"/", (), b"", path, None, 0.0, 0.0, 9.0, 9.0, prompt)
 
 
 SHORT, LONG = request("short", 0.4, 400), request("long", 0.9, 17_000)
