Count a request from its first byte in a planned stop, and send nothing once the drain has ended

Cause: a request counted as active only once its body had been read, so the drain ended while bodies arrived; and what was whole in the half second that connections then have was still admitted and sent.

Change: the connection counts a head from its first byte, begin() the request from its head on. Once the drain has ended nothing is admitted, no attempt begins and no waiting call is sent: 503, not run. Whether a request ends within the drain is asked of its own deadline.

Why this works: nothing that could be sent can begin outside of what the drain waits for, and after its end nothing is sent.

Changed tests: constructors of Lifecycle; the tracked connection is opened by a context.

--- a/hopstep/adapters/exchange_server.py
+++ b/hopstep/adapters/exchange_server.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import AbstractContextManager
 from typing import Any, cast
 
 import msgspec
@@ -13,18 +15,16 @@
 
 from hopstep.adapters.http_server import (
     CountFailure,
+    OpenConnection,
     ServerConfig,
     ServerStream,
-    keep_stream,
     serve_app,
 )
 from hopstep.early_listeners import Listeners
 from hopstep.ports.exchange_front import CONNECTION_STATE, ClientConnection
 
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
-
-CONNECTION_CLOSE_SECONDS = 0.5
-"""Time for connections to close at shutdown; requests that are still running are cut off."""
+CountActive = Callable[[], AbstractContextManager[None]]
 
 WRITE_BYTES = 16 * 1024
 """Bytes in one write: the kernel reports space for a client in steps of about this size."""
@@ -54,28 +54,50 @@
 
 
 class TrackedConnection(ClientConnection):
-    """A connection of the server that notes when bytes move.
+    """A connection of the server that notes when bytes move, and counts heads while they arrive.
 
     It has those methods of a stream that the server uses; the server writes without a limit of
     time, and nothing but closing the socket ends such a write.
     """
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: trio.SocketStream, count_active: CountActive) -> None:
         """Use a connection's stream.
 
         Args:
             stream: Plain stream of the connection.
+            count_active: Opens a context in which a part of a request counts as active.
         """
         self.socket = stream.socket
         self.client = _client_address(stream)
         self.last_progress_at = trio.current_time()
         self.is_writing = False
         self._stream = stream
+        self._count_active = count_active
+        self._counted_head = contextlib.ExitStack()
+        self._is_reading_head = False
+        self._is_serving = False
+
+    def begin_request(self) -> None:
+        """Note that a head was read; its request counts by itself from now on."""
+        self._is_serving = True
+        self.end_head()
+
+    def end_request(self) -> None:
+        """Note that the response ends: what arrives from now on is the head of another request."""
+        self._is_serving = False
+
+    def end_head(self) -> None:
+        """Count no head any more: it was read, or the connection has ended."""
+        self._is_reading_head = False
+        self._counted_head.close()
 
     async def receive_some(self, max_bytes: int) -> bytes | bytearray:
-        """Read bytes of the client."""
+        """Read bytes of the client; the first ones of a request begin its head."""
         data = await self._stream.receive_some(max_bytes)
         self.last_progress_at = trio.current_time()
+        if data and not self._is_serving and not self._is_reading_head:
+            self._is_reading_head = True
+            self._counted_head.enter_context(self._count_active())
         return data
 
     async def send_all(self, data: bytes) -> None:
@@ -95,7 +117,8 @@
         await self._stream.send_eof()
 
     async def aclose(self) -> None:
-        """Close the connection."""
+        """Close the connection; the server may go on with its task for some time."""
+        self.end_head()
         await self._stream.aclose()
 
     def disconnect(self) -> None:
@@ -115,11 +138,23 @@
     return f"{address}:{port}"
 
 
-def track_connection(stream: ServerStream, state: LifespanState) -> ServerStream:
-    """Serve a connection by a ``TrackedConnection``, which its requests find in their state."""
-    connection = TrackedConnection(cast(trio.SocketStream, stream))
-    state[CONNECTION_STATE] = connection
-    return cast(trio.SocketStream, connection)
+def track_connections(count_active: CountActive) -> OpenConnection:
+    """Return what serves each connection by a ``TrackedConnection``, which its requests find.
+
+    Args:
+        count_active: Opens a context in which a part of a request counts as active.
+    """
+
+    @contextlib.contextmanager
+    def open_connection(stream: ServerStream, state: LifespanState) -> Iterator[ServerStream]:
+        connection = TrackedConnection(cast(trio.SocketStream, stream), count_active)
+        state[CONNECTION_STATE] = connection
+        try:
+            yield cast(trio.SocketStream, connection)
+        finally:
+            connection.end_head()
+
+    return open_connection
 
 
 class ListenerSwitch:
@@ -142,6 +177,18 @@
         if scope["type"] == "lifespan":
             await _serve_lifespan(receive, send)
             return
+        connection: TrackedConnection = scope["state"][CONNECTION_STATE]
+        connection.begin_request()
+
+        async def send_tracked(message: Any) -> None:
+            if message["type"] == "http.response.body" and not message.get("more_body", False):
+                connection.end_request()
+            await send(message)
+
+        await self._serve(scope, receive, send_tracked)
+
+    async def _serve(self, scope: Any, receive: Any, send: Any) -> None:
+        """Pass a request to the application of its listener."""
         port = scope["server"][1]
         if port == self._readiness_port:
             ready = self._operators.is_ready()
@@ -179,8 +226,9 @@
     listeners: Listeners,
     wait_shutdown: Callable[[], Awaitable[None]],
     count_failure: CountFailure,
+    count_active: CountActive,
+    close_seconds: float,
     *,
-    track_connections: bool = False,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until ``wait_shutdown`` returns; requests must have ended by then.
@@ -191,14 +239,21 @@
         listeners: Sockets that are already open; the server closes them.
         wait_shutdown: Returns when the listeners should close.
         count_failure: Called for each connection that failed.
-        track_connections: Whether requests get the ``ClientConnection`` that they arrived by.
+        count_active: Opens a context in which a part of a request counts as active.
+        close_seconds: Time for connections to end by themselves after that; others are closed.
         task_status: Receives the bound addresses once the listeners are open.
     """
     config = ServerConfig(addresses[0], None)
     config.bind = [_binding(address, listeners) for address in addresses]
-    config.graceful_timeout = CONNECTION_CLOSE_SECONDS
-    wrap_stream = track_connection if track_connections else keep_stream
-    await serve_app(app, config, wait_shutdown, count_failure, wrap_stream, task_status=task_status)
+    config.graceful_timeout = close_seconds
+    await serve_app(
+        app,
+        config,
+        wait_shutdown,
+        count_failure,
+        track_connections(count_active),
+        task_status=task_status,
+    )
 
 
 def _binding(address: str, listeners: Listeners) -> str:
--- a/hopstep/adapters/http_server.py
+++ b/hopstep/adapters/http_server.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import ssl
 import traceback
 from collections.abc import Awaitable, Callable, Iterator
+from contextlib import AbstractContextManager
 from typing import cast
 
 import trio
@@ -21,29 +23,31 @@
 from hypercorn.typing import ASGIFramework, ConnectionState, LifespanState
 
 from hopstep import log_events
+from hopstep.domain.stop_schedule import CLOSE_SECONDS
 from hopstep.logs import emit
 
 KEEP_ALIVE_SECONDS = 75.0
 """Longer than common clients keep an idle connection, so that the client closes it first."""
 
 BACKLOG = 1024
-CONNECTION_CLOSE_SECONDS = 2.0
-"""Time for connections to close at shutdown, after all requests have ended."""
 
 Listener = trio.SocketListener | trio.SSLListener[trio.SocketStream]
 CountFailure = Callable[[], None]
 ServerStream = trio.SocketStream | trio.SSLStream[trio.SocketStream]
-WrapStream = Callable[[ServerStream, LifespanState], ServerStream]
-"""Returns the stream that is served for a connection; may add to the state of its requests."""
+OpenConnection = Callable[[ServerStream, LifespanState], AbstractContextManager[ServerStream]]
+"""Returns a context, for the life of a connection, with the stream that is served for it; may add
+to the state of its requests."""
 
 
 def ignore_failure() -> None:
     """Ignore a failed connection."""
 
 
-def keep_stream(stream: ServerStream, _state: LifespanState) -> ServerStream:
+def keep_stream(
+    stream: ServerStream, _state: LifespanState
+) -> AbstractContextManager[ServerStream]:
     """Serve a connection by its own stream."""
-    return stream
+    return contextlib.nullcontext(stream)
 
 
 class ServerConfig(Config):
@@ -61,7 +65,7 @@
         self.bind = [address]
         self.backlog = BACKLOG
         self.keep_alive_timeout = KEEP_ALIVE_SECONDS
-        self.graceful_timeout = CONNECTION_CLOSE_SECONDS
+        self.graceful_timeout = CLOSE_SECONDS
         self.include_server_header = False
         self.accesslog = None
         self.errorlog = None
@@ -99,14 +103,14 @@
         app: ASGIFramework,
         config: Config,
         count_failure: CountFailure,
-        wrap_stream: WrapStream,
+        open_connection: OpenConnection,
     ) -> None:
         self.state: LifespanState = {}
         self.app = ASGIWrapper(app)
         self.context = WorkerContext(None)
         self._config = config
         self._count_failure = count_failure
-        self._wrap_stream = wrap_stream
+        self._open_connection = open_connection
         self._open: set[ServerStream] = set()
 
     async def close_after(self, seconds: float) -> None:
@@ -131,9 +135,10 @@
         """Serve a connection; log its failure."""
         state = ConnectionState(self.state.copy())
         try:
-            # The server's type hints name encrypted streams only, but it accepts both.
-            any_stream = cast(trio.SSLStream[trio.SocketStream], self._wrap_stream(stream, state))
-            await TCPServer(self.app, self._config, self.context, state, any_stream).run()
+            with self._open_connection(stream, state) as served:
+                # The server's type hints name encrypted streams only, but it accepts both.
+                any_stream = cast(trio.SSLStream[trio.SocketStream], served)
+                await TCPServer(self.app, self._config, self.context, state, any_stream).run()
         except* Exception as errors:
             self._count_failure()
             for error in _flatten(errors):
@@ -149,7 +154,7 @@
     config: Config,
     wait_shutdown: Callable[[], Awaitable[None]],
     count_failure: CountFailure = ignore_failure,
-    wrap_stream: WrapStream = keep_stream,
+    open_connection: OpenConnection = keep_stream,
     *,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -160,10 +165,10 @@
         config: Listeners, and the time for connections to close.
         wait_shutdown: Returns when the listeners should close.
         count_failure: Called for each connection that failed.
-        wrap_stream: Returns the stream that is served for a connection.
+        open_connection: Opens the stream that is served for a connection.
         task_status: Receives the bound addresses once the listeners are open.
     """
-    server = _Connections(app, config, count_failure, wrap_stream)
+    server = _Connections(app, config, count_failure, open_connection)
     lifespan = Lifespan(server.app, config, server.state)
     async with trio.open_nursery() as lifespan_nursery:
         await lifespan_nursery.start(lifespan.handle_lifespan)
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import signal
 from pathlib import Path
 
@@ -55,12 +54,14 @@
         await nursery.start(services.run)
         async with trio.open_nursery() as serving:
             await serving.start(
-                functools.partial(serve_exchanges, track_connections=settings.memory_mb > 0),
+                serve_exchanges,
                 app,
                 tuple(filter(None, addresses)),
                 listeners,
                 services.wait_drained,
                 services.metrics.failed_connections.inc,
+                services.lifecycle.active,
+                services.lifecycle.schedule.close_seconds,
             )
             emit(
                 log_events.PROCESS_STARTED,
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -16,6 +16,7 @@
 from hopstep.domain.exchanges.store_contact import ENTRY_LAPSE_SECONDS
 from hopstep.domain.exchanges.weights import NamedWeightsTable, WeightsBounds
 from hopstep.domain.limits.quota_ledger import QuotaBounds
+from hopstep.domain.stop_schedule import StopSchedule
 from hopstep.exchange_settings import ExchangeSettings
 from hopstep.ports.cache_events import CacheEvents
 from hopstep.ports.instance_calls import InstanceCalls
@@ -63,13 +64,6 @@
 from hopstep.services.quarantine.records import QUARANTINE_PREFIX, QuarantineRecords
 
 MILLISECONDS = 1_000.0
-ACCEPT_SECONDS = 2.8
-"""Seconds that a stopping node still serves: load balancers notice within two readiness checks."""
-
-CLOSING_SECONDS = 1.0
-"""Seconds of the grace time that are reserved for closing connections."""
-
-
 FIRST_REPORT_SECONDS = 0.6
 """Seconds in which a node that has just started receives other nodes' reports of instances.
 
@@ -131,11 +125,7 @@
         self.follower = DirectoryFollower(
             self.knowledge, ports.directory, generator, limits, self.pauses
         )
-        self.lifecycle = Lifecycle(
-            self.knowledge,
-            max(0.0, bounds.grace_seconds - CLOSING_SECONDS),
-            min(ACCEPT_SECONDS, bounds.grace_seconds / 3),
-        )
+        self.lifecycle = Lifecycle(self.knowledge, StopSchedule.within(bounds.grace_seconds))
         urgent = UrgentQueue()
         self.quarantine = Quarantine(settings.name)
         self.knowledge.instances.subscribe_terminations(
--- a/hopstep/services/exchanges/requests/admission.py
+++ b/hopstep/services/exchanges/requests/admission.py
@@ -38,7 +38,7 @@
         if route is None:
             raise self._denied(ErrorCode.NOT_FOUND, "no route for this host and path")
         tenant = self._find_tenant(index, route, head.key)
-        self._lifecycle.check_serving(route.timeout_seconds)
+        self._lifecycle.check_serving(_deadline(head, route) - trio.current_time())
         if not head.request_id:
             raise ServiceError(ErrorCode.MALFORMED_REQUEST, "the request has no id")
         _check_body(body, index.configuration.limits)
@@ -98,13 +98,21 @@
         raise no_space()
 
 
+def _client_seconds(head: RequestHead, route: Route) -> float:
+    """Return how long a client waits; as long as its route allows when it doesn't say."""
+    seconds = head.client_timeout_seconds
+    return route.timeout_seconds if seconds is None else seconds
+
+
+def _deadline(head: RequestHead, route: Route) -> float:
+    """Return when the final answer is due, by the steady clock in seconds."""
+    return head.received_at + min(_client_seconds(head, route), route.timeout_seconds)
+
+
 def _make_request(
     head: RequestHead, body: bytes, route: Route, tenant: Tenant | None
 ) -> ExchangeRequest:
     """Return an admitted request with its deadlines."""
-    patience = head.client_timeout_seconds
-    if patience is None:
-        patience = route.timeout_seconds
     return ExchangeRequest(
         request_id=head.request_id,
         method=head.method,
@@ -115,8 +123,8 @@
         tenant=tenant,
         received_at=head.received_at,
         complete_at=trio.current_time(),
-        deadline=head.received_at + min(patience, route.timeout_seconds),
-        client_deadline=head.received_at + patience,
+        deadline=_deadline(head, route),
+        client_deadline=head.received_at + _client_seconds(head, route),
         prompt=head.prompt,
         resume_after=head.resume_after,
         usage_tokens=head.usage_tokens,
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -101,6 +101,9 @@
         """Make attempts until the response is complete or no further attempt is allowed."""
         only: str | None = None
         while True:
+            if self._parts.is_drained():
+                self._fail(ErrorCode.STOPPING, "the node's drain has ended")
+                return
             await self._check_again()
             try:
                 candidate = await self.waits.acquire(
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -129,6 +129,8 @@
         limits: Permits to send to rate-limited instances.
         queue: Requests that wait for an instance with capacity.
         origins: What began the streams that clients may resume.
+        is_drained: Returns whether the drain of a planned stop has ended: an answer that begins now
+            would be cut.
         readmit: Raises ``ServiceError`` when a request that has waited for a service isn't allowed
             any more.
     """
@@ -149,4 +151,5 @@
     limits: InstanceLimits
     queue: RequestQueue
     origins: StreamOrigins
+    is_drained: Callable[[], bool]
     readmit: Callable[[ExchangeRequest, str], None]
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -202,7 +202,8 @@
     def _may_send(self) -> bool:
         """Return whether the request may be sent now; counts it as sent under a limit."""
         choice = self._parts.choice
-        if choice.cache_group(self._request) != self._cache_group:
+        has_other_group = choice.cache_group(self._request) != self._cache_group
+        if has_other_group or self._parts.is_drained():
             return False
         may_send = choice.may_send(self._view, self._purpose)
         return may_send and self._permit.use(trio.current_time())
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -145,6 +145,7 @@
             limits=limits,
             queue=self.queue,
             origins=origins,
+            is_drained=lambda: lifecycle.is_drained,
             readmit=self.admission.readmit,
         )
         metrics.watch(
@@ -158,7 +159,8 @@
         self, head: RequestHead, connection: ClientConnection | None
     ) -> AsyncIterator[IncomingRequest]:
         """Take on a request whose head has been read; see the port."""
-        with self._held_bytes.open_share(head.request_id, connection) as share:
+        open_share = self._held_bytes.open_share
+        with self._lifecycle.active(), open_share(head.request_id, connection) as share:
             await self._knowledge.wait_first_reading()
             limits = self._limits_in_force()
             yield IncomingExchange(head, share, limits.max_body_bytes, self._serve)
@@ -174,20 +176,19 @@
         Raises:
             ServiceError: When nothing of a response was sent.
         """
-        with self._lifecycle.active():
-            if body.omission is not None:
-                self._log_omission(head, body)
-            try:
-                request = self.admission.admit(head, body)
-                require_space(answer.share)
-                await self._quotas.require(request)
-            except ServiceError as error:
-                advice = self._advise(error)
-                error.retry_after_seconds = advice.seconds
-                self._log_refusal(head, error, advice)
-                self._metrics.requests.labels("", error.code.value).inc()
-                raise
-            await self._run(request, answer)
+        if body.omission is not None:
+            self._log_omission(head, body)
+        try:
+            request = self.admission.admit(head, body)
+            require_space(answer.share)
+            await self._quotas.require(request)
+        except ServiceError as error:
+            advice = self._advise(error)
+            error.retry_after_seconds = advice.seconds
+            self._log_refusal(head, error, advice)
+            self._metrics.requests.labels("", error.code.value).inc()
+            raise
+        await self._run(request, answer)
 
     def _advise(self, error: ServiceError) -> RetryAdvice:
         """Return when a client that wasn't admitted should retry."""
--- a/hopstep/services/lifecycle.py
+++ b/hopstep/services/lifecycle.py
@@ -3,6 +3,9 @@
 A second stop changes nothing. A stopping node reports at once that it isn't ready, so that load
 balancers use other nodes. Requests that it no longer accepts are refused as not run with
 ``Retry-After``.
+
+A request is active from its first byte to the end of its response. The drain ends when none is
+active, or at its latest time; from then on nothing more is sent to instances, as connections close.
 """
 
 from __future__ import annotations
@@ -14,6 +17,7 @@
 import trio
 
 from hopstep import log_events
+from hopstep.domain.stop_schedule import StopSchedule
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.logs import emit
 
@@ -36,22 +40,21 @@
 
 
 class Lifecycle:
-    """Counts active requests and controls the planned stop of a node."""
+    """Counts active requests and controls the planned stop of a node.
+
+    Attributes:
+        schedule: Stages of a planned stop.
+    """
 
-    def __init__(
-        self, holder: ConfigurationSource, drain_seconds: float, accept_seconds: float = 0.0
-    ) -> None:
+    def __init__(self, holder: ConfigurationSource, schedule: StopSchedule) -> None:
         """Start without active requests and without a stop.
 
         Args:
             holder: A node is ready as soon as it has a configuration.
-            drain_seconds: Longest wait for active requests.
-            accept_seconds: Time for which a stopping node still serves requests, which arrive on
-                kept-alive connections and from load balancers that haven't noticed the stop.
+            schedule: Stages of a planned stop.
         """
+        self.schedule = schedule
         self._holder = holder
-        self._drain_seconds = drain_seconds
-        self._accept_seconds = accept_seconds
         self._refuse_at = float("inf")
         self._drain_until = float("inf")
         self._stopped_at = 0.0
@@ -89,7 +92,8 @@
                 still served.
         """
         now = trio.current_time()
-        if now >= self._refuse_at and now + longest_seconds > self._drain_until:
+        is_late = now >= self._refuse_at and now + longest_seconds > self._drain_until
+        if is_late or self._is_drained:
             raise ServiceError(
                 ErrorCode.STOPPING,
                 "this router is stopping; use another one",
@@ -98,7 +102,7 @@
 
     @contextlib.contextmanager
     def active(self) -> Iterator[None]:
-        """Count one request, or one task of its clean-up, as active."""
+        """Count one request, a part of it, or one task of its clean-up, as active."""
         self._active += 1
         if self._active == 1:
             self._idle = trio.Event()
@@ -115,8 +119,8 @@
             return
         emit(log_events.PROCESS_STOPPING, active_requests=self._active)
         self._stopped_at = trio.current_time()
-        self._refuse_at = self._stopped_at + self._accept_seconds
-        self._drain_until = self._stopped_at + self._drain_seconds
+        self._refuse_at = self._stopped_at + self.schedule.accept_seconds
+        self._drain_until = self._stopped_at + self.schedule.drain_seconds
         self._stopping.set()
 
     async def wait_stopping(self) -> None:
@@ -124,13 +128,13 @@
         await self._stopping.wait()
 
     async def drain(self) -> bool:
-        """Wait until no request is active, at most the drain time.
+        """Wait until no request is active, at most until the drain's latest time.
 
         Returns:
             True when every request ended by itself.
         """
-        with trio.move_on_after(self._drain_seconds):
-            await trio.sleep(self._accept_seconds + MIN_REFUSING_SECONDS)
+        with trio.move_on_at(self._drain_until):
+            await trio.sleep(self.schedule.accept_seconds + MIN_REFUSING_SECONDS)
             while self._active:
                 await self._idle.wait()
         self._is_drained = True
--- a/hopstep/services/router.py
+++ b/hopstep/services/router.py
@@ -16,6 +16,7 @@
 from hopstep.clock import time_of_day_seconds
 from hopstep.domain.rendezvous import hash_name
 from hopstep.domain.routing.routing_table import RoutingTable
+from hopstep.domain.stop_schedule import StopSchedule
 from hopstep.ports.engine import EnginePort
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.ports.machine_list import MachineListPort
@@ -92,7 +93,7 @@
         self._settings = settings
         self._ports = ports
         self.holder = ConfigurationHolder()
-        self.lifecycle = Lifecycle(self.holder, settings.drain_seconds)
+        self.lifecycle = Lifecycle(self.holder, StopSchedule(0.0, settings.drain_seconds))
         self.table = RoutingTable(ports.generator)
         self.holder.subscribe(self.table.update_configuration)
         self.membership = MembershipService(
--- a/tests/adapters/http_api/harness.py
+++ b/tests/adapters/http_api/harness.py
@@ -28,6 +28,7 @@
 )
 from hopstep.domain.inference import AnswerFinish, AnswerPart, AnswerUsage, InferenceRequest
 from hopstep.domain.labels import LabelSelector
+from hopstep.domain.stop_schedule import StopSchedule
 from hopstep.exceptions import ServiceError
 from hopstep.services.configuration.holder import ConfigurationHolder
 from hopstep.services.lifecycle import Lifecycle
@@ -100,7 +101,7 @@
         self.nursery = nursery
         self.runner = ScriptedRunner()
         self.holder = ConfigurationHolder()
-        self.lifecycle = Lifecycle(self.holder, drain_seconds=60.0)
+        self.lifecycle = Lifecycle(self.holder, StopSchedule(0.0, 60.0))
         self.isolated = False
         self.peer_calls: list[tuple[str, bytes]] = []
         authenticator = Authenticator()
--- a/tests/adapters/test_exchange_server.py
+++ b/tests/adapters/test_exchange_server.py
@@ -1,15 +1,21 @@
 """Tracked connections of the server for clients, with real sockets."""
 
+import contextlib
 import functools
 import unittest
 
 import trio
 
-from hopstep.adapters.exchange_server import track_connection
+from hopstep.adapters.exchange_server import (
+    ListenerSwitch,
+    OperatorListeners,
+    track_connections,
+)
 from hopstep.adapters.http_server import ServerConfig, serve_app
 from hopstep.ports.exchange_front import CONNECTION_STATE
 
 LONG_RESPONSE = b"x" * 20_000_000
+LENGTH_HEADERS = [(b"content-length", b"2")]
 
 
 class TrackedConnectionTest(unittest.TestCase):
@@ -33,7 +39,8 @@
                 serve_app, app, ServerConfig("127.0.0.1:0", None), stopped.wait
             )
             async with trio.open_nursery() as nursery:
-                serving = functools.partial(serve, wrap_stream=track_connection)
+                open_connection = track_connections(contextlib.nullcontext)
+                serving = functools.partial(serve, open_connection=open_connection)
                 urls = await nursery.start(serving)
                 stream = await trio.open_tcp_stream("127.0.0.1", int(urls[0].rpartition(":")[2]))
                 await stream.send_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -62,5 +69,106 @@
         trio.run(run)
 
 
+class CountedHeadsTest(unittest.TestCase):
+    """Guards against a drain that ends while the head of a request arrives."""
+
+    def run_server(self, script):
+        """Serve while ``script(stream)`` uses one connection; requests count by themselves."""
+
+        async def app(scope, receive, send):
+            self.served.append(scope["path"])
+            while (await receive())["more_body"]:
+                pass
+            await send({"type": "http.response.start", "status": 200, "headers": LENGTH_HEADERS})
+            await send({"type": "http.response.body", "body": b"ok"})
+            await self.linger.wait()
+
+        async def main():
+            self.linger = trio.Event()
+            self.linger.set()
+            operators = OperatorListeners("127.0.0.1:1", "", lambda: True, lambda: b"")
+            serve = functools.partial(
+                serve_app, ListenerSwitch(app, operators), ServerConfig("127.0.0.1:0", None)
+            )
+            open_connection = track_connections(self.count)
+            async with trio.open_nursery() as nursery:
+                urls = await nursery.start(
+                    functools.partial(serve, trio.sleep_forever, open_connection=open_connection)
+                )
+                port = int(urls[0].rpartition(":")[2])
+                with trio.fail_after(5.0):
+                    async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                        await script(stream)
+                    await self.settle(0)
+                nursery.cancel_scope.cancel()
+
+        self.active, self.served = 0, []
+        trio.run(main)
+
+    @contextlib.contextmanager
+    def count(self):
+        self.active += 1
+        try:
+            yield
+        finally:
+            self.active -= 1
+
+    async def settle(self, active):
+        """Wait until so many heads are counted."""
+        while True:
+            if self.active == active:
+                return
+            await trio.sleep(0.01)
+
+    async def read_answer(self, stream):
+        answer = b""
+        while not answer.endswith(b"ok"):
+            answer += await stream.receive_some()
+
+    def test_a_head_counts_from_its_first_byte_until_it_is_read_or_its_connection_ends(self):
+        async def script(stream):
+            for _ in range(2):
+                await stream.send_all(b"POST /a HTTP/1.1\r\n")
+                await self.settle(1)
+                await stream.send_all(b"Host: h\r\nContent-Length: 2\r\n\r\n")
+                await self.settle(0)
+                await stream.send_all(b"xy")
+                await self.read_answer(stream)
+                self.assertEqual(self.active, 0)
+            await stream.send_all(b"POST /b")
+            await self.settle(1)
+
+        self.run_server(script)
+        self.assertEqual(self.served, ["/a", "/a"])
+
+    def test_a_request_that_comes_before_the_last_one_is_left_counts_nothing_twice(self):
+        async def script(stream):
+            self.linger = trio.Event()
+            head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"
+            for body in (b"xy", b"x"):
+                await stream.send_all(head + body)
+                if body == b"xy":
+                    await self.read_answer(stream)
+            await trio.sleep(0.1)
+            self.assertEqual(self.served, ["/a", "/a"])
+            self.linger.set()
+            await trio.sleep(0.05)
+            await stream.send_all(b"y")
+            await self.read_answer(stream)
+            self.assertEqual(self.active, 0)
+
+        self.run_server(script)
+
+    def test_bytes_that_are_no_request_count_until_their_connection_ends(self):
+        async def script(stream):
+            await stream.send_all(b"no request\r\n\r\n")
+            while await stream.receive_some():
+                pass
+            await self.settle(0)
+
+        self.run_server(script)
+        self.assertEqual(self.served, [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/adapters/test_tunnels.py
+++ b/tests/adapters/test_tunnels.py
@@ -21,6 +21,7 @@
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.reachability.gateways import Gateway
 from hopstep.domain.reachability.tunnels import TunnelFailure, TunnelTarget
+from hopstep.domain.stop_schedule import StopSchedule
 from hopstep.exceptions import Execution
 from hopstep.platform.http_client import HttpClient
 from hopstep.platform.instances import HttpInstances
@@ -59,7 +60,7 @@
 
     def __init__(self):
         self.gate = OpenGate()
-        self.lifecycle = Lifecycle(Configured(), 5.0, 0.1)
+        self.lifecycle = Lifecycle(Configured(), StopSchedule(0.1, 5.0))
         self.gateway_scope = trio.CancelScope()
         self.server = TunnelServer(
             GATEWAY,
--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -320,6 +320,43 @@
 
         self.run_node(script)
 
+    def test_requests_whose_bodies_arrive_across_a_stop_are_answered_or_not_run(self):
+        # A drain that counted whole requests only ended, and cut those that it still sent.
+        route = {**CONFIGURATION["routes"][0], "timeoutMs": 800}
+        answers = []
+
+        async def script(client, url, process, instances):
+            process.send_signal(signal.SIGTERM)
+            stopped_at = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for number in range(4):
+                    await trio.sleep_until(stopped_at + 1.1 + number * 0.06)
+                    nursery.start_soon(self.send_slowly, url, f"r{number}", answers)
+            with trio.fail_after(GRACE_SECONDS):
+                code = await trio.to_thread.run_sync(process.wait, abandon_on_cancel=True)
+            self.assertEqual(code, 0)
+            served = sum(answer.startswith(b"HTTP/1.1 200") for answer in answers)
+            self.assertEqual(served, len(instances.bodies))
+            self.assertGreater(served, 2)
+            for answer in answers:
+                self.assertIn(answer[:12], (b"HTTP/1.1 200", b"HTTP/1.1 503", b""))
+
+        self.run_node(script, configuration={**CONFIGURATION, "routes": [route]})
+
+    async def send_slowly(self, url, request_id, answers):
+        """Send a request in three pieces within 0.3 s, and add what comes back."""
+        data = self.request_bytes(b"/p/slow", request_id.encode())
+        host, _, port = url.removeprefix("http://").rpartition(":")
+        answer = b""
+        with contextlib.suppress(OSError):
+            async with await trio.open_tcp_stream(host, int(port)) as stream:
+                with contextlib.suppress(trio.BrokenResourceError):
+                    for piece in (data[:40], data[40:-2], data[-2:]):
+                        await stream.send_all(piece)
+                        await trio.sleep(0.15)
+                    answer = bytes(await stream.receive_some())
+        answers.append(answer)
+
     async def send_until_refused(self, url):
         """Send on new connections; each gets a prompt answer, a reset or a closed port."""
         answers = []
