--- a/hopstep/services/lifecycle.py
+++ b/hopstep/services/lifecycle.py
@@ -137,7 +137,7 @@
             await trio.sleep(self.schedule.accept_seconds + MIN_REFUSING_SECONDS)
             while self._active:
                 await self._idle.wait()
-        self._is_drained = True
+        self._is_drained = self.stopping
         seconds = round(trio.current_time() - self._stopped_at, 3)
         emit(log_events.DRAIN_ENDED, seconds=seconds, active_requests=self._active)
         if self._active:
