Make each attempt by one configuration, judged as a whole

A key that had moved to another tenant was sent under the first one's name, or denied for good (401) after a wait; a route that had turned private got a request without a tenant; a second attempt went to a service that the route had left, and ran again what may run once by now; a call that waited for its connection told an engine to save a prompt in a store that was no longer configured.

Cause: a request was judged again only after a wait for capacity, by its route's name, service and key one by one; attempts without such a wait, and calls that waited for a connection, weren't judged again at all.

Change: a request knows the version that admitted it. Before each attempt, and after each wait, it is judged as a whole if another version is in force: still denied (404, 401), or allowed only in another way (other tenant, service or kind of route): configuration_changed, 503 if it has not run, come back at once. A call belongs to the version by which it was made and is withdrawn before its first byte if another is in force by then; that check replaces the one of cache groups. An answer that has begun goes on by what it began with, as it did but for a wait for capacity.

--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -233,6 +233,7 @@
         servers: The instances by id, terminated ones included.
         on_changed: Called with the changed entry of an instance.
         on_ended: Called with an instance that a request has crashed.
+        on_sent: Called with each call when its first byte is sent.
         fatal_bodies: Bodies of requests that crash each instance that begins to run them.
         fatal_seconds: Time from the start of such a request to the crash.
         calls: All calls.
@@ -246,6 +247,7 @@
         self.all_servers: list[EmulatedInstance] = []
         self.on_changed: Callable[[Instance], None] = lambda _entry: None
         self.on_ended: Callable[[EmulatedInstance], None] = lambda _server: None
+        self.on_sent: Callable[[InstanceCall], None] = lambda _call: None
         self.fatal_bodies: set[bytes] = set()
         self.fatal_parts: set[str] = set()
         self.fatal_seconds = FATAL_SECONDS
@@ -285,6 +287,7 @@
             raise withdrawn_call()
         call.proof.connected = True
         call.proof.sent = True
+        self.on_sent(call)
         if call.instance.address in self._blocked:
             await trio.sleep_forever()
         server.arrivals += 1
--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -76,7 +76,8 @@
         resume_after: Last event that the client has; empty for a new stream.
         resumes: Id of the request that began the stream, as the client states; empty for none.
         usage_tokens: Tokens of its prompt and longest answer; None when not stated.
-        key: API key that it was admitted with; empty for none.
+        key: API key that it carries; empty for none.
+        configuration: Version of the configuration that admitted it.
     """
 
     request_id: str
@@ -95,6 +96,7 @@
     usage_tokens: int | None = None
     key: str = ""
     resumes: str = ""
+    configuration: int = 0
 
     @property
     def first_byte_by(self) -> float:
--- a/hopstep/domain/exchanges/serving.py
+++ b/hopstep/domain/exchanges/serving.py
@@ -65,6 +65,14 @@
     resumable: bool = False
     event_patience_seconds: float = 0.0
 
+    def has_terms_of(self, other: Route) -> bool:
+        """Return whether what a request may do on it is the same as on another route."""
+        return (
+            self.kind is other.kind
+            and self.resumable == other.resumable
+            and self.public == other.public
+        )
+
     @property
     def idempotent(self) -> bool:
         """Whether a request may run more than once."""
@@ -219,6 +227,7 @@
         self.services = {service.name: service for service in configuration.services}
         self.cache_groups = CacheGroups(_sharing_tenants(configuration.tenants))
         self._tenants = {key: tenant for tenant in configuration.tenants for key in tenant.keys}
+        self._named_routes = {route.name: route for route in configuration.routes}
         self._routes: dict[str, list[Route]] = {}
         self._least_urgent: dict[str, int] = {}
         for route in configuration.routes:
@@ -247,6 +256,10 @@
                 return route
         return None
 
+    def route_named(self, name: str) -> Route | None:
+        """Return the route with a name, or None."""
+        return self._named_routes.get(name)
+
     def find_tenant(self, key: str) -> Tenant | None:
         """Return the tenant that holds a key, or None."""
         return self._tenants.get(key)
--- a/hopstep/services/exchanges/requests/admission.py
+++ b/hopstep/services/exchanges/requests/admission.py
@@ -42,24 +42,29 @@
         if not head.request_id:
             raise ServiceError(ErrorCode.MALFORMED_REQUEST, "the request has no id")
         _check_body(body, index.configuration.limits)
-        return _make_request(head, body.read(), route, tenant)
+        return _make_request(head, body.read(), route, tenant, index.configuration.version)
 
     def readmit(self, request: ExchangeRequest, service: str) -> None:
-        """Check a request that has waited against the configuration in force by now.
+        """Judge a request anew, under a configuration that has come into force since.
+
+        Args:
+            request: A request without any part of an answer.
+            service: Service that its route chose.
 
         Raises:
-            ServiceError: Its route, the route's service or its key isn't valid any more.
+            ServiceError: It isn't allowed any more, or only in another way than it was admitted.
         """
         index = self._knowledge.require_index()
-        routes = index.configuration.routes
-        route = next((each for each in routes if each.name == request.route.name), None)
+        route = index.route_named(request.route.name)
         if route is None:
             raise self._denied(ErrorCode.NOT_FOUND, "the route was removed")
-        if service not in (share.service for share in route.shares):
-            raise ServiceError(ErrorCode.OVERLOADED, "the route's service was replaced")
         tenant = self._find_tenant(index, route, request.key)
-        if tenant is not None and request.tenant is not None and tenant.name != request.tenant.name:
-            raise self._denied(ErrorCode.INVALID_KEY, "the key is of another tenant by now")
+        if request.caller != (tenant.name if tenant is not None else ""):
+            raise _changed("the key is of another tenant by now")
+        if service not in (share.service for share in route.shares):
+            raise _changed("the route's service was replaced")
+        if not route.has_terms_of(request.route):
+            raise _changed("the route's kind was changed")
 
     def _find_tenant(self, index: ServingIndex, route: Route, key: str) -> Tenant | None:
         """Return the tenant of a request; None on a public route or without tenants."""
@@ -91,13 +96,16 @@
     if body.received_bytes > limits.max_body_bytes:
         raise ServiceError(ErrorCode.BODY_TOO_LARGE, "the body is too long")
     if body.omission is BodyOmission.TOO_LONG:
-        raise ServiceError(
-            ErrorCode.CONFIGURATION_CHANGED, "the limit on bodies rose while the body arrived"
-        )
+        raise _changed("the limit on bodies rose while the body arrived")
     if body.omission is BodyOmission.NO_SPACE:
         raise no_space()
 
 
+def _changed(message: str) -> ServiceError:
+    """Return the refusal of a request that was judged by a configuration of before."""
+    return ServiceError(ErrorCode.CONFIGURATION_CHANGED, message)
+
+
 def _client_seconds(head: RequestHead, route: Route) -> float:
     """Return how long a client waits; as long as its route allows when it doesn't say."""
     seconds = head.client_timeout_seconds
@@ -110,7 +118,7 @@
 
 
 def _make_request(
-    head: RequestHead, body: bytes, route: Route, tenant: Tenant | None
+    head: RequestHead, body: bytes, route: Route, tenant: Tenant | None, configuration: int
 ) -> ExchangeRequest:
     """Return an admitted request with its deadlines."""
     return ExchangeRequest(
@@ -128,6 +136,7 @@
         prompt=head.prompt,
         resume_after=head.resume_after,
         usage_tokens=head.usage_tokens,
-        key=head.key if tenant is not None else "",
+        key=head.key,
         resumes=head.resumes,
+        configuration=configuration,
     )
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -71,6 +71,7 @@
         self.waits = InstanceWaits(parts, self.scope, self.outcome)
         self._unsent = UnsentAttempts()
         self._may_have_run = False
+        self._configuration = request.configuration
         self._gate = QuarantineGate(parts.quarantine, parts.calls, request, self.outcome)
         self._in_flight = SendProof()
 
@@ -144,9 +145,15 @@
             self._relay.restart()
 
     async def _check_again(self) -> None:
-        """Check whether the request may be sent; called before each attempt and after a wait."""
+        """Check whether the request may be sent; called before each attempt and after a wait.
+
+        An answer that has begun goes on by what it began with.
+        """
+        if self._relay.started:
+            return
         await self._refuse_quarantined()
         self._refuse_unproved_key()
+        self._readmit()
 
     async def _refuse_quarantined(self) -> None:
         """Refuse a request under which too many instances crashed; called before each attempt."""
@@ -174,6 +181,17 @@
         except ServiceError as error:
             self._fail(error.code, error.message)
 
+    def _readmit(self) -> None:
+        """Judge the request again if the configuration has changed since it was last judged."""
+        configuration = self._parts.configuration()
+        if configuration == self._configuration:
+            return
+        try:
+            self._parts.readmit(self._request, self.scope.service)
+        except ServiceError as error:
+            self._fail(error.code, error.message)
+        self._configuration = configuration
+
     def _uncounted_retry(self, view: InstanceView, error: InstanceCallError) -> str | None:
         """Return where to retry after a refusal that doesn't count as one of the route's attempts.
 
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -131,8 +131,9 @@
         origins: What began the streams that clients may resume.
         is_drained: Returns whether the drain of a planned stop has ended: an answer that begins now
             would be cut.
-        readmit: Raises ``ServiceError`` when a request that has waited for a service isn't allowed
-            any more.
+        configuration: Returns the version of the configuration in force.
+        readmit: Raises ``ServiceError`` when a request for a service isn't allowed any more, or
+            only in another way.
     """
 
     calls: InstanceCalls
@@ -152,4 +153,5 @@
     queue: RequestQueue
     origins: StreamOrigins
     is_drained: Callable[[], bool]
+    configuration: Callable[[], int]
     readmit: Callable[[ExchangeRequest, str], None]
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -61,7 +61,7 @@
         self._view = candidate.view
         self._purpose = self._sending_purpose(is_stream_begun)
         self._has_answered = False
-        self._cache_group = ""
+        self._configuration = 0
         self._permit = parts.limits.hold(self._view)
 
     def _sending_purpose(self, is_stream_begun: bool) -> Purpose:
@@ -175,7 +175,7 @@
         """Return the call to the instance."""
         view, request, candidate = self._view, self._request, self._candidate
         choice, prompt = self._parts.choice, request.prompt
-        self._cache_group = choice.cache_group(request)
+        self._configuration = self._parts.configuration()
         self._outcome.read_tokens = candidate.uncached_tokens
         self._outcome.source = candidate.source
         self._outcome.target = choice.push_target(request, view)
@@ -200,10 +200,13 @@
         return not self.proof.gateway and self._parts.is_link_cut(self._view.instance)
 
     def _may_send(self) -> bool:
-        """Return whether the request may be sent now; counts it as sent under a limit."""
-        choice = self._parts.choice
-        has_other_group = choice.cache_group(self._request) != self._cache_group
-        if has_other_group or self._parts.is_drained():
+        """Return whether the request may be sent now; counts it as sent under a limit.
+
+        A call is made by one configuration: its tenant, salt and cache stores may have changed
+        while it waited for its connection.
+        """
+        is_outdated = self._parts.configuration() != self._configuration
+        if is_outdated or self._parts.is_drained():
             return False
-        may_send = choice.may_send(self._view, self._purpose)
+        may_send = self._parts.choice.may_send(self._view, self._purpose)
         return may_send and self._permit.use(trio.current_time())
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/instance_choice.py
@@ -211,10 +211,6 @@
         model = request.prompt.model
         return view.assume_version(model, self._knowledge.weights.newest(model))
 
-    def cache_group(self, request: ExchangeRequest) -> str:
-        """Return the group of callers that a request shares cached segments with now."""
-        return self._engine_requests.cache_group(request)
-
     def salt(self, request: ExchangeRequest, view: InstanceView) -> str:
         """Return the salt of a request's segment keys at an instance; empty without a prompt."""
         return self._engine_requests.salt(request, view)
--- a/hopstep/services/exchanges/requests/instance_waits.py
+++ b/hopstep/services/exchanges/requests/instance_waits.py
@@ -44,13 +44,8 @@
     ) -> Candidate | None:
         """Return the instance for the next attempt; see ``RequestQueue.acquire``."""
         began_at = trio.current_time()
-
-        async def check_again() -> None:
-            self._parts.readmit(self._scope.request, self._scope.service)
-            await recheck()
-
         try:
-            return await self._parts.queue.acquire(self._scope, only, check_again, started=started)
+            return await self._parts.queue.acquire(self._scope, only, recheck, started=started)
         except QueueRefusalError as refusal:
             self.return_seconds = refusal.return_seconds
             raise
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -146,6 +146,7 @@
             queue=self.queue,
             origins=origins,
             is_drained=lambda: lifecycle.is_drained,
+            configuration=lambda: knowledge.configuration.version,
             readmit=self.admission.readmit,
         )
         metrics.watch(
@@ -254,7 +255,7 @@
                 kept_from=outcome.kept_from,
                 quarantined_for=outcome.quarantined_for,
                 gateway=outcome.gateway,
-                configuration=self._version(),
+                configuration=self._knowledge.configuration.version,
                 age_ms=self._knowledge.keys.shown_age_ms,
                 era=self._knowledge.store_position.era,
                 revision=self._knowledge.store_position.revision,
@@ -280,7 +281,7 @@
             received_bytes=body.received_bytes,
             limit_bytes=body.limit_bytes,
             limit_now_bytes=self._limits_in_force().max_body_bytes,
-            configuration=self._version(),
+            configuration=self._knowledge.configuration.version,
         )
 
     def _log_refusal(self, head: RequestHead, error: ServiceError, advice: RetryAdvice) -> None:
@@ -290,7 +291,7 @@
             request_id=head.request_id,
             code=error.code.value,
             reason=error.message,
-            configuration=self._version(),
+            configuration=self._knowledge.configuration.version,
             age_ms=self._knowledge.keys.shown_age_ms,
             era=self._knowledge.store_position.era,
             revision=self._knowledge.store_position.revision,
@@ -319,11 +320,6 @@
         """Count shared tokens that an engine has to prefill."""
         self._metrics.shared_prefill.labels(prefilled.cause.value).inc(prefilled.tokens)
 
-    def _version(self) -> int:
-        """Return the version of the configuration in force; 0 for none."""
-        current = self._knowledge.current
-        return current.version if current is not None else 0
-
     def _budget(self, service: str) -> RepeatBudget:
         """Return the retry budget of a service."""
         budget = self._budgets.get(service)
