Leave a silent instance only for another one that can go on

Cause: the watchdog of an attempt cancelled it as soon as its instance counted as unresponsive, and only then was asked whether a further attempt is allowed and where.

Change: it cancels only while the next step would be an attempt (attempts left, budget, time, a known origin) and another instance of the request's scope accepts requests now.

ExchangeProgress loses a field that nothing read.

--- a/hopstep/domain/exchanges/attempt_rules.py
+++ b/hopstep/domain/exchanges/attempt_rules.py
@@ -6,8 +6,6 @@
 
 import msgspec
 
-from hopstep.exceptions import Execution
-
 MIN_REMAINING_SECONDS = 0.05
 """Seconds; with less time to the deadline no further attempt is made."""
 
@@ -63,7 +61,6 @@
         idempotent: Whether it may run more than once.
         resumable: Whether its stream may go on at another instance.
         answer_started: Whether the head of a response was sent to the client.
-        last: What is known about the execution of the last attempt.
         may_have_run: Whether any attempt may have run.
         attempts: Number of attempts of which at least one byte was sent.
         max_attempts: Highest allowed number of attempts.
@@ -75,7 +72,6 @@
     idempotent: bool
     resumable: bool
     answer_started: bool
-    last: Execution
     may_have_run: bool
     attempts: int
     max_attempts: int
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+
 import trio
 
 from hopstep import log_events
@@ -128,9 +130,7 @@
             only = self._uncounted_retry(candidate.view, error)
             if only is not None:
                 continue
-            step = decide_step(self._progress(error))
-            if step is NextStep.RESUME and self._stream.is_doubtful:
-                step = NextStep.CUT
+            step = self._next_step(error.execution, self.outcome.attempts.counted)
             self._log_attempt(candidate.view, error, step)
             if step in FURTHER_STEPS:
                 await self._gate.settle(candidate.view)
@@ -235,6 +235,7 @@
             self._relay,
             self.outcome,
             candidate,
+            functools.partial(self._can_go_on, view),
             is_stream_begun=self.scope.origin is not None,
         )
         self._in_flight = attempt.proof
@@ -294,7 +295,28 @@
             self._may_have_run = True
         note_failure(self._parts, view, error)
 
-    def _progress(self, error: InstanceCallError) -> ExchangeProgress:
+    def _can_go_on(self, view: InstanceView) -> bool:
+        """Return whether another instance can go on with the request, now under way at one."""
+        step = self._next_step(Execution.UNKNOWN, self.outcome.attempts.counted + 1)
+        if step not in FURTHER_STEPS:
+            return False
+        now = trio.current_time()
+        others = self._parts.choice.admissible(self.scope)
+        return any(other is not view and other.is_usable(now) for other in others)
+
+    def _next_step(self, last: Execution, attempts: int) -> NextStep:
+        """Return what to do after an attempt.
+
+        Args:
+            last: What is known about the execution of the attempt.
+            attempts: Attempts of which at least one byte was sent, this one included.
+        """
+        step = decide_step(self._progress(last, attempts))
+        if step is NextStep.RESUME and self._stream.is_doubtful:
+            return NextStep.CUT
+        return step
+
+    def _progress(self, last: Execution, attempts: int) -> ExchangeProgress:
         """Return the request's progress, from which the next step is decided."""
         now = trio.current_time()
         route = self._request.route
@@ -303,9 +325,8 @@
             idempotent=route.idempotent,
             resumable=route.resumable and not self._relay.in_parts,
             answer_started=self._relay.started,
-            last=error.execution,
-            may_have_run=self._may_have_run,
-            attempts=self.outcome.attempts.counted,
+            may_have_run=self._may_have_run or last is Execution.UNKNOWN,
+            attempts=attempts,
             max_attempts=route.max_attempts,
             may_connect=self._unsent.allow_another(others_respond=others_respond),
             within_budget=self._budget.allows(now, self._parts.nodes()),
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/instance_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+from collections.abc import Callable
 
 import trio
 
@@ -37,6 +38,7 @@
         relay: AnswerRelay,
         outcome: ExchangeOutcome,
         candidate: Candidate,
+        can_go_on: Callable[[], bool],
         *,
         is_stream_begun: bool = False,
     ) -> None:
@@ -49,6 +51,7 @@
             relay: Relays responses to the client.
             outcome: Records what is logged of the attempt.
             candidate: The instance, and the estimated work of the request there.
+            can_go_on: Returns whether the request can go on at another instance now.
             is_stream_begun: Whether the request goes on with a stream.
         """
         self.proof = SendProof()
@@ -58,6 +61,7 @@
         self._relay = relay
         self._outcome = outcome
         self._candidate = candidate
+        self._can_go_on = can_go_on
         self._view = candidate.view
         self._purpose = self._sending_purpose(is_stream_begun)
         self._has_answered = False
@@ -117,7 +121,11 @@
         """
         async with trio.open_nursery() as nursery:
             watchdog = ResponseWatchdog(
-                self._view, self._request.request_id, self._parts.pauses, self._uses_cut_link
+                self._view,
+                self._request.request_id,
+                self._parts.pauses,
+                self._uses_cut_link,
+                self._can_go_on,
             )
             if self._request.route.idempotent:
                 nursery.start_soon(watchdog.run, nursery.cancel_scope)
--- a/hopstep/services/exchanges/requests/response_watchdog.py
+++ b/hopstep/services/exchanges/requests/response_watchdog.py
@@ -1,4 +1,7 @@
-"""Cancels an attempt that may be repeated when its instance has become unresponsive."""
+"""Cancels an attempt when its instance is silent and another one can go on with the request.
+
+A healthy instance may be silent for a second or so; without another one, waiting is all that helps.
+"""
 
 from __future__ import annotations
 
@@ -26,6 +29,7 @@
         request_id: str,
         pauses: PauseWatch,
         uses_cut_link: Callable[[], bool],
+        can_go_on: Callable[[], bool],
     ) -> None:
         """Create the watchdog; ``run`` starts it.
 
@@ -35,19 +39,21 @@
             pauses: Detects pauses of the node's own process.
             uses_cut_link: Returns whether the attempt's connection uses a link that is cut. Other
                 requests may then get responses from the instance, through other nodes.
+            can_go_on: Returns whether the request can go on at another instance now.
         """
         self.fired = False
         self._view = view
         self._request_id = request_id
         self._pauses = pauses
         self._uses_cut_link = uses_cut_link
+        self._can_go_on = can_go_on
 
     async def run(self, scope: trio.CancelScope) -> None:
-        """Watch until cancelled; cancel ``scope`` when the instance is unresponsive."""
+        """Watch until cancelled; cancel ``scope`` when another instance does better."""
         while not self.fired:
             await trio.sleep(CHECK_SECONDS)
             self._pauses.check()
-            if self._is_silent(trio.current_time()):
+            if self._is_silent(trio.current_time()) and self._can_go_on():
                 self.fired = True
                 scope.cancel()
 
--- a/tests/domain/exchanges/test_attempt_rules.py
+++ b/tests/domain/exchanges/test_attempt_rules.py
@@ -9,7 +9,6 @@
     UnsentAttempts,
     decide_step,
 )
-from hopstep.exceptions import Execution
 
 
 def progress(**options):
@@ -17,7 +16,6 @@
         "idempotent": False,
         "resumable": False,
         "answer_started": False,
-        "last": Execution.NOT_RUN,
         "may_have_run": False,
         "attempts": 1,
         "max_attempts": 2,
--- a/tests/services/exchanges/test_silent_streams.py
+++ b/tests/services/exchanges/test_silent_streams.py
@@ -74,6 +74,50 @@
         now = trio.current_time()
         return view.is_usable(now) and not view.avoided_by(now)
 
+    async def silence_for(self, world, seconds):
+        """Let the engines that stream be silent for some time, then go on."""
+        for server in world.instances.servers.values():
+            server.event_seconds = seconds
+        await trio.sleep(seconds)
+        for server in world.instances.servers.values():
+            server.event_seconds = 0.1
+
+    def test_a_stream_that_no_other_engine_may_go_on_with_waits_for_its_own(self):
+        """Guards against streams that are cut for a short silence of a healthy engine."""
+        for stopping in (False, True):
+            for others in ({"software_version": "v2"}, {"draining": True}, None):
+                with self.subTest(stopping=stopping, others=others):
+
+                    async def script(world, stopping=stopping, others=others):
+                        if others is not None:
+                            world.add("e1", "llm", **others).event_seconds = 0.1
+                        answer = RecordedAnswer()
+                        async with trio.open_nursery() as nursery:
+                            await trio.sleep(0.5)
+                            nursery.start_soon(
+                                world.request, "resumable", 0, KEY, "r", "", 5.0, answer
+                            )
+                            await trio.sleep(0.25)
+                            if stopping:
+                                world.nodes[0].lifecycle.stop()
+                            await self.silence_for(world, 1.4)
+                        self.assertTrue(answer.finished)
+                        self.assertEqual(len(world.instances.runs("r")), 1)
+
+                    world = ExchangeWorld()
+                    world.add("e0", "llm").event_seconds = 0.1
+                    world.run(script)
+
+    def test_a_request_that_no_other_instance_may_run_waits_for_its_own(self):
+        async def script(world):
+            world.instances.servers["p0"].work_seconds = 1.8
+            answer = await world.request("safe", request_id="r", patience=3.0)
+            self.assertEqual((answer.status, len(world.instances.runs("r"))), (200, 1))
+
+        world = ExchangeWorld()
+        world.add("p0")
+        world.run(script)
+
     def test_a_slow_client_makes_no_engine_silent(self):
         async def script(world):
             answer = SlowReader()
