Take JSON that is nested too deeply for unreadable, wherever it is decoded

What could happen (found by the review, by reading): a report or a batch of cache events with some thousand nested brackets, also in a field that nothing reads, raised RecursionError, which only the directory's readers caught; the task that had asked for it ended. So did records in the store, answers of engines and of the machine list; a caller's body of the OpenAI-style interface got 500 in place of 400.

Cause: the library reports this as RecursionError, all else as DecodeError, and each caller caught the latter.

CBOR isn't concerned: its library bounds nesting (400) by its own error.

--- a/hopstep/adapters/engine_http.py
+++ b/hopstep/adapters/engine_http.py
@@ -35,6 +35,7 @@
 )
 from hopstep.adapters.engine_stream import StreamDecoder, interrupted, refusal_error
 from hopstep.adapters.engine_transport import EngineTransport, Pause
+from hopstep.decoding import decode_json
 from hopstep.exceptions import EngineError, ErrorCode, Execution
 from hopstep.logs import emit
 from hopstep.ports.engine import (
@@ -275,7 +276,7 @@
 def _decode_answer(body: bytes, answer_type: type[Answer], address: str) -> Answer:
     """Decode the answer to a short call."""
     try:
-        return msgspec.json.decode(body, type=answer_type)
+        return decode_json(body, answer_type)
     except msgspec.DecodeError as error:
         emit(log_events.ENGINE_ANSWER_MALFORMED, engine=address)
         raise _unreachable("the answer can't be understood", Execution.UNKNOWN) from error
@@ -284,7 +285,7 @@
 def _refusal(status: int, body: bytes, nonce: str) -> EngineError:
     """Return the error for an answer that isn't a success."""
     try:
-        return refusal_error(msgspec.json.decode(body, type=Refusal), nonce)
+        return refusal_error(decode_json(body, Refusal), nonce)
     except msgspec.DecodeError:
         return _unreachable(f"the engine answered with status {status}", Execution.UNKNOWN)
 
--- a/hopstep/adapters/engine_stream.py
+++ b/hopstep/adapters/engine_stream.py
@@ -6,6 +6,7 @@
 
 from hopstep import log_events
 from hopstep.adapters.engine_messages import Refusal
+from hopstep.decoding import JsonDecoder
 from hopstep.exceptions import EngineError, ErrorCode, Execution
 from hopstep.logs import emit
 from hopstep.ports.engine import TokenFrame
@@ -49,8 +50,8 @@
         self._nonce = nonce
         self._engine = engine
         self._incomplete_line = b""
-        self._frame_decoder = msgspec.json.Decoder(TokenFrame)
-        self._refusal_decoder = msgspec.json.Decoder(RefusalLine)
+        self._frame_decoder = JsonDecoder(TokenFrame)
+        self._refusal_decoder = JsonDecoder(RefusalLine)
         self.finished = False
 
     def feed(self, data: bytes) -> list[TokenFrame]:
--- a/hopstep/adapters/http_api/bodies.py
+++ b/hopstep/adapters/http_api/bodies.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hopstep.decoding import JsonDecoder
 from hopstep.exceptions import ErrorCode, ServiceError
 
 ERROR_PATH = re.compile(r" - at `\$\.?(?P<path>[^`]*)`$")
@@ -197,7 +198,7 @@
 BodyT = TypeVar("BodyT", bound=GenerationBody)
 
 
-def decode_body(data: bytes, decoder: msgspec.json.Decoder[BodyT]) -> BodyT:
+def decode_body(data: bytes, decoder: JsonDecoder[BodyT]) -> BodyT:
     """Decode a request body.
 
     Raises:
--- a/hopstep/adapters/http_api/chat.py
+++ b/hopstep/adapters/http_api/chat.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import msgspec
 from quart import Blueprint, Response
 
 from hopstep.adapters.http_api.bodies import ChatBody, decode_body
 from hopstep.adapters.http_api.context import ApiContext
 from hopstep.adapters.http_api.generation import read_body, start_generation
 from hopstep.adapters.http_api.rendering import ChatRenderer
+from hopstep.decoding import JsonDecoder
 from hopstep.domain.prompts import ChatMessage, render_chat
 
-DECODER = msgspec.json.Decoder(ChatBody)
+DECODER = JsonDecoder(ChatBody)
 
 
 def chat_blueprint(context: ApiContext) -> Blueprint:
--- a/hopstep/adapters/http_api/completions.py
+++ b/hopstep/adapters/http_api/completions.py
@@ -19,9 +19,10 @@
     start_generation,
 )
 from hopstep.adapters.http_api.rendering import CompletionRenderer
+from hopstep.decoding import JsonDecoder
 from hopstep.domain.configuration.document import BackEndKind
 
-DECODER = msgspec.json.Decoder(CompletionBody)
+DECODER = JsonDecoder(CompletionBody)
 
 
 def completions_blueprint(context: ApiContext) -> Blueprint:
--- a/hopstep/adapters/key_value_store_http.py
+++ b/hopstep/adapters/key_value_store_http.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Generic, TypeVar
+from typing import Generic, TypeVar, cast
 
 import httpx
 import msgspec
@@ -10,6 +10,7 @@
 
 from hopstep.adapters import key_value_store_wire as wire
 from hopstep.adapters.platform_http import PlatformHttpClient
+from hopstep.decoding import JsonDecoder, decode_json
 from hopstep.domain.store_position import UNSPECIFIED_ERA, StoreLease, StorePosition
 from hopstep.exceptions import (
     ErrorCode,
@@ -36,12 +37,12 @@
 
 Result = TypeVar("Result")
 
-_ITEM: msgspec.json.Decoder[wire.Item | None] = msgspec.json.Decoder(wire.Item | None)
-_PAGE = msgspec.json.Decoder(list[wire.Item])
-_REVISION = msgspec.json.Decoder(int)
-_CHANGES = msgspec.json.Decoder(wire.Changes)
-_LEASE = msgspec.json.Decoder(str)
-_NOTHING: msgspec.json.Decoder[None] = msgspec.json.Decoder(None)
+_ITEM = JsonDecoder(cast(type[wire.Item | None], wire.Item | None))
+_PAGE = JsonDecoder(list[wire.Item])
+_REVISION = JsonDecoder(int)
+_CHANGES = JsonDecoder(wire.Changes)
+_LEASE = JsonDecoder(str)
+_NOTHING = JsonDecoder(type(None))
 
 
 class _Answer(msgspec.Struct, Generic[Result], frozen=True):
@@ -109,7 +110,7 @@
     async def _call(
         self,
         operation: wire.StoreOperation,
-        decoder: msgspec.json.Decoder[Result],
+        decoder: JsonDecoder[Result],
         extra_seconds: float = 0.0,
     ) -> _Answer[Result]:
         """Send one operation and decode its result."""
@@ -142,7 +143,7 @@
 def _failure(operation: wire.StoreOperation, content: bytes) -> StoreError:
     """Return the error for the body of a refusal."""
     try:
-        failure = msgspec.json.decode(content, type=wire.StoreFailure)
+        failure = decode_json(content, wire.StoreFailure)
     except msgspec.DecodeError:
         return _no_usable_answer(operation)
     if failure.code not in NO_EFFECT_CODES:
--- a/hopstep/adapters/machine_list_http.py
+++ b/hopstep/adapters/machine_list_http.py
@@ -7,6 +7,7 @@
 
 from hopstep.adapters.key_value_store_wire import MACHINES_PATH
 from hopstep.adapters.platform_http import PlatformHttpClient
+from hopstep.decoding import decode_json
 from hopstep.exceptions import ErrorCode, StoreError
 from hopstep.ports.machine_list import Machine, MachineListPort
 
@@ -21,7 +22,7 @@
                 self._base_url + MACHINES_PATH, timeout=self._timeout_seconds
             )
             response.raise_for_status()
-            return msgspec.json.decode(response.content, type=list[Machine])
+            return decode_json(response.content, list[Machine])
         except (httpx.HTTPError, msgspec.DecodeError) as error:
             raise StoreError(
                 ErrorCode.STORE_UNAVAILABLE, "the machine list gave no usable answer"
--- a/hopstep/ctl/documents.py
+++ b/hopstep/ctl/documents.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hopstep.decoding import decode_json
 from hopstep.domain.configuration.decoding import convert_document
 from hopstep.domain.configuration.document import Configuration
 from hopstep.exceptions import ErrorCode, ValidationError
@@ -38,7 +39,7 @@
     """Return the decoded maps and lists of a file."""
     try:
         if path.suffix == ".json":
-            return msgspec.json.decode(text)
+            return decode_json(text, Any)
         return tomllib.loads(text)
     except msgspec.DecodeError as error:
         raise _bad_file(path, f"expected JSON: {error}") from None
--- a/hopstep/ctl/quarantine.py
+++ b/hopstep/ctl/quarantine.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from hopstep.ctl.results import ExitCode, VerbResult
+from hopstep.decoding import decode_json
 from hopstep.domain.quarantine.crash_ledger import CrashLedger
 from hopstep.domain.quarantine.crashes import CrashSubject, RequestCrashes
 from hopstep.exceptions import ErrorCode, StoreConflictError, ValidationError
@@ -107,7 +108,7 @@
     """Return a stored request; None when it can't be read."""
     try:
         fingerprint = bytes.fromhex(key.removeprefix(QUARANTINE_PREFIX))
-        stored = msgspec.json.decode(value, type=StoredRequest)
+        stored = decode_json(value, StoredRequest)
     except ValueError:
         return None
     return RequestCrashes(fingerprint, stored.crashes, stored.cleared), stored
--- a/hopstep/ctl/status.py
+++ b/hopstep/ctl/status.py
@@ -9,6 +9,7 @@
 import trio
 
 from hopstep.ctl.results import ExitCode, VerbResult
+from hopstep.decoding import decode_json
 from hopstep.domain.configuration.document import BackEndKind, Configuration
 
 STATUS_PATH = "/operator/status"
@@ -96,7 +97,7 @@
         url = f"{scheme}://{address}{STATUS_PATH}"
         response = await client.get(url, timeout=TIMEOUT_SECONDS)
         response.raise_for_status()
-        status = msgspec.json.decode(response.content, type=RouterStatus)
+        status = decode_json(response.content, RouterStatus)
     except (httpx.HTTPError, httpx.InvalidURL, msgspec.DecodeError) as error:
         return RouterStatus(address=address, error=type(error).__name__)
     return msgspec.structs.replace(status, address=address, reachable=True)
--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from hopstep.decoding import decode_json
 from hopstep.domain.exchanges.store_contents import CacheEvent
 from hopstep.domain.instance_notices import AnswerKind, NoticeListener, ignore_notice
 from hopstep.platform import names
@@ -81,7 +82,7 @@
                     body = await response.aread()
             if response.status != OK:
                 return None
-            read = msgspec.json.decode(body, type=_Events)
+            read = decode_json(body, _Events)
         except (
             httpcore.ProtocolError,
             httpcore.NetworkError,
--- a/hopstep/platform/documents.py
+++ b/hopstep/platform/documents.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hopstep.decoding import decode_json
 from hopstep.domain.addresses import parse_address
 from hopstep.domain.exchanges.instances import Instance, NamedWeights
 from hopstep.domain.exchanges.serving import (
@@ -224,7 +225,7 @@
     Raises:
         msgspec.DecodeError: Names the field that can't be read.
     """
-    document = msgspec.json.decode(value, type=ConfigurationDocument)
+    document = decode_json(value, ConfigurationDocument)
     return ServingConfiguration(
         version=document.version,
         routes=tuple(route.read() for route in document.routes),
@@ -242,7 +243,7 @@
     """
     if not INSTANCE_ID.fullmatch(instance_id):
         raise FieldValueError("", "expected an id of visible ASCII characters")
-    entry = msgspec.json.decode(value, type=EntryDocument)
+    entry = decode_json(value, EntryDocument)
     return Instance(
         instance_id=instance_id,
         service=entry.service,
@@ -274,5 +275,5 @@
     Raises:
         msgspec.DecodeError: Names the field that can't be read.
     """
-    document = msgspec.json.decode(value, type=WeightsDocument)
+    document = decode_json(value, WeightsDocument)
     return NamedWeights(document.model, document.version)
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from hopstep.decoding import decode_json
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.instance_notices import (
     AnswerKind,
@@ -236,7 +237,7 @@
         if answer is None or answer[0] != 200:  # noqa: PLR2004
             return None
         try:
-            report = msgspec.json.decode(answer[1], type=_Report)
+            report = decode_json(answer[1], _Report)
         except msgspec.DecodeError:
             return None
         self._unrecognized.report_fields(ValueLocation.REPORT, instance.address, answer[1], _Report)
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -11,6 +11,7 @@
 import msgspec
 import trio
 
+from hopstep.decoding import decode_json
 from hopstep.domain.store_position import UNSPECIFIED_ERA, StoreLease, StorePosition
 from hopstep.exceptions import (
     ErrorCode,
@@ -332,7 +333,7 @@
     """Return the document of a response."""
     _require_ok(answer)
     try:
-        return msgspec.json.decode(answer.body, type=document)
+        return decode_json(answer.body, document)
     except msgspec.DecodeError as error:
         message = f"the store's response can't be decoded: {error}"
         raise StoreError(ErrorCode.STORE_UNAVAILABLE, message) from error
--- a/hopstep/platform/vocabulary.py
+++ b/hopstep/platform/vocabulary.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from hopstep.decoding import decode_json
 from hopstep.platform import names
 from hopstep.platform.rejections import DECODING_ERRORS
 from hopstep.ports.unrecognized_values import (
@@ -155,7 +156,7 @@
         """
         unread = UNREAD_FIELDS.get(location, {})
         try:
-            document = msgspec.json.decode(value)
+            document = decode_json(value, Any)
         except DECODING_ERRORS:
             # Unrecognized parts may be nested too deeply for a decoder without a type.
             return
--- a/hopstep/services/claims.py
+++ b/hopstep/services/claims.py
@@ -14,6 +14,7 @@
 
 from hopstep import log_events
 from hopstep.clock import time_of_day_seconds
+from hopstep.decoding import decode_json
 from hopstep.domain.claims import (
     Claim,
     ClaimStep,
@@ -203,7 +204,7 @@
         ServiceError: ``ALREADY_CLAIMED`` when it can't be decoded: the key is claimed all the same.
     """
     try:
-        claim = msgspec.json.decode(value.value, type=Claim)
+        claim = decode_json(value.value, Claim)
     except msgspec.DecodeError as error:
         emit(log_events.CLAIM_UNREADABLE, version=value.version.revision)
         raise _already_claimed(EarlierAttempt.UNKNOWN) from error
--- a/hopstep/services/exchanges/directory/records.py
+++ b/hopstep/services/exchanges/directory/records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hopstep.decoding import decode_json
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.rollout_lease_state import RolloutHolder
 
@@ -37,7 +38,7 @@
     Raises:
         msgspec.DecodeError: Names the field that can't be read.
     """
-    return msgspec.json.decode(value, type=RolloutHolder)
+    return decode_json(value, RolloutHolder)
 
 
 def encode_node(record: NodeRecord) -> bytes:
@@ -51,4 +52,4 @@
     Raises:
         msgspec.DecodeError: Names the field that can't be read.
     """
-    return msgspec.json.decode(value, type=NodeRecord)
+    return decode_json(value, NodeRecord)
--- a/hopstep/services/exchanges/streams/stored_origins.py
+++ b/hopstep/services/exchanges/streams/stored_origins.py
@@ -14,6 +14,7 @@
 import trio
 
 from hopstep import log_events
+from hopstep.decoding import decode_json
 from hopstep.domain.exchanges.streams.origin_records import OriginRecord
 from hopstep.domain.store_position import ABSENT
 from hopstep.exceptions import StoreConflictError, StoreError
@@ -101,7 +102,7 @@
         if not record.value:
             return []
         now = trio.current_time()
-        reported = msgspec.json.decode(record.value, type=tuple[ReportedOrigin, ...])
+        reported = decode_json(record.value, tuple[ReportedOrigin, ...])
         return [read_record(each, now) for each in reported]
 
     async def run(self) -> None:
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -14,6 +14,7 @@
 import trio
 
 from hopstep import log_events
+from hopstep.decoding import decode_json
 from hopstep.domain.quarantine.crash_records import MAX_REQUESTS
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
 from hopstep.domain.quarantine.fingerprint import is_part
@@ -194,7 +195,7 @@
         """
         try:
             fingerprint = bytes.fromhex(key.removeprefix(QUARANTINE_PREFIX))
-            stored = msgspec.json.decode(value, type=StoredRequest) if value else None
+            stored = decode_json(value, StoredRequest) if value else None
         except (ValueError, msgspec.DecodeError) as error:
             reason = RejectReason.UNREADABLE.value
             emit(
--- a/tests/adapters/http_api/test_bad_input.py
+++ b/tests/adapters/http_api/test_bad_input.py
@@ -36,6 +36,7 @@
 CASES = (
     Case("not JSON", b'{"model": "sm', 400, ErrorCode.MALFORMED_REQUEST, "body"),
     Case("not UTF-8", b'{"model": "\xff"}', 400, ErrorCode.MALFORMED_REQUEST, "body"),
+    Case("nested", b'{"x":' + b"[" * 1_500 + b"}", 400, ErrorCode.MALFORMED_REQUEST, "body"),
     Case("not an object", b"[]", 400, ErrorCode.MALFORMED_REQUEST, "body"),
     Case("empty", b"", 400, ErrorCode.MALFORMED_REQUEST, "body"),
     Case("no model", {"prompt": "x"}, 400, ErrorCode.MALFORMED_REQUEST, "model"),
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -396,7 +396,8 @@
     def test_reports_that_cannot_be_read_are_none(self):
         body = b'{"busy":true,"callSequence":3,"models":[{"name":"m","version":2}]}'
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
-        for answer, expected in ((body, (True, 3, {"m": 2})), (b"{", None)):
+        nested = b'{"x":' + b"[" * 50_000 + b"]" * 50_000 + b"}"
+        for answer, expected in ((body, (True, 3, {"m": 2})), (b"{", None), (nested, None)):
 
             async def script(instances, instance, expected=expected):
                 report = await instances.report(instance)
--- a/tests/platform/test_vocabulary.py
+++ b/tests/platform/test_vocabulary.py
@@ -124,6 +124,16 @@
             [(ValueLocation.ANSWER_HEAD, "x-pace", 200), (ValueLocation.CACHE_EVENTS, "pace", 0)],
         )
 
+    def test_cache_events_that_are_nested_too_deeply_are_as_if_not_read(self):
+        body = b'{"x":' + b"[" * 50_000 + b"]" * 50_000 + b"}"
+        read = []
+
+        async def call(client, address, on_unrecognized):
+            read.append(await PlatformCacheEvents(client, on_unrecognized).read(address, 0, 0.2))
+
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        self.assertEqual((self.reported(answer, call), read), ([], [None]))
+
     def test_a_field_and_a_header_of_the_store_that_nothing_reads_are_told(self):
         body = b'{"atRevision":1,"events":[{"privateKey":"k","revision":1,"leaseId":0,"by":"x"}]}'
 
