Pass a request's target on as it was sent, with an empty query too

Cause: ASGI has path and query apart, and an empty query looks like none.

Change: the server's protocol adds the target as it was read to the request's state, and the front takes it from there.

tests.processes.test_exchange_node: five targets over real sockets; the one with an empty query failed before.

--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -1,6 +1,9 @@
 """Restricts the HTTP server to HTTP/1.1 and ignores requests for a protocol upgrade.
 
 RFC 9110, section 7.8: a server may ignore ``Upgrade``. The request is then handled normally.
+
+Requests also get their target as it was sent: ASGI has path and query apart, so that an empty query
+can't be told from none.
 """
 
 from __future__ import annotations
@@ -9,6 +12,8 @@
 import hypercorn.protocol
 from hypercorn.protocol.h11 import H11Protocol
 
+from hopstep.ports.exchange_front import TARGET_STATE
+
 UPGRADE = b"upgrade"
 
 
@@ -19,7 +24,8 @@
         """Skip the check for an upgrade."""
 
     async def _create_stream(self, request: h11.Request) -> None:
-        """Begin a request without its ``Upgrade`` header."""
+        """Begin a request without its ``Upgrade`` header, and pass on its target."""
+        self.connection_state[TARGET_STATE] = bytes(request.target)
         headers = [(name, value) for name, value in request.headers if name != UPGRADE]
         if len(headers) != len(request.headers):
             request = h11.Request(
--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -13,6 +13,7 @@
 from hopstep.platform import names
 from hopstep.ports.exchange_front import (
     CONNECTION_STATE,
+    TARGET_STATE,
     ClientAnswer,
     ExchangeHandler,
     IncomingRequest,
@@ -179,17 +180,13 @@
 def _read_head(scope: Scope, received_at: float) -> RequestHead:
     """Return the head of a request."""
     found: dict[bytes, bytes] = dict(scope["headers"])
-    target = bytes(scope["raw_path"])
-    path = target.decode("latin-1")
-    if scope["query_string"]:
-        target += b"?" + scope["query_string"]
     timeout_ms = _number(found.get(names.DEADLINE))
     return RequestHead(
         request_id=_text(found, names.REQUEST_ID),
         method=scope["method"].encode(),
         host=_text(found, b"host"),
-        path=path,
-        target=target,
+        path=bytes(scope["raw_path"]).decode("latin-1"),
+        target=_target(scope),
         headers=_forwarded(scope["headers"]),
         key=_text(found, names.API_KEY),
         client_timeout_seconds=timeout_ms / MILLISECONDS if timeout_ms is not None else None,
@@ -201,6 +198,15 @@
     )
 
 
+def _target(scope: Scope) -> bytes:
+    """Return a request's path and query; as they were sent, if the server passes that on."""
+    sent = scope.get("state", {}).get(TARGET_STATE)
+    if sent is not None:
+        return bytes(sent)
+    query = bytes(scope["query_string"])
+    return bytes(scope["raw_path"]) + (b"?" + query if query else b"")
+
+
 def _forwarded(headers: list[tuple[bytes, bytes]]) -> Headers:
     """Return the headers that are forwarded to an instance unchanged."""
     connections = (value for name, value in headers if name == b"connection")
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -14,6 +14,10 @@
 """Entry of a request's ASGI ``state`` with its ``ClientConnection``; missing if not tracked."""
 
 
+TARGET_STATE = "request_target"
+"""Entry of a request's ASGI ``state`` with its path and query exactly as they were sent."""
+
+
 class RequestHead(msgspec.Struct, frozen=True):
     """A client's request without its body, as it was read.
 
--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -244,6 +244,33 @@
 
         self.run_node(script)
 
+    def test_a_target_arrives_as_it_was_sent(self):
+        # An empty query lost its question mark.
+        targets = (b"/p/x?", b"/p/x", b"/p/x?a=1&b=%20", b"/p/x??", b"/p/%2Fx?a?b")
+        arrived = []
+
+        async def answer(stream):
+            async with stream:
+                received = b""
+                while not received.endswith(b"hello"):
+                    received += await stream.receive_some()
+                arrived.append(received.split(b" ")[1])
+                fields = b"Attempt-Id: r\r\nResponse-Stamp: s\r\nConnection: close\r\n"
+                await stream.send_all(
+                    b"HTTP/1.1 200 OK\r\n" + fields + b"Content-Length: 2\r\n\r\nok"
+                )
+
+        async def serve_instances(port, task_status):
+            await trio.serve_tcp(answer, port, host="127.0.0.1", task_status=task_status)
+
+        async def script(client, url, process, _instances):
+            for target in targets:
+                received = await self.send_raw(url, self.request_bytes(target, b"r"))
+                self.assertTrue(received.startswith(b"HTTP/1.1 200"), received)
+
+        self.run_node(script, serve_instances)
+        self.assertEqual(arrived, list(targets))
+
     def test_a_request_goes_through_and_bad_ones_get_clear_answers(self):
         async def script(client, url, process, instances):
             answer = await self.request(client, url)
