Hold by a test that a second copy of a refusal answers no repeat

Why it can't: a refusal is an early exit from the call, before its body has been read to its end, and the client closes the connection then. The repeat goes by another connection, and the duplicate has nowhere to arrive. The test sends refusals twice (421, 503; at once and 50 ms later) and sees the repeat answered on a second connection.

--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -92,6 +92,28 @@
         await stream.aclose()
 
 
+class DuplicatingServer(RawServer):
+    """Refuses the first request twice on its connection, and answers the second one late."""
+
+    def __init__(self, refusal, late_seconds):
+        super().__init__(refusal, keep_open=True)
+        self.late_seconds = late_seconds
+
+    async def handle(self, stream):
+        self.connections += 1
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            while data := await self.read_request(stream):
+                self.received.append(data)
+                if len(self.received) == 1:
+                    await stream.send_all(self.answer)
+                    await trio.sleep(self.late_seconds)
+                    await stream.send_all(self.answer)
+                else:
+                    await trio.sleep(0.2)
+                    await stream.send_all(COMPLETE)
+        await stream.aclose()
+
+
 def request(request_id="r1", body=b"payload"):
     return ExchangeRequest(
         request_id=request_id,
@@ -224,6 +246,23 @@
             with self.subTest(name):
                 self.check_error(answer_bytes, expected)
 
+    def test_a_second_copy_of_a_refusal_answers_no_repeat_of_its_request(self):
+        """Guards against "not run" for a repeat that runs: both carry the same id."""
+        for head in (b"HTTP/1.1 421 X\r\nInstance-Id: i1\r\n", b"HTTP/1.1 503 X\r\n"):
+            refusal = head + b"Attempt-Id: r1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            for late_seconds in (0.0, 0.05):
+                server = DuplicatingServer(refusal, late_seconds)
+
+                async def script(instances, instance, server=server):
+                    with self.assertRaises(InstanceCallError) as caught:
+                        await self.call(instances, instance)
+                    self.assertIs(caught.exception.execution, Execution.NOT_RUN)
+                    _, body = await self.call(instances, instance)
+                    self.assertEqual(body, b"body")
+                    self.assertEqual(server.connections, 2)
+
+                self.run_with(server, script)
+
     def test_what_a_misdirected_request_tells(self):
         for named, version, stale, replaced in (
             (b"Instance-Id: i1\r\n", 1, True, False),
