Count a request's time from the first byte of its head

Change: the connection notes when the first byte of a request is read, and deadlines, objectives and waits count from then.

--- a/hopstep/adapters/exchange_server.py
+++ b/hopstep/adapters/exchange_server.py
@@ -71,6 +71,7 @@
         self.client = _client_address(stream)
         self.last_progress_at = trio.current_time()
         self.is_writing = False
+        self.request_began_at = self.last_progress_at
         self._stream = stream
         self._count_active = count_active
         self._counted_head = contextlib.ExitStack()
@@ -79,6 +80,9 @@
 
     def begin_request(self) -> None:
         """Note that a head was read; its request counts by itself from now on."""
+        if not self._is_reading_head:
+            # It came with the request before.
+            self.request_began_at = trio.current_time()
         self._is_serving = True
         self.end_head()
 
@@ -97,6 +101,7 @@
         self.last_progress_at = trio.current_time()
         if data and not self._is_serving and not self._is_reading_head:
             self._is_reading_head = True
+            self.request_began_at = self.last_progress_at
             self._counted_head.enter_context(self._count_active())
         return data
 
--- a/hopstep/domain/exchanges/request.py
+++ b/hopstep/domain/exchanges/request.py
@@ -68,7 +68,7 @@
         body: Complete body.
         route: Its route.
         tenant: Tenant of its API key; None on public routes.
-        received_at: When its head was read, by the steady clock in seconds.
+        received_at: When its first byte was read, by the steady clock in seconds.
         complete_at: When its body had arrived, by the same clock.
         deadline: When the final answer is due, by the same clock.
         client_deadline: When the client gives up, by the same clock.
--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -63,8 +63,9 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
-        head = _read_head(scope, trio.current_time())
         connection = scope.get("state", {}).get(CONNECTION_STATE)
+        began_at = connection.request_began_at if connection is not None else trio.current_time()
+        head = _read_head(scope, began_at)
         async with self._service.begin(head, connection) as request:
             if not await _read_body(receive, request):
                 return
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -33,7 +33,7 @@
         prompt: Description of its prompt; None when it names no model.
         resume_after: Id of the last event that the client has; empty for none.
         resumes: Id of the request that began the stream that the client resumes; empty for none.
-        received_at: Clock time in seconds at which its head was read.
+        received_at: Clock time in seconds at which its first byte was read.
         usage_tokens: Tokens of its prompt and longest answer; None when it names none.
     """
 
@@ -60,11 +60,13 @@
         last_progress_at: When a byte was last read from the client or accepted for it, or the
             current write began; steady clock, seconds.
         is_writing: Whether a write waits for the client.
+        request_began_at: When the first byte of the request under way was read; same clock.
     """
 
     client: str
     last_progress_at: float
     is_writing: bool
+    request_began_at: float
 
     @abc.abstractmethod
     def disconnect(self) -> None:
