Follow the configured limit on heads, also on open connections

Seen by the review, by reading: maxHeaderBytes above 16 KiB isn't followed; a head that is longer and doesn't come in one piece got 431, which clients don't repeat, although the configuration allows it. Lower limits weren't followed either.

Change: the limit is read from the configuration, and a connection applies the one in force when the first bytes of a head arrive. Heads that come whole in one read (64 KiB) pass as before.

tests.adapters.test_exchange_server.HeadLimitTest: 12,000 bytes at 16,384, 30,000 at 40,000 and 12,000 at 9,000 on one connection.

--- a/hopstep/adapters/exchange_server.py
+++ b/hopstep/adapters/exchange_server.py
@@ -233,6 +233,7 @@
     count_failure: CountFailure,
     count_active: CountActive,
     close_seconds: float,
+    max_head_bytes: Callable[[], int],
     *,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -246,9 +247,10 @@
         count_failure: Called for each connection that failed.
         count_active: Opens a context in which a part of a request counts as active.
         close_seconds: Time for connections to end by themselves after that; others are closed.
+        max_head_bytes: Returns the limit on a request's head.
         task_status: Receives the bound addresses once the listeners are open.
     """
-    config = ServerConfig(addresses[0], None)
+    config = ServerConfig(addresses[0], None, max_head_bytes)
     config.bind = [_binding(address, listeners) for address in addresses]
     config.graceful_timeout = close_seconds
     await serve_app(
--- a/hopstep/adapters/http_server.py
+++ b/hopstep/adapters/http_server.py
@@ -30,6 +30,7 @@
 """Longer than common clients keep an idle connection, so that the client closes it first."""
 
 BACKLOG = 1024
+MAX_HEAD_BYTES = 16 * 1024
 
 Listener = trio.SocketListener | trio.SSLListener[trio.SocketStream]
 CountFailure = Callable[[], None]
@@ -53,15 +54,22 @@
 class ServerConfig(Config):
     """Hypercorn's configuration, with a given TLS context."""
 
-    def __init__(self, address: str, tls: ssl.SSLContext | None) -> None:
+    def __init__(
+        self,
+        address: str,
+        tls: ssl.SSLContext | None,
+        max_head_bytes: Callable[[], int] = lambda: MAX_HEAD_BYTES,
+    ) -> None:
         """Configure one listener.
 
         Args:
             address: ``ip:port``.
             tls: Context of a TLS listener; None for plain HTTP.
+            max_head_bytes: Returns the limit on a request's head.
         """
         super().__init__()
         self._tls = tls
+        self._max_head_bytes = max_head_bytes
         self.bind = [address]
         self.backlog = BACKLOG
         self.keep_alive_timeout = KEEP_ALIVE_SECONDS
@@ -70,6 +78,11 @@
         self.accesslog = None
         self.errorlog = None
 
+    @property
+    def h11_max_incomplete_size(self) -> int:  # type: ignore[override]
+        """Limit on a request's head, in bytes."""
+        return self._max_head_bytes()
+
     @property
     def ssl_enabled(self) -> bool:
         """Whether the listener speaks TLS."""
--- a/hopstep/domain/exchanges/serving.py
+++ b/hopstep/domain/exchanges/serving.py
@@ -172,9 +172,11 @@
 
     Attributes:
         max_body_bytes: Longest request body.
+        max_head_bytes: Longest request line and headers together.
     """
 
     max_body_bytes: int = 4 * 1024 * 1024
+    max_head_bytes: int = 16 * 1024
 
 
 class ServingConfiguration(msgspec.Struct, frozen=True):
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -62,6 +62,7 @@
                 services.metrics.failed_connections.inc,
                 services.lifecycle.active,
                 services.lifecycle.schedule.close_seconds,
+                services.exchanges.max_head_bytes,
             )
             emit(
                 log_events.PROCESS_STARTED,
--- a/hopstep/platform/documents.py
+++ b/hopstep/platform/documents.py
@@ -152,6 +152,7 @@
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
     max_body_bytes: int = RequestLimits().max_body_bytes
+    max_header_bytes: int = RequestLimits().max_head_bytes
 
 
 class _Tenant(msgspec.Struct, frozen=True, rename="camel"):
@@ -231,7 +232,7 @@
         routes=tuple(route.read() for route in document.routes),
         services=tuple(service.read() for service in document.services),
         tenants=tuple(tenant.read() for tenant in document.tenants),
-        limits=RequestLimits(document.limits.max_body_bytes),
+        limits=RequestLimits(document.limits.max_body_bytes, document.limits.max_header_bytes),
     )
 
 
--- a/hopstep/platform/vocabulary.py
+++ b/hopstep/platform/vocabulary.py
@@ -88,7 +88,6 @@
         "services.engine.pinDurationMs": NOT_USED,
         "services.engine.holdMs": NOT_USED,
         "services.engine.handle_s": NOT_USED,
-        "limits.maxHeaderBytes": "the HTTP library has its own limit",
         "limits.headerTimeoutMs": "the HTTP library has its own limit",
         "limits.idleTimeoutMs": "the HTTP library has its own limit",
     },
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -166,6 +166,10 @@
             limits = self._limits_in_force()
             yield IncomingExchange(head, share, limits.max_body_bytes, self._serve)
 
+    def max_head_bytes(self) -> int:
+        """Return the limit on the head of a request that begins now."""
+        return self._limits_in_force().max_head_bytes
+
     def _limits_in_force(self) -> RequestLimits:
         """Return the limits of the configuration in force; the default ones before the first."""
         current = self._knowledge.current
--- a/tests/adapters/test_exchange_server.py
+++ b/tests/adapters/test_exchange_server.py
@@ -3,7 +3,9 @@
 import contextlib
 import functools
 import unittest
+from unittest import mock
 
+import hypercorn.protocol
 import trio
 
 from hopstep.adapters.exchange_server import (
@@ -11,6 +13,7 @@
     OperatorListeners,
     track_connections,
 )
+from hopstep.adapters.http1_only import Http1OnlyProtocol
 from hopstep.adapters.http_server import ServerConfig, serve_app
 from hopstep.ports.exchange_front import CONNECTION_STATE
 
@@ -187,5 +190,48 @@
         self.assertEqual(self.served, [])
 
 
+class HeadLimitTest(unittest.TestCase):
+    def test_a_limit_on_heads_is_followed_on_open_connections_too(self):
+        """Guards against heads that are refused above the library's own limit, or allowed."""
+        limits, statuses = [16_384], []
+
+        async def app(scope, receive, send):
+            if scope["type"] == "lifespan":
+                for _ in range(2):
+                    message = await receive()
+                    await send({"type": f"{message['type']}.complete"})
+                return
+            await send({"type": "http.response.start", "status": 200, "headers": LENGTH_HEADERS})
+            await send({"type": "http.response.body", "body": b"ok"})
+
+        async def send_head(stream, size):
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(b"GET / HTTP/1.1\r\nHost: h\r\nX-Long: ")
+                for _ in range(4):
+                    await stream.send_all(b"x" * (size // 4))
+                    await trio.sleep(0.02)
+                await stream.send_all(b"\r\n\r\n")
+            answer = await stream.receive_some()
+            while answer.startswith(b"HTTP/1.1 200") and not answer.endswith(b"ok"):
+                answer += await stream.receive_some()
+            statuses.append(int(answer[9:12]))
+
+        async def main():
+            config = ServerConfig("127.0.0.1:0", None, lambda: limits[-1])
+            async with trio.open_nursery() as nursery:
+                urls = await nursery.start(serve_app, app, config, trio.sleep_forever)
+                port = int(urls[0].rpartition(":")[2])
+                with trio.fail_after(5.0):
+                    async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                        for limit, size in ((16_384, 12_000), (40_000, 30_000), (9_000, 12_000)):
+                            limits.append(limit)
+                            await send_head(stream, size)
+                nursery.cancel_scope.cancel()
+
+        with mock.patch.object(hypercorn.protocol, "H11Protocol", Http1OnlyProtocol):
+            trio.run(main)
+        self.assertEqual(statuses, [200, 200, 431])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from hopstep.domain.exchanges.instances import InstanceIncarnation
-from hopstep.domain.exchanges.serving import RequestKind, ServingIndex
+from hopstep.domain.exchanges.serving import RequestKind, RequestLimits, ServingIndex
 from hopstep.domain.limits.quota_ledger import TenantQuota
 from hopstep.platform.documents import read_configuration, read_instance, read_weights
 
@@ -36,7 +36,7 @@
         },
         {"name": "k", "kvStoreAddress": "172.20.0.2:1", "zone": "z", "linkMbps": 5.0},
     ],
-    "limits": {"maxBodyBytes": 99},
+    "limits": {"maxBodyBytes": 99, "maxHeaderBytes": 20_000},
     "tenants": [{"name": "x", "apiKeys": ["a", "b"], "priority": 1, "isolated": True}],
 }
 
@@ -52,7 +52,7 @@
         self.assertEqual((route.timeout_seconds, route.objective_seconds), (6.0, 0.8))
         self.assertEqual([share.weight for share in route.shares], [90.0, 10.0])
         self.assertEqual(configuration.services[0].engine.models, ("m",))
-        self.assertEqual(configuration.limits.max_body_bytes, 99)
+        self.assertEqual(configuration.limits, RequestLimits(99, 20_000))
         index = ServingIndex(configuration)
         self.assertEqual([store.address for store in index.cache_stores()], ["172.20.0.2:1"])
         self.assertTrue(index.find_tenant("b").isolated)
