--- a/tests/adapters/test_exchange_server.py
+++ b/tests/adapters/test_exchange_server.py
@@ -201,15 +201,17 @@
                     message = await receive()
                     await send({"type": f"{message['type']}.complete"})
                 return
+            while (await receive())["more_body"]:
+                pass
             await send({"type": "http.response.start", "status": 200, "headers": LENGTH_HEADERS})
             await send({"type": "http.response.body", "body": b"ok"})
 
         async def send_head(stream, size):
-            with contextlib.suppress(trio.BrokenResourceError):
-                await stream.send_all(b"GET / HTTP/1.1\r\nHost: h\r\nX-Long: ")
-                for _ in range(4):
-                    await stream.send_all(b"x" * (size // 4))
-                    await trio.sleep(0.02)
+            await stream.send_all(b"GET / HTTP/1.1\r\nHost: h\r\nX-Long: ")
+            for _ in range(4):
+                await stream.send_all(b"x" * (size // 4))
+                await trio.sleep(0.02)
+            if size < limits[-1]:
                 await stream.send_all(b"\r\n\r\n")
             answer = await stream.receive_some()
             while answer.startswith(b"HTTP/1.1 200") and not answer.endswith(b"ok"):
@@ -223,7 +225,7 @@
                 port = int(urls[0].rpartition(":")[2])
                 with trio.fail_after(5.0):
                     async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
-                        for limit, size in ((16_384, 12_000), (40_000, 30_000), (9_000, 12_000)):
+                        for limit, size in ((16_384, 12_000), (40_000, 30_000), (10_000, 12_000)):
                             limits.append(limit)
                             await send_head(stream, size)
                 nursery.cancel_scope.cancel()
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -112,6 +112,10 @@
             "never goes back",
             "processes",
             "cut links",
+            "unchanged requests",
+            "isolated segments",
+            "body limits",
+            "refused for changes",
         }
         self.assertEqual(held, CHECKS.keys())
 
--- a/tests/emulator/soak/test_profiles.py
+++ b/tests/emulator/soak/test_profiles.py
@@ -11,6 +11,7 @@
 from emulator.soak.hostile_callers import HostileCallers
 from emulator.soak.operators import Operator
 from emulator.soak.profiles import (
+    CHANGES,
     CUTS,
     FATAL_PART,
     LIMITS,
@@ -27,7 +28,7 @@
     profile_of,
 )
 
-CHOSEN_BY_NAME = (NOTICES, LIMITS, RESTORES, CUTS, VERSIONS, SOFTWARE_VERSIONS, PARTS)
+CHOSEN_BY_NAME = (NOTICES, LIMITS, RESTORES, CUTS, VERSIONS, SOFTWARE_VERSIONS, PARTS, CHANGES)
 
 
 class ProfilesTest(unittest.TestCase):
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -11,6 +11,7 @@
 import trio
 
 from emulator.soak.profiles import (
+    CHANGES,
     CUTS,
     LIMITS,
     NOTICES,
@@ -35,12 +36,14 @@
     (13, CUTS.name),
     (17, SOFTWARE_VERSIONS.name),
     (80_105, PARTS.name),
+    (90_105, CHANGES.name),
 )
 """Seeds and profiles: lost routes to the store during changes; planned work during changes;
 fatal requests, later incarnations of instances, entries of other writers and suspended machines;
 instances that announce in responses that they are shutting down or want backoff; instances that
 announce limits; a store that is restored from backups; nodes that lose their links to instances;
-instances of several software versions; and parts of prompts that crash instances.
+instances of several software versions; parts of prompts that crash instances; and limits, tenants,
+keys and services that change while requests arrive in pieces.
 """
 
 
