Apply a changed limit on heads at the first bytes of each head

Cause in the product: the limit was only applied while the HTTP parser was idle on both sides, but after a request both sides are done, and become idle within the next read, after the check. So an open connection kept the limit of its beginning.

The parser now takes the limit itself, at the first bytes of a head and at the beginning of its next cycle.

--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -8,9 +8,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any
+
 import h11
 import hypercorn.protocol
-from hypercorn.events import Event, RawData
 from hypercorn.protocol.h11 import H11Protocol
 
 from hopstep.ports.exchange_front import TARGET_STATE
@@ -18,29 +20,41 @@
 UPGRADE = b"upgrade"
 
 
+class LimitedConnection(h11.Connection):
+    """A server's connection whose limit on heads may change while it is open."""
+
+    def __init__(self, max_head_bytes: Callable[[], int]) -> None:
+        """Begin a connection.
+
+        Args:
+            max_head_bytes: Returns the limit on a head.
+        """
+        super().__init__(h11.SERVER, max_incomplete_event_size=max_head_bytes())
+        self._max_head_bytes = max_head_bytes
+
+    def receive_data(self, data: bytes) -> None:
+        """Take bytes of the client; the first ones of a head apply the limit of now."""
+        if self.their_state is h11.IDLE and not self.trailing_data[0]:
+            self._apply_limit()
+        super().receive_data(data)
+
+    def start_next_cycle(self) -> None:
+        """Prepare for the next request, of which bytes may have arrived already."""
+        super().start_next_cycle()
+        self._apply_limit()
+
+    def _apply_limit(self) -> None:
+        """Apply the limit of now; the library sets its own at the beginning only."""
+        self._max_incomplete_event_size = self._max_head_bytes()
+
+
 class Http1OnlyProtocol(H11Protocol):
     """Hypercorn's HTTP/1.1 protocol without its upgrades to HTTP/2 and WebSocket."""
 
-    _head_limit_bytes = 0
-
-    async def handle(self, event: Event) -> None:
-        """Process what happens on the connection."""
-        if isinstance(event, RawData):
-            self._apply_head_limit()
-        await super().handle(event)
-
-    def _apply_head_limit(self) -> None:
-        """Apply a changed limit to the head whose first bytes arrive now."""
-        limit_bytes = self.config.h11_max_incomplete_size
-        if limit_bytes == self._head_limit_bytes or not self._is_between_requests():
-            return
-        self._head_limit_bytes = limit_bytes
-        self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=limit_bytes)
-
-    def _is_between_requests(self) -> bool:
-        """Return whether nothing of the next request has arrived, and the last one has ended."""
-        states = (self.connection.our_state, self.connection.their_state)
-        return states == (h11.IDLE, h11.IDLE) and not self.connection.trailing_data[0]
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        """Begin a connection; see the library's class for the arguments."""
+        super().__init__(*arguments, **options)
+        self.connection = LimitedConnection(lambda: self.config.h11_max_incomplete_size)
 
     async def _check_protocol(self, event: h11.Request) -> None:
         """Skip the check for an upgrade."""
