Leave a body that nobody takes yet with its client

While a node waits for its first reading of the store, requests wait before their bodies are taken; the server read on meanwhile, ten messages of 64 KiB a connection, which no budget counts.

--- a/hopstep/adapters/http_server.py
+++ b/hopstep/adapters/http_server.py
@@ -30,6 +30,11 @@
 """Longer than common clients keep an idle connection, so that the client closes it first."""
 
 BACKLOG = 1024
+MAX_QUEUED_MESSAGES = 2
+"""Messages that the server reads before the application takes them: parts of a body, of 64 KiB at
+most, its end, and the end of the connection. The last two must have space for a request without a
+body, so that its connection can be closed."""
+
 MAX_HEAD_BYTES = 16 * 1024
 
 Listener = trio.SocketListener | trio.SSLListener[trio.SocketStream]
@@ -72,6 +77,7 @@
         self._max_head_bytes = max_head_bytes
         self.bind = [address]
         self.backlog = BACKLOG
+        self.max_app_queue_size = MAX_QUEUED_MESSAGES
         self.keep_alive_timeout = KEEP_ALIVE_SECONDS
         self.graceful_timeout = CLOSE_SECONDS
         self.include_server_header = False
--- a/tests/adapters/test_exchange_server.py
+++ b/tests/adapters/test_exchange_server.py
@@ -19,6 +19,9 @@
 
 LONG_RESPONSE = b"x" * 20_000_000
 LENGTH_HEADERS = [(b"content-length", b"2")]
+BODY_BYTES = 1_000_000
+READ_BYTES = 65_536
+"""Bytes that the server reads at a time."""
 
 
 class TrackedConnectionTest(unittest.TestCase):
@@ -235,5 +238,65 @@
         self.assertEqual(statuses, [200, 200, 431])
 
 
+class CountedStream:
+    """A connection's stream that counts what was read from it."""
+
+    def __init__(self, stream):
+        self._stream, self.received = stream, 0
+
+    async def receive_some(self, max_bytes):
+        data = await self._stream.receive_some(max_bytes)
+        self.received += len(data)
+        return data
+
+    def __getattr__(self, name):
+        return getattr(self._stream, name)
+
+
+class UnreadBodyTest(unittest.TestCase):
+    def test_a_body_that_nobody_takes_yet_stays_with_its_client(self):
+        """Guards against bodies that are held uncounted until the node's first reading."""
+        streams, read = [], []
+
+        async def app(scope, receive, send):
+            if scope["type"] == "lifespan":
+                for _ in range(2):
+                    message = await receive()
+                    await send({"type": f"{message['type']}.complete"})
+                return
+            await may_read.wait()
+            message = await receive()
+            while message["more_body"]:
+                read.append(len(message["body"]))
+                message = await receive()
+            await send({"type": "http.response.start", "status": 200, "headers": LENGTH_HEADERS})
+            await send({"type": "http.response.body", "body": b"ok"})
+
+        def open_connection(stream, _state):
+            streams.append(CountedStream(stream))
+            return contextlib.nullcontext(streams[-1])
+
+        async def main():
+            nonlocal may_read
+            may_read = trio.Event()
+            config = ServerConfig("127.0.0.1:0", None)
+            serve = functools.partial(serve_app, open_connection=open_connection)
+            async with trio.open_nursery() as nursery:
+                urls = await nursery.start(serve, app, config, trio.sleep_forever)
+                stream = await trio.open_tcp_stream("127.0.0.1", int(urls[0].rpartition(":")[2]))
+                head = f"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+                nursery.start_soon(stream.send_all, head.encode() + b"x" * BODY_BYTES)
+                await trio.sleep(0.3)
+                self.assertLessEqual(streams[0].received, 3 * READ_BYTES)
+                may_read.set()
+                with trio.fail_after(5.0):
+                    self.assertTrue((await stream.receive_some()).startswith(b"HTTP/1.1 200"))
+                nursery.cancel_scope.cancel()
+
+        may_read = None
+        trio.run(main)
+        self.assertEqual(sum(read), BODY_BYTES)
+
+
 if __name__ == "__main__":
     unittest.main()
