Let the soak change the configuration under requests that arrive in pieces

No test or soak changed the configuration during a request, who shares after something was kept, or sent a request's bytes across a stage of a stop; so none could find the three faults of the review.

The new profile "changes under way" does all three: limits on bodies, isolation, keys and services change; heads and bodies arrive in pieces over up to 2 s, on connections that are kept through stops; nodes start beside a slow store. Four new checks compare what instances get with what was sent, and every part that is read with the tenants of both requests.

--- a/emulator/exchange_platform/http_instance.py
+++ b/emulator/exchange_platform/http_instance.py
@@ -11,7 +11,7 @@
 import json
 import random
 from collections.abc import AsyncIterator, Iterator
-from typing import Protocol
+from typing import Protocol, cast
 
 import msgspec
 import quart
@@ -93,8 +93,12 @@
     limit: float | None = None
 
 
+PASSED_ON = ("Attempt-Id", "Model", "Token-Usage", "Prompt-Prefix", "X-Note")
+"""Headers that nodes pass on unchanged."""
+
+
 class RunHeaders(msgspec.Struct, frozen=True):
-    """Headers that an instance received with a request.
+    """What an instance received with a request.
 
     Attributes:
         request_id: Id of the request.
@@ -102,6 +106,10 @@
         salt: Cache salt.
         key_shown: Whether the caller's key was among them.
         first_event: Number of the first event that the caller lacks.
+        method: HTTP method.
+        target: Path and query.
+        body: Body of the request.
+        passed_on: Values of ``PASSED_ON`` headers; empty for missing ones.
     """
 
     request_id: str
@@ -109,6 +117,10 @@
     salt: str
     key_shown: bool
     first_event: int = 0
+    method: str = ""
+    target: str = ""
+    body: bytes = b""
+    passed_on: tuple[str, ...] = ()
 
 
 class InstanceListener(Protocol):
@@ -207,7 +219,7 @@
         """Handle the current request."""
         headers = quart.request.headers
         request_id = headers.get("Attempt-Id", "")
-        body = await quart.request.get_data()
+        body = cast(bytes, await quart.request.get_data())
         self._listener.request_arrived(self, request_id)
         refusal = self._refusal(headers)
         if refusal is not None:
@@ -219,6 +231,10 @@
             headers.get("Cache-Salt", ""),
             "X-Api-Key" in headers,
             int(headers["Last-Event-Id"]) + 1 if "Last-Event-Id" in headers else 0,
+            quart.request.method,
+            _target(),
+            body,
+            tuple(headers.get(name, "") for name in PASSED_ON),
         )
         self._listener.run_started(self, shown, stamp)
         wanted = json.loads(body) if body else {}
@@ -367,6 +383,14 @@
         return share > 0 and self._generator.random() < share
 
 
+def _target() -> str:
+    """Return the path and query of the current request."""
+    scope = quart.request.scope
+    query = scope["query_string"]
+    target = scope["raw_path"] + (b"?" + query if query else b"")
+    return bytes(target).decode("latin-1")
+
+
 def _create_app(instance: HttpInstance) -> quart_trio.QuartTrio:
     """Return the HTTP application of an instance."""
     app = quart_trio.QuartTrio(__name__)
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -203,8 +203,9 @@
 
 
 def path_of(request: SentRequest) -> str:
-    """Return a request's path."""
-    return f"{request.path or f'/{request.kind}/'}x"
+    """Return a request's path, and the query of one that is sent slowly."""
+    query = f"?n={request.request_id}&e=%20%2F" if request.sent_slowly else ""
+    return f"{request.path or f'/{request.kind}/'}x{query}"
 
 
 def shared_part(request: SentRequest) -> str:
@@ -228,6 +229,8 @@
         headers["Token-Usage"] = "2000,50"
         fatal = f"{request.fatal}:300," if request.has_fatal_part else ""
         headers["Prompt-Prefix"] = f"{shared}:1800,{fatal}{request.request_id}:200"
+    if request.sent_slowly:
+        headers["X-Note"] = f"note of {request.request_id}"
     if request.resumes:
         headers["Resumes"] = request.resumes
         headers["Last-Event-Id"] = str(request.first_event - 1)
@@ -238,7 +241,14 @@
     """Return a request's body, which tells the instance what to do."""
     if request.fatal and not request.has_fatal_part:
         return json.dumps({"fatal": request.fatal}).encode()
+    named = {"name": request.name} if request.name else {}
+    padded = {"padding": _padding(request)} if request.padding else {}
     if request.service == ENGINES:
-        named = {"name": request.name} if request.name else {}
-        return json.dumps({"events": request.events, **named}).encode()
-    return json.dumps({"work_ms": 20}).encode()
+        return json.dumps({"events": request.events, **named, **padded}).encode()
+    return json.dumps({"work_ms": request.work_ms, **padded}).encode()
+
+
+def _padding(request: SentRequest) -> str:
+    """Return characters that lengthen a request's body."""
+    repeats = request.padding // len(request.request_id) + 1
+    return (request.request_id * repeats)[: request.padding]
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -6,6 +6,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 
+from emulator.soak.change_checks import CHANGE_CHECKS
 from emulator.soak.history import (
     LEASES_EXPIRED_EARLY,
     Arrival,
@@ -101,20 +102,31 @@
     return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
 
 
-def only_what_was_sent_runs(history: History, _bounds: Bounds) -> Iterable[str]:
+def only_what_was_sent_runs(history: History, bounds: Bounds) -> Iterable[str]:
     """Yield runs of unknown requests, for a wrong tenant or service, or with the key forwarded."""
     for run in history.runs:
         request = history.requests.get(run.request_id)
         if request is None:
             yield f"{run.instance_id} ran the unknown {run.request_id}"
-        elif run.tenant != history.tenants.get(request.key, ""):
+            continue
+        since = request.sent_at - bounds.revocation
+        if run.tenant not in history.holders(request.key, since, run.at):
             yield f"{run.request_id} ran for tenant {run.tenant!r}"
-        elif run.service != request.service:
+        elif not _may_run_at(history, request, run, bounds):
             yield f"{run.request_id} ran at service {run.service}"
         elif run.key_shown:
             yield f"{run.request_id} showed its key to an instance"
 
 
+def _may_run_at(history: History, request: SentRequest, run: Run, bounds: Bounds) -> bool:
+    """Return whether a configuration that may be in force sends a request to a run's service."""
+    since = request.sent_at - bounds.configuration
+    if run.service in history.services(request, since, run.at):
+        return True
+    in_touch = history.time_bounds_apply(request.node, request.sent_at - bounds.settling, run.at)
+    return not in_touch and run.service in history.services(request, -float("inf"), run.at)
+
+
 def revoked_keys_run_nothing(history: History, bounds: Bounds) -> Iterable[str]:
     """Yield requests that ran although their key was revoked long before they were sent."""
     revoked = {revocation.key: revocation.at for revocation in history.revocations}
@@ -217,7 +229,7 @@
     """Yield requests that a planned stop cut off, while there was no other fault.
 
     Excepted are requests that were sent while the node closed their connection: they reach no
-    instance, and their callers see the failure at once.
+    instance, and their callers see the failure at once. Also responses that end at their deadline.
     """
     arrived = {arrival.request_id for arrival in history.arrivals}
     stops = [fault for fault in history.disturbances if fault.planned]
@@ -233,12 +245,20 @@
         disturbed = any(
             fault.since <= request.ended_at and fault.until >= request.sent_at for fault in others
         )
-        lost_on_close = request.request_id not in arrived
-        lost_on_close = lost_on_close and request.ended_at - request.sent_at <= bounds.loss_slack
-        if meets and not answered and not disturbed and not lost_on_close:
+        lost_on_close = request.request_id not in arrived and _ended_on_close(request, bounds)
+        is_over = request.head_at is not None and request.ended_at >= request.deadline_at
+        if meets and not answered and not disturbed and not lost_on_close and not is_over:
             yield f"{request.kind} {request.request_id} was cut off by the stop of {request.node}"
 
 
+def _ended_on_close(request: SentRequest, bounds: Bounds) -> bool:
+    """Return whether a request's connection ended before it was sent whole, or right after."""
+    if request.ended_at is None or (request.sent_slowly and request.complete_at is None):
+        return True
+    sent_at = request.complete_at if request.complete_at is not None else request.sent_at
+    return request.ended_at - sent_at <= bounds.loss_slack
+
+
 def clients_that_left_occupy_nothing(history: History, bounds: Bounds) -> Iterable[str]:
     """Yield counts of late arrivals and of late repeatable runs for callers that left."""
     arrivals = [a for a in history.arrivals if _left_before(history, a.request_id, a.at, bounds)]
@@ -270,11 +290,14 @@
 
 
 def answers_come_in_time(history: History, bounds: Bounds) -> Iterable[str]:
-    """Yield requests that ended long after their deadline, on undisturbed nodes."""
+    """Yield requests that ended long after their deadline, on undisturbed nodes.
+
+    Those that their callers sent too slowly for it end when they are whole.
+    """
     for request in history.requests.values():
         if request.left or request.ended_at is None:
             continue
-        late = request.ended_at - request.deadline_at
+        late = request.ended_at - max(request.deadline_at, request.complete_at or 0.0)
         since = request.sent_at - bounds.settling
         if late > MAX_LATE_SECONDS and not history.disturbed(request.node, since, request.ended_at):
             yield f"{request.kind} {request.request_id} ended {late:.2f} s after its deadline"
@@ -377,5 +400,6 @@
     **LINK_CHECKS,
     **STREAM_CHECKS,
     **REGRESS_CHECKS,
+    **CHANGE_CHECKS,
     "processes": processes_stay_alive,
 }
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -34,6 +34,9 @@
 
 ZONES = ("z1", "z2", "z3")
 PLAIN, ENGINES, MODEL = "plain", "engines", "m"
+OTHER_PLAIN = "other"
+"""Service without instances unless routes are redirected to it."""
+
 HOST = "soak.example"
 CONFIGURATION_KEY = "op/config"
 GRACE_SECONDS = 4.0
@@ -119,6 +122,7 @@
         self.instances: list[InstanceLinks] = []
         self.decoy = ""
         self.software_versions: tuple[str, ...] = (FIRST_SOFTWARE,)
+        self.redirects_routes = False
         self._directory = directory
         self._generator = generator
         self._started = 0
@@ -143,6 +147,8 @@
             await self.add_instance(PLAIN, zone)
             await self.add_instance(ENGINES, zone)
             await self.add_instance(ENGINES, zone)
+            if self.redirects_routes:
+                await self.add_instance(OTHER_PLAIN, zone)
         for number in range(nodes):
             await self._add_node(f"n{number}", ZONES[number % len(ZONES)], store_address)
 
--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -4,6 +4,7 @@
 
 import random
 import signal
+from collections.abc import Callable
 
 import trio
 
@@ -99,6 +100,11 @@
             "settings reloaded": self._settings_reloaded,
             "key revoked": self._key_revoked,
             "weights named": self._weights_named,
+            "node started slowly": self._node_started_slowly,
+            "body limit changed": self._change(operator.change_body_limit),
+            "tenants isolated": self._change(operator.change_isolation),
+            "key moved": self._change(operator.move_key),
+            "routes redirected": self._change(operator.redirect),
             "node suspended": self._node_suspended,
             FATAL: callers.repeat_fatal_request,
             FATAL_PART: callers.share_fatal_part,
@@ -345,6 +351,24 @@
         await trio.lowlevel.checkpoint()
         self._operator.revoke()
 
+    async def _node_started_slowly(self) -> None:
+        """Kill a node and start it while the store is slow."""
+        disturbance = self._deployment.disturb("slow", STORE)
+        slow_seconds = self._generator.uniform(0.1, 0.6)
+        self._deployment.shared.order_faults(FaultOrder(slow_seconds=slow_seconds))
+        await self._kill(self._node())
+        self._deployment.shared.order_faults(FaultOrder(slow_seconds=0.0))
+        disturbance.until = trio.current_time()
+
+    def _change(self, change: Callable[[], None]) -> Fault:
+        """Return a kind that makes a change of the operator's."""
+
+        async def make() -> None:
+            await trio.lowlevel.checkpoint()
+            change()
+
+        return make
+
     async def _weights_named(self) -> None:
         await trio.lowlevel.checkpoint()
         self._operator.set_weights_version()
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -77,6 +77,10 @@
         first_event: Number of the first event that is still missing, for a resume.
         resumes: Request that brought the first event of the stream; empty for a new one.
         name: Name that makes the body differ from those of other callers; empty for none.
+        padding: Characters that lengthen the body.
+        work_ms: Time for which an instance of a plain service works on it.
+        complete_at: When its last byte was sent; None before that, or if it was sent at once.
+        sent_slowly: Whether it was sent in pieces, with pauses between them.
     """
 
     request_id: str
@@ -101,6 +105,10 @@
     first_event: int = 0
     resumes: str = ""
     name: str = ""
+    padding: int = 0
+    work_ms: int = 20
+    complete_at: float | None = None
+    sent_slowly: bool = False
 
     @property
     def received(self) -> int:
@@ -133,6 +141,22 @@
         self.complete = request.whole and request.status == OK
 
 
+class ReceivedRequest(msgspec.Struct, frozen=True):
+    """A request as an instance got it, or as it should.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        body_digest: Digest of the body, in hexadecimal digits.
+        headers: Values of the headers that nodes pass on unchanged, in a fixed order.
+    """
+
+    method: str
+    target: str
+    body_digest: str
+    headers: tuple[str, ...]
+
+
 class Run(msgspec.Struct):
     """One execution of a request by an instance.
 
@@ -150,6 +174,7 @@
         ended_at: Its end, complete or not; None while it runs.
         software_version: Software version of the instance.
         first_event: Number of the first event that it sends.
+        received: What the instance got; None where that isn't recorded.
     """
 
     request_id: str
@@ -165,6 +190,7 @@
     ended_at: float | None = None
     software_version: str = ""
     first_event: int = 0
+    received: ReceivedRequest | None = None
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -304,6 +330,37 @@
     at: float
 
 
+class KeyMove(msgspec.Struct, frozen=True):
+    """A key that another tenant holds from a time on; no tenant if the name is empty."""
+
+    key: str
+    tenant: str
+    at: float
+
+
+class IsolationChange(msgspec.Struct, frozen=True):
+    """A tenant that is isolated, or shares again, from a time on."""
+
+    tenant: str
+    isolated: bool
+    at: float
+
+
+class BodyLimit(msgspec.Struct, frozen=True):
+    """A limit on bodies, in bytes, and when the store acknowledged it."""
+
+    max_bytes: int
+    at: float
+
+
+class Redirect(msgspec.Struct, frozen=True):
+    """A kind of request that goes to a service from a time on."""
+
+    kind: RequestKind
+    service: str
+    at: float
+
+
 class WeightsChange(msgspec.Struct, frozen=True):
     """A new target version of the weights, and when the store acknowledged it."""
 
@@ -363,8 +420,12 @@
         instances: All incarnations of instances.
         disturbances: Faults, in the order of their starts.
         unexpected_exits: Nodes whose process ended by itself, with the exit code.
-        tenants: Tenant of each key.
-        isolated: Tenants that share no cached segments with others.
+        tenants: Tenant of each key at the start.
+        isolated: Tenants that never share cached segments with others.
+        key_moves: Keys that changed their tenants.
+        isolation_changes: Tenants that were isolated, or shared again.
+        body_limits: Limits on bodies.
+        redirects: Kinds of requests that changed their services.
     """
 
     requests: dict[str, SentRequest] = {}
@@ -386,6 +447,10 @@
     unexpected_exits: list[str] = []
     tenants: dict[str, str] = {}
     isolated: set[str] = set()
+    key_moves: list[KeyMove] = []
+    isolation_changes: list[IsolationChange] = []
+    body_limits: list[BodyLimit] = []
+    redirects: list[Redirect] = []
 
     def time_bounds_apply(self, node: str, since: float, until: float) -> bool:
         """Return whether promises with a time bound apply to a node in a period.
@@ -401,6 +466,22 @@
             for fault in faults
         )
 
+    def holders(self, key: str, since: float, until: float) -> set[str]:
+        """Return the tenants that held a key between two times; empty names for none."""
+        moves = [move for move in self.key_moves if move.key == key and move.at <= until]
+        before = [move.tenant for move in moves if move.at <= since]
+        during = {move.tenant for move in moves if move.at > since}
+        return {before[-1] if before else self.tenants.get(key, "")} | during
+
+    def services(self, request: SentRequest, since: float, until: float) -> set[str]:
+        """Return the services of a request's route between two times."""
+        if request.path:
+            return {request.service}
+        changes = [each for each in self.redirects if each.kind == request.kind]
+        before = [each.service for each in changes if each.at <= since]
+        during = {each.service for each in changes if since < each.at <= until}
+        return {before[-1] if before else request.service} | during
+
     def disturbed(self, subject: str, since: float, until: float) -> bool:
         """Return whether a fault of a subject overlaps with a period."""
         return any(
--- a/emulator/soak/limit_checks.py
+++ b/emulator/soak/limit_checks.py
@@ -11,6 +11,9 @@
 from emulator.soak.link_checks import has_linked_node
 from emulator.soak.promises import Bounds, Check
 
+CHANGED = b"configuration_changed"
+"""Body of the refusal of a request that was judged by a configuration of before."""
+
 REFUSED = 503
 
 
@@ -81,12 +84,14 @@
     """Yield requests that reached no instance although one of their service had free capacity.
 
     Only plain services are checked: an engine may be loading weights. Nothing is free while no node
-    has its links to instances.
+    has its links to instances. Requests that are sent slowly, or refused for a change of the
+    configuration, have checks of their own.
     """
     reached = {arrival.request_id for arrival in history.arrivals}
     for request in history.requests.values():
         ended_at = request.ended_at
         refused = request.status == REFUSED and not request.fatal and not request.path
+        refused = refused and not request.sent_slowly and request.body != CHANGED
         if not refused or ended_at is None or request.request_id in reached:
             continue
         since = request.sent_at - bounds.settling
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -45,6 +45,8 @@
 SOFTWARE = "software replaced"
 
 CHANGE_KINDS = ("instance leaves", "key revoked", "weights named")
+SETTINGS_KINDS = ("body limit changed", "tenants isolated", "key moved", "routes redirected")
+"""Changes of the configuration that requests under way are judged by."""
 
 
 class Profile(msgspec.Struct, frozen=True):
@@ -362,6 +364,25 @@
 that are killed, one and all, and a store that is away; chosen by name only."""
 
 
+CHANGES = Profile(
+    "changes under way",
+    (
+        *SETTINGS_KINDS,
+        *SETTINGS_KINDS,
+        "routes redirected",
+        "routes redirected",
+        *("node stopped",) * 6,
+        "node started slowly",
+    ),
+    (0.4, 1.4),
+    0.2,
+    1.0,
+)
+"""Limits, tenants, keys and services that change while heads and bodies arrive in pieces, on
+connections that are kept through stops, and nodes that start beside a slow store; chosen by name
+only, as it has callers of its own."""
+
+
 FIRST_SEED_WITH_RESTORES = 10_000
 """First seed with restores in the profile "everything"; earlier seeds keep their profiles."""
 
@@ -442,6 +463,7 @@
         *PROFILES_WITH_PARTS,
         SHORT,
         PARTS,
+        CHANGES,
         NOTICES,
         LIMITS,
         RESTORES,
--- a/emulator/soak/recorder.py
+++ b/emulator/soak/recorder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 from collections.abc import Callable
 
@@ -10,13 +11,25 @@
 from emulator.exchange_platform.http_instance import HttpInstance, ResponseNotices, RunHeaders
 from emulator.platform.shared_store import SharedStore
 from emulator.platform.store_model import ABSENT_REVISION
-from emulator.soak.history import Arrival, History, Run, SentNotice, TakenOrder
+from emulator.soak.history import (
+    Arrival,
+    History,
+    ReceivedRequest,
+    Run,
+    SentNotice,
+    TakenOrder,
+)
 from hopstep.adapters import key_value_store_wire as wire
 
 DIRECT_KEY_PREFIXES = ("op/", "servers/")
 """Prefixes of the keys that operators and instances write."""
 
 
+def digest_of(body: bytes) -> str:
+    """Return a digest of a body, in hexadecimal digits."""
+    return hashlib.blake2b(body, digest_size=16).hexdigest()
+
+
 class DirectStore:
     """Writes of the operator and of instances, which bypass the store's faults.
 
@@ -133,6 +146,9 @@
                 stamp=stamp,
                 software_version=instance.traits.software_version,
                 first_event=headers.first_event,
+                received=ReceivedRequest(
+                    headers.method, headers.target, digest_of(headers.body), headers.passed_on
+                ),
             )
         )
 
--- a/emulator/soak/run.py
+++ b/emulator/soak/run.py
@@ -26,9 +26,10 @@
 from emulator.soak.operators import Operator
 from emulator.soak.persistent_callers import PersistentCallers
 from emulator.soak.probes import Probes
-from emulator.soak.profiles import RESTORE, SOFTWARE, profile_of
+from emulator.soak.profiles import CHANGES, RESTORE, SOFTWARE, profile_of
 from emulator.soak.promises import Bounds, Violation
 from emulator.soak.resuming_callers import ResumingCallers
+from emulator.soak.slow_callers import SlowCallers
 from emulator.soak.stream_checks import StreamFigures, stream_figures
 
 START_SECONDS = 30.0
@@ -38,6 +39,7 @@
 
 PERSISTENT_CALLERS_PER_NODE = 2
 RESUMING_CALLERS_PER_NODE = 2
+SLOW_CALLERS_PER_NODE = 6
 SOFTWARE_USED = ("v1", "v1.1")
 """Software versions of engines where a profile replaces software."""
 
@@ -122,11 +124,18 @@
     resuming = ResumingCallers(
         deployment, callers, random.Random(plan.seed + 7), RESUMING_CALLERS_PER_NODE * plan.nodes
     )
+    slow = SlowCallers(
+        deployment,
+        random.Random(plan.seed + 8),
+        callers.readiness,
+        SLOW_CALLERS_PER_NODE * plan.nodes,
+    )
     hostile = HostileCallers(deployment, callers, random.Random(plan.seed + 6))
     faults = Faults(deployment, operator, hostile, generator, profile)
     machine = MachineWatch(deployment.history)
     if SOFTWARE in profile.kinds:
         deployment.software_versions = SOFTWARE_USED
+    deployment.redirects_routes = profile is CHANGES
     with ProcessGroup(plan.directory) as processes:
         async with trio.open_nursery() as nursery:
             operator.publish()
@@ -141,11 +150,15 @@
             nursery.start_soon(persistent.run)
             if SOFTWARE in profile.kinds:
                 nursery.start_soon(resuming.run)
+            if profile is CHANGES:
+                nursery.start_soon(slow.run)
             nursery.start_soon(operator.change_routes, profile.change_seconds)
             nursery.start_soon(probes.run)
             await trio.sleep(SETTLED_SECONDS)
             await faults.run(plan.seconds)
             repaired_at = trio.current_time()
+            if profile is CHANGES:
+                operator.restore_settings()
             operator.set_weights_version()
             await trio.sleep(plan.quiet_seconds)
             ended_at = trio.current_time()
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -289,6 +289,14 @@
             seen.arrivals = seen.arrivals if arrived else []
             self.assertEqual("planned stop" in self.broken(seen), caught, (ended_at, arrived))
 
+    def test_a_response_that_its_deadline_ends_during_a_planned_stop(self):
+        stop = Disturbance("stopped", "n0", 99.0, 104.0, planned=True)
+        cut = {"status": 200, "whole": False, "deadline_at": 101.0}
+        for ended_at, head_at, caught in ((100.9, 100.2, True), (101.1, 100.2, False)):
+            seen = history(request(**cut, ended_at=ended_at, head_at=head_at))
+            seen.disturbances = [stop]
+            self.assertEqual("planned stop" in self.broken(seen), caught, (ended_at, head_at))
+
     def test_callers_that_left_and_are_still_served(self):
         for kind, seconds, caught in (
             (RequestKind.STREAM, 0.6, True),
