--- a/emulator/simulation/oracle.py
+++ b/emulator/simulation/oracle.py
@@ -14,9 +14,9 @@
 from emulator.simulation.configuration_oracle import configuration_violations
 from emulator.simulation.history import Answer, Dispatch, Outcome
 from emulator.simulation.placement_oracle import placement_violations
-from hopstep import log_events
 from hopstep.domain.retry_budget import FLOOR_RETRIES_PER_SECOND, MAX_SAVED_RETRIES
 from hopstep.exceptions import ErrorCode
+from hopstep.log_events.requests import REQUEST_FAILED
 
 IMMEDIATE_SECONDS = 0.05
 """Longest virtual time from a decision to its answer, or from a request to its refusal."""
@@ -32,7 +32,7 @@
 )
 """Error codes of refusals that are sent without waiting."""
 
-FAILED_EVENT = log_events.REQUEST_FAILED.name
+FAILED_EVENT = REQUEST_FAILED.name
 
 
 def violations(cluster: SimulatedCluster) -> list[str]:
--- a/hopstep/adapters/engine_http.py
+++ b/hopstep/adapters/engine_http.py
@@ -17,7 +17,6 @@
 import msgspec
 import trio
 
-from hopstep import log_events
 from hopstep.adapters.engine_messages import (
     CACHE_EVENTS_PATH,
     CANCEL_PATH,
@@ -37,6 +36,7 @@
 from hopstep.adapters.engine_transport import EngineTransport, Pause
 from hopstep.decoding import decode_json
 from hopstep.exceptions import EngineError, ErrorCode, Execution
+from hopstep.log_events.instances import ENGINE_ANSWER_MALFORMED
 from hopstep.logs import emit
 from hopstep.ports.engine import (
     AttemptStatus,
@@ -278,7 +278,7 @@
     try:
         return decode_json(body, answer_type)
     except msgspec.DecodeError as error:
-        emit(log_events.ENGINE_ANSWER_MALFORMED, engine=address)
+        emit(ENGINE_ANSWER_MALFORMED, engine=address)
         raise _unreachable("the answer can't be understood", Execution.UNKNOWN) from error
 
 
--- a/hopstep/adapters/engine_stream.py
+++ b/hopstep/adapters/engine_stream.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from hopstep import log_events
 from hopstep.adapters.engine_messages import Refusal
 from hopstep.decoding import JsonDecoder
 from hopstep.exceptions import EngineError, ErrorCode, Execution
+from hopstep.log_events.instances import ENGINE_ANSWER_MALFORMED
 from hopstep.logs import emit
 from hopstep.ports.engine import TokenFrame
 
@@ -63,7 +63,7 @@
         lines = (self._incomplete_line + data).split(b"\n")
         self._incomplete_line = lines.pop()
         if len(self._incomplete_line) > MAX_LINE_BYTES:
-            emit(log_events.ENGINE_ANSWER_MALFORMED, engine=self._engine)
+            emit(ENGINE_ANSWER_MALFORMED, engine=self._engine)
             raise interrupted("the engine sent a line that is too long")
         frames: list[TokenFrame] = []
         for line in lines:
@@ -86,7 +86,7 @@
         try:
             refusal = self._refusal_decoder.decode(line).refusal
         except msgspec.DecodeError:
-            emit(log_events.ENGINE_ANSWER_MALFORMED, engine=self._engine)
+            emit(ENGINE_ANSWER_MALFORMED, engine=self._engine)
             return interrupted("the engine sent what isn't a frame")
         return refusal_error(refusal, self._nonce)
 
--- a/hopstep/adapters/http_api/answers.py
+++ b/hopstep/adapters/http_api/answers.py
@@ -11,10 +11,10 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.adapters.http_api.context import ApiContext
 from hopstep.domain.inference import AnswerPart, InferenceRequest
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
+from hopstep.log_events.http_api import REQUEST_CRASHED
 from hopstep.logs import emit
 
 
@@ -83,7 +83,7 @@
             trace = trace.tb_next
         location = f"{trace.tb_frame.f_code.co_qualname}:{trace.tb_lineno}" if trace else ""
         emit(
-            log_events.REQUEST_CRASHED,
+            REQUEST_CRASHED,
             request_id=self._request.request_id,
             error_type=type(error).__name__,
             location=location,
--- a/hopstep/adapters/http_api/app.py
+++ b/hopstep/adapters/http_api/app.py
@@ -6,7 +6,6 @@
 from quart_trio import QuartTrio
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
 
-from hopstep import log_events
 from hopstep.adapters.http_api.chat import chat_blueprint
 from hopstep.adapters.http_api.completions import completions_blueprint
 from hopstep.adapters.http_api.context import ApiContext
@@ -16,6 +15,7 @@
 from hopstep.adapters.http_api.operator import operator_blueprint
 from hopstep.adapters.http_api.peer import peer_blueprint
 from hopstep.exceptions import ErrorCode, Execution, PeerMessageError, ServiceError
+from hopstep.log_events.http_api import REQUEST_CRASHED
 from hopstep.logs import emit
 
 PEER_REFUSED_STATUS = 403
@@ -75,7 +75,7 @@
     async def unexpected(error: Exception) -> Response:
         """Answer an unexpected exception without its text, which may quote a prompt."""
         emit(
-            log_events.REQUEST_CRASHED,
+            REQUEST_CRASHED,
             request_id="",
             error_type=type(error).__name__,
             location="http_api",
--- a/hopstep/adapters/http_api/generation.py
+++ b/hopstep/adapters/http_api/generation.py
@@ -10,7 +10,6 @@
 from quart import Response, request
 from quart.wrappers.response import ResponseBody
 
-from hopstep import log_events
 from hopstep.adapters.http_api.answers import RunningAnswer
 from hopstep.adapters.http_api.bodies import GenerationBody
 from hopstep.adapters.http_api.context import ApiContext
@@ -19,6 +18,12 @@
 from hopstep.adapters.http_api.requests import CLASS_HEADER, IDEMPOTENCY_HEADER, resolve_request
 from hopstep.domain.inference import AnswerPart, InferenceRequest
 from hopstep.exceptions import Execution, ServiceError
+from hopstep.log_events.http_api import (
+    ANSWER_FAILED,
+    CALLER_LEFT,
+    REQUEST_COMPLETED,
+    REQUEST_REFUSED,
+)
 from hopstep.logs import emit
 
 REQUEST_ID_HEADER = "X-Hopstep-Request-Id"
@@ -93,7 +98,7 @@
         metrics.tokens.inc(self._tokens)
         metrics.first_token.labels(request_class).observe(self._first_token_seconds)
         emit(
-            log_events.REQUEST_COMPLETED,
+            REQUEST_COMPLETED,
             request_id=self._request.request_id,
             tenant=self._request.tenant.name,
             request_class=request_class,
@@ -112,9 +117,9 @@
             "execution": error.execution.value,
         }
         if error.execution is Execution.NOT_RUN:
-            emit(log_events.REQUEST_REFUSED, **fields)
+            emit(REQUEST_REFUSED, **fields)
         else:
-            emit(log_events.ANSWER_FAILED, tokens=self._tokens, **fields)
+            emit(ANSWER_FAILED, tokens=self._tokens, **fields)
 
     def record_failed_stream(self, error: ServiceError) -> None:
         """Record a failure after the status line was sent."""
@@ -126,7 +131,7 @@
         self._answer.release()
         self._count(OUTCOME_CALLER_LEFT)
         emit(
-            log_events.CALLER_LEFT,
+            CALLER_LEFT,
             request_id=self._request.request_id,
             tenant=self._request.tenant.name,
             tokens=self._tokens,
--- a/hopstep/adapters/http_server.py
+++ b/hopstep/adapters/http_server.py
@@ -22,8 +22,8 @@
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ASGIFramework, ConnectionState, LifespanState
 
-from hopstep import log_events
 from hopstep.domain.stop_schedule import CLOSE_SECONDS
+from hopstep.log_events.http_api import CONNECTION_FAILED
 from hopstep.logs import emit
 
 KEEP_ALIVE_SECONDS = 75.0
@@ -162,7 +162,7 @@
             self._count_failure()
             for error in _flatten(errors):
                 emit(
-                    log_events.CONNECTION_FAILED,
+                    CONNECTION_FAILED,
                     error_type=type(error).__name__,
                     location=_location(error),
                 )
--- a/hopstep/adapters/node_datagrams.py
+++ b/hopstep/adapters/node_datagrams.py
@@ -8,10 +8,10 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.adapters.node_codec import FrameError, decode_frame, encode_frame
 from hopstep.domain.addresses import parse_address
 from hopstep.domain.exchanges.nodes import NodeRecord
+from hopstep.log_events.membership import NODE_MESSAGE_REJECTED
 from hopstep.logs import emit
 from hopstep.ports.node_exchange import (
     MessageTooLongError,
@@ -89,7 +89,7 @@
         self._rejected[reason] += 1
         count = self._rejected[reason]
         if count & (count - 1) == 0:
-            emit(log_events.NODE_MESSAGE_REJECTED, reason=reason, count=count)
+            emit(NODE_MESSAGE_REJECTED, reason=reason, count=count)
 
     def close(self) -> None:
         """Close the socket."""
--- a/hopstep/adapters/peer_keys.py
+++ b/hopstep/adapters/peer_keys.py
@@ -7,7 +7,8 @@
 
 from hopstep.adapters.watched_files import WatchedFiles
 from hopstep.exceptions import ErrorCode, PeerMessageError
-from hopstep.log_events import PEER_KEYS_REJECTED, PEER_KEYS_REPLACED
+from hopstep.log_events.membership import PEER_KEYS_REJECTED
+from hopstep.log_events.process import PEER_KEYS_REPLACED
 from hopstep.logs import emit
 
 MIN_KEY_BYTES = 16
--- a/hopstep/adapters/tls.py
+++ b/hopstep/adapters/tls.py
@@ -18,12 +18,12 @@
 
 from hopstep.adapters.watched_files import WatchedFiles
 from hopstep.exceptions import ErrorCode, PortError
-from hopstep.log_events import (
+from hopstep.log_events.event import LogEvent
+from hopstep.log_events.process import (
     AUTHORITIES_LOADED,
     AUTHORITIES_REJECTED,
     CERTIFICATE_LOADED,
     CERTIFICATE_REJECTED,
-    LogEvent,
 )
 from hopstep.logs import emit
 from hopstep.settings import TlsSettings
--- a/hopstep/adapters/tunnel_server.py
+++ b/hopstep/adapters/tunnel_server.py
@@ -11,7 +11,6 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.adapters.tunnel_codec import (
     CHALLENGE_BYTES,
     CHUNK_BYTES,
@@ -26,6 +25,7 @@
 from hopstep.domain.addresses import parse_address
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.reachability.tunnels import TunnelFailure, TunnelTarget
+from hopstep.log_events.instances import TUNNEL_BROKEN, TUNNEL_REJECTED, TUNNELS_UNAVAILABLE
 from hopstep.logs import emit
 from hopstep.ports.tunnels import TunnelGate
 from hopstep.services.lifecycle import Lifecycle
@@ -92,7 +92,7 @@
         try:
             listeners = await trio.open_tcp_listeners(parsed.port, host=parsed.host)
         except OSError as error:
-            emit(log_events.TUNNELS_UNAVAILABLE, address=address, reason=str(error))
+            emit(TUNNELS_UNAVAILABLE, address=address, reason=str(error))
             return
         await trio.serve_listeners(self._serve, listeners)
 
@@ -105,7 +105,7 @@
         try:
             await self._serve_tunnel(client)
         except TunnelFrameError as error:
-            emit(log_events.TUNNEL_REJECTED, reason=str(error))
+            emit(TUNNEL_REJECTED, reason=str(error))
         except BROKEN as error:
             # The other node is gone, or no longer wants the tunnel.
             _log_broken("", NODE_END, error)
@@ -251,4 +251,4 @@
 
 def _log_broken(instance_id: str, end: str, error: Exception) -> None:
     """Log that a tunnel broke."""
-    emit(log_events.TUNNEL_BROKEN, instance=instance_id, end=end, reason=type(error).__name__)
+    emit(TUNNEL_BROKEN, instance=instance_id, end=end, reason=type(error).__name__)
--- a/hopstep/cli/reference_docs.py
+++ b/hopstep/cli/reference_docs.py
@@ -10,7 +10,7 @@
 
 from hopstep.adapters.http_api.errors import DEFAULT_STATUS, STATUS_BY_CODE
 from hopstep.exceptions import ERROR_GUIDE, ErrorCode
-from hopstep.log_events import catalogue
+from hopstep.log_events.catalogue import catalogue
 
 DOCS = Path(__file__).parents[2] / "docs"
 EVENTS_PAGE = "EVENTS.md"
--- a/hopstep/ctl/trace.py
+++ b/hopstep/ctl/trace.py
@@ -7,45 +7,73 @@
 
 import msgspec
 
-from hopstep import log_events
 from hopstep.ctl.log_lines import FINGERPRINT_FIELD, REQUEST_FIELD, TIME_FIELD, LogLine, read_log
 from hopstep.ctl.results import ExitCode, VerbResult
 from hopstep.ctl.trace_streams import explain_resume, stream_lines
 from hopstep.domain.exchanges.retry_after import RetryReason
 from hopstep.exceptions import ErrorCode
-from hopstep.log_events import LogEvent
+from hopstep.log_events.configuration import (
+    DIRECTORY_HISTORY_LOST,
+    DIRECTORY_SOURCE_CHANGED,
+    SERVING_CONFIGURATION_APPLIED,
+    STORE_ANSWER_OUTDATED,
+    STORE_ERA_CHANGED,
+    STORE_LOST,
+    STORE_REGAINED,
+    STORE_RESTORE_SUSPECTED,
+)
+from hopstep.log_events.event import LogEvent
+from hopstep.log_events.instances import (
+    CACHE_STORE_CHANGED,
+    INSTANCE_ENTRY_OUTDATED,
+    INSTANCE_LIMIT_CHANGED,
+    INSTANCE_LISTED,
+    INSTANCE_REMOVED,
+    INSTANCE_SAYS_LEAVING,
+    INSTANCE_WANTS_REST,
+    WEIGHTS_NAMED,
+    WEIGHTS_ORDER_SENT,
+)
+from hopstep.log_events.process import PROCESS_STARTED, PROCESS_STOPPING
+from hopstep.log_events.requests import (
+    EXCHANGE_ATTEMPT_FAILED,
+    EXCHANGE_REFUSED,
+    INSTANCE_ENDED_UNDER_REQUEST,
+    REQUEST_QUARANTINED,
+    REQUEST_RELEASED,
+)
 
 CONTEXT_SECONDS = 6.0
 """Seconds before the request from which changes of nodes' state are shown."""
 
 CONTEXT_EVENTS: tuple[LogEvent, ...] = (
-    log_events.PROCESS_STARTED,
-    log_events.PROCESS_STOPPING,
-    log_events.STORE_LOST,
-    log_events.STORE_REGAINED,
-    log_events.DIRECTORY_HISTORY_LOST,
-    log_events.STORE_ERA_CHANGED,
-    log_events.STORE_ANSWER_OUTDATED,
-    log_events.STORE_RESTORE_SUSPECTED,
-    log_events.DIRECTORY_SOURCE_CHANGED,
-    log_events.SERVING_CONFIGURATION_APPLIED,
-    log_events.INSTANCE_LISTED,
-    log_events.INSTANCE_REMOVED,
-    log_events.INSTANCE_ENTRY_OUTDATED,
-    log_events.INSTANCE_SAYS_LEAVING,
-    log_events.INSTANCE_WANTS_REST,
-    log_events.INSTANCE_LIMIT_CHANGED,
-    log_events.WEIGHTS_NAMED,
-    log_events.WEIGHTS_ORDER_SENT,
-    log_events.CACHE_STORE_CHANGED,
+    PROCESS_STARTED,
+    PROCESS_STOPPING,
+    STORE_LOST,
+    STORE_REGAINED,
+    DIRECTORY_HISTORY_LOST,
+    STORE_ERA_CHANGED,
+    STORE_ANSWER_OUTDATED,
+    STORE_RESTORE_SUSPECTED,
+    DIRECTORY_SOURCE_CHANGED,
+    SERVING_CONFIGURATION_APPLIED,
+    INSTANCE_LISTED,
+    INSTANCE_REMOVED,
+    INSTANCE_ENTRY_OUTDATED,
+    INSTANCE_SAYS_LEAVING,
+    INSTANCE_WANTS_REST,
+    INSTANCE_LIMIT_CHANGED,
+    WEIGHTS_NAMED,
+    WEIGHTS_ORDER_SENT,
+    CACHE_STORE_CHANGED,
 )
 """Changes of a node's state and of its view of instances."""
 
 NOTICE_NUMBERS = frozenset(
     {
-        log_events.INSTANCE_SAYS_LEAVING.number,
-        log_events.INSTANCE_WANTS_REST.number,
-        log_events.INSTANCE_LIMIT_CHANGED.number,
+        INSTANCE_SAYS_LEAVING.number,
+        INSTANCE_WANTS_REST.number,
+        INSTANCE_LIMIT_CHANGED.number,
     }
 )
 """Notices of instances, which may exclude them for all requests to their service."""
@@ -57,9 +85,9 @@
 """Fields that name digests of the parts of a request's prompt."""
 
 QUARANTINE_EVENTS: tuple[LogEvent, ...] = (
-    log_events.INSTANCE_ENDED_UNDER_REQUEST,
-    log_events.REQUEST_QUARANTINED,
-    log_events.REQUEST_RELEASED,
+    INSTANCE_ENDED_UNDER_REQUEST,
+    REQUEST_QUARANTINED,
+    REQUEST_RELEASED,
 )
 """Changes of a request's quarantine, found by its fingerprint."""
 
@@ -130,14 +158,13 @@
     configurations = [
         line
         for line in before
-        if line.number == log_events.SERVING_CONFIGURATION_APPLIED.number
+        if line.number == SERVING_CONFIGURATION_APPLIED.number
         and line.fields.get("version") == version
     ]
     entries = [
         line
         for line in before
-        if line.number == log_events.INSTANCE_LISTED.number
-        and line.fields.get("instance") == instance
+        if line.number == INSTANCE_LISTED.number and line.fields.get("instance") == instance
     ]
     parts = [f"the store up to {_position(last)}, keys as of {last.fields.get('age_ms')} ms before"]
     parts += [f"configuration {version} {_origin(line)}" for line in configurations[-1:]]
@@ -163,9 +190,9 @@
         context: Changes of nodes' state around it.
     """
     last = own[-1]
-    if last.number == log_events.EXCHANGE_REFUSED.number:
+    if last.number == EXCHANGE_REFUSED.number:
         return _explain_refusal(last, context)
-    failures = [x for x in own if x.number == log_events.EXCHANGE_ATTEMPT_FAILED.number]
+    failures = [x for x in own if x.number == EXCHANGE_ATTEMPT_FAILED.number]
     outcome = str(last.fields.get("outcome", ""))
     code, _, execution = outcome.partition(":")
     if code in QUARANTINE_CODES:
@@ -192,7 +219,7 @@
     """Return why a request wasn't admitted."""
     code = line.fields.get("code")
     text = f"refused, not run: {code}, {line.fields.get('reason')}"
-    lost = [x for x in context if x.number == log_events.STORE_LOST.number and x.node == line.node]
+    lost = [x for x in context if x.number == STORE_LOST.number and x.node == line.node]
     if code in (ErrorCode.ISOLATED.value, ErrorCode.NOT_READY.value):
         text += f"; what the node knows is {line.fields.get('age_ms')} ms old"
         if lost:
@@ -203,7 +230,7 @@
 def _explain_quarantine(execution: str, last: LogLine, context: Sequence[LogLine]) -> str:
     """Return for which request, or part of its prompt, a request is quarantined, and why."""
     effect = "not run" if execution == "not_run" else "it may have run"
-    number = log_events.REQUEST_QUARANTINED.number
+    number = REQUEST_QUARANTINED.number
     refused_for = last.fields.get(QUARANTINED_FOR_FIELD)
     lines = [x for x in context if x.number == number]
     own = [x for x in lines if x.fields.get(FINGERPRINT_FIELD) == refused_for] or lines
--- a/hopstep/ctl/trace_streams.py
+++ b/hopstep/ctl/trace_streams.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Sequence
 
-from hopstep import log_events
 from hopstep.ctl.log_lines import REQUEST_FIELD, LogLine
 from hopstep.domain.exchanges.streams.origin_lookup import OriginSource
+from hopstep.log_events.requests import STREAM_RESUMED
 
 RESUMES_FIELD = "resumes"
 
@@ -26,7 +26,7 @@
 
 def explain_resume(own: Sequence[LogLine]) -> str:
     """Return what was found out about the stream that a request resumes; empty for none."""
-    found = [line for line in own if line.number == log_events.STREAM_RESUMED.number]
+    found = [line for line in own if line.number == STREAM_RESUMED.number]
     if not found:
         return ""
     fields = found[-1].fields
--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -8,7 +8,6 @@
 import trio
 from prometheus_client import generate_latest
 
-from hopstep import log_events
 from hopstep.adapters.exchange_server import (
     AsgiApp,
     ListenerSwitch,
@@ -18,6 +17,12 @@
 from hopstep.early_listeners import Listeners
 from hopstep.exchange_services import ExchangeServices
 from hopstep.exchange_settings import ExchangeSettings
+from hopstep.log_events.process import (
+    PROCESS_STARTED,
+    PROCESS_STOPPED,
+    SETTINGS_REJECTED,
+    SETTINGS_RELOADED,
+)
 from hopstep.logs import emit
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.settings_loader import SettingsError, load_exchange_settings
@@ -65,13 +70,13 @@
                 services.exchanges.max_head_bytes,
             )
             emit(
-                log_events.PROCESS_STARTED,
+                PROCESS_STARTED,
                 address=settings.address,
                 zone=settings.zone,
                 incarnation="",
             )
         nursery.cancel_scope.cancel()
-    emit(log_events.PROCESS_STOPPED)
+    emit(PROCESS_STOPPED)
 
 
 async def _follow_signals(
@@ -96,12 +101,12 @@
     try:
         changed = load_exchange_settings(path)
     except SettingsError as error:
-        emit(log_events.SETTINGS_REJECTED, reason=error.message)
+        emit(SETTINGS_REJECTED, reason=error.message)
         return settings
     fields = [
         field
         for field in settings.__struct_fields__
         if getattr(settings, field) != getattr(changed, field)
     ]
-    emit(log_events.SETTINGS_RELOADED, changed=fields)
+    emit(SETTINGS_RELOADED, changed=fields)
     return changed
--- a/hopstep/library_logs.py
+++ b/hopstep/library_logs.py
@@ -8,7 +8,7 @@
 
 import logging
 
-from hopstep import log_events
+from hopstep.log_events.process import LIBRARY_WARNING
 from hopstep.logs import emit
 
 
@@ -19,7 +19,7 @@
         """Write the event of one record."""
         error_type = record.exc_info[0] if record.exc_info else None
         emit(
-            log_events.LIBRARY_WARNING,
+            LIBRARY_WARNING,
             library=record.name,
             severity=record.levelname.lower(),
             error_type=error_type.__name__ if error_type else "",
--- a/hopstep/logs.py
+++ b/hopstep/logs.py
@@ -10,7 +10,7 @@
 import structlog
 
 from hopstep.clock import steady_seconds
-from hopstep.log_events import LogEvent
+from hopstep.log_events.event import LogEvent
 
 LINES_PER_SECOND = 100.0
 """Lines of one event that are written per second; further ones are dropped and counted."""
--- a/hopstep/node.py
+++ b/hopstep/node.py
@@ -12,7 +12,6 @@
 import trio
 from prometheus_client import CollectorRegistry
 
-from hopstep import log_events
 from hopstep.adapters.engine_http import HttpEngine
 from hopstep.adapters.http_api.app import create_app
 from hopstep.adapters.http_api.composition import make_api_context
@@ -28,6 +27,7 @@
 from hopstep.adapters.udp_peer_transport import UdpPeerTransport
 from hopstep.adapters.watched_files import WatchedFiles, follow_files
 from hopstep.clock import time_of_day_seconds
+from hopstep.log_events.process import PROCESS_STARTED, PROCESS_STOPPED
 from hopstep.logs import emit
 from hopstep.services.router import RouterPorts, RouterServices
 from hopstep.settings import PeerSettings, RouterSettings
@@ -82,7 +82,7 @@
             await self._services.membership.stop()
             nursery.cancel_scope.cancel()
         await self._engines.aclose()
-        emit(log_events.PROCESS_STOPPED)
+        emit(PROCESS_STOPPED)
 
     async def _serve(self, nursery: trio.Nursery) -> None:
         """Serve callers until a planned stop has drained the node."""
@@ -96,7 +96,7 @@
                 self._services.wait_drained,
             )
             emit(
-                log_events.PROCESS_STARTED,
+                PROCESS_STARTED,
                 address=bound[0],
                 zone=self._settings.zone,
                 incarnation=str(self._codec.incarnation),
--- a/hopstep/services/claim_sweeper.py
+++ b/hopstep/services/claim_sweeper.py
@@ -7,10 +7,10 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.clock import time_of_day_seconds
 from hopstep.domain.claims import CLAIM_PREFIX, HeldClaim, may_delete
 from hopstep.exceptions import ServiceError, StoreError
+from hopstep.log_events.limits import CLAIM_SWEEP_FAILED, CLAIMS_SWEPT
 from hopstep.logs import emit
 from hopstep.ports.engine import EnginePort
 from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
@@ -63,7 +63,7 @@
             try:
                 await self.sweep_page(CLAIM_PREFIX + first_hash_digits)
             except StoreError as error:
-                emit(log_events.CLAIM_SWEEP_FAILED, reason=error.code.value)
+                emit(CLAIM_SWEEP_FAILED, reason=error.code.value)
 
     async def sweep_page(self, after_key: str = "") -> int:
         """Delete the old claims on the page after a key; return the number of deleted claims.
@@ -76,7 +76,7 @@
         for value in page:
             deleted += await self._delete_if_old(value)
         if deleted:
-            emit(log_events.CLAIMS_SWEPT, deleted=deleted, kept=len(page) - deleted)
+            emit(CLAIMS_SWEPT, deleted=deleted, kept=len(page) - deleted)
         return deleted
 
     async def _delete_if_old(self, value: StoredValue) -> bool:
--- a/hopstep/services/claims.py
+++ b/hopstep/services/claims.py
@@ -12,7 +12,6 @@
 import msgspec
 import trio
 
-from hopstep import log_events
 from hopstep.clock import time_of_day_seconds
 from hopstep.decoding import decode_json
 from hopstep.domain.claims import (
@@ -33,6 +32,13 @@
     StoreError,
     StoreOutcomeUnknownError,
 )
+from hopstep.log_events.limits import (
+    CLAIM_NOT_RELEASED,
+    CLAIM_REFUSED,
+    CLAIM_TAKEN_OVER,
+    CLAIM_UNREADABLE,
+    CLAIMS_UNAVAILABLE,
+)
 from hopstep.logs import emit
 from hopstep.ports.engine import AttemptStatus, EnginePort
 from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
@@ -121,7 +127,7 @@
             with trio.fail_after(self._timeout_seconds):
                 return await self._claim(key, own, replaces.version if replaces else ABSENT)
         except (StoreError, trio.TooSlowError) as error:
-            emit(log_events.CLAIMS_UNAVAILABLE, reason=type(error).__name__)
+            emit(CLAIMS_UNAVAILABLE, reason=type(error).__name__)
             raise _unavailable("the store of idempotency claims gave no answer") from error
 
     async def release(self, held: HeldClaim) -> None:
@@ -134,7 +140,7 @@
             with trio.move_on_after(self._timeout_seconds):
                 await self._store.delete(held.key, held.version)
         except StoreError as error:
-            emit(log_events.CLAIM_NOT_RELEASED, reason=error.code.value)
+            emit(CLAIM_NOT_RELEASED, reason=error.code.value)
 
     async def _claim(self, key: str, own: Claim, expected_version: StorePosition) -> HeldClaim:
         """Write the claim at the expected version, or take over the claim found in its place."""
@@ -161,7 +167,7 @@
         held = await self._swap(found.key, found.version, own)
         if held is None:
             raise _already_claimed(EarlierAttempt.UNKNOWN)
-        emit(log_events.CLAIM_TAKEN_OVER, earlier_router=found.claim.router)
+        emit(CLAIM_TAKEN_OVER, earlier_router=found.claim.router)
         return held
 
     async def _swap(
@@ -206,7 +212,7 @@
     try:
         claim = decode_json(value.value, Claim)
     except msgspec.DecodeError as error:
-        emit(log_events.CLAIM_UNREADABLE, version=value.version.revision)
+        emit(CLAIM_UNREADABLE, version=value.version.revision)
         raise _already_claimed(EarlierAttempt.UNKNOWN) from error
     return HeldClaim(value.key, value.version, claim)
 
@@ -235,7 +241,7 @@
 
 def _already_claimed(earlier: EarlierAttempt) -> ServiceError:
     """Return the refusal of a key whose earlier attempt may have run."""
-    emit(log_events.CLAIM_REFUSED, earlier=earlier.value)
+    emit(CLAIM_REFUSED, earlier=earlier.value)
     return ServiceError(
         ErrorCode.ALREADY_CLAIMED,
         f"an earlier request with this idempotency key is {earlier.value}",
--- a/hopstep/services/configuration/restoration.py
+++ b/hopstep/services/configuration/restoration.py
@@ -11,7 +11,10 @@
 from hopstep.domain.configuration.log import AcceptedChange
 from hopstep.domain.configuration.restoration import DisplacedChange, plan_restoration
 from hopstep.exceptions import StoreConflictError
-from hopstep.log_events import CONFIGURATION_CHANGE_DISPLACED, CONFIGURATION_CHANGE_REWRITTEN
+from hopstep.log_events.configuration import (
+    CONFIGURATION_CHANGE_DISPLACED,
+    CONFIGURATION_CHANGE_REWRITTEN,
+)
 from hopstep.logs import emit
 from hopstep.services.configuration.holder import ConfigurationHolder
 from hopstep.services.configuration.store import ConfigurationHistory, ConfigurationStore
--- a/hopstep/services/configuration/sync.py
+++ b/hopstep/services/configuration/sync.py
@@ -29,7 +29,7 @@
 )
 from hopstep.domain.configuration.restoration import DisplacedChange
 from hopstep.exceptions import HopstepError, StoreError
-from hopstep.log_events import (
+from hopstep.log_events.configuration import (
     CONFIGURATION_APPLIED,
     CONFIGURATION_MAINTENANCE_FAILED,
     CONFIGURATION_PEER_FAILED,
--- a/hopstep/services/engine_calls.py
+++ b/hopstep/services/engine_calls.py
@@ -4,9 +4,9 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.engines import EngineFacts
 from hopstep.exceptions import EngineError
+from hopstep.log_events.requests import CANCEL_FAILED
 from hopstep.logs import emit
 from hopstep.ports.engine import AttemptStatus, CancelOutcome, EnginePort
 
@@ -32,9 +32,9 @@
         try:
             return await port.cancel(address, nonce, incarnation)
         except EngineError as error:
-            emit(log_events.CANCEL_FAILED, engine=address, nonce=nonce, code=error.code.value)
+            emit(CANCEL_FAILED, engine=address, nonce=nonce, code=error.code.value)
             return None
-    emit(log_events.CANCEL_FAILED, engine=address, nonce=nonce, code="timeout")
+    emit(CANCEL_FAILED, engine=address, nonce=nonce, code="timeout")
     return None
 
 
--- a/hopstep/services/engine_watch.py
+++ b/hopstep/services/engine_watch.py
@@ -11,12 +11,18 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.configuration.document import BackEnd, BackEndKind
 from hopstep.domain.engines import CacheEventBatch, EngineFacts
 from hopstep.domain.routing.event_budget import EventBudget
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.exceptions import EngineError
+from hopstep.log_events.instances import (
+    CACHE_EVENTS_LOST,
+    ENGINE_INCARNATION_SEEN,
+    ENGINE_LEAVING,
+    ENGINE_REACHABLE,
+    ENGINE_UNREACHABLE,
+)
 from hopstep.logs import emit
 from hopstep.ports.engine import EnginePort
 from hopstep.services.configuration.holder import ConfigurationHolder
@@ -160,18 +166,18 @@
         self._table.update_facts(address, facts, now)
         if address in self._unreachable:
             self._unreachable.discard(address)
-            emit(log_events.ENGINE_REACHABLE, engine=address)
+            emit(ENGINE_REACHABLE, engine=address)
         if before is None or before.incarnation != facts.incarnation:
             # Reading starts at the present: older events concern blocks that aren't counted on.
             self._event_sequences[address] = facts.event_sequence
             emit(
-                log_events.ENGINE_INCARNATION_SEEN,
+                ENGINE_INCARNATION_SEEN,
                 engine=address,
                 incarnation=facts.incarnation,
                 weights=facts.weights,
             )
         if facts.leaving and (before is None or not before.leaving):
-            emit(log_events.ENGINE_LEAVING, engine=address)
+            emit(ENGINE_LEAVING, engine=address)
         published_at = self._published_at.get(address, float("-inf"))
         if _has_changed(before, facts) or now - published_at >= publish_interval(self._configured):
             self._published_at[address] = now
@@ -193,7 +199,7 @@
         self._event_sequences[address] = batch.events[-1].sequence
         lost = _lost_events(after, batch)
         if lost:
-            emit(log_events.CACHE_EVENTS_LOST, engine=address, lost=lost)
+            emit(CACHE_EVENTS_LOST, engine=address, lost=lost)
         self._table.record_events(address, batch)
 
     def _record_failure(self, address: str, error: Exception) -> None:
@@ -202,7 +208,7 @@
         if address in self._unreachable:
             return
         self._unreachable.add(address)
-        emit(log_events.ENGINE_UNREACHABLE, engine=address, reason=type(error).__name__)
+        emit(ENGINE_UNREACHABLE, engine=address, reason=type(error).__name__)
 
 
 def _has_changed(before: EngineFacts | None, facts: EngineFacts) -> bool:
--- a/hopstep/services/exchanges/directory/directory_follower.py
+++ b/hopstep/services/exchanges/directory/directory_follower.py
@@ -9,10 +9,11 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.freshness import ANSWER_SLACK_SECONDS, FreshnessLimits
 from hopstep.domain.store_position import NO_POSITION
 from hopstep.exceptions import StoreError, StoreHistoryLostError
+from hopstep.log_events.configuration import DIRECTORY_HISTORY_LOST, STORE_LOST, STORE_REGAINED
+from hopstep.log_events.process import CONNECTIONS_DROPPED
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import ServingDirectory
 from hopstep.services.exchanges.directory.change_origin import STORE_SOURCE
@@ -140,9 +141,7 @@
                 await trio.sleep_until(started_at + CALL_SPACING_SECONDS)
             except StoreHistoryLostError:
                 position = self._knowledge.store_position
-                emit(
-                    log_events.DIRECTORY_HISTORY_LOST, era=position.era, revision=position.revision
-                )
+                emit(DIRECTORY_HISTORY_LOST, era=position.era, revision=position.revision)
                 self._history_lost = True
             except StoreError as error:
                 self._note_connection(False, error.code.value)
@@ -233,7 +232,7 @@
     async def _replace_connections(self) -> None:
         """Open new connections for later calls, unless this node itself was paused."""
         if not self._pauses.has_just_ended:
-            emit(log_events.CONNECTIONS_DROPPED, peer=STORE_SOURCE, reason=OVERDUE)
+            emit(CONNECTIONS_DROPPED, peer=STORE_SOURCE, reason=OVERDUE)
             await self._directory.reconnect()
 
     async def _call(self, sent_at: float) -> None:
@@ -276,6 +275,6 @@
         knowledge = self._knowledge
         age = round(knowledge.keys.age_seconds, 3) if knowledge.index is not None else -1.0
         if connected:
-            emit(log_events.STORE_REGAINED, age_seconds=age)
+            emit(STORE_REGAINED, age_seconds=age)
         else:
-            emit(log_events.STORE_LOST, reason=reason, age_seconds=age)
+            emit(STORE_LOST, reason=reason, age_seconds=age)
--- a/hopstep/services/exchanges/directory/instance_changes.py
+++ b/hopstep/services/exchanges/directory/instance_changes.py
@@ -12,13 +12,18 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.instance_table import InstanceTable, is_same_incarnation
 from hopstep.domain.exchanges.instances import Instance, InstanceIncarnation
 from hopstep.domain.exchanges.store_contact import ENTRY_LAPSE_SECONDS, StoreContact
 from hopstep.domain.exchanges.streams.listed_versions import ListedVersions
 from hopstep.domain.exchanges.streams.successions import Successions
 from hopstep.domain.quarantine.crashes import TerminationEvidence
+from hopstep.log_events.instances import (
+    INSTANCE_ENTRY_OUTDATED,
+    INSTANCE_LAPSED,
+    INSTANCE_LISTED,
+    INSTANCE_REMOVED,
+)
 from hopstep.logs import emit
 from hopstep.services.exchanges.directory.change_origin import ChangeOrigin
 
@@ -80,7 +85,7 @@
         self._distrust_terminated(instance, origin)
         if is_new or was_draining != instance.draining:
             emit(
-                log_events.INSTANCE_LISTED,
+                INSTANCE_LISTED,
                 instance=instance.instance_id,
                 born_ms=instance.born_ms,
                 service=instance.service,
@@ -97,14 +102,14 @@
         """Apply an entry's removal; an instance whose lease may have expired is kept for now."""
         until = self._contact.relisting_until
         if trio.current_time() < until and self._table.expect_back(instance_id, until):
-            emit(log_events.INSTANCE_LAPSED, instance=instance_id, source=origin.source)
+            emit(INSTANCE_LAPSED, instance=instance_id, source=origin.source)
             return
         removed = self._table.remove(instance_id)
         if removed is None:
             return
         self.versions.replace(removed, None, trio.current_time())
         emit(
-            log_events.INSTANCE_REMOVED,
+            INSTANCE_REMOVED,
             instance=instance_id,
             source=origin.source,
             age_ms=origin.age_ms,
@@ -124,7 +129,7 @@
             self.versions.replace(instance, None, now)
             self._report_terminated(instance.incarnation, TerminationEvidence.UNLISTED)
             expired = instance.instance_id
-            emit(log_events.INSTANCE_REMOVED, instance=expired, source=ENTRY_EXPIRED, age_ms=0)
+            emit(INSTANCE_REMOVED, instance=expired, source=ENTRY_EXPIRED, age_ms=0)
 
     def _keep_as_leaving(self, instance: Instance, origin: ChangeOrigin) -> None:
         """Keep an incarnation as leaving that announced it, although its entry shows it ready."""
@@ -159,7 +164,7 @@
     def _log_outdated(instance: Instance, known: str, origin: ChangeOrigin) -> None:
         """Log that an entry shows an earlier state of an incarnation."""
         emit(
-            log_events.INSTANCE_ENTRY_OUTDATED,
+            INSTANCE_ENTRY_OUTDATED,
             instance=instance.instance_id,
             born_ms=instance.born_ms,
             known=known,
--- a/hopstep/services/exchanges/directory/key_freshness.py
+++ b/hopstep/services/exchanges/directory/key_freshness.py
@@ -6,8 +6,8 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.exceptions import ErrorCode, ServiceError
+from hopstep.log_events.configuration import STORE_LOST, STORE_REGAINED
 from hopstep.logs import emit
 
 MARGIN_SECONDS = 0.6
@@ -71,7 +71,7 @@
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         if self._expired and self.is_fresh:
             self._expired = False
-            emit(log_events.STORE_REGAINED, age_seconds=round(self.age_seconds, 3))
+            emit(STORE_REGAINED, age_seconds=round(self.age_seconds, 3))
         return self.is_fresh and not was_fresh
 
     def _note_expired(self) -> None:
@@ -80,4 +80,4 @@
             return
         self._expired = True
         age = round(self.age_seconds, 3) if math.isfinite(self.age_seconds) else -1.0
-        emit(log_events.STORE_LOST, reason=OVERDUE, age_seconds=age)
+        emit(STORE_LOST, reason=OVERDUE, age_seconds=age)
--- a/hopstep/services/exchanges/directory/knowledge.py
+++ b/hopstep/services/exchanges/directory/knowledge.py
@@ -19,7 +19,6 @@
 import msgspec
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.directory_change_log import DirectoryChangeLog, LoggedChange
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.nodes import NodeRecord, RelayPlan
@@ -28,6 +27,7 @@
 from hopstep.domain.exchanges.weights import NamedWeightsTable
 from hopstep.domain.store_position import ABSENT, NO_POSITION, StorePosition
 from hopstep.exceptions import ErrorCode, ServiceError
+from hopstep.log_events.configuration import DIRECTORY_ENTRY_REJECTED
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
@@ -356,7 +356,7 @@
         """Log and count a rejected document: once for each of its revisions."""
         self._count_rejected(reason)
         emit(
-            log_events.DIRECTORY_ENTRY_REJECTED,
+            DIRECTORY_ENTRY_REJECTED,
             key=key,
             reason=reason.value,
             field=field,
--- a/hopstep/services/exchanges/directory/known_configuration.py
+++ b/hopstep/services/exchanges/directory/known_configuration.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from hopstep import log_events
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.serving import ServingConfiguration, ServingIndex
+from hopstep.log_events.configuration import SERVING_CONFIGURATION_APPLIED
 from hopstep.logs import emit
 from hopstep.services.exchanges.directory.change_origin import ChangeOrigin
 
@@ -52,7 +52,7 @@
             }
         )
         emit(
-            log_events.SERVING_CONFIGURATION_APPLIED,
+            SERVING_CONFIGURATION_APPLIED,
             version=configuration.version,
             routes=len(configuration.routes),
             tenants=len(configuration.tenants),
--- a/hopstep/services/exchanges/directory/known_weights.py
+++ b/hopstep/services/exchanges/directory/known_weights.py
@@ -4,10 +4,10 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.instances import NamedWeights
 from hopstep.domain.exchanges.store_contact import StoreContact
 from hopstep.domain.exchanges.weights import NamedWeightsTable
+from hopstep.log_events.instances import WEIGHTS_NAMED
 from hopstep.logs import emit
 from hopstep.services.exchanges.directory.change_origin import ChangeOrigin
 
@@ -37,7 +37,7 @@
         if not self._registry.put(weights, counted_from):
             return
         emit(
-            log_events.WEIGHTS_NAMED,
+            WEIGHTS_NAMED,
             model=weights.model,
             version=weights.version,
             age_ms=origin.age_ms,
--- a/hopstep/services/exchanges/directory/message_formats.py
+++ b/hopstep/services/exchanges/directory/message_formats.py
@@ -5,8 +5,8 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from hopstep import log_events
 from hopstep.domain.exchanges.nodes import NodeRecord
+from hopstep.log_events.membership import NODE_FORMS_CHANGED
 from hopstep.logs import emit
 
 
@@ -29,4 +29,4 @@
             return
         self._in_use = set(formats)
         by_form = {str(form): count for form, count in sorted(formats.items())}
-        emit(log_events.NODE_FORMS_CHANGED, own=self._own, nodes_by_form=by_form)
+        emit(NODE_FORMS_CHANGED, own=self._own, nodes_by_form=by_form)
--- a/hopstep/services/exchanges/directory/registration.py
+++ b/hopstep/services/exchanges/directory/registration.py
@@ -13,10 +13,10 @@
 import msgspec
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.nodes import NodeRecord, rewriting_seconds
 from hopstep.domain.store_position import ABSENT, StoreLease
 from hopstep.exceptions import StoreConflictError, StoreError
+from hopstep.log_events.configuration import OWN_ENTRY_REWRITTEN
 from hopstep.logs import emit
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
@@ -82,7 +82,7 @@
                 await self._wait_restored(lease)
                 spread_seconds = rewriting_seconds(self._knowledge.count_nodes())
                 await trio.sleep(spread_seconds * self._generator.random())
-                emit(log_events.OWN_ENTRY_REWRITTEN, era=self._knowledge.store_position.era)
+                emit(OWN_ENTRY_REWRITTEN, era=self._knowledge.store_position.era)
                 return
             try:
                 await self._store.keep_alive(lease)
--- a/hopstep/services/exchanges/directory/store_history.py
+++ b/hopstep/services/exchanges/directory/store_history.py
@@ -6,12 +6,16 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.directory_change_log import DirectoryChangeLog
 from hopstep.domain.exchanges.restored_backup import RestoredBackup
 from hopstep.domain.exchanges.store_contact import StoreContact
 from hopstep.domain.store_position import NO_POSITION, StorePosition
 from hopstep.exceptions import ErrorCode, StoreError
+from hopstep.log_events.configuration import (
+    STORE_ANSWER_OUTDATED,
+    STORE_ERA_CHANGED,
+    STORE_RESTORE_SUSPECTED,
+)
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import DirectoryEntry
 from hopstep.services.exchanges.directory.copy_losses import BackupLosses
@@ -64,7 +68,7 @@
         if position.era >= self.store_position.era:
             return
         emit(
-            log_events.STORE_ANSWER_OUTDATED,
+            STORE_ANSWER_OUTDATED,
             era=position.era,
             revision=position.revision,
             known_era=self.store_position.era,
@@ -89,7 +93,7 @@
         self._feed.end_era(self.store_position)
         age = trio.current_time() - losses.since
         emit(
-            log_events.STORE_ERA_CHANGED,
+            STORE_ERA_CHANGED,
             era=position.era,
             previous=self.store_position.era,
             revision=position.revision,
@@ -115,7 +119,7 @@
             self.restored_at = trio.current_time()
         if 2 * behind > len(self._nodes.records):
             self._note_restore(position)
-            emit(log_events.STORE_RESTORE_SUSPECTED, era=position.era, nodes_behind=behind)
+            emit(STORE_RESTORE_SUSPECTED, era=position.era, nodes_behind=behind)
 
     def _note_restore(self, position: StorePosition) -> None:
         """Expect others to rewrite what the backup lacks; ``position`` is the new era's first."""
--- a/hopstep/services/exchanges/instances/connection_reaper.py
+++ b/hopstep/services/exchanges/instances/connection_reaper.py
@@ -9,8 +9,8 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.instance_table import InstanceTable
+from hopstep.log_events.process import CONNECTIONS_DROPPED
 from hopstep.logs import emit
 from hopstep.ports.instance_calls import InstanceCalls
 from hopstep.services.exchanges.pause_watch import PauseWatch
@@ -58,6 +58,6 @@
         now = trio.current_time()
         unresponsive = {view.instance.address for view in self._table if view.is_unresponsive(now)}
         for address in unresponsive - self._unresponsive:
-            emit(log_events.CONNECTIONS_DROPPED, peer=address, reason=UNRESPONSIVE_REASON)
+            emit(CONNECTIONS_DROPPED, peer=address, reason=UNRESPONSIVE_REASON)
             await self._calls.drop_idle(address)
         self._unresponsive = unresponsive
--- a/hopstep/services/exchanges/instances/engine_cache_watch.py
+++ b/hopstep/services/exchanges/instances/engine_cache_watch.py
@@ -8,12 +8,12 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.engine_contents import EngineContents
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.watch_plan import WatchPlan
 from hopstep.domain.instance_admission import Purpose
 from hopstep.domain.instance_notices import InstanceNotice
+from hopstep.log_events.instances import ENGINE_EVENTS_CHANGED
 from hopstep.logs import emit
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
@@ -150,7 +150,7 @@
 def _log_readable(view: InstanceView, readable: bool) -> None:
     """Log that an engine's events have become readable or unreadable."""
     emit(
-        log_events.ENGINE_EVENTS_CHANGED,
+        ENGINE_EVENTS_CHANGED,
         instance=view.instance.instance_id,
         readable=readable,
     )
--- a/hopstep/services/exchanges/instances/instance_notices.py
+++ b/hopstep/services/exchanges/instances/instance_notices.py
@@ -8,7 +8,6 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.announced_state import AnnouncedState
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.instance_view import InstanceView
@@ -16,6 +15,11 @@
 from hopstep.domain.instance_limit import NO_LIMIT, HeadTimes
 from hopstep.domain.instance_notices import InstanceNotice, LimitNotice, NoticeListener
 from hopstep.domain.limits.limited_sends import LimitedSends
+from hopstep.log_events.instances import (
+    INSTANCE_LIMIT_CHANGED,
+    INSTANCE_SAYS_LEAVING,
+    INSTANCE_WANTS_REST,
+)
 from hopstep.logs import emit
 from hopstep.ports.node_exchange import LIMIT_LIFTED, LimitedInstance
 
@@ -116,7 +120,7 @@
             self._count(REST, ANSWER_SOURCE)
             rest_ms = round(changes.backoff_seconds * MILLISECONDS)
             emit(
-                log_events.INSTANCE_WANTS_REST,
+                INSTANCE_WANTS_REST,
                 instance=view.instance.instance_id,
                 life=view.incarnation,
                 service=view.instance.service,
@@ -234,7 +238,7 @@
         age_ms = round((trio.current_time() - announced_state.limit.times.before) * MILLISECONDS)
         self._count(LIMIT, PEER_SOURCE if source != ANSWER_SOURCE else source)
         emit(
-            log_events.INSTANCE_LIMIT_CHANGED,
+            INSTANCE_LIMIT_CHANGED,
             instance=instance_id_of(incarnation),
             life=incarnation,
             service=view.instance.service if view is not None else "",
@@ -251,7 +255,7 @@
         view = self._table.of_incarnation(incarnation)
         self._count(LEAVING, PEER_SOURCE if source != ANSWER_SOURCE else source)
         emit(
-            log_events.INSTANCE_SAYS_LEAVING,
+            INSTANCE_SAYS_LEAVING,
             instance=instance_id_of(incarnation),
             life=incarnation,
             service=view.instance.service if view is not None else "",
--- a/hopstep/services/exchanges/instances/instance_speeds.py
+++ b/hopstep/services/exchanges/instances/instance_speeds.py
@@ -4,10 +4,10 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.read_speed import NO_READS, learned_slowness
+from hopstep.log_events.instances import INSTANCE_SPEED_CHANGED
 from hopstep.logs import emit
 
 REFRESH_SECONDS = 1.0
@@ -63,7 +63,7 @@
         if known / LOGGED_FACTOR < view.slowness < known * LOGGED_FACTOR:
             return
         emit(
-            log_events.INSTANCE_SPEED_CHANGED,
+            INSTANCE_SPEED_CHANGED,
             instance=view.instance.instance_id,
             life=view.incarnation,
             service=view.instance.service,
--- a/hopstep/services/exchanges/instances/store_watch.py
+++ b/hopstep/services/exchanges/instances/store_watch.py
@@ -9,13 +9,13 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.store_contents import (
     ContentsPosition,
     ContentsUpdate,
     StoreContents,
 )
 from hopstep.domain.instance_notices import InstanceNotice
+from hopstep.log_events.instances import CACHE_STORE_CHANGED
 from hopstep.logs import emit
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
@@ -131,4 +131,4 @@
 def _log_reachable(address: str, before: bool, contents: StoreContents) -> None:
     """Log that a store has become reachable or unreachable."""
     if before != contents.reachable:
-        emit(log_events.CACHE_STORE_CHANGED, address=address, reachable=contents.reachable)
+        emit(CACHE_STORE_CHANGED, address=address, reachable=contents.reachable)
--- a/hopstep/services/exchanges/instances/unknown_words.py
+++ b/hopstep/services/exchanges/instances/unknown_words.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from hopstep import log_events
+from hopstep.log_events.instances import WORD_UNKNOWN
 from hopstep.logs import emit
 from hopstep.ports.unrecognized_values import UnrecognizedValue, ValueLocation
 
@@ -34,7 +34,7 @@
             return
         self._logged.add((unrecognized.location, name))
         emit(
-            log_events.WORD_UNKNOWN,
+            WORD_UNKNOWN,
             place=unrecognized.location.value,
             name=name,
             source=unrecognized.source,
--- a/hopstep/services/exchanges/pause_watch.py
+++ b/hopstep/services/exchanges/pause_watch.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from hopstep import log_events
+from hopstep.log_events.process import PROCESS_PAUSED
 from hopstep.logs import emit
 
 CHECK_SECONDS = 0.2
@@ -66,7 +66,7 @@
         if seconds < PAUSE_SECONDS:
             return
         self._reading_until = now + READING_SECONDS
-        emit(log_events.PROCESS_PAUSED, seconds=round(seconds, 3))
+        emit(PROCESS_PAUSED, seconds=round(seconds, 3))
         for listener in self._listeners:
             listener(seconds + READING_SECONDS)
 
--- a/hopstep/services/exchanges/peers/relaying.py
+++ b/hopstep/services/exchanges/peers/relaying.py
@@ -9,10 +9,10 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.freshness import FreshnessLimits
 from hopstep.domain.exchanges.store_contents import ContentsPosition
 from hopstep.domain.rendezvous import hash_name
+from hopstep.log_events.configuration import DIRECTORY_SOURCE_CHANGED
 from hopstep.logs import emit
 from hopstep.ports.node_exchange import (
     Hints,
@@ -150,7 +150,7 @@
             return
         age = self._knowledge.keys.age_seconds
         emit(
-            log_events.DIRECTORY_SOURCE_CHANGED,
+            DIRECTORY_SOURCE_CHANGED,
             source=source,
             previous=self._source,
             age_seconds=round(age, 3) if math.isfinite(age) else -1.0,
--- a/hopstep/services/exchanges/peers/suspicions.py
+++ b/hopstep/services/exchanges/peers/suspicions.py
@@ -9,9 +9,9 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.suspicion import OwnEvidence, SuspicionLedger
+from hopstep.log_events.instances import INSTANCE_SUSPECTED
 from hopstep.logs import emit
 from hopstep.ports.node_exchange import SuspectedInstance
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
@@ -88,7 +88,7 @@
 def _log(view: InstanceView, seconds: float, reported_by: str) -> None:
     """Log that an instance is suspended, and the node that reported it."""
     emit(
-        log_events.INSTANCE_SUSPECTED,
+        INSTANCE_SUSPECTED,
         instance=view.instance.instance_id,
         life=view.incarnation,
         service=view.instance.service,
--- a/hopstep/services/exchanges/reachability/path_knowledge.py
+++ b/hopstep/services/exchanges/reachability/path_knowledge.py
@@ -4,11 +4,11 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.reachability.gateways import Gateway, GatewayChoice
 from hopstep.domain.reachability.instance_links import InstanceLinks
 from hopstep.domain.reachability.tunnels import TunnelFailure
+from hopstep.log_events.instances import GATEWAY_EXCLUDED, INSTANCE_LINK_CHANGED, INSTANCES_CUT_OFF
 from hopstep.logs import emit
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 
@@ -74,7 +74,7 @@
             return True
         self._gateways.note_failed(gateway.name, instance.service, now)
         emit(
-            log_events.GATEWAY_EXCLUDED,
+            GATEWAY_EXCLUDED,
             gateway=gateway.name,
             service=instance.service,
             reason=failure.value if failure is not None else "",
@@ -99,7 +99,7 @@
     def log_link(self, instance: Instance, *, is_cut: bool, gateway: str) -> None:
         """Log that the link to an instance is cut, or works again."""
         emit(
-            log_events.INSTANCE_LINK_CHANGED,
+            INSTANCE_LINK_CHANGED,
             instance=instance.instance_id,
             service=instance.service,
             cut=is_cut,
@@ -110,4 +110,4 @@
 
 def _log_partitioned(is_partitioned: bool) -> None:
     """Log that this node has lost all its links to instances, or has one again."""
-    emit(log_events.INSTANCES_CUT_OFF, cut_off=is_partitioned)
+    emit(INSTANCES_CUT_OFF, cut_off=is_partitioned)
--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/answer_relay.py
@@ -11,7 +11,6 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.byte_budget import RESPONSE_BYTES, ResponseSpace
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.request import ExchangeRequest, Headers
@@ -19,6 +18,7 @@
 from hopstep.domain.exchanges.serving import RequestKind
 from hopstep.domain.exchanges.streams.event_stream import EventFramer, StreamOrderError
 from hopstep.exceptions import ErrorCode, Execution
+from hopstep.log_events.requests import RESPONSE_RELAYED_IN_PARTS
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer
 from hopstep.ports.instance_calls import InstanceAnswer, InstanceCallError
@@ -282,7 +282,7 @@
         self.in_parts = True
         self._answer.share.relayed_in_parts = True
         emit(
-            log_events.RESPONSE_RELAYED_IN_PARTS,
+            RESPONSE_RELAYED_IN_PARTS,
             request_id=self._request.request_id,
             instance=self._outcome.instance,
             read_bytes=held.size + len(data),
--- a/hopstep/services/exchanges/requests/attempt_failures.py
+++ b/hopstep/services/exchanges/requests/attempt_failures.py
@@ -4,10 +4,10 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.instance_admission import Barrier, Purpose
 from hopstep.exceptions import ErrorCode, Execution
+from hopstep.log_events.instances import INSTANCE_FULL
 from hopstep.logs import emit
 from hopstep.ports.instance_calls import InstanceCallError
 from hopstep.services.exchanges.requests.exchange_parts import ExchangeParts
@@ -32,7 +32,7 @@
         parts.note_suspected(view, error.confirmed)
     if answered and _lacks_capacity(view, error, now) and view.rejected_as_full(now):
         emit(
-            log_events.INSTANCE_FULL,
+            INSTANCE_FULL,
             instance=view.instance.instance_id,
             life=view.incarnation,
             service=view.instance.service,
--- a/hopstep/services/exchanges/requests/engine_separation.py
+++ b/hopstep/services/exchanges/requests/engine_separation.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from hopstep import log_events
 from hopstep.domain.exchanges.engine_partition import (
     NO_PARTITION,
     EnginePartition,
@@ -17,6 +16,7 @@
 from hopstep.domain.exchanges.route_work import RouteWork, RouteWorkWindow
 from hopstep.domain.exchanges.segment_moves import NO_PREFERENCE, EnginePreference
 from hopstep.domain.exchanges.selection import Candidate
+from hopstep.log_events.instances import ENGINES_KEPT
 from hopstep.logs import emit
 
 PLAN_SECONDS = 1.0
@@ -94,7 +94,7 @@
         state.partition = plan_partition(state.window.by_route(now), views, previous)
         if state.partition.routes != previous.routes:
             emit(
-                log_events.ENGINES_KEPT,
+                ENGINES_KEPT,
                 service=service,
                 routes=sorted(state.partition.routes),
                 kept=len(state.partition.engines),
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.attempt_rules import (
     ExchangeProgress,
     NextStep,
@@ -21,6 +20,7 @@
 from hopstep.domain.quarantine.crashes import TerminationEvidence
 from hopstep.domain.quarantine.fingerprint import is_part
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
+from hopstep.log_events.requests import EXCHANGE_ATTEMPT_FAILED
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer
 from hopstep.ports.instance_calls import InstanceCallError, SendProof
@@ -337,7 +337,7 @@
         """Log and count a failed attempt and the next step."""
         self._parts.count_failure(error.code.value, step.value)
         emit(
-            log_events.EXCHANGE_ATTEMPT_FAILED,
+            EXCHANGE_ATTEMPT_FAILED,
             request_id=self._request.request_id,
             fingerprint=self._gate.name.fingerprint.hex(),
             parts=[part.hex() for part in self._gate.name.parts],
--- a/hopstep/services/exchanges/requests/held_bytes.py
+++ b/hopstep/services/exchanges/requests/held_bytes.py
@@ -8,7 +8,6 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.byte_budget import (
     RESPONSE_BYTES,
     ByteBudget,
@@ -18,6 +17,7 @@
     choose_stalled,
 )
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
+from hopstep.log_events.requests import STALLED_CLIENT_DISCONNECTED
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientConnection
 from hopstep.ports.instance_calls import InstanceCallError
@@ -90,7 +90,7 @@
         for share in choose_stalled(waiting, excess):
             connection = self._connections.pop(share)
             emit(
-                log_events.STALLED_CLIENT_DISCONNECTED,
+                STALLED_CLIENT_DISCONNECTED,
                 request_id=share.request_id,
                 client=connection.client,
                 waiting_seconds=round(now - connection.last_progress_at, 3),
--- a/hopstep/services/exchanges/requests/queue_refusals.py
+++ b/hopstep/services/exchanges/requests/queue_refusals.py
@@ -4,7 +4,6 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.early_refusal import (
     FirstByteTimes,
     ReturningClients,
@@ -17,6 +16,7 @@
 from hopstep.domain.exchanges.waiting_order import Place, WaitingOrder, WaitingRequest
 from hopstep.domain.queue_pace import QueuePace
 from hopstep.exceptions import ErrorCode, ServiceError
+from hopstep.log_events.requests import REQUEST_REFUSED_EARLY
 from hopstep.logs import emit
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.requests.service_capacity import Capacity
@@ -124,7 +124,7 @@
         returning.add(now + queue_wait_seconds(QueueReturn(seconds, client_seconds)))
         self._metrics.early_refusals.labels(str(waiting.order.rank)).inc()
         emit(
-            log_events.REQUEST_REFUSED_EARLY,
+            REQUEST_REFUSED_EARLY,
             request_id=waiting.request.request_id,
             route=waiting.request.route.name,
             service=waiting.service,
--- a/hopstep/services/exchanges/requests/quotas.py
+++ b/hopstep/services/exchanges/requests/quotas.py
@@ -9,7 +9,6 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.limits.fleet_usage import UsageReport
 from hopstep.domain.limits.quota_ledger import (
@@ -20,6 +19,7 @@
     TenantQuota,
 )
 from hopstep.exceptions import ErrorCode, ServiceError
+from hopstep.log_events.requests import QUOTA_EXCEEDED
 from hopstep.logs import emit
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.peers.usage_registry import UsageRegistry
@@ -75,7 +75,7 @@
         if not decision.wait_seconds:
             return
         emit(
-            log_events.QUOTA_EXCEEDED,
+            QUOTA_EXCEEDED,
             request_id=request.request_id,
             tenant=tenant.name,
             cost=cost,
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -9,7 +9,6 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.domain.exchanges.prefill_causes import SharedPrefill
 from hopstep.domain.exchanges.repeat_budget import RepeatBounds, RepeatBudget
@@ -18,6 +17,7 @@
 from hopstep.domain.exchanges.retry_after import QueueReturn, RetryAdvice, RetryReason
 from hopstep.domain.exchanges.serving import RequestLimits
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
+from hopstep.log_events.requests import BODY_NOT_KEPT, EXCHANGE_ENDED, EXCHANGE_REFUSED
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import (
     ClientAnswer,
@@ -234,7 +234,7 @@
         finally:
             self._count(request, outcome)
             emit(
-                log_events.EXCHANGE_ENDED,
+                EXCHANGE_ENDED,
                 request_id=request.request_id,
                 fingerprint=outcome.fingerprint,
                 route=request.route.name,
@@ -279,7 +279,7 @@
     def _log_omission(self, head: RequestHead, body: RequestBody) -> None:
         """Log a request whose body isn't kept."""
         emit(
-            log_events.BODY_NOT_KEPT,
+            BODY_NOT_KEPT,
             request_id=head.request_id,
             reason=body.omission,
             received_bytes=body.received_bytes,
@@ -291,7 +291,7 @@
     def _log_refusal(self, head: RequestHead, error: ServiceError, advice: RetryAdvice) -> None:
         """Log a request that wasn't admitted."""
         emit(
-            log_events.EXCHANGE_REFUSED,
+            EXCHANGE_REFUSED,
             request_id=head.request_id,
             code=error.code.value,
             reason=error.message,
--- a/hopstep/services/exchanges/requests/waiting_exchange.py
+++ b/hopstep/services/exchanges/requests/waiting_exchange.py
@@ -5,12 +5,12 @@
 import msgspec
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.waiting_order import Place, WaitingRequest
 from hopstep.exceptions import ServiceError
+from hopstep.log_events.requests import REQUEST_WAITED
 from hopstep.logs import emit
 
 MILLISECONDS = 1_000
@@ -63,7 +63,7 @@
             return
         candidate = self.candidate
         emit(
-            log_events.REQUEST_WAITED,
+            REQUEST_WAITED,
             request_id=self.request.request_id,
             route=self.request.route.name,
             service=self.service,
--- a/hopstep/services/exchanges/streams/origin_sharing.py
+++ b/hopstep/services/exchanges/streams/origin_sharing.py
@@ -11,9 +11,9 @@
 import msgspec
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.streams.origin_records import OriginRecord
 from hopstep.domain.exchanges.streams.version_claims import VersionClaim
+from hopstep.log_events.requests import ORIGINS_NOT_SENT
 from hopstep.logs import emit
 from hopstep.ports.node_exchange import MessageTooLongError, NodeExchange, NodeMessage
 from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate, StoreWrite
@@ -192,4 +192,4 @@
         try:
             await self._exchange.send(message, record)
         except MessageTooLongError:
-            emit(log_events.ORIGINS_NOT_SENT, receiver=name, message=type(message).__name__)
+            emit(ORIGINS_NOT_SENT, receiver=name, message=type(message).__name__)
--- a/hopstep/services/exchanges/streams/resume_log.py
+++ b/hopstep/services/exchanges/streams/resume_log.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from hopstep import log_events
 from hopstep.domain.exchanges.instance_scope import InstanceScope
 from hopstep.domain.exchanges.streams.origin_lookup import OriginLookup
+from hopstep.log_events.requests import STREAM_RESUMED
 from hopstep.logs import emit
 
 MILLISECONDS = 1_000
@@ -22,7 +22,7 @@
         waited_seconds: Time that the search took.
     """
     emit(
-        log_events.STREAM_RESUMED,
+        STREAM_RESUMED,
         request_id=scope.request.request_id,
         resumes=scope.request.resumes,
         service=scope.service,
--- a/hopstep/services/exchanges/streams/stored_origins.py
+++ b/hopstep/services/exchanges/streams/stored_origins.py
@@ -13,11 +13,11 @@
 import msgspec
 import trio
 
-from hopstep import log_events
 from hopstep.decoding import decode_json
 from hopstep.domain.exchanges.streams.origin_records import OriginRecord
 from hopstep.domain.store_position import ABSENT
 from hopstep.exceptions import StoreConflictError, StoreError
+from hopstep.log_events.requests import ORIGINS_NOT_WRITTEN
 from hopstep.logs import emit
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.ports.origin_messages import ReportedOrigin
@@ -151,4 +151,4 @@
         """Log a failed write, and use another lease for the next one if this one has ended."""
         if isinstance(error, StoreConflictError):
             self._lease.forget()
-        emit(log_events.ORIGINS_NOT_WRITTEN, records=records, code=error.code.value)
+        emit(ORIGINS_NOT_WRITTEN, records=records, code=error.code.value)
--- a/hopstep/services/exchanges/weights/rollout_lease.py
+++ b/hopstep/services/exchanges/weights/rollout_lease.py
@@ -19,7 +19,6 @@
 import msgspec
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.rollout_lease_state import (
     Claim,
     RolloutKey,
@@ -34,6 +33,11 @@
     StoreOutcomeUnknownError,
     StoreRestoredError,
 )
+from hopstep.log_events.instances import (
+    ROLLOUT_LEASE_ACQUIRED,
+    ROLLOUT_LEASE_LOST,
+    ROLLOUT_LEASE_NOT_ENDED,
+)
 from hopstep.logs import emit
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
@@ -134,7 +138,7 @@
         try:
             await self._store.end_lease(lease)
         except StoreError as error:
-            emit(log_events.ROLLOUT_LEASE_NOT_ENDED, reason=reason, code=error.code.value)
+            emit(ROLLOUT_LEASE_NOT_ENDED, reason=reason, code=error.code.value)
 
     def give_up(self, reason: str) -> None:
         """Stop ordering under the current fencing token: an engine has seen a higher one."""
@@ -227,7 +231,7 @@
         self.fencing_token = self._token(version)
         self._held.set()
         emit(
-            log_events.ROLLOUT_LEASE_ACQUIRED,
+            ROLLOUT_LEASE_ACQUIRED,
             fencing_token=self.fencing_token,
             era=version.era,
             resumed=resumed,
@@ -314,7 +318,7 @@
     def _lose(self, reason: str) -> None:
         """Stop ordering, as the lease is lost."""
         if self._tenure.is_held:
-            emit(log_events.ROLLOUT_LEASE_LOST, fencing_token=self.fencing_token, reason=reason)
+            emit(ROLLOUT_LEASE_LOST, fencing_token=self.fencing_token, reason=reason)
             self._held = trio.Event()
         self._tenure.end()
         self.fencing_token = 0
--- a/hopstep/services/exchanges/weights/weights_rollout.py
+++ b/hopstep/services/exchanges/weights/weights_rollout.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import NamedWeights
 from hopstep.domain.exchanges.load_schedule import (
@@ -19,6 +18,7 @@
     plan_loads,
 )
 from hopstep.domain.instance_admission import Purpose
+from hopstep.log_events.instances import WEIGHTS_LOADS_WAITING, WEIGHTS_ORDER_SENT
 from hopstep.logs import emit
 from hopstep.ports.weights_orders import EngineReport, OrderOutcome, WeightsOrder, WeightsOrders
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
@@ -142,7 +142,7 @@
             return
         self._logged_waiting[model] = version
         emit(
-            log_events.WEIGHTS_LOADS_WAITING,
+            WEIGHTS_LOADS_WAITING,
             model=model,
             version=version,
             engines=plan.waiting,
@@ -241,7 +241,7 @@
         order = WeightsOrder(weights, self._name, self._lease.fencing_token, sequence)
         outcome = await self._orders.order(view.instance, order, self._notices.listener(view))
         emit(
-            log_events.WEIGHTS_ORDER_SENT,
+            WEIGHTS_ORDER_SENT,
             instance=view.instance.instance_id,
             model=weights.model,
             version=weights.version,
--- a/hopstep/services/leaving_watch.py
+++ b/hopstep/services/leaving_watch.py
@@ -12,10 +12,10 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.leaving_machines import LeavingMachines, ReportedMachines
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.exceptions import StoreError
+from hopstep.log_events.instances import MACHINE_LIST_UNAVAILABLE
 from hopstep.logs import emit
 from hopstep.ports.machine_list import Machine, MachineListPort, MachineState
 
@@ -107,7 +107,7 @@
                 machines = await machine_list.machines()
         except (StoreError, trio.TooSlowError):
             if self._available:
-                emit(log_events.MACHINE_LIST_UNAVAILABLE)
+                emit(MACHINE_LIST_UNAVAILABLE)
             self._available = False
             return
         self._available = True
--- a/hopstep/services/lifecycle.py
+++ b/hopstep/services/lifecycle.py
@@ -16,9 +16,9 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.stop_schedule import StopSchedule
 from hopstep.exceptions import ErrorCode, ServiceError
+from hopstep.log_events.process import DRAIN_CUT_SHORT, DRAIN_ENDED, PROCESS_STOPPING
 from hopstep.logs import emit
 
 STOPPING_RETRY_AFTER_SECONDS = 1.0
@@ -117,7 +117,7 @@
         """Request the planned stop; further calls change nothing."""
         if self.stopping:
             return
-        emit(log_events.PROCESS_STOPPING, active_requests=self._active)
+        emit(PROCESS_STOPPING, active_requests=self._active)
         self._stopped_at = trio.current_time()
         self._refuse_at = self._stopped_at + self.schedule.accept_seconds
         self._drain_until = self._stopped_at + self.schedule.drain_seconds
@@ -139,7 +139,7 @@
                 await self._idle.wait()
         self._is_drained = self.stopping
         seconds = round(trio.current_time() - self._stopped_at, 3)
-        emit(log_events.DRAIN_ENDED, seconds=seconds, active_requests=self._active)
+        emit(DRAIN_ENDED, seconds=seconds, active_requests=self._active)
         if self._active:
-            emit(log_events.DRAIN_CUT_SHORT, active_requests=self._active)
+            emit(DRAIN_CUT_SHORT, active_requests=self._active)
         return self._active == 0
--- a/hopstep/services/membership.py
+++ b/hopstep/services/membership.py
@@ -11,7 +11,6 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.membership import (
     Action,
     MemberChanged,
@@ -32,6 +31,12 @@
 )
 from hopstep.domain.rendezvous import Rendezvous
 from hopstep.exceptions import PeerMessageError
+from hopstep.log_events.membership import (
+    ISOLATION_CHANGED,
+    MEMBER_CHANGED,
+    MEMBERSHIP_REFUTED,
+    PEER_MESSAGE_REJECTED,
+)
 from hopstep.logs import emit
 from hopstep.ports.peer_transport import PeerTransport
 from hopstep.services.membership_metrics import MembershipMetrics
@@ -239,7 +244,7 @@
         if isinstance(action, MemberChanged):
             record = action.record
             emit(
-                log_events.MEMBER_CHANGED,
+                MEMBER_CHANGED,
                 member=record.name,
                 state=record.state.name.lower(),
                 incarnation=record.incarnation,
@@ -248,7 +253,7 @@
         elif isinstance(action, Refuted):
             self._transport.use_incarnation(action.record.incarnation)
             emit(
-                log_events.MEMBERSHIP_REFUTED,
+                MEMBERSHIP_REFUTED,
                 incarnation=action.record.incarnation,
                 version=action.record.version,
             )
@@ -260,7 +265,7 @@
         self._metrics.isolated.set(int(isolated))
         if isolated != self._was_isolated:
             self._was_isolated = isolated
-            emit(log_events.ISOLATION_CHANGED, isolated=isolated)
+            emit(ISOLATION_CHANGED, isolated=isolated)
 
     def _record_rejection(self, error: PeerMessageError) -> None:
         self._metrics.messages_rejected.inc()
@@ -269,7 +274,7 @@
         if now - self._rejection_logged_at < REJECTION_LOG_SECONDS:
             return
         self._rejection_logged_at = now
-        emit(log_events.PEER_MESSAGE_REJECTED, reason=error.message, count=self._rejected)
+        emit(PEER_MESSAGE_REJECTED, reason=error.message, count=self._rejected)
         self._rejected = 0
 
     def _update_owners(self) -> None:
--- a/hopstep/services/quarantine/quarantine.py
+++ b/hopstep/services/quarantine/quarantine.py
@@ -12,7 +12,6 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.quarantine.crash_ledger import (
     TERMINATIONS_TO_REFUSE,
     CountedTermination,
@@ -26,6 +25,7 @@
 )
 from hopstep.domain.quarantine.fingerprint import is_part
 from hopstep.domain.quarantine.refusals import NOT_REFUSED, Refusal
+from hopstep.log_events.requests import INSTANCE_ENDED
 from hopstep.logs import emit
 from hopstep.services.quarantine.instance_probes import InstanceProbes
 from hopstep.services.quarantine.refusal_log import RefusalLog
@@ -250,7 +250,7 @@
             return
         parts = sum(is_part(termination.fingerprint) for termination in counted)
         emit(
-            log_events.INSTANCE_ENDED,
+            INSTANCE_ENDED,
             instance=incarnation,
             evidence=evidence.value,
             requests=len(counted) - parts,
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -13,13 +13,14 @@
 import msgspec
 import trio
 
-from hopstep import log_events
 from hopstep.decoding import decode_json
 from hopstep.domain.quarantine.crash_records import MAX_REQUESTS
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
 from hopstep.domain.quarantine.fingerprint import is_part
 from hopstep.domain.store_position import ABSENT, StorePosition
 from hopstep.exceptions import StoreConflictError, StoreError
+from hopstep.log_events.configuration import DIRECTORY_ENTRY_REJECTED
+from hopstep.log_events.requests import QUARANTINED_REQUEST_NOT_TRIED
 from hopstep.logs import emit
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.ports.serving_directory import RejectReason
@@ -180,7 +181,7 @@
     def _log_not_tried(fingerprint: bytes, reason: str) -> None:
         """Log that a refused request's trial didn't run or was inconclusive."""
         emit(
-            log_events.QUARANTINED_REQUEST_NOT_TRIED,
+            QUARANTINED_REQUEST_NOT_TRIED,
             fingerprint=fingerprint.hex(),
             reason=reason,
         )
@@ -199,7 +200,7 @@
         except (ValueError, msgspec.DecodeError) as error:
             reason = RejectReason.UNREADABLE.value
             emit(
-                log_events.DIRECTORY_ENTRY_REJECTED,
+                DIRECTORY_ENTRY_REJECTED,
                 key=key,
                 reason=reason,
                 field="",
--- a/hopstep/services/quarantine/refusal_log.py
+++ b/hopstep/services/quarantine/refusal_log.py
@@ -4,10 +4,15 @@
 
 from collections import OrderedDict
 
-from hopstep import log_events
 from hopstep.domain.quarantine.crash_ledger import CountedTermination
 from hopstep.domain.quarantine.crash_records import MAX_REQUESTS, drop_oldest
 from hopstep.domain.quarantine.crashes import CrashSubject, RequestCrashes, RequestIdentity
+from hopstep.log_events.requests import (
+    INSTANCE_ENDED_UNDER_REQUEST,
+    QUARANTINED_REQUEST_TRIED,
+    REQUEST_QUARANTINED,
+    REQUEST_RELEASED,
+)
 from hopstep.logs import emit
 
 MIN_LOGGED_TERMINATIONS = 2
@@ -40,7 +45,7 @@
             return
         subject = self.subject(termination.fingerprint)
         emit(
-            log_events.INSTANCE_ENDED_UNDER_REQUEST,
+            INSTANCE_ENDED_UNDER_REQUEST,
             fingerprint=subject.fingerprint.hex(),
             subject=subject.kind.value,
             tenant=subject.caller,
@@ -70,7 +75,7 @@
         """Log that a request runs as a trial of a refused subject."""
         subject = self.subject(fingerprint)
         emit(
-            log_events.QUARANTINED_REQUEST_TRIED,
+            QUARANTINED_REQUEST_TRIED,
             fingerprint=fingerprint.hex(),
             subject=subject.kind.value,
             tenant=subject.caller,
@@ -81,7 +86,7 @@
         """Log that a subject is refused from now on."""
         subject = self.subject(known.fingerprint)
         emit(
-            log_events.REQUEST_QUARANTINED,
+            REQUEST_QUARANTINED,
             fingerprint=subject.fingerprint.hex(),
             subject=subject.kind.value,
             tenant=subject.caller,
@@ -94,7 +99,7 @@
         """Log that a subject is no longer refused."""
         subject = self.subject(fingerprint)
         emit(
-            log_events.REQUEST_RELEASED,
+            REQUEST_RELEASED,
             fingerprint=fingerprint.hex(),
             subject=subject.kind.value,
             tenant=subject.caller,
--- a/hopstep/services/requests/attempt_runner.py
+++ b/hopstep/services/requests/attempt_runner.py
@@ -5,9 +5,9 @@
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 
-from hopstep import log_events
 from hopstep.domain.attempts import AttemptState, FrameVerdict
 from hopstep.exceptions import EngineError, ErrorCode
+from hopstep.log_events.requests import FRAME_DROPPED
 from hopstep.logs import emit
 from hopstep.ports.engine import EnginePort, FinishReason, TokenFrame
 from hopstep.services.requests.attempt import Attempt
@@ -95,7 +95,7 @@
         attempt.dropped_frames += 1
         if attempt.dropped_frames == 1:
             emit(
-                log_events.FRAME_DROPPED,
+                FRAME_DROPPED,
                 engine=attempt.engine_name,
                 nonce=attempt.nonce,
                 verdict=verdict.value,
--- a/hopstep/services/requests/request_execution.py
+++ b/hopstep/services/requests/request_execution.py
@@ -5,13 +5,18 @@
 import msgspec
 import trio
 
-from hopstep import log_events
 from hopstep.domain.attempts import Action, AttemptState, Decision, RequestSnapshot, decide_next
 from hopstep.domain.blocks import count_tokens
 from hopstep.domain.configuration.index import ConfigurationIndex
 from hopstep.domain.inference import InferenceRequest
 from hopstep.domain.retry_budget import RetryBudget
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
+from hopstep.log_events.requests import (
+    ATTEMPT_INTERRUPTED,
+    ATTEMPT_RETRIED,
+    HEDGE_STARTED,
+    REQUEST_FAILED,
+)
 from hopstep.logs import emit
 from hopstep.ports.engine import AttemptStatus, EnginePort, TokenFrame
 from hopstep.services.configuration.holder import ConfigurationHolder
@@ -161,7 +166,7 @@
         self._state.attempts += 1
         self._context.metrics.count_attempt(AttemptKind.HEDGE)
         request_id = self._request.request_id
-        emit(log_events.HEDGE_STARTED, request_id=request_id, engine=second.engine_name)
+        emit(HEDGE_STARTED, request_id=request_id, engine=second.engine_name)
         return second
 
     async def _dispatch_again(self, action: Action) -> None:
@@ -170,7 +175,7 @@
             self._context.budget.take(trio.current_time())
         attempts = self._state.attempts
         emit(
-            log_events.ATTEMPT_RETRIED,
+            ATTEMPT_RETRIED,
             request_id=self._request.request_id,
             action=action.value,
             attempts=attempts,
@@ -288,7 +293,7 @@
     def _failure(self, code: ErrorCode, execution: Execution) -> ServiceError:
         """Return the error that ends the request."""
         emit(
-            log_events.REQUEST_FAILED,
+            REQUEST_FAILED,
             request_id=self._request.request_id,
             code=code.value,
             execution=execution.value,
@@ -306,7 +311,7 @@
     def _log_interruption(self, attempt: Attempt) -> None:
         """Log an attempt that didn't finish."""
         emit(
-            log_events.ATTEMPT_INTERRUPTED,
+            ATTEMPT_INTERRUPTED,
             request_id=self._request.request_id,
             engine=attempt.engine_name,
             nonce=attempt.nonce,
--- a/hopstep/services/rollout.py
+++ b/hopstep/services/rollout.py
@@ -11,12 +11,12 @@
 
 import trio
 
-from hopstep import log_events
 from hopstep.domain.configuration.document import AcceptedConfiguration, BackEndKind
 from hopstep.domain.engines import EngineFacts
 from hopstep.domain.rollout import WeightsOrder, plan
 from hopstep.domain.routing.routing_table import RoutingTable
 from hopstep.exceptions import EngineError
+from hopstep.log_events.instances import WEIGHTS_ORDER_FAILED, WEIGHTS_ORDERED
 from hopstep.logs import emit
 from hopstep.ports.engine import EngineOrder, EnginePort
 from hopstep.services.configuration.holder import ConfigurationHolder
@@ -83,14 +83,14 @@
                 facts = await self._engine_port.order(order.address, message)
         except (EngineError, trio.TooSlowError) as error:
             emit(
-                log_events.WEIGHTS_ORDER_FAILED,
+                WEIGHTS_ORDER_FAILED,
                 engine=order.address,
                 fence=order.fence,
                 reason=type(error).__name__,
             )
             return
         emit(
-            log_events.WEIGHTS_ORDERED,
+            WEIGHTS_ORDERED,
             engine=order.address,
             fence=order.fence,
             weights=order.weights,
--- a/tests/adapters/test_peer_codec.py
+++ b/tests/adapters/test_peer_codec.py
@@ -32,7 +32,8 @@
     SyncSummary,
 )
 from hopstep.exceptions import PeerMessageError
-from hopstep.log_events import PEER_KEYS_REJECTED, PEER_KEYS_REPLACED
+from hopstep.log_events.membership import PEER_KEYS_REJECTED
+from hopstep.log_events.process import PEER_KEYS_REPLACED
 
 KEY, OTHER_KEY = bytes(range(32)), bytes(range(1, 33))
 VALUES = (
--- a/tests/cli/test_reference_docs.py
+++ b/tests/cli/test_reference_docs.py
@@ -14,7 +14,7 @@
     render_events,
 )
 from hopstep.exceptions import ERROR_GUIDE, ErrorCode
-from hopstep.log_events import catalogue
+from hopstep.log_events.catalogue import catalogue
 
 
 class ReferenceDocsTest(unittest.TestCase):
