Call a node that has lost its members partitioned

Two things were called isolated in the code: a node without contact to most members, and a tenant that shares nothing. The first is PartitionDetector and is_partitioned now. What operators see keeps its names (isolation_seconds, hopstep_isolated, the code isolated).

--- a/emulator/scale.py
+++ b/emulator/scale.py
@@ -291,7 +291,7 @@
 
 
 def _isolated(scale: ScaleCluster, name: str) -> bool:
-    return scale.cluster.nodes[name].membership.is_isolated(scale.cluster.now)
+    return scale.cluster.nodes[name].membership.is_partitioned(scale.cluster.now)
 
 
 def _rates(scale: ScaleCluster, before: dict[str, int], elapsed: float) -> list[float]:
--- a/hopstep/adapters/http_api/composition.py
+++ b/hopstep/adapters/http_api/composition.py
@@ -36,7 +36,7 @@
     authenticator = Authenticator()
     services.holder.subscribe(authenticator.update_tenants)
     health = NodeHealth(
-        is_isolated=services.is_isolated,
+        is_partitioned=services.is_partitioned,
         seconds_since_confirmed=services.synchronization.seconds_since_confirmed,
         member_count=lambda: len(services.cluster.live_routers()),
         displaced_changes=lambda: tuple(str(item) for item in services.synchronization.displaced),
--- a/hopstep/adapters/http_api/context.py
+++ b/hopstep/adapters/http_api/context.py
@@ -37,7 +37,7 @@
     """How well the node is connected.
 
     Attributes:
-        is_isolated: Returns whether it has been isolated for too long to rely on its placement.
+        is_partitioned: Returns whether it has been cut off for too long to rely on its placement.
         seconds_since_confirmed: Returns the time since its configuration was confirmed as the
             latest.
         member_count: Returns the number of live members that it sees, including itself.
@@ -45,7 +45,7 @@
             good.
     """
 
-    is_isolated: Callable[[], bool]
+    is_partitioned: Callable[[], bool]
     seconds_since_confirmed: Callable[[], float]
     member_count: Callable[[], int]
     displaced_changes: Callable[[], tuple[str, ...]] = tuple
--- a/hopstep/adapters/http_api/gate.py
+++ b/hopstep/adapters/http_api/gate.py
@@ -92,7 +92,7 @@
                 "this router is outside the tenant's places; use one of the endpoints",
                 endpoints=tuple(router.address for router in routers),
             )
-        if tenant.selector.requirements() and self._context.health.is_isolated():
+        if tenant.selector.requirements() and self._context.health.is_partitioned():
             raise ServiceError(
                 ErrorCode.ISOLATED,
                 "this router is cut off and can't tell whether its placement still holds",
--- a/hopstep/adapters/http_api/operator.py
+++ b/hopstep/adapters/http_api/operator.py
@@ -40,7 +40,7 @@
         confirmed_seconds: Time since this revision was confirmed as the latest; -1 if never.
         ready: Whether load balancers should send callers here.
         stopping: Whether a planned stop is in progress.
-        isolated: Whether the node has been isolated for too long to rely on its placement.
+        isolated: Whether the node has been cut off for too long to rely on its placement.
         active_requests: Requests whose answers aren't complete yet.
         members: Live members that the node sees, including itself.
         displaced: Accepted changes that a restore of the store has removed for good, each with
@@ -107,7 +107,7 @@
         confirmed_seconds=confirmed_seconds if math.isfinite(confirmed_seconds) else -1.0,
         ready=context.lifecycle.ready,
         stopping=context.lifecycle.stopping,
-        isolated=context.health.is_isolated(),
+        isolated=context.health.is_partitioned(),
         active_requests=context.lifecycle.active_requests,
         members=context.health.member_count(),
         displaced=context.health.displaced_changes(),
--- a/hopstep/domain/membership/config.py
+++ b/hopstep/domain/membership/config.py
@@ -34,8 +34,8 @@
         datagram_bytes: Largest datagram.
         overhead_bytes: Envelope and headers around a body.
         pause_seconds: A gap between two ticks above which this node must have been paused.
-        isolation_window_seconds: Time without messages from most members after which this node
-            is isolated.
+        partition_window_seconds: Time without messages from most members after which this node
+            is partitioned.
         recent_past_seconds: Time for which a dead member still counts for the majority.
     """
 
@@ -57,7 +57,7 @@
     datagram_bytes: int = 1_300
     overhead_bytes: int = 100
     pause_seconds: float = 5.0
-    isolation_window_seconds: float = 10.0
+    partition_window_seconds: float = 10.0
     recent_past_seconds: float = 60.0
 
     def suspicion_timeout(self, members: int) -> float:
--- a/hopstep/domain/membership/failure_detector.py
+++ b/hopstep/domain/membership/failure_detector.py
@@ -5,7 +5,7 @@
 import random
 
 from hopstep.domain.membership.gossip import Change
-from hopstep.domain.membership.isolation import IsolationDetector
+from hopstep.domain.membership.partition_detector import PartitionDetector
 from hopstep.domain.membership.prober import Prober, RelayedProbe
 from hopstep.domain.membership.state import MembershipState
 from hopstep.domain.membership.table import Member
@@ -24,7 +24,7 @@
     def __init__(
         self,
         state: MembershipState,
-        isolation: IsolationDetector,
+        partition_detector: PartitionDetector,
         generator: random.Random,
         now: float,
     ) -> None:
@@ -32,12 +32,12 @@
 
         Args:
             state: This member's state.
-            isolation: Detector that records the probed and the responding members.
+            partition_detector: Detector that records the probed and the responding members.
             generator: Source of random order.
             now: Current time in seconds.
         """
         self._state = state
-        self._isolation = isolation
+        self._partition_detector = partition_detector
         self._generator = generator
         self._prober = Prober(generator)
         self._suspected_until: dict[str, float] = {}
@@ -90,7 +90,7 @@
 
     def on_ack(self, ack: Ack, now: float) -> None:
         """Record an ack, or pass it on to the member that asked for the probe."""
-        self._isolation.record_received(ack.target, now)
+        self._partition_detector.record_received(ack.target, now)
         member = self._state.table.get(ack.target)
         if member is not None:
             member.last_received_at = now
@@ -134,7 +134,7 @@
         if probe is None or member is None:
             return
         extra = [status_of(member)] if member.record.state is MemberState.SUSPECT else []
-        self._isolation.record_attempt(probe.target, now)
+        self._partition_detector.record_attempt(probe.target, now)
         self._state.outbox.send(
             member.record.peer_address,
             Ping(probe.number, probe.target),
@@ -181,10 +181,10 @@
         self._take_census(now)
 
     def _take_census(self, now: float) -> None:
-        for name in self._isolation.census(self._state.table, self._generator, now):
+        for name in self._partition_detector.census(self._state.table, self._generator, now):
             member = self._state.table.get(name)
             if member is not None:
-                self._isolation.record_attempt(name, now)
+                self._partition_detector.record_attempt(name, now)
                 self.ping_address(name, member.record.peer_address, now)
 
     def _end_suspicions(self, now: float) -> None:
--- a/hopstep/domain/membership/isolation.py
+++ b/hopstep/domain/membership/partition_detector.py
@@ -18,7 +18,7 @@
 """Number of members that are probed at once after a failed probe."""
 
 
-class IsolationDetector:
+class PartitionDetector:
     """Keeps the members that count for the majority, and the unanswered probes of this node."""
 
     def __init__(self, config: MembershipConfig) -> None:
@@ -46,11 +46,11 @@
         """Forget all unanswered probes, after a pause in which no answer could be read."""
         self._unanswered_since.clear()
 
-    def is_isolated(self, table: MemberTable, now: float) -> bool:
+    def is_partitioned(self, table: MemberTable, now: float) -> bool:
         """Return whether most of the sampled members are unresponsive.
 
-        A node without other members is not isolated. Members that left on a plan don't count.
-        With no responsive member at all, the node is isolated.
+        A node without other members is not partitioned. Members that left on a plan don't count.
+        With no responsive member at all, the node is partitioned.
         """
         if not any(self._counts(table, name) for name in self._reference):
             return False
@@ -71,24 +71,24 @@
     def update(self, table: MemberTable, now: float) -> None:
         """Update the counted members, while this node is in contact with a majority.
 
-        While it is isolated no member is removed: its own verdict that all others are dead
+        While it is partitioned no member is removed: its own verdict that all others are dead
         must not make it a majority of one.
         """
         self._reference.update(table.live_names())
-        if self.is_isolated(table, now):
+        if self.is_partitioned(table, now):
             return
         limit = now - self._config.recent_past_seconds
         if len(self._reference) > len(table.live_names()):
             self._reference = {
                 name for name in self._reference if not _is_past(table.get(name), limit)
             }
-        window = self._config.isolation_window_seconds
+        window = self._config.partition_window_seconds
         self._unanswered_since = _since(self._unanswered_since, now - 2 * window)
         self._received_at = _since(self._received_at, now - window)
 
     def census(self, table: MemberTable, generator: random.Random, now: float) -> list[str]:
         """Return unresponsive members to probe at once after a failed probe, at intervals."""
-        window = self._config.isolation_window_seconds
+        window = self._config.partition_window_seconds
         if now - self._census_at < window / 4:
             return []
         self._census_at = now
@@ -109,7 +109,7 @@
     def _is_responsive(self, name: str, now: float) -> bool:
         received_at = self._received_at.get(name)
         return (
-            received_at is not None and now - received_at <= self._config.isolation_window_seconds
+            received_at is not None and now - received_at <= self._config.partition_window_seconds
         )
 
     def _is_unresponsive(self, name: str, now: float) -> bool:
--- a/hopstep/domain/membership/protocol.py
+++ b/hopstep/domain/membership/protocol.py
@@ -22,7 +22,7 @@
 from hopstep.domain.membership.config import MembershipConfig
 from hopstep.domain.membership.failure_detector import FailureDetector
 from hopstep.domain.membership.gossip import SizeOf
-from hopstep.domain.membership.isolation import IsolationDetector
+from hopstep.domain.membership.partition_detector import PartitionDetector
 from hopstep.domain.membership.state import MembershipState
 from hopstep.domain.peer_message import (
     UNCONFIRMED,
@@ -78,8 +78,8 @@
         self._generator = generator
         self._seeds = [seed for seed in seeds if seed != own.peer_address]
         self._state = MembershipState(own, config, size_of, now)
-        self._isolation = IsolationDetector(config)
-        self._detector = FailureDetector(self._state, self._isolation, generator, now)
+        self._partition_detector = PartitionDetector(config)
+        self._detector = FailureDetector(self._state, self._partition_detector, generator, now)
         self._anti_entropy = AntiEntropy(self._state, generator, size_of, now)
         limits_rate = config.bytes_per_second * config.limits_ratio / 2
         self._report_budget = ByteBudget(limits_rate, config.burst_seconds, now)
@@ -130,9 +130,9 @@
         """Return the shared entries of a kind, this node's own included."""
         return list(self._state.entries.entries(kind))
 
-    def is_isolated(self, now: float) -> bool:
-        """Return whether most members of the recent past are unresponsive (see ``isolation``)."""
-        return self._isolation.is_isolated(self._state.table, now)
+    def is_partitioned(self, now: float) -> bool:
+        """Return whether most members of the recent past are unresponsive."""
+        return self._partition_detector.is_partitioned(self._state.table, now)
 
     def next_wakeup(self) -> float:
         """Return when ``tick`` has something to do next."""
@@ -271,7 +271,7 @@
         self._last_now = now
         if gap > self._config.pause_seconds:
             self._detector.after_pause(gap, now)
-            self._isolation.forget_attempts()
+            self._partition_detector.forget_attempts()
             self._anti_entropy.schedule_now(now)
 
     def _note_sender(self, message: PeerMessage, source: str, now: float) -> None:
@@ -279,7 +279,7 @@
         member = self._state.table.get(message.sender)
         if member is not None and member.record.incarnation == message.incarnation:
             member.last_received_at = now
-            self._isolation.record_received(message.sender, now)
+            self._partition_detector.record_received(message.sender, now)
             self._note_revision(member.record, message.body.gossip)
             return
         carried = any(record.name == message.sender for record in message.body.gossip.members)
@@ -350,14 +350,14 @@
             self._detector.ping_address(name, address, now)
 
     def _housekeep(self, now: float) -> None:
-        """Update the isolation detector, and forget members whose retention has passed."""
+        """Update the partition detector, and forget members whose retention has passed."""
         self._housekeeping_at = now + self._config.heartbeat_seconds
         self._pulled_names.clear()
-        self._isolation.update(self._state.table, now)
+        self._partition_detector.update(self._state.table, now)
         self._state.outbox.retransmissions = self._config.retransmissions(
             self._state.table.live_count()
         )
-        if now < self._forget_at or self.is_isolated(now):
+        if now < self._forget_at or self.is_partitioned(now):
             return
         self._forget_at = now + FORGET_INTERVAL_SECONDS
         for member in list(self._state.table):
--- a/hopstep/services/membership.py
+++ b/hopstep/services/membership.py
@@ -104,7 +104,7 @@
         self._rendezvous = Rendezvous.unweighted([own.name])
         self._alive_names = [own.name]
         self._seen_version = (-1, MemberState.ALIVE)
-        self._was_isolated = False
+        self._was_partitioned = False
         self._rejected = 0
         self._rejection_logged_at = float("-inf")
 
@@ -178,13 +178,13 @@
         """
         self._confirmed_age = age
 
-    def is_isolated(self, now: float) -> bool:
+    def is_partitioned(self, now: float) -> bool:
         """Return whether contact is lost with most of the routers that were recently alive.
 
         Routers after a planned stop don't count. With every other router down the result is
         true as well: the two cases can't be distinguished from here.
         """
-        return self._membership.is_isolated(now)
+        return self._membership.is_partitioned(now)
 
     def leave(self) -> None:
         """Announce a planned stop: peers give this router no new work."""
@@ -261,11 +261,11 @@
     def _update_metrics(self, now: float) -> None:
         self._metrics.live_members.set(len(self.alive_routers()))
         self._metrics.messages_withheld.set(self._membership.withheld)
-        isolated = self._membership.is_isolated(now)
-        self._metrics.isolated.set(int(isolated))
-        if isolated != self._was_isolated:
-            self._was_isolated = isolated
-            emit(ISOLATION_CHANGED, isolated=isolated)
+        partitioned = self._membership.is_partitioned(now)
+        self._metrics.isolated.set(int(partitioned))
+        if partitioned != self._was_partitioned:
+            self._was_partitioned = partitioned
+            emit(ISOLATION_CHANGED, isolated=partitioned)
 
     def _record_rejection(self, error: PeerMessageError) -> None:
         self._metrics.messages_rejected.inc()
@@ -293,5 +293,5 @@
         ack_timeout_seconds=defaults.ack_timeout_seconds * peers.heartbeat_seconds,
         suspicion_seconds=peers.suspicion_seconds,
         bytes_per_second=peers.bytes_per_second,
-        isolation_window_seconds=settings.isolation_seconds or defaults.isolation_window_seconds,
+        partition_window_seconds=settings.isolation_seconds or defaults.partition_window_seconds,
     )
--- a/hopstep/services/router.py
+++ b/hopstep/services/router.py
@@ -139,7 +139,7 @@
         self.membership.leave()
         await self.lifecycle.drain()
 
-    def is_isolated(self) -> bool:
+    def is_partitioned(self) -> bool:
         """Return whether contact with the store and with a majority is lost for too long.
 
         The configuration may have become stricter since, without reaching this router.
@@ -147,7 +147,7 @@
         limit = self._settings.isolation_seconds
         if limit == 0 or self.synchronization.seconds_since_confirmed() <= limit:
             return False
-        return self.membership.is_isolated(trio.current_time())
+        return self.membership.is_partitioned(trio.current_time())
 
     def peer_address(self, name: str) -> str | None:
         """Return the callers' address of another router, or None when it isn't known."""
--- a/tests/domain/membership/test_isolation.py
+++ b/tests/domain/membership/test_partition_detector.py
@@ -1,17 +1,17 @@
-"""Cases in which a node counts as isolated."""
+"""Cases in which a node counts as partitioned."""
 
 import random
 import unittest
 
 from hopstep.domain.membership.config import MembershipConfig
-from hopstep.domain.membership.isolation import IsolationDetector
+from hopstep.domain.membership.partition_detector import PartitionDetector
 from hopstep.domain.membership.table import MemberTable
 from hopstep.domain.peer_message import MemberRecord, MemberState, MemberStatus
 
 CONFIG = MembershipConfig()
 NOW = 100.0
 
-# Other members; of them responsive, unresponsive, leaving on a plan; whether isolated.
+# Other members; of them responsive, unresponsive, leaving on a plan; whether partitioned.
 CASES = (
     (0, 0, 0, 0, False),
     (1, 1, 0, 0, False),
@@ -30,7 +30,7 @@
 
 
 def world(others, responsive, unresponsive, leaving):
-    table, detector = MemberTable(), IsolationDetector(CONFIG)
+    table, detector = MemberTable(), PartitionDetector(CONFIG)
     for number in range(others):
         name = f"m{number}"
         table.merge_record(MemberRecord(name, 1, 0, MemberState.ALIVE, "", name), 0.0)
@@ -48,12 +48,12 @@
 
 class IsolationTest(unittest.TestCase):
     def test_majorities(self):
-        for others, responsive, unresponsive, leaving, isolated in CASES:
+        for others, responsive, unresponsive, leaving, partitioned in CASES:
             with self.subTest(
                 others=others, responsive=responsive, unresponsive=unresponsive, leaving=leaving
             ):
                 table, detector = world(others, responsive, unresponsive, leaving)
-                self.assertEqual(detector.is_isolated(table, NOW), isolated)
+                self.assertEqual(detector.is_partitioned(table, NOW), partitioned)
 
     def test_own_verdict_of_death_never_makes_a_majority_of_one(self):
         table, detector = world(4, 0, 4, 0)
@@ -61,7 +61,7 @@
             table.merge_status(MemberStatus(f"m{number}", 1, 0, MemberState.DEAD), NOW)
         for later in range(0, 7_200, 60):
             detector.update(table, NOW + later)
-            self.assertTrue(detector.is_isolated(table, NOW + later))
+            self.assertTrue(detector.is_partitioned(table, NOW + later))
 
     def test_members_that_died_under_a_majority_stop_counting(self):
         table, detector = world(4, 3, 1, 0)
@@ -74,7 +74,7 @@
         detector.record_received("m0", later + 20)
         detector.record_attempt("m1", later + 10)
         table.merge_status(MemberStatus("m2", 1, 1, MemberState.LEFT), later)
-        self.assertFalse(detector.is_isolated(table, later + 20))
+        self.assertFalse(detector.is_partitioned(table, later + 20))
 
     def test_census_tries_the_silent_ones_at_intervals(self):
         table, detector = world(40, 5, 0, 0)
--- a/tests/domain/test_membership_stateful.py
+++ b/tests/domain/test_membership_stateful.py
@@ -230,7 +230,7 @@
         if 2 * len(running) <= len(NAMES):
             return
         now = self.cluster.now
-        isolated = [node.name for node in running if node.membership.is_isolated(now)]
+        isolated = [node.name for node in running if node.membership.is_partitioned(now)]
         assert not isolated, f"{isolated} isolated without a fault"
 
 
--- a/tests/emulator/test_hollow_cluster.py
+++ b/tests/emulator/test_hollow_cluster.py
@@ -114,7 +114,9 @@
         for _ in range(20):
             cluster.run_until(cluster.now + 180)
             isolated = [
-                name for name in names(5) if cluster.nodes[name].membership.is_isolated(cluster.now)
+                name
+                for name in names(5)
+                if cluster.nodes[name].membership.is_partitioned(cluster.now)
             ]
             self.assertEqual(isolated, minority)
         self.assertEqual(alive_at(cluster, majority[0]), sorted(majority))
@@ -122,7 +124,7 @@
         self.assertLess(until_agreement(cluster, 30), 30)
         cluster.run_until(cluster.now + 2)
         for name in names(5):
-            self.assertFalse(cluster.nodes[name].membership.is_isolated(cluster.now))
+            self.assertFalse(cluster.nodes[name].membership.is_partitioned(cluster.now))
 
     def test_isolation_shows_within_seconds_in_a_large_cluster(self):
         cluster = make_cluster(40)
@@ -130,7 +132,7 @@
         cluster.faults.partition(names(40)[:12])
         cluster.run_until(cluster.now + 15)
         isolated = {
-            name for name in names(40) if cluster.nodes[name].membership.is_isolated(cluster.now)
+            name for name in names(40) if cluster.nodes[name].membership.is_partitioned(cluster.now)
         }
         self.assertEqual(isolated, set(names(40)[:12]))
 
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -124,7 +124,7 @@
             await world.start(3, incarnation=2)
             await trio.sleep(5)
             self.assertEqual(world.views()["r0"], ["r0", "r1", "r3"])
-            self.assertFalse(services[0].is_isolated(trio.current_time()))
+            self.assertFalse(services[0].is_partitioned(trio.current_time()))
 
         self.run_world(body)
 
@@ -134,11 +134,11 @@
             address = services[0].own.peer_address
             world.network.faults.cut(address)
             await trio.sleep(15)
-            self.assertTrue(services[0].is_isolated(trio.current_time()))
-            self.assertFalse(services[1].is_isolated(trio.current_time()))
+            self.assertTrue(services[0].is_partitioned(trio.current_time()))
+            self.assertFalse(services[1].is_partitioned(trio.current_time()))
             world.network.faults.heal()
             await trio.sleep(15)
-            self.assertFalse(services[0].is_isolated(trio.current_time()))
+            self.assertFalse(services[0].is_partitioned(trio.current_time()))
             self.assertEqual(len(world.views()["r1"]), 4)
             world.network.pause(address)
             await trio.sleep(30)
--- a/tests/simulation/test_suspensions.py
+++ b/tests/simulation/test_suspensions.py
@@ -40,7 +40,7 @@
             for router in cluster.routers.values():
                 states = {record.state for record in router.services.membership.members()}
                 self.assertEqual(states, {MemberState.ALIVE})
-                self.assertFalse(router.services.is_isolated())
+                self.assertFalse(router.services.is_partitioned())
 
         for seed in SEEDS:
             with self.subTest(seed=seed):
