Group the modules that handle one request by what they do

23 flat modules of services/exchanges/requests: intake (admission, body, bytes, quotas), choice (of an instance), queueing, and attempts have a folder each now; service, exchange, its parts and the advice to retry stay. Moved only, no line of code changed.

--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -52,8 +52,8 @@
 from hopstep.services.exchanges.reachability.instance_paths import InstancePaths
 from hopstep.services.exchanges.reachability.suspicion_checks import SuspicionChecks
 from hopstep.services.exchanges.reachability.tunnel_gate import InstanceTunnelGate
-from hopstep.services.exchanges.requests.held_bytes import HeldBytes
-from hopstep.services.exchanges.requests.quotas import Quotas
+from hopstep.services.exchanges.requests.intake.held_bytes import HeldBytes
+from hopstep.services.exchanges.requests.intake.quotas import Quotas
 from hopstep.services.exchanges.requests.service import ExchangeService
 from hopstep.services.exchanges.streams.stream_gauges import watch_streams
 from hopstep.services.exchanges.streams.stream_origins import StreamOrigins
--- a/hopstep/services/exchanges/peers/fleet_hints.py
+++ b/hopstep/services/exchanges/peers/fleet_hints.py
@@ -8,7 +8,7 @@
 from hopstep.ports.node_exchange import Hints, RelayQuery
 from hopstep.services.exchanges.peers.load_sharing import LoadSharing
 from hopstep.services.exchanges.peers.permit_sharing import PermitSharing
-from hopstep.services.exchanges.requests.quotas import Quotas
+from hopstep.services.exchanges.requests.intake.quotas import Quotas
 
 
 class FleetHints:
--- /dev/null
+++ b/hopstep/services/exchanges/requests/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts of a request at instances, and the relay of their responses."""
--- a/hopstep/services/exchanges/requests/answer_relay.py
+++ b/hopstep/services/exchanges/requests/attempts/answer_relay.py
@@ -27,7 +27,7 @@
     CompleteResponse,
     ExchangeOutcome,
 )
-from hopstep.services.exchanges.requests.held_bytes import HeldResponse, require_length
+from hopstep.services.exchanges.requests.intake.held_bytes import HeldResponse, require_length
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which clients are told that their request has not run."""
--- a/hopstep/services/exchanges/requests/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/attempts/instance_attempt.py
@@ -18,9 +18,9 @@
     InstanceCallError,
     SendProof,
 )
-from hopstep.services.exchanges.requests.answer_relay import AnswerRelay
+from hopstep.services.exchanges.requests.attempts.answer_relay import AnswerRelay
+from hopstep.services.exchanges.requests.attempts.response_watchdog import ResponseWatchdog
 from hopstep.services.exchanges.requests.exchange_parts import ExchangeOutcome, ExchangeParts
-from hopstep.services.exchanges.requests.response_watchdog import ResponseWatchdog
 
 
 class InstanceAttempt:
--- /dev/null
+++ b/hopstep/services/exchanges/requests/choice/__init__.py
@@ -0,0 +1,1 @@
+"""Which instance an attempt goes to."""
--- a/hopstep/services/exchanges/requests/engine_requests.py
+++ b/hopstep/services/exchanges/requests/choice/engine_requests.py
@@ -16,7 +16,7 @@
 from hopstep.domain.exchanges.store_contents import StoreContents
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
-from hopstep.services.exchanges.requests.engine_separation import EngineSeparation
+from hopstep.services.exchanges.requests.choice.engine_separation import EngineSeparation
 
 
 class EngineRequests:
--- a/hopstep/services/exchanges/requests/instance_choice.py
+++ b/hopstep/services/exchanges/requests/choice/instance_choice.py
@@ -20,8 +20,15 @@
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.pause_watch import PauseWatch
-from hopstep.services.exchanges.requests.engine_requests import EngineRequests, remaining_objective
-from hopstep.services.exchanges.requests.permit_demand import LimitProbes, is_limited, note_wanted
+from hopstep.services.exchanges.requests.choice.engine_requests import (
+    EngineRequests,
+    remaining_objective,
+)
+from hopstep.services.exchanges.requests.choice.permit_demand import (
+    LimitProbes,
+    is_limited,
+    note_wanted,
+)
 
 LAST_REQUESTS_SHARE = 0.5
 """Fraction of the drain bound during which an instance that is shutting down is still sent requests
--- a/hopstep/services/exchanges/requests/service_capacity.py
+++ b/hopstep/services/exchanges/requests/choice/service_capacity.py
@@ -12,7 +12,7 @@
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
-from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
+from hopstep.services.exchanges.requests.choice.instance_choice import InstanceChoice
 
 
 class Capacity(msgspec.Struct, frozen=True):
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -24,16 +24,16 @@
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer
 from hopstep.ports.instance_calls import InstanceCallError, SendProof
-from hopstep.services.exchanges.requests.answer_relay import AnswerRelay
-from hopstep.services.exchanges.requests.attempt_failures import note_failure
+from hopstep.services.exchanges.requests.attempts.answer_relay import AnswerRelay
+from hopstep.services.exchanges.requests.attempts.attempt_failures import note_failure
+from hopstep.services.exchanges.requests.attempts.instance_attempt import InstanceAttempt
+from hopstep.services.exchanges.requests.attempts.quarantine_gate import QuarantineGate
 from hopstep.services.exchanges.requests.exchange_parts import (
     MILLISECONDS,
     ExchangeOutcome,
     ExchangeParts,
 )
-from hopstep.services.exchanges.requests.instance_attempt import InstanceAttempt
-from hopstep.services.exchanges.requests.instance_waits import InstanceWaits
-from hopstep.services.exchanges.requests.quarantine_gate import QuarantineGate
+from hopstep.services.exchanges.requests.queueing.instance_waits import InstanceWaits
 from hopstep.services.exchanges.streams.stream_continuation import StreamContinuation
 
 FURTHER_STEPS = (NextStep.RETRY, NextStep.RESUME)
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -15,8 +15,8 @@
 from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
 from hopstep.services.exchanges.pause_watch import PauseWatch
-from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
-from hopstep.services.exchanges.requests.request_queue import RequestQueue
+from hopstep.services.exchanges.requests.choice.instance_choice import InstanceChoice
+from hopstep.services.exchanges.requests.queueing.request_queue import RequestQueue
 from hopstep.services.exchanges.streams.stream_origins import StreamOrigins
 from hopstep.services.quarantine.quarantine import Quarantine
 
--- /dev/null
+++ b/hopstep/services/exchanges/requests/intake/__init__.py
@@ -0,0 +1,1 @@
+"""From the first byte of a request to its admission."""
--- a/hopstep/services/exchanges/requests/admission.py
+++ b/hopstep/services/exchanges/requests/intake/admission.py
@@ -10,7 +10,7 @@
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.ports.exchange_front import RequestHead
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
-from hopstep.services.exchanges.requests.held_bytes import no_space
+from hopstep.services.exchanges.requests.intake.held_bytes import no_space
 from hopstep.services.lifecycle import Lifecycle
 
 
--- /dev/null
+++ b/hopstep/services/exchanges/requests/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that wait at this node."""
--- a/hopstep/services/exchanges/requests/instance_waits.py
+++ b/hopstep/services/exchanges/requests/queueing/instance_waits.py
@@ -13,7 +13,7 @@
     ExchangeOutcome,
     ExchangeParts,
 )
-from hopstep.services.exchanges.requests.queue_refusals import QueueRefusalError
+from hopstep.services.exchanges.requests.queueing.queue_refusals import QueueRefusalError
 
 
 class InstanceWaits:
--- a/hopstep/services/exchanges/requests/queue_binding.py
+++ b/hopstep/services/exchanges/requests/queueing/queue_binding.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from hopstep.domain.exchanges.instance_scope import InstanceScope
-from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
-from hopstep.services.exchanges.requests.service_capacity import Capacity, ServiceCapacity
-from hopstep.services.exchanges.requests.waiting_exchange import WaitingExchange
+from hopstep.services.exchanges.requests.choice.instance_choice import InstanceChoice
+from hopstep.services.exchanges.requests.choice.service_capacity import Capacity, ServiceCapacity
+from hopstep.services.exchanges.requests.queueing.waiting_exchange import WaitingExchange
 
 
 class QueueBinding:
--- a/hopstep/services/exchanges/requests/queue_refusals.py
+++ b/hopstep/services/exchanges/requests/queueing/queue_refusals.py
@@ -19,8 +19,8 @@
 from hopstep.log_events.requests import REQUEST_REFUSED_EARLY
 from hopstep.logs import emit
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
-from hopstep.services.exchanges.requests.service_capacity import Capacity
-from hopstep.services.exchanges.requests.waiting_exchange import WaitingExchange
+from hopstep.services.exchanges.requests.choice.service_capacity import Capacity
+from hopstep.services.exchanges.requests.queueing.waiting_exchange import WaitingExchange
 
 MILLISECONDS = 1_000
 
--- a/hopstep/services/exchanges/requests/request_queue.py
+++ b/hopstep/services/exchanges/requests/queueing/request_queue.py
@@ -26,11 +26,11 @@
 )
 from hopstep.exceptions import ServiceError
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
-from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
-from hopstep.services.exchanges.requests.queue_binding import QueueBinding
-from hopstep.services.exchanges.requests.queue_refusals import QueueRefusals
-from hopstep.services.exchanges.requests.service_capacity import Capacity, ServiceCapacity
-from hopstep.services.exchanges.requests.waiting_exchange import WaitingExchange
+from hopstep.services.exchanges.requests.choice.instance_choice import InstanceChoice
+from hopstep.services.exchanges.requests.choice.service_capacity import Capacity, ServiceCapacity
+from hopstep.services.exchanges.requests.queueing.queue_binding import QueueBinding
+from hopstep.services.exchanges.requests.queueing.queue_refusals import QueueRefusals
+from hopstep.services.exchanges.requests.queueing.waiting_exchange import WaitingExchange
 from hopstep.services.lifecycle import Lifecycle
 
 RECHECK_SECONDS = 0.1
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -35,20 +35,20 @@
 from hopstep.services.exchanges.peers.load_sharing import LoadSharing
 from hopstep.services.exchanges.reachability.instance_paths import InstancePaths
 from hopstep.services.exchanges.reachability.suspicion_checks import SuspicionChecks
-from hopstep.services.exchanges.requests.admission import ExchangeAdmission
+from hopstep.services.exchanges.requests.choice.instance_choice import InstanceChoice
+from hopstep.services.exchanges.requests.choice.service_capacity import ServiceCapacity
 from hopstep.services.exchanges.requests.exchange import Exchange
 from hopstep.services.exchanges.requests.exchange_parts import (
     MILLISECONDS,
     ExchangeOutcome,
     ExchangeParts,
 )
-from hopstep.services.exchanges.requests.held_bytes import HeldBytes, require_space
-from hopstep.services.exchanges.requests.incoming_exchange import IncomingExchange
-from hopstep.services.exchanges.requests.instance_choice import InstanceChoice
-from hopstep.services.exchanges.requests.quotas import Quotas
-from hopstep.services.exchanges.requests.request_queue import RequestQueue
+from hopstep.services.exchanges.requests.intake.admission import ExchangeAdmission
+from hopstep.services.exchanges.requests.intake.held_bytes import HeldBytes, require_space
+from hopstep.services.exchanges.requests.intake.incoming_exchange import IncomingExchange
+from hopstep.services.exchanges.requests.intake.quotas import Quotas
+from hopstep.services.exchanges.requests.queueing.request_queue import RequestQueue
 from hopstep.services.exchanges.requests.retry_advisor import RetryAdvisor
-from hopstep.services.exchanges.requests.service_capacity import ServiceCapacity
 from hopstep.services.exchanges.streams.stream_origins import StreamOrigins
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.services.quarantine.quarantine import Quarantine
--- a/tests/services/exchanges/test_engine_separation.py
+++ b/tests/services/exchanges/test_engine_separation.py
@@ -11,8 +11,8 @@
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.serving import RequestKind, ServingIndex
 from hopstep.domain.exchanges.spread_choice import Rating
-from hopstep.services.exchanges.requests.engine_requests import EngineRequests
-from hopstep.services.exchanges.requests.engine_separation import EngineSeparation
+from hopstep.services.exchanges.requests.choice.engine_requests import EngineRequests
+from hopstep.services.exchanges.requests.choice.engine_separation import EngineSeparation
 from tests.services.exchanges.exchange_world import MODEL, configuration, route
 
 VIEWS = [InstanceView(Instance(f"e{n}", "llm", f"e:{n}", "z1", 16)) for n in range(6)]
--- a/tests/services/exchanges/test_held_bytes.py
+++ b/tests/services/exchanges/test_held_bytes.py
@@ -16,7 +16,7 @@
 from hopstep.ports.serving_directory import ConfigurationPublished
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.node_gauges import watch_held_bytes
-from hopstep.services.exchanges.requests.held_bytes import (
+from hopstep.services.exchanges.requests.intake.held_bytes import (
     CHECK_SECONDS,
     MAX_RESPONSE_BYTES,
     HeldBytes,
--- a/tests/services/exchanges/test_request_body.py
+++ b/tests/services/exchanges/test_request_body.py
@@ -8,8 +8,8 @@
 from hopstep.domain.byte_budget import ByteBudget, ByteShare
 from hopstep.domain.exchanges.request_body import BodyOmission, RequestBody
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
-from hopstep.services.exchanges.requests.held_bytes import HeldBytes
-from hopstep.services.exchanges.requests.incoming_exchange import IncomingExchange
+from hopstep.services.exchanges.requests.intake.held_bytes import HeldBytes
+from hopstep.services.exchanges.requests.intake.incoming_exchange import IncomingExchange
 
 
 class RequestBodyTest(unittest.TestCase):
--- a/tests/services/exchanges/test_request_queue.py
+++ b/tests/services/exchanges/test_request_queue.py
@@ -12,8 +12,8 @@
 from hopstep.domain.exchanges.request import PromptSegment
 from hopstep.exceptions import ErrorCode
 from hopstep.ports.serving_directory import ConfigurationPublished
-from hopstep.services.exchanges.requests import request_queue
-from hopstep.services.exchanges.requests.service_capacity import Capacity, ServiceCapacity
+from hopstep.services.exchanges.requests.choice.service_capacity import Capacity, ServiceCapacity
+from hopstep.services.exchanges.requests.queueing import request_queue
 from tests.services.exchanges.exchange_world import (
     ROUTES,
     TENANTS,
--- a/tests/services/exchanges/test_resting_load.py
+++ b/tests/services/exchanges/test_resting_load.py
@@ -12,7 +12,7 @@
 import msgspec
 import trio
 
-from hopstep.services.exchanges.requests.instance_choice import InstanceChoice, Opening
+from hopstep.services.exchanges.requests.choice.instance_choice import InstanceChoice, Opening
 from tests.services.exchanges.exchange_world import ExchangeWorld
 
 NODES = 3
