--- a/hopstep/services/exchanges/directory/knowledge.py
+++ b/hopstep/services/exchanges/directory/knowledge.py
@@ -14,9 +14,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 
-import msgspec
 import trio
 
 from hopstep.domain.exchanges.directory_change_log import DirectoryChangeLog, LoggedChange
@@ -27,19 +26,12 @@
 from hopstep.domain.exchanges.weights import NamedWeightsTable
 from hopstep.domain.store_position import ABSENT, NO_POSITION, StorePosition
 from hopstep.exceptions import ErrorCode, ServiceError
-from hopstep.log_events.configuration import DIRECTORY_ENTRY_REJECTED
-from hopstep.logs import emit
 from hopstep.ports.serving_directory import (
     ConfigurationPublished,
     DirectoryBatch,
     DirectoryChange,
     DirectoryEntry,
-    InstanceListed,
-    InstanceRejected,
-    InstanceRemoved,
     RecordWritten,
-    RejectReason,
-    Unreadable,
     WeightsPublished,
 )
 from hopstep.services.exchanges.directory.change_origin import (
@@ -48,6 +40,7 @@
     feed_entry,
 )
 from hopstep.services.exchanges.directory.copy_losses import BackupLosses, find_losses
+from hopstep.services.exchanges.directory.document_changes import DocumentChanges
 from hopstep.services.exchanges.directory.instance_changes import InstanceChanges
 from hopstep.services.exchanges.directory.key_freshness import KeyFreshness
 from hopstep.services.exchanges.directory.known_configuration import KnownConfiguration
@@ -105,14 +98,17 @@
         self.named_weights = KnownWeights(weights, self.contact)
         self.instances = InstanceChanges(table, self.contact)
         self.records = KnownRecords(self.registered_nodes)
+        self.documents = DocumentChanges(
+            self.configuration,
+            self.named_weights,
+            self.instances,
+            self.records,
+            self.registered_nodes,
+            table,
+        )
         self.keys = KeyFreshness(revocation_seconds)
         self.last_answer_at = -float("inf")
         self.changed = trio.Event()
-        self._count_rejected: Callable[[RejectReason], None] = lambda _reason: None
-
-    def subscribe_rejections(self, listener: Callable[[RejectReason], None]) -> None:
-        """Call a listener for each rejected document."""
-        self._count_rejected = listener
 
     @property
     def index(self) -> ServingIndex | None:
@@ -236,7 +232,7 @@
         applied = False
         for entry in sorted(entries, key=lambda entry: entry.position):
             if not is_passed_on(entry.key):
-                self._apply_change(entry, self._origin(entry, source, NO_POSITION))
+                self.documents.apply(entry.change.change, self._origin(entry, source, NO_POSITION))
                 continue
             known = self.feed.get(entry.key)
             if _is_same_write(known, entry) or self._is_outdated(entry.change.change):
@@ -244,7 +240,9 @@
             if self.feed.put(entry):
                 applied = True
                 previous_position = known.position if known is not None else NO_POSITION
-                self._apply_change(entry, self._origin(entry, source, previous_position))
+                self.documents.apply(
+                    entry.change.change, self._origin(entry, source, previous_position)
+                )
         if applied:
             self._notify_changed()
 
@@ -257,7 +255,7 @@
         """
         newer = [entry for entry in entries if not self._is_outdated(entry.change.change)]
         for entry in newer:
-            self._apply_change(entry, self._origin(entry, source, NO_POSITION))
+            self.documents.apply(entry.change.change, self._origin(entry, source, NO_POSITION))
         if newer:
             self._notify_changed()
 
@@ -322,47 +320,6 @@
             source, entry.since, age_ms, entry.position, previous_position, may_be_copied
         )
 
-    def _apply_change(self, entry: Entry, origin: ChangeOrigin) -> None:
-        """Apply one change."""
-        change = entry.change.change
-        match change:
-            case ConfigurationPublished(configuration):
-                self.configuration.apply(configuration, origin)
-            case InstanceListed(instance):
-                self.instances.apply_listed(instance, origin)
-            case InstanceRejected():
-                self.table.reject(change.instance_id)
-                key = change.instance_id
-                self._log_rejected(key, change.reason, change.field, change.detail)
-            case InstanceRemoved(instance_id):
-                self.instances.apply_removed(instance_id, origin)
-            case WeightsPublished(weights):
-                self.named_weights.apply(weights, origin)
-            case RecordWritten():
-                self._apply_record(change, origin)
-            case Unreadable():
-                self._log_rejected(change.key, change.reason, change.field, change.detail)
-
-    def _apply_record(self, record: RecordWritten, origin: ChangeOrigin) -> None:
-        """Apply a key that hopstep's nodes write."""
-        try:
-            self.records.apply(record, origin)
-        except msgspec.DecodeError as error:
-            self._log_rejected(record.key, RejectReason.UNREADABLE, "", str(error))
-        if self.registered_nodes.has_others:
-            self.table.first_peer_report.note_other_nodes()
-
-    def _log_rejected(self, key: str, reason: RejectReason, field: str, detail: str) -> None:
-        """Log and count a rejected document: once for each of its revisions."""
-        self._count_rejected(reason)
-        emit(
-            DIRECTORY_ENTRY_REJECTED,
-            key=key,
-            reason=reason.value,
-            field=field,
-            detail=detail,
-        )
-
 
 def _is_same_write(known: Entry | None, entry: Entry) -> bool:
     """Return whether an entry is the known one of an earlier era, unchanged in the backup."""
--- a/hopstep/services/exchanges/node_gauges.py
+++ b/hopstep/services/exchanges/node_gauges.py
@@ -19,7 +19,7 @@
 
 def watch_knowledge(metrics: ExchangeMetrics, knowledge: ServingKnowledge) -> None:
     """Register the metrics of a node's configuration and view of the store, and of their age."""
-    knowledge.subscribe_rejections(
+    knowledge.documents.subscribe_rejections(
         lambda reason: metrics.rejected_entries.labels(reason.value).inc()
     )
     metrics.watch(
