Install on arm64: hold the hashes of the wheels for both architectures

What users saw: on an arm64 machine `make setup` and the build line of deploy/system.toml stopped with "THESE PACKAGES DO NOT MATCH THE HASHES".

Cause: the requirements held the hashes of the x86-64 wheels alone.

Change: requirements/lock.py (`make lock`) asks pip for the wheel of every pin on both architectures and writes their names and hashes.

.venv and target/deps are now marked with Python's binary interface (version and machine), and are made anew, with a line that says so, when the marker is of another machine or missing. The build line became deploy/build.sh for this; the deploy test reads both.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,18 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-STAMP := $(VENV)/.stamp
+# Names the Python version and the machine for which compiled packages are installed.
+BINARY_INTERFACE := $(shell $(PYTHON) -c 'import sysconfig; print(sysconfig.get_config_var("SOABI"))')
+STAMP := $(VENV)/.stamp-$(BINARY_INTERFACE)
 
 .DEFAULT_GOAL := setup
-.PHONY: setup test lint format demo bench fuzz soak deploy-check clean
+.PHONY: setup lock test lint format demo bench fuzz soak deploy-check clean
 
 $(STAMP): pyproject.toml requirements/dev.txt
+	@if [ -d $(VENV) ] && [ ! -e $@ ]; then \
+		echo "$(VENV) is incomplete or of another kind of machine: making it anew for $(BINARY_INTERFACE)"; \
+		rm -rf $(VENV); \
+	fi
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --require-hashes -r requirements/dev.txt
 	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
@@ -16,6 +22,10 @@
 
 setup: $(STAMP)
 
+# Writes the hashes of all pinned packages for every supported machine.
+lock:
+	$(PYTHON) requirements/lock.py
+
 test: setup
 	$(BIN)/python -m tests
 
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -101,8 +101,8 @@
     def test_the_role_runs_a_module_of_the_product_from_pinned_libraries(self):
         module = self.role["run"].removeprefix("python3 -S -m ").replace(".", "/") + ".py"
         self.assertTrue((ROOT / module).is_file())
-        self.assertIn("--require-hashes", self.system["build"])
-        self.assertIn("target/deps", self.system["build"])
+        self.assertEqual(self.system["build"], "sh deploy/build.sh target/deps")
+        self.assertIn("--require-hashes", (ROOT / "deploy" / "build.sh").read_text())
 
     def test_nothing_of_the_emulator_is_loaded(self):
         for path in (ROOT / "hopstep").rglob("*.py"):
