Test that no cut answer looks whole to a client of a node

Nodes run in the test's process with their real front, server and connections. Each case has instances of its own and one cut: after each byte of the head, the frames of the body and the trailers, by a close, a reset or silence; directly and through another node. A client that reads strictly must get the whole answer, 502 or 504, or a connection that breaks off visibly. Each request must have reached an instance, so that a refusal isn't taken for a passed case.

--- /dev/null
+++ b/tests/platform/answer_cuts.py
@@ -0,0 +1,451 @@
+"""Nodes in this process between raw clients and instances whose answers are cut, by real sockets.
+
+Each case has a route, a service and instances of its own, so that what a node concludes from one
+cut answer has no effect on the other cases. All instances share one listener: each has another
+address of the loopback network.
+"""
+
+import contextlib
+import enum
+import functools
+import json
+import re
+import socket
+import struct
+import unittest
+from collections import Counter
+from pathlib import Path
+from unittest import mock
+
+import h11
+import hypercorn
+import hypercorn.trio
+import msgspec
+import trio
+
+from emulator.exchange_platform.store import create_store_app
+from emulator.platform.shared_store import SharedStore
+from hopstep.adapters import key_value_store_wire as wire
+from hopstep.cli import node_process
+from hopstep.domain.quarantine.crashes import InstanceProbeResult
+from hopstep.domain.store_position import ABSENT
+from hopstep.exceptions import ErrorCode, Execution
+from hopstep.exchange_settings import ExchangeSettings
+from hopstep.platform.instances import HttpInstances
+from hopstep.ports.instance_calls import InstanceCallError
+
+HOST = "h.example"
+START_SECONDS = 20.0
+"""Bounds failures only."""
+
+CLIENTS_AT_ONCE = 50
+TRIES = 20
+RETRY_SECONDS = 0.2
+"""A request that no instance has received is sent again: a busy machine may delay a connection."""
+
+MODEL_HEADER = ("Model", "m")
+"""Header of requests with a prompt; their instances are engines."""
+
+MODELS = [{"name": "m", "version": 1}]
+REPORT = json.dumps({"busy": False, "callSequence": 0, "models": MODELS}).encode()
+REPORT_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(REPORT), REPORT)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+ADDRESSES_PER_NETWORK = 250
+OK = 200
+FAILURES = frozenset({502, 504})
+"""Statuses without a promise that the request hasn't run: each request of a case was sent."""
+
+ID = b"a00000"
+"""Stands for the request's id in an answer, and is as long."""
+
+START = b"HTTP/1.1 200 OK\r\nAttempt-Id: " + ID + b"\r\nResponse-Stamp: s\r\n"
+BODY = b"body"
+BY_LENGTH = START + b"Content-Length: 4\r\n\r\n"
+WHOLE = BY_LENGTH + BODY
+IN_CHUNKS = START + b"Transfer-Encoding: chunked\r\n\r\n"
+BY_CLOSE = START + b"Connection: close\r\n\r\n"
+CHUNKS = b"2\r\nbo\r\n2;x=y\r\ndy\r\n0\r\nT: v\r\n\r\n"
+FAILED = BY_LENGTH.replace(b"200 OK", b"500 Internal Server Error")
+NO_CONTENT = START.replace(b"200 OK", b"204 No Content") + b"\r\n"
+EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+STREAM = b"".join(EVENTS)
+STREAM_CHUNKS = b"".join(b"f\r\n" + event + b"\r\n" for event in EVENTS) + b"0\r\n\r\n"
+SILENT_DEADLINE_MS = 500
+
+
+class Ending(enum.Enum):
+    """What an instance does after the last byte that it sends."""
+
+    CLOSE = "close"
+    RESET = "reset"
+    SILENCE = "silence"
+
+
+class Kind(enum.Enum):
+    """How the route of a case treats its requests."""
+
+    UNSAFE = "unsafe"
+    SAFE = "safe"
+    STREAM = "stream"
+    RESUMABLE = "resumable"
+
+
+ROUTE_FIELDS = {
+    Kind.UNSAFE: {"kind": "unsafe", "maxAttempts": 1},
+    Kind.SAFE: {"kind": "safe", "maxAttempts": 2},
+    Kind.STREAM: {"kind": "streaming", "maxAttempts": 1},
+    Kind.RESUMABLE: {"kind": "streaming", "maxAttempts": 2, "resumable": True},
+}
+
+
+class Case(msgspec.Struct, frozen=True):
+    """One request, and how its answer is cut.
+
+    Attributes:
+        name: Form of the answer and place of the cut, for messages.
+        answer: Answer of the first instance, with ``ID`` in the place of the request's id.
+        cut: Bytes of it that are sent.
+        ending: What the instance does then.
+        behind: Bytes that it sends between the two.
+        status: Status of the answer.
+        bodies: Bodies with which the answer is whole.
+        must_be_whole: Whether the client must get it with one of them.
+        kind: How the route treats the request.
+        method: Method of the request.
+        second: Answer of the instance that is asked after it; empty for a close.
+        deadline_ms: Time that the client gives.
+        headers: Further headers of the request.
+    """
+
+    name: str
+    answer: bytes
+    cut: int
+    ending: Ending
+    behind: bytes = b""
+    status: int = 200
+    bodies: tuple[bytes, ...] = ()
+    must_be_whole: bool = False
+    kind: Kind = Kind.UNSAFE
+    method: str = "POST"
+    second: bytes = b""
+    deadline_ms: int = 4_000
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Received(msgspec.Struct):
+    """What a client received.
+
+    Attributes:
+        status: Status; 0 without a complete head.
+        headers: Headers of the answer.
+        body: Bytes of the body.
+        framed: Whether the answer is complete by its framing.
+    """
+
+    status: int = 0
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    body: bytes = b""
+    framed: bool = False
+
+
+class UnreachableInstances(HttpInstances):
+    """Calls of a node whose own links to all instances are cut."""
+
+    @contextlib.asynccontextmanager
+    async def open(self, call):
+        if call.gateway is None:
+            raise InstanceCallError(
+                ErrorCode.ENGINE_UNREACHABLE, "link is cut", Execution.NOT_RUN, sent=False
+            )
+        async with super().open(call) as answer:
+            yield answer
+
+    async def probe_connection(self, _instance):
+        await trio.lowlevel.checkpoint()
+        return InstanceProbeResult.NO_ANSWER
+
+
+class CutInstances:
+    """The instances of all cases.
+
+    Attributes:
+        arrivals: Requests that have arrived, by the number of their case.
+    """
+
+    def __init__(self, cases):
+        self.arrivals = Counter()
+        self._cases = cases
+
+    async def handle(self, stream):
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            async with stream:
+                await self._serve(stream)
+
+    async def _serve(self, stream):
+        received = b""
+        while b"\r\n\r\n" not in received:
+            data = await stream.receive_some()
+            if not data:
+                return
+            received += data
+        head = received.partition(b"\r\n\r\n")[0]
+        if head.startswith(b"GET /report"):
+            await stream.send_all(REPORT_ANSWER)
+        place = re.match(rb"[A-Z]+ /c(\d+)/", head)
+        if place is None:
+            return
+        number = int(place[1])
+        case = self._cases[number]
+        self.arrivals[number] += 1
+        is_first = self.arrivals[number] == 1
+        if not is_first and not case.second:
+            return
+        answer = case.answer if is_first else _continued(case.second, head)
+        sent = answer[: case.cut] + case.behind if is_first else answer
+        await stream.send_all(sent.replace(ID, b"a%05d" % number))
+        ending = case.ending if is_first else Ending.CLOSE
+        if ending is Ending.RESET:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        elif ending is Ending.SILENCE:
+            while await stream.receive_some():
+                pass
+
+
+def _continued(answer, head):
+    """Return a whole answer, without the events that the client has already."""
+    resumed = re.search(rb"last-event-id: (\d+)", head.lower())
+    if resumed is None:
+        return answer
+    start, _, events = answer.partition(b"\r\n\r\n")
+    numbered = re.findall(rb"(id: (\d+)\n.*?\n\n)", events, re.DOTALL)
+    rest = [event for event, number in numbered if int(number) > int(resumed[1])]
+    return start + b"\r\n\r\n" + b"".join(rest)
+
+
+FIRST_CASE = Case("first", WHOLE, len(WHOLE), Ending.CLOSE, kind=Kind.SAFE, second=WHOLE)
+"""Its answers show that a node serves requests, and knows its gateway."""
+
+
+class CutWorld:
+    """A node, or two of which the first reaches instances through the second only."""
+
+    def __init__(self, cases, *, tunnel=False, clients=CLIENTS_AT_ONCE, **settings):
+        self.cases = cases
+        self._clients = clients
+        self.instances = CutInstances([*cases, FIRST_CASE])
+        self._tunnel = tunnel
+        self._settings = settings
+
+    def run(self):
+        """Play all cases; return what the client of each received."""
+        return trio.run(self._run)
+
+    async def _run(self):
+        received = [Received()] * len(self.cases)
+        shared = SharedStore(100_000)
+        async with trio.open_nursery() as nursery:
+            serve = functools.partial(trio.serve_tcp, self.instances.handle, 0, host="0.0.0.0")  # noqa: S104
+            listeners = await nursery.start(functools.partial(serve, backlog=1024))
+            port = listeners[0].socket.getsockname()[1]
+            await self._publish(shared, port)
+            config = hypercorn.Config()
+            config.bind = ["127.0.0.1:0"]
+            config.loglevel = "CRITICAL"
+            bound = await nursery.start(hypercorn.trio.serve, create_store_app(shared), config)
+            store = bound[0].removeprefix("http://")
+            if self._tunnel:
+                await self._start_node(nursery, "gateway", store)
+                with mock.patch.object(node_process, "HttpInstances", UnreachableInstances):
+                    address = await self._start_node(nursery, "node", store)
+            else:
+                address = await self._start_node(nursery, "node", store)
+            last = len(self.cases)
+            await _wait_answered(address, f"/c{last}/x", f"a{last:05}")
+            limit = trio.CapacityLimiter(self._clients)
+            async with trio.open_nursery() as clients:
+                for number in range(len(self.cases)):
+                    clients.start_soon(self._play, address, number, limit, received)
+            nursery.cancel_scope.cancel()
+        return received
+
+    async def _publish(self, shared, port):
+        routes, services, entries = [], [], []
+        for number, case in enumerate((*self.cases, FIRST_CASE)):
+            name = f"c{number}"
+            fields = {"timeoutMs": 30_000, "targetLatencyMs": 300, **ROUTE_FIELDS[case.kind]}
+            route = {"name": name, "hostname": HOST, "pathPrefix": f"/{name}/", "service": name}
+            routes.append(route | fields)
+            is_prompt = MODEL_HEADER in case.headers
+            engine = {"engine": {"slots": 4, "kvCapacityTokens": 100_000, "models": MODELS}}
+            services.append({"name": name} | (engine if is_prompt else {}))
+            for _ in range(fields["maxAttempts"]):
+                network, host = divmod(len(entries), ADDRESSES_PER_NETWORK)
+                entry = {
+                    "service": name,
+                    "address": f"127.1.{network}.{host + 1}:{port}",
+                    "zone": "z1",
+                    "version": "v1",
+                    "slots": 4,
+                    "state": "ready",
+                    "coldRemainingMs": 0,
+                    "callSequence": 0,
+                    "models": MODELS if is_prompt else [],
+                }
+                entries.append((f"servers/i{len(entries)}", entry))
+        document = {"version": 1, "routes": routes, "services": services}
+        for key, value in (("op/config", document), *entries):
+            data = json.dumps(value).encode()
+            await shared.execute(wire.CompareAndSwap(key, ABSENT.revision, data))
+
+    async def _start_node(self, nursery, name, store):
+        """Start a node and wait until it is ready; return the address for clients."""
+        sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
+        addresses = [f"127.0.0.1:{opened.getsockname()[1]}" for opened in sockets]
+        for opened in sockets:
+            opened.close()
+        settings = ExchangeSettings(
+            name, "z1", *addresses, store=store, **{"memory_mb": 0.0, **self._settings}
+        )
+        nursery.start_soon(node_process.run_node, settings, Path("unused"), {})
+        await _wait_answered(addresses[1], "/readiness")
+        return addresses[0]
+
+    async def _play(self, address, number, limit, received):
+        case = self.cases[number]
+        fields = [
+            ("Host", HOST),
+            ("Attempt-Id", f"a{number:05}"),
+            ("Deadline-Ms", str(case.deadline_ms)),
+            *case.headers,
+        ]
+        async with limit:
+            for _ in range(TRIES):
+                received[number] = await ask(address, case.method, f"/c{number}/x", fields)
+                if self.instances.arrivals[number]:
+                    return
+                await trio.sleep(RETRY_SECONDS)
+
+
+async def _wait_answered(address, path, request_id=""):
+    """Wait until an address answers requests for a path."""
+    with trio.fail_after(START_SECONDS):
+        while True:
+            with contextlib.suppress(OSError):
+                fields = [("Host", HOST), ("Attempt-Id", request_id)]
+                if (await ask(address, "GET", path, fields)).status == OK:
+                    return
+            await trio.sleep(0.05)
+
+
+async def ask(address, method, path, fields, body=b""):
+    """Send a request on a connection of its own; return what came back, read strictly."""
+    connection = h11.Connection(h11.CLIENT)
+    host, _, port = address.rpartition(":")
+    received = Received()
+    if method not in ("GET", "HEAD"):
+        fields = [*fields, ("Content-Length", str(len(body)))]
+    async with await trio.open_tcp_stream(host, int(port)) as stream:
+        request = connection.send(h11.Request(method=method, target=path, headers=fields))
+        await stream.send_all(request + (connection.send(h11.Data(body)) or b""))
+        connection.send(h11.EndOfMessage())
+        with contextlib.suppress(trio.BrokenResourceError, h11.RemoteProtocolError):
+            while not received.framed:
+                event = connection.next_event()
+                if event is h11.NEED_DATA:
+                    connection.receive_data(await stream.receive_some())
+                elif isinstance(event, h11.Response):
+                    received.status = event.status_code
+                    received.headers = tuple(event.headers)
+                elif isinstance(event, h11.Data):
+                    received.body += bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    received.framed = True
+                elif isinstance(event, h11.ConnectionClosed):
+                    break
+    return received
+
+
+def fault_of(case, number, received, arrivals):
+    """Return what is wrong with what a client received; empty if nothing is."""
+    if not arrivals:
+        return "never reached an instance"
+    if received.framed and received.status == case.status:
+        if received.body not in case.bodies:
+            return "looks whole and isn't"
+        named = [value for name, value in received.headers if name == b"attempt-id"]
+        stamps = [value for name, value in received.headers if name == b"response-stamp"]
+        if named != [b"a%05d" % number] or stamps != [b"s"]:
+            return "has a head of another answer"
+        return ""
+    if case.must_be_whole:
+        return "isn't passed on whole"
+    if received.framed and received.status not in FAILURES:
+        return "has a status of nobody, or one that promises something"
+    return ""
+
+
+def cuts(name, answer, whole, endings=tuple(Ending), bodies=None, places=None, **options):
+    """Yield a case for a cut after each byte of an answer, and one for the answer without a cut.
+
+    Args:
+        name: Form of the answer.
+        answer: All of its bytes.
+        whole: Body of the whole answer.
+        endings: How it is cut.
+        bodies: Returns the bodies with which it is whole at a cut; ``whole`` at the end by default.
+        places: Where it is cut; None for after each byte.
+        options: Fields of the cases.
+    """
+    for ending in endings:
+        for cut in range(len(answer) + 1) if places is None else places:
+            if bodies is not None:
+                allowed = bodies(cut, ending)
+            else:
+                allowed = (whole,) if cut == len(answer) else ()
+            must_be_whole = bool(allowed) and ending is not Ending.RESET
+            is_awaited = ending is Ending.SILENCE and not must_be_whole
+            deadline = {"deadline_ms": SILENT_DEADLINE_MS} if is_awaited else {}
+            yield Case(
+                name=f"{name}, {ending.value} after {cut} of {len(answer)} bytes",
+                answer=answer,
+                cut=cut,
+                ending=ending,
+                bodies=allowed,
+                must_be_whole=must_be_whole,
+                **(deadline | options),
+            )
+
+
+def ended_by_close(cut, ending):
+    """Return the bodies of an answer that ends with its connection."""
+    is_ended = ending is Ending.CLOSE and cut >= len(BY_CLOSE)
+    return (BODY[: cut - len(BY_CLOSE)],) if is_ended else ()
+
+
+def written_by_close(cut, ending):
+    """Return the bodies of such an answer to a prompt, which has a byte at least."""
+    return ended_by_close(cut, ending) if cut > len(BY_CLOSE) else ()
+
+
+def stream_ended_by_close(cut, ending):
+    """Return the bodies of a stream that ends with its connection: some complete events."""
+    sent = STREAM[: max(0, cut - len(BY_CLOSE))]
+    return (sent,) if ending is Ending.CLOSE and sent.endswith(b"\n\n") else ()
+
+
+class CutAnswersCase(unittest.TestCase):
+    """Plays cases; has no tests of its own."""
+
+    def play(self, *forms, **options):
+        """Play all cases of some forms; return how often clients got which status and framing."""
+        cases = [case for form in forms for case in form]
+        world = CutWorld(cases, **options)
+        results = Counter()
+        faults = []
+        for number, (case, received) in enumerate(zip(cases, world.run(), strict=True)):
+            results[received.status, received.framed] += 1
+            fault = fault_of(case, number, received, world.instances.arrivals[number])
+            if fault:
+                faults.append((case.name, fault, received))
+        self.assertEqual(faults, [])
+        return results
--- /dev/null
+++ b/tests/platform/test_cut_streams.py
@@ -0,0 +1,58 @@
+"""A stream that stopped, or a request that is sent again, never looks whole to a client.
+
+A stream that ends inside an event has been broken off, whatever ends it. One with neither a length
+nor chunks is whole when its instance closes behind a complete event.
+"""
+
+import unittest
+
+from tests.platform.answer_cuts import (
+    BODY,
+    BY_CLOSE,
+    BY_LENGTH,
+    IN_CHUNKS,
+    STREAM,
+    STREAM_CHUNKS,
+    CutAnswersCase,
+    Kind,
+    cuts,
+    stream_ended_by_close,
+)
+
+STREAM_BY_LENGTH = BY_LENGTH.replace(b": 4", b": 30") + STREAM
+HAS_BROKEN_OFF = (200, False)
+
+
+def always_whole(whole):
+    """Return bodies for an answer that another instance completes."""
+    return lambda _cut, _ending: (whole,)
+
+
+class CutStreamsTest(CutAnswersCase):
+    def test_a_stream_in_chunks(self):
+        results = self.play(cuts("", IN_CHUNKS + STREAM_CHUNKS, STREAM, kind=Kind.STREAM))
+        self.assertGreater(results[HAS_BROKEN_OFF], 0)
+
+    def test_a_stream_with_a_length(self):
+        results = self.play(cuts("", STREAM_BY_LENGTH, STREAM, kind=Kind.STREAM))
+        self.assertGreater(results[HAS_BROKEN_OFF], 0)
+
+    def test_a_stream_that_ends_with_its_connection(self):
+        stream = BY_CLOSE + STREAM
+        results = self.play(
+            cuts("", stream, STREAM, bodies=stream_ended_by_close, kind=Kind.STREAM)
+        )
+        self.assertGreater(results[HAS_BROKEN_OFF], 0)
+
+    def test_a_stream_that_another_instance_goes_on_with(self):
+        stream = IN_CHUNKS + STREAM_CHUNKS
+        options = {"kind": Kind.RESUMABLE, "second": BY_CLOSE + STREAM}
+        self.play(cuts("", stream, STREAM, bodies=always_whole(STREAM), **options))
+
+    def test_a_request_that_is_sent_to_another_instance(self):
+        options = {"kind": Kind.SAFE, "second": BY_LENGTH + BODY}
+        self.play(cuts("", BY_LENGTH + BODY, BODY, bodies=always_whole(BODY), **options))
+
+
+if __name__ == "__main__":
+    unittest.main()
