Show that a head cut before another answer merges with it

An instance that stops in its answer's head and goes on with another answer on the same connection gives one head: the library takes the second status line as the rest of the first one's reason phrase or of the header's value, and the headers and the body of the second answer as those of the first. Clients get a 200 with their own id and signature and the body of a 500.

--- /dev/null
+++ b/tests/platform/test_cut_answers_behind.py
@@ -0,0 +1,91 @@
+"""A cut answer with the bytes of another one behind it never looks whole to a client of the node.
+
+The node can't tell these apart from a whole answer, and passes on what the framing names: a body
+with a length, or that ends with its connection, whose missing bytes are those behind it.
+"""
+
+import unittest
+
+from tests.platform.answer_cuts import (
+    BODY,
+    BY_LENGTH,
+    CHUNKS,
+    FAILED,
+    ID,
+    IN_CHUNKS,
+    START,
+    STREAM,
+    STREAM_CHUNKS,
+    CutAnswersCase,
+    Ending,
+    Kind,
+    cuts,
+)
+
+OTHER_BODY = b"other"
+OTHER_LENGTH = b"Content-Length: 5\r\n\r\n" + OTHER_BODY
+BEHIND = (
+    ("the same answer", BY_LENGTH + BODY),
+    ("a failure of the same request", FAILED.replace(b": 4", b": 5") + OTHER_BODY),
+    ("an answer to another request", START.replace(ID, b"b00000") + OTHER_LENGTH),
+    ("an answer without an id", b"HTTP/1.1 200 OK\r\n" + OTHER_LENGTH),
+)
+ENDINGS = (Ending.CLOSE, Ending.SILENCE)
+TRAILER_NAME = b"T:"
+
+
+class CutHeadsTest(CutAnswersCase):
+    def test_a_head_before_another_answer(self):
+        """Guards against a success with the body of a failure, or with two ids or signatures."""
+        places = range(1, len(BY_LENGTH))
+        for name, behind in BEHIND:
+            with self.subTest(name):
+                own = (BODY,) if behind == BY_LENGTH + BODY else ()
+                options = {"places": places, "behind": behind, "is_certain": False}
+
+                def answers(_cut, _ending, own=own):
+                    return own
+
+                self.play(cuts(name, BY_LENGTH, BODY, (Ending.CLOSE,), bodies=answers, **options))
+
+
+class CutBodiesTest(CutAnswersCase):
+    def test_a_body_with_a_length(self):
+        for name, behind in BEHIND:
+            answer = BY_LENGTH + BODY
+
+            def framed(cut, _ending, answer=answer, behind=behind):
+                return ((answer[:cut] + behind)[len(BY_LENGTH) : len(answer)],)
+
+            places = range(len(BY_LENGTH), len(answer) + 1)
+            options = {"bodies": framed, "places": places, "behind": behind}
+            self.play(cuts(name, answer, BODY, ENDINGS, **options))
+
+    def test_a_body_in_chunks(self):
+        answer = IN_CHUNKS + CHUNKS
+        trailer = answer.index(TRAILER_NAME) + len(TRAILER_NAME)
+
+        def ended(cut, _ending):
+            # What follows is read as the rest of the trailer's value, behind a whole body.
+            return (BODY,) if cut >= trailer else ()
+
+        places = range(len(IN_CHUNKS), len(answer) + 1)
+        for name, behind in BEHIND:
+            options = {
+                "bodies": ended,
+                "places": places,
+                "behind": behind,
+                "is_certain": False,
+            }
+            self.play(cuts(name, answer, BODY, ENDINGS, **options))
+
+    def test_a_stream_in_chunks(self):
+        answer = IN_CHUNKS + STREAM_CHUNKS
+        places = range(len(IN_CHUNKS), len(answer) + 1)
+        for name, behind in BEHIND:
+            options = {"places": places, "behind": behind, "kind": Kind.STREAM}
+            self.play(cuts(name, answer, STREAM, ENDINGS, **options))
+
+
+if __name__ == "__main__":
+    unittest.main()
