Show that a broken stream looks whole to a client of HTTP/1.0

Such a client knows no chunks, so that the body of a stream ends with its connection, and the node closes that in the same way after a whole stream and after a broken one.

--- a/tests/platform/answer_cuts.py
+++ b/tests/platform/answer_cuts.py
@@ -115,6 +115,7 @@
         second: Answer of the instance that is asked after it; empty for a close.
         deadline_ms: Time that the client gives.
         headers: Further headers of the request.
+        version: HTTP version of the client.
     """
 
     name: str
@@ -130,6 +131,7 @@
     second: bytes = b""
     deadline_ms: int = 4_000
     headers: tuple[tuple[str, str], ...] = ()
+    version: bytes = b"1.1"
 
 
 class Received(msgspec.Struct):
@@ -320,7 +322,8 @@
         ]
         async with limit:
             for _ in range(TRIES):
-                received[number] = await ask(address, case.method, f"/c{number}/x", fields)
+                path = f"/c{number}/x"
+                received[number] = await ask(address, case.method, path, fields, case.version)
                 if self.instances.arrivals[number]:
                     return
                 await trio.sleep(RETRY_SECONDS)
@@ -337,7 +340,7 @@
             await trio.sleep(0.05)
 
 
-async def ask(address, method, path, fields, body=b""):
+async def ask(address, method, path, fields, version=b"1.1", body=b""):
     """Send a request on a connection of its own; return what came back, read strictly."""
     connection = h11.Connection(h11.CLIENT)
     host, _, port = address.rpartition(":")
@@ -346,6 +349,7 @@
         fields = [*fields, ("Content-Length", str(len(body)))]
     async with await trio.open_tcp_stream(host, int(port)) as stream:
         request = connection.send(h11.Request(method=method, target=path, headers=fields))
+        request = request.replace(b" HTTP/1.1\r\n", b" HTTP/%s\r\n" % version, 1)
         await stream.send_all(request + (connection.send(h11.Data(body)) or b""))
         connection.send(h11.EndOfMessage())
         with contextlib.suppress(trio.BrokenResourceError, h11.RemoteProtocolError):
--- a/tests/platform/test_cut_streams.py
+++ b/tests/platform/test_cut_streams.py
@@ -44,6 +44,14 @@
         )
         self.assertGreater(results[HAS_BROKEN_OFF], 0)
 
+    def test_a_stream_for_a_client_of_an_older_version(self):
+        """Guards against a broken stream whose end looks like that of a whole one."""
+        stream = IN_CHUNKS + STREAM_CHUNKS
+        places = range(len(IN_CHUNKS), len(stream) + 1)
+        options = {"places": places, "kind": Kind.STREAM, "version": b"1.0"}
+        results = self.play(cuts("", stream, STREAM, **options))
+        self.assertGreater(results[HAS_BROKEN_OFF], 0)
+
     def test_a_stream_that_another_instance_goes_on_with(self):
         stream = IN_CHUNKS + STREAM_CHUNKS
         options = {"kind": Kind.RESUMABLE, "second": BY_CLOSE + STREAM}
