Reset the connection of an HTTP/1.0 client whose response broke off

A client of HTTP/1.0 gets a stream, or an answer in chunks that is relayed in parts, without a length: its end is the end of the connection. The node closed that in the same way whether the answer was whole or its instance had stopped, so that the client took the part for the whole.

--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -42,6 +42,10 @@
 """Statuses of refusals that carry ``Retry-After``."""
 
 
+WITHOUT_CHUNKS = frozenset({"1.0"})
+"""HTTP versions in which a body without a length ends with the connection: closing that ends the
+response as complete, so that an incomplete one has to be reset."""
+
 INTERNAL_ERROR = ServiceError(
     ErrorCode.INTERNAL, "a fault in this node", execution=Execution.UNKNOWN, retry_after_seconds=0.0
 )
@@ -70,10 +74,15 @@
             if not await _read_body(receive, request):
                 return
             answer = AsgiAnswer(send, self._is_stopping, request.share)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope, answer)
-                await _serve(request, answer)
-                nursery.cancel_scope.cancel()
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope, answer)
+                    await _serve(request, answer)
+                    nursery.cancel_scope.cancel()
+            finally:
+                is_unframed = answer.has_no_length and scope["http_version"] in WITHOUT_CHUNKS
+                if is_unframed and not answer.ended and connection is not None:
+                    connection.disconnect()
 
 
 async def _serve(request: IncomingRequest, answer: AsgiAnswer) -> None:
@@ -90,7 +99,13 @@
 
 
 class AsgiAnswer(ClientAnswer):
-    """An HTTP response to a client."""
+    """An HTTP response to a client.
+
+    Attributes:
+        started: Whether the head was sent.
+        ended: Whether the response was ended as complete.
+        has_no_length: Whether a head without a length was sent.
+    """
 
     def __init__(self, send: Send, is_stopping: Callable[[], bool], share: ByteShare) -> None:
         """Answer one request.
@@ -105,10 +120,12 @@
         self._is_stopping = is_stopping
         self.started = False
         self.ended = False
+        self.has_no_length = False
 
     async def start(self, status: int, headers: Headers, length: int | None) -> None:
         """Send the head; see the port."""
         self.started = True
+        self.has_no_length = length is None
         fields = list(headers)
         if length is not None:
             fields.append((b"content-length", str(length).encode()))
