--- a/tests/adapters/http_api/harness.py
+++ b/tests/adapters/http_api/harness.py
@@ -14,7 +14,7 @@
 from emulator.virtual_time import run_in_virtual_time
 from hopstep.adapters.http_api.app import create_app
 from hopstep.adapters.http_api.authentication import Authenticator, hash_key
-from hopstep.adapters.http_api.context import ApiContext, NodeHealth
+from hopstep.adapters.http_api.context import ApiContext, NodeHealth, RequestRunner
 from hopstep.adapters.http_api.metrics import ApiMetrics
 from hopstep.adapters.pacing import Pacer
 from hopstep.domain.configuration.document import (
@@ -97,7 +97,9 @@
 class Harness:
     """The application and the objects that tests change or inspect."""
 
-    def __init__(self, nursery: trio.Nursery, configured: bool = True) -> None:
+    def __init__(
+        self, nursery: trio.Nursery, configured: bool = True, runner: RequestRunner | None = None
+    ) -> None:
         self.nursery = nursery
         self.runner = ScriptedRunner()
         self.holder = ConfigurationHolder()
@@ -115,7 +117,7 @@
             settings=settings,
             incarnation="i1",
             holder=self.holder,
-            runner=self.runner,
+            runner=runner or self.runner,
             lifecycle=self.lifecycle,
             authenticator=authenticator,
             metrics=ApiMetrics(CollectorRegistry()),
