Cut the tunnel between two nodes after each byte that it carries back

A relay between a node and its gateway breaks tunnels off by a close, a reset or silence. An answer that ends with its connection is whole to a client only once the tunnel's end mark has arrived.

--- a/tests/platform/answer_cuts.py
+++ b/tests/platform/answer_cuts.py
@@ -116,6 +116,8 @@
         deadline_ms: Time that the client gives.
         headers: Further headers of the request.
         version: HTTP version of the client.
+        tunnel_cut: Bytes of the tunnel that reach the node once the request has been sent; None
+            for all. ``ending`` is then what happens to the tunnel.
     """
 
     name: str
@@ -132,6 +134,7 @@
     deadline_ms: int = 4_000
     headers: tuple[tuple[str, str], ...] = ()
     version: bytes = b"1.1"
+    tunnel_cut: int | None = None
 
 
 class Received(msgspec.Struct):
@@ -176,7 +179,7 @@
 
     def __init__(self, cases):
         self.arrivals = Counter()
-        self._cases = cases
+        self.cases = cases
 
     async def handle(self, stream):
         with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
@@ -197,7 +200,7 @@
         if place is None:
             return
         number = int(place[1])
-        case = self._cases[number]
+        case = self.cases[number]
         self.arrivals[number] += 1
         is_first = self.arrivals[number] == 1
         if not is_first and not case.second:
@@ -205,12 +208,17 @@
         answer = case.answer if is_first else _continued(case.second, head)
         sent = answer[: case.cut] + case.behind if is_first else answer
         await stream.send_all(sent.replace(ID, b"a%05d" % number))
-        ending = case.ending if is_first else Ending.CLOSE
-        if ending is Ending.RESET:
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        elif ending is Ending.SILENCE:
-            while await stream.receive_some():
-                pass
+        if is_first and case.tunnel_cut is None:
+            await end(stream, case.ending)
+
+
+async def end(stream, ending):
+    """End a connection that is closed afterwards, by silence until the other side closes it."""
+    if ending is Ending.RESET:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    elif ending is Ending.SILENCE:
+        while await stream.receive_some():
+            pass
 
 
 def _continued(answer, head):
@@ -224,6 +232,51 @@
     return start + b"\r\n\r\n" + b"".join(rest)
 
 
+class CutTunnels:
+    """Passes on the tunnels to a gateway, and cuts them.
+
+    Attributes:
+        gateway: Address of the gateway.
+    """
+
+    def __init__(self, cases):
+        self.gateway = ""
+        self._cases = cases
+
+    async def handle(self, stream):
+        host, _, port = self.gateway.rpartition(":")
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            async with stream, await trio.open_tcp_stream(host, int(port)) as gateway:
+                await self._pass_on(stream, gateway)
+
+    async def _pass_on(self, node, gateway):
+        case = None
+
+        async def pass_requests():
+            nonlocal case
+            with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                while data := await node.receive_some():
+                    place = re.match(rb"[A-Z]+ /c(\d+)/", data)
+                    case = self._cases[int(place[1])] if place is not None else case
+                    await gateway.send_all(data)
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(pass_requests)
+            sent = 0
+            while data := await gateway.receive_some():
+                left = len(data)
+                if case is not None and case.tunnel_cut is not None:
+                    left = case.tunnel_cut - sent
+                    sent += min(left, len(data))
+                await node.send_all(data[:left])
+                if left < len(data):
+                    break
+            nursery.cancel_scope.cancel()
+        if case is not None and case.tunnel_cut is not None:
+            await end(node, case.ending)
+
+
 FIRST_CASE = Case("first", WHOLE, len(WHOLE), Ending.CLOSE, kind=Kind.SAFE, second=WHOLE)
 """Its answers show that a node serves requests, and knows its gateway."""
 
@@ -256,11 +309,11 @@
             bound = await nursery.start(hypercorn.trio.serve, create_store_app(shared), config)
             store = bound[0].removeprefix("http://")
             if self._tunnel:
-                await self._start_node(nursery, "gateway", store)
+                await self._start_gateway(nursery, store)
                 with mock.patch.object(node_process, "HttpInstances", UnreachableInstances):
-                    address = await self._start_node(nursery, "node", store)
+                    address = (await self._start_node(nursery, "node", store))[0]
             else:
-                address = await self._start_node(nursery, "node", store)
+                address = (await self._start_node(nursery, "node", store))[0]
             last = len(self.cases)
             await _wait_answered(address, f"/c{last}/x", f"a{last:05}")
             limit = trio.CapacityLimiter(self._clients)
@@ -299,18 +352,29 @@
             data = json.dumps(value).encode()
             await shared.execute(wire.CompareAndSwap(key, ABSENT.revision, data))
 
-    async def _start_node(self, nursery, name, store):
-        """Start a node and wait until it is ready; return the address for clients."""
+    async def _start_gateway(self, nursery, store):
+        """Start the gateway; the other node reaches it by what cuts tunnels, if any are cut."""
+        if all(case.tunnel_cut is None for case in self.cases):
+            await self._start_node(nursery, "gateway", store)
+            return
+        tunnels = CutTunnels(self.instances.cases)
+        serve = functools.partial(trio.serve_tcp, tunnels.handle, 0, host="127.0.0.1")
+        listeners = await nursery.start(functools.partial(serve, backlog=1024))
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        addresses = await self._start_node(nursery, "gateway", store, peer_public_address=address)
+        tunnels.gateway = addresses[-1]
+
+    async def _start_node(self, nursery, name, store, **settings):
+        """Start a node and wait until it is ready; return its addresses."""
         sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
         addresses = [f"127.0.0.1:{opened.getsockname()[1]}" for opened in sockets]
         for opened in sockets:
             opened.close()
-        settings = ExchangeSettings(
-            name, "z1", *addresses, store=store, **{"memory_mb": 0.0, **self._settings}
-        )
-        nursery.start_soon(node_process.run_node, settings, Path("unused"), {})
+        options = {"store": store, **self._settings, **settings}
+        node = ExchangeSettings(name, "z1", *addresses, **options)
+        nursery.start_soon(node_process.run_node, node, Path("unused"), {})
         await _wait_answered(addresses[1], "/readiness")
-        return addresses[0]
+        return addresses
 
     async def _play(self, address, number, limit, received):
         case = self.cases[number]
