--- a/tests/platform/answer_cuts.py
+++ b/tests/platform/answer_cuts.py
@@ -90,6 +90,9 @@
     RESUMABLE = "resumable"
 
 
+EARLIER = b"earlier"
+"""End of the path of a request that is answered whole, and leaves a connection for the next."""
+
 ROUTE_FIELDS = {
     Kind.UNSAFE: {"kind": "unsafe", "maxAttempts": 1},
     Kind.SAFE: {"kind": "safe", "maxAttempts": 2},
@@ -118,6 +121,7 @@
         version: HTTP version of the client.
         tunnel_cut: Bytes of the tunnel that reach the node once the request has been sent; None
             for all. ``ending`` is then what happens to the tunnel.
+        is_kept: Whether the connection has brought a whole answer before.
     """
 
     name: str
@@ -135,6 +139,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     version: bytes = b"1.1"
     tunnel_cut: int | None = None
+    is_kept: bool = False
 
 
 class Received(msgspec.Struct):
@@ -175,10 +180,12 @@
 
     Attributes:
         arrivals: Requests that have arrived, by the number of their case.
+        kept: Cases whose request came on a connection that had brought a whole answer.
     """
 
     def __init__(self, cases):
         self.arrivals = Counter()
+        self.kept = set()
         self.cases = cases
 
     async def handle(self, stream):
@@ -186,7 +193,8 @@
             async with stream:
                 await self._serve(stream)
 
-    async def _serve(self, stream):
+    async def _serve(self, stream, kept=None):
+        """Serve one request; ``kept`` is the case to which the connection has brought an answer."""
         received = b""
         while b"\r\n\r\n" not in received:
             data = await stream.receive_some()
@@ -201,13 +209,20 @@
             return
         number = int(place[1])
         case = self.cases[number]
+        request_id = re.search(rb"attempt-id: (\S+)", head.lower())[1]
+        if EARLIER in head.partition(b"\r\n")[0]:
+            await stream.send_all(WHOLE.replace(ID, request_id))
+            await self._serve(stream, number)
+            return
+        if kept == number:
+            self.kept.add(number)
         self.arrivals[number] += 1
         is_first = self.arrivals[number] == 1
         if not is_first and not case.second:
             return
         answer = case.answer if is_first else _continued(case.second, head)
         sent = answer[: case.cut] + case.behind if is_first else answer
-        await stream.send_all(sent.replace(ID, b"a%05d" % number))
+        await stream.send_all(sent.replace(ID, request_id))
         if is_first and case.tunnel_cut is None:
             await end(stream, case.ending)
 
@@ -385,6 +400,9 @@
             *case.headers,
         ]
         async with limit:
+            if case.is_kept:
+                earlier = [("Host", HOST), ("Attempt-Id", f"b{number:05}")]
+                await ask(address, "POST", f"/c{number}/{EARLIER.decode()}", earlier)
             for _ in range(TRIES):
                 path = f"/c{number}/x"
                 received[number] = await ask(address, case.method, path, fields, case.version)
@@ -433,10 +451,12 @@
     return received
 
 
-def fault_of(case, number, received, arrivals):
+def fault_of(case, number, received, instances):
     """Return what is wrong with what a client received; empty if nothing is."""
-    if not arrivals:
+    if not instances.arrivals[number]:
         return "never reached an instance"
+    if case.is_kept and number not in instances.kept:
+        return "came on another connection"
     if received.framed and received.status == case.status:
         if received.body not in case.bodies:
             return "looks whole and isn't"
@@ -523,7 +543,7 @@
         faults = []
         for number, (case, received) in enumerate(zip(cases, world.run(), strict=True)):
             results[received.status, received.framed] += 1
-            fault = fault_of(case, number, received, world.instances.arrivals[number])
+            fault = fault_of(case, number, received, world.instances)
             if fault:
                 faults.append((case.name, fault, received))
         self.assertEqual(faults, [])
--- a/tests/platform/test_cut_other_answers.py
+++ b/tests/platform/test_cut_other_answers.py
@@ -10,6 +10,7 @@
     IN_CHUNKS,
     NO_CONTENT,
     CutAnswersCase,
+    Ending,
     cuts,
 )
 
@@ -32,6 +33,10 @@
             cuts("by close", BY_CLOSE, b"", method="HEAD"),
         )
 
+    def test_an_answer_on_a_connection_that_was_used_before(self):
+        endings = (Ending.CLOSE, Ending.RESET)
+        self.play(cuts("", BY_LENGTH + BODY, BODY, endings, is_kept=True))
+
     def test_an_answer_without_content(self):
         self.play(cuts("no content", NO_CONTENT, b"", status=204))
 
