Tell an answer to this send from one to an earlier send

Cause for the change: the logs of the incident can't tell whether an answer belongs to the send that waited for it. An attempt names neither its connection nor which send over it this was, and bytes that no call waits for are written nowhere.

Change: the connections below the pools of httpcore are our own, over h11 (hopstep/platform/http_connection.py), so that they can be numbered and what stands behind a whole answer can be seen. Which connection is used again is decided as before. HS3101 and HS3103 name connection and send number; surplus bytes are counted by place and logged as HS6129, a line a second for each instance; trace shows both. A head may be preceded by at most eight informational responses, and what has arrived together of a body is passed on together.

--- a/hopstep/cli/node_process.py
+++ b/hopstep/cli/node_process.py
@@ -34,6 +34,7 @@
 from hopstep.platform.instances import HttpInstances
 from hopstep.platform.names import SETTINGS_VARIABLE
 from hopstep.platform.store import PlatformStore
+from hopstep.services.exchanges.instances.surplus_answers import SurplusAnswers
 from hopstep.services.exchanges.instances.unknown_words import UnrecognizedValues
 from hopstep.services.exchanges.node_gauges import watch_tunnels
 from hopstep.settings_loader import EXIT_BAD_SETTINGS, SettingsError, load_exchange_settings
@@ -57,8 +58,11 @@
     unknown_words = UnrecognizedValues()
     store = PlatformStore(settings.store, platform_client, on_unrecognized=unknown_words.note)
     node_key = secrets.token_bytes(NODE_KEY_BYTES)
+    surplus_answers = SurplusAnswers()
     instance_client = HttpClient(
-        short_reads=settings.memory_mb > 0, tunnels=TunnelClient(settings.name, node_key)
+        short_reads=settings.memory_mb > 0,
+        tunnels=TunnelClient(settings.name, node_key),
+        on_surplus=surplus_answers.note,
     )
     instances = HttpInstances(instance_client, unknown_words.note)
     nodes = await NodeDatagrams.open(settings.peer_address, settings.name, node_key)
@@ -73,6 +77,7 @@
     )
     services = ExchangeServices(settings, ports, node_key)
     unknown_words.count_with(lambda place: services.metrics.unknown_words.labels(place).inc())
+    surplus_answers.count_with(lambda place: services.metrics.surplus_answers.labels(place).inc())
     front = ExchangeFront(services.exchanges, lambda: services.lifecycle.stopping)
     tunnel_server = TunnelServer(
         settings.name,
--- a/hopstep/ctl/trace.py
+++ b/hopstep/ctl/trace.py
@@ -31,6 +31,7 @@
     INSTANCE_REMOVED,
     INSTANCE_SAYS_LEAVING,
     INSTANCE_WANTS_REST,
+    SURPLUS_BYTES_RECEIVED,
     WEIGHTS_NAMED,
     WEIGHTS_ORDER_SENT,
 )
@@ -66,6 +67,7 @@
     WEIGHTS_NAMED,
     WEIGHTS_ORDER_SENT,
     CACHE_STORE_CHANGED,
+    SURPLUS_BYTES_RECEIVED,
 )
 """Changes of a node's state and of its view of instances."""
 
@@ -211,7 +213,7 @@
         f"answered {outcome} by {last.fields.get('instance')}: first byte after "
         f"{last.fields.get('first_byte_ms')} ms ({last.fields.get('read_tokens')} tokens to "
         f"read), longest pause {last.fields.get('pause_ms')} ms, attempts "
-        f"{last.fields.get('attempts')}"
+        f"{last.fields.get('attempts')}{_explain_connection(last)}"
     )
 
 
@@ -262,10 +264,21 @@
         if not instance:
             return "no instance could be chosen"
         return f"still at {instance} after {last.fields.get('total_ms')} ms"
-    parts = [f"{x.fields.get('instance')}: {x.fields.get('reason')}" for x in failures]
+    parts = [
+        f"{x.fields.get('instance')}: {x.fields.get('reason')}{_explain_connection(x)}"
+        for x in failures
+    ]
     return "; ".join(parts)
 
 
+def _explain_connection(line: LogLine) -> str:
+    """Return over which connection an attempt was sent, and how many sends that had carried."""
+    connection = line.fields.get("connection")
+    if not connection:
+        return ""
+    return f", send {line.fields.get('send_number')} over connection {connection}"
+
+
 def _context(own: Sequence[LogLine], lines: Iterable[LogLine]) -> list[LogLine]:
     """Return changes of the state of the request's nodes and of its instances."""
     numbers = {event.number for event in CONTEXT_EVENTS}
--- a/hopstep/log_events/instances.py
+++ b/hopstep/log_events/instances.py
@@ -179,6 +179,14 @@
     ("instance", "end", "reason"),
     "Nothing for a few: the node that uses the tunnel logs what became of its request.",
 )
+SURPLUS_BYTES_RECEIVED = LogEvent(
+    "HS6129",
+    "surplus_bytes_received",
+    Level.WARNING,
+    ("address", "place", "connection", "sends", "size", "unlogged"),
+    "Check the instance at `address`: it sends bytes that belong to no request; `unlogged` counts "
+    "findings since the line before.",
+)
 ENGINES_KEPT = LogEvent(
     "HS6130",
     "engines_kept",
--- a/hopstep/log_events/requests.py
+++ b/hopstep/log_events/requests.py
@@ -33,6 +33,8 @@
         "kept_from",
         "quarantined_for",
         "gateway",
+        "connection",
+        "send_number",
         "configuration",
         "age_ms",
         "era",
@@ -75,6 +77,8 @@
         "execution",
         "sent",
         "gateway",
+        "connection",
+        "send_number",
         "next_step",
     ),
     "If one instance recurs: check its own logs; if one `fingerprint`, or one of `parts` where "
--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -10,7 +10,8 @@
 from hopstep.domain.exchanges.store_contents import CacheEvent
 from hopstep.domain.instance_notices import AnswerKind, NoticeListener, ignore_notice
 from hopstep.platform import names
-from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
+from hopstep.platform.http_call import HttpCall, SendTrace
+from hopstep.platform.http_client import HttpClient
 from hopstep.platform.notices import read_notice
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
--- /dev/null
+++ b/hopstep/platform/http_connection.py
@@ -0,0 +1,340 @@
+"""One HTTP/1.1 connection by ``h11``, used through the connection pools of ``httpcore``."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import itertools
+from collections.abc import AsyncIterator, Iterator
+
+import h11
+import httpcore
+import msgspec
+import trio
+
+from hopstep.platform.http_call import HttpCall, SendTrace
+from hopstep.ports.surplus_answers import SurplusBytes, SurplusListener, SurplusPlace
+
+CALL_EXTENSION = "hopstep.call"
+"""Key of a request's extensions under which the pool passes the ``PendingCall`` on."""
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Bytes of a head, of a chunk's first line and of trailers."""
+
+MAX_INFORMATIONAL_RESPONSES = 8
+"""Informational responses (status 1xx) before one response."""
+
+MAX_EVENTS_AT_ONCE = 64
+"""Parts of a body that are parsed before other tasks run."""
+
+MAX_JOINED_BODY_BYTES = 16 * 1024
+"""Bodies up to this size are written together with the head."""
+
+MAX_UNREAD_SECONDS = 0.05
+"""Longest wait for bytes that the socket has reported as readable."""
+
+_numbers = itertools.count(1)
+
+
+class _State(enum.Enum):
+    """Stage of a connection."""
+
+    NEW = enum.auto()
+    ACTIVE = enum.auto()
+    IDLE = enum.auto()
+    CLOSED = enum.auto()
+
+
+class ConnectionOptions(msgspec.Struct, frozen=True):
+    """What all connections of a client have in common.
+
+    Attributes:
+        idle_seconds: Time after which an idle connection isn't used again.
+        read_bytes: Bytes in one read.
+        on_surplus: Called with bytes that belong to no call in progress.
+    """
+
+    idle_seconds: float
+    read_bytes: int
+    on_surplus: SurplusListener
+
+
+class PendingCall(msgspec.Struct, frozen=True):
+    """A call on its way through a pool.
+
+    Attributes:
+        call: The call.
+        trace: Records what is sent.
+    """
+
+    call: HttpCall
+    trace: SendTrace
+
+
+class HttpConnection(httpcore.AsyncConnectionInterface):
+    """A connection to one address. It serves one call at a time."""
+
+    def __init__(
+        self,
+        origin: httpcore.Origin,
+        backend: httpcore.AsyncNetworkBackend,
+        options: ConnectionOptions,
+    ) -> None:
+        """Create a connection that is opened by its first call.
+
+        Args:
+            origin: Address.
+            backend: Opens the connection.
+            options: What all connections of a client have in common.
+        """
+        self._origin = origin
+        self._backend = backend
+        self._options = options
+        self._state = _State.NEW
+        self._number = next(_numbers)
+        self._sends = 0
+        self._stream: httpcore.AsyncNetworkStream | None = None
+        self._idle_until = 0.0
+        self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+    async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
+        """Send a request and return its response, whose body is read as it arrives.
+
+        Raises:
+            httpcore.ConnectionNotAvailable: When the connection is in use or closed; nothing was
+                sent.
+            httpcore.NetworkError: When the connection broke.
+            httpcore.TimeoutException: When a time limit of the call was exceeded.
+            httpcore.ProtocolError: When no response in the protocol came.
+        """
+        pending: PendingCall = request.extensions[CALL_EXTENSION]
+        if self._state not in (_State.NEW, _State.IDLE):
+            raise httpcore.ConnectionNotAvailable
+        self._state = _State.ACTIVE
+        try:
+            await self._send(request, pending)
+            response = await self._receive_head(pending.call)
+        except BaseException:
+            with trio.CancelScope(shield=True):
+                await self.aclose()
+            raise
+        return httpcore.Response(
+            response.status_code,
+            headers=response.headers.raw_items(),
+            content=_ResponseBody(self, pending.call),
+        )
+
+    async def _send(self, request: httpcore.Request, pending: PendingCall) -> None:
+        """Send a request. A peer may answer before it has read all, and close for writing."""
+        call = pending.call
+        if self._stream is None:
+            self._stream = await self._backend.connect_tcp(
+                self._origin.host.decode(), self._origin.port, timeout=call.connect_seconds
+            )
+            if self.is_closed():
+                raise httpcore.ConnectError("the connection was closed while it was opened")
+            pending.trace.note_connected()
+        pending.trace.note_sending(self._number, self._sends + 1)
+        self._sends += 1
+        with _mapped_errors():
+            event = h11.Request(
+                method=request.method, target=request.url.target, headers=request.headers
+            )
+            head = self._protocol.send(event) or b""
+            body = self._protocol.send(h11.Data(data=call.body)) if call.body else b""
+            end = self._protocol.send(h11.EndOfMessage()) or b""
+        with contextlib.suppress(httpcore.WriteError):
+            if body and len(body) > MAX_JOINED_BODY_BYTES:
+                await self._stream.write(head)
+                await self._stream.write(body)
+                return
+            await self._stream.write(head + (body or b"") + end)
+
+    async def _receive_head(self, call: HttpCall) -> h11.Response:
+        """Return the head of the response."""
+        informational = 0
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                await self._receive(call)
+            elif isinstance(event, h11.Response):
+                return event
+            elif isinstance(event, h11.InformationalResponse):
+                informational += 1
+                if informational > MAX_INFORMATIONAL_RESPONSES:
+                    raise httpcore.RemoteProtocolError("too many informational responses")
+            else:
+                raise httpcore.RemoteProtocolError("the connection ended without a response")
+
+    async def receive_body(self, call: HttpCall) -> AsyncIterator[bytes]:
+        """Yield the body of the current response; parts that arrived together are joined."""
+        has_ended = False
+        while not has_ended:
+            parts: list[bytes] = []
+            failure: httpcore.ProtocolError | None = None
+            needs_data = False
+            for _ in range(MAX_EVENTS_AT_ONCE):
+                try:
+                    event = self._next_event()
+                except httpcore.ProtocolError as error:
+                    failure = error
+                    break
+                if isinstance(event, h11.Data):
+                    parts.append(bytes(event.data))
+                    continue
+                needs_data = event is h11.NEED_DATA
+                has_ended = not needs_data
+                break
+            if parts:
+                yield b"".join(parts)
+            if failure is not None:
+                raise failure
+            if needs_data:
+                await self._receive(call)
+            elif not has_ended:
+                await trio.lowlevel.checkpoint()
+
+    def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Return the next event of the response."""
+        with _mapped_errors():
+            return self._protocol.next_event()
+
+    async def _receive(self, call: HttpCall) -> None:
+        """Read what has arrived; an end of the connection is passed to the protocol too."""
+        if self._stream is None:
+            raise httpcore.ReadError("the connection is closed")
+        data = await self._stream.read(self._options.read_bytes, timeout=call.read_seconds)
+        with _mapped_errors():
+            self._protocol.receive_data(data)
+
+    async def end_response(self, call: HttpCall) -> None:
+        """Keep the connection for the next call if the response was read whole; else close it."""
+        if self._state is not _State.ACTIVE:
+            return
+        if not self._is_exchange_complete():
+            await self.aclose()
+            return
+        surplus, _closed = self._protocol.trailing_data
+        if surplus:
+            self._report(call.address, SurplusPlace.BEHIND_ANSWER, len(surplus))
+        self._protocol.start_next_cycle()
+        self._state = _State.IDLE
+        self._idle_until = trio.current_time() + self._options.idle_seconds
+
+    def _is_exchange_complete(self) -> bool:
+        """Return whether request and response are complete and the connection may be kept."""
+        return self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE
+
+    def report_other_answer(self, address: str) -> None:
+        """Report that the head of the response is to another call."""
+        self._report(address, SurplusPlace.IN_PLACE_OF_ANSWER, 0)
+
+    def _report(self, address: str, place: SurplusPlace, size: int) -> None:
+        """Report surplus bytes."""
+        found = SurplusBytes(address, place, self._number, self._sends, size)
+        self._options.on_surplus(found)
+
+    async def aclose(self) -> None:
+        """Close the connection; unread bytes of an idle one are reported."""
+        was_idle = self._state is _State.IDLE
+        self._state = _State.CLOSED
+        stream, self._stream = self._stream, None
+        if stream is None:
+            return
+        if was_idle and _is_readable(stream):
+            await self._report_unread(stream)
+        await stream.aclose()
+
+    async def _report_unread(self, stream: httpcore.AsyncNetworkStream) -> None:
+        """Report the bytes that have arrived since the last response, if any."""
+        data = b""
+        with (
+            trio.move_on_after(MAX_UNREAD_SECONDS),
+            contextlib.suppress(httpcore.NetworkError, httpcore.TimeoutException),
+        ):
+            data = await stream.read(self._options.read_bytes)
+        if data:
+            self._report(_address(self._origin), SurplusPlace.BEFORE_SEND, len(data))
+
+    def can_handle_request(self, origin: httpcore.Origin) -> bool:
+        """Return whether the connection leads to an address."""
+        return origin == self._origin
+
+    def is_available(self) -> bool:
+        """Return whether the connection is open and serves no call."""
+        return self._state is _State.IDLE
+
+    def has_expired(self) -> bool:
+        """Return whether the connection is idle and must not be used again.
+
+        It must not when it has been idle for too long, or when the peer has closed it or has sent
+        something that no call waits for.
+        """
+        if self._state is not _State.IDLE:
+            return False
+        has_timed_out = trio.current_time() > self._idle_until
+        return has_timed_out or self._stream is None or _is_readable(self._stream)
+
+    def is_idle(self) -> bool:
+        """Return whether the connection is open and serves no call."""
+        return self._state is _State.IDLE
+
+    def is_closed(self) -> bool:
+        """Return whether the connection is closed."""
+        return self._state is _State.CLOSED
+
+    def info(self) -> str:
+        """Return a description for debugging."""
+        return f"{_address(self._origin)}, {self._state.name}, {self._sends} sends"
+
+
+class _ResponseBody:
+    """The body of a response, as the pool passes it on."""
+
+    def __init__(self, connection: HttpConnection, call: HttpCall) -> None:
+        """Read from a connection.
+
+        Args:
+            connection: The connection.
+            call: The call that is answered.
+        """
+        self._connection = connection
+        self._call = call
+        self._is_closed = False
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives."""
+        try:
+            async for data in self._connection.receive_body(self._call):
+                yield data
+        except BaseException:
+            with trio.CancelScope(shield=True):
+                await self.aclose()
+            raise
+
+    async def aclose(self) -> None:
+        """End the response."""
+        if not self._is_closed:
+            self._is_closed = True
+            await self._connection.end_response(self._call)
+
+
+@contextlib.contextmanager
+def _mapped_errors() -> Iterator[None]:
+    """Raise the library's errors in place of those of the protocol."""
+    try:
+        yield
+    except h11.RemoteProtocolError as error:
+        raise httpcore.RemoteProtocolError(str(error)) from error
+    except h11.LocalProtocolError as error:
+        raise httpcore.LocalProtocolError(str(error)) from error
+
+
+def _is_readable(stream: httpcore.AsyncNetworkStream) -> bool:
+    """Return whether bytes, or the end of the connection, can be read."""
+    return bool(stream.get_extra_info("is_readable"))
+
+
+def _address(origin: httpcore.Origin) -> str:
+    """Return the ``ip:port`` of an origin."""
+    return f"{origin.host.decode()}:{origin.port}"
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -22,13 +22,8 @@
 from hopstep.domain.reachability.tunnels import TunnelFailure, TunnelTarget
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform import names
-from hopstep.platform.http_client import (
-    HttpCall,
-    HttpClient,
-    SendTrace,
-    SendWithdrawnError,
-    TunnelRoute,
-)
+from hopstep.platform.http_call import HttpCall, SendTrace, SendWithdrawnError, TunnelRoute
+from hopstep.platform.http_client import HttpClient
 from hopstep.platform.notices import read_notice
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
 from hopstep.platform.weights_lines import WeightsVersionScanner
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -21,7 +21,8 @@
     StoreOutcomeUnknownError,
 )
 from hopstep.platform import names
-from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
+from hopstep.platform.http_call import HttpCall, SendTrace
+from hopstep.platform.http_client import HttpClient
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
 from hopstep.ports.key_value_store import (
     KeyValueStorePort,
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -74,11 +74,15 @@
         sent: Whether any byte of the request may have been sent.
         connected: Whether a new connection was opened for it.
         gateway: Name of the node through which it was sent; empty for a direct connection.
+        connection: Number of the connection in this process; 0 until it was sent.
+        send_number: How many calls were sent over that connection, this one included.
     """
 
     sent: bool = False
     connected: bool = False
     gateway: str = ""
+    connection: int = 0
+    send_number: int = 0
 
 
 class InstanceCall(msgspec.Struct, frozen=True):
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -97,6 +97,12 @@
             ("place",),
             registry=registry,
         )
+        self.surplus_answers = Counter(
+            "hopstep_instance_surplus_answers",
+            "Bytes of instances that belonged to no request, by where they were found.",
+            ("place",),
+            registry=registry,
+        )
         self.failed_connections = Counter(
             "hopstep_failed_connections",
             "Clients' connections that a fault of this node has ended.",
--- a/hopstep/services/exchanges/requests/attempts/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/attempts/instance_attempt.py
@@ -104,6 +104,8 @@
             return error
         finally:
             self._outcome.gateway = self.proof.gateway
+            self._outcome.connection = self.proof.connection
+            self._outcome.send_number = self.proof.send_number
             view.end(request_id, candidate.work_tokens, used_tokens)
             self._parts.limits.release(view, self._permit)
             if abandoned and self.proof.sent and not self._relay.finished:
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -349,5 +349,7 @@
             execution=error.execution.value,
             sent=error.sent,
             gateway=self.outcome.gateway,
+            connection=self.outcome.connection,
+            send_number=self.outcome.send_number,
             next_step=step.value,
         )
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -84,6 +84,8 @@
         kept_from: Number of instances for each barrier that kept the request from them when it
             was refused.
         gateway: Node through which the last attempt was sent; empty for a direct connection.
+        connection: Number of the connection over which it was sent; 0 when it wasn't.
+        send_number: How many calls were sent over that connection, that one included.
         fingerprint: Digest that equal requests share, in hexadecimal digits; empty when nothing
             counts against any request.
         quarantined_for: Digest of the request, or of the part of its prompt, for which it is
@@ -104,6 +106,8 @@
     waited_ms: int = 0
     kept_from: dict[str, int] = {}
     gateway: str = ""
+    connection: int = 0
+    send_number: int = 0
     fingerprint: str = ""
     quarantined_for: str = ""
 
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -259,6 +259,8 @@
                 kept_from=outcome.kept_from,
                 quarantined_for=outcome.quarantined_for,
                 gateway=outcome.gateway,
+                connection=outcome.connection,
+                send_number=outcome.send_number,
                 configuration=self._knowledge.configuration.version,
                 age_ms=self._knowledge.keys.shown_age_ms,
                 era=self._knowledge.store_position.era,
--- a/tests/platform/test_repeated_answers.py
+++ b/tests/platform/test_repeated_answers.py
@@ -13,7 +13,8 @@
 from hopstep.exceptions import Execution
 from hopstep.platform.http_client import HttpClient
 from hopstep.platform.instances import HttpInstances
-from hopstep.ports.instance_calls import InstanceCall, InstanceCallError
+from hopstep.ports.instance_calls import InstanceCall, InstanceCallError, SendProof
+from hopstep.ports.surplus_answers import SurplusPlace
 from hopstep.ports.weights_orders import OrderOutcome, WeightsOrder
 
 ROUTE = Route("r", "h", "/", RequestKind.AT_MOST_ONCE, 3.0, 0.5, 0, ())
@@ -130,7 +131,8 @@
             async with trio.open_nursery() as nursery:
                 listeners = await nursery.start(trio.serve_tcp, server.handle, 0)
                 port = listeners[0].socket.getsockname()[1]
-                client = HttpClient()
+                self.surplus = []
+                client = HttpClient(on_surplus=self.surplus.append)
                 await script(
                     HttpInstances(client), Instance("i1", "s", f"127.0.0.1:{port}", "z", 1)
                 )
@@ -140,8 +142,30 @@
         trio.run(main)
         return server
 
-    async def send(self, instances, instance, request_id: str) -> tuple[int, bytes]:
-        async with instances.open(InstanceCall(instance, request(request_id), 1.5)) as answer:
+    # The logs couldn't tell an answer to this send from one to an earlier send.
+    def test_surplus_bytes_are_reported_with_their_connection(self):
+        for delay, place in ((0.0, SurplusPlace.BEHIND_ANSWER), (0.01, SurplusPlace.BEFORE_SEND)):
+            with self.subTest(place):
+                proof = SendProof()
+
+                async def script(instances, instance, proof=proof):
+                    await self.send(instances, instance, "r1", proof)
+                    await trio.sleep(0.05)
+                    with contextlib.suppress(InstanceCallError):
+                        await self.send(instances, instance, "r2")
+
+                self.run_with(Copies((200,), delay_seconds=delay), script)
+                found = self.surplus[0]
+                self.assertEqual((found.place, found.sends), (place, 1))
+                self.assertEqual(found.connection, proof.connection)
+                self.assertGreater(found.size, 0)
+                self.assertEqual(proof.send_number, 1)
+
+    async def send(
+        self, instances, instance, request_id: str, proof: SendProof | None = None
+    ) -> tuple[int, bytes]:
+        call = InstanceCall(instance, request(request_id), 1.5, proof=proof or SendProof())
+        async with instances.open(call) as answer:
             return answer.status, b"".join([data async for data in answer.body()])
 
     def each_order_of_events(self):
