Give each answer to the send that it belongs to

What callers saw: a success where the instance had answered the request otherwise, while instances sent answers twice, the second time late.

Cause: a kept connection could carry one id twice, and the id is all that tells to which send an answer belongs. The copy of the first answer, late in the place where the second is due, was taken for the answer of the second send. The same class: bytes behind a whole answer stayed in the buffer and were read as the next answer, and orders and reports, whose answers have no id, shared connections with requests and with one another.

A copy now can only arrive where no send of its id waits, or where its id shows that it is another's.

Two tests that sent one id three times over one connection, and expected that connection to be kept, now send three ids; what they check is the same.

--- a/hopstep/platform/http_call.py
+++ b/hopstep/platform/http_call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable
 
 import msgspec
@@ -23,16 +24,28 @@
     target: TunnelTarget
 
 
+class ConnectionUse(enum.Enum):
+    """How connections are used for a kind of call."""
+
+    KEPT = enum.auto()
+    """A connection carries calls one after another; each names its request, as its answer does."""
+
+    SINGLE = enum.auto()
+    """Each call has a connection of its own: nothing in its answer tells to which call it is."""
+
+
 class PoolName(msgspec.Struct, frozen=True):
     """Name of a connection pool.
 
     Attributes:
         address: ``ip:port`` that its connections lead to.
         route: Tunnel by which they do; None for direct connections.
+        use: How they are used.
     """
 
     address: str
     route: TunnelRoute | None = None
+    use: ConnectionUse = ConnectionUse.KEPT
 
 
 class HttpCall(msgspec.Struct, frozen=True):
@@ -47,6 +60,9 @@
         connect_seconds: Longest wait for a connection.
         read_seconds: Longest wait for each read of the response; None for no limit.
         route: Tunnel by which the address is reached; None for a direct connection.
+        request_id: Identifier that the answer repeats; empty for none. A connection carries each
+            identifier once.
+        use: How the connection is used.
     """
 
     address: str
@@ -57,11 +73,13 @@
     connect_seconds: float = 0.5
     read_seconds: float | None = None
     route: TunnelRoute | None = None
+    request_id: bytes = b""
+    use: ConnectionUse = ConnectionUse.KEPT
 
     @property
     def pool_name(self) -> PoolName:
         """Name of the pool whose connections the call may use."""
-        return PoolName(self.address, self.route)
+        return PoolName(self.address, self.route, self.use)
 
 
 class SendWithdrawnError(Exception):
--- a/hopstep/platform/http_client.py
+++ b/hopstep/platform/http_client.py
@@ -9,6 +9,7 @@
 import httpcore
 import trio
 
+from hopstep.domain.connection_reuse import SingleUseAddresses
 from hopstep.platform.http_call import HttpCall, PoolName, SendTrace, TunnelRoute
 from hopstep.platform.http_connection import (
     CALL_EXTENSION,
@@ -17,7 +18,7 @@
     PendingCall,
 )
 from hopstep.platform.tunnel_backend import TunnelBackend
-from hopstep.ports.surplus_answers import SurplusListener, ignore_surplus
+from hopstep.ports.surplus_answers import SurplusBytes, SurplusListener, ignore_surplus
 from hopstep.ports.tunnels import TunnelOpener
 
 IDLE_SECONDS = 4.0
@@ -73,8 +74,11 @@
         self._options = ConnectionOptions(
             idle_seconds=IDLE_SECONDS,
             read_bytes=SHORT_READ_BYTES if short_reads else READ_BYTES,
-            on_surplus=on_surplus,
+            on_surplus=self.note_surplus,
+            is_single_use=self._is_single_use,
         )
+        self._on_surplus = on_surplus
+        self._single_use = SingleUseAddresses()
         self._tunnels = tunnels
         self._pools: dict[PoolName, HttpPool] = {}
         self._active: Counter[PoolName] = Counter()
@@ -111,6 +115,15 @@
             self._active[name] -= 1
             self._used_at[name] = trio.current_time()
 
+    def note_surplus(self, found: SurplusBytes) -> None:
+        """Note bytes that belong to no call in progress: the address gets new connections."""
+        self._single_use.note_surplus(found.address, trio.current_time())
+        self._on_surplus(found)
+
+    def _is_single_use(self, address: str) -> bool:
+        """Return whether connections to an address may carry one call only now."""
+        return self._single_use.includes(address, trio.current_time())
+
     async def _drop_if_unused(self, name: PoolName) -> None:
         """Close connections that have been idle for longer than ``IDLE_SECONDS``.
 
--- a/hopstep/platform/http_connection.py
+++ b/hopstep/platform/http_connection.py
@@ -5,14 +5,15 @@
 import contextlib
 import enum
 import itertools
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import h11
 import httpcore
 import msgspec
 import trio
 
-from hopstep.platform.http_call import HttpCall, SendTrace
+from hopstep.domain.connection_reuse import MAX_SENDS, SentIdentifiers
+from hopstep.platform.http_call import ConnectionUse, HttpCall, SendTrace
 from hopstep.ports.surplus_answers import SurplusBytes, SurplusListener, SurplusPlace
 
 CALL_EXTENSION = "hopstep.call"
@@ -52,11 +53,13 @@
         idle_seconds: Time after which an idle connection isn't used again.
         read_bytes: Bytes in one read.
         on_surplus: Called with bytes that belong to no call in progress.
+        is_single_use: Returns whether connections to an address may carry one call only now.
     """
 
     idle_seconds: float
     read_bytes: int
     on_surplus: SurplusListener
+    is_single_use: Callable[[str], bool]
 
 
 class PendingCall(msgspec.Struct, frozen=True):
@@ -95,6 +98,7 @@
         self._sends = 0
         self._stream: httpcore.AsyncNetworkStream | None = None
         self._idle_until = 0.0
+        self._sent = SentIdentifiers()
         self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
     async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
@@ -108,9 +112,12 @@
             httpcore.ProtocolError: When no response in the protocol came.
         """
         pending: PendingCall = request.extensions[CALL_EXTENSION]
+        if self._state is _State.IDLE and pending.call.request_id in self._sent:
+            await self.aclose()
         if self._state not in (_State.NEW, _State.IDLE):
             raise httpcore.ConnectionNotAvailable
         self._state = _State.ACTIVE
+        self._sent.add(pending.call.request_id)
         try:
             await self._send(request, pending)
             response = await self._receive_head(pending.call)
@@ -216,7 +223,10 @@
             return
         surplus, _closed = self._protocol.trailing_data
         if surplus:
-            self._report(call.address, SurplusPlace.BEHIND_ANSWER, len(surplus))
+            self._report(SurplusPlace.BEHIND_ANSWER, len(surplus))
+        if surplus or not self._may_carry_another(call):
+            await self.aclose()
+            return
         self._protocol.start_next_cycle()
         self._state = _State.IDLE
         self._idle_until = trio.current_time() + self._options.idle_seconds
@@ -225,12 +235,15 @@
         """Return whether request and response are complete and the connection may be kept."""
         return self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE
 
-    def report_other_answer(self, address: str) -> None:
-        """Report that the head of the response is to another call."""
-        self._report(address, SurplusPlace.IN_PLACE_OF_ANSWER, 0)
+    def _may_carry_another(self, call: HttpCall) -> bool:
+        """Return whether the connection may be used again after a call."""
+        if call.use is ConnectionUse.SINGLE or self._sends >= MAX_SENDS:
+            return False
+        return not self._options.is_single_use(call.address)
 
-    def _report(self, address: str, place: SurplusPlace, size: int) -> None:
+    def _report(self, place: SurplusPlace, size: int) -> None:
         """Report surplus bytes."""
+        address = _address(self._origin)
         found = SurplusBytes(address, place, self._number, self._sends, size)
         self._options.on_surplus(found)
 
@@ -254,7 +267,7 @@
         ):
             data = await stream.read(self._options.read_bytes)
         if data:
-            self._report(_address(self._origin), SurplusPlace.BEFORE_SEND, len(data))
+            self._report(SurplusPlace.BEFORE_SEND, len(data))
 
     def can_handle_request(self, origin: httpcore.Origin) -> bool:
         """Return whether the connection leads to an address."""
@@ -267,13 +280,15 @@
     def has_expired(self) -> bool:
         """Return whether the connection is idle and must not be used again.
 
-        It must not when it has been idle for too long, or when the peer has closed it or has sent
-        something that no call waits for.
+        It must not when it has been idle for too long, when the peer has closed it or has sent
+        something that no call waits for, or when the peer has done so over another connection.
         """
         if self._state is not _State.IDLE:
             return False
         has_timed_out = trio.current_time() > self._idle_until
-        return has_timed_out or self._stream is None or _is_readable(self._stream)
+        if has_timed_out or self._options.is_single_use(_address(self._origin)):
+            return True
+        return self._stream is None or _is_readable(self._stream)
 
     def is_idle(self) -> bool:
         """Return whether the connection is open and serves no call."""
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -22,7 +22,13 @@
 from hopstep.domain.reachability.tunnels import TunnelFailure, TunnelTarget
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform import names
-from hopstep.platform.http_call import HttpCall, SendTrace, SendWithdrawnError, TunnelRoute
+from hopstep.platform.http_call import (
+    ConnectionUse,
+    HttpCall,
+    SendTrace,
+    SendWithdrawnError,
+    TunnelRoute,
+)
 from hopstep.platform.http_client import HttpClient
 from hopstep.platform.notices import read_notice
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
@@ -35,6 +41,7 @@
     SendProof,
     withdrawn_call,
 )
+from hopstep.ports.surplus_answers import SurplusBytes, SurplusPlace
 from hopstep.ports.tunnels import TunnelError
 from hopstep.ports.unrecognized_values import (
     UnrecognizedValueListener,
@@ -154,6 +161,7 @@
             request.body,
             connect_seconds=CONNECT_SECONDS,
             route=_route(call.instance, call.gateway) if call.gateway is not None else None,
+            request_id=request.request_id.encode(),
         )
         trace = SendTrace(call.proof, call.may_send)
         async with contextlib.AsyncExitStack() as stack:
@@ -168,6 +176,8 @@
             if _is_own_answer(response, call):
                 self._report_headers(call.instance, response)
                 call.on_notice(_request_notice(response))
+            if _is_other_answer(response, call.request.request_id.encode()):
+                self._note_other_answer(call.instance, call.proof)
             _check_head(response, call)
             yield HttpInstanceAnswer(response)
 
@@ -239,6 +249,18 @@
         versions = {model.name: model.version for model in report.models}
         return EngineReport(report.busy, report.call_sequence, versions, report.born)
 
+    def _note_other_answer(self, instance: Instance, proof: SendProof) -> None:
+        """Note that an answer to another request came in the place of the one that is due."""
+        self._client.note_surplus(
+            SurplusBytes(
+                instance.address,
+                SurplusPlace.IN_PLACE_OF_ANSWER,
+                proof.connection,
+                proof.send_number,
+                size=0,
+            )
+        )
+
     def _report_headers(self, instance: Instance, response: httpcore.Response) -> None:
         """Report the unrecognized headers of a response."""
         self._unrecognized.report_headers(
@@ -254,7 +276,10 @@
         proof: SendProof,
         on_notice: NoticeListener,
     ) -> tuple[int, bytes] | None:
-        """Make a control call, which isn't a client's request; return status and body, or None."""
+        """Make a control call, which isn't a client's request; return status and body, or None.
+
+        Its answer carries no identifier, so each call has a connection of its own.
+        """
         headers = [
             (b"host", instance.address.encode()),
             (names.EXPECT_INSTANCE, instance.instance_id.encode()),
@@ -268,10 +293,14 @@
             tuple(headers),
             body,
             connect_seconds=CONNECT_SECONDS,
+            use=ConnectionUse.SINGLE,
         )
         try:
             with trio.fail_after(CONTROL_SECONDS):
                 async with self._client.open(call, SendTrace(proof)) as response:
+                    if _is_other_answer(response, b""):
+                        self._note_other_answer(instance, proof)
+                        return None
                     if _is_control_answer(response):
                         self._report_headers(instance, response)
                         on_notice(
@@ -328,6 +357,17 @@
     return read_notice(response.status, response.headers, kind)
 
 
+def _is_other_answer(response: httpcore.Response, request_id: bytes) -> bool:
+    """Return whether a response names another request than the one that is under way.
+
+    Args:
+        response: The response.
+        request_id: Identifier of the request; empty for a control call, which has none.
+    """
+    found = {name.lower(): value for name, value in response.headers}
+    return found.get(names.REQUEST_ID, request_id) != request_id
+
+
 def _is_control_answer(response: httpcore.Response) -> bool:
     """Return whether a response is the called instance's answer to a control call.
 
@@ -341,7 +381,7 @@
     """Raise unless a response's head shows that the instance ran this request."""
     found = {name.lower(): value for name, value in response.headers}
     answered = found.get(names.REQUEST_ID)
-    if answered is not None and answered != call.request.request_id.encode():
+    if _is_other_answer(response, call.request.request_id.encode()):
         raise InstanceCallError(
             ErrorCode.EXECUTION_UNKNOWN, "the response is to another request", Execution.UNKNOWN
         )
--- a/tests/adapters/test_tunnels.py
+++ b/tests/adapters/test_tunnels.py
@@ -261,17 +261,18 @@
 
         trio.run(main)
 
-    async def call(self, world, instances, instance):
-        call = InstanceCall(instance, request(), 1.5, gateway=world.gateway)
+    async def call(self, world, instances, instance, request_id="r1"):
+        call = InstanceCall(instance, request(request_id), 1.5, gateway=world.gateway)
         async with instances.open(call) as answer:
             return b"".join([data async for data in answer.body()])
 
     def test_a_request_is_answered_and_its_tunnel_used_again(self):
-        server = RawServer(COMPLETE, keep_open=True)
+        server = RawServer(COMPLETE, keep_open=True, repeats_id=True)
 
         async def script(world, instances, instance):
-            for _ in range(3):
-                self.assertEqual(await self.call(world, instances, instance), b"body")
+            for number in range(3):
+                body = await self.call(world, instances, instance, f"r{number}")
+                self.assertEqual(body, b"body")
             self.assertEqual(server.connections, 1)
             self.assertEqual(len(server.received), 3)
 
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -57,10 +57,11 @@
 
 
 class RawServer:
-    """Sends the given bytes in response to each request."""
+    """Sends the given bytes in response to each request, on request with the request's own id."""
 
-    def __init__(self, answer, keep_open=False, reset=False):
+    def __init__(self, answer, keep_open=False, reset=False, repeats_id=False):
         self.answer = answer
+        self.repeats_id = repeats_id
         self.keep_open = keep_open
         self.reset = reset
         self.received = []
@@ -83,7 +84,11 @@
         with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             while data := await self.read_request(stream):
                 self.received.append(data)
-                await stream.send_all(self.answer)
+                answer = self.answer
+                if self.repeats_id:
+                    sent = re.search(rb"(?i)attempt-id: (\S+)", data)
+                    answer = answer.replace(b"Attempt-Id: r1", b"Attempt-Id: " + sent[1])
+                await stream.send_all(answer)
                 if not self.keep_open:
                     break
             if self.reset:
@@ -354,11 +359,13 @@
         self.run_with(RawServer(COMPLETE + OTHER_RESPONSE, keep_open=True), script)
 
     def test_whole_answers_keep_their_connection(self):
-        server = RawServer(COMPLETE, keep_open=True)
+        server = RawServer(COMPLETE, keep_open=True, repeats_id=True)
 
         async def script(instances, instance):
-            for _ in range(3):
-                await self.call(instances, instance)
+            for number in range(3):
+                call = InstanceCall(instance, request(f"r{number}"), 1.5)
+                async with instances.open(call) as answer:
+                    self.assertEqual(b"".join([data async for data in answer.body()]), b"body")
 
         self.run_with(server, script)
         self.assertEqual(server.connections, 1)
--- a/tests/platform/test_repeated_answers.py
+++ b/tests/platform/test_repeated_answers.py
@@ -4,6 +4,7 @@
 import re
 import unittest
 from dataclasses import dataclass
+from unittest import mock
 
 import trio
 
@@ -142,6 +143,27 @@
         trio.run(main)
         return server
 
+    # Requests met late answers of an instance that was known to send them, and failed.
+    def test_an_instance_with_surplus_bytes_gets_new_connections_for_a_while(self):
+        async def script(instances, instance):
+            await self.send(instances, instance, "r0")
+            for number in range(1, 4):
+                await self.send(instances, instance, f"r{number}")
+
+        server = self.run_with(Copies((200,)), script)
+        self.assertEqual((server.connections, server.runs), (4, 4))
+
+    # What a connection remembers grew with each request that it carried.
+    def test_a_connection_carries_a_bounded_number_of_calls(self):
+        with mock.patch("hopstep.platform.http_connection.MAX_SENDS", 3):
+
+            async def script(instances, instance):
+                for number in range(6):
+                    await self.send(instances, instance, f"r{number}")
+
+            server = self.run_with(Copies((200,), delay_seconds=9.0), script)
+        self.assertEqual((server.connections, server.runs), (2, 6))
+
     # The logs couldn't tell an answer to this send from one to an earlier send.
     def test_surplus_bytes_are_reported_with_their_connection(self):
         for delay, place in ((0.0, SurplusPlace.BEHIND_ANSWER), (0.01, SurplusPlace.BEFORE_SEND)):
