Close a kept connection that holds bytes after its last answer

What callers saw: where a server sends an answer twice at once, the next call on that connection got the copy. A store write that was refused counted as made, a lease that was over as renewed, an order that an engine refused as accepted, and an empty page of keys as an empty machine list.

Cause: httpcore keeps what it has read beyond an answer and takes it for the beginning of the next one. It closes an idle connection only for bytes that are still unread on the socket.

Change: a pool whose connections also expire while such bytes are held, for all clients over httpx: engines, key-value service, machine list, peers and hopstep-ctl. No connection is closed that has none.

--- a/hopstep/adapters/engine_transport.py
+++ b/hopstep/adapters/engine_transport.py
@@ -16,6 +16,8 @@
 import httpx
 import trio
 
+from hopstep.adapters.kept_connections import make_transport
+
 UNPACED_READS = 2
 """Reads after a request that are never delayed: the response headers and the first token."""
 
@@ -129,17 +131,5 @@
             await pool.aclose()
 
     def _make_pool(self) -> httpx.AsyncHTTPTransport:
-        """Return a pool over paced connections.
-
-        ``httpx`` accepts no network backend but ``httpcore`` does, so the transport's pool is
-        replaced by an equal one with the paced backend.
-        """
-        transport = httpx.AsyncHTTPTransport(trust_env=False, limits=self._limits)
-        transport._pool = httpcore.AsyncConnectionPool(
-            ssl_context=self._ssl_context,
-            max_connections=self._limits.max_connections,
-            max_keepalive_connections=self._limits.max_keepalive_connections,
-            keepalive_expiry=self._limits.keepalive_expiry,
-            network_backend=self._backend,
-        )
-        return transport
+        """Return a pool over paced connections."""
+        return make_transport(self._limits, self._ssl_context, self._backend)
--- /dev/null
+++ b/hopstep/adapters/kept_connections.py
@@ -0,0 +1,118 @@
+"""Connection pools for ``httpx`` whose connections aren't used again after surplus bytes.
+
+A server may send more than the answer to a request. The library keeps such bytes with the
+connection and takes them for the beginning of the next answer; it notices only those that are
+still unread on the socket when the next request is sent.
+"""
+
+from __future__ import annotations
+
+import ssl
+
+import httpcore
+import httpx
+
+CLIENT_LIMITS = httpx.Limits(
+    max_connections=100, max_keepalive_connections=20, keepalive_expiry=5.0
+)
+"""Limits of ``make_client``: the defaults of ``httpx``."""
+
+
+class KeptConnection(httpcore.AsyncConnectionInterface):
+    """A connection of the library that also expires when it holds surplus bytes."""
+
+    def __init__(self, connection: httpcore.AsyncHTTPConnection) -> None:
+        """Wrap a connection.
+
+        Args:
+            connection: The library's connection.
+        """
+        self._connection = connection
+
+    async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
+        """Send a request."""
+        return await self._connection.handle_async_request(request)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._connection.aclose()
+
+    def info(self) -> str:
+        """Return a description."""
+        return self._connection.info()
+
+    def can_handle_request(self, origin: httpcore.Origin) -> bool:
+        """Return whether the connection leads to an origin."""
+        return self._connection.can_handle_request(origin)
+
+    def is_available(self) -> bool:
+        """Return whether a request can be sent."""
+        return self._connection.is_available()
+
+    def has_expired(self) -> bool:
+        """Return whether the connection must not be used again."""
+        return self._connection.has_expired() or self._holds_surplus()
+
+    def is_idle(self) -> bool:
+        """Return whether no request is in progress."""
+        return self._connection.is_idle()
+
+    def is_closed(self) -> bool:
+        """Return whether the connection is closed."""
+        return self._connection.is_closed()
+
+    def _holds_surplus(self) -> bool:
+        """Return whether bytes after the last answer have been read.
+
+        The library gives no public access to them.
+        """
+        opened = self._connection._connection
+        if not isinstance(opened, httpcore.AsyncHTTP11Connection) or not opened.is_idle():
+            return False
+        return bool(opened._h11_state.trailing_data[0])
+
+
+class KeptConnectionPool(httpcore.AsyncConnectionPool):
+    """A pool of such connections; for direct HTTP/1.1 connections only."""
+
+    def create_connection(self, origin: httpcore.Origin) -> httpcore.AsyncConnectionInterface:
+        """Return a new connection."""
+        connection = super().create_connection(origin)
+        if not isinstance(connection, httpcore.AsyncHTTPConnection):
+            raise TypeError("connections by a proxy aren't supported")
+        return KeptConnection(connection)
+
+
+def make_transport(
+    limits: httpx.Limits,
+    ssl_context: ssl.SSLContext | None,
+    backend: httpcore.AsyncNetworkBackend | None = None,
+) -> httpx.AsyncHTTPTransport:
+    """Return a transport over such a pool.
+
+    ``httpx`` accepts no pool but its own, so the transport's pool is replaced.
+
+    Args:
+        limits: Limits of the pool.
+        ssl_context: For HTTPS; None for the library's default.
+        backend: Opens connections; None for the library's default.
+    """
+    transport = httpx.AsyncHTTPTransport(trust_env=False, limits=limits)
+    transport._pool = KeptConnectionPool(
+        ssl_context=ssl_context,
+        max_connections=limits.max_connections,
+        max_keepalive_connections=limits.max_keepalive_connections,
+        keepalive_expiry=limits.keepalive_expiry,
+        network_backend=backend,
+    )
+    return transport
+
+
+def make_client(verify: ssl.SSLContext | bool = True) -> httpx.AsyncClient:
+    """Return a client over such a pool.
+
+    Args:
+        verify: Context of the client for HTTPS; True for the default one.
+    """
+    context = httpx.create_ssl_context(verify, trust_env=False)
+    return httpx.AsyncClient(trust_env=False, transport=make_transport(CLIENT_LIMITS, context))
--- a/hopstep/cli/ctl.py
+++ b/hopstep/cli/ctl.py
@@ -24,6 +24,7 @@
 import trio
 from absl import flags
 
+from hopstep.adapters.kept_connections import make_client
 from hopstep.adapters.key_value_store_http import HttpKeyValueStore
 from hopstep.adapters.tls import client_context
 from hopstep.cli.command import run_command
@@ -109,7 +110,7 @@
     if verb == "explain" and _FILE.value:
         accepted = AcceptedConfiguration(0, read_configuration(Path(_FILE.value)))
         return explain(accepted, _TENANT.value, _CLASS.value, _MODEL.value)
-    async with httpx.AsyncClient(trust_env=False, verify=_verification()) as client:
+    async with make_client(_verification()) as client:
         if verb == "status" and _ROUTERS.value:
             return await show_status(client, _checked_routers(), _router_scheme())
         key_value_store = HttpKeyValueStore(_store_address(), client)
--- a/hopstep/node.py
+++ b/hopstep/node.py
@@ -17,6 +17,7 @@
 from hopstep.adapters.http_api.composition import make_api_context
 from hopstep.adapters.http_api.context import ApiContext
 from hopstep.adapters.http_server import serve_http
+from hopstep.adapters.kept_connections import make_client
 from hopstep.adapters.key_value_store_http import HttpKeyValueStore
 from hopstep.adapters.machine_list_http import HttpMachineList
 from hopstep.adapters.pacing import Pacer
@@ -157,7 +158,7 @@
     transport = await UdpPeerTransport.open(settings.peers.address, codec)
     try:
         async with (
-            httpx.AsyncClient(trust_env=False, verify=tls.peers or True) as client,
+            make_client(tls.peers or True) as client,
             trio.open_nursery() as nursery,
         ):
             nursery.start_soon(follow_files, watched)
