Reject an answer to another call on the connections over httpx

What callers saw: where a server sends the answer to one call again after the next call was sent, the next call got it as its own: a refused store write as made, a refused order as accepted, another key's value, an old state of an attempt. Between peers such an answer was rejected by its signature, but the connection stayed in use, and each later call got the answer to the one before.

Cause: only streams, cancels and fences name an attempt, and they name it for all calls of that attempt. Nothing else in an answer tells which call it is to.

Change: each call of these clients has an id in the header Call-Id, which engines, the key-value service, the machine list, peers and operators' routes repeat. An answer with another id is rejected like a lost one, its connection is closed and HS6002 is logged. An answer without an id is accepted: a server that doesn't repeat it is protected by the state of its connection only.

--- a/emulator/engine/server.py
+++ b/emulator/engine/server.py
@@ -33,6 +33,7 @@
     ResumeRequest,
 )
 from hopstep.adapters.engine_stream import RefusalLine
+from hopstep.adapters.http_api.call_ids import repeat_call_id
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.ports.engine import EngineOrder, GenerateRequest
 
@@ -167,6 +168,7 @@
 ) -> quart_trio.QuartTrio:
     """Return the HTTP application of one engine."""
     app = quart_trio.QuartTrio(__name__)
+    app.after_request(repeat_call_id)
     EngineApi(host, kv_cache_stores).register(app)
     return app
 
--- a/emulator/platform/server.py
+++ b/emulator/platform/server.py
@@ -14,6 +14,7 @@
 from emulator.platform.faults import FaultOrder
 from emulator.platform.machine_list import MachineListModel
 from emulator.platform.shared_store import SharedStore
+from hopstep.adapters.http_api.call_ids import repeat_call_id
 from hopstep.adapters.key_value_store_wire import (
     ERA_HEADER,
     MACHINES_PATH,
@@ -47,6 +48,7 @@
         machine_list: Machine list.
     """
     app = quart_trio.QuartTrio(__name__)
+    app.after_request(repeat_call_id)
 
     @app.post(STORE_PATH)
     async def store() -> quart.Response:
--- a/hopstep/adapters/engine_transport.py
+++ b/hopstep/adapters/engine_transport.py
@@ -16,6 +16,7 @@
 import httpx
 import trio
 
+from hopstep.adapters.call_ids import send_with_id
 from hopstep.adapters.kept_connections import make_transport
 
 UNPACED_READS = 2
@@ -119,11 +120,11 @@
         self._pools: dict[bytes, httpx.AsyncHTTPTransport] = {}
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
-        """Send one request."""
+        """Send one request with an id."""
         pool = self._pools.get(request.url.netloc)
         if pool is None:
             pool = self._pools[request.url.netloc] = self._make_pool()
-        return await pool.handle_async_request(request)
+        return await send_with_id(pool, request)
 
     async def aclose(self) -> None:
         """Close every connection."""
--- a/hopstep/adapters/http_api/operator.py
+++ b/hopstep/adapters/http_api/operator.py
@@ -8,6 +8,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from quart import Blueprint, Response
 
+from hopstep.adapters.http_api.call_ids import repeat_call_id
 from hopstep.adapters.http_api.context import ApiContext
 
 JSON = "application/json"
@@ -67,6 +68,7 @@
         context: The node.
     """
     blueprint = Blueprint("operator", __name__)
+    blueprint.after_request(repeat_call_id)
 
     @blueprint.get("/livez")
     async def live() -> Response:
--- a/hopstep/adapters/http_api/peer.py
+++ b/hopstep/adapters/http_api/peer.py
@@ -4,6 +4,7 @@
 
 from quart import Blueprint, Response
 
+from hopstep.adapters.http_api.call_ids import repeat_call_id
 from hopstep.adapters.http_api.context import PeerHandler
 from hopstep.adapters.http_api.generation import read_body
 
@@ -17,6 +18,7 @@
         handle: Verifies, decodes and answers a call; raises ``PeerMessageError``.
     """
     blueprint = Blueprint("peer", __name__)
+    blueprint.after_request(repeat_call_id)
 
     @blueprint.post("/peer/v1/<name>")
     async def call(name: str) -> Response:
--- a/hopstep/adapters/kept_connections.py
+++ b/hopstep/adapters/kept_connections.py
@@ -12,6 +12,8 @@
 import httpcore
 import httpx
 
+from hopstep.adapters.call_ids import IdentifiedTransport
+
 CLIENT_LIMITS = httpx.Limits(
     max_connections=100, max_keepalive_connections=20, keepalive_expiry=5.0
 )
@@ -109,10 +111,11 @@
 
 
 def make_client(verify: ssl.SSLContext | bool = True) -> httpx.AsyncClient:
-    """Return a client over such a pool.
+    """Return a client over such a pool, whose calls have ids.
 
     Args:
         verify: Context of the client for HTTPS; True for the default one.
     """
     context = httpx.create_ssl_context(verify, trust_env=False)
-    return httpx.AsyncClient(trust_env=False, transport=make_transport(CLIENT_LIMITS, context))
+    transport = IdentifiedTransport(make_transport(CLIENT_LIMITS, context))
+    return httpx.AsyncClient(trust_env=False, transport=transport)
--- a/hopstep/adapters/key_value_store_wire.py
+++ b/hopstep/adapters/key_value_store_wire.py
@@ -3,7 +3,8 @@
 Every operation is one ``POST`` to ``STORE_PATH``; the field ``operation`` names it and bytes
 are base64. The body of a response with status 200 is the result, of the type that the operation's
 class documents. Every other status has a ``StoreFailure`` as its body. All responses carry the
-service's era in the header ``ERA_HEADER``, if the service has one.
+service's era in the header ``ERA_HEADER``, if the service has one, and repeat the call's id
+(``hopstep.adapters.call_ids``).
 """
 
 from __future__ import annotations
--- a/hopstep/log_events/instances.py
+++ b/hopstep/log_events/instances.py
@@ -11,6 +11,13 @@
     ("engine",),
     "Find out what listens at the engine's address and which version it runs.",
 )
+ANSWER_TO_ANOTHER_CALL = LogEvent(
+    "HS6002",
+    "answer_to_another_call",
+    Level.WARNING,
+    ("address",),
+    "Find out why the server at the address answers twice; the answer was rejected.",
+)
 INSTANCE_LISTED = LogEvent(
     "HS6101",
     "instance_listed",
--- a/tests/stuttering_peer.py
+++ b/tests/stuttering_peer.py
@@ -39,15 +39,17 @@
 class StutteringPeer:
     """Answers requests in order, and sends a copy of the first answer at one moment."""
 
-    def __init__(self, answers, moment):
+    def __init__(self, answers, moment, repeats_ids=False):
         """Prepare the answers.
 
         Args:
-            answers: Answers to the requests, in order of arrival.
+            answers: Answers to the requests in order of arrival, or functions that return them.
             moment: When the copy is sent; None for no copy.
+            repeats_ids: Whether answers repeat the id of their call.
         """
         self._answers = list(answers)
         self._moment = moment
+        self._repeats_ids = repeats_ids
         self._copied = b""
         self._copied_on = 0
         self.requests = []
@@ -65,7 +67,7 @@
         with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             while request := await read_request(stream):
                 self.requests.append(request)
-                own = self._answers.pop(0)
+                own = await self._own_answer(request)
                 if len(self.requests) == 1:
                     self._copied, self._copied_on = own, connection
                     await stream.send_all(own * (2 if self._moment == WITH_ANSWER else 1))
@@ -76,6 +78,17 @@
                 await self._answer_next(stream, own, connection == self._copied_on)
         await stream.aclose()
 
+    async def _own_answer(self, request):
+        """Return the answer to a request."""
+        own = self._answers.pop(0)
+        if callable(own):
+            own = await own(request)
+        call_id = re.search(rb"(?i)\r\n(call-id: [^\r]+)", request)
+        if not self._repeats_ids or call_id is None:
+            return own
+        status, _, rest = own.partition(b"\r\n")
+        return b"\r\n".join((status, call_id[1], rest))
+
     async def _answer_next(self, stream, own, surplus):
         """Answer a later request, with the copy where its moment is here."""
         if surplus and self._moment == BEFORE_NEXT:
