Report a store write whose answer can't be used as unknown

What callers saw: a write to the platform's store that was made, and whose answer was spoilt (another answer's bytes in its body, a body that is no JSON, no revision, status 500), was reported as without effect. Its caller then wrote again or went on as if the key weren't there.

Cause: an answer that can't be decoded raised the error of an unavailable store, for reads and writes alike.

Change: writes and grants of leases raise StoreOutcomeUnknownError unless the store confirms or refuses them (4xx, and 503 as before).

--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -54,6 +54,7 @@
 CONDITION_FAILED = 412
 TOO_MANY = 429
 UNAVAILABLE = 503
+REFUSALS = range(400, 500)
 
 
 class _Item(msgspec.Struct, frozen=True, rename="camel"):
@@ -209,7 +210,7 @@
         """Return a new lease; see the port."""
         body = msgspec.json.encode(_LeaseRequest(int(time_to_live_seconds * MILLISECONDS)))
         answer = await self._call(POST, names.STORE_LEASE, body=body)
-        return StoreLease(str(self._decode(answer, _Lease).lease_id), answer.era)
+        return StoreLease(str(self._decode_write(answer, _Lease).lease_id), answer.era)
 
     async def keep_alive(self, lease: StoreLease) -> None:
         """Renew a lease; see the port."""
@@ -243,7 +244,7 @@
             raise StoreConflictError(
                 ErrorCode.STORE_CONFLICT, "a condition of the write doesn't hold"
             )
-        return StorePosition(answer.era, self._decode(answer, _Written).revision)
+        return StorePosition(answer.era, self._decode_write(answer, _Written).revision)
 
     def _decode(self, answer: _Answer, document: type[Document]) -> Document:
         """Return the document of a response, and report its unrecognized fields."""
@@ -252,6 +253,19 @@
         self._unrecognized.report_fields(location, self._address, answer.body, document)
         return decoded
 
+    def _decode_write(self, answer: _Answer, document: type[Document]) -> Document:
+        """Return the document of a response to a write.
+
+        Raises:
+            StoreOutcomeUnknownError: When the response neither confirms nor refuses the write.
+        """
+        try:
+            return self._decode(answer, document)
+        except StoreError as error:
+            if answer.status in REFUSALS:
+                raise
+            raise _unknown_outcome("the store's response to a write can't be used") from error
+
     async def _call(
         self,
         method: bytes,
@@ -318,9 +332,12 @@
     """Return the error of a call that got no response."""
     if method == GET or not sent:
         return StoreError(ErrorCode.STORE_UNAVAILABLE, "the store didn't respond")
-    return StoreOutcomeUnknownError(
-        ErrorCode.STORE_OUTCOME_UNKNOWN, "the store didn't respond to a write"
-    )
+    return _unknown_outcome("the store didn't respond to a write")
+
+
+def _unknown_outcome(message: str) -> StoreOutcomeUnknownError:
+    """Return the error of a write that may have taken effect."""
+    return StoreOutcomeUnknownError(ErrorCode.STORE_OUTCOME_UNKNOWN, message)
 
 
 def _require_ok(answer: _Answer) -> None:
