Bound the bodies of control answers, cache events and the store's answers

Callers saw: a node whose memory grows by tens of megabytes for each instance whose report, answer to an order or cache events do not end, until the call is given up.

Cause: these bodies were read whole by the library, which bounds neither their bytes nor the time for which it handles parts that are already there.

Change: `bounded_body` reads a body up to 256 KiB (control), 2 MiB (cache events) or 16 MiB (store) and closes its connection beyond that. The caller gets a protocol error, so that the answer counts as one that isn't HTTP. Parts that have arrived are read for at most 2 ms before other tasks run. HS6150 names the source and the bound, also for a body that drips until the time of its call is up.

--- a/hopstep/log_events/instances.py
+++ b/hopstep/log_events/instances.py
@@ -200,6 +200,14 @@
     ("reason", "code"),
     "Nothing: the lease ends by itself, and the next holder waits for that.",
 )
+ANSWER_BOUND_EXCEEDED = LogEvent(
+    "HS6150",
+    "answer_bound_exceeded",
+    Level.WARNING,
+    ("source", "call", "bound", "received_bytes"),
+    "Find out what listens at `source`: it sends bytes without end, or too slowly. The answer "
+    "counts as none, and its connection is closed.",
+)
 ENGINE_INCARNATION_SEEN = LogEvent(
     "HS6501",
     "engine_incarnation_seen",
--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -10,6 +10,7 @@
 from hopstep.domain.exchanges.store_contents import CacheEvent
 from hopstep.domain.instance_notices import AnswerKind, NoticeListener, ignore_notice
 from hopstep.platform import names
+from hopstep.platform.bounded_body import CACHE_EVENTS_BOUND, bounded_answer
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
 from hopstep.platform.notices import read_notice
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
@@ -72,14 +73,15 @@
         target = f"{names.CACHE_EVENTS_PATH}?since={position}".encode()
         call = HttpCall(address, b"GET", target, headers, b"")
         try:
-            with trio.fail_after(ANSWER_SECONDS + wait_seconds):
+            seconds = ANSWER_SECONDS + wait_seconds
+            with bounded_answer(address, CACHE_EVENTS_BOUND, seconds) as answer:
                 async with self._client.open(call, SendTrace()) as response:
                     kind = AnswerKind.CACHE_EVENTS
                     on_notice(read_notice(response.status, response.headers, kind))
                     self._unrecognized.report_headers(
                         ValueLocation.ANSWER_HEAD, address, response.status, response.headers
                     )
-                    body = await response.aread()
+                    body = await answer.read(response)
             if response.status != OK:
                 return None
             read = decode_json(body, _Events)
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -22,6 +22,7 @@
 from hopstep.domain.reachability.tunnels import TunnelFailure, TunnelTarget
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform import names
+from hopstep.platform.bounded_body import CONTROL_BOUND, bounded_answer
 from hopstep.platform.http_client import (
     HttpCall,
     HttpClient,
@@ -275,14 +276,14 @@
             connect_seconds=CONNECT_SECONDS,
         )
         try:
-            with trio.fail_after(CONTROL_SECONDS):
+            with bounded_answer(instance.address, CONTROL_BOUND, CONTROL_SECONDS) as answer:
                 async with self._client.open(call, SendTrace(proof)) as response:
                     if _is_control_answer(response):
                         self._report_headers(instance, response)
                         on_notice(
                             read_notice(response.status, response.headers, AnswerKind.CONTROL)
                         )
-                    return response.status, await response.aread()
+                    return response.status, await answer.read(response)
         except (*FAILURES, trio.TooSlowError):
             return None
 
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -21,6 +21,7 @@
     StoreOutcomeUnknownError,
 )
 from hopstep.platform import names
+from hopstep.platform.bounded_body import STORE_BOUND, bounded_answer
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
 from hopstep.ports.key_value_store import (
@@ -267,13 +268,14 @@
         )
         trace = SendTrace()
         try:
-            with trio.fail_after(self._answer_seconds + extra_seconds):
+            seconds = self._answer_seconds + extra_seconds
+            with bounded_answer(self._address, STORE_BOUND, seconds) as reader:
                 async with self._client.open(call, trace) as response:
                     self._unrecognized.report_headers(
                         ValueLocation.STORE_HEAD, self._address, response.status, response.headers
                     )
                     era = _read_era(response.headers)
-                    answer = _Answer(response.status, await response.aread(), era)
+                    answer = _Answer(response.status, await reader.read(response), era)
         except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException) as error:
             raise _no_answer(method, trace.proof.sent) from error
         except trio.TooSlowError as error:
--- /dev/null
+++ b/tests/platform/endless_peers.py
@@ -0,0 +1,60 @@
+"""Stand-in that answers without end, and measures of what its callers spend on that."""
+
+import contextlib
+import time
+import tracemalloc
+
+import trio
+
+from tests.platform.test_instances import RawServer
+
+BLOCK_BYTES = 64 * 1024
+DRIP_SECONDS = 0.02
+
+
+class EndlessServer(RawServer):
+    """Begins its answer to each request with the same bytes, then repeats others without end."""
+
+    def __init__(self, beginning, repeated, *, drips=False):
+        super().__init__(beginning)
+        self.repeated = repeated
+        self.drips = drips
+
+    async def handle(self, stream):
+        self.connections += 1
+        block = self.repeated
+        if not self.drips:
+            block *= max(1, BLOCK_BYTES // len(block))
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            await self.read_request(stream)
+            await stream.send_all(self.answer)
+            while True:
+                await stream.send_all(block)
+                if self.drips:
+                    await trio.sleep(DRIP_SECONDS)
+        await trio.aclose_forcefully(stream)
+
+
+class LongestStep(trio.abc.Instrument):
+    """Measures the processor time of the longest step of any task: the loop stands still for it."""
+
+    def __init__(self):
+        self.seconds = 0.0
+        self._began_at = 0.0
+
+    def before_task_step(self, _task):
+        self._began_at = time.thread_time()
+
+    def after_task_step(self, _task):
+        self.seconds = max(self.seconds, time.thread_time() - self._began_at)
+
+
+@contextlib.contextmanager
+def traced_peak():
+    """Yield a function that returns the most bytes that were allocated within the context."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    try:
+        yield lambda: tracemalloc.get_traced_memory()[1] - before
+    finally:
+        tracemalloc.stop()
