Let other tasks run while an answer's small chunks are read

Callers saw: every request of a node waits while one instance sends its answer in chunks of a byte.

Cause: one read of 64 KiB holds ten thousand such chunks, which the library hands on one by one without a checkpoint. A step took 183 ms of processor time.

--- a/hopstep/platform/bounded_body.py
+++ b/hopstep/platform/bounded_body.py
@@ -7,7 +7,7 @@
 
 import contextlib
 import enum
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 
 import httpcore
 import msgspec
@@ -83,15 +83,11 @@
             BodyTooLongError: When it exceeds the bound; the rest of it isn't read.
         """
         body = self._body = bytearray()
-        yielded_at = trio.current_time()
-        async for data in response.aiter_stream():
+        async for data in read_parts(response):
             body += data
             if len(body) > self._bound.max_bytes:
                 self._log(ExceededBound.BYTES)
                 raise BodyTooLongError("the body is too long")
-            if trio.current_time() - yielded_at > STEP_SECONDS:
-                await trio.lowlevel.checkpoint()
-                yielded_at = trio.current_time()
         return bytes(body)
 
     def note_timeout(self) -> None:
@@ -110,6 +106,16 @@
         )
 
 
+async def read_parts(response: httpcore.Response) -> AsyncIterator[bytes]:
+    """Yield the parts of a body; other tasks run at least each ``STEP_SECONDS``."""
+    yielded_at = trio.current_time()
+    async for data in response.aiter_stream():
+        yield data
+        if trio.current_time() - yielded_at > STEP_SECONDS:
+            await trio.lowlevel.checkpoint()
+            yielded_at = trio.current_time()
+
+
 @contextlib.contextmanager
 def bounded_answer(source: str, bound: AnswerBound, seconds: float) -> Iterator[BoundedAnswer]:
     """Yield what reads one answer; the call has to end within a time.
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -22,7 +22,7 @@
 from hopstep.domain.reachability.tunnels import TunnelFailure, TunnelTarget
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform import names
-from hopstep.platform.bounded_body import CONTROL_BOUND, bounded_answer
+from hopstep.platform.bounded_body import CONTROL_BOUND, bounded_answer, read_parts
 from hopstep.platform.http_client import (
     HttpCall,
     HttpClient,
@@ -124,7 +124,7 @@
         """Yield the body; see the port."""
         scanner = WeightsVersionScanner()
         try:
-            async for data in self._response.aiter_stream():
+            async for data in read_parts(self._response):
                 self.weights_version = scanner.scan(data) or self.weights_version
                 yield data
         except FAILURES as error:
--- a/tests/platform/test_answers_without_end.py
+++ b/tests/platform/test_answers_without_end.py
@@ -1,5 +1,6 @@
 """Answers whose body doesn't end, from instances, cache stores and the platform's store."""
 
+import contextlib
 import time
 import unittest
 
@@ -13,12 +14,15 @@
 from hopstep.platform.http_client import HttpClient
 from hopstep.platform.instances import CONTROL_SECONDS, HttpInstances
 from hopstep.platform.store import PlatformStore
+from hopstep.ports.instance_calls import InstanceCall
 from hopstep.ports.weights_orders import OrderOutcome, WeightsOrder
 from tests.platform.endless_peers import EndlessServer, LongestStep, traced_peak
+from tests.platform.test_instances import HEAD, request
 
 MEBIBYTE = 1 << 20
 LONGEST_STEP_SECONDS = 0.010
 STORE_SECONDS = 1.0
+SAMPLE_BYTES = 40_000
 
 STATUS = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = STATUS + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -129,3 +133,23 @@
                 self.assertEqual(result, expected)
                 self.assertEqual(exceeded, [(call.split()[0], "seconds")])
                 self.assertLess(time.monotonic() - began_at, seconds + 0.5)
+
+    def test_chunks_of_a_byte_do_not_stop_the_loop(self):
+        """Guards against 180 ms for which all tasks wait while an instance's chunks are read."""
+
+        async def read_some(client, address):
+            instance = Instance("i1", "s", address, "z", 1)
+            async with HttpInstances(client).open(InstanceCall(instance, request(), 1.5)) as answer:
+                size = 0
+                async with contextlib.aclosing(answer.body()) as body:
+                    async for data in body:
+                        size += len(data)
+                        if size > SAMPLE_BYTES:
+                            return size
+            raise AssertionError("the body has ended")
+
+        step = LongestStep()
+        server = EndlessServer(HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n")
+        size, _exceeded = self.call(server, read_some, [step])
+        self.assertGreater(size, SAMPLE_BYTES)
+        self.assertLess(step.seconds, LONGEST_STEP_SECONDS)
