Test informational responses without end (fails until the connection bounds them)

test_informational_responses_without_end_are_no_answer fails with the library's connection: it reads them until the request's deadline.

--- a/tests/platform/test_heads_without_end.py
+++ b/tests/platform/test_heads_without_end.py
@@ -36,6 +36,13 @@
     "lines of a trailer": (CHUNKED + b"1\r\nx\r\n0\r\n", b"X-A: b\r\n"),
     "one trailer": (CHUNKED + b"1\r\nx\r\n0\r\nX-A: ", b"b"),
 }
+INFORMATIONAL = {
+    "without headers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "with headers": (
+        b"",
+        b"HTTP/1.1 103 Early Hints\r\n" + b"Link: </x>\r\n" * 100 + b"\r\n",
+    ),
+}
 BEHIND = {
     "bytes behind an answer with a length": (HEAD + b"Content-Length: 1\r\n\r\nx", b"y"),
     "bytes behind an answer in chunks": (CHUNKED + b"1\r\nx\r\n0\r\n\r\n", b"y"),
@@ -107,7 +114,7 @@
                 self.assertLess(peak(), MEBIBYTE)
 
     def test_a_request_ends_at_bytes_without_end_that_are_no_answer(self):
-        """Guards against informational responses that are read until a request's deadline."""
+        """Guards against heads and trailers that a request reads until its deadline."""
         for name, form in {**NO_ANSWER, **NO_BODY}.items():
             self.check(name, form, self.send_request, Execution.UNKNOWN)
 
@@ -117,6 +124,13 @@
             for name, form in {**NO_ANSWER, **NO_BODY}.items():
                 self.check(f"{call}: {name}", form, ask, expected)
 
+    def test_informational_responses_without_end_are_no_answer(self):
+        """Guards against reading them until a request's deadline, while the loop stands still."""
+        for name, form in INFORMATIONAL.items():
+            self.check(name, form, self.send_request, Execution.UNKNOWN)
+            for call, (ask, expected, _max_bytes, _seconds) in CALLS.items():
+                self.check(f"{call}: {name}", form, ask, expected)
+
     def test_an_answer_may_follow_a_few_informational_responses(self):
         """Guards against a bound on them that refuses answers of instances that work."""
         hints = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
