Reject a head that is put together from two responses

What callers saw: a success with the body of a failure, with their own id and the instance's signature, from one send to one instance; the node's log shows a plain success.

Cause: an instance that stops within its answer's head and sends another answer behind it gives one head to the parser: the second status line is read as the rest of the reason phrase or of a header's value, and the second answer's headers and body as the first one's. The headers were read as a dict, so the last of two ids decided.

Change: the connection rejects a head with a status line inside, or with two ids, signatures or other headers that a response has once; the request ends as unknown and the connection is closed. It holds for all calls to instances and to the store, as they share the connection.

--- a/hopstep/platform/http_connection.py
+++ b/hopstep/platform/http_connection.py
@@ -15,6 +15,7 @@
 from hopstep.domain.connection_reuse import MAX_SENDS, SentIdentifiers
 from hopstep.platform import names
 from hopstep.platform.http_call import ConnectionUse, HttpCall, SendTrace
+from hopstep.platform.response_heads import require_single_head
 from hopstep.ports.surplus_answers import SurplusBytes, SurplusListener, SurplusPlace
 
 CALL_EXTENSION = "hopstep.call"
@@ -202,6 +203,7 @@
             if event is h11.NEED_DATA:
                 await self._receive(call)
             elif isinstance(event, h11.Response):
+                require_single_head(event)
                 return event
             elif isinstance(event, h11.InformationalResponse):
                 informational += 1
