Reject a body whose end is the beginning of another response

What callers saw: a success with a body that isn't the instance's, framed as whole.

Cause: an instance that breaks off within a body with a length and sends another answer behind it completes that body with the other answer's first bytes; the rest of the other answer stands behind it as surplus bytes.

Change: where a status line begins within a body and bytes stand behind the body's end, the answer ends as broken off. A status line that is the body's content is accepted, and so is a copy behind a whole body.

An answer that ends with its connection stays undecidable.

--- a/hopstep/platform/http_connection.py
+++ b/hopstep/platform/http_connection.py
@@ -15,7 +15,7 @@
 from hopstep.domain.connection_reuse import MAX_SENDS, SentIdentifiers
 from hopstep.platform import names
 from hopstep.platform.http_call import ConnectionUse, HttpCall, SendTrace
-from hopstep.platform.response_heads import require_single_head
+from hopstep.platform.spliced_responses import SplicedBodyScanner, require_single_head
 from hopstep.ports.surplus_answers import SurplusBytes, SurplusListener, SurplusPlace
 
 CALL_EXTENSION = "hopstep.call"
@@ -214,6 +214,7 @@
 
     async def receive_body(self, call: HttpCall) -> AsyncIterator[bytes]:
         """Yield the body of the current response; parts that arrived together are joined."""
+        scanner = SplicedBodyScanner()
         has_ended = False
         while not has_ended:
             parts: list[bytes] = []
@@ -227,10 +228,13 @@
                     break
                 if isinstance(event, h11.Data):
                     parts.append(bytes(event.data))
+                    scanner.feed(parts[-1])
                     continue
                 needs_data = event is h11.NEED_DATA
                 has_ended = not needs_data
                 break
+            if has_ended and scanner.is_spliced(self._protocol.trailing_data[0]):
+                failure = httpcore.RemoteProtocolError("another response within a body")
             if parts:
                 yield b"".join(parts)
             if failure is not None:
--- /dev/null
+++ b/hopstep/platform/spliced_responses.py
@@ -0,0 +1,76 @@
+"""Recognizes responses that are put together from two.
+
+A peer that stops within a response and then sends another one gives a single response to a parser.
+Within a head, the second status line becomes the rest of the first one's reason phrase, or of a
+header's value. Within a body with a length, the beginning of the second response becomes the
+missing rest of the body, and what remains of it stands behind the end.
+"""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+
+import h11
+import httpcore
+
+from hopstep.platform import names
+
+STATUS_LINE = re.compile(rb"HTTP/1\.\d +\d{3}")
+"""Beginning of a status line."""
+
+STATUS_LINE_BYTES = 12
+"""Length of the beginning of a status line with one space."""
+
+SINGLE_HEADERS = frozenset(
+    {
+        names.REQUEST_ID,
+        names.SIGNATURE,
+        names.INSTANCE_ID,
+        names.NOT_EXECUTED,
+        names.VERSIONS,
+        names.STORE_ERA,
+    }
+)
+"""Headers that a response has once at most."""
+
+
+def require_single_head(response: h11.Response) -> None:
+    """Check that a head belongs to one response.
+
+    Raises:
+        httpcore.RemoteProtocolError: When it holds a second status line, or a header twice that a
+            response has once.
+    """
+    values = (response.reason, *(value for _name, value in response.headers))
+    if any(STATUS_LINE.search(value) for value in values):
+        raise httpcore.RemoteProtocolError("a status line within a head")
+    counts = Counter(name for name, _value in response.headers if name in SINGLE_HEADERS)
+    repeated = [name.decode() for name, count in counts.items() if count > 1]
+    if repeated:
+        raise httpcore.RemoteProtocolError(f"more than one {repeated[0]}")
+
+
+class SplicedBodyScanner:
+    """Recognizes a body whose end belongs to another response.
+
+    A status line within a body may be its content; it shows another response only if bytes of that
+    stand behind the body's end.
+    """
+
+    def __init__(self) -> None:
+        """Start before the body's first byte."""
+        self._tail = b""
+        self._has_status_line = False
+
+    def feed(self, data: bytes) -> None:
+        """Scan the next part of the body."""
+        self._has_status_line = self._has_status_line or bool(STATUS_LINE.search(self._tail + data))
+        self._tail = (self._tail + data[-STATUS_LINE_BYTES:])[-STATUS_LINE_BYTES:]
+
+    def is_spliced(self, surplus: bytes) -> bool:
+        """Return whether the body holds the beginning of the bytes behind its end."""
+        if not surplus:
+            return False
+        found = STATUS_LINE.search(self._tail + surplus[:STATUS_LINE_BYTES])
+        return self._has_status_line or (found is not None and found.start() < len(self._tail))
--- a/tests/platform/test_cut_answers_behind.py
+++ b/tests/platform/test_cut_answers_behind.py
@@ -1,7 +1,7 @@
 """A cut answer with the bytes of another one behind it never looks whole to a client of the node.
 
-The node can't tell these apart from a whole answer, and passes on what the framing names: a body
-with a length, or that ends with its connection, whose missing bytes are those behind it.
+A body that ends with its connection is the exception: nothing tells that what stands behind the cut
+belongs to another answer.
 """
 
 import unittest
@@ -54,8 +54,8 @@
         for name, behind in BEHIND:
             answer = BY_LENGTH + BODY
 
-            def framed(cut, _ending, answer=answer, behind=behind):
-                return ((answer[:cut] + behind)[len(BY_LENGTH) : len(answer)],)
+            def framed(cut, _ending, answer=answer):
+                return (BODY,) if cut == len(answer) else ()
 
             places = range(len(BY_LENGTH), len(answer) + 1)
             options = {"bodies": framed, "places": places, "behind": behind}
--- a/tests/platform/test_response_heads.py
+++ b/tests/platform/test_spliced_responses.py
@@ -5,7 +5,7 @@
 import h11
 import httpcore
 
-from hopstep.platform.response_heads import require_single_head
+from hopstep.platform.spliced_responses import SplicedBodyScanner, require_single_head
 
 
 def head(headers: list[tuple[str, str]], reason: bytes = b"OK") -> h11.Response:
@@ -30,3 +30,26 @@
         for name in ("attempt-id", "Response-Stamp", "Not-Executed"):
             with self.subTest(name), self.assertRaises(httpcore.RemoteProtocolError):
                 require_single_head(head([(name, "1"), (name.upper(), "2")]))
+
+
+class SplicedBodyScannerTest(unittest.TestCase):
+    def is_spliced(self, parts: list[bytes], surplus: bytes) -> bool:
+        scanner = SplicedBodyScanner()
+        for part in parts:
+            scanner.feed(part)
+        return scanner.is_spliced(surplus)
+
+    # A body that broke off was completed by the first bytes of the answer behind it.
+    def test_a_status_line_that_begins_in_the_body_shows_another_response(self):
+        other = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+        for missing in range(1, len(other)):
+            with self.subTest(missing):
+                body = b"part" + other[:missing]
+                parts = [body[start : start + 5] for start in range(0, len(body), 5)]
+                self.assertTrue(self.is_spliced(parts, other[missing:]))
+
+    def test_a_copy_behind_a_whole_body_is_no_part_of_it(self):
+        self.assertFalse(self.is_spliced([b"whole"], b"HTTP/1.1 200 OK\r\n\r\n"))
+
+    def test_a_status_line_as_content_is_accepted(self):
+        self.assertFalse(self.is_spliced([b"The answer was HTTP/1.1 500", b" X."], b""))
