Blame no part that was answered for what several fatal parts explain

All nodes refused sound requests for part 0011 for nine and eleven seconds.

Change: where a part was answered, all its terminations are cleared and reported that subjects without any answer explain, if these have three terminations that the part wasn't under, and if fewer than three are left for the part. This is asked again as the others' terminations become known.

Why this works: three terminations without the part show that the other one ends instances; and a part that ends instances isn't answered. One that turns fatal later is counted wherever it comes without another fatal part. Parts without an answer, parts that always come together, and requests are judged as before.

--- a/hopstep/domain/quarantine/crash_ledger.py
+++ b/hopstep/domain/quarantine/crash_ledger.py
@@ -10,7 +10,8 @@
 instances terminate. One to any request with a part clears all terminations under the part: if they
 were due to it, no instance could have written that response. A termination that another, refused
 subject explains counts for that one only, and a part isn't refused while one request that has it
-may be the cause. A subject's record is dropped some time after the last termination.
+may be the cause. Of a part that was answered, other subjects explain any number of terminations. A
+subject's record is dropped some time after the last termination.
 
 Times are of the steady clock, in seconds.
 """
@@ -160,6 +161,46 @@
             if record is not None and record.terminations >= TERMINATIONS_TO_REFUSE:
                 record.clear(incarnation)
 
+    def clear_explained(self, fingerprint: bytes, now: float) -> bool:
+        """Clear the terminations of a refused part that other subjects explain; return if any were.
+
+        Only those of a part that this node has seen answered, and only if it isn't refused without
+        them. Such a part may be in many requests with different fatal parts, so one explained
+        termination is too few; and it can't hide from being counted behind another fatal part,
+        as a part that is fatal itself isn't answered.
+
+        Args:
+            fingerprint: Fingerprint of the part; those of requests are left alone.
+            now: The time.
+        """
+        record = self._records.find(fingerprint)
+        if record is None or not is_part(fingerprint) or self._credits.find(fingerprint) is None:
+            return False
+        if not self._is_refused(fingerprint, now):
+            return False
+        explained = self._explained_without(fingerprint, record)
+        if record.terminations - len(explained) >= TERMINATIONS_TO_REFUSE:
+            return False
+        record.clear(*explained)
+        return True
+
+    def _explained_without(self, fingerprint: bytes, record: CrashRecord) -> list[str]:
+        """Return the counted terminations under a subject that others explain on their own.
+
+        These others would be refused for terminations alone that weren't under the subject.
+        """
+        counting = record.counting()
+        found = {f for incarnation in counting for f in self._records.requests_at(incarnation)}
+        others = (self._records.find(f) for f in found if self._credits.find(f) is None)
+        explaining = [
+            other.counting()
+            for other in others
+            if other is not None
+            and other is not record
+            and len(set(other.counting()).difference(record.crashes)) >= TERMINATIONS_TO_REFUSE
+        ]
+        return [i for i in counting if any(i in explained for explained in explaining)]
+
     def clear(self, fingerprint: bytes) -> list[bytes]:
         """Clear all counted terminations of a subject, as operators allow it.
 
--- a/hopstep/services/quarantine/quarantine.py
+++ b/hopstep/services/quarantine/quarantine.py
@@ -334,10 +334,24 @@
         for listener in self._termination_listeners:
             listener(end.crash.incarnation)
         self._log.log_termination(end)
+        if end.terminations >= TERMINATIONS_TO_REFUSE:
+            self._clear_explained(end.fingerprint)
         self._review(end.fingerprint, EXPLAINED)
         for sharing in self._ledger.requests_at(end.crash.incarnation) & self._log.refused:
             self._review(sharing, EXPLAINED)
 
+    def _clear_explained(self, fingerprint: bytes) -> None:
+        """Release parts that are refused for what a subject, and others, explain.
+
+        Args:
+            fingerprint: Subject with enough terminations to explain others, or to be refused.
+        """
+        now = trio.current_time()
+        for refused in (fingerprint, *self._log.refused.difference({fingerprint})):
+            if self._ledger.clear_explained(refused, now):
+                self._record_change(refused, seen_here=True)
+                self._review(refused, EXPLAINED)
+
     def _review(self, fingerprint: bytes, reason: str) -> None:
         """Log when a subject begins to be refused, or no longer is.
 
--- a/tests/domain/quarantine/test_part_terminations.py
+++ b/tests/domain/quarantine/test_part_terminations.py
@@ -14,6 +14,7 @@
 from hopstep.domain.quarantine.fingerprint import part_fingerprint, request_fingerprint
 
 FATAL = part_fingerprint("", "fatal")
+OTHER_FATAL = part_fingerprint("", "fatal too")
 SHARED = part_fingerprint("", "shared")
 
 
@@ -80,6 +81,61 @@
             self.terminate_under(f"i{number}", request(number, FATAL), at=4.0 * number)
         self.assertTrue(self.refused(FATAL, at=16.0))
 
+    def terminate_beside_two_fatal_parts(self, *beside):
+        """End instances under two fatal parts; five of them had other parts beside it as well.
+
+        This takes longer than earlier answers excuse terminations. As a soak had it.
+        """
+        for number, (at, fatal, is_beside) in enumerate(
+            (
+                (0.0, FATAL, True),
+                (0.1, FATAL, True),
+                (1.3, FATAL, False),
+                (1.4, OTHER_FATAL, True),
+                (1.5, FATAL, False),
+                (2.3, FATAL, True),
+                (2.6, FATAL, False),
+                (3.4, OTHER_FATAL, False),
+                (4.1, OTHER_FATAL, True),
+                (4.4, OTHER_FATAL, False),
+            )
+        ):
+            parts = beside if is_beside else ()
+            self.terminate_under(f"i{number}", request(number, fatal, *parts), at=at)
+
+    def test_a_part_that_was_answered_is_not_blamed_for_what_several_fatal_parts_explain(self):
+        """Guards against a sound part that is refused as two fatal ones end four instances.
+
+        Of these one was explained, and the time was over in which earlier answers count.
+        """
+        self.answer(SHARED)
+        self.terminate_beside_two_fatal_parts(SHARED)
+        self.assertTrue(self.refused(FATAL, at=4.5))
+        self.assertTrue(self.refused(OTHER_FATAL, at=4.5))
+        self.assertTrue(self.refused(SHARED, at=4.5))
+        self.assertTrue(self.ledger.clear_explained(SHARED, 4.5))
+        self.assertFalse(self.refused(SHARED, at=4.5))
+
+    def test_a_part_that_was_never_answered_hides_behind_no_other_ones(self):
+        self.terminate_beside_two_fatal_parts(SHARED)
+        self.assertFalse(self.ledger.clear_explained(SHARED, 4.5))
+        self.assertTrue(self.refused(SHARED, at=4.5))
+
+    def test_a_part_that_ends_instances_by_itself_after_answers_hides_behind_no_other_ones(self):
+        self.answer(SHARED)
+        self.terminate_beside_two_fatal_parts(SHARED)
+        for number in range(TERMINATIONS_TO_REFUSE):
+            self.terminate_under(f"j{number}", request(20 + number, SHARED), at=4.5)
+        self.assertFalse(self.ledger.clear_explained(SHARED, 4.5))
+        self.assertTrue(self.refused(SHARED, at=4.5))
+
+    def test_parts_that_always_come_together_explain_nothing_of_each_other(self):
+        self.answer(SHARED)
+        for number in range(6):
+            self.terminate_under(f"i{number}", request(number, FATAL, SHARED), at=float(number))
+        self.assertFalse(self.ledger.clear_explained(SHARED, 6.0))
+        self.assertTrue(self.refused(SHARED, at=6.0))
+
     def test_an_instance_that_had_written_for_long_did_not_end_under_a_part(self):
         for number in range(MAX_TERMINATIONS):
             interrupted = request(number, SHARED)
