Write the release of a subject at once where its trial was answered

Cause: the part's trial was answered 1.8 s before all nodes were killed. All nodes had released the part by datagrams, but the store's record still had its four ends and its used trial: a node writes what it saw itself at once, and the rest after two seconds, and only ends counted as seen. So what started again read a refused part without another trial, for ten minutes.

Change: the node whose trial was answered writes the release at once. It is one node for each trial; what other answers take back is still written after two seconds, as many nodes see these.

--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -119,6 +119,7 @@
         self._generator = generator
         self._stored: OrderedDict[bytes, _Stored] = OrderedDict()
         self._missing_since: dict[bytes, float] = {}
+        self._succeeded: set[bytes] = set()
         self._lease = ShortLease(store, LEASE_USE_SECONDS)
         self._claiming: set[bytes] = set()
         quarantine.set_trials(self)
@@ -177,6 +178,13 @@
             self._log_not_tried(fingerprint, TRIAL_RELEASED)
             return
 
+    def note_succeeded(self, fingerprint: bytes) -> None:
+        """Write the release of a subject at once, as its trial here got a complete response.
+
+        If all nodes were lost before that, they would read that it is refused, without a trial.
+        """
+        self._succeeded.add(fingerprint)
+
     @staticmethod
     def _log_not_tried(fingerprint: bytes, reason: str) -> None:
         """Log that a refused request's trial didn't run or was inconclusive."""
@@ -245,6 +253,7 @@
         self._missing_since = {
             fingerprint: self._missing_since.get(fingerprint, now) for fingerprint in missing
         }
+        self._succeeded.intersection_update(missing)
         return [
             fingerprint
             for fingerprint, seen_here in missing.items()
@@ -254,6 +263,8 @@
     def _missing(self, fingerprint: bytes) -> bool | None:
         """Return whether this node saw what a request's record lacks; None if it lacks nothing.
 
+        Many nodes see answers to one subject, so only that to its trial counts as seen here.
+
         A record that expired in the store is written again by the nodes that saw its terminations,
         as long as they remember them: a lease may end early, during an outage. If the other nodes
         wrote it too, it would never expire.
@@ -271,7 +282,7 @@
             return True if own else None
         if not lacking and not cleared:
             return None
-        return own
+        return own or fingerprint in self._succeeded
 
     def _is_worth_storing(self, fingerprint: bytes) -> bool:
         """Return whether a subject may be to blame for several terminations."""
--- a/hopstep/services/quarantine/trial_runs.py
+++ b/hopstep/services/quarantine/trial_runs.py
@@ -30,6 +30,9 @@
     async def release_trial(self, fingerprint: bytes) -> None:
         """Allow a subject another trial: the last one was inconclusive."""
 
+    def note_succeeded(self, fingerprint: bytes) -> None:
+        """Record that a subject's trial here got a complete response, which releases it."""
+
 
 class TrialRuns:
     """The trials that this node has claimed lately."""
@@ -87,6 +90,8 @@
         if self._tried.pop(fingerprint, None) is None:
             return False
         self._verdicts.forget(fingerprint)
+        if self._trials is not None:
+            self._trials.note_succeeded(fingerprint)
         return True
 
     def expire(self, now: float) -> None:
--- a/tests/services/quarantine/test_quarantine.py
+++ b/tests/services/quarantine/test_quarantine.py
@@ -161,6 +161,21 @@
 
         self.run_script(script)
 
+    def test_nodes_that_are_all_lost_right_after_a_trial_was_answered_read_its_release(self):
+        """Guards against a sound subject that is refused for ten minutes, its trial used up."""
+
+        async def script(store, quarantines, records):
+            await self.claim_trial(store, quarantines, records)
+            quarantines[0].note_complete_response(REQUEST)
+            await trio.sleep(0.1)
+            stored = await store.get(QUARANTINE_PREFIX + FATAL.hex())
+            restarted = Quarantine("n0")
+            reader = QuarantineRecords(restarted, store, random.Random(1))
+            reader.apply_stored(stored.key, stored.value, stored.version)
+            self.assertEqual((await restarted.admit(REQUEST)).seconds, 0.0)
+
+        self.run_script(script)
+
     async def claim_trial(self, store, quarantines, records):
         """Have a request refused at all nodes, and run its trial at the first one."""
         await self.refuse_at_all(store, quarantines, records)
