Hold by a test that no waiting call is sent once the drain has ended

Design 0041 names the row (a call that waits for its connection is withdrawn at the end of the drain), but no test let a connection open between the end of a drain and the closing of connections.

tests.services.exchanges.test_stop_during_bodies, virtual clock: one call connects in the middle of that time.

--- a/tests/services/exchanges/test_stop_during_bodies.py
+++ b/tests/services/exchanges/test_stop_during_bodies.py
@@ -6,8 +6,15 @@
 
 import trio
 
+from hopstep.domain.exchanges.serving import RequestKind
 from hopstep.exceptions import ErrorCode, ServiceError
-from tests.services.exchanges.exchange_world import ExchangeWorld, RecordedAnswer
+from hopstep.ports.serving_directory import ConfigurationPublished
+from tests.services.exchanges.exchange_world import (
+    ExchangeWorld,
+    RecordedAnswer,
+    configuration,
+    route,
+)
 
 WORK_SECONDS = 0.4
 PART_SECONDS = 0.05
@@ -23,11 +30,11 @@
         is_cut: Whether its connection was closed before the end of a response.
     """
 
-    def __init__(self, world, upload_seconds, route="unsafe"):
+    def __init__(self, world, upload_seconds, route="unsafe", patience=4.0):
         self.answer = RecordedAnswer()
         self.is_cut = False
         self.began_at = trio.current_time()
-        self.head = world.head(route, patience=4.0)
+        self.head = world.head(route, patience=patience)
         self._upload_seconds = upload_seconds
 
     async def run(self, exchanges):
@@ -62,7 +69,7 @@
         await trio.sleep(services.lifecycle.schedule.close_seconds)
         nursery.cancel_scope.cancel()
 
-    async def play(self, world, uploads):
+    async def play(self, world, uploads, **options):
         """Begin uploads, (seconds after the stop, seconds of the upload), and return them."""
         begun = []
         self.stopped_at = trio.current_time()
@@ -70,7 +77,7 @@
             nursery.start_soon(self.stop, world, nursery)
             for delay, seconds in sorted(uploads):
                 await trio.sleep(self.stopped_at + delay - trio.current_time())
-                begun.append(Upload(world, seconds))
+                begun.append(Upload(world, seconds, **options))
                 nursery.start_soon(begun[-1].run, world.nodes[0].exchanges)
         return begun
 
@@ -105,6 +112,27 @@
 
         self.run_world(script)
 
+    def test_a_call_that_waits_for_its_connection_as_the_drain_ends_is_not_sent(self):
+        """Guards against requests that are sent while connections close, and then cut."""
+
+        async def script(world):
+            long = route("unsafe", RequestKind.AT_MOST_ONCE, timeout_seconds=20.0)
+            version = world.published_version + 1
+            world.publish(ConfigurationPublished(configuration(version, (long,))))
+            while world.nodes[0].knowledge.current.version < version:
+                await world.nodes[0].knowledge.changed.wait()
+            schedule = world.nodes[0].lifecycle.schedule
+            begins_at, upload_seconds = 2.0, 0.2
+            connected_at = schedule.drain_seconds + schedule.close_seconds / 2
+            for server in world.instances.servers.values():
+                server.connect_seconds = connected_at - begins_at - upload_seconds
+            uploads = await self.play(world, [(begins_at, upload_seconds)], patience=20.0)
+            self.assertEqual([call.proof.connected for call in world.instances.calls], [False])
+            self.assert_none_lost(world, uploads)
+            self.assertEqual(uploads[0].answer.error.code, ErrorCode.STOPPING)
+
+        self.run_world(script)
+
     def test_a_drain_without_any_request_ends_as_early_as_before(self):
         async def script(world):
             await self.play(world, [])
