Take a manifest that can't be decoded for unreadable, as other documents

tests.test_decoding.DecodingTest.test_every_reader_of_binary_documents_refuses_them: five readers, five kinds of deep nesting at two depths and 2,000 drawn documents.

--- a/hopstep/services/configuration/snapshots.py
+++ b/hopstep/services/configuration/snapshots.py
@@ -16,7 +16,7 @@
 from hopstep.domain.configuration.document import AcceptedConfiguration
 from hopstep.domain.configuration.encoding import decode_snapshot, encode
 from hopstep.domain.store_position import ABSENT
-from hopstep.exceptions import ErrorCode, StoreConflictError, StoreError
+from hopstep.exceptions import ErrorCode, StoreConflictError, StoreError, ValidationError
 from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
 
 MANIFESTS_PREFIX = "configuration/snapshots/"
@@ -142,8 +142,17 @@
 
 
 def _decode_manifest(value: StoredValue) -> SnapshotManifest:
-    """Return the manifest decoded from a stored value."""
-    return convert_document(cbor2.loads(value.value), SnapshotManifest)
+    """Return the manifest decoded from a stored value.
+
+    Raises:
+        ValidationError: When it can't be decoded.
+    """
+    try:
+        document = cbor2.loads(value.value)
+    except (cbor2.CBORDecodeError, ValueError) as error:
+        message = f"{value.key} isn't a CBOR document"
+        raise ValidationError(ErrorCode.INVALID_CONFIGURATION, message) from error
+    return convert_document(document, SnapshotManifest)
 
 
 def _digest(content: bytes) -> str:
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -1,20 +1,32 @@
-"""JSON that others have written: whatever is wrong with it is one kind of error."""
+"""JSON and CBOR that others have written: whatever is wrong with it is one kind of error."""
 
 import random
 import unittest
 
 import msgspec
 
+from hopstep.adapters import node_codec, tunnel_codec
 from hopstep.adapters.engine_http import _decode_answer, _refusal
+from hopstep.adapters.node_codec import FrameError, decode_frame
+from hopstep.adapters.peer_codec import decode_struct
+from hopstep.adapters.tunnel_codec import OpenRequest, TunnelFrameError
 from hopstep.decoding import JsonDecoder, decode_json
+from hopstep.domain.configuration.encoding import decode_snapshot
 from hopstep.domain.store_position import StorePosition
-from hopstep.exceptions import EngineError, ServiceError, StoreError
+from hopstep.exceptions import (
+    EngineError,
+    PeerMessageError,
+    ServiceError,
+    StoreError,
+    ValidationError,
+)
 from hopstep.platform.documents import read_configuration, read_instance, read_weights
 from hopstep.platform.rejections import DECODING_ERRORS
 from hopstep.platform.store import _Answer, _decode
 from hopstep.ports.engine import EngineFacts
 from hopstep.ports.key_value_store import StoredValue
 from hopstep.services.claims import decode_claim
+from hopstep.services.configuration.snapshots import SnapshotManifest, _decode_manifest
 from hopstep.services.exchanges.directory.records import decode_holder, decode_node
 
 DEPTH = 100_000
@@ -30,6 +42,15 @@
     return (b'{"unread":' + arrays + b"}", b'{"unread":' + objects + b"}", arrays, objects)
 
 
+def nested_binary(depth=DEPTH):
+    """Return CBOR that is nested too deeply: arrays and maps with a length and without, tags."""
+    yield b"\x81" * depth + b"\x00"
+    yield b"\xa1\x61x" * depth + b"\x00"
+    yield b"\x9f" * depth + b"\xff" * depth
+    yield b"\xbf\x61x" * depth + b"\x00" + b"\xff" * depth
+    yield b"\xd9\xd9\xf7" * depth + b"\x00"
+
+
 class DecodingTest(unittest.TestCase):
     """Guards against documents that end a task, as their decoder runs out of stack."""
 
@@ -58,6 +79,20 @@
                     read(data)
             self.assertIsInstance(_refusal(503, data, "nonce"), EngineError)
 
+    def test_every_reader_of_binary_documents_refuses_them(self):
+        generator = random.Random(6)
+        drawn = [generator.randbytes(generator.randint(0, 40)) for _ in range(2_000)]
+        for data in (*nested_binary(2_000), *nested_binary(), *drawn):
+            for read, error in (
+                (lambda data: decode_struct(data, SnapshotManifest), PeerMessageError),
+                (lambda data: decode_frame(bytes(node_codec.TAG_BYTES) + data, {}), FrameError),
+                (lambda data: OpenRequest(bytes(tunnel_codec.TAG_BYTES) + data), TunnelFrameError),
+                (decode_snapshot, ValidationError),
+                (lambda data: _decode_manifest(StoredValue("k", data, VERSION)), ValidationError),
+            ):
+                with self.assertRaises(error):
+                    read(data)
+
     def test_drawn_bytes_raise_nothing_else(self):
         generator = random.Random(5)
         whole = b'{"count": 12, "more": [1, {"x": [true, null, "\\u00e9"]}]}'
