Soak: answers that come twice, stop or never end

The profiles "repeated answers" and "repeated answers and ids" put a proxy before each instance that sends whole answers twice (at once, late by up to 2 s, before the next answer, or in two halves), stops in heads and bodies, and sends bytes without end. In the second one callers send an id several times to one node, in turn, overlapping and after a connection that they have broken off; the header X-Try tells the tries apart. Two checks: "answers of runs" compares signature, status and body of each answer with the run of that try; "outcomes of orders" compares what nodes log of orders with what instances answered.

--- a/emulator/cli/soak.py
+++ b/emulator/cli/soak.py
@@ -62,6 +62,8 @@
     print(f"soak: {result.impact}")
     if result.streams.streams:
         print(f"soak: {result.streams}")
+    if result.answer_faults:
+        print(f"soak: faults of answers {result.answer_faults}")
     print(
         f"soak: the machine stood still {stalls.count} times, {stalls.total_seconds:.2f} s in all, "
         f"{stalls.longest_seconds:.2f} s at the longest"
--- a/emulator/exchange_platform/http_instance.py
+++ b/emulator/exchange_platform/http_instance.py
@@ -27,6 +27,7 @@
 MISDIRECTED = 421
 UNAVAILABLE = 503
 FAILED = 500
+SERVED = 200
 EVENT_SECONDS = 0.02
 FIRST_EPOCH = 1
 MILLISECONDS = 1_000.0
@@ -68,6 +69,7 @@
         failing: Requests answered with 500 after the run.
         losing: Requests that run, but whose response breaks off.
         breaking: Streams that break off midway.
+        failing_streams: Streams answered with 500 in place of their first event.
         late_orders: Orders that get no answer and are executed later.
         late_order_seconds: Delay of these orders.
     """
@@ -75,6 +77,7 @@
     failing: float = 0.0
     losing: float = 0.0
     breaking: float = 0.0
+    failing_streams: float = 0.0
     late_orders: float = 0.0
     late_order_seconds: float = 2.0
 
@@ -93,15 +96,23 @@
     limit: float | None = None
 
 
-PASSED_ON = ("Attempt-Id", "Model", "Token-Usage", "Prompt-Prefix", "X-Note")
+TRY_HEADER = "X-Try"
+"""Header by which callers number the tries of one id; nodes pass it on unchanged."""
+
+PASSED_ON = ("Attempt-Id", "Model", "Token-Usage", "Prompt-Prefix", "X-Note", TRY_HEADER)
 """Headers that nodes pass on unchanged."""
 
 
+def request_name(attempt_id: str, try_number: str) -> str:
+    """Return the name of one try: its id, and its number where tries of one id are numbered."""
+    return f"{attempt_id}#{try_number}" if try_number else attempt_id
+
+
 class RunHeaders(msgspec.Struct, frozen=True):
     """What an instance received with a request.
 
     Attributes:
-        request_id: Id of the request.
+        request_id: Name of the request: its id, and its number among the tries of that id.
         tenant: Tenant.
         salt: Cache salt.
         key_shown: Whether the caller's key was among them.
@@ -140,6 +151,12 @@
     def run_ended(self, instance: HttpInstance, stamp: str) -> None:
         """Handle the end of a run, complete or not."""
 
+    def run_answered(self, stamp: str, status: int, body: bytes | None) -> None:
+        """Handle the answer of a run as it begins; None as ``body`` if it is a stream."""
+
+    def order_answered(self, instance: HttpInstance, order: WeightsOrder, status: int) -> None:
+        """Handle the answer of an order."""
+
     def order_executed(self, instance: HttpInstance, holder: str, token: int) -> None:
         """Handle the execution of an order."""
 
@@ -158,7 +175,9 @@
         """
 
 
-class _Order(msgspec.Struct, rename="camel"):
+class WeightsOrder(msgspec.Struct, rename="camel"):
+    """An order to load weights, as a node sends it."""
+
     operation: str
     model: str
     version: int
@@ -218,7 +237,7 @@
     async def serve(self) -> quart.Response:
         """Handle the current request."""
         headers = quart.request.headers
-        request_id = headers.get("Attempt-Id", "")
+        request_id = _current_request_name()
         body = cast(bytes, await quart.request.get_data())
         self._listener.request_arrived(self, request_id)
         refusal = self._refusal(headers)
@@ -244,11 +263,16 @@
             with self._running(stamp):
                 await trio.sleep_forever()
         fields = {
-            "Attempt-Id": request_id,
+            "Attempt-Id": headers.get("Attempt-Id", ""),
             "Response-Stamp": stamp,
             "Weight-Versions": str(self.version),
         }
+        if "events" in wanted and self._draw_fault(self.faults.failing_streams):
+            with self._running(stamp):
+                await trio.sleep(EVENT_SECONDS)
+            return self._answered(stamp, FAILED, b"failed", fields)
         if "events" in wanted:
+            self._listener.run_answered(stamp, SERVED, None)
             events = self._events(request_id, stamp, shown.first_event, int(wanted["events"]))
             return quart.Response(events, headers=fields, content_type="text/event-stream")
         return await self._plain(request_id, stamp, fields, float(wanted.get("work_ms", 20.0)))
@@ -291,8 +315,15 @@
         if self._draw_fault(self.faults.losing):
             return lost_response()
         if self._draw_fault(self.faults.failing):
-            return quart.Response(b"failed", status=FAILED, headers=fields)
-        return quart.Response(f"done {request_id}".encode(), headers=fields)
+            return self._answered(stamp, FAILED, b"failed", fields)
+        return self._answered(stamp, SERVED, f"done {request_id}".encode(), fields)
+
+    def _answered(
+        self, stamp: str, status: int, body: bytes, fields: dict[str, str]
+    ) -> quart.Response:
+        """Return the response of a run, after notifying the listener of it."""
+        self._listener.run_answered(stamp, status, body)
+        return quart.Response(body, status=status, headers=fields)
 
     async def _events(
         self, request_id: str, stamp: str, first: int, count: int
@@ -314,18 +345,20 @@
         """Execute an order, or lose its answer and execute it later."""
         if quart.request.headers.get("Expect-Instance", "") != self.traits.instance_id:
             return quart.Response(b"", status=MISDIRECTED)
-        order = msgspec.json.decode(await quart.request.get_data(), type=_Order)
+        order = msgspec.json.decode(await quart.request.get_data(), type=WeightsOrder)
         if self._draw_fault(self.faults.late_orders) and self._nursery is not None:
             self._nursery.start_soon(self._execute_late, order)
             return lost_response()
-        return quart.Response(b"", status=self._execute(order))
+        status = self._execute(order)
+        self._listener.order_answered(self, order, status)
+        return quart.Response(b"", status=status)
 
-    async def _execute_late(self, order: _Order) -> None:
+    async def _execute_late(self, order: WeightsOrder) -> None:
         """Execute an order after its answer was lost."""
         await trio.sleep(self.faults.late_order_seconds)
         self._execute(order)
 
-    def _execute(self, order: _Order) -> int:
+    def _execute(self, order: WeightsOrder) -> int:
         """Execute an order if its conditions hold; return the HTTP status."""
         if order.fencing_token < self._highest_fence:
             return 412
@@ -383,6 +416,12 @@
         return share > 0 and self._generator.random() < share
 
 
+def _current_request_name() -> str:
+    """Return the name of the current request; empty if it has no id."""
+    headers = quart.request.headers
+    return request_name(headers.get("Attempt-Id", ""), headers.get(TRY_HEADER, ""))
+
+
 def _target() -> str:
     """Return the path and query of the current request."""
     scope = quart.request.scope
@@ -398,7 +437,7 @@
     @app.after_request
     async def add_notices(response: quart.Response) -> quart.Response:
         """Add the instance's notices to a response and notify the listener."""
-        request_id = quart.request.headers.get("Attempt-Id", "")
+        request_id = _current_request_name()
         if instance.notices.leaving:
             response.headers["Server-Leaving"] = "1"
         if instance.notices.limit is not None:
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -12,6 +12,7 @@
 import msgspec
 import trio
 
+from emulator.exchange_platform.http_instance import TRY_HEADER
 from emulator.soak.deployment import ENGINES, HOST, MODEL, PLAIN, Deployment, NodeLinks
 from emulator.soak.history import RequestKind, SentRequest
 from emulator.soak.operators import LASTING_KEY
@@ -210,14 +211,14 @@
 
 def shared_part(request: SentRequest) -> str:
     """Return the id of the first part of a prompt, which many requests have."""
-    return f"{int(request.request_id, 16) % SEGMENTS:04x}"
+    return f"{int(request.attempt_id, 16) % SEGMENTS:04x}"
 
 
 def headers_of(request: SentRequest) -> dict[str, str]:
     """Return a request's headers."""
     headers = {
         "Host": HOST,
-        "Attempt-Id": request.request_id,
+        "Attempt-Id": request.attempt_id,
         "X-Api-Key": request.key,
         "Deadline-Ms": str(max(1, round((request.deadline_at - request.sent_at) * 1_000))),
         "Tenant": "forged",
@@ -228,7 +229,9 @@
         headers["Model"] = MODEL
         headers["Token-Usage"] = "2000,50"
         fatal = f"{request.fatal}:300," if request.has_fatal_part else ""
-        headers["Prompt-Prefix"] = f"{shared}:1800,{fatal}{request.request_id}:200"
+        headers["Prompt-Prefix"] = f"{shared}:1800,{fatal}{request.attempt_id}:200"
+    if request.try_number:
+        headers[TRY_HEADER] = request.try_number
     if request.sent_slowly:
         headers["X-Note"] = f"note of {request.request_id}"
     if request.resumes:
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -6,6 +6,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 
+from emulator.soak.answer_checks import ANSWER_CHECKS
 from emulator.soak.change_checks import CHANGE_CHECKS
 from emulator.soak.history import (
     LEASES_EXPIRED_EARLY,
@@ -20,6 +21,7 @@
 from emulator.soak.limit_checks import LIMIT_CHECKS
 from emulator.soak.link_checks import LINK_CHECKS
 from emulator.soak.notice_checks import NOTICE_CHECKS
+from emulator.soak.order_checks import ORDER_CHECKS
 from emulator.soak.part_checks import PART_CHECKS
 from emulator.soak.promises import Bounds, Check, Violation
 from emulator.soak.regress_checks import REGRESS_CHECKS
@@ -401,5 +403,7 @@
     **STREAM_CHECKS,
     **REGRESS_CHECKS,
     **CHANGE_CHECKS,
+    **ANSWER_CHECKS,
+    **ORDER_CHECKS,
     "processes": processes_stay_alive,
 }
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -20,13 +20,16 @@
 from emulator.fleet.processes import ProcessGroup
 from emulator.platform.shared_store import SharedStore
 from emulator.soak import suspendable_node
+from emulator.soak.answer_faults import AnswerEvent, FaultyAnswerProxy
 from emulator.soak.history import (
     Disturbance,
     FatalTermination,
     History,
     IncarnationPeriod,
+    InstanceAnswerEvent,
     ListedInstance,
 )
+from emulator.soak.order_checks import logged_orders
 from emulator.soak.proxies import TcpProxy, UdpProxy
 from emulator.soak.recorder import DirectStore, Recorder
 from emulator.soak.restores import Restores
@@ -90,12 +93,16 @@
 
 
 class InstanceLinks(msgspec.Struct):
-    """An instance, the proxy in front of it, and the time when it was listed."""
+    """An instance, the proxies in front of it, and the time when it was listed.
+
+    The proxy of its answers is there only in profiles with faults of answers.
+    """
 
     instance: HttpInstance
     proxy: TcpProxy
     scope: trio.CancelScope
     since: float
+    answers: FaultyAnswerProxy | None = None
 
 
 class Deployment:
@@ -123,6 +130,7 @@
         self.decoy = ""
         self.software_versions: tuple[str, ...] = (FIRST_SOFTWARE,)
         self.redirects_routes = False
+        self.has_answer_faults = False
         self._directory = directory
         self._generator = generator
         self._started = 0
@@ -194,11 +202,17 @@
             instance.version = version
         address = free_addresses(1)[0]
         scope = await self._nursery.start(_serve_in_scope, instance.app, address)
-        proxy = TcpProxy(address)
+        answers = None
+        target = address
+        if self.has_answer_faults:
+            target = free_addresses(1)[0]
+            answers = self._answer_proxy(instance, address)
+            await self._nursery.start(answers.run, target)
+        proxy = TcpProxy(target)
         listed = await self._nursery.start(proxy.run, port)
         self.recorder.addresses[traits.instance_id] = listed
         self.recorder.current_instances[traits.instance_id] = instance
-        links = InstanceLinks(instance, proxy, scope, trio.current_time())
+        links = InstanceLinks(instance, proxy, scope, trio.current_time(), answers)
         self.instances.append(links)
         self.history.instances.append(
             IncarnationPeriod(
@@ -212,11 +226,23 @@
         self.recorder.entry_changed(instance)
         return links
 
+    def _answer_proxy(self, instance: HttpInstance, address: str) -> FaultyAnswerProxy:
+        """Return a proxy for the answers of an instance, whose events are recorded."""
+
+        def record(event: AnswerEvent) -> None:
+            self.history.answer_events.append(
+                InstanceAnswerEvent(instance.traits.incarnation, event)
+            )
+
+        return FaultyAnswerProxy(address, self._generator, record)
+
     def terminate_instance(self, links: InstanceLinks, *, unlisted: bool) -> None:
         """Terminate an instance at once; optionally remove its entry too."""
         instance_id = links.instance.traits.instance_id
         links.scope.cancel()
         links.proxy.close()
+        if links.answers is not None:
+            links.answers.close()
         incarnation = links.instance.traits.incarnation
         ended = next(time for time in self.history.instances if time.incarnation == incarnation)
         ended.until = trio.current_time()
@@ -303,6 +329,12 @@
             self._processes.process(node.name).wait, abandon_on_cancel=True
         )
 
+    def read_logged_orders(self) -> None:
+        """Record the orders in the logs of the nodes."""
+        for node in self.nodes:
+            path = self._processes.log_path(node.name)
+            self.history.logged_orders += logged_orders(path.read_text(errors="replace"))
+
     def disturb(self, what: str, subject: str, *, planned: bool = False) -> Disturbance:
         """Record the start of a fault and return its record."""
         disturbance = Disturbance(what, subject, trio.current_time(), planned=planned)
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from emulator.soak.answer_faults import AnswerEvent
+
 OK = 200
 EVENT_END = b"\n\n"
 
@@ -53,7 +55,7 @@
     """A request of a caller and its outcome.
 
     Attributes:
-        request_id: Its id.
+        request_id: Its name: its id, and its number if callers make several tries with one id.
         kind: Kind, which decides how often it may run.
         service: Service of its route.
         key: API key that it carries.
@@ -110,6 +112,16 @@
     complete_at: float | None = None
     sent_slowly: bool = False
 
+    @property
+    def attempt_id(self) -> str:
+        """The id that it carries; several tries may carry the same."""
+        return self.request_id.partition("#")[0]
+
+    @property
+    def try_number(self) -> str:
+        """Its number among the tries with its id; empty if tries aren't numbered."""
+        return self.request_id.partition("#")[2]
+
     @property
     def received(self) -> int:
         """Number of complete events in the response so far."""
@@ -175,6 +187,8 @@
         software_version: Software version of the instance.
         first_event: Number of the first event that it sends.
         received: What the instance got; None where that isn't recorded.
+        status: HTTP status of its answer; None if it has begun none.
+        body_digest: Digest of the answer's body, in hexadecimal digits; empty for a stream.
     """
 
     request_id: str
@@ -191,6 +205,8 @@
     software_version: str = ""
     first_event: int = 0
     received: ReceivedRequest | None = None
+    status: int | None = None
+    body_digest: str = ""
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -309,6 +325,58 @@
     at: float
 
 
+class AnsweredOrder(msgspec.Struct, frozen=True):
+    """An order that an instance answered.
+
+    Attributes:
+        instance_id: The instance.
+        holder: Node that sent it.
+        token: Its fencing token.
+        version: Weights version that it names.
+        status: HTTP status of the answer.
+        at_unix: Unix time of the answer, in seconds.
+    """
+
+    instance_id: str
+    holder: str
+    token: int
+    version: int
+    status: int
+    at_unix: float
+
+
+class LoggedOrder(msgspec.Struct, frozen=True):
+    """An order and its outcome as the node that sent it has logged them.
+
+    Attributes:
+        instance_id: The instance.
+        node: The node.
+        token: Its fencing token.
+        version: Weights version that it names.
+        outcome: Outcome, as the log names it.
+        at_unix: Unix time of the log line, in seconds.
+    """
+
+    instance_id: str
+    node: str
+    token: int
+    version: int
+    outcome: str
+    at_unix: float
+
+
+class InstanceAnswerEvent(msgspec.Struct, frozen=True):
+    """An answer on a connection of an instance, its copy, or another fault of it.
+
+    Attributes:
+        incarnation: Instance id and start of the incarnation.
+        event: What happened, and when.
+    """
+
+    incarnation: str
+    event: AnswerEvent
+
+
 class Revocation(msgspec.Struct, frozen=True):
     """A revoked API key, and when the store acknowledged the revocation."""
 
@@ -411,6 +479,9 @@
         decoy_requests: Requests that reached the address to which only untrusted entries point.
         listed: Instances at the end of the soak.
         orders: Orders that instances executed.
+        answered_orders: Orders that instances answered.
+        logged_orders: Orders in the logs of nodes.
+        answer_events: Answers and their faults, where a profile has faults of answers.
         revocations: Revoked keys.
         weights_changes: Target versions of the weights.
         route_changes: Routes added and removed.
@@ -436,6 +507,9 @@
     decoy_requests: list[str] = []
     listed: list[ListedInstance] = []
     orders: list[TakenOrder] = []
+    answered_orders: list[AnsweredOrder] = []
+    logged_orders: list[LoggedOrder] = []
+    answer_events: list[InstanceAnswerEvent] = []
     revocations: list[Revocation] = []
     weights_changes: list[WeightsChange] = []
     route_changes: list[RouteChange] = []
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -7,11 +7,17 @@
 
 import trio
 
+from emulator.soak.answer_faults import AnswerFaults
 from emulator.soak.deployment import ENGINES, PLAIN, ZONES, Deployment, InstanceLinks
 from emulator.soak.foreign_entries import FOREIGN_PREFIX, foreign_entry
 from emulator.soak.history import DrainStart, LimitChange
 from emulator.soak.operators import Operator
-from emulator.soak.profiles import SOFTWARE
+from emulator.soak.profiles import (
+    ANSWERS_ENDLESS,
+    ANSWERS_REPEATED,
+    ANSWERS_STOPPED,
+    SOFTWARE,
+)
 from emulator.soak.proxies import LinkState
 
 FAULT_SECONDS = (0.5, 6.0)
@@ -43,6 +49,12 @@
 REUSE_SECONDS = 2.0
 """Time before the platform gives the address of a terminated instance to another one."""
 
+FREEZE_SECONDS = (0.1, 1.2)
+REPEATED_SHARES = (0.2, 0.6, 1.0)
+STOPPED_SHARES = (0.05, 0.2)
+ENDLESS_SHARE = 0.05
+FAILING_SHARES = (0.3, 0.7, 1.0)
+
 Fault = Callable[[], Awaitable[None]]
 
 
@@ -76,6 +88,11 @@
         "address passed on": faults.address_passed_on,
         "foreign entries": faults.foreign_entries,
         SOFTWARE: faults.software_replaced,
+        ANSWERS_REPEATED: faults.answers_repeated,
+        ANSWERS_STOPPED: faults.answers_stopped,
+        ANSWERS_ENDLESS: faults.answers_endless,
+        "instance freezes": faults.instance_freezes,
+        "instance fails for a while": faults.instance_fails_for_a_while,
     }
 
 
@@ -322,6 +339,52 @@
         setattr(faults, field, 0.0)
         disturbance.until = trio.current_time()
 
+    async def answers_repeated(self) -> None:
+        """Let one instance, all of a service, or all of them send a share of answers twice."""
+        instances = self._deployment.instances
+        one = self._instance()
+        service = one.instance.traits.service
+        own = [links for links in instances if links.instance.traits.service == service]
+        chosen = self._generator.choice(([one], own, instances.copy()))
+        share = self._generator.choice(REPEATED_SHARES)
+        await self._answers_faulty(chosen, AnswerFaults(repeated=share))
+
+    async def answers_stopped(self) -> None:
+        """Let an instance stop in the heads or bodies of a share of its answers."""
+        share = self._generator.choice(STOPPED_SHARES)
+        await self._answers_faulty([self._instance()], AnswerFaults(stopped=share))
+
+    async def answers_endless(self) -> None:
+        """Let an instance send bytes without end in place of a few of its answers."""
+        await self._answers_faulty([self._instance()], AnswerFaults(endless=ENDLESS_SHARE))
+
+    async def _answers_faulty(self, chosen: list[InstanceLinks], faults: AnswerFaults) -> None:
+        """Let answers be faulty for a while, beside the faults that they have."""
+        proxies = [links.answers for links in chosen if links.answers is not None]
+        fields = [name for name in AnswerFaults.__struct_fields__ if getattr(faults, name)]
+        for proxy in proxies:
+            for field in fields:
+                setattr(proxy.faults, field, getattr(faults, field))
+        await trio.sleep(draw_seconds(self._generator))
+        for proxy in proxies:
+            for field in fields:
+                setattr(proxy.faults, field, 0.0)
+
+    async def instance_freezes(self) -> None:
+        """Let an instance neither read nor write for a moment."""
+        links = self._instance()
+        links.proxy.set_state(LinkState.SILENT)
+        await trio.sleep(self._generator.uniform(*FREEZE_SECONDS))
+        links.proxy.set_state(LinkState.OPEN)
+
+    async def instance_fails_for_a_while(self) -> None:
+        """Let an instance answer a share of its requests, streams too, with 500 after the run."""
+        links = self._instance()
+        faults = links.instance.faults
+        faults.failing = faults.failing_streams = self._generator.choice(FAILING_SHARES)
+        await trio.sleep(draw_seconds(self._generator))
+        faults.failing = faults.failing_streams = 0.0
+
     async def orders_late(self) -> None:
         engines = [x for x in self._deployment.instances if x.instance.traits.service == ENGINES]
         for links in engines:
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -41,6 +41,9 @@
 FATAL = "fatal request"
 FATAL_PART = "fatal part of prompts"
 RESTORE = "store restored"
+ANSWERS_REPEATED = "answers repeated"
+ANSWERS_STOPPED = "answers stopped"
+ANSWERS_ENDLESS = "answers without end"
 LINKS = "nodes without instances"
 SOFTWARE = "software replaced"
 
@@ -383,6 +386,34 @@
 only, as it has callers of its own."""
 
 
+ANSWER_KINDS = (
+    ANSWERS_REPEATED,
+    ANSWERS_REPEATED,
+    ANSWERS_REPEATED,
+    ANSWERS_REPEATED,
+    ANSWERS_STOPPED,
+    ANSWERS_STOPPED,
+    ANSWERS_ENDLESS,
+    "instance freezes",
+    "instance fails for a while",
+    "instance fails for a while",
+    "instances want rest",
+    "instance restarts",
+    "instance leaves",
+    "address passed on",
+    "orders late",
+    "weights named",
+    "weights named",
+    "weights named",
+)
+
+REPEATED_ANSWERS = Profile("repeated answers", ANSWER_KINDS, (0.1, 0.5), 0.3, 1.0)
+"""Instances that answer twice, stop in their answers, or send bytes without end, and also fail and
+freeze; callers never send an id twice. Chosen by name only, as it has callers of its own."""
+
+REPEATED_IDS = Profile("repeated answers and ids", ANSWER_KINDS, (0.1, 0.5), 0.3, 1.0)
+"""The same, with callers that send an id several times to one node, also at the same time."""
+
 FIRST_SEED_WITH_RESTORES = 10_000
 """First seed with restores in the profile "everything"; earlier seeds keep their profiles."""
 
@@ -464,6 +495,8 @@
         SHORT,
         PARTS,
         CHANGES,
+        REPEATED_ANSWERS,
+        REPEATED_IDS,
         NOTICES,
         LIMITS,
         RESTORES,
--- a/emulator/soak/recorder.py
+++ b/emulator/soak/recorder.py
@@ -4,14 +4,21 @@
 
 import hashlib
 import json
+import time
 from collections.abc import Callable
 
 import trio
 
-from emulator.exchange_platform.http_instance import HttpInstance, ResponseNotices, RunHeaders
+from emulator.exchange_platform.http_instance import (
+    HttpInstance,
+    ResponseNotices,
+    RunHeaders,
+    WeightsOrder,
+)
 from emulator.platform.shared_store import SharedStore
 from emulator.platform.store_model import ABSENT_REVISION
 from emulator.soak.history import (
+    AnsweredOrder,
     Arrival,
     History,
     ReceivedRequest,
@@ -158,6 +165,26 @@
         if run is not None:
             run.ended_at = trio.current_time()
 
+    def run_answered(self, stamp: str, status: int, body: bytes | None) -> None:
+        """Record the answer of a run; None as ``body`` if it is a stream."""
+        run = next((x for x in reversed(self._history.runs) if x.stamp == stamp), None)
+        if run is not None:
+            run.status = status
+            run.body_digest = "" if body is None else digest_of(body)
+
+    def order_answered(self, instance: HttpInstance, order: WeightsOrder, status: int) -> None:
+        """Record the answer of an order."""
+        self._history.answered_orders.append(
+            AnsweredOrder(
+                instance.traits.instance_id,
+                order.holder,
+                order.fencing_token,
+                order.version,
+                status,
+                time.time(),
+            )
+        )
+
     def order_executed(self, instance: HttpInstance, holder: str, token: int) -> None:
         """Record an executed order."""
         order = TakenOrder(instance.traits.instance_id, holder, token, trio.current_time())
--- a/emulator/soak/run.py
+++ b/emulator/soak/run.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
+import time
 from pathlib import Path
 
 import msgspec
 import trio
 
 from emulator.fleet.processes import ProcessGroup
+from emulator.soak.answer_checks import count_answer_faults, write_answer_events
 from emulator.soak.callers import Callers
 from emulator.soak.checks import check_all, check_recovery
 from emulator.soak.deployment import Deployment
@@ -26,8 +28,16 @@
 from emulator.soak.operators import Operator
 from emulator.soak.persistent_callers import PersistentCallers
 from emulator.soak.probes import Probes
-from emulator.soak.profiles import CHANGES, RESTORE, SOFTWARE, profile_of
+from emulator.soak.profiles import (
+    ANSWERS_REPEATED,
+    CHANGES,
+    REPEATED_IDS,
+    RESTORE,
+    SOFTWARE,
+    profile_of,
+)
 from emulator.soak.promises import Bounds, Violation
+from emulator.soak.repeating_callers import RepeatingCallers
 from emulator.soak.resuming_callers import ResumingCallers
 from emulator.soak.slow_callers import SlowCallers
 from emulator.soak.stream_checks import StreamFigures, stream_figures
@@ -40,6 +50,7 @@
 PERSISTENT_CALLERS_PER_NODE = 2
 RESUMING_CALLERS_PER_NODE = 2
 SLOW_CALLERS_PER_NODE = 6
+REPEATING_CALLERS_PER_NODE = 3
 SOFTWARE_USED = ("v1", "v1.1")
 """Software versions of engines where a profile replaces software."""
 
@@ -88,6 +99,7 @@
         impact: Outcomes of ordinary requests during fatal ones and otherwise.
         stalls: Stalls of the machine.
         load: Load of the machine.
+        answer_faults: Copies and other faults of instances' answers by kind.
     """
 
     violations: list[Violation]
@@ -100,6 +112,7 @@
     impact: FatalImpact
     stalls: MachineStalls
     load: MachineLoad
+    answer_faults: dict[str, int] = {}
 
 
 async def run_soak(plan: SoakPlan) -> SoakResult:
@@ -130,12 +143,20 @@
         callers.readiness,
         SLOW_CALLERS_PER_NODE * plan.nodes,
     )
+    repeating = RepeatingCallers(
+        deployment,
+        random.Random(plan.seed + 9),
+        callers.readiness,
+        REPEATING_CALLERS_PER_NODE * plan.nodes,
+        repeats_ids=profile is REPEATED_IDS,
+    )
     hostile = HostileCallers(deployment, callers, random.Random(plan.seed + 6))
     faults = Faults(deployment, operator, hostile, generator, profile)
     machine = MachineWatch(deployment.history)
     if SOFTWARE in profile.kinds:
         deployment.software_versions = SOFTWARE_USED
     deployment.redirects_routes = profile is CHANGES
+    deployment.has_answer_faults = ANSWERS_REPEATED in profile.kinds
     with ProcessGroup(plan.directory) as processes:
         async with trio.open_nursery() as nursery:
             operator.publish()
@@ -152,6 +173,8 @@
                 nursery.start_soon(resuming.run)
             if profile is CHANGES:
                 nursery.start_soon(slow.run)
+            if deployment.has_answer_faults:
+                nursery.start_soon(repeating.run)
             nursery.start_soon(operator.change_routes, profile.change_seconds)
             nursery.start_soon(probes.run)
             await trio.sleep(SETTLED_SECONDS)
@@ -163,7 +186,11 @@
             await trio.sleep(plan.quiet_seconds)
             ended_at = trio.current_time()
             deployment.record_listed()
+            deployment.read_logged_orders()
             nursery.cancel_scope.cancel()
+    if deployment.has_answer_faults:
+        offset = time.time() - trio.current_time()
+        write_answer_events(deployment.history, plan.directory / "answers.jsonl", offset)
     violations = check_all(deployment.history, Bounds())
     violations += check_recovery(deployment.history, repaired_at + RECOVERY_SECONDS, ended_at)
     load = machine_load(processor_times)
@@ -207,4 +234,5 @@
         measure_fatal_impact(history),
         stalls,
         load,
+        count_answer_faults(history),
     )
--- /dev/null
+++ b/tests/emulator/soak/test_answer_faults.py
@@ -0,0 +1,158 @@
+"""The proxy of answers: copies, stops and bytes without end come as they are drawn."""
+
+import random
+import unittest
+
+import trio
+
+from emulator.fleet.ports import free_addresses
+from emulator.soak.answer_faults import (
+    MAX_ENDLESS,
+    AnswerFaults,
+    CopyTime,
+    EndlessForm,
+    FaultyAnswerProxy,
+    StopKind,
+)
+
+ANSWER = b"HTTP/1.1 500 X\r\nAttempt-Id: a\r\nResponse-Stamp: s\r\nContent-Length: 4\r\n\r\nbody"
+CHUNKED = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+LEAVING = b"HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody"
+WAIT_SECONDS = 0.15
+
+
+class Chooser(random.Random):
+    """Draws one fixed choice, and everything else by its seed."""
+
+    def __init__(self, chosen):
+        super().__init__(1)
+        self.chosen = chosen
+
+    def choice(self, options):
+        return self.chosen if self.chosen in options else super().choice(options)
+
+
+class AnswerFaultsTest(unittest.TestCase):
+    def run_proxy(self, script, chosen=None, answer=ANSWER, **faults):
+        """Run ``script(stream, events)`` with an instance that answers each piece of input."""
+
+        async def serve(stream):
+            async for _data in stream:
+                await stream.send_all(answer)
+
+        async def main():
+            events = []
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(trio.serve_tcp, serve, 0)
+                target = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+                proxy = FaultyAnswerProxy(target, Chooser(chosen), events.append)
+                proxy.faults = AnswerFaults(**faults)
+                address = free_addresses(1)[0]
+                await nursery.start(proxy.run, address)
+                port = int(address.rpartition(":")[2])
+                async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                    await script(stream, events)
+                proxy.close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    async def received(self, stream, seconds=WAIT_SECONDS):
+        """Return the bytes that arrive within a time."""
+        data = b""
+        with trio.move_on_after(seconds):
+            async for piece in stream:
+                data += piece
+        return data
+
+    def test_answers_pass_unchanged_without_faults(self):
+        for answer in (ANSWER, CHUNKED):
+
+            async def script(stream, events, answer=answer):
+                for _ in range(2):
+                    await stream.send_all(b"request")
+                    self.assertEqual(await self.received(stream), answer)
+                self.assertEqual([event.what for event in events], ["answer", "answer"])
+
+            self.run_proxy(script, answer=answer)
+
+    def test_an_event_names_status_id_and_signature(self):
+        async def script(stream, events):
+            await stream.send_all(b"request")
+            await self.received(stream)
+            event = events[0]
+            self.assertEqual((event.status, event.attempt_id, event.stamp), (500, "a", "s"))
+
+        self.run_proxy(script)
+
+    def test_a_copy_comes_with_the_answer_or_late(self):
+        for time in (CopyTime.AT_ONCE, CopyTime.SOON, CopyTime.LATE):
+            for answer in (ANSWER, CHUNKED):
+
+                async def script(stream, _events, answer=answer):
+                    await stream.send_all(b"request")
+                    self.assertEqual(await self.received(stream, 2.2), answer * 2)
+
+                self.run_proxy(script, time, answer, repeated=1.0)
+
+    def test_a_copy_stands_in_the_place_of_the_next_answer(self):
+        async def script(stream, _events):
+            await stream.send_all(b"request")
+            self.assertEqual(await self.received(stream), ANSWER)
+            await stream.send_all(b"request")
+            self.assertEqual(await self.received(stream), ANSWER * 2)
+
+        self.run_proxy(script, CopyTime.NEXT, repeated=1.0)
+
+    def test_half_a_copy_comes_at_once_and_the_other_half_later(self):
+        async def script(stream, _events):
+            await stream.send_all(b"request")
+            first = await self.received(stream)
+            self.assertTrue(len(ANSWER) < len(first) < 2 * len(ANSWER))
+            await stream.send_all(b"request")
+            second = await self.received(stream)
+            self.assertTrue((first + second).startswith(ANSWER * 3))
+
+        self.run_proxy(script, CopyTime.SPLIT, repeated=1.0)
+
+    def test_an_answer_that_closes_its_connection_is_not_repeated(self):
+        async def script(stream, _events):
+            await stream.send_all(b"request")
+            self.assertEqual(await self.received(stream), LEAVING)
+
+        self.run_proxy(script, CopyTime.AT_ONCE, LEAVING, repeated=1.0)
+
+    def test_an_answer_stops_before_its_end(self):
+        long = ANSWER.replace(b"body", b"x" * 500).replace(b"Length: 4", b"Length: 500")
+        for kind in StopKind:
+
+            async def script(stream, events, kind=kind):
+                await stream.send_all(b"request")
+                data, is_reset = b"", False
+                try:
+                    async for piece in stream:
+                        data += piece
+                except trio.BrokenResourceError:
+                    is_reset = True
+                self.assertTrue(len(data) < len(long) and long.startswith(data))
+                self.assertEqual(is_reset, kind is StopKind.RESET)
+                self.assertEqual([event.what for event in events], [f"stopped, {kind}"])
+
+            self.run_proxy(script, kind, long, stopped=1.0)
+
+    def test_bytes_come_until_the_caller_closes(self):
+        for form in EndlessForm:
+
+            async def script(stream, events, form=form):
+                await stream.send_all(b"request")
+                self.assertGreater(len(await self.received(stream)), 50_000)
+                self.assertEqual(events[0].what, f"endless {form}")
+
+            self.run_proxy(script, form, endless=1.0)
+
+    def test_few_answers_at_a_time_have_no_end(self):
+        proxies = [FaultyAnswerProxy("", random.Random(1)) for _ in range(MAX_ENDLESS + 1)]
+        begun = [proxy for proxy in proxies if proxy.begin_endless()]
+        self.assertEqual(len(begun), MAX_ENDLESS)
+        for proxy in begun:
+            proxy.end_endless()
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -50,6 +50,7 @@
         "",
         False,
         sent.stamp,
+        status=sent.status,
     )
     for field, value in changes.items():
         setattr(run, field, value)
@@ -116,6 +117,8 @@
             "isolated segments",
             "body limits",
             "refused for changes",
+            "answers of runs",
+            "outcomes of orders",
         }
         self.assertEqual(held, CHECKS.keys())
 
--- a/tests/emulator/soak/test_profiles.py
+++ b/tests/emulator/soak/test_profiles.py
@@ -18,6 +18,8 @@
     NOTICES,
     PARTS,
     PROFILES,
+    REPEATED_ANSWERS,
+    REPEATED_IDS,
     RESTORE,
     RESTORES,
     SHORT,
@@ -28,7 +30,18 @@
     profile_of,
 )
 
-CHOSEN_BY_NAME = (NOTICES, LIMITS, RESTORES, CUTS, VERSIONS, SOFTWARE_VERSIONS, PARTS, CHANGES)
+CHOSEN_BY_NAME = (
+    NOTICES,
+    LIMITS,
+    RESTORES,
+    CUTS,
+    VERSIONS,
+    SOFTWARE_VERSIONS,
+    PARTS,
+    CHANGES,
+    REPEATED_ANSWERS,
+    REPEATED_IDS,
+)
 
 
 class ProfilesTest(unittest.TestCase):
--- a/tests/emulator/test_http_instance.py
+++ b/tests/emulator/test_http_instance.py
@@ -14,6 +14,8 @@
     def __init__(self):
         self.seen = []
         self.ends = 0
+        self.answers = []
+        self.order_statuses = []
 
     def request_arrived(self, _instance, request_id):
         self.seen.append(("arrived", request_id))
@@ -24,6 +26,12 @@
     def run_ended(self, _instance, _stamp):
         self.ends += 1
 
+    def run_answered(self, _stamp, status, body):
+        self.answers.append((status, body))
+
+    def order_answered(self, _instance, order, status):
+        self.order_statuses.append((order.version, status))
+
     def control_request_arrived(self, instance):
         return
 
@@ -74,6 +82,31 @@
 
         self.run_script(script)
 
+    def test_the_listener_learns_what_each_run_answers(self):
+        async def script(instance, client, listener):
+            stream = json.dumps({"events": 2}).encode()
+            await self.post(client)
+            await (await self.post(client, stream)).get_data()
+            instance.faults.failing = instance.faults.failing_streams = 1.0
+            for body in (b"", stream):
+                response = await self.post(client, body)
+                self.assertEqual(response.status_code, 500)
+                self.assertTrue(response.headers["Response-Stamp"])
+            self.assertEqual(
+                listener.answers,
+                [(200, b"done r"), (200, None), (500, b"failed"), (500, b"failed")],
+            )
+
+        self.run_script(script)
+
+    def test_a_numbered_try_is_named_with_its_number_and_answered_with_its_id(self):
+        async def script(_instance, client, listener):
+            response = await self.post(client, **{"X-Try": "2"})
+            self.assertEqual(response.headers["Attempt-Id"], "r")
+            self.assertEqual(listener.seen, [("arrived", "r#2"), ("began", "r#2")])
+
+        self.run_script(script)
+
     def test_another_incarnation_or_version_is_not_run(self):
         async def script(_instance, client, listener):
             for headers in ({"Expect-Instance": "i0"}, {"Expect-Version": "2"}):
@@ -111,5 +144,8 @@
                 [x for x in listener.seen if x[0] != "arrived"],
                 [("ordered", "n0", 7), ("changed", 2)],
             )
+            self.assertEqual(
+                listener.order_statuses, [(2, 202), (3, 409), (3, 412), (3, 409), (2, 200)]
+            )
 
         self.run_script(script)
