Soak: answers without a length, and reports that expect another instance

Answers may also end with their connection, or be reset before that; reports are refused with 421 by an instance that isn't the one expected; nodes lose their links to instances, so that answers come through tunnels too.

--- a/emulator/exchange_platform/http_instance.py
+++ b/emulator/exchange_platform/http_instance.py
@@ -448,8 +448,11 @@
 
     @app.get("/report")
     async def report() -> quart.Response:
-        """Return the instance's report."""
+        """Return the instance's report, unless another instance is expected here."""
         instance.report_control_request()
+        own = instance.traits.instance_id
+        if quart.request.headers.get("Expect-Instance", own) != own:
+            return quart.Response(b"", status=MISDIRECTED, headers={"Instance-Id": own})
         return json_response(instance.report())
 
     @app.get("/kv-events")
--- a/emulator/soak/answer_checks.py
+++ b/emulator/soak/answer_checks.py
@@ -25,6 +25,7 @@
     Each success has a signature, also one that broke off.
     """
     runs = {run.stamp: run for run in history.runs}
+    own = {run.request_id: run for run in history.runs}
     for request in history.requests.values():
         if request.status is None:
             continue
@@ -36,15 +37,22 @@
         if run is None:
             yield f"{_name(request)} got {request.status} with the signature of no run"
             continue
-        difference = _difference(request, run)
+        difference = _difference(request, run, own.get(request.request_id))
         if difference:
             yield f"{_name(request)} got {request.status} of {request.stamp}: {difference}"
 
 
-def _difference(request: SentRequest, run: Run) -> str:
-    """Return in what an answer differs from that of the run that signed it; empty if in nothing."""
+def _difference(request: SentRequest, run: Run, own: Run | None) -> str:
+    """Return in what an answer differs from that of the run that signed it; empty if in nothing.
+
+    Args:
+        request: The request.
+        run: The run that signed its answer.
+        own: The latest run of the request; None if it never ran.
+    """
     if run.request_id != request.request_id:
-        return f"the run of {run.request_id} at {run.instance_id}, begun at {run.at:.3f}"
+        ran = "never ran" if own is None else f"{own.instance_id} answered {own.status} to it"
+        return f"the run of {run.request_id} at {run.instance_id}, begun at {run.at:.3f}; {ran}"
     if run.at < request.sent_at:
         return f"a run that began {request.sent_at - run.at:.3f} s before it was sent"
     if run.status != request.status:
--- a/emulator/soak/answer_faults.py
+++ b/emulator/soak/answer_faults.py
@@ -32,6 +32,12 @@
 SOON_SECONDS = 0.05
 LATE_SECONDS = 2.0
 
+FRAMING = (b"content-length:", b"transfer-encoding:", b"connection:")
+"""First bytes of the header lines that tell where an answer ends."""
+
+CUT_SHARE = 0.3
+"""Share of answers without a length that a reset cuts off."""
+
 ENDLESS_PIECE_BYTES = 8_192
 ENDLESS_PAUSE_SECONDS = 0.004
 ENDLESS_SECONDS = 6.0
@@ -82,11 +88,13 @@
         repeated: Whole answers that are sent twice.
         stopped: Answers that stop in their head or body.
         endless: Answers that are replaced or followed by bytes without end.
+        unframed: Answers with a length that are sent without one and end with their connection.
     """
 
     repeated: float = 0.0
     stopped: float = 0.0
     endless: float = 0.0
+    unframed: float = 0.0
 
 
 class AnswerEvent(msgspec.Struct, frozen=True):
@@ -291,6 +299,9 @@
                 finally:
                     self._proxy.end_endless()
                 return False
+            if self._proxy.draw(faults.unframed):
+                await self._send_unframed(reader, data)
+                return False
             stop_at = generator.randrange(1, STOP_BYTES) if self._proxy.draw(faults.stopped) else 0
             while True:
                 sent = len(reader.recorded)
@@ -360,12 +371,34 @@
         if kind is StopKind.RESET:
             self._client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
-    async def _send_endless(self, reader: _AnswerReader, data: bytes) -> None:
-        """Send bytes without end in place of an answer, or behind it."""
-        form = self._generator.choice(list(EndlessForm))
+    async def _read_whole(self, reader: _AnswerReader, data: bytes) -> None:
+        """Read an answer to its end before any of it is sent, or as much of it as is kept."""
         while data and not reader.whole and len(reader.recorded) < MAX_COPY_BYTES:
             reader.read(data)
             data = b"" if reader.whole else await self._server.receive_some(CHUNK_BYTES)
+
+    async def _send_unframed(self, reader: _AnswerReader, data: bytes) -> None:
+        """Send an answer whose end is that of its connection; a reset shows that it is cut."""
+        await self._read_whole(reader, data)
+        if not reader.whole or b"content-length" not in reader.fields:
+            await self._client.send_all(reader.recorded)
+            return
+        head, _, body = reader.recorded.partition(b"\r\n\r\n")
+        lines = [line for line in head.split(b"\r\n") if not line.lower().startswith(FRAMING)]
+        start = b"\r\n".join([*lines, b"Connection: close", b"", b""])
+        is_cut = self._generator.random() < CUT_SHARE
+        self._proxy.report(self._number, "unframed, reset" if is_cut else "unframed", reader)
+        if is_cut:
+            body = body[: self._generator.randrange(0, len(body) + 1)]
+        await self._client.send_all(start + body)
+        if is_cut:
+            await trio.sleep(self._generator.uniform(0.0, SOON_SECONDS))
+            self._client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+    async def _send_endless(self, reader: _AnswerReader, data: bytes) -> None:
+        """Send bytes without end in place of an answer, or behind it."""
+        form = self._generator.choice(list(EndlessForm))
+        await self._read_whole(reader, data)
         self._proxy.report(self._number, f"endless {form}", reader)
         start, piece = _endless_bytes(form, reader.recorded, self._generator)
         with trio.move_on_after(ENDLESS_SECONDS):
@@ -381,11 +414,7 @@
 ) -> tuple[bytes, bytes]:
     """Return the bytes that begin an answer without end, and those that follow again and again."""
     head, _, _body = answer.partition(b"\r\n\r\n")
-    lines = [
-        line
-        for line in head.split(b"\r\n")
-        if not line.lower().startswith((b"content-length:", b"transfer-encoding:"))
-    ]
+    lines = [line for line in head.split(b"\r\n") if not line.lower().startswith(FRAMING)]
     filler = b"a" * ENDLESS_PIECE_BYTES
     if form is EndlessForm.GARBAGE:
         return b"", generator.randbytes(ENDLESS_PIECE_BYTES)
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -16,6 +16,7 @@
     ANSWERS_ENDLESS,
     ANSWERS_REPEATED,
     ANSWERS_STOPPED,
+    ANSWERS_UNFRAMED,
     SOFTWARE,
 )
 from emulator.soak.proxies import LinkState
@@ -91,6 +92,7 @@
         ANSWERS_REPEATED: faults.answers_repeated,
         ANSWERS_STOPPED: faults.answers_stopped,
         ANSWERS_ENDLESS: faults.answers_endless,
+        ANSWERS_UNFRAMED: faults.answers_unframed,
         "instance freezes": faults.instance_freezes,
         "instance fails for a while": faults.instance_fails_for_a_while,
     }
@@ -358,6 +360,11 @@
         """Let an instance send bytes without end in place of a few of its answers."""
         await self._answers_faulty([self._instance()], AnswerFaults(endless=ENDLESS_SHARE))
 
+    async def answers_unframed(self) -> None:
+        """Let an instance send a share of its answers without a length."""
+        share = self._generator.choice(STOPPED_SHARES)
+        await self._answers_faulty([self._instance()], AnswerFaults(unframed=share))
+
     async def _answers_faulty(self, chosen: list[InstanceLinks], faults: AnswerFaults) -> None:
         """Let answers be faulty for a while, beside the faults that they have."""
         proxies = [links.answers for links in chosen if links.answers is not None]
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -44,6 +44,7 @@
 ANSWERS_REPEATED = "answers repeated"
 ANSWERS_STOPPED = "answers stopped"
 ANSWERS_ENDLESS = "answers without end"
+ANSWERS_UNFRAMED = "answers without a length"
 LINKS = "nodes without instances"
 SOFTWARE = "software replaced"
 
@@ -387,24 +388,19 @@
 
 
 ANSWER_KINDS = (
-    ANSWERS_REPEATED,
-    ANSWERS_REPEATED,
-    ANSWERS_REPEATED,
-    ANSWERS_REPEATED,
-    ANSWERS_STOPPED,
-    ANSWERS_STOPPED,
+    *(ANSWERS_REPEATED,) * 8,
+    *(ANSWERS_STOPPED,) * 2,
     ANSWERS_ENDLESS,
+    ANSWERS_UNFRAMED,
+    LINKS,
+    *("instance fails for a while",) * 3,
     "instance freezes",
-    "instance fails for a while",
-    "instance fails for a while",
     "instances want rest",
     "instance restarts",
     "instance leaves",
     "address passed on",
     "orders late",
-    "weights named",
-    "weights named",
-    "weights named",
+    *("weights named",) * 3,
 )
 
 REPEATED_ANSWERS = Profile("repeated answers", ANSWER_KINDS, (0.1, 0.5), 0.3, 1.0)
--- a/tests/emulator/soak/test_answer_faults.py
+++ b/tests/emulator/soak/test_answer_faults.py
@@ -24,8 +24,8 @@
 class Chooser(random.Random):
     """Draws one fixed choice, and everything else by its seed."""
 
-    def __init__(self, chosen):
-        super().__init__(1)
+    def __init__(self, chosen, seed):
+        super().__init__(seed)
         self.chosen = chosen
 
     def choice(self, options):
@@ -33,6 +33,8 @@
 
 
 class AnswerFaultsTest(unittest.TestCase):
+    seed = 1
+
     def run_proxy(self, script, chosen=None, answer=ANSWER, **faults):
         """Run ``script(stream, events)`` with an instance that answers each piece of input."""
 
@@ -45,7 +47,7 @@
             async with trio.open_nursery() as nursery:
                 listeners = await nursery.start(trio.serve_tcp, serve, 0)
                 target = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
-                proxy = FaultyAnswerProxy(target, Chooser(chosen), events.append)
+                proxy = FaultyAnswerProxy(target, Chooser(chosen, self.seed), events.append)
                 proxy.faults = AnswerFaults(**faults)
                 address = free_addresses(1)[0]
                 await nursery.start(proxy.run, address)
@@ -150,6 +152,36 @@
 
             self.run_proxy(script, form, endless=1.0)
 
+    def test_an_answer_without_a_length_ends_with_its_connection_or_is_reset(self):
+        whole = (
+            b"HTTP/1.1 500 X\r\nAttempt-Id: a\r\nResponse-Stamp: s\r\nConnection: close\r\n\r\nbody"
+        )
+        ends = set()
+
+        async def script(stream, events):
+            await stream.send_all(b"request")
+            data, is_reset = b"", False
+            try:
+                async for piece in stream:
+                    data += piece
+            except trio.BrokenResourceError:
+                is_reset = True
+            self.assertTrue(whole.startswith(data) if is_reset else data == whole)
+            self.assertEqual(events[0].what, "unframed, reset" if is_reset else "unframed")
+            ends.add(is_reset)
+
+        for seed in range(8):
+            self.seed = seed
+            self.run_proxy(script, unframed=1.0)
+        self.assertEqual(ends, {True, False})
+
+    def test_an_answer_in_chunks_keeps_them(self):
+        async def script(stream, _events):
+            await stream.send_all(b"request")
+            self.assertEqual(await self.received(stream), CHUNKED)
+
+        self.run_proxy(script, answer=CHUNKED, unframed=1.0)
+
     def test_few_answers_at_a_time_have_no_end(self):
         proxies = [FaultyAnswerProxy("", random.Random(1)) for _ in range(MAX_ENDLESS + 1)]
         begun = [proxy for proxy in proxies if proxy.begin_endless()]
--- a/tests/emulator/test_http_instance.py
+++ b/tests/emulator/test_http_instance.py
@@ -82,6 +82,14 @@
 
         self.run_script(script)
 
+    def test_a_report_of_another_incarnation_is_refused(self):
+        async def script(_instance, client, _listener):
+            for expected, status in (("i1", 200), ("i0", 421)):
+                response = await client.get("/report", headers={"Expect-Instance": expected})
+                self.assertEqual(response.status_code, status)
+
+        self.run_script(script)
+
     def test_the_listener_learns_what_each_run_answers(self):
         async def script(instance, client, listener):
             stream = json.dumps({"events": 2}).encode()
