--- a/emulator/soak/answer_faults.py
+++ b/emulator/soak/answer_faults.py
@@ -32,6 +32,7 @@
 SOON_SECONDS = 0.05
 LATE_SECONDS = 2.0
 
+HEAD_END = b"\r\n\r\n"
 FRAMING = (b"content-length:", b"transfer-encoding:", b"connection:")
 """First bytes of the header lines that tell where an answer ends."""
 
@@ -51,7 +52,8 @@
     """When the copy of an answer is sent.
 
     ``AT_ONCE`` is in one write with the end of the answer, ``NEXT`` as the next request arrives and
-    before its answer, ``SPLIT`` half at once and half as the next request arrives.
+    before its answer, ``SPLIT`` half at once and half as the next request arrives. ``CUT`` stops in
+    the head of the copy, and the next answer follows right behind it.
     """
 
     AT_ONCE = "at once"
@@ -59,6 +61,7 @@
     LATE = "late"
     NEXT = "next"
     SPLIT = "split"
+    CUT = "cut"
 
 
 class StopKind(enum.StrEnum):
@@ -256,7 +259,7 @@
         self._server = server
         # Held while an answer or a copy is being written, as copies never cut into answers.
         self._writing = trio.Lock()
-        self._due: tuple[bytes, _AnswerReader] | None = None
+        self._due: tuple[bytes, _AnswerReader, str] | None = None
         self._surplus = b""
 
     async def run(self) -> None:
@@ -334,11 +337,15 @@
         if time is CopyTime.SPLIT:
             half = self._generator.randrange(1, len(copy))
             await self._client.send_all(last + copy[:half])
-            self._due = copy[half:], reader
+            self._due = copy[half:], reader, "second half of a copy"
             return
         await self._client.send_all(last)
         if time is CopyTime.NEXT:
-            self._due = copy, reader
+            self._due = copy, reader, "copy at the next request"
+            return
+        if time is CopyTime.CUT:
+            head_bytes = copy.index(HEAD_END)
+            self._due = copy[: self._generator.randrange(1, head_bytes)], reader, "cut copy"
             return
         longest = SOON_SECONDS if time is CopyTime.SOON else LATE_SECONDS
         self._nursery.start_soon(self._send_later, self._generator.uniform(0.0, longest), reader)
@@ -346,9 +353,9 @@
     async def _send_due(self) -> None:
         """Send the copy that waits for the next request."""
         if self._due is not None:
-            (copy, reader), self._due = self._due, None
+            (copy, reader, what), self._due = self._due, None
             async with self._writing:
-                self._proxy.report(self._number, "copy at the next request", reader)
+                self._proxy.report(self._number, what, reader)
                 await self._client.send_all(copy)
 
     async def _send_later(self, seconds: float, reader: _AnswerReader) -> None:
@@ -383,7 +390,7 @@
         if not reader.whole or b"content-length" not in reader.fields:
             await self._client.send_all(reader.recorded)
             return
-        head, _, body = reader.recorded.partition(b"\r\n\r\n")
+        head, _, body = reader.recorded.partition(HEAD_END)
         lines = [line for line in head.split(b"\r\n") if not line.lower().startswith(FRAMING)]
         start = b"\r\n".join([*lines, b"Connection: close", b"", b""])
         is_cut = self._generator.random() < CUT_SHARE
@@ -413,7 +420,7 @@
     form: EndlessForm, answer: bytes, generator: random.Random
 ) -> tuple[bytes, bytes]:
     """Return the bytes that begin an answer without end, and those that follow again and again."""
-    head, _, _body = answer.partition(b"\r\n\r\n")
+    head, _, _body = answer.partition(HEAD_END)
     lines = [line for line in head.split(b"\r\n") if not line.lower().startswith(FRAMING)]
     filler = b"a" * ENDLESS_PIECE_BYTES
     if form is EndlessForm.GARBAGE:
--- a/tests/emulator/soak/test_answer_faults.py
+++ b/tests/emulator/soak/test_answer_faults.py
@@ -117,6 +117,18 @@
 
         self.run_proxy(script, CopyTime.SPLIT, repeated=1.0)
 
+    def test_a_copy_that_stops_in_its_head_is_followed_by_the_next_answer(self):
+        async def script(stream, events):
+            await stream.send_all(b"request")
+            self.assertEqual(await self.received(stream), ANSWER)
+            await stream.send_all(b"request")
+            cut, _, rest = (await self.received(stream)).rpartition(ANSWER)
+            self.assertTrue(cut and ANSWER.startswith(cut) and b"\r\n\r\n" not in cut)
+            self.assertEqual(rest, b"")
+            self.assertEqual([event.what for event in events], ["answer", "cut copy", "answer"])
+
+        self.run_proxy(script, CopyTime.CUT, repeated=1.0)
+
     def test_an_answer_that_closes_its_connection_is_not_repeated(self):
         async def script(stream, _events):
             await stream.send_all(b"request")
