Reject an answer of the platform's store that contradicts its call

What callers saw: where the store sends the answer to one call again after the next call was sent, the next call got it as its own. A write that was refused counted as made, one that was made as refused; a page or a watch of other keys came as empty or as theirs, so that a watch went on behind changes that it had not seen; two leases had one name.

Cause: the store's answers don't name their call, and nothing of their contents was compared with it.

Change: a change's revision must be above, and a page's not below, the latest that the store has named before the call was sent, in the same era; keys must be those that were asked for; a refusal must fit what the write expected; a granted lease must be new. What contradicts its call counts as lost (a write's outcome is unknown), HS6002 is logged and idle connections are closed. A store that goes back without a new era is followed after one such answer.

Not told apart: renewals and ends of leases, a key that isn't there, reads of the same key, watches that show nothing.

--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -20,10 +20,13 @@
     StoreHistoryLostError,
     StoreOutcomeUnknownError,
 )
+from hopstep.log_events.instances import ANSWER_TO_ANOTHER_CALL
+from hopstep.logs import emit
 from hopstep.platform import names
 from hopstep.platform.bounded_body import STORE_BOUND, bounded_answer
 from hopstep.platform.http_call import HttpCall, SendTrace
 from hopstep.platform.http_client import HttpClient
+from hopstep.platform.store_checks import AnswerHistory, are_within, is_conflict, other_answer
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
 from hopstep.ports.key_value_store import (
     KeyValueStorePort,
@@ -98,6 +101,10 @@
     removals: list[str] = []
 
 
+class _Conflict(msgspec.Struct, frozen=True):
+    items: list[_Condition] = []
+
+
 class _Written(msgspec.Struct, frozen=True):
     revision: int
 
@@ -149,13 +156,18 @@
         self._address = address
         self._client = client
         self._answer_seconds = answer_seconds
+        self._history = AnswerHistory()
 
     async def get(self, key: str) -> StoredValue | None:
         """Return one value; see the port."""
         answer = await self._call(GET, names.STORE_ITEM, {"privateKey": key})
         if answer.status == NOT_FOUND:
             return None
-        return self._decode(answer, _Item).read(answer.era)
+        item = self._decode(answer, _Item).read(answer.era)
+        if item.key != key:
+            raise await self._other_answer()
+        self._history.note(item.version)
+        return item
 
     async def list(self, prefix: str, after_key: str = "", limit: int = 1000) -> list[StoredValue]:
         """Return a page of values; see the port."""
@@ -204,14 +216,20 @@
             )
         batch = self._decode(answer, _Events)
         require_era(after.era, answer.era)
-        values = tuple(item.read(answer.era) for item in batch.events)
-        return WatchBatch(StorePosition(answer.era, batch.at_revision), values)
+        position = StorePosition(answer.era, batch.at_revision)
+        keys = (item.private_key for item in batch.events)
+        if not (self._history.fits(position, after, is_change=False) and are_within(keys, prefix)):
+            raise await self._other_answer()
+        return WatchBatch(position, tuple(item.read(answer.era) for item in batch.events))
 
     async def grant_lease(self, time_to_live_seconds: float) -> StoreLease:
         """Return a new lease; see the port."""
         body = msgspec.json.encode(_LeaseRequest(int(time_to_live_seconds * MILLISECONDS)))
         answer = await self._call(POST, names.STORE_LEASE, body=body)
-        return StoreLease(str(self._decode_write(answer, _Lease).lease_id), answer.era)
+        lease = StoreLease(str(self._decode_write(answer, _Lease).lease_id), answer.era)
+        if not self._history.is_new(lease):
+            raise await self._other_answer(is_write=True)
+        return lease
 
     async def keep_alive(self, lease: StoreLease) -> None:
         """Renew a lease; see the port."""
@@ -234,18 +252,41 @@
         query: dict[str, object] = {"pathPrefix": prefix}
         if after_key:
             query["after"] = after_key
+        asked_at = self._history.latest
         answer = await self._call(GET, names.STORE_RANGE, query)
-        return self._decode(answer, _Range), answer.era
+        page = self._decode(answer, _Range)
+        position = StorePosition(answer.era, page.at_revision)
+        keys = (item.private_key for item in page.items)
+        fits = self._history.fits(position, asked_at, is_change=False)
+        if not (fits and are_within(keys, prefix, after_key)):
+            raise await self._other_answer()
+        return page, answer.era
 
     async def _transact(self, transaction: _Transaction) -> StorePosition:
         """Carry out a transaction and return its store position."""
         body = msgspec.json.encode(transaction)
+        asked_at = self._history.latest
         answer = await self._call(POST, names.STORE_TRANSACTION, body=body)
         if answer.status in (CONDITION_FAILED, NOT_FOUND):
+            if not _refuses(answer, transaction):
+                raise await self._other_answer(is_write=True)
             raise StoreConflictError(
                 ErrorCode.STORE_CONFLICT, "a condition of the write doesn't hold"
             )
-        return StorePosition(answer.era, self._decode_write(answer, _Written).revision)
+        position = StorePosition(answer.era, self._decode_write(answer, _Written).revision)
+        if not self._history.fits(position, asked_at, is_change=True):
+            raise await self._other_answer(is_write=True)
+        return position
+
+    async def _other_answer(self, is_write: bool = False) -> StoreError:
+        """Close the idle connections, one of which gives answers to other calls.
+
+        Returns:
+            The error of the call.
+        """
+        emit(ANSWER_TO_ANOTHER_CALL, address=self._address)
+        await self.reconnect()
+        return other_answer(is_write)
 
     def _decode(self, answer: _Answer, document: type[Document]) -> Document:
         """Return the document of a response, and report its unrecognized fields."""
@@ -310,6 +351,19 @@
     return UNSPECIFIED_ERA
 
 
+def _refuses(answer: _Answer, transaction: _Transaction) -> bool:
+    """Return whether a refusal may be of a transaction: by its leases, or by what it expected."""
+    if answer.status == NOT_FOUND:
+        return any(put.lease_id for put in transaction.put)
+    try:
+        items = decode_json(answer.body, _Conflict).items
+    except msgspec.DecodeError:
+        return True
+    found = {item.private_key: item.revision for item in items}
+    expected = {item.private_key: item.revision for item in transaction.expected_revision}
+    return is_conflict(found, expected)
+
+
 def _decode_value(text: str) -> bytes:
     """Return the bytes of a value; text that isn't base64 is returned as its own bytes.
 
