Judge a trial by what it showed: release it at once, or as its instance lived on

Of three parts, one (0011) had a trial whose key was revoked as it began, so it reached no instance (401); its node kept it for eight seconds and was killed after five.

Change: a trial that reached no instance is released at the next look, within a second. An instance that has answered a request which was sent after the trial ended there, and ends more than a second later, doesn't decide it: the same rule by which an end counts for no request whose answer broke off long before.

tests.services.quarantine.test_quarantine.AdmissionTest: test_a_trial_that_reached_no_instance_is_released_before_its_node_may_be_lost and test_an_instance_that_outlived_a_trial_and_ends_later_did_not_end_under_it fail on the commit before. Passed: that module 23, tests.services.exchanges.test_fatal_parts 15, test_quarantined_requests 27, tests.simulation.test_repeated_crashes 5.

--- a/hopstep/services/quarantine/quarantine.py
+++ b/hopstep/services/quarantine/quarantine.py
@@ -218,6 +218,7 @@
             sent_at: Time at which the request was sent.
         """
         self._ledger.note_answer(incarnation, sent_at)
+        self._trials.note_answer(incarnation, sent_at)
 
     def note_complete_response(self, request: RequestIdentity, *, is_success: bool = True) -> None:
         """Discount terminations, seen or to come, of a request that got a complete response.
--- a/hopstep/services/quarantine/trial_runs.py
+++ b/hopstep/services/quarantine/trial_runs.py
@@ -75,6 +75,10 @@
         """Record that a trial may have run at an instance, without a complete response."""
         self._verdicts.note_reached(fingerprint, incarnation, probe)
 
+    def note_answer(self, incarnation: str, sent_at: float) -> None:
+        """Record an instance's answer: trials that it has outlived don't explain its end."""
+        self._verdicts.note_answer(incarnation, sent_at)
+
     def note_terminated(self, incarnation: str) -> None:
         """Record the termination of an instance: trials that reached it were conclusive."""
         self._verdicts.note_terminated(incarnation)
--- a/hopstep/services/quarantine/trial_verdicts.py
+++ b/hopstep/services/quarantine/trial_verdicts.py
@@ -1,8 +1,9 @@
 """Decides whether the trial of a refused request, a single run, was conclusive.
 
-It was if the request got a complete response, or if an instance that it reached has terminated. A
-trial that its client abandoned, or that reached no instance, is inconclusive: it is released, so
-that an ordinary request isn't refused for ten minutes because one client didn't wait.
+It was if the request got a complete response, or if an instance that it reached has terminated,
+unless that instance went on answering other requests for a while. A trial that its client
+abandoned, or that reached no instance, is inconclusive: it is released, so that an ordinary request
+isn't refused for ten minutes because one client didn't wait.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 import trio
 
 from hopstep.domain.quarantine.crashes import InstanceProbeResult
+from hopstep.domain.quarantine.interruptions import ABRUPT_TERMINATION_SECONDS
 
 VERDICT_SECONDS = 8.0
 """Time after a trial without a response until it is judged, for the termination of an instance that
@@ -29,10 +31,28 @@
 """Allows a request another trial."""
 
 
+class _Reached(msgspec.Struct):
+    """An instance that a trial reached.
+
+    Attributes:
+        at: When the trial ended there.
+        probe: Probes whether the instance has terminated; None when only the directory shows that.
+        survived: Whether the instance has answered a request that was sent later.
+    """
+
+    at: float
+    probe: ProbeInstance | None
+    survived: bool = False
+
+    def may_have_terminated(self, now: float) -> bool:
+        """Return whether an instance that terminates now may do so because of the trial."""
+        return not self.survived or now - self.at <= ABRUPT_TERMINATION_SECONDS
+
+
 class _Trial(msgspec.Struct):
-    """One trial: probes of the instances that it reached, and when it is judged after its end."""
+    """One trial: the instances that it reached, and when it is judged after its end."""
 
-    reached: dict[str, ProbeInstance | None] = {}
+    reached: dict[str, _Reached] = {}
     due_at: float = float("inf")
 
 
@@ -64,13 +84,22 @@
         """
         trial = self._trials.get(fingerprint)
         if trial is not None:
-            trial.reached[instance_incarnation] = probe or trial.reached.get(instance_incarnation)
+            earlier = trial.reached.get(instance_incarnation)
+            probe = probe or (earlier.probe if earlier is not None else None)
+            trial.reached[instance_incarnation] = _Reached(trio.current_time(), probe)
+
+    def note_answer(self, instance_incarnation: str, sent_at: float) -> None:
+        """Record an instance's answer to a request that was sent at a time."""
+        for trial in self._trials.values():
+            reached = trial.reached.get(instance_incarnation)
+            if reached is not None:
+                reached.survived = reached.survived or reached.at <= sent_at
 
     def end(self, fingerprint: bytes, now: float) -> None:
         """Record the end of a trial's run."""
         trial = self._trials.get(fingerprint)
         if trial is not None:
-            trial.due_at = now + VERDICT_SECONDS
+            trial.due_at = now + VERDICT_SECONDS if trial.reached else now
 
     def forget(self, fingerprint: bytes) -> None:
         """Stop following a trial: it was conclusive."""
@@ -78,8 +107,10 @@
 
     def note_terminated(self, instance_incarnation: str) -> None:
         """Record the termination of an instance: trials that reached it were conclusive."""
+        now = trio.current_time()
         for fingerprint, trial in list(self._trials.items()):
-            if instance_incarnation in trial.reached:
+            reached = trial.reached.get(instance_incarnation)
+            if reached is not None and reached.may_have_terminated(now):
                 self.forget(fingerprint)
 
     async def run(self) -> None:
@@ -94,8 +125,10 @@
     async def _judge(self, fingerprint: bytes) -> None:
         """Release a trial, unless an instance that it reached may have terminated."""
         trial = self._trials.pop(fingerprint)
-        for probe in trial.reached.values():
-            if probe is not None and await probe() is not InstanceProbeResult.ANSWERS:
+        for reached in trial.reached.values():
+            if reached.survived or reached.probe is None:
+                continue
+            if await reached.probe() is not InstanceProbeResult.ANSWERS:
                 return
         if self._release is not None:
             await self._release(fingerprint)
--- a/tests/services/quarantine/test_quarantine.py
+++ b/tests/services/quarantine/test_quarantine.py
@@ -251,6 +251,38 @@
 
         self.run_script(script)
 
+    def test_a_trial_that_reached_no_instance_is_released_before_its_node_may_be_lost(self):
+        """Guards against trials that a node keeps for eight seconds and takes with it."""
+
+        async def script(store, quarantines, records):
+            await self.claim_trial(store, quarantines, records)
+            quarantines[0].end_trial(REQUEST)
+            await trio.sleep(2 * VERDICT_CHECK_SECONDS)
+            self.assertEqual(await self.count_admitted(store, quarantines, records), 1)
+
+        self.run_script(script)
+
+    def test_an_instance_that_outlived_a_trial_and_ends_later_did_not_end_under_it(self):
+        """Guards against trials of clients that left counting for any end within eight seconds."""
+        for outlived, seconds, admitted in ((True, 4.0, 1), (True, 0.5, 0), (False, 4.0, 0)):
+            with self.subTest(outlived=outlived, seconds=seconds):
+
+                async def script(
+                    store, quarantines, records, outlived=outlived, seconds=seconds, found=admitted
+                ):
+                    await self.claim_trial(store, quarantines, records)
+                    quarantines[0].note_interrupted(REQUEST, "i9")
+                    quarantines[0].end_trial(REQUEST)
+                    if outlived:
+                        quarantines[0].note_answer("i9", trio.current_time())
+                    await trio.sleep(seconds)
+                    quarantines[0].note_terminated("i9", TerminationEvidence.REFUSED)
+                    await trio.sleep(VERDICT_SECONDS)
+                    count = await self.count_admitted(store, quarantines, records)
+                    self.assertEqual(count, found)
+
+                self.run_script(script)
+
     def test_a_trial_that_ends_an_instance_is_the_last_one(self):
         for terminates_first in (True, False):
             with self.subTest(terminates_first=terminates_first):
