--- a/emulator/soak/answer_checks.py
+++ b/emulator/soak/answer_checks.py
@@ -35,7 +35,8 @@
             continue
         run = runs.get(request.stamp)
         if run is None:
-            yield f"{_name(request)} got {request.status} with the signature of no run"
+            ran = _own(own.get(request.request_id))
+            yield f"{_name(request)} got {request.status} with the signature of no run; {ran}"
             continue
         difference = _difference(request, run, own.get(request.request_id))
         if difference:
@@ -51,8 +52,8 @@
         own: The latest run of the request; None if it never ran.
     """
     if run.request_id != request.request_id:
-        ran = "never ran" if own is None else f"{own.instance_id} answered {own.status} to it"
-        return f"the run of {run.request_id} at {run.instance_id}, begun at {run.at:.3f}; {ran}"
+        begun = f"begun at {run.at:.3f}; {_own(own)}"
+        return f"the run of {run.request_id} at {run.instance_id}, {begun}"
     if run.at < request.sent_at:
         return f"a run that began {request.sent_at - run.at:.3f} s before it was sent"
     if run.status != request.status:
@@ -62,6 +63,11 @@
     return ""
 
 
+def _own(own: Run | None) -> str:
+    """Return what a request's own run answered."""
+    return "it never ran" if own is None else f"{own.instance_id} answered {own.status} to it"
+
+
 def _name(request: SentRequest) -> str:
     """Return what names a request in a violation: kind, name, node and times."""
     return (
--- a/emulator/soak/answer_faults.py
+++ b/emulator/soak/answer_faults.py
@@ -65,11 +65,12 @@
 
 
 class StopKind(enum.StrEnum):
-    """What follows an answer that has stopped."""
+    """What follows an answer that has stopped; ``AGAIN`` is the same answer from its beginning."""
 
     CLOSE = "close"
     RESET = "reset"
     SILENCE = "silence"
+    AGAIN = "again"
 
 
 class EndlessForm(enum.StrEnum):
@@ -373,6 +374,9 @@
         kind = self._generator.choice(list(StopKind))
         self._proxy.report(self._number, f"stopped, {kind}", reader)
         await self._client.send_all(last)
+        if kind is StopKind.AGAIN:
+            await self._read_whole(reader, await self._more(reader))
+            await self._client.send_all(reader.recorded)
         if kind is StopKind.SILENCE:
             await trio.sleep(self._generator.uniform(0.0, SILENT_SECONDS))
         if kind is StopKind.RESET:
@@ -382,7 +386,11 @@
         """Read an answer to its end before any of it is sent, or as much of it as is kept."""
         while data and not reader.whole and len(reader.recorded) < MAX_COPY_BYTES:
             reader.read(data)
-            data = b"" if reader.whole else await self._server.receive_some(CHUNK_BYTES)
+            data = await self._more(reader)
+
+    async def _more(self, reader: _AnswerReader) -> bytes:
+        """Return more bytes of an answer; none if it is whole or its connection has ended."""
+        return b"" if reader.whole else await self._server.receive_some(CHUNK_BYTES)
 
     async def _send_unframed(self, reader: _AnswerReader, data: bytes) -> None:
         """Send an answer whose end is that of its connection; a reset shows that it is cut."""
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -389,7 +389,7 @@
 
 ANSWER_KINDS = (
     *(ANSWERS_REPEATED,) * 8,
-    *(ANSWERS_STOPPED,) * 2,
+    *(ANSWERS_STOPPED,) * 3,
     ANSWERS_ENDLESS,
     ANSWERS_UNFRAMED,
     LINKS,
--- a/tests/emulator/soak/test_answer_checks.py
+++ b/tests/emulator/soak/test_answer_checks.py
@@ -43,7 +43,7 @@
         self.assertIn(f"the run of {ATTEMPT}#1", self.broken(seen)[0])
         self.assertIn("i1 answered 200 to it", self.broken(seen)[0])
         seen.runs.pop()
-        self.assertIn("never ran", self.broken(seen)[0])
+        self.assertIn("it never ran", self.broken(seen)[0])
         self.assertTrue(any(CHECKS["own and whole answers"](seen, BOUNDS)))
 
     def test_a_success_where_the_run_failed(self):
--- a/tests/emulator/soak/test_answer_faults.py
+++ b/tests/emulator/soak/test_answer_faults.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 import trio
 
@@ -19,6 +20,7 @@
 CHUNKED = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
 LEAVING = b"HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody"
 WAIT_SECONDS = 0.15
+ENDLESS_WAIT_SECONDS = 5.0
 
 
 class Chooser(random.Random):
@@ -59,6 +61,14 @@
 
         trio.run(main)
 
+    async def count(self, stream, enough):
+        """Return the number of bytes that have arrived once there are enough, or after a time."""
+        received = 0
+        with trio.move_on_after(ENDLESS_WAIT_SECONDS):
+            while received <= enough:
+                received += len(await stream.receive_some())
+        return received
+
     async def received(self, stream, seconds=WAIT_SECONDS):
         """Return the bytes that arrive within a time."""
         data = b""
@@ -138,7 +148,7 @@
 
     def test_an_answer_stops_before_its_end(self):
         long = ANSWER.replace(b"body", b"x" * 500).replace(b"Length: 4", b"Length: 500")
-        for kind in StopKind:
+        for kind in (StopKind.CLOSE, StopKind.RESET, StopKind.SILENCE):
 
             async def script(stream, events, kind=kind):
                 await stream.send_all(b"request")
@@ -154,12 +164,21 @@
 
             self.run_proxy(script, kind, long, stopped=1.0)
 
+    def test_an_answer_that_stopped_begins_again(self):
+        async def script(stream, _events):
+            await stream.send_all(b"request")
+            begun, _, rest = (await self.received(stream)).rpartition(ANSWER)
+            self.assertTrue(begun and ANSWER.startswith(begun) and not rest)
+
+        with mock.patch("emulator.soak.answer_faults.STOP_BYTES", len(ANSWER)):
+            self.run_proxy(script, StopKind.AGAIN, stopped=1.0)
+
     def test_bytes_come_until_the_caller_closes(self):
         for form in EndlessForm:
 
             async def script(stream, events, form=form):
                 await stream.send_all(b"request")
-                self.assertGreater(len(await self.received(stream)), 50_000)
+                self.assertGreater(await self.count(stream, 50_000), 50_000)
                 self.assertEqual(events[0].what, f"endless {form}")
 
             self.run_proxy(script, form, endless=1.0)
