--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -5,6 +5,7 @@
 import json
 import random
 import signal
+import time
 from pathlib import Path
 
 import hypercorn
@@ -134,6 +135,7 @@
         self._directory = directory
         self._generator = generator
         self._started = 0
+        self._started_at_unix = time.time()
         self._born_ms = FIRST_BORN_MS
         self.recorder.on_fatal = self._schedule_fatal_termination
 
@@ -330,10 +332,13 @@
         )
 
     def read_logged_orders(self) -> None:
-        """Record the orders in the logs of the nodes."""
+        """Record the orders in the logs of the nodes; a log may hold those of an earlier soak."""
         for node in self.nodes:
             path = self._processes.log_path(node.name)
-            self.history.logged_orders += logged_orders(path.read_text(errors="replace"))
+            orders = logged_orders(path.read_text(errors="replace"))
+            self.history.logged_orders += [
+                order for order in orders if order.at_unix >= self._started_at_unix
+            ]
 
     def disturb(self, what: str, subject: str, *, planned: bool = False) -> Disturbance:
         """Record the start of a fault and return its record."""
