Bound the answers of engines, the key-value service, the machine list and peers

Callers saw, at the OpenAI-style interface: a router whose memory grows while one answer doesn't end, and reads of the machine list, calls to peers and refused streams that last as long as their peer sends a byte now and then.

Cause: `httpx` limits each wait for a read, not an answer's bytes or its whole duration; the limit on peers' answers was applied after they had been read. Encoded answers are decoded whatever they decode to.

Change: `bounded_body`, now used by both kinds of node, reads these answers too: 256 KiB for engines' short calls, 2 MiB for their cache events, 4 MiB for the machine list, 64 MiB for configuration from the key-value service or a peer; the whole call of the machine list, a peer and a refused stream has a limit of time. Calls ask for no encoding, and an encoded answer is unusable.

--- a/hopstep/adapters/engine_http.py
+++ b/hopstep/adapters/engine_http.py
@@ -34,6 +34,14 @@
 )
 from hopstep.adapters.engine_stream import StreamDecoder, interrupted, refusal_error
 from hopstep.adapters.engine_transport import EngineTransport, Pause
+from hopstep.bounded_body import (
+    CACHE_EVENTS_BOUND,
+    CONTROL_BOUND,
+    BodyTooLongError,
+    BoundedAnswer,
+    bounded_answer,
+    read_parts,
+)
 from hopstep.decoding import decode_json
 from hopstep.exceptions import EngineError, ErrorCode, Execution
 from hopstep.log_events.instances import ENGINE_ANSWER_MALFORMED
@@ -173,14 +181,17 @@
         Raises:
             EngineError: It was refused, failed, or its answer can't be decoded.
         """
-        with trio.move_on_after(self._call_timeout_seconds):
-            response = await self._send(method, address, path, message)
-            async with contextlib.aclosing(response):
-                body = await _read_body(response)
-            if response.status_code != httpx.codes.OK:
-                raise _refusal(response.status_code, body, nonce)
-            return _decode_answer(body, answer_type, address)
-        raise _unreachable("no answer came in time", Execution.UNKNOWN)
+        bound = CACHE_EVENTS_BOUND if answer_type is CacheEventBatch else CONTROL_BOUND
+        try:
+            with bounded_answer(address, bound, self._call_timeout_seconds) as answer:
+                response = await self._send(method, address, path, message)
+                async with contextlib.aclosing(response):
+                    body = await _read_body(response, answer)
+        except trio.TooSlowError as error:
+            raise _unreachable("no answer came in time", Execution.UNKNOWN) from error
+        if response.status_code != httpx.codes.OK:
+            raise _refusal(response.status_code, body, nonce)
+        return _decode_answer(body, answer_type, address)
 
     @contextlib.asynccontextmanager
     async def _stream(
@@ -190,15 +201,24 @@
         response = await self._send("POST", address, path, message)
         async with contextlib.aclosing(response):
             if response.status_code != httpx.codes.OK:
-                raise _refusal(response.status_code, await _read_body(response), nonce)
+                body = await self._read_refusal(address, response)
+                raise _refusal(response.status_code, body, nonce)
             decoder = StreamDecoder(nonce, address)
-            chunks = response.aiter_raw()
+            chunks = read_parts(response.aiter_raw())
             frames = _frames(chunks, decoder)
             try:
                 yield frames
             finally:
                 await _close_stream(response, chunks, frames, decoder.finished)
 
+    async def _read_refusal(self, address: str, response: httpx.Response) -> bytes:
+        """Return the body of an answer that isn't a stream."""
+        try:
+            with bounded_answer(address, CONTROL_BOUND, self._call_timeout_seconds) as answer:
+                return await _read_body(response, answer)
+        except trio.TooSlowError as error:
+            raise _unreachable("the answer didn't end in time", Execution.UNKNOWN) from error
+
     async def _send(
         self, method: str, address: str, path: str, message: msgspec.Struct | None
     ) -> httpx.Response:
@@ -265,11 +285,11 @@
             pass
 
 
-async def _read_body(response: httpx.Response) -> bytes:
+async def _read_body(response: httpx.Response, answer: BoundedAnswer) -> bytes:
     """Return the complete body of a short answer."""
     try:
-        return await response.aread()
-    except httpx.HTTPError as error:
+        return await answer.read(response.aiter_raw())
+    except (httpx.HTTPError, BodyTooLongError) as error:
         raise _unreachable("the answer was cut off", Execution.UNKNOWN) from error
 
 
--- a/hopstep/adapters/key_value_store_http.py
+++ b/hopstep/adapters/key_value_store_http.py
@@ -9,7 +9,9 @@
 import trio
 
 from hopstep.adapters import key_value_store_wire as wire
+from hopstep.adapters.answer_parts import UNENCODED, answer_parts
 from hopstep.adapters.platform_http import PlatformHttpClient
+from hopstep.bounded_body import KEY_VALUE_BOUND, BodyTooLongError, bounded_answer
 from hopstep.decoding import JsonDecoder, decode_json
 from hopstep.domain.store_position import UNSPECIFIED_ERA, StoreLease, StorePosition
 from hopstep.exceptions import (
@@ -117,19 +119,22 @@
         timeout = httpx.Timeout(self._timeout_seconds, read=self._timeout_seconds + extra_seconds)
         content = msgspec.json.encode(operation)
         try:
+            url = self._base_url + wire.STORE_PATH
+            seconds = 2 * self._timeout_seconds + extra_seconds
             # httpx limits each read only; the outer timeout limits the whole answer.
-            with trio.fail_after(2 * self._timeout_seconds + extra_seconds):
-                response = await self._client.post(
-                    self._base_url + wire.STORE_PATH, content=content, timeout=timeout
-                )
+            with bounded_answer(self._base_url, KEY_VALUE_BOUND, seconds) as answer:
+                async with self._client.stream(
+                    "POST", url, content=content, headers=UNENCODED, timeout=timeout
+                ) as response:
+                    body = await answer.read(answer_parts(response))
         except NOT_SENT_ERRORS as error:
             raise StoreError(ErrorCode.STORE_UNAVAILABLE, "the store can't be reached") from error
-        except (httpx.HTTPError, trio.TooSlowError) as error:
+        except (httpx.HTTPError, BodyTooLongError, trio.TooSlowError) as error:
             raise _no_usable_answer(operation) from error
         if response.status_code != httpx.codes.OK:
-            raise _failure(operation, response.content)
+            raise _failure(operation, body)
         try:
-            result = decoder.decode(response.content)
+            result = decoder.decode(body)
         except msgspec.DecodeError as error:
             raise _no_usable_answer(operation) from error
         return _Answer(result, _read_era(response.headers.get(wire.ERA_HEADER, "")))
--- a/hopstep/adapters/peer_http.py
+++ b/hopstep/adapters/peer_http.py
@@ -10,8 +10,11 @@
 
 import httpx
 import msgspec
+import trio
 
+from hopstep.adapters.answer_parts import UNENCODED, answer_parts
 from hopstep.adapters.peer_codec import TAG_BYTES, PeerCodec, decode_struct, encode_struct
+from hopstep.bounded_body import PEER_BOUND, BodyTooLongError, bounded_answer
 from hopstep.domain.configuration.encoding import decode_transfer, encode
 from hopstep.domain.configuration.log import ConfigurationTransfer
 from hopstep.exceptions import DomainError, ErrorCode, PeerMessageError
@@ -25,8 +28,8 @@
 TIMEOUT_SECONDS = 2.0
 """Longest wait for each step of a call (connect, write, read)."""
 
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
-"""Longer answers are rejected."""
+ANSWER_SECONDS = 30.0
+"""Longest duration of a whole call: 64 MiB arrive in it at 20 Mbit/s."""
 
 
 class ConfigurationRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -109,17 +112,17 @@
             raise _failed(error.message) from error
 
     async def _post(self, url: str, body: bytes) -> bytes:
+        headers = {"Content-Type": MEDIA_TYPE, **UNENCODED}
         try:
-            response = await self._client.post(
-                url, content=body, headers={"Content-Type": MEDIA_TYPE}, timeout=TIMEOUT_SECONDS
-            )
-        except (httpx.HTTPError, OSError) as error:
+            with bounded_answer(url, PEER_BOUND, ANSWER_SECONDS) as answer:
+                async with self._client.stream(
+                    "POST", url, content=body, headers=headers, timeout=TIMEOUT_SECONDS
+                ) as response:
+                    if response.status_code != httpx.codes.OK:
+                        raise _failed(f"the peer answered {response.status_code}")
+                    return await answer.read(answer_parts(response))
+        except (httpx.HTTPError, BodyTooLongError, trio.TooSlowError, OSError) as error:
             raise _failed(f"the call failed: {type(error).__name__}") from error
-        if response.status_code != httpx.codes.OK:
-            raise _failed(f"the peer answered {response.status_code}")
-        if len(response.content) > MAX_ANSWER_BYTES:
-            raise _failed("the answer is too long")
-        return response.content
 
 
 def _request_context(name: str) -> bytes:
--- a/hopstep/platform/bounded_body.py
+++ b/hopstep/bounded_body.py
@@ -27,6 +27,8 @@
     CONTROL = "control"
     CACHE_EVENTS = "cache_events"
     STORE = "store"
+    MACHINE_LIST = "machine_list"
+    PEER = "peer"
 
 
 class ExceededBound(enum.StrEnum):
@@ -58,6 +60,15 @@
 """A page of a range has about 1 MB; a watch that is far behind has more."""
 
 
+CONFIGURATION_BYTES = 64 * 1024 * 1024
+"""Longest transfer of configuration changes, from the key-value service or from a peer."""
+
+KEY_VALUE_BOUND = AnswerBound(CallKind.STORE, CONFIGURATION_BYTES)
+PEER_BOUND = AnswerBound(CallKind.PEER, CONFIGURATION_BYTES)
+MACHINE_LIST_BOUND = AnswerBound(CallKind.MACHINE_LIST, 4 * 1024 * 1024)
+"""About 20,000 machines of 200 bytes."""
+
+
 class BodyTooLongError(httpcore.RemoteProtocolError):
     """A body is longer than its bound; callers treat it as an answer that isn't HTTP."""
 
@@ -76,14 +87,17 @@
         self._bound = bound
         self._body: bytearray | None = None
 
-    async def read(self, response: httpcore.Response) -> bytes:
+    async def read(self, parts: AsyncIterator[bytes]) -> bytes:
         """Return the complete body.
 
+        Args:
+            parts: Parts of the body as the library yields them.
+
         Raises:
             BodyTooLongError: When it exceeds the bound; the rest of it isn't read.
         """
         body = self._body = bytearray()
-        async for data in read_parts(response):
+        async for data in read_parts(parts):
             body += data
             if len(body) > self._bound.max_bytes:
                 self._log(ExceededBound.BYTES)
@@ -106,13 +120,16 @@
         )
 
 
-async def read_parts(response: httpcore.Response) -> AsyncIterator[bytes]:
-    """Yield the parts of a body; other tasks run at least each ``STEP_SECONDS``."""
+async def read_parts(parts: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Yield the parts of a body; other tasks run at least each ``STEP_SECONDS``.
+
+    A cancellation is left to the library's next read, which closes what it has open.
+    """
     yielded_at = trio.current_time()
-    async for data in response.aiter_stream():
+    async for data in parts:
         yield data
         if trio.current_time() - yielded_at > STEP_SECONDS:
-            await trio.lowlevel.checkpoint()
+            await trio.lowlevel.cancel_shielded_checkpoint()
             yielded_at = trio.current_time()
 
 
--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -6,11 +6,11 @@
 import msgspec
 import trio
 
+from hopstep.bounded_body import CACHE_EVENTS_BOUND, bounded_answer
 from hopstep.decoding import decode_json
 from hopstep.domain.exchanges.store_contents import CacheEvent
 from hopstep.domain.instance_notices import AnswerKind, NoticeListener, ignore_notice
 from hopstep.platform import names
-from hopstep.platform.bounded_body import CACHE_EVENTS_BOUND, bounded_answer
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
 from hopstep.platform.notices import read_notice
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
@@ -81,7 +81,7 @@
                     self._unrecognized.report_headers(
                         ValueLocation.ANSWER_HEAD, address, response.status, response.headers
                     )
-                    body = await answer.read(response)
+                    body = await answer.read(response.aiter_stream())
             if response.status != OK:
                 return None
             read = decode_json(body, _Events)
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from hopstep.bounded_body import CONTROL_BOUND, bounded_answer, read_parts
 from hopstep.decoding import decode_json
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.instance_notices import (
@@ -22,7 +23,6 @@
 from hopstep.domain.reachability.tunnels import TunnelFailure, TunnelTarget
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform import names
-from hopstep.platform.bounded_body import CONTROL_BOUND, bounded_answer, read_parts
 from hopstep.platform.http_client import (
     HttpCall,
     HttpClient,
@@ -124,7 +124,7 @@
         """Yield the body; see the port."""
         scanner = WeightsVersionScanner()
         try:
-            async for data in read_parts(self._response):
+            async for data in read_parts(self._response.aiter_stream()):
                 self.weights_version = scanner.scan(data) or self.weights_version
                 yield data
         except FAILURES as error:
@@ -283,7 +283,7 @@
                         on_notice(
                             read_notice(response.status, response.headers, AnswerKind.CONTROL)
                         )
-                    return response.status, await answer.read(response)
+                    return response.status, await answer.read(response.aiter_stream())
         except (*FAILURES, trio.TooSlowError):
             return None
 
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -11,6 +11,7 @@
 import msgspec
 import trio
 
+from hopstep.bounded_body import STORE_BOUND, bounded_answer
 from hopstep.decoding import decode_json
 from hopstep.domain.store_position import UNSPECIFIED_ERA, StoreLease, StorePosition
 from hopstep.exceptions import (
@@ -21,7 +22,6 @@
     StoreOutcomeUnknownError,
 )
 from hopstep.platform import names
-from hopstep.platform.bounded_body import STORE_BOUND, bounded_answer
 from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
 from hopstep.ports.key_value_store import (
@@ -275,7 +275,9 @@
                         ValueLocation.STORE_HEAD, self._address, response.status, response.headers
                     )
                     era = _read_era(response.headers)
-                    answer = _Answer(response.status, await reader.read(response), era)
+                    answer = _Answer(
+                        response.status, await reader.read(response.aiter_stream()), era
+                    )
         except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException) as error:
             raise _no_answer(method, trace.proof.sent) from error
         except trio.TooSlowError as error:
