Take a line without end in small parts without copying it for each

Callers saw: a router stands still while an engine's stream holds a line that doesn't end, in small parts.

Cause: each part of an incomplete line was joined to a copy of all before it.

Change: parts are appended, and only what is new is searched for a line's end.

--- a/hopstep/adapters/engine_stream.py
+++ b/hopstep/adapters/engine_stream.py
@@ -49,7 +49,7 @@
         """
         self._nonce = nonce
         self._engine = engine
-        self._incomplete_line = b""
+        self._incomplete_line = bytearray()
         self._frame_decoder = JsonDecoder(TokenFrame)
         self._refusal_decoder = JsonDecoder(RefusalLine)
         self.finished = False
@@ -60,9 +60,15 @@
         Raises:
             EngineError: The engine refuses the attempt, or sends an invalid frame.
         """
-        lines = (self._incomplete_line + data).split(b"\n")
-        self._incomplete_line = lines.pop()
-        if len(self._incomplete_line) > MAX_LINE_BYTES:
+        received, before = self._incomplete_line, len(self._incomplete_line)
+        received += data
+        # What arrived earlier isn't copied or searched again, since a line may come in small parts.
+        lines: list[bytes] = []
+        end = received.rfind(b"\n", before)
+        if end >= 0:
+            lines = bytes(received[:end]).split(b"\n")
+            del received[: end + 1]
+        if len(received) > MAX_LINE_BYTES:
             emit(ENGINE_ANSWER_MALFORMED, engine=self._engine)
             raise interrupted("the engine sent a line that is too long")
         frames: list[TokenFrame] = []
--- a/tests/adapters/test_answers_without_end.py
+++ b/tests/adapters/test_answers_without_end.py
@@ -13,6 +13,7 @@
 
 from hopstep.adapters import peer_http
 from hopstep.adapters.engine_http import HttpEngine
+from hopstep.adapters.engine_stream import MAX_LINE_BYTES, StreamDecoder
 from hopstep.adapters.key_value_store_http import HttpKeyValueStore
 from hopstep.adapters.machine_list_http import HttpMachineList
 from hopstep.adapters.peer_codec import PeerCodec
@@ -169,3 +170,24 @@
             with self.subTest(name), traced_peak() as peak:
                 self.call(EndlessServer(head % len(body) + body, b"x"), ask, error)
                 self.assertLess(peak(), MEBIBYTE)
+
+    def test_a_line_without_end_interrupts_its_stream(self):
+        """Guards against a stream whose line is kept without bound."""
+
+        def run(step):
+            self.call(EndlessServer(CHUNKED, SMALL), engine_stream, EngineError, [step])
+
+        with traced_peak() as peak:
+            self.call(EndlessServer(CHUNKED, LARGE), engine_stream, EngineError)
+            self.assertLess(peak(), 4 * MEBIBYTE)
+        self.assertLess(longest_step(run), LONGEST_STEP_SECONDS)
+
+    def test_a_long_line_in_small_parts_is_not_copied_for_each(self):
+        """Guards against a line without end whose parts each copy all before them."""
+        decoder = StreamDecoder("n", "e")
+        began_at = time.process_time()
+        for _ in range(MAX_LINE_BYTES // 16):
+            self.assertEqual(decoder.feed(b"x" * 16), [])
+        with self.assertRaises(EngineError):
+            decoder.feed(b"x")
+        self.assertLess(time.process_time() - began_at, 1.0)
