Use no tunnel again that has received more than its last answer

What callers saw: a request through another node was sent over a tunnel whose end, or whose gateway's stop, had come in one packet with the answer before. At the end it was lost with an unknown outcome although nothing had read it.

Cause: the tunnel's reader takes up to 16 KiB from the socket and keeps what follows the chunk that it was asked for. The pool asks only the socket whether something is unread.

Change: a tunnel tells whether its reader holds anything, and such a tunnel counts as readable. The same holds for a copy of the answer as another chunk.

--- a/hopstep/adapters/tunnel_client.py
+++ b/hopstep/adapters/tunnel_client.py
@@ -103,6 +103,11 @@
         """Whether no further request should be sent; see the port."""
         return self._is_stale
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether something was received and not read; see the port."""
+        return self._reader.has_unread
+
     @property
     def socket(self) -> object:
         """Socket of the connection; see the port."""
--- a/hopstep/adapters/tunnel_streams.py
+++ b/hopstep/adapters/tunnel_streams.py
@@ -29,6 +29,11 @@
         self._stream = stream
         self._buffer = b""
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes of the stream were received and not read."""
+        return bool(self._buffer)
+
     async def read_frame(self) -> bytes:
         """Return the next frame without its header.
 
--- a/hopstep/platform/tunnel_backend.py
+++ b/hopstep/platform/tunnel_backend.py
@@ -64,7 +64,8 @@
         """Return what the library asks about the connection."""
         if info != READABLE:
             return None
-        return self._tunnel.is_stale or _is_readable(self._tunnel.socket)
+        tunnel = self._tunnel
+        return tunnel.is_stale or tunnel.has_unread or _is_readable(tunnel.socket)
 
 
 class TunnelBackend(httpcore.AsyncNetworkBackend):
--- a/hopstep/ports/tunnels.py
+++ b/hopstep/ports/tunnels.py
@@ -40,6 +40,11 @@
     def is_stale(self) -> bool:
         """Whether no further request should be sent, as the gateway is stopping."""
 
+    @property
+    @abc.abstractmethod
+    def has_unread(self) -> bool:
+        """Whether something was received from the gateway's socket and not read from the tunnel."""
+
     @property
     @abc.abstractmethod
     def socket(self) -> object:
--- a/tests/adapters/test_tunnels.py
+++ b/tests/adapters/test_tunnels.py
@@ -1,6 +1,7 @@
 """Connections to instances through another node, over real sockets."""
 
 import functools
+import re
 import socket
 import struct
 import unittest
@@ -11,9 +12,13 @@
 from hopstep.adapters.tunnel_client import TunnelClient
 from hopstep.adapters.tunnel_codec import (
     CHALLENGE_BYTES,
+    CHUNK_HEADER,
+    END,
+    STOP,
     TunnelFrameError,
     decode_status,
     encode_open,
+    encode_status,
 )
 from hopstep.adapters.tunnel_server import TunnelServer
 from hopstep.adapters.tunnel_streams import FrameReader
@@ -366,3 +371,64 @@
             self.assertEqual(drained, [True])
 
         self.run_world(server, script)
+
+
+class RawGateway:
+    """Opens tunnels; sends other chunks in one write with each first answer of a tunnel."""
+
+    def __init__(self, *further_chunks):
+        self.further = b"".join(further_chunks)
+        self.tunnels = 0
+        self.requests = []
+
+    async def handle(self, stream):
+        self.tunnels += 1
+        challenge = bytes(CHALLENGE_BYTES)
+        async with stream:
+            reader = FrameReader(stream)
+            await stream.send_all(challenge)
+            await reader.read_frame()
+            await stream.send_all(encode_status(None, KEYS[GATEWAY], challenge))
+            further = self.further
+            while data := await reader.read_some(10_000):
+                request_id = re.search(rb"(?i)attempt-id: (\S+)", data)[1]
+                self.requests.append(request_id)
+                own = COMPLETE.replace(b"Attempt-Id: r1", b"Attempt-Id: " + request_id)
+                await stream.send_all(chunk(own) + further)
+                further = b""
+
+
+def chunk(data):
+    return CHUNK_HEADER.pack(len(data)) + data
+
+
+class BytesBehindAnAnswerTest(unittest.TestCase):
+    def test_a_request_was_sent_over_a_tunnel_that_had_received_more_than_its_answer(self):
+        for name, further in (
+            ("a copy of the answer", chunk(COMPLETE)),
+            ("the end of the instance's connection", CHUNK_HEADER.pack(END)),
+            ("the stop of the gateway", CHUNK_HEADER.pack(STOP)),
+        ):
+            gateway = RawGateway(further)
+
+            async def main(gateway=gateway):
+                async with trio.open_nursery() as nursery:
+                    serve = functools.partial(trio.serve_tcp, gateway.handle, 0, host="127.0.0.1")
+                    address = address_of((await nursery.start(serve))[0])
+                    client = HttpClient(tunnels=TunnelClient(NODE, KEYS[NODE]))
+                    instances = HttpInstances(client)
+                    instance = Instance("i1", "s", "127.0.0.1:9", "z", 1)
+                    way = Gateway(GATEWAY, address, KEYS[GATEWAY])
+                    bodies = []
+                    for request_id in ("r1", "r2"):
+                        call = InstanceCall(instance, request(request_id), 1.5, gateway=way)
+                        async with instances.open(call) as answer:
+                            bodies += [data async for data in answer.body()]
+                    await client.aclose()
+                    nursery.cancel_scope.cancel()
+                    return bodies
+
+            with self.subTest(name):
+                self.assertEqual(trio.run(main), [b"body", b"body"])
+                self.assertEqual(gateway.requests, [b"r1", b"r2"])
+                self.assertEqual(gateway.tunnels, 2)
