Read the first batch of cache events over a connection of its own

What callers saw: where an engine or cache store sends a batch again late, a node that began anew to follow it took the copy for its first batch. It went on behind events that it had never seen and knew nothing of the segments before.

Cause: batches don't name the call that they answer. In place of a later batch a copy repeats events and the next call goes on from there; in place of the first one it hides all before it.

Change: a call from position 0 has a connection of its own; the others keep theirs.

Shown: tests.platform.test_cache_event_answers; before, the first batch was the copy. test_engine_cache_watch, test_store_watch, test_answers_without_end and test_vocabulary pass (6, 1, 4, 11).

--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -11,7 +11,7 @@
 from hopstep.domain.instance_notices import AnswerKind, NoticeListener, ignore_notice
 from hopstep.platform import names
 from hopstep.platform.bounded_body import CACHE_EVENTS_BOUND, bounded_answer
-from hopstep.platform.http_call import HttpCall, SendTrace
+from hopstep.platform.http_call import ConnectionUse, HttpCall, SendTrace
 from hopstep.platform.http_client import HttpClient
 from hopstep.platform.notices import read_notice
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
@@ -72,7 +72,9 @@
         wait = str(int(wait_seconds * MILLISECONDS)).encode()
         headers = ((b"host", address.encode()), (names.WAIT, wait))
         target = f"{names.CACHE_EVENTS_PATH}?since={position}".encode()
-        call = HttpCall(address, b"GET", target, headers, b"")
+        # A late copy of a later batch in place of the first one would hide all before it.
+        use = ConnectionUse.KEPT if position else ConnectionUse.SINGLE
+        call = HttpCall(address, b"GET", target, headers, b"", use=use)
         try:
             seconds = ANSWER_SECONDS + wait_seconds
             with bounded_answer(address, CACHE_EVENTS_BOUND, seconds) as answer:
