--- a/hopstep/adapters/tunnel_client.py
+++ b/hopstep/adapters/tunnel_client.py
@@ -101,7 +101,12 @@
     @property
     def is_stale(self) -> bool:
         """Whether no further request should be sent; see the port."""
-        return self._is_stale or self._remaining > 0 or self._reader.has_buffered
+        return self._is_stale
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether something was received and not read; see the port."""
+        return self._remaining > 0 or self._reader.has_unread
 
     @property
     def socket(self) -> object:
--- a/hopstep/adapters/tunnel_streams.py
+++ b/hopstep/adapters/tunnel_streams.py
@@ -30,8 +30,8 @@
         self._buffer = b""
 
     @property
-    def has_buffered(self) -> bool:
-        """Whether bytes were received that nobody has read."""
+    def has_unread(self) -> bool:
+        """Whether bytes of the stream were received and not read."""
         return bool(self._buffer)
 
     async def read_frame(self) -> bytes:
--- a/hopstep/ports/tunnels.py
+++ b/hopstep/ports/tunnels.py
@@ -38,10 +38,12 @@
     @property
     @abc.abstractmethod
     def is_stale(self) -> bool:
-        """Whether no further request should be sent.
+        """Whether no further request should be sent, as the gateway is stopping."""
 
-        None should when the gateway is stopping, or when bytes were received that nobody has read.
-        """
+    @property
+    @abc.abstractmethod
+    def has_unread(self) -> bool:
+        """Whether something was received from the gateway's socket and not read from the tunnel."""
 
     @property
     @abc.abstractmethod
