--- a/hopstep/log_events/instances.py
+++ b/hopstep/log_events/instances.py
@@ -11,6 +11,13 @@
     ("engine",),
     "Find out what listens at the engine's address and which version it runs.",
 )
+ANSWER_TO_ANOTHER_CALL = LogEvent(
+    "HS6002",
+    "answer_to_another_call",
+    Level.WARNING,
+    ("address",),
+    "Find out why the server at the address answers twice; the answer was rejected.",
+)
 INSTANCE_LISTED = LogEvent(
     "HS6101",
     "instance_listed",
@@ -179,6 +186,14 @@
     ("instance", "end", "reason"),
     "Nothing for a few: the node that uses the tunnel logs what became of its request.",
 )
+SURPLUS_BYTES_RECEIVED = LogEvent(
+    "HS6129",
+    "surplus_bytes_received",
+    Level.WARNING,
+    ("address", "place", "connection", "sends", "size", "unlogged"),
+    "Check the instance at `address`: it sends bytes that belong to no request; `unlogged` counts "
+    "findings since the line before.",
+)
 ENGINES_KEPT = LogEvent(
     "HS6130",
     "engines_kept",
@@ -200,6 +215,14 @@
     ("reason", "code"),
     "Nothing: the lease ends by itself, and the next holder waits for that.",
 )
+ANSWER_BOUND_EXCEEDED = LogEvent(
+    "HS6150",
+    "answer_bound_exceeded",
+    Level.WARNING,
+    ("source", "call", "bound", "received_bytes"),
+    "Find out what listens at `source`: it sends bytes without end, or too slowly. The answer "
+    "counts as none, and its connection is closed.",
+)
 ENGINE_INCARNATION_SEEN = LogEvent(
     "HS6501",
     "engine_incarnation_seen",
--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -6,11 +6,13 @@
 import msgspec
 import trio
 
+from hopstep.bounded_body import CACHE_EVENTS_BOUND, bounded_answer
 from hopstep.decoding import decode_json
 from hopstep.domain.exchanges.store_contents import CacheEvent
 from hopstep.domain.instance_notices import AnswerKind, NoticeListener, ignore_notice
 from hopstep.platform import names
-from hopstep.platform.http_client import HttpCall, HttpClient, SendTrace
+from hopstep.platform.http_call import ConnectionUse, HttpCall, SendTrace
+from hopstep.platform.http_client import HttpClient
 from hopstep.platform.notices import read_notice
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
 from hopstep.ports.cache_events import CacheEventBatch, CacheEvents
@@ -70,16 +72,19 @@
         wait = str(int(wait_seconds * MILLISECONDS)).encode()
         headers = ((b"host", address.encode()), (names.WAIT, wait))
         target = f"{names.CACHE_EVENTS_PATH}?since={position}".encode()
-        call = HttpCall(address, b"GET", target, headers, b"")
+        # A late copy of a later batch in place of the first one would hide all before it.
+        use = ConnectionUse.KEPT if position else ConnectionUse.SINGLE
+        call = HttpCall(address, b"GET", target, headers, b"", use=use)
         try:
-            with trio.fail_after(ANSWER_SECONDS + wait_seconds):
+            seconds = ANSWER_SECONDS + wait_seconds
+            with bounded_answer(address, CACHE_EVENTS_BOUND, seconds) as answer:
                 async with self._client.open(call, SendTrace()) as response:
                     kind = AnswerKind.CACHE_EVENTS
                     on_notice(read_notice(response.status, response.headers, kind))
                     self._unrecognized.report_headers(
                         ValueLocation.ANSWER_HEAD, address, response.status, response.headers
                     )
-                    body = await response.aread()
+                    body = await answer.read(response.aiter_stream())
             if response.status != OK:
                 return None
             read = decode_json(body, _Events)
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from hopstep.bounded_body import CONTROL_BOUND, bounded_answer
 from hopstep.decoding import decode_json
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.instance_notices import (
@@ -22,13 +23,14 @@
 from hopstep.domain.reachability.tunnels import TunnelFailure, TunnelTarget
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform import names
-from hopstep.platform.http_client import (
+from hopstep.platform.http_call import (
+    ConnectionUse,
     HttpCall,
-    HttpClient,
     SendTrace,
     SendWithdrawnError,
     TunnelRoute,
 )
+from hopstep.platform.http_client import HttpClient
 from hopstep.platform.notices import read_notice
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
 from hopstep.platform.weights_lines import WeightsVersionScanner
@@ -40,6 +42,7 @@
     SendProof,
     withdrawn_call,
 )
+from hopstep.ports.surplus_answers import SurplusBytes, SurplusPlace
 from hopstep.ports.tunnels import TunnelError
 from hopstep.ports.unrecognized_values import (
     UnrecognizedValueListener,
@@ -54,6 +57,7 @@
 
 MILLISECONDS = 1_000
 MISDIRECTED = 421
+HEAD = b"HEAD"
 NO_BODY_STATUSES = (204, 304)
 
 FAILURES = (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException)
@@ -159,6 +163,8 @@
             request.body,
             connect_seconds=CONNECT_SECONDS,
             route=_route(call.instance, call.gateway) if call.gateway is not None else None,
+            request_id=request.request_id.encode(),
+            use=_connection_use(request.method),
         )
         trace = SendTrace(call.proof, call.may_send)
         async with contextlib.AsyncExitStack() as stack:
@@ -173,6 +179,8 @@
             if _is_own_answer(response, call):
                 self._report_headers(call.instance, response)
                 call.on_notice(_request_notice(response))
+            if _is_other_answer(response, call.request.request_id.encode()):
+                self._note_other_answer(call.instance, call.proof)
             _check_head(response, call)
             yield HttpInstanceAnswer(response)
 
@@ -244,6 +252,18 @@
         versions = {model.name: model.version for model in report.models}
         return EngineReport(report.busy, report.call_sequence, versions, report.born)
 
+    def _note_other_answer(self, instance: Instance, proof: SendProof) -> None:
+        """Note that an answer to another request came in the place of the one that is due."""
+        self._client.note_surplus(
+            SurplusBytes(
+                instance.address,
+                SurplusPlace.IN_PLACE_OF_ANSWER,
+                proof.connection,
+                proof.send_number,
+                size=0,
+            )
+        )
+
     def _report_headers(self, instance: Instance, response: httpcore.Response) -> None:
         """Report the unrecognized headers of a response."""
         self._unrecognized.report_headers(
@@ -259,7 +279,10 @@
         proof: SendProof,
         on_notice: NoticeListener,
     ) -> tuple[int, bytes] | None:
-        """Make a control call, which isn't a client's request; return status and body, or None."""
+        """Make a control call, which isn't a client's request; return status and body, or None.
+
+        Its answer carries no identifier, so each call has a connection of its own.
+        """
         headers = [
             (b"host", instance.address.encode()),
             (names.EXPECT_INSTANCE, instance.instance_id.encode()),
@@ -273,20 +296,33 @@
             tuple(headers),
             body,
             connect_seconds=CONNECT_SECONDS,
+            use=ConnectionUse.SINGLE,
         )
         try:
-            with trio.fail_after(CONTROL_SECONDS):
+            with bounded_answer(instance.address, CONTROL_BOUND, CONTROL_SECONDS) as answer:
                 async with self._client.open(call, SendTrace(proof)) as response:
+                    if _is_other_answer(response, b""):
+                        self._note_other_answer(instance, proof)
+                        return None
                     if _is_control_answer(response):
                         self._report_headers(instance, response)
                         on_notice(
                             read_notice(response.status, response.headers, AnswerKind.CONTROL)
                         )
-                    return response.status, await response.aread()
+                    return response.status, await answer.read(response.aiter_stream())
         except (*FAILURES, trio.TooSlowError):
             return None
 
 
+def _connection_use(method: bytes) -> ConnectionUse:
+    """Return how the connection of a request is used.
+
+    Whether a response has a body depends on the method that it answers, so a late answer to a HEAD
+    request can't be told apart from the next one's beginning.
+    """
+    return ConnectionUse.SINGLE if method == HEAD else ConnectionUse.KEPT
+
+
 def _request_headers(call: InstanceCall) -> tuple[tuple[bytes, bytes], ...]:
     """Return the headers of an attempt."""
     request = call.request
@@ -333,6 +369,17 @@
     return read_notice(response.status, response.headers, kind)
 
 
+def _is_other_answer(response: httpcore.Response, request_id: bytes) -> bool:
+    """Return whether a response names another request than the one that is under way.
+
+    Args:
+        response: The response.
+        request_id: Identifier of the request; empty for a control call, which has none.
+    """
+    found = {name.lower(): value for name, value in response.headers}
+    return found.get(names.REQUEST_ID, request_id) != request_id
+
+
 def _is_control_answer(response: httpcore.Response) -> bool:
     """Return whether a response is the called instance's answer to a control call.
 
@@ -346,7 +393,7 @@
     """Raise unless a response's head shows that the instance ran this request."""
     found = {name.lower(): value for name, value in response.headers}
     answered = found.get(names.REQUEST_ID)
-    if answered is not None and answered != call.request.request_id.encode():
+    if _is_other_answer(response, call.request.request_id.encode()):
         raise InstanceCallError(
             ErrorCode.EXECUTION_UNKNOWN, "the response is to another request", Execution.UNKNOWN
         )
--- a/hopstep/services/quarantine/trial_runs.py
+++ b/hopstep/services/quarantine/trial_runs.py
@@ -30,6 +30,9 @@
     async def release_trial(self, fingerprint: bytes) -> None:
         """Allow a subject another trial: the last one was inconclusive."""
 
+    def note_succeeded(self, fingerprint: bytes) -> None:
+        """Record that a subject's trial here got a complete response, which releases it."""
+
 
 class TrialRuns:
     """The trials that this node has claimed lately."""
@@ -72,6 +75,10 @@
         """Record that a trial may have run at an instance, without a complete response."""
         self._verdicts.note_reached(fingerprint, incarnation, probe)
 
+    def note_answer(self, incarnation: str, sent_at: float) -> None:
+        """Record an instance's answer: trials that it has outlived don't explain its end."""
+        self._verdicts.note_answer(incarnation, sent_at)
+
     def note_terminated(self, incarnation: str) -> None:
         """Record the termination of an instance: trials that reached it were conclusive."""
         self._verdicts.note_terminated(incarnation)
@@ -87,6 +94,8 @@
         if self._tried.pop(fingerprint, None) is None:
             return False
         self._verdicts.forget(fingerprint)
+        if self._trials is not None:
+            self._trials.note_succeeded(fingerprint)
         return True
 
     def expire(self, now: float) -> None:
--- a/tests/services/quarantine/test_quarantine.py
+++ b/tests/services/quarantine/test_quarantine.py
@@ -19,6 +19,7 @@
     RequestIdentity,
     TerminationEvidence,
 )
+from hopstep.domain.quarantine.fingerprint import part_fingerprint
 from hopstep.domain.store_position import StorePosition
 from hopstep.services.quarantine.quarantine import EXPIRY_SECONDS, PEER_REPORT_SECONDS, Quarantine
 from hopstep.services.quarantine.records import (
@@ -160,6 +161,21 @@
 
         self.run_script(script)
 
+    def test_nodes_that_are_all_lost_right_after_a_trial_was_answered_read_its_release(self):
+        """Guards against a sound subject that is refused for ten minutes, its trial used up."""
+
+        async def script(store, quarantines, records):
+            await self.claim_trial(store, quarantines, records)
+            quarantines[0].note_complete_response(REQUEST)
+            await trio.sleep(0.1)
+            stored = await store.get(QUARANTINE_PREFIX + FATAL.hex())
+            restarted = Quarantine("n0")
+            reader = QuarantineRecords(restarted, store, random.Random(1))
+            reader.apply_stored(stored.key, stored.value, stored.version)
+            self.assertEqual((await restarted.admit(REQUEST)).seconds, 0.0)
+
+        self.run_script(script)
+
     async def claim_trial(self, store, quarantines, records):
         """Have a request refused at all nodes, and run its trial at the first one."""
         await self.refuse_at_all(store, quarantines, records)
@@ -235,6 +251,38 @@
 
         self.run_script(script)
 
+    def test_a_trial_that_reached_no_instance_is_released_before_its_node_may_be_lost(self):
+        """Guards against trials that a node keeps for eight seconds and takes with it."""
+
+        async def script(store, quarantines, records):
+            await self.claim_trial(store, quarantines, records)
+            quarantines[0].end_trial(REQUEST)
+            await trio.sleep(2 * VERDICT_CHECK_SECONDS)
+            self.assertEqual(await self.count_admitted(store, quarantines, records), 1)
+
+        self.run_script(script)
+
+    def test_an_instance_that_outlived_a_trial_and_ends_later_did_not_end_under_it(self):
+        """Guards against trials of clients that left counting for any end within eight seconds."""
+        for outlived, seconds, admitted in ((True, 4.0, 1), (True, 0.5, 0), (False, 4.0, 0)):
+            with self.subTest(outlived=outlived, seconds=seconds):
+
+                async def script(
+                    store, quarantines, records, outlived=outlived, seconds=seconds, found=admitted
+                ):
+                    await self.claim_trial(store, quarantines, records)
+                    quarantines[0].note_interrupted(REQUEST, "i9")
+                    quarantines[0].end_trial(REQUEST)
+                    if outlived:
+                        quarantines[0].note_answer("i9", trio.current_time())
+                    await trio.sleep(seconds)
+                    quarantines[0].note_terminated("i9", TerminationEvidence.REFUSED)
+                    await trio.sleep(VERDICT_SECONDS)
+                    count = await self.count_admitted(store, quarantines, records)
+                    self.assertEqual(count, found)
+
+                self.run_script(script)
+
     def test_a_trial_that_ends_an_instance_is_the_last_one(self):
         for terminates_first in (True, False):
             with self.subTest(terminates_first=terminates_first):
@@ -357,5 +405,61 @@
         self.run_script(script)
 
 
+class PartBesideFatalOnesTest(unittest.TestCase):
+    """A sound part that was answered is served although several fatal ones end instances beside it.
+
+    Guards against this failure: all nodes refused such a part for nine seconds, until its trial.
+    It had been under way at five ends in four seconds; two fatal parts, refused for other ends,
+    explained them all, and only one of these was taken back.
+    """
+
+    SHARED = part_fingerprint("", "shared")
+    FIRST, SECOND = part_fingerprint("", "fatal"), part_fingerprint("", "fatal too")
+    ANSWERED = RequestIdentity(b"answered", parts=(SHARED,))
+    BESIDE = (
+        (0.0, "a1", FIRST, SHARED),
+        (0.1, "a2", FIRST, SHARED),
+        (1.4, "b1", SECOND, SHARED),
+        (2.3, "a3", FIRST, SHARED),
+        (4.1, "b2", SECOND, SHARED),
+    )
+    EVIDENCE = ((1.5, "c1", FIRST), (2.5, "c2", FIRST), (3.5, "c3", FIRST))
+
+    def run_ends(self, ends, answered=True):
+        """Return for each node whether it refuses the part after ends: time, instance, parts.
+
+        The first node has seen an answer with the part, the second hasn't.
+        """
+        refused = []
+
+        async def main():
+            nodes = [Quarantine("n0"), Quarantine("n1")]
+            first, second = nodes
+            first.subscribe(lambda f: second.merge_reports([first.known_crashes(f)]))
+            if answered:
+                first.note_complete_response(self.ANSWERED)
+            for at, instance, *parts in sorted(ends):
+                await trio.sleep_until(at)
+                for part in parts:
+                    for node in nodes:
+                        node.merge_reports([report(part, instance)])
+            refused.extend(node.refused_seconds(self.SHARED) > 0 for node in nodes)
+
+        run_in_virtual_time(main)
+        return refused
+
+    def test_it_is_served_where_what_explains_its_ends_is_known_first(self):
+        self.assertEqual(self.run_ends((*self.BESIDE, *self.EVIDENCE)), [False, False])
+
+    def test_it_is_served_once_what_explains_its_ends_is_known(self):
+        late = [(at + 10.0, *end) for at, *end in self.EVIDENCE]
+        self.assertEqual(self.run_ends(self.BESIDE), [True, True])
+        self.assertEqual(self.run_ends((*self.BESIDE, *late)), [False, False])
+
+    def test_a_part_that_was_not_answered_is_refused(self):
+        ends = (*self.BESIDE, *self.EVIDENCE)
+        self.assertEqual(self.run_ends(ends, answered=False), [True, True])
+
+
 if __name__ == "__main__":
     unittest.main()
