--- a/tests/platform/test_cut_answers_behind.py
+++ b/tests/platform/test_cut_answers_behind.py
@@ -37,6 +37,13 @@
 class CutHeadsTest(CutAnswersCase):
     def test_a_head_before_another_answer(self):
         """Guards against a success with the body of a failure, or with two ids or signatures."""
+        self.play_heads()
+
+    def test_a_head_before_another_answer_through_another_node(self):
+        self.play_heads(tunnel=True)
+
+    def play_heads(self, **world):
+        """Cut a head after each of its bytes but the last, with each other answer behind it."""
         places = range(1, len(BY_LENGTH))
         for name, behind in BEHIND:
             with self.subTest(name):
@@ -46,7 +53,9 @@
                 def answers(_cut, _ending, own=own):
                     return own
 
-                self.play(cuts(name, BY_LENGTH, BODY, (Ending.CLOSE,), bodies=answers, **options))
+                self.play(
+                    cuts(name, BY_LENGTH, BODY, (Ending.CLOSE,), bodies=answers, **options), **world
+                )
 
 
 class CutBodiesTest(CutAnswersCase):
--- a/tests/platform/test_cut_streams.py
+++ b/tests/platform/test_cut_streams.py
@@ -1,4 +1,4 @@
-"""A stream that stopped, or a request that is sent again, never looks whole to a client.
+"""A stream that stopped never looks whole to a client.
 
 A stream that ends inside an event has been broken off, whatever ends it. One with neither a length
 nor chunks is whole when its instance closes behind a complete event.
@@ -7,7 +7,6 @@
 import unittest
 
 from tests.platform.answer_cuts import (
-    BODY,
     BY_CLOSE,
     BY_LENGTH,
     IN_CHUNKS,
@@ -23,11 +22,6 @@
 HAS_BROKEN_OFF = (200, False)
 
 
-def always_whole(whole):
-    """Return bodies for an answer that another instance completes."""
-    return lambda _cut, _ending: (whole,)
-
-
 class CutStreamsTest(CutAnswersCase):
     def test_a_stream_in_chunks(self):
         results = self.play(cuts("", IN_CHUNKS + STREAM_CHUNKS, STREAM, kind=Kind.STREAM))
@@ -52,15 +46,6 @@
         results = self.play(cuts("", stream, STREAM, **options))
         self.assertGreater(results[HAS_BROKEN_OFF], 0)
 
-    def test_a_stream_that_another_instance_goes_on_with(self):
-        stream = IN_CHUNKS + STREAM_CHUNKS
-        options = {"kind": Kind.RESUMABLE, "second": BY_CLOSE + STREAM}
-        self.play(cuts("", stream, STREAM, bodies=always_whole(STREAM), **options))
-
-    def test_a_request_that_is_sent_to_another_instance(self):
-        options = {"kind": Kind.SAFE, "second": BY_LENGTH + BODY}
-        self.play(cuts("", BY_LENGTH + BODY, BODY, bodies=always_whole(BODY), **options))
-
 
 if __name__ == "__main__":
     unittest.main()
