--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -14,7 +14,6 @@
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.instance_notices import (
     AnswerKind,
-    InstanceNotice,
     NoticeListener,
     ignore_notice,
 )
@@ -31,9 +30,17 @@
     TunnelRoute,
 )
 from hopstep.platform.http_client import HttpClient
+from hopstep.platform.instance_answers import (
+    FAILURES,
+    HttpInstanceAnswer,
+    check_head,
+    is_control_answer,
+    is_other_answer,
+    is_own_answer,
+    request_notice,
+)
 from hopstep.platform.notices import read_notice
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
-from hopstep.platform.weights_lines import WeightsVersionScanner
 from hopstep.ports.instance_calls import (
     InstanceAnswer,
     InstanceCall,
@@ -56,11 +63,7 @@
 """Longest duration of a control call: an order or a report."""
 
 MILLISECONDS = 1_000
-MISDIRECTED = 421
 HEAD = b"HEAD"
-NO_BODY_STATUSES = (204, 304)
-
-FAILURES = (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException)
 
 LISTENING_SIGNS = {
     True: InstanceProbeResult.ANSWERS,
@@ -99,43 +102,6 @@
     models: list[_ReportedModel] = []
 
 
-class HttpInstanceAnswer(InstanceAnswer):
-    """An instance's HTTP response."""
-
-    def __init__(self, response: httpcore.Response) -> None:
-        """Read the head of a response.
-
-        Args:
-            response: The library's response.
-        """
-        found = {name.lower(): value for name, value in response.headers}
-        self.status = response.status
-        self.headers = tuple(
-            (name.lower(), value)
-            for name, value in response.headers
-            if name.lower() not in names.PER_CONNECTION and name.lower() != b"date"
-        )
-        self.signed = names.SIGNATURE in found
-        self.weights_version = _number(found.get(names.VERSIONS, b""))
-        is_chunked = b"transfer-encoding" in found
-        if b"content-length" in found and not is_chunked:
-            self.length = _number(found[b"content-length"])
-        self.ends_with_connection = self.length is None and not is_chunked
-        self._response = response
-
-    async def body(self) -> AsyncIterator[bytes]:
-        """Yield the body; see the port."""
-        scanner = WeightsVersionScanner()
-        try:
-            async for data in self._response.aiter_stream():
-                self.weights_version = scanner.scan(data) or self.weights_version
-                yield data
-        except FAILURES as error:
-            raise InstanceCallError(
-                ErrorCode.STREAM_INTERRUPTED, "the answer broke off", Execution.UNKNOWN
-            ) from error
-
-
 class HttpInstances(InstanceCalls, WeightsOrders):
     """Calls instances over pooled connections."""
 
@@ -176,12 +142,12 @@
                 raise _no_tunnel(error) from error
             except FAILURES as error:
                 raise _no_answer(call.proof, error) from error
-            if _is_own_answer(response, call):
+            if is_own_answer(response, call):
                 self._report_headers(call.instance, response)
-                call.on_notice(_request_notice(response))
-            if _is_other_answer(response, call.request.request_id.encode()):
+                call.on_notice(request_notice(response))
+            if is_other_answer(response, call.request.request_id.encode()):
                 self._note_other_answer(call.instance, call.proof)
-            _check_head(response, call)
+            check_head(response, call)
             yield HttpInstanceAnswer(response)
 
     async def probe_connection(self, instance: Instance) -> InstanceProbeResult:
@@ -301,10 +267,10 @@
         try:
             with bounded_answer(instance.address, CONTROL_BOUND, CONTROL_SECONDS) as answer:
                 async with self._client.open(call, SendTrace(proof)) as response:
-                    if _is_other_answer(response, b""):
+                    if is_other_answer(response, b""):
                         self._note_other_answer(instance, proof)
                         return None
-                    if _is_control_answer(response):
+                    if is_control_answer(response):
                         self._report_headers(instance, response)
                         on_notice(
                             read_notice(response.status, response.headers, AnswerKind.CONTROL)
@@ -347,75 +313,6 @@
     return tuple(headers)
 
 
-def _is_own_answer(response: httpcore.Response, call: InstanceCall) -> bool:
-    """Return whether a response is the called instance's answer to this request.
-
-    It is if it repeats the request's id, or is a refusal without an id. A surplus response names
-    another request, and 421 may come from another instance that has the address now.
-    """
-    found = {name.lower(): value for name, value in response.headers}
-    answered = found.get(names.REQUEST_ID)
-    if response.status == MISDIRECTED:
-        return found.get(names.INSTANCE_ID) == call.instance.instance_id.encode()
-    if answered is None:
-        return names.NOT_EXECUTED in found
-    return answered == call.request.request_id.encode()
-
-
-def _request_notice(response: httpcore.Response) -> InstanceNotice:
-    """Return what an instance announces in its own answer to a request."""
-    found = {name.lower() for name, _value in response.headers}
-    kind = AnswerKind.REQUEST if names.REQUEST_ID in found else AnswerKind.REFUSAL
-    return read_notice(response.status, response.headers, kind)
-
-
-def _is_other_answer(response: httpcore.Response, request_id: bytes) -> bool:
-    """Return whether a response names another request than the one that is under way.
-
-    Args:
-        response: The response.
-        request_id: Identifier of the request; empty for a control call, which has none.
-    """
-    found = {name.lower(): value for name, value in response.headers}
-    return found.get(names.REQUEST_ID, request_id) != request_id
-
-
-def _is_control_answer(response: httpcore.Response) -> bool:
-    """Return whether a response is the called instance's answer to a control call.
-
-    Control calls have no id, so a response with an id is a surplus one to an earlier request.
-    """
-    found = {name.lower() for name, _value in response.headers}
-    return names.REQUEST_ID not in found and response.status != MISDIRECTED
-
-
-def _check_head(response: httpcore.Response, call: InstanceCall) -> None:
-    """Raise unless a response's head shows that the instance ran this request."""
-    found = {name.lower(): value for name, value in response.headers}
-    answered = found.get(names.REQUEST_ID)
-    if _is_other_answer(response, call.request.request_id.encode()):
-        raise InstanceCallError(
-            ErrorCode.EXECUTION_UNKNOWN, "the response is to another request", Execution.UNKNOWN
-        )
-    if names.NOT_EXECUTED in found or response.status == MISDIRECTED:
-        code = ErrorCode.OVERLOADED
-        if response.status == MISDIRECTED:
-            code = ErrorCode.PRECONDITION_FAILED
-        named = found.get(names.INSTANCE_ID, b"") if response.status == MISDIRECTED else b""
-        own = named == call.instance.instance_id.encode()
-        raise InstanceCallError(
-            code,
-            f"not run, status {response.status}",
-            Execution.NOT_RUN,
-            stale_version=own and bool(call.expected_version),
-            replaced=bool(named) and not own,
-        )
-    if answered is None:
-        raise InstanceCallError(
-            ErrorCode.EXECUTION_UNKNOWN, "the response has no request id", Execution.UNKNOWN
-        )
-
-
 def _route(instance: Instance, gateway: Gateway) -> TunnelRoute:
     """Return the way to an instance through a gateway."""
     return TunnelRoute(gateway, TunnelTarget(instance.instance_id, instance.address))
@@ -463,11 +360,3 @@
     if error is None or isinstance(error, ConnectionRefusedError):
         return error is not None
     return _is_refused(error.__cause__ or error.__context__)
-
-
-def _number(value: bytes) -> int:
-    """Return a header's integer; 0 when it has none."""
-    try:
-        return int(value)
-    except ValueError:
-        return 0
