--- a/hopstep/platform/http_connection.py
+++ b/hopstep/platform/http_connection.py
@@ -1,44 +1,24 @@
-"""One HTTP/1.1 connection by ``h11``, used through the connection pools of ``httpcore``."""
+"""One HTTP/1.1 connection, used through the connection pools of ``httpcore``."""
 
 from __future__ import annotations
 
 import contextlib
 import enum
 import itertools
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Callable
 
-import h11
 import httpcore
 import msgspec
 import trio
 
 from hopstep.domain.connection_reuse import MAX_SENDS, SentIdentifiers
-from hopstep.platform import names
 from hopstep.platform.http_call import ConnectionUse, HttpCall, SendTrace
-from hopstep.platform.spliced_responses import SplicedBodyScanner, require_single_head
+from hopstep.platform.http_protocol import HttpProtocol
 from hopstep.ports.surplus_answers import SurplusBytes, SurplusListener, SurplusPlace
 
 CALL_EXTENSION = "hopstep.call"
 """Key of a request's extensions under which the pool passes the ``PendingCall`` on."""
 
-MAX_HEAD_BYTES = 64 * 1024
-"""Bytes of a head, of a chunk's first line and of trailers."""
-
-MAX_INFORMATIONAL_RESPONSES = 8
-"""Informational responses (status 1xx) before one response."""
-
-MAX_DISCARDED_ANSWERS = 4
-"""Late answers to earlier calls before the answer to one call."""
-
-MAX_DISCARDED_BYTES = 1024 * 1024
-"""Bytes of the body of a discarded answer."""
-
-MAX_DISCARD_SECONDS = 0.5
-"""Time for the body of a discarded answer: what is sent again is complete."""
-
-MAX_EVENTS_AT_ONCE = 64
-"""Parts of a body that are parsed before other tasks run."""
-
 MAX_JOINED_BODY_BYTES = 16 * 1024
 """Bodies up to this size are written together with the head."""
 
@@ -85,22 +65,6 @@
     trace: SendTrace
 
 
-class _Batch(msgspec.Struct):
-    """Parts of a body that arrived together.
-
-    Attributes:
-        data: The parts, joined.
-        is_last: Whether the body ends with them.
-        needs_data: Whether all that has arrived was taken.
-        failure: What is wrong with the bytes behind them; None if nothing is.
-    """
-
-    data: bytes = b""
-    is_last: bool = False
-    needs_data: bool = False
-    failure: httpcore.ProtocolError | None = None
-
-
 class HttpConnection(httpcore.AsyncConnectionInterface):
     """A connection to one address. It serves one call at a time."""
 
@@ -127,7 +91,7 @@
         self._idle_until = 0.0
         self._sent = SentIdentifiers()
         self._had_surplus = False
-        self._protocol = _new_protocol()
+        self._protocol = HttpProtocol(self._read, self._sent, self._report_other_answer)
 
     async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
         """Send a request and return its response, whose body is read as it arrives.
@@ -148,7 +112,7 @@
         self._sent.add(pending.call.request_id)
         try:
             await self._send(request, pending)
-            response = await self._receive_own_head(request, pending.call)
+            response = await self._protocol.receive_own_head(request, pending.call)
         except BaseException:
             with trio.CancelScope(shield=True):
                 await self.aclose()
@@ -165,14 +129,13 @@
         stream = self._stream or await self._open(pending)
         pending.trace.note_sending(self._number, self._sends + 1)
         self._sends += 1
-        with _mapped_errors():
-            head, *body = [self._protocol.send(e) or b"" for e in _request_events(request, call)]
+        head, body = self._protocol.encode_request(request, call)
         with contextlib.suppress(httpcore.WriteError):
-            if len(call.body) <= MAX_JOINED_BODY_BYTES:
-                await stream.write(b"".join((head, *body)))
+            if len(body) <= MAX_JOINED_BODY_BYTES:
+                await stream.write(head + body)
                 return
             await stream.write(head)
-            await stream.write(call.body)
+            await stream.write(body)
 
     async def _open(self, pending: PendingCall) -> httpcore.AsyncNetworkStream:
         """Open the connection."""
@@ -187,147 +150,32 @@
         pending.trace.note_connected()
         return stream
 
-    async def _receive_own_head(self, request: httpcore.Request, call: HttpCall) -> h11.Response:
-        """Return the head of the response, after discarding late answers to earlier calls."""
-        response = await self._receive_head(call)
-        discarded = 0
-        while self._is_to_earlier_call(response, call):
-            self._report(SurplusPlace.IN_PLACE_OF_ANSWER, 0)
-            if discarded == MAX_DISCARDED_ANSWERS:
-                raise httpcore.RemoteProtocolError("too many answers to earlier calls")
-            await self._discard_answer(request, call)
-            discarded += 1
-            response = await self._receive_head(call)
-        return response
-
-    def _is_to_earlier_call(self, response: h11.Response, call: HttpCall) -> bool:
-        """Return whether a response names another call that this connection has carried."""
-        found = dict(response.headers)
-        answered = found.get(names.REQUEST_ID, b"")
-        return bool(call.request_id) and answered != call.request_id and answered in self._sent
-
-    async def _discard_answer(self, request: httpcore.Request, call: HttpCall) -> None:
-        """Read the current response to its end, and expect another one to the same request.
-
-        The protocol allows one response to a request, so its state is built again: as after the
-        request was sent, with the bytes behind the discarded response.
-        """
-        try:
-            with trio.fail_after(MAX_DISCARD_SECONDS):
-                await self._skip_body(call)
-        except trio.TooSlowError as error:
-            raise httpcore.ReadTimeout("a slow answer to an earlier call") from error
-        if not self._is_exchange_complete():
-            raise httpcore.RemoteProtocolError("the connection ends with an earlier answer")
-        received, has_ended = self._protocol.trailing_data
-        self._protocol = _new_protocol()
-        with _mapped_errors():
-            for event in _request_events(request, call):
-                self._protocol.send(event)
-            if received:
-                self._protocol.receive_data(received)
-            if has_ended:
-                self._protocol.receive_data(b"")
-
-    async def _skip_body(self, call: HttpCall) -> None:
-        """Read the body of the current response and drop it."""
-        size = 0
-        async for data in self.receive_body(call):
-            size += len(data)
-            if size > MAX_DISCARDED_BYTES:
-                raise httpcore.RemoteProtocolError("a long answer to an earlier call")
-
-    async def _receive_head(self, call: HttpCall) -> h11.Response:
-        """Return the head of a response."""
-        informational = 0
-        while True:
-            event = self._next_event()
-            if event is h11.NEED_DATA:
-                await self._receive(call)
-            elif isinstance(event, h11.Response):
-                require_single_head(event)
-                return event
-            elif isinstance(event, h11.InformationalResponse):
-                informational += 1
-                if informational > MAX_INFORMATIONAL_RESPONSES:
-                    raise httpcore.RemoteProtocolError("too many informational responses")
-            else:
-                raise httpcore.RemoteProtocolError("the connection ended without a response")
-
-    async def receive_body(self, call: HttpCall) -> AsyncIterator[bytes]:
-        """Yield the body of the current response; parts that arrived together are joined."""
-        scanner = SplicedBodyScanner()
-        while True:
-            batch = self._take_arrived(scanner)
-            if batch.data:
-                yield batch.data
-            if batch.failure is not None:
-                raise batch.failure
-            if batch.is_last:
-                return
-            if batch.needs_data:
-                await self._receive(call)
-            else:
-                await trio.lowlevel.checkpoint()
-
-    def _take_arrived(self, scanner: SplicedBodyScanner) -> _Batch:
-        """Return a bounded number of the parts of the body that have arrived.
-
-        Args:
-            scanner: Scans the body.
-        """
-        batch = _Batch()
-        parts: list[bytes] = []
-        try:
-            while len(parts) < MAX_EVENTS_AT_ONCE:
-                event = self._next_event()
-                if not isinstance(event, h11.Data):
-                    batch.needs_data = event is h11.NEED_DATA
-                    batch.is_last = not batch.needs_data
-                    break
-                parts.append(bytes(event.data))
-                scanner.feed(parts[-1])
-            if batch.is_last and scanner.is_spliced(self._protocol.trailing_data[0]):
-                raise httpcore.RemoteProtocolError("another response within a body")
-        except httpcore.ProtocolError as error:
-            batch.failure = error
-        batch.data = b"".join(parts)
-        return batch
-
-    def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
-        """Return the next event of the response."""
-        with _mapped_errors():
-            return self._protocol.next_event()
-
-    async def _receive(self, call: HttpCall) -> None:
-        """Read what has arrived; an end of the connection is passed to the protocol too."""
+    async def _read(self, seconds: float | None) -> bytes:
+        """Read what has arrived, within a time in seconds."""
         if self._stream is None:
             raise httpcore.ReadError("the connection is closed")
-        data = await self._stream.read(self._options.read_bytes, timeout=call.read_seconds)
-        with _mapped_errors():
-            self._protocol.receive_data(data)
+        return await self._stream.read(self._options.read_bytes, timeout=seconds)
+
+    def receive_body(self, call: HttpCall) -> AsyncIterator[bytes]:
+        """Return the body of the current response as it arrives."""
+        return self._protocol.receive_body(call)
 
     async def end_response(self, call: HttpCall) -> None:
         """Keep the connection for the next call if the response was read whole; else close it."""
         if self._state is not _State.ACTIVE:
             return
-        if not self._is_exchange_complete():
+        if not self._protocol.is_complete():
             await self.aclose()
             return
-        surplus, _closed = self._protocol.trailing_data
-        if surplus:
-            self._report(SurplusPlace.BEHIND_ANSWER, len(surplus))
+        if self._protocol.surplus:
+            self._report(SurplusPlace.BEHIND_ANSWER, len(self._protocol.surplus))
         if not self._may_carry_another(call):
             await self.aclose()
             return
-        self._protocol.start_next_cycle()
+        self._protocol.start_next()
         self._state = _State.IDLE
         self._idle_until = trio.current_time() + self._options.idle_seconds
 
-    def _is_exchange_complete(self) -> bool:
-        """Return whether request and response are complete and the connection may be kept."""
-        return self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE
-
     def _may_carry_another(self, call: HttpCall) -> bool:
         """Return whether the connection may be used again after a call."""
         if self._had_surplus or call.use is ConnectionUse.SINGLE or self._sends >= MAX_SENDS:
@@ -341,6 +189,10 @@
         found = SurplusBytes(address, place, self._number, self._sends, size)
         self._options.on_surplus(found)
 
+    def _report_other_answer(self) -> None:
+        """Report an answer to an earlier call in the place of the one that is due."""
+        self._report(SurplusPlace.IN_PLACE_OF_ANSWER, 0)
+
     async def aclose(self) -> None:
         """Close the connection; unread bytes of an idle one are reported."""
         was_idle = self._state is _State.IDLE
@@ -430,30 +282,6 @@
             await self._connection.end_response(self._call)
 
 
-def _new_protocol() -> h11.Connection:
-    """Return the state of a connection before its first request."""
-    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-
-
-def _request_events(request: httpcore.Request, call: HttpCall) -> Iterator[h11.Event]:
-    """Yield the events of a request, whose head states the length of its body."""
-    yield h11.Request(method=request.method, target=request.url.target, headers=request.headers)
-    if call.body:
-        yield h11.Data(data=call.body)
-    yield h11.EndOfMessage()
-
-
-@contextlib.contextmanager
-def _mapped_errors() -> Iterator[None]:
-    """Raise the library's errors in place of those of the protocol."""
-    try:
-        yield
-    except h11.RemoteProtocolError as error:
-        raise httpcore.RemoteProtocolError(str(error)) from error
-    except h11.LocalProtocolError as error:
-        raise httpcore.LocalProtocolError(str(error)) from error
-
-
 def _is_readable(stream: httpcore.AsyncNetworkStream) -> bool:
     """Return whether bytes, or the end of the connection, can be read."""
     return bool(stream.get_extra_info("is_readable"))
--- a/tests/platform/test_late_copies_elsewhere.py
+++ b/tests/platform/test_late_copies_elsewhere.py
@@ -14,7 +14,7 @@
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.serving import RequestKind, Route
 from hopstep.domain.reachability.gateways import Gateway
-from hopstep.platform import http_connection
+from hopstep.platform import http_connection, http_protocol
 from hopstep.platform.cache_events import PlatformCacheEvents
 from hopstep.platform.http_call import HttpCall, SendTrace
 from hopstep.platform.http_client import HttpClient
@@ -157,7 +157,7 @@
             self.assertEqual(found, (200, b"run 2"))
 
         copy = answer(b"r1", b"run 1")
-        copies = copy * http_connection.MAX_DISCARDED_ANSWERS
+        copies = copy * http_protocol.MAX_DISCARDED_ANSWERS
         server = ScriptedServer(((0.0, copy), (0.03, copies)), ((0.1, answer(b"r2", b"run 2")),))
         self.run_with(server, script)
 
