Reject a body that holds a response to a call of its connection

What callers saw: where a copy of an earlier answer arrives within the body of a later one, the client got a body of the right length that holds the copy and lacks its own end, as a whole success.

Cause: the bytes that the copy pushes beyond the length are looked for at the moment at which the body ends. Where they come in a later packet, nothing is there yet.

Change: after a status line in a body, the latest 1 KiB is searched for the header that names a request. An id that the connection has carried, this call's included, breaks the answer off before the other response is passed on; quoted heads with any other id are content as before.

Shown: tests.platform.test_copies_within_bodies; before, the client got 1000 bytes as a success, on a direct connection and through a tunnel.

--- a/hopstep/platform/http_protocol.py
+++ b/hopstep/platform/http_protocol.py
@@ -163,7 +163,7 @@
 
     async def receive_body(self, call: HttpCall) -> AsyncIterator[bytes]:
         """Yield the body of the current response; parts that arrived together are joined."""
-        scanner = SplicedBodyScanner()
+        scanner = SplicedBodyScanner(self._sent.__contains__)
         while True:
             batch = self._take_arrived(scanner)
             if batch.data:
@@ -194,6 +194,9 @@
                     break
                 parts.append(bytes(event.data))
                 scanner.feed(parts[-1])
+                if scanner.holds_response:
+                    parts.clear()
+                    raise httpcore.RemoteProtocolError("another response within a body")
             if batch.is_last and scanner.is_spliced(self._protocol.trailing_data[0]):
                 raise httpcore.RemoteProtocolError("another response within a body")
         except httpcore.ProtocolError as error:
--- a/hopstep/platform/spliced_responses.py
+++ b/hopstep/platform/spliced_responses.py
@@ -10,6 +10,7 @@
 
 import re
 from collections import Counter
+from collections.abc import Callable
 
 import h11
 import httpcore
@@ -19,6 +20,12 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.\d +\d{3}")
 """Beginning of a status line."""
 
+ID_LINE = re.compile(rb"(?i)\r\n" + names.REQUEST_ID + rb":[ \t]*([^\r\n]*?)[ \t]*\r\n")
+"""Header of a response that names its request."""
+
+MAX_HEAD_BYTES = 1_024
+"""Latest bytes of a body, after a status line in it, that are searched for the rest of a head."""
+
 STATUS_LINE_BYTES = 12
 """Length of the beginning of a status line with one space."""
 
@@ -52,20 +59,35 @@
 
 
 class SplicedBodyScanner:
-    """Recognizes a body whose end belongs to another response.
+    """Recognizes a body that holds another response, or the beginning of one.
 
-    A status line within a body may be its content; it shows another response only if bytes of that
-    stand behind the body's end.
+    A status line within a body may be its content. It shows another response only if bytes of that
+    stand behind the body's end, or if it names a request that the connection has carried.
+
+    Attributes:
+        holds_response: Whether a part of the body names such a request.
     """
 
-    def __init__(self) -> None:
-        """Start before the body's first byte."""
+    def __init__(self, is_carried: Callable[[bytes], bool] = lambda _identifier: False) -> None:
+        """Start before the body's first byte.
+
+        Args:
+            is_carried: Returns whether the connection has carried a request with an identifier.
+        """
+        self._is_carried = is_carried
         self._tail = b""
+        self._head = b""
+        self.holds_response = False
         self._has_status_line = False
 
     def feed(self, data: bytes) -> None:
         """Scan the next part of the body."""
         self._has_status_line = self._has_status_line or bool(STATUS_LINE.search(self._tail + data))
+        if self._has_status_line:
+            recent = (self._head or self._tail) + data
+            found = (match[1] for match in ID_LINE.finditer(recent))
+            self.holds_response = self.holds_response or any(map(self._is_carried, found))
+            self._head = recent[-MAX_HEAD_BYTES:]
         self._tail = (self._tail + data[-STATUS_LINE_BYTES:])[-STATUS_LINE_BYTES:]
 
     def is_spliced(self, surplus: bytes) -> bool:
