Look at refused parts again only for subjects that may explain them

Since each end of a subject with three and more had all refused parts looked at again.

Passed: tests.services.quarantine.test_quarantine 23, tests.domain.quarantine.test_part_terminations 14, tests.services.exchanges.test_fatal_parts 15.

--- a/hopstep/domain/quarantine/crash_ledger.py
+++ b/hopstep/domain/quarantine/crash_ledger.py
@@ -161,6 +161,10 @@
             if record is not None and record.terminations >= TERMINATIONS_TO_REFUSE:
                 record.clear(incarnation)
 
+    def was_answered(self, fingerprint: bytes) -> bool:
+        """Return whether this node has seen a complete response to a subject."""
+        return self._credits.find(fingerprint) is not None
+
     def clear_explained(self, fingerprint: bytes, now: float) -> bool:
         """Clear the terminations of a refused part that other subjects explain; return if any were.
 
@@ -174,7 +178,7 @@
             now: The time.
         """
         record = self._records.find(fingerprint)
-        if record is None or not is_part(fingerprint) or self._credits.find(fingerprint) is None:
+        if record is None or not is_part(fingerprint) or not self.was_answered(fingerprint):
             return False
         if not self._is_refused(fingerprint, now):
             return False
@@ -191,7 +195,7 @@
         """
         counting = record.counting()
         found = {f for incarnation in counting for f in self._records.requests_at(incarnation)}
-        others = (self._records.find(f) for f in found if self._credits.find(f) is None)
+        others = (self._records.find(f) for f in found if not self.was_answered(f))
         explaining = [
             other.counting()
             for other in others
--- a/hopstep/services/quarantine/quarantine.py
+++ b/hopstep/services/quarantine/quarantine.py
@@ -348,7 +348,9 @@
             fingerprint: Subject with enough terminations to explain others, or to be refused.
         """
         now = trio.current_time()
-        for refused in (fingerprint, *self._log.refused.difference({fingerprint})):
+        explains = not self._ledger.was_answered(fingerprint)
+        others = self._log.refused.difference({fingerprint}) if explains else ()
+        for refused in (fingerprint, *others):
             if self._ledger.clear_explained(refused, now):
                 self._record_change(refused, seen_here=True)
                 self._review(refused, EXPLAINED)
