--- a/tests/platform/answer_cuts.py
+++ b/tests/platform/answer_cuts.py
@@ -90,6 +90,9 @@
     RESUMABLE = "resumable"
 
 
+EARLIER = b"earlier"
+"""End of the path of a request that is answered whole, and leaves a connection for the next."""
+
 ROUTE_FIELDS = {
     Kind.UNSAFE: {"kind": "unsafe", "maxAttempts": 1},
     Kind.SAFE: {"kind": "safe", "maxAttempts": 2},
@@ -116,6 +119,9 @@
         deadline_ms: Time that the client gives.
         headers: Further headers of the request.
         version: HTTP version of the client.
+        tunnel_cut: Bytes of the tunnel that reach the node once the request has been sent; None
+            for all. ``ending`` is then what happens to the tunnel.
+        is_kept: Whether the connection has brought a whole answer before.
     """
 
     name: str
@@ -132,6 +138,8 @@
     deadline_ms: int = 4_000
     headers: tuple[tuple[str, str], ...] = ()
     version: bytes = b"1.1"
+    tunnel_cut: int | None = None
+    is_kept: bool = False
 
 
 class Received(msgspec.Struct):
@@ -172,18 +180,21 @@
 
     Attributes:
         arrivals: Requests that have arrived, by the number of their case.
+        kept: Cases whose request came on a connection that had brought a whole answer.
     """
 
     def __init__(self, cases):
         self.arrivals = Counter()
-        self._cases = cases
+        self.kept = set()
+        self.cases = cases
 
     async def handle(self, stream):
         with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             async with stream:
                 await self._serve(stream)
 
-    async def _serve(self, stream):
+    async def _serve(self, stream, kept=None):
+        """Serve one request; ``kept`` is the case to which the connection has brought an answer."""
         received = b""
         while b"\r\n\r\n" not in received:
             data = await stream.receive_some()
@@ -197,20 +208,32 @@
         if place is None:
             return
         number = int(place[1])
-        case = self._cases[number]
+        case = self.cases[number]
+        request_id = re.search(rb"attempt-id: (\S+)", head.lower())[1]
+        if EARLIER in head.partition(b"\r\n")[0]:
+            await stream.send_all(WHOLE.replace(ID, request_id))
+            await self._serve(stream, number)
+            return
+        if kept == number:
+            self.kept.add(number)
         self.arrivals[number] += 1
         is_first = self.arrivals[number] == 1
         if not is_first and not case.second:
             return
         answer = case.answer if is_first else _continued(case.second, head)
         sent = answer[: case.cut] + case.behind if is_first else answer
-        await stream.send_all(sent.replace(ID, b"a%05d" % number))
-        ending = case.ending if is_first else Ending.CLOSE
-        if ending is Ending.RESET:
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        elif ending is Ending.SILENCE:
-            while await stream.receive_some():
-                pass
+        await stream.send_all(sent.replace(ID, request_id))
+        if is_first and case.tunnel_cut is None:
+            await end(stream, case.ending)
+
+
+async def end(stream, ending):
+    """End a connection that is closed afterwards, by silence until the other side closes it."""
+    if ending is Ending.RESET:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    elif ending is Ending.SILENCE:
+        while await stream.receive_some():
+            pass
 
 
 def _continued(answer, head):
@@ -224,6 +247,51 @@
     return start + b"\r\n\r\n" + b"".join(rest)
 
 
+class CutTunnels:
+    """Passes on the tunnels to a gateway, and cuts them.
+
+    Attributes:
+        gateway: Address of the gateway.
+    """
+
+    def __init__(self, cases):
+        self.gateway = ""
+        self._cases = cases
+
+    async def handle(self, stream):
+        host, _, port = self.gateway.rpartition(":")
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            async with stream, await trio.open_tcp_stream(host, int(port)) as gateway:
+                await self._pass_on(stream, gateway)
+
+    async def _pass_on(self, node, gateway):
+        case = None
+
+        async def pass_requests():
+            nonlocal case
+            with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                while data := await node.receive_some():
+                    place = re.match(rb"[A-Z]+ /c(\d+)/", data)
+                    case = self._cases[int(place[1])] if place is not None else case
+                    await gateway.send_all(data)
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(pass_requests)
+            sent = 0
+            while data := await gateway.receive_some():
+                left = len(data)
+                if case is not None and case.tunnel_cut is not None:
+                    left = case.tunnel_cut - sent
+                    sent += min(left, len(data))
+                await node.send_all(data[:left])
+                if left < len(data):
+                    break
+            nursery.cancel_scope.cancel()
+        if case is not None and case.tunnel_cut is not None:
+            await end(node, case.ending)
+
+
 FIRST_CASE = Case("first", WHOLE, len(WHOLE), Ending.CLOSE, kind=Kind.SAFE, second=WHOLE)
 """Its answers show that a node serves requests, and knows its gateway."""
 
@@ -256,11 +324,11 @@
             bound = await nursery.start(hypercorn.trio.serve, create_store_app(shared), config)
             store = bound[0].removeprefix("http://")
             if self._tunnel:
-                await self._start_node(nursery, "gateway", store)
+                await self._start_gateway(nursery, store)
                 with mock.patch.object(node_process, "HttpInstances", UnreachableInstances):
-                    address = await self._start_node(nursery, "node", store)
+                    address = (await self._start_node(nursery, "node", store))[0]
             else:
-                address = await self._start_node(nursery, "node", store)
+                address = (await self._start_node(nursery, "node", store))[0]
             last = len(self.cases)
             await _wait_answered(address, f"/c{last}/x", f"a{last:05}")
             limit = trio.CapacityLimiter(self._clients)
@@ -299,18 +367,29 @@
             data = json.dumps(value).encode()
             await shared.execute(wire.CompareAndSwap(key, ABSENT.revision, data))
 
-    async def _start_node(self, nursery, name, store):
-        """Start a node and wait until it is ready; return the address for clients."""
+    async def _start_gateway(self, nursery, store):
+        """Start the gateway; the other node reaches it by what cuts tunnels, if any are cut."""
+        if all(case.tunnel_cut is None for case in self.cases):
+            await self._start_node(nursery, "gateway", store)
+            return
+        tunnels = CutTunnels(self.instances.cases)
+        serve = functools.partial(trio.serve_tcp, tunnels.handle, 0, host="127.0.0.1")
+        listeners = await nursery.start(functools.partial(serve, backlog=1024))
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        addresses = await self._start_node(nursery, "gateway", store, peer_public_address=address)
+        tunnels.gateway = addresses[-1]
+
+    async def _start_node(self, nursery, name, store, **settings):
+        """Start a node and wait until it is ready; return its addresses."""
         sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
         addresses = [f"127.0.0.1:{opened.getsockname()[1]}" for opened in sockets]
         for opened in sockets:
             opened.close()
-        settings = ExchangeSettings(
-            name, "z1", *addresses, store=store, **{"memory_mb": 0.0, **self._settings}
-        )
-        nursery.start_soon(node_process.run_node, settings, Path("unused"), {})
+        options = {"store": store, **self._settings, **settings}
+        node = ExchangeSettings(name, "z1", *addresses, **options)
+        nursery.start_soon(node_process.run_node, node, Path("unused"), {})
         await _wait_answered(addresses[1], "/readiness")
-        return addresses[0]
+        return addresses
 
     async def _play(self, address, number, limit, received):
         case = self.cases[number]
@@ -321,6 +400,9 @@
             *case.headers,
         ]
         async with limit:
+            if case.is_kept:
+                earlier = [("Host", HOST), ("Attempt-Id", f"b{number:05}")]
+                await ask(address, "POST", f"/c{number}/{EARLIER.decode()}", earlier)
             for _ in range(TRIES):
                 path = f"/c{number}/x"
                 received[number] = await ask(address, case.method, path, fields, case.version)
@@ -369,10 +451,12 @@
     return received
 
 
-def fault_of(case, number, received, arrivals):
+def fault_of(case, number, received, instances):
     """Return what is wrong with what a client received; empty if nothing is."""
-    if not arrivals:
+    if not instances.arrivals[number]:
         return "never reached an instance"
+    if case.is_kept and number not in instances.kept:
+        return "came on another connection"
     if received.framed and received.status == case.status:
         if received.body not in case.bodies:
             return "looks whole and isn't"
@@ -459,7 +543,7 @@
         faults = []
         for number, (case, received) in enumerate(zip(cases, world.run(), strict=True)):
             results[received.status, received.framed] += 1
-            fault = fault_of(case, number, received, world.instances.arrivals[number])
+            fault = fault_of(case, number, received, world.instances)
             if fault:
                 faults.append((case.name, fault, received))
         self.assertEqual(faults, [])
