Read no further a client's body that doesn't end

Callers saw: a node that reads the refused body of a client for as long as the client sends, and requests that stay open while their clients send a byte now and then.

Cause: a body over the limit was read to its end in every case, so that its refusal isn't lost, and no time was set for a body.

--- a/hopstep/domain/exchanges/request_body.py
+++ b/hopstep/domain/exchanges/request_body.py
@@ -6,19 +6,24 @@
 
 from hopstep.domain.byte_budget import ByteShare
 
+MAX_DISCARDED_BYTES = 16 * 1024 * 1024
+"""Bytes beyond the limit up to which a body that isn't kept is read."""
+
 
 class BodyOmission(enum.StrEnum):
     """Why a body isn't kept."""
 
     TOO_LONG = "too_long"
     NO_SPACE = "no_space"
+    TOO_SLOW = "too_slow"
 
 
 class RequestBody:
     """A body that is kept whole or not at all, and read to its end in either case.
 
-    Closing the connection before the end may lose the refusal. Once a part isn't kept nothing is
-    any more, whatever the limit or the free space become later.
+    Closing the connection before the end may lose the refusal, so that only a body that may have
+    no end is given up before it. Once a part isn't kept nothing is any more, whatever the limit or
+    the free space become later.
 
     Attributes:
         received_bytes: Bytes that have arrived.
@@ -52,6 +57,15 @@
         else:
             self._data += data
 
+    @property
+    def may_be_endless(self) -> bool:
+        """Whether so much has arrived beyond the limit that no more of it is read."""
+        return self.received_bytes > self.limit_bytes + MAX_DISCARDED_BYTES
+
+    def give_up(self) -> None:
+        """Drop what has arrived: the rest doesn't come in time."""
+        self._omit(BodyOmission.TOO_SLOW)
+
     def _omit(self, omission: BodyOmission) -> None:
         """Drop the body."""
         self.omission = omission
--- a/hopstep/log_events/requests.py
+++ b/hopstep/log_events/requests.py
@@ -209,7 +209,8 @@
     Level.INFO,
     ("request_id", "reason", "received_bytes", "limit_bytes", "limit_now_bytes", "configuration"),
     "Nothing: HS3102 says how it was refused. `too_long`: over `limit_bytes`, the limit at its "
-    "head; `limit_now_bytes` is that of `configuration`. `no_space`: see HS3122.",
+    "head; `limit_now_bytes` is that of `configuration`. `no_space`: see HS3122. `too_slow`: its "
+    "client sends it too slowly or without end.",
 )
 RESPONSE_RELAYED_IN_PARTS = LogEvent(
     "HS3121",
--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -24,6 +24,10 @@
 Receive = Callable[[], Awaitable[Any]]
 Send = Callable[[Any], Awaitable[None]]
 
+BODY_SECONDS = 60.0
+"""Longest time from a request's head to the end of its body: far above the time for which clients
+wait, so that only bodies that don't end take as long."""
+
 MILLISECONDS = 1_000.0
 UNKNOWN_STATUS = 502
 TIMEOUT_STATUS = 504
@@ -152,14 +156,17 @@
 
 
 async def _read_body(receive: Receive, request: IncomingRequest) -> bool:
-    """Read a request's body to its end; return False when the client disconnected."""
-    while True:
-        message = await receive()
-        if message["type"] != "http.request":
-            return False
-        request.add(message.get("body", b""))
-        if not message.get("more_body", False):
-            return True
+    """Read a request's body as far as it is wanted; return False when the client disconnected."""
+    with trio.move_on_after(BODY_SECONDS):
+        while True:
+            message = await receive()
+            if message["type"] != "http.request":
+                return False
+            wants_more = request.add(message.get("body", b""))
+            if not (wants_more and message.get("more_body", False)):
+                return True
+    request.give_up_body()
+    return True
 
 
 async def _cancel_on_disconnect(
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -105,12 +105,19 @@
     share: ByteShare
 
     @abc.abstractmethod
-    def add(self, data: bytes) -> None:
-        """Add the next part of the body."""
+    def add(self, data: bytes) -> bool:
+        """Add the next part of the body; return whether more of it is to be read.
+
+        Without that the request is served at once: it is refused.
+        """
+
+    @abc.abstractmethod
+    def give_up_body(self) -> None:
+        """Note that the body doesn't end in time; the request is refused when it is served."""
 
     @abc.abstractmethod
     async def serve(self, answer: ClientAnswer) -> None:
-        """Serve the request, whose body has ended.
+        """Serve the request, whose body has ended or is read no further.
 
         Raises:
             ServiceError: When the request failed before any part of a response was sent.
--- a/hopstep/services/exchanges/requests/intake/admission.py
+++ b/hopstep/services/exchanges/requests/intake/admission.py
@@ -97,6 +97,8 @@
         raise ServiceError(ErrorCode.BODY_TOO_LARGE, "the body is too long")
     if body.omission is BodyOmission.TOO_LONG:
         raise _changed("the limit on bodies rose while the body arrived")
+    if body.omission is BodyOmission.TOO_SLOW:
+        raise ServiceError(ErrorCode.DEADLINE_EXCEEDED, "the body didn't end in time")
     if body.omission is BodyOmission.NO_SPACE:
         raise no_space()
 
--- a/hopstep/services/exchanges/requests/intake/incoming_exchange.py
+++ b/hopstep/services/exchanges/requests/intake/incoming_exchange.py
@@ -29,9 +29,14 @@
         self._serve = serve
         share.body_pending = True
 
-    def add(self, data: bytes) -> None:
+    def add(self, data: bytes) -> bool:
         """Add the next part of the body; see the port."""
         self._body.add(data)
+        return not self._body.may_be_endless
+
+    def give_up_body(self) -> None:
+        """Note that the body doesn't end in time; see the port."""
+        self._body.give_up()
 
     async def serve(self, answer: ClientAnswer) -> None:
         """Serve the request; see the port."""
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -2,11 +2,13 @@
 
 import contextlib
 import unittest
+from unittest import mock
 
 import trio
 
 from hopstep.domain.byte_budget import ByteBudget, ByteShare
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
+from hopstep.platform import front
 from hopstep.platform.front import ExchangeFront
 from hopstep.ports.exchange_front import CONNECTION_STATE, ExchangeHandler, IncomingRequest
 
@@ -43,6 +45,7 @@
 
     def __init__(self, error=None):
         self.error = error
+        self.wanted_parts = 100
         self.heads = []
         self.connections = []
         self.bodies = []
@@ -77,18 +80,36 @@
 
     def add(self, data):
         self.parts.append(data)
+        return len(self.parts) < self.service.wanted_parts
+
+    def give_up_body(self):
+        self.parts = [b"given up"]
 
     async def serve(self, answer):
         await self.service.serve(self.head, b"".join(self.parts), answer)
 
 
 class FrontTest(unittest.TestCase):
+    def test_a_body_is_read_no_further_than_it_is_wanted(self):
+        """Guards against bodies without end that are read for as long as their clients send."""
+        service = Service()
+        service.wanted_parts = 3
+        self.exchange(service, body=[b"x"] * 50)
+        self.assertEqual(service.bodies, [b"xxx"])
+
+    def test_a_body_that_does_not_end_in_time_is_given_up(self):
+        """Guards against requests that stay open while their clients send a byte now and then."""
+        service = Service()
+        with mock.patch.object(front, "BODY_SECONDS", 0.05):
+            self.exchange(service, body=(b"12", b"345", None))
+        self.assertEqual(service.bodies, [b"given up"])
+
     def exchange(self, service, body=(b"12", b"345"), headers=HEADERS, stopping=False, query=b""):
         sent = []
         parts = list(body)
 
         async def receive():
-            if not parts:
+            if not parts or parts[0] is None:
                 await trio.sleep_forever()
             data = parts.pop(0)
             return {"type": "http.request", "body": data, "more_body": bool(parts)}
@@ -103,8 +124,8 @@
             "query_string": query,
             "headers": list(headers),
         }
-        front = ExchangeFront(service, lambda: stopping)
-        trio.run(front, scope, receive, send)
+        application = ExchangeFront(service, lambda: stopping)
+        trio.run(application, scope, receive, send)
         return sent
 
     def test_method_target_body_and_headers_go_on_untouched(self):
--- a/tests/services/exchanges/test_request_body.py
+++ b/tests/services/exchanges/test_request_body.py
@@ -6,7 +6,11 @@
 
 from emulator.virtual_time import run_in_virtual_time
 from hopstep.domain.byte_budget import ByteBudget, ByteShare
-from hopstep.domain.exchanges.request_body import BodyOmission, RequestBody
+from hopstep.domain.exchanges.request_body import (
+    MAX_DISCARDED_BYTES,
+    BodyOmission,
+    RequestBody,
+)
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.requests.intake.held_bytes import HeldBytes
 from hopstep.services.exchanges.requests.intake.incoming_exchange import IncomingExchange
@@ -49,6 +53,19 @@
         with self.assertRaisesRegex(ValueError, "no_space"):
             body.take()
 
+    def test_a_body_without_end_is_read_no_further(self):
+        """Guards against clients whose refused bodies are read for as long as they send."""
+        body, _ = self.body([b"x" * MAX_DISCARDED_BYTES], limit_bytes=10)
+        self.assertFalse(body.may_be_endless)
+        body.add(b"x" * 11)
+        self.assertTrue(body.may_be_endless)
+
+    def test_a_body_that_is_given_up_is_held_no_longer(self):
+        """Guards against the space of bodies that don't end."""
+        body, share = self.body([b"123"], budget_bytes=1_000)
+        body.give_up()
+        self.assertEqual((body.omission, share.held_bytes), (BodyOmission.TOO_SLOW, 0))
+
 
 class IncomingExchangeTest(unittest.TestCase):
     def test_a_body_is_counted_as_it_arrives_until_its_request_has_ended(self):
