Drop the rest of a body that is answered already, and log refused bytes

Callers saw: every request of a node waits for 0.14 s as a client is refused that sends its body in chunks of a byte.

Cause: once a request was answered, the server went through all chunks of a read without letting other tasks run.

Change: the rest of a body whose request is answered yields no events; such a connection is closed. Bytes that are no request, or a head, a chunk's line or a trailer over the limit on heads have an event, HS2007.

--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -15,9 +15,13 @@
 import hypercorn.protocol
 from hypercorn.protocol.h11 import H11Protocol
 
+from hopstep.log_events.http_api import BYTES_REJECTED
+from hopstep.logs import emit
 from hopstep.ports.exchange_front import TARGET_STATE
 
 UPGRADE = b"upgrade"
+ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+"""States of the server's side once it has sent a whole answer."""
 
 
 class LimitedConnection(h11.Connection):
@@ -38,6 +42,16 @@
             self._apply_limit()
         super().receive_data(data)
 
+    def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Return the next event of the client; none of a body whose request is answered already.
+
+        Such a connection is closed. The server would handle all chunks of a read without letting
+        other tasks run.
+        """
+        if self.our_state in ANSWERED_STATES and self.their_state is h11.SEND_BODY:
+            return h11.NEED_DATA
+        return super().next_event()
+
     def start_next_cycle(self) -> None:
         """Prepare for the next request, of which bytes may have arrived already."""
         super().start_next_cycle()
@@ -59,6 +73,12 @@
     async def _check_protocol(self, event: h11.Request) -> None:
         """Skip the check for an upgrade."""
 
+    async def _send_error_response(self, status_code: int) -> None:
+        """Refuse bytes that are no request, or too long, and log that."""
+        client = ":".join(map(str, self.client)) if self.client is not None else ""
+        emit(BYTES_REJECTED, client=client, status=status_code)
+        await super()._send_error_response(status_code)
+
     async def _create_stream(self, request: h11.Request) -> None:
         """Begin a request without its ``Upgrade`` header, and pass on its target."""
         self.connection_state[TARGET_STATE] = bytes(request.target)
--- a/hopstep/log_events/http_api.py
+++ b/hopstep/log_events/http_api.py
@@ -42,3 +42,11 @@
     ("error_type", "location"),
     "Report it: a fault in hopstep or its server. Only this connection was closed.",
 )
+BYTES_REJECTED = LogEvent(
+    "HS2007",
+    "bytes_rejected",
+    Level.INFO,
+    ("client", "status"),
+    "If it recurs: check the client; it sends what is no HTTP request, or a head, a chunk's line "
+    "or a trailer over the limit on heads. Its connection is closed.",
+)
