Break a tunnel whose gateway announces its stop without end

Callers saw: a request through another node that waits until its deadline while the gateway sends nothing but announcements of its stop.

Cause: each announcement was accepted, without any bound.

Change: a second announcement breaks the tunnel. Bytes of a tunnel that have arrived already are returned only after other tasks have run, and without a copy of what is left.

Evidence: tests.adapters.test_tunnels_without_end. The announcements were read until the test gave up after 5 s; requests for tunnels that drip were closed without a line in the log.

--- a/hopstep/adapters/tunnel_client.py
+++ b/hopstep/adapters/tunnel_client.py
@@ -124,8 +124,14 @@
         return data
 
     def _begin_chunk(self, length: int) -> None:
-        """Apply the header of a chunk."""
+        """Apply the header of a chunk.
+
+        Raises:
+            TunnelFrameError: When the gateway announces its stop again.
+        """
         if length == STOP:
+            if self._is_stale:
+                raise TunnelFrameError("the stop is announced again")
             self._is_stale = True
         elif length == END:
             self._has_ended = True
--- a/hopstep/adapters/tunnel_server.py
+++ b/hopstep/adapters/tunnel_server.py
@@ -122,6 +122,7 @@
             await client.send_all(challenge)
             request = self._authenticate(await reader.read_frame(), challenge)
         if handshake.cancelled_caught:
+            emit(TUNNEL_REJECTED, reason="no request in time")
             return
         failure = self._gate.check(request.sender, request.target)
         instance: trio.SocketStream | None = None
--- a/hopstep/adapters/tunnel_streams.py
+++ b/hopstep/adapters/tunnel_streams.py
@@ -18,7 +18,11 @@
 
 
 class FrameReader:
-    """Reads frames and chunks of a stream."""
+    """Reads frames and chunks of a stream.
+
+    Other tasks run before bytes that have arrived already are returned: one read may hold
+    thousands of short chunks.
+    """
 
     def __init__(self, stream: trio.SocketStream) -> None:
         """Read a stream from here on; nobody else may read it.
@@ -27,7 +31,7 @@
             stream: The stream.
         """
         self._stream = stream
-        self._buffer = b""
+        self._buffer = bytearray()
 
     async def read_frame(self) -> bytes:
         """Return the next frame without its header.
@@ -60,12 +64,17 @@
             if not received:
                 raise TunnelFrameError("ended")
             self._buffer += received
-        data, self._buffer = self._buffer[:count], self._buffer[count:]
-        return data
+        return await self._take(count)
 
     async def read_some(self, max_bytes: int) -> bytes:
         """Return the next bytes, as many as have arrived; none at the end of the stream."""
         if not self._buffer:
             return bytes(await self._stream.receive_some(min(max_bytes, READ_BYTES)))
-        data, self._buffer = self._buffer[:max_bytes], self._buffer[max_bytes:]
+        return await self._take(max_bytes)
+
+    async def _take(self, max_bytes: int) -> bytes:
+        """Return the first bytes that have arrived."""
+        await trio.lowlevel.checkpoint()
+        data = bytes(self._buffer[:max_bytes])
+        del self._buffer[:max_bytes]
         return data
