Read nothing of an answer whose stated length is over the limit

Callers saw: 16 MiB read and held for each answer that states a length which is never relayed, before its request goes on elsewhere.

Cause: the length was compared with what had been read; the one that the head states only where an answer is relayed in parts.

Change: it is compared before the body is read. The attempt fails as one whose answer is too long, as before.

Evidence: test_a_response_whose_stated_length_is_too_long_is_not_read, where the answer was relayed before.

--- a/hopstep/services/exchanges/requests/attempts/answer_relay.py
+++ b/hopstep/services/exchanges/requests/attempts/answer_relay.py
@@ -200,6 +200,7 @@
 
         A response that the node has no space for is relayed in parts from there on.
         """
+        require_length(answer.length or 0)
         parts = answer.body()
         held = HeldResponse(space)
         async for data in parts:
--- a/tests/services/exchanges/test_held_bytes.py
+++ b/tests/services/exchanges/test_held_bytes.py
@@ -52,15 +52,15 @@
         self.length = None
         self.held = []
         self.read_before = []
-        self._read = read
+        self.received = read
 
     async def start(self, status, headers, length):
         await super().start(status, headers, length)
         self.length = length
 
     async def send(self, data):
-        if self._read is not None:
-            self.read_before.append(len(self._read))
+        if self.received is not None:
+            self.read_before.append(len(self.received))
         self.held.append(self.share.held_bytes)
         await trio.sleep(0.01)
         await super().send(data)
@@ -167,6 +167,13 @@
                 self.assertEqual((answer.status, answer.body), (None, b""))
                 self.assertFalse(answer.promised_not_run)
 
+    def test_a_response_whose_stated_length_is_too_long_is_not_read(self):
+        """Guards against 16 MiB that are read and held of a body that can't be relayed."""
+        with mock.patch.object(EmulatedAnswer, "length", MAX_RESPONSE_BYTES + 1):
+            answer, _ = self.exchange("unsafe", PARTS, spare=10 * len(WHOLE))
+        self.assertEqual((answer.status, answer.promised_not_run), (None, False))
+        self.assertEqual(answer.received, [])
+
     def test_a_response_that_is_too_long_is_cut(self):
         parts = (b"x" * (MAX_RESPONSE_BYTES // 2),) * 3
         answer, _ = self.exchange("unsafe", parts, spare=0)
