Break off an answer in thousands of parts of a byte or so

Callers saw: all requests of a node wait for seconds while three of twenty instances send their answers in chunks of a byte, without end.

Cause: each part costs about the same whatever its size, so that the limit of 16 MiB allows minutes of work for one answer.

Change: an answer in more than 2,048 parts must have 8 bytes for each of them on average, else it has broken off, and its instance counts as failing. An event of a stream has more.

--- a/hopstep/adapters/engine_http.py
+++ b/hopstep/adapters/engine_http.py
@@ -250,7 +250,7 @@
     Raises:
         EngineError: The stream ended before its last frame, or the attempt was refused.
     """
-    with contextlib.suppress(httpx.HTTPError):
+    with contextlib.suppress(httpx.HTTPError, BodyTooLongError):
         async for data in chunks:
             for frame in decoder.feed(data):
                 yield frame
@@ -280,7 +280,7 @@
 
 async def _drain(chunks: AsyncIterator[bytes]) -> None:
     """Read and discard the rest of a body."""
-    with contextlib.suppress(httpx.HTTPError, httpx.StreamError):
+    with contextlib.suppress(httpx.HTTPError, httpx.StreamError, BodyTooLongError):
         async for _ in chunks:
             pass
 
--- a/hopstep/bounded_body.py
+++ b/hopstep/bounded_body.py
@@ -21,6 +21,13 @@
 one read may hold ten thousand chunks."""
 
 
+MAX_SMALL_PARTS = 2048
+SMALL_PART_BYTES = 8
+"""An answer in more than ``MAX_SMALL_PARTS`` parts has at least this many bytes for each. A part
+costs some 30 microseconds whatever its size, so that three instances that send bytes in chunks of
+their own take a whole processor; an event of a stream has more than 16 bytes."""
+
+
 class CallKind(enum.StrEnum):
     """Kind of call that an answer is to."""
 
@@ -70,7 +77,10 @@
 
 
 class BodyTooLongError(httpcore.RemoteProtocolError):
-    """A body is longer than its bound; callers treat it as an answer that isn't HTTP."""
+    """A body is longer than its bound, or in too many parts.
+
+    Callers treat it as an answer that isn't HTTP.
+    """
 
 
 class BoundedAnswer:
@@ -97,11 +107,14 @@
             BodyTooLongError: When it exceeds the bound; the rest of it isn't read.
         """
         body = self._body = bytearray()
-        async for data in read_parts(parts):
-            body += data
-            if len(body) > self._bound.max_bytes:
-                self._log(ExceededBound.BYTES)
-                raise BodyTooLongError("the body is too long")
+        try:
+            async for data in read_parts(parts):
+                body += data
+                if len(body) > self._bound.max_bytes:
+                    raise BodyTooLongError("the body is too long")
+        except BodyTooLongError:
+            self._log(ExceededBound.BYTES)
+            raise
         return bytes(body)
 
     def note_timeout(self) -> None:
@@ -124,10 +137,18 @@
     """Yield the parts of a body; other tasks run at least each ``STEP_SECONDS``.
 
     A cancellation is left to the library's next read, which closes what it has open.
+
+    Raises:
+        BodyTooLongError: When the parts are too many and too small.
     """
     yielded_at = trio.current_time()
+    count = size = 0
     async for data in parts:
         yield data
+        count += 1
+        size += len(data)
+        if count > MAX_SMALL_PARTS and size < count * SMALL_PART_BYTES:
+            raise BodyTooLongError("the body has too many small parts")
         if trio.current_time() - yielded_at > STEP_SECONDS:
             await trio.lowlevel.cancel_shielded_checkpoint()
             yielded_at = trio.current_time()
