--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -470,6 +470,27 @@
 PROFILES_WITH_PARTS = tuple(_with_parts(profile) for profile in PROFILES)
 
 
+FIRST_SEED_WITH_ANSWERS = 100_000
+"""First seed with faulty answers of instances in the profile "everything"."""
+
+
+def _with_answers(profile: Profile) -> Profile:
+    """Return the profile of later seeds with faulty answers in "everything", others unchanged."""
+    if profile.name != "everything, parts too":
+        return profile
+    kinds = (
+        *profile.kinds,
+        *(ANSWERS_REPEATED,) * 4,
+        ANSWERS_STOPPED,
+        ANSWERS_UNFRAMED,
+        ANSWERS_ENDLESS,
+    )
+    return msgspec.structs.replace(profile, name="everything, answers too", kinds=kinds)
+
+
+PROFILES_WITH_ANSWERS = tuple(_with_answers(profile) for profile in PROFILES_WITH_PARTS)
+
+
 def profile_of(seed: int, name: str = "") -> Profile:
     """Return the profile of a seed; consecutive seeds have different profiles.
 
@@ -488,6 +509,7 @@
         *PROFILES_WITH_CUTS,
         *PROFILES_WITH_SOFTWARE,
         *PROFILES_WITH_PARTS,
+        *PROFILES_WITH_ANSWERS,
         SHORT,
         PARTS,
         CHANGES,
@@ -508,6 +530,8 @@
 
 def _profiles_of(seed: int) -> tuple[Profile, ...]:
     """Return the profiles from which a seed takes its own."""
+    if seed >= FIRST_SEED_WITH_ANSWERS:
+        return PROFILES_WITH_ANSWERS
     if seed >= FIRST_SEED_WITH_PARTS:
         return PROFILES_WITH_PARTS
     if seed >= FIRST_SEED_WITH_SOFTWARE:
--- a/tests/emulator/soak/test_profiles.py
+++ b/tests/emulator/soak/test_profiles.py
@@ -11,6 +11,7 @@
 from emulator.soak.hostile_callers import HostileCallers
 from emulator.soak.operators import Operator
 from emulator.soak.profiles import (
+    ANSWERS_REPEATED,
     CHANGES,
     CUTS,
     FATAL_PART,
@@ -68,7 +69,13 @@
         undisturbed = [p for p in PROFILES if not set(p.kinds) & set(STORE_KINDS)]
         self.assertGreaterEqual(len(undisturbed), 3)
 
-    def test_the_newest_seeds_draw_fatal_parts_among_everything(self):
+    def test_the_newest_seeds_draw_faulty_answers_among_everything(self):
+        names = {profile_of(seed).name for seed in range(100_000, 100_007)}
+        self.assertIn("everything, answers too", names)
+        older = {kind for seed in range(80_000, 80_007) for kind in profile_of(seed).kinds}
+        self.assertNotIn(ANSWERS_REPEATED, older)
+
+    def test_newer_seeds_draw_fatal_parts_among_everything(self):
         names = {profile_of(seed).name for seed in range(80_000, 80_007)}
         self.assertIn("everything, parts too", names)
         older = {kind for seed in range(70_000, 70_007) for kind in profile_of(seed).kinds}
