--- a/hopstep/bounded_body.py
+++ b/hopstep/bounded_body.py
@@ -21,7 +21,7 @@
 one read may hold ten thousand chunks."""
 
 
-MAX_SMALL_PARTS = 2048
+MAX_SMALL_PARTS = 512
 SMALL_PART_BYTES = 8
 """An answer in more than ``MAX_SMALL_PARTS`` parts has at least this many bytes for each. A part
 costs some 30 microseconds whatever its size, so that three instances that send bytes in chunks of
