--- a/emulator/soak/answer_faults.py
+++ b/emulator/soak/answer_faults.py
@@ -64,6 +64,11 @@
     CUT = "cut"
 
 
+COPY_TIMES = (*CopyTime, *(CopyTime.NEXT,) * 2, *(CopyTime.CUT,) * 2)
+"""Times that are drawn. Nodes see most other copies before they use the connection again, and then
+use each connection to that instance once only, for some seconds."""
+
+
 class StopKind(enum.StrEnum):
     """What follows an answer that has stopped; ``AGAIN`` is the same answer from its beginning."""
 
@@ -330,7 +335,7 @@
             await self._client.send_all(last)
             return
         copy = reader.recorded
-        time = self._generator.choice(list(CopyTime))
+        time = self._generator.choice(COPY_TIMES)
         if time is CopyTime.AT_ONCE:
             self._proxy.report(self._number, f"copy {time}", reader)
             await self._client.send_all(last + copy)
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -51,7 +51,7 @@
 """Time before the platform gives the address of a terminated instance to another one."""
 
 FREEZE_SECONDS = (0.1, 1.2)
-REPEATED_SHARES = (0.2, 0.6, 1.0)
+REPEATED_SHARES = (0.05, 0.2, 1.0)
 STOPPED_SHARES = (0.05, 0.2)
 ENDLESS_SHARE = 0.05
 FAILING_SHARES = (0.3, 0.7, 1.0)
