--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -16,6 +16,7 @@
     LIMITS,
     NOTICES,
     PARTS,
+    REPEATED_IDS,
     RESTORES,
     SHORT,
     SOFTWARE_VERSIONS,
@@ -37,13 +38,15 @@
     (17, SOFTWARE_VERSIONS.name),
     (80_105, PARTS.name),
     (90_105, CHANGES.name),
+    (95_503, REPEATED_IDS.name),
 )
 """Seeds and profiles: lost routes to the store during changes; planned work during changes;
 fatal requests, later incarnations of instances, entries of other writers and suspended machines;
 instances that announce in responses that they are shutting down or want backoff; instances that
 announce limits; a store that is restored from backups; nodes that lose their links to instances;
-instances of several software versions; parts of prompts that crash instances; and limits, tenants,
-keys and services that change while requests arrive in pieces.
+instances of several software versions; parts of prompts that crash instances; limits, tenants,
+keys and services that change while requests arrive in pieces; and instances whose answers come
+twice, stop or never end, while callers send ids again.
 """
 
 
