--- a/emulator/soak/answer_faults.py
+++ b/emulator/soak/answer_faults.py
@@ -23,8 +23,11 @@
 MAX_COPY_BYTES = 65_536
 """Longer answers are never repeated."""
 
-STOP_BYTES = 400
-"""Answers stop before this byte; an instance's head has some 250 bytes."""
+STOP_BYTES = 300
+"""Answers that stop in their head do so before this byte; an instance's head has some 250 bytes."""
+
+BODY_STOP_BYTES = 40
+"""Answers that stop in their body do so before this byte of it; short bodies have some 20 bytes."""
 
 SILENT_SECONDS = 1.0
 """Time for which a connection stays open and silent behind an answer that has stopped."""
@@ -78,6 +81,10 @@
     AGAIN = "again"
 
 
+STOP_KINDS = (*StopKind, StopKind.AGAIN, StopKind.AGAIN)
+"""Kinds that are drawn; only in the last one do bytes follow that might be taken for the rest."""
+
+
 class EndlessForm(enum.StrEnum):
     """What comes without end."""
 
@@ -164,6 +171,27 @@
         return own
 
 
+class _Stop(msgspec.Struct, frozen=True):
+    """Where an answer stops: a byte of the answer, or one of its body."""
+
+    is_in_body: bool
+    byte: int
+
+    @classmethod
+    def draw(cls, generator: random.Random) -> _Stop:
+        """Return a random stop, in the body as often as in the head."""
+        if generator.random() < 0.5:
+            return cls(is_in_body=True, byte=generator.randrange(BODY_STOP_BYTES))
+        return cls(is_in_body=False, byte=generator.randrange(1, STOP_BYTES))
+
+    def position(self, recorded: bytes) -> int | None:
+        """Return the number of bytes that are sent before it; None if that isn't known yet."""
+        if not self.is_in_body:
+            return self.byte
+        head_bytes = recorded.find(HEAD_END)
+        return None if head_bytes < 0 else head_bytes + len(HEAD_END) + self.byte
+
+
 class FaultyAnswerProxy:
     """Forwards connections to one instance; the shares of faults may change at any time."""
 
@@ -311,11 +339,12 @@
             if self._proxy.draw(faults.unframed):
                 await self._send_unframed(reader, data)
                 return False
-            stop_at = generator.randrange(1, STOP_BYTES) if self._proxy.draw(faults.stopped) else 0
+            stop = _Stop.draw(generator) if self._proxy.draw(faults.stopped) else None
             while True:
                 sent = len(reader.recorded)
                 own = reader.read(data)
-                if stop_at and len(reader.recorded) > stop_at:
+                stop_at = stop.position(reader.recorded) if stop is not None else None
+                if stop_at is not None and sent <= stop_at < len(reader.recorded):
                     await self._stop(reader, own[: stop_at - sent])
                     return False
                 if reader.whole or not data:
@@ -376,7 +405,7 @@
 
     async def _stop(self, reader: _AnswerReader, last: bytes) -> None:
         """Send the last bytes of an answer that stops, and end the connection."""
-        kind = self._generator.choice(list(StopKind))
+        kind = self._generator.choice(STOP_KINDS)
         self._proxy.report(self._number, f"stopped, {kind}", reader)
         await self._client.send_all(last)
         if kind is StopKind.AGAIN:
