Break off a body that floods a connection with parts of a byte

The connection joins what has arrived together, so the bound on small parts above it no longer saw them, and one answer could take minutes of work.

--- a/hopstep/platform/http_protocol.py
+++ b/hopstep/platform/http_protocol.py
@@ -10,6 +10,7 @@
 import msgspec
 import trio
 
+from hopstep.bounded_body import MAX_SMALL_PARTS, SMALL_PART_BYTES, BodyTooLongError
 from hopstep.domain.connection_reuse import SentIdentifiers
 from hopstep.platform import names
 from hopstep.platform.http_call import HttpCall
@@ -50,6 +51,29 @@
     failure: httpcore.ProtocolError | None = None
 
 
+class _Arrived(msgspec.Struct):
+    """What one read has brought of a body.
+
+    Attributes:
+        parts: Number of parts.
+        size: Their bytes.
+    """
+
+    parts: int = 0
+    size: int = 0
+
+    def note(self, size: int) -> None:
+        """Count a part.
+
+        Raises:
+            BodyTooLongError: When there are many parts of a byte or so.
+        """
+        self.parts += 1
+        self.size += size
+        if self.parts > MAX_SMALL_PARTS and self.size < self.parts * SMALL_PART_BYTES:
+            raise BodyTooLongError("the body has too many small parts")
+
+
 class HttpProtocol:
     """Requests and responses of one connection, one after another."""
 
@@ -69,6 +93,7 @@
         self._read = read
         self._sent = sent
         self._on_other_answer = on_other_answer
+        self._arrived = _Arrived()
         self._protocol = _new_protocol()
 
     @property
@@ -193,6 +218,7 @@
                     batch.is_last = not batch.needs_data
                     break
                 parts.append(bytes(event.data))
+                self._arrived.note(len(parts[-1]))
                 scanner.feed(parts[-1])
                 if scanner.holds_response:
                     parts.clear()
@@ -212,6 +238,7 @@
     async def _receive(self, call: HttpCall) -> None:
         """Read what has arrived; an end of the connection is passed to the protocol too."""
         data = await self._read(call.read_seconds)
+        self._arrived = _Arrived()
         with _mapped_errors():
             self._protocol.receive_data(data)
 
