--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -343,18 +343,21 @@
 
     async def answers_repeated(self) -> None:
         """Let one instance, all of a service, or all of them send a share of answers twice."""
+        share = self._generator.choice(REPEATED_SHARES)
+        await self._answers_faulty(self._some_instances(), AnswerFaults(repeated=share))
+
+    def _some_instances(self) -> list[InstanceLinks]:
+        """Return one instance, all of a service, or all of them."""
         instances = self._deployment.instances
         one = self._instance()
         service = one.instance.traits.service
         own = [links for links in instances if links.instance.traits.service == service]
-        chosen = self._generator.choice(([one], own, instances.copy()))
-        share = self._generator.choice(REPEATED_SHARES)
-        await self._answers_faulty(chosen, AnswerFaults(repeated=share))
+        return self._generator.choice(([one], own, instances.copy()))
 
     async def answers_stopped(self) -> None:
-        """Let an instance stop in the heads or bodies of a share of its answers."""
+        """Let one instance, all of a service, or all of them stop in a share of their answers."""
         share = self._generator.choice(STOPPED_SHARES)
-        await self._answers_faulty([self._instance()], AnswerFaults(stopped=share))
+        await self._answers_faulty(self._some_instances(), AnswerFaults(stopped=share))
 
     async def answers_endless(self) -> None:
         """Let an instance send bytes without end in place of a few of its answers."""
