Send a long body of a request without copying it

The new connection joined the body with the empty end of the message, which made a copy of it for the time of the send. tests.platform.test_http_protocol fails before.

--- a/hopstep/platform/http_protocol.py
+++ b/hopstep/platform/http_protocol.py
@@ -109,7 +109,8 @@
         """
         with _mapped_errors():
             head, *body = [self._protocol.send(e) or b"" for e in _request_events(request, call)]
-        return head, b"".join(body)
+        # Without empty parts, the only one is returned as it is: a long body isn't copied.
+        return head, b"".join(part for part in body if part)
 
     def is_complete(self) -> bool:
         """Return whether request and response are complete and another request may follow."""
