Hold back the end of a body that another answer completes

Clients of a node with little memory got a success whose body ended in the beginning of another answer. A long answer by length that the node has no space for is relayed in parts. Where an instance stopped a few bytes before its end and answered again, the second answer's first bytes completed the length; the check at the end of the body found that, but the last bytes were passed on before it raised, and by then the client had a whole answer.

Evidence: tests.platform.test_spliced_long_answers, a whole node with memory_mb = 1, an answer of 700,000 bytes that lacks 1 or 20 bytes: "looks whole and isn't" in 4 of 4; with 60 bytes missing the id was found already.

The part in which the second answer is found is dropped now, as where its id is found, so that the client's answer stays shorter than its length.

--- a/hopstep/platform/http_protocol.py
+++ b/hopstep/platform/http_protocol.py
@@ -225,6 +225,8 @@
                     parts.clear()
                     raise httpcore.RemoteProtocolError("another response within a body")
             if batch.is_last and scanner.is_spliced(self._protocol.trailing_data[0]):
+                # With its last bytes, a body that is relayed in parts looks whole by its length.
+                parts.clear()
                 raise httpcore.RemoteProtocolError("another response within a body")
         except httpcore.ProtocolError as error:
             batch.failure = error
