Accept answers whose headers name the address of a proxy

Each answer with "Via: HTTP/1.1 192.168.4.7:8080" failed as "no answer came" and the client got 502, though the instance had answered it whole: behind the version stand three digits, as in a status line, so the head was taken for one that is put together from two answers. RFC 9110 allows an address there.

Evidence: tests.platform.test_spliced_responses fails before; the same head at the port of instance calls over real sockets gave execution_unknown.

Within a head three digits now make a status line only with a blank or the end of the value behind them.

--- a/hopstep/platform/spliced_responses.py
+++ b/hopstep/platform/spliced_responses.py
@@ -20,6 +20,10 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.\d +\d{3}")
 """Beginning of a status line."""
 
+STATUS_LINE_IN_HEAD = re.compile(STATUS_LINE.pattern + rb"(?![^ \t])")
+"""The same within a reason phrase or a header's value, where ``Via`` may name a proxy's address
+behind the version: ``HTTP/1.1 192.168.4.7``."""
+
 ID_LINE = re.compile(rb"(?i)\r\n" + names.REQUEST_ID + rb":[ \t]*([^\r\n]*?)[ \t]*\r\n")
 """Header of a response that names its request."""
 
@@ -50,7 +54,7 @@
             response has once.
     """
     values = (response.reason, *(value for _name, value in response.headers))
-    if any(STATUS_LINE.search(value) for value in values):
+    if any(STATUS_LINE_IN_HEAD.search(value) for value in values):
         raise httpcore.RemoteProtocolError("a status line within a head")
     counts = Counter(name for name, _value in response.headers if name in SINGLE_HEADERS)
     repeated = [name.decode() for name, count in counts.items() if count > 1]
--- a/tests/platform/test_spliced_responses.py
+++ b/tests/platform/test_spliced_responses.py
@@ -16,6 +16,17 @@
     def test_a_head_of_one_response_is_accepted(self):
         require_single_head(head([("Attempt-Id", "r1"), ("Via", "HTTP/1.1 gateway"), ("X", "a")]))
 
+    # Each answer with such a header failed as if it were put together from two.
+    def test_an_address_of_a_proxy_in_a_header_is_no_status_line(self):
+        for value in ("HTTP/1.1 192.168.4.7:8080 (proxy)", "HTTP/1.1 100host, HTTP/1.0 10.0.0.1"):
+            with self.subTest(value):
+                require_single_head(head([("Attempt-Id", "r1"), ("Via", value)]))
+
+    def test_a_status_line_without_a_reason_within_a_head_is_rejected(self):
+        for value in ("sHTTP/1.1 500", "sHTTP/1.1 500 ", "sHTTP/1.1 500\tX"):
+            with self.subTest(value), self.assertRaises(httpcore.RemoteProtocolError):
+                require_single_head(h11.Response(status_code=200, headers=[], reason=value))
+
     # An instance that began its answer again made a success of the failure that followed.
     def test_a_status_line_within_a_head_is_rejected(self):
         for response in (
