Don't send a request over a tunnel whose instance has closed

Clients of an at-most-once route got 502 (outcome unknown) for requests that no instance had received. An answer without a length or chunks ends with its connection. The protocol's states are then as after a complete answer of a kept connection, so the connection went back to its pool. On a socket the end is seen before the next send, as it stays readable. In a tunnel the mark of the end had been read, and until the end of the gateway's own connection arrived the next request was sent into it.

A connection whose end has been read is complete for no further request now. After a late answer to an earlier call that ends with its connection, the call fails with that reason rather than with that of the next read.

--- a/hopstep/platform/http_protocol.py
+++ b/hopstep/platform/http_protocol.py
@@ -113,8 +113,13 @@
         return head, b"".join(part for part in body if part)
 
     def is_complete(self) -> bool:
-        """Return whether request and response are complete and another request may follow."""
-        return self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE
+        """Return whether request and response are complete and another request may follow.
+
+        None may after a response that ended with its connection, which the protocol's states allow.
+        """
+        states = (self._protocol.our_state, self._protocol.their_state)
+        _surplus, has_ended = self._protocol.trailing_data
+        return states == (h11.DONE, h11.DONE) and not has_ended
 
     def start_next(self) -> None:
         """Expect another request."""
@@ -152,15 +157,13 @@
             raise httpcore.ReadTimeout("a slow answer to an earlier call") from error
         if not self.is_complete():
             raise httpcore.RemoteProtocolError("the connection ends with an earlier answer")
-        received, has_ended = self._protocol.trailing_data
+        received = self.surplus
         self._protocol = _new_protocol()
         with _mapped_errors():
             for event in _request_events(request, call):
                 self._protocol.send(event)
             if received:
                 self._protocol.receive_data(received)
-            if has_ended:
-                self._protocol.receive_data(b"")
 
     async def _skip_body(self, call: HttpCall) -> None:
         """Read the body of the current response and drop it."""
