Don't call over a connection whose end was read with the answer before

A call to an engine, the key-value service or a peer over HTTPS may fail with its outcome unknown without having been received. The library keeps a connection after an answer without a length, which ends with it, and relies on the socket to show the end before the next call. Under TLS the end of the session may have been read before the end of the TCP connection arrives.

Evidence: tests.adapters.test_calls_over_ended_connections, with a stand-in for a connection that isn't readable at its end, fails before. It is the cause of the requests that were lost over ended tunnels; not seen over TLS itself.

A kept connection also expires once its end has been read.

--- a/hopstep/adapters/kept_connections.py
+++ b/hopstep/adapters/kept_connections.py
@@ -21,7 +21,7 @@
 
 
 class KeptConnection(httpcore.AsyncConnectionInterface):
-    """A connection of the library that also expires when it holds surplus bytes."""
+    """A connection of the library that also expires with surplus bytes, and with its end."""
 
     def __init__(self, connection: httpcore.AsyncHTTPConnection) -> None:
         """Wrap a connection.
@@ -53,7 +53,7 @@
 
     def has_expired(self) -> bool:
         """Return whether the connection must not be used again."""
-        return self._connection.has_expired() or self._holds_surplus()
+        return self._connection.has_expired() or self._has_surplus_or_end()
 
     def is_idle(self) -> bool:
         """Return whether no request is in progress."""
@@ -63,15 +63,17 @@
         """Return whether the connection is closed."""
         return self._connection.is_closed()
 
-    def _holds_surplus(self) -> bool:
-        """Return whether bytes after the last answer have been read.
+    def _has_surplus_or_end(self) -> bool:
+        """Return whether bytes after the last answer, or the connection's end, have been read.
 
-        The library gives no public access to them.
+        The library gives no public access to them. It keeps a connection that has ended with an
+        answer without a length, and under TLS its socket may not show that yet.
         """
         opened = self._connection._connection
         if not isinstance(opened, httpcore.AsyncHTTP11Connection) or not opened.is_idle():
             return False
-        return bool(opened._h11_state.trailing_data[0])
+        surplus, has_ended = opened._h11_state.trailing_data
+        return bool(surplus) or has_ended
 
 
 class KeptConnectionPool(httpcore.AsyncConnectionPool):
