--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -151,7 +151,7 @@
         status = _status(error)
         fields: list[tuple[bytes, bytes]] = []
         if self.share.request_id:
-            fields.append((names.REQUEST_ID, self.share.request_id.encode()))
+            fields.append((names.REQUEST_ID, self.share.request_id.encode(names.HEADER_ENCODING)))
         if status in RETRY_AFTER_STATUSES:
             wait = f"{error.retry_after_seconds:.3f}".encode()
             fields.append((names.RETRY_AFTER, wait))
@@ -207,7 +207,7 @@
     found: dict[bytes, bytes] = dict(scope["headers"])
     timeout_ms = _number(found.get(names.DEADLINE))
     return RequestHead(
-        request_id=_text(found, names.REQUEST_ID),
+        request_id=_read_id(scope["headers"]),
         method=scope["method"].encode(),
         host=_text(found, b"host"),
         path=bytes(scope["raw_path"]).decode("latin-1"),
@@ -269,9 +269,15 @@
     return tuple(segments)
 
 
+def _read_id(headers: list[tuple[bytes, bytes]]) -> str:
+    """Return a request's id; empty when it has none, or several, of which an answer repeats one."""
+    ids = {value.strip(b" \t") for name, value in headers if name == names.REQUEST_ID}
+    return ids.pop().decode(names.HEADER_ENCODING) if len(ids) == 1 else ""
+
+
 def _text(found: dict[bytes, bytes], name: bytes) -> str:
     """Return a header as text; empty when it is missing."""
-    return found.get(name, b"").decode("latin-1").strip()
+    return found.get(name, b"").decode(names.HEADER_ENCODING).strip()
 
 
 def _number(value: bytes | None) -> float | None:
--- a/hopstep/platform/instance_answers.py
+++ b/hopstep/platform/instance_answers.py
@@ -68,7 +68,7 @@
         return found.get(names.INSTANCE_ID) == call.instance.instance_id.encode()
     if answered is None:
         return names.NOT_EXECUTED in found
-    return answered == call.request.request_id.encode()
+    return answered == call.request.request_id.encode(names.HEADER_ENCODING)
 
 
 def request_notice(response: httpcore.Response) -> InstanceNotice:
@@ -102,7 +102,7 @@
     """Raise unless a response's head shows that the instance ran this request."""
     found = {name.lower(): value for name, value in response.headers}
     answered = found.get(names.REQUEST_ID)
-    if is_other_answer(response, call.request.request_id.encode()):
+    if is_other_answer(response, call.request.request_id.encode(names.HEADER_ENCODING)):
         raise InstanceCallError(
             ErrorCode.EXECUTION_UNKNOWN, "the response is to another request", Execution.UNKNOWN
         )
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -129,7 +129,7 @@
             request.body,
             connect_seconds=CONNECT_SECONDS,
             route=_route(call.instance, call.gateway) if call.gateway is not None else None,
-            request_id=request.request_id.encode(),
+            request_id=request.request_id.encode(names.HEADER_ENCODING),
             use=_connection_use(request.method),
         )
         trace = SendTrace(call.proof, call.may_send)
@@ -145,7 +145,7 @@
             if is_own_answer(response, call):
                 self._report_headers(call.instance, response)
                 call.on_notice(request_notice(response))
-            if is_other_answer(response, call.request.request_id.encode()):
+            if is_other_answer(response, call.request.request_id.encode(names.HEADER_ENCODING)):
                 self._note_other_answer(call.instance, call.proof)
             check_head(response, call)
             yield HttpInstanceAnswer(response)
--- a/hopstep/platform/names.py
+++ b/hopstep/platform/names.py
@@ -30,6 +30,9 @@
 API_KEY = b"x-api-key"
 KEEP_ALIVE = b"keep-alive"
 
+HEADER_ENCODING = "latin-1"
+"""Encoding in which each byte of a header is one character: ids are repeated byte by byte."""
+
 NOT_FORWARDED = frozenset(
     {
         DEADLINE,
