Break a stream off at an event with two ids

Clients of a stream got an event that began in one answer and ended in another, and where the answer has neither a length nor chunks a whole success made of both. An instance stopped within an event and sent another answer on the connection, or the rest of one: its head and first event became the rest of the broken event, as only the first id of an event was read. Within a body a head is found only by a status line and an id that the connection has carried.

An event has one id, so a second one shows where another answer's events begin. The stream then ends as with an id out of sequence, and may be resumed after the last whole event.

--- a/hopstep/domain/exchanges/streams/event_stream.py
+++ b/hopstep/domain/exchanges/streams/event_stream.py
@@ -12,7 +12,7 @@
 
 
 class StreamOrderError(Exception):
-    """An event id out of sequence, or an event that exceeds ``MAX_EVENT_BYTES``."""
+    """An event id out of sequence, a second one in an event, or an event that is too long."""
 
 
 class EventFramer:
@@ -34,7 +34,8 @@
         On an error none of them counts as passed on.
 
         Raises:
-            StreamOrderError: When an id isn't the successor of the last, or an event is too long.
+            StreamOrderError: When an id isn't the successor of the last, an event has several ids,
+                or it is too long.
         """
         partial, before = self._partial, len(self._partial)
         partial += data
@@ -91,7 +92,7 @@
     """Return the id of the last event with an id, or ``last_id`` when no event has one.
 
     Raises:
-        StreamOrderError: When an id isn't the successor of the one before it.
+        StreamOrderError: When an id isn't the successor of the one before it, or one of several.
     """
     for event in events:
         event_id = _event_id(event)
@@ -104,11 +105,15 @@
 
 
 def _event_id(event: bytes) -> int | None:
-    """Return the number in an event's ``id`` field, or None without a valid one."""
-    for line in event.split(b"\n"):
-        if line.startswith(ID_FIELD):
-            try:
-                return int(line[len(ID_FIELD) :])
-            except ValueError:
-                return None
-    return None
+    """Return the number in an event's ``id`` field, or None without a valid one.
+
+    Raises:
+        StreamOrderError: When it has several: the event broke off, and its rest is of another one.
+    """
+    ids = [line[len(ID_FIELD) :] for line in event.split(b"\n") if line.startswith(ID_FIELD)]
+    if len(ids) > 1:
+        raise StreamOrderError("an event with more than one id")
+    try:
+        return int(ids[0]) if ids else None
+    except ValueError:
+        return None
--- a/tests/domain/exchanges/streams/test_event_stream.py
+++ b/tests/domain/exchanges/streams/test_event_stream.py
@@ -66,6 +66,16 @@
                 with self.assertRaises(StreamOrderError):
                     framer.feed(event(numbers[1]))
 
+    def test_an_event_with_two_ids_is_refused(self):
+        """Guards against an event whose rest is another answer's head and first event."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+        for name, behind in (("other", event(1)), ("same", event(6)), ("next", event(7))):
+            with self.subTest(name):
+                framer = EventFramer(5)
+                with self.assertRaises(StreamOrderError):
+                    framer.feed(b"id: 6\ndata: pa" + head + behind)
+                self.assertEqual((framer.last_id, framer.events), (5, 0))
+
     def test_events_before_a_refused_one_are_not_counted_since_nobody_gets_them(self):
         framer = EventFramer()
         framer.feed(event(0))
