Run a trial again that was lost with its node, within the allowed runs

The claim in the store now names the process that runs the trial, by its node's name and a digest of its key; the verdict removes it. When the node's entry names another process or is gone, the trial may be claimed again by the same compare-and-swap, once for a subject.

The bound on runs of fatal subjects goes first. A late run that ends an instance is on record, so the trial is repeated only with at most three terminations on record under a request and four under a part. Then at most two of the three runs that operators allow are used; above these numbers nothing changes. LostTrialTest counts the runs with 3, 7, 79 and 390 nodes, with the node of each trial or all nodes killed, with the store away and restored.

A record that a restore has put back is also written again at once, not with the next change.

--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -134,7 +134,9 @@
             )
         )
         self.quarantine.subscribe_terminations(self._suspend_terminated)
-        self.quarantine_records = QuarantineRecords(self.quarantine, ports.store, generator)
+        self.quarantine_records = QuarantineRecords(
+            self.quarantine, ports.store, generator, self.knowledge.registered_nodes
+        )
         self.knowledge.records.subscribe_records(
             QUARANTINE_PREFIX,
             lambda record: self.quarantine_records.apply_stored(
--- a/hopstep/log_events/requests.py
+++ b/hopstep/log_events/requests.py
@@ -127,7 +127,8 @@
     "quarantined_request_not_tried",
     Level.INFO,
     ("fingerprint", "reason"),
-    "Nothing: the store didn't respond, or the trial was inconclusive and is `given_back`.",
+    "Nothing: the store didn't respond, the trial was inconclusive and is `given_back`, or it was "
+    "`lost` with its process and is run again.",
 )
 QUOTA_EXCEEDED = LogEvent(
     "HS3110",
--- a/hopstep/services/exchanges/directory/known_nodes.py
+++ b/hopstep/services/exchanges/directory/known_nodes.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import hashlib
+
 import trio
 
 from hopstep.domain.exchanges.nodes import (
@@ -19,6 +21,11 @@
 from hopstep.services.exchanges.directory.message_formats import MessageFormats
 from hopstep.services.exchanges.directory.records import decode_node
 
+PROCESS_MARK = "@"
+"""Separates a node's name from the digest of its process in ``process_id``."""
+
+DIGEST_BYTES = 8
+
 
 class KnownNodes:
     """Keeps the records of nodes by name.
@@ -38,6 +45,7 @@
         self.records: dict[str, NodeRecord] = {}
         self.relays = RelayPlan(name, own)
         self._name = name
+        self._own_key = own.key
         self._formats = MessageFormats(own.form)
         self._retained_until = -float("inf")
         self._unlisted: set[str] = set()
@@ -52,6 +60,20 @@
         """Whether any other node is registered."""
         return bool(self.records.keys() - {self._name})
 
+    @property
+    def own_process(self) -> str:
+        """Identifier of this node's process; empty while its entry isn't known."""
+        record = self.records.get(self._name)
+        if record is None or record.key != self._own_key:
+            return ""
+        return process_id(self._name, record)
+
+    def has_ended(self, process: str) -> bool:
+        """Return whether the entry of a process was replaced by its node's next one, or removed."""
+        name = process.rpartition(PROCESS_MARK)[0]
+        record = self.records.get(name)
+        return record is None or process_id(name, record) != process
+
     @property
     def all_support_eras(self) -> bool:
         """Whether all registered nodes use a message format that includes the store's era."""
@@ -124,3 +146,9 @@
         """Update the plan of relays, and log changes of the message formats in use."""
         self.relays.set_nodes(self.records)
         self._formats.update(self.records.values())
+
+
+def process_id(name: str, record: NodeRecord) -> str:
+    """Return what identifies a node's process: each has a key of its own, which stays secret."""
+    digest = hashlib.blake2b(record.key, digest_size=DIGEST_BYTES)
+    return name + PROCESS_MARK + digest.hexdigest()
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -9,6 +9,7 @@
 
 import random
 from collections import OrderedDict
+from typing import Protocol
 
 import msgspec
 import trio
@@ -17,6 +18,7 @@
 from hopstep.domain.quarantine.crash_records import MAX_REQUESTS
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
 from hopstep.domain.quarantine.fingerprint import is_part
+from hopstep.domain.quarantine.trial_uses import TrialUse
 from hopstep.domain.store_position import ABSENT, StorePosition
 from hopstep.exceptions import StoreConflictError, StoreError
 from hopstep.log_events.configuration import DIRECTORY_ENTRY_REJECTED
@@ -66,6 +68,9 @@
 TRIAL_RELEASED = "given_back"
 """Logged reason of a trial that its client abandoned, or that reached no instance."""
 
+TRIAL_LOST = "lost"
+"""Logged reason of a trial that is run again, as its process ended before it was judged."""
+
 RETRY_SECONDS = 0.3
 RECHECK_SECONDS = 1.0
 OBSERVER_WRITE_SECONDS = 2.0
@@ -83,6 +88,8 @@
         cleared: Incarnations whose terminations no longer count.
         lifted: Set by operators: no termination recorded so far counts any longer.
         trials: Trials that the request has used.
+        claimant: Process that claimed the last trial; empty once the trial has been judged.
+        repeats: Trials that were run again because their processes had ended.
     """
 
     tenant: str = ""
@@ -91,6 +98,19 @@
     cleared: tuple[str, ...] = ()
     lifted: bool = False
     trials: int = 0
+    claimant: str = ""
+    repeats: int = 0
+
+
+class NodeProcesses(Protocol):
+    """The processes of the nodes, as their entries in the store show them."""
+
+    @property
+    def own_process(self) -> str:
+        """Identifier of this process; empty while its entry isn't known."""
+
+    def has_ended(self, process: str) -> bool:
+        """Return whether the entry of a process was replaced or removed."""
 
 
 class _Stored(msgspec.Struct, frozen=True):
@@ -98,14 +118,18 @@
 
     version: StorePosition
     crashes: RequestCrashes
-    trials: int = 0
+    use: TrialUse = TrialUse()
 
 
 class QuarantineRecords:
     """Writes and reads the records in the store."""
 
     def __init__(
-        self, quarantine: Quarantine, store: KeyValueStorePort, generator: random.Random
+        self,
+        quarantine: Quarantine,
+        store: KeyValueStorePort,
+        generator: random.Random,
+        processes: NodeProcesses | None = None,
     ) -> None:
         """Connect the quarantine with the store; ``run`` writes the records.
 
@@ -113,13 +137,16 @@
             quarantine: Terminations known to this node, by request.
             store: Key-value store.
             generator: Spreads the retries of many nodes.
+            processes: The nodes' processes; without them no lost trial is run again.
         """
+        self._processes = processes
         self._quarantine = quarantine
         self._store = store
         self._generator = generator
         self._stored: OrderedDict[bytes, _Stored] = OrderedDict()
         self._missing_since: dict[bytes, float] = {}
         self._succeeded: set[bytes] = set()
+        self._judged: set[bytes] = set()
         self._lease = ShortLease(store, LEASE_USE_SECONDS)
         self._claiming: set[bytes] = set()
         quarantine.set_trials(self)
@@ -133,7 +160,9 @@
         """
         stored = self._stored.get(fingerprint)
         most = _most_trials(fingerprint, alone=alone)
-        if stored is None or stored.version == ABSENT or stored.trials >= most:
+        if stored is None or stored.version == ABSENT:
+            return float("inf")
+        if stored.use.used >= most and not self._may_repeat_trial(fingerprint, stored.use, most):
             return float("inf")
         due_at = self._quarantine.last_end_at(fingerprint) + TRIAL_AFTER_SECONDS
         return max(0.0, due_at - trio.current_time())
@@ -149,9 +178,13 @@
         self._claiming.add(fingerprint)
         try:
             with trio.move_on_after(CLAIM_SECONDS):
-                used = self._stored[fingerprint].trials
+                process = self._processes.own_process if self._processes is not None else ""
                 most = _most_trials(fingerprint, alone=alone)
-                await self._write(fingerprint, trials=most - used)
+                self._judged.discard(fingerprint)
+                use = self._stored[fingerprint].use
+                await self._write(fingerprint, use.claimed(most, process))
+                if use.used >= most:
+                    self._log_not_tried(fingerprint, TRIAL_LOST)
                 return True
         except StoreError as error:
             self._log_not_tried(fingerprint, error.code.value)
@@ -166,10 +199,10 @@
         """
         for _ in range(MAX_RELEASE_ATTEMPTS):
             stored = self._stored.get(fingerprint)
-            if stored is None or stored.version == ABSENT or not stored.trials:
+            if stored is None or stored.version == ABSENT or not stored.use.used:
                 return
             try:
-                await self._write(fingerprint, trials=-1)
+                await self._write(fingerprint, stored.use.released())
             except StoreConflictError:
                 continue
             except StoreError as error:
@@ -184,6 +217,26 @@
         If all nodes were lost before that, they would read that it is refused, without a trial.
         """
         self._succeeded.add(fingerprint)
+        self.note_conclusive(fingerprint)
+
+    def note_conclusive(self, fingerprint: bytes) -> None:
+        """Have the store show that a trial here was judged, so that it isn't run again."""
+        self._judged.add(fingerprint)
+        self._quarantine.notify_changed()
+
+    def _may_repeat_trial(self, fingerprint: bytes, use: TrialUse, most: int) -> bool:
+        """Return whether the last trial was lost with its process, and may be run again.
+
+        Args:
+            fingerprint: The refused subject.
+            use: The trials that it has used.
+            most: Trials that it may have used with the one that is to run.
+        """
+        known = self._quarantine.known_crashes(fingerprint)
+        on_record = {crash.incarnation for crash in known.crashes}.union(known.cleared)
+        if not use.may_be_repeated(most, len(on_record), is_part=is_part(fingerprint)):
+            return False
+        return self._processes is not None and self._processes.has_ended(use.claimant)
 
     @staticmethod
     def _log_not_tried(fingerprint: bytes, reason: str) -> None:
@@ -219,7 +272,8 @@
             self._record_expiry(fingerprint)
             return
         recorded = RequestCrashes(fingerprint, stored.crashes, stored.cleared)
-        self._record_stored(fingerprint, _Stored(version, recorded, stored.trials))
+        use = TrialUse(stored.trials, stored.claimant, stored.repeats)
+        self._record_stored(fingerprint, _Stored(version, recorded, use))
         if stored.lifted:
             self._quarantine.lift(fingerprint)
         else:
@@ -254,11 +308,20 @@
             fingerprint: self._missing_since.get(fingerprint, now) for fingerprint in missing
         }
         self._succeeded.intersection_update(missing)
-        return [
+        self._judged = {f for f in self._judged if self._has_open_trial(f)}
+        due = [
             fingerprint
             for fingerprint, seen_here in missing.items()
             if seen_here or now - self._missing_since[fingerprint] >= OBSERVER_WRITE_SECONDS
         ]
+        return list(dict.fromkeys((*due, *self._judged)))
+
+    def _has_open_trial(self, fingerprint: bytes) -> bool:
+        """Return whether the store shows a trial of this process that hasn't been judged."""
+        stored = self._stored.get(fingerprint)
+        if stored is None or stored.version == ABSENT or self._processes is None:
+            return False
+        return bool(stored.use.claimant) and stored.use.claimant == self._processes.own_process
 
     def _missing(self, fingerprint: bytes) -> bool | None:
         """Return whether this node saw what a request's record lacks; None if it lacks nothing.
@@ -290,20 +353,28 @@
             return False
         return not self._quarantine.is_due_to_one_request(fingerprint)
 
-    async def _write(self, fingerprint: bytes, trials: int = 0) -> None:
+    async def _write(self, fingerprint: bytes, use: TrialUse | None = None) -> None:
         """Write a request's record; on a conflict, apply the other node's record and raise.
 
         Args:
             fingerprint: Fingerprint of the request.
-            trials: Change of the number of used trials.
+            use: Trials that it has used; None when that doesn't change.
         """
         key = QUARANTINE_PREFIX + fingerprint.hex()
         stored = self._stored.get(fingerprint)
         known = self._quarantine.known_crashes(fingerprint)
         subject = self._quarantine.subject(fingerprint)
-        trials += stored.trials if stored is not None else 0
+        if use is None:
+            use = stored.use if stored is not None else TrialUse()
+            use = use.judged() if fingerprint in self._judged else use
         value = StoredRequest(
-            subject.caller, subject.route, known.crashes, known.cleared, trials=trials
+            subject.caller,
+            subject.route,
+            known.crashes,
+            known.cleared,
+            trials=use.used,
+            claimant=use.claimant,
+            repeats=use.repeats,
         )
         lease = await self._lease.current(KEEP_SECONDS)
         expected = stored.version if stored is not None else ABSENT
@@ -318,7 +389,7 @@
             else:
                 self.apply_stored(key, found.value, found.version)
             raise
-        self._record_stored(fingerprint, _Stored(version, known, trials))
+        self._record_stored(fingerprint, _Stored(version, known, use))
 
     def _record_stored(self, fingerprint: bytes, stored: _Stored) -> None:
         """Remember a stored record, unless a newer one is known."""
@@ -327,6 +398,7 @@
             return
         if known is not None and known.version.era < stored.version.era:
             stored = _restored(known, stored)
+            self._quarantine.notify_changed()
         self._stored[fingerprint] = stored
         self._stored.move_to_end(fingerprint)
         while len(self._stored) > MAX_REQUESTS:
@@ -336,7 +408,7 @@
         """Remember that the store no longer holds a request's record."""
         known = self._stored.get(fingerprint)
         if known is not None:
-            expired = _Stored(ABSENT, RequestCrashes(fingerprint), known.trials)
+            expired = _Stored(ABSENT, RequestCrashes(fingerprint), known.use)
             self._stored[fingerprint] = expired
             self._quarantine.notify_changed()
 
@@ -354,8 +426,9 @@
 def _restored(known: _Stored, stored: _Stored) -> _Stored:
     """Return a record of a store that was restored from a backup, with all trials used so far.
 
-    A record that shows fewer trials counts as without terminations, so that it is written again.
+    A record that shows other trials counts as without terminations, so that it is written again.
     """
-    if stored.trials >= known.trials:
+    use = stored.use.merge_older(known.use)
+    if use == stored.use:
         return stored
-    return _Stored(stored.version, RequestCrashes(stored.crashes.fingerprint), known.trials)
+    return _Stored(stored.version, RequestCrashes(stored.crashes.fingerprint), use)
--- a/hopstep/services/quarantine/trial_runs.py
+++ b/hopstep/services/quarantine/trial_runs.py
@@ -33,6 +33,9 @@
     def note_succeeded(self, fingerprint: bytes) -> None:
         """Record that a subject's trial here got a complete response, which releases it."""
 
+    def note_conclusive(self, fingerprint: bytes) -> None:
+        """Record that an instance has terminated, or may have, under a subject's trial here."""
+
 
 class TrialRuns:
     """The trials that this node has claimed lately."""
@@ -46,7 +49,7 @@
     def set_trials(self, trials: Trials) -> None:
         """Set the source of trials."""
         self._trials = trials
-        self._verdicts.set_release(trials.release_trial)
+        self._verdicts.set_outcomes(trials.release_trial, trials.note_conclusive)
 
     async def claim(self, refused: Sequence[bytes]) -> bool:
         """Claim a trial of each subject for which a request is refused; return whether it may run.
--- a/hopstep/services/quarantine/trial_verdicts.py
+++ b/hopstep/services/quarantine/trial_verdicts.py
@@ -30,6 +30,9 @@
 ReleaseTrial = Callable[[bytes], Awaitable[None]]
 """Allows a request another trial."""
 
+NoteConclusive = Callable[[bytes], None]
+"""Takes a request whose trial an instance has not outlived."""
+
 
 class _Reached(msgspec.Struct):
     """An instance that a trial reached.
@@ -63,10 +66,12 @@
         """Start without trials."""
         self._trials: dict[bytes, _Trial] = {}
         self._release: ReleaseTrial | None = None
+        self._note_conclusive: NoteConclusive | None = None
 
-    def set_release(self, release: ReleaseTrial) -> None:
-        """Set the function that allows a request another trial."""
+    def set_outcomes(self, release: ReleaseTrial, note_conclusive: NoteConclusive) -> None:
+        """Set the functions for inconclusive trials, and for those that end instances."""
         self._release = release
+        self._note_conclusive = note_conclusive
 
     def begin(self, fingerprint: bytes) -> None:
         """Follow a trial that was just claimed."""
@@ -112,6 +117,7 @@
             reached = trial.reached.get(instance_incarnation)
             if reached is not None and reached.may_have_terminated(now):
                 self.forget(fingerprint)
+                self._conclude(fingerprint)
 
     async def run(self) -> None:
         """Release inconclusive trials until cancelled."""
@@ -129,6 +135,12 @@
             if reached.survived or reached.probe is None:
                 continue
             if await reached.probe() is not InstanceProbeResult.ANSWERS:
+                self._conclude(fingerprint)
                 return
         if self._release is not None:
             await self._release(fingerprint)
+
+    def _conclude(self, fingerprint: bytes) -> None:
+        """Report that a trial was conclusive."""
+        if self._note_conclusive is not None:
+            self._note_conclusive(fingerprint)
