Release the claims of a trial that doesn't run

Callers could see a sound request refused for ten minutes although its trial had never run. A request that several subjects have refused claims a trial of each. Two requests that share a refused part each claimed their own trial at two nodes; only one of them could claim that of the part, and the other request's trial stayed used up.

The claims before a failed one are now judged as trials that reached no instance, which gives them back within a second. Nothing has run, so fatal subjects get no further run.

--- a/hopstep/services/quarantine/trial_runs.py
+++ b/hopstep/services/quarantine/trial_runs.py
@@ -55,19 +55,27 @@
         """Claim a trial of each subject for which a request is refused; return whether it may run.
 
         A request that several subjects have refused may not tell which of them is to blame. So the
-        last trial of each is kept for a request that only it has refused.
+        last trial of each is kept for a request that only it has refused. If a claim fails, those
+        before it are released, as nothing runs.
         """
         trials, alone = self._trials, len(refused) == 1
         if trials is None or any(trials.wait_seconds(f, alone=alone) > 0 for f in refused):
             return False
-        for fingerprint in refused:
+        for number, fingerprint in enumerate(refused):
             if not await trials.claim(fingerprint, alone=alone):
+                self._release_unused(refused[:number])
                 return False
         for fingerprint in refused:
             self._tried[fingerprint] = trio.current_time()
             self._verdicts.begin(fingerprint)
         return True
 
+    def _release_unused(self, claimed: Sequence[bytes]) -> None:
+        """Have claimed trials judged as runs that reached no instance."""
+        for fingerprint in claimed:
+            self._verdicts.begin(fingerprint)
+        self.end(claimed)
+
     def tried(self, fingerprints: Sequence[bytes]) -> list[bytes]:
         """Return those of some subjects that had a trial at this node lately."""
         return [fingerprint for fingerprint in fingerprints if fingerprint in self._tried]
--- a/tests/services/quarantine/test_quarantine.py
+++ b/tests/services/quarantine/test_quarantine.py
@@ -464,9 +464,12 @@
 
     async def report_ends(self, store, ends):
         """Have the subjects refused at all nodes, and wait until a trial is due."""
-        incarnations = [f"i{number}" for number in range(ends)]
+        reports = [
+            report(subject, *(f"{subject.hex()} {number}" for number in range(ends)))
+            for subject in self.subjects
+        ]
         for quarantine in self.quarantines.values():
-            quarantine.merge_reports([report(subject, *incarnations) for subject in self.subjects])
+            quarantine.merge_reports(reports)
         await trio.sleep(2 * OBSERVER_WRITE_SECONDS)
         await self.read_store(store)
         await trio.sleep(TRIAL_AFTER_SECONDS)
@@ -606,6 +609,31 @@
             with self.subTest(node_count=node_count):
                 self.assertEqual(self.count_trials(node_count, FATAL, 3, away_from=2), 1)
 
+    def test_a_claim_beside_one_that_another_node_took_is_given_back(self):
+        """Guards against a trial that is used up without a run, as two requests share a part."""
+        first, second = (RequestIdentity(name, parts=(self.PART,)) for name in (FATAL, OTHER))
+
+        async def script(store):
+            quarantines, refusals = self.quarantines, {}
+
+            async def admit(node, request):
+                refusals[node] = await quarantines[node].admit(request)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(admit, "n0", first)
+                nursery.start_soon(admit, "n1", second)
+            [admitted] = [node for node, refusal in refusals.items() if not refusal.seconds]
+            quarantines[admitted].note_complete_response(
+                RequestIdentity(b"any", parts=(self.PART,))
+            )
+            await trio.sleep(2 * VERDICT_CHECK_SECONDS)
+            await self.read_store(store)
+            [lost] = {"n0", "n1"} - {admitted}
+            request = {"n0": FATAL, "n1": OTHER}[lost]
+            self.assertEqual((await quarantines["n2"].admit(RequestIdentity(request))).seconds, 0.0)
+
+        self.run_script(script, subjects=(FATAL, OTHER, self.PART))
+
     def test_a_restored_store_does_not_allow_a_second_repeat(self):
         async def script(store):
             [node] = await self.admitting(store)
