Release claims of trials that the store acknowledged to nobody

Callers could see a sound request refused for ten minutes although its trial had never run: its client left, or the half second for a claim was up, before the store's answer, and the write was done all the same. Nobody gave such a claim back.

A node keeps the claims it has no answer to, and releases one that the store shows later. It compares the whole claim, so a trial that runs here isn't released when another claim of its subject fails. Claims for other subjects of the same request are released as well if the client leaves. Nothing has run, so fatal subjects get no further run.

Both tests of it fail before the change; without the comparison test_a_trial_that_runs_is_not_given_back_as_an_unconfirmed_claim fails (trial on the working tree).

--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -15,7 +15,7 @@
 import trio
 
 from hopstep.decoding import decode_json
-from hopstep.domain.quarantine.crash_records import MAX_REQUESTS
+from hopstep.domain.quarantine.crash_records import MAX_REQUESTS, drop_oldest
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
 from hopstep.domain.quarantine.fingerprint import is_part
 from hopstep.domain.quarantine.trial_uses import TrialUse
@@ -147,6 +147,7 @@
         self._missing_since: dict[bytes, float] = {}
         self._succeeded: set[bytes] = set()
         self._judged: set[bytes] = set()
+        self._unconfirmed: OrderedDict[bytes, TrialUse] = OrderedDict()
         self._lease = ShortLease(store, LEASE_USE_SECONDS)
         self._claiming: set[bytes] = set()
         quarantine.set_trials(self)
@@ -170,8 +171,8 @@
     async def claim(self, fingerprint: bytes, *, alone: bool = True) -> bool:
         """Claim a trial; return whether this node, and no other, may run a refused request once.
 
-        The claim counts once the store has acknowledged it. Without an answer the trial may be
-        used up without a run; the request stays refused then.
+        The claim counts once the store has acknowledged it. Otherwise, or if the client leaves
+        before that, nothing runs, and the claim is released if the store shows it later.
         """
         if self.wait_seconds(fingerprint, alone=alone) > 0 or fingerprint in self._claiming:
             return False
@@ -182,7 +183,10 @@
                 most = _most_trials(fingerprint, alone=alone)
                 self._judged.discard(fingerprint)
                 use = self._stored[fingerprint].use
+                self._unconfirmed[fingerprint] = use.claimed(most, process)
+                drop_oldest(self._unconfirmed, MAX_REQUESTS)
                 await self._write(fingerprint, use.claimed(most, process))
+                self._unconfirmed.pop(fingerprint, None)
                 if use.used >= most:
                     self._log_not_tried(fingerprint, TRIAL_LOST)
                 return True
@@ -190,6 +194,8 @@
             self._log_not_tried(fingerprint, error.code.value)
         finally:
             self._claiming.discard(fingerprint)
+            if fingerprint in self._unconfirmed:
+                self._quarantine.notify_changed()
         return False
 
     async def release_trial(self, fingerprint: bytes) -> None:
@@ -314,7 +320,14 @@
             for fingerprint, seen_here in missing.items()
             if seen_here or now - self._missing_since[fingerprint] >= OBSERVER_WRITE_SECONDS
         ]
-        return list(dict.fromkeys((*due, *self._judged)))
+        unused = [f for f in self._unconfirmed if self._is_unused_claim(f)]
+        return list(dict.fromkeys((*due, *self._judged, *unused)))
+
+    def _is_unused_claim(self, fingerprint: bytes) -> bool:
+        """Return whether the store shows a claim of this process whose acknowledgement was lost."""
+        if fingerprint in self._claiming or not self._has_open_trial(fingerprint):
+            return False
+        return self._stored[fingerprint].use == self._unconfirmed.get(fingerprint)
 
     def _has_open_trial(self, fingerprint: bytes) -> bool:
         """Return whether the store shows a trial of this process that hasn't been judged."""
@@ -366,7 +379,10 @@
         subject = self._quarantine.subject(fingerprint)
         if use is None:
             use = stored.use if stored is not None else TrialUse()
-            use = use.judged() if fingerprint in self._judged else use
+            if fingerprint in self._judged:
+                use = use.judged()
+            elif self._is_unused_claim(fingerprint):
+                use = use.released()
         value = StoredRequest(
             subject.caller,
             subject.route,
@@ -401,6 +417,8 @@
             self._quarantine.notify_changed()
         self._stored[fingerprint] = stored
         self._stored.move_to_end(fingerprint)
+        if fingerprint in self._unconfirmed:
+            self._quarantine.notify_changed()
         while len(self._stored) > MAX_REQUESTS:
             self._stored.popitem(last=False)
 
--- a/hopstep/services/quarantine/trial_runs.py
+++ b/hopstep/services/quarantine/trial_runs.py
@@ -55,16 +55,21 @@
         """Claim a trial of each subject for which a request is refused; return whether it may run.
 
         A request that several subjects have refused may not tell which of them is to blame. So the
-        last trial of each is kept for a request that only it has refused. If a claim fails, those
-        before it are released, as nothing runs.
+        last trial of each is kept for a request that only it has refused. If a claim fails, or the
+        client leaves, those before it are released, as nothing runs.
         """
         trials, alone = self._trials, len(refused) == 1
         if trials is None or any(trials.wait_seconds(f, alone=alone) > 0 for f in refused):
             return False
-        for number, fingerprint in enumerate(refused):
-            if not await trials.claim(fingerprint, alone=alone):
-                self._release_unused(refused[:number])
-                return False
+        claimed = 0
+        try:
+            for fingerprint in refused:
+                if not await trials.claim(fingerprint, alone=alone):
+                    return False
+                claimed += 1
+        finally:
+            if claimed < len(refused):
+                self._release_unused(refused[:claimed])
         for fingerprint in refused:
             self._tried[fingerprint] = trio.current_time()
             self._verdicts.begin(fingerprint)
--- a/tests/services/quarantine/test_quarantine.py
+++ b/tests/services/quarantine/test_quarantine.py
@@ -634,6 +634,58 @@
 
         self.run_script(script, subjects=(FATAL, OTHER, self.PART))
 
+    def test_a_trial_whose_client_leaves_while_it_is_claimed_is_given_back(self):
+        """Guards against a trial that is used up without a run, as its client didn't wait."""
+        for patience in (0.05, 0.15, 0.25, 0.35, 0.45, 0.55):
+            with self.subTest(patience=patience):
+
+                async def script(store, patience=patience):
+                    quarantine = self.quarantines["n0"]
+                    request = RequestIdentity(FATAL, parts=(self.PART,))
+                    store._shared.faults.slow_seconds = 0.2
+                    with trio.move_on_after(patience):
+                        if not (await quarantine.admit(request)).seconds:
+                            quarantine.end_trial(request)
+                    store._shared.faults.slow_seconds = 0.0
+                    for _ in range(2):
+                        await trio.sleep(2 * VERDICT_CHECK_SECONDS)
+                        await self.read_store(store)
+                    self.assertEqual(len(await self.admitting(store, FATAL, self.PART)), 1)
+
+                self.run_script(script, subjects=(FATAL, self.PART))
+
+    def test_a_claim_that_the_store_acknowledges_too_late_is_given_back(self):
+        """Guards against a trial that is used up without a run, as the store was slow."""
+
+        async def script(store):
+            store._shared.faults.slow_seconds = 0.8
+            refusal = await self.quarantines["n2"].admit(RequestIdentity(FATAL))
+            self.assertGreater(refusal.seconds, 0.0)
+            store._shared.faults.slow_seconds = 0.0
+            for _ in range(2):
+                await trio.sleep(2 * VERDICT_CHECK_SECONDS)
+                await self.read_store(store)
+            self.assertEqual(len(await self.admitting(store)), 1)
+
+        self.run_script(script)
+
+    def test_a_trial_that_runs_is_not_given_back_as_an_unconfirmed_claim(self):
+        """Guards against a trial in progress that a later claim, which fails, gives back."""
+
+        async def script(store):
+            [node] = await self.admitting(store, self.PART, self.OTHER_PART)
+            store.cut_off = True
+            request = RequestIdentity(b"any", parts=(self.PART,))
+            self.assertGreater((await self.quarantines[node].admit(request)).seconds, 0.0)
+            store.cut_off = False
+            for _ in range(2):
+                await trio.sleep(2 * VERDICT_CHECK_SECONDS)
+                await self.read_store(store)
+            stored = await store.get(QUARANTINE_PREFIX + self.PART.hex())
+            self.assertEqual(msgspec.json.decode(stored.value)["trials"], 1)
+
+        self.run_script(script, subjects=(self.PART, self.OTHER_PART))
+
     def test_a_restored_store_does_not_allow_a_second_repeat(self):
         async def script(store):
             [node] = await self.admitting(store)
