--- a/hopstep/services/quarantine/trial_runs.py
+++ b/hopstep/services/quarantine/trial_runs.py
@@ -33,6 +33,9 @@
     def note_succeeded(self, fingerprint: bytes) -> None:
         """Record that a subject's trial here got a complete response, which releases it."""
 
+    def note_conclusive(self, fingerprint: bytes) -> None:
+        """Record that an instance has terminated, or may have, under a subject's trial here."""
+
 
 class TrialRuns:
     """The trials that this node has claimed lately."""
@@ -46,25 +49,38 @@
     def set_trials(self, trials: Trials) -> None:
         """Set the source of trials."""
         self._trials = trials
-        self._verdicts.set_release(trials.release_trial)
+        self._verdicts.set_outcomes(trials.release_trial, trials.note_conclusive)
 
     async def claim(self, refused: Sequence[bytes]) -> bool:
         """Claim a trial of each subject for which a request is refused; return whether it may run.
 
         A request that several subjects have refused may not tell which of them is to blame. So the
-        last trial of each is kept for a request that only it has refused.
+        last trial of each is kept for a request that only it has refused. If a claim fails, or the
+        client leaves, those before it are released, as nothing runs.
         """
         trials, alone = self._trials, len(refused) == 1
         if trials is None or any(trials.wait_seconds(f, alone=alone) > 0 for f in refused):
             return False
-        for fingerprint in refused:
-            if not await trials.claim(fingerprint, alone=alone):
-                return False
+        claimed = 0
+        try:
+            for fingerprint in refused:
+                if not await trials.claim(fingerprint, alone=alone):
+                    return False
+                claimed += 1
+        finally:
+            if claimed < len(refused):
+                self._release_unused(refused[:claimed])
         for fingerprint in refused:
             self._tried[fingerprint] = trio.current_time()
             self._verdicts.begin(fingerprint)
         return True
 
+    def _release_unused(self, claimed: Sequence[bytes]) -> None:
+        """Have claimed trials judged as runs that reached no instance."""
+        for fingerprint in claimed:
+            self._verdicts.begin(fingerprint)
+        self.end(claimed)
+
     def tried(self, fingerprints: Sequence[bytes]) -> list[bytes]:
         """Return those of some subjects that had a trial at this node lately."""
         return [fingerprint for fingerprint in fingerprints if fingerprint in self._tried]
