Soak: divide the proxy of faulty answers into modules of one job each

The kinds and shares of faults, the reader of one answer, stops, copies, endless bytes, the connection and the proxy each have a module. The names stay.

--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -21,7 +21,8 @@
 from emulator.fleet.processes import ProcessGroup
 from emulator.platform.shared_store import SharedStore
 from emulator.soak import suspendable_node
-from emulator.soak.answer_faults import AnswerEvent, FaultyAnswerProxy
+from emulator.soak.answer_faults import AnswerEvent
+from emulator.soak.answer_proxy import FaultyAnswerProxy
 from emulator.soak.history import (
     Disturbance,
     FatalTermination,
--- a/tests/emulator/soak/test_answer_faults.py
+++ b/tests/emulator/soak/test_answer_proxy.py
@@ -1,5 +1,6 @@
 """The proxy of answers: copies, stops and bytes without end come as they are drawn."""
 
+import math
 import random
 import unittest
 from unittest import mock
@@ -7,20 +8,84 @@
 import trio
 
 from emulator.fleet.ports import free_addresses
-from emulator.soak.answer_faults import (
-    MAX_ENDLESS,
-    AnswerFaults,
-    CopyTime,
-    EndlessForm,
-    FaultyAnswerProxy,
-    StopKind,
-)
+from emulator.soak.answer_faults import AnswerFaults, CopyTime, EndlessForm, StopKind
+from emulator.soak.answer_proxy import FaultyAnswerProxy
+from emulator.soak.endless_answers import MAX_ENDLESS
 
 ANSWER = b"HTTP/1.1 500 X\r\nAttempt-Id: a\r\nResponse-Stamp: s\r\nContent-Length: 4\r\n\r\nbody"
 CHUNKED = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
 LEAVING = b"HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody"
 WAIT_SECONDS = 0.15
 ENDLESS_WAIT_SECONDS = 5.0
+SETTLE_SECONDS = 0.1
+
+DRAWN = {
+    "endless": [
+        (["answer", "endless informational responses"], 0.040484),
+        (["endless surplus"], 0.802265),
+        (["answer", "answer"], 0.056551),
+        (["endless body"], 0.130423),
+        (["endless garbage"], 0.138155),
+        (["endless chunks"], 0.358536),
+        (["endless surplus"], 0.08057),
+        (["endless header line"], 0.394823),
+    ],
+    "repeated": [
+        (["answer", "answer"], 0.040484),
+        (["answer", "answer"], 0.472245),
+        (["answer", "answer"], 0.056551),
+        (["answer", "cut copy", "answer"], 0.62572),
+        (["answer", "answer"], 0.401591),
+        (["answer", "cut copy", "answer"], 0.775959),
+        (["answer", "answer", "copy at once"], 0.145578),
+        (["answer", "answer"], 0.365689),
+        (["answer", "copy at the next request", "answer", "copy at once"], 0.085185),
+        (["answer", "cut copy", "answer", "copy at once"], 0.338326),
+        (["answer", "copy at the next request", "answer", "copy at once"], 0.206098),
+        (["answer", "cut copy", "answer"], 0.18466),
+        (["answer", "cut copy", "answer", "copy at once"], 0.996622),
+        (["answer", "answer"], 0.640957),
+        (["answer", "cut copy", "answer"], 0.734059),
+        (["answer", "answer", "copy at once"], 0.158013),
+        (["answer", "copy at the next request", "answer"], 0.446759),
+        (["answer", "second half of a copy", "answer"], 0.110162),
+        (["answer", "copy at the next request", "answer"], 0.951913),
+        (["answer", "cut copy", "answer"], 0.347169),
+        (["answer", "answer"], 0.635726),
+        (["answer", "copy at the next request", "answer"], 0.843279),
+        (["answer", "answer", "copy at once"], 0.613087),
+        (["answer", "answer"], 0.892433),
+    ],
+    "stopped": [
+        (["answer", "answer"], 0.965465),
+        (["stopped, silence"], 0.760962),
+        (["answer", "answer"], 0.056551),
+        (["answer", "answer"], 0.474054),
+        (["answer", "stopped, again"], 0.549402),
+        (["answer", "answer"], 0.648975),
+        (["answer", "answer"], 0.662819),
+        (["stopped, close"], 0.821274),
+        (["stopped, reset"], 0.704817),
+        (["answer", "answer"], 0.502782),
+        (["answer", "answer"], 0.823589),
+        (["answer", "answer"], 0.18466),
+    ],
+    "unframed": [
+        (["answer", "unframed"], 0.258917),
+        (["unframed"], 0.763775),
+        (["answer", "answer"], 0.056551),
+        (["unframed"], 0.369955),
+        (["unframed, reset"], 0.0901),
+        (["unframed"], 0.795194),
+    ],
+}
+"""Events and the generator's next number by seed, from 0 on, recorded at 83d8397."""
+
+
+async def serve_answers(stream):
+    """Answer each piece of input."""
+    async for _data in stream:
+        await stream.send_all(ANSWER)
 
 
 class Chooser(random.Random):
@@ -170,7 +235,7 @@
             begun, _, rest = (await self.received(stream)).rpartition(ANSWER)
             self.assertTrue(begun and ANSWER.startswith(begun) and not rest)
 
-        with mock.patch("emulator.soak.answer_faults.STOP_BYTES", len(ANSWER)):
+        with mock.patch("emulator.soak.answer_stops.STOP_BYTES", len(ANSWER)):
             self.run_proxy(script, StopKind.AGAIN, stopped=1.0)
 
     def test_bytes_come_until_the_caller_closes(self):
@@ -213,6 +278,64 @@
 
         self.run_proxy(script, answer=CHUNKED, unframed=1.0)
 
+    # Equal seeds have to draw equal faults, or a seed that has shown a fault shows it no more.
+    def test_a_seed_draws_the_faults_that_it_always_drew(self):
+        for fault, expected in DRAWN.items():
+            with self.subTest(fault):
+                self.assertEqual(trio.run(self.drawn, fault, len(expected)), expected)
+
+    async def drawn(self, fault, seeds):
+        """Return the events of two requests by seed, and the next number of each generator."""
+        found = {}
+
+        async def draw(seed):
+            found[seed] = await self.draw_two(fault, seed)
+
+        async with trio.open_nursery() as nursery:
+            for seed in range(seeds):
+                nursery.start_soon(draw, seed)
+        return [found[seed] for seed in range(seeds)]
+
+    async def outcome(self, events):
+        """Return what became of the next answer; copies of earlier ones are skipped."""
+        with trio.fail_after(ENDLESS_WAIT_SECONDS):
+            async for event in events:
+                if "cop" not in event.what:
+                    break
+        await trio.sleep(SETTLE_SECONDS)
+        return event.what
+
+    async def draw_two(self, fault, seed):
+        """Return the events of two requests over one connection, and the generator's next number.
+
+        Late copies are left out, as their time tells whether they come before the end.
+        """
+        generator, events = random.Random(seed), []
+        sender, receiver = trio.open_memory_channel(math.inf)
+
+        def record(event):
+            events.append(event)
+            sender.send_nowait(event)
+
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, serve_answers, 0)
+            target = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+            proxy = FaultyAnswerProxy(target, generator, record)
+            proxy.faults = AnswerFaults(**{fault: 0.8})
+            proxy.begin_endless = proxy.end_endless = lambda: True
+            address = free_addresses(1)[0]
+            await nursery.start(proxy.run, address)
+            port = int(address.rpartition(":")[2])
+            async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                for _ in range(2):
+                    await stream.send_all(b"request")
+                    if await self.outcome(receiver) != "answer":
+                        break
+            proxy.close()
+            nursery.cancel_scope.cancel()
+        names = [event.what for event in events if not event.what.endswith("late")]
+        return names, round(generator.random(), 6)
+
     def test_few_answers_at_a_time_have_no_end(self):
         proxies = [FaultyAnswerProxy("", random.Random(1)) for _ in range(MAX_ENDLESS + 1)]
         begun = [proxy for proxy in proxies if proxy.begin_endless()]
