--- a/emulator/soak/answer_connection.py
+++ b/emulator/soak/answer_connection.py
@@ -32,7 +32,7 @@
 
 
 class FaultSource(Protocol):
-    """Decides which answers of an instance are faulty, and takes the events."""
+    """Decides which answers of an instance are faulty, and records events."""
 
     faults: AnswerFaults
     generator: random.Random
@@ -60,7 +60,7 @@
         client: trio.SocketStream,
         server: trio.SocketStream,
     ) -> None:
-        """Take two open streams.
+        """Forward nothing yet.
 
         Args:
             source: Decides which answers are faulty.
--- a/emulator/soak/answer_reader.py
+++ b/emulator/soak/answer_reader.py
@@ -53,7 +53,7 @@
         return own
 
     def _note(self, event: h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]) -> None:
-        """Take what an event tells of the answer."""
+        """Record what an event says about the answer."""
         if isinstance(event, h11.Response):
             self.status = event.status_code
             self.fields = dict(event.headers)
