Leave claims of trials out of the records of refused subjects without one

tests.adapters.test_golden_frames failed on the merge of the claims of trials: each record of a refused subject had two fields more, also without a claim. They are left out now unless a trial is claimed, so the records are those of the present form again. A new test holds that the version before reads the record of a claimed trial.

--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -88,8 +88,8 @@
         cleared: Incarnations whose terminations no longer count.
         lifted: Set by operators: no termination recorded so far counts any longer.
         trials: Trials that the request has used.
-        claimant: Process that claimed the last trial; empty once the trial has been judged.
-        repeats: Trials that were run again because their processes had ended.
+        claimant: Process that claimed the last trial; missing once the trial has been judged.
+        repeats: Trials that were run again because their processes had ended; missing for none.
     """
 
     tenant: str = ""
@@ -98,8 +98,8 @@
     cleared: tuple[str, ...] = ()
     lifted: bool = False
     trials: int = 0
-    claimant: str = ""
-    repeats: int = 0
+    claimant: str | msgspec.UnsetType = msgspec.UNSET
+    repeats: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class NodeProcesses(Protocol):
@@ -278,7 +278,7 @@
             self._record_expiry(fingerprint)
             return
         recorded = RequestCrashes(fingerprint, stored.crashes, stored.cleared)
-        use = TrialUse(stored.trials, stored.claimant, stored.repeats)
+        use = TrialUse(stored.trials, stored.claimant or "", stored.repeats or 0)
         self._record_stored(fingerprint, _Stored(version, recorded, use))
         if stored.lifted:
             self._quarantine.lift(fingerprint)
@@ -389,8 +389,8 @@
             known.crashes,
             known.cleared,
             trials=use.used,
-            claimant=use.claimant,
-            repeats=use.repeats,
+            claimant=use.claimant or msgspec.UNSET,
+            repeats=use.repeats or msgspec.UNSET,
         )
         lease = await self._lease.current(KEEP_SECONDS)
         expected = stored.version if stored is not None else ABSENT
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -311,6 +311,17 @@
     entries: tuple[RelayedBeforeSoftwareVersions, ...] = ()
 
 
+class QuarantinedBeforeClaims(msgspec.Struct, frozen=True):
+    """``StoredRequest`` as read by versions before claims of trials."""
+
+    tenant: str = ""
+    route: str = ""
+    crashes: tuple[Crash, ...] = ()
+    cleared: tuple[str, ...] = ()
+    lifted: bool = False
+    trials: int = 0
+
+
 class NodeBeforeForms(msgspec.Struct, frozen=True):
     """``NodeRecord`` as read by versions before format 1."""
 
@@ -507,6 +518,12 @@
             stored, StoredRequest("t1", "r", (Crash("i1@5", "a"),), ("i0@1",), False, 1)
         )
 
+    def test_the_version_before_reads_a_claimed_trial(self):
+        """Otherwise nodes of the version before would not know that the trial is used."""
+        claimed = StoredRequest("t1", "r", trials=1, claimant="a@00", repeats=1)
+        read = msgspec.json.decode(msgspec.json.encode(claimed), type=QuarantinedBeforeClaims)
+        self.assertEqual(read, QuarantinedBeforeClaims("t1", "r", trials=1))
+
     def test_todays_records_are_those_of_the_present_form(self):
         kept = read_golden(f"form-{MESSAGE_FORMAT_VERSION}")["records"]
         self.assertEqual({kind: value.decode() for kind, value in RECORDS.items()}, kept)
