Soak: let no two requests with a part that crashes instances be alike

The trace shows why: the soak sent requests with a fatal part with the path, caller and body of sound requests, so that the ends under them counted for the sound ones too, as ends of equal requests must. The users' pages say of requests with such a part that no two are alike, and know a request that crashes by path, caller and body; a sound request equal to one that crashes is none that they know.

Each request with a fatal part has a body of its own now. The new test fails before (one body for three requests).

--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -244,7 +244,9 @@
     """Return a request's body, which tells the instance what to do."""
     if request.fatal and not request.has_fatal_part:
         return json.dumps({"fatal": request.fatal}).encode()
-    named = {"name": request.name} if request.name else {}
+    # No two requests with a part that crashes instances are alike, nor like one without it.
+    name = request.attempt_id if request.has_fatal_part else request.name
+    named = {"name": name} if name else {}
     padded = {"padding": _padding(request)} if request.padding else {}
     if request.service == ENGINES:
         return json.dumps({"events": request.events, **named, **padded}).encode()
--- a/tests/emulator/soak/test_part_checks.py
+++ b/tests/emulator/soak/test_part_checks.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from emulator.soak.callers import headers_of, shared_part
+from emulator.soak.callers import body_of, headers_of, shared_part
 from emulator.soak.checks import check_all
 from emulator.soak.history import Disturbance, FatalTermination, RequestKind
 from emulator.soak.part_checks import MIN_COMPARED, PART_QUARANTINED
@@ -31,6 +31,11 @@
     def broken(self, seen):
         return {violation.promise for violation in check_all(seen, Bounds())}
 
+    # Sound requests were taken for those that crash instances, as both had the same body.
+    def test_no_two_requests_are_alike_if_one_has_a_fatal_part(self):
+        bodies = {body_of(made) for made in (fatal(1, 0.0), fatal(2, 0.0), sound(3, 0.0))}
+        self.assertEqual(len(bodies), 3)
+
     def crashed(self, *requests, crashes=5, **changes):
         seen = history(*requests, runs=[], **changes)
         seen.fatal_terminations = [
