Hold little of an answer without a length, and count one that doesn't end as a failure

Three of twenty instances that send large chunks without end took 19 to 22 MiB of a node and got requests until their first deadline. Of an answer without a stated length 256 KiB are held; beyond, it is relayed in parts, at 4 MiB a second until its instance has ended one, and requests prefer other instances meanwhile. The instance has succeeded when the answer has ended, and failed if it hasn't at the deadline, unless the node mostly waited for the client.

--- a/hopstep/domain/exchanges/instance_health.py
+++ b/hopstep/domain/exchanges/instance_health.py
@@ -25,6 +25,9 @@
 SMOOTHING = 0.2
 """Weight of the latest observation in moving averages."""
 
+UNENDED_SECONDS = 0.25
+"""Time after each part of a long answer that may have no end in which others are preferred."""
+
 DEFAULT_LATENCY_SECONDS = 0.1
 """Expected latency without any observation."""
 
@@ -36,6 +39,8 @@
         latency_seconds: Moving average of the time to the first byte; 0 without an observation.
         failure_rate: Moving average of failures, 0 to 1.
         suspended_until: Until then it is sent nothing, as long as there are other instances.
+        ends_long_answers: Whether it has ended a long answer without a stated length, with no
+            failure since.
     """
 
     def __init__(self) -> None:
@@ -43,6 +48,8 @@
         self.latency_seconds = 0.0
         self.failure_rate = 0.0
         self.suspended_until = 0.0
+        self.ends_long_answers = False
+        self._unended_until = 0.0
         self._failures = 0
         self._is_reported = False
         self._on_trial = False
@@ -100,10 +107,24 @@
             self._end_trial()
             return
         self._failures += 1
+        self.ends_long_answers = False
         self._is_reported = False
         self._on_trial = True
         self.suspended_until = now + _suspension_seconds(self._failures)
 
+    def note_unended(self, now: float) -> None:
+        """Note that it sends an answer that may have no end: others are preferred for a moment."""
+        self._unended_until = now + UNENDED_SECONDS
+
+    def note_long_answer_ended(self) -> None:
+        """Note that it has ended a long answer without a stated length."""
+        self.ends_long_answers = True
+        self._unended_until = 0.0
+
+    def may_not_end(self, now: float) -> bool:
+        """Return whether it sends an answer that may have no end."""
+        return now < self._unended_until
+
     def suspend(self, until: float) -> None:
         """Send it nothing before a time, as long as there are other instances."""
         self._on_trial = True
--- a/hopstep/log_events/requests.py
+++ b/hopstep/log_events/requests.py
@@ -221,7 +221,8 @@
     "response_relayed_in_parts",
     Level.INFO,
     ("request_id", "instance", "read_bytes"),
-    "Nothing for a few. If many: the node holds much for slow readers; see HS3122 and the metrics.",
+    "Nothing for a few. If many: the node holds much for slow readers, see HS3122 and the metrics; "
+    "or long answers state no length, see HS3103 for those that don't end.",
 )
 STALLED_CLIENT_DISCONNECTED = LogEvent(
     "HS3122",
--- a/hopstep/services/exchanges/requests/attempts/answer_relay.py
+++ b/hopstep/services/exchanges/requests/attempts/answer_relay.py
@@ -22,6 +22,7 @@
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer
 from hopstep.ports.instance_calls import InstanceAnswer, InstanceCallError
+from hopstep.services.exchanges.requests.attempts.unended_answer import UnendedAnswer
 from hopstep.services.exchanges.requests.exchange_parts import (
     MILLISECONDS,
     CompleteResponse,
@@ -46,6 +47,7 @@
         failure: Latest failure response of an instance, sent if no attempt does better.
         in_parts: Whether the response was relayed before it had been read to its end; it can't be
             continued by another instance.
+        unended: The response, once it is relayed in parts; None for any other.
         has_succeeded: Whether a complete, successful response with a body or events is counted as
             delivered. One without may be what an instance left that ended before it wrote any.
     """
@@ -72,6 +74,7 @@
         self.finished = False
         self.failure: CompleteResponse | None = None
         self.in_parts = False
+        self.unended: UnendedAnswer | None = None
         self.has_succeeded = False
         self._has_sent = False
         self._first_event_at: float | None = None
@@ -202,14 +205,20 @@
         """
         require_length(answer.length or 0)
         parts = answer.body()
-        held = HeldResponse(space)
+        held = HeldResponse(space, has_length=answer.length is not None)
         async for data in parts:
             if not held.add(data):
-                self._accept(candidate, answer, sent_at, None)
-                await self._relay_in_parts(answer, held, data, parts)
+                seconds = self._accept(candidate, answer, sent_at, None)
+                self.unended = UnendedAnswer(
+                    candidate.view,
+                    seconds,
+                    held.size + len(data),
+                    has_length=answer.length is not None,
+                )
+                await self._relay_in_parts(self.unended, answer, held, data, parts)
                 return
         self._require_written(answer, held)
-        self._accept(candidate, answer, sent_at, held)
+        candidate.view.succeeded(self._accept(candidate, answer, sent_at, held))
         await self._send_complete(answer, held.size, held.take_pieces())
 
     def _require_written(self, answer: InstanceAnswer, held: HeldResponse) -> None:
@@ -230,8 +239,8 @@
         answer: InstanceAnswer,
         sent_at: float,
         held: HeldResponse | None,
-    ) -> None:
-        """Report a response to the view of its instance, and check that it may be sent.
+    ) -> float:
+        """Report a response's first byte to the view of its instance; check that it may be sent.
 
         Args:
             candidate: The instance that responds.
@@ -239,6 +248,9 @@
             sent_at: When the request was sent there, by the steady clock in seconds.
             held: The complete response; None when it isn't read to its end.
 
+        Returns:
+            Time from sending the request until now, in seconds.
+
         Raises:
             InstanceCallError: When another attempt may do better.
         """
@@ -260,7 +272,7 @@
             )
         if _is_success(answer.status):
             self._require_signed(answer)
-        candidate.view.succeeded(now - sent_at)
+        return now - sent_at
 
     def _keep_failure(self, answer: InstanceAnswer, held: HeldResponse | None) -> None:
         """Keep a failure response instead of the one before, if the node has space for it."""
@@ -273,12 +285,16 @@
 
     async def _relay_in_parts(
         self,
+        unended: UnendedAnswer,
         answer: InstanceAnswer,
         held: HeldResponse,
         data: bytes,
         parts: AsyncIterator[bytes],
     ) -> None:
-        """Relay what is held, the part without space, then the others, each read after the last."""
+        """Relay what is held, the part without space, then the others, each read after the last.
+
+        The instance has succeeded only when the answer has ended.
+        """
         require_length(answer.length or 0)
         self.in_parts = True
         self._answer.share.relayed_in_parts = True
@@ -289,14 +305,17 @@
             read_bytes=held.size + len(data),
         )
         size = held.size + len(data)
+        unended.begin_write()
         await self._start(answer.status, answer.headers, answer.length)
+        await unended.end_write(0)
         for piece in held.take_pieces(RESPONSE_BYTES):
-            await self._send(piece)
-        await self._send(data)
+            await self._send_part(unended, piece)
+        await self._send_part(unended, data)
         async for data in parts:
             size += len(data)
             require_length(size)
-            await self._send(data)
+            await self._send_part(unended, data)
+        unended.note_end()
         await self._finish(answer.status)
 
     def _require_signed(self, answer: InstanceAnswer) -> None:
@@ -317,6 +336,12 @@
                 await self._send(piece)
             await self._finish(head.status)
 
+    async def _send_part(self, unended: UnendedAnswer, data: bytes) -> None:
+        """Send a part of a response that is relayed in parts."""
+        unended.begin_write()
+        await self._send(data)
+        await unended.end_write(len(data))
+
     async def _send(self, data: bytes) -> None:
         """Send a part of the body."""
         self._has_sent = self._has_sent or bool(data)
--- a/hopstep/services/exchanges/requests/intake/held_bytes.py
+++ b/hopstep/services/exchanges/requests/intake/held_bytes.py
@@ -28,6 +28,9 @@
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
+MAX_UNSTATED_BYTES = 256 * 1024
+"""Bytes that are held of an answer that doesn't state its length, and so may have no end."""
+
 PIECE_BYTES = 16 * 1024
 """Size up to which small parts of a response are joined, since each object costs memory."""
 
@@ -142,14 +145,16 @@
         size: Bytes that were added.
     """
 
-    def __init__(self, space: ResponseSpace) -> None:
+    def __init__(self, space: ResponseSpace, *, has_length: bool) -> None:
         """Start without any bytes.
 
         Args:
             space: Space for the response.
+            has_length: Whether its length is stated.
         """
         self.size = 0
         self._space = space
+        self._max_bytes = MAX_RESPONSE_BYTES if has_length else MAX_UNSTATED_BYTES
         self._pieces: deque[bytes | bytearray] = deque()
 
     def add(self, data: bytes) -> bool:
@@ -159,6 +164,8 @@
             InstanceCallError: When the response is longer than any that is relayed.
         """
         require_length(self.size + len(data))
+        if self.size + len(data) > self._max_bytes:
+            return False
         if not self._space.grow(self.size + len(data)):
             return False
         self.size += len(data)
