Accept eight informational responses before an answer of an engine, a peer or the platform

The library reads them as long as they come, without letting other tasks run: a short call to an engine took 0.75 s in place of its 0.3 s, one for the list of machines 1.0 s. The connection's state counts them now.

Of the new tests the one on informational responses without end fails on the code before with these times, and the one on their number, as no error comes. The other forms of heads without end ended before, too; they had no test.

--- a/hopstep/adapters/kept_connections.py
+++ b/hopstep/adapters/kept_connections.py
@@ -2,13 +2,16 @@
 
 A server may send more than the answer to a request. The library keeps such bytes with the
 connection and takes them for the beginning of the next answer; it notices only those that are
-still unread on the socket when the next request is sent.
+still unread on the socket when the next request is sent. It also reads informational responses
+for as long as they come, without letting other tasks run; here their number has a bound.
 """
 
 from __future__ import annotations
 
 import ssl
+from typing import Any
 
+import h11
 import httpcore
 import httpx
 
@@ -20,6 +23,41 @@
 """Limits of ``make_client``: the defaults of ``httpx``."""
 
 
+MAX_INFORMATIONAL_RESPONSES = 8
+"""Informational responses (status 1xx) before one answer."""
+
+FIRST_STEP = "http11.send_request_headers.started"
+"""Step of the library before the first byte of a request is sent on an open connection."""
+
+
+class BoundedProtocol(h11.Connection):
+    """State of a client's connection that accepts a few informational responses an answer."""
+
+    def __init__(self, max_head_bytes: int) -> None:
+        """Start before the first request.
+
+        Args:
+            max_head_bytes: Limit on a head.
+        """
+        super().__init__(h11.CLIENT, max_incomplete_event_size=max_head_bytes)
+        self._informational = 0
+
+    def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Return what was received next.
+
+        Raises:
+            h11.RemoteProtocolError: When it is no HTTP, or one informational response too many.
+        """
+        event = super().next_event()
+        if isinstance(event, h11.InformationalResponse):
+            self._informational += 1
+            if self._informational > MAX_INFORMATIONAL_RESPONSES:
+                raise h11.RemoteProtocolError("too many informational responses")
+        elif isinstance(event, h11.Response):
+            self._informational = 0
+        return event
+
+
 class KeptConnection(httpcore.AsyncConnectionInterface):
     """A connection of the library that also expires when it holds surplus bytes."""
 
@@ -33,8 +71,20 @@
 
     async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
         """Send a request."""
+        request.extensions = {**request.extensions, "trace": self._trace}
         return await self._connection.handle_async_request(request)
 
+    async def _trace(self, step: str, _info: dict[str, Any]) -> None:
+        """Bound the informational responses of a connection before its first request is sent.
+
+        The library opens the connection with the first request, and takes no state from outside.
+        """
+        opened = self._connection._connection
+        if step != FIRST_STEP or not isinstance(opened, httpcore.AsyncHTTP11Connection):
+            return
+        if not isinstance(opened._h11_state, BoundedProtocol):
+            opened._h11_state = BoundedProtocol(opened.MAX_INCOMPLETE_EVENT_SIZE)
+
     async def aclose(self) -> None:
         """Close the connection."""
         await self._connection.aclose()
--- a/tests/adapters/test_answers_without_end.py
+++ b/tests/adapters/test_answers_without_end.py
@@ -14,6 +14,7 @@
 from hopstep.adapters import peer_http
 from hopstep.adapters.engine_http import HttpEngine
 from hopstep.adapters.engine_stream import MAX_LINE_BYTES, StreamDecoder
+from hopstep.adapters.kept_connections import MAX_INFORMATIONAL_RESPONSES, make_client
 from hopstep.adapters.key_value_store_http import HttpKeyValueStore
 from hopstep.adapters.machine_list_http import HttpMachineList
 from hopstep.adapters.peer_codec import PeerCodec
@@ -29,6 +30,7 @@
     longest_step,
     traced_peak,
 )
+from tests.platform.test_instances import RawServer
 
 MEBIBYTE = 1 << 20
 SECONDS = 0.3
@@ -38,6 +40,19 @@
 REFUSED = b"HTTP/1.1 500 X\r\nTransfer-Encoding: chunked\r\n\r\n"
 LARGE = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
 SMALL = b"1\r\nx\r\n"
+INFORMATIONAL = b"HTTP/1.1 100 Continue\r\n\r\n"
+HEADS = {
+    "garbage": (b"", b"\x00"),
+    "lines that are no head": (b"", b"garbage\r\n"),
+    "a status line": (b"HTTP/1.1 200 ", b"x"),
+    "lines of a head": (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n"),
+    "one header": (b"HTTP/1.1 200 OK\r\nX-A: ", b"b"),
+    "a chunk's extension": (CHUNKED + b"1;a=", b"b"),
+    "lines of a trailer": (CHUNKED + b"1\r\nx\r\n0\r\n", b"X-A: b\r\n"),
+    "informational responses": (b"", INFORMATIONAL),
+}
+# Made once: a client makes a context of its own without one, for 40 ms.
+TLS = ssl.create_default_context()
 
 
 def engine_call(method, *arguments):
@@ -56,23 +71,23 @@
 
 
 async def key_value_get(address):
-    async with httpx.AsyncClient(trust_env=False) as client:
+    async with make_client(TLS) as client:
         await HttpKeyValueStore(address, client, SECONDS).get("k")
 
 
 async def key_value_write(address):
-    async with httpx.AsyncClient(trust_env=False) as client:
+    async with make_client(TLS) as client:
         await HttpKeyValueStore(address, client, SECONDS).compare_and_swap("k", ABSENT, b"")
 
 
 async def machine_list(address):
-    async with httpx.AsyncClient(trust_env=False) as client:
+    async with make_client(TLS) as client:
         await HttpMachineList(address, client, SECONDS).machines()
 
 
 async def peer_configuration(address):
     codec = PeerCodec("c", "a", 1, PeerKeys({"k": bytes(32)}), lambda: 1_000.0)
-    async with httpx.AsyncClient(trust_env=False) as client:
+    async with make_client(TLS) as client:
         await HttpPeerConfiguration(client, codec, lambda _: f"http://{address}").fetch("b", 6)
 
 
@@ -109,13 +124,13 @@
 }
 
 
-class AnswersWithoutEndTest(unittest.TestCase):
+class EndlessAnswerCase(unittest.TestCase):
+    """Calls stand-ins that answer without end; has no tests of its own."""
+
     def setUp(self):
         self.enterContext(mock.patch.object(peer_http, "ANSWER_SECONDS", 2 * SECONDS))
-        # Each client and each pool makes a TLS context of its own, for 40 ms.
-        context = ssl.create_default_context()
         make = "httpx._transports.default.create_ssl_context"
-        self.enterContext(mock.patch(make, return_value=context))
+        self.enterContext(mock.patch(make, return_value=TLS))
 
     def call(self, server, ask, error, instruments=()):
         """Return the lines that say which bound was exceeded, once the call has failed."""
@@ -135,6 +150,49 @@
             if line["event"] == "answer_bound_exceeded"
         ]
 
+
+class HeadsWithoutEndTest(EndlessAnswerCase):
+    def test_a_head_without_end_is_no_answer(self):
+        """Guards against 97 ms for which all tasks wait, and memory that grows, for one head."""
+        for call, (ask, _beginning, error, _call, _max_bytes) in CALLS.items():
+            for name, (beginning, repeated) in HEADS.items():
+                server = EndlessServer(beginning, repeated)
+
+                def run(step, server=server, ask=ask, error=error):
+                    self.call(server, ask, error, [step])
+
+                with self.subTest(call=call, head=name):
+                    began_at = time.monotonic()
+                    with traced_peak() as peak:
+                        self.call(server, ask, error)
+                        self.assertLess(peak(), MEBIBYTE)
+                    self.assertLess(time.monotonic() - began_at, SECONDS)
+                    self.assertLess(longest_step(run), LONGEST_STEP_SECONDS)
+
+    def test_a_few_informational_responses_precede_each_answer(self):
+        """Guards against answers that are refused for those before earlier ones."""
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        few = RawServer(INFORMATIONAL * MAX_INFORMATIONAL_RESPONSES + answer, keep_open=True)
+        many = RawServer(INFORMATIONAL * (MAX_INFORMATIONAL_RESPONSES + 1) + answer)
+
+        async def main():
+            async with trio.open_nursery() as nursery, make_client(TLS) as client:
+                for server in (few, many):
+                    listeners = await nursery.start(trio.serve_tcp, server.handle, 0)
+                    url = f"http://127.0.0.1:{listeners[0].socket.getsockname()[1]}/"
+                    if server is many:
+                        with self.assertRaises(httpx.RemoteProtocolError):
+                            await client.get(url)
+                        continue
+                    for _ in range(3):
+                        self.assertEqual((await client.get(url)).content, b"ok")
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        self.assertEqual(few.connections, 1)
+
+
+class AnswersWithoutEndTest(EndlessAnswerCase):
     def test_a_body_without_end_is_read_up_to_a_bound(self):
         """Guards against a router whose memory grows while one answer doesn't end."""
         for name, (ask, beginning, error, call, max_bytes) in CALLS.items():
