--- a/tests/adapters/test_tunnels_without_end.py
+++ b/tests/adapters/test_tunnels_without_end.py
@@ -9,12 +9,14 @@
 import trio
 import trio.testing
 
-from hopstep.adapters import tunnel_server
-from hopstep.adapters.tunnel_client import SocketTunnel
-from hopstep.adapters.tunnel_codec import CHUNK_HEADER, STOP
+from hopstep.adapters import tunnel_client, tunnel_server
+from hopstep.adapters.tunnel_client import SocketTunnel, TunnelClient
+from hopstep.adapters.tunnel_codec import CHALLENGE_BYTES, CHUNK_HEADER, STOP
 from hopstep.adapters.tunnel_streams import FrameReader
-from hopstep.ports.tunnels import TunnelBrokenError
-from tests.adapters.test_tunnels import TunnelWorld
+from hopstep.domain.reachability.gateways import Gateway
+from hopstep.domain.reachability.tunnels import TunnelFailure, TunnelTarget
+from hopstep.ports.tunnels import TunnelBrokenError, TunnelError
+from tests.adapters.test_tunnels import GATEWAY, KEYS, NODE, TunnelWorld, address_of
 from tests.platform.endless_peers import LONGEST_STEP_SECONDS, longest_step, traced_peak
 
 BLOCK_BYTES = 64 * 1024
@@ -90,6 +92,59 @@
             self.assertLess(peak(), HELD_BYTES)
 
 
+class GatewayHandshakeTest(unittest.TestCase):
+    def open(self, serve, instruments=()):
+        """Fail to open a tunnel through a gateway; return the time that it took."""
+
+        async def handle(stream):
+            # The other end closes first.
+            with contextlib.suppress(trio.BrokenResourceError):
+                await serve(stream)
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(trio.serve_tcp, handle, 0)
+                gateway = Gateway(GATEWAY, address_of(listeners[0]), KEYS[GATEWAY])
+                client = TunnelClient(NODE, KEYS[NODE])
+                began_at = time.monotonic()
+                with self.assertRaises(TunnelError) as raised:
+                    await client.open(gateway, TunnelTarget("i1", "127.0.0.1:1"))
+                self.assertIs(raised.exception.failure, TunnelFailure.UNAVAILABLE)
+                seconds = time.monotonic() - began_at
+                nursery.cancel_scope.cancel()
+                return seconds
+
+        return trio.run(main, instruments=instruments)
+
+    def test_a_challenge_and_status_without_end_are_read_up_to_a_bound(self):
+        """Guards against a gateway that takes the memory or the time of those that ask it."""
+
+        async def serve(stream):
+            await send_without_end(stream, b"\xff")
+
+        with traced_peak() as peak:
+            self.assertLess(self.open(serve), HANDSHAKE_SECONDS)
+            self.assertLess(peak(), HELD_BYTES)
+        self.assertLess(longest_step(lambda step: self.open(serve, [step])), LONGEST_STEP_SECONDS)
+
+    def test_a_challenge_or_status_that_drips_ends_in_time(self):
+        """Guards against requests that wait for a gateway that sends a byte now and then."""
+
+        async def drip_challenge(stream):
+            await send_without_end(stream, b"x", 0.2)
+
+        async def drip_status(stream):
+            await stream.send_all(bytes(CHALLENGE_BYTES) + b"\x03\xff")
+            await send_without_end(stream, b"x", 0.05)
+
+        for name, serve in (("challenge", drip_challenge), ("status", drip_status)):
+            with (
+                self.subTest(name),
+                mock.patch.object(tunnel_client, "OPEN_SECONDS", HANDSHAKE_SECONDS),
+            ):
+                self.assertLess(self.open(serve), HANDSHAKE_SECONDS + 0.3)
+
+
 class AskingNodeBytesTest(unittest.TestCase):
     def connect(self, send):
         """Return the reasons that are logged for a connection to the port for tunnels."""
