Close the connection of a caller whose body goes on behind the answer

Cause, seen in a trace of the server's steps: the server reports the end of the response as a disconnect, in the task of the application. With a full queue of body parts the report waited for ever; otherwise the framework took it for a client that had left, and cancelled the task before the server's own close in it was reached. Small chunks behind the answer were handled in one step.

--- a/hopstep/adapters/http_server.py
+++ b/hopstep/adapters/http_server.py
@@ -22,6 +22,7 @@
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ASGIFramework, ConnectionState, LifespanState
 
+from hopstep.adapters.http1_only import speak_http1_only
 from hopstep.domain.stop_schedule import CLOSE_SECONDS
 from hopstep.log_events.http_api import CONNECTION_FAILED
 from hopstep.logs import emit
@@ -251,5 +252,6 @@
         wait_shutdown: Returns when the listener should close.
         task_status: Receives the bound addresses once the listener is open.
     """
+    speak_http1_only()
     config = ServerConfig(address, tls)
     await serve_app(app, config, wait_shutdown, task_status=task_status)
--- a/hopstep/node.py
+++ b/hopstep/node.py
@@ -16,7 +16,7 @@
 from hopstep.adapters.http_api.app import create_app
 from hopstep.adapters.http_api.composition import make_api_context
 from hopstep.adapters.http_api.context import ApiContext
-from hopstep.adapters.http_server import serve_http
+from hopstep.adapters.http_api.server import serve_api
 from hopstep.adapters.kept_connections import make_client
 from hopstep.adapters.key_value_store_http import HttpKeyValueStore
 from hopstep.adapters.machine_list_http import HttpMachineList
@@ -90,7 +90,7 @@
         app = create_app(self._make_context(nursery))
         async with trio.open_nursery() as serving:
             bound = await serving.start(
-                serve_http,
+                serve_api,
                 app,
                 self._settings.address,
                 self._tls.listener,
--- a/tests/adapters/http_api/test_callers_without_end.py
+++ b/tests/adapters/http_api/test_callers_without_end.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from hopstep.adapters.http_server import serve_http
+from hopstep.adapters.http_api.server import serve_api
 from tests.adapters.http_api.harness import KEY, Harness
 from tests.platform.endless_peers import LONGEST_STEP_SECONDS, longest_step, traced_peak
 
@@ -56,7 +56,7 @@
             async with trio.open_nursery() as nursery:
                 app = Harness(nursery).app
                 app.config["BODY_TIMEOUT"] = BODY_SECONDS
-                urls = await nursery.start(serve_http, app, "127.0.0.1:0", None, trio.sleep_forever)
+                urls = await nursery.start(serve_api, app, "127.0.0.1:0", None, trio.sleep_forever)
                 stream = await trio.open_tcp_stream("127.0.0.1", int(urls[0].rpartition(":")[2]))
                 with trio.fail_after(ANSWER_SECONDS):
                     async with trio.open_nursery() as caller:
