Bound informational responses in one place for all clients

The count stood twice: in the protocol of the connections to instances, and in the state for the library's connections. Both use the same state now. Behaviour is the same; the tests of both hold.

--- a/hopstep/adapters/kept_connections.py
+++ b/hopstep/adapters/kept_connections.py
@@ -11,11 +11,11 @@
 import ssl
 from typing import Any
 
-import h11
 import httpcore
 import httpx
 
 from hopstep.adapters.call_ids import IdentifiedTransport
+from hopstep.bounded_protocol import BoundedProtocol
 
 CLIENT_LIMITS = httpx.Limits(
     max_connections=100, max_keepalive_connections=20, keepalive_expiry=5.0
@@ -23,41 +23,10 @@
 """Limits of ``make_client``: the defaults of ``httpx``."""
 
 
-MAX_INFORMATIONAL_RESPONSES = 8
-"""Informational responses (status 1xx) before one answer."""
-
 FIRST_STEP = "http11.send_request_headers.started"
 """Step of the library before the first byte of a request is sent on an open connection."""
 
 
-class BoundedProtocol(h11.Connection):
-    """State of a client's connection that accepts a few informational responses an answer."""
-
-    def __init__(self, max_head_bytes: int) -> None:
-        """Start before the first request.
-
-        Args:
-            max_head_bytes: Limit on a head.
-        """
-        super().__init__(h11.CLIENT, max_incomplete_event_size=max_head_bytes)
-        self._informational = 0
-
-    def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
-        """Return what was received next.
-
-        Raises:
-            h11.RemoteProtocolError: When it is no HTTP, or one informational response too many.
-        """
-        event = super().next_event()
-        if isinstance(event, h11.InformationalResponse):
-            self._informational += 1
-            if self._informational > MAX_INFORMATIONAL_RESPONSES:
-                raise h11.RemoteProtocolError("too many informational responses")
-        elif isinstance(event, h11.Response):
-            self._informational = 0
-        return event
-
-
 class KeptConnection(httpcore.AsyncConnectionInterface):
     """A connection of the library that also expires with surplus bytes, and with its end."""
 
--- a/hopstep/platform/http_protocol.py
+++ b/hopstep/platform/http_protocol.py
@@ -11,6 +11,7 @@
 import trio
 
 from hopstep.bounded_body import MAX_SMALL_PARTS, SMALL_PART_BYTES, BodyTooLongError
+from hopstep.bounded_protocol import BoundedProtocol
 from hopstep.domain.connection_reuse import SentIdentifiers
 from hopstep.platform import names
 from hopstep.platform.http_call import HttpCall
@@ -19,9 +20,6 @@
 MAX_HEAD_BYTES = 64 * 1024
 """Bytes of a head, of a chunk's first line and of trailers."""
 
-MAX_INFORMATIONAL_RESPONSES = 8
-"""Informational responses (status 1xx) before one response."""
-
 MAX_DISCARDED_ANSWERS = 4
 """Late answers to earlier calls before the answer to one call."""
 
@@ -179,7 +177,6 @@
 
     async def _receive_head(self, call: HttpCall) -> h11.Response:
         """Return the head of a response."""
-        informational = 0
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
@@ -187,11 +184,7 @@
             elif isinstance(event, h11.Response):
                 require_single_head(event)
                 return event
-            elif isinstance(event, h11.InformationalResponse):
-                informational += 1
-                if informational > MAX_INFORMATIONAL_RESPONSES:
-                    raise httpcore.RemoteProtocolError("too many informational responses")
-            else:
+            elif not isinstance(event, h11.InformationalResponse):
                 raise httpcore.RemoteProtocolError("the connection ended without a response")
 
     async def receive_body(self, call: HttpCall) -> AsyncIterator[bytes]:
@@ -272,7 +265,7 @@
 
 def _new_protocol() -> h11.Connection:
     """Return the state of a connection before its first request."""
-    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+    return BoundedProtocol(MAX_HEAD_BYTES)
 
 
 def _request_events(request: httpcore.Request, call: HttpCall) -> Iterator[h11.Event]:
--- a/tests/adapters/test_answers_without_end.py
+++ b/tests/adapters/test_answers_without_end.py
@@ -14,12 +14,13 @@
 from hopstep.adapters import peer_http
 from hopstep.adapters.engine_http import HttpEngine
 from hopstep.adapters.engine_stream import MAX_LINE_BYTES, StreamDecoder
-from hopstep.adapters.kept_connections import MAX_INFORMATIONAL_RESPONSES, make_client
+from hopstep.adapters.kept_connections import make_client
 from hopstep.adapters.key_value_store_http import HttpKeyValueStore
 from hopstep.adapters.machine_list_http import HttpMachineList
 from hopstep.adapters.peer_codec import PeerCodec
 from hopstep.adapters.peer_http import HttpPeerConfiguration
 from hopstep.adapters.peer_keys import PeerKeys
+from hopstep.bounded_protocol import MAX_INFORMATIONAL_RESPONSES
 from hopstep.domain.store_position import ABSENT
 from hopstep.exceptions import EngineError, PeerMessageError, StoreError, StoreOutcomeUnknownError
 from hopstep.ports.engine import EngineOrder
