Move what tells the store's answers apart, and the bound on a body's time, to the domain

The platform's folder translates and decides nothing: whether a store's answer can be to a call, and how long a body may take, are decided in the domain now. Headers are decoded by one named encoding. Moved and renamed only.

--- a/hopstep/domain/exchanges/request_body.py
+++ b/hopstep/domain/exchanges/request_body.py
@@ -9,6 +9,10 @@
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
 """Bytes beyond the limit up to which a body that isn't kept is read."""
 
+MAX_BODY_SECONDS = 60.0
+"""Longest time from a request's head to the end of its body: far above the time for which clients
+wait, so that only bodies that don't end take as long."""
+
 
 class BodyOmission(enum.StrEnum):
     """Why a body isn't kept."""
--- a/hopstep/platform/store_checks.py
+++ b/hopstep/domain/store_answers.py
@@ -11,7 +11,6 @@
 from collections.abc import Iterable, Mapping
 
 from hopstep.domain.store_position import NO_POSITION, StoreLease, StorePosition
-from hopstep.exceptions import ErrorCode, StoreError, StoreOutcomeUnknownError
 
 MAX_LEASES = 64
 """Granted leases that are remembered."""
@@ -72,11 +71,3 @@
         expected: Revisions that the write expected.
     """
     return found.keys() <= expected.keys() and found != expected
-
-
-def other_answer(is_write: bool) -> StoreError:
-    """Return the error of a call in whose place an answer to another one came."""
-    message = "the store's answer is to another call"
-    if is_write:
-        return StoreOutcomeUnknownError(ErrorCode.STORE_OUTCOME_UNKNOWN, message)
-    return StoreError(ErrorCode.STORE_UNAVAILABLE, message)
--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -9,6 +9,7 @@
 
 from hopstep.domain.byte_budget import ByteShare
 from hopstep.domain.exchanges.request import Headers, Prompt, PromptSegment
+from hopstep.domain.exchanges.request_body import MAX_BODY_SECONDS
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.platform import names
 from hopstep.ports.exchange_front import (
@@ -24,10 +25,6 @@
 Receive = Callable[[], Awaitable[Any]]
 Send = Callable[[Any], Awaitable[None]]
 
-BODY_SECONDS = 60.0
-"""Longest time from a request's head to the end of its body: far above the time for which clients
-wait, so that only bodies that don't end take as long."""
-
 MILLISECONDS = 1_000.0
 UNKNOWN_STATUS = 502
 TIMEOUT_STATUS = 504
@@ -174,7 +171,7 @@
 
 async def _read_body(receive: Receive, request: IncomingRequest) -> bool:
     """Read a request's body as far as it is wanted; return False when the client disconnected."""
-    with trio.move_on_after(BODY_SECONDS):
+    with trio.move_on_after(MAX_BODY_SECONDS):
         while True:
             message = await receive()
             if message["type"] != "http.request":
@@ -210,7 +207,7 @@
         request_id=_read_id(scope["headers"]),
         method=scope["method"].encode(),
         host=_text(found, b"host"),
-        path=bytes(scope["raw_path"]).decode("latin-1"),
+        path=bytes(scope["raw_path"]).decode(names.HEADER_ENCODING),
         target=_target(scope),
         headers=_forwarded(scope["headers"]),
         key=_text(found, names.API_KEY),
--- a/hopstep/platform/notices.py
+++ b/hopstep/platform/notices.py
@@ -49,4 +49,4 @@
 
 def _texts(pairs: list[tuple[bytes, bytes]], name: bytes) -> list[str]:
     """Return the values of all headers of a name."""
-    return [value.decode("latin-1") for found, value in pairs if found == name]
+    return [value.decode(names.HEADER_ENCODING) for found, value in pairs if found == name]
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -13,6 +13,7 @@
 
 from hopstep.bounded_body import STORE_BOUND, bounded_answer
 from hopstep.decoding import decode_json
+from hopstep.domain.store_answers import AnswerHistory, are_within, is_conflict
 from hopstep.domain.store_position import UNSPECIFIED_ERA, StoreLease, StorePosition
 from hopstep.exceptions import (
     ErrorCode,
@@ -26,7 +27,6 @@
 from hopstep.platform import names
 from hopstep.platform.http_call import HttpCall, SendTrace
 from hopstep.platform.http_client import HttpClient
-from hopstep.platform.store_checks import AnswerHistory, are_within, is_conflict, other_answer
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
 from hopstep.ports.key_value_store import (
     KeyValueStorePort,
@@ -286,7 +286,7 @@
         """
         emit(ANSWER_TO_ANOTHER_CALL, address=self._address)
         await self.reconnect()
-        return other_answer(is_write)
+        return _other_answer(is_write)
 
     def _decode(self, answer: _Answer, document: type[Document]) -> Document:
         """Return the document of a response, and report its unrecognized fields."""
@@ -386,6 +386,14 @@
     return int(lease.name)
 
 
+def _other_answer(is_write: bool) -> StoreError:
+    """Return the error of a call in whose place an answer to another one came."""
+    message = "the store's answer is to another call"
+    if is_write:
+        return _unknown_outcome(message)
+    return StoreError(ErrorCode.STORE_UNAVAILABLE, message)
+
+
 def _no_answer(method: bytes, sent: bool) -> StoreError:
     """Return the error of a call that got no response."""
     if method == GET or not sent:
--- a/hopstep/platform/vocabulary.py
+++ b/hopstep/platform/vocabulary.py
@@ -139,7 +139,7 @@
         known = KNOWN_HEADERS[location]
         for name, _value in headers:
             if name.lower() not in known:
-                text = name.lower().decode("latin-1")
+                text = name.lower().decode(names.HEADER_ENCODING)
                 self._listener(UnrecognizedValue(location, text, source, status))
 
     def report_fields(
--- a/tests/adapters/test_clients_without_end.py
+++ b/tests/adapters/test_clients_without_end.py
@@ -76,7 +76,7 @@
 class ClientsWithoutEndTest(unittest.TestCase):
     def setUp(self):
         self.sent_bytes = 0
-        self.enterContext(mock.patch.object(front, "BODY_SECONDS", BODY_SECONDS))
+        self.enterContext(mock.patch.object(front, "MAX_BODY_SECONDS", BODY_SECONDS))
         self.enterContext(mock.patch.object(request_body, "MAX_DISCARDED_BYTES", LIMIT_BYTES))
         protocol = mock.patch.object(hypercorn.protocol, "H11Protocol", Http1OnlyProtocol)
         self.enterContext(protocol)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -100,7 +100,7 @@
     def test_a_body_that_does_not_end_in_time_is_given_up(self):
         """Guards against requests that stay open while their clients send a byte now and then."""
         service = Service()
-        with mock.patch.object(front, "BODY_SECONDS", 0.05):
+        with mock.patch.object(front, "MAX_BODY_SECONDS", 0.05):
             self.exchange(service, body=(b"12", b"345", None))
         self.assertEqual(service.bodies, [b"given up"])
 
