--- a/hopstep/domain/exchanges/instance_health.py
+++ b/hopstep/domain/exchanges/instance_health.py
@@ -25,7 +25,7 @@
 SMOOTHING = 0.2
 """Weight of the latest observation in moving averages."""
 
-UNENDED_SECONDS = 0.25
+UNBOUNDED_SECONDS = 0.25
 """Time after each part of a long answer that may have no end in which others are preferred."""
 
 DEFAULT_LATENCY_SECONDS = 0.1
@@ -49,7 +49,7 @@
         self.failure_rate = 0.0
         self.suspended_until = 0.0
         self.ends_long_answers = False
-        self._unended_until = 0.0
+        self._unbounded_until = 0.0
         self._failures = 0
         self._is_reported = False
         self._on_trial = False
@@ -112,18 +112,18 @@
         self._on_trial = True
         self.suspended_until = now + _suspension_seconds(self._failures)
 
-    def note_unended(self, now: float) -> None:
+    def note_unbounded(self, now: float) -> None:
         """Note that it sends an answer that may have no end: others are preferred for a moment."""
-        self._unended_until = now + UNENDED_SECONDS
+        self._unbounded_until = now + UNBOUNDED_SECONDS
 
     def note_long_answer_ended(self) -> None:
         """Note that it has ended a long answer without a stated length."""
         self.ends_long_answers = True
-        self._unended_until = 0.0
+        self._unbounded_until = 0.0
 
-    def may_not_end(self, now: float) -> bool:
+    def may_be_unbounded(self, now: float) -> bool:
         """Return whether it sends an answer that may have no end."""
-        return now < self._unended_until
+        return now < self._unbounded_until
 
     def suspend(self, until: float) -> None:
         """Send it nothing before a time, as long as there are other instances."""
--- a/hopstep/domain/exchanges/instance_view.py
+++ b/hopstep/domain/exchanges/instance_view.py
@@ -287,5 +287,5 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether the instance is likely to serve a new request once it has capacity."""
-        is_kept_free = self.awaits_trial or self.may_not_end(now)
+        is_kept_free = self.awaits_trial or self.may_be_unbounded(now)
         return now >= self.loading_until and not is_kept_free and self.responds(now)
--- a/hopstep/services/exchanges/requests/attempts/answer_relay.py
+++ b/hopstep/services/exchanges/requests/attempts/answer_relay.py
@@ -22,7 +22,7 @@
 from hopstep.logs import emit
 from hopstep.ports.exchange_front import ClientAnswer
 from hopstep.ports.instance_calls import InstanceAnswer, InstanceCallError
-from hopstep.services.exchanges.requests.attempts.unended_answer import UnendedAnswer
+from hopstep.services.exchanges.requests.attempts.unbounded_answer import UnboundedAnswer
 from hopstep.services.exchanges.requests.exchange_parts import (
     MILLISECONDS,
     CompleteResponse,
@@ -47,7 +47,7 @@
         failure: Latest failure response of an instance, sent if no attempt does better.
         in_parts: Whether the response was relayed before it had been read to its end; it can't be
             continued by another instance.
-        unended: The response, once it is relayed in parts; None for any other.
+        unbounded: The response, once it is relayed in parts; None for any other.
         has_succeeded: Whether a complete, successful response with a body or events is counted as
             delivered. One without may be what an instance left that ended before it wrote any.
     """
@@ -74,7 +74,7 @@
         self.finished = False
         self.failure: CompleteResponse | None = None
         self.in_parts = False
-        self.unended: UnendedAnswer | None = None
+        self.unbounded: UnboundedAnswer | None = None
         self.has_succeeded = False
         self._has_sent = False
         self._first_event_at: float | None = None
@@ -209,13 +209,13 @@
         async for data in parts:
             if not held.add(data):
                 seconds = self._accept(candidate, answer, sent_at, None)
-                self.unended = UnendedAnswer(
+                self.unbounded = UnboundedAnswer(
                     candidate.view,
                     seconds,
                     held.size + len(data),
                     has_length=answer.length is not None,
                 )
-                await self._relay_in_parts(self.unended, answer, held, data, parts)
+                await self._relay_in_parts(self.unbounded, answer, held, data, parts)
                 return
         self._require_written(answer, held)
         candidate.view.succeeded(self._accept(candidate, answer, sent_at, held))
@@ -285,7 +285,7 @@
 
     async def _relay_in_parts(
         self,
-        unended: UnendedAnswer,
+        unbounded: UnboundedAnswer,
         answer: InstanceAnswer,
         held: HeldResponse,
         data: bytes,
@@ -305,17 +305,17 @@
             read_bytes=held.size + len(data),
         )
         size = held.size + len(data)
-        unended.begin_write()
+        unbounded.begin_write()
         await self._start(answer.status, answer.headers, answer.length)
-        await unended.end_write(0)
+        await unbounded.end_write(0)
         for piece in held.take_pieces(RESPONSE_BYTES):
-            await self._send_part(unended, piece)
-        await self._send_part(unended, data)
+            await self._send_part(unbounded, piece)
+        await self._send_part(unbounded, data)
         async for data in parts:
             size += len(data)
             require_length(size)
-            await self._send_part(unended, data)
-        unended.note_end()
+            await self._send_part(unbounded, data)
+        unbounded.note_end()
         await self._finish(answer.status)
 
     def _require_signed(self, answer: InstanceAnswer) -> None:
@@ -336,11 +336,11 @@
                 await self._send(piece)
             await self._finish(head.status)
 
-    async def _send_part(self, unended: UnendedAnswer, data: bytes) -> None:
+    async def _send_part(self, unbounded: UnboundedAnswer, data: bytes) -> None:
         """Send a part of a response that is relayed in parts."""
-        unended.begin_write()
+        unbounded.begin_write()
         await self._send(data)
-        await unended.end_write(len(data))
+        await unbounded.end_write(len(data))
 
     async def _send(self, data: bytes) -> None:
         """Send a part of the body."""
--- a/hopstep/services/exchanges/requests/attempts/unended_answer.py
+++ b/hopstep/services/exchanges/requests/attempts/unbounded_answer.py
@@ -19,7 +19,7 @@
 without free processor time the writes to a client that reads at once take half of it."""
 
 
-class UnendedAnswer:
+class UnboundedAnswer:
     """One answer, from when it is relayed in parts.
 
     Attributes:
@@ -51,7 +51,7 @@
         self._writing_seconds = 0.0
         self._size = 0
         if self._is_slowed and read_bytes > MAX_UNSTATED_BYTES:
-            view.note_unended(self._began_at)
+            view.note_unbounded(self._began_at)
 
     def begin_write(self) -> None:
         """Note that the head or a part is about to be written to the client."""
@@ -67,7 +67,7 @@
         if self._is_slowed and self._size > MAX_UNSTATED_BYTES:
             await trio.sleep_until(self._began_at + self._size / BYTES_PER_SECOND)
             if not self._is_client_slow():
-                self.view.note_unended(trio.current_time())
+                self.view.note_unbounded(trio.current_time())
 
     def note_end(self) -> None:
         """Note that the instance has ended the answer."""
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -93,21 +93,21 @@
                 self._gate.end()
         if scope.cancelled_caught and not self._relay.finished:
             self._may_have_run = self._may_have_run or self._in_flight.sent
-            self._note_unended()
+            self._note_unbounded()
             self._fail(ErrorCode.DEADLINE_EXCEEDED, "no whole answer in time")
 
-    def _note_unended(self) -> None:
+    def _note_unbounded(self) -> None:
         """Count an answer that hasn't ended by the deadline as a failure, if it may have no end."""
-        unended = self._relay.unended
-        if unended is None or not unended.may_have_no_end():
+        unbounded = self._relay.unbounded
+        if unbounded is None or not unbounded.may_have_no_end():
             return
         if self._parts.pauses.has_just_ended:
             return
         error = InstanceCallError(
             ErrorCode.STREAM_INTERRUPTED, "the answer didn't end in time", Execution.UNKNOWN
         )
-        note_failure(self._parts, unended.view, error)
-        self._log_attempt(unended.view, error, NextStep.CUT)
+        note_failure(self._parts, unbounded.view, error)
+        self._log_attempt(unbounded.view, error, NextStep.CUT)
 
     @property
     def _budget(self) -> RepeatBudget:
--- a/tests/services/exchanges/test_answers_without_end.py
+++ b/tests/services/exchanges/test_answers_without_end.py
@@ -8,7 +8,7 @@
 
 from emulator.exchange_platform.instances import EmulatedAnswer
 from hopstep.domain.byte_budget import RESPONSE_BYTES, ByteBudget, ByteShare
-from hopstep.domain.exchanges.instance_health import FIRST_SUSPENSION_SECONDS, UNENDED_SECONDS
+from hopstep.domain.exchanges.instance_health import FIRST_SUSPENSION_SECONDS, UNBOUNDED_SECONDS
 from hopstep.domain.exchanges.serving import RequestKind
 from hopstep.ports.serving_directory import ConfigurationPublished
 from hopstep.services.exchanges.requests.intake.held_bytes import (
@@ -179,7 +179,7 @@
 
         async def script(world, view):
             async def stay_usable():
-                await trio.sleep(UNENDED_SECONDS + 0.1)
+                await trio.sleep(UNBOUNDED_SECONDS + 0.1)
                 while True:
                     self.assertTrue(view.is_usable(trio.current_time()))
                     await trio.sleep(0.05)
