--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -369,7 +369,7 @@
         await self._answers_faulty([self._instance()], AnswerFaults(unframed=share))
 
     async def _answers_faulty(self, chosen: list[InstanceLinks], faults: AnswerFaults) -> None:
-        """Let answers be faulty for a while, beside the faults that they have."""
+        """Make answers faulty for a while, in addition to the faults that are set already."""
         proxies = [links.answers for links in chosen if links.answers is not None]
         fields = [name for name in AnswerFaults.__struct_fields__ if getattr(faults, name)]
         for proxy in proxies:
--- a/emulator/soak/persistent_callers.py
+++ b/emulator/soak/persistent_callers.py
@@ -5,22 +5,20 @@
 
 from __future__ import annotations
 
-import random
-
 import httpcore
 import trio
 
+from emulator.soak.caller_group import CallerGroup
 from emulator.soak.callers import (
     KINDS,
     LATEST_ANSWER_SECONDS,
     PATIENCE_SECONDS,
-    Readiness,
     body_of,
     draw_request,
     headers_of,
     path_of,
 )
-from emulator.soak.deployment import Deployment, NodeLinks
+from emulator.soak.deployment import NodeLinks
 from emulator.soak.history import SentRequest
 
 THINK_SECONDS = (0.0, 0.3)
@@ -30,35 +28,9 @@
 BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.ConnectionNotAvailable)
 
 
-class PersistentCallers:
+class PersistentCallers(CallerGroup):
     """A number of callers with one connection each."""
 
-    def __init__(
-        self,
-        deployment: Deployment,
-        generator: random.Random,
-        readiness: Readiness,
-        count: int,
-    ) -> None:
-        """Prepare callers without connections.
-
-        Args:
-            deployment: Nodes and history.
-            generator: Draws requests.
-            readiness: Nodes to which new connections may go.
-            count: Number of callers.
-        """
-        self._deployment = deployment
-        self._generator = generator
-        self._readiness = readiness
-        self._count = count
-
-    async def run(self) -> None:
-        """Send until cancelled."""
-        async with trio.open_nursery() as nursery:
-            for _ in range(self._count):
-                nursery.start_soon(self._keep_calling)
-
     async def _keep_calling(self) -> None:
         """Open a new connection whenever the last one has ended."""
         while True:
--- a/emulator/soak/repeating_callers.py
+++ b/emulator/soak/repeating_callers.py
@@ -12,6 +12,7 @@
 import httpcore
 import trio
 
+from emulator.soak.caller_group import CallerGroup
 from emulator.soak.callers import (
     KINDS,
     LATEST_ANSWER_SECONDS,
@@ -47,7 +48,7 @@
     BROKEN_OFF = "broken off"
 
 
-class RepeatingCallers:
+class RepeatingCallers(CallerGroup):
     """A number of callers, each of which uses one node for a while."""
 
     def __init__(
@@ -68,19 +69,10 @@
             count: Number of callers.
             repeats_ids: Whether several tries have one id.
         """
-        self._deployment = deployment
-        self._generator = generator
-        self._readiness = readiness
-        self._count = count
+        super().__init__(deployment, generator, readiness, count)
         self._repeats_ids = repeats_ids
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
-    async def run(self) -> None:
-        """Send until cancelled."""
-        async with trio.open_nursery() as nursery:
-            for _ in range(self._count):
-                nursery.start_soon(self._keep_calling)
-
     async def _keep_calling(self) -> None:
         """Use one node after the other."""
         while True:
@@ -104,10 +96,10 @@
                 await trio.sleep(generator.uniform(0.0, OVERLAP_SECONDS))
                 nursery.start_soon(self._send, node, self._next_try(node, first, 2))
             return
-        patience = float("inf")
+        timeout_seconds = float("inf")
         if pattern is Pattern.BROKEN_OFF:
-            patience = generator.uniform(*BREAK_SECONDS)
-        await self._send(node, first, patience)
+            timeout_seconds = generator.uniform(*BREAK_SECONDS)
+        await self._send(node, first, timeout_seconds)
         for number in range(2, generator.randrange(3, 6)):
             await trio.sleep(generator.choice(PAUSES_SECONDS))
             await self._send(node, self._next_try(node, first, number))
@@ -130,15 +122,15 @@
         return request
 
     async def _send(
-        self, node: NodeLinks, request: SentRequest, patience: float = float("inf")
+        self, node: NodeLinks, request: SentRequest, timeout_seconds: float = float("inf")
     ) -> None:
-        """Send a try and record its outcome; the caller breaks off when its patience ends."""
+        """Send a try and record its outcome; the caller breaks off after ``timeout_seconds``."""
         request.sent_at = trio.current_time()
         request.deadline_at = request.sent_at + PATIENCE_SECONDS
         latest = PATIENCE_SECONDS + LATEST_ANSWER_SECONDS
-        with trio.move_on_after(min(patience, latest)) as scope:
+        with trio.move_on_after(min(timeout_seconds, latest)) as scope:
             await self._exchange(node, request)
-        request.left = scope.cancelled_caught and patience < latest
+        request.left = scope.cancelled_caught and timeout_seconds < latest
         request.ended_at = trio.current_time()
 
     async def _exchange(self, node: NodeLinks, request: SentRequest) -> None:
--- a/emulator/soak/slow_callers.py
+++ b/emulator/soak/slow_callers.py
@@ -6,23 +6,22 @@
 from __future__ import annotations
 
 import contextlib
-import random
 from collections.abc import Iterator
 
 import h11
 import trio
 
+from emulator.soak.caller_group import CallerGroup
 from emulator.soak.callers import (
     KINDS,
     LATEST_ANSWER_SECONDS,
     PATIENCE_SECONDS,
-    Readiness,
     body_of,
     draw_request,
     headers_of,
     path_of,
 )
-from emulator.soak.deployment import Deployment, NodeLinks
+from emulator.soak.deployment import NodeLinks
 from emulator.soak.history import RequestKind, SentRequest
 
 REST_SECONDS = (0.0, 2.5)
@@ -45,31 +44,9 @@
 CONNECT_SECONDS = 1.0
 
 
-class SlowCallers:
+class SlowCallers(CallerGroup):
     """A number of callers with one connection each."""
 
-    def __init__(
-        self, deployment: Deployment, generator: random.Random, readiness: Readiness, count: int
-    ) -> None:
-        """Prepare callers without connections.
-
-        Args:
-            deployment: Nodes and history.
-            generator: Draws requests and their pieces.
-            readiness: Nodes to which new connections may go.
-            count: Number of callers.
-        """
-        self._deployment = deployment
-        self._generator = generator
-        self._readiness = readiness
-        self._count = count
-
-    async def run(self) -> None:
-        """Send until cancelled."""
-        async with trio.open_nursery() as nursery:
-            for _ in range(self._count):
-                nursery.start_soon(self._keep_calling)
-
     async def _keep_calling(self) -> None:
         """Open a new connection whenever the last one has ended."""
         while True:
