--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -13,12 +13,12 @@
     CHUNKS,
     IN_CHUNKS,
     MODEL_HEADER,
-    CutAnswersCase,
     Ending,
     cuts,
     ended_by_close,
     written_by_close,
 )
+from tests.platform.cut_answers_case import CutAnswersCase
 
 
 class CutAnswersTest(CutAnswersCase):
--- a/tests/platform/test_cut_answers_behind.py
+++ b/tests/platform/test_cut_answers_behind.py
@@ -16,11 +16,11 @@
     START,
     STREAM,
     STREAM_CHUNKS,
-    CutAnswersCase,
     Ending,
     Kind,
     cuts,
 )
+from tests.platform.cut_answers_case import CutAnswersCase
 
 OTHER_BODY = b"other"
 OTHER_LENGTH = b"Content-Length: 5\r\n\r\n" + OTHER_BODY
--- a/tests/platform/test_cut_gateways.py
+++ b/tests/platform/test_cut_gateways.py
@@ -7,16 +7,8 @@
 import unittest
 
 from hopstep.adapters.tunnel_codec import CHUNK_HEADER
-from tests.platform.answer_cuts import (
-    BODY,
-    BY_CLOSE,
-    BY_LENGTH,
-    STREAM,
-    Case,
-    CutAnswersCase,
-    Ending,
-    Kind,
-)
+from tests.platform.answer_cuts import BODY, BY_CLOSE, BY_LENGTH, STREAM, Case, Ending, Kind
+from tests.platform.cut_answers_case import CutAnswersCase
 
 SILENT_DEADLINE_MS = 500
 
--- a/tests/platform/test_cut_other_answers.py
+++ b/tests/platform/test_cut_other_answers.py
@@ -9,10 +9,10 @@
     FAILED,
     IN_CHUNKS,
     NO_CONTENT,
-    CutAnswersCase,
     Ending,
     cuts,
 )
+from tests.platform.cut_answers_case import CutAnswersCase
 
 LONG_BODY = b"x" * 700_000
 """Longer than a node with little memory holds, so that it is relayed in parts."""
--- a/tests/platform/test_cut_repeats.py
+++ b/tests/platform/test_cut_repeats.py
@@ -9,10 +9,10 @@
     IN_CHUNKS,
     STREAM,
     STREAM_CHUNKS,
-    CutAnswersCase,
     Kind,
     cuts,
 )
+from tests.platform.cut_answers_case import CutAnswersCase
 
 
 def always_whole(whole):
--- a/tests/platform/test_cut_streams.py
+++ b/tests/platform/test_cut_streams.py
@@ -12,11 +12,11 @@
     IN_CHUNKS,
     STREAM,
     STREAM_CHUNKS,
-    CutAnswersCase,
     Kind,
     cuts,
     stream_ended_by_close,
 )
+from tests.platform.cut_answers_case import CutAnswersCase
 
 STREAM_BY_LENGTH = BY_LENGTH.replace(b": 4", b": 30") + STREAM
 HAS_BROKEN_OFF = (200, False)
--- a/tests/platform/test_cut_tunneled_streams.py
+++ b/tests/platform/test_cut_tunneled_streams.py
@@ -7,11 +7,11 @@
     IN_CHUNKS,
     STREAM,
     STREAM_CHUNKS,
-    CutAnswersCase,
     Kind,
     cuts,
     stream_ended_by_close,
 )
+from tests.platform.cut_answers_case import CutAnswersCase
 
 
 class CutTunneledStreamsTest(CutAnswersCase):
--- a/tests/platform/test_cut_tunnels.py
+++ b/tests/platform/test_cut_tunnels.py
@@ -8,10 +8,10 @@
     BY_LENGTH,
     CHUNKS,
     IN_CHUNKS,
-    CutAnswersCase,
     cuts,
     ended_by_close,
 )
+from tests.platform.cut_answers_case import CutAnswersCase
 
 
 class CutTunnelsTest(CutAnswersCase):
--- a/tests/platform/test_spliced_long_answers.py
+++ b/tests/platform/test_spliced_long_answers.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from tests.platform.answer_cuts import BODY, BY_LENGTH, START, CutAnswersCase, Ending, cuts
+from tests.platform.answer_cuts import BODY, BY_LENGTH, START, Ending, cuts
+from tests.platform.cut_answers_case import CutAnswersCase
 
 MEMORY_MB = 1
 """Memory with which a node relays an answer of ``LONG`` in parts."""
--- a/tests/platform/test_unusual_ids.py
+++ b/tests/platform/test_unusual_ids.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from tests.platform.answer_cuts import BODY, HOST, OK, WHOLE, Case, CutWorld, Ending, ask
+from tests.platform.answer_cuts import BODY, WHOLE, Case, Ending
+from tests.platform.cut_world import HOST, OK, CutWorld, ask
 
 BEYOND_ASCII = (b"a\xe9b", b"\xa0a1", b"a1\x85")
 BAD_REQUEST = 400
