--- a/tests/adapters/http_api/test_callers_without_end.py
+++ b/tests/adapters/http_api/test_callers_without_end.py
@@ -1,16 +1,20 @@
 """Callers of the OpenAI-style interface whose heads or bodies don't end, over sockets."""
 
-import contextlib
 import unittest
 
 import trio
 
 from hopstep.adapters.http_api.server import serve_api
 from tests.adapters.http_api.harness import KEY, Harness
-from tests.platform.endless_peers import LONGEST_STEP_SECONDS, longest_step, traced_peak
+from tests.platform.endless_peers import (
+    LONGEST_STEP_SECONDS,
+    longest_step,
+    receive_to_end,
+    send_without_end,
+    traced_peak,
+)
 
 MEBIBYTE = 1 << 20
-BLOCK_BYTES = 64 * 1024
 ANSWER_SECONDS = 3.0
 BODY_SECONDS = 0.4
 DRIP_SECONDS = 0.05
@@ -38,21 +42,10 @@
         """Return the bytes that a caller gets until its connection ends."""
         received = b""
 
-        async def send(stream):
-            block = repeated if drips else repeated * (BLOCK_BYTES // len(repeated) + 1)
-            with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-                await stream.send_all(beginning)
-                while True:
-                    await stream.send_all(block)
-                    await trio.sleep(DRIP_SECONDS if drips else 0.0)
-
-        async def receive(stream):
-            nonlocal received
-            with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-                while data := await stream.receive_some():
-                    received += data
+        pause_seconds = DRIP_SECONDS if drips else None
 
         async def main():
+            nonlocal received
             async with trio.open_nursery() as nursery:
                 app = Harness(nursery).app
                 app.config["BODY_TIMEOUT"] = BODY_SECONDS
@@ -60,8 +53,10 @@
                 stream = await trio.open_tcp_stream("127.0.0.1", int(urls[0].rpartition(":")[2]))
                 with trio.fail_after(ANSWER_SECONDS):
                     async with trio.open_nursery() as caller:
-                        caller.start_soon(send, stream)
-                        await receive(stream)
+                        caller.start_soon(
+                            send_without_end, stream, beginning, repeated, pause_seconds
+                        )
+                        received = await receive_to_end(stream)
                         caller.cancel_scope.cancel()
                 await stream.aclose()
                 nursery.cancel_scope.cancel()
--- a/tests/adapters/test_clients_without_end.py
+++ b/tests/adapters/test_clients_without_end.py
@@ -18,10 +18,15 @@
 from hopstep.platform import front
 from hopstep.ports.exchange_front import ExchangeHandler
 from hopstep.services.exchanges.requests.intake.incoming_exchange import IncomingExchange
-from tests.platform.endless_peers import LONGEST_STEP_SECONDS, longest_step, traced_peak
+from tests.platform.endless_peers import (
+    LONGEST_STEP_SECONDS,
+    longest_step,
+    receive_to_end,
+    send_without_end,
+    traced_peak,
+)
 
 MEBIBYTE = 1 << 20
-BLOCK_BYTES = 64 * 1024
 LIMIT_BYTES = 100_000
 KEEP_ALIVE_SECONDS = 0.4
 BODY_SECONDS = 0.4
@@ -85,22 +90,10 @@
         """Return the bytes that a client gets until its connection ends."""
         handler = Handler()
         received = b""
+        pause_seconds = DRIP_SECONDS if drips else None
 
-        async def send(stream):
-            block = repeated if drips else repeated * (BLOCK_BYTES // len(repeated) + 1)
-            with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-                await stream.send_all(beginning)
-                while True:
-                    await stream.send_all(block)
-                    self.sent_bytes += len(block)
-                    if drips:
-                        await trio.sleep(DRIP_SECONDS)
-
-        async def receive(stream):
-            nonlocal received
-            with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-                while data := await stream.receive_some():
-                    received += data
+        def count(size):
+            self.sent_bytes += size
 
         async def application(scope, receive_message, send_message):
             if scope["type"] == "lifespan":
@@ -111,6 +104,7 @@
             await front.ExchangeFront(handler, lambda: False)(scope, receive_message, send_message)
 
         async def main():
+            nonlocal received
             config = ServerConfig("127.0.0.1:0", None)
             config.keep_alive_timeout = KEEP_ALIVE_SECONDS
             async with trio.open_nursery() as nursery:
@@ -120,8 +114,10 @@
                 stream = await trio.open_tcp_stream("127.0.0.1", int(urls[0].rpartition(":")[2]))
                 with trio.fail_after(ANSWER_SECONDS):
                     async with trio.open_nursery() as client:
-                        client.start_soon(send, stream)
-                        await receive(stream)
+                        client.start_soon(
+                            send_without_end, stream, beginning, repeated, pause_seconds, count
+                        )
+                        received = await receive_to_end(stream)
                         client.cancel_scope.cancel()
                     await stream.aclose()
                 # The server watches for an idle connection after it has closed, too.
--- a/tests/platform/endless_peers.py
+++ b/tests/platform/endless_peers.py
@@ -38,6 +38,32 @@
         await trio.aclose_forcefully(stream)
 
 
+async def send_without_end(
+    stream, beginning, repeated, pause_seconds=None, on_sent=lambda _size: None
+):
+    """Send a beginning and then the same bytes again and again, until the connection ends.
+
+    With a pause between two sends they drip; without one they are sent in blocks.
+    """
+    drips = pause_seconds is not None
+    block = repeated if drips else repeated * (BLOCK_BYTES // len(repeated) + 1)
+    with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+        await stream.send_all(beginning)
+        while True:
+            await stream.send_all(block)
+            on_sent(len(block))
+            await trio.sleep(pause_seconds or 0.0)
+
+
+async def receive_to_end(stream):
+    """Return what is received until the connection ends, also by a reset."""
+    received = b""
+    with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+        while data := await stream.receive_some():
+            received += data
+    return received
+
+
 class LongestStep(trio.abc.Instrument):
     """Measures the processor time of the longest step of any task: the loop stands still for it.
 
