Count failures of a gateway side by side as one

Cause, from the soak's logs (docs/FINDINGS.md): three tunnels through that gateway, under way side by side, failed within 0.74 s. Each counted as another failure in a row and doubled the time for which the gateway is left out, to 4 s from the last one.

A failure of a gateway that is left out already doesn't count: its connection was begun before. Those after the time double it as before. The test fails before: still left out at 1.1 s.

--- a/hopstep/domain/reachability/gateways.py
+++ b/hopstep/domain/reachability/gateways.py
@@ -98,9 +98,14 @@
         return [Gateway(name, nodes[name].address, nodes[name].key) for name in best]
 
     def note_failed(self, name: str, service: str, now: float) -> None:
-        """Leave a node out for a time as a gateway to a service."""
+        """Leave a node out for a time as a gateway to a service.
+
+        A failure of a node that is left out already is of a connection that was begun before.
+        """
         self._served_at.pop((name, service), None)
         known = self._excluded.get((name, service))
+        if known is not None and now < known.until:
+            return
         failures = known.failures if known is not None else 0
         seconds = doubled_seconds(FIRST_EXCLUSION_SECONDS, failures, MAX_EXCLUSION_SECONDS)
         self._excluded[name, service] = _Exclusion(now + seconds, failures + 1)
--- a/tests/domain/reachability/test_gateways.py
+++ b/tests/domain/reachability/test_gateways.py
@@ -72,6 +72,14 @@
         choice.note_failed("n1", SERVICE, now)
         self.assertTrue(choice.candidates(known, instance(1), now + 1.1, 1))
 
+    # A gateway that worked again was left out for four seconds after three tunnels at once.
+    def test_failures_side_by_side_count_as_one(self):
+        choice = GatewayChoice("n0", "z0")
+        for failed_at in (0.0, 0.3, 0.7):
+            choice.note_failed("n1", SERVICE, failed_at)
+        self.assertFalse(choice.candidates(nodes(2), instance(1), 0.9, 1))
+        self.assertTrue(choice.candidates(nodes(2), instance(1), 1.1, 1))
+
     def test_nodes_that_are_gone_are_forgotten(self):
         choice = GatewayChoice("n0", "z0")
         choice.note_failed("n1", SERVICE, 0.0)
