--- a/tests/adapters/test_surplus_answers.py
+++ b/tests/adapters/test_surplus_answers.py
@@ -21,13 +21,13 @@
 from hopstep.exceptions import ErrorCode, HopstepError
 from hopstep.ports.engine import AttemptStatus, EngineOrder, GenerateRequest
 from hopstep.ports.machine_list import Machine, MachineState
-from tests.stuttering_peer import (
+from tests.repeating_peer import (
     BEFORE_NEXT,
     IDLE_SECONDS,
     WHILE_IDLE,
     WITH_ANSWER,
     WITHIN_NEXT,
-    StutteringPeer,
+    RepeatingPeer,
     answer,
 )
 
@@ -210,7 +210,7 @@
 
     def check(self, moment, connections):
         for name, first, second, expected, _failure in CASES:
-            peer = StutteringPeer([first[1], second[1]], moment)
+            peer = RepeatingPeer([first[1], second[1]], moment)
             with self.subTest(name):
                 self.assertEqual(self.outcomes(peer, first, second), [expected])
                 self.assertEqual(peer.connections, connections)
@@ -218,7 +218,7 @@
     def check_late(self, moment, failures):
         numbers = []
         for name, first, second, expected, failure in CASES:
-            peer = StutteringPeer([first[1], second[1], second[1]], moment, repeats_ids=True)
+            peer = RepeatingPeer([first[1], second[1], second[1]], moment, repeats_ids=True)
             with self.subTest(name), structlog.testing.capture_logs() as logs:
                 outcomes = self.outcomes(peer, first, second, second)
                 self.assertEqual(outcomes, [failures.get(name, failure), expected])
@@ -267,7 +267,7 @@
             (WHILE_IDLE, [TRANSFER] * 3),
             (BEFORE_NEXT, [TRANSFER, ErrorCode.PEER_MESSAGE_REJECTED, TRANSFER]),
         ):
-            peer = StutteringPeer([signed_answer] * 3, moment, repeats_ids=True)
+            peer = RepeatingPeer([signed_answer] * 3, moment, repeats_ids=True)
 
             async def main(peer=peer):
                 async with trio.open_nursery() as nursery, make_client() as client:
--- a/tests/platform/test_cache_event_answers.py
+++ b/tests/platform/test_cache_event_answers.py
@@ -7,12 +7,12 @@
 
 from hopstep.platform.cache_events import PlatformCacheEvents
 from hopstep.platform.http_client import HttpClient
-from tests.stuttering_peer import (
+from tests.repeating_peer import (
     BEFORE_NEXT,
     IDLE_SECONDS,
     WHILE_IDLE,
     WITH_ANSWER,
-    StutteringPeer,
+    RepeatingPeer,
     answer,
 )
 
@@ -46,11 +46,11 @@
     def test_a_copy_of_a_later_batch_came_in_place_of_the_first_one(self):
         for moment in (None, WITH_ANSWER, WHILE_IDLE, BEFORE_NEXT):
             with self.subTest(moment):
-                peer = StutteringPeer([batch(8, 8), batch(8, 1, 8)], moment)
+                peer = RepeatingPeer([batch(8, 8), batch(8, 1, 8)], moment)
                 self.assertEqual(self.read(peer, 7, 0), [[8], [1, 8]])
 
     def test_later_batches_come_over_one_connection(self):
-        peer = StutteringPeer([batch(1, 1), batch(2, 2), batch(3, 3)], None)
+        peer = RepeatingPeer([batch(1, 1), batch(2, 2), batch(3, 3)], None)
         self.assertEqual(self.read(peer, 0, 1, 2), [[1], [2], [3]])
         self.assertEqual(peer.connections, 2)
 
--- a/tests/platform/test_copies_within_bodies.py
+++ b/tests/platform/test_copies_within_bodies.py
@@ -12,7 +12,7 @@
 from hopstep.platform.spliced_responses import SplicedBodyScanner
 from hopstep.ports.instance_calls import InstanceCall, InstanceCallError
 from tests.platform.test_instances import request
-from tests.stuttering_peer import answer, read_request
+from tests.repeating_peer import answer, read_request
 
 PAUSE_SECONDS = 0.02
 COPY = answer(b"first", "Attempt-Id: r1", "Response-Stamp: s")
--- a/tests/platform/test_requests_over_ended_tunnels.py
+++ b/tests/platform/test_requests_over_ended_tunnels.py
@@ -13,7 +13,7 @@
 from hopstep.platform.instances import HttpInstances
 from hopstep.ports.instance_calls import InstanceCall, SendProof
 from tests.platform.test_late_copies_elsewhere import PlainTunnels, request
-from tests.stuttering_peer import read_request
+from tests.repeating_peer import read_request
 
 ANSWER = b"HTTP/1.1 200 X\r\nAttempt-Id: %s\r\nResponse-Stamp: s\r\n\r\nbody"
 """An answer without a length ends with its connection."""
--- a/tests/platform/test_store_answers.py
+++ b/tests/platform/test_store_answers.py
@@ -11,12 +11,12 @@
 from hopstep.platform.http_client import HttpClient
 from hopstep.platform.store import PlatformStore
 from hopstep.ports.key_value_store import WatchBatch
-from tests.stuttering_peer import (
+from tests.repeating_peer import (
     BEFORE_NEXT,
     IDLE_SECONDS,
     WHILE_IDLE,
     WITH_ANSWER,
-    StutteringPeer,
+    RepeatingPeer,
     answer,
 )
 
@@ -183,7 +183,7 @@
 class StoreAnswersTest(unittest.TestCase):
     def check(self, moment, connections):
         for name, first, second, expected, _failure in COPIES:
-            peer = StutteringPeer([first[1], second[1]], moment)
+            peer = RepeatingPeer([first[1], second[1]], moment)
             with self.subTest(name):
                 self.assertEqual(outcomes(peer, first[0], second[0])[1:], [expected])
                 self.assertEqual(peer.connections, connections)
@@ -197,7 +197,7 @@
 
     def test_a_copy_after_the_next_call_was_taken_for_its_answer(self):
         for name, first, second, expected, failure in COPIES:
-            peer = StutteringPeer([first[1], second[1], second[1]], BEFORE_NEXT)
+            peer = RepeatingPeer([first[1], second[1], second[1]], BEFORE_NEXT)
             with self.subTest(name), structlog.testing.capture_logs() as logs:
                 found = outcomes(peer, first[0], second[0], second[0])
                 self.assertEqual(found[1:], [failure, expected])
@@ -214,7 +214,7 @@
                 for revision, era in zip((9, 4, 5), eras, strict=True)
             ]
             with self.subTest(name):
-                found = outcomes(StutteringPeer(answers, None), *map(create, "abc"))
+                found = outcomes(RepeatingPeer(answers, None), *map(create, "abc"))
                 self.assertEqual(found[1:], expected)
 
     def test_a_write_whose_answer_is_spoilt_was_reported_as_without_effect(self):
@@ -227,7 +227,7 @@
         ):
             for call in (create("a"), grant):
                 with self.subTest(name):
-                    peer = StutteringPeer([spoilt], None)
+                    peer = RepeatingPeer([spoilt], None)
                     self.assertEqual(outcomes(peer, call), [expected])
 
 
--- a/tests/stuttering_peer.py
+++ b/tests/repeating_peer.py
@@ -36,7 +36,7 @@
         data += received
 
 
-class StutteringPeer:
+class RepeatingPeer:
     """Answers requests in order, and sends a copy of the first answer at one moment."""
 
     def __init__(self, answers, moment, repeats_ids=False):
--- a/tests/services/exchanges/test_surplus_answers.py
+++ b/tests/services/exchanges/test_surplus_answers.py
@@ -30,7 +30,7 @@
             trio.run(script, clock=trio.testing.MockClock(autojump_threshold=0))
         return logs
 
-    # A stuttering instance could write a line for each of its answers.
+    # An instance that repeats its answers could write a line for each of its answers.
     def test_an_instance_is_logged_once_in_an_interval_and_counted_each_time(self):
         async def script():
             for _time in range(5):
