--- a/emulator/cli/main.py
+++ b/emulator/cli/main.py
@@ -1,7 +1,7 @@
 """Emulated services and measurement tools: ``hopstep-emulator ROLE [--flag=value ...]``.
 
 Roles: ``engine``, ``platform``, ``load``, ``experiment``, ``bench``, ``scale``,
-``capacity``, ``recovery``, ``soak``.
+``capacity``, ``recovery``, ``soak``, ``endless``.
 ``hopstep-emulator ROLE --helpfull`` documents the flags of a role.
 
 Exit codes: 0 done; 1 a check failed; 2 bad command line.
@@ -26,6 +26,7 @@
     "capacity",
     "recovery",
     "soak",
+    "endless",
 )
 EXIT_BAD_USAGE = 2
 
