--- a/emulator/endless/measure.py
+++ b/emulator/endless/measure.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import math
 import os
 import subprocess  # noqa: S404 - only this project's own commands are started
 import sys
@@ -18,6 +17,7 @@
 import quart_trio
 import trio
 
+from emulator.endless.figures import MILLISECONDS, Measured, Measurement, SentRequest
 from emulator.endless.instances import InstancesPlan
 from emulator.exchange_platform.store import create_store_app
 from emulator.fleet.ports import free_addresses
@@ -35,8 +35,6 @@
 """Time with requests before the first one that counts, and before the first answer without end."""
 
 DEADLINE_MS = 3_000
-MILLISECONDS = 1_000.0
-HIGH_PERCENTILE = 0.99
 KIB_OF_A_MIB = 1024
 
 
@@ -60,77 +58,6 @@
     memory_mb: int = 160
 
 
-class Measured(msgspec.Struct, frozen=True):
-    """Figures of one run.
-
-    Attributes:
-        form: Form of the answers without end.
-        sent: Requests that count.
-        failed: Those without a success.
-        others: Those that reached no instance without end and were answered.
-        others_high_ms: 99th percentile of the latencies of ``others``, in milliseconds.
-        peak_mib: Most memory that the node's process had resident.
-        load: Load average of the machine at the end.
-    """
-
-    form: str
-    sent: int
-    failed: int
-    others: int
-    others_high_ms: float
-    peak_mib: float
-    load: float
-
-
-class SentRequest(msgspec.Struct):
-    """A request.
-
-    Attributes:
-        request_id: Its id.
-        counts: Whether the figures count it.
-        seconds: Latency of its answer; infinite without one.
-        answered: Whether it was answered with a success.
-    """
-
-    request_id: str
-    counts: bool
-    seconds: float = math.inf
-    answered: bool = False
-
-
-class Measurement(msgspec.Struct, frozen=True):
-    """What was seen in one run.
-
-    Attributes:
-        requests: Requests that were sent.
-        touched: Ids of requests that an instance answered without end.
-        peak_mib: Most memory that the node's process had resident, in MiB.
-    """
-
-    requests: list[SentRequest]
-    touched: set[str]
-    peak_mib: float
-
-    def figures(self, form: str) -> Measured:
-        """Return the figures of the run, whose answers without end had a form."""
-        counted = [request for request in self.requests if request.counts]
-        others = sorted(
-            request.seconds
-            for request in counted
-            if request.answered and request.request_id not in self.touched
-        )
-        rank = max(0, math.ceil(HIGH_PERCENTILE * len(others)) - 1)
-        return Measured(
-            form,
-            len(counted),
-            sum(not request.answered for request in counted),
-            len(others),
-            others[rank] * MILLISECONDS,
-            self.peak_mib,
-            os.getloadavg()[0],
-        )
-
-
 async def measure(form: str, plan: MeasurePlan) -> Measured:
     """Run a node, its store and its instances, and measure requests.
 
--- a/tests/emulator/test_endless.py
+++ b/tests/emulator/test_endless.py
@@ -6,8 +6,9 @@
 import h11
 import trio
 
+from emulator.endless.figures import Measurement, SentRequest
 from emulator.endless.forms import FORMS, NONE, endless_answer
-from emulator.endless.measure import Measurement, MeasurePlan, SentRequest, measure
+from emulator.endless.measure import MeasurePlan, measure
 
 ANSWER = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 2\r\n\r\nok"
 REPEATS = 3
