Soak: blame no planned stop for streams that end with their instance

Cause, likely and not proved: a crash of an instance under a fatal request is recorded as a fatal termination, not as a disturbance, so the check of planned stops excused a stream that any other crash broke off, and not this one. A stream that may not be resumed can't go on without its instance, whatever its node does; the users' page doesn't count what the runner broke off.

--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -300,6 +300,23 @@
             seen.disturbances = [stop]
             self.assertEqual("planned stop" in self.broken(seen), caught, (ended_at, head_at))
 
+    def test_a_response_that_ends_with_its_instance_during_a_planned_stop(self):
+        # Guards against blaming a planned stop for a stream that its crashing instance broke off.
+        stop = Disturbance("stopped", "n0", 99.0, 104.0, planned=True)
+        sent = request(kind=RequestKind.STREAM, ended_at=101.0, whole=False)
+        for incarnation, at, caught in (
+            ("i1@1", 100.9, False),
+            ("i2@1", 100.9, True),
+            ("i1@1", 99.9, True),
+            ("i1@1", 101.1, True),
+        ):
+            crash = FatalTermination("fatal", incarnation, at)
+            seen = history(sent, disturbances=[stop], fatal_terminations=[crash])
+            self.assertEqual("planned stop" in self.broken(seen), caught, (incarnation, at))
+        seen.fatal_terminations = [FatalTermination("fatal", "i1@1", 100.5)]
+        seen.runs.append(run_of(sent, at=100.7, incarnation="i3@1"))
+        self.assertIn("planned stop", self.broken(seen), "a later run, at another instance")
+
     def test_callers_that_left_and_are_still_served(self):
         for kind, seconds, caught in (
             (RequestKind.STREAM, 0.6, True),
