Endless instances work on a request before they answer, as the others do

Instances that answered whole and sent bytes behind it answered at once, so they got all requests, and no other request was left to measure (IndexError in the form "surplus").

--- a/emulator/endless/figures.py
+++ b/emulator/endless/figures.py
@@ -19,7 +19,8 @@
         sent: Requests that count.
         failed: Those without a success.
         others: Those that reached no instance without end and were answered.
-        others_high_ms: 99th percentile of the latencies of ``others``, in milliseconds.
+        others_high_ms: 99th percentile of the latencies of ``others``, in milliseconds; infinite if
+            there are none.
         peak_mib: Most memory that the node's process had resident.
         load: Load average of the machine at the end.
     """
@@ -76,7 +77,7 @@
             len(counted),
             sum(not request.answered for request in counted),
             len(others),
-            others[rank] * MILLISECONDS,
+            others[rank] * MILLISECONDS if others else math.inf,
             self.peak_mib,
             os.getloadavg()[0],
         )
--- a/emulator/endless/instances.py
+++ b/emulator/endless/instances.py
@@ -71,14 +71,14 @@
         with contextlib.suppress(*broken):
             while (request_id := await _receive_request(protocol, stream)) is not None:
                 answer = _whole_answer(protocol, request_id)
-                if self._is_sound(number):
-                    await trio.sleep(self._plan.work_seconds)
-                    await stream.send_all(answer)
-                    protocol.start_next_cycle()
-                    continue
-                print(request_id.decode(), flush=True)
-                endless = endless_answer(self._plan.form, answer, random.Random(1))
-                await _send_without_end(stream, endless)
+                is_sound = self._is_sound(number)
+                await trio.sleep(self._plan.work_seconds)
+                if not is_sound:
+                    print(request_id.decode(), flush=True)
+                    endless = endless_answer(self._plan.form, answer, random.Random(1))
+                    await _send_without_end(stream, endless)
+                await stream.send_all(answer)
+                protocol.start_next_cycle()
         await trio.aclose_forcefully(stream)
 
     def _is_sound(self, number: int) -> bool:
--- a/tests/emulator/test_endless.py
+++ b/tests/emulator/test_endless.py
@@ -1,5 +1,6 @@
 """The measure of answers without end: its forms, its figures, and a short run of processes."""
 
+import math
 import random
 import unittest
 
@@ -43,6 +44,7 @@
         figures = measurement.figures("garbage")
         self.assertEqual((figures.sent, figures.failed, figures.others), (101, 1, 99))
         self.assertEqual(figures.others_high_ms, 99.0)
+        self.assertEqual(Measurement([], set(), 40.0).figures("garbage").others_high_ms, math.inf)
 
     def test_requests_are_answered_beside_large_chunks_without_end(self):
         plan = MeasurePlan(instances=4, endless=1, work_seconds=0.01, rate=20.0, seconds=1.0)
