--- a/emulator/cli/endless.py
+++ b/emulator/cli/endless.py
@@ -19,7 +19,8 @@
 def run() -> int:
     """Run the measurements and print a line for each pair; raise ``ValueError`` for a bad form."""
     from emulator.endless.figures import Measured
-    from emulator.endless.measure import MeasurePlan, measure
+    from emulator.endless.measure import measure
+    from emulator.endless.setting import MeasurePlan
 
     unknown = sorted(set(_FORMS.value) - set(FORMS))
     if unknown:
--- a/tests/emulator/test_endless.py
+++ b/tests/emulator/test_endless.py
@@ -9,7 +9,8 @@
 
 from emulator.endless.figures import Measurement, SentRequest
 from emulator.endless.forms import FORMS, NONE, endless_answer
-from emulator.endless.measure import MeasurePlan, measure
+from emulator.endless.measure import measure
+from emulator.endless.setting import MeasurePlan
 
 ANSWER = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 2\r\n\r\nok"
 REPEATS = 3
