--- a/emulator/soak/answer_checks.py
+++ b/emulator/soak/answer_checks.py
@@ -12,9 +12,10 @@
 
 import msgspec
 
-from emulator.soak.history import History, Run, SentRequest
+from emulator.soak.history import History
 from emulator.soak.promises import Bounds, Check
 from emulator.soak.recorder import digest_of
+from emulator.soak.request_records import Run, SentRequest
 
 FIRST_SUCCESS, LAST_SUCCESS = 200, 299
 
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -14,8 +14,8 @@
 
 from emulator.exchange_platform.http_instance import TRY_HEADER
 from emulator.soak.deployment import ENGINES, HOST, MODEL, PLAIN, Deployment, NodeLinks
-from emulator.soak.history import RequestKind, SentRequest
 from emulator.soak.operators import LASTING_KEY
+from emulator.soak.request_records import RequestKind, SentRequest
 
 PATIENCE_SECONDS = 4.0
 """Deadline of a request, counted from its sending."""
--- a/emulator/soak/change_checks.py
+++ b/emulator/soak/change_checks.py
@@ -6,11 +6,12 @@
 
 from emulator.exchange_platform.http_instance import PASSED_ON
 from emulator.soak.callers import body_of, headers_of, path_of, shared_part
-from emulator.soak.history import History, ReceivedRequest, Run, SentRequest
+from emulator.soak.history import History
 from emulator.soak.limit_checks import CHANGED
 from emulator.soak.operators import USUAL_BODY_BYTES
 from emulator.soak.promises import Bounds, Check
 from emulator.soak.recorder import digest_of
+from emulator.soak.request_records import ReceivedRequest, Run, SentRequest
 
 METHOD = "POST"
 TOO_LONG = 413
--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -8,23 +8,18 @@
 
 from emulator.soak.answer_checks import ANSWER_CHECKS
 from emulator.soak.change_checks import CHANGE_CHECKS
-from emulator.soak.history import (
-    LEASES_EXPIRED_EARLY,
-    Arrival,
-    History,
-    RequestKind,
-    RouteChange,
-    Run,
-    SentRequest,
-)
+from emulator.soak.disturbances import LEASES_EXPIRED_EARLY
+from emulator.soak.history import History
 from emulator.soak.instance_checks import INSTANCE_CHECKS
 from emulator.soak.limit_checks import LIMIT_CHECKS
 from emulator.soak.link_checks import LINK_CHECKS
 from emulator.soak.notice_checks import NOTICE_CHECKS
+from emulator.soak.operator_changes import RouteChange
 from emulator.soak.order_checks import ORDER_CHECKS
 from emulator.soak.part_checks import PART_CHECKS
 from emulator.soak.promises import Bounds, Check, Violation
 from emulator.soak.regress_checks import REGRESS_CHECKS
+from emulator.soak.request_records import Arrival, RequestKind, Run, SentRequest
 from emulator.soak.stop_checks import STOP_CHECKS
 from emulator.soak.stream_checks import STREAM_CHECKS
 
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -23,10 +23,10 @@
 from emulator.soak import suspendable_node
 from emulator.soak.answer_faults import AnswerEvent
 from emulator.soak.answer_proxy import FaultyAnswerProxy
-from emulator.soak.history import (
-    Disturbance,
+from emulator.soak.disturbances import Disturbance
+from emulator.soak.history import History
+from emulator.soak.instance_records import (
     FatalTermination,
-    History,
     IncarnationPeriod,
     InstanceAnswerEvent,
     ListedInstance,
--- a/emulator/soak/fatal_impact.py
+++ b/emulator/soak/fatal_impact.py
@@ -10,7 +10,8 @@
 
 import msgspec
 
-from emulator.soak.history import History, SentRequest
+from emulator.soak.history import History
+from emulator.soak.request_records import SentRequest
 
 AFTER_SECONDS = 1.0
 """Time after a fatal request in which other requests count as sent during it."""
--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -10,7 +10,7 @@
 
 from emulator.platform.faults import FaultOrder
 from emulator.soak.deployment import GRACE_SECONDS, Deployment, NodeLinks
-from emulator.soak.history import (
+from emulator.soak.disturbances import (
     INSTANCE_LINKS_CUT,
     KILLED,
     LEASES_EXPIRED_EARLY,
--- a/emulator/soak/hostile_callers.py
+++ b/emulator/soak/hostile_callers.py
@@ -14,8 +14,8 @@
 from emulator.exchange_platform.http_instance import FATAL_PART_START
 from emulator.soak.callers import KINDS, Callers, draw_request
 from emulator.soak.deployment import Deployment, NodeLinks
-from emulator.soak.history import RequestKind
 from emulator.soak.operators import LASTING_KEY
+from emulator.soak.request_records import RequestKind
 
 SENDING_SECONDS = (8.0, 16.0)
 """Duration of the repeats; long enough to check requests over 3 s after the third crash."""
--- a/emulator/soak/instance_checks.py
+++ b/emulator/soak/instance_checks.py
@@ -6,8 +6,9 @@
 from collections.abc import Iterable, Set
 
 from emulator.soak.callers import body_of, path_of
-from emulator.soak.history import Arrival, History, SentRequest
+from emulator.soak.history import History
 from emulator.soak.promises import Bounds, Check
+from emulator.soak.request_records import Arrival, SentRequest
 
 QUARANTINED = b"request_quarantined"
 """Body of the refusal of a request that crashes instances."""
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -10,7 +10,8 @@
 from emulator.soak.answer_faults import AnswerFaults
 from emulator.soak.deployment import ENGINES, PLAIN, ZONES, Deployment, InstanceLinks
 from emulator.soak.foreign_entries import FOREIGN_PREFIX, foreign_entry
-from emulator.soak.history import DrainStart, LimitChange
+from emulator.soak.instance_records import LimitChange
+from emulator.soak.operator_changes import DrainStart
 from emulator.soak.operators import Operator
 from emulator.soak.profiles import (
     ANSWERS_ENDLESS,
--- a/emulator/soak/limit_checks.py
+++ b/emulator/soak/limit_checks.py
@@ -7,9 +7,11 @@
 
 import msgspec
 
-from emulator.soak.history import Arrival, History, IncarnationPeriod, LimitChange, SentRequest
+from emulator.soak.history import History
+from emulator.soak.instance_records import IncarnationPeriod, LimitChange
 from emulator.soak.link_checks import has_linked_node
 from emulator.soak.promises import Bounds, Check
+from emulator.soak.request_records import Arrival, SentRequest
 
 CHANGED = b"configuration_changed"
 """Body of the refusal of a request that was judged by a configuration of before."""
--- a/emulator/soak/link_checks.py
+++ b/emulator/soak/link_checks.py
@@ -4,8 +4,10 @@
 
 from collections.abc import Iterable
 
-from emulator.soak.history import INSTANCE_LINKS_CUT, Disturbance, History, SentRequest
+from emulator.soak.disturbances import INSTANCE_LINKS_CUT, Disturbance
+from emulator.soak.history import History
 from emulator.soak.promises import Bounds, Check
+from emulator.soak.request_records import SentRequest
 
 LEAST_SHARE = 2 / 3
 """Least share served at such nodes, relative to the others."""
--- a/emulator/soak/machine.py
+++ b/emulator/soak/machine.py
@@ -8,7 +8,8 @@
 import msgspec
 import trio
 
-from emulator.soak.history import MACHINE, Disturbance, History
+from emulator.soak.disturbances import MACHINE, Disturbance
+from emulator.soak.history import History
 
 PROCESSOR_TIMES = Path("/proc/stat")
 FIRST_GUEST_FIELD = 9
--- a/emulator/soak/notice_checks.py
+++ b/emulator/soak/notice_checks.py
@@ -5,8 +5,10 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from emulator.soak.history import Arrival, History, SentNotice
+from emulator.soak.history import History
+from emulator.soak.instance_records import SentNotice
 from emulator.soak.promises import Bounds, Check
+from emulator.soak.request_records import Arrival
 
 NodeAndIncarnation = tuple[str, str]
 
--- a/emulator/soak/operators.py
+++ b/emulator/soak/operators.py
@@ -15,16 +15,16 @@
     PLAIN,
     Deployment,
 )
-from emulator.soak.history import (
+from emulator.soak.operator_changes import (
     BodyLimit,
     IsolationChange,
     KeyMove,
     Redirect,
-    RequestKind,
     Revocation,
     RouteChange,
     WeightsChange,
 )
+from emulator.soak.request_records import RequestKind
 
 TENANTS = ("t1", "t2", "t3")
 ISOLATED = ("t3",)
--- a/emulator/soak/order_checks.py
+++ b/emulator/soak/order_checks.py
@@ -7,7 +7,8 @@
 import json
 from collections.abc import Iterable
 
-from emulator.soak.history import AnsweredOrder, History, LoggedOrder
+from emulator.soak.history import History
+from emulator.soak.instance_records import AnsweredOrder, LoggedOrder
 from emulator.soak.promises import Bounds, Check
 
 ORDER_SENT = "weights_order_sent"
--- a/emulator/soak/part_checks.py
+++ b/emulator/soak/part_checks.py
@@ -7,8 +7,9 @@
 
 from emulator.soak.callers import shared_part
 from emulator.soak.deployment import ENGINES
-from emulator.soak.history import History, SentRequest
+from emulator.soak.history import History
 from emulator.soak.promises import Bounds, Check
+from emulator.soak.request_records import SentRequest
 
 PART_QUARANTINED = b"prompt_part_quarantined"
 """Body of the refusal of a request with a part that crashes instances."""
--- a/emulator/soak/persistent_callers.py
+++ b/emulator/soak/persistent_callers.py
@@ -19,7 +19,7 @@
     path_of,
 )
 from emulator.soak.deployment import NodeLinks
-from emulator.soak.history import SentRequest
+from emulator.soak.request_records import SentRequest
 
 THINK_SECONDS = (0.0, 0.3)
 """Time between the end of a response and the caller's next request, shortest and longest."""
--- a/emulator/soak/probes.py
+++ b/emulator/soak/probes.py
@@ -16,7 +16,7 @@
     path_of,
 )
 from emulator.soak.deployment import Deployment, NodeLinks
-from emulator.soak.history import RequestKind, SentRequest
+from emulator.soak.request_records import RequestKind, SentRequest
 
 PROBES_PER_SECOND = 40.0
 """Probes per second to all nodes together."""
--- a/emulator/soak/recorder.py
+++ b/emulator/soak/recorder.py
@@ -17,15 +17,9 @@
 )
 from emulator.platform.shared_store import SharedStore
 from emulator.platform.store_model import ABSENT_REVISION
-from emulator.soak.history import (
-    AnsweredOrder,
-    Arrival,
-    History,
-    ReceivedRequest,
-    Run,
-    SentNotice,
-    TakenOrder,
-)
+from emulator.soak.history import History
+from emulator.soak.instance_records import AnsweredOrder, SentNotice, TakenOrder
+from emulator.soak.request_records import Arrival, ReceivedRequest, Run
 from hopstep.adapters import key_value_store_wire as wire
 
 DIRECT_KEY_PREFIXES = ("op/", "servers/")
--- a/emulator/soak/regress_checks.py
+++ b/emulator/soak/regress_checks.py
@@ -5,8 +5,10 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from emulator.soak.history import History, RouteChange, SentRequest
+from emulator.soak.history import History
+from emulator.soak.operator_changes import RouteChange
 from emulator.soak.promises import Bounds, Check
+from emulator.soak.request_records import SentRequest
 
 SERVED = 200
 NOT_FOUND = 404
--- a/emulator/soak/repeating_callers.py
+++ b/emulator/soak/repeating_callers.py
@@ -24,7 +24,7 @@
     path_of,
 )
 from emulator.soak.deployment import Deployment, NodeLinks
-from emulator.soak.history import RequestKind, SentRequest
+from emulator.soak.request_records import RequestKind, SentRequest
 
 THINK_SECONDS = (0.0, 0.2)
 PAUSES_SECONDS = (0.0, 0.0, 0.01, 0.05, 0.3, 1.0, 2.2)
--- a/emulator/soak/resuming_callers.py
+++ b/emulator/soak/resuming_callers.py
@@ -11,7 +11,7 @@
 
 from emulator.soak.callers import Callers, draw_request
 from emulator.soak.deployment import Deployment
-from emulator.soak.history import HeldStream, RequestKind, SentRequest
+from emulator.soak.request_records import HeldStream, RequestKind, SentRequest
 
 HOLD_SECONDS = (4.0, 10.0)
 """Times for which callers hold a stream; the longer one is more than a node takes to start."""
--- a/emulator/soak/slow_callers.py
+++ b/emulator/soak/slow_callers.py
@@ -22,7 +22,7 @@
     path_of,
 )
 from emulator.soak.deployment import NodeLinks
-from emulator.soak.history import RequestKind, SentRequest
+from emulator.soak.request_records import RequestKind, SentRequest
 
 REST_SECONDS = (0.0, 2.5)
 """Time between the end of a response and the caller's next request, shortest and longest."""
--- a/emulator/soak/stop_checks.py
+++ b/emulator/soak/stop_checks.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Iterable
 
-from emulator.soak.history import History, SentRequest
+from emulator.soak.history import History
 from emulator.soak.promises import Bounds, Check
+from emulator.soak.request_records import SentRequest
 
 OK_STATUS = 200
 
--- a/emulator/soak/stream_checks.py
+++ b/emulator/soak/stream_checks.py
@@ -10,17 +10,11 @@
 
 import msgspec
 
-from emulator.soak.history import (
-    KILLED,
-    MACHINE,
-    STORE,
-    HeldStream,
-    History,
-    IncarnationPeriod,
-    Run,
-    SentRequest,
-)
+from emulator.soak.disturbances import KILLED, MACHINE, STORE
+from emulator.soak.history import History
+from emulator.soak.instance_records import IncarnationPeriod
 from emulator.soak.promises import Bounds, Check
+from emulator.soak.request_records import HeldStream, Run, SentRequest
 
 OK_STATUS = 200
 MAX_MIXED_STREAMS = 2
--- a/tests/emulator/soak/test_answer_checks.py
+++ b/tests/emulator/soak/test_answer_checks.py
@@ -8,14 +8,10 @@
 from emulator.soak.answer_checks import ANSWER_CHECKS, count_answer_faults, write_answer_events
 from emulator.soak.answer_faults import AnswerEvent
 from emulator.soak.checks import CHECKS
-from emulator.soak.history import (
-    AnsweredOrder,
-    InstanceAnswerEvent,
-    LoggedOrder,
-    RequestKind,
-)
+from emulator.soak.instance_records import AnsweredOrder, InstanceAnswerEvent, LoggedOrder
 from emulator.soak.order_checks import ORDER_CHECKS, logged_orders
 from emulator.soak.recorder import digest_of
+from emulator.soak.request_records import RequestKind
 from tests.emulator.soak.test_checks import BOUNDS, history, request, run_of
 
 ATTEMPT = "0a"
--- a/tests/emulator/soak/test_beside_fatal.py
+++ b/tests/emulator/soak/test_beside_fatal.py
@@ -3,7 +3,8 @@
 import unittest
 
 from emulator.soak.fatal_impact import measure_fatal_impact
-from emulator.soak.history import History, RequestKind, SentRequest
+from emulator.soak.history import History
+from emulator.soak.request_records import RequestKind, SentRequest
 
 
 def request(name, at, head_seconds=None, **changes):
--- a/tests/emulator/soak/test_change_checks.py
+++ b/tests/emulator/soak/test_change_checks.py
@@ -11,17 +11,10 @@
 from emulator.soak.change_checks import CHANGE_CHECKS, sent_request
 from emulator.soak.checks import CHECKS
 from emulator.soak.deployment import Deployment
-from emulator.soak.history import (
-    BodyLimit,
-    Disturbance,
-    IsolationChange,
-    KeyMove,
-    ReceivedRequest,
-    Redirect,
-    RequestKind,
-    Run,
-)
+from emulator.soak.disturbances import Disturbance
+from emulator.soak.operator_changes import BodyLimit, IsolationChange, KeyMove, Redirect
 from emulator.soak.recorder import digest_of
+from emulator.soak.request_records import ReceivedRequest, RequestKind, Run
 from emulator.soak.slow_callers import SlowCallers
 from tests.emulator.soak.test_checks import BOUNDS, history, request, run_of
 
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -3,26 +3,18 @@
 import unittest
 
 from emulator.soak.checks import CHECKS, check_all, check_recovery, expected_body
-from emulator.soak.history import (
+from emulator.soak.disturbances import (
     LEASES_EXPIRED_EARLY,
     MACHINE,
     PEER_LINK_CUT,
     STORE,
-    Arrival,
     Disturbance,
-    DrainStart,
-    FatalTermination,
-    History,
-    ListedInstance,
-    RequestKind,
-    Revocation,
-    RouteChange,
-    Run,
-    SentRequest,
-    TakenOrder,
-    WeightsChange,
 )
+from emulator.soak.history import History
+from emulator.soak.instance_records import FatalTermination, ListedInstance, TakenOrder
+from emulator.soak.operator_changes import DrainStart, Revocation, RouteChange, WeightsChange
 from emulator.soak.promises import Bounds
+from emulator.soak.request_records import Arrival, RequestKind, Run, SentRequest
 
 BOUNDS = Bounds()
 
--- a/tests/emulator/soak/test_limit_checks.py
+++ b/tests/emulator/soak/test_limit_checks.py
@@ -4,14 +4,8 @@
 
 import msgspec
 
-from emulator.soak.history import (
-    INSTANCE_LINKS_CUT,
-    Arrival,
-    Disturbance,
-    IncarnationPeriod,
-    LimitChange,
-    SentNotice,
-)
+from emulator.soak.disturbances import INSTANCE_LINKS_CUT, Disturbance
+from emulator.soak.instance_records import IncarnationPeriod, LimitChange, SentNotice
 from emulator.soak.limit_checks import (
     limit_periods,
     limits_are_kept,
@@ -20,6 +14,7 @@
 )
 from emulator.soak.link_checks import subject_of
 from emulator.soak.promises import Bounds
+from emulator.soak.request_records import Arrival
 from tests.emulator.soak.test_checks import history, request
 
 BOUNDS = Bounds()
--- a/tests/emulator/soak/test_link_checks.py
+++ b/tests/emulator/soak/test_link_checks.py
@@ -2,9 +2,11 @@
 
 import unittest
 
-from emulator.soak.history import INSTANCE_LINKS_CUT, Disturbance, History, RequestKind, SentRequest
+from emulator.soak.disturbances import INSTANCE_LINKS_CUT, Disturbance
+from emulator.soak.history import History
 from emulator.soak.link_checks import partitioned_callers_are_served, subject_of
 from emulator.soak.promises import Bounds
+from emulator.soak.request_records import RequestKind, SentRequest
 
 CUT_AT, CUT_UNTIL = 10.0, 20.0
 SETTLING_SECONDS = Bounds().settling
--- a/tests/emulator/soak/test_machine.py
+++ b/tests/emulator/soak/test_machine.py
@@ -6,7 +6,8 @@
 
 import trio
 
-from emulator.soak.history import MACHINE, History
+from emulator.soak.disturbances import MACHINE
+from emulator.soak.history import History
 from emulator.soak.machine import (
     CHECK_INTERVAL_SECONDS,
     STALL_SECONDS,
--- a/tests/emulator/soak/test_part_checks.py
+++ b/tests/emulator/soak/test_part_checks.py
@@ -4,9 +4,11 @@
 
 from emulator.soak.callers import body_of, headers_of, shared_part
 from emulator.soak.checks import check_all
-from emulator.soak.history import Disturbance, FatalTermination, RequestKind
+from emulator.soak.disturbances import Disturbance
+from emulator.soak.instance_records import FatalTermination
 from emulator.soak.part_checks import MIN_COMPARED, PART_QUARANTINED
 from emulator.soak.promises import Bounds
+from emulator.soak.request_records import RequestKind
 from tests.emulator.soak.test_checks import history, request
 
 PART = "fa7a100"
--- a/tests/emulator/soak/test_restores.py
+++ b/tests/emulator/soak/test_restores.py
@@ -7,9 +7,11 @@
 
 from emulator.platform.shared_store import SharedStore
 from emulator.soak.checks import check_all
-from emulator.soak.history import History, RequestKind, RouteChange, SentRequest
+from emulator.soak.history import History
+from emulator.soak.operator_changes import RouteChange
 from emulator.soak.promises import Bounds
 from emulator.soak.recorder import DirectStore
+from emulator.soak.request_records import RequestKind, SentRequest
 from emulator.soak.restores import EXPIRY_SECONDS, REWRITING_SECONDS, Restores
 from emulator.virtual_time import run_in_virtual_time
 
--- a/tests/emulator/soak/test_stream_checks.py
+++ b/tests/emulator/soak/test_stream_checks.py
@@ -2,18 +2,12 @@
 
 import unittest
 
-from emulator.soak.history import (
-    KILLED,
-    Disturbance,
-    DrainStart,
-    HeldStream,
-    History,
-    IncarnationPeriod,
-    RequestKind,
-    Run,
-    SentRequest,
-)
+from emulator.soak.disturbances import KILLED, Disturbance
+from emulator.soak.history import History
+from emulator.soak.instance_records import IncarnationPeriod
+from emulator.soak.operator_changes import DrainStart
 from emulator.soak.promises import Bounds
+from emulator.soak.request_records import HeldStream, RequestKind, Run, SentRequest
 from emulator.soak.stream_checks import (
     orphaned_streams_go_on,
     resumed_streams_go_on,
--- a/tests/emulator/soak/test_word_checks.py
+++ b/tests/emulator/soak/test_word_checks.py
@@ -4,9 +4,11 @@
 
 import msgspec
 
-from emulator.soak.history import Arrival, Disturbance, SentNotice
+from emulator.soak.disturbances import Disturbance
+from emulator.soak.instance_records import SentNotice
 from emulator.soak.notice_checks import backoffs_are_kept, leaving_notices_are_obeyed
 from emulator.soak.promises import Bounds
+from emulator.soak.request_records import Arrival
 from tests.emulator.soak.test_checks import history, request
 
 BOUNDS = Bounds()
