--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -18,11 +18,12 @@
     RESTORED,
     STORE,
 )
+from emulator.soak.fault_kinds import FATAL, FATAL_PART, LINKS, RESTORE
 from emulator.soak.hostile_callers import HostileCallers
 from emulator.soak.instance_faults import BROKEN_LINKS, Fault, draw_seconds, instance_faults
 from emulator.soak.link_checks import subject_of
 from emulator.soak.operators import Operator
-from emulator.soak.profiles import FATAL, FATAL_PART, LINKS, RESTORE, Profile
+from emulator.soak.profiles import Profile
 from emulator.soak.proxies import LinkState
 from emulator.soak.suspendable_node import HANGING, REFUSING
 
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -9,17 +9,17 @@
 
 from emulator.soak.answer_faults import AnswerFaults
 from emulator.soak.deployment import ENGINES, PLAIN, ZONES, Deployment, InstanceLinks
-from emulator.soak.foreign_entries import FOREIGN_PREFIX, foreign_entry
-from emulator.soak.instance_records import LimitChange
-from emulator.soak.operator_changes import DrainStart
-from emulator.soak.operators import Operator
-from emulator.soak.profiles import (
+from emulator.soak.fault_kinds import (
     ANSWERS_ENDLESS,
     ANSWERS_REPEATED,
     ANSWERS_STOPPED,
     ANSWERS_UNFRAMED,
     SOFTWARE,
 )
+from emulator.soak.foreign_entries import FOREIGN_PREFIX, foreign_entry
+from emulator.soak.instance_records import LimitChange
+from emulator.soak.operator_changes import DrainStart
+from emulator.soak.operators import Operator
 from emulator.soak.proxies import LinkState
 
 FAULT_SECONDS = (0.5, 6.0)
--- a/emulator/soak/run.py
+++ b/emulator/soak/run.py
@@ -15,6 +15,7 @@
 from emulator.soak.checks import check_all, check_recovery
 from emulator.soak.deployment import Deployment
 from emulator.soak.fatal_impact import FatalImpact, measure_fatal_impact
+from emulator.soak.fault_kinds import ANSWERS_REPEATED, RESTORE, SOFTWARE
 from emulator.soak.faults import Faults
 from emulator.soak.history import History
 from emulator.soak.hostile_callers import HostileCallers
@@ -28,17 +29,11 @@
 from emulator.soak.operators import Operator
 from emulator.soak.persistent_callers import PersistentCallers
 from emulator.soak.probes import Probes
-from emulator.soak.profiles import (
-    ANSWERS_REPEATED,
-    CHANGES,
-    REPEATED_IDS,
-    RESTORE,
-    SOFTWARE,
-    profile_of,
-)
+from emulator.soak.profiles import CHANGES, REPEATED_IDS
 from emulator.soak.promises import Bounds, Violation
 from emulator.soak.repeating_callers import RepeatingCallers
 from emulator.soak.resuming_callers import ResumingCallers
+from emulator.soak.seed_profiles import profile_of
 from emulator.soak.slow_callers import SlowCallers
 from emulator.soak.stream_checks import StreamFigures, stream_figures
 
--- a/tests/emulator/soak/test_profiles.py
+++ b/tests/emulator/soak/test_profiles.py
@@ -7,29 +7,25 @@
 
 from emulator.soak.callers import Callers
 from emulator.soak.deployment import Deployment
+from emulator.soak.fault_kinds import ANSWERS_REPEATED, FATAL_PART, RESTORE, SOFTWARE, STORE_KINDS
 from emulator.soak.faults import Faults
 from emulator.soak.hostile_callers import HostileCallers
 from emulator.soak.operators import Operator
 from emulator.soak.profiles import (
-    ANSWERS_REPEATED,
     CHANGES,
     CUTS,
-    FATAL_PART,
     LIMITS,
     NOTICES,
     PARTS,
     PROFILES,
     REPEATED_ANSWERS,
     REPEATED_IDS,
-    RESTORE,
     RESTORES,
     SHORT,
-    SOFTWARE,
     SOFTWARE_VERSIONS,
-    STORE_KINDS,
     VERSIONS,
-    profile_of,
 )
+from emulator.soak.seed_profiles import profile_of
 
 CHOSEN_BY_NAME = (
     NOTICES,
