--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -10,7 +10,7 @@
 
 from emulator.platform.faults import FaultOrder
 from emulator.soak.deployment import GRACE_SECONDS, Deployment, NodeLinks
-from emulator.soak.history import (
+from emulator.soak.disturbances import (
     INSTANCE_LINKS_CUT,
     KILLED,
     LEASES_EXPIRED_EARLY,
@@ -18,11 +18,12 @@
     RESTORED,
     STORE,
 )
+from emulator.soak.fault_kinds import FATAL, FATAL_PART, LINKS, RESTORE
 from emulator.soak.hostile_callers import HostileCallers
 from emulator.soak.instance_faults import BROKEN_LINKS, Fault, draw_seconds, instance_faults
 from emulator.soak.link_checks import subject_of
 from emulator.soak.operators import Operator
-from emulator.soak.profiles import FATAL, FATAL_PART, LINKS, RESTORE, Profile
+from emulator.soak.profiles import Profile
 from emulator.soak.proxies import LinkState
 from emulator.soak.suspendable_node import HANGING, REFUSING
 
