End the task of a connection whose answer was cut off before its next request

What callers saw: nothing; a node kept one task, and the state of a closed connection, for each answer that broke off while its client had sent the next request already. They went only with the process.

Cause: the server's reader waits until the answer has ended, and the protocol goes on asking it to wait as long as the answer isn't whole. A cut one never is.

Evidence: over real sockets, an answer without a length is cut after three of six parts while a pipelined request waits: one task is left; without the pipelined request none.

Why the fix works: an answer that ends without being whole puts the server's side into its error state, and in that state no further event is read, so that the reader ends with the connection.

tests.platform.test_bytes_behind_requests failed before (1 task left) and holds.

--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -46,8 +46,11 @@
         """Return the next event of the client; none of a body whose request is answered already.
 
         Such a connection is closed. The server would handle all chunks of a read without letting
-        other tasks run.
+        other tasks run. Nothing is read behind an answer that was cut off either: the library would
+        wait for its end before it reads the next request.
         """
+        if self.our_state is h11.ERROR:
+            return h11.NEED_DATA
         if self.our_state in ANSWERED_STATES and self.their_state is h11.SEND_BODY:
             return h11.NEED_DATA
         return super().next_event()
@@ -73,6 +76,13 @@
     async def _check_protocol(self, event: h11.Request) -> None:
         """Skip the check for an upgrade."""
 
+    async def _maybe_recycle(self) -> None:
+        """Go on with the next request, or end the connection."""
+        connection = self.connection
+        if isinstance(connection, h11.Connection) and connection.our_state not in ANSWERED_STATES:
+            connection.send_failed()
+        await super()._maybe_recycle()
+
     async def _send_error_response(self, status_code: int) -> None:
         """Refuse bytes that are no request, or too long, and log that."""
         client = ":".join(map(str, self.client)) if self.client is not None else ""
