Let bytes behind the last request of a connection wait for its answer

What callers saw: a client of HTTP/1.0 that sent bytes behind its request, a blank line for instance, got a success whose body was cut short. Without a length it ended with the connection, as a whole one does. If the bytes came before the answer had begun, the client got 400 for a request that was run, also over HTTP/1.1 with "Connection: close".

Cause: bytes behind a request that ends its connection are an error to the protocol at once, and the server closes the connection, or refuses, while the answer to that request is under way. Behind other requests such bytes wait. The reset by which the front marks an incomplete answer without a length comes after the close, too late.

Evidence: over real sockets, three kinds of bytes (a blank line, one byte, a request), before and during an answer of 24,000 bytes in six parts. During it the client got a part of the body and an ordinary end of the connection.

Why the fix works: the reader waits for the end of the answer, as it does before a next request, so that nothing but the answer ends the connection. At most one read of such bytes is held, as before.

What it costs: while such bytes wait, a client that leaves is noticed by a failed write only, as behind other requests.

Two tests of tests.platform.test_bytes_behind_requests failed before (12 of 12 cases) and hold.

--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -47,11 +47,16 @@
 
         Such a connection is closed. The server would handle all chunks of a read without letting
         other tasks run. Nothing is read behind an answer that was cut off either: the library would
-        wait for its end before it reads the next request.
+        wait for its end before it reads the next request. Bytes behind the last request of a
+        connection wait for the end of its answer, as a next request does: the library would end the
+        connection at once, and an answer whose end that is would look complete.
         """
         if self.our_state is h11.ERROR:
             return h11.NEED_DATA
-        if self.our_state in ANSWERED_STATES and self.their_state is h11.SEND_BODY:
+        is_answered = self.our_state in ANSWERED_STATES
+        if not is_answered and self.their_state is h11.MUST_CLOSE and self.trailing_data[0]:
+            return h11.PAUSED
+        if is_answered and self.their_state is h11.SEND_BODY:
             return h11.NEED_DATA
         return super().next_event()
 
--- a/tests/platform/test_bytes_behind_requests.py
+++ b/tests/platform/test_bytes_behind_requests.py
@@ -21,6 +21,8 @@
 PARTS = 6
 PAUSE_SECONDS = 0.02
 SETTLE_SECONDS = 0.1
+LAST_REQUESTS = (b"GET /r1 HTTP/1.0", b"GET /r1 HTTP/1.1\r\nConnection: close")
+SURPLUS = (b"\r\n", b"x", b"GET /r2 HTTP/1.0\r\n\r\n")
 NEXT = b"GET /r2 HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
@@ -93,3 +95,25 @@
         received, _, left = self.exchange(b"GET /r1 HTTP/1.1", NEXT, cut_after=3)
         self.assertFalse(received.endswith(b"0\r\n\r\n"))
         self.assertEqual(left, 0)
+
+    # A client got a success whose body was cut short and ended as a whole one of HTTP/1.0 does.
+    def test_an_answer_is_whole_or_reset_if_its_client_sends_bytes_while_it_is_sent(self):
+        for behind in SURPLUS:
+            for cut_after in (PARTS, 3):
+                with self.subTest(behind=behind, cut_after=cut_after):
+                    received, is_reset, left = self.exchange(
+                        LAST_REQUESTS[0], behind, delay=3 * PAUSE_SECONDS, cut_after=cut_after
+                    )
+                    is_whole = received.endswith(b"\r\n\r\n" + PART * PARTS)
+                    self.assertEqual((is_whole, is_reset), (cut_after == PARTS, cut_after != PARTS))
+                    self.assertEqual(left, 0)
+
+    # A client got 400 as the answer to its last request, which was run.
+    def test_the_last_request_of_a_connection_gets_its_own_answer_whatever_comes_behind_it(self):
+        for head in LAST_REQUESTS:
+            for behind in SURPLUS:
+                with self.subTest(head=head, behind=behind):
+                    received, is_reset, left = self.exchange(head, behind)
+                    self.assertEqual(received[9:12], b"200")
+                    self.assertEqual(received.count(PART), PARTS)
+                    self.assertEqual((is_reset, left), (False, 0))
