Look for another answer behind a body that ends with its first letters

What callers saw: a success whose last one to four bytes were the first letters of another answer's status line. The answer lacked them: it had broken off before another answer on the same connection, and a read of the node ended within those letters.

Cause: a body is held back for the bytes behind it only if it ends with "HTTP/" or more of a head. With one to four letters at the end of a read, nothing stood behind the body yet, although the rest lay on the connection.

Evidence: at the port of instance calls, an answer of one read of 16 KiB that lacks 1, 2, 3 or 4 bytes, followed by a 500 in the same write, was passed on as a whole 200; with 5, 9, 12, 15 and 30 missing bytes it failed, as it has to.

Why the fix works: a body that ends with two to four of these letters is held back as one is that ends with more of a head. Many sound bodies end with the first letter alone, so that one waits for a millisecond at most: what a read has left behind is there already.

tests.platform.test_spliced_at_read_boundaries failed before (4 of 9 cases) and holds.

--- a/hopstep/platform/http_protocol.py
+++ b/hopstep/platform/http_protocol.py
@@ -33,6 +33,10 @@
 """Wait for more bytes behind a body that ends within the head of a response: the rest of that
 response shows that the body isn't whole."""
 
+ARRIVED_SECONDS = 0.001
+"""Longest wait for bytes behind a body that ends with the first letter of a status line: a read may
+have ended there that has left the rest of another response on the connection."""
+
 MAX_EVENTS_AT_ONCE = 64
 """Parts of a body that are parsed before other tasks run."""
 
@@ -192,8 +196,11 @@
         scanner = SplicedBodyScanner(self._sent.__contains__)
         while True:
             batch = self._take_arrived(scanner)
-            if batch.is_last and batch.failure is None and scanner.ends_in_head():
-                batch = await self._check_surplus(scanner, batch)
+            if batch.is_last and batch.failure is None:
+                if scanner.ends_in_head():
+                    batch = await self._check_surplus(scanner, batch, SURPLUS_SECONDS)
+                elif scanner.ends_in_first_letter():
+                    batch = await self._check_surplus(scanner, batch, ARRIVED_SECONDS)
             if batch.data:
                 yield batch.data
             if batch.failure is not None:
@@ -205,17 +212,20 @@
             else:
                 await trio.lowlevel.checkpoint()
 
-    async def _check_surplus(self, scanner: SplicedBodyScanner, batch: _Batch) -> _Batch:
+    async def _check_surplus(
+        self, scanner: SplicedBodyScanner, batch: _Batch, seconds: float
+    ) -> _Batch:
         """Return the last parts of a body unless the rest of another response arrives behind it.
 
         Args:
             scanner: Has scanned the body.
             batch: The last parts.
+            seconds: Longest wait for that rest.
         """
         _surplus, has_ended = self._protocol.trailing_data
         with contextlib.suppress(httpcore.NetworkError, httpcore.TimeoutException):
             if not has_ended:
-                self._protocol.receive_data(await self._read(SURPLUS_SECONDS))
+                self._protocol.receive_data(await self._read(seconds))
         if not scanner.is_spliced(self.surplus):
             return batch
         return _Batch(failure=httpcore.RemoteProtocolError("another response within a body"))
--- a/hopstep/platform/spliced_responses.py
+++ b/hopstep/platform/spliced_responses.py
@@ -24,9 +24,12 @@
 """The same within a reason phrase or a header's value, where ``Via`` may name a proxy's address
 behind the version: ``HTTP/1.1 192.168.4.7``."""
 
-BEGUN_STATUS_LINE = re.compile(rb"HTTP/(1(\.(\d( +\d{0,2})?)?)?)?\Z")
+BEGUN_STATUS_LINE = re.compile(rb"HT(T(P(/(1(\.(\d( +\d{0,2})?)?)?)?)?)?)?\Z")
 """Beginning of a status line that ends within it."""
 
+FIRST_LETTER = b"H"
+"""Shortest beginning of a status line. Many bodies end so."""
+
 ID_LINE = re.compile(rb"(?i)\r\n" + names.REQUEST_ID + rb":[ \t]*([^\r\n]*?)[ \t]*\r\n")
 """Header of a response that names its request."""
 
@@ -106,6 +109,10 @@
         status_lines = list(STATUS_LINE.finditer(self._head))
         return bool(status_lines) and HEAD_END not in self._head[status_lines[-1].end() :]
 
+    def ends_in_first_letter(self) -> bool:
+        """Return whether the latest byte may be the first letter of a response's head."""
+        return self._tail.endswith(FIRST_LETTER)
+
     def is_spliced(self, surplus: bytes) -> bool:
         """Return whether the body holds the beginning of the bytes behind its end."""
         if not surplus:
