Hold nodes only to notices that reached them

Cause: the check "rest" counted a backoff from the moment at which the instance made its refusal. In this profile a proxy stands between the instance and the nodes; it stops answers in their heads, replaces them by bytes without end, and puts copies in front of them. A node that never got the head with Retry-After can't keep the backoff.

Change: the proxy records whether the caller got the head of an answer whole, with nothing before it on the connection that it didn't ask for.

--- a/emulator/soak/answer_checks.py
+++ b/emulator/soak/answer_checks.py
@@ -87,7 +87,7 @@
 
 
 def write_answer_events(history: History, path: Path, clock_offset: float) -> None:
-    """Write answers and their faults, runs, requests and orders, one JSON object a line.
+    """Write answers, their faults and notices, runs, requests and orders, a JSON object a line.
 
     Args:
         history: Observations of the soak.
@@ -97,6 +97,7 @@
     records: list[object] = [
         {"clock_offset": clock_offset},
         *history.answer_events,
+        *history.notices,
         *history.runs,
         *history.requests.values(),
         *history.answered_orders,
--- a/emulator/soak/answer_connection.py
+++ b/emulator/soak/answer_connection.py
@@ -15,6 +15,7 @@
     AnswerFaults,
     CopyTime,
     EndlessForm,
+    HeadDelivery,
     StopKind,
 )
 from emulator.soak.answer_reader import HEAD_END, AnswerReader, unframed_lines
@@ -46,7 +47,7 @@
     def end_endless(self) -> None:
         """Count the end of an answer without end."""
 
-    def report(self, connection: int, what: str, reader: AnswerReader) -> None:
+    def report(self, connection: int, what: str, reader: AnswerReader, head: HeadDelivery) -> None:
         """Report an event of a connection."""
 
 
@@ -77,6 +78,7 @@
         self._writing = trio.Lock()
         self._due: tuple[bytes, AnswerReader, str] | None = None
         self._surplus = b""
+        self._has_sent_copy = False
 
     async def run(self) -> None:
         """Forward both directions until either ends."""
@@ -137,7 +139,7 @@
             own = reader.read(data)
             last = stop.bytes_before(reader.recorded, sent) if stop is not None else None
             if last is not None:
-                await self._stop(reader, own[:last])
+                await self._stop(reader, sent, own[:last])
                 return False
             if reader.whole or not data:
                 break
@@ -151,7 +153,7 @@
         """Send the end of an answer, and its copy now or later."""
         may_repeat = reader.keeps_connection and len(reader.recorded) <= MAX_COPY_BYTES
         is_repeated = may_repeat and self._source.draw(self._source.faults.repeated)
-        self._report("answer", reader)
+        self._report("answer", reader, self._head_sent(reader.recorded))
         if is_repeated:
             await self._send_with_copy(reader, last, draw_copy(reader.recorded, self._generator))
         else:
@@ -160,7 +162,8 @@
     async def _send_with_copy(self, reader: AnswerReader, last: bytes, copy: AnswerCopy) -> None:
         """Send the end of an answer and what its copy has now, and keep the rest for later."""
         if copy.time is CopyTime.AT_ONCE:
-            self._report(f"copy {copy.time}", reader)
+            self._report_copy(f"copy {copy.time}", reader)
+        self._has_sent_copy = self._has_sent_copy or bool(copy.with_end)
         await self._client.send_all(last + copy.with_end)
         if copy.at_next_request:
             self._due = copy.at_next_request, reader, copy.name
@@ -172,7 +175,7 @@
         if self._due is not None:
             (copy, reader, what), self._due = self._due, None
             async with self._writing:
-                self._report(what, reader)
+                self._report_copy(what, reader)
                 await self._client.send_all(copy)
 
     async def _send_later(self, seconds: float, reader: AnswerReader) -> None:
@@ -180,15 +183,21 @@
         await trio.sleep(seconds)
         try:
             async with self._writing:
-                self._report(f"copy {seconds:.3f} s late", reader)
+                self._report_copy(f"copy {seconds:.3f} s late", reader)
                 await self._client.send_all(reader.recorded)
         except BROKEN:
             self._nursery.cancel_scope.cancel()
 
-    async def _stop(self, reader: AnswerReader, last: bytes) -> None:
-        """Send the last bytes of an answer that stops, and end the connection."""
+    async def _stop(self, reader: AnswerReader, sent: int, last: bytes) -> None:
+        """Send the last bytes of an answer that stops, and end the connection.
+
+        Args:
+            reader: Reads the answer.
+            sent: Number of its bytes that have been sent.
+            last: Its last bytes.
+        """
         kind = self._generator.choice(STOP_KINDS)
-        self._report(f"stopped, {kind}", reader)
+        self._report(f"stopped, {kind}", reader, self._head_sent(reader.recorded[:sent] + last))
         await self._client.send_all(last)
         if kind is StopKind.AGAIN:
             await self._read_whole(reader, await self._more(reader))
@@ -208,7 +217,8 @@
         start = b"\r\n".join([*lines, b"Connection: close", b"", b""])
         body = reader.recorded.partition(HEAD_END)[2]
         is_cut = self._generator.random() < CUT_SHARE
-        self._report("unframed, reset" if is_cut else "unframed", reader)
+        what = "unframed, reset" if is_cut else "unframed"
+        self._report(what, reader, self._head_sent(start))
         if is_cut:
             body = body[: self._generator.randrange(0, len(body) + 1)]
         await self._client.send_all(start + body)
@@ -220,8 +230,8 @@
         """Send bytes without end in place of an answer, or behind it."""
         form = self._generator.choice(list(EndlessForm))
         await self._read_whole(reader, data)
-        self._report(f"endless {form}", reader)
         start, piece = endless_bytes(form, reader.recorded, self._generator)
+        self._report(f"endless {form}", reader, self._head_sent(start))
         with trio.move_on_after(ENDLESS_SECONDS):
             await self._client.send_all(start)
             while True:
@@ -243,6 +253,16 @@
         """Let the close of the caller's stream reset its connection."""
         self._client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
-    def _report(self, what: str, reader: AnswerReader) -> None:
+    def _head_sent(self, sent: bytes) -> HeadDelivery:
+        """Return what the caller has of an answer's head once these of its bytes are sent."""
+        is_whole = HEAD_END in sent and not self._has_sent_copy
+        return HeadDelivery.WHOLE if is_whole else HeadDelivery.CUT
+
+    def _report_copy(self, what: str, reader: AnswerReader) -> None:
+        """Report that a copy, or a part of one, is about to be sent."""
+        self._has_sent_copy = True
+        self._report(what, reader, HeadDelivery.COPY)
+
+    def _report(self, what: str, reader: AnswerReader, head: HeadDelivery) -> None:
         """Report an event of this connection."""
-        self._source.report(self._number, what, reader)
+        self._source.report(self._number, what, reader, head)
--- a/emulator/soak/answer_faults.py
+++ b/emulator/soak/answer_faults.py
@@ -69,6 +69,18 @@
     unframed: float = 0.0
 
 
+class HeadDelivery(enum.StrEnum):
+    """What the caller got of an answer's head.
+
+    ``CUT`` is not all of it, or all of it behind bytes that the caller didn't ask for. ``COPY`` is
+    the event of a copy, which says nothing about the answer.
+    """
+
+    WHOLE = "whole"
+    CUT = "cut"
+    COPY = "copy"
+
+
 class AnswerEvent(msgspec.Struct, frozen=True):
     """An answer that was passed on whole, or a fault of one.
 
@@ -79,6 +91,7 @@
         status: HTTP status; 0 if no head was read.
         attempt_id: Id in the answer; empty for none.
         stamp: Signature in the answer; empty for none.
+        head: What the caller got of the answer's head.
     """
 
     at: float
@@ -87,3 +100,4 @@
     status: int = 0
     attempt_id: str = ""
     stamp: str = ""
+    head: HeadDelivery = HeadDelivery.WHOLE
--- a/emulator/soak/answer_proxy.py
+++ b/emulator/soak/answer_proxy.py
@@ -13,7 +13,7 @@
 import trio
 
 from emulator.soak.answer_connection import BROKEN, FaultyConnection
-from emulator.soak.answer_faults import AnswerEvent, AnswerFaults
+from emulator.soak.answer_faults import AnswerEvent, AnswerFaults, HeadDelivery
 from emulator.soak.answer_reader import AnswerReader
 from emulator.soak.endless_answers import MAX_ENDLESS
 from emulator.soak.proxies import LOOPBACK
@@ -83,7 +83,7 @@
         """Count the end of an answer without end."""
         FaultyAnswerProxy._endless_count -= 1
 
-    def report(self, connection: int, what: str, reader: AnswerReader) -> None:
+    def report(self, connection: int, what: str, reader: AnswerReader, head: HeadDelivery) -> None:
         """Report an event of a connection."""
         fields = reader.fields
         self._on_event(
@@ -94,6 +94,7 @@
                 reader.status,
                 fields.get(b"attempt-id", b"").decode("latin-1"),
                 fields.get(b"response-stamp", b"").decode("latin-1"),
+                head,
             )
         )
 
--- a/emulator/soak/notice_checks.py
+++ b/emulator/soak/notice_checks.py
@@ -8,6 +8,7 @@
 from emulator.soak.history import History
 from emulator.soak.instance_records import SentNotice
 from emulator.soak.promises import Bounds, Check
+from emulator.soak.received_notices import received_notices
 from emulator.soak.request_records import Arrival
 
 NodeAndIncarnation = tuple[str, str]
@@ -19,7 +20,7 @@
     A node that was interrupted since then is excepted: it may have lost the notice or be late.
     """
     announced: dict[NodeAndIncarnation, float] = {}
-    for notice in history.notices:
+    for notice in received_notices(history):
         request = history.requests.get(notice.request_id)
         if not notice.leaving or request is None or request.head_at is None:
             continue
@@ -39,9 +40,12 @@
 
 
 def backoffs_are_kept(history: History, bounds: Bounds) -> Iterable[str]:
-    """Yield backoffs in which a node sent an instance more requests than were in flight."""
+    """Yield backoffs in which a node sent an instance more requests than were in flight.
+
+    A backoff binds a node that received the refusal that asks for it.
+    """
     arrivals = _arrivals_by_node(history)
-    for notice in history.notices:
+    for notice in received_notices(history):
         request = history.requests.get(notice.request_id)
         if not notice.backoff_seconds or request is None:
             continue
@@ -53,7 +57,8 @@
             yield (
                 f"{request.node} sent {len(within)} requests to {notice.incarnation} in "
                 f"{notice.backoff_seconds:.2f} s of backoff, "
-                f"the first {_after(notice, within[0]):.2f} s in"
+                f"the first {_after(notice, within[0]):.2f} s in, "
+                f"asked for in the answer to {notice.request_id}"
             )
 
 
--- /dev/null
+++ b/emulator/soak/received_notices.py
@@ -0,0 +1,42 @@
+"""Which notices of instances reached the nodes.
+
+Proxies of answers record what they passed on. An answer that stops in its head, or comes behind
+bytes that the node didn't ask for, brings no notice; nor does one whose connection had ended.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from emulator.soak.answer_faults import AnswerEvent, HeadDelivery
+from emulator.soak.history import History
+from emulator.soak.instance_records import SentNotice
+
+IncarnationAndAttempt = tuple[str, str]
+
+
+def received_notices(history: History) -> Iterator[SentNotice]:
+    """Yield the notices that reached a node: all of them where no proxies record answers."""
+    if not history.answer_events:
+        yield from history.notices
+        return
+    events = _own_events(history)
+    for notice in history.notices:
+        attempt_id = notice.request_id.partition("#")[0]
+        answer = next(
+            (each for each in events[(notice.incarnation, attempt_id)] if each.at >= notice.at),
+            None,
+        )
+        if answer is not None and answer.head is HeadDelivery.WHOLE:
+            yield notice
+
+
+def _own_events(history: History) -> dict[IncarnationAndAttempt, list[AnswerEvent]]:
+    """Return the events of answers, without those of their copies, by incarnation and id."""
+    events: dict[IncarnationAndAttempt, list[AnswerEvent]] = defaultdict(list)
+    for recorded in history.answer_events:
+        event = recorded.event
+        if event.head is not HeadDelivery.COPY:
+            events[(recorded.incarnation, event.attempt_id)].append(event)
+    return events
--- a/tests/emulator/soak/test_answer_proxy.py
+++ b/tests/emulator/soak/test_answer_proxy.py
@@ -8,7 +8,13 @@
 import trio
 
 from emulator.fleet.ports import free_addresses
-from emulator.soak.answer_faults import AnswerFaults, CopyTime, EndlessForm, StopKind
+from emulator.soak.answer_faults import (
+    AnswerFaults,
+    CopyTime,
+    EndlessForm,
+    HeadDelivery,
+    StopKind,
+)
 from emulator.soak.answer_proxy import FaultyAnswerProxy
 from emulator.soak.endless_answers import MAX_ENDLESS
 
@@ -162,6 +168,40 @@
 
         self.run_proxy(script)
 
+    def heads(self, chosen=None, requests=2, **faults):
+        """Return what the caller got of the answers to some requests."""
+        found = []
+
+        async def script(stream, events):
+            for _ in range(requests):
+                await stream.send_all(b"request")
+                await self.received(stream)
+            found.extend(event.head for event in events)
+
+        self.run_proxy(script, chosen, **faults)
+        return found
+
+    def test_the_head_of_an_answer_behind_a_copy_is_not_whole(self):
+        whole, cut, copy = HeadDelivery.WHOLE, HeadDelivery.CUT, HeadDelivery.COPY
+        self.assertEqual(self.heads(), [whole, whole])
+        for time in (CopyTime.NEXT, CopyTime.CUT):
+            self.assertEqual(self.heads(time, repeated=1.0), [whole, copy, cut])
+        self.assertEqual(self.heads(CopyTime.SPLIT, repeated=1.0), [whole, copy, cut])
+        self.assertEqual(self.heads(CopyTime.AT_ONCE, repeated=1.0), [whole, copy, cut, copy])
+
+    def test_the_head_of_an_answer_that_stops_in_it_is_not_whole(self):
+        position = "emulator.soak.answer_stops.AnswerStop.position"
+        head_bytes = ANSWER.index(b"\r\n\r\n") + 4
+        for byte, head in ((head_bytes - 1, HeadDelivery.CUT), (head_bytes, HeadDelivery.WHOLE)):
+            with mock.patch(position, return_value=byte):
+                self.assertEqual(self.heads(StopKind.AGAIN, 1, stopped=1.0), [head])
+
+    def test_the_head_of_an_answer_without_end_is_whole_if_it_ends(self):
+        whole = {EndlessForm.BODY, EndlessForm.CHUNKS, EndlessForm.SURPLUS}
+        for form in EndlessForm:
+            head = HeadDelivery.WHOLE if form in whole else HeadDelivery.CUT
+            self.assertEqual(self.heads(form, 1, endless=1.0), [head])
+
     def test_a_copy_comes_with_the_answer_or_late(self):
         for time in (CopyTime.AT_ONCE, CopyTime.SOON, CopyTime.LATE):
             for answer in (ANSWER, CHUNKED):
--- a/tests/emulator/soak/test_word_checks.py
+++ b/tests/emulator/soak/test_word_checks.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
+from emulator.soak.answer_faults import AnswerEvent, HeadDelivery
 from emulator.soak.disturbances import Disturbance
-from emulator.soak.instance_records import SentNotice
+from emulator.soak.instance_records import InstanceAnswerEvent, SentNotice
 from emulator.soak.notice_checks import backoffs_are_kept, leaving_notices_are_obeyed
 from emulator.soak.promises import Bounds
 from emulator.soak.request_records import Arrival
@@ -81,3 +82,38 @@
         disregarded = self.seen(3.0, a=100.6, b=101.0, c=102.0)
         disregarded.disturbances = [Disturbance("callers' link", "n0", 101.0, 101.5)]
         self.assertEqual(list(backoffs_are_kept(disregarded, BOUNDS)), [])
+
+    def passed_on(self, *heads, attempt_id="told", incarnation=INCARNATION, since=100.01):
+        """Return a broken backoff, with proxies that passed answers on in these ways."""
+        disregarded = self.seen(3.0, a=100.6, b=101.0, c=102.0)
+        events = [
+            AnswerEvent(since + number / 10, 1, "answer", attempt_id=attempt_id, head=head)
+            for number, head in enumerate(heads)
+        ]
+        disregarded.answer_events = [InstanceAnswerEvent(incarnation, each) for each in events]
+        return list(backoffs_are_kept(disregarded, BOUNDS))
+
+    def test_a_refusal_that_reached_its_node_binds_it(self):
+        self.assertEqual(len(self.passed_on(HeadDelivery.WHOLE)), 1)
+        self.assertIn("told", self.passed_on(HeadDelivery.WHOLE)[0])
+        self.assertEqual(len(self.passed_on(HeadDelivery.COPY, HeadDelivery.WHOLE)), 1)
+        self.assertEqual(len(self.passed_on(HeadDelivery.WHOLE, HeadDelivery.CUT)), 1)
+
+    # A node can't obey a refusal that stopped in its head.
+    def test_a_refusal_that_never_reached_its_node_binds_nobody(self):
+        self.assertEqual(self.passed_on(HeadDelivery.CUT), [])
+        self.assertEqual(self.passed_on(HeadDelivery.CUT, HeadDelivery.WHOLE), [])
+        self.assertEqual(self.passed_on(HeadDelivery.COPY), [])
+
+    def test_only_the_answer_with_the_notice_counts(self):
+        self.assertEqual(self.passed_on(HeadDelivery.WHOLE, attempt_id="other"), [])
+        self.assertEqual(self.passed_on(HeadDelivery.WHOLE, incarnation="i1@2"), [])
+        self.assertEqual(self.passed_on(HeadDelivery.WHOLE, since=99.0), [])
+
+    def test_the_number_of_a_try_is_no_part_of_its_id(self):
+        disregarded = self.seen(3.0, a=100.6, b=101.0, c=102.0)
+        disregarded.requests["told#2"] = disregarded.requests["told"]
+        disregarded.notices = [msgspec.structs.replace(disregarded.notices[0], request_id="told#2")]
+        answer = AnswerEvent(100.01, 1, "answer", attempt_id="told")
+        disregarded.answer_events = [InstanceAnswerEvent(INCARNATION, answer)]
+        self.assertEqual(len(list(backoffs_are_kept(disregarded, BOUNDS))), 1)
