--- a/emulator/endless/figures.py
+++ b/emulator/endless/figures.py
@@ -4,6 +4,7 @@
 
 import math
 import os
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
@@ -23,6 +24,7 @@
             there are none.
         peak_mib: Most memory that the node's process had resident.
         load: Load average of the machine at the end.
+        latencies: Latencies of ``others`` in seconds, in rising order.
     """
 
     form: str
@@ -32,6 +34,7 @@
     others_high_ms: float
     peak_mib: float
     load: float
+    latencies: tuple[float, ...]
 
 
 class SentRequest(msgspec.Struct):
@@ -71,13 +74,40 @@
             for request in counted
             if request.answered and request.request_id not in self.touched
         )
-        rank = max(0, math.ceil(HIGH_PERCENTILE * len(others)) - 1)
         return Measured(
             form,
             len(counted),
             sum(not request.answered for request in counted),
             len(others),
-            others[rank] * MILLISECONDS if others else math.inf,
+            _high_ms(others),
             self.peak_mib,
             os.getloadavg()[0],
+            tuple(others),
         )
+
+
+class Pair(msgspec.Struct, frozen=True):
+    """Two runs side by side.
+
+    Attributes:
+        without: All instances answered whole.
+        measured: Some answered without end.
+    """
+
+    without: Measured
+    measured: Measured
+
+
+def pooled_high_ms(runs: Iterable[Measured]) -> float:
+    """Return the 99th percentile of the latencies of the others of several runs, in milliseconds.
+
+    A pause of the machine of 50 ms delays enough requests of a single run of 400 to set its 99th
+    percentile.
+    """
+    return _high_ms(sorted(seconds for run in runs for seconds in run.latencies))
+
+
+def _high_ms(latencies: Sequence[float]) -> float:
+    """Return the 99th percentile of latencies in rising order; infinite without any."""
+    rank = max(0, math.ceil(HIGH_PERCENTILE * len(latencies)) - 1)
+    return latencies[rank] * MILLISECONDS if latencies else math.inf
--- a/tests/emulator/test_endless.py
+++ b/tests/emulator/test_endless.py
@@ -7,7 +7,7 @@
 import h11
 import trio
 
-from emulator.endless.figures import Measurement, SentRequest
+from emulator.endless.figures import Measurement, SentRequest, pooled_high_ms
 from emulator.endless.forms import FORMS, NONE, endless_answer
 from emulator.endless.measure import measure
 from emulator.endless.setting import MeasurePlan
@@ -47,6 +47,17 @@
         self.assertEqual(figures.others_high_ms, 99.0)
         self.assertEqual(Measurement([], set(), 40.0).figures("garbage").others_high_ms, math.inf)
 
+    def test_the_requests_of_several_runs_count_together(self):
+        slow = [SentRequest(f"s{n}", True, 9.0, True) for n in range(2)]
+        fast = [SentRequest(f"f{n}", True, 0.1, True) for n in range(298)]
+        runs = [
+            Measurement(requests, set(), 40.0).figures(NONE)
+            for requests in (fast[:98] + slow, fast[98:])
+        ]
+        self.assertEqual([run.others_high_ms for run in runs], [9_000.0, 100.0])
+        self.assertEqual(pooled_high_ms(runs), 100.0)
+        self.assertEqual(pooled_high_ms([]), math.inf)
+
     def test_requests_are_answered_beside_large_chunks_without_end(self):
         plan = MeasurePlan(instances=4, endless=1, work_seconds=0.01, rate=20.0, seconds=1.0)
         for form in (NONE, "large chunks"):
