Tell which request an answer without an id is to

Refusals for want of room and misdirected ones have no id, so the check of notices took none of them as received: a leaving notice in such a refusal bound nobody where proxies record answers. The proxy notes the id of the latest request on the connection, and the check matches by that one.

--- a/emulator/soak/answer_connection.py
+++ b/emulator/soak/answer_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 import socket
 from typing import Protocol
 
@@ -12,6 +13,7 @@
 from emulator.soak.answer_copies import MAX_COPY_BYTES, SOON_SECONDS, AnswerCopy, draw_copy
 from emulator.soak.answer_faults import (
     STOP_KINDS,
+    AnswerEvent,
     AnswerFaults,
     CopyTime,
     EndlessForm,
@@ -31,6 +33,9 @@
 CUT_SHARE = 0.3
 """Share of answers without a length that a reset cuts off."""
 
+ATTEMPT_ID_LINE = re.compile(rb"(?i)\r\nattempt-id:[ \t]*([^\r\n]*)")
+"""Header of a request that names it."""
+
 
 class FaultSource(Protocol):
     """Decides which answers of an instance are faulty, and records events."""
@@ -47,7 +52,7 @@
     def end_endless(self) -> None:
         """Count the end of an answer without end."""
 
-    def report(self, connection: int, what: str, reader: AnswerReader, head: HeadDelivery) -> None:
+    def report(self, event: AnswerEvent) -> None:
         """Report an event of a connection."""
 
 
@@ -79,6 +84,7 @@
         self._due: tuple[bytes, AnswerReader, str] | None = None
         self._surplus = b""
         self._has_sent_copy = False
+        self._asked_id = ""
 
     async def run(self) -> None:
         """Forward both directions until either ends."""
@@ -92,6 +98,8 @@
         try:
             async for data in self._client:
                 await self._send_due()
+                if found := ATTEMPT_ID_LINE.search(data):
+                    self._asked_id = found[1].decode("latin-1")
                 await self._server.send_all(data)
         except BROKEN:
             pass
@@ -265,4 +273,16 @@
 
     def _report(self, what: str, reader: AnswerReader, head: HeadDelivery) -> None:
         """Report an event of this connection."""
-        self._source.report(self._number, what, reader, head)
+        fields = reader.fields
+        self._source.report(
+            AnswerEvent(
+                trio.current_time(),
+                self._number,
+                what,
+                reader.status,
+                fields.get(b"attempt-id", b"").decode("latin-1"),
+                fields.get(b"response-stamp", b"").decode("latin-1"),
+                head,
+                self._asked_id,
+            )
+        )
--- a/emulator/soak/answer_faults.py
+++ b/emulator/soak/answer_faults.py
@@ -92,6 +92,8 @@
         attempt_id: Id in the answer; empty for none.
         stamp: Signature in the answer; empty for none.
         head: What the caller got of the answer's head.
+        asked_id: Id in the latest request on the connection; empty for none. Refusals may have no
+            id of their own.
     """
 
     at: float
@@ -101,3 +103,4 @@
     attempt_id: str = ""
     stamp: str = ""
     head: HeadDelivery = HeadDelivery.WHOLE
+    asked_id: str = ""
--- a/emulator/soak/answer_proxy.py
+++ b/emulator/soak/answer_proxy.py
@@ -13,8 +13,7 @@
 import trio
 
 from emulator.soak.answer_connection import BROKEN, FaultyConnection
-from emulator.soak.answer_faults import AnswerEvent, AnswerFaults, HeadDelivery
-from emulator.soak.answer_reader import AnswerReader
+from emulator.soak.answer_faults import AnswerEvent, AnswerFaults
 from emulator.soak.endless_answers import MAX_ENDLESS
 from emulator.soak.proxies import LOOPBACK
 
@@ -83,20 +82,9 @@
         """Count the end of an answer without end."""
         FaultyAnswerProxy._endless_count -= 1
 
-    def report(self, connection: int, what: str, reader: AnswerReader, head: HeadDelivery) -> None:
+    def report(self, event: AnswerEvent) -> None:
         """Report an event of a connection."""
-        fields = reader.fields
-        self._on_event(
-            AnswerEvent(
-                trio.current_time(),
-                connection,
-                what,
-                reader.status,
-                fields.get(b"attempt-id", b"").decode("latin-1"),
-                fields.get(b"response-stamp", b"").decode("latin-1"),
-                head,
-            )
-        )
+        self._on_event(event)
 
     async def _forward(self, client: trio.SocketStream) -> None:
         """Forward one connection until it ends."""
--- a/emulator/soak/received_notices.py
+++ b/emulator/soak/received_notices.py
@@ -13,7 +13,7 @@
 from emulator.soak.history import History
 from emulator.soak.instance_records import SentNotice
 
-IncarnationAndAttempt = tuple[str, str]
+IncarnationAndId = tuple[str, str]
 
 
 def received_notices(history: History) -> Iterator[SentNotice]:
@@ -23,20 +23,18 @@
         return
     events = _own_events(history)
     for notice in history.notices:
-        attempt_id = notice.request_id.partition("#")[0]
-        answer = next(
-            (each for each in events[(notice.incarnation, attempt_id)] if each.at >= notice.at),
-            None,
-        )
+        own_id = notice.request_id.partition("#")[0]
+        answers = events[(notice.incarnation, own_id)]
+        answer = next((each for each in answers if each.at >= notice.at), None)
         if answer is not None and answer.head is HeadDelivery.WHOLE:
             yield notice
 
 
-def _own_events(history: History) -> dict[IncarnationAndAttempt, list[AnswerEvent]]:
-    """Return the events of answers, without those of their copies, by incarnation and id."""
-    events: dict[IncarnationAndAttempt, list[AnswerEvent]] = defaultdict(list)
+def _own_events(history: History) -> dict[IncarnationAndId, list[AnswerEvent]]:
+    """Return the events of answers but not of copies, by incarnation and id of the request."""
+    events: dict[IncarnationAndId, list[AnswerEvent]] = defaultdict(list)
     for recorded in history.answer_events:
         event = recorded.event
         if event.head is not HeadDelivery.COPY:
-            events[(recorded.incarnation, event.attempt_id)].append(event)
+            events[(recorded.incarnation, event.asked_id)].append(event)
     return events
--- a/tests/emulator/soak/test_answer_proxy.py
+++ b/tests/emulator/soak/test_answer_proxy.py
@@ -168,6 +168,19 @@
 
         self.run_proxy(script)
 
+    # A refusal may have no id of its own, and still brings its node a notice.
+    def test_an_event_names_the_request_that_was_answered(self):
+        found = []
+
+        async def script(stream, events):
+            for head in (b"", b"GET / HTTP/1.1\r\nattempt-id: b7\r\n\r\n", b"more"):
+                await stream.send_all(head or b"request")
+                await self.received(stream)
+            found.extend(event.asked_id for event in events)
+
+        self.run_proxy(script)
+        self.assertEqual(found, ["", "b7", "b7"])
+
     def heads(self, chosen=None, requests=2, **faults):
         """Return what the caller got of the answers to some requests."""
         found = []
--- a/tests/emulator/soak/test_word_checks.py
+++ b/tests/emulator/soak/test_word_checks.py
@@ -83,11 +83,11 @@
         disregarded.disturbances = [Disturbance("callers' link", "n0", 101.0, 101.5)]
         self.assertEqual(list(backoffs_are_kept(disregarded, BOUNDS)), [])
 
-    def passed_on(self, *heads, attempt_id="told", incarnation=INCARNATION, since=100.01):
+    def passed_on(self, *heads, asked_id="told", incarnation=INCARNATION, since=100.01):
         """Return a broken backoff, with proxies that passed answers on in these ways."""
         disregarded = self.seen(3.0, a=100.6, b=101.0, c=102.0)
         events = [
-            AnswerEvent(since + number / 10, 1, "answer", attempt_id=attempt_id, head=head)
+            AnswerEvent(since + number / 10, 1, "answer", head=head, asked_id=asked_id)
             for number, head in enumerate(heads)
         ]
         disregarded.answer_events = [InstanceAnswerEvent(incarnation, each) for each in events]
@@ -106,7 +106,7 @@
         self.assertEqual(self.passed_on(HeadDelivery.COPY), [])
 
     def test_only_the_answer_with_the_notice_counts(self):
-        self.assertEqual(self.passed_on(HeadDelivery.WHOLE, attempt_id="other"), [])
+        self.assertEqual(self.passed_on(HeadDelivery.WHOLE, asked_id="other"), [])
         self.assertEqual(self.passed_on(HeadDelivery.WHOLE, incarnation="i1@2"), [])
         self.assertEqual(self.passed_on(HeadDelivery.WHOLE, since=99.0), [])
 
@@ -114,6 +114,6 @@
         disregarded = self.seen(3.0, a=100.6, b=101.0, c=102.0)
         disregarded.requests["told#2"] = disregarded.requests["told"]
         disregarded.notices = [msgspec.structs.replace(disregarded.notices[0], request_id="told#2")]
-        answer = AnswerEvent(100.01, 1, "answer", attempt_id="told")
+        answer = AnswerEvent(100.01, 1, "answer", asked_id="told")
         disregarded.answer_events = [InstanceAnswerEvent(INCARNATION, answer)]
         self.assertEqual(len(list(backoffs_are_kept(disregarded, BOUNDS))), 1)
