Divide the emulated instance by what it is, reads, reports and serves

Nothing else is changed; definitions are moved, and private functions that another module uses lose their underscore.

--- a/emulator/exchange_platform/http_instance.py
+++ b/emulator/exchange_platform/http_instance.py
@@ -11,179 +11,33 @@
 import json
 import random
 from collections.abc import AsyncIterator, Iterator
-from typing import Protocol, cast
+from typing import cast
 
 import msgspec
 import quart
-import quart_trio
 import trio
 from werkzeug.datastructures import Headers
 
-from emulator.http_responses import json_response, lost_response
+from emulator.exchange_platform.instance_application import MILLISECONDS, MISDIRECTED, create_app
+from emulator.exchange_platform.instance_listener import InstanceListener, WeightsOrder
+from emulator.exchange_platform.instance_requests import (
+    PASSED_ON,
+    RunHeaders,
+    current_request_name,
+    current_target,
+    fatal_part,
+)
+from emulator.exchange_platform.instance_traits import (
+    InstanceFaults,
+    InstanceTraits,
+    ResponseNotices,
+)
+from emulator.http_responses import lost_response
 
-FATAL_PART_START = "fa7a1"
-"""First digits of the ids of parts that crash each instance that begins a prompt with them."""
-
-MISDIRECTED = 421
 UNAVAILABLE = 503
 FAILED = 500
 SERVED = 200
 EVENT_SECONDS = 0.02
-FIRST_EPOCH = 1
-MILLISECONDS = 1_000.0
-
-
-class InstanceTraits(msgspec.Struct, frozen=True):
-    """Fixed properties of one incarnation of an instance.
-
-    Attributes:
-        instance_id: Its id, which a restart keeps.
-        service: Name of its service.
-        zone: Its zone.
-        slots: Largest number of concurrent requests; more are refused as not run.
-        model: Name of its model; empty for a plain service.
-        load_seconds: Time to load weights.
-        born_ms: Unix time of this start in milliseconds.
-        software_version: Version of its software.
-    """
-
-    instance_id: str
-    service: str
-    zone: str
-    slots: int = 32
-    model: str = ""
-    load_seconds: float = 0.5
-    born_ms: int = 1
-    software_version: str = "v1"
-
-    @property
-    def incarnation(self) -> str:
-        """Name of this incarnation: the instance's id and the time of its start."""
-        return f"{self.instance_id}@{self.born_ms}"
-
-
-class InstanceFaults(msgspec.Struct):
-    """Shares (0 to 1) of requests, streams and orders that are hit by a fault.
-
-    Attributes:
-        failing: Requests answered with 500 after the run.
-        losing: Requests that run, but whose response breaks off.
-        breaking: Streams that break off midway.
-        failing_streams: Streams answered with 500 in place of their first event.
-        late_orders: Orders that get no answer and are executed later.
-        late_order_seconds: Delay of these orders.
-    """
-
-    failing: float = 0.0
-    losing: float = 0.0
-    breaking: float = 0.0
-    failing_streams: float = 0.0
-    late_orders: float = 0.0
-    late_order_seconds: float = 2.0
-
-
-class ResponseNotices(msgspec.Struct):
-    """Notices in an instance's response headers, independent of its entry in the store.
-
-    Attributes:
-        leaving: Whether every response announces that the instance is about to shut down.
-        backoff_seconds: Backoff that refusals ask for; while above 0, every request is refused.
-        limit: Announced limit in requests per second, over all nodes; None for no limit.
-    """
-
-    leaving: bool = False
-    backoff_seconds: float = 0.0
-    limit: float | None = None
-
-
-TRY_HEADER = "X-Try"
-"""Header by which callers number the tries of one id; nodes pass it on unchanged."""
-
-PASSED_ON = ("Attempt-Id", "Model", "Token-Usage", "Prompt-Prefix", "X-Note", TRY_HEADER)
-"""Headers that nodes pass on unchanged."""
-
-
-def request_name(attempt_id: str, try_number: str) -> str:
-    """Return the name of one try: its id, and its number where tries of one id are numbered."""
-    return f"{attempt_id}#{try_number}" if try_number else attempt_id
-
-
-class RunHeaders(msgspec.Struct, frozen=True):
-    """What an instance received with a request.
-
-    Attributes:
-        request_id: Name of the request: its id, and its number among the tries of that id.
-        tenant: Tenant.
-        salt: Cache salt.
-        key_shown: Whether the caller's key was among them.
-        first_event: Number of the first event that the caller lacks.
-        method: HTTP method.
-        target: Path and query.
-        body: Body of the request.
-        passed_on: Values of ``PASSED_ON`` headers; empty for missing ones.
-    """
-
-    request_id: str
-    tenant: str
-    salt: str
-    key_shown: bool
-    first_event: int = 0
-    method: str = ""
-    target: str = ""
-    body: bytes = b""
-    passed_on: tuple[str, ...] = ()
-
-
-class InstanceListener(Protocol):
-    """Receives events of an instance."""
-
-    def request_arrived(self, instance: HttpInstance, request_id: str) -> None:
-        """Handle the arrival of a request, before it is run or refused."""
-
-    def notices_sent(
-        self, instance: HttpInstance, request_id: str, notices: ResponseNotices
-    ) -> None:
-        """Handle a response that carries notices of the instance."""
-
-    def run_started(self, instance: HttpInstance, headers: RunHeaders, stamp: str) -> None:
-        """Handle the start of a run."""
-
-    def run_ended(self, instance: HttpInstance, stamp: str) -> None:
-        """Handle the end of a run, complete or not."""
-
-    def run_answered(self, stamp: str, status: int, body: bytes | None) -> None:
-        """Handle the answer of a run as it begins; None as ``body`` if it is a stream."""
-
-    def order_answered(self, instance: HttpInstance, order: WeightsOrder, status: int) -> None:
-        """Handle the answer of an order."""
-
-    def order_executed(self, instance: HttpInstance, holder: str, token: int) -> None:
-        """Handle the execution of an order."""
-
-    def control_request_arrived(self, instance: HttpInstance) -> None:
-        """Handle the arrival of an order or of a query for the report."""
-
-    def entry_changed(self, instance: HttpInstance) -> None:
-        """Handle a change of the instance's entry."""
-
-    def fatal_request_started(self, instance: HttpInstance, request: str) -> None:
-        """Handle the start of a request that crashes the instance.
-
-        Args:
-            instance: The instance.
-            request: Name that the caller gave it, or id of the part of its prompt that does so.
-        """
-
-
-class WeightsOrder(msgspec.Struct, rename="camel"):
-    """An order to load weights, as a node sends it."""
-
-    operation: str
-    model: str
-    version: int
-    holder: str
-    fencing_token: int
-    expected_revision: int | None = None
 
 
 class HttpInstance:
@@ -206,7 +60,7 @@
         self.draining = False
         self.order_sequence = 0
         self.active = 0
-        self.app = _create_app(self)
+        self.app = create_app(self)
         self._listener = listener
         self._generator = generator
         self._loading = False
@@ -237,7 +91,7 @@
     async def serve(self) -> quart.Response:
         """Handle the current request."""
         headers = quart.request.headers
-        request_id = _current_request_name()
+        request_id = current_request_name()
         body = cast(bytes, await quart.request.get_data())
         self._listener.request_arrived(self, request_id)
         refusal = self._refusal(headers)
@@ -251,13 +105,13 @@
             "X-Api-Key" in headers,
             int(headers["Last-Event-Id"]) + 1 if "Last-Event-Id" in headers else 0,
             quart.request.method,
-            _target(),
+            current_target(),
             body,
             tuple(headers.get(name, "") for name in PASSED_ON),
         )
         self._listener.run_started(self, shown, stamp)
         wanted = json.loads(body) if body else {}
-        fatal = wanted.get("fatal", "") or _fatal_part(headers)
+        fatal = wanted.get("fatal", "") or fatal_part(headers)
         if fatal:
             self._listener.fatal_request_started(self, fatal)
             with self._running(stamp):
@@ -414,77 +268,3 @@
     def _draw_fault(self, share: float) -> bool:
         """Draw whether a fault occurs that has this share."""
         return share > 0 and self._generator.random() < share
-
-
-def _current_request_name() -> str:
-    """Return the name of the current request; empty if it has no id."""
-    headers = quart.request.headers
-    return request_name(headers.get("Attempt-Id", ""), headers.get(TRY_HEADER, ""))
-
-
-def _target() -> str:
-    """Return the path and query of the current request."""
-    scope = quart.request.scope
-    query = scope["query_string"]
-    target = scope["raw_path"] + (b"?" + query if query else b"")
-    return bytes(target).decode("latin-1")
-
-
-def _create_app(instance: HttpInstance) -> quart_trio.QuartTrio:
-    """Return the HTTP application of an instance."""
-    app = quart_trio.QuartTrio(__name__)
-
-    @app.after_request
-    async def add_notices(response: quart.Response) -> quart.Response:
-        """Add the instance's notices to a response and notify the listener."""
-        request_id = _current_request_name()
-        if instance.notices.leaving:
-            response.headers["Server-Leaving"] = "1"
-        if instance.notices.limit is not None:
-            response.headers["Server-Limit"] = f"{instance.notices.limit:g}"
-        if request_id:
-            instance.report_notices(request_id, asks_backoff="Retry-After" in response.headers)
-        return response
-
-    @app.get("/report")
-    async def report() -> quart.Response:
-        """Return the instance's report, unless another instance is expected here."""
-        instance.report_control_request()
-        own = instance.traits.instance_id
-        if quart.request.headers.get("Expect-Instance", own) != own:
-            return quart.Response(b"", status=MISDIRECTED, headers={"Instance-Id": own})
-        return json_response(instance.report())
-
-    @app.get("/kv-events")
-    async def cache_events() -> quart.Response:
-        """Return no events after the wait, as these instances keep no segments."""
-        await trio.sleep(float(quart.request.headers.get("Wait-Ms", "0")) / MILLISECONDS)
-        position = int(quart.request.args.get("since", "0"))
-        return json_response(
-            {
-                "epoch": FIRST_EPOCH,
-                "nextPageToken": position,
-                "lost": False,
-                "events": [],
-                "born": instance.traits.born_ms,
-            }
-        )
-
-    @app.post("/order")
-    async def order() -> quart.Response:
-        """Execute an order."""
-        instance.report_control_request()
-        return await instance.order()
-
-    @app.route("/<path:path>", methods=["GET", "POST"])
-    async def serve(path: str) -> quart.Response:
-        """Run a request."""
-        return await instance.serve()
-
-    return app
-
-
-def _fatal_part(headers: Headers) -> str:
-    """Return the id of the shared part of a prompt that crashes instances; empty for none."""
-    ids = [part.partition(":")[0] for part in headers.get("Prompt-Prefix", "").split(",")]
-    return next((part for part in ids[:-1] if part.startswith(FATAL_PART_START)), "")
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -12,7 +12,7 @@
 import msgspec
 import trio
 
-from emulator.exchange_platform.http_instance import TRY_HEADER
+from emulator.exchange_platform.instance_requests import TRY_HEADER
 from emulator.soak.deployment import ENGINES, HOST, MODEL, PLAIN, Deployment, NodeLinks
 from emulator.soak.operators import LASTING_KEY
 from emulator.soak.request_records import RequestKind, SentRequest
--- a/emulator/soak/change_checks.py
+++ b/emulator/soak/change_checks.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from emulator.exchange_platform.http_instance import PASSED_ON
+from emulator.exchange_platform.instance_requests import PASSED_ON
 from emulator.soak.callers import body_of, headers_of, path_of, shared_part
 from emulator.soak.history import History
 from emulator.soak.limit_checks import CHANGED
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -15,7 +15,9 @@
 import quart_trio
 import trio
 
-from emulator.exchange_platform.http_instance import MISDIRECTED, HttpInstance, InstanceTraits
+from emulator.exchange_platform.http_instance import HttpInstance
+from emulator.exchange_platform.instance_application import MISDIRECTED
+from emulator.exchange_platform.instance_traits import InstanceTraits
 from emulator.exchange_platform.store import create_store_app
 from emulator.fleet.ports import free_addresses
 from emulator.fleet.processes import ProcessGroup
--- a/emulator/soak/hostile_callers.py
+++ b/emulator/soak/hostile_callers.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from emulator.exchange_platform.http_instance import FATAL_PART_START
+from emulator.exchange_platform.instance_requests import FATAL_PART_START
 from emulator.soak.callers import KINDS, Callers, draw_request
 from emulator.soak.deployment import Deployment, NodeLinks
 from emulator.soak.operators import LASTING_KEY
--- a/emulator/soak/recorder.py
+++ b/emulator/soak/recorder.py
@@ -9,12 +9,10 @@
 
 import trio
 
-from emulator.exchange_platform.http_instance import (
-    HttpInstance,
-    ResponseNotices,
-    RunHeaders,
-    WeightsOrder,
-)
+from emulator.exchange_platform.http_instance import HttpInstance
+from emulator.exchange_platform.instance_listener import WeightsOrder
+from emulator.exchange_platform.instance_requests import RunHeaders
+from emulator.exchange_platform.instance_traits import ResponseNotices
 from emulator.platform.shared_store import SharedStore
 from emulator.platform.store_model import ABSENT_REVISION
 from emulator.soak.history import History
--- a/tests/emulator/soak/test_change_checks.py
+++ b/tests/emulator/soak/test_change_checks.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from emulator.exchange_platform.http_instance import PASSED_ON
+from emulator.exchange_platform.instance_requests import PASSED_ON
 from emulator.soak.change_checks import CHANGE_CHECKS, sent_request
 from emulator.soak.checks import CHECKS
 from emulator.soak.deployment import Deployment
--- a/tests/emulator/test_http_instance.py
+++ b/tests/emulator/test_http_instance.py
@@ -6,7 +6,8 @@
 
 import trio
 
-from emulator.exchange_platform.http_instance import HttpInstance, InstanceTraits
+from emulator.exchange_platform.http_instance import HttpInstance
+from emulator.exchange_platform.instance_traits import InstanceTraits
 from emulator.virtual_time import run_in_virtual_time
 
 
