Divide the soak's deployment, and serve applications by one function

The function that serves an application of this process stood twice, in the soak and in the measure of answers without end. Nothing else is changed.

--- a/emulator/endless/measure.py
+++ b/emulator/endless/measure.py
@@ -6,10 +6,7 @@
 from pathlib import Path
 
 import httpx
-import hypercorn
-import hypercorn.trio
 import msgspec
-import quart_trio
 import trio
 
 from emulator.endless.figures import MILLISECONDS, Measured, Measurement, SentRequest
@@ -25,6 +22,7 @@
 )
 from emulator.exchange_platform.store import create_store_app
 from emulator.fleet.processes import ProcessGroup, accepts_connections
+from emulator.local_server import serve
 from emulator.platform.shared_store import SharedStore
 
 NODE, INSTANCES = "node", "instances"
@@ -54,7 +52,7 @@
         settings.write_text(node_settings(addresses, plan))
         with ProcessGroup(Path(directory)) as processes:
             async with trio.open_nursery() as nursery:
-                await nursery.start(_serve, create_store_app(shared), addresses.store)
+                await nursery.start(serve, create_store_app(shared), addresses.store)
                 arguments = [_instances_plan(form, addresses, plan)]
                 processes.start(INSTANCES, "emulator.endless.instances", arguments)
                 processes.start(NODE, "hopstep.cli.node", [f"--node_settings={settings}"])
@@ -104,18 +102,6 @@
     request.answered = response.status_code == OK_STATUS
 
 
-async def _serve(
-    app: quart_trio.QuartTrio,
-    address: str,
-    task_status: trio.TaskStatus[object] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Serve an application at an address."""
-    config = hypercorn.Config()
-    config.bind = [address]
-    config.loglevel = "CRITICAL"
-    await hypercorn.trio.serve(app, config, task_status=task_status, mode="asgi")
-
-
 async def _wait_ready(client: httpx.AsyncClient, addresses: Addresses) -> None:
     """Wait until the node is ready and serves."""
     request = SentRequest("ready", counts=False)
--- a/emulator/soak/callers.py
+++ b/emulator/soak/callers.py
@@ -13,7 +13,8 @@
 import trio
 
 from emulator.exchange_platform.instance_requests import TRY_HEADER
-from emulator.soak.deployment import ENGINES, HOST, MODEL, PLAIN, Deployment, NodeLinks
+from emulator.soak.deployment import ENGINES, HOST, MODEL, PLAIN, Deployment
+from emulator.soak.links import NodeLinks
 from emulator.soak.operators import LASTING_KEY
 from emulator.soak.request_records import RequestKind, SentRequest
 
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -8,23 +8,19 @@
 import time
 from pathlib import Path
 
-import hypercorn
-import hypercorn.trio
-import msgspec
-import quart
-import quart_trio
 import trio
 
 from emulator.exchange_platform.http_instance import HttpInstance
-from emulator.exchange_platform.instance_application import MISDIRECTED
 from emulator.exchange_platform.instance_traits import InstanceTraits
 from emulator.exchange_platform.store import create_store_app
 from emulator.fleet.ports import free_addresses
 from emulator.fleet.processes import ProcessGroup
+from emulator.local_server import serve, serve_in_scope
 from emulator.platform.shared_store import SharedStore
 from emulator.soak import suspendable_node
 from emulator.soak.answer_faults import AnswerEvent
 from emulator.soak.answer_proxy import FaultyAnswerProxy
+from emulator.soak.decoy import create_decoy
 from emulator.soak.disturbances import Disturbance
 from emulator.soak.history import History
 from emulator.soak.instance_records import (
@@ -33,6 +29,7 @@
     InstanceAnswerEvent,
     ListedInstance,
 )
+from emulator.soak.links import InstanceLinks, NodeLinks
 from emulator.soak.order_checks import logged_orders
 from emulator.soak.proxies import TcpProxy, UdpProxy
 from emulator.soak.recorder import DirectStore, Recorder
@@ -60,55 +57,6 @@
 """Share of crashed instances that start again under their former id."""
 
 
-class NodeLinks(msgspec.Struct):
-    """A node's proxies and addresses.
-
-    Attributes:
-        name: Name of the node.
-        zone: Its zone.
-        clients: Proxy between callers and the node.
-        store: Proxy between the node and the store.
-        peers: Proxy for datagrams to the node.
-        tunnels: Proxy for connections of other nodes to the node, at the same port.
-        readiness: Address of the readiness endpoint.
-        settings: Settings file.
-        suspended: File with the total seconds for which its machine was suspended.
-        cut_file: File that says how its links to instances are cut.
-        running: Whether the process should be running.
-        started_at: Time of the last start.
-        suspended_seconds: Number of seconds in that file.
-        other_build: Whether it runs the deployment's other build.
-    """
-
-    name: str
-    zone: str
-    clients: TcpProxy
-    store: TcpProxy
-    peers: UdpProxy
-    tunnels: TcpProxy
-    readiness: str
-    settings: Path
-    suspended: Path
-    cut_file: Path
-    running: bool = False
-    started_at: float = 0.0
-    suspended_seconds: float = 0.0
-    other_build: bool = False
-
-
-class InstanceLinks(msgspec.Struct):
-    """An instance, the proxies in front of it, and the time when it was listed.
-
-    The proxy of its answers is there only in profiles with faults of answers.
-    """
-
-    instance: HttpInstance
-    proxy: TcpProxy
-    scope: trio.CancelScope
-    since: float
-    answers: FaultyAnswerProxy | None = None
-
-
 class Deployment:
     """Starts the parts, and gives callers, operator and faults access to them."""
 
@@ -153,9 +101,9 @@
         self._processes = processes
         self._nursery = nursery
         store_address = free_addresses(1)[0]
-        await nursery.start(_serve, create_store_app(self.shared), store_address)
+        await nursery.start(serve, create_store_app(self.shared), store_address)
         self.decoy = free_addresses(1)[0]
-        await nursery.start(_serve, _create_decoy(self.history), self.decoy)
+        await nursery.start(serve, create_decoy(self.history), self.decoy)
         for zone in ZONES:
             await self.add_instance(PLAIN, zone)
             await self.add_instance(ENGINES, zone)
@@ -206,7 +154,7 @@
         if model:
             instance.version = version
         address = free_addresses(1)[0]
-        scope = await self._nursery.start(_serve_in_scope, instance.app, address)
+        scope = await self._nursery.start(serve_in_scope, instance.app, address)
         answers = None
         target = address
         if self.has_answer_faults:
@@ -381,43 +329,3 @@
         node.other_build = self.other_build is not None
         self.nodes.append(node)
         self.start_node(node)
-
-
-def _create_decoy(history: History) -> quart_trio.QuartTrio:
-    """Return an application to whose address only untrusted entries point."""
-    app = quart_trio.QuartTrio(__name__)
-
-    @app.route("/<path:path>", methods=["GET", "POST"])
-    async def serve(path: str) -> quart.Response:
-        """Record a request, and refuse it as an instance with another id does."""
-        request_id = quart.request.headers.get("Attempt-Id", "")
-        history.decoy_requests.append(f"/{path} {request_id}")
-        return quart.Response(b"", status=MISDIRECTED, headers={"Instance-Id": "decoy"})
-
-    return app
-
-
-async def _serve(
-    app: object, address: str, *, task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED
-) -> None:
-    """Serve an application until cancelled."""
-    config = hypercorn.Config()
-    config.bind = [address]
-    config.loglevel = "CRITICAL"
-    config.accesslog = None
-    config.errorlog = None
-    await hypercorn.trio.serve(app, config, task_status=task_status, mode="asgi")  # type: ignore[arg-type]
-
-
-async def _serve_in_scope(
-    app: object,
-    address: str,
-    *,
-    task_status: trio.TaskStatus[trio.CancelScope] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Serve until the scope, which is the started value, is cancelled."""
-    with trio.CancelScope() as scope:
-        async with trio.open_nursery() as nursery:
-            await nursery.start(_serve, app, address)
-            task_status.started(scope)
-            await trio.sleep_forever()
--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -9,7 +9,7 @@
 import trio
 
 from emulator.platform.faults import FaultOrder
-from emulator.soak.deployment import GRACE_SECONDS, Deployment, NodeLinks
+from emulator.soak.deployment import GRACE_SECONDS, Deployment
 from emulator.soak.disturbances import (
     INSTANCE_LINKS_CUT,
     KILLED,
@@ -22,6 +22,7 @@
 from emulator.soak.hostile_callers import HostileCallers
 from emulator.soak.instance_faults import BROKEN_LINKS, Fault, draw_seconds, instance_faults
 from emulator.soak.link_checks import subject_of
+from emulator.soak.links import NodeLinks
 from emulator.soak.operators import Operator
 from emulator.soak.profiles import Profile
 from emulator.soak.proxies import LinkState
--- a/emulator/soak/hostile_callers.py
+++ b/emulator/soak/hostile_callers.py
@@ -13,7 +13,8 @@
 
 from emulator.exchange_platform.instance_requests import FATAL_PART_START
 from emulator.soak.callers import KINDS, Callers, draw_request
-from emulator.soak.deployment import Deployment, NodeLinks
+from emulator.soak.deployment import Deployment
+from emulator.soak.links import NodeLinks
 from emulator.soak.operators import LASTING_KEY
 from emulator.soak.request_records import RequestKind
 
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -8,7 +8,7 @@
 import trio
 
 from emulator.soak.answer_faults import AnswerFaults
-from emulator.soak.deployment import ENGINES, PLAIN, ZONES, Deployment, InstanceLinks
+from emulator.soak.deployment import ENGINES, PLAIN, ZONES, Deployment
 from emulator.soak.fault_kinds import (
     ANSWERS_ENDLESS,
     ANSWERS_REPEATED,
@@ -18,6 +18,7 @@
 )
 from emulator.soak.foreign_entries import FOREIGN_PREFIX, foreign_entry
 from emulator.soak.instance_records import LimitChange
+from emulator.soak.links import InstanceLinks
 from emulator.soak.operator_changes import DrainStart
 from emulator.soak.operators import Operator
 from emulator.soak.proxies import LinkState
--- a/emulator/soak/persistent_callers.py
+++ b/emulator/soak/persistent_callers.py
@@ -18,7 +18,7 @@
     headers_of,
     path_of,
 )
-from emulator.soak.deployment import NodeLinks
+from emulator.soak.links import NodeLinks
 from emulator.soak.request_records import SentRequest
 
 THINK_SECONDS = (0.0, 0.3)
--- a/emulator/soak/probes.py
+++ b/emulator/soak/probes.py
@@ -15,7 +15,8 @@
     headers_of,
     path_of,
 )
-from emulator.soak.deployment import Deployment, NodeLinks
+from emulator.soak.deployment import Deployment
+from emulator.soak.links import NodeLinks
 from emulator.soak.request_records import RequestKind, SentRequest
 
 PROBES_PER_SECOND = 40.0
--- a/emulator/soak/repeating_callers.py
+++ b/emulator/soak/repeating_callers.py
@@ -23,7 +23,8 @@
     headers_of,
     path_of,
 )
-from emulator.soak.deployment import Deployment, NodeLinks
+from emulator.soak.deployment import Deployment
+from emulator.soak.links import NodeLinks
 from emulator.soak.request_records import RequestKind, SentRequest
 
 THINK_SECONDS = (0.0, 0.2)
--- a/emulator/soak/slow_callers.py
+++ b/emulator/soak/slow_callers.py
@@ -21,7 +21,7 @@
     headers_of,
     path_of,
 )
-from emulator.soak.deployment import NodeLinks
+from emulator.soak.links import NodeLinks
 from emulator.soak.request_records import RequestKind, SentRequest
 
 REST_SECONDS = (0.0, 2.5)
