Bind nodes by notices behind whole copies, too

The check excused a node from every notice behind a copy on its connection. Only heads that are joined to a part of another, and heads behind the copy of a refusal without an id, which may be the node's own, don't count now.

--- a/emulator/soak/answer_connection.py
+++ b/emulator/soak/answer_connection.py
@@ -81,9 +81,11 @@
         self._server = server
         # Held while an answer or a copy is being written, as copies never cut into answers.
         self._writing = trio.Lock()
-        self._due: tuple[bytes, AnswerReader, str] | None = None
+        self._due: tuple[AnswerCopy, AnswerReader] | None = None
         self._surplus = b""
-        self._has_sent_copy = False
+        # Whether the next answer's head is joined to a part of another, or stands behind a refusal
+        # without an id, which may be its own.
+        self._hides_next_head = False
         self._asked_id = ""
 
     async def run(self) -> None:
@@ -171,20 +173,20 @@
         """Send the end of an answer and what its copy has now, and keep the rest for later."""
         if copy.time is CopyTime.AT_ONCE:
             self._report_copy(f"copy {copy.time}", reader)
-        self._has_sent_copy = self._has_sent_copy or bool(copy.with_end)
         await self._client.send_all(last + copy.with_end)
         if copy.at_next_request:
-            self._due = copy.at_next_request, reader, copy.name
+            self._due = copy, reader
         if copy.delay_seconds is not None:
             self._nursery.start_soon(self._send_later, copy.delay_seconds, reader)
 
     async def _send_due(self) -> None:
         """Send the copy that waits for the next request."""
         if self._due is not None:
-            (copy, reader, what), self._due = self._due, None
+            (copy, reader), self._due = self._due, None
             async with self._writing:
-                self._report_copy(what, reader)
-                await self._client.send_all(copy)
+                self._report_copy(copy.name, reader)
+                self._hides_next_head = self._hides_next_head or copy.time is CopyTime.CUT
+                await self._client.send_all(copy.at_next_request)
 
     async def _send_later(self, seconds: float, reader: AnswerReader) -> None:
         """Send the copy of an answer after a time, between answers."""
@@ -263,12 +265,12 @@
 
     def _head_sent(self, sent: bytes) -> HeadDelivery:
         """Return what the caller has of an answer's head once these of its bytes are sent."""
-        is_whole = HEAD_END in sent and not self._has_sent_copy
+        is_whole = HEAD_END in sent and not self._hides_next_head
         return HeadDelivery.WHOLE if is_whole else HeadDelivery.CUT
 
     def _report_copy(self, what: str, reader: AnswerReader) -> None:
         """Report that a copy, or a part of one, is about to be sent."""
-        self._has_sent_copy = True
+        self._hides_next_head = self._hides_next_head or b"attempt-id" not in reader.fields
         self._report(what, reader, HeadDelivery.COPY)
 
     def _report(self, what: str, reader: AnswerReader, head: HeadDelivery) -> None:
--- a/emulator/soak/answer_faults.py
+++ b/emulator/soak/answer_faults.py
@@ -72,8 +72,10 @@
 class HeadDelivery(enum.StrEnum):
     """What the caller got of an answer's head.
 
-    ``CUT`` is not all of it, or all of it behind bytes that the caller didn't ask for. ``COPY`` is
-    the event of a copy, which says nothing about the answer.
+    ``CUT`` is not all of it, or all of it behind a part of another head, or behind the copy of an
+    answer without an id, which may be the caller's own. ``COPY`` is the event of a copy, which says
+    nothing about the answer. The copy of an answer with an id is discarded by the caller, which
+    reads the head behind it.
     """
 
     WHOLE = "whole"
--- a/emulator/soak/received_notices.py
+++ b/emulator/soak/received_notices.py
@@ -1,7 +1,7 @@
 """Which notices of instances reached the nodes.
 
-Proxies of answers record what they passed on. An answer that stops in its head, or comes behind
-bytes that the node didn't ask for, brings no notice; nor does one whose connection had ended.
+Proxies of answers record what they passed on. An answer that stops in its head, or whose head is
+joined to a part of another, brings no notice; nor does one whose connection had ended.
 """
 
 from __future__ import annotations
--- a/tests/emulator/soak/test_answer_proxy.py
+++ b/tests/emulator/soak/test_answer_proxy.py
@@ -194,13 +194,19 @@
         self.run_proxy(script, chosen, **faults)
         return found
 
-    def test_the_head_of_an_answer_behind_a_copy_is_not_whole(self):
+    def test_the_head_of_an_answer_behind_a_part_of_another_is_not_whole(self):
         whole, cut, copy = HeadDelivery.WHOLE, HeadDelivery.CUT, HeadDelivery.COPY
         self.assertEqual(self.heads(), [whole, whole])
-        for time in (CopyTime.NEXT, CopyTime.CUT):
-            self.assertEqual(self.heads(time, repeated=1.0), [whole, copy, cut])
-        self.assertEqual(self.heads(CopyTime.SPLIT, repeated=1.0), [whole, copy, cut])
-        self.assertEqual(self.heads(CopyTime.AT_ONCE, repeated=1.0), [whole, copy, cut, copy])
+        self.assertEqual(self.heads(CopyTime.CUT, repeated=1.0), [whole, copy, cut])
+        self.assertEqual(self.heads(CopyTime.NEXT, repeated=1.0), [whole, copy, whole])
+        self.assertEqual(self.heads(CopyTime.SPLIT, repeated=1.0), [whole, copy, whole])
+        self.assertEqual(self.heads(CopyTime.AT_ONCE, repeated=1.0), [whole, copy, whole, copy])
+
+    def test_an_answer_behind_the_copy_of_one_without_an_id_may_not_be_read(self):
+        whole, cut, copy = HeadDelivery.WHOLE, HeadDelivery.CUT, HeadDelivery.COPY
+        answer = ANSWER.replace(b"Attempt-Id: a\r\n", b"")
+        found = self.heads(CopyTime.NEXT, answer=answer, repeated=1.0)
+        self.assertEqual(found, [whole, copy, cut])
 
     def test_the_head_of_an_answer_that_stops_in_it_is_not_whole(self):
         position = "emulator.soak.answer_stops.AnswerStop.position"
