--- a/tests/emulator/soak/test_word_checks.py
+++ b/tests/emulator/soak/test_word_checks.py
@@ -117,3 +117,13 @@
         answer = AnswerEvent(100.01, 1, "answer", asked_id="told")
         disregarded.answer_events = [InstanceAnswerEvent(INCARNATION, answer)]
         self.assertEqual(len(list(backoffs_are_kept(disregarded, BOUNDS))), 1)
+
+    # A node ends its request to an instance as the client leaves.
+    def test_a_refusal_that_came_after_its_client_had_left_binds_nobody(self):
+        for left_at, broken in ((100.005, 0), (100.02, 1)):
+            disregarded = self.seen(3.0, a=100.6, b=101.0, c=102.0)
+            disregarded.requests["told"].left = True
+            disregarded.requests["told"].ended_at = left_at
+            answer = AnswerEvent(100.01, 1, "answer", asked_id="told")
+            disregarded.answer_events = [InstanceAnswerEvent(INCARNATION, answer)]
+            self.assertEqual(len(list(backoffs_are_kept(disregarded, BOUNDS))), broken)
