Judge backoffs by the try, and from the end of a silent link

A review by somebody who hadn't seen the work found, around the check of backoffs ("rest"): - A link that falls silent right behind a refusal (a freeze of the instance) holds it back beyond the half second that is allowed for requests under way, and lets all of them arrive at once. The review's script with the soak's own proxies, recorder and check: "n3 sent 7 requests to i10@1 in 0.96 s of backoff" for a sender that stops as soon as it has read the backoff. The soak records such silences now, and the check counts from their end; the same script: nothing. - The answer to another try of the same id was taken for the answer with the notice. The proxy records the name of the try. - Heads of streams have no event until their end, so that leaving notices and limits in them didn't count. No trace shows that those two checks need to be narrowed: they count all notices again, as before.

--- a/emulator/soak/answer_connection.py
+++ b/emulator/soak/answer_connection.py
@@ -10,6 +10,7 @@
 import h11
 import trio
 
+from emulator.exchange_platform.instance_requests import request_name
 from emulator.soak.answer_copies import MAX_COPY_BYTES, SOON_SECONDS, AnswerCopy, draw_copy
 from emulator.soak.answer_faults import (
     STOP_KINDS,
@@ -33,8 +34,9 @@
 CUT_SHARE = 0.3
 """Share of answers without a length that a reset cuts off."""
 
-ATTEMPT_ID_LINE = re.compile(rb"(?i)\r\nattempt-id:[ \t]*([^\r\n]*)")
-"""Header of a request that names it."""
+ID_LINE = re.compile(rb"(?i)\r\nattempt-id:[ \t]*([^\r\n]*)")
+TRY_LINE = re.compile(rb"(?i)\r\nx-try:[ \t]*([^\r\n]*)")
+"""Headers of a request that name it: its id, and the number of the try."""
 
 
 class FaultSource(Protocol):
@@ -86,7 +88,7 @@
         # Whether the next answer's head is joined to a part of another, or stands behind a refusal
         # without an id, which may be its own.
         self._hides_next_head = False
-        self._asked_id = ""
+        self._asked = ""
 
     async def run(self) -> None:
         """Forward both directions until either ends."""
@@ -100,8 +102,7 @@
         try:
             async for data in self._client:
                 await self._send_due()
-                if found := ATTEMPT_ID_LINE.search(data):
-                    self._asked_id = found[1].decode("latin-1")
+                self._asked = _name(data) or self._asked
                 await self._server.send_all(data)
         except BROKEN:
             pass
@@ -285,6 +286,15 @@
                 fields.get(b"attempt-id", b"").decode("latin-1"),
                 fields.get(b"response-stamp", b"").decode("latin-1"),
                 head,
-                self._asked_id,
+                self._asked,
             )
         )
+
+
+def _name(data: bytes | bytearray) -> str:
+    """Return the name of a request that begins in some bytes; empty for none."""
+    attempt_id, try_number = ID_LINE.search(data), TRY_LINE.search(data)
+    if attempt_id is None:
+        return ""
+    number = try_number[1].decode("latin-1") if try_number is not None else ""
+    return request_name(attempt_id[1].decode("latin-1"), number)
--- a/emulator/soak/answer_faults.py
+++ b/emulator/soak/answer_faults.py
@@ -94,7 +94,7 @@
         attempt_id: Id in the answer; empty for none.
         stamp: Signature in the answer; empty for none.
         head: What the caller got of the answer's head.
-        asked_id: Id in the latest request on the connection; empty for none. Refusals may have no
+        asked: Name of the latest request on the connection; empty for none. Refusals may have no
             id of their own.
     """
 
@@ -105,4 +105,4 @@
     attempt_id: str = ""
     stamp: str = ""
     head: HeadDelivery = HeadDelivery.WHOLE
-    asked_id: str = ""
+    asked: str = ""
--- a/emulator/soak/deployment.py
+++ b/emulator/soak/deployment.py
@@ -27,6 +27,7 @@
     FatalTermination,
     IncarnationPeriod,
     InstanceAnswerEvent,
+    LinkSilence,
     ListedInstance,
 )
 from emulator.soak.links import InstanceLinks, NodeLinks
@@ -297,6 +298,12 @@
         self.history.disturbances.append(disturbance)
         return disturbance
 
+    def silence(self, links: InstanceLinks) -> LinkSilence:
+        """Record the start of a time in which an instance's link is silent; return its record."""
+        silence = LinkSilence(links.instance.traits.incarnation, trio.current_time())
+        self.history.silences.append(silence)
+        return silence
+
     async def _add_node(self, name: str, zone: str, store_address: str) -> None:
         """Set a node up behind its proxies, and start it."""
         address, readiness, peer, metrics = free_addresses(4)
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -14,6 +14,7 @@
     IncarnationPeriod,
     InstanceAnswerEvent,
     LimitChange,
+    LinkSilence,
     ListedInstance,
     LoggedOrder,
     SentNotice,
@@ -52,6 +53,7 @@
         route_changes: Routes added and removed.
         drain_starts: Instances that were listed as draining.
         notices: Notices that instances sent in responses.
+        silences: Times in which links of instances delivered nothing.
         limits: Limits that instances announced.
         instances: All incarnations of instances.
         disturbances: Faults, in the order of their starts.
@@ -80,6 +82,7 @@
     route_changes: list[RouteChange] = []
     drain_starts: list[DrainStart] = []
     notices: list[SentNotice] = []
+    silences: list[LinkSilence] = []
     limits: list[LimitChange] = []
     instances: list[IncarnationPeriod] = []
     disturbances: list[Disturbance] = []
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -117,14 +117,19 @@
     async def instance_link(self) -> None:
         links = self._instance()
         disturbance = self._deployment.disturb("link", links.instance.traits.instance_id)
+        silence = None
         if self._generator.random() < 0.3:
             links.proxy.delay_seconds = self._generator.uniform(0.05, 0.5)
         else:
-            links.proxy.set_state(self._generator.choice(BROKEN_LINKS))
+            state = self._generator.choice(BROKEN_LINKS)
+            links.proxy.set_state(state)
+            silence = self._deployment.silence(links) if state is not LinkState.RESET else None
         await trio.sleep(draw_seconds(self._generator))
         links.proxy.delay_seconds = 0.0
         links.proxy.set_state(LinkState.OPEN)
         disturbance.until = trio.current_time()
+        if silence is not None:
+            silence.until = trio.current_time()
 
     async def instance_connections_silent(self) -> None:
         """Block the open connections between all nodes and an instance; new connections work."""
@@ -386,8 +391,10 @@
         """Let an instance neither read nor write for a moment."""
         links = self._instance()
         links.proxy.set_state(LinkState.SILENT)
+        silence = self._deployment.silence(links)
         await trio.sleep(self._generator.uniform(*FREEZE_SECONDS))
         links.proxy.set_state(LinkState.OPEN)
+        silence.until = trio.current_time()
 
     async def instance_fails_for_a_while(self) -> None:
         """Let an instance answer a share of its requests, streams too, with 500 after the run."""
--- a/emulator/soak/instance_records.py
+++ b/emulator/soak/instance_records.py
@@ -30,6 +30,20 @@
     limit: float | None = None
 
 
+class LinkSilence(msgspec.Struct):
+    """A time in which the link of an instance delivers nothing, in one direction or both.
+
+    Attributes:
+        incarnation: Instance id and start of the incarnation.
+        since: Start.
+        until: End; infinite while it lasts.
+    """
+
+    incarnation: str
+    since: float
+    until: float = float("inf")
+
+
 class LimitChange(msgspec.Struct, frozen=True):
     """A change of the limit that an instance announces.
 
--- a/emulator/soak/limit_checks.py
+++ b/emulator/soak/limit_checks.py
@@ -11,7 +11,6 @@
 from emulator.soak.instance_records import IncarnationPeriod, LimitChange
 from emulator.soak.link_checks import has_linked_node
 from emulator.soak.promises import Bounds, Check
-from emulator.soak.received_notices import received_notices
 from emulator.soak.request_records import Arrival, SentRequest
 
 CHANGED = b"configuration_changed"
@@ -147,7 +146,7 @@
 def _announced_at(history: History, period: LimitPeriod) -> dict[str, float]:
     """Return when each node first passed on a response with a limit of the period."""
     announced: dict[str, float] = {}
-    for notice in received_notices(history):
+    for notice in history.notices:
         request = history.requests.get(notice.request_id)
         named = notice.incarnation == period.incarnation and notice.limit is not None
         if not named or request is None or request.head_at is None:
--- a/emulator/soak/notice_checks.py
+++ b/emulator/soak/notice_checks.py
@@ -8,7 +8,7 @@
 from emulator.soak.history import History
 from emulator.soak.instance_records import SentNotice
 from emulator.soak.promises import Bounds, Check
-from emulator.soak.received_notices import received_notices
+from emulator.soak.received_notices import read_at, received_backoffs
 from emulator.soak.request_records import Arrival
 
 NodeAndIncarnation = tuple[str, str]
@@ -20,7 +20,7 @@
     A node that was interrupted since then is excepted: it may have lost the notice or be late.
     """
     announced: dict[NodeAndIncarnation, float] = {}
-    for notice in received_notices(history):
+    for notice in history.notices:
         request = history.requests.get(notice.request_id)
         if not notice.leaving or request is None or request.head_at is None:
             continue
@@ -42,14 +42,15 @@
 def backoffs_are_kept(history: History, bounds: Bounds) -> Iterable[str]:
     """Yield backoffs in which a node sent an instance more requests than were in flight.
 
-    A backoff binds a node that received the refusal that asks for it.
+    A backoff binds a node that received the refusal that asks for it, once it can have read it.
     """
     arrivals = _arrivals_by_node(history)
-    for notice in received_notices(history):
+    for notice in received_backoffs(history):
         request = history.requests.get(notice.request_id)
-        if not notice.backoff_seconds or request is None:
+        if request is None:
             continue
-        first, last = notice.at + bounds.in_flight, notice.at + notice.backoff_seconds
+        first = read_at(history, notice) + bounds.in_flight
+        last = notice.at + notice.backoff_seconds
         within = [a for a in arrivals[(request.node, notice.incarnation)] if first < a.at < last]
         if len(within) > bounds.within_backoff and not history.interrupted(
             request.node, notice.at, within[-1].at
