Let faults that find no instance pass

Such a fault is counted as one that found no instance, in the line of the soak, and the soak goes on. Draws of seeds are unchanged wherever an instance runs.

--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -20,7 +20,13 @@
 )
 from emulator.soak.fault_kinds import FATAL, FATAL_PART, LINKS, RESTORE
 from emulator.soak.hostile_callers import HostileCallers
-from emulator.soak.instance_faults import BROKEN_LINKS, Fault, draw_seconds, instance_faults
+from emulator.soak.instance_faults import (
+    BROKEN_LINKS,
+    Fault,
+    NoInstanceError,
+    draw_seconds,
+    instance_faults,
+)
 from emulator.soak.link_checks import subject_of
 from emulator.soak.links import NodeLinks
 from emulator.soak.operators import Operator
@@ -134,9 +140,17 @@
                         times = self._generator.randint(*SERIES_LENGTH)
                     for _ in range(times):
                         self.counts[kind] = self.counts.get(kind, 0) + 1
-                        nursery.start_soon(self._kinds[kind])
+                        nursery.start_soon(self._inject, kind)
                         await trio.sleep(self._generator.uniform(*SERIES_SECONDS))
 
+    async def _inject(self, kind: str) -> None:
+        """Inject a fault; one that finds no instance is counted once more as such."""
+        try:
+            await self._kinds[kind]()
+        except NoInstanceError:
+            missed = f"{kind}, no instance"
+            self.counts[missed] = self.counts.get(missed, 0) + 1
+
     def _node(self) -> NodeLinks:
         """Return a random node."""
         return self._generator.choice(self._deployment.nodes)
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -61,6 +61,10 @@
 Fault = Callable[[], Awaitable[None]]
 
 
+class NoInstanceError(Exception):
+    """A fault found no instance that it could hit: all of them have crashed."""
+
+
 def draw_seconds(generator: random.Random) -> float:
     """Return a random duration of a fault, in seconds."""
     return generator.uniform(*FAULT_SECONDS)
@@ -111,7 +115,9 @@
         self._generator = generator
 
     def _instance(self) -> InstanceLinks:
-        """Return a random instance."""
+        """Return a random instance; raise ``NoInstanceError`` if none runs."""
+        if not self._deployment.instances:
+            raise NoInstanceError
         return self._generator.choice(self._deployment.instances)
 
     async def instance_link(self) -> None:
