--- a/emulator/soak/seed_profiles.py
+++ b/emulator/soak/seed_profiles.py
@@ -33,85 +33,52 @@
     Profile,
 )
 
-FIRST_SEED_WITH_RESTORES = 10_000
-"""First seed with restores in the profile "everything"; earlier seeds keep their profiles."""
-
+EVERYTHING = "everything"
+"""Name of the profile that later seeds extend."""
 
+FIRST_SEED_WITH_RESTORES = 10_000
 FIRST_SEED_WITH_CUTS = 20_000
-"""First seed with cut links in the profile "everything"."""
-
-
-def _with_restores(profile: Profile) -> Profile:
-    """Return the profile "everything" with restores added, and other profiles unchanged."""
-    if profile.name != "everything":
-        return profile
-    kinds = (*profile.kinds, RESTORE)
-    return msgspec.structs.replace(profile, name="everything, restores too", kinds=kinds)
-
-
-PROFILES_WITH_RESTORES = tuple(_with_restores(profile) for profile in PROFILES)
-
-
-def _with_cuts(profile: Profile) -> Profile:
-    """Return the profile "everything" with restores and cut links, others unchanged."""
-    if profile.name != "everything":
-        return profile
-    kinds = (*profile.kinds, RESTORE, LINKS, LINKS)
-    return msgspec.structs.replace(profile, name="everything, cuts too", kinds=kinds)
-
-
-PROFILES_WITH_CUTS = tuple(_with_cuts(profile) for profile in PROFILES)
-
-
 FIRST_SEED_WITH_SOFTWARE = 70_000
-"""First seed with several software versions in the profile "everything"."""
-
-
-def _with_software(profile: Profile) -> Profile:
-    """Return the profile "everything" with restores, cut links and software, others unchanged."""
-    if profile.name != "everything":
-        return profile
-    kinds = (*profile.kinds, RESTORE, LINKS, LINKS, SOFTWARE, SOFTWARE)
-    return msgspec.structs.replace(profile, name="everything, software too", kinds=kinds)
-
-
-PROFILES_WITH_SOFTWARE = tuple(_with_software(profile) for profile in PROFILES)
-
-
 FIRST_SEED_WITH_PARTS = 80_000
-"""First seed with fatal parts of prompts in the profile "everything"."""
-
-
-def _with_parts(profile: Profile) -> Profile:
-    """Return the profile "everything" with all that later seeds have, others unchanged."""
-    if profile.name != "everything":
-        return profile
-    kinds = (*profile.kinds, RESTORE, LINKS, LINKS, SOFTWARE, SOFTWARE, FATAL_PART, FATAL_PART)
-    return msgspec.structs.replace(profile, name="everything, parts too", kinds=kinds)
-
+FIRST_SEED_WITH_ANSWERS = 100_000
+"""First seeds whose profile "everything" has restores, cut links, several software versions, fatal
+parts of prompts, and faulty answers of instances; earlier seeds keep their profiles."""
 
-PROFILES_WITH_PARTS = tuple(_with_parts(profile) for profile in PROFILES)
 
+def _extended(what: str, *kinds: str) -> tuple[Profile, ...]:
+    """Return all profiles, with kinds of faults added to "everything".
 
-FIRST_SEED_WITH_ANSWERS = 100_000
-"""First seed with faulty answers of instances in the profile "everything"."""
-
-
-def _with_answers(profile: Profile) -> Profile:
-    """Return the profile of later seeds with faulty answers in "everything", others unchanged."""
-    if profile.name != "everything, parts too":
-        return profile
-    kinds = (
-        *profile.kinds,
-        *(ANSWERS_REPEATED,) * 4,
-        ANSWERS_STOPPED,
-        ANSWERS_UNFRAMED,
-        ANSWERS_ENDLESS,
+    Args:
+        what: Names the newest kinds in the name of the extended profile.
+        kinds: All kinds that are added.
+    """
+    return tuple(
+        msgspec.structs.replace(
+            profile, name=f"{EVERYTHING}, {what} too", kinds=(*profile.kinds, *kinds)
+        )
+        if profile.name == EVERYTHING
+        else profile
+        for profile in PROFILES
     )
-    return msgspec.structs.replace(profile, name="everything, answers too", kinds=kinds)
 
 
-PROFILES_WITH_ANSWERS = tuple(_with_answers(profile) for profile in PROFILES_WITH_PARTS)
+WITH_CUTS = (RESTORE, LINKS, LINKS)
+WITH_SOFTWARE = (*WITH_CUTS, SOFTWARE, SOFTWARE)
+WITH_PARTS = (*WITH_SOFTWARE, FATAL_PART, FATAL_PART)
+WITH_ANSWERS = (
+    *WITH_PARTS,
+    *(ANSWERS_REPEATED,) * 4,
+    ANSWERS_STOPPED,
+    ANSWERS_UNFRAMED,
+    ANSWERS_ENDLESS,
+)
+"""Kinds of faults that "everything" has besides its own, by the newest of them."""
+
+PROFILES_WITH_RESTORES = _extended("restores", RESTORE)
+PROFILES_WITH_CUTS = _extended("cuts", *WITH_CUTS)
+PROFILES_WITH_SOFTWARE = _extended("software", *WITH_SOFTWARE)
+PROFILES_WITH_PARTS = _extended("parts", *WITH_PARTS)
+PROFILES_WITH_ANSWERS = _extended("answers", *WITH_ANSWERS)
 
 
 def profile_of(seed: int, name: str = "") -> Profile:
