--- a/tests/services/exchanges/test_limited_engines.py
+++ b/tests/services/exchanges/test_limited_engines.py
@@ -9,16 +9,21 @@
 class LimitedEnginesTest(LimitsCase):
     """Engines under limits still load named weights."""
 
+    async def limit_to_nothing(self, world):
+        """Let the first engine announce that it takes nothing; return it once all nodes know."""
+        server = world.instances.servers["e0"]
+        await trio.sleep(3.0)
+        server.announced_limit = 0.0
+        await self.load(world, 2.0, name="stream")
+        return server
+
     def test_an_engine_that_takes_nothing_loads_named_weights(self):
         world = ExchangeWorld(nodes=3, zones=3)
         for number in range(3):
             world.add(f"e{number}", "llm")
 
         async def script(world):
-            server = world.instances.servers["e0"]
-            await trio.sleep(3.0)
-            server.announced_limit = 0.0
-            await self.load(world, 2.0, name="stream")
+            server = await self.limit_to_nothing(world)
             since = trio.current_time()
             world.name_weights(2)
             await self.load(world, 2 * WINDOW_SECONDS, name="stream")
@@ -34,10 +39,7 @@
         world.add("e1", "llm")
 
         async def script(world):
-            server = world.instances.servers["e0"]
-            await trio.sleep(3.0)
-            server.announced_limit = 0.0
-            await self.load(world, 2.0, name="stream")
+            await self.limit_to_nothing(world)
             world.name_weights(2)
             [services] = world.nodes
             for _check in range(300):
@@ -60,10 +62,7 @@
         world.add("e1", "llm")
 
         async def script(world):
-            server = world.instances.servers["e0"]
-            await trio.sleep(3.0)
-            server.announced_limit = 0.0
-            await self.load(world, 2.0, name="stream")
+            server = await self.limit_to_nothing(world)
             world.name_weights(2)
             await trio.sleep(2 * WINDOW_SECONDS)
             server.announced_limit = None
--- a/tests/services/exchanges/test_quarantine_trials.py
+++ b/tests/services/exchanges/test_quarantine_trials.py
@@ -16,14 +16,18 @@
 
 
 class TrialTest(QuarantinedRequestsCase):
+    async def refuse_a_slow_request(self, world):
+        """Let a request be refused that crashes nothing any more, until its trial is due."""
+        await self.crash_instances(world)
+        self.unlist_ended(world)
+        world.instances.fatal_bodies.clear()
+        for server in world.instances.servers.values():
+            server.work_seconds = 1.0
+        await trio.sleep(2 * TRIAL_AFTER_SECONDS)
+
     def test_a_client_that_leaves_the_try_does_not_have_the_request_refused_for_good(self):
         async def script(world):
-            await self.crash_instances(world)
-            self.unlist_ended(world)
-            world.instances.fatal_bodies.clear()
-            for server in world.instances.servers.values():
-                server.work_seconds = 1.0
-            await trio.sleep(2 * TRIAL_AFTER_SECONDS)
+            await self.refuse_a_slow_request(world)
             with trio.move_on_after(0.1):
                 await world.request("stream", body=FATAL)
             self.assertTrue(await self.refused(world))
@@ -48,12 +52,7 @@
         """Guards against a sound request that is refused for ten minutes, as a node was killed."""
 
         async def script(world):
-            await self.crash_instances(world)
-            self.unlist_ended(world)
-            world.instances.fatal_bodies.clear()
-            for server in world.instances.servers.values():
-                server.work_seconds = 1.0
-            await trio.sleep(2 * TRIAL_AFTER_SECONDS)
+            await self.refuse_a_slow_request(world)
             calls = len(world.instances.calls)
             await self.lose_trial(world, 1)
             self.assertEqual(len(world.instances.calls), calls + 1)
