--- a/emulator/soak/answer_connection.py
+++ b/emulator/soak/answer_connection.py
@@ -10,7 +10,7 @@
 import h11
 import trio
 
-from emulator.exchange_platform.instance_requests import request_name
+from emulator.exchange_platform.instance_requests import TRY_HEADER, request_name
 from emulator.soak.answer_copies import MAX_COPY_BYTES, SOON_SECONDS, AnswerCopy, draw_copy
 from emulator.soak.answer_faults import (
     STOP_KINDS,
@@ -35,7 +35,7 @@
 """Share of answers without a length that a reset cuts off."""
 
 ID_LINE = re.compile(rb"(?i)\r\nattempt-id:[ \t]*([^\r\n]*)")
-TRY_LINE = re.compile(rb"(?i)\r\nx-try:[ \t]*([^\r\n]*)")
+TRY_LINE = re.compile(rb"(?i)\r\n" + TRY_HEADER.encode() + rb":[ \t]*([^\r\n]*)")
 """Headers of a request that name it: its id, and the number of the try."""
 
 
