Log who ended a client's connection, and a background task that fails

The three hypotheses on requests without an answer couldn't be told apart: HS3101 said client_left for a close, a half-close and a reset alike, a connection that ended while a head arrived left no line, and a process that ended by an exception left only a traceback.

HS3101 gets closed_by (client, reset, node), HS2008 names connections that end within a head, HS1011 names the background task that failed and the active requests. The counter hopstep_unanswered_requests counts requests that were sent to an instance and got no whole answer, by outcome and by who ended the connection. trace tells a reset from a close.

--- a/hopstep/adapters/http_server.py
+++ b/hopstep/adapters/http_server.py
@@ -9,8 +9,7 @@
 import contextlib
 import functools
 import ssl
-import traceback
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from contextlib import AbstractContextManager
 from typing import cast
 
@@ -24,6 +23,7 @@
 
 from hopstep.adapters.http1_only import speak_http1_only
 from hopstep.domain.stop_schedule import CLOSE_SECONDS
+from hopstep.error_reports import flatten, location
 from hopstep.log_events.http_api import CONNECTION_FAILED
 from hopstep.logs import emit
 
@@ -100,21 +100,6 @@
         return self._tls
 
 
-def _flatten(error: BaseException) -> Iterator[BaseException]:
-    """Yield the individual errors of a possibly nested exception group."""
-    if isinstance(error, BaseExceptionGroup):
-        for part in error.exceptions:
-            yield from _flatten(part)
-    else:
-        yield error
-
-
-def _location(error: BaseException) -> str:
-    """Return where an error was raised; its text isn't logged because it may quote a request."""
-    frames = traceback.extract_tb(error.__traceback__)
-    return f"{frames[-1].name}:{frames[-1].lineno}" if frames else ""
-
-
 class _Connections:
     """Runs the connections of one server and isolates their failures."""
 
@@ -161,11 +146,11 @@
                 await TCPServer(self.app, self._config, self.context, state, any_stream).run()
         except* Exception as errors:
             self._count_failure()
-            for error in _flatten(errors):
+            for error in flatten(errors):
                 emit(
                     CONNECTION_FAILED,
                     error_type=type(error).__name__,
-                    location=_location(error),
+                    location=location(error),
                 )
 
 
--- a/hopstep/ctl/trace.py
+++ b/hopstep/ctl/trace.py
@@ -43,6 +43,7 @@
     REQUEST_QUARANTINED,
     REQUEST_RELEASED,
 )
+from hopstep.ports.exchange_front import ConnectionEnd
 
 CONTEXT_SECONDS = 6.0
 """Seconds before the request from which changes of nodes' state are shown."""
@@ -208,7 +209,7 @@
     if outcome == "stopped":
         return f"cut by the end of its node's stop; {_explain_attempts(failures, last)}"
     if outcome == "client_left":
-        return f"the client left after {last.fields.get('total_ms')} ms"
+        return f"{_explain_end(last)} after {last.fields.get('total_ms')} ms"
     return (
         f"answered {outcome} by {last.fields.get('instance')}: first byte after "
         f"{last.fields.get('first_byte_ms')} ms ({last.fields.get('read_tokens')} tokens to "
@@ -217,6 +218,13 @@
     )
 
 
+def _explain_end(last: LogLine) -> str:
+    """Return how the client's connection ended while its request was under way."""
+    if last.fields.get("closed_by") == ConnectionEnd.RESET.value:
+        return "the client's connection was reset"
+    return "the client left"
+
+
 def _explain_refusal(line: LogLine, context: Sequence[LogLine]) -> str:
     """Return why a request wasn't admitted."""
     code = line.fields.get("code")
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -24,6 +24,7 @@
 from hopstep.ports.node_exchange import NodeExchange
 from hopstep.ports.serving_directory import ServingDirectory
 from hopstep.ports.weights_orders import WeightsOrders
+from hopstep.services.background_tasks import BackgroundTask, BackgroundTasks
 from hopstep.services.exchanges.directory.directory_follower import DirectoryFollower
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.registration import Registration
@@ -126,6 +127,7 @@
             self.knowledge, ports.directory, generator, limits, self.pauses
         )
         self.lifecycle = Lifecycle(self.knowledge, StopSchedule.within(bounds.grace_seconds))
+        self._background = BackgroundTasks(self.lifecycle)
         urgent = UrgentQueue()
         self.quarantine = Quarantine(settings.name)
         self.knowledge.instances.subscribe_terminations(
@@ -251,25 +253,28 @@
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Do the background work until cancelled."""
+        tasks: list[BackgroundTask] = [
+            self.pauses.run,
+            self.follower.run,
+            self.relaying.run,
+            self.origins.run,
+            self.exchanges.queue.run,
+            self.store_watch.run,
+            self.engine_watch.run,
+            self.quarantine.run,
+            self.quarantine_records.run,
+            self.crash_reports.run,
+            self.registration.run,
+            self.reaper.run,
+            self.paths.run,
+            self.suspicion_checks.run,
+            self.lease.run,
+            self.rollout.run,
+        ]
+        if self.held_bytes.budget.limit_bytes:
+            tasks.append(self.held_bytes.run)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.pauses.run)
-            nursery.start_soon(self.follower.run)
-            nursery.start_soon(self.relaying.run)
-            nursery.start_soon(self.origins.run)
-            nursery.start_soon(self.exchanges.queue.run)
-            nursery.start_soon(self.store_watch.run)
-            nursery.start_soon(self.engine_watch.run)
-            nursery.start_soon(self.quarantine.run)
-            nursery.start_soon(self.quarantine_records.run)
-            nursery.start_soon(self.crash_reports.run)
-            nursery.start_soon(self.registration.run)
-            nursery.start_soon(self.reaper.run)
-            nursery.start_soon(self.paths.run)
-            nursery.start_soon(self.suspicion_checks.run)
-            nursery.start_soon(self.lease.run)
-            nursery.start_soon(self.rollout.run)
-            if self.held_bytes.budget.limit_bytes:
-                nursery.start_soon(self.held_bytes.run)
+            nursery.start_soon(self._background.run, tuple(tasks))
             task_status.started()
 
     async def wait_drained(self) -> None:
--- a/hopstep/log_events/http_api.py
+++ b/hopstep/log_events/http_api.py
@@ -50,3 +50,10 @@
     "If it recurs: check the client; it sends what is no HTTP request, or a head, a chunk's line "
     "or a trailer over the limit on heads. Its connection is closed.",
 )
+CONNECTION_CLOSED_UNREAD = LogEvent(
+    "HS2008",
+    "connection_closed_unread",
+    Level.INFO,
+    ("client", "closed_by", "waiting_seconds"),
+    "Nothing: its connection ended while the head of a request arrived, of which nothing was run.",
+)
--- a/hopstep/log_events/process.py
+++ b/hopstep/log_events/process.py
@@ -54,6 +54,13 @@
     ("seconds", "active_requests"),
     "Nothing: connections close now. Requests that HS3101 shows as `stopped` were cut.",
 )
+TASK_FAILED = LogEvent(
+    "HS1011",
+    "task_failed",
+    Level.ERROR,
+    ("task", "error_type", "location", "active_requests"),
+    "Report it: a fault in hopstep ends this process, with the requests that are active.",
+)
 CERTIFICATE_LOADED = LogEvent(
     "HS1020",
     "certificate_loaded",
--- a/hopstep/log_events/requests.py
+++ b/hopstep/log_events/requests.py
@@ -20,6 +20,7 @@
         "resume_after",
         "attempts",
         "outcome",
+        "closed_by",
         "body_ms",
         "first_byte_ms",
         "total_ms",
--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -16,6 +16,8 @@
     CONNECTION_STATE,
     TARGET_STATE,
     ClientAnswer,
+    ClientConnection,
+    ConnectionEnd,
     ExchangeHandler,
     IncomingRequest,
     RequestHead,
@@ -74,7 +76,7 @@
         async with self._service.begin(head, connection) as request:
             if not await _read_body(receive, request):
                 return
-            answer = AsgiAnswer(send, self._is_stopping, request.share)
+            answer = AsgiAnswer(send, self._is_stopping, request.share, connection)
             try:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope, answer)
@@ -108,21 +110,34 @@
         has_no_length: Whether a head without a length was sent.
     """
 
-    def __init__(self, send: Send, is_stopping: Callable[[], bool], share: ByteShare) -> None:
+    def __init__(
+        self,
+        send: Send,
+        is_stopping: Callable[[], bool],
+        share: ByteShare,
+        connection: ClientConnection | None = None,
+    ) -> None:
         """Answer one request.
 
         Args:
             send: ASGI callable of the server.
             is_stopping: Returns whether the client should close its connection.
             share: Bytes that are held for the request; refusals repeat its id.
+            connection: Connection of the client; None when it isn't tracked.
         """
         self.share = share
+        self._connection = connection
         self._send = send
         self._is_stopping = is_stopping
         self.started = False
         self.ended = False
         self.has_no_length = False
 
+    @property
+    def connection_end(self) -> ConnectionEnd:
+        """Who ended the client's connection; see the port."""
+        return self._connection.end if self._connection is not None else ConnectionEnd.OPEN
+
     async def start(self, status: int, headers: Headers, length: int | None) -> None:
         """Send the head; see the port."""
         self.started = True
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import enum
 from contextlib import AbstractAsyncContextManager
 
 import msgspec
@@ -52,11 +53,28 @@
     resumes: str = ""
 
 
+class ConnectionEnd(enum.StrEnum):
+    """Who ended the connection of a client."""
+
+    OPEN = ""
+    """Nobody yet."""
+
+    CLIENT = "client"
+    """The client closed it, or its sending side alone: reading doesn't tell which."""
+
+    RESET = "reset"
+    """It was reset, by the client or on the way."""
+
+    NODE = "node"
+    """This node closed it."""
+
+
 class ClientConnection(abc.ABC):
     """The connection of a client, as the HTTP server uses it.
 
     Attributes:
         client: ``ip:port`` of the client.
+        end: Who ended the connection first.
         last_progress_at: When a byte was last read from the client or accepted for it, or the
             current write began; steady clock, seconds.
         is_writing: Whether a write waits for the client.
@@ -64,6 +82,7 @@
     """
 
     client: str
+    end: ConnectionEnd
     last_progress_at: float
     is_writing: bool
     request_began_at: float
@@ -82,6 +101,11 @@
 
     share: ByteShare = UNLIMITED_SHARE
 
+    @property
+    def connection_end(self) -> ConnectionEnd:
+        """Who ended the client's connection; open where connections aren't tracked."""
+        return ConnectionEnd.OPEN
+
     @abc.abstractmethod
     async def start(self, status: int, headers: Headers, length: int | None) -> None:
         """Send the head; ``length`` is None when the body ends with ``finish``."""
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -25,6 +25,13 @@
             ("kind", "outcome"),
             registry=registry,
         )
+        self.unanswered = Counter(
+            "hopstep_unanswered_requests",
+            "Requests that were sent to an instance and whose connection ended without a complete "
+            "response, by outcome and by who ended the connection.",
+            ("outcome", "closed_by"),
+            registry=registry,
+        )
         self.attempts = Counter(
             "hopstep_exchange_failed_attempts",
             "Failed attempts by error code and what followed.",
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -29,6 +29,7 @@
 from hopstep.services.exchanges.requests.attempts.instance_attempt import InstanceAttempt
 from hopstep.services.exchanges.requests.attempts.quarantine_gate import QuarantineGate
 from hopstep.services.exchanges.requests.exchange_parts import (
+    CUT,
     MILLISECONDS,
     ExchangeOutcome,
     ExchangeParts,
@@ -149,7 +150,7 @@
             if step in FURTHER_STEPS:
                 await self._gate.settle(candidate.view)
             if step is NextStep.CUT:
-                self.outcome.outcome = "cut"
+                self.outcome.outcome = CUT
                 return
             if step is NextStep.REFUSE:
                 self._fail(error.code, error.message)
@@ -298,7 +299,7 @@
     def _fail(self, code: ErrorCode, message: str) -> None:
         """Raise the error that ends the request; when a response has begun, record it as cut."""
         if self._relay.started:
-            self.outcome.outcome = "cut"
+            self.outcome.outcome = CUT
             return
         execution = Execution.UNKNOWN if self._may_have_run else Execution.NOT_RUN
         raise ServiceError(code, message, execution=execution)
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -22,6 +22,12 @@
 
 MILLISECONDS = 1_000
 
+CUT = "cut"
+CLIENT_LEFT = "client_left"
+STOPPED = "stopped"
+CRASHED = "crashed"
+"""Outcomes of requests that end without a complete response; others have a status or a code."""
+
 
 class CompleteResponse(msgspec.Struct, frozen=True):
     """A response that was read to its end.
@@ -111,6 +117,16 @@
     fingerprint: str = ""
     quarantined_for: str = ""
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the request was sent to an instance and its client got no complete response."""
+        if not self.send_number:
+            return False
+        if self.outcome.startswith(CRASHED):
+            # Until a response has begun, its client gets an error response.
+            return self.first_byte_ms >= 0
+        return self.outcome in (CUT, CLIENT_LEFT, STOPPED)
+
 
 class ExchangeParts(msgspec.Struct, frozen=True):
     """Objects and callbacks that all requests of a node share.
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -22,6 +22,7 @@
 from hopstep.ports.exchange_front import (
     ClientAnswer,
     ClientConnection,
+    ConnectionEnd,
     ExchangeHandler,
     IncomingRequest,
     RequestHead,
@@ -39,7 +40,10 @@
 from hopstep.services.exchanges.requests.choice.service_capacity import ServiceCapacity
 from hopstep.services.exchanges.requests.exchange import Exchange
 from hopstep.services.exchanges.requests.exchange_parts import (
+    CLIENT_LEFT,
+    CRASHED,
     MILLISECONDS,
+    STOPPED,
     ExchangeOutcome,
     ExchangeParts,
 )
@@ -53,10 +57,6 @@
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.services.quarantine.quarantine import Quarantine
 
-CLIENT_LEFT = "client_left"
-STOPPED = "stopped"
-"""Outcomes of requests that were cancelled: by their client, or by the end of a planned stop."""
-
 
 class ExchangeService(ExchangeHandler):
     """Serves the requests that arrive at a node."""
@@ -225,14 +225,14 @@
                 self._quotas.uncount(request)
             raise
         except Exception as error:
-            outcome.outcome = f"crashed:{type(error).__name__}"
+            outcome.outcome = f"{CRASHED}:{type(error).__name__}"
             raise
         except BaseException:
             # A cancellation, alone or in a group.
             outcome.outcome = outcome.outcome or self._cancelled_outcome()
             raise
         finally:
-            self._count(request, outcome)
+            self._count(request, outcome, answer.connection_end)
             emit(
                 EXCHANGE_ENDED,
                 request_id=request.request_id,
@@ -246,6 +246,7 @@
                 resume_after=request.resume_after,
                 attempts=outcome.attempts.counted,
                 outcome=outcome.outcome,
+                closed_by=answer.connection_end.value,
                 body_ms=round((request.complete_at - request.received_at) * MILLISECONDS),
                 first_byte_ms=outcome.first_byte_ms,
                 total_ms=round((trio.current_time() - request.received_at) * MILLISECONDS),
@@ -305,9 +306,13 @@
             retry_reason=advice.reason.value,
         )
 
-    def _count(self, request: ExchangeRequest, outcome: ExchangeOutcome) -> None:
+    def _count(
+        self, request: ExchangeRequest, outcome: ExchangeOutcome, end: ConnectionEnd
+    ) -> None:
         """Count an admitted request that has ended."""
         kind = request.route.kind.value
+        if outcome.is_unanswered:
+            self._metrics.unanswered.labels(outcome.outcome, end.value).inc()
         if outcome.first_byte_ms >= 0 and outcome.attempts.counted == 1:
             sent_ms = max(0, outcome.first_byte_ms - outcome.waited_ms)
             self.queue.refusals.first_bytes.observe(request.route.name, sent_ms / MILLISECONDS)
--- /dev/null
+++ b/tests/services/test_background_tasks.py
@@ -0,0 +1,46 @@
+"""What a node logs of a background task that fails."""
+
+import unittest
+
+import structlog.testing
+import trio
+
+from hopstep.domain.stop_schedule import StopSchedule
+from hopstep.services.background_tasks import BackgroundTasks
+from hopstep.services.lifecycle import Lifecycle
+
+
+class Configured:
+    current = object()
+
+
+class Reader:
+    async def run(self):
+        raise ExceptionGroup("several", [ValueError("a secret"), KeyError("another")])
+
+
+class BackgroundTasksTest(unittest.TestCase):
+    def run_failing(self):
+        lifecycle = Lifecycle(Configured(), StopSchedule.within(8.0))
+
+        async def main():
+            with lifecycle.active():
+                await BackgroundTasks(lifecycle).run((Reader().run, trio.sleep_forever))
+
+        with structlog.testing.capture_logs() as lines, self.assertRaises(ExceptionGroup):
+            trio.run(main)
+        return [line for line in lines if line["event"] == "task_failed"]
+
+    def test_a_failed_task_is_logged_with_the_requests_that_are_active(self):
+        lines = self.run_failing()
+        self.assertEqual([line["error_type"] for line in lines], ["ValueError", "KeyError"])
+        self.assertEqual({line["task"] for line in lines}, {"Reader"})
+        self.assertEqual({line["active_requests"] for line in lines}, {1})
+
+    def test_the_text_of_an_error_is_not_logged(self):
+        # It may quote a request.
+        self.assertNotIn("secret", str(self.run_failing()))
+
+
+if __name__ == "__main__":
+    unittest.main()
