Show two ways in which requests on kept connections get no answer

Each test keeps eight connections to a node as a process, sends a second request over each, and expects eight answers.

--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -125,7 +125,7 @@
         async def main():
             ports = free_ports(5)
             self.write_settings(ports, **settings)
-            shared = SharedStore()
+            shared = self.shared = SharedStore()
             instances = instance_app()
             await self.publish(shared, ports[4], configuration)
             async with trio.open_nursery() as nursery, httpx.AsyncClient() as client:
--- /dev/null
+++ b/tests/processes/test_kept_connections.py
@@ -0,0 +1,126 @@
+"""Requests on kept connections: each one that is passed on gets its answer."""
+
+import json
+import unittest
+
+import trio
+
+from hopstep.adapters import key_value_store_wire as wire
+from hopstep.domain.store_position import ABSENT
+from tests.processes.test_exchange_node import CONFIGURATION, KEY, NodeProcessCase
+
+CLIENTS = 8
+ANSWER_SECONDS = 5.0
+PORT_DIGITS = 5_000
+INSTANCE_WORK_SECONDS = 0.5
+
+
+def request_bytes(request_id, path="/p/x"):
+    """Return a whole request without a body."""
+    lines = (
+        f"POST {path} HTTP/1.1",
+        "Host: h.example",
+        f"X-Api-Key: {KEY}",
+        f"Attempt-Id: {request_id}",
+        "Content-Length: 0",
+    )
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def odd_entry(**changes):
+    """Return an instance's entry with some fields replaced."""
+    entry = {
+        "service": "s",
+        "address": "127.0.0.1:1",
+        "zone": "z1",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "callSequence": 0,
+    }
+    return json.dumps({**entry, **changes}).encode()
+
+
+class KeptConnection:
+    """A client's connection that is used for one request after the other."""
+
+    def __init__(self, stream):
+        self.stream = stream
+
+    async def send(self, request_id, path):
+        await self.stream.send_all(request_bytes(request_id, path))
+
+    async def read_status(self):
+        """Return the status of the next answer; 0 if the connection ends without one."""
+        received = b""
+        with trio.move_on_after(ANSWER_SECONDS):
+            while b"\r\n\r\n" not in received or not received.endswith(b"got "):
+                try:
+                    data = await self.stream.receive_some()
+                except trio.BrokenResourceError:
+                    return 0
+                if not data:
+                    return 0
+                received += data
+            return int(received.split(b" ")[1])
+        return 0
+
+
+class KeptConnectionsTest(NodeProcessCase):
+    async def connect(self, url):
+        host, _, port = url.removeprefix("http://").partition(":")
+        return KeptConnection(await trio.open_tcp_stream(host, int(port)))
+
+    async def write(self, key, value):
+        await self.shared.execute(wire.CompareAndSwap(key, ABSENT.revision, value))
+
+    def statuses_when(self, happens, kind="unsafe"):
+        """Return the statuses of requests during which something happens on kept connections.
+
+        Each connection has carried a request before.
+        """
+        statuses = []
+        route = {**CONFIGURATION["routes"][0], "kind": kind}
+        service = {"name": "s", "connectionLimit": 100}
+        configuration = {**CONFIGURATION, "routes": [route], "services": [service]}
+
+        async def serve_one(connection, number):
+            await connection.send(f"late{number}", "/p/slow")
+            statuses.append(await connection.read_status())
+
+        async def script(client, url, process, instances):
+            connections = [await self.connect(url) for _ in range(CLIENTS)]
+            for number, connection in enumerate(connections):
+                await connection.send(f"early{number}", "/p/x")
+                self.assertEqual(await connection.read_status(), 200)
+            async with trio.open_nursery() as nursery:
+                for number, connection in enumerate(connections):
+                    nursery.start_soon(serve_one, connection, number)
+                await trio.sleep(INSTANCE_WORK_SECONDS / 4)
+                await happens(connections)
+            self.assertIsNone(process.poll(), "the node has ended")
+
+        self.run_node(script, configuration=configuration)
+        return statuses
+
+    def test_an_entry_that_cannot_be_read_ends_no_node_with_its_requests(self):
+        # A port of 5,000 digits ended every node that read the entry, with all active requests.
+        async def leave_entry(_connections):
+            await self.write("servers/odd", odd_entry(address=f"10.0.0.1:{'9' * PORT_DIGITS}"))
+
+        self.assertEqual(self.statuses_when(leave_entry), [200] * CLIENTS)
+
+    def test_a_client_that_closes_its_sending_side_gets_its_answer(self):
+        # A half-closed connection was taken for one whose client had left.
+        async def half_close(connections):
+            for connection in connections:
+                await connection.stream.send_eof()
+
+        for kind in ("unsafe", "safe"):
+            with self.subTest(kind=kind):
+                self.assertEqual(self.statuses_when(half_close, kind), [200] * CLIENTS)
+
+
+if __name__ == "__main__":
+    unittest.main()
