Answer active requests when a background task fails

What callers saw: all requests under way at a node ended without an answer in the same moment, also on kept connections, at any time.

Cause: all background tasks of a node run in one nursery with its listeners. An exception in any of them that nothing expects cancelled everything else at once. Class: a fault in one part takes down what doesn't depend on it.

Now the failure is logged and begins the planned stop: active requests are answered, new ones go elsewhere, and the process ends with the failure once its connections have closed. A task isn't started again, as nobody knows what state it left.

--- a/hopstep/cli/node.py
+++ b/hopstep/cli/node.py
@@ -3,7 +3,7 @@
 This module loads only the standard library until the node's listeners are open: connections then
 wait in their queues while the rest of the program loads; a closed port would refuse them.
 
-Exit codes: 0 after a planned stop; 2 for settings that can't be used.
+Exit codes: 0 after a planned stop; 1 after a fault; 2 for settings that can't be used.
 """
 
 from __future__ import annotations
--- a/hopstep/cli/node_process.py
+++ b/hopstep/cli/node_process.py
@@ -89,7 +89,8 @@
     watch_tunnels(services.metrics, lambda: tunnel_server.open_tunnels)
     try:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(tunnel_server.run, settings.peer_address)
+            serve_tunnels = functools.partial(tunnel_server.run, settings.peer_address)
+            nursery.start_soon(services.background.run, (serve_tunnels,))
             await run_exchange_node(settings, path, services, front, listeners)
             nursery.cancel_scope.cancel()
     finally:
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -127,7 +127,7 @@
             self.knowledge, ports.directory, generator, limits, self.pauses
         )
         self.lifecycle = Lifecycle(self.knowledge, StopSchedule.within(bounds.grace_seconds))
-        self._background = BackgroundTasks(self.lifecycle)
+        self.background = BackgroundTasks(self.lifecycle)
         urgent = UrgentQueue()
         self.quarantine = Quarantine(settings.name)
         self.knowledge.instances.subscribe_terminations(
@@ -274,7 +274,7 @@
         if self.held_bytes.budget.limit_bytes:
             tasks.append(self.held_bytes.run)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._background.run, tuple(tasks))
+            nursery.start_soon(self.background.run, tuple(tasks))
             task_status.started()
 
     async def wait_drained(self) -> None:
--- a/hopstep/log_events/process.py
+++ b/hopstep/log_events/process.py
@@ -59,7 +59,7 @@
     "task_failed",
     Level.ERROR,
     ("task", "error_type", "location", "active_requests"),
-    "Report it: a fault in hopstep ends this process, with the requests that are active.",
+    "Report it: a fault in hopstep. This node stops as if by SIGTERM and exits with 1.",
 )
 CERTIFICATE_LOADED = LogEvent(
     "HS1020",
--- a/hopstep/services/background_tasks.py
+++ b/hopstep/services/background_tasks.py
@@ -1,7 +1,12 @@
-"""Runs a node's background tasks, and logs the failure of any of them."""
+"""Runs a node's background tasks; the failure of one of them stops the node as planned.
+
+Requests that are active are answered before the process ends. A task that has failed isn't started
+again: nobody knows what state it left.
+"""
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -22,25 +27,32 @@
         """Start without tasks.
 
         Args:
-            lifecycle: Counts the requests that are active.
+            lifecycle: Counts the requests that are active, and stops the node.
         """
         self._lifecycle = lifecycle
 
     async def run(self, tasks: tuple[BackgroundTask, ...]) -> None:
-        """Run tasks until cancelled, or until one of them fails.
+        """Run tasks until cancelled.
 
         Raises:
-            Exception: What a task failed with, in a group.
+            ExceptionGroup: What tasks failed with, once the others have been cancelled.
         """
-        async with trio.open_nursery() as nursery:
-            for task in tasks:
-                nursery.start_soon(self._run_logged, task)
+        failures: list[Exception] = []
+        try:
+            async with trio.open_nursery() as nursery:
+                for task in tasks:
+                    nursery.start_soon(self._run_task, task, failures)
+                await trio.sleep_forever()
+        finally:
+            if failures:
+                raise ExceptionGroup("background tasks failed", failures)
 
-    async def _run_logged(self, task: BackgroundTask) -> None:
-        """Run one task; log its failure."""
+    async def _run_task(self, task: BackgroundTask, failures: list[Exception]) -> None:
+        """Run one task; log its failure and stop the node."""
         try:
             await task()
         except Exception as failure:
+            failures.append(failure)
             for error in flatten(failure):
                 emit(
                     TASK_FAILED,
@@ -49,9 +61,10 @@
                     location=location(error),
                     active_requests=self._lifecycle.active_requests,
                 )
-            raise
+            self._lifecycle.stop()
 
 
 def _name(task: BackgroundTask) -> str:
     """Return the name of the object whose method a task is."""
-    return type(getattr(task, "__self__", task)).__name__
+    method = task.func if isinstance(task, functools.partial) else task
+    return type(getattr(method, "__self__", method)).__name__
