Reject an address whose port has too many digits

What callers saw: all nodes ended within seconds of one entry that another writer had left among those of the instances, and again at each start; requests under way got no answer.

Cause: parse_address took any number of digits for a port before it compared the number with the largest one. Python raises ValueError for more than 4,300 digits, which isn't among the errors that the reader of entries expects. Class: an exception that a list of expected ones doesn't name ends the task that reads.

A port of more than five digits is refused like any other bad address, so the entry is rejected, logged and counted, and the others hold.

--- a/hopstep/domain/addresses.py
+++ b/hopstep/domain/addresses.py
@@ -9,6 +9,7 @@
 from hopstep.exceptions import ErrorCode, ValidationError
 
 MAX_PORT = 65_535
+MAX_PORT_DIGITS = len(str(MAX_PORT))
 
 
 class SocketAddress(msgspec.Struct, frozen=True):
@@ -39,7 +40,9 @@
     """
     host, separator, port_text = text.rpartition(":")
     bracketed = host.startswith("[") and host.endswith("]")
-    if not separator or not (port_text.isascii() and port_text.isdigit()):
+    is_number = port_text.isascii() and port_text.isdigit()
+    # Python converts no text of several thousand digits to a number.
+    if not separator or not is_number or len(port_text) > MAX_PORT_DIGITS:
         raise _bad_address(text, field)
     try:
         number = ipaddress.ip_address(host[1:-1] if bracketed else host)
