Close a connection that its client has closed

What callers saw: after many short-lived connections a node took no more: new connections waited in the queue of the kernel until the clients gave up.

Cause: when a client closes an idle connection, the server's reading ends, but its idle timer goes on, and the connection is only closed when that ends, 75 s later. Each takes a descriptor until then. Class: the end of something is noticed, and what it holds isn't given back.

Evidence: with real sockets all five connections that clients had closed were in CLOSE-WAIT a second later, now none is. A node as a process with 80 descriptors answered 106 of 160 requests on new connections, 54 timed out unread; the new test, 160 requests one after the other, failed before by a time-out and passes now.

The protocol ends the idle timer with the connection, so its task ends and closes the socket.

--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -13,6 +13,7 @@
 
 import h11
 import hypercorn.protocol
+from hypercorn.events import Closed, Event, Updated
 from hypercorn.protocol.h11 import H11Protocol
 
 from hopstep.log_events.http_api import BYTES_REJECTED
@@ -78,6 +79,13 @@
         super().__init__(*arguments, **options)
         self.connection = LimitedConnection(lambda: self.config.h11_max_incomplete_size)
 
+    async def handle(self, event: Event) -> None:
+        """Handle bytes of the client, or the end of its connection; see the library's class."""
+        await super().handle(event)
+        if isinstance(event, Closed):
+            # The library would keep the connection open until its idle timer ends.
+            await self.send(Updated(idle=False))
+
     async def _check_protocol(self, event: h11.Request) -> None:
         """Skip the check for an upgrade."""
 
--- a/tests/processes/test_kept_connections.py
+++ b/tests/processes/test_kept_connections.py
@@ -1,9 +1,11 @@
 """Requests on kept connections: each one that is passed on gets its answer."""
 
 import json
+import resource
 import signal
 import unittest
 
+import httpx
 import trio
 
 from hopstep.adapters import key_value_store_wire as wire
@@ -11,6 +13,9 @@
 from tests.processes.test_exchange_node import CONFIGURATION, KEY, NodeProcessCase
 
 CLIENTS = 8
+DESCRIPTORS = 80
+"""Limit on the node's descriptors; it needs about 30 of its own."""
+
 ANSWER_SECONDS = 5.0
 PORT_DIGITS = 5_000
 INSTANCE_WORK_SECONDS = 0.5
@@ -136,5 +141,22 @@
                 self.assertEqual(self.statuses_when(half_close, kind), [200] * CLIENTS)
 
 
+class ClosedConnectionsTest(NodeProcessCase):
+    def test_connections_that_clients_have_closed_use_no_descriptors(self):
+        # They stayed open for 75 s, until no descriptor was left and new clients got no answer.
+        answers = []
+
+        async def script(_client, url, process, _instances):
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+            for number in range(2 * DESCRIPTORS):
+                async with httpx.AsyncClient(timeout=ANSWER_SECONDS) as client:
+                    request_id = {"attempt-id": f"r{number}"}
+                    answer = await self.request(client, url, **request_id)
+                answers.append(answer.status_code)
+
+        self.run_node(script)
+        self.assertEqual(answers, [200] * 2 * DESCRIPTORS)
+
+
 if __name__ == "__main__":
     unittest.main()
