Answer clients that close their sending side after their request

What callers saw: a client that half-closes its connection with its request, kept or new, got no answer, though most of these requests had been run by an instance.

Cause: the end of what a client sends was taken for the end of the connection, and its request cancelled. Class: a sign that may mean two things is taken for the one.

Reading doesn't tell a half-closed connection from a closed one, but writing does: a peer that has closed its socket answers with a reset. So the server sends up to four interim responses (100 Continue, which any HTTP/1.1 client skips) and goes on unless a write fails. HTTP/1.0 has no interim responses; such a client counts as gone, as before.

The tests with real sockets cover two requests in one segment, a body that stops midway, HTTP/1.0, and a client that closes.

--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -4,6 +4,10 @@
 
 Requests also get their target as it was sent: ASGI has path and query apart, so that an empty query
 can't be told from none. The limit on a head is that of the moment in which its first bytes arrive.
+
+A client may close its sending side and wait for its response. Reading can't tell that from a closed
+connection, but writing can: a peer that has closed its socket resets the connection. So interim
+responses are sent until the connection is reset or the probes are used up.
 """
 
 from __future__ import annotations
@@ -13,7 +17,8 @@
 
 import h11
 import hypercorn.protocol
-from hypercorn.events import Closed, Event, Updated
+import trio
+from hypercorn.events import Closed, Event, RawData, Updated
 from hypercorn.protocol.h11 import H11Protocol
 
 from hopstep.log_events.http_api import BYTES_REJECTED
@@ -24,6 +29,19 @@
 ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 """States of the server's side once it has sent a whole answer."""
 
+WHOLE_REQUEST_STATES = (h11.DONE, h11.MUST_CLOSE)
+"""States of the client's side once its request was read to the end."""
+
+VERSION_WITH_INTERIM = b"1.1"
+"""HTTP version from which on clients accept interim responses."""
+
+CONTINUE_STATUS = 100
+"""Interim status that also old clients skip."""
+
+PROBE_SECONDS = (0.01, 0.1, 0.3)
+"""Times after which a half-closed connection is probed again. A reset takes one round trip; some
+clients accept no more than five interim responses."""
+
 
 class LimitedConnection(h11.Connection):
     """A server's connection whose limit on heads may change while it is open."""
@@ -78,14 +96,52 @@
         """Begin a connection; see the library's class for the arguments."""
         super().__init__(*arguments, **options)
         self.connection = LimitedConnection(lambda: self.config.h11_max_incomplete_size)
+        self._request_ended = trio.Event()
 
     async def handle(self, event: Event) -> None:
-        """Handle bytes of the client, or the end of its connection; see the library's class."""
+        """Handle bytes of the client, or the end of its sending side; see the library's class."""
+        is_end = isinstance(event, RawData) and not event.data
+        if is_end and self._awaits_response():
+            await self._probe_until_ended()
         await super().handle(event)
         if isinstance(event, Closed):
             # The library would keep the connection open until its idle timer ends.
             await self.send(Updated(idle=False))
 
+    def _awaits_response(self) -> bool:
+        """Return whether a client may wait for a response of which nothing was sent yet."""
+        connection = self.connection
+        if self.stream is None or not isinstance(connection, h11.Connection):
+            return False
+        is_whole = connection.their_state in WHOLE_REQUEST_STATES
+        is_begun = connection.our_state is not h11.SEND_RESPONSE
+        return is_whole and not is_begun and connection.their_http_version == VERSION_WITH_INTERIM
+
+    async def _probe_until_ended(self) -> None:
+        """Wait for the end of a request whose client has closed its sending side at least.
+
+        A failed write ends the request, as for any client that has left.
+        """
+        ended = self._request_ended
+        for seconds in PROBE_SECONDS:
+            await self._probe()
+            with trio.move_on_after(seconds):
+                await ended.wait()
+        await self._probe()
+        await ended.wait()
+
+    async def _probe(self) -> None:
+        """Send an interim response, unless the response has begun."""
+        if self._awaits_response():
+            await self._send_h11_event(
+                h11.InformationalResponse(status_code=CONTINUE_STATUS, headers=[])
+            )
+
+    async def _close_stream(self) -> None:
+        """Note the end of a request; see the library's class."""
+        self._request_ended.set()
+        await super()._close_stream()
+
     async def _check_protocol(self, event: h11.Request) -> None:
         """Skip the check for an upgrade."""
 
@@ -104,6 +160,7 @@
 
     async def _create_stream(self, request: h11.Request) -> None:
         """Begin a request without its ``Upgrade`` header, and pass on its target."""
+        self._request_ended = trio.Event()
         self.connection_state[TARGET_STATE] = bytes(request.target)
         headers = [(name, value) for name, value in request.headers if name != UPGRADE]
         if len(headers) != len(request.headers):
--- a/hopstep/adapters/tracked_connection.py
+++ b/hopstep/adapters/tracked_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 import struct
 from collections.abc import Callable, Iterator
@@ -111,6 +112,14 @@
         self.end_head()
         await self._stream.aclose()
 
+    def has_client_closed(self) -> bool:
+        """Return whether the client has closed its sending side at least; see the port."""
+        if self.end is not ConnectionEnd.OPEN or self.socket.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(self.socket.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def disconnect(self) -> None:
         """Reset the connection, unless it is closed already; see the port."""
         if self.socket.fileno() < 0:
--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -41,6 +41,10 @@
 }
 """Statuses of refusals whose cause is the request itself."""
 
+CLOSED_CLIENT_SECONDS = 0.02
+"""Wait before a request is served whose client has closed its sending side by then: the server
+finds out within this time whether the client is still there, unless it is far away."""
+
 RETRY_AFTER_STATUSES = frozenset({429, REFUSED_STATUS})
 """Statuses of refusals that carry ``Retry-After``."""
 
@@ -80,6 +84,8 @@
             try:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope, answer)
+                    if connection is not None and connection.has_client_closed():
+                        await trio.sleep(CLOSED_CLIENT_SECONDS)
                     await _serve(request, answer)
                     nursery.cancel_scope.cancel()
             finally:
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -87,6 +87,10 @@
     is_writing: bool
     request_began_at: float
 
+    @abc.abstractmethod
+    def has_client_closed(self) -> bool:
+        """Return whether the client has closed its sending side at least, read or not yet."""
+
     @abc.abstractmethod
     def disconnect(self) -> None:
         """Reset the connection; the client learns nothing about its request."""
--- /dev/null
+++ b/tests/adapters/test_half_closed_clients.py
@@ -0,0 +1,145 @@
+"""Clients that close their sending side, or all, after their request, with real sockets."""
+
+import contextlib
+import functools
+import unittest
+
+import trio
+
+from hopstep.adapters.http1_only import speak_http1_only
+from hopstep.adapters.http_server import ServerConfig, serve_app
+from hopstep.adapters.tracked_connection import track_connections
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+OLD_REQUEST = b"GET / HTTP/1.0\r\nHost: h\r\n\r\n"
+PARTIAL_BODY = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf"
+INTERIM = b"HTTP/1.1 100 "
+BODY = b"the answer"
+WORK_SECONDS = 0.6
+NOTICED_SECONDS = 0.2
+MAX_INTERIM = 5
+"""Interim responses that widespread clients accept."""
+
+
+class Application:
+    """Answers after some time; notes which requests were answered or disconnected, and when."""
+
+    def __init__(self):
+        self.answered = 0
+        self.disconnected = []
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] == "lifespan":
+            for _ in range(2):
+                message = await receive()
+                await send({"type": f"{message['type']}.complete"})
+            return
+        message = await receive()
+        while message.get("more_body"):
+            message = await receive()
+        if message["type"] == "http.disconnect":
+            return
+        before = len(self.disconnected)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.watch, receive, nursery.cancel_scope)
+            await trio.sleep(WORK_SECONDS)
+            nursery.cancel_scope.cancel()
+        if len(self.disconnected) == before:
+            headers = [(b"content-length", str(len(BODY)).encode())]
+            await send({"type": "http.response.start", "status": 200, "headers": headers})
+            self.answered += 1
+            await send({"type": "http.response.body", "body": BODY})
+
+    async def watch(self, receive, scope):
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            self.disconnected.append(trio.current_time())
+            scope.cancel()
+
+
+class HalfClosedClientsTest(unittest.TestCase):
+    def run_client(self, script):
+        """Run a script with a client's connection; return the application and what it returns."""
+        application = Application()
+
+        async def main():
+            speak_http1_only()
+            stopped = trio.Event()
+            serve = functools.partial(
+                serve_app,
+                application,
+                ServerConfig("127.0.0.1:0", None),
+                stopped.wait,
+                open_connection=track_connections(contextlib.nullcontext),
+            )
+            async with trio.open_nursery() as nursery:
+                urls = await nursery.start(serve)
+                port = int(urls[0].rpartition(":")[2])
+                async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                    result = await script(stream, application)
+                stopped.set()
+            return result
+
+        return application, trio.run(main)
+
+    async def read_all(self, stream):
+        received = b""
+        with trio.fail_after(2 * WORK_SECONDS + 1.0):
+            while data := await stream.receive_some():
+                received += data
+        return received
+
+    def test_a_half_closed_client_gets_its_answer_behind_few_interim_ones(self):
+        async def script(stream, _application):
+            await stream.send_all(REQUEST)
+            await stream.send_eof()
+            return await self.read_all(stream)
+
+        _application, received = self.run_client(script)
+        self.assertTrue(received.endswith(BODY), received)
+        self.assertLessEqual(received.count(INTERIM), MAX_INTERIM)
+
+    def test_two_requests_before_the_sending_side_closes_are_both_answered(self):
+        async def script(stream, _application):
+            await stream.send_all(2 * REQUEST)
+            await stream.send_eof()
+            return await self.read_all(stream)
+
+        _application, received = self.run_client(script)
+        self.assertEqual(received.count(BODY), 2)
+
+    def test_a_client_that_closes_is_noticed_at_once(self):
+        async def script(stream, application):
+            await stream.send_all(REQUEST)
+            await trio.sleep(NOTICED_SECONDS)
+            await stream.aclose()
+            closed_at = trio.current_time()
+            await trio.sleep(NOTICED_SECONDS)
+            return [at - closed_at for at in application.disconnected]
+
+        application, delays = self.run_client(script)
+        self.assertEqual(application.answered, 0)
+        self.assertEqual(len(delays), 1)
+
+    def test_an_old_client_gets_no_interim_answer(self):
+        # HTTP/1.0 has none, so such a client counts as one that has left.
+        async def script(stream, application):
+            await stream.send_all(OLD_REQUEST)
+            await stream.send_eof()
+            return await self.read_all(stream)
+
+        application, received = self.run_client(script)
+        self.assertEqual((received, application.answered), (b"", 0))
+
+    def test_a_body_that_stops_midway_ends_its_request(self):
+        async def script(stream, application):
+            await stream.send_all(PARTIAL_BODY)
+            await stream.send_eof()
+            return await self.read_all(stream)
+
+        application, _received = self.run_client(script)
+        self.assertEqual(application.answered, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/processes/test_kept_connections.py
+++ b/tests/processes/test_kept_connections.py
@@ -19,6 +19,9 @@
 ANSWER_SECONDS = 5.0
 PORT_DIGITS = 5_000
 INSTANCE_WORK_SECONDS = 0.5
+ANSWER_BODY = b"got "
+FIRST_FINAL = 200
+"""Lowest status of a response that is no interim one."""
 
 
 def request_bytes(request_id, path="/p/x"):
@@ -58,10 +61,10 @@
         await self.stream.send_all(request_bytes(request_id, path))
 
     async def read_status(self):
-        """Return the status of the next answer; 0 if the connection ends without one."""
+        """Return the status of the next final answer; 0 if the connection ends without one."""
         received = b""
         with trio.move_on_after(ANSWER_SECONDS):
-            while b"\r\n\r\n" not in received or not received.endswith(b"got "):
+            while not received.endswith(ANSWER_BODY):
                 try:
                     data = await self.stream.receive_some()
                 except trio.BrokenResourceError:
@@ -69,10 +72,16 @@
                 if not data:
                     return 0
                 received += data
-            return int(received.split(b" ")[1])
+            heads = received.split(b"\r\n\r\n")
+            return next(status for status in map(read_status, heads) if status >= FIRST_FINAL)
         return 0
 
 
+def read_status(head):
+    """Return the status of a response's head."""
+    return int(head.split(b" ")[1])
+
+
 class KeptConnectionsTest(NodeProcessCase):
     async def connect(self, url):
         host, _, port = url.removeprefix("http://").partition(":")
--- a/tests/services/exchanges/test_held_bytes.py
+++ b/tests/services/exchanges/test_held_bytes.py
@@ -227,6 +227,9 @@
         self.disconnected_at = None
         self.disconnected = trio.Event()
 
+    def has_client_closed(self):
+        return False
+
     def disconnect(self):
         self.disconnected_at = trio.current_time()
         self.disconnected.set()
