Start background tasks in one nursery, as before

The nursery within a nursery of started the tasks one step later, so worlds on the virtual clock drew other orders.

--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -273,9 +273,7 @@
         ]
         if self.held_bytes.budget.limit_bytes:
             tasks.append(self.held_bytes.run)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.background.run, tuple(tasks))
-            task_status.started()
+        await self.background.run(tuple(tasks), task_status)
 
     async def wait_drained(self) -> None:
         """Wait for a planned stop, then until no request is active."""
--- a/hopstep/services/background_tasks.py
+++ b/hopstep/services/background_tasks.py
@@ -31,9 +31,17 @@
         """
         self._lifecycle = lifecycle
 
-    async def run(self, tasks: tuple[BackgroundTask, ...]) -> None:
+    async def run(
+        self,
+        tasks: tuple[BackgroundTask, ...],
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
         """Run tasks until cancelled.
 
+        Args:
+            tasks: The tasks.
+            task_status: Told when all have been started.
+
         Raises:
             ExceptionGroup: What tasks failed with, once the others have been cancelled.
         """
@@ -42,6 +50,7 @@
             async with trio.open_nursery() as nursery:
                 for task in tasks:
                     nursery.start_soon(self._run_task, task, failures)
+                task_status.started()
                 await trio.sleep_forever()
         finally:
             if failures:
