--- a/tests/ctl/test_trace.py
+++ b/tests/ctl/test_trace.py
@@ -8,7 +8,7 @@
 import structlog
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from hopstep.ctl.results import ExitCode
 from hopstep.ctl.trace import trace_request
 from hopstep.exceptions import ValidationError
--- a/tests/services/exchanges/test_answers_without_end.py
+++ b/tests/services/exchanges/test_answers_without_end.py
@@ -6,7 +6,7 @@
 import structlog.testing
 import trio
 
-from emulator.exchange_platform.instances import EmulatedAnswer
+from emulator.exchange_platform.emulated_instance import EmulatedAnswer
 from hopstep.domain.byte_budget import RESPONSE_BYTES, ByteBudget, ByteShare
 from hopstep.domain.exchanges.instance_health import FIRST_SUSPENSION_SECONDS, UNBOUNDED_SECONDS
 from hopstep.domain.exchanges.serving import RequestKind
--- a/tests/services/exchanges/test_changed_configuration.py
+++ b/tests/services/exchanges/test_changed_configuration.py
@@ -6,7 +6,7 @@
 import msgspec
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from hopstep.domain.exchanges.serving import (
     CacheStore,
     RequestKind,
--- a/tests/services/exchanges/test_crash_evidence.py
+++ b/tests/services/exchanges/test_crash_evidence.py
@@ -3,7 +3,7 @@
 import msgspec
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from hopstep.domain.quarantine.crash_ledger import TERMINATIONS_TO_REFUSE
 from hopstep.ports.serving_directory import InstanceListed, InstanceRemoved
 from tests.services.exchanges.quarantine_case import (
--- a/tests/services/exchanges/test_exchange.py
+++ b/tests/services/exchanges/test_exchange.py
@@ -6,7 +6,7 @@
 import structlog
 import trio
 
-from emulator.exchange_platform.instances import BREAKING, Behaviour
+from emulator.exchange_platform.emulated_instance import BREAKING, Behaviour
 from hopstep.domain.exchanges.cache_groups import CacheGroups
 from hopstep.exceptions import ErrorCode
 from hopstep.ports.serving_directory import InstanceListed, InstanceRemoved
--- a/tests/services/exchanges/test_exchange_chaos.py
+++ b/tests/services/exchanges/test_exchange_chaos.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from hopstep.domain.exchanges.attempt_rules import NextStep
 from hopstep.domain.exchanges.streams.event_stream import EventFramer
 from hopstep.services.exchanges.requests import exchange
--- a/tests/services/exchanges/test_fatal_parts.py
+++ b/tests/services/exchanges/test_fatal_parts.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from emulator.platform.faults import FaultOrder
 from hopstep.domain.exchanges.request import PromptSegment
 from hopstep.exceptions import Execution
--- a/tests/services/exchanges/test_held_bytes.py
+++ b/tests/services/exchanges/test_held_bytes.py
@@ -6,7 +6,7 @@
 import trio
 from prometheus_client import CollectorRegistry
 
-from emulator.exchange_platform.instances import Behaviour, EmulatedAnswer
+from emulator.exchange_platform.emulated_instance import Behaviour, EmulatedAnswer
 from emulator.virtual_time import run_in_virtual_time
 from hopstep.domain.byte_budget import RESPONSE_BYTES, STALL_SECONDS, ByteBudget, ByteShare
 from hopstep.domain.exchanges.serving import RequestKind, ServiceShare
--- a/tests/services/exchanges/test_instance_lives.py
+++ b/tests/services/exchanges/test_instance_lives.py
@@ -9,7 +9,7 @@
 import structlog
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from hopstep.domain.exchanges.instances import InstanceIncarnation
 from hopstep.domain.exchanges.load_ledger import InstanceLoad
 from hopstep.domain.exchanges.segments import SegmentKey
--- a/tests/services/exchanges/test_own_pauses.py
+++ b/tests/services/exchanges/test_own_pauses.py
@@ -6,7 +6,7 @@
 import structlog
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from hopstep.ports.serving_directory import ConfigurationPublished
 from tests.services.exchanges.exchange_world import (
     ROUTES,
--- a/tests/services/exchanges/test_request_queue.py
+++ b/tests/services/exchanges/test_request_queue.py
@@ -8,7 +8,7 @@
 import structlog
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from hopstep.domain.exchanges.request import PromptSegment
 from hopstep.exceptions import ErrorCode
 from hopstep.ports.serving_directory import ConfigurationPublished
--- a/tests/services/exchanges/test_requests_beside_fatal_ones.py
+++ b/tests/services/exchanges/test_requests_beside_fatal_ones.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from hopstep.domain.quarantine.crash_ledger import TERMINATIONS_TO_REFUSE
 from hopstep.exceptions import ErrorCode
 from tests.services.exchanges.exchange_world import ISOLATED_KEY
--- a/tests/services/exchanges/test_retry_advisor.py
+++ b/tests/services/exchanges/test_retry_advisor.py
@@ -5,7 +5,7 @@
 import structlog
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from hopstep.exceptions import ErrorCode
 from tests.services.exchanges.exchange_world import ExchangeWorld
 
--- a/tests/services/exchanges/test_stream_versions.py
+++ b/tests/services/exchanges/test_stream_versions.py
@@ -5,7 +5,7 @@
 import structlog
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from tests.services.exchanges.exchange_world import ExchangeWorld
 from tests.services.exchanges.versioned_streams import VersionedStreams
 
--- a/tests/services/exchanges/test_suspensions.py
+++ b/tests/services/exchanges/test_suspensions.py
@@ -13,7 +13,7 @@
 import trio
 import trio.abc
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from hopstep.domain.exchanges.serving import Tenant
 from hopstep.ports.serving_directory import ConfigurationPublished, InstanceListed
 from tests.services.exchanges.exchange_world import (
--- a/tests/services/exchanges/test_suspicions.py
+++ b/tests/services/exchanges/test_suspicions.py
@@ -6,7 +6,7 @@
 import structlog
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from hopstep.domain.exchanges.instance_health import InstanceHealth
 from hopstep.services.exchanges.peers.suspicions import Suspicions
 from hopstep.services.exchanges.reachability.path_probes import Reachability
--- a/tests/services/exchanges/test_telling_refusals.py
+++ b/tests/services/exchanges/test_telling_refusals.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from emulator.exchange_platform.instances import Behaviour
+from emulator.exchange_platform.emulated_instance import Behaviour
 from hopstep.domain.exchanges.cache_groups import CacheGroups
 from tests.services.exchanges.exchange_world import MODEL, ExchangeWorld
 
