Ignore a store era of more digits than a number has

What callers saw: nothing yet. A response of the store whose Store-Era header has more than 4,300 digits would have ended every node that read it, with the requests under way.

Cause: _read_era converted any number of digits; int() raises ValueError above 4,300 digits, and callers of the store expect only StoreError. Class: an exception that a list of expected ones doesn't name ends the task that reads.

Evidence: the new test failed before with "ValueError: Exceeds the limit (4300 digits)" out of PlatformStore.listing and passes now; 6 tests of the two modules on store answers pass.

The header is read up to nine digits; a longer one counts as one without a number.

--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -61,6 +61,10 @@
 REFUSALS = range(400, 500)
 
 
+MAX_ERA_DIGITS = 9
+"""The era counts restores of the store; Python converts no text of several thousand digits."""
+
+
 class _Item(msgspec.Struct, frozen=True, rename="camel"):
     private_key: str
     revision: int
@@ -348,7 +352,8 @@
 def _read_era(headers: Sequence[tuple[bytes, bytes]]) -> int:
     """Return the era that a response names; ``UNSPECIFIED_ERA`` when there is no such number."""
     for name, value in headers:
-        if name.lower() == names.STORE_ERA and value.isdigit():
+        is_number = value.isdigit() and len(value) <= MAX_ERA_DIGITS
+        if name.lower() == names.STORE_ERA and is_number:
             return int(value)
     return UNSPECIFIED_ERA
 
