List the store when the changes of a watch exceed one answer

What callers saw: after 16 entries of the largest size that the store takes (1 MiB each, a third more as base64 text) were left at once, a node no longer followed the store: no later configuration, key or instance reached it, for as long as the changes were among the watch's.

Cause: a watch has no pages. An answer over the bound of 16 MiB counted as one that didn't come, and the same watch was sent again. Class: one value that can't be read ends the reading of all others.

Evidence: the process test leaves the entries while the node is stopped, then publishes a configuration. Before, a key of that configuration wasn't accepted within 10 s ("False is not true : 16"); now it is. One entry of this size, and a start beside 16 of them, worked before and work now. Also run: the modules on answers without end, on store answers and the store's contract, 26 passed.

A listing has pages of about 1 MB, so it ends whatever the entries hold. The directory's adapter lists after a watch whose answer is too long, as after a lost history. The stand-in of the store ends a page at 1 MB, as the platform's does.

--- a/emulator/exchange_platform/store.py
+++ b/emulator/exchange_platform/store.py
@@ -24,6 +24,9 @@
 LEASE_NAME = "lease-"
 MILLISECONDS = 1_000.0
 PAGE_LIMIT = 500
+PAGE_BYTES = 1_000_000
+"""A page ends with the item that reaches this size."""
+
 ERA_HEADER = "Store-Era"
 
 STATUS_OF_CODE = {
@@ -95,10 +98,11 @@
         arguments = quart.request.args
         operation = wire.List(arguments["pathPrefix"], arguments.get("after", ""), PAGE_LIMIT)
         effect = await shared.execute_in_era(operation)
-        page: Any = effect.result
+        found: Any = effect.result
+        page = _first_items(found)
         body = {
             "items": [_item(value) for value in page],
-            "hasMore": len(page) == PAGE_LIMIT,
+            "hasMore": len(page) < len(found) or len(found) == PAGE_LIMIT,
             "atRevision": effect.revision,
         }
         return _with_era(json_response(body), effect.era)
@@ -119,6 +123,16 @@
         return _with_era(json_response(body), effect.era)
 
 
+def _first_items(values: list[wire.Item]) -> list[wire.Item]:
+    """Return the values that a page has room for, at least one."""
+    size = 0
+    for count, value in enumerate(values, start=1):
+        size += len(value.value)
+        if size >= PAGE_BYTES:
+            return values[:count]
+    return values
+
+
 def _add_writes(app: quart_trio.QuartTrio, shared: SharedStore) -> None:
     """Add the route of conditional writes; this stand-in accepts one key in each."""
 
--- a/hopstep/exceptions.py
+++ b/hopstep/exceptions.py
@@ -60,6 +60,7 @@
     STORE_CONFLICT = "store_conflict"
     STORE_RATE_LIMITED = "store_rate_limited"
     STORE_HISTORY_LOST = "store_history_lost"
+    STORE_ANSWER_TOO_LONG = "store_answer_too_long"
     PEER_MESSAGE_REJECTED = "peer_message_rejected"
 
 
@@ -100,6 +101,7 @@
     ErrorCode.STORE_CONFLICT: "A compare-and-swap found another version; nothing was written.",
     ErrorCode.STORE_RATE_LIMITED: "The key-value service refused the request by its rate limit.",
     ErrorCode.STORE_HISTORY_LOST: "A watch fell behind the kept history; the router lists again.",
+    ErrorCode.STORE_ANSWER_TOO_LONG: "The store's response exceeds its bound; after a watch, list.",
     ErrorCode.PEER_MESSAGE_REJECTED: "A peer's message is truncated, forged, replayed or foreign.",
 }
 """What each code means and what to do, for ``docs/ERRORS.md``."""
--- a/hopstep/platform/directory.py
+++ b/hopstep/platform/directory.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hopstep.domain.store_position import StorePosition
+from hopstep.exceptions import ErrorCode, StoreError, StoreHistoryLostError
 from hopstep.platform import names
 from hopstep.platform.documents import (
     ConfigurationDocument,
@@ -76,8 +77,19 @@
         await self._store.reconnect()
 
     async def changes(self, after: StorePosition, wait_seconds: float) -> DirectoryBatch:
-        """Return changes; see the port."""
-        batch = await self._store.watch(ALL_KEYS, after, wait_seconds)
+        """Return changes; see the port.
+
+        A listing is read in pages of bounded size, so it takes the place of a watch whose answer
+        has more changes than one answer may hold: repeating the watch would give the same answer.
+        """
+        try:
+            batch = await self._store.watch(ALL_KEYS, after, wait_seconds)
+        except StoreError as error:
+            if error.code is ErrorCode.STORE_ANSWER_TOO_LONG:
+                raise StoreHistoryLostError(
+                    ErrorCode.STORE_HISTORY_LOST, "the changes exceed the bound of one answer"
+                ) from error
+            raise
         return DirectoryBatch(batch.position, self._read_all(batch.values))
 
     def _read_all(self, values: tuple[StoredValue, ...]) -> tuple[DirectoryEntry, ...]:
--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from hopstep.bounded_body import STORE_BOUND, bounded_answer
+from hopstep.bounded_body import STORE_BOUND, BodyTooLongError, bounded_answer
 from hopstep.decoding import decode_json
 from hopstep.domain.store_answers import AnswerHistory, are_within, is_conflict
 from hopstep.domain.store_position import UNSPECIFIED_ERA, StoreLease, StorePosition
@@ -338,6 +338,8 @@
                     answer = _Answer(
                         response.status, await reader.read(response.aiter_stream()), era
                     )
+        except BodyTooLongError as error:
+            raise _too_long(method) from error
         except (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException) as error:
             raise _no_answer(method, trace.proof.sent) from error
         except trio.TooSlowError as error:
@@ -406,6 +408,13 @@
     return _unknown_outcome("the store didn't respond to a write")
 
 
+def _too_long(method: bytes) -> StoreError:
+    """Return the error of a call whose response exceeds its bound."""
+    if method == GET:
+        return StoreError(ErrorCode.STORE_ANSWER_TOO_LONG, "the store's response is too long")
+    return _unknown_outcome("the store's response to a write is too long")
+
+
 def _unknown_outcome(message: str) -> StoreOutcomeUnknownError:
     """Return the error of a write that may have taken effect."""
     return StoreOutcomeUnknownError(ErrorCode.STORE_OUTCOME_UNKNOWN, message)
