Reject a value whose reader raises an undeclared error

What callers saw: a record of a stream's origin with an age of 400 digits, under hopstep's own keys, ended every node that read the store, with the requests under way, and again at each start.

Cause: the reader of such records divides the age, which raises OverflowError for a number that no float holds; the code that applies changes expected msgspec.DecodeError only. Class: an exception that a list of expected ones doesn't name ends the task that reads.

Evidence: the test leaves two such records, before the start and after it. Before, the nodes ended with "OverflowError: integer division result too large for a float"; now all three list an instance that comes later, and both records are logged and counted.

Whatever applying or reading one value raises now rejects that value with the reason "unexpected", the type of the error and its place (HS4102, hopstep_rejected_entries_total); the batch and the position of the watch go on. Between nodes the reason is "unreadable": nodes of earlier releases reject a whole message with a reason that they don't know.

--- a/hopstep/error_reports.py
+++ b/hopstep/error_reports.py
@@ -15,6 +15,11 @@
         yield error
 
 
+def describe_unexpected(error: BaseException) -> str:
+    """Return the type and the place of an error that isn't declared, without its text."""
+    return f"{type(error).__name__} at {location(error)}"
+
+
 def location(error: BaseException) -> str:
     """Return the function and the line that raised an error; empty when unknown."""
     frames = traceback.extract_tb(error.__traceback__)
--- a/hopstep/log_events/configuration.py
+++ b/hopstep/log_events/configuration.py
@@ -65,7 +65,8 @@
     "directory_entry_rejected",
     Level.ERROR,
     ("key", "reason", "field", "detail"),
-    "Fix it; an instance is unused until then; otherwise the earlier entry stays in force.",
+    "Fix it; an instance is unused until then; otherwise the earlier entry stays in force."
+    " `unexpected`: a fault of hopstep's reader; report it.",
 )
 DIRECTORY_HISTORY_LOST = LogEvent(
     "HS4103",
--- a/hopstep/platform/directory.py
+++ b/hopstep/platform/directory.py
@@ -1,4 +1,8 @@
-"""Reads what operators and instances publish in the platform's store."""
+"""Reads what operators and instances publish in the platform's store.
+
+Any client of the store may have written a value. One that can't be read is rejected whatever its
+reader raises, and the other values of its page or watch are read.
+"""
 
 from __future__ import annotations
 
@@ -17,7 +21,7 @@
     read_instance,
     read_weights,
 )
-from hopstep.platform.rejections import DECODING_ERRORS, rejection_of
+from hopstep.platform.rejections import rejection_of
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
 from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
 from hopstep.ports.serving_directory import (
@@ -120,7 +124,7 @@
             return ConfigurationPublished(read_configuration(value.value))
         if key.startswith(names.WEIGHTS_PREFIX):
             return WeightsPublished(read_weights(value.value))
-    except DECODING_ERRORS as error:
+    except Exception as error:
         rejection = rejection_of(error)
         return Unreadable(key, rejection.reason, rejection.field, rejection.detail)
     if key.startswith(names.OPERATORS_PREFIX):
@@ -134,6 +138,6 @@
         return InstanceRemoved(instance_id)
     try:
         return InstanceListed(read_instance(instance_id, value))
-    except DECODING_ERRORS as error:
+    except Exception as error:
         rejection = rejection_of(error)
         return InstanceRejected(instance_id, rejection.reason, rejection.field, rejection.detail)
--- a/hopstep/platform/rejections.py
+++ b/hopstep/platform/rejections.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from hopstep.error_reports import describe_unexpected
 from hopstep.ports.serving_directory import RejectReason
 
 FIELD_PATH = re.compile(r" - at `\$\.?(?P<path>[^`]*)`$")
@@ -51,7 +52,9 @@
 
 
 def rejection_of(error: Exception) -> Rejection:
-    """Return the rejection for one of ``DECODING_ERRORS``."""
+    """Return the rejection for an error that the reader of a document raised."""
+    if not isinstance(error, DECODING_ERRORS):
+        return Rejection(RejectReason.UNEXPECTED, "", describe_unexpected(error))
     if isinstance(error, FieldValueError):
         return Rejection(RejectReason.FIELD_VALUE, error.field, error.detail)
     detail = str(error)[:MAX_DETAIL]
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -28,6 +28,7 @@
     InstanceRejected,
     InstanceRemoved,
     RecordWritten,
+    RejectReason,
     Unreadable,
     WeightsPublished,
 )
@@ -231,6 +232,8 @@
         reported: ReportedChange
         if isinstance(change, RecordWritten):
             reported = ReportedRecord(change.key, change.value, change.version.revision)
+        elif isinstance(change, InstanceRejected | Unreadable):
+            reported = _with_known_reason(change)
         else:
             reported = change
         return cls(entry.key, entry.position.revision, reported, entry.position.era)
@@ -251,6 +254,16 @@
         return DirectoryEntry(self.key, position, change)
 
 
+def _with_known_reason(rejected: InstanceRejected | Unreadable) -> InstanceRejected | Unreadable:
+    """Return a rejection with a reason that nodes of all releases know.
+
+    They reject a whole message with an unknown one.
+    """
+    if rejected.reason is not RejectReason.UNEXPECTED:
+        return rejected
+    return msgspec.structs.replace(rejected, reason=RejectReason.UNREADABLE)
+
+
 class RelayedEntry(msgspec.Struct, frozen=True, array_like=True):
     """A change of the directory, and its age.
 
--- a/hopstep/ports/serving_directory.py
+++ b/hopstep/ports/serving_directory.py
@@ -54,12 +54,17 @@
 
 
 class RejectReason(enum.StrEnum):
-    """Kinds of faults in a document that another program wrote."""
+    """Kinds of faults in a document that another program wrote.
+
+    ``UNEXPECTED``: its reader raised an error that it doesn't declare, which is a fault of the
+    reader.
+    """
 
     UNREADABLE = "unreadable"
     FIELD_MISSING = "field_missing"
     FIELD_TYPE = "field_type"
     FIELD_VALUE = "field_value"
+    UNEXPECTED = "unexpected"
 
 
 class InstanceRejected(msgspec.Struct, frozen=True, tag=True):
--- a/hopstep/services/exchanges/directory/document_changes.py
+++ b/hopstep/services/exchanges/directory/document_changes.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hopstep.domain.exchanges.instance_table import InstanceTable
+from hopstep.error_reports import describe_unexpected
 from hopstep.log_events.configuration import DIRECTORY_ENTRY_REJECTED
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import (
@@ -27,6 +28,9 @@
 from hopstep.services.exchanges.directory.known_records import KnownRecords
 from hopstep.services.exchanges.directory.known_weights import KnownWeights
 
+MAX_DETAIL = 200
+"""Characters of a logged detail; errors may repeat a part of the document."""
+
 
 class DocumentChanges:
     """Passes changes on by their kind, and logs those that can't be trusted."""
@@ -63,7 +67,21 @@
         self._count_rejected = listener
 
     def apply(self, change: DirectoryChange, origin: ChangeOrigin) -> None:
-        """Apply one change."""
+        """Apply one change.
+
+        Whatever its reader raises rejects this change only: the process, the position of the watch
+        and the other changes of the batch go on.
+        """
+        try:
+            self._apply(change, origin)
+        except msgspec.DecodeError as error:
+            self._log_rejected(_key_of(change), RejectReason.UNREADABLE, "", str(error))
+        except Exception as error:
+            detail = describe_unexpected(error)
+            self._log_rejected(_key_of(change), RejectReason.UNEXPECTED, "", detail)
+
+    def _apply(self, change: DirectoryChange, origin: ChangeOrigin) -> None:
+        """Apply one change by its kind."""
         match change:
             case ConfigurationPublished(configuration):
                 self._configuration.apply(configuration, origin)
@@ -84,10 +102,7 @@
 
     def _apply_record(self, record: RecordWritten, origin: ChangeOrigin) -> None:
         """Apply a key that hopstep's nodes write."""
-        try:
-            self._records.apply(record, origin)
-        except msgspec.DecodeError as error:
-            self._log_rejected(record.key, RejectReason.UNREADABLE, "", str(error))
+        self._records.apply(record, origin)
         if self._nodes.has_others:
             self._table.first_peer_report.note_other_nodes()
 
@@ -99,5 +114,19 @@
             key=key,
             reason=reason.value,
             field=field,
-            detail=detail,
+            detail=detail[:MAX_DETAIL],
         )
+
+
+def _key_of(change: DirectoryChange) -> str:
+    """Return what names a change in the log: its key, or what the document names."""
+    match change:
+        case ConfigurationPublished(configuration):
+            return f"{type(change).__name__} {configuration.version}"
+        case WeightsPublished(weights):
+            return f"{type(change).__name__} {weights.model} {weights.version}"
+        case InstanceListed(instance):
+            return instance.instance_id
+        case InstanceRejected() | InstanceRemoved():
+            return change.instance_id
+    return change.key
--- /dev/null
+++ b/tests/services/exchanges/test_unreadable_records.py
@@ -0,0 +1,77 @@
+"""Records under hopstep's own keys that another build or writer left end no node."""
+
+import json
+import unittest
+
+import structlog.testing
+import trio
+from prometheus_client import generate_latest
+
+from hopstep.adapters import key_value_store_wire as wire
+from hopstep.services.exchanges.directory.records import STREAMS_PREFIX
+from tests.services.exchanges.exchange_world import ExchangeWorld
+
+PROPAGATION_SECONDS = 3.0
+NODES = 3
+DIGITS = 400
+"""More than the digits of the largest floating-point number."""
+
+ORIGIN = ["a2V5", "s", "v", "i", 0, 0]
+
+
+def origin(position, value):
+    """Return the record of one stream's origin with a number replaced."""
+    fields = [*ORIGIN]
+    fields[position] = value
+    return json.dumps([fields]).encode()
+
+
+UNEXPECTED_RECORDS = {
+    STREAMS_PREFIX + "x/1": origin(4, int("9" * DIGITS)),
+    STREAMS_PREFIX + "x/2": origin(5, int("9" * DIGITS)),
+}
+
+
+class UnreadableRecordsTest(unittest.TestCase):
+    def leave(self, world, key, value):
+        world.shared.write_directly(wire.CompareAndSwap(key, 0, value), world._now)
+
+    def run_beside(self, records, *, before_start=False):
+        """Run nodes beside records; return the lines of rejected ones, and the nodes' metrics."""
+        found = []
+
+        async def script(world):
+            for key, value in records.items() if not before_start else ():
+                self.leave(world, key, value)
+            world.add("late")
+            await trio.sleep(PROPAGATION_SECONDS)
+            for node in world.nodes:
+                self.assertIsNotNone(node.knowledge.table.get("late"))
+                self.assertEqual(node.knowledge.count_nodes(), NODES)
+            found.extend(generate_latest(node.registry).decode() for node in world.nodes)
+
+        world = ExchangeWorld(NODES)
+        world.add("i0")
+        for key, value in records.items() if before_start else ():
+            self.leave(world, key, value)
+        with structlog.testing.capture_logs() as lines:
+            world.run(script)
+        rejected = [line for line in lines if line["event"] == "directory_entry_rejected"]
+        return rejected, found
+
+    def test_a_number_that_no_clock_holds_ends_no_node(self):
+        # An age of 400 digits raised OverflowError, which ended every node that read the record.
+        for before_start in (False, True):
+            with self.subTest(before_start=before_start):
+                rejected, metrics = self.run_beside(UNEXPECTED_RECORDS, before_start=before_start)
+                keys = {line["key"] for line in rejected}
+                self.assertEqual(keys, UNEXPECTED_RECORDS.keys())
+                self.assertEqual({line["reason"] for line in rejected}, {"unexpected"})
+                self.assertIn("OverflowError at read_record", rejected[0]["detail"])
+                counted = 'hopstep_rejected_entries_total{reason="unexpected"} 2.0'
+                # Nodes don't pass these keys on, so only those that read the store have them.
+                self.assertTrue(any(counted in text for text in metrics))
+
+
+if __name__ == "__main__":
+    unittest.main()
