Reject an address whose scope names no interface

What callers saw: nothing yet. An entry with an IPv6 address whose scope has 64 characters or more, others than ASCII, or NUL was listed as an instance; a report or a probe of it raised an error that the background tasks which make them don't expect, so that nodes would have ended.

Cause: ipaddress accepts any text as a scope, and resolving such a text raises UnicodeError or ValueError. Class: an exception that a list of expected ones doesn't name ends the task that reads.

Addresses take the names of network interfaces only as scopes.

--- a/hopstep/domain/addresses.py
+++ b/hopstep/domain/addresses.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 
 import msgspec
 
 from hopstep.exceptions import ErrorCode, ValidationError
 
+SCOPE_ID = re.compile(r"[A-Za-z0-9._-]{1,15}")
+"""Names of network interfaces. ``ipaddress`` accepts any text, with which connecting raises errors
+of the text's encoding."""
+
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = len(str(MAX_PORT))
 
@@ -49,6 +54,9 @@
     except ValueError:
         raise _bad_address(text, field) from None
     port = int(port_text)
+    scope_id = getattr(number, "scope_id", None)
+    if scope_id is not None and not SCOPE_ID.fullmatch(scope_id):
+        raise _bad_address(text, field)
     if port > MAX_PORT or bracketed is not (number.version == 6):
         raise _bad_address(text, field)
     return SocketAddress(str(number), port)
