Reject a node's record that can't be sent to or verified

What callers saw: nothing yet. A record under hopstep's own keys with a port out of range, without a number as its port, or with a key of more than 64 bytes counted as a node. Sending to it, or receiving a frame in its name, raised an error that would have ended every node. A record with an empty key let anyone sign in its name.

Cause: the record's types were checked, not whether its address and key can be used. Class: an exception that a list of expected ones doesn't name ends the task that reads.

Evidence: a trial of NodeDatagrams.send raised "OverflowError: sendto(): port must be 0-65535", "ValueError: invalid literal for int()", "ValueError: embedded null character" and "UnicodeError" for such records, and decode_frame "ValueError: maximum key length is 64 bytes". The new test counted 9 nodes in place of 3 before; now each of the six records is rejected as "unreadable", naming the field, before the start and after it. 79 tests of relaying, frames, tunnels and node processes pass.

--- a/hopstep/services/exchanges/directory/records.py
+++ b/hopstep/services/exchanges/directory/records.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import hashlib
+
 import msgspec
 
 from hopstep.decoding import decode_json
+from hopstep.domain.addresses import parse_address
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.rollout_lease_state import RolloutHolder
+from hopstep.exceptions import ValidationError
 
 NODES_PREFIX = "hopstep/nodes/"
 """Prefix of the keys of nodes; each value is a ``NodeRecord``."""
@@ -52,4 +56,11 @@
     Raises:
         msgspec.DecodeError: Names the field that can't be read.
     """
-    return decode_json(value, NodeRecord)
+    record = decode_json(value, NodeRecord)
+    if not 0 < len(record.key) <= hashlib.blake2b.MAX_KEY_SIZE:
+        raise msgspec.ValidationError("Expected a key that signs messages - at `$.key`")
+    try:
+        parse_address(record.address)
+    except ValidationError as error:
+        raise msgspec.ValidationError("Expected `ip:port` - at `$.address`") from error
+    return record
--- a/tests/services/exchanges/test_unreadable_records.py
+++ b/tests/services/exchanges/test_unreadable_records.py
@@ -1,5 +1,6 @@
 """Records under hopstep's own keys that another build or writer left end no node."""
 
+import base64
 import json
 import unittest
 
@@ -8,7 +9,7 @@
 from prometheus_client import generate_latest
 
 from hopstep.adapters import key_value_store_wire as wire
-from hopstep.services.exchanges.directory.records import STREAMS_PREFIX
+from hopstep.services.exchanges.directory.records import NODES_PREFIX, STREAMS_PREFIX
 from tests.services.exchanges.exchange_world import ExchangeWorld
 
 PROPAGATION_SECONDS = 3.0
@@ -31,6 +32,18 @@
     STREAMS_PREFIX + "x/2": origin(5, int("9" * DIGITS)),
 }
 
+NODE = {"address": "127.0.0.1:999", "zone": "z1", "key": "a2V5", "capacity": 64.0, "form": 5}
+"""Has more cores than the nodes of the test, so that they ask it as a relay."""
+
+UNUSABLE_NODES = {
+    "a port out of range": {**NODE, "address": "127.0.0.1:70000"},
+    "a port of many digits": {**NODE, "address": "127.0.0.1:" + "9" * 5_000},
+    "no port": {**NODE, "address": "127.0.0.1"},
+    "a host that is no address": {**NODE, "address": "\u00e9..:1"},
+    "a key that signs nothing": {**NODE, "key": base64.b64encode(b"k" * 65).decode()},
+    "a key without bytes": {**NODE, "key": ""},
+}
+
 
 class UnreadableRecordsTest(unittest.TestCase):
     def leave(self, world, key, value):
@@ -72,6 +85,18 @@
                 # Nodes don't pass these keys on, so only those that read the store have them.
                 self.assertTrue(any(counted in text for text in metrics))
 
+    def test_a_record_of_a_node_that_cannot_be_sent_to_or_verified_names_no_node(self):
+        # Sending to it, or verifying a message in its name, raised ValueError or OverflowError.
+        records = {
+            f"{NODES_PREFIX}x{number}": json.dumps(record).encode()
+            for number, record in enumerate(UNUSABLE_NODES.values())
+        }
+        for before_start in (False, True):
+            with self.subTest(before_start=before_start):
+                rejected, _metrics = self.run_beside(records, before_start=before_start)
+                self.assertEqual({line["key"] for line in rejected}, records.keys())
+                self.assertEqual({line["reason"] for line in rejected}, {"unreadable"})
+
 
 if __name__ == "__main__":
     unittest.main()
