Reject a message of a node whose values raise an error

What callers saw: nothing yet. A signed message with a duration or an age of 400 digits, which a node of another build may send, would have ended every node that received it.

Cause: the types of a message's fields were checked, not their sizes; converting a number that no float holds raises OverflowError, and nothing caught it between the message and the task that receives all messages. Class: an exception that a list of expected ones doesn't name ends the task that reads.

Whatever applying one message raises rejects this message. It is counted and logged under HS5006 with the type of the error and its place; the counter is the one of frames that can't be decoded.

--- a/hopstep/adapters/node_datagrams.py
+++ b/hopstep/adapters/node_datagrams.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import errno
-from collections import Counter
 from collections.abc import Iterable, Mapping
 
 import trio
@@ -11,14 +10,13 @@
 from hopstep.adapters.node_codec import FrameError, decode_frame, encode_frame
 from hopstep.domain.addresses import parse_address
 from hopstep.domain.exchanges.nodes import NodeRecord
-from hopstep.log_events.membership import NODE_MESSAGE_REJECTED
-from hopstep.logs import emit
 from hopstep.ports.node_exchange import (
     MessageTooLongError,
     NodeExchange,
     NodeMessage,
     Received,
 )
+from hopstep.rejected_messages import RejectedMessages
 
 MAX_DATAGRAM_BYTES = 60_000
 
@@ -37,7 +35,7 @@
         self._socket = socket
         self._name = name
         self._key = key
-        self._rejected: Counter[str] = Counter()
+        self._rejected = RejectedMessages()
 
     @classmethod
     async def open(cls, address: str, name: str, key: bytes) -> NodeDatagrams:
@@ -75,22 +73,12 @@
                 frame, _ = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
                 return decode_frame(frame, nodes)
             except FrameError as error:
-                self._count_rejected(str(error))
+                self._rejected.note(str(error))
                 await trio.lowlevel.checkpoint()
             except OSError:
                 # An ICMP error for a datagram that was sent to a closed port.
                 await trio.lowlevel.checkpoint()
 
-    def _count_rejected(self, reason: str) -> None:
-        """Log the first rejected message, and later ones each time their number doubles.
-
-        Nodes that start or stop, and nodes of other versions, may send many of them.
-        """
-        self._rejected[reason] += 1
-        count = self._rejected[reason]
-        if count & (count - 1) == 0:
-            emit(NODE_MESSAGE_REJECTED, reason=reason, count=count)
-
     def close(self) -> None:
         """Close the socket."""
         self._socket.close()
--- a/hopstep/log_events/membership.py
+++ b/hopstep/log_events/membership.py
@@ -44,7 +44,8 @@
     "node_message_rejected",
     Level.WARNING,
     ("reason", "count"),
-    "Nothing for a few while nodes start; if `malformed` rises: a version with other messages.",
+    "Nothing for a few while nodes start; if `malformed` rises: a version with other messages."
+    " A reason with an error's type and place: its values can't be meant, find the sender.",
 )
 NODE_FORMS_CHANGED = LogEvent(
     "HS5007",
--- a/hopstep/services/exchanges/peers/relaying.py
+++ b/hopstep/services/exchanges/peers/relaying.py
@@ -12,6 +12,7 @@
 from hopstep.domain.exchanges.freshness import FreshnessLimits
 from hopstep.domain.exchanges.store_contents import ContentsPosition
 from hopstep.domain.rendezvous import hash_name
+from hopstep.error_reports import describe_unexpected
 from hopstep.log_events.configuration import DIRECTORY_SOURCE_CHANGED
 from hopstep.logs import emit
 from hopstep.ports.node_exchange import (
@@ -26,6 +27,7 @@
     UrgentUpdates,
 )
 from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate
+from hopstep.rejected_messages import RejectedMessages
 from hopstep.services.exchanges.directory.change_origin import STORE_SOURCE
 from hopstep.services.exchanges.directory.directory_follower import DirectoryFollower
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
@@ -90,6 +92,7 @@
         self._pauses = pauses
         self._limits = limits
         self._documents = DocumentExchange(knowledge)
+        self._rejected = RejectedMessages()
         self._number = 0
         self._turn = hash_name(knowledge.name)
         self._pending = PendingQueries()
@@ -192,7 +195,14 @@
         while True:
             received = await self._exchange.receive(self._knowledge.nodes)
             self._knowledge.relays.note_message(received.sender)
+            await self._take_or_reject(received)
+
+    async def _take_or_reject(self, received: Received) -> None:
+        """Apply one message; whatever reading its values raises rejects this message only."""
+        try:
             await self._take(received)
+        except Exception as error:
+            self._rejected.note(describe_unexpected(error))
 
     async def _take(self, received: Received) -> None:
         """Apply one message."""
