Bound the size, the models and the numbers of documents in the store

What callers saw: while a node decoded an entry with 100,000 models, which any client of the store may write, no request went on for some 50 ms. A configuration or named weights with an integer of 400 digits were taken over.

Cause: entries had no bound on their length or their models, and integers of configurations and weights had none on their size. Class: bytes from outside are read without a bound.

Also run: the modules on entries, documents, unrecognized fields, ids, the deployment, the largest entries.

An entry of more than 64 KiB is rejected before it is decoded, and one with more than 256 models names the field "models". Engines serve a few models each.

--- a/hopstep/platform/documents.py
+++ b/hopstep/platform/documents.py
@@ -36,12 +36,22 @@
 MAX_SLOTS = 65_536
 """Upper bound of an entry's ``slots``: a thousand times the slots of the largest engines."""
 
+MAX_ENTRY_BYTES = 64 * 1024
+"""Longest entry: ``MAX_MODELS`` models of 200 characters and the other fields. An entry of the
+store's longest value takes the loop for tens of milliseconds to decode."""
+
+MAX_MODELS = 256
+"""Most models in one entry: engines serve a few each."""
+
 MAX_NUMBER = 2**53
 """Largest integer that every JSON parser represents exactly."""
 
 INSTANCE_ID = re.compile(r"[!-~]{1,200}")
 """Ids are sent in a header, and keys have at most 200 bytes."""
 
+_Integer = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+"""Larger integers raise errors where they are converted to floating-point numbers."""
+
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 _UnixMilliseconds = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
@@ -68,10 +78,10 @@
     timeout_ms: float = 30_000.0
     target_latency_ms: float = 1_000.0
     target_gap_ms: float = 0.0
-    priority: int = 5
+    priority: _Integer = 5
     service: str = ""
     traffic_split: tuple[_Share, ...] = ()
-    max_attempts: int = 1
+    max_attempts: _Integer = 1
     public_access: bool = False
     resumable: bool = False
 
@@ -109,12 +119,12 @@
 
 class _Model(msgspec.Struct, frozen=True, rename="camel"):
     name: str
-    version: int = 0
+    version: _Integer = 0
 
 
 class _Engine(msgspec.Struct, frozen=True, rename="camel"):
-    slots: int = 1
-    kv_capacity_tokens: int = 0
+    slots: _Integer = 1
+    kv_capacity_tokens: _Integer = 0
     kv_token_bytes: float = 0.0
     link_mbps: float = 0.0
     models: tuple[_Model, ...] = ()
@@ -132,11 +142,11 @@
 
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
     name: str
-    connection_limit: int = 100
+    connection_limit: _Integer = 100
     engine: _Engine | None = None
     kv_store_address: str = ""
     zone: str = ""
-    kv_capacity_tokens: int = 0
+    kv_capacity_tokens: _Integer = 0
     link_mbps: float = 0.0
 
     def read(self) -> Service:
@@ -151,14 +161,14 @@
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
-    max_body_bytes: int = RequestLimits().max_body_bytes
-    max_header_bytes: int = RequestLimits().max_head_bytes
+    max_body_bytes: _Integer = RequestLimits().max_body_bytes
+    max_header_bytes: _Integer = RequestLimits().max_head_bytes
 
 
 class _Tenant(msgspec.Struct, frozen=True, rename="camel"):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: _Integer | None = None
     isolated: bool = False
     rate_per_s: _Amount = 0.0
     burst_size: _Amount = 0.0
@@ -185,7 +195,7 @@
 class ConfigurationDocument(msgspec.Struct, frozen=True, rename="camel"):
     """The operators' configuration as it is written."""
 
-    version: int
+    version: _Integer
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
@@ -203,21 +213,21 @@
     service: _Text
     address: str
     zone: _Text
-    version: str
+    version: Annotated[str, msgspec.Meta(max_length=200)]
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     cold_remaining_ms: _Milliseconds
     call_sequence: _Count
     stage: str = ""
-    models: tuple[_ListedModel, ...] = ()
+    models: Annotated[tuple[_ListedModel, ...], msgspec.Meta(max_length=MAX_MODELS)] = ()
     born: _UnixMilliseconds | msgspec.UnsetType = msgspec.UNSET
 
 
 class WeightsDocument(msgspec.Struct, frozen=True, rename="camel"):
     """Named weights as they are written."""
 
-    model: str
-    version: int
+    model: _Text
+    version: _Count
 
 
 def read_configuration(value: bytes) -> ServingConfiguration:
@@ -244,6 +254,8 @@
     """
     if not INSTANCE_ID.fullmatch(instance_id):
         raise FieldValueError("", "expected an id of visible ASCII characters")
+    if len(value) > MAX_ENTRY_BYTES:
+        raise msgspec.DecodeError(f"expected at most {MAX_ENTRY_BYTES} bytes, got {len(value)}")
     entry = decode_json(value, EntryDocument)
     return Instance(
         instance_id=instance_id,
