--- a/hopstep/platform/directory.py
+++ b/hopstep/platform/directory.py
@@ -1,4 +1,8 @@
-"""Reads what operators and instances publish in the platform's store."""
+"""Reads what operators and instances publish in the platform's store.
+
+Any client of the store may have written a value. One that can't be read is rejected whatever its
+reader raises, and the other values of its page or watch are read.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +11,7 @@
 import msgspec
 
 from hopstep.domain.store_position import StorePosition
+from hopstep.exceptions import ErrorCode, StoreError, StoreHistoryLostError
 from hopstep.platform import names
 from hopstep.platform.documents import (
     ConfigurationDocument,
@@ -16,7 +21,7 @@
     read_instance,
     read_weights,
 )
-from hopstep.platform.rejections import DECODING_ERRORS, rejection_of
+from hopstep.platform.rejections import rejection_of
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
 from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
 from hopstep.ports.serving_directory import (
@@ -76,8 +81,19 @@
         await self._store.reconnect()
 
     async def changes(self, after: StorePosition, wait_seconds: float) -> DirectoryBatch:
-        """Return changes; see the port."""
-        batch = await self._store.watch(ALL_KEYS, after, wait_seconds)
+        """Return changes; see the port.
+
+        A listing is read in pages of bounded size, so it takes the place of a watch whose answer
+        has more changes than one answer may hold: repeating the watch would give the same answer.
+        """
+        try:
+            batch = await self._store.watch(ALL_KEYS, after, wait_seconds)
+        except StoreError as error:
+            if error.code is ErrorCode.STORE_ANSWER_TOO_LONG:
+                raise StoreHistoryLostError(
+                    ErrorCode.STORE_HISTORY_LOST, "the changes exceed the bound of one answer"
+                ) from error
+            raise
         return DirectoryBatch(batch.position, self._read_all(batch.values))
 
     def _read_all(self, values: tuple[StoredValue, ...]) -> tuple[DirectoryEntry, ...]:
@@ -108,7 +124,7 @@
             return ConfigurationPublished(read_configuration(value.value))
         if key.startswith(names.WEIGHTS_PREFIX):
             return WeightsPublished(read_weights(value.value))
-    except DECODING_ERRORS as error:
+    except Exception as error:
         rejection = rejection_of(error)
         return Unreadable(key, rejection.reason, rejection.field, rejection.detail)
     if key.startswith(names.OPERATORS_PREFIX):
@@ -122,6 +138,6 @@
         return InstanceRemoved(instance_id)
     try:
         return InstanceListed(read_instance(instance_id, value))
-    except DECODING_ERRORS as error:
+    except Exception as error:
         rejection = rejection_of(error)
         return InstanceRejected(instance_id, rejection.reason, rejection.field, rejection.detail)
