Refuse numbers of tokens that can't be meant

What callers saw: Token-Usage, Prompt-Prefix or Length-Hint with a number of 5,000 digits got a 500 with the connection closed, Token-Usage of 400 digits a 502 "internal" though nothing was sent; "1_000", "x,5" and "-5" counted as zero tokens and the request was run.

Cause: each header converted its numbers itself, in the server's task before the request was taken on. Class: text from outside is converted before its form and size are checked.

A head that can't be meant carries the error that names the header, and admission refuses it, so that it gets its log line, its counter and the text "malformed_request: Token-Usage" like other refusals with 400, on a connection that stays open, after the checks of route and key. Length-Hint is a guess by the protocol: one that can't be meant is left out, also of what instances get, since one might fail on it.

Token-Usage in two fields was read from the last one, so that a request could count less against its quota than an instance might read; fields of one name are one list now.

--- a/hopstep/platform/front.py
+++ b/hopstep/platform/front.py
@@ -171,13 +171,18 @@
         if status in RETRY_AFTER_STATUSES:
             wait = f"{error.retry_after_seconds:.3f}".encode()
             fields.append((names.RETRY_AFTER, wait))
-        body = error.code.value.encode()
+        body = _refusal_text(error).encode()
         fields.append((b"content-type", b"text/plain"))
         await self.start(status, tuple(fields), len(body))
         await self.send(body)
         await self.finish()
 
 
+def _refusal_text(error: ServiceError) -> str:
+    """Return the code of an error, and the header that is to blame if there is one."""
+    return f"{error.code.value}: {error.field}" if error.field else error.code.value
+
+
 def _status(error: ServiceError) -> int:
     """Return the HTTP status for an error of this node."""
     status = STATUS_BY_CODE.get(error.code)
--- a/hopstep/platform/request_heads.py
+++ b/hopstep/platform/request_heads.py
@@ -4,7 +4,9 @@
 
 from typing import Any
 
+from hopstep.domain import head_numbers
 from hopstep.domain.exchanges.request import Headers, Prompt, PromptSegment
+from hopstep.exceptions import ValidationError
 from hopstep.platform import names
 from hopstep.ports.exchange_front import TARGET_STATE, RequestHead
 
@@ -12,10 +14,22 @@
 
 MILLISECONDS = 1_000.0
 
+USAGE_NUMBERS = 2
+"""Numbers in ``Token-Usage``: tokens of the prompt, and of the longest answer."""
+
 
 def read_head(scope: Scope, received_at: float) -> RequestHead:
-    """Return the head of a request."""
+    """Return the head of a request; one that can't be meant holds the error that names why."""
     found: dict[bytes, bytes] = dict(scope["headers"])
+    prompt: Prompt | None = None
+    usage_tokens: int | None = None
+    error: ValidationError | None = None
+    try:
+        usage = _read_usage(_list_value(scope["headers"], names.TOKEN_USAGE))
+        usage_tokens = sum(usage) if usage else None
+        prompt = _read_prompt(scope["headers"], usage)
+    except ValidationError as malformed:
+        error = malformed
     timeout_ms = _number(found.get(names.DEADLINE))
     return RequestHead(
         request_id=_read_id(scope["headers"]),
@@ -26,11 +40,12 @@
         headers=_forwarded(scope["headers"]),
         key=_text(found, names.API_KEY),
         client_timeout_seconds=timeout_ms / MILLISECONDS if timeout_ms is not None else None,
-        prompt=_read_prompt(found),
+        prompt=prompt,
         resume_after=_text(found, names.LAST_EVENT),
         received_at=received_at,
-        usage_tokens=_read_usage(found),
+        usage_tokens=usage_tokens,
         resumes=_text(found, names.RESUMES),
+        error=error,
     )
 
 
@@ -48,35 +63,72 @@
     connections = (value for name, value in headers if name == b"connection")
     tokens = b",".join(connections).lower().split(b",")
     dropped = names.PER_CONNECTION | names.NOT_FORWARDED | {token.strip() for token in tokens}
+    dropped |= _unreadable_hints(headers)
     return tuple((name, value) for name, value in headers if name not in dropped)
 
 
-def _read_prompt(found: dict[bytes, bytes]) -> Prompt | None:
-    """Return the description of a request's prompt; None when it names no model."""
-    model = _text(found, names.MODEL)
+def _unreadable_hints(headers: list[tuple[bytes, bytes]]) -> frozenset[bytes]:
+    """Return the hints that are left out, as an instance might fail on their values."""
+    has_prompt = any(name == names.MODEL for name, _value in headers)
+    return frozenset({names.LENGTH_HINT} if has_prompt and _read_hint(headers) is None else ())
+
+
+def _read_prompt(headers: list[tuple[bytes, bytes]], usage: tuple[int, ...]) -> Prompt | None:
+    """Return the description of a request's prompt; None when it names no model.
+
+    Args:
+        headers: Headers of the request.
+        usage: Tokens of the prompt and of the longest answer, as far as they are named.
+
+    Raises:
+        ValidationError: A segment's length can't be meant.
+    """
+    model = _text(dict(headers), names.MODEL)
     if not model:
         return None
-    segments = _read_segments(_text(found, names.PROMPT_SEGMENTS))
-    usage = _text(found, names.TOKEN_USAGE).split(",")
-    prompt_tokens = _count(usage[0]) or sum(segment.tokens for segment in segments)
-    answer_tokens = _count(usage[1]) if len(usage) > 1 else 0
-    expected_tokens = _count(_text(found, names.LENGTH_HINT))
-    return Prompt(model, segments, prompt_tokens, answer_tokens, expected_tokens)
+    segments = _read_segments(_list_value(headers, names.PROMPT_SEGMENTS))
+    named_tokens = usage[0] if usage else 0
+    prompt_tokens = named_tokens or sum(segment.tokens for segment in segments)
+    answer_tokens = usage[1] if len(usage) > 1 else 0
+    return Prompt(model, segments, prompt_tokens, answer_tokens, _read_hint(headers) or 0)
+
+
+def _read_hint(headers: list[tuple[bytes, bytes]]) -> int | None:
+    """Return the expected length of the answer in tokens; None when it isn't named readably."""
+    return head_numbers.whole_number(
+        _list_value(headers, names.LENGTH_HINT), head_numbers.MAX_TOKENS
+    )
 
 
-def _read_usage(found: dict[bytes, bytes]) -> int | None:
-    """Return the tokens of prompt and longest answer; None when neither is given."""
-    text = _text(found, names.TOKEN_USAGE)
-    return sum(_count(part) for part in text.split(",")[:2]) if text else None
+def _read_usage(text: str) -> tuple[int, ...]:
+    """Return the tokens of prompt and longest answer; empty when none are named.
+
+    Raises:
+        ValidationError: One of the numbers can't be meant, or there are more than these two.
+    """
+    header = _title(names.TOKEN_USAGE)
+    parts = text.split(",") if text else []
+    if len(parts) > USAGE_NUMBERS:
+        raise head_numbers.malformed(header, f"more than {USAGE_NUMBERS} numbers")
+    return tuple(head_numbers.tokens(part, header) for part in parts)
 
 
 def _read_segments(text: str) -> tuple[PromptSegment, ...]:
-    """Return the segments of comma-separated ``ID:TOKENS``; parts without an id are skipped."""
+    """Return the segments of comma-separated ``ID:TOKENS``; empty elements are skipped.
+
+    Raises:
+        ValidationError: A segment has no id, or a length that can't be meant.
+    """
+    header = _title(names.PROMPT_SEGMENTS)
     segments = []
-    for part in text.split(","):
-        segment_id, _, tokens = part.strip().partition(":")
-        if segment_id:
-            segments.append(PromptSegment(segment_id, _count(tokens)))
+    for element in text.split(","):
+        part = element.strip(head_numbers.OPTIONAL_WHITESPACE)
+        if not part:
+            continue
+        segment_id, _, tokens = part.partition(":")
+        if not segment_id:
+            raise head_numbers.malformed(header, "a part without an id")
+        segments.append(PromptSegment(segment_id, head_numbers.tokens(tokens, header)))
     return tuple(segments)
 
 
@@ -88,7 +140,19 @@
 
 def _text(found: dict[bytes, bytes], name: bytes) -> str:
     """Return a header as text; empty when it is missing."""
-    return found.get(name, b"").decode(names.HEADER_ENCODING).strip()
+    text = found.get(name, b"").decode(names.HEADER_ENCODING)
+    return text.strip(head_numbers.OPTIONAL_WHITESPACE)
+
+
+def _list_value(headers: list[tuple[bytes, bytes]], name: bytes) -> str:
+    """Return a header as text, several fields of its name as one list (RFC 9110, section 5.3)."""
+    values = (value for each, value in headers if each == name)
+    return b",".join(values).decode(names.HEADER_ENCODING).strip(head_numbers.OPTIONAL_WHITESPACE)
+
+
+def _title(name: bytes) -> str:
+    """Return a header's name as errors spell it."""
+    return name.decode().title()
 
 
 def _number(value: bytes | None) -> float | None:
@@ -97,8 +161,3 @@
         return float(value) if value is not None else None
     except ValueError:
         return None
-
-
-def _count(text: str) -> int:
-    """Return a non-negative integer; 0 for any other text."""
-    return int(text) if text.strip().isdecimal() else 0
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -10,6 +10,7 @@
 
 from hopstep.domain.byte_budget import UNLIMITED_SHARE, ByteShare
 from hopstep.domain.exchanges.request import Headers, Prompt
+from hopstep.exceptions import ValidationError
 
 CONNECTION_STATE = "client_connection"
 """Entry of a request's ASGI ``state`` with its ``ClientConnection``; missing if not tracked."""
@@ -36,6 +37,7 @@
         resumes: Id of the request that began the stream that the client resumes; empty for none.
         received_at: Clock time in seconds at which its first byte was read.
         usage_tokens: Tokens of its prompt and longest answer; None when it names none.
+        error: Names the header that can't be meant, for which it is refused; None for none.
     """
 
     request_id: str
@@ -51,6 +53,7 @@
     received_at: float
     usage_tokens: int | None = None
     resumes: str = ""
+    error: ValidationError | None = None
 
 
 class ConnectionEnd(enum.StrEnum):
--- a/hopstep/services/exchanges/requests/intake/admission.py
+++ b/hopstep/services/exchanges/requests/intake/admission.py
@@ -39,6 +39,8 @@
             raise self._denied(ErrorCode.NOT_FOUND, "no route for this host and path")
         tenant = self._find_tenant(index, route, head.key)
         self._lifecycle.check_serving(_deadline(head, route) - trio.current_time())
+        if head.error is not None:
+            raise ServiceError(head.error.code, head.error.message, field=head.error.field)
         if not head.request_id:
             raise ServiceError(ErrorCode.MALFORMED_REQUEST, "the request has no id")
         _check_body(body, index.configuration.limits)
--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -84,6 +84,7 @@
     """Runs a node as a process between a store and an instance; has no tests of its own."""
 
     module = "hopstep.cli.node"
+    entry_fields = {}
 
     def setUp(self):
         directory = tempfile.TemporaryDirectory()
@@ -159,6 +160,7 @@
             "state": "ready",
             "coldRemainingMs": 0,
             "callSequence": 0,
+            **self.entry_fields,
         }
         for key, value in (("op/config", configuration), ("servers/i1", entry)):
             await shared.execute(
@@ -180,6 +182,14 @@
         fields = {"host": "h.example", "attempt-id": "r1", "x-api-key": key, **headers}
         return await client.post(url + path, headers=fields, content=body)
 
+    async def wait_logged(self, event, count):
+        """Wait for ``count`` lines of an event: a client may get its answer before the log line."""
+        with trio.fail_after(LOGGED_SECONDS):
+            while True:
+                if sum(line["event"] == event for line in self.events()) >= count:
+                    return
+                await trio.sleep(0.05)
+
 
 class ExchangeNodeTest(NodeProcessCase):
     def test_headers_that_only_nodes_may_set_are_dropped_from_client_requests(self):
@@ -419,14 +429,6 @@
         outcomes = {e["outcome"] for e in self.events() if e["event"] == "exchange_ended"}
         self.assertLessEqual(outcomes, {"200", "client_left"})
 
-    async def wait_logged(self, event, count):
-        """Wait for ``count`` lines of an event: a client may get its answer before the log line."""
-        with trio.fail_after(LOGGED_SECONDS):
-            while True:
-                if sum(line["event"] == event for line in self.events()) >= count:
-                    return
-                await trio.sleep(0.05)
-
     async def wait_idle(self, instances):
         """Wait until an instance has no active request; an endless one would take a minute."""
         with trio.fail_after(5.0):
