Refuse deadlines that aren't numbers

What callers saw: Deadline-Ms: nan and -inf got a 502 "internal" though no instance had the request, and a 502 is no promise that it didn't run; inf, 1e308, 1_000, 5,000 digits and "soon" were taken, and the request was run.

Cause: float() accepts more than a number of milliseconds, and what isn't one counted as no deadline.

Evidence: test_deadlines_that_are_not_numbers_are_refused failed before, with 502 for nan and -inf and 200 for the other five values.

The deadline is a decimal number of ASCII digits up to 31 days now: clients that wait without end name at most 2**31 ms, and the route's time-out ends every request long before. Anything else is a 400 that names the header. 0 and below still mean that the time is over, and are refused as not run (503), since the client's time may have run out on the way; a test holds that.

--- a/hopstep/domain/head_numbers.py
+++ b/hopstep/domain/head_numbers.py
@@ -61,6 +61,23 @@
     return number
 
 
+def milliseconds(text: str, header: str) -> float:
+    """Return a time in milliseconds; below 0 if it was over when it was sent.
+
+    Args:
+        text: Value of a header.
+        header: Name of the header.
+
+    Raises:
+        ValidationError: It isn't a decimal number, or over ``MAX_MILLISECONDS``.
+    """
+    digits = text.strip(OPTIONAL_WHITESPACE)
+    number = float(digits) if _DECIMAL.fullmatch(digits) else None
+    if number is None or number > MAX_MILLISECONDS:
+        raise malformed(header, f"not a number of milliseconds up to {MAX_MILLISECONDS}")
+    return number
+
+
 def malformed(header: str, reason: str) -> ValidationError:
     """Return the error of a header with a value that can't be meant.
 
--- a/hopstep/platform/request_heads.py
+++ b/hopstep/platform/request_heads.py
@@ -23,14 +23,15 @@
     found: dict[bytes, bytes] = dict(scope["headers"])
     prompt: Prompt | None = None
     usage_tokens: int | None = None
+    timeout_seconds: float | None = None
     error: ValidationError | None = None
     try:
+        timeout_seconds = _read_timeout(scope["headers"])
         usage = _read_usage(_list_value(scope["headers"], names.TOKEN_USAGE))
         usage_tokens = sum(usage) if usage else None
         prompt = _read_prompt(scope["headers"], usage)
     except ValidationError as malformed:
         error = malformed
-    timeout_ms = _number(found.get(names.DEADLINE))
     return RequestHead(
         request_id=_read_id(scope["headers"]),
         method=scope["method"].encode(),
@@ -39,7 +40,7 @@
         target=_target(scope),
         headers=_forwarded(scope["headers"]),
         key=_text(found, names.API_KEY),
-        client_timeout_seconds=timeout_ms / MILLISECONDS if timeout_ms is not None else None,
+        client_timeout_seconds=timeout_seconds,
         prompt=prompt,
         resume_after=_text(found, names.LAST_EVENT),
         received_at=received_at,
@@ -100,6 +101,18 @@
     )
 
 
+def _read_timeout(headers: list[tuple[bytes, bytes]]) -> float | None:
+    """Return how long the client waits, in seconds; None when it doesn't say.
+
+    Raises:
+        ValidationError: The time can't be meant.
+    """
+    text = _list_value(headers, names.DEADLINE)
+    if not text:
+        return None
+    return head_numbers.milliseconds(text, _title(names.DEADLINE)) / MILLISECONDS
+
+
 def _read_usage(text: str) -> tuple[int, ...]:
     """Return the tokens of prompt and longest answer; empty when none are named.
 
@@ -153,11 +166,3 @@
 def _title(name: bytes) -> str:
     """Return a header's name as errors spell it."""
     return name.decode().title()
-
-
-def _number(value: bytes | None) -> float | None:
-    """Return a header's number; None when it is missing or not a number."""
-    try:
-        return float(value) if value is not None else None
-    except ValueError:
-        return None
--- a/tests/processes/test_request_heads.py
+++ b/tests/processes/test_request_heads.py
@@ -94,3 +94,18 @@
             self.assertEqual(hints, [None, None, None, None, "80"])
 
         self.run_node(script)
+
+    def test_deadlines_that_are_not_numbers_are_refused(self):
+        # "nan" and "-inf" got a 502 though nothing was sent; "inf", "1e308" and "1_000" were taken.
+        values = (b"nan", b"-inf", b"inf", b"1e308", b"1_000", LONG_NUMBER, b"soon")
+        self.check_refused(*(b"Deadline-Ms: " + value for value in values))
+
+    def test_a_deadline_that_is_over_is_refused_as_not_run(self):
+        # A client whose time ran out on the way may try again, unless it is told that it erred.
+        async def script(client, url, process, instances):
+            for value in (b"0", b"-5"):
+                answer = await self.exchange(url, b"Deadline-Ms: " + value)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer[:200])
+            self.assertEqual(instances.bodies, [])
+
+        self.run_node(script)
