Refuse event numbers that can't be meant

What callers saw: Last-Event-Id with a number of 5,000 digits got a 502 "internal" though nothing was sent; one with bytes above 0x7f reached the instance with other bytes.

Cause: the relay converted the number with int(), which fails over 4,300 digits; the value is decoded byte by byte and encoded again as UTF-8.

A Last-Event-Id of digits alone has to be a number up to 10**15 - 1, and each one printable ASCII; else the request is refused with 400 before anything is sent. Other ids go on as they were sent: a service may have events whose ids aren't numbers, and its clients' requests are proper. The relay uses the same reader.

--- a/hopstep/domain/head_numbers.py
+++ b/hopstep/domain/head_numbers.py
@@ -78,6 +78,11 @@
     return number
 
 
+def is_printable(text: str) -> bool:
+    """Return whether a value has only printable ASCII characters, spaces among them."""
+    return text.isascii() and text.isprintable()
+
+
 def malformed(header: str, reason: str) -> ValidationError:
     """Return the error of a header with a value that can't be meant.
 
--- a/hopstep/platform/request_heads.py
+++ b/hopstep/platform/request_heads.py
@@ -24,9 +24,11 @@
     prompt: Prompt | None = None
     usage_tokens: int | None = None
     timeout_seconds: float | None = None
+    resume_after = ""
     error: ValidationError | None = None
     try:
         timeout_seconds = _read_timeout(scope["headers"])
+        resume_after = _read_last_event(scope["headers"])
         usage = _read_usage(_list_value(scope["headers"], names.TOKEN_USAGE))
         usage_tokens = sum(usage) if usage else None
         prompt = _read_prompt(scope["headers"], usage)
@@ -42,7 +44,7 @@
         key=_text(found, names.API_KEY),
         client_timeout_seconds=timeout_seconds,
         prompt=prompt,
-        resume_after=_text(found, names.LAST_EVENT),
+        resume_after=resume_after,
         received_at=received_at,
         usage_tokens=usage_tokens,
         resumes=_text(found, names.RESUMES),
@@ -113,6 +115,25 @@
     return head_numbers.milliseconds(text, _title(names.DEADLINE)) / MILLISECONDS
 
 
+def _read_last_event(headers: list[tuple[bytes, bytes]]) -> str:
+    """Return the id of the last event that the client has; empty for none.
+
+    Services whose events have ids that aren't numbers get such an id as it was sent.
+
+    Raises:
+        ValidationError: The id is a number that no event has, or can't be sent on unchanged.
+    """
+    text = _list_value(headers, names.LAST_EVENT)
+    header = _title(names.LAST_EVENT)
+    if not head_numbers.is_printable(text):
+        raise head_numbers.malformed(header, "other characters than printable ASCII")
+    if text.isdecimal() and head_numbers.whole_number(text, head_numbers.MAX_EVENT_NUMBER) is None:
+        raise head_numbers.malformed(
+            header, f"not the number of an event, up to {head_numbers.MAX_EVENT_NUMBER}"
+        )
+    return text
+
+
 def _read_usage(text: str) -> tuple[int, ...]:
     """Return the tokens of prompt and longest answer; empty when none are named.
 
--- a/hopstep/services/exchanges/requests/attempts/answer_relay.py
+++ b/hopstep/services/exchanges/requests/attempts/answer_relay.py
@@ -17,6 +17,7 @@
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.domain.exchanges.serving import RequestKind
 from hopstep.domain.exchanges.streams.event_stream import EventFramer, StreamOrderError
+from hopstep.domain.head_numbers import MAX_EVENT_NUMBER, whole_number
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.log_events.requests import RESPONSE_RELAYED_IN_PARTS
 from hopstep.logs import emit
@@ -370,4 +371,4 @@
 
 def _event_number(text: str) -> int | None:
     """Return the event number in a ``Last-Event-Id`` header, or None when it has none."""
-    return int(text) if text.isdecimal() else None
+    return whole_number(text, MAX_EVENT_NUMBER)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -254,6 +254,21 @@
             head = service.heads[0]
             self.assertEqual((head.error, head.client_timeout_seconds), (None, seconds))
 
+    def test_the_number_of_an_event_that_cannot_be_meant_is_an_error_that_names_it(self):
+        # 5,000 digits crashed the request, and bytes above 0x7f reached the instance as others.
+        for value in (b"9" * 16, b"9" * 5_000, b"0" * 21, b"1\xe9", b"1\x01"):
+            with self.subTest(value=value[:30]):
+                service = Service()
+                self.exchange(service, headers=(*HEADERS, (b"last-event-id", value)))
+                self.assertEqual(service.heads[0].error.field, "Last-Event-Id")
+
+    def test_an_event_id_that_is_no_number_goes_on(self):
+        # Services may have events of other ids; their clients' requests are proper.
+        for value in ("7", "a-7", "-1", "1_0", "e7 b"):
+            service = Service()
+            self.exchange(service, headers=(*HEADERS, (b"last-event-id", value.encode())))
+            self.assertEqual((service.heads[0].error, service.heads[0].resume_after), (None, value))
+
     def test_a_hint_goes_on_as_it_was_sent_if_it_can_be_meant(self):
         for value, expected in ((b"0", 0), (b" 80 ", 80)):
             service = Service()
--- a/tests/processes/test_request_heads.py
+++ b/tests/processes/test_request_heads.py
@@ -109,3 +109,7 @@
             self.assertEqual(instances.bodies, [])
 
         self.run_node(script)
+
+    def test_event_numbers_that_cannot_be_meant_are_refused(self):
+        # A number of 5,000 digits crashed the request.
+        self.check_refused(b"Last-Event-Id: " + LONG_NUMBER, b"Last-Event-Id: 1\xe9")
