Name the header in refusals of requests without one id

What callers saw: a request without an Attempt-Id, or with two different ones, got the text "malformed_request" alone, of no header.

Cause: admission refused it by an empty id, without knowing the header's name. Class: a refusal that doesn't say what to mend.

Evidence: test_a_request_without_one_id_gets_an_answer_that_names_the_header failed before.

The reader of heads makes the error, as for other headers; admission refuses it as before.

--- a/hopstep/platform/request_heads.py
+++ b/hopstep/platform/request_heads.py
@@ -26,16 +26,18 @@
     timeout_seconds: float | None = None
     resume_after = ""
     error: ValidationError | None = None
+    request_id = _read_id(scope["headers"])
     try:
         timeout_seconds = _read_timeout(scope["headers"])
         resume_after = _read_last_event(scope["headers"])
         usage = _read_usage(_list_value(scope["headers"], names.TOKEN_USAGE))
         usage_tokens = sum(usage) if usage else None
         prompt = _read_prompt(scope["headers"], usage)
+        _require_id(request_id)
     except ValidationError as malformed:
         error = malformed
     return RequestHead(
-        request_id=_read_id(scope["headers"]),
+        request_id=request_id,
         method=scope["method"].encode(),
         host=_text(found, b"host"),
         path=bytes(scope["raw_path"]).decode(names.HEADER_ENCODING),
@@ -172,6 +174,12 @@
     return ids.pop().decode(names.HEADER_ENCODING) if len(ids) == 1 else ""
 
 
+def _require_id(request_id: str) -> None:
+    """Raise ``ValidationError`` unless a request has one id."""
+    if not request_id:
+        raise head_numbers.malformed(_title(names.REQUEST_ID), "none, or several different ones")
+
+
 def _text(found: dict[bytes, bytes], name: bytes) -> str:
     """Return a header as text; empty when it is missing."""
     text = found.get(name, b"").decode(names.HEADER_ENCODING)
--- a/tests/processes/test_request_heads.py
+++ b/tests/processes/test_request_heads.py
@@ -113,3 +113,7 @@
     def test_event_numbers_that_cannot_be_meant_are_refused(self):
         # A number of 5,000 digits crashed the request.
         self.check_refused(b"Last-Event-Id: " + LONG_NUMBER, b"Last-Event-Id: 1\xe9")
+
+    def test_a_request_without_one_id_gets_an_answer_that_names_the_header(self):
+        # The answer said "malformed_request" alone, of no header.
+        self.check_refused(b"Attempt-Id: ", b"Attempt-Id: r2\r\nAttempt-Id: r3")
