Show that ids beyond ASCII count against instances

What callers saw: an Attempt-Id with bytes above 0x7f got a 502 "execution_unknown", though its instance had answered it whole.

Cause: the instance of this test reads headers as text, and encodes the id it repeats as UTF-8; by its bytes the answer is one to another request, and counts as a surplus one (HS6129). Class: a client's bytes count against an instance.

It takes 200 and 400 alike. The comparison itself is exact, and an instance that repeats the bytes is recognised, as tests.platform.test_unusual_ids demands: to refuse such ids with 400 would deny what that test holds up, so the two have to be decided together.

--- a/tests/processes/test_request_heads.py
+++ b/tests/processes/test_request_heads.py
@@ -117,3 +117,14 @@
     def test_a_request_without_one_id_gets_an_answer_that_names_the_header(self):
         # The answer said "malformed_request" alone, of no header.
         self.check_refused(b"Attempt-Id: ", b"Attempt-Id: r2\r\nAttempt-Id: r3")
+
+    def test_an_id_beyond_ascii_does_not_count_against_an_instance(self):
+        # An instance that reads and repeats the id as text in UTF-8 seemed to send surplus answers.
+        answers = []
+
+        async def script(client, url, process, instances):
+            answers.append(await self.exchange(url, b"Attempt-Id: r\xe9"))
+
+        self.run_node(script)
+        self.assertNotIn("HS6129", self.read_log())
+        self.assertIn(answers[0][:12], (b"HTTP/1.1 200", b"HTTP/1.1 400"), answers)
