Read the stated length of a body with the reader of head numbers

What callers saw: nothing yet; the server refuses such heads with 400 before the gate. A Content-Length of 5,000 digits raised ValueError in the gate of the OpenAI-style interface, which a server that lets it through would answer with 500.

Cause: bytes.isdigit() doesn't bound what int() converts. Class: text from outside is converted before its size is checked.

A length over the limit, of whatever number of digits, is 413 at the gate.

--- a/hopstep/adapters/http_api/gate.py
+++ b/hopstep/adapters/http_api/gate.py
@@ -16,6 +16,7 @@
 from hopstep.adapters.http_api.errors import encode_error, error_headers, http_status
 from hopstep.domain.configuration.document import BackEndKind, Tenant
 from hopstep.domain.configuration.index import ConfigurationIndex
+from hopstep.domain.head_numbers import whole_number
 from hopstep.domain.placement import router_may_serve
 from hopstep.exceptions import ErrorCode, ServiceError
 
@@ -30,6 +31,9 @@
 
 ISOLATED_RETRY_AFTER_SECONDS = 2.0
 
+HEADER_ENCODING = "latin-1"
+"""Encoding in which each byte of a header is one character."""
+
 
 class Caller(msgspec.Struct, frozen=True):
     """A caller whose headers were accepted.
@@ -116,7 +120,8 @@
 
 def _check_length(content_length: bytes, max_body_bytes: int) -> None:
     """Raise ``BODY_TOO_LARGE`` if the declared length exceeds the limit."""
-    if content_length.isdigit() and int(content_length) > max_body_bytes:
+    length = whole_number(content_length.decode(HEADER_ENCODING), max_body_bytes)
+    if content_length.isdigit() and length is None:
         raise body_too_large(max_body_bytes)
 
 
