--- a/hopstep/domain/head_numbers.py
+++ b/hopstep/domain/head_numbers.py
@@ -16,7 +16,7 @@
 """Whitespace around the value of a header (RFC 9110, section 5.6.3)."""
 
 MAX_TOKENS = 1_000_000_000
-"""Tokens of a prompt, one of its parts or an answer; no model takes a thousandth of it."""
+"""Tokens of a prompt, one of its parts or an answer; far more than any model's context."""
 
 MAX_MILLISECONDS = 31 * 24 * 3_600 * 1_000
 """31 days: clients that wait without end name at most 2**31 ms, the longest of common timers."""
