Show that cut nodes go on with streams of a version that they haven't heard of

Callers got streams that hold events of two software versions. A node that is cut off from the store and the other nodes, or half of the nodes without the store, went on at the only version that they knew, while engines of a new version had joined and begun the streams.

--- /dev/null
+++ b/tests/services/exchanges/test_streams_at_cut_nodes.py
@@ -0,0 +1,97 @@
+"""Streams that are resumed at nodes that don't hear of a new software version."""
+
+import unittest
+
+import trio
+
+from tests.services.exchanges.versioned_streams import VersionedStreams
+
+SEEDS = (1, 2, 3)
+FLEETS = (3, 7)
+STREAMS = 12
+ALLOWED_MIXED = 2
+"""The users' bound on streams that hold events of two software versions."""
+
+LEAVE_SECONDS = 0.22
+"""Time after which a client's first connection breaks: a few events."""
+
+JOIN_SECONDS = 0.1
+"""Time from the fault until engines of a new version join."""
+
+
+def cut_nodes(played, number):
+    """Silence a node's links to all other nodes."""
+    played.world.network.isolate(f"n{number}")
+
+
+def cut_store(played, number):
+    """Silence a node's links to the store."""
+    played.world.directories[number].unresponsive = True
+    played.world.stores[number].cut_off = True
+
+
+def cut_halves(played, first):
+    """Cut the links between a group of nodes and all others."""
+    names = {f"n{number}" for number in range(len(played.world.nodes))}
+    group = {f"n{number}" for number in first}
+    for name in group:
+        for other in names - group:
+            played.world.network.cut |= {(name, other), (other, name)}
+
+
+class CutNodesTest(unittest.TestCase):
+    def play(self, nodes, seed, disturb, join=None, resume_node=1, before=0.0):
+        """Play streams that begin at nodes in touch after a fault and are resumed at one node."""
+        played = VersionedStreams(nodes, seed)
+        for number in range(3):
+            played.add(f"e{number}", "v1")
+
+        async def script(_world):
+            await trio.sleep(before)
+            disturb(played)
+            await trio.sleep(JOIN_SECONDS)
+            await (join or self.join)(played)
+            async with trio.open_nursery() as nursery:
+                for number in range(3 * STREAMS):
+                    begin = (0, nodes - 1)[number % 2]
+                    nursery.start_soon(played.stream, begin, LEAVE_SECONDS, resume_node)
+                    await trio.sleep(0.02)
+
+        played.world.run(script)
+        return played
+
+    async def join(self, played):
+        """List engines of a new version, and let nodes in touch hear of them."""
+        for number in range(3):
+            played.add(f"n{number}", "v2")
+        await trio.sleep(JOIN_SECONDS)
+
+    def check(self, played):
+        """Check that streams began on the new version, and that hardly any was mixed."""
+        begun = [stream for stream in played.streams if "v2" in played.versions(stream)]
+        self.assertGreaterEqual(len(begun), 3)
+        self.assertLessEqual(len(played.mixed()), ALLOWED_MIXED)
+
+    def play_all(self, disturb, **options):
+        for nodes in FLEETS:
+            for seed in SEEDS:
+                with self.subTest(nodes=nodes, seed=seed):
+                    self.check(self.play(nodes, seed, disturb, **options))
+
+    def test_a_node_cut_from_store_and_nodes_goes_on_with_no_stream_of_a_new_version(self):
+        # It took the lack of answers for agreement that there was one version.
+        def disturb(played):
+            cut_nodes(played, 1)
+            cut_store(played, 1)
+
+        self.play_all(disturb)
+
+    def test_a_half_without_the_store_goes_on_with_no_stream_of_the_other_half(self):
+        # Answers of half of the nodes counted as enough, though none of them had a recent view.
+        def disturb(played):
+            half = range(1, 1 + len(played.world.nodes) // 2)
+            cut_halves(played, half)
+            for number in half:
+                cut_store(played, number)
+
+        self.play_all(disturb)
