Go on with an unrecorded stream only by a reading that began after its resume

Callers got streams that hold events of two software versions: a node that was cut off from the store and the other nodes went on at the only version that it knew, while streams had begun at one that had joined since.

Cause: a claim that there is no other version stayed good for three seconds after the node's last reading, whoever didn't answer, and half of the nodes without any recent view counted as enough. Class: a lack of answers is taken for agreement.

They are somewhat stricter than when they were committed: the half is the larger one, streams begin only where the new version is known, and the half is also tried when its views are no longer recent.

Now a stream without a record goes on only if a node that answers, or this one, has read the store since the resume came. A stream begins only after the store has the entry of its instance, so such a view has each version at which the stream can have begun. Resumes share readings; nodes that aren't relays ask their relay for one, and either way is tried if the other fails. While nobody can read the store, all other nodes must answer, each with a complete view.

In the table of claims in test_version_knowledge, rows that expected a version from a merely recent view or from half of the nodes stated this very fault; they now expect none, and rows with current views and with all nodes are added.

Message format 6 adds two flags at the ends of the question and of the claim. Nodes of format 5 ignore the first and don't send the second, so a node that gets only their answers reads the store itself.

--- a/hopstep/domain/exchanges/streams/version_claims.py
+++ b/hopstep/domain/exchanges/streams/version_claims.py
@@ -1,4 +1,8 @@
-"""Whether the nodes together know that a service has had a single software version lately."""
+"""Whether the nodes together know that a service has had a single software version lately.
+
+That there is no other version is a claim that something doesn't exist. A lack of answers doesn't
+support it: it needs a view of the directory that was read after the question came up.
+"""
 
 from __future__ import annotations
 
@@ -14,19 +18,31 @@
         versions: Versions of its instances that may have begun a stream that still runs; an
             unknown version is empty.
         is_complete: Whether the node would know of each such version up to the date of its view.
-        is_fresh: Whether its view of the directory is recent.
+        is_fresh: Whether its view of the directory is recent. This proves nothing about streams
+            that began since; it tells which nodes are likely to reach the store.
+        is_current: Whether its view has all changes that were made before the node was asked.
     """
 
     versions: tuple[str, ...] = ()
     is_complete: bool = False
     is_fresh: bool = False
+    is_current: bool = False
+
+
+def common_version(claims: Sequence[VersionClaim]) -> str:
+    """Return the only version that any of the claims names; empty for none or several."""
+    versions = {version for claim in claims for version in claim.versions}
+    return versions.pop() if len(versions) == 1 else ""
 
 
 def sole_version(own: VersionClaim, others: Sequence[VersionClaim], nodes: int) -> str:
     """Return the only version that may have begun a stream of a service; empty when unknown.
 
-    While the store is down no view is recent, but no instance can list itself either: then it is
-    enough that half of the other nodes answer. A node that is cut off from them can't tell.
+    A stream begins only after the store has the entry of its instance. So a view that was read
+    after the resume came has each version at which the stream can have begun. While the store is
+    down for all no view is current, but no instance can list itself either: then all other nodes
+    must answer, each with a complete view, since one that doesn't may be in touch with the store
+    and may have begun streams at a version that the others don't know.
 
     Args:
         own: Claim of this node.
@@ -34,8 +50,6 @@
         nodes: Number of other nodes.
     """
     claims = (own, *others)
-    versions = {version for claim in claims for version in claim.versions}
-    if len(versions) != 1 or not any(claim.is_complete for claim in claims):
-        return ""
-    is_recent = any(claim.is_fresh for claim in claims) or 2 * len(others) >= nodes
-    return versions.pop() if is_recent else ""
+    is_read = any(claim.is_current and claim.is_complete for claim in claims)
+    is_unanimous = len(others) >= nodes and all(claim.is_complete for claim in claims)
+    return common_version(claims) if is_read or is_unanimous else ""
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -164,7 +164,7 @@
             QuotaBounds(bounds.quota_window_seconds, bounds.quota_overshoot, bounds.quota_slack),
             generator,
         )
-        self.origins = StreamOrigins(self.knowledge, ports.nodes, ports.store)
+        self.origins = StreamOrigins(self.knowledge, ports.nodes, ports.store, ports.directory)
         self.relaying = Relaying(
             self.knowledge,
             self.sharing,
--- a/hopstep/ports/origin_messages.py
+++ b/hopstep/ports/origin_messages.py
@@ -62,11 +62,13 @@
         number: Rises with each query of the process; the answer repeats it.
         key: Key of the stream.
         service: Service whose instances may have begun it.
+        needs_reading: Whether the receiver reads the store before it answers.
     """
 
     number: int
     key: bytes
     service: str
+    needs_reading: bool = False
 
 
 class OriginAnswer(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/hopstep/services/exchanges/streams/origin_sharing.py
+++ b/hopstep/services/exchanges/streams/origin_sharing.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+import contextlib
+from collections.abc import Callable, Iterable, Iterator
 
-import msgspec
 import trio
 
 from hopstep.domain.exchanges.streams.origin_records import OriginRecord
@@ -19,6 +19,7 @@
 from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate, StoreWrite
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.streams.origin_holders import OriginHolders
+from hopstep.services.exchanges.streams.origin_inquiry import Inquiry
 from hopstep.services.exchanges.streams.origin_messages import read_record, report_record
 
 ROUND_SECONDS = (0.03, 0.1, 0.1)
@@ -33,32 +34,6 @@
 """Records that wait to be sent; further ones are kept by this node alone."""
 
 
-class Inquiry(msgspec.Struct, eq=False):
-    """A question for the origin of a stream.
-
-    Attributes:
-        missing: Nodes that haven't answered yet.
-        asked: Number of nodes that were asked.
-        record: The origin, once a node knows it.
-        node: Node that knows it; empty for none.
-        claims: What the others that answered know of the service's software versions.
-        progress: Set with each answer.
-    """
-
-    missing: set[str]
-    asked: int
-    record: OriginRecord | None = None
-    node: str = ""
-    claims: list[VersionClaim] = []
-    progress: trio.Event = msgspec.field(default_factory=trio.Event)
-
-    def take_record(self, record: OriginRecord, node: str) -> None:
-        """Keep a record that a node has answered, the one that began last of several."""
-        if self.record is None or record.began_at > self.record.began_at:
-            self.record = record
-            self.node = node
-
-
 class OriginSharing:
     """Messages between nodes about the origins of streams."""
 
@@ -136,34 +111,47 @@
             origins = tuple(report_record(record, now) for record in part)
             await self._send(OriginUpdate(self._number, origins, store_write), name)
 
-    async def ask(self, key: bytes, service: str, is_enough: Callable[[Inquiry], bool]) -> Inquiry:
-        """Ask other nodes for the origin of a stream.
+    @contextlib.contextmanager
+    def open(self, key: bytes, service: str) -> Iterator[Inquiry]:
+        """Open a question for the origin of a stream; answers are taken until it is closed.
 
         Args:
             key: Key of the stream.
-            service: Service whose instances may have begun it.
-            is_enough: Whether the answers so far decide, asked after each round.
-
-        Returns:
-            The answers: a record, all answers without one, or what came within ``ROUND_SECONDS``.
+            service: Service whose instances may have begun it; empty for several.
         """
         names = self._holders.asked(key)
-        inquiry = Inquiry(set(names), len(names))
         self._number += 1
-        number = self._number
-        self._inquiries[number] = inquiry
+        asked_at = trio.current_time()
+        others = self._knowledge.count_nodes() - 1
+        inquiry = Inquiry(self._number, key, service, asked_at, set(names), len(names), others)
+        self._inquiries[inquiry.number] = inquiry
         try:
-            for round_seconds in ROUND_SECONDS:
-                for name in sorted(inquiry.missing):
-                    await self._send(OriginQuery(number, key, service), name)
-                with trio.move_on_after(round_seconds):
-                    while inquiry.missing and inquiry.record is None:
-                        await inquiry.progress.wait()
-                if inquiry.record is not None or not inquiry.missing or is_enough(inquiry):
-                    break
+            yield inquiry
         finally:
-            del self._inquiries[number]
-        return inquiry
+            del self._inquiries[inquiry.number]
+
+    async def ask(self, inquiry: Inquiry, is_enough: Callable[[Inquiry], bool]) -> None:
+        """Ask other nodes, until one has a record, all have answered, or ``ROUND_SECONDS`` end.
+
+        Args:
+            inquiry: The question.
+            is_enough: Whether the answers so far decide; asked from the end of the first round.
+        """
+        decides: Callable[[Inquiry], bool] = _never
+        for round_seconds in ROUND_SECONDS:
+            for name in sorted(inquiry.missing):
+                await self._send(_query(inquiry), name)
+            with trio.move_on_after(round_seconds):
+                while inquiry.is_open and not decides(inquiry):
+                    await inquiry.progress.wait()
+            if not inquiry.is_open or is_enough(inquiry):
+                return
+            decides = is_enough
+
+    async def ask_to_read(self, inquiry: Inquiry, name: str) -> None:
+        """Ask a node to read the store and to answer then."""
+        inquiry.readers.add(name)
+        await self._send(_query(inquiry, needs_reading=True), name)
 
     async def answer(
         self, sender: str, query: OriginQuery, record: OriginRecord | None, claim: VersionClaim
@@ -175,14 +163,12 @@
     def take_answer(self, sender: str, answer: OriginAnswer) -> None:
         """Apply another node's answer."""
         inquiry = self._inquiries.get(answer.number)
-        if inquiry is None or sender not in inquiry.missing:
+        if inquiry is None or not inquiry.expects(sender):
             return
-        inquiry.missing.discard(sender)
-        inquiry.claims.append(answer.claim)
+        inquiry.take_claim(answer.claim, sender)
         if answer.origin is not None:
             inquiry.take_record(read_record(answer.origin, trio.current_time()), sender)
-        inquiry.progress.set()
-        inquiry.progress = trio.Event()
+        inquiry.notify()
 
     async def _send(self, message: NodeMessage, name: str) -> None:
         """Send a message to a node, if it is registered."""
@@ -193,3 +179,13 @@
             await self._exchange.send(message, record)
         except MessageTooLongError:
             emit(ORIGINS_NOT_SENT, receiver=name, message=type(message).__name__)
+
+
+def _never(_inquiry: Inquiry) -> bool:
+    """Let a round go on, whatever the answers are."""
+    return False
+
+
+def _query(inquiry: Inquiry, *, needs_reading: bool = False) -> OriginQuery:
+    """Return the message that asks a node."""
+    return OriginQuery(inquiry.number, inquiry.key, inquiry.service, needs_reading)
--- a/hopstep/services/exchanges/streams/stream_origins.py
+++ b/hopstep/services/exchanges/streams/stream_origins.py
@@ -7,8 +7,7 @@
 
 from __future__ import annotations
 
-import functools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 import trio
@@ -23,20 +22,29 @@
     OriginRecords,
     stream_key,
 )
-from hopstep.domain.exchanges.streams.version_claims import VersionClaim, sole_version
+from hopstep.domain.exchanges.streams.version_claims import (
+    VersionClaim,
+    common_version,
+    sole_version,
+)
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.ports.node_exchange import NodeExchange
 from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate, StoreWrite
-from hopstep.ports.serving_directory import RecordWritten
+from hopstep.ports.serving_directory import RecordWritten, ServingDirectory
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.records import STREAMS_PREFIX
+from hopstep.services.exchanges.streams.current_view import CurrentView
 from hopstep.services.exchanges.streams.origin_holders import OriginHolders
+from hopstep.services.exchanges.streams.origin_inquiry import Inquiry
 from hopstep.services.exchanges.streams.origin_messages import read_record
-from hopstep.services.exchanges.streams.origin_sharing import Inquiry, OriginSharing
+from hopstep.services.exchanges.streams.origin_sharing import OriginSharing
+from hopstep.services.exchanges.streams.reading_queries import ReadingQueries
 from hopstep.services.exchanges.streams.stored_origins import StoredOrigins
+from hopstep.services.exchanges.streams.view_confirmation import ViewConfirmation
 
 FRESH_SECONDS = 3.0
-"""Age up to which a node's view of the directory is recent: twice the interval of its readings."""
+"""Age up to which a node's view of the directory is recent: twice the interval of its readings. A
+node with such a view is likely to reach the store."""
 
 FEW_INSTANCES = 2
 """With fewer listed instances of its version a stream has hardly anywhere to go on."""
@@ -54,7 +62,11 @@
     """The origins of streams that this node knows."""
 
     def __init__(
-        self, knowledge: ServingKnowledge, exchange: NodeExchange, store: KeyValueStorePort
+        self,
+        knowledge: ServingKnowledge,
+        exchange: NodeExchange,
+        store: KeyValueStorePort,
+        directory: ServingDirectory,
     ) -> None:
         """Start without records. Must be called inside the event loop.
 
@@ -62,6 +74,7 @@
             knowledge: Instances, configuration and nodes.
             exchange: Sends datagrams to other nodes.
             store: Keeps records of all nodes.
+            directory: Where instances are listed.
         """
         self._knowledge = knowledge
         self._versions = knowledge.instances.versions
@@ -71,6 +84,9 @@
         self._holders = OriginHolders(knowledge)
         self._sharing = OriginSharing(knowledge, self._holders, exchange)
         self._stored = StoredOrigins(knowledge.name, store, self._sharing.put_unwritten)
+        self._view = CurrentView(knowledge, directory)
+        self._confirmation = ViewConfirmation(knowledge, self._view, self._sharing)
+        self._reading_queries = ReadingQueries(self._view, self._answer)
         self._shared_services: set[str] = set()
         knowledge.records.subscribe_records(STREAMS_PREFIX, self._take_stored)
 
@@ -115,25 +131,37 @@
             return self._judge(OriginSource.OWN, known, self._knowledge.name)
         services = [share.service for share in request.route.shares]
         service = services[0] if len(services) == 1 else ""
-        inquiry = await self._sharing.ask(key, service, functools.partial(self._is_enough, service))
-        return self._conclude(service, inquiry)
-
-    def _is_enough(self, service: str, inquiry: Inquiry) -> bool:
+        with self._sharing.open(key, service) as inquiry:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._confirmation.run, inquiry, self._may_be_sole(inquiry))
+                await self._sharing.ask(inquiry, self._is_enough)
+                nursery.cancel_scope.cancel()
+            return self._conclude(inquiry)
+
+    def _may_be_sole(self, inquiry: Inquiry) -> Callable[[], bool]:
+        """Return a function that tells whether only one version is known so far."""
+        return lambda: bool(common_version(self._claims(inquiry)))
+
+    def _is_enough(self, inquiry: Inquiry) -> bool:
         """Return whether a single version is known, also to half of the nodes that were asked."""
         enough_answered = 2 * len(inquiry.claims) >= inquiry.asked
-        return enough_answered and bool(self._sole_version(service, inquiry))
+        is_settled = inquiry.has_current_view or not inquiry.needs_reading
+        return enough_answered and is_settled and bool(self._sole_version(inquiry))
 
-    def _conclude(self, service: str, inquiry: Inquiry) -> OriginLookup:
+    def _conclude(self, inquiry: Inquiry) -> OriginLookup:
         """Return what follows from the answers of other nodes."""
         answered = len(inquiry.claims)
         record = inquiry.record
         if record is not None:
             found = self._judge(OriginSource.NODE, record, inquiry.node)
             return msgspec.structs.replace(found, asked=inquiry.asked, answered=answered)
-        version = self._sole_version(service, inquiry)
+        read = self._known(inquiry.key)
+        if read is not None:
+            return self._judge(OriginSource.OWN, read, self._knowledge.name)
+        version = self._sole_version(inquiry)
         if not version:
             return OriginLookup(OriginSource.UNKNOWN, asked=inquiry.asked, answered=answered)
-        origin = StreamOrigin(service, version)
+        origin = StreamOrigin(inquiry.service, version)
         return OriginLookup(
             OriginSource.SOLE_VERSION, origin, asked=inquiry.asked, answered=answered
         )
@@ -154,11 +182,17 @@
             return OriginLookup(OriginSource.DOUBTFUL, None, keeper, age)
         return OriginLookup(source, record.origin, keeper, age)
 
-    def _sole_version(self, service: str, inquiry: Inquiry) -> str:
+    def _sole_version(self, inquiry: Inquiry) -> str:
         """Return the only version that may have begun a stream; empty when unknown."""
-        if not service:
-            return ""
-        return sole_version(self._claim(service), inquiry.claims, inquiry.asked)
+        own, *others = self._claims(inquiry)
+        return sole_version(own, others, inquiry.others)
+
+    def _claims(self, inquiry: Inquiry) -> list[VersionClaim]:
+        """Return what this node, and the others that answered, know; several services: nothing."""
+        if not inquiry.service:
+            return [VersionClaim()]
+        own = self._claim(inquiry.service, is_current=inquiry.is_own_view_current)
+        return [own, *inquiry.claims.values()]
 
     async def take(self, sender: str, message: OriginMessage) -> None:
         """Apply another node's message."""
@@ -167,11 +201,24 @@
             case OriginUpdate():
                 self._take_records(message, now)
             case OriginQuery():
-                record = self._known(message.key)
-                await self._sharing.answer(sender, message, record, self._claim(message.service))
+                if message.needs_reading:
+                    self._reading_queries.put(sender, message)
+                else:
+                    await self._answer(sender, message, is_current=False)
             case OriginAnswer():
                 self._sharing.take_answer(sender, message)
 
+    async def _answer(self, sender: str, query: OriginQuery, *, is_current: bool) -> None:
+        """Answer another node's question.
+
+        Args:
+            sender: The other node.
+            query: The question.
+            is_current: Whether the store was read since the question came.
+        """
+        claim = self._claim(query.service, is_current=is_current)
+        await self._sharing.answer(sender, query, self._known(query.key), claim)
+
     def _take_records(self, update: OriginUpdate, now: float) -> None:
         """Keep another node's records, and write them to the store if it asks for that."""
         records = [read_record(origin, now) for origin in update.origins]
@@ -203,6 +250,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._sharing.run)
             nursery.start_soon(self._stored.run)
+            nursery.start_soon(self._reading_queries.run)
             while True:
                 self._share_mixed()
                 await self._knowledge.changed.wait()
@@ -225,11 +273,15 @@
         """Return whether a stream's origin can't be known without its record."""
         return len(route.shares) > 1 or self._versions.is_mixed(service, now)
 
-    def _claim(self, service: str) -> VersionClaim:
+    def _claim(self, service: str, *, is_current: bool) -> VersionClaim:
         """Return what this node knows of the software versions of a service.
 
         Its view is complete if it has followed the directory for long enough, or began with a
         reading of the store, which has the records of streams of other versions.
+
+        Args:
+            service: The service.
+            is_current: Whether the store was read since the question came up.
         """
         now = trio.current_time()
         recorded = {record.origin.software_version for record in self._records(service, now)}
@@ -240,6 +292,7 @@
             tuple(sorted(versions)),
             has_read_store or followed_seconds >= self._versions.retention_seconds,
             self._knowledge.keys.age_seconds <= FRESH_SECONDS,
+            is_current,
         )
 
     def _records(self, service: str, now: float) -> Iterable[OriginRecord]:
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -87,6 +87,9 @@
 BEFORE_SOFTWARE_VERSIONS = "form-4"
 """Version without the software versions of instances and the origins of streams."""
 
+BEFORE_CURRENT_VIEWS = "form-5"
+"""Version whose claims of a single software version may be older than the question."""
+
 NODES = {"a": NodeRecord("1.2.3.4:5", "z", b"key-a")}
 COMPRESSED = 1
 
@@ -151,8 +154,8 @@
         (SuspectedInstance("i5@9", 400, "a"),),
     ),
     "origins": OriginUpdate(11, (ORIGIN,), StoreWrite.SUBSTITUTE),
-    "origin query": OriginQuery(12, ORIGIN.key, "llm"),
-    "origin answer": OriginAnswer(12, ORIGIN, VersionClaim(("v1", "v2"), True, True)),
+    "origin query": OriginQuery(12, ORIGIN.key, "llm", needs_reading=True),
+    "origin answer": OriginAnswer(12, ORIGIN, VersionClaim(("v1", "v2"), True, True, True)),
 }
 RECORDS = {
     "node": encode_node(NodeRecord("1.2.3.4:5", "z", b"key-a", 1.5, MESSAGE_FORMAT_VERSION, ERA)),
@@ -311,6 +314,34 @@
     entries: tuple[RelayedBeforeSoftwareVersions, ...] = ()
 
 
+class ClaimBeforeCurrentViews(msgspec.Struct, frozen=True, array_like=True):
+    """``VersionClaim`` as read by versions before format 6."""
+
+    versions: tuple[str, ...] = ()
+    is_complete: bool = False
+    is_fresh: bool = False
+
+
+class OriginAnswerBeforeCurrentViews(
+    msgspec.Struct, frozen=True, array_like=True, tag="OriginAnswer"
+):
+    """``OriginAnswer`` as read by versions before format 6."""
+
+    number: int
+    origin: ReportedOrigin | None = None
+    claim: ClaimBeforeCurrentViews = ClaimBeforeCurrentViews()
+
+
+class OriginQueryBeforeCurrentViews(
+    msgspec.Struct, frozen=True, array_like=True, tag="OriginQuery"
+):
+    """``OriginQuery`` as read by versions before format 6."""
+
+    number: int
+    key: bytes
+    service: str
+
+
 class QuarantinedBeforeClaims(msgspec.Struct, frozen=True):
     """``StoredRequest`` as read by versions before claims of trials."""
 
@@ -425,6 +456,22 @@
         entries = tuple(relayed.entry for relayed in answer.entries)
         self.assertEqual(entries, ENTRIES_BEFORE_SOFTWARE_VERSIONS)
 
+    def test_frames_of_before_current_views(self):
+        messages = self.decoded(BEFORE_CURRENT_VIEWS)
+        self.assertEqual(messages["origins"], MESSAGES["origins"])
+        self.assertEqual(messages["origin query"], OriginQuery(12, ORIGIN.key, "llm"))
+        claim = VersionClaim(("v1", "v2"), is_complete=True, is_fresh=True)
+        self.assertEqual(messages["origin answer"], OriginAnswer(12, ORIGIN, claim))
+
+    def test_the_version_before_reads_todays_questions_for_origins(self):
+        frame = encode_frame(MESSAGES["origin query"], "a", b"key-a")
+        query = msgspec.convert(payload_document(frame), OriginQueryBeforeCurrentViews)
+        self.assertEqual(query, OriginQueryBeforeCurrentViews(12, ORIGIN.key, "llm"))
+        frame = encode_frame(MESSAGES["origin answer"], "a", b"key-a")
+        answer = msgspec.convert(payload_document(frame), OriginAnswerBeforeCurrentViews)
+        claim = ClaimBeforeCurrentViews(("v1", "v2"), is_complete=True, is_fresh=True)
+        self.assertEqual(answer, OriginAnswerBeforeCurrentViews(12, ORIGIN, claim))
+
     def test_the_version_before_reads_todays_instances(self):
         """Otherwise nodes of the version before would lose instances that nodes of today relay."""
         frame = encode_frame(MESSAGES["answer"], "a", b"key-a")
@@ -498,6 +545,7 @@
             (BEFORE_ERAS, 2),
             (BEFORE_CAPACITY, 3),
             (BEFORE_SOFTWARE_VERSIONS, 4),
+            (BEFORE_CURRENT_VIEWS, 5),
             (f"form-{MESSAGE_FORMAT_VERSION}", MESSAGE_FORMAT_VERSION),
         )
         for name, version in versions:
--- a/tests/domain/exchanges/streams/test_version_knowledge.py
+++ b/tests/domain/exchanges/streams/test_version_knowledge.py
@@ -53,22 +53,33 @@
 
 
 class SoleVersionTest(unittest.TestCase):
-    def test_it_is_known_only_from_complete_recent_views_that_agree(self):
-        # A node that knew one version sent a stream on that another node had begun at a newer one.
+    def test_it_is_known_only_from_a_current_view_or_from_complete_views_of_all_nodes(self):
+        # A recent view, or one of half of the nodes, lacks the version of a stream begun since.
         stale = VersionClaim(("v1",), is_complete=True)
         short = VersionClaim(("v1",), is_fresh=True)
+        current = VersionClaim(("v1",), is_complete=True, is_fresh=True, is_current=True)
+        short_current = VersionClaim(("v1",), is_fresh=True, is_current=True)
         mixed = VersionClaim(("v1", "v2"), is_complete=True, is_fresh=True)
-        unknown = VersionClaim(("",), is_complete=True, is_fresh=True)
+        unknown = VersionClaim(("",), is_complete=True, is_fresh=True, is_current=True)
         cases = (
             (V1, [], 0, "v1"),
-            (V1, [], 6, "v1"),
+            (V1, [], 6, ""),
+            (current, [], 6, "v1"),
+            (current, [mixed], 6, ""),
             (V1, [mixed], 6, ""),
             (short, [NOTHING], 1, ""),
-            (short, [stale], 6, "v1"),
-            (NOTHING, [V1], 6, "v1"),
+            (short, [stale], 6, ""),
+            (short_current, [], 6, ""),
+            (short_current, [stale], 6, ""),
+            (stale, [short_current], 6, ""),
+            (NOTHING, [V1], 6, ""),
+            (NOTHING, [current], 6, "v1"),
             (stale, [], 6, ""),
-            (stale, [stale, stale], 6, ""),
-            (stale, [stale, stale, stale], 6, "v1"),
+            (V1, [V1, V1, V1], 6, ""),
+            (stale, [stale] * 5, 6, ""),
+            (stale, [stale] * 6, 6, "v1"),
+            (stale, [*[stale] * 5, NOTHING], 6, ""),
+            (stale, [*[stale] * 5, short], 6, ""),
             (unknown, [], 0, ""),
             (NOTHING, [], 0, ""),
         )
--- a/tests/services/exchanges/test_streams_at_cut_nodes.py
+++ b/tests/services/exchanges/test_streams_at_cut_nodes.py
@@ -9,6 +9,9 @@
 SEEDS = (1, 2, 3)
 FLEETS = (3, 7)
 STREAMS = 12
+SLOTS = 4
+"""Slots of an engine: few, so that streams spread over engines of all versions."""
+
 ALLOWED_MIXED = 2
 """The users' bound on streams that hold events of two software versions."""
 
@@ -18,6 +21,9 @@
 JOIN_SECONDS = 0.1
 """Time from the fault until engines of a new version join."""
 
+LATE_JOIN_SECONDS = 3.5
+"""The same where no cut node's view of the directory is recent any more."""
+
 
 def cut_nodes(played, number):
     """Silence a node's links to all other nodes."""
@@ -40,31 +46,48 @@
 
 
 class CutNodesTest(unittest.TestCase):
-    def play(self, nodes, seed, disturb, join=None, resume_node=1, before=0.0):
-        """Play streams that begin at nodes in touch after a fault and are resumed at one node."""
+    def play(self, nodes, seed, disturb, join=None, join_seconds=JOIN_SECONDS, begin_nodes=(0, -1)):
+        """Play streams that begin at nodes in touch after a fault and are resumed at a cut node.
+
+        Args:
+            nodes: Number of nodes; the one with number 1 is cut.
+            seed: Seed of the world.
+            disturb: Begins the fault.
+            join: Lists engines of a new version; None for three beside the earlier ones.
+            join_seconds: Time from the fault until then.
+            begin_nodes: Nodes at which streams begin; negative numbers count from the last one.
+
+        Returns:
+            What was played.
+        """
         played = VersionedStreams(nodes, seed)
         for number in range(3):
-            played.add(f"e{number}", "v1")
+            played.add(f"e{number}", "v1", slots=SLOTS)
 
         async def script(_world):
-            await trio.sleep(before)
             disturb(played)
-            await trio.sleep(JOIN_SECONDS)
+            await trio.sleep(join_seconds)
             await (join or self.join)(played)
+            for node in begin_nodes:
+                await self.wait_known(played.world.nodes[node], "v2")
             async with trio.open_nursery() as nursery:
                 for number in range(3 * STREAMS):
-                    begin = (0, nodes - 1)[number % 2]
-                    nursery.start_soon(played.stream, begin, LEAVE_SECONDS, resume_node)
+                    node = begin_nodes[number % len(begin_nodes)] % nodes
+                    nursery.start_soon(played.stream, node, LEAVE_SECONDS, 1)
                     await trio.sleep(0.02)
 
         played.world.run(script)
         return played
 
     async def join(self, played):
-        """List engines of a new version, and let nodes in touch hear of them."""
+        """List engines of a new version."""
         for number in range(3):
-            played.add(f"n{number}", "v2")
-        await trio.sleep(JOIN_SECONDS)
+            played.add(f"n{number}", "v2", slots=SLOTS)
+
+    async def wait_known(self, node, version):
+        """Wait until a node knows a version: it may first have to notice that its relay is cut."""
+        while version not in node.knowledge.instances.versions.listed("llm"):
+            await node.knowledge.changed.wait()
 
     def check(self, played):
         """Check that streams began on the new version, and that hardly any was mixed."""
@@ -89,9 +112,10 @@
     def test_a_half_without_the_store_goes_on_with_no_stream_of_the_other_half(self):
         # Answers of half of the nodes counted as enough, though none of them had a recent view.
         def disturb(played):
-            half = range(1, 1 + len(played.world.nodes) // 2)
+            half = range(1, 2 + len(played.world.nodes) // 2)
             cut_halves(played, half)
             for number in half:
                 cut_store(played, number)
 
-        self.play_all(disturb)
+        for join_seconds in (JOIN_SECONDS, LATE_JOIN_SECONDS):
+            self.play_all(disturb, join_seconds=join_seconds, begin_nodes=(0,))
