Test resumes at nodes out of step in further faults, and what is still served

Guards against streams of two software versions at a node that is cut from the store alone or from the nodes alone, that was cut for some time and heals as the resume comes, that gets streams of the first engine of a version, or of one that replaced another, or that came and went.

A node that stands still is played by links that lose everything, not by a process that stops.

--- a/tests/services/exchanges/test_streams_at_cut_nodes.py
+++ b/tests/services/exchanges/test_streams_at_cut_nodes.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from tests.services.exchanges.versioned_streams import VersionedStreams
+from hopstep.ports.serving_directory import InstanceRemoved
+from tests.services.exchanges.versioned_streams import CLIENT_SECONDS, VersionedStreams
 
 SEEDS = (1, 2, 3)
 FLEETS = (3, 7)
@@ -15,6 +16,9 @@
 ALLOWED_MIXED = 2
 """The users' bound on streams that hold events of two software versions."""
 
+LEAST_SHARE = 0.5
+"""The users' bound: part of the share of new streams that resumes in touch must reach."""
+
 LEAVE_SECONDS = 0.22
 """Time after which a client's first connection breaks: a few events."""
 
@@ -36,6 +40,21 @@
     played.world.stores[number].cut_off = True
 
 
+def stand_still(played, number):
+    """Let nothing reach a node, and nothing leave it, as while its process stands still."""
+    cut_nodes(played, number)
+    cut_store(played, number)
+
+
+def heal(played, number):
+    """Restore a node's links."""
+    name = f"n{number}"
+    network = played.world.network
+    network.cut = {link for link in network.cut if name not in link}
+    played.world.directories[number].unresponsive = False
+    played.world.stores[number].cut_off = False
+
+
 def cut_halves(played, first):
     """Cut the links between a group of nodes and all others."""
     names = {f"n{number}" for number in range(len(played.world.nodes))}
@@ -119,3 +138,99 @@
 
         for join_seconds in (JOIN_SECONDS, LATE_JOIN_SECONDS):
             self.play_all(disturb, join_seconds=join_seconds, begin_nodes=(0,))
+
+    def test_a_node_cut_from_the_store_alone_goes_on_with_the_right_version(self):
+        # Its own view lacked the new version; nodes that answer have read it.
+        for nodes in FLEETS:
+            for seed in SEEDS:
+                with self.subTest(nodes=nodes, seed=seed):
+                    played = self.play(nodes, seed, lambda played: cut_store(played, 1))
+                    self.check(played)
+                    self.assertGreaterEqual(played.resumed.share, LEAST_SHARE * played.began.share)
+
+    def test_a_node_cut_from_the_nodes_alone_goes_on_with_no_stream_of_a_new_version(self):
+        # Nobody answered it, and its reading was from before the new version.
+        self.play_all(lambda played: cut_nodes(played, 1))
+
+    def test_a_node_that_wakes_goes_on_with_no_stream_of_a_new_version(self):
+        # It used the view of the time before it stood still.
+        for seconds in (0.3, 2.9):
+
+            async def join_and_wake(played, seconds=seconds):
+                await self.join(played)
+                await trio.sleep(seconds)
+                heal(played, 1)
+
+            self.play_all(lambda played: stand_still(played, 1), join=join_and_wake)
+
+    def test_streams_of_the_first_engine_of_a_version_keep_it_at_all_nodes(self):
+        # They began before the other nodes had heard of the version.
+        self.play_all(lambda played: None, join_seconds=0.0)
+        self.play_all(lambda played: None, join_seconds=0.0, begin_nodes=(0,))
+
+    def test_streams_keep_their_version_where_it_follows_another_one(self):
+        # The cut node sent them to instances of the version that was leaving.
+        async def follow(played):
+            await self.join(played)
+            for number in range(3):
+                played.world.publish(InstanceRemoved(f"e{number}"))
+
+        self.play_all(lambda played: stand_still(played, 1), join=follow)
+        self.play_all(lambda played: None, join=follow)
+
+    def test_streams_of_a_version_that_came_and_went_are_not_resumed_at_another(self):
+        # A node that had not heard of the version went on at the one that stayed.
+        for disturb in (lambda played: None, lambda played: stand_still(played, 1)):
+            for nodes in FLEETS:
+                for seed in SEEDS:
+                    with self.subTest(nodes=nodes, seed=seed):
+                        self.play_short_lived(nodes, seed, disturb)
+
+    def play_short_lived(self, nodes, seed, disturb):
+        """Play streams of a version that is gone when a healed node gets their resumes."""
+        played = VersionedStreams(nodes, seed)
+        for number in range(3):
+            played.add(f"e{number}", "v1", slots=SLOTS)
+
+        async def script(world):
+            disturb(played)
+            await self.join(played)
+            await self.wait_known(world.nodes[0], "v2")
+            async with trio.open_nursery() as nursery:
+                for _ in range(STREAMS):
+                    nursery.start_soon(played.stream, 0, LEAVE_SECONDS, 1)
+                await trio.sleep(LEAVE_SECONDS)
+                for number in range(3):
+                    world.instances.servers[f"n{number}"].end()
+                    played.world.publish(InstanceRemoved(f"n{number}"))
+                heal(played, 1)
+
+        played.world.run(script)
+        self.check(played)
+
+
+class ServedStreamsTest(unittest.TestCase):
+    def play_one_version(self, nodes, seed, disturb):
+        """Play streams of one version whose node dies, so that nobody has a record of them."""
+        played = VersionedStreams(nodes, seed)
+        for number in range(3):
+            played.add(f"e{number}", "v1")
+
+        async def script(_world):
+            disturb(played)
+            for number in range(STREAMS):
+                played.world.nursery.start_soon(played.stream, 0, None, 1 + number % (nodes - 1))
+            await trio.sleep(LEAVE_SECONDS)
+            played.kill_node(0)
+            await trio.sleep(CLIENT_SECONDS)
+
+        played.world.run(script)
+        return played
+
+    def test_streams_of_one_version_go_on_where_their_node_died(self):
+        # Without its record a stream was refused although a reading shows a single version.
+        for nodes in FLEETS:
+            for seed in SEEDS:
+                with self.subTest(nodes=nodes, seed=seed):
+                    played = self.play_one_version(nodes, seed, lambda played: None)
+                    self.assertEqual(played.resumed.share, 1.0)
