Keep the settings in use when a reload can't read a number or the nesting of the file

What callers saw: all requests under way ended without an answer when a node read its settings again and the file had a number of more than 4,300 digits, or arrays nested too deeply.

Cause: read_toml named three errors of reading; the parser also raises ValueError and RecursionError. The task that follows signals failed, and with it the process. Class: an exception that a list of expected ones doesn't name ends the task that reads.

--- a/hopstep/settings_loader.py
+++ b/hopstep/settings_loader.py
@@ -143,7 +143,8 @@
         return tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError(str(path), "", f"can't be read: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
+        # Too long a number is a ValueError of its own, deep nesting a RecursionError.
         raise SettingsError(str(path), "", f"expected TOML: {error}") from None
 
 
--- a/tests/processes/test_kept_connections.py
+++ b/tests/processes/test_kept_connections.py
@@ -18,6 +18,9 @@
 
 ANSWER_SECONDS = 5.0
 PORT_DIGITS = 5_000
+NESTED = 100_000
+"""Open brackets, more than parsers follow."""
+
 INSTANCE_WORK_SECONDS = 0.5
 ANSWER_BODY = b"got "
 FIRST_FINAL = 200
@@ -129,6 +132,20 @@
         self.assertIsNone(self.exit_code, "the node has ended")
         self.assertNotIn("task_failed", self.read_log())
 
+    def test_settings_that_cannot_be_read_cut_no_request_on_reload(self):
+        # Reading them again raised ValueError, which ended the node with all active requests.
+        for odd in ("9" * PORT_DIGITS, "[" * NESTED):
+            with self.subTest(odd=odd[:5]):
+
+                async def reload(_connections, odd=odd):
+                    settings = self.path.read_text()
+                    self.path.write_text(f"odd = {odd}\n{settings}")
+                    self.process.send_signal(signal.SIGHUP)
+
+                self.assertEqual(self.statuses_when(reload), [200] * CLIENTS)
+                self.assertIsNone(self.exit_code, "the node has ended")
+                self.assertIn("settings_rejected", self.read_log())
+
     def test_a_background_task_that_fails_cuts_no_request(self):
         # Its failure ended the process at once, with all active requests.
         self.module = "tests.processes.failing_node"
