Refuse new requests at a node one of whose tasks has failed

What callers saw: a node whose follower had failed served new requests by what it had known then, for up to 2.8 s: a request with a key that had been taken away got 200 after 2.5 s where 2 s are allowed.

Cause: a failed task began the same stop as SIGTERM, which goes on serving until load balancers have noticed. After a fault what the node knows isn't kept up to date any more. Class: a state that was made for a sound node is used for a broken one.

Active requests are still answered; new ones are refused as not run with Retry-After.

--- a/hopstep/services/background_tasks.py
+++ b/hopstep/services/background_tasks.py
@@ -1,7 +1,8 @@
 """Runs a node's background tasks; the failure of one of them stops the node as planned.
 
-Requests that are active are answered before the process ends. A task that has failed isn't started
-again: nobody knows what state it left.
+Requests that are active are answered before the process ends; new ones are refused as not run,
+since what the node knows may be outdated. A task that has failed isn't started again: nobody knows
+what state it left.
 """
 
 from __future__ import annotations
@@ -70,7 +71,7 @@
                     location=location(error),
                     active_requests=self._lifecycle.active_requests,
                 )
-            self._lifecycle.stop()
+            self._lifecycle.stop_after_fault()
 
 
 def _name(task: BackgroundTask) -> str:
--- a/hopstep/services/lifecycle.py
+++ b/hopstep/services/lifecycle.py
@@ -56,6 +56,7 @@
         self.schedule = schedule
         self._holder = holder
         self._refuse_at = float("inf")
+        self._refuses_all = False
         self._drain_until = float("inf")
         self._stopped_at = 0.0
         self._is_drained = False
@@ -93,7 +94,7 @@
         """
         now = trio.current_time()
         is_late = now >= self._refuse_at and now + longest_seconds > self._drain_until
-        if is_late or self._is_drained:
+        if is_late or self._is_drained or self._refuses_all:
             raise ServiceError(
                 ErrorCode.STOPPING,
                 "this router is stopping; use another one",
@@ -113,6 +114,11 @@
             if self._active == 0:
                 self._idle.set()
 
+    def stop_after_fault(self) -> None:
+        """Request a stop that serves only active requests: what the node knows may be outdated."""
+        self._refuses_all = True
+        self.stop()
+
     def stop(self) -> None:
         """Request the planned stop; further calls change nothing."""
         if self.stopping:
--- a/tests/services/test_background_tasks.py
+++ b/tests/services/test_background_tasks.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from hopstep.domain.stop_schedule import StopSchedule
+from hopstep.exceptions import ServiceError
 from hopstep.services.background_tasks import BackgroundTasks
 from hopstep.services.lifecycle import Lifecycle
 
@@ -24,7 +25,7 @@
     def run_failing(self, request_seconds=0.5):
         """Run a task that fails while a request is active; return the lines of the log."""
         lifecycle = Lifecycle(Configured(), StopSchedule.within(8.0))
-        self.answered = False
+        self.answered = self.refused = False
 
         async def answer(task_status):
             with lifecycle.active():
@@ -38,6 +39,9 @@
                 tasks = (Reader().run, trio.sleep_forever)
                 nursery.start_soon(BackgroundTasks(lifecycle).run, tasks)
                 await lifecycle.wait_stopping()
+                with self.assertRaises(ServiceError):
+                    lifecycle.check_serving(longest_seconds=0.0)
+                self.refused = True
                 await lifecycle.drain()
                 nursery.cancel_scope.cancel()
 
@@ -50,6 +54,11 @@
         self.run_failing()
         self.assertTrue(self.answered)
 
+    def test_a_node_whose_task_has_failed_takes_no_new_request(self):
+        # It judged new requests by what it had known at the failure, for seconds.
+        self.run_failing()
+        self.assertTrue(self.refused)
+
     def test_a_failed_task_is_logged_with_the_requests_that_are_active(self):
         lines = self.run_failing()
         self.assertEqual([line["error_type"] for line in lines], ["ValueError", "KeyError"])
