Log faults of the front end, and stop a router whose task fails as planned

An error in the application for clients was answered with 500 or 502 and left no line: the server catches it, and its own error log is off. HS2005 names it now. The OpenAI-style router ran its background tasks beside its listeners too, so a failure cut all active requests; it uses the same BackgroundTasks now (the same cause elsewhere, found by the review).

--- a/hopstep/adapters/exchange_server.py
+++ b/hopstep/adapters/exchange_server.py
@@ -11,6 +11,9 @@
 from hopstep.adapters.http_server import CountFailure, ServerConfig, serve_app
 from hopstep.adapters.tracked_connection import CountActive, TrackedConnection, track_connections
 from hopstep.early_listeners import Listeners
+from hopstep.error_reports import flatten, location
+from hopstep.log_events.http_api import REQUEST_CRASHED
+from hopstep.logs import emit
 from hopstep.ports.exchange_front import CONNECTION_STATE
 
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
@@ -74,7 +77,21 @@
         elif port == self._metrics_port:
             await _answer(send, READY_STATUS, self._operators.render_metrics())
         else:
+            await self._serve_client(scope, receive, send)
+
+    async def _serve_client(self, scope: Any, receive: Any, send: Any) -> None:
+        """Pass a request to the clients' application; log its fault, which the server doesn't."""
+        try:
             await self._clients(scope, receive, send)
+        except Exception as failure:
+            for error in flatten(failure):
+                emit(
+                    REQUEST_CRASHED,
+                    request_id="",
+                    error_type=type(error).__name__,
+                    location=location(error),
+                )
+            raise
 
 
 def _port(address: str) -> int:
--- a/hopstep/services/router.py
+++ b/hopstep/services/router.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from collections.abc import Callable
 
@@ -22,6 +23,7 @@
 from hopstep.ports.machine_list import MachineListPort
 from hopstep.ports.peer_configuration import PeerConfigurationPort
 from hopstep.ports.peer_transport import PeerTransport
+from hopstep.services.background_tasks import BackgroundTasks
 from hopstep.services.claim_sweeper import ClaimSweeper
 from hopstep.services.claims import ClaimService
 from hopstep.services.cluster import Cluster
@@ -120,18 +122,20 @@
         rollout = Rollout(ports.engines, self.table, self.holder, self.cluster.leads_rollout)
         records, reader = self._make_quarantine_records()
         sweeper = ClaimSweeper(ports.store, ports.engines, ports.generator, ports.wall_clock)
+        tasks = (
+            functools.partial(self.limit_leases.run, self.limits),
+            self.synchronization.run,
+            self.watch.run,
+            self.leaving.run,
+            rollout.run,
+            sweeper.run,
+            self.quarantine.run,
+            records.run,
+            reader.run,
+        )
         async with trio.open_nursery() as nursery:
             await nursery.start(self.membership.run)
-            nursery.start_soon(self.limit_leases.run, self.limits)
-            nursery.start_soon(self.synchronization.run)
-            nursery.start_soon(self.watch.run)
-            nursery.start_soon(self.leaving.run)
-            nursery.start_soon(rollout.run)
-            nursery.start_soon(sweeper.run)
-            nursery.start_soon(self.quarantine.run)
-            nursery.start_soon(records.run)
-            nursery.start_soon(reader.run)
-            task_status.started()
+            await BackgroundTasks(self.lifecycle).run(tasks, task_status)
 
     async def wait_drained(self) -> None:
         """Wait for a planned stop, announce it to peers, and return when no request is active."""
