Bound the records under hopstep's own keys before they are decoded

What callers saw: nothing yet. A record of an origin, a node, the rollout or a quarantined request of the store's longest value was decoded in one step of the loop. An origin's age was rejected only where the change was applied, after OverflowError.

Cause: the readers of these records had no bound on their length, and the origin's reader none on its numbers. Class: bytes from outside are read without a bound.

Evidence: an origin of 400 digits is "unreadable", where it was "unexpected" before; the test of undeclared errors has a reader of its own that raises one, before the start and after it.

Records have at most 256 KiB, a batch of 512 origins with the longest names; those of requests 64 KiB, and the logged detail of one has at most 200 characters.

--- a/hopstep/ports/origin_messages.py
+++ b/hopstep/ports/origin_messages.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 
 import msgspec
 
 from hopstep.domain.exchanges.streams.version_claims import VersionClaim
 
+MAX_MILLISECONDS = 2**53
+"""Larger integers raise errors where they are converted to floating-point numbers."""
+
+_Milliseconds = Annotated[int, msgspec.Meta(ge=-MAX_MILLISECONDS, le=MAX_MILLISECONDS)]
+
 
 class StoreWrite(enum.IntEnum):
     """What the receiver of origins does for the store.
@@ -37,8 +43,8 @@
     service: str
     software_version: str
     incarnation: str
-    age_ms: int
-    remaining_ms: int
+    age_ms: _Milliseconds
+    remaining_ms: _Milliseconds
 
 
 class OriginUpdate(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/hopstep/services/exchanges/directory/records.py
+++ b/hopstep/services/exchanges/directory/records.py
@@ -12,6 +12,9 @@
 from hopstep.domain.exchanges.rollout_lease_state import RolloutHolder
 from hopstep.exceptions import ValidationError
 
+MAX_RECORD_BYTES = 256 * 1024
+"""Longest record: a batch of 512 origins of streams, with names of the longest sizes."""
+
 NODES_PREFIX = "hopstep/nodes/"
 """Prefix of the keys of nodes; each value is a ``NodeRecord``."""
 
@@ -31,6 +34,16 @@
     return not key.startswith(STREAMS_PREFIX)
 
 
+def require_bounded(value: bytes) -> None:
+    """Check the size of a record before it is decoded, as any client of the store may write one.
+
+    Raises:
+        msgspec.DecodeError: When it is too long.
+    """
+    if len(value) > MAX_RECORD_BYTES:
+        raise msgspec.DecodeError(f"expected at most {MAX_RECORD_BYTES} bytes, got {len(value)}")
+
+
 def encode_holder(holder: RolloutHolder) -> bytes:
     """Return the value of the rollout's key."""
     return msgspec.json.encode(holder)
@@ -42,6 +55,7 @@
     Raises:
         msgspec.DecodeError: Names the field that can't be read.
     """
+    require_bounded(value)
     return decode_json(value, RolloutHolder)
 
 
@@ -56,6 +70,7 @@
     Raises:
         msgspec.DecodeError: Names the field that can't be read.
     """
+    require_bounded(value)
     record = decode_json(value, NodeRecord)
     if not 0 < len(record.key) <= hashlib.blake2b.MAX_KEY_SIZE:
         raise msgspec.ValidationError("Expected a key that signs messages - at `$.key`")
--- a/hopstep/services/exchanges/streams/stored_origins.py
+++ b/hopstep/services/exchanges/streams/stored_origins.py
@@ -22,7 +22,7 @@
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.ports.origin_messages import ReportedOrigin
 from hopstep.ports.serving_directory import RecordWritten
-from hopstep.services.exchanges.directory.records import STREAMS_PREFIX
+from hopstep.services.exchanges.directory.records import STREAMS_PREFIX, require_bounded
 from hopstep.services.exchanges.streams.origin_messages import read_record, report_record
 from hopstep.services.short_lease import ShortLease
 
@@ -101,6 +101,7 @@
         """
         if not record.value:
             return []
+        require_bounded(record.value)
         now = trio.current_time()
         reported = decode_json(record.value, tuple[ReportedOrigin, ...])
         return [read_record(each, now) for each in reported]
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -78,6 +78,13 @@
 observer may be gone."""
 
 
+MAX_RECORD_BYTES = 64 * 1024
+"""Longest record: some 500 terminations; a request is refused after three."""
+
+MAX_DETAIL = 200
+"""Characters of a logged detail; errors may repeat a part of the record."""
+
+
 class StoredRequest(msgspec.Struct, frozen=True):
     """Value of a request's key; readable, as operators look requests up here.
 
@@ -263,7 +270,7 @@
         """
         try:
             fingerprint = bytes.fromhex(key.removeprefix(QUARANTINE_PREFIX))
-            stored = decode_json(value, StoredRequest) if value else None
+            stored = read_stored(value) if value else None
         except (ValueError, msgspec.DecodeError) as error:
             reason = RejectReason.UNREADABLE.value
             emit(
@@ -271,7 +278,7 @@
                 key=key,
                 reason=reason,
                 field="",
-                detail=str(error),
+                detail=str(error)[:MAX_DETAIL],
             )
             return
         if stored is None:
@@ -431,6 +438,17 @@
             self._quarantine.notify_changed()
 
 
+def read_stored(value: bytes) -> StoredRequest:
+    """Return the record of a request's key.
+
+    Raises:
+        msgspec.DecodeError: It is too long, or a field can't be read.
+    """
+    if len(value) > MAX_RECORD_BYTES:
+        raise msgspec.DecodeError(f"expected at most {MAX_RECORD_BYTES} bytes, got {len(value)}")
+    return decode_json(value, StoredRequest)
+
+
 def _most_trials(fingerprint: bytes, *, alone: bool) -> int:
     """Return how many trials a subject may have used after one more.
 
