Keep records of streams at other nodes while the store is away

A dead node can't be told from one that is cut off and in touch with the store, so its missing answer can't count. Instead there is a record: once its own view is two seconds old, a node shares its running and new streams with the nodes that keep records, as where several versions are listed. These records aren't written to the store.

--- a/hopstep/services/exchanges/streams/origin_sharing.py
+++ b/hopstep/services/exchanges/streams/origin_sharing.py
@@ -9,6 +9,7 @@
 import contextlib
 from collections.abc import Callable, Iterable, Iterator
 
+import msgspec
 import trio
 
 from hopstep.domain.exchanges.streams.origin_records import OriginRecord
@@ -34,6 +35,18 @@
 """Records that wait to be sent; further ones are kept by this node alone."""
 
 
+class UnsentRecord(msgspec.Struct, frozen=True):
+    """A record that waits to be sent.
+
+    Attributes:
+        record: The record.
+        for_store: Whether one of the nodes that keep it writes it to the store.
+    """
+
+    record: OriginRecord
+    for_store: bool
+
+
 class OriginSharing:
     """Messages between nodes about the origins of streams."""
 
@@ -51,15 +64,20 @@
         self._holders = holders
         self._exchange = exchange
         self._number = 0
-        self._unsent: list[OriginRecord] = []
+        self._unsent: list[UnsentRecord] = []
         self._unwritten: list[OriginRecord] = []
         self._substitution = 0
         self._filled = trio.Event()
         self._inquiries: dict[int, Inquiry] = {}
 
-    def put(self, records: Iterable[OriginRecord]) -> None:
-        """Send records to the nodes that keep them, as soon as the running task yields."""
-        self._unsent += records
+    def put(self, records: Iterable[OriginRecord], *, for_store: bool = True) -> None:
+        """Send records to the nodes that keep them, as soon as the running task yields.
+
+        Args:
+            records: The records.
+            for_store: Whether one of those nodes writes them to the store.
+        """
+        self._unsent += [UnsentRecord(record, for_store) for record in records]
         del self._unsent[MAX_UNSENT:]
         if self._unsent:
             self._filled.set()
@@ -81,14 +99,15 @@
 
     async def _send_to_keepers(self) -> None:
         """Send new records to the nodes that keep them, the writer among them."""
-        records, self._unsent = self._unsent, []
-        by_node: dict[str, list[OriginRecord]] = {}
-        for record in records:
-            for name in self._holders.keepers(record.key):
-                by_node.setdefault(name, []).append(record)
+        unsent, self._unsent = self._unsent, []
         writer = self._holders.writer()
-        for name, kept in by_node.items():
-            write = StoreWrite.WRITER if name == writer else StoreWrite.NONE
+        parts: dict[tuple[str, StoreWrite], list[OriginRecord]] = {}
+        for each in unsent:
+            for name in self._holders.keepers(each.record.key):
+                is_written = each.for_store and name == writer
+                write = StoreWrite.WRITER if is_written else StoreWrite.NONE
+                parts.setdefault((name, write), []).append(each.record)
+        for (name, write), kept in parts.items():
             await self._send_records(name, kept, write)
 
     async def _send_to_substitutes(self) -> None:
--- a/hopstep/services/exchanges/streams/stream_origins.py
+++ b/hopstep/services/exchanges/streams/stream_origins.py
@@ -46,6 +46,10 @@
 """Age up to which a node's view of the directory is recent: twice the interval of its readings. A
 node with such a view is likely to reach the store."""
 
+UNREAD_SECONDS = 2.0
+"""Age of a node's view of the directory from which the store counts as away for it: readings come
+every 1.5 s. Other nodes keep its records then, since they may get no reading in their place."""
+
 FEW_INSTANCES = 2
 """With fewer listed instances of its version a stream has hardly anywhere to go on."""
 
@@ -88,6 +92,7 @@
         self._confirmation = ViewConfirmation(knowledge, self._view, self._sharing)
         self._reading_queries = ReadingQueries(self._view, self._answer)
         self._shared_services: set[str] = set()
+        self._was_unread = False
         knowledge.records.subscribe_records(STREAMS_PREFIX, self._take_stored)
 
     def note_begun(self, request: ExchangeRequest, origin: StreamOrigin, began_at: float) -> None:
@@ -108,6 +113,8 @@
             return
         if self._needs_copies(request.route, origin.service, now):
             self._share((record,))
+        elif self._is_unread:
+            self._sharing.put((record,), for_store=False)
 
     def count_scarce(self, service: str) -> int:
         """Return how many of its own streams have a version with few listed instances."""
@@ -253,7 +260,9 @@
             nursery.start_soon(self._reading_queries.run)
             while True:
                 self._share_mixed()
-                await self._knowledge.changed.wait()
+                self._share_unread()
+                with trio.move_on_after(UNREAD_SECONDS):
+                    await self._knowledge.changed.wait()
 
     def _share_mixed(self) -> None:
         """Share the running streams of services that have come to have several versions."""
@@ -263,6 +272,20 @@
             self._share(self._own.of_service(service, now))
         self._shared_services = mixed
 
+    def _share_unread(self) -> None:
+        """Share the running streams of all other services once the store is away."""
+        was_unread, self._was_unread = self._was_unread, self._is_unread
+        if was_unread or not self._was_unread:
+            return
+        now = trio.current_time()
+        for service in set(self._versions.services()) - self._shared_services:
+            self._sharing.put(self._own.of_service(service, now), for_store=False)
+
+    @property
+    def _is_unread(self) -> bool:
+        """Whether this node's view of the directory shows that the store is away for it."""
+        return self._knowledge.history.age_seconds > UNREAD_SECONDS
+
     def _known(self, key: bytes) -> OriginRecord | None:
         """Return this node's record of a stream, the one that began last of two."""
         now = trio.current_time()
--- a/tests/services/exchanges/test_streams_at_cut_nodes.py
+++ b/tests/services/exchanges/test_streams_at_cut_nodes.py
@@ -25,6 +25,9 @@
 JOIN_SECONDS = 0.1
 """Time from the fault until engines of a new version join."""
 
+AWAY_SECONDS = 2.6
+"""Time for which the store is away when streams begin: nodes know that by then."""
+
 LATE_JOIN_SECONDS = 3.5
 """The same where no cut node's view of the directory is recent any more."""
 
@@ -55,6 +58,12 @@
     played.world.stores[number].cut_off = False
 
 
+def take_store_away(played):
+    """Let the store answer nobody."""
+    for number in range(len(played.world.nodes)):
+        cut_store(played, number)
+
+
 def cut_halves(played, first):
     """Cut the links between a group of nodes and all others."""
     names = {f"n{number}" for number in range(len(played.world.nodes))}
@@ -210,14 +219,15 @@
 
 
 class ServedStreamsTest(unittest.TestCase):
-    def play_one_version(self, nodes, seed, disturb):
-        """Play streams of one version whose node dies, so that nobody has a record of them."""
+    def play_one_version(self, nodes, seed, disturb, away_seconds=0.0):
+        """Play streams of one version whose node dies some time after a fault."""
         played = VersionedStreams(nodes, seed)
         for number in range(3):
             played.add(f"e{number}", "v1")
 
         async def script(_world):
             disturb(played)
+            await trio.sleep(away_seconds)
             for number in range(STREAMS):
                 played.world.nursery.start_soon(played.stream, 0, None, 1 + number % (nodes - 1))
             await trio.sleep(LEAVE_SECONDS)
@@ -234,3 +244,11 @@
                 with self.subTest(nodes=nodes, seed=seed):
                     played = self.play_one_version(nodes, seed, lambda played: None)
                     self.assertEqual(played.resumed.share, 1.0)
+
+    def test_streams_go_on_where_their_node_died_while_the_store_is_away(self):
+        # Nobody had a record of them, and while nobody reads the store a dead node proves nothing.
+        for nodes in FLEETS:
+            for seed in SEEDS:
+                with self.subTest(nodes=nodes, seed=seed):
+                    played = self.play_one_version(nodes, seed, take_store_away, AWAY_SECONDS)
+                    self.assertEqual(played.resumed.share, 1.0)
