Read on after the last answer of a connection, so that its close resets nothing

What callers saw: the end of an answer was missing, with a reset in its place, when the client had sent more bytes by the time the node closed the connection: a next request behind the first while the answer says Connection: close, a body that was refused before its end, an idle close at the end of a stop while the client still reads. The request had been run.

Cause: the server closed the socket right after its sending side. Closing with unread bytes, or bytes that come later, resets the connection, and the kernel drops what its client hasn't taken. Class: written to the kernel is taken for received by the client.

The close now ends the sending side, and the task that reads drops what comes until the client closes, for a second at most, or longer while the client takes more of the answer, 30 s at most (RFC 9112, section 9.6). Requests don't count as active meanwhile; the end of a stop's close time still closes the socket. An idle connection whose client has acknowledged everything is closed at once, as before. A task that waits for a next request of a closed connection goes on to read, as it closes the socket in the end.

--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -44,7 +44,11 @@
 
 
 class LimitedConnection(h11.Connection):
-    """A server's connection whose limit on heads may change while it is open."""
+    """A server's connection whose limit on heads may change while it is open.
+
+    Attributes:
+        is_closed: Whether the server has closed it, so that nothing more is read of it.
+    """
 
     def __init__(self, max_head_bytes: Callable[[], int]) -> None:
         """Begin a connection.
@@ -54,6 +58,7 @@
         """
         super().__init__(h11.SERVER, max_incomplete_event_size=max_head_bytes())
         self._max_head_bytes = max_head_bytes
+        self.is_closed = False
 
     def receive_data(self, data: bytes) -> None:
         """Take bytes of the client; the first ones of a head apply the limit of now."""
@@ -70,7 +75,7 @@
         connection wait for the end of its answer, as a next request does: the library would end the
         connection at once, and an answer whose end that is would look complete.
         """
-        if self.our_state is h11.ERROR:
+        if self.is_closed or self.our_state is h11.ERROR:
             return h11.NEED_DATA
         is_answered = self.our_state in ANSWERED_STATES
         if not is_answered and self.their_state is h11.MUST_CLOSE and self.trailing_data[0]:
@@ -105,8 +110,15 @@
             await self._probe_until_ended()
         await super().handle(event)
         if isinstance(event, Closed):
-            # The library would keep the connection open until its idle timer ends.
-            await self.send(Updated(idle=False))
+            await self._end_waits()
+
+    async def _end_waits(self) -> None:
+        """End what waits for a connection that is closed: its idle timer, and a next request."""
+        if isinstance(self.connection, LimitedConnection):
+            self.connection.is_closed = True
+        await self.can_read.set()
+        # The library would keep the connection open until its idle timer ends.
+        await self.send(Updated(idle=False))
 
     def _awaits_response(self) -> bool:
         """Return whether a client may wait for a response of which nothing was sent yet."""
--- a/hopstep/adapters/tracked_connection.py
+++ b/hopstep/adapters/tracked_connection.py
@@ -1,11 +1,18 @@
-"""Connections of clients that note when bytes move, and how they end."""
+"""Connections of clients that note when bytes move, and how they end.
+
+RFC 9112, section 9.6: closing a connection with unread bytes resets it, and a reset may destroy the
+part of the last response that its client hasn't read yet. So the server's close ends the outgoing
+direction, and the rest of the incoming one is read and dropped for a limited time.
+"""
 
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import select
 import socket
 import struct
+import termios
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager
 from typing import cast
@@ -23,10 +30,22 @@
 WRITE_BYTES = 16 * 1024
 """Bytes in one write: the kernel reports space for a client in steps of about this size."""
 
+READ_BYTES = 64 * 1024
+"""Bytes that are dropped at a time."""
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER`` by which closing drops unsent bytes, instead of keeping them for a client
 that doesn't read."""
 
+LINGER_SECONDS = 1.0
+"""Time for which bytes are still read after the end of the last response. It begins again while the
+client accepts bytes of that."""
+
+MAX_LINGER_SECONDS = 30.0
+"""Longest time for that, however slowly the client reads."""
+
+INT_BYTES = struct.calcsize("i")
+
 
 class TrackedConnection(ClientConnection):
     """A connection of the server that notes when bytes move, and counts heads while they arrive.
@@ -53,6 +72,9 @@
         self._counted_head = contextlib.ExitStack()
         self._is_reading_head = False
         self._is_serving = False
+        self._is_sending_closed = False
+        self._is_lingering = False
+        self._reading = trio.CancelScope()
 
     def begin_request(self) -> None:
         """Note that a head was read; its request counts by itself from now on."""
@@ -72,12 +94,18 @@
         self._counted_head.close()
 
     async def receive_some(self, max_bytes: int) -> bytes | bytearray:
-        """Read bytes of the client; the first ones of a request begin its head."""
-        try:
-            data = await self._stream.receive_some(max_bytes)
-        except trio.BrokenResourceError:
-            self._note_end(ConnectionEnd.RESET)
-            raise
+        """Read bytes of the client; the first ones of a request begin its head.
+
+        Raises:
+            trio.ClosedResourceError: When the server has closed the connection; all that still
+                comes was dropped by then.
+        """
+        data: bytes | bytearray | None = None
+        if not self._is_lingering:
+            data = await self._read(max_bytes)
+        if self._is_lingering or data is None:
+            await self._linger()
+            raise trio.ClosedResourceError("this connection was closed by the server")
         self.last_progress_at = trio.current_time()
         if not data:
             self._note_end(ConnectionEnd.CLIENT)
@@ -87,6 +115,17 @@
             self._counted_head.enter_context(self._count_active())
         return data
 
+    async def _read(self, max_bytes: int) -> bytes | bytearray | None:
+        """Read bytes of the client; None when the server closes the connection meanwhile."""
+        self._reading = trio.CancelScope()
+        try:
+            with self._reading:
+                return await self._stream.receive_some(max_bytes)
+        except trio.BrokenResourceError:
+            self._note_end(ConnectionEnd.RESET)
+            raise
+        return None
+
     async def send_all(self, data: bytes) -> None:
         """Write bytes to the client."""
         self.is_writing = True
@@ -103,14 +142,80 @@
             self.is_writing = False
 
     async def send_eof(self) -> None:
-        """End the connection's outgoing direction."""
-        await self._stream.send_eof()
+        """End the connection's outgoing direction, without letting other tasks run meanwhile.
+
+        Raises:
+            trio.BusyResourceError: When a write waits for the client.
+            trio.BrokenResourceError: When the connection has ended.
+        """
+        if self.is_writing:
+            raise trio.BusyResourceError("a write waits for the client")
+        try:
+            self.socket.shutdown(trio.socket.SHUT_WR)
+        except OSError as error:
+            raise trio.BrokenResourceError("the connection has ended") from error
+        self._is_sending_closed = True
 
     async def aclose(self) -> None:
-        """Close the connection; the server may go on with its task for some time."""
+        """Close the connection; the server may go on with its task for some time.
+
+        Where the client may still read or send, the task that reads closes the socket.
+        """
+        is_open = self.end is ConnectionEnd.OPEN
         self._note_end(ConnectionEnd.NODE)
         self.end_head()
-        await self._stream.aclose()
+        if is_open:
+            await self._close_sending()
+            self._is_lingering = self._is_sending_closed
+            self._reading.cancel()
+        if not self._is_lingering:
+            await self._stream.aclose()
+
+    def end_now(self) -> None:
+        """Close the socket, if it is still open."""
+        self.end_head()
+        self.socket.close()
+
+    async def _close_sending(self) -> None:
+        """End the outgoing direction of an idle connection whose client still reads a response."""
+        if self._is_sending_closed or self.is_writing or not self._unsent_bytes():
+            return
+        with contextlib.suppress(trio.BrokenResourceError):
+            await self.send_eof()
+
+    async def _linger(self) -> None:
+        """Drop what the client still sends, until it closes or the time is over, then close."""
+        try:
+            with trio.move_on_after(MAX_LINGER_SECONDS):
+                await self._drop_while_read()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The client has reset the connection, or the time of a stop is over.
+            pass
+        finally:
+            self.socket.close()
+
+    async def _drop_while_read(self) -> None:
+        """Drop bytes until the client closes, or accepts no more of the response."""
+        while True:
+            unsent = self._unsent_bytes()
+            with trio.move_on_after(LINGER_SECONDS):
+                await self._drop_until_closed()
+                return
+            if self._unsent_bytes() >= unsent:
+                return
+
+    async def _drop_until_closed(self) -> None:
+        """Drop bytes until the client closes its sending side."""
+        while await self._stream.receive_some(READ_BYTES):
+            pass
+
+    def _unsent_bytes(self) -> int:
+        """Return the bytes, with the end of the direction, that the client hasn't acknowledged."""
+        if self.socket.fileno() < 0:
+            return 0
+        found = fcntl.ioctl(self.socket.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
+        (unsent,) = struct.unpack("i", found)
+        return int(unsent)
 
     def has_client_closed(self) -> bool:
         """Return whether the client has closed its sending side at least; see the port."""
@@ -166,6 +271,6 @@
         try:
             yield cast(trio.SocketStream, connection)
         finally:
-            connection.end_head()
+            connection.end_now()
 
     return open_connection
