Go on with an answer whose client closes its sending side

What callers saw: a client that closed its sending side after the first bytes of its answer, as some do once a stream has begun, lost the rest of it; the instance was cancelled.

Cause: interim responses tell such a client from one that has left, but only before the answer begins; after that the end of what it sends still counted as the end of its connection. Class: a sign that may mean two things is taken for the one.

The answer's own writes are probes as well: a client that has left resets the connection. So the server goes on, and looks for a reset every 50 ms; after a write without one the client is there. When nothing is written for 0.25 s, the client counts as one that has left, as before: its request must be cancelled within half a second, and nothing but a write would tell.

--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -7,7 +7,8 @@
 
 A client may close its sending side and wait for its response. Reading can't tell that from a closed
 connection, but writing can: a peer that has closed its socket resets the connection. So interim
-responses are sent until the connection is reset or the probes are used up.
+responses are sent until the connection is reset or the probes are used up. Once the response has
+begun there are none any more, and its own writes tell the same.
 """
 
 from __future__ import annotations
@@ -23,7 +24,7 @@
 
 from hopstep.log_events.http_api import BYTES_REJECTED
 from hopstep.logs import emit
-from hopstep.ports.exchange_front import TARGET_STATE
+from hopstep.ports.exchange_front import CONNECTION_STATE, TARGET_STATE, ClientConnection
 
 UPGRADE = b"upgrade"
 ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
@@ -42,6 +43,13 @@
 """Times after which a half-closed connection is probed again. A reset takes one round trip; some
 clients accept no more than five interim responses."""
 
+SILENT_SECONDS = 0.25
+"""Time after which a client counts as closed that half-closes within its response, if nothing of
+that is written: requests of clients that have left are cancelled within half a second."""
+
+RESET_SECONDS = 0.05
+"""Time between looks for a reset; one that a write causes comes within it, but from far away."""
+
 
 class LimitedConnection(h11.Connection):
     """A server's connection whose limit on heads may change while it is open.
@@ -108,6 +116,8 @@
         is_end = isinstance(event, RawData) and not event.data
         if is_end and self._awaits_response():
             await self._probe_until_ended()
+        elif is_end and self._reads_response():
+            await self._watch_writes_until_ended()
         await super().handle(event)
         if isinstance(event, Closed):
             await self._end_waits()
@@ -129,6 +139,34 @@
         is_begun = connection.our_state is not h11.SEND_RESPONSE
         return is_whole and not is_begun and connection.their_http_version == VERSION_WITH_INTERIM
 
+    def _reads_response(self) -> bool:
+        """Return whether a client may read a response that has begun."""
+        is_whole = self.connection.their_state in WHOLE_REQUEST_STATES
+        return self.stream is not None and is_whole and self.connection.our_state is h11.SEND_BODY
+
+    async def _watch_writes_until_ended(self) -> None:
+        """Wait for the end of a response whose client has closed its sending side at least.
+
+        Returns early when the client has left: at a reset, or when nothing is written in time.
+        """
+        client: ClientConnection | None = self.connection_state.get(CONNECTION_STATE)
+        if client is None:
+            return
+        closed_at = trio.current_time()
+        is_written = False
+        while not self._request_ended.is_set():
+            with trio.move_on_after(RESET_SECONDS):
+                await self._request_ended.wait()
+            if client.is_reset():
+                return
+            if is_written:
+                await self._request_ended.wait()
+                return
+            is_written = client.last_progress_at > closed_at and not client.is_writing
+            is_late = trio.current_time() >= closed_at + SILENT_SECONDS
+            if is_late and not is_written and not client.is_writing:
+                return
+
     async def _probe_until_ended(self) -> None:
         """Wait for the end of a request whose client has closed its sending side at least.
 
--- a/hopstep/adapters/tracked_connection.py
+++ b/hopstep/adapters/tracked_connection.py
@@ -225,6 +225,15 @@
         poll.register(self.socket.fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def is_reset(self) -> bool:
+        """Return whether the connection was reset; see the port."""
+        if self.end is ConnectionEnd.RESET or self.socket.fileno() < 0:
+            return True
+        poll = select.poll()
+        # The kernel also reports errors that weren't asked for.
+        poll.register(self.socket.fileno(), 0)
+        return bool(poll.poll(0))
+
     def disconnect(self) -> None:
         """Reset the connection, unless it is closed already; see the port."""
         if self.socket.fileno() < 0:
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -91,6 +91,10 @@
     def has_client_closed(self) -> bool:
         """Return whether the client has closed its sending side at least, read or not yet."""
 
+    @abc.abstractmethod
+    def is_reset(self) -> bool:
+        """Return whether the connection was reset, noticed by a read or write or not yet."""
+
     @abc.abstractmethod
     def disconnect(self) -> None:
         """Reset the connection; the client learns nothing about its request."""
--- a/tests/adapters/test_half_closed_clients.py
+++ b/tests/adapters/test_half_closed_clients.py
@@ -10,6 +10,8 @@
 from hopstep.adapters.http_server import ServerConfig, serve_app
 from hopstep.adapters.tracked_connection import track_connections
 
+STREAM_REQUEST = b"GET /stream HTTP/1.1\r\nHost: h\r\n\r\n"
+STREAM_END = b"0\r\n\r\n"
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 OLD_REQUEST = b"GET / HTTP/1.0\r\nHost: h\r\n\r\n"
 PARTIAL_BODY = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf"
@@ -17,6 +19,11 @@
 BODY = b"the answer"
 WORK_SECONDS = 0.6
 NOTICED_SECONDS = 0.2
+PIECES = 6
+PIECE_SECONDS = 0.1
+CANCEL_SECONDS = 0.5
+"""Latest time after a client has left at which its request has to be cancelled."""
+
 MAX_INTERIM = 5
 """Interim responses that widespread clients accept."""
 
@@ -24,9 +31,10 @@
 class Application:
     """Answers after some time; notes which requests were answered or disconnected, and when."""
 
-    def __init__(self):
+    def __init__(self, pieces=0):
         self.answered = 0
         self.disconnected = []
+        self.pieces = pieces
 
     async def __call__(self, scope, receive, send):
         if scope["type"] == "lifespan":
@@ -42,14 +50,30 @@
         before = len(self.disconnected)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.watch, receive, nursery.cancel_scope)
-            await trio.sleep(WORK_SECONDS)
+            if scope["path"] == "/stream":
+                await self.stream(send)
+            else:
+                await trio.sleep(WORK_SECONDS)
             nursery.cancel_scope.cancel()
+        if scope["path"] == "/stream":
+            return
         if len(self.disconnected) == before:
             headers = [(b"content-length", str(len(BODY)).encode())]
             await send({"type": "http.response.start", "status": 200, "headers": headers})
             self.answered += 1
             await send({"type": "http.response.body", "body": BODY})
 
+    async def stream(self, send):
+        """Answer in pieces, after the last of which the stream is silent."""
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        for _ in range(self.pieces):
+            await send({"type": "http.response.body", "body": BODY, "more_body": True})
+            await trio.sleep(PIECE_SECONDS)
+        if self.pieces < PIECES:
+            await trio.sleep(2 * CANCEL_SECONDS)
+        self.answered += 1
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
     async def watch(self, receive, scope):
         message = await receive()
         if message["type"] == "http.disconnect":
@@ -58,9 +82,14 @@
 
 
 class HalfClosedClientsTest(unittest.TestCase):
-    def run_client(self, script):
-        """Run a script with a client's connection; return the application and what it returns."""
-        application = Application()
+    def run_client(self, script, pieces=0):
+        """Run a script with a client's connection; return the application and what it returns.
+
+        Args:
+            script: Called with the client's stream and the application.
+            pieces: Pieces of a stream before it is silent; it ends after all of them.
+        """
+        application = Application(pieces)
 
         async def main():
             speak_http1_only()
@@ -121,6 +150,36 @@
         self.assertEqual(application.answered, 0)
         self.assertEqual(len(delays), 1)
 
+    def test_a_client_that_half_closes_while_it_is_answered_gets_the_whole_answer(self):
+        # Once the answer had begun, such a client was taken for one that has left.
+        async def script(stream, _application):
+            await stream.send_all(STREAM_REQUEST)
+            received = await stream.receive_some()
+            await stream.send_eof()
+            return received + await self.read_all(stream)
+
+        application, received = self.run_client(script, PIECES)
+        self.assertTrue(received.endswith(STREAM_END), received)
+        self.assertEqual((received.count(BODY), application.answered), (PIECES, 1))
+
+    def test_a_client_that_closes_while_it_is_answered_is_noticed_in_time(self):
+        # The answer's own writes tell of it, or a silence of them.
+        async def script(stream, application):
+            await stream.send_all(STREAM_REQUEST)
+            await stream.receive_some()
+            await trio.sleep(PIECE_SECONDS / 2)
+            with trio.move_on_after(PIECE_SECONDS):
+                await stream.receive_some()
+            await stream.aclose()
+            closed_at = trio.current_time()
+            await trio.sleep(CANCEL_SECONDS)
+            return [at - closed_at for at in application.disconnected]
+
+        for pieces in (1, 2, 3, PIECES):
+            with self.subTest(pieces=pieces):
+                application, delays = self.run_client(script, pieces)
+                self.assertEqual((application.answered, len(delays)), (0, 1))
+
     def test_an_old_client_gets_no_interim_answer(self):
         # HTTP/1.0 has none, so such a client counts as one that has left.
         async def script(stream, application):
--- a/tests/services/exchanges/test_held_bytes.py
+++ b/tests/services/exchanges/test_held_bytes.py
@@ -230,6 +230,9 @@
     def has_client_closed(self):
         return False
 
+    def is_reset(self):
+        return False
+
     def disconnect(self):
         self.disconnected_at = trio.current_time()
         self.disconnected.set()
