Answer a request that arrives as its idle connection is closed

What callers saw: a request on a kept connection ended without an answer, at the end of a stop or when the connection's idle time ended, though its bytes had come before the close. No line of the node named it. Nothing of it was passed on, which its client can't know.

Cause: the timer that closes an idle connection looks neither at bytes that the kernel holds nor at a request that was read in the same step; the library shields it from being stopped. Class: a decision rests on a state that has changed by the time it is carried out.

A connection with unread bytes gets its idle timer again, and one with a request under way stays open: the request is answered, after the drain with a refusal. A head that doesn't go on is closed when the new timer ends, which a third test checks.

--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -113,6 +113,8 @@
 
     async def handle(self, event: Event) -> None:
         """Handle bytes of the client, or the end of its sending side; see the library's class."""
+        if isinstance(event, Closed) and await self._keeps_open():
+            return
         is_end = isinstance(event, RawData) and not event.data
         if is_end and self._awaits_response():
             await self._probe_until_ended()
@@ -122,6 +124,30 @@
         if isinstance(event, Closed):
             await self._end_waits()
 
+    async def _keeps_open(self) -> bool:
+        """Keep an idle connection on which a request has arrived when its idle timer ends.
+
+        Returns:
+            False where something else has closed the connection, or nothing has arrived.
+        """
+        client = self._client
+        if client is None or client.is_closed:
+            return False
+        # The head is read some steps before the request has its stream.
+        is_between_requests = self.connection.their_state is h11.IDLE
+        if is_between_requests and not client.has_unread_bytes():
+            return False
+        if is_between_requests:
+            await self.send(Updated(idle=True))
+        # Last, as the close that it is for follows without letting other tasks run.
+        client.keep_open()
+        return True
+
+    @property
+    def _client(self) -> ClientConnection | None:
+        """The connection, where connections are tracked."""
+        return self.connection_state.get(CONNECTION_STATE)
+
     async def _end_waits(self) -> None:
         """End what waits for a connection that is closed: its idle timer, and a next request."""
         if isinstance(self.connection, LimitedConnection):
@@ -149,7 +175,7 @@
 
         Returns early when the client has left: at a reset, or when nothing is written in time.
         """
-        client: ClientConnection | None = self.connection_state.get(CONNECTION_STATE)
+        client = self._client
         if client is None:
             return
         closed_at = trio.current_time()
--- a/hopstep/adapters/tracked_connection.py
+++ b/hopstep/adapters/tracked_connection.py
@@ -74,6 +74,7 @@
         self._is_serving = False
         self._is_sending_closed = False
         self._is_lingering = False
+        self._is_kept_open = False
         self._reading = trio.CancelScope()
 
     def begin_request(self) -> None:
@@ -161,6 +162,9 @@
 
         Where the client may still read or send, the task that reads closes the socket.
         """
+        is_kept_open, self._is_kept_open = self._is_kept_open, False
+        if is_kept_open and not self._is_sending_closed:
+            return
         is_open = self.end is ConnectionEnd.OPEN
         self._note_end(ConnectionEnd.NODE)
         self.end_head()
@@ -211,11 +215,15 @@
 
     def _unsent_bytes(self) -> int:
         """Return the bytes, with the end of the direction, that the client hasn't acknowledged."""
+        return self._count_bytes(termios.TIOCOUTQ)
+
+    def _count_bytes(self, queue: int) -> int:
+        """Return the bytes in a queue of the kernel; 0 once the socket is closed."""
         if self.socket.fileno() < 0:
             return 0
-        found = fcntl.ioctl(self.socket.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
-        (unsent,) = struct.unpack("i", found)
-        return int(unsent)
+        found = fcntl.ioctl(self.socket.fileno(), queue, bytes(INT_BYTES))
+        (count,) = struct.unpack("i", found)
+        return int(count)
 
     def has_client_closed(self) -> bool:
         """Return whether the client has closed its sending side at least; see the port."""
@@ -225,6 +233,20 @@
         poll.register(self.socket.fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection has ended; see the port."""
+        is_open = self.end is ConnectionEnd.OPEN and not self._is_sending_closed
+        return not is_open or self.socket.fileno() < 0
+
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes of the client wait to be read; see the port."""
+        return self._count_bytes(termios.FIONREAD) > 0
+
+    def keep_open(self) -> None:
+        """Ignore the server's next close; see the port."""
+        self._is_kept_open = True
+
     def is_reset(self) -> bool:
         """Return whether the connection was reset; see the port."""
         if self.end is ConnectionEnd.RESET or self.socket.fileno() < 0:
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -91,6 +91,19 @@
     def has_client_closed(self) -> bool:
         """Return whether the client has closed its sending side at least, read or not yet."""
 
+    @property
+    @abc.abstractmethod
+    def is_closed(self) -> bool:
+        """Whether the connection has ended, or either side has closed its sending side."""
+
+    @abc.abstractmethod
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes of the client wait to be read."""
+
+    @abc.abstractmethod
+    def keep_open(self) -> None:
+        """Ignore the server's next close, unless it has closed its sending side before."""
+
     @abc.abstractmethod
     def is_reset(self) -> bool:
         """Return whether the connection was reset, noticed by a read or write or not yet."""
--- a/tests/adapters/test_connection_ends.py
+++ b/tests/adapters/test_connection_ends.py
@@ -2,11 +2,15 @@
 
 import contextlib
 import functools
+import os
 import socket
 import unittest
+from unittest import mock
 
 import trio
+from hypercorn.trio.tcp_server import TCPServer
 
+from hopstep.adapters import http_server
 from hopstep.adapters.http1_only import speak_http1_only
 from hopstep.adapters.http_server import ServerConfig, serve_app
 from hopstep.adapters.tracked_connection import LINGER_SECONDS, track_connections
@@ -19,6 +23,11 @@
 LONG_BODY_BYTES = 300_000
 """More than the small receive buffer of the client holds."""
 
+SHORT_BODY = b"the answer"
+IDLE_SECONDS = 0.3
+SETTLED_SECONDS = 0.05
+"""Time after which the server's connection is idle again."""
+
 RECEIVE_BUFFER_BYTES = 16_384
 READ_BYTES = 16_384
 READ_PAUSE_SECONDS = 0.002
@@ -180,5 +189,54 @@
         self.assertGreater(seconds, LINGER_SECONDS / 2)
 
 
+async def answer_short(_scope, receive, send):
+    """Answer at once, and keep the connection."""
+    await receive()
+    headers = [(b"content-length", str(len(SHORT_BODY)).encode())]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": SHORT_BODY})
+
+
+class IdleCloseTest(ServedCase):
+    def read_when_closed(self, late_bytes, keep_alive_seconds):
+        """Return what comes when bytes arrive just before the server closes an idle connection."""
+
+        async def script(stream, stopped):
+            close = TCPServer._initiate_server_close
+            is_sent = False
+
+            async def close_late(server):
+                nonlocal is_sent
+                if not is_sent:
+                    is_sent = True
+                    os.write(stream.socket.fileno(), late_bytes)
+                await close(server)
+
+            with mock.patch.object(TCPServer, "_initiate_server_close", close_late):
+                await stream.send_all(REQUEST)
+                received = await stream.receive_some()
+                await trio.sleep(SETTLED_SECONDS)
+                if keep_alive_seconds is None:
+                    stopped.set()
+                rest, is_reset = await read_slowly(stream)
+            self.assertTrue(is_sent)
+            return (received + rest).count(SHORT_BODY), is_reset
+
+        with mock.patch.object(http_server, "KEEP_ALIVE_SECONDS", keep_alive_seconds or 60.0):
+            return self.run_client(script, answer_short)
+
+    def test_a_request_that_comes_as_a_stop_closes_its_connection_is_answered(self):
+        # It was in the buffer of the kernel, unread, and no line of the log named it.
+        self.assertEqual(self.read_when_closed(REQUEST, None), (2, False))
+
+    def test_a_request_that_comes_as_the_idle_time_ends_is_answered(self):
+        # The same as at a stop, at any time of a node's life.
+        self.assertEqual(self.read_when_closed(REQUEST, IDLE_SECONDS), (2, False))
+
+    def test_a_head_that_begins_as_the_idle_time_ends_keeps_no_connection_open(self):
+        # A connection that isn't closed for its unread bytes has to get its idle timer again.
+        self.assertEqual(self.read_when_closed(REQUEST[:9], IDLE_SECONDS)[0], 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/services/exchanges/test_held_bytes.py
+++ b/tests/services/exchanges/test_held_bytes.py
@@ -230,6 +230,16 @@
     def has_client_closed(self):
         return False
 
+    @property
+    def is_closed(self):
+        return False
+
+    def has_unread_bytes(self):
+        return False
+
+    def keep_open(self):
+        raise NotImplementedError
+
     def is_reset(self):
         return False
 
