--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -7,7 +7,8 @@
 
 A client may close its sending side and wait for its response. Reading can't tell that from a closed
 connection, but writing can: a peer that has closed its socket resets the connection. So interim
-responses are sent until the connection is reset or the probes are used up.
+responses are sent until the connection is reset or the probes are used up. Once the response has
+begun there are none any more, and its own writes tell the same.
 """
 
 from __future__ import annotations
@@ -23,7 +24,7 @@
 
 from hopstep.log_events.http_api import BYTES_REJECTED
 from hopstep.logs import emit
-from hopstep.ports.exchange_front import TARGET_STATE
+from hopstep.ports.exchange_front import CONNECTION_STATE, TARGET_STATE, ClientConnection
 
 UPGRADE = b"upgrade"
 ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
@@ -42,9 +43,20 @@
 """Times after which a half-closed connection is probed again. A reset takes one round trip; some
 clients accept no more than five interim responses."""
 
+SILENT_SECONDS = 0.25
+"""Time after which a client counts as closed that half-closes within its response, if nothing of
+that is written: requests of clients that have left are cancelled within half a second."""
+
+RESET_SECONDS = 0.05
+"""Time between looks for a reset; one that a write causes comes within it, but from far away."""
+
 
 class LimitedConnection(h11.Connection):
-    """A server's connection whose limit on heads may change while it is open."""
+    """A server's connection whose limit on heads may change while it is open.
+
+    Attributes:
+        is_closed: Whether the server has closed it, so that nothing more is read of it.
+    """
 
     def __init__(self, max_head_bytes: Callable[[], int]) -> None:
         """Begin a connection.
@@ -54,6 +66,7 @@
         """
         super().__init__(h11.SERVER, max_incomplete_event_size=max_head_bytes())
         self._max_head_bytes = max_head_bytes
+        self.is_closed = False
 
     def receive_data(self, data: bytes) -> None:
         """Take bytes of the client; the first ones of a head apply the limit of now."""
@@ -70,7 +83,7 @@
         connection wait for the end of its answer, as a next request does: the library would end the
         connection at once, and an answer whose end that is would look complete.
         """
-        if self.our_state is h11.ERROR:
+        if self.is_closed or self.our_state is h11.ERROR:
             return h11.NEED_DATA
         is_answered = self.our_state in ANSWERED_STATES
         if not is_answered and self.their_state is h11.MUST_CLOSE and self.trailing_data[0]:
@@ -100,13 +113,48 @@
 
     async def handle(self, event: Event) -> None:
         """Handle bytes of the client, or the end of its sending side; see the library's class."""
+        if isinstance(event, Closed) and await self._keeps_open():
+            return
         is_end = isinstance(event, RawData) and not event.data
         if is_end and self._awaits_response():
             await self._probe_until_ended()
+        elif is_end and self._reads_response():
+            await self._watch_writes_until_ended()
         await super().handle(event)
         if isinstance(event, Closed):
-            # The library would keep the connection open until its idle timer ends.
-            await self.send(Updated(idle=False))
+            await self._end_waits()
+
+    async def _keeps_open(self) -> bool:
+        """Keep an idle connection on which a request has arrived when its idle timer ends.
+
+        Returns:
+            False where something else has closed the connection, or nothing has arrived.
+        """
+        client = self._client
+        if client is None or client.is_closed:
+            return False
+        # The head is read some steps before the request has its stream.
+        is_between_requests = self.connection.their_state is h11.IDLE
+        if is_between_requests and not client.has_unread_bytes():
+            return False
+        if is_between_requests:
+            await self.send(Updated(idle=True))
+        # Last, as the close that it is for follows without letting other tasks run.
+        client.keep_open()
+        return True
+
+    @property
+    def _client(self) -> ClientConnection | None:
+        """The connection, where connections are tracked."""
+        return self.connection_state.get(CONNECTION_STATE)
+
+    async def _end_waits(self) -> None:
+        """End what waits for a connection that is closed: its idle timer, and a next request."""
+        if isinstance(self.connection, LimitedConnection):
+            self.connection.is_closed = True
+        await self.can_read.set()
+        # The library would keep the connection open until its idle timer ends.
+        await self.send(Updated(idle=False))
 
     def _awaits_response(self) -> bool:
         """Return whether a client may wait for a response of which nothing was sent yet."""
@@ -117,6 +165,34 @@
         is_begun = connection.our_state is not h11.SEND_RESPONSE
         return is_whole and not is_begun and connection.their_http_version == VERSION_WITH_INTERIM
 
+    def _reads_response(self) -> bool:
+        """Return whether a client may read a response that has begun."""
+        is_whole = self.connection.their_state in WHOLE_REQUEST_STATES
+        return self.stream is not None and is_whole and self.connection.our_state is h11.SEND_BODY
+
+    async def _watch_writes_until_ended(self) -> None:
+        """Wait for the end of a response whose client has closed its sending side at least.
+
+        Returns early when the client has left: at a reset, or when nothing is written in time.
+        """
+        client = self._client
+        if client is None:
+            return
+        closed_at = trio.current_time()
+        is_written = False
+        while not self._request_ended.is_set():
+            with trio.move_on_after(RESET_SECONDS):
+                await self._request_ended.wait()
+            if client.is_reset():
+                return
+            if is_written:
+                await self._request_ended.wait()
+                return
+            is_written = client.last_progress_at > closed_at and not client.is_writing
+            is_late = trio.current_time() >= closed_at + SILENT_SECONDS
+            if is_late and not is_written and not client.is_writing:
+                return
+
     async def _probe_until_ended(self) -> None:
         """Wait for the end of a request whose client has closed its sending side at least.
 
