Notice a client that leaves long after it has closed its sending side

What callers saw: nothing, as they had gone; their requests ran on at instances to their ends, eight of eight for 6.5 s and more after the close, where before the half-close had ended them.

Cause: after the last probe, 0.41 s after the half-close, nothing was written, and nothing looked for a reset. A client that has read all interim responses sends none as it closes, until something is written. Class: what may change is looked at for a while only.

Evidence: found by the review; two tests with real sockets failed before, and pass now.

A reset is looked for every 0.05 s, and probes go on each 0.4 s until the response begins. A kernel that doesn't tell the bytes in a socket's queues counts as one with none.

--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -7,12 +7,13 @@
 
 A client may close its sending side and wait for its response. Reading can't tell that from a closed
 connection, but writing can: a peer that has closed its socket resets the connection. So interim
-responses are sent until the connection is reset or the probes are used up. Once the response has
-begun there are none any more, and its own writes tell the same.
+responses are sent until the connection is reset or the response has begun, whose own writes tell
+the same.
 """
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
 from typing import Any
 
@@ -40,8 +41,12 @@
 """Interim status that also old clients skip."""
 
 PROBE_SECONDS = (0.01, 0.1, 0.3)
-"""Times after which a half-closed connection is probed again. A reset takes one round trip; some
-clients accept no more than five interim responses."""
+"""Times after which a half-closed connection is probed again, at first. A reset takes one round
+trip."""
+
+LATE_PROBE_SECONDS = 0.4
+"""Time between later probes: requests of clients that have left are cancelled within half a
+second."""
 
 SILENT_SECONDS = 0.25
 """Time after which a client counts as closed that half-closes within its response, if nothing of
@@ -180,11 +185,7 @@
             return
         closed_at = trio.current_time()
         is_written = False
-        while not self._request_ended.is_set():
-            with trio.move_on_after(RESET_SECONDS):
-                await self._request_ended.wait()
-            if client.is_reset():
-                return
+        while not await self._ends_within(RESET_SECONDS):
             if is_written:
                 await self._request_ended.wait()
                 return
@@ -196,15 +197,28 @@
     async def _probe_until_ended(self) -> None:
         """Wait for the end of a request whose client has closed its sending side at least.
 
-        A failed write ends the request, as for any client that has left.
+        Returns early at a reset. A client that closes later without unread bytes resets the
+        connection only when something is written, so that probes go on.
         """
-        ended = self._request_ended
-        for seconds in PROBE_SECONDS:
+        for seconds in itertools.chain(PROBE_SECONDS, itertools.repeat(LATE_PROBE_SECONDS)):
             await self._probe()
-            with trio.move_on_after(seconds):
-                await ended.wait()
-        await self._probe()
-        await ended.wait()
+            if await self._ends_within(seconds):
+                return
+
+    async def _ends_within(self, seconds: float) -> bool:
+        """Return whether the request ends, or its connection is reset, within a time."""
+        until = trio.current_time() + seconds
+        while True:
+            with trio.move_on_at(min(until, trio.current_time() + RESET_SECONDS)):
+                await self._request_ended.wait()
+            if self._request_ended.is_set() or self._is_reset():
+                return True
+            if trio.current_time() >= until:
+                return False
+
+    def _is_reset(self) -> bool:
+        """Return whether the connection was reset, where connections are tracked."""
+        return self._client is not None and self._client.is_reset()
 
     async def _probe(self) -> None:
         """Send an interim response, unless the response has begun."""
--- a/hopstep/adapters/tracked_connection.py
+++ b/hopstep/adapters/tracked_connection.py
@@ -218,10 +218,11 @@
         return self._count_bytes(termios.TIOCOUTQ)
 
     def _count_bytes(self, queue: int) -> int:
-        """Return the bytes in a queue of the kernel; 0 once the socket is closed."""
-        if self.socket.fileno() < 0:
+        """Return the bytes in a queue of the kernel; 0 where it doesn't tell, or once closed."""
+        try:
+            found = fcntl.ioctl(self.socket.fileno(), queue, bytes(INT_BYTES))
+        except (OSError, ValueError):
             return 0
-        found = fcntl.ioctl(self.socket.fileno(), queue, bytes(INT_BYTES))
         (count,) = struct.unpack("i", found)
         return int(count)
 
--- a/tests/adapters/test_half_closed_clients.py
+++ b/tests/adapters/test_half_closed_clients.py
@@ -21,6 +21,9 @@
 NOTICED_SECONDS = 0.2
 PIECES = 6
 PIECE_SECONDS = 0.1
+LATE_SECONDS = 1.2
+"""Time after which the first, frequent probes have ended."""
+
 CANCEL_SECONDS = 0.5
 """Latest time after a client has left at which its request has to be cancelled."""
 
@@ -31,7 +34,8 @@
 class Application:
     """Answers after some time; notes which requests were answered or disconnected, and when."""
 
-    def __init__(self, pieces=0):
+    def __init__(self, pieces=0, work_seconds=WORK_SECONDS):
+        self.work_seconds = work_seconds
         self.answered = 0
         self.disconnected = []
         self.pieces = pieces
@@ -53,7 +57,7 @@
             if scope["path"] == "/stream":
                 await self.stream(send)
             else:
-                await trio.sleep(WORK_SECONDS)
+                await trio.sleep(self.work_seconds)
             nursery.cancel_scope.cancel()
         if scope["path"] == "/stream":
             return
@@ -82,14 +86,15 @@
 
 
 class HalfClosedClientsTest(unittest.TestCase):
-    def run_client(self, script, pieces=0):
+    def run_client(self, script, pieces=0, work_seconds=WORK_SECONDS):
         """Run a script with a client's connection; return the application and what it returns.
 
         Args:
             script: Called with the client's stream and the application.
+            work_seconds: Time that each answer takes.
             pieces: Pieces of a stream before it is silent; it ends after all of them.
         """
-        application = Application(pieces)
+        application = Application(pieces, work_seconds)
 
         async def main():
             speak_http1_only()
@@ -180,6 +185,33 @@
                 application, delays = self.run_client(script, pieces)
                 self.assertEqual((application.answered, len(delays)), (0, 1))
 
+    def check_noticed_late(self, reads_interim):
+        """Check that a client that leaves long after its half-close is noticed."""
+
+        async def script(stream, application):
+            await stream.send_all(REQUEST)
+            await stream.send_eof()
+            with trio.move_on_after(LATE_SECONDS):
+                while reads_interim:
+                    await stream.receive_some()
+                await trio.sleep_forever()
+            await stream.aclose()
+            closed_at = trio.current_time()
+            await trio.sleep(CANCEL_SECONDS)
+            return [at - closed_at for at in application.disconnected]
+
+        application, delays = self.run_client(script, work_seconds=2.0 * LATE_SECONDS)
+        self.assertEqual(application.answered, 0)
+        self.assertEqual(len(delays), 1)
+
+    def test_a_client_that_closes_some_time_after_its_sending_side_is_noticed(self):
+        # No probe was sent by then, and nobody noticed the reset that arrived.
+        self.check_noticed_late(reads_interim=False)
+
+    def test_a_client_that_has_read_all_interim_answers_and_closes_is_noticed(self):
+        # Its close sends no reset, so that its request went on to its end.
+        self.check_noticed_late(reads_interim=True)
+
     def test_an_old_client_gets_no_interim_answer(self):
         # HTTP/1.0 has none, so such a client counts as one that has left.
         async def script(stream, application):
