--- a/hopstep/domain/retry_after_header.py
+++ b/hopstep/domain/retry_after_header.py
@@ -15,6 +15,10 @@
 """Longest backoff that an instance can ask for: the longest lease of the platform's store, after
 which an unresponsive instance counts as gone in any case."""
 
+MAX_CHARACTERS = 1_024
+"""Characters of all values of one response; more of them are ignored. A head holds up to 64 KiB,
+whose parsing as a list of numbers takes 20 ms."""
+
 _NUMBER = re.compile(r"\d+(\.\d*)?|\.\d+")
 
 
@@ -25,6 +29,9 @@
         values: Values of all ``Retry-After`` fields of one response.
         date: The response's ``Date``; empty for none.
     """
+    values = list(values)
+    if sum(map(len, values)) > MAX_CHARACTERS:
+        return 0.0
     longest = max((_one_value(value, date) for value in values), default=0.0)
     return min(longest, MAX_BACKOFF_SECONDS)
 
