Share one reading of the store among the questions that came before it

A question for the origin of a stream that asked for a reading waited for a second one, up to 50 ms later, although the reading in progress had begun after it came: it counted from when it was taken up, not from when it came. Its sender then read the store as well.

--- a/hopstep/services/exchanges/streams/current_view.py
+++ b/hopstep/services/exchanges/streams/current_view.py
@@ -12,7 +12,7 @@
 READING_SECONDS = 0.15
 """Longest wait for one answer of the store: the store takes up to some 100 ms when it is slow."""
 
-READING_SPACING_SECONDS = 0.05
+READING_SPACING_SECONDS = 0.02
 """Shortest time between the starts of two readings, so that many resumes share one: each call has
 a price."""
 
--- a/hopstep/services/exchanges/streams/reading_queries.py
+++ b/hopstep/services/exchanges/streams/reading_queries.py
@@ -25,10 +25,12 @@
     Attributes:
         sender: Node that asks.
         query: The question.
+        received_at: When it came, by the steady clock in seconds.
     """
 
     sender: str
     query: OriginQuery
+    received_at: float
 
 
 class Answer(Protocol):
@@ -54,9 +56,9 @@
         self._filled = trio.Event()
 
     def put(self, sender: str, query: OriginQuery) -> None:
-        """Answer a question after the next reading."""
+        """Answer a question after a reading that began since it came."""
         if len(self._waiting) < MAX_WAITING:
-            self._waiting.append(WaitingQuery(sender, query))
+            self._waiting.append(WaitingQuery(sender, query, trio.current_time()))
             self._filled.set()
 
     async def run(self) -> None:
@@ -65,6 +67,7 @@
             await self._filled.wait()
             self._filled = trio.Event()
             waiting, self._waiting = self._waiting, []
-            is_current = await self._view.confirm(trio.current_time())
+            latest_at = max(each.received_at for each in waiting)
+            is_current = await self._view.confirm(latest_at)
             for each in waiting:
                 await self._answer(each.sender, each.query, is_current=is_current)
--- a/tests/services/exchanges/test_streams_at_cut_nodes.py
+++ b/tests/services/exchanges/test_streams_at_cut_nodes.py
@@ -4,8 +4,9 @@
 
 import trio
 
+from hopstep.exceptions import ErrorCode
 from hopstep.ports.serving_directory import InstanceRemoved
-from tests.services.exchanges.versioned_streams import CLIENT_SECONDS, VersionedStreams
+from tests.services.exchanges.versioned_streams import CLIENT_SECONDS, ROUTE, VersionedStreams
 
 SEEDS = (1, 2, 3)
 FLEETS = (3, 7)
@@ -13,6 +14,12 @@
 SLOTS = 4
 """Slots of an engine: few, so that streams spread over engines of all versions."""
 
+RESUMES = 60
+"""Streams that are resumed at once."""
+
+REFUSAL_SECONDS = 0.3
+"""Longest time until a resume is refused."""
+
 ALLOWED_MIXED = 2
 """The users' bound on streams that hold events of two software versions."""
 
@@ -252,3 +259,39 @@
                 with self.subTest(nodes=nodes, seed=seed):
                     played = self.play_one_version(nodes, seed, take_store_away, AWAY_SECONDS)
                     self.assertEqual(played.resumed.share, 1.0)
+
+    def test_resumes_after_the_death_of_a_node_share_readings_of_the_store(self):
+        # Each resume read the store for itself, which limits the rate of calls.
+        played = VersionedStreams(7)
+        for number in range(3):
+            played.add(f"e{number}", "v1")
+        calls = []
+
+        async def script(world):
+            for number in range(RESUMES):
+                world.nursery.start_soon(played.stream, 0, None, 1 + number % 6)
+            await trio.sleep(LEAVE_SECONDS)
+            calls.append(world.calls)
+            played.kill_node(0)
+            await trio.sleep(CLIENT_SECONDS)
+            calls.append(world.calls)
+
+        played.world.run(script)
+        self.assertEqual(played.resumed.went_on, RESUMES)
+        self.assertLess(calls[1] - calls[0], RESUMES / 4)
+
+    def test_a_cut_node_refuses_a_resume_at_once_as_not_run(self):
+        # A client that waits for an answer can't try another node meanwhile.
+        played = VersionedStreams(3)
+        played.add("e0", "v1")
+
+        async def script(world):
+            stand_still(played, 1)
+            asked_at = trio.current_time()
+            answer = await world.request(ROUTE, 1, resumes="begun", resume_after="3")
+            self.assertLess(trio.current_time() - asked_at, REFUSAL_SECONDS)
+            self.assertTrue(answer.promised_not_run)
+            self.assertIs(answer.error.code, ErrorCode.STREAM_NOT_RESUMABLE)
+            self.assertGreater(answer.error.retry_after_seconds, 0.0)
+
+        played.world.run(script)
