Notice a client that leaves behind its next request

What callers saw: a client that sent its next request and then closed its connection went on to occupy an instance until the answer was written, in place of half a second at most.

Cause: while a next request waits in the server's buffer nothing more is read, so the end of the connection stays unread too. Class: an event is only noticed by a reading that something else holds up.

While the server waits to read on, it asks the kernel every 0.1 s whether the client has ended its side, and then tells a half-close from a close as always.

--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import h11
@@ -21,6 +21,7 @@
 import trio
 from hypercorn.events import Closed, Event, RawData, Updated
 from hypercorn.protocol.h11 import H11Protocol
+from hypercorn.trio.worker_context import EventWrapper
 
 from hopstep.log_events.http_api import BYTES_REJECTED
 from hopstep.logs import emit
@@ -51,6 +52,31 @@
 """Time between looks for a reset; one that a write causes comes within it, but from far away."""
 
 
+CLIENT_CHECK_SECONDS = 0.1
+"""Time between looks for the end of a client behind whose request bytes wait to be read."""
+
+
+class NextRequestEvent(EventWrapper):
+    """Set when the server may read a next request; looks for the client's end meanwhile."""
+
+    def __init__(self, find_end: Callable[[], Awaitable[None]]) -> None:
+        """Begin unset.
+
+        Args:
+            find_end: Ends the request under way if its client has left.
+        """
+        super().__init__()
+        self._find_end = find_end
+
+    async def wait(self) -> None:
+        """Wait until it is set."""
+        while not self._event.is_set():
+            with trio.move_on_after(CLIENT_CHECK_SECONDS):
+                await self._event.wait()
+                return
+            await self._find_end()
+
+
 class LimitedConnection(h11.Connection):
     """A server's connection whose limit on heads may change while it is open.
 
@@ -110,6 +136,7 @@
         super().__init__(*arguments, **options)
         self.connection = LimitedConnection(lambda: self.config.h11_max_incomplete_size)
         self._request_ended = trio.Event()
+        self.can_read = NextRequestEvent(self._find_end_behind)
 
     async def handle(self, event: Event) -> None:
         """Handle bytes of the client, or the end of its sending side; see the library's class."""
@@ -165,6 +192,19 @@
         is_begun = connection.our_state is not h11.SEND_RESPONSE
         return is_whole and not is_begun and connection.their_http_version == VERSION_WITH_INTERIM
 
+    async def _find_end_behind(self) -> None:
+        """End a request whose client has left behind bytes that aren't read yet."""
+        client = self._client
+        if client is None or not client.has_client_closed():
+            return
+        if self._awaits_response():
+            await self._probe_until_ended()
+        elif self._reads_response():
+            await self._watch_writes_until_ended()
+            if not self._request_ended.is_set():
+                client.note_left()
+                await self.handle(Closed())
+
     def _reads_response(self) -> bool:
         """Return whether a client may read a response that has begun."""
         is_whole = self.connection.their_state in WHOLE_REQUEST_STATES
--- a/hopstep/adapters/tracked_connection.py
+++ b/hopstep/adapters/tracked_connection.py
@@ -233,6 +233,10 @@
         poll.register(self.socket.fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def note_left(self) -> None:
+        """Note that the client has left; see the port."""
+        self._note_end(ConnectionEnd.CLIENT)
+
     @property
     def is_closed(self) -> bool:
         """Whether the connection has ended; see the port."""
--- a/hopstep/ports/exchange_front.py
+++ b/hopstep/ports/exchange_front.py
@@ -91,6 +91,10 @@
     def has_client_closed(self) -> bool:
         """Return whether the client has closed its sending side at least, read or not yet."""
 
+    @abc.abstractmethod
+    def note_left(self) -> None:
+        """Note that the client has left, though that isn't read yet."""
+
     @property
     @abc.abstractmethod
     def is_closed(self) -> bool:
--- a/tests/adapters/test_half_closed_clients.py
+++ b/tests/adapters/test_half_closed_clients.py
@@ -180,6 +180,25 @@
                 application, delays = self.run_client(script, pieces)
                 self.assertEqual((application.answered, len(delays)), (0, 1))
 
+    def test_a_client_that_closes_behind_its_next_request_is_noticed_in_time(self):
+        # Nothing is read behind a next request, so its client's end showed with the answer only.
+        for request in (REQUEST, STREAM_REQUEST):
+
+            async def script(stream, application, request=request):
+                await stream.send_all(2 * request)
+                if request == STREAM_REQUEST:
+                    await stream.receive_some()
+                    with trio.move_on_after(PIECE_SECONDS):
+                        await stream.receive_some()
+                await trio.sleep(PIECE_SECONDS / 2)
+                await stream.aclose()
+                await trio.sleep(CANCEL_SECONDS)
+                return len(application.disconnected), application.answered
+
+            with self.subTest(request=request):
+                _application, found = self.run_client(script, pieces=1)
+                self.assertEqual(found, (1, 0))
+
     def test_an_old_client_gets_no_interim_answer(self):
         # HTTP/1.0 has none, so such a client counts as one that has left.
         async def script(stream, application):
--- a/tests/services/exchanges/test_held_bytes.py
+++ b/tests/services/exchanges/test_held_bytes.py
@@ -230,6 +230,9 @@
     def has_client_closed(self):
         return False
 
+    def note_left(self):
+        raise NotImplementedError
+
     @property
     def is_closed(self):
         return False
