End a request whose client reset its connection behind a next request

Joins the looks for a reset with the end that is found behind a next request: a probe that ends by a reset without a failed write ends the request too.

--- a/hopstep/adapters/http1_only.py
+++ b/hopstep/adapters/http1_only.py
@@ -206,9 +206,11 @@
             await self._probe_until_ended()
         elif self._reads_response():
             await self._watch_writes_until_ended()
-            if not self._request_ended.is_set():
-                client.note_left()
-                await self.handle(Closed())
+        else:
+            return
+        if not self._request_ended.is_set():
+            client.note_left()
+            await self.handle(Closed())
 
     def _reads_response(self) -> bool:
         """Return whether a client may read a response that has begun."""
