Leave unreadable values in the store during soaks

A kind of fault leaves entries and records of another writer that can't be read: numbers and addresses that can't be meant, deep nesting, 25,000 models, up to twelve values of up to 1 MiB at once, records under hopstep's own keys.

--- a/emulator/soak/fault_kinds.py
+++ b/emulator/soak/fault_kinds.py
@@ -40,6 +40,7 @@
 ANSWERS_UNFRAMED = "answers without a length"
 LINKS = "nodes without instances"
 SOFTWARE = "software replaced"
+UNREADABLE = "unreadable values"
 
 CHANGE_KINDS = ("instance leaves", "key revoked", "weights named")
 SETTINGS_KINDS = ("body limit changed", "tenants isolated", "key moved", "routes redirected")
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -15,8 +15,14 @@
     ANSWERS_STOPPED,
     ANSWERS_UNFRAMED,
     SOFTWARE,
+    UNREADABLE,
+)
+from emulator.soak.foreign_entries import (
+    FOREIGN_PREFIX,
+    foreign_entry,
+    unreadable_entry,
+    unreadable_record,
 )
-from emulator.soak.foreign_entries import FOREIGN_PREFIX, foreign_entry
 from emulator.soak.instance_records import LimitChange
 from emulator.soak.links import InstanceLinks
 from emulator.soak.operator_changes import DrainStart
@@ -49,6 +55,9 @@
 REPLACEMENT_SECONDS = (0.2, 1.0)
 """Time between two steps of a rolling replacement."""
 
+UNREADABLE_SECONDS = 3.0
+"""Time for which values that can't be read stay at least: longer than nodes take to start."""
+
 REUSE_SECONDS = 2.0
 """Time before the platform gives the address of a terminated instance to another one."""
 
@@ -94,6 +103,7 @@
         "instance restarts": faults.instance_restarts,
         "address passed on": faults.address_passed_on,
         "foreign entries": faults.foreign_entries,
+        UNREADABLE: faults.unreadable_values,
         SOFTWARE: faults.software_replaced,
         ANSWERS_REPEATED: faults.answers_repeated,
         ANSWERS_STOPPED: faults.answers_stopped,
@@ -223,6 +233,24 @@
         if over:
             self._deployment.recorder.entry_changed(links.instance)
 
+    async def unreadable_values(self) -> None:
+        """Leave entries and records that can't be read, also while nodes start."""
+        generator, store = self._generator, self._deployment.store
+        keys = []
+        for _ in range(generator.randint(1, 12)):
+            service, zone = generator.choice((PLAIN, ENGINES)), generator.choice(ZONES)
+            key = f"servers/{FOREIGN_PREFIX}-{generator.randbytes(3).hex()}"
+            decoy = self._deployment.decoy
+            store.put_bytes(key, unreadable_entry(generator, service, zone, decoy))
+            keys.append(key)
+        for _ in range(generator.randint(1, 4)):
+            key, value = unreadable_record(generator)
+            store.put_bytes(key, value)
+            keys.append(key)
+        await trio.sleep(UNREADABLE_SECONDS + draw_seconds(generator))
+        for key in keys:
+            store.remove(key)
+
     async def instance_leaves(self) -> None:
         links = self._instance()
         instance = links.instance
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -25,6 +25,7 @@
     SETTINGS_KINDS,
     SOFTWARE,
     STORE_KINDS,
+    UNREADABLE,
 )
 
 
@@ -384,3 +385,24 @@
 
 REPEATED_IDS = Profile("repeated answers and ids", ANSWER_KINDS, (0.1, 0.5), 0.3, 1.0)
 """The same, with callers that send an id several times to one node, also at the same time."""
+
+UNREADABLE_VALUES = Profile(
+    "unreadable values",
+    (
+        *(UNREADABLE,) * 4,
+        *("all nodes killed",) * 3,
+        "foreign entries",
+        "node killed",
+        "node stopped",
+        "node paused",
+        "store outage",
+        "store forgets history",
+        "instance restarts",
+        "weights named",
+    ),
+    (0.4, 1.5),
+    0.2,
+    1.0,
+)
+"""Entries and records of another writer that can't be read, also before a start of all nodes, and
+several of the largest size at once; chosen by name only."""
--- a/emulator/soak/seed_profiles.py
+++ b/emulator/soak/seed_profiles.py
@@ -29,6 +29,7 @@
     RESTORES,
     SHORT,
     SOFTWARE_VERSIONS,
+    UNREADABLE_VALUES,
     VERSIONS,
     Profile,
 )
@@ -111,6 +112,7 @@
         CUTS,
         VERSIONS,
         SOFTWARE_VERSIONS,
+        UNREADABLE_VALUES,
     )
     found = {profile.name: profile for profile in named}
     if name not in found:
--- a/tests/emulator/soak/test_foreign_entries.py
+++ b/tests/emulator/soak/test_foreign_entries.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
-from emulator.soak.foreign_entries import foreign_entry, valid_document
+from emulator.soak.foreign_entries import foreign_entry, unreadable_entry, valid_document
 from hopstep.domain.exchanges.instance_table import InstanceTable
 from hopstep.domain.store_position import UNSPECIFIED_ERA, StorePosition
 from hopstep.platform.directory import read_change
 from hopstep.ports.key_value_store import StoredValue
-from hopstep.ports.serving_directory import InstanceListed, InstanceRejected
+from hopstep.ports.serving_directory import InstanceListed, InstanceRejected, RejectReason
 
 DECOY = "127.0.0.1:9"
 
@@ -44,6 +44,19 @@
         usable = [view.instance.instance_id for view in table.of_service("plain")]
         self.assertEqual(usable, ["i-1"])
 
+    def test_all_that_cannot_be_read_are_rejected(self):
+        generator = random.Random(3)
+        reasons = set()
+        for _ in range(100):
+            value = unreadable_entry(generator, "plain", "z1", DECOY)
+            change = read_change(
+                StoredValue("servers/foreign-1", value, StorePosition(UNSPECIFIED_ERA, 7))
+            )
+            self.assertIsInstance(change, InstanceRejected, value[:100])
+            self.assertNotEqual(change.reason, RejectReason.UNEXPECTED)
+            reasons.add((change.reason, change.field))
+        self.assertGreater(len(reasons), 2)
+
     def test_most_lead_to_the_decoy(self):
         generator = random.Random(2)
         leading = 0
--- a/tests/emulator/soak/test_profiles.py
+++ b/tests/emulator/soak/test_profiles.py
@@ -23,6 +23,7 @@
     RESTORES,
     SHORT,
     SOFTWARE_VERSIONS,
+    UNREADABLE_VALUES,
     VERSIONS,
 )
 from emulator.soak.seed_profiles import profile_of
@@ -38,6 +39,7 @@
     CHANGES,
     REPEATED_ANSWERS,
     REPEATED_IDS,
+    UNREADABLE_VALUES,
 )
 
 
