Count the records of quarantined requests that can't be read

What callers saw: nothing yet. A record of a quarantined request that another writer left was logged and not counted, and an undeclared error of its reader would have ended the task that reads these records in a router with an OpenAI-style interface.

Cause: the records had a list of expected errors of their own, and no way to count. Class: an exception that a list of expected ones doesn't name ends the task that reads.

Evidence: the new test found no count before ("False is not true"); now both records are counted, and those whose reader raises OverflowError as "unexpected".

The boundary of one record is QuarantineRecords.apply_stored, for any error; nodes count there.

--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -147,6 +147,9 @@
         )
         self.crash_reports = CrashReports(self.quarantine, urgent)
         self.metrics = ExchangeMetrics(self.registry)
+        self.quarantine_records.subscribe_rejections(
+            lambda reason: self.metrics.rejected_entries.labels(reason.value).inc()
+        )
         self.held_bytes = HeldBytes(byte_limit(settings.memory_mb), self.metrics)
         self.notices = InstanceNotices(
             self.knowledge.table,
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -9,6 +9,7 @@
 
 import random
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -20,6 +21,7 @@
 from hopstep.domain.quarantine.fingerprint import is_part
 from hopstep.domain.quarantine.trial_uses import TrialUse
 from hopstep.domain.store_position import ABSENT, StorePosition
+from hopstep.error_reports import describe_unexpected
 from hopstep.exceptions import StoreConflictError, StoreError
 from hopstep.log_events.configuration import DIRECTORY_ENTRY_REJECTED
 from hopstep.log_events.requests import QUARANTINED_REQUEST_NOT_TRIED
@@ -157,8 +159,13 @@
         self._unconfirmed: OrderedDict[bytes, TrialUse] = OrderedDict()
         self._lease = ShortLease(store, LEASE_USE_SECONDS)
         self._claiming: set[bytes] = set()
+        self._count_rejected: Callable[[RejectReason], None] = lambda _reason: None
         quarantine.set_trials(self)
 
+    def subscribe_rejections(self, listener: Callable[[RejectReason], None]) -> None:
+        """Call a listener for each record that can't be read."""
+        self._count_rejected = listener
+
     def wait_seconds(self, fingerprint: bytes, *, alone: bool = True) -> float:
         """Return the seconds until a trial may be claimed; infinite when none is left.
 
@@ -269,18 +276,31 @@
             version: Store position of the change.
         """
         try:
-            fingerprint = bytes.fromhex(key.removeprefix(QUARANTINE_PREFIX))
-            stored = read_stored(value) if value else None
-        except (ValueError, msgspec.DecodeError) as error:
-            reason = RejectReason.UNREADABLE.value
-            emit(
-                DIRECTORY_ENTRY_REJECTED,
-                key=key,
-                reason=reason,
-                field="",
-                detail=str(error)[:MAX_DETAIL],
-            )
-            return
+            self._apply_stored(key, value, version)
+        except msgspec.DecodeError as error:
+            self._reject(key, RejectReason.UNREADABLE, str(error))
+        except Exception as error:
+            self._reject(key, RejectReason.UNEXPECTED, describe_unexpected(error))
+
+    def _reject(self, key: str, reason: RejectReason, detail: str) -> None:
+        """Log and count a record that can't be read; the others are applied."""
+        self._count_rejected(reason)
+        emit(
+            DIRECTORY_ENTRY_REJECTED,
+            key=key,
+            reason=reason.value,
+            field="",
+            detail=detail[:MAX_DETAIL],
+        )
+
+    def _apply_stored(self, key: str, value: bytes, version: StorePosition) -> None:
+        """Apply the record of a key; see ``apply_stored``.
+
+        Raises:
+            msgspec.DecodeError: The key or the value can't be read.
+        """
+        fingerprint = _read_fingerprint(key)
+        stored = read_stored(value) if value else None
         if stored is None:
             self._record_expiry(fingerprint)
             return
@@ -438,6 +458,18 @@
             self._quarantine.notify_changed()
 
 
+def _read_fingerprint(key: str) -> bytes:
+    """Return the fingerprint in a request's key.
+
+    Raises:
+        msgspec.DecodeError: It isn't written in hexadecimal digits.
+    """
+    try:
+        return bytes.fromhex(key.removeprefix(QUARANTINE_PREFIX))
+    except ValueError as error:
+        raise msgspec.DecodeError(str(error)) from error
+
+
 def read_stored(value: bytes) -> StoredRequest:
     """Return the record of a request's key.
 
--- a/tests/services/exchanges/test_unreadable_records.py
+++ b/tests/services/exchanges/test_unreadable_records.py
@@ -1,6 +1,7 @@
 """Records under hopstep's own keys that another build or writer left end no node."""
 
 import base64
+import contextlib
 import json
 import unittest
 from unittest import mock
@@ -12,6 +13,8 @@
 from hopstep.adapters import key_value_store_wire as wire
 from hopstep.services.exchanges.directory import known_nodes
 from hopstep.services.exchanges.directory.records import NODES_PREFIX, STREAMS_PREFIX
+from hopstep.services.quarantine import records as quarantine_records
+from hopstep.services.quarantine.records import QUARANTINE_PREFIX
 from tests.services.exchanges.exchange_world import ExchangeWorld
 
 PROPAGATION_SECONDS = 3.0
@@ -107,6 +110,23 @@
                 counted = 'hopstep_rejected_entries_total{reason="unexpected"} 1.0'
                 self.assertTrue(any(counted in text for text in metrics))
 
+    def test_a_record_of_a_request_that_cannot_be_read_is_counted(self):
+        # It was logged, but not counted; an undeclared error ended the router that read it.
+        records = {
+            QUARANTINE_PREFIX + "00": b'{"trials": "1"}',
+            QUARANTINE_PREFIX + "not hexadecimal": b"{}",
+        }
+        undeclared = mock.patch.object(quarantine_records, "read_stored", side_effect=OverflowError)
+        for reason, counts, faulty in (
+            ("unreadable", 2, contextlib.nullcontext()),
+            ("unexpected", 1, undeclared),
+        ):
+            with self.subTest(reason), faulty:
+                rejected, metrics = self.run_beside(records)
+                self.assertEqual({line["key"] for line in rejected}, records.keys())
+                counted = f'hopstep_rejected_entries_total{{reason="{reason}"}} {counts}.0'
+                self.assertTrue(any(counted in text for text in metrics))
+
     def test_a_record_of_a_node_that_cannot_be_sent_to_or_verified_names_no_node(self):
         # Sending to it, or verifying a message in its name, raised ValueError or OverflowError.
         records = {
