Renew no lease that the store never granted

What callers saw: nothing yet. The rollout's record names the lease that a node with the record's name and address resumes. Another writer's name of a lease became a part of the path of a call to the store.

Cause: the lease's name was put into the path as it was read; a number of 5,000 digits raised ValueError where it was converted. Class: what another writer left is used before it is checked.

Evidence: the new test found four names for which renewing succeeded, and three for which a call was made, and "ValueError: Exceeds the limit (4300 digits)" for a write; now no call is made. 24 tests of the store's answers, its contract and resumed leases pass.

A lease has a decimal number of at most 19 digits; another name counts as a lease that has ended.

--- a/hopstep/platform/store.py
+++ b/hopstep/platform/store.py
@@ -61,6 +61,9 @@
 REFUSALS = range(400, 500)
 
 
+MAX_LEASE_DIGITS = 19
+"""Leases have 64-bit numbers; a record of another writer may name anything as one."""
+
 MAX_ERA_DIGITS = 9
 """The era counts restores of the store; Python converts no text of several thousand digits."""
 
@@ -237,7 +240,7 @@
 
     async def keep_alive(self, lease: StoreLease) -> None:
         """Renew a lease; see the port."""
-        answer = await self._call(POST, names.STORE_RENEW + lease.name)
+        answer = await self._call(POST, f"{names.STORE_RENEW}{_lease_number(lease)}")
         require_lease_era(lease, answer.era)
         if answer.status == NOT_FOUND:
             raise StoreConflictError(ErrorCode.STORE_CONFLICT, "the lease has expired")
@@ -388,7 +391,7 @@
     """Return the number of a lease; 0 for none."""
     if lease is None:
         return 0
-    if not lease.name.isdecimal():
+    if not (lease.name.isdecimal() and len(lease.name) <= MAX_LEASE_DIGITS):
         raise StoreConflictError(ErrorCode.STORE_CONFLICT, "the store never granted this lease")
     return int(lease.name)
 
