Ask of every run in a soak whether its caller got a whole answer

The check "runs give whole answers" holds for every profile. A disturbance of the node, of an instance that ran the request or of its answer, of the links or the machine, a crash under a fatal request, or the deadline excuses a run; a planned stop doesn't. The check of planned stops leaves out requests behind the last response of their connection that reached no instance.

The test of a cut stream said that it breaks nothing. That was wrong once a run without a whole answer is itself a violation: it now expects exactly the new one without a disturbance, and none with one.

--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -8,6 +8,7 @@
 
 from emulator.soak.answer_checks import ANSWER_CHECKS
 from emulator.soak.change_checks import CHANGE_CHECKS
+from emulator.soak.connection_checks import CONNECTION_CHECKS
 from emulator.soak.disturbances import LEASES_EXPIRED_EARLY
 from emulator.soak.history import History
 from emulator.soak.instance_checks import INSTANCE_CHECKS
@@ -367,5 +368,6 @@
     **CHANGE_CHECKS,
     **ANSWER_CHECKS,
     **ORDER_CHECKS,
+    **CONNECTION_CHECKS,
     "processes": processes_stay_alive,
 }
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -406,3 +406,22 @@
 )
 """Entries and records of another writer that can't be read, also before a start of all nodes, and
 several of the largest size at once; chosen by name only."""
+
+
+CONNECTIONS = Profile(
+    "ends of connections",
+    (
+        *("node stopped",) * 4,
+        "node killed",
+        "node suspended",
+        "settings reloaded",
+        "key revoked",
+        "instance leaves",
+        "weights named",
+    ),
+    (0.5, 2.0),
+    0.3,
+    0.5,
+)
+"""Nodes that stop, are reloaded, killed and suspended while callers send requests behind each other
+and half-close; chosen by name only, as it has callers of its own."""
--- a/emulator/soak/request_records.py
+++ b/emulator/soak/request_records.py
@@ -59,6 +59,7 @@
         work_ms: Time for which an instance of a plain service works on it.
         complete_at: When its last byte was sent; None before that, or if it was sent at once.
         sent_slowly: Whether it was sent in pieces, with pauses between them.
+        behind_last: Whether it was sent behind a request whose response closed the connection.
     """
 
     request_id: str
@@ -87,6 +88,7 @@
     work_ms: int = 20
     complete_at: float | None = None
     sent_slowly: bool = False
+    behind_last: bool = False
 
     @property
     def attempt_id(self) -> str:
--- a/emulator/soak/run.py
+++ b/emulator/soak/run.py
@@ -28,8 +28,9 @@
 )
 from emulator.soak.operators import Operator
 from emulator.soak.persistent_callers import PersistentCallers
+from emulator.soak.pipelining_callers import PipeliningCallers
 from emulator.soak.probes import Probes
-from emulator.soak.profiles import CHANGES, REPEATED_IDS
+from emulator.soak.profiles import CHANGES, CONNECTIONS, REPEATED_IDS
 from emulator.soak.promises import Bounds, Violation
 from emulator.soak.repeating_callers import RepeatingCallers
 from emulator.soak.resuming_callers import ResumingCallers
@@ -43,6 +44,7 @@
 """Time after the faults; includes the time for recovery."""
 
 PERSISTENT_CALLERS_PER_NODE = 2
+PIPELINING_CALLERS_PER_NODE = 3
 RESUMING_CALLERS_PER_NODE = 2
 SLOW_CALLERS_PER_NODE = 6
 REPEATING_CALLERS_PER_NODE = 3
@@ -145,6 +147,12 @@
         REPEATING_CALLERS_PER_NODE * plan.nodes,
         repeats_ids=profile is REPEATED_IDS,
     )
+    pipelining = PipeliningCallers(
+        deployment,
+        random.Random(plan.seed + 10),
+        callers.readiness,
+        PIPELINING_CALLERS_PER_NODE * plan.nodes,
+    )
     hostile = HostileCallers(deployment, callers, random.Random(plan.seed + 6))
     faults = Faults(deployment, operator, hostile, generator, profile)
     machine = MachineWatch(deployment.history)
@@ -168,6 +176,8 @@
                 nursery.start_soon(resuming.run)
             if profile is CHANGES:
                 nursery.start_soon(slow.run)
+            if profile is CONNECTIONS:
+                nursery.start_soon(pipelining.run)
             if deployment.has_answer_faults:
                 nursery.start_soon(repeating.run)
             nursery.start_soon(operator.change_routes, profile.change_seconds)
--- a/emulator/soak/seed_profiles.py
+++ b/emulator/soak/seed_profiles.py
@@ -19,6 +19,7 @@
 )
 from emulator.soak.profiles import (
     CHANGES,
+    CONNECTIONS,
     CUTS,
     LIMITS,
     NOTICES,
@@ -104,6 +105,7 @@
         SHORT,
         PARTS,
         CHANGES,
+        CONNECTIONS,
         REPEATED_ANSWERS,
         REPEATED_IDS,
         NOTICES,
--- a/emulator/soak/stop_checks.py
+++ b/emulator/soak/stop_checks.py
@@ -15,7 +15,8 @@
     """Yield requests that a planned stop cut off, while there was no other fault.
 
     Excepted are requests that were sent while the node closed their connection: they reach no
-    instance, and their callers see the failure at once. Also responses that end at their deadline,
+    instance, and their callers see the failure at once, or are told before by the last response of
+    the connection. Also responses that end at their deadline,
     and those whose instance crashed under a fatal request: the instance broke them off.
     """
     arrived = {arrival.request_id for arrival in history.arrivals}
@@ -33,7 +34,8 @@
         disturbed = any(
             fault.since <= request.ended_at and fault.until >= request.sent_at for fault in others
         )
-        lost_on_close = request.request_id not in arrived and _ended_on_close(request, bounds)
+        ends_on_close = request.behind_last or _ended_on_close(request, bounds)
+        lost_on_close = request.request_id not in arrived and ends_on_close
         is_over = request.head_at is not None and request.ended_at >= request.deadline_at
         if not met or answered or disturbed or lost_on_close or is_over:
             continue
--- a/tests/emulator/soak/test_checks.py
+++ b/tests/emulator/soak/test_checks.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from emulator.soak.answer_faults import AnswerEvent
 from emulator.soak.checks import CHECKS, check_all, check_recovery, expected_body
 from emulator.soak.disturbances import (
     LEASES_EXPIRED_EARLY,
@@ -11,7 +12,12 @@
     Disturbance,
 )
 from emulator.soak.history import History
-from emulator.soak.instance_records import FatalTermination, ListedInstance, TakenOrder
+from emulator.soak.instance_records import (
+    FatalTermination,
+    InstanceAnswerEvent,
+    ListedInstance,
+    TakenOrder,
+)
 from emulator.soak.operator_changes import DrainStart, Revocation, RouteChange, WeightsChange
 from emulator.soak.promises import Bounds
 from emulator.soak.request_records import Arrival, RequestKind, Run, SentRequest
@@ -84,6 +90,7 @@
             "one holder",
             "isolation",
             "planned stop",
+            "runs give whole answers",
             "clients that left",
             "answers in time",
             "retry budget",
@@ -148,7 +155,9 @@
 
     def test_a_cut_stream_that_does_not_look_whole_breaks_nothing(self):
         sent = request(kind=RequestKind.STREAM, whole=False, body=b"id: 0\n")
-        self.assertEqual(self.broken(history(sent)), set())
+        self.assertEqual(self.broken(history(sent)), {"runs give whole answers"})
+        fault = Disturbance("instance frozen", "i1", 100.0, 100.1)
+        self.assertEqual(self.broken(history(sent, disturbances=[fault])), set())
 
     def test_unknown_requests_tenants_services_and_keys(self):
         for change in (
@@ -284,6 +293,60 @@
             seen.arrivals = seen.arrivals if arrived else []
             self.assertEqual("planned stop" in self.broken(seen), caught, (ended_at, arrived))
 
+    def test_a_run_whose_caller_gets_no_whole_answer(self):
+        # Guards against callers that stay, half-closed or not, and never hear of what was run.
+        cuts = ({"status": None, "body": b""}, {"status": 200, "body": b"x"})
+        for cut in cuts:
+            sent = request(whole=False, **cut)
+            self.assertIn("runs give whole answers", self.broken(history(sent)), cut)
+            for changes in ({"left": True}, {"ended_at": 104.1}, {"fatal": "f"}):
+                seen = history(request(whole=False, **cut, **changes))
+                self.assertNotIn("runs give whole answers", self.broken(seen), changes)
+
+    def test_what_excuses_a_run_without_a_whole_answer(self):
+        sent = request(whole=False, status=None)
+        for subject, planned, caught in (
+            ("n0", False, False),
+            ("n0", True, True),
+            ("n1", False, True),
+            ("i1", False, False),
+            ("i2", False, True),
+            (MACHINE, False, False),
+            (STORE, False, True),
+        ):
+            fault = Disturbance("a fault", subject, 100.0, 100.2, planned=planned)
+            found = self.broken(history(sent, disturbances=[fault]))
+            self.assertEqual("runs give whole answers" in found, caught, (subject, planned))
+        for at, caught in ((100.05, False), (101.0, True)):
+            crash = FatalTermination("fatal", "i1@1", at)
+            found = self.broken(history(sent, fatal_terminations=[crash]))
+            self.assertEqual("runs give whole answers" in found, caught, at)
+
+    def test_a_fault_of_its_answer_excuses_a_run_without_a_whole_answer(self):
+        sent = request(whole=False, status=None)
+        for what, incarnation, name, caught in (
+            ("stopped, close", "i1@1", "r", False),
+            ("answer", "i1@1", "r", True),
+            ("stopped, close", "i2@1", "r", True),
+            ("stopped, close", "i1@1", "other", True),
+        ):
+            event = InstanceAnswerEvent(incarnation, AnswerEvent(100.1, 1, what, attempt_id=name))
+            found = self.broken(history(sent, answer_events=[event]))
+            self.assertEqual("runs give whole answers" in found, caught, (what, incarnation, name))
+
+    def test_a_request_behind_the_last_one_of_its_connection(self):
+        # Guards against blaming a stop for what the response before said isn't read any more.
+        stop = Disturbance("stopped", "n0", 99.0, 104.0, planned=True)
+        cut = {"status": None, "whole": False, "body": b"", "stamp": "", "ended_at": 101.0}
+        for behind_last, arrived, caught in (
+            (True, False, False),
+            (True, True, True),
+            (False, False, True),
+        ):
+            seen = history(request(**cut, behind_last=behind_last), disturbances=[stop])
+            seen.arrivals = seen.arrivals if arrived else []
+            self.assertEqual("planned stop" in self.broken(seen), caught, (behind_last, arrived))
+
     def test_a_response_that_its_deadline_ends_during_a_planned_stop(self):
         stop = Disturbance("stopped", "n0", 99.0, 104.0, planned=True)
         cut = {"status": 200, "whole": False, "deadline_at": 101.0}
