Read the outer part of a node's frame without decoding what it holds

Cause: 60,000 bytes of empty lists decode to as many objects. decode_frame decoded the whole frame before it knew the sender, and a payload of any length without compression.

Change: the outer part is read by itself, as two strings and an integer of definite lengths. An uncompressed payload is at most 1 KiB, as every release that writes this format compresses longer ones. The test is as it was.

The test of this failure fails on the code before (the decoder was called for both frames).

--- a/hopstep/adapters/node_codec.py
+++ b/hopstep/adapters/node_codec.py
@@ -2,7 +2,7 @@
 
 A frame is ``tag || cbor2([sender, encoding, payload])``. The tag is the keyed BLAKE2b of the rest
 under the sender's key, which its process generated and published in the store. The payload isn't
-decoded before the tag is checked. Long payloads are compressed.
+decoded before the tag is checked. Payloads of ``MIN_COMPRESSED_BYTES`` or more are compressed.
 """
 
 from __future__ import annotations
@@ -11,11 +11,11 @@
 import hmac
 import zlib
 from collections.abc import Mapping
-from typing import Any
 
 import cbor2
 import msgspec
 
+from hopstep.adapters.frame_envelope import Envelope, EnvelopeError, read_envelope
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.ports.node_exchange import NodeMessage, Received
 
@@ -61,24 +61,31 @@
     """
     tag, signed_part = frame[:TAG_BYTES], frame[TAG_BYTES:]
     try:
-        sender, encoding, payload = cbor2.loads(signed_part)
-        record = nodes.get(sender)
-    except Exception as error:
-        # Anyone may send a frame, and the decoder raises errors of many types.
+        envelope = read_envelope(signed_part)
+    except EnvelopeError as error:
         raise FrameError("malformed") from error
+    record = nodes.get(envelope.sender)
     if record is None or not hmac.compare_digest(tag, _tag(record.key, signed_part)):
         raise FrameError("not signed by a registered node")
     try:
-        document = cbor2.loads(_decompress(payload) if encoding == COMPRESSED else payload)
-        return Received(sender, msgspec.convert(document, NodeMessage))
+        document = cbor2.loads(_encoded_message(envelope))
+        return Received(envelope.sender, msgspec.convert(document, NodeMessage))
     except Exception as error:
-        # A payload may have any type, and nodes of other releases send other documents.
+        # The decoders raise errors of many types, and other releases send other documents.
         raise FrameError("malformed") from error
 
 
-def _decompress(payload: Any) -> bytes:
-    """Decompress a payload, up to ``MAX_PAYLOAD_BYTES``."""
-    return zlib.decompressobj().decompress(payload, MAX_PAYLOAD_BYTES)
+def _encoded_message(envelope: Envelope) -> bytes:
+    """Return the CBOR of a message, up to ``MAX_PAYLOAD_BYTES``.
+
+    Raises:
+        FrameError: If the encoding is unknown, or the payload would have been compressed.
+    """
+    if envelope.encoding == COMPRESSED:
+        return zlib.decompressobj().decompress(envelope.payload, MAX_PAYLOAD_BYTES)
+    if envelope.encoding != PLAIN or len(envelope.payload) >= MIN_COMPRESSED_BYTES:
+        raise FrameError("malformed")
+    return envelope.payload
 
 
 def _tag(key: bytes, signed_part: bytes) -> bytes:
