Let a fault in ending the lease cut no request of a planned stop

What callers saw: in a planned stop, requests that were passed on got no answer: 8 of 8 on kept connections.

Cause: a stopping node ends its lease on weights rollouts beside the drain, in one nursery. An error there other than the store's cancelled the drain, and the process ended with its requests.

--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -282,7 +282,7 @@
         """Wait for a planned stop, then until no request is active."""
         await self.lifecycle.wait_stopping()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.lease.release)
+            nursery.start_soon(self.background.run_to_end, self.lease.release)
             await self.lifecycle.drain()
 
 
--- a/hopstep/services/background_tasks.py
+++ b/hopstep/services/background_tasks.py
@@ -18,7 +18,7 @@
 from hopstep.services.lifecycle import Lifecycle
 
 BackgroundTask = Callable[[], Awaitable[None]]
-"""Runs until it is cancelled."""
+"""Runs until it is cancelled, where nothing else is said."""
 
 
 class BackgroundTasks:
@@ -57,6 +57,14 @@
             if failures:
                 raise ExceptionGroup("background tasks failed", failures)
 
+    async def run_to_end(self, task: BackgroundTask) -> None:
+        """Run a task that ends by itself beside requests; its failure doesn't cut them.
+
+        Args:
+            task: The task.
+        """
+        await self._run_task(task, [])
+
     async def _run_task(self, task: BackgroundTask, failures: list[Exception]) -> None:
         """Run one task; log its failure and stop the node."""
         try:
@@ -75,6 +83,7 @@
 
 
 def _name(task: BackgroundTask) -> str:
-    """Return the name of the object whose method a task is."""
+    """Return the name of the object whose method a task is, or that of the function."""
     method = task.func if isinstance(task, functools.partial) else task
-    return type(getattr(method, "__self__", method)).__name__
+    owner = getattr(method, "__self__", None)
+    return getattr(method, "__name__", "") if owner is None else type(owner).__name__
--- a/tests/processes/failing_node.py
+++ b/tests/processes/failing_node.py
@@ -1,4 +1,4 @@
-"""A node one of whose background tasks fails when the process gets SIGUSR1."""
+"""A node in which two parts fail: at SIGUSR1, and in its planned stop."""
 
 import signal
 
@@ -6,14 +6,22 @@
 
 from hopstep.cli import node
 from hopstep.services.exchanges.pause_watch import PauseWatch
+from hopstep.services.exchanges.weights.rollout_lease import RolloutLease
+
+FAULT = LookupError("a fault that nothing expects")
 
 
 async def fail_on_signal(_self):
     with trio.open_signal_receiver(signal.SIGUSR1) as received:
         async for _ in received:
-            raise LookupError("a fault that nothing expects")
+            raise FAULT
+
+
+async def fail(_self):
+    raise FAULT
 
 
 if __name__ == "__main__":
     PauseWatch.run = fail_on_signal
+    RolloutLease.release = fail
     node.main()
--- a/tests/processes/test_kept_connections.py
+++ b/tests/processes/test_kept_connections.py
@@ -148,10 +148,18 @@
 
     def test_a_background_task_that_fails_cuts_no_request(self):
         # Its failure ended the process at once, with all active requests.
+        self.check_fault(signal.SIGUSR1)
+
+    def test_a_fault_in_ending_the_lease_cuts_no_request_of_a_planned_stop(self):
+        # It ended the drain with all requests that were active.
+        self.check_fault(signal.SIGTERM)
+
+    def check_fault(self, number):
+        """Check that a part which fails at a signal is logged and cuts no request."""
         self.module = "tests.processes.failing_node"
 
         async def fail(_connections):
-            self.process.send_signal(signal.SIGUSR1)
+            self.process.send_signal(number)
 
         self.assertEqual(self.statuses_when(fail), [200] * CLIENTS)
         self.assertIn("task_failed", self.read_log())
