Let a fault in the task that follows signals cut no request

What callers saw: a fault while a node reads its settings again (SIGHUP) that isn't one of the settings ended the process with all active requests: 8 of 8 on kept connections.

Cause: the task that follows signals ran beside the listeners and not among the background tasks, whose failure stops a node as planned.

Evidence: the test fails on the code before with eight 0 in place of eight 200.

Change: it runs among them. The receiver is open before any task begins, as before; the listeners have a function of their own.

--- a/hopstep/exchange_node.py
+++ b/hopstep/exchange_node.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import functools
 import signal
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import trio
@@ -27,6 +29,9 @@
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.settings_loader import SettingsError, load_exchange_settings
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+"""Signals that a node handles itself."""
+
 
 async def run_exchange_node(
     settings: ExchangeSettings,
@@ -53,47 +58,58 @@
             lambda: generate_latest(services.registry),
         ),
     )
-    addresses = (settings.address, settings.readiness_address, settings.metrics_address)
-    async with trio.open_nursery() as nursery:
-        await nursery.start(_follow_signals, settings, settings_path, services.lifecycle)
-        await nursery.start(services.run)
-        async with trio.open_nursery() as serving:
-            await serving.start(
-                serve_exchanges,
-                app,
-                tuple(filter(None, addresses)),
-                listeners,
-                services.wait_drained,
-                services.metrics.failed_connections.inc,
-                services.lifecycle.active,
-                services.lifecycle.schedule.close_seconds,
-                services.exchanges.max_head_bytes,
-            )
-            emit(
-                PROCESS_STARTED,
-                address=settings.address,
-                zone=settings.zone,
-                incarnation="",
-            )
-        nursery.cancel_scope.cancel()
+    with trio.open_signal_receiver(*SIGNALS) as received:
+        follow = functools.partial(
+            _follow_signals, received, settings, settings_path, services.lifecycle
+        )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(services.background.run, (follow,))
+            await nursery.start(services.run)
+            await _serve(settings, services, app, listeners)
+            nursery.cancel_scope.cancel()
     emit(PROCESS_STOPPED)
 
 
+async def _serve(
+    settings: ExchangeSettings,
+    services: ExchangeServices,
+    app: ListenerSwitch,
+    listeners: Listeners,
+) -> None:
+    """Serve until a planned stop has drained the node."""
+    addresses = (settings.address, settings.readiness_address, settings.metrics_address)
+    async with trio.open_nursery() as serving:
+        await serving.start(
+            serve_exchanges,
+            app,
+            tuple(filter(None, addresses)),
+            listeners,
+            services.wait_drained,
+            services.metrics.failed_connections.inc,
+            services.lifecycle.active,
+            services.lifecycle.schedule.close_seconds,
+            services.exchanges.max_head_bytes,
+        )
+        emit(
+            PROCESS_STARTED,
+            address=settings.address,
+            zone=settings.zone,
+            incarnation="",
+        )
+
+
 async def _follow_signals(
+    received: AsyncIterator[int],
     settings: ExchangeSettings,
     settings_path: Path,
     lifecycle: Lifecycle,
-    *,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Start a planned stop on SIGTERM and SIGINT, read the settings again on SIGHUP."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
-        task_status.started()
-        async for number in received:
-            if number == signal.SIGHUP:
-                settings = _reload(settings, settings_path)
-            else:
-                lifecycle.stop()
+    async for number in received:
+        if number == signal.SIGHUP:
+            settings = _reload(settings, settings_path)
+        else:
+            lifecycle.stop()
 
 
 def _reload(settings: ExchangeSettings, path: Path) -> ExchangeSettings:
--- a/tests/processes/failing_node.py
+++ b/tests/processes/failing_node.py
@@ -1,9 +1,10 @@
-"""A node in which two parts fail: at SIGUSR1, and in its planned stop."""
+"""A node in which three parts fail: at SIGUSR1, at SIGHUP, and in its planned stop."""
 
 import signal
 
 import trio
 
+from hopstep import exchange_node
 from hopstep.cli import node
 from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.weights.rollout_lease import RolloutLease
@@ -21,7 +22,12 @@
     raise FAULT
 
 
+def fail_to_reload(*_arguments):
+    raise FAULT
+
+
 if __name__ == "__main__":
     PauseWatch.run = fail_on_signal
     RolloutLease.release = fail
+    exchange_node._reload = fail_to_reload
     node.main()
--- a/tests/processes/test_kept_connections.py
+++ b/tests/processes/test_kept_connections.py
@@ -150,6 +150,10 @@
         # Its failure ended the process at once, with all active requests.
         self.check_fault(signal.SIGUSR1)
 
+    def test_a_fault_in_reading_settings_again_cuts_no_request(self):
+        # The task that follows signals wasn't one of those whose failure stops a node as planned.
+        self.check_fault(signal.SIGHUP)
+
     def test_a_fault_in_ending_the_lease_cuts_no_request_of_a_planned_stop(self):
         # It ended the drain with all requests that were active.
         self.check_fault(signal.SIGTERM)
