Let no failed task of the OpenAI-style router cut its requests

What callers saw: when the task that exchanges messages with other routers failed, six of six streams were interrupted.

Cause: membership, the signals and the files that are read again ran beside the listeners and not among the background tasks, whose failure stops a router as planned.

Evidence: the test fails on the code before with six INTERRUPTED; with the change all six are complete, a new request is refused as not run, and the process ends with code 1.

--- a/hopstep/node.py
+++ b/hopstep/node.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import secrets
 import signal
+from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 
@@ -74,14 +76,23 @@
             registry=self._registry,
         )
 
-    async def run(self) -> None:
-        """Serve until a planned stop has ended."""
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self._follow_signals)
-            await nursery.start(self._services.run)
-            await self._serve(nursery)
-            await self._services.membership.stop()
-            nursery.cancel_scope.cancel()
+    async def run(self, watched: tuple[WatchedFiles[Any], ...]) -> None:
+        """Serve until a planned stop has ended.
+
+        Args:
+            watched: Files that are read again when they change.
+        """
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            tasks = (
+                functools.partial(self._follow_signals, received),
+                functools.partial(follow_files, watched),
+            )
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self._services.background.run, tasks)
+                await nursery.start(self._services.run)
+                await self._serve(nursery)
+                await self._services.membership.stop()
+                nursery.cancel_scope.cancel()
         await self._engines.aclose()
         emit(PROCESS_STOPPED)
 
@@ -103,14 +114,10 @@
                 incarnation=str(self._codec.incarnation),
             )
 
-    async def _follow_signals(
-        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-    ) -> None:
-        """Start a planned stop on SIGTERM and SIGINT; further signals have no effect."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-            task_status.started()
-            async for _ in received:
-                self._services.lifecycle.stop()
+    async def _follow_signals(self, received: AsyncIterator[int]) -> None:
+        """Start a planned stop on the first signal; further ones have no effect."""
+        async for _ in received:
+            self._services.lifecycle.stop()
 
     def _make_ports(self, transport: UdpPeerTransport) -> RouterPorts:
         """Return the adapters to everything outside the process."""
@@ -157,13 +164,8 @@
     codec = PeerCodec(settings.peers.cluster, settings.name, incarnation, keys)
     transport = await UdpPeerTransport.open(settings.peers.address, codec)
     try:
-        async with (
-            make_client(tls.peers or True) as client,
-            trio.open_nursery() as nursery,
-        ):
-            nursery.start_soon(follow_files, watched)
-            await Node(settings, client, codec, transport, tls).run()
-            nursery.cancel_scope.cancel()
+        async with make_client(tls.peers or True) as client:
+            await Node(settings, client, codec, transport, tls).run(watched)
     finally:
         transport.close()
 
--- a/hopstep/services/router.py
+++ b/hopstep/services/router.py
@@ -96,6 +96,7 @@
         self._ports = ports
         self.holder = ConfigurationHolder()
         self.lifecycle = Lifecycle(self.holder, StopSchedule(0.0, settings.drain_seconds))
+        self.background = BackgroundTasks(self.lifecycle)
         self.table = RoutingTable(ports.generator)
         self.holder.subscribe(self.table.update_configuration)
         self.membership = MembershipService(
@@ -134,8 +135,8 @@
             reader.run,
         )
         async with trio.open_nursery() as nursery:
-            await nursery.start(self.membership.run)
-            await BackgroundTasks(self.lifecycle).run(tasks, task_status)
+            await nursery.start(self.background.run, (self.membership.run,))
+            await self.background.run(tasks, task_status)
 
     async def wait_drained(self) -> None:
         """Wait for a planned stop, announce it to peers, and return when no request is active."""
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -6,10 +6,12 @@
 import subprocess
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import httpx
 import trio
 
+from emulator.fleet import fleet
 from emulator.load.messages import LoadResult, Outcome
 from tests.processes.harness import TEST_TIMEOUT_SECONDS, SmallFleet, small_fleet
 
@@ -75,6 +77,26 @@
             if result.outcome is not Outcome.COMPLETE:
                 return result
 
+    def test_a_membership_that_fails_cuts_no_stream(self) -> None:
+        # The failure of a task that exchanges messages with other routers ended the process.
+        async def check() -> None:
+            async with small_fleet() as small:
+                results: list[LoadResult] = []
+                async with trio.open_nursery() as nursery:
+                    for _ in range(STREAMS):
+                        nursery.start_soon(small.collect, results, LONG_OUTPUT_TOKENS)
+                    await wait_active(small, STREAMS)
+                    small.group.signal(small.router_process, signal.SIGUSR1)
+                    refused = await self._send_until_refused(small)
+                self.assertEqual([each.outcome for each in results], [Outcome.COMPLETE] * STREAMS)
+                self.assertEqual((refused.code, refused.execution), ("stopping", "not_run"))
+                process = small.group.process(small.router_process)
+                self.assertEqual(await wait_exit(process), 1)
+                self.assertIn("task_failed", small.group.log_path(small.router_process).read_text())
+
+        with mock.patch.object(fleet, "ROUTER_MODULE", "tests.processes.failing_router"):
+            run_bounded(check)
+
     def test_idle_connections_do_not_hold_the_process(self) -> None:
         async def check() -> None:
             async with small_fleet() as small, httpx.AsyncClient(trust_env=False) as idle:
