Recognize the answer of an instance that writes a request's id in UTF-8

What callers saw: a request whose Attempt-Id has bytes above 0x7f was run, its client got 502 ("the response is to another request"), and the instance was charged with a surplus answer (HS6129).

The id came back with two bytes for each one above 0x7f, and was compared byte by byte.

Change: an answer repeats an id as it is or in that form, and the client gets the bytes that it sent. A connection that has carried one form carries no request whose own id is the other.

--- a/hopstep/platform/http_connection.py
+++ b/hopstep/platform/http_connection.py
@@ -14,6 +14,7 @@
 from hopstep.domain.connection_reuse import MAX_SENDS, SentIdentifiers
 from hopstep.platform.http_call import ConnectionUse, HttpCall, SendTrace
 from hopstep.platform.http_protocol import HttpProtocol
+from hopstep.platform.request_ids import repeated_forms, with_exact_id
 from hopstep.ports.surplus_answers import SurplusBytes, SurplusListener, SurplusPlace
 
 CALL_EXTENSION = "hopstep.call"
@@ -104,12 +105,14 @@
             httpcore.ProtocolError: When no response in the protocol came.
         """
         pending: PendingCall = request.extensions[CALL_EXTENSION]
-        if self._state is _State.IDLE and pending.call.request_id in self._sent:
+        identifiers = repeated_forms(pending.call.request_id)
+        if self._state is _State.IDLE and any(each in self._sent for each in identifiers):
             await self.aclose()
         if self._state not in (_State.NEW, _State.IDLE):
             raise httpcore.ConnectionNotAvailable
         self._state = _State.ACTIVE
-        self._sent.add(pending.call.request_id)
+        for identifier in identifiers:
+            self._sent.add(identifier)
         try:
             await self._send(request, pending)
             response = await self._protocol.receive_own_head(request, pending.call)
@@ -119,7 +122,7 @@
             raise
         return httpcore.Response(
             response.status_code,
-            headers=response.headers.raw_items(),
+            headers=with_exact_id(response.headers.raw_items(), pending.call.request_id),
             content=_ResponseBody(self, pending.call),
         )
 
--- a/hopstep/platform/http_protocol.py
+++ b/hopstep/platform/http_protocol.py
@@ -15,6 +15,7 @@
 from hopstep.domain.connection_reuse import SentIdentifiers
 from hopstep.platform import names
 from hopstep.platform.http_call import HttpCall
+from hopstep.platform.request_ids import repeated_forms
 from hopstep.platform.spliced_responses import SplicedBodyScanner, require_single_head
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -148,7 +149,8 @@
         """Return whether a response names another call that this connection has carried."""
         found = dict(response.headers)
         answered = found.get(names.REQUEST_ID, b"")
-        return bool(call.request_id) and answered != call.request_id and answered in self._sent
+        is_own = answered in repeated_forms(call.request_id)
+        return bool(call.request_id) and not is_own and answered in self._sent
 
     async def _discard_answer(self, request: httpcore.Request, call: HttpCall) -> None:
         """Read the current response to its end, and expect another one to the same request.
--- a/tests/platform/test_repeated_answers.py
+++ b/tests/platform/test_repeated_answers.py
@@ -223,6 +223,20 @@
 
                 self.run_with(copies, script)
 
+    # An id that comes back in UTF-8 may look like that of another request, whose answer it isn't.
+    def test_an_id_that_comes_back_in_another_form_answers_no_request_of_that_form(self):
+        for first, second in (("r\xe9", "r\xc3\xa9"), ("r\xc3\xa9", "r\xe9")):
+            for delay in COPY_DELAYS_SECONDS:
+                with self.subTest(first=first, delay=delay):
+
+                    async def script(instances, instance, first=first, second=second):
+                        found = await self.send(instances, instance, first)
+                        self.assertEqual(found, (200, b"run 1"))
+                        found = await self.send(instances, instance, second)
+                        self.assertEqual(found, (500, b"run 2"))
+
+                    self.run_with(Copies((200, 500), delay_seconds=delay), script)
+
     # The copy of a request's success made an order that was refused look carried out.
     def test_an_order_is_never_answered_by_the_copy_of_a_requests_answer(self):
         for delay in COPY_DELAYS_SECONDS:
--- a/tests/processes/test_request_heads.py
+++ b/tests/processes/test_request_heads.py
@@ -128,3 +128,4 @@
         self.run_node(script)
         self.assertNotIn("HS6129", self.read_log())
         self.assertIn(answers[0][:12], (b"HTTP/1.1 200", b"HTTP/1.1 400"), answers)
+        self.assertIn(b"attempt-id: r\xe9\r\n", answers[0].lower())
