Let no message of another OpenAI-style router end the tasks that exchange messages

What callers saw: a router whose task for messages of other routers failed ended, before at once with all its streams, since then by a planned stop. Three ways, each with a signed message, as a router of another release may send it: a time of 400 digits in its header (OverflowError), a member with a port over 65,535 or of 5,000 digits (OverflowError at the next send), and whatever the content makes a listener raise.

Evidence: three tests, each fails on the code before with the error named above.

Change: decoding has one boundary with any error; times are compared as whole milliseconds; addresses are parsed as everywhere else; a message that can't be applied is logged (HS5003), counted and left out. Datagrams over 1,400 bytes, which no router sends, aren't read whole.

--- a/hopstep/adapters/peer_codec.py
+++ b/hopstep/adapters/peer_codec.py
@@ -26,6 +26,8 @@
 TAG_BYTES = 16
 """Bytes of the truncated HMAC: 128 bits, which RFC 2104 permits."""
 
+MILLISECONDS = 1_000
+
 MAX_SKEW_SECONDS = 30.0
 """Largest difference between a frame's time and this node's clock."""
 
@@ -152,7 +154,7 @@
         """
         self._sequence += 1
         key_id, key = self._keys.signing()
-        now_ms = int(self._wall_clock() * 1000)
+        now_ms = int(self._wall_clock() * MILLISECONDS)
         header = _Header(FORMAT, self._sender, self.incarnation, self._sequence, now_ms, payload)
         name = key_id.encode()
         rest = bytes((len(name),)) + name + encode_struct(header)
@@ -181,7 +183,8 @@
 
     def _check_fresh(self, header: _Header) -> None:
         now = self._wall_clock()
-        if abs(now - header.time_ms / 1000) > MAX_SKEW_SECONDS:
+        # In whole milliseconds: an integer of any size may have been sent.
+        if abs(round(now * MILLISECONDS) - header.time_ms) > MAX_SKEW_SECONDS * MILLISECONDS:
             raise _rejected("its time is too far from this node's clock")
         self._sweep(now)
         window = self._windows.get(header.sender)
@@ -223,7 +226,8 @@
     """
     try:
         return msgspec.convert(cbor2.loads(data), kind, builtin_types=(bytes,))
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, TypeError) as error:
+    except Exception as error:
+        # The decoder raises errors of many types, and other releases send other content.
         raise _rejected("it is truncated or malformed") from error
 
 
--- a/hopstep/adapters/udp_peer_transport.py
+++ b/hopstep/adapters/udp_peer_transport.py
@@ -3,23 +3,21 @@
 from __future__ import annotations
 
 import contextlib
-import ipaddress
 
 import trio
 
 from hopstep.adapters.peer_codec import PeerCodec
 from hopstep.adapters.signed_peer_transport import SignedPeerTransport
+from hopstep.domain.addresses import SocketAddress, parse_address
 from hopstep.domain.peer_message import Body
-from hopstep.exceptions import ErrorCode, PeerMessageError, PortError
+from hopstep.exceptions import ErrorCode, PeerMessageError, PortError, ValidationError
 from hopstep.ports.peer_transport import ReceivedMessage
 
 HEADER_BYTES = 28
 """Size of a datagram's IPv4 and UDP headers."""
 
 MAX_DATAGRAM_BYTES = 1_400
-"""Larger datagrams are never sent because IP would fragment them."""
-
-_RECEIVE_BYTES = 65_535
+"""Larger datagrams are never sent because IP would fragment them, and are rejected."""
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -28,15 +26,11 @@
     Raises:
         ValueError: If it isn't an IP address and a port.
     """
-    host, _, port = address.rpartition(":")
-    host = host.strip("[]")
-    ipaddress.ip_address(host)
-    return host, int(port)
-
-
-def join_address(host: str, port: int) -> str:
-    """Return ``ip:port``, with brackets around an IPv6 address."""
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+    try:
+        parsed = parse_address(address)
+    except ValidationError as error:
+        raise ValueError(error.message) from error
+    return parsed.host, parsed.port
 
 
 class UdpPeerTransport(SignedPeerTransport):
@@ -50,7 +44,7 @@
             codec: Signs and verifies datagrams.
         """
         host, port = socket.getsockname()[:2]
-        super().__init__(join_address(host, port), codec)
+        super().__init__(str(SocketAddress(host, port)), codec)
         self._socket = socket
 
     @classmethod
@@ -84,14 +78,14 @@
     async def receive(self) -> ReceivedMessage:
         """Wait for the next message; raises ``PeerMessageError`` for a rejected datagram."""
         try:
-            datagram, source = await self._socket.recvfrom(_RECEIVE_BYTES)
+            datagram, source = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
         except ConnectionError as error:
             # An ICMP error for an earlier datagram: that peer isn't listening.
             raise PeerMessageError(
                 ErrorCode.PEER_MESSAGE_REJECTED, "a peer's port is closed"
             ) from error
         message = self._codec.decode(datagram)
-        return ReceivedMessage(message, join_address(*source[:2]))
+        return ReceivedMessage(message, str(SocketAddress(*source[:2])))
 
     def close(self) -> None:
         """Close the socket."""
--- a/hopstep/services/membership.py
+++ b/hopstep/services/membership.py
@@ -30,6 +30,7 @@
     MemberState,
 )
 from hopstep.domain.rendezvous import Rendezvous
+from hopstep.error_reports import describe_unexpected
 from hopstep.exceptions import PeerMessageError
 from hopstep.log_events.membership import (
     ISOLATION_CHANGED,
@@ -38,7 +39,7 @@
     PEER_MESSAGE_REJECTED,
 )
 from hopstep.logs import emit
-from hopstep.ports.peer_transport import PeerTransport
+from hopstep.ports.peer_transport import PeerTransport, ReceivedMessage
 from hopstep.services.membership_metrics import MembershipMetrics
 from hopstep.settings import RouterSettings
 
@@ -201,12 +202,19 @@
             try:
                 received = await self._transport.receive()
             except PeerMessageError as error:
-                self._record_rejection(error)
+                self._record_rejection(error.message)
                 continue
             self._metrics.messages_received.inc()
+            self._apply(received)
+
+    def _apply(self, received: ReceivedMessage) -> None:
+        """Apply a message; what can't be applied of one is left out."""
+        try:
             self._dispatch(
                 self._membership.handle(received.message, received.source, trio.current_time())
             )
+        except Exception as error:
+            self._record_rejection(describe_unexpected(error))
 
     async def _send(self) -> None:
         async for message in self._to_send:
@@ -267,14 +275,14 @@
             self._was_partitioned = partitioned
             emit(ISOLATION_CHANGED, isolated=partitioned)
 
-    def _record_rejection(self, error: PeerMessageError) -> None:
+    def _record_rejection(self, reason: str) -> None:
         self._metrics.messages_rejected.inc()
         self._rejected += 1
         now = trio.current_time()
         if now - self._rejection_logged_at < REJECTION_LOG_SECONDS:
             return
         self._rejection_logged_at = now
-        emit(PEER_MESSAGE_REJECTED, reason=error.message, count=self._rejected)
+        emit(PEER_MESSAGE_REJECTED, reason=reason, count=self._rejected)
         self._rejected = 0
 
     def _update_owners(self) -> None:
--- a/tests/adapters/test_peer_codec.py
+++ b/tests/adapters/test_peer_codec.py
@@ -5,10 +5,18 @@
 import unittest
 from unittest import mock
 
+import cbor2
 import msgspec
 
 from hopstep.adapters import peer_keys
-from hopstep.adapters.peer_codec import MAX_SKEW_SECONDS, REPLAY_WINDOW, PeerCodec, ReplayWindow
+from hopstep.adapters.peer_codec import (
+    DATAGRAM_CONTEXT,
+    FORMAT,
+    MAX_SKEW_SECONDS,
+    REPLAY_WINDOW,
+    PeerCodec,
+    ReplayWindow,
+)
 from hopstep.adapters.peer_keys import FilePeerKeys, PeerKeys, parse_keys
 from hopstep.domain.peer_message import (
     Ack,
@@ -139,6 +147,14 @@
             self.reject(datagram)
             self.clock.now -= skew
 
+    def test_a_time_too_large_for_a_float_ends_no_receiver(self):
+        # It raised OverflowError, which ended the task that receives messages.
+        for time_ms in (10**400, -(10**400)):
+            content = cbor2.dumps([FORMAT, "a", 5, 1, time_ms, b""])
+            rest = b"\x01k" + content
+            tag = self.receiver._tag(KEY, DATAGRAM_CONTEXT, rest)
+            self.reject(tag + rest)
+
     def test_replays_stay_rejected_after_the_sweep(self):
         datagram = codec(self.clock).encode(BODIES[0])
         self.receiver.decode(datagram)
--- a/tests/contract/test_peer_transport_contract.py
+++ b/tests/contract/test_peer_transport_contract.py
@@ -42,6 +42,15 @@
 
         self.run_with(body, codec("a"), codec("b"))
 
+    def test_addresses_that_cannot_be_meant_get_no_message(self):
+        # A port over 65,535 raised OverflowError, which ended the task that sends messages.
+        async def body(one, _other):
+            for address in ("127.0.0.1:70000", "127.0.0.1:" + "9" * 5_000, "127.0.0.1", "", "h:1"):
+                with self.subTest(address=address[:20]):
+                    self.assertEqual(await one.send(address, Push(Gossip())), 0)
+
+        self.run_with(body, codec("a"), codec("b"))
+
 
 class FaultyPeerTransportTest(PeerTransportContract, unittest.TestCase):
     @contextlib.asynccontextmanager
--- a/tests/platform/test_readers_fuzz.py
+++ b/tests/platform/test_readers_fuzz.py
@@ -19,11 +19,16 @@
 
 from hopstep.adapters import node_codec
 from hopstep.adapters.node_codec import COMPRESSED, PLAIN, FrameError, decode_frame
+from hopstep.adapters.peer_codec import DATAGRAM_CONTEXT, PeerCodec, decode_struct
+from hopstep.adapters.peer_keys import PeerKeys
 from hopstep.adapters.tunnel_codec import OpenRequest, TunnelFrameError
+from hopstep.adapters.udp_peer_transport import MAX_DATAGRAM_BYTES
 from hopstep.decoding import decode_json
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.instance_notices import AnswerKind
+from hopstep.domain.peer_message import Body
 from hopstep.domain.store_position import StorePosition
+from hopstep.exceptions import PeerMessageError
 from hopstep.platform import cache_events, instance_answers, instances, names, store
 from hopstep.platform.directory import read_change
 from hopstep.platform.notices import read_notice
@@ -65,6 +70,8 @@
 POSITION = StorePosition(0, 1)
 KEY = b"key-a"
 NODES = {"a": NodeRecord("127.0.0.1:1", "z", KEY)}
+PEER_KEY_ID = "k"
+PEER_CODEC = PeerCodec("c", "a", 1, PeerKeys({PEER_KEY_ID: KEY}))
 
 MODEL = {"name": "m", "version": 1}
 ITEM = {"privateKey": "k", "value": "", "revision": 1, "deleted": False}
@@ -133,6 +140,19 @@
     return read
 
 
+def read_peer_payload(value):
+    """Read a payload that another router has signed."""
+    frame = PEER_CODEC.open(PEER_CODEC.seal(value, DATAGRAM_CONTEXT), DATAGRAM_CONTEXT)
+    return decode_struct(frame.payload, Body)
+
+
+def read_peer_header(value):
+    """Read a header that another router has signed."""
+    rest = bytes((1,)) + PEER_KEY_ID.encode() + value
+    tag = PEER_CODEC._tag(KEY, DATAGRAM_CONTEXT, rest)
+    return PEER_CODEC.decode(tag + rest)
+
+
 # Reader, the error that it declares, and the longest value that reaches it.
 READERS = {
     "entry": (read_as(names.INSTANCES_PREFIX + "i"), None, STORE_BYTES),
@@ -161,6 +181,9 @@
     "frame": (lambda value: decode_frame(value, NODES), FrameError, DATAGRAM_BYTES),
     "signed payload": (read_signed(PLAIN), FrameError, DATAGRAM_BYTES),
     "compressed payload": (read_signed(COMPRESSED), FrameError, DATAGRAM_BYTES),
+    "peer datagram": (lambda v: PEER_CODEC.decode(v), PeerMessageError, MAX_DATAGRAM_BYTES),
+    "peer header": (read_peer_header, PeerMessageError, MAX_DATAGRAM_BYTES),
+    "peer payload": (read_peer_payload, PeerMessageError, MAX_DATAGRAM_BYTES),
     "tunnel": (OpenRequest, TunnelFrameError, TUNNEL_FRAME_BYTES),
 }
 
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -13,7 +13,7 @@
 from emulator.virtual_time import run_in_virtual_time
 from hopstep.adapters.peer_codec import PeerCodec
 from hopstep.adapters.peer_keys import PeerKeys
-from hopstep.domain.membership import RevisionReported
+from hopstep.domain.membership import EntryChanged, RevisionReported
 from hopstep.domain.peer_message import EngineEntry, EntryKind
 from hopstep.services import membership
 from hopstep.services.membership import MembershipService
@@ -162,6 +162,31 @@
 
         self.run_world(body)
 
+    def test_a_message_that_cannot_be_applied_ends_no_router(self):
+        # Whatever its content made the router raise ended the task that receives messages.
+        async def body(world):
+            services = await self.start_cluster(world, 3)
+            odd = EngineEntry("127.0.0.1:9", "i", {"model": "odd"})
+
+            def fail(action):
+                if isinstance(action, EntryChanged) and action.entry.value == odd:
+                    raise OverflowError("too large for what is done with it")
+
+            services[0].subscribe(fail)
+            services[1].publish(EntryKind.ENGINE_FACTS, odd.engine, odd)
+            await trio.sleep(10)
+            services[1].set_revision(8)
+            await trio.sleep(3)
+            self.assertEqual(world.views()["r0"], ["r0", "r1", "r2"])
+            known = {each.name: each.configuration_revision for each in services[0].members()}
+            self.assertEqual(known["r1"], 8)
+            reasons = [
+                fields["reason"] for event, fields in self.events if event.number == "HS5003"
+            ]
+            self.assertTrue(any(reason.startswith("OverflowError at fail") for reason in reasons))
+
+        self.run_world(body)
+
     def test_revisions_and_the_age_of_their_proofs_are_announced(self):
         async def body(world):
             services = await self.start_cluster(world, 3)
