Let no report of one engine end the watch of all engines

What callers saw: at the OpenAI-style interface, facts or cache events of one engine that made the router raise an undeclared error ended the task that watches all engines, and with it the router.

Cause: the class of the incident: the loop expected two types of errors.

Evidence: the test, in which the index of one engine's events raises OverflowError, fails on the code before with that error in place of 20 s of probes of all three.

Change: an engine whose report can't be used counts as unreachable until a probe succeeds (HS6502 with the error's type and place); the others are watched on. Stored documents of the configuration have one boundary for errors of decoding instead of two lists.

--- a/hopstep/domain/configuration/encoding.py
+++ b/hopstep/domain/configuration/encoding.py
@@ -78,7 +78,7 @@
     Raises:
         ValidationError: When they don't encode a change.
     """
-    return _to_change(convert_document(_load(data), _ChangeRecord))
+    return _to_change(convert_document(load_document(data), _ChangeRecord))
 
 
 def decode_snapshot(data: bytes) -> AcceptedConfiguration:
@@ -87,7 +87,7 @@
     Raises:
         ValidationError: When they don't encode a snapshot.
     """
-    return convert_document(_load(data), AcceptedConfiguration)
+    return convert_document(load_document(data), AcceptedConfiguration)
 
 
 def decode_transfer(data: bytes) -> ConfigurationTransfer:
@@ -96,19 +96,25 @@
     Raises:
         ValidationError: When they don't encode a transfer.
     """
-    record = convert_document(_load(data), _TransferRecord)
+    record = convert_document(load_document(data), _TransferRecord)
     changes = tuple(
         AcceptedChange(item.revision, _to_change(item.change)) for item in record.changes
     )
     return ConfigurationTransfer(record.snapshot, changes)
 
 
-def _load(data: bytes) -> object:
-    """Return the decoded maps and lists."""
+def load_document(data: bytes) -> object:
+    """Return decoded maps and lists.
+
+    Raises:
+        ValidationError: When the bytes aren't CBOR.
+    """
     try:
         value: object = cbor2.loads(data)
-    except (cbor2.CBORDecodeError, ValueError, RecursionError):
-        raise ValidationError(ErrorCode.INVALID_CONFIGURATION, "not a CBOR document") from None
+    except Exception as error:
+        # The decoder raises errors of many types.
+        message = f"not a CBOR document ({type(error).__name__})"
+        raise ValidationError(ErrorCode.INVALID_CONFIGURATION, message) from None
     return value
 
 
--- a/hopstep/services/configuration/snapshots.py
+++ b/hopstep/services/configuration/snapshots.py
@@ -14,7 +14,7 @@
 
 from hopstep.domain.configuration.decoding import convert_document
 from hopstep.domain.configuration.document import AcceptedConfiguration
-from hopstep.domain.configuration.encoding import decode_snapshot, encode
+from hopstep.domain.configuration.encoding import decode_snapshot, encode, load_document
 from hopstep.domain.store_position import ABSENT
 from hopstep.exceptions import ErrorCode, StoreConflictError, StoreError, ValidationError
 from hopstep.ports.key_value_store import KeyValueStorePort, StoredValue
@@ -148,9 +148,9 @@
         ValidationError: When it can't be decoded.
     """
     try:
-        document = cbor2.loads(value.value)
-    except (cbor2.CBORDecodeError, ValueError) as error:
-        message = f"{value.key} isn't a CBOR document"
+        document = load_document(value.value)
+    except ValidationError as error:
+        message = f"{value.key}: {error.message}"
         raise ValidationError(ErrorCode.INVALID_CONFIGURATION, message) from error
     return convert_document(document, SnapshotManifest)
 
--- a/hopstep/services/engine_watch.py
+++ b/hopstep/services/engine_watch.py
@@ -15,6 +15,7 @@
 from hopstep.domain.engines import CacheEventBatch, EngineFacts
 from hopstep.domain.routing.event_budget import EventBudget
 from hopstep.domain.routing.routing_table import RoutingTable
+from hopstep.error_reports import describe_unexpected
 from hopstep.exceptions import EngineError
 from hopstep.log_events.instances import (
     CACHE_EVENTS_LOST,
@@ -120,7 +121,10 @@
                 self._take_facts(address, before, facts)
                 await self._read_events(address, facts)
         except (EngineError, trio.TooSlowError) as error:
-            self._record_failure(address, error)
+            self._record_failure(address, type(error).__name__)
+        except Exception as error:
+            # What one engine reports can't be used; the others are watched on.
+            self._record_failure(address, describe_unexpected(error))
 
     async def _probe_engines(self) -> None:
         """Probe the owned engines concurrently, each in its own loop."""
@@ -202,13 +206,13 @@
             emit(CACHE_EVENTS_LOST, engine=address, lost=lost)
         self._table.record_events(address, batch)
 
-    def _record_failure(self, address: str, error: Exception) -> None:
-        """Record that an engine didn't answer, and log the first such failure."""
+    def _record_failure(self, address: str, reason: str) -> None:
+        """Record that an engine gave no answer of use, and log the first such failure."""
         self._table.record_failure(address, trio.current_time())
         if address in self._unreachable:
             return
         self._unreachable.add(address)
-        emit(ENGINE_UNREACHABLE, engine=address, reason=type(error).__name__)
+        emit(ENGINE_UNREACHABLE, engine=address, reason=reason)
 
 
 def _has_changed(before: EngineFacts | None, facts: EngineFacts) -> bool:
--- a/tests/services/test_engine_watch.py
+++ b/tests/services/test_engine_watch.py
@@ -3,7 +3,9 @@
 import random
 import unittest
 from collections import Counter
+from unittest import mock
 
+import structlog.testing
 import trio
 
 from emulator.virtual_time import run_in_virtual_time
@@ -93,5 +95,33 @@
         self.assertGreater(engines.keys_read, 0.6 * allowed, "the budget is used")
 
 
+class OddReportsTest(unittest.TestCase):
+    def test_a_report_that_cannot_be_used_ends_no_watch_of_other_engines(self):
+        # Whatever it made the router raise ended the task that watches all engines.
+        async def main():
+            holder = ConfigurationHolder()
+            back_ends = tuple(BackEnd(f"e{n}", f"10.0.0.1:{n + 1}") for n in range(3))
+            holder.apply(AcceptedConfiguration(1, Configuration(back_ends=back_ends)))
+            engines = CountingEngines()
+            table = mock.Mock(wraps=RoutingTable(random.Random(1)))
+            table.record_events.side_effect = fail_for_first
+            service = EngineWatch(engines, table, holder, lambda _: True, lambda *_: None, 10**9)
+            with trio.move_on_after(RUN_SECONDS):
+                await service.run()
+            return engines.probes
+
+        with structlog.testing.capture_logs() as lines:
+            probes = run_in_virtual_time(main)
+        self.assertGreaterEqual(min(probes.values()), RUN_SECONDS / engine_watch.PROBE_SECONDS)
+        reasons = [line["reason"] for line in lines if line["event"] == "engine_unreachable"]
+        self.assertTrue(reasons[0].startswith("OverflowError at "), reasons)
+
+
+def fail_for_first(address, _batch):
+    """Fail as an index of fixed-size numbers does with a number that is too large."""
+    if address.endswith(":1"):
+        raise OverflowError
+
+
 if __name__ == "__main__":
     unittest.main()
