Divide the records of quarantined requests by their jobs

records.py had 502 lines and three jobs: the form of a record in the store (stored_requests), what the node knows of the store's records (known_records), and writing them and claiming trials. Names and behavior are as before, but for a wake-up more where an older record comes for a claim that isn't confirmed. The tests' imports follow.

--- a/hopstep/ctl/quarantine.py
+++ b/hopstep/ctl/quarantine.py
@@ -10,7 +10,7 @@
 from hopstep.domain.quarantine.crashes import CrashSubject, RequestCrashes
 from hopstep.exceptions import ErrorCode, StoreConflictError, ValidationError
 from hopstep.ports.key_value_store import KeyValueStorePort
-from hopstep.services.quarantine.records import QUARANTINE_PREFIX, StoredRequest
+from hopstep.services.quarantine.stored_requests import QUARANTINE_PREFIX, StoredRequest
 
 LIFTED = msgspec.json.encode(StoredRequest(lifted=True))
 """Stored value by which operators allow a request: earlier terminations no longer count."""
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -62,7 +62,8 @@
 from hopstep.services.exchanges.weights.weights_rollout import WeightsRollout
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.services.quarantine.quarantine import Quarantine
-from hopstep.services.quarantine.records import QUARANTINE_PREFIX, QuarantineRecords
+from hopstep.services.quarantine.records import QuarantineRecords
+from hopstep.services.quarantine.stored_requests import QUARANTINE_PREFIX
 
 MILLISECONDS = 1_000.0
 FIRST_REPORT_SECONDS = 0.6
--- a/hopstep/services/quarantine/reader.py
+++ b/hopstep/services/quarantine/reader.py
@@ -14,7 +14,8 @@
 from hopstep.domain.store_position import ABSENT, StorePosition
 from hopstep.exceptions import StoreError
 from hopstep.ports.key_value_store import KeyValueStorePort
-from hopstep.services.quarantine.records import QUARANTINE_PREFIX, QuarantineRecords
+from hopstep.services.quarantine.records import QuarantineRecords
+from hopstep.services.quarantine.stored_requests import QUARANTINE_PREFIX
 
 RETRY_SECONDS = 1.0
 POLL_SECONDS = 15.0
--- a/hopstep/services/quarantine/records.py
+++ b/hopstep/services/quarantine/records.py
@@ -15,9 +15,8 @@
 import msgspec
 import trio
 
-from hopstep.decoding import decode_json
 from hopstep.domain.quarantine.crash_records import MAX_REQUESTS, drop_oldest
-from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
+from hopstep.domain.quarantine.crashes import RequestCrashes
 from hopstep.domain.quarantine.fingerprint import is_part
 from hopstep.domain.quarantine.trial_uses import TrialUse
 from hopstep.domain.store_position import ABSENT, StorePosition
@@ -28,12 +27,16 @@
 from hopstep.logs import emit
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.ports.serving_directory import RejectReason
+from hopstep.services.quarantine.known_records import KnownRecord, KnownRecords
 from hopstep.services.quarantine.quarantine import Quarantine
+from hopstep.services.quarantine.stored_requests import (
+    encode_stored,
+    read_fingerprint,
+    read_stored,
+    request_key,
+)
 from hopstep.services.short_lease import ShortLease
 
-QUARANTINE_PREFIX = "hopstep/quarantine/"
-"""Prefix of a request's key, followed by its fingerprint in hexadecimal digits."""
-
 KEEP_SECONDS = 300.0
 """Time for which a key lasts at least: half of the platform's longest lease."""
 
@@ -80,37 +83,10 @@
 observer may be gone."""
 
 
-MAX_RECORD_BYTES = 64 * 1024
-"""Longest record: some 500 terminations; a request is refused after three."""
-
 MAX_DETAIL = 200
 """Characters of a logged detail; errors may repeat a part of the record."""
 
 
-class StoredRequest(msgspec.Struct, frozen=True):
-    """Value of a request's key; readable, as operators look requests up here.
-
-    Attributes:
-        tenant: Caller of the request.
-        route: Route of the request.
-        crashes: Terminations of instances under it.
-        cleared: Incarnations whose terminations no longer count.
-        lifted: Set by operators: no termination recorded so far counts any longer.
-        trials: Trials that the request has used.
-        claimant: Process that claimed the last trial; missing once the trial has been judged.
-        repeats: Trials that were run again because their processes had ended; missing for none.
-    """
-
-    tenant: str = ""
-    route: str = ""
-    crashes: tuple[Crash, ...] = ()
-    cleared: tuple[str, ...] = ()
-    lifted: bool = False
-    trials: int = 0
-    claimant: str | msgspec.UnsetType = msgspec.UNSET
-    repeats: int | msgspec.UnsetType = msgspec.UNSET
-
-
 class NodeProcesses(Protocol):
     """The processes of the nodes, as their entries in the store show them."""
 
@@ -122,14 +98,6 @@
         """Return whether the entry of a process was replaced or removed."""
 
 
-class _Stored(msgspec.Struct, frozen=True):
-    """Record of a request in the store; version ``ABSENT`` once the key has expired."""
-
-    version: StorePosition
-    crashes: RequestCrashes
-    use: TrialUse = TrialUse()
-
-
 class QuarantineRecords:
     """Writes and reads the records in the store."""
 
@@ -152,7 +120,7 @@
         self._quarantine = quarantine
         self._store = store
         self._generator = generator
-        self._stored: OrderedDict[bytes, _Stored] = OrderedDict()
+        self._known = KnownRecords()
         self._missing_since: dict[bytes, float] = {}
         self._succeeded: set[bytes] = set()
         self._judged: set[bytes] = set()
@@ -173,9 +141,9 @@
             fingerprint: The refused subject.
             alone: Whether the request is refused for it only.
         """
-        stored = self._stored.get(fingerprint)
+        stored = self._known.get_held(fingerprint)
         most = _most_trials(fingerprint, alone=alone)
-        if stored is None or stored.version == ABSENT:
+        if stored is None:
             return float("inf")
         if stored.use.used >= most and not self._may_repeat_trial(fingerprint, stored.use, most):
             return float("inf")
@@ -196,7 +164,7 @@
                 process = self._processes.own_process if self._processes is not None else ""
                 most = _most_trials(fingerprint, alone=alone)
                 self._judged.discard(fingerprint)
-                use = self._stored[fingerprint].use
+                use = self._use(fingerprint)
                 self._unconfirmed[fingerprint] = use.claimed(most, process)
                 drop_oldest(self._unconfirmed, MAX_REQUESTS)
                 await self._write(fingerprint, use.claimed(most, process))
@@ -218,8 +186,8 @@
         Without the store's answer the request stays refused.
         """
         for _ in range(MAX_RELEASE_ATTEMPTS):
-            stored = self._stored.get(fingerprint)
-            if stored is None or stored.version == ABSENT or not stored.use.used:
+            stored = self._known.get_held(fingerprint)
+            if stored is None or not stored.use.used:
                 return
             try:
                 await self._write(fingerprint, stored.use.released())
@@ -299,14 +267,13 @@
         Raises:
             msgspec.DecodeError: The key or the value can't be read.
         """
-        fingerprint = _read_fingerprint(key)
+        fingerprint = read_fingerprint(key)
         stored = read_stored(value) if value else None
         if stored is None:
-            self._record_expiry(fingerprint)
+            self._note_expiry(fingerprint)
             return
         recorded = RequestCrashes(fingerprint, stored.crashes, stored.cleared)
-        use = TrialUse(stored.trials, stored.claimant or "", stored.repeats or 0)
-        self._record_stored(fingerprint, _Stored(version, recorded, use))
+        self._note(fingerprint, KnownRecord(version, recorded, stored.use))
         if stored.lifted:
             self._quarantine.lift(fingerprint)
         else:
@@ -350,16 +317,21 @@
         unused = [f for f in self._unconfirmed if self._is_unused_claim(f)]
         return list(dict.fromkeys((*due, *self._judged, *unused)))
 
+    def _use(self, fingerprint: bytes) -> TrialUse:
+        """Return the trials of a request that the store showed last."""
+        record = self._known.get(fingerprint)
+        return record.use if record is not None else TrialUse()
+
     def _is_unused_claim(self, fingerprint: bytes) -> bool:
         """Return whether the store shows a claim of this process whose acknowledgement was lost."""
         if fingerprint in self._claiming or not self._has_open_trial(fingerprint):
             return False
-        return self._stored[fingerprint].use == self._unconfirmed.get(fingerprint)
+        return self._use(fingerprint) == self._unconfirmed.get(fingerprint)
 
     def _has_open_trial(self, fingerprint: bytes) -> bool:
         """Return whether the store shows a trial of this process that hasn't been judged."""
-        stored = self._stored.get(fingerprint)
-        if stored is None or stored.version == ABSENT or self._processes is None:
+        stored = self._known.get_held(fingerprint)
+        if stored is None or self._processes is None:
             return False
         return bool(stored.use.claimant) and stored.use.claimant == self._processes.own_process
 
@@ -372,7 +344,7 @@
         as long as they remember them: a lease may end early, during an outage. If the other nodes
         wrote it too, it would never expire.
         """
-        stored = self._stored.get(fingerprint)
+        stored = self._known.get(fingerprint)
         known = self._quarantine.known_crashes(fingerprint)
         in_store = stored.crashes if stored is not None else RequestCrashes(fingerprint)
         if stored is None and not self._is_worth_storing(fingerprint):
@@ -380,7 +352,7 @@
         lacking = set(known.crashes) - set(in_store.crashes)
         cleared = set(known.cleared) - set(in_store.cleared)
         own = any(crash.node == self._quarantine.node for crash in lacking)
-        if stored is not None and stored.version == ABSENT:
+        if stored is not None and stored.is_absent:
             own = any(crash.node == self._quarantine.node for crash in known.crashes)
             return True if own else None
         if not lacking and not cleared:
@@ -400,87 +372,42 @@
             fingerprint: Fingerprint of the request.
             use: Trials that it has used; None when that doesn't change.
         """
-        key = QUARANTINE_PREFIX + fingerprint.hex()
-        stored = self._stored.get(fingerprint)
+        key = request_key(fingerprint)
+        stored = self._known.get(fingerprint)
         known = self._quarantine.known_crashes(fingerprint)
         subject = self._quarantine.subject(fingerprint)
         if use is None:
-            use = stored.use if stored is not None else TrialUse()
+            use = self._use(fingerprint)
             if fingerprint in self._judged:
                 use = use.judged()
             elif self._is_unused_claim(fingerprint):
                 use = use.released()
-        value = StoredRequest(
-            subject.caller,
-            subject.route,
-            known.crashes,
-            known.cleared,
-            trials=use.used,
-            claimant=use.claimant or msgspec.UNSET,
-            repeats=use.repeats or msgspec.UNSET,
-        )
+        value = encode_stored(subject.caller, subject.route, known, use)
         lease = await self._lease.current(KEEP_SECONDS)
         expected = stored.version if stored is not None else ABSENT
         try:
-            version = await self._store.compare_and_swap(
-                key, expected, msgspec.json.encode(value), lease
-            )
+            version = await self._store.compare_and_swap(key, expected, value, lease)
         except StoreConflictError:
             found = await self._store.get(key)
             if found is None:
-                self._record_expiry(fingerprint)
+                self._note_expiry(fingerprint)
             else:
                 self.apply_stored(key, found.value, found.version)
             raise
-        self._record_stored(fingerprint, _Stored(version, known, use))
+        self._note(fingerprint, KnownRecord(version, known, use))
 
-    def _record_stored(self, fingerprint: bytes, stored: _Stored) -> None:
+    def _note(self, fingerprint: bytes, record: KnownRecord) -> None:
         """Remember a stored record, unless a newer one is known."""
-        known = self._stored.get(fingerprint)
-        if known is not None and known.version > stored.version:
-            return
-        if known is not None and known.version.era < stored.version.era:
-            stored = _restored(known, stored)
+        is_restored = self._known.put(fingerprint, record)
+        if is_restored or fingerprint in self._unconfirmed:
             self._quarantine.notify_changed()
-        self._stored[fingerprint] = stored
-        self._stored.move_to_end(fingerprint)
-        if fingerprint in self._unconfirmed:
-            self._quarantine.notify_changed()
-        while len(self._stored) > MAX_REQUESTS:
-            self._stored.popitem(last=False)
 
-    def _record_expiry(self, fingerprint: bytes) -> None:
+    def _note_expiry(self, fingerprint: bytes) -> None:
         """Remember that the store no longer holds a request's record."""
-        known = self._stored.get(fingerprint)
-        if known is not None:
-            expired = _Stored(ABSENT, RequestCrashes(fingerprint), known.use)
-            self._stored[fingerprint] = expired
+        if self._known.expire(fingerprint):
             self._quarantine.notify_changed()
 
 
-def _read_fingerprint(key: str) -> bytes:
-    """Return the fingerprint in a request's key.
-
-    Raises:
-        msgspec.DecodeError: It isn't written in hexadecimal digits.
-    """
-    try:
-        return bytes.fromhex(key.removeprefix(QUARANTINE_PREFIX))
-    except ValueError as error:
-        raise msgspec.DecodeError(str(error)) from error
-
-
-def read_stored(value: bytes) -> StoredRequest:
-    """Return the record of a request's key.
-
-    Raises:
-        msgspec.DecodeError: It is too long, or a field can't be read.
-    """
-    if len(value) > MAX_RECORD_BYTES:
-        raise msgspec.DecodeError(f"expected at most {MAX_RECORD_BYTES} bytes, got {len(value)}")
-    return decode_json(value, StoredRequest)
-
-
 def _most_trials(fingerprint: bytes, *, alone: bool) -> int:
     """Return how many trials a subject may have used after one more.
 
@@ -489,14 +416,3 @@
         alone: Whether the request that is to run is refused for it only.
     """
     return MAX_PART_TRIALS if alone and is_part(fingerprint) else MAX_TRIALS
-
-
-def _restored(known: _Stored, stored: _Stored) -> _Stored:
-    """Return a record of a store that was restored from a backup, with all trials used so far.
-
-    A record that shows other trials counts as without terminations, so that it is written again.
-    """
-    use = stored.use.merge_older(known.use)
-    if use == stored.use:
-        return stored
-    return _Stored(stored.version, RequestCrashes(stored.crashes.fingerprint), use)
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -66,7 +66,7 @@
     encode_holder,
     encode_node,
 )
-from hopstep.services.quarantine.records import StoredRequest
+from hopstep.services.quarantine.stored_requests import StoredRequest
 
 GOLDEN = Path(__file__).parent / "golden"
 BEFORE_INCARNATIONS = "f985196"
--- a/tests/ctl/test_quarantine.py
+++ b/tests/ctl/test_quarantine.py
@@ -10,7 +10,7 @@
 from hopstep.domain.quarantine.crashes import Crash
 from hopstep.domain.store_position import ABSENT
 from hopstep.exceptions import ValidationError
-from hopstep.services.quarantine.records import QUARANTINE_PREFIX, StoredRequest
+from hopstep.services.quarantine.stored_requests import QUARANTINE_PREFIX, StoredRequest
 
 FINGERPRINT = "00ff" * 8
 CRASHES = tuple(Crash(f"i{number}@7", f"n{number}") for number in range(3))
--- a/tests/platform/test_readers_fuzz.py
+++ b/tests/platform/test_readers_fuzz.py
@@ -42,7 +42,7 @@
     decode_node,
 )
 from hopstep.services.exchanges.streams.stored_origins import StoredOrigins
-from hopstep.services.quarantine.records import read_stored
+from hopstep.services.quarantine.stored_requests import read_stored
 from tests import fuzz_settings
 
 UNBOUNDED = tuple[tuple[str, str, str, str, int, int], ...]
--- a/tests/services/exchanges/test_shared_quarantine.py
+++ b/tests/services/exchanges/test_shared_quarantine.py
@@ -7,7 +7,7 @@
 from emulator.platform.in_memory import InMemoryStore
 from hopstep.domain.quarantine.crash_ledger import TERMINATIONS_TO_REFUSE
 from hopstep.ports.serving_directory import InstanceListed
-from hopstep.services.quarantine.records import QUARANTINE_PREFIX, StoredRequest
+from hopstep.services.quarantine.stored_requests import QUARANTINE_PREFIX, StoredRequest
 from tests.services.exchanges.quarantine_case import (
     FATAL,
     REPORTED_SECONDS,
--- a/tests/services/exchanges/test_unreadable_records.py
+++ b/tests/services/exchanges/test_unreadable_records.py
@@ -14,7 +14,7 @@
 from hopstep.services.exchanges.directory import known_nodes
 from hopstep.services.exchanges.directory.records import NODES_PREFIX, STREAMS_PREFIX
 from hopstep.services.quarantine import records as quarantine_records
-from hopstep.services.quarantine.records import QUARANTINE_PREFIX
+from hopstep.services.quarantine.stored_requests import QUARANTINE_PREFIX
 from tests.services.exchanges.exchange_world import ExchangeWorld
 
 PROPAGATION_SECONDS = 3.0
--- a/tests/services/quarantine/test_lost_trials.py
+++ b/tests/services/quarantine/test_lost_trials.py
@@ -17,10 +17,10 @@
 from hopstep.services.quarantine.quarantine import Quarantine
 from hopstep.services.quarantine.records import (
     OBSERVER_WRITE_SECONDS,
-    QUARANTINE_PREFIX,
     TRIAL_AFTER_SECONDS,
     QuarantineRecords,
 )
+from hopstep.services.quarantine.stored_requests import QUARANTINE_PREFIX
 from hopstep.services.quarantine.trial_verdicts import VERDICT_CHECK_SECONDS, VERDICT_SECONDS
 from tests.services.quarantine.reports import FATAL, OTHER, report
 
--- a/tests/simulation/test_repeated_crashes.py
+++ b/tests/simulation/test_repeated_crashes.py
@@ -9,7 +9,7 @@
 
 from emulator.platform.in_memory import InMemoryStore
 from hopstep.services.quarantine.reader import POLL_SECONDS
-from hopstep.services.quarantine.records import QUARANTINE_PREFIX
+from hopstep.services.quarantine.stored_requests import QUARANTINE_PREFIX
 from tests.simulation.harness import STEADY, SimulationTest, call, under_load
 
 ROUTERS = ("r0", "r1", "r2")
