--- a/hopstep/cli/reference_docs.py
+++ b/hopstep/cli/reference_docs.py
@@ -60,7 +60,7 @@
             "event of the same shape and without `[DONE]`.",
             "",
             "On routes, the body of an error is its code as plain text. For `malformed_request` a",
-            "colon and the name of the header follow, such as `malformed_request: Token-Usage`;",
+            "colon and the name of the header follow (`malformed_request: NAME`);",
             "nothing was sent to an instance. `docs/design/0047-numbers-in-heads.md` has the",
             "bounds of each header.",
             "",
