Count no instance as free whose entry another writer has overwritten

Trace: the faults "foreign entries" overwrite the entry of an instance for some seconds. Such an entry names no instance to use, so that nodes are right to send it nothing; the check counted the instance as free, as the soak kept no record of the time. Seven such faults run in 15 s of this profile, several at once, and no instance of the plain service was left.

Change: the soak records from when to when an entry is overwritten, until the instance writes its own again. Such an instance isn't free for this one check; others see nothing of it. The check's test has a case on each side of the time's ends.

--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -17,6 +17,7 @@
     LinkSilence,
     ListedInstance,
     LoggedOrder,
+    OverwrittenEntry,
     SentNotice,
     TakenOrder,
 )
@@ -54,6 +55,7 @@
         drain_starts: Instances that were listed as draining.
         notices: Notices that instances sent in responses.
         silences: Times in which links of instances delivered nothing.
+        overwritten: Times in which another writer's entry stood in the place of an instance's own.
         limits: Limits that instances announced.
         instances: All incarnations of instances.
         disturbances: Faults, in the order of their starts.
@@ -83,6 +85,7 @@
     drain_starts: list[DrainStart] = []
     notices: list[SentNotice] = []
     silences: list[LinkSilence] = []
+    overwritten: list[OverwrittenEntry] = []
     limits: list[LimitChange] = []
     instances: list[IncarnationPeriod] = []
     disturbances: list[Disturbance] = []
@@ -131,6 +134,13 @@
             for fault in self.disturbances
         )
 
+    def is_listed(self, instance_id: str, since: float, until: float) -> bool:
+        """Return whether an instance's own entry was in the store throughout a period."""
+        return not any(
+            entry.instance_id == instance_id and entry.since <= until and entry.until >= since
+            for entry in self.overwritten
+        )
+
     def interrupted(self, node: str, since: float, until: float) -> bool:
         """Return whether a node was killed, stopped, started, paused or cut off in a period."""
         return any(
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -226,7 +226,7 @@
         if over:
             decoy = self._deployment.decoy
             entry = foreign_entry(generator, traits.service, traits.zone, decoy)
-            store.put_bytes(f"servers/{traits.instance_id}", entry)
+            self._deployment.recorder.entry_overwritten(traits.instance_id, entry)
         await trio.sleep(draw_seconds(self._generator))
         for key in keys:
             store.remove(key)
--- a/emulator/soak/instance_records.py
+++ b/emulator/soak/instance_records.py
@@ -44,6 +44,20 @@
     until: float = float("inf")
 
 
+class OverwrittenEntry(msgspec.Struct):
+    """A time in which another writer's invalid entry stands in the place of an instance's own.
+
+    Attributes:
+        instance_id: The instance, which is as good as not listed.
+        since: When the entry was overwritten.
+        until: When the instance wrote its own again; infinite until then.
+    """
+
+    instance_id: str
+    since: float
+    until: float = float("inf")
+
+
 class LimitChange(msgspec.Struct, frozen=True):
     """A change of the limit that an instance announces.
 
--- a/emulator/soak/limit_checks.py
+++ b/emulator/soak/limit_checks.py
@@ -177,7 +177,10 @@
 def _free_instances(
     history: History, request: SentRequest, since: float, until: float
 ) -> list[str]:
-    """Return the undisturbed plain instances of a request's service that sent no notice."""
+    """Return the undisturbed plain instances of a request's service that sent no notice.
+
+    Their own entries are in the store: nodes use no instance by what another writer says.
+    """
     return [
         lifetime.incarnation
         for lifetime in history.instances
@@ -185,6 +188,7 @@
         and lifetime.is_plain
         and lifetime.since <= since
         and lifetime.until >= until
+        and history.is_listed(instance_id_of(lifetime.incarnation), since, until)
         and not _disturbed_or_announced(history, lifetime, since, until)
     ]
 
@@ -193,7 +197,7 @@
     history: History, instance: IncarnationPeriod, since: float, until: float
 ) -> bool:
     """Return whether an instance had a fault in a period, or announced anything by its end."""
-    incarnation, instance_id = instance.incarnation, instance.incarnation.partition("@")[0]
+    incarnation, instance_id = instance.incarnation, instance_id_of(instance.incarnation)
     return (
         history.disturbed(instance_id, since, until)
         or any(
@@ -206,6 +210,11 @@
     )
 
 
+def instance_id_of(incarnation: str) -> str:
+    """Return the id of an instance, which its incarnation begins with."""
+    return incarnation.partition("@")[0]
+
+
 def _arrivals_by_incarnation(history: History) -> dict[str, list[Arrival]]:
     """Return the requests that reached each incarnation of an instance, in order."""
     arrivals: dict[str, list[Arrival]] = defaultdict(list)
--- a/emulator/soak/recorder.py
+++ b/emulator/soak/recorder.py
@@ -16,7 +16,12 @@
 from emulator.platform.shared_store import SharedStore
 from emulator.platform.store_model import ABSENT_REVISION
 from emulator.soak.history import History
-from emulator.soak.instance_records import AnsweredOrder, SentNotice, TakenOrder
+from emulator.soak.instance_records import (
+    AnsweredOrder,
+    OverwrittenEntry,
+    SentNotice,
+    TakenOrder,
+)
 from emulator.soak.request_records import Arrival, ReceivedRequest, Run
 from hopstep.adapters import key_value_store_wire as wire
 
@@ -188,6 +193,19 @@
         address = self.addresses.get(instance_id)
         if address is not None and self.current_instances.get(instance_id) is instance:
             self._store.put(f"servers/{instance_id}", instance.entry(address))
+            self._note_restored(instance_id)
+
+    def entry_overwritten(self, instance_id: str, value: bytes) -> None:
+        """Write another writer's entry in the place of an instance's own."""
+        self._store.put_bytes(f"servers/{instance_id}", value)
+        entry = OverwrittenEntry(instance_id, trio.current_time())
+        self._history.overwritten.append(entry)
+
+    def _note_restored(self, instance_id: str) -> None:
+        """Note that an instance's own entry stands in the store."""
+        for entry in self._history.overwritten:
+            if entry.instance_id == instance_id:
+                entry.until = min(entry.until, trio.current_time())
 
     def fatal_request_started(self, instance: HttpInstance, request: str) -> None:
         """Report that an instance has begun a fatal request."""
--- a/tests/emulator/soak/test_limit_checks.py
+++ b/tests/emulator/soak/test_limit_checks.py
@@ -5,7 +5,12 @@
 import msgspec
 
 from emulator.soak.disturbances import INSTANCE_LINKS_CUT, Disturbance
-from emulator.soak.instance_records import IncarnationPeriod, LimitChange, SentNotice
+from emulator.soak.instance_records import (
+    IncarnationPeriod,
+    LimitChange,
+    OverwrittenEntry,
+    SentNotice,
+)
 from emulator.soak.limit_checks import (
     limit_periods,
     limits_are_kept,
@@ -117,6 +122,24 @@
         found.disturbances = [Disturbance("link", "i2", 104.0, 105.0)]
         self.assertEqual(list(refused_only_without_free_capacity(found, BOUNDS)), [])
 
+    def test_a_refusal_beside_an_instance_whose_entry_is_overwritten_is_allowed(self):
+        # Another writer's entry names no instance to use, and the check counted it as free.
+        found = self.seen(0)
+        found.requests["no"] = request("no", at=105.0, status=503, ended_at=105.0)
+        service = found.requests["no"].service
+        found.instances.append(IncarnationPeriod("i2@1", service, 90.0, is_plain=True))
+        for name, since, until, expected in (
+            ("i2", 104.9, 106.0, 0),
+            ("i2", 90.0, 104.9, 0),
+            ("i2", 90.0, 100.0, 1),
+            ("i2", 105.1, 106.0, 1),
+            ("i3", 104.0, 106.0, 1),
+        ):
+            with self.subTest(name=name, since=since):
+                found.overwritten = [OverwrittenEntry(name, since, until)]
+                caught = list(refused_only_without_free_capacity(found, BOUNDS))
+                self.assertEqual(len(caught), expected)
+
     def test_a_refusal_while_every_node_has_lost_its_links_is_allowed(self):
         found = self.seen(0)
         found.requests["no"] = request("no", at=105.0, status=503, ended_at=105.0)
