Let one cache event that can't be read block no others

What was seen: an event of an engine or a cache store with a field of another type, or tokens below 0, made its whole batch unreadable. The batch was asked for again, with the same position, without end: the node learned nothing more of this engine's cache until the event was forgotten there.

Cause: a batch was the boundary of an error of reading, not an event.

Evidence: seven events, each beside a sound one; the test fails on the code before (no batch).

Change: a batch that doesn't decode is read event by event. Batches without such events are read as before.

--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Iterator
+from typing import Annotated
+
 import httpcore
 import msgspec
 import trio
 
 from hopstep.bounded_body import CACHE_EVENTS_BOUND, bounded_answer
-from hopstep.decoding import decode_json
+from hopstep.decoding import JsonDecoder, decode_json
 from hopstep.domain.exchanges.store_contents import CacheEvent
+from hopstep.domain.head_numbers import MAX_TOKENS
 from hopstep.domain.instance_notices import AnswerKind, NoticeListener, ignore_notice
 from hopstep.platform import names
 from hopstep.platform.http_call import ConnectionUse, HttpCall, SendTrace
@@ -27,6 +31,18 @@
 
 MILLISECONDS = 1_000
 OK = 200
+MAX_WHOLE = 2**53
+"""Largest whole number that floating-point numbers hold exactly."""
+
+MAX_UNREADABLE = 100
+"""Unreadable events of a batch after which the rest of it counts as lost."""
+
+UNREADABLE_EVENT = "events: unreadable"
+"""Reported in place of the path of a field."""
+
+
+Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
 
 
 class _Event(msgspec.Struct, frozen=True, array_like=True):
@@ -34,16 +50,32 @@
     sign: str
     salt: str
     segment_id: str
-    tokens: int
+    tokens: Tokens
     model: str
 
 
-class _Events(msgspec.Struct, frozen=True, rename="camel"):
+class _Head(msgspec.Struct, frozen=True, rename="camel", kw_only=True):
+    """A batch without its events."""
+
     epoch: int
-    next_page_token: int
+    next_page_token: Whole
     lost: bool = False
+    born: Whole = 0
+
+
+class _Events(_Head, frozen=True, rename="camel", kw_only=True):
+    """A batch all of whose events can be read."""
+
     events: tuple[_Event, ...] = ()
-    born: int = 0
+
+
+class _EncodedEvents(_Head, frozen=True, rename="camel", kw_only=True):
+    """A batch whose events are read one by one."""
+
+    events: tuple[msgspec.Raw, ...] = ()
+
+
+_EVENT_DECODER = JsonDecoder(_Event)
 
 
 class PlatformCacheEvents(CacheEvents):
@@ -87,7 +119,7 @@
                     body = await answer.read(response.aiter_stream())
             if response.status != OK:
                 return None
-            read = decode_json(body, _Events)
+            return self._read_batch(address, body)
         except (
             httpcore.ProtocolError,
             httpcore.NetworkError,
@@ -96,11 +128,37 @@
             msgspec.DecodeError,
         ):
             return None
+
+    def _read_batch(self, address: str, body: bytes) -> CacheEventBatch:
+        """Return a batch; events that can't be read are reported, and missing like lost ones.
+
+        Raises:
+            msgspec.DecodeError: If more than single events can't be read.
+        """
+        try:
+            read = decode_json(body, _Events)
+        except msgspec.ValidationError:
+            head = decode_json(body, _EncodedEvents)
+            events = tuple(_read_each(head.events))
+            self._unrecognized.report(ValueLocation.CACHE_EVENTS, UNREADABLE_EVENT, address)
+            return CacheEventBatch(head.epoch, head.next_page_token, True, events, head.born)
         self._unrecognized.report_fields(ValueLocation.CACHE_EVENTS, address, body, _Events)
         events = tuple(_read(event) for event in read.events)
         return CacheEventBatch(read.epoch, read.next_page_token, read.lost, events, read.born)
 
 
+def _read_each(encoded: Iterable[msgspec.Raw]) -> Iterator[CacheEvent]:
+    """Yield the events that can be read, until too many can't be."""
+    unreadable = 0
+    for each in encoded:
+        try:
+            yield _read(_EVENT_DECODER.decode(each))
+        except msgspec.DecodeError:
+            unreadable += 1
+        if unreadable == MAX_UNREADABLE:
+            return
+
+
 def _read(event: _Event) -> CacheEvent:
     """Return one event; 0 tokens mean that the segment was dropped."""
     return CacheEvent(event.salt, event.segment_id, event.tokens, event.model)
--- a/hopstep/platform/vocabulary.py
+++ b/hopstep/platform/vocabulary.py
@@ -128,6 +128,16 @@
         """
         self._listener = listener
 
+    def report(self, location: ValueLocation, name: str, source: str) -> None:
+        """Report a part of a document that isn't a field of its own.
+
+        Args:
+            location: Kind of the document.
+            name: What it is.
+            source: Address or key that it came from.
+        """
+        self._listener(UnrecognizedValue(location, name, source))
+
     def report_headers(
         self,
         location: ValueLocation,
--- a/tests/platform/test_vocabulary.py
+++ b/tests/platform/test_vocabulary.py
@@ -124,6 +124,48 @@
             [(ValueLocation.ANSWER_HEAD, "x-pace", 200), (ValueLocation.CACHE_EVENTS, "pace", 0)],
         )
 
+    def test_one_event_that_cannot_be_read_blocks_no_others(self):
+        # The whole batch was asked for again, without end: the engine's other events never came.
+        sound = '[1,"+","s1","5c1e",800,"m"]'
+        for odd in (
+            "null",
+            "[]",
+            '[2,"+","s1","5c1e"]',
+            '[2,"+","s1",7,800,"m"]',
+            '[2,"+","s1","5c1e",-1,"m"]',
+            '[2,"+","s1","5c1e",1e400,"m"]',
+            '[2,"+","s1","5c1e",%s,"m"]' % ("9" * 400),
+        ):
+            body = f'{{"epoch":1,"nextPageToken":3,"events":[{odd},{sound}]}}'.encode()
+            read = []
+
+            async def call(client, address, on_unrecognized, read=read):
+                read.append(
+                    await PlatformCacheEvents(client, on_unrecognized).read(address, 0, 0.2)
+                )
+
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            with self.subTest(odd=odd[:40]):
+                reported = self.reported(answer, call)
+                self.assertEqual(reported, [(ValueLocation.CACHE_EVENTS, "events: unreadable", 0)])
+                self.assertEqual([event.segment_id for event in read[0].events], ["5c1e"])
+                self.assertEqual((read[0].position, read[0].lost), (3, True))
+
+    def test_a_position_that_cannot_be_meant_is_as_if_not_read(self):
+        # Such a position was sent back with each further call.
+        for position in ("-1", "9" * 20, "9" * 400):
+            body = f'{{"epoch":1,"nextPageToken":{position},"events":[]}}'.encode()
+            read = []
+
+            async def call(client, address, on_unrecognized, read=read):
+                read.append(
+                    await PlatformCacheEvents(client, on_unrecognized).read(address, 0, 0.2)
+                )
+
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            with self.subTest(position=position[:20]):
+                self.assertEqual((self.reported(answer, call), read), ([], [None]))
+
     def test_cache_events_that_are_nested_too_deeply_are_as_if_not_read(self):
         body = b'{"x":' + b"[" * 50_000 + b"]" * 50_000 + b"}"
         read = []
