Let two groups of the soak's callers share what they do on connections

Opening, cutting into pieces and reading stood twice, in pipelining_callers and slow_callers; both draw as before.

--- a/emulator/soak/pipelining_callers.py
+++ b/emulator/soak/pipelining_callers.py
@@ -7,13 +7,11 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Iterator
 
 import h11
 import msgspec
 import trio
 
-from emulator.soak.caller_group import CallerGroup
 from emulator.soak.callers import (
     KINDS,
     LATEST_ANSWER_SECONDS,
@@ -23,20 +21,16 @@
     headers_of,
     path_of,
 )
+from emulator.soak.connection_callers import ConnectionCallers, cut, read_response
 from emulator.soak.links import NodeLinks
 from emulator.soak.request_records import SentRequest
 
-REST_SECONDS = (0.0, 0.2)
-"""Time between two connections of a caller, shortest and longest."""
-
 MAX_ROUNDS = 8
 PAIR_SHARE = 0.4
 PIECES_SHARE = 0.3
 HALF_CLOSE_SHARE = 0.5
 MAX_PIECES = 4
 PIECE_SECONDS = (0.0, 0.1)
-READ_BYTES = 65_536
-CONNECT_SECONDS = 1.0
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError)
 
 
@@ -54,29 +48,19 @@
     data: bytes
 
 
-class PipeliningCallers(CallerGroup):
+class PipeliningCallers(ConnectionCallers):
     """A number of callers with one connection each."""
 
-    async def _keep_calling(self) -> None:
-        """Open a new connection whenever the last one has ended."""
-        while True:
-            nodes = self._readiness.usable(self._deployment.nodes)
-            with contextlib.suppress(OSError, trio.TooSlowError):
-                await self._use(self._generator.choice(nodes))
-            await trio.sleep(self._generator.uniform(*REST_SECONDS))
+    rest_seconds = (0.0, 0.2)
 
-    async def _use(self, node: NodeLinks) -> None:
+    async def _use(self, stream: trio.SocketStream, node: NodeLinks) -> None:
         """Send a few rounds of requests on one connection, until it is closed."""
-        host, _, port = node.clients.address.rpartition(":")
-        with trio.fail_after(CONNECT_SECONDS):
-            stream = await trio.open_tcp_stream(host, int(port))
         rounds = self._generator.randint(1, MAX_ROUNDS)
         half_closes = self._generator.random() < HALF_CLOSE_SHARE
-        async with stream:
-            for number in range(rounds):
-                is_last = half_closes and number == rounds - 1
-                if not await self._send_round(stream, node, is_last):
-                    return
+        for number in range(rounds):
+            is_last = half_closes and number == rounds - 1
+            if not await self._send_round(stream, node, is_last):
+                return
 
     async def _send_round(
         self, stream: trio.SocketStream, node: NodeLinks, half_closes: bool
@@ -96,7 +80,7 @@
         for number, call in enumerate(calls):
             with trio.move_on_after(PATIENCE_SECONDS + LATEST_ANSWER_SECONDS):
                 with contextlib.suppress(*BROKEN):
-                    rest = await _read(stream, call, rest)
+                    rest = await read_response(stream, call.protocol, call.request, rest)
             now = trio.current_time()
             call.request.ended_at = now
             if not call.request.whole or not _is_kept(call.protocol):
@@ -124,47 +108,11 @@
         if self._generator.random() >= PIECES_SHARE:
             await stream.send_all(data)
             return
-        for piece in self._cut(data):
+        cuts = self._generator.randint(1, MAX_PIECES - 1)
+        for piece in cut(self._generator, data, cuts):
             await stream.send_all(piece)
             await trio.sleep(self._generator.uniform(*PIECE_SECONDS))
 
-    def _cut(self, data: bytes) -> Iterator[bytes]:
-        """Yield a few pieces of some bytes."""
-        cuts = self._generator.randint(1, MAX_PIECES - 1)
-        places = sorted(self._generator.randrange(len(data)) for _ in range(cuts))
-        for start, end in zip((0, *places), (*places, len(data)), strict=True):
-            if start < end:
-                yield data[start:end]
-
-
-async def _read(stream: trio.SocketStream, call: Call, data: bytes) -> bytes:
-    """Read a response until its end or that of the connection; return the bytes behind it.
-
-    Args:
-        stream: The caller's connection.
-        call: The request.
-        data: Bytes that were read behind the response before.
-    """
-    request, protocol = call.request, call.protocol
-    if data:
-        protocol.receive_data(data)
-    while True:
-        event = protocol.next_event()
-        if event is h11.NEED_DATA:
-            protocol.receive_data(await stream.receive_some(READ_BYTES))
-        elif isinstance(event, h11.Response):
-            found = {name.lower(): value for name, value in event.headers}
-            request.head_at = trio.current_time()
-            request.status = event.status_code
-            request.stamp = found.get(b"response-stamp", b"").decode()
-        elif isinstance(event, h11.Data):
-            request.body += event.data
-        elif isinstance(event, h11.EndOfMessage):
-            request.whole = True
-            return protocol.trailing_data[0]
-        elif isinstance(event, h11.ConnectionClosed):
-            return b""
-
 
 def _is_kept(protocol: h11.Connection) -> bool:
     """Return whether the response keeps the connection."""
--- a/emulator/soak/slow_callers.py
+++ b/emulator/soak/slow_callers.py
@@ -5,13 +5,11 @@
 
 from __future__ import annotations
 
-import contextlib
 from collections.abc import Iterator
 
 import h11
 import trio
 
-from emulator.soak.caller_group import CallerGroup
 from emulator.soak.callers import (
     KINDS,
     LATEST_ANSWER_SECONDS,
@@ -21,6 +19,7 @@
     headers_of,
     path_of,
 )
+from emulator.soak.connection_callers import ConnectionCallers, cut, read_response
 from emulator.soak.links import NodeLinks
 from emulator.soak.request_records import RequestKind, SentRequest
 
@@ -40,37 +39,25 @@
 WORK_MS = (20, 300, 500)
 MAX_PIECES = 5
 CHUNKED_SHARE = 0.3
-READ_BYTES = 65_536
-CONNECT_SECONDS = 1.0
 
 
-class SlowCallers(CallerGroup):
+class SlowCallers(ConnectionCallers):
     """A number of callers with one connection each."""
 
-    async def _keep_calling(self) -> None:
-        """Open a new connection whenever the last one has ended."""
-        while True:
-            nodes = self._readiness.usable(self._deployment.nodes)
-            with contextlib.suppress(OSError, trio.TooSlowError):
-                await self._use(self._generator.choice(nodes))
-            await trio.sleep(self._generator.uniform(*REST_SECONDS))
+    rest_seconds = REST_SECONDS
 
-    async def _use(self, node: NodeLinks) -> None:
+    async def _use(self, stream: trio.SocketStream, node: NodeLinks) -> None:
         """Send requests sequentially on one connection until it is closed."""
-        host, _, port = node.clients.address.rpartition(":")
-        with trio.fail_after(CONNECT_SECONDS):
-            stream = await trio.open_tcp_stream(host, int(port))
         protocol = h11.Connection(h11.CLIENT)
-        async with stream:
-            while True:
-                request = self._draw(node)
-                with trio.move_on_after(PATIENCE_SECONDS + LATEST_ANSWER_SECONDS):
-                    await self._send(stream, protocol, request)
-                request.ended_at = trio.current_time()
-                if not _is_reusable(protocol):
-                    return
-                protocol.start_next_cycle()
-                await trio.sleep(self._generator.uniform(*REST_SECONDS))
+        while True:
+            request = self._draw(node)
+            with trio.move_on_after(PATIENCE_SECONDS + LATEST_ANSWER_SECONDS):
+                await self._send(stream, protocol, request)
+            request.ended_at = trio.current_time()
+            if not _is_reusable(protocol):
+                return
+            protocol.start_next_cycle()
+            await trio.sleep(self._generator.uniform(*REST_SECONDS))
 
     def _draw(self, node: NodeLinks) -> SentRequest:
         """Return a new random request."""
@@ -95,7 +82,7 @@
                     await trio.sleep(seconds / (len(pieces) - 1))
                 await stream.send_all(piece)
             request.complete_at = trio.current_time()
-            await self._read(stream, protocol, request)
+            await read_response(stream, protocol, request)
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
             return
 
@@ -117,32 +104,7 @@
 
     def _cut(self, data: bytes) -> Iterator[bytes]:
         """Yield a few pieces of some bytes."""
-        cuts = self._generator.randint(0, MAX_PIECES - 1)
-        places = sorted(self._generator.randrange(len(data)) for _ in range(cuts))
-        for start, end in zip((0, *places), (*places, len(data)), strict=True):
-            if start < end:
-                yield data[start:end]
-
-    async def _read(
-        self, stream: trio.SocketStream, protocol: h11.Connection, request: SentRequest
-    ) -> None:
-        """Read a response until its end or that of the connection."""
-        while True:
-            event = protocol.next_event()
-            if event is h11.NEED_DATA:
-                protocol.receive_data(await stream.receive_some(READ_BYTES))
-            elif isinstance(event, h11.Response):
-                found = {name.lower(): value for name, value in event.headers}
-                request.head_at = trio.current_time()
-                request.status = event.status_code
-                request.stamp = found.get(b"response-stamp", b"").decode()
-            elif isinstance(event, h11.Data):
-                request.body += event.data
-            elif isinstance(event, h11.EndOfMessage):
-                request.whole = True
-                return
-            elif isinstance(event, h11.ConnectionClosed):
-                return
+        return cut(self._generator, data, self._generator.randint(0, MAX_PIECES - 1))
 
 
 def _is_reusable(protocol: h11.Connection) -> bool:
