Reserve the ports of the tests' nodes until the test has ended

Cause, most likely: the ports were chosen by binding them and closing again, half a second or more before the node listens there. They lie in the range of clients' connections, of which soaks open hundreds a second. A node whose port is taken exits at once, and the test waits for it for 20 s, as it did (tried by hand with both ports).

Change: the sockets stay bound, without listening, until the test has ended. A node that isn't ready now fails its test with its log, so that another cause would show.

--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -48,13 +48,18 @@
 }
 
 
-def free_ports(count):
-    """Return ports that were free when they were probed."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
-    return ports
+def reserve_ports(count):
+    """Return sockets bound to ports that are given to nobody else who doesn't name them.
+
+    None listens: with ``SO_REUSEADDR``, which servers set, another process may listen there.
+    """
+    reserved = []
+    for _ in range(count):
+        opened = socket.socket()
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        opened.bind(("127.0.0.1", 0))
+        reserved.append(opened)
+    return reserved
 
 
 def instance_app():
@@ -93,6 +98,13 @@
         self.log = (Path(directory.name) / "log").open("w+")
         self.addCleanup(self.log.close)
 
+    def free_ports(self, count):
+        """Return ports on which nobody listens, and which no client's connection takes."""
+        reserved = reserve_ports(count)
+        for opened in reserved:
+            self.addCleanup(opened.close)
+        return [opened.getsockname()[1] for opened in reserved]
+
     def write_settings(self, ports, grace_seconds=GRACE_SECONDS, **changes):
         values = {
             "name": "n1",
@@ -126,7 +138,7 @@
 
     def run_node(self, script, serve_instances=None, configuration=CONFIGURATION, **settings):
         async def main():
-            ports = free_ports(5)
+            ports = self.free_ports(5)
             self.write_settings(ports, **settings)
             shared = self.shared = SharedStore()
             instances = instance_app()
@@ -168,15 +180,14 @@
             )
 
     async def wait_ready(self, client, port):
-        with trio.fail_after(START_SECONDS):
+        with trio.move_on_after(START_SECONDS):
             while True:
-                try:
+                with contextlib.suppress(httpx.TransportError):
                     response = await client.get(f"http://127.0.0.1:{port}/readiness")
                     if response.status_code == 200:
                         return
-                except httpx.TransportError:
-                    pass
                 await trio.sleep(0.05)
+        self.fail(f"the node isn't ready; its log: {self.read_log()}")
 
     async def request(self, client, url, path="/p/x", key=KEY, body=b"hello", **headers):
         fields = {"host": "h.example", "attempt-id": "r1", "x-api-key": key, **headers}
@@ -191,6 +202,20 @@
                 await trio.sleep(0.05)
 
 
+class ReservedPortsTest(unittest.TestCase):
+    def test_a_port_of_a_node_is_taken_by_no_other_process(self):
+        # A node didn't get ready: its port was somebody else's between the choice and the start.
+        with contextlib.ExitStack() as stack:
+            reserved = [stack.enter_context(each) for each in reserve_ports(50)]
+            ports = {each.getsockname()[1] for each in reserved}
+            others = [
+                stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(500)
+            ]
+            self.assertFalse(ports & {each.getsockname()[1] for each in others})
+            for port in ports:
+                stack.enter_context(socket.create_server(("127.0.0.1", port)))
+
+
 class ExchangeNodeTest(NodeProcessCase):
     def test_headers_that_only_nodes_may_set_are_dropped_from_client_requests(self):
         forged = (
@@ -466,7 +491,7 @@
         self.assertIn("name", events["settings_rejected"]["reason"])
 
     def test_the_ports_listen_while_the_libraries_still_load(self):
-        ports = free_ports(4)
+        ports = self.free_ports(4)
         self.write_settings(ports)
         fake_trio = self.path.parent / "trio.py"
         fake_trio.write_text("import time\ntime.sleep(600)\n")
@@ -483,7 +508,7 @@
                 return socket.create_connection(("127.0.0.1", port))
 
     def test_a_hangup_while_the_libraries_load_ends_nothing(self):
-        ports = free_ports(4)
+        ports = self.free_ports(4)
         self.write_settings(ports)
         gate = self.path.parent / "gate"
         os.mkfifo(gate)
@@ -496,7 +521,7 @@
         self.assertEqual(process.wait(START_SECONDS), 7)
 
     def test_settings_by_a_flag_open_no_listener_of_the_other_settings(self):
-        ports = free_ports(4)
+        ports = self.free_ports(4)
         self.write_settings(ports)
         process = self.start("--node_settings", "nowhere.toml")
         self.assertEqual(process.wait(START_SECONDS), 2)
