--- a/hopstep/domain/exchanges/streams/event_stream.py
+++ b/hopstep/domain/exchanges/streams/event_stream.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from hopstep.domain.head_numbers import MAX_EVENT_NUMBER, whole_number
-
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 MAX_EVENT_BYTES = 1 << 20
@@ -115,6 +113,7 @@
     ids = [line[len(ID_FIELD) :] for line in event.split(b"\n") if line.startswith(ID_FIELD)]
     if len(ids) > 1:
         raise StreamOrderError("an event with more than one id")
-    if not ids:
+    try:
+        return int(ids[0]) if ids else None
+    except ValueError:
         return None
-    return whole_number(ids[0].strip().decode("latin-1"), MAX_EVENT_NUMBER)
