Leave out a cache event that can't be read, instead of reporting a gap

Cause: the batch was marked as one before which events were lost; a cache store's reader then starts anew. The operators' protocol says that a few events never come: one that can't be read is no more than that.

Change: the event is left out. After a hundred in one batch the rest counts as lost, as before.

--- a/hopstep/platform/cache_events.py
+++ b/hopstep/platform/cache_events.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
 from typing import Annotated
 
 import httpcore
@@ -138,25 +137,25 @@
         try:
             read = decode_json(body, _Events)
         except msgspec.ValidationError:
-            head = decode_json(body, _EncodedEvents)
-            events = tuple(_read_each(head.events))
-            self._unrecognized.report(ValueLocation.CACHE_EVENTS, UNREADABLE_EVENT, address)
-            return CacheEventBatch(head.epoch, head.next_page_token, True, events, head.born)
+            return self._read_single_events(address, decode_json(body, _EncodedEvents))
         self._unrecognized.report_fields(ValueLocation.CACHE_EVENTS, address, body, _Events)
         events = tuple(_read(event) for event in read.events)
         return CacheEventBatch(read.epoch, read.next_page_token, read.lost, events, read.born)
 
-
-def _read_each(encoded: Iterable[msgspec.Raw]) -> Iterator[CacheEvent]:
-    """Yield the events that can be read, until too many can't be."""
-    unreadable = 0
-    for each in encoded:
-        try:
-            yield _read(_EVENT_DECODER.decode(each))
-        except msgspec.DecodeError:
-            unreadable += 1
-        if unreadable == MAX_UNREADABLE:
-            return
+    def _read_single_events(self, address: str, batch: _EncodedEvents) -> CacheEventBatch:
+        """Return a batch without the events that can't be read; some never come anyway."""
+        events = []
+        unreadable = 0
+        for each in batch.events:
+            try:
+                events.append(_read(_EVENT_DECODER.decode(each)))
+            except msgspec.DecodeError:
+                unreadable += 1
+                self._unrecognized.report(ValueLocation.CACHE_EVENTS, UNREADABLE_EVENT, address)
+            if unreadable == MAX_UNREADABLE:
+                break
+        lost = batch.lost or unreadable == MAX_UNREADABLE
+        return CacheEventBatch(batch.epoch, batch.next_page_token, lost, tuple(events), batch.born)
 
 
 def _read(event: _Event) -> CacheEvent:
