Let no answer of one engine end the rollout of all engines

Found by a review: at the OpenAI-style interface, what an engine's answer to an order makes the router raise ended the task that orders weights, and with it the router by a planned stop. No real answer that does so is known.

Evidence: the test, in which the table raises OverflowError for one engine, fails on the code before with that error; with the change the other engines get their weights.

--- a/hopstep/services/rollout.py
+++ b/hopstep/services/rollout.py
@@ -15,6 +15,7 @@
 from hopstep.domain.engines import EngineFacts
 from hopstep.domain.rollout import WeightsOrder, plan
 from hopstep.domain.routing.routing_table import RoutingTable
+from hopstep.error_reports import describe_unexpected
 from hopstep.exceptions import EngineError
 from hopstep.log_events.instances import WEIGHTS_ORDER_FAILED, WEIGHTS_ORDERED
 from hopstep.logs import emit
@@ -81,13 +82,13 @@
         try:
             with trio.fail_after(ORDER_TIMEOUT_SECONDS):
                 facts = await self._engine_port.order(order.address, message)
+            self._routing_table.update_facts(order.address, facts, trio.current_time())
         except (EngineError, trio.TooSlowError) as error:
-            emit(
-                WEIGHTS_ORDER_FAILED,
-                engine=order.address,
-                fence=order.fence,
-                reason=type(error).__name__,
-            )
+            self._log_failure(order, type(error).__name__)
+            return
+        except Exception as error:
+            # What one engine answers can't be used; the others get their orders.
+            self._log_failure(order, describe_unexpected(error))
             return
         emit(
             WEIGHTS_ORDERED,
@@ -95,4 +96,13 @@
             fence=order.fence,
             weights=order.weights,
         )
-        self._routing_table.update_facts(order.address, facts, trio.current_time())
+
+    @staticmethod
+    def _log_failure(order: WeightsOrder, reason: str) -> None:
+        """Log an order whose outcome isn't known."""
+        emit(
+            WEIGHTS_ORDER_FAILED,
+            engine=order.address,
+            fence=order.fence,
+            reason=reason,
+        )
--- a/tests/services/test_rollout.py
+++ b/tests/services/test_rollout.py
@@ -1,6 +1,8 @@
 import random
 import unittest
+from unittest import mock
 
+import structlog.testing
 import trio
 
 from emulator.engine.config import EngineConfig
@@ -105,6 +107,28 @@
         self.run_world(world, script)
         self.assertEqual(world.versions(), {"w2"})
 
+    def test_an_answer_that_cannot_be_used_ends_no_rollout_of_other_engines(self):
+        # Whatever one engine's answer made the router raise ended the task that orders weights.
+        world = World()
+
+        def fail_for_first(address, *_arguments):
+            if address == ADDRESSES[0]:
+                raise OverflowError
+
+        async def script():
+            await trio.sleep(2)
+            rollout = world.nodes[0][2]
+            rollout._routing_table = mock.Mock(wraps=rollout._routing_table)
+            rollout._routing_table.update_facts.side_effect = fail_for_first
+            world.apply(accepted(2, "w2"))
+            await trio.sleep(10)
+
+        with structlog.testing.capture_logs() as lines:
+            self.run_world(world, script)
+        self.assertEqual(world.versions(), {"w2"})
+        failed = [line["reason"] for line in lines if line["event"] == "weights_order_failed"]
+        self.assertTrue(failed[0].startswith("OverflowError at "), failed)
+
     def test_a_router_that_does_not_lead_orders_nothing(self):
         world = World(leaders=(False,))
 
