Let a listener's failure at one change of members hide no other change

Found by a review of: one entry that a listener couldn't use kept the further actions of its message from all listeners; the state counts them as seen, so that they were never told. The test published one entry alone, and couldn't see that.

Change: each listener and change has its own boundary, logged and counted (HS5003), also for changes that time brings about. The test publishes a sound entry behind the odd one; it fails on the code before.

--- a/hopstep/services/membership.py
+++ b/hopstep/services/membership.py
@@ -240,7 +240,14 @@
                 continue
             self._log(action)
             for listener in self._listeners:
-                listener(action)
+                self._notify(listener, action)
+
+    def _notify(self, listener: Listener, action: Action) -> None:
+        """Call a listener; what it can't use of one action keeps it from no other."""
+        try:
+            listener(action)
+        except Exception as error:
+            self._record_rejection(describe_unexpected(error))
 
     def _enqueue(self, message: Send) -> None:
         try:
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -173,8 +173,14 @@
                     raise OverflowError("too large for what is done with it")
 
             services[0].subscribe(fail)
-            services[1].publish(EntryKind.ENGINE_FACTS, odd.engine, odd)
+            sound = EngineEntry("127.0.0.1:8", "i", {"model": "sound"})
+            heard = []
+            services[0].subscribe(heard.append)
+            for entry in (odd, sound):
+                services[1].publish(EntryKind.ENGINE_FACTS, entry.engine, entry)
             await trio.sleep(10)
+            values = [each.entry.value for each in heard if isinstance(each, EntryChanged)]
+            self.assertEqual(values, [odd, sound])
             services[1].set_revision(8)
             await trio.sleep(3)
             self.assertEqual(world.views()["r0"], ["r0", "r1", "r2"])
