Take no version of weights that can't be meant from an answer's head

Found by a review: a version had no bound there, though 0044 says 15 digits. It never decreases: one answer that named 10^25 had five of five further requests refused as overloaded, as no engine has such weights. Negative ones and 1_0 were taken as well.

Change: whole_number with 15 digits reads it, and lengths of bodies. The test fails on the code before. A version within the bound that is too high still does the same: open.

--- a/hopstep/platform/instance_answers.py
+++ b/hopstep/platform/instance_answers.py
@@ -6,6 +6,7 @@
 
 import httpcore
 
+from hopstep.domain.head_numbers import whole_number
 from hopstep.domain.instance_notices import AnswerKind, InstanceNotice
 from hopstep.exceptions import ErrorCode, Execution
 from hopstep.platform import names
@@ -15,6 +16,9 @@
 
 MISDIRECTED = 421
 
+MAX_NUMBER = 10**15 - 1
+"""Largest version of weights, or length of a body in bytes."""
+
 FAILURES = (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException)
 """Errors of the library for a response that doesn't come, or not whole."""
 
@@ -126,8 +130,5 @@
 
 
 def _number(value: bytes) -> int:
-    """Return a header's integer; 0 when it has none."""
-    try:
-        return int(value)
-    except ValueError:
-        return 0
+    """Return a header's whole number; 0 when it has none, or one that can't be meant."""
+    return whole_number(value.decode(names.HEADER_ENCODING), MAX_NUMBER) or 0
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -251,6 +251,22 @@
             with self.subTest(name):
                 self.check_error(answer_bytes, expected)
 
+    def test_a_version_that_cannot_be_meant_is_none(self):
+        """Guards against an engine that is refused all requests for the weights that exist."""
+        for text, expected in ((b"3", 3), (b"9" * 15, 10**15 - 1), (b"9" * 16, 0)) + tuple(
+            (text, 0) for text in (b"1" + b"0" * 25, b"9" * 5_000, b"-1", b"1_0", b"1.5", b"")
+        ):
+            with self.subTest(text=text[:30]):
+                head = HEAD + b"Weight-Versions: " + text + b"\r\nContent-Length: 4\r\n\r\n"
+                found = []
+
+                async def script(instances, instance, found=found):
+                    answer, _body = await self.call(instances, instance)
+                    found.append(answer.weights_version)
+
+                self.run_with(RawServer(head + b"body"), script)
+                self.assertEqual(found, [expected])
+
     def test_a_second_copy_of_a_refusal_answers_no_repeat_of_its_request(self):
         """Guards against "not run" for a repeat that runs: both carry the same id."""
         for head in (b"HTTP/1.1 421 X\r\nInstance-Id: i1\r\n", b"HTTP/1.1 503 X\r\n"):
