--- a/tests/domain/exchanges/streams/test_event_stream.py
+++ b/tests/domain/exchanges/streams/test_event_stream.py
@@ -66,6 +66,15 @@
                 with self.assertRaises(StreamOrderError):
                     framer.feed(event(numbers[1]))
 
+    def test_ids_of_64_bits_are_followed(self):
+        """Guards against a broken stream that is asked for again from its beginning."""
+        first = 1_764_936_000 * 10**9
+        framer = EventFramer()
+        framer.feed(event(first) + event(first + 1))
+        self.assertEqual(framer.last_id, first + 1)
+        with self.assertRaises(StreamOrderError):
+            framer.feed(event(first + 3))
+
     def test_an_event_with_two_ids_is_refused(self):
         """Guards against an event whose rest is another answer's head and first event."""
         head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
