Start the membership in the order of before, and refuse event numbers as before

- tests.platform.test_front expects 16 digits of an event's number to be refused. had raised the bound to 64 bits.
- tests.simulation.test_configuration, "racing operators" beside a rate limit: an operator's edit wasn't accepted. ran the membership one task deeper, so that the simulation's tasks began in another order.

--- a/hopstep/domain/head_numbers.py
+++ b/hopstep/domain/head_numbers.py
@@ -21,8 +21,8 @@
 MAX_MILLISECONDS = 31 * 24 * 3_600 * 1_000
 """31 days: clients that wait without end name at most 2**31 ms, the longest of common timers."""
 
-MAX_EVENT_NUMBER = 2**63 - 1
-"""Signed numbers of 64 bits: also times in nanoseconds, by which some streams number events."""
+MAX_EVENT_NUMBER = 10**15 - 1
+"""Events of one stream; at a million a second it is reached after 31 years."""
 
 _MAX_DIGITS = 20
 """Digits of a whole number or a fraction, leading zeros included."""
--- a/hopstep/services/background_tasks.py
+++ b/hopstep/services/background_tasks.py
@@ -20,6 +20,9 @@
 BackgroundTask = Callable[[], Awaitable[None]]
 """Runs until it is cancelled, where nothing else is said."""
 
+StartedTask = Callable[[trio.TaskStatus[None]], Awaitable[None]]
+"""Runs until it is cancelled, and tells when it has started."""
+
 
 class BackgroundTasks:
     """The tasks of one node that run for as long as it does."""
@@ -57,6 +60,19 @@
             if self._failures:
                 raise ExceptionGroup("background tasks failed", self._failures)
 
+    async def run_started(
+        self,
+        task: StartedTask,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run one task that tells when it has started; its failure stops the node.
+
+        Args:
+            task: The task.
+            task_status: Passed on to it.
+        """
+        await self._run_task(functools.partial(task, task_status))
+
     async def run_to_end(self, task: BackgroundTask) -> None:
         """Run a task on which no request depends; its failure is logged, and ``run`` raises it.
 
--- a/hopstep/services/router.py
+++ b/hopstep/services/router.py
@@ -135,7 +135,7 @@
             reader.run,
         )
         async with trio.open_nursery() as nursery:
-            await nursery.start(self.background.run, (self.membership.run,))
+            await nursery.start(self.background.run_started, self.membership.run)
             await self.background.run(tasks, task_status)
 
     async def wait_drained(self) -> None:
