Take a long length of a body for no empty one

What callers could have seen since: an answer whose length has 16 to 20 digits, which the protocol allows, got a length of 0, so that it looked whole without its body.

Cause: the bound on versions of weights was put on the reader that lengths shared.

Change: lengths are read as the protocol has checked them; the reader of versions has its own name and bound. The test fails on the code before ([0], not [10^16]).

--- a/hopstep/platform/instance_answers.py
+++ b/hopstep/platform/instance_answers.py
@@ -16,8 +16,8 @@
 
 MISDIRECTED = 421
 
-MAX_NUMBER = 10**15 - 1
-"""Largest version of weights, or length of a body in bytes."""
+MAX_VERSION = 10**15 - 1
+"""Largest version of weights that an answer may name, as ``weights_lines`` has it."""
 
 FAILURES = (httpcore.ProtocolError, httpcore.NetworkError, httpcore.TimeoutException)
 """Errors of the library for a response that doesn't come, or not whole."""
@@ -40,10 +40,11 @@
             if name.lower() not in names.PER_CONNECTION and name.lower() != b"date"
         )
         self.signed = names.SIGNATURE in found
-        self.weights_version = _number(found.get(names.VERSIONS, b""))
+        self.weights_version = _read_version(found.get(names.VERSIONS, b""))
         is_chunked = b"transfer-encoding" in found
         if b"content-length" in found and not is_chunked:
-            self.length = _number(found[b"content-length"])
+            # The protocol has checked that these are digits, and not many.
+            self.length = int(found[b"content-length"])
         self.ends_with_connection = self.length is None and not is_chunked
         self._response = response
 
@@ -129,6 +130,6 @@
         )
 
 
-def _number(value: bytes) -> int:
-    """Return a header's whole number; 0 when it has none, or one that can't be meant."""
-    return whole_number(value.decode(names.HEADER_ENCODING), MAX_NUMBER) or 0
+def _read_version(value: bytes) -> int:
+    """Return the version of weights that a header names; 0 when it names none that can be meant."""
+    return whole_number(value.decode(names.HEADER_ENCODING), MAX_VERSION) or 0
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -267,6 +267,18 @@
                 self.run_with(RawServer(head + b"body"), script)
                 self.assertEqual(found, [expected])
 
+    def test_a_length_of_many_digits_is_not_taken_for_an_empty_body(self):
+        """Guards against an answer that looks whole to the client, without its body."""
+        long = 10**16
+        found = []
+
+        async def script(instances, instance):
+            async with instances.open(InstanceCall(instance, request(), 1.5)) as answer:
+                found.append(answer.length)
+
+        self.run_with(RawServer(HEAD + b"Content-Length: %d\r\n\r\nbody" % long), script)
+        self.assertEqual(found, [long])
+
     def test_a_second_copy_of_a_refusal_answers_no_repeat_of_its_request(self):
         """Guards against "not run" for a repeat that runs: both carry the same id."""
         for head in (b"HTTP/1.1 421 X\r\nInstance-Id: i1\r\n", b"HTTP/1.1 503 X\r\n"):
--- a/tests/platform/test_readers_fuzz.py
+++ b/tests/platform/test_readers_fuzz.py
@@ -174,7 +174,7 @@
         msgspec.DecodeError,
         CONTROL_BYTES,
     ),
-    "number of a header": (instance_answers._number, None, HEADER_BYTES),
+    "version of a header": (instance_answers._read_version, None, HEADER_BYTES),
     "limit header": (read_header(names.LIMIT), None, HEADER_BYTES),
     "backoff header": (read_header(names.RETRY_AFTER), None, HEADER_BYTES),
     "weights line": (lambda value: WeightsVersionScanner().scan(value), None, HEADER_BYTES),
