--- a/emulator/soak/connection_callers.py
+++ b/emulator/soak/connection_callers.py
@@ -67,7 +67,7 @@
     Args:
         stream: The caller's connection.
         protocol: State of the connection.
-        request: The request, which is told what arrives.
+        request: The request; what arrives is recorded in it.
         data: Bytes that were read before.
     """
     if data:
--- a/hopstep/adapters/client_end_watch.py
+++ b/hopstep/adapters/client_end_watch.py
@@ -75,7 +75,7 @@
 
 
 class ClientEndWatch:
-    """Tells a client that has left from one that has closed its sending side alone."""
+    """Distinguishes clients that have left from those that have closed their sending side only."""
 
     def __init__(self, exchange: WatchedExchange) -> None:
         """Start without a request.
@@ -92,7 +92,7 @@
         return self._request_ended.is_set()
 
     def begin_request(self) -> None:
-        """Note the begin of a request."""
+        """Note the start of a request."""
         self._request_ended = trio.Event()
 
     def end_request(self) -> None:
--- a/hopstep/domain/exchanges/streams/version_claims.py
+++ b/hopstep/domain/exchanges/streams/version_claims.py
@@ -19,7 +19,7 @@
             unknown version is empty.
         is_complete: Whether the node would know of each such version up to the date of its view.
         is_fresh: Whether its view of the directory is recent. This proves nothing about streams
-            that began since; it tells which nodes are likely to reach the store.
+            that began since, but shows which nodes are likely to reach the store.
         is_current: Whether its view has all changes that were made before the node was asked.
     """
 
--- a/hopstep/platform/request_ids.py
+++ b/hopstep/platform/request_ids.py
@@ -39,5 +39,5 @@
 
 
 def _written(identifier: bytes) -> bytes:
-    """Return an identifier as an instance writes it that encodes it anew."""
+    """Return the form in which an instance repeats an identifier if it writes headers in UTF-8."""
     return identifier.decode(names.HEADER_ENCODING).encode(WRITTEN_ENCODING)
--- a/hopstep/services/background_tasks.py
+++ b/hopstep/services/background_tasks.py
@@ -21,7 +21,7 @@
 """Runs until it is cancelled, where nothing else is said."""
 
 StartedTask = Callable[[trio.TaskStatus[None]], Awaitable[None]]
-"""Runs until it is cancelled, and tells when it has started."""
+"""Runs until it is cancelled, and reports when it has started."""
 
 
 class BackgroundTasks:
@@ -45,7 +45,7 @@
 
         Args:
             tasks: The tasks.
-            task_status: Told when all have been started.
+            task_status: Notified when all have been started.
 
         Raises:
             ExceptionGroup: What tasks failed with, once the others have been cancelled.
@@ -65,7 +65,7 @@
         task: StartedTask,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Run one task that tells when it has started; its failure stops the node.
+        """Run one task that reports when it has started; its failure stops the node.
 
         Args:
             task: The task.
--- a/tests/platform/test_vocabulary.py
+++ b/tests/platform/test_vocabulary.py
@@ -124,6 +124,17 @@
             [(ValueLocation.ANSWER_HEAD, "x-pace", 200), (ValueLocation.CACHE_EVENTS, "pace", 0)],
         )
 
+    def read_events(self, body):
+        """Return the batch that is read of an answer's body, and what is reported of it."""
+        read = []
+
+        async def call(client, address, on_unrecognized):
+            read.append(await PlatformCacheEvents(client, on_unrecognized).read(address, 0, 0.2))
+
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        reported = self.reported(answer, call)
+        return read[0], reported
+
     def test_one_event_that_cannot_be_read_blocks_no_others(self):
         # The whole batch was asked for again, without end: the engine's other events never came.
         sound = '[1,"+","s1","5c1e",800,"m"]'
@@ -137,60 +148,32 @@
             '[2,"+","s1","5c1e",%s,"m"]' % ("9" * 400),
         ):
             body = f'{{"epoch":1,"nextPageToken":3,"events":[{odd},{sound}]}}'.encode()
-            read = []
-
-            async def call(client, address, on_unrecognized, read=read):
-                read.append(
-                    await PlatformCacheEvents(client, on_unrecognized).read(address, 0, 0.2)
-                )
-
-            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            batch, reported = self.read_events(body)
             with self.subTest(odd=odd[:40]):
-                reported = self.reported(answer, call)
                 self.assertEqual(reported, [(ValueLocation.CACHE_EVENTS, "events: unreadable", 0)])
-                self.assertEqual([event.segment_id for event in read[0].events], ["5c1e"])
-                self.assertEqual((read[0].position, read[0].lost), (3, False))
+                self.assertEqual([event.segment_id for event in batch.events], ["5c1e"])
+                self.assertEqual((batch.position, batch.lost), (3, False))
 
     def test_a_batch_of_events_that_cannot_be_read_counts_as_lost(self):
         # Reading each of them would take long.
         for count, lost in ((99, False), (100, True)):
             odd = ",".join(["null"] * count)
             body = f'{{"epoch":1,"nextPageToken":3,"events":[{odd}]}}'.encode()
-            read = []
-
-            async def call(client, address, on_unrecognized, read=read):
-                read.append(
-                    await PlatformCacheEvents(client, on_unrecognized).read(address, 0, 0.2)
-                )
-
-            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
-            self.assertEqual(len(self.reported(answer, call)), count)
-            self.assertEqual((read[0].events, read[0].lost), ((), lost))
+            batch, reported = self.read_events(body)
+            self.assertEqual(len(reported), count)
+            self.assertEqual((batch.events, batch.lost), ((), lost))
 
     def test_a_position_that_cannot_be_meant_is_as_if_not_read(self):
         # Such a position was sent back with each further call.
         for position in ("-1", "9" * 20, "9" * 400):
             body = f'{{"epoch":1,"nextPageToken":{position},"events":[]}}'.encode()
-            read = []
-
-            async def call(client, address, on_unrecognized, read=read):
-                read.append(
-                    await PlatformCacheEvents(client, on_unrecognized).read(address, 0, 0.2)
-                )
-
-            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            batch, reported = self.read_events(body)
             with self.subTest(position=position[:20]):
-                self.assertEqual((self.reported(answer, call), read), ([], [None]))
+                self.assertEqual((reported, batch), ([], None))
 
     def test_cache_events_that_are_nested_too_deeply_are_as_if_not_read(self):
-        body = b'{"x":' + b"[" * 50_000 + b"]" * 50_000 + b"}"
-        read = []
-
-        async def call(client, address, on_unrecognized):
-            read.append(await PlatformCacheEvents(client, on_unrecognized).read(address, 0, 0.2))
-
-        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
-        self.assertEqual((self.reported(answer, call), read), ([], [None]))
+        batch, reported = self.read_events(b'{"x":' + b"[" * 50_000 + b"]" * 50_000 + b"}")
+        self.assertEqual((reported, batch), ([], None))
 
     def test_a_field_and_a_header_of_the_store_that_nothing_reads_are_told(self):
         body = b'{"atRevision":1,"events":[{"privateKey":"k","revision":1,"leaseId":0,"by":"x"}]}'
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -55,21 +55,27 @@
     def test_cuts_off_no_stream_and_refuses_new_requests(self) -> None:
         async def check() -> None:
             async with small_fleet() as small:
-                results: list[LoadResult] = []
-                async with trio.open_nursery() as nursery:
-                    for _ in range(STREAMS):
-                        nursery.start_soon(small.collect, results, LONG_OUTPUT_TOKENS)
-                    await wait_active(small, STREAMS)
-                    small.group.signal(small.router_process, signal.SIGTERM)
-                    small.group.signal(small.router_process, signal.SIGTERM)
-                    refused = await self._send_until_refused(small)
-                self.assertEqual([each.outcome for each in results], [Outcome.COMPLETE] * STREAMS)
-                self.assertEqual((refused.code, refused.execution), ("stopping", "not_run"))
-                process = small.group.process(small.router_process)
-                self.assertEqual(await wait_exit(process), 0)
+                await self._check_stop(small, (signal.SIGTERM, signal.SIGTERM), exit_code=0)
 
         run_bounded(check)
 
+    async def _check_stop(
+        self, small: SmallFleet, signals: tuple[signal.Signals, ...], exit_code: int
+    ) -> None:
+        """Check that signals during streams cut none, and that new requests are refused."""
+        results: list[LoadResult] = []
+        async with trio.open_nursery() as nursery:
+            for _ in range(STREAMS):
+                nursery.start_soon(small.collect, results, LONG_OUTPUT_TOKENS)
+            await wait_active(small, STREAMS)
+            for number in signals:
+                small.group.signal(small.router_process, number)
+            refused = await self._send_until_refused(small)
+        self.assertEqual([each.outcome for each in results], [Outcome.COMPLETE] * STREAMS)
+        self.assertEqual((refused.code, refused.execution), ("stopping", "not_run"))
+        process = small.group.process(small.router_process)
+        self.assertEqual(await wait_exit(process), exit_code)
+
     async def _send_until_refused(self, small: SmallFleet) -> LoadResult:
         """Send short requests until the stop has reached the process."""
         while True:
@@ -81,17 +87,7 @@
         # The failure of a task that exchanges messages with other routers ended the process.
         async def check() -> None:
             async with small_fleet() as small:
-                results: list[LoadResult] = []
-                async with trio.open_nursery() as nursery:
-                    for _ in range(STREAMS):
-                        nursery.start_soon(small.collect, results, LONG_OUTPUT_TOKENS)
-                    await wait_active(small, STREAMS)
-                    small.group.signal(small.router_process, signal.SIGUSR1)
-                    refused = await self._send_until_refused(small)
-                self.assertEqual([each.outcome for each in results], [Outcome.COMPLETE] * STREAMS)
-                self.assertEqual((refused.code, refused.execution), ("stopping", "not_run"))
-                process = small.group.process(small.router_process)
-                self.assertEqual(await wait_exit(process), 1)
+                await self._check_stop(small, (signal.SIGUSR1,), exit_code=1)
                 self.assertIn("task_failed", small.group.log_path(small.router_process).read_text())
 
         with mock.patch.object(fleet, "ROUTER_MODULE", "tests.processes.failing_router"):
