Log when a request was sent, by how old a view, and how late the loop was

HS3101 had the age of keys at the end of a request, which rises to 1.8 s while all is well. Nothing told when the first byte left, how old the view of the instances was then, whether the event loop was late, or that a gateway had opened a tunnel for another node. HS3101 has sent_ms, view_age_ms and loop_delay_ms now, gateways log HS6131, and the metrics have hopstep_sending_view_age_seconds and hopstep_loop_delay_seconds. No decision changes.

--- a/hopstep/adapters/tunnel_server.py
+++ b/hopstep/adapters/tunnel_server.py
@@ -25,7 +25,12 @@
 from hopstep.domain.addresses import parse_address
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.reachability.tunnels import TunnelFailure, TunnelTarget
-from hopstep.log_events.instances import TUNNEL_BROKEN, TUNNEL_REJECTED, TUNNELS_UNAVAILABLE
+from hopstep.log_events.instances import (
+    TUNNEL_BROKEN,
+    TUNNEL_OPENED,
+    TUNNEL_REJECTED,
+    TUNNELS_UNAVAILABLE,
+)
 from hopstep.logs import emit
 from hopstep.ports.tunnels import TunnelGate
 from hopstep.services.lifecycle import Lifecycle
@@ -44,6 +49,7 @@
 the longest pause for which clients wait between two events."""
 
 QUIET_CHECK_SECONDS = 0.1
+MILLISECONDS = 1_000
 
 NODE_END, REQUEST_DIRECTION, RESPONSE_DIRECTION = "node", "request", "response"
 """Logged place at which a tunnel broke: the other node's connection, or the bytes of a request or
@@ -116,6 +122,7 @@
 
     async def _serve_tunnel(self, client: trio.SocketStream) -> None:
         """Open the tunnel that the other node asks for, and pass on bytes until it ends."""
+        accepted_at = trio.current_time()
         challenge = secrets.token_bytes(CHALLENGE_BYTES)
         reader = FrameReader(client)
         with trio.move_on_after(HANDSHAKE_SECONDS) as handshake:
@@ -128,6 +135,7 @@
         instance: trio.SocketStream | None = None
         if failure is None:
             instance, failure = await self._connect(request.target)
+        _log_opened(request, failure, accepted_at)
         await client.send_all(encode_status(failure, self._key, challenge))
         if instance is not None:
             instance_id = request.target.instance_id
@@ -250,6 +258,17 @@
             await trio.sleep(max(QUIET_CHECK_SECONDS, quiet_at - trio.current_time()))
 
 
+def _log_opened(request: OpenRequest, failure: TunnelFailure | None, accepted_at: float) -> None:
+    """Log that another node asked for a tunnel, and how that ended."""
+    emit(
+        TUNNEL_OPENED,
+        node=request.sender,
+        instance=request.target.instance_id,
+        failure=failure.value if failure is not None else "",
+        waited_ms=round((trio.current_time() - accepted_at) * MILLISECONDS),
+    )
+
+
 def _log_broken(instance_id: str, end: str, error: Exception) -> None:
     """Log that a tunnel broke."""
     emit(TUNNEL_BROKEN, instance=instance_id, end=end, reason=type(error).__name__)
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -40,6 +40,7 @@
     watch_knowledge,
     watch_limits,
     watch_links,
+    watch_loop,
     watch_rollout,
     watch_work,
 )
@@ -244,6 +245,7 @@
         watch_work(self.metrics, self.lifecycle, self.quarantine, self.lease)
         watch_limits(self.metrics, self.notices)
         watch_links(self.metrics, self.paths.links)
+        watch_loop(self.metrics, self.pauses)
         watch_capacity(self.metrics, self.registry, self.knowledge.table)
         watch_rollout(self.metrics, self.rollout)
         watch_held_bytes(self.metrics, self.held_bytes.budget)
--- a/hopstep/log_events/instances.py
+++ b/hopstep/log_events/instances.py
@@ -179,6 +179,13 @@
     ("address", "reason"),
     "Free the TCP port of `peer_address`: other nodes can't reach instances through this one.",
 )
+TUNNEL_OPENED = LogEvent(
+    "HS6131",
+    "tunnel_opened",
+    Level.INFO,
+    ("node", "instance", "failure", "waited_ms"),
+    "Nothing: `node` asked this one for a connection; `failure` is why it got none, if it didn't.",
+)
 TUNNEL_BROKEN = LogEvent(
     "HS6128",
     "tunnel_broken",
--- a/hopstep/services/exchanges/exchange_metrics.py
+++ b/hopstep/services/exchanges/exchange_metrics.py
@@ -51,6 +51,12 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=registry,
         )
+        self.view_age = Histogram(
+            "hopstep_sending_view_age_seconds",
+            "Age of this node's view of the instances when a request was sent to one.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=registry,
+        )
         self.waiting = Gauge(
             "hopstep_exchanges_waiting",
             "Requests that wait at this node for an instance with capacity, by priority.",
--- a/hopstep/services/exchanges/node_gauges.py
+++ b/hopstep/services/exchanges/node_gauges.py
@@ -11,11 +11,14 @@
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
+from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.weights.rollout_lease import RolloutLease
 from hopstep.services.exchanges.weights.weights_rollout import WeightsRollout
 from hopstep.services.lifecycle import Lifecycle
 from hopstep.services.quarantine.quarantine import Quarantine
 
+LOOP_DELAY_WINDOW_SECONDS = 10.0
+
 
 def watch_knowledge(metrics: ExchangeMetrics, knowledge: ServingKnowledge) -> None:
     """Register the metrics of a node's configuration and view of the store, and of their age."""
@@ -136,6 +139,15 @@
     )
 
 
+def watch_loop(metrics: ExchangeMetrics, pauses: PauseWatch) -> None:
+    """Register the gauge of the event loop's delays."""
+    metrics.watch(
+        "hopstep_loop_delay_seconds",
+        "Longest delay of the event loop within the last ten seconds.",
+        lambda: pauses.longest_delay_since(trio.current_time() - LOOP_DELAY_WINDOW_SECONDS),
+    )
+
+
 def watch_tunnels(metrics: ExchangeMetrics, count: Callable[[], int]) -> None:
     """Register the gauge of other nodes' tunnels.
 
--- a/hopstep/services/exchanges/pause_watch.py
+++ b/hopstep/services/exchanges/pause_watch.py
@@ -15,6 +15,7 @@
 
 import trio
 
+from hopstep.domain.loop_delays import LoopDelays
 from hopstep.log_events.process import PROCESS_PAUSED
 from hopstep.logs import emit
 
@@ -34,7 +35,11 @@
 
 
 class PauseWatch:
-    """Detects pauses by periodic checks of the clock."""
+    """Detects pauses by periodic checks of the clock.
+
+    Attributes:
+        delays: How late these checks were, which is how late the event loop was.
+    """
 
     def __init__(self, generator: random.Random | None = None) -> None:
         """Start now. Must be called inside the event loop.
@@ -42,11 +47,17 @@
         Args:
             generator: Spreads the checks of nodes that started together; None for a fixed interval.
         """
+        self.delays = LoopDelays()
         self._generator = generator
         self._checked_at = trio.current_time()
         self._reading_until = -float("inf")
         self._listeners: list[Listener] = []
         self._looked = trio.Event()
+        self._due_at = float("inf")
+
+    def longest_delay_since(self, since: float) -> float:
+        """Return the longest delay of the event loop since a time, the current one included."""
+        return max(trio.current_time() - self._due_at, self.delays.longest_since(since))
 
     def on_pause(self, listener: Listener) -> None:
         """Call a listener after each pause with the seconds to add to its timestamps."""
@@ -74,7 +85,9 @@
         """Check until cancelled."""
         while True:
             spread = self._generator.uniform(-SPREAD, SPREAD) if self._generator else 0.0
-            await trio.sleep(CHECK_SECONDS * (1.0 + spread))
+            self._due_at = trio.current_time() + CHECK_SECONDS * (1.0 + spread)
+            await trio.sleep_until(self._due_at)
+            self.delays.note(self._due_at, trio.current_time())
             self.check()
             self._looked.set()
             self._looked = trio.Event()
--- a/hopstep/services/exchanges/requests/attempts/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/attempts/instance_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from collections.abc import Callable
 
 import trio
@@ -20,7 +21,12 @@
 )
 from hopstep.services.exchanges.requests.attempts.answer_relay import AnswerRelay
 from hopstep.services.exchanges.requests.attempts.response_watchdog import ResponseWatchdog
-from hopstep.services.exchanges.requests.exchange_parts import ExchangeOutcome, ExchangeParts
+from hopstep.services.exchanges.requests.exchange_parts import (
+    MILLISECONDS,
+    UNKNOWN_MS,
+    ExchangeOutcome,
+    ExchangeParts,
+)
 
 
 class InstanceAttempt:
@@ -219,4 +225,18 @@
         if is_outdated or self._parts.is_drained():
             return False
         may_send = self._parts.choice.may_send(self._view, self._purpose)
-        return may_send and self._permit.use(trio.current_time())
+        if not may_send or not self._permit.use(trio.current_time()):
+            return False
+        self._note_sending()
+        return True
+
+    def _note_sending(self) -> None:
+        """Record for the log when the request is sent, and how old the node's view is then."""
+        elapsed = trio.current_time() - self._request.received_at
+        self._outcome.sent_ms = round(elapsed * MILLISECONDS)
+        self._outcome.view_age_ms = _milliseconds(self._parts.view_age())
+
+
+def _milliseconds(seconds: float) -> int:
+    """Return a time in whole milliseconds; ``UNKNOWN_MS`` for an infinite one."""
+    return round(seconds * MILLISECONDS) if math.isfinite(seconds) else UNKNOWN_MS
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -21,6 +21,8 @@
 from hopstep.services.quarantine.quarantine import Quarantine
 
 MILLISECONDS = 1_000
+UNKNOWN_MS = -1
+"""Logged in place of a time that isn't known."""
 
 CUT = "cut"
 CLIENT_LEFT = "client_left"
@@ -90,6 +92,9 @@
         kept_from: Number of instances for each barrier that kept the request from them when it
             was refused.
         gateway: Node through which the last attempt was sent; empty for a direct connection.
+        sent_ms: Milliseconds from the head of the request to the first byte of the last attempt
+            that was sent; -1 for none.
+        view_age_ms: Age of this node's view of the instances at that time, in milliseconds.
         connection: Number of the connection over which it was sent; 0 when it wasn't.
         send_number: How many calls were sent over that connection, that one included.
         fingerprint: Digest that equal requests share, in hexadecimal digits; empty when nothing
@@ -112,6 +117,8 @@
     waited_ms: int = 0
     kept_from: dict[str, int] = {}
     gateway: str = ""
+    sent_ms: int = UNKNOWN_MS
+    view_age_ms: int = UNKNOWN_MS
     connection: int = 0
     send_number: int = 0
     fingerprint: str = ""
@@ -149,6 +156,7 @@
         limits: Permits to send to rate-limited instances.
         queue: Requests that wait for an instance with capacity.
         origins: What began the streams that clients may resume.
+        view_age: Returns the age of this node's view of the instances, in seconds.
         is_drained: Returns whether the drain of a planned stop has ended: an answer that begins now
             would be cut.
         configuration: Returns the version of the configuration in force.
@@ -172,6 +180,7 @@
     limits: InstanceLimits
     queue: RequestQueue
     origins: StreamOrigins
+    view_age: Callable[[], float]
     is_drained: Callable[[], bool]
     configuration: Callable[[], int]
     readmit: Callable[[ExchangeRequest, str], None]
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -44,6 +44,7 @@
     CRASHED,
     MILLISECONDS,
     STOPPED,
+    UNKNOWN_MS,
     ExchangeOutcome,
     ExchangeParts,
 )
@@ -145,6 +146,7 @@
             limits=limits,
             queue=self.queue,
             origins=origins,
+            view_age=lambda: knowledge.history.age_seconds,
             is_drained=lambda: lifecycle.is_drained,
             configuration=lambda: knowledge.configuration.version,
             readmit=self.admission.readmit,
@@ -260,6 +262,9 @@
                 kept_from=outcome.kept_from,
                 quarantined_for=outcome.quarantined_for,
                 gateway=outcome.gateway,
+                sent_ms=outcome.sent_ms,
+                view_age_ms=outcome.view_age_ms,
+                loop_delay_ms=self._loop_delay_ms(request),
                 connection=outcome.connection,
                 send_number=outcome.send_number,
                 configuration=self._knowledge.configuration.version,
@@ -274,6 +279,10 @@
         """Return the outcome of a request that is cancelled now."""
         return STOPPED if self._lifecycle.is_drained else CLIENT_LEFT
 
+    def _loop_delay_ms(self, request: ExchangeRequest) -> int:
+        """Return the longest delay of the event loop since a request's head was read."""
+        return round(self._parts.pauses.longest_delay_since(request.received_at) * MILLISECONDS)
+
     def _kept_from(self, scope: InstanceScope) -> dict[str, int]:
         """Return the number of instances that each barrier keeps a request from."""
         blocked = self._parts.choice.blocked_instances(scope)
@@ -318,6 +327,8 @@
             self.queue.refusals.first_bytes.observe(request.route.name, sent_ms / MILLISECONDS)
         self._metrics.requests.labels(kind, outcome.outcome).inc()
         self._metrics.read_tokens.inc(outcome.read_tokens)
+        if outcome.view_age_ms != UNKNOWN_MS:
+            self._metrics.view_age.observe(outcome.view_age_ms / MILLISECONDS)
         if outcome.first_byte_ms >= 0:
             self._metrics.first_byte.labels(kind).observe(outcome.first_byte_ms / MILLISECONDS)
         if outcome.events:
