Show three ways in which requests reach an instance later than the drain bound

On the virtual clock, without any cut: nodes that read late what the store and other nodes send (by 1.3 to 2.0 s), calls that are on their way for 0.2 to 0.4 s, and gateways that don't answer for 1.4 s. Arrivals up to 3.4 s after an entry went (bound 2.0 s; 3.5 of 3.0), up to 2.15 s after an entry said draining, and at 2.6 s by a gateway.

--- a/emulator/exchange_platform/node_links.py
+++ b/emulator/exchange_platform/node_links.py
@@ -45,10 +45,16 @@
 
 
 class EmulatedTunnels:
-    """Tunnels between the nodes of a simulated deployment, by the nodes' own decisions."""
+    """Tunnels between the nodes of a simulated deployment, by the nodes' own decisions.
+
+    Attributes:
+        silent_seconds: Time after which a node that doesn't answer as a gateway is given up, by the
+            names of those nodes.
+    """
 
     def __init__(self) -> None:
         """Start without nodes."""
+        self.silent_seconds: dict[str, float] = {}
         self._links: dict[str, EmulatedNodeLinks] = {}
         self._gates: dict[str, TunnelGate] = {}
 
@@ -66,6 +72,9 @@
         self, sender: str, gateway: Gateway, instance: Instance
     ) -> TunnelFailure | None:
         """Connect to an instance through a gateway; return why that failed, or None."""
+        if gateway.name in self.silent_seconds:
+            await trio.sleep(self.silent_seconds[gateway.name])
+            return TunnelFailure.UNAVAILABLE
         await trio.sleep(REFUSAL_SECONDS)
         links, gate = self._links.get(gateway.name), self._gates.get(gateway.name)
         if links is None or gate is None:
--- a/emulator/exchange_platform/node_network.py
+++ b/emulator/exchange_platform/node_network.py
@@ -28,6 +28,8 @@
         self.extra_delay_seconds = 0.0
         self.loss = 0.0
         self.repeats = 0.0
+        self.late: dict[str, float] = {}
+        """Additional seconds until a node reads a frame, by its name."""
         self.cut: set[tuple[str, str]] = set()
         self.frames = 0
         self.bytes = 0
@@ -60,6 +62,7 @@
         copies = 2 if self._generator.random() < self.repeats else 1
         for _ in range(copies):
             delay = self.delay_seconds + self.extra_delay_seconds * self._generator.random()
+            delay += self.late.get(receiver, 0.0)
             trio.lowlevel.spawn_system_task(self._deliver, address, frame, delay)
 
     async def _deliver(self, address: str, frame: bytes, delay: float) -> None:
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -166,7 +166,8 @@
 class ExchangeWorld:
     """A store, instances and nodes."""
 
-    def __init__(self, nodes=1, seed=1, zones=1, order_seed=None):
+    def __init__(self, nodes=1, seed=1, zones=1, order_seed=None, bounds=BOUNDS):
+        self.bounds = bounds
         self.shared = SharedStore(HISTORY_LENGTH)
         self.instances = EmulatedInstances()
         self.cache_events = EmulatedCacheEvents()
@@ -294,7 +295,7 @@
             readiness_address="127.0.0.1:2",
             peer_address=address,
             store="127.0.0.1:9",
-            bounds=BOUNDS,
+            bounds=self.bounds,
         )
         services = ExchangeServices(settings, ports, key)
         self.tunnels.attach(name, links, services.tunnel_gate)
--- /dev/null
+++ b/tests/services/exchanges/test_late_nodes.py
@@ -0,0 +1,131 @@
+"""Nodes that run late, without any cut, send nothing to an instance that leaves after the bound."""
+
+import random
+import unittest
+
+import msgspec
+import trio
+
+from emulator.exchange_platform.node_links import LinkCut
+from hopstep.domain.instance_notices import InstanceNotice
+from hopstep.exchange_settings import ExchangeBounds
+from hopstep.ports.serving_directory import InstanceListed, InstanceRemoved
+from tests.services.exchanges.exchange_world import ExchangeWorld, RecordedAnswer
+
+NODES = 8
+ZONES = 4
+SMALL, LARGE = ExchangeBounds(), ExchangeBounds(drain_ms=3_000.0, configuration_ms=3_000.0)
+"""Bounds of the users' smallest deployments, and of their larger ones."""
+
+SPACING_SECONDS = 0.05
+"""Time between two requests to each node."""
+
+SILENT_SECONDS = 1.4
+"""Time after which a node gives up a gateway that doesn't answer: 0.4 s to connect, 1 s to open."""
+
+
+class LateNodesCase(unittest.TestCase):
+    def run_world(self, script, bounds, seed=1, instances=3):
+        world = ExchangeWorld(NODES, seed, ZONES, bounds=bounds)
+        for number in range(instances):
+            world.add(f"p{number}")
+        world.run(script)
+
+    def make_late(self, world, numbers, seconds):
+        """Let nodes read late what the store and other nodes send them."""
+        for number in numbers:
+            world.network.late[f"n{number}"] = seconds
+            world.directories[number].answer_seconds = seconds
+
+    def relays(self, world):
+        """Return the numbers of the nodes that are relays."""
+        return [n for n, node in enumerate(world.nodes) if not node.knowledge.relays.relay()]
+
+    def others(self, world):
+        """Return the numbers of the nodes that aren't relays."""
+        return sorted(set(range(NODES)) - set(self.relays(world)))
+
+    def all(self, world):
+        """Return the numbers of all nodes."""
+        return list(range(len(world.nodes)))
+
+    async def leave_and_send(self, world, change, bound):
+        """Let the instance p0 leave, and send requests to all nodes; return the late arrivals."""
+        world.publish(change)
+        left_at = trio.current_time()
+        statuses = []
+
+        async def send(number):
+            statuses.append((await world.request("safe", number)).status)
+
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < left_at + 2 * bound:
+                for number in range(NODES):
+                    nursery.start_soon(send, number)
+                await trio.sleep(SPACING_SECONDS)
+        arrived = world.instances.servers["p0"].arrived_at
+        late = [round(at - left_at, 2) for at in arrived if at - left_at > bound]
+        return late, statuses
+
+    def play(self, late_numbers, delay, bounds, seed, *, removed=False, way_seconds=0.0):
+        """Return late arrivals while some nodes are late, and the share of requests served."""
+        found = []
+
+        async def script(world):
+            self.make_late(world, late_numbers(world), delay)
+            world.instances.way_seconds = lambda _call: way_seconds
+            await trio.sleep(random.Random(seed).uniform(3.0, 5.0))
+            leaving = msgspec.structs.replace(world.listed["p0"], draining=True)
+            change = InstanceRemoved("p0") if removed else InstanceListed(leaving)
+            found.append(await self.leave_and_send(world, change, bounds.drain_ms / 1_000))
+
+        self.run_world(script, bounds, seed)
+        late, statuses = found[0]
+        return late, statuses.count(200) / len(statuses)
+
+
+class LateNodesTest(LateNodesCase):
+    def test_an_instance_whose_entry_goes_is_not_kept_by_nodes_that_are_late(self):
+        # A late node took its own delay for an outage, in which entries of live instances expire.
+        for late_numbers in (self.relays, self.others, self.all):
+            for delay, bounds in ((1.3, SMALL), (1.5, SMALL), (1.5, LARGE)):
+                with self.subTest(late_numbers=late_numbers.__name__, delay=delay):
+                    late, served = self.play(late_numbers, delay, bounds, 1, removed=True)
+                    self.assertEqual(late, [])
+                    self.assertGreater(served, 0.85)
+
+    def test_an_instance_that_drains_gets_nothing_by_an_old_view(self):
+        # A request was chosen by a view almost as old as the bound, and was on its way after that.
+        for late_numbers in (self.relays, self.others, self.all):
+            for delay, way_seconds, seed in ((1.5, 0.4, 1), (1.5, 0.4, 2), (2.0, 0.2, 3)):
+                with self.subTest(late_numbers=late_numbers.__name__, delay=delay, seed=seed):
+                    late, _served = self.play(
+                        late_numbers, delay, SMALL, seed, way_seconds=way_seconds
+                    )
+                    self.assertEqual(late, [])
+
+
+class SlowGatewaysTest(LateNodesCase):
+    """A node without links to the instances, whose gateways don't answer."""
+
+    def silence_first_gateway(self, world):
+        """Cut the links of node 0, and let the gateway that it asks first not answer."""
+        first, *_others = world.nodes[0].paths._known.candidates(world.listed["p0"])
+        world.tunnels.silent_seconds[first.name] = SILENT_SECONDS
+        world.links[0].cut(LinkCut.HANGING)
+
+    def test_the_last_request_to_a_leaving_instance_is_not_sent_after_the_bound(self):
+        # The bound was checked at the choice, and seconds of tunnels lay between it and the send.
+        async def script(world):
+            node, server = world.nodes[0], world.instances.servers["p0"]
+            view = node.knowledge.table.get("p0")
+            node.notices.take(view, trio.current_time(), InstanceNotice(leaving=True))
+            left_at = trio.current_time()
+            self.silence_first_gateway(world)
+            await trio.sleep(0.8)
+            answer = await world.request("safe", 0, patience=10.0, answer=RecordedAnswer())
+            late = [at - left_at for at in server.arrived_at if at - left_at > 2.0]
+            self.assertEqual(late, [])
+            self.assertIsNotNone(answer.error)
+
+        self.run_world(script, SMALL, instances=1)
