Bound the time in which a request may be sent to an instance that shuts down

Callers' requests that no other instance can serve, and streams that go on, may be sent to an instance for half of the drain bound after it said that it leaves. Cause: that was asked at the choice. Right before the first byte the question was only whether the instance may get anything at all, and up to three gateways of 1.4 s each lay between. Evidence: on the virtual clock, a node without links of its own and a first gateway that doesn't answer, arrivals 2.6 s after the notice and 2.2 s after the entry said draining, where 2.0 s are allowed. The sending asks for a time too now, three quarters of the bound; what comes later is chosen anew, or refused at once as not run.

Three cases of test_instance_admission said that a stream's sending has no bound; they are stricter now.

--- a/hopstep/domain/instance_admission.py
+++ b/hopstep/domain/instance_admission.py
@@ -102,9 +102,13 @@
 CHOOSING = frozenset({Purpose.REQUEST, Purpose.LAST_REQUEST, Purpose.RESUME})
 """Purposes that add a request to those of this node at the instance."""
 
-PAST_LEAVING = frozenset({Purpose.CACHE_EVENTS, Purpose.LAST_SENDING, Purpose.RESUME_SENDING})
-"""Purposes that are allowed while an instance shuts down. Reads of events cost it nothing."""
+FIRST_OF_SHUTDOWN = frozenset(
+    {Purpose.LAST_REQUEST, Purpose.LAST_SENDING, Purpose.RESUME, Purpose.RESUME_SENDING}
+)
+"""Purposes that are allowed for a limited time after an instance has announced its shutdown."""
 
+FIRST_OF_DRAINING = frozenset({Purpose.RESUME, Purpose.RESUME_SENDING})
+"""Those of them that are allowed also after its entry was acknowledged as draining."""
 
 WITH_PERMIT = frozenset(
     {Purpose.SENDING, Purpose.LAST_SENDING, Purpose.RESUME_SENDING, Purpose.ORDER_SENDING}
@@ -122,6 +126,7 @@
         reports_due_by: Until then a node that has just started may lack the others' reports.
         last_requests_seconds: Time after its leaving notice in which it still accepts requests
             that no other instance may serve; for a stream that has begun also after its draining.
+            For the sending of such a request it is the time in which that may begin.
         draining_since: When its entry was acknowledged as draining, or earlier.
     """
 
@@ -166,17 +171,18 @@
         return True
     if asked.listed is not Barrier.DRAINING:
         return False
-    if purpose is Purpose.RESUME:
-        return now < asked.draining_since + asked.last_requests_seconds
-    return purpose is Purpose.RESUME_SENDING
+    if purpose not in FIRST_OF_DRAINING:
+        return False
+    return now < asked.draining_since + asked.last_requests_seconds
 
 
 def _is_leaving(asked: AskedInstance, purpose: Purpose, now: float) -> bool:
     """Return whether a purpose is ruled out because the instance is shutting down."""
     since = asked.announced_state.leaving_since
-    if since is None or purpose in PAST_LEAVING:
+    if since is None or purpose is Purpose.CACHE_EVENTS:
+        # Reads of events cost the instance nothing.
         return False
-    if purpose in (Purpose.LAST_REQUEST, Purpose.RESUME):
+    if purpose in FIRST_OF_SHUTDOWN:
         return now >= since + asked.last_requests_seconds
     return True
 
--- a/hopstep/services/exchanges/requests/choice/instance_choice.py
+++ b/hopstep/services/exchanges/requests/choice/instance_choice.py
@@ -32,9 +32,13 @@
 
 LAST_REQUESTS_SHARE = 0.5
 """Fraction of the drain bound during which an instance that is shutting down is still sent requests
-that no other instance can serve. The rest is left for connecting, 0.4 s at most, and for
+that no other instance can serve. The rest is left for connecting, by a gateway if need be, and for
 transmission."""
 
+LAST_SENDS_SHARE = 0.75
+"""Fraction of the drain bound during which the first byte of such a request may be sent. The rest
+is left for transmission."""
+
 MIN_SAVED_TOKENS = 1_000
 """Prompts with fewer shared tokens are recomputed faster than their cached segments are moved."""
 
@@ -81,6 +85,7 @@
             count_prefilled: Called with the shared tokens that an engine has to prefill.
         """
         self._last_requests_seconds = LAST_REQUESTS_SHARE * drain_seconds
+        self._last_sends_seconds = LAST_SENDS_SHARE * drain_seconds
         self._knowledge = knowledge
         self._limit_probes = LimitProbes(knowledge)
         self._store_watch = store_watch
@@ -290,8 +295,9 @@
 
     def may_send(self, view: InstanceView, purpose: Purpose) -> bool:
         """Return whether a request may still be sent to an instance that was chosen for it."""
-        listed = self._knowledge.table.is_trusted(view)
-        return listed and view.takes(purpose, trio.current_time())
+        if not self._knowledge.table.is_trusted(view):
+            return False
+        return view.admission(purpose, trio.current_time(), self._last_sends_seconds).is_open
 
     def _sources(self, service: str) -> list[InstanceView]:
         """Return the instances from which segments may be loaded."""
--- a/tests/domain/test_instance_admission.py
+++ b/tests/domain/test_instance_admission.py
@@ -29,7 +29,7 @@
         "its entry says that it is shutting down",
         AskedInstance(AnnouncedState(), Barrier.DRAINING),
         Barrier.DRAINING,
-        EVERYTHING - {Purpose.CACHE_EVENTS, Purpose.RESUME_SENDING},
+        EVERYTHING - {Purpose.CACHE_EVENTS},
     ),
     (
         "its entry says so since lately, and no other instance of a stream's version serves",
@@ -51,7 +51,7 @@
             draining_since=NOW - 1.0,
         ),
         Barrier.DRAINING,
-        EVERYTHING - {Purpose.CACHE_EVENTS, Purpose.RESUME_SENDING},
+        EVERYTHING - {Purpose.CACHE_EVENTS},
     ),
     (
         "it has ended",
@@ -63,7 +63,7 @@
         "its notices say that it is shutting down",
         AskedInstance(announced_state(leaving=True)),
         Barrier.LEAVING,
-        EVERYTHING - {Purpose.CACHE_EVENTS, Purpose.LAST_SENDING, Purpose.RESUME_SENDING},
+        EVERYTHING - {Purpose.CACHE_EVENTS},
     ),
     (
         "its notices say that it is shutting down, and no other instance serves",
--- a/tests/services/exchanges/test_late_nodes.py
+++ b/tests/services/exchanges/test_late_nodes.py
@@ -108,9 +108,9 @@
 class SlowGatewaysTest(LateNodesCase):
     """A node without links to the instances, whose gateways don't answer."""
 
-    def silence_first_gateway(self, world):
+    def silence_first_gateway(self, world, instance_id):
         """Cut the links of node 0, and let the gateway that it asks first not answer."""
-        first, *_others = world.nodes[0].paths._known.candidates(world.listed["p0"])
+        first, *_others = world.nodes[0].paths._known.candidates(world.listed[instance_id])
         world.tunnels.silent_seconds[first.name] = SILENT_SECONDS
         world.links[0].cut(LinkCut.HANGING)
 
@@ -121,7 +121,7 @@
             view = node.knowledge.table.get("p0")
             node.notices.take(view, trio.current_time(), InstanceNotice(leaving=True))
             left_at = trio.current_time()
-            self.silence_first_gateway(world)
+            self.silence_first_gateway(world, "p0")
             await trio.sleep(0.8)
             answer = await world.request("safe", 0, patience=10.0, answer=RecordedAnswer())
             late = [at - left_at for at in server.arrived_at if at - left_at > 2.0]
@@ -129,3 +129,29 @@
             self.assertIsNotNone(answer.error)
 
         self.run_world(script, SMALL, instances=1)
+
+    def test_a_stream_is_not_resumed_at_a_draining_instance_after_the_bound(self):
+        # The sending of a stream that has begun had no bound in time at all.
+        async def script(world):
+            server = world.add("e0", "llm")
+            server.events = 200
+            await trio.sleep(0.5)
+            began = RecordedAnswer()
+            with trio.move_on_after(0.2):
+                await world.request("resumable", 0, request_id="s1", answer=began, patience=10.0)
+            arrivals = len(server.arrived_at)
+            draining = msgspec.structs.replace(world.listed["e0"], draining=True)
+            world.publish(InstanceListed(draining))
+            left_at = trio.current_time()
+            self.silence_first_gateway(world, "e0")
+            await trio.sleep(0.4)
+            answer = await world.request(
+                "resumable", 0, request_id="s2", resumes="s1", resume_after="1", patience=10.0
+            )
+            self.assertTrue(began.body)
+            self.assertEqual(arrivals, 1)
+            late = [at - left_at for at in server.arrived_at if at - left_at > 2.0]
+            self.assertEqual(late, [])
+            self.assertIsNotNone(answer.error)
+
+        self.run_world(script, SMALL, instances=1)
