Take no delay of a node for an outage of the store

A node that had no answer of the store for more than 2 s expected the entries that went in the next 2 s back, since leases expire in an outage, and went on sending to these instances. Cause: the time was counted between two answers, whatever this node had asked and whenever it got round to reading: the wait of the watch, an event loop that is late, datagrams of a relay that are lost. Where the drain bound is 3 s a node asks the store itself only after 2.4 s without news, so there even a silent relay was enough. Class: an absence of answers is taken for a fault of somebody else.

An outage is proved by calls of this node that weren't answered, less the wait that was asked for and less this node's own delay, or told by a node that has seen it (relisting_ms, message format 7).

--- a/hopstep/domain/exchanges/nodes.py
+++ b/hopstep/domain/exchanges/nodes.py
@@ -24,7 +24,7 @@
 """Nodes of a zone, next in rank to its relays, that read the store when all relays have lost it."""
 
 
-MESSAGE_FORMAT_VERSION = 6
+MESSAGE_FORMAT_VERSION = 7
 """Format version of the messages and records that this version writes. It rises with each change
 after which an older version can't read all of them; 0 means a node that doesn't state it (design
 0029)."""
--- a/hopstep/domain/exchanges/store_contact.py
+++ b/hopstep/domain/exchanges/store_contact.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 OUTAGE_SECONDS = 2.0
 """A store without answers for longer was unavailable: entries of live instances may have expired.
 
@@ -24,6 +26,22 @@
 NEVER = -float("inf")
 
 
+class AnsweredCall(msgspec.Struct, frozen=True):
+    """A call of this node that the store has answered.
+
+    Attributes:
+        sent_at: When it was sent.
+        answered_at: When its answer was read.
+        wait_seconds: Time for which the store was asked to wait for a change.
+        delay_seconds: Longest delay of this node's own event loop since the last answer.
+    """
+
+    sent_at: float
+    answered_at: float
+    wait_seconds: float = 0.0
+    delay_seconds: float = 0.0
+
+
 class StoreContact:
     """What a node knows about the store's answers.
 
@@ -46,6 +64,7 @@
         self.relisting_until = NEVER
         self._started_at = started_at
         self._unanswered_at = NEVER
+        self._silent_since = float("inf")
 
     @property
     def last_answer_at(self) -> float:
@@ -59,6 +78,8 @@
             sent_at: When it was sent.
         """
         self._unanswered_at = max(self._unanswered_at, sent_at)
+        if sent_at >= self.last_answer_at:
+            self._silent_since = min(self._silent_since, sent_at)
 
     def note_outage_end(self, answered_at: float) -> None:
         """Note whether an answer ends an outage; call this before the answer itself is noted.
@@ -71,18 +92,38 @@
         unanswered_since = max(self.last_answer_at, self._started_at)
         if answered_at - unanswered_since <= OUTAGE_SECONDS:
             return
-        self.relisting_until = answered_at + RELISTING_SECONDS
         if self._unanswered_at > unanswered_since:
             self.outage_until = self._unanswered_at
 
+    def note_own_answer(self, call: AnsweredCall) -> None:
+        """Expect expired entries back if an answer shows that the store was silent for long.
+
+        Call this before the answer itself is noted. The time for which the store was asked to wait,
+        and that for which this node was late to read, show nothing about the store.
+        """
+        silent_since = min(self._silent_since, call.sent_at)
+        explained_seconds = call.delay_seconds
+        if silent_since == call.sent_at:
+            explained_seconds += call.wait_seconds
+        if call.answered_at - silent_since - explained_seconds > OUTAGE_SECONDS:
+            self._expect_relisting(call.answered_at + RELISTING_SECONDS)
+
+    def note_reported_relisting(self, until: float) -> None:
+        """Note until when another node, which has seen an outage, expects expired entries back."""
+        self._expect_relisting(until)
+
+    def _expect_relisting(self, until: float) -> None:
+        """Expect entries that expired in an outage back until a time."""
+        self.relisting_until = max(self.relisting_until, until)
+
     def note_restore(self, now: float) -> None:
         """Note that the store was restored from a backup, which may lack entries."""
-        until = now + RELISTING_SECONDS + PROPAGATION_SECONDS
-        self.relisting_until = max(self.relisting_until, until)
+        self._expect_relisting(now + RELISTING_SECONDS + PROPAGATION_SECONDS)
 
     def note_read(self, answered_at: float) -> None:
         """Note an answer to this node."""
         self.read_at = max(self.read_at, answered_at)
+        self._silent_since = float("inf")
 
     def note_reported(self, answered_at: float) -> None:
         """Note an answer to a node that has reported its whole state to this one."""
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -25,6 +25,7 @@
 from hopstep.ports.serving_directory import ServingDirectory
 from hopstep.ports.weights_orders import WeightsOrders
 from hopstep.services.background_tasks import BackgroundTask, BackgroundTasks
+from hopstep.services.exchanges.directory.current_view import CurrentView
 from hopstep.services.exchanges.directory.directory_follower import DirectoryFollower
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.registration import Registration
@@ -169,7 +170,8 @@
             QuotaBounds(bounds.quota_window_seconds, bounds.quota_overshoot, bounds.quota_slack),
             generator,
         )
-        self.origins = StreamOrigins(self.knowledge, ports.nodes, ports.store, ports.directory)
+        self.current_view = CurrentView(self.knowledge, ports.directory, self.pauses)
+        self.origins = StreamOrigins(self.knowledge, ports.nodes, ports.store, self.current_view)
         self.relaying = Relaying(
             self.knowledge,
             self.sharing,
--- a/hopstep/ports/node_exchange.py
+++ b/hopstep/ports/node_exchange.py
@@ -300,6 +300,8 @@
         configuration: Version of its configuration; 0 for none.
         newer: Configuration and weights that the asker lacks according to its query, though
             ``entries`` may not contain them: a store restored from a backup doesn't show them.
+        relisting_ms: Milliseconds for which the answering node still expects entries back that
+            expired in an outage of the store; 0 for none.
     """
 
     number: int
@@ -319,6 +321,7 @@
     keys_age_ms: int = -1
     configuration: int = 0
     newer: tuple[RelayedEntry, ...] = ()
+    relisting_ms: int = 0
 
     @property
     def after_store_position(self) -> StorePosition:
--- a/hopstep/services/exchanges/streams/current_view.py
+++ b/hopstep/services/exchanges/directory/current_view.py
@@ -7,7 +7,9 @@
 from hopstep.domain.store_position import NO_POSITION
 from hopstep.exceptions import StoreError
 from hopstep.ports.serving_directory import ServingDirectory
+from hopstep.services.exchanges.directory.answered_calls import note_answered
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.pause_watch import PauseWatch
 
 READING_SECONDS = 0.15
 """Longest wait for one answer of the store: the store takes up to some 100 ms when it is slow."""
@@ -20,14 +22,18 @@
 class CurrentView:
     """Reads changes from the store when a decision needs a view of now; readers share a call."""
 
-    def __init__(self, knowledge: ServingKnowledge, directory: ServingDirectory) -> None:
+    def __init__(
+        self, knowledge: ServingKnowledge, directory: ServingDirectory, pauses: PauseWatch
+    ) -> None:
         """Start without a reading.
 
         Args:
             knowledge: Receives what is read.
             directory: Where entries are published.
+            pauses: Detects delays of the node's own event loop.
         """
         self._knowledge = knowledge
+        self._pauses = pauses
         self._directory = directory
         self._turn = trio.Lock()
         self._next_at = -float("inf")
@@ -62,6 +68,7 @@
         since = min(sent_at, knowledge.history.reached_at)
         try:
             batch = await self._directory.changes(knowledge.store_position, 0.0)
+            note_answered(knowledge.contact, self._pauses, sent_at)
             knowledge.apply_changes(batch, since, sent_at)
         except StoreError:
             return
--- a/hopstep/services/exchanges/directory/directory_follower.py
+++ b/hopstep/services/exchanges/directory/directory_follower.py
@@ -16,6 +16,7 @@
 from hopstep.log_events.process import CONNECTIONS_DROPPED
 from hopstep.logs import emit
 from hopstep.ports.serving_directory import ServingDirectory
+from hopstep.services.exchanges.directory.answered_calls import note_answered
 from hopstep.services.exchanges.directory.change_origin import STORE_SOURCE
 from hopstep.services.exchanges.directory.key_freshness import OVERDUE
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
@@ -239,11 +240,15 @@
         """Make one call and apply its answer: a snapshot without a valid position, else changes."""
         knowledge = self._knowledge
         if self._history_lost or knowledge.store_position == NO_POSITION:
-            knowledge.apply_snapshot(await self._directory.snapshot(), sent_at)
+            snapshot = await self._directory.snapshot()
+            note_answered(knowledge.contact, self._pauses, sent_at)
+            knowledge.apply_snapshot(snapshot, sent_at)
             self._history_lost = False
             return
         current_at = knowledge.history.reached_at
-        batch = await self._directory.changes(knowledge.store_position, self._wait_seconds(sent_at))
+        wait_seconds = self._wait_seconds(sent_at)
+        batch = await self._directory.changes(knowledge.store_position, wait_seconds)
+        note_answered(knowledge.contact, self._pauses, sent_at, wait_seconds)
         now = trio.current_time()
         had_no_change = now - sent_at > IMMEDIATE_ANSWER_SECONDS and not self._pauses.has_just_ended
         since = now - WATCH_LAG_SECONDS if had_no_change else min(sent_at, current_at)
--- a/hopstep/services/exchanges/peers/answer_processor.py
+++ b/hopstep/services/exchanges/peers/answer_processor.py
@@ -49,6 +49,9 @@
             return False
         store_answered_at = store_last_answer_at(answer, query.sent_at)
         knowledge.contact.note_outage_end(store_answered_at)
+        if answer.relisting_ms:
+            relisted_at = query.sent_at + answer.relisting_ms / MILLISECONDS
+            knowledge.contact.note_reported_relisting(relisted_at)
         self._apply_entries(answer, query, reached)
         if answer.complete:
             knowledge.contact.note_reported(store_answered_at)
--- a/hopstep/services/exchanges/peers/relay_answers.py
+++ b/hopstep/services/exchanges/peers/relay_answers.py
@@ -15,6 +15,7 @@
 from hopstep.services.exchanges.peers.fleet_hints import FleetHints
 from hopstep.services.exchanges.peers.load_sharing import LoadSharing
 from hopstep.services.exchanges.peers.message_ages import (
+    MILLISECONDS,
     UNKNOWN_AGE_MS,
     age_ms,
     age_or_unknown,
@@ -74,6 +75,7 @@
             keys_age_ms=age_or_unknown(now, knowledge.keys.confirmed_at),
             configuration=self._documents.configuration_version,
             newer=self._documents.newer_than(query),
+            relisting_ms=round((knowledge.contact.relisting_seconds(now) or 0.0) * MILLISECONDS),
         )
         if query.hints is not None:
             hints, position = self._hints.for_asker(asker, query, query.hints)
--- a/hopstep/services/exchanges/streams/reading_queries.py
+++ b/hopstep/services/exchanges/streams/reading_queries.py
@@ -12,7 +12,7 @@
 import trio
 
 from hopstep.ports.origin_messages import OriginQuery
-from hopstep.services.exchanges.streams.current_view import CurrentView
+from hopstep.services.exchanges.directory.current_view import CurrentView
 
 MAX_WAITING = 1_024
 """Questions that wait for a reading; further ones get no answer, and their senders go on without
--- a/hopstep/services/exchanges/streams/stream_origins.py
+++ b/hopstep/services/exchanges/streams/stream_origins.py
@@ -30,10 +30,10 @@
 from hopstep.ports.key_value_store import KeyValueStorePort
 from hopstep.ports.node_exchange import NodeExchange
 from hopstep.ports.origin_messages import OriginAnswer, OriginQuery, OriginUpdate, StoreWrite
-from hopstep.ports.serving_directory import RecordWritten, ServingDirectory
+from hopstep.ports.serving_directory import RecordWritten
+from hopstep.services.exchanges.directory.current_view import CurrentView
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.records import STREAMS_PREFIX
-from hopstep.services.exchanges.streams.current_view import CurrentView
 from hopstep.services.exchanges.streams.origin_holders import OriginHolders
 from hopstep.services.exchanges.streams.origin_inquiry import Inquiry
 from hopstep.services.exchanges.streams.origin_messages import read_record
@@ -70,7 +70,7 @@
         knowledge: ServingKnowledge,
         exchange: NodeExchange,
         store: KeyValueStorePort,
-        directory: ServingDirectory,
+        view: CurrentView,
     ) -> None:
         """Start without records. Must be called inside the event loop.
 
@@ -78,7 +78,7 @@
             knowledge: Instances, configuration and nodes.
             exchange: Sends datagrams to other nodes.
             store: Keeps records of all nodes.
-            directory: Where instances are listed.
+            view: Reads where instances are listed.
         """
         self._knowledge = knowledge
         self._versions = knowledge.instances.versions
@@ -88,7 +88,7 @@
         self._holders = OriginHolders(knowledge)
         self._sharing = OriginSharing(knowledge, self._holders, exchange)
         self._stored = StoredOrigins(knowledge.name, store, self._sharing.put_unwritten)
-        self._view = CurrentView(knowledge, directory)
+        self._view = view
         self._confirmation = ViewConfirmation(knowledge, self._view, self._sharing)
         self._reading_queries = ReadingQueries(self._view, self._answer)
         self._shared_services: set[str] = set()
--- a/hopstep/services/exchanges/streams/view_confirmation.py
+++ b/hopstep/services/exchanges/streams/view_confirmation.py
@@ -10,8 +10,8 @@
 
 import trio
 
+from hopstep.services.exchanges.directory.current_view import READING_SECONDS, CurrentView
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
-from hopstep.services.exchanges.streams.current_view import READING_SECONDS, CurrentView
 from hopstep.services.exchanges.streams.origin_inquiry import Inquiry
 from hopstep.services.exchanges.streams.origin_sharing import ROUND_SECONDS, OriginSharing
 
--- a/tests/adapters/test_golden_frames.py
+++ b/tests/adapters/test_golden_frames.py
@@ -23,7 +23,7 @@
 )
 from hopstep.domain.exchanges.rollout_lease_state import RolloutHolder
 from hopstep.domain.exchanges.segments import SegmentKey
-from hopstep.domain.exchanges.store_contents import ContentsPosition
+from hopstep.domain.exchanges.store_contents import ContentsPosition, ContentsUpdate
 from hopstep.domain.exchanges.streams.version_claims import VersionClaim
 from hopstep.domain.limits.fleet_usage import Usage
 from hopstep.domain.quarantine.crashes import Crash, RequestCrashes
@@ -90,6 +90,9 @@
 BEFORE_CURRENT_VIEWS = "form-5"
 """Version whose claims of a single software version may be older than the question."""
 
+BEFORE_RELISTING = "form-6"
+"""Version in which each node judges by itself whether expired entries will be written again."""
+
 NODES = {"a": NodeRecord("1.2.3.4:5", "z", b"key-a")}
 COMPRESSED = 1
 
@@ -144,6 +147,7 @@
         store_response_age_ms=40,
         after_era=2,
         era=3,
+        relisting_ms=1_200,
     ),
     "digest": RelayDigest(9, HINTS),
     "urgent": UrgentUpdates(
@@ -314,6 +318,28 @@
     entries: tuple[RelayedBeforeSoftwareVersions, ...] = ()
 
 
+class AnswerBeforeRelisting(msgspec.Struct, frozen=True, array_like=True, tag="RelayAnswer"):
+    """``RelayAnswer`` as read by versions before format 7."""
+
+    number: int
+    after: int
+    revision: int
+    age_ms: int
+    complete: bool = True
+    must_read_store: bool = False
+    entries: tuple[RelayedEntry, ...] = ()
+    feed: str = ""
+    position: int = 0
+    hints: Hints = Hints()
+    contents: tuple[ContentsUpdate, ...] = ()
+    store_response_age_ms: int = -1
+    after_era: int = UNSPECIFIED_ERA
+    era: int = UNSPECIFIED_ERA
+    keys_age_ms: int = -1
+    configuration: int = 0
+    newer: tuple[RelayedEntry, ...] = ()
+
+
 class ClaimBeforeCurrentViews(msgspec.Struct, frozen=True, array_like=True):
     """``VersionClaim`` as read by versions before format 6."""
 
@@ -463,6 +489,16 @@
         claim = VersionClaim(("v1", "v2"), is_complete=True, is_fresh=True)
         self.assertEqual(messages["origin answer"], OriginAnswer(12, ORIGIN, claim))
 
+    def test_frames_of_before_relisting(self):
+        answer = self.decoded(BEFORE_RELISTING)["answer"]
+        self.assertEqual(answer, msgspec.structs.replace(MESSAGES["answer"], relisting_ms=0))
+
+    def test_the_version_before_reads_todays_answers(self):
+        frame = encode_frame(MESSAGES["answer"], "a", b"key-a")
+        answer = msgspec.convert(payload_document(frame), AnswerBeforeRelisting)
+        self.assertEqual((answer.revision, answer.age_ms, answer.era), (80, 350, 3))
+        self.assertEqual(answer.entries, MESSAGES["answer"].entries)
+
     def test_the_version_before_reads_todays_questions_for_origins(self):
         frame = encode_frame(MESSAGES["origin query"], "a", b"key-a")
         query = msgspec.convert(payload_document(frame), OriginQueryBeforeCurrentViews)
@@ -546,6 +582,7 @@
             (BEFORE_CAPACITY, 3),
             (BEFORE_SOFTWARE_VERSIONS, 4),
             (BEFORE_CURRENT_VIEWS, 5),
+            (BEFORE_RELISTING, 6),
             (f"form-{MESSAGE_FORMAT_VERSION}", MESSAGE_FORMAT_VERSION),
         )
         for name, version in versions:
