Notice the return of a silent store within 1.3 s, whenever it comes

Cause: while the store is lost one call is made at a time, and a silent one was waited for until the adapter's 2 s were over, and up to 1.2 s more. Change: such a call is waited for 0.8 s, and the pause before the next one counts from its start.

--- a/hopstep/services/exchanges/directory/directory_follower.py
+++ b/hopstep/services/exchanges/directory/directory_follower.py
@@ -11,7 +11,7 @@
 
 from hopstep.domain.exchanges.freshness import ANSWER_SLACK_SECONDS, FreshnessLimits
 from hopstep.domain.store_position import NO_POSITION
-from hopstep.exceptions import StoreError, StoreHistoryLostError
+from hopstep.exceptions import ErrorCode, StoreError, StoreHistoryLostError
 from hopstep.log_events.configuration import DIRECTORY_HISTORY_LOST, STORE_LOST, STORE_REGAINED
 from hopstep.log_events.process import CONNECTIONS_DROPPED
 from hopstep.logs import emit
@@ -43,6 +43,10 @@
 MAX_CONCURRENT_CALLS = 3
 """Concurrent calls for one answer; the wait before the next one doubles with each call."""
 
+LOST_CALL_SECONDS = 0.8
+"""Longest wait for the answer of a call while the store is lost. A silent store may never answer
+it, even once it is back."""
+
 CHECK_SECONDS = 0.1
 """Time between two checks of an overdue call."""
 
@@ -146,7 +150,7 @@
                 self._history_lost = True
             except StoreError as error:
                 self._note_connection(False, error.code.value)
-                await trio.sleep(pause * (0.5 + self._generator.random()))
+                await trio.sleep_until(started_at + pause * (0.5 + self._generator.random()))
                 pause = min(MAX_PAUSE_SECONDS, pause * 2.0)
 
     async def _watch_overdue(self) -> None:
@@ -221,7 +225,7 @@
         """Make one call, and send its outcome: the error, or None."""
         sent_at = self._last_call_at = trio.current_time()
         try:
-            await self._call(sent_at)
+            await self._call_in_time(sent_at)
         except StoreError as error:
             lost_history = isinstance(error, StoreHistoryLostError)
             if not lost_history and not self._pauses.has_just_ended:
@@ -230,6 +234,18 @@
         else:
             outcomes.send_nowait(None)
 
+    async def _call_in_time(self, sent_at: float) -> None:
+        """Make one call; while the store is lost, wait for its answer only briefly.
+
+        Raises:
+            StoreError: When it failed, or wasn't answered in time.
+        """
+        seconds = float("inf") if self._connected else LOST_CALL_SECONDS
+        with trio.move_on_after(seconds) as wait:
+            await self._call(sent_at)
+        if wait.cancelled_caught:
+            raise StoreError(ErrorCode.STORE_UNAVAILABLE, "no answer while the store is lost")
+
     async def _replace_connections(self) -> None:
         """Open new connections for later calls, unless this node itself was paused."""
         if not self._pauses.has_just_ended:
--- a/tests/services/exchanges/test_lapsed_entries.py
+++ b/tests/services/exchanges/test_lapsed_entries.py
@@ -21,14 +21,14 @@
         world.add("p0")
         world.run(script)
 
-    async def expire_in_outage(self, world, fault):
+    async def expire_in_outage(self, world, fault, seconds=OUTAGE_SECONDS):
         """Cause a store outage at all nodes in which the entry expires; return the entry."""
         entry = world.listed["p0"]
         for directory in world.directories:
             setattr(directory, fault, True)
-        await trio.sleep(OUTAGE_SECONDS / 2)
+        await trio.sleep(seconds / 2)
         world.publish(InstanceRemoved("p0"))
-        await trio.sleep(OUTAGE_SECONDS / 2)
+        await trio.sleep(seconds / 2)
         for directory in world.directories:
             setattr(directory, fault, False)
         return entry
@@ -60,6 +60,31 @@
 
                     self.run_world(script, nodes)
 
+    def test_the_return_of_a_silent_store_is_noticed_soon_whenever_it_comes(self):
+        # A call that was sent to the silent store was waited for until two seconds were over.
+        for fault in ("down", "unresponsive"):
+            for nodes in (1, 3):
+                for seconds in (4.0, 4.25, 4.5, 4.75, 5.0, 5.25, 5.5, 5.75):
+                    with self.subTest(fault=fault, nodes=nodes, seconds=seconds):
+                        self.assertLess(self.noticed_after(fault, nodes, seconds), 1.3)
+
+    def noticed_after(self, fault, nodes, seconds):
+        """Return the time from the store's return until all nodes had an answer of it."""
+        found = []
+
+        async def script(world):
+            await self.expire_in_outage(world, fault, seconds)
+            returned_at = trio.current_time()
+            for _ in range(300):
+                answered = [node.knowledge.contact.last_answer_at for node in world.nodes]
+                if min(answered) >= returned_at:
+                    break
+                await trio.sleep(0.01)
+            found.append(trio.current_time() - returned_at)
+
+        self.run_world(script, nodes)
+        return found[0]
+
     def test_an_instance_whose_entry_stays_away_is_left(self):
         async def script(world):
             await self.expire_in_outage(world, "down")
