Send no request by a view of the instances that may be too old for the drain bound

Callers' requests reached an instance later than the drain bound after the store had taken that it leaves. Cause: no send asked how old this node's view was. A choice by a view almost as old as the bound was sent, and then was on its way. Class: a bound on arrival is kept by a check at the choice, or by none.

Now a view may be three quarters of the bound old at the first byte; the rest is for the way. An older one is read anew before the choice, by one reading that all waiting requests share. If the store doesn't answer a node that runs on time within 0.5 s, requests go on by the view that there is, as during any outage. A node whose own event loop is late can't tell: it waits for the reading as long as the answer can be of use, then refuses at once as not run (view_outdated, Retry-After for another node) and isn't ready.

--- a/hopstep/adapters/http_api/errors.py
+++ b/hopstep/adapters/http_api/errors.py
@@ -40,6 +40,7 @@
     ErrorCode.NOT_READY: 503,
     ErrorCode.STOPPING: 503,
     ErrorCode.ISOLATED: 503,
+    ErrorCode.VIEW_OUTDATED: 503,
 }
 """HTTP status of each code that callers may receive; others are ``DEFAULT_STATUS``."""
 
--- a/hopstep/domain/exchanges/retry_after.py
+++ b/hopstep/domain/exchanges/retry_after.py
@@ -119,7 +119,7 @@
 
 def retry_reason(facts: RefusalFacts) -> RetryReason:
     """Return what a refused client should wait for."""
-    if facts.code is ErrorCode.STOPPING:
+    if facts.code in (ErrorCode.STOPPING, ErrorCode.VIEW_OUTDATED):
         return RetryReason.OTHER_NODE
     if facts.code is ErrorCode.CONFIGURATION_CHANGED:
         return RetryReason.CONFIGURATION
--- a/hopstep/exceptions.py
+++ b/hopstep/exceptions.py
@@ -49,6 +49,7 @@
     CONFIGURATION_CHANGED = "configuration_changed"
     STOPPING = "stopping"
     ISOLATED = "isolated"
+    VIEW_OUTDATED = "view_outdated"
     INTERNAL = "internal"
     # Configuration
     INVALID_CONFIGURATION = "invalid_configuration"
@@ -92,6 +93,7 @@
     ErrorCode.CONFIGURATION_CHANGED: "The configuration changed during the request; send it again.",
     ErrorCode.STOPPING: "The router is stopping; use another one.",
     ErrorCode.ISOLATED: "The router is isolated and can't check that its placement is valid.",
+    ErrorCode.VIEW_OUTDATED: "The router runs late, its view of the back ends is too old; retry.",
     ErrorCode.INTERNAL: "A fault in hopstep; the log names its location.",
     ErrorCode.INVALID_CONFIGURATION: "The operators' document violates the named rule.",
     ErrorCode.CONFIGURATION_CONFLICT: "Another change came first; see the difference, edit again.",
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -29,6 +29,7 @@
 from hopstep.services.exchanges.directory.directory_follower import DirectoryFollower
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.directory.registration import Registration
+from hopstep.services.exchanges.directory.sending_view import SendingView
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.instance_gauges import watch_capacity
 from hopstep.services.exchanges.instances.connection_reaper import ConnectionReaper
@@ -170,8 +171,19 @@
             QuotaBounds(bounds.quota_window_seconds, bounds.quota_overshoot, bounds.quota_slack),
             generator,
         )
-        self.current_view = CurrentView(self.knowledge, ports.directory, self.pauses)
-        self.origins = StreamOrigins(self.knowledge, ports.nodes, ports.store, self.current_view)
+        self.origins = StreamOrigins(
+            self.knowledge,
+            ports.nodes,
+            ports.store,
+            CurrentView(self.knowledge, ports.directory, self.pauses),
+        )
+        self.sending_view = SendingView(
+            self.knowledge,
+            CurrentView(self.knowledge, ports.directory, self.pauses),
+            self.follower,
+            self.pauses,
+            limits.sending_age,
+        )
         self.relaying = Relaying(
             self.knowledge,
             self.sharing,
@@ -192,6 +204,7 @@
         self.suspicion_checks = SuspicionChecks(self.paths, self.sharing.suspicions)
         self.exchanges = ExchangeService(
             self.knowledge,
+            self.sending_view,
             self.lifecycle,
             self.paths,
             self.suspicion_checks,
@@ -257,7 +270,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node accepts requests."""
-        return self.lifecycle.ready and self.knowledge.keys.is_fresh
+        is_current = self.knowledge.keys.is_fresh and not self.sending_view.is_too_late
+        return self.lifecycle.ready and is_current
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Do the background work until cancelled."""
@@ -266,6 +280,7 @@
             self.follower.run,
             self.relaying.run,
             self.origins.run,
+            self.sending_view.run,
             self.exchanges.queue.run,
             self.store_watch.run,
             self.engine_watch.run,
--- a/hopstep/log_events/configuration.py
+++ b/hopstep/log_events/configuration.py
@@ -119,6 +119,13 @@
     ("era", "nodes_behind"),
     "Nothing: keys are served once other nodes, or two seconds, have shown what the backup lacks.",
 )
+VIEW_NOT_RENEWED = LogEvent(
+    "HS4111",
+    "view_not_renewed",
+    Level.INFO,
+    ("age_seconds",),
+    "Nothing during an outage of the store: requests go on by a view of the instances this old.",
+)
 OWN_ENTRY_REWRITTEN = LogEvent(
     "HS4110",
     "own_entry_rewritten",
--- a/hopstep/services/exchanges/directory/current_view.py
+++ b/hopstep/services/exchanges/directory/current_view.py
@@ -38,16 +38,17 @@
         self._turn = trio.Lock()
         self._next_at = -float("inf")
 
-    async def confirm(self, at: float) -> bool:
+    async def confirm(self, at: float, seconds: float = READING_SECONDS) -> bool:
         """Return whether the view has all changes before a time, after a reading if necessary.
 
         Args:
             at: The time, by the steady clock in seconds.
+            seconds: Longest wait for an answer of the store.
         """
         async with self._turn:
             if not self._is_current(at):
                 await trio.sleep_until(self._next_at)
-                with trio.move_on_after(READING_SECONDS):
+                with trio.move_on_after(seconds):
                     await self._read()
         return self._is_current(at)
 
--- a/hopstep/services/exchanges/requests/attempts/instance_attempt.py
+++ b/hopstep/services/exchanges/requests/attempts/instance_attempt.py
@@ -222,7 +222,7 @@
         while it waited for its connection.
         """
         is_outdated = self._parts.configuration() != self._configuration
-        if is_outdated or self._parts.is_drained():
+        if is_outdated or self._parts.is_drained() or not self._parts.sending_view.allows_sending:
             return False
         may_send = self._parts.choice.may_send(self._view, self._purpose)
         if not may_send or not self._permit.use(trio.current_time()):
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -164,12 +164,20 @@
 
         An answer that has begun goes on by what it began with.
         """
+        await self._require_recent_view()
         if self._relay.started:
             return
         await self._refuse_quarantined()
         self._refuse_unproved_key()
         self._readmit()
 
+    async def _require_recent_view(self) -> None:
+        """Refuse a request if it isn't known which instances leave."""
+        try:
+            await self._parts.sending_view.require()
+        except ServiceError as error:
+            self._fail(error.code, error.message)
+
     async def _refuse_quarantined(self) -> None:
         """Refuse a request under which too many instances crashed; called before each attempt."""
         refusal = await self._gate.refusal()
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -12,6 +12,7 @@
 from hopstep.domain.exchanges.request import ExchangeRequest, Headers
 from hopstep.domain.exchanges.selection import Candidate
 from hopstep.ports.instance_calls import InstanceCalls
+from hopstep.services.exchanges.directory.sending_view import SendingView
 from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
 from hopstep.services.exchanges.pause_watch import PauseWatch
@@ -157,6 +158,7 @@
         queue: Requests that wait for an instance with capacity.
         origins: What began the streams that clients may resume.
         view_age: Returns the age of this node's view of the instances, in seconds.
+        sending_view: The view by which requests are sent, which must be recent enough.
         is_drained: Returns whether the drain of a planned stop has ended: an answer that begins now
             would be cut.
         configuration: Returns the version of the configuration in force.
@@ -181,6 +183,7 @@
     queue: RequestQueue
     origins: StreamOrigins
     view_age: Callable[[], float]
+    sending_view: SendingView
     is_drained: Callable[[], bool]
     configuration: Callable[[], int]
     readmit: Callable[[ExchangeRequest, str], None]
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -28,6 +28,7 @@
     RequestHead,
 )
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.sending_view import SendingView
 from hopstep.services.exchanges.exchange_metrics import ExchangeMetrics
 from hopstep.services.exchanges.instances.instance_limits import InstanceLimits
 from hopstep.services.exchanges.instances.instance_notices import InstanceNotices
@@ -65,6 +66,7 @@
     def __init__(
         self,
         knowledge: ServingKnowledge,
+        sending_view: SendingView,
         lifecycle: Lifecycle,
         paths: InstancePaths,
         checks: SuspicionChecks,
@@ -88,6 +90,7 @@
 
         Args:
             knowledge: Configuration, instances and nodes.
+            sending_view: The view of the instances by which requests are sent.
             lifecycle: Counts active requests.
             paths: Sends requests to instances.
             checks: Reports instances that don't respond to other nodes.
@@ -147,6 +150,7 @@
             queue=self.queue,
             origins=origins,
             view_age=lambda: knowledge.history.age_seconds,
+            sending_view=sending_view,
             is_drained=lambda: lifecycle.is_drained,
             configuration=lambda: knowledge.configuration.version,
             readmit=self.admission.readmit,
--- a/tests/domain/exchanges/test_freshness.py
+++ b/tests/domain/exchanges/test_freshness.py
@@ -31,5 +31,11 @@
             self.assertLessEqual(tight.silence, loose.silence)
             self.assertLess(tight.own_reading, loose.own_reading)
 
+    def test_a_view_is_recent_enough_for_sending_unless_a_reading_is_missed(self):
+        for bound in BOUNDS:
+            limits = freshness_limits(bound)
+            self.assertLess(2 * limits.answer_interval + CALL_SECONDS, limits.sending_age)
+            self.assertLess(limits.sending_age, bound)
+
     def test_keys_age_by_the_interval_and_so_it_is_bounded(self):
         self.assertEqual(freshness_limits(30.0).answer_interval, MAX_ANSWER_INTERVAL_SECONDS)
