Let a gateway look at its own view before it passes a request on

A node without links of its own sends through a gateway, as the request of the report was: another node made the connection than the one that logged its end. Cause: the question whether the instance leaves was asked by the node that took the request, before its first byte; the gateway passed bytes on without looking, however late it had read them. Evidence, virtual clock: a gateway that is late by 2.5 s, a request that may run once reaches an instance 2.5 s after its entry said draining (bound 2.0 s). Now the gateway asks its own view, by the same rule, as a request's first bytes come on a tunnel, and says so if it passes none of them on. The request is then proved not run, and another instance or gateway is chosen. A node of before message format 7 takes the mark for the loss of the gateway, so its request is unknown.

--- a/emulator/exchange_platform/instances.py
+++ b/emulator/exchange_platform/instances.py
@@ -50,6 +50,7 @@
     Attributes:
         on_ended: Called with an instance that a request has crashed.
         on_sent: Called with each call when its first byte is sent.
+        check_passing: Returns the error of a call that a gateway doesn't pass on; None if it does.
         way_seconds: Returns the time from the first byte of a call to its arrival, in seconds.
         fatal_bodies: Bodies of requests that crash each instance that begins to run them.
         fatal_seconds: Time from the start of such a request to the crash.
@@ -64,6 +65,7 @@
         self.all_servers: list[EmulatedInstance] = []
         self.on_ended: Callable[[EmulatedInstance], None] = lambda _server: None
         self.on_sent: Callable[[InstanceCall], None] = lambda _call: None
+        self.check_passing: Callable[[InstanceCall], InstanceCallError | None] = lambda _call: None
         self.way_seconds: Callable[[InstanceCall], float] = lambda _call: 0.0
         self.fatal_bodies: set[bytes] = set()
         self.fatal_parts: set[str] = set()
@@ -106,6 +108,10 @@
         call.proof.sent = True
         self.on_sent(call)
         await trio.sleep(self.way_seconds(call))
+        refusal = self.check_passing(call)
+        if refusal is not None:
+            call.proof.take_back()
+            raise refusal
         if call.instance.address in self._blocked:
             await trio.sleep_forever()
         server.arrivals += 1
--- a/emulator/exchange_platform/node_links.py
+++ b/emulator/exchange_platform/node_links.py
@@ -68,6 +68,15 @@
         self._links.pop(name, None)
         self._gates.pop(name, None)
 
+    def check_passing(self, call: InstanceCall) -> InstanceCallError | None:
+        """Return the error of a call that its gateway doesn't pass on; None if it does."""
+        gate = self._gates.get(call.gateway.name) if call.gateway is not None else None
+        if gate is None:
+            return None
+        instance = call.instance
+        failure = gate.check_request(TunnelTarget(instance.instance_id, instance.address))
+        return _no_tunnel(failure) if failure is not None else None
+
     async def connect(
         self, sender: str, gateway: Gateway, instance: Instance
     ) -> TunnelFailure | None:
@@ -142,13 +151,7 @@
         """Open the tunnel of a call."""
         failure = await self._tunnels.connect(self._name, gateway, call.instance)
         if failure is not None:
-            raise InstanceCallError(
-                ErrorCode.ENGINE_UNREACHABLE,
-                "no tunnel",
-                Execution.NOT_RUN,
-                sent=False,
-                tunnel_failure=failure,
-            )
+            raise _no_tunnel(failure)
 
     async def probe_through(self, instance: Instance, gateway: Gateway) -> TunnelFailure | None:
         """Try to connect to an instance through a gateway; see the port."""
@@ -225,3 +228,15 @@
             return await self._instances.report(instance, on_notice)
         await trio.sleep(self._connect_seconds)
         return None
+
+
+def _no_tunnel(failure: TunnelFailure) -> InstanceCallError:
+    """Return the error of a call of which no byte was passed on by a gateway."""
+    leaves = failure is TunnelFailure.INSTANCE_LEAVING
+    return InstanceCallError(
+        ErrorCode.OVERLOADED if leaves else ErrorCode.ENGINE_UNREACHABLE,
+        "no tunnel",
+        Execution.NOT_RUN,
+        sent=False,
+        tunnel_failure=failure,
+    )
--- a/hopstep/adapters/tunnel_client.py
+++ b/hopstep/adapters/tunnel_client.py
@@ -7,6 +7,7 @@
 from hopstep.adapters.tunnel_codec import (
     CHALLENGE_BYTES,
     END,
+    REFUSALS,
     STOP,
     TunnelFrameError,
     decode_status,
@@ -15,7 +16,13 @@
 from hopstep.adapters.tunnel_streams import BROKEN, FrameReader
 from hopstep.domain.reachability.gateways import Gateway
 from hopstep.domain.reachability.tunnels import TunnelFailure, TunnelTarget
-from hopstep.ports.tunnels import Tunnel, TunnelBrokenError, TunnelError, TunnelOpener
+from hopstep.ports.tunnels import (
+    Tunnel,
+    TunnelBrokenError,
+    TunnelError,
+    TunnelOpener,
+    TunnelRequestRefusedError,
+)
 
 OPEN_SECONDS = 1.0
 """Longest time until a tunnel is open: the gateway's connection attempt takes up to 0.4 s, and its
@@ -97,6 +104,7 @@
         self._remaining = 0
         self._has_ended = False
         self._is_stale = False
+        self._has_response = False
 
     @property
     def is_stale(self) -> bool:
@@ -126,14 +134,21 @@
         if not data:
             raise TunnelBrokenError
         self._remaining -= len(data)
+        self._has_response = True
         return data
 
     def _begin_chunk(self, length: int) -> None:
         """Apply the header of a chunk.
 
         Raises:
-            TunnelFrameError: When the gateway announces its stop again.
+            TunnelFrameError: When the gateway announces its stop again, or refuses a request whose
+                response has begun.
+            TunnelRequestRefusedError: When the gateway didn't pass the request on.
         """
+        if length in REFUSALS:
+            if self._has_response:
+                raise TunnelFrameError("refused after the beginning of a response")
+            raise TunnelRequestRefusedError(REFUSALS[length])
         if length == STOP:
             if self._is_stale:
                 raise TunnelFrameError("the stop is announced again")
@@ -145,6 +160,7 @@
 
     async def send_all(self, data: bytes) -> None:
         """Send bytes to the instance; see the port."""
+        self._has_response = False
         try:
             await self._stream.send_all(data)
         except BROKEN as error:
--- a/hopstep/adapters/tunnel_codec.py
+++ b/hopstep/adapters/tunnel_codec.py
@@ -8,6 +8,8 @@
 follow in chunks with their length, so that the end of a response that has no length can be told
 from the loss of the gateway: ``END`` follows only after the instance has closed in order. ``STOP``
 announces that the gateway is stopping; the tunnel shouldn't be used for another request.
+``REFUSALS`` say that no byte of the request was passed on; the tunnel ends behind them. Nodes
+before message format 7 take them for the loss of the gateway.
 """
 
 from __future__ import annotations
@@ -34,6 +36,8 @@
 CHUNK_HEADER = struct.Struct(">I")
 END = 0
 STOP = 0xFFFF_FFFF
+REFUSALS = {0xFFFF_FFFE: TunnelFailure.INSTANCE_LEAVING, 0xFFFF_FFFD: TunnelFailure.LATE}
+"""Marks in the place of a chunk's length, and why the request wasn't passed on."""
 
 
 class TunnelFrameError(Exception):
@@ -115,6 +119,16 @@
         return TunnelFailure.REJECTED
 
 
+def encode_refusal(failure: TunnelFailure) -> bytes:
+    """Return the mark that a request wasn't passed on.
+
+    Args:
+        failure: One of ``REFUSALS``; others are sent as ``LATE``.
+    """
+    marks = {known: mark for mark, known in REFUSALS.items()}
+    return CHUNK_HEADER.pack(marks.get(failure, marks[TunnelFailure.LATE]))
+
+
 def _frame(content: bytes) -> bytes:
     """Return a frame with its header."""
     return FRAME_HEADER.pack(len(content)) + content
--- a/hopstep/adapters/tunnel_server.py
+++ b/hopstep/adapters/tunnel_server.py
@@ -19,6 +19,7 @@
     STOP,
     OpenRequest,
     TunnelFrameError,
+    encode_refusal,
     encode_status,
 )
 from hopstep.adapters.tunnel_streams import BROKEN, FrameReader
@@ -29,6 +30,7 @@
     TUNNEL_BROKEN,
     TUNNEL_OPENED,
     TUNNEL_REJECTED,
+    TUNNEL_REQUEST_REFUSED,
     TUNNELS_UNAVAILABLE,
 )
 from hopstep.logs import emit
@@ -138,8 +140,8 @@
         _log_opened(request, failure, accepted_at)
         await client.send_all(encode_status(failure, self._key, challenge))
         if instance is not None:
-            instance_id = request.target.instance_id
-            await _Tunnel(client, reader, instance, instance_id, self._lifecycle).run()
+            tunnel = _Tunnel(client, reader, instance, request.target, self._gate, self._lifecycle)
+            await tunnel.run()
 
     def _authenticate(self, frame: bytes, challenge: bytes) -> OpenRequest:
         """Return a request that a registered node has signed for this node.
@@ -176,13 +178,16 @@
         client: trio.SocketStream,
         reader: FrameReader,
         instance: trio.SocketStream,
-        instance_id: str,
+        target: TunnelTarget,
+        gate: TunnelGate,
         lifecycle: Lifecycle,
     ) -> None:
         self._client = client
         self._reader = reader
         self._instance = instance
-        self._instance_id = instance_id
+        self._instance_id = target.instance_id
+        self._target = target
+        self._gate = gate
         self._lifecycle = lifecycle
         self._sending = trio.Lock()
         self._moved_at = trio.current_time()
@@ -199,9 +204,14 @@
             await trio.aclose_forcefully(self._instance)
 
     async def _pass_requests(self, scope: trio.CancelScope) -> None:
-        """Pass on bytes to the instance until the other node closes the tunnel."""
+        """Pass on bytes to the instance until the other node closes the tunnel.
+
+        Bytes that come while no response is awaited begin a request.
+        """
         try:
             while data := await self._reader.read_some(CHUNK_BYTES):
+                if not self._awaits_response and await self._refuses():
+                    break
                 self._awaits_response = True
                 self._moved_at = trio.current_time()
                 await self._instance.send_all(data)
@@ -211,6 +221,18 @@
             await trio.lowlevel.checkpoint()
         scope.cancel()
 
+    async def _refuses(self) -> bool:
+        """Refuse a request that may not be passed on; return whether it was refused."""
+        failure = self._gate.check_request(self._target)
+        if failure is None:
+            return False
+        emit(TUNNEL_REQUEST_REFUSED, instance=self._instance_id, reason=failure.value)
+        await self._send(encode_refusal(failure))
+        async with self._sending:
+            await self._client.send_eof()
+        await self._wait_closed()
+        return True
+
     async def _pass_responses(self, scope: trio.CancelScope) -> None:
         """Pass on bytes of the instance until it closes its connection; mark an orderly end."""
         try:
--- a/hopstep/domain/instance_admission.py
+++ b/hopstep/domain/instance_admission.py
@@ -15,6 +15,10 @@
 NEVER = float("inf")
 """End of a barrier that doesn't end by itself."""
 
+LAST_SENDS_SHARE = 0.75
+"""Fraction of the drain bound during which the first byte of a request may be sent to an instance
+that is shutting down, where no other may serve it. The rest is left for transmission."""
+
 
 class Barrier(enum.StrEnum):
     """Reason why something may not be sent to an instance."""
--- a/hopstep/domain/reachability/tunnels.py
+++ b/hopstep/domain/reachability/tunnels.py
@@ -13,7 +13,8 @@
     ``INSTANCE_REFUSED`` and ``INSTANCE_SILENT``: the gateway reaches other instances, but this one
     refuses its connections or doesn't answer. ``CUT_OFF``: the gateway reaches no instance either.
     ``REJECTED``: the gateway doesn't open the tunnel. ``UNAVAILABLE``: the gateway didn't answer,
-    or not authentically.
+    or not authentically. ``INSTANCE_LEAVING``: the instance is shutting down, as the gateway knows.
+    ``LATE``: the gateway's view of the instances is too old to tell.
     """
 
     INSTANCE_REFUSED = "instance_refused"
@@ -21,6 +22,8 @@
     CUT_OFF = "cut_off"
     REJECTED = "rejected"
     UNAVAILABLE = "unavailable"
+    INSTANCE_LEAVING = "instance_leaving"
+    LATE = "late"
 
     @property
     def is_instance_failure(self) -> bool:
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -199,7 +199,12 @@
         )
         self.paths = InstancePaths(ports.calls, self.knowledge, settings.zone)
         self.tunnel_gate = InstanceTunnelGate(
-            ports.calls, self.knowledge, self.paths.links, self.lifecycle
+            ports.calls,
+            self.knowledge,
+            self.paths.links,
+            self.lifecycle,
+            self.sending_view,
+            bounds.drain_ms / MILLISECONDS,
         )
         self.suspicion_checks = SuspicionChecks(self.paths, self.sharing.suspicions)
         self.exchanges = ExchangeService(
--- a/hopstep/log_events/instances.py
+++ b/hopstep/log_events/instances.py
@@ -186,6 +186,13 @@
     ("node", "instance", "failure", "waited_ms"),
     "Nothing: `node` asked this one for a connection; `failure` is why it got none, if it didn't.",
 )
+TUNNEL_REQUEST_REFUSED = LogEvent(
+    "HS6132",
+    "tunnel_request_refused",
+    Level.INFO,
+    ("instance", "reason"),
+    "Nothing for a few: the node that sent the request chooses another instance or gateway.",
+)
 TUNNEL_BROKEN = LogEvent(
     "HS6128",
     "tunnel_broken",
--- a/hopstep/platform/instances.py
+++ b/hopstep/platform/instances.py
@@ -40,6 +40,7 @@
     request_notice,
 )
 from hopstep.platform.notices import read_notice
+from hopstep.platform.tunnel_backend import RefusedByGatewayError
 from hopstep.platform.vocabulary import UnrecognizedValueReporter
 from hopstep.ports.instance_calls import (
     InstanceAnswer,
@@ -139,7 +140,10 @@
             except SendWithdrawnError as error:
                 raise withdrawn_call() from error
             except TunnelError as error:
-                raise _no_tunnel(error) from error
+                raise _no_tunnel(error.failure, error.message) from error
+            except RefusedByGatewayError as error:
+                call.proof.take_back()
+                raise _no_tunnel(error.failure, str(error)) from error
             except FAILURES as error:
                 raise _no_answer(call.proof, error) from error
             if is_own_answer(response, call):
@@ -318,14 +322,15 @@
     return TunnelRoute(gateway, TunnelTarget(instance.instance_id, instance.address))
 
 
-def _no_tunnel(error: TunnelError) -> InstanceCallError:
-    """Return the error of a request for which no tunnel came about."""
+def _no_tunnel(failure: TunnelFailure, message: str) -> InstanceCallError:
+    """Return the error of a request of which no byte reached the instance through a gateway."""
+    leaves = failure is TunnelFailure.INSTANCE_LEAVING
     return InstanceCallError(
-        ErrorCode.ENGINE_UNREACHABLE,
-        error.message,
+        ErrorCode.OVERLOADED if leaves else ErrorCode.ENGINE_UNREACHABLE,
+        message,
         Execution.NOT_RUN,
         sent=False,
-        tunnel_failure=error.failure,
+        tunnel_failure=failure,
     )
 
 
--- a/hopstep/platform/tunnel_backend.py
+++ b/hopstep/platform/tunnel_backend.py
@@ -10,13 +10,30 @@
 
 from hopstep.domain.reachability.gateways import Gateway
 from hopstep.domain.reachability.tunnels import TunnelTarget
-from hopstep.ports.tunnels import Tunnel, TunnelBrokenError, TunnelOpener
+from hopstep.ports.tunnels import (
+    Tunnel,
+    TunnelBrokenError,
+    TunnelOpener,
+    TunnelRequestRefusedError,
+)
 
 READABLE = "is_readable"
 """Name under which the library asks whether an idle connection has something to read; such a
 connection isn't used again."""
 
 
+class RefusedByGatewayError(httpcore.ReadError):
+    """The gateway has passed no byte of the request on to the instance.
+
+    Args:
+        error: What the tunnel reported.
+    """
+
+    def __init__(self, error: TunnelRequestRefusedError) -> None:
+        super().__init__(error.message)
+        self.failure = error.failure
+
+
 class TunnelStream(httpcore.AsyncNetworkStream):
     """A tunnel as a connection of the library."""
 
@@ -39,6 +56,8 @@
                 return await self._tunnel.receive_some(max_bytes)
         except trio.TooSlowError as error:
             raise httpcore.ReadTimeout from error
+        except TunnelRequestRefusedError as error:
+            raise RefusedByGatewayError(error) from error
         except TunnelBrokenError as error:
             raise httpcore.ReadError(error.message) from error
 
--- a/hopstep/ports/instance_calls.py
+++ b/hopstep/ports/instance_calls.py
@@ -84,6 +84,12 @@
     connection: int = 0
     send_number: int = 0
 
+    def take_back(self) -> None:
+        """Note that no byte of the request has reached the instance, as a gateway proves."""
+        self.sent = False
+        self.connected = False
+        self.connection = self.send_number = 0
+
 
 class InstanceCall(msgspec.Struct, frozen=True):
     """One attempt of a request.
--- a/hopstep/ports/tunnels.py
+++ b/hopstep/ports/tunnels.py
@@ -32,6 +32,18 @@
         super().__init__(ErrorCode.STREAM_INTERRUPTED, "the tunnel broke off")
 
 
+class TunnelRequestRefusedError(PortError):
+    """A gateway has passed no byte of a request on to the instance.
+
+    Args:
+        failure: Why.
+    """
+
+    def __init__(self, failure: TunnelFailure) -> None:
+        super().__init__(ErrorCode.ENGINE_UNREACHABLE, f"not passed on, {failure.value}")
+        self.failure = failure
+
+
 class Tunnel(abc.ABC):
     """An open tunnel, used like a connection to the instance."""
 
@@ -56,6 +68,7 @@
 
         Raises:
             TunnelBrokenError: When the instance's connection was reset, or the gateway is lost.
+            TunnelRequestRefusedError: When the gateway didn't pass the request on.
         """
 
     @abc.abstractmethod
@@ -95,6 +108,14 @@
             target: The instance that it names.
         """
 
+    @abc.abstractmethod
+    def check_request(self, target: TunnelTarget) -> TunnelFailure | None:
+        """Return why a request isn't passed on through an open tunnel; None if it is.
+
+        Args:
+            target: The instance to which the tunnel leads.
+        """
+
     @abc.abstractmethod
     async def diagnose(self, target: TunnelTarget, *, refused: bool) -> TunnelFailure:
         """Return whether a failed connection shows more of the instance or of this node's link.
--- a/hopstep/services/exchanges/reachability/instance_paths.py
+++ b/hopstep/services/exchanges/reachability/instance_paths.py
@@ -120,7 +120,7 @@
             try:
                 return await self._open_through(gateway, call, stack)
             except InstanceCallError as error:
-                if error.tunnel_failure is None:
+                if error.tunnel_failure in (None, TunnelFailure.INSTANCE_LEAVING):
                     raise
                 failure = error
             if not self._known.note_failure(gateway, call.instance, failure.tunnel_failure):
--- a/hopstep/services/exchanges/reachability/tunnel_gate.py
+++ b/hopstep/services/exchanges/reachability/tunnel_gate.py
@@ -7,14 +7,19 @@
 import trio
 
 from hopstep.domain.exchanges.instance_view import InstanceView
+from hopstep.domain.instance_admission import LAST_SENDS_SHARE, Barrier, Purpose
 from hopstep.domain.quarantine.crashes import InstanceProbeResult
 from hopstep.domain.reachability.instance_links import InstanceLinks
 from hopstep.domain.reachability.tunnels import TunnelFailure, TunnelTarget
 from hopstep.ports.instance_calls import InstanceCalls
 from hopstep.ports.tunnels import TunnelGate
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.directory.sending_view import SendingView
 from hopstep.services.lifecycle import Lifecycle
 
+GONE_BARRIERS = frozenset({Barrier.ENDED, Barrier.DRAINING, Barrier.LEAVING})
+"""Barriers for which no gateway passes requests on, whichever node has sent them."""
+
 REFERENCES = 2
 """Other instances that are tried when one can't be reached; one of them may have ended too."""
 
@@ -28,6 +33,8 @@
         knowledge: ServingKnowledge,
         links: InstanceLinks,
         lifecycle: Lifecycle,
+        sending_view: SendingView,
+        drain_seconds: float,
     ) -> None:
         """Create the gate.
 
@@ -36,7 +43,11 @@
             knowledge: The listed instances.
             links: This node's links to instances.
             lifecycle: A stopping node opens no further tunnels.
+            sending_view: Whether the view of the instances is recent enough to send by it.
+            drain_seconds: Time for which an instance still serves after it announced its shutdown.
         """
+        self._sending_view = sending_view
+        self._last_sends_seconds = LAST_SENDS_SHARE * drain_seconds
         self._calls = calls
         self._knowledge = knowledge
         self._links = links
@@ -55,6 +66,20 @@
             return TunnelFailure.CUT_OFF
         return None
 
+    def check_request(self, target: TunnelTarget) -> TunnelFailure | None:
+        """Return why a request isn't passed on; see the port.
+
+        The node that sent it has asked the same of its own view; since then it was on its way here.
+        """
+        if not self._sending_view.allows_sending:
+            return TunnelFailure.LATE
+        view = self._view(target)
+        if view is None:
+            return TunnelFailure.INSTANCE_LEAVING
+        now = trio.current_time()
+        admission = view.admission(Purpose.RESUME_SENDING, now, self._last_sends_seconds)
+        return TunnelFailure.INSTANCE_LEAVING if admission.barrier in GONE_BARRIERS else None
+
     async def diagnose(self, target: TunnelTarget, *, refused: bool) -> TunnelFailure:
         """Return what a failed connection shows; see the port.
 
--- a/hopstep/services/exchanges/requests/choice/instance_choice.py
+++ b/hopstep/services/exchanges/requests/choice/instance_choice.py
@@ -16,7 +16,7 @@
 from hopstep.domain.exchanges.selection import Candidate, choose_engine, choose_server
 from hopstep.domain.exchanges.spread_choice import ChoiceBounds
 from hopstep.domain.exchanges.store_contents import choose_push_target
-from hopstep.domain.instance_admission import Admission, Barrier, Purpose
+from hopstep.domain.instance_admission import LAST_SENDS_SHARE, Admission, Barrier, Purpose
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
 from hopstep.services.exchanges.instances.store_watch import CacheStoreWatch
 from hopstep.services.exchanges.pause_watch import PauseWatch
@@ -35,10 +35,6 @@
 that no other instance can serve. The rest is left for connecting, by a gateway if need be, and for
 transmission."""
 
-LAST_SENDS_SHARE = 0.75
-"""Fraction of the drain bound during which the first byte of such a request may be sent. The rest
-is left for transmission."""
-
 MIN_SAVED_TOKENS = 1_000
 """Prompts with fewer shared tokens are recomputed faster than their cached segments are moved."""
 
--- a/tests/adapters/test_tunnels.py
+++ b/tests/adapters/test_tunnels.py
@@ -51,10 +51,14 @@
 
     def __init__(self):
         self.failure = None
+        self.request_failure = None
 
     def check(self, sender, target):
         return self.failure
 
+    def check_request(self, target):
+        return self.request_failure
+
     async def diagnose(self, target, *, refused):
         await trio.lowlevel.checkpoint()
         return TunnelFailure.INSTANCE_REFUSED if refused else TunnelFailure.INSTANCE_SILENT
@@ -90,6 +94,11 @@
         with self.gateway_scope:
             await self.server.run(self.gateway.address)
 
+    @staticmethod
+    def client_stream(tunnel):
+        """Return the connection of a tunnel, on which bytes are sent as the rest of a request."""
+        return tunnel._stream
+
     def open(self, **changes):
         gateway = msgspec.structs.replace(self.gateway, **changes)
         return self.client.open(gateway, self.target)
@@ -283,6 +292,41 @@
 
         self.run_world(server, script)
 
+    def test_a_request_that_a_gateway_does_not_pass_on_is_proved_not_run(self):
+        server = RawServer(COMPLETE, keep_open=True, repeats_id=True)
+
+        async def script(world, instances, instance):
+            self.assertEqual(await self.call(world, instances, instance, "r0"), b"body")
+            for failure in (TunnelFailure.INSTANCE_LEAVING, TunnelFailure.LATE):
+                world.gate.request_failure = failure
+                with self.assertRaises(InstanceCallError) as caught:
+                    await self.call(world, instances, instance, f"r {failure.value}")
+                self.assertIs(caught.exception.execution, Execution.NOT_RUN)
+                self.assertIs(caught.exception.tunnel_failure, failure)
+                self.assertFalse(caught.exception.sent)
+            world.gate.request_failure = None
+            self.assertEqual(await self.call(world, instances, instance, "r3"), b"body")
+            self.assertEqual(len(server.received), 2)
+
+        self.run_world(server, script)
+
+    def test_a_refusal_after_the_beginning_of_a_response_proves_nothing(self):
+        async def handle(stream):
+            await stream.receive_some(5)
+            await stream.send_all(b"early")
+            await trio.sleep_forever()
+
+        async def script(world):
+            tunnel = await world.open()
+            await tunnel.send_all(b"first")
+            self.assertEqual(await tunnel.receive_some(10), b"early")
+            world.gate.request_failure = TunnelFailure.LATE
+            await world.client_stream(tunnel).send_all(b"rest")
+            with self.assertRaises(TunnelBrokenError):
+                await tunnel.receive_some(10)
+
+        TunnelsTest.run_world(self, handle, script)
+
     def test_an_answer_without_a_length_that_is_reset_is_not_whole(self):
         server = RawServer(HEAD + b"Connection: close\r\n\r\npart", reset=True)
 
--- a/tests/services/exchanges/exchange_world.py
+++ b/tests/services/exchanges/exchange_world.py
@@ -187,6 +187,7 @@
         self._requests = 0
         self._restarts = 0
         self.tunnels = EmulatedTunnels()
+        self.instances.check_passing = self.tunnels.check_passing
         self.network = EmulatedNodeNetwork(random.Random(seed))
         self.publish(ConfigurationPublished(configuration()))
 
--- a/tests/services/exchanges/test_late_nodes.py
+++ b/tests/services/exchanges/test_late_nodes.py
@@ -167,6 +167,28 @@
         world.tunnels.silent_seconds[first.name] = SILENT_SECONDS
         world.links[0].cut(LinkCut.HANGING)
 
+    def test_a_late_gateway_passes_no_request_on_to_an_instance_that_drains(self):
+        # A gateway passed bytes on without looking, however late it had read them.
+        async def script(world):
+            world.links[0].cut(LinkCut.REFUSING)
+            self.assertEqual((await world.request("unsafe", 0)).status, 200)
+            world.instances.way_seconds = lambda call: 2.5 if call.gateway else 0.0
+            left_at = trio.current_time() + 0.1
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.request_late, world)
+                await trio.sleep_until(left_at)
+                draining = msgspec.structs.replace(world.listed["p0"], draining=True)
+                world.publish(InstanceListed(draining))
+            server = world.instances.servers["p0"]
+            self.assertEqual([at for at in server.arrived_at if at > left_at], [])
+
+        self.run_world(script, SMALL, instances=1)
+
+    async def request_late(self, world):
+        """Send a request that may run once through a late gateway, and check its refusal."""
+        answer = await world.request("unsafe", 0, patience=10.0)
+        self.assertTrue(answer.promised_not_run)
+
     def test_the_last_request_to_a_leaving_instance_is_not_sent_after_the_bound(self):
         # The bound was checked at the choice, and seconds of tunnels lay between it and the send.
         async def script(world):
