Answer what a planned stop can't finish, and take no request that it may cut

Requests were passed on for a third of the grace time whatever their duration; and at its end connections were closed under what still ran.

What still runs when half of the time for closing is over is cancelled and gets a whole 502, unknown whether it ran; an answer that has begun is cut, so that its client can take a resumable stream up elsewhere. A request that may run once is taken by a stopping node only if twice the longest duration of its route in the last 30 to 60 s, or its deadline, ends before the drain; else it is refused at once as not run, and Retry-After sends its client to another node. What may be repeated is taken as before.

Two tests of stops and one of connections sent a request of a route on which none had ended before, with a deadline of 20 or 30 s, and wanted it passed on; they send one more before the stop, and assert what they did.

--- a/hopstep/domain/stop_schedule.py
+++ b/hopstep/domain/stop_schedule.py
@@ -17,6 +17,10 @@
 ENDING_SHARE = 1 / 4
 """Largest part of the grace time for that."""
 
+ANSWER_SHARE = 1 / 2
+"""Part of the time for closing after which requests that still run are answered as unknown; the
+rest is left for sending that answer."""
+
 CLOSE_SECONDS = 2.0
 """Time for connections to end by themselves where nothing kills the process."""
 
@@ -34,6 +38,11 @@
     drain_seconds: float
     close_seconds: float = CLOSE_SECONDS
 
+    @property
+    def answer_seconds(self) -> float:
+        """From the request to stop until requests that still run are answered as unknown."""
+        return self.drain_seconds + ANSWER_SHARE * self.close_seconds
+
     @classmethod
     def within(cls, grace_seconds: float) -> StopSchedule:
         """Return the stages of a process that is killed some time after the request to stop.
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -282,6 +282,7 @@
         """Do the background work until cancelled."""
         tasks: list[BackgroundTask] = [
             self.pauses.run,
+            self.lifecycle.cancel_remaining,
             self.follower.run,
             self.relaying.run,
             self.origins.run,
--- a/hopstep/services/exchanges/requests/exchange.py
+++ b/hopstep/services/exchanges/requests/exchange.py
@@ -85,7 +85,10 @@
             ServiceError: When nothing of a response was sent; ``execution`` says whether the
                 request may have run.
         """
-        with trio.CancelScope(deadline=self._request.deadline) as scope:
+        with (
+            trio.CancelScope(deadline=self._request.deadline) as scope,
+            self._parts.cancelled_by_stop(scope),
+        ):
             try:
                 await self._stream.find_origin()
                 self._budget.record_request(self._request.received_at)
@@ -94,6 +97,9 @@
                 self._gate.end()
         if scope.cancelled_caught and not self._relay.finished:
             self._may_have_run = self._may_have_run or self._in_flight.sent
+            if trio.current_time() < self._request.deadline:
+                self._fail(ErrorCode.STOPPING, "the node stops before the answer")
+                return
             self._note_unbounded()
             self._fail(ErrorCode.DEADLINE_EXCEEDED, "no whole answer in time")
 
--- a/hopstep/services/exchanges/requests/exchange_parts.py
+++ b/hopstep/services/exchanges/requests/exchange_parts.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import AbstractContextManager
 
 import msgspec
+import trio
 
 from hopstep.domain.exchanges.instance_view import InstanceView
 from hopstep.domain.exchanges.instances import Instance
@@ -161,6 +163,7 @@
         sending_view: The view by which requests are sent, which must be recent enough.
         is_drained: Returns whether the drain of a planned stop has ended: an answer that begins now
             would be cut.
+        cancelled_by_stop: Lets the end of a planned stop cancel a request that still runs.
         configuration: Returns the version of the configuration in force.
         readmit: Raises ``ServiceError`` when a request for a service isn't allowed any more, or
             only in another way.
@@ -185,5 +188,6 @@
     view_age: Callable[[], float]
     sending_view: SendingView
     is_drained: Callable[[], bool]
+    cancelled_by_stop: Callable[[trio.CancelScope], AbstractContextManager[None]]
     configuration: Callable[[], int]
     readmit: Callable[[ExchangeRequest, str], None]
--- a/hopstep/services/exchanges/requests/intake/admission.py
+++ b/hopstep/services/exchanges/requests/intake/admission.py
@@ -6,6 +6,7 @@
 
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.request_body import BodyOmission, RequestBody
+from hopstep.domain.exchanges.route_durations import RouteDurations
 from hopstep.domain.exchanges.serving import RequestLimits, Route, ServingIndex, Tenant
 from hopstep.exceptions import ErrorCode, ServiceError
 from hopstep.ports.exchange_front import RequestHead
@@ -17,13 +18,17 @@
 class ExchangeAdmission:
     """Turns request heads into admitted requests, or refuses them."""
 
-    def __init__(self, knowledge: ServingKnowledge, lifecycle: Lifecycle) -> None:
+    def __init__(
+        self, knowledge: ServingKnowledge, lifecycle: Lifecycle, durations: RouteDurations
+    ) -> None:
         """Create the admission check of this node.
 
         Args:
             knowledge: Configuration and its age.
             lifecycle: Whether the node is stopping.
+            durations: How long requests of each route have lasted lately.
         """
+        self._durations = durations
         self._knowledge = knowledge
         self._lifecycle = lifecycle
 
@@ -38,7 +43,8 @@
         if route is None:
             raise self._denied(ErrorCode.NOT_FOUND, "no route for this host and path")
         tenant = self._find_tenant(index, route, head.key)
-        self._lifecycle.check_serving(_deadline(head, route) - trio.current_time())
+        now = trio.current_time()
+        self._lifecycle.check_serving(_deadline(head, route) - now, self._expected(route, now))
         if head.error is not None:
             raise ServiceError(head.error.code, head.error.message, field=head.error.field)
         if not head.request_id:
@@ -46,6 +52,10 @@
         _check_body(body, index.configuration.limits)
         return _make_request(head, body.take(), route, tenant, index.configuration.version)
 
+    def _expected(self, route: Route, now: float) -> float:
+        """Return how long a request may well last that can't be sent again if a stop cuts it."""
+        return 0.0 if route.idempotent else self._durations.expected_seconds(route.name, now)
+
     def readmit(self, request: ExchangeRequest, service: str) -> None:
         """Judge a request anew, under a configuration that has come into force since.
 
--- a/hopstep/services/exchanges/requests/service.py
+++ b/hopstep/services/exchanges/requests/service.py
@@ -15,6 +15,7 @@
 from hopstep.domain.exchanges.request import ExchangeRequest
 from hopstep.domain.exchanges.request_body import RequestBody
 from hopstep.domain.exchanges.retry_after import QueueReturn, RetryAdvice, RetryReason
+from hopstep.domain.exchanges.route_durations import RouteDurations
 from hopstep.domain.exchanges.serving import RequestLimits
 from hopstep.exceptions import ErrorCode, Execution, ServiceError
 from hopstep.log_events.requests import BODY_NOT_KEPT, EXCHANGE_ENDED, EXCHANGE_REFUSED
@@ -110,7 +111,8 @@
             other_zone_seconds: Delay that is added to the estimate of instances in other zones.
             drain_seconds: Time for which an instance still serves after it announced its shutdown.
         """
-        self.admission = ExchangeAdmission(knowledge, lifecycle)
+        self._durations = RouteDurations()
+        self.admission = ExchangeAdmission(knowledge, lifecycle, self._durations)
         self._knowledge = knowledge
         self._lifecycle = lifecycle
         self._advisor = RetryAdvisor(knowledge, limits, generator)
@@ -152,6 +154,7 @@
             view_age=lambda: knowledge.history.age_seconds,
             sending_view=sending_view,
             is_drained=lambda: lifecycle.is_drained,
+            cancelled_by_stop=lifecycle.cancelled_by_stop,
             configuration=lambda: knowledge.configuration.version,
             readmit=self.admission.readmit,
         )
@@ -333,6 +336,9 @@
         self._metrics.read_tokens.inc(outcome.read_tokens)
         if outcome.view_age_ms != UNKNOWN_MS:
             self._metrics.view_age.observe(outcome.view_age_ms / MILLISECONDS)
+        if outcome.attempts.counted:
+            now = trio.current_time()
+            self._durations.note(request.route.name, now - request.received_at, now)
         if outcome.first_byte_ms >= 0:
             self._metrics.first_byte.labels(kind).observe(outcome.first_byte_ms / MILLISECONDS)
         if outcome.events:
--- a/hopstep/services/lifecycle.py
+++ b/hopstep/services/lifecycle.py
@@ -6,6 +6,8 @@
 
 A request is active from its first byte to the end of its response. The drain ends when none is
 active, or at its latest time; from then on nothing more is sent to instances, as connections close.
+Requests that still run shortly before the connections are closed are cancelled, so that each gets
+an answer.
 """
 
 from __future__ import annotations
@@ -60,6 +62,7 @@
         self._drain_until = float("inf")
         self._stopped_at = 0.0
         self._is_drained = False
+        self._running: set[trio.CancelScope] = set()
         self._active = 0
         self._idle = trio.Event()
         self._idle.set()
@@ -85,16 +88,21 @@
         """Whether callers should be sent here: configured and not stopping."""
         return self._holder.current is not None and not self.stopping
 
-    def check_serving(self, longest_seconds: float = float("inf")) -> None:
-        """Raise ``STOPPING`` once a stop was requested and the time to accept is over.
+    def check_serving(
+        self, longest_seconds: float = float("inf"), expected_seconds: float = 0.0
+    ) -> None:
+        """Raise ``STOPPING`` if a request may not be served before the drain of a stop ends.
 
         Args:
             longest_seconds: Longest duration of the request; one that ends before the drain does is
-                still served.
+                served until then.
+            expected_seconds: Duration that it may well have; if it is too long for the drain, the
+                request is refused although the time to accept isn't over.
         """
         now = trio.current_time()
         is_late = now >= self._refuse_at and now + longest_seconds > self._drain_until
-        if is_late or self._is_drained or self._refuses_all:
+        is_too_long = now + min(longest_seconds, expected_seconds) > self._drain_until
+        if is_late or is_too_long or self._is_drained or self._refuses_all:
             raise ServiceError(
                 ErrorCode.STOPPING,
                 "this router is stopping; use another one",
@@ -114,6 +122,22 @@
             if self._active == 0:
                 self._idle.set()
 
+    @contextlib.contextmanager
+    def cancelled_by_stop(self, scope: trio.CancelScope) -> Iterator[None]:
+        """Let the end of a stop cancel a request that still runs, in time to answer it."""
+        self._running.add(scope)
+        try:
+            yield
+        finally:
+            self._running.discard(scope)
+
+    async def cancel_remaining(self) -> None:
+        """Wait for a stop, and cancel the requests that still run shortly before its end."""
+        await self._stopping.wait()
+        await trio.sleep_until(self._stopped_at + self.schedule.answer_seconds)
+        for scope in tuple(self._running):
+            scope.cancel()
+
     def stop_after_fault(self) -> None:
         """Request a stop that serves only active requests: what the node knows may be outdated."""
         self._refuses_all = True
--- a/tests/processes/test_exchange_node.py
+++ b/tests/processes/test_exchange_node.py
@@ -352,6 +352,7 @@
             async def slow():
                 results.append(await self.request(client, url, "/p/slow"))
 
+            await self.request(client, url)  # shows how long such requests last
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(slow)
                 await trio.sleep(0.2)
@@ -373,6 +374,7 @@
                 with contextlib.suppress(httpx.TransportError):
                     await self.request(client, url, "/p/endless")
 
+            await self.request(client, url)  # shows how long such requests last
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(endless)
                 await trio.sleep(0.3)
--- a/tests/services/exchanges/test_stop_during_bodies.py
+++ b/tests/services/exchanges/test_stop_during_bodies.py
@@ -121,13 +121,15 @@
             world.publish(ConfigurationPublished(configuration(version, (long,))))
             while world.nodes[0].knowledge.current.version < version:
                 await world.nodes[0].knowledge.changed.wait()
+            earlier = await world.request("unsafe")  # shows how long such requests last
+            self.assertEqual(earlier.status, 200)
             schedule = world.nodes[0].lifecycle.schedule
             begins_at, upload_seconds = 2.0, 0.2
             connected_at = schedule.drain_seconds + schedule.close_seconds / 2
             for server in world.instances.servers.values():
                 server.connect_seconds = connected_at - begins_at - upload_seconds
             uploads = await self.play(world, [(begins_at, upload_seconds)], patience=20.0)
-            self.assertEqual([call.proof.connected for call in world.instances.calls], [False])
+            self.assertEqual([call.proof.connected for call in world.instances.calls[1:]], [False])
             self.assert_none_lost(world, uploads)
             self.assertEqual(uploads[0].answer.error.code, ErrorCode.STOPPING)
 
