Starve nodes of processor time in the soak, and ask for the drain bound all the same

The soak's nodes were paused, suspended, killed or cut off; none only ran late, though that is what the report came from. It suspends the promises with a time bound but that of draining instances. Profile starved nodes, by name only.

--- a/emulator/soak/checks.py
+++ b/emulator/soak/checks.py
@@ -163,7 +163,8 @@
         request = history.requests.get(run.request_id)
         if at is None or request is None or run.at - at <= bounds.drain:
             continue
-        if history.time_bounds_apply(request.node, run.at - bounds.settling, run.at):
+        since = run.at - bounds.settling
+        if history.time_bounds_apply(request.node, since, run.at, even_if_starved=True):
             yield f"{run.request_id} ran at {run.instance_id}, draining for {run.at - at:.2f} s"
 
 
--- a/emulator/soak/disturbances.py
+++ b/emulator/soak/disturbances.py
@@ -25,6 +25,9 @@
 PEER_LINK_CUT = "peer link"
 """Fault of a node that is cut off from the other nodes only."""
 
+STARVED = "starved"
+"""Fault of a node that gets little processor time, in short pieces."""
+
 INSTANCE_LINKS_CUT = "links to instances"
 """Fault of a node's links to all instances. Its subject isn't the node: no promise is suspended."""
 
--- a/emulator/soak/fault_kinds.py
+++ b/emulator/soak/fault_kinds.py
@@ -41,6 +41,7 @@
 LINKS = "nodes without instances"
 SOFTWARE = "software replaced"
 UNREADABLE = "unreadable values"
+STARVING = "nodes starved"
 
 CHANGE_KINDS = ("instance leaves", "key revoked", "weights named")
 SETTINGS_KINDS = ("body limit changed", "tenants isolated", "key moved", "routes redirected")
--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -18,7 +18,7 @@
     RESTORED,
     STORE,
 )
-from emulator.soak.fault_kinds import FATAL, FATAL_PART, LINKS, RESTORE
+from emulator.soak.fault_kinds import FATAL, FATAL_PART, LINKS, RESTORE, STARVING
 from emulator.soak.hostile_callers import HostileCallers
 from emulator.soak.instance_faults import (
     BROKEN_LINKS,
@@ -32,6 +32,7 @@
 from emulator.soak.operators import Operator
 from emulator.soak.profiles import Profile
 from emulator.soak.proxies import LinkState
+from emulator.soak.starved_nodes import StarvedNodes
 from emulator.soak.suspendable_node import HANGING, REFUSING
 
 SERIES_LENGTH = (2, 4)
@@ -116,6 +117,7 @@
             "node suspended": self._node_suspended,
             FATAL: callers.repeat_fatal_request,
             FATAL_PART: callers.share_fatal_part,
+            STARVING: StarvedNodes(deployment, generator).run,
             **instance_faults(deployment, operator, generator),
         }
 
--- a/emulator/soak/history.py
+++ b/emulator/soak/history.py
@@ -7,7 +7,14 @@
 
 import msgspec
 
-from emulator.soak.disturbances import KILLED, MACHINE, PEER_LINK_CUT, STORE, Disturbance
+from emulator.soak.disturbances import (
+    KILLED,
+    MACHINE,
+    PEER_LINK_CUT,
+    STARVED,
+    STORE,
+    Disturbance,
+)
 from emulator.soak.instance_records import (
     AnsweredOrder,
     FatalTermination,
@@ -97,13 +104,22 @@
     body_limits: list[BodyLimit] = []
     redirects: list[Redirect] = []
 
-    def time_bounds_apply(self, node: str, since: float, until: float) -> bool:
+    def time_bounds_apply(
+        self, node: str, since: float, until: float, *, even_if_starved: bool = False
+    ) -> bool:
         """Return whether promises with a time bound apply to a node in a period.
 
         They apply while its process, its links, the store and the machine were undisturbed. Losing
         the links to all other nodes doesn't suspend them.
+
+        Args:
+            node: Name of the node.
+            since: Start of the period.
+            until: Its end.
+            even_if_starved: Whether little processor time doesn't suspend them either.
         """
-        faults = (fault for fault in self.disturbances if fault.what != PEER_LINK_CUT)
+        ignored = {PEER_LINK_CUT, STARVED} if even_if_starved else {PEER_LINK_CUT}
+        faults = (fault for fault in self.disturbances if fault.what not in ignored)
         return not any(
             fault.subject in (node, STORE, MACHINE)
             and fault.since <= until
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -24,6 +24,7 @@
     RESTORE,
     SETTINGS_KINDS,
     SOFTWARE,
+    STARVING,
     STORE_KINDS,
     UNREADABLE,
 )
@@ -408,6 +409,25 @@
 several of the largest size at once; chosen by name only."""
 
 
+STARVED_NODES = Profile(
+    "starved nodes",
+    (
+        *(STARVING,) * 4,
+        *("instance leaves",) * 6,
+        "instance says it leaves",
+        LINKS,
+        LINKS,
+        "key revoked",
+        "weights named",
+    ),
+    (0.2, 0.8),
+    0.3,
+    0.6,
+)
+"""Nodes that get little processor time, in short pieces, while instances drain one after the other
+and other nodes lose their links; chosen by name only."""
+
+
 CONNECTIONS = Profile(
     "ends of connections",
     (
--- a/emulator/soak/seed_profiles.py
+++ b/emulator/soak/seed_profiles.py
@@ -30,6 +30,7 @@
     RESTORES,
     SHORT,
     SOFTWARE_VERSIONS,
+    STARVED_NODES,
     UNREADABLE_VALUES,
     VERSIONS,
     Profile,
@@ -114,6 +115,7 @@
         CUTS,
         VERSIONS,
         SOFTWARE_VERSIONS,
+        STARVED_NODES,
         UNREADABLE_VALUES,
     )
     found = {profile.name: profile for profile in named}
