Try a connection again that this node was too late to see

Cause: the time limit of a connection passes while this node's event loop stands still, and counts as a failed connection; a gateway then reaches the instance, which proves this node's link cut, and requests take gateways until probes have worked for a second. Now a node whose loop was late by 0.2 s or more since it began to connect tries once more. The test takes a gateway without the mend (virtual clock).

--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -197,7 +197,7 @@
             limits,
             self.origins,
         )
-        self.paths = InstancePaths(ports.calls, self.knowledge, settings.zone)
+        self.paths = InstancePaths(ports.calls, self.knowledge, settings.zone, self.pauses)
         self.tunnel_gate = InstanceTunnelGate(
             ports.calls,
             self.knowledge,
--- a/hopstep/services/exchanges/reachability/instance_paths.py
+++ b/hopstep/services/exchanges/reachability/instance_paths.py
@@ -25,6 +25,7 @@
     InstanceCalls,
 )
 from hopstep.services.exchanges.directory.knowledge import ServingKnowledge
+from hopstep.services.exchanges.pause_watch import PauseWatch
 from hopstep.services.exchanges.reachability.path_knowledge import (
     NEEDED_CONFIRMATIONS,
     PathKnowledge,
@@ -33,6 +34,9 @@
 
 PROBE_ROUND_SECONDS = 0.25
 
+LATE_SECONDS = 0.2
+"""Delay of this node's event loop from which a connection that timed out shows nothing: its answer
+may have been there, unread."""
 
 PROBE_RESULTS = {
     Reachability.DIRECT: InstanceProbeResult.ANSWERS,
@@ -45,15 +49,19 @@
 class InstancePaths(InstanceCalls):
     """Calls to instances over whichever way works."""
 
-    def __init__(self, calls: InstanceCalls, knowledge: ServingKnowledge, zone: str) -> None:
+    def __init__(
+        self, calls: InstanceCalls, knowledge: ServingKnowledge, zone: str, pauses: PauseWatch
+    ) -> None:
         """Start with working links.
 
         Args:
             calls: Sends requests directly and through gateways.
             knowledge: The registered nodes and the listed instances.
             zone: Zone of this node.
+            pauses: Detects delays of the node's own event loop.
         """
         self._calls = calls
+        self._pauses = pauses
         self._known = PathKnowledge(knowledge, zone)
         self._probes = PathProbes(calls, self._known)
 
@@ -93,7 +101,7 @@
             candidates = self._known.candidates(call.instance)
         if not candidates:
             try:
-                return await self._open_directly(call, stack)
+                return await self._open_directly_in_time(call, stack)
             except InstanceCallError as error:
                 if error.sent or error.withdrawn or self._known.is_known_unreachable(call.instance):
                     raise
@@ -133,6 +141,23 @@
             return await self._open_directly(call, stack)
         raise failure
 
+    async def _open_directly_in_time(
+        self, call: InstanceCall, stack: contextlib.AsyncExitStack
+    ) -> InstanceAnswer:
+        """Send a request over this node's own link; once more if this node was late to connect.
+
+        Raises:
+            InstanceCallError: When the link or the instance fails.
+        """
+        began_at = trio.current_time()
+        try:
+            return await self._open_directly(call, stack)
+        except InstanceCallError as error:
+            was_late = self._pauses.longest_delay_since(began_at) >= LATE_SECONDS
+            if error.sent or error.withdrawn or not was_late:
+                raise
+        return await self._open_directly(call, stack)
+
     async def _open_directly(
         self, call: InstanceCall, stack: contextlib.AsyncExitStack
     ) -> InstanceAnswer:
--- a/tests/services/exchanges/test_late_nodes.py
+++ b/tests/services/exchanges/test_late_nodes.py
@@ -230,3 +230,32 @@
             self.assertIsNotNone(answer.error)
 
         self.run_world(script, SMALL, instances=1)
+
+
+class LateConnectionTest(LateNodesCase):
+    def test_a_node_that_was_late_to_connect_does_not_take_its_link_for_cut(self):
+        # A time limit that had passed while the node stood still counted as a failed connection.
+        for is_late in (True, False):
+            with self.subTest(is_late=is_late):
+                self.assertEqual(self.uses_gateway(is_late), not is_late)
+
+    def uses_gateway(self, is_late):
+        """Return whether a request whose first connection times out takes a gateway."""
+        used = []
+
+        async def stand_still(world):
+            await trio.sleep(0.35)
+            if is_late:
+                now = trio.current_time()
+                world.nodes[0].pauses.delays.note(now - 0.3, now)
+            world.links[0].restore()
+
+        async def script(world):
+            world.links[0].cut(LinkCut.HANGING)
+            world.nursery.start_soon(stand_still, world)
+            self.assertEqual((await world.request("unsafe", 0)).status, 200)
+            used.append(any(call.gateway is not None for call in world.instances.calls))
+            self.assertEqual(world.nodes[0].paths.links.cut_count, int(used[0]))
+
+        self.run_world(script, SMALL, instances=1)
+        return used[0]
