Starve the soak's nodes more, and let instances go without a word

Nodes are now stopped for 0.3 to 0.55 s with 2 to 15 ms between, for 4 to 9 s, and some instances don't say draining: their entry goes, and they serve on.

--- a/emulator/soak/fault_kinds.py
+++ b/emulator/soak/fault_kinds.py
@@ -42,6 +42,7 @@
 SOFTWARE = "software replaced"
 UNREADABLE = "unreadable values"
 STARVING = "nodes starved"
+UNLISTED = "instance goes without a word"
 
 CHANGE_KINDS = ("instance leaves", "key revoked", "weights named")
 SETTINGS_KINDS = ("body limit changed", "tenants isolated", "key moved", "routes redirected")
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -15,6 +15,7 @@
     ANSWERS_STOPPED,
     ANSWERS_UNFRAMED,
     SOFTWARE,
+    UNLISTED,
     UNREADABLE,
 )
 from emulator.soak.foreign_entries import (
@@ -95,6 +96,7 @@
         "instance connections silent": faults.instance_connections_silent,
         "instance crashed": faults.instance_crashed,
         "instance leaves": faults.instance_leaves,
+        UNLISTED: faults.instance_unlisted,
         "instance says it leaves": faults.instance_announces_leaving,
         "instances want rest": faults.instances_request_backoff,
         "instances name limits": faults.instances_announce_limits,
@@ -267,6 +269,23 @@
         if links in self._deployment.instances:
             self._deployment.terminate_instance(links, unlisted=True)
 
+    async def instance_unlisted(self) -> None:
+        """Let an instance leave without a word: its entry goes, and it serves on for a while."""
+        links = self._instance()
+        instance = links.instance
+        if self._count(instance.traits.service) <= MIN_INSTANCES or instance.draining:
+            return
+        await self._deployment.add_instance(
+            instance.traits.service, self._generator.choice(ZONES), self._operator.weights
+        )
+        instance.draining = True
+        self._deployment.store.remove(f"servers/{instance.traits.instance_id}")
+        started = DrainStart(instance.traits.incarnation, trio.current_time())
+        self._deployment.history.drain_starts.append(started)
+        await trio.sleep(DRAIN_SECONDS + draw_seconds(self._generator))
+        if links in self._deployment.instances:
+            self._deployment.terminate_instance(links, unlisted=False)
+
     async def software_replaced(self) -> None:
         """Replace engines one after the other by others of one software version.
 
--- a/emulator/soak/profiles.py
+++ b/emulator/soak/profiles.py
@@ -26,6 +26,7 @@
     SOFTWARE,
     STARVING,
     STORE_KINDS,
+    UNLISTED,
     UNREADABLE,
 )
 
@@ -413,7 +414,8 @@
     "starved nodes",
     (
         *(STARVING,) * 4,
-        *("instance leaves",) * 6,
+        *("instance leaves",) * 4,
+        *(UNLISTED,) * 4,
         "instance says it leaves",
         LINKS,
         LINKS,
--- a/emulator/soak/starved_nodes.py
+++ b/emulator/soak/starved_nodes.py
@@ -15,13 +15,13 @@
 from emulator.soak.disturbances import STARVED
 from emulator.soak.links import NodeLinks
 
-STARVED_SECONDS = (2.0, 5.0)
+STARVED_SECONDS = (4.0, 9.0)
 """Time for which a node is starved, shortest and longest."""
 
-STOPPED_SECONDS = (0.05, 0.45)
+STOPPED_SECONDS = (0.3, 0.55)
 """Time of each piece in which a node doesn't run; a node takes 0.6 s for a pause of its own."""
 
-RUNNING_SECONDS = (0.01, 0.06)
+RUNNING_SECONDS = (0.002, 0.015)
 """Time of each piece in which it runs."""
 
 MAX_SHARE = 0.5
