--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -20,13 +20,8 @@
 )
 from emulator.soak.fault_kinds import FATAL, FATAL_PART, LINKS, RESTORE, STARVING
 from emulator.soak.hostile_callers import HostileCallers
-from emulator.soak.instance_faults import (
-    BROKEN_LINKS,
-    Fault,
-    NoInstanceError,
-    draw_seconds,
-    instance_faults,
-)
+from emulator.soak.instance_faults import BROKEN_LINKS, instance_faults
+from emulator.soak.instance_subjects import Fault, NoInstanceError, draw_seconds
 from emulator.soak.link_checks import subject_of
 from emulator.soak.links import NodeLinks
 from emulator.soak.operators import Operator
--- a/emulator/soak/instance_faults.py
+++ b/emulator/soak/instance_faults.py
@@ -1,9 +1,8 @@
-"""Faults of instances: links, crashes, restarts, addresses, entries, notices and orders."""
+"""Faults of instances: links, crashes, restarts, addresses, entries, limits and orders."""
 
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -25,17 +24,13 @@
     unreadable_record,
 )
 from emulator.soak.instance_records import LimitChange
+from emulator.soak.instance_subjects import MIN_INSTANCES, Fault, InstanceSubjects, draw_seconds
+from emulator.soak.leaving_faults import LeavingFaults
 from emulator.soak.links import InstanceLinks
-from emulator.soak.operator_changes import DrainStart
 from emulator.soak.operators import Operator
 from emulator.soak.proxies import LinkState
 
-FAULT_SECONDS = (0.5, 6.0)
-"""Duration of a fault, shortest and longest."""
-
-DRAIN_SECONDS = 2.5
 BROKEN_LINKS = (LinkState.SILENT, LinkState.ONE_WAY, LinkState.RESET)
-MIN_INSTANCES = 2
 IMAGE_VERSION = 1
 IMAGE_SHARE = 0.5
 """Share of restarting instances that load the weights of their image instead of their last ones."""
@@ -50,12 +45,6 @@
 LIMIT_SECONDS = (4.0, 10.0)
 """Time for which an instance announces one limit."""
 
-NOTICE_ONLY_SHARE = 0.5
-"""Share of instances announcing shutdown in responses whose entry says ready until they end."""
-
-REPLACEMENT_SECONDS = (0.2, 1.0)
-"""Time between two steps of a rolling replacement."""
-
 UNREADABLE_SECONDS = 3.0
 """Time for which values that can't be read stay at least: longer than nodes take to start."""
 
@@ -68,17 +57,6 @@
 ENDLESS_SHARE = 0.05
 FAILING_SHARES = (0.3, 0.7, 1.0)
 
-Fault = Callable[[], Awaitable[None]]
-
-
-class NoInstanceError(Exception):
-    """A fault found no instance that it could hit: all of them have crashed."""
-
-
-def draw_seconds(generator: random.Random) -> float:
-    """Return a random duration of a fault, in seconds."""
-    return generator.uniform(*FAULT_SECONDS)
-
 
 def instance_faults(
     deployment: Deployment, operator: Operator, generator: random.Random
@@ -91,13 +69,14 @@
         generator: Draws instance, time and strength.
     """
     faults = _InstanceFaults(deployment, operator, generator)
+    leaving = LeavingFaults(deployment, operator, generator)
     return {
         "instance link": faults.instance_link,
         "instance connections silent": faults.instance_connections_silent,
         "instance crashed": faults.instance_crashed,
-        "instance leaves": faults.instance_leaves,
-        UNLISTED: faults.instance_unlisted,
-        "instance says it leaves": faults.instance_announces_leaving,
+        "instance leaves": leaving.instance_leaves,
+        UNLISTED: leaving.instance_unlisted,
+        "instance says it leaves": leaving.instance_announces_leaving,
         "instances want rest": faults.instances_request_backoff,
         "instances name limits": faults.instances_announce_limits,
         "instance fails": faults.instance_fails,
@@ -106,7 +85,7 @@
         "address passed on": faults.address_passed_on,
         "foreign entries": faults.foreign_entries,
         UNREADABLE: faults.unreadable_values,
-        SOFTWARE: faults.software_replaced,
+        SOFTWARE: leaving.software_replaced,
         ANSWERS_REPEATED: faults.answers_repeated,
         ANSWERS_STOPPED: faults.answers_stopped,
         ANSWERS_ENDLESS: faults.answers_endless,
@@ -116,21 +95,8 @@
     }
 
 
-class _InstanceFaults:
-    """Injects the faults of instances."""
-
-    def __init__(
-        self, deployment: Deployment, operator: Operator, generator: random.Random
-    ) -> None:
-        self._deployment = deployment
-        self._operator = operator
-        self._generator = generator
-
-    def _instance(self) -> InstanceLinks:
-        """Return a random instance; raise ``NoInstanceError`` if none runs."""
-        if not self._deployment.instances:
-            raise NoInstanceError
-        return self._generator.choice(self._deployment.instances)
+class _InstanceFaults(InstanceSubjects):
+    """Injects the other faults of instances."""
 
     async def instance_link(self) -> None:
         links = self._instance()
@@ -253,98 +219,6 @@
         for key in keys:
             store.remove(key)
 
-    async def instance_leaves(self) -> None:
-        links = self._instance()
-        instance = links.instance
-        if self._count(instance.traits.service) <= MIN_INSTANCES or instance.draining:
-            return
-        await self._deployment.add_instance(
-            instance.traits.service, self._generator.choice(ZONES), self._operator.weights
-        )
-        instance.draining = True
-        self._deployment.recorder.entry_changed(instance)
-        started = DrainStart(instance.traits.incarnation, trio.current_time())
-        self._deployment.history.drain_starts.append(started)
-        await trio.sleep(DRAIN_SECONDS + draw_seconds(self._generator))
-        if links in self._deployment.instances:
-            self._deployment.terminate_instance(links, unlisted=True)
-
-    async def instance_unlisted(self) -> None:
-        """Let an instance leave without a word: its entry goes, and it serves on for a while."""
-        links = self._instance()
-        instance = links.instance
-        if self._count(instance.traits.service) <= MIN_INSTANCES or instance.draining:
-            return
-        await self._deployment.add_instance(
-            instance.traits.service, self._generator.choice(ZONES), self._operator.weights
-        )
-        instance.draining = True
-        self._deployment.store.remove(f"servers/{instance.traits.instance_id}")
-        started = DrainStart(instance.traits.incarnation, trio.current_time())
-        self._deployment.history.drain_starts.append(started)
-        await trio.sleep(DRAIN_SECONDS + draw_seconds(self._generator))
-        if links in self._deployment.instances:
-            self._deployment.terminate_instance(links, unlisted=False)
-
-    async def software_replaced(self) -> None:
-        """Replace engines one after the other by others of one software version.
-
-        Any version may be next, also one of before. Each new engine starts before an old one
-        drains; some replacements stop midway.
-        """
-        versions = self._deployment.software_versions
-        target = self._generator.choice(versions)
-        outdated = [
-            links
-            for links in self._deployment.instances
-            if links.instance.traits.service == ENGINES
-            and links.instance.traits.software_version != target
-        ]
-        count = self._generator.randint(1, max(1, len(outdated)))
-        async with trio.open_nursery() as nursery:
-            for links in outdated[:count]:
-                nursery.start_soon(self._replace, links, target)
-                await trio.sleep(self._generator.uniform(*REPLACEMENT_SECONDS))
-
-    async def _replace(self, links: InstanceLinks, software_version: str) -> None:
-        """Start an engine of a software version, and drain another one."""
-        traits = links.instance.traits
-        if links not in self._deployment.instances or links.instance.draining:
-            return
-        await self._deployment.add_instance(
-            ENGINES, traits.zone, self._operator.weights, software_version=software_version
-        )
-        await trio.sleep(self._generator.uniform(*REPLACEMENT_SECONDS))
-        if links not in self._deployment.instances or links.instance.draining:
-            return
-        links.instance.draining = True
-        self._deployment.recorder.entry_changed(links.instance)
-        started = DrainStart(traits.incarnation, trio.current_time())
-        self._deployment.history.drain_starts.append(started)
-        await trio.sleep(DRAIN_SECONDS + draw_seconds(self._generator) / 2)
-        if links in self._deployment.instances:
-            self._deployment.terminate_instance(links, unlisted=True)
-
-    async def instance_announces_leaving(self) -> None:
-        """Let an instance announce its shutdown in responses, and later or never in its entry."""
-        links = self._instance()
-        instance = links.instance
-        if self._count(instance.traits.service) <= MIN_INSTANCES or instance.draining:
-            return
-        await self._deployment.add_instance(
-            instance.traits.service, self._generator.choice(ZONES), self._operator.weights
-        )
-        instance.notices.leaving = True
-        await trio.sleep(DRAIN_SECONDS + draw_seconds(self._generator))
-        if links not in self._deployment.instances:
-            return
-        if self._generator.random() >= NOTICE_ONLY_SHARE:
-            instance.draining = True
-            self._deployment.recorder.entry_changed(instance)
-            await trio.sleep(DRAIN_SECONDS)
-        if links in self._deployment.instances:
-            self._deployment.terminate_instance(links, unlisted=True)
-
     async def instances_request_backoff(self) -> None:
         """Let one instance, or all of its service, refuse requests and ask for backoff."""
         chosen = [self._instance()]
@@ -382,14 +256,6 @@
             change = LimitChange(incarnation, trio.current_time(), per_second)
             self._deployment.history.limits.append(change)
 
-    def _count(self, service: str) -> int:
-        """Return the number of instances of a service that accept requests."""
-        return sum(
-            links.instance.traits.service == service
-            and not (links.instance.draining or links.instance.notices.leaving)
-            for links in self._deployment.instances
-        )
-
     async def instance_fails(self) -> None:
         links = self._instance()
         faults = links.instance.faults
--- a/tests/emulator/soak/test_profiles.py
+++ b/tests/emulator/soak/test_profiles.py
@@ -23,6 +23,7 @@
     RESTORES,
     SHORT,
     SOFTWARE_VERSIONS,
+    STARVED_NODES,
     UNREADABLE_VALUES,
     VERSIONS,
 )
@@ -35,6 +36,7 @@
     CUTS,
     VERSIONS,
     SOFTWARE_VERSIONS,
+    STARVED_NODES,
     PARTS,
     CHANGES,
     REPEATED_ANSWERS,
