Judge an outage by calls since the last answer only, and leave listings their time

A failed call counted from its sending also if another node had reported an answer of the store since, so that a later answer could end an outage that never was (the new test fails before). A store that is lost was waited for 0.8 s also for a listing of all entries, which takes longer in a large fleet. And whether this node was late was asked since the last answer, not of the time in which the store was silent: in a long outage an old delay let requests wait for 0.5 s each other second.

--- a/hopstep/domain/exchanges/store_contact.py
+++ b/hopstep/domain/exchanges/store_contact.py
@@ -101,7 +101,9 @@
         Call this before the answer itself is noted. The time for which the store was asked to wait,
         and that for which this node was late to read, show nothing about the store.
         """
-        silent_since = min(self._silent_since, call.sent_at)
+        silent_since = call.sent_at
+        if self._silent_since >= self.last_answer_at:
+            silent_since = min(self._silent_since, silent_since)
         explained_seconds = call.delay_seconds
         if silent_since == call.sent_at:
             explained_seconds += call.wait_seconds
--- a/hopstep/services/exchanges/directory/directory_follower.py
+++ b/hopstep/services/exchanges/directory/directory_follower.py
@@ -15,7 +15,7 @@
 from hopstep.log_events.configuration import DIRECTORY_HISTORY_LOST, STORE_LOST, STORE_REGAINED
 from hopstep.log_events.process import CONNECTIONS_DROPPED
 from hopstep.logs import emit
-from hopstep.ports.serving_directory import ServingDirectory
+from hopstep.ports.serving_directory import DirectoryBatch, ServingDirectory
 from hopstep.services.exchanges.directory.answered_calls import note_answered
 from hopstep.services.exchanges.directory.change_origin import STORE_SOURCE
 from hopstep.services.exchanges.directory.key_freshness import OVERDUE
@@ -225,7 +225,7 @@
         """Make one call, and send its outcome: the error, or None."""
         sent_at = self._last_call_at = trio.current_time()
         try:
-            await self._call_in_time(sent_at)
+            await self._call(sent_at)
         except StoreError as error:
             lost_history = isinstance(error, StoreHistoryLostError)
             if not lost_history and not self._pauses.has_just_ended:
@@ -234,18 +234,6 @@
         else:
             outcomes.send_nowait(None)
 
-    async def _call_in_time(self, sent_at: float) -> None:
-        """Make one call; while the store is lost, wait for its answer only briefly.
-
-        Raises:
-            StoreError: When it failed, or wasn't answered in time.
-        """
-        seconds = float("inf") if self._connected else LOST_CALL_SECONDS
-        with trio.move_on_after(seconds) as wait:
-            await self._call(sent_at)
-        if wait.cancelled_caught:
-            raise StoreError(ErrorCode.STORE_UNAVAILABLE, "no answer while the store is lost")
-
     async def _replace_connections(self) -> None:
         """Open new connections for later calls, unless this node itself was paused."""
         if not self._pauses.has_just_ended:
@@ -263,13 +251,26 @@
             return
         current_at = knowledge.history.reached_at
         wait_seconds = self._wait_seconds(sent_at)
-        batch = await self._directory.changes(knowledge.store_position, wait_seconds)
+        batch = await self._read_changes(wait_seconds)
         note_answered(knowledge.contact, self._pauses, sent_at, wait_seconds)
         now = trio.current_time()
         had_no_change = now - sent_at > IMMEDIATE_ANSWER_SECONDS and not self._pauses.has_just_ended
         since = now - WATCH_LAG_SECONDS if had_no_change else min(sent_at, current_at)
         knowledge.apply_changes(batch, since, sent_at)
 
+    async def _read_changes(self, wait_seconds: float) -> DirectoryBatch:
+        """Return the changes since the node's position; a lost store is waited for only briefly.
+
+        Raises:
+            StoreError: When the call failed, or wasn't answered in time.
+        """
+        position = self._knowledge.store_position
+        if self._connected:
+            return await self._directory.changes(position, wait_seconds)
+        with trio.move_on_after(LOST_CALL_SECONDS):
+            return await self._directory.changes(position, wait_seconds)
+        raise StoreError(ErrorCode.STORE_UNAVAILABLE, "no answer while the store is lost")
+
     def _wait_seconds(self, sent_at: float) -> float:
         """Return how long a watch may wait: until an answer is due, so that a loss is seen in time.
 
--- a/hopstep/services/exchanges/directory/sending_view.py
+++ b/hopstep/services/exchanges/directory/sending_view.py
@@ -136,11 +136,12 @@
 
     def _is_store_away(self) -> bool:
         """Return whether the store doesn't answer this node, although the node runs on time."""
-        if trio.current_time() < self._unanswered_until:
+        now = trio.current_time()
+        if now < self._unanswered_until:
             return True
         if not self._follower.has_lost_store:
             return False
-        return self._pauses.longest_delay_since(self._knowledge.contact.read_at) < LATE_SECONDS
+        return self._pauses.longest_delay_since(now - self._max_age) < LATE_SECONDS
 
     def _note_unanswered(self) -> None:
         """Let requests go on for a while, as the store doesn't answer."""
--- a/tests/domain/exchanges/test_store_contact.py
+++ b/tests/domain/exchanges/test_store_contact.py
@@ -98,6 +98,13 @@
         contact.note_own_answer(AnsweredCall(104.0, 104.1))
         self.assertIsNone(contact.relisting_seconds(104.1))
 
+    def test_nor_do_failed_calls_before_another_node_reported_an_answer(self):
+        contact = self.contact()
+        contact.note_unanswered(101.5)
+        contact.note_reported(102.0)
+        contact.note_own_answer(AnsweredCall(110.0, 110.1))
+        self.assertIsNone(contact.relisting_seconds(110.1))
+
     def test_another_node_may_have_seen_the_outage(self):
         contact = self.contact()
         contact.note_reported_relisting(103.0)
