Test of a client that reads nothing: end its connection when an assertion fails

Cause: a server's write is shielded from cancellation. When an assertion in the test fails, the nursery cancels the server, whose write waits for a client that reads nothing, for ever: the failure is never reported. Shown by a trial in which one of the assertions always fails: without this change the test doesn't end in 20 s.

Change: the connections are ended in a `finally`. No assertion, time or bound is changed. Which assertion had failed isn't known: it didn't come back.

--- a/tests/adapters/test_exchange_server.py
+++ b/tests/adapters/test_exchange_server.py
@@ -48,22 +48,29 @@
                 open_connection = track_connections(contextlib.nullcontext)
                 serving = functools.partial(serve, open_connection=open_connection)
                 urls = await nursery.start(serving)
-                stream = await trio.open_tcp_stream("127.0.0.1", int(urls[0].rpartition(":")[2]))
-                await stream.send_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-                await trio.sleep(0.3)
-                (connection,) = connections
-                self.assertTrue(connection.is_writing and not written.is_set())
-                before = connection.last_progress_at
-                self.assertLess(before, trio.current_time() - 0.1)
-                await stream.receive_some(1_000_000)
-                await trio.sleep(0.1)
-                self.assertGreater(connection.last_progress_at, before)
-                connection.disconnect()
-                with trio.fail_after(1.0):
-                    await written.wait()
-                    with self.assertRaises(trio.BrokenResourceError):
-                        while await stream.receive_some():
-                            pass
+                try:
+                    stream = await trio.open_tcp_stream(
+                        "127.0.0.1", int(urls[0].rpartition(":")[2])
+                    )
+                    await stream.send_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                    await trio.sleep(0.3)
+                    (connection,) = connections
+                    self.assertTrue(connection.is_writing and not written.is_set())
+                    before = connection.last_progress_at
+                    self.assertLess(before, trio.current_time() - 0.1)
+                    await stream.receive_some(1_000_000)
+                    await trio.sleep(0.1)
+                    self.assertGreater(connection.last_progress_at, before)
+                    connection.disconnect()
+                    with trio.fail_after(1.0):
+                        await written.wait()
+                        with self.assertRaises(trio.BrokenResourceError):
+                            while await stream.receive_some():
+                                pass
+                finally:
+                    # A write that waits for its client outlasts a cancellation.
+                    for connection in connections:
+                        connection.disconnect()
                 stopped.set()
 
         async def run():
