Streams keep their software version after all nodes lost power during a release

Cause: a stream's origin is copied only while its service has several versions, so nothing outlasted the nodes. A node that had just started called its view complete once it had read the store, which lists what is there now.

Change: each version is recorded in the store before a resumable stream begins at it (while instances of recorded versions serve; 8 s at most), and stays recorded until no client holds a stream of it. One key for all services, one write when a version joins and one when it has gone, by the relays. A node that has just started counts recorded versions; a record of before a restore of the store proves nothing. Each node knows which versions were recorded when another process ended, so a stream that no live node knows goes on where these are one (all nodes must answer, this one must have read the store since).

Open: fleets of more than 13 nodes ask only some for an origin, so after such a loss streams without a record are refused there where a version joined.

--- a/hopstep/domain/exchanges/instance_scope.py
+++ b/hopstep/domain/exchanges/instance_scope.py
@@ -6,6 +6,7 @@
 
 from hopstep.domain.exchanges.instances import Instance
 from hopstep.domain.exchanges.request import ExchangeRequest
+from hopstep.domain.exchanges.serving import RequestKind
 from hopstep.domain.exchanges.streams.origin import StreamOrigin
 
 
@@ -34,6 +35,12 @@
         """Software version that the instance must have; empty when the stream hasn't begun."""
         return self.origin.software_version if self.origin is not None else ""
 
+    @property
+    def begins_stream(self) -> bool:
+        """Whether the attempt may begin a stream that its client may resume."""
+        route = self.request.route
+        return self.origin is None and route.kind is RequestKind.STREAM and route.resumable
+
     def admits(self, instance: Instance) -> bool:
         """Return whether an instance may serve the attempt, whether or not it accepts it now."""
         if instance.instance_id in self.tried:
--- a/hopstep/domain/exchanges/nodes.py
+++ b/hopstep/domain/exchanges/nodes.py
@@ -71,7 +71,11 @@
 
 
 class RelayPlan:
-    """Which nodes this node asks, by their answers and by whether they have lost the store."""
+    """Which nodes this node asks, by their answers and by whether they have lost the store.
+
+    Attributes:
+        heard: Registered nodes of which a message has arrived since this node's start.
+    """
 
     def __init__(self, name: str, record: NodeRecord) -> None:
         """Start without other nodes.
@@ -86,6 +90,7 @@
         self._unanswered: dict[str, int] = {}
         self._without_store: set[str] = set()
         self._probed_at: dict[str, float] = {}
+        self.heard: set[str] = set()
 
     def set_nodes(self, nodes: Mapping[str, NodeRecord]) -> None:
         """Rank the registered nodes of each zone."""
@@ -98,6 +103,7 @@
         self._zones = zones
         self._unanswered = {n: count for n, count in self._unanswered.items() if n in known}
         self._without_store &= known.keys()
+        self.heard &= known.keys()
 
     def note_asked(self, name: str) -> None:
         """Count a query that was sent."""
@@ -106,6 +112,7 @@
     def note_message(self, name: str) -> None:
         """Note that a message of a node has arrived."""
         self._unanswered.pop(name, None)
+        self.heard.add(name)
 
     def note_store(self, name: str, *, lost: bool) -> None:
         """Note whether a node that answered has lost the store."""
--- a/hopstep/domain/exchanges/streams/origin_lookup.py
+++ b/hopstep/domain/exchanges/streams/origin_lookup.py
@@ -21,6 +21,9 @@
     SOLE_VERSION = "sole_version"
     """The service has had a single software version for as long as a stream may last."""
 
+    EARLIER_VERSION = "earlier_version"
+    """A process that has ended began it, when a single version was recorded."""
+
     DOUBTFUL = "doubtful"
     """The instance that is recorded may have started again, with other software, by then."""
 
--- a/hopstep/exchange_services.py
+++ b/hopstep/exchange_services.py
@@ -61,6 +61,7 @@
 from hopstep.services.exchanges.requests.service import ExchangeService
 from hopstep.services.exchanges.streams.stream_gauges import watch_streams
 from hopstep.services.exchanges.streams.stream_origins import StreamOrigins
+from hopstep.services.exchanges.streams.version_recording import VersionRecording
 from hopstep.services.exchanges.weights.rollout_lease import RolloutLease
 from hopstep.services.exchanges.weights.weights_rollout import WeightsRollout
 from hopstep.services.lifecycle import Lifecycle
@@ -171,11 +172,13 @@
             QuotaBounds(bounds.quota_window_seconds, bounds.quota_overshoot, bounds.quota_slack),
             generator,
         )
+        self.recording = VersionRecording(self.knowledge, ports.store)
         self.origins = StreamOrigins(
             self.knowledge,
             ports.nodes,
             ports.store,
             CurrentView(self.knowledge, ports.directory, self.pauses),
+            self.recording,
         )
         self.sending_view = SendingView(
             self.knowledge,
@@ -285,6 +288,7 @@
             self.lifecycle.cancel_remaining,
             self.follower.run,
             self.relaying.run,
+            self.recording.run,
             self.origins.run,
             self.sending_view.run,
             self.exchanges.queue.run,
--- a/hopstep/log_events/requests.py
+++ b/hopstep/log_events/requests.py
@@ -205,6 +205,20 @@
     ("records", "code"),
     "Nothing while the store is down: other nodes get them too. Else look the code up.",
 )
+VERSIONS_RECORDED = LogEvent(
+    "HS3116",
+    "software_versions_recorded",
+    Level.INFO,
+    ("versions", "era"),
+    "Nothing: new streams may begin at the versions of each service from now on.",
+)
+VERSIONS_NOT_RECORDED = LogEvent(
+    "HS3117",
+    "software_versions_not_recorded",
+    Level.INFO,
+    ("code",),
+    "Nothing while the store is down: it is tried again. Else look the code up.",
+)
 ORIGINS_NOT_SENT = LogEvent(
     "HS3115",
     "origins_not_sent",
--- a/hopstep/services/exchanges/directory/knowledge.py
+++ b/hopstep/services/exchanges/directory/knowledge.py
@@ -23,6 +23,7 @@
 from hopstep.domain.exchanges.nodes import NodeRecord, RelayPlan
 from hopstep.domain.exchanges.serving import ServingConfiguration, ServingIndex
 from hopstep.domain.exchanges.store_contact import StoreContact
+from hopstep.domain.exchanges.streams.recorded_versions import RecordedVersions
 from hopstep.domain.exchanges.weights import NamedWeightsTable
 from hopstep.domain.store_position import ABSENT, NO_POSITION, StorePosition
 from hopstep.exceptions import ErrorCode, ServiceError
@@ -97,6 +98,7 @@
         self.configuration = KnownConfiguration(table)
         self.named_weights = KnownWeights(weights, self.contact)
         self.instances = InstanceChanges(table, self.contact)
+        self.recorded_versions = RecordedVersions()
         self.records = KnownRecords(self.registered_nodes)
         self.documents = DocumentChanges(
             self.configuration,
--- a/hopstep/services/exchanges/directory/records.py
+++ b/hopstep/services/exchanges/directory/records.py
@@ -10,6 +10,7 @@
 from hopstep.domain.addresses import parse_address
 from hopstep.domain.exchanges.nodes import NodeRecord
 from hopstep.domain.exchanges.rollout_lease_state import RolloutHolder
+from hopstep.domain.exchanges.streams.recorded_versions import VersionsRecord
 from hopstep.exceptions import ValidationError
 
 MAX_RECORD_BYTES = 256 * 1024
@@ -21,6 +22,8 @@
 ROLLOUT_KEY = "hopstep/rollout"
 """Exists while a node holds the rollout lease; its value is a ``RolloutHolder``."""
 
+VERSIONS_KEY = "hopstep/software-versions"
+"""Software versions at which streams may have begun; its value is a ``VersionsRecord``."""
 
 STREAMS_PREFIX = "hopstep/streams/"
 """Prefix of the keys of origins of streams; each value is a list of ``ReportedOrigin``."""
@@ -59,6 +62,21 @@
     return decode_json(value, RolloutHolder)
 
 
+def encode_versions(record: VersionsRecord) -> bytes:
+    """Return the value of the key of software versions."""
+    return msgspec.json.encode(record)
+
+
+def decode_versions(value: bytes) -> VersionsRecord:
+    """Return the record from the value of the key of software versions.
+
+    Raises:
+        msgspec.DecodeError: Names the field that can't be read.
+    """
+    require_bounded(value)
+    return decode_json(value, VersionsRecord)
+
+
 def encode_node(record: NodeRecord) -> bytes:
     """Return the value of a node's key."""
     return msgspec.json.encode(record)
--- a/hopstep/services/exchanges/requests/choice/instance_choice.py
+++ b/hopstep/services/exchanges/requests/choice/instance_choice.py
@@ -256,13 +256,29 @@
         """Return the instances able to serve a request, whether or not they accept it now."""
         model = scope.model
         required = self._knowledge.weights.required(model, now) if model else 0
-        return [
+        views = [
             view
             for view in self._knowledge.table.of_service(scope.service)
             if scope.admits(view.instance)
             and (not model or model in view.versions)
             and (not required or view.serving_version(model) >= required)
         ]
+        return self._of_recorded_versions(scope, views, now) if scope.begins_stream else views
+
+    def _of_recorded_versions(
+        self, scope: InstanceScope, views: list[InstanceView], now: float
+    ) -> list[InstanceView]:
+        """Return the instances of recorded versions if they serve; else all."""
+        versions = self._knowledge.recorded_versions
+        recorded = [
+            view
+            for view in views
+            if versions.may_begin(scope.service, view.instance.software_version, now)
+        ]
+        if len(recorded) == len(views):
+            return views
+        is_served = any(v.is_usable(now) and v.takes(Purpose.REQUEST, now) for v in recorded)
+        return recorded if is_served else views
 
     def blocked_instances(self, scope: InstanceScope) -> list[tuple[InstanceView, Admission]]:
         """Return the instances that may serve a request later, and what prevents it now."""
--- a/hopstep/services/exchanges/streams/stream_origins.py
+++ b/hopstep/services/exchanges/streams/stream_origins.py
@@ -40,6 +40,7 @@
 from hopstep.services.exchanges.streams.origin_sharing import OriginSharing
 from hopstep.services.exchanges.streams.reading_queries import ReadingQueries
 from hopstep.services.exchanges.streams.stored_origins import StoredOrigins
+from hopstep.services.exchanges.streams.version_recording import VersionRecording
 from hopstep.services.exchanges.streams.view_confirmation import ViewConfirmation
 
 FRESH_SECONDS = 3.0
@@ -71,6 +72,7 @@
         exchange: NodeExchange,
         store: KeyValueStorePort,
         view: CurrentView,
+        recording: VersionRecording,
     ) -> None:
         """Start without records. Must be called inside the event loop.
 
@@ -79,10 +81,11 @@
             exchange: Sends datagrams to other nodes.
             store: Keeps records of all nodes.
             view: Reads where instances are listed.
+            recording: Keeps the record of the versions at which streams may have begun.
         """
         self._knowledge = knowledge
         self._versions = knowledge.instances.versions
-        self._started_at = trio.current_time()
+        self._recording = recording
         self._own = OriginRecords()
         self._kept = OriginRecords()
         self._holders = OriginHolders(knowledge)
@@ -140,7 +143,12 @@
         service = services[0] if len(services) == 1 else ""
         with self._sharing.open(key, service) as inquiry:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._confirmation.run, inquiry, self._may_be_sole(inquiry))
+                nursery.start_soon(
+                    self._confirmation.run,
+                    inquiry,
+                    self._may_be_sole(inquiry),
+                    self._may_be_earlier(inquiry),
+                )
                 await self._sharing.ask(inquiry, self._is_enough)
                 nursery.cancel_scope.cancel()
             return self._conclude(inquiry)
@@ -149,6 +157,10 @@
         """Return a function that tells whether only one version is known so far."""
         return lambda: bool(common_version(self._claims(inquiry)))
 
+    def _may_be_earlier(self, inquiry: Inquiry) -> Callable[[], bool]:
+        """Return a function that tells whether nodes that have ended began at one version only."""
+        return lambda: len(self._of_ended_processes(inquiry)) == 1
+
     def _is_enough(self, inquiry: Inquiry) -> bool:
         """Return whether a single version is known, also to half of the nodes that were asked."""
         enough_answered = 2 * len(inquiry.claims) >= inquiry.asked
@@ -165,13 +177,13 @@
         read = self._known(inquiry.key)
         if read is not None:
             return self._judge(OriginSource.OWN, read, self._knowledge.name)
-        version = self._sole_version(inquiry)
+        source, version = OriginSource.SOLE_VERSION, self._sole_version(inquiry)
+        if not version:
+            source, version = OriginSource.EARLIER_VERSION, self._earlier_version(inquiry)
         if not version:
             return OriginLookup(OriginSource.UNKNOWN, asked=inquiry.asked, answered=answered)
         origin = StreamOrigin(inquiry.service, version)
-        return OriginLookup(
-            OriginSource.SOLE_VERSION, origin, asked=inquiry.asked, answered=answered
-        )
+        return OriginLookup(source, origin, asked=inquiry.asked, answered=answered)
 
     def is_doubtful(self, origin: StreamOrigin, began_at: float) -> bool:
         """Return whether a stream may have begun at other software than that of its instance.
@@ -194,6 +206,23 @@
         own, *others = self._claims(inquiry)
         return sole_version(own, others, inquiry.others)
 
+    def _earlier_version(self, inquiry: Inquiry) -> str:
+        """Return the only version at which processes that have ended began; empty when unknown.
+
+        A stream of which no live node has a record was begun by such a process. Each node has the
+        records of its own streams, so all must have answered.
+        """
+        others = self._knowledge.nodes.keys() - {self._knowledge.name}
+        if not inquiry.is_own_view_current or others - inquiry.claims.keys():
+            return ""
+        versions = self._of_ended_processes(inquiry)
+        return next(iter(versions)) if len(versions) == 1 else ""
+
+    def _of_ended_processes(self, inquiry: Inquiry) -> frozenset[str]:
+        """Return the versions at which processes that have ended may have begun a stream."""
+        recorded = self._knowledge.recorded_versions
+        return recorded.of_ended_processes(inquiry.service, trio.current_time())
+
     def _claims(self, inquiry: Inquiry) -> list[VersionClaim]:
         """Return what this node, and the others that answered, know; several services: nothing."""
         if not inquiry.service:
@@ -300,20 +329,23 @@
         """Return what this node knows of the software versions of a service.
 
         Its view is complete if it has followed the directory for long enough, or began with a
-        reading of the store, which has the records of streams of other versions.
+        reading of the store, which has the versions that were listed before.
 
         Args:
             service: The service.
             is_current: Whether the store was read since the question came up.
         """
         now = trio.current_time()
-        recorded = {record.origin.software_version for record in self._records(service, now)}
-        versions = self._versions.recent(service, now) | recorded
-        followed_seconds = now - self._started_at
-        has_read_store = self._knowledge.contact.read_at >= self._started_at
+        of_streams = {record.origin.software_version for record in self._records(service, now)}
+        versions = self._versions.recent(service, now) | of_streams
+        recorded, recording = self._knowledge.recorded_versions, self._recording
+        is_complete = recording.has_followed_streams
+        if not is_complete:
+            versions |= recorded.of(service)
+            is_complete = recording.has_read_store and recorded.is_complete(now)
         return VersionClaim(
             tuple(sorted(versions)),
-            has_read_store or followed_seconds >= self._versions.retention_seconds,
+            is_complete,
             self._knowledge.keys.age_seconds <= FRESH_SECONDS,
             is_current,
         )
--- a/hopstep/services/exchanges/streams/view_confirmation.py
+++ b/hopstep/services/exchanges/streams/view_confirmation.py
@@ -43,18 +43,24 @@
         self._view = view
         self._sharing = sharing
 
-    async def run(self, inquiry: Inquiry, is_sole: Callable[[], bool]) -> None:
+    async def run(
+        self, inquiry: Inquiry, is_sole: Callable[[], bool], is_earlier: Callable[[], bool]
+    ) -> None:
         """Confirm the answers, once the nodes had time to send them.
 
         Args:
             inquiry: The question.
-            is_sole: Whether only one version is known so far; else no reading can help.
+            is_sole: Whether only one version is known so far.
+            is_earlier: Whether one version only is known of the nodes that have ended; this needs a
+                reading by this node itself. In all other cases no reading can help.
         """
         with trio.move_on_after(ROUND_SECONDS[0]):
             while inquiry.missing and inquiry.record is None:
                 await inquiry.progress.wait()
         if inquiry.record is None and is_sole():
             await self._confirm(inquiry)
+        elif inquiry.record is None and is_earlier():
+            await self._read(inquiry)
         inquiry.needs_reading = False
         inquiry.notify()
 
--- a/tests/services/exchanges/test_streams_at_cut_nodes.py
+++ b/tests/services/exchanges/test_streams_at_cut_nodes.py
@@ -35,6 +35,8 @@
 AWAY_SECONDS = 2.6
 """Time for which the store is away when streams begin: nodes know that by then."""
 
+RECORDING_CHECK_SECONDS = 0.02
+
 LATE_JOIN_SECONDS = 3.5
 """The same where no cut node's view of the directory is recent any more."""
 
@@ -120,9 +122,16 @@
             played.add(f"n{number}", "v2", slots=SLOTS)
 
     async def wait_known(self, node, version):
-        """Wait until a node knows a version: it may first have to notice that its relay is cut."""
+        """Wait until a node begins streams at a version.
+
+        It may first have to notice that its relay is cut, which would record the version.
+        """
+        versions = node.knowledge.recorded_versions
         while version not in node.knowledge.instances.versions.listed("llm"):
             await node.knowledge.changed.wait()
+        while not versions.may_begin("llm", version, trio.current_time()):
+            with trio.move_on_after(RECORDING_CHECK_SECONDS):
+                await node.knowledge.changed.wait()
 
     def check(self, played):
         """Check that streams began on the new version, and that hardly any was mixed."""
--- a/tests/services/exchanges/versioned_streams.py
+++ b/tests/services/exchanges/versioned_streams.py
@@ -16,6 +16,9 @@
 PAUSE_SECONDS = 0.05
 """Seconds between two tries of a client."""
 
+LEAST_SERVING = 2
+"""Engines of a version from which the users' rule expects its streams to go on."""
+
 EVENTS = 20
 EVENT_SECONDS = 0.05
 
@@ -135,12 +138,23 @@
         return self.add(f"x{self._started}", version)
 
     async def crash_in_turn(self, seconds, every=0.3):
-        """Crash one engine after the other; what starts has any of the versions."""
+        """Crash one engine after the other; what starts has any of the versions.
+
+        Of each version ``LEAST_SERVING`` engines run at any time.
+        """
         versions = sorted({server.instance.software_version for server in self.servers()})
         until = trio.current_time() + seconds
         while trio.current_time() < until:
             await trio.sleep(every)
-            self.crash(self.generator.choice(self.servers()), self.generator.choice(versions))
+            server, version = self.generator.choice(self.servers()), self.generator.choice(versions)
+            crashed = server.instance.software_version
+            if self.count_serving(crashed) <= LEAST_SERVING:
+                version = crashed
+            self.crash(server, version)
+
+    def count_serving(self, version):
+        """Return the number of engines of a version that run."""
+        return sum(server.instance.software_version == version for server in self.servers())
 
     def servers(self):
         """Return the engines that run."""
