Never take part of an answer for the whole after a reset during its request

Callers saw: an instance answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was written; the client got that part as a complete answer.

Cause: after a reset a socket reports the error once. The write got it and it was ignored, since an answer may come before the request is read; the read then showed what had arrived and an end like an orderly one. The library for calls to engines does the same. The gateway of a tunnel reads and writes side by side, and marked the end as orderly before its write had reported the error.

Change: a failed write is remembered, and an end behind it is a broken connection. A gateway waits up to 0.05 s for the end of its write before it marks an end.

Answers with a length still count as whole where the rest of the request was reset.

--- a/hopstep/adapters/kept_connections.py
+++ b/hopstep/adapters/kept_connections.py
@@ -27,6 +27,49 @@
 """Step of the library before the first byte of a request is sent on an open connection."""
 
 
+CUT_REQUEST = ("http11.send_request_headers.failed", "http11.send_request_body.failed")
+"""Steps of the library with which a connection breaks while a request is written. The library goes
+on and reads what has arrived."""
+
+
+class CutStream(httpcore.AsyncNetworkStream):
+    """A connection that broke while a request was written, of which the rest is read.
+
+    The error is reported by the write alone: the end that a read shows looks like an orderly one.
+    """
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        """Wrap the connection.
+
+        Args:
+            stream: The connection.
+        """
+        self._stream = stream
+
+    async def read(
+        self,
+        max_bytes: int,
+        timeout: float | None = None,  # noqa: ASYNC109 - the library's signature
+    ) -> bytes:
+        """Read what has arrived.
+
+        Raises:
+            httpcore.ReadError: At the end.
+        """
+        data = await self._stream.read(max_bytes, timeout)
+        if not data:
+            raise httpcore.ReadError("the connection broke while the request was written")
+        return data
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return what the library asks about the connection."""
+        return self._stream.get_extra_info(info)
+
+
 class KeptConnection(httpcore.AsyncConnectionInterface):
     """A connection of the library that also expires with surplus bytes, and with its end."""
 
@@ -44,14 +87,17 @@
         return await self._connection.handle_async_request(request)
 
     async def _trace(self, step: str, _info: dict[str, Any]) -> None:
-        """Bound the informational responses of a connection before its first request is sent.
+        """Replace parts of a connection: the library takes none from outside.
 
-        The library opens the connection with the first request, and takes no state from outside.
+        Before the first request is sent, its state gets one that bounds informational responses.
+        Once it broke while a request was written, its end isn't taken for that of an answer.
         """
         opened = self._connection._connection
-        if step != FIRST_STEP or not isinstance(opened, httpcore.AsyncHTTP11Connection):
+        if not isinstance(opened, httpcore.AsyncHTTP11Connection):
             return
-        if not isinstance(opened._h11_state, BoundedProtocol):
+        if step in CUT_REQUEST:
+            opened._network_stream = CutStream(opened._network_stream)
+        if step == FIRST_STEP and not isinstance(opened._h11_state, BoundedProtocol):
             opened._h11_state = BoundedProtocol(opened.MAX_INCOMPLETE_EVENT_SIZE)
 
     async def aclose(self) -> None:
--- a/hopstep/adapters/tunnel_server.py
+++ b/hopstep/adapters/tunnel_server.py
@@ -46,6 +46,9 @@
 MAX_TUNNELS = 512
 """Open tunnels; each needs two descriptors and the buffers of two connections."""
 
+WRITE_END_SECONDS = 0.05
+"""Longest wait for the end of a write to an instance that has ended its connection."""
+
 QUIET_SECONDS = 2.0
 """Time without a byte after which a response through a tunnel of a stopping node has ended; it is
 the longest pause for which clients wait between two events."""
@@ -192,6 +195,8 @@
         self._sending = trio.Lock()
         self._moved_at = trio.current_time()
         self._awaits_response = False
+        self._writing = trio.Lock()
+        self._is_request_cut = False
 
     async def run(self) -> None:
         """Pass on bytes until either end closes."""
@@ -214,13 +219,32 @@
                     break
                 self._awaits_response = True
                 self._moved_at = trio.current_time()
-                await self._instance.send_all(data)
+                await self._write(data)
         except BROKEN as error:
             # The end that broke is closed; a reset of the instance is passed on as one.
             _log_broken(self._instance_id, REQUEST_DIRECTION, error)
             await trio.lowlevel.checkpoint()
         scope.cancel()
 
+    async def _write(self, data: bytes) -> None:
+        """Write a part of a request to the instance."""
+        async with self._writing:
+            try:
+                await self._instance.send_all(data)
+            except BROKEN:
+                self._is_request_cut = True
+                raise
+
+    async def _was_request_cut(self) -> bool:
+        """Return whether the connection broke while a request was written.
+
+        The write reports that a little later than the end is read.
+        """
+        with trio.move_on_after(WRITE_END_SECONDS):
+            async with self._writing:
+                pass
+        return self._is_request_cut
+
     async def _refuses(self) -> bool:
         """Refuse a request that may not be passed on; return whether it was refused."""
         failure = self._gate.check_request(self._target)
@@ -234,16 +258,20 @@
         return True
 
     async def _pass_responses(self, scope: trio.CancelScope) -> None:
-        """Pass on bytes of the instance until it closes its connection; mark an orderly end."""
+        """Pass on bytes of the instance until it closes its connection; mark an orderly end.
+
+        After a reset that a write has reported, the end that is read looks like an orderly one.
+        """
         try:
             while data := await self._instance.receive_some(CHUNK_BYTES):
                 self._awaits_response = False
                 self._moved_at = trio.current_time()
                 await self._send(CHUNK_HEADER.pack(len(data)) + bytes(data))
-            await self._send(CHUNK_HEADER.pack(END))
-            async with self._sending:
-                await self._client.send_eof()
-            await self._wait_closed()
+            if not await self._was_request_cut():
+                await self._send(CHUNK_HEADER.pack(END))
+                async with self._sending:
+                    await self._client.send_eof()
+                await self._wait_closed()
         except BROKEN as error:
             _log_broken(self._instance_id, RESPONSE_DIRECTION, error)
             await trio.lowlevel.checkpoint()
--- a/hopstep/platform/http_connection.py
+++ b/hopstep/platform/http_connection.py
@@ -133,12 +133,14 @@
         pending.trace.note_sending(self._number, self._sends + 1)
         self._sends += 1
         head, body = self._protocol.encode_request(request, call)
-        with contextlib.suppress(httpcore.WriteError):
+        try:
             if len(body) <= MAX_JOINED_BODY_BYTES:
                 await stream.write(head + body)
                 return
             await stream.write(head)
             await stream.write(body)
+        except httpcore.WriteError:
+            self._protocol.note_request_cut()
 
     async def _open(self, pending: PendingCall) -> httpcore.AsyncNetworkStream:
         """Open the connection."""
--- a/hopstep/platform/http_protocol.py
+++ b/hopstep/platform/http_protocol.py
@@ -101,8 +101,17 @@
         self._sent = sent
         self._on_other_answer = on_other_answer
         self._arrived = _Arrived()
+        self._is_request_cut = False
         self._protocol = _new_protocol()
 
+    def note_request_cut(self) -> None:
+        """Note that the connection broke while the request was written.
+
+        The error is reported by the write alone: a read shows what had arrived, and then an end
+        like an orderly one.
+        """
+        self._is_request_cut = True
+
     @property
     def surplus(self) -> bytes:
         """What has been received behind the current response."""
@@ -268,8 +277,14 @@
             return self._protocol.next_event()
 
     async def _receive(self, call: HttpCall) -> None:
-        """Read what has arrived; an end of the connection is passed to the protocol too."""
+        """Read what has arrived; an orderly end of the connection is passed to the protocol too.
+
+        Raises:
+            httpcore.ReadError: When the connection broke.
+        """
         data = await self._read(call.read_seconds)
+        if not data and self._is_request_cut:
+            raise httpcore.ReadError("the connection broke while the request was written")
         self._arrived = _Arrived()
         with _mapped_errors():
             self._protocol.receive_data(data)
