Refuse a record of software versions whose time for streams is out of bounds

By reading: a record of another writer with a time of 0 or less would have been doubled without end by the node that writes the next one, and held its loop. The time now has its bounds where the record is read; nodes write their own record in the place of one that can't be read (tests.services.exchanges.streams.test_version_record). Not run without the bounds, as the test wouldn't end.

--- a/hopstep/domain/exchanges/streams/recorded_versions.py
+++ b/hopstep/domain/exchanges/streams/recorded_versions.py
@@ -7,9 +7,14 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
-from hopstep.domain.exchanges.streams.listed_versions import MIN_RETENTION_SECONDS
+from hopstep.domain.exchanges.streams.listed_versions import (
+    MAX_RETENTION_SECONDS,
+    MIN_RETENTION_SECONDS,
+)
 from hopstep.domain.store_position import UNSPECIFIED_ERA, StorePosition
 
 MAX_RECORDING_SECONDS = 8.0
@@ -17,6 +22,9 @@
 versions serve them: longer than a node waits after its start, and than most outages of the store.
 """
 
+StreamSeconds = Annotated[float, msgspec.Meta(ge=MIN_RETENTION_SECONDS, le=MAX_RETENTION_SECONDS)]
+"""Time for which clients hold streams."""
+
 
 class VersionsRecord(msgspec.Struct, frozen=True):
     """The record in the store.
@@ -30,7 +38,7 @@
 
     versions: dict[str, dict[str, StorePosition]] = {}
     era: int = UNSPECIFIED_ERA
-    stream_seconds: float = MIN_RETENTION_SECONDS
+    stream_seconds: StreamSeconds = MIN_RETENTION_SECONDS
 
 
 class RecordedVersions:
